--- /dev/null
+++ b/src/quetzalquay/config/Snapshot.cpp
@@ -0,0 +1,137 @@
+#include "config/Snapshot.h"
+
+#include "wire/Crypto.h"
+
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+template<typename Items>
+auto
+FindNamed(const Items& aItems, const std::string& aName)
+  -> decltype(&*aItems.begin())
+{
+  for (const auto& it : aItems) {
+    if (it.name() == aName) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+Snapshot::Snapshot(schema::Configuration aConfiguration)
+  : mConfiguration(std::move(aConfiguration))
+{
+  for (const auto& it : mConfiguration.workspaces()) {
+    for (const auto& hash : it.key_sha256()) {
+      mByKeyHash.emplace(hash, &it);
+    }
+  }
+  for (const auto& it : mConfiguration.targets()) {
+    mTargets.emplace(it.name(), &it);
+  }
+}
+
+const schema::Workspace*
+Snapshot::WorkspaceOfKey(const std::string& aKey) const
+{
+  const auto it = mByKeyHash.find(Sha256Hex(aKey));
+  return it == mByKeyHash.end() ? nullptr : it->second;
+}
+
+const schema::Workspace*
+Snapshot::WorkspaceNamed(const std::string& aName) const
+{
+  return FindNamed(mConfiguration.workspaces(), aName);
+}
+
+const schema::Model*
+Snapshot::ModelNamed(const std::string& aName) const
+{
+  return FindNamed(mConfiguration.models(), aName);
+}
+
+const schema::Adapter*
+Snapshot::AdapterNamed(const std::string& aModel,
+                       const std::string& aName) const
+{
+  for (const auto& it : mConfiguration.adapters()) {
+    if (it.model() == aModel && it.name() == aName) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+const schema::Service*
+Snapshot::ServiceOfModel(const std::string& aModel) const
+{
+  for (const auto& it : mConfiguration.services()) {
+    if (it.kind() == schema::MODEL_POOL && it.model() == aModel) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+const schema::Service*
+Snapshot::ServiceNamed(const std::string& aName) const
+{
+  return FindNamed(mConfiguration.services(), aName);
+}
+
+std::optional<TargetAddress>
+Snapshot::AddressOf(const std::string& aTarget) const
+{
+  const auto it = mTargets.find(aTarget);
+  if (it == mTargets.end()) {
+    return std::nullopt;
+  }
+  const schema::Target& target = *it->second;
+  return TargetAddress{ target.name(), target.address(), target.port() };
+}
+
+std::vector<ServiceDeclaration>
+Snapshot::ServiceDeclarations() const
+{
+  std::vector<ServiceDeclaration> services;
+  for (const auto& it : mConfiguration.services()) {
+    ServiceDeclaration service;
+    service.mName = it.name();
+    const schema::Model* model = ModelNamed(it.model());
+    if (model != nullptr) {
+      service.mServingVersion = model->serving_version();
+    }
+    services.push_back(std::move(service));
+  }
+  return services;
+}
+
+std::vector<TargetDeclaration>
+Snapshot::TargetDeclarations() const
+{
+  std::vector<TargetDeclaration> targets;
+  for (const auto& it : mConfiguration.targets()) {
+    TargetDeclaration target;
+    target.mName = it.name();
+    target.mService = it.service();
+    target.mPlace = it.place();
+    target.mRegion = RegionOf(it.place());
+    target.mLeaving = it.leaving();
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+std::string
+Snapshot::RegionOf(const std::string& aPlace) const
+{
+  const schema::Place* place = FindNamed(mConfiguration.places(), aPlace);
+  return place == nullptr ? std::string() : place->region();
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/RefCounted.h
@@ -0,0 +1,27 @@
+#ifndef QUETZALQUAY_CORE_REFCOUNTED_H_INCLUDED
+#define QUETZALQUAY_CORE_REFCOUNTED_H_INCLUDED
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace quetzalquay {
+
+// Base of objects that count their own references, from any thread.
+template<typename T>
+using RefCounted = boost::intrusive_ref_counter<T, boost::thread_safe_counter>;
+
+// Pointer that holds one reference.
+template<typename T>
+using RefPtr = boost::intrusive_ptr<T>;
+
+// Makes a reference-counted object.
+template<typename T, typename... Args>
+RefPtr<T>
+MakeRef(Args&&... aArgs)
+{
+  return RefPtr<T>(new T(std::forward<Args>(aArgs)...));
+}
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_REFCOUNTED_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -0,0 +1,78 @@
+#include "core/SuspectRegistry.h"
+
+#include <algorithm>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kRecordLifetime = std::chrono::minutes(10);
+constexpr std::size_t kMaxRecords = 10000;
+
+} // namespace
+
+void
+SuspectRegistry::OnTargetDeath(const std::vector<std::uint64_t>& aRequests,
+                               Time aNow)
+{
+  int most = 0;
+  for (const std::uint64_t it : aRequests) {
+    most = std::max(most, Deaths(it, aNow));
+  }
+  for (const std::uint64_t it : aRequests) {
+    if (Deaths(it, aNow) == most) {
+      Blame(it, aNow);
+    }
+  }
+}
+
+void
+SuspectRegistry::OnSurvived(std::uint64_t aRequest)
+{
+  mRecords.erase(aRequest);
+}
+
+int
+SuspectRegistry::Deaths(std::uint64_t aRequest, Time aNow) const
+{
+  const auto it = mRecords.find(aRequest);
+  if (it == mRecords.end() || aNow >= it->second.mExpiresAt) {
+    return 0;
+  }
+  return it->second.mDeaths;
+}
+
+bool
+SuspectRegistry::IsRefused(std::uint64_t aRequest, Time aNow) const
+{
+  return Deaths(aRequest, aNow) >= kRefusalDeaths;
+}
+
+void
+SuspectRegistry::Merge(std::uint64_t aRequest, int aDeaths, Time aNow)
+{
+  if (aDeaths <= Deaths(aRequest, aNow)) {
+    return;
+  }
+  mRecords[aRequest] = { aDeaths, aNow + kRecordLifetime };
+}
+
+void
+SuspectRegistry::Expire(Time aNow)
+{
+  for (auto it = mRecords.begin(); it != mRecords.end();) {
+    it = aNow >= it->second.mExpiresAt ? mRecords.erase(it) : std::next(it);
+  }
+}
+
+void
+SuspectRegistry::Blame(std::uint64_t aRequest, Time aNow)
+{
+  const int deaths = Deaths(aRequest, aNow) + 1;
+  if (mRecords.size() >= kMaxRecords) {
+    Expire(aNow);
+  }
+  mRecords[aRequest] = { deaths, aNow + kRecordLifetime };
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -0,0 +1,59 @@
+#ifndef QUETZALQUAY_CORE_TARGETCHOOSER_H_INCLUDED
+#define QUETZALQUAY_CORE_TARGETCHOOSER_H_INCLUDED
+
+#include "core/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// Outcome of a search for a target.
+enum class ChoiceStatus
+{
+  Chosen,
+  // Every usable target is down, leaving, excluded or full at the moment.
+  NoneReady,
+  // The request is suspected of crashing the targets that run it.
+  Poison,
+};
+
+// What the chooser has to know about the request.
+struct ChoiceQuery
+{
+  std::string mService;
+  // Targets that this request may not use again.
+  std::vector<std::string> mExcluded;
+  // Hash of the prompt's leading block, for the prefix cache.
+  std::uint64_t mPrefixHash = 0;
+  // Identifies the request's workspace and content across repeats.
+  std::uint64_t mContentHash = 0;
+  // Whether the work continues a stream that lost its target.
+  bool mContinuation = false;
+};
+
+// Target for one attempt, or the reason for which there is none.
+struct Choice
+{
+  ChoiceStatus mStatus = ChoiceStatus::NoneReady;
+  std::string mTarget;
+  // Usual time between two tokens of one stream on that target.
+  Duration mUsualGap = Duration::zero();
+  // Version that a first start runs on; a continuation keeps its own.
+  std::string mServingVersion;
+};
+
+// Picks the target of an attempt.
+class TargetChooser
+{
+public:
+  virtual ~TargetChooser() = default;
+
+  // Picks a target; the caller reports the attempt's end separately.
+  virtual Choice Choose(const ChoiceQuery& aQuery, Time aNow) = 0;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_TARGETCHOOSER_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -0,0 +1,506 @@
+#include "core/TargetTable.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long a target that refused or did not answer is left alone, unless a
+// load report comes sooner.
+constexpr Duration kDownPause = milliseconds(1000);
+
+// How long a target that turned an attempt away is left alone.
+constexpr Duration kFullPause = milliseconds(200);
+
+// Time in which a broken connection may be explained by a confirmed death.
+constexpr Duration kLostWindow = milliseconds(5000);
+
+// How long an attempt of a suspect keeps other suspects away.
+constexpr Duration kSuspectWatch = milliseconds(1000);
+
+// How long a suspect of one death waits for a target without other suspects.
+constexpr Duration kSuspectPatience = milliseconds(500);
+
+// Continuations that one target takes within the pacing window.
+constexpr std::size_t kContinuationsPerWindow = 8;
+constexpr Duration kContinuationWindow = milliseconds(100);
+
+// Load that equals the cost of leaving the place, and the region.
+constexpr double kOtherPlaceLoad = 2.0;
+constexpr double kOtherRegionLoad = 12.0;
+
+// Load that a cached prefix makes up for.
+constexpr double kCachedPrefixLoad = 3.0;
+
+constexpr std::size_t kMaxCachedPrefixes = 4096;
+
+// Weight of a new sample in the moving averages.
+constexpr int kAverageShift = 3;
+
+constexpr Duration kInitialGap = milliseconds(30);
+
+void
+Average(Duration& aAverage, Duration aSample)
+{
+  aAverage += (aSample - aAverage) / (1 << kAverageShift);
+}
+
+} // namespace
+
+TargetTable::TargetTable(TargetTableOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRandom(mOptions.mSeed)
+{
+}
+
+void
+TargetTable::Declare(const std::vector<ServiceDeclaration>& aServices,
+                     const std::vector<TargetDeclaration>& aTargets)
+{
+  std::map<std::string, Target> targets;
+  mByService.clear();
+  for (const TargetDeclaration& it : PickSubset(aTargets)) {
+    Target* known = Find(it.mName);
+    Target target;
+    if (known != nullptr) {
+      target = std::move(*known);
+    } else {
+      target.mUsualGap = kInitialGap;
+      target.mFirstToken = Duration::zero();
+    }
+    target.mDeclaration = it;
+    mByService[it.mService].push_back(it.mName);
+    targets.emplace(it.mName, std::move(target));
+  }
+  mTargets.swap(targets);
+  mServices.clear();
+  for (const ServiceDeclaration& it : aServices) {
+    mServices.emplace(it.mName, it);
+  }
+}
+
+Choice
+TargetTable::Choose(const ChoiceQuery& aQuery, Time aNow)
+{
+  Choice choice;
+  if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
+    choice.mStatus = ChoiceStatus::Poison;
+    return choice;
+  }
+  std::vector<Target*> usable;
+  Target* cached = nullptr;
+  for (const std::string& it : mByService[aQuery.mService]) {
+    Target& target = mTargets.at(it);
+    if (!IsUsable(target, aQuery, aNow)) {
+      continue;
+    }
+    usable.push_back(&target);
+    const bool holds = target.mCached.count(aQuery.mPrefixHash) != 0;
+    if (holds && (cached == nullptr || Load(target) < Load(*cached))) {
+      cached = &target;
+    }
+  }
+  std::shuffle(usable.begin(), usable.end(), mRandom);
+  // Two random candidates and the holder of the prefix; the rest only when
+  // suspicion or pacing keeps these from being used.
+  const std::size_t first = std::min<std::size_t>(usable.size(), 2);
+  if (cached != nullptr) {
+    usable.insert(usable.begin(), cached);
+  }
+  const auto less = [&](const Target* aLeft, const Target* aRight) {
+    return Score(*aLeft, aQuery) < Score(*aRight, aQuery);
+  };
+  const std::size_t head = first + (cached != nullptr ? 1 : 0);
+  std::stable_sort(usable.begin(), usable.begin() + head, less);
+  std::stable_sort(usable.begin() + head, usable.end(), less);
+  for (Target* it : usable) {
+    if (!SuspectMayGo(*it, aQuery, aNow)) {
+      continue;
+    }
+    if (aQuery.mContinuation && !TakesContinuation(*it, aNow)) {
+      continue;
+    }
+    mSuspectWaits.erase(aQuery.mContentHash);
+    choice.mStatus = ChoiceStatus::Chosen;
+    choice.mTarget = it->mDeclaration.mName;
+    choice.mUsualGap = it->mUsualGap;
+    choice.mServingVersion = mServices[aQuery.mService].mServingVersion;
+    return choice;
+  }
+  return choice;
+}
+
+void
+TargetTable::OnAttemptStart(const std::string& aTarget,
+                            std::uint64_t aContentHash,
+                            Time aNow)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mRunning.push_back({ aContentHash, aNow, false });
+  }
+}
+
+void
+TargetTable::OnAttemptEnd(const std::string& aTarget,
+                          std::uint64_t aContentHash,
+                          AttemptOutcome aOutcome,
+                          Time aNow)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  auto& running = target->mRunning;
+  const auto it =
+    std::find_if(running.begin(), running.end(), [&](const Running& aEntry) {
+      return aEntry.mContentHash == aContentHash;
+    });
+  bool blamed = false;
+  if (it != running.end()) {
+    blamed = it->mBlamed;
+    running.erase(it);
+  }
+  auto& lost = target->mLost;
+  while (!lost.empty() && aNow - lost.front().mAt >= kLostWindow) {
+    lost.pop_front();
+  }
+  if (aOutcome == AttemptOutcome::Lost && !blamed) {
+    lost.push_back({ aContentHash, aNow });
+  } else if (aOutcome == AttemptOutcome::Finished) {
+    mSuspects.OnSurvived(aContentHash);
+  }
+}
+
+void
+TargetTable::OnProgress(std::uint64_t aContentHash)
+{
+  mSuspects.OnSurvived(aContentHash);
+}
+
+void
+TargetTable::OnFirstToken(const std::string& aTarget, Duration aTime)
+{
+  if (Target* target = Find(aTarget)) {
+    Average(target->mFirstToken, aTime);
+  }
+}
+
+void
+TargetTable::OnGap(const std::string& aTarget, Duration aGap)
+{
+  if (Target* target = Find(aTarget)) {
+    Average(target->mUsualGap, aGap);
+  }
+}
+
+void
+TargetTable::OnTurnedAway(const std::string& aTarget, Time aNow)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mFullUntil = aNow + kFullPause;
+  }
+}
+
+void
+TargetTable::OnLoad(const std::string& aTarget,
+                    const std::string& aIncarnation,
+                    const std::string& aState,
+                    int aLoad,
+                    Time aNow)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  const bool reborn =
+    !target->mIncarnation.empty() && target->mIncarnation != aIncarnation;
+  if (reborn) {
+    OnDeath(*target, aNow);
+    target->mToldLeaving = false;
+  }
+  target->mIncarnation = aIncarnation;
+  target->mReportedLeaving = aState == "leaving";
+  target->mLoading = aState == "loading";
+  target->mReported = aLoad;
+  target->mOwnAtReport = static_cast<int>(target->mRunning.size());
+  target->mDownUntil = Time();
+}
+
+void
+TargetTable::OnRefused(const std::string& aTarget, Time aNow)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  OnDeath(*target, aNow);
+  target->mDownUntil = aNow + kDownPause;
+}
+
+void
+TargetTable::OnUnresponsive(const std::string& aTarget, Time aNow)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mDownUntil = aNow + kDownPause;
+  }
+}
+
+void
+TargetTable::MarkLeaving(const std::string& aTarget)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mToldLeaving = true;
+  }
+}
+
+void
+TargetTable::OnCacheEvent(const std::string& aTarget,
+                          std::uint64_t aPrefixHash,
+                          bool aStored)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  if (!aStored) {
+    target->mCached.erase(aPrefixHash);
+  } else if (target->mCached.size() < kMaxCachedPrefixes) {
+    target->mCached[aPrefixHash] = true;
+  }
+}
+
+void
+TargetTable::OnCacheGap(const std::string& aTarget)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mCached.clear();
+  }
+}
+
+bool
+TargetTable::IsLeaving(const std::string& aTarget) const
+{
+  const Target* target = Find(aTarget);
+  return target == nullptr || target->mDeclaration.mLeaving ||
+         target->mReportedLeaving || target->mToldLeaving;
+}
+
+std::string
+TargetTable::IncarnationOf(const std::string& aTarget) const
+{
+  const Target* target = Find(aTarget);
+  return target == nullptr ? std::string() : target->mIncarnation;
+}
+
+std::vector<std::string>
+TargetTable::Subset() const
+{
+  std::vector<std::string> names;
+  names.reserve(mTargets.size());
+  for (const auto& it : mTargets) {
+    names.push_back(it.first);
+  }
+  return names;
+}
+
+std::vector<TargetView>
+TargetTable::View(Time aNow) const
+{
+  std::vector<TargetView> views;
+  for (const auto& it : mTargets) {
+    const Target& target = it.second;
+    TargetView view;
+    view.mName = it.first;
+    view.mService = target.mDeclaration.mService;
+    view.mPlace = target.mDeclaration.mPlace;
+    view.mState = "ready";
+    if (IsLeaving(it.first)) {
+      view.mState = "leaving";
+    } else if (aNow < target.mDownUntil) {
+      view.mState = "down";
+    } else if (target.mLoading) {
+      view.mState = "loading";
+    }
+    view.mIncarnation = target.mIncarnation;
+    view.mInFlight = static_cast<int>(target.mRunning.size());
+    view.mReported = target.mReported;
+    view.mUsualGap = target.mUsualGap;
+    view.mFirstToken = target.mFirstToken;
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+bool
+TargetTable::IsUsable(const Target& aTarget,
+                      const ChoiceQuery& aQuery,
+                      Time aNow) const
+{
+  const bool leaving = aTarget.mDeclaration.mLeaving ||
+                       aTarget.mReportedLeaving || aTarget.mToldLeaving;
+  if (leaving || aTarget.mLoading || aNow < aTarget.mDownUntil ||
+      aNow < aTarget.mFullUntil) {
+    return false;
+  }
+  const auto& excluded = aQuery.mExcluded;
+  return std::find(excluded.begin(),
+                   excluded.end(),
+                   aTarget.mDeclaration.mName) == excluded.end();
+}
+
+bool
+TargetTable::SuspectMayGo(const Target& aTarget,
+                          const ChoiceQuery& aQuery,
+                          Time aNow)
+{
+  const int deaths = mSuspects.Deaths(aQuery.mContentHash, aNow);
+  if (deaths == 0 && !IsRecentlyLost(aQuery.mContentHash, aNow)) {
+    return true;
+  }
+  const auto isOtherSuspect = [&](const Running& aEntry) {
+    const bool watched = aNow - aEntry.mStartedAt < kSuspectWatch;
+    const int others = mSuspects.Deaths(aEntry.mContentHash, aNow);
+    const bool suspect =
+      others > 0 || IsRecentlyLost(aEntry.mContentHash, aNow);
+    return suspect && (watched || others >= 2) &&
+           aEntry.mContentHash != aQuery.mContentHash;
+  };
+  const bool alone = std::none_of(
+    aTarget.mRunning.begin(), aTarget.mRunning.end(), isOtherSuspect);
+  if (alone) {
+    return true;
+  }
+  if (deaths >= 2) {
+    return false;
+  }
+  const auto wait = mSuspectWaits.emplace(aQuery.mContentHash, aNow).first;
+  return aNow - wait->second >= kSuspectPatience;
+}
+
+bool
+TargetTable::TakesContinuation(Target& aTarget, Time aNow)
+{
+  auto& times = aTarget.mContinuations;
+  while (!times.empty() && aNow - times.front() >= kContinuationWindow) {
+    times.pop_front();
+  }
+  if (times.size() >= kContinuationsPerWindow) {
+    return false;
+  }
+  times.push_back(aNow);
+  return true;
+}
+
+int
+TargetTable::Load(const Target& aTarget) const
+{
+  const int own = static_cast<int>(aTarget.mRunning.size());
+  const int sinceReport = own - aTarget.mOwnAtReport;
+  return std::max(own, aTarget.mReported + sinceReport);
+}
+
+double
+TargetTable::Score(const Target& aTarget, const ChoiceQuery& aQuery) const
+{
+  double score = Load(aTarget);
+  if (aTarget.mDeclaration.mRegion != mOptions.mRegion) {
+    score += kOtherRegionLoad;
+  } else if (aTarget.mDeclaration.mPlace != mOptions.mPlace) {
+    score += kOtherPlaceLoad;
+  }
+  if (aTarget.mCached.count(aQuery.mPrefixHash) != 0) {
+    score -= kCachedPrefixLoad;
+  }
+  return score;
+}
+
+bool
+TargetTable::IsRecentlyLost(std::uint64_t aContentHash, Time aNow) const
+{
+  for (const auto& it : mTargets) {
+    for (const Lost& lost : it.second.mLost) {
+      if (lost.mContentHash == aContentHash && aNow - lost.mAt < kLostWindow) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void
+TargetTable::OnDeath(Target& aTarget, Time aNow)
+{
+  aTarget.mIncarnation.clear();
+  aTarget.mReported = 0;
+  aTarget.mCached.clear();
+  std::vector<std::uint64_t> requests;
+  for (Running& it : aTarget.mRunning) {
+    if (!it.mBlamed) {
+      requests.push_back(it.mContentHash);
+    }
+    it.mBlamed = true;
+  }
+  for (const Lost& it : aTarget.mLost) {
+    if (aNow - it.mAt < kLostWindow) {
+      requests.push_back(it.mContentHash);
+    }
+  }
+  aTarget.mLost.clear();
+  std::sort(requests.begin(), requests.end());
+  requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
+  mSuspects.OnTargetDeath(requests, aNow);
+}
+
+TargetTable::Target*
+TargetTable::Find(const std::string& aName)
+{
+  const auto it = mTargets.find(aName);
+  return it == mTargets.end() ? nullptr : &it->second;
+}
+
+const TargetTable::Target*
+TargetTable::Find(const std::string& aName) const
+{
+  const auto it = mTargets.find(aName);
+  return it == mTargets.end() ? nullptr : &it->second;
+}
+
+std::vector<TargetDeclaration>
+TargetTable::PickSubset(const std::vector<TargetDeclaration>& aTargets) const
+{
+  std::map<std::string, std::vector<TargetDeclaration>> byService;
+  for (const TargetDeclaration& it : aTargets) {
+    byService[it.mService].push_back(it);
+  }
+  std::vector<TargetDeclaration> subset;
+  for (auto& it : byService) {
+    auto& targets = it.second;
+    const auto rank = [this](const TargetDeclaration& aTarget) {
+      return StableHash(aTarget.mName, StableHash(mOptions.mRouterName));
+    };
+    const auto far = [this](const TargetDeclaration& aTarget) {
+      return aTarget.mRegion != mOptions.mRegion;
+    };
+    std::sort(
+      targets.begin(),
+      targets.end(),
+      [&](const TargetDeclaration& aLeft, const TargetDeclaration& aRight) {
+        return std::make_pair(far(aLeft), rank(aLeft)) <
+               std::make_pair(far(aRight), rank(aRight));
+      });
+    const auto limit = static_cast<std::size_t>(mOptions.mSubsetSize);
+    if (limit != 0 && targets.size() > limit) {
+      targets.resize(limit);
+    }
+    subset.insert(subset.end(), targets.begin(), targets.end());
+  }
+  return subset;
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/TargetTable.h
@@ -0,0 +1,209 @@
+#ifndef QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
+#define QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
+
+#include "core/SuspectRegistry.h"
+#include "core/TargetChooser.h"
+#include "core/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// One target as the operators declared it.
+struct TargetDeclaration
+{
+  std::string mName;
+  std::string mService;
+  std::string mPlace;
+  std::string mRegion;
+  bool mLeaving = false;
+};
+
+// One service as the operators declared it.
+struct ServiceDeclaration
+{
+  std::string mName;
+  std::string mServingVersion;
+};
+
+// Where this process runs and how it spreads its work.
+struct TargetTableOptions
+{
+  std::string mRouterName;
+  std::string mPlace;
+  std::string mRegion;
+  // Targets of one service that this process uses; 0 means all of them.
+  int mSubsetSize = 0;
+  std::uint64_t mSeed = 0;
+};
+
+// How one attempt's hold on its target ended.
+enum class AttemptOutcome
+{
+  Finished,
+  // Cancelled, moved elsewhere or turned away.
+  Released,
+  // The connection broke or the target fell silent.
+  Lost,
+};
+
+// State of one target, for status pages and metrics.
+struct TargetView
+{
+  std::string mName;
+  std::string mService;
+  std::string mPlace;
+  std::string mState;
+  std::string mIncarnation;
+  int mInFlight = 0;
+  int mReported = 0;
+  Duration mUsualGap = Duration::zero();
+  Duration mFirstToken = Duration::zero();
+};
+
+// What one router knows of the targets, and its choice among them. Pure logic;
+// not safe for concurrent use.
+class TargetTable : public TargetChooser
+{
+public:
+  explicit TargetTable(TargetTableOptions aOptions);
+
+  // Replaces the declared targets; state of those that stay is kept.
+  void Declare(const std::vector<ServiceDeclaration>& aServices,
+               const std::vector<TargetDeclaration>& aTargets);
+
+  Choice Choose(const ChoiceQuery& aQuery, Time aNow) override;
+
+  // An attempt has been given to a target.
+  void OnAttemptStart(const std::string& aTarget,
+                      std::uint64_t aContentHash,
+                      Time aNow);
+
+  // An attempt has ended.
+  void OnAttemptEnd(const std::string& aTarget,
+                    std::uint64_t aContentHash,
+                    AttemptOutcome aOutcome,
+                    Time aNow);
+
+  // A request has gone well past where its target had died, or has finished.
+  void OnProgress(std::uint64_t aContentHash);
+
+  // Time from an attempt's start to its first token.
+  void OnFirstToken(const std::string& aTarget, Duration aTime);
+
+  // Time between two tokens of one stream.
+  void OnGap(const std::string& aTarget, Duration aGap);
+
+  // The target has turned an attempt away for lack of capacity.
+  void OnTurnedAway(const std::string& aTarget, Time aNow);
+
+  // A load report has arrived. A new incarnation means that the former has
+  // died.
+  void OnLoad(const std::string& aTarget,
+              const std::string& aIncarnation,
+              const std::string& aState,
+              int aLoad,
+              Time aNow);
+
+  // The target refuses connections: its incarnation has died.
+  void OnRefused(const std::string& aTarget, Time aNow);
+
+  // The target does not answer a probe.
+  void OnUnresponsive(const std::string& aTarget, Time aNow);
+
+  // The target gets no new work; declared, reported, or told by a peer.
+  void MarkLeaving(const std::string& aTarget);
+
+  // The target holds, or no longer holds, a cached prefix.
+  void OnCacheEvent(const std::string& aTarget,
+                    std::uint64_t aPrefixHash,
+                    bool aStored);
+
+  // The engine has dropped events: what is known of its cache is void.
+  void OnCacheGap(const std::string& aTarget);
+
+  // Whether a target gets no new work.
+  bool IsLeaving(const std::string& aTarget) const;
+
+  // Incarnation last reported by a target, empty when unknown.
+  std::string IncarnationOf(const std::string& aTarget) const;
+
+  // Targets that this process uses.
+  std::vector<std::string> Subset() const;
+
+  // State of all targets that this process uses.
+  std::vector<TargetView> View(Time aNow) const;
+
+  // Suspected requests.
+  SuspectRegistry& Suspects() { return mSuspects; }
+
+private:
+  struct Running
+  {
+    std::uint64_t mContentHash;
+    Time mStartedAt;
+    // The target's death has been counted for this attempt.
+    bool mBlamed;
+  };
+
+  struct Lost
+  {
+    std::uint64_t mContentHash;
+    Time mAt;
+  };
+
+  struct Target
+  {
+    TargetDeclaration mDeclaration;
+    std::string mIncarnation;
+    bool mReportedLeaving = false;
+    bool mToldLeaving = false;
+    bool mLoading = false;
+    Time mDownUntil;
+    Time mFullUntil;
+    int mReported = 0;
+    // Own attempts at the time of the last report.
+    int mOwnAtReport = 0;
+    std::vector<Running> mRunning;
+    // Attempts whose connection broke lately, until a death is confirmed.
+    std::deque<Lost> mLost;
+    std::deque<Time> mContinuations;
+    Duration mUsualGap;
+    Duration mFirstToken;
+    std::map<std::uint64_t, bool> mCached;
+  };
+
+  bool IsUsable(const Target& aTarget,
+                const ChoiceQuery& aQuery,
+                Time aNow) const;
+  bool SuspectMayGo(const Target& aTarget,
+                    const ChoiceQuery& aQuery,
+                    Time aNow);
+  bool TakesContinuation(Target& aTarget, Time aNow);
+  int Load(const Target& aTarget) const;
+  double Score(const Target& aTarget, const ChoiceQuery& aQuery) const;
+  bool IsRecentlyLost(std::uint64_t aContentHash, Time aNow) const;
+  void OnDeath(Target& aTarget, Time aNow);
+  Target* Find(const std::string& aName);
+  const Target* Find(const std::string& aName) const;
+  std::vector<TargetDeclaration> PickSubset(
+    const std::vector<TargetDeclaration>& aTargets) const;
+
+  TargetTableOptions mOptions;
+  std::map<std::string, Target> mTargets;
+  std::map<std::string, ServiceDeclaration> mServices;
+  std::map<std::string, std::vector<std::string>> mByService;
+  SuspectRegistry mSuspects;
+  std::mt19937_64 mRandom;
+  // When a suspect first waited for a target without another suspect.
+  std::map<std::uint64_t, Time> mSuspectWaits;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/core/Time.h
@@ -0,0 +1,23 @@
+#ifndef QUETZALQUAY_CORE_TIME_H_INCLUDED
+#define QUETZALQUAY_CORE_TIME_H_INCLUDED
+
+#include <chrono>
+
+namespace quetzalquay {
+
+// Monotonic time that the decision logic is told; it never reads a clock.
+using Time = std::chrono::steady_clock::time_point;
+
+// Length of time in the resolution of the decision logic.
+using Duration = std::chrono::microseconds;
+
+// Length of time as a floating-point number of milliseconds.
+inline double
+ToMilliseconds(std::chrono::steady_clock::duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_TIME_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/load/LoadReport.cpp
@@ -0,0 +1,203 @@
+#include "load/LoadReport.h"
+
+#include "history/HistoryChecker.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+// Faults that take a target away from its streams.
+bool
+IsLoss(const schema::FaultRecord& aFault)
+{
+  return aFault.kind() == "die" || aFault.kind() == "pause" ||
+         aFault.kind() == "cut";
+}
+
+// Time from a loss to the next text, for each pause that spans one.
+std::vector<float>
+ResumeTimes(const schema::History& aHistory)
+{
+  std::vector<float> times;
+  for (const auto& caller : aHistory.callers()) {
+    for (const auto& gap : caller.gaps()) {
+      for (const auto& fault : aHistory.faults()) {
+        if (IsLoss(fault) && gap.from() <= fault.at() &&
+            fault.at() <= gap.to()) {
+          times.push_back(static_cast<float>(gap.to() - fault.at()));
+          break;
+        }
+      }
+    }
+  }
+  return times;
+}
+
+void
+AddCounts(const std::map<std::string, int>& aCounts,
+          google::protobuf::RepeatedPtrField<schema::CountEntry>& aEntries)
+{
+  for (const auto& it : aCounts) {
+    auto* entry = aEntries.Add();
+    entry->set_name(it.first);
+    entry->set_count(it.second);
+  }
+}
+
+std::string
+Line(const char* aName, const schema::Quantiles& aValues)
+{
+  std::array<char, 160> buf{};
+  std::snprintf(buf.data(),
+                buf.size(),
+                "%-14s n=%-7d p50=%8.1f p95=%8.1f p99=%8.1f max=%8.1f\n",
+                aName,
+                aValues.samples(),
+                aValues.p50(),
+                aValues.p95(),
+                aValues.p99(),
+                aValues.max());
+  return buf.data();
+}
+
+std::string
+CountLine(
+  const char* aName,
+  const google::protobuf::RepeatedPtrField<schema::CountEntry>& aEntries)
+{
+  std::string line = std::string(aName) + ":";
+  for (const auto& it : aEntries) {
+    line += " " + it.name() + "=" + std::to_string(it.count());
+  }
+  return line + (aEntries.empty() ? " none\n" : "\n");
+}
+
+// Tokens read by first starts, and tokens read again after losses.
+std::pair<double, double>
+SplitPrefill(const schema::History& aHistory)
+{
+  double first = 0;
+  double again = 0;
+  for (const auto& it : aHistory.targets()) {
+    const bool firstStart = it.attempt() <= 1 && it.resumed_at() == 0;
+    (firstStart ? first : again) += it.computed_prefill();
+  }
+  return { first, again };
+}
+
+} // namespace
+
+schema::Quantiles
+QuantilesOf(std::vector<float> aSamples)
+{
+  schema::Quantiles result;
+  result.set_samples(static_cast<int>(aSamples.size()));
+  if (aSamples.empty()) {
+    return result;
+  }
+  std::sort(aSamples.begin(), aSamples.end());
+  const auto at = [&aSamples](double aShare) {
+    const double rank =
+      std::ceil(aShare * static_cast<double>(aSamples.size())) - 1;
+    return static_cast<double>(aSamples[static_cast<std::size_t>(rank)]);
+  };
+  result.set_p50(at(0.50));
+  result.set_p95(at(0.95));
+  result.set_p99(at(0.99));
+  result.set_max(aSamples.back());
+  return result;
+}
+
+schema::LoadResult
+MakeReport(const std::string& aName,
+           const schema::History& aHistory,
+           const std::vector<float>& aGaps,
+           double aSeconds)
+{
+  schema::LoadResult result;
+  result.set_name(aName);
+  result.set_seed(aHistory.seed());
+  result.set_requests(aHistory.callers_size());
+  result.set_seconds(aSeconds);
+  std::vector<float> firstTokens;
+  std::map<std::string, int> errors;
+  std::map<std::string, int> byWorkspace;
+  double tokens = 0;
+  for (const auto& it : aHistory.callers()) {
+    result.set_reconnects(result.reconnects() + it.reconnects());
+    tokens += it.tokens();
+    if (it.first_token_ms() > 0) {
+      firstTokens.push_back(static_cast<float>(it.first_token_ms()));
+    }
+    if (it.complete()) {
+      result.set_complete(result.complete() + 1);
+      ++byWorkspace[it.workspace()];
+    } else {
+      result.set_failed(result.failed() + 1);
+      ++errors[it.error_code() + "/" + it.run()];
+    }
+  }
+  std::map<std::string, int> findings;
+  for (const Finding& it : CheckHistory(aHistory)) {
+    ++findings[std::string(NameOf(it.mKind))];
+  }
+  int deaths = 0;
+  for (const auto& it : aHistory.faults()) {
+    deaths += it.kind() == "die" ? 1 : 0;
+  }
+  result.set_engine_deaths(deaths);
+  result.set_tokens(tokens);
+  result.set_tokens_per_second(tokens / std::max(aSeconds, 0.001));
+  *result.mutable_first_token_ms() = QuantilesOf(std::move(firstTokens));
+  *result.mutable_gap_ms() = QuantilesOf(aGaps);
+  *result.mutable_resume_ms() = QuantilesOf(ResumeTimes(aHistory));
+  result.set_extra_decode_ratio((aHistory.decode_tokens() - tokens) /
+                                std::max(tokens, 1.0));
+  const auto prefill = SplitPrefill(aHistory);
+  result.set_extra_prefill_ratio(prefill.second / std::max(prefill.first, 1.0));
+  AddCounts(errors, *result.mutable_errors());
+  AddCounts(findings, *result.mutable_findings());
+  AddCounts(byWorkspace, *result.mutable_complete_by_workspace());
+  return result;
+}
+
+std::string
+PrintReport(const schema::LoadResult& aResult)
+{
+  std::array<char, 400> buf{};
+  std::snprintf(buf.data(),
+                buf.size(),
+                "%s seed=%u: %d requests, %d complete, %d failed, %d "
+                "reconnects, %d engine deaths, %.1f s, %.0f tokens/s\n",
+                aResult.name().c_str(),
+                aResult.seed(),
+                aResult.requests(),
+                aResult.complete(),
+                aResult.failed(),
+                aResult.reconnects(),
+                aResult.engine_deaths(),
+                aResult.seconds(),
+                aResult.tokens_per_second());
+  std::string text = buf.data();
+  text += Line("first_token_ms", aResult.first_token_ms());
+  text += Line("gap_ms", aResult.gap_ms());
+  text += Line("resume_ms", aResult.resume_ms());
+  std::snprintf(buf.data(),
+                buf.size(),
+                "extra decode %.4f, extra prefill %.4f\n",
+                aResult.extra_decode_ratio(),
+                aResult.extra_prefill_ratio());
+  text += buf.data();
+  text += CountLine("errors", aResult.errors());
+  text += CountLine("findings", aResult.findings());
+  return text;
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/load/LoadRunner.cpp
@@ -0,0 +1,227 @@
+#include "load/LoadRunner.h"
+
+#include "core/Hash.h"
+#include "wire/HttpClient.h"
+#include "wire/Json.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kFaultLookPause = std::chrono::milliseconds(5);
+constexpr Duration kControlTimeout = std::chrono::seconds(10);
+
+// Names of the faults at the stand-ins' control interface.
+constexpr const char* kFaultNames[] = {
+  "die", "pause", "slow", "cut", "store_down", "store_slow", "lose_answers"
+};
+
+double
+UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
+std::vector<HttpAddress>
+AddressesOf(const schema::LoadSettings& aSettings)
+{
+  std::vector<HttpAddress> addresses;
+  for (const auto& it : aSettings.routers()) {
+    addresses.push_back({ it.address(), it.port() });
+  }
+  return addresses;
+}
+
+// Words that look like a log; a few common beginnings let prefixes repeat.
+std::string
+MakePrompt(int aTokens, std::mt19937& aRandom)
+{
+  static constexpr unsigned kBeginnings = 40;
+  const unsigned beginning = aRandom() % kBeginnings;
+  std::string prompt;
+  for (int n = 0; n < aTokens; ++n) {
+    const bool shared = n < 64;
+    const auto word =
+      shared ? StableHash("w", beginning * 1000 + n) % 997 : aRandom() % 997;
+    prompt += "w" + std::to_string(word) + " ";
+  }
+  return prompt;
+}
+
+} // namespace
+
+LoadRunner::LoadRunner(const schema::LoadSettings& aSettings)
+  : mSettings(aSettings)
+  , mClient(AddressesOf(aSettings))
+{
+  std::mt19937 random(aSettings.seed());
+  double at = 0;
+  for (int n = 0; n < aSettings.requests(); ++n) {
+    mArrivals.push_back(at);
+    if (aSettings.arrivals_per_second() > 0) {
+      std::exponential_distribution<double> pause(
+        aSettings.arrivals_per_second());
+      at += pause(random);
+    }
+  }
+}
+
+schema::History
+LoadRunner::Run()
+{
+  mHistory.set_seed(mSettings.seed());
+  mBegun = std::chrono::steady_clock::now();
+  std::thread faults([this] { RunFaults(); });
+  std::vector<std::thread> workers;
+  for (int n = 0; n < mSettings.concurrency(); ++n) {
+    workers.emplace_back([this] { WorkClosedLoop(); });
+  }
+  for (std::thread& it : workers) {
+    it.join();
+  }
+  mSeconds =
+    std::chrono::duration<double>(std::chrono::steady_clock::now() - mBegun)
+      .count();
+  mOver.store(true);
+  faults.join();
+  CollectTargets();
+  return mHistory;
+}
+
+CallerPlan
+LoadRunner::PlanRequest(int aNumber) const
+{
+  std::mt19937 random(mSettings.seed() * 1000003U +
+                      static_cast<unsigned>(aNumber));
+  int shares = 0;
+  for (const auto& it : mSettings.mix()) {
+    shares += it.share();
+  }
+  int pick = static_cast<int>(random() % static_cast<unsigned>(shares));
+  int kind = 0;
+  while (pick >= mSettings.mix(kind).share()) {
+    pick -= mSettings.mix(kind).share();
+    ++kind;
+  }
+  CallerPlan plan;
+  plan.mKind = &mSettings.mix(kind);
+  plan.mKey = "k-" + std::to_string(mSettings.seed()) + "-" +
+              std::to_string(aNumber) + "-" +
+              std::to_string(mBegun.time_since_epoch().count());
+  plan.mPrompt = MakePrompt(std::max(1, plan.mKind->prompt_tokens()), random);
+  plan.mSeed = static_cast<unsigned>(random());
+  plan.mFirstRouter =
+    random() % static_cast<unsigned>(mSettings.routers_size());
+  return plan;
+}
+
+void
+LoadRunner::WorkClosedLoop()
+{
+  for (;;) {
+    const int number = mNext.fetch_add(1);
+    if (number >= mSettings.requests()) {
+      return;
+    }
+    WaitForArrival(number);
+    const CallerPlan plan = PlanRequest(number);
+    std::vector<float> gaps;
+    const schema::CallerRecord record = mClient.Run(plan, gaps);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    *mHistory.add_callers() = record;
+    mGaps.insert(mGaps.end(), gaps.begin(), gaps.end());
+  }
+}
+
+void
+LoadRunner::WaitForArrival(int aNumber) const
+{
+  const std::chrono::duration<double> after(
+    mArrivals[static_cast<std::size_t>(aNumber)]);
+  std::this_thread::sleep_until(mBegun +
+                                std::chrono::duration_cast<Duration>(after));
+}
+
+void
+LoadRunner::RunFaults()
+{
+  std::mt19937 random(mSettings.seed() + 1);
+  std::vector<int> nextAt;
+  for (const auto& it : mSettings.faults()) {
+    nextAt.push_back(it.at_ms());
+  }
+  while (!mOver.load()) {
+    const double passed =
+      ToMilliseconds(std::chrono::steady_clock::now() - mBegun);
+    for (int n = 0; n < mSettings.faults_size(); ++n) {
+      const auto& fault = mSettings.faults(n);
+      int& at = nextAt[static_cast<std::size_t>(n)];
+      if (at < 0 || passed < at) {
+        continue;
+      }
+      Inject(fault, random);
+      at = fault.every_ms() > 0 ? at + fault.every_ms() : -1;
+    }
+    std::this_thread::sleep_for(kFaultLookPause);
+  }
+}
+
+void
+LoadRunner::Inject(const schema::LoadFault& aFault, std::mt19937& aRandom)
+{
+  int target = aFault.target();
+  if (aFault.random_target()) {
+    target = static_cast<int>(aRandom() %
+                              static_cast<unsigned>(mSettings.targets_size()));
+  }
+  const bool store = aFault.kind() >= schema::STORE_DOWN;
+  const auto& endpoint =
+    store ? mSettings.platform() : mSettings.targets(target);
+  schema::FaultOrder order;
+  order.set_kind(
+    aFault.kind() == schema::STORE_SLOW ? "slow" : kFaultNames[aFault.kind()]);
+  order.set_for_ms(aFault.for_ms());
+  order.set_factor(aFault.factor());
+  HttpCallSpec spec;
+  spec.mMethod = "POST";
+  spec.mPath = "/faults";
+  spec.mBody = ToCompactJson(order);
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    auto* record = mHistory.add_faults();
+    record->set_kind(order.kind());
+    record->set_where(std::to_string(endpoint.port()));
+    record->set_at(UnixMs());
+    record->set_for_ms(aFault.for_ms());
+  }
+  HttpCall call(HttpAddress{ endpoint.address(), endpoint.port() });
+  call.Run(spec);
+}
+
+void
+LoadRunner::CollectTargets()
+{
+  for (const auto& it : mSettings.targets()) {
+    HttpCallSpec spec;
+    spec.mPath = "/records";
+    spec.mReadTimeout = kControlTimeout;
+    HttpCall call(HttpAddress{ it.address(), it.port() });
+    const HttpResult result = call.Run(spec);
+    schema::TargetRecords records;
+    ParseJson(result.mBody, UnknownFields::Ignore, records);
+    for (const auto& record : records.records()) {
+      *mHistory.add_targets() = record;
+    }
+    mHistory.set_decode_tokens(mHistory.decode_tokens() +
+                               records.decode_tokens());
+    mHistory.set_prefill_tokens(mHistory.prefill_tokens() +
+                                records.prefill_tokens());
+  }
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/observe/Log.h
@@ -0,0 +1,35 @@
+#ifndef QUETZALQUAY_OBSERVE_LOG_H_INCLUDED
+#define QUETZALQUAY_OBSERVE_LOG_H_INCLUDED
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+
+namespace quetzalquay {
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warn,
+  Error,
+};
+
+// Sets up structured logging for this process, once, before the first line. An
+// empty path logs to standard error. aLevel is one of debug, info, warn, error.
+void
+StartLog(const std::string& aPath, const std::string& aLevel);
+
+// Name and value of a structured log field.
+using LogField = std::pair<const char*, std::string>;
+
+// Writes one line: time, level, component, message, then key=value fields.
+void
+Log(LogLevel aLevel,
+    const char* aComponent,
+    const std::string& aMessage,
+    std::initializer_list<LogField> aFields = {});
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_OBSERVE_LOG_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/programs/Program.cpp
@@ -0,0 +1,100 @@
+#include "programs/Program.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr char kVersion[] = "0.1.0";
+
+sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+} // namespace
+
+std::optional<ProgramOptions>
+ParseProgramOptions(int aArgc,
+                    char** aArgv,
+                    const char* aName,
+                    const char* aPurpose,
+                    int& aExitCode)
+{
+  namespace po = boost::program_options;
+  ProgramOptions options;
+  po::options_description described("Options");
+  described.add_options()("help", "print this help and exit")(
+    "version", "print the version and exit")(
+    "settings",
+    po::value(&options.mSettingsFile)->value_name("FILE"),
+    "settings file in JSON (required)")(
+    "check-settings", "check the settings and exit: 0 usable, 2 not");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aArgc, aArgv, described), values);
+    po::notify(values);
+  } catch (const po::error& error) {
+    PrintProblem(aName, error.what());
+    aExitCode = ExitBadUsage;
+    return std::nullopt;
+  }
+  aExitCode = ExitOk;
+  if (values.count("help") != 0) {
+    std::cout << aName << ": " << aPurpose << "\n\n"
+              << described
+              << "\nExit codes: 0 done, 1 could not serve, 2 bad command line "
+                 "or settings.\n";
+    return std::nullopt;
+  }
+  if (values.count("version") != 0) {
+    std::cout << aName << " " << kVersion << "\n";
+    return std::nullopt;
+  }
+  if (options.mSettingsFile.empty()) {
+    PrintProblem(aName, "--settings FILE is required");
+    aExitCode = ExitBadUsage;
+    return std::nullopt;
+  }
+  options.mCheckOnly = values.count("check-settings") != 0;
+  return options;
+}
+
+const char*
+ProgramVersion()
+{
+  return kVersion;
+}
+
+void
+BlockStopSignals()
+{
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void
+WaitForStopSignal()
+{
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+void
+PrintProblem(const char* aName, const std::string& aProblem)
+{
+  std::cerr << aName << ": " << aProblem << "\n";
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/CallerMessages.cpp
@@ -0,0 +1,338 @@
+#include "router/CallerMessages.h"
+
+#include "config/Snapshot.h"
+#include "core/Hash.h"
+#include "generated/messages.pb.h"
+#include "wire/Crypto.h"
+#include "wire/HttpServer.h"
+#include "wire/Json.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr int kDefaultMaxTokens = 256;
+constexpr int kMaxMaxTokens = 32768;
+constexpr std::size_t kMaxKeyLength = 200;
+constexpr int kRequestIdBytes = 12;
+
+Failure
+Refuse(FailureCode aCode, std::string aMessage)
+{
+  Failure failure;
+  failure.mCode = aCode;
+  failure.mVerdict = RunVerdict::NotRun;
+  failure.mMessage = std::move(aMessage);
+  return failure;
+}
+
+Failure
+Invalid(std::string aMessage)
+{
+  return Refuse(FailureCode::InvalidRequest, std::move(aMessage));
+}
+
+std::optional<Failure>
+ParseDeadline(const HttpRequest& aRequest,
+              const CallerLimits& aLimits,
+              Time aNow,
+              RequestContext& aContext)
+{
+  const auto header = aRequest.mHeader("X-Request-Deadline-Ms");
+  if (!header) {
+    aContext.mDeadline = aNow + aLimits.mDefaultDeadline;
+    return std::nullopt;
+  }
+  long milliseconds = 0;
+  const char* end = header->data() + header->size();
+  const auto parsed = std::from_chars(header->data(), end, milliseconds);
+  const long most =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLimits.mMaxDeadline)
+      .count();
+  if (parsed.ec != std::errc() || parsed.ptr != end || milliseconds < 1 ||
+      milliseconds > most) {
+    return Invalid("X-Request-Deadline-Ms: must be a whole number from 1 to " +
+                   std::to_string(most));
+  }
+  aContext.mDeadline = aNow + std::chrono::milliseconds(milliseconds);
+  return std::nullopt;
+}
+
+bool
+IsPrintable(const std::string& aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    return aChar >= ' ' && aChar <= '~';
+  });
+}
+
+template<typename Names>
+bool
+Contains(const Names& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+std::string
+ChatPrompt(const schema::CallerRequest& aBody)
+{
+  std::string prompt;
+  for (const auto& it : aBody.messages()) {
+    prompt += it.role() + ": " + it.content() + "\n";
+  }
+  return prompt + "assistant:";
+}
+
+std::optional<Failure>
+FillModel(const schema::CallerRequest& aBody,
+          const Snapshot& aSnapshot,
+          RequestContext& aContext)
+{
+  const schema::Workspace* workspace =
+    aSnapshot.WorkspaceNamed(aContext.mWorkspace);
+  const schema::Model* model = aSnapshot.ModelNamed(aBody.model());
+  const schema::Service* service = aSnapshot.ServiceOfModel(aBody.model());
+  if (model == nullptr || service == nullptr || workspace == nullptr ||
+      !Contains(workspace->models(), aBody.model())) {
+    return Refuse(FailureCode::UnknownModel,
+                  "model: no such model for this workspace");
+  }
+  aContext.mModel = model->name();
+  aContext.mVersion = model->serving_version();
+  aContext.mService = service->name();
+  aContext.mPreset = service->recovery() == schema::LOW_COST
+                       ? RecoveryPreset::LowCost
+                       : RecoveryPreset::LowLatency;
+  if (aBody.adapter().empty()) {
+    return std::nullopt;
+  }
+  const schema::Adapter* adapter =
+    aSnapshot.AdapterNamed(aBody.model(), aBody.adapter());
+  if (adapter == nullptr) {
+    return Refuse(FailureCode::UnknownModel,
+                  "adapter: no such adapter of this model");
+  }
+  aContext.mAdapter = adapter->name();
+  aContext.mAdapterVersion = adapter->version();
+  return std::nullopt;
+}
+
+std::optional<Failure>
+FillSampling(const schema::CallerRequest& aBody, RequestContext& aContext)
+{
+  const int maxTokens =
+    aBody.has_max_tokens() ? aBody.max_tokens() : kDefaultMaxTokens;
+  if (maxTokens < 1 || maxTokens > kMaxMaxTokens) {
+    return Invalid("max_tokens: must be from 1 to " +
+                   std::to_string(kMaxMaxTokens));
+  }
+  const double temperature =
+    aBody.has_temperature() ? aBody.temperature() : 1.0;
+  if (!std::isfinite(temperature) || temperature < 0 || temperature > 2) {
+    return Invalid("temperature: must be from 0 to 2");
+  }
+  if (aBody.has_n() && aBody.n() != 1) {
+    return Invalid("n: only one answer a request is served");
+  }
+  aContext.mMaxTokens = maxTokens;
+  aContext.mTemperature = temperature;
+  aContext.mSeed = aBody.has_seed()
+                     ? aBody.seed()
+                     : static_cast<unsigned>(StableHash(aContext.mRequestId));
+  return std::nullopt;
+}
+
+schema::CallerResponse
+ResponseBase(const RequestContext& aContext, bool aStreamed)
+{
+  schema::CallerResponse response;
+  response.set_id(aContext.mRequestId);
+  response.set_model(aContext.mModel);
+  if (aContext.mForm == CallerForm::Completions) {
+    response.set_object("text_completion");
+  } else {
+    response.set_object(aStreamed ? "chat.completion.chunk"
+                                  : "chat.completion");
+  }
+  return response;
+}
+
+std::string
+Event(const std::string& aEventId, const std::string& aData)
+{
+  std::string event;
+  event.reserve(aEventId.size() + aData.size() + 16);
+  if (!aEventId.empty()) {
+    event.append("id: ").append(aEventId).append("\n");
+  }
+  event.append("data: ").append(aData).append("\n\n");
+  return event;
+}
+
+} // namespace
+
+std::optional<Failure>
+ParseCallerHeaders(const HttpRequest& aRequest,
+                   const Snapshot& aSnapshot,
+                   const CallerLimits& aLimits,
+                   Time aNow,
+                   RequestContext& aContext)
+{
+  static const std::string kScheme = "Bearer ";
+  const std::string header =
+    aRequest.mHeader("Authorization").value_or(std::string());
+  const schema::Workspace* workspace = nullptr;
+  if (header.compare(0, kScheme.size(), kScheme) == 0) {
+    workspace = aSnapshot.WorkspaceOfKey(header.substr(kScheme.size()));
+  }
+  if (workspace == nullptr) {
+    return Refuse(FailureCode::Unauthorized,
+                  "Authorization: give a workspace's key as a bearer token");
+  }
+  aContext.mRequestId = "r-" + RandomHex(kRequestIdBytes);
+  aContext.mWorkspace = workspace->name();
+  aContext.mPriority = workspace->priority();
+  aContext.mCallerKey =
+    aRequest.mHeader("Idempotency-Key").value_or(std::string());
+  if (aContext.mCallerKey.size() > kMaxKeyLength ||
+      !IsPrintable(aContext.mCallerKey)) {
+    return Invalid("Idempotency-Key: must have at most 200 printable "
+                   "characters");
+  }
+  const std::string mark =
+    aRequest.mHeader("X-Non-Idempotent").value_or("false");
+  if (mark != "true" && mark != "false") {
+    return Invalid("X-Non-Idempotent: must be true or false");
+  }
+  aContext.mIdempotent = mark == "false";
+  if (const auto trace = aRequest.mHeader("traceparent")) {
+    aContext.mTraceParent = TraceContext::Parse(*trace);
+  }
+  return ParseDeadline(aRequest, aLimits, aNow, aContext);
+}
+
+std::optional<Failure>
+ParseCallerBody(const HttpRequest& aRequest,
+                const Snapshot& aSnapshot,
+                RequestContext& aContext)
+{
+  schema::CallerRequest body;
+  if (const auto reason =
+        ParseJson(aRequest.mBody, UnknownFields::Ignore, body)) {
+    return Invalid("body: " + *reason);
+  }
+  if (auto failure = FillModel(body, aSnapshot, aContext)) {
+    return failure;
+  }
+  const bool chat = aContext.mForm == CallerForm::Chat;
+  aContext.mPrompt = chat ? ChatPrompt(body) : body.prompt();
+  if (chat ? body.messages().empty() : body.prompt().empty()) {
+    return Invalid(chat ? "messages: must not be empty"
+                        : "prompt: must not be empty");
+  }
+  if (auto failure = FillSampling(body, aContext)) {
+    return failure;
+  }
+  aContext.mStream = body.stream();
+  const std::uint64_t owner = StableHash(aContext.mWorkspace);
+  aContext.mContentHash = StableHash(
+    aContext.mModel + "\n" + aContext.mAdapter + "\n" + aContext.mPrompt,
+    owner);
+  return std::nullopt;
+}
+
+void
+WriteFailure(const Failure& aFailure, HttpResponse& aResponse)
+{
+  aResponse.mStatus = HttpStatusOf(aFailure.mCode);
+  aResponse.mContentType = "application/json";
+  aResponse.mBody = FailureJson(aFailure);
+  aResponse.mHeaders["X-Request-Run"] = std::string(NameOf(aFailure.mVerdict));
+  if (aFailure.mRetryAfter > Duration::zero()) {
+    const double seconds =
+      std::ceil(ToMilliseconds(aFailure.mRetryAfter) / 1000.0);
+    aResponse.mHeaders["Retry-After"] =
+      std::to_string(static_cast<long>(seconds));
+  }
+}
+
+std::string
+FailureJson(const Failure& aFailure)
+{
+  schema::ErrorResponse response;
+  auto* error = response.mutable_error();
+  error->set_code(std::string(NameOf(aFailure.mCode)));
+  error->set_message(aFailure.mMessage);
+  error->set_run(std::string(NameOf(aFailure.mVerdict)));
+  error->set_retry_after_ms(
+    static_cast<int>(std::ceil(ToMilliseconds(aFailure.mRetryAfter))));
+  return ToJson(response);
+}
+
+std::string
+TextEvent(const RequestContext& aContext,
+          const std::string& aEventId,
+          const std::string& aText)
+{
+  schema::CallerResponse response = ResponseBase(aContext, true);
+  auto* choice = response.add_choices();
+  choice->set_index(0);
+  if (aContext.mForm == CallerForm::Completions) {
+    choice->set_text(aText);
+  } else {
+    choice->mutable_delta()->set_content(aText);
+  }
+  return Event(aEventId, ToCompactJson(response));
+}
+
+std::string
+FinishEvents(const RequestContext& aContext,
+             const std::string& aEventId,
+             const std::string& aReason)
+{
+  schema::CallerResponse response = ResponseBase(aContext, true);
+  auto* choice = response.add_choices();
+  choice->set_index(0);
+  choice->set_finish_reason(aReason);
+  if (aContext.mForm == CallerForm::Completions) {
+    choice->set_text("");
+  } else {
+    choice->mutable_delta();
+  }
+  return Event(aEventId, ToCompactJson(response)) +
+         Event(std::string(), "[DONE]");
+}
+
+std::string
+FailureEvent(const Failure& aFailure)
+{
+  return "event: error\ndata: " + FailureJson(aFailure) + "\n\n";
+}
+
+std::string
+WholeAnswer(const RequestContext& aContext,
+            const std::string& aText,
+            const std::string& aReason,
+            int aPromptTokens,
+            int aCompletionTokens)
+{
+  schema::CallerResponse response = ResponseBase(aContext, false);
+  auto* choice = response.add_choices();
+  choice->set_index(0);
+  choice->set_finish_reason(aReason);
+  if (aContext.mForm == CallerForm::Completions) {
+    choice->set_text(aText);
+  } else {
+    choice->mutable_message()->set_role("assistant");
+    choice->mutable_message()->set_content(aText);
+  }
+  response.mutable_usage()->set_prompt_tokens(aPromptTokens);
+  response.mutable_usage()->set_completion_tokens(aCompletionTokens);
+  return ToCompactJson(response);
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/JournalWriter.cpp
@@ -0,0 +1,153 @@
+#include "router/JournalWriter.h"
+
+#include "generated/messages.pb.h"
+#include "observe/Log.h"
+#include "observe/RouterMetrics.h"
+
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(2000);
+constexpr Duration kReadTimeout = std::chrono::milliseconds(1000);
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+schema::JournalObject
+ToMessage(const std::string& aWriter,
+          std::uint32_t aSequence,
+          const std::vector<JournalPart>& aParts)
+{
+  schema::JournalObject message;
+  message.set_writer(aWriter);
+  message.set_sequence(aSequence);
+  for (const JournalPart& it : aParts) {
+    auto* entry = message.add_entries();
+    entry->set_request_id(it.mRequestId);
+    entry->set_generation(it.mGeneration);
+    entry->set_from(it.mFrom);
+    entry->mutable_tokens()->Add(it.mTokens.begin(), it.mTokens.end());
+  }
+  return message;
+}
+
+void
+AddParts(const schema::JournalObject& aMessage,
+         std::vector<JournalPart>& aParts)
+{
+  for (const auto& it : aMessage.entries()) {
+    JournalPart part;
+    part.mRequestId = it.request_id();
+    part.mGeneration = it.generation();
+    part.mFrom = it.from();
+    part.mTokens.assign(it.tokens().begin(), it.tokens().end());
+    aParts.push_back(std::move(part));
+  }
+}
+
+} // namespace
+
+JournalWriter::JournalWriter(std::string aWriter,
+                             ObjectStorePort& aStore,
+                             RouterMetrics& aMetrics)
+  : mWriter(std::move(aWriter))
+  , mStore(aStore)
+  , mMetrics(aMetrics)
+{
+}
+
+void
+JournalWriter::Start(Duration aInterval)
+{
+  mThread.Start(aInterval, [this] { WriteNow(); });
+}
+
+void
+JournalWriter::Stop()
+{
+  mThread.Stop();
+}
+
+JournalPosition
+JournalWriter::Update(const std::string& aRequestId,
+                      const std::string& aGeneration,
+                      const std::vector<int>& aTokens)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mBook.Update(aRequestId, aGeneration, aTokens);
+}
+
+void
+JournalWriter::Forget(const std::string& aRequestId)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mBook.Forget(aRequestId, Now());
+}
+
+std::vector<int>
+JournalWriter::Read(const std::string& aWriter,
+                    const std::vector<std::uint32_t>& aObjects,
+                    const std::string& aRequestId,
+                    const std::string& aGeneration)
+{
+  std::vector<JournalPart> parts;
+  for (const std::uint32_t it : aObjects) {
+    std::string bytes;
+    const auto outcome =
+      mStore.Get(ObjectName(aWriter, it), kReadTimeout, bytes);
+    schema::JournalObject message;
+    if (outcome != StoreOutcome::Done || !message.ParseFromString(bytes)) {
+      break;
+    }
+    AddParts(message, parts);
+  }
+  return AssembleTokens(parts, aRequestId, aGeneration);
+}
+
+void
+JournalWriter::WriteNow()
+{
+  std::vector<JournalPart> parts;
+  std::vector<std::uint32_t> expired;
+  std::uint32_t sequence = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    sequence = ++mSequence;
+    parts = mBook.Collect(sequence);
+    expired = mBook.TakeExpired(Now());
+    mMetrics.Set(Level::UnjournaledTokens, mBook.UnjournaledTokens());
+  }
+  for (const std::uint32_t it : expired) {
+    mStore.Delete(ObjectName(mWriter, it), kWriteTimeout);
+  }
+  if (parts.empty()) {
+    return;
+  }
+  const std::string bytes =
+    ToMessage(mWriter, sequence, parts).SerializeAsString();
+  const auto outcome =
+    mStore.Put(ObjectName(mWriter, sequence), bytes, kWriteTimeout);
+  const bool done = outcome == StoreOutcome::Done;
+  mMetrics.Add(done ? Count::JournalObjects : Count::JournalFailures);
+  mMetrics.Add(Count::JournalBytes, static_cast<double>(bytes.size()));
+  if (!done) {
+    Log(LogLevel::Warn, "journal", "object not written");
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mBook.OnWritten(done, Now());
+}
+
+std::string
+JournalWriter::ObjectName(const std::string& aWriter,
+                          std::uint32_t aSequence) const
+{
+  return "journal/" + aWriter + "/" + std::to_string(aSequence);
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/PlainSession.cpp
@@ -0,0 +1,185 @@
+#include "router/PlainSession.h"
+
+#include "config/Snapshot.h"
+#include "config/SnapshotStore.h"
+#include "generated/messages.pb.h"
+#include "observe/RouterMetrics.h"
+#include "router/CallerMessages.h"
+#include "router/ExplainStore.h"
+#include "router/TargetDirectory.h"
+#include "router/TargetPoller.h"
+#include "wire/HttpServer.h"
+#include "wire/Json.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+PlainSession::PlainSession(const RouterParts& aParts, RequestContext aContext)
+  : mParts(aParts)
+  , mContext(std::move(aContext))
+  , mSpan(aParts.mTracer->Start("call", "SERVER", mContext.mTraceParent))
+{
+  mParts.mMetrics->Add(Count::Requests);
+}
+
+void
+PlainSession::Serve(const HttpRequest& aRequest,
+                    const std::string& aPath,
+                    HttpResponse& aResponse)
+{
+  ChoiceQuery query;
+  query.mService = mContext.mService;
+  query.mContentHash = mContext.mContentHash;
+  PlainCall call(
+    query, mContext.mIdempotent, mContext.mDeadline, *mParts.mTargets);
+  const HttpCallSpec spec = MakeCall(aRequest, aPath);
+  PlainStep step = call.Start(Now());
+  while (const TryTarget* attempt = std::get_if<TryTarget>(&step)) {
+    const PlainResult result = Send(*attempt, spec);
+    step = call.OnResult(result, Now());
+  }
+  aResponse.mHeaders["X-Request-Id"] = mContext.mRequestId;
+  if (const FailCall* failed = std::get_if<FailCall>(&step)) {
+    Fail(failed->mFailure, aResponse);
+  } else {
+    mVerdict = RunVerdict::Ran;
+    aResponse.mStatus = mAnswer.mStatus;
+    aResponse.mBody = mAnswer.mBody;
+    aResponse.mHeaders["X-Request-Run"] = std::string(NameOf(mVerdict));
+    const auto type = mAnswer.mHeaders.find("content-type");
+    if (type != mAnswer.mHeaders.end()) {
+      aResponse.mContentType = type->second;
+    }
+  }
+  mSpan.mTags["request"] = mContext.mRequestId;
+  mSpan.mTags["run"] = std::string(NameOf(mVerdict));
+  mParts.mTracer->End(mSpan);
+}
+
+HttpCallSpec
+PlainSession::MakeCall(const HttpRequest& aRequest,
+                       const std::string& aPath) const
+{
+  HttpCallSpec spec;
+  spec.mMethod = aRequest.mMethod;
+  spec.mPath = aPath;
+  spec.mBody = aRequest.mBody;
+  spec.mContentType =
+    aRequest.mHeader("Content-Type").value_or("application/json");
+  spec.mHeaders["X-Request-Id"] = mContext.mRequestId;
+  spec.mHeaders["X-Quetzal-Router"] = mParts.mRouterName;
+  if (!mContext.mCallerKey.empty()) {
+    spec.mHeaders["Idempotency-Key"] = mContext.mCallerKey;
+  }
+  spec.mConnectTimeout = kConnectTimeout;
+  return spec;
+}
+
+PlainResult
+PlainSession::Send(const TryTarget& aStep, const HttpCallSpec& aSpec)
+{
+  HttpAddress address;
+  {
+    const SnapshotReader snapshot(*mParts.mSnapshots);
+    const auto known = snapshot->AddressOf(aStep.mTarget);
+    if (!known) {
+      return PlainResult::NotStarted;
+    }
+    address = { known->mHost, known->mPort };
+  }
+  // Nothing decided before a pause of this process is sent after it.
+  const Time begun = Now();
+  const auto left =
+    std::chrono::duration_cast<Duration>(mContext.mDeadline - begun);
+  if (left <= Duration::zero()) {
+    return PlainResult::NotStarted;
+  }
+  HttpCallSpec spec = aSpec;
+  spec.mReadTimeout = left;
+  spec.mConnectTimeout = std::min(left, kConnectTimeout);
+  OpenSpan span = mParts.mTracer->Start("attempt", "CLIENT", mSpan.mContext);
+  span.mTags["target"] = aStep.mTarget;
+  spec.mHeaders["traceparent"] = span.mContext.ToHeader();
+  spec.mHeaders["X-Attempt"] = std::to_string(aStep.mAttempt);
+  mParts.mTargets->With([&](TargetTable& aTable) {
+    aTable.OnAttemptStart(aStep.mTarget, mContext.mContentHash, begun);
+  });
+  HttpCall call(address);
+  mAnswer = call.Run(spec);
+  const PlainResult result = Judge(mAnswer);
+  const bool broken = result == PlainResult::Broken;
+  const auto outcome =
+    result == PlainResult::Answered
+      ? AttemptOutcome::Finished
+      : (broken ? AttemptOutcome::Lost : AttemptOutcome::Released);
+  mParts.mTargets->With([&](TargetTable& aTable) {
+    aTable.OnAttemptEnd(aStep.mTarget, mContext.mContentHash, outcome, Now());
+  });
+  if (result != PlainResult::Answered) {
+    mParts.mPoller->PollSoon(aStep.mTarget);
+  }
+  mParts.mTracer->End(std::move(span));
+  Explain("called",
+          aStep.mTarget,
+          broken ? "connection broken" : std::to_string(mAnswer.mStatus));
+  return result;
+}
+
+PlainResult
+PlainSession::Judge(const HttpResult& aResult) const
+{
+  switch (aResult.mOutcome) {
+    case HttpOutcome::Refused:
+    case HttpOutcome::ConnectTimeout:
+      return PlainResult::NotStarted;
+    case HttpOutcome::Broken:
+      return PlainResult::Broken;
+    case HttpOutcome::Answered:
+      break;
+  }
+  if (aResult.mStatus != 503 && aResult.mStatus != 429) {
+    return PlainResult::Answered;
+  }
+  schema::ErrorResponse error;
+  ParseJson(aResult.mBody, UnknownFields::Ignore, error);
+  return error.error().code() == "not_started" ? PlainResult::NotStarted
+                                               : PlainResult::Answered;
+}
+
+void
+PlainSession::Fail(const Failure& aFailure, HttpResponse& aResponse)
+{
+  mVerdict = aFailure.mVerdict;
+  mParts.mMetrics->AddFailure(aFailure.mCode, aFailure.mVerdict);
+  Explain("failed", std::string(), std::string(NameOf(aFailure.mCode)));
+  WriteFailure(aFailure, aResponse);
+}
+
+void
+PlainSession::Explain(const char* aEvent,
+                      const std::string& aTarget,
+                      const std::string& aReason)
+{
+  schema::ExplainStep step;
+  step.set_event(aEvent);
+  step.set_target(aTarget);
+  step.set_reason(aReason);
+  mParts.mExplain->Add(
+    mContext.mRequestId, mContext.mWorkspace, std::move(step));
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/Router.cpp
@@ -0,0 +1,252 @@
+#include "router/Router.h"
+
+#include "router/CallerApi.h"
+#include "router/CancelQueue.h"
+#include "router/ClaimService.h"
+#include "router/ExplainStore.h"
+#include "router/JournalWriter.h"
+#include "router/TargetDirectory.h"
+#include "router/TargetPoller.h"
+
+#include "config/Snapshot.h"
+#include "config/SnapshotStore.h"
+#include "core/Hash.h"
+#include "observe/Log.h"
+#include "observe/RouterMetrics.h"
+#include "observe/Tracer.h"
+#include "wire/Crypto.h"
+#include "wire/EngineHttp.h"
+#include "wire/EventId.h"
+#include "wire/HttpServer.h"
+#include "wire/PlatformHttp.h"
+#include "wire/ThreadPool.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr std::size_t kExplainedRequests = 2000;
+constexpr int kIncarnationBytes = 6;
+
+// Threads beyond one for each connection: probes, polls and cancels.
+constexpr std::size_t kSpareThreads = 64;
+
+// Pause between two looks at the open requests while stopping.
+constexpr Duration kStopPollPause = std::chrono::milliseconds(20);
+
+// Time in which sessions end after they have been told to hand over.
+constexpr Duration kHandOverTime = std::chrono::milliseconds(1000);
+
+std::vector<EventIdKey>
+KeysOf(const schema::RouterSettings& aSettings)
+{
+  std::vector<EventIdKey> keys;
+  for (const auto& it : aSettings.event_id_keys()) {
+    keys.push_back({ it.id(), it.secret() });
+  }
+  return keys;
+}
+
+TargetTableOptions
+TableOptionsOf(const schema::RouterSettings& aSettings,
+               const Snapshot& aSnapshot,
+               const std::string& aIncarnation)
+{
+  TargetTableOptions options;
+  options.mRouterName = aSettings.name();
+  options.mPlace = aSettings.place();
+  options.mRegion = aSnapshot.RegionOf(aSettings.place());
+  options.mSubsetSize = aSettings.subset_size();
+  options.mSeed = StableHash(aIncarnation);
+  return options;
+}
+
+HttpServer::Options
+ServerOptionsOf(const schema::RouterSettings& aSettings)
+{
+  HttpServer::Options options;
+  options.mMaxConnections =
+    static_cast<std::size_t>(aSettings.max_connections());
+  options.mMaxBodyBytes = static_cast<std::size_t>(aSettings.max_body_bytes());
+  return options;
+}
+
+} // namespace
+
+class Router::Impl
+{
+public:
+  Impl(schema::RouterSettings aSettings, schema::Configuration aConfiguration)
+    : mSettings(std::move(aSettings))
+    , mIncarnation(mSettings.name() + "-" + RandomHex(kIncarnationBytes))
+    , mMetrics(mSettings.name())
+    , mTracer(mSettings.name(), mSettings.observe().trace_file())
+    , mExplain(kExplainedRequests)
+    , mEventIds(KeysOf(mSettings))
+    , mThreads(static_cast<std::size_t>(mSettings.max_connections()) +
+               kSpareThreads)
+    , mEngines(mSettings.name(), mThreads)
+    , mTargets(
+        TableOptionsOf(mSettings, Snapshot(aConfiguration), mIncarnation))
+    , mPoller(mEngines, mTargets, mSnapshots, mThreads, mMetrics)
+    , mCancels(mEngines, mThreads)
+    , mServer(ServerOptionsOf(mSettings))
+  {
+    Apply(std::move(aConfiguration));
+    if (mSettings.has_platform()) {
+      mPlatform = std::make_unique<PlatformHttp>(
+        HttpAddress{ mSettings.platform().address(),
+                     mSettings.platform().port() },
+        mSettings.name());
+      mClaims =
+        std::make_unique<ClaimService>(mIncarnation, *mPlatform, mMetrics);
+    }
+    if (mPlatform != nullptr && mSettings.journal_interval_ms() > 0) {
+      mJournal =
+        std::make_unique<JournalWriter>(mIncarnation, *mPlatform, mMetrics);
+    }
+    FillParts();
+    mApi = std::make_unique<CallerApi>(mParts, mSettings, mClaims.get());
+  }
+
+  std::optional<std::string> Start()
+  {
+    if (mSettings.observe().metrics_port() > 0) {
+      mMetrics.Expose(mSettings.listen().address(),
+                      mSettings.observe().metrics_port());
+    }
+    mApi->AddRoutes(mServer);
+    mPoller.Start();
+    mCancels.Start();
+    if (mClaims != nullptr) {
+      mClaims->Start();
+    }
+    if (mJournal != nullptr) {
+      mJournal->Start(
+        std::chrono::milliseconds(mSettings.journal_interval_ms()));
+    }
+    const auto& listen = mSettings.listen();
+    if (!mServer.Start(listen.address(), listen.port())) {
+      return "listen: cannot bind " + listen.address() + ":" +
+             std::to_string(listen.port());
+    }
+    mMetrics.Set(Level::Ready, 1);
+    Log(LogLevel::Info,
+        "router",
+        "serving",
+        { { "router", mSettings.name() },
+          { "incarnation", mIncarnation },
+          { "port", std::to_string(listen.port()) } });
+    return std::nullopt;
+  }
+
+  void Stop()
+  {
+    mLifecycle.mStopping.store(true);
+    mMetrics.Set(Level::Ready, 0);
+    const Time handOverAt =
+      std::chrono::steady_clock::now() +
+      std::chrono::milliseconds(mSettings.stop_grace_ms());
+    WaitForSessions(handOverAt);
+    mLifecycle.mHandOver.store(true);
+    WaitForSessions(std::chrono::steady_clock::now() + kHandOverTime);
+    mServer.Stop();
+    mPoller.Stop();
+    mCancels.Stop();
+    if (mJournal != nullptr) {
+      mJournal->Stop();
+    }
+    if (mClaims != nullptr) {
+      mClaims->Stop();
+    }
+    mThreads.Stop();
+    Log(
+      LogLevel::Info, "router", "stopped", { { "router", mSettings.name() } });
+  }
+
+private:
+  void Apply(schema::Configuration aConfiguration)
+  {
+    auto* snapshot = new Snapshot(std::move(aConfiguration));
+    const auto services = snapshot->ServiceDeclarations();
+    const auto targets = snapshot->TargetDeclarations();
+    const unsigned revision = snapshot->Revision();
+    if (mSnapshots.Replace(snapshot)) {
+      mTargets.With(
+        [&](TargetTable& aTable) { aTable.Declare(services, targets); });
+      mMetrics.Set(Level::Revision, revision);
+    }
+  }
+
+  void FillParts()
+  {
+    mParts.mRouterName = mSettings.name();
+    mParts.mSnapshots = &mSnapshots;
+    mParts.mTargets = &mTargets;
+    mParts.mPoller = &mPoller;
+    mParts.mEngines = &mEngines;
+    mParts.mThreads = &mThreads;
+    mParts.mCancels = &mCancels;
+    mParts.mEventIds = &mEventIds;
+    mParts.mJournal = mJournal.get();
+    mParts.mMetrics = &mMetrics;
+    mParts.mTracer = &mTracer;
+    mParts.mExplain = &mExplain;
+    mParts.mLifecycle = &mLifecycle;
+  }
+
+  void WaitForSessions(Time aUntil)
+  {
+    while (mApi->OpenRequests() > 0 &&
+           std::chrono::steady_clock::now() < aUntil) {
+      std::this_thread::sleep_for(kStopPollPause);
+    }
+  }
+
+  schema::RouterSettings mSettings;
+  std::string mIncarnation;
+  RouterMetrics mMetrics;
+  Tracer mTracer;
+  ExplainStore mExplain;
+  EventIdCodec mEventIds;
+  SnapshotStore mSnapshots;
+  ThreadPool mThreads;
+  EngineHttp mEngines;
+  TargetDirectory mTargets;
+  TargetPoller mPoller;
+  CancelQueue mCancels;
+  std::unique_ptr<PlatformHttp> mPlatform;
+  std::unique_ptr<ClaimService> mClaims;
+  std::unique_ptr<JournalWriter> mJournal;
+  RouterLifecycle mLifecycle;
+  RouterParts mParts;
+  std::unique_ptr<CallerApi> mApi;
+  HttpServer mServer;
+};
+
+Router::Router(schema::RouterSettings aSettings,
+               schema::Configuration aConfiguration)
+  : mImpl(
+      std::make_unique<Impl>(std::move(aSettings), std::move(aConfiguration)))
+{
+}
+
+Router::~Router() = default;
+
+std::optional<std::string>
+Router::Start()
+{
+  return mImpl->Start();
+}
+
+void
+Router::Stop()
+{
+  mImpl->Stop();
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/RouterParts.h
@@ -0,0 +1,51 @@
+#ifndef QUETZALQUAY_ROUTER_ROUTERPARTS_H_INCLUDED
+#define QUETZALQUAY_ROUTER_ROUTERPARTS_H_INCLUDED
+
+#include <atomic>
+#include <string>
+
+namespace quetzalquay {
+
+class CancelQueue;
+class EnginePort;
+class EventIdCodec;
+class ExplainStore;
+class JournalWriter;
+class RouterMetrics;
+class SnapshotStore;
+class TargetDirectory;
+class TargetPoller;
+class ThreadPool;
+class Tracer;
+
+// How far the planned stop of a router has come. Only ever goes forward.
+struct RouterLifecycle
+{
+  // No new requests are taken.
+  std::atomic<bool> mStopping{ false };
+  // Open streams end now; their callers go on elsewhere with their event ids.
+  std::atomic<bool> mHandOver{ false };
+};
+
+// What the sessions of one router share. All parts outlive the sessions.
+struct RouterParts
+{
+  std::string mRouterName;
+  SnapshotStore* mSnapshots = nullptr;
+  TargetDirectory* mTargets = nullptr;
+  TargetPoller* mPoller = nullptr;
+  EnginePort* mEngines = nullptr;
+  ThreadPool* mThreads = nullptr;
+  CancelQueue* mCancels = nullptr;
+  EventIdCodec* mEventIds = nullptr;
+  // Null when the journal is off.
+  JournalWriter* mJournal = nullptr;
+  RouterMetrics* mMetrics = nullptr;
+  Tracer* mTracer = nullptr;
+  ExplainStore* mExplain = nullptr;
+  RouterLifecycle* mLifecycle = nullptr;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_ROUTER_ROUTERPARTS_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/router/TargetDirectory.h
@@ -0,0 +1,40 @@
+#ifndef QUETZALQUAY_ROUTER_TARGETDIRECTORY_H_INCLUDED
+#define QUETZALQUAY_ROUTER_TARGETDIRECTORY_H_INCLUDED
+
+#include "core/TargetTable.h"
+
+#include <mutex>
+
+namespace quetzalquay {
+
+// The target table, shared by the threads of a router.
+class TargetDirectory : public TargetChooser
+{
+public:
+  explicit TargetDirectory(TargetTableOptions aOptions)
+    : mTable(std::move(aOptions))
+  {
+  }
+
+  Choice Choose(const ChoiceQuery& aQuery, Time aNow) override
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mTable.Choose(aQuery, aNow);
+  }
+
+  // Calls aFunction with the table while no other thread uses it.
+  template<typename Function>
+  auto With(Function aFunction)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return aFunction(mTable);
+  }
+
+private:
+  std::mutex mMutex;
+  TargetTable mTable;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_ROUTER_TARGETDIRECTORY_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/router/TargetPoller.cpp
@@ -0,0 +1,161 @@
+#include "router/TargetPoller.h"
+
+#include "config/Snapshot.h"
+#include "config/SnapshotStore.h"
+#include "observe/RouterMetrics.h"
+#include "router/TargetDirectory.h"
+#include "wire/ThreadPool.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kPollPause = std::chrono::milliseconds(500);
+constexpr Duration kPollTimeout = std::chrono::milliseconds(800);
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+TargetPoller::TargetPoller(EnginePort& aEngines,
+                           TargetDirectory& aTargets,
+                           const SnapshotStore& aSnapshots,
+                           ThreadPool& aThreads,
+                           RouterMetrics& aMetrics)
+  : mEngines(aEngines)
+  , mTargets(aTargets)
+  , mSnapshots(aSnapshots)
+  , mThreads(aThreads)
+  , mMetrics(aMetrics)
+{
+}
+
+void
+TargetPoller::Start()
+{
+  mThread.Start(kPollPause, [this] { PollAll(); });
+}
+
+void
+TargetPoller::Stop()
+{
+  mThread.Stop();
+}
+
+void
+TargetPoller::PollSoon(const std::string& aTarget)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (!mPolling.insert(aTarget).second) {
+      return;
+    }
+  }
+  mThreads.Run([this, aTarget] {
+    PollOne(aTarget);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mPolling.erase(aTarget);
+  });
+}
+
+ProbeResult
+TargetPoller::Probe(const std::string& aTarget,
+                    const std::string& aIncarnation,
+                    Time aAnswerBy)
+{
+  const auto address = AddressOf(aTarget);
+  if (!address) {
+    return ProbeResult::NoAnswer;
+  }
+  const auto left = std::chrono::duration_cast<Duration>(aAnswerBy - Now());
+  const Duration timeout =
+    std::max<Duration>(left, std::chrono::milliseconds(1));
+  bool refused = false;
+  const auto report = mEngines.ReadLoad(*address, timeout, refused);
+  if (!report) {
+    mTargets.With([&](TargetTable& aTable) {
+      refused ? aTable.OnRefused(aTarget, Now())
+              : aTable.OnUnresponsive(aTarget, Now());
+    });
+    return refused ? ProbeResult::Dead : ProbeResult::NoAnswer;
+  }
+  mTargets.With([&](TargetTable& aTable) {
+    aTable.OnLoad(aTarget,
+                  report->mIncarnation,
+                  report->mState,
+                  report->mRunning + report->mWaiting,
+                  Now());
+  });
+  const bool reborn =
+    !aIncarnation.empty() && report->mIncarnation != aIncarnation;
+  return reborn ? ProbeResult::Dead : ProbeResult::Alive;
+}
+
+void
+TargetPoller::PollAll()
+{
+  const auto names =
+    mTargets.With([](TargetTable& aTable) { return aTable.Subset(); });
+  for (const std::string& it : names) {
+    PollSoon(it);
+  }
+}
+
+void
+TargetPoller::PollOne(const std::string& aTarget)
+{
+  mMetrics.Add(Count::PollCalls);
+  const ProbeResult result =
+    Probe(aTarget, std::string(), Now() + kPollTimeout);
+  const auto address = AddressOf(aTarget);
+  if (result == ProbeResult::Alive && address) {
+    PollCache(*address);
+  }
+}
+
+void
+TargetPoller::PollCache(const TargetAddress& aTarget)
+{
+  int after = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    after = mCacheSequence[aTarget.mName];
+  }
+  const auto report = mEngines.ReadCache(aTarget, after, kPollTimeout);
+  if (!report) {
+    return;
+  }
+  mMetrics.Add(Count::PollCalls);
+  const bool restarted = report->mNewest < after;
+  const bool gap = restarted || report->mOldest > after + 1;
+  mTargets.With([&](TargetTable& aTable) {
+    if (gap) {
+      aTable.OnCacheGap(aTarget.mName);
+    }
+    for (const auto& it : report->mEntries) {
+      const auto hash = std::strtoull(it.mPrefixHash.c_str(), nullptr, 16);
+      aTable.OnCacheEvent(aTarget.mName, hash, it.mStored);
+    }
+  });
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCacheSequence[aTarget.mName] = restarted ? 0 : report->mNewest;
+}
+
+std::optional<TargetAddress>
+TargetPoller::AddressOf(const std::string& aTarget) const
+{
+  const SnapshotReader snapshot(mSnapshots);
+  if (snapshot.Get() == nullptr) {
+    return std::nullopt;
+  }
+  return snapshot->AddressOf(aTarget);
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/standin/MortalServer.cpp
@@ -0,0 +1,145 @@
+#include "standin/MortalServer.h"
+
+#include "generated/messages.pb.h"
+#include "wire/Json.h"
+
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr std::size_t kConnections = 1024;
+constexpr Duration kKeepAlive = std::chrono::seconds(1);
+
+HttpServer::Options
+ServerOptions()
+{
+  HttpServer::Options options;
+  options.mMaxConnections = kConnections;
+  options.mKeepAlive = kKeepAlive;
+  return options;
+}
+
+} // namespace
+
+MortalServer::MortalServer(schema::Endpoint aListen,
+                           schema::Endpoint aControl,
+                           Hooks aHooks)
+  : mListen(std::move(aListen))
+  , mControl(std::move(aControl))
+  , mHooks(std::move(aHooks))
+{
+}
+
+MortalServer::~MortalServer()
+{
+  Stop();
+}
+
+std::optional<std::string>
+MortalServer::Start()
+{
+  if (!Listen()) {
+    return "listen: cannot bind port " + std::to_string(mListen.port());
+  }
+  mControlServer = std::make_unique<HttpServer>(ServerOptions());
+  mControlServer->Route(
+    "POST",
+    "/faults",
+    [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
+      OnFault(aRequest, aResponse);
+    });
+  mControlServer->Route(
+    "GET", "/records", [this](const HttpRequest&, HttpResponse& aResponse) {
+      aResponse.mBody = mHooks.mRecords();
+    });
+  if (!mControlServer->Start(mControl.address(), mControl.port())) {
+    return "control: cannot bind port " + std::to_string(mControl.port());
+  }
+  return std::nullopt;
+}
+
+void
+MortalServer::Stop()
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mStopping) {
+      return;
+    }
+    mStopping = true;
+  }
+  if (mControlServer != nullptr) {
+    mControlServer->Stop();
+  }
+  mFaults.Kill();
+  if (mDeath.joinable()) {
+    mDeath.join();
+  }
+  if (mServer != nullptr) {
+    mServer->Stop();
+  }
+}
+
+void
+MortalServer::OnFault(const HttpRequest& aRequest, HttpResponse& aResponse)
+{
+  schema::FaultOrder order;
+  if (const auto reason =
+        ParseJson(aRequest.mBody, UnknownFields::Refuse, order)) {
+    aResponse.mStatus = 400;
+    aResponse.mBody = *reason;
+    return;
+  }
+  const Time until = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(order.for_ms());
+  aResponse.mBody = "{}";
+  if (order.kind() == "die") {
+    Die(until);
+  } else if (order.kind() == "pause") {
+    mFaults.Pause(until);
+  } else if (order.kind() == "slow") {
+    mFaults.Slow(order.factor(), until);
+  } else if (order.kind() == "cut") {
+    mFaults.Cut(order.peer(), until);
+  } else if (!mHooks.mOnFault ||
+             !mHooks.mOnFault(order.kind(), until, order.factor())) {
+    aResponse.mStatus = 400;
+    aResponse.mBody = "unknown fault";
+  }
+}
+
+void
+MortalServer::Die(Time aReviveAt)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (mFaults.IsDead() || mStopping) {
+    return;
+  }
+  if (mDeath.joinable()) {
+    mDeath.join();
+  }
+  mFaults.Kill();
+  mHooks.mOnDeath();
+  mDeath = std::thread([this, aReviveAt] {
+    mServer->Stop();
+    std::this_thread::sleep_until(aReviveAt);
+    const std::lock_guard<std::mutex> reviving(mMutex);
+    if (!mStopping) {
+      mHooks.mOnDeath();
+      mFaults.Revive();
+      Listen();
+    }
+  });
+}
+
+bool
+MortalServer::Listen()
+{
+  mServer = std::make_unique<HttpServer>(ServerOptions());
+  mHooks.mAddRoutes(*mServer);
+  return mServer->Start(mListen.address(), mListen.port());
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/standin/StandinPlatform.cpp
@@ -0,0 +1,303 @@
+#include "standin/StandinPlatform.h"
+
+#include "core/Time.h"
+#include "generated/messages.pb.h"
+#include "standin/MortalServer.h"
+#include "standin/TableStore.h"
+#include "wire/HttpServer.h"
+#include "wire/Json.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+// Every call takes this long, as a networked store's would.
+constexpr Duration kStoreLatency = std::chrono::milliseconds(2);
+
+// Share of writes whose answer is lost while that fault is in force.
+constexpr double kLostAnswerShare = 0.5;
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+double
+UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
+} // namespace
+
+class StandinPlatform::Impl
+{
+public:
+  explicit Impl(schema::StandinPlatformSettings aSettings)
+    : mSettings(std::move(aSettings))
+    , mRandom(mSettings.seed())
+    , mServer(mSettings.listen(), mSettings.control(), MakeHooks())
+  {
+    mHosts.set_as_of(UnixMs());
+  }
+
+  MortalServer& Server() { return mServer; }
+
+private:
+  using Member = void (Impl::*)(const HttpRequest&, HttpResponse&);
+
+  MortalServer::Hooks MakeHooks()
+  {
+    MortalServer::Hooks hooks;
+    hooks.mAddRoutes = [this](HttpServer& aServer) { AddRoutes(aServer); };
+    // Tables and objects last: a death is an outage only.
+    hooks.mOnDeath = [] {};
+    hooks.mRecords = [this] { return Counters(); };
+    hooks.mOnFault =
+      [this](const std::string& aKind, Time aUntil, double aFactor) {
+        return OnFault(aKind, aUntil, aFactor);
+      };
+    return hooks;
+  }
+
+  void AddRoutes(HttpServer& aServer)
+  {
+    struct Row
+    {
+      const char* mMethod;
+      const char* mPattern;
+      Member mMember;
+    };
+    static constexpr Row kRows[] = {
+      { "POST", "/v1/transactions", &Impl::OnCommit },
+      { "GET", "/v1/tables/([^/]+)/([^/]+)", &Impl::OnReadRow },
+      { "GET", "/v1/tables/([^/]+)", &Impl::OnReadTable },
+      { "PUT", "/v1/objects/(.+)", &Impl::OnPutObject },
+      { "GET", "/v1/objects/(.+)", &Impl::OnGetObject },
+      { "DELETE", "/v1/objects/(.+)", &Impl::OnDeleteObject },
+      { "GET", "/v1/hosts", &Impl::OnReadHosts },
+      { "PUT", "/v1/hosts", &Impl::OnWriteHosts },
+      { "GET", "/v1/weights/([^/]+)/([^/]+)", &Impl::OnReadWeights },
+    };
+    for (const Row& it : kRows) {
+      const Member member = it.mMember;
+      aServer.Route(
+        it.mMethod,
+        it.mPattern,
+        [this, member](const HttpRequest& aRequest, HttpResponse& aResponse) {
+          Serve(member, aRequest, aResponse);
+        });
+    }
+  }
+
+  void Serve(Member aMember,
+             const HttpRequest& aRequest,
+             HttpResponse& aResponse)
+  {
+    const auto peer = aRequest.mHeader("X-Quetzal-Process").value_or("");
+    if (!mServer.Faults().Pass(peer)) {
+      aResponse.mStream = [](BodyWriter&) { return false; };
+      return;
+    }
+    const auto latency = std::chrono::duration<double, std::micro>(
+      static_cast<double>(kStoreLatency.count()) * mServer.Faults().Factor());
+    std::this_thread::sleep_for(latency);
+    if (IsDown()) {
+      aResponse.mStatus = 503;
+      return;
+    }
+    (this->*aMember)(aRequest, aResponse);
+    if (aRequest.mMethod != "GET" && LosesAnswer()) {
+      aResponse.mStream = [](BodyWriter&) { return false; };
+    }
+  }
+
+  void OnCommit(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mWrites);
+    schema::Transaction transaction;
+    if (const auto reason =
+          ParseJson(aRequest.mBody, UnknownFields::Ignore, transaction)) {
+      aResponse.mStatus = 400;
+      aResponse.mBody = *reason;
+      return;
+    }
+    schema::TransactionResult result;
+    aResponse.mStatus = mTables.Commit(transaction, result) ? 200 : 409;
+    aResponse.mBody = ToJson(result);
+  }
+
+  void OnReadRow(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mReads);
+    const auto row = mTables.Read(aRequest.mCaptures[0], aRequest.mCaptures[1]);
+    aResponse.mStatus = row ? 200 : 404;
+    aResponse.mBody = row ? ToJson(*row) : "{}";
+  }
+
+  void OnReadTable(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mReads);
+    const auto after = aRequest.mParameter("after_revision").value_or("0");
+    const auto revision = std::strtoul(after.c_str(), nullptr, 10);
+    aResponse.mBody = ToJson(mTables.ReadAfter(
+      aRequest.mCaptures[0], static_cast<unsigned>(revision)));
+  }
+
+  void OnPutObject(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mWrites);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mObjects[aRequest.mCaptures[0]] = aRequest.mBody;
+    aResponse.mBody = "{}";
+  }
+
+  void OnGetObject(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mReads);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto it = mObjects.find(aRequest.mCaptures[0]);
+    if (it == mObjects.end()) {
+      aResponse.mStatus = 404;
+      aResponse.mBody = "{}";
+      return;
+    }
+    aResponse.mContentType = "application/octet-stream";
+    aResponse.mBody = it->second;
+  }
+
+  void OnDeleteObject(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    Count(mWrites);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mObjects.erase(aRequest.mCaptures[0]);
+    aResponse.mBody = "{}";
+  }
+
+  void OnReadHosts(const HttpRequest&, HttpResponse& aResponse)
+  {
+    Count(mReads);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    aResponse.mBody = ToJson(mHosts);
+  }
+
+  void OnWriteHosts(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    schema::HostList hosts;
+    if (ParseJson(aRequest.mBody, UnknownFields::Ignore, hosts)) {
+      aResponse.mStatus = 400;
+      return;
+    }
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mHosts = hosts;
+    aResponse.mBody = "{}";
+  }
+
+  void OnReadWeights(const HttpRequest& aRequest, HttpResponse& aResponse)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const Time now = Now();
+    const Duration pause =
+      std::chrono::microseconds(1000000 / mSettings.weights_per_second());
+    if (now < mNextWeights) {
+      aResponse.mStatus = 429;
+      aResponse.mBody = "{}";
+      return;
+    }
+    mNextWeights = now + pause;
+    aResponse.mBody =
+      "weights of " + aRequest.mCaptures[0] + " " + aRequest.mCaptures[1];
+  }
+
+  bool OnFault(const std::string& aKind, Time aUntil, double)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (aKind == "store_down") {
+      mDownUntil = aUntil;
+      return true;
+    }
+    if (aKind == "lose_answers") {
+      mLoseUntil = aUntil;
+      return true;
+    }
+    return false;
+  }
+
+  bool IsDown() const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return Now() < mDownUntil;
+  }
+
+  bool LosesAnswer()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    std::bernoulli_distribution lost(kLostAnswerShare);
+    return Now() < mLoseUntil && lost(mRandom);
+  }
+
+  void Count(double& aCounter)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    aCounter += 1;
+  }
+
+  std::string Counters() const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    schema::PlatformCounters counters;
+    counters.set_reads(mReads);
+    counters.set_writes(mWrites);
+    double bytes = 0;
+    for (const auto& it : mObjects) {
+      bytes += static_cast<double>(it.second.size());
+    }
+    counters.set_objects(static_cast<int>(mObjects.size()));
+    counters.set_object_bytes(bytes);
+    return ToJson(counters);
+  }
+
+  schema::StandinPlatformSettings mSettings;
+  mutable std::mutex mMutex;
+  TableStore mTables;
+  std::map<std::string, std::string> mObjects;
+  schema::HostList mHosts;
+  Time mNextWeights;
+  Time mDownUntil;
+  Time mLoseUntil;
+  double mReads = 0;
+  double mWrites = 0;
+  std::mt19937_64 mRandom;
+  MortalServer mServer;
+};
+
+StandinPlatform::StandinPlatform(schema::StandinPlatformSettings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+StandinPlatform::~StandinPlatform() = default;
+
+std::optional<std::string>
+StandinPlatform::Start()
+{
+  return mImpl->Server().Start();
+}
+
+void
+StandinPlatform::Stop()
+{
+  mImpl->Server().Stop();
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/standin/StandinPlatform.h
@@ -0,0 +1,31 @@
+#ifndef QUETZALQUAY_STANDIN_STANDINPLATFORM_H_INCLUDED
+#define QUETZALQUAY_STANDIN_STANDINPLATFORM_H_INCLUDED
+
+#include "generated/settings.pb.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace quetzalquay {
+
+// The platform's table service, object store, host list and weight store for
+// tests and demonstrations.
+class StandinPlatform
+{
+public:
+  explicit StandinPlatform(schema::StandinPlatformSettings aSettings);
+  ~StandinPlatform();
+
+  // Serves. Returns nothing on success, else the reason.
+  std::optional<std::string> Start();
+  void Stop();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_STANDIN_STANDINPLATFORM_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/wire/ThreadPool.h
@@ -0,0 +1,54 @@
+#ifndef QUETZALQUAY_WIRE_THREADPOOL_H_INCLUDED
+#define QUETZALQUAY_WIRE_THREADPOOL_H_INCLUDED
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <pthread.h>
+#include <vector>
+
+namespace quetzalquay {
+
+// Runs tasks on POSIX threads with small stacks. Starts a thread when no idle
+// one is left, up to a limit; later tasks wait for a free thread.
+class ThreadPool
+{
+public:
+  using Task = std::function<void()>;
+
+  // aMaxThreads bounds the threads.
+  explicit ThreadPool(std::size_t aMaxThreads);
+  ThreadPool(const ThreadPool&) = delete;
+  ThreadPool& operator=(const ThreadPool&) = delete;
+
+  // Joins the threads.
+  ~ThreadPool();
+
+  // Runs a task as soon as a thread is free.
+  void Run(Task aTask);
+
+  // Finishes the accepted tasks and joins all threads. Idempotent.
+  void Stop();
+
+  // Threads started so far.
+  std::size_t ThreadCount() const;
+
+private:
+  static void* ThreadMain(void* aSelf);
+  void Work();
+  void StartThread();
+
+  mutable std::mutex mMutex;
+  std::condition_variable mWork;
+  std::deque<Task> mTasks;
+  std::vector<pthread_t> mThreads;
+  std::size_t mMaxThreads;
+  std::size_t mIdle = 0;
+  bool mStopping = false;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_WIRE_THREADPOOL_H_INCLUDED
