--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -13,6 +13,10 @@
 // Times that an unread answer is run again from its beginning.
 constexpr int kMaxRestarts = 2;
 
+// Pause between two probes of a target that may still run a non-idempotent
+// request.
+constexpr Duration kAwaitPause = std::chrono::milliseconds(300);
+
 // Pause between two cancels of a target that does not answer.
 constexpr Duration kCancelRetryPause = std::chrono::milliseconds(300);
 
@@ -173,7 +177,8 @@
   }
   if (aNow >= mRecoverBy) {
     CancelCurrent(false, actions);
-    Fail(FailureCode::GenerationLost,
+    Fail(mSpec.mIdempotent ? FailureCode::GenerationLost
+                           : FailureCode::OutcomeUnknown,
          "no target could go on in time after a loss",
          actions);
     return actions;
@@ -352,16 +357,23 @@
     MoveOn(aNow, aActions);
     return;
   }
-  if (mTokens.empty()) {
-    CancelCurrent(false, aActions);
+  AwaitTarget(aNow, aActions);
+}
+
+void
+Generation::AwaitTarget(Time aNow, Actions& aActions)
+{
+  if (mGeneration.empty() && !mAttemptMayRun) {
     Fail(FailureCode::OutcomeUnknown,
-         "the target fell silent before its first token",
+         "the connection broke before the first token",
          aActions);
     return;
   }
-  mPhase = Phase::Cancelling;
-  CancelCurrent(true, aActions);
-  mWakeAt = aNow + mSpec.mPolicy.mRecoveryLimit;
+  // The work may not be started again elsewhere while the target may still be
+  // running it. Its tokens are taken if it goes on; it is probed until it does,
+  // or is known to be dead.
+  mPhase = Phase::Streaming;
+  mWakeAt = aNow + kAwaitPause;
 }
 
 void
@@ -472,6 +484,7 @@
 Generation::OnNotStarted(AttemptEnd aEnd, Time aNow, Actions& aActions)
 {
   if (mReattached) {
+    mAttemptMayRun = false;
     Lose(aEnd == AttemptEnd::Refused, aNow, aActions);
     return;
   }
@@ -562,10 +575,11 @@
 RunVerdict
 Generation::Verdict() const
 {
-  if (!mTokens.empty() || mDeliverFrom > 0) {
+  const bool hasRun = !mTokens.empty() || mDeliverFrom > 0;
+  if (hasRun && mSpec.mIdempotent) {
     return RunVerdict::Ran;
   }
-  if (mMayHaveStarted || mAttemptMayRun) {
+  if (hasRun || mMayHaveStarted || mAttemptMayRun) {
     return RunVerdict::OutcomeUnknown;
   }
   return RunVerdict::NotRun;
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -134,6 +134,7 @@
   void Reattach(Time aNow, Actions& aActions);
   void Probe(Time aNow, Actions& aActions);
   void Lose(bool aKnownStopped, Time aNow, Actions& aActions);
+  void AwaitTarget(Time aNow, Actions& aActions);
   void MoveOn(Time aNow, Actions& aActions);
   void RestartInFull(Time aNow, Actions& aActions);
   void RejectEcho(Time aNow, Actions& aActions);
--- a/src/quetzalquay/core/WorkspaceLimits.cpp
+++ b/src/quetzalquay/core/WorkspaceLimits.cpp
@@ -9,6 +9,9 @@
 // Seconds of the rate that may come at once after a pause.
 constexpr double kBurstSeconds = 2.0;
 
+// Shortest wait that a caller is told.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(1);
+
 // What a caller is told to wait when too many of its requests are open.
 constexpr Duration kConcurrencyRetryAfter = std::chrono::milliseconds(500);
 
@@ -29,7 +32,7 @@
   if (state.mCredit < 1.0) {
     const std::chrono::duration<double> wait((1.0 - state.mCredit) /
                                              aLimit.mRequestsPerSecond);
-    aRetryAfter = std::chrono::duration_cast<Duration>(wait);
+    aRetryAfter = std::max(kMinRetryAfter, std::chrono::ceil<Duration>(wait));
     return Admission::RateExceeded;
   }
   state.mCredit -= 1.0;
--- a/src/quetzalquay/load/LoadRunner.cpp
+++ b/src/quetzalquay/load/LoadRunner.cpp
@@ -75,9 +75,11 @@
 LoadRunner::Run()
 {
   mHistory.set_seed(mSettings.seed());
+  NoteTargetsBefore();
   mBegun = std::chrono::steady_clock::now();
   std::thread faults([this] { RunFaults(); });
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<std::size_t>(mSettings.concurrency()));
   for (int n = 0; n < mSettings.concurrency(); ++n) {
     workers.emplace_back([this] { WorkClosedLoop(); });
   }
@@ -195,7 +197,7 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     auto* record = mHistory.add_faults();
     record->set_kind(order.kind());
-    record->set_where(std::to_string(endpoint.port()));
+    record->set_where(endpoint.address());
     record->set_at(UnixMs());
     record->set_for_ms(aFault.for_ms());
   }
@@ -203,24 +205,41 @@
   call.Run(spec);
 }
 
+schema::TargetRecords
+LoadRunner::ReadRecords(int aTarget) const
+{
+  const auto& endpoint = mSettings.targets(aTarget);
+  HttpCallSpec spec;
+  spec.mPath = "/records";
+  spec.mReadTimeout = kControlTimeout;
+  HttpCall call(HttpAddress{ endpoint.address(), endpoint.port() });
+  schema::TargetRecords records;
+  ParseJson(call.Run(spec).mBody, UnknownFields::Ignore, records);
+  return records;
+}
+
+void
+LoadRunner::NoteTargetsBefore()
+{
+  for (int n = 0; n < mSettings.targets_size(); ++n) {
+    mBefore.push_back(ReadRecords(n));
+  }
+}
+
 void
 LoadRunner::CollectTargets()
 {
-  for (const auto& it : mSettings.targets()) {
-    HttpCallSpec spec;
-    spec.mPath = "/records";
-    spec.mReadTimeout = kControlTimeout;
-    HttpCall call(HttpAddress{ it.address(), it.port() });
-    const HttpResult result = call.Run(spec);
-    schema::TargetRecords records;
-    ParseJson(result.mBody, UnknownFields::Ignore, records);
-    for (const auto& record : records.records()) {
-      *mHistory.add_targets() = record;
+  for (int n = 0; n < mSettings.targets_size(); ++n) {
+    const schema::TargetRecords& before = mBefore[static_cast<std::size_t>(n)];
+    const schema::TargetRecords after = ReadRecords(n);
+    for (int i = before.records_size(); i < after.records_size(); ++i) {
+      *mHistory.add_targets() = after.records(i);
     }
     mHistory.set_decode_tokens(mHistory.decode_tokens() +
-                               records.decode_tokens());
+                               after.decode_tokens() - before.decode_tokens());
     mHistory.set_prefill_tokens(mHistory.prefill_tokens() +
-                                records.prefill_tokens());
+                                after.prefill_tokens() -
+                                before.prefill_tokens());
   }
 }
 
--- a/src/quetzalquay/load/LoadRunner.h
+++ b/src/quetzalquay/load/LoadRunner.h
@@ -36,6 +36,8 @@
   void RunFaults();
   void Inject(const schema::LoadFault& aFault, std::mt19937& aRandom);
   void WaitForArrival(int aNumber) const;
+  schema::TargetRecords ReadRecords(int aTarget) const;
+  void NoteTargetsBefore();
   void CollectTargets();
 
   const schema::LoadSettings& mSettings;
@@ -46,6 +48,8 @@
   std::mutex mMutex;
   schema::History mHistory;
   std::vector<float> mGaps;
+  // What each target had done before this run.
+  std::vector<schema::TargetRecords> mBefore;
   Time mBegun;
   double mSeconds = 0;
 };
--- a/src/quetzalquay/observe/Log.cpp
+++ b/src/quetzalquay/observe/Log.cpp
@@ -52,7 +52,7 @@
 void
 StartLog(const std::string& aPath, const std::string& aLevel)
 {
-  static const log4cplus::Initializer initializer;
+  static const log4cplus::Initializer kInitializer;
   log4cplus::SharedAppenderPtr appender;
   if (aPath.empty()) {
     appender = new log4cplus::ConsoleAppender(true, true);
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -264,6 +264,7 @@
     target->set_service(it.mService);
     target->set_place(it.mPlace);
     target->set_state(it.mState);
+    target->set_incarnation(it.mIncarnation);
     target->set_in_flight(it.mInFlight);
     target->set_reported_running(it.mReported);
     target->set_gap_ms(ToMilliseconds(it.mUsualGap));
--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -62,17 +62,17 @@
   }
   request.mHeader =
     [&aRequest](const std::string& aName) -> std::optional<std::string> {
-    if (!aRequest.has_header(aName.c_str())) {
+    if (!aRequest.has_header(aName)) {
       return std::nullopt;
     }
-    return aRequest.get_header_value(aName.c_str());
+    return aRequest.get_header_value(aName);
   };
   request.mParameter =
     [&aRequest](const std::string& aName) -> std::optional<std::string> {
-    if (!aRequest.has_param(aName.c_str())) {
+    if (!aRequest.has_param(aName)) {
       return std::nullopt;
     }
-    return aRequest.get_param_value(aName.c_str());
+    return aRequest.get_param_value(aName);
   };
   return request;
 }
@@ -82,16 +82,15 @@
 {
   aTo.status = aFrom.mStatus;
   for (const auto& it : aFrom.mHeaders) {
-    aTo.set_header(it.first.c_str(), it.second);
+    aTo.set_header(it.first, it.second);
   }
   if (!aFrom.mStream) {
-    aTo.set_content(aFrom.mBody, aFrom.mContentType.c_str());
+    aTo.set_content(aFrom.mBody, aFrom.mContentType);
     return;
   }
   auto stream = std::move(aFrom.mStream);
   aTo.set_chunked_content_provider(
-    aFrom.mContentType.c_str(),
-    [stream](std::size_t, httplib::DataSink& aSink) {
+    aFrom.mContentType, [stream](std::size_t, httplib::DataSink& aSink) {
       SinkWriter writer(aSink);
       if (!stream(writer)) {
         return false;
@@ -159,13 +158,13 @@
 void
 HttpServer::Route(const std::string& aMethod,
                   const std::string& aPattern,
-                  Handler aHandler)
+                  const Handler& aHandler)
 {
   mImpl->Route(aMethod, aPattern, aHandler);
 }
 
 void
-HttpServer::OnError(std::function<void(int, HttpResponse&)> aHandler)
+HttpServer::OnError(const std::function<void(int, HttpResponse&)>& aHandler)
 {
   mImpl->mServer.set_error_handler(
     [aHandler](const httplib::Request&, httplib::Response& aResponse) {
@@ -182,7 +181,7 @@
 bool
 HttpServer::Start(const std::string& aAddress, int aPort)
 {
-  if (!mImpl->mServer.bind_to_port(aAddress.c_str(), aPort)) {
+  if (!mImpl->mServer.bind_to_port(aAddress, aPort)) {
     return false;
   }
   mImpl->mThread = std::thread([this] { mImpl->mServer.listen_after_bind(); });
--- a/src/quetzalquay/wire/HttpServer.h
+++ b/src/quetzalquay/wire/HttpServer.h
@@ -61,7 +61,7 @@
   struct Options
   {
     std::size_t mMaxConnections = 256;
-    std::size_t mMaxBodyBytes = 8 * 1024 * 1024;
+    std::size_t mMaxBodyBytes = 8U << 20;
     Duration mWriteTimeout = std::chrono::seconds(5);
     Duration mKeepAlive = std::chrono::seconds(5);
   };
@@ -72,11 +72,11 @@
   // Adds a handler for a method and a path pattern (regular expression).
   void Route(const std::string& aMethod,
              const std::string& aPattern,
-             Handler aHandler);
+             const Handler& aHandler);
 
   // Answers an error that the server itself found, such as a body that is too
   // large; gets the HTTP status.
-  void OnError(std::function<void(int, HttpResponse&)> aHandler);
+  void OnError(const std::function<void(int, HttpResponse&)>& aHandler);
 
   // Binds and serves on a thread of its own. Returns false when the address
   // cannot be bound.
--- a/src/quetzalquay/wire/SseReader.cpp
+++ b/src/quetzalquay/wire/SseReader.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
+constexpr std::size_t kMaxEventBytes = 256U << 10;
 
 } // namespace
 
--- a/src/quetzalquay/wire/ThreadPool.cpp
+++ b/src/quetzalquay/wire/ThreadPool.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kStackBytes = 512 * 1024;
+constexpr std::size_t kStackBytes = 512U << 10;
 
 } // namespace
 
--- /dev/null
+++ b/tests/fakes/FakeWorld.cpp
@@ -0,0 +1,403 @@
+#include "FakeWorld.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace quetzalquay;
+
+namespace {
+
+constexpr int kTickMs = 10;
+constexpr int kDeadlineMs = 20000;
+
+GenerationSpec
+MakeSpec(bool aIdempotent, RecoveryPreset aPreset)
+{
+  GenerationSpec spec;
+  spec.mRequestId = "r-1";
+  spec.mIdempotent = aIdempotent;
+  spec.mDeadline = Time(std::chrono::milliseconds(kDeadlineMs));
+  spec.mModel = "m";
+  spec.mVersion = "1";
+  spec.mPolicy = RecoveryPolicy::Of(aPreset);
+  return spec;
+}
+
+} // namespace
+
+FakeWorld::FakeWorld(bool aIdempotent,
+                     RecoveryPreset aPreset,
+                     int aTokens,
+                     unsigned aSeed,
+                     std::vector<WorldFault> aFaults)
+  : mTokens(aTokens)
+  , mRandom(aSeed)
+  , mFaults(std::move(aFaults))
+  , mEngines(kEngines)
+  , mIdempotent(aIdempotent)
+  , mGeneration(MakeSpec(aIdempotent, aPreset), *this)
+{
+}
+
+void
+FakeWorld::Run(const std::optional<TakeoverPoint>& aTakeover)
+{
+  for (const WorldFault& it : mFaults) {
+    After(it.mAtMs, [this, it] { Inject(it); });
+  }
+  for (int n = 0; n < kEngines; ++n) {
+    After(kTickMs, [this, n] { Tick(n); });
+  }
+  Apply(aTakeover ? mGeneration.TakeOver(*aTakeover, Now())
+                  : mGeneration.Start(Now()));
+  while (!mGeneration.IsDone()) {
+    const Time timer = mGeneration.NextTimer();
+    const Time next(std::chrono::milliseconds(mQueue.begin()->mAtMs));
+    if (timer < next) {
+      const auto passed = timer.time_since_epoch();
+      mNowMs = std::max(
+        mNowMs,
+        static_cast<int>(
+          std::chrono::ceil<std::chrono::milliseconds>(passed).count()));
+      Apply(mGeneration.OnTimer(Now()));
+      continue;
+    }
+    const Timed event = *mQueue.begin();
+    mQueue.erase(mQueue.begin());
+    mNowMs = std::max(mNowMs, event.mAtMs);
+    event.mRun();
+  }
+  mEndedAtMs = mNowMs;
+  mCounters = mGeneration.Counters();
+}
+
+void
+FakeWorld::Preload(int aEngine, const std::string& aGeneration, int aLength)
+{
+  Stream stream;
+  stream.mAttempt = 1;
+  stream.mLength = aLength;
+  mEngines[static_cast<std::size_t>(aEngine)].mStreams[aGeneration] = stream;
+}
+
+Choice
+FakeWorld::Choose(const ChoiceQuery& aQuery, Time)
+{
+  std::vector<std::string> names;
+  for (int n = 0; n < kEngines; ++n) {
+    const std::string name = "e" + std::to_string(n);
+    const auto& out = aQuery.mExcluded;
+    if (std::find(out.begin(), out.end(), name) == out.end()) {
+      names.push_back(name);
+    }
+  }
+  Choice choice;
+  if (names.empty()) {
+    return choice;
+  }
+  choice.mStatus = ChoiceStatus::Chosen;
+  choice.mTarget = names[mRandom() % names.size()];
+  choice.mUsualGap = std::chrono::milliseconds(kTickMs);
+  choice.mServingVersion = "1";
+  return choice;
+}
+
+int
+FakeWorld::TokenOf(const std::string& aGeneration, int aIndex)
+{
+  const auto hash = std::hash<std::string>()(aGeneration);
+  return static_cast<int>((hash + static_cast<unsigned>(aIndex) * 7919U) %
+                          100000U);
+}
+
+Time
+FakeWorld::Now() const
+{
+  return Time(std::chrono::milliseconds(mNowMs));
+}
+
+void
+FakeWorld::After(int aMs, std::function<void()> aRun)
+{
+  mQueue.insert({ mNowMs + aMs, ++mOrder, std::move(aRun) });
+}
+
+void
+FakeWorld::Apply(const Actions& aActions)
+{
+  for (const Action& it : aActions) {
+    std::visit([this](const auto& aOne) { Do(aOne); }, it);
+  }
+}
+
+void
+FakeWorld::Do(const DispatchAttempt& aAction)
+{
+  After(Delay(), [this, aAction] {
+    Engine& engine =
+      mEngines[static_cast<std::size_t>(IndexOf(aAction.mTarget))];
+    if (mNowMs < engine.mDeadUntil) {
+      EndAttempt(aAction.mAttempt, AttemptEnd::Refused);
+      return;
+    }
+    if (mNowMs < engine.mFullUntil) {
+      EndAttempt(aAction.mAttempt, AttemptEnd::NotStarted);
+      return;
+    }
+    std::string generation = aAction.mGeneration;
+    if (generation.empty()) {
+      generation = "g" + std::to_string(++mNextGeneration);
+      ++mFirstStarts;
+    }
+    mOverlaps += RunsSomewhere() ? 1 : 0;
+    for (std::size_t n = 0; n < aAction.mTokens.size(); ++n) {
+      const int index = static_cast<int>(n);
+      mWrongTokens =
+        mWrongTokens || aAction.mTokens[n] != TokenOf(generation, index);
+    }
+    Stream stream;
+    stream.mAttempt = aAction.mAttempt;
+    stream.mReader = aAction.mAttempt;
+    stream.mLength = static_cast<int>(aAction.mTokens.size());
+    stream.mSent = stream.mLength;
+    engine.mStreams[generation] = stream;
+  });
+}
+
+void
+FakeWorld::Do(const ReattachStream& aAction)
+{
+  After(Delay(), [this, aAction] {
+    Engine& engine =
+      mEngines[static_cast<std::size_t>(IndexOf(aAction.mTarget))];
+    if (mNowMs < engine.mDeadUntil) {
+      EndAttempt(aAction.mAttempt, AttemptEnd::Refused);
+      return;
+    }
+    const auto it = engine.mStreams.find(aAction.mGeneration);
+    if (it == engine.mStreams.end()) {
+      EndAttempt(aAction.mAttempt, AttemptEnd::UnknownStream);
+      return;
+    }
+    it->second.mAttempt = aAction.mAttempt;
+    it->second.mReader = aAction.mAttempt;
+    it->second.mSent = aAction.mFrom;
+  });
+}
+
+void
+FakeWorld::Do(const ProbeTarget& aAction)
+{
+  const int index = IndexOf(aAction.mTarget);
+  const int incarnation =
+    mEngines[static_cast<std::size_t>(index)].mIncarnation;
+  const auto answerBy = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aAction.mAnswerBy - Now());
+  // The router knows the incarnation from the attempt's start: any death since
+  // then shows as another one.
+  const bool diedBefore =
+    mEngines[static_cast<std::size_t>(index)].mStreams.empty();
+  After(Delay(), [this, aAction, index, incarnation, answerBy, diedBefore] {
+    const Engine& engine = mEngines[static_cast<std::size_t>(index)];
+    if (mNowMs < engine.mDeadUntil || engine.mIncarnation != incarnation ||
+        diedBefore) {
+      Apply(
+        mGeneration.OnProbeResult(aAction.mAttempt, ProbeResult::Dead, Now()));
+    } else if (mNowMs < engine.mPausedUntil) {
+      After(static_cast<int>(answerBy.count()), [this, aAction] {
+        Apply(mGeneration.OnProbeResult(
+          aAction.mAttempt, ProbeResult::NoAnswer, Now()));
+      });
+    } else {
+      Apply(
+        mGeneration.OnProbeResult(aAction.mAttempt, ProbeResult::Alive, Now()));
+    }
+  });
+}
+
+void
+FakeWorld::Do(const CancelAttempt& aAction)
+{
+  Engine& engine = mEngines[static_cast<std::size_t>(IndexOf(aAction.mTarget))];
+  const auto it = engine.mStreams.find(aAction.mGeneration);
+  if (it != engine.mStreams.end()) {
+    it->second.mReader = 0;
+  }
+  After(Delay(), [this, aAction] {
+    Engine& target =
+      mEngines[static_cast<std::size_t>(IndexOf(aAction.mTarget))];
+    const bool silent =
+      mNowMs < target.mDeadUntil || mNowMs < target.mPausedUntil;
+    const auto found = target.mStreams.find(aAction.mGeneration);
+    if (!silent && found != target.mStreams.end() &&
+        found->second.mAttempt <= aAction.mAttempt) {
+      target.mStreams.erase(found);
+    }
+    if (aAction.mWantsResult) {
+      Apply(mGeneration.OnCancelResult(aAction.mAttempt,
+                                       silent ? CancelResult::NoAnswer
+                                              : CancelResult::Stopped,
+                                       Now()));
+    }
+  });
+}
+
+void
+FakeWorld::Do(const DeliverText& aAction)
+{
+  const std::size_t colon = aAction.mText.find(':');
+  mText.emplace_back(aAction.mText.substr(0, colon),
+                     std::stoi(aAction.mText.substr(colon + 1)));
+}
+
+void
+FakeWorld::Do(const DiscardText&)
+{
+  mText.clear();
+}
+
+void
+FakeWorld::Do(const FinishAnswer&)
+{
+  mFinished = true;
+}
+
+void
+FakeWorld::Do(const FailAnswer& aAction)
+{
+  mFailure = aAction.mFailure;
+}
+
+void
+FakeWorld::Inject(const WorldFault& aFault)
+{
+  Engine& engine = mEngines[static_cast<std::size_t>(aFault.mEngine)];
+  const int until = mNowMs + aFault.mForMs;
+  switch (aFault.mKind) {
+    case WorldFault::Die: {
+      const auto streams = std::exchange(engine.mStreams, {});
+      engine.mDeadUntil = std::max(engine.mDeadUntil, until);
+      engine.mPausedUntil = 0;
+      ++engine.mIncarnation;
+      for (const auto& it : streams) {
+        if (it.second.mReader != 0) {
+          EndAttempt(it.second.mReader, AttemptEnd::Broken);
+        }
+      }
+      break;
+    }
+    case WorldFault::Pause:
+      engine.mPausedUntil = std::max(engine.mPausedUntil, until);
+      break;
+    case WorldFault::Reset:
+      for (auto& it : engine.mStreams) {
+        const int reader = std::exchange(it.second.mReader, 0);
+        if (reader != 0) {
+          EndAttempt(reader, AttemptEnd::Broken);
+        }
+      }
+      break;
+    case WorldFault::Crossed: {
+      StreamEvent foreign = EventOf("g-other", aFault.mForMs % 4, 0);
+      foreign.mRequestId = "r-other";
+      Deliver(foreign);
+      Deliver(EventOf("g1", 1, aFault.mForMs % 50));
+      break;
+    }
+    case WorldFault::Full:
+    case WorldFault::Last:
+      engine.mFullUntil = std::max(engine.mFullUntil, until);
+      break;
+  }
+}
+
+void
+FakeWorld::EndAttempt(int aAttempt, AttemptEnd aEnd)
+{
+  After(Delay(), [this, aAttempt, aEnd] {
+    Apply(mGeneration.OnAttemptEnded(aAttempt, aEnd, Now()));
+  });
+}
+
+void
+FakeWorld::Deliver(StreamEvent aEvent)
+{
+  After(1, [this, aEvent] { Apply(mGeneration.OnEvent(aEvent, Now())); });
+}
+
+StreamEvent
+FakeWorld::EventOf(const std::string& aGeneration,
+                   int aAttempt,
+                   int aIndex) const
+{
+  StreamEvent event;
+  event.mRequestId = "r-1";
+  event.mAttempt = aAttempt;
+  event.mGeneration = aGeneration;
+  event.mIndex = aIndex;
+  event.mToken = TokenOf(aGeneration, aIndex);
+  event.mText = aGeneration + ":" + std::to_string(aIndex);
+  event.mModel = "m";
+  event.mVersion = "1";
+  return event;
+}
+
+void
+FakeWorld::Tick(int aEngine)
+{
+  Engine& engine = mEngines[static_cast<std::size_t>(aEngine)];
+  if (mNowMs >= engine.mPausedUntil && mNowMs >= engine.mDeadUntil) {
+    for (auto& it : engine.mStreams) {
+      TickStream(it.first, it.second);
+    }
+  }
+  After(kTickMs, [this, aEngine] { Tick(aEngine); });
+}
+
+void
+FakeWorld::TickStream(const std::string& aGeneration, Stream& aStream)
+{
+  if (aStream.mLength < mTokens) {
+    ++aStream.mLength;
+  } else {
+    aStream.mRunning = false;
+  }
+  if (aStream.mReader == 0) {
+    return;
+  }
+  for (; aStream.mSent < aStream.mLength; ++aStream.mSent) {
+    Deliver(EventOf(aGeneration, aStream.mReader, aStream.mSent));
+  }
+  if (!aStream.mRunning) {
+    StreamEvent finish = EventOf(aGeneration, aStream.mReader, mTokens);
+    finish.mText.clear();
+    finish.mFinishReason = "length";
+    Deliver(finish);
+    aStream.mReader = 0;
+  }
+}
+
+bool
+FakeWorld::RunsSomewhere() const
+{
+  for (const Engine& engine : mEngines) {
+    for (const auto& it : engine.mStreams) {
+      if (it.second.mRunning) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+int
+FakeWorld::Delay()
+{
+  return 1 + static_cast<int>(mRandom() % 4);
+}
+
+int
+FakeWorld::IndexOf(const std::string& aTarget)
+{
+  return std::stoi(aTarget.substr(1));
+}
--- /dev/null
+++ b/tests/fakes/LocalDeployment.cpp
@@ -0,0 +1,445 @@
+#include "LocalDeployment.h"
+
+#include "wire/Crypto.h"
+#include "wire/Json.h"
+#include "wire/SseReader.h"
+
+#include <atomic>
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+#include <utility>
+
+using namespace quetzalquay;
+
+namespace {
+
+constexpr int kPort = 9000;
+constexpr int kControlPort = 9001;
+
+enum AddressKind
+{
+  RouterKind = 1,
+  EngineKind = 2,
+  ServiceKind = 3,
+  PlatformKind = 4,
+};
+
+// Every deployment gets a network of its own below 127.0.0.0/8.
+std::atomic<int> sNextNet{ 100 };
+
+void
+Require(const std::optional<std::string>& aProblem)
+{
+  CPPUNIT_ASSERT_MESSAGE(aProblem.value_or(""), !aProblem);
+}
+
+schema::Endpoint
+EndpointOf(const std::string& aAddress, int aPort)
+{
+  schema::Endpoint endpoint;
+  endpoint.set_address(aAddress);
+  endpoint.set_port(aPort);
+  return endpoint;
+}
+
+void
+AddWorkspace(schema::Configuration& aConfiguration,
+             const std::string& aName,
+             const std::string& aKey)
+{
+  auto* workspace = aConfiguration.add_workspaces();
+  workspace->set_name(aName);
+  workspace->add_key_sha256(Sha256Hex(aKey));
+  workspace->set_weight(1);
+  workspace->set_max_concurrent(200);
+  workspace->set_requests_per_second(1000);
+  workspace->add_models("story");
+  workspace->add_services("desk");
+}
+
+} // namespace
+
+LocalDeployment::LocalDeployment(const DeploymentPlan& aPlan)
+  : mPlan(aPlan)
+  , mNet(sNextNet.fetch_add(1))
+{
+  schema::StandinPlatformSettings platform;
+  platform.set_name("platform");
+  *platform.mutable_listen() = EndpointOf(Address(PlatformKind, 1), kPort);
+  *platform.mutable_control() =
+    EndpointOf(Address(PlatformKind, 1), kControlPort);
+  platform.set_weights_per_second(100);
+  mPlatform = std::make_unique<StandinPlatform>(platform);
+  Require(mPlatform->Start());
+  schema::StandinServiceSettings service;
+  service.set_name("desk-1");
+  service.set_delay_ms(mPlan.mServiceDelayMs);
+  *service.mutable_listen() = EndpointOf(Address(ServiceKind, 1), kPort);
+  *service.mutable_control() =
+    EndpointOf(Address(ServiceKind, 1), kControlPort);
+  mService = std::make_unique<StandinService>(service);
+  Require(mService->Start());
+  for (int n = 0; n < mPlan.mEngines; ++n) {
+    mEngines.push_back(std::make_unique<StandinEngine>(EngineSettings(n)));
+    Require(mEngines.back()->Start());
+  }
+  for (int n = 0; n < mPlan.mRouters; ++n) {
+    mRouters.push_back(
+      std::make_unique<Router>(RouterSettings(n), Configuration()));
+    Require(mRouters.back()->Start());
+  }
+  WaitReady();
+}
+
+LocalDeployment::~LocalDeployment()
+{
+  for (const auto& it : mRouters) {
+    if (it != nullptr) {
+      it->Stop();
+    }
+  }
+  for (const auto& it : mEngines) {
+    it->Stop();
+  }
+  mService->Stop();
+  mPlatform->Stop();
+}
+
+HttpAddress
+LocalDeployment::RouterAddress(int aRouter) const
+{
+  return { Address(RouterKind, aRouter + 1), kPort };
+}
+
+void
+LocalDeployment::StopRouter(int aRouter)
+{
+  mRouters[static_cast<std::size_t>(aRouter)]->Stop();
+  mRouters[static_cast<std::size_t>(aRouter)].reset();
+}
+
+void
+LocalDeployment::FaultEngine(int aEngine, const std::string& aKind, int aForMs)
+{
+  schema::FaultOrder order;
+  order.set_kind(aKind);
+  order.set_for_ms(aForMs);
+  order.set_factor(8);
+  Fault(Address(EngineKind, aEngine + 1), order);
+}
+
+void
+LocalDeployment::FaultService(const std::string& aKind, int aForMs)
+{
+  schema::FaultOrder order;
+  order.set_kind(aKind);
+  order.set_for_ms(aForMs);
+  Fault(Address(ServiceKind, 1), order);
+}
+
+void
+LocalDeployment::FaultPlatform(const std::string& aKind, int aForMs)
+{
+  schema::FaultOrder order;
+  order.set_kind(aKind);
+  order.set_for_ms(aForMs);
+  Fault(Address(PlatformKind, 1), order);
+}
+
+void
+LocalDeployment::CutEngine(int aEngine, int aRouter, int aForMs)
+{
+  schema::FaultOrder order;
+  order.set_kind("cut");
+  order.set_for_ms(aForMs);
+  order.set_peer("router-" + std::to_string(aRouter + 1));
+  Fault(Address(EngineKind, aEngine + 1), order);
+}
+
+schema::TargetRecords
+LocalDeployment::EngineRecords(int aEngine) const
+{
+  return Records(Address(EngineKind, aEngine + 1));
+}
+
+schema::TargetRecords
+LocalDeployment::ServiceRecords() const
+{
+  return Records(Address(ServiceKind, 1));
+}
+
+std::vector<schema::TargetRecord>
+LocalDeployment::AllStarts() const
+{
+  std::vector<schema::TargetRecord> starts;
+  for (int n = 0; n < mPlan.mEngines; ++n) {
+    const auto records = EngineRecords(n);
+    starts.insert(
+      starts.end(), records.records().begin(), records.records().end());
+  }
+  return starts;
+}
+
+int
+LocalDeployment::EngineOf(const std::string& aGeneration) const
+{
+  int newest = -1;
+  int attempt = -1;
+  for (int n = 0; n < mPlan.mEngines; ++n) {
+    const auto records = EngineRecords(n);
+    for (const auto& it : records.records()) {
+      if (it.generation() == aGeneration && it.attempt() > attempt) {
+        attempt = it.attempt();
+        newest = n;
+      }
+    }
+  }
+  return newest;
+}
+
+std::string
+LocalDeployment::Address(int aKind, int aNumber) const
+{
+  return "127." + std::to_string(mNet) + "." + std::to_string(aKind) + "." +
+         std::to_string(aNumber);
+}
+
+void
+LocalDeployment::Fault(const std::string& aAddress,
+                       const schema::FaultOrder& aOrder)
+{
+  HttpCallSpec spec;
+  spec.mMethod = "POST";
+  spec.mPath = "/faults";
+  spec.mBody = ToCompactJson(aOrder);
+  HttpCall call(HttpAddress{ aAddress, kControlPort });
+  CPPUNIT_ASSERT_EQUAL(200, call.Run(spec).mStatus);
+}
+
+schema::TargetRecords
+LocalDeployment::Records(const std::string& aAddress) const
+{
+  HttpCallSpec spec;
+  spec.mPath = "/records";
+  HttpCall call(HttpAddress{ aAddress, kControlPort });
+  schema::TargetRecords records;
+  ParseJson(call.Run(spec).mBody, UnknownFields::Ignore, records);
+  return records;
+}
+
+schema::Configuration
+LocalDeployment::Configuration() const
+{
+  schema::Configuration configuration;
+  configuration.set_revision(1);
+  auto* place = configuration.add_places();
+  place->set_name("hall");
+  place->set_region("region");
+  auto* model = configuration.add_models();
+  model->set_name("story");
+  model->set_serving_version("1");
+  auto* version = configuration.add_versions();
+  version->set_model("story");
+  version->set_name("1");
+  auto* adapter = configuration.add_adapters();
+  adapter->set_name("wards");
+  adapter->set_model("story");
+  adapter->set_version("5");
+  AddWorkspace(configuration, "test", kKey);
+  AddWorkspace(configuration, "other", kOtherKey);
+  auto* pool = configuration.add_services();
+  pool->set_name("pool");
+  pool->set_model("story");
+  pool->set_recovery(mPlan.mPreset);
+  auto* desk = configuration.add_services();
+  desk->set_name("desk");
+  desk->set_kind(schema::PLAIN);
+  for (int n = 0; n < mPlan.mEngines; ++n) {
+    auto* target = configuration.add_targets();
+    target->set_name("engine-" + std::to_string(n));
+    target->set_service("pool");
+    target->set_place("hall");
+    target->set_address(Address(EngineKind, n + 1));
+    target->set_port(kPort);
+  }
+  auto* target = configuration.add_targets();
+  target->set_name("desk-1");
+  target->set_service("desk");
+  target->set_place("hall");
+  target->set_address(Address(ServiceKind, 1));
+  target->set_port(kPort);
+  return configuration;
+}
+
+schema::RouterSettings
+LocalDeployment::RouterSettings(int aRouter) const
+{
+  schema::RouterSettings settings;
+  settings.set_name("router-" + std::to_string(aRouter + 1));
+  settings.set_place("hall");
+  const HttpAddress address = RouterAddress(aRouter);
+  *settings.mutable_listen() = EndpointOf(address.mHost, address.mPort);
+  settings.set_max_connections(64);
+  auto* key = settings.add_event_id_keys();
+  key->set_id("k1");
+  key->set_secret("a-secret-of-the-tests-with-32-characters");
+  *settings.mutable_platform() = EndpointOf(Address(PlatformKind, 1), kPort);
+  settings.set_default_deadline_ms(30000);
+  settings.set_max_deadline_ms(60000);
+  settings.set_stop_grace_ms(mPlan.mStopGraceMs);
+  settings.set_max_body_bytes(65536);
+  settings.set_journal_interval_ms(mPlan.mJournalMs);
+  return settings;
+}
+
+schema::StandinEngineSettings
+LocalDeployment::EngineSettings(int aEngine) const
+{
+  schema::StandinEngineSettings settings;
+  settings.set_name("engine-" + std::to_string(aEngine));
+  *settings.mutable_listen() =
+    EndpointOf(Address(EngineKind, aEngine + 1), kPort);
+  *settings.mutable_control() =
+    EndpointOf(Address(EngineKind, aEngine + 1), kControlPort);
+  settings.set_model("story");
+  settings.add_versions("1");
+  settings.set_max_batch(16);
+  settings.set_max_waiting(16);
+  settings.set_step_base_us(mPlan.mStepUs);
+  settings.set_step_per_stream_us(100);
+  settings.set_prefill_us_per_token(10);
+  settings.set_cache_blocks(8);
+  return settings;
+}
+
+void
+LocalDeployment::WaitReady()
+{
+  for (int n = 0; n < mPlan.mRouters; ++n) {
+    for (int tries = 0; tries < 200; ++tries) {
+      HttpCallSpec spec;
+      spec.mPath = "/debug/status";
+      HttpCall call(RouterAddress(n));
+      schema::RouterStatus status;
+      ParseJson(call.Run(spec).mBody, UnknownFields::Ignore, status);
+      int known = 0;
+      for (const auto& it : status.targets()) {
+        known += it.incarnation().empty() ? 0 : 1;
+      }
+      if (known == mPlan.mEngines + 1) {
+        break;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+}
+
+TestCaller::TestCaller(const LocalDeployment& aDeployment)
+  : mDeployment(aDeployment)
+{
+  mHeaders["Authorization"] = std::string("Bearer ") + LocalDeployment::kKey;
+}
+
+void
+TestCaller::Stream(int aRouter, const OnToken& aOnToken)
+{
+  schema::CallerRequest body;
+  body.set_model("story");
+  body.set_prompt(mPrompt);
+  body.set_max_tokens(mMaxTokens);
+  body.set_stream(true);
+  HttpCallSpec spec;
+  spec.mMethod = "POST";
+  spec.mPath = "/v1/completions";
+  spec.mBody = ToCompactJson(body);
+  spec.mHeaders = mHeaders;
+  if (!mLastEventId.empty()) {
+    spec.mHeaders["Last-Event-ID"] = mLastEventId;
+  }
+  spec.mReadTimeout = std::chrono::seconds(20);
+  auto last = std::chrono::steady_clock::now();
+  SseReader reader([&](const SseEvent& aEvent) {
+    if (aEvent.mName == "error") {
+      schema::ErrorResponse error;
+      ParseJson(aEvent.mData, UnknownFields::Ignore, error);
+      mError = error.error();
+      return true;
+    }
+    if (aEvent.mData == "[DONE]") {
+      mDone = true;
+      return true;
+    }
+    schema::CallerResponse message;
+    ParseJson(aEvent.mData, UnknownFields::Ignore, message);
+    mRequestId = message.id();
+    if (!aEvent.mId.empty()) {
+      mLastEventId = aEvent.mId;
+    }
+    if (message.choices(0).text().empty()) {
+      return true;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (!mTokens.empty()) {
+      mLongestGapMs = std::max(mLongestGapMs, ToMilliseconds(now - last));
+    }
+    last = now;
+    mTokens.push_back(message.choices(0).text());
+    return !aOnToken || aOnToken(static_cast<int>(mTokens.size()));
+  });
+  HttpCall call(mDeployment.RouterAddress(aRouter));
+  const HttpResult result =
+    call.RunStreamed(spec, [&reader](const char* aData, std::size_t aSize) {
+      return reader.Take(aData, aSize);
+    });
+  mStatus = result.mStatus;
+  if (mStatus != 200) {
+    schema::ErrorResponse error;
+    ParseJson(result.mBody, UnknownFields::Ignore, error);
+    mError = error.error();
+  }
+}
+
+HttpResult
+TestCaller::Send(int aRouter,
+                 const std::string& aMethod,
+                 const std::string& aPath,
+                 const std::string& aBody)
+{
+  HttpCallSpec spec;
+  spec.mMethod = aMethod;
+  spec.mPath = aPath;
+  spec.mBody = aBody;
+  spec.mHeaders = mHeaders;
+  spec.mReadTimeout = std::chrono::seconds(20);
+  HttpCall call(mDeployment.RouterAddress(aRouter));
+  HttpResult result = call.Run(spec);
+  schema::ErrorResponse error;
+  ParseJson(result.mBody, UnknownFields::Ignore, error);
+  mError = error.error();
+  mStatus = result.mStatus;
+  return result;
+}
+
+void
+TestCaller::RequireWhole() const
+{
+  CPPUNIT_ASSERT_MESSAGE(mError.code() + " " + mError.message(), mDone);
+  CPPUNIT_ASSERT_EQUAL(mMaxTokens, static_cast<int>(mTokens.size()));
+  RequirePrefix();
+}
+
+void
+TestCaller::RequirePrefix() const
+{
+  for (std::size_t n = 0; n < mTokens.size(); ++n) {
+    CPPUNIT_ASSERT_EQUAL(Generation() + ":" + std::to_string(n) + " ",
+                         mTokens[n]);
+  }
+}
+
+std::string
+TestCaller::Generation() const
+{
+  return mTokens.empty() ? std::string()
+                         : mTokens[0].substr(0, mTokens[0].rfind(':'));
+}
--- /dev/null
+++ b/tests/introspective/ClaimBookTests.cpp
@@ -0,0 +1,261 @@
+#include "Property.h"
+
+#include "core/ClaimBook.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace quetzalquay;
+
+namespace {
+
+// Table service in memory whose answers can be lost.
+class FakeTable
+{
+public:
+  enum Mood
+  {
+    Healthy,
+    Down,
+    LosesAnswer,
+    LosesCall,
+    Last,
+  };
+
+  CommitResult Commit(const StoreTransaction& aTransaction, Mood aMood)
+  {
+    CommitResult result;
+    if (aMood == Down) {
+      return result;
+    }
+    result.mOutcome = StoreOutcome::Unknown;
+    if (aMood == LosesCall) {
+      return result;
+    }
+    const CommitResult real = Apply(aTransaction);
+    return aMood == LosesAnswer ? result : real;
+  }
+
+private:
+  CommitResult Apply(const StoreTransaction& aTransaction)
+  {
+    CommitResult result;
+    for (const RowCondition& it : aTransaction.mConditions) {
+      const auto row = mRows.find(it.mKey);
+      const unsigned version = row == mRows.end() ? 0 : row->second.mVersion;
+      if (version != it.mVersion) {
+        result.mFailed.push_back(
+          row == mRows.end() ? StoredRow{ it.mKey, "", 0 } : row->second);
+      }
+    }
+    result.mOutcome =
+      result.mFailed.empty() ? StoreOutcome::Done : StoreOutcome::Rejected;
+    if (!result.mFailed.empty()) {
+      return result;
+    }
+    result.mRevision = ++mRevision;
+    for (const RowWrite& it : aTransaction.mWrites) {
+      if (it.mDelete) {
+        mRows.erase(it.mKey);
+      } else {
+        mRows[it.mKey] = { it.mKey, it.mValue, mRevision };
+      }
+    }
+    return result;
+  }
+
+  std::map<std::string, StoredRow> mRows;
+  unsigned mRevision = 0;
+};
+
+ClaimCodec
+Codec()
+{
+  ClaimCodec codec;
+  codec.mEncode = [](const ClaimRecord& aRecord) {
+    const std::string outcome =
+      aRecord.mOutcome ? std::string(NameOf(*aRecord.mOutcome)) : "-";
+    return aRecord.mNonce + " " + outcome;
+  };
+  codec.mDecode = [](const std::string& aValue) -> std::optional<ClaimRecord> {
+    const std::size_t space = aValue.find(' ');
+    if (space == std::string::npos) {
+      return std::nullopt;
+    }
+    ClaimRecord record;
+    record.mNonce = aValue.substr(0, space);
+    record.mOutcome = ParseRunVerdict(aValue.substr(space + 1));
+    return record;
+  };
+  return codec;
+}
+
+ClaimRecord
+RecordOf(const std::string& aNonce)
+{
+  ClaimRecord record;
+  record.mNonce = aNonce;
+  return record;
+}
+
+Time
+At(int aMs)
+{
+  return Time(std::chrono::milliseconds(aMs));
+}
+
+// One step of a router: a transaction, if it has work.
+void
+StepBook(ClaimBook& aBook,
+         FakeTable& aTable,
+         FakeTable::Mood aMood,
+         Time aNow,
+         std::vector<ClaimAnswer>& aAnswers)
+{
+  if (const auto transaction = aBook.NextTransaction()) {
+    const auto answers =
+      aBook.OnResult(aTable.Commit(*transaction, aMood), aNow);
+    aAnswers.insert(aAnswers.end(), answers.begin(), answers.end());
+  }
+}
+
+FakeTable::Mood
+AnyMood()
+{
+  return static_cast<FakeTable::Mood>(
+    *rc::gen::inRange(0, static_cast<int>(FakeTable::Last)));
+}
+
+} // namespace
+
+class ClaimBookTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ClaimBookTests);
+  CPPUNIT_TEST(AKeyIsClaimedAtMostOnce);
+  CPPUNIT_TEST(EveryClaimIsAnswered);
+  CPPUNIT_TEST(ALostAnswerIsSettledAsClaimed);
+  CPPUNIT_TEST(TakenClaimTellsTheOutcome);
+  CPPUNIT_TEST(AReleasedKeyCanBeClaimedAgain);
+  CPPUNIT_TEST(OneTakenClaimDoesNotHoldUpTheOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AKeyIsClaimedAtMostOnce()
+  {
+    CheckProperty("a key is claimed at most once between routers", [] {
+      FakeTable table;
+      std::vector<ClaimBook> books(3, ClaimBook("claims", Codec()));
+      std::vector<ClaimAnswer> answers;
+      std::map<std::string, std::string> keys;
+      const int steps = *rc::gen::inRange(1, 60);
+      for (int n = 0; n < steps; ++n) {
+        const int book = *rc::gen::inRange(0, 3);
+        if (*rc::gen::arbitrary<bool>()) {
+          const std::string key = "k" + std::to_string(*rc::gen::inRange(0, 3));
+          const std::string nonce = "n" + std::to_string(n);
+          keys[nonce] = key;
+          books[static_cast<std::size_t>(book)].Claim(
+            key, RecordOf(nonce), At(*rc::gen::inRange(0, 100)));
+        } else {
+          StepBook(books[static_cast<std::size_t>(book)],
+                   table,
+                   AnyMood(),
+                   At(n),
+                   answers);
+        }
+      }
+      std::map<std::string, int> claimed;
+      for (const ClaimAnswer& it : answers) {
+        if (it.mStatus == ClaimStatus::Claimed) {
+          RC_ASSERT(++claimed[keys[it.mNonce]] == 1);
+        }
+      }
+    });
+  }
+
+  void EveryClaimIsAnswered()
+  {
+    CheckProperty("every claim is answered once by its time", [] {
+      FakeTable table;
+      ClaimBook book("claims", Codec());
+      std::vector<ClaimAnswer> answers;
+      const int claims = *rc::gen::inRange(1, 100);
+      for (int n = 0; n < claims; ++n) {
+        book.Claim("k" + std::to_string(*rc::gen::inRange(0, 20)),
+                   RecordOf("n" + std::to_string(n)),
+                   At(50));
+      }
+      for (int n = 0; n < 200 && book.Size() > 0; ++n) {
+        StepBook(book, table, AnyMood(), At(n), answers);
+      }
+      RC_ASSERT(static_cast<int>(answers.size()) == claims);
+    });
+  }
+
+  void ALostAnswerIsSettledAsClaimed()
+  {
+    FakeTable table;
+    ClaimBook book("claims", Codec());
+    std::vector<ClaimAnswer> answers;
+    book.Claim("k", RecordOf("n1"), At(1000));
+    StepBook(book, table, FakeTable::LosesAnswer, At(1), answers);
+    CPPUNIT_ASSERT(answers.empty());
+    StepBook(book, table, FakeTable::Healthy, At(2), answers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
+    CPPUNIT_ASSERT(answers[0].mStatus == ClaimStatus::Claimed);
+    CPPUNIT_ASSERT(answers[0].mVersion > 0);
+  }
+
+  void TakenClaimTellsTheOutcome()
+  {
+    FakeTable table;
+    ClaimBook first("claims", Codec());
+    ClaimBook second("claims", Codec());
+    std::vector<ClaimAnswer> answers;
+    first.Claim("k", RecordOf("n1"), At(1000));
+    StepBook(first, table, FakeTable::Healthy, At(1), answers);
+    ClaimRecord settled = RecordOf("n1");
+    settled.mOutcome = RunVerdict::Ran;
+    first.Settle("k", settled, answers[0].mVersion, At(1000));
+    StepBook(first, table, FakeTable::LosesAnswer, At(2), answers);
+    StepBook(first, table, FakeTable::Healthy, At(3), answers);
+    second.Claim("k", RecordOf("n2"), At(1000));
+    StepBook(second, table, FakeTable::Healthy, At(4), answers);
+    CPPUNIT_ASSERT(answers.back().mStatus == ClaimStatus::Taken);
+    CPPUNIT_ASSERT(answers.back().mOther.mOutcome == RunVerdict::Ran);
+  }
+
+  void AReleasedKeyCanBeClaimedAgain()
+  {
+    FakeTable table;
+    ClaimBook book("claims", Codec());
+    std::vector<ClaimAnswer> answers;
+    book.Claim("k", RecordOf("n1"), At(1000));
+    StepBook(book, table, FakeTable::Healthy, At(1), answers);
+    book.Release("k", answers[0].mVersion, At(1000));
+    book.Claim("k", RecordOf("n2"), At(1000));
+    StepBook(book, table, FakeTable::Healthy, At(2), answers);
+    StepBook(book, table, FakeTable::Healthy, At(3), answers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
+    CPPUNIT_ASSERT(answers[1].mStatus == ClaimStatus::Claimed);
+  }
+
+  void OneTakenClaimDoesNotHoldUpTheOthers()
+  {
+    FakeTable table;
+    ClaimBook first("claims", Codec());
+    ClaimBook second("claims", Codec());
+    std::vector<ClaimAnswer> answers;
+    first.Claim("k1", RecordOf("n1"), At(1000));
+    StepBook(first, table, FakeTable::Healthy, At(1), answers);
+    second.Claim("k1", RecordOf("n2"), At(1000));
+    second.Claim("k2", RecordOf("n3"), At(1000));
+    StepBook(second, table, FakeTable::Healthy, At(2), answers);
+    StepBook(second, table, FakeTable::Healthy, At(3), answers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers.size());
+    CPPUNIT_ASSERT(answers[1].mStatus == ClaimStatus::Taken);
+    CPPUNIT_ASSERT(answers[2].mStatus == ClaimStatus::Claimed);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimBookTests);
--- /dev/null
+++ b/tests/introspective/GenerationTests.cpp
@@ -0,0 +1,241 @@
+#include "FakeWorld.h"
+#include "Property.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace quetzalquay;
+
+namespace rc {
+
+template<>
+struct Arbitrary<WorldFault>
+{
+  static Gen<WorldFault> arbitrary()
+  {
+    return gen::build<WorldFault>(
+      gen::set(&WorldFault::mKind,
+               gen::cast<WorldFault::Kind>(
+                 gen::inRange(0, static_cast<int>(WorldFault::Last)))),
+      gen::set(&WorldFault::mEngine, gen::inRange(0, FakeWorld::kEngines)),
+      gen::set(&WorldFault::mAtMs, gen::inRange(0, 3000)),
+      gen::set(&WorldFault::mForMs, gen::inRange(1, 6000)));
+  }
+};
+
+void
+showValue(const WorldFault& aFault, std::ostream& aOut)
+{
+  aOut << "{kind " << aFault.mKind << " engine " << aFault.mEngine << " at "
+       << aFault.mAtMs << " for " << aFault.mForMs << "}";
+}
+
+} // namespace rc
+
+namespace {
+
+constexpr int kDeadlineMs = 20000;
+
+RecoveryPreset
+AnyPreset()
+{
+  return *rc::gen::element(RecoveryPreset::LowLatency, RecoveryPreset::LowCost);
+}
+
+// One generation, no token missing or repeated, from aFrom on.
+void
+RequireWholePrefix(const FakeWorld& aWorld, int aFrom)
+{
+  for (std::size_t n = 0; n < aWorld.mText.size(); ++n) {
+    RC_ASSERT(aWorld.mText[n].first == aWorld.mText[0].first);
+    RC_ASSERT(aWorld.mText[n].second == aFrom + static_cast<int>(n));
+  }
+}
+
+void
+RequireSound(const FakeWorld& aWorld, int aTokens, int aFrom)
+{
+  RequireWholePrefix(aWorld, aFrom);
+  RC_ASSERT(aWorld.mFinished != aWorld.mFailure.has_value());
+  RC_ASSERT(aWorld.mEndedAtMs <= kDeadlineMs);
+  RC_ASSERT(!aWorld.mWrongTokens);
+  if (aWorld.mFinished) {
+    RC_ASSERT(static_cast<int>(aWorld.mText.size()) == aTokens - aFrom);
+  }
+}
+
+WorldFault
+Fault(WorldFault::Kind aKind, int aEngine, int aAtMs, int aForMs)
+{
+  WorldFault fault;
+  fault.mKind = aKind;
+  fault.mEngine = aEngine;
+  fault.mAtMs = aAtMs;
+  fault.mForMs = aForMs;
+  return fault;
+}
+
+std::vector<WorldFault>
+OnAllEngines(WorldFault::Kind aKind, int aAtMs, int aForMs)
+{
+  std::vector<WorldFault> faults;
+  for (int n = 0; n < FakeWorld::kEngines; ++n) {
+    faults.push_back(Fault(aKind, n, aAtMs, aForMs));
+  }
+  return faults;
+}
+
+} // namespace
+
+class GenerationTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GenerationTests);
+  CPPUNIT_TEST(IdempotentAnswersAreWhole);
+  CPPUNIT_TEST(NonIdempotentRunsAtMostOnce);
+  CPPUNIT_TEST(TakeoversGoOnWithoutAGap);
+  CPPUNIT_TEST(NotRunMeansNotStarted);
+  CPPUNIT_TEST(SurvivesASingleLossWithoutFailing);
+  CPPUNIT_TEST(PausedNonIdempotentStreamWaitsForItsTarget);
+  CPPUNIT_TEST(TakeoverWithUnknownTokensFailsAfterDeath);
+  CPPUNIT_TEST(GivesUpAtOnceWhenNothingIsReady);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void IdempotentAnswersAreWhole()
+  {
+    CheckProperty("idempotent answers are whole under any faults",
+                  [](unsigned aSeed, const std::vector<WorldFault>& aFaults) {
+                    const int tokens = *rc::gen::inRange(1, 250);
+                    FakeWorld world(true, AnyPreset(), tokens, aSeed, aFaults);
+                    world.Run();
+                    RequireSound(world, tokens, 0);
+                    if (world.mFailure &&
+                        world.mFailure->mVerdict == RunVerdict::NotRun) {
+                      RC_ASSERT(world.mFirstStarts == 0);
+                    }
+                  });
+  }
+
+  void NonIdempotentRunsAtMostOnce()
+  {
+    CheckProperty(
+      "a non-idempotent request starts once and never runs twice at a time",
+      [](unsigned aSeed, const std::vector<WorldFault>& aFaults) {
+        const int tokens = *rc::gen::inRange(1, 250);
+        FakeWorld world(false, AnyPreset(), tokens, aSeed, aFaults);
+        world.Run();
+        RequireSound(world, tokens, 0);
+        RC_ASSERT(world.mFirstStarts <= 1);
+        RC_ASSERT(world.mOverlaps == 0);
+        if (world.mFailure && world.mFailure->mVerdict == RunVerdict::NotRun) {
+          RC_ASSERT(world.mFirstStarts == 0);
+        }
+      });
+  }
+
+  void TakeoversGoOnWithoutAGap()
+  {
+    CheckProperty("a taken over stream goes on after what its caller holds",
+                  [](unsigned aSeed, const std::vector<WorldFault>& aFaults) {
+                    const int tokens = *rc::gen::inRange(2, 200);
+                    const int delivered = *rc::gen::inRange(1, tokens);
+                    const int known = *rc::gen::inRange(0, delivered + 1);
+                    const bool idempotent = *rc::gen::arbitrary<bool>();
+                    FakeWorld world(
+                      idempotent, AnyPreset(), tokens, aSeed, aFaults);
+                    world.Preload(2, "g-old", delivered);
+                    TakeoverPoint point;
+                    point.mGeneration = "g-old";
+                    point.mDelivered = delivered;
+                    point.mTarget = "e2";
+                    point.mAttempt = 1;
+                    for (int n = 0; n < known; ++n) {
+                      point.mTokens.push_back(FakeWorld::TokenOf("g-old", n));
+                    }
+                    world.Run(point);
+                    RequireSound(world, tokens, delivered);
+                    RC_ASSERT(world.mFirstStarts == 0);
+                    RC_ASSERT(idempotent || world.mOverlaps == 0);
+                    if (world.mFailure) {
+                      RC_ASSERT(world.mFailure->mVerdict != RunVerdict::NotRun);
+                    }
+                  });
+  }
+
+  void NotRunMeansNotStarted()
+  {
+    FakeWorld world(true,
+                    RecoveryPreset::LowLatency,
+                    10,
+                    1,
+                    OnAllEngines(WorldFault::Full, 0, 5000));
+    world.Run();
+    CPPUNIT_ASSERT(world.mFailure.has_value());
+    CPPUNIT_ASSERT(world.mFailure->mVerdict == RunVerdict::NotRun);
+    CPPUNIT_ASSERT(world.mFailure->mRetryAfter > Duration::zero());
+    CPPUNIT_ASSERT_EQUAL(0, world.mFirstStarts);
+  }
+
+  void SurvivesASingleLossWithoutFailing()
+  {
+    CheckProperty("one loss of any kind never fails an idempotent request", [] {
+      const auto kind = *rc::gen::element(
+        WorldFault::Die, WorldFault::Pause, WorldFault::Reset);
+      const int engine = *rc::gen::inRange(0, FakeWorld::kEngines);
+      const int at = *rc::gen::inRange(0, 2000);
+      const auto seed = *rc::gen::arbitrary<unsigned>();
+      FakeWorld world(
+        true, AnyPreset(), 150, seed, { Fault(kind, engine, at, 5000) });
+      world.Run();
+      RequireSound(world, 150, 0);
+      RC_ASSERT(world.mFinished);
+    });
+  }
+
+  void PausedNonIdempotentStreamWaitsForItsTarget()
+  {
+    FakeWorld world(false,
+                    RecoveryPreset::LowLatency,
+                    100,
+                    1,
+                    OnAllEngines(WorldFault::Pause, 300, 3000));
+    world.Run();
+    CPPUNIT_ASSERT(world.mFinished);
+    CPPUNIT_ASSERT_EQUAL(1, world.mFirstStarts);
+    CPPUNIT_ASSERT_EQUAL(0, world.mCounters.mContinuations);
+  }
+
+  void TakeoverWithUnknownTokensFailsAfterDeath()
+  {
+    FakeWorld world(true,
+                    RecoveryPreset::LowLatency,
+                    100,
+                    1,
+                    { Fault(WorldFault::Die, 2, 0, 9000) });
+    world.Preload(2, "g-old", 50);
+    TakeoverPoint point;
+    point.mGeneration = "g-old";
+    point.mDelivered = 50;
+    point.mTarget = "e2";
+    point.mAttempt = 1;
+    world.Run(point);
+    CPPUNIT_ASSERT(world.mFailure.has_value());
+    CPPUNIT_ASSERT(world.mFailure->mCode == FailureCode::GenerationLost);
+    CPPUNIT_ASSERT(world.mFailure->mVerdict == RunVerdict::Ran);
+    CPPUNIT_ASSERT(world.mText.empty());
+  }
+
+  void GivesUpAtOnceWhenNothingIsReady()
+  {
+    FakeWorld world(true,
+                    RecoveryPreset::LowCost,
+                    10,
+                    1,
+                    OnAllEngines(WorldFault::Die, 0, 15000));
+    world.Run();
+    CPPUNIT_ASSERT(world.mFailure.has_value());
+    CPPUNIT_ASSERT(world.mEndedAtMs < 100);
+    CPPUNIT_ASSERT(world.mFailure->mVerdict == RunVerdict::NotRun);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GenerationTests);
--- /dev/null
+++ b/tests/introspective/JournalBookTests.cpp
@@ -0,0 +1,128 @@
+#include "Property.h"
+
+#include "core/JournalBook.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace quetzalquay;
+
+namespace {
+
+Time
+At(int aSeconds)
+{
+  return Time(std::chrono::seconds(aSeconds));
+}
+
+std::vector<int>
+Tokens(int aCount)
+{
+  std::vector<int> tokens;
+  for (int n = 0; n < aCount; ++n) {
+    tokens.push_back(n * 31 + 7);
+  }
+  return tokens;
+}
+
+} // namespace
+
+class JournalBookTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(JournalBookTests);
+  CPPUNIT_TEST(PositionsCanAlwaysBeReadBack);
+  CPPUNIT_TEST(ShortStreamsAreNotWritten);
+  CPPUNIT_TEST(ObjectsOfEndedStreamsExpireLater);
+  CPPUNIT_TEST(AForeignGenerationIsNotReadBack);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void PositionsCanAlwaysBeReadBack()
+  {
+    CheckProperty("a position's objects hold all tokens before it", [] {
+      JournalBook book;
+      std::map<std::uint32_t, std::vector<JournalPart>> store;
+      std::vector<int> lengths(3, 0);
+      const int steps = *rc::gen::inRange(1, 80);
+      for (int n = 0; n < steps; ++n) {
+        const auto stream = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
+        lengths[stream] += *rc::gen::inRange(1, 60);
+        const std::string id = "r" + std::to_string(stream);
+        const auto tokens = Tokens(lengths[stream]);
+        const JournalPosition position = book.Update(id, "g", tokens);
+        RequireReadable(store, position, id, tokens);
+        if (*rc::gen::arbitrary<bool>()) {
+          const auto sequence = static_cast<std::uint32_t>(n + 1);
+          const auto parts = book.Collect(sequence);
+          // A lost answer leaves an object that no position names.
+          const bool stored = *rc::gen::arbitrary<bool>();
+          const bool told = stored && *rc::gen::arbitrary<bool>();
+          if (stored) {
+            store[sequence] = parts;
+          }
+          book.OnWritten(told, At(n));
+        }
+        for (const std::uint32_t it : book.TakeExpired(At(n))) {
+          store.erase(it);
+        }
+      }
+    });
+  }
+
+  void ShortStreamsAreNotWritten()
+  {
+    JournalBook book;
+    book.Update("r", "g", Tokens(JournalBook::kMinTokens - 1));
+    CPPUNIT_ASSERT(book.Collect(1).empty());
+    book.Update("r", "g", Tokens(JournalBook::kMinTokens));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), book.Collect(2).size());
+  }
+
+  void ObjectsOfEndedStreamsExpireLater()
+  {
+    JournalBook book;
+    book.Update("r", "g", Tokens(100));
+    book.Collect(1);
+    book.OnWritten(true, At(1));
+    book.Forget("r", At(2));
+    CPPUNIT_ASSERT(book.TakeExpired(At(30)).empty());
+    const auto expired = book.TakeExpired(At(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), expired.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), expired[0]);
+  }
+
+  void AForeignGenerationIsNotReadBack()
+  {
+    JournalPart part;
+    part.mRequestId = "r";
+    part.mGeneration = "g1";
+    part.mTokens = Tokens(5);
+    CPPUNIT_ASSERT(AssembleTokens({ part }, "r", "g2").empty());
+    CPPUNIT_ASSERT(AssembleTokens({ part }, "s", "g1").empty());
+    part.mFrom = 2;
+    CPPUNIT_ASSERT(AssembleTokens({ part }, "r", "g1").empty());
+  }
+
+private:
+  static void RequireReadable(
+    const std::map<std::uint32_t, std::vector<JournalPart>>& aStore,
+    const JournalPosition& aPosition,
+    const std::string& aId,
+    const std::vector<int>& aTokens)
+  {
+    RC_ASSERT(aPosition.mObjects.size() <= JournalBook::kMaxObjects);
+    std::vector<JournalPart> parts;
+    for (const std::uint32_t it : aPosition.mObjects) {
+      RC_ASSERT(aStore.count(it) == 1u);
+      const auto& some = aStore.at(it);
+      parts.insert(parts.end(), some.begin(), some.end());
+    }
+    const auto read = AssembleTokens(parts, aId, "g");
+    RC_ASSERT(static_cast<int>(read.size()) >= aPosition.mDurable);
+    for (std::size_t n = 0; n < read.size(); ++n) {
+      RC_ASSERT(read[n] == aTokens[n]);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalBookTests);
--- /dev/null
+++ b/tests/introspective/TargetTableTests.cpp
@@ -0,0 +1,289 @@
+#include "Property.h"
+
+#include "core/TargetTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace quetzalquay;
+
+namespace {
+
+Time
+At(int aMs)
+{
+  return Time(std::chrono::milliseconds(aMs));
+}
+
+TargetDeclaration
+Declare(const std::string& aName, const std::string& aPlace = "here")
+{
+  TargetDeclaration target;
+  target.mName = aName;
+  target.mService = "pool";
+  target.mPlace = aPlace;
+  target.mRegion = "region";
+  return target;
+}
+
+std::vector<TargetDeclaration>
+DeclareMany(int aCount)
+{
+  std::vector<TargetDeclaration> targets;
+  for (int n = 0; n < aCount; ++n) {
+    targets.push_back(Declare("t" + std::to_string(n)));
+  }
+  return targets;
+}
+
+TargetTable
+MakeTable(const std::vector<TargetDeclaration>& aTargets,
+          int aSubset = 0,
+          const std::string& aRouter = "router")
+{
+  TargetTableOptions options;
+  options.mRouterName = aRouter;
+  options.mPlace = "here";
+  options.mRegion = "region";
+  options.mSubsetSize = aSubset;
+  options.mSeed = 3;
+  TargetTable table(options);
+  ServiceDeclaration service;
+  service.mName = "pool";
+  service.mServingVersion = "1";
+  table.Declare({ service }, aTargets);
+  return table;
+}
+
+ChoiceQuery
+Query(std::uint64_t aContent = 1)
+{
+  ChoiceQuery query;
+  query.mService = "pool";
+  query.mContentHash = aContent;
+  return query;
+}
+
+} // namespace
+
+class TargetTableTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TargetTableTests);
+  CPPUNIT_TEST(NeverPicksAnUnusableTarget);
+  CPPUNIT_TEST(LeavingStaysAcrossDeclarations);
+  CPPUNIT_TEST(PrefersItsOwnPlace);
+  CPPUNIT_TEST(PrefersTheHolderOfThePrefix);
+  CPPUNIT_TEST(SpreadsLoadEvenly);
+  CPPUNIT_TEST(PacesContinuations);
+  CPPUNIT_TEST(APoisonRequestIsRefusedAfterThreeDeaths);
+  CPPUNIT_TEST(InnocentRequestsAreNeverRefused);
+  CPPUNIT_TEST(OneDeathIsBlamedOnce);
+  CPPUNIT_TEST(SubsetsCoverAllTargets);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void NeverPicksAnUnusableTarget()
+  {
+    CheckProperty(
+      "leaving, down, loading and excluded targets are left out", [] {
+        TargetTable table = MakeTable(DeclareMany(6));
+        std::set<std::string> barred;
+        ChoiceQuery query = Query();
+        for (int n = 0; n < 6; ++n) {
+          const std::string name = "t" + std::to_string(n);
+          const int state = *rc::gen::inRange(0, 7);
+          table.OnLoad(name, "i1", state == 1 ? "loading" : "ready", 0, At(0));
+          if (state == 2) {
+            table.OnLoad(name, "i1", "leaving", 0, At(0));
+          } else if (state == 3) {
+            table.MarkLeaving(name);
+          } else if (state == 4) {
+            table.OnRefused(name, At(0));
+          } else if (state == 5) {
+            query.mExcluded.push_back(name);
+          }
+          if (state >= 1 && state <= 5) {
+            barred.insert(name);
+          }
+        }
+        const Choice choice = table.Choose(query, At(10));
+        RC_ASSERT((choice.mStatus == ChoiceStatus::NoneReady) ==
+                  (barred.size() == 6u));
+        RC_ASSERT(barred.count(choice.mTarget) == 0u);
+      });
+  }
+
+  void LeavingStaysAcrossDeclarations()
+  {
+    TargetTable table = MakeTable(DeclareMany(2));
+    table.MarkLeaving("t0");
+    table.Declare({}, DeclareMany(3));
+    CPPUNIT_ASSERT(table.IsLeaving("t0"));
+    table.OnLoad("t0", "i1", "ready", 0, At(0));
+    CPPUNIT_ASSERT(table.IsLeaving("t0"));
+    CPPUNIT_ASSERT(!table.IsLeaving("t1"));
+    CPPUNIT_ASSERT(table.IsLeaving("unknown"));
+  }
+
+  void PrefersItsOwnPlace()
+  {
+    TargetTable table =
+      MakeTable({ Declare("near"), Declare("far", "elsewhere") });
+    CPPUNIT_ASSERT_EQUAL(std::string("near"),
+                         table.Choose(Query(), At(0)).mTarget);
+    for (int n = 0; n < 5; ++n) {
+      table.OnAttemptStart("near", 1, At(0));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("far"),
+                         table.Choose(Query(), At(0)).mTarget);
+  }
+
+  void PrefersTheHolderOfThePrefix()
+  {
+    TargetTable table = MakeTable(DeclareMany(20));
+    ChoiceQuery query = Query();
+    query.mPrefixHash = 77;
+    table.OnCacheEvent("t13", 77, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("t13"),
+                         table.Choose(query, At(0)).mTarget);
+    table.OnCacheEvent("t13", 77, false);
+    std::set<std::string> picked;
+    for (int n = 0; n < 50; ++n) {
+      picked.insert(table.Choose(query, At(0)).mTarget);
+    }
+    CPPUNIT_ASSERT(picked.size() > 1);
+  }
+
+  void SpreadsLoadEvenly()
+  {
+    TargetTable table = MakeTable(DeclareMany(10));
+    for (int n = 0; n < 200; ++n) {
+      const Choice choice = table.Choose(Query(), At(0));
+      table.OnAttemptStart(choice.mTarget, 1, At(0));
+    }
+    for (const TargetView& it : table.View(At(0))) {
+      CPPUNIT_ASSERT(it.mInFlight >= 16 && it.mInFlight <= 24);
+    }
+  }
+
+  void PacesContinuations()
+  {
+    TargetTable table = MakeTable(DeclareMany(2));
+    ChoiceQuery query = Query();
+    query.mContinuation = true;
+    int taken = 0;
+    for (int n = 0; n < 100; ++n) {
+      const Choice choice = table.Choose(query, At(0));
+      taken += choice.mStatus == ChoiceStatus::Chosen ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(16, taken);
+    const Choice later = table.Choose(query, At(150));
+    CPPUNIT_ASSERT(later.mStatus == ChoiceStatus::Chosen);
+  }
+
+  void APoisonRequestIsRefusedAfterThreeDeaths()
+  {
+    CheckProperty("a request that crashes targets takes three with it", [] {
+      TargetTable table = MakeTable(DeclareMany(12));
+      const int others = *rc::gen::inRange(0, 30);
+      const int killed = RunPoison(table, others);
+      RC_ASSERT(killed == SuspectRegistry::kRefusalDeaths);
+    });
+  }
+
+  void InnocentRequestsAreNeverRefused()
+  {
+    CheckProperty("requests next to a poison one are not refused", [] {
+      TargetTable table = MakeTable(DeclareMany(12));
+      const int others = *rc::gen::inRange(1, 30);
+      RunPoison(table, others);
+      for (int n = 0; n < others; ++n) {
+        const auto content = static_cast<std::uint64_t>(100 + n);
+        RC_ASSERT(!table.Suspects().IsRefused(content, At(0)));
+      }
+    });
+  }
+
+  void OneDeathIsBlamedOnce()
+  {
+    TargetTable table = MakeTable(DeclareMany(3));
+    table.OnLoad("t0", "i1", "ready", 0, At(0));
+    table.OnAttemptStart("t0", 5, At(0));
+    // Two probes, the poll and the end of the attempt all see the same death.
+    table.OnRefused("t0", At(1));
+    table.OnRefused("t0", At(2));
+    table.OnAttemptEnd("t0", 5, AttemptOutcome::Lost, At(3));
+    table.OnLoad("t0", "i2", "ready", 0, At(4));
+    table.OnRefused("t0", At(5));
+    CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(5, At(6)));
+  }
+
+  void SubsetsCoverAllTargets()
+  {
+    std::set<std::string> covered;
+    for (int n = 0; n < 60; ++n) {
+      TargetTable table =
+        MakeTable(DeclareMany(100), 16, "router-" + std::to_string(n));
+      const auto subset = table.Subset();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(16), subset.size());
+      covered.insert(subset.begin(), subset.end());
+    }
+    CPPUNIT_ASSERT(covered.size() >= 99);
+  }
+
+private:
+  static constexpr std::uint64_t kPoison = 7;
+
+  // Runs innocent requests and one that crashes every target it gets; lost
+  // requests go on elsewhere. Returns how many targets it crashed.
+  static int RunPoison(TargetTable& aTable, int aOthers)
+  {
+    std::map<std::string, std::vector<std::uint64_t>> running;
+    std::vector<std::uint64_t> waiting;
+    for (int n = 0; n < aOthers; ++n) {
+      waiting.push_back(static_cast<std::uint64_t>(100 + n));
+    }
+    waiting.push_back(kPoison);
+    int killed = 0;
+    for (int ms = 0; ms < 60000; ms += 20) {
+      waiting = Place(aTable, waiting, ms, running);
+      for (auto& it : running) {
+        const auto poison =
+          std::find(it.second.begin(), it.second.end(), kPoison);
+        if (poison == it.second.end()) {
+          continue;
+        }
+        ++killed;
+        for (const std::uint64_t content : it.second) {
+          aTable.OnAttemptEnd(it.first, content, AttemptOutcome::Lost, At(ms));
+          waiting.push_back(content);
+        }
+        it.second.clear();
+        aTable.OnRefused(it.first, At(ms + 1));
+        aTable.OnLoad(it.first, "again", "ready", 0, At(ms + 2));
+      }
+    }
+    return killed;
+  }
+
+  static std::vector<std::uint64_t> Place(
+    TargetTable& aTable,
+    const std::vector<std::uint64_t>& aWaiting,
+    int aMs,
+    std::map<std::string, std::vector<std::uint64_t>>& aRunning)
+  {
+    std::vector<std::uint64_t> later;
+    for (const std::uint64_t content : aWaiting) {
+      const Choice choice = aTable.Choose(Query(content), At(aMs));
+      if (choice.mStatus == ChoiceStatus::Chosen) {
+        aTable.OnAttemptStart(choice.mTarget, content, At(aMs));
+        aRunning[choice.mTarget].push_back(content);
+      } else if (choice.mStatus == ChoiceStatus::NoneReady) {
+        later.push_back(content);
+      }
+    }
+    return later;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetTableTests);
--- /dev/null
+++ b/tests/usage/RecoveryTests.cpp
@@ -0,0 +1,293 @@
+#include "LocalDeployment.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+#include <thread>
+
+using namespace quetzalquay;
+
+namespace {
+
+// Kills, pauses or otherwise harms the engine of a stream at one of its tokens.
+TestCaller::OnToken
+AtToken(int aToken, const std::function<void()>& aAct)
+{
+  return [aToken, aAct](int aCount) {
+    if (aCount == aToken) {
+      aAct();
+    }
+    return true;
+  };
+}
+
+} // namespace
+
+class RecoveryTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RecoveryTests);
+  CPPUNIT_TEST(AStreamIsServedWhole);
+  CPPUNIT_TEST(AnEngineDeathIsSurvived);
+  CPPUNIT_TEST(AnEngineDeathIsSurvivedAtLowCost);
+  CPPUNIT_TEST(APausedEngineIsReplacedAndLaterCancelled);
+  CPPUNIT_TEST(ACutConnectionIsSurvived);
+  CPPUNIT_TEST(TwoDeathsInARowAreSurvived);
+  CPPUNIT_TEST(ASlowEngineIsNotSuspected);
+  CPPUNIT_TEST(AnotherRouterTakesOver);
+  CPPUNIT_TEST(RouterAndEngineLostAtOnce);
+  CPPUNIT_TEST(ALongStreamComesBackFromTheJournal);
+  CPPUNIT_TEST(AStoreOutageDoesNotStopStreams);
+  CPPUNIT_TEST(AWholeAnswerSurvivesADeath);
+  CPPUNIT_TEST(ACallerThatLeavesFreesItsEngine);
+  CPPUNIT_TEST(AStoppedRouterHandsOver);
+  CPPUNIT_TEST(AStopWaitsForShortStreams);
+  CPPUNIT_TEST(ALeavingEngineGetsNoNewWork);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AStreamIsServedWhole()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.Stream(0);
+    caller.RequireWhole();
+  }
+
+  void AnEngineDeathIsSurvived() { SurviveDeath(schema::LOW_LATENCY); }
+  void AnEngineDeathIsSurvivedAtLowCost() { SurviveDeath(schema::LOW_COST); }
+
+  void APausedEngineIsReplacedAndLaterCancelled()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.Stream(0, AtToken(20, [&] {
+                    const int engine = deployment.EngineOf(caller.Generation());
+                    deployment.FaultEngine(engine, "pause", 1500);
+                  }));
+    caller.RequireWhole();
+    RequireOneContinuation(deployment);
+    // The woken engine hears that nobody reads the stream any more.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    int decoded = 0;
+    for (const auto& it : deployment.AllStarts()) {
+      decoded += it.computed_decode();
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(decoded),
+                           decoded < caller.mMaxTokens + 80);
+  }
+
+  void ACutConnectionIsSurvived()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.Stream(0, AtToken(20, [&] {
+                    const int engine = deployment.EngineOf(caller.Generation());
+                    deployment.CutEngine(engine, 0, 4000);
+                  }));
+    caller.RequireWhole();
+  }
+
+  void TwoDeathsInARowAreSurvived()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.Stream(0, [&](int aCount) {
+      if (aCount == 20 || aCount == 50) {
+        const int engine = deployment.EngineOf(caller.Generation());
+        deployment.FaultEngine(engine, "die", 500);
+      }
+      return true;
+    });
+    caller.RequireWhole();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), deployment.AllStarts().size());
+  }
+
+  void ASlowEngineIsNotSuspected()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.mMaxTokens = 40;
+    // 80 ms a token instead of 10.
+    caller.Stream(0, AtToken(10, [&] {
+                    for (int n = 0; n < deployment.Engines(); ++n) {
+                      deployment.FaultEngine(n, "slow", 5000);
+                    }
+                  }));
+    caller.RequireWhole();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.AllStarts().size());
+  }
+
+  void AnotherRouterTakesOver()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    // Closing here is what the caller sees of a killed router.
+    caller.Stream(0, [](int aCount) { return aCount < 30; });
+    CPPUNIT_ASSERT(!caller.mDone);
+    caller.Stream(1);
+    caller.RequireWhole();
+  }
+
+  void RouterAndEngineLostAtOnce()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.Stream(0, [&](int aCount) {
+      if (aCount < 30) {
+        return true;
+      }
+      deployment.FaultEngine(
+        deployment.EngineOf(caller.Generation()), "die", 1000);
+      return false;
+    });
+    caller.Stream(1);
+    caller.RequireWhole();
+  }
+
+  void ALongStreamComesBackFromTheJournal()
+  {
+    DeploymentPlan plan;
+    plan.mStepUs = 2000;
+    plan.mJournalMs = 100;
+    LocalDeployment deployment(plan);
+    TestCaller caller(deployment);
+    caller.mMaxTokens = 900;
+    caller.Stream(0, [&](int aCount) {
+      if (aCount < 600) {
+        return true;
+      }
+      deployment.FaultEngine(
+        deployment.EngineOf(caller.Generation()), "die", 1000);
+      return false;
+    });
+    // The event id names journal objects in place of most of the tokens.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(caller.mLastEventId.size()),
+                           caller.mLastEventId.size() < 1500);
+    caller.Stream(1);
+    caller.RequireWhole();
+  }
+
+  void AStoreOutageDoesNotStopStreams()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    deployment.FaultPlatform("store_down", 10000);
+    TestCaller caller(deployment);
+    caller.Stream(0, [&](int aCount) {
+      if (aCount < 80) {
+        return true;
+      }
+      deployment.FaultEngine(
+        deployment.EngineOf(caller.Generation()), "die", 1000);
+      return false;
+    });
+    caller.Stream(1);
+    caller.RequireWhole();
+  }
+
+  void AWholeAnswerSurvivesADeath()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    std::thread killer([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      const auto starts = deployment.AllStarts();
+      deployment.FaultEngine(
+        deployment.EngineOf(starts.at(0).generation()), "die", 1000);
+    });
+    const auto answer = caller.Send(0,
+                                    "POST",
+                                    "/v1/chat/completions",
+                                    R"({"model":"story","max_tokens":80,
+          "messages":[{"role":"user","content":"tell"}]})");
+    killer.join();
+    CPPUNIT_ASSERT_EQUAL(200, answer.mStatus);
+    CPPUNIT_ASSERT(answer.mBody.find(":79 ") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), deployment.AllStarts().size());
+  }
+
+  void ACallerThatLeavesFreesItsEngine()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    caller.mMaxTokens = 2000;
+    caller.Stream(0, [](int aCount) { return aCount < 10; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    const int decoded = deployment.AllStarts().at(0).computed_decode();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(decoded), decoded < 100);
+  }
+
+  void AStoppedRouterHandsOver()
+  {
+    DeploymentPlan plan;
+    plan.mStopGraceMs = 200;
+    LocalDeployment deployment(plan);
+    TestCaller caller(deployment);
+    caller.mMaxTokens = 150;
+    std::thread stopper;
+    caller.Stream(0, AtToken(20, [&] {
+                    stopper = std::thread([&] { deployment.StopRouter(0); });
+                  }));
+    stopper.join();
+    CPPUNIT_ASSERT(!caller.mDone);
+    caller.Stream(1);
+    caller.RequireWhole();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), deployment.AllStarts().size());
+  }
+
+  void AStopWaitsForShortStreams()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    TestCaller caller(deployment);
+    std::thread stopper;
+    caller.Stream(0, AtToken(20, [&] {
+                    stopper = std::thread([&] { deployment.StopRouter(0); });
+                  }));
+    stopper.join();
+    caller.RequireWhole();
+  }
+
+  void ALeavingEngineGetsNoNewWork()
+  {
+    LocalDeployment deployment{ DeploymentPlan() };
+    deployment.FaultEngine(0, "leave", 1000);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    for (int n = 0; n < 12; ++n) {
+      TestCaller caller(deployment);
+      caller.mMaxTokens = 2;
+      caller.Stream(n % 2);
+      caller.RequireWhole();
+    }
+    CPPUNIT_ASSERT_EQUAL(0, deployment.EngineRecords(0).records_size());
+  }
+
+private:
+  static void SurviveDeath(schema::RecoveryPreset aPreset)
+  {
+    DeploymentPlan plan;
+    plan.mPreset = aPreset;
+    LocalDeployment deployment(plan);
+    TestCaller caller(deployment);
+    caller.Stream(0, AtToken(20, [&] {
+                    const int engine = deployment.EngineOf(caller.Generation());
+                    deployment.FaultEngine(engine, "die", 2000);
+                  }));
+    caller.RequireWhole();
+    RequireOneContinuation(deployment);
+  }
+
+  static void RequireOneContinuation(const LocalDeployment& aDeployment)
+  {
+    const auto starts = aDeployment.AllStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), starts.size());
+    std::set<std::string> generations;
+    int continued = 0;
+    for (const auto& it : starts) {
+      generations.insert(it.generation());
+      continued += it.resumed_at() > 0 ? 1 : 0;
+      CPPUNIT_ASSERT(!it.wrong_tokens());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), generations.size());
+    CPPUNIT_ASSERT_EQUAL(1, continued);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RecoveryTests);
--- a/tools/scripts/deployment.py
+++ b/tools/scripts/deployment.py
@@ -46,7 +46,7 @@
                          if v["model"] == model],
             "adapters": declared.get("adapters", []),
             "max_batch": 30, "max_waiting": 30, "step_base_us": 18000,
-            "step_per_stream_us": 300, "prefill_us_per_token": 100,
+            "step_per_stream_us": 300, "prefill_us_per_token": 20,
             "cache_blocks": 16, "load_lag_ms": 300, "event_lag_ms": 400,
             "checks_fence": target.get("checks_fence", False),
             "load_version_ms": 500, "seed": n})
--- /dev/null
+++ b/tools/setup.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Installs the libraries and tools that the build needs, from Debian's packages.
+set -euo pipefail
+PACKAGES=(
+  g++ cmake ninja-build pkg-config python3 curl clang-format clang-tidy
+  libjsonrpccpp-dev prometheus-cpp-dev libcpp-httplib-dev libboost-dev
+  libboost-program-options-dev liblog4cplus-dev libcppunit-dev
+  librapidcheck-dev liburcu-dev libprotobuf-dev protobuf-compiler libssl-dev
+  libxxhash-dev
+)
+missing=()
+for it in "${PACKAGES[@]}"; do
+  dpkg-query -W -f='${Status}' "$it" 2>/dev/null | grep -q "ok installed" ||
+    missing+=("$it")
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+  apt-get update -q >/dev/null
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -q \
+    --no-install-recommends "${missing[@]}" >/dev/null
+fi
