--- a/src/quetzalquay/config/SettingsChecks.cpp
+++ b/src/quetzalquay/config/SettingsChecks.cpp
@@ -247,6 +247,26 @@
   }
 }
 
+void
+CheckFollowing(const schema::RouterSettings& aSettings, Checker& aChecker)
+{
+  if (!aSettings.follow_store()) {
+    aChecker.NotEmpty("configuration_file", aSettings.configuration_file());
+  } else if (!aSettings.has_platform()) {
+    aChecker.Report("platform: is needed to follow the store");
+  }
+  if (aSettings.has_peer_listen()) {
+    aChecker.Endpoint("peer_listen", aSettings.peer_listen());
+  }
+  std::set<std::string> names;
+  for (int n = 0; n < aSettings.peers_size(); ++n) {
+    const auto& it = aSettings.peers(n);
+    aChecker.Unique(Field("peers", n, "name"), it.name(), names);
+    aChecker.Endpoint(Field("peers", n, "endpoint"), it.endpoint());
+  }
+  aChecker.Range("router_count", aSettings.router_count(), 0, 100000);
+}
+
 } // namespace
 
 std::optional<std::string>
@@ -259,6 +279,10 @@
   const auto services = CheckServices(aSettings, models, checker);
   CheckWorkspaces(aSettings, models, services, checker);
   CheckTargets(aSettings, places, services, checker);
+  for (int n = 0; n < aSettings.rollouts_size(); ++n) {
+    checker.Declared(
+      Field("rollouts", n, "model"), aSettings.rollouts(n).model(), models);
+  }
   return checker.Result();
 }
 
@@ -270,7 +294,7 @@
   checker.NotEmpty("place", aSettings.place());
   checker.Endpoint("listen", aSettings.listen());
   checker.Range("max_connections", aSettings.max_connections(), 1, 20000);
-  checker.NotEmpty("configuration_file", aSettings.configuration_file());
+  CheckFollowing(aSettings, checker);
   std::set<std::string> keys;
   if (aSettings.event_id_keys_size() == 0) {
     checker.Report("event_id_keys: at least one key is needed");
@@ -302,6 +326,36 @@
   return checker.Result();
 }
 
+std::optional<std::string>
+CheckSettings(const schema::ApiSettings& aSettings)
+{
+  Checker checker;
+  checker.NotEmpty("name", aSettings.name());
+  checker.Endpoint("listen", aSettings.listen());
+  checker.Endpoint("platform", aSettings.platform());
+  if (aSettings.operator_key_sha256_size() == 0) {
+    checker.Report("operator_key_sha256: at least one key is needed");
+  }
+  for (int n = 0; n < aSettings.routers_size(); ++n) {
+    checker.Endpoint("routers[" + std::to_string(n) + "]",
+                     aSettings.routers(n));
+  }
+  return checker.Result();
+}
+
+std::optional<std::string>
+CheckSettings(const schema::ControllerSettings& aSettings)
+{
+  Checker checker;
+  checker.NotEmpty("name", aSettings.name());
+  checker.Endpoint("platform", aSettings.platform());
+  checker.Range("lease_ms", aSettings.lease_ms(), 500, 600000);
+  checker.Range("order_ms", aSettings.order_ms(), 1, 600000);
+  checker.Range("max_loading_share", aSettings.max_loading_share(), 0.01, 1);
+  checker.Range("min_ready_share", aSettings.min_ready_share(), 0.01, 1);
+  return checker.Result();
+}
+
 std::optional<std::string>
 CheckSettings(const schema::StandinEngineSettings& aSettings)
 {
--- a/src/quetzalquay/config/SettingsFile.h
+++ b/src/quetzalquay/config/SettingsFile.h
@@ -11,7 +11,9 @@
 namespace quetzalquay {
 
 namespace schema {
+class ApiSettings;
 class Configuration;
+class ControllerSettings;
 class LoadSettings;
 class RouterSettings;
 class StandinEngineSettings;
@@ -37,6 +39,10 @@
 std::optional<std::string>
 CheckSettings(const schema::RouterSettings& aSettings);
 std::optional<std::string>
+CheckSettings(const schema::ApiSettings& aSettings);
+std::optional<std::string>
+CheckSettings(const schema::ControllerSettings& aSettings);
+std::optional<std::string>
 CheckSettings(const schema::StandinEngineSettings& aSettings);
 std::optional<std::string>
 CheckSettings(const schema::StandinPlatformSettings& aSettings);
--- a/src/quetzalquay/config/Snapshot.cpp
+++ b/src/quetzalquay/config/Snapshot.cpp
@@ -55,6 +55,17 @@
   return FindNamed(mConfiguration.models(), aName);
 }
 
+std::string
+Snapshot::ServingVersion(const schema::Model& aModel) const
+{
+  for (const auto& it : mConfiguration.rollouts()) {
+    if (it.model() == aModel.name()) {
+      return it.version();
+    }
+  }
+  return aModel.serving_version();
+}
+
 const schema::Adapter*
 Snapshot::AdapterNamed(const std::string& aModel,
                        const std::string& aName) const
@@ -104,7 +115,7 @@
     service.mName = it.name();
     const schema::Model* model = ModelNamed(it.model());
     if (model != nullptr) {
-      service.mServingVersion = model->serving_version();
+      service.mServingVersion = ServingVersion(*model);
     }
     services.push_back(std::move(service));
   }
--- a/src/quetzalquay/config/Snapshot.h
+++ b/src/quetzalquay/config/Snapshot.h
@@ -34,6 +34,10 @@
   // Model with a name, or null.
   const schema::Model* ModelNamed(const std::string& aName) const;
 
+  // Version that new requests of a model run on: the desired one once the
+  // controller has rolled it out, else the one before.
+  std::string ServingVersion(const schema::Model& aModel) const;
+
   // Adapter of a model, or null.
   const schema::Adapter* AdapterNamed(const std::string& aModel,
                                       const std::string& aName) const;
--- /dev/null
+++ b/src/quetzalquay/control/ControllerHost.cpp
@@ -0,0 +1,129 @@
+#include "control/ControllerHost.h"
+
+#include "control/PoolController.h"
+#include "control/ResourceStore.h"
+#include "control/ResourceTable.h"
+#include "wire/Crypto.h"
+#include "wire/OrderHttp.h"
+#include "wire/PlatformHttp.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kRoundPause = std::chrono::milliseconds(500);
+constexpr int kIncarnationBytes = 6;
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+class ControllerHost::Impl
+{
+public:
+  explicit Impl(schema::ControllerSettings aSettings)
+    : mSettings(std::move(aSettings))
+    , mName(mSettings.name() + "-" + RandomHex(kIncarnationBytes))
+    , mPlatform(HttpAddress{ mSettings.platform().address(),
+                             mSettings.platform().port() },
+                mSettings.name())
+    , mResources(mPlatform, Now)
+  {
+  }
+
+  void Start()
+  {
+    mThread = std::thread([this] {
+      while (!mStopping.load()) {
+        Round();
+        std::this_thread::sleep_for(kRoundPause);
+      }
+    });
+  }
+
+  void Stop()
+  {
+    mStopping.store(true);
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+
+private:
+  void Round()
+  {
+    AddPools();
+    for (auto& it : mPools) {
+      it.second->Round();
+    }
+  }
+
+  void AddPools()
+  {
+    ResourceTable table;
+    std::string reason;
+    if (mResources.Load(table) != StoreOutcome::Done) {
+      return;
+    }
+    const auto configuration = table.Build(table.Revision(), reason);
+    if (!configuration) {
+      return;
+    }
+    for (const auto& it : configuration->services()) {
+      if (it.kind() != schema::MODEL_POOL || mPools.count(it.name()) != 0) {
+        continue;
+      }
+      PoolControllerOptions options;
+      options.mController = mName;
+      options.mService = it.name();
+      options.mLeaseTime = std::chrono::milliseconds(mSettings.lease_ms());
+      options.mOrderTime = std::chrono::milliseconds(mSettings.order_ms());
+      options.mLimits.mMaxLoadingShare = mSettings.max_loading_share();
+      options.mLimits.mMinReadyShare = mSettings.min_ready_share();
+      mPools.emplace(
+        it.name(),
+        std::make_unique<PoolController>(options, mPlatform, mOrders, Now));
+    }
+  }
+
+  schema::ControllerSettings mSettings;
+  std::string mName;
+  PlatformHttp mPlatform;
+  ResourceStore mResources;
+  OrderHttp mOrders;
+  std::map<std::string, std::unique_ptr<PoolController>> mPools;
+  std::atomic<bool> mStopping{ false };
+  std::thread mThread;
+};
+
+ControllerHost::ControllerHost(schema::ControllerSettings aSettings)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+ControllerHost::~ControllerHost() = default;
+
+std::optional<std::string>
+ControllerHost::Start()
+{
+  mImpl->Start();
+  return std::nullopt;
+}
+
+void
+ControllerHost::Stop()
+{
+  mImpl->Stop();
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/control/PoolController.cpp
@@ -0,0 +1,203 @@
+#include "control/PoolController.h"
+
+#include "config/Snapshot.h"
+#include "generated/messages.pb.h"
+#include "observe/Log.h"
+#include "wire/Json.h"
+
+#include <chrono>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr char kLeaseTable[] = "leases";
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kTargetTimeout = std::chrono::milliseconds(500);
+constexpr Duration kServeTime = std::chrono::milliseconds(3000);
+
+double
+UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
+std::optional<LeaseRecord>
+ParseLease(const std::string& aValue)
+{
+  schema::LeaseRow row;
+  if (ParseJson(aValue, UnknownFields::Ignore, row)) {
+    return std::nullopt;
+  }
+  return LeaseRecord{ row.holder(), row.epoch(), row.expires_at() };
+}
+
+std::string
+PrintLease(const LeaseRecord& aRecord)
+{
+  schema::LeaseRow row;
+  row.set_holder(aRecord.mHolder);
+  row.set_epoch(aRecord.mEpoch);
+  row.set_expires_at(aRecord.mExpiresAtMs);
+  return ToJson(row);
+}
+
+} // namespace
+
+PoolController::PoolController(PoolControllerOptions aOptions,
+                               TableStorePort& aStore,
+                               OrderPort& aOrders,
+                               Clock aClock)
+  : mOptions(std::move(aOptions))
+  , mStore(aStore)
+  , mOrders(aOrders)
+  , mClock(std::move(aClock))
+  , mResources(aStore, mClock)
+  , mLease(mOptions.mController, mOptions.mLeaseTime, mOptions.mOrderTime)
+{
+}
+
+void
+PoolController::Round()
+{
+  KeepLease();
+  if (!mLease.IsSettled(mClock())) {
+    return;
+  }
+  ResourceTable table;
+  std::string reason;
+  if (mResources.Load(table) != StoreOutcome::Done) {
+    return;
+  }
+  const auto configuration = table.Build(table.Revision(), reason);
+  if (!configuration || !ReadPool(*configuration)) {
+    return;
+  }
+  std::vector<TargetHolding> holdings;
+  for (const TargetAddress& it : mTargets) {
+    holdings.push_back(mOrders.ReadHolding(it, mModel, kTargetTimeout));
+  }
+  CarryOut(
+    PlanRollout(holdings, mDeclared, mDesired, mServed, mOptions.mLimits),
+    table.Revision());
+}
+
+void
+PoolController::KeepLease()
+{
+  StoredRow row;
+  const StoreOutcome read =
+    mStore.Read(kLeaseTable, mOptions.mService, kStoreTimeout, row);
+  if (read != StoreOutcome::Done && read != StoreOutcome::Rejected) {
+    return;
+  }
+  const auto record =
+    read == StoreOutcome::Done ? ParseLease(row.mValue) : std::nullopt;
+  // Counted from before the write, so that a slow answer shortens the lease.
+  const Time begun = mClock();
+  const unsigned version = read == StoreOutcome::Done ? row.mVersion : 0;
+  auto write = mLease.OnRead(version, record, begun);
+  if (!write) {
+    return;
+  }
+  write->mRecord.mExpiresAtMs = UnixMs() + ToMilliseconds(mOptions.mLeaseTime);
+  StoreTransaction transaction;
+  transaction.mConditions.push_back(
+    { kLeaseTable, mOptions.mService, write->mIfVersion });
+  transaction.mWrites.push_back(
+    { kLeaseTable, mOptions.mService, PrintLease(write->mRecord), false });
+  const CommitResult result = mStore.Commit(transaction, kStoreTimeout);
+  if (result.mOutcome != StoreOutcome::Done) {
+    mLease.OnNotWritten();
+    return;
+  }
+  const bool held = mLease.Holds(begun);
+  mLease.OnWritten(*write, result.mRevision, begun);
+  if (!held) {
+    Log(LogLevel::Info,
+        "controller",
+        "holds the lease",
+        { { "service", mOptions.mService },
+          { "epoch", std::to_string(mLease.Epoch()) } });
+  }
+}
+
+bool
+PoolController::ReadPool(const schema::Configuration& aConfiguration)
+{
+  const Snapshot snapshot(aConfiguration);
+  const schema::Service* service = snapshot.ServiceNamed(mOptions.mService);
+  const schema::Model* model =
+    service == nullptr ? nullptr : snapshot.ModelNamed(service->model());
+  if (model == nullptr) {
+    return false;
+  }
+  mModel = model->name();
+  mDesired = model->serving_version();
+  mServed = snapshot.ServingVersion(*model);
+  mDeclared.clear();
+  for (const auto& it : snapshot.Declared().versions()) {
+    if (it.model() == mModel) {
+      mDeclared.insert(it.name());
+    }
+  }
+  mTargets.clear();
+  for (const auto& it : snapshot.Declared().targets()) {
+    if (it.service() == mOptions.mService && !it.leaving()) {
+      mTargets.push_back({ it.name(), it.address(), it.port() });
+    }
+  }
+  return true;
+}
+
+void
+PoolController::CarryOut(const RolloutSteps& aSteps, unsigned)
+{
+  for (const HoldingOrder& it : aSteps.mOrders) {
+    for (const TargetAddress& target : mTargets) {
+      // The clock is read right before each send: a holder that was paused must
+      // not act on a lease that has lapsed.
+      if (target.mName != it.mTarget || !mLease.IsSettled(mClock())) {
+        continue;
+      }
+      const OrderOutcome outcome = mOrders.Order(
+        target, mModel, it.mVersions, mLease.Epoch(), kTargetTimeout);
+      Log(outcome == OrderOutcome::Taken ? LogLevel::Info : LogLevel::Warn,
+          "controller",
+          outcome == OrderOutcome::Taken ? "order taken" : "order not taken",
+          { { "target", it.mTarget },
+            { "fence", std::to_string(mLease.Epoch()) } });
+    }
+  }
+  if (aSteps.mServe && mLease.IsSettled(mClock())) {
+    Serve(*aSteps.mServe);
+  }
+}
+
+void
+PoolController::Serve(const std::string& aVersion)
+{
+  schema::Rollout rollout;
+  rollout.set_model(mModel);
+  rollout.set_version(aVersion);
+  ResourceChange change;
+  change.mKind = "rollouts";
+  change.mName = mModel;
+  change.mValue = ToCompactJson(rollout);
+  // The epoch makes the operation this holder's own; a former holder's write of
+  // the same step is another operation with the same content.
+  const std::string operation = "rollout-" + mModel + "-" + aVersion + "-" +
+                                mServed + "-" + std::to_string(mLease.Epoch());
+  const ChangeResult result =
+    mResources.Apply({ change }, operation, mClock() + kServeTime);
+  Log(LogLevel::Info,
+      "controller",
+      result.mStatus == ChangeStatus::Accepted
+        ? "serves a new version"
+        : "could not serve a new version",
+      { { "model", mModel }, { "version", aVersion } });
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/RolloutPlan.cpp
@@ -0,0 +1,59 @@
+#include "core/RolloutPlan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalquay {
+
+namespace {
+
+bool
+HoldsAll(const TargetHolding& aTarget, const std::set<std::string>& aVersions)
+{
+  return std::includes(aTarget.mVersions.begin(),
+                       aTarget.mVersions.end(),
+                       aVersions.begin(),
+                       aVersions.end());
+}
+
+} // namespace
+
+RolloutSteps
+PlanRollout(const std::vector<TargetHolding>& aTargets,
+            const std::set<std::string>& aDeclared,
+            const std::string& aDesired,
+            const std::string& aServed,
+            const RolloutLimits& aLimits)
+{
+  std::set<std::string> wanted = aDeclared;
+  wanted.insert(aServed);
+  const auto size = static_cast<double>(aTargets.size());
+  const auto mostLoading =
+    std::max(1.0, std::floor(size * aLimits.mMaxLoadingShare));
+  double loading = 0;
+  double ready = 0;
+  for (const TargetHolding& it : aTargets) {
+    loading += it.mLoading || !it.mReachable ? 1 : 0;
+    const bool holds = it.mVersions.count(aDesired) != 0;
+    ready += it.mReachable && !it.mLoading && holds ? 1 : 0;
+  }
+  RolloutSteps steps;
+  const bool enough = ready > 0 && ready >= size * aLimits.mMinReadyShare;
+  if (aDesired != aServed && enough) {
+    steps.mServe = aDesired;
+  }
+  for (const TargetHolding& it : aTargets) {
+    if (!it.mReachable || it.mLoading || it.mVersions == wanted) {
+      continue;
+    }
+    const bool loads = !HoldsAll(it, wanted);
+    if (loads && loading >= mostLoading) {
+      continue;
+    }
+    loading += loads ? 1 : 0;
+    steps.mOrders.push_back({ it.mTarget, wanted });
+  }
+  return steps;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -9,6 +9,12 @@
 constexpr Duration kRecordLifetime = std::chrono::minutes(10);
 constexpr std::size_t kMaxRecords = 10000;
 
+// Deaths from which on peers are told; one death makes many suspects.
+constexpr int kListedDeaths = 2;
+
+// Records that are told to peers at once.
+constexpr std::size_t kMaxListed = 64;
+
 } // namespace
 
 void
@@ -57,6 +63,25 @@
   mRecords[aRequest] = { aDeaths, aNow + kRecordLifetime };
 }
 
+std::vector<SuspectRegistry::Suspect>
+SuspectRegistry::List(Time aNow) const
+{
+  std::vector<Suspect> suspects;
+  for (const auto& it : mRecords) {
+    if (aNow < it.second.mExpiresAt && it.second.mDeaths >= kListedDeaths) {
+      suspects.push_back({ it.first, it.second.mDeaths });
+    }
+  }
+  const auto more = [](const Suspect& aLeft, const Suspect& aRight) {
+    return aLeft.mDeaths > aRight.mDeaths;
+  };
+  std::sort(suspects.begin(), suspects.end(), more);
+  if (suspects.size() > kMaxListed) {
+    suspects.resize(kMaxListed);
+  }
+  return suspects;
+}
+
 void
 SuspectRegistry::Expire(Time aNow)
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -39,6 +39,16 @@
   // Takes over what another router has found.
   void Merge(std::uint64_t aRequest, int aDeaths, Time aNow);
 
+  // One suspected request.
+  struct Suspect
+  {
+    std::uint64_t mRequest = 0;
+    int mDeaths = 0;
+  };
+
+  // The requests with the most deaths, a bounded number of them.
+  std::vector<Suspect> List(Time aNow) const;
+
   // Drops records that have not been renewed in time.
   void Expire(Time aNow);
 
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -43,6 +43,9 @@
 // Weight of a new sample in the moving averages.
 constexpr int kAverageShift = 3;
 
+// Leaving mark of a target whose incarnation was not known yet.
+constexpr char kAnyIncarnation[] = "any";
+
 constexpr Duration kInitialGap = milliseconds(30);
 
 void
@@ -61,8 +64,10 @@
 
 void
 TargetTable::Declare(const std::vector<ServiceDeclaration>& aServices,
-                     const std::vector<TargetDeclaration>& aTargets)
+                     const std::vector<TargetDeclaration>& aTargets,
+                     const std::string& aRegion)
 {
+  mRegion = aRegion;
   std::map<std::string, Target> targets;
   mByService.clear();
   for (const TargetDeclaration& it : PickSubset(aTargets)) {
@@ -222,7 +227,6 @@
     !target->mIncarnation.empty() && target->mIncarnation != aIncarnation;
   if (reborn) {
     OnDeath(*target, aNow);
-    target->mToldLeaving = false;
   }
   target->mIncarnation = aIncarnation;
   target->mReportedLeaving = aState == "leaving";
@@ -252,11 +256,17 @@
 }
 
 void
-TargetTable::MarkLeaving(const std::string& aTarget)
+TargetTable::MarkLeaving(const std::string& aTarget,
+                         const std::string& aIncarnation)
 {
-  if (Target* target = Find(aTarget)) {
-    target->mToldLeaving = true;
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
   }
+  std::string incarnation =
+    aIncarnation.empty() ? target->mIncarnation : aIncarnation;
+  target->mLeavingIncarnation =
+    incarnation.empty() ? kAnyIncarnation : std::move(incarnation);
 }
 
 void
@@ -283,12 +293,27 @@
   }
 }
 
+std::vector<TargetTable::Leaving>
+TargetTable::LeavingTargets() const
+{
+  std::vector<Leaving> leaving;
+  for (const auto& it : mTargets) {
+    const Target& target = it.second;
+    if (IsLeaving(target) && !target.mDeclaration.mLeaving) {
+      leaving.push_back({ it.first,
+                          target.mReportedLeaving
+                            ? target.mIncarnation
+                            : target.mLeavingIncarnation });
+    }
+  }
+  return leaving;
+}
+
 bool
 TargetTable::IsLeaving(const std::string& aTarget) const
 {
   const Target* target = Find(aTarget);
-  return target == nullptr || target->mDeclaration.mLeaving ||
-         target->mReportedLeaving || target->mToldLeaving;
+  return target == nullptr || IsLeaving(*target);
 }
 
 std::string
@@ -337,14 +362,25 @@
   return views;
 }
 
+bool
+TargetTable::IsLeaving(const Target& aTarget)
+{
+  if (aTarget.mDeclaration.mLeaving || aTarget.mReportedLeaving) {
+    return true;
+  }
+  // Until the target reports itself again, it may be the one that leaves.
+  const std::string& leaving = aTarget.mLeavingIncarnation;
+  return !leaving.empty() &&
+         (aTarget.mIncarnation.empty() || leaving == kAnyIncarnation ||
+          leaving == aTarget.mIncarnation);
+}
+
 bool
 TargetTable::IsUsable(const Target& aTarget,
                       const ChoiceQuery& aQuery,
                       Time aNow) const
 {
-  const bool leaving = aTarget.mDeclaration.mLeaving ||
-                       aTarget.mReportedLeaving || aTarget.mToldLeaving;
-  if (leaving || aTarget.mLoading || aNow < aTarget.mDownUntil ||
+  if (IsLeaving(aTarget) || aTarget.mLoading || aNow < aTarget.mDownUntil ||
       aNow < aTarget.mFullUntil) {
     return false;
   }
@@ -409,7 +445,7 @@
 TargetTable::Score(const Target& aTarget, const ChoiceQuery& aQuery) const
 {
   double score = Load(aTarget);
-  if (aTarget.mDeclaration.mRegion != mOptions.mRegion) {
+  if (aTarget.mDeclaration.mRegion != mRegion) {
     score += kOtherRegionLoad;
   } else if (aTarget.mDeclaration.mPlace != mOptions.mPlace) {
     score += kOtherPlaceLoad;
@@ -485,7 +521,7 @@
       return StableHash(aTarget.mName, StableHash(mOptions.mRouterName));
     };
     const auto far = [this](const TargetDeclaration& aTarget) {
-      return aTarget.mRegion != mOptions.mRegion;
+      return aTarget.mRegion != mRegion;
     };
     std::sort(
       targets.begin(),
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -36,7 +36,6 @@
 {
   std::string mRouterName;
   std::string mPlace;
-  std::string mRegion;
   // Targets of one service that this process uses; 0 means all of them.
   int mSubsetSize = 0;
   std::uint64_t mSeed = 0;
@@ -73,9 +72,11 @@
 public:
   explicit TargetTable(TargetTableOptions aOptions);
 
-  // Replaces the declared targets; state of those that stay is kept.
+  // Replaces the declared targets; state of those that stay is kept. aRegion is
+  // the region of this process's place.
   void Declare(const std::vector<ServiceDeclaration>& aServices,
-               const std::vector<TargetDeclaration>& aTargets);
+               const std::vector<TargetDeclaration>& aTargets,
+               const std::string& aRegion);
 
   Choice Choose(const ChoiceQuery& aQuery, Time aNow) override;
 
@@ -116,8 +117,10 @@
   // The target does not answer a probe.
   void OnUnresponsive(const std::string& aTarget, Time aNow);
 
-  // The target gets no new work; declared, reported, or told by a peer.
-  void MarkLeaving(const std::string& aTarget);
+  // An incarnation of a target gets no new work, as the host list or a peer
+  // tells. Empty means the present one.
+  void MarkLeaving(const std::string& aTarget,
+                   const std::string& aIncarnation = std::string());
 
   // The target holds, or no longer holds, a cached prefix.
   void OnCacheEvent(const std::string& aTarget,
@@ -127,6 +130,16 @@
   // The engine has dropped events: what is known of its cache is void.
   void OnCacheGap(const std::string& aTarget);
 
+  // A target's incarnation that leaves.
+  struct Leaving
+  {
+    std::string mTarget;
+    std::string mIncarnation;
+  };
+
+  // Targets that leave by their own report, the host list's or a peer's.
+  std::vector<Leaving> LeavingTargets() const;
+
   // Whether a target gets no new work.
   bool IsLeaving(const std::string& aTarget) const;
 
@@ -162,7 +175,8 @@
     TargetDeclaration mDeclaration;
     std::string mIncarnation;
     bool mReportedLeaving = false;
-    bool mToldLeaving = false;
+    // Incarnation that was told to leave, empty when none was.
+    std::string mLeavingIncarnation;
     bool mLoading = false;
     Time mDownUntil;
     Time mFullUntil;
@@ -178,6 +192,7 @@
     std::map<std::uint64_t, bool> mCached;
   };
 
+  static bool IsLeaving(const Target& aTarget);
   bool IsUsable(const Target& aTarget,
                 const ChoiceQuery& aQuery,
                 Time aNow) const;
@@ -195,6 +210,7 @@
     const std::vector<TargetDeclaration>& aTargets) const;
 
   TargetTableOptions mOptions;
+  std::string mRegion;
   std::map<std::string, Target> mTargets;
   std::map<std::string, ServiceDeclaration> mServices;
   std::map<std::string, std::vector<std::string>> mByService;
--- a/src/quetzalquay/observe/RouterMetrics.cpp
+++ b/src/quetzalquay/observe/RouterMetrics.cpp
@@ -36,6 +36,7 @@
   { "quetzal_journal_failures_total", "Journal objects that failed" },
   { "quetzal_journal_bytes_total", "Bytes written to the journal" },
   { "quetzal_poll_calls_total", "Load and cache reports read" },
+  { "quetzal_peer_bytes_total", "Bytes exchanged with peers" },
 } };
 
 constexpr std::array<Row, kSizeOf<Timing>> kTimings = { {
--- a/src/quetzalquay/observe/RouterMetrics.h
+++ b/src/quetzalquay/observe/RouterMetrics.h
@@ -27,6 +27,7 @@
   JournalFailures,
   JournalBytes,
   PollCalls,
+  PeerBytes,
   Last,
 };
 
--- /dev/null
+++ b/src/quetzalquay/peers/PeerRpc.cpp
@@ -0,0 +1,139 @@
+#include "peers/PeerRpc.h"
+
+#include "generated/PeerClientStub.h"
+#include "generated/PeerServerStub.h"
+
+#include <json/json.h>
+#include <memory>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+// Gives the library's client the transport of the caller.
+class TransportConnector : public jsonrpc::IClientConnector
+{
+public:
+  explicit TransportConnector(const PeerTransport& aTransport)
+    : mTransport(aTransport)
+  {
+  }
+
+  void SendRPCMessage(const std::string& aMessage, std::string& aResult) throw(
+    jsonrpc::JsonRpcException) override
+  {
+    if (!mTransport(aMessage, aResult)) {
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                                      "the peer does not answer");
+    }
+  }
+
+private:
+  const PeerTransport& mTransport;
+};
+
+// Collects the answer that the library's server writes.
+class TextConnector : public jsonrpc::AbstractServerConnector
+{
+public:
+  bool StartListening() override { return true; }
+  bool StopListening() override { return true; }
+
+  bool SendResponse(const std::string& aResponse, void* aInfo) override
+  {
+    *static_cast<std::string*>(aInfo) = aResponse;
+    return true;
+  }
+};
+
+Json::Value
+ParseObject(const std::string& aText)
+{
+  Json::Value value(Json::objectValue);
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  reader->parse(aText.data(), aText.data() + aText.size(), &value, nullptr);
+  return value.isObject() ? value : Json::Value(Json::objectValue);
+}
+
+std::string
+PrintObject(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
+} // namespace
+
+bool
+CallPeerExchange(const PeerTransport& aTransport,
+                 const std::string& aNews,
+                 std::string& aAnswer,
+                 std::string& aReason)
+{
+  TransportConnector connector(aTransport);
+  schema::PeerClientStub client(connector);
+  try {
+    aAnswer = PrintObject(client.exchange(ParseObject(aNews)));
+    return true;
+  } catch (const std::exception& error) {
+    aReason = error.what();
+    return false;
+  }
+}
+
+class PeerRpcServer::Impl
+{
+public:
+  explicit Impl(Handler aHandler)
+    : mStub(mConnector, std::move(aHandler))
+  {
+    mStub.StartListening();
+  }
+
+  std::string Handle(const std::string& aRequest)
+  {
+    std::string answer;
+    mConnector.OnRequest(aRequest, &answer);
+    return answer;
+  }
+
+private:
+  class Stub : public schema::PeerServerStub
+  {
+  public:
+    Stub(jsonrpc::AbstractServerConnector& aConnector, Handler aHandler)
+      : schema::PeerServerStub(aConnector)
+      , mHandler(std::move(aHandler))
+    {
+    }
+
+    Json::Value exchange(const Json::Value& aNews) override
+    {
+      return ParseObject(mHandler(PrintObject(aNews)));
+    }
+
+  private:
+    Handler mHandler;
+  };
+
+  TextConnector mConnector;
+  Stub mStub;
+};
+
+PeerRpcServer::PeerRpcServer(Handler aHandler)
+  : mImpl(std::make_unique<Impl>(std::move(aHandler)))
+{
+}
+
+PeerRpcServer::~PeerRpcServer() = default;
+
+std::string
+PeerRpcServer::Handle(const std::string& aRequest)
+{
+  return mImpl->Handle(aRequest);
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/ports/PlatformPorts.h
+++ b/src/quetzalquay/ports/PlatformPorts.h
@@ -114,7 +114,11 @@
 struct HostState
 {
   std::string mName;
+  std::string mAddress;
   bool mLeaving = false;
+  // When a leaving host stops, in milliseconds since the Unix epoch; zero when
+  // it does not say.
+  double mStopAtMs = 0;
 };
 
 // Lagging list of live and leaving hosts.
--- a/src/quetzalquay/programs/quetzal-router.cpp
+++ b/src/quetzalquay/programs/quetzal-router.cpp
@@ -3,29 +3,50 @@
 #include "programs/Program.h"
 #include "router/Router.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace quetzalquay {
 namespace {
 
+// Reads the configuration that the settings name; an empty one at revision 0
+// when they name none.
+std::optional<schema::Configuration>
+LoadConfiguration(const schema::RouterSettings& aSettings,
+                  const std::string& aPath,
+                  std::string& aReason)
+{
+  if (aSettings.configuration_file().empty()) {
+    return schema::Configuration();
+  }
+  auto configuration = LoadSettingsFile<schema::Configuration>(
+    RelativeTo(aPath, aSettings.configuration_file()), aReason);
+  if (!configuration) {
+    return std::nullopt;
+  }
+  const auto& places = configuration->places();
+  const bool known =
+    std::any_of(places.begin(), places.end(), [&](const auto& aPlace) {
+      return aPlace.name() == aSettings.place();
+    });
+  if (!known) {
+    aReason = aPath + ": place: \"" + aSettings.place() + "\" is not declared";
+    return std::nullopt;
+  }
+  return configuration;
+}
+
 std::unique_ptr<Router>
 MakeRouter(const schema::RouterSettings& aSettings,
            const std::string& aPath,
            std::string& aReason)
 {
-  const auto configuration = LoadSettingsFile<schema::Configuration>(
-    RelativeTo(aPath, aSettings.configuration_file()), aReason);
+  const auto configuration = LoadConfiguration(aSettings, aPath, aReason);
   if (!configuration) {
     return nullptr;
   }
-  for (const auto& it : configuration->places()) {
-    if (it.name() == aSettings.place()) {
-      StartLog(aSettings.observe().log_file(), aSettings.observe().log_level());
-      return std::make_unique<Router>(aSettings, *configuration);
-    }
-  }
-  aReason = aPath + ": place: \"" + aSettings.place() + "\" is not declared";
-  return nullptr;
+  StartLog(aSettings.observe().log_file(), aSettings.observe().log_level());
+  return std::make_unique<Router>(aSettings, *configuration);
 }
 
 } // namespace
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -6,6 +6,7 @@
 #include "generated/messages.pb.h"
 #include "observe/RouterMetrics.h"
 #include "router/ClaimService.h"
+#include "router/ConfigurationFollower.h"
 #include "router/ExplainStore.h"
 #include "router/JournalWriter.h"
 #include "router/PlainSession.h"
@@ -242,10 +243,11 @@
 void
 CallerApi::ServeHealth(HttpResponse& aResponse) const
 {
-  const bool ready = !mParts.mLifecycle->mStopping.load();
+  const bool ready =
+    !mParts.mLifecycle->mStopping.load() && mParts.mFollower->MayServe();
   aResponse.mStatus = ready ? 200 : 503;
   aResponse.mContentType = "text/plain";
-  aResponse.mBody = ready ? "ready\n" : "stopping\n";
+  aResponse.mBody = ready ? "ready\n" : "not ready\n";
 }
 
 void
@@ -253,7 +255,9 @@
 {
   schema::RouterStatus status;
   status.set_name(mParts.mRouterName);
-  status.set_state(mParts.mLifecycle->mStopping.load() ? "stopping" : "ready");
+  status.set_state(mParts.mLifecycle->mStopping.load() ? "stopping"
+                   : mParts.mFollower->MayServe()      ? "ready"
+                                                       : "not ready");
   status.set_revision(mParts.mSnapshots->Revision());
   status.set_streams(mOpen.load());
   const auto views = mParts.mTargets->With(
@@ -299,6 +303,11 @@
                              RequestContext& aContext) const
 {
   const SnapshotReader snapshot(*mParts.mSnapshots);
+  if (snapshot.Get() == nullptr) {
+    return NotRun(FailureCode::ConfigurationUnknown,
+                  "this router has no configuration yet; use another",
+                  kStoppingRetryAfter);
+  }
   if (auto failure = ParseCallerHeaders(
         aRequest, *snapshot.Get(), mCallerLimits, Now(), aContext)) {
     return failure;
@@ -311,6 +320,11 @@
                              RequestContext& aContext) const
 {
   const SnapshotReader snapshot(*mParts.mSnapshots);
+  if (snapshot.Get() == nullptr) {
+    return NotRun(FailureCode::ConfigurationUnknown,
+                  "this router has no configuration yet; use another",
+                  kStoppingRetryAfter);
+  }
   if (auto failure = ParseCallerHeaders(
         aRequest, *snapshot.Get(), mCallerLimits, Now(), aContext)) {
     return failure;
@@ -336,6 +350,12 @@
 std::optional<Failure>
 CallerApi::Admit(const RequestContext& aContext)
 {
+  if (!mParts.mFollower->MayServe()) {
+    return NotRun(FailureCode::ConfigurationUnknown,
+                  "this router cannot tell whether its configuration is the "
+                  "newest; use another",
+                  kStoppingRetryAfter);
+  }
   if (mParts.mLifecycle->mStopping.load()) {
     return NotRun(FailureCode::Stopping,
                   "this router is stopping; use another",
--- a/src/quetzalquay/router/CallerMessages.cpp
+++ b/src/quetzalquay/router/CallerMessages.cpp
@@ -102,7 +102,7 @@
                   "model: no such model for this workspace");
   }
   aContext.mModel = model->name();
-  aContext.mVersion = model->serving_version();
+  aContext.mVersion = aSnapshot.ServingVersion(*model);
   aContext.mService = service->name();
   aContext.mPreset = service->recovery() == schema::LOW_COST
                        ? RecoveryPreset::LowCost
--- /dev/null
+++ b/src/quetzalquay/router/ConfigurationFollower.cpp
@@ -0,0 +1,153 @@
+#include "router/ConfigurationFollower.h"
+
+#include "config/SettingsFile.h"
+#include "config/Snapshot.h"
+#include "config/SnapshotStore.h"
+#include "control/ResourceStore.h"
+#include "observe/Log.h"
+#include "observe/RouterMetrics.h"
+#include "router/TargetDirectory.h"
+#include "wire/Json.h"
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kReadPause = std::chrono::milliseconds(1000);
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(TableStorePort* aStore,
+                                             SnapshotStore& aSnapshots,
+                                             TargetDirectory& aTargets,
+                                             RouterMetrics& aMetrics,
+                                             std::string aPlace,
+                                             int aRouters)
+  : mStore(aStore)
+  , mSnapshots(aSnapshots)
+  , mTargets(aTargets)
+  , mMetrics(aMetrics)
+  , mPlace(std::move(aPlace))
+  , mFreshness(aRouters)
+{
+}
+
+void
+ConfigurationFollower::Start()
+{
+  if (mStore != nullptr) {
+    ReadStore();
+    mThread.Start(kReadPause, [this] { ReadStore(); });
+  }
+}
+
+void
+ConfigurationFollower::Stop()
+{
+  mThread.Stop();
+}
+
+void
+ConfigurationFollower::Apply(const schema::Configuration& aConfiguration)
+{
+  auto* snapshot = new Snapshot(aConfiguration);
+  const auto services = snapshot->ServiceDeclarations();
+  const auto targets = snapshot->TargetDeclarations();
+  const std::string region = snapshot->RegionOf(mPlace);
+  const unsigned revision = snapshot->Revision();
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (!mSnapshots.Replace(snapshot)) {
+    return;
+  }
+  mTargets.With(
+    [&](TargetTable& aTable) { aTable.Declare(services, targets, region); });
+  mFreshness.OnApplied(revision);
+  mMetrics.Set(Level::Revision, revision);
+  Log(LogLevel::Info,
+      "configuration",
+      "in force",
+      { { "revision", std::to_string(revision) } });
+  Publish();
+}
+
+void
+ConfigurationFollower::OnPeer(const std::string& aPeer,
+                              unsigned aRevision,
+                              bool aStoreReached)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mFreshness.OnPeer(aPeer, aRevision, aStoreReached, Now());
+  Publish();
+}
+
+void
+ConfigurationFollower::TakeFromPeer(const std::string& aConfiguration)
+{
+  schema::Configuration configuration;
+  if (ParseJson(aConfiguration, UnknownFields::Ignore, configuration) ||
+      CheckSettings(configuration)) {
+    Log(LogLevel::Warn, "configuration", "a peer's configuration is not valid");
+    return;
+  }
+  Apply(configuration);
+}
+
+bool
+ConfigurationFollower::MayServe() const
+{
+  if (mStore == nullptr) {
+    return true;
+  }
+  return Now().time_since_epoch().count() < mServeUntil.load();
+}
+
+bool
+ConfigurationFollower::StoreReached()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mFreshness.StoreReached(Now());
+}
+
+void
+ConfigurationFollower::ReadStore()
+{
+  ResourceStore store(*mStore, Now);
+  // The time before the call: a revision may be accepted while it runs.
+  const Time begun = Now();
+  unsigned revision = 0;
+  if (store.ReadRevision(revision) != StoreOutcome::Done) {
+    return;
+  }
+  if (revision > mSnapshots.Revision()) {
+    ResourceTable table;
+    std::string reason;
+    if (store.Load(table) == StoreOutcome::Done) {
+      const auto configuration = table.Build(table.Revision(), reason);
+      const auto problem =
+        configuration ? CheckSettings(*configuration) : std::optional(reason);
+      if (problem) {
+        Log(LogLevel::Error, "configuration", *problem);
+      } else {
+        Apply(*configuration);
+      }
+    }
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mFreshness.OnStoreRead(revision, begun);
+  Publish();
+}
+
+void
+ConfigurationFollower::Publish()
+{
+  const Time until = mFreshness.ServeUntil(Now());
+  mServeUntil.store(until.time_since_epoch().count());
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/router/PeerLink.cpp
@@ -0,0 +1,191 @@
+#include "router/PeerLink.h"
+
+#include "config/Snapshot.h"
+#include "config/SnapshotStore.h"
+#include "core/Hash.h"
+#include "generated/messages.pb.h"
+#include "observe/RouterMetrics.h"
+#include "router/ConfigurationFollower.h"
+#include "router/TargetDirectory.h"
+#include "wire/Json.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kRoundPause = std::chrono::milliseconds(1000);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
+
+// Peers that one round goes to.
+constexpr std::size_t kFanout = 3;
+
+constexpr std::size_t kPeerConnections = 32;
+constexpr std::size_t kMaxNewsBytes = 16U << 20;
+
+HttpServer::Options
+ServerOptions()
+{
+  HttpServer::Options options;
+  options.mMaxConnections = kPeerConnections;
+  options.mMaxBodyBytes = kMaxNewsBytes;
+  return options;
+}
+
+Time
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+PeerLink::PeerLink(const schema::RouterSettings& aSettings,
+                   const std::string& aIncarnation,
+                   ConfigurationFollower& aFollower,
+                   const SnapshotStore& aSnapshots,
+                   TargetDirectory& aTargets,
+                   RouterMetrics& aMetrics)
+  : mSettings(aSettings)
+  , mIncarnation(aIncarnation)
+  , mFollower(aFollower)
+  , mSnapshots(aSnapshots)
+  , mTargets(aTargets)
+  , mMetrics(aMetrics)
+  , mRpc([this](const std::string& aNews) { return OnExchange(aNews); })
+  , mServer(ServerOptions())
+  , mNextPeer(StableHash(aIncarnation))
+{
+}
+
+std::optional<std::string>
+PeerLink::Start()
+{
+  if (mSettings.has_peer_listen()) {
+    mServer.Route("POST",
+                  "/rpc",
+                  [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
+                    aResponse.mBody = mRpc.Handle(aRequest.mBody);
+                  });
+    const auto& listen = mSettings.peer_listen();
+    if (!mServer.Start(listen.address(), listen.port())) {
+      return "peer_listen: cannot bind port " + std::to_string(listen.port());
+    }
+  }
+  if (mSettings.peers_size() > 0) {
+    mThread.Start(kRoundPause, [this] { Round(); });
+  }
+  return std::nullopt;
+}
+
+void
+PeerLink::Stop()
+{
+  mThread.Stop();
+  mServer.Stop();
+}
+
+void
+PeerLink::Round()
+{
+  const auto size = static_cast<std::size_t>(mSettings.peers_size());
+  for (std::size_t n = 0; n < std::min(kFanout, size); ++n) {
+    mNextPeer = (mNextPeer + 1) % size;
+    ExchangeWith(mSettings.peers(static_cast<int>(mNextPeer)));
+  }
+}
+
+void
+PeerLink::ExchangeWith(const schema::Peer& aPeer)
+{
+  const PeerTransport transport = [this, &aPeer](const std::string& aRequest,
+                                                 std::string& aAnswer) {
+    HttpCallSpec spec;
+    spec.mMethod = "POST";
+    spec.mPath = "/rpc";
+    spec.mBody = aRequest;
+    spec.mConnectTimeout = kCallTimeout;
+    spec.mReadTimeout = kCallTimeout;
+    HttpCall call(
+      HttpAddress{ aPeer.endpoint().address(), aPeer.endpoint().port() });
+    HttpResult result = call.Run(spec);
+    aAnswer = std::move(result.mBody);
+    mMetrics.Add(Count::PeerBytes,
+                 static_cast<double>(aRequest.size() + aAnswer.size()));
+    return result.mOutcome == HttpOutcome::Answered && result.mStatus == 200;
+  };
+  std::string answer;
+  std::string reason;
+  if (!CallPeerExchange(transport, ToCompactJson(OwnNews()), answer, reason)) {
+    return;
+  }
+  schema::PeerNews news;
+  if (!ParseJson(answer, UnknownFields::Ignore, news)) {
+    Take(news);
+  }
+}
+
+std::string
+PeerLink::OnExchange(const std::string& aNews)
+{
+  schema::PeerNews news;
+  if (ParseJson(aNews, UnknownFields::Ignore, news)) {
+    return "{}";
+  }
+  Take(news);
+  schema::PeerNews own = OwnNews();
+  if (news.revision() < own.revision()) {
+    const SnapshotReader snapshot(mSnapshots);
+    own.set_configuration(ToCompactJson(snapshot->Declared()));
+  }
+  return ToCompactJson(own);
+}
+
+schema::PeerNews
+PeerLink::OwnNews()
+{
+  schema::PeerNews news;
+  news.set_from(mSettings.name());
+  news.set_incarnation(mIncarnation);
+  news.set_revision(mSnapshots.Revision());
+  news.set_store_reached(mFollower.StoreReached());
+  mTargets.With([&news](TargetTable& aTable) {
+    for (const auto& it : aTable.LeavingTargets()) {
+      auto* leaving = news.add_leaving();
+      leaving->set_target(it.mTarget);
+      leaving->set_incarnation(it.mIncarnation);
+    }
+    for (const auto& it : aTable.Suspects().List(Now())) {
+      auto* suspect = news.add_suspects();
+      suspect->set_content_hash(ToHex(it.mRequest));
+      suspect->set_deaths(it.mDeaths);
+    }
+  });
+  return news;
+}
+
+void
+PeerLink::Take(const schema::PeerNews& aNews)
+{
+  if (!aNews.configuration().empty()) {
+    mFollower.TakeFromPeer(aNews.configuration());
+  }
+  mFollower.OnPeer(aNews.from(), aNews.revision(), aNews.store_reached());
+  if (aNews.revision() > mSnapshots.Revision()) {
+    mFollower.ReadSoon();
+  }
+  mTargets.With([&aNews](TargetTable& aTable) {
+    for (const auto& it : aNews.leaving()) {
+      aTable.MarkLeaving(it.target(), it.incarnation());
+    }
+    for (const auto& it : aNews.suspects()) {
+      const auto hash = std::strtoull(it.content_hash().c_str(), nullptr, 16);
+      aTable.Suspects().Merge(hash, it.deaths(), Now());
+    }
+  });
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/router/Router.cpp
+++ b/src/quetzalquay/router/Router.cpp
@@ -3,12 +3,15 @@
 #include "router/CallerApi.h"
 #include "router/CancelQueue.h"
 #include "router/ClaimService.h"
+#include "router/ConfigurationFollower.h"
 #include "router/ExplainStore.h"
+#include "router/HostWatcher.h"
 #include "router/JournalWriter.h"
+#include "router/PeerLink.h"
+#include "router/SessionRegistry.h"
 #include "router/TargetDirectory.h"
 #include "router/TargetPoller.h"
 
-#include "config/Snapshot.h"
 #include "config/SnapshotStore.h"
 #include "core/Hash.h"
 #include "observe/Log.h"
@@ -53,13 +56,12 @@
 
 TargetTableOptions
 TableOptionsOf(const schema::RouterSettings& aSettings,
-               const Snapshot& aSnapshot,
                const std::string& aIncarnation)
 {
   TargetTableOptions options;
   options.mRouterName = aSettings.name();
   options.mPlace = aSettings.place();
-  options.mRegion = aSnapshot.RegionOf(aSettings.place());
+
   options.mSubsetSize = aSettings.subset_size();
   options.mSeed = StableHash(aIncarnation);
   return options;
@@ -90,13 +92,11 @@
     , mThreads(static_cast<std::size_t>(mSettings.max_connections()) +
                kSpareThreads)
     , mEngines(mSettings.name(), mThreads)
-    , mTargets(
-        TableOptionsOf(mSettings, Snapshot(aConfiguration), mIncarnation))
+    , mTargets(TableOptionsOf(mSettings, mIncarnation))
     , mPoller(mEngines, mTargets, mSnapshots, mThreads, mMetrics)
     , mCancels(mEngines, mThreads)
     , mServer(ServerOptionsOf(mSettings))
   {
-    Apply(std::move(aConfiguration));
     if (mSettings.has_platform()) {
       mPlatform = std::make_unique<PlatformHttp>(
         HttpAddress{ mSettings.platform().address(),
@@ -109,6 +109,22 @@
       mJournal =
         std::make_unique<JournalWriter>(mIncarnation, *mPlatform, mMetrics);
     }
+    mFollower = std::make_unique<ConfigurationFollower>(
+      mSettings.follow_store() ? mPlatform.get() : nullptr,
+      mSnapshots,
+      mTargets,
+      mMetrics,
+      mSettings.place(),
+      RouterCount());
+    if (aConfiguration.revision() > 0) {
+      mFollower->Apply(aConfiguration);
+    }
+    mPeers = std::make_unique<PeerLink>(
+      mSettings, mIncarnation, *mFollower, mSnapshots, mTargets, mMetrics);
+    if (mPlatform != nullptr) {
+      mHosts = std::make_unique<HostWatcher>(
+        *mPlatform, mSnapshots, mTargets, mSessions);
+    }
     FillParts();
     mApi = std::make_unique<CallerApi>(mParts, mSettings, mClaims.get());
   }
@@ -120,6 +136,13 @@
                       mSettings.observe().metrics_port());
     }
     mApi->AddRoutes(mServer);
+    mFollower->Start();
+    if (const auto problem = mPeers->Start()) {
+      return problem;
+    }
+    if (mHosts != nullptr) {
+      mHosts->Start();
+    }
     mPoller.Start();
     mCancels.Start();
     if (mClaims != nullptr) {
@@ -155,6 +178,11 @@
     mLifecycle.mHandOver.store(true);
     WaitForSessions(std::chrono::steady_clock::now() + kHandOverTime);
     mServer.Stop();
+    mPeers->Stop();
+    mFollower->Stop();
+    if (mHosts != nullptr) {
+      mHosts->Stop();
+    }
     mPoller.Stop();
     mCancels.Stop();
     if (mJournal != nullptr) {
@@ -169,24 +197,19 @@
   }
 
 private:
-  void Apply(schema::Configuration aConfiguration)
+  int RouterCount() const
   {
-    auto* snapshot = new Snapshot(std::move(aConfiguration));
-    const auto services = snapshot->ServiceDeclarations();
-    const auto targets = snapshot->TargetDeclarations();
-    const unsigned revision = snapshot->Revision();
-    if (mSnapshots.Replace(snapshot)) {
-      mTargets.With(
-        [&](TargetTable& aTable) { aTable.Declare(services, targets); });
-      mMetrics.Set(Level::Revision, revision);
-    }
+    const int declared = mSettings.router_count();
+    return declared > 0 ? declared : mSettings.peers_size() + 1;
   }
 
   void FillParts()
   {
     mParts.mRouterName = mSettings.name();
     mParts.mSnapshots = &mSnapshots;
+    mParts.mFollower = mFollower.get();
     mParts.mTargets = &mTargets;
+    mParts.mSessions = &mSessions;
     mParts.mPoller = &mPoller;
     mParts.mEngines = &mEngines;
     mParts.mThreads = &mThreads;
@@ -219,7 +242,11 @@
   TargetDirectory mTargets;
   TargetPoller mPoller;
   CancelQueue mCancels;
+  SessionRegistry mSessions;
   std::unique_ptr<PlatformHttp> mPlatform;
+  std::unique_ptr<ConfigurationFollower> mFollower;
+  std::unique_ptr<PeerLink> mPeers;
+  std::unique_ptr<HostWatcher> mHosts;
   std::unique_ptr<ClaimService> mClaims;
   std::unique_ptr<JournalWriter> mJournal;
   RouterLifecycle mLifecycle;
--- a/src/quetzalquay/router/Router.h
+++ b/src/quetzalquay/router/Router.h
@@ -15,7 +15,8 @@
 class Router
 {
 public:
-  // Both have passed their checks.
+  // Both have passed their checks. A configuration at revision 0 is empty: the
+  // router then waits for the store's or a peer's.
   Router(schema::RouterSettings aSettings,
          schema::Configuration aConfiguration);
   ~Router();
--- a/src/quetzalquay/router/RouterParts.h
+++ b/src/quetzalquay/router/RouterParts.h
@@ -7,11 +7,13 @@
 namespace quetzalquay {
 
 class CancelQueue;
+class ConfigurationFollower;
 class EnginePort;
 class EventIdCodec;
 class ExplainStore;
 class JournalWriter;
 class RouterMetrics;
+class SessionRegistry;
 class SnapshotStore;
 class TargetDirectory;
 class TargetPoller;
@@ -32,11 +34,13 @@
 {
   std::string mRouterName;
   SnapshotStore* mSnapshots = nullptr;
+  ConfigurationFollower* mFollower = nullptr;
   TargetDirectory* mTargets = nullptr;
   TargetPoller* mPoller = nullptr;
   EnginePort* mEngines = nullptr;
   ThreadPool* mThreads = nullptr;
   CancelQueue* mCancels = nullptr;
+  SessionRegistry* mSessions = nullptr;
   EventIdCodec* mEventIds = nullptr;
   // Null when the journal is off.
   JournalWriter* mJournal = nullptr;
--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -352,6 +352,8 @@
     aTable.OnAttemptStart(aTarget, mContext.mContentHash, hold.mStartedAt);
     hold.mIncarnation = aTable.IncarnationOf(aTarget);
   });
+  hold.mEntry = std::make_unique<SessionEntry>(aTarget, mMailbox);
+  mParts.mSessions->Add(*hold.mEntry);
   mHold = std::move(hold);
 }
 
@@ -363,6 +365,7 @@
   }
   Hold hold = std::move(*mHold);
   mHold.reset();
+  mParts.mSessions->Remove(*hold.mEntry);
   mResuming = mResuming || aOutcome == AttemptOutcome::Lost;
   mParts.mTargets->With([&](TargetTable& aTable) {
     aTable.OnAttemptEnd(hold.mTarget, mContext.mContentHash, aOutcome, Now());
--- a/src/quetzalquay/router/StreamSession.h
+++ b/src/quetzalquay/router/StreamSession.h
@@ -8,6 +8,7 @@
 #include "router/Mailbox.h"
 #include "router/RequestContext.h"
 #include "router/RouterParts.h"
+#include "router/SessionRegistry.h"
 
 #include <deque>
 #include <optional>
@@ -56,6 +57,7 @@
     bool mLost = false;
     bool mProgressTold = false;
     OpenSpan mSpan;
+    std::unique_ptr<SessionEntry> mEntry;
   };
 
   GenerationSpec MakeSpec() const;
--- /dev/null
+++ b/src/quetzalquay/wire/OrderHttp.h
@@ -0,0 +1,24 @@
+#ifndef QUETZALQUAY_WIRE_ORDERHTTP_H_INCLUDED
+#define QUETZALQUAY_WIRE_ORDERHTTP_H_INCLUDED
+
+#include "ports/OrderPort.h"
+
+namespace quetzalquay {
+
+// Orders to engines over HTTP.
+class OrderHttp : public OrderPort
+{
+public:
+  TargetHolding ReadHolding(const TargetAddress& aTarget,
+                            const std::string& aModel,
+                            Duration aTimeout) override;
+  OrderOutcome Order(const TargetAddress& aTarget,
+                     const std::string& aModel,
+                     const std::set<std::string>& aVersions,
+                     unsigned aFence,
+                     Duration aTimeout) override;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_WIRE_ORDERHTTP_H_INCLUDED
--- a/src/quetzalquay/wire/PlatformHttp.cpp
+++ b/src/quetzalquay/wire/PlatformHttp.cpp
@@ -188,7 +188,8 @@
   }
   std::vector<HostState> hosts;
   for (const auto& it : list.hosts()) {
-    hosts.push_back({ it.name(), it.state() == "leaving" });
+    hosts.push_back(
+      { it.name(), it.address(), it.state() == "leaving", it.stop_at() });
   }
   return hosts;
 }
--- a/tests/introspective/SettingsTests.cpp
+++ b/tests/introspective/SettingsTests.cpp
@@ -71,6 +71,14 @@
         reason,
         LoadSettingsFile<schema::RouterSettings>(base + "router-2.json", reason)
           .has_value());
+      CPPUNIT_ASSERT_MESSAGE(
+        reason,
+        LoadSettingsFile<schema::ApiSettings>(base + "api-1.json", reason)
+          .has_value());
+      CPPUNIT_ASSERT_MESSAGE(reason,
+                             LoadSettingsFile<schema::ControllerSettings>(
+                               base + "controller-1.json", reason)
+                               .has_value());
       for (const char* load : { "load-calm.json", "load-faults.json" }) {
         CPPUNIT_ASSERT_MESSAGE(
           reason,
--- a/tests/introspective/TargetTableTests.cpp
+++ b/tests/introspective/TargetTableTests.cpp
@@ -44,14 +44,14 @@
   TargetTableOptions options;
   options.mRouterName = aRouter;
   options.mPlace = "here";
-  options.mRegion = "region";
+
   options.mSubsetSize = aSubset;
   options.mSeed = 3;
   TargetTable table(options);
   ServiceDeclaration service;
   service.mName = "pool";
   service.mServingVersion = "1";
-  table.Declare({ service }, aTargets);
+  table.Declare({ service }, aTargets, "region");
   return table;
 }
 
@@ -117,7 +117,7 @@
   {
     TargetTable table = MakeTable(DeclareMany(2));
     table.MarkLeaving("t0");
-    table.Declare({}, DeclareMany(3));
+    table.Declare({}, DeclareMany(3), "region");
     CPPUNIT_ASSERT(table.IsLeaving("t0"));
     table.OnLoad("t0", "i1", "ready", 0, At(0));
     CPPUNIT_ASSERT(table.IsLeaving("t0"));
--- a/tools/scripts/deployment.py
+++ b/tools/scripts/deployment.py
@@ -58,8 +58,9 @@
 
 def all_processes(folder, run):
     processes = standin_settings(folder, run)
-    for path in sorted(folder.glob("router-*.json")):
-        processes[path.stem] = ("quetzal-router", path)
+    for kind in ("api", "controller", "router"):
+        for path in sorted(folder.glob(f"{kind}-*.json")):
+            processes[path.stem] = (f"quetzal-{kind}", path)
     return processes
 
 
@@ -85,10 +86,30 @@
             sys.exit(f"{path.name} does not get ready")
 
 
+def import_configuration(folder):
+    listen = json.loads((folder / "api-1.json").read_text())["listen"]
+    command = [str(BUILD / "quetzalctl"), "--api",
+               f"{listen['address']}:{listen['port']}",
+               "--key", "operator-key", "--operation", "first-import",
+               "import", str(folder / "configuration.json")]
+    for _ in range(100):
+        done = subprocess.run(command, capture_output=True, text=True)
+        if done.returncode == 0:
+            return
+        time.sleep(0.05)
+    sys.exit(f"cannot import the configuration: {done.stderr}")
+
+
 def start(folder, run):
     run.mkdir(parents=True, exist_ok=True)
-    for name, (program, settings) in all_processes(folder, run).items():
-        spawn(name, program, settings, run)
+    processes = all_processes(folder, run)
+    for name, (program, settings) in processes.items():
+        if program != "quetzal-router":
+            spawn(name, program, settings, run)
+    import_configuration(folder)
+    for name, (program, settings) in processes.items():
+        if program == "quetzal-router":
+            spawn(name, program, settings, run)
     wait_ready(folder)
     time.sleep(0.7)  # one round of load reports
 
--- a/tools/scripts/make_examples.py
+++ b/tools/scripts/make_examples.py
@@ -13,6 +13,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2] / "examples"
 ROUTER_PORT = 8000
 METRICS_PORT = 8001
+PEER_PORT = 8002
+API_PORT = 8200
 PLATFORM_PORT = 8100
 TARGET_PORT = 9000
 CONTROL_PORT = 9100
@@ -50,13 +52,47 @@
     ]
 
 
-def router(number, place, base):
+def peer(number, base):
+    return {"name": f"router-{number}",
+            "endpoint": {"address": f"127.{base}.1.{number}",
+                         "port": PEER_PORT}}
+
+
+def api(base, routers):
+    key = hashlib.sha256(b"operator-key").hexdigest()
+    return {
+        "name": "api-1",
+        "listen": {"address": f"127.{base}.5.1", "port": API_PORT},
+        "platform": {"address": f"127.{base}.4.1", "port": PLATFORM_PORT},
+        "operator_key_sha256": [key],
+        "routers": [{"address": f"127.{base}.1.{n + 1}", "port": ROUTER_PORT}
+                    for n in range(routers)],
+        "observe": {"log_level": "info"},
+    }
+
+
+def controller(base, number):
+    return {
+        "name": f"controller-{number}",
+        "platform": {"address": f"127.{base}.4.1", "port": PLATFORM_PORT},
+        "lease_ms": 5000,
+        "order_ms": 2000,
+        "max_loading_share": 0.25,
+        "min_ready_share": 0.5,
+        "observe": {"log_level": "info"},
+    }
+
+
+def router(number, place, base, count):
     return {
         "name": f"router-{number}",
         "place": place,
         "listen": {"address": f"127.{base}.1.{number}", "port": ROUTER_PORT},
         "max_connections": 1024,
-        "configuration_file": "configuration.json",
+        "follow_store": True,
+        "peer_listen": {"address": f"127.{base}.1.{number}",
+                        "port": PEER_PORT},
+        "peers": [peer(n, base) for n in range(1, count + 1) if n != number],
         "event_id_keys": [
             {"id": "k1", "secret": "change-me-in-every-deployment-0001"}
         ],
@@ -97,7 +133,10 @@
     })
     for n in range(routers):
         write(out / f"router-{n + 1}.json",
-              router(n + 1, places[n % len(places)], base))
+              router(n + 1, places[n % len(places)], base, routers))
+    write(out / "api-1.json", api(base, routers))
+    for n in range(2):
+        write(out / f"controller-{n + 1}.json", controller(base, n + 1))
     control = [{"address": t["address"], "port": CONTROL_PORT}
                for t in pool_targets + plain_targets]
     common = {
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 PACKAGES=(
   g++ cmake ninja-build pkg-config python3 curl clang-format clang-tidy
-  libjsonrpccpp-dev prometheus-cpp-dev libcpp-httplib-dev libboost-dev
+  libjsonrpccpp-dev libjsonrpccpp-tools prometheus-cpp-dev libcpp-httplib-dev libboost-dev
   libboost-program-options-dev liblog4cplus-dev libcppunit-dev
   librapidcheck-dev liburcu-dev libprotobuf-dev protobuf-compiler libssl-dev
   libxxhash-dev
