Test the control path: revisions, leases, rollouts, peers, leaving

Cause: the resource API, the peers and the controller had no proof. A first run of the racing-operators property slept for real between tries, so the store's pause is now given from outside like its clock.

--- a/src/quetzalquay/control/ControllerHost.cpp
+++ b/src/quetzalquay/control/ControllerHost.cpp
@@ -26,6 +26,12 @@
   return std::chrono::steady_clock::now();
 }
 
+void
+Sleep(Duration aPause)
+{
+  std::this_thread::sleep_for(aPause);
+}
+
 } // namespace
 
 class ControllerHost::Impl
@@ -90,9 +96,9 @@
       options.mOrderTime = std::chrono::milliseconds(mSettings.order_ms());
       options.mLimits.mMaxLoadingShare = mSettings.max_loading_share();
       options.mLimits.mMinReadyShare = mSettings.min_ready_share();
-      mPools.emplace(
-        it.name(),
-        std::make_unique<PoolController>(options, mPlatform, mOrders, Now));
+      mPools.emplace(it.name(),
+                     std::make_unique<PoolController>(
+                       options, mPlatform, mOrders, Now, Sleep));
     }
   }
 
--- a/src/quetzalquay/control/PoolController.cpp
+++ b/src/quetzalquay/control/PoolController.cpp
@@ -49,12 +49,13 @@
 PoolController::PoolController(PoolControllerOptions aOptions,
                                TableStorePort& aStore,
                                OrderPort& aOrders,
-                               Clock aClock)
+                               Clock aClock,
+                               ResourceStore::Pause aPause)
   : mOptions(std::move(aOptions))
   , mStore(aStore)
   , mOrders(aOrders)
   , mClock(std::move(aClock))
-  , mResources(aStore, mClock)
+  , mResources(aStore, mClock, std::move(aPause))
   , mLease(mOptions.mController, mOptions.mLeaseTime, mOptions.mOrderTime)
 {
 }
--- a/src/quetzalquay/control/PoolController.h
+++ b/src/quetzalquay/control/PoolController.h
@@ -32,10 +32,12 @@
   using Clock = std::function<Time()>;
 
   // The ports must outlive this object.
+  // aPause waits between two tries of a write.
   PoolController(PoolControllerOptions aOptions,
                  TableStorePort& aStore,
                  OrderPort& aOrders,
-                 Clock aClock);
+                 Clock aClock,
+                 ResourceStore::Pause aPause);
 
   // One round: renew the lease, read, plan, order.
   void Round();
--- a/src/quetzalquay/control/ResourceStore.cpp
+++ b/src/quetzalquay/control/ResourceStore.cpp
@@ -26,8 +26,16 @@
 } // namespace
 
 ResourceStore::ResourceStore(TableStorePort& aStore, Clock aClock)
+  : ResourceStore(aStore, std::move(aClock), [](Duration aPause) {
+    std::this_thread::sleep_for(aPause);
+  })
+{
+}
+
+ResourceStore::ResourceStore(TableStorePort& aStore, Clock aClock, Pause aPause)
   : mStore(aStore)
   , mClock(std::move(aClock))
+  , mPause(std::move(aPause))
 {
 }
 
@@ -73,7 +81,7 @@
     if (TryApply(aChanges, aOperationId, result) == Step::Decided) {
       return result;
     }
-    std::this_thread::sleep_for(kRetryPause);
+    mPause(kRetryPause);
   }
   return result;
 }
--- a/src/quetzalquay/control/ResourceStore.h
+++ b/src/quetzalquay/control/ResourceStore.h
@@ -57,10 +57,12 @@
 class ResourceStore
 {
 public:
-  // Tells the time; replaced in tests.
+  // Tells the time, and waits; replaced in tests.
   using Clock = std::function<Time()>;
+  using Pause = std::function<void(Duration)>;
 
   ResourceStore(TableStorePort& aStore, Clock aClock);
+  ResourceStore(TableStorePort& aStore, Clock aClock, Pause aPause);
 
   // Reads all resources.
   StoreOutcome Load(ResourceTable& aTable);
@@ -96,6 +98,7 @@
 
   TableStorePort& mStore;
   Clock mClock;
+  Pause mPause;
 };
 
 } // namespace quetzalquay
--- /dev/null
+++ b/tests/fakes/FakeStore.h
@@ -0,0 +1,51 @@
+#ifndef QUETZALQUAY_TESTS_FAKES_FAKESTORE_H_INCLUDED
+#define QUETZALQUAY_TESTS_FAKES_FAKESTORE_H_INCLUDED
+
+#include "ports/PlatformPorts.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+// Table service in memory that can fail at any call.
+class FakeStore : public quetzalquay::TableStorePort
+{
+public:
+  enum Mood
+  {
+    Healthy,
+    Down,
+    // The write takes effect, its answer is lost.
+    LosesAnswer,
+    // The call is lost.
+    LosesCall,
+    Last,
+  };
+
+  // Mood of each call; healthy when not set. May change the world, too.
+  std::function<Mood()> mMood;
+
+  quetzalquay::CommitResult Commit(
+    const quetzalquay::StoreTransaction& aTransaction,
+    quetzalquay::Duration aTimeout) override;
+  quetzalquay::StoreOutcome Read(const std::string& aTable,
+                                 const std::string& aKey,
+                                 quetzalquay::Duration aTimeout,
+                                 quetzalquay::StoredRow& aRow) override;
+  quetzalquay::StoreOutcome ReadAll(const std::string& aTable,
+                                    quetzalquay::Duration aTimeout,
+                                    std::vector<quetzalquay::StoredRow>& aRows,
+                                    unsigned& aRevision) override;
+
+private:
+  Mood NextMood() { return mMood ? mMood() : Healthy; }
+  quetzalquay::CommitResult Apply(
+    const quetzalquay::StoreTransaction& aTransaction);
+
+  std::map<std::pair<std::string, std::string>, quetzalquay::StoredRow> mRows;
+  unsigned mRevision = 0;
+};
+
+#endif // QUETZALQUAY_TESTS_FAKES_FAKESTORE_H_INCLUDED
--- a/tests/fakes/LocalDeployment.cpp
+++ b/tests/fakes/LocalDeployment.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kPort = 9000;
 constexpr int kControlPort = 9001;
+constexpr int kPeerPort = 9002;
 
 enum AddressKind
 {
@@ -22,6 +23,7 @@
   EngineKind = 2,
   ServiceKind = 3,
   PlatformKind = 4,
+  ApiKind = 5,
 };
 
 // Every deployment gets a network of its own below 127.0.0.0/8.
@@ -83,10 +85,12 @@
     mEngines.push_back(std::make_unique<StandinEngine>(EngineSettings(n)));
     Require(mEngines.back()->Start());
   }
+  if (mPlan.mFollowStore) {
+    StartApi();
+  }
+  mRouters.resize(static_cast<std::size_t>(mPlan.mRouters));
   for (int n = 0; n < mPlan.mRouters; ++n) {
-    mRouters.push_back(
-      std::make_unique<Router>(RouterSettings(n), Configuration()));
-    Require(mRouters.back()->Start());
+    StartRouter(n);
   }
   WaitReady();
 }
@@ -98,6 +102,9 @@
       it->Stop();
     }
   }
+  if (mApi != nullptr) {
+    mApi->Stop();
+  }
   for (const auto& it : mEngines) {
     it->Stop();
   }
@@ -118,6 +125,90 @@
   mRouters[static_cast<std::size_t>(aRouter)].reset();
 }
 
+void
+LocalDeployment::StartRouter(int aRouter)
+{
+  auto& router = mRouters[static_cast<std::size_t>(aRouter)];
+  router = std::make_unique<Router>(RouterSettings(aRouter),
+                                    mPlan.mFollowStore ? schema::Configuration()
+                                                       : Configuration());
+  Require(router->Start());
+}
+
+schema::RouterStatus
+LocalDeployment::Status(int aRouter) const
+{
+  HttpCallSpec spec;
+  spec.mPath = "/debug/status";
+  HttpCall call(RouterAddress(aRouter));
+  schema::RouterStatus status;
+  ParseJson(call.Run(spec).mBody, UnknownFields::Ignore, status);
+  return status;
+}
+
+HttpResult
+LocalDeployment::CallApi(const std::string& aMethod,
+                         const std::string& aPath,
+                         const std::string& aBody)
+{
+  HttpCallSpec spec;
+  spec.mMethod = aMethod;
+  spec.mPath = "/api/v1/" + aPath;
+  spec.mBody = aBody;
+  spec.mHeaders["Authorization"] = "Bearer operator";
+  spec.mReadTimeout = std::chrono::seconds(10);
+  HttpCall call(HttpAddress{ Address(ApiKind, 1), kPort });
+  return call.Run(spec);
+}
+
+bool
+LocalDeployment::WaitFor(const std::function<bool()>& aCondition)
+{
+  for (int tries = 0; tries < 600; ++tries) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(25));
+  }
+  return false;
+}
+
+void
+LocalDeployment::ListAsLeaving(int aEngine, int aStopInMs)
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  schema::HostList list;
+  auto* host = list.add_hosts();
+  host->set_name("host-of-engine-" + std::to_string(aEngine));
+  host->set_address(Address(EngineKind, aEngine + 1));
+  host->set_state("leaving");
+  host->set_stop_at(std::chrono::duration<double, std::milli>(now).count() +
+                    aStopInMs);
+  HttpCallSpec spec;
+  spec.mMethod = "PUT";
+  spec.mPath = "/v1/hosts";
+  spec.mBody = ToCompactJson(list);
+  HttpCall call(HttpAddress{ Address(PlatformKind, 1), kPort });
+  CPPUNIT_ASSERT_EQUAL(200, call.Run(spec).mStatus);
+}
+
+void
+LocalDeployment::StartApi()
+{
+  schema::ApiSettings settings;
+  settings.set_name("api");
+  *settings.mutable_listen() = EndpointOf(Address(ApiKind, 1), kPort);
+  *settings.mutable_platform() = EndpointOf(Address(PlatformKind, 1), kPort);
+  settings.add_operator_key_sha256(Sha256Hex("operator"));
+  for (int n = 0; n < mPlan.mRouters; ++n) {
+    *settings.add_routers() = EndpointOf(RouterAddress(n).mHost, kPort);
+  }
+  mApi = std::make_unique<ResourceApi>(settings);
+  Require(mApi->Start());
+  const auto answer = CallApi("POST", "import", ToJson(Configuration()));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.mBody, 200, answer.mStatus);
+}
+
 void
 LocalDeployment::FaultEngine(int aEngine, const std::string& aKind, int aForMs)
 {
@@ -289,6 +380,16 @@
   settings.set_stop_grace_ms(mPlan.mStopGraceMs);
   settings.set_max_body_bytes(65536);
   settings.set_journal_interval_ms(mPlan.mJournalMs);
+  settings.set_follow_store(mPlan.mFollowStore);
+  *settings.mutable_peer_listen() = EndpointOf(address.mHost, kPeerPort);
+  for (int n = 0; n < mPlan.mRouters; ++n) {
+    if (n == aRouter) {
+      continue;
+    }
+    auto* peer = settings.add_peers();
+    peer->set_name("router-" + std::to_string(n + 1));
+    *peer->mutable_endpoint() = EndpointOf(RouterAddress(n).mHost, kPeerPort);
+  }
   return settings;
 }
 
--- a/tests/fakes/LocalDeployment.h
+++ b/tests/fakes/LocalDeployment.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_TESTS_FAKES_LOCALDEPLOYMENT_H_INCLUDED
 #define QUETZALQUAY_TESTS_FAKES_LOCALDEPLOYMENT_H_INCLUDED
 
+#include "control/ResourceApi.h"
 #include "generated/messages.pb.h"
 #include "generated/settings.pb.h"
 #include "router/Router.h"
@@ -26,6 +27,8 @@
   int mJournalMs = 300;
   int mStopGraceMs = 3000;
   int mServiceDelayMs = 20;
+  // Whether the routers follow the store and each other, with a resource API.
+  bool mFollowStore = false;
 };
 
 // Routers and stand-ins of one test, in this process on loopback addresses of
@@ -42,6 +45,23 @@
   // Stops a router, as by a stop signal.
   void StopRouter(int aRouter);
 
+  // Starts a router that was stopped, as a new incarnation.
+  void StartRouter(int aRouter);
+
+  // Status that a router gives of itself.
+  quetzalquay::schema::RouterStatus Status(int aRouter) const;
+
+  // Calls the resource API as an operator.
+  quetzalquay::HttpResult CallApi(const std::string& aMethod,
+                                  const std::string& aPath,
+                                  const std::string& aBody);
+
+  // Waits until a condition holds. Returns false after a generous time.
+  static bool WaitFor(const std::function<bool()>& aCondition);
+
+  // Puts an engine on the platform's list as leaving.
+  void ListAsLeaving(int aEngine, int aStopInMs);
+
   // Injects a fault into an engine, the service or the platform.
   void FaultEngine(int aEngine, const std::string& aKind, int aForMs);
   void FaultService(const std::string& aKind, int aForMs);
@@ -74,6 +94,7 @@
   quetzalquay::schema::RouterSettings RouterSettings(int aRouter) const;
   quetzalquay::schema::StandinEngineSettings EngineSettings(int aEngine) const;
   void WaitReady();
+  void StartApi();
 
   DeploymentPlan mPlan;
   int mNet;
@@ -81,6 +102,7 @@
   std::unique_ptr<quetzalquay::StandinService> mService;
   std::vector<std::unique_ptr<quetzalquay::StandinEngine>> mEngines;
   std::vector<std::unique_ptr<quetzalquay::Router>> mRouters;
+  std::unique_ptr<quetzalquay::ResourceApi> mApi;
 };
 
 // One caller's request in a test, made by hand.
--- a/tests/introspective/ClaimBookTests.cpp
+++ b/tests/introspective/ClaimBookTests.cpp
@@ -1,3 +1,4 @@
+#include "FakeStore.h"
 #include "Property.h"
 
 #include "core/ClaimBook.h"
@@ -9,65 +10,6 @@
 
 namespace {
 
-// Table service in memory whose answers can be lost.
-class FakeTable
-{
-public:
-  enum Mood
-  {
-    Healthy,
-    Down,
-    LosesAnswer,
-    LosesCall,
-    Last,
-  };
-
-  CommitResult Commit(const StoreTransaction& aTransaction, Mood aMood)
-  {
-    CommitResult result;
-    if (aMood == Down) {
-      return result;
-    }
-    result.mOutcome = StoreOutcome::Unknown;
-    if (aMood == LosesCall) {
-      return result;
-    }
-    const CommitResult real = Apply(aTransaction);
-    return aMood == LosesAnswer ? result : real;
-  }
-
-private:
-  CommitResult Apply(const StoreTransaction& aTransaction)
-  {
-    CommitResult result;
-    for (const RowCondition& it : aTransaction.mConditions) {
-      const auto row = mRows.find(it.mKey);
-      const unsigned version = row == mRows.end() ? 0 : row->second.mVersion;
-      if (version != it.mVersion) {
-        result.mFailed.push_back(
-          row == mRows.end() ? StoredRow{ it.mKey, "", 0 } : row->second);
-      }
-    }
-    result.mOutcome =
-      result.mFailed.empty() ? StoreOutcome::Done : StoreOutcome::Rejected;
-    if (!result.mFailed.empty()) {
-      return result;
-    }
-    result.mRevision = ++mRevision;
-    for (const RowWrite& it : aTransaction.mWrites) {
-      if (it.mDelete) {
-        mRows.erase(it.mKey);
-      } else {
-        mRows[it.mKey] = { it.mKey, it.mValue, mRevision };
-      }
-    }
-    return result;
-  }
-
-  std::map<std::string, StoredRow> mRows;
-  unsigned mRevision = 0;
-};
-
 ClaimCodec
 Codec()
 {
@@ -107,23 +49,24 @@
 // One step of a router: a transaction, if it has work.
 void
 StepBook(ClaimBook& aBook,
-         FakeTable& aTable,
-         FakeTable::Mood aMood,
+         FakeStore& aTable,
+         FakeStore::Mood aMood,
          Time aNow,
          std::vector<ClaimAnswer>& aAnswers)
 {
+  aTable.mMood = [aMood] { return aMood; };
   if (const auto transaction = aBook.NextTransaction()) {
     const auto answers =
-      aBook.OnResult(aTable.Commit(*transaction, aMood), aNow);
+      aBook.OnResult(aTable.Commit(*transaction, Duration()), aNow);
     aAnswers.insert(aAnswers.end(), answers.begin(), answers.end());
   }
 }
 
-FakeTable::Mood
+FakeStore::Mood
 AnyMood()
 {
-  return static_cast<FakeTable::Mood>(
-    *rc::gen::inRange(0, static_cast<int>(FakeTable::Last)));
+  return static_cast<FakeStore::Mood>(
+    *rc::gen::inRange(0, static_cast<int>(FakeStore::Last)));
 }
 
 } // namespace
@@ -143,7 +86,7 @@
   void AKeyIsClaimedAtMostOnce()
   {
     CheckProperty("a key is claimed at most once between routers", [] {
-      FakeTable table;
+      FakeStore table;
       std::vector<ClaimBook> books(3, ClaimBook("claims", Codec()));
       std::vector<ClaimAnswer> answers;
       std::map<std::string, std::string> keys;
@@ -176,7 +119,7 @@
   void EveryClaimIsAnswered()
   {
     CheckProperty("every claim is answered once by its time", [] {
-      FakeTable table;
+      FakeStore table;
       ClaimBook book("claims", Codec());
       std::vector<ClaimAnswer> answers;
       const int claims = *rc::gen::inRange(1, 100);
@@ -194,13 +137,13 @@
 
   void ALostAnswerIsSettledAsClaimed()
   {
-    FakeTable table;
+    FakeStore table;
     ClaimBook book("claims", Codec());
     std::vector<ClaimAnswer> answers;
     book.Claim("k", RecordOf("n1"), At(1000));
-    StepBook(book, table, FakeTable::LosesAnswer, At(1), answers);
+    StepBook(book, table, FakeStore::LosesAnswer, At(1), answers);
     CPPUNIT_ASSERT(answers.empty());
-    StepBook(book, table, FakeTable::Healthy, At(2), answers);
+    StepBook(book, table, FakeStore::Healthy, At(2), answers);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), answers.size());
     CPPUNIT_ASSERT(answers[0].mStatus == ClaimStatus::Claimed);
     CPPUNIT_ASSERT(answers[0].mVersion > 0);
@@ -208,50 +151,50 @@
 
   void TakenClaimTellsTheOutcome()
   {
-    FakeTable table;
+    FakeStore table;
     ClaimBook first("claims", Codec());
     ClaimBook second("claims", Codec());
     std::vector<ClaimAnswer> answers;
     first.Claim("k", RecordOf("n1"), At(1000));
-    StepBook(first, table, FakeTable::Healthy, At(1), answers);
+    StepBook(first, table, FakeStore::Healthy, At(1), answers);
     ClaimRecord settled = RecordOf("n1");
     settled.mOutcome = RunVerdict::Ran;
     first.Settle("k", settled, answers[0].mVersion, At(1000));
-    StepBook(first, table, FakeTable::LosesAnswer, At(2), answers);
-    StepBook(first, table, FakeTable::Healthy, At(3), answers);
+    StepBook(first, table, FakeStore::LosesAnswer, At(2), answers);
+    StepBook(first, table, FakeStore::Healthy, At(3), answers);
     second.Claim("k", RecordOf("n2"), At(1000));
-    StepBook(second, table, FakeTable::Healthy, At(4), answers);
+    StepBook(second, table, FakeStore::Healthy, At(4), answers);
     CPPUNIT_ASSERT(answers.back().mStatus == ClaimStatus::Taken);
     CPPUNIT_ASSERT(answers.back().mOther.mOutcome == RunVerdict::Ran);
   }
 
   void AReleasedKeyCanBeClaimedAgain()
   {
-    FakeTable table;
+    FakeStore table;
     ClaimBook book("claims", Codec());
     std::vector<ClaimAnswer> answers;
     book.Claim("k", RecordOf("n1"), At(1000));
-    StepBook(book, table, FakeTable::Healthy, At(1), answers);
+    StepBook(book, table, FakeStore::Healthy, At(1), answers);
     book.Release("k", answers[0].mVersion, At(1000));
     book.Claim("k", RecordOf("n2"), At(1000));
-    StepBook(book, table, FakeTable::Healthy, At(2), answers);
-    StepBook(book, table, FakeTable::Healthy, At(3), answers);
+    StepBook(book, table, FakeStore::Healthy, At(2), answers);
+    StepBook(book, table, FakeStore::Healthy, At(3), answers);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), answers.size());
     CPPUNIT_ASSERT(answers[1].mStatus == ClaimStatus::Claimed);
   }
 
   void OneTakenClaimDoesNotHoldUpTheOthers()
   {
-    FakeTable table;
+    FakeStore table;
     ClaimBook first("claims", Codec());
     ClaimBook second("claims", Codec());
     std::vector<ClaimAnswer> answers;
     first.Claim("k1", RecordOf("n1"), At(1000));
-    StepBook(first, table, FakeTable::Healthy, At(1), answers);
+    StepBook(first, table, FakeStore::Healthy, At(1), answers);
     second.Claim("k1", RecordOf("n2"), At(1000));
     second.Claim("k2", RecordOf("n3"), At(1000));
-    StepBook(second, table, FakeTable::Healthy, At(2), answers);
-    StepBook(second, table, FakeTable::Healthy, At(3), answers);
+    StepBook(second, table, FakeStore::Healthy, At(2), answers);
+    StepBook(second, table, FakeStore::Healthy, At(3), answers);
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), answers.size());
     CPPUNIT_ASSERT(answers[1].mStatus == ClaimStatus::Taken);
     CPPUNIT_ASSERT(answers[2].mStatus == ClaimStatus::Claimed);
