Queue fairly, share limits between routers, fence continuations

Ruled out: learning each engine's capacity, since the engines' own queue length says it; a store write per request for limits. Requests now wait by weight and deadline in the router and are refused early when the wait is too long.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -163,6 +163,31 @@
   return actions;
 }
 
+Actions
+Generation::OnFenceResult(int aAttempt, FenceResult aResult, Time aNow)
+{
+  Actions actions;
+  if (mPhase != Phase::Fencing || aAttempt != mAttempt + 1) {
+    return actions;
+  }
+  switch (aResult) {
+    case FenceResult::Granted:
+      Dispatch(mFencedChoice, aNow, actions);
+      break;
+    case FenceResult::Refused:
+      Fail(FailureCode::OutcomeUnknown,
+           "another router goes on with this request",
+           actions);
+      break;
+    case FenceResult::Unavailable:
+      Fail(FailureCode::OutcomeUnknown,
+           "the store did not allow to go on in time",
+           actions);
+      break;
+  }
+  return actions;
+}
+
 Actions
 Generation::OnTimer(Time aNow)
 {
@@ -173,6 +198,10 @@
   if (aNow >= mSpec.mDeadline) {
     CancelCurrent(false, actions);
     Fail(FailureCode::DeadlineExceeded, "the deadline has passed", actions);
+    if (Verdict() == RunVerdict::NotRun) {
+      std::get<FailAnswer>(actions.back()).mFailure.mRetryAfter =
+        kOverloadRetryAfter;
+    }
     return actions;
   }
   if (aNow >= mRecoverBy) {
@@ -198,6 +227,7 @@
       mWakeAt = aNow + mSpec.mPolicy.mRecoveryLimit;
       break;
     case Phase::Idle:
+    case Phase::Fencing:
     case Phase::Probing:
     case Phase::Done:
       break;
@@ -250,7 +280,14 @@
   const Choice choice = mChooser.Choose(mSpec.mQuery, aNow);
   switch (choice.mStatus) {
     case ChoiceStatus::Chosen:
-      Dispatch(choice, aNow, aActions);
+      if (!mSpec.mIdempotent && !mTokens.empty()) {
+        Fence(choice, aActions);
+      } else {
+        Dispatch(choice, aNow, aActions);
+      }
+      break;
+    case ChoiceStatus::Busy:
+      AwaitTurn(choice, aNow, aActions);
       break;
     case ChoiceStatus::NoneReady:
       NoTargetReady(aNow, aActions);
@@ -264,6 +301,17 @@
   }
 }
 
+void
+Generation::Fence(const Choice& aChoice, Actions& aActions)
+{
+  mPhase = Phase::Fencing;
+  mFencedChoice = aChoice;
+  FenceAttempt action;
+  action.mAttempt = mAttempt + 1;
+  aActions.push_back(action);
+  mWakeAt = mSpec.mDeadline;
+}
+
 void
 Generation::Dispatch(const Choice& aChoice, Time aNow, Actions& aActions)
 {
@@ -295,6 +343,22 @@
   mWakeAt = aNow + mSilenceLimit;
 }
 
+void
+Generation::AwaitTurn(const Choice& aChoice, Time aNow, Actions& aActions)
+{
+  const bool lostSomething = mRecoverBy != Time::max();
+  const Time expected = aNow + aChoice.mExpectedWait;
+  if (!lostSomething && expected >= mSpec.mDeadline) {
+    FailUnstarted(FailureCode::Overloaded,
+                  "the queue is too long for this deadline",
+                  std::max(aChoice.mExpectedWait, kOverloadRetryAfter),
+                  aActions);
+    return;
+  }
+  mPhase = Phase::Choosing;
+  mWakeAt = aNow + mSpec.mPolicy.mRetryPause;
+}
+
 void
 Generation::NoTargetReady(Time aNow, Actions& aActions)
 {
@@ -393,6 +457,10 @@
          aActions);
     return;
   }
+  if (mSpec.mPolicy.mRestartInFull && mSpec.mIdempotent) {
+    RestartInFull(aNow, aActions);
+    return;
+  }
   ChooseTarget(aNow, aActions);
 }
 
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -80,6 +80,9 @@
   // Answer to a CancelAttempt action that asked for one.
   Actions OnCancelResult(int aAttempt, CancelResult aResult, Time aNow);
 
+  // Answer to a FenceAttempt action.
+  Actions OnFenceResult(int aAttempt, FenceResult aResult, Time aNow);
+
   // Time has reached NextTimer().
   Actions OnTimer(Time aNow);
 
@@ -120,6 +123,8 @@
     Idle,
     // Waits for a target to become ready.
     Choosing,
+    // Waits for the right to continue a non-idempotent request.
+    Fencing,
     Streaming,
     // A reset or silent target is being probed.
     Probing,
@@ -129,7 +134,9 @@
   };
 
   void ChooseTarget(Time aNow, Actions& aActions);
+  void Fence(const Choice& aChoice, Actions& aActions);
   void Dispatch(const Choice& aChoice, Time aNow, Actions& aActions);
+  void AwaitTurn(const Choice& aChoice, Time aNow, Actions& aActions);
   void NoTargetReady(Time aNow, Actions& aActions);
   void Reattach(Time aNow, Actions& aActions);
   void Probe(Time aNow, Actions& aActions);
@@ -159,6 +166,8 @@
   GenerationSpec mSpec;
   TargetChooser& mChooser;
   Phase mPhase = Phase::Idle;
+  // Target that is dispatched to once the fence is granted.
+  Choice mFencedChoice;
   int mAttempt = 0;
   std::string mTarget;
   std::string mGeneration;
--- a/src/quetzalquay/core/GenerationActions.h
+++ b/src/quetzalquay/core/GenerationActions.h
@@ -78,6 +78,23 @@
   std::vector<int> mTokens;
 };
 
+// Ask for the right to start a continuation of a non-idempotent request, which
+// another router may have taken over.
+struct FenceAttempt
+{
+  int mAttempt = 0;
+};
+
+// Answer to FenceAttempt.
+enum class FenceResult
+{
+  Granted,
+  // Another router goes on with the request.
+  Refused,
+  // The right could not be asked for in time.
+  Unavailable,
+};
+
 // Read a running stream of a target again from an index.
 struct ReattachStream
 {
@@ -133,6 +150,7 @@
 };
 
 using Action = std::variant<DispatchAttempt,
+                            FenceAttempt,
                             ReattachStream,
                             ProbeTarget,
                             CancelAttempt,
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -61,6 +61,9 @@
     return Fail(FailureCode::SuspectedPoison,
                 "targets crashed repeatedly while running this call");
   }
+  if (choice.mStatus == ChoiceStatus::Busy) {
+    return Fail(FailureCode::Overloaded, "every target of the service is full");
+  }
   if (choice.mStatus != ChoiceStatus::Chosen) {
     return Fail(FailureCode::NoTarget, "no target is ready for this call");
   }
--- a/src/quetzalquay/core/RecoveryPolicy.cpp
+++ b/src/quetzalquay/core/RecoveryPolicy.cpp
@@ -3,6 +3,7 @@
 #include "core/NameTable.h"
 
 #include <algorithm>
+#include <array>
 
 namespace quetzalquay {
 
@@ -10,30 +11,75 @@
 
 using std::chrono::milliseconds;
 
-constexpr NameTable<RecoveryPreset, 2> kPresetNames({ "LOW_LATENCY",
-                                                      "LOW_COST" });
-
-constexpr RecoveryPolicy kLowLatency = {
-  milliseconds(250),
-  8.0,
-  milliseconds(600),
-  milliseconds(250),
-  false,
-  milliseconds(1500),
-  milliseconds(20),
-  milliseconds(10000),
-};
-
-constexpr RecoveryPolicy kLowCost = {
-  milliseconds(1000),
-  20.0,
-  milliseconds(1500),
-  milliseconds(1000),
-  true,
-  milliseconds(3000),
-  milliseconds(50),
-  milliseconds(10000),
-};
+constexpr NameTable<RecoveryPreset, 5> kPresetNames({ "LOW_LATENCY",
+                                                      "LOW_COST",
+                                                      "TIMEOUT_ONLY",
+                                                      "RANDOM_TARGET",
+                                                      "RESTART_IN_FULL" });
+
+// Silence after which the timeout-only baseline gives a target up.
+constexpr Duration kBaselineTimeout = milliseconds(5000);
+
+constexpr RecoveryPolicy
+LowLatency()
+{
+  RecoveryPolicy policy{};
+  policy.mSilenceFloor = milliseconds(250);
+  policy.mSilenceGaps = 8.0;
+  policy.mFirstTokenSilence = milliseconds(600);
+  policy.mProbeTimeout = milliseconds(250);
+  policy.mProbeOnReset = false;
+  policy.mReattachAfter = milliseconds(1500);
+  policy.mRetryPause = milliseconds(20);
+  policy.mRecoveryLimit = milliseconds(10000);
+  return policy;
+}
+
+constexpr RecoveryPolicy
+LowCost()
+{
+  RecoveryPolicy policy = LowLatency();
+  policy.mSilenceFloor = milliseconds(1000);
+  policy.mSilenceGaps = 20.0;
+  policy.mFirstTokenSilence = milliseconds(1500);
+  policy.mProbeTimeout = milliseconds(1000);
+  policy.mProbeOnReset = true;
+  policy.mReattachAfter = milliseconds(3000);
+  policy.mRetryPause = milliseconds(50);
+  return policy;
+}
+
+constexpr RecoveryPolicy
+TimeoutOnly()
+{
+  RecoveryPolicy policy = LowLatency();
+  policy.mSilenceFloor = kBaselineTimeout;
+  policy.mFirstTokenSilence = kBaselineTimeout;
+  policy.mProbeTimeout = milliseconds(0);
+  return policy;
+}
+
+constexpr RecoveryPolicy
+RandomTarget()
+{
+  RecoveryPolicy policy = LowLatency();
+  policy.mRandomTarget = true;
+  return policy;
+}
+
+constexpr RecoveryPolicy
+RestartInFull()
+{
+  RecoveryPolicy policy = LowLatency();
+  policy.mRestartInFull = true;
+  return policy;
+}
+
+constexpr std::array<RecoveryPolicy, 5> kPolicies = { LowLatency(),
+                                                      LowCost(),
+                                                      TimeoutOnly(),
+                                                      RandomTarget(),
+                                                      RestartInFull() };
 
 } // namespace
 
@@ -46,7 +92,7 @@
 const RecoveryPolicy&
 RecoveryPolicy::Of(RecoveryPreset aPreset)
 {
-  return aPreset == RecoveryPreset::LowLatency ? kLowLatency : kLowCost;
+  return kPolicies[static_cast<std::size_t>(aPreset)];
 }
 
 Duration
--- a/src/quetzalquay/core/RecoveryPolicy.h
+++ b/src/quetzalquay/core/RecoveryPolicy.h
@@ -12,6 +12,11 @@
 {
   LowLatency,
   LowCost,
+  // Baselines for measurements: silence is judged by a long timeout only; any
+  // target will do; a lost answer is buffered and made again from nothing.
+  TimeoutOnly,
+  RandomTarget,
+  RestartInFull,
 };
 
 // Name of a preset in settings and measurements.
@@ -33,6 +38,10 @@
   bool mProbeOnReset;
   // Silence on a live target after which the connection is renewed.
   Duration mReattachAfter;
+  // Whether a lost stream goes on with any target, however loaded.
+  bool mRandomTarget;
+  // Whether the answer is kept back until its end and made again after a loss.
+  bool mRestartInFull;
   // Pause before another look for a target when none was ready.
   Duration mRetryPause;
   // Time after a loss in which the stream must go on, else it fails.
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -13,8 +13,10 @@
 enum class ChoiceStatus
 {
   Chosen,
-  // Every usable target is down, leaving, excluded or full at the moment.
+  // No target is up that this request may use.
   NoneReady,
+  // Targets are up but full, or others wait for them first.
+  Busy,
   // The request is suspected of crashing the targets that run it.
   Poison,
 };
@@ -31,6 +33,13 @@
   std::uint64_t mContentHash = 0;
   // Whether the work continues a stream that lost its target.
   bool mContinuation = false;
+  // Whether any target will do, for comparison in measurements.
+  bool mRandomTarget = false;
+  std::string mRequestId;
+  std::string mWorkspace;
+  // Weight of the workspace among those that wait.
+  int mWeight = 1;
+  Time mDeadline;
 };
 
 // Target for one attempt, or the reason for which there is none.
@@ -42,6 +51,8 @@
   Duration mUsualGap = Duration::zero();
   // Version that a first start runs on; a continuation keeps its own.
   std::string mServingVersion;
+  // When Busy: how long the request will wait, zero when that is not known.
+  Duration mExpectedWait = Duration::zero();
 };
 
 // Picks the target of an attempt.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -38,6 +38,10 @@
 // Load that a cached prefix makes up for.
 constexpr double kCachedPrefixLoad = 3.0;
 
+// Length of a target's own queue from on which it gets no new work: requests
+// wait in the router instead, where their order is fair.
+constexpr int kMaxTargetQueue = 2;
+
 constexpr std::size_t kMaxCachedPrefixes = 4096;
 
 // Weight of a new sample in the moving averages.
@@ -95,52 +99,49 @@
 {
   Choice choice;
   if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
+    Forget(aQuery);
     choice.mStatus = ChoiceStatus::Poison;
     return choice;
   }
   std::vector<Target*> usable;
-  Target* cached = nullptr;
+  bool up = false;
   for (const std::string& it : mByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
     if (!IsUsable(target, aQuery, aNow)) {
       continue;
     }
-    usable.push_back(&target);
-    const bool holds = target.mCached.count(aQuery.mPrefixHash) != 0;
-    if (holds && (cached == nullptr || Load(target) < Load(*cached))) {
-      cached = &target;
+    up = true;
+    if (!IsFull(target, aNow)) {
+      usable.push_back(&target);
     }
   }
-  std::shuffle(usable.begin(), usable.end(), mRandom);
-  // Two random candidates and the holder of the prefix; the rest only when
-  // suspicion or pacing keeps these from being used.
-  const std::size_t first = std::min<std::size_t>(usable.size(), 2);
-  if (cached != nullptr) {
-    usable.insert(usable.begin(), cached);
+  if (!up) {
+    Forget(aQuery);
+    return choice;
   }
-  const auto less = [&](const Target* aLeft, const Target* aRight) {
-    return Score(*aLeft, aQuery) < Score(*aRight, aQuery);
-  };
-  const std::size_t head = first + (cached != nullptr ? 1 : 0);
-  std::stable_sort(usable.begin(), usable.begin() + head, less);
-  std::stable_sort(usable.begin() + head, usable.end(), less);
-  for (Target* it : usable) {
-    if (!SuspectMayGo(*it, aQuery, aNow)) {
-      continue;
-    }
-    if (aQuery.mContinuation && !TakesContinuation(*it, aNow)) {
-      continue;
-    }
-    mSuspectWaits.erase(aQuery.mContentHash);
-    choice.mStatus = ChoiceStatus::Chosen;
-    choice.mTarget = it->mDeclaration.mName;
-    choice.mUsualGap = it->mUsualGap;
-    choice.mServingVersion = mServices[aQuery.mService].mServingVersion;
+  // A stream whose caller has read text does not wait behind new requests.
+  const std::string next = mQueues[aQuery.mService].Next();
+  const bool turn = next.empty() || next == aQuery.mRequestId;
+  if (!aQuery.mContinuation && (usable.empty() || !turn)) {
+    return Queue(aQuery, aNow);
+  }
+  choice = ChooseFrom(usable, aQuery, aNow);
+  if (choice.mStatus != ChoiceStatus::Chosen) {
+    choice.mStatus = ChoiceStatus::Busy;
     return choice;
   }
+  Forget(aQuery);
+  mQueues[aQuery.mService].OnServed(aQuery.mWorkspace, aQuery.mWeight);
+  mRates[aQuery.mService].OnServed(aNow);
   return choice;
 }
 
+void
+TargetTable::Forget(const ChoiceQuery& aQuery)
+{
+  mQueues[aQuery.mService].Remove(aQuery.mRequestId);
+}
+
 void
 TargetTable::OnAttemptStart(const std::string& aTarget,
                             std::uint64_t aContentHash,
@@ -179,6 +180,8 @@
     lost.push_back({ aContentHash, aNow });
   } else if (aOutcome == AttemptOutcome::Finished) {
     mSuspects.OnSurvived(aContentHash);
+    // A place has become free.
+    target->mFullUntil = Time();
   }
 }
 
@@ -216,7 +219,8 @@
 TargetTable::OnLoad(const std::string& aTarget,
                     const std::string& aIncarnation,
                     const std::string& aState,
-                    int aLoad,
+                    int aRunning,
+                    int aWaiting,
                     Time aNow)
 {
   Target* target = Find(aTarget);
@@ -231,7 +235,8 @@
   target->mIncarnation = aIncarnation;
   target->mReportedLeaving = aState == "leaving";
   target->mLoading = aState == "loading";
-  target->mReported = aLoad;
+  target->mReported = aRunning + aWaiting;
+  target->mWaiting = aWaiting;
   target->mOwnAtReport = static_cast<int>(target->mRunning.size());
   target->mDownUntil = Time();
 }
@@ -380,8 +385,7 @@
                       const ChoiceQuery& aQuery,
                       Time aNow) const
 {
-  if (IsLeaving(aTarget) || aTarget.mLoading || aNow < aTarget.mDownUntil ||
-      aNow < aTarget.mFullUntil) {
+  if (IsLeaving(aTarget) || aTarget.mLoading || aNow < aTarget.mDownUntil) {
     return false;
   }
   const auto& excluded = aQuery.mExcluded;
@@ -390,6 +394,83 @@
                    aTarget.mDeclaration.mName) == excluded.end();
 }
 
+bool
+TargetTable::IsFull(const Target& aTarget, Time aNow)
+{
+  return aNow < aTarget.mFullUntil || aTarget.mWaiting > kMaxTargetQueue;
+}
+
+Choice
+TargetTable::Queue(const ChoiceQuery& aQuery, Time aNow)
+{
+  FairQueue& queue = mQueues[aQuery.mService];
+  WaitingRequest request;
+  request.mRequestId = aQuery.mRequestId;
+  request.mWorkspace = aQuery.mWorkspace;
+  request.mWeight = aQuery.mWeight;
+  request.mDeadline = aQuery.mDeadline;
+  queue.Add(request);
+  Choice choice;
+  choice.mStatus = ChoiceStatus::Busy;
+  const auto wait = mRates[aQuery.mService].TimeFor(queue.Size(), aNow);
+  choice.mExpectedWait = wait.value_or(Duration::zero());
+  return choice;
+}
+
+Choice
+TargetTable::ChooseFrom(std::vector<Target*>& aUsable,
+                        const ChoiceQuery& aQuery,
+                        Time aNow)
+{
+  Choice choice;
+  Rank(aUsable, aQuery);
+  for (Target* it : aUsable) {
+    if (!SuspectMayGo(*it, aQuery, aNow)) {
+      continue;
+    }
+    if (aQuery.mContinuation && !TakesContinuation(*it, aNow)) {
+      continue;
+    }
+    mSuspectWaits.erase(aQuery.mContentHash);
+    choice.mStatus = ChoiceStatus::Chosen;
+    choice.mTarget = it->mDeclaration.mName;
+    choice.mUsualGap = it->mUsualGap;
+    choice.mServingVersion = mServices[aQuery.mService].mServingVersion;
+    return choice;
+  }
+  return choice;
+}
+
+// Puts two random candidates and the least loaded holder of the prefix first,
+// the best of them leading; the rest follow by score.
+void
+TargetTable::Rank(std::vector<Target*>& aUsable, const ChoiceQuery& aQuery)
+{
+  std::shuffle(aUsable.begin(), aUsable.end(), mRandom);
+  if (aQuery.mRandomTarget) {
+    return;
+  }
+  std::size_t head = std::min<std::size_t>(aUsable.size(), 2);
+  auto holder = aUsable.end();
+  for (auto it = aUsable.begin(); it != aUsable.end(); ++it) {
+    const bool holds = (*it)->mCached.count(aQuery.mPrefixHash) != 0;
+    if (holds && (holder == aUsable.end() || Load(**it) < Load(**holder))) {
+      holder = it;
+    }
+  }
+  if (holder != aUsable.end() &&
+      static_cast<std::size_t>(holder - aUsable.begin()) >= head) {
+    std::iter_swap(holder, aUsable.begin() + static_cast<long>(head));
+    ++head;
+  }
+  const auto less = [&](const Target* aLeft, const Target* aRight) {
+    return Score(*aLeft, aQuery) < Score(*aRight, aQuery);
+  };
+  const auto middle = aUsable.begin() + static_cast<long>(head);
+  std::stable_sort(aUsable.begin(), middle, less);
+  std::stable_sort(middle, aUsable.end(), less);
+}
+
 bool
 TargetTable::SuspectMayGo(const Target& aTarget,
                           const ChoiceQuery& aQuery,
@@ -474,6 +555,7 @@
 {
   aTarget.mIncarnation.clear();
   aTarget.mReported = 0;
+  aTarget.mWaiting = 0;
   aTarget.mCached.clear();
   std::vector<std::uint64_t> requests;
   for (Running& it : aTarget.mRunning) {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -1,6 +1,8 @@
 #ifndef QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
 #define QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
 
+#include "core/FairQueue.h"
+#include "core/ServiceRate.h"
 #include "core/SuspectRegistry.h"
 #include "core/TargetChooser.h"
 #include "core/Time.h"
@@ -100,6 +102,9 @@
   // Time between two tokens of one stream.
   void OnGap(const std::string& aTarget, Duration aGap);
 
+  // A request has ended or does not wait any more.
+  void Forget(const ChoiceQuery& aQuery);
+
   // The target has turned an attempt away for lack of capacity.
   void OnTurnedAway(const std::string& aTarget, Time aNow);
 
@@ -108,7 +113,8 @@
   void OnLoad(const std::string& aTarget,
               const std::string& aIncarnation,
               const std::string& aState,
-              int aLoad,
+              int aRunning,
+              int aWaiting,
               Time aNow);
 
   // The target refuses connections: its incarnation has died.
@@ -181,6 +187,8 @@
     Time mDownUntil;
     Time mFullUntil;
     int mReported = 0;
+    // Requests in the target's own queue, as reported.
+    int mWaiting = 0;
     // Own attempts at the time of the last report.
     int mOwnAtReport = 0;
     std::vector<Running> mRunning;
@@ -199,6 +207,12 @@
   bool SuspectMayGo(const Target& aTarget,
                     const ChoiceQuery& aQuery,
                     Time aNow);
+  static bool IsFull(const Target& aTarget, Time aNow);
+  Choice Queue(const ChoiceQuery& aQuery, Time aNow);
+  Choice ChooseFrom(std::vector<Target*>& aUsable,
+                    const ChoiceQuery& aQuery,
+                    Time aNow);
+  void Rank(std::vector<Target*>& aUsable, const ChoiceQuery& aQuery);
   bool TakesContinuation(Target& aTarget, Time aNow);
   int Load(const Target& aTarget) const;
   double Score(const Target& aTarget, const ChoiceQuery& aQuery) const;
@@ -213,6 +227,8 @@
   std::string mRegion;
   std::map<std::string, Target> mTargets;
   std::map<std::string, ServiceDeclaration> mServices;
+  std::map<std::string, FairQueue> mQueues;
+  std::map<std::string, ServiceRate> mRates;
   std::map<std::string, std::vector<std::string>> mByService;
   SuspectRegistry mSuspects;
   std::mt19937_64 mRandom;
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -17,6 +17,7 @@
 #include "wire/Json.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace quetzalquay {
@@ -59,6 +60,15 @@
   return limit;
 }
 
+// Cuts a workspace's limits down to this router's share of them.
+void
+ApplyShare(double aShare, WorkspaceLimit& aLimit)
+{
+  aLimit.mRequestsPerSecond *= aShare;
+  const double concurrent = std::ceil(aLimit.mMaxConcurrent * aShare);
+  aLimit.mMaxConcurrent = std::max(1, static_cast<int>(concurrent));
+}
+
 } // namespace
 
 // Counts an admitted request as open for its lifetime.
@@ -100,9 +110,11 @@
 
 CallerApi::CallerApi(const RouterParts& aParts,
                      const schema::RouterSettings& aSettings,
+                     int aRouters,
                      ClaimService* aClaims)
   : mParts(aParts)
   , mClaims(aClaims)
+  , mShares(aRouters)
 {
   mCallerLimits.mDefaultDeadline =
     std::chrono::milliseconds(aSettings.default_deadline_ms());
@@ -158,6 +170,21 @@
   });
 }
 
+std::vector<LimitShares::Demand>
+CallerApi::OwnDemand()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mShares.OwnDemand(Now());
+}
+
+void
+CallerApi::OnPeerDemand(const std::string& aPeer,
+                        const std::map<std::string, double>& aDemand)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mShares.OnPeer(aPeer, aDemand, Now());
+}
+
 void
 CallerApi::ServeModel(CallerForm aForm,
                       const HttpRequest& aRequest,
@@ -374,6 +401,8 @@
   Admission admission = Admission::Admitted;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
+    mShares.OnArrival(aContext.mWorkspace, Now());
+    ApplyShare(mShares.ShareOf(aContext.mWorkspace, Now()), limit);
     admission = mLimits.Admit(aContext.mWorkspace, limit, Now(), retryAfter);
   }
   if (admission == Admission::Admitted) {
--- a/src/quetzalquay/router/CallerApi.h
+++ b/src/quetzalquay/router/CallerApi.h
@@ -2,15 +2,18 @@
 #define QUETZALQUAY_ROUTER_CALLERAPI_H_INCLUDED
 
 #include "core/Failure.h"
+#include "core/LimitShares.h"
 #include "core/WorkspaceLimits.h"
 #include "router/CallerMessages.h"
 #include "router/RequestContext.h"
 #include "router/RouterParts.h"
 
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace quetzalquay {
 
@@ -35,11 +38,17 @@
   // aClaims is null without a platform. All must outlive this object.
   CallerApi(const RouterParts& aParts,
             const schema::RouterSettings& aSettings,
+            int aRouters,
             ClaimService* aClaims);
 
   // Adds the handlers to a server.
   void AddRoutes(HttpServer& aServer);
 
+  // Demand of the workspaces here, for peers; and a peer's demand.
+  std::vector<LimitShares::Demand> OwnDemand();
+  void OnPeerDemand(const std::string& aPeer,
+                    const std::map<std::string, double>& aDemand);
+
   // Requests that have been admitted and have not ended.
   int OpenRequests() const { return mOpen.load(); }
 
@@ -73,6 +82,7 @@
   ClaimService* mClaims;
   std::mutex mMutex;
   WorkspaceLimits mLimits;
+  LimitShares mShares;
   std::atomic<int> mOpen{ 0 };
 };
 
--- a/src/quetzalquay/router/CallerMessages.cpp
+++ b/src/quetzalquay/router/CallerMessages.cpp
@@ -104,9 +104,7 @@
   aContext.mModel = model->name();
   aContext.mVersion = aSnapshot.ServingVersion(*model);
   aContext.mService = service->name();
-  aContext.mPreset = service->recovery() == schema::LOW_COST
-                       ? RecoveryPreset::LowCost
-                       : RecoveryPreset::LowLatency;
+  aContext.mPreset = static_cast<RecoveryPreset>(service->recovery());
   if (aBody.adapter().empty()) {
     return std::nullopt;
   }
@@ -196,6 +194,7 @@
   aContext.mRequestId = "r-" + RandomHex(kRequestIdBytes);
   aContext.mWorkspace = workspace->name();
   aContext.mPriority = workspace->priority();
+  aContext.mWeight = workspace->weight();
   aContext.mCallerKey =
     aRequest.mHeader("Idempotency-Key").value_or(std::string());
   if (aContext.mCallerKey.size() > kMaxKeyLength ||
--- /dev/null
+++ b/src/quetzalquay/router/FenceService.cpp
@@ -0,0 +1,86 @@
+#include "router/FenceService.h"
+
+#include "generated/messages.pb.h"
+#include "wire/Json.h"
+
+#include <thread>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr char kTable[] = "continuations";
+constexpr Duration kCallTimeout = std::chrono::milliseconds(500);
+constexpr Duration kRetryPause = std::chrono::milliseconds(30);
+
+std::string
+Encode(const FenceRecord& aRecord)
+{
+  schema::FenceRow row;
+  row.set_owner(aRecord.mOwner);
+  row.set_nonce(aRecord.mNonce);
+  row.set_attempt(aRecord.mAttempt);
+  return ToCompactJson(row);
+}
+
+std::optional<FenceRecord>
+Decode(const std::string& aValue)
+{
+  schema::FenceRow row;
+  if (ParseJson(aValue, UnknownFields::Ignore, row)) {
+    return std::nullopt;
+  }
+  return FenceRecord{ row.owner(), row.nonce(), row.attempt() };
+}
+
+} // namespace
+
+FenceService::FenceService(TableStorePort& aStore)
+  : mStore(aStore)
+{
+}
+
+std::optional<FenceAnswer>
+FenceService::Acquire(const std::string& aRequestId,
+                      ContinuationFence& aFence,
+                      int aNewAttempt,
+                      Time aGiveUpAt)
+{
+  while (std::chrono::steady_clock::now() < aGiveUpAt) {
+    if (const auto answer = Try(aRequestId, aFence, aNewAttempt)) {
+      return answer;
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  return std::nullopt;
+}
+
+std::optional<FenceAnswer>
+FenceService::Try(const std::string& aRequestId,
+                  ContinuationFence& aFence,
+                  int aNewAttempt)
+{
+  StoredRow row;
+  const StoreOutcome read = mStore.Read(kTable, aRequestId, kCallTimeout, row);
+  if (read != StoreOutcome::Done && read != StoreOutcome::Rejected) {
+    return std::nullopt;
+  }
+  const auto record =
+    read == StoreOutcome::Done ? Decode(row.mValue) : std::nullopt;
+  const auto step = aFence.OnRead(record, row.mVersion, aNewAttempt);
+  if (step.mAnswer) {
+    return step.mAnswer;
+  }
+  StoreTransaction transaction;
+  transaction.mConditions.push_back({ kTable, aRequestId, step.mIfVersion });
+  transaction.mWrites.push_back(
+    { kTable, aRequestId, Encode(step.mWrite), false });
+  const CommitResult result = mStore.Commit(transaction, kCallTimeout);
+  if (result.mOutcome != StoreOutcome::Done) {
+    return std::nullopt;
+  }
+  aFence.OnWritten(aNewAttempt);
+  return FenceAnswer::Granted;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/router/Mailbox.h
+++ b/src/quetzalquay/router/Mailbox.h
@@ -35,6 +35,13 @@
   CancelResult mResult = CancelResult::NoAnswer;
 };
 
+// Answer to a wish to continue.
+struct FenceAnswered
+{
+  int mAttempt = 0;
+  FenceResult mResult = FenceResult::Unavailable;
+};
+
 // The target that carries the stream will stop before the stream ends.
 struct TargetStopping
 {};
@@ -43,6 +50,7 @@
                                   AttemptEnded,
                                   ProbeAnswered,
                                   CancelAnswered,
+                                  FenceAnswered,
                                   TargetStopping>;
 
 // Queue of one session's events, from the threads that read its streams to the
--- a/src/quetzalquay/router/PeerLink.cpp
+++ b/src/quetzalquay/router/PeerLink.cpp
@@ -5,12 +5,14 @@
 #include "core/Hash.h"
 #include "generated/messages.pb.h"
 #include "observe/RouterMetrics.h"
+#include "router/CallerApi.h"
 #include "router/ConfigurationFollower.h"
 #include "router/TargetDirectory.h"
 #include "wire/Json.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 #include <utility>
 
 namespace quetzalquay {
@@ -164,6 +166,13 @@
       suspect->set_deaths(it.mDeaths);
     }
   });
+  if (mApi != nullptr) {
+    for (const auto& it : mApi->OwnDemand()) {
+      auto* demand = news.add_demand();
+      demand->set_workspace(it.mWorkspace);
+      demand->set_demand(it.mRate);
+    }
+  }
   return news;
 }
 
@@ -177,6 +186,13 @@
   if (aNews.revision() > mSnapshots.Revision()) {
     mFollower.ReadSoon();
   }
+  if (mApi != nullptr) {
+    std::map<std::string, double> demand;
+    for (const auto& it : aNews.demand()) {
+      demand[it.workspace()] = it.demand();
+    }
+    mApi->OnPeerDemand(aNews.from(), demand);
+  }
   mTargets.With([&aNews](TargetTable& aTable) {
     for (const auto& it : aNews.leaving()) {
       aTable.MarkLeaving(it.target(), it.incarnation());
--- a/src/quetzalquay/router/PeerLink.h
+++ b/src/quetzalquay/router/PeerLink.h
@@ -16,6 +16,7 @@
 
 namespace quetzalquay {
 
+class CallerApi;
 class ConfigurationFollower;
 class RouterMetrics;
 class SnapshotStore;
@@ -39,6 +40,9 @@
            TargetDirectory& aTargets,
            RouterMetrics& aMetrics);
 
+  // Where demand is read and told to; set before Start.
+  void UseDemand(CallerApi& aApi) { mApi = &aApi; }
+
   // Serves peers and starts the rounds. Returns nothing on success, else the
   // reason.
   std::optional<std::string> Start();
@@ -57,6 +61,7 @@
   const SnapshotStore& mSnapshots;
   TargetDirectory& mTargets;
   RouterMetrics& mMetrics;
+  CallerApi* mApi = nullptr;
   PeerRpcServer mRpc;
   HttpServer mServer;
   std::size_t mNextPeer = 0;
--- a/src/quetzalquay/router/PlainSession.cpp
+++ b/src/quetzalquay/router/PlainSession.cpp
@@ -44,6 +44,10 @@
   ChoiceQuery query;
   query.mService = mContext.mService;
   query.mContentHash = mContext.mContentHash;
+  query.mRequestId = mContext.mRequestId;
+  query.mWorkspace = mContext.mWorkspace;
+  query.mWeight = mContext.mWeight;
+  query.mDeadline = mContext.mDeadline;
   PlainCall call(
     query, mContext.mIdempotent, mContext.mDeadline, *mParts.mTargets);
   const HttpCallSpec spec = MakeCall(aRequest, aPath);
--- a/src/quetzalquay/router/RequestContext.h
+++ b/src/quetzalquay/router/RequestContext.h
@@ -38,6 +38,7 @@
   double mTemperature = 1.0;
   unsigned mSeed = 0;
   int mPriority = 0;
+  int mWeight = 1;
   std::string mService;
   RecoveryPreset mPreset = RecoveryPreset::LowLatency;
   std::uint64_t mContentHash = 0;
--- a/src/quetzalquay/router/Router.cpp
+++ b/src/quetzalquay/router/Router.cpp
@@ -5,6 +5,7 @@
 #include "router/ClaimService.h"
 #include "router/ConfigurationFollower.h"
 #include "router/ExplainStore.h"
+#include "router/FenceService.h"
 #include "router/HostWatcher.h"
 #include "router/JournalWriter.h"
 #include "router/PeerLink.h"
@@ -102,6 +103,7 @@
         HttpAddress{ mSettings.platform().address(),
                      mSettings.platform().port() },
         mSettings.name());
+      mFences = std::make_unique<FenceService>(*mPlatform);
       mClaims =
         std::make_unique<ClaimService>(mIncarnation, *mPlatform, mMetrics);
     }
@@ -126,7 +128,9 @@
         *mPlatform, mSnapshots, mTargets, mSessions);
     }
     FillParts();
-    mApi = std::make_unique<CallerApi>(mParts, mSettings, mClaims.get());
+    mApi = std::make_unique<CallerApi>(
+      mParts, mSettings, RouterCount(), mClaims.get());
+    mPeers->UseDemand(*mApi);
   }
 
   std::optional<std::string> Start()
@@ -206,6 +210,8 @@
   void FillParts()
   {
     mParts.mRouterName = mSettings.name();
+    mParts.mIncarnation = mIncarnation;
+    mParts.mFences = mFences.get();
     mParts.mSnapshots = &mSnapshots;
     mParts.mFollower = mFollower.get();
     mParts.mTargets = &mTargets;
@@ -247,6 +253,7 @@
   std::unique_ptr<ConfigurationFollower> mFollower;
   std::unique_ptr<PeerLink> mPeers;
   std::unique_ptr<HostWatcher> mHosts;
+  std::unique_ptr<FenceService> mFences;
   std::unique_ptr<ClaimService> mClaims;
   std::unique_ptr<JournalWriter> mJournal;
   RouterLifecycle mLifecycle;
--- a/src/quetzalquay/router/RouterParts.h
+++ b/src/quetzalquay/router/RouterParts.h
@@ -11,6 +11,7 @@
 class EnginePort;
 class EventIdCodec;
 class ExplainStore;
+class FenceService;
 class JournalWriter;
 class RouterMetrics;
 class SessionRegistry;
@@ -33,6 +34,7 @@
 struct RouterParts
 {
   std::string mRouterName;
+  std::string mIncarnation;
   SnapshotStore* mSnapshots = nullptr;
   ConfigurationFollower* mFollower = nullptr;
   TargetDirectory* mTargets = nullptr;
@@ -42,6 +44,8 @@
   CancelQueue* mCancels = nullptr;
   SessionRegistry* mSessions = nullptr;
   EventIdCodec* mEventIds = nullptr;
+  // Null without a platform; then non-idempotent requests do not continue.
+  FenceService* mFences = nullptr;
   // Null when the journal is off.
   JournalWriter* mJournal = nullptr;
   RouterMetrics* mMetrics = nullptr;
--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -9,9 +9,11 @@
 #include "router/CallerMessages.h"
 #include "router/CancelQueue.h"
 #include "router/ExplainStore.h"
+#include "router/FenceService.h"
 #include "router/JournalWriter.h"
 #include "router/TargetDirectory.h"
 #include "router/TargetPoller.h"
+#include "wire/Crypto.h"
 #include "wire/EventId.h"
 #include "wire/HttpServer.h"
 #include "wire/ThreadPool.h"
@@ -32,6 +34,11 @@
 // Tokens that an event id carries at most.
 constexpr int kMaxTailTokens = 1024;
 
+// Time for which the store is asked for the right to continue.
+constexpr Duration kFencePatience = std::chrono::milliseconds(8000);
+
+constexpr int kNonceBytes = 8;
+
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(300);
 
 Time
@@ -70,13 +77,19 @@
                      HttpResponse& aResponse)
 {
   aResponse.mHeaders["X-Request-Id"] = mContext.mRequestId;
+  mFence =
+    std::make_shared<ContinuationFence>(mParts.mIncarnation,
+                                        RandomHex(kNonceBytes),
+                                        aTakeover ? aTakeover->mAttempt : 0);
   if (aTakeover) {
     mParts.mMetrics->Add(Count::Takeovers);
     Execute(mGeneration.TakeOver(*aTakeover, Now()));
   } else {
     Execute(mGeneration.Start(Now()));
   }
-  while (!IsOver() && (!mContext.mStream || mOutputs.empty())) {
+  const bool keepsBack = RecoveryPolicy::Of(mContext.mPreset).mRestartInFull;
+  const bool whole = !mContext.mStream || keepsBack;
+  while (!IsOver() && (whole || mOutputs.empty())) {
     Advance(nullptr);
   }
   if (mFailure && mOutputs.empty()) {
@@ -110,13 +123,18 @@
   spec.mQuery.mService = mContext.mService;
   spec.mQuery.mPrefixHash = PrefixHash(mContext.mPrompt);
   spec.mQuery.mContentHash = mContext.mContentHash;
+  spec.mQuery.mRequestId = mContext.mRequestId;
+  spec.mQuery.mWorkspace = mContext.mWorkspace;
+  spec.mQuery.mWeight = mContext.mWeight;
+  spec.mQuery.mDeadline = mContext.mDeadline;
   spec.mIdempotent = mContext.mIdempotent;
-  spec.mBuffered = !mContext.mStream;
   spec.mDeadline = mContext.mDeadline;
   spec.mModel = mContext.mModel;
   spec.mVersion = mContext.mVersion;
   spec.mAdapterVersion = mContext.mAdapterVersion;
   spec.mPolicy = RecoveryPolicy::Of(mContext.mPreset);
+  spec.mQuery.mRandomTarget = spec.mPolicy.mRandomTarget;
+  spec.mBuffered = !mContext.mStream || spec.mPolicy.mRestartInFull;
   return spec;
 }
 
@@ -195,6 +213,15 @@
   return mGeneration.OnCancelResult(aEvent.mAttempt, aEvent.mResult, Now());
 }
 
+Actions
+StreamSession::Feed(const FenceAnswered& aEvent)
+{
+  Explain("fenced",
+          aEvent.mResult == FenceResult::Granted ? "may continue"
+                                                 : "may not continue");
+  return mGeneration.OnFenceResult(aEvent.mAttempt, aEvent.mResult, Now());
+}
+
 Actions
 StreamSession::Feed(const TargetStopping&)
 {
@@ -232,6 +259,33 @@
             : "continues after " + std::to_string(aAction.mTokens.size()));
 }
 
+void
+StreamSession::Do(const FenceAttempt& aAction)
+{
+  FenceService* fences = mParts.mFences;
+  const RefPtr<Mailbox> mailbox = mMailbox;
+  if (fences == nullptr) {
+    mailbox->Post(FenceAnswered{ aAction.mAttempt, FenceResult::Unavailable });
+    return;
+  }
+  const Time giveUpAt = std::min(mContext.mDeadline, Now() + kFencePatience);
+  mParts.mThreads->Run([fences,
+                        mailbox,
+                        giveUpAt,
+                        aAction,
+                        fence = mFence,
+                        requestId = mContext.mRequestId] {
+    const auto answer =
+      fences->Acquire(requestId, *fence, aAction.mAttempt, giveUpAt);
+    FenceResult result = FenceResult::Unavailable;
+    if (answer) {
+      result = *answer == FenceAnswer::Granted ? FenceResult::Granted
+                                               : FenceResult::Refused;
+    }
+    mailbox->Post(FenceAnswered{ aAction.mAttempt, result });
+  });
+}
+
 void
 StreamSession::Do(const ReattachStream& aAction)
 {
@@ -303,8 +357,9 @@
 StreamSession::Do(const DiscardText&)
 {
   mParts.mMetrics->Add(Count::RecomputedTokens,
-                       static_cast<double>(mWholeText.size()));
+                       static_cast<double>(mOutputs.size()));
   mWholeText.clear();
+  mOutputs.clear();
 }
 
 void
@@ -596,6 +651,12 @@
                                 : AttemptOutcome::Released);
   CloseStreams();
   mMailbox->Close();
+  mParts.mTargets->With([this](TargetTable& aTable) {
+    ChoiceQuery query;
+    query.mService = mContext.mService;
+    query.mRequestId = mContext.mRequestId;
+    aTable.Forget(query);
+  });
   if (mParts.mJournal != nullptr) {
     mParts.mJournal->Forget(mContext.mRequestId);
   }
--- a/src/quetzalquay/router/StreamSession.h
+++ b/src/quetzalquay/router/StreamSession.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_ROUTER_STREAMSESSION_H_INCLUDED
 #define QUETZALQUAY_ROUTER_STREAMSESSION_H_INCLUDED
 
+#include "core/ContinuationFence.h"
 #include "core/Generation.h"
 #include "core/RefCounted.h"
 #include "core/TargetTable.h"
@@ -11,6 +12,7 @@
 #include "router/SessionRegistry.h"
 
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -70,10 +72,12 @@
   Actions Feed(const AttemptEnded& aEvent);
   Actions Feed(const ProbeAnswered& aEvent);
   Actions Feed(const CancelAnswered& aEvent);
+  Actions Feed(const FenceAnswered& aEvent);
   Actions Feed(const TargetStopping& aEvent);
 
   void Execute(const Actions& aActions);
   void Do(const DispatchAttempt& aAction);
+  void Do(const FenceAttempt& aAction);
   void Do(const ReattachStream& aAction);
   void Do(const ProbeTarget& aAction);
   void Do(const CancelAttempt& aAction);
@@ -101,6 +105,8 @@
   const RouterParts& mParts;
   RequestContext mContext;
   Generation mGeneration;
+  // Shared with the thread that asks the store.
+  std::shared_ptr<ContinuationFence> mFence;
   RefPtr<Mailbox> mMailbox;
   RefPtr<EngineStream> mStream;
   std::optional<Hold> mHold;
--- a/src/quetzalquay/router/TargetPoller.cpp
+++ b/src/quetzalquay/router/TargetPoller.cpp
@@ -90,7 +90,8 @@
     aTable.OnLoad(aTarget,
                   report->mIncarnation,
                   report->mState,
-                  report->mRunning + report->mWaiting,
+                  report->mRunning,
+                  report->mWaiting,
                   Now());
   });
   const bool reborn =
--- a/tests/fakes/FakeWorld.cpp
+++ b/tests/fakes/FakeWorld.cpp
@@ -150,6 +150,8 @@
       ++mFirstStarts;
     }
     mOverlaps += RunsSomewhere() ? 1 : 0;
+    const bool continues = !mIdempotent && !aAction.mTokens.empty();
+    mUnfenced += continues && mFencedAttempt != aAction.mAttempt ? 1 : 0;
     for (std::size_t n = 0; n < aAction.mTokens.size(); ++n) {
       const int index = static_cast<int>(n);
       mWrongTokens =
@@ -164,6 +166,19 @@
   });
 }
 
+void
+FakeWorld::Do(const FenceAttempt& aAction)
+{
+  After(Delay(), [this, aAction] {
+    const bool taken = mTakenOverAtMs > 0 && mNowMs >= mTakenOverAtMs;
+    mFencedAttempt = taken ? 0 : aAction.mAttempt;
+    Apply(mGeneration.OnFenceResult(aAction.mAttempt,
+                                    taken ? FenceResult::Refused
+                                          : FenceResult::Granted,
+                                    Now()));
+  });
+}
+
 void
 FakeWorld::Do(const ReattachStream& aAction)
 {
--- a/tests/fakes/FakeWorld.h
+++ b/tests/fakes/FakeWorld.h
@@ -69,6 +69,10 @@
   // Continuations that began while an earlier attempt was still running.
   int mOverlaps = 0;
   bool mWrongTokens = false;
+  // Continuations of a non-idempotent request that were not asked for.
+  int mUnfenced = 0;
+  // From when on another router has the request, 0 for never.
+  int mTakenOverAtMs = 0;
   quetzalquay::GenerationCounters mCounters;
 
 private:
@@ -107,6 +111,7 @@
   void After(int aMs, std::function<void()> aRun);
   void Apply(const quetzalquay::Actions& aActions);
   void Do(const quetzalquay::DispatchAttempt& aAction);
+  void Do(const quetzalquay::FenceAttempt& aAction);
   void Do(const quetzalquay::ReattachStream& aAction);
   void Do(const quetzalquay::ProbeTarget& aAction);
   void Do(const quetzalquay::CancelAttempt& aAction);
@@ -134,6 +139,7 @@
   int mNowMs = 0;
   int mOrder = 0;
   int mNextGeneration = 0;
+  int mFencedAttempt = 0;
   bool mIdempotent;
   quetzalquay::Generation mGeneration;
 };
--- a/tests/introspective/GenerationTests.cpp
+++ b/tests/introspective/GenerationTests.cpp
@@ -122,10 +122,12 @@
       [](unsigned aSeed, const std::vector<WorldFault>& aFaults) {
         const int tokens = *rc::gen::inRange(1, 250);
         FakeWorld world(false, AnyPreset(), tokens, aSeed, aFaults);
+        world.mTakenOverAtMs = *rc::gen::inRange(0, 4000);
         world.Run();
         RequireSound(world, tokens, 0);
         RC_ASSERT(world.mFirstStarts <= 1);
         RC_ASSERT(world.mOverlaps == 0);
+        RC_ASSERT(world.mUnfenced == 0);
         if (world.mFailure && world.mFailure->mVerdict == RunVerdict::NotRun) {
           RC_ASSERT(world.mFirstStarts == 0);
         }
