--- a/src/quetzalquay/core/Failure.cpp
+++ b/src/quetzalquay/core/Failure.cpp
@@ -16,7 +16,7 @@
   int mHttpStatus;
 };
 
-constexpr std::array<CodeRow, 19> kCodes = { {
+constexpr std::array<CodeRow, 20> kCodes = { {
   { "invalid_request", 400 },
   { "unauthorized", 401 },
   { "unknown_model", 404 },
@@ -36,6 +36,7 @@
   { "configuration_unknown", 503 },
   { "payload_too_large", 413 },
   { "not_found", 404 },
+  { "internal", 500 },
 } };
 
 const CodeRow&
--- a/src/quetzalquay/core/Failure.h
+++ b/src/quetzalquay/core/Failure.h
@@ -39,6 +39,7 @@
   ConfigurationUnknown,
   PayloadTooLarge,
   NotFound,
+  Internal,
 };
 
 // Name of a verdict in answers, for example "not_run".
--- a/src/quetzalquay/core/JournalBook.cpp
+++ b/src/quetzalquay/core/JournalBook.cpp
@@ -15,10 +15,16 @@
 JournalPosition
 JournalBook::Update(const std::string& aRequestId,
                     const std::string& aGeneration,
-                    const std::vector<int>& aTokens)
+                    const std::vector<int>& aTokens,
+                    Time aNow)
 {
   Stream& stream = mStreams[aRequestId];
-  stream.mGeneration = aGeneration;
+  if (stream.mGeneration != aGeneration) {
+    // A request that was run anew has nothing in common with what is written.
+    Release(stream.mPosition.mObjects, aNow);
+    stream = Stream();
+    stream.mGeneration = aGeneration;
+  }
   const std::size_t known = stream.mTokens.size();
   if (known < aTokens.size()) {
     stream.mTokens.insert(stream.mTokens.end(),
@@ -59,7 +65,7 @@
     part.mTokens.assign(stream.mTokens.begin() + part.mFrom,
                         stream.mTokens.end());
     parts.push_back(std::move(part));
-    mPending.push_back({ it.first, size, whole });
+    mPending.push_back({ it.first, stream.mGeneration, size, whole });
   }
   return parts;
 }
@@ -73,7 +79,8 @@
   }
   for (const Pending& it : mPending) {
     const auto found = mStreams.find(it.mRequestId);
-    if (found == mStreams.end()) {
+    if (found == mStreams.end() ||
+        found->second.mGeneration != it.mGeneration) {
       continue;
     }
     JournalPosition& position = found->second.mPosition;
--- a/src/quetzalquay/core/JournalBook.h
+++ b/src/quetzalquay/core/JournalBook.h
@@ -46,7 +46,8 @@
   // 0, and returns the stream's position.
   JournalPosition Update(const std::string& aRequestId,
                          const std::string& aGeneration,
-                         const std::vector<int>& aTokens);
+                         const std::vector<int>& aTokens,
+                         Time aNow);
 
   // The stream has ended.
   void Forget(const std::string& aRequestId, Time aNow);
@@ -75,6 +76,7 @@
   struct Pending
   {
     std::string mRequestId;
+    std::string mGeneration;
     int mEnd = 0;
     bool mWhole = false;
   };
--- a/src/quetzalquay/load/LoadReport.cpp
+++ b/src/quetzalquay/load/LoadReport.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace quetzalquay {
@@ -21,20 +22,44 @@
          aFault.kind() == "cut";
 }
 
-// Time from a loss to the next text, for each pause that spans one.
+// Longest pause that spans the start of a loss, counted from the loss; zero
+// when there is none among the noted ones.
+double
+PauseOverLoss(const schema::History& aHistory,
+              const schema::CallerRecord& aCaller)
+{
+  double longest = 0;
+  for (const auto& gap : aCaller.gaps()) {
+    for (const auto& fault : aHistory.faults()) {
+      if (IsLoss(fault) && gap.from() <= fault.at() && fault.at() <= gap.to()) {
+        longest = std::max(longest, gap.to() - fault.at());
+      }
+    }
+  }
+  return longest;
+}
+
+// Times from a loss to the caller's next text. Streams that were continued
+// elsewhere count with their longest pause, also when it is too short to have
+// been noted; others when a noted pause spans a loss.
 std::vector<float>
 ResumeTimes(const schema::History& aHistory)
 {
+  std::set<std::string> continued;
+  for (const auto& it : aHistory.targets()) {
+    if (it.attempt() > 1 && it.resumed_at() > 0) {
+      continued.insert(it.request_id());
+    }
+  }
   std::vector<float> times;
   for (const auto& caller : aHistory.callers()) {
-    for (const auto& gap : caller.gaps()) {
-      for (const auto& fault : aHistory.faults()) {
-        if (IsLoss(fault) && gap.from() <= fault.at() &&
-            fault.at() <= gap.to()) {
-          times.push_back(static_cast<float>(gap.to() - fault.at()));
-          break;
-        }
-      }
+    double pause = PauseOverLoss(aHistory, caller);
+    const bool lost = continued.count(caller.request_id()) != 0;
+    if (lost && pause == 0) {
+      pause = caller.longest_gap_ms();
+    }
+    if (pause > 0) {
+      times.push_back(static_cast<float>(pause));
     }
   }
   return times;
--- a/src/quetzalquay/programs/quetzal-load.cpp
+++ b/src/quetzalquay/programs/quetzal-load.cpp
@@ -101,8 +101,7 @@
     PrintProblem(kName, *problem);
     return ExitBadUsage;
   }
-  std::cout << history.callers_size() << " requests, " << history.targets_size()
-            << " starts\n";
+  std::cout << PrintReport(MakeReport(aPath, history, {}, 0));
   return PrintFindings(history);
 }
 
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -31,6 +31,7 @@
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(500);
 constexpr int kTooLargeStatus = 413;
 constexpr int kBadRequestStatus = 400;
+constexpr int kServerErrorStatus = 500;
 
 Time
 Now()
@@ -164,6 +165,11 @@
     } else if (aStatus == kBadRequestStatus) {
       Refuse(NotRun(FailureCode::InvalidRequest, "malformed HTTP request"),
              aResponse);
+    } else if (aStatus >= kServerErrorStatus) {
+      // Whatever went wrong, the request may have been dispatched before.
+      Failure failure = NotRun(FailureCode::Internal, "unexpected error");
+      failure.mVerdict = RunVerdict::OutcomeUnknown;
+      Refuse(failure, aResponse);
     } else {
       Refuse(NotRun(FailureCode::NotFound, "no such path"), aResponse);
     }
--- a/src/quetzalquay/router/JournalWriter.cpp
+++ b/src/quetzalquay/router/JournalWriter.cpp
@@ -80,7 +80,7 @@
                       const std::vector<int>& aTokens)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  return mBook.Update(aRequestId, aGeneration, aTokens);
+  return mBook.Update(aRequestId, aGeneration, aTokens, Now());
 }
 
 void
--- a/tests/introspective/JournalBookTests.cpp
+++ b/tests/introspective/JournalBookTests.cpp
@@ -43,14 +43,21 @@
       JournalBook book;
       std::map<std::uint32_t, std::vector<JournalPart>> store;
       std::vector<int> lengths(3, 0);
+      std::vector<std::string> generations(3, "g");
       const int steps = *rc::gen::inRange(1, 80);
       for (int n = 0; n < steps; ++n) {
         const auto stream = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
         lengths[stream] += *rc::gen::inRange(1, 60);
+        if (*rc::gen::inRange(0, 12) == 0) {
+          // The request is run anew.
+          lengths[stream] = 1;
+          generations[stream] += "'";
+        }
         const std::string id = "r" + std::to_string(stream);
         const auto tokens = Tokens(lengths[stream]);
-        const JournalPosition position = book.Update(id, "g", tokens);
-        RequireReadable(store, position, id, tokens);
+        const JournalPosition position =
+          book.Update(id, generations[stream], tokens, At(n));
+        RequireReadable(store, position, id, generations[stream], tokens);
         if (*rc::gen::arbitrary<bool>()) {
           const auto sequence = static_cast<std::uint32_t>(n + 1);
           const auto parts = book.Collect(sequence);
@@ -72,16 +79,16 @@
   void ShortStreamsAreNotWritten()
   {
     JournalBook book;
-    book.Update("r", "g", Tokens(JournalBook::kMinTokens - 1));
+    book.Update("r", "g", Tokens(JournalBook::kMinTokens - 1), At(0));
     CPPUNIT_ASSERT(book.Collect(1).empty());
-    book.Update("r", "g", Tokens(JournalBook::kMinTokens));
+    book.Update("r", "g", Tokens(JournalBook::kMinTokens), At(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), book.Collect(2).size());
   }
 
   void ObjectsOfEndedStreamsExpireLater()
   {
     JournalBook book;
-    book.Update("r", "g", Tokens(100));
+    book.Update("r", "g", Tokens(100), At(0));
     book.Collect(1);
     book.OnWritten(true, At(1));
     book.Forget("r", At(2));
@@ -108,16 +115,18 @@
     const std::map<std::uint32_t, std::vector<JournalPart>>& aStore,
     const JournalPosition& aPosition,
     const std::string& aId,
+    const std::string& aGeneration,
     const std::vector<int>& aTokens)
   {
     RC_ASSERT(aPosition.mObjects.size() <= JournalBook::kMaxObjects);
+    RC_ASSERT(aPosition.mDurable <= static_cast<int>(aTokens.size()));
     std::vector<JournalPart> parts;
     for (const std::uint32_t it : aPosition.mObjects) {
       RC_ASSERT(aStore.count(it) == 1u);
       const auto& some = aStore.at(it);
       parts.insert(parts.end(), some.begin(), some.end());
     }
-    const auto read = AssembleTokens(parts, aId, "g");
+    const auto read = AssembleTokens(parts, aId, aGeneration);
     RC_ASSERT(static_cast<int>(read.size()) >= aPosition.mDurable);
     for (std::size_t n = 0; n < read.size(); ++n) {
       RC_ASSERT(read[n] == aTokens[n]);
