--- a/tools/scripts/make_examples.py
+++ b/tools/scripts/make_examples.py
@@ -38,13 +38,21 @@
     }
 
 
+def address(net, number):
+    """Address of a target; large pools go on in further networks."""
+    if number < 250:
+        return f"{net}.{number + 1}"
+    return (net.rsplit(".", 1)[0] + f".{20 + number // 250}"
+            f".{number % 250 + 1}")
+
+
 def targets(service, count, places, net):
     return [
         {
             "name": f"{service}-{n + 1}",
             "service": service,
             "place": places[n % len(places)],
-            "address": f"{net}.{n + 1}",
+            "address": address(net, n),
             "port": TARGET_PORT,
             "checks_fence": n % 2 == 0,
         }
