--- a/src/quetzalquay/control/PoolController.cpp
+++ b/src/quetzalquay/control/PoolController.cpp
@@ -81,8 +81,7 @@
     holdings.push_back(mOrders.ReadHolding(it, mModel, kTargetTimeout));
   }
   CarryOut(
-    PlanRollout(holdings, mDeclared, mDesired, mServed, mOptions.mLimits),
-    table.Revision());
+    PlanRollout(holdings, mDeclared, mDesired, mServed, mOptions.mLimits));
 }
 
 void
@@ -154,7 +153,7 @@
 }
 
 void
-PoolController::CarryOut(const RolloutSteps& aSteps, unsigned)
+PoolController::CarryOut(const RolloutSteps& aSteps)
 {
   for (const HoldingOrder& it : aSteps.mOrders) {
     for (const TargetAddress& target : mTargets) {
--- a/src/quetzalquay/control/PoolController.h
+++ b/src/quetzalquay/control/PoolController.h
@@ -48,7 +48,7 @@
 private:
   void KeepLease();
   bool ReadPool(const schema::Configuration& aConfiguration);
-  void CarryOut(const RolloutSteps& aSteps, unsigned aRevision);
+  void CarryOut(const RolloutSteps& aSteps);
   void Serve(const std::string& aVersion);
 
   PoolControllerOptions mOptions;
--- a/src/quetzalquay/control/ResourceTable.cpp
+++ b/src/quetzalquay/control/ResourceTable.cpp
@@ -194,7 +194,7 @@
     const auto message =
       ParseResource(resource.mKind, resource.mValue, aReason);
     if (message == nullptr) {
-      aReason = it.first + ": " + aReason;
+      aReason.insert(0, it.first + ": ");
       return std::nullopt;
     }
     reflection->AddMessage(&configuration, FieldOfKind(resource.mKind))
--- a/src/quetzalquay/router/Router.cpp
+++ b/src/quetzalquay/router/Router.cpp
@@ -83,7 +83,8 @@
 class Router::Impl
 {
 public:
-  Impl(schema::RouterSettings aSettings, schema::Configuration aConfiguration)
+  Impl(schema::RouterSettings aSettings,
+       const schema::Configuration& aConfiguration)
     : mSettings(std::move(aSettings))
     , mIncarnation(mSettings.name() + "-" + RandomHex(kIncarnationBytes))
     , mMetrics(mSettings.name())
@@ -141,7 +142,7 @@
     }
     mApi->AddRoutes(mServer);
     mFollower->Start();
-    if (const auto problem = mPeers->Start()) {
+    if (auto problem = mPeers->Start()) {
       return problem;
     }
     if (mHosts != nullptr) {
@@ -263,9 +264,8 @@
 };
 
 Router::Router(schema::RouterSettings aSettings,
-               schema::Configuration aConfiguration)
-  : mImpl(
-      std::make_unique<Impl>(std::move(aSettings), std::move(aConfiguration)))
+               const schema::Configuration& aConfiguration)
+  : mImpl(std::make_unique<Impl>(std::move(aSettings), aConfiguration))
 {
 }
 
--- a/src/quetzalquay/router/Router.h
+++ b/src/quetzalquay/router/Router.h
@@ -18,7 +18,7 @@
   // Both have passed their checks. A configuration at revision 0 is empty: the
   // router then waits for the store's or a peer's.
   Router(schema::RouterSettings aSettings,
-         schema::Configuration aConfiguration);
+         const schema::Configuration& aConfiguration);
   ~Router();
 
   // Binds and serves. Returns nothing on success, else the reason.
--- a/src/quetzalquay/standin/EngineBatch.h
+++ b/src/quetzalquay/standin/EngineBatch.h
@@ -50,7 +50,6 @@
     Accepted,
     Full,
     VersionNotLoaded,
-    WrongTokens,
   };
 
   // Both must outlive this object.
--- a/src/quetzalquay/standin/StandinEngine.cpp
+++ b/src/quetzalquay/standin/StandinEngine.cpp
@@ -141,9 +141,6 @@
       case EngineBatch::Admission::VersionNotLoaded:
         Refuse(aResponse, 409, "version_not_loaded", request.version());
         break;
-      case EngineBatch::Admission::WrongTokens:
-        Refuse(aResponse, 400, "invalid_request", "wrong tokens");
-        break;
     }
   }
 
