--- a/src/quetzalquay/wire/TokenJson.h
+++ b/src/quetzalquay/wire/TokenJson.h
@@ -8,9 +8,9 @@
 namespace quetzalquay {
 
 // Second JSON codec for the two messages that are handled once a token, since
-// the schema library's JSON mapping takes most of a token's processor time. It
-// reads and writes the same JSON as the mapping of EngineEvent and
-// CallerResponse; TokenJsonTests compare them.
+// the schema library's JSON mapping allocates much for each of them. It reads
+// and writes the same JSON as the mapping of EngineEvent and CallerResponse;
+// TokenJsonTests compare them.
 
 // Reads an engine's event. Returns false when it is not JSON or a field has the
 // wrong type; unknown fields are ignored.
