--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -20,6 +20,9 @@
 // Pause between two cancels of a target that does not answer.
 constexpr Duration kCancelRetryPause = std::chrono::milliseconds(300);
 
+// Pause before another look at a spent budget for repeats.
+constexpr Duration kBudgetPause = std::chrono::milliseconds(50);
+
 // What a caller is told to wait after a refusal for lack of capacity.
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
@@ -243,6 +246,7 @@
     return actions;
   }
   CancelCurrent(false, actions);
+  mChooser.Forget(mSpec.mQuery);
   mPhase = Phase::Done;
   return actions;
 }
@@ -276,7 +280,14 @@
 void
 Generation::ChooseTarget(Time aNow, Actions& aActions)
 {
+  if (mSpec.mMaxRuns > 0 && mRuns >= mSpec.mMaxRuns) {
+    Fail(FailureCode::GenerationLost,
+         "the request was lost at as many targets as it may run on",
+         aActions);
+    return;
+  }
   mSpec.mQuery.mContinuation = !mTokens.empty();
+  mSpec.mQuery.mRepeat = mAttempt > 0;
   const Choice choice = mChooser.Choose(mSpec.mQuery, aNow);
   switch (choice.mStatus) {
     case ChoiceStatus::Chosen:
@@ -298,6 +309,18 @@
                     kPoisonRetryAfter,
                     aActions);
       break;
+    case ChoiceStatus::NoBudget:
+      if (mRecoverBy != Time::max()) {
+        // The budget fills up again; the stream has until then.
+        mPhase = Phase::Choosing;
+        mWakeAt = aNow + kBudgetPause;
+        break;
+      }
+      FailUnstarted(FailureCode::Overloaded,
+                    "the service's budget for repeats is spent",
+                    kOverloadRetryAfter,
+                    aActions);
+      break;
   }
 }
 
@@ -316,6 +339,7 @@
 Generation::Dispatch(const Choice& aChoice, Time aNow, Actions& aActions)
 {
   ++mAttempt;
+  ++mRuns;
   mTarget = aChoice.mTarget;
   mUsualGap = aChoice.mUsualGap;
   mPhase = Phase::Streaming;
@@ -348,7 +372,7 @@
 {
   const bool lostSomething = mRecoverBy != Time::max();
   const Time expected = aNow + aChoice.mExpectedWait;
-  if (!lostSomething && expected >= mSpec.mDeadline) {
+  if (!lostSomething && expected >= std::min(mSpec.mDeadline, mSpec.mStartBy)) {
     FailUnstarted(FailureCode::Overloaded,
                   "the queue is too long for this deadline",
                   std::max(aChoice.mExpectedWait, kOverloadRetryAfter),
@@ -539,7 +563,9 @@
     Reattach(aNow, aActions);
     return;
   }
-  if (connectionEnded) {
+  const bool unstarted = !knownStream && mSpec.mIdempotent &&
+                         aNow - mLastToken >= mSpec.mPolicy.mFirstTokenLimit;
+  if (connectionEnded || unstarted) {
     Lose(false, aNow, aActions);
     return;
   }
@@ -557,6 +583,7 @@
     return;
   }
   mAttemptMayRun = false;
+  --mRuns;
   Exclude(mTarget);
   ++mRefusals;
   const bool lostSomething = mRecoverBy != Time::max();
@@ -580,6 +607,12 @@
 Generation::OnBroken(Time aNow, Actions& aActions)
 {
   mMayHaveStarted = true;
+  if (!mSpec.mResumable) {
+    Fail(FailureCode::OutcomeUnknown,
+         "the target was lost during a stream that cannot be resumed",
+         aActions);
+    return;
+  }
   const bool mustKnow = !mSpec.mIdempotent || mSpec.mPolicy.mProbeOnReset;
   mRecoverBy = std::min(mRecoverBy, aNow + mSpec.mPolicy.mRecoveryLimit);
   if (!mustKnow) {
@@ -619,6 +652,7 @@
 Generation::Fail(FailureCode aCode, std::string aMessage, Actions& aActions)
 {
   mPhase = Phase::Done;
+  mChooser.Forget(mSpec.mQuery);
   FailAnswer action;
   action.mFailure.mCode = aCode;
   action.mFailure.mVerdict = Verdict();
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -20,6 +20,12 @@
   bool mIdempotent = true;
   // Whether the caller gets the answer only as a whole, at its end.
   bool mBuffered = false;
+  // Whether the answer may go on at another target at all.
+  bool mResumable = true;
+  // Targets that the request may run on; 0 means any number.
+  int mMaxRuns = 0;
+  // A request that has no target by then is refused.
+  Time mStartBy = Time::max();
   Time mDeadline;
   std::string mModel;
   std::string mVersion;
@@ -93,6 +99,12 @@
   // stream moves elsewhere at this token boundary.
   Actions OnTargetStopping(Time aNow);
 
+  // Target that holds a copy of the present run, empty when none does.
+  void SetCopyHolder(const std::string& aTarget)
+  {
+    mSpec.mQuery.mCopyHolder = aTarget;
+  }
+
   // When OnTimer has to be called at the latest.
   Time NextTimer() const;
 
@@ -180,6 +192,8 @@
   Time mRecoverBy = Time::max();
   int mRefusals = 0;
   int mRestarts = 0;
+  // Dispatches that a target has not turned away.
+  int mRuns = 0;
   // The current attempt reads a stream that an earlier one started.
   bool mReattached = false;
   // The current attempt has reached its target's connection.
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr int kMaxAttempts = 3;
+// Targets that may turn one call away beyond those that run it.
+constexpr int kMaxRefusals = 2;
+
 constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -14,11 +16,13 @@
 PlainCall::PlainCall(ChoiceQuery aQuery,
                      bool aIdempotent,
                      Time aDeadline,
-                     TargetChooser& aChooser)
+                     TargetChooser& aChooser,
+                     int aMaxRuns)
   : mQuery(std::move(aQuery))
   , mIdempotent(aIdempotent)
   , mDeadline(aDeadline)
   , mChooser(aChooser)
+  , mMaxRuns(aMaxRuns)
 {
 }
 
@@ -36,10 +40,18 @@
       return PassAnswer();
     case PlainResult::NotStarted:
       return Try(aNow);
+    case PlainResult::Failed:
+      break;
     case PlainResult::Broken:
       break;
   }
   mMayHaveStarted = true;
+  ++mRuns;
+  if (aResult == PlainResult::Failed) {
+    // The caller gets the target's own failure when there is no other way.
+    const PlainStep step = mIdempotent ? Try(aNow) : PlainStep(PassAnswer());
+    return std::holds_alternative<TryTarget>(step) ? step : PassAnswer();
+  }
   if (!mIdempotent) {
     return Fail(FailureCode::OutcomeUnknown,
                 "the target was lost after it may have started the call");
@@ -53,9 +65,10 @@
   if (aNow >= mDeadline) {
     return Fail(FailureCode::DeadlineExceeded, "the deadline has passed");
   }
-  if (mAttempt >= kMaxAttempts) {
+  if (mRuns >= mMaxRuns || mAttempt >= mMaxRuns + kMaxRefusals) {
     return Fail(FailureCode::Overloaded, "every tried target failed the call");
   }
+  mQuery.mRepeat = mAttempt > 0;
   const Choice choice = mChooser.Choose(mQuery, aNow);
   if (choice.mStatus == ChoiceStatus::Poison) {
     return Fail(FailureCode::SuspectedPoison,
@@ -64,6 +77,10 @@
   if (choice.mStatus == ChoiceStatus::Busy) {
     return Fail(FailureCode::Overloaded, "every target of the service is full");
   }
+  if (choice.mStatus == ChoiceStatus::NoBudget) {
+    return Fail(FailureCode::Overloaded,
+                "the service's budget for repeats is spent");
+  }
   if (choice.mStatus != ChoiceStatus::Chosen) {
     return Fail(FailureCode::NoTarget, "no target is ready for this call");
   }
@@ -76,8 +93,9 @@
 }
 
 PlainStep
-PlainCall::Fail(FailureCode aCode, const char* aMessage) const
+PlainCall::Fail(FailureCode aCode, const char* aMessage)
 {
+  mChooser.Forget(mQuery);
   FailCall step;
   step.mFailure.mCode = aCode;
   step.mFailure.mVerdict =
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -18,6 +18,8 @@
   // The call has certainly not reached the target, or the target says that it
   // has not started it.
   NotStarted,
+  // The target answered with a failure that another one may not have.
+  Failed,
   // The connection broke after a byte of the call may have reached the target.
   Broken,
 };
@@ -50,7 +52,11 @@
   PlainCall(ChoiceQuery aQuery,
             bool aIdempotent,
             Time aDeadline,
-            TargetChooser& aChooser);
+            TargetChooser& aChooser,
+            int aMaxRuns = kMaxRuns);
+
+  // Targets that a call may run on when its route does not tell.
+  static constexpr int kMaxRuns = 3;
 
   // First step.
   PlainStep Start(Time aNow);
@@ -60,13 +66,16 @@
 
 private:
   PlainStep Try(Time aNow);
-  PlainStep Fail(FailureCode aCode, const char* aMessage) const;
+  PlainStep Fail(FailureCode aCode, const char* aMessage);
 
   ChoiceQuery mQuery;
   bool mIdempotent;
   Time mDeadline;
   TargetChooser& mChooser;
+  int mMaxRuns;
   int mAttempt = 0;
+  // Tries that a target may have run.
+  int mRuns = 0;
   bool mMayHaveStarted = false;
 };
 
--- a/src/quetzalquay/core/RecoveryPolicy.cpp
+++ b/src/quetzalquay/core/RecoveryPolicy.cpp
@@ -27,6 +27,7 @@
   policy.mSilenceFloor = milliseconds(250);
   policy.mSilenceGaps = 8.0;
   policy.mFirstTokenSilence = milliseconds(600);
+  policy.mFirstTokenLimit = milliseconds(10000);
   policy.mProbeTimeout = milliseconds(250);
   policy.mProbeOnReset = false;
   policy.mReattachAfter = milliseconds(1500);
--- a/src/quetzalquay/core/RecoveryPolicy.h
+++ b/src/quetzalquay/core/RecoveryPolicy.h
@@ -32,6 +32,8 @@
   double mSilenceGaps;
   // Time without a first token after which the target is probed.
   Duration mFirstTokenSilence;
+  // Time without a first token after which a live target is given up.
+  Duration mFirstTokenLimit;
   // Time in which a probed target has to answer.
   Duration mProbeTimeout;
   // Whether a reset connection is probed before the stream moves elsewhere.
--- /dev/null
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -0,0 +1,79 @@
+#include "core/RoutingTable.h"
+
+#include "core/NameTable.h"
+
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr NameTable<CallKind, 3> kKindNames(
+  { "idempotent", "non_idempotent", "stream" });
+
+std::string
+RouteKey(std::string_view aHost, std::string_view aPrefix)
+{
+  return std::string(aHost).append("\n").append(aPrefix);
+}
+
+} // namespace
+
+std::string_view
+NameOf(CallKind aKind)
+{
+  return kKindNames.NameOf(aKind);
+}
+
+void
+RoutingTable::AddRoute(Route aRoute)
+{
+  std::string key = RouteKey(aRoute.mHost, aRoute.mPathPrefix);
+  mRoutes.insert_or_assign(std::move(key), std::move(aRoute));
+}
+
+void
+RoutingTable::AddKey(const std::string& aKey, KeyOwner aOwner)
+{
+  mKeys.insert_or_assign(aKey, std::move(aOwner));
+}
+
+void
+RoutingTable::AddService(ServiceTraits aTraits)
+{
+  const std::string name = aTraits.mName;
+  mServices.insert_or_assign(name, std::move(aTraits));
+}
+
+const Route*
+RoutingTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  while (true) {
+    const auto slash = path.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    const auto it = mRoutes.find(RouteKey(aHost, path.substr(0, slash + 1)));
+    if (it != mRoutes.end()) {
+      return &it->second;
+    }
+    path = path.substr(0, slash);
+  }
+}
+
+const KeyOwner*
+RoutingTable::FindKey(const std::string& aKey) const
+{
+  const auto it = mKeys.find(aKey);
+  return it == mKeys.end() ? nullptr : &it->second;
+}
+
+const ServiceTraits*
+RoutingTable::FindService(const std::string& aName) const
+{
+  const auto it = mServices.find(aName);
+  return it == mServices.end() ? nullptr : &it->second;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -19,6 +19,8 @@
   Busy,
   // The request is suspected of crashing the targets that run it.
   Poison,
+  // The service's budget for repeats is spent.
+  NoBudget,
 };
 
 // What the chooser has to know about the request.
@@ -33,6 +35,13 @@
   std::uint64_t mContentHash = 0;
   // Whether the work continues a stream that lost its target.
   bool mContinuation = false;
+  // Whether the request has been sent to a target before.
+  bool mRepeat = false;
+  // Target that holds a copy of the lost stream's memory, empty when none does.
+  std::string mCopyHolder;
+  // Tokens that the target has to read, and may make.
+  int mPromptTokens = 0;
+  int mOutputTokens = 0;
   // Whether any target will do, for comparison in measurements.
   bool mRandomTarget = false;
   std::string mRequestId;
@@ -63,6 +72,9 @@
 
   // Picks a target; the caller reports the attempt's end separately.
   virtual Choice Choose(const ChoiceQuery& aQuery, Time aNow) = 0;
+
+  // The request does not wait for a target any more.
+  virtual void Forget(const ChoiceQuery& aQuery) = 0;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -42,6 +42,30 @@
 // wait in the router instead, where their order is fair.
 constexpr int kMaxTargetQueue = 2;
 
+// Time within which deaths of several targets have a common cause.
+constexpr Duration kCommonDeathTime = milliseconds(400);
+
+// How long a load report is believed.
+constexpr Duration kReportLifetime = milliseconds(1000);
+
+// Prompt tokens not read yet that weigh as much as one running request.
+constexpr double kBacklogTokensPerLoad = 2000.0;
+
+// Load that a copy at another place is worth: losses come by place.
+constexpr double kSamePlaceCopyLoad = 100.0;
+
+// Load of one copy that a target keeps for another.
+constexpr double kCopyLoad = 0.3;
+
+// Requests in flight for each slot of a target that is not a model engine: the
+// rest waits in the target's own short queue.
+constexpr int kInFlightPerSlot = 2;
+
+// Connections of one target that break within this time mean its death; after
+// a single one it is left alone for a moment.
+constexpr Duration kBreakWindow = milliseconds(250);
+constexpr Duration kBrokenPause = milliseconds(150);
+
 constexpr std::size_t kMaxCachedPrefixes = 4096;
 
 // Weight of a new sample in the moving averages.
@@ -69,7 +93,8 @@
 void
 TargetTable::Declare(const std::vector<ServiceDeclaration>& aServices,
                      const std::vector<TargetDeclaration>& aTargets,
-                     const std::string& aRegion)
+                     const std::string& aRegion,
+                     Time aNow)
 {
   mRegion = aRegion;
   std::map<std::string, Target> targets;
@@ -83,6 +108,14 @@
       target.mUsualGap = kInitialGap;
       target.mFirstToken = Duration::zero();
     }
+    if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation) {
+      if (!target.mIncarnation.empty()) {
+        OnDeath(target, aNow);
+      }
+      target.mIncarnation = it.mIncarnation;
+      target.mDownUntil = Time();
+      target.mFullUntil = Time();
+    }
     target.mDeclaration = it;
     mByService[it.mService].push_back(it.mName);
     targets.emplace(it.mName, std::move(target));
@@ -97,6 +130,7 @@
 Choice
 TargetTable::Choose(const ChoiceQuery& aQuery, Time aNow)
 {
+  BlameForDeaths(aNow);
   Choice choice;
   if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
     Forget(aQuery);
@@ -111,7 +145,7 @@
       continue;
     }
     up = true;
-    if (!IsFull(target, aNow)) {
+    if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
       usable.push_back(&target);
     }
   }
@@ -125,12 +159,21 @@
   if (!aQuery.mContinuation && (usable.empty() || !turn)) {
     return Queue(aQuery, aNow);
   }
+  if (mBudget && aQuery.mRepeat && !usable.empty() &&
+      !mBudget->TakeRepeat(aQuery.mService, aNow)) {
+    Forget(aQuery);
+    choice.mStatus = ChoiceStatus::NoBudget;
+    return choice;
+  }
   choice = ChooseFrom(usable, aQuery, aNow);
   if (choice.mStatus != ChoiceStatus::Chosen) {
     choice.mStatus = ChoiceStatus::Busy;
     return choice;
   }
   Forget(aQuery);
+  if (mBudget && !aQuery.mRepeat) {
+    mBudget->OnFirst(aQuery.mService, aNow);
+  }
   mQueues[aQuery.mService].OnServed(aQuery.mWorkspace, aQuery.mWeight);
   mRates[aQuery.mService].OnServed(aNow);
   return choice;
@@ -145,10 +188,11 @@
 void
 TargetTable::OnAttemptStart(const std::string& aTarget,
                             std::uint64_t aContentHash,
-                            Time aNow)
+                            Time aNow,
+                            AttemptLoad aLoad)
 {
   if (Target* target = Find(aTarget)) {
-    target->mRunning.push_back({ aContentHash, aNow, false });
+    target->mRunning.push_back({ aContentHash, aNow, false, aLoad, false });
   }
 }
 
@@ -192,13 +236,100 @@
 }
 
 void
-TargetTable::OnFirstToken(const std::string& aTarget, Duration aTime)
+TargetTable::OnFirstToken(const std::string& aTarget,
+                          Duration aTime,
+                          std::uint64_t aContentHash)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  Average(target->mFirstToken, aTime);
+  for (Running& it : target->mRunning) {
+    if (it.mContentHash == aContentHash) {
+      it.mFirstTokenSeen = true;
+    }
+  }
+}
+
+void
+TargetTable::OnBroken(const std::string& aTarget, Time aNow)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  const bool again =
+    target->mBrokenAt != Time() && aNow - target->mBrokenAt < kBreakWindow;
+  target->mBrokenAt = aNow;
+  target->mDownUntil =
+    std::max(target->mDownUntil, aNow + (again ? kDownPause : kBrokenPause));
+}
+
+std::string
+TargetTable::ChooseCopyHolder(const ChoiceQuery& aQuery,
+                              const std::string& aRunner,
+                              Time aNow)
+{
+  const Target* runner = Find(aRunner);
+  const Target* best = nullptr;
+  double bestScore = 0;
+  std::vector<std::string> names = mByService[aQuery.mService];
+  std::shuffle(names.begin(), names.end(), mRandom);
+  for (const std::string& it : names) {
+    const Target& target = mTargets.at(it);
+    if (it == aRunner || !IsUsable(target, aQuery, aNow) ||
+        IsFull(target, aQuery, aNow)) {
+      continue;
+    }
+    double score = Load(target, aNow) + target.mCopies;
+    if (runner != nullptr &&
+        runner->mDeclaration.mPlace == target.mDeclaration.mPlace) {
+      score += kSamePlaceCopyLoad;
+    }
+    if (best == nullptr || score < bestScore) {
+      best = &target;
+      bestScore = score;
+    }
+  }
+  return best == nullptr ? std::string() : best->mDeclaration.mName;
+}
+
+void
+TargetTable::OnCopyStart(const std::string& aTarget, int aTokens)
+{
+  if (Target* target = Find(aTarget)) {
+    ++target->mCopies;
+    target->mCopyTokens += aTokens;
+  }
+}
+
+void
+TargetTable::OnCopyEnd(const std::string& aTarget, int aTokens)
 {
   if (Target* target = Find(aTarget)) {
-    Average(target->mFirstToken, aTime);
+    target->mCopies = std::max(0, target->mCopies - 1);
+    target->mCopyTokens = std::max(0, target->mCopyTokens - aTokens);
   }
 }
 
+void
+TargetTable::ReturnRepeat(const std::string& aService)
+{
+  if (mBudget) {
+    mBudget->ReturnRepeat(aService);
+  }
+}
+
+void
+TargetTable::LimitRepeats(const RetryBudget::Options& aOptions)
+{
+  if (!mBudget) {
+    mBudget.emplace();
+  }
+  mBudget->Configure(aOptions);
+}
+
 void
 TargetTable::OnGap(const std::string& aTarget, Duration aGap)
 {
@@ -238,6 +369,7 @@
   target->mReported = aRunning + aWaiting;
   target->mWaiting = aWaiting;
   target->mOwnAtReport = static_cast<int>(target->mRunning.size());
+  target->mReportedAt = aNow;
   target->mDownUntil = Time();
 }
 
@@ -395,9 +527,32 @@
 }
 
 bool
-TargetTable::IsFull(const Target& aTarget, Time aNow)
+TargetTable::IsFull(const Target& aTarget,
+                    const ChoiceQuery& aQuery,
+                    Time aNow)
 {
-  return aNow < aTarget.mFullUntil || aTarget.mWaiting > kMaxTargetQueue;
+  const bool reported = aNow - aTarget.mReportedAt < kReportLifetime;
+  if (aNow < aTarget.mFullUntil ||
+      (reported && aTarget.mWaiting > kMaxTargetQueue)) {
+    return true;
+  }
+  const TargetDeclaration& declaration = aTarget.mDeclaration;
+  if (declaration.mMemoryTokens > 0) {
+    return HeldTokens(aTarget) + aQuery.mPromptTokens + aQuery.mOutputTokens >
+           declaration.mMemoryTokens;
+  }
+  return declaration.mSlots > 0 &&
+         Load(aTarget, aNow) >= kInFlightPerSlot * declaration.mSlots;
+}
+
+int
+TargetTable::HeldTokens(const Target& aTarget)
+{
+  int tokens = aTarget.mCopyTokens;
+  for (const Running& it : aTarget.mRunning) {
+    tokens += it.mLoad.mPromptTokens + it.mLoad.mOutputTokens;
+  }
+  return tokens;
 }
 
 Choice
@@ -423,12 +578,13 @@
                         Time aNow)
 {
   Choice choice;
-  Rank(aUsable, aQuery);
+  Rank(aUsable, aQuery, aNow);
   for (Target* it : aUsable) {
     if (!SuspectMayGo(*it, aQuery, aNow)) {
       continue;
     }
-    if (aQuery.mContinuation && !TakesContinuation(*it, aNow)) {
+    const bool holdsCopy = it->mDeclaration.mName == aQuery.mCopyHolder;
+    if (aQuery.mContinuation && !holdsCopy && !TakesContinuation(*it, aNow)) {
       continue;
     }
     mSuspectWaits.erase(aQuery.mContentHash);
@@ -444,17 +600,21 @@
 // Puts two random candidates and the least loaded holder of the prefix first,
 // the best of them leading; the rest follow by score.
 void
-TargetTable::Rank(std::vector<Target*>& aUsable, const ChoiceQuery& aQuery)
+TargetTable::Rank(std::vector<Target*>& aUsable,
+                  const ChoiceQuery& aQuery,
+                  Time aNow)
 {
   std::shuffle(aUsable.begin(), aUsable.end(), mRandom);
   if (aQuery.mRandomTarget) {
     return;
   }
-  std::size_t head = std::min<std::size_t>(aUsable.size(), 2);
+  const auto sample = static_cast<std::size_t>(mOptions.mSampleSize);
+  std::size_t head =
+    sample == 0 ? aUsable.size() : std::min(aUsable.size(), sample);
   auto holder = aUsable.end();
   for (auto it = aUsable.begin(); it != aUsable.end(); ++it) {
     const bool holds = (*it)->mCached.count(aQuery.mPrefixHash) != 0;
-    if (holds && (holder == aUsable.end() || Load(**it) < Load(**holder))) {
+    if (holds && (holder == aUsable.end() || Load(**it, aNow) < Load(**holder, aNow))) {
       holder = it;
     }
   }
@@ -464,11 +624,18 @@
     ++head;
   }
   const auto less = [&](const Target* aLeft, const Target* aRight) {
-    return Score(*aLeft, aQuery) < Score(*aRight, aQuery);
+    return Score(*aLeft, aQuery, aNow) < Score(*aRight, aQuery, aNow);
   };
   const auto middle = aUsable.begin() + static_cast<long>(head);
   std::stable_sort(aUsable.begin(), middle, less);
   std::stable_sort(middle, aUsable.end(), less);
+  const auto copy = std::find_if(
+    aUsable.begin(), aUsable.end(), [&](const Target* aTarget) {
+      return aTarget->mDeclaration.mName == aQuery.mCopyHolder;
+    });
+  if (copy != aUsable.end()) {
+    std::rotate(aUsable.begin(), copy, copy + 1);
+  }
 }
 
 bool
@@ -477,6 +644,9 @@
                           Time aNow)
 {
   const int deaths = mSuspects.Deaths(aQuery.mContentHash, aNow);
+  if (!mOptions.mSeparateSuspects) {
+    return true;
+  }
   if (deaths == 0 && !IsRecentlyLost(aQuery.mContentHash, aNow)) {
     return true;
   }
@@ -515,17 +685,28 @@
 }
 
 int
-TargetTable::Load(const Target& aTarget) const
+TargetTable::Load(const Target& aTarget, Time aNow)
 {
   const int own = static_cast<int>(aTarget.mRunning.size());
+  if (aTarget.mReportedAt != Time() &&
+      aNow - aTarget.mReportedAt >= kReportLifetime) {
+    return own;
+  }
   const int sinceReport = own - aTarget.mOwnAtReport;
   return std::max(own, aTarget.mReported + sinceReport);
 }
 
 double
-TargetTable::Score(const Target& aTarget, const ChoiceQuery& aQuery) const
-{
-  double score = Load(aTarget);
+TargetTable::Score(const Target& aTarget,
+                   const ChoiceQuery& aQuery,
+                   Time aNow) const
+{
+  double score = Load(aTarget, aNow) + kCopyLoad * aTarget.mCopies;
+  for (const Running& it : aTarget.mRunning) {
+    if (!it.mFirstTokenSeen) {
+      score += it.mLoad.mPromptTokens / kBacklogTokensPerLoad;
+    }
+  }
   if (aTarget.mDeclaration.mRegion != mRegion) {
     score += kOtherRegionLoad;
   } else if (aTarget.mDeclaration.mPlace != mOptions.mPlace) {
@@ -572,7 +753,31 @@
   aTarget.mLost.clear();
   std::sort(requests.begin(), requests.end());
   requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
-  mSuspects.OnTargetDeath(requests, aNow);
+  if (mOptions.mCommonDeaths == 0) {
+    mSuspects.OnTargetDeath(requests, aNow);
+    return;
+  }
+  mDeaths.push_back({ aNow, std::move(requests) });
+}
+
+// Blames the requests of targets that died alone, once it is known that no
+// others died with them.
+void
+TargetTable::BlameForDeaths(Time aNow)
+{
+  while (!mDeaths.empty() && aNow - mDeaths.front().mAt >= kCommonDeathTime) {
+    const Time at = mDeaths.front().mAt;
+    const auto together = std::count_if(
+      mDeaths.begin(), mDeaths.end(), [&](const Death& aDeath) {
+        return aDeath.mAt - at < kCommonDeathTime;
+      });
+    if (together >= mOptions.mCommonDeaths) {
+      mDeaths.erase(mDeaths.begin(), mDeaths.begin() + together);
+      continue;
+    }
+    mSuspects.OnTargetDeath(mDeaths.front().mRequests, at);
+    mDeaths.pop_front();
+  }
 }
 
 TargetTable::Target*
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
 
 #include "core/FairQueue.h"
+#include "core/RetryBudget.h"
 #include "core/ServiceRate.h"
 #include "core/SuspectRegistry.h"
 #include "core/TargetChooser.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,6 +26,11 @@
   std::string mPlace;
   std::string mRegion;
   bool mLeaving = false;
+  // Start of the target as it registers it, empty when it only reports it.
+  std::string mIncarnation;
+  // Requests and tokens that the target holds at once; zero when not known.
+  int mSlots = 0;
+  int mMemoryTokens = 0;
 };
 
 // One service as the operators declared it.
@@ -40,9 +47,24 @@
   std::string mPlace;
   // Targets of one service that this process uses; 0 means all of them.
   int mSubsetSize = 0;
+  // Random candidates that are compared for one choice; 0 means all.
+  int mSampleSize = 2;
+  // Whether requests that were lost with a target are kept apart, so that one
+  // which crashes targets is found sooner. It delays what goes on elsewhere.
+  bool mSeparateSuspects = true;
+  // Targets that must die at about the same time for their requests to be held
+  // innocent, as when a place fails; 0 blames requests always.
+  int mCommonDeaths = 0;
   std::uint64_t mSeed = 0;
 };
 
+// What one attempt takes of a target.
+struct AttemptLoad
+{
+  int mPromptTokens = 0;
+  int mOutputTokens = 0;
+};
+
 // How one attempt's hold on its target ended.
 enum class AttemptOutcome
 {
@@ -78,14 +100,16 @@
   // the region of this process's place.
   void Declare(const std::vector<ServiceDeclaration>& aServices,
                const std::vector<TargetDeclaration>& aTargets,
-               const std::string& aRegion);
+               const std::string& aRegion,
+               Time aNow = Time());
 
   Choice Choose(const ChoiceQuery& aQuery, Time aNow) override;
 
   // An attempt has been given to a target.
   void OnAttemptStart(const std::string& aTarget,
                       std::uint64_t aContentHash,
-                      Time aNow);
+                      Time aNow,
+                      AttemptLoad aLoad = {});
 
   // An attempt has ended.
   void OnAttemptEnd(const std::string& aTarget,
@@ -97,13 +121,30 @@
   void OnProgress(std::uint64_t aContentHash);
 
   // Time from an attempt's start to its first token.
-  void OnFirstToken(const std::string& aTarget, Duration aTime);
+  void OnFirstToken(const std::string& aTarget,
+                    Duration aTime,
+                    std::uint64_t aContentHash = 0);
+
+  // A connection that carried a request broke.
+  void OnBroken(const std::string& aTarget, Time aNow);
+
+  // Target that should keep a copy of a stream which runs on aRunner: at
+  // another place where there is one, empty when none has room.
+  std::string ChooseCopyHolder(const ChoiceQuery& aQuery,
+                               const std::string& aRunner,
+                               Time aNow);
+
+  // A target keeps a copy of that many tokens, or no longer does.
+  void OnCopyStart(const std::string& aTarget, int aTokens);
+  void OnCopyEnd(const std::string& aTarget, int aTokens);
+
+  // Budget that repeats are taken from; unlimited until it is configured.
+  void LimitRepeats(const RetryBudget::Options& aOptions);
 
   // Time between two tokens of one stream.
   void OnGap(const std::string& aTarget, Duration aGap);
 
-  // A request has ended or does not wait any more.
-  void Forget(const ChoiceQuery& aQuery);
+  void Forget(const ChoiceQuery& aQuery) override;
 
   // The target has turned an attempt away for lack of capacity.
   void OnTurnedAway(const std::string& aTarget, Time aNow);
@@ -158,6 +199,9 @@
   // State of all targets that this process uses.
   std::vector<TargetView> View(Time aNow) const;
 
+  // A repeat that Choose took from the budget has not been sent.
+  void ReturnRepeat(const std::string& aService);
+
   // Suspected requests.
   SuspectRegistry& Suspects() { return mSuspects; }
 
@@ -168,6 +212,8 @@
     Time mStartedAt;
     // The target's death has been counted for this attempt.
     bool mBlamed;
+    AttemptLoad mLoad;
+    bool mFirstTokenSeen;
   };
 
   struct Lost
@@ -191,6 +237,10 @@
     int mWaiting = 0;
     // Own attempts at the time of the last report.
     int mOwnAtReport = 0;
+    Time mReportedAt;
+    Time mBrokenAt;
+    int mCopies = 0;
+    int mCopyTokens = 0;
     std::vector<Running> mRunning;
     // Attempts whose connection broke lately, until a death is confirmed.
     std::deque<Lost> mLost;
@@ -207,17 +257,25 @@
   bool SuspectMayGo(const Target& aTarget,
                     const ChoiceQuery& aQuery,
                     Time aNow);
-  static bool IsFull(const Target& aTarget, Time aNow);
+  static bool IsFull(const Target& aTarget,
+                     const ChoiceQuery& aQuery,
+                     Time aNow);
+  static int HeldTokens(const Target& aTarget);
   Choice Queue(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
                     const ChoiceQuery& aQuery,
                     Time aNow);
-  void Rank(std::vector<Target*>& aUsable, const ChoiceQuery& aQuery);
+  void Rank(std::vector<Target*>& aUsable,
+            const ChoiceQuery& aQuery,
+            Time aNow);
   bool TakesContinuation(Target& aTarget, Time aNow);
-  int Load(const Target& aTarget) const;
-  double Score(const Target& aTarget, const ChoiceQuery& aQuery) const;
+  static int Load(const Target& aTarget, Time aNow);
+  double Score(const Target& aTarget,
+               const ChoiceQuery& aQuery,
+               Time aNow) const;
   bool IsRecentlyLost(std::uint64_t aContentHash, Time aNow) const;
   void OnDeath(Target& aTarget, Time aNow);
+  void BlameForDeaths(Time aNow);
   Target* Find(const std::string& aName);
   const Target* Find(const std::string& aName) const;
   std::vector<TargetDeclaration> PickSubset(
@@ -231,6 +289,14 @@
   std::map<std::string, ServiceRate> mRates;
   std::map<std::string, std::vector<std::string>> mByService;
   SuspectRegistry mSuspects;
+  // Deaths of targets that no request has been blamed for yet.
+  struct Death
+  {
+    Time mAt;
+    std::vector<std::uint64_t> mRequests;
+  };
+  std::deque<Death> mDeaths;
+  std::optional<RetryBudget> mBudget;
   std::mt19937_64 mRandom;
   // When a suspect first waited for a target without another suspect.
   std::map<std::uint64_t, Time> mSuspectWaits;
--- /dev/null
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -0,0 +1,115 @@
+#ifndef QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
+
+#include "core/RoutingTable.h"
+#include "core/TargetEntries.h"
+#include "core/TargetTable.h"
+#include "gateway/GatewaySettings.h"
+#include "http/EventLoop.h"
+#include "platform/PlatformStore.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// Where a piece of knowledge came from.
+enum class Source
+{
+  Store,
+  Peer,
+};
+
+// Name of a source in logs.
+std::string_view
+NameOf(Source aSource);
+
+// Where a target is reached.
+struct TargetLocation
+{
+  Endpoint mEndpoint;
+  std::string mAddress;
+  std::string mIncarnation;
+  std::string mService;
+};
+
+// What this process believes of the configuration and the targets, in one
+// place: rows come in from the store or from a peer, and only go forward.
+class Fleet
+{
+public:
+  Fleet(EventLoop& aLoop, const GatewaySettings& aSettings);
+
+  // Takes rows of the configuration table or the targets' table. aWhole tells
+  // that the rows are the whole table as of aVersion.
+  void Take(platform::StoreTable aTable,
+            const std::vector<platform::StoreRow>& aRows,
+            bool aWhole,
+            std::int64_t aVersion,
+            Source aSource);
+
+  // The store does not answer, or answers again.
+  void OnStoreLost();
+  void OnStoreBack();
+
+  // While the store is away, another target has been found at the address of a
+  // known one. It is of the same service.
+  void OnReplaced(const std::string& aOld,
+                  const std::string& aNew,
+                  const std::string& aIncarnation);
+
+  // Whether a new target at the address of aTarget can only be of the same
+  // service, as far as this host knows.
+  bool MayReplace(const std::string& aTarget) const;
+
+  // The version in force, or nothing before the first one.
+  const RefPtr<RoutingTable>& Routing() const { return mRouting; }
+
+  // Whether requests can be served.
+  bool IsReady() const { return mRouting != nullptr && mTargetsKnown; }
+
+  TargetTable& Targets() { return mTargets; }
+
+  // Where a target is, or nothing when it is gone.
+  const TargetLocation* Locate(const std::string& aTarget) const;
+
+  // Rows as they came in, with their versions, for other hosts.
+  const std::map<std::string, platform::StoreRow>& Rows(
+    platform::StoreTable aTable) const;
+
+  // Newest version of the store that each table has been read at.
+  std::int64_t Version(platform::StoreTable aTable) const;
+
+  // Applies new settings.
+  void Configure(const GatewaySettings& aSettings);
+
+  // Number of hosts, this one included, that share the repeats.
+  void SetHostCount(int aHosts);
+
+private:
+  void TakeConfiguration(const platform::StoreRow& aRow, Source aSource);
+  void TakeTarget(const platform::StoreRow& aRow, Source aSource);
+  void DeclareTargets();
+  void LimitRepeats();
+
+  EventLoop& mLoop;
+  GatewaySettings mSettings;
+  RefPtr<RoutingTable> mRouting;
+  std::int64_t mRoutingRowVersion = 0;
+  TargetEntries mEntries;
+  TargetTable mTargets;
+  std::map<std::string, TargetLocation> mLocations;
+  std::map<std::string, platform::StoreRow> mConfigurationRows;
+  std::map<std::string, platform::StoreRow> mTargetRows;
+  std::int64_t mConfigurationVersion = 0;
+  bool mTargetsKnown = false;
+  bool mChanged = false;
+  int mHosts = 1;
+  Alarm mExpiry;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -0,0 +1,58 @@
+#ifndef QUETZALQUAY_GATEWAY_PEERLINK_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_PEERLINK_H_INCLUDED
+
+#include "gateway/Fleet.h"
+#include "gateway/StoreWatch.h"
+#include "http/HttpCaller.h"
+#include "http/SmallServer.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// Lets hosts learn from each other what the store does not tell them: any host
+// answers with the rows that it knows beyond given versions, and a host that the
+// store leaves without an answer asks a few others at a time.
+class PeerLink
+{
+public:
+  PeerLink(EventLoop& aLoop,
+           const GatewaySettings& aSettings,
+           Fleet& aFleet,
+           StoreWatch& aStore);
+
+  // Starts to answer; returns the reason on failure.
+  std::optional<std::string> Start();
+
+  // New settings: other seeds.
+  void Configure(const GatewaySettings& aSettings);
+
+private:
+  SmallReply Answer(const HttpHead& aHead) const;
+  void Ask();
+  std::vector<Endpoint> Peers() const;
+  void OnReply(std::size_t aSlot,
+               std::optional<HttpReply> aReply,
+               bool aAskedForAll,
+               const std::string& aReason);
+
+  // Calls to other hosts at the same time.
+  static constexpr std::size_t kFanOut = 2;
+
+  EventLoop& mLoop;
+  GatewaySettings mSettings;
+  Fleet& mFleet;
+  StoreWatch& mStore;
+  SmallServer mServer;
+  std::unique_ptr<HttpCaller> mCallers[kFanOut];
+  Endpoint mAsked[kFanOut];
+  Alarm mAskAgain;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_PEERLINK_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/gateway/Prober.h
@@ -0,0 +1,50 @@
+#ifndef QUETZALQUAY_GATEWAY_PROBER_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_PROBER_H_INCLUDED
+
+#include "core/GenerationActions.h"
+#include "gateway/TargetConnection.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// Finds out whether a target still works. Bytes that came from it lately on any
+// connection are proof enough; otherwise it is asked, once for all that wait.
+class Prober
+{
+public:
+  using Receiver = std::function<void(ProbeResult)>;
+
+  Prober(EventLoop& aLoop, Fleet& aFleet, TargetPool& aPool);
+  ~Prober();
+
+  // The receiver is called once, at aBy at the latest, and never from within.
+  void Probe(const std::string& aTarget, Time aBy, Receiver aReceiver);
+
+  // Another target answers at the address of a known one: finds out whether it
+  // can take its place, and tells the fleet.
+  void Identify(const std::string& aOld, const std::string& aNew);
+
+  // Questions that were asked since the start.
+  std::uint64_t Asked() const { return mAsked; }
+
+private:
+  class Question;
+  class Identification;
+
+  void Settle(const std::string& aTarget, ProbeResult aResult);
+
+  EventLoop& mLoop;
+  Fleet& mFleet;
+  TargetPool& mPool;
+  std::map<std::string, RefPtr<Question>> mQuestions;
+  std::map<std::string, RefPtr<Identification>> mIdentifications;
+  std::uint64_t mAsked = 0;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_PROBER_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -0,0 +1,538 @@
+#include "gateway/StreamExchange.h"
+
+#include "observe/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Silence is suspected after this many usual pauses, and not before the floor;
+// with the probe and the resumed run's first event it stays within the pause
+// that callers accept.
+constexpr double kSilenceGaps = 5.0;
+constexpr Duration kSilenceFloor = milliseconds(200);
+constexpr Duration kProbeTimeout = milliseconds(150);
+
+// Part of the objective in which a request must have found a target.
+constexpr double kStartPart = 0.7;
+
+// Generation id and finish reason that stand for what this protocol has not.
+constexpr char kGeneration[] = "stream";
+// Position of a stream that has not delivered an event yet.
+constexpr char kBeforeFirstEvent[] = "0";
+constexpr char kFinished[] = "end";
+
+RecoveryPolicy
+PolicyOf()
+{
+  RecoveryPolicy policy = RecoveryPolicy::Of(RecoveryPreset::LowLatency);
+  policy.mSilenceGaps = kSilenceGaps;
+  policy.mSilenceFloor = kSilenceFloor;
+  policy.mProbeTimeout = kProbeTimeout;
+  return policy;
+}
+
+GenerationSpec
+SpecOf(const CallerCall& aCall)
+{
+  GenerationSpec spec;
+  spec.mRequestId = aCall.mRequest.mRequestId;
+  spec.mIdempotent = aCall.mRoute->mResumable;
+  spec.mResumable = aCall.mRoute->mResumable;
+  spec.mMaxRuns = aCall.mRoute->mMaxAttempts;
+  spec.mDeadline = aCall.mDeadline;
+  spec.mStartBy =
+    aCall.mArrived + std::chrono::duration_cast<Duration>(
+                       aCall.mRoute->mObjective * kStartPart);
+  spec.mPolicy = PolicyOf();
+  spec.mQuery.mService = aCall.mService;
+  spec.mQuery.mRequestId = aCall.mRequest.mRequestId;
+  spec.mQuery.mWorkspace = aCall.mWorkspace;
+  spec.mQuery.mContentHash = aCall.mContentHash;
+  spec.mQuery.mDeadline = aCall.mDeadline;
+  spec.mQuery.mPromptTokens = aCall.mRequest.mPromptTokens;
+  spec.mQuery.mOutputTokens = aCall.mRequest.mOutputTokens;
+  return spec;
+}
+
+} // namespace
+
+StreamExchange::StreamExchange(GatewayParts& aParts,
+                               CallerCall aCall,
+                               AnswerSink& aSink)
+  : Exchange(aParts, std::move(aCall), aSink)
+  , mDecision(SpecOf(mCall), aParts.mFleet.Targets())
+  , mAlarm(aParts.mLoop,
+           [this] { Perform(mDecision.OnTimer(EventLoop::Now())); })
+  , mLastId(mCall.mRequest.mLastEventId)
+{
+}
+
+void
+StreamExchange::Start()
+{
+  Perform(mDecision.Start(EventLoop::Now()));
+}
+
+void
+StreamExchange::OnCallerGone()
+{
+  if (mDone) {
+    return;
+  }
+  Perform(mDecision.OnCallerGone(EventLoop::Now()));
+  Settle();
+  mParts.mMetrics.Add(GatewayCount::CallersGone);
+  LogEnd("caller_gone", 0);
+}
+
+// Actions may lead to further ones at once; they are done in order, one at a
+// time.
+void
+StreamExchange::Perform(Actions aActions)
+{
+  const RefPtr<Exchange> self(this);
+  for (Action& it : aActions) {
+    mActions.push_back(std::move(it));
+  }
+  if (mPerforming) {
+    return;
+  }
+  mPerforming = true;
+  while (!mActions.empty()) {
+    const Action action = std::move(mActions.front());
+    mActions.pop_front();
+    std::visit([this](const auto& aAction) { Do(aAction); }, action);
+  }
+  mPerforming = false;
+  Flush();
+  SetAlarm();
+}
+
+void
+StreamExchange::Do(const DispatchAttempt& aAction)
+{
+  const Time now = EventLoop::Now();
+  const bool resumed = !aAction.mTokens.empty();
+  const bool fromCopy = mTries > 0 && aAction.mTarget == mCopyHolder;
+  mAttempt = aAction.mAttempt;
+  mTarget = aAction.mTarget;
+  mLastTarget = mTarget;
+  ++mTries;
+  mTryHead = HttpHead();
+  mTryBody.clear();
+  mTryStreams = false;
+  mTryOpen = true;
+  mCutter.Clear();
+  mNextIndex = static_cast<int>(aAction.mTokens.size());
+  AttemptLoad load;
+  load.mPromptTokens = fromCopy ? 0 : mCall.mRequest.mPromptTokens;
+  load.mOutputTokens = mCall.mRequest.mOutputTokens +
+                       (fromCopy ? mCall.mRequest.mPromptTokens : 0);
+  mParts.mFleet.Targets().OnAttemptStart(
+    mTarget, mCall.mContentHash, now, load);
+  platform::AttemptFields fields = CommonFields(mTarget, now);
+  fields.mLastEventId = mLastId;
+  const TargetLocation* location = mParts.mFleet.Locate(mTarget);
+  if (fromCopy && location != nullptr) {
+    fields.mCopyAt = location->mAddress;
+    if (mLastId.empty()) {
+      fields.mLastEventId = kBeforeFirstEvent;
+    }
+  }
+  KeepCopyAt(std::string());
+  const ServiceTraits* traits = mCall.mRouting->FindService(mCall.mService);
+  if (mCall.mRoute->mResumable && traits != nullptr && traits->mCopies) {
+    ChoiceQuery query;
+    query.mService = mCall.mService;
+    query.mPromptTokens = mCall.mRequest.mPromptTokens;
+    query.mOutputTokens = mCall.mRequest.mOutputTokens;
+    KeepCopyAt(
+      mParts.mFleet.Targets().ChooseCopyHolder(query, mTarget, now));
+    const TargetLocation* holder = mParts.mFleet.Locate(mCopyHolder);
+    if (holder != nullptr) {
+      fields.mCopyTo = holder->mAddress;
+    }
+  }
+  if (resumed) {
+    mParts.mMetrics.Add(fromCopy ? GatewayCount::ResumedFromCopy
+                                 : GatewayCount::ResumedByReading);
+    Log(LogLevel::Info,
+        "request",
+        "stream goes on",
+        { { "request", mCall.mRequest.mRequestId },
+          { "target", mTarget },
+          { "from_copy", fromCopy ? "true" : "false" },
+          { "after_event", mLastId },
+          { "silent_ms",
+            std::to_string(
+              static_cast<int>(ToMilliseconds(now - mLastEventAt))) } });
+  }
+  mConnection = mParts.mPool.Take(mTarget);
+  if (mConnection == nullptr) {
+    EndTry(AttemptEnd::Unreachable);
+    return;
+  }
+  mConnection->Send(
+    platform::EncodeAttempt(
+      mCall.mHead, mCall.mRequest, fields, mCall.mBody.size()),
+    mCall.mBody,
+    mCall.mRequest.mRequestId,
+    std::min(now + kConnectTime, mCall.mDeadline),
+    *this);
+}
+
+void
+StreamExchange::Do(const FenceAttempt& aAction)
+{
+  // No other router can hold this request, but a stream that may not be
+  // resumed is never started twice.
+  Perform(mDecision.OnFenceResult(
+    aAction.mAttempt, FenceResult::Refused, EventLoop::Now()));
+}
+
+void
+StreamExchange::Do(const ReattachStream& aAction)
+{
+  // These targets cannot be asked for a running stream; the silent connection
+  // is given up and the stream goes on from its last event.
+  mNote = "silent_connection";
+  if (mConnection != nullptr) {
+    mConnection->Abandon();
+  }
+  Release(AttemptOutcome::Lost);
+  Perform(mDecision.OnAttemptEnded(
+    aAction.mAttempt, AttemptEnd::UnknownStream, EventLoop::Now()));
+}
+
+void
+StreamExchange::Do(const ProbeTarget& aAction)
+{
+  mParts.mProber.Probe(
+    aAction.mTarget,
+    aAction.mAnswerBy,
+    [self = RefPtr<StreamExchange>(this),
+     attempt = aAction.mAttempt](ProbeResult aResult) {
+      if (self->mDone) {
+        return;
+      }
+      if (aResult != ProbeResult::Alive) {
+        self->mNote = "target_silent";
+      }
+      self->Perform(
+        self->mDecision.OnProbeResult(attempt, aResult, EventLoop::Now()));
+    });
+}
+
+void
+StreamExchange::Do(const CancelAttempt&)
+{
+  if (mConnection != nullptr) {
+    mConnection->Abandon();
+  }
+  Release(AttemptOutcome::Released);
+}
+
+void
+StreamExchange::Do(const DeliverText& aAction)
+{
+  mOutput += aAction.mText;
+}
+
+void
+StreamExchange::Do(const DiscardText&)
+{
+  mOutput.clear();
+}
+
+void
+StreamExchange::Do(const FinishAnswer&)
+{
+  Flush();
+  SendHead();
+  Release(AttemptOutcome::Finished);
+  Settle();
+  LogEnd("answered", mHead.mStatus);
+  mSink->EndPieces();
+}
+
+void
+StreamExchange::Do(const FailAnswer& aAction)
+{
+  Flush();
+  if (mConnection != nullptr) {
+    mConnection->Abandon();
+  }
+  Release(AttemptOutcome::Released);
+  Settle();
+  if (!mHeadSent) {
+    SendFailure(aAction.mFailure);
+    return;
+  }
+  mNote = std::string(NameOf(aAction.mFailure.mCode));
+  LogEnd("broken_off", mHead.mStatus);
+  mSink->BreakOff();
+}
+
+void
+StreamExchange::OnAnswerHead(const HttpHead& aHead,
+                             const platform::TargetAnswer& aAnswer)
+{
+  mTryHead = aHead;
+  mTryAnswer = aAnswer;
+  mTryStreams = aHead.mStatus / 100 == 2 && aAnswer.mSigned;
+  TargetTable& targets = mParts.mFleet.Targets();
+  if (aAnswer.mRunning && aAnswer.mWaiting) {
+    targets.OnLoad(mTarget,
+                   targets.IncarnationOf(mTarget),
+                   "ready",
+                   *aAnswer.mRunning,
+                   *aAnswer.mWaiting,
+                   EventLoop::Now());
+  }
+  if (mTryStreams && !mHeadSent && mNextIndex == 0) {
+    mHead = aHead;
+  }
+}
+
+void
+StreamExchange::OnAnswerBody(std::string aBody)
+{
+  const RefPtr<Exchange> self(this);
+  if (!mTryStreams) {
+    mTryBody += aBody;
+    return;
+  }
+  mCutter.Take(aBody);
+  TakeEvents();
+}
+
+void
+StreamExchange::TakeEvents()
+{
+  const int attempt = mAttempt;
+  while (mTryOpen && attempt == mAttempt) {
+    const auto event = mCutter.Next();
+    if (!event) {
+      break;
+    }
+    TakeEvent(*event);
+  }
+}
+
+void
+StreamExchange::TakeEvent(const EventCutter::Event& aEvent)
+{
+  const Time now = EventLoop::Now();
+  long long number = mLastNumber;
+  if (!aEvent.mId.empty()) {
+    const char* end = aEvent.mId.data() + aEvent.mId.size();
+    if (std::from_chars(aEvent.mId.data(), end, number).ec != std::errc()) {
+      number = mLastNumber;
+    }
+    if (number <= mLastNumber) {
+      // An event that the caller already has.
+      return;
+    }
+    mLastNumber = number;
+    mLastId = aEvent.mId;
+  }
+  TargetTable& targets = mParts.mFleet.Targets();
+  const bool first = mNextIndex == 0 || mAwaitsResume;
+  if (mNextIndex == 0) {
+    mParts.mMetrics.Observe(GatewayTime::FirstEvent, now - mCall.mArrived);
+  }
+  if (first) {
+    targets.OnFirstToken(
+      mTarget,
+      std::chrono::duration_cast<Duration>(now - mCall.mArrived),
+      mCall.mContentHash);
+  } else {
+    targets.OnGap(mTarget,
+                  std::chrono::duration_cast<Duration>(now - mLastEventAt));
+  }
+  if (mAwaitsResume) {
+    mAwaitsResume = false;
+    mParts.mMetrics.Observe(GatewayTime::Resume, now - mLastEventAt);
+  }
+  mLastEventAt = now;
+  StreamEvent event;
+  event.mRequestId = mCall.mRequest.mRequestId;
+  event.mAttempt = mAttempt;
+  event.mGeneration = kGeneration;
+  event.mIndex = mNextIndex++;
+  event.mToken = static_cast<int>(number);
+  event.mText = aEvent.mBytes;
+  Perform(mDecision.OnEvent(event, now));
+}
+
+void
+StreamExchange::OnAnswerComplete()
+{
+  const RefPtr<Exchange> self(this);
+  const Time now = EventLoop::Now();
+  if (mTryAnswer.mNotRun) {
+    mNote = "turned_away";
+    ReportTurnedAway(mParts, mTarget, mTryAnswer, now);
+    EndTry(AttemptEnd::NotStarted);
+    return;
+  }
+  if (!mTryStreams) {
+    const int kind = mTryHead.mStatus / 100;
+    mNote = "status_" + std::to_string(mTryHead.mStatus);
+    if (kind == 4 && !mHeadSent) {
+      PassFailureOn();
+    } else {
+      EndTry(AttemptEnd::Broken);
+    }
+    return;
+  }
+  if (mCutter.HasPart()) {
+    mNote = "torn_event";
+    EndTry(AttemptEnd::Broken);
+    return;
+  }
+  StreamEvent event;
+  event.mRequestId = mCall.mRequest.mRequestId;
+  event.mAttempt = mAttempt;
+  event.mGeneration = kGeneration;
+  event.mIndex = mNextIndex;
+  event.mFinishReason = kFinished;
+  mConnection.reset();
+  Perform(mDecision.OnEvent(event, now));
+}
+
+void
+StreamExchange::OnTryEnded(TryEnd aEnd)
+{
+  const RefPtr<Exchange> self(this);
+  ReportTryEnd(mParts.mFleet.Targets(), mTarget, aEnd, EventLoop::Now());
+  if (aEnd != TryEnd::Broken && mTries > 1) {
+    mParts.mFleet.Targets().ReturnRepeat(mCall.mService);
+  }
+  switch (aEnd) {
+    case TryEnd::Refused:
+      mNote = "target_refused";
+      EndTry(AttemptEnd::Refused);
+      break;
+    case TryEnd::Unreachable:
+      mNote = "target_unreachable";
+      EndTry(AttemptEnd::Unreachable);
+      break;
+    case TryEnd::Broken:
+      mNote = "target_lost";
+      EndTry(AttemptEnd::Broken);
+      break;
+  }
+}
+
+void
+StreamExchange::EndTry(AttemptEnd aEnd)
+{
+  const bool lost = aEnd == AttemptEnd::Broken;
+  if (lost) {
+    Log(LogLevel::Info,
+        "request",
+        "target lost",
+        { { "request", mCall.mRequest.mRequestId },
+          { "target", mTarget },
+          { "after_event", mLastId },
+          { "note", mNote } });
+  }
+  Release(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
+  if (!lost) {
+    // A run that did not start has no copy.
+    KeepCopyAt(std::string());
+  }
+  Perform(mDecision.OnAttemptEnded(mAttempt, aEnd, EventLoop::Now()));
+}
+
+// The present try is over for the table.
+void
+StreamExchange::Release(AttemptOutcome aOutcome)
+{
+  mConnection.reset();
+  if (!mTryOpen) {
+    return;
+  }
+  mTryOpen = false;
+  if (aOutcome != AttemptOutcome::Finished && mNextIndex > 0 && !mDone) {
+    mAwaitsResume = true;
+    mParts.mMetrics.Add(GatewayCount::Losses);
+  }
+  mParts.mFleet.Targets().OnAttemptEnd(
+    mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
+}
+
+// Notes which target keeps a copy of the present run.
+void
+StreamExchange::KeepCopyAt(const std::string& aTarget)
+{
+  TargetTable& targets = mParts.mFleet.Targets();
+  if (!mCopyHolder.empty()) {
+    targets.OnCopyEnd(mCopyHolder, mCopyTokens);
+  }
+  mCopyHolder = aTarget;
+  mCopyTokens = mCall.mRequest.mPromptTokens + mCall.mRequest.mOutputTokens;
+  if (!mCopyHolder.empty()) {
+    targets.OnCopyStart(mCopyHolder, mCopyTokens);
+  }
+  mDecision.SetCopyHolder(mCopyHolder);
+}
+
+void
+StreamExchange::Flush()
+{
+  if (mOutput.empty()) {
+    return;
+  }
+  SendHead();
+  mSink->SendPiece(mOutput);
+  mOutput.clear();
+}
+
+void
+StreamExchange::SendHead()
+{
+  if (!mHeadSent) {
+    mHeadSent = true;
+    mSink->StartPieces(mHead.mStatus, mHead.mReason, ForwardedFields(mHead));
+  }
+}
+
+// The target refused the request itself: its answer is the caller's.
+void
+StreamExchange::PassFailureOn()
+{
+  Release(AttemptOutcome::Finished);
+  Settle();
+  LogEnd("answered", mTryHead.mStatus);
+  mSink->SendWhole(mTryHead.mStatus,
+                   mTryHead.mReason,
+                   ForwardedFields(mTryHead),
+                   mTryBody);
+}
+
+void
+StreamExchange::Settle()
+{
+  mDone = true;
+  mAlarm.Clear();
+  KeepCopyAt(std::string());
+}
+
+void
+StreamExchange::SetAlarm()
+{
+  if (!mDone) {
+    mAlarm.SetAt(mDecision.NextTimer());
+  }
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/http/HttpHead.cpp
@@ -0,0 +1,109 @@
+#include "http/HttpHead.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop = {
+  "connection",          "keep-alive", "proxy-connection",
+  "proxy-authorization", "te",         "trailer",
+  "transfer-encoding",   "upgrade",    "proxy-authenticate",
+};
+
+char
+Lower(char aChar)
+{
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
+}
+
+std::string_view
+Trim(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+bool
+ListHolds(std::string_view aList, std::string_view aToken)
+{
+  while (!aList.empty()) {
+    const auto comma = aList.find(',');
+    if (SameFieldName(Trim(aList.substr(0, comma)), aToken)) {
+      return true;
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    aList.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+} // namespace
+
+const std::string*
+HttpHead::Find(std::string_view aName) const
+{
+  for (const HttpField& it : mFields) {
+    if (SameFieldName(it.mName, aName)) {
+      return &it.mValue;
+    }
+  }
+  return nullptr;
+}
+
+int
+HttpHead::Count(std::string_view aName) const
+{
+  return static_cast<int>(
+    std::count_if(mFields.begin(), mFields.end(), [&](const HttpField& aField) {
+      return SameFieldName(aField.mName, aName);
+    }));
+}
+
+bool
+HttpHead::HasToken(std::string_view aName, std::string_view aToken) const
+{
+  return std::any_of(
+    mFields.begin(), mFields.end(), [&](const HttpField& aField) {
+      return SameFieldName(aField.mName, aName) &&
+             ListHolds(aField.mValue, aToken);
+    });
+}
+
+bool
+SameFieldName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    [](char aOne, char aOther) {
+                      return Lower(aOne) == Lower(aOther);
+                    });
+}
+
+bool
+IsHopByHop(const HttpHead& aHead, std::string_view aName)
+{
+  const bool always = std::any_of(
+    kHopByHop.begin(), kHopByHop.end(), [&](std::string_view aField) {
+      return SameFieldName(aField, aName);
+    });
+  return always || aHead.HasToken("Connection", aName);
+}
+
+void
+AppendField(std::string& aText, std::string_view aName, std::string_view aValue)
+{
+  aText.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/observe/Log.cpp
+++ b/src/quetzalquay/observe/Log.cpp
@@ -1,5 +1,7 @@
 #include "observe/Log.h"
 
+#include "observe/QueueAppender.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -47,6 +49,20 @@
   return text + "\"";
 }
 
+void
+SetUpRoot(const log4cplus::SharedAppenderPtr& aAppender,
+          const std::string& aLevel)
+{
+  aAppender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
+  auto root = log4cplus::Logger::getRoot();
+  root.addAppender(aAppender);
+  std::string level = aLevel.empty() ? "INFO" : aLevel;
+  std::transform(level.begin(), level.end(), level.begin(), [](char aChar) {
+    return static_cast<char>(std::toupper(static_cast<unsigned char>(aChar)));
+  });
+  root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+}
+
 } // namespace
 
 void
@@ -59,14 +75,27 @@
   } else {
     appender = new log4cplus::FileAppender(aPath, std::ios_base::app);
   }
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
-  auto root = log4cplus::Logger::getRoot();
-  root.addAppender(appender);
-  std::string level = aLevel.empty() ? "INFO" : aLevel;
-  std::transform(level.begin(), level.end(), level.begin(), [](char aChar) {
-    return static_cast<char>(std::toupper(static_cast<unsigned char>(aChar)));
-  });
-  root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+  SetUpRoot(appender, aLevel);
+}
+
+void
+StartQueuedLog(const std::string& aLevel)
+{
+  static const log4cplus::Initializer kInitializer;
+  log4cplus::SharedAppenderPtr appender(new QueueAppender);
+  SetUpRoot(appender, aLevel);
+}
+
+void
+StopQueuedLog()
+{
+  log4cplus::Logger::getRoot().closeNestedAppenders();
+}
+
+std::uint64_t
+DroppedLogLines()
+{
+  return QueueAppender::Dropped();
 }
 
 void
--- a/src/quetzalquay/observe/Log.h
+++ b/src/quetzalquay/observe/Log.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_OBSERVE_LOG_H_INCLUDED
 #define QUETZALQUAY_OBSERVE_LOG_H_INCLUDED
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <utility>
@@ -20,6 +21,23 @@
 void
 StartLog(const std::string& aPath, const std::string& aLevel);
 
+// Sets up structured logging to standard output through a bounded queue, which a
+// thread of its own empties: a line never waits for its reader. Lines that do
+// not fit, or come faster than kMaxLinesPerSecond, are dropped and counted.
+void
+StartQueuedLog(const std::string& aLevel);
+
+// Writes what is queued and ends the queue's thread.
+void
+StopQueuedLog();
+
+// Lines a second that a queued log takes at most.
+constexpr int kMaxLinesPerSecond = 400;
+
+// Lines that a queued log has dropped so far.
+std::uint64_t
+DroppedLogLines();
+
 // Name and value of a structured log field.
 using LogField = std::pair<const char*, std::string>;
 
--- a/src/quetzalquay/programs/Program.cpp
+++ b/src/quetzalquay/programs/Program.cpp
@@ -28,10 +28,12 @@
                     char** aArgv,
                     const char* aName,
                     const char* aPurpose,
-                    int& aExitCode)
+                    int& aExitCode,
+                    const std::string& aDefaultFile)
 {
   namespace po = boost::program_options;
   ProgramOptions options;
+  options.mSettingsFile = aDefaultFile;
   po::options_description described("Options");
   described.add_options()("help", "print this help and exit")(
     "version", "print the version and exit")(
--- a/src/quetzalquay/programs/Program.h
+++ b/src/quetzalquay/programs/Program.h
@@ -29,13 +29,14 @@
 
 // Reads the command line that all serving programs share: --help, --version,
 // --settings FILE and --check-settings. Returns nothing when the program has to
-// end at once, with aExitCode set.
+// end at once, with aExitCode set. aDefaultFile is used without --settings.
 std::optional<ProgramOptions>
 ParseProgramOptions(int aArgc,
                     char** aArgv,
                     const char* aName,
                     const char* aPurpose,
-                    int& aExitCode);
+                    int& aExitCode,
+                    const std::string& aDefaultFile = std::string());
 
 // Version of all programs.
 const char*
--- a/src/quetzalquay/router/PlainSession.cpp
+++ b/src/quetzalquay/router/PlainSession.cpp
@@ -56,9 +56,6 @@
     const PlainResult result = Send(*attempt, spec);
     step = call.OnResult(result, Now());
   }
-  // A call that was refused must not keep its place in the queue.
-  mParts.mTargets->With(
-    [&query](TargetTable& aTable) { aTable.Forget(query); });
   aResponse.mHeaders["X-Request-Id"] = mContext.mRequestId;
   if (const FailCall* failed = std::get_if<FailCall>(&step)) {
     Fail(failed->mFailure, aResponse);
--- a/src/quetzalquay/router/TargetDirectory.h
+++ b/src/quetzalquay/router/TargetDirectory.h
@@ -22,6 +22,12 @@
     return mTable.Choose(aQuery, aNow);
   }
 
+  void Forget(const ChoiceQuery& aQuery) override
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mTable.Forget(aQuery);
+  }
+
   // Calls aFunction with the table while no other thread uses it.
   template<typename Function>
   auto With(Function aFunction)
--- a/tests/fakes/FakeWorld.h
+++ b/tests/fakes/FakeWorld.h
@@ -53,6 +53,7 @@
   // Starts a generation on an engine, as a router that is gone would have.
   void Preload(int aEngine, const std::string& aGeneration, int aLength);
 
+  void Forget(const quetzalquay::ChoiceQuery&) override {}
   quetzalquay::Choice Choose(const quetzalquay::ChoiceQuery& aQuery,
                              quetzalquay::Time aNow) override;
 
--- a/tests/introspective/WireTests.cpp
+++ b/tests/introspective/WireTests.cpp
@@ -57,6 +57,8 @@
     }
     return choice;
   }
+
+  void Forget(const ChoiceQuery&) override {}
 };
 
 } // namespace
