Keep the copy that exists; let a run read its prompt before calling it silent

A copy was looked for where the last try had asked for one, although that try had never delivered an event; and a run that had to read the prompt again was given up after 1.5 s without an event, before it could have read it. Ruled out: copies lost by lack of memory; full targets.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -344,6 +344,7 @@
   mUsualGap = aChoice.mUsualGap;
   mPhase = Phase::Streaming;
   mAttemptMayRun = true;
+  mAttemptProduced = false;
   mReattached = false;
   if (!mTokens.empty()) {
     ++mCounters.mContinuations;
@@ -408,6 +409,7 @@
   ++mAttempt;
   mPhase = Phase::Streaming;
   mAttemptMayRun = true;
+  mAttemptProduced = true;
   mReattached = true;
   ReattachStream action;
   action.mAttempt = mAttempt;
@@ -524,6 +526,7 @@
 {
   mGeneration = aEvent.mGeneration;
   mMayHaveStarted = true;
+  mAttemptProduced = true;
   mTokens.push_back(aEvent.mToken);
   mPhase = Phase::Streaming;
   mRecoverBy = Time::max();
@@ -558,7 +561,10 @@
 {
   const bool knownStream = !mGeneration.empty();
   const bool connectionEnded = !mAttemptMayRun;
-  const bool longSilence = aNow - mLastToken >= mSpec.mPolicy.mReattachAfter;
+  // An attempt that has to read the prompt again is silent for longer.
+  const Duration patience = mAttemptProduced ? mSpec.mPolicy.mReattachAfter
+                                             : mSpec.mPolicy.mFirstTokenLimit;
+  const bool longSilence = aNow - mLastToken >= patience;
   if (knownStream && (connectionEnded || longSilence)) {
     Reattach(aNow, aActions);
     return;
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -196,6 +196,8 @@
   int mRuns = 0;
   // The current attempt reads a stream that an earlier one started.
   bool mReattached = false;
+  // The current attempt has delivered a token.
+  bool mAttemptProduced = false;
   // The current attempt has reached its target's connection.
   bool mAttemptMayRun = false;
   bool mMayHaveStarted = false;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -24,8 +24,6 @@
 
 // Generation id and finish reason that stand for what this protocol has not.
 constexpr char kGeneration[] = "stream";
-// Position of a stream that has not delivered an event yet.
-constexpr char kBeforeFirstEvent[] = "0";
 constexpr char kFinished[] = "end";
 
 RecoveryPolicy
@@ -120,7 +118,7 @@
 {
   const Time now = EventLoop::Now();
   const bool resumed = !aAction.mTokens.empty();
-  const bool fromCopy = mTries > 0 && aAction.mTarget == mCopyHolder;
+  const bool fromCopy = resumed && aAction.mTarget == mCopy;
   mAttempt = aAction.mAttempt;
   mTarget = aAction.mTarget;
   mLastTarget = mTarget;
@@ -142,18 +140,17 @@
   const TargetLocation* location = mParts.mFleet.Locate(mTarget);
   if (fromCopy && location != nullptr) {
     fields.mCopyAt = location->mAddress;
-    if (mLastId.empty()) {
-      fields.mLastEventId = kBeforeFirstEvent;
-    }
+    // It can be used once.
+    SetCopy(std::string());
   }
-  KeepCopyAt(std::string());
+  AskForCopyAt(std::string());
   const ServiceTraits* traits = mCall.mRouting->FindService(mCall.mService);
   if (mCall.mRoute->mResumable && traits != nullptr && traits->mCopies) {
     ChoiceQuery query;
     query.mService = mCall.mService;
     query.mPromptTokens = mCall.mRequest.mPromptTokens;
     query.mOutputTokens = mCall.mRequest.mOutputTokens;
-    KeepCopyAt(
+    AskForCopyAt(
       mParts.mFleet.Targets().ChooseCopyHolder(query, mTarget, now));
     const TargetLocation* holder = mParts.mFleet.Locate(mCopyHolder);
     if (holder != nullptr) {
@@ -163,16 +160,19 @@
   if (resumed) {
     mParts.mMetrics.Add(fromCopy ? GatewayCount::ResumedFromCopy
                                  : GatewayCount::ResumedByReading);
+  }
+  if (mTries > 1) {
     Log(LogLevel::Info,
         "request",
-        "stream goes on",
+        resumed ? "stream goes on" : "tried again",
         { { "request", mCall.mRequest.mRequestId },
           { "target", mTarget },
           { "from_copy", fromCopy ? "true" : "false" },
           { "after_event", mLastId },
+          { "cause", mNote },
           { "silent_ms",
-            std::to_string(
-              static_cast<int>(ToMilliseconds(now - mLastEventAt))) } });
+            std::to_string(static_cast<int>(ToMilliseconds(
+              now - (resumed ? mLastEventAt : mCall.mArrived)))) } });
   }
   mConnection = mParts.mPool.Take(mTarget);
   if (mConnection == nullptr) {
@@ -362,6 +362,9 @@
     mParts.mMetrics.Observe(GatewayTime::Resume, now - mLastEventAt);
   }
   mLastEventAt = now;
+  if (mCopy != mCopyHolder) {
+    SetCopy(mCopyHolder);
+  }
   StreamEvent event;
   event.mRequestId = mCall.mRequest.mRequestId;
   event.mAttempt = mAttempt;
@@ -446,10 +449,6 @@
           { "note", mNote } });
   }
   Release(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
-  if (!lost) {
-    // A run that did not start has no copy.
-    KeepCopyAt(std::string());
-  }
   Perform(mDecision.OnAttemptEnded(mAttempt, aEnd, EventLoop::Now()));
 }
 
@@ -470,9 +469,9 @@
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
 }
 
-// Notes which target keeps a copy of the present run.
+// Notes which target is asked to keep a copy of the present run.
 void
-StreamExchange::KeepCopyAt(const std::string& aTarget)
+StreamExchange::AskForCopyAt(const std::string& aTarget)
 {
   TargetTable& targets = mParts.mFleet.Targets();
   if (!mCopyHolder.empty()) {
@@ -483,7 +482,13 @@
   if (!mCopyHolder.empty()) {
     targets.OnCopyStart(mCopyHolder, mCopyTokens);
   }
-  mDecision.SetCopyHolder(mCopyHolder);
+}
+
+void
+StreamExchange::SetCopy(const std::string& aTarget)
+{
+  mCopy = aTarget;
+  mDecision.SetCopyHolder(mCopy);
 }
 
 void
@@ -524,7 +529,7 @@
 {
   mDone = true;
   mAlarm.Clear();
-  KeepCopyAt(std::string());
+  AskForCopyAt(std::string());
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -44,7 +44,8 @@
   void TakeEvent(const EventCutter::Event& aEvent);
   void EndTry(AttemptEnd aEnd);
   void Release(AttemptOutcome aOutcome);
-  void KeepCopyAt(const std::string& aTarget);
+  void AskForCopyAt(const std::string& aTarget);
+  void SetCopy(const std::string& aTarget);
   void Flush();
   void SendHead();
   void PassFailureOn();
@@ -70,9 +71,12 @@
   // Index that the next event of the present try has.
   int mNextIndex = 0;
 
-  // Target that keeps a copy of the present run, empty when none does.
+  // Target that has been asked to keep a copy of the present run, empty when
+  // none has. There is a copy once the run has delivered an event.
   std::string mCopyHolder;
   int mCopyTokens = 0;
+  // Target that holds a copy of the last run that delivered one.
+  std::string mCopy;
 
   // Head of the first run, which the caller gets.
   HttpHead mHead;
