Choose targets by what all hosts have given to them

Cause: a host knew only its own streams and, for a second, the load on an answer's head. On Kierrosaika about 31 streams share 24 targets; a prompt that is read beside a running stream costs that stream about 0.8 s, and the first event came after 1.35 s where the prompt alone takes 1.03 s. What: each host tells the others what it has given to targets, in datagrams, at most every 40 ms; requests that are turned away because another target has the address do not count as refusals; a target that refused is preferred last until its entry has lapsed.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -591,7 +591,9 @@
   mAttemptMayRun = false;
   --mRuns;
   Exclude(mTarget);
-  ++mRefusals;
+  const bool turnedAway =
+    aEnd == AttemptEnd::NotStarted || aEnd == AttemptEnd::VersionNotLoaded;
+  mRefusals += turnedAway ? 1 : 0;
   const bool lostSomething = mRecoverBy != Time::max();
   if (lostSomething && aEnd == AttemptEnd::VersionNotLoaded && CanRestart() &&
       mRefusals > kMaxRefusals) {
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -48,12 +48,22 @@
 // How long a load report is believed.
 constexpr Duration kReportLifetime = milliseconds(1000);
 
+// How long another router's word on its load is believed.
+constexpr Duration kRouterLoadLifetime = milliseconds(2500);
+
 // Prompt tokens not read yet that weigh as much as one running request.
 constexpr double kBacklogTokensPerLoad = 2000.0;
 
 // Load that a copy at another place is worth: losses come by place.
 constexpr double kSamePlaceCopyLoad = 100.0;
 
+// Time for which the losses of a place make its other targets doubtful, unless
+// they are heard from: until the entries of dead targets have lapsed.
+constexpr Duration kPlaceDoubt = milliseconds(4500);
+
+// Load that a doubtful target has to be better by.
+constexpr double kDoubtLoad = 50.0;
+
 // Load of one copy that a target keeps for another.
 constexpr double kCopyLoad = 0.3;
 
@@ -107,6 +117,7 @@
     } else {
       target.mUsualGap = kInitialGap;
       target.mFirstToken = Duration::zero();
+      target.mAliveAt = aNow;
     }
     if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation) {
       if (!target.mIncarnation.empty()) {
@@ -114,6 +125,9 @@
       }
       target.mIncarnation = it.mIncarnation;
       target.mDownUntil = Time();
+      target.mDoubtUntil = Time();
+      target.mLostAt = Time();
+      target.mAliveAt = aNow;
       target.mFullUntil = Time();
     }
     target.mDeclaration = it;
@@ -131,6 +145,11 @@
 TargetTable::Choose(const ChoiceQuery& aQuery, Time aNow)
 {
   BlameForDeaths(aNow);
+  for (auto& it : mPlaceLosses) {
+    while (!it.second.empty() && aNow - it.second.front() >= kPlaceDoubt) {
+      it.second.pop_front();
+    }
+  }
   Choice choice;
   if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
     Forget(aQuery);
@@ -193,6 +212,7 @@
 {
   if (Target* target = Find(aTarget)) {
     target->mRunning.push_back({ aContentHash, aNow, false, aLoad, false });
+    OnLoadChanged();
   }
 }
 
@@ -215,6 +235,7 @@
   if (it != running.end()) {
     blamed = it->mBlamed;
     running.erase(it);
+    OnLoadChanged();
   }
   auto& lost = target->mLost;
   while (!lost.empty() && aNow - lost.front().mAt >= kLostWindow) {
@@ -250,6 +271,16 @@
       it.mFirstTokenSeen = true;
     }
   }
+  OnLoadChanged();
+}
+
+void
+TargetTable::OnAlive(const std::string& aTarget, Time aNow)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mAliveAt = aNow;
+    target->mDoubtUntil = Time();
+  }
 }
 
 void
@@ -259,11 +290,13 @@
   if (target == nullptr) {
     return;
   }
+  OnLost(*target, aNow);
   const bool again =
     target->mBrokenAt != Time() && aNow - target->mBrokenAt < kBreakWindow;
   target->mBrokenAt = aNow;
   target->mDownUntil =
     std::max(target->mDownUntil, aNow + (again ? kDownPause : kBrokenPause));
+  target->mDoubtUntil = aNow + mOptions.mDoubtPause;
 }
 
 std::string
@@ -283,6 +316,9 @@
       continue;
     }
     double score = Load(target, aNow) + target.mCopies;
+    if (IsDoubtful(target, aNow)) {
+      score += kDoubtLoad;
+    }
     if (runner != nullptr &&
         runner->mDeclaration.mPlace == target.mDeclaration.mPlace) {
       score += kSamePlaceCopyLoad;
@@ -301,6 +337,7 @@
   if (Target* target = Find(aTarget)) {
     ++target->mCopies;
     target->mCopyTokens += aTokens;
+    OnLoadChanged();
   }
 }
 
@@ -310,6 +347,80 @@
   if (Target* target = Find(aTarget)) {
     target->mCopies = std::max(0, target->mCopies - 1);
     target->mCopyTokens = std::max(0, target->mCopyTokens - aTokens);
+    OnLoadChanged();
+  }
+}
+
+std::vector<TargetLoad>
+TargetTable::OwnLoad() const
+{
+  std::vector<TargetLoad> loads;
+  for (const auto& it : mTargets) {
+    TargetLoad load = OwnLoadOf(it.second);
+    if (load.mRunning > 0 || load.mHeldTokens > 0) {
+      load.mTarget = it.first;
+      loads.push_back(std::move(load));
+    }
+  }
+  return loads;
+}
+
+TargetLoad
+TargetTable::OwnLoadOf(const Target& aTarget)
+{
+  TargetLoad load;
+  load.mRunning = static_cast<int>(aTarget.mRunning.size());
+  load.mHeldTokens = aTarget.mCopyTokens;
+  for (const Running& it : aTarget.mRunning) {
+    load.mHeldTokens += it.mLoad.mPromptTokens + it.mLoad.mOutputTokens;
+    load.mBacklogTokens += it.mFirstTokenSeen ? 0 : it.mLoad.mPromptTokens;
+  }
+  return load;
+}
+
+void
+TargetTable::TakeLoad(const std::string& aRouter,
+                      const std::vector<TargetLoad>& aLoad,
+                      Time aNow)
+{
+  for (auto it = mRouterLoads.begin(); it != mRouterLoads.end();) {
+    if (it->first == aRouter || aNow >= it->second.mUntil) {
+      AddOthers(it->second.mLoad, -1);
+      it = mRouterLoads.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  AddOthers(aLoad, 1);
+  mRouterLoads[aRouter] = { aLoad, aNow + kRouterLoadLifetime };
+}
+
+void
+TargetTable::AddOthers(const std::vector<TargetLoad>& aLoad, int aSign)
+{
+  for (const TargetLoad& it : aLoad) {
+    if (Target* target = Find(it.mTarget)) {
+      TargetLoad& others = target->mOthers;
+      others.mRunning = std::max(0, others.mRunning + aSign * it.mRunning);
+      others.mBacklogTokens =
+        std::max(0, others.mBacklogTokens + aSign * it.mBacklogTokens);
+      others.mHeldTokens =
+        std::max(0, others.mHeldTokens + aSign * it.mHeldTokens);
+    }
+  }
+}
+
+void
+TargetTable::NotifyLoad(std::function<void()> aCall)
+{
+  mOnLoadChanged = std::move(aCall);
+}
+
+void
+TargetTable::OnLoadChanged() const
+{
+  if (mOnLoadChanged) {
+    mOnLoadChanged();
   }
 }
 
@@ -368,9 +479,12 @@
   target->mLoading = aState == "loading";
   target->mReported = aRunning + aWaiting;
   target->mWaiting = aWaiting;
-  target->mOwnAtReport = static_cast<int>(target->mRunning.size());
+  target->mOwnAtReport =
+    static_cast<int>(target->mRunning.size()) + target->mOthers.mRunning;
   target->mReportedAt = aNow;
+  target->mAliveAt = aNow;
   target->mDownUntil = Time();
+  target->mDoubtUntil = Time();
 }
 
 void
@@ -381,17 +495,48 @@
     return;
   }
   OnDeath(*target, aNow);
+  OnLost(*target, aNow);
   target->mDownUntil = aNow + kDownPause;
+  target->mDoubtUntil = aNow + mOptions.mDoubtPause;
 }
 
 void
 TargetTable::OnUnresponsive(const std::string& aTarget, Time aNow)
 {
   if (Target* target = Find(aTarget)) {
+    OnLost(*target, aNow);
     target->mDownUntil = aNow + kDownPause;
+    target->mDoubtUntil = aNow + mOptions.mDoubtPause;
   }
 }
 
+void
+TargetTable::OnLost(Target& aTarget, Time aNow)
+{
+  // The losses of one target count once.
+  if (aNow - aTarget.mLostAt >= kPlaceDoubt || aTarget.mLostAt == Time()) {
+    mPlaceLosses[aTarget.mDeclaration.mPlace].push_back(aNow);
+  }
+  aTarget.mLostAt = aNow;
+}
+
+bool
+TargetTable::IsDoubtful(const Target& aTarget, Time aNow) const
+{
+  if (aNow < aTarget.mDoubtUntil) {
+    return true;
+  }
+  const auto losses = mPlaceLosses.find(aTarget.mDeclaration.mPlace);
+  if (mOptions.mPlaceLosses == 0 || losses == mPlaceLosses.end()) {
+    return false;
+  }
+  const auto recent = std::count_if(
+    losses->second.begin(), losses->second.end(), [&](Time aLoss) {
+      return aNow - aLoss < kPlaceDoubt && aTarget.mAliveAt < aLoss;
+    });
+  return recent >= mOptions.mPlaceLosses;
+}
+
 void
 TargetTable::MarkLeaving(const std::string& aTarget,
                          const std::string& aIncarnation)
@@ -538,23 +683,14 @@
   }
   const TargetDeclaration& declaration = aTarget.mDeclaration;
   if (declaration.mMemoryTokens > 0) {
-    return HeldTokens(aTarget) + aQuery.mPromptTokens + aQuery.mOutputTokens >
+    return OwnLoadOf(aTarget).mHeldTokens + aTarget.mOthers.mHeldTokens +
+             aQuery.mPromptTokens + aQuery.mOutputTokens >
            declaration.mMemoryTokens;
   }
   return declaration.mSlots > 0 &&
          Load(aTarget, aNow) >= kInFlightPerSlot * declaration.mSlots;
 }
 
-int
-TargetTable::HeldTokens(const Target& aTarget)
-{
-  int tokens = aTarget.mCopyTokens;
-  for (const Running& it : aTarget.mRunning) {
-    tokens += it.mLoad.mPromptTokens + it.mLoad.mOutputTokens;
-  }
-  return tokens;
-}
-
 Choice
 TargetTable::Queue(const ChoiceQuery& aQuery, Time aNow)
 {
@@ -687,7 +823,8 @@
 int
 TargetTable::Load(const Target& aTarget, Time aNow)
 {
-  const int own = static_cast<int>(aTarget.mRunning.size());
+  const int own =
+    static_cast<int>(aTarget.mRunning.size()) + aTarget.mOthers.mRunning;
   if (aTarget.mReportedAt != Time() &&
       aNow - aTarget.mReportedAt >= kReportLifetime) {
     return own;
@@ -702,11 +839,9 @@
                    Time aNow) const
 {
   double score = Load(aTarget, aNow) + kCopyLoad * aTarget.mCopies;
-  for (const Running& it : aTarget.mRunning) {
-    if (!it.mFirstTokenSeen) {
-      score += it.mLoad.mPromptTokens / kBacklogTokensPerLoad;
-    }
-  }
+  const int backlog =
+    OwnLoadOf(aTarget).mBacklogTokens + aTarget.mOthers.mBacklogTokens;
+  score += backlog / kBacklogTokensPerLoad;
   if (aTarget.mDeclaration.mRegion != mRegion) {
     score += kOtherRegionLoad;
   } else if (aTarget.mDeclaration.mPlace != mOptions.mPlace) {
@@ -715,6 +850,9 @@
   if (aTarget.mCached.count(aQuery.mPrefixHash) != 0) {
     score -= kCachedPrefixLoad;
   }
+  if (IsDoubtful(aTarget, aNow)) {
+    score += kDoubtLoad;
+  }
   return score;
 }
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -55,6 +56,12 @@
   // Targets that must die at about the same time for their requests to be held
   // innocent, as when a place fails; 0 blames requests always.
   int mCommonDeaths = 0;
+  // Time for which a target that refused or did not answer is used only when
+  // most others are in the same state: until its entry has lapsed or changed.
+  Duration mDoubtPause = Duration::zero();
+  // Targets of one place that are lost at about the same time make the rest of
+  // that place doubtful; 0 means none do.
+  int mPlaceLosses = 0;
   std::uint64_t mSeed = 0;
 };
 
@@ -75,6 +82,17 @@
   Lost,
 };
 
+// What one router has given to one target and not got back.
+struct TargetLoad
+{
+  std::string mTarget;
+  int mRunning = 0;
+  // Prompt tokens of requests that have not delivered a token yet.
+  int mBacklogTokens = 0;
+  // Tokens that requests and copies take of the target's memory.
+  int mHeldTokens = 0;
+};
+
 // State of one target, for status pages and metrics.
 struct TargetView
 {
@@ -125,6 +143,9 @@
                     Duration aTime,
                     std::uint64_t aContentHash = 0);
 
+  // Bytes have come from a target.
+  void OnAlive(const std::string& aTarget, Time aNow);
+
   // A connection that carried a request broke.
   void OnBroken(const std::string& aTarget, Time aNow);
 
@@ -138,6 +159,17 @@
   void OnCopyStart(const std::string& aTarget, int aTokens);
   void OnCopyEnd(const std::string& aTarget, int aTokens);
 
+  // What this router has given to targets, without those that have nothing.
+  std::vector<TargetLoad> OwnLoad() const;
+
+  // What another router has given to targets, in place of what it said before.
+  void TakeLoad(const std::string& aRouter,
+                const std::vector<TargetLoad>& aLoad,
+                Time aNow);
+
+  // Calls a function whenever OwnLoad() changes.
+  void NotifyLoad(std::function<void()> aCall);
+
   // Budget that repeats are taken from; unlimited until it is configured.
   void LimitRepeats(const RetryBudget::Options& aOptions);
 
@@ -231,6 +263,9 @@
     std::string mLeavingIncarnation;
     bool mLoading = false;
     Time mDownUntil;
+    Time mDoubtUntil;
+    Time mLostAt;
+    Time mAliveAt;
     Time mFullUntil;
     int mReported = 0;
     // Requests in the target's own queue, as reported.
@@ -241,6 +276,8 @@
     Time mBrokenAt;
     int mCopies = 0;
     int mCopyTokens = 0;
+    // Sum of what other routers have given to it.
+    TargetLoad mOthers;
     std::vector<Running> mRunning;
     // Attempts whose connection broke lately, until a death is confirmed.
     std::deque<Lost> mLost;
@@ -260,7 +297,6 @@
   static bool IsFull(const Target& aTarget,
                      const ChoiceQuery& aQuery,
                      Time aNow);
-  static int HeldTokens(const Target& aTarget);
   Choice Queue(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
                     const ChoiceQuery& aQuery,
@@ -274,7 +310,12 @@
                const ChoiceQuery& aQuery,
                Time aNow) const;
   bool IsRecentlyLost(std::uint64_t aContentHash, Time aNow) const;
+  void AddOthers(const std::vector<TargetLoad>& aLoad, int aSign);
+  void OnLoadChanged() const;
+  static TargetLoad OwnLoadOf(const Target& aTarget);
   void OnDeath(Target& aTarget, Time aNow);
+  void OnLost(Target& aTarget, Time aNow);
+  bool IsDoubtful(const Target& aTarget, Time aNow) const;
   void BlameForDeaths(Time aNow);
   Target* Find(const std::string& aName);
   const Target* Find(const std::string& aName) const;
@@ -296,6 +337,16 @@
     std::vector<std::uint64_t> mRequests;
   };
   std::deque<Death> mDeaths;
+  // What other routers told last.
+  struct RouterLoad
+  {
+    std::vector<TargetLoad> mLoad;
+    Time mUntil;
+  };
+  std::map<std::string, RouterLoad> mRouterLoads;
+  std::function<void()> mOnLoadChanged;
+  // When targets were lost lately, by place.
+  std::map<std::string, std::deque<Time>> mPlaceLosses;
   std::optional<RetryBudget> mBudget;
   std::mt19937_64 mRandom;
   // When a suspect first waited for a target without another suspect.
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -16,6 +16,12 @@
 // Targets that die together for a cause other than a request.
 constexpr int kCommonDeaths = 3;
 
+// Targets that a place has to lose before the rest of it is doubted.
+constexpr int kPlaceLosses = 0;
+
+// Time until the entry of a dead target has lapsed: three of its heartbeats.
+constexpr Duration kDoubtPause = std::chrono::milliseconds(3600);
+
 constexpr NameTable<Source, 2> kSourceNames({ "store", "peer" });
 
 // Removed rows that are kept for peers which ask for changes.
@@ -30,6 +36,8 @@
   options.mSampleSize = 0;
   options.mSeparateSuspects = false;
   options.mCommonDeaths = kCommonDeaths;
+  options.mDoubtPause = kDoubtPause;
+  options.mPlaceLosses = kPlaceLosses;
   options.mSeed = StableHash(aSettings.mHost);
   return options;
 }
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/LoadSpread.h"
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
 #include "gateway/StoreWatch.h"
@@ -48,6 +49,7 @@
     , mCallers(mParts, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mPeers(mLoop, mSettings, mFleet, mStore)
+    , mSpread(mLoop, mSettings, mFleet, mStore)
     , mReadiness(mLoop,
                  [this](const HttpHead& aHead, const std::string&) {
                    return AnswerReadiness(aHead);
@@ -67,7 +69,8 @@
     for (const auto& problem : { mCallers.Open(mSettings.mCallers),
                                  mReadiness.Open(mSettings.mReadiness),
                                  mMetricsServer.Open(mSettings.mMetrics),
-                                 mPeers.Start() }) {
+                                 mPeers.Start(),
+                                 mSpread.Start() }) {
       if (problem) {
         return problem;
       }
@@ -199,6 +202,7 @@
   CallerServer mCallers;
   StoreWatch mStore;
   PeerLink mPeers;
+  LoadSpread mSpread;
   SmallServer mReadiness;
   SmallServer mMetricsServer;
   boost::asio::signal_set mSignals;
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -149,6 +149,9 @@
   reader.Address("metrics", settings.mMetrics);
   reader.Addresses("seeds", settings.mSeeds);
   reader.Address("store", settings.mStore);
+  double loadPort = 0;
+  reader.Number("loadPort", 1, 65535, loadPort);
+  settings.mLoadPort = static_cast<unsigned short>(loadPort);
   double connections = 0;
   reader.Number("maxConnections", 2 * kReservedConnections, 1e6, connections);
   double grace = 0;
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -20,6 +20,8 @@
   Endpoint mCallers;
   Endpoint mReadiness;
   Endpoint mPeers;
+  // Port of all hosts for short messages on their load.
+  unsigned short mLoadPort = 0;
   Endpoint mMetrics;
   // Hosts that may know the configuration when the store does not answer.
   std::vector<Endpoint> mSeeds;
--- /dev/null
+++ b/src/quetzalquay/gateway/LoadSpread.cpp
@@ -0,0 +1,172 @@
+#include "gateway/LoadSpread.h"
+
+#include "core/Hash.h"
+#include "observe/Log.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+namespace quetzalquay {
+
+namespace {
+
+using boost::asio::ip::udp;
+using std::chrono::milliseconds;
+
+// Time in which changes are gathered into one message.
+constexpr Duration kGather = milliseconds(40);
+
+// Time after which an unchanged load is told again.
+constexpr Duration kRepeat = milliseconds(1000);
+
+// Hosts that one message goes to. With more hosts, others each time.
+constexpr std::size_t kMaxReceivers = 16;
+
+// Numbers behind the target's name in one entry.
+constexpr rapidjson::SizeType kEntrySize = 4;
+
+} // namespace
+
+LoadSpread::LoadSpread(EventLoop& aLoop,
+                       const GatewaySettings& aSettings,
+                       Fleet& aFleet,
+                       StoreWatch& aStore)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mFleet(aFleet)
+  , mStore(aStore)
+  , mSocket(aLoop.Context())
+  , mSendAt(aLoop, [this] { Send(); })
+  , mRandom(StableHash(aSettings.mHost))
+{
+}
+
+std::optional<std::string>
+LoadSpread::Start()
+{
+  const udp::endpoint at(mSettings.mPeers.address(), mSettings.mLoadPort);
+  boost::system::error_code ec;
+  mSocket.open(udp::v4(), ec);
+  if (!ec) {
+    mSocket.bind(at, ec);
+  }
+  if (!ec) {
+    mSocket.non_blocking(true, ec);
+  }
+  if (ec) {
+    return "cannot receive on " + at.address().to_string() + ":" +
+           std::to_string(at.port()) + ": " + ec.message();
+  }
+  mFleet.Targets().NotifyLoad([this] {
+    const Time at = EventLoop::Now() + kGather;
+    if (!mSendAt.IsSet() || mSendAt.At() > at) {
+      mSendAt.SetAt(at);
+    }
+  });
+  Receive();
+  return std::nullopt;
+}
+
+void
+LoadSpread::Receive()
+{
+  mSocket.async_receive_from(
+    boost::asio::buffer(mBuffer),
+    mSender,
+    [this](const boost::system::error_code& aError, std::size_t aSize) {
+      if (aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        Take(std::string_view(mBuffer.data(), aSize));
+      }
+      Receive();
+    });
+}
+
+void
+LoadSpread::Take(std::string_view aText)
+{
+  rapidjson::Document json;
+  json.Parse(aText.data(), aText.size());
+  if (json.HasParseError() || !json.IsObject()) {
+    return;
+  }
+  const auto host = json.FindMember("host");
+  const auto load = json.FindMember("load");
+  if (host == json.MemberEnd() || !host->value.IsString() ||
+      load == json.MemberEnd() || !load->value.IsArray()) {
+    return;
+  }
+  std::vector<TargetLoad> loads;
+  for (const auto& it : load->value.GetArray()) {
+    if (!it.IsArray() || it.Size() != kEntrySize || !it[0].IsString() ||
+        !it[1].IsInt() || !it[2].IsInt() || !it[3].IsInt()) {
+      continue;
+    }
+    TargetLoad entry;
+    entry.mTarget = it[0].GetString();
+    entry.mRunning = it[1].GetInt();
+    entry.mBacklogTokens = it[2].GetInt();
+    entry.mHeldTokens = it[3].GetInt();
+    loads.push_back(std::move(entry));
+  }
+  mFleet.Targets().TakeLoad(host->value.GetString(), loads, EventLoop::Now());
+}
+
+void
+LoadSpread::Send()
+{
+  const auto loads = mFleet.Targets().OwnLoad();
+  if (!loads.empty()) {
+    mSendAt.SetAt(EventLoop::Now() + kRepeat);
+  } else if (!mToldLoad) {
+    return;
+  }
+  mToldLoad = !loads.empty();
+  rapidjson::StringBuffer buf;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+  writer.StartObject();
+  writer.Key("host");
+  writer.String(mSettings.mHost.c_str());
+  writer.Key("load");
+  writer.StartArray();
+  for (const TargetLoad& it : loads) {
+    writer.StartArray();
+    writer.String(it.mTarget.c_str());
+    writer.Int(it.mRunning);
+    writer.Int(it.mBacklogTokens);
+    writer.Int(it.mHeldTokens);
+    writer.EndArray();
+  }
+  writer.EndArray();
+  writer.EndObject();
+  for (const udp::endpoint& it : Receivers()) {
+    boost::system::error_code ec;
+    // A message that cannot be sent is made up for by the next one.
+    mSocket.send_to(
+      boost::asio::buffer(buf.GetString(), buf.GetSize()), it, 0, ec);
+  }
+}
+
+std::vector<udp::endpoint>
+LoadSpread::Receivers()
+{
+  std::vector<udp::endpoint> receivers;
+  for (const auto& it : mStore.Hosts()) {
+    const auto endpoint = ParseEndpoint(it.second);
+    if (endpoint && it.first != mSettings.mHost) {
+      receivers.emplace_back(endpoint->address(), mSettings.mLoadPort);
+    }
+  }
+  if (receivers.size() > kMaxReceivers) {
+    std::shuffle(receivers.begin(), receivers.end(), mRandom);
+    receivers.resize(kMaxReceivers);
+  }
+  return receivers;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -383,7 +383,8 @@
   if (mTryAnswer.mNotRun) {
     mNote = "turned_away";
     ReportTurnedAway(mParts, mTarget, mTryAnswer, now);
-    EndTry(AttemptEnd::NotStarted);
+    EndTry(mTryAnswer.mWrongTarget ? AttemptEnd::Refused
+                                   : AttemptEnd::NotStarted);
     return;
   }
   if (!mTryStreams) {
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -298,7 +298,9 @@
 void
 TargetPool::OnHeard(const std::string& aTarget)
 {
-  mHeard[aTarget] = EventLoop::Now();
+  const Time now = EventLoop::Now();
+  mHeard[aTarget] = now;
+  mFleet.Targets().OnAlive(aTarget, now);
 }
 
 void
--- a/src/quetzalquay/http/EventLoop.h
+++ b/src/quetzalquay/http/EventLoop.h
@@ -30,6 +30,9 @@
   // Takes the time back.
   void Clear();
 
+  // The time, or the latest one when none is set.
+  Time At() const { return mAt; }
+
   // Whether a time is set.
   bool IsSet() const { return mAt != Time::max(); }
 
