Doubt a place that lost targets, now that hosts know the whole load

Ruled out: the same doubt before the loads were shared (measured worse). Copies are still asked of dead targets by hosts that have not met the loss themselves.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -17,7 +17,7 @@
 constexpr int kCommonDeaths = 3;
 
 // Targets that a place has to lose before the rest of it is doubted.
-constexpr int kPlaceLosses = 0;
+constexpr int kPlaceLosses = 2;
 
 // Time until the entry of a dead target has lapsed: three of its heartbeats.
 constexpr Duration kDoubtPause = std::chrono::milliseconds(3600);
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -119,6 +119,7 @@
   const Time now = EventLoop::Now();
   const bool resumed = !aAction.mTokens.empty();
   const bool fromCopy = resumed && aAction.mTarget == mCopy;
+  const std::string copy = mCopy;
   mAttempt = aAction.mAttempt;
   mTarget = aAction.mTarget;
   mLastTarget = mTarget;
@@ -168,6 +169,7 @@
         { { "request", mCall.mRequest.mRequestId },
           { "target", mTarget },
           { "from_copy", fromCopy ? "true" : "false" },
+          { "copy", copy },
           { "after_event", mLastId },
           { "cause", mNote },
           { "silent_ms",
