Share which targets were lost; one target an address

Entries of dead targets stay for three heartbeats, also when a new target has registered at their address. What: the datagrams on load also name targets found lost and not heard from since; of the entries with one address only the newest is used. Ruled out: copies at the same place; full memory; copies used twice.

--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -1,6 +1,7 @@
 #include "core/TargetEntries.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace quetzalquay {
@@ -173,14 +174,29 @@
 std::vector<TargetEntry>
 TargetEntries::Usable() const
 {
-  std::vector<TargetEntry> entries;
+  // An address has one target: the one that registered there last. Targets
+  // found while the store was away are newer than what it told.
+  std::map<std::string, const Record*> byAddress;
+  const auto age = [](const Record& aRecord) {
+    return aRecord.mVersion == 0 ? std::numeric_limits<std::int64_t>::max()
+                                 : aRecord.mVersion;
+  };
   for (const auto& it : mRecords) {
     const Record& record = it.second;
     const bool gone = record.mRemoved && record.mGoneAt == Time::min();
-    if (record.mReadable && !gone) {
-      entries.push_back(record.mEntry);
+    if (!record.mReadable || gone) {
+      continue;
+    }
+    const Record*& newest = byAddress[record.mEntry.mAddress];
+    if (newest == nullptr || age(*newest) < age(record)) {
+      newest = &record;
     }
   }
+  std::vector<TargetEntry> entries;
+  entries.reserve(byAddress.size());
+  for (const auto& it : byAddress) {
+    entries.push_back(it.second->mEntry);
+  }
   return entries;
 }
 
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -127,6 +127,7 @@
       target.mDownUntil = Time();
       target.mDoubtUntil = Time();
       target.mLostAt = Time();
+      target.mLostHere = false;
       target.mAliveAt = aNow;
       target.mFullUntil = Time();
     }
@@ -290,7 +291,7 @@
   if (target == nullptr) {
     return;
   }
-  OnLost(*target, aNow);
+  OnLostHere(*target, aNow);
   const bool again =
     target->mBrokenAt != Time() && aNow - target->mBrokenAt < kBreakWindow;
   target->mBrokenAt = aNow;
@@ -495,7 +496,7 @@
     return;
   }
   OnDeath(*target, aNow);
-  OnLost(*target, aNow);
+  OnLostHere(*target, aNow);
   target->mDownUntil = aNow + kDownPause;
   target->mDoubtUntil = aNow + mOptions.mDoubtPause;
 }
@@ -504,12 +505,47 @@
 TargetTable::OnUnresponsive(const std::string& aTarget, Time aNow)
 {
   if (Target* target = Find(aTarget)) {
-    OnLost(*target, aNow);
+    OnLostHere(*target, aNow);
     target->mDownUntil = aNow + kDownPause;
     target->mDoubtUntil = aNow + mOptions.mDoubtPause;
   }
 }
 
+std::vector<TargetTable::LostTarget>
+TargetTable::LostTargets(Time aNow) const
+{
+  std::vector<LostTarget> lost;
+  for (const auto& it : mTargets) {
+    const Target& target = it.second;
+    if (target.mLostHere && aNow - target.mLostAt < kPlaceDoubt &&
+        target.mAliveAt < target.mLostAt) {
+      lost.push_back({ it.first, target.mLostAt });
+    }
+  }
+  return lost;
+}
+
+void
+TargetTable::OnLostElsewhere(const std::string& aTarget, Time aAt, Time aNow)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr || target->mAliveAt >= aAt ||
+      aNow - aAt >= kPlaceDoubt) {
+    return;
+  }
+  OnLost(*target, aAt);
+  target->mDoubtUntil =
+    std::max(target->mDoubtUntil, aAt + mOptions.mDoubtPause);
+}
+
+void
+TargetTable::OnLostHere(Target& aTarget, Time aNow)
+{
+  OnLost(aTarget, aNow);
+  aTarget.mLostHere = true;
+  OnLoadChanged();
+}
+
 void
 TargetTable::OnLost(Target& aTarget, Time aNow)
 {
@@ -517,7 +553,7 @@
   if (aNow - aTarget.mLostAt >= kPlaceDoubt || aTarget.mLostAt == Time()) {
     mPlaceLosses[aTarget.mDeclaration.mPlace].push_back(aNow);
   }
-  aTarget.mLostAt = aNow;
+  aTarget.mLostAt = std::max(aTarget.mLostAt, aNow);
 }
 
 bool
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -159,6 +159,19 @@
   void OnCopyStart(const std::string& aTarget, int aTokens);
   void OnCopyEnd(const std::string& aTarget, int aTokens);
 
+  // A target that was lost lately, and when.
+  struct LostTarget
+  {
+    std::string mTarget;
+    Time mAt;
+  };
+
+  // Targets that this router has found lost and not heard from since.
+  std::vector<LostTarget> LostTargets(Time aNow) const;
+
+  // Another router has found a target lost.
+  void OnLostElsewhere(const std::string& aTarget, Time aAt, Time aNow);
+
   // What this router has given to targets, without those that have nothing.
   std::vector<TargetLoad> OwnLoad() const;
 
@@ -167,7 +180,7 @@
                 const std::vector<TargetLoad>& aLoad,
                 Time aNow);
 
-  // Calls a function whenever OwnLoad() changes.
+  // Calls a function whenever OwnLoad() or LostTargets() change.
   void NotifyLoad(std::function<void()> aCall);
 
   // Budget that repeats are taken from; unlimited until it is configured.
@@ -265,6 +278,8 @@
     Time mDownUntil;
     Time mDoubtUntil;
     Time mLostAt;
+    // The loss was found by this router itself.
+    bool mLostHere = false;
     Time mAliveAt;
     Time mFullUntil;
     int mReported = 0;
@@ -315,6 +330,7 @@
   static TargetLoad OwnLoadOf(const Target& aTarget);
   void OnDeath(Target& aTarget, Time aNow);
   void OnLost(Target& aTarget, Time aNow);
+  void OnLostHere(Target& aTarget, Time aNow);
   bool IsDoubtful(const Target& aTarget, Time aNow) const;
   void BlameForDeaths(Time aNow);
   Target* Find(const std::string& aName);
--- a/src/quetzalquay/gateway/LoadSpread.cpp
+++ b/src/quetzalquay/gateway/LoadSpread.cpp
@@ -114,19 +114,33 @@
     entry.mHeldTokens = it[3].GetInt();
     loads.push_back(std::move(entry));
   }
-  mFleet.Targets().TakeLoad(host->value.GetString(), loads, EventLoop::Now());
+  const Time now = EventLoop::Now();
+  mFleet.Targets().TakeLoad(host->value.GetString(), loads, now);
+  const auto lost = json.FindMember("lost");
+  if (lost == json.MemberEnd() || !lost->value.IsArray()) {
+    return;
+  }
+  for (const auto& it : lost->value.GetArray()) {
+    if (it.IsArray() && it.Size() == 2 && it[0].IsString() && it[1].IsInt()) {
+      mFleet.Targets().OnLostElsewhere(
+        it[0].GetString(), now - milliseconds(it[1].GetInt()), now);
+    }
+  }
 }
 
 void
 LoadSpread::Send()
 {
+  const Time now = EventLoop::Now();
   const auto loads = mFleet.Targets().OwnLoad();
-  if (!loads.empty()) {
-    mSendAt.SetAt(EventLoop::Now() + kRepeat);
+  const auto lost = mFleet.Targets().LostTargets(now);
+  const bool something = !loads.empty() || !lost.empty();
+  if (something) {
+    mSendAt.SetAt(now + kRepeat);
   } else if (!mToldLoad) {
     return;
   }
-  mToldLoad = !loads.empty();
+  mToldLoad = something;
   rapidjson::StringBuffer buf;
   rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
   writer.StartObject();
@@ -143,6 +157,15 @@
     writer.EndArray();
   }
   writer.EndArray();
+  writer.Key("lost");
+  writer.StartArray();
+  for (const auto& it : lost) {
+    writer.StartArray();
+    writer.String(it.mTarget.c_str());
+    writer.Int(static_cast<int>(ToMilliseconds(now - it.mAt)));
+    writer.EndArray();
+  }
+  writer.EndArray();
   writer.EndObject();
   for (const udp::endpoint& it : Receivers()) {
     boost::system::error_code ec;
