--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -4,6 +4,7 @@
 #include "core/Failure.h"
 #include "core/RefCounted.h"
 #include "core/RoutingTable.h"
+#include "core/StreamPace.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/Prober.h"
@@ -11,6 +12,7 @@
 #include "http/HttpHead.h"
 #include "platform/PlatformRequests.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,8 @@
   TargetPool& mPool;
   Prober& mProber;
   GatewayMetrics& mMetrics;
+  // Pace of streams, by service.
+  std::map<std::string, StreamPace>& mPaces;
 };
 
 // Where an exchange's answer goes: the caller's connection.
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -45,7 +45,7 @@
     , mFleet(mLoop, mSettings)
     , mPool(mLoop, mFleet)
     , mProber(mLoop, mFleet, mPool)
-    , mParts{ mLoop, mFleet, mPool, mProber, mMetrics }
+    , mParts{ mLoop, mFleet, mPool, mProber, mMetrics, mPaces }
     , mCallers(mParts, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mPeers(mLoop, mSettings, mFleet, mStore)
@@ -198,6 +198,7 @@
   Fleet mFleet;
   TargetPool mPool;
   Prober mProber;
+  std::map<std::string, StreamPace> mPaces;
   GatewayParts mParts;
   CallerServer mCallers;
   StoreWatch mStore;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -75,7 +75,26 @@
 void
 StreamExchange::Start()
 {
-  Perform(mDecision.Start(EventLoop::Now()));
+  const Time now = EventLoop::Now();
+  int events = 0;
+  const std::string& after = mCall.mRequest.mLastEventId;
+  if (!after.empty() &&
+      std::from_chars(after.data(), after.data() + after.size(), events).ec !=
+        std::errc()) {
+    events = 0;
+  }
+  const auto least = mParts.mPaces[mCall.mService].LeastTime(
+    mCall.mRequest.mPromptTokens, events);
+  if (least && now + *least > mCall.mDeadline) {
+    Settle();
+    mNote = "needs_ms_" + std::to_string(least->count() / 1000);
+    Failure failure;
+    failure.mCode = FailureCode::DeadlineExceeded;
+    failure.mMessage = "the stream cannot end in the time that is left";
+    SendFailure(failure);
+    return;
+  }
+  Perform(mDecision.Start(now));
 }
 
 void
@@ -128,6 +147,9 @@
   mTryBody.clear();
   mTryStreams = false;
   mTryOpen = true;
+  mSentAt = now;
+  mTryEvents = 0;
+  mReadsPrompt = !fromCopy;
   mCutter.Clear();
   mNextIndex = static_cast<int>(aAction.mTokens.size());
   AttemptLoad load;
@@ -258,6 +280,7 @@
 {
   Flush();
   SendHead();
+  LearnPace(EventLoop::Now());
   Release(AttemptOutcome::Finished);
   Settle();
   LogEnd("answered", mHead.mStatus);
@@ -364,6 +387,14 @@
     mParts.mMetrics.Observe(GatewayTime::Resume, now - mLastEventAt);
   }
   mLastEventAt = now;
+  if (mTryEvents++ == 0) {
+    mTryFirstAt = now;
+    if (mReadsPrompt) {
+      mParts.mPaces[mCall.mService].OnFirstEvent(
+        mCall.mRequest.mPromptTokens,
+        std::chrono::duration_cast<Duration>(now - mSentAt));
+    }
+  }
   if (mCopy != mCopyHolder) {
     SetCopy(mCopyHolder);
   }
@@ -514,6 +545,17 @@
   }
 }
 
+void
+StreamExchange::LearnPace(Time aNow)
+{
+  if (mTryEvents > 1) {
+    const auto gap = (aNow - mTryFirstAt) / (mTryEvents - 1);
+    mParts.mPaces[mCall.mService].OnFinished(
+      static_cast<int>(mLastNumber),
+      std::chrono::duration_cast<Duration>(gap));
+  }
+}
+
 // The target refused the request itself: its answer is the caller's.
 void
 StreamExchange::PassFailureOn()
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -49,6 +49,7 @@
   void Flush();
   void SendHead();
   void PassFailureOn();
+  void LearnPace(Time aNow);
   void Settle();
   void SetAlarm();
 
@@ -86,6 +87,11 @@
   long long mLastNumber = -1;
   std::string mOutput;
   Time mLastEventAt;
+  // When the present try was sent, and its first event came.
+  Time mSentAt;
+  Time mTryFirstAt;
+  int mTryEvents = 0;
+  bool mReadsPrompt = true;
   bool mAwaitsResume = false;
 };
 
