Ask a silent stream's target whether it still runs the stream

Answers that a target ran and lost were never noticed before the deadline. What: from 0.9 s of silence on the target's report is read; a run that it does not name, or whose events it has made and we have not got, is lost; probes are at most 1.2 s apart.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -145,6 +145,7 @@
       Lose(true, aNow, actions);
       break;
     case ProbeResult::NoAnswer:
+    case ProbeResult::RunLost:
       Lose(false, aNow, actions);
       break;
   }
@@ -576,7 +577,7 @@
     return;
   }
   mPhase = Phase::Streaming;
-  mSilenceLimit = mSilenceLimit * 2;
+  mSilenceLimit = std::min(mSilenceLimit * 2, mSpec.mPolicy.mProbePause);
   mWakeAt = aNow + mSilenceLimit;
 }
 
--- a/src/quetzalquay/core/GenerationActions.h
+++ b/src/quetzalquay/core/GenerationActions.h
@@ -56,6 +56,9 @@
   Dead,
   // Did not answer within the probe's time.
   NoAnswer,
+  // Answers, but does not run the attempt, or runs it while its events do not
+  // arrive.
+  RunLost,
 };
 
 // What a cancel that waits for its result found.
--- a/src/quetzalquay/core/RecoveryPolicy.cpp
+++ b/src/quetzalquay/core/RecoveryPolicy.cpp
@@ -28,6 +28,7 @@
   policy.mSilenceGaps = 8.0;
   policy.mFirstTokenSilence = milliseconds(600);
   policy.mFirstTokenLimit = milliseconds(10000);
+  policy.mProbePause = milliseconds(60000);
   policy.mProbeTimeout = milliseconds(250);
   policy.mProbeOnReset = false;
   policy.mReattachAfter = milliseconds(1500);
--- a/src/quetzalquay/core/RecoveryPolicy.h
+++ b/src/quetzalquay/core/RecoveryPolicy.h
@@ -34,6 +34,8 @@
   Duration mFirstTokenSilence;
   // Time without a first token after which a live target is given up.
   Duration mFirstTokenLimit;
+  // Longest time between two probes of a silent target.
+  Duration mProbePause;
   // Time in which a probed target has to answer.
   Duration mProbeTimeout;
   // Whether a reset connection is probed before the stream moves elsewhere.
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -25,6 +25,8 @@
       return "alive";
     case ProbeResult::Dead:
       return "dead";
+    case ProbeResult::RunLost:
+      return "run_lost";
     case ProbeResult::NoAnswer:
       break;
   }
@@ -88,6 +90,7 @@
         report->mWaiting,
         EventLoop::Now());
     }
+    mReport = report;
     Settle(reborn ? ProbeResult::Dead : ProbeResult::Alive);
   }
 
@@ -106,7 +109,7 @@
       }
       mConnection.reset();
     }
-    mProber.Settle(mTarget, aResult);
+    mProber.Settle(mTarget, aResult, mReport ? &*mReport : nullptr);
   }
 
   Prober& mProber;
@@ -114,6 +117,7 @@
   std::string mIncarnation;
   RefPtr<TargetConnection> mConnection;
   std::string mBody;
+  std::optional<platform::TargetReport> mReport;
   Alarm mDeadline;
 };
 
@@ -191,16 +195,20 @@
 Prober::~Prober() = default;
 
 void
-Prober::Probe(const std::string& aTarget, Time aBy, Receiver aReceiver)
+Prober::Probe(const std::string& aTarget,
+              bool aReport,
+              Time aBy,
+              Receiver aReceiver)
 {
   const auto under = mQuestions.find(aTarget);
   if (under != mQuestions.end()) {
     under->second->mReceivers.push_back(std::move(aReceiver));
     return;
   }
-  if (EventLoop::Now() - mPool.LastHeard(aTarget) < kProofAge) {
-    mLoop.Defer(
-      [receiver = std::move(aReceiver)] { receiver(ProbeResult::Alive); });
+  if (!aReport && EventLoop::Now() - mPool.LastHeard(aTarget) < kProofAge) {
+    mLoop.Defer([receiver = std::move(aReceiver)] {
+      receiver(ProbeResult::Alive, nullptr);
+    });
     return;
   }
   auto question = MakeRef<Question>(*this, aTarget);
@@ -224,7 +232,9 @@
 }
 
 void
-Prober::Settle(const std::string& aTarget, ProbeResult aResult)
+Prober::Settle(const std::string& aTarget,
+               ProbeResult aResult,
+               const platform::TargetReport* aReport)
 {
   const auto it = mQuestions.find(aTarget);
   if (it == mQuestions.end()) {
@@ -243,7 +253,7 @@
       "target probed",
       { { "target", aTarget }, { "result", NameOf(aResult) } });
   for (const Receiver& receiver : question->mReceivers) {
-    receiver(aResult);
+    receiver(aResult, aReport);
   }
 }
 
--- a/src/quetzalquay/gateway/Prober.h
+++ b/src/quetzalquay/gateway/Prober.h
@@ -16,13 +16,19 @@
 class Prober
 {
 public:
-  using Receiver = std::function<void(ProbeResult)>;
+  // Gets the result, and the target's report where it was asked for one.
+  using Receiver =
+    std::function<void(ProbeResult, const platform::TargetReport*)>;
 
   Prober(EventLoop& aLoop, Fleet& aFleet, TargetPool& aPool);
   ~Prober();
 
   // The receiver is called once, at aBy at the latest, and never from within.
-  void Probe(const std::string& aTarget, Time aBy, Receiver aReceiver);
+  // With aReport the target is asked in any case.
+  void Probe(const std::string& aTarget,
+             bool aReport,
+             Time aBy,
+             Receiver aReceiver);
 
   // Another target answers at the address of a known one: finds out whether it
   // can take its place, and tells the fleet.
@@ -35,7 +41,9 @@
   class Question;
   class Identification;
 
-  void Settle(const std::string& aTarget, ProbeResult aResult);
+  void Settle(const std::string& aTarget,
+              ProbeResult aResult,
+              const platform::TargetReport* aReport);
 
   EventLoop& mLoop;
   Fleet& mFleet;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -19,6 +19,19 @@
 constexpr Duration kSilenceFloor = milliseconds(200);
 constexpr Duration kProbeTimeout = milliseconds(150);
 
+// Silence from which on the target's own report is wanted, not only a sign of
+// life.
+constexpr Duration kReportAfterSilence = milliseconds(900);
+
+// Longest time between two probes.
+constexpr Duration kProbePause = milliseconds(1200);
+
+// Age that a report may have.
+constexpr Duration kReportAge = milliseconds(500);
+
+// Events that may be on their way when a target reports more than have come.
+constexpr int kEventsUnderWay = 6;
+
 // Part of the objective in which a request must have found a target.
 constexpr double kStartPart = 0.7;
 
@@ -33,6 +46,7 @@
   policy.mSilenceGaps = kSilenceGaps;
   policy.mSilenceFloor = kSilenceFloor;
   policy.mProbeTimeout = kProbeTimeout;
+  policy.mProbePause = kProbePause;
   return policy;
 }
 
@@ -238,22 +252,52 @@
 void
 StreamExchange::Do(const ProbeTarget& aAction)
 {
+  const Time now = EventLoop::Now();
+  const bool report =
+    now - std::max(mSentAt, mLastEventAt) >= kReportAfterSilence;
   mParts.mProber.Probe(
     aAction.mTarget,
+    report,
     aAction.mAnswerBy,
-    [self = RefPtr<StreamExchange>(this),
-     attempt = aAction.mAttempt](ProbeResult aResult) {
-      if (self->mDone) {
+    [self = RefPtr<StreamExchange>(this), attempt = aAction.mAttempt](
+      ProbeResult aResult, const platform::TargetReport* aReport) {
+      if (self->mDone || attempt != self->mAttempt) {
         return;
       }
-      if (aResult != ProbeResult::Alive) {
+      const Time at = EventLoop::Now();
+      ProbeResult result = aResult;
+      if (result != ProbeResult::Alive) {
         self->mNote = "target_silent";
+      } else if (aReport != nullptr && self->IsRunLost(*aReport, at)) {
+        self->mNote = "run_lost";
+        result = ProbeResult::RunLost;
       }
-      self->Perform(
-        self->mDecision.OnProbeResult(attempt, aResult, EventLoop::Now()));
+      self->Perform(self->mDecision.OnProbeResult(attempt, result, at));
     });
 }
 
+// Whether a target's report shows that the present try's events will not come.
+bool
+StreamExchange::IsRunLost(const platform::TargetReport& aReport,
+                          Time aNow) const
+{
+  const auto run =
+    std::find_if(aReport.mRuns.begin(),
+                 aReport.mRuns.end(),
+                 [&](const platform::ReportedRun& aRun) {
+                   return aRun.mRequestId == mCall.mRequest.mRequestId;
+                 });
+  if (run != aReport.mRuns.end()) {
+    // A resumed run may count from the stream's beginning.
+    const long long known = std::max<long long>(mTryEvents, mLastNumber);
+    return run->mEvents > known + kEventsUnderWay;
+  }
+  const Time since = mTryEvents > 0 ? mLastEventAt : mSentAt;
+  const bool old = aNow - since >= kReportAge;
+  const bool idle = aReport.mRunning == 0 && aReport.mWaiting == 0;
+  return old && (mTryEvents > 0 || idle);
+}
+
 void
 StreamExchange::Do(const CancelAttempt&)
 {
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -50,6 +50,7 @@
   void SendHead();
   void PassFailureOn();
   void LearnPace(Time aNow);
+  bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
   void Settle();
   void SetAlarm();
 
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -222,6 +222,17 @@
   TargetReport report;
   report.mRunning = number("ActiveRequests");
   report.mWaiting = number("QueuedRequests");
+  // Each run is a list of its id, tokens in memory, events made and priority.
+  constexpr rapidjson::SizeType kEventsAt = 2;
+  const auto runs = json.FindMember("Runs");
+  if (runs != json.MemberEnd() && runs->value.IsArray()) {
+    for (const auto& it : runs->value.GetArray()) {
+      if (it.IsArray() && it.Size() > kEventsAt && it[0].IsString() &&
+          it[kEventsAt].IsInt()) {
+        report.mRuns.push_back({ it[0].GetString(), it[kEventsAt].GetInt() });
+      }
+    }
+  }
   const auto models = json.FindMember("Models");
   report.mEngine = models != json.MemberEnd() && models->value.IsArray() &&
                    !models->value.Empty();
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace quetzalquay::platform {
 
@@ -94,6 +95,14 @@
 std::string
 EncodeReportRequest(const std::string& aAddress);
 
+// One run that a target reports. Reports are some hundred milliseconds old.
+struct ReportedRun
+{
+  std::string mRequestId;
+  // Events that the run has made.
+  int mEvents = 0;
+};
+
 struct TargetReport
 {
   // Start of the target; empty when it does not tell.
@@ -102,6 +111,8 @@
   bool mEngine = false;
   int mRunning = 0;
   int mWaiting = 0;
+  // Runs that have made their first token.
+  std::vector<ReportedRun> mRuns;
 };
 
 std::optional<TargetReport>
