--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -84,19 +84,18 @@
            [this] { Perform(mDecision.OnTimer(EventLoop::Now())); })
   , mLastId(mCall.mRequest.mLastEventId)
 {
+  const char* end = mLastId.data() + mLastId.size();
+  if (std::from_chars(mLastId.data(), end, mLastNumber).ec != std::errc()) {
+    mLastNumber = -1;
+  }
 }
 
 void
 StreamExchange::Start()
 {
   const Time now = EventLoop::Now();
-  int events = 0;
-  const std::string& after = mCall.mRequest.mLastEventId;
-  if (!after.empty() &&
-      std::from_chars(after.data(), after.data() + after.size(), events).ec !=
-        std::errc()) {
-    events = 0;
-  }
+  // Targets number the events of a stream from 1.
+  const int events = std::max(0, static_cast<int>(mLastNumber));
   const auto least = mParts.mPaces[mCall.mService].LeastTime(
     mCall.mRequest.mPromptTokens, events);
   if (least && now + *least > mCall.mDeadline) {
@@ -261,7 +260,7 @@
     aAction.mAnswerBy,
     [self = RefPtr<StreamExchange>(this), attempt = aAction.mAttempt](
       ProbeResult aResult, const platform::TargetReport* aReport) {
-      if (self->mDone || attempt != self->mAttempt) {
+      if (self->mDone || attempt != self->mAttempt || !self->mTryOpen) {
         return;
       }
       const Time at = EventLoop::Now();
@@ -272,6 +271,11 @@
         self->mNote = "run_lost";
         result = ProbeResult::RunLost;
       }
+      if (result == ProbeResult::Dead) {
+        // It may be wrong: nothing of this try may come any more.
+        self->mConnection->Abandon();
+        self->Release(AttemptOutcome::Lost);
+      }
       self->Perform(self->mDecision.OnProbeResult(attempt, result, at));
     });
 }
@@ -409,47 +413,68 @@
       // An event that the caller already has.
       return;
     }
+  }
+  if (mLastNumber >= 0 && mIdStep > 0 && number != mLastNumber + mIdStep) {
+    mNote = "event_missing";
+    mConnection->Abandon();
+    EndTry(AttemptEnd::Broken);
+    return;
+  }
+  StreamEvent event;
+  event.mRequestId = mCall.mRequest.mRequestId;
+  event.mAttempt = mAttempt;
+  event.mGeneration = kGeneration;
+  event.mIndex = mNextIndex;
+  event.mToken = static_cast<int>(number);
+  event.mText = aEvent.mBytes;
+  const std::size_t known = mDecision.Tokens().size();
+  Actions actions = mDecision.OnEvent(event, now);
+  if (mDecision.Tokens().size() > known) {
+    if (mNextIndex > 0 && mIdStep == 0) {
+      mIdStep = number - mLastNumber;
+    }
     mLastNumber = number;
     mLastId = aEvent.mId;
+    OnEventTaken(now);
   }
+  Perform(std::move(actions));
+}
+
+// Learns from an event that goes to the caller.
+void
+StreamExchange::OnEventTaken(Time aNow)
+{
   TargetTable& targets = mParts.mFleet.Targets();
   const bool first = mNextIndex == 0 || mAwaitsResume;
   if (mNextIndex == 0) {
-    mParts.mMetrics.Observe(GatewayTime::FirstEvent, now - mCall.mArrived);
+    mParts.mMetrics.Observe(GatewayTime::FirstEvent, aNow - mCall.mArrived);
   }
   if (first) {
     targets.OnFirstToken(
       mTarget,
-      std::chrono::duration_cast<Duration>(now - mCall.mArrived),
+      std::chrono::duration_cast<Duration>(aNow - mCall.mArrived),
       mCall.mContentHash);
   } else {
     targets.OnGap(mTarget,
-                  std::chrono::duration_cast<Duration>(now - mLastEventAt));
+                  std::chrono::duration_cast<Duration>(aNow - mLastEventAt));
   }
   if (mAwaitsResume) {
     mAwaitsResume = false;
-    mParts.mMetrics.Observe(GatewayTime::Resume, now - mLastEventAt);
+    mParts.mMetrics.Observe(GatewayTime::Resume, aNow - mLastEventAt);
   }
-  mLastEventAt = now;
+  mLastEventAt = aNow;
   if (mTryEvents++ == 0) {
-    mTryFirstAt = now;
+    mTryFirstAt = aNow;
     if (mReadsPrompt) {
       mParts.mPaces[mCall.mService].OnFirstEvent(
         mCall.mRequest.mPromptTokens,
-        std::chrono::duration_cast<Duration>(now - mSentAt));
+        std::chrono::duration_cast<Duration>(aNow - mSentAt));
     }
   }
   if (mCopy != mCopyHolder) {
     SetCopy(mCopyHolder);
   }
-  StreamEvent event;
-  event.mRequestId = mCall.mRequest.mRequestId;
-  event.mAttempt = mAttempt;
-  event.mGeneration = kGeneration;
-  event.mIndex = mNextIndex++;
-  event.mToken = static_cast<int>(number);
-  event.mText = aEvent.mBytes;
-  Perform(mDecision.OnEvent(event, now));
+  ++mNextIndex;
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -42,6 +42,7 @@
 
   void TakeEvents();
   void TakeEvent(const EventCutter::Event& aEvent);
+  void OnEventTaken(Time aNow);
   void EndTry(AttemptEnd aEnd);
   void Release(AttemptOutcome aOutcome);
   void AskForCopyAt(const std::string& aTarget);
@@ -86,6 +87,8 @@
   // Id of the last event that was taken.
   std::string mLastId;
   long long mLastNumber = -1;
+  // Difference between the ids of two events, 0 until two have been seen.
+  long long mIdStep = 0;
   std::string mOutput;
   Time mLastEventAt;
   // When the present try was sent, and its first event came.
