--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -74,8 +74,17 @@
                          Time aNow)
 {
   mVersion = std::max(mVersion, aVersion);
-  const auto it = mRecords.find(aName);
-  return it != mRecords.end() && Remove(it->second, aVersion, aNow);
+  // Also noted of an entry not heard of, whose older writes may still come.
+  const auto it = mRecords.try_emplace(aName);
+  Record& record = it.first->second;
+  if (it.second) {
+    record.mEntry.mName = aName;
+    record.mVersion = aVersion;
+    record.mRemoved = true;
+    record.mGoneAt = Time::min();
+    return false;
+  }
+  return Remove(record, aVersion, aNow);
 }
 
 bool
@@ -210,7 +219,11 @@
 bool
 TargetEntries::Remove(Record& aRecord, std::int64_t aVersion, Time aNow)
 {
-  if (aVersion <= aRecord.mVersion || aRecord.mRemoved) {
+  if (aVersion <= aRecord.mVersion) {
+    return false;
+  }
+  if (aRecord.mRemoved) {
+    aRecord.mVersion = aVersion;
     return false;
   }
   aRecord.mVersion = aVersion;
--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -18,6 +18,9 @@
 // Longest line that announces a chunk, in bytes.
 constexpr std::size_t kMaxChunkLine = 1024;
 
+// Bytes of the shortest body in chunks, "0" and two line ends.
+constexpr std::size_t kShortestChunks = 5;
+
 std::string
 Text(string_view aView)
 {
@@ -180,6 +183,7 @@
     mFault = HttpFault::None;
     mHeadBytes.clear();
     mChunkLine.clear();
+    mChunksStarted = false;
   }
 
   std::size_t Take(std::string_view aData)
@@ -245,7 +249,7 @@
     if (end == std::string::npos) {
       if (mHeadBytes.size() > mLimits.mHead) {
         Break(HttpFault::HeadTooLarge);
-      } else if (mHeadBytes.find("\n\n", from) != std::string::npos) {
+      } else if (HasAmbiguousLine(mHeadBytes)) {
         Break(HttpFault::Malformed);
       }
       return skipped + aData.size();
@@ -275,6 +279,14 @@
   template<typename Parser>
   std::size_t PutBody(Parser& aParser, std::string_view aData)
   {
+    if (Head().mChunked && !mChunksStarted) {
+      // The library wants the first line together with what follows it.
+      if (mChunkLine.size() + aData.size() < kShortestChunks) {
+        mChunkLine.append(aData);
+        return aData.size();
+      }
+      mChunksStarted = true;
+    }
     std::size_t taken = 0;
     while (taken < aData.size() && mProgress == HttpProgress::Body) {
       error_code ec;
@@ -337,6 +349,7 @@
   std::optional<MessageParser<true>> mRequest;
   std::optional<MessageParser<false>> mAnswer;
   std::string mHeadBytes;
+  bool mChunksStarted = false;
   // Bytes that the parser could not take without the rest of their line.
   std::string mChunkLine;
 };
--- /dev/null
+++ b/tests/introspective/FleetTests.cpp
@@ -0,0 +1,422 @@
+#include "Property.h"
+
+#include "core/RetryBudget.h"
+#include "core/RoutingTable.h"
+#include "core/StreamPace.h"
+#include "core/TargetEntries.h"
+#include "core/TargetTable.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+Time
+At(int aMs)
+{
+  return Time(std::chrono::hours(1) + milliseconds(aMs));
+}
+
+TargetEntry
+Entry(const std::string& aName, const std::string& aAddress, bool aLeaving = false)
+{
+  TargetEntry entry;
+  entry.mName = aName;
+  entry.mService = "pool";
+  entry.mAddress = aAddress;
+  entry.mPlace = "here";
+  entry.mIncarnation = "1";
+  entry.mSlots = 4;
+  entry.mLeaving = aLeaving;
+  return entry;
+}
+
+std::set<std::string>
+Names(const TargetEntries& aEntries)
+{
+  std::set<std::string> names;
+  for (const TargetEntry& it : aEntries.Usable()) {
+    names.insert(it.mName);
+  }
+  return names;
+}
+
+// Table of twelve engines, four at each of three places.
+TargetTable
+Engines(int aCommonDeaths = 3)
+{
+  TargetTableOptions options;
+  options.mRouterName = "r";
+  options.mPlace = "p0";
+  options.mSampleSize = 0;
+  options.mSeparateSuspects = false;
+  options.mCommonDeaths = aCommonDeaths;
+  options.mDoubtPause = milliseconds(3600);
+  options.mPlaceLosses = 2;
+  options.mSeed = 5;
+  TargetTable table(options);
+  std::vector<TargetDeclaration> targets;
+  for (int n = 0; n < 12; ++n) {
+    TargetDeclaration target;
+    target.mName = "t" + std::to_string(n);
+    target.mService = "pool";
+    target.mPlace = "p" + std::to_string(n % 3);
+    target.mRegion = "region";
+    target.mIncarnation = "1";
+    target.mMemoryTokens = 88000;
+    targets.push_back(target);
+  }
+  ServiceDeclaration service;
+  service.mName = "pool";
+  table.Declare({ service }, targets, "region", At(0));
+  return table;
+}
+
+std::string
+PlaceOf(const std::string& aTarget)
+{
+  return "p" + std::to_string(std::stoi(aTarget.substr(1)) % 3);
+}
+
+ChoiceQuery
+Query(const std::string& aId = "r1", std::uint64_t aContent = 1)
+{
+  ChoiceQuery query;
+  query.mService = "pool";
+  query.mRequestId = aId;
+  query.mWorkspace = "w";
+  query.mContentHash = aContent;
+  query.mPromptTokens = 8000;
+  query.mOutputTokens = 1000;
+  query.mDeadline = At(60000);
+  return query;
+}
+
+} // namespace
+
+class FleetTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetTests);
+  CPPUNIT_TEST(TheLongestPrefixWins);
+  CPPUNIT_TEST(LapsedEntriesAreKeptUntilTheStoreIsBack);
+  CPPUNIT_TEST(GoneMeansGoneWhileTheStoreAnswers);
+  CPPUNIT_TEST(EntriesNeverGoBack);
+  CPPUNIT_TEST(UnreadableEntriesNameNoTarget);
+  CPPUNIT_TEST(AnAddressHasOneTarget);
+  CPPUNIT_TEST(FoundTargetsLastUntilTheStoreTells);
+  CPPUNIT_TEST(HostsTogetherKeepTheRepeatBudget);
+  CPPUNIT_TEST(PaceTellsWhatCannotEnd);
+  CPPUNIT_TEST(LoadOfOtherHostsCounts);
+  CPPUNIT_TEST(AFailingPlaceIsLeftAlone);
+  CPPUNIT_TEST(LossesFoundElsewhereCount);
+  CPPUNIT_TEST(CopiesGoToAnotherPlace);
+  CPPUNIT_TEST(FullMemoryTakesNoMore);
+  CPPUNIT_TEST(PlaceFailuresBlameNobody);
+  CPPUNIT_TEST(ARestartUnderTheSameNameStartsAnew);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TheLongestPrefixWins()
+  {
+    RoutingTable table;
+    for (const char* it : { "/a/", "/a/b/", "/" }) {
+      Route route;
+      route.mName = it;
+      route.mHost = "h";
+      route.mPathPrefix = it;
+      table.AddRoute(route);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.Find("h", "/a/b/c")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.Find("h", "/a/bc")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/"), table.Find("h", "/x?y=/a/b/")->mName);
+    CPPUNIT_ASSERT(table.Find("other", "/a/") == nullptr);
+    CPPUNIT_ASSERT(table.Find("h", "") == nullptr);
+  }
+
+  void LapsedEntriesAreKeptUntilTheStoreIsBack()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("a", "1"), 1, At(0));
+    entries.OnEntry(Entry("b", "2"), 2, At(0));
+    entries.OnStoreLost(At(100));
+    entries.OnStoreBack(At(5000));
+    // Both lapsed; one registers again in time.
+    entries.OnRemoved("a", 3, At(5100));
+    entries.OnRemoved("b", 4, At(5100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Names(entries).size());
+    entries.OnEntry(Entry("a", "1"), 5, At(6500));
+    CPPUNIT_ASSERT(entries.NextExpiry() == At(7000));
+    CPPUNIT_ASSERT(entries.Expire(At(7000)));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "a" });
+  }
+
+  void GoneMeansGoneWhileTheStoreAnswers()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("a", "1"), 1, At(0));
+    CPPUNIT_ASSERT(entries.OnRemoved("a", 2, At(10000)));
+    CPPUNIT_ASSERT(Names(entries).empty());
+    // A target that said it leaves is not waited for, store or not.
+    entries.OnEntry(Entry("b", "2", true), 3, At(10000));
+    entries.OnStoreLost(At(10000));
+    CPPUNIT_ASSERT(entries.OnRemoved("b", 4, At(10001)));
+  }
+
+  void EntriesNeverGoBack()
+  {
+    CheckProperty("the newest version of an entry holds in any order", [] {
+      const int count = *rc::gen::inRange(1, 12);
+      std::vector<int> versions;
+      for (int n = 1; n <= count; ++n) {
+        versions.push_back(n);
+      }
+      for (int n = count - 1; n > 0; --n) {
+        std::swap(versions[static_cast<std::size_t>(n)],
+                  versions[static_cast<std::size_t>(*rc::gen::inRange(0, n + 1))]);
+      }
+      TargetEntries entries(milliseconds(2000));
+      for (const int it : versions) {
+        // Every third version removes the entry.
+        if (it % 3 == 0) {
+          entries.OnRemoved("a", it, At(0));
+        } else {
+          entries.OnEntry(Entry("a", "v" + std::to_string(it)), it, At(0));
+        }
+      }
+      const auto usable = entries.Usable();
+      if (count % 3 != 0) {
+        RC_ASSERT(usable.size() == 1U);
+        RC_ASSERT(usable[0].mAddress == "v" + std::to_string(count));
+      } else {
+        RC_ASSERT(usable.empty());
+      }
+      // An old snapshot without it changes nothing.
+      const auto before = usable.size();
+      entries.OnSnapshot({}, 0, At(0));
+      RC_ASSERT(entries.Usable().size() == before);
+    });
+  }
+
+  void UnreadableEntriesNameNoTarget()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("a", "1"), 1, At(0));
+    entries.OnEntry(Entry("b", "2"), 2, At(0));
+    CPPUNIT_ASSERT(entries.OnUnreadable("a", 3, At(0)));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "b" });
+    CPPUNIT_ASSERT(entries.OnEntry(Entry("a", "1"), 4, At(0)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Names(entries).size());
+  }
+
+  void AnAddressHasOneTarget()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("old", "1"), 1, At(0));
+    entries.OnEntry(Entry("new", "1"), 2, At(0));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "new" });
+  }
+
+  void FoundTargetsLastUntilTheStoreTells()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("old", "1"), 1, At(0));
+    CPPUNIT_ASSERT(!entries.OnReplaced("old", "new", "9", At(0)));
+    entries.OnStoreLost(At(100));
+    CPPUNIT_ASSERT(entries.OnReplaced("old", "new", "9", At(200)));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "new" });
+    entries.OnStoreBack(At(5000));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "new" });
+    // It never registers.
+    entries.Expire(At(7000));
+    CPPUNIT_ASSERT(Names(entries).empty());
+  }
+
+  void HostsTogetherKeepTheRepeatBudget()
+  {
+    CheckProperty("repeats of all hosts stay within the shared budget", [] {
+      const int hosts = *rc::gen::inRange(1, 9);
+      RetryBudget::Options options;
+      options.mRatio = 0.8;
+      options.mAllowance = 150;
+      options.mWindow = std::chrono::seconds(10);
+      options.mHosts = hosts;
+      std::vector<RetryBudget> budgets(static_cast<std::size_t>(hosts));
+      int first = 0;
+      int repeats = 0;
+      for (RetryBudget& it : budgets) {
+        it.Configure(options);
+        const int own = *rc::gen::inRange(0, 60);
+        for (int n = 0; n < own; ++n) {
+          it.OnFirst("s", At(n));
+        }
+        first += own;
+        const int tries = *rc::gen::inRange(0, 300);
+        for (int n = 0; n < tries; ++n) {
+          repeats += it.TakeRepeat("s", At(1000 + n)) ? 1 : 0;
+        }
+      }
+      RC_ASSERT(repeats <= 0.8 * first + 150);
+    });
+  }
+
+  void PaceTellsWhatCannotEnd()
+  {
+    StreamPace pace;
+    CPPUNIT_ASSERT(!pace.LeastTime(8000, 0));
+    for (int n = 0; n < 20; ++n) {
+      pace.OnFirstEvent(8000, milliseconds(1000 + 20 * n));
+      pace.OnFinished(90 + 4 * n, milliseconds(32 + n));
+    }
+    const auto whole = *pace.LeastTime(8000, 0);
+    CPPUNIT_ASSERT(whole > milliseconds(3500) && whole < milliseconds(5000));
+    const auto rest = *pace.LeastTime(8000, 80);
+    CPPUNIT_ASSERT(rest > milliseconds(1000) && rest < whole);
+    // Past the usual length at least one event is left.
+    CPPUNIT_ASSERT(*pace.LeastTime(8000, 400) > milliseconds(1000));
+  }
+
+  void LoadOfOtherHostsCounts()
+  {
+    TargetTable table = Engines();
+    std::vector<TargetLoad> loads;
+    for (int n = 0; n < 12; ++n) {
+      if (n != 7) {
+        loads.push_back({ "t" + std::to_string(n), 1, 8000, 9000 });
+      }
+    }
+    table.TakeLoad("other", loads, At(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("t7"),
+                         table.Choose(Query(), At(10)).mTarget);
+    // What it says next replaces that.
+    table.TakeLoad("other", { { "t7", 1, 8000, 9000 } }, At(20));
+    CPPUNIT_ASSERT(table.Choose(Query(), At(30)).mTarget != "t7");
+  }
+
+  void AFailingPlaceIsLeftAlone()
+  {
+    TargetTable table = Engines();
+    // Everything but the failing place is busy.
+    std::vector<TargetLoad> loads;
+    for (int n = 0; n < 12; ++n) {
+      if (n % 3 != 1) {
+        loads.push_back({ "t" + std::to_string(n), 3, 0, 9000 });
+      }
+    }
+    table.TakeLoad("other", loads, At(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("p1"),
+                         PlaceOf(table.Choose(Query(), At(5)).mTarget));
+    table.OnRefused("t1", At(10));
+    table.OnUnresponsive("t4", At(10));
+    CPPUNIT_ASSERT(PlaceOf(table.Choose(Query(), At(20)).mTarget) != "p1");
+    // One of them is heard from after all.
+    table.OnAlive("t7", At(30));
+    CPPUNIT_ASSERT_EQUAL(std::string("t7"),
+                         table.Choose(Query(), At(40)).mTarget);
+  }
+
+  void LossesFoundElsewhereCount()
+  {
+    TargetTable here = Engines();
+    TargetTable there = Engines();
+    there.OnRefused("t1", At(10));
+    there.OnRefused("t4", At(10));
+    const auto lost = there.LostTargets(At(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), lost.size());
+    for (const auto& it : lost) {
+      here.OnLostElsewhere(it.mTarget, it.mAt, At(60));
+    }
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT(
+        PlaceOf(here.Choose(Query(), At(70 + n)).mTarget) != "p1");
+    }
+    // What others found is not passed on as found here.
+    CPPUNIT_ASSERT(here.LostTargets(At(80)).empty());
+  }
+
+  void CopiesGoToAnotherPlace()
+  {
+    // Fewer losses than any place has targets.
+    CheckProperty("a copy is at another place while that has targets", [] {
+      TargetTable table = Engines();
+      int refusals = 3;
+      for (int n = 0; n < 30; ++n) {
+        const Choice choice = table.Choose(Query(), At(n));
+        RC_ASSERT(choice.mStatus == ChoiceStatus::Chosen);
+        table.OnAttemptStart(choice.mTarget, 1, At(n), { 800, 100 });
+        const auto holder =
+          table.ChooseCopyHolder(Query(), choice.mTarget, At(n));
+        RC_ASSERT(!holder.empty());
+        RC_ASSERT(PlaceOf(holder) != PlaceOf(choice.mTarget));
+        table.OnCopyStart(holder, 900);
+        if (refusals > 0 && *rc::gen::inRange(0, 5) == 0) {
+          --refusals;
+          table.OnRefused(choice.mTarget, At(n));
+        }
+      }
+    });
+  }
+
+  void FullMemoryTakesNoMore()
+  {
+    TargetTable table = Engines();
+    int running = 0;
+    while (true) {
+      const Choice choice = table.Choose(Query(), At(running));
+      if (choice.mStatus != ChoiceStatus::Chosen) {
+        CPPUNIT_ASSERT(choice.mStatus == ChoiceStatus::Busy);
+        break;
+      }
+      table.OnAttemptStart(choice.mTarget, 1, At(running), { 8000, 1000 });
+      ++running;
+      CPPUNIT_ASSERT(running < 200);
+    }
+    // 88,000 tokens hold nine streams of 9,000.
+    CPPUNIT_ASSERT_EQUAL(12 * 9, running);
+  }
+
+  void PlaceFailuresBlameNobody()
+  {
+    TargetTable table = Engines();
+    for (int n = 0; n < 4; ++n) {
+      const std::string target = "t" + std::to_string(3 * n);
+      table.OnAttemptStart(target, 40, At(0));
+      table.OnAttemptEnd(target, 40, AttemptOutcome::Lost, At(100));
+      table.OnRefused(target, At(110 + n));
+    }
+    table.Choose(Query("later", 2), At(2000));
+    CPPUNIT_ASSERT_EQUAL(0, table.Suspects().Deaths(40, At(2000)));
+    // Targets that die one after the other are another matter.
+    for (int n = 0; n < 3; ++n) {
+      const std::string target = "t" + std::to_string(3 * n + 1);
+      const int at = 3000 + 2000 * n;
+      table.OnAttemptStart(target, 41, At(at));
+      table.OnAttemptEnd(target, 41, AttemptOutcome::Lost, At(at + 10));
+      table.OnRefused(target, At(at + 20));
+    }
+    CPPUNIT_ASSERT(table.Choose(Query("poison", 41), At(9000)).mStatus ==
+                   ChoiceStatus::Poison);
+  }
+
+  void ARestartUnderTheSameNameStartsAnew()
+  {
+    TargetTable table = Engines();
+    table.OnRefused("t0", At(10));
+    table.OnUnresponsive("t3", At(10));
+    TargetDeclaration reborn;
+    reborn.mName = "t0";
+    reborn.mService = "pool";
+    reborn.mPlace = "p0";
+    reborn.mRegion = "region";
+    reborn.mIncarnation = "2";
+    ServiceDeclaration service;
+    service.mName = "pool";
+    table.Declare({ service }, { reborn }, "region", At(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("t0"),
+                         table.Choose(Query(), At(60)).mTarget);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTests);
--- /dev/null
+++ b/tests/introspective/PlatformTests.cpp
@@ -0,0 +1,306 @@
+#include "Property.h"
+
+#include "gateway/GatewaySettings.h"
+#include "platform/PlatformRequests.h"
+#include "platform/PlatformStore.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidjson/document.h>
+
+using namespace quetzalquay;
+
+namespace {
+
+HttpHead
+Head(std::vector<HttpField> aFields)
+{
+  HttpHead head;
+  head.mMethod = "POST";
+  head.mTarget = "/a/b?c=d";
+  head.mFields = std::move(aFields);
+  return head;
+}
+
+bool
+Holds(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+constexpr char kConfiguration[] = R"({"Version":7,"Routes":[
+  {"Name":"r1","Host":"h","PathPrefix":"/s/","Kind":"streaming","TimeoutMs":25000,
+   "TargetLatencyMs":4500,"Priority":1,"TrafficSplit":[{"Service":"m","Weight":90},{"Service":"n","Weight":10}],
+   "MaxAttempts":5,"Public":false,"StreamResumption":true,"GapTargetMs":700},
+  {"Name":"r2","Host":"h","PathPrefix":"/u/","Kind":"something new","Service":"n"}],
+ "Services":[{"Name":"m","HealthPath":"/health","MaxConnections":360,
+   "InferenceEngine":{"KvCapacityTokens":88000,"Backups":true}},{"Name":"n"}],
+ "Limits":{"MaxHeaderBytes":100,"MaxBodyBytes":200,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"w","ApiKeys":["k1","k2"],"Priority":1}]})";
+
+constexpr char kEntry[] =
+  R"({"Service":"m","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":64,)"
+  R"("State":"ready","ColdRemainingMs":0,"Sequence":4,"born":1700000000000})";
+
+std::string
+WithField(const std::string& aName, const std::string& aValue)
+{
+  rapidjson::Document json;
+  json.Parse(kEntry);
+  std::string text = "{";
+  for (const auto& it : json.GetObject()) {
+    const std::string name = it.name.GetString();
+    std::string value = it.value.IsString()
+                          ? "\"" + std::string(it.value.GetString()) + "\""
+                          : std::to_string(it.value.GetInt64());
+    if (name == aName) {
+      value = aValue;
+    }
+    if (!value.empty()) {
+      text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + value;
+    }
+  }
+  return text + "}";
+}
+
+} // namespace
+
+class PlatformTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformTests);
+  CPPUNIT_TEST(CallersAreRead);
+  CPPUNIT_TEST(OnlyTheGatewaySetsItsFields);
+  CPPUNIT_TEST(ConnectionFieldsStayOnTheirConnection);
+  CPPUNIT_TEST(AnswersAreRead);
+  CPPUNIT_TEST(ConfigurationsAreRead);
+  CPPUNIT_TEST(EntriesOfOtherWritersNameNoTarget);
+  CPPUNIT_TEST(RowsAreRead);
+  CPPUNIT_TEST(ReportsAreRead);
+  CPPUNIT_TEST(SettingsAreChecked);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void CallersAreRead()
+  {
+    const auto request =
+      platform::DecodeCaller(Head({ { "X-Request-Id", "id" },
+                                    { "Host", "h" },
+                                    { "X-Deadline-Ms", "1500" },
+                                    { "Authorization", "Bearer key" },
+                                    { "X-Token-Counts", "8200,1020" },
+                                    { "Last-Event-Id", "12" } }));
+    CPPUNIT_ASSERT_EQUAL(std::string("id"), request.mRequestId);
+    CPPUNIT_ASSERT(request.mPatience == std::chrono::milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::string("key"), request.mKey);
+    CPPUNIT_ASSERT_EQUAL(8200, request.mPromptTokens);
+    CPPUNIT_ASSERT_EQUAL(1020, request.mOutputTokens);
+    CPPUNIT_ASSERT_EQUAL(std::string("12"), request.mLastEventId);
+    const auto odd = platform::DecodeCaller(
+      Head({ { "X-Deadline-Ms", "soon" }, { "Authorization", "key" } }));
+    CPPUNIT_ASSERT(!odd.mPatience);
+    CPPUNIT_ASSERT(odd.mKey.empty());
+  }
+
+  void OnlyTheGatewaySetsItsFields()
+  {
+    const HttpHead head = Head({ { "Host", "h" },
+                                 { "X-Request-Id", "id" },
+                                 { "authorization", "Bearer key" },
+                                 { "x-tenant", "forged" },
+                                 { "X-Kv-Backup", "forged" },
+                                 { "KV-FROM", "forged" },
+                                 { "Kv-Fetch", "forged" },
+                                 { "X-Cache-Hold", "forged" },
+                                 { "X-Pin-Ms", "forged" },
+                                 { "X-Expected-Instance", "forged" },
+                                 { "X-Expected-Version", "forged" },
+                                 { "X-Request-Urgency", "forged" },
+                                 { "X-Model", "m" } });
+    platform::AttemptFields fields;
+    fields.mTarget = "i-1";
+    fields.mWorkspace = "w";
+    fields.mTimeLeft = std::chrono::milliseconds(900);
+    fields.mCopyTo = "10.0.0.2:80";
+    fields.mCopyAt = "10.0.0.1:80";
+    fields.mLastEventId = "4";
+    const std::string text = platform::EncodeAttempt(
+      head, platform::DecodeCaller(head), fields, 3);
+    CPPUNIT_ASSERT(!Holds(text, "forged"));
+    CPPUNIT_ASSERT(!Holds(text, "key"));
+    CPPUNIT_ASSERT(Holds(text, "POST /a/b?c=d HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Tenant: w\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Expected-Instance: i-1\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Deadline-Ms: 900\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Kv-Backup: 10.0.0.2:80\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "Kv-From: 10.0.0.1:80/id\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "Last-Event-Id: 4\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Model: m\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "Content-Length: 3\r\n"));
+  }
+
+  void ConnectionFieldsStayOnTheirConnection()
+  {
+    HttpHead head = Head({ { "Host", "h" },
+                           { "Connection", "X-Own, X-Model, close" },
+                           { "X-Own", "one" },
+                           { "X-Model", "m" },
+                           { "Keep-Alive", "timeout=3" },
+                           { "TE", "trailers" },
+                           { "X-Other", "stays" },
+                           { "Transfer-Encoding", "chunked" } });
+    head.mChunked = true;
+    const std::string text = platform::EncodeAttempt(
+      head, platform::DecodeCaller(head), platform::AttemptFields(), 0);
+    CPPUNIT_ASSERT(!Holds(text, "X-Own"));
+    CPPUNIT_ASSERT(!Holds(text, "Keep-Alive"));
+    CPPUNIT_ASSERT(!Holds(text, "chunked"));
+    CPPUNIT_ASSERT(Holds(text, "X-Model: m\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "X-Other: stays\r\n"));
+    CPPUNIT_ASSERT(Holds(text, "Content-Length: 0\r\n"));
+  }
+
+  void AnswersAreRead()
+  {
+    HttpHead head = Head({ { "X-Request-Id", "id" },
+                           { "X-Server-Seal", "s" },
+                           { "X-Server-Load", "3,1,8" },
+                           { "Keep-Alive", "timeout=10" } });
+    head.mStatus = 200;
+    auto answer = platform::DecodeAnswer(head);
+    CPPUNIT_ASSERT(answer.mSigned && !answer.mNotRun && !answer.mWrongTarget);
+    CPPUNIT_ASSERT_EQUAL(3, *answer.mRunning);
+    CPPUNIT_ASSERT_EQUAL(1, *answer.mWaiting);
+    CPPUNIT_ASSERT(answer.mKeptFor == std::chrono::seconds(10));
+    head.mStatus = 421;
+    head.mFields.push_back({ "X-Instance-Id", "i-2" });
+    answer = platform::DecodeAnswer(head);
+    CPPUNIT_ASSERT(answer.mNotRun && answer.mWrongTarget);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), answer.mTarget);
+    HttpHead refused = Head({ { "X-Not-Executed", "1" } });
+    refused.mStatus = 503;
+    CPPUNIT_ASSERT(platform::DecodeAnswer(refused).mNotRun);
+    HttpHead failed = Head({});
+    failed.mStatus = 503;
+    CPPUNIT_ASSERT(!platform::DecodeAnswer(failed).mNotRun);
+  }
+
+  void ConfigurationsAreRead()
+  {
+    std::string reason;
+    const auto table = platform::DecodeConfiguration(kConfiguration, reason);
+    CPPUNIT_ASSERT(table != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(7), table->mVersion);
+    const Route* route = table->Find("h", "/s/x");
+    CPPUNIT_ASSERT(route != nullptr && route->mKind == CallKind::Stream);
+    CPPUNIT_ASSERT(route->mResumable);
+    CPPUNIT_ASSERT_EQUAL(5, route->mMaxAttempts);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), route->mServices.size());
+    CPPUNIT_ASSERT(route->mObjective == std::chrono::milliseconds(4500));
+    // What is not known is not repeated.
+    CPPUNIT_ASSERT(table->Find("h", "/u/")->mKind == CallKind::NonIdempotent);
+    CPPUNIT_ASSERT_EQUAL(std::string("w"), table->FindKey("k2")->mWorkspace);
+    CPPUNIT_ASSERT(table->FindKey("") == nullptr);
+    CPPUNIT_ASSERT(table->FindService("m")->mCopies);
+    CPPUNIT_ASSERT_EQUAL(88000, table->FindService("m")->mMemoryTokens);
+    CPPUNIT_ASSERT(!table->FindService("n")->mEngine);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(200), table->mLimits.mBodyBytes);
+    CPPUNIT_ASSERT(platform::DecodeConfiguration("[]", reason) == nullptr);
+    CPPUNIT_ASSERT(!reason.empty());
+  }
+
+  void EntriesOfOtherWritersNameNoTarget()
+  {
+    std::string reason;
+    const auto entry = platform::DecodeTarget("i-1", kEntry, reason);
+    CPPUNIT_ASSERT(entry && entry->mIncarnation == "1700000000000");
+    CPPUNIT_ASSERT_EQUAL(64, entry->mSlots);
+    for (const char* it : { "Service", "Address", "Zone", "Slots", "State", "Sequence" }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        it, !platform::DecodeTarget("i", WithField(it, ""), reason));
+      CPPUNIT_ASSERT_MESSAGE(
+        it, !platform::DecodeTarget("i", WithField(it, "[]"), reason));
+    }
+    CPPUNIT_ASSERT(
+      !platform::DecodeTarget("i", WithField("State", "\"odd\""), reason));
+    CPPUNIT_ASSERT(
+      !platform::DecodeTarget("i", WithField("born", "1.5"), reason));
+    CPPUNIT_ASSERT(!platform::DecodeTarget("i", "\xff{", reason));
+    CheckProperty("no bytes make the decoders fail", [] {
+      const auto bytes = *rc::gen::string<std::string>();
+      std::string why;
+      platform::DecodeTarget("i", bytes, why);
+      platform::DecodeConfiguration(bytes, why);
+      platform::DecodeRows(bytes, why);
+      platform::DecodeReport(bytes, why);
+    });
+  }
+
+  void RowsAreRead()
+  {
+    std::string reason;
+    const auto rows = platform::DecodeRows(
+      R"({"Rows":[{"Table":"t","part":"","Key":"a","Value":"bm9kZS0x","Ver":4},)"
+      R"({"Key":"b","Ver":5,"Removed":true},{"Key":"c","Value":"!!","Ver":6}],)"
+      R"("HasMore":true,"Ver":9,"NowMs":1})",
+      reason);
+    CPPUNIT_ASSERT(rows && rows->mMore);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(9), rows->mVersion);
+    CPPUNIT_ASSERT_EQUAL(std::string("node-1"), rows->mRows[0].mValue);
+    CPPUNIT_ASSERT(rows->mRows[1].mRemoved);
+    CPPUNIT_ASSERT(rows->mRows[2].mValue.empty());
+    CheckProperty("values survive the way to the store and back", [] {
+      const auto value = *rc::gen::string<std::string>();
+      const std::string call = platform::EncodePut(
+        "s:1", platform::StoreTable::Hosts, "key", value);
+      rapidjson::Document json;
+      json.Parse(call.substr(call.find("\r\n\r\n") + 4).c_str());
+      RC_ASSERT(!json.HasParseError());
+      const std::string sent = json["Put"][0]["Value"].GetString();
+      std::string why;
+      const auto back = platform::DecodeRows(
+        R"({"Rows":[{"Key":"key","Value":")" + sent + R"(","Ver":1}],"Ver":1})",
+        why);
+      RC_ASSERT(back->mRows[0].mValue == value);
+    });
+  }
+
+  void ReportsAreRead()
+  {
+    std::string reason;
+    const auto report = platform::DecodeReport(
+      R"({"Models":[{"Name":"m"}],"QueuedRequests":2,"ActiveRequests":3,)"
+      R"("Runs":[["id-1",9000,17,5],["short"],"odd"],"born":5})",
+      reason);
+    CPPUNIT_ASSERT(report && report->mEngine);
+    CPPUNIT_ASSERT_EQUAL(3, report->mRunning);
+    CPPUNIT_ASSERT_EQUAL(2, report->mWaiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), report->mRuns.size());
+    CPPUNIT_ASSERT_EQUAL(17, report->mRuns[0].mEvents);
+    CPPUNIT_ASSERT_EQUAL(std::string("5"), report->mIncarnation);
+  }
+
+  void SettingsAreChecked()
+  {
+    const std::string good =
+      R"({"host":"h","place":"p","region":"r","callers":"127.0.0.1:1","readiness":"127.0.0.1:2",)"
+      R"("peers":"127.0.0.1:3","loadPort":4,"metrics":"127.0.0.1:5","seeds":["127.0.0.1:6"],)"
+      R"("store":"127.0.0.1:7","maxConnections":4100,"stopGraceS":8,"repeatRatio":0.8,)"
+      R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+    std::string reason;
+    CPPUNIT_ASSERT_MESSAGE(reason, ParseGatewaySettings(good, reason));
+    const auto refused = [&](const std::string& aFrom, const std::string& aTo) {
+      std::string text = good;
+      text.replace(text.find(aFrom), aFrom.size(), aTo);
+      CPPUNIT_ASSERT_MESSAGE(aTo, !ParseGatewaySettings(text, reason));
+      return reason;
+    };
+    CPPUNIT_ASSERT(Holds(refused("\"host\":\"h\"", "\"host\":\"\""), "host"));
+    CPPUNIT_ASSERT(Holds(refused("127.0.0.1:7", "nowhere"), "store"));
+    CPPUNIT_ASSERT(Holds(refused("127.0.0.1:6", "::1"), "seeds"));
+    CPPUNIT_ASSERT(Holds(refused("4100", "10"), "maxConnections"));
+    CPPUNIT_ASSERT(Holds(refused("\"stopGraceS\":8", "\"x\":8"), "stopGraceS"));
+    CPPUNIT_ASSERT(Holds(refused("0.8", "\"much\""), "repeatRatio"));
+    CPPUNIT_ASSERT(Holds(refused("{", "["), "JSON"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTests);
