Test a gateway process against a store and runners that misbehave

Cause: the platform path had no test of its own above the classes. What: a stand-in of the store and of scripted runners on loopback; 15 tests of framing, smuggling, wrong and crossed answers, promises, streams that lose their runner in four ways, a wrong probe, keys, leaving runners, store outages, stop.

--- /dev/null
+++ b/tests/fakes/GatewayWorld.cpp
@@ -0,0 +1,634 @@
+#include "GatewayWorld.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <functional>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kGateway[] = "build/quetzal-gateway";
+
+// Pause between two events of a stream.
+constexpr auto kEventPause = milliseconds(5);
+
+// Events before a stream is disturbed.
+constexpr int kEventsBefore = 10;
+
+// Patience of the tests; nothing is expected to take that long.
+constexpr auto kPatience = std::chrono::seconds(20);
+
+int
+FreePort()
+{
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
+      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
+    throw std::runtime_error("no free port");
+  }
+  ::close(fd);
+  return ntohs(at.sin_port);
+}
+
+std::string
+Address(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::string
+Base64(const std::string& aText)
+{
+  constexpr char kDigits[] =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t n = 0; n < aText.size(); n += 3) {
+    unsigned bits = 0;
+    for (std::size_t k = 0; k < 3; ++k) {
+      bits = bits << 8U;
+      if (n + k < aText.size()) {
+        bits |= static_cast<unsigned char>(aText[n + k]);
+      }
+    }
+    for (std::size_t k = 0; k < 4; ++k) {
+      text.push_back(n + k > aText.size() ? '='
+                                          : kDigits[(bits >> (18 - 6 * k)) & 63U]);
+    }
+  }
+  return text;
+}
+
+std::string
+EventText(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: e" + std::to_string(aId) +
+         "\n\n";
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", aText.size());
+  return size + aText + "\r\n";
+}
+
+std::string
+Query(const std::string& aTarget, const std::string& aName)
+{
+  const auto at = aTarget.find(aName + "=");
+  if (at == std::string::npos) {
+    return std::string();
+  }
+  const auto from = at + aName.size() + 1;
+  return aTarget.substr(from, aTarget.find('&', from) - from);
+}
+
+} // namespace
+
+// One runner: a server that does with each request what its mode says.
+class GatewayWorld::Runner
+{
+public:
+  Runner(GatewayWorld& aWorld, std::string aName)
+    : mWorld(aWorld)
+    , mName(std::move(aName))
+    , mPort(FreePort())
+    , mListener(aWorld.mLoop,
+                [this](boost::asio::ip::tcp::socket aSocket) {
+                  Accept(std::move(aSocket));
+                })
+  {
+    if (const auto problem = mListener.Open(*ParseEndpoint(Address(mPort)))) {
+      throw std::runtime_error(*problem);
+    }
+  }
+
+  void Accept(boost::asio::ip::tcp::socket aSocket);
+
+  GatewayWorld& mWorld;
+  std::string mName;
+  int mPort;
+  std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
+  std::set<RefPtr<RunnerConnection>> mConnections;
+  Listener mListener;
+};
+
+class GatewayWorld::RunnerConnection
+  : public RefCounted<GatewayWorld::RunnerConnection>
+  , public SocketSink
+{
+public:
+  explicit RunnerConnection(Runner& aRunner)
+    : mRunner(aRunner)
+    , mSocket(MakeRef<Socket>(aRunner.mWorld.mLoop))
+    , mReader(HttpSide::Requests, { 65536, 1U << 22U })
+    , mNext(aRunner.mWorld.mLoop, [this] { NextEvent(); })
+  {
+  }
+
+  void Start(boost::asio::ip::tcp::socket aSocket)
+  {
+    mSocket->Adopt(std::move(aSocket), *this);
+  }
+
+private:
+  void OnData(std::string_view aData) override
+  {
+    const RefPtr<RunnerConnection> self(this);
+    while (!aData.empty() && mSocket->IsOpen()) {
+      aData.remove_prefix(mReader.Take(aData));
+      if (mReader.Progress() == HttpProgress::Body &&
+          mRunner.mMode == RunnerMode::EarlyAnswer && !mAnswered) {
+        mAnswered = true;
+        mSocket->Write("HTTP/1.1 413 Too Large\r\nX-Server-Seal: s\r\n"
+                       "Content-Length: 0\r\n\r\n");
+      }
+      if (mReader.Progress() != HttpProgress::Complete) {
+        return;
+      }
+      const HttpHead head = mReader.Head();
+      const std::string body = mReader.TakeBody();
+      mReader.Next();
+      if (!std::exchange(mAnswered, false)) {
+        Answer(head, body);
+      }
+    }
+  }
+
+  void OnEnd(SocketEnd) override { Drop(); }
+
+  void Drop()
+  {
+    mNext.Clear();
+    mSocket->Close(true);
+    mRunner.mConnections.erase(RefPtr<RunnerConnection>(this));
+  }
+
+  void Answer(const HttpHead& aHead, const std::string& aBody)
+  {
+    const RunnerMode mode = mRunner.mMode;
+    if (aHead.mTarget == "/report") {
+      AnswerReport(mode);
+      return;
+    }
+    const std::string* id = aHead.Find("X-Request-Id");
+    const std::string echo =
+      id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n";
+    const RunnerRequest request{ mRunner.mName, aHead, aBody };
+    mRunner.mWorld.mRequests.push_back(request);
+    const std::string* expected = aHead.Find("X-Expected-Instance");
+    if (mode == RunnerMode::OtherRunner || expected == nullptr ||
+        *expected != mRunner.mName) {
+      mSocket->Write("HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
+                     "X-Instance-Id: other\r\n" +
+                     echo + "Content-Length: 0\r\n\r\n");
+      return;
+    }
+    if (mode == RunnerMode::TurnAway) {
+      mSocket->Write("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + echo +
+                     "Content-Length: 0\r\n\r\n");
+      return;
+    }
+    mRunner.mWorld.mRuns.push_back(request);
+    const std::string head = "X-Server-Seal: seal-" + mRunner.mName + "\r\n" +
+                             echo + "Keep-Alive: timeout=10\r\n";
+    if (aHead.mTarget.rfind("/stream/", 0) == 0) {
+      StartStream(aHead, head, mode);
+    } else {
+      AnswerPlain(head, mode);
+    }
+  }
+
+  void AnswerReport(RunnerMode aMode)
+  {
+    if (aMode == RunnerMode::SilentStream) {
+      return;
+    }
+    if (aMode == RunnerMode::PausedStream) {
+      Drop();
+      return;
+    }
+    const std::string body = R"({"Models":[{"Name":"m"}],"ActiveRequests":1,)"
+                             R"("QueuedRequests":0,"Runs":[]})";
+    mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+  void AnswerPlain(const std::string& aHead, RunnerMode aMode)
+  {
+    const std::string whole =
+      "HTTP/1.1 200 OK\r\n" + aHead + "Content-Length: 5\r\n\r\nplain";
+    switch (aMode) {
+      case RunnerMode::ResetAtOnce:
+        Drop();
+        break;
+      case RunnerMode::ShortAnswer:
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead +
+                       "Content-Length: 50\r\n\r\nplain");
+        mSocket->CloseAfterWrites();
+        break;
+      case RunnerMode::ExtraAnswer:
+        mSocket->Write(whole + whole);
+        break;
+      case RunnerMode::CrossedAnswer:
+        mSocket->Write("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: "
+                       "another\r\nContent-Length: 5\r\n\r\nwrong" +
+                       whole);
+        break;
+      case RunnerMode::Unsigned:
+        mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain");
+        break;
+      case RunnerMode::UnframedReset:
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead + "\r\npla");
+        mSocket->Close(true);
+        break;
+      case RunnerMode::Fail:
+        mSocket->Write("HTTP/1.1 500 Error\r\n" + aHead +
+                       "Content-Length: 0\r\n\r\n");
+        break;
+      case RunnerMode::Fail503:
+        mSocket->Write("HTTP/1.1 503 Error\r\n" + aHead +
+                       "Content-Length: 0\r\n\r\n");
+        break;
+      default:
+        mSocket->Write(whole);
+        break;
+    }
+  }
+
+  void StartStream(const HttpHead& aHead,
+                   const std::string& aFields,
+                   RunnerMode aMode)
+  {
+    const std::string* after = aHead.Find("Last-Event-Id");
+    mEvent = after == nullptr ? 0 : std::atoi(after->c_str());
+    mFirst = mEvent;
+    mMode = aMode;
+    if (aMode == RunnerMode::ResetAtOnce) {
+      Drop();
+      return;
+    }
+    mSocket->Write("HTTP/1.1 200 OK\r\n" + aFields +
+                   "Content-Type: text/event-stream\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n");
+    mNext.SetAt(EventLoop::Now());
+  }
+
+  void NextEvent()
+  {
+    const RefPtr<RunnerConnection> self(this);
+    const bool disturb = mEvent - mFirst == kEventsBefore;
+    ++mEvent;
+    if (mEvent > kEvents) {
+      mSocket->Write("0\r\n\r\n");
+      return;
+    }
+    Time next = EventLoop::Now() + kEventPause;
+    if (disturb && mMode == RunnerMode::TornStream) {
+      mSocket->Write(Chunk(EventText(mEvent)).substr(0, 12));
+      Drop();
+      return;
+    }
+    if (disturb && mMode == RunnerMode::SilentStream) {
+      return;
+    }
+    if (disturb && mMode == RunnerMode::PausedStream) {
+      mMode = RunnerMode::Serve;
+      --mEvent;
+      mNext.SetAt(EventLoop::Now() + milliseconds(700));
+      return;
+    }
+    if (disturb && mMode == RunnerMode::GapInStream) {
+      ++mEvent;
+    }
+    mSocket->Write(Chunk(EventText(mEvent)));
+    mNext.SetAt(next);
+  }
+
+  Runner& mRunner;
+  RefPtr<Socket> mSocket;
+  HttpReader mReader;
+  bool mAnswered = false;
+  RunnerMode mMode = RunnerMode::Serve;
+  int mEvent = 0;
+  int mFirst = 0;
+  Alarm mNext;
+};
+
+void
+GatewayWorld::Runner::Accept(boost::asio::ip::tcp::socket aSocket)
+{
+  const auto connection = MakeRef<RunnerConnection>(*this);
+  mConnections.insert(connection);
+  connection->Start(std::move(aSocket));
+}
+
+GatewayWorld::GatewayWorld(int aRunners)
+{
+  // Callers, readiness, peers, load, metrics, store.
+  for (int n = 0; n < 6; ++n) {
+    mPorts.push_back(FreePort());
+  }
+  mStore = std::make_unique<SmallServer>(
+    mLoop, [this](const HttpHead& aHead, const std::string&) {
+      return AnswerStore(aHead);
+    });
+  if (const auto problem = mStore->Open(*ParseEndpoint(Address(mPorts[5])))) {
+    throw std::runtime_error(*problem);
+  }
+  for (int n = 0; n < aRunners; ++n) {
+    const std::string name = "i-" + std::to_string(n);
+    mRunners[name] = std::make_unique<Runner>(*this, name);
+    SetEntry(name,
+             R"({"Service":"engines","Address":")" +
+               Address(mRunners[name]->mPort) + R"(","Zone":"p)" +
+               std::to_string(n % 2) +
+               R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1})");
+  }
+  mThread = std::thread([this] { mLoop.Run(); });
+  char path[] = "/tmp/quetzal-gateway-XXXXXX";
+  const int fd = ::mkstemp(path);
+  ::close(fd);
+  mSettings = path;
+  std::ofstream(mSettings)
+    << R"({"host":"h","place":"p0","region":"r","callers":")"
+    << Address(mPorts[0]) << R"(","readiness":")" << Address(mPorts[1])
+    << R"(","peers":")" << Address(mPorts[2]) << R"(","loadPort":)"
+    << mPorts[3] << R"(,"metrics":")" << Address(mPorts[4])
+    << R"(","seeds":[],"store":")" << Address(mPorts[5])
+    << R"(","maxConnections":500,"stopGraceS":8,"repeatRatio":0.8,)"
+    << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+  mGateway = ::fork();
+  if (mGateway == 0) {
+    const int null = ::open("/dev/null", O_WRONLY);
+    ::dup2(null, STDOUT_FILENO);
+    ::execl(kGateway,
+            kGateway,
+            "--settings",
+            mSettings.c_str(),
+            static_cast<char*>(nullptr));
+    std::_Exit(127);
+  }
+  Configure("key");
+}
+
+GatewayWorld::~GatewayWorld()
+{
+  if (mGateway > 0) {
+    ::kill(mGateway, SIGKILL);
+    ::waitpid(mGateway, nullptr, 0);
+  }
+  mLoop.Stop();
+  mThread.join();
+  std::remove(mSettings.c_str());
+}
+
+void
+GatewayWorld::SetMode(const std::string& aRunner, RunnerMode aMode)
+{
+  mRunners.at(aRunner)->mMode = aMode;
+}
+
+void
+GatewayWorld::SetAllModes(RunnerMode aMode)
+{
+  for (auto& it : mRunners) {
+    it.second->mMode = aMode;
+  }
+}
+
+void
+GatewayWorld::Configure(const std::string& aKey)
+{
+  const auto route = [](const char* aName, const char* aKind, int aAttempts) {
+    return std::string(R"({"Name":")") + aName +
+           R"(","Host":"host","PathPrefix":"/)" + aName + R"(/","Kind":")" +
+           aKind + R"(","TimeoutMs":9000,"TargetLatencyMs":3000,"Priority":1,)" +
+           R"("Service":"engines","MaxAttempts":)" + std::to_string(aAttempts) +
+           R"(,"Public":false,"StreamResumption":true,"GapTargetMs":700})";
+  };
+  long long version = 0;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    version = mVersion + 1;
+  }
+  Write("op",
+        "config",
+        R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
+          route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
+          route("stream", "streaming", 5) +
+          R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
+          R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
+          R"("Backups":true}}],"Limits":{"MaxHeaderBytes":16384,)" +
+          R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
+          R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey +
+          R"("],"Priority":1}]})",
+        false);
+  const std::string in =
+    "quetzal_configuration_version{host=\"h\"} " + std::to_string(version);
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (std::chrono::steady_clock::now() < until) {
+    if (Metrics().find(in) != std::string::npos && Readiness() == 200) {
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  throw std::runtime_error("the gateway does not get ready");
+}
+
+void
+GatewayWorld::SetEntry(const std::string& aRunner, const std::string& aValue)
+{
+  Write("servers", aRunner, aValue, aValue.empty());
+}
+
+void
+GatewayWorld::Write(const std::string& aTable,
+                    const std::string& aKey,
+                    const std::string& aValue,
+                    bool aRemoved)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mTables[aTable][aKey] = { aValue, ++mVersion, aRemoved };
+}
+
+SmallReply
+GatewayWorld::AnswerStore(const HttpHead& aHead)
+{
+  SmallReply reply;
+  if (mStoreDown) {
+    reply.mStatus = 503;
+    return reply;
+  }
+  reply.mType = "application/json";
+  const std::lock_guard<std::mutex> lock(mMutex);
+  if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
+    reply.mBody = R"({"Ver":)" + std::to_string(mVersion) + R"(,"NowMs":1})";
+    return reply;
+  }
+  const bool whole = aHead.mTarget.rfind("/rows-get", 0) == 0;
+  const std::string after = Query(aHead.mTarget, "AfterRevision");
+  const long long from = whole ? 0 : std::atoll(after.c_str());
+  std::string rows;
+  for (const auto& it : mTables[Query(aHead.mTarget, "Table")]) {
+    const Row& row = it.second;
+    if (row.mVersion <= from || (whole && row.mRemoved)) {
+      continue;
+    }
+    rows += std::string(rows.empty() ? "" : ",") + R"({"Key":")" + it.first +
+            R"(","Value":")" + Base64(row.mValue) + R"(","Ver":)" +
+            std::to_string(row.mVersion) +
+            (row.mRemoved ? R"(,"Removed":true})" : "}");
+  }
+  reply.mBody = R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" +
+                std::to_string(mVersion) + R"(,"NowMs":1})";
+  return reply;
+}
+
+std::string
+GatewayWorld::Request(const std::string& aRoute,
+                      const std::string& aId,
+                      const std::string& aFields,
+                      const std::string& aBody)
+{
+  return "POST " + aRoute + " HTTP/1.1\r\nHost: host\r\nX-Request-Id: " + aId +
+         "\r\nAuthorization: Bearer key\r\nX-Deadline-Ms: 9000\r\n"
+         "X-Token-Counts: 80,60\r\n" +
+         aFields + "Content-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+CallerAnswer
+GatewayWorld::Call(const std::string& aBytes)
+{
+  return CallPort(mPorts[0], aBytes);
+}
+
+CallerAnswer
+GatewayWorld::CallPort(int aPort, const std::string& aBytes)
+{
+  CallerAnswer answer;
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  timeval patience{ 20, 0 };
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  to.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+    ::close(fd);
+    return answer;
+  }
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
+    const auto n = ::send(
+      fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) {
+      break;
+    }
+    sent += static_cast<std::size_t>(n);
+  }
+  HttpReader reader(HttpSide::Answers, { 65536, 1U << 24U });
+  char buf[4096];
+  while (reader.Progress() == HttpProgress::Head ||
+         reader.Progress() == HttpProgress::Body) {
+    const auto n = ::recv(fd, buf, sizeof buf, 0);
+    if (n <= 0) {
+      reader.TakeEnd();
+      break;
+    }
+    reader.Take(std::string_view(buf, static_cast<std::size_t>(n)));
+  }
+  answer.mWhole = reader.Progress() == HttpProgress::Complete;
+  answer.mHead = reader.Head();
+  answer.mBody = reader.TakeBody();
+  answer.mKept = answer.mHead.mKeepAlive;
+  ::close(fd);
+  return answer;
+}
+
+int
+GatewayWorld::Readiness()
+{
+  return CallPort(mPorts[1], "GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+    .mHead.mStatus;
+}
+
+std::string
+GatewayWorld::Metrics()
+{
+  return CallPort(mPorts[4], "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").mBody;
+}
+
+void
+GatewayWorld::Signal(int aSignal)
+{
+  ::kill(mGateway, aSignal);
+}
+
+int
+GatewayWorld::AwaitExit()
+{
+  int status = 0;
+  ::waitpid(std::exchange(mGateway, -1), &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::vector<RunnerRequest>
+GatewayWorld::Requests()
+{
+  std::vector<RunnerRequest> requests;
+  std::atomic<bool> done{ false };
+  mLoop.Defer([&] {
+    requests = mRequests;
+    done = true;
+  });
+  while (!done) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return requests;
+}
+
+std::vector<RunnerRequest>
+GatewayWorld::Runs()
+{
+  std::vector<RunnerRequest> runs;
+  std::atomic<bool> done{ false };
+  mLoop.Defer([&] {
+    runs = mRuns;
+    done = true;
+  });
+  while (!done) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return runs;
+}
+
+std::string
+GatewayWorld::StreamBody()
+{
+  std::string body;
+  for (int n = 1; n <= kEvents; ++n) {
+    body += EventText(n);
+  }
+  return body;
+}
--- /dev/null
+++ b/tests/usage/GatewayTests.cpp
@@ -0,0 +1,292 @@
+#include "GatewayWorld.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+
+using namespace quetzalquay;
+
+namespace {
+
+bool
+IsPromise(int aStatus)
+{
+  return aStatus == 503 || aStatus == 429;
+}
+
+} // namespace
+
+// One gateway process against a store and runners that misbehave.
+class GatewayTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewayTests);
+  CPPUNIT_TEST(CallsAndStreamsAreServed);
+  CPPUNIT_TEST(BadRequestsGetTheirStatus);
+  CPPUNIT_TEST(SmuggledRequestsReachNoRunner);
+  CPPUNIT_TEST(BrokenAnswersAreTriedAgainOnlyWhereAllowed);
+  CPPUNIT_TEST(AnswersOfOtherRequestsAreReadOver);
+  CPPUNIT_TEST(TurnedAwayMeansNotRun);
+  CPPUNIT_TEST(FailuresOfRunnersKeepTheirMeaning);
+  CPPUNIT_TEST(EarlyAnswersLeaveTheConnectionInOrder);
+  CPPUNIT_TEST(StreamsSurviveTheirRunner);
+  CPPUNIT_TEST(AStreamIsWholeWhenAProbeIsWrong);
+  CPPUNIT_TEST(RemovedKeysStopWorking);
+  CPPUNIT_TEST(LeavingRunnersGetNothingNew);
+  CPPUNIT_TEST(StoreOutagesChangeNothing);
+  CPPUNIT_TEST(AStoppedGatewayFinishesItsStreams);
+  CPPUNIT_TEST(MetricsTellWhatWasServed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void CallsAndStreamsAreServed()
+  {
+    GatewayWorld world;
+    const auto plain = world.Call(GatewayWorld::Request("/plain/x?y=z", "a"));
+    CPPUNIT_ASSERT(plain.mWhole);
+    CPPUNIT_ASSERT_EQUAL(200, plain.mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("plain"), plain.mBody);
+    CPPUNIT_ASSERT(plain.mHead.Find("X-Server-Seal") != nullptr);
+    const auto stream = world.Call(GatewayWorld::Request("/stream/", "b"));
+    CPPUNIT_ASSERT(stream.mWhole);
+    CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), stream.mBody);
+    const auto runs = world.Runs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), runs.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/plain/x?y=z"), runs[0].mHead.mTarget);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), runs[0].mBody);
+    CPPUNIT_ASSERT_EQUAL(std::string("w"), *runs[0].mHead.Find("X-Tenant"));
+    CPPUNIT_ASSERT(runs[0].mHead.Find("Authorization") == nullptr);
+    CPPUNIT_ASSERT(runs[1].mHead.Find("X-Kv-Backup") != nullptr);
+  }
+
+  void BadRequestsGetTheirStatus()
+  {
+    GatewayWorld world;
+    const auto status = [&](const std::string& aBytes) {
+      return world.Call(aBytes).mHead.mStatus;
+    };
+    CPPUNIT_ASSERT_EQUAL(404, status(GatewayWorld::Request("/none/", "a")));
+    std::string request = GatewayWorld::Request("/plain/", "a");
+    request.replace(request.find("Bearer key"), 10, "Bearer odd");
+    CPPUNIT_ASSERT_EQUAL(401, status(request));
+    CPPUNIT_ASSERT_EQUAL(
+      413,
+      status(GatewayWorld::Request(
+        "/plain/", "a", "", std::string(200000, 'x'))));
+    CPPUNIT_ASSERT_EQUAL(
+      431,
+      status(GatewayWorld::Request(
+        "/plain/", "a", "X-Long: " + std::string(20000, 'x') + "\r\n")));
+    CPPUNIT_ASSERT_EQUAL(400, status("nonsense\r\n\r\n"));
+    CPPUNIT_ASSERT(world.Requests().empty());
+  }
+
+  void SmuggledRequestsReachNoRunner()
+  {
+    GatewayWorld world;
+    const std::string inner = GatewayWorld::Request("/unsafe/", "smuggled");
+    // Inside a body, and behind two contradicting lengths.
+    world.Call(GatewayWorld::Request("/plain/", "outer", "", inner));
+    const auto answer = world.Call(
+      GatewayWorld::Request("/plain/", "two", "Transfer-Encoding: chunked\r\n",
+                            "0\r\n\r\n" + inner));
+    CPPUNIT_ASSERT_EQUAL(400, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(!answer.mKept);
+    for (const RunnerRequest& it : world.Requests()) {
+      CPPUNIT_ASSERT_EQUAL(std::string("outer"),
+                           *it.mHead.Find("X-Request-Id"));
+      CPPUNIT_ASSERT_EQUAL(inner, it.mBody);
+    }
+  }
+
+  void BrokenAnswersAreTriedAgainOnlyWhereAllowed()
+  {
+    for (const RunnerMode mode : { RunnerMode::ResetAtOnce,
+                                   RunnerMode::ShortAnswer,
+                                   RunnerMode::Unsigned,
+                                   RunnerMode::UnframedReset }) {
+      GatewayWorld world;
+      world.SetAllModes(mode);
+      const auto unsafe = world.Call(GatewayWorld::Request("/unsafe/", "a"));
+      CPPUNIT_ASSERT_EQUAL(502, unsafe.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.Runs().size());
+      world.SetMode("i-0", RunnerMode::Serve);
+      const auto safe = world.Call(GatewayWorld::Request("/plain/", "b"));
+      CPPUNIT_ASSERT_EQUAL(200, safe.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("plain"), safe.mBody);
+    }
+  }
+
+  void AnswersOfOtherRequestsAreReadOver()
+  {
+    GatewayWorld world;
+    for (const RunnerMode mode :
+         { RunnerMode::CrossedAnswer, RunnerMode::ExtraAnswer }) {
+      world.SetAllModes(mode);
+      for (int n = 0; n < 10; ++n) {
+        const std::string id = "r" + std::to_string(n);
+        const auto answer = world.Call(GatewayWorld::Request("/unsafe/", id));
+        CPPUNIT_ASSERT(answer.mWhole);
+        CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+        CPPUNIT_ASSERT_EQUAL(std::string("plain"), answer.mBody);
+        CPPUNIT_ASSERT_EQUAL(id, *answer.mHead.Find("X-Request-Id"));
+      }
+    }
+  }
+
+  void TurnedAwayMeansNotRun()
+  {
+    GatewayWorld world;
+    world.SetMode("i-0", RunnerMode::TurnAway);
+    world.SetMode("i-1", RunnerMode::OtherRunner);
+    CPPUNIT_ASSERT_EQUAL(
+      200, world.Call(GatewayWorld::Request("/unsafe/", "a")).mHead.mStatus);
+    world.SetAllModes(RunnerMode::TurnAway);
+    const auto refused = world.Call(GatewayWorld::Request("/unsafe/", "b"));
+    CPPUNIT_ASSERT_EQUAL(503, refused.mHead.mStatus);
+    CPPUNIT_ASSERT(refused.mHead.Find("Retry-After") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.Runs().size());
+    CPPUNIT_ASSERT_EQUAL(
+      503, world.Call(GatewayWorld::Request("/stream/", "c")).mHead.mStatus);
+  }
+
+  void FailuresOfRunnersKeepTheirMeaning()
+  {
+    GatewayWorld world;
+    world.SetAllModes(RunnerMode::Fail);
+    const auto failed = world.Call(GatewayWorld::Request("/unsafe/", "a"));
+    CPPUNIT_ASSERT_EQUAL(500, failed.mHead.mStatus);
+    CPPUNIT_ASSERT(failed.mHead.Find("X-Server-Seal") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.Runs().size());
+    // It has run: the caller must not take the answer for a promise.
+    world.SetAllModes(RunnerMode::Fail503);
+    const auto promised = world.Call(GatewayWorld::Request("/unsafe/", "b"));
+    CPPUNIT_ASSERT(!IsPromise(promised.mHead.mStatus));
+    CPPUNIT_ASSERT(promised.mHead.Find("X-Server-Seal") == nullptr);
+  }
+
+  void EarlyAnswersLeaveTheConnectionInOrder()
+  {
+    GatewayWorld world(1);
+    world.SetAllModes(RunnerMode::EarlyAnswer);
+    const auto early = world.Call(
+      GatewayWorld::Request("/unsafe/", "a", "", std::string(90000, 'x')));
+    CPPUNIT_ASSERT_EQUAL(413, early.mHead.mStatus);
+    world.SetAllModes(RunnerMode::Serve);
+    const auto next = world.Call(GatewayWorld::Request("/unsafe/", "b"));
+    CPPUNIT_ASSERT_EQUAL(200, next.mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), world.Runs().back().mBody);
+  }
+
+  void StreamsSurviveTheirRunner()
+  {
+    for (const RunnerMode mode : { RunnerMode::ResetAtOnce,
+                                   RunnerMode::TornStream,
+                                   RunnerMode::SilentStream,
+                                   RunnerMode::GapInStream }) {
+      GatewayWorld world(4);
+      for (const char* it : { "i-0", "i-1", "i-2" }) {
+        world.SetMode(it, mode);
+      }
+      for (int n = 0; n < 3; ++n) {
+        const auto answer = world.Call(
+          GatewayWorld::Request("/stream/", "s" + std::to_string(n)));
+        CPPUNIT_ASSERT(answer.mWhole);
+        CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+        CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
+      }
+    }
+  }
+
+  void AStreamIsWholeWhenAProbeIsWrong()
+  {
+    GatewayWorld world(2);
+    world.SetAllModes(RunnerMode::PausedStream);
+    const auto answer = world.Call(GatewayWorld::Request("/stream/", "s"));
+    CPPUNIT_ASSERT(answer.mWhole);
+    CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
+  }
+
+  void RemovedKeysStopWorking()
+  {
+    GatewayWorld world;
+    world.Configure("another");
+    CPPUNIT_ASSERT_EQUAL(
+      401, world.Call(GatewayWorld::Request("/plain/", "a")).mHead.mStatus);
+    CPPUNIT_ASSERT(world.Requests().empty());
+  }
+
+  void LeavingRunnersGetNothingNew()
+  {
+    GatewayWorld world(3);
+    world.SetEntry("i-0", "");
+    world.SetEntry("i-1", "not an entry");
+    // The next version of the configuration is read after both.
+    world.Configure("key");
+    world.Configure("key");
+    std::size_t before = 0;
+    for (int n = 0; n < 100; ++n) {
+      before = world.Requests().size();
+      world.Call(GatewayWorld::Request("/plain/", "a" + std::to_string(n)));
+      const auto requests = world.Requests();
+      if (requests.back().mRunner == "i-2" && n > 50) {
+        continue;
+      }
+      CPPUNIT_ASSERT_MESSAGE(requests.back().mRunner, n <= 50);
+      ::usleep(40000);
+    }
+    CPPUNIT_ASSERT(world.Requests().size() > before);
+  }
+
+  void StoreOutagesChangeNothing()
+  {
+    GatewayWorld world;
+    world.SetStoreDown(true);
+    for (int n = 0; n < 30; ++n) {
+      const auto answer =
+        world.Call(GatewayWorld::Request("/unsafe/", std::to_string(n)));
+      CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+      ::usleep(20000);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, world.Readiness());
+    world.SetStoreDown(false);
+    world.Configure("other");
+  }
+
+  void AStoppedGatewayFinishesItsStreams()
+  {
+    GatewayWorld world;
+    CallerAnswer answer;
+    std::thread caller([&] {
+      answer = world.Call(GatewayWorld::Request("/stream/", "s"));
+    });
+    while (world.Runs().empty()) {
+      ::usleep(1000);
+    }
+    world.Signal(SIGTERM);
+    caller.join();
+    CPPUNIT_ASSERT(answer.mWhole);
+    CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
+    CPPUNIT_ASSERT_EQUAL(503, world.Readiness());
+    // Still taken, but on a connection that does not go on.
+    const auto late = world.Call(GatewayWorld::Request("/plain/", "p"));
+    CPPUNIT_ASSERT_EQUAL(200, late.mHead.mStatus);
+    CPPUNIT_ASSERT(!late.mKept);
+    CPPUNIT_ASSERT_EQUAL(0, world.AwaitExit());
+  }
+
+  void MetricsTellWhatWasServed()
+  {
+    GatewayWorld world;
+    world.Call(GatewayWorld::Request("/plain/", "a"));
+    world.Call(GatewayWorld::Request("/none/", "b"));
+    const std::string text = world.Metrics();
+    for (const char* it :
+         { "quetzal_requests_total{host=\"h\",kind=\"idempotent\",status=\"200\"} 1",
+           "quetzal_failures_total{host=\"h\",code=\"unknown_service\"",
+           "quetzal_ready{host=\"h\"} 1",
+           "quetzal_request_seconds_count{host=\"h\",kind=\"idempotent\"} 1" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, text.find(it) != std::string::npos);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTests);
