Make the test of a wrong probe fail without its mend

Cause: the stand-in answered the refused probe with a reset, which is no proof of death, and the gateway process inherited the runners' listening sockets, so that a closed port still took connections.

--- a/tests/fakes/GatewayWorld.cpp
+++ b/tests/fakes/GatewayWorld.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,6 +27,9 @@
 // Pause between two events of a stream.
 constexpr auto kEventPause = milliseconds(5);
 
+// Time for which a paused runner is silent and refuses connections.
+constexpr auto kPause = milliseconds(700);
+
 // Events before a stream is disturbed.
 constexpr int kEventsBefore = 10;
 
@@ -116,6 +120,12 @@
                 [this](boost::asio::ip::tcp::socket aSocket) {
                   Accept(std::move(aSocket));
                 })
+    , mListenAgain(aWorld.mLoop, [this] { Listen(); })
+  {
+    Listen();
+  }
+
+  void Listen()
   {
     if (const auto problem = mListener.Open(*ParseEndpoint(Address(mPort)))) {
       throw std::runtime_error(*problem);
@@ -130,6 +140,7 @@
   std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
   std::set<RefPtr<RunnerConnection>> mConnections;
   Listener mListener;
+  Alarm mListenAgain;
 };
 
 class GatewayWorld::RunnerConnection
@@ -223,10 +234,6 @@
     if (aMode == RunnerMode::SilentStream) {
       return;
     }
-    if (aMode == RunnerMode::PausedStream) {
-      Drop();
-      return;
-    }
     const std::string body = R"({"Models":[{"Name":"m"}],"ActiveRequests":1,)"
                              R"("QueuedRequests":0,"Runs":[]})";
     mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
@@ -313,8 +320,11 @@
     }
     if (disturb && mMode == RunnerMode::PausedStream) {
       mMode = RunnerMode::Serve;
+      mRunner.mMode = RunnerMode::Serve;
       --mEvent;
-      mNext.SetAt(EventLoop::Now() + milliseconds(700));
+      mRunner.mListener.Close();
+      mRunner.mListenAgain.SetAt(EventLoop::Now() + kPause);
+      mNext.SetAt(EventLoop::Now() + kPause);
       return;
     }
     if (disturb && mMode == RunnerMode::GapInStream) {
@@ -381,6 +391,12 @@
   if (mGateway == 0) {
     const int null = ::open("/dev/null", O_WRONLY);
     ::dup2(null, STDOUT_FILENO);
+    // The stand-ins' sockets are not the gateway's.
+    for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
+      ::close(other);
+    }
+    // A test that is cut off must not leave its gateway behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::execl(kGateway,
             kGateway,
             "--settings",
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -198,9 +198,12 @@
 
   void AStreamIsWholeWhenAProbeIsWrong()
   {
-    GatewayWorld world(2);
+    // The only runner is held for dead; there is no other one to go on at, and
+    // meanwhile it goes on itself.
+    GatewayWorld world(1);
     world.SetAllModes(RunnerMode::PausedStream);
     const auto answer = world.Call(GatewayWorld::Request("/stream/", "s"));
+    CPPUNIT_ASSERT(world.Runs().size() > 1);
     CPPUNIT_ASSERT(answer.mWhole);
     CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
   }
