--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr NameTable<CallKind, 3> kKindNames(
-  { "idempotent", "non_idempotent", "stream" });
+constexpr NameTable<CallKind, 3> kKindNames({ "idempotent",
+                                              "non_idempotent",
+                                              "stream" });
 
 std::string
 RouteKey(std::string_view aHost, std::string_view aPrefix)
--- a/src/quetzalquay/core/StreamPace.cpp
+++ b/src/quetzalquay/core/StreamPace.cpp
@@ -28,8 +28,8 @@
 Quantile(const std::deque<Value>& aSamples)
 {
   std::vector<Value> sorted(aSamples.begin(), aSamples.end());
-  const auto at = static_cast<std::ptrdiff_t>(
-    kQuantile * static_cast<double>(sorted.size()));
+  const auto at =
+    static_cast<std::ptrdiff_t>(kQuantile * static_cast<double>(sorted.size()));
   std::nth_element(sorted.begin(), sorted.begin() + at, sorted.end());
   return sorted[static_cast<std::size_t>(at)];
 }
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -44,9 +44,7 @@
 
   // An entry that cannot be understood has been written under a name. It names
   // no target to use.
-  bool OnUnreadable(const std::string& aName,
-                    std::int64_t aVersion,
-                    Time aNow);
+  bool OnUnreadable(const std::string& aName, std::int64_t aVersion, Time aNow);
 
   // An entry has been removed at a version.
   bool OnRemoved(const std::string& aName, std::int64_t aVersion, Time aNow);
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -708,9 +708,7 @@
 }
 
 bool
-TargetTable::IsFull(const Target& aTarget,
-                    const ChoiceQuery& aQuery,
-                    Time aNow)
+TargetTable::IsFull(const Target& aTarget, const ChoiceQuery& aQuery, Time aNow)
 {
   const bool reported = aNow - aTarget.mReportedAt < kReportLifetime;
   if (aNow < aTarget.mFullUntil ||
@@ -786,7 +784,8 @@
   auto holder = aUsable.end();
   for (auto it = aUsable.begin(); it != aUsable.end(); ++it) {
     const bool holds = (*it)->mCached.count(aQuery.mPrefixHash) != 0;
-    if (holds && (holder == aUsable.end() || Load(**it, aNow) < Load(**holder, aNow))) {
+    if (holds &&
+        (holder == aUsable.end() || Load(**it, aNow) < Load(**holder, aNow))) {
       holder = it;
     }
   }
@@ -801,8 +800,8 @@
   const auto middle = aUsable.begin() + static_cast<long>(head);
   std::stable_sort(aUsable.begin(), middle, less);
   std::stable_sort(middle, aUsable.end(), less);
-  const auto copy = std::find_if(
-    aUsable.begin(), aUsable.end(), [&](const Target* aTarget) {
+  const auto copy =
+    std::find_if(aUsable.begin(), aUsable.end(), [&](const Target* aTarget) {
       return aTarget->mDeclaration.mName == aQuery.mCopyHolder;
     });
   if (copy != aUsable.end()) {
@@ -941,8 +940,8 @@
 {
   while (!mDeaths.empty() && aNow - mDeaths.front().mAt >= kCommonDeathTime) {
     const Time at = mDeaths.front().mAt;
-    const auto together = std::count_if(
-      mDeaths.begin(), mDeaths.end(), [&](const Death& aDeath) {
+    const auto together =
+      std::count_if(mDeaths.begin(), mDeaths.end(), [&](const Death& aDeath) {
         return aDeath.mAt - at < kCommonDeathTime;
       });
     if (together >= mOptions.mCommonDeaths) {
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -186,8 +186,8 @@
   exchange->Start();
 }
 
-// Finds route and workspace of a request. Answers it and returns nothing when it
-// cannot be carried out.
+// Finds route and workspace of a request. Answers it and returns nothing when
+// it cannot be carried out.
 std::optional<CallerCall>
 CallerConnection::Admit(HttpHead aHead, std::string aBody)
 {
@@ -226,8 +226,8 @@
                         call.mRoute->mTimeout > Duration::zero()
                           ? call.mRoute->mTimeout
                           : kUsualPatience);
-  call.mContentHash = StableHash(
-    aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace)));
+  call.mContentHash =
+    StableHash(aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace)));
   call.mRequest = mRequest;
   call.mHead = std::move(aHead);
   call.mBody = std::move(aBody);
@@ -325,7 +325,8 @@
     return;
   }
   std::array<char, 20> size{};
-  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
+  const int n =
+    std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
   std::string text(size.data(), static_cast<std::size_t>(n));
   mSocket->Write(text.append(aBytes).append("\r\n"));
 }
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -29,13 +29,12 @@
   const int status = StatusOf(aFailure);
   LogEnd(std::string(NameOf(aFailure.mCode)).c_str(), status);
   mParts.mMetrics.OnFailure(aFailure.mCode, aFailure.mVerdict);
-  mSink->SendWhole(status,
-                   "",
-                   FailureFields(aFailure,
-                                 mCall.mRequest.mRequestId,
-                                 mCall.mDeadline,
-                                 EventLoop::Now()),
-                   FailureBody(aFailure));
+  mSink->SendWhole(
+    status,
+    "",
+    FailureFields(
+      aFailure, mCall.mRequest.mRequestId, mCall.mDeadline, EventLoop::Now()),
+    FailureBody(aFailure));
 }
 
 std::string
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -51,8 +51,7 @@
 }
 
 Fleet::Fleet(EventLoop& aLoop, const GatewaySettings& aSettings)
-  : mLoop(aLoop)
-  , mSettings(aSettings)
+  : mSettings(aSettings)
   , mEntries(aSettings.mReturnTime)
   , mTargets(TableOptions(aSettings))
   , mExpiry(aLoop, [this] {
@@ -132,10 +131,10 @@
     return false;
   }
   const ServiceTraits* traits = mRouting->FindService(location->mService);
-  const auto engines = std::count_if(
-    mRouting->Services().begin(),
-    mRouting->Services().end(),
-    [](const auto& aService) { return aService.second.mEngine; });
+  const auto engines =
+    std::count_if(mRouting->Services().begin(),
+                  mRouting->Services().end(),
+                  [](const auto& aService) { return aService.second.mEngine; });
   // With one service of engines, an engine cannot belong to another one.
   return traits != nullptr && traits->mEngine && engines == 1;
 }
@@ -310,10 +309,9 @@
       target.mMemoryTokens = traits->mMemoryTokens;
     }
     targets.push_back(std::move(target));
-    mLocations[it.mName] = { *ParseEndpoint(it.mAddress),
-                             it.mAddress,
-                             it.mIncarnation,
-                             it.mService };
+    mLocations[it.mName] = {
+      *ParseEndpoint(it.mAddress), it.mAddress, it.mIncarnation, it.mService
+    };
   }
   mTargets.Declare(services, targets, mSettings.mRegion, EventLoop::Now());
 }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -94,7 +94,6 @@
   void DeclareTargets();
   void LimitRepeats();
 
-  EventLoop& mLoop;
   GatewaySettings mSettings;
   RefPtr<RoutingTable> mRouting;
   std::int64_t mRoutingRowVersion = 0;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -22,9 +22,9 @@
 
 using std::chrono::milliseconds;
 
-// Time from the stop signal in which new requests are taken. The check that takes
-// a host out of rotation runs once a second and has to fail twice; what is taken
-// later might not end within the grace.
+// Time from the stop signal in which new requests are taken. The check that
+// takes a host out of rotation runs once a second and has to fail twice; what
+// is taken later might not end within the grace.
 constexpr Duration kTakeTime = milliseconds(2600);
 
 // Time before the end of the grace at which the process ends in any case.
@@ -54,10 +54,9 @@
                  [this](const HttpHead& aHead, const std::string&) {
                    return AnswerReadiness(aHead);
                  })
-    , mMetricsServer(mLoop,
-                     [this](const HttpHead&, const std::string&) {
-                       return AnswerMetrics();
-                     })
+    , mMetricsServer(
+        mLoop,
+        [this](const HttpHead&, const std::string&) { return AnswerMetrics(); })
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopCheck(mLoop, [this] { CheckStop(); })
   {
@@ -112,9 +111,9 @@
                  static_cast<double>(mCallers.Connections()));
     mMetrics.Set(GatewayLevel::TargetConnections,
                  static_cast<double>(mPool.Open()));
-    mMetrics.Set(
-      GatewayLevel::ConfigurationVersion,
-      routing == nullptr ? 0 : static_cast<double>(routing->mVersion));
+    mMetrics.Set(GatewayLevel::ConfigurationVersion,
+                 routing == nullptr ? 0
+                                    : static_cast<double>(routing->mVersion));
     mMetrics.Set(GatewayLevel::Targets,
                  static_cast<double>(mFleet.Targets().Subset().size()));
     mMetrics.Set(GatewayLevel::StoreAnswers,
--- a/src/quetzalquay/gateway/LoadSpread.cpp
+++ b/src/quetzalquay/gateway/LoadSpread.cpp
@@ -34,8 +34,7 @@
                        const GatewaySettings& aSettings,
                        Fleet& aFleet,
                        StoreWatch& aStore)
-  : mLoop(aLoop)
-  , mSettings(aSettings)
+  : mSettings(aSettings)
   , mFleet(aFleet)
   , mStore(aStore)
   , mSocket(aLoop.Context())
--- a/src/quetzalquay/gateway/LoadSpread.h
+++ b/src/quetzalquay/gateway/LoadSpread.h
@@ -32,7 +32,6 @@
   void Send();
   std::vector<boost::asio::ip::udp::endpoint> Receivers();
 
-  EventLoop& mLoop;
   GatewaySettings mSettings;
   Fleet& mFleet;
   StoreWatch& mStore;
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -100,9 +100,10 @@
   , mSettings(aSettings)
   , mFleet(aFleet)
   , mStore(aStore)
-  , mServer(aLoop, [this](const HttpHead& aHead, const std::string&) {
-    return Answer(aHead);
-  })
+  , mServer(aLoop,
+            [this](const HttpHead& aHead, const std::string&) {
+              return Answer(aHead);
+            })
   , mAskAgain(aLoop, [this] { Ask(); })
   , mRandom(StableHash(aSettings.mHost))
 {
@@ -166,8 +167,7 @@
   std::vector<Endpoint> peers = Peers();
   std::shuffle(peers.begin(), peers.end(), mRandom);
   const bool all = !mFleet.IsReady();
-  const std::int64_t targets =
-    all ? 0 : mFleet.Version(StoreTable::Targets);
+  const std::int64_t targets = all ? 0 : mFleet.Version(StoreTable::Targets);
   const std::string path =
     std::string(kPath) + "?configuration=" +
     std::to_string(mFleet.Version(StoreTable::Configuration)) +
@@ -246,8 +246,8 @@
         rows.push_back(std::move(*decoded));
       }
     }
-    const bool whole = aAskedForAll && it.second == StoreTable::Targets &&
-                       !rows.empty();
+    const bool whole =
+      aAskedForAll && it.second == StoreTable::Targets && !rows.empty();
     mFleet.Take(
       it.second, rows, whole, version->value.GetInt64(), Source::Peer);
   }
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -14,8 +14,8 @@
 namespace quetzalquay {
 
 // Lets hosts learn from each other what the store does not tell them: any host
-// answers with the rows that it knows beyond given versions, and a host that the
-// store leaves without an answer asks a few others at a time.
+// answers with the rows that it knows beyond given versions, and a host that
+// the store leaves without an answer asks a few others at a time.
 class PeerLink
 {
 public:
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -98,13 +98,14 @@
     mTryUntil = std::min(mTryUntil, now + mCall.mRoute->mObjective);
   }
   mAlarm.SetAt(mTryUntil);
-  mConnection->Send(
-    platform::EncodeAttempt(
-      mCall.mHead, mCall.mRequest, CommonFields(aTarget, now), mCall.mBody.size()),
-    mCall.mBody,
-    mCall.mRequest.mRequestId,
-    std::min(now + kConnectTime, mCall.mDeadline),
-    *this);
+  mConnection->Send(platform::EncodeAttempt(mCall.mHead,
+                                            mCall.mRequest,
+                                            CommonFields(aTarget, now),
+                                            mCall.mBody.size()),
+                    mCall.mBody,
+                    mCall.mRequest.mRequestId,
+                    std::min(now + kConnectTime, mCall.mDeadline),
+                    *this);
 }
 
 void
@@ -198,10 +199,8 @@
     return;
   }
   LogEnd("answered", status);
-  mSink->SendWhole(status,
-                   mAnswerHead.mReason,
-                   ForwardedFields(mAnswerHead),
-                   mAnswerBody);
+  mSink->SendWhole(
+    status, mAnswerHead.mReason, ForwardedFields(mAnswerHead), mAnswerBody);
 }
 
 void
@@ -227,8 +226,8 @@
   if (now >= mCall.mDeadline || now < mTryUntil) {
     Failure failure;
     failure.mCode = FailureCode::DeadlineExceeded;
-    failure.mVerdict = sent || mTries > 1 ? RunVerdict::OutcomeUnknown
-                                          : RunVerdict::NotRun;
+    failure.mVerdict =
+      sent || mTries > 1 ? RunVerdict::OutcomeUnknown : RunVerdict::NotRun;
     failure.mMessage = "the target did not answer in time";
     Fail(failure);
     return;
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -38,8 +38,7 @@
                        Options aOptions,
                        OnRows aOnRows,
                        OnOutcome aOnOutcome)
-  : mLoop(aLoop)
-  , mHost(ToText(aStore))
+  : mHost(ToText(aStore))
   , mOptions(aOptions)
   , mOnRows(std::move(aOnRows))
   , mOnOutcome(std::move(aOnOutcome))
@@ -81,13 +80,14 @@
 {
   mCaller.Call(platform::EncodeRead(mHost, mOptions.mTable, aFrom),
                EventLoop::Now() + kAnswerTime,
-               [this](auto aReply, const auto& aReason) {
-                 OnRead(std::move(aReply), aReason);
+               [this](const auto& aReply, const auto& aReason) {
+                 OnRead(aReply, aReason);
                });
 }
 
 void
-TableWatch::OnRead(std::optional<HttpReply> aReply, const std::string& aReason)
+TableWatch::OnRead(const std::optional<HttpReply>& aReply,
+                   const std::string& aReason)
 {
   const auto rows = Decode(aReply, aReason);
   if (!rows) {
@@ -115,13 +115,13 @@
   mCaller.Call(
     platform::EncodeWatch(mHost, mOptions.mTable, mVersion, mOptions.mWait),
     EventLoop::Now() + mOptions.mWait + kAnswerTime,
-    [this](auto aReply, const auto& aReason) {
-      OnFollowed(std::move(aReply), aReason);
+    [this](const auto& aReply, const auto& aReason) {
+      OnFollowed(aReply, aReason);
     });
 }
 
 void
-TableWatch::OnFollowed(std::optional<HttpReply> aReply,
+TableWatch::OnFollowed(const std::optional<HttpReply>& aReply,
                        const std::string& aReason)
 {
   if (aReply && aReply->mHead.mStatus == platform::kHistoryGone) {
@@ -232,23 +232,23 @@
                   Duration::zero(),
                   kTargetsPause,
                   toFleet(StoreTable::Targets));
-  mHostRows = make(
-    StoreTable::Hosts,
-    Duration::zero(),
-    kHostsPause,
-    [this](const std::vector<StoreRow>& aRows, bool aWhole, std::int64_t) {
-      if (aWhole) {
-        mHosts.clear();
-      }
-      for (const StoreRow& it : aRows) {
-        if (it.mRemoved) {
-          mHosts.erase(it.mKey);
-        } else {
-          mHosts[it.mKey] = it.mValue;
-        }
-      }
-      mFleet.SetHostCount(std::max(1, static_cast<int>(mHosts.size())));
-    });
+  mHostRows =
+    make(StoreTable::Hosts,
+         Duration::zero(),
+         kHostsPause,
+         [this](const std::vector<StoreRow>& aRows, bool aWhole, std::int64_t) {
+           if (aWhole) {
+             mHosts.clear();
+           }
+           for (const StoreRow& it : aRows) {
+             if (it.mRemoved) {
+               mHosts.erase(it.mKey);
+             } else {
+               mHosts[it.mKey] = it.mValue;
+             }
+           }
+           mFleet.SetHostCount(std::max(1, static_cast<int>(mHosts.size())));
+         });
 }
 
 void
@@ -286,28 +286,27 @@
   const std::string request =
     mWithdrawn
       ? platform::EncodeRemove(host, StoreTable::Hosts, mSettings.mHost)
-      : platform::EncodePut(
-          host, StoreTable::Hosts, mSettings.mHost, mOwnRow);
+      : platform::EncodePut(host, StoreTable::Hosts, mSettings.mHost, mOwnRow);
   const bool withdrawal = mWithdrawn;
-  mWriter.Call(request,
-               EventLoop::Now() + kAnswerTime,
-               [this, withdrawal](auto aReply, const auto& aReason) {
-                 mWritten = aReply && aReply->mHead.mStatus == 200 &&
-                            withdrawal == mWithdrawn;
-                 if (mWritten) {
-                   mWriter.Cancel();
-                   mHostRows->Hurry();
-                   return;
-                 }
-                 Log(LogLevel::Warn,
-                     "store",
-                     "own row not written",
-                     { { "reason",
-                         aReply ? "status " +
-                                    std::to_string(aReply->mHead.mStatus)
-                                : aReason } });
-                 mWriteAgain.SetAt(EventLoop::Now() + kLongestPause);
-               });
+  mWriter.Call(
+    request,
+    EventLoop::Now() + kAnswerTime,
+    [this, withdrawal](const auto& aReply, const auto& aReason) {
+      mWritten =
+        aReply && aReply->mHead.mStatus == 200 && withdrawal == mWithdrawn;
+      if (mWritten) {
+        mWriter.Cancel();
+        mHostRows->Hurry();
+        return;
+      }
+      Log(LogLevel::Warn,
+          "store",
+          "own row not written",
+          { { "reason",
+              aReply ? "status " + std::to_string(aReply->mHead.mStatus)
+                     : aReason } });
+      mWriteAgain.SetAt(EventLoop::Now() + kLongestPause);
+    });
 }
 
 void
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -45,16 +45,17 @@
 private:
   void Next();
   void Read(const std::string& aFrom);
-  void OnRead(std::optional<HttpReply> aReply, const std::string& aReason);
+  void OnRead(const std::optional<HttpReply>& aReply,
+              const std::string& aReason);
   void Follow();
-  void OnFollowed(std::optional<HttpReply> aReply, const std::string& aReason);
+  void OnFollowed(const std::optional<HttpReply>& aReply,
+                  const std::string& aReason);
   std::optional<platform::StoreRows> Decode(
     const std::optional<HttpReply>& aReply,
     const std::string& aReason);
   void Fail(const std::string& aReason);
   void Settle();
 
-  EventLoop& mLoop;
   std::string mHost;
   Options mOptions;
   OnRows mOnRows;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -59,9 +59,8 @@
   spec.mResumable = aCall.mRoute->mResumable;
   spec.mMaxRuns = aCall.mRoute->mMaxAttempts;
   spec.mDeadline = aCall.mDeadline;
-  spec.mStartBy =
-    aCall.mArrived + std::chrono::duration_cast<Duration>(
-                       aCall.mRoute->mObjective * kStartPart);
+  spec.mStartBy = aCall.mArrived + std::chrono::duration_cast<Duration>(
+                                     aCall.mRoute->mObjective * kStartPart);
   spec.mPolicy = PolicyOf();
   spec.mQuery.mService = aCall.mService;
   spec.mQuery.mRequestId = aCall.mRequest.mRequestId;
@@ -186,8 +185,7 @@
     query.mService = mCall.mService;
     query.mPromptTokens = mCall.mRequest.mPromptTokens;
     query.mOutputTokens = mCall.mRequest.mOutputTokens;
-    AskForCopyAt(
-      mParts.mFleet.Targets().ChooseCopyHolder(query, mTarget, now));
+    AskForCopyAt(mParts.mFleet.Targets().ChooseCopyHolder(query, mTarget, now));
     const TargetLocation* holder = mParts.mFleet.Locate(mCopyHolder);
     if (holder != nullptr) {
       fields.mCopyTo = holder->mAddress;
@@ -216,13 +214,12 @@
     EndTry(AttemptEnd::Unreachable);
     return;
   }
-  mConnection->Send(
-    platform::EncodeAttempt(
-      mCall.mHead, mCall.mRequest, fields, mCall.mBody.size()),
-    mCall.mBody,
-    mCall.mRequest.mRequestId,
-    std::min(now + kConnectTime, mCall.mDeadline),
-    *this);
+  mConnection->Send(platform::EncodeAttempt(
+                      mCall.mHead, mCall.mRequest, fields, mCall.mBody.size()),
+                    mCall.mBody,
+                    mCall.mRequest.mRequestId,
+                    std::min(now + kConnectTime, mCall.mDeadline),
+                    *this);
 }
 
 void
@@ -620,8 +617,7 @@
   if (mTryEvents > 1) {
     const auto gap = (aNow - mTryFirstAt) / (mTryEvents - 1);
     mParts.mPaces[mCall.mService].OnFinished(
-      static_cast<int>(mLastNumber),
-      std::chrono::duration_cast<Duration>(gap));
+      static_cast<int>(mLastNumber), std::chrono::duration_cast<Duration>(gap));
   }
 }
 
@@ -632,10 +628,8 @@
   Release(AttemptOutcome::Finished);
   Settle();
   LogEnd("answered", mTryHead.mStatus);
-  mSink->SendWhole(mTryHead.mStatus,
-                   mTryHead.mReason,
-                   ForwardedFields(mTryHead),
-                   mTryBody);
+  mSink->SendWhole(
+    mTryHead.mStatus, mTryHead.mReason, ForwardedFields(mTryHead), mTryBody);
 }
 
 void
--- a/src/quetzalquay/http/EventLoop.h
+++ b/src/quetzalquay/http/EventLoop.h
@@ -36,7 +36,10 @@
   // Whether a time is set.
   bool IsSet() const { return mAt != Time::max(); }
 
-  bool operator<(const Alarm& aOther) const { return mQueuedAt < aOther.mQueuedAt; }
+  bool operator<(const Alarm& aOther) const
+  {
+    return mQueuedAt < aOther.mQueuedAt;
+  }
 
 private:
   friend class EventLoop;
--- a/src/quetzalquay/http/HttpCaller.h
+++ b/src/quetzalquay/http/HttpCaller.h
@@ -17,7 +17,8 @@
   std::string mBody;
 };
 
-// Makes small calls to one server, one at a time, on a connection that it keeps.
+// Makes small calls to one server, one at a time, on a connection that it
+// keeps.
 class HttpCaller : private SocketSink
 {
 public:
@@ -55,7 +56,8 @@
   Receiver mReceiver;
   Alarm mDeadline;
   bool mConnected = false;
-  // Whether the call went out on a connection that was kept from an earlier one.
+  // Whether the call went out on a connection that was kept from an earlier
+  // one.
   bool mOnKept = false;
 };
 
--- a/src/quetzalquay/http/HttpHead.cpp
+++ b/src/quetzalquay/http/HttpHead.cpp
@@ -82,12 +82,11 @@
 SameFieldName(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
-         std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    [](char aOne, char aOther) {
-                      return Lower(aOne) == Lower(aOther);
-                    });
+         std::equal(
+           aLeft.begin(),
+           aLeft.end(),
+           aRight.begin(),
+           [](char aOne, char aOther) { return Lower(aOne) == Lower(aOther); });
 }
 
 bool
--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -149,8 +149,8 @@
   for (auto at = aHead.find('\n'); at != std::string_view::npos;
        at = aHead.find('\n', at + 1)) {
     const bool bare = at == 0 || aHead[at - 1] != '\r';
-    const bool folded = at + 1 < aHead.size() &&
-                        (aHead[at + 1] == ' ' || aHead[at + 1] == '\t');
+    const bool folded =
+      at + 1 < aHead.size() && (aHead[at + 1] == ' ' || aHead[at + 1] == '\t');
     if (bare || folded) {
       return true;
     }
@@ -315,8 +315,7 @@
   {
     const std::size_t held = mChunkLine.size();
     mChunkLine.append(aData.substr(0, kMaxChunkLine));
-    const std::size_t n =
-      aParser.put(boost::asio::buffer(mChunkLine), aError);
+    const std::size_t n = aParser.put(boost::asio::buffer(mChunkLine), aError);
     if (n <= held) {
       if (n == 0 && mChunkLine.size() > 2 * kMaxChunkLine) {
         aError = http::error::bad_chunk;
--- a/src/quetzalquay/http/SmallServer.cpp
+++ b/src/quetzalquay/http/SmallServer.cpp
@@ -27,8 +27,7 @@
 } // namespace
 
 Listener::Listener(EventLoop& aLoop, Receiver aReceiver)
-  : mLoop(aLoop)
-  , mReceiver(std::move(aReceiver))
+  : mReceiver(std::move(aReceiver))
   , mAcceptor(aLoop.Context())
   , mRetry(aLoop, [this] { Accept(); })
 {
--- a/src/quetzalquay/http/SmallServer.h
+++ b/src/quetzalquay/http/SmallServer.h
@@ -35,7 +35,6 @@
 private:
   void Accept();
 
-  EventLoop& mLoop;
   Receiver mReceiver;
   boost::asio::ip::tcp::acceptor mAcceptor;
   Alarm mRetry;
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -51,8 +51,8 @@
     return std::nullopt;
   }
   error_code ec;
-  const auto address = boost::asio::ip::make_address_v4(
-    std::string(aText.substr(0, colon)), ec);
+  const auto address =
+    boost::asio::ip::make_address_v4(std::string(aText.substr(0, colon)), ec);
   unsigned short port = 0;
   const auto text = aText.substr(colon + 1);
   const auto parsed =
@@ -89,7 +89,8 @@
   error_code ec;
   mSocket.open(tcp::v4(), ec);
   if (ec) {
-    mLoop.Defer([self = RefPtr<Socket>(this)] { self->End(SocketEnd::Failed); });
+    mLoop.Defer(
+      [self = RefPtr<Socket>(this)] { self->End(SocketEnd::Failed); });
     return;
   }
   Prepare();
@@ -151,8 +152,8 @@
   }
   if (Unwritten() == 0) {
     error_code ec;
-    const std::size_t n = mSocket.write_some(
-      boost::asio::buffer(aData.data(), aData.size()), ec);
+    const std::size_t n =
+      mSocket.write_some(boost::asio::buffer(aData.data(), aData.size()), ec);
     if (ec && ec != boost::asio::error::would_block) {
       // The read side reports the end, so that bytes which arrived before it
       // are still taken.
@@ -182,14 +183,13 @@
     return;
   }
   mReadPending = true;
-  mSocket.async_wait(
-    tcp::socket::wait_read,
-    [self = RefPtr<Socket>(this)](const error_code&) {
-      self->mReadPending = false;
-      if (self->mOpen && self->mReading) {
-        self->OnReadable();
-      }
-    });
+  mSocket.async_wait(tcp::socket::wait_read,
+                     [self = RefPtr<Socket>(this)](const error_code&) {
+                       self->mReadPending = false;
+                       if (self->mOpen && self->mReading) {
+                         self->OnReadable();
+                       }
+                     });
 }
 
 void
@@ -226,14 +226,13 @@
     return;
   }
   mWritePending = true;
-  mSocket.async_wait(
-    tcp::socket::wait_write,
-    [self = RefPtr<Socket>(this)](const error_code&) {
-      self->mWritePending = false;
-      if (self->mOpen) {
-        self->Flush();
-      }
-    });
+  mSocket.async_wait(tcp::socket::wait_write,
+                     [self = RefPtr<Socket>(this)](const error_code&) {
+                       self->mWritePending = false;
+                       if (self->mOpen) {
+                         self->Flush();
+                       }
+                     });
 }
 
 void
--- a/src/quetzalquay/observe/Log.h
+++ b/src/quetzalquay/observe/Log.h
@@ -21,8 +21,8 @@
 void
 StartLog(const std::string& aPath, const std::string& aLevel);
 
-// Sets up structured logging to standard output through a bounded queue, which a
-// thread of its own empties: a line never waits for its reader. Lines that do
+// Sets up structured logging to standard output through a bounded queue, which
+// a thread of its own empties: a line never waits for its reader. Lines that do
 // not fit, or come faster than kMaxLinesPerSecond, are dropped and counted.
 void
 StartQueuedLog(const std::string& aLevel);
--- a/src/quetzalquay/observe/QueueAppender.cpp
+++ b/src/quetzalquay/observe/QueueAppender.cpp
@@ -26,8 +26,7 @@
 {
   std::size_t at = 0;
   while (at < aText.size()) {
-    const auto n =
-      ::write(STDOUT_FILENO, aText.data() + at, aText.size() - at);
+    const auto n = ::write(STDOUT_FILENO, aText.data() + at, aText.size() - at);
     if (n > 0) {
       at += static_cast<std::size_t>(n);
     } else if (errno != EINTR) {
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -47,7 +47,9 @@
 };
 
 bool
-IsOneOf(std::string_view aName, const std::string_view* aList, std::size_t aSize)
+IsOneOf(std::string_view aName,
+        const std::string_view* aList,
+        std::size_t aSize)
 {
   return std::any_of(aList, aList + aSize, [&](std::string_view aEntry) {
     return SameFieldName(aEntry, aName);
@@ -131,8 +133,7 @@
 {
   std::string head = aCaller.mMethod + " " + aCaller.mTarget + " HTTP/1.1\r\n";
   for (const HttpField& it : aCaller.mFields) {
-    const bool endToEnd =
-      IsOneOf(it.mName, kEndToEnd.data(), kEndToEnd.size());
+    const bool endToEnd = IsOneOf(it.mName, kEndToEnd.data(), kEndToEnd.size());
     const bool dropped =
       IsOneOf(it.mName, kSystemFields.data(), kSystemFields.size()) ||
       SameFieldName(it.mName, "Content-Length") ||
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -21,12 +21,14 @@
 
 using rapidjson::Value;
 
-constexpr NameTable<StoreTable, 3> kLogNames(
-  { "configuration", "targets", "hosts" });
+constexpr NameTable<StoreTable, 3> kLogNames({ "configuration",
+                                               "targets",
+                                               "hosts" });
 
 // The first two are the platform's, the last one is the gateway's own.
-constexpr NameTable<StoreTable, 3> kWireNames(
-  { "op", "servers", "gateway-hosts" });
+constexpr NameTable<StoreTable, 3> kWireNames({ "op",
+                                                "servers",
+                                                "gateway-hosts" });
 
 constexpr NameTable<CallKind, 3> kKindNames({ "safe", "unsafe", "streaming" });
 
@@ -47,8 +49,7 @@
 FromBase64(std::string_view aText, std::string& aValue)
 {
   using namespace boost::archive::iterators;
-  using Decoder =
-    transform_width<binary_from_base64<const char*>, 8, 6>;
+  using Decoder = transform_width<binary_from_base64<const char*>, 8, 6>;
   while (!aText.empty() && aText.back() == '=') {
     aText.remove_suffix(1);
   }
@@ -273,8 +274,8 @@
            StoreTable aTable,
            const std::string& aFromKey)
 {
-  std::string path = "/rows-get?Table=" +
-                     std::string(kWireNames.NameOf(aTable)) + "&part=";
+  std::string path =
+    "/rows-get?Table=" + std::string(kWireNames.NameOf(aTable)) + "&part=";
   if (!aFromKey.empty()) {
     path += "&From=" + PercentEncode(aFromKey);
   }
@@ -414,8 +415,7 @@
     return std::nullopt;
   }
   // Entries without a start time belong to targets that never restart.
-  entry.mIncarnation =
-    born == nullptr ? "0" : std::to_string(born->GetInt64());
+  entry.mIncarnation = born == nullptr ? "0" : std::to_string(born->GetInt64());
   return entry;
 }
 
--- a/tests/fakes/GatewayWorld.cpp
+++ b/tests/fakes/GatewayWorld.cpp
@@ -73,8 +73,8 @@
       }
     }
     for (std::size_t k = 0; k < 4; ++k) {
-      text.push_back(n + k > aText.size() ? '='
-                                          : kDigits[(bits >> (18 - 6 * k)) & 63U]);
+      text.push_back(
+        n + k > aText.size() ? '=' : kDigits[(bits >> (18 - 6 * k)) & 63U]);
     }
   }
   return text;
@@ -382,9 +382,9 @@
   std::ofstream(mSettings)
     << R"({"host":"h","place":"p0","region":"r","callers":")"
     << Address(mPorts[0]) << R"(","readiness":")" << Address(mPorts[1])
-    << R"(","peers":")" << Address(mPorts[2]) << R"(","loadPort":)"
-    << mPorts[3] << R"(,"metrics":")" << Address(mPorts[4])
-    << R"(","seeds":[],"store":")" << Address(mPorts[5])
+    << R"(","peers":")" << Address(mPorts[2]) << R"(","loadPort":)" << mPorts[3]
+    << R"(,"metrics":")" << Address(mPorts[4]) << R"(","seeds":[],"store":")"
+    << Address(mPorts[5])
     << R"(","maxConnections":500,"stopGraceS":8,"repeatRatio":0.8,)"
     << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
   mGateway = ::fork();
@@ -438,7 +438,8 @@
   const auto route = [](const char* aName, const char* aKind, int aAttempts) {
     return std::string(R"({"Name":")") + aName +
            R"(","Host":"host","PathPrefix":"/)" + aName + R"(/","Kind":")" +
-           aKind + R"(","TimeoutMs":9000,"TargetLatencyMs":3000,"Priority":1,)" +
+           aKind +
+           R"(","TimeoutMs":9000,"TargetLatencyMs":3000,"Priority":1,)" +
            R"("Service":"engines","MaxAttempts":)" + std::to_string(aAttempts) +
            R"(,"Public":false,"StreamResumption":true,"GapTargetMs":700})";
   };
@@ -447,18 +448,18 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     version = mVersion + 1;
   }
-  Write("op",
-        "config",
-        R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
-          route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
-          route("stream", "streaming", 5) +
-          R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
-          R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
-          R"("Backups":true}}],"Limits":{"MaxHeaderBytes":16384,)" +
-          R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
-          R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey +
-          R"("],"Priority":1}]})",
-        false);
+  Write(
+    "op",
+    "config",
+    R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
+      route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
+      route("stream", "streaming", 5) +
+      R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
+      R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
+      R"("Backups":true}}],"Limits":{"MaxHeaderBytes":16384,)" +
+      R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
+      R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey + R"("],"Priority":1}]})",
+    false);
   const std::string in =
     "quetzal_configuration_version{host=\"h\"} " + std::to_string(version);
   const auto until = std::chrono::steady_clock::now() + kPatience;
@@ -556,8 +557,8 @@
   }
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
-    const auto n = ::send(
-      fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    const auto n =
+      ::send(fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       break;
     }
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -21,7 +21,9 @@
 }
 
 TargetEntry
-Entry(const std::string& aName, const std::string& aAddress, bool aLeaving = false)
+Entry(const std::string& aName,
+      const std::string& aAddress,
+      bool aLeaving = false)
 {
   TargetEntry entry;
   entry.mName = aName;
@@ -129,9 +131,11 @@
       route.mPathPrefix = it;
       table.AddRoute(route);
     }
-    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.Find("h", "/a/b/c")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"),
+                         table.Find("h", "/a/b/c")->mName);
     CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.Find("h", "/a/bc")->mName);
-    CPPUNIT_ASSERT_EQUAL(std::string("/"), table.Find("h", "/x?y=/a/b/")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/"),
+                         table.Find("h", "/x?y=/a/b/")->mName);
     CPPUNIT_ASSERT(table.Find("other", "/a/") == nullptr);
     CPPUNIT_ASSERT(table.Find("h", "") == nullptr);
   }
@@ -174,8 +178,9 @@
         versions.push_back(n);
       }
       for (int n = count - 1; n > 0; --n) {
-        std::swap(versions[static_cast<std::size_t>(n)],
-                  versions[static_cast<std::size_t>(*rc::gen::inRange(0, n + 1))]);
+        std::swap(
+          versions[static_cast<std::size_t>(n)],
+          versions[static_cast<std::size_t>(*rc::gen::inRange(0, n + 1))]);
       }
       TargetEntries entries(milliseconds(2000));
       for (const int it : versions) {
@@ -329,8 +334,7 @@
       here.OnLostElsewhere(it.mTarget, it.mAt, At(60));
     }
     for (int n = 0; n < 20; ++n) {
-      CPPUNIT_ASSERT(
-        PlaceOf(here.Choose(Query(), At(70 + n)).mTarget) != "p1");
+      CPPUNIT_ASSERT(PlaceOf(here.Choose(Query(), At(70 + n)).mTarget) != "p1");
     }
     // What others found is not passed on as found here.
     CPPUNIT_ASSERT(here.LostTargets(At(80)).empty());
--- a/tests/introspective/HttpReaderTests.cpp
+++ b/tests/introspective/HttpReaderTests.cpp
@@ -36,8 +36,7 @@
            reader.Progress() == HttpProgress::Body;
   };
   while (at < aBytes.size() && open()) {
-    const std::string_view piece =
-      std::string_view(aBytes).substr(at, aPiece);
+    const std::string_view piece = std::string_view(aBytes).substr(at, aPiece);
     const std::size_t n = reader.Take(piece);
     at += n;
     read.mBody += reader.TakeBody();
@@ -100,9 +99,8 @@
   void ChunksAreReadHoweverTheyAreCut()
   {
     CheckProperty("a chunked body is the same in any pieces", [] {
-      const auto chunks =
-        *rc::gen::container<std::vector<std::string>>(
-          rc::gen::nonEmpty(rc::gen::string<std::string>()));
+      const auto chunks = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::nonEmpty(rc::gen::string<std::string>()));
       std::string body;
       for (const std::string& it : chunks) {
         body += it;
@@ -120,9 +118,9 @@
   {
     CheckProperty("a body with a length is the same in any pieces", [] {
       const auto body = *rc::gen::string<std::string>();
-      const std::string bytes = "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                                std::to_string(body.size()) + "\r\n\r\n" +
-                                body + "NEXT";
+      const std::string bytes =
+        "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body + "NEXT";
       const auto piece = *rc::gen::inRange<std::size_t>(1, bytes.size() + 1);
       const Read read = ReadAll(HttpSide::Requests, bytes, piece);
       RC_ASSERT(read.mProgress == HttpProgress::Complete);
@@ -208,12 +206,13 @@
                            false,
                            limits)
                      .mFault == HttpFault::HeadTooLarge);
-    CPPUNIT_ASSERT(ReadAll(HttpSide::Requests,
-                           "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n" + big,
-                           9,
-                           false,
-                           limits)
-                     .mFault == HttpFault::BodyTooLarge);
+    CPPUNIT_ASSERT(
+      ReadAll(HttpSide::Requests,
+              "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n" + big,
+              9,
+              false,
+              limits)
+        .mFault == HttpFault::BodyTooLarge);
     CPPUNIT_ASSERT(
       ReadAll(HttpSide::Requests,
               "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -122,8 +122,8 @@
     fields.mCopyTo = "10.0.0.2:80";
     fields.mCopyAt = "10.0.0.1:80";
     fields.mLastEventId = "4";
-    const std::string text = platform::EncodeAttempt(
-      head, platform::DecodeCaller(head), fields, 3);
+    const std::string text =
+      platform::EncodeAttempt(head, platform::DecodeCaller(head), fields, 3);
     CPPUNIT_ASSERT(!Holds(text, "forged"));
     CPPUNIT_ASSERT(!Holds(text, "key"));
     CPPUNIT_ASSERT(Holds(text, "POST /a/b?c=d HTTP/1.1\r\n"));
@@ -213,7 +213,8 @@
     const auto entry = platform::DecodeTarget("i-1", kEntry, reason);
     CPPUNIT_ASSERT(entry && entry->mIncarnation == "1700000000000");
     CPPUNIT_ASSERT_EQUAL(64, entry->mSlots);
-    for (const char* it : { "Service", "Address", "Zone", "Slots", "State", "Sequence" }) {
+    for (const char* it :
+         { "Service", "Address", "Zone", "Slots", "State", "Sequence" }) {
       CPPUNIT_ASSERT_MESSAGE(
         it, !platform::DecodeTarget("i", WithField(it, ""), reason));
       CPPUNIT_ASSERT_MESSAGE(
@@ -249,8 +250,8 @@
     CPPUNIT_ASSERT(rows->mRows[2].mValue.empty());
     CheckProperty("values survive the way to the store and back", [] {
       const auto value = *rc::gen::string<std::string>();
-      const std::string call = platform::EncodePut(
-        "s:1", platform::StoreTable::Hosts, "key", value);
+      const std::string call =
+        platform::EncodePut("s:1", platform::StoreTable::Hosts, "key", value);
       rapidjson::Document json;
       json.Parse(call.substr(call.find("\r\n\r\n") + 4).c_str());
       RC_ASSERT(!json.HasParseError());
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -67,10 +67,9 @@
     std::string request = GatewayWorld::Request("/plain/", "a");
     request.replace(request.find("Bearer key"), 10, "Bearer odd");
     CPPUNIT_ASSERT_EQUAL(401, status(request));
-    CPPUNIT_ASSERT_EQUAL(
-      413,
-      status(GatewayWorld::Request(
-        "/plain/", "a", "", std::string(200000, 'x'))));
+    CPPUNIT_ASSERT_EQUAL(413,
+                         status(GatewayWorld::Request(
+                           "/plain/", "a", "", std::string(200000, 'x'))));
     CPPUNIT_ASSERT_EQUAL(
       431,
       status(GatewayWorld::Request(
@@ -85,9 +84,8 @@
     const std::string inner = GatewayWorld::Request("/unsafe/", "smuggled");
     // Inside a body, and behind two contradicting lengths.
     world.Call(GatewayWorld::Request("/plain/", "outer", "", inner));
-    const auto answer = world.Call(
-      GatewayWorld::Request("/plain/", "two", "Transfer-Encoding: chunked\r\n",
-                            "0\r\n\r\n" + inner));
+    const auto answer = world.Call(GatewayWorld::Request(
+      "/plain/", "two", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n" + inner));
     CPPUNIT_ASSERT_EQUAL(400, answer.mHead.mStatus);
     CPPUNIT_ASSERT(!answer.mKept);
     for (const RunnerRequest& it : world.Requests()) {
@@ -258,9 +256,8 @@
   {
     GatewayWorld world;
     CallerAnswer answer;
-    std::thread caller([&] {
-      answer = world.Call(GatewayWorld::Request("/stream/", "s"));
-    });
+    std::thread caller(
+      [&] { answer = world.Call(GatewayWorld::Request("/stream/", "s")); });
     while (world.Runs().empty()) {
       ::usleep(1000);
     }
@@ -283,10 +280,12 @@
     world.Call(GatewayWorld::Request("/none/", "b"));
     const std::string text = world.Metrics();
     for (const char* it :
-         { "quetzal_requests_total{host=\"h\",kind=\"idempotent\",status=\"200\"} 1",
+         { "quetzal_requests_total{host=\"h\",kind=\"idempotent\",status="
+           "\"200\"} 1",
            "quetzal_failures_total{host=\"h\",code=\"unknown_service\"",
            "quetzal_ready{host=\"h\"} 1",
-           "quetzal_request_seconds_count{host=\"h\",kind=\"idempotent\"} 1" }) {
+           "quetzal_request_seconds_count{host=\"h\",kind=\"idempotent\"} "
+           "1" }) {
       CPPUNIT_ASSERT_MESSAGE(it, text.find(it) != std::string::npos);
     }
   }
