--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -352,6 +352,24 @@
   }
 }
 
+int
+TargetTable::LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const
+{
+  const auto members = mByService.find(aQuery.mService);
+  std::optional<int> least;
+  if (members != mByService.end()) {
+    for (const std::string& it : members->second) {
+      const Target& target = mTargets.at(it);
+      if (IsUsable(target, aQuery, aNow)) {
+        const int backlog =
+          OwnLoadOf(target).mBacklogTokens + target.mOthers.mBacklogTokens;
+        least = std::min(least.value_or(backlog), backlog);
+      }
+    }
+  }
+  return least.value_or(0);
+}
+
 std::vector<TargetLoad>
 TargetTable::OwnLoad() const
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -172,6 +172,10 @@
   // Another router has found a target lost.
   void OnLostElsewhere(const std::string& aTarget, Time aAt, Time aNow);
 
+  // Prompt tokens that are still to be read at the target of a service where
+  // they are fewest.
+  int LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const;
+
   // What this router has given to targets, without those that have nothing.
   std::vector<TargetLoad> OwnLoad() const;
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -95,8 +95,11 @@
   const Time now = EventLoop::Now();
   // Targets number the events of a stream from 1.
   const int events = std::max(0, static_cast<int>(mLastNumber));
+  ChoiceQuery query;
+  query.mService = mCall.mService;
+  const int backlog = mParts.mFleet.Targets().LeastBacklog(query, now);
   const auto least = mParts.mPaces[mCall.mService].LeastTime(
-    mCall.mRequest.mPromptTokens, events);
+    mCall.mRequest.mPromptTokens + backlog, events);
   if (least && now + *least > mCall.mDeadline) {
     Settle();
     mNote = "needs_ms_" + std::to_string(least->count() / 1000);
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -112,6 +112,7 @@
   CPPUNIT_TEST(HostsTogetherKeepTheRepeatBudget);
   CPPUNIT_TEST(PaceTellsWhatCannotEnd);
   CPPUNIT_TEST(LoadOfOtherHostsCounts);
+  CPPUNIT_TEST(TheLeastBacklogCounts);
   CPPUNIT_TEST(AFailingPlaceIsLeftAlone);
   CPPUNIT_TEST(LossesFoundElsewhereCount);
   CPPUNIT_TEST(CopiesGoToAnotherPlace);
@@ -300,6 +301,23 @@
     CPPUNIT_ASSERT(table.Choose(Query(), At(30)).mTarget != "t7");
   }
 
+  // Pattern: callers of a lost host come back at once with little time left.
+  void TheLeastBacklogCounts()
+  {
+    TargetTable table = Engines();
+    CPPUNIT_ASSERT_EQUAL(0, table.LeastBacklog(Query(), At(0)));
+    std::vector<TargetLoad> loads;
+    for (int n = 0; n < 12; ++n) {
+      loads.push_back({ "t" + std::to_string(n), 1, 8000 + n, 9000 });
+    }
+    table.TakeLoad("other", loads, At(0));
+    CPPUNIT_ASSERT_EQUAL(8000, table.LeastBacklog(Query(), At(10)));
+    table.OnRefused("t0", At(20));
+    CPPUNIT_ASSERT_EQUAL(8001, table.LeastBacklog(Query(), At(30)));
+    table.OnAttemptStart("t1", 1, At(40), { 500, 100 });
+    CPPUNIT_ASSERT_EQUAL(8002, table.LeastBacklog(Query(), At(50)));
+  }
+
   void AFailingPlaceIsLeftAlone()
   {
     TargetTable table = Engines();
