--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -48,19 +48,12 @@
 // How long a load report is believed.
 constexpr Duration kReportLifetime = milliseconds(1000);
 
-// How long another router's word on its load is believed.
-constexpr Duration kRouterLoadLifetime = milliseconds(2500);
-
 // Prompt tokens not read yet that weigh as much as one running request.
 constexpr double kBacklogTokensPerLoad = 2000.0;
 
 // Load that a copy at another place is worth: losses come by place.
 constexpr double kSamePlaceCopyLoad = 100.0;
 
-// Time for which the losses of a place make its other targets doubtful, unless
-// they are heard from: until the entries of dead targets have lapsed.
-constexpr Duration kPlaceDoubt = milliseconds(4500);
-
 // Load that a doubtful target has to be better by.
 constexpr double kDoubtLoad = 50.0;
 
@@ -146,11 +139,7 @@
 TargetTable::Choose(const ChoiceQuery& aQuery, Time aNow)
 {
   BlameForDeaths(aNow);
-  for (auto& it : mPlaceLosses) {
-    while (!it.second.empty() && aNow - it.second.front() >= kPlaceDoubt) {
-      it.second.pop_front();
-    }
-  }
+  ForgetOldLosses(aNow);
   Choice choice;
   if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
     Forget(aQuery);
@@ -352,97 +341,6 @@
   }
 }
 
-int
-TargetTable::LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const
-{
-  const auto members = mByService.find(aQuery.mService);
-  std::optional<int> least;
-  if (members != mByService.end()) {
-    for (const std::string& it : members->second) {
-      const Target& target = mTargets.at(it);
-      if (IsUsable(target, aQuery, aNow)) {
-        const int backlog =
-          OwnLoadOf(target).mBacklogTokens + target.mOthers.mBacklogTokens;
-        least = std::min(least.value_or(backlog), backlog);
-      }
-    }
-  }
-  return least.value_or(0);
-}
-
-std::vector<TargetLoad>
-TargetTable::OwnLoad() const
-{
-  std::vector<TargetLoad> loads;
-  for (const auto& it : mTargets) {
-    TargetLoad load = OwnLoadOf(it.second);
-    if (load.mRunning > 0 || load.mHeldTokens > 0) {
-      load.mTarget = it.first;
-      loads.push_back(std::move(load));
-    }
-  }
-  return loads;
-}
-
-TargetLoad
-TargetTable::OwnLoadOf(const Target& aTarget)
-{
-  TargetLoad load;
-  load.mRunning = static_cast<int>(aTarget.mRunning.size());
-  load.mHeldTokens = aTarget.mCopyTokens;
-  for (const Running& it : aTarget.mRunning) {
-    load.mHeldTokens += it.mLoad.mPromptTokens + it.mLoad.mOutputTokens;
-    load.mBacklogTokens += it.mFirstTokenSeen ? 0 : it.mLoad.mPromptTokens;
-  }
-  return load;
-}
-
-void
-TargetTable::TakeLoad(const std::string& aRouter,
-                      const std::vector<TargetLoad>& aLoad,
-                      Time aNow)
-{
-  for (auto it = mRouterLoads.begin(); it != mRouterLoads.end();) {
-    if (it->first == aRouter || aNow >= it->second.mUntil) {
-      AddOthers(it->second.mLoad, -1);
-      it = mRouterLoads.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  AddOthers(aLoad, 1);
-  mRouterLoads[aRouter] = { aLoad, aNow + kRouterLoadLifetime };
-}
-
-void
-TargetTable::AddOthers(const std::vector<TargetLoad>& aLoad, int aSign)
-{
-  for (const TargetLoad& it : aLoad) {
-    if (Target* target = Find(it.mTarget)) {
-      TargetLoad& others = target->mOthers;
-      others.mRunning = std::max(0, others.mRunning + aSign * it.mRunning);
-      others.mBacklogTokens =
-        std::max(0, others.mBacklogTokens + aSign * it.mBacklogTokens);
-      others.mHeldTokens =
-        std::max(0, others.mHeldTokens + aSign * it.mHeldTokens);
-    }
-  }
-}
-
-void
-TargetTable::NotifyLoad(std::function<void()> aCall)
-{
-  mOnLoadChanged = std::move(aCall);
-}
-
-void
-TargetTable::OnLoadChanged() const
-{
-  if (mOnLoadChanged) {
-    mOnLoadChanged();
-  }
-}
-
 void
 TargetTable::ReturnRepeat(const std::string& aService)
 {
@@ -529,68 +427,6 @@
   }
 }
 
-std::vector<TargetTable::LostTarget>
-TargetTable::LostTargets(Time aNow) const
-{
-  std::vector<LostTarget> lost;
-  for (const auto& it : mTargets) {
-    const Target& target = it.second;
-    if (target.mLostHere && aNow - target.mLostAt < kPlaceDoubt &&
-        target.mAliveAt < target.mLostAt) {
-      lost.push_back({ it.first, target.mLostAt });
-    }
-  }
-  return lost;
-}
-
-void
-TargetTable::OnLostElsewhere(const std::string& aTarget, Time aAt, Time aNow)
-{
-  Target* target = Find(aTarget);
-  if (target == nullptr || target->mAliveAt >= aAt ||
-      aNow - aAt >= kPlaceDoubt) {
-    return;
-  }
-  OnLost(*target, aAt);
-  target->mDoubtUntil =
-    std::max(target->mDoubtUntil, aAt + mOptions.mDoubtPause);
-}
-
-void
-TargetTable::OnLostHere(Target& aTarget, Time aNow)
-{
-  OnLost(aTarget, aNow);
-  aTarget.mLostHere = true;
-  OnLoadChanged();
-}
-
-void
-TargetTable::OnLost(Target& aTarget, Time aNow)
-{
-  // The losses of one target count once.
-  if (aNow - aTarget.mLostAt >= kPlaceDoubt || aTarget.mLostAt == Time()) {
-    mPlaceLosses[aTarget.mDeclaration.mPlace].push_back(aNow);
-  }
-  aTarget.mLostAt = std::max(aTarget.mLostAt, aNow);
-}
-
-bool
-TargetTable::IsDoubtful(const Target& aTarget, Time aNow) const
-{
-  if (aNow < aTarget.mDoubtUntil) {
-    return true;
-  }
-  const auto losses = mPlaceLosses.find(aTarget.mDeclaration.mPlace);
-  if (mOptions.mPlaceLosses == 0 || losses == mPlaceLosses.end()) {
-    return false;
-  }
-  const auto recent = std::count_if(
-    losses->second.begin(), losses->second.end(), [&](Time aLoss) {
-      return aNow - aLoss < kPlaceDoubt && aTarget.mAliveAt < aLoss;
-    });
-  return recent >= mOptions.mPlaceLosses;
-}
-
 void
 TargetTable::MarkLeaving(const std::string& aTarget,
                          const std::string& aIncarnation)
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -334,6 +334,7 @@
   static TargetLoad OwnLoadOf(const Target& aTarget);
   void OnDeath(Target& aTarget, Time aNow);
   void OnLost(Target& aTarget, Time aNow);
+  void ForgetOldLosses(Time aNow);
   void OnLostHere(Target& aTarget, Time aNow);
   bool IsDoubtful(const Target& aTarget, Time aNow) const;
   void BlameForDeaths(Time aNow);
