--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -110,12 +110,12 @@
   std::string mNote;
 };
 
-// Status of a failure, and when its caller may come back, for a caller that
-// waits until aDeadline.
+// HTTP status of a failure. "Not run" is told by 503 only.
 int
 StatusOf(const Failure& aFailure);
 
-// Answer of the gateway's own as header lines and body.
+// Header lines and body of an answer of the gateway's own. A caller that waits
+// until aDeadline is told when to come back, if a repeat can help.
 std::string
 FailureFields(const Failure& aFailure,
               const std::string& aRequestId,
