--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -41,7 +41,6 @@
     case PlainResult::NotStarted:
       return Try(aNow);
     case PlainResult::Failed:
-      break;
     case PlainResult::Broken:
       break;
   }
