Replace the copy of a stream whose holder is lost

Cause: a run sends its memory to one other target. When that target's place fails first, the stream has no copy, and the next failure makes it read its prompt again.

Now CopyKeeper notices that the holder is gone, restarted or in doubt, and orders a copy at a sound target with one small call; it is renewed before it lapses and dropped when the stream ends.

--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -74,6 +74,10 @@
   int mMemoryTokens = 0;
   // Whether engines keep copies of each other's running streams.
   bool mCopies = false;
+  // Whether engines copy a running stream elsewhere on order, and how long such
+  // a copy is kept there.
+  bool mCopyOrders = false;
+  Duration mCopyLifetime = Duration::zero();
   // Path of the targets' health check.
   std::string mHealthPath;
 };
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -155,6 +155,9 @@
                                const std::string& aRunner,
                                Time aNow);
 
+  // Whether a target is known, stays, and nothing speaks against its health.
+  bool IsSound(const std::string& aTarget, Time aNow) const;
+
   // A target keeps a copy of that many tokens, or no longer does.
   void OnCopyStart(const std::string& aTarget, int aTokens);
   void OnCopyEnd(const std::string& aTarget, int aTokens);
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -83,6 +83,14 @@
   return recent >= mOptions.mPlaceLosses;
 }
 
+bool
+TargetTable::IsSound(const std::string& aTarget, Time aNow) const
+{
+  const Target* target = Find(aTarget);
+  return target != nullptr && !IsLeaving(*target) && !target->mLoading &&
+         aNow >= target->mDownUntil && !IsDoubtful(*target, aNow);
+}
+
 int
 TargetTable::LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const
 {
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -30,6 +30,7 @@
   { "quetzal_losses_total", "Streams that lost their target" },
   { "quetzal_resumed_from_copy_total", "Streams resumed at a copy" },
   { "quetzal_resumed_by_reading_total", "Streams resumed without a copy" },
+  { "quetzal_copies_ordered_total", "Copies of runs ordered anew" },
   { "quetzal_callers_gone_total", "Callers that left before their answer" },
   { "quetzal_log_lines_dropped_total", "Log lines dropped when too many" },
 } };
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -27,6 +27,7 @@
   Losses,
   ResumedFromCopy,
   ResumedByReading,
+  CopiesOrdered,
   CallersGone,
   DroppedLogLines,
   Last,
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -99,7 +99,6 @@
   }
   mAlarm.SetAt(mTryUntil);
   mConnection->Send(platform::EncodeAttempt(mCall.mHead,
-                                            mCall.mRequest,
                                             CommonFields(aTarget, now),
                                             mCall.mBody.size()),
                     mCall.mBody,
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -80,7 +80,12 @@
   : Exchange(aParts, std::move(aCall), aSink)
   , mDecision(SpecOf(mCall), aParts.mFleet.Targets())
   , mAlarm(aParts.mLoop,
-           [this] { Perform(mDecision.OnTimer(EventLoop::Now())); })
+           [this] {
+             const Time now = EventLoop::Now();
+             UpdateCopy(now);
+             Perform(mDecision.OnTimer(now));
+           })
+  , mCopy(aParts, mCall)
   , mLastId(mCall.mRequest.mLastEventId)
 {
   const char* end = mLastId.data() + mLastId.size();
@@ -152,8 +157,12 @@
 {
   const Time now = EventLoop::Now();
   const bool resumed = !aAction.mTokens.empty();
-  const bool fromCopy = resumed && aAction.mTarget == mCopy;
-  const std::string copy = mCopy;
+  const std::string copyHolder = mCopy.Holder(now);
+  std::optional<platform::CopyName> copy;
+  if (resumed) {
+    copy = mCopy.Use(aAction.mTarget, now);
+  }
+  const bool fromCopy = copy.has_value();
   mAttempt = aAction.mAttempt;
   mTarget = aAction.mTarget;
   mLastTarget = mTarget;
@@ -175,25 +184,8 @@
     mTarget, mCall.mContentHash, now, load);
   platform::AttemptFields fields = CommonFields(mTarget, now);
   fields.mLastEventId = mLastId;
-  const TargetLocation* location = mParts.mFleet.Locate(mTarget);
-  if (fromCopy && location != nullptr) {
-    fields.mCopyAt = location->mAddress;
-    // It can be used once.
-    SetCopy(std::string());
-  }
-  AskForCopyAt(std::string());
-  const ServiceTraits* traits = mCall.mRouting->FindService(mCall.mService);
-  if (mCall.mRoute->mResumable && traits != nullptr && traits->mCopies) {
-    ChoiceQuery query;
-    query.mService = mCall.mService;
-    query.mPromptTokens = mCall.mRequest.mPromptTokens;
-    query.mOutputTokens = mCall.mRequest.mOutputTokens;
-    AskForCopyAt(mParts.mFleet.Targets().ChooseCopyHolder(query, mTarget, now));
-    const TargetLocation* holder = mParts.mFleet.Locate(mCopyHolder);
-    if (holder != nullptr) {
-      fields.mCopyTo = holder->mAddress;
-    }
-  }
+  fields.mCopy = copy;
+  fields.mCopyTo = mCopy.StartRun(mTarget, now);
   if (resumed) {
     mParts.mMetrics.Add(fromCopy ? GatewayCount::ResumedFromCopy
                                  : GatewayCount::ResumedByReading);
@@ -205,7 +197,7 @@
         { { "request", mCall.mRequest.mRequestId },
           { "target", mTarget },
           { "from_copy", fromCopy ? "true" : "false" },
-          { "copy", copy },
+          { "copy", copyHolder },
           { "after_event", mLastId },
           { "cause", mNote },
           { "silent_ms",
@@ -217,12 +209,12 @@
     EndTry(AttemptEnd::Unreachable);
     return;
   }
-  mConnection->Send(platform::EncodeAttempt(
-                      mCall.mHead, mCall.mRequest, fields, mCall.mBody.size()),
-                    mCall.mBody,
-                    mCall.mRequest.mRequestId,
-                    std::min(now + kConnectTime, mCall.mDeadline),
-                    *this);
+  mConnection->Send(
+    platform::EncodeAttempt(mCall.mHead, fields, mCall.mBody.size()),
+    mCall.mBody,
+    mCall.mRequest.mRequestId,
+    std::min(now + kConnectTime, mCall.mDeadline),
+    *this);
 }
 
 void
@@ -244,8 +236,10 @@
     mConnection->Abandon();
   }
   Release(AttemptOutcome::Lost);
-  Perform(mDecision.OnAttemptEnded(
-    aAction.mAttempt, AttemptEnd::UnknownStream, EventLoop::Now()));
+  const Time now = EventLoop::Now();
+  UpdateCopy(now);
+  Perform(
+    mDecision.OnAttemptEnded(aAction.mAttempt, AttemptEnd::UnknownStream, now));
 }
 
 void
@@ -276,6 +270,7 @@
         self->mConnection->Abandon();
         self->Release(AttemptOutcome::Lost);
       }
+      self->UpdateCopy(at);
       self->Perform(self->mDecision.OnProbeResult(attempt, result, at));
     });
 }
@@ -471,9 +466,7 @@
         std::chrono::duration_cast<Duration>(aNow - mSentAt));
     }
   }
-  if (mCopy != mCopyHolder) {
-    SetCopy(mCopyHolder);
-  }
+  mCopy.OnEvent(aNow);
   ++mNextIndex;
 }
 
@@ -552,7 +545,9 @@
           { "note", mNote } });
   }
   Release(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
-  Perform(mDecision.OnAttemptEnded(mAttempt, aEnd, EventLoop::Now()));
+  const Time now = EventLoop::Now();
+  UpdateCopy(now);
+  Perform(mDecision.OnAttemptEnded(mAttempt, aEnd, now));
 }
 
 // The present try is over for the table.
@@ -560,6 +555,7 @@
 StreamExchange::Release(AttemptOutcome aOutcome)
 {
   mConnection.reset();
+  mCopy.EndRun();
   if (!mTryOpen) {
     return;
   }
@@ -572,26 +568,11 @@
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
 }
 
-// Notes which target is asked to keep a copy of the present run.
-void
-StreamExchange::AskForCopyAt(const std::string& aTarget)
-{
-  TargetTable& targets = mParts.mFleet.Targets();
-  if (!mCopyHolder.empty()) {
-    targets.OnCopyEnd(mCopyHolder, mCopyTokens);
-  }
-  mCopyHolder = aTarget;
-  mCopyTokens = mCall.mRequest.mPromptTokens + mCall.mRequest.mOutputTokens;
-  if (!mCopyHolder.empty()) {
-    targets.OnCopyStart(mCopyHolder, mCopyTokens);
-  }
-}
-
+// Tells the decision where a copy of the run is now, before it may need one.
 void
-StreamExchange::SetCopy(const std::string& aTarget)
+StreamExchange::UpdateCopy(Time aNow)
 {
-  mCopy = aTarget;
-  mDecision.SetCopyHolder(mCopy);
+  mDecision.SetCopyHolder(mCopy.Holder(aNow));
 }
 
 void
@@ -640,7 +621,7 @@
 {
   mDone = true;
   mAlarm.Clear();
-  AskForCopyAt(std::string());
+  mCopy.Clear();
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -3,6 +3,7 @@
 
 #include "core/Generation.h"
 #include "gateway/Exchange.h"
+#include "gateway/StreamCopy.h"
 #include "http/EventCutter.h"
 
 #include <deque>
@@ -45,8 +46,7 @@
   void OnEventTaken(Time aNow);
   void EndTry(AttemptEnd aEnd);
   void Release(AttemptOutcome aOutcome);
-  void AskForCopyAt(const std::string& aTarget);
-  void SetCopy(const std::string& aTarget);
+  void UpdateCopy(Time aNow);
   void Flush();
   void SendHead();
   void PassFailureOn();
@@ -74,12 +74,7 @@
   // Index that the next event of the present try has.
   int mNextIndex = 0;
 
-  // Target that has been asked to keep a copy of the present run, empty when
-  // none has. There is a copy once the run has delivered an event.
-  std::string mCopyHolder;
-  int mCopyTokens = 0;
-  // Target that holds a copy of the last run that delivered one.
-  std::string mCopy;
+  StreamCopy mCopy;
 
   // Head of the first run, which the caller gets.
   HttpHead mHead;
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <string_view>
 
 namespace quetzalquay::platform {
@@ -24,7 +26,7 @@
 constexpr char kUrgency[] = "X-Request-Urgency";
 // Where the copy goes, despite its name not a fallback for the request.
 constexpr char kCopyTo[] = "X-Kv-Backup";
-// Holder's address, a slash, and the id of the run that was copied.
+// An address, a slash, and the copy's id.
 constexpr char kCopyAt[] = "Kv-From";
 constexpr char kSignature[] = "X-Server-Seal";
 constexpr char kTargetName[] = "X-Instance-Id";
@@ -127,7 +129,6 @@
 
 std::string
 EncodeAttempt(const HttpHead& aCaller,
-              const CallerRequest& aRequest,
               const AttemptFields& aFields,
               std::size_t aBodyBytes)
 {
@@ -157,8 +158,9 @@
   if (!aFields.mCopyTo.empty()) {
     AppendField(head, kCopyTo, aFields.mCopyTo);
   }
-  if (!aFields.mCopyAt.empty()) {
-    AppendField(head, kCopyAt, aFields.mCopyAt + "/" + aRequest.mRequestId);
+  if (aFields.mCopy) {
+    AppendField(
+      head, kCopyAt, aFields.mCopy->mAddress + "/" + aFields.mCopy->mId);
   }
   if (aFields.mUrgency) {
     AppendField(head, kUrgency, std::to_string(*aFields.mUrgency));
@@ -244,4 +246,49 @@
   return report;
 }
 
+std::string
+EncodeCopyOrder(const std::string& aAddress,
+                const std::string& aRequestId,
+                const std::string& aToAddress)
+{
+  rapidjson::StringBuffer buf;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+  writer.StartObject();
+  writer.Key("Id");
+  writer.String(aRequestId.c_str());
+  writer.Key("To");
+  writer.String(aToAddress.c_str());
+  writer.EndObject();
+  return "POST /kv-move HTTP/1.1\r\nHost: " + aAddress +
+         "\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(buf.GetSize()) + "\r\n\r\n" + buf.GetString();
+}
+
+std::optional<std::string>
+DecodeCopyMade(const std::string& aBody, std::string& aReason)
+{
+  rapidjson::Document json;
+  json.Parse(aBody.data(), aBody.size());
+  if (json.HasParseError() || !json.IsObject()) {
+    aReason = "the answer to a copy's order is not a JSON object";
+    return std::nullopt;
+  }
+  const auto handle = json.FindMember("Handle");
+  if (handle != json.MemberEnd() && handle->value.IsString()) {
+    return std::string(handle->value.GetString());
+  }
+  if (handle != json.MemberEnd() && handle->value.IsInt64()) {
+    return std::to_string(handle->value.GetInt64());
+  }
+  aReason = "the answer to a copy's order names no handle";
+  return std::nullopt;
+}
+
+std::string
+EncodeCopyRelease(const std::string& aAddress, const std::string& aHandle)
+{
+  return "DELETE /kv-handle/" + aHandle + " HTTP/1.1\r\nHost: " + aAddress +
+         "\r\n\r\n";
+}
+
 } // namespace quetzalquay::platform
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -32,6 +32,15 @@
 CallerRequest
 DecodeCaller(const HttpHead& aHead);
 
+// How a copy of a run's memory is named at its holder: a copy that the run sent
+// itself by the holder's address and the request's id, an ordered one by the
+// address of the target that made it and the handle it gave.
+struct CopyName
+{
+  std::string mAddress;
+  std::string mId;
+};
+
 // What the gateway adds to a request for one target.
 struct AttemptFields
 {
@@ -45,9 +54,9 @@
   std::string mLastEventId;
   // Address of the target that keeps a copy of the run; empty for none.
   std::string mCopyTo;
-  // Address of the target that holds a copy, which is the one that this is
-  // sent to; empty when the prompt has to be read.
-  std::string mCopyAt;
+  // Copy to go on from, at the target that this is sent to; nothing when the
+  // prompt has to be read.
+  std::optional<CopyName> mCopy;
   // Rank among a target's requests, 0 first.
   std::optional<int> mUrgency;
 };
@@ -56,7 +65,6 @@
 // one connection or that only the gateway may set, and the attempt's own.
 std::string
 EncodeAttempt(const HttpHead& aCaller,
-              const CallerRequest& aRequest,
               const AttemptFields& aFields,
               std::size_t aBodyBytes);
 
@@ -118,6 +126,20 @@
 std::optional<TargetReport>
 DecodeReport(const std::string& aBody, std::string& aReason);
 
+// Whole request that orders a target to copy a run's memory to another one.
+std::string
+EncodeCopyOrder(const std::string& aAddress,
+                const std::string& aRequestId,
+                const std::string& aToAddress);
+
+// Handle of the copy that was made; nothing, with the reason, without one.
+std::optional<std::string>
+DecodeCopyMade(const std::string& aBody, std::string& aReason);
+
+// Whole request that lets a target drop a copy it made.
+std::string
+EncodeCopyRelease(const std::string& aAddress, const std::string& aHandle);
+
 // Path of the readiness check.
 extern const char kReadinessPath[];
 
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -239,6 +239,10 @@
     service.mMemoryTokens =
       static_cast<int>(Number(*engine, "KvCapacityTokens"));
     service.mCopies = Flag(*engine, "Backups");
+    service.mCopyLifetime = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Number(*engine, "HandleS") * 1000));
+    service.mCopyOrders =
+      Flag(*engine, "Moves") && service.mCopyLifetime > Duration::zero();
   }
   return service;
 }
--- a/tests/fakes/GatewayWorld.cpp
+++ b/tests/fakes/GatewayWorld.cpp
@@ -30,6 +30,10 @@
 // Time for which a paused runner is silent and refuses connections.
 constexpr auto kPause = milliseconds(700);
 
+// Pause between the events of a slow stream, and the events before its loss.
+constexpr auto kSlowEventPause = milliseconds(60);
+constexpr int kSlowEventsBefore = 30;
+
 // Events before a stream is disturbed.
 constexpr int kEventsBefore = 10;
 
@@ -201,6 +205,13 @@
       AnswerReport(mode);
       return;
     }
+    if (aHead.mTarget.rfind("/kv-", 0) == 0) {
+      mRunner.mWorld.mRequests.push_back({ mRunner.mName, aHead, aBody });
+      const std::string made = R"({"Handle":"h1","CreatedRev":1})";
+      mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                     std::to_string(made.size()) + "\r\n\r\n" + made);
+      return;
+    }
     const std::string* id = aHead.Find("X-Request-Id");
     const std::string echo =
       id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n";
@@ -309,8 +320,10 @@
       mSocket->Write("0\r\n\r\n");
       return;
     }
-    Time next = EventLoop::Now() + kEventPause;
-    if (disturb && mMode == RunnerMode::TornStream) {
+    const bool slow = mMode == RunnerMode::SlowTornStream;
+    const Time next = EventLoop::Now() + (slow ? kSlowEventPause : kEventPause);
+    const bool late = slow && mEvent - mFirst > kSlowEventsBefore;
+    if (late || (disturb && mMode == RunnerMode::TornStream)) {
       mSocket->Write(Chunk(EventText(mEvent)).substr(0, 12));
       Drop();
       return;
@@ -424,6 +437,23 @@
   mRunners.at(aRunner)->mMode = aMode;
 }
 
+std::string
+GatewayWorld::AddressOf(const std::string& aRunner) const
+{
+  return Address(mRunners.at(aRunner)->mPort);
+}
+
+std::string
+GatewayWorld::RunnerAt(const std::string& aAddress) const
+{
+  for (const auto& it : mRunners) {
+    if (Address(it.second->mPort) == aAddress) {
+      return it.first;
+    }
+  }
+  return std::string();
+}
+
 void
 GatewayWorld::SetAllModes(RunnerMode aMode)
 {
@@ -456,7 +486,8 @@
       route("stream", "streaming", 5) +
       R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
       R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
-      R"("Backups":true}}],"Limits":{"MaxHeaderBytes":16384,)" +
+      R"("Backups":true,"Moves":true,"HandleS":4.0}}],)" +
+      R"("Limits":{"MaxHeaderBytes":16384,)" +
       R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
       R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey + R"("],"Priority":1}]})",
     false);
--- a/tests/fakes/GatewayWorld.h
+++ b/tests/fakes/GatewayWorld.h
@@ -45,6 +45,8 @@
   SilentStream,
   // Falls silent for a while, refuses probes, and then goes on.
   PausedStream,
+  // Makes events slowly and resets in the middle of a late one.
+  SlowTornStream,
   // Leaves out an event.
   GapInStream,
   // Fails with a signed 500.
@@ -92,6 +94,10 @@
   // Sets a runner's entry; empty removes it.
   void SetEntry(const std::string& aRunner, const std::string& aValue);
 
+  // Address of a runner, and the runner at an address.
+  std::string AddressOf(const std::string& aRunner) const;
+  std::string RunnerAt(const std::string& aAddress) const;
+
   // Answers all store calls with 503 while set.
   void SetStoreDown(bool aDown) { mStoreDown = aDown; }
 
--- /dev/null
+++ b/tests/introspective/CopyKeeperTests.cpp
@@ -0,0 +1,217 @@
+#include "EngineTable.h"
+#include "Property.h"
+
+#include "core/CopyKeeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace quetzalquay;
+
+namespace {
+
+constexpr int kLifetimeMs = 4000;
+
+CopyKeeper::Options
+KeeperOptions()
+{
+  CopyKeeper::Options options;
+  options.mService = "pool";
+  options.mPromptTokens = 8000;
+  options.mOutputTokens = 1000;
+  options.mLifetime = std::chrono::milliseconds(kLifetimeMs);
+  options.mOrders = true;
+  return options;
+}
+
+int
+HeldTokens(const TargetTable& aTable)
+{
+  int tokens = 0;
+  for (const TargetLoad& it : aTable.OwnLoad()) {
+    tokens += it.mHeldTokens;
+  }
+  return tokens;
+}
+
+} // namespace
+
+class CopyKeeperTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CopyKeeperTests);
+  CPPUNIT_TEST(ASoundCopyNeedsNoOther);
+  CPPUNIT_TEST(PlacesThatFailInTurnLeaveACopy);
+  CPPUNIT_TEST(ARestartedHolderHasNothing);
+  CPPUNIT_TEST(OrderedCopiesAreRenewed);
+  CPPUNIT_TEST(AFailedOrderIsNotRepeatedAtOnce);
+  CPPUNIT_TEST(CopiesOfALostRunLastUntilTheNextDelivers);
+  CPPUNIT_TEST(WhatIsFoundCanBeUsed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ASoundCopyNeedsNoOther()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "t1");
+    CPPUNIT_ASSERT(!keeper.Find(At(0)));
+    CPPUNIT_ASSERT(!keeper.NextOrder(At(10)));
+    keeper.OnDelivered();
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), keeper.Find(At(20))->mHolder);
+    CPPUNIT_ASSERT(!keeper.NextOrder(At(30000)));
+  }
+
+  // Pattern: the engines of one place after the other crash, within the life of
+  // a stream. A copy at the first place is gone when the second one fails.
+  void PlacesThatFailInTurnLeaveACopy()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "t1");
+    keeper.OnDelivered();
+    table.OnRefused("t4", At(100));
+    table.OnRefused("t7", At(100));
+    const auto holder = keeper.NextOrder(At(110));
+    CPPUNIT_ASSERT(holder);
+    CPPUNIT_ASSERT_EQUAL(std::string("p2"), PlaceOf(*holder));
+    // One order at a time.
+    CPPUNIT_ASSERT(!keeper.NextOrder(At(120)));
+    keeper.OnOrdered(*holder, "address", "handle", At(130));
+    keeper.OnRunEnded();
+    table.OnRefused("t0", At(200));
+    const auto copy = keeper.Find(At(210));
+    CPPUNIT_ASSERT(copy);
+    CPPUNIT_ASSERT_EQUAL(*holder, copy->mHolder);
+    CPPUNIT_ASSERT_EQUAL(std::string("handle"), copy->mHandle);
+    CPPUNIT_ASSERT_EQUAL(std::string("address"), copy->mSource);
+    keeper.OnUsed(*holder);
+    CPPUNIT_ASSERT(keeper.Find(At(220))->mHolder != *holder);
+  }
+
+  void ARestartedHolderHasNothing()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "t1");
+    keeper.OnDelivered();
+    DeclareEngines(table, At(100), "2");
+    CPPUNIT_ASSERT(!keeper.Find(At(110)));
+    CPPUNIT_ASSERT(keeper.NextOrder(At(110)));
+  }
+
+  void OrderedCopiesAreRenewed()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "");
+    keeper.OnDelivered();
+    const auto holder = keeper.NextOrder(At(0));
+    CPPUNIT_ASSERT(holder);
+    keeper.OnOrdered(*holder, "address", "one", At(0));
+    CPPUNIT_ASSERT(!keeper.NextOrder(At(1000)));
+    CPPUNIT_ASSERT_EQUAL(*holder, *keeper.NextOrder(At(kLifetimeMs - 100)));
+    keeper.OnOrdered(*holder, "address", "two", At(kLifetimeMs));
+    CPPUNIT_ASSERT_EQUAL(std::string("two"),
+                         keeper.Find(At(kLifetimeMs + 10))->mHandle);
+    CPPUNIT_ASSERT(!keeper.Find(At(2 * kLifetimeMs)));
+    const auto released = keeper.Clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.size());
+    CPPUNIT_ASSERT_EQUAL(0, HeldTokens(table));
+  }
+
+  void AFailedOrderIsNotRepeatedAtOnce()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "");
+    keeper.OnDelivered();
+    CPPUNIT_ASSERT(keeper.NextOrder(At(0)));
+    keeper.OnOrderFailed(At(10));
+    CPPUNIT_ASSERT(!keeper.NextOrder(At(200)));
+    CPPUNIT_ASSERT(keeper.NextOrder(At(400)));
+  }
+
+  void CopiesOfALostRunLastUntilTheNextDelivers()
+  {
+    TargetTable table = Engines();
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.OnRunStarted("t0", "t1");
+    keeper.OnDelivered();
+    keeper.OnRunEnded();
+    keeper.OnRunStarted("t2", "t3");
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), keeper.Find(At(10))->mHolder);
+    keeper.OnDelivered();
+    CPPUNIT_ASSERT_EQUAL(std::string("t3"), keeper.Find(At(20))->mHolder);
+    CPPUNIT_ASSERT_EQUAL(9000, HeldTokens(table));
+  }
+
+  void WhatIsFoundCanBeUsed()
+  {
+    CheckProperty("copies that are found exist at a target that lives", [] {
+      TargetTable table = Engines();
+      CopyKeeper keeper(KeeperOptions(), table);
+      int now = 0;
+      int incarnation = 1;
+      // What the targets have: when each ordered copy is dropped, and of which
+      // start of the targets it is.
+      std::map<std::string, std::pair<int, int>> made;
+      bool delivered = false;
+      std::optional<std::string> order;
+      for (int n = 0; n < 60; ++n) {
+        now += *rc::gen::inRange(1, 900);
+        switch (*rc::gen::inRange(0, 7)) {
+          case 0: {
+            const std::string runner = "t" + std::to_string(n % 12);
+            keeper.OnRunEnded();
+            if (order) {
+              keeper.OnOrderFailed(At(now));
+              order.reset();
+            }
+            keeper.OnRunStarted(runner, keeper.ChooseHolder(runner, At(now)));
+            delivered = false;
+            break;
+          }
+          case 1:
+            keeper.OnDelivered();
+            delivered = true;
+            break;
+          case 2:
+            table.OnRefused("t" + std::to_string(n % 12), At(now));
+            break;
+          case 3:
+            DeclareEngines(table, At(now), std::to_string(++incarnation));
+            break;
+          case 4:
+          case 5:
+            if (!order) {
+              order = keeper.NextOrder(At(now));
+              RC_ASSERT(!order || delivered);
+              RC_ASSERT(!order || table.IsSound(*order, At(now)));
+            } else {
+              const std::string handle = "h" + std::to_string(n);
+              keeper.OnOrdered(*order, "address", handle, At(now));
+              made[handle] = { now + kLifetimeMs, incarnation };
+              order.reset();
+            }
+            break;
+          default:
+            if (const auto copy = keeper.Find(At(now))) {
+              keeper.OnUsed(copy->mHolder);
+            }
+            break;
+        }
+        const auto copy = keeper.Find(At(now));
+        if (copy && !copy->mHandle.empty()) {
+          RC_ASSERT(now < made.at(copy->mHandle).first);
+          RC_ASSERT(incarnation == made.at(copy->mHandle).second);
+        }
+        RC_ASSERT(!copy ||
+                  copy->mIncarnation == table.IncarnationOf(copy->mHolder));
+      }
+      keeper.Clear();
+      RC_ASSERT(HeldTokens(table) == 0);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CopyKeeperTests);
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -1,3 +1,4 @@
+#include "EngineTable.h"
 #include "Property.h"
 
 #include "core/RetryBudget.h"
@@ -14,12 +15,6 @@
 
 namespace {
 
-Time
-At(int aMs)
-{
-  return Time(std::chrono::hours(1) + milliseconds(aMs));
-}
-
 TargetEntry
 Entry(const std::string& aName,
       const std::string& aAddress,
@@ -46,57 +41,6 @@
   return names;
 }
 
-// Table of twelve engines, four at each of three places.
-TargetTable
-Engines(int aCommonDeaths = 3)
-{
-  TargetTableOptions options;
-  options.mRouterName = "r";
-  options.mPlace = "p0";
-  options.mSampleSize = 0;
-  options.mSeparateSuspects = false;
-  options.mCommonDeaths = aCommonDeaths;
-  options.mDoubtPause = milliseconds(3600);
-  options.mPlaceLosses = 2;
-  options.mSeed = 5;
-  TargetTable table(options);
-  std::vector<TargetDeclaration> targets;
-  for (int n = 0; n < 12; ++n) {
-    TargetDeclaration target;
-    target.mName = "t" + std::to_string(n);
-    target.mService = "pool";
-    target.mPlace = "p" + std::to_string(n % 3);
-    target.mRegion = "region";
-    target.mIncarnation = "1";
-    target.mMemoryTokens = 88000;
-    targets.push_back(target);
-  }
-  ServiceDeclaration service;
-  service.mName = "pool";
-  table.Declare({ service }, targets, "region", At(0));
-  return table;
-}
-
-std::string
-PlaceOf(const std::string& aTarget)
-{
-  return "p" + std::to_string(std::stoi(aTarget.substr(1)) % 3);
-}
-
-ChoiceQuery
-Query(const std::string& aId = "r1", std::uint64_t aContent = 1)
-{
-  ChoiceQuery query;
-  query.mService = "pool";
-  query.mRequestId = aId;
-  query.mWorkspace = "w";
-  query.mContentHash = aContent;
-  query.mPromptTokens = 8000;
-  query.mOutputTokens = 1000;
-  query.mDeadline = At(60000);
-  return query;
-}
-
 } // namespace
 
 class FleetTests : public CppUnit::TestFixture
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -120,10 +120,9 @@
     fields.mWorkspace = "w";
     fields.mTimeLeft = std::chrono::milliseconds(900);
     fields.mCopyTo = "10.0.0.2:80";
-    fields.mCopyAt = "10.0.0.1:80";
+    fields.mCopy = platform::CopyName{ "10.0.0.1:80", "id" };
     fields.mLastEventId = "4";
-    const std::string text =
-      platform::EncodeAttempt(head, platform::DecodeCaller(head), fields, 3);
+    const std::string text = platform::EncodeAttempt(head, fields, 3);
     CPPUNIT_ASSERT(!Holds(text, "forged"));
     CPPUNIT_ASSERT(!Holds(text, "key"));
     CPPUNIT_ASSERT(Holds(text, "POST /a/b?c=d HTTP/1.1\r\n"));
@@ -148,8 +147,8 @@
                            { "X-Other", "stays" },
                            { "Transfer-Encoding", "chunked" } });
     head.mChunked = true;
-    const std::string text = platform::EncodeAttempt(
-      head, platform::DecodeCaller(head), platform::AttemptFields(), 0);
+    const std::string text =
+      platform::EncodeAttempt(head, platform::AttemptFields(), 0);
     CPPUNIT_ASSERT(!Holds(text, "X-Own"));
     CPPUNIT_ASSERT(!Holds(text, "Keep-Alive"));
     CPPUNIT_ASSERT(!Holds(text, "chunked"));
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -1,5 +1,6 @@
 #include "GatewayWorld.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 
@@ -28,6 +29,7 @@
   CPPUNIT_TEST(FailuresOfRunnersKeepTheirMeaning);
   CPPUNIT_TEST(EarlyAnswersLeaveTheConnectionInOrder);
   CPPUNIT_TEST(StreamsSurviveTheirRunner);
+  CPPUNIT_TEST(ALostCopyIsReplaced);
   CPPUNIT_TEST(AStreamIsWholeWhenAProbeIsWrong);
   CPPUNIT_TEST(RemovedKeysStopWorking);
   CPPUNIT_TEST(LeavingRunnersGetNothingNew);
@@ -194,6 +196,40 @@
     }
   }
 
+  void ALostCopyIsReplaced()
+  {
+    GatewayWorld world(4);
+    world.SetAllModes(RunnerMode::SlowTornStream);
+    CallerAnswer answer;
+    std::thread caller(
+      [&] { answer = world.Call(GatewayWorld::Request("/stream/", "s")); });
+    while (world.Runs().empty()) {
+      ::usleep(1000);
+    }
+    world.SetAllModes(RunnerMode::Serve);
+    const RunnerRequest first = world.Runs().front();
+    const std::string* copyTo = first.mHead.Find("X-Kv-Backup");
+    CPPUNIT_ASSERT(copyTo != nullptr);
+    world.SetEntry(world.RunnerAt(*copyTo), "");
+    caller.join();
+    CPPUNIT_ASSERT(answer.mWhole);
+    CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
+    const auto requests = world.Requests();
+    const auto order = std::find_if(
+      requests.begin(), requests.end(), [](const RunnerRequest& aRequest) {
+        return aRequest.mHead.mTarget == "/kv-move";
+      });
+    CPPUNIT_ASSERT(order != requests.end());
+    CPPUNIT_ASSERT_EQUAL(first.mRunner, order->mRunner);
+    const auto runs = world.Runs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), runs.size());
+    const std::string* from = runs[1].mHead.Find("Kv-From");
+    CPPUNIT_ASSERT(from != nullptr);
+    CPPUNIT_ASSERT_EQUAL(world.AddressOf(first.mRunner) + "/h1", *from);
+    CPPUNIT_ASSERT(order->mBody.find(world.AddressOf(runs[1].mRunner)) !=
+                   std::string::npos);
+  }
+
   void AStreamIsWholeWhenAProbeIsWrong()
   {
     // The only runner is held for dead; there is no other one to go on at, and
