--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -87,6 +87,21 @@
   return Remove(record, aVersion, aNow);
 }
 
+bool
+TargetEntries::OnSettledElsewhere(std::int64_t aVersion)
+{
+  bool changed = false;
+  for (auto& it : mRecords) {
+    Record& record = it.second;
+    if (record.mRemoved && record.mGoneAt != Time::min() &&
+        record.mVersion <= aVersion) {
+      record.mGoneAt = Time::min();
+      changed = true;
+    }
+  }
+  return changed;
+}
+
 bool
 TargetEntries::OnSnapshot(const std::vector<std::string>& aNames,
                           std::int64_t aVersion,
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -49,6 +49,11 @@
   // An entry has been removed at a version.
   bool OnRemoved(const std::string& aName, std::int64_t aVersion, Time aNow);
 
+  // A host that the store answers knows all changes up to a version, and all of
+  // them have been told here: entries that are missing do not come back.
+  // Returns whether anything changed.
+  bool OnSettledElsewhere(std::int64_t aVersion);
+
   // All entries as of a version: those that are not listed are gone.
   bool OnSnapshot(const std::vector<std::string>& aNames,
                   std::int64_t aVersion,
@@ -65,6 +70,9 @@
   // Whether the store is away.
   bool IsStoreLost() const { return mStoreLost; }
 
+  // Whether the store answers, and has for long enough to know every target.
+  bool IsSettled(Time aNow) const { return !mStoreLost && aNow >= mGraceUntil; }
+
   // The store does not answer, or answers again.
   void OnStoreLost(Time aNow);
   void OnStoreBack(Time aNow);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -22,7 +22,9 @@
 // Time until the entry of a dead target has lapsed: three of its heartbeats.
 constexpr Duration kDoubtPause = std::chrono::milliseconds(3600);
 
-constexpr NameTable<Source, 2> kSourceNames({ "store", "peer" });
+constexpr NameTable<Source, 3> kSourceNames({ "store",
+                                              "informed_peer",
+                                              "peer" });
 
 // Removed rows that are kept for peers which ask for changes.
 constexpr std::size_t kMaxRemovedRows = 4000;
@@ -42,6 +44,24 @@
   return options;
 }
 
+// Rows that a whole table does not have any more become removed ones, for
+// hosts that ask for changes.
+void
+MarkMissing(std::map<std::string, StoreRow>& aKnown,
+            std::vector<std::string> aNames,
+            std::int64_t aVersion)
+{
+  std::sort(aNames.begin(), aNames.end());
+  for (auto& it : aKnown) {
+    StoreRow& row = it.second;
+    if (!row.mRemoved && row.mVersion < aVersion &&
+        !std::binary_search(aNames.begin(), aNames.end(), it.first)) {
+      row.mRemoved = true;
+      row.mVersion = aVersion;
+    }
+  }
+}
+
 } // namespace
 
 std::string_view
@@ -54,6 +74,7 @@
   : mSettings(aSettings)
   , mEntries(aSettings.mReturnTime)
   , mTargets(TableOptions(aSettings))
+  , mReaders(aSettings.mHost)
   , mExpiry(aLoop, [this] {
     if (mEntries.Expire(EventLoop::Now())) {
       Log(LogLevel::Info, "fleet", "targets did not come back with the store");
@@ -81,7 +102,8 @@
     mConfigurationVersion = std::max(mConfigurationVersion, aVersion);
     return;
   }
-  if (aTable != StoreTable::Targets) {
+  if (aTable == StoreTable::Hosts) {
+    TakeHosts(aRows, aWhole, aVersion);
     return;
   }
   const Time now = EventLoop::Now();
@@ -94,6 +116,7 @@
   // A snapshot older than what is known says nothing of newer entries.
   if (aWhole && aVersion >= mEntries.Version()) {
     mChanged |= mEntries.OnSnapshot(names, aVersion, now);
+    MarkMissing(mTargetRows, names, aVersion);
     if (!mTargetsKnown) {
       mTargetsKnown = true;
       Log(LogLevel::Info,
@@ -104,6 +127,13 @@
             { "source", std::string(NameOf(aSource)) } });
     }
   }
+  if (aSource == Source::Informed && mEntries.OnSettledElsewhere(aVersion)) {
+    mChanged = true;
+    Log(LogLevel::Info,
+        "fleet",
+        "missing targets are gone",
+        { { "version", std::to_string(aVersion) } });
+  }
   if (mChanged) {
     DeclareTargets();
   }
@@ -164,14 +194,29 @@
 const std::map<std::string, StoreRow>&
 Fleet::Rows(StoreTable aTable) const
 {
-  return aTable == StoreTable::Configuration ? mConfigurationRows : mTargetRows;
+  switch (aTable) {
+    case StoreTable::Configuration:
+      return mConfigurationRows;
+    case StoreTable::Hosts:
+      return mHostRows;
+    case StoreTable::Targets:
+      break;
+  }
+  return mTargetRows;
 }
 
 std::int64_t
 Fleet::Version(StoreTable aTable) const
 {
-  return aTable == StoreTable::Configuration ? mConfigurationVersion
-                                             : mEntries.Version();
+  switch (aTable) {
+    case StoreTable::Configuration:
+      return mConfigurationVersion;
+    case StoreTable::Hosts:
+      return mHostsVersion;
+    case StoreTable::Targets:
+      break;
+  }
+  return mEntries.Version();
 }
 
 void
@@ -182,10 +227,37 @@
 }
 
 void
-Fleet::SetHostCount(int aHosts)
+Fleet::TakeHosts(const std::vector<StoreRow>& aRows,
+                 bool aWhole,
+                 std::int64_t aVersion)
 {
-  if (aHosts != mHosts) {
-    mHosts = aHosts;
+  std::vector<std::string> names;
+  for (const StoreRow& it : aRows) {
+    names.push_back(it.mKey);
+    StoreRow& known = mHostRows[it.mKey];
+    if (it.mVersion > known.mVersion) {
+      known = it;
+    }
+  }
+  if (aWhole && aVersion >= mHostsVersion) {
+    MarkMissing(mHostRows, names, aVersion);
+  }
+  mHostsVersion = std::max(mHostsVersion, aVersion);
+  std::map<std::string, std::string> hosts;
+  names.clear();
+  for (const auto& it : mHostRows) {
+    if (!it.second.mRemoved) {
+      hosts[it.first] = it.second.mValue;
+      names.push_back(it.first);
+    }
+  }
+  if (hosts == mHosts) {
+    return;
+  }
+  const bool counted = hosts.size() == mHosts.size();
+  mHosts = std::move(hosts);
+  mReaders.SetHosts(names);
+  if (!counted) {
     LimitRepeats();
   }
 }
@@ -323,7 +395,7 @@
   options.mRatio = mSettings.mRepeatRatio;
   options.mAllowance = mSettings.mRepeatAllowance;
   options.mWindow = mSettings.mRepeatWindow;
-  options.mHosts = mHosts;
+  options.mHosts = std::max(1, static_cast<int>(mHosts.size()));
   mTargets.LimitRepeats(options);
 }
 
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
 
+#include "core/ReaderChoice.h"
 #include "core/RoutingTable.h"
 #include "core/TargetEntries.h"
 #include "core/TargetTable.h"
@@ -19,6 +20,9 @@
 enum class Source
 {
   Store,
+  // A host that the store answers.
+  Informed,
+  // A host that the store may not answer.
   Peer,
 };
 
@@ -42,8 +46,8 @@
 public:
   Fleet(EventLoop& aLoop, const GatewaySettings& aSettings);
 
-  // Takes rows of the configuration table or the targets' table. aWhole tells
-  // that the rows are the whole table as of aVersion.
+  // Takes rows of a table. aWhole tells that the rows are the whole table as of
+  // aVersion.
   void Take(platform::StoreTable aTable,
             const std::vector<platform::StoreRow>& aRows,
             bool aWhole,
@@ -79,16 +83,25 @@
   const std::map<std::string, platform::StoreRow>& Rows(
     platform::StoreTable aTable) const;
 
+  // Whether the store answers, and has for long enough to know every target.
+  bool IsSettled() const { return mEntries.IsSettled(EventLoop::Now()); }
+
   // Newest version of the store that each table has been read at.
   std::int64_t Version(platform::StoreTable aTable) const;
 
   // Applies new settings.
   void Configure(const GatewaySettings& aSettings);
 
-  // Number of hosts, this one included, that share the repeats.
-  void SetHostCount(int aHosts);
+  // Addresses at which hosts answer each other, by host.
+  const std::map<std::string, std::string>& Hosts() const { return mHosts; }
+
+  // Who reads the store.
+  ReaderChoice& Readers() { return mReaders; }
 
 private:
+  void TakeHosts(const std::vector<platform::StoreRow>& aRows,
+                 bool aWhole,
+                 std::int64_t aVersion);
   void TakeConfiguration(const platform::StoreRow& aRow, Source aSource);
   void TakeTarget(const platform::StoreRow& aRow, Source aSource);
   void DeclareTargets();
@@ -102,10 +115,13 @@
   std::map<std::string, TargetLocation> mLocations;
   std::map<std::string, platform::StoreRow> mConfigurationRows;
   std::map<std::string, platform::StoreRow> mTargetRows;
+  std::map<std::string, platform::StoreRow> mHostRows;
+  std::map<std::string, std::string> mHosts;
   std::int64_t mConfigurationVersion = 0;
+  std::int64_t mHostsVersion = 0;
   bool mTargetsKnown = false;
   bool mChanged = false;
-  int mHosts = 1;
+  ReaderChoice mReaders;
   Alarm mExpiry;
 };
 
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -49,7 +49,7 @@
     , mCallers(mParts, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mPeers(mLoop, mSettings, mFleet, mStore)
-    , mSpread(mLoop, mSettings, mFleet, mStore)
+    , mSpread(mLoop, mSettings, mFleet)
     , mReadiness(mLoop,
                  [this](const HttpHead& aHead, const std::string&) {
                    return AnswerReadiness(aHead);
--- a/src/quetzalquay/gateway/LoadSpread.cpp
+++ b/src/quetzalquay/gateway/LoadSpread.cpp
@@ -32,11 +32,9 @@
 
 LoadSpread::LoadSpread(EventLoop& aLoop,
                        const GatewaySettings& aSettings,
-                       Fleet& aFleet,
-                       StoreWatch& aStore)
+                       Fleet& aFleet)
   : mSettings(aSettings)
   , mFleet(aFleet)
-  , mStore(aStore)
   , mSocket(aLoop.Context())
   , mSendAt(aLoop, [this] { Send(); })
   , mRandom(StableHash(aSettings.mHost))
@@ -178,7 +176,7 @@
 LoadSpread::Receivers()
 {
   std::vector<udp::endpoint> receivers;
-  for (const auto& it : mStore.Hosts()) {
+  for (const auto& it : mFleet.Hosts()) {
     const auto endpoint = ParseEndpoint(it.second);
     if (endpoint && it.first != mSettings.mHost) {
       receivers.emplace_back(endpoint->address(), mSettings.mLoadPort);
--- a/src/quetzalquay/gateway/LoadSpread.h
+++ b/src/quetzalquay/gateway/LoadSpread.h
@@ -2,7 +2,6 @@
 #define QUETZALQUAY_GATEWAY_LOADSPREAD_H_INCLUDED
 
 #include "gateway/Fleet.h"
-#include "gateway/StoreWatch.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -18,10 +17,7 @@
 class LoadSpread
 {
 public:
-  LoadSpread(EventLoop& aLoop,
-             const GatewaySettings& aSettings,
-             Fleet& aFleet,
-             StoreWatch& aStore);
+  LoadSpread(EventLoop& aLoop, const GatewaySettings& aSettings, Fleet& aFleet);
 
   // Starts to listen; returns the reason on failure.
   std::optional<std::string> Start();
@@ -34,7 +30,6 @@
 
   GatewaySettings mSettings;
   Fleet& mFleet;
-  StoreWatch& mStore;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mSender;
   std::array<char, 65536> mBuffer{};
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -27,11 +27,19 @@
 constexpr Duration kRoundPause = milliseconds(500);
 constexpr Duration kAnswerTime = milliseconds(700);
 
-constexpr std::array<std::pair<const char*, StoreTable>, 2> kTables = {
+// Time that a reader of the store has for an answer.
+constexpr Duration kReaderTime = milliseconds(300);
+
+constexpr std::array<std::pair<const char*, StoreTable>, 3> kTables = {
   { { "configuration", StoreTable::Configuration },
-    { "targets", StoreTable::Targets } }
+    { "targets", StoreTable::Targets },
+    { "hosts", StoreTable::Hosts } }
 };
 
+// Milliseconds since the answerer's knowledge was that of the store; left out
+// when the store does not answer it, or has not for long.
+constexpr char kAge[] = "age_ms";
+
 // Number behind "name=" in a path, 0 when there is none.
 std::int64_t
 QueryNumber(const std::string& aPath, const std::string& aName)
@@ -133,6 +141,11 @@
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
+  if (mStore.LostSince() == Time::max() && mFleet.IsSettled()) {
+    writer.Key(kAge);
+    writer.Int64(static_cast<std::int64_t>(
+      ToMilliseconds(EventLoop::Now() - mFleet.Readers().KnownAsOf())));
+  }
   for (const auto& it : kTables) {
     const std::int64_t after = QueryNumber(aHead.mTarget, it.first);
     writer.Key(it.first);
@@ -161,17 +174,33 @@
   const Time now = EventLoop::Now();
   mAskAgain.SetAt(now + kRoundPause);
   const Time lostSince = mStore.LostSince();
-  if (lostSince == Time::max() || now - lostSince < kStoreSilence) {
-    return;
+  if (lostSince == Time::max()) {
+    AskReader(now);
+    mStore.Look();
+  } else if (now - lostSince >= kStoreSilence) {
+    AskOthers(now);
+  }
+}
+
+std::string
+PeerLink::PathOfQuestion(bool aAll) const
+{
+  std::string path = kPath;
+  for (const auto& it : kTables) {
+    const bool all = aAll && it.second == StoreTable::Targets;
+    path += path == kPath ? "?" : "&";
+    path += it.first;
+    path += "=" + std::to_string(all ? 0 : mFleet.Version(it.second));
   }
+  return path;
+}
+
+void
+PeerLink::AskOthers(Time aNow)
+{
   std::vector<Endpoint> peers = Peers();
   std::shuffle(peers.begin(), peers.end(), mRandom);
   const bool all = !mFleet.IsReady();
-  const std::int64_t targets = all ? 0 : mFleet.Version(StoreTable::Targets);
-  const std::string path =
-    std::string(kPath) + "?configuration=" +
-    std::to_string(mFleet.Version(StoreTable::Configuration)) +
-    "&targets=" + std::to_string(targets);
   std::size_t slot = 0;
   for (const Endpoint& it : peers) {
     while (slot < kFanOut && mCallers[slot] != nullptr &&
@@ -185,21 +214,79 @@
       mCallers[slot] = std::make_unique<HttpCaller>(mLoop, it);
       mAsked[slot] = it;
     }
-    mCallers[slot]->Call("GET " + path + " HTTP/1.1\r\nHost: " + ToText(it) +
-                           "\r\n\r\n",
-                         now + kAnswerTime,
-                         [this, slot, all](auto aReply, const auto& aReason) {
-                           OnReply(slot, std::move(aReply), all, aReason);
+    const std::string peer = ToText(it);
+    mCallers[slot]->Call("GET " + PathOfQuestion(all) +
+                           " HTTP/1.1\r\nHost: " + peer + "\r\n\r\n",
+                         aNow + kAnswerTime,
+                         [this, all, peer](auto aReply, const auto& aReason) {
+                           Take(aReply, all, peer, aReason);
                          });
     ++slot;
   }
 }
 
+void
+PeerLink::AskReader(Time aNow)
+{
+  const auto host = mFleet.Readers().HostToAsk(aNow);
+  if (!host || !mFleet.IsReady()) {
+    mReaderCaller.reset();
+    return;
+  }
+  const auto address = mFleet.Hosts().find(*host);
+  const auto endpoint = address == mFleet.Hosts().end()
+                          ? std::nullopt
+                          : ParseEndpoint(address->second);
+  if (!endpoint) {
+    mFleet.Readers().OnFailed(*host, aNow);
+    return;
+  }
+  if (mReaderCaller == nullptr || mReader != *endpoint) {
+    mReaderCaller = std::make_unique<HttpCaller>(mLoop, *endpoint);
+    mReader = *endpoint;
+  }
+  if (mReaderCaller->IsBusy()) {
+    return;
+  }
+  mReaderCaller->Call(
+    "GET " + PathOfQuestion(false) + " HTTP/1.1\r\nHost: " + address->second +
+      "\r\n\r\n",
+    aNow + kReaderTime,
+    [this, name = *host, aNow](const auto& aReply, const auto& aReason) {
+      OnReaderReply(name, aNow, aReply, aReason);
+    });
+}
+
+void
+PeerLink::OnReaderReply(const std::string& aHost,
+                        Time aAskedAt,
+                        const std::optional<HttpReply>& aReply,
+                        const std::string& aReason)
+{
+  const auto age = Take(aReply, false, ToText(mReader), aReason);
+  if (age) {
+    mFleet.Readers().OnTold(aHost, aAskedAt - *age);
+  }
+  const Time now = EventLoop::Now();
+  if (!age || mFleet.Readers().MustRead(now)) {
+    mFleet.Readers().OnFailed(aHost, now);
+    Log(LogLevel::Info,
+        "peers",
+        "reader passed over",
+        { { "host", aHost },
+          { "age_ms",
+            age ? std::to_string(static_cast<int>(ToMilliseconds(*age)))
+                : "unknown" },
+          { "reason", aReason } });
+    mStore.Look();
+  }
+}
+
 std::vector<Endpoint>
 PeerLink::Peers() const
 {
   std::vector<Endpoint> peers = mSettings.mSeeds;
-  for (const auto& it : mStore.Hosts()) {
+  for (const auto& it : mFleet.Hosts()) {
     if (const auto endpoint = ParseEndpoint(it.second)) {
       peers.push_back(*endpoint);
     }
@@ -211,11 +298,11 @@
   return peers;
 }
 
-void
-PeerLink::OnReply(std::size_t aSlot,
-                  std::optional<HttpReply> aReply,
-                  bool aAskedForAll,
-                  const std::string& aReason)
+std::optional<Duration>
+PeerLink::Take(const std::optional<HttpReply>& aReply,
+               bool aAskedForAll,
+               const std::string& aPeer,
+               const std::string& aReason)
 {
   rapidjson::Document json;
   if (aReply && aReply->mHead.mStatus == 200) {
@@ -225,9 +312,14 @@
     Log(LogLevel::Debug,
         "peers",
         "no knowledge from a peer",
-        { { "peer", ToText(mAsked[aSlot]) },
+        { { "peer", aPeer },
           { "reason", aReply ? "its answer is not usable" : aReason } });
-    return;
+    return std::nullopt;
+  }
+  std::optional<Duration> age;
+  const auto told = json.FindMember(kAge);
+  if (told != json.MemberEnd() && told->value.IsInt64()) {
+    age = milliseconds(told->value.GetInt64());
   }
   for (const auto& it : kTables) {
     const auto table = json.FindMember(it.first);
@@ -248,9 +340,13 @@
     }
     const bool whole =
       aAskedForAll && it.second == StoreTable::Targets && !rows.empty();
-    mFleet.Take(
-      it.second, rows, whole, version->value.GetInt64(), Source::Peer);
+    mFleet.Take(it.second,
+                rows,
+                whole,
+                version->value.GetInt64(),
+                age ? Source::Informed : Source::Peer);
   }
+  return age;
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -26,7 +26,7 @@
 
 // Time between two reads of the targets' table. Together with the answer's time
 // it stays well below the time in which a leaving target must be left alone.
-constexpr Duration kTargetsPause = milliseconds(800);
+constexpr Duration kTargetsPause = milliseconds(600);
 
 // Time between two reads of the hosts' table, which changes rarely.
 constexpr Duration kHostsPause = milliseconds(5000);
@@ -61,16 +61,26 @@
   }
 }
 
+void
+TableWatch::Look()
+{
+  if (!mNext.IsSet()) {
+    Next();
+  }
+}
+
 void
 TableWatch::Next()
 {
-  if (mCaller.IsBusy()) {
+  if (mCaller.IsBusy() || !mOptions.mIsWanted()) {
     return;
   }
+  mAskedAt = EventLoop::Now();
   if (mVersion == 0) {
     mPages.clear();
     Read(std::string());
   } else {
+    mVersion = std::max(mVersion, mOptions.mKnownVersion());
     Follow();
   }
 }
@@ -206,49 +216,26 @@
   , mWriteAgain(aLoop, [this] { WriteOwnRow(); })
   , mLostSince(EventLoop::Now())
 {
-  const auto make = [&](StoreTable aTable,
-                        Duration aWait,
-                        Duration aPause,
-                        TableWatch::OnRows aOnRows) {
+  const auto make = [&](StoreTable aTable, Duration aWait, Duration aPause) {
     return std::make_unique<TableWatch>(
       mLoop,
       mSettings.mStore,
-      TableWatch::Options{ aTable, aWait, aPause },
-      std::move(aOnRows),
+      TableWatch::Options{ aTable,
+                           aWait,
+                           aPause,
+                           [this] { return IsReading(); },
+                           [this, aTable] { return mFleet.Version(aTable); } },
+      [this, aTable](const std::vector<StoreRow>& aRows,
+                     bool aWhole,
+                     std::int64_t aVersion) {
+        mFleet.Take(aTable, aRows, aWhole, aVersion, Source::Store);
+      },
       [this, aTable](bool aAnswered) { OnOutcome(aTable, aAnswered); });
   };
-  const auto toFleet = [this](StoreTable aTable) {
-    return [this, aTable](const std::vector<StoreRow>& aRows,
-                          bool aWhole,
-                          std::int64_t aVersion) {
-      mFleet.Take(aTable, aRows, aWhole, aVersion, Source::Store);
-    };
-  };
-  mConfiguration = make(StoreTable::Configuration,
-                        kConfigurationWait,
-                        Duration::zero(),
-                        toFleet(StoreTable::Configuration));
-  mTargets = make(StoreTable::Targets,
-                  Duration::zero(),
-                  kTargetsPause,
-                  toFleet(StoreTable::Targets));
-  mHostRows =
-    make(StoreTable::Hosts,
-         Duration::zero(),
-         kHostsPause,
-         [this](const std::vector<StoreRow>& aRows, bool aWhole, std::int64_t) {
-           if (aWhole) {
-             mHosts.clear();
-           }
-           for (const StoreRow& it : aRows) {
-             if (it.mRemoved) {
-               mHosts.erase(it.mKey);
-             } else {
-               mHosts[it.mKey] = it.mValue;
-             }
-           }
-           mFleet.SetHostCount(std::max(1, static_cast<int>(mHosts.size())));
-         });
+  mConfiguration =
+    make(StoreTable::Configuration, kConfigurationWait, Duration::zero());
+  mTargets = make(StoreTable::Targets, Duration::zero(), kTargetsPause);
+  mHostRows = make(StoreTable::Hosts, Duration::zero(), kHostsPause);
 }
 
 void
@@ -259,6 +246,22 @@
   mHostRows->Start();
 }
 
+void
+StoreWatch::Look()
+{
+  for (TableWatch* it :
+       { mConfiguration.get(), mTargets.get(), mHostRows.get() }) {
+    it->Look();
+  }
+}
+
+bool
+StoreWatch::IsReading() const
+{
+  return mLostSince != Time::max() ||
+         mFleet.Readers().MustRead(EventLoop::Now());
+}
+
 void
 StoreWatch::Announce(const std::string& aValue)
 {
@@ -313,6 +316,9 @@
 StoreWatch::OnOutcome(StoreTable aTable, bool aAnswered)
 {
   const bool wasLost = mLostSince != Time::max();
+  if (aAnswered && aTable == StoreTable::Targets) {
+    mFleet.Readers().OnRead(mTargets->AskedAt());
+  }
   if (aAnswered && wasLost) {
     mLostSince = Time::max();
     mFleet.OnStoreBack();
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -23,6 +23,10 @@
     Duration mWait = Duration::zero();
     // Pause between two calls, so that changes are read together.
     Duration mPause = Duration::zero();
+    // Whether the table is to be read; asked before each call.
+    std::function<bool()> mIsWanted;
+    // Version up to which the table is known from elsewhere.
+    std::function<std::int64_t()> mKnownVersion;
   };
 
   // aOnRows gets rows, whether they are the whole table, and the version.
@@ -42,6 +46,12 @@
   // Reads again at once.
   void Hurry();
 
+  // Reads again if that is wanted and not due anyway.
+  void Look();
+
+  // When the last call was made.
+  Time AskedAt() const { return mAskedAt; }
+
 private:
   void Next();
   void Read(const std::string& aFrom);
@@ -68,6 +78,7 @@
   std::vector<platform::StoreRow> mPages;
   std::int64_t mPagesVersion = 0;
   int mFailures = 0;
+  Time mAskedAt;
 };
 
 // The tables that a gateway needs, and whether the store answers this host.
@@ -78,6 +89,9 @@
 
   void Start();
 
+  // Reads the store if this host has to now.
+  void Look();
+
   // Since when no call has been answered; the latest time while the store
   // answers.
   Time LostSince() const { return mLostSince; }
@@ -86,10 +100,8 @@
   void Announce(const std::string& aValue);
   void Withdraw();
 
-  // Rows of the other hosts as last read, by host.
-  const std::map<std::string, std::string>& Hosts() const { return mHosts; }
-
 private:
+  bool IsReading() const;
   void OnOutcome(platform::StoreTable aTable, bool aAnswered);
   void WriteOwnRow();
 
@@ -99,7 +111,6 @@
   std::unique_ptr<TableWatch> mConfiguration;
   std::unique_ptr<TableWatch> mTargets;
   std::unique_ptr<TableWatch> mHostRows;
-  std::map<std::string, std::string> mHosts;
   HttpCaller mWriter;
   Alarm mWriteAgain;
   std::string mOwnRow;
--- /dev/null
+++ b/tests/fakes/GatewayProcess.cpp
@@ -0,0 +1,203 @@
+#include "GatewayProcess.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <set>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+using namespace quetzalquay;
+
+namespace {
+
+constexpr char kGateway[] = "build/quetzal-gateway";
+
+sockaddr_in
+SocketAddress(const std::string& aIp, int aPort)
+{
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  ::inet_pton(AF_INET, aIp.c_str(), &at.sin_addr);
+  return at;
+}
+
+} // namespace
+
+int
+FreePort(const std::string& aIp)
+{
+  // The system may give a port again before its user has bound it.
+  static std::set<int> given;
+  while (true) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at = SocketAddress(aIp, 0);
+    socklen_t size = sizeof at;
+    const bool bound =
+      ::bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 &&
+      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+    ::close(fd);
+    if (!bound) {
+      throw std::runtime_error("no free port");
+    }
+    const int port = ntohs(at.sin_port);
+    if (given.insert(port).second) {
+      return port;
+    }
+  }
+}
+
+GatewayProcess::GatewayProcess(std::string aName,
+                               std::string aPlace,
+                               std::string aIp,
+                               int aLoadPort,
+                               const std::vector<std::string>& aPeers,
+                               std::size_t aNumber,
+                               const std::string& aStore)
+  : mName(std::move(aName))
+  , mIp(std::move(aIp))
+{
+  for (int n = 0; n < 3; ++n) {
+    mPorts.push_back(FreePort(mIp));
+  }
+  const auto at = [this](int aPort) {
+    return mIp + ":" + std::to_string(mPorts[static_cast<std::size_t>(aPort)]);
+  };
+  std::string seeds;
+  for (const std::string& it : aPeers) {
+    seeds += (seeds.empty() ? "\"" : ",\"") + it + "\"";
+  }
+  char path[] = "/tmp/quetzal-gateway-XXXXXX";
+  const int fd = ::mkstemp(path);
+  ::close(fd);
+  mSettings = path;
+  std::ofstream(mSettings)
+    << R"({"host":")" << mName << R"(","place":")" << aPlace
+    << R"(","region":"r","callers":")" << at(0) << R"(","readiness":")" << at(1)
+    << R"(","peers":")" << aPeers[aNumber] << R"(","loadPort":)" << aLoadPort
+    << R"(,"metrics":")" << at(2) << R"(","seeds":[)" << seeds
+    << R"(],"store":")" << aStore
+    << R"(","maxConnections":500,"stopGraceS":8,"repeatRatio":0.8,)"
+    << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+  mProcess = ::fork();
+  if (mProcess == 0) {
+    const int null = ::open("/dev/null", O_WRONLY);
+    ::dup2(null, STDOUT_FILENO);
+    // The stand-ins' sockets are not the gateway's.
+    for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
+      ::close(other);
+    }
+    // A test that is cut off must not leave its gateway behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::execl(kGateway,
+            kGateway,
+            "--settings",
+            mSettings.c_str(),
+            static_cast<char*>(nullptr));
+    std::_Exit(127);
+  }
+}
+
+GatewayProcess::~GatewayProcess()
+{
+  if (mProcess > 0) {
+    Signal(SIGKILL);
+    AwaitExit();
+  }
+  std::remove(mSettings.c_str());
+}
+
+CallerAnswer
+GatewayProcess::Call(const std::string& aBytes) const
+{
+  return CallPort(0, aBytes);
+}
+
+int
+GatewayProcess::Readiness() const
+{
+  return CallPort(1, "GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+    .mHead.mStatus;
+}
+
+std::string
+GatewayProcess::Metrics() const
+{
+  return CallPort(2, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").mBody;
+}
+
+std::string
+GatewayProcess::Metric(const std::string& aName) const
+{
+  const std::string text = Metrics();
+  const std::string name = "\n" + aName + "{host=\"" + mName + "\"} ";
+  const auto at = text.find(name);
+  if (at == std::string::npos) {
+    return std::string();
+  }
+  const auto from = at + name.size();
+  return text.substr(from, text.find('\n', from) - from);
+}
+
+void
+GatewayProcess::Signal(int aSignal) const
+{
+  ::kill(mProcess, aSignal);
+}
+
+int
+GatewayProcess::AwaitExit()
+{
+  int status = 0;
+  ::waitpid(std::exchange(mProcess, -1), &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+CallerAnswer
+GatewayProcess::CallPort(int aPort, const std::string& aBytes) const
+{
+  CallerAnswer answer;
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  timeval patience{ 20, 0 };
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  const sockaddr_in to =
+    SocketAddress(mIp, mPorts[static_cast<std::size_t>(aPort)]);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
+    ::close(fd);
+    return answer;
+  }
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
+    const auto n =
+      ::send(fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) {
+      break;
+    }
+    sent += static_cast<std::size_t>(n);
+  }
+  HttpReader reader(HttpSide::Answers, { 65536, 1U << 24U });
+  char buf[4096];
+  while (reader.Progress() == HttpProgress::Head ||
+         reader.Progress() == HttpProgress::Body) {
+    const auto n = ::recv(fd, buf, sizeof buf, 0);
+    if (n <= 0) {
+      reader.TakeEnd();
+      break;
+    }
+    reader.Take(std::string_view(buf, static_cast<std::size_t>(n)));
+  }
+  answer.mWhole = reader.Progress() == HttpProgress::Complete;
+  answer.mHead = reader.Head();
+  answer.mBody = reader.TakeBody();
+  answer.mKept = answer.mHead.mKeepAlive;
+  ::close(fd);
+  return answer;
+}
--- a/tests/fakes/GatewayWorld.cpp
+++ b/tests/fakes/GatewayWorld.cpp
@@ -1,20 +1,11 @@
 #include "GatewayWorld.h"
 
-#include <arpa/inet.h>
-#include <cerrno>
 #include <chrono>
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fcntl.h>
-#include <fstream>
 #include <functional>
-#include <netinet/in.h>
+#include <rapidjson/document.h>
 #include <stdexcept>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 #include <utility>
 
 using namespace quetzalquay;
@@ -22,8 +13,6 @@
 
 namespace {
 
-constexpr char kGateway[] = "build/quetzal-gateway";
-
 // Pause between two events of a stream.
 constexpr auto kEventPause = milliseconds(5);
 
@@ -40,22 +29,6 @@
 // Patience of the tests; nothing is expected to take that long.
 constexpr auto kPatience = std::chrono::seconds(20);
 
-int
-FreePort()
-{
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof at;
-  if (::bind(fd, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
-      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  ::close(fd);
-  return ntohs(at.sin_port);
-}
-
 std::string
 Address(int aPort)
 {
@@ -365,19 +338,8 @@
   connection->Start(std::move(aSocket));
 }
 
-GatewayWorld::GatewayWorld(int aRunners)
+GatewayWorld::GatewayWorld(int aRunners, int aGateways)
 {
-  // Callers, readiness, peers, load, metrics, store.
-  for (int n = 0; n < 6; ++n) {
-    mPorts.push_back(FreePort());
-  }
-  mStore = std::make_unique<SmallServer>(
-    mLoop, [this](const HttpHead& aHead, const std::string&) {
-      return AnswerStore(aHead);
-    });
-  if (const auto problem = mStore->Open(*ParseEndpoint(Address(mPorts[5])))) {
-    throw std::runtime_error(*problem);
-  }
   for (int n = 0; n < aRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
     mRunners[name] = std::make_unique<Runner>(*this, name);
@@ -387,48 +349,49 @@
                std::to_string(n % 2) +
                R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1})");
   }
-  mThread = std::thread([this] { mLoop.Run(); });
-  char path[] = "/tmp/quetzal-gateway-XXXXXX";
-  const int fd = ::mkstemp(path);
-  ::close(fd);
-  mSettings = path;
-  std::ofstream(mSettings)
-    << R"({"host":"h","place":"p0","region":"r","callers":")"
-    << Address(mPorts[0]) << R"(","readiness":")" << Address(mPorts[1])
-    << R"(","peers":")" << Address(mPorts[2]) << R"(","loadPort":)" << mPorts[3]
-    << R"(,"metrics":")" << Address(mPorts[4]) << R"(","seeds":[],"store":")"
-    << Address(mPorts[5])
-    << R"(","maxConnections":500,"stopGraceS":8,"repeatRatio":0.8,)"
-    << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
-  mGateway = ::fork();
-  if (mGateway == 0) {
-    const int null = ::open("/dev/null", O_WRONLY);
-    ::dup2(null, STDOUT_FILENO);
-    // The stand-ins' sockets are not the gateway's.
-    for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
-      ::close(other);
+  for (int n = 0; n < aGateways; ++n) {
+    auto way = std::make_unique<Way>();
+    way->mStorePort = FreePort();
+    way->mStore = std::make_unique<SmallServer>(
+      mLoop,
+      [this, at = way.get()](const HttpHead& aHead, const std::string& aBody) {
+        return at->mStoreDown ? Refusal() : AnswerStore(aHead, aBody);
+      });
+    if (const auto problem =
+          way->mStore->Open(*ParseEndpoint(Address(way->mStorePort)))) {
+      throw std::runtime_error(*problem);
     }
-    // A test that is cut off must not leave its gateway behind.
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::execl(kGateway,
-            kGateway,
-            "--settings",
-            mSettings.c_str(),
-            static_cast<char*>(nullptr));
-    std::_Exit(127);
+    mWays.push_back(std::move(way));
+  }
+  mThread.emplace(mLoop);
+  const int loadPort = FreePort();
+  const auto ip = [](int aNumber) {
+    return "127.0.0." + std::to_string(aNumber + 1);
+  };
+  std::vector<std::string> peers;
+  for (int n = 0; n < aGateways; ++n) {
+    peers.push_back(ip(n) + ":" + std::to_string(FreePort(ip(n))));
+  }
+  for (int n = 0; n < aGateways; ++n) {
+    Way& way = *mWays[static_cast<std::size_t>(n)];
+    way.mGateway =
+      std::make_unique<GatewayProcess>(n == 0 ? "h" : "h" + std::to_string(n),
+                                       "p" + std::to_string(n % 2),
+                                       ip(n),
+                                       loadPort,
+                                       peers,
+                                       static_cast<std::size_t>(n),
+                                       Address(way.mStorePort));
   }
   Configure("key");
 }
 
 GatewayWorld::~GatewayWorld()
 {
-  if (mGateway > 0) {
-    ::kill(mGateway, SIGKILL);
-    ::waitpid(mGateway, nullptr, 0);
+  for (const auto& it : mWays) {
+    it->mGateway.reset();
   }
-  mLoop.Stop();
-  mThread.join();
-  std::remove(mSettings.c_str());
+  mThread.reset();
 }
 
 void
@@ -491,16 +454,27 @@
       R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
       R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey + R"("],"Priority":1}]})",
     false);
-  const std::string in =
-    "quetzal_configuration_version{host=\"h\"} " + std::to_string(version);
+  const std::string in = std::to_string(version);
+  Await([&](const GatewayProcess& aGateway) {
+    return aGateway.Metric("quetzal_configuration_version") == in &&
+           aGateway.Readiness() == 200;
+  });
+}
+
+void
+GatewayWorld::Await(
+  const std::function<bool(const GatewayProcess&)>& aCondition) const
+{
   const auto until = std::chrono::steady_clock::now() + kPatience;
-  while (std::chrono::steady_clock::now() < until) {
-    if (Metrics().find(in) != std::string::npos && Readiness() == 200) {
-      return;
+  for (const auto& it : mWays) {
+    while (it->mGateway->IsRunning() && !aCondition(*it->mGateway)) {
+      if (std::chrono::steady_clock::now() >= until) {
+        throw std::runtime_error(it->mGateway->Name() +
+                                 " does not get where it should");
+      }
+      std::this_thread::sleep_for(milliseconds(20));
     }
-    std::this_thread::sleep_for(milliseconds(20));
   }
-  throw std::runtime_error("the gateway does not get ready");
 }
 
 void
@@ -516,23 +490,50 @@
                     bool aRemoved)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mTables[aTable][aKey] = { aValue, ++mVersion, aRemoved };
+  mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved };
+}
+
+void
+GatewayWorld::Transact(const std::string& aBody)
+{
+  rapidjson::Document json;
+  json.Parse(aBody.data(), aBody.size());
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (const char* kind : { "Put", "Remove" }) {
+    const auto entries = json.FindMember(kind);
+    if (entries == json.MemberEnd()) {
+      continue;
+    }
+    for (const auto& it : entries->value.GetArray()) {
+      const auto value = it.FindMember("Value");
+      mTables[it["Table"].GetString()][it["Key"].GetString()] = {
+        value == it.MemberEnd() ? "" : value->value.GetString(),
+        ++mVersion,
+        value == it.MemberEnd()
+      };
+    }
+  }
 }
 
 SmallReply
-GatewayWorld::AnswerStore(const HttpHead& aHead)
+GatewayWorld::Refusal()
+{
+  SmallReply reply;
+  reply.mStatus = 503;
+  return reply;
+}
+
+SmallReply
+GatewayWorld::AnswerStore(const HttpHead& aHead, const std::string& aBody)
 {
   SmallReply reply;
-  if (mStoreDown) {
-    reply.mStatus = 503;
-    return reply;
-  }
   reply.mType = "application/json";
-  const std::lock_guard<std::mutex> lock(mMutex);
   if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
-    reply.mBody = R"({"Ver":)" + std::to_string(mVersion) + R"(,"NowMs":1})";
+    Transact(aBody);
+    reply.mBody = R"({"Ver":1,"NowMs":1})";
     return reply;
   }
+  const std::lock_guard<std::mutex> lock(mMutex);
   const bool whole = aHead.mTarget.rfind("/rows-get", 0) == 0;
   const std::string after = Query(aHead.mTarget, "AfterRevision");
   const long long from = whole ? 0 : std::atoll(after.c_str());
@@ -543,7 +544,7 @@
       continue;
     }
     rows += std::string(rows.empty() ? "" : ",") + R"({"Key":")" + it.first +
-            R"(","Value":")" + Base64(row.mValue) + R"(","Ver":)" +
+            R"(","Value":")" + row.mValue + R"(","Ver":)" +
             std::to_string(row.mVersion) +
             (row.mRemoved ? R"(,"Removed":true})" : "}");
   }
@@ -566,79 +567,9 @@
 }
 
 CallerAnswer
-GatewayWorld::Call(const std::string& aBytes)
-{
-  return CallPort(mPorts[0], aBytes);
-}
-
-CallerAnswer
-GatewayWorld::CallPort(int aPort, const std::string& aBytes)
-{
-  CallerAnswer answer;
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  timeval patience{ 20, 0 };
-  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  to.sin_port = htons(static_cast<std::uint16_t>(aPort));
-  if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
-    ::close(fd);
-    return answer;
-  }
-  std::size_t sent = 0;
-  while (sent < aBytes.size()) {
-    const auto n =
-      ::send(fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
-    if (n <= 0) {
-      break;
-    }
-    sent += static_cast<std::size_t>(n);
-  }
-  HttpReader reader(HttpSide::Answers, { 65536, 1U << 24U });
-  char buf[4096];
-  while (reader.Progress() == HttpProgress::Head ||
-         reader.Progress() == HttpProgress::Body) {
-    const auto n = ::recv(fd, buf, sizeof buf, 0);
-    if (n <= 0) {
-      reader.TakeEnd();
-      break;
-    }
-    reader.Take(std::string_view(buf, static_cast<std::size_t>(n)));
-  }
-  answer.mWhole = reader.Progress() == HttpProgress::Complete;
-  answer.mHead = reader.Head();
-  answer.mBody = reader.TakeBody();
-  answer.mKept = answer.mHead.mKeepAlive;
-  ::close(fd);
-  return answer;
-}
-
-int
-GatewayWorld::Readiness()
-{
-  return CallPort(mPorts[1], "GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n")
-    .mHead.mStatus;
-}
-
-std::string
-GatewayWorld::Metrics()
-{
-  return CallPort(mPorts[4], "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").mBody;
-}
-
-void
-GatewayWorld::Signal(int aSignal)
-{
-  ::kill(mGateway, aSignal);
-}
-
-int
-GatewayWorld::AwaitExit()
+GatewayWorld::Call(const std::string& aBytes) const
 {
-  int status = 0;
-  ::waitpid(std::exchange(mGateway, -1), &status, 0);
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return Gateway().Call(aBytes);
 }
 
 std::vector<RunnerRequest>
--- a/tests/fakes/GatewayWorld.h
+++ b/tests/fakes/GatewayWorld.h
@@ -1,12 +1,15 @@
 #ifndef QUETZALQUAY_TESTS_FAKES_GATEWAYWORLD_H_INCLUDED
 #define QUETZALQUAY_TESTS_FAKES_GATEWAYWORLD_H_INCLUDED
 
+#include "GatewayProcess.h"
+
 #include "http/EventLoop.h"
 #include "http/HttpReader.h"
 #include "http/SmallServer.h"
 #include "http/Socket.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -63,24 +66,35 @@
   std::string mBody;
 };
 
-// Answer that a caller got.
-struct CallerAnswer
+// Runs an event loop in a thread of its own.
+class LoopThread
 {
-  // Whether the answer was complete.
-  bool mWhole = false;
-  quetzalquay::HttpHead mHead;
-  std::string mBody;
-  // Whether the connection stayed open.
-  bool mKept = false;
+public:
+  explicit LoopThread(quetzalquay::EventLoop& aLoop)
+    : mLoop(aLoop)
+    , mThread([this] { mLoop.Run(); })
+  {
+  }
+  ~LoopThread()
+  {
+    mLoop.Stop();
+    mThread.join();
+  }
+  LoopThread(const LoopThread&) = delete;
+  LoopThread& operator=(const LoopThread&) = delete;
+
+private:
+  quetzalquay::EventLoop& mLoop;
+  std::thread mThread;
 };
 
-// A store and runners of the platform on loopback addresses, with one gateway
-// process in front of them.
+// A store and runners of the platform on loopback addresses, with gateway
+// processes in front of them.
 class GatewayWorld
 {
 public:
-  // Starts everything; the gateway is ready when this returns.
-  explicit GatewayWorld(int aRunners = 3);
+  // Starts everything; the gateways are ready when this returns.
+  explicit GatewayWorld(int aRunners = 3, int aGateways = 1);
   ~GatewayWorld();
 
   static constexpr int kEvents = 40;
@@ -88,9 +102,13 @@
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
-  // Puts a configuration in force and waits until the gateway has it.
+  // Puts a configuration in force and waits until all running gateways have it.
   void Configure(const std::string& aKey);
 
+  // Waits until all running gateways meet a condition.
+  void Await(
+    const std::function<bool(const GatewayProcess&)>& aCondition) const;
+
   // Sets a runner's entry; empty removes it.
   void SetEntry(const std::string& aRunner, const std::string& aValue);
 
@@ -98,11 +116,19 @@
   std::string AddressOf(const std::string& aRunner) const;
   std::string RunnerAt(const std::string& aAddress) const;
 
-  // Answers all store calls with 503 while set.
-  void SetStoreDown(bool aDown) { mStoreDown = aDown; }
+  // Answers all store calls of one gateway with 503 while set.
+  void SetStoreDown(bool aDown, std::size_t aGateway = 0)
+  {
+    mWays[aGateway]->mStoreDown = aDown;
+  }
+
+  GatewayProcess& Gateway(std::size_t aNumber = 0) const
+  {
+    return *mWays[aNumber]->mGateway;
+  }
 
-  // Sends bytes on a new connection and reads one answer.
-  CallerAnswer Call(const std::string& aBytes);
+  // Sends bytes to the first gateway on a new connection and reads one answer.
+  CallerAnswer Call(const std::string& aBytes) const;
 
   // A request to the route "/plain/", "/unsafe/" or "/stream/".
   static std::string Request(const std::string& aRoute,
@@ -110,18 +136,6 @@
                              const std::string& aFields = std::string(),
                              const std::string& aBody = "body");
 
-  // Status of the readiness check.
-  int Readiness();
-
-  // Text of the gateway's metrics.
-  std::string Metrics();
-
-  // Sends a signal to the gateway.
-  void Signal(int aSignal);
-
-  // Waits for the gateway's end; its exit code.
-  int AwaitExit();
-
   std::vector<RunnerRequest> Requests();
 
   // Requests that runners began to run.
@@ -130,39 +144,46 @@
   // Whole body of the stream of a request.
   static std::string StreamBody();
 
-  int Port() const { return mPorts[0]; }
-
 private:
   class Runner;
   class RunnerConnection;
 
   struct Row
   {
+    // In base64.
     std::string mValue;
     long long mVersion = 0;
     bool mRemoved = false;
   };
 
-  quetzalquay::SmallReply AnswerStore(const quetzalquay::HttpHead& aHead);
+  // One gateway and its way to the store.
+  struct Way
+  {
+    int mStorePort = 0;
+    std::unique_ptr<quetzalquay::SmallServer> mStore;
+    std::atomic<bool> mStoreDown{ false };
+    std::unique_ptr<GatewayProcess> mGateway;
+  };
+
+  static quetzalquay::SmallReply Refusal();
+  quetzalquay::SmallReply AnswerStore(const quetzalquay::HttpHead& aHead,
+                                      const std::string& aBody);
+  void Transact(const std::string& aBody);
   void Write(const std::string& aTable,
              const std::string& aKey,
              const std::string& aValue,
              bool aRemoved);
-  CallerAnswer CallPort(int aPort, const std::string& aBytes);
 
   quetzalquay::EventLoop mLoop;
-  std::vector<int> mPorts;
-  std::unique_ptr<quetzalquay::SmallServer> mStore;
+  std::vector<std::unique_ptr<Way>> mWays;
   std::map<std::string, std::unique_ptr<Runner>> mRunners;
   std::mutex mMutex;
   std::map<std::string, std::map<std::string, Row>> mTables;
   long long mVersion = 0;
-  std::atomic<bool> mStoreDown{ false };
   std::vector<RunnerRequest> mRequests;
   std::vector<RunnerRequest> mRuns;
-  std::string mSettings;
-  pid_t mGateway = -1;
-  std::thread mThread;
+  // Runs the stand-ins; stops before they are destroyed.
+  std::optional<LoopThread> mThread;
 };
 
 #endif // QUETZALQUAY_TESTS_FAKES_GATEWAYWORLD_H_INCLUDED
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TheLongestPrefixWins);
   CPPUNIT_TEST(LapsedEntriesAreKeptUntilTheStoreIsBack);
   CPPUNIT_TEST(GoneMeansGoneWhileTheStoreAnswers);
+  CPPUNIT_TEST(WhatAnInformedHostToldGoneIsGone);
   CPPUNIT_TEST(EntriesNeverGoBack);
   CPPUNIT_TEST(UnreadableEntriesNameNoTarget);
   CPPUNIT_TEST(AnAddressHasOneTarget);
@@ -114,6 +115,24 @@
     CPPUNIT_ASSERT(entries.OnRemoved("b", 4, At(10001)));
   }
 
+  void WhatAnInformedHostToldGoneIsGone()
+  {
+    TargetEntries entries(milliseconds(2000));
+    entries.OnEntry(Entry("a", "10.0.0.1:1"), 1, At(0));
+    entries.OnEntry(Entry("b", "10.0.0.2:1"), 2, At(0));
+    CPPUNIT_ASSERT(entries.IsSettled(At(0)));
+    entries.OnStoreLost(At(1000));
+    entries.OnRemoved("a", 3, At(5000));
+    CPPUNIT_ASSERT(entries.OnSettledElsewhere(3));
+    entries.OnRemoved("b", 4, At(5000));
+    CPPUNIT_ASSERT(!entries.OnSettledElsewhere(3));
+    CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "b" });
+    CPPUNIT_ASSERT(!entries.IsSettled(At(5000)));
+    entries.OnStoreBack(At(6000));
+    CPPUNIT_ASSERT(!entries.IsSettled(At(7900)));
+    CPPUNIT_ASSERT(entries.IsSettled(At(8000)));
+  }
+
   void EntriesNeverGoBack()
   {
     CheckProperty("the newest version of an entry holds in any order", [] {
--- /dev/null
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -0,0 +1,177 @@
+#include "EngineTable.h"
+#include "Property.h"
+
+#include "core/ReaderChoice.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace quetzalquay;
+
+namespace {
+
+std::vector<std::string>
+Hosts(int aCount)
+{
+  std::vector<std::string> hosts;
+  for (int n = 0; n < aCount; ++n) {
+    hosts.push_back("host-" + std::to_string(n));
+  }
+  return hosts;
+}
+
+std::map<std::string, std::unique_ptr<ReaderChoice>>
+Choices(const std::vector<std::string>& aHosts)
+{
+  std::map<std::string, std::unique_ptr<ReaderChoice>> choices;
+  for (const std::string& it : aHosts) {
+    choices[it] = std::make_unique<ReaderChoice>(it);
+    choices[it]->SetHosts(aHosts);
+  }
+  return choices;
+}
+
+} // namespace
+
+class ReaderChoiceTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReaderChoiceTests);
+  CPPUNIT_TEST(AHostAloneReads);
+  CPPUNIT_TEST(AFewReadForAll);
+  CPPUNIT_TEST(NothingOlderThanTheBoundIsRelied);
+  CPPUNIT_TEST(AFailedReaderIsReplaced);
+  CPPUNIT_TEST(WhoeverLivesStaysInformed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AHostAloneReads()
+  {
+    ReaderChoice choice("a");
+    CPPUNIT_ASSERT(choice.IsReader(At(0)));
+    CPPUNIT_ASSERT(!choice.HostToAsk(At(0)));
+    choice.SetHosts({});
+    CPPUNIT_ASSERT(choice.MustRead(At(0)));
+  }
+
+  void AFewReadForAll()
+  {
+    for (const auto& [count, readers] :
+         { std::pair{ 2, 2 }, { 9, 2 }, { 71, 3 }, { 450, 19 } }) {
+      const auto choices = Choices(Hosts(count));
+      std::map<std::string, int> asked;
+      int reading = 0;
+      for (const auto& it : choices) {
+        const auto host = it.second->HostToAsk(At(0));
+        if (host) {
+          ++asked[*host];
+        } else {
+          ++reading;
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(readers, reading);
+      for (const auto& it : asked) {
+        CPPUNIT_ASSERT(choices.at(it.first)->IsReader(At(0)));
+        // Not far above the mean of 24.
+        CPPUNIT_ASSERT(it.second <= 48);
+      }
+    }
+  }
+
+  void NothingOlderThanTheBoundIsRelied()
+  {
+    const auto choices = Choices(Hosts(9));
+    for (const auto& it : choices) {
+      ReaderChoice& choice = *it.second;
+      const auto host = choice.HostToAsk(At(0));
+      if (!host) {
+        continue;
+      }
+      CPPUNIT_ASSERT(choice.MustRead(At(0)));
+      choice.OnTold(*host, At(0));
+      CPPUNIT_ASSERT(!choice.MustRead(At(1100)));
+      CPPUNIT_ASSERT(choice.MustRead(At(1200)));
+      // An answer that is as old as what was known does not help.
+      choice.OnTold(*host, At(0));
+      CPPUNIT_ASSERT(choice.MustRead(At(1200)));
+      choice.OnRead(At(1200));
+      CPPUNIT_ASSERT(!choice.MustRead(At(2300)));
+    }
+  }
+
+  void AFailedReaderIsReplaced()
+  {
+    const auto choices = Choices(Hosts(9));
+    std::set<std::string> readers;
+    for (const auto& it : choices) {
+      if (it.second->IsReader(At(0))) {
+        readers.insert(it.first);
+      }
+    }
+    int replacements = 0;
+    for (const auto& it : choices) {
+      for (const std::string& reader : readers) {
+        if (reader != it.first) {
+          it.second->OnFailed(reader, At(0));
+        }
+      }
+      if (readers.count(it.first) != 0) {
+        continue;
+      }
+      replacements += it.second->IsReader(At(10)) ? 1 : 0;
+      const auto host = it.second->HostToAsk(At(10));
+      CPPUNIT_ASSERT(!host || readers.count(*host) == 0);
+      // They are tried again.
+      CPPUNIT_ASSERT(!it.second->IsReader(At(2100)));
+    }
+    CPPUNIT_ASSERT_EQUAL(2, replacements);
+  }
+
+  void WhoeverLivesStaysInformed()
+  {
+    CheckProperty("hosts know the store's state of a moment ago", [] {
+      const auto hosts = Hosts(*rc::gen::inRange(1, 30));
+      const auto choices = Choices(hosts);
+      std::set<std::string> dead;
+      constexpr int kRound = 500;
+      // What each host knows, and how old that may be: the bound, one round,
+      // and one answer that does not come.
+      constexpr int kOldest = 1200 + kRound + 300;
+      for (int now = 10000; now < 40000; now += kRound) {
+        if (*rc::gen::inRange(0, 4) == 0) {
+          const std::string host = *rc::gen::elementOf(hosts);
+          if (dead.size() + 1 < hosts.size() && dead.count(host) == 0) {
+            dead.insert(host);
+          } else {
+            dead.erase(host);
+          }
+        }
+        for (const std::string& it : hosts) {
+          if (dead.count(it) != 0) {
+            continue;
+          }
+          ReaderChoice& choice = *choices.at(it);
+          if (const auto host = choice.HostToAsk(At(now))) {
+            if (dead.count(*host) != 0) {
+              choice.OnFailed(*host, At(now + 300));
+            } else {
+              choice.OnTold(*host, choices.at(*host)->KnownAsOf());
+              if (choice.MustRead(At(now))) {
+                choice.OnFailed(*host, At(now));
+              }
+            }
+          }
+          if (choice.MustRead(At(now))) {
+            choice.OnRead(At(now));
+          }
+          RC_ASSERT(At(now) - choice.KnownAsOf() <=
+                    std::chrono::milliseconds(kOldest));
+        }
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReaderChoiceTests);
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(RemovedKeysStopWorking);
   CPPUNIT_TEST(LeavingRunnersGetNothingNew);
   CPPUNIT_TEST(StoreOutagesChangeNothing);
+  CPPUNIT_TEST(AHostCutFromTheStoreLearnsFromOthers);
+  CPPUNIT_TEST(HostsStayInformedWhenReadersDie);
   CPPUNIT_TEST(AStoppedGatewayFinishesItsStreams);
   CPPUNIT_TEST(MetricsTellWhatWasServed);
   CPPUNIT_TEST_SUITE_END();
@@ -283,11 +285,44 @@
       CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
       ::usleep(20000);
     }
-    CPPUNIT_ASSERT_EQUAL(200, world.Readiness());
+    CPPUNIT_ASSERT_EQUAL(200, world.Gateway().Readiness());
     world.SetStoreDown(false);
     world.Configure("other");
   }
 
+  void AHostCutFromTheStoreLearnsFromOthers()
+  {
+    GatewayWorld world(3, 3);
+    for (std::size_t cut = 0; cut < 3; ++cut) {
+      world.SetStoreDown(true, cut);
+      const std::string key = "key-" + std::to_string(cut);
+      // Returns when the host that is cut off has it as well.
+      world.Configure(key);
+      const std::string id = "r" + std::to_string(cut);
+      const std::string request = GatewayWorld::Request("/plain/", id);
+      CPPUNIT_ASSERT_EQUAL(401, world.Gateway(cut).Call(request).mHead.mStatus);
+      world.SetEntry("i-" + std::to_string(cut), "");
+      world.Await([&](const GatewayProcess& aGateway) {
+        return aGateway.Metric("quetzal_targets") == std::to_string(2 - cut);
+      });
+      world.SetStoreDown(false, cut);
+    }
+  }
+
+  void HostsStayInformedWhenReadersDie()
+  {
+    GatewayWorld world(3, 5);
+    for (std::size_t dead = 0; dead < 3; ++dead) {
+      world.Gateway(dead).Signal(SIGKILL);
+      world.Gateway(dead).AwaitExit();
+      world.Configure("key-" + std::to_string(dead));
+      world.SetEntry("i-" + std::to_string(dead), "");
+      world.Await([&](const GatewayProcess& aGateway) {
+        return aGateway.Metric("quetzal_targets") == std::to_string(2 - dead);
+      });
+    }
+  }
+
   void AStoppedGatewayFinishesItsStreams()
   {
     GatewayWorld world;
@@ -297,16 +332,16 @@
     while (world.Runs().empty()) {
       ::usleep(1000);
     }
-    world.Signal(SIGTERM);
+    world.Gateway().Signal(SIGTERM);
     caller.join();
     CPPUNIT_ASSERT(answer.mWhole);
     CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
-    CPPUNIT_ASSERT_EQUAL(503, world.Readiness());
+    CPPUNIT_ASSERT_EQUAL(503, world.Gateway().Readiness());
     // Still taken, but on a connection that does not go on.
     const auto late = world.Call(GatewayWorld::Request("/plain/", "p"));
     CPPUNIT_ASSERT_EQUAL(200, late.mHead.mStatus);
     CPPUNIT_ASSERT(!late.mKept);
-    CPPUNIT_ASSERT_EQUAL(0, world.AwaitExit());
+    CPPUNIT_ASSERT_EQUAL(0, world.Gateway().AwaitExit());
   }
 
   void MetricsTellWhatWasServed()
@@ -314,7 +349,7 @@
     GatewayWorld world;
     world.Call(GatewayWorld::Request("/plain/", "a"));
     world.Call(GatewayWorld::Request("/none/", "b"));
-    const std::string text = world.Metrics();
+    const std::string text = world.Gateway().Metrics();
     for (const char* it :
          { "quetzal_requests_total{host=\"h\",kind=\"idempotent\",status="
            "\"200\"} 1",
