Let hosts borrow each other's unused repeats

Ruled out: missing copies (the streams had one), lack of room.

Hosts now tell each other, in the datagrams that carry their load, what they have sent within the window.

The line that ends a request tells the time to the first event and the longest pause.

--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -6,12 +6,23 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace quetzalquay {
 
+// What one host has sent to a service within the window.
+struct RepeatCount
+{
+  std::string mService;
+  int mFirst = 0;
+  int mRepeats = 0;
+};
+
 // Bounds the repeats that this process sends to each service, so that all hosts
 // together stay within a shared budget: a share of the own first sends, and an
-// even share of a fixed allowance. Pure logic; not safe for concurrent use.
+// even share of a fixed allowance. What other hosts say that they leave unused
+// may be borrowed, slowly enough for all to hear of it. Pure logic; not safe for
+// concurrent use.
 class RetryBudget
 {
 public:
@@ -39,17 +50,38 @@
   // The newest repeat taken has not been sent after all.
   void ReturnRepeat(const std::string& aService);
 
+  // What this host has sent within the window, by service.
+  std::vector<RepeatCount> OwnCounts(Time aNow);
+
+  // What another host has sent, in place of what it said before.
+  void TakeCounts(const std::string& aHost,
+                  const std::vector<RepeatCount>& aCounts,
+                  Time aNow);
+
 private:
   struct Sends
   {
     std::deque<Time> mFirst;
     std::deque<Time> mRepeats;
+    // Repeats that may be borrowed now, and when that was reckoned.
+    double mCredit = 0;
+    Time mCreditAt;
+  };
+
+  struct OtherHost
+  {
+    std::vector<RepeatCount> mCounts;
+    Time mAt;
   };
 
+  double Allowed(double aFirst, double aHosts) const;
+  double Unused(const std::string& aService, Time aNow) const;
+  bool Borrow(const std::string& aService, Sends& aSends, Time aNow) const;
   void Forget(std::deque<Time>& aTimes, Time aNow) const;
 
   Options mOptions;
   std::map<std::string, Sends> mServices;
+  std::map<std::string, OtherHost> mOthers;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -193,6 +193,13 @@
   // Budget that repeats are taken from; unlimited until it is configured.
   void LimitRepeats(const RetryBudget::Options& aOptions);
 
+  // What this router has sent to services lately, and what another one says of
+  // itself; for the budget of repeats.
+  std::vector<RepeatCount> OwnRepeats(Time aNow);
+  void TakeRepeats(const std::string& aRouter,
+                   const std::vector<RepeatCount>& aCounts,
+                   Time aNow);
+
   // Time between two tokens of one stream.
   void OnGap(const std::string& aTarget, Duration aGap);
 
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -168,6 +168,22 @@
   }
 }
 
+std::vector<RepeatCount>
+TargetTable::OwnRepeats(Time aNow)
+{
+  return mBudget ? mBudget->OwnCounts(aNow) : std::vector<RepeatCount>();
+}
+
+void
+TargetTable::TakeRepeats(const std::string& aRouter,
+                         const std::vector<RepeatCount>& aCounts,
+                         Time aNow)
+{
+  if (mBudget) {
+    mBudget->TakeCounts(aRouter, aCounts, aNow);
+  }
+}
+
 void
 TargetTable::NotifyLoad(std::function<void()> aCall)
 {
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -68,6 +68,12 @@
         { "target", mLastTarget },
         { "tries", std::to_string(mTries) },
         { "ms", std::to_string(static_cast<int>(ToMilliseconds(elapsed))) },
+        { "first_ms",
+          mFirstEvent
+            ? std::to_string(static_cast<int>(ToMilliseconds(*mFirstEvent)))
+            : std::string() },
+        { "pause_ms",
+          std::to_string(static_cast<int>(ToMilliseconds(mLongestPause))) },
         { "note", mNote } });
 }
 
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -13,6 +13,7 @@
 #include "platform/PlatformRequests.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -106,6 +107,10 @@
   AnswerSink* mSink;
   // For the log: tries so far, and the last target.
   int mTries = 0;
+  // Time to a stream's first event, nothing before it, and its longest pause
+  // between two events.
+  std::optional<Time::duration> mFirstEvent;
+  Time::duration mLongestPause = Time::duration::zero();
   std::string mLastTarget;
   std::string mNote;
 };
--- a/src/quetzalquay/gateway/LoadSpread.cpp
+++ b/src/quetzalquay/gateway/LoadSpread.cpp
@@ -28,6 +28,9 @@
 // Numbers behind the target's name in one entry.
 constexpr rapidjson::SizeType kEntrySize = 4;
 
+// Service, first sends and repeats.
+constexpr rapidjson::SizeType kCountSize = 3;
+
 } // namespace
 
 LoadSpread::LoadSpread(EventLoop& aLoop,
@@ -113,6 +116,17 @@
   }
   const Time now = EventLoop::Now();
   mFleet.Targets().TakeLoad(host->value.GetString(), loads, now);
+  std::vector<RepeatCount> counts;
+  const auto sent = json.FindMember("sent");
+  if (sent != json.MemberEnd() && sent->value.IsArray()) {
+    for (const auto& it : sent->value.GetArray()) {
+      if (it.IsArray() && it.Size() == kCountSize && it[0].IsString() &&
+          it[1].IsInt() && it[2].IsInt()) {
+        counts.push_back({ it[0].GetString(), it[1].GetInt(), it[2].GetInt() });
+      }
+    }
+  }
+  mFleet.Targets().TakeRepeats(host->value.GetString(), counts, now);
   const auto lost = json.FindMember("lost");
   if (lost == json.MemberEnd() || !lost->value.IsArray()) {
     return;
@@ -154,6 +168,16 @@
     writer.EndArray();
   }
   writer.EndArray();
+  writer.Key("sent");
+  writer.StartArray();
+  for (const RepeatCount& it : mFleet.Targets().OwnRepeats(now)) {
+    writer.StartArray();
+    writer.String(it.mService.c_str());
+    writer.Int(it.mFirst);
+    writer.Int(it.mRepeats);
+    writer.EndArray();
+  }
+  writer.EndArray();
   writer.Key("lost");
   writer.StartArray();
   for (const auto& it : lost) {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -441,8 +441,11 @@
 {
   TargetTable& targets = mParts.mFleet.Targets();
   const bool first = mNextIndex == 0 || mAwaitsResume;
-  if (mNextIndex == 0) {
-    mParts.mMetrics.Observe(GatewayTime::FirstEvent, aNow - mCall.mArrived);
+  if (!mFirstEvent) {
+    mFirstEvent = aNow - mCall.mArrived;
+    mParts.mMetrics.Observe(GatewayTime::FirstEvent, *mFirstEvent);
+  } else {
+    mLongestPause = std::max(mLongestPause, aNow - mLastEventAt);
   }
   if (first) {
     targets.OnFirstToken(
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -55,6 +55,8 @@
   CPPUNIT_TEST(AnAddressHasOneTarget);
   CPPUNIT_TEST(FoundTargetsLastUntilTheStoreTells);
   CPPUNIT_TEST(HostsTogetherKeepTheRepeatBudget);
+  CPPUNIT_TEST(BorrowedRepeatsStayWithinTheBudget);
+  CPPUNIT_TEST(ABusyHostBorrowsRepeats);
   CPPUNIT_TEST(PaceTellsWhatCannotEnd);
   CPPUNIT_TEST(LoadOfOtherHostsCounts);
   CPPUNIT_TEST(TheLeastBacklogCounts);
@@ -231,6 +233,73 @@
     });
   }
 
+  void BorrowedRepeatsStayWithinTheBudget()
+  {
+    CheckProperty("borrowed repeats stay within the shared budget", [] {
+      const int hosts = *rc::gen::inRange(2, 20);
+      RetryBudget::Options options;
+      options.mAllowance = 150;
+      options.mHosts = hosts;
+      std::vector<RetryBudget> budgets(static_cast<std::size_t>(hosts));
+      std::vector<int> wanted;
+      int first = 0;
+      int repeats = 0;
+      for (RetryBudget& it : budgets) {
+        it.Configure(options);
+        const int own = *rc::gen::inRange(0, 60);
+        for (int n = 0; n < own; ++n) {
+          it.OnFirst("s", At(n));
+        }
+        first += own;
+        wanted.push_back(*rc::gen::inRange(0, 120));
+      }
+      for (int now = 1000; now < 4000; now += 50) {
+        for (std::size_t n = 0; n < budgets.size(); ++n) {
+          while (wanted[n] > 0 && budgets[n].TakeRepeat("s", At(now))) {
+            --wanted[n];
+            ++repeats;
+          }
+        }
+        for (std::size_t n = 0; n < budgets.size(); ++n) {
+          const auto counts = budgets[n].OwnCounts(At(now));
+          for (std::size_t other = 0; other < budgets.size(); ++other) {
+            // Messages are gathered, and some are lost.
+            if (other != n && (now / 50 + n + other) % 3 == 0) {
+              budgets[other].TakeCounts(std::to_string(n), counts, At(now));
+            }
+          }
+        }
+      }
+      RC_ASSERT(repeats <= 0.8 * first + 150);
+    });
+  }
+
+  // Pattern: a place fails, and more streams are lost at some hosts than their
+  // own share of the repeats covers.
+  void ABusyHostBorrowsRepeats()
+  {
+    RetryBudget::Options options;
+    options.mAllowance = 30;
+    options.mHosts = 10;
+    RetryBudget budget;
+    budget.Configure(options);
+    for (int n = 0; n < 5; ++n) {
+      budget.OnFirst("s", At(n));
+    }
+    for (int n = 0; n < 9; ++n) {
+      budget.TakeCounts("h" + std::to_string(n), { { "s", 10, 2 } }, At(100));
+    }
+    int taken = 0;
+    int now = 100;
+    for (; taken < 15 && now < 2000; now += 50) {
+      taken += budget.TakeRepeat("s", At(now)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(15, taken);
+    CPPUNIT_ASSERT(now < 1600);
+    // Nothing is borrowed on old counts.
+    CPPUNIT_ASSERT(!budget.TakeRepeat("s", At(now + 2000)));
+  }
+
   void PaceTellsWhatCannotEnd()
   {
     StreamPace pace;
