Keep repeats for streams that can still be on time

Cause: with the budget of repeats spent, streams that had long been late took what came free as often as those just lost, which a repeat still serves in time.

Repeats that are late anyway use three quarters of a host's share at most and do not borrow.

--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -105,6 +105,9 @@
     mSpec.mQuery.mCopyHolder = aTarget;
   }
 
+  // Until when the next event is on time.
+  void SetOnTimeUntil(Time aTime) { mSpec.mQuery.mOnTimeUntil = aTime; }
+
   // When OnTimer has to be called at the latest.
   Time NextTimer() const;
 
--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -9,6 +9,9 @@
 // Part of the shared budget that the hosts use, as their windows differ.
 constexpr double kUsedPart = 0.9;
 
+// Part of that which repeats take that are late anyway.
+constexpr double kLatePart = 0.75;
+
 // Age up to which another host's counts are believed.
 constexpr Duration kCountLifetime = std::chrono::milliseconds(1500);
 
@@ -33,14 +36,16 @@
 }
 
 bool
-RetryBudget::TakeRepeat(const std::string& aService, Time aNow)
+RetryBudget::TakeRepeat(const std::string& aService, Time aNow, RepeatUse aUse)
 {
   Sends& sends = mServices[aService];
   Forget(sends.mFirst, aNow);
   Forget(sends.mRepeats, aNow);
-  const double allowed = Allowed(static_cast<double>(sends.mFirst.size()), 1);
+  const bool late = aUse == RepeatUse::Late;
+  const double allowed = Allowed(static_cast<double>(sends.mFirst.size())) *
+                         (late ? kLatePart : 1.0);
   if (static_cast<double>(sends.mRepeats.size()) + 1 > allowed &&
-      !Borrow(aService, sends, aNow)) {
+      (late || !Borrow(aService, sends, aNow))) {
     return false;
   }
   sends.mRepeats.push_back(aNow);
@@ -78,13 +83,12 @@
   mOthers[aHost] = { aCounts, aNow };
 }
 
-// Repeats that some hosts may send for their first sends.
+// Repeats that one host may send for its first sends.
 double
-RetryBudget::Allowed(double aFirst, double aHosts) const
+RetryBudget::Allowed(double aFirst) const
 {
-  return kUsedPart *
-         (mOptions.mRatio * aFirst +
-          mOptions.mAllowance * aHosts / std::max(1, mOptions.mHosts));
+  return kUsedPart * (mOptions.mRatio * aFirst +
+                      mOptions.mAllowance / std::max(1, mOptions.mHosts));
 }
 
 // Repeats that the hosts heard of lately leave to others.
@@ -104,7 +108,7 @@
         repeats = it.mRepeats;
       }
     }
-    unused += Allowed(first, 1) - repeats;
+    unused += Allowed(first) - repeats;
   }
   return unused;
 }
@@ -114,7 +118,7 @@
 {
   // What has been borrowed so far counts against what others leave.
   const double unused = Unused(aService, aNow) +
-                        Allowed(static_cast<double>(aSends.mFirst.size()), 1) -
+                        Allowed(static_cast<double>(aSends.mFirst.size())) -
                         static_cast<double>(aSends.mRepeats.size());
   const double share = unused / std::max(1, mOptions.mHosts);
   const double periods =
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -18,6 +18,13 @@
   int mRepeats = 0;
 };
 
+// Whether a repeat can still lead to an answer in time.
+enum class RepeatUse
+{
+  OnTime,
+  Late,
+};
+
 // Bounds the repeats that this process sends to each service, so that all hosts
 // together stay within a shared budget: a share of the own first sends, and an
 // even share of a fixed allowance. What other hosts say that they leave unused
@@ -44,8 +51,11 @@
   // A request has been sent to a service for the first time.
   void OnFirst(const std::string& aService, Time aNow);
 
-  // Takes one repeat from the budget; false when there is none left.
-  bool TakeRepeat(const std::string& aService, Time aNow);
+  // Takes one repeat from the budget; false when there is none left. Part of
+  // the budget is kept for repeats that are on time.
+  bool TakeRepeat(const std::string& aService,
+                  Time aNow,
+                  RepeatUse aUse = RepeatUse::OnTime);
 
   // The newest repeat taken has not been sent after all.
   void ReturnRepeat(const std::string& aService);
@@ -74,7 +84,7 @@
     Time mAt;
   };
 
-  double Allowed(double aFirst, double aHosts) const;
+  double Allowed(double aFirst) const;
   double Unused(const std::string& aService, Time aNow) const;
   bool Borrow(const std::string& aService, Sends& aSends, Time aNow) const;
   void Forget(std::deque<Time>& aTimes, Time aNow) const;
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -37,6 +37,8 @@
   bool mContinuation = false;
   // Whether the request has been sent to a target before.
   bool mRepeat = false;
+  // Until when an answer, or a stream's next event, is on time.
+  Time mOnTimeUntil = Time::max();
   // Target that holds a copy of the lost stream's memory, empty when none does.
   std::string mCopyHolder;
   // Tokens that the target has to read, and may make.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -169,7 +169,10 @@
     return Queue(aQuery, aNow);
   }
   if (mBudget && aQuery.mRepeat && !usable.empty() &&
-      !mBudget->TakeRepeat(aQuery.mService, aNow)) {
+      !mBudget->TakeRepeat(aQuery.mService,
+                           aNow,
+                           aNow < aQuery.mOnTimeUntil ? RepeatUse::OnTime
+                                                      : RepeatUse::Late)) {
     Forget(aQuery);
     choice.mStatus = ChoiceStatus::NoBudget;
     return choice;
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -20,6 +20,7 @@
   query.mWorkspace = aCall.mWorkspace;
   query.mContentHash = aCall.mContentHash;
   query.mDeadline = aCall.mDeadline;
+  query.mOnTimeUntil = aCall.mArrived + aCall.mRoute->mObjective;
   return query;
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -82,7 +82,7 @@
   , mAlarm(aParts.mLoop,
            [this] {
              const Time now = EventLoop::Now();
-             UpdateCopy(now);
+             PrepareChoice(now);
              Perform(mDecision.OnTimer(now));
            })
   , mCopy(aParts, mCall)
@@ -237,7 +237,7 @@
   }
   Release(AttemptOutcome::Lost);
   const Time now = EventLoop::Now();
-  UpdateCopy(now);
+  PrepareChoice(now);
   Perform(
     mDecision.OnAttemptEnded(aAction.mAttempt, AttemptEnd::UnknownStream, now));
 }
@@ -270,7 +270,7 @@
         self->mConnection->Abandon();
         self->Release(AttemptOutcome::Lost);
       }
-      self->UpdateCopy(at);
+      self->PrepareChoice(at);
       self->Perform(self->mDecision.OnProbeResult(attempt, result, at));
     });
 }
@@ -549,7 +549,7 @@
   }
   Release(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
   const Time now = EventLoop::Now();
-  UpdateCopy(now);
+  PrepareChoice(now);
   Perform(mDecision.OnAttemptEnded(mAttempt, aEnd, now));
 }
 
@@ -571,11 +571,20 @@
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
 }
 
-// Tells the decision where a copy of the run is now, before it may need one.
+// Tells the decision what the choice of another target depends on: where a copy
+// of the run is, and until when an event would be on time.
 void
-StreamExchange::UpdateCopy(Time aNow)
+StreamExchange::PrepareChoice(Time aNow)
 {
   mDecision.SetCopyHolder(mCopy.Holder(aNow));
+  const Route& route = *mCall.mRoute;
+  Time until = mCall.mArrived + route.mObjective;
+  if (mFirstEvent) {
+    const bool late =
+      *mFirstEvent > route.mObjective || mLongestPause > route.mGapObjective;
+    until = late ? Time::min() : mLastEventAt + route.mGapObjective;
+  }
+  mDecision.SetOnTimeUntil(until);
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -46,7 +46,7 @@
   void OnEventTaken(Time aNow);
   void EndTry(AttemptEnd aEnd);
   void Release(AttemptOutcome aOutcome);
-  void UpdateCopy(Time aNow);
+  void PrepareChoice(Time aNow);
   void Flush();
   void SendHead();
   void PassFailureOn();
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(HostsTogetherKeepTheRepeatBudget);
   CPPUNIT_TEST(BorrowedRepeatsStayWithinTheBudget);
   CPPUNIT_TEST(ABusyHostBorrowsRepeats);
+  CPPUNIT_TEST(LateRepeatsLeaveRoomForOthers);
   CPPUNIT_TEST(PaceTellsWhatCannotEnd);
   CPPUNIT_TEST(LoadOfOtherHostsCounts);
   CPPUNIT_TEST(TheLeastBacklogCounts);
@@ -300,6 +301,42 @@
     CPPUNIT_ASSERT(!budget.TakeRepeat("s", At(now + 2000)));
   }
 
+  // Pattern: places fail in turn, and more streams are lost than the budget
+  // covers. Streams that are late anyway wait while others can be in time.
+  void LateRepeatsLeaveRoomForOthers()
+  {
+    RetryBudget::Options options;
+    options.mAllowance = 100;
+    RetryBudget budget;
+    budget.Configure(options);
+    int late = 0;
+    while (budget.TakeRepeat("s", At(late), RepeatUse::Late)) {
+      ++late;
+    }
+    int onTime = 0;
+    while (budget.TakeRepeat("s", At(late + onTime))) {
+      ++onTime;
+    }
+    CPPUNIT_ASSERT(late >= 60);
+    CPPUNIT_ASSERT(onTime >= 20);
+    CPPUNIT_ASSERT(late + onTime <= 100);
+    CPPUNIT_ASSERT(!budget.TakeRepeat("s", At(500), RepeatUse::Late));
+
+    TargetTable table = Engines();
+    table.LimitRepeats(options);
+    ChoiceQuery query = Query();
+    query.mRepeat = true;
+    query.mOnTimeUntil = At(1000);
+    int now = 900;
+    for (; now < 2000; ++now) {
+      if (table.Choose(query, At(now)).mStatus == ChoiceStatus::NoBudget) {
+        break;
+      }
+    }
+    // Most of the budget went while it was on time.
+    CPPUNIT_ASSERT(now < 1000);
+  }
+
   void PaceTellsWhatCannotEnd()
   {
     StreamPace pace;
