--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -161,18 +161,18 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-CallerAnswer
-GatewayProcess::CallPort(int aPort, const std::string& aBytes) const
+// A connection on which bytes have been sent, or -1.
+int
+GatewayProcess::Connect(int aPort, const std::string& aBytes) const
 {
-  CallerAnswer answer;
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  timeval patience{ 20, 0 };
+  const timeval patience{ 20, 0 };
   ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
   const sockaddr_in to =
     SocketAddress(mIp, mPorts[static_cast<std::size_t>(aPort)]);
   if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
     ::close(fd);
-    return answer;
+    return -1;
   }
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
@@ -183,6 +183,28 @@
     }
     sent += static_cast<std::size_t>(n);
   }
+  return fd;
+}
+
+void
+GatewayProcess::CallAndLeave(const std::string& aBytes) const
+{
+  const int fd = Connect(0, aBytes);
+  char byte = 0;
+  if (fd < 0 || ::recv(fd, &byte, 1, 0) != 1) {
+    throw std::runtime_error("no answer");
+  }
+  ::close(fd);
+}
+
+CallerAnswer
+GatewayProcess::CallPort(int aPort, const std::string& aBytes) const
+{
+  CallerAnswer answer;
+  const int fd = Connect(aPort, aBytes);
+  if (fd < 0) {
+    return answer;
+  }
   HttpReader reader(HttpSide::Answers, { 65536, 1U << 24U });
   char buf[4096];
   while (reader.Progress() == HttpProgress::Head ||
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 // Answer that a caller got.
@@ -43,6 +44,10 @@
   // Sends bytes on a new connection and reads one answer.
   CallerAnswer Call(const std::string& aBytes) const;
 
+  // Sends bytes on a new connection, waits for the first bytes of an answer and
+  // closes it.
+  void CallAndLeave(const std::string& aBytes) const;
+
   // Status of the readiness check.
   int Readiness() const;
 
@@ -62,6 +67,7 @@
   const std::string& Name() const { return mName; }
 
 private:
+  int Connect(int aPort, const std::string& aBytes) const;
   CallerAnswer CallPort(int aPort, const std::string& aBytes) const;
 
   std::string mName;
@@ -72,4 +78,33 @@
   pid_t mProcess = -1;
 };
 
+// A call that waits for its answer in a thread of its own.
+class BackgroundCall
+{
+public:
+  BackgroundCall(const GatewayProcess& aGateway, const std::string& aBytes)
+    : mThread([this, &aGateway, aBytes] { mAnswer = aGateway.Call(aBytes); })
+  {
+  }
+  ~BackgroundCall()
+  {
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+  }
+  BackgroundCall(const BackgroundCall&) = delete;
+  BackgroundCall& operator=(const BackgroundCall&) = delete;
+
+  // Waits for the answer.
+  const CallerAnswer& Answer()
+  {
+    mThread.join();
+    return mAnswer;
+  }
+
+private:
+  CallerAnswer mAnswer;
+  std::thread mThread;
+};
+
 #endif // QUETZALQUAY_TESTS_FAKES_GATEWAYPROCESS_H_INCLUDED
--- a/tests/fakes/GatewayWorld.cpp
+++ b/tests/fakes/GatewayWorld.cpp
@@ -110,6 +110,7 @@
   }
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
+  void DropAll();
 
   GatewayWorld& mWorld;
   std::string mName;
@@ -138,6 +139,13 @@
     mSocket->Adopt(std::move(aSocket), *this);
   }
 
+  void Drop()
+  {
+    mNext.Clear();
+    mSocket->Close(true);
+    mRunner.mConnections.erase(RefPtr<RunnerConnection>(this));
+  }
+
 private:
   void OnData(std::string_view aData) override
   {
@@ -162,13 +170,13 @@
     }
   }
 
-  void OnEnd(SocketEnd) override { Drop(); }
-
-  void Drop()
+  void OnEnd(SocketEnd) override
   {
-    mNext.Clear();
-    mSocket->Close(true);
-    mRunner.mConnections.erase(RefPtr<RunnerConnection>(this));
+    if (mNext.IsSet()) {
+      const std::lock_guard<std::mutex> lock(mRunner.mWorld.mMutex);
+      mRunner.mWorld.mAbandoned.push_back(mRequestId);
+    }
+    Drop();
   }
 
   void Answer(const HttpHead& aHead, const std::string& aBody)
@@ -193,9 +201,11 @@
     const std::string* expected = aHead.Find("X-Expected-Instance");
     if (mode == RunnerMode::OtherRunner || expected == nullptr ||
         *expected != mRunner.mName) {
-      mSocket->Write("HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
-                     "X-Instance-Id: other\r\n" +
-                     echo + "Content-Length: 0\r\n\r\n");
+      mSocket->Write(
+        "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
+        "X-Instance-Id: " +
+        (mode == RunnerMode::OtherRunner ? "other" : mRunner.mName) + "\r\n" +
+        echo + "Content-Length: 0\r\n\r\n");
       return;
     }
     if (mode == RunnerMode::TurnAway) {
@@ -204,6 +214,10 @@
       return;
     }
     mRunner.mWorld.mRuns.push_back(request);
+    mRequestId = id == nullptr ? std::string() : *id;
+    if (mode == RunnerMode::Hold) {
+      return;
+    }
     const std::string head = "X-Server-Seal: seal-" + mRunner.mName + "\r\n" +
                              echo + "Keep-Alive: timeout=10\r\n";
     if (aHead.mTarget.rfind("/stream/", 0) == 0) {
@@ -325,6 +339,7 @@
   HttpReader mReader;
   bool mAnswered = false;
   RunnerMode mMode = RunnerMode::Serve;
+  std::string mRequestId;
   int mEvent = 0;
   int mFirst = 0;
   Alarm mNext;
@@ -338,6 +353,15 @@
   connection->Start(std::move(aSocket));
 }
 
+void
+GatewayWorld::Runner::DropAll()
+{
+  const auto connections = mConnections;
+  for (const auto& it : connections) {
+    it->Drop();
+  }
+}
+
 GatewayWorld::GatewayWorld(int aRunners, int aGateways)
 {
   for (int n = 0; n < aRunners; ++n) {
@@ -400,6 +424,23 @@
   mRunners.at(aRunner)->mMode = aMode;
 }
 
+void
+GatewayWorld::Restart(const std::string& aRunner, const std::string& aName)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  mLoop.Defer([&runner, aName] {
+    runner.mName = aName;
+    runner.DropAll();
+  });
+}
+
+std::vector<std::string>
+GatewayWorld::Abandoned()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mAbandoned;
+}
+
 std::string
 GatewayWorld::AddressOf(const std::string& aRunner) const
 {
@@ -428,11 +469,14 @@
 void
 GatewayWorld::Configure(const std::string& aKey)
 {
-  const auto route = [](const char* aName, const char* aKind, int aAttempts) {
+  const auto route = [](const char* aName,
+                        const char* aKind,
+                        int aAttempts,
+                        int aTimeoutMs = 9000) {
     return std::string(R"({"Name":")") + aName +
            R"(","Host":"host","PathPrefix":"/)" + aName + R"(/","Kind":")" +
-           aKind +
-           R"(","TimeoutMs":9000,"TargetLatencyMs":3000,"Priority":1,)" +
+           aKind + R"(","TimeoutMs":)" + std::to_string(aTimeoutMs) +
+           R"(,"TargetLatencyMs":3000,"Priority":1,)" +
            R"("Service":"engines","MaxAttempts":)" + std::to_string(aAttempts) +
            R"(,"Public":false,"StreamResumption":true,"GapTargetMs":700})";
   };
@@ -446,7 +490,7 @@
     "config",
     R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
       route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
-      route("stream", "streaming", 5) +
+      route("stream", "streaming", 5) + "," + route("brief", "safe", 3, 300) +
       R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
       R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
       R"("Backups":true,"Moves":true,"HandleS":4.0}}],)" +
--- a/tests/fakes/GatewayWorld.h
+++ b/tests/fakes/GatewayWorld.h
@@ -52,6 +52,8 @@
   SlowTornStream,
   // Leaves out an event.
   GapInStream,
+  // Takes requests and never answers.
+  Hold,
   // Fails with a signed 500.
   Fail,
   // Fails with a signed 503 that does not say the request has not run.
@@ -112,6 +114,12 @@
   // Sets a runner's entry; empty removes it.
   void SetEntry(const std::string& aRunner, const std::string& aValue);
 
+  // Starts a runner again under another name, at its address.
+  void Restart(const std::string& aRunner, const std::string& aName);
+
+  // Requests whose streams were left before their end.
+  std::vector<std::string> Abandoned();
+
   // Address of a runner, and the runner at an address.
   std::string AddressOf(const std::string& aRunner) const;
   std::string RunnerAt(const std::string& aAddress) const;
@@ -130,7 +138,8 @@
   // Sends bytes to the first gateway on a new connection and reads one answer.
   CallerAnswer Call(const std::string& aBytes) const;
 
-  // A request to the route "/plain/", "/unsafe/" or "/stream/".
+  // A request to the route "/plain/", "/unsafe/", "/stream/", or "/brief/" that
+  // has a short time limit.
   static std::string Request(const std::string& aRoute,
                              const std::string& aId,
                              const std::string& aFields = std::string(),
@@ -182,6 +191,7 @@
   long long mVersion = 0;
   std::vector<RunnerRequest> mRequests;
   std::vector<RunnerRequest> mRuns;
+  std::vector<std::string> mAbandoned;
   // Runs the stand-ins; stops before they are destroyed.
   std::optional<LoopThread> mThread;
 };
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -37,6 +37,9 @@
   CPPUNIT_TEST(AHostCutFromTheStoreLearnsFromOthers);
   CPPUNIT_TEST(HostsStayInformedWhenReadersDie);
   CPPUNIT_TEST(AStoppedGatewayFinishesItsStreams);
+  CPPUNIT_TEST(RunsEndWhenTheirCallersLeave);
+  CPPUNIT_TEST(RoutesHaveTheirTimeLimit);
+  CPPUNIT_TEST(ARestartedRunnerIsFoundWhileTheStoreIsAway);
   CPPUNIT_TEST(MetricsTellWhatWasServed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -202,9 +205,8 @@
   {
     GatewayWorld world(4);
     world.SetAllModes(RunnerMode::SlowTornStream);
-    CallerAnswer answer;
-    std::thread caller(
-      [&] { answer = world.Call(GatewayWorld::Request("/stream/", "s")); });
+    BackgroundCall call(world.Gateway(),
+                        GatewayWorld::Request("/stream/", "s"));
     while (world.Runs().empty()) {
       ::usleep(1000);
     }
@@ -213,7 +215,7 @@
     const std::string* copyTo = first.mHead.Find("X-Kv-Backup");
     CPPUNIT_ASSERT(copyTo != nullptr);
     world.SetEntry(world.RunnerAt(*copyTo), "");
-    caller.join();
+    const CallerAnswer& answer = call.Answer();
     CPPUNIT_ASSERT(answer.mWhole);
     CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
     const auto requests = world.Requests();
@@ -326,14 +328,13 @@
   void AStoppedGatewayFinishesItsStreams()
   {
     GatewayWorld world;
-    CallerAnswer answer;
-    std::thread caller(
-      [&] { answer = world.Call(GatewayWorld::Request("/stream/", "s")); });
+    BackgroundCall call(world.Gateway(),
+                        GatewayWorld::Request("/stream/", "s"));
     while (world.Runs().empty()) {
       ::usleep(1000);
     }
     world.Gateway().Signal(SIGTERM);
-    caller.join();
+    const CallerAnswer& answer = call.Answer();
     CPPUNIT_ASSERT(answer.mWhole);
     CPPUNIT_ASSERT_EQUAL(GatewayWorld::StreamBody(), answer.mBody);
     CPPUNIT_ASSERT_EQUAL(503, world.Gateway().Readiness());
@@ -344,6 +345,53 @@
     CPPUNIT_ASSERT_EQUAL(0, world.Gateway().AwaitExit());
   }
 
+  void RunsEndWhenTheirCallersLeave()
+  {
+    GatewayWorld world;
+    world.SetAllModes(RunnerMode::SlowTornStream);
+    world.Gateway().CallAndLeave(GatewayWorld::Request("/stream/", "left"));
+    for (int n = 0; n < 20000 && world.Abandoned().empty(); ++n) {
+      ::usleep(1000);
+    }
+    CPPUNIT_ASSERT(world.Abandoned() == std::vector<std::string>{ "left" });
+    // It is not taken up elsewhere.
+    world.SetAllModes(RunnerMode::Serve);
+    world.Call(GatewayWorld::Request("/stream/", "next"));
+    const auto runs = world.Runs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), runs.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("next"),
+                         *runs.back().mHead.Find("X-Request-Id"));
+  }
+
+  void RoutesHaveTheirTimeLimit()
+  {
+    GatewayWorld world;
+    world.SetAllModes(RunnerMode::Hold);
+    const auto answer = world.Call(GatewayWorld::Request("/brief/", "a"));
+    CPPUNIT_ASSERT(answer.mWhole);
+    // It may have run.
+    CPPUNIT_ASSERT_EQUAL(504, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(!world.Runs().empty());
+  }
+
+  void ARestartedRunnerIsFoundWhileTheStoreIsAway()
+  {
+    GatewayWorld world(1);
+    CPPUNIT_ASSERT_EQUAL(
+      200, world.Call(GatewayWorld::Request("/plain/", "a")).mHead.mStatus);
+    world.SetStoreDown(true);
+    world.Restart("i-0", "i-reborn");
+    int status = 0;
+    for (int n = 0; n < 200 && status != 200; ++n) {
+      status = world.Call(GatewayWorld::Request("/plain/", std::to_string(n)))
+                 .mHead.mStatus;
+      CPPUNIT_ASSERT(status == 200 || status == 503);
+      ::usleep(20000);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, status);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-reborn"), world.Runs().back().mRunner);
+  }
+
   void MetricsTellWhatWasServed()
   {
     GatewayWorld world;
