--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -93,6 +93,23 @@
   int mHeldTokens = 0;
 };
 
+// What a choice of a target went by.
+struct ChoiceInputs
+{
+  // Requests that run there: this router's, those that others told of, and
+  // those of the target's last report with its age, the longest time when there
+  // is none.
+  int mOwn = 0;
+  int mOthers = 0;
+  int mReported = 0;
+  Duration mReportAge = Duration::max();
+  // Prompt tokens that are to be read there.
+  int mBacklogTokens = 0;
+  // Copies that it keeps for this router's streams.
+  int mCopies = 0;
+  bool mDoubtful = false;
+};
+
 // State of one target, for status pages and metrics.
 struct TargetView
 {
@@ -175,6 +192,9 @@
   // Another router has found a target lost.
   void OnLostElsewhere(const std::string& aTarget, Time aAt, Time aNow);
 
+  // What the choice of a target goes by now.
+  ChoiceInputs InputsOf(const std::string& aTarget, Time aNow) const;
+
   // Prompt tokens that are still to be read at the target of a service where
   // they are fewest.
   int LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const;
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -91,6 +91,26 @@
          aNow >= target->mDownUntil && !IsDoubtful(*target, aNow);
 }
 
+ChoiceInputs
+TargetTable::InputsOf(const std::string& aTarget, Time aNow) const
+{
+  ChoiceInputs inputs;
+  if (const Target* target = Find(aTarget)) {
+    inputs.mOwn = static_cast<int>(target->mRunning.size());
+    inputs.mOthers = target->mOthers.mRunning;
+    inputs.mReported = target->mReported;
+    if (target->mReportedAt != Time()) {
+      inputs.mReportAge =
+        std::chrono::duration_cast<Duration>(aNow - target->mReportedAt);
+    }
+    inputs.mBacklogTokens =
+      OwnLoadOf(*target).mBacklogTokens + target->mOthers.mBacklogTokens;
+    inputs.mCopies = target->mCopies;
+    inputs.mDoubtful = IsDoubtful(*target, aNow);
+  }
+  return inputs;
+}
+
 int
 TargetTable::LeastBacklog(const ChoiceQuery& aQuery, Time aNow) const
 {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -176,6 +176,7 @@
   mReadsPrompt = !fromCopy;
   mCutter.Clear();
   mNextIndex = static_cast<int>(aAction.mTokens.size());
+  LogDispatch(copyHolder, fromCopy, now);
   AttemptLoad load;
   load.mPromptTokens = fromCopy ? 0 : mCall.mRequest.mPromptTokens;
   load.mOutputTokens = mCall.mRequest.mOutputTokens +
@@ -190,20 +191,6 @@
     mParts.mMetrics.Add(fromCopy ? GatewayCount::ResumedFromCopy
                                  : GatewayCount::ResumedByReading);
   }
-  if (mTries > 1) {
-    Log(LogLevel::Info,
-        "request",
-        resumed ? "stream goes on" : "tried again",
-        { { "request", mCall.mRequest.mRequestId },
-          { "target", mTarget },
-          { "from_copy", fromCopy ? "true" : "false" },
-          { "copy", copyHolder },
-          { "after_event", mLastId },
-          { "cause", mNote },
-          { "silent_ms",
-            std::to_string(static_cast<int>(ToMilliseconds(
-              now - (resumed ? mLastEventAt : mCall.mArrived)))) } });
-  }
   mConnection = mParts.mPool.Take(mTarget);
   if (mConnection == nullptr) {
     EndTry(AttemptEnd::Unreachable);
@@ -571,6 +558,41 @@
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
 }
 
+// Tells where the stream goes, and what the choice went by.
+void
+StreamExchange::LogDispatch(const std::string& aCopyHolder,
+                            bool aFromCopy,
+                            Time aNow)
+{
+  const bool resumed = mNextIndex > 0;
+  const char* message = resumed      ? "stream goes on"
+                        : mTries > 1 ? "tried again"
+                                     : "sent";
+  const ChoiceInputs inputs = mParts.mFleet.Targets().InputsOf(mTarget, aNow);
+  const auto since = aNow - (resumed ? mLastEventAt : mCall.mArrived);
+  Log(
+    LogLevel::Info,
+    "request",
+    message,
+    { { "request", mCall.mRequest.mRequestId },
+      { "target", mTarget },
+      { "from_copy", aFromCopy ? "true" : "false" },
+      { "copy", aCopyHolder },
+      { "after_event", mLastId },
+      { "cause", mNote },
+      { "silent_ms", std::to_string(static_cast<int>(ToMilliseconds(since))) },
+      { "own", std::to_string(inputs.mOwn) },
+      { "others", std::to_string(inputs.mOthers) },
+      { "reported", std::to_string(inputs.mReported) },
+      { "report_age_ms",
+        inputs.mReportAge == Duration::max()
+          ? "none"
+          : std::to_string(
+              static_cast<int>(ToMilliseconds(inputs.mReportAge))) },
+      { "backlog_tokens", std::to_string(inputs.mBacklogTokens) },
+      { "doubtful", inputs.mDoubtful ? "true" : "false" } });
+}
+
 // Tells the decision what the choice of another target depends on: where a copy
 // of the run is, and until when an event would be on time.
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -47,6 +47,7 @@
   void EndTry(AttemptEnd aEnd);
   void Release(AttemptOutcome aOutcome);
   void PrepareChoice(Time aNow);
+  void LogDispatch(const std::string& aCopyHolder, bool aFromCopy, Time aNow);
   void Flush();
   void SendHead();
   void PassFailureOn();
