--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -35,156 +35,6 @@
 
 } // namespace
 
-// One question that is under way, and those that wait for its result.
-class Prober::Question
-  : public RefCounted<Prober::Question>
-  , public TrySink
-{
-public:
-  Question(Prober& aProber, std::string aTarget)
-    : mProber(aProber)
-    , mTarget(std::move(aTarget))
-    , mDeadline(aProber.mLoop, [this] { Settle(ProbeResult::NoAnswer); })
-  {
-  }
-
-  void Ask(Time aBy)
-  {
-    mDeadline.SetAt(aBy);
-    const TargetLocation* location = mProber.mFleet.Locate(mTarget);
-    mConnection = mProber.mPool.Take(mTarget);
-    if (mConnection == nullptr || location == nullptr) {
-      mProber.mLoop.Defer([self = RefPtr<Question>(this)] {
-        self->Settle(ProbeResult::NoAnswer);
-      });
-      return;
-    }
-    mIncarnation = location->mIncarnation;
-    ++mProber.mAsked;
-    mConnection->Send(platform::EncodeReportRequest(location->mAddress),
-                      std::string(),
-                      std::string(),
-                      aBy,
-                      *this);
-  }
-
-  std::vector<Receiver> mReceivers;
-
-private:
-  void OnAnswerHead(const HttpHead&, const platform::TargetAnswer&) override {}
-  void OnAnswerBody(std::string aBody) override { mBody += aBody; }
-
-  void OnAnswerComplete() override
-  {
-    std::string reason;
-    const auto report = platform::DecodeReport(mBody, reason);
-    const bool reborn = report && !report->mIncarnation.empty() &&
-                        mIncarnation != kNoIncarnation &&
-                        report->mIncarnation != mIncarnation;
-    if (report && !reborn) {
-      mProber.mFleet.Targets().OnLoad(
-        mTarget,
-        mProber.mFleet.Targets().IncarnationOf(mTarget),
-        "ready",
-        report->mRunning,
-        report->mWaiting,
-        EventLoop::Now());
-    }
-    mReport = report;
-    Settle(reborn ? ProbeResult::Dead : ProbeResult::Alive);
-  }
-
-  void OnTryEnded(TryEnd aEnd) override
-  {
-    Settle(aEnd == TryEnd::Refused ? ProbeResult::Dead : ProbeResult::NoAnswer);
-  }
-
-  void Settle(ProbeResult aResult)
-  {
-    const RefPtr<Question> self(this);
-    mDeadline.Clear();
-    if (mConnection != nullptr) {
-      if (aResult == ProbeResult::NoAnswer) {
-        mConnection->Abandon();
-      }
-      mConnection.reset();
-    }
-    mProber.Settle(mTarget, aResult, mReport ? &*mReport : nullptr);
-  }
-
-  Prober& mProber;
-  std::string mTarget;
-  std::string mIncarnation;
-  RefPtr<TargetConnection> mConnection;
-  std::string mBody;
-  std::optional<platform::TargetReport> mReport;
-  Alarm mDeadline;
-};
-
-// Asks a newly found target what it is.
-class Prober::Identification
-  : public RefCounted<Prober::Identification>
-  , public TrySink
-{
-public:
-  Identification(Prober& aProber, std::string aOld, std::string aNew)
-    : mProber(aProber)
-    , mOld(std::move(aOld))
-    , mNew(std::move(aNew))
-    , mDeadline(aProber.mLoop, [this] { Settle(); })
-  {
-  }
-
-  void Ask(const TargetLocation& aLocation)
-  {
-    const Time by = EventLoop::Now() + kIdentifyTime;
-    mDeadline.SetAt(by);
-    mConnection = MakeRef<TargetConnection>(mProber.mPool, mNew, aLocation);
-    mConnection->Send(platform::EncodeReportRequest(aLocation.mAddress),
-                      std::string(),
-                      std::string(),
-                      by,
-                      *this);
-  }
-
-private:
-  void OnAnswerHead(const HttpHead&, const platform::TargetAnswer&) override {}
-  void OnAnswerBody(std::string aBody) override { mBody += aBody; }
-
-  void OnAnswerComplete() override
-  {
-    std::string reason;
-    const auto report = platform::DecodeReport(mBody, reason);
-    if (report && report->mEngine && mProber.mFleet.MayReplace(mOld)) {
-      mProber.mFleet.OnReplaced(
-        mOld,
-        mNew,
-        report->mIncarnation.empty() ? kNoIncarnation : report->mIncarnation);
-    }
-    Settle();
-  }
-
-  void OnTryEnded(TryEnd) override { Settle(); }
-
-  void Settle()
-  {
-    const RefPtr<Identification> self(this);
-    mDeadline.Clear();
-    if (mConnection != nullptr) {
-      mConnection->Abandon();
-      mConnection.reset();
-    }
-    mProber.mIdentifications.erase(mNew);
-  }
-
-  Prober& mProber;
-  std::string mOld;
-  std::string mNew;
-  RefPtr<TargetConnection> mConnection;
-  std::string mBody;
-  Alarm mDeadline;
-};
-
 Prober::Prober(EventLoop& aLoop, Fleet& aFleet, TargetPool& aPool)
   : mLoop(aLoop)
   , mFleet(aFleet)
@@ -202,7 +52,7 @@
 {
   const auto under = mQuestions.find(aTarget);
   if (under != mQuestions.end()) {
-    under->second->mReceivers.push_back(std::move(aReceiver));
+    under->second.mReceivers.push_back(std::move(aReceiver));
     return;
   }
   if (!aReport && EventLoop::Now() - mPool.LastHeard(aTarget) < kProofAge) {
@@ -211,10 +61,54 @@
     });
     return;
   }
-  auto question = MakeRef<Question>(*this, aTarget);
-  question->mReceivers.push_back(std::move(aReceiver));
-  mQuestions.emplace(aTarget, question);
-  question->Ask(aBy);
+  Question question;
+  question.mReceivers.push_back(std::move(aReceiver));
+  const TargetLocation* location = mFleet.Locate(aTarget);
+  std::string request;
+  if (location != nullptr) {
+    question.mIncarnation = location->mIncarnation;
+    request = platform::EncodeReportRequest(location->mAddress);
+    ++mAsked;
+  }
+  mQuestions.emplace(aTarget, std::move(question));
+  const auto call =
+    MakeRef<TargetCall>(mLoop, [this, aTarget](const auto& aOutcome) {
+      OnAnswer(aTarget, aOutcome);
+    });
+  call->Send(mPool.Take(aTarget), request, aBy);
+}
+
+// Reads the answer of a target that was asked for its report.
+void
+Prober::OnAnswer(const std::string& aTarget,
+                 const TargetCall::Outcome& aOutcome)
+{
+  if (!aOutcome.mStatus) {
+    const bool refused = aOutcome.mEnd == TryEnd::Refused;
+    Settle(
+      aTarget, refused ? ProbeResult::Dead : ProbeResult::NoAnswer, nullptr);
+    return;
+  }
+  std::string reason;
+  const auto report = platform::DecodeReport(aOutcome.mBody, reason);
+  if (!report) {
+    // It lives, whatever it says.
+    Settle(aTarget, ProbeResult::Alive, nullptr);
+    return;
+  }
+  const std::string& known = mQuestions[aTarget].mIncarnation;
+  const bool reborn = !report->mIncarnation.empty() &&
+                      known != kNoIncarnation && report->mIncarnation != known;
+  if (!reborn) {
+    TargetTable& targets = mFleet.Targets();
+    targets.OnLoad(aTarget,
+                   targets.IncarnationOf(aTarget),
+                   "ready",
+                   report->mRunning,
+                   report->mWaiting,
+                   EventLoop::Now());
+  }
+  Settle(aTarget, reborn ? ProbeResult::Dead : ProbeResult::Alive, &*report);
 }
 
 void
@@ -225,10 +119,33 @@
       mIdentifications.count(aNew) != 0) {
     return;
   }
-  const auto question = MakeRef<Identification>(*this, aOld, aNew);
-  mIdentifications.emplace(aNew, question);
+  mIdentifications.insert(aNew);
   ++mAsked;
-  question->Ask(*location);
+  const auto call =
+    MakeRef<TargetCall>(mLoop, [this, aOld, aNew](const auto& aOutcome) {
+      OnIdentified(aOld, aNew, aOutcome);
+    });
+  // The pool's connections are to the former target.
+  call->Send(MakeRef<TargetConnection>(mPool, aNew, *location),
+             platform::EncodeReportRequest(location->mAddress),
+             EventLoop::Now() + kIdentifyTime);
+}
+
+// Reads the answer of a newly found target.
+void
+Prober::OnIdentified(const std::string& aOld,
+                     const std::string& aNew,
+                     const TargetCall::Outcome& aOutcome)
+{
+  mIdentifications.erase(aNew);
+  std::string reason;
+  const auto report = aOutcome.mStatus
+                        ? platform::DecodeReport(aOutcome.mBody, reason)
+                        : std::nullopt;
+  if (report && report->mEngine && mFleet.MayReplace(aOld)) {
+    const bool told = !report->mIncarnation.empty();
+    mFleet.OnReplaced(aOld, aNew, told ? report->mIncarnation : kNoIncarnation);
+  }
 }
 
 void
@@ -240,7 +157,7 @@
   if (it == mQuestions.end()) {
     return;
   }
-  const RefPtr<Question> question = it->second;
+  const Question question = std::move(it->second);
   mQuestions.erase(it);
   const Time now = EventLoop::Now();
   if (aResult == ProbeResult::Dead) {
@@ -252,7 +169,7 @@
       "probe",
       "target probed",
       { { "target", aTarget }, { "result", NameOf(aResult) } });
-  for (const Receiver& receiver : question->mReceivers) {
+  for (const Receiver& receiver : question.mReceivers) {
     receiver(aResult, aReport);
   }
 }
--- a/src/quetzalquay/gateway/Prober.h
+++ b/src/quetzalquay/gateway/Prober.h
@@ -2,10 +2,11 @@
 #define QUETZALQUAY_GATEWAY_PROBER_H_INCLUDED
 
 #include "core/GenerationActions.h"
-#include "gateway/TargetConnection.h"
+#include "gateway/TargetCall.h"
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,9 +39,18 @@
   std::uint64_t Asked() const { return mAsked; }
 
 private:
-  class Question;
-  class Identification;
+  // One question that is under way, and those that wait for its result.
+  struct Question
+  {
+    std::string mIncarnation;
+    std::vector<Receiver> mReceivers;
+  };
 
+  void OnAnswer(const std::string& aTarget,
+                const TargetCall::Outcome& aOutcome);
+  void OnIdentified(const std::string& aOld,
+                    const std::string& aNew,
+                    const TargetCall::Outcome& aOutcome);
   void Settle(const std::string& aTarget,
               ProbeResult aResult,
               const platform::TargetReport* aReport);
@@ -48,8 +58,9 @@
   EventLoop& mLoop;
   Fleet& mFleet;
   TargetPool& mPool;
-  std::map<std::string, RefPtr<Question>> mQuestions;
-  std::map<std::string, RefPtr<Identification>> mIdentifications;
+  std::map<std::string, Question> mQuestions;
+  // Newly found targets that have been asked what they are.
+  std::set<std::string> mIdentifications;
   std::uint64_t mAsked = 0;
 };
 
