Let hosts with wide links read the store

When places fail, a thousand entries change, 340 kB; a reader on a link of 10 Mbit/s cannot pass that to 24 hosts in the 0.3 s they waited, so all of them read the store.

Ruled out: processor time (20% of a core at most at 300 hosts) and memory.

Hosts tell the bandwidth of their link with their address, the widest read for the others, and an answer may take 0.6 s.

--- a/src/quetzalquay/core/ReaderChoice.cpp
+++ b/src/quetzalquay/core/ReaderChoice.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace quetzalquay {
@@ -27,24 +28,35 @@
 
 } // namespace
 
-ReaderChoice::ReaderChoice(std::string aOwnName)
-  : mOwnName(std::move(aOwnName))
+ReaderChoice::ReaderChoice(ReaderCandidate aOwn)
+  : mOwn(std::move(aOwn))
+  , mOwnName(mOwn.mName)
   , mOrder({ mOwnName })
 {
 }
 
 void
-ReaderChoice::SetHosts(const std::vector<std::string>& aNames)
+ReaderChoice::SetHosts(std::vector<ReaderCandidate> aHosts)
 {
-  mOrder = aNames;
-  if (std::find(mOrder.begin(), mOrder.end(), mOwnName) == mOrder.end()) {
-    mOrder.push_back(mOwnName);
+  const auto own =
+    std::find_if(aHosts.begin(), aHosts.end(), [this](const auto& aHost) {
+      return aHost.mName == mOwnName;
+    });
+  if (own == aHosts.end()) {
+    aHosts.push_back(mOwn);
   }
+  const auto rank = [](const ReaderCandidate& aHost) {
+    return std::make_tuple(
+      -aHost.mLinkMbps, StableHash(aHost.mName), aHost.mName);
+  };
   std::sort(
-    mOrder.begin(), mOrder.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::make_pair(StableHash(aLeft), aLeft) <
-             std::make_pair(StableHash(aRight), aRight);
+    aHosts.begin(), aHosts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
     });
+  mOrder.clear();
+  for (const ReaderCandidate& it : aHosts) {
+    mOrder.push_back(it.mName);
+  }
   for (auto it = mFailures.begin(); it != mFailures.end();) {
     const bool known =
       std::find(mOrder.begin(), mOrder.end(), it->first) != mOrder.end();
--- a/src/quetzalquay/core/ReaderChoice.h
+++ b/src/quetzalquay/core/ReaderChoice.h
@@ -10,20 +10,28 @@
 
 namespace quetzalquay {
 
+// A host that may read the store for others.
+struct ReaderCandidate
+{
+  std::string mName;
+  // Bandwidth of its link in Mbit/s, 0 when it is not known.
+  int mLinkMbps = 0;
+};
+
 // Which hosts read the store themselves, and whom the others ask.
 //
 // All hosts would read the same rows, and each call is paid for. So a few of
 // them read, the same ones in the eyes of all; each other host asks one of
 // these, and reads the store itself whenever what it knows grows too old. A
-// reader that fails is replaced by the next host in the order. Pure logic; not
-// safe for concurrent use.
+// reader that fails is replaced by the next host in the order, which begins
+// with the widest links. Pure logic; not safe for concurrent use.
 class ReaderChoice
 {
 public:
-  explicit ReaderChoice(std::string aOwnName);
+  explicit ReaderChoice(ReaderCandidate aOwn);
 
   // The hosts that are known, with or without this one.
-  void SetHosts(const std::vector<std::string>& aNames);
+  void SetHosts(std::vector<ReaderCandidate> aHosts);
 
   // Whether this host reads the store regularly.
   bool IsReader(Time aNow) const;
@@ -55,6 +63,7 @@
     Time mUntil;
   };
 
+  ReaderCandidate mOwn;
   std::string mOwnName;
   // All hosts, in the order in which they become readers.
   std::vector<std::string> mOrder;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -5,6 +5,7 @@
 #include "observe/Log.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace quetzalquay {
 
@@ -62,8 +63,36 @@
   }
 }
 
+// What a host's row tells: the address at which it answers other hosts, and the
+// bandwidth of its link in Mbit/s, 0 when it does not say.
+struct HostRow
+{
+  std::string mAddress;
+  int mLinkMbps = 0;
+};
+
+HostRow
+ParseHostRow(const std::string& aText)
+{
+  HostRow row;
+  const auto end = aText.find(' ');
+  row.mAddress = aText.substr(0, end);
+  if (end != std::string::npos) {
+    // An unreadable number leaves the bandwidth unknown.
+    std::from_chars(
+      aText.data() + end + 1, aText.data() + aText.size(), row.mLinkMbps);
+  }
+  return row;
+}
+
 } // namespace
 
+std::string
+FormatHostRow(const GatewaySettings& aSettings)
+{
+  return ToText(aSettings.mPeers) + " " + std::to_string(aSettings.mLinkMbps);
+}
+
 std::string_view
 NameOf(Source aSource)
 {
@@ -74,7 +103,7 @@
   : mSettings(aSettings)
   , mEntries(aSettings.mReturnTime)
   , mTargets(TableOptions(aSettings))
-  , mReaders(aSettings.mHost)
+  , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
   , mExpiry(aLoop, [this] {
     if (mEntries.Expire(EventLoop::Now())) {
       Log(LogLevel::Info, "fleet", "targets did not come back with the store");
@@ -244,11 +273,12 @@
   }
   mHostsVersion = std::max(mHostsVersion, aVersion);
   std::map<std::string, std::string> hosts;
-  names.clear();
+  std::vector<ReaderCandidate> candidates;
   for (const auto& it : mHostRows) {
     if (!it.second.mRemoved) {
-      hosts[it.first] = it.second.mValue;
-      names.push_back(it.first);
+      const HostRow row = ParseHostRow(it.second.mValue);
+      hosts[it.first] = row.mAddress;
+      candidates.push_back({ it.first, row.mLinkMbps });
     }
   }
   if (hosts == mHosts) {
@@ -256,7 +286,7 @@
   }
   const bool counted = hosts.size() == mHosts.size();
   mHosts = std::move(hosts);
-  mReaders.SetHosts(names);
+  mReaders.SetHosts(std::move(candidates));
   if (!counted) {
     LimitRepeats();
   }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -30,6 +30,10 @@
 std::string_view
 NameOf(Source aSource);
 
+// What a host writes of itself for the others.
+std::string
+FormatHostRow(const GatewaySettings& aSettings);
+
 // Where a target is reached.
 struct TargetLocation
 {
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -76,7 +76,7 @@
     }
     AwaitSignal();
     mStore.Start();
-    mStore.Announce(ToText(mSettings.mPeers));
+    mStore.Announce(FormatHostRow(mSettings));
     Log(LogLevel::Info,
         "gateway",
         "started",
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -154,6 +154,8 @@
   settings.mLoadPort = static_cast<unsigned short>(loadPort);
   double connections = 0;
   reader.Number("maxConnections", 2 * kReservedConnections, 1e6, connections);
+  double link = 0;
+  reader.Number("linkMbps", 0, 1e7, link);
   double grace = 0;
   reader.Number("stopGraceS", 1, 3600, grace);
   double window = 0;
@@ -166,6 +168,7 @@
   }
   settings.mMaxConnections =
     static_cast<int>(connections) - kReservedConnections;
+  settings.mLinkMbps = static_cast<int>(link);
   settings.mStopGrace = FromSeconds(grace);
   settings.mRepeatWindow = FromSeconds(window);
   return settings;
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -26,6 +26,8 @@
   // Hosts that may know the configuration when the store does not answer.
   std::vector<Endpoint> mSeeds;
   Endpoint mStore;
+  // Bandwidth of the host's link in Mbit/s, 0 when it is not known.
+  int mLinkMbps = 0;
   // Connections that the process may have open at once.
   int mMaxConnections = 1024;
   // Time between a stop signal and the end of the process.
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -28,7 +28,7 @@
 constexpr Duration kAnswerTime = milliseconds(700);
 
 // Time that a reader of the store has for an answer.
-constexpr Duration kReaderTime = milliseconds(300);
+constexpr Duration kReaderTime = milliseconds(600);
 
 constexpr std::array<std::pair<const char*, StoreTable>, 3> kTables = {
   { { "configuration", StoreTable::Configuration },
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -85,7 +85,7 @@
     << R"(","peers":")" << aPeers[aNumber] << R"(","loadPort":)" << aLoadPort
     << R"(,"metrics":")" << at(2) << R"(","seeds":[)" << seeds
     << R"(],"store":")" << aStore
-    << R"(","maxConnections":500,"stopGraceS":8,"repeatRatio":0.8,)"
+    << R"(","maxConnections":500,"linkMbps":100,"stopGraceS":8,"repeatRatio":0.8,)"
     << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
   mProcess = ::fork();
   if (mProcess == 0) {
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -283,7 +283,7 @@
     const std::string good =
       R"({"host":"h","place":"p","region":"r","callers":"127.0.0.1:1","readiness":"127.0.0.1:2",)"
       R"("peers":"127.0.0.1:3","loadPort":4,"metrics":"127.0.0.1:5","seeds":["127.0.0.1:6"],)"
-      R"("store":"127.0.0.1:7","maxConnections":4100,"stopGraceS":8,"repeatRatio":0.8,)"
+      R"("store":"127.0.0.1:7","maxConnections":4100,"linkMbps":10.0,"stopGraceS":8,"repeatRatio":0.8,)"
       R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
     std::string reason;
     CPPUNIT_ASSERT_MESSAGE(reason, ParseGatewaySettings(good, reason));
--- a/tests/introspective/ReaderChoiceTests.cpp
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -27,9 +27,13 @@
 Choices(const std::vector<std::string>& aHosts)
 {
   std::map<std::string, std::unique_ptr<ReaderChoice>> choices;
+  std::vector<ReaderCandidate> candidates;
   for (const std::string& it : aHosts) {
-    choices[it] = std::make_unique<ReaderChoice>(it);
-    choices[it]->SetHosts(aHosts);
+    candidates.push_back({ it, 0 });
+  }
+  for (const std::string& it : aHosts) {
+    choices[it] = std::make_unique<ReaderChoice>(ReaderCandidate{ it, 0 });
+    choices[it]->SetHosts(candidates);
   }
   return choices;
 }
@@ -41,6 +45,7 @@
   CPPUNIT_TEST_SUITE(ReaderChoiceTests);
   CPPUNIT_TEST(AHostAloneReads);
   CPPUNIT_TEST(AFewReadForAll);
+  CPPUNIT_TEST(WideLinksReadForNarrowOnes);
   CPPUNIT_TEST(NothingOlderThanTheBoundIsRelied);
   CPPUNIT_TEST(AFailedReaderIsReplaced);
   CPPUNIT_TEST(WhoeverLivesStaysInformed);
@@ -49,7 +54,7 @@
 public:
   void AHostAloneReads()
   {
-    ReaderChoice choice("a");
+    ReaderChoice choice({ "a", 0 });
     CPPUNIT_ASSERT(choice.IsReader(At(0)));
     CPPUNIT_ASSERT(!choice.HostToAsk(At(0)));
     choice.SetHosts({});
@@ -80,6 +85,24 @@
     }
   }
 
+  // Pattern: thousands of entries change at once, and most links are narrow.
+  void WideLinksReadForNarrowOnes()
+  {
+    std::vector<ReaderCandidate> candidates;
+    for (const std::string& it : Hosts(71)) {
+      const bool wide = it == "host-5" || it == "host-30" || it == "host-70";
+      candidates.push_back({ it, wide ? 200 : 10 });
+    }
+    ReaderChoice choice({ "host-1", 10 });
+    choice.SetHosts(candidates);
+    for (const char* it : { "host-5", "host-30", "host-70" }) {
+      ReaderChoice wide({ it, 200 });
+      wide.SetHosts(candidates);
+      CPPUNIT_ASSERT(wide.IsReader(At(0)));
+    }
+    CPPUNIT_ASSERT(!choice.IsReader(At(0)));
+  }
+
   void NothingOlderThanTheBoundIsRelied()
   {
     const auto choices = Choices(Hosts(9));
