--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -28,8 +28,8 @@
 // Bounds the repeats that this process sends to each service, so that all hosts
 // together stay within a shared budget: a share of the own first sends, and an
 // even share of a fixed allowance. What other hosts say that they leave unused
-// may be borrowed, slowly enough for all to hear of it. Pure logic; not safe for
-// concurrent use.
+// may be borrowed, slowly enough for all to hear of it. Pure logic; not safe
+// for concurrent use.
 class RetryBudget
 {
 public:
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -39,7 +39,7 @@
                        OnRows aOnRows,
                        OnOutcome aOnOutcome)
   : mHost(ToText(aStore))
-  , mOptions(aOptions)
+  , mOptions(std::move(aOptions))
   , mOnRows(std::move(aOnRows))
   , mOnOutcome(std::move(aOnOutcome))
   , mCaller(aLoop, aStore)
