--- a/src/quetzalquay/core/ReaderChoice.cpp
+++ b/src/quetzalquay/core/ReaderChoice.cpp
@@ -30,8 +30,7 @@
 
 ReaderChoice::ReaderChoice(ReaderCandidate aOwn)
   : mOwn(std::move(aOwn))
-  , mOwnName(mOwn.mName)
-  , mOrder({ mOwnName })
+  , mOrder({ mOwn.mName })
 {
 }
 
@@ -40,7 +39,7 @@
 {
   const auto own =
     std::find_if(aHosts.begin(), aHosts.end(), [this](const auto& aHost) {
-      return aHost.mName == mOwnName;
+      return aHost.mName == mOwn.mName;
     });
   if (own == aHosts.end()) {
     aHosts.push_back(mOwn);
@@ -68,17 +67,17 @@
 ReaderChoice::IsReader(Time aNow) const
 {
   const auto readers = Readers(aNow);
-  return std::find(readers.begin(), readers.end(), mOwnName) != readers.end();
+  return std::find(readers.begin(), readers.end(), mOwn.mName) != readers.end();
 }
 
 std::optional<std::string>
 ReaderChoice::HostToAsk(Time aNow) const
 {
   const auto readers = Readers(aNow);
-  if (std::find(readers.begin(), readers.end(), mOwnName) != readers.end()) {
+  if (std::find(readers.begin(), readers.end(), mOwn.mName) != readers.end()) {
     return std::nullopt;
   }
-  return readers[StableHash(mOwnName) % readers.size()];
+  return readers[StableHash(mOwn.mName) % readers.size()];
 }
 
 void
--- a/src/quetzalquay/core/ReaderChoice.h
+++ b/src/quetzalquay/core/ReaderChoice.h
@@ -64,7 +64,6 @@
   };
 
   ReaderCandidate mOwn;
-  std::string mOwnName;
   // All hosts, in the order in which they become readers.
   std::vector<std::string> mOrder;
   std::map<std::string, Failure> mFailures;
--- a/src/quetzalquay/core/RolloutPlan.h
+++ b/src/quetzalquay/core/RolloutPlan.h
@@ -35,7 +35,7 @@
   std::set<std::string> mVersions;
 };
 
-// Steps that bring a pool nearer to its desired state.
+// Steps that bring a pool nearer to its configuration.
 struct RolloutSteps
 {
   std::vector<HoldingOrder> mOrders;
--- a/tests/introspective/ReaderChoiceTests.cpp
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -46,7 +46,7 @@
   CPPUNIT_TEST(AHostAloneReads);
   CPPUNIT_TEST(AFewReadForAll);
   CPPUNIT_TEST(WideLinksReadForNarrowOnes);
-  CPPUNIT_TEST(NothingOlderThanTheBoundIsRelied);
+  CPPUNIT_TEST(NothingOlderThanTheBoundIsReliedOn);
   CPPUNIT_TEST(AFailedReaderIsReplaced);
   CPPUNIT_TEST(WhoeverLivesStaysInformed);
   CPPUNIT_TEST_SUITE_END();
@@ -103,7 +103,7 @@
     CPPUNIT_ASSERT(!choice.IsReader(At(0)));
   }
 
-  void NothingOlderThanTheBoundIsRelied()
+  void NothingOlderThanTheBoundIsReliedOn()
   {
     const auto choices = Choices(Hosts(9));
     for (const auto& it : choices) {
--- a/tests/introspective/SettingsTests.cpp
+++ b/tests/introspective/SettingsTests.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
+#include <unistd.h>
 
 using namespace quetzalquay;
 
@@ -36,11 +37,12 @@
 std::string
 ProblemOfFile(const std::string& aText)
 {
-  const std::string path = std::tmpnam(nullptr);
+  char path[] = "/tmp/quetzal-settings-XXXXXX";
+  ::close(::mkstemp(path));
   std::ofstream(path) << aText;
   std::string reason;
   const auto settings = LoadSettingsFile<schema::RouterSettings>(path, reason);
-  std::remove(path.c_str());
+  std::remove(path);
   CPPUNIT_ASSERT(!settings);
   CPPUNIT_ASSERT_MESSAGE(reason, reason.find(path) == 0);
   return reason;
