Log deaths of targets, suspected requests and failed plain attempts

Nothing said whether a host had recognized the death of a target, by what, whom it blamed, or whether the death was dropped as a common failure, so the three hypotheses of the incident could not be told apart. Each death is now one line with its evidence, and up to eight lines name the suspected requests by the hash of their content, which the last line of each request also bears. Metrics: quetzal_target_deaths_total and quetzal_suspects. Choices are unchanged.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -124,7 +124,7 @@
     }
     if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation) {
       if (!target.mIncarnation.empty()) {
-        OnDeath(target, aNow);
+        OnDeath(target, DeathEvidence::NewIncarnation, aNow);
       }
       target.mIncarnation = it.mIncarnation;
       target.mDownUntil = Time();
@@ -404,7 +404,7 @@
   const bool restarted =
     !target->mIncarnation.empty() && target->mIncarnation != aIncarnation;
   if (restarted) {
-    OnDeath(*target, aNow);
+    OnDeath(*target, DeathEvidence::NewIncarnation, aNow);
   }
   target->mIncarnation = aIncarnation;
   target->mReportedLeaving = aState == "leaving";
@@ -426,7 +426,7 @@
   if (target == nullptr) {
     return;
   }
-  OnDeath(*target, aNow);
+  OnDeath(*target, DeathEvidence::Refused, aNow);
   RecordLocalLoss(*target, aNow);
   target->mDownUntil = aNow + kDownDuration;
   target->mDoubtUntil = aNow + mOptions.mDoubtDuration;
@@ -779,13 +779,17 @@
 }
 
 void
-TargetTable::OnDeath(Target& aTarget, Time aNow)
+TargetTable::OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow)
 {
-  aTarget.mIncarnation.clear();
+  DeathReport death;
+  death.mTarget = aTarget.mDeclaration.mName;
+  death.mIncarnation = std::exchange(aTarget.mIncarnation, std::string());
+  death.mEvidence = aEvidence;
+  death.mAt = aNow;
   aTarget.mReported = 0;
   aTarget.mWaiting = 0;
   aTarget.mCachedPrefixes.clear();
-  std::vector<std::uint64_t> requests;
+  std::vector<std::uint64_t>& requests = death.mRequests;
   for (RunningAttempt& it : aTarget.mRunning) {
     if (!it.mBlamed) {
       requests.push_back(it.mContentHash);
@@ -802,9 +806,10 @@
   requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
   if (mOptions.mCommonDeathThreshold == 0) {
     mSuspects.OnTargetDeath(requests, aNow);
+    ReportDeath(death);
     return;
   }
-  mDeaths.push_back({ aNow, std::move(requests) });
+  mDeaths.push_back(std::move(death));
 }
 
 // Blames the requests of targets that died, once the window in which other
@@ -814,19 +819,38 @@
 {
   while (!mDeaths.empty() && aNow - mDeaths.front().mAt >= kCommonDeathWindow) {
     const Time at = mDeaths.front().mAt;
-    const auto together =
-      std::count_if(mDeaths.begin(), mDeaths.end(), [&](const Death& aDeath) {
+    const auto together = std::count_if(
+      mDeaths.begin(), mDeaths.end(), [&](const DeathReport& aDeath) {
         return aDeath.mAt - at < kCommonDeathWindow;
       });
     if (together >= mOptions.mCommonDeathThreshold) {
-      mDeaths.erase(mDeaths.begin(), mDeaths.begin() + together);
+      for (auto n = together; n > 0; --n) {
+        mDeaths.front().mBlamed = false;
+        ReportDeath(mDeaths.front());
+        mDeaths.pop_front();
+      }
       continue;
     }
     mSuspects.OnTargetDeath(mDeaths.front().mRequests, at);
+    ReportDeath(mDeaths.front());
     mDeaths.pop_front();
   }
 }
 
+void
+TargetTable::SetDeathCallback(std::function<void(const DeathReport&)> aCall)
+{
+  mOnDeath = std::move(aCall);
+}
+
+void
+TargetTable::ReportDeath(const DeathReport& aDeath) const
+{
+  if (mOnDeath) {
+    mOnDeath(aDeath);
+  }
+}
+
 TargetTable::Target*
 TargetTable::Find(const std::string& aName)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -6,6 +6,7 @@
 #include "core/ServiceRate.h"
 #include "core/SuspectRegistry.h"
 #include "core/TargetChooser.h"
+#include "core/TargetDeath.h"
 #include "core/Time.h"
 
 #include <cstdint>
@@ -296,6 +297,10 @@
   // been sent.
   void ReturnRetry(const std::string& aService);
 
+  // Sets a callback for each death of a target, which runs once it is decided
+  // whether the death counts against the requests lost with it.
+  void SetDeathCallback(std::function<void(const DeathReport&)> aCall);
+
   // Requests suspected of crashing targets.
   SuspectRegistry& Suspects() { return mSuspects; }
 
@@ -378,7 +383,8 @@
   void AddPeerLoad(const std::vector<TargetLoad>& aLoad, int aSign);
   void NotifyLoadChanged() const;
   static TargetLoad OwnLoadOf(const Target& aTarget);
-  void OnDeath(Target& aTarget, Time aNow);
+  void OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow);
+  void ReportDeath(const DeathReport& aDeath) const;
   void RecordLoss(Target& aTarget, Time aNow);
   void DropExpiredLosses(Time aNow);
   void RecordLocalLoss(Target& aTarget, Time aNow);
@@ -397,13 +403,9 @@
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
   SuspectRegistry mSuspects;
-  // Death of a target whose requests have not been blamed yet.
-  struct Death
-  {
-    Time mAt;
-    std::vector<std::uint64_t> mRequests;
-  };
-  std::deque<Death> mDeaths;
+  // Deaths of targets whose requests have not been blamed yet.
+  std::deque<DeathReport> mDeaths;
+  std::function<void(const DeathReport&)> mOnDeath;
   // Last load reported by another router.
   struct RouterLoad
   {
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -3,6 +3,7 @@
 #include "observe/Log.h"
 
 #include <algorithm>
+#include <cinttypes>
 #include <cstdio>
 #include <utility>
 
@@ -65,6 +66,7 @@
         { "kind", std::string(NameOf(mCall.mRoute->mKind)) },
         { "route", mCall.mRoute->mName },
         { "workspace", mCall.mWorkspace },
+        { "content", FormatContentHash(mCall.mContentHash) },
         { "configuration", std::to_string(mCall.mRouting->mVersion) },
         { "status", std::to_string(aStatus) },
         { "target", mLastTarget },
@@ -90,6 +92,27 @@
   return fields;
 }
 
+void
+Exchange::LogAttemptFailure(const std::string& aAfterEvent) const
+{
+  Log(LogLevel::Info,
+      "request",
+      "attempt failed",
+      { { "request", mCall.mRequest.mRequestId },
+        { "content", FormatContentHash(mCall.mContentHash) },
+        { "target", mLastTarget },
+        { "after_event", aAfterEvent },
+        { "note", mLogNote } });
+}
+
+std::string
+FormatContentHash(std::uint64_t aContentHash)
+{
+  char buf[20];
+  std::snprintf(buf, sizeof buf, "%016" PRIx64, aContentHash);
+  return buf;
+}
+
 int
 ToHttpStatus(const Failure& aFailure)
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -103,6 +103,10 @@
   // gateway.
   static std::string FormatForwardedFields(const HttpHead& aHead);
 
+  // Logs that the current attempt failed after the event aAfterEvent, which is
+  // empty for a request without events.
+  void LogAttemptFailure(const std::string& aAfterEvent) const;
+
   // Logs the end of the request in one line and counts it in the metrics.
   void LogCompletion(const char* aOutcome, int aStatus);
 
@@ -125,6 +129,10 @@
   std::string mLogNote;
 };
 
+// Content hash of a request as it appears in log lines.
+std::string
+FormatContentHash(std::uint64_t aContentHash);
+
 // HTTP status of a failure: 503 if and only if the request has not run.
 int
 ToHttpStatus(const Failure& aFailure);
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -36,6 +36,9 @@
 // finished.
 constexpr Duration kStopCheckInterval = milliseconds(100);
 
+// Suspected requests that are logged for one death of a target.
+constexpr std::size_t kMaxLoggedSuspects = 8;
+
 } // namespace
 
 class Gateway::Impl
@@ -63,6 +66,8 @@
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopTimer(mLoop, [this] { CheckStop(); })
   {
+    mFleet.Targets().SetDeathCallback(
+      [this](const DeathReport& aDeath) { OnTargetDeath(aDeath); });
   }
 
   std::optional<std::string> Run()
@@ -123,12 +128,41 @@
     mMetrics.Set(GatewayGauge::StoreReachable,
                  mStore.UnreachableSince() == Time::max() ? 1 : 0);
     mMetrics.Set(GatewayGauge::Ready, IsReady() ? 1 : 0);
+    mMetrics.Set(GatewayGauge::Suspects,
+                 static_cast<double>(mFleet.Targets().Suspects().Size()));
     SimpleHttpReply reply;
     reply.mContentType = "text/plain; version=0.0.4";
     reply.mBody = mMetrics.Serialize();
     return reply;
   }
 
+  void OnTargetDeath(const DeathReport& aDeath)
+  {
+    mMetrics.Add(GatewayCounter::TargetDeaths);
+    Log(LogLevel::Info,
+        "fleet",
+        "target died",
+        { { "target", aDeath.mTarget },
+          { "incarnation", aDeath.mIncarnation },
+          { "evidence",
+            std::string(kDeathEvidenceNames.NameOf(aDeath.mEvidence)) },
+          { "lost_requests", std::to_string(aDeath.mRequests.size()) },
+          { "blamed", aDeath.mBlamed ? "true" : "false" } });
+    const Time now = EventLoop::Now();
+    std::size_t logged = 0;
+    for (const std::uint64_t it : aDeath.mRequests) {
+      const int deaths = mFleet.Targets().Suspects().Deaths(it, now);
+      if (deaths > 0 && ++logged <= kMaxLoggedSuspects) {
+        Log(LogLevel::Info,
+            "fleet",
+            "request suspected of crashing targets",
+            { { "content", FormatContentHash(it) },
+              { "deaths", std::to_string(deaths) },
+              { "target", aDeath.mTarget } });
+      }
+    }
+  }
+
   void WaitForSignal()
   {
     mSignals.async_wait(
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -40,6 +40,7 @@
     "Callers that disconnected before the end of their answer" },
   { "quetzal_log_lines_dropped_total",
     "Log lines dropped by a full queue or the rate limit" },
+  { "quetzal_target_deaths_total", "Deaths of targets that were recognized" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
@@ -50,6 +51,7 @@
   { "quetzal_targets", "Known targets" },
   { "quetzal_store_answers", "1 while the store is reachable from this host" },
   { "quetzal_ready", "1 while the host is ready for new connections" },
+  { "quetzal_suspects", "Requests suspected of crashing targets" },
 } };
 
 // In seconds.
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -29,6 +29,7 @@
   CopiesRequested,
   CallerDisconnects,
   DroppedLogLines,
+  TargetDeaths,
   Last,
 };
 
@@ -41,6 +42,7 @@
   Targets,
   StoreReachable,
   Ready,
+  Suspects,
   Last,
 };
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -169,6 +169,7 @@
     mContext.mFleet.Targets().ReturnRetry(mCall.mService);
   }
   mLogNote = sent ? "target_lost" : "target_unreachable";
+  LogAttemptFailure("");
   EndAttempt(sent ? AttemptOutcome::Lost : AttemptOutcome::Released);
   PerformStep(mStateMachine.OnResult(
     sent ? PlainResult::Broken : PlainResult::NotStarted, now));
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -539,13 +539,7 @@
 {
   const bool lost = aEnd == AttemptEnd::Broken;
   if (lost) {
-    Log(LogLevel::Info,
-        "request",
-        "attempt failed",
-        { { "request", mCall.mRequest.mRequestId },
-          { "target", mTarget },
-          { "after_event", mLastEventId },
-          { "note", mLogNote } });
+    LogAttemptFailure(mLastEventId);
   }
   ReleaseAttempt(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
   const Time now = EventLoop::Now();
