Reproduce: a crashing request is not stopped (known red)

What callers and operators saw: a request under which three targets had ended was sent on, each send ending one more.

QUETZAL_TEST_LOGS keeps the logs of test gateways.

--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -20,6 +20,10 @@
 
 constexpr char kGatewayBinary[] = "build/quetzal-gateway";
 
+// Directory to which the logs of all gateways are appended, one file for each
+// name. Without the variable they are discarded.
+constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
+
 sockaddr_in
 SocketAddress(const std::string& aIp, int aPort)
 {
@@ -87,10 +91,14 @@
     << R"(],"store":")" << aStore
     << R"(","maxConnections":500,"linkMbps":100,"stopGraceS":8,"repeatRatio":0.8,)"
     << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+  const char* logDirectory = std::getenv(kLogDirectoryVariable);
+  const std::string log = logDirectory == nullptr
+                            ? "/dev/null"
+                            : std::string(logDirectory) + "/" + mName + ".log";
   mProcess = ::fork();
   if (mProcess == 0) {
-    const int null = ::open("/dev/null", O_WRONLY);
-    ::dup2(null, STDOUT_FILENO);
+    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(out, STDOUT_FILENO);
     // The gateway must not inherit the sockets of the fakes.
     for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
       ::close(other);
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -27,6 +27,12 @@
 // Number of events before the fault of a stream.
 constexpr int kEventsBeforeFault = 10;
 
+// Time for which a crashed runner refuses connections, and the time after a
+// crash until the entry of a runner that does not come back under its name
+// expires.
+constexpr auto kCrashDowntime = milliseconds(1200);
+constexpr auto kEntryLifetime = milliseconds(3600);
+
 // Time limit for a condition of Await(), well above any expected time.
 constexpr auto kTimeout = std::chrono::seconds(20);
 
@@ -90,17 +96,24 @@
 class GatewayTestCluster::Runner
 {
 public:
-  Runner(GatewayTestCluster& aCluster, std::string aName)
+  Runner(GatewayTestCluster& aCluster, std::string aName, std::string aPlace)
     : mCluster(aCluster)
     , mName(std::move(aName))
+    , mPlace(std::move(aPlace))
     , mPort(FindFreePort())
     , mListener(aCluster.mLoop,
                 [this](boost::asio::ip::tcp::socket aSocket) {
                   Accept(std::move(aSocket));
                 })
-    , mListenTimer(aCluster.mLoop, [this] { Listen(); })
+    , mListenTimer(aCluster.mLoop,
+                   [this] {
+                     Listen();
+                     Register();
+                   })
+    , mExpiryTimer(aCluster.mLoop, [this] { RemoveFormerEntries(); })
   {
     Listen();
+    Register();
   }
 
   void Listen()
@@ -110,16 +123,31 @@
     }
   }
 
+  void Register() const
+  {
+    const std::string born =
+      mStarts == 0 ? std::string() : R"(,"born":)" + std::to_string(mStarts);
+    mCluster.SetEntry(mName, EntryOf(Address(mPort), mPlace, born));
+  }
+
   void Accept(boost::asio::ip::tcp::socket aSocket);
   void DropAll();
+  void Crash();
+  void RemoveFormerEntries();
 
   GatewayTestCluster& mCluster;
   std::string mName;
+  std::string mPlace;
   int mPort;
+  // Restarts after a crash.
+  int mStarts = 0;
+  // Names of former starts whose entries have not expired, with their expiry.
+  std::vector<std::pair<Time, std::string>> mFormerNames;
   std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
   std::set<RefPtr<RunnerConnection>> mConnections;
   Listener mListener;
   Timer mListenTimer;
+  Timer mExpiryTimer;
 };
 
 class GatewayTestCluster::RunnerConnection
@@ -217,6 +245,10 @@
     }
     mRunner.mCluster.mRuns.push_back(request);
     mRequestId = id == nullptr ? std::string() : *id;
+    if (aBody == kCrashingBody) {
+      mRunner.Crash();
+      return;
+    }
     if (mode == RunnerMode::NeverAnswer) {
       return;
     }
@@ -366,16 +398,41 @@
   }
 }
 
+void
+GatewayTestCluster::Runner::Crash()
+{
+  ++mCluster.mCrashCount;
+  ++mStarts;
+  mListener.Close();
+  DropAll();
+  const Time now = EventLoop::Now();
+  if (mCluster.mRunnerReturn == RunnerReturn::NewName) {
+    mFormerNames.emplace_back(now + kEntryLifetime, mName);
+    mName = mName.substr(0, mName.find('.')) + "." + std::to_string(mStarts);
+    mExpiryTimer.ScheduleAt(mFormerNames.front().first);
+  }
+  mListenTimer.ScheduleAt(now + kCrashDowntime);
+}
+
+void
+GatewayTestCluster::Runner::RemoveFormerEntries()
+{
+  const Time now = EventLoop::Now();
+  while (!mFormerNames.empty() && mFormerNames.front().first <= now) {
+    mCluster.SetEntry(mFormerNames.front().second, "");
+    mFormerNames.erase(mFormerNames.begin());
+  }
+  if (!mFormerNames.empty()) {
+    mExpiryTimer.ScheduleAt(mFormerNames.front().first);
+  }
+}
+
 GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways)
 {
   for (int n = 0; n < aRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
-    mRunners[name] = std::make_unique<Runner>(*this, name);
-    SetEntry(name,
-             R"({"Service":"engines","Address":")" +
-               Address(mRunners[name]->mPort) + R"(","Zone":"p)" +
-               std::to_string(n % 2) +
-               R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1})");
+    mRunners[name] =
+      std::make_unique<Runner>(*this, name, "p" + std::to_string(n % 2));
   }
   for (int n = 0; n < aGateways; ++n) {
     auto node = std::make_unique<GatewayNode>();
@@ -535,6 +592,16 @@
   Write("servers", aRunner, aValue, aValue.empty());
 }
 
+std::string
+GatewayTestCluster::EntryOf(const std::string& aAddress,
+                            const std::string& aPlace,
+                            const std::string& aExtraFields)
+{
+  return R"({"Service":"engines","Address":")" + aAddress + R"(","Zone":")" +
+         aPlace + R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1)" +
+         aExtraFields + "}";
+}
+
 void
 GatewayTestCluster::Write(const std::string& aTable,
                           const std::string& aKey,
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -61,6 +61,15 @@
   Fail503,
 };
 
+// How a crashed runner comes back at its address.
+enum class RunnerReturn
+{
+  // Under a new name; the entry of the old one expires later.
+  NewName,
+  // Under its name, with another start time.
+  SameName,
+};
+
 // A request received by a runner.
 struct RunnerRequest
 {
@@ -102,6 +111,18 @@
 
   static constexpr int kEvents = 40;
 
+  // A request with this body crashes each runner that starts to run it: the
+  // runner drops its connections, refuses new ones for a while and comes back.
+  static constexpr char kCrashingBody[] = "crash";
+
+  // Sets how runners come back that crash from now on.
+  void SetRunnerReturn(RunnerReturn aReturn) { mRunnerReturn = aReturn; }
+
+  // Number of runners that have crashed so far.
+  int CrashCount() const { return mCrashCount; }
+
+  std::size_t GatewayCount() const { return mNodes.size(); }
+
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
@@ -184,6 +205,9 @@
     const quetzalquay::HttpHead& aHead,
     const std::string& aBody);
   void ApplyTransaction(const std::string& aBody);
+  static std::string EntryOf(const std::string& aAddress,
+                             const std::string& aPlace,
+                             const std::string& aExtraFields);
   void Write(const std::string& aTable,
              const std::string& aKey,
              const std::string& aValue,
@@ -195,6 +219,8 @@
   std::mutex mMutex;
   std::map<std::string, std::map<std::string, Row>> mTables;
   long long mVersion = 0;
+  std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
+  std::atomic<int> mCrashCount{ 0 };
   std::vector<RunnerRequest> mRequests;
   std::vector<RunnerRequest> mRuns;
   std::vector<std::string> mAbandonedRequests;
--- /dev/null
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -0,0 +1,204 @@
+#include "GatewayTestCluster.h"
+
+#include <atomic>
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <set>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time that the platform grants until a third crash must be known on all hosts,
+// and the number of runs that may start after that.
+constexpr auto kKnownWithin = milliseconds(3000);
+constexpr std::size_t kMaxLateRuns = 3;
+
+// Time between two sends of the crashing request.
+constexpr auto kReturnInterval = milliseconds(250);
+
+// Sends after kKnownWithin.
+constexpr int kLateSends = 12;
+
+// Other traffic: for each gateway, one thread that sends requests with bodies
+// of its own on idempotent routes, each until it is answered with success.
+class OtherTraffic
+{
+public:
+  explicit OtherTraffic(const GatewayTestCluster& aCluster)
+  {
+    for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+      mThreads.emplace_back([this, n, &aCluster] { Run(n, aCluster); });
+    }
+  }
+  ~OtherTraffic() { Stop(); }
+  OtherTraffic(const OtherTraffic&) = delete;
+  OtherTraffic& operator=(const OtherTraffic&) = delete;
+
+  void Stop()
+  {
+    mStopped = true;
+    for (std::thread& it : mThreads) {
+      if (it.joinable()) {
+        it.join();
+      }
+    }
+  }
+
+  // Requests that were served, and answers that called one a crashing request.
+  int ServedCount() const { return mServed; }
+  int BlamedCount() const { return mBlamed; }
+
+private:
+  void Run(std::size_t aGateway, const GatewayTestCluster& aCluster)
+  {
+    for (int n = 0; !mStopped; ++n) {
+      const std::string id =
+        "o" + std::to_string(aGateway) + "-" + std::to_string(n);
+      const std::string request = GatewayTestCluster::Request(
+        n % 2 == 0 ? "/plain/" : "/stream/", id, "", id);
+      for (int attempt = 0; attempt < 40 && !mStopped; ++attempt) {
+        const auto answer = aCluster.Gateway(aGateway).Call(request);
+        mBlamed += answer.mBody.find("suspected_poison") != std::string::npos;
+        if (answer.mComplete && answer.mHead.mStatus == 200) {
+          ++mServed;
+          break;
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+    }
+  }
+
+  std::atomic<bool> mStopped{ false };
+  std::atomic<int> mServed{ 0 };
+  std::atomic<int> mBlamed{ 0 };
+  std::vector<std::thread> mThreads;
+};
+
+std::string
+CrashingRequest(const std::string& aRoute, int aNumber)
+{
+  return GatewayTestCluster::Request(aRoute,
+                                     "crash-" + std::to_string(aNumber),
+                                     "",
+                                     GatewayTestCluster::kCrashingBody);
+}
+
+std::size_t
+CountCrashingRuns(GatewayTestCluster& aCluster)
+{
+  std::size_t count = 0;
+  for (const RunnerRequest& it : aCluster.Runs()) {
+    count += it.mBody == GatewayTestCluster::kCrashingBody ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+// Gateway processes and a request that crashes each target that runs it and
+// comes again at changing hosts.
+class CrashingRequestTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CrashingRequestTests);
+  CPPUNIT_TEST(CrashingUnsafeRequestIsStoppedOnAllHosts);
+  CPPUNIT_TEST(CrashingSafeRequestIsStoppedOnAllHosts);
+  CPPUNIT_TEST(CrashingStreamIsStoppedOnAllHosts);
+  CPPUNIT_TEST(CrashingRequestIsStoppedIfTargetsKeepTheirNames);
+  CPPUNIT_TEST(CrashingUnsafeRequestIsStoppedByASingleHost);
+  CPPUNIT_TEST(CrashingSafeRequestIsStoppedByASingleHost);
+  CPPUNIT_TEST(CrashingRequestIsStoppedWithoutOtherTraffic);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against hosts that each count the deaths a request causes for
+  // themselves, so that it crashes three targets for every host.
+  void CrashingUnsafeRequestIsStoppedOnAllHosts()
+  {
+    ExpectStopped("/unsafe/", 4, RunnerReturn::NewName);
+  }
+
+  void CrashingSafeRequestIsStoppedOnAllHosts()
+  {
+    ExpectStopped("/plain/", 4, RunnerReturn::NewName);
+  }
+
+  void CrashingStreamIsStoppedOnAllHosts()
+  {
+    ExpectStopped("/stream/", 4, RunnerReturn::NewName);
+  }
+
+  void CrashingRequestIsStoppedIfTargetsKeepTheirNames()
+  {
+    ExpectStopped("/unsafe/", 4, RunnerReturn::SameName);
+  }
+
+  // Guards against several refused connections of one dead target being taken
+  // for the failure of a place.
+  void CrashingUnsafeRequestIsStoppedByASingleHost()
+  {
+    ExpectStopped("/unsafe/", 1, RunnerReturn::NewName);
+  }
+
+  // Guards against a safe request whose own retries crash several targets at
+  // once being taken for the failure of a place.
+  void CrashingSafeRequestIsStoppedByASingleHost()
+  {
+    ExpectStopped("/plain/", 1, RunnerReturn::NewName);
+  }
+
+  // Guards against the death of a target that nothing else is sent to meanwhile
+  // never being recognized.
+  void CrashingRequestIsStoppedWithoutOtherTraffic()
+  {
+    GatewayTestCluster cluster(8, 1);
+    ExpectStoppedBy(cluster, "/unsafe/");
+  }
+
+private:
+  static void ExpectStopped(const std::string& aRoute,
+                            int aGateways,
+                            RunnerReturn aReturn)
+  {
+    GatewayTestCluster cluster(8, aGateways);
+    cluster.SetRunnerReturn(aReturn);
+    OtherTraffic others(cluster);
+    ExpectStoppedBy(cluster, aRoute);
+    others.Stop();
+    CPPUNIT_ASSERT_EQUAL(0, others.BlamedCount());
+    CPPUNIT_ASSERT(others.ServedCount() > 0);
+  }
+
+  // Sends the crashing request to one host after the other until three targets
+  // have crashed, waits, and expects few further runs.
+  static void ExpectStoppedBy(GatewayTestCluster& aCluster,
+                              const std::string& aRoute)
+  {
+    int sent = 0;
+    const auto send = [&] {
+      const std::size_t host =
+        static_cast<std::size_t>(sent) % aCluster.GatewayCount();
+      aCluster.Gateway(host).Call(CrashingRequest(aRoute, sent));
+      ++sent;
+      std::this_thread::sleep_for(kReturnInterval);
+    };
+    while (aCluster.CrashCount() < 3 && sent < 100) {
+      send();
+    }
+    CPPUNIT_ASSERT(aCluster.CrashCount() >= 3);
+    std::this_thread::sleep_for(kKnownWithin);
+    const std::size_t before = CountCrashingRuns(aCluster);
+    for (int n = 0; n < kLateSends; ++n) {
+      send();
+    }
+    const std::size_t late = CountCrashingRuns(aCluster) - before;
+    CPPUNIT_ASSERT_MESSAGE(
+      "late runs: " + std::to_string(late) +
+        ", crashes: " + std::to_string(aCluster.CrashCount()),
+      late <= kMaxLateRuns);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTests);
