Do not excuse a request for a failure that it caused itself

Callers saw: one more target end at each return of the request. The rule counted refused connections, so one dead target that was tried three times within 0.4 s was the failure of a place; and it looked at the deaths alone, so a safe request whose own retries end three targets at once was excused with everybody else. Besides, a death emptied the known incarnation, so that the next read of any entry took the dead target for a restarted one.

Now the evidence is kept as a set (which starts of which targets were lost with which run) and is judged when a request is to be sent: a death counts once, the failure of a place does not count against runs that began before it, and a request that lost more targets explains the losses of those beside it.

Class: a judgement made on arrival, from evidence that is not yet complete.

Evidence: FleetTests RefusedConnectionsOfOneTargetAreOneDeath, RequestThatCrashesTargetsAtOnceIsRefused and ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain fail on the parent (0 deaths instead of 1, not refused, not doubtful). TargetTableTests gave all starts of a target one incarnation, which no target does; each now has its own.

--- a/src/quetzalquay/core/TargetDeath.h
+++ b/src/quetzalquay/core/TargetDeath.h
@@ -2,7 +2,6 @@
 #define QUETZALQUAY_CORE_TARGETDEATH_H_INCLUDED
 
 #include "core/NameTable.h"
-#include "core/Time.h"
 
 #include <cstdint>
 #include <string>
@@ -25,19 +24,14 @@
   "new_incarnation",
 });
 
-// The death of a target and what followed for the requests lost with it.
+// A recognized death of a target, for logs.
 struct DeathReport
 {
   std::string mTarget;
   std::string mIncarnation;
   DeathEvidence mEvidence = DeathEvidence::Refused;
-  // When the death was recognized.
-  Time mAt;
-  // Content hashes of the requests that were lost with the target.
+  // Content hashes of the requests known so far to be lost with the target.
   std::vector<std::uint64_t> mRequests;
-  // Whether the death counts against these requests; false for a death that
-  // belongs to a common failure.
-  bool mBlamed = true;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -47,9 +47,6 @@
 // requests. Beyond that they wait in the router, whose queue is fair.
 constexpr int kMaxTargetQueue = 2;
 
-// Time within which deaths of several targets count as one common failure.
-constexpr Duration kCommonDeathWindow = milliseconds(400);
-
 // Time for which a load report is used.
 constexpr Duration kReportLifetime = milliseconds(1000);
 
@@ -99,6 +96,7 @@
 
 TargetTable::TargetTable(TargetTableOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mSuspects(mOptions.mCommonDeathThreshold)
   , mRandom(mOptions.mSeed)
 {
 }
@@ -148,7 +146,6 @@
 Choice
 TargetTable::Choose(const ChoiceQuery& aQuery, Time aNow)
 {
-  BlameRequestsForDeaths(aNow);
   DropExpiredLosses(aNow);
   Choice choice;
   if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
@@ -215,7 +212,8 @@
                             AttemptLoad aLoad)
 {
   if (Target* target = Find(aTarget)) {
-    target->mRunning.push_back({ aContentHash, aNow, false, aLoad, false });
+    target->mRunning.push_back(
+      { aContentHash, aNow, aLoad, false, target->mIncarnation });
     NotifyLoadChanged();
   }
 }
@@ -235,9 +233,10 @@
     running.begin(), running.end(), [&](const RunningAttempt& aEntry) {
       return aEntry.mContentHash == aContentHash;
     });
-  bool blamed = false;
+  LostAttempt attempt{ aContentHash, aNow, aNow, target->mIncarnation };
   if (it != running.end()) {
-    blamed = it->mBlamed;
+    attempt.mStartedAt = it->mStartedAt;
+    attempt.mIncarnation = std::move(it->mIncarnation);
     running.erase(it);
     NotifyLoadChanged();
   }
@@ -245,8 +244,13 @@
   while (!lost.empty() && aNow - lost.front().mAt >= kDeathConfirmationWindow) {
     lost.pop_front();
   }
-  if (aOutcome == AttemptOutcome::Lost && !blamed) {
-    lost.push_back({ aContentHash, aNow });
+  if (aOutcome == AttemptOutcome::Lost) {
+    if (IsLostWith(attempt, *target, aNow)) {
+      mSuspects.OnRunLost(
+        aContentHash, { *target->mDeath, attempt.mStartedAt }, aNow);
+    } else {
+      lost.push_back(std::move(attempt));
+    }
   } else if (aOutcome == AttemptOutcome::Finished) {
     mSuspects.ClearSuspect(aContentHash);
     // Capacity has become available.
@@ -284,6 +288,7 @@
   if (Target* target = Find(aTarget)) {
     target->mAliveAt = aNow;
     target->mDoubtUntil = Time();
+    target->mDeath.reset();
   }
 }
 
@@ -778,63 +783,51 @@
   return false;
 }
 
+// Records the death of the target's current incarnation. Repeated signs of the
+// same death have no further effect.
 void
 TargetTable::OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow)
 {
-  DeathReport death;
-  death.mTarget = aTarget.mDeclaration.mName;
-  death.mIncarnation = std::exchange(aTarget.mIncarnation, std::string());
-  death.mEvidence = aEvidence;
-  death.mAt = aNow;
   aTarget.mReported = 0;
   aTarget.mWaiting = 0;
   aTarget.mCachedPrefixes.clear();
-  std::vector<std::uint64_t>& requests = death.mRequests;
-  for (RunningAttempt& it : aTarget.mRunning) {
-    if (!it.mBlamed) {
-      requests.push_back(it.mContentHash);
-    }
-    it.mBlamed = true;
-  }
+  if (!aTarget.mDeath || aTarget.mDeadIncarnation != aTarget.mIncarnation) {
+    const TargetDeclaration& declaration = aTarget.mDeclaration;
+    aTarget.mDeath = { StableHash(aTarget.mIncarnation,
+                                  StableHash(declaration.mName)),
+                       StableHash(declaration.mPlace),
+                       aNow };
+    aTarget.mDeadIncarnation = aTarget.mIncarnation;
+  }
+  DeathReport report;
+  report.mTarget = aTarget.mDeclaration.mName;
+  report.mIncarnation = aTarget.mIncarnation;
+  report.mEvidence = aEvidence;
   for (const LostAttempt& it : aTarget.mLostAttempts) {
-    if (aNow - it.mAt < kDeathConfirmationWindow) {
-      requests.push_back(it.mContentHash);
+    if (IsLostWith(it, aTarget, aNow)) {
+      report.mRequests.push_back(it.mContentHash);
+      mSuspects.OnRunLost(
+        it.mContentHash, { *aTarget.mDeath, it.mStartedAt }, aNow);
     }
   }
+  mSuspects.OnTargetDeath(*aTarget.mDeath);
   aTarget.mLostAttempts.clear();
-  std::sort(requests.begin(), requests.end());
-  requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
-  if (mOptions.mCommonDeathThreshold == 0) {
-    mSuspects.OnTargetDeath(requests, aNow);
-    ReportDeath(death);
-    return;
+  if (mOnDeath && (!report.mRequests.empty() || aTarget.mDeath->mAt == aNow)) {
+    mOnDeath(report);
   }
-  mDeaths.push_back(std::move(death));
 }
 
-// Blames the requests of targets that died, once the window in which other
-// deaths would make it a common failure has passed.
-void
-TargetTable::BlameRequestsForDeaths(Time aNow)
+// Whether a lost attempt ended because of the target's last death.
+bool
+TargetTable::IsLostWith(const LostAttempt& aAttempt,
+                        const Target& aTarget,
+                        Time aNow) const
 {
-  while (!mDeaths.empty() && aNow - mDeaths.front().mAt >= kCommonDeathWindow) {
-    const Time at = mDeaths.front().mAt;
-    const auto together = std::count_if(
-      mDeaths.begin(), mDeaths.end(), [&](const DeathReport& aDeath) {
-        return aDeath.mAt - at < kCommonDeathWindow;
-      });
-    if (together >= mOptions.mCommonDeathThreshold) {
-      for (auto n = together; n > 0; --n) {
-        mDeaths.front().mBlamed = false;
-        ReportDeath(mDeaths.front());
-        mDeaths.pop_front();
-      }
-      continue;
-    }
-    mSuspects.OnTargetDeath(mDeaths.front().mRequests, at);
-    ReportDeath(mDeaths.front());
-    mDeaths.pop_front();
-  }
+  const std::string& incarnation = aAttempt.mIncarnation;
+  return aTarget.mDeath &&
+         (incarnation.empty() || incarnation == aTarget.mDeadIncarnation) &&
+         aNow - aAttempt.mAt < kDeathConfirmationWindow &&
+         aAttempt.mAt - aTarget.mDeath->mAt < kDeathConfirmationWindow;
 }
 
 void
@@ -843,14 +836,6 @@
   mOnDeath = std::move(aCall);
 }
 
-void
-TargetTable::ReportDeath(const DeathReport& aDeath) const
-{
-  if (mOnDeath) {
-    mOnDeath(aDeath);
-  }
-}
-
 TargetTable::Target*
 TargetTable::Find(const std::string& aName)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -297,8 +297,7 @@
   // been sent.
   void ReturnRetry(const std::string& aService);
 
-  // Sets a callback for each death of a target, which runs once it is decided
-  // whether the death counts against the requests lost with it.
+  // Sets a callback for each recognized death of a target.
   void SetDeathCallback(std::function<void(const DeathReport&)> aCall);
 
   // Requests suspected of crashing targets.
@@ -309,22 +308,28 @@
   {
     std::uint64_t mContentHash;
     Time mStartedAt;
-    // Whether a death of the target has been counted for this attempt.
-    bool mBlamed;
     AttemptLoad mLoad;
     bool mFirstTokenSeen;
+    // Incarnation of the target when the attempt started.
+    std::string mIncarnation;
   };
 
   struct LostAttempt
   {
     std::uint64_t mContentHash;
+    Time mStartedAt;
     Time mAt;
+    std::string mIncarnation;
   };
 
   struct Target
   {
     TargetDeclaration mDeclaration;
     std::string mIncarnation;
+    // Incarnation that died last, and when; attempts of it that end later were
+    // lost with it.
+    std::optional<TargetDeath> mDeath;
+    std::string mDeadIncarnation;
     bool mReportedLeaving = false;
     // Incarnation announced as leaving; empty if none.
     std::string mLeavingIncarnation;
@@ -384,12 +389,13 @@
   void NotifyLoadChanged() const;
   static TargetLoad OwnLoadOf(const Target& aTarget);
   void OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow);
-  void ReportDeath(const DeathReport& aDeath) const;
+  bool IsLostWith(const LostAttempt& aAttempt,
+                  const Target& aTarget,
+                  Time aNow) const;
   void RecordLoss(Target& aTarget, Time aNow);
   void DropExpiredLosses(Time aNow);
   void RecordLocalLoss(Target& aTarget, Time aNow);
   bool IsDoubtful(const Target& aTarget, Time aNow) const;
-  void BlameRequestsForDeaths(Time aNow);
   Target* Find(const std::string& aName);
   const Target* Find(const std::string& aName) const;
   std::vector<TargetDeclaration> PickSubset(
@@ -403,8 +409,6 @@
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
   SuspectRegistry mSuspects;
-  // Deaths of targets whose requests have not been blamed yet.
-  std::deque<DeathReport> mDeaths;
   std::function<void(const DeathReport&)> mOnDeath;
   // Last load reported by another router.
   struct RouterLoad
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -146,8 +146,7 @@
           { "incarnation", aDeath.mIncarnation },
           { "evidence",
             std::string(kDeathEvidenceNames.NameOf(aDeath.mEvidence)) },
-          { "lost_requests", std::to_string(aDeath.mRequests.size()) },
-          { "blamed", aDeath.mBlamed ? "true" : "false" } });
+          { "lost_requests", std::to_string(aDeath.mRequests.size()) } });
     const Time now = EventLoop::Now();
     std::size_t logged = 0;
     for (const std::uint64_t it : aDeath.mRequests) {
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -66,6 +66,9 @@
   CPPUNIT_TEST(CopiesAreKeptAtAnotherPlace);
   CPPUNIT_TEST(EnginesWithFullMemoryAreBusy);
   CPPUNIT_TEST(RequestsAreNotBlamedForPlaceFailures);
+  CPPUNIT_TEST(RefusedConnectionsOfOneTargetAreOneDeath);
+  CPPUNIT_TEST(RequestThatCrashesTargetsAtOnceIsRefused);
+  CPPUNIT_TEST(ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain);
   CPPUNIT_TEST(ARestartedTargetIsUsableAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -502,6 +505,46 @@
                    ChoiceStatus::Poison);
   }
 
+  // Guards against several refused connections of one dead target being taken
+  // for the failure of a place.
+  void RefusedConnectionsOfOneTargetAreOneDeath()
+  {
+    TargetTable table = MakeEngineTable();
+    table.OnAttemptStart("t1", 42, At(0));
+    table.OnAttemptEnd("t1", 42, AttemptOutcome::Lost, At(100));
+    for (int n = 0; n < 5; ++n) {
+      table.OnRefused("t1", At(110 + n));
+    }
+    table.Choose(MakeQuery("later", 2), At(2000));
+    CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(42, At(2000)));
+  }
+
+  // Guards against a request whose own retries crash several targets at once
+  // being excused by that failure.
+  void RequestThatCrashesTargetsAtOnceIsRefused()
+  {
+    for (const int step : { 1, 3 }) {
+      TargetTable table = MakeEngineTable();
+      for (int n = 0; n < 4; ++n) {
+        const std::string target = "t" + std::to_string(step * n);
+        table.OnAttemptStart(target, 43, At(30 * n));
+        table.OnAttemptEnd(target, 43, AttemptOutcome::Lost, At(30 * n + 5));
+        table.OnRefused(target, At(30 * n + 10));
+      }
+      CPPUNIT_ASSERT(table.Choose(MakeQuery("again", 43), At(2000)).mStatus ==
+                     ChoiceStatus::Poison);
+    }
+  }
+
+  // A registration that is still the dead target's does not make it usable.
+  void ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain()
+  {
+    TargetTable table = MakeEngineTable();
+    table.OnRefused("t0", At(10));
+    DeclareEngines(table, At(50));
+    CPPUNIT_ASSERT(table.InputsOf("t0", At(60)).mDoubtful);
+  }
+
   void ARestartedTargetIsUsableAtOnce()
   {
     TargetTable table = MakeEngineTable();
--- a/tests/introspective/TargetTableTests.cpp
+++ b/tests/introspective/TargetTableTests.cpp
@@ -263,7 +263,8 @@
         }
         it.second.clear();
         aTable.OnRefused(it.first, At(ms + 1));
-        aTable.OnLoadReport(it.first, "again", "ready", 0, 0, At(ms + 2));
+        const std::string incarnation = std::to_string(crashed);
+        aTable.OnLoadReport(it.first, incarnation, "ready", 0, 0, At(ms + 2));
       }
     }
     return crashed;
