Recognize the crash of a target that nothing else is sent to

Callers saw: a single host, too, let a request end one target after the other. Cause, second of several: the end of a connection is no proof, so the target table waited for a refused connection or another incarnation under the same name. After a break the target is avoided for 3.6 s, so nothing is refused; and a target that comes back under another name took the lost runs with it when its entry went.

Now a host that has lost a request with a target connects to it once, 30 ms later, unless the target has sent bytes meanwhile; an entry that ends without the target's leaving first is a death too.

Class: a decision that waits for an event which its own consequences prevent.

--- a/src/quetzalquay/core/TargetDeath.h
+++ b/src/quetzalquay/core/TargetDeath.h
@@ -16,12 +16,15 @@
   Refused,
   // It is registered or answers as another incarnation.
   NewIncarnation,
+  // Its registration ended without its leaving first.
+  Unregistered,
 };
 
 // Name of an evidence in logs.
-constexpr NameTable<DeathEvidence, 2> kDeathEvidenceNames({
+constexpr NameTable<DeathEvidence, 3> kDeathEvidenceNames({
   "refused",
   "new_incarnation",
+  "unregistered",
 });
 
 // A recognized death of a target, for logs.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -19,7 +19,7 @@
 constexpr Duration kFullDuration = milliseconds(200);
 
 // Time within which a confirmed death of the target explains a lost attempt.
-constexpr Duration kDeathConfirmationWindow = milliseconds(5000);
+constexpr Duration kDeathConfirmationWindow = milliseconds(8000);
 
 // Age up to which an attempt of a suspect of a single death excludes other
 // suspects from its target. Those of more deaths exclude them until they end.
@@ -136,6 +136,12 @@
     mTargetsByService[it.mService].push_back(it.mName);
     targets.emplace(it.mName, std::move(target));
   }
+  for (auto& it : mTargets) {
+    if (targets.count(it.first) == 0 && !it.second.mLostAttempts.empty() &&
+        !IsLeaving(it.second)) {
+      OnDeath(it.second, DeathEvidence::Unregistered, aNow);
+    }
+  }
   mTargets.swap(targets);
   mServices.clear();
   for (const ServiceDeclaration& it : aServices) {
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -181,6 +181,9 @@
   mConnection.reset();
   mContext.mFleet.Targets().OnAttemptEnd(
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
+  if (aOutcome == AttemptOutcome::Lost) {
+    mContext.mProber.CheckDeath(mTarget);
+  }
 }
 
 void
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -1,7 +1,9 @@
 #include "gateway/Prober.h"
 
+#include "gateway/DeathCheck.h"
 #include "observe/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalquay {
@@ -17,6 +19,13 @@
 // Maximum age of received bytes that count as proof that a target is alive.
 constexpr Duration kMaxLivenessProofAge = std::chrono::milliseconds(150);
 
+// Delay of a death check. A target that lives usually sends bytes on another
+// connection meanwhile.
+constexpr Duration kDeathCheckDelay = std::chrono::milliseconds(30);
+
+// Time limit for the connection of a death check.
+constexpr Duration kDeathCheckTimeout = std::chrono::milliseconds(400);
+
 const char*
 NameOf(ProbeResult aResult)
 {
@@ -39,6 +48,7 @@
   : mLoop(aLoop)
   , mFleet(aFleet)
   , mPool(aPool)
+  , mCheckTimer(aLoop, [this] { StartDeathChecks(); })
 {
 }
 
@@ -152,6 +162,49 @@
   }
 }
 
+void
+Prober::CheckDeath(const std::string& aTarget)
+{
+  const bool pending = std::any_of(
+    mChecks.begin(), mChecks.end(), [&](const PendingCheck& aCheck) {
+      return aCheck.mTarget == aTarget;
+    });
+  if (pending) {
+    return;
+  }
+  const Time now = EventLoop::Now();
+  mChecks.push_back({ aTarget, now, now + kDeathCheckDelay });
+  mCheckTimer.ScheduleAt(mChecks.front().mDueAt);
+}
+
+void
+Prober::StartDeathChecks()
+{
+  const Time now = EventLoop::Now();
+  while (!mChecks.empty() && mChecks.front().mDueAt <= now) {
+    const PendingCheck check = std::move(mChecks.front());
+    mChecks.pop_front();
+    const TargetLocation* location = mFleet.Locate(check.mTarget);
+    if (location == nullptr ||
+        mPool.LastActivity(check.mTarget) > check.mLostAt) {
+      continue;
+    }
+    const auto call = MakeRef<DeathCheck>(
+      mLoop,
+      [this, target = check.mTarget, incarnation = location->mIncarnation](
+        DeathCheck::Result aResult) {
+        const TargetLocation* at = mFleet.Locate(target);
+        if (aResult == DeathCheck::Result::Refused && at != nullptr &&
+            at->mIncarnation == incarnation) {
+          mFleet.Targets().OnRefused(target, EventLoop::Now());
+        }
+      });
+    call->Start(location->mEndpoint, now + kDeathCheckTimeout);
+  }
+  mCheckTimer.ScheduleAt(mChecks.empty() ? Time::max()
+                                         : mChecks.front().mDueAt);
+}
+
 void
 Prober::FinishProbe(const std::string& aTarget,
                     ProbeResult aResult,
--- a/src/quetzalquay/gateway/Prober.h
+++ b/src/quetzalquay/gateway/Prober.h
@@ -4,6 +4,7 @@
 #include "core/GenerationActions.h"
 #include "gateway/TargetCall.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -38,6 +39,11 @@
   // requests its report and, if it can replace aOld, notifies the fleet.
   void IdentifyReplacement(const std::string& aOld, const std::string& aNew);
 
+  // Finds out whether a target that has just lost a request has died, unless it
+  // sends bytes meanwhile, and tells the target table. Concurrent checks of one
+  // target are done once.
+  void CheckDeath(const std::string& aTarget);
+
   // Requests sent to targets since the start.
   std::uint64_t ProbeCount() const { return mProbeCount; }
 
@@ -54,13 +60,25 @@
   void OnIdentifyReply(const std::string& aOld,
                        const std::string& aNew,
                        const TargetCall::Outcome& aOutcome);
+  void StartDeathChecks();
   void FinishProbe(const std::string& aTarget,
                    ProbeResult aResult,
                    const platform::TargetReport* aReport);
 
+  // A check of a target that has lost a request.
+  struct PendingCheck
+  {
+    std::string mTarget;
+    Time mLostAt;
+    Time mDueAt;
+  };
+
   EventLoop& mLoop;
   Fleet& mFleet;
   TargetConnectionPool& mPool;
+  // Checks that are not due yet, in order.
+  std::deque<PendingCheck> mChecks;
+  Timer mCheckTimer;
   std::map<std::string, PendingProbe> mPending;
   // Newly found targets whose report has been requested.
   std::set<std::string> mIdentifications;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -564,6 +564,9 @@
   }
   mContext.mFleet.Targets().OnAttemptEnd(
     mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
+  if (aOutcome == AttemptOutcome::Lost) {
+    mContext.mProber.CheckDeath(mTarget);
+  }
 }
 
 // Logs the target that the stream is sent to, and the inputs of the choice.
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(RequestsAreNotBlamedForPlaceFailures);
   CPPUNIT_TEST(RefusedConnectionsOfOneTargetAreOneDeath);
   CPPUNIT_TEST(RequestThatCrashesTargetsAtOnceIsRefused);
+  CPPUNIT_TEST(AnUnregisteredTargetHasDied);
   CPPUNIT_TEST(ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain);
   CPPUNIT_TEST(ARestartedTargetIsUsableAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -536,6 +537,27 @@
     }
   }
 
+  // Guards against the death of a target that comes back under another name
+  // being forgotten with its entry.
+  void AnUnregisteredTargetHasDied()
+  {
+    TargetTable table = MakeEngineTable();
+    for (int n = 0; n < 2; ++n) {
+      const std::string target = "t" + std::to_string(n);
+      table.OnAttemptStart(target, 44, At(1000 * n));
+      table.OnAttemptEnd(target, 44, AttemptOutcome::Lost, At(1000 * n + 10));
+    }
+    // Planned leaving is no death.
+    table.MarkLeaving("t1");
+    TargetDeclaration other;
+    other.mName = "other";
+    other.mService = "pool";
+    ServiceDeclaration service;
+    service.mName = "pool";
+    table.Declare({ service }, { other }, "region", At(4500));
+    CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(44, At(4600)));
+  }
+
   // A registration that is still the dead target's does not make it usable.
   void ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain()
   {
