Let hosts tell each other which requests were lost with which targets

Callers saw: a request that crashes targets ended three for every host it came to, and three more at each host that had restarted. The platform sends each return of a request to another host, so no host ever counted to three.

Now the lost runs travel in the load datagrams: each change twice, 0.5 s apart; with more hosts than one message reaches they are passed on once. A host that is heard for the first time, or that has restarted or been silent, gets all that is known. Hosts announce themselves for 6 s after their start, as others read the hosts table only every 5 s. A clearance travels the same way. Merging is the union of sets, in any order.

Ruled out: an owner per request, asked before each send (a round trip for every request); counts instead of sets (the highest of several ones is one).

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -9,8 +9,20 @@
 // Time from the last change of a record until it expires.
 constexpr Duration kRecordLifetime = std::chrono::minutes(10);
 
-// Number of records from which on expired ones are removed.
-constexpr std::size_t kCleanupRecords = 10000;
+// Time for which a cleared request is remembered, so that older reports of its
+// losses are recognized as such.
+constexpr Duration kClearedLifetime = std::chrono::seconds(10);
+
+// Maximum number of records, and of lost runs in each.
+constexpr std::size_t kMaxRecords = 10000;
+constexpr std::size_t kMaxRuns = 8;
+
+// Maximum number of records that a new host is told at once.
+constexpr std::size_t kMaxReports = 64;
+
+// Number of times that a change is told to other hosts, and the time between.
+constexpr int kNewsRepeats = 2;
+constexpr Duration kNewsRepeatDelay = std::chrono::milliseconds(500);
 
 // Number of recent deaths that are remembered to recognize common failures.
 constexpr std::size_t kMaxDeaths = 2000;
@@ -43,19 +55,20 @@
 
 } // namespace
 
-SuspectRegistry::SuspectRegistry(int aCommonDeathThreshold)
-  : mCommonDeathThreshold(aCommonDeathThreshold)
+SuspectRegistry::SuspectRegistry(Options aOptions)
+  : mOptions(aOptions)
 {
 }
 
 void
 SuspectRegistry::OnTargetDeath(const TargetDeath& aDeath)
 {
-  const auto known =
-    std::any_of(mDeaths.begin(), mDeaths.end(), [&](const TargetDeath& aKnown) {
+  const auto known = std::find_if(
+    mDeaths.begin(), mDeaths.end(), [&](const TargetDeath& aKnown) {
       return aKnown.mId == aDeath.mId;
     });
-  if (known) {
+  if (known != mDeaths.end()) {
+    known->mAt = std::min(known->mAt, aDeath.mAt);
     return;
   }
   mDeaths.push_back(aDeath);
@@ -70,31 +83,96 @@
                            Time aNow)
 {
   OnTargetDeath(aRun.mDeath);
-  if (mRecords.size() >= kCleanupRecords) {
-    Expire(aNow);
+  Record* record = Obtain(aRequest, aNow);
+  if (record != nullptr && AddRun(aRequest, *record, aRun, aNow)) {
+    record->mExpiresAt = aNow + kRecordLifetime;
+    Tell(aRequest, *record, kNewsRepeats, aNow);
+  }
+}
+
+void
+SuspectRegistry::ClearSuspect(std::uint64_t aRequest, Time aNow)
+{
+  const auto it = mRecords.find(aRequest);
+  if (it == mRecords.end()) {
+    return;
   }
-  if (Find(aRequest, aNow) == nullptr) {
+  Record& record = it->second;
+  if (!record.mShared) {
     Erase(aRequest);
+    return;
   }
-  Record& record = mRecords[aRequest];
-  record.mExpiresAt = aNow + kRecordLifetime;
-  if (!HasRun(record.mRuns, aRun.mDeath.mId)) {
-    record.mRuns.push_back(aRun);
-    mRequests[aRun.mDeath.mId].push_back(aRequest);
+  if (!record.mRuns.empty()) {
+    RemoveRuns(aRequest, record);
+    record.mClearedAt = aNow;
+    record.mExpiresAt = aNow + kClearedLifetime;
+    Tell(aRequest, record, kNewsRepeats, aNow);
   }
 }
 
-void
-SuspectRegistry::ClearSuspect(std::uint64_t aRequest)
+bool
+SuspectRegistry::Merge(const SuspectReport& aReport, bool aPassOn, Time aNow)
 {
-  Erase(aRequest);
+  Record* record = Obtain(aReport.mRequest, aNow);
+  if (record == nullptr) {
+    return false;
+  }
+  record->mShared = true;
+  bool changed = false;
+  if (aReport.mClearedAt &&
+      (!record->mClearedAt || *aReport.mClearedAt > *record->mClearedAt)) {
+    const std::vector<LostRun> runs = record->mRuns;
+    RemoveRuns(aReport.mRequest, *record);
+    record->mClearedAt = aReport.mClearedAt;
+    for (const LostRun& it : runs) {
+      AddRun(aReport.mRequest, *record, it, aNow);
+    }
+    changed = record->mRuns.size() < runs.size();
+  }
+  for (const LostRun& it : aReport.mRuns) {
+    OnTargetDeath(it.mDeath);
+    changed |= AddRun(aReport.mRequest, *record, it, aNow);
+  }
+  if (changed) {
+    record->mExpiresAt =
+      aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
+    Tell(aReport.mRequest, *record, aPassOn ? 1 : 0, aNow);
+  }
+  return changed;
+}
+
+std::vector<SuspectReport>
+SuspectRegistry::TakeNews(Time aNow)
+{
+  std::vector<std::uint64_t> due;
+  for (const std::uint64_t it : mNews) {
+    if (mRecords.at(it).mNextNewsAt <= aNow) {
+      due.push_back(it);
+    }
+  }
+  const auto more = [this](std::uint64_t aLeft, std::uint64_t aRight) {
+    return mRecords.at(aLeft).mRuns.size() > mRecords.at(aRight).mRuns.size();
+  };
+  std::stable_sort(due.begin(), due.end(), more);
+  due.resize(std::min(due.size(), kMaxNews));
+  std::vector<SuspectReport> reports;
+  for (const std::uint64_t it : due) {
+    Record& record = mRecords.at(it);
+    record.mShared = true;
+    record.mNextNewsAt = aNow + kNewsRepeatDelay;
+    if (--record.mNewsLeft == 0) {
+      mNews.erase(it);
+    }
+    reports.push_back({ it, record.mRuns, record.mClearedAt });
+  }
+  return reports;
 }
 
 int
 SuspectRegistry::Deaths(std::uint64_t aRequest, Time aNow) const
 {
   const Record* record = Find(aRequest, aNow);
-  return record == nullptr ? 0 : CountDeaths(aRequest, *record);
+  return record == nullptr ? 0 : CountDeaths(aRequest, *record, Time::max());
 }
 
 bool
@@ -104,7 +182,8 @@
   if (record == nullptr) {
     return false;
   }
-  const int deaths = CountDeaths(aRequest, *record);
+  const int deaths =
+    CountDeaths(aRequest, *record, aNow - mOptions.mSettleTime);
   return deaths >= kMinDeathsToRefuseTied ||
          (deaths >= kMinDeathsToRefuse && !IsTied(aRequest, *record));
 }
@@ -120,6 +199,24 @@
   record.mExpiresAt = aNow + kRecordLifetime;
 }
 
+std::vector<SuspectReport>
+SuspectRegistry::Reports(Time aNow) const
+{
+  std::vector<SuspectReport> reports;
+  for (const auto& it : mRecords) {
+    if (aNow < it.second.mExpiresAt) {
+      reports.push_back({ it.first, it.second.mRuns, it.second.mClearedAt });
+    }
+  }
+  const auto more = [](const SuspectReport& aLeft,
+                       const SuspectReport& aRight) {
+    return aLeft.mRuns.size() > aRight.mRuns.size();
+  };
+  std::stable_sort(reports.begin(), reports.end(), more);
+  reports.resize(std::min(reports.size(), kMaxReports));
+  return reports;
+}
+
 std::vector<SuspectRegistry::Suspect>
 SuspectRegistry::List(Time aNow) const
 {
@@ -154,6 +251,15 @@
   }
 }
 
+std::size_t
+SuspectRegistry::Size() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
+      return !aEntry.second.mRuns.empty();
+    }));
+}
+
 const SuspectRegistry::Record*
 SuspectRegistry::Find(std::uint64_t aRequest, Time aNow) const
 {
@@ -162,14 +268,47 @@
   return valid ? &it->second : nullptr;
 }
 
-void
-SuspectRegistry::Erase(std::uint64_t aRequest)
+SuspectRegistry::Record*
+SuspectRegistry::Obtain(std::uint64_t aRequest, Time aNow)
 {
-  const auto record = mRecords.find(aRequest);
-  if (record == mRecords.end()) {
-    return;
+  const auto it = mRecords.find(aRequest);
+  if (it != mRecords.end() && aNow < it->second.mExpiresAt) {
+    return &it->second;
   }
-  for (const LostRun& it : record->second.mRuns) {
+  Erase(aRequest);
+  if (mRecords.size() >= kMaxRecords) {
+    Expire(aNow);
+  }
+  if (mRecords.size() >= kMaxRecords) {
+    return nullptr;
+  }
+  Record& record = mRecords[aRequest];
+  record.mExpiresAt = aNow + kRecordLifetime;
+  return &record;
+}
+
+bool
+SuspectRegistry::AddRun(std::uint64_t aRequest,
+                        Record& aRecord,
+                        const LostRun& aRun,
+                        Time aNow)
+{
+  const bool cleared =
+    aRecord.mClearedAt && aRun.mDeath.mAt <= *aRecord.mClearedAt;
+  if (cleared || aNow - aRun.mDeath.mAt >= kRecordLifetime ||
+      aRecord.mRuns.size() >= kMaxRuns ||
+      HasRun(aRecord.mRuns, aRun.mDeath.mId)) {
+    return false;
+  }
+  aRecord.mRuns.push_back(aRun);
+  mRequests[aRun.mDeath.mId].push_back(aRequest);
+  return true;
+}
+
+void
+SuspectRegistry::RemoveRuns(std::uint64_t aRequest, Record& aRecord)
+{
+  for (const LostRun& it : aRecord.mRuns) {
     const auto entry = mRequests.find(it.mDeath.mId);
     auto& requests = entry->second;
     requests.erase(std::remove(requests.begin(), requests.end(), aRequest),
@@ -178,29 +317,63 @@
       mRequests.erase(entry);
     }
   }
-  mRecords.erase(record);
+  aRecord.mRuns.clear();
+}
+
+void
+SuspectRegistry::Tell(std::uint64_t aRequest,
+                      Record& aRecord,
+                      int aRepeats,
+                      Time aNow)
+{
+  if (aRepeats > 0) {
+    aRecord.mNewsLeft = std::max(aRecord.mNewsLeft, aRepeats);
+    aRecord.mNextNewsAt = aNow;
+    mNews.insert(aRequest);
+  }
+}
+
+void
+SuspectRegistry::Erase(std::uint64_t aRequest)
+{
+  const auto record = mRecords.find(aRequest);
+  if (record != mRecords.end()) {
+    RemoveRuns(aRequest, record->second);
+    mNews.erase(aRequest);
+    mRecords.erase(record);
+  }
 }
 
 int
 SuspectRegistry::CountDeaths(std::uint64_t aRequest,
-                             const Record& aRecord) const
+                             const Record& aRecord,
+                             Time aBefore) const
 {
   const auto counted = std::count_if(
     aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const LostRun& aRun) {
-      return !IsCommonFailure(aRecord, aRun) &&
+      return aRun.mDeath.mAt <= aBefore && !IsCommonFailure(aRecord, aRun) &&
              !IsExplained(aRequest, aRecord, aRun);
     });
   return std::max(static_cast<int>(counted), aRecord.mPeerDeaths);
 }
 
+std::ptrdiff_t
+SuspectRegistry::CountOwnLosses(const Record& aRecord) const
+{
+  return std::count_if(
+    aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const LostRun& aRun) {
+      return !IsCommonFailure(aRecord, aRun);
+    });
+}
+
 // Whether a run was lost in a failure of several targets that its request did
-// not cause. The request did not cause the failure of a place that began before
-// the run did not exist yet, nor one in which it lost a single run.
+// not cause. A request did not cause the failure of a place if all its runs
+// there had started before, nor one in which it lost a single run.
 bool
 SuspectRegistry::IsCommonFailure(const Record& aRecord,
                                  const LostRun& aRun) const
 {
-  if (mCommonDeathThreshold == 0) {
+  if (mOptions.mCommonDeathThreshold == 0) {
     return false;
   }
   int together = 0;
@@ -216,14 +389,17 @@
       firstInPlace = std::min(firstInPlace, it.mAt);
     }
   }
-  if (inPlace >= mCommonDeathThreshold && aRun.mStartedAt < firstInPlace) {
-    return true;
+  int own = 0;
+  bool followed = false;
+  for (const LostRun& it : aRecord.mRuns) {
+    if (AreTogether(it.mDeath, aRun.mDeath)) {
+      ++own;
+      followed |=
+        it.mDeath.mPlace == aRun.mDeath.mPlace && it.mStartedAt >= firstInPlace;
+    }
   }
-  const auto own = std::count_if(
-    aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const LostRun& aOther) {
-      return AreTogether(aOther.mDeath, aRun.mDeath);
-    });
-  return together >= mCommonDeathThreshold && own == 1;
+  return (inPlace >= mOptions.mCommonDeathThreshold && !followed) ||
+         (together >= mOptions.mCommonDeathThreshold && own == 1);
 }
 
 // Whether another request that was lost with the same target has lost more
@@ -234,13 +410,13 @@
                              const LostRun& aRun) const
 {
   const auto requests = mRequests.find(aRun.mDeath.mId);
+  const auto own = CountOwnLosses(aRecord);
   return requests != mRequests.end() &&
          std::any_of(requests->second.begin(),
                      requests->second.end(),
                      [&](std::uint64_t aOther) {
                        return aOther != aRequest &&
-                              mRecords.at(aOther).mRuns.size() >
-                                aRecord.mRuns.size();
+                              CountOwnLosses(mRecords.at(aOther)) > own;
                      });
 }
 
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +30,15 @@
   Time mStartedAt;
 };
 
+// What one host tells another about a suspected request.
+struct SuspectReport
+{
+  std::uint64_t mRequest = 0;
+  std::vector<LostRun> mRuns;
+  // When the request was last cleared; earlier losses no longer count.
+  std::optional<Time> mClearedAt;
+};
+
 // Identifies requests that crash the targets they run on. A request is
 // identified by the hash of its workspace and content, so that a caller's retry
 // counts as the same request.
@@ -38,8 +49,12 @@
 //   a place, unless the request followed the failure from target to target.
 // - A death is not counted if another request that was lost with the same
 //   target has lost more targets: that request explains it.
+// - A death counts for a refusal only once the other hosts' evidence about it
+//   should be known.
 // - A request that finishes on any target does not crash targets, which clears
 //   it of all earlier deaths.
+// Sets from several hosts are merged by their union, in any order and any
+// number of times, so that each host judges by the deaths that all have seen.
 class SuspectRegistry
 {
 public:
@@ -50,11 +65,30 @@
   // run of either one usually tells them apart.
   static constexpr int kMinDeathsToRefuseTied = 5;
 
-  // aCommonDeathThreshold is the number of targets that have to die at about
-  // the same time for the deaths to count as a common failure; 0 means never.
-  explicit SuspectRegistry(int aCommonDeathThreshold = 0);
+  // Records in one message to other hosts at most, and the time between two
+  // messages that have any.
+  static constexpr std::size_t kMaxNews = 16;
+  static constexpr Duration kNewsInterval = std::chrono::milliseconds(100);
+
+  // Time from a run's first output after which the run has shown that its
+  // request does not crash targets.
+  static constexpr Duration kProgressTime = std::chrono::milliseconds(2000);
+
+  struct Options
+  {
+    // Number of targets that have to die at about the same time for the deaths
+    // to count as a common failure; 0 means never.
+    int mCommonDeathThreshold = 0;
+    // Age from which a death counts for a refusal. By then the hosts should
+    // have told each other of all requests that were lost in it.
+    Duration mSettleTime = Duration::zero();
+  };
+
+  SuspectRegistry() = default;
+  explicit SuspectRegistry(Options aOptions);
 
-  // Records that a target died, whether it ran requests or not.
+  // Records that a target died, whether it ran requests or not. The earliest
+  // time reported for a death applies.
   void OnTargetDeath(const TargetDeath& aDeath);
 
   // Records that a request was lost with a target. Repeated calls for the same
@@ -63,7 +97,7 @@
 
   // Clears a request that has finished or run well past the point where its
   // target died.
-  void ClearSuspect(std::uint64_t aRequest);
+  void ClearSuspect(std::uint64_t aRequest, Time aNow);
 
   // Number of deaths that count against a request; zero if it is not a suspect.
   int Deaths(std::uint64_t aRequest, Time aNow) const;
@@ -71,6 +105,22 @@
   // Whether a request is to be refused.
   bool IsRefused(std::uint64_t aRequest, Time aNow) const;
 
+  // Merges what another host knows about a request. Returns whether any of it
+  // was new. With aPassOn, news are told to other hosts once.
+  bool Merge(const SuspectReport& aReport, bool aPassOn, Time aNow);
+
+  // Whether there are changes that other hosts have to be told.
+  bool HasNews() const { return !mNews.empty(); }
+
+  // Takes the changes to tell other hosts now, at most kMaxNews, those with the
+  // most deaths first. Each change made here is returned twice, some time
+  // apart, since messages may be lost.
+  std::vector<SuspectReport> TakeNews(Time aNow);
+
+  // What is known of all suspects, for a host that knows nothing yet; those
+  // with the most deaths first, a bounded number.
+  std::vector<SuspectReport> Reports(Time aNow) const;
+
   // Merges the deaths counted by another router; the higher count wins.
   void Merge(std::uint64_t aRequest, int aDeaths, Time aNow);
 
@@ -88,30 +138,54 @@
   // Removes expired records.
   void Expire(Time aNow);
 
-  std::size_t Size() const { return mRecords.size(); }
+  // Number of requests of which a lost run is known.
+  std::size_t Size() const;
 
 private:
   struct Record
   {
     std::vector<LostRun> mRuns;
+    std::optional<Time> mClearedAt;
+    // Whether other hosts know of a lost run.
+    bool mShared = false;
+    // How often the last change has yet to be told, and when next.
+    int mNewsLeft = 0;
+    Time mNextNewsAt;
     // Deaths counted by another router.
     int mPeerDeaths = 0;
     Time mExpiresAt;
   };
 
   const Record* Find(std::uint64_t aRequest, Time aNow) const;
+  // Returns a valid record for a request; null if there is no room for another
+  // one.
+  Record* Obtain(std::uint64_t aRequest, Time aNow);
+  bool AddRun(std::uint64_t aRequest,
+              Record& aRecord,
+              const LostRun& aRun,
+              Time aNow);
+  void RemoveRuns(std::uint64_t aRequest, Record& aRecord);
+  // Schedules a changed record to be told aRepeats times.
+  void Tell(std::uint64_t aRequest, Record& aRecord, int aRepeats, Time aNow);
   void Erase(std::uint64_t aRequest);
-  int CountDeaths(std::uint64_t aRequest, const Record& aRecord) const;
+  // Number of deaths before aBefore that count against a request.
+  int CountDeaths(std::uint64_t aRequest,
+                  const Record& aRecord,
+                  Time aBefore) const;
+  // Number of lost runs that are not due to a common failure.
+  std::ptrdiff_t CountOwnLosses(const Record& aRecord) const;
   bool IsCommonFailure(const Record& aRecord, const LostRun& aRun) const;
   bool IsExplained(std::uint64_t aRequest,
                    const Record& aRecord,
                    const LostRun& aRun) const;
   bool IsTied(std::uint64_t aRequest, const Record& aRecord) const;
 
-  int mCommonDeathThreshold;
+  Options mOptions;
   std::unordered_map<std::uint64_t, Record> mRecords;
   // Requests that were lost in a death, by the death's ID.
   std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> mRequests;
+  // Requests with changes that other hosts have to be told.
+  std::set<std::uint64_t> mNews;
   // Recent deaths, the oldest first.
   std::deque<TargetDeath> mDeaths;
 };
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -96,7 +96,7 @@
 
 TargetTable::TargetTable(TargetTableOptions aOptions)
   : mOptions(std::move(aOptions))
-  , mSuspects(mOptions.mCommonDeathThreshold)
+  , mSuspects({ mOptions.mCommonDeathThreshold, mOptions.mSuspectSettleTime })
   , mRandom(mOptions.mSeed)
 {
 }
@@ -254,20 +254,22 @@
     if (IsLostWith(attempt, *target, aNow)) {
       mSuspects.OnRunLost(
         aContentHash, { *target->mDeath, attempt.mStartedAt }, aNow);
+      NotifyLoadChanged();
     } else {
       lost.push_back(std::move(attempt));
     }
   } else if (aOutcome == AttemptOutcome::Finished) {
-    mSuspects.ClearSuspect(aContentHash);
+    mSuspects.ClearSuspect(aContentHash, aNow);
+    NotifyLoadChanged();
     // Capacity has become available.
     target->mFullUntil = Time();
   }
 }
 
 void
-TargetTable::OnProgress(std::uint64_t aContentHash)
+TargetTable::OnProgress(std::uint64_t aContentHash, Time aNow)
 {
-  mSuspects.ClearSuspect(aContentHash);
+  mSuspects.ClearSuspect(aContentHash, aNow);
 }
 
 void
@@ -797,7 +799,9 @@
   aTarget.mReported = 0;
   aTarget.mWaiting = 0;
   aTarget.mCachedPrefixes.clear();
-  if (!aTarget.mDeath || aTarget.mDeadIncarnation != aTarget.mIncarnation) {
+  const bool isNew =
+    !aTarget.mDeath || aTarget.mDeadIncarnation != aTarget.mIncarnation;
+  if (isNew) {
     const TargetDeclaration& declaration = aTarget.mDeclaration;
     aTarget.mDeath = { StableHash(aTarget.mIncarnation,
                                   StableHash(declaration.mName)),
@@ -805,6 +809,13 @@
                        aNow };
     aTarget.mDeadIncarnation = aTarget.mIncarnation;
   }
+  // The target died when its first request was lost, not when that was
+  // confirmed.
+  for (const LostAttempt& it : aTarget.mLostAttempts) {
+    if (IsLostWith(it, aTarget, aNow)) {
+      aTarget.mDeath->mAt = std::min(aTarget.mDeath->mAt, it.mAt);
+    }
+  }
   DeathReport report;
   report.mTarget = aTarget.mDeclaration.mName;
   report.mIncarnation = aTarget.mIncarnation;
@@ -818,7 +829,8 @@
   }
   mSuspects.OnTargetDeath(*aTarget.mDeath);
   aTarget.mLostAttempts.clear();
-  if (mOnDeath && (!report.mRequests.empty() || aTarget.mDeath->mAt == aNow)) {
+  NotifyLoadChanged();
+  if (mOnDeath && (isNew || !report.mRequests.empty())) {
     mOnDeath(report);
   }
 }
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -60,6 +60,8 @@
   // count as a common failure, such as that of a place, which no request is
   // blamed for; 0 always blames the requests.
   int mCommonDeathThreshold = 0;
+  // Age from which a death counts for the refusal of a request.
+  Duration mSuspectSettleTime = Duration::zero();
   // Time for which a target that refused, did not answer or broke a connection
   // is doubtful, which all but excludes it. It should last until the target's
   // registry entry has expired or changed.
@@ -160,7 +162,7 @@
 
   // Clears the suspicion against a request that has run well past the point
   // where its target died.
-  void OnProgress(std::uint64_t aContentHash);
+  void OnProgress(std::uint64_t aContentHash, Time aNow);
 
   // Records the time from an attempt's start to its first token, which ends the
   // attempt's share of the prompt backlog.
@@ -218,8 +220,8 @@
                    const std::vector<TargetLoad>& aLoad,
                    Time aNow);
 
-  // Sets a callback that runs whenever OwnLoad() or LostTargets() may have
-  // changed.
+  // Sets a callback that runs whenever OwnLoad(), LostTargets() or the suspects
+  // may have changed.
   void SetLoadCallback(std::function<void()> aCall);
 
   // Configures the retry budget. Retries are unlimited before the first call.
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -1,9 +1,9 @@
 #include "gateway/Exchange.h"
 
+#include "core/Hash.h"
 #include "observe/Log.h"
 
 #include <algorithm>
-#include <cinttypes>
 #include <cstdio>
 #include <utility>
 
@@ -66,7 +66,7 @@
         { "kind", std::string(NameOf(mCall.mRoute->mKind)) },
         { "route", mCall.mRoute->mName },
         { "workspace", mCall.mWorkspace },
-        { "content", FormatContentHash(mCall.mContentHash) },
+        { "content", ToHex(mCall.mContentHash) },
         { "configuration", std::to_string(mCall.mRouting->mVersion) },
         { "status", std::to_string(aStatus) },
         { "target", mLastTarget },
@@ -99,20 +99,12 @@
       "request",
       "attempt failed",
       { { "request", mCall.mRequest.mRequestId },
-        { "content", FormatContentHash(mCall.mContentHash) },
+        { "content", ToHex(mCall.mContentHash) },
         { "target", mLastTarget },
         { "after_event", aAfterEvent },
         { "note", mLogNote } });
 }
 
-std::string
-FormatContentHash(std::uint64_t aContentHash)
-{
-  char buf[20];
-  std::snprintf(buf, sizeof buf, "%016" PRIx64, aContentHash);
-  return buf;
-}
-
 int
 ToHttpStatus(const Failure& aFailure)
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -129,10 +129,6 @@
   std::string mLogNote;
 };
 
-// Content hash of a request as it appears in log lines.
-std::string
-FormatContentHash(std::uint64_t aContentHash);
-
 // HTTP status of a failure: 503 if and only if the request has not run.
 int
 ToHttpStatus(const Failure& aFailure);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -22,6 +22,10 @@
 // remaining ones of that place are suspected too.
 constexpr int kPlaceLossThreshold = 2;
 
+// Age from which a death counts for the refusal of a request. Hosts tell each
+// other of it at once and again after 0.5 s.
+constexpr Duration kSuspectSettleTime = std::chrono::milliseconds(600);
+
 // Time for which a target is suspected: three heartbeats, after which the entry
 // of a dead target has expired.
 constexpr Duration kDoubtDuration = std::chrono::milliseconds(3600);
@@ -43,6 +47,7 @@
   options.mSampleSize = 0;
   options.mIsolateSuspects = false;
   options.mCommonDeathThreshold = kCommonDeathThreshold;
+  options.mSuspectSettleTime = kSuspectSettleTime;
   options.mDoubtDuration = kDoubtDuration;
   options.mPlaceLossThreshold = kPlaceLossThreshold;
   options.mSeed = StableHash(aSettings.mHost);
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.h"
 
+#include "core/Hash.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
@@ -155,7 +156,7 @@
         Log(LogLevel::Info,
             "fleet",
             "request suspected of crashing targets",
-            { { "content", FormatContentHash(it) },
+            { { "content", ToHex(it) },
               { "deaths", std::to_string(deaths) },
               { "target", aDeath.mTarget } });
       }
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -22,9 +22,17 @@
 // Interval at which an unchanged load is sent again.
 constexpr Duration kResendInterval = milliseconds(1000);
 
-// Maximum number of hosts that receive one message. With more hosts, each
-// message goes to a random selection.
-constexpr std::size_t kMaxReceivers = 16;
+// Time after the start in which a host announces itself, long enough for all
+// hosts to have read the hosts table.
+constexpr Duration kAnnounceTime = milliseconds(6000);
+
+// Silence after which a host is told all suspects when it is heard again, and
+// after which it is forgotten. It may have been cut off or have restarted.
+constexpr Duration kSilenceBeforeReports = milliseconds(2500);
+constexpr Duration kHeardLifetime = milliseconds(30000);
+
+// Deaths from which on a suspect reported by another host is logged.
+constexpr int kMinLoggedDeaths = 2;
 
 // Elements of a "load" entry: target name, running requests, backlog tokens and
 // held tokens.
@@ -33,6 +41,95 @@
 // Elements of a "sent" entry: service, first attempts and retries.
 constexpr rapidjson::SizeType kSentEntrySize = 3;
 
+// Elements of a "suspects" entry: request, milliseconds since it was cleared or
+// -1, and its lost runs. Elements of a lost run: death, place, milliseconds
+// since the run started and since the target died.
+constexpr rapidjson::SizeType kSuspectEntrySize = 3;
+constexpr rapidjson::SizeType kLostRunSize = 4;
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+// Calls a function with each element of a list; nothing if there is none.
+template<typename Function>
+void
+ForEachIn(const rapidjson::Value& aObject,
+          const char* aName,
+          const Function& aFunction)
+{
+  const auto list = aObject.FindMember(aName);
+  if (list != aObject.MemberEnd() && list->value.IsArray()) {
+    for (const auto& it : list->value.GetArray()) {
+      aFunction(it);
+    }
+  }
+}
+
+int
+AgeInMilliseconds(Time aAt, Time aNow)
+{
+  return static_cast<int>(ToMilliseconds(aNow - aAt));
+}
+
+void
+WriteSuspect(Writer& aWriter, const SuspectReport& aReport, Time aNow)
+{
+  aWriter.StartArray();
+  aWriter.Uint64(aReport.mRequest);
+  aWriter.Int(aReport.mClearedAt ? AgeInMilliseconds(*aReport.mClearedAt, aNow)
+                                 : -1);
+  aWriter.StartArray();
+  for (const LostRun& it : aReport.mRuns) {
+    aWriter.StartArray();
+    aWriter.Uint64(it.mDeath.mId);
+    aWriter.Uint64(it.mDeath.mPlace);
+    aWriter.Int(AgeInMilliseconds(it.mStartedAt, aNow));
+    aWriter.Int(AgeInMilliseconds(it.mDeath.mAt, aNow));
+    aWriter.EndArray();
+  }
+  aWriter.EndArray();
+  aWriter.EndArray();
+}
+
+void
+WriteSuspects(Writer& aWriter,
+              const std::vector<SuspectReport>& aReports,
+              Time aNow)
+{
+  aWriter.Key("suspects");
+  aWriter.StartArray();
+  for (const SuspectReport& it : aReports) {
+    WriteSuspect(aWriter, it, aNow);
+  }
+  aWriter.EndArray();
+}
+
+std::optional<SuspectReport>
+ParseSuspect(const rapidjson::Value& aValue, Time aNow)
+{
+  if (!aValue.IsArray() || aValue.Size() != kSuspectEntrySize ||
+      !aValue[0].IsUint64() || !aValue[1].IsInt() || !aValue[2].IsArray()) {
+    return std::nullopt;
+  }
+  SuspectReport report;
+  report.mRequest = aValue[0].GetUint64();
+  if (aValue[1].GetInt() >= 0) {
+    report.mClearedAt = aNow - milliseconds(aValue[1].GetInt());
+  }
+  for (const auto& it : aValue[2].GetArray()) {
+    if (!it.IsArray() || it.Size() != kLostRunSize || !it[0].IsUint64() ||
+        !it[1].IsUint64() || !it[2].IsInt() || !it[3].IsInt()) {
+      return std::nullopt;
+    }
+    LostRun run;
+    run.mDeath.mId = it[0].GetUint64();
+    run.mDeath.mPlace = it[1].GetUint64();
+    run.mStartedAt = aNow - milliseconds(it[2].GetInt());
+    run.mDeath.mAt = aNow - milliseconds(it[3].GetInt());
+    report.mRuns.push_back(run);
+  }
+  return report;
+}
+
 } // namespace
 
 LoadBroadcaster::LoadBroadcaster(EventLoop& aLoop,
@@ -43,6 +140,8 @@
   , mSocket(aLoop.Context())
   , mSendTimer(aLoop, [this] { SendMessage(); })
   , mRandom(StableHash(aSettings.mHost))
+  , mStart(static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count()))
 {
 }
 
@@ -63,13 +162,11 @@
     return "cannot receive on " + at.address().to_string() + ":" +
            std::to_string(at.port()) + ": " + ec.message();
   }
-  mFleet.Targets().SetLoadCallback([this] {
-    const Time at = EventLoop::Now() + kBatchDelay;
-    if (!mSendTimer.IsSet() || mSendTimer.Expiry() > at) {
-      mSendTimer.ScheduleAt(at);
-    }
-  });
+  mFleet.Targets().SetLoadCallback(
+    [this] { SendBy(EventLoop::Now() + kBatchDelay); });
   Receive();
+  mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
+  mSendTimer.ScheduleAt(EventLoop::Now() + kResendInterval);
   return std::nullopt;
 }
 
@@ -98,48 +195,68 @@
   if (json.HasParseError() || !json.IsObject()) {
     return;
   }
-  const auto host = json.FindMember("host");
-  const auto load = json.FindMember("load");
-  if (host == json.MemberEnd() || !host->value.IsString() ||
-      load == json.MemberEnd() || !load->value.IsArray()) {
+  const auto name = json.FindMember("host");
+  if (name == json.MemberEnd() || !name->value.IsString()) {
     return;
   }
+  const std::string host = name->value.GetString();
+  const Time now = EventLoop::Now();
+  const auto start = json.FindMember("start");
+  const bool hasStart = start != json.MemberEnd() && start->value.IsUint64();
+  OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
+  // A message with nothing but suspects has no load.
+  const auto load = json.FindMember("load");
+  if (load != json.MemberEnd() && load->value.IsArray()) {
+    ApplyLoad(host, json, now);
+  }
+  // With few hosts, each message reaches all of them.
+  const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
+  ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
+    const auto report = ParseSuspect(aValue, now);
+    if (report && mFleet.Targets().Suspects().Merge(*report, passOn, now)) {
+      LogSuspect(*report, host, now);
+      SendBy(now + kBatchDelay);
+    }
+  });
+}
+
+void
+LoadBroadcaster::ApplyLoad(const std::string& aHost,
+                           const rapidjson::Value& aMessage,
+                           Time aNow)
+{
+  TargetTable& targets = mFleet.Targets();
   std::vector<TargetLoad> loads;
-  for (const auto& it : load->value.GetArray()) {
-    if (!it.IsArray() || it.Size() != kLoadEntrySize || !it[0].IsString() ||
-        !it[1].IsInt() || !it[2].IsInt() || !it[3].IsInt()) {
-      continue;
+  ForEachIn(aMessage, "load", [&](const rapidjson::Value& aValue) {
+    if (!aValue.IsArray() || aValue.Size() != kLoadEntrySize ||
+        !aValue[0].IsString() || !aValue[1].IsInt() || !aValue[2].IsInt() ||
+        !aValue[3].IsInt()) {
+      return;
     }
     TargetLoad entry;
-    entry.mTarget = it[0].GetString();
-    entry.mRunning = it[1].GetInt();
-    entry.mBacklogTokens = it[2].GetInt();
-    entry.mHeldTokens = it[3].GetInt();
+    entry.mTarget = aValue[0].GetString();
+    entry.mRunning = aValue[1].GetInt();
+    entry.mBacklogTokens = aValue[2].GetInt();
+    entry.mHeldTokens = aValue[3].GetInt();
     loads.push_back(std::move(entry));
-  }
-  const Time now = EventLoop::Now();
-  mFleet.Targets().SetPeerLoad(host->value.GetString(), loads, now);
+  });
+  targets.SetPeerLoad(aHost, loads, aNow);
   std::vector<RetryCount> counts;
-  const auto sent = json.FindMember("sent");
-  if (sent != json.MemberEnd() && sent->value.IsArray()) {
-    for (const auto& it : sent->value.GetArray()) {
-      if (it.IsArray() && it.Size() == kSentEntrySize && it[0].IsString() &&
-          it[1].IsInt() && it[2].IsInt()) {
-        counts.push_back({ it[0].GetString(), it[1].GetInt(), it[2].GetInt() });
-      }
+  ForEachIn(aMessage, "sent", [&](const rapidjson::Value& aValue) {
+    if (aValue.IsArray() && aValue.Size() == kSentEntrySize &&
+        aValue[0].IsString() && aValue[1].IsInt() && aValue[2].IsInt()) {
+      counts.push_back(
+        { aValue[0].GetString(), aValue[1].GetInt(), aValue[2].GetInt() });
     }
-  }
-  mFleet.Targets().SetPeerRetryCounts(host->value.GetString(), counts, now);
-  const auto lost = json.FindMember("lost");
-  if (lost == json.MemberEnd() || !lost->value.IsArray()) {
-    return;
-  }
-  for (const auto& it : lost->value.GetArray()) {
-    if (it.IsArray() && it.Size() == 2 && it[0].IsString() && it[1].IsInt()) {
-      mFleet.Targets().OnLostByPeer(
-        it[0].GetString(), now - milliseconds(it[1].GetInt()), now);
+  });
+  targets.SetPeerRetryCounts(aHost, counts, aNow);
+  ForEachIn(aMessage, "lost", [&](const rapidjson::Value& aValue) {
+    if (aValue.IsArray() && aValue.Size() == 2 && aValue[0].IsString() &&
+        aValue[1].IsInt()) {
+      targets.OnLostByPeer(
+        aValue[0].GetString(), aNow - milliseconds(aValue[1].GetInt()), aNow);
     }
-  }
+  });
 }
 
 void
@@ -148,18 +265,34 @@
   const Time now = EventLoop::Now();
   const auto loads = mFleet.Targets().OwnLoad();
   const auto lost = mFleet.Targets().LostTargets(now);
-  const bool hasContent = !loads.empty() || !lost.empty();
+  SuspectRegistry& suspects = mFleet.Targets().Suspects();
+  std::vector<SuspectReport> news;
+  if (now >= mNextNewsAt) {
+    news = suspects.TakeNews(now);
+  }
+  if (!news.empty()) {
+    mNextNewsAt = now + SuspectRegistry::kNewsInterval;
+  }
+  if (suspects.HasNews()) {
+    mSendTimer.ScheduleAt(
+      std::max(now + SuspectRegistry::kNewsInterval, mNextNewsAt));
+  }
+  const bool hasContent = !loads.empty() || !lost.empty() || !news.empty();
   if (hasContent) {
-    mSendTimer.ScheduleAt(now + kResendInterval);
+    SendBy(now + kResendInterval);
+  } else if (now < mAnnounceUntil) {
+    SendBy(now + kResendInterval);
   } else if (!mSentContent) {
     return;
   }
   mSentContent = hasContent;
   rapidjson::StringBuffer buf;
-  rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+  Writer writer(buf);
   writer.StartObject();
   writer.Key("host");
   writer.String(mSettings.mHost.c_str());
+  writer.Key("start");
+  writer.Uint64(mStart);
   writer.Key("load");
   writer.StartArray();
   for (const TargetLoad& it : loads) {
@@ -186,10 +319,11 @@
   for (const auto& it : lost) {
     writer.StartArray();
     writer.String(it.mTarget.c_str());
-    writer.Int(static_cast<int>(ToMilliseconds(now - it.mAt)));
+    writer.Int(AgeInMilliseconds(it.mAt, now));
     writer.EndArray();
   }
   writer.EndArray();
+  WriteSuspects(writer, news, now);
   writer.EndObject();
   for (const udp::endpoint& it : ChooseReceivers()) {
     boost::system::error_code ec;
@@ -199,16 +333,91 @@
   }
 }
 
+void
+LoadBroadcaster::SendBy(Time aAt)
+{
+  if (!mSendTimer.IsSet() || mSendTimer.Expiry() > aAt) {
+    mSendTimer.ScheduleAt(aAt);
+  }
+}
+
+void
+LoadBroadcaster::OnHeardFrom(const std::string& aHost,
+                             std::uint64_t aStart,
+                             Time aNow)
+{
+  const auto known = mHeardHosts.find(aHost);
+  const bool isNew = known == mHeardHosts.end() ||
+                     known->second.mStart != aStart ||
+                     aNow - known->second.mAt >= kSilenceBeforeReports;
+  mHeardHosts[aHost] = { mSender, aStart, aNow };
+  if (!isNew) {
+    return;
+  }
+  SendSuspects(mSender, aNow);
+  for (auto it = mHeardHosts.begin(); it != mHeardHosts.end();) {
+    it = aNow - it->second.mAt >= kHeardLifetime ? mHeardHosts.erase(it)
+                                                 : std::next(it);
+  }
+}
+
+void
+LoadBroadcaster::SendSuspects(const udp::endpoint& aReceiver, Time aNow)
+{
+  const auto reports = mFleet.Targets().Suspects().Reports(aNow);
+  if (reports.empty()) {
+    return;
+  }
+  rapidjson::StringBuffer buf;
+  Writer writer(buf);
+  writer.StartObject();
+  writer.Key("host");
+  writer.String(mSettings.mHost.c_str());
+  writer.Key("start");
+  writer.Uint64(mStart);
+  WriteSuspects(writer, reports, aNow);
+  writer.EndObject();
+  boost::system::error_code ec;
+  // Errors are ignored like those of all messages.
+  mSocket.send_to(
+    boost::asio::buffer(buf.GetString(), buf.GetSize()), aReceiver, 0, ec);
+}
+
+void
+LoadBroadcaster::LogSuspect(const SuspectReport& aReport,
+                            const std::string& aHost,
+                            Time aNow) const
+{
+  const int deaths = mFleet.Targets().Suspects().Deaths(aReport.mRequest, aNow);
+  if (deaths >= kMinLoggedDeaths || aReport.mClearedAt) {
+    Log(LogLevel::Info,
+        "peers",
+        "suspected request reported",
+        { { "content", ToHex(aReport.mRequest) },
+          { "host", aHost },
+          { "deaths", std::to_string(deaths) },
+          { "cleared", aReport.mClearedAt ? "true" : "false" } });
+  }
+}
+
 std::vector<udp::endpoint>
 LoadBroadcaster::ChooseReceivers()
 {
   std::vector<udp::endpoint> receivers;
-  for (const auto& it : mFleet.HostAddresses()) {
+  const auto& known = mFleet.HostAddresses();
+  for (const auto& it : known) {
     const auto endpoint = ParseEndpoint(it.second);
     if (endpoint && it.first != mSettings.mHost) {
       receivers.emplace_back(endpoint->address(), mSettings.mLoadPort);
     }
   }
+  const Time now = EventLoop::Now();
+  for (const auto& it : mHeardHosts) {
+    if (known.count(it.first) == 0 &&
+        now - it.second.mAt < kSilenceBeforeReports) {
+      receivers.push_back(it.second.mEndpoint);
+    }
+  }
   if (receivers.size() > kMaxReceivers) {
     std::shuffle(receivers.begin(), receivers.end(), mRandom);
     receivers.resize(kMaxReceivers);
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -5,17 +5,21 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <map>
 #include <optional>
 #include <random>
+#include <rapidjson/document.h>
 #include <string>
 #include <vector>
 
 namespace quetzalquay {
 
 // Exchanges with other hosts, over UDP, the load that each has put on targets,
-// the first attempts and retries it has sent and the targets it has lost, so
-// that every host chooses targets by their total load. Each datagram has the
-// full state, so a lost one is compensated by the next.
+// the first attempts and retries it has sent, the targets it has lost and the
+// requests suspected of crashing targets, so that every host chooses targets by
+// their total load. Each datagram has the full state but for the suspects, so a
+// lost one is compensated by the next; changes of suspects are repeated, and
+// passed on by the hosts that receive them.
 class LoadBroadcaster
 {
 public:
@@ -23,13 +27,29 @@
                   const GatewaySettings& aSettings,
                   Fleet& aFleet);
 
+  // Maximum number of hosts that receive one message. With more hosts, each
+  // message goes to a random selection.
+  static constexpr std::size_t kMaxReceivers = 16;
+
   // Starts to receive; returns the reason on failure.
   std::optional<std::string> Start();
 
 private:
   void Receive();
   void HandleMessage(std::string_view aText);
+  void ApplyLoad(const std::string& aHost,
+                 const rapidjson::Value& aMessage,
+                 Time aNow);
   void SendMessage();
+  // Schedules a message at aAt unless an earlier one is scheduled.
+  void SendBy(Time aAt);
+  // Records that a host was heard from, and tells it all suspects if it is new
+  // or was silent for a while.
+  void OnHeardFrom(const std::string& aHost, std::uint64_t aStart, Time aNow);
+  void SendSuspects(const boost::asio::ip::udp::endpoint& aReceiver, Time aNow);
+  void LogSuspect(const SuspectReport& aReport,
+                  const std::string& aHost,
+                  Time aNow) const;
   std::vector<boost::asio::ip::udp::endpoint> ChooseReceivers();
 
   GatewaySettings mSettings;
@@ -39,8 +59,24 @@
   std::array<char, 65536> mBuffer{};
   Timer mSendTimer;
   std::mt19937_64 mRandom;
+  // Identifies the start of this process.
+  std::uint64_t mStart;
   // Whether the last message had any load or lost targets.
   bool mSentContent = false;
+  // Hosts heard from recently. The hosts table may not have them yet.
+  struct HeardHost
+  {
+    boost::asio::ip::udp::endpoint mEndpoint;
+    // Identifies the start of the host's process.
+    std::uint64_t mStart = 0;
+    Time mAt;
+  };
+  std::map<std::string, HeardHost> mHeardHosts;
+  // Until when messages without content are sent, so that the other hosts learn
+  // of this one.
+  Time mAnnounceUntil;
+  // When a message with changes of suspects may be sent again.
+  Time mNextNewsAt;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -484,8 +484,9 @@
     return;
   }
   mActiveAttempt->mProgressReported = true;
-  mParts.mTargets->WithLock(
-    [this](TargetTable& aTable) { aTable.OnProgress(mContext.mContentHash); });
+  mParts.mTargets->WithLock([this](TargetTable& aTable) {
+    aTable.OnProgress(mContext.mContentHash, Now());
+  });
 }
 
 void
