Do not blame a stream that had run well when its target died

Callers would have seen: a long stream refused as a crashing request because three targets died under it one after the other. Nothing in the gateway told the table that a stream had made progress (only the router did), so each loss counted, however late. A request that crashes targets crashes them when its run begins.

A run counts as harmless 2 s after its first event: that clears its request, and the loss of this run doesn't count. The router's rule of 64 tokens now covers the loss too.

FleetTests::ARunThatMadeProgressIsNotBlamed could not be expressed before.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -219,7 +219,7 @@
 {
   if (Target* target = Find(aTarget)) {
     target->mRunning.push_back(
-      { aContentHash, aNow, aLoad, false, target->mIncarnation });
+      { aContentHash, aNow, aLoad, false, target->mIncarnation, false });
     NotifyLoadChanged();
   }
 }
@@ -240,7 +240,9 @@
       return aEntry.mContentHash == aContentHash;
     });
   LostAttempt attempt{ aContentHash, aNow, aNow, target->mIncarnation };
+  bool progressed = false;
   if (it != running.end()) {
+    progressed = it->mProgressed;
     attempt.mStartedAt = it->mStartedAt;
     attempt.mIncarnation = std::move(it->mIncarnation);
     running.erase(it);
@@ -250,7 +252,7 @@
   while (!lost.empty() && aNow - lost.front().mAt >= kDeathConfirmationWindow) {
     lost.pop_front();
   }
-  if (aOutcome == AttemptOutcome::Lost) {
+  if (aOutcome == AttemptOutcome::Lost && !progressed) {
     if (IsLostWith(attempt, *target, aNow)) {
       mSuspects.OnRunLost(
         aContentHash, { *target->mDeath, attempt.mStartedAt }, aNow);
@@ -267,9 +269,17 @@
 }
 
 void
-TargetTable::OnProgress(std::uint64_t aContentHash, Time aNow)
+TargetTable::OnProgress(const std::string& aTarget,
+                        std::uint64_t aContentHash,
+                        Time aNow)
 {
   mSuspects.ClearSuspect(aContentHash, aNow);
+  NotifyLoadChanged();
+  if (Target* target = Find(aTarget)) {
+    for (RunningAttempt& it : target->mRunning) {
+      it.mProgressed |= it.mContentHash == aContentHash;
+    }
+  }
 }
 
 void
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -160,9 +160,12 @@
                     AttemptOutcome aOutcome,
                     Time aNow);
 
-  // Clears the suspicion against a request that has run well past the point
-  // where its target died.
-  void OnProgress(std::uint64_t aContentHash, Time aNow);
+  // Records that an attempt has produced enough output to show that its request
+  // does not crash targets. Clears the request, and the loss of this attempt
+  // will not count.
+  void OnProgress(const std::string& aTarget,
+                  std::uint64_t aContentHash,
+                  Time aNow);
 
   // Records the time from an attempt's start to its first token, which ends the
   // attempt's share of the prompt backlog.
@@ -314,6 +317,7 @@
     bool mFirstTokenSeen;
     // Incarnation of the target when the attempt started.
     std::string mIncarnation;
+    bool mProgressed = false;
   };
 
   struct LostAttempt
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -179,6 +179,7 @@
   mAttemptOpen = true;
   mAttemptSentAt = now;
   mAttemptEvents = 0;
+  mProgressReported = false;
   mComputesPrompt = !fromCopy;
   mEventParser.Clear();
   mNextEventIndex = static_cast<int>(aAction.mTokens.size());
@@ -468,6 +469,11 @@
         std::chrono::duration_cast<Duration>(aNow - mAttemptSentAt));
     }
   }
+  if (!mProgressReported &&
+      aNow - mAttemptFirstEventAt >= SuspectRegistry::kProgressTime) {
+    mProgressReported = true;
+    targets.OnProgress(mTarget, mCall.mContentHash, aNow);
+  }
   mCopy.OnEvent(aNow);
   ++mNextEventIndex;
 }
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -102,6 +102,9 @@
   Time mAttemptFirstEventAt;
   // Events accepted from the current attempt.
   int mAttemptEvents = 0;
+  // Whether the current attempt has shown that its request does not crash
+  // targets.
+  bool mProgressReported = false;
   // Whether the current attempt has to compute its prompt; false when it starts
   // from a copy of the KV cache.
   bool mComputesPrompt = true;
--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -485,7 +485,7 @@
   }
   mActiveAttempt->mProgressReported = true;
   mParts.mTargets->WithLock([this](TargetTable& aTable) {
-    aTable.OnProgress(mContext.mContentHash, Now());
+    aTable.OnProgress(mActiveAttempt->mTarget, mContext.mContentHash, Now());
   });
 }
 
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(RefusedConnectionsOfOneTargetAreOneDeath);
   CPPUNIT_TEST(RequestThatCrashesTargetsAtOnceIsRefused);
   CPPUNIT_TEST(AnUnregisteredTargetHasDied);
+  CPPUNIT_TEST(ARunThatMadeProgressIsNotBlamed);
   CPPUNIT_TEST(ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain);
   CPPUNIT_TEST(ARestartedTargetIsUsableAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -561,6 +562,24 @@
     CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(44, At(4600)));
   }
 
+  // Guards against long streams being refused because several targets died
+  // under them.
+  void ARunThatMadeProgressIsNotBlamed()
+  {
+    TargetTable table = MakeEngineTable();
+    for (int n = 0; n < 3; ++n) {
+      const std::string target = "t" + std::to_string(n);
+      table.OnAttemptStart(target, 45, At(3000 * n));
+      if (n > 0) {
+        table.OnProgress(target, 45, At(3000 * n + 2500));
+      }
+      table.OnAttemptEnd(target, 45, AttemptOutcome::Lost, At(3000 * n + 2600));
+      table.OnRefused(target, At(3000 * n + 2630));
+      CPPUNIT_ASSERT_EQUAL(n == 0 ? 1 : 0,
+                           table.Suspects().Deaths(45, At(3000 * n + 2900)));
+    }
+  }
+
   // A registration that is still the dead target's does not make it usable.
   void ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain()
   {
