Do not clear a suspect when a target answers with a failure

Callers would have seen: a crashing request sent on after any target had answered it with an error. Every answer ended the attempt as finished, which clears the request; a target that fails part of its requests, or refuses this one, has not shown that running it is harmless. Only a signed success does now.

FleetTests::AFailureDoesNotClearASuspect guards it; the parent has no outcome to tell the two apart.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -263,6 +263,9 @@
   } else if (aOutcome == AttemptOutcome::Finished) {
     mSuspects.ClearSuspect(aContentHash, aNow);
     NotifyLoadChanged();
+  }
+  if (aOutcome == AttemptOutcome::Finished ||
+      aOutcome == AttemptOutcome::Failed) {
     // Capacity has become available.
     target->mFullUntil = Time();
   }
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -83,6 +83,8 @@
 enum class AttemptOutcome
 {
   Finished,
+  // The target answered with a failure; it may not have run the request.
+  Failed,
   // Cancelled, moved to another target or rejected.
   Released,
   // The connection broke or the target stopped responding.
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -152,7 +152,7 @@
     PerformStep(mStateMachine.OnResult(PlainResult::Broken, now));
     return;
   }
-  EndAttempt(AttemptOutcome::Finished);
+  EndAttempt(success ? AttemptOutcome::Finished : AttemptOutcome::Failed);
   const bool failed = mResponseHead.mStatus >= kFirstServerErrorStatus;
   PerformStep(mStateMachine.OnResult(
     failed ? PlainResult::Failed : PlainResult::Answered, now));
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -664,7 +664,7 @@
 void
 StreamExchange::ForwardErrorResponse()
 {
-  ReleaseAttempt(AttemptOutcome::Finished);
+  ReleaseAttempt(AttemptOutcome::Failed);
   Finish();
   LogCompletion("answered", mResponseHead.mStatus);
   mSink->SendResponse(mResponseHead.mStatus,
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(RequestThatCrashesTargetsAtOnceIsRefused);
   CPPUNIT_TEST(AnUnregisteredTargetHasDied);
   CPPUNIT_TEST(ARunThatMadeProgressIsNotBlamed);
+  CPPUNIT_TEST(AFailureDoesNotClearASuspect);
   CPPUNIT_TEST(ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain);
   CPPUNIT_TEST(ARestartedTargetIsUsableAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -562,6 +563,22 @@
     CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(44, At(4600)));
   }
 
+  // Guards against a failure that a target answers without running the request
+  // clearing a request that crashes targets.
+  void AFailureDoesNotClearASuspect()
+  {
+    TargetTable table = MakeEngineTable();
+    table.OnAttemptStart("t1", 46, At(0));
+    table.OnAttemptEnd("t1", 46, AttemptOutcome::Lost, At(10));
+    table.OnRefused("t1", At(20));
+    table.OnAttemptStart("t2", 46, At(100));
+    table.OnAttemptEnd("t2", 46, AttemptOutcome::Failed, At(110));
+    CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(46, At(200)));
+    table.OnAttemptStart("t2", 46, At(300));
+    table.OnAttemptEnd("t2", 46, AttemptOutcome::Finished, At(310));
+    CPPUNIT_ASSERT_EQUAL(0, table.Suspects().Deaths(46, At(400)));
+  }
+
   // Guards against long streams being refused because several targets died
   // under them.
   void ARunThatMadeProgressIsNotBlamed()
