--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -91,6 +91,20 @@
     << R"(],"store":")" << aStore
     << R"(","maxConnections":500,"linkMbps":100,"stopGraceS":8,"repeatRatio":0.8,)"
     << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+  StartProcess();
+}
+
+void
+GatewayProcess::Restart()
+{
+  Signal(SIGKILL);
+  AwaitExit();
+  StartProcess();
+}
+
+void
+GatewayProcess::StartProcess()
+{
   const char* logDirectory = std::getenv(kLogDirectoryVariable);
   const std::string log = logDirectory == nullptr
                             ? "/dev/null"
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -66,9 +66,13 @@
 
   bool IsRunning() const { return mProcess > 0; }
 
+  // Kills the process and starts it again with the same settings.
+  void Restart();
+
   const std::string& Name() const { return mName; }
 
 private:
+  void StartProcess();
   int Connect(int aPort, const std::string& aBytes) const;
   CallerAnswer CallPort(int aPort, const std::string& aBytes) const;
 
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1,5 +1,6 @@
 #include "GatewayTestCluster.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -33,6 +34,9 @@
 constexpr auto kCrashDowntime = milliseconds(1200);
 constexpr auto kEntryLifetime = milliseconds(3600);
 
+// Row of a host at whose address nothing listens.
+constexpr char kUnreachableHost[] = "127.0.3.9:9 100";
+
 // Time limit for a condition of Await(), well above any expected time.
 constexpr auto kTimeout = std::chrono::seconds(20);
 
@@ -427,7 +431,7 @@
   }
 }
 
-GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways)
+GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways, int aCutOff)
 {
   for (int n = 0; n < aRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
@@ -436,12 +440,14 @@
   }
   for (int n = 0; n < aGateways; ++n) {
     auto node = std::make_unique<GatewayNode>();
+    node->mName = n == 0 ? "h" : "h" + std::to_string(n);
+    node->mCutOff = n == aCutOff;
     node->mStorePort = FindFreePort();
     node->mStore = std::make_unique<SimpleHttpServer>(
       mLoop,
       [this, at = node.get()](const HttpHead& aHead, const std::string& aBody) {
         return at->mStoreDown ? UnavailableReply()
-                              : HandleStoreRequest(aHead, aBody);
+                              : HandleStoreRequest(*at, aHead, aBody);
       });
     if (const auto problem =
           node->mStore->Open(*ParseEndpoint(Address(node->mStorePort)))) {
@@ -461,7 +467,7 @@
   for (int n = 0; n < aGateways; ++n) {
     GatewayNode& node = *mNodes[static_cast<std::size_t>(n)];
     node.mGateway =
-      std::make_unique<GatewayProcess>(n == 0 ? "h" : "h" + std::to_string(n),
+      std::make_unique<GatewayProcess>(node.mName,
                                        "p" + std::to_string(n % 2),
                                        ip(n),
                                        loadPort,
@@ -568,6 +574,13 @@
   });
 }
 
+void
+GatewayTestCluster::AwaitReady() const
+{
+  Await(
+    [](const GatewayProcess& aGateway) { return aGateway.Readiness() == 200; });
+}
+
 void
 GatewayTestCluster::Await(
   const std::function<bool(const GatewayProcess&)>& aCondition) const
@@ -634,6 +647,18 @@
   }
 }
 
+// Whether a gateway cannot reach the host of the given name.
+bool
+GatewayTestCluster::IsCutOff(const GatewayNode& aReader,
+                             const std::string& aName) const
+{
+  return aReader.mName != aName &&
+         std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+           return aNode->mCutOff &&
+                  (aNode->mName == aName || aNode.get() == &aReader);
+         });
+}
+
 SimpleHttpReply
 GatewayTestCluster::UnavailableReply()
 {
@@ -643,7 +668,8 @@
 }
 
 SimpleHttpReply
-GatewayTestCluster::HandleStoreRequest(const HttpHead& aHead,
+GatewayTestCluster::HandleStoreRequest(const GatewayNode& aReader,
+                                       const HttpHead& aHead,
                                        const std::string& aBody)
 {
   SimpleHttpReply reply;
@@ -658,8 +684,13 @@
   const std::string after = QueryValue(aHead.mTarget, "AfterRevision");
   const long long from = whole ? 0 : std::atoll(after.c_str());
   std::string rows;
-  for (const auto& it : mTables[QueryValue(aHead.mTarget, "Table")]) {
-    const Row& row = it.second;
+  const std::string table = QueryValue(aHead.mTarget, "Table");
+  for (const auto& it : mTables[table]) {
+    Row row = it.second;
+    if (table == "gateway-hosts" && !row.mRemoved &&
+        IsCutOff(aReader, it.first)) {
+      row.mValue = Base64(kUnreachableHost);
+    }
     if (row.mVersion <= from || (whole && row.mRemoved)) {
       continue;
     }
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -105,8 +105,11 @@
 class GatewayTestCluster
 {
 public:
-  // Starts everything; the gateways are ready when this returns.
-  explicit GatewayTestCluster(int aRunners = 3, int aGateways = 1);
+  // Starts everything; the gateways are ready when this returns. The gateway
+  // aCutOff and the others cannot reach each other; all reach the store.
+  explicit GatewayTestCluster(int aRunners = 3,
+                              int aGateways = 1,
+                              int aCutOff = -1);
   ~GatewayTestCluster();
 
   static constexpr int kEvents = 40;
@@ -130,6 +133,9 @@
   // gateways have applied it.
   void Configure(const std::string& aKey);
 
+  // Waits until all running gateways are ready.
+  void AwaitReady() const;
+
   // Waits until all running gateways meet a condition; throws on timeout.
   void Await(
     const std::function<bool(const GatewayProcess&)>& aCondition) const;
@@ -198,10 +204,14 @@
     std::unique_ptr<quetzalquay::SimpleHttpServer> mStore;
     std::atomic<bool> mStoreDown{ false };
     std::unique_ptr<GatewayProcess> mGateway;
+    std::string mName;
+    bool mCutOff = false;
   };
 
+  bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
   static quetzalquay::SimpleHttpReply UnavailableReply();
   quetzalquay::SimpleHttpReply HandleStoreRequest(
+    const GatewayNode& aReader,
     const quetzalquay::HttpHead& aHead,
     const std::string& aBody);
   void ApplyTransaction(const std::string& aBody);
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
+#include <functional>
 #include <set>
 
 using namespace quetzalquay;
@@ -16,6 +17,9 @@
 constexpr auto kKnownWithin = milliseconds(3000);
 constexpr std::size_t kMaxLateRuns = 3;
 
+// Time within which a host writes what has to last.
+constexpr auto kWritten = milliseconds(1000);
+
 // Time between two sends of the crashing request.
 constexpr auto kReturnInterval = milliseconds(250);
 
@@ -110,6 +114,9 @@
   CPPUNIT_TEST(CrashingUnsafeRequestIsStoppedByASingleHost);
   CPPUNIT_TEST(CrashingSafeRequestIsStoppedByASingleHost);
   CPPUNIT_TEST(CrashingRequestIsStoppedWithoutOtherTraffic);
+  CPPUNIT_TEST(CrashingRequestIsStoppedAfterAHostRestarts);
+  CPPUNIT_TEST(CrashingRequestIsStoppedAfterAllHostsRestart);
+  CPPUNIT_TEST(CrashingRequestIsStoppedOnAHostThatIsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +164,37 @@
     ExpectStoppedBy(cluster, "/unsafe/");
   }
 
+  void CrashingRequestIsStoppedAfterAHostRestarts()
+  {
+    GatewayTestCluster cluster(8, 4);
+    ExpectStoppedBy(cluster, "/unsafe/", [&] {
+      cluster.Gateway(1).Restart();
+      cluster.AwaitReady();
+    });
+  }
+
+  // Guards against all hosts forgetting at once what each of them kept only in
+  // memory.
+  void CrashingRequestIsStoppedAfterAllHostsRestart()
+  {
+    GatewayTestCluster cluster(8, 4);
+    ExpectStoppedBy(cluster, "/unsafe/", [&] {
+      std::this_thread::sleep_for(kWritten);
+      for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+        cluster.Gateway(n).Restart();
+      }
+      cluster.AwaitReady();
+    });
+  }
+
+  // Guards against a host that reaches the store but no other host never
+  // learning of the request.
+  void CrashingRequestIsStoppedOnAHostThatIsCutOff()
+  {
+    GatewayTestCluster cluster(8, 4, 2);
+    ExpectStoppedBy(cluster, "/unsafe/");
+  }
+
 private:
   static void ExpectStopped(const std::string& aRoute,
                             int aGateways,
@@ -172,9 +210,11 @@
   }
 
   // Sends the crashing request to one host after the other until three targets
-  // have crashed, waits, and expects few further runs.
-  static void ExpectStoppedBy(GatewayTestCluster& aCluster,
-                              const std::string& aRoute)
+  // have crashed, calls aAfterThirdCrash, waits, and expects few further runs.
+  static void ExpectStoppedBy(
+    GatewayTestCluster& aCluster,
+    const std::string& aRoute,
+    const std::function<void()>& aAfterThirdCrash = [] {})
   {
     int sent = 0;
     const auto send = [&] {
@@ -188,6 +228,7 @@
       send();
     }
     CPPUNIT_ASSERT(aCluster.CrashCount() >= 3);
+    aAfterThirdCrash();
     std::this_thread::sleep_for(kKnownWithin);
     const std::size_t before = CountCrashingRuns(aCluster);
     for (int n = 0; n < kLateSends; ++n) {
