Keep what is known of a crashing request in the platform's store

Callers saw: after all hosts had restarted, or on a host that the others could not reach, a request that had ended three targets ended more. Cause, fourth of several: what must last was kept in memory only.

A host that loses a run of a request with two or more lost runs writes them to a table of the gateway, one row for each run, in one call; a host that has heard of no other for 3 s writes single ones too. The readers watch the table (one held call per 5 s) and other hosts get its rows with the rest. Times in the rows are Unix times.

Ruled out: writing every single loss (each crash would cost a call per host that has requests there, and most of these are harmless); waiting for the store before a send.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -1,14 +1,12 @@
 #include "core/SuspectRegistry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace quetzalquay {
 
 namespace {
 
-// Time from the last change of a record until it expires.
-constexpr Duration kRecordLifetime = std::chrono::minutes(10);
-
 // Time for which a cleared request is remembered, so that older reports of its
 // losses are recognized as such.
 constexpr Duration kClearedLifetime = std::chrono::seconds(10);
@@ -87,6 +85,70 @@
   if (record != nullptr && AddRun(aRequest, *record, aRun, aNow)) {
     record->mExpiresAt = aNow + kRecordLifetime;
     Tell(aRequest, *record, kNewsRepeats, aNow);
+    if (record->mRuns.size() >= mStoreThreshold) {
+      StoreRuns(aRequest, *record);
+    }
+  }
+}
+
+// Schedules all lost runs of a request to be stored that are not yet.
+void
+SuspectRegistry::StoreRuns(std::uint64_t aRequest, Record& aRecord)
+{
+  for (const LostRun& it : aRecord.mRuns) {
+    if (aRecord.mStored.insert(it.mDeath.mId).second) {
+      mStoreChanges.push_back({ aRequest, it, false });
+    }
+  }
+  if (mOnStoreChange && !mStoreChanges.empty()) {
+    mOnStoreChange();
+  }
+}
+
+void
+SuspectRegistry::SetStoreThreshold(std::size_t aLostRuns)
+{
+  mStoreThreshold = aLostRuns;
+}
+
+void
+SuspectRegistry::SetStoreCallback(std::function<void()> aCall)
+{
+  mOnStoreChange = std::move(aCall);
+}
+
+std::vector<StoredLossChange>
+SuspectRegistry::TakeStoreChanges()
+{
+  return std::exchange(mStoreChanges, {});
+}
+
+void
+SuspectRegistry::OnStoredLoss(const StoredLossChange& aChange, Time aNow)
+{
+  const std::uint64_t death = aChange.mRun.mDeath.mId;
+  if (!aChange.mRemoved) {
+    SuspectReport report;
+    report.mRequest = aChange.mRequest;
+    report.mRuns.push_back(aChange.mRun);
+    Merge(report, false, aNow);
+    const auto record = mRecords.find(aChange.mRequest);
+    if (record != mRecords.end() && HasRun(record->second.mRuns, death)) {
+      record->second.mStored.insert(death);
+    }
+    return;
+  }
+  const auto record = mRecords.find(aChange.mRequest);
+  if (record == mRecords.end() || record->second.mStored.erase(death) == 0) {
+    return;
+  }
+  auto& runs = record->second.mRuns;
+  const std::vector<LostRun> before = runs;
+  RemoveRuns(aChange.mRequest, record->second);
+  for (const LostRun& it : before) {
+    if (it.mDeath.mId != death) {
+      AddRun(aChange.mRequest, record->second, it, aNow);
+    }
   }
 }
 
@@ -98,6 +160,14 @@
     return;
   }
   Record& record = it->second;
+  for (const LostRun& run : record.mRuns) {
+    if (record.mStored.erase(run.mDeath.mId) != 0) {
+      mStoreChanges.push_back({ aRequest, run, true });
+    }
+  }
+  if (mOnStoreChange && !mStoreChanges.empty()) {
+    mOnStoreChange();
+  }
   if (!record.mShared) {
     Erase(aRequest);
     return;
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -30,6 +31,15 @@
   Time mStartedAt;
 };
 
+// A change of what has to outlast the hosts.
+struct StoredLossChange
+{
+  std::uint64_t mRequest = 0;
+  LostRun mRun;
+  // Whether the loss no longer counts, because the request was cleared.
+  bool mRemoved = false;
+};
+
 // What one host tells another about a suspected request.
 struct SuspectReport
 {
@@ -70,6 +80,9 @@
   static constexpr std::size_t kMaxNews = 16;
   static constexpr Duration kNewsInterval = std::chrono::milliseconds(100);
 
+  // Time from the last change of a record until it expires.
+  static constexpr Duration kRecordLifetime = std::chrono::minutes(10);
+
   // Time from a run's first output after which the run has shown that its
   // request does not crash targets.
   static constexpr Duration kProgressTime = std::chrono::milliseconds(2000);
@@ -121,6 +134,19 @@
   // with the most deaths first, a bounded number.
   std::vector<SuspectReport> Reports(Time aNow) const;
 
+  // Sets the number of lost runs from which on a request whose run this host
+  // has lost is stored.
+  void SetStoreThreshold(std::size_t aLostRuns);
+
+  // Sets a callback that runs when there are changes to store.
+  void SetStoreCallback(std::function<void()> aCall);
+
+  // Takes the changes to store, in order.
+  std::vector<StoredLossChange> TakeStoreChanges();
+
+  // Records that a lost run was read from the store, or removed there.
+  void OnStoredLoss(const StoredLossChange& aChange, Time aNow);
+
   // Merges the deaths counted by another router; the higher count wins.
   void Merge(std::uint64_t aRequest, int aDeaths, Time aNow);
 
@@ -146,6 +172,8 @@
   {
     std::vector<LostRun> mRuns;
     std::optional<Time> mClearedAt;
+    // IDs of the deaths that are stored.
+    std::set<std::uint64_t> mStored;
     // Whether other hosts know of a lost run.
     bool mShared = false;
     // How often the last change has yet to be told, and when next.
@@ -164,6 +192,7 @@
               Record& aRecord,
               const LostRun& aRun,
               Time aNow);
+  void StoreRuns(std::uint64_t aRequest, Record& aRecord);
   void RemoveRuns(std::uint64_t aRequest, Record& aRecord);
   // Schedules a changed record to be told aRepeats times.
   void Tell(std::uint64_t aRequest, Record& aRecord, int aRepeats, Time aNow);
@@ -186,6 +215,9 @@
   std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> mRequests;
   // Requests with changes that other hosts have to be told.
   std::set<std::uint64_t> mNews;
+  std::size_t mStoreThreshold = 2;
+  std::vector<StoredLossChange> mStoreChanges;
+  std::function<void()> mOnStoreChange;
   // Recent deaths, the oldest first.
   std::deque<TargetDeath> mDeaths;
 };
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "core/NameTable.h"
+#include "gateway/SuspectRows.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -54,13 +55,18 @@
   return options;
 }
 
+// Rows of suspected requests above which removed ones are no longer kept.
+constexpr std::size_t kMaxSuspectRows = 1000;
+
 // Marks known rows as removed at aVersion if a complete read of the table does
 // not have them, so that hosts that ask for changes learn of the removal.
-void
+// Returns their keys.
+std::vector<std::string>
 MarkMissingRemoved(std::map<std::string, StoreRow>& aKnown,
                    std::vector<std::string> aNames,
                    std::int64_t aVersion)
 {
+  std::vector<std::string> removed;
   std::sort(aNames.begin(), aNames.end());
   for (auto& it : aKnown) {
     StoreRow& row = it.second;
@@ -68,8 +74,10 @@
         !std::binary_search(aNames.begin(), aNames.end(), it.first)) {
       row.mRemoved = true;
       row.mVersion = aVersion;
+      removed.push_back(it.first);
     }
   }
+  return removed;
 }
 
 // Parsed value of a host's row: its peer address and the bandwidth of its link
@@ -147,6 +155,10 @@
     ApplyHostRows(aRows, aIsSnapshot, aVersion);
     return;
   }
+  if (aTable == StoreTable::Suspects) {
+    ApplySuspectRows(aRows, aIsSnapshot, aVersion);
+    return;
+  }
   const Time now = EventLoop::Now();
   mTargetsChanged = false;
   std::vector<std::string> names;
@@ -241,6 +253,8 @@
       return mConfigurationRows;
     case StoreTable::Hosts:
       return mHostRows;
+    case StoreTable::Suspects:
+      return mSuspectRows;
     case StoreTable::Targets:
       break;
   }
@@ -255,6 +269,8 @@
       return mConfigurationVersion;
     case StoreTable::Hosts:
       return mHostsVersion;
+    case StoreTable::Suspects:
+      return mSuspectsVersion;
     case StoreTable::Targets:
       break;
   }
@@ -305,6 +321,56 @@
   }
 }
 
+void
+Fleet::ApplySuspectRows(const std::vector<StoreRow>& aRows,
+                        bool aIsSnapshot,
+                        std::int64_t aVersion)
+{
+  const ClockReading clocks = ReadClocks();
+  const auto apply = [&](const StoreRow& aRow) {
+    const auto change = ParseSuspectRow(aRow, clocks);
+    if (!change) {
+      Log(LogLevel::Warn,
+          "fleet",
+          "invalid row of a suspected request ignored",
+          { { "key", aRow.mKey },
+            { "row_version", std::to_string(aRow.mVersion) } });
+      return;
+    }
+    mTargets.Suspects().OnStoredLoss(*change, clocks.mNow);
+    Log(LogLevel::Info,
+        "fleet",
+        "suspected request read from the store",
+        { { "content", ToHex(change->mRequest) },
+          { "deaths",
+            std::to_string(
+              mTargets.Suspects().Deaths(change->mRequest, clocks.mNow)) },
+          { "removed", aRow.mRemoved ? "true" : "false" },
+          { "row_version", std::to_string(aRow.mVersion) } });
+  };
+  std::vector<std::string> names;
+  for (const StoreRow& it : aRows) {
+    names.push_back(it.mKey);
+    StoreRow& known = mSuspectRows[it.mKey];
+    if (it.mVersion > known.mVersion) {
+      known = it;
+      apply(it);
+    }
+  }
+  if (aIsSnapshot && aVersion >= mSuspectsVersion) {
+    for (const std::string& it :
+         MarkMissingRemoved(mSuspectRows, names, aVersion)) {
+      apply(mSuspectRows[it]);
+    }
+  }
+  mSuspectsVersion = std::max(mSuspectsVersion, aVersion);
+  // Removed rows are kept for hosts that ask for changes, but not for long.
+  for (auto it = mSuspectRows.begin();
+       it != mSuspectRows.end() && mSuspectRows.size() > kMaxSuspectRows;) {
+    it = it->second.mRemoved ? mSuspectRows.erase(it) : std::next(it);
+  }
+}
+
 void
 Fleet::ApplyConfigurationRow(const StoreRow& aRow, RowSource aSource)
 {
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -115,6 +115,9 @@
   void ApplyHostRows(const std::vector<platform::StoreRow>& aRows,
                      bool aIsSnapshot,
                      std::int64_t aVersion);
+  void ApplySuspectRows(const std::vector<platform::StoreRow>& aRows,
+                        bool aIsSnapshot,
+                        std::int64_t aVersion);
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
   void DeclareTargets();
@@ -129,9 +132,11 @@
   std::map<std::string, platform::StoreRow> mConfigurationRows;
   std::map<std::string, platform::StoreRow> mTargetRows;
   std::map<std::string, platform::StoreRow> mHostRows;
+  std::map<std::string, platform::StoreRow> mSuspectRows;
   std::map<std::string, std::string> mHostAddresses;
   std::int64_t mConfigurationVersion = 0;
   std::int64_t mHostsVersion = 0;
+  std::int64_t mSuspectsVersion = 0;
   bool mTargetsKnown = false;
   bool mTargetsChanged = false;
   ReaderChoice mReaders;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
 #include "gateway/StoreWatch.h"
+#include "gateway/SuspectWriter.h"
 #include "gateway/TargetConnection.h"
 #include "observe/Log.h"
 #include "platform/PlatformRequests.h"
@@ -55,6 +56,7 @@
     , mContext{ mLoop, mFleet, mPool, mProber, mMetrics, mPaces }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
+    , mSuspectWriter(mLoop, mSettings, mFleet)
     , mPeers(mLoop, mSettings, mFleet, mStore)
     , mLoadSender(mLoop, mSettings, mFleet)
     , mReadinessServer(mLoop,
@@ -239,6 +241,7 @@
   GatewayContext mContext;
   CallerServer mCallers;
   StoreWatch mStore;
+  SuspectWriter mSuspectWriter;
   PeerLink mPeers;
   LoadBroadcaster mLoadSender;
   SimpleHttpServer mReadinessServer;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -31,6 +31,11 @@
 constexpr Duration kSilenceBeforeReports = milliseconds(2500);
 constexpr Duration kHeardLifetime = milliseconds(30000);
 
+// Lost runs from which on a request is stored, and the silence of all other
+// hosts after which a single one is enough, as the others may not know of it.
+constexpr std::size_t kStoreThreshold = 2;
+constexpr Duration kAloneAfter = milliseconds(3000);
+
 // Deaths from which on a suspect reported by another host is logged.
 constexpr int kMinLoggedDeaths = 2;
 
@@ -165,6 +170,7 @@
   mFleet.Targets().SetLoadCallback(
     [this] { SendBy(EventLoop::Now() + kBatchDelay); });
   Receive();
+  mLastHeardAt = EventLoop::Now();
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
   mSendTimer.ScheduleAt(EventLoop::Now() + kResendInterval);
   return std::nullopt;
@@ -266,6 +272,9 @@
   const auto loads = mFleet.Targets().OwnLoad();
   const auto lost = mFleet.Targets().LostTargets(now);
   SuspectRegistry& suspects = mFleet.Targets().Suspects();
+  if (now - mLastHeardAt >= kAloneAfter) {
+    suspects.SetStoreThreshold(1);
+  }
   std::vector<SuspectReport> news;
   if (now >= mNextNewsAt) {
     news = suspects.TakeNews(now);
@@ -350,6 +359,8 @@
   const bool isNew = known == mHeardHosts.end() ||
                      known->second.mStart != aStart ||
                      aNow - known->second.mAt >= kSilenceBeforeReports;
+  mLastHeardAt = aNow;
+  mFleet.Targets().Suspects().SetStoreThreshold(kStoreThreshold);
   mHeardHosts[aHost] = { mSender, aStart, aNow };
   if (!isNew) {
     return;
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -30,10 +30,11 @@
 // Time limit for the response of a host that reads the store.
 constexpr Duration kReaderTimeout = milliseconds(600);
 
-constexpr std::array<std::pair<const char*, StoreTable>, 3> kTables = {
+constexpr std::array<std::pair<const char*, StoreTable>, 4> kTables = {
   { { "configuration", StoreTable::Configuration },
     { "targets", StoreTable::Targets },
-    { "hosts", StoreTable::Hosts } }
+    { "hosts", StoreTable::Hosts },
+    { "suspects", StoreTable::Suspects } }
 };
 
 // Response field with the age of the peer's view of the store in milliseconds.
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -29,6 +29,9 @@
 // leaving target must cease.
 constexpr Duration kTargetsPollInterval = milliseconds(600);
 
+// Long-poll time for the table of suspected requests, which rarely changes.
+constexpr Duration kSuspectsLongPoll = milliseconds(5000);
+
 // Interval between two reads of the hosts table, which rarely changes.
 constexpr Duration kHostsPollInterval = milliseconds(5000);
 
@@ -244,6 +247,7 @@
     make(StoreTable::Configuration, kConfigurationLongPoll, Duration::zero());
   mTargets = make(StoreTable::Targets, Duration::zero(), kTargetsPollInterval);
   mHostRows = make(StoreTable::Hosts, Duration::zero(), kHostsPollInterval);
+  mSuspects = make(StoreTable::Suspects, kSuspectsLongPoll, Duration::zero());
 }
 
 void
@@ -252,13 +256,16 @@
   mConfiguration->Start();
   mTargets->Start();
   mHostRows->Start();
+  mSuspects->Start();
 }
 
 void
 StoreWatch::PollIfNeeded()
 {
-  for (TableWatcher* it :
-       { mConfiguration.get(), mTargets.get(), mHostRows.get() }) {
+  for (TableWatcher* it : { mConfiguration.get(),
+                            mTargets.get(),
+                            mHostRows.get(),
+                            mSuspects.get() }) {
     it->PollIfNeeded();
   }
 }
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -115,6 +115,7 @@
   std::unique_ptr<TableWatcher> mConfiguration;
   std::unique_ptr<TableWatcher> mTargets;
   std::unique_ptr<TableWatcher> mHostRows;
+  std::unique_ptr<TableWatcher> mSuspects;
   AsyncHttpClient mWriter;
   Timer mWriteTimer;
   std::string mOwnRow;
--- /dev/null
+++ b/src/quetzalquay/gateway/SuspectRows.cpp
@@ -0,0 +1,80 @@
+#include "gateway/SuspectRows.h"
+
+#include "core/Hash.h"
+
+#include <chrono>
+#include <cinttypes>
+#include <cstdio>
+
+namespace quetzalquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::int64_t
+ToUnixMs(Time aAt, const ClockReading& aClocks)
+{
+  return aClocks.mUnixMs -
+         static_cast<std::int64_t>(ToMilliseconds(aClocks.mNow - aAt));
+}
+
+Time
+FromUnixMs(std::int64_t aUnixMs, const ClockReading& aClocks)
+{
+  return aClocks.mNow - milliseconds(aClocks.mUnixMs - aUnixMs);
+}
+
+} // namespace
+
+ClockReading
+ReadClocks()
+{
+  const auto unix = std::chrono::system_clock::now().time_since_epoch();
+  return { std::chrono::steady_clock::now(),
+           std::chrono::duration_cast<milliseconds>(unix).count() };
+}
+
+platform::RowChange
+FormatSuspectRow(const StoredLossChange& aChange, const ClockReading& aClocks)
+{
+  const LostRun& run = aChange.mRun;
+  platform::RowChange row;
+  row.mKey = ToHex(aChange.mRequest) + "-" + ToHex(run.mDeath.mId);
+  if (!aChange.mRemoved) {
+    row.mValue = ToHex(run.mDeath.mPlace) + " " +
+                 std::to_string(ToUnixMs(run.mStartedAt, aClocks)) + " " +
+                 std::to_string(ToUnixMs(run.mDeath.mAt, aClocks));
+  }
+  return row;
+}
+
+std::optional<StoredLossChange>
+ParseSuspectRow(const platform::StoreRow& aRow, const ClockReading& aClocks)
+{
+  StoredLossChange change;
+  change.mRemoved = aRow.mRemoved;
+  if (std::sscanf(aRow.mKey.c_str(),
+                  "%16" SCNx64 "-%16" SCNx64,
+                  &change.mRequest,
+                  &change.mRun.mDeath.mId) != 2) {
+    return std::nullopt;
+  }
+  if (aRow.mRemoved) {
+    return change;
+  }
+  std::int64_t startedMs = 0;
+  std::int64_t diedMs = 0;
+  if (std::sscanf(aRow.mValue.c_str(),
+                  "%16" SCNx64 " %" SCNd64 " %" SCNd64,
+                  &change.mRun.mDeath.mPlace,
+                  &startedMs,
+                  &diedMs) != 3) {
+    return std::nullopt;
+  }
+  change.mRun.mStartedAt = FromUnixMs(startedMs, aClocks);
+  change.mRun.mDeath.mAt = FromUnixMs(diedMs, aClocks);
+  return change;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -21,14 +21,12 @@
 
 using rapidjson::Value;
 
-constexpr NameTable<StoreTable, 3> kLogNames({ "configuration",
-                                               "targets",
-                                               "hosts" });
+constexpr NameTable<StoreTable, 4> kLogNames(
+  { "configuration", "targets", "hosts", "suspects" });
 
-// The first two tables belong to the platform, the last one to the gateway.
-constexpr NameTable<StoreTable, 3> kTableNames({ "op",
-                                                 "servers",
-                                                 "gateway-hosts" });
+// The first two tables belong to the platform, the others to the gateway.
+constexpr NameTable<StoreTable, 4> kTableNames(
+  { "op", "servers", "gateway-hosts", "gateway-suspects" });
 
 constexpr NameTable<CallKind, 3> kKindNames({ "safe", "unsafe", "streaming" });
 
@@ -161,40 +159,6 @@
                  static_cast<rapidjson::SizeType>(aValue.size()));
 }
 
-// Builds the request for a transaction with a single entry in the given list.
-std::string
-EncodeTransaction(const std::string& aHost,
-                  const char* aList,
-                  StoreTable aTable,
-                  const std::string& aKey,
-                  const std::string* aValue)
-{
-  rapidjson::StringBuffer buf;
-  rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
-  writer.StartObject();
-  for (const char* it : { "Precondition", "Put", "Remove" }) {
-    writer.Key(it);
-    writer.StartArray();
-    if (std::string_view(it) == aList) {
-      writer.StartObject();
-      WriteString(writer, "Table", kTableNames.NameOf(aTable));
-      WriteString(writer, "part", "");
-      WriteString(writer, "Key", aKey);
-      if (aValue != nullptr) {
-        WriteString(writer, "Value", ToBase64(*aValue));
-      }
-      writer.EndObject();
-    }
-    writer.EndArray();
-  }
-  writer.EndObject();
-  std::string text = "POST /rows-tx HTTP/1.1\r\n";
-  AppendField(text, "Host", aHost);
-  AppendField(text, "Content-Type", "application/json");
-  AppendField(text, "Content-Length", std::to_string(buf.GetSize()));
-  return text.append("\r\n").append(buf.GetString(), buf.GetSize());
-}
-
 Route
 DecodeRoute(const Value& aRoute)
 {
@@ -303,13 +267,52 @@
       "&WaitMs=" + std::to_string(wait.count()));
 }
 
+std::string
+EncodeChanges(const std::string& aHost,
+              StoreTable aTable,
+              const std::vector<RowChange>& aChanges)
+{
+  rapidjson::StringBuffer buf;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
+  const auto writeList = [&](const char* aName, bool aWritten) {
+    writer.Key(aName);
+    writer.StartArray();
+    for (const RowChange& it : aChanges) {
+      if (it.mValue.has_value() != aWritten) {
+        continue;
+      }
+      writer.StartObject();
+      WriteString(writer, "Table", kTableNames.NameOf(aTable));
+      WriteString(writer, "part", "");
+      WriteString(writer, "Key", it.mKey);
+      if (it.mValue) {
+        WriteString(writer, "Value", ToBase64(*it.mValue));
+      }
+      writer.EndObject();
+    }
+    writer.EndArray();
+  };
+  writer.StartObject();
+  writer.Key("Precondition");
+  writer.StartArray();
+  writer.EndArray();
+  writeList("Put", true);
+  writeList("Remove", false);
+  writer.EndObject();
+  std::string text = "POST /rows-tx HTTP/1.1\r\n";
+  AppendField(text, "Host", aHost);
+  AppendField(text, "Content-Type", "application/json");
+  AppendField(text, "Content-Length", std::to_string(buf.GetSize()));
+  return text.append("\r\n").append(buf.GetString(), buf.GetSize());
+}
+
 std::string
 EncodePut(const std::string& aHost,
           StoreTable aTable,
           const std::string& aKey,
           const std::string& aValue)
 {
-  return EncodeTransaction(aHost, "Put", aTable, aKey, &aValue);
+  return EncodeChanges(aHost, aTable, { { aKey, aValue } });
 }
 
 std::string
@@ -317,7 +320,7 @@
              StoreTable aTable,
              const std::string& aKey)
 {
-  return EncodeTransaction(aHost, "Remove", aTable, aKey, nullptr);
+  return EncodeChanges(aHost, aTable, { { aKey, std::nullopt } });
 }
 
 std::optional<StoreRows>
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -20,6 +20,8 @@
   Targets,
   // Addresses at which the hosts accept peer requests, one row each.
   Hosts,
+  // Requests suspected of crashing targets, one row for each lost run.
+  Suspects,
 };
 
 // Name of a table in log lines.
@@ -59,6 +61,23 @@
             StoreTable aTable,
             std::int64_t aAfter,
             Duration aWait);
+// A row to write, or to remove if it has no value.
+struct RowChange
+{
+  std::string mKey;
+  std::optional<std::string> mValue;
+};
+
+// Maximum number of rows in one transaction.
+constexpr std::size_t kMaxRowChanges = 100;
+
+// Writes and removes rows of a table in one transaction, at most
+// kMaxRowChanges.
+std::string
+EncodeChanges(const std::string& aHost,
+              StoreTable aTable,
+              const std::vector<RowChange>& aChanges);
+
 // Writes a row.
 std::string
 EncodePut(const std::string& aHost,
