Hold back retries until the losses before them are checked

Callers saw: one client attempt of a crashing stream ended five targets within a millisecond, since its route allows five runs and a crash takes 30 ms to be recognized. A retry now waits while the deaths known, with the own losses that are still being checked, would refuse the request; a call without streaming fails at once, as its caller may retry it. Other requests don't wait.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -301,6 +301,7 @@
       }
       break;
     case ChoiceStatus::Busy:
+    case ChoiceStatus::Undecided:
       AwaitCapacity(choice, aNow, aActions);
       break;
     case ChoiceStatus::NoneReady:
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -79,6 +79,10 @@
     return Fail(FailureCode::Overloaded,
                 "every target of the service is at capacity");
   }
+  if (choice.mStatus == ChoiceStatus::Undecided) {
+    return Fail(FailureCode::Overloaded,
+                "several targets were lost while running this call");
+  }
   if (choice.mStatus == ChoiceStatus::NoBudget) {
     return Fail(FailureCode::Overloaded,
                 "the service's retry budget is exhausted");
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -21,6 +21,9 @@
   Poison,
   // The service's retry budget is exhausted.
   NoBudget,
+  // The request may have ended so many targets that it must not run until that
+  // is decided, within a second.
+  Undecided,
 };
 
 // Properties of a request that the choice of a target depends on.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -159,6 +159,11 @@
     choice.mStatus = ChoiceStatus::Poison;
     return choice;
   }
+  if (aQuery.mIsRetry && IsUndecided(aQuery, aNow)) {
+    CancelWait(aQuery);
+    choice.mStatus = ChoiceStatus::Undecided;
+    return choice;
+  }
   std::vector<Target*> usable;
   bool anyUp = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
@@ -620,6 +625,28 @@
          EstimateLoad(aTarget, aNow) >= kInFlightPerSlot * declaration.mSlots;
 }
 
+// Whether the deaths known so far, together with the losses of this request
+// that are still being checked, would refuse it.
+bool
+TargetTable::IsUndecided(const ChoiceQuery& aQuery, Time aNow) const
+{
+  int deaths = mSuspects.Deaths(aQuery.mContentHash, aNow);
+  for (const std::string& it : aQuery.mExcluded) {
+    const Target* target = Find(it);
+    if (target == nullptr) {
+      continue;
+    }
+    const auto& lost = target->mLostAttempts;
+    deaths +=
+      std::any_of(lost.begin(), lost.end(), [&](const LostAttempt& aAttempt) {
+        return aAttempt.mContentHash == aQuery.mContentHash &&
+               aNow - aAttempt.mAt < mOptions.mDeathCheckTime;
+      });
+  }
+  return mOptions.mDeathCheckTime > Duration::zero() &&
+         deaths >= SuspectRegistry::kMinDeathsToRefuse;
+}
+
 Choice
 TargetTable::Enqueue(const ChoiceQuery& aQuery, Time aNow)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -60,6 +60,9 @@
   // count as a common failure, such as that of a place, which no request is
   // blamed for; 0 always blames the requests.
   int mCommonDeathThreshold = 0;
+  // Time within which a lost attempt is checked for the death of its target;
+  // zero if that is not checked, so that no retry waits for it.
+  Duration mDeathCheckTime = Duration::zero();
   // Age from which a death counts for the refusal of a request.
   Duration mSuspectSettleTime = Duration::zero();
   // Time for which a target that refused, did not answer or broke a connection
@@ -380,6 +383,7 @@
   static bool IsFull(const Target& aTarget,
                      const ChoiceQuery& aQuery,
                      Time aNow);
+  bool IsUndecided(const ChoiceQuery& aQuery, Time aNow) const;
   Choice Enqueue(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
                     const ChoiceQuery& aQuery,
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -23,6 +23,9 @@
 // remaining ones of that place are suspected too.
 constexpr int kPlaceLossThreshold = 2;
 
+// Time within which Prober has checked whether a lost target has died.
+constexpr Duration kDeathCheckTime = std::chrono::milliseconds(100);
+
 // Age from which a death counts for the refusal of a request. Hosts tell each
 // other of it at once and again after 0.5 s.
 constexpr Duration kSuspectSettleTime = std::chrono::milliseconds(600);
@@ -49,6 +52,7 @@
   options.mIsolateSuspects = false;
   options.mCommonDeathThreshold = kCommonDeathThreshold;
   options.mSuspectSettleTime = kSuspectSettleTime;
+  options.mDeathCheckTime = kDeathCheckTime;
   options.mDoubtDuration = kDoubtDuration;
   options.mPlaceLossThreshold = kPlaceLossThreshold;
   options.mSeed = StableHash(aSettings.mHost);
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(AnUnregisteredTargetHasDied);
   CPPUNIT_TEST(ARunThatMadeProgressIsNotBlamed);
   CPPUNIT_TEST(AFailureDoesNotClearASuspect);
+  CPPUNIT_TEST(RetriesWaitForTheChecksOfLostTargets);
   CPPUNIT_TEST(ADeadTargetStaysDoubtfulWhenItsEntryIsReadAgain);
   CPPUNIT_TEST(ARestartedTargetIsUsableAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -563,6 +564,41 @@
     CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(44, At(4600)));
   }
 
+  // Guards against retries that are sent faster than the crashes they cause are
+  // recognized.
+  void RetriesWaitForTheChecksOfLostTargets()
+  {
+    TargetTableOptions options;
+    options.mDeathCheckTime = std::chrono::milliseconds(100);
+    TargetTable table(options);
+    DeclareEngines(table, At(0));
+    ChoiceQuery query = MakeQuery("retry", 47);
+    query.mIsRetry = true;
+    for (int n = 0; n < 3; ++n) {
+      CPPUNIT_ASSERT(table.Choose(query, At(n)).mStatus ==
+                     ChoiceStatus::Chosen);
+      const std::string target = "t" + std::to_string(n);
+      table.OnAttemptStart(target, 47, At(n));
+      table.OnAttemptEnd(target, 47, AttemptOutcome::Lost, At(n));
+      query.mExcluded.push_back(target);
+    }
+    CPPUNIT_ASSERT(table.Choose(query, At(50)).mStatus ==
+                   ChoiceStatus::Undecided);
+    // Other requests do not wait, nor this one once the targets are known to
+    // live.
+    ChoiceQuery other = MakeQuery("other", 48);
+    other.mIsRetry = true;
+    other.mExcluded = query.mExcluded;
+    CPPUNIT_ASSERT(table.Choose(other, At(50)).mStatus == ChoiceStatus::Chosen);
+    CPPUNIT_ASSERT(table.Choose(query, At(120)).mStatus ==
+                   ChoiceStatus::Chosen);
+    for (const std::string& it : query.mExcluded) {
+      table.OnRefused(it, At(130));
+    }
+    CPPUNIT_ASSERT(table.Choose(query, At(140)).mStatus ==
+                   ChoiceStatus::Poison);
+  }
+
   // Guards against a failure that a target answers without running the request
   // clearing a request that crashes targets.
   void AFailureDoesNotClearASuspect()
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAHostRestarts);
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAllHostsRestart);
   CPPUNIT_TEST(CrashingRequestIsStoppedOnAHostThatIsCutOff);
+  CPPUNIT_TEST(RetriesOfACrashingRequestEndThreeTargetsAtMost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,19 @@
     ExpectStoppedBy(cluster, "/unsafe/");
   }
 
+  // Guards against the retries of one client attempt being sent faster than the
+  // crashes they cause are recognized. The routes allow five and three runs.
+  void RetriesOfACrashingRequestEndThreeTargetsAtMost()
+  {
+    for (const char* it : { "/stream/", "/plain/" }) {
+      GatewayTestCluster cluster(8, 1);
+      const auto answer = cluster.Call(CrashingRequest(it, 0));
+      CPPUNIT_ASSERT(answer.mComplete);
+      CPPUNIT_ASSERT(answer.mHead.mStatus >= 500);
+      CPPUNIT_ASSERT_EQUAL(3, cluster.CrashCount());
+    }
+  }
+
 private:
   static void ExpectStopped(const std::string& aRoute,
                             int aGateways,
