Let routers add up the deaths that they have seen

They now exchange the lost runs, as gateways do. A host that has told everything it knows remembers that, so that a later clearance is told too.

Evidence: RecoveryTests::DeathsSeenByDifferentRoutersAddUp, one death at each of three routers, then the request at the first: 422 suspected_poison, another request is served.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -28,13 +28,6 @@
 // Time within which deaths of several targets count as one common failure.
 constexpr Duration kCommonDeathWindow = std::chrono::milliseconds(400);
 
-// Minimum deaths of a suspect that is shared with peers. A single death makes
-// suspects of all requests on the target, most of which did not cause it.
-constexpr int kMinListedDeaths = 2;
-
-// Maximum number of suspects shared with peers at once.
-constexpr std::size_t kMaxListedSuspects = 64;
-
 bool
 AreTogether(const TargetDeath& aLeft, const TargetDeath& aRight)
 {
@@ -258,19 +251,8 @@
          (deaths >= kMinDeathsToRefuse && !IsTied(aRequest, *record));
 }
 
-void
-SuspectRegistry::Merge(std::uint64_t aRequest, int aDeaths, Time aNow)
-{
-  if (aDeaths <= Deaths(aRequest, aNow)) {
-    return;
-  }
-  Record& record = mRecords[aRequest];
-  record.mPeerDeaths = aDeaths;
-  record.mExpiresAt = aNow + kRecordLifetime;
-}
-
 std::vector<SuspectReport>
-SuspectRegistry::Reports(Time aNow) const
+SuspectRegistry::Reports(Time aNow)
 {
   std::vector<SuspectReport> reports;
   for (const auto& it : mRecords) {
@@ -284,27 +266,10 @@
   };
   std::stable_sort(reports.begin(), reports.end(), more);
   reports.resize(std::min(reports.size(), kMaxReports));
-  return reports;
-}
-
-std::vector<SuspectRegistry::Suspect>
-SuspectRegistry::List(Time aNow) const
-{
-  std::vector<Suspect> suspects;
-  for (const auto& it : mRecords) {
-    const int deaths = Deaths(it.first, aNow);
-    if (deaths >= kMinListedDeaths) {
-      suspects.push_back({ it.first, deaths });
-    }
-  }
-  const auto more = [](const Suspect& aLeft, const Suspect& aRight) {
-    return aLeft.mDeaths > aRight.mDeaths;
-  };
-  std::sort(suspects.begin(), suspects.end(), more);
-  if (suspects.size() > kMaxListedSuspects) {
-    suspects.resize(kMaxListedSuspects);
+  for (const SuspectReport& it : reports) {
+    mRecords.at(it.mRequest).mShared = true;
   }
-  return suspects;
+  return reports;
 }
 
 void
@@ -424,7 +389,7 @@
       return aRun.mDeath.mAt <= aBefore && !IsCommonFailure(aRecord, aRun) &&
              !IsExplained(aRequest, aRecord, aRun);
     });
-  return std::max(static_cast<int>(counted), aRecord.mPeerDeaths);
+  return static_cast<int>(counted);
 }
 
 std::ptrdiff_t
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -126,13 +126,13 @@
   bool HasNews() const { return !mNews.empty(); }
 
   // Takes the changes to tell other hosts now, at most kMaxNews, those with the
-  // most deaths first. Each change made here is returned twice, some time
-  // apart, since messages may be lost.
+  // most deaths first. Each change made here is returned several times,
+  // some time apart, since messages may be lost.
   std::vector<SuspectReport> TakeNews(Time aNow);
 
   // What is known of all suspects, for a host that knows nothing yet; those
   // with the most deaths first, a bounded number.
-  std::vector<SuspectReport> Reports(Time aNow) const;
+  std::vector<SuspectReport> Reports(Time aNow);
 
   // Sets the number of lost runs from which on a request whose run this host
   // has lost is stored.
@@ -147,20 +147,6 @@
   // Records that a lost run was read from the store, or removed there.
   void OnStoredLoss(const StoredLossChange& aChange, Time aNow);
 
-  // Merges the deaths counted by another router; the higher count wins.
-  void Merge(std::uint64_t aRequest, int aDeaths, Time aNow);
-
-  // A suspected request.
-  struct Suspect
-  {
-    std::uint64_t mRequest = 0;
-    int mDeaths = 0;
-  };
-
-  // Suspects to share with peers, those with the most deaths first. Requests
-  // with a single death are left out and the length is bounded.
-  std::vector<Suspect> List(Time aNow) const;
-
   // Removes expired records.
   void Expire(Time aNow);
 
@@ -179,8 +165,6 @@
     // How often the last change has yet to be told, and when next.
     int mNewsLeft = 0;
     Time mNextNewsAt;
-    // Deaths counted by another router.
-    int mPeerDeaths = 0;
     Time mExpiresAt;
   };
 
--- a/src/quetzalquay/router/PeerLink.cpp
+++ b/src/quetzalquay/router/PeerLink.cpp
@@ -39,6 +39,59 @@
   return std::chrono::steady_clock::now();
 }
 
+std::uint64_t
+ParseHash(const std::string& aText)
+{
+  return std::strtoull(aText.c_str(), nullptr, 16);
+}
+
+Time
+TimeBefore(Time aNow, double aMilliseconds)
+{
+  return aNow - std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double, std::milli>(aMilliseconds));
+}
+
+void
+AddSuspect(const SuspectReport& aReport,
+           int aDeaths,
+           Time aNow,
+           schema::PeerNews& aNews)
+{
+  auto* suspect = aNews.add_suspects();
+  suspect->set_content_hash(ToHex(aReport.mRequest));
+  suspect->set_deaths(aDeaths);
+  for (const LostRun& it : aReport.mRuns) {
+    auto* run = suspect->add_lost_runs();
+    run->set_death(ToHex(it.mDeath.mId));
+    run->set_place(ToHex(it.mDeath.mPlace));
+    run->set_started_ms_ago(ToMilliseconds(aNow - it.mStartedAt));
+    run->set_died_ms_ago(ToMilliseconds(aNow - it.mDeath.mAt));
+  }
+  if (aReport.mClearedAt) {
+    suspect->set_cleared_ms_ago(ToMilliseconds(aNow - *aReport.mClearedAt));
+  }
+}
+
+SuspectReport
+ReadSuspect(const schema::SuspectEntry& aEntry, Time aNow)
+{
+  SuspectReport report;
+  report.mRequest = ParseHash(aEntry.content_hash());
+  for (const auto& it : aEntry.lost_runs()) {
+    LostRun run;
+    run.mDeath.mId = ParseHash(it.death());
+    run.mDeath.mPlace = ParseHash(it.place());
+    run.mDeath.mAt = TimeBefore(aNow, it.died_ms_ago());
+    run.mStartedAt = TimeBefore(aNow, it.started_ms_ago());
+    report.mRuns.push_back(run);
+  }
+  if (aEntry.has_cleared_ms_ago()) {
+    report.mClearedAt = TimeBefore(aNow, aEntry.cleared_ms_ago());
+  }
+  return report;
+}
+
 } // namespace
 
 PeerLink::PeerLink(const schema::RouterSettings& aSettings,
@@ -159,10 +212,9 @@
       leaving->set_target(it.mTarget);
       leaving->set_incarnation(it.mIncarnation);
     }
-    for (const auto& it : aTable.Suspects().List(Now())) {
-      auto* suspect = news.add_suspects();
-      suspect->set_content_hash(ToHex(it.mRequest));
-      suspect->set_deaths(it.mDeaths);
+    const Time now = Now();
+    for (const auto& it : aTable.Suspects().Reports(now)) {
+      AddSuspect(it, aTable.Suspects().Deaths(it.mRequest, now), now, news);
     }
   });
   if (mApi != nullptr) {
@@ -196,9 +248,9 @@
     for (const auto& it : aNews.leaving()) {
       aTable.MarkLeaving(it.target(), it.incarnation());
     }
+    const Time now = Now();
     for (const auto& it : aNews.suspects()) {
-      const auto hash = std::strtoull(it.content_hash().c_str(), nullptr, 16);
-      aTable.Suspects().Merge(hash, it.deaths(), Now());
+      aTable.Suspects().Merge(ReadSuspect(it, now), false, now);
     }
   });
 }
--- a/tests/usage/RecoveryTests.cpp
+++ b/tests/usage/RecoveryTests.cpp
@@ -41,9 +41,43 @@
   CPPUNIT_TEST(AStoppingRouterHandsOverLongStreams);
   CPPUNIT_TEST(AStoppingRouterFinishesShortStreams);
   CPPUNIT_TEST(ALeavingEngineGetsNoNewRequests);
+  CPPUNIT_TEST(DeathsSeenByDifferentRoutersAddUp);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against routers that keep single deaths to themselves or take the
+  // highest count, so that a request crashes two engines for every router.
+  void DeathsSeenByDifferentRoutersAddUp()
+  {
+    DeploymentOptions options;
+    options.mEngines = 5;
+    options.mRouters = 3;
+    LocalDeployment deployment(options);
+    for (int router = 0; router < 3; ++router) {
+      TestCaller caller(deployment);
+      caller.Stream(router, [&](int aCount) {
+        if (aCount == 3) {
+          deployment.InjectEngineFault(
+            deployment.EngineOf(caller.Generation()), "die", 1000);
+        }
+        // The stream goes on at another engine; the caller leaves soon.
+        return aCount < 6;
+      });
+      CPPUNIT_ASSERT_EQUAL(std::size_t(6), caller.mTokens.size());
+      // The engine is back, and the routers have told each other.
+      std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    }
+    TestCaller again(deployment);
+    again.Stream(0);
+    CPPUNIT_ASSERT_EQUAL(422, again.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("suspected_poison"), again.mError.code());
+    TestCaller other(deployment);
+    other.mPrompt = "tell another story";
+    other.Stream(0);
+    CPPUNIT_ASSERT_EQUAL(std::string(), other.mError.message());
+    other.RequireComplete();
+  }
+
   void AStreamIsServedCompletely()
   {
     LocalDeployment deployment{ DeploymentOptions() };
