--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMaxReports = 64;
 
 // Number of times that a change is told to other hosts, and the time between.
-constexpr int kNewsRepeats = 2;
+constexpr int kNewsRepeats = 4;
 constexpr Duration kNewsRepeatDelay = std::chrono::milliseconds(500);
 
 // Number of recent deaths that are remembered to recognize common failures.
