--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -250,6 +250,7 @@
     mRunner.mCluster.mRuns.push_back(request);
     mRequestId = id == nullptr ? std::string() : *id;
     if (aBody == kCrashingBody) {
+      ++mRunner.mCluster.mCrashCount;
       mRunner.Crash();
       return;
     }
@@ -405,7 +406,6 @@
 void
 GatewayTestCluster::Runner::Crash()
 {
-  ++mCluster.mCrashCount;
   ++mStarts;
   mListener.Close();
   DropAll();
@@ -486,6 +486,18 @@
   mThread.reset();
 }
 
+void
+GatewayTestCluster::FailPlace(const std::string& aPlace)
+{
+  mLoop.Defer([this, aPlace] {
+    for (const auto& it : mRunners) {
+      if (it.second->mPlace == aPlace) {
+        it.second->Crash();
+      }
+    }
+  });
+}
+
 void
 GatewayTestCluster::SetMode(const std::string& aRunner, RunnerMode aMode)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -121,9 +121,12 @@
   // Sets how runners come back that crash from now on.
   void SetRunnerReturn(RunnerReturn aReturn) { mRunnerReturn = aReturn; }
 
-  // Number of runners that have crashed so far.
+  // Number of runners that a request has crashed so far.
   int CrashCount() const { return mCrashCount; }
 
+  // Lets all runners of a place crash at once, whatever they run.
+  void FailPlace(const std::string& aPlace);
+
   std::size_t GatewayCount() const { return mNodes.size(); }
 
   void SetMode(const std::string& aRunner, RunnerMode aMode);
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -1,9 +1,11 @@
 #include "GatewayTestCluster.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <set>
 
@@ -23,7 +25,7 @@
 // Time between two sends of the crashing request.
 constexpr auto kReturnInterval = milliseconds(250);
 
-// Sends after kKnownWithin.
+// Sends after kKnownWithin; more if there are more hosts.
 constexpr int kLateSends = 12;
 
 // Other traffic: for each gateway, one thread that sends requests with bodies
@@ -117,6 +119,8 @@
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAHostRestarts);
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAllHostsRestart);
   CPPUNIT_TEST(CrashingRequestIsStoppedOnAHostThatIsCutOff);
+  CPPUNIT_TEST(CrashingRequestIsStoppedOnManyHosts);
+  CPPUNIT_TEST(CrashingRequestIsStoppedWhilePlacesFail);
   CPPUNIT_TEST(RetriesOfACrashingRequestEndThreeTargetsAtMost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -196,6 +200,28 @@
     ExpectStoppedBy(cluster, "/unsafe/");
   }
 
+  // Nine hosts, or as many as QUETZAL_TEST_HOSTS says.
+  void CrashingRequestIsStoppedOnManyHosts()
+  {
+    const char* hosts = std::getenv("QUETZAL_TEST_HOSTS");
+    ExpectStopped("/unsafe/",
+                  hosts == nullptr ? 9 : std::atoi(hosts),
+                  RunnerReturn::NewName);
+  }
+
+  // Guards against other requests being blamed for the failure of a place, and
+  // against the crashing one being excused by it.
+  void CrashingRequestIsStoppedWhilePlacesFail()
+  {
+    GatewayTestCluster cluster(12, 4);
+    OtherTraffic others(cluster);
+    cluster.FailPlace("p0");
+    ExpectStoppedBy(cluster, "/plain/", [&] { cluster.FailPlace("p1"); });
+    others.Stop();
+    CPPUNIT_ASSERT_EQUAL(0, others.BlamedCount());
+    CPPUNIT_ASSERT(others.ServedCount() > 0);
+  }
+
   // Guards against the retries of one client attempt being sent faster than the
   // crashes they cause are recognized. The routes allow five and three runs.
   void RetriesOfACrashingRequestEndThreeTargetsAtMost()
@@ -245,7 +271,9 @@
     aAfterThirdCrash();
     std::this_thread::sleep_for(kKnownWithin);
     const std::size_t before = CountCrashingRuns(aCluster);
-    for (int n = 0; n < kLateSends; ++n) {
+    const int lateSends =
+      std::max(kLateSends, static_cast<int>(aCluster.GatewayCount()));
+    for (int n = 0; n < lateSends; ++n) {
       send();
     }
     const std::size_t late = CountCrashingRuns(aCluster) - before;
