Store an own loss when another host reports a second one

A host stored a request only when it lost a run itself and knew of another one by then. Hosts that had just started did not know each other yet, so each lost one run, learned of the others' later, and none of them stored anything; the restart of all hosts then lost everything.

A host now stores its own losses also when the count is reached by what others report, and announces itself 0.3 s after its start instead of 1 s.

Evidence: SuspectSharingTests::AnOwnLossIsStoredOnceAnotherHostReportsASecondOne fails on the parent (no change to store).

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -78,18 +78,23 @@
   if (record != nullptr && AddRun(aRequest, *record, aRun, aNow)) {
     record->mExpiresAt = aNow + kRecordLifetime;
     Tell(aRequest, *record, kNewsRepeats, aNow);
-    if (record->mRuns.size() >= mStoreThreshold) {
-      StoreRuns(aRequest, *record);
-    }
+    record->mOwn.insert(aRun.mDeath.mId);
+    StoreRuns(aRequest, *record, false);
   }
 }
 
-// Schedules all lost runs of a request to be stored that are not yet.
 void
-SuspectRegistry::StoreRuns(std::uint64_t aRequest, Record& aRecord)
+SuspectRegistry::StoreRuns(std::uint64_t aRequest,
+                           Record& aRecord,
+                           bool aOwnOnly)
 {
+  if (aRecord.mRuns.size() < mStoreThreshold) {
+    return;
+  }
   for (const LostRun& it : aRecord.mRuns) {
-    if (aRecord.mStored.insert(it.mDeath.mId).second) {
+    const std::uint64_t death = it.mDeath.mId;
+    if ((!aOwnOnly || aRecord.mOwn.count(death) != 0) &&
+        aRecord.mStored.insert(death).second) {
       mStoreChanges.push_back({ aRequest, it, false });
     }
   }
@@ -200,6 +205,7 @@
     record->mExpiresAt =
       aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
     Tell(aReport.mRequest, *record, aPassOn ? 1 : 0, aNow);
+    StoreRuns(aReport.mRequest, *record, true);
   }
   return changed;
 }
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -134,8 +134,8 @@
   // with the most deaths first, a bounded number.
   std::vector<SuspectReport> Reports(Time aNow);
 
-  // Sets the number of lost runs from which on a request whose run this host
-  // has lost is stored.
+  // Sets the number of known lost runs from which on the runs that this host
+  // has lost are stored.
   void SetStoreThreshold(std::size_t aLostRuns);
 
   // Sets a callback that runs when there are changes to store.
@@ -158,7 +158,8 @@
   {
     std::vector<LostRun> mRuns;
     std::optional<Time> mClearedAt;
-    // IDs of the deaths that are stored.
+    // IDs of the deaths in which this host lost a run, and of those stored.
+    std::set<std::uint64_t> mOwn;
     std::set<std::uint64_t> mStored;
     // Whether other hosts know of a lost run.
     bool mShared = false;
@@ -176,7 +177,9 @@
               Record& aRecord,
               const LostRun& aRun,
               Time aNow);
-  void StoreRuns(std::uint64_t aRequest, Record& aRecord);
+  // Schedules the lost runs that are not stored yet to be stored if there are
+  // enough of them; with aOwnOnly, those that this host has lost.
+  void StoreRuns(std::uint64_t aRequest, Record& aRecord, bool aOwnOnly);
   void RemoveRuns(std::uint64_t aRequest, Record& aRecord);
   // Schedules a changed record to be told aRepeats times.
   void Tell(std::uint64_t aRequest, Record& aRecord, int aRepeats, Time aNow);
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -26,6 +26,10 @@
 // hosts to have read the hosts table.
 constexpr Duration kAnnounceTime = milliseconds(6000);
 
+// Delay of the first announcement, by which this host has usually read the
+// hosts table.
+constexpr Duration kFirstAnnounceDelay = milliseconds(300);
+
 // Silence after which a host is told all suspects when it is heard again, and
 // after which it is forgotten. It may have been cut off or have restarted.
 constexpr Duration kSilenceBeforeReports = milliseconds(2500);
@@ -172,7 +176,7 @@
   Receive();
   mLastHeardAt = EventLoop::Now();
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
-  mSendTimer.ScheduleAt(EventLoop::Now() + kResendInterval);
+  mSendTimer.ScheduleAt(EventLoop::Now() + kFirstAnnounceDelay);
   return std::nullopt;
 }
 
--- a/tests/introspective/SuspectSharingTests.cpp
+++ b/tests/introspective/SuspectSharingTests.cpp
@@ -360,6 +360,7 @@
   CPPUNIT_TEST(FourHundredFiftyHostsStopACrashingRequest);
   CPPUNIT_TEST(MergingIsIndependentOfOrderAndRepetition);
   CPPUNIT_TEST(AClearedRequestStaysClearedWhenOldReportsArrive);
+  CPPUNIT_TEST(AnOwnLossIsStoredOnceAnotherHostReportsASecondOne);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -416,6 +417,25 @@
     CPPUNIT_ASSERT_EQUAL(0, other.Deaths(5, At(400)));
   }
 
+  // Guards against losses that are not stored because each host lost a single
+  // run before it had heard of the others'.
+  void AnOwnLossIsStoredOnceAnotherHostReportsASecondOne()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.OnRunLost(5, { { 1, 1, At(100) }, At(50) }, At(130));
+    CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
+    SuspectReport report;
+    report.mRequest = 5;
+    report.mRuns = { { { 2, 1, At(400) }, At(350) } };
+    registry.Merge(report, false, At(500));
+    const auto changes = registry.TakeStoreChanges();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), changes[0].mRun.mDeath.mId);
+    // The loss that it only heard of is stored by the host that saw it.
+    registry.Merge(report, false, At(600));
+    CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
+  }
+
 private:
   static void ExpectStopped(FleetSize aSize, std::uint64_t aSeeds)
   {
