--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -291,9 +291,7 @@
       std::max(now + SuspectRegistry::kNewsInterval, mNextNewsAt));
   }
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty();
-  if (hasContent) {
-    SendBy(now + kResendInterval);
-  } else if (now < mAnnounceUntil) {
+  if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
   } else if (!mSentContent) {
     return;
