Tell callers of plain calls, too, how long a crashing request stays refused

A plain call refused as crashing targets got Retry-After 1 s, though it stays refused for ten minutes; a stream got ten minutes. Both now get the lifetime of the record (on the platform bounded by the caller's remaining time, as before).

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -1,5 +1,7 @@
 #include "core/Generation.h"
 
+#include "core/SuspectRegistry.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -35,7 +37,7 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
 
 // Retry-After of a request suspected of crashing targets.
-constexpr Duration kPoisonRetryAfter = std::chrono::minutes(10);
+constexpr Duration kSuspectRetryAfter = SuspectRegistry::kRecordLifetime;
 
 } // namespace
 
@@ -311,7 +313,7 @@
       FailWithRetryAfter(
         FailureCode::SuspectedPoison,
         "targets crashed repeatedly while running this request",
-        kPoisonRetryAfter,
+        kSuspectRetryAfter,
         aActions);
       break;
     case ChoiceStatus::NoBudget:
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -1,5 +1,7 @@
 #include "core/PlainCall.h"
 
+#include "core/SuspectRegistry.h"
+
 #include <utility>
 
 namespace quetzalquay {
@@ -11,6 +13,9 @@
 
 constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
 
+// Retry-After of a call suspected of crashing targets.
+constexpr Duration kSuspectRetryAfter = SuspectRegistry::kRecordLifetime;
+
 } // namespace
 
 PlainCall::PlainCall(ChoiceQuery aQuery,
@@ -72,8 +77,10 @@
   mQuery.mIsRetry = mAttempt > 0;
   const Choice choice = mChooser.Choose(mQuery, aNow);
   if (choice.mStatus == ChoiceStatus::Poison) {
-    return Fail(FailureCode::SuspectedPoison,
-                "targets crashed repeatedly while running this call");
+    PlainStep step = Fail(FailureCode::SuspectedPoison,
+                          "targets crashed repeatedly while running this call");
+    std::get<FailCall>(step).mFailure.mRetryAfter = kSuspectRetryAfter;
+    return step;
   }
   if (choice.mStatus == ChoiceStatus::Busy) {
     return Fail(FailureCode::Overloaded,
