Forget clearances of unknown requests after ten seconds

Found on reading the diff: a report that a request was cleared made a record for ten minutes on every host that knew nothing of it. With much coming and going the records of cleared requests could take all the room of the registry, and suspects would be ignored. They now last ten seconds, and reading the metrics removes what has expired. The head of the load datagrams is written in one place.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -201,9 +201,11 @@
     OnTargetDeath(it.mDeath);
     changed |= AddRun(aReport.mRequest, *record, it, aNow);
   }
-  if (changed) {
+  if (changed || record->mRuns.empty()) {
     record->mExpiresAt =
       aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
+  }
+  if (changed) {
     Tell(aReport.mRequest, *record, aPassOn ? 1 : 0, aNow);
     StoreRuns(aReport.mRequest, *record, true);
   }
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -131,8 +131,9 @@
     mMetrics.Set(GatewayGauge::StoreReachable,
                  mStore.UnreachableSince() == Time::max() ? 1 : 0);
     mMetrics.Set(GatewayGauge::Ready, IsReady() ? 1 : 0);
-    mMetrics.Set(GatewayGauge::Suspects,
-                 static_cast<double>(mFleet.Targets().Suspects().Size()));
+    SuspectRegistry& suspects = mFleet.Targets().Suspects();
+    suspects.Expire(EventLoop::Now());
+    mMetrics.Set(GatewayGauge::Suspects, static_cast<double>(suspects.Size()));
     SimpleHttpReply reply;
     reply.mContentType = "text/plain; version=0.0.4";
     reply.mBody = mMetrics.Serialize();
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -300,10 +300,7 @@
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
-  writer.Key("host");
-  writer.String(mSettings.mHost.c_str());
-  writer.Key("start");
-  writer.Uint64(mStart);
+  WriteSender(writer);
   writer.Key("load");
   writer.StartArray();
   for (const TargetLoad& it : loads) {
@@ -374,6 +371,15 @@
   }
 }
 
+void
+LoadBroadcaster::WriteSender(Writer& aWriter) const
+{
+  aWriter.Key("host");
+  aWriter.String(mSettings.mHost.c_str());
+  aWriter.Key("start");
+  aWriter.Uint64(mStart);
+}
+
 void
 LoadBroadcaster::SendSuspects(const udp::endpoint& aReceiver, Time aNow)
 {
@@ -384,10 +390,7 @@
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
-  writer.Key("host");
-  writer.String(mSettings.mHost.c_str());
-  writer.Key("start");
-  writer.Uint64(mStart);
+  WriteSender(writer);
   WriteSuspects(writer, reports, aNow);
   writer.EndObject();
   boost::system::error_code ec;
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -9,6 +9,8 @@
 #include <optional>
 #include <random>
 #include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,8 @@
   // Records that a host was heard from, and tells it all suspects if it is new
   // or was silent for a while.
   void OnHeardFrom(const std::string& aHost, std::uint64_t aStart, Time aNow);
+  // Writes the members of a message that tell who sends it.
+  void WriteSender(rapidjson::Writer<rapidjson::StringBuffer>& aWriter) const;
   void SendSuspects(const boost::asio::ip::udp::endpoint& aReceiver, Time aNow);
   void LogSuspect(const SuspectReport& aReport,
                   const std::string& aHost,
--- a/tests/introspective/SuspectSharingTests.cpp
+++ b/tests/introspective/SuspectSharingTests.cpp
@@ -361,6 +361,7 @@
   CPPUNIT_TEST(MergingIsIndependentOfOrderAndRepetition);
   CPPUNIT_TEST(AClearedRequestStaysClearedWhenOldReportsArrive);
   CPPUNIT_TEST(AnOwnLossIsStoredOnceAnotherHostReportsASecondOne);
+  CPPUNIT_TEST(ClearancesOfUnknownRequestsAreForgottenSoon);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -436,6 +437,18 @@
     CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
   }
 
+  // Guards against the records of cleared requests taking the room of suspects.
+  void ClearancesOfUnknownRequestsAreForgottenSoon()
+  {
+    SuspectRegistry registry(kOptions);
+    SuspectReport report;
+    report.mRequest = 5;
+    report.mClearedAt = At(100);
+    registry.Merge(report, false, At(150));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), registry.Reports(At(200)).size());
+    CPPUNIT_ASSERT(registry.Reports(At(15000)).empty());
+  }
+
 private:
   static void ExpectStopped(FleetSize aSize, std::uint64_t aSeeds)
   {
