Bring crashing requests about on each kind of route with each trouble of the hosts

Cause: restarts and cuts were run with unsafe requests alone and without other traffic, and no run had a host that joined. Now unsafe, safe and streaming each with one host that restarts, all that restart, one cut off, one that joins, beside other requests of which none may be refused.

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -46,6 +46,12 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
+std::string
+GatewayIp(std::size_t aNumber)
+{
+  return "127.0.0." + std::to_string(aNumber + 1);
+}
+
 std::string
 Base64(const std::string& aText)
 {
@@ -431,17 +437,22 @@
   }
 }
 
-GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways, int aCutOff)
+GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways)
+  : GatewayTestCluster(Options{ aRunners, aGateways, -1, false })
+{
+}
+
+GatewayTestCluster::GatewayTestCluster(const Options& aOptions)
 {
-  for (int n = 0; n < aRunners; ++n) {
+  for (int n = 0; n < aOptions.mRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
     mRunners[name] =
       std::make_unique<Runner>(*this, name, "p" + std::to_string(n % 2));
   }
-  for (int n = 0; n < aGateways; ++n) {
+  for (int n = 0; n < aOptions.mGateways; ++n) {
     auto node = std::make_unique<GatewayNode>();
     node->mName = n == 0 ? "h" : "h" + std::to_string(n);
-    node->mCutOff = n == aCutOff;
+    node->mCutOff = n == aOptions.mCutOff;
     node->mStorePort = FindFreePort();
     node->mStore = std::make_unique<SimpleHttpServer>(
       mLoop,
@@ -456,28 +467,39 @@
     mNodes.push_back(std::move(node));
   }
   mThread.emplace(mLoop);
-  const int loadPort = FindFreePort();
-  const auto ip = [](int aNumber) {
-    return "127.0.0." + std::to_string(aNumber + 1);
-  };
-  std::vector<std::string> peers;
-  for (int n = 0; n < aGateways; ++n) {
-    peers.push_back(ip(n) + ":" + std::to_string(FindFreePort(ip(n))));
-  }
-  for (int n = 0; n < aGateways; ++n) {
-    GatewayNode& node = *mNodes[static_cast<std::size_t>(n)];
-    node.mGateway =
-      std::make_unique<GatewayProcess>(node.mName,
-                                       "p" + std::to_string(n % 2),
-                                       ip(n),
-                                       loadPort,
-                                       peers,
-                                       static_cast<std::size_t>(n),
-                                       Address(node.mStorePort));
+  mLoadPort = FindFreePort();
+  for (std::size_t n = 0; n < mNodes.size(); ++n) {
+    const std::string ip = GatewayIp(n);
+    mPeers.push_back(ip + ":" + std::to_string(FindFreePort(ip)));
+  }
+  const std::size_t late = aOptions.mLastJoinsLate ? 1 : 0;
+  for (std::size_t n = 0; n + late < mNodes.size(); ++n) {
+    StartGateway(n);
   }
   Configure("key");
 }
 
+void
+GatewayTestCluster::StartGateway(std::size_t aNumber)
+{
+  GatewayNode& node = *mNodes[aNumber];
+  node.mGateway =
+    std::make_unique<GatewayProcess>(node.mName,
+                                     "p" + std::to_string(aNumber % 2),
+                                     GatewayIp(aNumber),
+                                     mLoadPort,
+                                     mPeers,
+                                     aNumber,
+                                     Address(node.mStorePort));
+}
+
+void
+GatewayTestCluster::Join()
+{
+  StartGateway(mNodes.size() - 1);
+  AwaitReady();
+}
+
 GatewayTestCluster::~GatewayTestCluster()
 {
   for (const auto& it : mNodes) {
@@ -486,6 +508,15 @@
   mThread.reset();
 }
 
+std::size_t
+GatewayTestCluster::GatewayCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mNodes.begin(), mNodes.end(), [](const auto& aNode) {
+      return aNode->mGateway != nullptr;
+    }));
+}
+
 void
 GatewayTestCluster::FailPlace(const std::string& aPlace)
 {
@@ -599,7 +630,8 @@
 {
   const auto until = std::chrono::steady_clock::now() + kTimeout;
   for (const auto& it : mNodes) {
-    while (it->mGateway->IsRunning() && !aCondition(*it->mGateway)) {
+    while (it->mGateway != nullptr && it->mGateway->IsRunning() &&
+           !aCondition(*it->mGateway)) {
       if (std::chrono::steady_clock::now() >= until) {
         throw std::runtime_error(
           it->mGateway->Name() +
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -105,11 +105,20 @@
 class GatewayTestCluster
 {
 public:
-  // Starts everything; the gateways are ready when this returns. The gateway
-  // aCutOff and the others cannot reach each other; all reach the store.
-  explicit GatewayTestCluster(int aRunners = 3,
-                              int aGateways = 1,
-                              int aCutOff = -1);
+  struct Options
+  {
+    int mRunners = 3;
+    int mGateways = 1;
+    // Gateway that cannot reach the others, nor they it; -1 if there is none.
+    // All reach the store.
+    int mCutOff = -1;
+    // Whether the last gateway is started only by Join().
+    bool mLastJoinsLate = false;
+  };
+
+  // Starts everything; the gateways are ready when this returns.
+  explicit GatewayTestCluster(const Options& aOptions);
+  explicit GatewayTestCluster(int aRunners = 3, int aGateways = 1);
   ~GatewayTestCluster();
 
   static constexpr int kEvents = 40;
@@ -124,10 +133,14 @@
   // Number of runners that a request has crashed so far.
   int CrashCount() const { return mCrashCount; }
 
+  // Starts the last gateway, which no other one has heard of before.
+  void Join();
+
   // Lets all runners of a place crash at once, whatever they run.
   void FailPlace(const std::string& aPlace);
 
-  std::size_t GatewayCount() const { return mNodes.size(); }
+  // Number of gateways that have been started.
+  std::size_t GatewayCount() const;
 
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
@@ -212,6 +225,7 @@
   };
 
   bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
+  void StartGateway(std::size_t aNumber);
   static quetzalquay::SimpleHttpReply UnavailableReply();
   quetzalquay::SimpleHttpReply HandleStoreRequest(
     const GatewayNode& aReader,
@@ -228,6 +242,9 @@
 
   quetzalquay::EventLoop mLoop;
   std::vector<std::unique_ptr<GatewayNode>> mNodes;
+  int mLoadPort = 0;
+  // Peer addresses of all gateways.
+  std::vector<std::string> mPeers;
   std::map<std::string, std::unique_ptr<Runner>> mRunners;
   std::mutex mMutex;
   std::map<std::string, std::map<std::string, Row>> mTables;
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <functional>
+#include <iostream>
 #include <set>
 
 using namespace quetzalquay;
@@ -22,6 +23,9 @@
 // Time within which a host writes what has to last.
 constexpr auto kWritten = milliseconds(1000);
 
+// Routes whose requests may not be repeated, may be repeated, and stream.
+constexpr const char* kRoutes[] = { "/unsafe/", "/plain/", "/stream/" };
+
 // Time between two sends of the crashing request.
 constexpr auto kReturnInterval = milliseconds(250);
 
@@ -119,6 +123,7 @@
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAHostRestarts);
   CPPUNIT_TEST(CrashingRequestIsStoppedAfterAllHostsRestart);
   CPPUNIT_TEST(CrashingRequestIsStoppedOnAHostThatIsCutOff);
+  CPPUNIT_TEST(CrashingRequestIsStoppedOnAHostThatJoins);
   CPPUNIT_TEST(CrashingRequestIsStoppedOnManyHosts);
   CPPUNIT_TEST(CrashingRequestIsStoppedWhilePlacesFail);
   CPPUNIT_TEST(RetriesOfACrashingRequestEndThreeTargetsAtMost);
@@ -169,35 +174,51 @@
     ExpectStoppedBy(cluster, "/unsafe/");
   }
 
+  // Guards against a host that has just started sending what all others refuse.
   void CrashingRequestIsStoppedAfterAHostRestarts()
   {
-    GatewayTestCluster cluster(8, 4);
-    ExpectStoppedBy(cluster, "/unsafe/", [&] {
-      cluster.Gateway(1).Restart();
-      cluster.AwaitReady();
-    });
+    for (const char* it : kRoutes) {
+      GatewayTestCluster cluster(8, 4);
+      ExpectStoppedBesideOthers(cluster, it, [&] {
+        cluster.Gateway(1).Restart();
+        cluster.AwaitReady();
+      });
+    }
   }
 
   // Guards against all hosts forgetting at once what each of them kept only in
   // memory.
   void CrashingRequestIsStoppedAfterAllHostsRestart()
   {
-    GatewayTestCluster cluster(8, 4);
-    ExpectStoppedBy(cluster, "/unsafe/", [&] {
-      std::this_thread::sleep_for(kWritten);
-      for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
-        cluster.Gateway(n).Restart();
-      }
-      cluster.AwaitReady();
-    });
+    for (const char* it : kRoutes) {
+      GatewayTestCluster cluster(8, 4);
+      ExpectStoppedBesideOthers(cluster, it, [&] {
+        std::this_thread::sleep_for(kWritten);
+        for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+          cluster.Gateway(n).Restart();
+        }
+        cluster.AwaitReady();
+      });
+    }
   }
 
   // Guards against a host that reaches the store but no other host never
   // learning of the request.
   void CrashingRequestIsStoppedOnAHostThatIsCutOff()
   {
-    GatewayTestCluster cluster(8, 4, 2);
-    ExpectStoppedBy(cluster, "/unsafe/");
+    for (const char* it : kRoutes) {
+      GatewayTestCluster cluster({ 8, 4, 2, false });
+      ExpectStoppedBesideOthers(cluster, it, [] {});
+    }
+  }
+
+  // Guards against a host that nobody knew before not being told.
+  void CrashingRequestIsStoppedOnAHostThatJoins()
+  {
+    for (const char* it : kRoutes) {
+      GatewayTestCluster cluster({ 8, 4, -1, true });
+      ExpectStoppedBesideOthers(cluster, it, [&] { cluster.Join(); });
+    }
   }
 
   // Nine hosts, or as many as QUETZAL_TEST_HOSTS says.
@@ -214,12 +235,9 @@
   void CrashingRequestIsStoppedWhilePlacesFail()
   {
     GatewayTestCluster cluster(12, 4);
-    OtherTraffic others(cluster);
     cluster.FailPlace("p0");
-    ExpectStoppedBy(cluster, "/plain/", [&] { cluster.FailPlace("p1"); });
-    others.Stop();
-    CPPUNIT_ASSERT_EQUAL(0, others.BlamedCount());
-    CPPUNIT_ASSERT(others.ServedCount() > 0);
+    ExpectStoppedBesideOthers(
+      cluster, "/plain/", [&] { cluster.FailPlace("p1"); });
   }
 
   // Guards against the retries of one client attempt being sent faster than the
@@ -242,8 +260,18 @@
   {
     GatewayTestCluster cluster(8, aGateways);
     cluster.SetRunnerReturn(aReturn);
-    OtherTraffic others(cluster);
-    ExpectStoppedBy(cluster, aRoute);
+    ExpectStoppedBesideOthers(cluster, aRoute, [] {});
+  }
+
+  // The same as ExpectStoppedBy, while other requests are served of which none
+  // may be refused as crashing targets.
+  static void ExpectStoppedBesideOthers(
+    GatewayTestCluster& aCluster,
+    const std::string& aRoute,
+    const std::function<void()>& aAfterThirdCrash)
+  {
+    OtherTraffic others(aCluster);
+    ExpectStoppedBy(aCluster, aRoute, aAfterThirdCrash);
     others.Stop();
     CPPUNIT_ASSERT_EQUAL(0, others.BlamedCount());
     CPPUNIT_ASSERT(others.ServedCount() > 0);
@@ -277,6 +305,11 @@
       send();
     }
     const std::size_t late = CountCrashingRuns(aCluster) - before;
+    if (std::getenv("QUETZAL_TEST_FIGURES") != nullptr) {
+      std::cout << "route " << aRoute << ", hosts " << aCluster.GatewayCount()
+                << ": crashes " << aCluster.CrashCount() << ", late runs "
+                << late << '\n';
+    }
     CPPUNIT_ASSERT_MESSAGE(
       "late runs: " + std::to_string(late) +
         ", crashes: " + std::to_string(aCluster.CrashCount()),
