--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -410,8 +410,8 @@
 }
 
 // Whether a run was lost in a failure of several targets that its request did
-// not cause. A request did not cause the failure of a place if all its runs
-// there had started before, nor one in which it lost a single run.
+// not cause: the failure of a place in which all the request's runs had started
+// before, or several deaths at once in only one of which it lost a run.
 bool
 SuspectRegistry::IsCommonFailure(const Record& aRecord,
                                  const LostRun& aRun) const
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -31,7 +31,7 @@
   Time mStartedAt;
 };
 
-// A change of what has to outlast the hosts.
+// A lost run to write to the store, or to remove from it.
 struct StoredLossChange
 {
   std::uint64_t mRequest = 0;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -20,7 +20,7 @@
 constexpr int kCommonDeathThreshold = 3;
 
 // Targets of one place that have to be lost at about the same time before the
-// remaining ones of that place are suspected too.
+// remaining ones of that place are doubtful too.
 constexpr int kPlaceLossThreshold = 2;
 
 // Time within which Prober has checked whether a lost target has died.
@@ -30,7 +30,7 @@
 // other of it at once and again after 0.5 s.
 constexpr Duration kSuspectSettleTime = std::chrono::milliseconds(600);
 
-// Time for which a target is suspected: three heartbeats, after which the entry
+// Time for which a target is doubtful: three heartbeats, after which the entry
 // of a dead target has expired.
 constexpr Duration kDoubtDuration = std::chrono::milliseconds(3600);
 
