Log and count the decisions of the retry budget

Each decision is counted; a line is written when the decisions for a service change, once a second otherwise. No decision changes.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -48,8 +48,20 @@
   const double allowed =
     AllowedRetries(static_cast<double>(sends.mFirstAttempts.size())) *
     (late ? kLateRetryShare : 1.0);
-  if (static_cast<double>(sends.mRetries.size()) + 1 > allowed &&
-      (late || !Borrow(aService, sends, aNow))) {
+  mLastDecision = { aService,
+                    RetrySource::Own,
+                    aTiming,
+                    mOptions.mHosts,
+                    HostsHeard(aNow),
+                    static_cast<int>(sends.mFirstAttempts.size()),
+                    static_cast<int>(sends.mRetries.size()),
+                    allowed };
+  if (static_cast<double>(sends.mRetries.size()) + 1 > allowed) {
+    mLastDecision.mSource = !late && Borrow(aService, sends, aNow)
+                              ? RetrySource::Borrowed
+                              : RetrySource::None;
+  }
+  if (mLastDecision.mSource == RetrySource::None) {
     return false;
   }
   sends.mRetries.push_back(aNow);
@@ -96,6 +108,15 @@
           mOptions.mAllowance / std::max(1, mOptions.mHosts));
 }
 
+int
+RetryBudget::HostsHeard(Time aNow) const
+{
+  return static_cast<int>(std::count_if(
+    mPeerCounts.begin(), mPeerCounts.end(), [&](const auto& aPeer) {
+      return aNow - aPeer.second.mAt < kCountLifetime;
+    }));
+}
+
 // Retries that the hosts with current counts leave unused in total.
 double
 RetryBudget::UnusedByPeers(const std::string& aService, Time aNow) const
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_CORE_RETRYBUDGET_H_INCLUDED
 #define QUETZALQUAY_CORE_RETRYBUDGET_H_INCLUDED
 
+#include "core/NameTable.h"
 #include "core/Time.h"
 
 #include <deque>
@@ -25,6 +26,37 @@
   Late,
 };
 
+// What decided on a retry.
+enum class RetrySource
+{
+  // This host's own part of the budget.
+  Own,
+  // What other hosts leave unused.
+  Borrowed,
+  // The retry was refused.
+  None,
+};
+
+constexpr NameTable<RetrySource, 3> kRetrySourceNames({ "own",
+                                                        "borrowed",
+                                                        "none" });
+
+// A decision on a retry, with what it was based on.
+struct RetryDecision
+{
+  std::string mService;
+  RetrySource mSource = RetrySource::None;
+  RetryTiming mTiming = RetryTiming::OnTime;
+  // Hosts that share the allowance, and those with current counts.
+  int mHosts = 0;
+  int mHostsHeard = 0;
+  // First attempts and retries of this host within the window, and the retries
+  // that it may send.
+  int mFirstAttempts = 0;
+  int mRetries = 0;
+  double mAllowed = 0;
+};
+
 // Limits the retries that this process sends to each service so that all hosts
 // together stay within a shared budget. A host may send a fixed ratio of its
 // own first attempts plus an even share of a fixed allowance. It may also
@@ -57,6 +89,9 @@
                  Time aNow,
                  RetryTiming aTiming = RetryTiming::OnTime);
 
+  // The last decision of TakeRetry().
+  const RetryDecision& LastDecision() const { return mLastDecision; }
+
   // Puts the most recently taken retry, which has not been sent, back into the
   // budget.
   void ReturnRetry(const std::string& aService);
@@ -87,6 +122,7 @@
   };
 
   double AllowedRetries(double aFirstAttempts) const;
+  int HostsHeard(Time aNow) const;
   double UnusedByPeers(const std::string& aService, Time aNow) const;
   bool Borrow(const std::string& aService, Sends& aSends, Time aNow) const;
   void DropExpired(std::deque<Time>& aTimes, Time aNow) const;
@@ -94,6 +130,7 @@
   Options mOptions;
   std::map<std::string, Sends> mServices;
   std::map<std::string, PeerCounts> mPeerCounts;
+  RetryDecision mLastDecision;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -188,10 +188,7 @@
     return Enqueue(aQuery, aNow);
   }
   if (mBudget && aQuery.mIsRetry && !usable.empty() &&
-      !mBudget->TakeRetry(aQuery.mService,
-                          aNow,
-                          aNow < aQuery.mDueAt ? RetryTiming::OnTime
-                                               : RetryTiming::Late)) {
+      !TakeRetry(aQuery, aNow)) {
     CancelWait(aQuery);
     choice.mStatus = ChoiceStatus::NoBudget;
     return choice;
@@ -387,6 +384,26 @@
   }
 }
 
+bool
+TargetTable::TakeRetry(const ChoiceQuery& aQuery, Time aNow)
+{
+  const bool taken = mBudget->TakeRetry(
+    aQuery.mService,
+    aNow,
+    aNow < aQuery.mDueAt ? RetryTiming::OnTime : RetryTiming::Late);
+  if (mOnRetryDecision) {
+    mOnRetryDecision(mBudget->LastDecision());
+  }
+  return taken;
+}
+
+void
+TargetTable::SetRetryCallback(
+  std::function<void(const RetryDecision&)> aCallback)
+{
+  mOnRetryDecision = std::move(aCallback);
+}
+
 void
 TargetTable::ReturnRetry(const std::string& aService)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -235,6 +235,9 @@
   // Configures the retry budget. Retries are unlimited before the first call.
   void ConfigureRetryBudget(const RetryBudget::Options& aOptions);
 
+  // Sets a callback that runs on each decision of the retry budget.
+  void SetRetryCallback(std::function<void(const RetryDecision&)> aCallback);
+
   // First attempts and retries by service, sent by this router or reported by
   // another one; input to the retry budget.
   std::vector<RetryCount> OwnRetryCounts(Time aNow);
@@ -385,6 +388,7 @@
                      Time aNow);
   bool IsUndecided(const ChoiceQuery& aQuery, Time aNow) const;
   Choice Enqueue(const ChoiceQuery& aQuery, Time aNow);
+  bool TakeRetry(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
                     const ChoiceQuery& aQuery,
                     Time aNow);
@@ -430,6 +434,7 @@
   };
   std::map<std::string, RouterLoad> mRouterLoads;
   std::function<void()> mOnLoadChanged;
+  std::function<void(const RetryDecision&)> mOnRetryDecision;
   // Times of recent losses of targets, by place.
   std::map<std::string, std::deque<Time>> mLossTimesByPlace;
   std::optional<RetryBudget> mBudget;
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -30,7 +30,8 @@
 Exchange::SendFailure(const Failure& aFailure)
 {
   const int status = ToHttpStatus(aFailure);
-  LogCompletion(std::string(NameOf(aFailure.mCode)).c_str(), status);
+  LogCompletion(
+    std::string(NameOf(aFailure.mCode)).c_str(), status, aFailure.mMessage);
   mContext.mMetrics.OnFailure(aFailure.mCode, aFailure.mVerdict);
   mSink->SendResponse(
     status,
@@ -55,7 +56,9 @@
 }
 
 void
-Exchange::LogCompletion(const char* aOutcome, int aStatus)
+Exchange::LogCompletion(const char* aOutcome,
+                        int aStatus,
+                        const std::string& aReason)
 {
   const auto elapsed = EventLoop::Now() - mCall.mArrivedAt;
   mContext.mMetrics.OnRequestEnd(mCall.mRoute->mKind, aStatus, elapsed);
@@ -78,7 +81,8 @@
                             : std::string() },
         { "pause_ms",
           std::to_string(static_cast<int>(ToMilliseconds(mLongestEventGap))) },
-        { "note", mLogNote } });
+        { "note", mLogNote },
+        { "reason", aReason } });
 }
 
 platform::AttemptFields
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -108,7 +108,10 @@
   void LogAttemptFailure(const std::string& aAfterEvent) const;
 
   // Logs the end of the request in one line and counts it in the metrics.
-  void LogCompletion(const char* aOutcome, int aStatus);
+  // aReason is the message of a failure.
+  void LogCompletion(const char* aOutcome,
+                     int aStatus,
+                     const std::string& aReason = std::string());
 
   // Returns the attempt fields that do not depend on the kind of exchange.
   platform::AttemptFields MakeAttemptFields(const std::string& aTarget,
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/LoadBroadcaster.h"
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
+#include "gateway/RetryLog.h"
 #include "gateway/StoreWatch.h"
 #include "gateway/SuspectWriter.h"
 #include "gateway/TargetConnection.h"
@@ -50,6 +51,7 @@
     : mSettings(std::move(aSettings))
     , mSettingsFile(std::move(aSettingsFile))
     , mMetrics(mSettings.mHost)
+    , mRetryLog(mMetrics)
     , mFleet(mLoop, mSettings)
     , mPool(mLoop, mFleet)
     , mProber(mLoop, mFleet, mPool)
@@ -71,6 +73,9 @@
   {
     mFleet.Targets().SetDeathCallback(
       [this](const DeathReport& aDeath) { OnTargetDeath(aDeath); });
+    mFleet.Targets().SetRetryCallback([this](const RetryDecision& aDecision) {
+      mRetryLog.OnDecision(aDecision, EventLoop::Now());
+    });
   }
 
   std::optional<std::string> Run()
@@ -235,6 +240,7 @@
   std::string mSettingsFile;
   EventLoop mLoop;
   GatewayMetrics mMetrics;
+  RetryLog mRetryLog;
   Fleet mFleet;
   TargetConnectionPool mPool;
   Prober mProber;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -41,6 +41,12 @@
   { "quetzal_log_lines_dropped_total",
     "Log lines dropped by a full queue or the rate limit" },
   { "quetzal_target_deaths_total", "Deaths of targets that were recognized" },
+  { "quetzal_retries_granted_total",
+    "Retries taken from this host's part of the retry budget" },
+  { "quetzal_retries_borrowed_total",
+    "Retries taken from what other hosts leave of the retry budget" },
+  { "quetzal_retries_refused_total",
+    "Retries that the retry budget did not allow" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
@@ -52,6 +58,7 @@
   { "quetzal_store_answers", "1 while the store is reachable from this host" },
   { "quetzal_ready", "1 while the host is ready for new connections" },
   { "quetzal_suspects", "Requests suspected of crashing targets" },
+  { "quetzal_retry_hosts", "Hosts that share the retry budget" },
 } };
 
 // In seconds.
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -30,6 +30,9 @@
   CallerDisconnects,
   DroppedLogLines,
   TargetDeaths,
+  RetriesGranted,
+  RetriesBorrowed,
+  RetriesRefused,
   Last,
 };
 
@@ -43,6 +46,7 @@
   StoreReachable,
   Ready,
   Suspects,
+  RetryHosts,
   Last,
 };
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -84,7 +84,9 @@
   const Time now = EventLoop::Now();
   mTarget = aTarget;
   mLastTarget = aTarget;
-  ++mAttempts;
+  if (++mAttempts > 1) {
+    LogRetry(now);
+  }
   mHasResponse = false;
   mResponseBody.clear();
   mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContentHash, now);
@@ -109,6 +111,22 @@
                     *this);
 }
 
+// Logs which target the request is retried at, and why.
+void
+PlainExchange::LogRetry(Time aNow) const
+{
+  const auto left = std::max(mCall.mDeadline - aNow, Time::duration::zero());
+  Log(
+    LogLevel::Info,
+    "request",
+    "request retried",
+    { { "request", mCall.mRequest.mRequestId },
+      { "target", mTarget },
+      { "try", std::to_string(mAttempts) },
+      { "cause", mLogNote },
+      { "left_ms", std::to_string(static_cast<int>(ToMilliseconds(left))) } });
+}
+
 void
 PlainExchange::OnResponseHead(const HttpHead& aHead,
                               const platform::TargetResponse& aResponse)
@@ -154,6 +172,9 @@
   }
   EndAttempt(success ? AttemptOutcome::Finished : AttemptOutcome::Failed);
   const bool failed = mResponseHead.mStatus >= kFirstServerErrorStatus;
+  if (failed) {
+    mLogNote = "status_" + std::to_string(mResponseHead.mStatus);
+  }
   PerformStep(mStateMachine.OnResult(
     failed ? PlainResult::Failed : PlainResult::Answered, now));
 }
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -36,6 +36,7 @@
   void Fail(const Failure& aFailure);
   void EndAttempt(AttemptOutcome aOutcome);
   void OnTimer();
+  void LogRetry(Time aNow) const;
   void Finish();
   bool IsIdempotent() const;
 
--- /dev/null
+++ b/src/quetzalquay/gateway/RetryLog.cpp
@@ -0,0 +1,54 @@
+#include "gateway/RetryLog.h"
+
+#include "observe/Log.h"
+
+#include <array>
+
+namespace quetzalquay {
+
+namespace {
+
+// Longest time without a line while the decisions for a service are the same.
+constexpr Duration kLineInterval = std::chrono::seconds(1);
+
+// Counters by retry source.
+constexpr std::array<GatewayCounter, 3> kCounters = {
+  GatewayCounter::RetriesGranted,
+  GatewayCounter::RetriesBorrowed,
+  GatewayCounter::RetriesRefused,
+};
+
+} // namespace
+
+RetryLog::RetryLog(GatewayMetrics& aMetrics)
+  : mMetrics(aMetrics)
+{
+}
+
+void
+RetryLog::OnDecision(const RetryDecision& aDecision, Time aNow)
+{
+  mMetrics.Add(kCounters[static_cast<std::size_t>(aDecision.mSource)]);
+  mMetrics.Set(GatewayGauge::RetryHosts, aDecision.mHosts);
+  LastLine& last = mLastLines[aDecision.mService];
+  if (aDecision.mSource == last.mSource && aNow - last.mAt < kLineInterval) {
+    ++last.mSkipped;
+    return;
+  }
+  Log(LogLevel::Info,
+      "fleet",
+      aDecision.mSource == RetrySource::None ? "retry refused"
+                                             : "retry granted",
+      { { "service", aDecision.mService },
+        { "source", std::string(kRetrySourceNames.NameOf(aDecision.mSource)) },
+        { "late", aDecision.mTiming == RetryTiming::Late ? "true" : "false" },
+        { "hosts", std::to_string(aDecision.mHosts) },
+        { "heard", std::to_string(aDecision.mHostsHeard) },
+        { "first_attempts", std::to_string(aDecision.mFirstAttempts) },
+        { "retries", std::to_string(aDecision.mRetries) },
+        { "allowed", std::to_string(static_cast<int>(aDecision.mAllowed)) },
+        { "skipped", std::to_string(last.mSkipped) } });
+  last = { aDecision.mSource, aNow, 0 };
+}
+
+} // namespace quetzalquay
