--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -20,6 +20,10 @@
 
 constexpr char kGatewayBinary[] = "build/quetzal-gateway";
 
+// Environment variable with the path of another gateway binary, to compare
+// versions by the same test.
+constexpr char kGatewayBinaryVariable[] = "QUETZAL_TEST_GATEWAY";
+
 // Directory to which the logs of all gateways are appended, one file for each
 // name. Without the variable they are discarded.
 constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
@@ -95,9 +99,9 @@
 }
 
 void
-GatewayProcess::Restart()
+GatewayProcess::Restart(int aSignal)
 {
-  Signal(SIGKILL);
+  Signal(aSignal);
   AwaitExit();
   StartProcess();
 }
@@ -119,8 +123,10 @@
     }
     // The gateway must not outlive an aborted test.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::execl(kGatewayBinary,
-            kGatewayBinary,
+    const char* other = std::getenv(kGatewayBinaryVariable);
+    const char* binary = other == nullptr ? kGatewayBinary : other;
+    ::execl(binary,
+            binary,
             "--settings",
             mSettingsFile.c_str(),
             static_cast<char*>(nullptr));
@@ -188,7 +194,8 @@
 GatewayProcess::Connect(int aPort, const std::string& aBytes) const
 {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  const timeval timeout{ 20, 0 };
+  const timeval timeout{ mCallTimeout.count() / 1000,
+                         mCallTimeout.count() % 1000 * 1000 };
   ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
   const sockaddr_in to =
     SocketAddress(mIp, mPorts[static_cast<std::size_t>(aPort)]);
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -3,6 +3,8 @@
 
 #include "http/HttpReader.h"
 
+#include <chrono>
+#include <csignal>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -66,8 +68,15 @@
 
   bool IsRunning() const { return mProcess > 0; }
 
-  // Kills the process and starts it again with the same settings.
-  void Restart();
+  // Ends the process by a signal, and starts it again with the same settings
+  // when it has exited.
+  void Restart(int aSignal = SIGKILL);
+
+  // Sets how long calls wait for a response.
+  void SetCallTimeout(std::chrono::milliseconds aTimeout)
+  {
+    mCallTimeout = aTimeout;
+  }
 
   const std::string& Name() const { return mName; }
 
@@ -82,6 +91,7 @@
   std::vector<int> mPorts;
   std::string mSettingsFile;
   pid_t mProcess = -1;
+  std::chrono::milliseconds mCallTimeout{ 20000 };
 };
 
 // A call that runs in its own thread.
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -25,6 +25,9 @@
 constexpr auto kSlowEventInterval = milliseconds(60);
 constexpr int kSlowEventsBeforeFault = 30;
 
+// Delay of a slow plain answer.
+constexpr auto kAnswerDelay = milliseconds(450);
+
 // Number of events before the fault of a stream.
 constexpr int kEventsBeforeFault = 10;
 
@@ -52,6 +55,14 @@
   return "127.0.0." + std::to_string(aNumber + 1);
 }
 
+// Address at which one gateway sees another one while datagrams are relayed.
+std::string
+RelayIp(std::size_t aReader, std::size_t aHost)
+{
+  return "127.1." + std::to_string(aReader + 1) + "." +
+         std::to_string(aHost + 1);
+}
+
 std::string
 Base64(const std::string& aText)
 {
@@ -226,7 +237,8 @@
       return;
     }
     if (aHead.mTarget.rfind("/kv-", 0) == 0) {
-      mRunner.mCluster.mRequests.push_back({ mRunner.mName, aHead, aBody });
+      mRunner.mCluster.mRequests.push_back(
+        { mRunner.mName, aHead, aBody, EventLoop::Now() });
       const std::string copyHandle = R"({"Handle":"h1","CreatedRev":1})";
       mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
                      std::to_string(copyHandle.size()) + "\r\n\r\n" +
@@ -236,7 +248,9 @@
     const std::string* id = aHead.Find("X-Request-Id");
     const std::string echo =
       id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n";
-    const RunnerRequest request{ mRunner.mName, aHead, aBody };
+    const RunnerRequest request{
+      mRunner.mName, aHead, aBody, EventLoop::Now()
+    };
     mRunner.mCluster.mRequests.push_back(request);
     const std::string* expected = aHead.Find("X-Expected-Instance");
     if (mode == RunnerMode::WrongRunner || expected == nullptr ||
@@ -265,7 +279,7 @@
     }
     const std::string head = "X-Server-Seal: seal-" + mRunner.mName + "\r\n" +
                              echo + "Keep-Alive: timeout=10\r\n";
-    if (aHead.mTarget.rfind("/stream/", 0) == 0) {
+    if (aHead.mTarget.rfind("/stream/", 0) == 0 && mode != RunnerMode::Fail) {
       StartStream(aHead, head, mode);
     } else {
       SendPlainAnswer(head, mode);
@@ -315,6 +329,10 @@
         mSocket->Write("HTTP/1.1 500 Error\r\n" + aHead +
                        "Content-Length: 0\r\n\r\n");
         break;
+      case RunnerMode::SlowAnswer:
+        mDelayedAnswer = whole;
+        mEventTimer.ScheduleAt(EventLoop::Now() + kAnswerDelay);
+        break;
       case RunnerMode::Fail503:
         mSocket->Write("HTTP/1.1 503 Error\r\n" + aHead +
                        "Content-Length: 0\r\n\r\n");
@@ -346,6 +364,10 @@
   void SendNextEvent()
   {
     const RefPtr<RunnerConnection> self(this);
+    if (!mDelayedAnswer.empty()) {
+      mSocket->Write(std::exchange(mDelayedAnswer, std::string()));
+      return;
+    }
     const bool faultDue = mEvent - mStartEvent == kEventsBeforeFault;
     ++mEvent;
     if (mEvent > kEvents) {
@@ -389,6 +411,7 @@
   std::string mRequestId;
   int mEvent = 0;
   int mStartEvent = 0;
+  std::string mDelayedAnswer;
   Timer mEventTimer;
 };
 
@@ -438,7 +461,7 @@
 }
 
 GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways)
-  : GatewayTestCluster(Options{ aRunners, aGateways, -1, false })
+  : GatewayTestCluster(Options{ aRunners, aGateways, -1, 0, false })
 {
 }
 
@@ -466,13 +489,16 @@
     }
     mNodes.push_back(std::move(node));
   }
-  mThread.emplace(mLoop);
   mLoadPort = FindFreePort();
+  if (aOptions.mRelaysDatagrams) {
+    StartRelays();
+  }
+  mThread.emplace(mLoop);
   for (std::size_t n = 0; n < mNodes.size(); ++n) {
     const std::string ip = GatewayIp(n);
     mPeers.push_back(ip + ":" + std::to_string(FindFreePort(ip)));
   }
-  const std::size_t late = aOptions.mLastJoinsLate ? 1 : 0;
+  const auto late = static_cast<std::size_t>(aOptions.mLateGateways);
   for (std::size_t n = 0; n + late < mNodes.size(); ++n) {
     StartGateway(n);
   }
@@ -496,10 +522,85 @@
 void
 GatewayTestCluster::Join()
 {
-  StartGateway(mNodes.size() - 1);
+  StartGateway(GatewayCount());
   AwaitReady();
 }
 
+DatagramRelay::DatagramRelay(EventLoop& aLoop,
+                             const Endpoint& aOwn,
+                             Endpoint aFirst,
+                             Endpoint aSecond,
+                             std::function<bool()> aDrops)
+  : mSocket(aLoop.Context(), aOwn)
+  , mFirst(std::move(aFirst))
+  , mSecond(std::move(aSecond))
+  , mDrops(std::move(aDrops))
+{
+  Receive();
+}
+
+void
+DatagramRelay::Receive()
+{
+  mSocket.async_receive_from(
+    boost::asio::buffer(mBuffer),
+    mSender,
+    [this](const boost::system::error_code& aError, std::size_t aSize) {
+      if (aError == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError && !mDrops()) {
+        boost::system::error_code ec;
+        // A gateway that is not running receives nothing.
+        mSocket.send_to(boost::asio::buffer(mBuffer.data(), aSize),
+                        mSender.address() == mFirst.address() ? mSecond
+                                                              : mFirst,
+                        0,
+                        ec);
+      }
+      Receive();
+    });
+}
+
+// Lets each gateway see each other one at an address of its own for the pair.
+void
+GatewayTestCluster::StartRelays()
+{
+  const auto at = [this](const std::string& aIp) {
+    return DatagramRelay::Endpoint(boost::asio::ip::make_address(aIp),
+                                   static_cast<unsigned short>(mLoadPort));
+  };
+  for (std::size_t n = 0; n < mNodes.size(); ++n) {
+    for (std::size_t other = 0; other < mNodes.size(); ++other) {
+      if (n != other) {
+        mRelays.push_back(std::make_unique<DatagramRelay>(
+          mLoop,
+          at(RelayIp(n, other)),
+          at(GatewayIp(n)),
+          at(GatewayIp(other)),
+          [this] {
+            return static_cast<int>(mRandom() % 100) < mDatagramLoss;
+          }));
+      }
+    }
+  }
+}
+
+// Host row of a gateway as another one sees it while datagrams are relayed.
+std::string
+GatewayTestCluster::AddressSeenBy(const GatewayNode& aReader,
+                                  const std::string& aName) const
+{
+  std::size_t reader = 0;
+  std::size_t host = 0;
+  for (std::size_t n = 0; n < mNodes.size(); ++n) {
+    reader = mNodes[n].get() == &aReader ? n : reader;
+    host = mNodes[n]->mName == aName ? n : host;
+  }
+  const std::string& peer = mPeers[host];
+  return RelayIp(reader, host) + peer.substr(peer.find(':')) + " 100";
+}
+
 GatewayTestCluster::~GatewayTestCluster()
 {
   for (const auto& it : mNodes) {
@@ -584,12 +685,14 @@
   const auto route = [](const char* aName,
                         const char* aKind,
                         int aAttempts,
-                        int aTimeoutMs = 9000) {
+                        int aTimeoutMs = 9000,
+                        int aLatencyMs = 3000) {
     return std::string(R"({"Name":")") + aName +
            R"(","Host":"host","PathPrefix":"/)" + aName + R"(/","Kind":")" +
            aKind + R"(","TimeoutMs":)" + std::to_string(aTimeoutMs) +
-           R"(,"TargetLatencyMs":3000,"Priority":1,)" +
-           R"("Service":"engines","MaxAttempts":)" + std::to_string(aAttempts) +
+           R"(,"TargetLatencyMs":)" + std::to_string(aLatencyMs) +
+           R"(,"Priority":1,)" + R"("Service":"engines","MaxAttempts":)" +
+           std::to_string(aAttempts) +
            R"(,"Public":false,"StreamResumption":true,"GapTargetMs":700})";
   };
   long long version = 0;
@@ -603,6 +706,7 @@
     R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
       route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
       route("stream", "streaming", 5) + "," + route("brief", "safe", 3, 300) +
+      "," + route("quick", "safe", 4, 1500, 300) +
       R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
       R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
       R"("Backups":true,"Moves":true,"HandleS":4.0}}],)" +
@@ -734,6 +838,9 @@
     if (table == "gateway-hosts" && !row.mRemoved &&
         IsCutOff(aReader, it.first)) {
       row.mValue = Base64(kUnreachableHost);
+    } else if (table == "gateway-hosts" && !mRelays.empty() &&
+               it.first != aReader.mName) {
+      row.mValue = Base64(AddressSeenBy(aReader, it.first));
     }
     if (row.mVersion <= from || (whole && row.mRemoved)) {
       continue;
@@ -752,11 +859,12 @@
 GatewayTestCluster::Request(const std::string& aRoute,
                             const std::string& aId,
                             const std::string& aFields,
-                            const std::string& aBody)
+                            const std::string& aBody,
+                            int aDeadlineMs)
 {
   return "POST " + aRoute + " HTTP/1.1\r\nHost: host\r\nX-Request-Id: " + aId +
-         "\r\nAuthorization: Bearer key\r\nX-Deadline-Ms: 9000\r\n"
-         "X-Token-Counts: 80,60\r\n" +
+         "\r\nAuthorization: Bearer key\r\nX-Deadline-Ms: " +
+         std::to_string(aDeadlineMs) + "\r\nX-Token-Counts: 80,60\r\n" +
          aFields + "Content-Length: " + std::to_string(aBody.size()) +
          "\r\n\r\n" + aBody;
 }
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -8,12 +8,15 @@
 #include "http/SimpleHttpServer.h"
 #include "http/Socket.h"
 
+#include <array>
 #include <atomic>
+#include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <sys/types.h>
@@ -55,6 +58,8 @@
   GapInStream,
   // Accepts requests and never answers.
   NeverAnswer,
+  // Answers a plain request after 450 ms.
+  SlowAnswer,
   // Answers 500 with X-Server-Seal.
   Fail,
   // Answers 503 with X-Server-Seal but without X-Not-Executed.
@@ -76,6 +81,32 @@
   std::string mRunner;
   quetzalquay::HttpHead mHead;
   std::string mBody;
+  quetzalquay::Time mAt;
+};
+
+// Passes datagrams between two endpoints, in both directions, through an
+// address of its own.
+class DatagramRelay
+{
+public:
+  using Endpoint = boost::asio::ip::udp::endpoint;
+
+  // aDrops decides for each datagram whether it is lost.
+  DatagramRelay(quetzalquay::EventLoop& aLoop,
+                const Endpoint& aOwn,
+                Endpoint aFirst,
+                Endpoint aSecond,
+                std::function<bool()> aDrops);
+
+private:
+  void Receive();
+
+  boost::asio::ip::udp::socket mSocket;
+  Endpoint mFirst;
+  Endpoint mSecond;
+  std::function<bool()> mDrops;
+  Endpoint mSender;
+  std::array<char, 65536> mBuffer{};
 };
 
 // Runs an event loop in its own thread.
@@ -112,8 +143,10 @@
     // Gateway that cannot reach the others, nor they it; -1 if there is none.
     // All reach the store.
     int mCutOff = -1;
-    // Whether the last gateway is started only by Join().
-    bool mLastJoinsLate = false;
+    // Gateways, the last ones, that are started only by Join().
+    int mLateGateways = 0;
+    // Whether datagrams between gateways can be lost.
+    bool mRelaysDatagrams = false;
   };
 
   // Starts everything; the gateways are ready when this returns.
@@ -133,9 +166,13 @@
   // Number of runners that a request has crashed so far.
   int CrashCount() const { return mCrashCount; }
 
-  // Starts the last gateway, which no other one has heard of before.
+  // Starts the next late gateway, which no other one has heard of before.
   void Join();
 
+  // Drops a share of the datagrams between gateways, in percent. Needs
+  // Options::mRelaysDatagrams.
+  void SetDatagramLoss(int aPercent) { mDatagramLoss = aPercent; }
+
   // Lets all runners of a place crash at once, whatever they run.
   void FailPlace(const std::string& aPlace);
 
@@ -185,12 +222,14 @@
   // response.
   CallerAnswer Call(const std::string& aBytes) const;
 
-  // Builds a request to the route "/plain/", "/unsafe/", "/stream/", or to
-  // "/brief/", which has a short time limit.
+  // Builds a request to the route "/plain/", "/unsafe/", "/stream/", to
+  // "/brief/", which has a short time limit, or to "/quick/", which may run
+  // four times and has a latency objective of 300 ms.
   static std::string Request(const std::string& aRoute,
                              const std::string& aId,
                              const std::string& aFields = std::string(),
-                             const std::string& aBody = "body");
+                             const std::string& aBody = "body",
+                             int aDeadlineMs = 9000);
 
   // Requests received by runners, including those not run.
   std::vector<RunnerRequest> Requests();
@@ -226,6 +265,9 @@
 
   bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
   void StartGateway(std::size_t aNumber);
+  void StartRelays();
+  std::string AddressSeenBy(const GatewayNode& aReader,
+                            const std::string& aName) const;
   static quetzalquay::SimpleHttpReply UnavailableReply();
   quetzalquay::SimpleHttpReply HandleStoreRequest(
     const GatewayNode& aReader,
@@ -251,6 +293,9 @@
   long long mVersion = 0;
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
   std::atomic<int> mCrashCount{ 0 };
+  std::vector<std::unique_ptr<DatagramRelay>> mRelays;
+  std::atomic<int> mDatagramLoss{ 0 };
+  std::mt19937 mRandom{ 1 };
   std::vector<RunnerRequest> mRequests;
   std::vector<RunnerRequest> mRuns;
   std::vector<std::string> mAbandonedRequests;
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -207,7 +207,7 @@
   void CrashingRequestIsStoppedOnAHostThatIsCutOff()
   {
     for (const char* it : kRoutes) {
-      GatewayTestCluster cluster({ 8, 4, 2, false });
+      GatewayTestCluster cluster({ 8, 4, 2, 0, false });
       ExpectStoppedBesideOthers(cluster, it, [] {});
     }
   }
@@ -216,7 +216,7 @@
   void CrashingRequestIsStoppedOnAHostThatJoins()
   {
     for (const char* it : kRoutes) {
-      GatewayTestCluster cluster({ 8, 4, -1, true });
+      GatewayTestCluster cluster({ 8, 4, -1, 1, false });
       ExpectStoppedBesideOthers(cluster, it, [&] { cluster.Join(); });
     }
   }
