Share the retry allowance among the hosts that are known or heard

What callers saw: nothing; targets got too many retries just after the start of a fleet and when hosts joined. Cause: the allowance was divided by the rows of the hosts table, and by one before the first read. The table is read at the start, when the other hosts have not written their rows, and five seconds later. Evidence: logs of the reproduction have hosts=1, allowed=135 for five seconds while five others are heard.

A host now has no share before it has read the table, and counts those that it hears but that the table does not have.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -28,6 +28,24 @@
   mOptions = aOptions;
 }
 
+void
+RetryBudget::SetHosts(const std::set<std::string>& aHosts, Time)
+{
+  mHostsKnown = true;
+  for (auto& it : mMembers) {
+    it.second.mListed = false;
+  }
+  for (const std::string& it : aHosts) {
+    mMembers[it].mListed = true;
+  }
+}
+
+void
+RetryBudget::OnHostHeard(const std::string& aHost, Time aNow)
+{
+  mMembers[aHost].mSeenAt = aNow;
+}
+
 void
 RetryBudget::OnFirstAttempt(const std::string& aService, Time aNow)
 {
@@ -46,12 +64,12 @@
   DropExpired(sends.mRetries, aNow);
   const bool late = aTiming == RetryTiming::Late;
   const double allowed =
-    AllowedRetries(static_cast<double>(sends.mFirstAttempts.size())) *
+    AllowedRetries(static_cast<double>(sends.mFirstAttempts.size()), aNow) *
     (late ? kLateRetryShare : 1.0);
   mLastDecision = { aService,
                     RetrySource::Own,
                     aTiming,
-                    mOptions.mHosts,
+                    CountHosts(aNow),
                     HostsHeard(aNow),
                     static_cast<int>(sends.mFirstAttempts.size()),
                     static_cast<int>(sends.mRetries.size()),
@@ -99,13 +117,29 @@
   mPeerCounts[aHost] = { aCounts, aNow };
 }
 
+// Hosts that use shares of the allowance, this one included.
+int
+RetryBudget::CountHosts(Time aNow)
+{
+  int count = mMembers.count(mOptions.mHost) == 0 ? 1 : 0;
+  for (auto it = mMembers.begin(); it != mMembers.end();) {
+    const Member& member = it->second;
+    if (!member.mListed && aNow - member.mSeenAt >= mOptions.mWindow) {
+      it = mMembers.erase(it);
+      continue;
+    }
+    ++count;
+    ++it;
+  }
+  return std::max(1, count);
+}
+
 // Retries that one host may send after aFirstAttempts first attempts.
 double
-RetryBudget::AllowedRetries(double aFirstAttempts) const
+RetryBudget::AllowedRetries(double aFirstAttempts, Time aNow)
 {
-  return kUsableBudgetShare *
-         (mOptions.mRatio * aFirstAttempts +
-          mOptions.mAllowance / std::max(1, mOptions.mHosts));
+  const double share = mHostsKnown ? mOptions.mAllowance / CountHosts(aNow) : 0;
+  return kUsableBudgetShare * (mOptions.mRatio * aFirstAttempts + share);
 }
 
 int
@@ -119,7 +153,7 @@
 
 // Retries that the hosts with current counts leave unused in total.
 double
-RetryBudget::UnusedByPeers(const std::string& aService, Time aNow) const
+RetryBudget::UnusedByPeers(const std::string& aService, Time aNow)
 {
   double unused = 0;
   for (const auto& host : mPeerCounts) {
@@ -134,20 +168,20 @@
         retries = it.mRetries;
       }
     }
-    unused += AllowedRetries(first) - retries;
+    unused += AllowedRetries(first, aNow) - retries;
   }
   return unused;
 }
 
 bool
-RetryBudget::Borrow(const std::string& aService, Sends& aSends, Time aNow) const
+RetryBudget::Borrow(const std::string& aService, Sends& aSends, Time aNow)
 {
   // What this host has borrowed before reduces the unused amount.
   const double unused =
     UnusedByPeers(aService, aNow) +
-    AllowedRetries(static_cast<double>(aSends.mFirstAttempts.size())) -
+    AllowedRetries(static_cast<double>(aSends.mFirstAttempts.size()), aNow) -
     static_cast<double>(aSends.mRetries.size());
-  const double share = unused / std::max(1, mOptions.mHosts);
+  const double share = unused / CountHosts(aNow);
   const double intervals =
     std::chrono::duration<double>(aNow - aSends.mCreditUpdatedAt) /
     kBorrowInterval;
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,8 @@
 
 // Limits the retries that this process sends to each service so that all hosts
 // together stay within a shared budget. A host may send a fixed ratio of its
-// own first attempts plus an even share of a fixed allowance. It may also
+// own first attempts plus, once it knows the other hosts, an even share of a
+// fixed allowance. It may also
 // borrow what the other hosts report as unused, slowly enough that all of them
 // learn of it in time. Not thread-safe.
 class RetryBudget
@@ -73,13 +75,19 @@
     double mAllowance = 0;
     // Sliding window that both limits apply to.
     Duration mWindow = std::chrono::seconds(10);
-    // Number of hosts that share the allowance.
-    int mHosts = 1;
+    // Name of this host.
+    std::string mHost;
   };
 
   // Changes the limits. What has been sent already still counts.
   void Configure(const Options& aOptions);
 
+  // Replaces the known hosts.
+  void SetHosts(const std::set<std::string>& aHosts, Time aNow);
+
+  // Another host was heard, which may not be among the known ones yet.
+  void OnHostHeard(const std::string& aHost, Time aNow);
+
   // Records the first attempt of a request to a service.
   void OnFirstAttempt(const std::string& aService, Time aNow);
 
@@ -121,15 +129,26 @@
     Time mAt;
   };
 
-  double AllowedRetries(double aFirstAttempts) const;
+  struct Member
+  {
+    bool mListed = false;
+    // When it was last listed or heard.
+    Time mSeenAt;
+  };
+
+  int CountHosts(Time aNow);
+  double AllowedRetries(double aFirstAttempts, Time aNow);
   int HostsHeard(Time aNow) const;
-  double UnusedByPeers(const std::string& aService, Time aNow) const;
-  bool Borrow(const std::string& aService, Sends& aSends, Time aNow) const;
+  double UnusedByPeers(const std::string& aService, Time aNow);
+  bool Borrow(const std::string& aService, Sends& aSends, Time aNow);
   void DropExpired(std::deque<Time>& aTimes, Time aNow) const;
 
   Options mOptions;
   std::map<std::string, Sends> mServices;
   std::map<std::string, PeerCounts> mPeerCounts;
+  std::map<std::string, Member> mMembers;
+  // Whether the known hosts were set.
+  bool mHostsKnown = false;
   RetryDecision mLastDecision;
 };
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -238,6 +238,9 @@
   // Sets a callback that runs on each decision of the retry budget.
   void SetRetryCallback(std::function<void(const RetryDecision&)> aCallback);
 
+  // The retry budget, or nullptr before it is configured.
+  RetryBudget* Retries() { return mBudget ? &*mBudget : nullptr; }
+
   // First attempts and retries by service, sent by this router or reported by
   // another one; input to the retry budget.
   std::vector<RetryCount> OwnRetryCounts(Time aNow);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace quetzalquay {
 
@@ -317,12 +318,13 @@
   if (hosts == mHostAddresses) {
     return;
   }
-  const bool sameCount = hosts.size() == mHostAddresses.size();
   mHostAddresses = std::move(hosts);
   mReaders.SetHosts(std::move(candidates));
-  if (!sameCount) {
-    ConfigureRetryBudget();
+  std::set<std::string> known;
+  for (const auto& it : mHostAddresses) {
+    known.insert(it.first);
   }
+  mTargets.Retries()->SetHosts(known, EventLoop::Now());
 }
 
 void
@@ -508,7 +510,7 @@
   options.mRatio = mSettings.mRetryRatio;
   options.mAllowance = mSettings.mRetryAllowance;
   options.mWindow = mSettings.mRetryWindow;
-  options.mHosts = std::max(1, static_cast<int>(mHostAddresses.size()));
+  options.mHost = mSettings.mHost;
   mTargets.ConfigureRetryBudget(options);
 }
 
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -214,6 +214,7 @@
   const auto start = json.FindMember("start");
   const bool hasStart = start != json.MemberEnd() && start->value.IsUint64();
   OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
+  mFleet.Targets().Retries()->OnHostHeard(host, now);
   // A message with nothing but suspects has no load.
   const auto load = json.FindMember("load");
   if (load != json.MemberEnd() && load->value.IsArray()) {
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -41,6 +41,16 @@
   return names;
 }
 
+std::set<std::string>
+HostNames(int aCount)
+{
+  std::set<std::string> names;
+  for (int n = 0; n < aCount; ++n) {
+    names.insert("h" + std::to_string(n));
+  }
+  return names;
+}
+
 } // namespace
 
 class FleetTests : public CppUnit::TestFixture
@@ -221,15 +231,17 @@
     CheckProperty("retries of all hosts stay within the shared budget", [] {
       const int hosts = *rc::gen::inRange(1, 9);
       RetryBudget::Options options;
+      options.mHost = "h0";
+      options.mHost = "h0";
       options.mRatio = 0.8;
       options.mAllowance = 150;
       options.mWindow = std::chrono::seconds(10);
-      options.mHosts = hosts;
       std::vector<RetryBudget> budgets(static_cast<std::size_t>(hosts));
       int first = 0;
       int retries = 0;
       for (RetryBudget& it : budgets) {
         it.Configure(options);
+        it.SetHosts(HostNames(hosts), At(0));
         const int own = *rc::gen::inRange(0, 60);
         for (int n = 0; n < own; ++n) {
           it.OnFirstAttempt("s", At(n));
@@ -249,14 +261,16 @@
     CheckProperty("borrowed retries stay within the shared budget", [] {
       const int hosts = *rc::gen::inRange(2, 20);
       RetryBudget::Options options;
+      options.mHost = "h0";
+      options.mHost = "h0";
       options.mAllowance = 150;
-      options.mHosts = hosts;
       std::vector<RetryBudget> budgets(static_cast<std::size_t>(hosts));
       std::vector<int> wanted;
       int first = 0;
       int retries = 0;
       for (RetryBudget& it : budgets) {
         it.Configure(options);
+        it.SetHosts(HostNames(hosts), At(0));
         const int own = *rc::gen::inRange(0, 60);
         for (int n = 0; n < own; ++n) {
           it.OnFirstAttempt("s", At(n));
@@ -292,10 +306,11 @@
   void ABusyHostBorrowsUnusedRetries()
   {
     RetryBudget::Options options;
+    options.mHost = "h0";
     options.mAllowance = 30;
-    options.mHosts = 10;
     RetryBudget budget;
     budget.Configure(options);
+    budget.SetHosts(HostNames(10), At(0));
     for (int n = 0; n < 5; ++n) {
       budget.OnFirstAttempt("s", At(n));
     }
@@ -321,9 +336,11 @@
   void LateRetriesLeaveBudgetForTimelyOnes()
   {
     RetryBudget::Options options;
+    options.mHost = "h0";
     options.mAllowance = 100;
     RetryBudget budget;
     budget.Configure(options);
+    budget.SetHosts(HostNames(1), At(0));
     int late = 0;
     while (budget.TakeRetry("s", At(late), RetryTiming::Late)) {
       ++late;
@@ -339,6 +356,7 @@
 
     TargetTable table = MakeEngineTable();
     table.ConfigureRetryBudget(options);
+    table.Retries()->SetHosts(HostNames(1), At(0));
     ChoiceQuery query = MakeQuery();
     query.mIsRetry = true;
     query.mDueAt = At(1000);
--- /dev/null
+++ b/tests/introspective/RetryBudgetTests.cpp
@@ -0,0 +1,79 @@
+#include "core/RetryBudget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kService[] = "s";
+
+Time
+At(int aMilliseconds)
+{
+  return Time(milliseconds(aMilliseconds));
+}
+
+RetryBudget::Options
+MakeOptions(const std::string& aHost)
+{
+  RetryBudget::Options options;
+  options.mHost = aHost;
+  options.mAllowance = 150;
+  return options;
+}
+
+// A host that knows aHosts hosts, itself included, and has its share.
+RetryBudget
+MakeSettled(int aHosts)
+{
+  RetryBudget budget;
+  budget.Configure(MakeOptions("h0"));
+  std::set<std::string> names;
+  for (int n = 0; n < aHosts; ++n) {
+    names.insert("h" + std::to_string(n));
+  }
+  budget.SetHosts(names, At(0));
+  return budget;
+}
+
+int
+TakeAll(RetryBudget& aBudget, int aAt)
+{
+  int taken = 0;
+  while (aBudget.TakeRetry(kService, At(aAt))) {
+    ++taken;
+  }
+  return taken;
+}
+
+} // namespace
+
+class RetryBudgetTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RetryBudgetTests);
+  CPPUNIT_TEST(AHostThatKnowsNoHostsHasNoShare);
+  CPPUNIT_TEST(AHostThatIsHeardCountsBeforeItIsListed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a host taking itself for the only one.
+  void AHostThatKnowsNoHostsHasNoShare()
+  {
+    RetryBudget budget;
+    budget.Configure(MakeOptions("h0"));
+    CPPUNIT_ASSERT_EQUAL(0, TakeAll(budget, 60000));
+    budget.SetHosts({ "h0" }, At(60000));
+    CPPUNIT_ASSERT_EQUAL(135, TakeAll(budget, 60000));
+  }
+
+  void AHostThatIsHeardCountsBeforeItIsListed()
+  {
+    RetryBudget budget = MakeSettled(2);
+    budget.OnHostHeard("h7", At(1000));
+    CPPUNIT_ASSERT_EQUAL(45, TakeAll(budget, 1000));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTests);
