Give a host its share only when its earlier retries have expired

What targets saw: each restart of a host brought new retries. Cause: what a process sent before it was killed is still within the window, but the new one starts from zero and has a full share. Nothing on the host outlasts it, and the others may not know either, so the only safe figure for a host just started is none: it uses the ratio of its own first attempts, and its share after one window and the time in which all others hear of it.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -13,6 +13,10 @@
 // Share of this usable part that is available to late retries.
 constexpr double kLateRetryShare = 0.75;
 
+// Time in which all hosts hear of a new one, which announces itself every
+// second.
+constexpr Duration kMembershipDelay = std::chrono::milliseconds(2000);
+
 // Time for which a host that is no longer listed may go on to serve: the grace
 // period of a stop.
 constexpr Duration kLeavingTime = std::chrono::milliseconds(10000);
@@ -26,6 +30,12 @@
 
 } // namespace
 
+Time
+RetryBudget::SettledAt(Time aStart, Duration aWindow)
+{
+  return aStart + aWindow + kMembershipDelay;
+}
+
 void
 RetryBudget::Configure(const Options& aOptions)
 {
@@ -146,7 +156,9 @@
 double
 RetryBudget::AllowedRetries(double aFirstAttempts, Time aNow)
 {
-  const double share = mHostsKnown ? mOptions.mAllowance / CountHosts(aNow) : 0;
+  const double share = mHostsKnown && aNow >= mOptions.mSettledAt
+                         ? mOptions.mAllowance / CountHosts(aNow)
+                         : 0;
   return kUsableBudgetShare * (mOptions.mRatio * aFirstAttempts + share);
 }
 
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -60,10 +60,10 @@
 
 // Limits the retries that this process sends to each service so that all hosts
 // together stay within a shared budget. A host may send a fixed ratio of its
-// own first attempts plus, once it knows the other hosts, an even share of a
-// fixed allowance. It may also
-// borrow what the other hosts report as unused, slowly enough that all of them
-// learn of it in time. Not thread-safe.
+// own first attempts plus an even share of a fixed allowance, the latter once
+// it is certain that nobody else uses that share. It may also borrow what the
+// other hosts report as unused, slowly enough that all of them learn of it in
+// time. Not thread-safe.
 class RetryBudget
 {
 public:
@@ -77,8 +77,15 @@
     Duration mWindow = std::chrono::seconds(10);
     // Name of this host.
     std::string mHost;
+    // From when on this host has a share of the allowance; see SettledAt().
+    Time mSettledAt;
   };
 
+  // When a host that has started at aStart may use a share of the allowance.
+  // What it sent before a restart has left the window by then, and all other
+  // hosts have learned of it and reduced their shares.
+  static Time SettledAt(Time aStart, Duration aWindow);
+
   // Changes the limits. What has been sent already still counts.
   void Configure(const Options& aOptions);
 
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -124,6 +124,7 @@
 
 Fleet::Fleet(EventLoop& aLoop, const GatewaySettings& aSettings)
   : mSettings(aSettings)
+  , mStartedAt(EventLoop::Now())
   , mEntries(aSettings.mReregistrationTime)
   , mTargets(TableOptions(aSettings))
   , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
@@ -511,6 +512,7 @@
   options.mAllowance = mSettings.mRetryAllowance;
   options.mWindow = mSettings.mRetryWindow;
   options.mHost = mSettings.mHost;
+  options.mSettledAt = RetryBudget::SettledAt(mStartedAt, options.mWindow);
   mTargets.ConfigureRetryBudget(options);
 }
 
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -124,6 +124,7 @@
   void ConfigureRetryBudget();
 
   GatewaySettings mSettings;
+  Time mStartedAt;
   RefPtr<RoutingTable> mRouting;
   std::int64_t mRoutingRowVersion = 0;
   TargetEntries mEntries;
--- a/tests/introspective/RetryBudgetTests.cpp
+++ b/tests/introspective/RetryBudgetTests.cpp
@@ -63,12 +63,31 @@
 class RetryBudgetTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RetryBudgetTests);
+  CPPUNIT_TEST(AHostThatHasStartedHasNoShareAtFirst);
   CPPUNIT_TEST(AHostThatKnowsNoHostsHasNoShare);
   CPPUNIT_TEST(AHostThatIsHeardCountsBeforeItIsListed);
   CPPUNIT_TEST(AHostThatLeavesCountsUntilItsRetriesHaveExpired);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against each start of a host bringing a new share: what it sent
+  // before still counts.
+  void AHostThatHasStartedHasNoShareAtFirst()
+  {
+    RetryBudget::Options options = MakeOptions("h0");
+    options.mSettledAt = RetryBudget::SettledAt(At(1000), options.mWindow);
+    RetryBudget budget;
+    budget.Configure(options);
+    budget.SetHosts({ "h0", "h1" }, At(1000));
+    CPPUNIT_ASSERT_EQUAL(0, TakeAll(budget, 2000));
+    // The ratio of its own first attempts is its own.
+    for (int n = 0; n < 10; ++n) {
+      budget.OnFirstAttempt(kService, At(3000));
+    }
+    ExpectAbout(7.2, TakeAll(budget, 3100));
+    ExpectAbout(67.5, TakeAll(budget, 30000));
+  }
+
   // Guards against a host taking itself for the only one.
   void AHostThatKnowsNoHostsHasNoShare()
   {
