Let hosts grant unused retries instead of borrowing them

What targets saw: too many retries when hosts were killed, callers moved between hosts or messages were lost. Cause: each host took what the others reported as unused. A host that has just started reports everything as unused, and several hosts borrow the same retries before they hear of each other.

A host that has refused a retry now asks some others; what one grants counts against its own budget until the asker can no longer use it. Lost grants stay unused, late ones are not accepted. Hosts round fractions differently, so that small shares are not lost.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -1,13 +1,20 @@
 #include "core/RetryBudget.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace quetzalquay {
 
 namespace {
 
-// Share of the budget that is used. The rest is a margin, as the windows of the
-// hosts are not aligned.
+using std::chrono::milliseconds;
+
+// Share of the budget that the hosts divide among themselves. The rest is a
+// margin, as their windows are not aligned and requests may move from one host
+// to another.
 constexpr double kUsableBudgetShare = 0.9;
 
 // Share of this usable part that is available to late retries.
@@ -15,18 +22,41 @@
 
 // Time in which all hosts hear of a new one, which announces itself every
 // second.
-constexpr Duration kMembershipDelay = std::chrono::milliseconds(2000);
+constexpr Duration kMembershipDelay = milliseconds(2000);
 
 // Time for which a host that is no longer listed may go on to serve: the grace
 // period of a stop.
-constexpr Duration kLeavingTime = std::chrono::milliseconds(10000);
+constexpr Duration kLeavingTime = milliseconds(10000);
+
+// Time for which an ask can be answered, and for which the granted retries can
+// be used, both from when it was sent.
+constexpr Duration kAskLifetime = milliseconds(1000);
+constexpr Duration kCreditLifetime = milliseconds(2000);
+
+// Longest time between two asks for a service. The time doubles up to this one
+// while no host grants anything.
+constexpr Duration kMaxAskInterval = milliseconds(400);
 
-// Time for which the counts of another host are used.
-constexpr Duration kCountLifetime = std::chrono::milliseconds(1500);
+// Hosts that one ask goes to at most.
+constexpr int kMaxAskedHosts = 8;
 
-// Time in which a host may borrow its even share of the unused budget. It is
-// long enough for the hosts to learn of each other's retries.
-constexpr Duration kBorrowInterval = std::chrono::milliseconds(400);
+// Time for which a refused retry is asked for. A stream tries again every 50
+// ms.
+constexpr Duration kRefusalSpan = milliseconds(75);
+
+// Part of its unused retries that a host keeps for itself.
+constexpr double kKeptShare = 0.25;
+
+// Time within which a host must have been heard to be asked.
+constexpr Duration kHeardLifetime = milliseconds(3000);
+
+void
+DropBefore(std::deque<Time>& aTimes, Time aFrom)
+{
+  while (!aTimes.empty() && aTimes.front() <= aFrom) {
+    aTimes.pop_front();
+  }
+}
 
 } // namespace
 
@@ -40,6 +70,8 @@
 RetryBudget::Configure(const Options& aOptions)
 {
   mOptions = aOptions;
+  mRounding = static_cast<double>(StableHash(mOptions.mHost)) /
+              static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
 void
@@ -60,15 +92,15 @@
 void
 RetryBudget::OnHostHeard(const std::string& aHost, Time aNow)
 {
-  mMembers[aHost].mSeenAt = aNow;
+  Member& member = mMembers[aHost];
+  member.mHeardAt = aNow;
+  member.mSeenAt = member.mHeardAt;
 }
 
 void
 RetryBudget::OnFirstAttempt(const std::string& aService, Time aNow)
 {
-  Sends& sends = mServices[aService];
-  DropExpired(sends.mFirstAttempts, aNow);
-  sends.mFirstAttempts.push_back(aNow);
+  Update(aService, aNow).mFirstAttempts.push_back(aNow);
 }
 
 bool
@@ -76,31 +108,31 @@
                        Time aNow,
                        RetryTiming aTiming)
 {
-  Sends& sends = mServices[aService];
-  DropExpired(sends.mFirstAttempts, aNow);
-  DropExpired(sends.mRetries, aNow);
+  Service& service = Update(aService, aNow);
   const bool late = aTiming == RetryTiming::Late;
-  const double allowed =
-    AllowedRetries(static_cast<double>(sends.mFirstAttempts.size()), aNow) *
-    (late ? kLateRetryShare : 1.0);
-  mLastDecision = { aService,
-                    RetrySource::Own,
-                    aTiming,
-                    CountHosts(aNow),
-                    HostsHeard(aNow),
-                    static_cast<int>(sends.mFirstAttempts.size()),
-                    static_cast<int>(sends.mRetries.size()),
-                    allowed };
-  if (static_cast<double>(sends.mRetries.size()) + 1 > allowed) {
-    mLastDecision.mSource = !late && Borrow(aService, sends, aNow)
-                              ? RetrySource::Borrowed
-                              : RetrySource::None;
+  RetryDecision decision;
+  decision.mService = aService;
+  decision.mTiming = aTiming;
+  decision.mHosts = CountHosts(aNow);
+  decision.mShare = Share(aNow);
+  decision.mFirstAttempts = static_cast<int>(service.mFirstAttempts.size());
+  decision.mAllowed = Allowed(service, aNow) * (late ? kLateRetryShare : 1.0);
+  decision.mUsed = Used(service);
+  for (const Credit& it : service.mCredits) {
+    decision.mCredit += it.mCount;
   }
-  if (mLastDecision.mSource == RetrySource::None) {
-    return false;
+  if (decision.mUsed + 1 <= decision.mAllowed) {
+    decision.mSource = RetrySource::Own;
+    service.mRetries.push_back(aNow);
+  } else if (!late && UseCredit(service)) {
+    decision.mSource = RetrySource::Granted;
   }
-  sends.mRetries.push_back(aNow);
-  return true;
+  const bool taken = decision.mSource != RetrySource::None;
+  if (!taken && !late) {
+    service.mRefused.push_back(aNow);
+  }
+  mLastDecision = std::move(decision);
+  return taken;
 }
 
 void
@@ -112,26 +144,93 @@
   }
 }
 
-std::vector<RetryCount>
-RetryBudget::OwnCounts(Time aNow)
+std::vector<RetryAsk>
+RetryBudget::TakeAsks(Time aNow)
 {
-  std::vector<RetryCount> counts;
+  const int heard = CountHeard(aNow);
+  std::vector<RetryAsk> asks;
   for (auto& it : mServices) {
-    DropExpired(it.second.mFirstAttempts, aNow);
-    DropExpired(it.second.mRetries, aNow);
-    counts.push_back({ it.first,
-                       static_cast<int>(it.second.mFirstAttempts.size()),
-                       static_cast<int>(it.second.mRetries.size()) });
+    Service& service = Update(it.first, aNow);
+    if (heard == 0 || aNow < service.mNextAskAt) {
+      continue;
+    }
+    int missing = static_cast<int>(service.mRefused.size());
+    for (const Credit& credit : service.mCredits) {
+      missing -= credit.mCount;
+    }
+    if (missing <= 0) {
+      continue;
+    }
+    const std::uint64_t id = mOptions.mFirstAsk + ++mAskCount;
+    const int hosts = std::min({ missing, heard, kMaxAskedHosts });
+    service.mAsks.push_back({ id, aNow, {} });
+    service.mNextAskAt = aNow + service.mAskInterval;
+    service.mAskInterval = std::min(2 * service.mAskInterval, kMaxAskInterval);
+    asks.push_back({ it.first, id, (missing + hosts - 1) / hosts, hosts });
   }
-  return counts;
+  return asks;
+}
+
+std::optional<RetryGrant>
+RetryBudget::Grant(const std::string& aHost, const RetryAsk& aAsk, Time aNow)
+{
+  Service& service = Update(aAsk.mService, aNow);
+  std::uint64_t& answered = service.mAnswered[aHost];
+  if (answered == aAsk.mId) {
+    return std::nullopt;
+  }
+  answered = aAsk.mId;
+  const double spare = Allowed(service, aNow) - Used(service);
+  const int count = std::min(
+    aAsk.mCount, static_cast<int>(std::floor(spare * (1 - kKeptShare))));
+  if (count <= 0) {
+    return std::nullopt;
+  }
+  service.mGranted.insert(
+    service.mGranted.end(), static_cast<std::size_t>(count), aNow);
+  return RetryGrant{ aAsk.mService, aAsk.mId, count };
 }
 
 void
-RetryBudget::SetPeerCounts(const std::string& aHost,
-                           const std::vector<RetryCount>& aCounts,
-                           Time aNow)
+RetryBudget::OnGrant(const std::string& aHost,
+                     const RetryGrant& aGrant,
+                     Time aNow)
+{
+  Service& service = Update(aGrant.mService, aNow);
+  const auto ask =
+    std::find_if(service.mAsks.begin(),
+                 service.mAsks.end(),
+                 [&](const OpenAsk& aAsk) { return aAsk.mId == aGrant.mAsk; });
+  if (ask == service.mAsks.end() || aGrant.mCount <= 0 ||
+      !ask->mHosts.insert(aHost).second) {
+    return;
+  }
+  service.mAskInterval = kMinAskInterval;
+  service.mCredits.push_back({ ask->mAt + kCreditLifetime, aGrant.mCount });
+}
+
+// Returns the state of a service without what has expired.
+RetryBudget::Service&
+RetryBudget::Update(const std::string& aService, Time aNow)
 {
-  mPeerCounts[aHost] = { aCounts, aNow };
+  Service& service = mServices[aService];
+  DropBefore(service.mFirstAttempts, aNow - mOptions.mWindow);
+  DropBefore(service.mRetries, aNow - mOptions.mWindow);
+  // The other host may use them until its credit expires.
+  DropBefore(service.mGranted, aNow - mOptions.mWindow - kCreditLifetime);
+  DropBefore(service.mRefused, aNow - kRefusalSpan);
+  while (!service.mAsks.empty() &&
+         aNow - service.mAsks.front().mAt >= kAskLifetime) {
+    service.mAsks.pop_front();
+  }
+  auto& credits = service.mCredits;
+  credits.erase(std::remove_if(credits.begin(),
+                               credits.end(),
+                               [&](const Credit& aCredit) {
+                                 return aCredit.mExpiresAt <= aNow;
+                               }),
+                credits.end());
+  return service;
 }
 
 // Hosts that use shares of the allowance, this one included.
@@ -152,75 +251,49 @@
   return std::max(1, count);
 }
 
-// Retries that one host may send after aFirstAttempts first attempts.
-double
-RetryBudget::AllowedRetries(double aFirstAttempts, Time aNow)
+int
+RetryBudget::CountHeard(Time aNow) const
 {
-  const double share = mHostsKnown && aNow >= mOptions.mSettledAt
-                         ? mOptions.mAllowance / CountHosts(aNow)
-                         : 0;
-  return kUsableBudgetShare * (mOptions.mRatio * aFirstAttempts + share);
+  return static_cast<int>(
+    std::count_if(mMembers.begin(), mMembers.end(), [&](const auto& aMember) {
+      return aMember.second.mHeardAt != Time() &&
+             aNow - aMember.second.mHeardAt < kHeardLifetime;
+    }));
 }
 
-int
-RetryBudget::HostsHeard(Time aNow) const
+double
+RetryBudget::Share(Time aNow)
 {
-  return static_cast<int>(std::count_if(
-    mPeerCounts.begin(), mPeerCounts.end(), [&](const auto& aPeer) {
-      return aNow - aPeer.second.mAt < kCountLifetime;
-    }));
+  return mHostsKnown && aNow >= mOptions.mSettledAt
+           ? mOptions.mAllowance / CountHosts(aNow)
+           : 0;
 }
 
-// Retries that the hosts with current counts leave unused in total.
+// Retries that this host may send or grant within a window.
 double
-RetryBudget::UnusedByPeers(const std::string& aService, Time aNow)
+RetryBudget::Allowed(const Service& aService, Time aNow)
 {
-  double unused = 0;
-  for (const auto& host : mPeerCounts) {
-    if (aNow - host.second.mAt >= kCountLifetime) {
-      continue;
-    }
-    double first = 0;
-    double retries = 0;
-    for (const RetryCount& it : host.second.mCounts) {
-      if (it.mService == aService) {
-        first = it.mFirstAttempts;
-        retries = it.mRetries;
-      }
-    }
-    unused += AllowedRetries(first, aNow) - retries;
-  }
-  return unused;
+  const auto first = static_cast<double>(aService.mFirstAttempts.size());
+  return kUsableBudgetShare * (mOptions.mRatio * first + Share(aNow)) +
+         mRounding;
 }
 
-bool
-RetryBudget::Borrow(const std::string& aService, Sends& aSends, Time aNow)
-{
-  // What this host has borrowed before reduces the unused amount.
-  const double unused =
-    UnusedByPeers(aService, aNow) +
-    AllowedRetries(static_cast<double>(aSends.mFirstAttempts.size()), aNow) -
-    static_cast<double>(aSends.mRetries.size());
-  const double share = unused / CountHosts(aNow);
-  const double intervals =
-    std::chrono::duration<double>(aNow - aSends.mCreditUpdatedAt) /
-    kBorrowInterval;
-  aSends.mCreditUpdatedAt = aNow;
-  aSends.mCredit = std::min(aSends.mCredit + std::max(0.0, share) * intervals,
-                            std::max(1.0, share));
-  if (unused < 1 || aSends.mCredit < 1) {
-    return false;
-  }
-  aSends.mCredit -= 1;
-  return true;
+int
+RetryBudget::Used(const Service& aService) const
+{
+  return static_cast<int>(aService.mRetries.size() + aService.mGranted.size());
 }
 
-void
-RetryBudget::DropExpired(std::deque<Time>& aTimes, Time aNow) const
+bool
+RetryBudget::UseCredit(Service& aService) const
 {
-  while (!aTimes.empty() && aNow - aTimes.front() >= mOptions.mWindow) {
-    aTimes.pop_front();
+  if (aService.mCredits.empty()) {
+    return false;
+  }
+  if (--aService.mCredits.front().mCount == 0) {
+    aService.mCredits.pop_front();
   }
+  return true;
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -4,22 +4,16 @@
 #include "core/NameTable.h"
 #include "core/Time.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace quetzalquay {
 
-// First attempts and retries that one host sent to a service within the window.
-struct RetryCount
-{
-  std::string mService;
-  int mFirstAttempts = 0;
-  int mRetries = 0;
-};
-
 // Whether a retry can still lead to a response in time.
 enum class RetryTiming
 {
@@ -27,19 +21,19 @@
   Late,
 };
 
-// What decided on a retry.
+// What a retry was taken from.
 enum class RetrySource
 {
   // This host's own part of the budget.
   Own,
-  // What other hosts leave unused.
-  Borrowed,
-  // The retry was refused.
+  // What another host has granted.
+  Granted,
+  // Nothing: the retry was refused.
   None,
 };
 
 constexpr NameTable<RetrySource, 3> kRetrySourceNames({ "own",
-                                                        "borrowed",
+                                                        "granted",
                                                         "none" });
 
 // A decision on a retry, with what it was based on.
@@ -48,37 +42,62 @@
   std::string mService;
   RetrySource mSource = RetrySource::None;
   RetryTiming mTiming = RetryTiming::OnTime;
-  // Hosts that share the allowance, and those with current counts.
+  // Hosts that share the allowance, and this host's share of it.
   int mHosts = 0;
-  int mHostsHeard = 0;
-  // First attempts and retries of this host within the window, and the retries
-  // that it may send.
+  double mShare = 0;
+  // First attempts of this host, the retries that they and the share allow, and
+  // the retries of this host within the window including those that it has
+  // granted to others.
   int mFirstAttempts = 0;
-  int mRetries = 0;
   double mAllowed = 0;
+  int mUsed = 0;
+  // Retries that others have granted and that are not used yet.
+  int mCredit = 0;
+};
+
+// A host's request to some other hosts for some of their unused retries.
+struct RetryAsk
+{
+  std::string mService;
+  // Unique among the asks of all starts of the host.
+  std::uint64_t mId = 0;
+  // Retries that each host is asked for, and how many hosts to ask.
+  int mCount = 0;
+  int mHosts = 1;
+};
+
+// Retries that one host leaves to another one.
+struct RetryGrant
+{
+  std::string mService;
+  std::uint64_t mAsk = 0;
+  int mCount = 0;
 };
 
 // Limits the retries that this process sends to each service so that all hosts
-// together stay within a shared budget. A host may send a fixed ratio of its
-// own first attempts plus an even share of a fixed allowance, the latter once
-// it is certain that nobody else uses that share. It may also borrow what the
-// other hosts report as unused, slowly enough that all of them learn of it in
-// time. Not thread-safe.
+// together stay within a shared budget: a fixed ratio of the first attempts
+// plus a fixed allowance, in a sliding window. A host may use the ratio of its
+// own first attempts, which needs no knowledge of the others, and an even share
+// of the allowance once it is certain that nobody else uses that share. More
+// than that it may use only if another host has granted it, which counts
+// against the budget of that host. Not thread-safe.
 class RetryBudget
 {
 public:
   struct Options
   {
+    // Name of this host.
+    std::string mHost;
     // Retries allowed for each first attempt.
     double mRatio = 0.8;
     // Retries that all hosts together may send in addition.
     double mAllowance = 0;
     // Sliding window that both limits apply to.
     Duration mWindow = std::chrono::seconds(10);
-    // Name of this host.
-    std::string mHost;
     // From when on this host has a share of the allowance; see SettledAt().
     Time mSettledAt;
+    // Distinguishes the asks of this start of the host from earlier ones.
+    std::uint64_t mFirstAsk = 0;
   };
 
   // When a host that has started at aStart may use a share of the allowance.
@@ -112,29 +131,52 @@
   // budget.
   void ReturnRetry(const std::string& aService);
 
-  // First attempts and retries that this host sent within the window, by
-  // service.
-  std::vector<RetryCount> OwnCounts(Time aNow);
+  // What to ask other hosts for, as retries have just been refused here.
+  std::vector<RetryAsk> TakeAsks(Time aNow);
 
-  // Replaces the counts of another host.
-  void SetPeerCounts(const std::string& aHost,
-                     const std::vector<RetryCount>& aCounts,
-                     Time aNow);
+  // Answers the ask of another host; nothing if this host has none to spare.
+  std::optional<RetryGrant> Grant(const std::string& aHost,
+                                  const RetryAsk& aAsk,
+                                  Time aNow);
+
+  // Another host has answered an ask. Grants that come late are not used.
+  void OnGrant(const std::string& aHost, const RetryGrant& aGrant, Time aNow);
 
 private:
-  struct Sends
+  // Time until the next ask after one that was granted.
+  static constexpr Duration kMinAskInterval = std::chrono::milliseconds(50);
+
+  // Retries that other hosts have granted, until they expire.
+  struct Credit
   {
-    std::deque<Time> mFirstAttempts;
-    std::deque<Time> mRetries;
-    // Retries that may be borrowed, and the time of the last update.
-    double mCredit = 0;
-    Time mCreditUpdatedAt;
+    Time mExpiresAt;
+    int mCount = 0;
   };
 
-  struct PeerCounts
+  // An ask that may still be answered.
+  struct OpenAsk
   {
-    std::vector<RetryCount> mCounts;
+    std::uint64_t mId = 0;
     Time mAt;
+    // Hosts that have answered.
+    std::set<std::string> mHosts;
+  };
+
+  struct Service
+  {
+    std::deque<Time> mFirstAttempts;
+    // Retries from this host's own part of the budget.
+    std::deque<Time> mRetries;
+    // Retries left to other hosts, one entry for each.
+    std::deque<Time> mGranted;
+    std::deque<Credit> mCredits;
+    // Recent refusals of retries that would have been on time.
+    std::deque<Time> mRefused;
+    std::deque<OpenAsk> mAsks;
+    Duration mAskInterval = kMinAskInterval;
+    Time mNextAskAt;
+    // Last ask that was answered, by host.
+    std::map<std::string, std::uint64_t> mAnswered;
   };
 
   struct Member
@@ -142,21 +184,26 @@
     bool mListed = false;
     // When it was last listed or heard.
     Time mSeenAt;
+    Time mHeardAt;
   };
 
+  Service& Update(const std::string& aService, Time aNow);
   int CountHosts(Time aNow);
-  double AllowedRetries(double aFirstAttempts, Time aNow);
-  int HostsHeard(Time aNow) const;
-  double UnusedByPeers(const std::string& aService, Time aNow);
-  bool Borrow(const std::string& aService, Sends& aSends, Time aNow);
-  void DropExpired(std::deque<Time>& aTimes, Time aNow) const;
+  int CountHeard(Time aNow) const;
+  double Share(Time aNow);
+  double Allowed(const Service& aService, Time aNow);
+  int Used(const Service& aService) const;
+  bool UseCredit(Service& aService) const;
 
   Options mOptions;
-  std::map<std::string, Sends> mServices;
-  std::map<std::string, PeerCounts> mPeerCounts;
+  std::map<std::string, Service> mServices;
   std::map<std::string, Member> mMembers;
   // Whether the known hosts were set.
   bool mHostsKnown = false;
+  std::uint64_t mAskCount = 0;
+  // Added to the retries that this host may send, which are a whole number only
+  // on average. It is spread evenly over [0, 1) among the hosts.
+  double mRounding = 0;
   RetryDecision mLastDecision;
 };
 
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -394,6 +394,8 @@
   if (mOnRetryDecision) {
     mOnRetryDecision(mBudget->LastDecision());
   }
+  // Other hosts may have to be asked for retries.
+  NotifyLoadChanged();
   return taken;
 }
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -241,13 +241,6 @@
   // The retry budget, or nullptr before it is configured.
   RetryBudget* Retries() { return mBudget ? &*mBudget : nullptr; }
 
-  // First attempts and retries by service, sent by this router or reported by
-  // another one; input to the retry budget.
-  std::vector<RetryCount> OwnRetryCounts(Time aNow);
-  void SetPeerRetryCounts(const std::string& aRouter,
-                          const std::vector<RetryCount>& aCounts,
-                          Time aNow);
-
   // Records the time between two tokens of a stream on a target.
   void OnTokenGap(const std::string& aTarget, Duration aGap);
 
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -188,22 +188,6 @@
   }
 }
 
-std::vector<RetryCount>
-TargetTable::OwnRetryCounts(Time aNow)
-{
-  return mBudget ? mBudget->OwnCounts(aNow) : std::vector<RetryCount>();
-}
-
-void
-TargetTable::SetPeerRetryCounts(const std::string& aRouter,
-                                const std::vector<RetryCount>& aCounts,
-                                Time aNow)
-{
-  if (mBudget) {
-    mBudget->SetPeerCounts(aRouter, aCounts, aNow);
-  }
-}
-
 void
 TargetTable::SetLoadCallback(std::function<void()> aCall)
 {
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -124,6 +124,8 @@
 
 Fleet::Fleet(EventLoop& aLoop, const GatewaySettings& aSettings)
   : mSettings(aSettings)
+  , mStart(static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count()))
   , mStartedAt(EventLoop::Now())
   , mEntries(aSettings.mReregistrationTime)
   , mTargets(TableOptions(aSettings))
@@ -513,6 +515,7 @@
   options.mWindow = mSettings.mRetryWindow;
   options.mHost = mSettings.mHost;
   options.mSettledAt = RetryBudget::SettledAt(mStartedAt, options.mWindow);
+  options.mFirstAsk = mStart;
   mTargets.ConfigureRetryBudget(options);
 }
 
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -111,6 +111,9 @@
   // Decides which hosts read the store.
   ReaderChoice& Readers() { return mReaders; }
 
+  // Identifies this start of the process.
+  std::uint64_t Start() const { return mStart; }
+
 private:
   void ApplyHostRows(const std::vector<platform::StoreRow>& aRows,
                      bool aIsSnapshot,
@@ -124,6 +127,7 @@
   void ConfigureRetryBudget();
 
   GatewaySettings mSettings;
+  std::uint64_t mStart;
   Time mStartedAt;
   RefPtr<RoutingTable> mRouting;
   std::int64_t mRoutingRowVersion = 0;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -41,10 +41,10 @@
   { "quetzal_log_lines_dropped_total",
     "Log lines dropped by a full queue or the rate limit" },
   { "quetzal_target_deaths_total", "Deaths of targets that were recognized" },
-  { "quetzal_retries_granted_total",
+  { "quetzal_retries_own_total",
     "Retries taken from this host's part of the retry budget" },
-  { "quetzal_retries_borrowed_total",
-    "Retries taken from what other hosts leave of the retry budget" },
+  { "quetzal_retries_granted_total",
+    "Retries taken from what other hosts have granted" },
   { "quetzal_retries_refused_total",
     "Retries that the retry budget did not allow" },
 } };
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -30,8 +30,8 @@
   CallerDisconnects,
   DroppedLogLines,
   TargetDeaths,
-  RetriesGranted,
-  RetriesBorrowed,
+  OwnRetries,
+  GrantedRetries,
   RetriesRefused,
   Last,
 };
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -47,8 +47,8 @@
 // held tokens.
 constexpr rapidjson::SizeType kLoadEntrySize = 4;
 
-// Elements of a "sent" entry: service, first attempts and retries.
-constexpr rapidjson::SizeType kSentEntrySize = 3;
+// Elements of an entry of "asks" and "grants": service, ask and retries.
+constexpr rapidjson::SizeType kRetryEntrySize = 3;
 
 // Elements of a "suspects" entry: request, milliseconds since it was cleared or
 // -1, and its lost runs. Elements of a lost run: death, place, milliseconds
@@ -73,6 +73,35 @@
   }
 }
 
+void
+WriteRetryEntry(Writer& aWriter,
+                const std::string& aService,
+                std::uint64_t aAsk,
+                int aCount)
+{
+  aWriter.StartArray();
+  aWriter.String(aService.c_str());
+  aWriter.Uint64(aAsk);
+  aWriter.Int(aCount);
+  aWriter.EndArray();
+}
+
+// Calls a function with service, ask and retries of each valid entry of a list.
+template<typename Function>
+void
+ForEachRetryEntry(const rapidjson::Value& aObject,
+                  const char* aName,
+                  const Function& aFunction)
+{
+  ForEachIn(aObject, aName, [&](const rapidjson::Value& aValue) {
+    if (aValue.IsArray() && aValue.Size() == kRetryEntrySize &&
+        aValue[0].IsString() && aValue[1].IsUint64() && aValue[2].IsInt()) {
+      aFunction(
+        aValue[0].GetString(), aValue[1].GetUint64(), aValue[2].GetInt());
+    }
+  });
+}
+
 int
 AgeInMilliseconds(Time aAt, Time aNow)
 {
@@ -149,8 +178,6 @@
   , mSocket(aLoop.Context())
   , mSendTimer(aLoop, [this] { SendMessage(); })
   , mRandom(StableHash(aSettings.mHost))
-  , mStart(static_cast<std::uint64_t>(
-      std::chrono::system_clock::now().time_since_epoch().count()))
 {
 }
 
@@ -214,12 +241,12 @@
   const auto start = json.FindMember("start");
   const bool hasStart = start != json.MemberEnd() && start->value.IsUint64();
   OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
-  mFleet.Targets().Retries()->OnHostHeard(host, now);
   // A message with nothing but suspects has no load.
   const auto load = json.FindMember("load");
   if (load != json.MemberEnd() && load->value.IsArray()) {
     ApplyLoad(host, json, now);
   }
+  ExchangeRetries(host, json, now);
   // With few hosts, each message reaches all of them.
   const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
   ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
@@ -252,15 +279,6 @@
     loads.push_back(std::move(entry));
   });
   targets.SetPeerLoad(aHost, loads, aNow);
-  std::vector<RetryCount> counts;
-  ForEachIn(aMessage, "sent", [&](const rapidjson::Value& aValue) {
-    if (aValue.IsArray() && aValue.Size() == kSentEntrySize &&
-        aValue[0].IsString() && aValue[1].IsInt() && aValue[2].IsInt()) {
-      counts.push_back(
-        { aValue[0].GetString(), aValue[1].GetInt(), aValue[2].GetInt() });
-    }
-  });
-  targets.SetPeerRetryCounts(aHost, counts, aNow);
   ForEachIn(aMessage, "lost", [&](const rapidjson::Value& aValue) {
     if (aValue.IsArray() && aValue.Size() == 2 && aValue[0].IsString() &&
         aValue[1].IsInt()) {
@@ -270,6 +288,64 @@
   });
 }
 
+void
+LoadBroadcaster::ExchangeRetries(const std::string& aHost,
+                                 const rapidjson::Value& aMessage,
+                                 Time aNow)
+{
+  RetryBudget& retries = *mFleet.Targets().Retries();
+  retries.OnHostHeard(aHost, aNow);
+  ForEachRetryEntry(
+    aMessage, "grants", [&](const char* aService, auto aAsk, int aCount) {
+      retries.OnGrant(aHost, { aService, aAsk, aCount }, aNow);
+    });
+  std::vector<RetryGrant> grants;
+  ForEachRetryEntry(
+    aMessage, "asks", [&](const char* aService, auto aAsk, int aCount) {
+      if (const auto grant =
+            retries.Grant(aHost, { aService, aAsk, aCount, 1 }, aNow)) {
+        grants.push_back(*grant);
+      }
+    });
+  if (grants.empty()) {
+    return;
+  }
+  rapidjson::StringBuffer buf;
+  Writer writer(buf);
+  writer.StartObject();
+  WriteSender(writer);
+  writer.Key("grants");
+  writer.StartArray();
+  for (const RetryGrant& it : grants) {
+    WriteRetryEntry(writer, it.mService, it.mAsk, it.mCount);
+  }
+  writer.EndArray();
+  writer.EndObject();
+  SendTo(mSender, buf);
+}
+
+// Sends an ask to as many random hosts as it is for.
+void
+LoadBroadcaster::SendAsk(const RetryAsk& aAsk)
+{
+  rapidjson::StringBuffer buf;
+  Writer writer(buf);
+  writer.StartObject();
+  WriteSender(writer);
+  writer.Key("asks");
+  writer.StartArray();
+  WriteRetryEntry(writer, aAsk.mService, aAsk.mId, aAsk.mCount);
+  writer.EndArray();
+  writer.EndObject();
+  auto receivers = ChooseReceivers();
+  std::shuffle(receivers.begin(), receivers.end(), mRandom);
+  receivers.resize(
+    std::min(receivers.size(), static_cast<std::size_t>(aAsk.mHosts)));
+  for (const udp::endpoint& it : receivers) {
+    SendTo(it, buf);
+  }
+}
+
 void
 LoadBroadcaster::SendMessage()
 {
@@ -291,6 +367,9 @@
     mSendTimer.ScheduleAt(
       std::max(now + SuspectRegistry::kNewsInterval, mNextNewsAt));
   }
+  for (const RetryAsk& it : mFleet.Targets().Retries()->TakeAsks(now)) {
+    SendAsk(it);
+  }
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty();
   if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
@@ -313,16 +392,6 @@
     writer.EndArray();
   }
   writer.EndArray();
-  writer.Key("sent");
-  writer.StartArray();
-  for (const RetryCount& it : mFleet.Targets().OwnRetryCounts(now)) {
-    writer.StartArray();
-    writer.String(it.mService.c_str());
-    writer.Int(it.mFirstAttempts);
-    writer.Int(it.mRetries);
-    writer.EndArray();
-  }
-  writer.EndArray();
   writer.Key("lost");
   writer.StartArray();
   for (const auto& it : lost) {
@@ -335,13 +404,22 @@
   WriteSuspects(writer, news, now);
   writer.EndObject();
   for (const udp::endpoint& it : ChooseReceivers()) {
-    boost::system::error_code ec;
-    // Errors are ignored: the next message has the full state again.
-    mSocket.send_to(
-      boost::asio::buffer(buf.GetString(), buf.GetSize()), it, 0, ec);
+    SendTo(it, buf);
   }
 }
 
+void
+LoadBroadcaster::SendTo(const udp::endpoint& aReceiver,
+                        const rapidjson::StringBuffer& aMessage)
+{
+  boost::system::error_code ec;
+  // Errors are ignored: datagrams can be lost without an error as well.
+  mSocket.send_to(boost::asio::buffer(aMessage.GetString(), aMessage.GetSize()),
+                  aReceiver,
+                  0,
+                  ec);
+}
+
 void
 LoadBroadcaster::SendBy(Time aAt)
 {
@@ -378,7 +456,7 @@
   aWriter.Key("host");
   aWriter.String(mSettings.mHost.c_str());
   aWriter.Key("start");
-  aWriter.Uint64(mStart);
+  aWriter.Uint64(mFleet.Start());
 }
 
 void
@@ -394,10 +472,7 @@
   WriteSender(writer);
   WriteSuspects(writer, reports, aNow);
   writer.EndObject();
-  boost::system::error_code ec;
-  // Errors are ignored like those of all messages.
-  mSocket.send_to(
-    boost::asio::buffer(buf.GetString(), buf.GetSize()), aReceiver, 0, ec);
+  SendTo(aReceiver, buf);
 }
 
 void
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -17,11 +17,12 @@
 namespace quetzalquay {
 
 // Exchanges with other hosts, over UDP, the load that each has put on targets,
-// the first attempts and retries it has sent, the targets it has lost and the
-// requests suspected of crashing targets, so that every host chooses targets by
-// their total load. Each datagram has the full state but for the suspects, so a
-// lost one is compensated by the next; changes of suspects are repeated, and
-// passed on by the hosts that receive them.
+// the targets it has lost and the requests suspected of crashing targets, so
+// that every host chooses targets by their total load. Each datagram has the
+// full state but for the suspects, so a lost one is compensated by the next;
+// changes of suspects are repeated, and passed on by the hosts that receive
+// them. Hosts also ask each other for retries; a lost grant leaves its retries
+// unused.
 class LoadBroadcaster
 {
 public:
@@ -42,6 +43,11 @@
   void ApplyLoad(const std::string& aHost,
                  const rapidjson::Value& aMessage,
                  Time aNow);
+  // Answers the asks of another host for retries, and takes what it grants.
+  void ExchangeRetries(const std::string& aHost,
+                       const rapidjson::Value& aMessage,
+                       Time aNow);
+  void SendAsk(const RetryAsk& aAsk);
   void SendMessage();
   // Schedules a message at aAt unless an earlier one is scheduled.
   void SendBy(Time aAt);
@@ -50,6 +56,8 @@
   void OnHeardFrom(const std::string& aHost, std::uint64_t aStart, Time aNow);
   // Writes the members of a message that tell who sends it.
   void WriteSender(rapidjson::Writer<rapidjson::StringBuffer>& aWriter) const;
+  void SendTo(const boost::asio::ip::udp::endpoint& aReceiver,
+              const rapidjson::StringBuffer& aMessage);
   void SendSuspects(const boost::asio::ip::udp::endpoint& aReceiver, Time aNow);
   void LogSuspect(const SuspectReport& aReport,
                   const std::string& aHost,
@@ -63,8 +71,6 @@
   std::array<char, 65536> mBuffer{};
   Timer mSendTimer;
   std::mt19937_64 mRandom;
-  // Identifies the start of this process.
-  std::uint64_t mStart;
   // Whether the last message had any load or lost targets.
   bool mSentContent = false;
   // Hosts heard from recently. The hosts table may not have them yet.
--- a/src/quetzalquay/gateway/RetryLog.cpp
+++ b/src/quetzalquay/gateway/RetryLog.cpp
@@ -13,8 +13,8 @@
 
 // Counters by retry source.
 constexpr std::array<GatewayCounter, 3> kCounters = {
-  GatewayCounter::RetriesGranted,
-  GatewayCounter::RetriesBorrowed,
+  GatewayCounter::OwnRetries,
+  GatewayCounter::GrantedRetries,
   GatewayCounter::RetriesRefused,
 };
 
@@ -38,15 +38,16 @@
   Log(LogLevel::Info,
       "fleet",
       aDecision.mSource == RetrySource::None ? "retry refused"
-                                             : "retry granted",
+                                             : "retry allowed",
       { { "service", aDecision.mService },
         { "source", std::string(kRetrySourceNames.NameOf(aDecision.mSource)) },
         { "late", aDecision.mTiming == RetryTiming::Late ? "true" : "false" },
         { "hosts", std::to_string(aDecision.mHosts) },
-        { "heard", std::to_string(aDecision.mHostsHeard) },
+        { "share", std::to_string(static_cast<int>(aDecision.mShare)) },
         { "first_attempts", std::to_string(aDecision.mFirstAttempts) },
-        { "retries", std::to_string(aDecision.mRetries) },
         { "allowed", std::to_string(static_cast<int>(aDecision.mAllowed)) },
+        { "used", std::to_string(aDecision.mUsed) },
+        { "credit", std::to_string(aDecision.mCredit) },
         { "skipped", std::to_string(last.mSkipped) } });
   last = { aDecision.mSource, aNow, 0 };
 }
