Hold all hosts together to the budget as the platform counts it

Cause: each host compared its retries with its own last window.

Hosts tell each other what they have sent and stop at 0.95 of what the fleet may send in any window that will contain the retry. Without news of the others this is the host's own count.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -50,6 +50,16 @@
 // Time within which a host must have been heard to be asked.
 constexpr Duration kHeardLifetime = milliseconds(3000);
 
+// Steps in which the windows that a retry will be part of are examined.
+constexpr int kWindowSteps = 40;
+
+// Share of the budget up to which all hosts together send retries. It is larger
+// than kUsableBudgetShare, as it binds only if the windows of the hosts differ.
+constexpr double kFleetBudgetShare = 0.95;
+
+// What is sent within this time is counted together.
+constexpr Duration kCountInterval = milliseconds(200);
+
 void
 DropBefore(std::deque<Time>& aTimes, Time aFrom)
 {
@@ -100,7 +110,47 @@
 void
 RetryBudget::OnFirstAttempt(const std::string& aService, Time aNow)
 {
-  Update(aService, aNow).mFirstAttempts.push_back(aNow);
+  Service& service = Update(aService, aNow);
+  service.mFirstAttempts.push_back(aNow);
+  ++service.mTotals.mFirstAttempts;
+  AddFleetSends(service, 1, 0, aNow);
+}
+
+std::vector<SendTotals>
+RetryBudget::Totals() const
+{
+  std::vector<SendTotals> totals;
+  for (const auto& it : mServices) {
+    totals.push_back(it.second.mTotals);
+    totals.back().mService = it.first;
+  }
+  return totals;
+}
+
+void
+RetryBudget::OnPeerTotals(const std::string& aHost,
+                          std::uint64_t aStart,
+                          const SendTotals& aTotals,
+                          Time aNow)
+{
+  Service& service = Update(aTotals.mService, aNow);
+  PeerTotals& known = service.mPeerTotals[aHost];
+  if (known.mStart != aStart) {
+    // When a host that was not known has sent them is unknown.
+    known = { aStart, aTotals };
+    return;
+  }
+  // Datagrams may arrive in another order.
+  SendTotals& totals = known.mTotals;
+  if (aTotals.mFirstAttempts < totals.mFirstAttempts ||
+      aTotals.mRetries < totals.mRetries) {
+    return;
+  }
+  AddFleetSends(service,
+                aTotals.mFirstAttempts - totals.mFirstAttempts,
+                aTotals.mRetries - totals.mRetries,
+                aNow);
+  totals = aTotals;
 }
 
 bool
@@ -121,14 +171,21 @@
   for (const Credit& it : service.mCredits) {
     decision.mCredit += it.mCount;
   }
-  if (decision.mUsed + 1 <= decision.mAllowed) {
+  decision.mFleetUsed = FleetUsed(service, aNow);
+  decision.mFleetAllowed = FleetAllowed(service, aNow);
+  if (decision.mFleetUsed + 1 > decision.mFleetAllowed) {
+    decision.mSource = RetrySource::None;
+  } else if (decision.mUsed + 1 <= decision.mAllowed) {
     decision.mSource = RetrySource::Own;
     service.mRetries.push_back(aNow);
   } else if (!late && UseCredit(service)) {
     decision.mSource = RetrySource::Granted;
   }
   const bool taken = decision.mSource != RetrySource::None;
-  if (!taken && !late) {
+  if (taken) {
+    ++service.mTotals.mRetries;
+    AddFleetSends(service, 0, 1, aNow);
+  } else if (!late) {
     service.mRefused.push_back(aNow);
   }
   mLastDecision = std::move(decision);
@@ -215,6 +272,10 @@
 {
   Service& service = mServices[aService];
   DropBefore(service.mFirstAttempts, aNow - mOptions.mWindow);
+  auto& sends = service.mFleetSends;
+  while (!sends.empty() && sends.front().mAt <= aNow - 2 * mOptions.mWindow) {
+    sends.pop_front();
+  }
   DropBefore(service.mRetries, aNow - mOptions.mWindow);
   // The other host may use them until its credit expires.
   DropBefore(service.mGranted, aNow - mOptions.mWindow - kCreditLifetime);
@@ -269,6 +330,55 @@
            : 0;
 }
 
+void
+RetryBudget::AddFleetSends(Service& aService,
+                           std::uint64_t aFirstAttempts,
+                           std::uint64_t aRetries,
+                           Time aNow)
+{
+  auto& sends = aService.mFleetSends;
+  if (sends.empty() || aNow - sends.back().mAt >= kCountInterval) {
+    sends.push_back({ aNow, 0, 0 });
+  }
+  sends.back().mFirstAttempts += aFirstAttempts;
+  sends.back().mRetries += aRetries;
+}
+
+int
+RetryBudget::FleetUsed(const Service& aService, Time aNow) const
+{
+  std::uint64_t sum = 0;
+  for (const FleetSends& it : aService.mFleetSends) {
+    sum += it.mAt > aNow - mOptions.mWindow ? it.mRetries : 0;
+  }
+  return static_cast<int>(sum);
+}
+
+// Retries that all hosts may send in the windows that contain one sent aNow.
+// The retries of a window may be compared with its own first attempts, those of
+// the window before it or of the one half a window before it; after a burst,
+// all of these may have fewer than the window that ends aNow.
+double
+RetryBudget::FleetAllowed(const Service& aService, Time aNow) const
+{
+  const Duration window = mOptions.mWindow;
+  const auto count = [&](Time aEnd) {
+    std::uint64_t sum = 0;
+    for (const FleetSends& it : aService.mFleetSends) {
+      sum += it.mAt > aEnd - window && it.mAt <= aEnd ? it.mFirstAttempts : 0;
+    }
+    return static_cast<double>(sum);
+  };
+  double least = count(aNow);
+  for (int n = 1; n <= kWindowSteps && least > 0; ++n) {
+    const Time end = aNow + window * n / kWindowSteps;
+    least = std::min(
+      least,
+      std::max({ count(end), count(end - window / 2), count(end - window) }));
+  }
+  return kFleetBudgetShare * (mOptions.mRatio * least + mOptions.mAllowance);
+}
+
 // Retries that this host may send or grant within a window.
 double
 RetryBudget::Allowed(const Service& aService, Time aNow)
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -36,6 +36,15 @@
                                                         "granted",
                                                         "none" });
 
+// First attempts and retries for a service that a host has sent since it
+// started.
+struct SendTotals
+{
+  std::string mService;
+  std::uint64_t mFirstAttempts = 0;
+  std::uint64_t mRetries = 0;
+};
+
 // A decision on a retry, with what it was based on.
 struct RetryDecision
 {
@@ -51,6 +60,10 @@
   int mFirstAttempts = 0;
   double mAllowed = 0;
   int mUsed = 0;
+  // Retries of all hosts within the window and those that they may send, as far
+  // as this host has heard of it.
+  int mFleetUsed = 0;
+  double mFleetAllowed = 0;
   // Retries that others have granted and that are not used yet.
   int mCredit = 0;
 };
@@ -80,7 +93,9 @@
 // own first attempts, which needs no knowledge of the others, and an even share
 // of the allowance once it is certain that nobody else uses that share. More
 // than that it may use only if another host has granted it, which counts
-// against the budget of that host. Not thread-safe.
+// against the budget of that host. The hosts also tell each other what they
+// have sent, and stop when all of them together come close to the limit. Not
+// thread-safe.
 class RetryBudget
 {
 public:
@@ -118,6 +133,15 @@
   // Records the first attempt of a request to a service.
   void OnFirstAttempt(const std::string& aService, Time aNow);
 
+  // What this host has sent, by service, to be told to the other hosts.
+  std::vector<SendTotals> Totals() const;
+
+  // Another host has told what it has sent; aStart identifies its start.
+  void OnPeerTotals(const std::string& aHost,
+                    std::uint64_t aStart,
+                    const SendTotals& aTotals,
+                    Time aNow);
+
   // Takes one retry from the budget; false if the budget is exhausted. Part of
   // the budget is reserved for retries that are on time.
   bool TakeRetry(const std::string& aService,
@@ -162,9 +186,27 @@
     std::set<std::string> mHosts;
   };
 
+  // What all hosts have sent at about the same time.
+  struct FleetSends
+  {
+    Time mAt;
+    std::uint64_t mFirstAttempts = 0;
+    std::uint64_t mRetries = 0;
+  };
+
+  struct PeerTotals
+  {
+    std::uint64_t mStart = 0;
+    SendTotals mTotals;
+  };
+
   struct Service
   {
     std::deque<Time> mFirstAttempts;
+    SendTotals mTotals;
+    // Kept for two windows.
+    std::deque<FleetSends> mFleetSends;
+    std::map<std::string, PeerTotals> mPeerTotals;
     // Retries from this host's own part of the budget.
     std::deque<Time> mRetries;
     // Retries left to other hosts, one entry for each.
@@ -191,6 +233,12 @@
   int CountHosts(Time aNow);
   int CountHeard(Time aNow) const;
   double Share(Time aNow);
+  double FleetAllowed(const Service& aService, Time aNow) const;
+  int FleetUsed(const Service& aService, Time aNow) const;
+  static void AddFleetSends(Service& aService,
+                            std::uint64_t aFirstAttempts,
+                            std::uint64_t aRetries,
+                            Time aNow);
   double Allowed(const Service& aService, Time aNow);
   int Used(const Service& aService) const;
   bool UseCredit(Service& aService) const;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -47,6 +47,10 @@
 // held tokens.
 constexpr rapidjson::SizeType kLoadEntrySize = 4;
 
+// Elements of a "totals" entry: service, first attempts and retries since the
+// start.
+constexpr rapidjson::SizeType kTotalsEntrySize = 3;
+
 // Elements of an entry of "asks" and "grants": service, ask and retries.
 constexpr rapidjson::SizeType kRetryEntrySize = 3;
 
@@ -246,7 +250,7 @@
   if (load != json.MemberEnd() && load->value.IsArray()) {
     ApplyLoad(host, json, now);
   }
-  ExchangeRetries(host, json, now);
+  ExchangeRetries(host, hasStart ? start->value.GetUint64() : 0, json, now);
   // With few hosts, each message reaches all of them.
   const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
   ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
@@ -290,11 +294,22 @@
 
 void
 LoadBroadcaster::ExchangeRetries(const std::string& aHost,
+                                 std::uint64_t aStart,
                                  const rapidjson::Value& aMessage,
                                  Time aNow)
 {
   RetryBudget& retries = *mFleet.Targets().Retries();
   retries.OnHostHeard(aHost, aNow);
+  ForEachIn(aMessage, "totals", [&](const rapidjson::Value& aValue) {
+    if (aValue.IsArray() && aValue.Size() == kTotalsEntrySize &&
+        aValue[0].IsString() && aValue[1].IsUint64() && aValue[2].IsUint64()) {
+      retries.OnPeerTotals(
+        aHost,
+        aStart,
+        { aValue[0].GetString(), aValue[1].GetUint64(), aValue[2].GetUint64() },
+        aNow);
+    }
+  });
   ForEachRetryEntry(
     aMessage, "grants", [&](const char* aService, auto aAsk, int aCount) {
       retries.OnGrant(aHost, { aService, aAsk, aCount }, aNow);
@@ -392,6 +407,16 @@
     writer.EndArray();
   }
   writer.EndArray();
+  writer.Key("totals");
+  writer.StartArray();
+  for (const SendTotals& it : mFleet.Targets().Retries()->Totals()) {
+    writer.StartArray();
+    writer.String(it.mService.c_str());
+    writer.Uint64(it.mFirstAttempts);
+    writer.Uint64(it.mRetries);
+    writer.EndArray();
+  }
+  writer.EndArray();
   writer.Key("lost");
   writer.StartArray();
   for (const auto& it : lost) {
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -43,8 +43,10 @@
   void ApplyLoad(const std::string& aHost,
                  const rapidjson::Value& aMessage,
                  Time aNow);
-  // Answers the asks of another host for retries, and takes what it grants.
+  // Takes note of what another host has sent, answers its asks for
+  // retries, and takes what it grants.
   void ExchangeRetries(const std::string& aHost,
+                       std::uint64_t aStart,
                        const rapidjson::Value& aMessage,
                        Time aNow);
   void SendAsk(const RetryAsk& aAsk);
--- a/src/quetzalquay/gateway/RetryLog.cpp
+++ b/src/quetzalquay/gateway/RetryLog.cpp
@@ -47,6 +47,9 @@
         { "first_attempts", std::to_string(aDecision.mFirstAttempts) },
         { "allowed", std::to_string(static_cast<int>(aDecision.mAllowed)) },
         { "used", std::to_string(aDecision.mUsed) },
+        { "fleet_allowed",
+          std::to_string(static_cast<int>(aDecision.mFleetAllowed)) },
+        { "fleet_used", std::to_string(aDecision.mFleetUsed) },
         { "credit", std::to_string(aDecision.mCredit) },
         { "skipped", std::to_string(last.mSkipped) } });
   last = { aDecision.mSource, aNow, 0 };
