Let the retry budget count the time for which the machine was suspended

A suspended machine's monotonic clock stands still: after it wakes, old first attempts look recent and bring retries that no window of the platform allows, and granted retries have not expired though the host that granted them has forgotten them. The budget now goes by a clock that counts suspension. A suspended machine was not run as a process: the test machine can't be suspended.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -87,11 +87,12 @@
 void
 RetryBudget::SetHosts(const std::set<std::string>& aHosts, Time aNow)
 {
+  const Time now = Convert(aNow);
   mHostsKnown = true;
   for (auto& it : mMembers) {
     if (it.second.mListed && aHosts.count(it.first) == 0) {
       it.second.mListed = false;
-      it.second.mSeenAt = aNow;
+      it.second.mSeenAt = now;
     }
   }
   for (const std::string& it : aHosts) {
@@ -103,17 +104,18 @@
 RetryBudget::OnHostHeard(const std::string& aHost, Time aNow)
 {
   Member& member = mMembers[aHost];
-  member.mHeardAt = aNow;
+  member.mHeardAt = Convert(aNow);
   member.mSeenAt = member.mHeardAt;
 }
 
 void
 RetryBudget::OnFirstAttempt(const std::string& aService, Time aNow)
 {
-  Service& service = Update(aService, aNow);
-  service.mFirstAttempts.push_back(aNow);
+  const Time now = Convert(aNow);
+  Service& service = Update(aService, now);
+  service.mFirstAttempts.push_back(now);
   ++service.mTotals.mFirstAttempts;
-  AddFleetSends(service, 1, 0, aNow);
+  AddFleetSends(service, 1, 0, now);
 }
 
 std::vector<SendTotals>
@@ -133,7 +135,8 @@
                           const SendTotals& aTotals,
                           Time aNow)
 {
-  Service& service = Update(aTotals.mService, aNow);
+  const Time now = Convert(aNow);
+  Service& service = Update(aTotals.mService, now);
   PeerTotals& known = service.mPeerTotals[aHost];
   if (known.mStart != aStart) {
     // When a host that was not known has sent them is unknown.
@@ -149,7 +152,7 @@
   AddFleetSends(service,
                 aTotals.mFirstAttempts - totals.mFirstAttempts,
                 aTotals.mRetries - totals.mRetries,
-                aNow);
+                now);
   totals = aTotals;
 }
 
@@ -158,35 +161,36 @@
                        Time aNow,
                        RetryTiming aTiming)
 {
-  Service& service = Update(aService, aNow);
+  const Time now = Convert(aNow);
+  Service& service = Update(aService, now);
   const bool late = aTiming == RetryTiming::Late;
   RetryDecision decision;
   decision.mService = aService;
   decision.mTiming = aTiming;
-  decision.mHosts = CountHosts(aNow);
-  decision.mShare = Share(aNow);
+  decision.mHosts = CountHosts(now);
+  decision.mShare = Share(now);
   decision.mFirstAttempts = static_cast<int>(service.mFirstAttempts.size());
-  decision.mAllowed = Allowed(service, aNow) * (late ? kLateRetryShare : 1.0);
+  decision.mAllowed = Allowed(service, now) * (late ? kLateRetryShare : 1.0);
   decision.mUsed = Used(service);
   for (const Credit& it : service.mCredits) {
     decision.mCredit += it.mCount;
   }
-  decision.mFleetUsed = FleetUsed(service, aNow);
-  decision.mFleetAllowed = FleetAllowed(service, aNow);
+  decision.mFleetUsed = FleetUsed(service, now);
+  decision.mFleetAllowed = FleetAllowed(service, now);
   if (decision.mFleetUsed + 1 > decision.mFleetAllowed) {
     decision.mSource = RetrySource::None;
   } else if (decision.mUsed + 1 <= decision.mAllowed) {
     decision.mSource = RetrySource::Own;
-    service.mRetries.push_back(aNow);
+    service.mRetries.push_back(now);
   } else if (!late && UseCredit(service)) {
     decision.mSource = RetrySource::Granted;
   }
   const bool taken = decision.mSource != RetrySource::None;
   if (taken) {
     ++service.mTotals.mRetries;
-    AddFleetSends(service, 0, 1, aNow);
+    AddFleetSends(service, 0, 1, now);
   } else if (!late) {
-    service.mRefused.push_back(aNow);
+    service.mRefused.push_back(now);
   }
   mLastDecision = std::move(decision);
   return taken;
@@ -204,11 +208,12 @@
 std::vector<RetryAsk>
 RetryBudget::TakeAsks(Time aNow)
 {
-  const int heard = CountHeard(aNow);
+  const Time now = Convert(aNow);
+  const int heard = CountHeard(now);
   std::vector<RetryAsk> asks;
   for (auto& it : mServices) {
-    Service& service = Update(it.first, aNow);
-    if (heard == 0 || aNow < service.mNextAskAt) {
+    Service& service = Update(it.first, now);
+    if (heard == 0 || now < service.mNextAskAt) {
       continue;
     }
     int missing = static_cast<int>(service.mRefused.size());
@@ -220,8 +225,8 @@
     }
     const std::uint64_t id = mOptions.mFirstAsk + ++mAskCount;
     const int hosts = std::min({ missing, heard, kMaxAskedHosts });
-    service.mAsks.push_back({ id, aNow, {} });
-    service.mNextAskAt = aNow + service.mAskInterval;
+    service.mAsks.push_back({ id, now, {} });
+    service.mNextAskAt = now + service.mAskInterval;
     service.mAskInterval = std::min(2 * service.mAskInterval, kMaxAskInterval);
     asks.push_back({ it.first, id, (missing + hosts - 1) / hosts, hosts });
   }
@@ -231,20 +236,21 @@
 std::optional<RetryGrant>
 RetryBudget::Grant(const std::string& aHost, const RetryAsk& aAsk, Time aNow)
 {
-  Service& service = Update(aAsk.mService, aNow);
+  const Time now = Convert(aNow);
+  Service& service = Update(aAsk.mService, now);
   std::uint64_t& answered = service.mAnswered[aHost];
   if (answered == aAsk.mId) {
     return std::nullopt;
   }
   answered = aAsk.mId;
-  const double spare = Allowed(service, aNow) - Used(service);
+  const double spare = Allowed(service, now) - Used(service);
   const int count = std::min(
     aAsk.mCount, static_cast<int>(std::floor(spare * (1 - kKeptShare))));
   if (count <= 0) {
     return std::nullopt;
   }
   service.mGranted.insert(
-    service.mGranted.end(), static_cast<std::size_t>(count), aNow);
+    service.mGranted.end(), static_cast<std::size_t>(count), now);
   return RetryGrant{ aAsk.mService, aAsk.mId, count };
 }
 
@@ -253,7 +259,8 @@
                      const RetryGrant& aGrant,
                      Time aNow)
 {
-  Service& service = Update(aGrant.mService, aNow);
+  const Time now = Convert(aNow);
+  Service& service = Update(aGrant.mService, now);
   const auto ask =
     std::find_if(service.mAsks.begin(),
                  service.mAsks.end(),
@@ -266,6 +273,15 @@
   service.mCredits.push_back({ ask->mAt + kCreditLifetime, aGrant.mCount });
 }
 
+// Applies the clock of the options. Keeps the times in order even if that clock
+// is read less precisely.
+Time
+RetryBudget::Convert(Time aNow)
+{
+  mLatest = std::max(mLatest, mOptions.mClock ? mOptions.mClock(aNow) : aNow);
+  return mLatest;
+}
+
 // Returns the state of a service without what has expired.
 RetryBudget::Service&
 RetryBudget::Update(const std::string& aService, Time aNow)
@@ -354,10 +370,10 @@
   return static_cast<int>(sum);
 }
 
-// Retries that all hosts may send in the windows that contain one sent aNow.
-// The retries of a window may be compared with its own first attempts, those of
-// the window before it or of the one half a window before it; after a burst,
-// all of these may have fewer than the window that ends aNow.
+// Retries that all hosts may send in the windows that contain one sent now. The
+// retries of a window may be compared with its own first attempts, those of the
+// window before it or of the one half a window before it; after a burst, all of
+// these may have fewer than the window that ends now.
 double
 RetryBudget::FleetAllowed(const Service& aService, Time aNow) const
 {
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -113,6 +114,9 @@
     Time mSettledAt;
     // Distinguishes the asks of this start of the host from earlier ones.
     std::uint64_t mFirstAsk = 0;
+    // Maps monotonic time to a clock that also counts the time for which the
+    // machine was suspended. The identity if empty.
+    std::function<Time(Time)> mClock;
   };
 
   // When a host that has started at aStart may use a share of the allowance.
@@ -229,6 +233,7 @@
     Time mHeardAt;
   };
 
+  Time Convert(Time aNow);
   Service& Update(const std::string& aService, Time aNow);
   int CountHosts(Time aNow);
   int CountHeard(Time aNow) const;
@@ -252,6 +257,7 @@
   // Added to the retries that this host may send, which are a whole number only
   // on average. It is spread evenly over [0, 1) among the hosts.
   double mRounding = 0;
+  Time mLatest;
   RetryDecision mLastDecision;
 };
 
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 #include "core/NameTable.h"
 #include "gateway/SuspectRows.h"
+#include "gateway/SuspendedTime.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -126,7 +127,7 @@
   : mSettings(aSettings)
   , mStart(static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count()))
-  , mStartedAt(EventLoop::Now())
+  , mStartedAt(AddSuspendedTime(EventLoop::Now()))
   , mEntries(aSettings.mReregistrationTime)
   , mTargets(TableOptions(aSettings))
   , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
@@ -516,6 +517,7 @@
   options.mHost = mSettings.mHost;
   options.mSettledAt = RetryBudget::SettledAt(mStartedAt, options.mWindow);
   options.mFirstAsk = mStart;
+  options.mClock = &AddSuspendedTime;
   mTargets.ConfigureRetryBudget(options);
 }
 
--- a/tests/introspective/RetryBudgetTests.cpp
+++ b/tests/introspective/RetryBudgetTests.cpp
@@ -171,6 +171,10 @@
     aHost.mStart = static_cast<std::uint64_t>(mNow + 1);
     options.mFirstAsk = aHost.mStart << 32U;
     options.mSettledAt = RetryBudget::SettledAt(At(mNow), options.mWindow);
+    Host* host = &aHost;
+    options.mClock = [host](Time aTime) {
+      return aTime + milliseconds(host->mSuspended);
+    };
     aHost.mBudget = RetryBudget();
     aHost.mBudget.Configure(options);
     aHost.mRunning = true;
@@ -467,6 +471,7 @@
   CPPUNIT_TEST(LateAndRepeatedGrantsAreNotUsed);
   CPPUNIT_TEST(AHostKeepsPartOfItsRetries);
   CPPUNIT_TEST(ABusyHostGetsUnusedRetries);
+  CPPUNIT_TEST(SuspendedTimeCounts);
   CPPUNIT_TEST(ABurstBeforeAPauseIsNotCountedTwice);
   CPPUNIT_TEST_SUITE_END();
 
@@ -649,6 +654,22 @@
     CPPUNIT_ASSERT(taken <= 30);
   }
 
+  // Guards against a host that was suspended taking old first attempts for
+  // recent ones.
+  void SuspendedTimeCounts()
+  {
+    RetryBudget budget;
+    RetryBudget::Options options = MakeOptions("h0");
+    Duration suspended = Duration::zero();
+    options.mClock = [&](Time aNow) { return aNow + suspended; };
+    budget.Configure(options);
+    for (int n = 0; n < 100; ++n) {
+      budget.OnFirstAttempt(kService, At(1000));
+    }
+    suspended = std::chrono::seconds(60);
+    CPPUNIT_ASSERT_EQUAL(0, TakeAll(budget, 1100));
+  }
+
   // Guards against retries being compared with requests of two windows.
   void ABurstBeforeAPauseIsNotCountedTwice()
   {
