Do not count retries that were not sent for the whole fleet

Found on reading the diff: a retry whose target could not be reached went back into the host's own budget, but still counted in what the hosts tell each other. With many unreachable targets, hosts would refuse retries that the budget allows. The new test fails without it: the hosts refuse everything after some hundred retries that were put back. A refusal for the fleet's sake no longer asks others for retries that could not be used. What is known of a host that has left is dropped with it. FleetRetryTests also compares the retries at the targets with those that the budgets have allowed.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -145,8 +145,7 @@
   }
   // Datagrams may arrive in another order.
   SendTotals& totals = known.mTotals;
-  if (aTotals.mFirstAttempts < totals.mFirstAttempts ||
-      aTotals.mRetries < totals.mRetries) {
+  if (aTotals.mFirstAttempts < totals.mFirstAttempts) {
     return;
   }
   AddFleetSends(service,
@@ -177,7 +176,8 @@
   }
   decision.mFleetUsed = FleetUsed(service, now);
   decision.mFleetAllowed = FleetAllowed(service, now);
-  if (decision.mFleetUsed + 1 > decision.mFleetAllowed) {
+  const bool fleetExhausted = decision.mFleetUsed + 1 > decision.mFleetAllowed;
+  if (fleetExhausted) {
     decision.mSource = RetrySource::None;
   } else if (decision.mUsed + 1 <= decision.mAllowed) {
     decision.mSource = RetrySource::Own;
@@ -189,7 +189,7 @@
   if (taken) {
     ++service.mTotals.mRetries;
     AddFleetSends(service, 0, 1, now);
-  } else if (!late) {
+  } else if (!late && !fleetExhausted) {
     service.mRefused.push_back(now);
   }
   mLastDecision = std::move(decision);
@@ -199,9 +199,11 @@
 void
 RetryBudget::ReturnRetry(const std::string& aService)
 {
-  auto& retries = mServices[aService].mRetries;
-  if (!retries.empty()) {
-    retries.pop_back();
+  Service& service = mServices[aService];
+  --service.mTotals.mRetries;
+  AddFleetSends(service, 0, -1, mLatest);
+  if (!service.mRetries.empty()) {
+    service.mRetries.pop_back();
   }
 }
 
@@ -319,6 +321,10 @@
     const Member& member = it->second;
     if (!member.mListed &&
         aNow - member.mSeenAt >= mOptions.mWindow + kLeavingTime) {
+      for (auto& service : mServices) {
+        service.second.mPeerTotals.erase(it->first);
+        service.second.mAnswered.erase(it->first);
+      }
       it = mMembers.erase(it);
       continue;
     }
@@ -348,8 +354,8 @@
 
 void
 RetryBudget::AddFleetSends(Service& aService,
-                           std::uint64_t aFirstAttempts,
-                           std::uint64_t aRetries,
+                           std::int64_t aFirstAttempts,
+                           std::int64_t aRetries,
                            Time aNow)
 {
   auto& sends = aService.mFleetSends;
@@ -363,7 +369,7 @@
 int
 RetryBudget::FleetUsed(const Service& aService, Time aNow) const
 {
-  std::uint64_t sum = 0;
+  std::int64_t sum = 0;
   for (const FleetSends& it : aService.mFleetSends) {
     sum += it.mAt > aNow - mOptions.mWindow ? it.mRetries : 0;
   }
@@ -379,7 +385,7 @@
 {
   const Duration window = mOptions.mWindow;
   const auto count = [&](Time aEnd) {
-    std::uint64_t sum = 0;
+    std::int64_t sum = 0;
     for (const FleetSends& it : aService.mFleetSends) {
       sum += it.mAt > aEnd - window && it.mAt <= aEnd ? it.mFirstAttempts : 0;
     }
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -42,8 +42,9 @@
 struct SendTotals
 {
   std::string mService;
-  std::uint64_t mFirstAttempts = 0;
-  std::uint64_t mRetries = 0;
+  std::int64_t mFirstAttempts = 0;
+  // Without those that were put back, so this may decrease.
+  std::int64_t mRetries = 0;
 };
 
 // A decision on a retry, with what it was based on.
@@ -194,8 +195,8 @@
   struct FleetSends
   {
     Time mAt;
-    std::uint64_t mFirstAttempts = 0;
-    std::uint64_t mRetries = 0;
+    std::int64_t mFirstAttempts = 0;
+    std::int64_t mRetries = 0;
   };
 
   struct PeerTotals
@@ -241,8 +242,8 @@
   double FleetAllowed(const Service& aService, Time aNow) const;
   int FleetUsed(const Service& aService, Time aNow) const;
   static void AddFleetSends(Service& aService,
-                            std::uint64_t aFirstAttempts,
-                            std::uint64_t aRetries,
+                            std::int64_t aFirstAttempts,
+                            std::int64_t aRetries,
                             Time aNow);
   double Allowed(const Service& aService, Time aNow);
   int Used(const Service& aService) const;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -302,11 +302,11 @@
   retries.OnHostHeard(aHost, aNow);
   ForEachIn(aMessage, "totals", [&](const rapidjson::Value& aValue) {
     if (aValue.IsArray() && aValue.Size() == kTotalsEntrySize &&
-        aValue[0].IsString() && aValue[1].IsUint64() && aValue[2].IsUint64()) {
+        aValue[0].IsString() && aValue[1].IsInt64() && aValue[2].IsInt64()) {
       retries.OnPeerTotals(
         aHost,
         aStart,
-        { aValue[0].GetString(), aValue[1].GetUint64(), aValue[2].GetUint64() },
+        { aValue[0].GetString(), aValue[1].GetInt64(), aValue[2].GetInt64() },
         aNow);
     }
   });
@@ -412,8 +412,8 @@
   for (const SendTotals& it : mFleet.Targets().Retries()->Totals()) {
     writer.StartArray();
     writer.String(it.mService.c_str());
-    writer.Uint64(it.mFirstAttempts);
-    writer.Uint64(it.mRetries);
+    writer.Int64(it.mFirstAttempts);
+    writer.Int64(it.mRetries);
     writer.EndArray();
   }
   writer.EndArray();
--- a/tests/introspective/RetryBudgetTests.cpp
+++ b/tests/introspective/RetryBudgetTests.cpp
@@ -471,6 +471,7 @@
   CPPUNIT_TEST(LateAndRepeatedGrantsAreNotUsed);
   CPPUNIT_TEST(AHostKeepsPartOfItsRetries);
   CPPUNIT_TEST(ABusyHostGetsUnusedRetries);
+  CPPUNIT_TEST(RetriesThatAreNotSentDoNotCount);
   CPPUNIT_TEST(SuspendedTimeCounts);
   CPPUNIT_TEST(ABurstBeforeAPauseIsNotCountedTwice);
   CPPUNIT_TEST_SUITE_END();
@@ -654,6 +655,22 @@
     CPPUNIT_ASSERT(taken <= 30);
   }
 
+  // Guards against unreachable targets using up the budget, here or at the
+  // hosts that hear of what this one has sent.
+  void RetriesThatAreNotSentDoNotCount()
+  {
+    RetryBudget budget = MakeSettled(1);
+    RetryBudget other = MakeSettled(1);
+    for (int n = 0; n < 1000; ++n) {
+      CPPUNIT_ASSERT(budget.TakeRetry(kService, At(1000 + n)));
+      other.OnPeerTotals("h1", 1, budget.Totals()[0], At(1000 + n));
+      budget.ReturnRetry(kService);
+      other.OnPeerTotals("h1", 1, budget.Totals()[0], At(1000 + n));
+    }
+    ExpectAbout(135, TakeAll(budget, 2000));
+    ExpectAbout(135, TakeAll(other, 2000));
+  }
+
   // Guards against a host that was suspended taking old first attempts for
   // recent ones.
   void SuspendedTimeCounts()
--- a/tests/usage/FleetRetryTests.cpp
+++ b/tests/usage/FleetRetryTests.cpp
@@ -195,6 +195,28 @@
   std::thread mThread;
 };
 
+// Whether the counters of the hosts cover the whole test, or are lost with
+// processes that end.
+enum class HostCounts
+{
+  Complete,
+  Lost,
+};
+
+// Retries that the budgets of all hosts have allowed.
+std::size_t
+CountTakenRetries(const GatewayTestCluster& aCluster)
+{
+  double count = 0;
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    for (const char* it :
+         { "quetzal_retries_own_total", "quetzal_retries_granted_total" }) {
+      count += std::atof(aCluster.Gateway(n).Metric(it).c_str());
+    }
+  }
+  return static_cast<std::size_t>(count);
+}
+
 using Trouble = std::function<void(GatewayTestCluster&, Callers&)>;
 
 } // namespace
@@ -220,9 +242,12 @@
   // Guards against retries that no trouble of the hosts explains.
   void RetriesStayWithinTheBudgetOfTheFleet()
   {
-    ExpectWithinBudget("none", { kRunners, 6, -1, 0, false }, [](auto&, auto&) {
-      std::this_thread::sleep_for(milliseconds(8000));
-    });
+    ExpectWithinBudget(
+      "none",
+      { kRunners, 6, -1, 0, false },
+      [](auto&, auto&) { std::this_thread::sleep_for(milliseconds(8000)); },
+      kFleetSettled,
+      HostCounts::Complete);
   }
 
   // Guards against hosts that have just started and take themselves for the
@@ -357,7 +382,8 @@
     const char* aName,
     const GatewayTestCluster::Options& aOptions,
     const Trouble& aTrouble,
-    milliseconds aCallersStartAfter = kFleetSettled)
+    milliseconds aCallersStartAfter = kFleetSettled,
+    HostCounts aCounts = HostCounts::Lost)
   {
     const auto seed =
       static_cast<unsigned>(FromEnvironment("QUETZAL_TEST_SEED", 1));
@@ -396,6 +422,10 @@
     for (const RunnerRequest& it : cluster.Runs()) {
       ledger.OnRun(*it.mHead.Find("X-Request-Id"), it.mRunner);
     }
+    if (aCounts == HostCounts::Complete) {
+      // Guards against retries that do not go through the budget.
+      CPPUNIT_ASSERT(ledger.RetryCount() <= CountTakenRetries(cluster));
+    }
     const double excess = ledger.MaxExcess(RetryRule());
     if (std::getenv("QUETZAL_TEST_FIGURES") != nullptr) {
       std::cout << "trouble " << aName << ", seed " << seed << ", hosts "
