Let a host that has just started use a small part of its share

Found by the gateway tests: with no share at all for 12 s after its start, a host without traffic and without other hosts could not resume its first streams after the loss of a target (GatewayTests: StreamsResumeAfterTheirTargetFails, LostCacheCopyIsReplaced, StreamIsCompleteAfterAFailedProbeOfALiveTarget; CrashingRequestTests: RetriesOfACrashingRequestEndThreeTargetsAtMost). The tests named above pass again.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -20,6 +20,10 @@
 // Share of this usable part that is available to late retries.
 constexpr double kLateRetryShare = 0.75;
 
+// Part of its share that a host may use before it is settled. Even if all hosts
+// restart, this is covered by what kUsableBudgetShare leaves.
+constexpr double kStartingShare = 0.05;
+
 // Time in which all hosts hear of a new one, which announces itself every
 // second.
 constexpr Duration kMembershipDelay = milliseconds(2000);
@@ -347,9 +351,11 @@
 double
 RetryBudget::Share(Time aNow)
 {
-  return mHostsKnown && aNow >= mOptions.mSettledAt
-           ? mOptions.mAllowance / CountHosts(aNow)
-           : 0;
+  if (!mHostsKnown) {
+    return 0;
+  }
+  const double share = mOptions.mAllowance / CountHosts(aNow);
+  return aNow >= mOptions.mSettledAt ? share : kStartingShare * share;
 }
 
 void
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -111,7 +111,8 @@
     double mAllowance = 0;
     // Sliding window that both limits apply to.
     Duration mWindow = std::chrono::seconds(10);
-    // From when on this host has a share of the allowance; see SettledAt().
+    // From when on this host has its whole share of the allowance; see
+    // SettledAt().
     Time mSettledAt;
     // Distinguishes the asks of this start of the host from earlier ones.
     std::uint64_t mFirstAsk = 0;
@@ -120,7 +121,7 @@
     std::function<Time(Time)> mClock;
   };
 
-  // When a host that has started at aStart may use a share of the allowance.
+  // When a host that has started at aStart may use its share of the allowance.
   // What it sent before a restart has left the window by then, and all other
   // hosts have learned of it and reduced their shares.
   static Time SettledAt(Time aStart, Duration aWindow);
