--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -44,8 +44,8 @@
 // Hosts that one ask goes to at most.
 constexpr int kMaxAskedHosts = 8;
 
-// Time for which a refused retry is asked for. A stream tries again every 50
-// ms.
+// Age up to which other hosts are asked for a refused retry. A waiting stream
+// tries again every 50 ms.
 constexpr Duration kRefusalSpan = milliseconds(75);
 
 // Part of its unused retries that a host keeps for itself.
@@ -91,7 +91,7 @@
 void
 RetryBudget::SetHosts(const std::set<std::string>& aHosts, Time aNow)
 {
-  const Time now = Convert(aNow);
+  const Time now = ToBudgetClock(aNow);
   mHostsKnown = true;
   for (auto& it : mMembers) {
     if (it.second.mListed && aHosts.count(it.first) == 0) {
@@ -108,15 +108,15 @@
 RetryBudget::OnHostHeard(const std::string& aHost, Time aNow)
 {
   Member& member = mMembers[aHost];
-  member.mHeardAt = Convert(aNow);
+  member.mHeardAt = ToBudgetClock(aNow);
   member.mSeenAt = member.mHeardAt;
 }
 
 void
 RetryBudget::OnFirstAttempt(const std::string& aService, Time aNow)
 {
-  const Time now = Convert(aNow);
-  Service& service = Update(aService, now);
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aService, now);
   service.mFirstAttempts.push_back(now);
   ++service.mTotals.mFirstAttempts;
   AddFleetSends(service, 1, 0, now);
@@ -139,8 +139,8 @@
                           const SendTotals& aTotals,
                           Time aNow)
 {
-  const Time now = Convert(aNow);
-  Service& service = Update(aTotals.mService, now);
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aTotals.mService, now);
   PeerTotals& known = service.mPeerTotals[aHost];
   if (known.mStart != aStart) {
     // When a host that was not known has sent them is unknown.
@@ -164,8 +164,8 @@
                        Time aNow,
                        RetryTiming aTiming)
 {
-  const Time now = Convert(aNow);
-  Service& service = Update(aService, now);
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aService, now);
   const bool late = aTiming == RetryTiming::Late;
   RetryDecision decision;
   decision.mService = aService;
@@ -205,7 +205,7 @@
 {
   Service& service = mServices[aService];
   --service.mTotals.mRetries;
-  AddFleetSends(service, 0, -1, mLatest);
+  AddFleetSends(service, 0, -1, mLatestNow);
   if (!service.mRetries.empty()) {
     service.mRetries.pop_back();
   }
@@ -214,11 +214,11 @@
 std::vector<RetryAsk>
 RetryBudget::TakeAsks(Time aNow)
 {
-  const Time now = Convert(aNow);
+  const Time now = ToBudgetClock(aNow);
   const int heard = CountHeard(now);
   std::vector<RetryAsk> asks;
   for (auto& it : mServices) {
-    Service& service = Update(it.first, now);
+    Service& service = Refresh(it.first, now);
     if (heard == 0 || now < service.mNextAskAt) {
       continue;
     }
@@ -242,8 +242,8 @@
 std::optional<RetryGrant>
 RetryBudget::Grant(const std::string& aHost, const RetryAsk& aAsk, Time aNow)
 {
-  const Time now = Convert(aNow);
-  Service& service = Update(aAsk.mService, now);
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aAsk.mService, now);
   std::uint64_t& answered = service.mAnswered[aHost];
   if (answered == aAsk.mId) {
     return std::nullopt;
@@ -265,8 +265,8 @@
                      const RetryGrant& aGrant,
                      Time aNow)
 {
-  const Time now = Convert(aNow);
-  Service& service = Update(aGrant.mService, now);
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aGrant.mService, now);
   const auto ask =
     std::find_if(service.mAsks.begin(),
                  service.mAsks.end(),
@@ -282,15 +282,16 @@
 // Applies the clock of the options. Keeps the times in order even if that clock
 // is read less precisely.
 Time
-RetryBudget::Convert(Time aNow)
+RetryBudget::ToBudgetClock(Time aNow)
 {
-  mLatest = std::max(mLatest, mOptions.mClock ? mOptions.mClock(aNow) : aNow);
-  return mLatest;
+  mLatestNow =
+    std::max(mLatestNow, mOptions.mClock ? mOptions.mClock(aNow) : aNow);
+  return mLatestNow;
 }
 
 // Returns the state of a service without what has expired.
 RetryBudget::Service&
-RetryBudget::Update(const std::string& aService, Time aNow)
+RetryBudget::Refresh(const std::string& aService, Time aNow)
 {
   Service& service = mServices[aService];
   DropBefore(service.mFirstAttempts, aNow - mOptions.mWindow);
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -235,8 +235,8 @@
     Time mHeardAt;
   };
 
-  Time Convert(Time aNow);
-  Service& Update(const std::string& aService, Time aNow);
+  Time ToBudgetClock(Time aNow);
+  Service& Refresh(const std::string& aService, Time aNow);
   int CountHosts(Time aNow);
   int CountHeard(Time aNow) const;
   double Share(Time aNow);
@@ -259,7 +259,7 @@
   // Added to the retries that this host may send, which are a whole number only
   // on average. It is spread evenly over [0, 1) among the hosts.
   double mRounding = 0;
-  Time mLatest;
+  Time mLatestNow;
   RetryDecision mLastDecision;
 };
 
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -125,7 +125,7 @@
 
 Fleet::Fleet(EventLoop& aLoop, const GatewaySettings& aSettings)
   : mSettings(aSettings)
-  , mStart(static_cast<std::uint64_t>(
+  , mStartId(static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count()))
   , mStartedAt(AddSuspendedTime(EventLoop::Now()))
   , mEntries(aSettings.mReregistrationTime)
@@ -516,7 +516,7 @@
   options.mWindow = mSettings.mRetryWindow;
   options.mHost = mSettings.mHost;
   options.mSettledAt = RetryBudget::SettledAt(mStartedAt, options.mWindow);
-  options.mFirstAsk = mStart;
+  options.mFirstAsk = mStartId;
   options.mClock = &AddSuspendedTime;
   mTargets.ConfigureRetryBudget(options);
 }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -112,7 +112,7 @@
   ReaderChoice& Readers() { return mReaders; }
 
   // Identifies this start of the process.
-  std::uint64_t Start() const { return mStart; }
+  std::uint64_t StartId() const { return mStartId; }
 
 private:
   void ApplyHostRows(const std::vector<platform::StoreRow>& aRows,
@@ -127,7 +127,7 @@
   void ConfigureRetryBudget();
 
   GatewaySettings mSettings;
-  std::uint64_t mStart;
+  std::uint64_t mStartId;
   Time mStartedAt;
   RefPtr<RoutingTable> mRouting;
   std::int64_t mRoutingRowVersion = 0;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -481,7 +481,7 @@
   aWriter.Key("host");
   aWriter.String(mSettings.mHost.c_str());
   aWriter.Key("start");
-  aWriter.Uint64(mFleet.Start());
+  aWriter.Uint64(mFleet.StartId());
 }
 
 void
