--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -20,9 +20,12 @@
 // Share of this usable part that is available to late retries.
 constexpr double kLateRetryShare = 0.75;
 
-// Part of its share that a host may use before it is settled. Even if all hosts
-// restart, this is covered by what kUsableBudgetShare leaves.
-constexpr double kStartingShare = 0.05;
+// Parts of its share and of the ratio that a host may use before it is settled.
+// The process before it may have sent more within the window than its requests
+// in that window allow, so both have to fit into what kUsableBudgetShare
+// leaves.
+constexpr double kStartingShare = 0.03;
+constexpr double kStartingRatio = 0.9;
 
 // Time in which all hosts hear of a new one, which announces itself every
 // second.
@@ -413,7 +416,8 @@
 RetryBudget::Allowed(const Service& aService, Time aNow)
 {
   const auto first = static_cast<double>(aService.mFirstAttempts.size());
-  return kUsableBudgetShare * (mOptions.mRatio * first + Share(aNow)) +
+  const double part = aNow >= mOptions.mSettledAt ? 1 : kStartingRatio;
+  return kUsableBudgetShare * (mOptions.mRatio * part * first + Share(aNow)) +
          mRounding;
 }
 
--- a/tests/introspective/RetryBudgetTests.cpp
+++ b/tests/introspective/RetryBudgetTests.cpp
@@ -484,7 +484,7 @@
   {
     const char* text = std::getenv("QUETZAL_TEST_FLEET_SEEDS");
     const unsigned seeds =
-      text == nullptr ? 12U : static_cast<unsigned>(std::atoi(text));
+      text == nullptr ? 24U : static_cast<unsigned>(std::atoi(text));
     for (int n = 0; n < static_cast<int>(HostTrouble::Last); ++n) {
       const auto trouble = static_cast<HostTrouble>(n);
       const std::string name(kTroubleNames.NameOf(trouble));
@@ -532,14 +532,14 @@
     RetryBudget budget;
     budget.Configure(options);
     budget.SetHosts({ "h0", "h1" }, At(1000));
-    // A twentieth of its share.
+    // A small part of its share.
     const int atStart = TakeAll(budget, 2000);
-    ExpectAbout(3.4, atStart);
-    // The ratio of its own first attempts is its own.
+    ExpectAbout(2, atStart);
+    // Most of the ratio of its own first attempts.
     for (int n = 0; n < 10; ++n) {
       budget.OnFirstAttempt(kService, At(3000));
     }
-    ExpectAbout(3.4 + 7.2 - atStart, TakeAll(budget, 3100));
+    ExpectAbout(2 + 6.5 - atStart, TakeAll(budget, 3100));
     ExpectAbout(67.5, TakeAll(budget, 30000));
   }
 
