--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -24,8 +24,8 @@
 // The process before it may have sent more within the window than its requests
 // in that window allow, so both have to fit into what kUsableBudgetShare
 // leaves.
-constexpr double kStartingShare = 0.03;
-constexpr double kStartingRatio = 0.9;
+constexpr double kStartingShare = 0.06;
+constexpr double kStartingRatio = 0.85;
 
 // Time in which all hosts hear of a new one, which announces itself every
 // second.
