Count at callers of whole fleets the requests that end without an answer

Kept connections, streams and plain requests, at three gateway processes, beside changes of the configuration in quick succession and beside silent sound targets. The fakes get whole configurations, targets that stand still for a while, a second service, a pace of targets and settings of gateways.

--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -69,9 +69,11 @@
                                int aLoadPort,
                                const std::vector<std::string>& aPeers,
                                std::size_t aIndex,
-                               const std::string& aStore)
+                               const std::string& aStore,
+                               const GatewayTestSettings& aSettings)
   : mName(std::move(aName))
   , mIp(std::move(aIp))
+  , mSettings(aSettings)
 {
   for (int n = 0; n < 3; ++n) {
     mPorts.push_back(FindFreePort(mIp));
@@ -87,17 +89,34 @@
   const int fd = ::mkstemp(path);
   ::close(fd);
   mSettingsFile = path;
-  std::ofstream(mSettingsFile)
-    << R"({"host":")" << mName << R"(","place":")" << aPlace
-    << R"(","region":"r","callers":")" << at(0) << R"(","readiness":")" << at(1)
-    << R"(","peers":")" << aPeers[aIndex] << R"(","loadPort":)" << aLoadPort
-    << R"(,"metrics":")" << at(2) << R"(","seeds":[)" << seeds
-    << R"(],"store":")" << aStore
-    << R"(","maxConnections":500,"linkMbps":100,"stopGraceS":8,"repeatRatio":0.8,)"
-    << R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
+  mFixedSettings = R"({"host":")" + mName + R"(","place":")" + aPlace +
+                   R"(","region":"r","callers":")" + at(0) +
+                   R"(","readiness":")" + at(1) + R"(","peers":")" +
+                   aPeers[aIndex] + R"(","loadPort":)" +
+                   std::to_string(aLoadPort) + R"(,"metrics":")" + at(2) +
+                   R"(","seeds":[)" + seeds + R"(],"store":")" + aStore +
+                   R"(","linkMbps":100,"repeatWindowS":10,"logLevel":"info")";
+  WriteSettings();
   StartProcess();
 }
 
+void
+GatewayProcess::WriteSettings() const
+{
+  std::ofstream(mSettingsFile)
+    << mFixedSettings << R"(,"maxConnections":)" << mSettings.mMaxConnections
+    << R"(,"stopGraceS":)" << mSettings.mStopGraceS << R"(,"repeatRatio":)"
+    << mSettings.mRetryRatio << R"(,"repeatAllowance":)"
+    << mSettings.mRetryAllowance << "}";
+}
+
+void
+GatewayProcess::ChangeSettings(const GatewayTestSettings& aSettings)
+{
+  mSettings = aSettings;
+  WriteSettings();
+}
+
 void
 GatewayProcess::Restart(int aSignal)
 {
@@ -215,6 +234,22 @@
   return fd;
 }
 
+int
+GatewayProcess::ConnectCaller(int aReceiveBytes) const
+{
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (aReceiveBytes > 0) {
+    ::setsockopt(
+      fd, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof aReceiveBytes);
+  }
+  const sockaddr_in to = SocketAddress(mIp, mPorts[0]);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) {
+    ::close(fd);
+    return -1;
+  }
+  return fd;
+}
+
 void
 GatewayProcess::CallAndDisconnect(const std::string& aBytes) const
 {
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -21,6 +21,15 @@
   bool mConnectionKept = false;
 };
 
+// Settings of a gateway process that tests vary.
+struct GatewayTestSettings
+{
+  int mMaxConnections = 500;
+  int mStopGraceS = 8;
+  double mRetryRatio = 0.8;
+  int mRetryAllowance = 150;
+};
+
 // Finds a port of a loopback address on which nothing listens; never returns
 // the same port twice.
 int
@@ -38,7 +47,8 @@
                  int aLoadPort,
                  const std::vector<std::string>& aPeers,
                  std::size_t aIndex,
-                 const std::string& aStore);
+                 const std::string& aStore,
+                 const GatewayTestSettings& aSettings = GatewayTestSettings());
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
   GatewayProcess& operator=(const GatewayProcess&) = delete;
@@ -47,6 +57,14 @@
   // empty if the connection fails.
   CallerAnswer Call(const std::string& aBytes) const;
 
+  // Opens a connection as a caller and returns its blocking socket, or -1 on
+  // failure. A positive aReceiveBytes limits what it holds of unread bytes.
+  int ConnectCaller(int aReceiveBytes = 0) const;
+
+  // Rewrites the settings file; the process reads it on SIGHUP or at its next
+  // start.
+  void ChangeSettings(const GatewayTestSettings& aSettings);
+
   // Sends bytes on a new connection, waits for the first byte of a response
   // and closes the connection.
   void CallAndDisconnect(const std::string& aBytes) const;
@@ -82,6 +100,7 @@
 
 private:
   void StartProcess();
+  void WriteSettings() const;
   int Connect(int aPort, const std::string& aBytes) const;
   CallerAnswer CallPort(int aPort, const std::string& aBytes) const;
 
@@ -90,6 +109,9 @@
   // Ports for callers, readiness checks and metrics, in this order.
   std::vector<int> mPorts;
   std::string mSettingsFile;
+  // Fields of the settings file that never change.
+  std::string mFixedSettings;
+  GatewayTestSettings mSettings;
   pid_t mProcess = -1;
   std::chrono::milliseconds mCallTimeout{ 20000 };
 };
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Interval between two events of a stream.
-constexpr auto kEventInterval = milliseconds(5);
-
 // Time for which a paused runner sends nothing and refuses connections.
 constexpr auto kRunnerPause = milliseconds(700);
 
@@ -28,6 +25,9 @@
 // Delay of a slow plain answer.
 constexpr auto kAnswerDelay = milliseconds(450);
 
+// Size of a large plain answer.
+constexpr std::size_t kLargeBodyBytes = 3U << 20U;
+
 // Number of events before the fault of a stream.
 constexpr int kEventsBeforeFault = 10;
 
@@ -85,6 +85,13 @@
   return text;
 }
 
+bool
+EndsWith(const std::string& aText, const std::string& aEnd)
+{
+  return aText.size() >= aEnd.size() &&
+         aText.compare(aText.size() - aEnd.size(), aEnd.size(), aEnd) == 0;
+}
+
 std::string
 EventText(int aId)
 {
@@ -117,10 +124,14 @@
 class GatewayTestCluster::Runner
 {
 public:
-  Runner(GatewayTestCluster& aCluster, std::string aName, std::string aPlace)
+  Runner(GatewayTestCluster& aCluster,
+         std::string aName,
+         std::string aPlace,
+         std::string aService)
     : mCluster(aCluster)
     , mName(std::move(aName))
     , mPlace(std::move(aPlace))
+    , mService(std::move(aService))
     , mPort(FindFreePort())
     , mListener(aCluster.mLoop,
                 [this](boost::asio::ip::tcp::socket aSocket) {
@@ -132,6 +143,7 @@
                      Register();
                    })
     , mExpiryTimer(aCluster.mLoop, [this] { RemoveFormerEntries(); })
+    , mStallTimer(aCluster.mLoop, [this] { EndStall(); })
   {
     Listen();
     Register();
@@ -148,17 +160,21 @@
   {
     const std::string born =
       mStarts == 0 ? std::string() : R"(,"born":)" + std::to_string(mStarts);
-    mCluster.SetEntry(mName, EntryOf(Address(mPort), mPlace, born));
+    mCluster.SetEntry(mName, EntryOf(mService, Address(mPort), mPlace, born));
   }
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
   void DropAll();
+  void BeginStall(Time aUntil);
+  void EndStall();
+  bool IsStalled() const { return mStallTimer.IsSet(); }
   void Crash();
   void RemoveFormerEntries();
 
   GatewayTestCluster& mCluster;
   std::string mName;
   std::string mPlace;
+  std::string mService;
   int mPort;
   // Restarts after a crash.
   int mStarts = 0;
@@ -169,6 +185,9 @@
   Listener mListener;
   Timer mListenTimer;
   Timer mExpiryTimer;
+  // Set while the runner stands still.
+  Timer mStallTimer;
+  Time mStalledUntil;
 };
 
 class GatewayTestCluster::RunnerConnection
@@ -189,6 +208,8 @@
     mSocket->Adopt(std::move(aSocket), *this);
   }
 
+  void SetStalled(bool aStalled) { mSocket->SetReading(!aStalled); }
+
   void Drop()
   {
     mEventTimer.Clear();
@@ -282,7 +303,7 @@
     if (aHead.mTarget.rfind("/stream/", 0) == 0 && mode != RunnerMode::Fail) {
       StartStream(aHead, head, mode);
     } else {
-      SendPlainAnswer(head, mode);
+      SendPlainAnswer(aHead, head, mode);
     }
   }
 
@@ -297,10 +318,15 @@
                    std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 
-  void SendPlainAnswer(const std::string& aHead, RunnerMode aMode)
+  void SendPlainAnswer(const HttpHead& aRequest,
+                       const std::string& aHead,
+                       RunnerMode aMode)
   {
-    const std::string whole =
-      "HTTP/1.1 200 OK\r\n" + aHead + "Content-Length: 5\r\n\r\nplain";
+    const std::string body =
+      EndsWith(aRequest.mTarget, "/large") ? LargeBody() : "plain";
+    const std::string whole = "HTTP/1.1 200 OK\r\n" + aHead +
+                              "Content-Length: " + std::to_string(body.size()) +
+                              "\r\n\r\n" + body;
     switch (aMode) {
       case RunnerMode::ResetImmediately:
         Drop();
@@ -338,7 +364,13 @@
                        "Content-Length: 0\r\n\r\n");
         break;
       default:
-        mSocket->Write(whole);
+        if (mRunner.mCluster.mPlainAnswerMs > 0) {
+          mDelayedAnswer = whole;
+          mEventTimer.ScheduleAt(EventLoop::Now() +
+                                 milliseconds(mRunner.mCluster.mPlainAnswerMs));
+        } else {
+          mSocket->Write(whole);
+        }
         break;
     }
   }
@@ -358,12 +390,17 @@
     mSocket->Write("HTTP/1.1 200 OK\r\n" + aFields +
                    "Content-Type: text/event-stream\r\n"
                    "Transfer-Encoding: chunked\r\n\r\n");
-    mEventTimer.ScheduleAt(EventLoop::Now());
+    mEventTimer.ScheduleAt(EventLoop::Now() +
+                           milliseconds(mRunner.mCluster.mFirstEventMs));
   }
 
   void SendNextEvent()
   {
     const RefPtr<RunnerConnection> self(this);
+    if (mRunner.IsStalled()) {
+      mEventTimer.ScheduleAt(mRunner.mStalledUntil);
+      return;
+    }
     if (!mDelayedAnswer.empty()) {
       mSocket->Write(std::exchange(mDelayedAnswer, std::string()));
       return;
@@ -375,8 +412,9 @@
       return;
     }
     const bool slow = mMode == RunnerMode::SlowTruncatedStream;
-    const Time next =
-      EventLoop::Now() + (slow ? kSlowEventInterval : kEventInterval);
+    const Time next = EventLoop::Now() +
+                      (slow ? kSlowEventInterval
+                            : milliseconds(mRunner.mCluster.mEventIntervalMs));
     const bool slowFaultDue =
       slow && mEvent - mStartEvent > kSlowEventsBeforeFault;
     if (slowFaultDue || (faultDue && mMode == RunnerMode::TruncatedStream)) {
@@ -421,6 +459,29 @@
   const auto connection = MakeRef<RunnerConnection>(*this);
   mConnections.insert(connection);
   connection->Start(std::move(aSocket));
+  if (static_cast<int>(mConnections.size()) > mCluster.mRunnerMaxConnections) {
+    connection->Drop();
+  } else if (IsStalled()) {
+    connection->SetStalled(true);
+  }
+}
+
+void
+GatewayTestCluster::Runner::BeginStall(Time aUntil)
+{
+  mStalledUntil = aUntil;
+  mStallTimer.ScheduleAt(aUntil);
+  for (const auto& it : mConnections) {
+    it->SetStalled(true);
+  }
+}
+
+void
+GatewayTestCluster::Runner::EndStall()
+{
+  for (const auto& it : mConnections) {
+    it->SetStalled(false);
+  }
 }
 
 void
@@ -466,11 +527,16 @@
 }
 
 GatewayTestCluster::GatewayTestCluster(const Options& aOptions)
+  : mSettings(aOptions.mSettings)
 {
   for (int n = 0; n < aOptions.mRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
-    mRunners[name] =
-      std::make_unique<Runner>(*this, name, "p" + std::to_string(n % 2));
+    const bool second = n >= aOptions.mRunners - aOptions.mSecondServiceRunners;
+    mRunners[name] = std::make_unique<Runner>(
+      *this,
+      name,
+      "p" + std::to_string(n % 2),
+      second ? TestConfiguration::kSecondService : TestConfiguration::kService);
   }
   for (int n = 0; n < aOptions.mGateways; ++n) {
     auto node = std::make_unique<GatewayNode>();
@@ -516,7 +582,8 @@
                                      mLoadPort,
                                      mPeers,
                                      aNumber,
-                                     Address(node.mStorePort));
+                                     Address(node.mStorePort),
+                                     mSettings);
 }
 
 void
@@ -682,45 +749,51 @@
 void
 GatewayTestCluster::Configure(const std::string& aKey)
 {
-  const auto route = [](const char* aName,
-                        const char* aKind,
-                        int aAttempts,
-                        int aTimeoutMs = 9000,
-                        int aLatencyMs = 3000) {
-    return std::string(R"({"Name":")") + aName +
-           R"(","Host":"host","PathPrefix":"/)" + aName + R"(/","Kind":")" +
-           aKind + R"(","TimeoutMs":)" + std::to_string(aTimeoutMs) +
-           R"(,"TargetLatencyMs":)" + std::to_string(aLatencyMs) +
-           R"(,"Priority":1,)" + R"("Service":"engines","MaxAttempts":)" +
-           std::to_string(aAttempts) +
-           R"(,"Public":false,"StreamResumption":true,"GapTargetMs":700})";
-  };
+  TestConfiguration configuration;
+  configuration.mWorkspaces = { { "w", { aKey }, 1 } };
+  AwaitConfiguration(Write(configuration));
+}
+
+long long
+GatewayTestCluster::Write(const TestConfiguration& aConfiguration)
+{
   long long version = 0;
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     version = mVersion + 1;
   }
-  Write(
-    "op",
-    "config",
-    R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
-      route("plain", "safe", 3) + "," + route("unsafe", "unsafe", 1) + "," +
-      route("stream", "streaming", 5) + "," + route("brief", "safe", 3, 300) +
-      "," + route("quick", "safe", 4, 1500, 300) +
-      R"(],"Services":[{"Name":"engines","HealthPath":"/health",)" +
-      R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)" +
-      R"("Backups":true,"Moves":true,"HandleS":4.0}}],)" +
-      R"("Limits":{"MaxHeaderBytes":16384,)" +
-      R"("MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)" +
-      R"("Tenants":[{"Name":"w","ApiKeys":[")" + aKey + R"("],"Priority":1}]})",
-    false);
-  const std::string in = std::to_string(version);
+  Write("op", "config", aConfiguration.ToJson(version), false);
+  return version;
+}
+
+void
+GatewayTestCluster::AwaitConfiguration(long long aVersion) const
+{
+  const std::string in = std::to_string(aVersion);
   Await([&](const GatewayProcess& aGateway) {
     return aGateway.Metric("quetzal_configuration_version") == in &&
            aGateway.Readiness() == 200;
   });
 }
 
+void
+GatewayTestCluster::Stall(const std::string& aRunner, milliseconds aTime)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  mLoop.Defer(
+    [&runner, aTime] { runner.BeginStall(EventLoop::Now() + aTime); });
+}
+
+void
+GatewayTestCluster::SetPace(milliseconds aFirstEvent,
+                            milliseconds aEventInterval,
+                            milliseconds aPlainAnswer)
+{
+  mFirstEventMs = static_cast<int>(aFirstEvent.count());
+  mEventIntervalMs = static_cast<int>(aEventInterval.count());
+  mPlainAnswerMs = static_cast<int>(aPlainAnswer.count());
+}
+
 void
 GatewayTestCluster::AwaitReady() const
 {
@@ -754,12 +827,14 @@
 }
 
 std::string
-GatewayTestCluster::EntryOf(const std::string& aAddress,
+GatewayTestCluster::EntryOf(const std::string& aService,
+                            const std::string& aAddress,
                             const std::string& aPlace,
                             const std::string& aExtraFields)
 {
-  return R"({"Service":"engines","Address":")" + aAddress + R"(","Zone":")" +
-         aPlace + R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1)" +
+  return R"({"Service":")" + aService + R"(","Address":")" + aAddress +
+         R"(","Zone":")" + aPlace +
+         R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1)" +
          aExtraFields + "}";
 }
 
@@ -905,6 +980,13 @@
   return runs;
 }
 
+const std::string&
+GatewayTestCluster::LargeBody()
+{
+  static const std::string kBody(kLargeBodyBytes, 'x');
+  return kBody;
+}
+
 std::string
 GatewayTestCluster::StreamBody()
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_TESTS_FAKES_GATEWAYTESTCLUSTER_H_INCLUDED
 
 #include "GatewayProcess.h"
+#include "TestConfiguration.h"
 
 #include "http/EventLoop.h"
 #include "http/HttpReader.h"
@@ -147,6 +148,9 @@
     int mLateGateways = 0;
     // Whether datagrams between gateways can be lost.
     bool mRelaysDatagrams = false;
+    // Runners, the last ones, that belong to kSecondService.
+    int mSecondServiceRunners = 0;
+    GatewayTestSettings mSettings{};
   };
 
   // Starts everything; the gateways are ready when this returns.
@@ -179,6 +183,20 @@
   // Number of gateways that have been started.
   std::size_t GatewayCount() const;
 
+  // Lets a sound runner's process stand still for a while: it neither reads nor
+  // sends, and new connections to it are established but not served. Nothing is
+  // lost, and it goes on afterwards.
+  void Stall(const std::string& aRunner, std::chrono::milliseconds aTime);
+
+  // Times of sound runners: until the first event of a stream, between its
+  // events, and until a plain answer.
+  void SetPace(std::chrono::milliseconds aFirstEvent,
+               std::chrono::milliseconds aEventInterval,
+               std::chrono::milliseconds aPlainAnswer);
+
+  // Connections that a runner accepts before it resets further ones.
+  void SetRunnerMaxConnections(int aCount) { mRunnerMaxConnections = aCount; }
+
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
@@ -186,6 +204,12 @@
   // gateways have applied it.
   void Configure(const std::string& aKey);
 
+  // Writes a configuration and returns its version, without waiting.
+  long long Write(const TestConfiguration& aConfiguration);
+
+  // Waits until all running gateways have applied a version and are ready.
+  void AwaitConfiguration(long long aVersion) const;
+
   // Waits until all running gateways are ready.
   void AwaitReady() const;
 
@@ -237,6 +261,9 @@
   // Requests that runners started to run.
   std::vector<RunnerRequest> Runs();
 
+  // Body of the plain answer to a request whose path ends with "/large".
+  static const std::string& LargeBody();
+
   // Complete body of a stream.
   static std::string StreamBody();
 
@@ -274,7 +301,8 @@
     const quetzalquay::HttpHead& aHead,
     const std::string& aBody);
   void ApplyTransaction(const std::string& aBody);
-  static std::string EntryOf(const std::string& aAddress,
+  static std::string EntryOf(const std::string& aService,
+                             const std::string& aAddress,
                              const std::string& aPlace,
                              const std::string& aExtraFields);
   void Write(const std::string& aTable,
@@ -291,6 +319,12 @@
   std::mutex mMutex;
   std::map<std::string, std::map<std::string, Row>> mTables;
   long long mVersion = 0;
+  GatewayTestSettings mSettings;
+  // Pace of sound runners, in ms.
+  std::atomic<int> mFirstEventMs{ 0 };
+  std::atomic<int> mEventIntervalMs{ 5 };
+  std::atomic<int> mPlainAnswerMs{ 0 };
+  std::atomic<int> mRunnerMaxConnections{ 1000000 };
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
   std::atomic<int> mCrashCount{ 0 };
   std::vector<std::unique_ptr<DatagramRelay>> mRelays;
