Retry a plain call whose latency objective passes together with another's

Callers got 504 after the latency objective of an idempotent route, long before their deadline, instead of a retry at another target. Cause: timers that are due within 4 ms fire together, so an attempt's timer may fire up to 4 ms early; PlainExchange took an early timer for the deadline of the request. Evidence: 24 requests at a silent target at once, SilentRunnerTests failed 4 of 4 runs (504) and passes 5 of 5 with the change. Whether the timer is the last one is now told by what it was set for. Ruled out: the retry budget (not configured to its limit in the test).

--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -254,7 +254,7 @@
     mConnection->Abort();
     EndAttempt(AttemptOutcome::Released);
   }
-  if (now >= mCall.mDeadline || now < mAttemptDeadline) {
+  if (mAttemptDeadline >= mCall.mDeadline) {
     Failure failure;
     failure.mCode = FailureCode::DeadlineExceeded;
     failure.mVerdict =
