Leave a silent target only when another one can take the stream

Callers lost streams 10 s after a sound target had been silent for about a second: the connection was closed without the last chunk, although the target went on. Cause: a target that did not answer a probe was left at once, and only then another one was sought; with the retry budget or the runs of the route used up there was none, and the recovery timeout ended the answer. "Silent" was taken for "lost". Now the stream keeps its connection until another target is chosen, which is tried every 50 ms; an event of the silent target ends the search. The same for a target that answers but whose stream is silent.

In SilentTargetTests 3 of 5 tests failed before (the two that a stream is kept, the one that its queue entry is withdrawn). Ruled out: silence of one target, a place or a whole service with retries left, and changes of the configuration alone lose none, before and after.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -27,6 +27,10 @@
 // Delay before an exhausted retry budget is checked again.
 constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(50);
 
+// Interval at which another target is sought for a stream whose target is
+// silent.
+constexpr Duration kSilentTargetRetryDelay = std::chrono::milliseconds(50);
+
 // Retry-After of a request refused for lack of capacity.
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
@@ -80,6 +84,7 @@
     ++mCounters.mLateEvents;
     return actions;
   }
+  StopLeavingSilentTarget();
   if (!MatchesRequest(aEvent)) {
     HandleMismatchedEvent(aNow, actions);
     return actions;
@@ -110,6 +115,7 @@
   if (!listening || aAttempt != mAttempt) {
     return actions;
   }
+  StopLeavingSilentTarget();
   switch (aEnd) {
     case AttemptEnd::Refused:
     case AttemptEnd::Unreachable:
@@ -149,6 +155,8 @@
       HandleTargetLoss(true, aNow, actions);
       break;
     case ProbeResult::NoAnswer:
+      HandleSilentTarget(aNow, actions);
+      break;
     case ProbeResult::RunLost:
       HandleTargetLoss(false, aNow, actions);
       break;
@@ -228,7 +236,11 @@
       ChooseTarget(aNow, actions);
       break;
     case Phase::Streaming:
-      Probe(aNow, actions);
+      if (mTargetIsSilent) {
+        HandleSilentTarget(aNow, actions);
+      } else {
+        Probe(aNow, actions);
+      }
       break;
     case Phase::Cancelling:
       CancelCurrentAttempt(true, actions);
@@ -353,6 +365,7 @@
   mAttemptOpen = true;
   mAttemptHasProduced = false;
   mReattached = false;
+  mTargetIsSilent = false;
   if (!mTokens.empty()) {
     ++mCounters.mContinuations;
   } else {
@@ -458,6 +471,58 @@
   AwaitLostTarget(aNow, aActions);
 }
 
+// Moves the stream away from a target that is silent but may still be running
+// it. Until another target can take the stream, its connection stays open,
+// because the target may go on.
+void
+Generation::HandleSilentTarget(Time aNow, Actions& aActions)
+{
+  const bool movable = mSpec.mIdempotent && mAttemptOpen;
+  if (!movable || mSpec.mPolicy.mRestartInFull) {
+    HandleTargetLoss(false, aNow, aActions);
+    return;
+  }
+  mTargetIsSilent = true;
+  mMayHaveStarted = true;
+  if (!TryLeaveSilentTarget(aNow, aActions)) {
+    mPhase = Phase::Streaming;
+    mTimerAt = aNow + kSilentTargetRetryDelay;
+  }
+}
+
+bool
+Generation::TryLeaveSilentTarget(Time aNow, Actions& aActions)
+{
+  if (mSpec.mMaxRuns > 0 && mRuns >= mSpec.mMaxRuns) {
+    return false;
+  }
+  ChoiceQuery query = mSpec.mQuery;
+  query.mExcluded.push_back(mTarget);
+  query.mContinuation = !mTokens.empty();
+  query.mIsRetry = true;
+  const Choice choice = mChooser.Choose(query, aNow);
+  if (choice.mStatus != ChoiceStatus::Chosen) {
+    return false;
+  }
+  ++mCounters.mLosses;
+  Exclude(mTarget);
+  CancelCurrentAttempt(false, aActions);
+  mRecoveryDeadline =
+    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  Dispatch(choice, aNow, aActions);
+  return true;
+}
+
+// The silent target has gone on, or its attempt has ended.
+void
+Generation::StopLeavingSilentTarget()
+{
+  if (mTargetIsSilent) {
+    mTargetIsSilent = false;
+    mChooser.CancelWait(mSpec.mQuery);
+  }
+}
+
 void
 Generation::AwaitLostTarget(Time aNow, Actions& aActions)
 {
@@ -576,14 +641,18 @@
                                    : mSpec.mPolicy.mFirstTokenTimeout;
   const bool silentTooLong = aNow - mLastProgressAt >= reattachAfter;
   if (hasStream && (connectionEnded || silentTooLong)) {
-    Reattach(aNow, aActions);
+    if (mSpec.mPolicy.mCanReattach) {
+      Reattach(aNow, aActions);
+    } else {
+      HandleSilentTarget(aNow, aActions);
+    }
     return;
   }
   const bool unstarted =
     !hasStream && mSpec.mIdempotent &&
     aNow - mLastProgressAt >= mSpec.mPolicy.mFirstTokenTimeout;
   if (connectionEnded || unstarted) {
-    HandleTargetLoss(false, aNow, aActions);
+    HandleSilentTarget(aNow, aActions);
     return;
   }
   mPhase = Phase::Streaming;
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -131,6 +131,10 @@
   // Returns whether a target may have started this request.
   bool MayHaveStarted() const { return mMayHaveStarted; }
 
+  // Returns whether the current target is silent and the stream waits for
+  // another one or for its next event, whichever comes first.
+  bool IsTargetSilent() const { return mTargetIsSilent; }
+
   // Returns the counters since the start.
   const GenerationCounters& Counters() const { return mCounters; }
 
@@ -159,6 +163,9 @@
   void Reattach(Time aNow, Actions& aActions);
   void Probe(Time aNow, Actions& aActions);
   void HandleTargetLoss(bool aKnownStopped, Time aNow, Actions& aActions);
+  void HandleSilentTarget(Time aNow, Actions& aActions);
+  bool TryLeaveSilentTarget(Time aNow, Actions& aActions);
+  void StopLeavingSilentTarget();
   void AwaitLostTarget(Time aNow, Actions& aActions);
   void FailOver(Time aNow, Actions& aActions);
   void RestartInFull(Time aNow, Actions& aActions);
@@ -208,6 +215,8 @@
   // known to have ended.
   bool mAttemptOpen = false;
   bool mMayHaveStarted = false;
+  // Whether the stream moves as soon as another target can take it.
+  bool mTargetIsSilent = false;
   GenerationCounters mCounters;
 };
 
--- a/src/quetzalquay/core/RecoveryPolicy.cpp
+++ b/src/quetzalquay/core/RecoveryPolicy.cpp
@@ -32,6 +32,7 @@
   policy.mMaxProbeInterval = milliseconds(60000);
   policy.mProbeTimeout = milliseconds(250);
   policy.mProbeOnReset = false;
+  policy.mCanReattach = true;
   policy.mReattachAfter = milliseconds(1500);
   policy.mRetryDelay = milliseconds(20);
   policy.mRecoveryTimeout = milliseconds(10000);
--- a/src/quetzalquay/core/RecoveryPolicy.h
+++ b/src/quetzalquay/core/RecoveryPolicy.h
@@ -43,7 +43,10 @@
   Duration mProbeTimeout;
   // Whether a target that reset the connection is probed before failing over.
   bool mProbeOnReset;
-  // Time without a token after which the router reattaches to a live target.
+  // Whether a new connection can read a stream that is already running.
+  bool mCanReattach;
+  // Time without a token after which the router reattaches to a live target,
+  // or moves the stream if it cannot reattach.
   Duration mReattachAfter;
   // Whether a lost stream continues on any target, regardless of its load.
   bool mRandomTarget;
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -109,6 +109,19 @@
         { "note", mLogNote } });
 }
 
+void
+Exchange::LogSilentTargetKept() const
+{
+  mContext.mMetrics.Add(GatewayCounter::SilentTargetsKept);
+  Log(LogLevel::Info,
+      "request",
+      "waiting for a silent target",
+      { { "request", mCall.mRequest.mRequestId },
+        { "target", mLastTarget },
+        { "tries", std::to_string(mAttempts) },
+        { "max_tries", std::to_string(mCall.mRoute->mMaxAttempts) } });
+}
+
 int
 ToHttpStatus(const Failure& aFailure)
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -107,6 +107,9 @@
   // empty for a request without events.
   void LogAttemptFailure(const std::string& aAfterEvent) const;
 
+  // Logs and counts that the request waits for its silent target.
+  void LogSilentTargetKept() const;
+
   // Logs the end of the request in one line and counts it in the metrics.
   // aReason is the message of a failure.
   void LogCompletion(const char* aOutcome,
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -47,6 +47,8 @@
     "Retries taken from what other hosts have granted" },
   { "quetzal_retries_refused_total",
     "Retries that the retry budget did not allow" },
+  { "quetzal_silent_targets_kept_total",
+    "Silent targets that were waited for as no other could take the request" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -33,6 +33,7 @@
   OwnRetries,
   GrantedRetries,
   RetriesRefused,
+  SilentTargetsKept,
   Last,
 };
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -50,6 +50,7 @@
   policy.mSilenceGapFactor = kSilenceGapFactor;
   policy.mMinSilenceTimeout = kMinSilenceTimeout;
   policy.mProbeTimeout = kProbeTimeout;
+  policy.mCanReattach = false;
   policy.mMaxProbeInterval = kMaxProbeInterval;
   return policy;
 }
@@ -266,8 +267,12 @@
         self->ReleaseAttempt(AttemptOutcome::Lost);
       }
       self->UpdateChoiceInputs(at);
-      self->PerformActions(
-        self->mStateMachine.OnProbeResult(attempt, result, at));
+      const Actions actions =
+        self->mStateMachine.OnProbeResult(attempt, result, at);
+      if (self->mStateMachine.IsTargetSilent()) {
+        self->LogSilentTargetKept();
+      }
+      self->PerformActions(actions);
     });
 }
 
--- /dev/null
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -0,0 +1,211 @@
+#include "core/Generation.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <vector>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Time kStart = Time() + std::chrono::hours(1);
+const Time kDeadline = kStart + std::chrono::seconds(25);
+
+// Longer than any interval at which a silent target is checked.
+constexpr Duration kSilence = milliseconds(2000);
+
+constexpr ChoiceStatus kUnavailable[] = { ChoiceStatus::NoneReady,
+                                          ChoiceStatus::Busy,
+                                          ChoiceStatus::Poison,
+                                          ChoiceStatus::NoBudget,
+                                          ChoiceStatus::Undecided };
+
+// Offers one target, or none with a given status.
+class SingleOffer : public TargetChooser
+{
+public:
+  Choice Choose(const ChoiceQuery& aQuery, Time) override
+  {
+    mLastQuery = aQuery;
+    Choice choice;
+    choice.mStatus = mStatus;
+    if (mStatus == ChoiceStatus::Chosen) {
+      choice.mTarget = mTarget;
+    }
+    return choice;
+  }
+  void CancelWait(const ChoiceQuery&) override { ++mCancelledWaits; }
+
+  ChoiceStatus mStatus = ChoiceStatus::Chosen;
+  std::string mTarget = "first";
+  ChoiceQuery mLastQuery;
+  int mCancelledWaits = 0;
+};
+
+// An idempotent stream on target "first" that has delivered one event.
+class StartedStream
+{
+public:
+  explicit StartedStream(int aMaxRuns = 0)
+    : mGeneration(MakeSpec(aMaxRuns), mChooser)
+  {
+    Perform(mGeneration.Start(mNow));
+    Deliver(0);
+  }
+
+  // Passes time, with each probe answered by aResult.
+  void Wait(Duration aTime, ProbeResult aResult)
+  {
+    const Time end = mNow + aTime;
+    while (!mGeneration.IsDone() && mGeneration.NextTimer() <= end) {
+      mNow = mGeneration.NextTimer();
+      Perform(mGeneration.OnTimer(mNow));
+      if (mProbed) {
+        mProbed = false;
+        Perform(mGeneration.OnProbeResult(
+          mGeneration.CurrentAttempt(), aResult, mNow));
+      }
+    }
+    mNow = end;
+  }
+
+  // Delivers an event of the current attempt.
+  void Deliver(int aIndex)
+  {
+    StreamEvent event;
+    event.mRequestId = "r";
+    event.mAttempt = mGeneration.CurrentAttempt();
+    event.mGeneration = "g";
+    event.mIndex = aIndex;
+    event.mText = "text";
+    Perform(mGeneration.OnEvent(event, mNow));
+  }
+
+  SingleOffer mChooser;
+  Generation mGeneration;
+  std::vector<std::string> mDispatches;
+  int mCancelled = 0;
+  int mDelivered = 0;
+  int mReattached = 0;
+  int mFailures = 0;
+
+private:
+  static GenerationSpec MakeSpec(int aMaxRuns)
+  {
+    GenerationSpec spec;
+    spec.mRequestId = "r";
+    spec.mIdempotent = true;
+    spec.mResumable = true;
+    spec.mMaxRuns = aMaxRuns;
+    spec.mDeadline = kDeadline;
+    spec.mPolicy = RecoveryPolicy::Of(RecoveryPreset::LowLatency);
+    spec.mPolicy.mCanReattach = false;
+    return spec;
+  }
+
+  void Perform(const Actions& aActions)
+  {
+    for (const Action& it : aActions) {
+      if (const auto* sent = std::get_if<DispatchAttempt>(&it)) {
+        mDispatches.push_back(sent->mTarget);
+      }
+      mProbed = mProbed || std::holds_alternative<ProbeTarget>(it);
+      mCancelled += std::holds_alternative<CancelAttempt>(it) ? 1 : 0;
+      mDelivered += std::holds_alternative<DeliverText>(it) ? 1 : 0;
+      mReattached += std::holds_alternative<ReattachStream>(it) ? 1 : 0;
+      mFailures += std::holds_alternative<FailResponse>(it) ? 1 : 0;
+    }
+  }
+
+  Time mNow = kStart;
+  bool mProbed = false;
+};
+
+} // namespace
+
+class SilentTargetTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SilentTargetTests);
+  CPPUNIT_TEST(StreamStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
+  CPPUNIT_TEST(StreamWithoutRunsLeftStaysAtItsSilentTarget);
+  CPPUNIT_TEST(StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt);
+  CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
+  CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Streams were broken off although their targets were only silent for a
+  // second, because no other target was available meanwhile.
+  void StreamStaysAtItsSilentTargetWhileNoOtherCanTakeIt()
+  {
+    for (const ChoiceStatus status : kUnavailable) {
+      StartedStream stream;
+      stream.mChooser.mStatus = status;
+      stream.Wait(kSilence, ProbeResult::NoAnswer);
+      stream.Deliver(1);
+      CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mCancelled);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+    }
+  }
+
+  // Streams were broken off when a silence used up their last run.
+  void StreamWithoutRunsLeftStaysAtItsSilentTarget()
+  {
+    StartedStream stream(1);
+    stream.mChooser.mTarget = "second";
+    stream.Wait(kSilence, ProbeResult::NoAnswer);
+    stream.Deliver(1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
+  // Streams were broken off when their target answered probes but sent no
+  // event for a while.
+  void StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt()
+  {
+    StartedStream stream;
+    stream.mChooser.mStatus = ChoiceStatus::NoBudget;
+    stream.Wait(kSilence, ProbeResult::Alive);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mReattached);
+    stream.Deliver(1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
+  // Guards against a stream that waits for a dead target although another one
+  // has become available.
+  void StreamLeavesItsSilentTargetOnceAnotherCanTakeIt()
+  {
+    StartedStream stream;
+    stream.mChooser.mStatus = ChoiceStatus::NoBudget;
+    stream.Wait(kSilence, ProbeResult::NoAnswer);
+    stream.mChooser.mStatus = ChoiceStatus::Chosen;
+    stream.mChooser.mTarget = "second";
+    stream.Wait(milliseconds(100), ProbeResult::NoAnswer);
+    const std::vector<std::string> expected = { "first", "second" };
+    CPPUNIT_ASSERT(stream.mDispatches == expected);
+    CPPUNIT_ASSERT_EQUAL(1, stream.mCancelled);
+    CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mIsRetry);
+    CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mContinuation);
+    CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mExcluded ==
+                   std::vector<std::string>{ "first" });
+  }
+
+  // Guards against a needless second run of a stream that has gone on.
+  void StreamThatWentOnDoesNotLeaveItsTarget()
+  {
+    StartedStream stream;
+    stream.mChooser.mStatus = ChoiceStatus::Busy;
+    stream.Wait(kSilence, ProbeResult::NoAnswer);
+    stream.Deliver(1);
+    CPPUNIT_ASSERT(stream.mChooser.mCancelledWaits > 0);
+    stream.mChooser.mStatus = ChoiceStatus::Chosen;
+    stream.mChooser.mTarget = "second";
+    stream.Wait(milliseconds(100), ProbeResult::NoAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), stream.mDispatches.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SilentTargetTests);
