Leave a silent target only when another one can take the plain call

Idempotent plain calls ended with an error at their latency objective when their target was silent and no other one could take them (none ready, retry budget or runs used up), although the target would have answered before the deadline. Cause: the attempt was aborted first, another target sought afterwards. Now the attempt goes on until its deadline or until another target is chosen. A call that may run once stays as it was. Ruled out as a cause of answers that are missing: these calls got an answer, if a needless failure.

--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -64,13 +64,37 @@
   return TryNextTarget(aNow);
 }
 
+std::optional<TryTarget>
+PlainCall::OnSilence(Time aNow)
+{
+  const int runs = mRuns + 1;
+  if (!mIdempotent || aNow >= mDeadline || !HasAttemptsLeft(runs)) {
+    return std::nullopt;
+  }
+  mQuery.mIsRetry = true;
+  const Choice choice = mChooser.Choose(mQuery, aNow);
+  if (choice.mStatus != ChoiceStatus::Chosen) {
+    mChooser.CancelWait(mQuery);
+    return std::nullopt;
+  }
+  mRuns = runs;
+  mMayHaveStarted = true;
+  return StartAttempt(choice);
+}
+
+bool
+PlainCall::HasAttemptsLeft(int aRuns) const
+{
+  return aRuns < mMaxRuns && mAttempt < mMaxRuns + kMaxRejections;
+}
+
 PlainStep
 PlainCall::TryNextTarget(Time aNow)
 {
   if (aNow >= mDeadline) {
     return Fail(FailureCode::DeadlineExceeded, "the deadline has passed");
   }
-  if (mRuns >= mMaxRuns || mAttempt >= mMaxRuns + kMaxRejections) {
+  if (!HasAttemptsLeft(mRuns)) {
     return Fail(FailureCode::Overloaded,
                 "every attempted target failed the call");
   }
@@ -97,11 +121,17 @@
   if (choice.mStatus != ChoiceStatus::Chosen) {
     return Fail(FailureCode::NoTarget, "no target is ready for this call");
   }
+  return StartAttempt(choice);
+}
+
+TryTarget
+PlainCall::StartAttempt(const Choice& aChoice)
+{
   ++mAttempt;
-  mQuery.mExcluded.push_back(choice.mTarget);
+  mQuery.mExcluded.push_back(aChoice.mTarget);
   TryTarget step;
   step.mAttempt = mAttempt;
-  step.mTarget = choice.mTarget;
+  step.mTarget = aChoice.mTarget;
   return step;
 }
 
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -5,6 +5,7 @@
 #include "core/TargetChooser.h"
 #include "core/Time.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -65,8 +66,15 @@
   // Returns the next step after an attempt has ended.
   PlainStep OnResult(PlainResult aResult, Time aNow);
 
+  // Returns the attempt that replaces one whose target is silent, or nothing
+  // while no other target can take the call. The silent target may still
+  // respond, so its attempt is abandoned only for another one.
+  std::optional<TryTarget> OnSilence(Time aNow);
+
 private:
   PlainStep TryNextTarget(Time aNow);
+  bool HasAttemptsLeft(int aRuns) const;
+  TryTarget StartAttempt(const Choice& aChoice);
   PlainStep Fail(FailureCode aCode, const char* aMessage);
 
   ChoiceQuery mQuery;
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -11,6 +11,9 @@
 
 constexpr int kFirstServerErrorStatus = 500;
 
+// Interval at which another target is sought for a call whose target is silent.
+constexpr Duration kSilenceRetryDelay = std::chrono::milliseconds(50);
+
 ChoiceQuery
 MakeChoiceQuery(const RoutedCall& aCall)
 {
@@ -58,10 +61,7 @@
     return;
   }
   Finish();
-  if (mConnection != nullptr) {
-    mConnection->Abort();
-    EndAttempt(AttemptOutcome::Released);
-  }
+  AbandonAttempt();
   mContext.mMetrics.Add(GatewayCounter::CallerDisconnects);
   LogCompletion("caller_gone", 0);
 }
@@ -88,6 +88,7 @@
     LogRetry(now);
   }
   mHasResponse = false;
+  mWaitsForSilentTarget = false;
   mResponseBody.clear();
   mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContentHash, now);
   mConnection = mContext.mPool.Acquire(aTarget);
@@ -245,27 +246,56 @@
 PlainExchange::OnTimer()
 {
   const RefPtr<Exchange> self(this);
-  const Time now = EventLoop::Now();
   if (mDone) {
     return;
   }
+  if (mAttemptDeadline >= mCall.mDeadline) {
+    FailAtDeadline();
+  } else {
+    HandleSilence(EventLoop::Now());
+  }
+}
+
+void
+PlainExchange::FailAtDeadline()
+{
   const bool sent = mConnection != nullptr && mConnection->HasSent();
+  AbandonAttempt();
+  Failure failure;
+  failure.mCode = FailureCode::DeadlineExceeded;
+  failure.mVerdict =
+    sent || mAttempts > 1 ? RunVerdict::OutcomeUnknown : RunVerdict::NotRun;
+  failure.mMessage = "the target did not respond before the deadline";
+  Fail(failure);
+}
+
+// Sends the call to another target if one can take it; else waits for the
+// silent one.
+void
+PlainExchange::HandleSilence(Time aNow)
+{
+  const auto next = mStateMachine.OnSilence(aNow);
+  if (next) {
+    mLogNote = "target_silent";
+    AbandonAttempt();
+    SendAttempt(next->mTarget);
+    return;
+  }
+  if (!mWaitsForSilentTarget) {
+    mWaitsForSilentTarget = true;
+    LogSilentTargetKept();
+  }
+  mAttemptDeadline = std::min(mCall.mDeadline, aNow + kSilenceRetryDelay);
+  mTimer.ScheduleAt(mAttemptDeadline);
+}
+
+void
+PlainExchange::AbandonAttempt()
+{
   if (mConnection != nullptr) {
     mConnection->Abort();
     EndAttempt(AttemptOutcome::Released);
   }
-  if (mAttemptDeadline >= mCall.mDeadline) {
-    Failure failure;
-    failure.mCode = FailureCode::DeadlineExceeded;
-    failure.mVerdict =
-      sent || mAttempts > 1 ? RunVerdict::OutcomeUnknown : RunVerdict::NotRun;
-    failure.mMessage = "the target did not respond before the deadline";
-    Fail(failure);
-    return;
-  }
-  mLogNote = "target_silent";
-  PerformStep(mStateMachine.OnResult(
-    sent ? PlainResult::Broken : PlainResult::NotStarted, now));
 }
 
 void
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -36,6 +36,9 @@
   void Fail(const Failure& aFailure);
   void EndAttempt(AttemptOutcome aOutcome);
   void OnTimer();
+  void FailAtDeadline();
+  void HandleSilence(Time aNow);
+  void AbandonAttempt();
   void LogRetry(Time aNow) const;
   void Finish();
   bool IsIdempotent() const;
@@ -49,7 +52,8 @@
   std::string mResponseBody;
   bool mHasResponse = false;
   bool mDone = false;
-  // When an attempt without a response is abandoned for another one.
+  bool mWaitsForSilentTarget = false;
+  // When another target is sought for an attempt without a response.
   Time mAttemptDeadline;
   Timer mTimer;
 };
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -1,4 +1,5 @@
 #include "core/Generation.h"
+#include "core/PlainCall.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -132,6 +133,9 @@
   CPPUNIT_TEST(StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
+  CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
+  CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
+  CPPUNIT_TEST(NonIdempotentCallNeverLeavesItsSilentTarget);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +210,53 @@
     stream.Wait(milliseconds(100), ProbeResult::NoAnswer);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), stream.mDispatches.size());
   }
+
+  // Plain calls failed after their objective although their target would have
+  // responded, because no other target was available.
+  void PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt()
+  {
+    for (const ChoiceStatus status : kUnavailable) {
+      SingleOffer chooser;
+      PlainCall call({}, true, kDeadline, chooser);
+      call.Start(kStart);
+      chooser.mStatus = status;
+      CPPUNIT_ASSERT(!call.OnSilence(kStart + kSilence));
+    }
+    SingleOffer chooser;
+    PlainCall call({}, true, kDeadline, chooser, 1);
+    call.Start(kStart);
+    CPPUNIT_ASSERT(!call.OnSilence(kStart + kSilence));
+  }
+
+  // Guards against a call that waits for a dead target although another one is
+  // available, and against more runs than the route allows.
+  void PlainCallLeavesItsSilentTargetForAnother()
+  {
+    SingleOffer chooser;
+    PlainCall call({}, true, kDeadline, chooser, 2);
+    call.Start(kStart);
+    chooser.mTarget = "second";
+    const auto next = call.OnSilence(kStart + kSilence);
+    CPPUNIT_ASSERT(next.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), next->mTarget);
+    CPPUNIT_ASSERT(chooser.mLastQuery.mExcluded ==
+                   std::vector<std::string>{ "first" });
+    CPPUNIT_ASSERT(!call.OnSilence(kStart + kSilence));
+    const PlainStep step = call.OnResult(PlainResult::Broken, kStart);
+    CPPUNIT_ASSERT(std::holds_alternative<FailCall>(step));
+    CPPUNIT_ASSERT(std::get<FailCall>(step).mFailure.mVerdict ==
+                   RunVerdict::OutcomeUnknown);
+  }
+
+  // Guards against a second run of a call that may run at most once.
+  void NonIdempotentCallNeverLeavesItsSilentTarget()
+  {
+    SingleOffer chooser;
+    PlainCall call({}, false, kDeadline, chooser);
+    call.Start(kStart);
+    chooser.mTarget = "second";
+    CPPUNIT_ASSERT(!call.OnSilence(kStart + kSilence));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentTargetTests);
