Log and count callers' connections that end with unfinished bytes

Nothing told which connections the gateway ended with bytes of a request that was not handled, or with an answer that the system had not taken, nor which it turned away.

Ends that the caller caused are not counted; its request has its own line.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -101,12 +101,15 @@
 }
 
 void
-CallerConnection::Close()
+CallerConnection::Close(std::optional<ConnectionEnd> aEnd)
 {
   if (mClosed) {
     return;
   }
   const RefPtr<CallerConnection> self(this);
+  if (aEnd) {
+    ReportUnfinishedBytes(*aEnd);
+  }
   mClosed = true;
   mTimer.Clear();
   mSocket->Close();
@@ -135,7 +138,7 @@
 void
 CallerConnection::OnEnd(SocketEnd)
 {
-  Close();
+  Close(std::nullopt);
 }
 
 void
@@ -330,7 +333,7 @@
 CallerConnection::SendChunk(std::string_view aBytes)
 {
   if (mSocket->UnwrittenBytes() > kMaxUnsentBytes) {
-    Close();
+    Close(ConnectionEnd::SlowReader);
     return;
   }
   std::array<char, 20> size{};
@@ -354,8 +357,9 @@
     mExchange = nullptr;
     --mServer.mExchangeCount;
   }
+  ReportUnfinishedBytes(ConnectionEnd::BrokenOff);
   mSocket->CloseAfterWrites();
-  Close();
+  Close(std::nullopt);
 }
 
 // Prepares for the next request once the response has been written, or closes
@@ -370,6 +374,7 @@
   mHandlingRequest = false;
   mContinueSent = false;
   if (!mKeepAlive) {
+    ReportUnfinishedBytes(ConnectionEnd::Answered);
     mSocket->CloseAfterWrites();
     mClosed = true;
     mTimer.Clear();
@@ -403,16 +408,41 @@
            "the request head was not received in time");
     return;
   }
-  Close();
+  Close(ConnectionEnd::Idle);
+}
+
+// Logs the bytes that are lost if the connection ends now.
+void
+CallerConnection::ReportUnfinishedBytes(ConnectionEnd aEnd)
+{
+  UnfinishedBytes bytes;
+  // What follows a malformed request is no request.
+  if (mReader.Progress() != HttpProgress::Broken) {
+    const bool partial =
+      mReader.HasStarted() && mReader.Progress() != HttpProgress::Complete;
+    bytes.mReceived =
+      mUnparsedInput.size() + mSocket->UnreadBytes() + (partial ? 1 : 0);
+  }
+  // After an answer the output is still sent.
+  if (aEnd != ConnectionEnd::Answered && aEnd != ConnectionEnd::BrokenOff) {
+    bytes.mUnsent = mSocket->UnwrittenBytes();
+  }
+  if (bytes.mReceived > 0 || bytes.mUnsent > 0) {
+    mServer.mLog.OnCut(aEnd, bytes, mRequest.mRequestId, EventLoop::Now());
+  }
 }
 
 CallerServer::CallerServer(GatewayContext& aContext, int aMaxConnections)
   : mContext(aContext)
   , mMaxConnections(aMaxConnections)
   , mRandom(std::random_device{}())
+  , mLog(aContext.mMetrics)
   , mListener(aContext.mLoop, [this](tcp::socket aSocket) {
     const auto limit = static_cast<std::size_t>(mMaxConnections);
-    if (mConnections.size() + mContext.mPool.OpenConnectionCount() >= limit) {
+    const std::size_t open =
+      mConnections.size() + mContext.mPool.OpenConnectionCount();
+    if (open >= limit) {
+      mLog.OnTurnedAway(open, EventLoop::Now());
       return;
     }
     auto connection = MakeRef<CallerConnection>(*this);
@@ -435,7 +465,7 @@
   const auto connections = mConnections;
   for (const RefPtr<CallerConnection>& it : connections) {
     if (it->IsIdle()) {
-      it->Close();
+      it->Close(ConnectionEnd::Stopping);
     }
   }
 }
@@ -446,7 +476,7 @@
   mListener.Close();
   while (!mConnections.empty()) {
     const RefPtr<CallerConnection> first = *mConnections.begin();
-    first->Close();
+    first->Close(ConnectionEnd::Exiting);
   }
 }
 
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_CALLERCONNECTION_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_CALLERCONNECTION_H_INCLUDED
 
+#include "gateway/ConnectionLog.h"
 #include "gateway/Exchange.h"
 #include "http/HttpReader.h"
 #include "http/SimpleHttpServer.h"
@@ -32,8 +33,9 @@
   // Whether no request is being received or handled.
   bool IsIdle() const;
 
-  // Closes the connection and cancels the exchange in progress.
-  void Close();
+  // Closes the connection and cancels the exchange in progress. aEnd is the
+  // reason of the gateway, nothing when the caller has ended the connection.
+  void Close(std::optional<ConnectionEnd> aEnd);
 
 private:
   void OnData(std::string_view aData) override;
@@ -57,6 +59,7 @@
   void RejectMalformed();
   void EndRequest();
   void OnTimer();
+  void ReportUnfinishedBytes(ConnectionEnd aEnd);
   std::string FormatStatusLine(int aStatus, const std::string& aReason) const;
 
   CallerServer& mServer;
@@ -113,6 +116,7 @@
   bool mDraining = false;
   bool mAcceptsRequests = true;
   int mExchangeCount = 0;
+  ConnectionLog mLog;
   Listener mListener;
 };
 
--- /dev/null
+++ b/src/quetzalquay/gateway/ConnectionLog.h
@@ -0,0 +1,79 @@
+#ifndef QUETZALQUAY_GATEWAY_CONNECTIONLOG_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_CONNECTIONLOG_H_INCLUDED
+
+#include "core/NameTable.h"
+#include "core/Time.h"
+#include "gateway/GatewayMetrics.h"
+
+#include <cstddef>
+#include <string>
+
+namespace quetzalquay {
+
+// Why the gateway ended a caller's connection.
+enum class ConnectionEnd
+{
+  // The answer was the last one of the connection.
+  Answered,
+  // The answer could not be completed.
+  BrokenOff,
+  // No request began within the idle time.
+  Idle,
+  // The caller did not read its answer fast enough.
+  SlowReader,
+  // New requests are no longer accepted.
+  Stopping,
+  // The process exits.
+  Exiting,
+};
+
+// Name of an end in logs.
+constexpr NameTable<ConnectionEnd, 6> kConnectionEndNames({
+  "answered",
+  "broken_off",
+  "idle",
+  "slow_reader",
+  "stopping",
+  "exiting",
+});
+
+// Bytes that are lost when a connection ends.
+struct UnfinishedBytes
+{
+  // Received bytes of requests that were not handled. The bytes of an
+  // incomplete request that the reader has consumed count as one.
+  std::size_t mReceived = 0;
+  // Bytes of answers that the operating system has not taken.
+  std::size_t mUnsent = 0;
+};
+
+// Logs and counts callers' connections that the gateway ends early, with a
+// limited number of lines.
+class ConnectionLog
+{
+public:
+  explicit ConnectionLog(GatewayMetrics& aMetrics);
+
+  // The gateway ends a connection with unfinished bytes. aRequestId is the
+  // connection's last request.
+  void OnCut(ConnectionEnd aEnd,
+             const UnfinishedBytes& aBytes,
+             const std::string& aRequestId,
+             Time aNow);
+
+  // A new connection was turned away while aOpen connections were open.
+  void OnTurnedAway(std::size_t aOpen, Time aNow);
+
+private:
+  GatewayMetrics& mMetrics;
+  // Lines since mSecondStart about connections that were cut.
+  int mCutLines = 0;
+  Time mSecondStart;
+  Time mLastTurnedAwayLine;
+  // Connections turned away since the last line.
+  int mTurnedAway = 0;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_CONNECTIONLOG_H_INCLUDED
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -49,6 +49,11 @@
     "Retries that the retry budget did not allow" },
   { "quetzal_silent_targets_kept_total",
     "Silent targets that were waited for as no other could take the request" },
+  { "quetzal_connections_cut_total",
+    "Callers' connections that the host ended with bytes of a request or "
+    "unsent bytes of an answer" },
+  { "quetzal_connections_turned_away_total",
+    "Callers' connections turned away because too many were open" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -170,6 +170,13 @@
   }
 }
 
+std::size_t
+Socket::UnreadBytes() const
+{
+  error_code ec;
+  return mOpen ? mSocket.available(ec) : 0;
+}
+
 void
 Socket::SetReading(bool aReading)
 {
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -75,6 +75,9 @@
   // Number of bytes in the output buffer that wait to be sent.
   std::size_t UnwrittenBytes() const { return mOutput.size() - mOutputOffset; }
 
+  // Number of bytes that have been received and not been read.
+  std::size_t UnreadBytes() const;
+
   // Stops or resumes reading.
   void SetReading(bool aReading);
 
--- /dev/null
+++ b/tests/fakes/CallerChannel.h
@@ -0,0 +1,55 @@
+#ifndef QUETZALQUAY_TESTS_FAKES_CALLERCHANNEL_H_INCLUDED
+#define QUETZALQUAY_TESTS_FAKES_CALLERCHANNEL_H_INCLUDED
+
+#include "GatewayProcess.h"
+
+#include <chrono>
+#include <string>
+
+// How a caller's connection has ended.
+enum class ChannelEnd
+{
+  // It is still open.
+  None,
+  Closed,
+  // By a TCP reset.
+  Reset,
+};
+
+// A caller's connection to a gateway for several requests, in whatever pieces
+// the caller sends them.
+class CallerChannel
+{
+public:
+  // Connects. A receive buffer of aReceiveBytes, if not 0, limits what the
+  // gateway can send before the caller reads.
+  explicit CallerChannel(const GatewayProcess& aGateway, int aReceiveBytes = 0);
+  ~CallerChannel();
+  CallerChannel(const CallerChannel&) = delete;
+  CallerChannel& operator=(const CallerChannel&) = delete;
+
+  // Sends bytes; returns false when the connection does not take them all.
+  bool Send(const std::string& aBytes) const;
+
+  // Reads one answer. It is incomplete when the connection ends or aTimeout
+  // passes before its end.
+  CallerAnswer Read(std::chrono::milliseconds aTimeout = kTimeout);
+
+  // Reads and discards until the connection ends or aTimeout passes.
+  ChannelEnd AwaitEnd(std::chrono::milliseconds aTimeout = kTimeout);
+
+  // How the connection has ended so far.
+  ChannelEnd End() const { return mEnd; }
+
+  static constexpr std::chrono::milliseconds kTimeout{ 10000 };
+
+private:
+  bool Receive(std::chrono::steady_clock::time_point aUntil);
+
+  int mSocket;
+  // Received bytes that no answer has consumed.
+  std::string mInput;
+  ChannelEnd mEnd = ChannelEnd::None;
+};
+
+#endif // QUETZALQUAY_TESTS_FAKES_CALLERCHANNEL_H_INCLUDED
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -140,6 +141,11 @@
     for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
       ::close(other);
     }
+    if (mLimits.mDescriptors > 0) {
+      const auto limit = static_cast<rlim_t>(mLimits.mDescriptors);
+      const rlimit descriptors{ limit, limit };
+      ::setrlimit(RLIMIT_NOFILE, &descriptors);
+    }
     // The gateway must not outlive an aborted test.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const char* other = std::getenv(kGatewayBinaryVariable);
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -61,6 +61,10 @@
   // failure. A positive aReceiveBytes limits what it holds of unread bytes.
   int ConnectCaller(int aReceiveBytes = 0) const;
 
+  // Address of the gateway, and its port for callers.
+  const std::string& Ip() const { return mIp; }
+  int CallerPort() const { return mPorts[0]; }
+
   // Rewrites the settings file; the process reads it on SIGHUP or at its next
   // start.
   void ChangeSettings(const GatewayTestSettings& aSettings);
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -751,6 +751,7 @@
 {
   TestConfiguration configuration;
   configuration.mWorkspaces = { { "w", { aKey }, 1 } };
+  configuration.mLimits = mCallerLimits;
   AwaitConfiguration(Write(configuration));
 }
 
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -200,6 +200,9 @@
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
+  // Sets the limits on callers in further configurations.
+  void SetCallerLimits(const TestLimits& aLimits) { mCallerLimits = aLimits; }
+
   // Writes a configuration with the given API key and waits until all running
   // gateways have applied it.
   void Configure(const std::string& aKey);
@@ -313,6 +316,7 @@
   quetzalquay::EventLoop mLoop;
   std::vector<std::unique_ptr<GatewayNode>> mNodes;
   int mLoadPort = 0;
+  TestLimits mCallerLimits;
   // Peer addresses of all gateways.
   std::vector<std::string> mPeers;
   std::map<std::string, std::unique_ptr<Runner>> mRunners;
