Judge callers' requests and idle time by the configuration in force

Callers with an open connection got 413 or 431 for a request that the configuration in force allows, or found the connection closed although its idle time had been made longer.

The limits on heads and bodies and the idle timer were taken over when a response ended, so a connection that was idle during a change kept the old ones; one that had not had a request yet kept those from when it was opened. Now the limits are applied when a request begins, and the timer, when it fires, is set again if the configuration in force allows more time since the head began or the connection became idle.

A shorter idle time reaches open connections only when the older one has passed; that costs callers nothing.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -149,11 +149,10 @@
   }
   mParsing = true;
   while (!mHandlingRequest && !mClosed && !mUnparsedInput.empty()) {
-    if (!mReader.HasStarted()) {
+    const bool first = !mReader.HasStarted();
+    if (first) {
       mArrivedAt = EventLoop::Now();
-      if (const auto& routing = mServer.mContext.mFleet.Routing()) {
-        mTimer.ScheduleAt(mArrivedAt + routing->mLimits.mHeadTimeout);
-      }
+      ApplyLimits();
     }
     mUnparsedInput.erase(0, mReader.Feed(mUnparsedInput));
     if (mReader.Progress() == HttpProgress::Broken) {
@@ -161,7 +160,11 @@
     } else if (mReader.Progress() == HttpProgress::Complete) {
       mTimer.Clear();
       BeginRequest();
-    } else if (mReader.Progress() == HttpProgress::Body) {
+    } else if (mReader.Progress() == HttpProgress::Head) {
+      if (first) {
+        SetInputTimer();
+      }
+    } else {
       mTimer.Clear();
       if (!mContinueSent && mReader.Head().HasToken("Expect", "100-continue")) {
         mContinueSent = true;
@@ -172,6 +175,19 @@
   mParsing = false;
 }
 
+// Applies the limits of the configuration in force to the next request.
+void
+CallerConnection::ApplyLimits()
+{
+  const CallerLimits limits = CurrentLimits();
+  if (limits.mHeadBytes != mReaderLimits.mHead ||
+      limits.mBodyBytes != mReaderLimits.mBody) {
+    mReaderLimits = { limits.mHeadBytes, limits.mBodyBytes };
+    mReader.SetLimits(mReaderLimits);
+    mReader.Next();
+  }
+}
+
 void
 CallerConnection::BeginRequest()
 {
@@ -381,24 +397,50 @@
     mServer.mConnections.erase(RefPtr<CallerConnection>(this));
     return;
   }
-  const auto& routing = mServer.mContext.mFleet.Routing();
-  const CallerLimits limits =
-    routing == nullptr ? CallerLimits() : routing->mLimits;
-  mReader.SetLimits({ limits.mHeadBytes, limits.mBodyBytes });
   mReader.Next();
-  mTimer.ScheduleAt(EventLoop::Now() + limits.mIdleTimeout);
+  mIdleSince = EventLoop::Now();
+  SetInputTimer();
   if (mSocket->IsOpen()) {
     mSocket->SetReading(true);
     ParseRequests();
   }
 }
 
+CallerLimits
+CallerConnection::CurrentLimits() const
+{
+  const auto& routing = mServer.mContext.mFleet.Routing();
+  return routing == nullptr ? CallerLimits() : routing->mLimits;
+}
+
+// Until when the caller has to go on with its request or to begin one, by the
+// configuration in force.
+Time
+CallerConnection::InputDeadline() const
+{
+  const CallerLimits limits = CurrentLimits();
+  return mReader.HasStarted() ? mArrivedAt + limits.mHeadTimeout
+                              : mIdleSince + limits.mIdleTimeout;
+}
+
+void
+CallerConnection::SetInputTimer()
+{
+  mTimerExpiry = InputDeadline();
+  mTimer.ScheduleAt(mTimerExpiry);
+}
+
 void
 CallerConnection::OnTimer()
 {
   if (mHandlingRequest) {
     return;
   }
+  if (InputDeadline() > mTimerExpiry) {
+    // The configuration allows more time than when the timer was set.
+    SetInputTimer();
+    return;
+  }
   if (mReader.HasStarted()) {
     mHandlingRequest = true;
     mKeepAlive = false;
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -53,31 +53,40 @@
   void AbortResponse() override;
 
   void ParseRequests();
+  void ApplyLimits();
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   void RejectMalformed();
   void EndRequest();
   void OnTimer();
+  CallerLimits CurrentLimits() const;
+  Time InputDeadline() const;
+  void SetInputTimer();
   void ReportUnfinishedBytes(ConnectionEnd aEnd);
   std::string FormatStatusLine(int aStatus, const std::string& aReason) const;
 
   CallerServer& mServer;
   RefPtr<Socket> mSocket;
   HttpReader mReader;
+  HttpReader::Limits mReaderLimits;
   // Received bytes that the HTTP reader has not consumed yet.
   std::string mUnparsedInput;
   RefPtr<Exchange> mExchange;
   platform::CallerRequest mRequest;
   Time mArrivedAt;
+  // Since when no request has been received or handled.
+  Time mIdleSince;
   bool mKeepAlive = true;
   bool mContinueSent = false;
   bool mHandlingRequest = false;
   bool mParsing = false;
   bool mClosed = false;
   // Expires when a request head is not received in time, or when the connection
-  // has been idle for too long.
+  // has been idle for too long, by the configuration in force when it is set.
   Timer mTimer;
+  // When mTimer was last set to expire.
+  Time mTimerExpiry;
 };
 
 // Accepts connections from callers and owns them.
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 using namespace quetzalquay;
+using std::chrono::milliseconds;
 
 // Callers' connections to one gateway process: what becomes of a request or an
 // answer when its connection ends.
@@ -15,6 +16,8 @@
   CPPUNIT_TEST_SUITE(CallerConnectionTests);
   CPPUNIT_TEST(RequestBytesLostWithTheirConnectionAreCounted);
   CPPUNIT_TEST(ConnectionsTurnedAwayAreCounted);
+  CPPUNIT_TEST(OpenConnectionsTakeLargerRequestsAfterAChange);
+  CPPUNIT_TEST(OpenConnectionsStayIdleForLongerAfterAChange);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +50,55 @@
     CPPUNIT_ASSERT(channels.size() > 20);
     CPPUNIT_ASSERT(channels.size() < 80);
   }
+
+  // Guards against 413 and 431 by limits that no configuration in force has.
+  void OpenConnectionsTakeLargerRequestsAfterAChange()
+  {
+    GatewayTestCluster cluster;
+    CallerChannel used(cluster.Gateway());
+    CallerChannel unused(cluster.Gateway());
+    used.Send(GatewayTestCluster::Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, used.Read().mHead.mStatus);
+    GatewayTestCluster::CallerLimits limits;
+    limits.mBodyBytes = 300000;
+    limits.mHeadBytes = 40000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    for (CallerChannel* it : { &used, &unused }) {
+      it->Send(GatewayTestCluster::Request(
+        "/plain/", "b", "", std::string(200000, 'x')));
+      CPPUNIT_ASSERT_EQUAL(200, it->Read().mHead.mStatus);
+    }
+    CallerChannel other(cluster.Gateway());
+    other.Send(GatewayTestCluster::Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, other.Read().mHead.mStatus);
+    limits.mHeadBytes = 60000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    other.Send(GatewayTestCluster::Request(
+      "/plain/", "c", "X-Long: " + std::string(50000, 'x') + "\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200, other.Read().mHead.mStatus);
+  }
+
+  // Guards against idle connections that are closed by the idle time of an
+  // older configuration.
+  void OpenConnectionsStayIdleForLongerAfterAChange()
+  {
+    GatewayTestCluster cluster;
+    GatewayTestCluster::CallerLimits limits;
+    limits.mIdleTimeoutMs = 1500;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    CallerChannel channel(cluster.Gateway());
+    channel.Send(GatewayTestCluster::Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+    limits.mIdleTimeoutMs = 15000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    CPPUNIT_ASSERT(channel.AwaitEnd(milliseconds(2500)) == ChannelEnd::None);
+    channel.Send(GatewayTestCluster::Request("/plain/", "b"));
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTests);
