Answer 503 to oversized requests while no configuration is known

A host that had not loaded a configuration yet answered 413 or 431 to requests above built-in limits that the configuration may well allow. Callers don't repeat a request after these; after the 503 they do.

The bytes that such a host buffers stay bounded by the same limits.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -217,9 +217,7 @@
   mRequest = platform::DecodeCallerRequest(aHead);
   const RefPtr<RoutingTable>& routing = mServer.mContext.mFleet.Routing();
   if (!mServer.mContext.mFleet.IsReady()) {
-    Reject(503,
-           FailureCode::ConfigurationUnknown,
-           "the configuration has not been loaded yet");
+    RejectUnconfigured();
     return std::nullopt;
   }
   if (!mServer.IsAcceptingRequests()) {
@@ -284,12 +282,25 @@
                FormatFailureBody(failure));
 }
 
+void
+CallerConnection::RejectUnconfigured()
+{
+  Reject(503,
+         FailureCode::ConfigurationUnknown,
+         "the configuration has not been loaded yet");
+}
+
 void
 CallerConnection::RejectMalformed()
 {
   mHandlingRequest = true;
   mKeepAlive = false;
   mRequest = platform::DecodeCallerRequest(mReader.Head());
+  if (mReader.Error() != HttpParseError::Malformed &&
+      mServer.mContext.mFleet.Routing() == nullptr) {
+    RejectUnconfigured();
+    return;
+  }
   switch (mReader.Error()) {
     case HttpParseError::HeadTooLarge:
       Reject(431, FailureCode::InvalidRequest, "the request head is too large");
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -57,6 +57,7 @@
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
+  void RejectUnconfigured();
   void RejectMalformed();
   void EndRequest();
   void OnTimer();
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ConnectionsTurnedAwayAreCounted);
   CPPUNIT_TEST(OpenConnectionsTakeLargerRequestsAfterAChange);
   CPPUNIT_TEST(OpenConnectionsStayIdleForLongerAfterAChange);
+  CPPUNIT_TEST(LimitsAreUnknownBeforeTheFirstConfiguration);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +100,28 @@
     channel.Send(GatewayTestCluster::Request("/plain/", "b"));
     CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
   }
+
+  // Guards against 413 and 431 by a host that knows no limits yet.
+  void LimitsAreUnknownBeforeTheFirstConfiguration()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetStoreDown(true);
+    cluster.Gateway().Restart();
+    while (cluster.Gateway().Readiness() != 503) {
+      ::usleep(10000);
+    }
+    const std::string large = "POST /plain/ HTTP/1.1\r\nHost: host\r\n"
+                              "Content-Length: 9000000\r\n\r\n";
+    const std::string longHead = "X-Long: " + std::string(20000, 'x') + "\r\n";
+    for (const std::string& it :
+         { large, GatewayTestCluster::Request("/plain/", "a", longHead) }) {
+      CallerChannel channel(cluster.Gateway());
+      channel.Send(it);
+      const CallerAnswer answer = channel.Read();
+      CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+      CPPUNIT_ASSERT(answer.mHead.Find("Retry-After") != nullptr);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTests);
