Read what has been received before a caller's connection times out

Callers found an idle connection closed, or their head answered with 408, although they had sent the request in time and the system had received it: the process had not run, or was busy, and saw its timer before the bytes. The same at a stop, when the connections that look idle are closed.

Timers and sockets become ready together after such a pause, and the loop handles at most 127 sockets between two looks at its timers. A connection now reads what has been received before the idle or head timeout or the stop decides, and judges again.

Evidence: CallerConnectionTests freezes the gateway while 300 connections send.

Requests received before the accept period of a stop has ended are still admitted; those after it get 503 as before.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -94,12 +94,24 @@
   mSocket->Adopt(std::move(aSocket), *this);
 }
 
+// Whether no request is being received or handled.
 bool
 CallerConnection::IsIdle() const
 {
   return !mHandlingRequest && !mReader.HasStarted();
 }
 
+void
+CallerConnection::CloseIfIdle(ConnectionEnd aEnd)
+{
+  if (IsIdle()) {
+    mSocket->ReadReceived();
+  }
+  if (IsIdle()) {
+    Close(aEnd);
+  }
+}
+
 void
 CallerConnection::Close(std::optional<ConnectionEnd> aEnd)
 {
@@ -447,8 +459,17 @@
   if (mHandlingRequest) {
     return;
   }
-  if (InputDeadline() > mTimerExpiry) {
-    // The configuration allows more time than when the timer was set.
+  // The process may not have run for a while, with input that was received in
+  // time.
+  const RefPtr<CallerConnection> self(this);
+  const Time expiry = mTimerExpiry;
+  mSocket->ReadReceived();
+  if (mClosed || mHandlingRequest || mReader.Progress() != HttpProgress::Head) {
+    return;
+  }
+  if (InputDeadline() > expiry) {
+    // A request has begun or ended, or the configuration allows more time than
+    // when the timer was set.
     SetInputTimer();
     return;
   }
@@ -514,13 +535,11 @@
 void
 CallerServer::StopAcceptingRequests()
 {
-  mAcceptsRequests = false;
   const auto connections = mConnections;
   for (const RefPtr<CallerConnection>& it : connections) {
-    if (it->IsIdle()) {
-      it->Close(ConnectionEnd::Stopping);
-    }
+    it->CloseIfIdle(ConnectionEnd::Stopping);
   }
+  mAcceptsRequests = false;
 }
 
 void
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -30,8 +30,8 @@
   // Takes over an accepted socket and starts to read requests from it.
   void Start(boost::asio::ip::tcp::socket aSocket);
 
-  // Whether no request is being received or handled.
-  bool IsIdle() const;
+  // Closes the connection if no request is being received or handled.
+  void CloseIfIdle(ConnectionEnd aEnd);
 
   // Closes the connection and cancels the exchange in progress. aEnd is the
   // reason of the gateway, nothing when the caller has ended the connection.
@@ -52,6 +52,7 @@
   void EndChunkedResponse() override;
   void AbortResponse() override;
 
+  bool IsIdle() const;
   void ParseRequests();
   void ApplyLimits();
   void BeginRequest();
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -177,6 +177,14 @@
   return mOpen ? mSocket.available(ec) : 0;
 }
 
+void
+Socket::ReadReceived()
+{
+  if (mOpen && mReading) {
+    OnReadable();
+  }
+}
+
 void
 Socket::SetReading(bool aReading)
 {
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -78,6 +78,10 @@
   // Number of bytes that have been received and not been read.
   std::size_t UnreadBytes() const;
 
+  // Reads what has been received, without waiting for the event loop. OnData
+  // and OnEnd are called as usual.
+  void ReadReceived();
+
   // Stops or resumes reading.
   void SetReading(bool aReading);
 
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -1,6 +1,7 @@
 #include "CallerChannel.h"
 #include "GatewayTestCluster.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
 #include <unistd.h>
@@ -19,6 +20,9 @@
   CPPUNIT_TEST(OpenConnectionsTakeLargerRequestsAfterAChange);
   CPPUNIT_TEST(OpenConnectionsStayIdleForLongerAfterAChange);
   CPPUNIT_TEST(LimitsAreUnknownBeforeTheFirstConfiguration);
+  CPPUNIT_TEST(ReceivedRequestsAreServedAfterTheIdleTime);
+  CPPUNIT_TEST(ReceivedHeadsAreServedAfterTheHeadTimeout);
+  CPPUNIT_TEST(ReceivedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +126,72 @@
       CPPUNIT_ASSERT(answer.mHead.Find("Retry-After") != nullptr);
     }
   }
+
+  // Guards against closing an idle connection with a request in it that the
+  // process, which did not run meanwhile, has not read.
+  void ReceivedRequestsAreServedAfterTheIdleTime()
+  {
+    CPPUNIT_ASSERT_EQUAL(kManyChannels, CountServedAfterFreeze(0));
+  }
+
+  // Guards against 408 for a head that was received whole before its timeout.
+  void ReceivedHeadsAreServedAfterTheHeadTimeout()
+  {
+    CPPUNIT_ASSERT_EQUAL(kManyChannels, CountServedAfterFreeze(20));
+  }
+
+  // Guards against closing a connection with a request in it when a stopping
+  // host accepts no more requests.
+  void ReceivedRequestsAreAnsweredAtAStop()
+  {
+    CPPUNIT_ASSERT_EQUAL(kManyChannels,
+                         CountServedAfterFreeze(0, 15000, SIGTERM));
+  }
+
+private:
+  // More connections than the event loop handles between two looks at the
+  // timers.
+  static constexpr std::size_t kManyChannels = 300;
+
+  // Opens kManyChannels connections that send aBytesBefore bytes of a request,
+  // and the rest while the gateway is frozen for longer than the idle and head
+  // timeouts, or until a gateway that was stopped by aSignal before accepts no
+  // more requests. Returns how many requests are answered.
+  static std::size_t CountServedAfterFreeze(std::size_t aBytesBefore,
+                                            int aTimeoutMs = 2000,
+                                            int aSignal = 0)
+  {
+    GatewayTestCluster cluster;
+    GatewayTestCluster::CallerLimits limits;
+    limits.mHeadTimeoutMs = aTimeoutMs;
+    limits.mIdleTimeoutMs = aTimeoutMs;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    // The gateway answers 404 by itself.
+    const std::string request = GatewayTestCluster::Request("/none/", "a");
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    while (channels.size() < kManyChannels) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+      channels.back()->Send(request.substr(0, aBytesBefore));
+    }
+    cluster.Await([](const GatewayProcess& aGateway) {
+      return aGateway.Metric("quetzal_caller_connections") ==
+             std::to_string(kManyChannels);
+    });
+    cluster.Gateway().Signal(aSignal);
+    ::usleep(100000);
+    cluster.Gateway().Signal(SIGSTOP);
+    for (const auto& it : channels) {
+      it->Send(request.substr(aBytesBefore));
+    }
+    ::usleep(2700000);
+    cluster.Gateway().Signal(SIGCONT);
+    return static_cast<std::size_t>(std::count_if(
+      channels.begin(), channels.end(), [&](const auto& aChannel) {
+        const int status = aChannel->Read().mHead.mStatus;
+        return status == 404 || (aSignal != 0 && status == 503);
+      }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerConnectionTests);
