--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -141,8 +141,8 @@
     for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
       ::close(other);
     }
-    if (mLimits.mDescriptors > 0) {
-      const auto limit = static_cast<rlim_t>(mLimits.mDescriptors);
+    if (mSettings.mDescriptors > 0) {
+      const auto limit = static_cast<rlim_t>(mSettings.mDescriptors);
       const rlimit descriptors{ limit, limit };
       ::setrlimit(RLIMIT_NOFILE, &descriptors);
     }
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -26,6 +26,8 @@
 {
   int mMaxConnections = 500;
   int mStopGraceS = 8;
+  // Descriptors that the process may open, 0 for the limit of the test.
+  int mDescriptors = 0;
   double mRetryRatio = 0.8;
   int mRetryAllowance = 150;
 };
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -64,7 +64,7 @@
     CallerChannel unused(cluster.Gateway());
     used.Send(GatewayTestCluster::Request("/plain/", "a"));
     CPPUNIT_ASSERT_EQUAL(200, used.Read().mHead.mStatus);
-    GatewayTestCluster::CallerLimits limits;
+    TestLimits limits;
     limits.mBodyBytes = 300000;
     limits.mHeadBytes = 40000;
     cluster.SetCallerLimits(limits);
@@ -90,7 +90,7 @@
   void OpenConnectionsStayIdleForLongerAfterAChange()
   {
     GatewayTestCluster cluster;
-    GatewayTestCluster::CallerLimits limits;
+    TestLimits limits;
     limits.mIdleTimeoutMs = 1500;
     cluster.SetCallerLimits(limits);
     cluster.Configure("key");
@@ -162,7 +162,7 @@
                                             int aSignal = 0)
   {
     GatewayTestCluster cluster;
-    GatewayTestCluster::CallerLimits limits;
+    TestLimits limits;
     limits.mHeadTimeoutMs = aTimeoutMs;
     limits.mIdleTimeoutMs = aTimeoutMs;
     cluster.SetCallerLimits(limits);
