Keep streams that cannot move when a probe of their target is refused

A stream of a route without resumption was broken off when its target was silent and had no room for another connection: the target reset that of the probe, which was taken for proof of its death. Nothing is won by that, as such a stream cannot go on elsewhere. It now keeps its connection, whose own end tells that the target is gone. Resumable streams move as before.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -152,7 +152,13 @@
       OnTargetAlive(aNow, actions);
       break;
     case ProbeResult::Dead:
-      HandleTargetLoss(true, aNow, actions);
+      if (mSpec.mResumable || !mAttemptOpen) {
+        HandleTargetLoss(true, aNow, actions);
+      } else {
+        // Such a stream cannot move, and a target that has no room for the
+        // probe's connection may still be running it.
+        AwaitLostTarget(aNow, actions);
+      }
       break;
     case ProbeResult::NoAnswer:
       HandleSilentTarget(aNow, actions);
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -260,7 +260,7 @@
         self->mLogNote = "run_lost";
         result = ProbeResult::RunLost;
       }
-      if (result == ProbeResult::Dead) {
+      if (result == ProbeResult::Dead && self->mCall.mRoute->mResumable) {
         // The probe may be wrong. Closing the connection makes sure that no
         // more events of this attempt arrive.
         self->mConnection->Abort();
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -44,12 +44,12 @@
   int mCancelledWaits = 0;
 };
 
-// An idempotent stream on target "first" that has delivered one event.
+// A stream on target "first" that has delivered one event.
 class StartedStream
 {
 public:
-  explicit StartedStream(int aMaxRuns = 0)
-    : mGeneration(MakeSpec(aMaxRuns), mChooser)
+  explicit StartedStream(int aMaxRuns = 0, bool aResumable = true)
+    : mGeneration(MakeSpec(aMaxRuns, aResumable), mChooser)
   {
     Perform(mGeneration.Start(mNow));
     Deliver(0);
@@ -92,12 +92,12 @@
   int mFailures = 0;
 
 private:
-  static GenerationSpec MakeSpec(int aMaxRuns)
+  static GenerationSpec MakeSpec(int aMaxRuns, bool aResumable)
   {
     GenerationSpec spec;
     spec.mRequestId = "r";
-    spec.mIdempotent = true;
-    spec.mResumable = true;
+    spec.mIdempotent = aResumable;
+    spec.mResumable = aResumable;
     spec.mMaxRuns = aMaxRuns;
     spec.mDeadline = kDeadline;
     spec.mPolicy = RecoveryPolicy::Of(RecoveryPreset::LowLatency);
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
+  CPPUNIT_TEST(StreamThatCannotMoveStaysWhenAProbeIsRefused);
   CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
   CPPUNIT_TEST(NonIdempotentCallNeverLeavesItsSilentTarget);
@@ -211,6 +212,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), stream.mDispatches.size());
   }
 
+  // Streams that cannot be resumed were broken off when a target without room
+  // for another connection reset that of a probe.
+  void StreamThatCannotMoveStaysWhenAProbeIsRefused()
+  {
+    StartedStream stream(0, false);
+    stream.Wait(kSilence, ProbeResult::Dead);
+    stream.Deliver(1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
   // Plain calls failed after their objective although their target would have
   // responded, because no other target was available.
   void PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt()
