Take a retry from the budget only when an attempt can be sent

Lost streams were not resumed, late, or broken off with the retry budget exhausted although few retries had been sent. Cause: a stream that waits for a target to admit another continuation asks every 20 ms, and each time a retry was taken from the budget and not given back. Now the target is chosen first; a refusal by the budget gives the admission back. Evidence: TargetTableTests::WaitingContinuationsTakeNoRetries failed before (1,000 waits used up 100 retries) and passes; RetryBudgetTests, FleetTests and GenerationTests pass. Ruled out: retries that reach no target are returned already (ReturnRetry).

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -187,18 +187,18 @@
   if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
     return Enqueue(aQuery, aNow);
   }
-  if (mBudget && aQuery.mIsRetry && !usable.empty() &&
-      !TakeRetry(aQuery, aNow)) {
-    CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::NoBudget;
-    return choice;
-  }
   choice = ChooseFrom(usable, aQuery, aNow);
   if (choice.mStatus != ChoiceStatus::Chosen) {
     choice.mStatus = ChoiceStatus::Busy;
     return choice;
   }
   CancelWait(aQuery);
+  if (mBudget && aQuery.mIsRetry && !TakeRetry(aQuery, aNow)) {
+    WithdrawContinuation(mTargets.at(choice.mTarget), aQuery);
+    choice = Choice();
+    choice.mStatus = ChoiceStatus::NoBudget;
+    return choice;
+  }
   if (mBudget && !aQuery.mIsRetry) {
     mBudget->OnFirstAttempt(aQuery.mService, aNow);
   }
@@ -800,6 +800,16 @@
   return true;
 }
 
+// Undoes TryAdmitContinuation() for an attempt that is not sent.
+void
+TargetTable::WithdrawContinuation(Target& aTarget, const ChoiceQuery& aQuery)
+{
+  if (aQuery.mContinuation &&
+      aTarget.mDeclaration.mName != aQuery.mCopyHolder) {
+    aTarget.mContinuationTimes.pop_back();
+  }
+}
+
 int
 TargetTable::EstimateLoad(const Target& aTarget, Time aNow)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -392,6 +392,7 @@
             const ChoiceQuery& aQuery,
             Time aNow);
   bool TryAdmitContinuation(Target& aTarget, Time aNow);
+  static void WithdrawContinuation(Target& aTarget, const ChoiceQuery& aQuery);
   static int EstimateLoad(const Target& aTarget, Time aNow);
   double Score(const Target& aTarget,
                const ChoiceQuery& aQuery,
--- a/tests/introspective/TargetTableTests.cpp
+++ b/tests/introspective/TargetTableTests.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(TargetWithCachedPrefixIsPreferred);
   CPPUNIT_TEST(LoadIsSpreadEvenly);
   CPPUNIT_TEST(ContinuationsAreRateLimitedPerTarget);
+  CPPUNIT_TEST(WaitingContinuationsTakeNoRetries);
   CPPUNIT_TEST(PoisonRequestIsRefusedAfterThreeDeaths);
   CPPUNIT_TEST(RequestsNextToPoisonAreNotRefused);
   CPPUNIT_TEST(DeathIsCountedOnceWhenReportedRepeatedly);
@@ -183,6 +184,26 @@
     CPPUNIT_ASSERT(later.mStatus == ChoiceStatus::Chosen);
   }
 
+  // Streams that waited for a target to admit another continuation used up the
+  // retry budget, so that lost streams were broken off.
+  void WaitingContinuationsTakeNoRetries()
+  {
+    TargetTable table = MakeTable(DeclareMany(2));
+    RetryBudget::Options options;
+    options.mHost = "h";
+    options.mAllowance = 100;
+    table.ConfigureRetryBudget(options);
+    table.Retries()->SetHosts({ "h" }, At(0));
+    ChoiceQuery query = Query();
+    query.mContinuation = true;
+    query.mIsRetry = true;
+    for (int n = 0; n < 1000; ++n) {
+      table.Choose(query, At(0));
+    }
+    const Choice later = table.Choose(query, At(150));
+    CPPUNIT_ASSERT(later.mStatus == ChoiceStatus::Chosen);
+  }
+
   void PoisonRequestIsRefusedAfterThreeDeaths()
   {
     CheckProperty("a request that crashes targets crashes exactly three", [] {
