Close callers' connections without resetting them

Callers lost the end of the last answer of a connection, or all of it, when they had sent bytes that the gateway did not read: the rest of a rejected body, or requests behind one with Connection: close. A stream that was broken off also lost the events still buffered for its caller.

close() on a socket with unread input makes the system send a reset and drop the output that has not left yet; AbortResponse closed the socket right after asking for the output to be written first. A connection now sends its output and the end of the stream, and then discards input until the caller closes, for at most 1 s and 8 MB. It stays in the set of connections meanwhile, so the limit on connections covers it.

Ruled out: a small 413 or 400 on a loopback address. It has reached the caller's system before the reset, which does not take it back. Idle connections are still closed at once: they have no output, and a request that crosses the close is not read.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -98,7 +98,7 @@
 bool
 CallerConnection::IsIdle() const
 {
-  return !mHandlingRequest && !mReader.HasStarted();
+  return !mEnding && !mHandlingRequest && !mReader.HasStarted();
 }
 
 void
@@ -160,7 +160,7 @@
     return;
   }
   mParsing = true;
-  while (!mHandlingRequest && !mClosed && !mUnparsedInput.empty()) {
+  while (!mHandlingRequest && !mEnding && !mClosed && !mUnparsedInput.empty()) {
     const bool first = !mReader.HasStarted();
     if (first) {
       mArrivedAt = EventLoop::Now();
@@ -396,9 +396,8 @@
     mExchange = nullptr;
     --mServer.mExchangeCount;
   }
-  ReportUnfinishedBytes(ConnectionEnd::BrokenOff);
-  mSocket->CloseAfterWrites();
-  Close(std::nullopt);
+  mHandlingRequest = false;
+  EndConnection(ConnectionEnd::BrokenOff);
 }
 
 // Prepares for the next request once the response has been written, or closes
@@ -413,11 +412,7 @@
   mHandlingRequest = false;
   mContinueSent = false;
   if (!mKeepAlive) {
-    ReportUnfinishedBytes(ConnectionEnd::Answered);
-    mSocket->CloseAfterWrites();
-    mClosed = true;
-    mTimer.Clear();
-    mServer.mConnections.erase(RefPtr<CallerConnection>(this));
+    EndConnection(ConnectionEnd::Answered);
     return;
   }
   mReader.Next();
@@ -429,6 +424,18 @@
   }
 }
 
+// Reads no more requests, and closes the connection once the caller has
+// received its answer. OnEnd follows.
+void
+CallerConnection::EndConnection(ConnectionEnd aEnd)
+{
+  ReportUnfinishedBytes(aEnd);
+  mEnding = true;
+  mTimer.Clear();
+  mUnparsedInput.clear();
+  mSocket->CloseGracefully();
+}
+
 CallerLimits
 CallerConnection::CurrentLimits() const
 {
@@ -464,7 +471,8 @@
   const RefPtr<CallerConnection> self(this);
   const Time expiry = mTimerExpiry;
   mSocket->ReadReceived();
-  if (mClosed || mHandlingRequest || mReader.Progress() != HttpProgress::Head) {
+  if (mClosed || mEnding || mHandlingRequest ||
+      mReader.Progress() != HttpProgress::Head) {
     return;
   }
   if (InputDeadline() > expiry) {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -61,6 +61,7 @@
   void RejectUnconfigured();
   void RejectMalformed();
   void EndRequest();
+  void EndConnection(ConnectionEnd aEnd);
   void OnTimer();
   CallerLimits CurrentLimits() const;
   Time InputDeadline() const;
@@ -83,6 +84,8 @@
   bool mContinueSent = false;
   bool mHandlingRequest = false;
   bool mParsing = false;
+  // Whether no more requests are read; the output is still being sent.
+  bool mEnding = false;
   bool mClosed = false;
   // Expires when a request head is not received in time, or when the connection
   // has been idle for too long, by the configuration in force when it is set.
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -34,6 +34,11 @@
 // Sent bytes are removed from the output buffer when there are more than this.
 constexpr std::size_t kCompactThresholdBytes = 65536;
 
+// A peer that does not close after the end of the output is waited for this
+// long, and while it sends no more than this.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxDiscardedBytes = 8U << 20U;
+
 void
 SetOption(int aSocket, int aLevel, int aOption, int aValue)
 {
@@ -75,7 +80,7 @@
 Socket::Socket(EventLoop& aLoop)
   : mLoop(aLoop)
   , mSocket(aLoop.Context())
-  , mConnectTimer(aLoop, [this] { End(SocketEnd::Failed); })
+  , mDeadlineTimer(aLoop, [this] { End(SocketEnd::Failed); })
 {
 }
 
@@ -97,13 +102,13 @@
     return;
   }
   ConfigureSocket();
-  mConnectTimer.ScheduleAt(aDeadline);
+  mDeadlineTimer.ScheduleAt(aDeadline);
   mSocket.async_connect(
     aServer, [self = RefPtr<Socket>(this)](const error_code& aError) {
       if (!self->mOpen) {
         return;
       }
-      self->mConnectTimer.Clear();
+      self->mDeadlineTimer.Clear();
       if (aError) {
         self->mRefused = aError == boost::asio::error::connection_refused ||
                          aError == boost::asio::error::connection_reset;
@@ -227,7 +232,11 @@
                                         : SocketEnd::Failed);
       return;
     }
-    mHandler->OnData(std::string_view(tBuffer.data(), size));
+    if (mDiscardingInput) {
+      Discard(size);
+    } else {
+      mHandler->OnData(std::string_view(tBuffer.data(), size));
+    }
     if (!mOpen || !mReading || size < tBuffer.size()) {
       break;
     }
@@ -270,6 +279,8 @@
       mOutputOffset = 0;
       if (mCloseAfterWrites) {
         Close();
+      } else if (mClosingGracefully) {
+        End(SocketEnd::Failed);
       }
       return;
     }
@@ -280,6 +291,8 @@
     mOutputOffset = 0;
     if (mCloseAfterWrites) {
       Close();
+    } else if (mClosingGracefully) {
+      FinishOutput();
     } else {
       mHandler->OnWritten();
     }
@@ -297,7 +310,7 @@
   }
   mOpen = false;
   mReading = false;
-  mConnectTimer.Clear();
+  mDeadlineTimer.Clear();
   error_code ec;
   if (aReset) {
     mSocket.set_option(boost::asio::socket_base::linger(true, 0), ec);
@@ -316,6 +329,40 @@
   mReading = false;
 }
 
+void
+Socket::CloseGracefully()
+{
+  if (!mOpen) {
+    return;
+  }
+  mClosingGracefully = true;
+  mReading = false;
+  if (UnwrittenBytes() == 0) {
+    FinishOutput();
+  }
+}
+
+// Sends the end of the stream. Closing a socket with unread input would reset
+// the connection and drop output that is still on its way.
+void
+Socket::FinishOutput()
+{
+  error_code ec;
+  mSocket.shutdown(tcp::socket::shutdown_send, ec);
+  mDiscardingInput = true;
+  mDeadlineTimer.ScheduleAt(EventLoop::Now() + kLingerTime);
+  SetReading(true);
+}
+
+void
+Socket::Discard(std::size_t aSize)
+{
+  mDiscardedBytes += aSize;
+  if (mDiscardedBytes > kMaxDiscardedBytes) {
+    End(SocketEnd::Failed);
+  }
+}
+
 void
 Socket::End(SocketEnd aEnd)
 {
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -93,6 +93,12 @@
   // reported.
   void CloseAfterWrites();
 
+  // Ends the connection so that the peer receives all that was written, also
+  // when it goes on sending: sends the buffered output and the end of the
+  // stream, then discards input until the peer closes, for a limited time and
+  // number of bytes. OnEnd follows; no other events are reported.
+  void CloseGracefully();
+
   bool IsOpen() const { return mOpen; }
 
   // Whether the connection attempt was refused or reset by the peer.
@@ -105,13 +111,17 @@
   void ConfigureSocket();
   void WaitUntilReadable();
   void OnReadable();
+  void Discard(std::size_t aSize);
+  void FinishOutput();
   void WaitUntilWritable();
   void Flush();
   void End(SocketEnd aEnd);
 
   EventLoop& mLoop;
   boost::asio::ip::tcp::socket mSocket;
-  Timer mConnectTimer;
+  // Expires at the deadline for connecting, or for the peer to close after the
+  // end of the output.
+  Timer mDeadlineTimer;
   SocketHandler* mHandler = nullptr;
   Endpoint mRemoteEndpoint;
   std::string mNextWritePrefix;
@@ -123,6 +133,10 @@
   bool mReadPending = false;
   bool mWritePending = false;
   bool mCloseAfterWrites = false;
+  bool mClosingGracefully = false;
+  // Whether the output has been ended and input is discarded.
+  bool mDiscardingInput = false;
+  std::size_t mDiscardedBytes = 0;
 };
 
 } // namespace quetzalquay
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -355,6 +355,11 @@
         mSocket->Write("HTTP/1.1 500 Error\r\n" + aHead +
                        "Content-Length: 0\r\n\r\n");
         break;
+      case RunnerMode::LargeAnswer:
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead +
+                       "Content-Length: " + std::to_string(kLargeAnswerBytes) +
+                       "\r\n\r\n" + std::string(kLargeAnswerBytes, 'x'));
+        break;
       case RunnerMode::SlowAnswer:
         mDelayedAnswer = whole;
         mEventTimer.ScheduleAt(EventLoop::Now() + kAnswerDelay);
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -59,6 +59,8 @@
   GapInStream,
   // Accepts requests and never answers.
   NeverAnswer,
+  // Answers a plain request with kLargeAnswerBytes.
+  LargeAnswer,
   // Answers a plain request after 450 ms.
   SlowAnswer,
   // Answers 500 with X-Server-Seal.
@@ -160,6 +162,9 @@
 
   static constexpr int kEvents = 40;
 
+  // Size of the body that a runner sends in RunnerMode::LargeAnswer.
+  static constexpr std::size_t kLargeAnswerBytes = 3U << 20U;
+
   // A request with this body crashes each runner that starts to run it: the
   // runner drops its connections, refuses new ones for a while and comes back.
   static constexpr char kCrashingBody[] = "crash";
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(ReceivedRequestsAreServedAfterTheIdleTime);
   CPPUNIT_TEST(ReceivedHeadsAreServedAfterTheHeadTimeout);
   CPPUNIT_TEST(ReceivedRequestsAreAnsweredAtAStop);
+  CPPUNIT_TEST(LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +149,25 @@
                          CountServedAfterFreeze(0, 15000, SIGTERM));
   }
 
+  // Guards against a last answer that is cut off because the caller has sent
+  // bytes that the gateway does not read.
+  void LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    CallerChannel channel(cluster.Gateway(), 8192);
+    channel.Send(
+      GatewayTestCluster::Request("/plain/", "a", "Connection: close\r\n") +
+      std::string(250000, 'x'));
+    // The answer fills what the gateway's system sends ahead.
+    ::usleep(300000);
+    const CallerAnswer answer = channel.Read();
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::kLargeAnswerBytes,
+                         answer.mBody.size());
+    CPPUNIT_ASSERT(channel.AwaitEnd() == ChannelEnd::Closed);
+  }
+
 private:
   // More connections than the event loop handles between two looks at the
   // timers.
