Answer pipelined requests of a stopping host

A caller that had sent its next request before the answer to the one in progress got no answer to it from a host that was stopping: the answer carried Connection: close and the request behind it, which had been read, was dropped.

A stopping host now ends a connection with the answer after which nothing has been received. The next request is served, or answered with 503 once the accept period has ended, and that answer closes the connection. A request that crosses the announced close is not read as one.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -328,14 +328,21 @@
   }
 }
 
+// Decides whether the connection is kept after this response, and formats the
+// status line and the Connection field.
 std::string
-CallerConnection::FormatStatusLine(int aStatus,
-                                   const std::string& aReason) const
+CallerConnection::BeginResponse(int aStatus, const std::string& aReason)
 {
+  // A stopping host closes connections, but the caller that has already sent
+  // its next request gets an answer to that first.
+  if (mServer.mDraining) {
+    mKeepAlive =
+      mKeepAlive && (!mUnparsedInput.empty() || mSocket->UnreadBytes() > 0);
+  }
   std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
                      (aReason.empty() ? ReasonPhrase(aStatus) : aReason) +
                      "\r\n";
-  if (!mKeepAlive || mServer.mDraining) {
+  if (!mKeepAlive) {
     AppendField(text, "Connection", "close");
   }
   return text;
@@ -347,11 +354,10 @@
                                const std::string& aFields,
                                std::string_view aBody)
 {
-  std::string text = FormatStatusLine(aStatus, aReason) + aFields;
+  std::string text = BeginResponse(aStatus, aReason) + aFields;
   if (aStatus != 204 && aStatus != 304) {
     AppendField(text, "Content-Length", std::to_string(aBody.size()));
   }
-  mKeepAlive = mKeepAlive && !mServer.mDraining;
   mSocket->Write(text.append("\r\n").append(aBody));
   EndRequest();
 }
@@ -361,9 +367,8 @@
                                        const std::string& aReason,
                                        const std::string& aFields)
 {
-  std::string text = FormatStatusLine(aStatus, aReason) + aFields;
+  std::string text = BeginResponse(aStatus, aReason) + aFields;
   AppendField(text, "Transfer-Encoding", "chunked");
-  mKeepAlive = mKeepAlive && !mServer.mDraining;
   // Sent together with the first chunk.
   mSocket->BufferForNextWrite(text.append("\r\n"));
 }
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -67,7 +67,7 @@
   Time InputDeadline() const;
   void SetInputTimer();
   void ReportUnfinishedBytes(ConnectionEnd aEnd);
-  std::string FormatStatusLine(int aStatus, const std::string& aReason) const;
+  std::string BeginResponse(int aStatus, const std::string& aReason);
 
   CallerServer& mServer;
   RefPtr<Socket> mSocket;
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ReceivedHeadsAreServedAfterTheHeadTimeout);
   CPPUNIT_TEST(ReceivedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST(LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest);
+  CPPUNIT_TEST(PipelinedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +169,25 @@
     CPPUNIT_ASSERT(channel.AwaitEnd() == ChannelEnd::Closed);
   }
 
+  // Guards against a request that was read and is dropped because the answer
+  // before it is the first one of a stopping host.
+  void PipelinedRequestsAreAnsweredAtAStop()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetAllModes(RunnerMode::SlowAnswer);
+    CallerChannel channel(cluster.Gateway());
+    channel.Send(GatewayTestCluster::Request("/plain/", "a") +
+                 GatewayTestCluster::Request("/unsafe/", "b"));
+    while (cluster.Runs().empty()) {
+      ::usleep(1000);
+    }
+    cluster.Gateway().Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+    const CallerAnswer second = channel.Read();
+    CPPUNIT_ASSERT_EQUAL(200, second.mHead.mStatus);
+    CPPUNIT_ASSERT(!second.mConnectionKept);
+  }
+
 private:
   // More connections than the event loop handles between two looks at the
   // timers.
