Answer requests that are still open when a stop ends

Requests that were running or waiting for a target when the grace period of a stop ended lost their connection without an answer, so their callers did not learn whether they had run.

The process closed its callers' connections and exited. The process exits at the latest 0.2 s before the end of the grace period.

Requests that wait are kept until then, as they may still be served.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -37,7 +37,8 @@
 // Retry-After of a request for which no target is ready.
 constexpr Duration kNoTargetRetryAfter = std::chrono::milliseconds(2000);
 
-// Default Retry-After of an idempotent request that failed.
+// Default Retry-After of an idempotent request that failed, and of a request
+// of a process that exits.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
 
 // Retry-After of a request suspected of crashing targets.
@@ -274,6 +275,21 @@
   return actions;
 }
 
+Actions
+Generation::OnExit()
+{
+  Actions actions;
+  if (mPhase == Phase::Done) {
+    return actions;
+  }
+  CancelCurrentAttempt(false, actions);
+  FailWithRetryAfter(FailureCode::Stopping,
+                     "the host is shutting down",
+                     kDefaultRetryAfter,
+                     actions);
+  return actions;
+}
+
 Actions
 Generation::OnTargetStopping(Time aNow)
 {
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -97,6 +97,10 @@
   // Handles the caller closing its connection.
   Actions OnCallerDisconnected(Time aNow);
 
+  // Handles the imminent exit of this process: the request fails with a verdict
+  // on its run.
+  Actions OnExit();
+
   // Handles a notice that the current target will stop before the stream ends:
   // the stream moves to another target at this token boundary.
   Actions OnTargetStopping(Time aNow);
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -94,6 +94,16 @@
   mSocket->Adopt(std::move(aSocket), *this);
 }
 
+void
+CallerConnection::FailRequest()
+{
+  if (mExchange != nullptr) {
+    const RefPtr<CallerConnection> self(this);
+    const RefPtr<Exchange> exchange = mExchange;
+    exchange->OnExit();
+  }
+}
+
 // Whether no request is being received or handled.
 bool
 CallerConnection::IsIdle() const
@@ -555,6 +565,15 @@
   mAcceptsRequests = false;
 }
 
+void
+CallerServer::FailRequests()
+{
+  const auto connections = mConnections;
+  for (const RefPtr<CallerConnection>& it : connections) {
+    it->FailRequest();
+  }
+}
+
 void
 CallerServer::Close()
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -30,6 +30,10 @@
   // Takes over an accepted socket and starts to read requests from it.
   void Start(boost::asio::ip::tcp::socket aSocket);
 
+  // Ends the request in progress with a failure, as the process is about to
+  // exit.
+  void FailRequest();
+
   // Closes the connection if no request is being received or handled.
   void CloseIfIdle(ConnectionEnd aEnd);
 
@@ -112,6 +116,9 @@
   void StopAcceptingRequests();
   bool IsAcceptingRequests() const { return mAcceptsRequests; }
 
+  // Ends all requests in progress with a failure.
+  void FailRequests();
+
   // Stops listening and closes all connections.
   void Close();
 
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -31,9 +31,13 @@
 // period.
 constexpr Duration kAcceptPeriod = milliseconds(2600);
 
+// Time before the end of the grace period at which open requests are ended with
+// a failure.
+constexpr Duration kFailMargin = milliseconds(600);
+
 // Time before the end of the grace period at which the process exits even if
-// requests are still open.
-constexpr Duration kForcedExitMargin = milliseconds(400);
+// answers are still being sent.
+constexpr Duration kForcedExitMargin = milliseconds(200);
 
 // Interval at which a stopping process checks whether its requests have
 // finished.
@@ -208,14 +212,15 @@
   {
     const Time now = EventLoop::Now();
     mAcceptUntil = now + kAcceptPeriod;
-    mStopDeadline = now + mSettings.mStopGrace - kForcedExitMargin;
+    mFailAt = now + mSettings.mStopGrace - kFailMargin;
+    mExitAt = now + mSettings.mStopGrace - kForcedExitMargin;
     mCallers.Drain();
     mStore.DeregisterHost();
     Log(LogLevel::Info,
         "gateway",
         "stopping",
         { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
-    mStopTimer.ScheduleAt(std::min(mAcceptUntil, mStopDeadline));
+    mStopTimer.ScheduleAt(std::min(mAcceptUntil, mFailAt));
   }
 
   void CheckStop()
@@ -228,12 +233,20 @@
           "no longer accepting requests",
           { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
     }
-    if (mCallers.ExchangeCount() == 0 || now >= mStopDeadline) {
+    if (now >= mFailAt && mCallers.ExchangeCount() > 0) {
+      Log(LogLevel::Warn,
+          "gateway",
+          "ending open requests",
+          { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
+      mCallers.FailRequests();
+    }
+    if (mCallers.ExchangeCount() == 0 || now >= mExitAt) {
       mCallers.Close();
       mLoop.Stop();
       return;
     }
-    mStopTimer.ScheduleAt(std::min(now + kStopCheckInterval, mStopDeadline));
+    mStopTimer.ScheduleAt(
+      std::min(now + kStopCheckInterval, now < mFailAt ? mFailAt : mExitAt));
   }
 
   GatewaySettings mSettings;
@@ -256,7 +269,8 @@
   boost::asio::signal_set mSignals;
   Timer mStopTimer;
   Time mAcceptUntil;
-  Time mStopDeadline;
+  Time mFailAt;
+  Time mExitAt;
 };
 
 Gateway::Gateway(GatewaySettings aSettings, std::string aSettingsFile)
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -242,6 +242,44 @@
   SendFailure(aFailure);
 }
 
+// Ends the attempt in progress, if any. Returns whether the request was sent in
+// it.
+bool
+PlainExchange::AbandonAttempt()
+{
+  if (mConnection == nullptr) {
+    return false;
+  }
+  const bool sent = mConnection->HasSent();
+  mConnection->Abort();
+  EndAttempt(AttemptOutcome::Released);
+  return sent;
+}
+
+void
+PlainExchange::FailAbandoned(bool aSent,
+                             FailureCode aCode,
+                             const char* aMessage)
+{
+  Failure failure;
+  failure.mCode = aCode;
+  failure.mVerdict =
+    aSent || mAttempts > 1 ? RunVerdict::OutcomeUnknown : RunVerdict::NotRun;
+  failure.mMessage = aMessage;
+  Fail(failure);
+}
+
+void
+PlainExchange::OnExit()
+{
+  if (mDone) {
+    return;
+  }
+  const RefPtr<Exchange> self(this);
+  FailAbandoned(
+    AbandonAttempt(), FailureCode::Stopping, "the host is shutting down");
+}
+
 void
 PlainExchange::OnTimer()
 {
@@ -250,25 +288,14 @@
     return;
   }
   if (mAttemptDeadline >= mCall.mDeadline) {
-    FailAtDeadline();
+    FailAbandoned(AbandonAttempt(),
+                  FailureCode::DeadlineExceeded,
+                  "the target did not respond before the deadline");
   } else {
     HandleSilence(EventLoop::Now());
   }
 }
 
-void
-PlainExchange::FailAtDeadline()
-{
-  const bool sent = mConnection != nullptr && mConnection->HasSent();
-  AbandonAttempt();
-  Failure failure;
-  failure.mCode = FailureCode::DeadlineExceeded;
-  failure.mVerdict =
-    sent || mAttempts > 1 ? RunVerdict::OutcomeUnknown : RunVerdict::NotRun;
-  failure.mMessage = "the target did not respond before the deadline";
-  Fail(failure);
-}
-
 // Sends the call to another target if one can take it; else waits for the
 // silent one.
 void
@@ -289,15 +316,6 @@
   mTimer.ScheduleAt(mAttemptDeadline);
 }
 
-void
-PlainExchange::AbandonAttempt()
-{
-  if (mConnection != nullptr) {
-    mConnection->Abort();
-    EndAttempt(AttemptOutcome::Released);
-  }
-}
-
 void
 PlainExchange::Finish()
 {
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -22,6 +22,7 @@
 
   void Start() override;
   void OnCallerDisconnected() override;
+  void OnExit() override;
 
 private:
   void OnResponseHead(const HttpHead& aHead,
@@ -34,11 +35,11 @@
   void SendAttempt(const std::string& aTarget);
   void ForwardResponse();
   void Fail(const Failure& aFailure);
+  bool AbandonAttempt();
+  void FailAbandoned(bool aSent, FailureCode aCode, const char* aMessage);
   void EndAttempt(AttemptOutcome aOutcome);
   void OnTimer();
-  void FailAtDeadline();
   void HandleSilence(Time aNow);
-  void AbandonAttempt();
   void LogRetry(Time aNow) const;
   void Finish();
   bool IsIdempotent() const;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -136,6 +136,12 @@
   LogCompletion("caller_gone", 0);
 }
 
+void
+StreamExchange::OnExit()
+{
+  PerformActions(mStateMachine.OnExit());
+}
+
 // Executes actions in order, one at a time. An action may add further ones,
 // which are queued.
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -25,6 +25,7 @@
 
   void Start() override;
   void OnCallerDisconnected() override;
+  void OnExit() override;
 
 private:
   void OnResponseHead(const HttpHead& aHead,
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(ReceivedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST(LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest);
   CPPUNIT_TEST(PipelinedRequestsAreAnsweredAtAStop);
+  CPPUNIT_TEST(OpenRequestsFailWithAnAnswerAtTheEndOfAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -188,6 +189,41 @@
     CPPUNIT_ASSERT(!second.mConnectionKept);
   }
 
+  // Guards against requests that are cut without an answer, running or
+  // waiting, when the grace period of a stop ends.
+  void OpenRequestsFailWithAnAnswerAtTheEndOfAStop()
+  {
+    GatewayTestCluster::Options options;
+    options.mRunners = 1;
+    options.mLimits.mStopGraceS = 3;
+    GatewayTestCluster cluster(options);
+    cluster.SetAllModes(RunnerMode::NeverAnswer);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (const char* route : { "/plain/", "/unsafe/", "/stream/" }) {
+      // More than the runner takes at once.
+      for (int n = 0; n < 30; ++n) {
+        channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+        channels.back()->Send(
+          GatewayTestCluster::Request(route, route + std::to_string(n)));
+      }
+    }
+    while (cluster.Runs().size() < 3) {
+      ::usleep(1000);
+    }
+    cluster.Gateway().Signal(SIGTERM);
+    int runs = 0;
+    for (const auto& it : channels) {
+      const CallerAnswer answer = it->Read();
+      CPPUNIT_ASSERT(answer.mComplete);
+      const std::string* run = answer.mHead.Find("X-Request-Run");
+      CPPUNIT_ASSERT(run != nullptr);
+      CPPUNIT_ASSERT((answer.mHead.mStatus == 503) == (*run == "not_run"));
+      runs += *run == "outcome_unknown" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(runs > 0);
+    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().AwaitExit());
+  }
+
 private:
   // More connections than the event loop handles between two looks at the
   // timers.
