Let a stopping host finish sending answers and receiving requests

Callers lost the rest of an answer that they had not read yet, or the answer to a request that was still arriving, when the host had no other open requests after the accept period of a stop: the process exited. The idle timeout and the end of the accept period also dropped output that was still buffered for a caller.

"No open requests" counted requests in progress only. The process now exits once no connection receives a request, handles one or has output to send, or shortly before the end of the grace period as before. Requests that have not arrived whole when open requests are failed get 503, and a connection that looks idle sends its output before it is closed.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -97,11 +97,24 @@
 void
 CallerConnection::FailRequest()
 {
-  if (mExchange != nullptr) {
-    const RefPtr<CallerConnection> self(this);
-    const RefPtr<Exchange> exchange = mExchange;
+  if (mEnding || IsIdle()) {
+    return;
+  }
+  const RefPtr<CallerConnection> self(this);
+  if (const RefPtr<Exchange> exchange = mExchange) {
     exchange->OnExit();
+    return;
   }
+  mHandlingRequest = true;
+  mKeepAlive = false;
+  mRequest = platform::DecodeCallerRequest(mReader.Head());
+  Reject(503, FailureCode::Stopping, "the host is shutting down");
+}
+
+bool
+CallerConnection::IsBusy() const
+{
+  return !IsIdle() || mSocket->UnwrittenBytes() > 0;
 }
 
 // Whether no request is being received or handled.
@@ -118,6 +131,17 @@
     mSocket->ReadReceived();
   }
   if (IsIdle()) {
+    CloseIdle(aEnd);
+  }
+}
+
+void
+CallerConnection::CloseIdle(ConnectionEnd aEnd)
+{
+  if (mSocket->UnwrittenBytes() > 0) {
+    // The caller has not read the last answer yet.
+    EndConnection(aEnd);
+  } else {
     Close(aEnd);
   }
 }
@@ -130,7 +154,7 @@
   }
   const RefPtr<CallerConnection> self(this);
   if (aEnd) {
-    ReportUnfinishedBytes(*aEnd);
+    ReportUnfinishedBytes(*aEnd, false);
   }
   mClosed = true;
   mTimer.Clear();
@@ -444,7 +468,7 @@
 void
 CallerConnection::EndConnection(ConnectionEnd aEnd)
 {
-  ReportUnfinishedBytes(aEnd);
+  ReportUnfinishedBytes(aEnd, true);
   mEnding = true;
   mTimer.Clear();
   mUnparsedInput.clear();
@@ -505,12 +529,13 @@
            "the request head was not received in time");
     return;
   }
-  Close(ConnectionEnd::Idle);
+  CloseIdle(ConnectionEnd::Idle);
 }
 
-// Logs the bytes that are lost if the connection ends now.
+// Logs the bytes that are lost if the connection ends now. aSendsOutput tells
+// that buffered output is still sent.
 void
-CallerConnection::ReportUnfinishedBytes(ConnectionEnd aEnd)
+CallerConnection::ReportUnfinishedBytes(ConnectionEnd aEnd, bool aSendsOutput)
 {
   UnfinishedBytes bytes;
   // What follows a malformed request is no request.
@@ -520,10 +545,7 @@
     bytes.mReceived =
       mUnparsedInput.size() + mSocket->UnreadBytes() + (partial ? 1 : 0);
   }
-  // After an answer the output is still sent.
-  if (aEnd != ConnectionEnd::Answered && aEnd != ConnectionEnd::BrokenOff) {
-    bytes.mUnsent = mSocket->UnwrittenBytes();
-  }
+  bytes.mUnsent = aSendsOutput ? 0 : mSocket->UnwrittenBytes();
   if (bytes.mReceived > 0 || bytes.mUnsent > 0) {
     mServer.mLog.OnCut(aEnd, bytes, mRequest.mRequestId, EventLoop::Now());
   }
@@ -565,6 +587,15 @@
   mAcceptsRequests = false;
 }
 
+bool
+CallerServer::IsBusy() const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return aConnection->IsBusy();
+    });
+}
+
 void
 CallerServer::FailRequests()
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -30,10 +30,13 @@
   // Takes over an accepted socket and starts to read requests from it.
   void Start(boost::asio::ip::tcp::socket aSocket);
 
-  // Ends the request in progress with a failure, as the process is about to
-  // exit.
+  // Ends the request that is being received or handled with a failure, as the
+  // process is about to exit.
   void FailRequest();
 
+  // Whether a request is being received or handled, or an answer sent.
+  bool IsBusy() const;
+
   // Closes the connection if no request is being received or handled.
   void CloseIfIdle(ConnectionEnd aEnd);
 
@@ -57,6 +60,7 @@
   void AbortResponse() override;
 
   bool IsIdle() const;
+  void CloseIdle(ConnectionEnd aEnd);
   void ParseRequests();
   void ApplyLimits();
   void BeginRequest();
@@ -70,7 +74,7 @@
   CallerLimits CurrentLimits() const;
   Time InputDeadline() const;
   void SetInputTimer();
-  void ReportUnfinishedBytes(ConnectionEnd aEnd);
+  void ReportUnfinishedBytes(ConnectionEnd aEnd, bool aSendsOutput);
   std::string BeginResponse(int aStatus, const std::string& aReason);
 
   CallerServer& mServer;
@@ -116,7 +120,11 @@
   void StopAcceptingRequests();
   bool IsAcceptingRequests() const { return mAcceptsRequests; }
 
-  // Ends all requests in progress with a failure.
+  // Whether a request is being received or handled, or an answer sent, on any
+  // connection.
+  bool IsBusy() const;
+
+  // Ends all requests that are being received or handled with a failure.
   void FailRequests();
 
   // Stops listening and closes all connections.
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -233,14 +233,16 @@
           "no longer accepting requests",
           { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
     }
-    if (now >= mFailAt && mCallers.ExchangeCount() > 0) {
-      Log(LogLevel::Warn,
-          "gateway",
-          "ending open requests",
-          { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
+    if (now >= mFailAt) {
+      if (mCallers.ExchangeCount() > 0) {
+        Log(LogLevel::Warn,
+            "gateway",
+            "ending open requests",
+            { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
+      }
       mCallers.FailRequests();
     }
-    if (mCallers.ExchangeCount() == 0 || now >= mExitAt) {
+    if (!mCallers.IsBusy() || now >= mExitAt) {
       mCallers.Close();
       mLoop.Stop();
       return;
--- a/tests/fakes/CallerChannel.cpp
+++ b/tests/fakes/CallerChannel.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <string_view>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace quetzalquay;
@@ -65,6 +66,10 @@
   }
   char buf[65536];
   const auto n = ::recv(mSocket, buf, sizeof buf, 0);
+  if (mBytesPerSecond > 0 && n > 0) {
+    std::this_thread::sleep_for(std::chrono::duration<double>(
+      static_cast<double>(n) / static_cast<double>(mBytesPerSecond)));
+  }
   if (n <= 0) {
     mEnd = n == 0 ? ChannelEnd::Closed : ChannelEnd::Reset;
     return false;
--- a/tests/fakes/CallerChannel.h
+++ b/tests/fakes/CallerChannel.h
@@ -35,6 +35,12 @@
   // passes before its end.
   CallerAnswer Read(std::chrono::milliseconds aTimeout = kTimeout);
 
+  // Limits the rate of reading from now on.
+  void ReadSlowly(std::size_t aBytesPerSecond)
+  {
+    mBytesPerSecond = aBytesPerSecond;
+  }
+
   // Reads and discards until the connection ends or aTimeout passes.
   ChannelEnd AwaitEnd(std::chrono::milliseconds aTimeout = kTimeout);
 
@@ -49,6 +55,8 @@
   int mSocket;
   // Received bytes that no answer has consumed.
   std::string mInput;
+  // 0 without a limit.
+  std::size_t mBytesPerSecond = 0;
   ChannelEnd mEnd = ChannelEnd::None;
 };
 
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -356,9 +356,10 @@
                        "Content-Length: 0\r\n\r\n");
         break;
       case RunnerMode::LargeAnswer:
-        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead +
-                       "Content-Length: " + std::to_string(kLargeAnswerBytes) +
-                       "\r\n\r\n" + std::string(kLargeAnswerBytes, 'x'));
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead + "Content-Length: " +
+                       std::to_string(mRunner.mCluster.mLargeAnswerBytes) +
+                       "\r\n\r\n" +
+                       std::string(mRunner.mCluster.mLargeAnswerBytes, 'x'));
         break;
       case RunnerMode::SlowAnswer:
         mDelayedAnswer = whole;
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -59,7 +59,7 @@
   GapInStream,
   // Accepts requests and never answers.
   NeverAnswer,
-  // Answers a plain request with kLargeAnswerBytes.
+  // Answers a plain request with a large body; see SetLargeAnswer().
   LargeAnswer,
   // Answers a plain request after 450 ms.
   SlowAnswer,
@@ -164,6 +164,7 @@
 
   // Size of the body that a runner sends in RunnerMode::LargeAnswer.
   static constexpr std::size_t kLargeAnswerBytes = 3U << 20U;
+  void SetLargeAnswer(std::size_t aBytes) { mLargeAnswerBytes = aBytes; }
 
   // A request with this body crashes each runner that starts to run it: the
   // runner drops its connections, refuses new ones for a while and comes back.
@@ -336,6 +337,7 @@
   std::atomic<int> mRunnerMaxConnections{ 1000000 };
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
   std::atomic<int> mCrashCount{ 0 };
+  std::atomic<std::size_t> mLargeAnswerBytes{ kLargeAnswerBytes };
   std::vector<std::unique_ptr<DatagramRelay>> mRelays;
   std::atomic<int> mDatagramLoss{ 0 };
   std::mt19937 mRandom{ 1 };
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -26,6 +27,8 @@
   CPPUNIT_TEST(LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest);
   CPPUNIT_TEST(PipelinedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST(OpenRequestsFailWithAnAnswerAtTheEndOfAStop);
+  CPPUNIT_TEST(AnswersAreWrittenWholeBeforeAStopEnds);
+  CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,7 +227,54 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().AwaitExit());
   }
 
+  // Guards against answers whose callers have not read them yet when a stopping
+  // host has no more open requests.
+  void AnswersAreWrittenWholeBeforeAStopEnds()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    cluster.SetLargeAnswer(kSlowAnswerBytes);
+    CallerChannel kept(cluster.Gateway(), 65536);
+    kept.ReadSlowly(kSlowAnswerBytes * 2 / 7);
+    CallerChannel closing(cluster.Gateway(), 65536);
+    closing.ReadSlowly(kSlowAnswerBytes * 2 / 7);
+    kept.Send(GatewayTestCluster::Request("/plain/", "a"));
+    closing.Send(
+      GatewayTestCluster::Request("/plain/", "b", "Connection: close\r\n"));
+    while (cluster.Gateway().Metrics().find("status=\"200\"} 2") ==
+           std::string::npos) {
+      ::usleep(1000);
+    }
+    cluster.Gateway().Signal(SIGTERM);
+    CallerAnswer first;
+    std::thread reader([&] { first = kept.Read(); });
+    const CallerAnswer second = closing.Read();
+    reader.join();
+    CPPUNIT_ASSERT(first.mComplete);
+    CPPUNIT_ASSERT(second.mComplete);
+  }
+
+  // Guards against a request that is cut off at a stop before it has arrived
+  // whole.
+  void RequestsThatArriveSlowlyAreAnsweredAtAStop()
+  {
+    GatewayTestCluster cluster;
+    const std::string request = GatewayTestCluster::Request("/plain/", "a");
+    CallerChannel channel(cluster.Gateway());
+    channel.Send(request.substr(0, request.size() - 1));
+    ::usleep(100000);
+    cluster.Gateway().Signal(SIGTERM);
+    ::usleep(3500000);
+    channel.Send(request.substr(request.size() - 1));
+    const CallerAnswer answer = channel.Read();
+    CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(answer.mComplete);
+  }
+
 private:
+  // Size of an answer that takes a slow reader 3.5 s.
+  static constexpr std::size_t kSlowAnswerBytes = 24U << 20U;
+
   // More connections than the event loop handles between two looks at the
   // timers.
   static constexpr std::size_t kManyChannels = 300;
