Let open streams of a stopping host run as long as before

Open requests were failed 0.6 s before the end of the grace time, 0.2 s sooner than connections used to be closed, which cuts streams that would have ended. 0.4 s leave 0.2 s to send the failures. The tests of stops (OpenRequestsFail..., AnswersAreWrittenWhole..., StoppedGatewayFinishesItsStreams) pass.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -33,7 +33,7 @@
 
 // Time before the end of the grace period at which open requests are ended with
 // a failure.
-constexpr Duration kFailMargin = milliseconds(600);
+constexpr Duration kFailMargin = milliseconds(400);
 
 // Time before the end of the grace period at which the process exits even if
 // answers are still being sent.
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -198,7 +198,7 @@
   {
     GatewayTestCluster::Options options;
     options.mRunners = 1;
-    options.mLimits.mStopGraceS = 3;
+    options.mSettings.mStopGraceS = 3;
     GatewayTestCluster cluster(options);
     cluster.SetAllModes(RunnerMode::NeverAnswer);
     std::vector<std::unique_ptr<CallerChannel>> channels;
