Accept and answer what was received when a stopping host exits

Callers whose connection had been established, but not accepted, when a stopping host ended its accept period or exited were reset, with a whole request in it. The same for requests on idle connections at the exit.

The listening socket was closed with connections in its queue, and the remaining connections without reading. The accept period and the exit now begin by accepting what is in the queue and reading what idle connections have received; these requests are answered (503 at the exit), and the process exits once they are, or at its deadline.

Evidence: ConnectionsNotYetAcceptedAreAnsweredAtAStop freezes a gateway after SIGTERM until the accept period is over; 100 connections arrive behind one that sends nothing.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -579,12 +579,27 @@
 
 void
 CallerServer::StopAcceptingRequests()
+{
+  mListener.AcceptPending();
+  CloseIdle(ConnectionEnd::Stopping);
+  mAcceptsRequests = false;
+}
+
+void
+CallerServer::CloseIdle(ConnectionEnd aEnd)
 {
   const auto connections = mConnections;
   for (const RefPtr<CallerConnection>& it : connections) {
-    it->CloseIfIdle(ConnectionEnd::Stopping);
+    it->CloseIfIdle(aEnd);
   }
-  mAcceptsRequests = false;
+}
+
+void
+CallerServer::StopListening()
+{
+  mListener.AcceptPending();
+  mListener.Close();
+  CloseIdle(ConnectionEnd::Exiting);
 }
 
 bool
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -127,6 +127,10 @@
   // Ends all requests that are being received or handled with a failure.
   void FailRequests();
 
+  // Stops listening and closes idle connections. Requests that have been
+  // received by then are still answered.
+  void StopListening();
+
   // Stops listening and closes all connections.
   void Close();
 
@@ -144,6 +148,8 @@
   std::mt19937_64 mRandom;
   bool mDraining = false;
   bool mAcceptsRequests = true;
+  void CloseIdle(ConnectionEnd aEnd);
+
   int mExchangeCount = 0;
   ConnectionLog mLog;
   Listener mListener;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -242,7 +242,10 @@
       }
       mCallers.FailRequests();
     }
-    if (!mCallers.IsBusy() || now >= mExitAt) {
+    if (!mCallers.IsBusy()) {
+      mCallers.StopListening();
+    }
+    if (mCallers.ConnectionCount() == 0 || now >= mExitAt) {
       mCallers.Close();
       mLoop.Stop();
       return;
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -51,6 +51,19 @@
   return std::nullopt;
 }
 
+void
+Listener::AcceptPending()
+{
+  boost::system::error_code ec;
+  mAcceptor.non_blocking(true, ec);
+  while (!ec && mAcceptor.is_open()) {
+    tcp::socket socket = mAcceptor.accept(ec);
+    if (!ec) {
+      mCallback(std::move(socket));
+    }
+  }
+}
+
 void
 Listener::Close()
 {
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -30,6 +30,9 @@
   // Starts listening. Returns an error message on failure.
   std::optional<std::string> Open(const Endpoint& aAddress);
 
+  // Accepts the connections that are already established.
+  void AcceptPending();
+
   // Stops accepting connections.
   void Close();
 
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(OpenRequestsFailWithAnAnswerAtTheEndOfAStop);
   CPPUNIT_TEST(AnswersAreWrittenWholeBeforeAStopEnds);
   CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
+  CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,6 +272,29 @@
     CPPUNIT_ASSERT(answer.mComplete);
   }
 
+  // Guards against resetting connections that the system has established, with
+  // a request in them, when a stopping host exits.
+  void ConnectionsNotYetAcceptedAreAnsweredAtAStop()
+  {
+    GatewayTestCluster cluster;
+    cluster.Gateway().Signal(SIGTERM);
+    ::usleep(100000);
+    cluster.Gateway().Signal(SIGSTOP);
+    // Accepted first; it sends nothing.
+    const CallerChannel silent(cluster.Gateway());
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    while (channels.size() < 100) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+      channels.back()->Send(GatewayTestCluster::Request("/none/", "a"));
+    }
+    ::usleep(2700000);
+    cluster.Gateway().Signal(SIGCONT);
+    for (const auto& it : channels) {
+      const int status = it->Read().mHead.mStatus;
+      CPPUNIT_ASSERT(status == 404 || status == 503);
+    }
+  }
+
 private:
   // Size of an answer that takes a slow reader 3.5 s.
   static constexpr std::size_t kSlowAnswerBytes = 24U << 20U;
