Let the fake store of tests turn a gateway away in each way

Nothing changes for callers. The fake store could answer 503 only; a store may also answer 429, reset the connection or never answer. StoreServer replaces the simple server there, as that one has to answer each call. Runners can be marked as draining, and a test can wait for a gateway's next read of the runners.

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -549,11 +549,10 @@
     node->mName = n == 0 ? "h" : "h" + std::to_string(n);
     node->mCutOff = n == aOptions.mCutOff;
     node->mStorePort = FindFreePort();
-    node->mStore = std::make_unique<SimpleHttpServer>(
+    node->mStore = std::make_unique<StoreServer>(
       mLoop,
       [this, at = node.get()](const HttpHead& aHead, const std::string& aBody) {
-        return at->mStoreDown ? UnavailableReply()
-                              : HandleStoreRequest(*at, aHead, aBody);
+        return HandleStoreRequest(*at, aHead, aBody);
       });
     if (const auto problem =
           node->mStore->Open(*ParseEndpoint(Address(node->mStorePort)))) {
@@ -833,16 +832,42 @@
   Write("servers", aRunner, aValue, aValue.empty());
 }
 
+void
+GatewayTestCluster::SetLeaving(const std::string& aRunner)
+{
+  SetEntry(aRunner,
+           EntryOf(mRunners.at(aRunner)->mService,
+                   AddressOf(aRunner),
+                   mRunners.at(aRunner)->mPlace,
+                   "",
+                   "draining"));
+}
+
+void
+GatewayTestCluster::Register(const std::string& aRunner)
+{
+  mRunners.at(aRunner)->Register();
+}
+
+void
+GatewayTestCluster::AwaitRunnersRead(std::size_t aGateway) const
+{
+  const int before = mNodes[aGateway]->mRunnersReads;
+  while (mNodes[aGateway]->mRunnersReads == before) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+}
+
 std::string
 GatewayTestCluster::EntryOf(const std::string& aService,
                             const std::string& aAddress,
                             const std::string& aPlace,
-                            const std::string& aExtraFields)
+                            const std::string& aExtraFields,
+                            const std::string& aState)
 {
   return R"({"Service":")" + aService + R"(","Address":")" + aAddress +
-         R"(","Zone":")" + aPlace +
-         R"(","Version":"v1","Slots":8,"State":"ready","Sequence":1)" +
-         aExtraFields + "}";
+         R"(","Zone":")" + aPlace + R"(","Version":"v1","Slots":8,"State":")" +
+         aState + R"(","Sequence":1)" + aExtraFields + "}";
 }
 
 void
@@ -890,15 +915,7 @@
 }
 
 SimpleHttpReply
-GatewayTestCluster::UnavailableReply()
-{
-  SimpleHttpReply reply;
-  reply.mStatus = 503;
-  return reply;
-}
-
-SimpleHttpReply
-GatewayTestCluster::HandleStoreRequest(const GatewayNode& aReader,
+GatewayTestCluster::HandleStoreRequest(GatewayNode& aReader,
                                        const HttpHead& aHead,
                                        const std::string& aBody)
 {
@@ -915,6 +932,7 @@
   const long long from = whole ? 0 : std::atoll(after.c_str());
   std::string rows;
   const std::string table = QueryValue(aHead.mTarget, "Table");
+  aReader.mRunnersReads += table == "servers" ? 1 : 0;
   for (const auto& it : mTables[table]) {
     Row row = it.second;
     if (table == "gateway-hosts" && !row.mRemoved &&
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -2,11 +2,11 @@
 #define QUETZALQUAY_TESTS_FAKES_GATEWAYTESTCLUSTER_H_INCLUDED
 
 #include "GatewayProcess.h"
+#include "StoreServer.h"
 #include "TestConfiguration.h"
 
 #include "http/EventLoop.h"
 #include "http/HttpReader.h"
-#include "http/SimpleHttpServer.h"
 #include "http/Socket.h"
 
 #include <array>
@@ -240,12 +240,31 @@
   std::string AddressOf(const std::string& aRunner) const;
   std::string RunnerAt(const std::string& aAddress) const;
 
+  // Marks a runner's entry in the store as draining, or removes the entry. The
+  // runner goes on serving.
+  void SetLeaving(const std::string& aRunner);
+  void RemoveEntry(const std::string& aRunner) { SetEntry(aRunner, ""); }
+
+  // Writes a runner's entry again, as ready.
+  void Register(const std::string& aRunner);
+
+  // Sets how the store handles the calls of one gateway.
+  void SetStoreAccess(StoreAccess aAccess, std::size_t aGateway = 0)
+  {
+    mNodes[aGateway]->mStore->SetAccess(aAccess);
+  }
+
   // Answers all store calls of one gateway with 503 while set.
   void SetStoreDown(bool aDown, std::size_t aGateway = 0)
   {
-    mNodes[aGateway]->mStoreDown = aDown;
+    SetStoreAccess(aDown ? StoreAccess::Unavailable : StoreAccess::Serve,
+                   aGateway);
   }
 
+  // Waits until the store has answered one more read of the runners' entries
+  // to a gateway.
+  void AwaitRunnersRead(std::size_t aGateway = 0) const;
+
   GatewayProcess& Gateway(std::size_t aNumber = 0) const
   {
     return *mNodes[aNumber]->mGateway;
@@ -292,8 +311,9 @@
   struct GatewayNode
   {
     int mStorePort = 0;
-    std::unique_ptr<quetzalquay::SimpleHttpServer> mStore;
-    std::atomic<bool> mStoreDown{ false };
+    std::unique_ptr<StoreServer> mStore;
+    // Reads of the runners' entries that were answered.
+    std::atomic<int> mRunnersReads{ 0 };
     std::unique_ptr<GatewayProcess> mGateway;
     std::string mName;
     bool mCutOff = false;
@@ -304,16 +324,16 @@
   void StartRelays();
   std::string AddressSeenBy(const GatewayNode& aReader,
                             const std::string& aName) const;
-  static quetzalquay::SimpleHttpReply UnavailableReply();
   quetzalquay::SimpleHttpReply HandleStoreRequest(
-    const GatewayNode& aReader,
+    GatewayNode& aReader,
     const quetzalquay::HttpHead& aHead,
     const std::string& aBody);
   void ApplyTransaction(const std::string& aBody);
   static std::string EntryOf(const std::string& aService,
                              const std::string& aAddress,
                              const std::string& aPlace,
-                             const std::string& aExtraFields);
+                             const std::string& aExtraFields,
+                             const std::string& aState = "ready");
   void Write(const std::string& aTable,
              const std::string& aKey,
              const std::string& aValue,
--- /dev/null
+++ b/tests/fakes/StoreServer.h
@@ -0,0 +1,48 @@
+#ifndef QUETZALQUAY_TESTS_FAKES_STORESERVER_H_INCLUDED
+#define QUETZALQUAY_TESTS_FAKES_STORESERVER_H_INCLUDED
+
+#include "http/SimpleHttpServer.h"
+
+#include <atomic>
+#include <optional>
+#include <set>
+
+// How a fake store handles the calls of one gateway.
+enum class StoreAccess
+{
+  Serve,
+  // Answers 503.
+  Unavailable,
+  // Answers 429.
+  Overloaded,
+  // Resets the connection.
+  Reset,
+  // Never answers; connections on which a call was lost stay silent.
+  Silent,
+};
+
+// HTTP server of a fake store for one gateway, which it may turn away.
+class StoreServer
+{
+public:
+  StoreServer(quetzalquay::EventLoop& aLoop,
+              quetzalquay::SimpleHttpServer::Handler aHandler);
+  ~StoreServer();
+
+  // Starts listening. Returns an error message on failure.
+  std::optional<std::string> Open(const quetzalquay::Endpoint& aAddress);
+
+  // Sets how calls are handled that are received from now on.
+  void SetAccess(StoreAccess aAccess) { mAccess = aAccess; }
+
+private:
+  class Connection;
+
+  quetzalquay::EventLoop& mLoop;
+  quetzalquay::SimpleHttpServer::Handler mHandler;
+  std::atomic<StoreAccess> mAccess{ StoreAccess::Serve };
+  std::set<quetzalquay::RefPtr<Connection>> mConnections;
+  quetzalquay::Listener mListener;
+};
+
+#endif // QUETZALQUAY_TESTS_FAKES_STORESERVER_H_INCLUDED
