Ignore the time limit of calls sent before the store's last answer

Cause: a host gives up a call for changes of the suspected requests 5.9 s after it was sent, for the configuration 2.9 s. A call that was lost while the host was cut off thus ended 3 s after the store had answered others, and its end counted as the loss of the store. A removal read from then on is taken for an entry that could not be renewed, and kept for 2 s after the store "is back".

StoreContact decides whether the store is reachable: a call without a response counts only if it was sent after the store's last answer. Responses with a failure and closed connections count as before.

Evidence: LostCallDoesNotKeepLeavingTargetsInUse failed on the code before in 3 of 3 runs (late requests up to 2,504 ms after the confirmation) and passes 8 of 8.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -41,11 +41,11 @@
                            const Endpoint& aStore,
                            Options aOptions,
                            OnRows aOnRows,
-                           OnOutcome aOnOutcome)
+                           OnCallEnded aOnCallEnded)
   : mHostHeader(FormatEndpoint(aStore))
   , mOptions(std::move(aOptions))
   , mOnRows(std::move(aOnRows))
-  , mOnOutcome(std::move(aOnOutcome))
+  , mOnCallEnded(std::move(aOnCallEnded))
   , mHttpClient(aLoop, aStore)
   , mCallTimer(aLoop, [this] { StartCall(); })
 {
@@ -90,15 +90,28 @@
 }
 
 void
-TableWatcher::ReadPage(const std::string& aFrom)
+TableWatcher::Send(
+  const std::string& aRequest,
+  Duration aLongPoll,
+  void (TableWatcher::*aOnReply)(const std::optional<HttpReply>& aReply,
+                                 const std::string& aReason))
 {
-  mHttpClient.Call(platform::EncodeRead(mHostHeader, mOptions.mTable, aFrom),
-                   EventLoop::Now() + kReplyTimeout,
-                   [this](const auto& aReply, const auto& aReason) {
-                     OnPage(aReply, aReason);
+  mSentAt = EventLoop::Now();
+  mHttpClient.Call(aRequest,
+                   mSentAt + aLongPoll + kReplyTimeout,
+                   [this, aOnReply](const auto& aReply, const auto& aReason) {
+                     (this->*aOnReply)(aReply, aReason);
                    });
 }
 
+void
+TableWatcher::ReadPage(const std::string& aFrom)
+{
+  Send(platform::EncodeRead(mHostHeader, mOptions.mTable, aFrom),
+       Duration::zero(),
+       &TableWatcher::OnPage);
+}
+
 void
 TableWatcher::OnPage(const std::optional<HttpReply>& aReply,
                      const std::string& aReason)
@@ -128,13 +141,10 @@
 void
 TableWatcher::RequestChanges()
 {
-  mHttpClient.Call(
-    platform::EncodeWatch(
-      mHostHeader, mOptions.mTable, mVersion, mOptions.mLongPoll),
-    EventLoop::Now() + mOptions.mLongPoll + kReplyTimeout,
-    [this](const auto& aReply, const auto& aReason) {
-      OnChanges(aReply, aReason);
-    });
+  Send(platform::EncodeWatch(
+         mHostHeader, mOptions.mTable, mVersion, mOptions.mLongPoll),
+       mOptions.mLongPoll,
+       &TableWatcher::OnChanges);
 }
 
 void
@@ -170,23 +180,26 @@
                           const std::string& aReason)
 {
   if (!aReply) {
-    OnCallFailed(aReason);
+    OnCallFailed(mHttpClient.HasTimedOut() ? StoreCallEnd::TimedOut
+                                           : StoreCallEnd::Rejected,
+                 aReason);
     return std::nullopt;
   }
   if (aReply->mHead.mStatus != 200) {
-    OnCallFailed("status " + std::to_string(aReply->mHead.mStatus));
+    OnCallFailed(StoreCallEnd::Rejected,
+                 "status " + std::to_string(aReply->mHead.mStatus));
     return std::nullopt;
   }
   std::string reason;
   auto rows = platform::DecodeRows(aReply->mBody, reason);
   if (!rows) {
-    OnCallFailed(reason);
+    OnCallFailed(StoreCallEnd::Rejected, reason);
   }
   return rows;
 }
 
 void
-TableWatcher::OnCallFailed(const std::string& aReason)
+TableWatcher::OnCallFailed(StoreCallEnd aEnd, const std::string& aReason)
 {
   if (mFailures == 0) {
     Log(LogLevel::Warn,
@@ -200,7 +213,7 @@
     std::min(kMaxBackoff, kInitialBackoff * (1 << std::min(mFailures, 4)));
   ++mFailures;
   mCallTimer.ScheduleAt(EventLoop::Now() + pause);
-  mOnOutcome(false);
+  mOnCallEnded(aEnd, mSentAt);
 }
 
 void
@@ -211,7 +224,7 @@
                            ? std::max(mOptions.mInterval, kInitialBackoff)
                            : mOptions.mInterval;
   mCallTimer.ScheduleAt(EventLoop::Now() + pause);
-  mOnOutcome(true);
+  mOnCallEnded(StoreCallEnd::Answered, mSentAt);
 }
 
 StoreWatch::StoreWatch(EventLoop& aLoop,
@@ -222,7 +235,7 @@
   , mFleet(aFleet)
   , mWriter(aLoop, aSettings.mStoreEndpoint)
   , mWriteTimer(aLoop, [this] { WriteOwnRow(); })
-  , mUnreachableSince(EventLoop::Now())
+  , mContact(EventLoop::Now())
 {
   const auto make =
     [&](StoreTable aTable, Duration aLongPoll, Duration aInterval) {
@@ -241,7 +254,9 @@
           mFleet.ApplyRows(
             aTable, aRows, aIsSnapshot, aVersion, RowSource::Store);
         },
-        [this, aTable](bool aAnswered) { OnOutcome(aTable, aAnswered); });
+        [this, aTable](StoreCallEnd aEnd, Time aSentAt) {
+          OnCallEnded(aTable, aEnd, aSentAt);
+        });
     };
   mConfiguration =
     make(StoreTable::Configuration, kConfigurationLongPoll, Duration::zero());
@@ -273,7 +288,7 @@
 bool
 StoreWatch::ShouldRead() const
 {
-  return mUnreachableSince != Time::max() ||
+  return !mContact.IsReachable() ||
          mFleet.Readers().MustReadStore(EventLoop::Now());
 }
 
@@ -328,14 +343,15 @@
 }
 
 void
-StoreWatch::OnOutcome(StoreTable aTable, bool aAnswered)
+StoreWatch::OnCallEnded(StoreTable aTable, StoreCallEnd aEnd, Time aSentAt)
 {
-  const bool wasUnreachable = mUnreachableSince != Time::max();
-  if (aAnswered && aTable == StoreTable::Targets) {
+  if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets) {
     mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
   }
-  if (aAnswered && wasUnreachable) {
-    mUnreachableSince = Time::max();
+  if (!mContact.OnCallEnded(aEnd, aSentAt, EventLoop::Now())) {
+    return;
+  }
+  if (mContact.IsReachable()) {
     mFleet.OnStoreReachable();
     mConfiguration->PollNow();
     mTargets->PollNow();
@@ -343,8 +359,7 @@
         "store",
         "store reachable",
         { { "table", std::string(NameOf(aTable)) } });
-  } else if (!aAnswered && !wasUnreachable) {
-    mUnreachableSince = EventLoop::Now();
+  } else {
     mFleet.OnStoreUnreachable();
     Log(LogLevel::Warn,
         "store",
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_STOREWATCH_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_STOREWATCH_H_INCLUDED
 
+#include "core/StoreContact.h"
 #include "gateway/Fleet.h"
 #include "http/AsyncHttpClient.h"
 #include "platform/PlatformStore.h"
@@ -33,14 +34,14 @@
   // Receives rows, whether they are the complete table, and the version.
   using OnRows = std::function<
     void(const std::vector<platform::StoreRow>&, bool, std::int64_t)>;
-  // Called after each successful or failed call.
-  using OnOutcome = std::function<void(bool aAnswered)>;
+  // Called after each call, with the time at which it was sent.
+  using OnCallEnded = std::function<void(StoreCallEnd aEnd, Time aSentAt)>;
 
   TableWatcher(EventLoop& aLoop,
                const Endpoint& aStore,
                Options aOptions,
                OnRows aOnRows,
-               OnOutcome aOnOutcome);
+               OnCallEnded aOnCallEnded);
 
   void Start();
 
@@ -55,6 +56,11 @@
 
 private:
   void StartCall();
+  void Send(
+    const std::string& aRequest,
+    Duration aLongPoll,
+    void (TableWatcher::*aOnReply)(const std::optional<HttpReply>& aReply,
+                                   const std::string& aReason));
   void ReadPage(const std::string& aFrom);
   void OnPage(const std::optional<HttpReply>& aReply,
               const std::string& aReason);
@@ -64,13 +70,13 @@
   std::optional<platform::StoreRows> DecodeReply(
     const std::optional<HttpReply>& aReply,
     const std::string& aReason);
-  void OnCallFailed(const std::string& aReason);
+  void OnCallFailed(StoreCallEnd aEnd, const std::string& aReason);
   void OnCallSucceeded();
 
   std::string mHostHeader;
   Options mOptions;
   OnRows mOnRows;
-  OnOutcome mOnOutcome;
+  OnCallEnded mOnCallEnded;
   AsyncHttpClient mHttpClient;
   Timer mCallTimer;
   // Version up to which the table is known; 0 before the first complete read.
@@ -81,6 +87,8 @@
   std::int64_t mSnapshotVersion = 0;
   int mFailures = 0;
   Time mLastCallAt;
+  // When the last request of the call was sent.
+  Time mSentAt;
 };
 
 // Keeps the tables that a gateway needs up to date, registers this host in the
@@ -97,7 +105,7 @@
 
   // When the store became unreachable, Time::max() while it is reachable. The
   // store counts as unreachable until the first call succeeds.
-  Time UnreachableSince() const { return mUnreachableSince; }
+  Time UnreachableSince() const { return mContact.UnreachableSince(); }
 
   // Writes this host's row with the given value, or removes it. Retried until
   // it succeeds.
@@ -106,7 +114,9 @@
 
 private:
   bool ShouldRead() const;
-  void OnOutcome(platform::StoreTable aTable, bool aAnswered);
+  void OnCallEnded(platform::StoreTable aTable,
+                   StoreCallEnd aEnd,
+                   Time aSentAt);
   void WriteOwnRow();
 
   EventLoop& mLoop;
@@ -121,7 +131,7 @@
   std::string mOwnRow;
   bool mOwnRowWritten = false;
   bool mDeregistering = false;
-  Time mUnreachableSince;
+  StoreContact mContact;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/http/AsyncHttpClient.cpp
+++ b/src/quetzalquay/http/AsyncHttpClient.cpp
@@ -17,7 +17,10 @@
   : mLoop(aLoop)
   , mServer(aServer)
   , mReader(HttpMessageType::Responses, { kMaxHeadBytes, kMaxBodyBytes })
-  , mDeadlineTimer(aLoop, [this] { Fail("no response before the deadline"); })
+  , mDeadlineTimer(aLoop, [this] {
+    mTimedOut = true;
+    Fail("no response before the deadline");
+  })
 {
 }
 
@@ -33,6 +36,7 @@
 {
   mRequest = aRequest;
   mDeadline = aDeadline;
+  mTimedOut = false;
   mCallback = std::move(aCallback);
   mDeadlineTimer.ScheduleAt(aDeadline);
   mOnReusedConnection = mConnected && mSocket != nullptr && mSocket->IsOpen();
--- a/src/quetzalquay/http/AsyncHttpClient.h
+++ b/src/quetzalquay/http/AsyncHttpClient.h
@@ -39,6 +39,9 @@
   // Whether a request is pending.
   bool IsBusy() const { return mCallback != nullptr; }
 
+  // Whether the last request failed as there was no response by its deadline.
+  bool HasTimedOut() const { return mTimedOut; }
+
   // Abandons the pending request without calling its callback and closes the
   // connection.
   void Cancel();
@@ -59,6 +62,7 @@
   Time mDeadline;
   ResponseCallback mCallback;
   Timer mDeadlineTimer;
+  bool mTimedOut = false;
   bool mConnected = false;
   // Whether the pending request was sent on a connection that had served an
   // earlier one.
--- /dev/null
+++ b/tests/usage/LeavingTargetTests.cpp
@@ -0,0 +1,183 @@
+#include "GatewayTestCluster.h"
+
+#include <atomic>
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time after the store has accepted that a target leaves within which requests
+// to it have to cease.
+constexpr auto kDrainTime = milliseconds(2000);
+
+// Time for which callers go on after the last request could be late.
+constexpr auto kObservationTime = milliseconds(600);
+
+// Interval between two requests of one caller.
+constexpr auto kRequestInterval = milliseconds(15);
+
+// Callers that send plain requests to every gateway until they are stopped.
+class Callers
+{
+public:
+  explicit Callers(const GatewayTestCluster& aCluster)
+    : mCluster(aCluster)
+  {
+    for (std::size_t n = 0; n < 2 * aCluster.GatewayCount(); ++n) {
+      mThreads.emplace_back([this, n] { Run(n); });
+    }
+  }
+  ~Callers() { Stop(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void Stop()
+  {
+    mStopped = true;
+    for (std::thread& it : mThreads) {
+      if (it.joinable()) {
+        it.join();
+      }
+    }
+  }
+
+  // When each request was sent.
+  const std::map<std::string, Time>& Sends() const { return mSends; }
+
+private:
+  void Run(std::size_t aCaller)
+  {
+    for (int n = 0; !mStopped; ++n) {
+      const std::string id =
+        "c" + std::to_string(aCaller) + "-" + std::to_string(n);
+      {
+        const std::lock_guard<std::mutex> lock(mMutex);
+        mSends[id] = EventLoop::Now();
+      }
+      mCluster.Gateway(aCaller % mCluster.GatewayCount())
+        .Call(GatewayTestCluster::Request("/plain/", id));
+      std::this_thread::sleep_for(kRequestInterval);
+    }
+  }
+
+  const GatewayTestCluster& mCluster;
+  std::atomic<bool> mStopped{ false };
+  std::mutex mMutex;
+  std::map<std::string, Time> mSends;
+  std::vector<std::thread> mThreads;
+};
+
+// Targets that leave, and the requests that reach them too late.
+class Departures
+{
+public:
+  explicit Departures(GatewayTestCluster& aCluster)
+    : mCluster(aCluster)
+    , mCallers(aCluster)
+  {
+  }
+
+  // Removes the entries of the next two targets, one at each place.
+  void RemoveTwo()
+  {
+    for (const std::string& it : NextTwo()) {
+      mCluster.RemoveEntry(it);
+      mLeftAt[it] = EventLoop::Now();
+    }
+  }
+
+  // Waits until all late requests have been sent, and returns a line for each
+  // target that received some.
+  std::vector<std::string> AwaitLateRequests()
+  {
+    std::this_thread::sleep_for(kDrainTime + kObservationTime);
+    mCallers.Stop();
+    std::map<std::string, int> counts;
+    std::map<std::string, Duration> last;
+    for (const RunnerRequest& it : mCluster.Requests()) {
+      const auto left = mLeftAt.find(it.mRunner);
+      const std::string* id = it.mHead.Find("X-Request-Id");
+      const auto sent =
+        mCallers.Sends().find(id == nullptr ? std::string() : *id);
+      if (left != mLeftAt.end() && sent != mCallers.Sends().end() &&
+          sent->second > left->second + kDrainTime) {
+        ++counts[it.mRunner];
+        last[it.mRunner] =
+          std::chrono::duration_cast<Duration>(sent->second - left->second);
+      }
+    }
+    std::vector<std::string> lines;
+    lines.reserve(counts.size());
+    for (const auto& it : counts) {
+      lines.push_back(it.first + ": " + std::to_string(it.second) +
+                      " requests, the last " +
+                      std::to_string(ToMilliseconds(last[it.first])) +
+                      " ms after the store accepted that it leaves");
+    }
+    return lines;
+  }
+
+private:
+  std::vector<std::string> NextTwo()
+  {
+    mNext += 2;
+    return { "i-" + std::to_string(mNext - 2),
+             "i-" + std::to_string(mNext - 1) };
+  }
+
+  GatewayTestCluster& mCluster;
+  Callers mCallers;
+  std::map<std::string, Time> mLeftAt;
+  int mNext = 0;
+};
+
+std::string
+Join(const std::vector<std::string>& aLines)
+{
+  std::string text;
+  for (const std::string& it : aLines) {
+    text += it.empty() ? it : it + "\n";
+  }
+  return text;
+}
+
+} // namespace
+
+// Targets that leave while hosts of the fleet have trouble with the store. The
+// requests are counted at the targets.
+class LeavingTargetTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LeavingTargetTests);
+  CPPUNIT_TEST(LostCallDoesNotKeepLeavingTargetsInUse);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against requests to targets that left when a call was given up that
+  // the store had lost before it answered later ones.
+  void LostCallDoesNotKeepLeavingTargetsInUse()
+  {
+    GatewayTestCluster cluster(14, 1);
+    Departures departures(cluster);
+    cluster.SetStoreAccess(StoreAccess::Silent);
+    std::this_thread::sleep_for(milliseconds(700));
+    cluster.SetStoreAccess(StoreAccess::Serve);
+    // The call for changes of the configuration is given up 2.9 s after it was
+    // sent.
+    std::this_thread::sleep_for(milliseconds(1800));
+    for (int n = 0; n < 6; ++n) {
+      departures.RemoveTwo();
+      std::this_thread::sleep_for(milliseconds(90));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Join(departures.AwaitLateRequests()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTargetTests);
