Ask other hosts whether a retained target has left

Callers' requests reached targets up to 2.29 s after the store had accepted that they leave, on a host that the store had turned away for a while (503, 429, reset) and then served again.

Cause: a host that comes back to the store keeps removed entries for 2 s, as targets that could not renew them register again in that time. That time begins when the host notices the store's return, after the removal, so it ends later than 2 s after it. A host that reads the store itself asked no other one, although those that had not lost the store knew that the removal was final.

A host now asks two others at once when it reads changes while it retains a removed target, and in each round of 0.5 s until none is left. Their confirmation ends the retention, as before for hosts that cannot reach the store. It counts only from a host that knows the store's state of the last 1.2 s: one with an older view may not have noticed an outage. In an outage for all hosts none confirms, and the targets stay in use as before. A host without retained targets asks as before, and no call to the store is added.

Ruled out: a shorter time for registering again, as a running target needs up to 2 s after the store's return.

--- a/src/quetzalquay/core/ReaderChoice.cpp
+++ b/src/quetzalquay/core/ReaderChoice.cpp
@@ -16,11 +16,6 @@
 constexpr std::size_t kHostsPerReader = 24;
 constexpr std::size_t kMinReaders = 2;
 
-// Age of the known state from which on a host reads the store itself. Together
-// with the duration of a read it stays below the time within which requests to
-// a leaving target have to stop.
-constexpr Duration kMaxStaleness = milliseconds(1200);
-
 // Time for which a failed reader is skipped, doubled with each consecutive
 // failure up to the maximum.
 constexpr Duration kInitialBackoff = milliseconds(2000);
--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -168,6 +168,16 @@
   }
 }
 
+bool
+TargetEntries::HasRetained() const
+{
+  return std::any_of(
+    mRecordsByName.begin(), mRecordsByName.end(), [](const auto& aItem) {
+      const Record& record = aItem.second;
+      return record.mRemoved && record.mRetainedUntil != Time::min();
+    });
+}
+
 bool
 TargetEntries::Expire(Time aNow)
 {
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -93,6 +93,10 @@
   void OnStoreUnreachable(Time aNow);
   void OnStoreReachable(Time aNow);
 
+  // Whether removed entries are in use because their targets may register
+  // again.
+  bool HasRetained() const;
+
   // Makes removed entries unusable whose grace period is over. Returns whether
   // there were any.
   bool Expire(Time aNow);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -200,6 +200,10 @@
     DeclareTargets();
   }
   mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
+  if (aSource == RowSource::Store && !aRows.empty() && mEntries.HasRetained() &&
+      mRetainedCallback) {
+    mRetainedCallback();
+  }
 }
 
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -9,9 +9,11 @@
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace quetzalquay {
@@ -20,7 +22,7 @@
 enum class RowSource
 {
   Store,
-  // Another host, which is in sync with the store.
+  // Another host, which is in sync with the store and has read it recently.
   SyncedPeer,
   // Another host, which may be cut off from the store.
   Peer,
@@ -96,6 +98,17 @@
   // target has registered again.
   bool IsStoreSynced() const { return mEntries.IsSettled(EventLoop::Now()); }
 
+  // Whether removed targets are in use because they may register again after a
+  // store outage.
+  bool HasRetainedTargets() const { return mEntries.HasRetained(); }
+
+  // Sets a function that is called when the store has reported changes of
+  // targets and removed targets are retained.
+  void SetRetainedCallback(std::function<void()> aCallback)
+  {
+    mRetainedCallback = std::move(aCallback);
+  }
+
   // Newest store version at which a table has been read.
   std::int64_t Version(platform::StoreTable aTable) const;
 
@@ -144,6 +157,7 @@
   std::int64_t mSuspectsVersion = 0;
   bool mTargetsKnown = false;
   bool mTargetsChanged = false;
+  std::function<void()> mRetainedCallback;
   ReaderChoice mReaders;
   Timer mExpiryTimer;
 };
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -117,6 +117,7 @@
   , mRoundTimer(aLoop, [this] { RunRound(); })
   , mRandom(StableHash(aSettings.mHost))
 {
+  mFleet.SetRetainedCallback([this] { QueryPeers(EventLoop::Now()); });
 }
 
 std::optional<std::string>
@@ -175,15 +176,24 @@
 {
   const Time now = EventLoop::Now();
   mRoundTimer.ScheduleAt(now + kRoundInterval);
-  const Time unreachableSince = mStore.UnreachableSince();
-  if (unreachableSince == Time::max()) {
+  if (mStore.UnreachableSince() == Time::max()) {
     QueryReader(now);
     mStore.PollIfNeeded();
-  } else if (now - unreachableSince >= kStoreOutageDelay) {
+  }
+  if (NeedsPeers(now)) {
     QueryPeers(now);
   }
 }
 
+bool
+PeerLink::NeedsPeers(Time aNow) const
+{
+  const Time unreachableSince = mStore.UnreachableSince();
+  const bool unreachable = unreachableSince != Time::max() &&
+                           aNow - unreachableSince >= kStoreOutageDelay;
+  return unreachable || mFleet.HasRetainedTargets();
+}
+
 std::string
 PeerLink::BuildQueryPath(bool aAllTargets) const
 {
@@ -324,6 +334,8 @@
   if (ageField != json.MemberEnd() && ageField->value.IsInt64()) {
     age = milliseconds(ageField->value.GetInt64());
   }
+  // A host with an old view may not have noticed an outage of the store.
+  const bool synced = age && *age < ReaderChoice::kMaxStaleness;
   for (const auto& it : kTables) {
     const auto table = json.FindMember(it.first);
     if (table == json.MemberEnd() || !table->value.IsObject()) {
@@ -347,7 +359,7 @@
                      rows,
                      whole,
                      version->value.GetInt64(),
-                     age ? RowSource::SyncedPeer : RowSource::Peer);
+                     synced ? RowSource::SyncedPeer : RowSource::Peer);
   }
   return age;
 }
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -15,8 +15,9 @@
 
 // Synchronizes store rows between hosts. Every host answers requests for the
 // rows that it knows beyond given versions. A host that does not read the store
-// itself queries one that does; a host that cannot reach the store queries a
-// few other hosts at a time.
+// itself queries one that does. A host queries a few other hosts at a time
+// while it cannot reach the store, while its view of the store is too old, and
+// while it uses removed targets that another host may know to be gone.
 class PeerLink
 {
 public:
@@ -34,6 +35,7 @@
 private:
   SimpleHttpReply HandleRequest(const HttpHead& aHead) const;
   void RunRound();
+  bool NeedsPeers(Time aNow) const;
   void QueryPeers(Time aNow);
   void QueryReader(Time aNow);
   std::string BuildQueryPath(bool aAllTargets) const;
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -132,10 +132,14 @@
     entries.OnRegistered(Entry("b", "10.0.0.2:1"), 2, At(0));
     CPPUNIT_ASSERT(entries.IsSettled(At(0)));
     entries.OnStoreUnreachable(At(1000));
+    CPPUNIT_ASSERT(!entries.HasRetained());
     entries.OnRemoved("a", 3, At(5000));
+    CPPUNIT_ASSERT(entries.HasRetained());
     CPPUNIT_ASSERT(entries.ConfirmRemovals(3));
+    CPPUNIT_ASSERT(!entries.HasRetained());
     entries.OnRemoved("b", 4, At(5000));
     CPPUNIT_ASSERT(!entries.ConfirmRemovals(3));
+    CPPUNIT_ASSERT(entries.HasRetained());
     CPPUNIT_ASSERT(Names(entries) == std::set<std::string>{ "b" });
     CPPUNIT_ASSERT(!entries.IsSettled(At(5000)));
     entries.OnStoreReachable(At(6000));
--- a/tests/usage/LeavingTargetTests.cpp
+++ b/tests/usage/LeavingTargetTests.cpp
@@ -1,10 +1,14 @@
 #include "GatewayTestCluster.h"
 
+#include "core/ReaderChoice.h"
+
 #include <atomic>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -94,6 +98,15 @@
     }
   }
 
+  // Marks the entries of the next two targets as draining.
+  void DrainTwo()
+  {
+    for (const std::string& it : NextTwo()) {
+      mCluster.SetLeaving(it);
+      mLeftAt[it] = EventLoop::Now();
+    }
+  }
+
   // Waits until all late requests have been sent, and returns a line for each
   // target that received some.
   std::vector<std::string> AwaitLateRequests()
@@ -149,6 +162,56 @@
   return text;
 }
 
+// Number of a gateway of the cluster that reads the store for others.
+std::size_t
+ReaderOf(const GatewayTestCluster& aCluster)
+{
+  std::vector<ReaderCandidate> hosts;
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    hosts.push_back({ aCluster.Gateway(n).Name(), 0 });
+  }
+  for (std::size_t n = 0; n < hosts.size(); ++n) {
+    ReaderChoice choice(hosts[n]);
+    choice.SetHosts(hosts);
+    if (choice.IsReader(EventLoop::Now())) {
+      return n;
+    }
+  }
+  throw std::runtime_error("no gateway reads the store");
+}
+
+// How and when the store turns a host away.
+struct Outage
+{
+  const char* mName;
+  StoreAccess mAccess;
+  // Reads of the host before that.
+  int mReadsBefore;
+};
+
+// Turns a host away from the store for a while. Targets leave right after the
+// host's last read, right before the store serves it again, and after that.
+std::vector<std::string>
+LateRequestsWhileTurnedAway(GatewayTestCluster& aCluster, const Outage& aOutage)
+{
+  const std::size_t host = ReaderOf(aCluster);
+  Departures departures(aCluster);
+  for (int n = 0; n < aOutage.mReadsBefore; ++n) {
+    aCluster.AwaitRunnersRead(host);
+  }
+  aCluster.SetStoreAccess(aOutage.mAccess, host);
+  departures.DrainTwo();
+  departures.RemoveTwo();
+  std::this_thread::sleep_for(milliseconds(1650));
+  departures.RemoveTwo();
+  std::this_thread::sleep_for(milliseconds(150));
+  aCluster.SetStoreAccess(StoreAccess::Serve, host);
+  departures.RemoveTwo();
+  std::this_thread::sleep_for(milliseconds(100));
+  departures.RemoveTwo();
+  return departures.AwaitLateRequests();
+}
+
 } // namespace
 
 // Targets that leave while hosts of the fleet have trouble with the store. The
@@ -156,10 +219,41 @@
 class LeavingTargetTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(LeavingTargetTests);
+  CPPUNIT_TEST(HostTurnedAwayByTheStoreStopsUsingLeavingTargets);
   CPPUNIT_TEST(LostCallDoesNotKeepLeavingTargetsInUse);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against requests to targets that left while the store turned away
+  // one host and served the others.
+  void HostTurnedAwayByTheStoreStopsUsingLeavingTargets()
+  {
+    constexpr Outage kOutages[] = {
+      { "503", StoreAccess::Unavailable, 1 },
+      { "429", StoreAccess::Overloaded, 1 },
+      { "reset", StoreAccess::Reset, 1 },
+      { "silent", StoreAccess::Silent, 1 },
+    };
+    std::vector<std::unique_ptr<GatewayTestCluster>> clusters;
+    for (std::size_t n = 0; n < std::size(kOutages); ++n) {
+      clusters.push_back(std::make_unique<GatewayTestCluster>(12, 2));
+    }
+    std::vector<std::string> failures(std::size(kOutages));
+    std::vector<std::thread> threads;
+    for (std::size_t n = 0; n < std::size(kOutages); ++n) {
+      threads.emplace_back([&, n] {
+        for (const std::string& it :
+             LateRequestsWhileTurnedAway(*clusters[n], kOutages[n])) {
+          failures[n].append(kOutages[n].mName).append(", " + it + "\n");
+        }
+      });
+    }
+    for (std::thread& it : threads) {
+      it.join();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), Join(failures));
+  }
+
   // Guards against requests to targets that left when a call was given up that
   // the store had lost before it answered later ones.
   void LostCallDoesNotKeepLeavingTargetsInUse()
