Test the software versions of streams beside all troubles of hosts and targets

FleetVersionTests counts them at callers of whole fleets: targets that fail, a release under way, hosts that are killed, frozen, cut off, replaced, restarted all at once or have just joined, lost datagrams, a store that is away, copies, a version that is gone or comes back, and targets that come back with another version under their name or address.

Ports of tests now lie below the range of outgoing connections: one of those had taken a port between the search and the listening, once in a run with three fleets at the same time. A comment in ReaderChoice.h is formatted.

--- a/src/quetzalquay/core/ReaderChoice.h
+++ b/src/quetzalquay/core/ReaderChoice.h
@@ -30,9 +30,9 @@
 class ReaderChoice
 {
 public:
-  // Age of the known state from which on a host reads the store itself. Together
-  // with the duration of a read it stays below the time within which requests to
-  // a leaving target have to stop.
+  // Age of the known state from which on a host reads the store itself.
+  // Together with the duration of a read it stays below the time within which
+  // requests to a leaving target have to stop.
   static constexpr Duration kMaxStaleness = std::chrono::milliseconds(1200);
 
   explicit ReaderChoice(ReaderCandidate aOwnHost);
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -5,8 +5,8 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <mutex>
 #include <netinet/in.h>
-#include <set>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -29,6 +29,13 @@
 // name. Without the variable they are discarded.
 constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
 
+// Ports below those that the system gives to outgoing connections, which could
+// take a port before its user listens on it. Test processes that run at the
+// same time start at different ports.
+constexpr int kFirstPort = 10000;
+constexpr int kPortCount = 22000;
+constexpr int kPortsPerProcess = 200;
+
 sockaddr_in
 SocketAddress(const std::string& aIp, int aPort)
 {
@@ -44,28 +51,25 @@
 int
 FindFreePort(const std::string& aIp)
 {
-  // The system may return a port again before its user has bound it.
-  static std::set<int> given;
-  while (true) {
+  static std::mutex mutex;
+  const std::lock_guard<std::mutex> lock(mutex);
+  static int next = static_cast<int>(::getpid()) * kPortsPerProcess;
+  for (int n = 0; n < kPortCount; ++n) {
+    const int port = kFirstPort + next++ % kPortCount;
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at = SocketAddress(aIp, 0);
-    socklen_t size = sizeof at;
+    const sockaddr_in at = SocketAddress(aIp, port);
     const bool bound =
-      ::bind(fd, reinterpret_cast<sockaddr*>(&at), size) == 0 &&
-      ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0;
+      ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
     ::close(fd);
-    if (!bound) {
-      throw std::runtime_error("cannot find a free port");
-    }
-    const int port = ntohs(at.sin_port);
-    if (given.insert(port).second) {
+    if (bound) {
       return port;
     }
   }
+  throw std::runtime_error("cannot find a free port");
 }
 
 GatewayProcess::GatewayProcess(std::string aName,
-                               std::string aPlace,
+                               const std::string& aPlace,
                                std::string aIp,
                                int aLoadPort,
                                const std::vector<std::string>& aPeers,
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -44,7 +44,7 @@
   // aIp is the gateway's own loopback address. aLoadPort is shared by all
   // gateways of a test; aPeers has their peer addresses, this one's at aIndex.
   GatewayProcess(std::string aName,
-                 std::string aPlace,
+                 const std::string& aPlace,
                  std::string aIp,
                  int aLoadPort,
                  const std::vector<std::string>& aPeers,
@@ -96,6 +96,9 @@
   // when it has exited.
   void Restart(int aSignal = SIGKILL);
 
+  // Starts the process again with the same settings after it has exited.
+  void Start() { StartProcess(); }
+
   // Sets how long calls wait for a response.
   void SetCallTimeout(std::chrono::milliseconds aTimeout)
   {
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <future>
 #include <rapidjson/document.h>
 #include <stdexcept>
 #include <utility>
@@ -17,6 +18,13 @@
 // Time for which a paused runner sends nothing and refuses connections.
 constexpr auto kRunnerPause = milliseconds(700);
 
+// Interval between the events of a stream of the route "/paced/".
+constexpr auto kPacedEventInterval =
+  GatewayTestCluster::kPacedDuration / GatewayTestCluster::kEvents;
+
+// Interval at which a frozen runner checks whether it may continue.
+constexpr auto kFrozenInterval = milliseconds(20);
+
 // Interval between the events of a slow stream, and number of events before its
 // fault.
 constexpr auto kSlowEventInterval = milliseconds(60);
@@ -92,11 +100,13 @@
          aText.compare(aText.size() - aEnd.size(), aEnd.size(), aEnd) == 0;
 }
 
+// An event names the software version that wrote it and the body of its
+// request.
 std::string
-EventText(int aId)
+EventText(int aId, const std::string& aVersion, const std::string& aBody)
 {
   return "id: " + std::to_string(aId) + "\ndata: e" + std::to_string(aId) +
-         "\n\n";
+         " " + aVersion + " " + aBody + "\n\n";
 }
 
 std::string
@@ -127,26 +137,29 @@
   Runner(GatewayTestCluster& aCluster,
          std::string aName,
          std::string aPlace,
-         std::string aService)
+         std::string aService,
+         std::string aVersion)
     : mCluster(aCluster)
     , mName(std::move(aName))
     , mPlace(std::move(aPlace))
     , mService(std::move(aService))
+    , mVersion(std::move(aVersion))
     , mPort(FindFreePort())
     , mListener(aCluster.mLoop,
                 [this](boost::asio::ip::tcp::socket aSocket) {
                   Accept(std::move(aSocket));
                 })
-    , mListenTimer(aCluster.mLoop,
-                   [this] {
-                     Listen();
-                     Register();
-                   })
+    , mListenTimer(aCluster.mLoop, [this] { Start(); })
     , mExpiryTimer(aCluster.mLoop, [this] { RemoveFormerEntries(); })
     , mStallTimer(aCluster.mLoop, [this] { EndStall(); })
+  {
+  }
+
+  void Start()
   {
     Listen();
-    Register();
+    Register("ready");
+    mServingSince = EventLoop::Now();
   }
 
   void Listen()
@@ -156,11 +169,12 @@
     }
   }
 
-  void Register() const
+  void Register(const std::string& aState) const
   {
     const std::string born =
       mStarts == 0 ? std::string() : R"(,"born":)" + std::to_string(mStarts);
-    mCluster.SetEntry(mName, EntryOf(mService, Address(mPort), mPlace, born));
+    mCluster.SetEntry(
+      mName, EntryOf(mService, Address(mPort), mPlace, mVersion, born, aState));
   }
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
@@ -169,13 +183,25 @@
   void EndStall();
   bool IsStalled() const { return mStallTimer.IsSet(); }
   void Crash();
+  void Stop();
   void RemoveFormerEntries();
 
+  // Whether the runner has served new requests for aTime at least.
+  bool HasServedFor(Duration aTime) const
+  {
+    return mServingSince && mMode == RunnerMode::Serve &&
+           *mServingSince <= EventLoop::Now() - aTime;
+  }
+
   GatewayTestCluster& mCluster;
   std::string mName;
   std::string mPlace;
   std::string mService;
+  // Software version.
+  std::string mVersion;
   int mPort;
+  // Since when the runner is up and not draining; empty if it is not.
+  std::optional<Time> mServingSince;
   // Restarts after a crash.
   int mStarts = 0;
   // Names of former starts whose entries have not expired, with their expiry.
@@ -236,7 +262,7 @@
       const std::string body = mReader.TakeBody();
       mReader.Next();
       if (!std::exchange(mAnswered, false)) {
-        Answer(head, body);
+        Answer(head, body, EventLoop::Now());
       }
     }
   }
@@ -250,16 +276,21 @@
     Drop();
   }
 
-  void Answer(const HttpHead& aHead, const std::string& aBody)
+  // aAt is when the request was received.
+  void Answer(const HttpHead& aHead, const std::string& aBody, Time aAt)
   {
     const RunnerMode mode = mRunner.mMode;
+    if (mode == RunnerMode::Frozen) {
+      mHeldRequest = [this, aHead, aBody, aAt] { Answer(aHead, aBody, aAt); };
+      mEventTimer.ScheduleAt(EventLoop::Now() + kFrozenInterval);
+      return;
+    }
     if (aHead.mTarget == "/report") {
       SendReport(mode);
       return;
     }
     if (aHead.mTarget.rfind("/kv-", 0) == 0) {
-      mRunner.mCluster.mRequests.push_back(
-        { mRunner.mName, aHead, aBody, EventLoop::Now() });
+      mRunner.mCluster.mRequests.push_back(MakeRecord(aHead, aBody, aAt));
       const std::string copyHandle = R"({"Handle":"h1","CreatedRev":1})";
       mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
                      std::to_string(copyHandle.size()) + "\r\n\r\n" +
@@ -269,9 +300,7 @@
     const std::string* id = aHead.Find("X-Request-Id");
     const std::string echo =
       id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n";
-    const RunnerRequest request{
-      mRunner.mName, aHead, aBody, EventLoop::Now()
-    };
+    const RunnerRequest request = MakeRecord(aHead, aBody, aAt);
     mRunner.mCluster.mRequests.push_back(request);
     const std::string* expected = aHead.Find("X-Expected-Instance");
     if (mode == RunnerMode::WrongRunner || expected == nullptr ||
@@ -300,13 +329,29 @@
     }
     const std::string head = "X-Server-Seal: seal-" + mRunner.mName + "\r\n" +
                              echo + "Keep-Alive: timeout=10\r\n";
-    if (aHead.mTarget.rfind("/stream/", 0) == 0 && mode != RunnerMode::Fail) {
+    const bool paced = aHead.mTarget.rfind("/paced/", 0) == 0;
+    const bool isStream = paced || aHead.mTarget.rfind("/stream/", 0) == 0;
+    if (isStream && mode != RunnerMode::Fail) {
+      mPaced = paced;
+      mStreamBody = aBody;
       StartStream(aHead, head, mode);
     } else {
       SendPlainAnswer(aHead, head, mode);
     }
   }
 
+  RunnerRequest MakeRecord(const HttpHead& aHead,
+                           const std::string& aBody,
+                           Time aAt) const
+  {
+    return { mRunner.mName,
+             aHead,
+             aBody,
+             aAt,
+             mRunner.mVersion,
+             mRunner.mCluster.CopyVersionOf(aHead, aBody) };
+  }
+
   void SendReport(RunnerMode aMode)
   {
     if (aMode == RunnerMode::SilentStream) {
@@ -411,6 +456,14 @@
       mSocket->Write(std::exchange(mDelayedAnswer, std::string()));
       return;
     }
+    if (mRunner.mMode == RunnerMode::Frozen) {
+      mEventTimer.ScheduleAt(EventLoop::Now() + kFrozenInterval);
+      return;
+    }
+    if (const auto held = std::exchange(mHeldRequest, nullptr)) {
+      held();
+      return;
+    }
     const bool faultDue = mEvent - mStartEvent == kEventsBeforeFault;
     ++mEvent;
     if (mEvent > kEvents) {
@@ -418,13 +471,15 @@
       return;
     }
     const bool slow = mMode == RunnerMode::SlowTruncatedStream;
-    const Time next = EventLoop::Now() +
-                      (slow ? kSlowEventInterval
-                            : milliseconds(mRunner.mCluster.mEventIntervalMs));
+    const Duration interval =
+      mPaced ? Duration(kPacedEventInterval)
+             : Duration(milliseconds(mRunner.mCluster.mEventIntervalMs));
+    const Time next =
+      EventLoop::Now() + (slow ? Duration(kSlowEventInterval) : interval);
     const bool slowFaultDue =
       slow && mEvent - mStartEvent > kSlowEventsBeforeFault;
     if (slowFaultDue || (faultDue && mMode == RunnerMode::TruncatedStream)) {
-      mSocket->Write(Chunk(EventText(mEvent)).substr(0, 12));
+      mSocket->Write(Chunk(NextEventText()).substr(0, 12));
       Drop();
       return;
     }
@@ -443,19 +498,29 @@
     if (faultDue && mMode == RunnerMode::GapInStream) {
       ++mEvent;
     }
-    mSocket->Write(Chunk(EventText(mEvent)));
+    mSocket->Write(Chunk(NextEventText()));
     mEventTimer.ScheduleAt(next);
   }
 
+  std::string NextEventText() const
+  {
+    return EventText(mEvent, mRunner.mVersion, mStreamBody);
+  }
+
   Runner& mRunner;
   RefPtr<Socket> mSocket;
   HttpReader mReader;
   bool mAnswered = false;
   RunnerMode mMode = RunnerMode::Serve;
   std::string mRequestId;
+  // Body of the request of the stream.
+  std::string mStreamBody;
+  bool mPaced = false;
   int mEvent = 0;
   int mStartEvent = 0;
   std::string mDelayedAnswer;
+  // Answers the request that was received while the runner is frozen.
+  std::function<void()> mHeldRequest;
   Timer mEventTimer;
 };
 
@@ -503,6 +568,7 @@
 GatewayTestCluster::Runner::Crash()
 {
   ++mStarts;
+  mServingSince.reset();
   mListener.Close();
   DropAll();
   const Time now = EventLoop::Now();
@@ -514,6 +580,15 @@
   mListenTimer.ScheduleAt(now + kCrashDowntime);
 }
 
+void
+GatewayTestCluster::Runner::Stop()
+{
+  mServingSince.reset();
+  mListener.Close();
+  DropAll();
+  mCluster.SetEntry(mName, "");
+}
+
 void
 GatewayTestCluster::Runner::RemoveFormerEntries()
 {
@@ -528,7 +603,7 @@
 }
 
 GatewayTestCluster::GatewayTestCluster(int aRunners, int aGateways)
-  : GatewayTestCluster(Options{ aRunners, aGateways, -1, 0, false })
+  : GatewayTestCluster(Options{ aRunners, aGateways })
 {
 }
 
@@ -538,11 +613,19 @@
   for (int n = 0; n < aOptions.mRunners; ++n) {
     const std::string name = "i-" + std::to_string(n);
     const bool second = n >= aOptions.mRunners - aOptions.mSecondServiceRunners;
+    const std::size_t version =
+      static_cast<std::size_t>(n) % aOptions.mVersions.size();
     mRunners[name] = std::make_unique<Runner>(
       *this,
       name,
       "p" + std::to_string(n % 2),
-      second ? TestConfiguration::kSecondService : TestConfiguration::kService);
+      second ? TestConfiguration::kSecondService : TestConfiguration::kService,
+      aOptions.mVersions[version]);
+    if (n + aOptions.mLateRunners < aOptions.mRunners) {
+      mRunners[name]->Start();
+      // The gateways read the first entries before they are ready.
+      mRunners[name]->mServingSince = Time::min();
+    }
   }
   for (int n = 0; n < aOptions.mGateways; ++n) {
     auto node = std::make_unique<GatewayNode>();
@@ -702,6 +785,87 @@
   });
 }
 
+void
+GatewayTestCluster::CrashRunner(const std::string& aRunner,
+                                const std::string& aVersion)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner, aVersion] {
+    runner.Crash();
+    runner.mVersion = aVersion;
+  });
+}
+
+void
+GatewayTestCluster::StartRunner(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] { runner.Start(); });
+}
+
+void
+GatewayTestCluster::DrainRunner(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] {
+    runner.mServingSince.reset();
+    runner.Register("draining");
+  });
+}
+
+void
+GatewayTestCluster::StopRunner(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] { runner.Stop(); });
+}
+
+void
+GatewayTestCluster::ResetRunner(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] { runner.DropAll(); });
+}
+
+int
+GatewayTestCluster::ServingCount(const std::string& aVersion)
+{
+  int count = 0;
+  DoInLoop([&] {
+    for (const auto& it : mRunners) {
+      const Runner& runner = *it.second;
+      const bool serving = (aVersion.empty() || runner.mVersion == aVersion) &&
+                           runner.HasServedFor(kSettledAfter);
+      count += serving ? 1 : 0;
+    }
+  });
+  return count;
+}
+
+// Software version of the runner at the address of a copy order or of the
+// holder of a copy; empty if there is none or it has just started.
+std::string
+GatewayTestCluster::CopyVersionOf(const HttpHead& aHead,
+                                  const std::string& aBody) const
+{
+  std::string address;
+  for (const char* name : { "Kv-From", "X-Kv-Backup" }) {
+    if (const std::string* value = aHead.Find(name)) {
+      address = value->substr(0, value->find('/'));
+    }
+  }
+  if (aHead.mTarget.rfind("/kv-move", 0) == 0) {
+    rapidjson::Document json;
+    json.Parse(aBody.data(), aBody.size());
+    const auto to = json.FindMember("To");
+    address = to == json.MemberEnd() ? std::string() : to->value.GetString();
+  }
+  const auto runner = mRunners.find(RunnerAt(address));
+  return runner != mRunners.end() && runner->second->HasServedFor(kSettledAfter)
+           ? runner->second->mVersion
+           : std::string();
+}
+
 void
 GatewayTestCluster::SetMode(const std::string& aRunner, RunnerMode aMode)
 {
@@ -839,6 +1003,7 @@
            EntryOf(mRunners.at(aRunner)->mService,
                    AddressOf(aRunner),
                    mRunners.at(aRunner)->mPlace,
+                   mRunners.at(aRunner)->mVersion,
                    "",
                    "draining"));
 }
@@ -846,7 +1011,7 @@
 void
 GatewayTestCluster::Register(const std::string& aRunner)
 {
-  mRunners.at(aRunner)->Register();
+  mRunners.at(aRunner)->Register("ready");
 }
 
 void
@@ -862,12 +1027,14 @@
 GatewayTestCluster::EntryOf(const std::string& aService,
                             const std::string& aAddress,
                             const std::string& aPlace,
+                            const std::string& aVersion,
                             const std::string& aExtraFields,
                             const std::string& aState)
 {
   return R"({"Service":")" + aService + R"(","Address":")" + aAddress +
-         R"(","Zone":")" + aPlace + R"(","Version":"v1","Slots":8,"State":")" +
-         aState + R"(","Sequence":1)" + aExtraFields + "}";
+         R"(","Zone":")" + aPlace + R"(","Version":")" + aVersion +
+         R"(","Slots":8,"State":")" + aState + R"(","Sequence":1)" +
+         aExtraFields + "}";
 }
 
 void
@@ -975,18 +1142,23 @@
   return Gateway().Call(aBytes);
 }
 
+// Runs a task in the thread of the fakes and waits for it.
+void
+GatewayTestCluster::DoInLoop(const std::function<void()>& aTask)
+{
+  std::promise<void> done;
+  mLoop.Defer([&] {
+    aTask();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 std::vector<RunnerRequest>
 GatewayTestCluster::Requests()
 {
   std::vector<RunnerRequest> requests;
-  std::atomic<bool> done{ false };
-  mLoop.Defer([&] {
-    requests = mRequests;
-    done = true;
-  });
-  while (!done) {
-    std::this_thread::sleep_for(milliseconds(1));
-  }
+  DoInLoop([&] { requests = mRequests; });
   return requests;
 }
 
@@ -994,14 +1166,7 @@
 GatewayTestCluster::Runs()
 {
   std::vector<RunnerRequest> runs;
-  std::atomic<bool> done{ false };
-  mLoop.Defer([&] {
-    runs = mRuns;
-    done = true;
-  });
-  while (!done) {
-    std::this_thread::sleep_for(milliseconds(1));
-  }
+  DoInLoop([&] { runs = mRuns; });
   return runs;
 }
 
@@ -1017,7 +1182,7 @@
 {
   std::string body;
   for (int n = 1; n <= kEvents; ++n) {
-    body += EventText(n);
+    body += EventText(n, "v1", "body");
   }
   return body;
 }
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -61,6 +61,8 @@
   NeverAnswer,
   // Answers a plain request with a large body; see SetLargeAnswer().
   LargeAnswer,
+  // Sends nothing on any connection until the mode changes, and then continues.
+  Frozen,
   // Answers a plain request after 450 ms.
   SlowAnswer,
   // Answers 500 with X-Server-Seal.
@@ -85,6 +87,11 @@
   quetzalquay::HttpHead mHead;
   std::string mBody;
   quetzalquay::Time mAt;
+  // Software version of the runner.
+  std::string mVersion;
+  // Software version of the runner that the request names to keep a copy of the
+  // KV cache; empty if it names none, or if that runner has just started.
+  std::string mCopyVersion;
 };
 
 // Passes datagrams between two endpoints, in both directions, through an
@@ -153,6 +160,10 @@
     // Runners, the last ones, that belong to kSecondService.
     int mSecondServiceRunners = 0;
     GatewayTestSettings mSettings{};
+    // Software versions of the runners, repeated in this order.
+    std::vector<std::string> mVersions = { "v1" };
+    // Runners, the last ones, that are started only by StartRunner().
+    int mLateRunners = 0;
   };
 
   // Starts everything; the gateways are ready when this returns.
@@ -186,6 +197,29 @@
   // Lets all runners of a place crash at once, whatever they run.
   void FailPlace(const std::string& aPlace);
 
+  // Lets a runner crash, whatever it runs. Each of its later starts has the
+  // given software version.
+  void CrashRunner(const std::string& aRunner, const std::string& aVersion);
+
+  // Starts a late runner.
+  void StartRunner(const std::string& aRunner);
+
+  // Registers a runner as draining; it continues to serve.
+  void DrainRunner(const std::string& aRunner);
+
+  // Ends a runner for good and removes its entry.
+  void StopRunner(const std::string& aRunner);
+
+  // Resets the connections of a runner, which continues to serve.
+  void ResetRunner(const std::string& aRunner);
+
+  // Number of runners of a software version, of any if it is empty, that have
+  // served new requests for kSettledAfter at least.
+  int ServingCount(const std::string& aVersion);
+
+  // Time after the start of a runner until all hosts know it.
+  static constexpr auto kSettledAfter = std::chrono::milliseconds(1500);
+
   // Number of gateways that have been started.
   std::size_t GatewayCount() const;
 
@@ -275,8 +309,9 @@
   CallerAnswer Call(const std::string& aBytes) const;
 
   // Builds a request to the route "/plain/", "/unsafe/", "/stream/", to
-  // "/brief/", which has a short time limit, or to "/quick/", which may run
-  // four times and has a latency objective of 300 ms.
+  // "/brief/", which has a short time limit, to "/quick/", which may run four
+  // times and has a latency objective of 300 ms, or to "/paced/", a stream that
+  // takes kPacedDuration at least.
   static std::string Request(const std::string& aRoute,
                              const std::string& aId,
                              const std::string& aFields = std::string(),
@@ -291,6 +326,7 @@
 
   // Body of the plain answer to a request whose path ends with "/large".
   static const std::string& LargeBody();
+  static constexpr auto kPacedDuration = std::chrono::milliseconds(1600);
 
   // Complete body of a stream.
   static std::string StreamBody();
@@ -332,8 +368,12 @@
   static std::string EntryOf(const std::string& aService,
                              const std::string& aAddress,
                              const std::string& aPlace,
+                             const std::string& aVersion,
                              const std::string& aExtraFields,
                              const std::string& aState = "ready");
+  std::string CopyVersionOf(const quetzalquay::HttpHead& aHead,
+                            const std::string& aBody) const;
+  void DoInLoop(const std::function<void()>& aTask);
   void Write(const std::string& aTable,
              const std::string& aKey,
              const std::string& aValue,
--- a/tests/fakes/TestConfiguration.h
+++ b/tests/fakes/TestConfiguration.h
@@ -15,6 +15,7 @@
   int mLatencyMs = 3000;
   // Services and weights; a single one is written without its weight.
   std::vector<std::pair<std::string, double>> mServices;
+  int mEventGapMs = 700;
 };
 
 struct TestWorkspace
@@ -45,6 +46,7 @@
     { "stream", "streaming", 5, 9000, 3000, { { kService, 1 } } },
     { "brief", "safe", 3, 300, 3000, { { kService, 1 } } },
     { "quick", "safe", 4, 1500, 300, { { kService, 1 } } },
+    { "paced", "streaming", 5, 20000, 500, { { kService, 1 } }, 250 },
   };
   std::vector<std::string> mServices = { kService };
   TestLimits mLimits;
--- /dev/null
+++ b/tests/usage/FleetVersionTests.cpp
@@ -0,0 +1,541 @@
+#include "StreamCallers.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <future>
+#include <iostream>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kHosts = 4;
+constexpr int kRunners = 8;
+
+// Time after the start of the callers at which the trouble begins. All streams
+// have begun by then.
+constexpr auto kTroubleAfter = milliseconds(400);
+
+// Time for which a runner serves after it has reported that it drains.
+constexpr auto kDrainTime = milliseconds(600);
+
+// Time for which a host or a runner is frozen.
+constexpr auto kHostFreeze = milliseconds(2300);
+constexpr auto kRunnerFreeze = milliseconds(1000);
+
+// Time within which a host ends or refuses a stream whose version is gone, and
+// time without an event for which its callers would wait.
+constexpr auto kPromptly = milliseconds(4000);
+constexpr auto kLongGap = milliseconds(8000);
+
+// Number of attempts for which the share that succeeds has a bound, and the
+// bound: this part of the share of new streams that begin. As in the platform's
+// rule.
+constexpr int kMinTakenUp = 12;
+constexpr double kTakenUpPart = 0.5;
+
+using Trouble = std::function<void(GatewayTestCluster&, StreamCallers&)>;
+
+// Callers of a fleet and what happens meanwhile.
+struct Trial
+{
+  const char* mName;
+  GatewayTestCluster::Options mOptions;
+  Trouble mTrouble;
+  milliseconds mSpread = milliseconds(250);
+  // Time without an event after which a caller abandons its attempt.
+  milliseconds mGap = milliseconds(2000);
+};
+
+struct TrialResult
+{
+  StreamReport mReport;
+  std::vector<CallerStream> mStreams;
+  Time mTroubleAt;
+};
+
+int
+FromEnvironment(const char* aName, int aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text == nullptr ? aDefault : std::atoi(text);
+}
+
+// Two software versions, each on half of the runners and in both places.
+GatewayTestCluster::Options
+TwoVersions()
+{
+  GatewayTestCluster::Options options;
+  options.mRunners = kRunners;
+  options.mGateways = kHosts;
+  options.mVersions = { "v1", "v1", "v2", "v2" };
+  return options;
+}
+
+GatewayTestCluster::Options
+OneVersion()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mVersions = { "v1" };
+  return options;
+}
+
+// Each software version in one place only, where copies are not preferred.
+GatewayTestCluster::Options
+VersionsByPlace()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mVersions = { "v1", "v2" };
+  return options;
+}
+
+// The runners of the second version start later.
+GatewayTestCluster::Options
+Release()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mVersions = { "v1", "v1", "v1", "v1", "v2", "v2", "v2", "v2" };
+  options.mLateRunners = kRunners / 2;
+  return options;
+}
+
+GatewayTestCluster::Options
+LateHosts()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mLateGateways = 2;
+  return options;
+}
+
+GatewayTestCluster::Options
+CutOffHost()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mCutOff = 1;
+  return options;
+}
+
+GatewayTestCluster::Options
+LossyDatagrams()
+{
+  GatewayTestCluster::Options options = TwoVersions();
+  options.mRelaysDatagrams = true;
+  return options;
+}
+
+std::string
+RunnerName(int aNumber)
+{
+  return "i-" + std::to_string(aNumber);
+}
+
+void
+Sleep(milliseconds aTime)
+{
+  std::this_thread::sleep_for(aTime);
+}
+
+void
+KillHost(GatewayTestCluster& aCluster,
+         StreamCallers& aCallers,
+         std::size_t aHost)
+{
+  aCallers.SetHostSound(aHost, false);
+  aCluster.Gateway(aHost).Signal(SIGKILL);
+  aCluster.Gateway(aHost).AwaitExit();
+}
+
+void
+KillTwoHosts(GatewayTestCluster& aCluster, StreamCallers& aCallers)
+{
+  KillHost(aCluster, aCallers, 0);
+  Sleep(milliseconds(200));
+  KillHost(aCluster, aCallers, 1);
+}
+
+void
+RestartAllHosts(GatewayTestCluster& aCluster, StreamCallers& aCallers)
+{
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    KillHost(aCluster, aCallers, n);
+  }
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    aCluster.Gateway(n).Start();
+  }
+  aCluster.AwaitReady();
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    aCallers.SetHostSound(n, true);
+  }
+}
+
+void
+FreezeTwoHosts(GatewayTestCluster& aCluster, StreamCallers& aCallers)
+{
+  for (std::size_t n = 0; n < 2; ++n) {
+    aCallers.SetHostSound(n, false);
+    aCluster.Gateway(n).Signal(SIGSTOP);
+  }
+  Sleep(kHostFreeze);
+  for (std::size_t n = 0; n < 2; ++n) {
+    aCluster.Gateway(n).Signal(SIGCONT);
+  }
+}
+
+// Replaces two hosts one after the other while targets drop streams.
+void
+ReplaceHosts(GatewayTestCluster& aCluster, StreamCallers& aCallers)
+{
+  for (std::size_t n = 0; n < 2; ++n) {
+    aCallers.SetHostSound(n, false);
+    aCluster.Gateway(n).Signal(SIGTERM);
+    aCluster.ResetRunner(RunnerName(static_cast<int>(n)));
+    aCluster.ResetRunner(RunnerName(static_cast<int>(n) + 2));
+    Sleep(milliseconds(300));
+    aCluster.Gateway(n).AwaitExit();
+    aCluster.Gateway(n).Start();
+  }
+}
+
+// Lets the runners of both versions fail in all ways.
+void
+FailRunners(GatewayTestCluster& aCluster, StreamCallers&)
+{
+  aCluster.ResetRunner(RunnerName(0));
+  aCluster.ResetRunner(RunnerName(2));
+  aCluster.SetMode(RunnerName(1), RunnerMode::Frozen);
+  aCluster.CrashRunner(RunnerName(3), "v2");
+  Sleep(kRunnerFreeze / 2);
+  aCluster.CrashRunner(RunnerName(4), "v1");
+  Sleep(kRunnerFreeze / 2);
+  aCluster.SetMode(RunnerName(1), RunnerMode::Serve);
+}
+
+// Leaves one runner of the second version, which drops its streams as well.
+void
+LeaveOneRunner(GatewayTestCluster& aCluster, StreamCallers&)
+{
+  for (const int n : { 2, 3, 6 }) {
+    aCluster.CrashRunner(RunnerName(n), "v1");
+  }
+  Sleep(milliseconds(400));
+  aCluster.ResetRunner(RunnerName(7));
+}
+
+// Starts the runners of the second version and ends those of the first one, one
+// after the other, while others crash.
+void
+ReleaseRunners(GatewayTestCluster& aCluster, StreamCallers&)
+{
+  for (int n = 0; n < kRunners / 2; ++n) {
+    aCluster.StartRunner(RunnerName(kRunners / 2 + n));
+    aCluster.DrainRunner(RunnerName(n));
+    if (n == 1) {
+      aCluster.CrashRunner(RunnerName(3), "v1");
+      aCluster.ResetRunner(RunnerName(2));
+    }
+    Sleep(kDrainTime / 2);
+    if (n > 0) {
+      aCluster.StopRunner(RunnerName(n - 1));
+    }
+  }
+}
+
+void
+StopSecondVersion(GatewayTestCluster& aCluster, StreamCallers&)
+{
+  for (const int n : { 2, 3, 6, 7 }) {
+    aCluster.StopRunner(RunnerName(n));
+  }
+}
+
+void
+CrashSecondVersion(GatewayTestCluster& aCluster, const std::string& aNext)
+{
+  for (const int n : { 2, 3, 6, 7 }) {
+    aCluster.CrashRunner(RunnerName(n), aNext);
+  }
+}
+
+} // namespace
+
+// Whole fleets of gateway processes in front of targets of several software
+// versions. The versions that have written a stream are counted at its caller,
+// over all its attempts. QUETZAL_TEST_SEED sets the seed, QUETZAL_TEST_STREAMS
+// the number of streams of each caller group, QUETZAL_TEST_FIGURES prints the
+// figures.
+class FleetVersionTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetVersionTests);
+  CPPUNIT_TEST(StreamsOfOneVersionAreTakenUpAtOtherHosts);
+  CPPUNIT_TEST(AnswersKeepTheirVersionWhenTargetsFail);
+  CPPUNIT_TEST(StreamsKeepTheirVersionDuringARelease);
+  CPPUNIT_TEST(StreamsKeepTheirVersionWhenTheirHostIsKilled);
+  CPPUNIT_TEST(StreamsKeepTheirVersionWhenTheirHostIsCutOff);
+  CPPUNIT_TEST(StreamsKeepTheirVersionAtHostsThatKnowLittle);
+  CPPUNIT_TEST(CopiesStayWithinTheirVersion);
+  CPPUNIT_TEST(StreamsOfAVersionThatIsGoneAreRefused);
+  CPPUNIT_TEST(StreamsOfAVersionThatComesBackGoOn);
+  CPPUNIT_TEST(StreamsKeepTheirVersionWhenATargetChangesItsOwn);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against refusing streams that only other processes have seen, among
+  // them processes that have ended.
+  void StreamsOfOneVersionAreTakenUpAtOtherHosts()
+  {
+    const auto results =
+      Play({ { "calm", OneVersion(), KillTwoHosts },
+             { "calm_restart", OneVersion(), RestartAllHosts } });
+    for (const TrialResult& it : results) {
+      CPPUNIT_ASSERT_EQUAL(it.mReport.mStreams, it.mReport.mComplete);
+    }
+  }
+
+  // Guards against resuming a stream within its answer at a target of another
+  // software version.
+  void AnswersKeepTheirVersionWhenTargetsFail()
+  {
+    Play({ { "targets", TwoVersions(), FailRunners },
+           { "one_left", TwoVersions(), LeaveOneRunner } });
+  }
+
+  // Guards against streams that move to the new software version with the
+  // targets.
+  void StreamsKeepTheirVersionDuringARelease()
+  {
+    Play({ { "release", Release(), ReleaseRunners, milliseconds(1200) } });
+  }
+
+  // Guards against hosts that take up a stream which another one has begun and
+  // don't know its software version.
+  void StreamsKeepTheirVersionWhenTheirHostIsKilled()
+  {
+    Play({ { "kill", TwoVersions(), KillTwoHosts },
+           { "kill_all", TwoVersions(), RestartAllHosts },
+           { "term", TwoVersions(), ReplaceHosts } });
+  }
+
+  // Guards against hosts that take up a stream whose host cannot tell them its
+  // software version, and against hosts that cannot ask for it.
+  void StreamsKeepTheirVersionWhenTheirHostIsCutOff()
+  {
+    Play({ { "freeze", TwoVersions(), FreezeTwoHosts },
+           { "cut_off",
+             CutOffHost(),
+             [](auto& aCluster, auto& aCallers) {
+               KillHost(aCluster, aCallers, 0);
+               aCallers.SetHostSound(1, false);
+               aCluster.SetStoreDown(true, 1);
+             } },
+           { "cut_off_first", CutOffHost(), [](auto& aCluster, auto& aCallers) {
+              aCallers.SetHostSound(1, false);
+              aCluster.SetStoreDown(true, 1);
+              Sleep(milliseconds(300));
+              KillHost(aCluster, aCallers, 1);
+            } } });
+  }
+
+  // Guards against taking any version for the right one at a host that has just
+  // started, gets no datagrams or cannot read the store.
+  void StreamsKeepTheirVersionAtHostsThatKnowLittle()
+  {
+    Play({ { "join",
+             LateHosts(),
+             [](auto& aCluster, auto& aCallers) {
+               aCluster.Join();
+               aCluster.Join();
+               aCallers.SetHosts({ 2, 3 });
+               KillTwoHosts(aCluster, aCallers);
+             } },
+           { "datagrams",
+             LossyDatagrams(),
+             [](auto& aCluster, auto& aCallers) {
+               aCluster.SetDatagramLoss(100);
+               KillTwoHosts(aCluster, aCallers);
+             } },
+           { "store", TwoVersions(), [](auto& aCluster, auto& aCallers) {
+              for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+                aCluster.SetStoreDown(true, n);
+              }
+              KillTwoHosts(aCluster, aCallers);
+            } } });
+  }
+
+  // Guards against copies of the KV cache that are ordered to, or used at, a
+  // target of another software version.
+  void CopiesStayWithinTheirVersion()
+  {
+    const auto results =
+      Play({ { "copies", VersionsByPlace(), [](auto& aCluster, auto&) {
+                aCluster.ResetRunner(RunnerName(0));
+                aCluster.CrashRunner(RunnerName(1), "v2");
+                Sleep(milliseconds(300));
+                aCluster.ResetRunner(RunnerName(2));
+                aCluster.ResetRunner(RunnerName(3));
+              } } });
+    CPPUNIT_ASSERT(results[0].mReport.mCopies > 0);
+    CPPUNIT_ASSERT(results[0].mReport.mCopyUses > 0);
+  }
+
+  // Guards against waiting until the caller's deadline for a version that no
+  // target has.
+  void StreamsOfAVersionThatIsGoneAreRefused()
+  {
+    const auto results = Play({ { "gone",
+                                  TwoVersions(),
+                                  StopSecondVersion,
+                                  milliseconds(250),
+                                  kLongGap } });
+    int refused = 0;
+    for (const CallerStream& stream : results[0].mStreams) {
+      if (stream.Version() == "v1") {
+        CPPUNIT_ASSERT(stream.IsComplete());
+        continue;
+      }
+      for (const StreamAttempt& it : stream.mAttempts) {
+        const std::string what = stream.Describe(results[0].mTroubleAt);
+        CPPUNIT_ASSERT_MESSAGE(what,
+                               it.mEndedAt -
+                                   std::max(it.mSentAt, results[0].mTroubleAt) <
+                                 kPromptly);
+        if (it.mAfterEvent > 0) {
+          ++refused;
+          CPPUNIT_ASSERT_MESSAGE(what, it.mAnswer.mComplete);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 503, it.mAnswer.mHead.mStatus);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(refused > 0);
+  }
+
+  // Guards against giving up a version whose targets are all about to return.
+  void StreamsOfAVersionThatComesBackGoOn()
+  {
+    const auto results =
+      Play({ { "back", TwoVersions(), [](auto& aCluster, auto&) {
+                CrashSecondVersion(aCluster, "v2");
+              } } });
+    CPPUNIT_ASSERT_EQUAL(results[0].mReport.mStreams,
+                         results[0].mReport.mComplete);
+  }
+
+  // Guards against using what a registration said of an earlier start of a
+  // target, under its own name or at its address.
+  void StreamsKeepTheirVersionWhenATargetChangesItsOwn()
+  {
+    Play({ { "same_name",
+             TwoVersions(),
+             [](auto& aCluster, auto&) {
+               aCluster.SetRunnerReturn(RunnerReturn::SameName);
+               aCluster.CrashRunner(RunnerName(0), "v2");
+               aCluster.CrashRunner(RunnerName(2), "v1");
+               aCluster.ResetRunner(RunnerName(3));
+             } },
+           { "same_name_all",
+             TwoVersions(),
+             [](auto& aCluster, auto&) {
+               aCluster.SetRunnerReturn(RunnerReturn::SameName);
+               CrashSecondVersion(aCluster, "v1");
+             } },
+           { "same_address", TwoVersions(), [](auto& aCluster, auto&) {
+              CrashSecondVersion(aCluster, "v1");
+            } } });
+  }
+
+private:
+  // Runs trials at the same time and checks what must hold in all of them.
+  static std::vector<TrialResult> Play(const std::vector<Trial>& aTrials)
+  {
+    std::vector<std::future<TrialResult>> running;
+    running.reserve(aTrials.size());
+    for (const Trial& it : aTrials) {
+      running.push_back(
+        std::async(std::launch::async, [&it] { return PlayOne(it); }));
+    }
+    std::vector<TrialResult> results;
+    results.reserve(aTrials.size());
+    for (auto& it : running) {
+      results.push_back(it.get());
+    }
+    for (std::size_t n = 0; n < results.size(); ++n) {
+      PrintFigures(aTrials[n], results[n]);
+    }
+    for (std::size_t n = 0; n < results.size(); ++n) {
+      Check(aTrials[n].mName, results[n].mReport);
+    }
+    return results;
+  }
+
+  static unsigned Seed()
+  {
+    return static_cast<unsigned>(FromEnvironment("QUETZAL_TEST_SEED", 1));
+  }
+
+  static TrialResult PlayOne(const Trial& aTrial)
+  {
+    StreamCallers::Options options;
+    options.mStreams =
+      FromEnvironment("QUETZAL_TEST_STREAMS", options.mStreams);
+    options.mSeed = Seed();
+    options.mSpread = aTrial.mSpread;
+    options.mGap = aTrial.mGap;
+    GatewayTestCluster cluster(aTrial.mOptions);
+    TrialResult result;
+    {
+      StreamCallers callers(cluster, options);
+      Sleep(kTroubleAfter);
+      result.mTroubleAt = EventLoop::Now();
+      aTrial.mTrouble(cluster, callers);
+      callers.Await();
+      result.mStreams = callers.Streams();
+    }
+    result.mReport =
+      MakeReport(result.mStreams, cluster.Requests(), cluster.Runs());
+    return result;
+  }
+
+  static void PrintFigures(const Trial& aTrial, const TrialResult& aResult)
+  {
+    if (std::getenv("QUETZAL_TEST_FIGURES") == nullptr) {
+      return;
+    }
+    const StreamReport& report = aResult.mReport;
+    std::cout << "\ntrouble " << aTrial.mName << ", seed " << Seed()
+              << ": streams " << report.mStreams << ", complete "
+              << report.mComplete << ", mixed " << report.mMixed
+              << ", mixed runs " << report.mMixedRuns << ", copies "
+              << report.mCopies << ", used " << report.mCopyUses << ", mixed "
+              << report.mMixedCopies << ", begun " << report.mBegun.mServed
+              << "/" << report.mBegun.mMade << ", taken up "
+              << report.mTakenUp.mServed << "/" << report.mTakenUp.mMade
+              << '\n';
+    for (const CallerStream& it : aResult.mStreams) {
+      if (it.mAttempts.size() > 1 || !it.IsComplete()) {
+        std::cout << it.Describe(aResult.mTroubleAt) << '\n';
+      }
+    }
+    std::cout << report.mFaults;
+  }
+
+  static void Check(const std::string& aTrial, const StreamReport& aReport)
+  {
+    const std::string what = aTrial + "\n" + aReport.mFaults;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixed);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixedRuns);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixedCopies);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mDisordered);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mUnsigned);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMisattributed);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mOverlong);
+    CPPUNIT_ASSERT_MESSAGE(what,
+                           aReport.mTakenUp.mMade < kMinTakenUp ||
+                             aReport.mTakenUp.Value() >=
+                               kTakenUpPart * aReport.mBegun.Value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetVersionTests);
