Keep a share of the connections for targets

While many callers were connected, requests failed with 503 "no target" although all targets were well: callers' connections took all descriptors, so none could be opened to a target, and each failure marked its target as unresponsive.

The limit was the number of descriptors less 40, but sockets cannot use 200 of them, which the platform keeps for files; and callers could take all of it. The limit now leaves out these 200, and callers may take three quarters of it.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -30,6 +30,11 @@
 // connection is closed.
 constexpr std::size_t kMaxUnsentBytes = 4U << 20U;
 
+// Share of all connections that callers may open; the others are left for
+// targets.
+constexpr std::size_t kCallerShare = 3;
+constexpr std::size_t kCallerShareDivisor = 4;
+
 const char*
 ReasonPhrase(int aStatus)
 {
@@ -557,11 +562,8 @@
   , mRandom(std::random_device{}())
   , mLog(aContext.mMetrics)
   , mListener(aContext.mLoop, [this](tcp::socket aSocket) {
-    const auto limit = static_cast<std::size_t>(mMaxConnections);
-    const std::size_t open =
-      mConnections.size() + mContext.mPool.OpenConnectionCount();
-    if (open >= limit) {
-      mLog.OnTurnedAway(open, EventLoop::Now());
+    if (IsFull()) {
+      mLog.OnTurnedAway(mConnections.size(), EventLoop::Now());
       return;
     }
     auto connection = MakeRef<CallerConnection>(*this);
@@ -571,6 +573,16 @@
 {
 }
 
+// Whether no more connections from callers may be opened.
+bool
+CallerServer::IsFull() const
+{
+  const auto limit = static_cast<std::size_t>(mMaxConnections);
+  const std::size_t callers = mConnections.size();
+  return callers >= limit / kCallerShareDivisor * kCallerShare ||
+         callers + mContext.mPool.OpenConnectionCount() >= limit;
+}
+
 std::optional<std::string>
 CallerServer::Open(const Endpoint& aEndpoint)
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -149,6 +149,7 @@
   bool mDraining = false;
   bool mAcceptsRequests = true;
   void CloseIdle(ConnectionEnd aEnd);
+  bool IsFull() const;
 
   int mExchangeCount = 0;
   ConnectionLog mLog;
--- a/src/quetzalquay/gateway/ConnectionLog.h
+++ b/src/quetzalquay/gateway/ConnectionLog.h
@@ -61,7 +61,7 @@
              const std::string& aRequestId,
              Time aNow);
 
-  // A new connection was turned away while aOpen connections were open.
+  // A new connection was turned away while callers had aOpen connections open.
   void OnTurnedAway(std::size_t aOpen, Time aNow);
 
 private:
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -11,9 +11,15 @@
 
 using rapidjson::Value;
 
+// Descriptors of the process that sockets cannot use: the system keeps them for
+// files.
+constexpr int kFileDescriptors = 200;
+
 // Connections reserved for the store, peers, readiness checks and the log.
 constexpr int kReservedConnections = 40;
 
+constexpr int kReservedDescriptors = kFileDescriptors + kReservedConnections;
+
 // Reads the fields of a JSON object and keeps the first problem.
 class FieldReader
 {
@@ -156,7 +162,7 @@
   settings.mLoadPort = static_cast<unsigned short>(loadPort);
   double connections = 0;
   reader.ReadNumber(
-    "maxConnections", 2 * kReservedConnections, 1e6, connections);
+    "maxConnections", 2 * kReservedDescriptors, 1e6, connections);
   double link = 0;
   reader.ReadNumber("linkMbps", 0, 1e7, link);
   double grace = 0;
@@ -170,7 +176,7 @@
     return std::nullopt;
   }
   settings.mMaxConnections =
-    static_cast<int>(connections) - kReservedConnections;
+    static_cast<int>(connections) - kReservedDescriptors;
   settings.mLinkMbps = static_cast<int>(link);
   settings.mStopGrace = FromSeconds(grace);
   settings.mRetryWindow = FromSeconds(window);
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -30,8 +30,7 @@
   Endpoint mStoreEndpoint;
   // Bandwidth of the host's link in Mbit/s, 0 if unknown.
   int mLinkMbps = 0;
-  // Open connections, from callers and to targets together, from which on no
-  // more callers are accepted.
+  // Limit on open connections, from callers and to targets together.
   int mMaxConnections = 1024;
   // Time from a stop signal to the exit of the process.
   Duration mStopGrace = std::chrono::seconds(8);
