Answer connections over the limit instead of dropping them

Callers whose connection was accepted while too many were open found it closed, or reset if their request had arrived, without a word.

Such a connection now waits up to 1 s for the head of a request and answers 503, not_run, with Retry-After, before the body is read, so that it takes no memory for it; then it is closed gracefully. At most 64 wait at the same time, and these descriptors are taken out of the limit; further ones are closed at once as before. Both are logged and counted as turned away.

A request that is answered before it has arrived whole no longer counts as cut.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -35,6 +35,14 @@
 constexpr std::size_t kCallerShare = 3;
 constexpr std::size_t kCallerShareDivisor = 4;
 
+// Connections over the limit that wait for their request at the same time, to
+// reject it, and how long each waits. Further ones are closed at once.
+constexpr std::size_t kMaxTurnedAway = 64;
+constexpr Duration kTurnAwayTime = std::chrono::seconds(1);
+
+// Retry-After of requests on connections over the limit.
+constexpr Duration kFullRetryAfter = std::chrono::seconds(1);
+
 const char*
 ReasonPhrase(int aStatus)
 {
@@ -122,6 +130,13 @@
   return !IsIdle() || mSocket->UnwrittenBytes() > 0;
 }
 
+void
+CallerConnection::TurnAway(tcp::socket aSocket, Time aUntil)
+{
+  mTurnAwayUntil = aUntil;
+  Start(std::move(aSocket));
+}
+
 // Whether no request is being received or handled.
 bool
 CallerConnection::IsIdle() const
@@ -170,6 +185,7 @@
     exchange->OnCallerDisconnected();
   }
   mServer.mConnections.erase(self);
+  mServer.mTurnedAwayCount -= mTurnAwayUntil != Time::max() ? 1 : 0;
 }
 
 void
@@ -208,6 +224,9 @@
     mUnparsedInput.erase(0, mReader.Feed(mUnparsedInput));
     if (mReader.Progress() == HttpProgress::Broken) {
       RejectMalformed();
+    } else if (mTurnAwayUntil != Time::max() &&
+               mReader.Progress() != HttpProgress::Head) {
+      RejectTurnedAway();
     } else if (mReader.Progress() == HttpProgress::Complete) {
       mTimer.Clear();
       BeginRequest();
@@ -314,7 +333,10 @@
   failure.mCode = aCode;
   failure.mVerdict = RunVerdict::NotRun;
   failure.mMessage = aMessage;
-  failure.mRetryAfter = aStatus == 503 ? kNotReadyRetryAfter : Duration::zero();
+  if (aStatus == 503) {
+    failure.mRetryAfter =
+      aCode == FailureCode::Overloaded ? kFullRetryAfter : kNotReadyRetryAfter;
+  }
   mServer.mContext.mMetrics.OnFailure(aCode, failure.mVerdict);
   const auto& routing = mServer.mContext.mFleet.Routing();
   Log(LogLevel::Info,
@@ -333,6 +355,16 @@
                FormatFailureBody(failure));
 }
 
+// Rejects a request without waiting for its body, which would take memory.
+void
+CallerConnection::RejectTurnedAway()
+{
+  mHandlingRequest = true;
+  mKeepAlive = false;
+  mRequest = platform::DecodeCallerRequest(mReader.Head());
+  Reject(503, FailureCode::Overloaded, "too many connections are open");
+}
+
 void
 CallerConnection::RejectUnconfigured()
 {
@@ -493,8 +525,9 @@
 CallerConnection::InputDeadline() const
 {
   const CallerLimits limits = CurrentLimits();
-  return mReader.HasStarted() ? mArrivedAt + limits.mHeadTimeout
-                              : mIdleSince + limits.mIdleTimeout;
+  const Time deadline = mReader.HasStarted() ? mArrivedAt + limits.mHeadTimeout
+                                             : mIdleSince + limits.mIdleTimeout;
+  return std::min(deadline, mTurnAwayUntil);
 }
 
 void
@@ -543,8 +576,9 @@
 CallerConnection::ReportUnfinishedBytes(ConnectionEnd aEnd, bool aSendsOutput)
 {
   UnfinishedBytes bytes;
-  // What follows a malformed request is no request.
-  if (mReader.Progress() != HttpProgress::Broken) {
+  // What follows a request that was answered before its end is no request.
+  if (aEnd != ConnectionEnd::Answered ||
+      mReader.Progress() == HttpProgress::Complete) {
     const bool partial =
       mReader.HasStarted() && mReader.Progress() != HttpProgress::Complete;
     bytes.mReceived =
@@ -561,24 +595,36 @@
   , mMaxConnections(aMaxConnections)
   , mRandom(std::random_device{}())
   , mLog(aContext.mMetrics)
-  , mListener(aContext.mLoop, [this](tcp::socket aSocket) {
-    if (IsFull()) {
-      mLog.OnTurnedAway(mConnections.size(), EventLoop::Now());
-      return;
-    }
-    auto connection = MakeRef<CallerConnection>(*this);
+  , mListener(aContext.mLoop,
+              [this](tcp::socket aSocket) { Accept(std::move(aSocket)); })
+{
+}
+
+void
+CallerServer::Accept(tcp::socket aSocket)
+{
+  const auto connection = MakeRef<CallerConnection>(*this);
+  if (!IsFull()) {
     mConnections.insert(connection);
     connection->Start(std::move(aSocket));
-  })
-{
+    return;
+  }
+  const Time now = EventLoop::Now();
+  mLog.OnTurnedAway(mConnections.size(), now);
+  if (mTurnedAwayCount < kMaxTurnedAway) {
+    ++mTurnedAwayCount;
+    mConnections.insert(connection);
+    connection->TurnAway(std::move(aSocket), now + kTurnAwayTime);
+  }
 }
 
 // Whether no more connections from callers may be opened.
 bool
 CallerServer::IsFull() const
 {
-  const auto limit = static_cast<std::size_t>(mMaxConnections);
-  const std::size_t callers = mConnections.size();
+  const std::size_t limit =
+    static_cast<std::size_t>(mMaxConnections) - kMaxTurnedAway;
+  const std::size_t callers = mConnections.size() - mTurnedAwayCount;
   return callers >= limit / kCallerShareDivisor * kCallerShare ||
          callers + mContext.mPool.OpenConnectionCount() >= limit;
 }
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -30,6 +30,10 @@
   // Takes over an accepted socket and starts to read requests from it.
   void Start(boost::asio::ip::tcp::socket aSocket);
 
+  // Takes over an accepted socket that there is no room for: its first request
+  // is rejected, by aUntil at the latest.
+  void TurnAway(boost::asio::ip::tcp::socket aSocket, Time aUntil);
+
   // Ends the request that is being received or handled with a failure, as the
   // process is about to exit.
   void FailRequest();
@@ -66,6 +70,7 @@
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
+  void RejectTurnedAway();
   void RejectUnconfigured();
   void RejectMalformed();
   void EndRequest();
@@ -92,6 +97,9 @@
   bool mContinueSent = false;
   bool mHandlingRequest = false;
   bool mParsing = false;
+  // Until when a connection that is turned away waits for its request;
+  // Time::max() for others.
+  Time mTurnAwayUntil = Time::max();
   // Whether no more requests are read; the output is still being sent.
   bool mEnding = false;
   bool mClosed = false;
@@ -145,10 +153,13 @@
   GatewayContext& mContext;
   int mMaxConnections;
   std::set<RefPtr<CallerConnection>> mConnections;
+  // How many of mConnections are being turned away.
+  std::size_t mTurnedAwayCount = 0;
   std::mt19937_64 mRandom;
   bool mDraining = false;
   bool mAcceptsRequests = true;
   void CloseIdle(ConnectionEnd aEnd);
+  void Accept(boost::asio::ip::tcp::socket aSocket);
   bool IsFull() const;
 
   int mExchangeCount = 0;
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
   CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
   CPPUNIT_TEST(TargetsAreReachedWhileManyCallersAreConnected);
+  CPPUNIT_TEST(ConnectionsTurnedAwayGetAnAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -321,6 +322,40 @@
     }
   }
 
+  // Guards against connections over the limit that end without an answer.
+  void ConnectionsTurnedAwayGetAnAnswer()
+  {
+    GatewayTestCluster::Options options;
+    options.mLimits.mMaxConnections = 600;
+    GatewayTestCluster cluster(options);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    while (channels.size() < 275) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+    }
+    const std::vector<std::string> requests = {
+      GatewayTestCluster::Request("/unsafe/", "whole"),
+      // Its body is not read before the answer.
+      GatewayTestCluster::Request(
+        "/unsafe/", "large", "", std::string(90000, 'x'))
+    };
+    for (const std::string& it : requests) {
+      CallerChannel channel(cluster.Gateway());
+      channel.Send(it);
+      const CallerAnswer answer = channel.Read();
+      CPPUNIT_ASSERT(answer.mComplete);
+      CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("not_run"),
+                           *answer.mHead.Find("X-Request-Run"));
+      CPPUNIT_ASSERT(answer.mHead.Find("Retry-After") != nullptr);
+      CPPUNIT_ASSERT(!answer.mConnectionKept);
+      CPPUNIT_ASSERT(channel.AwaitEnd() == ChannelEnd::Closed);
+    }
+    CPPUNIT_ASSERT(cluster.Runs().empty());
+    // A connection that is turned away does not wait for its caller.
+    CallerChannel silent(cluster.Gateway());
+    CPPUNIT_ASSERT(silent.AwaitEnd() == ChannelEnd::Closed);
+  }
+
 private:
   // Requests that run at the same time while many callers are connected.
   static constexpr std::size_t kBusyChannels = 20;
