Don't blame targets for the gateway's lack of descriptors

When the gateway had no descriptor left for a connection to a target, it marked that target, and the next one it tried, as unresponsive for 1 s, so requests were refused after descriptors were free again.

The failure to create a socket was reported like a connection that is not established in time. It has its own cause now (log note no_descriptor), which says nothing about the target; the request is not run.

--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -176,6 +176,9 @@
     case AttemptFailure::Unreachable:
       aTable.OnUnresponsive(aTarget, aNow);
       break;
+    case AttemptFailure::NoDescriptor:
+      // Says nothing about the target.
+      break;
     case AttemptFailure::Broken:
       aTable.OnConnectionBroken(aTarget, aNow);
       break;
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -190,7 +190,9 @@
   if (!sent && mAttempts > 1) {
     mContext.mFleet.Targets().ReturnRetry(mCall.mService);
   }
-  mLogNote = sent ? "target_lost" : "target_unreachable";
+  mLogNote = sent                                       ? "target_lost"
+             : aFailure == AttemptFailure::NoDescriptor ? "no_descriptor"
+                                                        : "target_unreachable";
   LogAttemptFailure("");
   EndAttempt(sent ? AttemptOutcome::Lost : AttemptOutcome::Released);
   PerformStep(mStateMachine.OnResult(
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -544,6 +544,10 @@
       mLogNote = "target_unreachable";
       EndAttempt(AttemptEnd::Unreachable);
       break;
+    case AttemptFailure::NoDescriptor:
+      mLogNote = "no_descriptor";
+      EndAttempt(AttemptEnd::Unreachable);
+      break;
     case AttemptFailure::Broken:
       mLogNote = "target_lost";
       EndAttempt(AttemptEnd::Broken);
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -206,9 +206,9 @@
   if (!mConnected) {
     // A refusal is reported at once, an unreachable target only at the connect
     // deadline.
-    const bool refused = mSocket->Refused();
-    FailAttempt(refused ? AttemptFailure::Refused
-                        : AttemptFailure::Unreachable);
+    FailAttempt(mSocket->Refused()            ? AttemptFailure::Refused
+                : mSocket->LackedDescriptor() ? AttemptFailure::NoDescriptor
+                                              : AttemptFailure::Unreachable);
     return;
   }
   mConnected = false;
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -19,6 +19,8 @@
   Refused,
   // No connection was established in time. Nothing was sent.
   Unreachable,
+  // This process had no descriptor for a connection. Nothing was sent.
+  NoDescriptor,
   // The connection broke or the response was malformed. The target may have run
   // the request.
   Broken,
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -97,6 +97,7 @@
   error_code ec;
   mSocket.open(tcp::v4(), ec);
   if (ec) {
+    mLackedDescriptor = true;
     mLoop.Defer(
       [self = RefPtr<Socket>(this)] { self->End(SocketEnd::Failed); });
     return;
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -104,6 +104,9 @@
   // Whether the connection attempt was refused or reset by the peer.
   bool Refused() const { return mRefused; }
 
+  // Whether no connection attempt was made for lack of a descriptor.
+  bool LackedDescriptor() const { return mLackedDescriptor; }
+
   // Address of the peer.
   const Endpoint& RemoteEndpoint() const { return mRemoteEndpoint; }
 
@@ -129,6 +132,7 @@
   std::size_t mOutputOffset = 0;
   bool mOpen = false;
   bool mRefused = false;
+  bool mLackedDescriptor = false;
   bool mReading = false;
   bool mReadPending = false;
   bool mWritePending = false;
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
   CPPUNIT_TEST(TargetsAreReachedWhileManyCallersAreConnected);
   CPPUNIT_TEST(ConnectionsTurnedAwayGetAnAnswer);
+  CPPUNIT_TEST(TargetsAreNotBlamedForMissingDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -356,6 +357,29 @@
     CPPUNIT_ASSERT(silent.AwaitEnd() == ChannelEnd::Closed);
   }
 
+  // Guards against targets that are marked as unresponsive because the gateway
+  // has no descriptor for a connection to them.
+  void TargetsAreNotBlamedForMissingDescriptors()
+  {
+    GatewayTestCluster::Options options;
+    // Fewer than the settings promise.
+    options.mLimits.mDescriptors = 150;
+    GatewayTestCluster cluster(options);
+    CallerChannel first(cluster.Gateway());
+    std::vector<std::unique_ptr<CallerChannel>> others;
+    while (others.size() < 200) {
+      others.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+    }
+    // Until the gateway has accepted all that it can.
+    ::usleep(300000);
+    first.Send(GatewayTestCluster::Request("/unsafe/", "a"));
+    CPPUNIT_ASSERT_EQUAL(503, first.Read().mHead.mStatus);
+    others.clear();
+    ::usleep(300000);
+    first.Send(GatewayTestCluster::Request("/unsafe/", "b"));
+    CPPUNIT_ASSERT_EQUAL(200, first.Read().mHead.mStatus);
+  }
+
 private:
   // Requests that run at the same time while many callers are connected.
   static constexpr std::size_t kBusyChannels = 20;
