Reserve at most half of a small limit of connections

A host with a limit below 480 connections did not start since 240 are reserved for files and the host's own use; before, 80 were enough. At most half of the limit is reserved now, which keeps the smallest limits as they were. FleetConnectionTests::RequestsAreAnsweredWhileConnectionsAreFull (limit 80) passes.

--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewaySettings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
@@ -18,7 +19,12 @@
 // Connections reserved for the store, peers, readiness checks and the log.
 constexpr int kReservedConnections = 40;
 
-constexpr int kReservedDescriptors = kFileDescriptors + kReservedConnections;
+// At most half of the descriptors is reserved.
+int
+ReservedDescriptors(int aDescriptors)
+{
+  return std::min(kFileDescriptors + kReservedConnections, aDescriptors / 2);
+}
 
 // Reads the fields of a JSON object and keeps the first problem.
 class FieldReader
@@ -162,7 +168,7 @@
   settings.mLoadPort = static_cast<unsigned short>(loadPort);
   double connections = 0;
   reader.ReadNumber(
-    "maxConnections", 2 * kReservedDescriptors, 1e6, connections);
+    "maxConnections", 2 * kReservedConnections, 1e6, connections);
   double link = 0;
   reader.ReadNumber("linkMbps", 0, 1e7, link);
   double grace = 0;
@@ -175,8 +181,8 @@
   if (!aReason.empty()) {
     return std::nullopt;
   }
-  settings.mMaxConnections =
-    static_cast<int>(connections) - kReservedDescriptors;
+  const auto descriptors = static_cast<int>(connections);
+  settings.mMaxConnections = descriptors - ReservedDescriptors(descriptors);
   settings.mLinkMbps = static_cast<int>(link);
   settings.mStopGrace = FromSeconds(grace);
   settings.mRetryWindow = FromSeconds(window);
