--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -34,7 +34,7 @@
 constexpr auto kAnswerDelay = milliseconds(450);
 
 // Size of a large plain answer.
-constexpr std::size_t kLargeBodyBytes = 3U << 20U;
+constexpr std::size_t kLargeBodyBytes = 8U << 20U;
 
 // Number of events before the fault of a stream.
 constexpr int kEventsBeforeFault = 10;
@@ -330,7 +330,7 @@
     const std::string head = "X-Server-Seal: seal-" + mRunner.mName + "\r\n" +
                              echo + "Keep-Alive: timeout=10\r\n";
     const bool paced = aHead.mTarget.rfind("/paced/", 0) == 0;
-    const bool isStream = paced || aHead.mTarget.rfind("/stream/", 0) == 0;
+    const bool isStream = paced || aHead.mTarget.rfind("/stream", 0) == 0;
     if (isStream && mode != RunnerMode::Fail) {
       mPaced = paced;
       mStreamBody = aBody;
--- a/tests/fakes/KeptCallers.cpp
+++ b/tests/fakes/KeptCallers.cpp
@@ -18,7 +18,10 @@
 
 // Receive buffer of a caller that pauses between two reads, and the bytes that
 // it reads at a time.
-constexpr int kSlowReceiveBytes = 65536;
+constexpr int kSlowReceiveBytes = 262144;
+
+// Interval at which a resting caller checks whether it may go on.
+constexpr auto kRestStep = milliseconds(20);
 
 constexpr auto kReadinessInterval = milliseconds(1000);
 constexpr int kFailedChecksUntilOut = 2;
@@ -99,6 +102,9 @@
     while (!mCallers.mStopped) {
       Pause(milliseconds(mRandom() %
                          static_cast<unsigned>(mKind.mMaxPause.count() + 1)));
+      while (mCallers.mResting && !mCallers.mStopped) {
+        Pause(kRestStep);
+      }
       if (!mCallers.mStopped) {
         SendRequest();
       }
@@ -183,6 +189,7 @@
       }
       const auto n = ::recv(mSocket, buffer.data(), buffer.size(), 0);
       if (n <= 0) {
+        aRequest.mReset = n < 0;
         break;
       }
       aRequest.mReceivedBytes += static_cast<std::size_t>(n);
--- a/tests/fakes/KeptCallers.h
+++ b/tests/fakes/KeptCallers.h
@@ -42,6 +42,9 @@
   CallerOutcome mOutcome = CallerOutcome::NotSent;
   // Bytes of the answer that were received.
   std::size_t mReceivedBytes = 0;
+  // Whether the connection was reset, which also happens when it is closed with
+  // bytes of the request unread.
+  bool mReset = false;
   // Zero if no head was received.
   int mStatus = 0;
 };
@@ -92,6 +95,10 @@
     mIdleTimeoutMs = static_cast<int>(aTimeout.count());
   }
 
+  // Lets callers send no further requests while set; they keep their
+  // connections.
+  void SetResting(bool aResting) { mResting = aResting; }
+
   // Sets the size of the requests' bodies.
   void SetBodyBytes(std::size_t aSize) { mBodyBytes = aSize; }
 
@@ -109,6 +116,7 @@
   std::atomic<int> mIdleTimeoutMs{ 15000 };
   std::atomic<std::size_t> mBodyBytes{ 4 };
   std::atomic<int> mNext{ 0 };
+  std::atomic<bool> mResting{ false };
   std::atomic<bool> mStopped{ false };
   std::mutex mMutex;
   std::vector<CallerRequest> mRequests;
--- a/tests/fakes/TestConfiguration.cpp
+++ b/tests/fakes/TestConfiguration.cpp
@@ -45,7 +45,8 @@
          Field("TargetLatencyMs", aRoute.mLatencyMs) + R"(,"Priority":1,)" +
          FormatServices(aRoute) + "," +
          Field("MaxAttempts", aRoute.mMaxAttempts) +
-         R"(,"Public":false,"StreamResumption":true,)" +
+         R"(,"Public":false,"StreamResumption":)" +
+         (aRoute.mResumable ? "true" : "false") + "," +
          Field("GapTargetMs", aRoute.mEventGapMs) + "}";
 }
 
--- a/tests/fakes/TestConfiguration.h
+++ b/tests/fakes/TestConfiguration.h
@@ -15,6 +15,8 @@
   int mLatencyMs = 3000;
   // Services and weights; a single one is written without its weight.
   std::vector<std::pair<std::string, double>> mServices;
+  // Whether its streams may go on at another target.
+  bool mResumable = true;
   int mEventGapMs = 700;
 };
 
@@ -41,12 +43,12 @@
   static constexpr char kSecondService[] = "engines-2";
 
   std::vector<TestRoute> mRoutes = {
-    { "plain", "safe", 3, 9000, 3000, { { kService, 1 } } },
-    { "unsafe", "unsafe", 1, 9000, 3000, { { kService, 1 } } },
-    { "stream", "streaming", 5, 9000, 3000, { { kService, 1 } } },
-    { "brief", "safe", 3, 300, 3000, { { kService, 1 } } },
-    { "quick", "safe", 4, 1500, 300, { { kService, 1 } } },
-    { "paced", "streaming", 5, 20000, 500, { { kService, 1 } }, 250 },
+    { "plain", "safe", 3, 9000, 3000, { { kService, 1 } }, true },
+    { "unsafe", "unsafe", 1, 9000, 3000, { { kService, 1 } }, true },
+    { "stream", "streaming", 5, 9000, 3000, { { kService, 1 } }, true },
+    { "brief", "safe", 3, 300, 3000, { { kService, 1 } }, true },
+    { "quick", "safe", 4, 1500, 300, { { kService, 1 } }, true },
+    { "paced", "streaming", 5, 20000, 500, { { kService, 1 } }, true, 250 },
   };
   std::vector<std::string> mServices = { kService };
   TestLimits mLimits;
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -327,7 +327,7 @@
   void ConnectionsTurnedAwayGetAnAnswer()
   {
     GatewayTestCluster::Options options;
-    options.mLimits.mMaxConnections = 600;
+    options.mSettings.mMaxConnections = 600;
     GatewayTestCluster cluster(options);
     std::vector<std::unique_ptr<CallerChannel>> channels;
     while (channels.size() < 275) {
@@ -363,7 +363,7 @@
   {
     GatewayTestCluster::Options options;
     // Fewer than the settings promise.
-    options.mLimits.mDescriptors = 150;
+    options.mSettings.mDescriptors = 150;
     GatewayTestCluster cluster(options);
     CallerChannel first(cluster.Gateway());
     std::vector<std::unique_ptr<CallerChannel>> others;
