Go on probing a silent target that no other can replace

A stream whose only target had lost its run while it was silent got no more events and ended at its deadline.

Cause: once a target is found silent and no other one can take the stream, only another target is sought; the silent one is not probed again. A restart or a lost run of which no reset arrives is not noticed.

Evidence: StreamResumesWhenItsSilentTargetHasLostItsRun failed before (1 dispatch of 2). SilentTargetTests and the other introspective tests pass with the change, and GatewayTests (21).

A target is probed every 300 ms while it is silent, as other targets are that may be lost, and between two probes another one is sought as before. Without runs left, nothing follows from a probe, so there is none. The log line about a target that is waited for still appears once for each silence.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -243,11 +243,7 @@
       ChooseTarget(aNow, actions);
       break;
     case Phase::Streaming:
-      if (mTargetIsSilent) {
-        HandleSilentTarget(aNow, actions);
-      } else {
-        Probe(aNow, actions);
-      }
+      CheckTarget(aNow, actions);
       break;
     case Phase::Cancelling:
       CancelCurrentAttempt(true, actions);
@@ -319,7 +315,7 @@
 void
 Generation::ChooseTarget(Time aNow, Actions& aActions)
 {
-  if (mSpec.mMaxRuns > 0 && mRuns >= mSpec.mMaxRuns) {
+  if (!HasRunsLeft()) {
     Fail(FailureCode::GenerationLost,
          "the request has reached its maximum number of runs",
          aActions);
@@ -462,10 +458,23 @@
   ResetSilenceTimer(aNow);
 }
 
+// Probes a target without progress. Between two probes, looks for another
+// target if this one has been found silent.
+void
+Generation::CheckTarget(Time aNow, Actions& aActions)
+{
+  if (mTargetIsSilent && (!HasRunsLeft() || aNow < mProbeAgainAt)) {
+    HandleSilentTarget(aNow, aActions);
+  } else {
+    Probe(aNow, aActions);
+  }
+}
+
 void
 Generation::Probe(Time aNow, Actions& aActions)
 {
   ++mCounters.mProbes;
+  mProbeAgainAt = aNow + kLostTargetProbeInterval;
   mPhase = Phase::Probing;
   ProbeTarget action;
   action.mAttempt = mAttempt;
@@ -512,10 +521,16 @@
   }
 }
 
+bool
+Generation::HasRunsLeft() const
+{
+  return mSpec.mMaxRuns == 0 || mRuns < mSpec.mMaxRuns;
+}
+
 bool
 Generation::TryLeaveSilentTarget(Time aNow, Actions& aActions)
 {
-  if (mSpec.mMaxRuns > 0 && mRuns >= mSpec.mMaxRuns) {
+  if (!HasRunsLeft()) {
     return false;
   }
   ChoiceQuery query = mSpec.mQuery;
@@ -677,6 +692,7 @@
     HandleSilentTarget(aNow, aActions);
     return;
   }
+  StopLeavingSilentTarget();
   mPhase = Phase::Streaming;
   mSilenceTimeout =
     std::min(mSilenceTimeout * 2, mSpec.mPolicy.mMaxProbeInterval);
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -165,9 +165,11 @@
   void AwaitCapacity(const Choice& aChoice, Time aNow, Actions& aActions);
   void HandleNoTargetReady(Time aNow, Actions& aActions);
   void Reattach(Time aNow, Actions& aActions);
+  void CheckTarget(Time aNow, Actions& aActions);
   void Probe(Time aNow, Actions& aActions);
   void HandleTargetLoss(bool aKnownStopped, Time aNow, Actions& aActions);
   void HandleSilentTarget(Time aNow, Actions& aActions);
+  bool HasRunsLeft() const;
   bool TryLeaveSilentTarget(Time aNow, Actions& aActions);
   void StopLeavingSilentTarget();
   void AwaitLostTarget(Time aNow, Actions& aActions);
@@ -221,6 +223,8 @@
   bool mMayHaveStarted = false;
   // Whether the stream moves as soon as another target can take it.
   bool mTargetIsSilent = false;
+  // When a silent target is probed again.
+  Time mProbeAgainAt;
   GenerationCounters mCounters;
 };
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -273,9 +273,10 @@
         self->ReleaseAttempt(AttemptOutcome::Lost);
       }
       self->UpdateChoiceInputs(at);
+      const bool known = self->mStateMachine.IsTargetSilent();
       const Actions actions =
         self->mStateMachine.OnProbeResult(attempt, result, at);
-      if (self->mStateMachine.IsTargetSilent()) {
+      if (self->mStateMachine.IsTargetSilent() && !known) {
         self->LogSilentTargetKept();
       }
       self->PerformActions(actions);
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -1,6 +1,7 @@
 #include "core/Generation.h"
 #include "core/PlainCall.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
 #include <vector>
@@ -31,7 +32,11 @@
     mLastQuery = aQuery;
     Choice choice;
     choice.mStatus = mStatus;
-    if (mStatus == ChoiceStatus::Chosen) {
+    const auto& excluded = aQuery.mExcluded;
+    if (std::count(excluded.begin(), excluded.end(), mTarget) > 0) {
+      choice.mStatus = ChoiceStatus::NoneReady;
+    }
+    if (choice.mStatus == ChoiceStatus::Chosen) {
       choice.mTarget = mTarget;
     }
     return choice;
@@ -133,6 +138,7 @@
   CPPUNIT_TEST(StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
+  CPPUNIT_TEST(StreamResumesWhenItsSilentTargetHasLostItsRun);
   CPPUNIT_TEST(StreamThatCannotMoveStaysWhenAProbeIsRefused);
   CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
@@ -212,6 +218,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), stream.mDispatches.size());
   }
 
+  // Streams waited until their deadline for a run that their only target had
+  // lost while it was silent.
+  void StreamResumesWhenItsSilentTargetHasLostItsRun()
+  {
+    for (const ProbeResult result :
+         { ProbeResult::RunLost, ProbeResult::Dead }) {
+      StartedStream stream;
+      stream.Wait(kSilence, ProbeResult::NoAnswer);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), stream.mDispatches.size());
+      stream.Wait(milliseconds(500), result);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.mDispatches.size());
+      stream.Deliver(1);
+      CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    }
+  }
+
   // Streams that cannot be resumed were broken off when a target without room
   // for another connection reset that of a probe.
   void StreamThatCannotMoveStaysWhenAProbeIsRefused()
