Limit the search for a target of a lost stream, not its runs

A stream that had moved was broken off 10 s after its loss if its new target had not sent an event by then, and a stream that cannot be resumed 10 s after its target became silent, though the target was at work and the deadline far away.

Cause: the recovery timeout was counted until the next event, also while a target was running the stream on an open connection.

The timeout now applies only while no attempt is open. A loss after it has passed starts it anew. Streams that may only be resumed after proof that their target has stopped keep the former limit. The deadline of the request bounds all of them as before.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -227,7 +227,7 @@
     }
     return actions;
   }
-  if (aNow >= mRecoveryDeadline) {
+  if (aNow >= RecoveryDeadline()) {
     CancelCurrentAttempt(false, actions);
     Fail(mSpec.mIdempotent ? FailureCode::GenerationLost
                            : FailureCode::OutcomeUnknown,
@@ -309,7 +309,31 @@
 Time
 Generation::NextTimer() const
 {
-  return std::min({ mTimerAt, mRecoveryDeadline, mSpec.mDeadline });
+  return std::min({ mTimerAt, RecoveryDeadline(), mSpec.mDeadline });
+}
+
+// Until when the stream must have been resumed. There is no limit while a
+// target may be running it on an open connection, as another one is sought
+// anyway if the stream can move.
+Time
+Generation::RecoveryDeadline() const
+{
+  const bool listening = mPhase == Phase::Streaming || mPhase == Phase::Probing;
+  const bool movesOnlyIfStopped = mSpec.mResumable && !mSpec.mIdempotent;
+  const bool running = listening && mAttemptOpen && !movesOnlyIfStopped;
+  return running ? Time::max() : mRecoveryDeadline;
+}
+
+// Limits the time in which the stream must be resumed, unless it is already
+// limited.
+void
+Generation::StartRecovery(Time aNow)
+{
+  if (aNow >= mRecoveryDeadline) {
+    mRecoveryDeadline = Time::max();
+  }
+  mRecoveryDeadline =
+    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
 }
 
 void
@@ -490,8 +514,7 @@
   ++mCounters.mLosses;
   mMayHaveStarted = true;
   Exclude(mTarget);
-  mRecoveryDeadline =
-    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  StartRecovery(aNow);
   if (mSpec.mIdempotent || aKnownStopped) {
     if (!aKnownStopped) {
       CancelCurrentAttempt(false, aActions);
@@ -544,8 +567,7 @@
   ++mCounters.mLosses;
   Exclude(mTarget);
   CancelCurrentAttempt(false, aActions);
-  mRecoveryDeadline =
-    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  StartRecovery(aNow);
   Dispatch(choice, aNow, aActions);
   return true;
 }
@@ -621,8 +643,7 @@
   CancelCurrentAttempt(false, aActions);
   mGeneration = generation;
   mMayHaveStarted = true;
-  mRecoveryDeadline =
-    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  StartRecovery(aNow);
   if (!mSpec.mIdempotent) {
     Fail(FailureCode::OutcomeUnknown,
          "a target sent the stream of another request",
@@ -714,6 +735,9 @@
     aEnd == AttemptEnd::NotStarted || aEnd == AttemptEnd::VersionNotLoaded;
   mRejections += rejected ? 1 : 0;
   const bool recovering = mRecoveryDeadline != Time::max();
+  if (recovering) {
+    StartRecovery(aNow);
+  }
   if (recovering && aEnd == AttemptEnd::VersionNotLoaded && CanRestart() &&
       mRejections > kMaxRejections) {
     RestartInFull(aNow, aActions);
@@ -742,8 +766,7 @@
     return;
   }
   const bool needsProbe = !mSpec.mIdempotent || mSpec.mPolicy.mProbeOnReset;
-  mRecoveryDeadline =
-    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  StartRecovery(aNow);
   if (!needsProbe) {
     HandleTargetLoss(false, aNow, aActions);
     return;
@@ -759,8 +782,7 @@
 {
   ++mCounters.mLosses;
   Exclude(mTarget);
-  mRecoveryDeadline =
-    std::min(mRecoveryDeadline, aNow + mSpec.mPolicy.mRecoveryTimeout);
+  StartRecovery(aNow);
   FailOver(aNow, aActions);
 }
 
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -165,6 +165,8 @@
   void AwaitCapacity(const Choice& aChoice, Time aNow, Actions& aActions);
   void HandleNoTargetReady(Time aNow, Actions& aActions);
   void Reattach(Time aNow, Actions& aActions);
+  Time RecoveryDeadline() const;
+  void StartRecovery(Time aNow);
   void CheckTarget(Time aNow, Actions& aActions);
   void Probe(Time aNow, Actions& aActions);
   void HandleTargetLoss(bool aKnownStopped, Time aNow, Actions& aActions);
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -88,6 +88,13 @@
     Perform(mGeneration.OnEvent(event, mNow));
   }
 
+  // Breaks the connection of the current attempt.
+  void Break()
+  {
+    Perform(mGeneration.OnAttemptEnded(
+      mGeneration.CurrentAttempt(), AttemptEnd::Broken, mNow));
+  }
+
   SingleOffer mChooser;
   Generation mGeneration;
   std::vector<std::string> mDispatches;
@@ -139,6 +146,8 @@
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
   CPPUNIT_TEST(StreamResumesWhenItsSilentTargetHasLostItsRun);
+  CPPUNIT_TEST(StreamStaysAtASlowTargetAfterTheRecoveryTimeout);
+  CPPUNIT_TEST(StreamThatCannotMoveStaysAfterTheRecoveryTimeout);
   CPPUNIT_TEST(StreamThatCannotMoveStaysWhenAProbeIsRefused);
   CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
@@ -234,6 +243,37 @@
     }
   }
 
+  // Streams that had moved were broken off when their new target took longer
+  // than the recovery timeout for its first event.
+  void StreamStaysAtASlowTargetAfterTheRecoveryTimeout()
+  {
+    StartedStream stream;
+    stream.mChooser.mTarget = "second";
+    stream.Wait(kSilence, ProbeResult::NoAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.mDispatches.size());
+    stream.mChooser.mStatus = ChoiceStatus::NoBudget;
+    stream.Wait(std::chrono::seconds(12), ProbeResult::Alive);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+    stream.Break();
+    stream.mChooser.mStatus = ChoiceStatus::Chosen;
+    stream.mChooser.mTarget = "third";
+    stream.Wait(milliseconds(100), ProbeResult::NoAnswer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), stream.mDispatches.size());
+    stream.Deliver(1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+  }
+
+  // Streams that cannot be resumed were broken off when their target was silent
+  // for longer than the recovery timeout.
+  void StreamThatCannotMoveStaysAfterTheRecoveryTimeout()
+  {
+    StartedStream stream(0, false);
+    stream.Wait(std::chrono::seconds(12), ProbeResult::NoAnswer);
+    stream.Deliver(1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
   // Streams that cannot be resumed were broken off when a target without room
   // for another connection reset that of a probe.
   void StreamThatCannotMoveStaysWhenAProbeIsRefused()
