Ask other hosts when the view of the store is too old

Callers' requests reached targets up to 2.37 s after the store had accepted that they leave, on a host whose calls the store left without an answer while it served the others.

Cause: a host that reads the store asks others 0.3 s after a call has failed, in rounds of 0.5 s. The call that gets no answer is sent 0.6 s after the last good one and ends 0.9 s later, so other hosts are asked 1.8 to 2.3 s after the last read.

In each round a host now asks two others, too, once its view of the store is 1.2 s old, whether or not a call has failed. That is the age from which it read the store itself already. It asks 1.2 to 1.7 s after its last read; by then the others know what was written up to 0.6 s after it. They reply only with rows newer than its own. The log says when the view becomes too old and recent again.

Ruled out: a shorter time limit for responses of the store, as a slow store would count as unreachable and all hosts would read it.

--- a/src/quetzalquay/core/ReaderChoice.cpp
+++ b/src/quetzalquay/core/ReaderChoice.cpp
@@ -105,7 +105,7 @@
 bool
 ReaderChoice::MustReadStore(Time aNow) const
 {
-  return aNow - mKnownAsOf >= kMaxStaleness || IsReader(aNow);
+  return IsStale(aNow) || IsReader(aNow);
 }
 
 std::vector<std::string>
--- a/src/quetzalquay/core/ReaderChoice.h
+++ b/src/quetzalquay/core/ReaderChoice.h
@@ -30,9 +30,9 @@
 class ReaderChoice
 {
 public:
-  // Age of the known state from which on a host reads the store itself.
-  // Together with the duration of a read it stays below the time within which
-  // requests to a leaving target have to stop.
+  // Age of the known state from which on a host reads the store itself and asks
+  // other hosts. Together with the duration of a read it stays below the time
+  // within which requests to a leaving target have to stop.
   static constexpr Duration kMaxStaleness = std::chrono::milliseconds(1200);
 
   explicit ReaderChoice(ReaderCandidate aOwnHost);
@@ -59,6 +59,10 @@
   // Time up to which all changes in the store are known.
   Time KnownAsOf() const { return mKnownAsOf; }
 
+  // Whether what this host knows is too old, so that a target it knows may have
+  // left a while ago.
+  bool IsStale(Time aNow) const { return aNow - mKnownAsOf >= kMaxStaleness; }
+
   // Whether this host has to read the store itself now: it is a reader, or what
   // it knows is too old.
   bool MustReadStore(Time aNow) const;
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -180,18 +180,37 @@
     QueryReader(now);
     mStore.PollIfNeeded();
   }
+  LogStaleness(now);
   if (NeedsPeers(now)) {
     QueryPeers(now);
   }
 }
 
+void
+PeerLink::LogStaleness(Time aNow)
+{
+  const bool stale = mFleet.Readers().IsStale(aNow);
+  if (stale != mWasStale) {
+    Log(LogLevel::Info,
+        "peers",
+        stale ? "view of the store is too old; asking other hosts"
+              : "view of the store is recent again",
+        { { "age_ms",
+            std::to_string(static_cast<std::int64_t>(
+              ToMilliseconds(aNow - mFleet.Readers().KnownAsOf()))) } });
+  }
+  mWasStale = stale;
+}
+
 bool
 PeerLink::NeedsPeers(Time aNow) const
 {
   const Time unreachableSince = mStore.UnreachableSince();
   const bool unreachable = unreachableSince != Time::max() &&
                            aNow - unreachableSince >= kStoreOutageDelay;
-  return unreachable || mFleet.HasRetainedTargets();
+  // A store that does not answer is noticed late, so the age counts as well.
+  return unreachable || mFleet.Readers().IsStale(aNow) ||
+         mFleet.HasRetainedTargets();
 }
 
 std::string
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -35,6 +35,7 @@
 private:
   SimpleHttpReply HandleRequest(const HttpHead& aHead) const;
   void RunRound();
+  void LogStaleness(Time aNow);
   bool NeedsPeers(Time aNow) const;
   void QueryPeers(Time aNow);
   void QueryReader(Time aNow);
@@ -64,6 +65,8 @@
   std::unique_ptr<AsyncHttpClient> mReaderClient;
   Endpoint mReaderEndpoint;
   Timer mRoundTimer;
+  // Whether the view of the store was too old in the last round.
+  bool mWasStale = false;
   std::mt19937_64 mRandom;
 };
 
--- a/tests/introspective/ReaderChoiceTests.cpp
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(AFewHostsReadForAllOthers);
   CPPUNIT_TEST(HostsWithTheMostBandwidthAreReaders);
   CPPUNIT_TEST(AHostReadsWhenItsStateIsTooOld);
+  CPPUNIT_TEST(AReaderWithoutAnswersKnowsThatItsStateIsTooOld);
   CPPUNIT_TEST(AFailedReaderIsReplaced);
   CPPUNIT_TEST(RunningHostsStayUpToDate);
   CPPUNIT_TEST_SUITE_END();
@@ -126,6 +127,19 @@
     }
   }
 
+  // Guards against a reader using targets that left long ago because it waits
+  // for a store that does not answer.
+  void AReaderWithoutAnswersKnowsThatItsStateIsTooOld()
+  {
+    ReaderChoice choice({ "a", 0 });
+    choice.OnStoreRead(At(1000));
+    CPPUNIT_ASSERT(choice.IsReader(At(1000)));
+    CPPUNIT_ASSERT(!choice.IsStale(At(2100)));
+    CPPUNIT_ASSERT(choice.IsStale(At(2200)));
+    choice.OnStoreRead(At(2250));
+    CPPUNIT_ASSERT(!choice.IsStale(At(2300)));
+  }
+
   void AFailedReaderIsReplaced()
   {
     const auto choices = MakeChoices(HostNames(9));
--- a/tests/usage/LeavingTargetTests.cpp
+++ b/tests/usage/LeavingTargetTests.cpp
@@ -185,7 +185,8 @@
 {
   const char* mName;
   StoreAccess mAccess;
-  // Reads of the host before that.
+  // Reads of the host before that. Each one moves the outage by 0.1 s in
+  // relation to the rounds in which the host asks others.
   int mReadsBefore;
 };
 
@@ -233,6 +234,10 @@
       { "429", StoreAccess::Overloaded, 1 },
       { "reset", StoreAccess::Reset, 1 },
       { "silent", StoreAccess::Silent, 1 },
+      { "silent, 2 reads", StoreAccess::Silent, 2 },
+      { "silent, 3 reads", StoreAccess::Silent, 3 },
+      { "silent, 4 reads", StoreAccess::Silent, 4 },
+      { "silent, 5 reads", StoreAccess::Silent, 5 },
     };
     std::vector<std::unique_ptr<GatewayTestCluster>> clusters;
     for (std::size_t n = 0; n < std::size(kOutages); ++n) {
