Let streams go on only at the software version that began them

Callers got streams that held events of two software versions of a service: a stream that lost its target went on at any target of the service. What two versions write does not fit together, and targets do not check it.

Cause: targets were told apart by service only. The version that a target registers was not read, so neither the choice of a target nor that of the holder of a copy of a stream's memory knew of it.

Now the registration's version is part of a target's declaration; an entry without one is invalid. The attempt that brings a stream's first event fixes the version, and later choices return only targets of it, as does the choice of holders of copies. Before the first event any version may be chosen, the one tried last is preferred, and new streams avoid versions that only one target has. If no target of the version is registered, the stream ends at once instead of after the recovery timeout. A target that may have restarted under its name does not count as one of its registered version until it is heard from. A target that is found while the store is away has an unknown version, which equals no other.

Streams bound to a version do not wait in the service's queue: at its head they would hold back requests that other versions could serve.

Ruled out: leaving the check to the targets; they do not make one. Open: streams that callers take up again with Last-Event-Id at this or another host.

--- a/src/quetzalquay/core/CopyKeeper.cpp
+++ b/src/quetzalquay/core/CopyKeeper.cpp
@@ -30,8 +30,15 @@
 std::string
 CopyKeeper::ChooseHolder(const std::string& aServingTarget, Time aNow) const
 {
+  const auto version = aServingTarget == mServingTarget
+                         ? std::make_optional(mSoftwareVersion)
+                         : mTargets.SoftwareVersionOf(aServingTarget);
+  if (!version) {
+    return std::string();
+  }
   ChoiceQuery query;
   query.mService = mOptions.mService;
+  query.mSoftwareVersion = *version;
   query.mPromptTokens = mOptions.mPromptTokens;
   query.mOutputTokens = mOptions.mOutputTokens;
   return mTargets.ChooseCopyHolder(query, aServingTarget, aNow);
@@ -49,6 +56,8 @@
     }
   }
   mServingTarget = aServingTarget;
+  mSoftwareVersion =
+    mTargets.SoftwareVersionOf(aServingTarget).value_or(std::string());
   mDelivered = false;
   if (!aHolder.empty()) {
     TrackedCopy tracked;
@@ -152,9 +161,7 @@
 {
   std::optional<KvCopy> found;
   for (const TrackedCopy& it : mCopies) {
-    const bool sameIncarnation =
-      mTargets.IncarnationOf(it.mCopy.mHolder) == it.mCopy.mIncarnation;
-    if (!it.mReady || !sameIncarnation || aNow >= it.mCopy.mExpiresAt) {
+    if (!it.mReady || !IsUnchanged(it) || aNow >= it.mCopy.mExpiresAt) {
       continue;
     }
     if (!found || IsHealthy(it, aNow)) {
@@ -188,12 +195,20 @@
   return ordered;
 }
 
+// Whether the holder has not restarted and has the stream's software version.
+bool
+CopyKeeper::IsUnchanged(const TrackedCopy& aTracked) const
+{
+  const std::string& holder = aTracked.mCopy.mHolder;
+  return mTargets.IncarnationOf(holder) == aTracked.mCopy.mIncarnation &&
+         mTargets.SoftwareVersionOf(holder) == mSoftwareVersion;
+}
+
 bool
 CopyKeeper::IsHealthy(const TrackedCopy& aTracked, Time aNow) const
 {
   return mTargets.IsHealthy(aTracked.mCopy.mHolder, aNow) &&
-         mTargets.IncarnationOf(aTracked.mCopy.mHolder) ==
-           aTracked.mCopy.mIncarnation;
+         IsUnchanged(aTracked);
 }
 
 void
--- a/src/quetzalquay/core/CopyKeeper.h
+++ b/src/quetzalquay/core/CopyKeeper.h
@@ -52,7 +52,8 @@
   CopyKeeper& operator=(const CopyKeeper&) = delete;
 
   // Chooses the target that receives the copy which a run at aServingTarget
-  // sends itself. Empty when no target has enough free memory.
+  // sends itself. Empty when no target of its software version has enough free
+  // memory.
   std::string ChooseHolder(const std::string& aServingTarget, Time aNow) const;
 
   // A run has started at aServingTarget and sends its own copy to aHolder, or
@@ -107,6 +108,7 @@
     bool mReady = false;
   };
 
+  bool IsUnchanged(const TrackedCopy& aTracked) const;
   bool IsHealthy(const TrackedCopy& aTracked, Time aNow) const;
   void AddCopy(TrackedCopy aTracked);
   void DropCopy(std::size_t aIndex);
@@ -116,6 +118,9 @@
   std::vector<TrackedCopy> mCopies;
   // Target of the current run, empty when there is none.
   std::string mServingTarget;
+  // Software version of the last run's target. Copies of another version do not
+  // fit the stream.
+  std::string mSoftwareVersion;
   // Whether the current run has delivered an event.
   bool mDelivered = false;
   bool mOrderPending = false;
--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -51,6 +51,7 @@
   , mChooser(aChooser)
   , mTimerAt(mSpec.mDeadline)
 {
+  mSpec.mQuery.mSoftwareVersion = mSpec.mSoftwareVersion;
 }
 
 Actions
@@ -345,7 +346,8 @@
          aActions);
     return;
   }
-  mSpec.mQuery.mContinuation = !mTokens.empty();
+  mSpec.mQuery.mContinuation =
+    !mTokens.empty() || !mSpec.mSoftwareVersion.empty();
   mSpec.mQuery.mIsRetry = mAttempt > 0;
   const Choice choice = mChooser.Choose(mSpec.mQuery, aNow);
   switch (choice.mStatus) {
@@ -363,6 +365,12 @@
     case ChoiceStatus::NoneReady:
       HandleNoTargetReady(aNow, aActions);
       break;
+    case ChoiceStatus::VersionGone:
+      FailWithRetryAfter(FailureCode::VersionGone,
+                         "no target has the software version of this stream",
+                         Duration::zero(),
+                         aActions);
+      break;
     case ChoiceStatus::Poison:
       FailWithRetryAfter(
         FailureCode::SuspectedPoison,
@@ -402,6 +410,9 @@
   ++mAttempt;
   ++mRuns;
   mTarget = aChoice.mTarget;
+  mAttemptSoftwareVersion = aChoice.mSoftwareVersion;
+  // Other processes may know the request by this version.
+  mSpec.mQuery.mPreferredSoftwareVersion = aChoice.mSoftwareVersion;
   mTypicalTokenGap = aChoice.mTypicalTokenGap;
   mPhase = Phase::Streaming;
   mAttemptOpen = true;
@@ -416,6 +427,7 @@
   DispatchAttempt action;
   action.mAttempt = mAttempt;
   action.mTarget = mTarget;
+  action.mSoftwareVersion = mAttemptSoftwareVersion;
   action.mVersion = mSpec.mVersion;
   action.mAdapterVersion = mSpec.mAdapterVersion;
   action.mGeneration = mTokens.empty() ? std::string() : mGeneration;
@@ -628,6 +640,7 @@
   ++mRestarts;
   mTokens.clear();
   mGeneration.clear();
+  mSpec.mQuery.mSoftwareVersion = mSpec.mSoftwareVersion;
   aActions.push_back(DiscardText());
   ChooseTarget(aNow, aActions);
 }
@@ -659,6 +672,7 @@
   mGeneration = aEvent.mGeneration;
   mMayHaveStarted = true;
   mAttemptHasProduced = true;
+  mSpec.mQuery.mSoftwareVersion = mAttemptSoftwareVersion;
   mTokens.push_back(aEvent.mToken);
   mPhase = Phase::Streaming;
   mRecoveryDeadline = Time::max();
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -22,6 +22,9 @@
   bool mBuffered = false;
   // Whether the stream may be resumed on another target.
   bool mResumable = true;
+  // Software version of the targets that produced what the caller already
+  // holds; empty if it holds nothing.
+  std::string mSoftwareVersion;
   // Maximum number of targets that the request may run on; 0 means unlimited.
   int mMaxRuns = 0;
   // A request that is not expected to get a target before this time is refused.
@@ -59,8 +62,10 @@
 };
 
 // State machine that delivers the complete response to one request, failing
-// over between targets as needed. Each input is an event with its time and
-// returns the actions that the user of this class must carry out, in order.
+// over between targets as needed. A response is never put together from targets
+// of different software versions: the attempt that brings the first token
+// decides. Each input is an event with its time and returns the actions that
+// the user of this class must carry out, in order.
 // Uses no threads or clocks. Performs no I/O; not thread-safe.
 class Generation
 {
@@ -203,6 +208,8 @@
   Choice mFencedChoice;
   int mAttempt = 0;
   std::string mTarget;
+  // Software version of the current attempt's target.
+  std::string mAttemptSoftwareVersion;
   std::string mGeneration;
   std::vector<int> mTokens;
   int mDeliverFrom = 0;
--- a/src/quetzalquay/core/GenerationActions.h
+++ b/src/quetzalquay/core/GenerationActions.h
@@ -74,6 +74,8 @@
 {
   int mAttempt = 0;
   std::string mTarget;
+  // Software version of the target.
+  std::string mSoftwareVersion;
   std::string mVersion;
   std::string mAdapterVersion;
   // Empty when the attempt starts from the beginning.
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -24,12 +24,21 @@
   // The request may have ended so many targets that it must not run until that
   // is decided, within a second.
   Undecided,
+  // No target of the required software version is registered.
+  VersionGone,
 };
 
 // Properties of a request that the choice of a target depends on.
 struct ChoiceQuery
 {
   std::string mService;
+  // Software version that the target must have; empty for any.
+  std::string mSoftwareVersion;
+  // Software version to prefer if any is allowed; empty for none.
+  std::string mPreferredSoftwareVersion;
+  // Whether the request may go on at another target of the software version
+  // that began it.
+  bool mResumable = false;
   // Names of targets that must not be chosen.
   std::vector<std::string> mExcluded;
   // Hash of the prompt's leading block, the key of the prefix cache.
@@ -66,6 +75,8 @@
   std::string mTarget;
   // Moving average of the time between two tokens of a stream on that target.
   Duration mTypicalTokenGap = Duration::zero();
+  // Software version of the target.
+  std::string mSoftwareVersion;
   // Model version for a stream's first attempt; a continuation keeps the
   // version it started with.
   std::string mServingVersion;
--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -12,12 +12,17 @@
 // kept until then to tell late updates from a new registration.
 constexpr std::size_t kMaxRecords = 20000;
 
+// Precedes the software version of a target that is not registered. Registered
+// versions have no control characters.
+constexpr char kUnregisteredPrefix = '\x01';
+
 bool
 IsSameRegistration(const TargetEntry& aLeft, const TargetEntry& aRight)
 {
   return aLeft.mService == aRight.mService &&
          aLeft.mAddress == aRight.mAddress && aLeft.mPlace == aRight.mPlace &&
          aLeft.mIncarnation == aRight.mIncarnation &&
+         aLeft.mSoftwareVersion == aRight.mSoftwareVersion &&
          aLeft.mSlots == aRight.mSlots && aLeft.mLeaving == aRight.mLeaving;
 }
 
@@ -134,6 +139,8 @@
   record.mEntry = old->second.mEntry;
   record.mEntry.mName = aNew;
   record.mEntry.mIncarnation = aIncarnation;
+  record.mEntry.mSoftwareVersion =
+    kUnregisteredPrefix + aNew + "/" + aIncarnation;
   record.mEntry.mLeaving = false;
   record.mUpdatedAt = aNow;
   mRecordsByName.emplace(aNew, record);
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -22,6 +22,11 @@
   std::string mPlace;
   // Unique for each start of the target.
   std::string mIncarnation;
+  // Version of the target's software; versions have no order.
+  std::string mSoftwareVersion;
+  // Whether each start of the target registers under a name of its own, so that
+  // an entry never describes an earlier start.
+  bool mNamePerStart = false;
   // Number of requests that the target runs concurrently.
   int mSlots = 0;
   // Whether the target is draining and accepts no new requests.
@@ -73,6 +78,7 @@
   // Replaces a known target by another one of the same service that was found
   // at its address while the store is unreachable. The new one is used until
   // the store has an entry for it or the grace period after the outage ends.
+  // Its software version is unknown and counts as one of its own.
   // Returns false, without effect, when the store is reachable, aOld has no
   // valid entry or aNew is known already.
   bool OnReplaced(const std::string& aOld,
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -60,6 +60,13 @@
 // Penalty for a doubtful target.
 constexpr double kDoubtfulPenalty = 50.0;
 
+// Penalty for a target whose software version no other usable target has, for a
+// stream that could not go on elsewhere.
+constexpr double kLoneVersionPenalty = 2.0;
+
+// Penalty for another software version than the preferred one.
+constexpr double kOtherVersionPenalty = 20.0;
+
 // Penalty for each copy that a target keeps for streams of other targets.
 constexpr double kCopyPenalty = 0.3;
 
@@ -164,6 +171,11 @@
     choice.mStatus = ChoiceStatus::Undecided;
     return choice;
   }
+  if (IsVersionGone(aQuery)) {
+    CancelWait(aQuery);
+    choice.mStatus = ChoiceStatus::VersionGone;
+    return choice;
+  }
   std::vector<Target*> usable;
   bool anyUp = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
@@ -560,6 +572,15 @@
   return target == nullptr ? std::string() : target->mIncarnation;
 }
 
+std::optional<std::string>
+TargetTable::SoftwareVersionOf(const std::string& aTarget) const
+{
+  const Target* target = Find(aTarget);
+  return target == nullptr
+           ? std::nullopt
+           : std::make_optional(target->mDeclaration.mSoftwareVersion);
+}
+
 std::vector<std::string>
 TargetTable::Subset() const
 {
@@ -612,12 +633,50 @@
           leaving == aTarget.mIncarnation);
 }
 
+// Whether a target is known to have the software version that a query requires.
+bool
+TargetTable::IsOfVersion(const Target& aTarget, const ChoiceQuery& aQuery)
+{
+  if (aQuery.mSoftwareVersion.empty()) {
+    return true;
+  }
+  const TargetDeclaration& declaration = aTarget.mDeclaration;
+  if (declaration.mSoftwareVersion != aQuery.mSoftwareVersion) {
+    return false;
+  }
+  // The registry may still describe an earlier start.
+  const bool restarted = !declaration.mIncarnation.empty() &&
+                         declaration.mIncarnation != aTarget.mIncarnation;
+  const bool dead = aTarget.mDeath && !declaration.mNamePerStart &&
+                    aTarget.mDeadIncarnation == aTarget.mIncarnation;
+  return !restarted && !dead;
+}
+
+// Whether a query requires a software version that no target has.
+bool
+TargetTable::IsVersionGone(const ChoiceQuery& aQuery) const
+{
+  const auto members = mTargetsByService.find(aQuery.mService);
+  if (aQuery.mSoftwareVersion.empty() || members == mTargetsByService.end()) {
+    return !aQuery.mSoftwareVersion.empty();
+  }
+  return std::none_of(members->second.begin(),
+                      members->second.end(),
+                      [&](const std::string& aName) {
+                        const Target& target = mTargets.at(aName);
+                        return target.mDeclaration.mSoftwareVersion ==
+                                 aQuery.mSoftwareVersion &&
+                               !IsLeaving(target);
+                      });
+}
+
 bool
 TargetTable::IsUsable(const Target& aTarget,
                       const ChoiceQuery& aQuery,
                       Time aNow) const
 {
-  if (IsLeaving(aTarget) || aTarget.mLoading || aNow < aTarget.mDownUntil) {
+  if (!IsOfVersion(aTarget, aQuery) || IsLeaving(aTarget) || aTarget.mLoading ||
+      aNow < aTarget.mDownUntil) {
     return false;
   }
   const auto& excluded = aQuery.mExcluded;
@@ -704,6 +763,7 @@
     choice.mStatus = ChoiceStatus::Chosen;
     choice.mTarget = it->mDeclaration.mName;
     choice.mTypicalTokenGap = it->mTypicalTokenGap;
+    choice.mSoftwareVersion = it->mDeclaration.mSoftwareVersion;
     choice.mServingVersion = mServices[aQuery.mService].mServingVersion;
     return choice;
   }
@@ -739,8 +799,13 @@
     std::iter_swap(holder, aUsable.begin() + static_cast<long>(head));
     ++head;
   }
+  const std::set<std::string> lone = LoneVersions(aUsable, aQuery, aNow);
+  const auto score = [&](const Target& aTarget) {
+    const bool isLone = lone.count(aTarget.mDeclaration.mSoftwareVersion) != 0;
+    return Score(aTarget, aQuery, aNow) + (isLone ? kLoneVersionPenalty : 0);
+  };
   const auto less = [&](const Target* aLeft, const Target* aRight) {
-    return Score(*aLeft, aQuery, aNow) < Score(*aRight, aQuery, aNow);
+    return score(*aLeft) < score(*aRight);
   };
   const auto middle = aUsable.begin() + static_cast<long>(head);
   std::stable_sort(aUsable.begin(), middle, less);
@@ -754,6 +819,29 @@
   }
 }
 
+// Software versions that only one target has, for a stream that begins.
+// Doubtful targets don't count.
+std::set<std::string>
+TargetTable::LoneVersions(const std::vector<Target*>& aUsable,
+                          const ChoiceQuery& aQuery,
+                          Time aNow) const
+{
+  std::set<std::string> lone;
+  if (!aQuery.mResumable || !aQuery.mSoftwareVersion.empty()) {
+    return lone;
+  }
+  std::map<std::string, int> counts;
+  for (const Target* it : aUsable) {
+    counts[it->mDeclaration.mSoftwareVersion] += IsDoubtful(*it, aNow) ? 0 : 1;
+  }
+  for (const auto& it : counts) {
+    if (it.second < 2) {
+      lone.insert(it.first);
+    }
+  }
+  return lone;
+}
+
 bool
 TargetTable::IsAllowedByIsolation(const Target& aTarget,
                                   const ChoiceQuery& aQuery,
@@ -843,6 +931,11 @@
   if (IsDoubtful(aTarget, aNow)) {
     score += kDoubtfulPenalty;
   }
+  if (!aQuery.mPreferredSoftwareVersion.empty() &&
+      aQuery.mPreferredSoftwareVersion !=
+        aTarget.mDeclaration.mSoftwareVersion) {
+    score += kOtherVersionPenalty;
+  }
   return score;
 }
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,10 @@
   // Identifies the target's current start if the target registers it; empty if
   // it only comes with load reports.
   std::string mIncarnation;
+  // Version of the target's software; empty if the service has no versions.
+  std::string mSoftwareVersion;
+  // Whether each start of the target has a name of its own.
+  bool mNamePerStart = false;
   // Requests and tokens that the target can hold at once; zero if unknown.
   int mSlots = 0;
   int mMemoryTokens = 0;
@@ -185,7 +190,8 @@
   void OnConnectionBroken(const std::string& aTarget, Time aNow);
 
   // Chooses a target to keep a copy of a stream that runs on aServingTarget,
-  // preferably in another place; empty if no target has room.
+  // preferably in another place; empty if no target has room. The query's
+  // software version is that of the stream.
   std::string ChooseCopyHolder(const ChoiceQuery& aQuery,
                                const std::string& aServingTarget,
                                Time aNow);
@@ -296,6 +302,10 @@
   // Current incarnation of a target; empty if unknown.
   std::string IncarnationOf(const std::string& aTarget) const;
 
+  // Declared software version of a target; nothing for unknown targets.
+  std::optional<std::string> SoftwareVersionOf(
+    const std::string& aTarget) const;
+
   // Names of the targets that this process uses.
   std::vector<std::string> Subset() const;
 
@@ -373,6 +383,8 @@
   };
 
   static bool IsLeaving(const Target& aTarget);
+  static bool IsOfVersion(const Target& aTarget, const ChoiceQuery& aQuery);
+  bool IsVersionGone(const ChoiceQuery& aQuery) const;
   bool IsUsable(const Target& aTarget,
                 const ChoiceQuery& aQuery,
                 Time aNow) const;
@@ -391,6 +403,9 @@
   void Rank(std::vector<Target*>& aUsable,
             const ChoiceQuery& aQuery,
             Time aNow);
+  std::set<std::string> LoneVersions(const std::vector<Target*>& aUsable,
+                                     const ChoiceQuery& aQuery,
+                                     Time aNow) const;
   bool TryAdmitContinuation(Target& aTarget, Time aNow);
   static void WithdrawContinuation(Target& aTarget, const ChoiceQuery& aQuery);
   static int EstimateLoad(const Target& aTarget, Time aNow);
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -72,6 +72,9 @@
   RefPtr<RoutingTable> mRouting;
   const Route* mRoute = nullptr;
   std::string mService;
+  // Software version that began the stream which the caller takes up; empty for
+  // other requests.
+  std::string mSoftwareVersion;
   std::string mWorkspace;
   int mPriority = 0;
   Time mArrivedAt;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -472,6 +472,7 @@
           { "service", entry->mService },
           { "address", entry->mAddress },
           { "incarnation", entry->mIncarnation },
+          { "software", entry->mSoftwareVersion },
           { "leaving", entry->mLeaving ? "true" : "false" },
           { "row_version", std::to_string(aRow.mVersion) },
           { "source", std::string(NameOf(aSource)) } });
@@ -497,6 +498,8 @@
     target.mRegion = mSettings.mRegion;
     target.mLeaving = it.mLeaving;
     target.mIncarnation = it.mIncarnation;
+    target.mSoftwareVersion = it.mSoftwareVersion;
+    target.mNamePerStart = it.mNamePerStart;
     target.mSlots = it.mSlots;
     const ServiceTraits* traits =
       mRouting == nullptr ? nullptr : mRouting->FindService(it.mService);
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -68,7 +68,9 @@
     aCall.mArrivedAt + std::chrono::duration_cast<Duration>(
                          aCall.mRoute->mLatencyObjective * kStartByShare);
   spec.mPolicy = MakeRecoveryPolicy();
+  spec.mSoftwareVersion = aCall.mSoftwareVersion;
   spec.mQuery.mService = aCall.mService;
+  spec.mQuery.mResumable = aCall.mRoute->mResumable;
   spec.mQuery.mRequestId = aCall.mRequest.mRequestId;
   spec.mQuery.mWorkspace = aCall.mWorkspace;
   spec.mQuery.mContentHash = aCall.mContentHash;
@@ -109,6 +111,7 @@
   const int events = std::max(0, static_cast<int>(mLastEventNumber));
   ChoiceQuery query;
   query.mService = mCall.mService;
+  query.mSoftwareVersion = mCall.mSoftwareVersion;
   const int backlog = mContext.mFleet.Targets().MinBacklogTokens(query, now);
   const auto least = mContext.mPaces[mCall.mService].MinRemainingTime(
     mCall.mRequest.mPromptTokens + backlog, events);
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -8,6 +8,7 @@
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
+#include <cctype>
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -85,6 +86,14 @@
            : std::string();
 }
 
+bool
+HasControlCharacter(const std::string& aText)
+{
+  return std::any_of(aText.begin(), aText.end(), [](char aCharacter) {
+    return std::iscntrl(static_cast<unsigned char>(aCharacter)) != 0;
+  });
+}
+
 double
 GetNumber(const Value& aObject, const char* aName, double aDefault = 0)
 {
@@ -417,13 +426,20 @@
     aReason = "the entry has no place";
     return std::nullopt;
   }
+  entry.mSoftwareVersion = GetText(json, "Version");
+  if (entry.mSoftwareVersion.empty() ||
+      HasControlCharacter(entry.mSoftwareVersion)) {
+    aReason = "the entry's software version is missing or not a plain text";
+    return std::nullopt;
+  }
   entry.mLeaving = state == kDraining;
   const Value* born = GetMember(json, "born");
   if (born != nullptr && !born->IsInt64()) {
     aReason = "the entry's start time is not an integer";
     return std::nullopt;
   }
-  // Entries without a start time belong to targets that never restart.
+  // Targets without a start time never restart under their name.
+  entry.mNamePerStart = born == nullptr;
   entry.mIncarnation = born == nullptr ? "0" : std::to_string(born->GetInt64());
   return entry;
 }
--- a/tests/fakes/EngineSimulation.cpp
+++ b/tests/fakes/EngineSimulation.cpp
@@ -86,8 +86,17 @@
 EngineSimulation::Choose(const ChoiceQuery& aQuery, Time)
 {
   std::vector<std::string> names;
+  const std::string& version = aQuery.mSoftwareVersion;
+  bool registered = version.empty();
   for (int n = 0; n < kEngines; ++n) {
     const std::string name = "e" + std::to_string(n);
+    const bool dead =
+      mNowMs < mEngines[static_cast<std::size_t>(n)].mDeadUntilMs;
+    if ((!version.empty() && version != SoftwareVersionOf(name)) ||
+        (mUnregisterDead && dead)) {
+      continue;
+    }
+    registered = true;
     const auto& excluded = aQuery.mExcluded;
     if (std::find(excluded.begin(), excluded.end(), name) == excluded.end()) {
       names.push_back(name);
@@ -95,15 +104,26 @@
   }
   Choice choice;
   if (names.empty()) {
+    choice.mStatus =
+      registered ? ChoiceStatus::NoneReady : ChoiceStatus::VersionGone;
     return choice;
   }
   choice.mStatus = ChoiceStatus::Chosen;
   choice.mTarget = names[mRandom() % names.size()];
   choice.mTypicalTokenGap = std::chrono::milliseconds(kTickMs);
   choice.mServingVersion = "1";
+  choice.mSoftwareVersion = SoftwareVersionOf(choice.mTarget);
   return choice;
 }
 
+std::string
+EngineSimulation::SoftwareVersionOf(const std::string& aTarget) const
+{
+  return mSoftwareVersions == 0
+           ? std::string()
+           : "v" + std::to_string(EngineIndex(aTarget) % mSoftwareVersions);
+}
+
 int
 EngineSimulation::TokenOf(const std::string& aGeneration, int aIndex)
 {
@@ -270,12 +290,14 @@
   const std::size_t colon = aAction.mText.find(':');
   mText.emplace_back(aAction.mText.substr(0, colon),
                      std::stoi(aAction.mText.substr(colon + 1)));
+  mTextVersions.insert(SoftwareVersionOf(mGeneration.CurrentTarget()));
 }
 
 void
 EngineSimulation::Execute(const DiscardText&)
 {
   mText.clear();
+  mTextVersions.clear();
 }
 
 void
--- a/tests/fakes/EngineSimulation.h
+++ b/tests/fakes/EngineSimulation.h
@@ -59,10 +59,23 @@
   quetzalquay::Choice Choose(const quetzalquay::ChoiceQuery& aQuery,
                              quetzalquay::Time aNow) override;
 
+  // Spreads the engines over this many software versions; engines that are dead
+  // are not registered while aUnregistered.
+  void SetSoftwareVersions(int aCount, bool aUnregistered)
+  {
+    mSoftwareVersions = aCount;
+    mUnregisterDead = aUnregistered;
+  }
+
+  // Software version of an engine; empty without versions.
+  std::string SoftwareVersionOf(const std::string& aTarget) const;
+
   static int TokenOf(const std::string& aGeneration, int aIndex);
 
   // What the caller has received: generation and index of each token.
   std::vector<std::pair<std::string, int>> mText;
+  // Software versions of the engines that produced it.
+  std::set<std::string> mTextVersions;
   std::optional<quetzalquay::Failure> mFailure;
   bool mFinished = false;
   int mEndedAtMs = 0;
@@ -136,6 +149,8 @@
   static int EngineIndex(const std::string& aTarget);
 
   int mTokens;
+  int mSoftwareVersions = 0;
+  bool mUnregisterDead = false;
   std::mt19937 mRandom;
   std::vector<SimulatedFault> mFaults;
   std::vector<Engine> mEngines;
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -213,8 +213,18 @@
     const auto entry = platform::DecodeTarget("i-1", kTargetEntry, reason);
     CPPUNIT_ASSERT(entry && entry->mIncarnation == "1700000000000");
     CPPUNIT_ASSERT_EQUAL(64, entry->mSlots);
-    for (const char* it :
-         { "Service", "Address", "Zone", "Slots", "State", "Sequence" }) {
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), entry->mSoftwareVersion);
+    CPPUNIT_ASSERT(!entry->mNamePerStart);
+    CPPUNIT_ASSERT(
+      platform::DecodeTarget("i", EntryWithField("born", ""), reason)
+        ->mNamePerStart);
+    for (const char* it : { "Service",
+                            "Address",
+                            "Zone",
+                            "Version",
+                            "Slots",
+                            "State",
+                            "Sequence" }) {
       CPPUNIT_ASSERT_MESSAGE(
         it, !platform::DecodeTarget("i", EntryWithField(it, ""), reason));
       CPPUNIT_ASSERT_MESSAGE(
@@ -224,6 +234,11 @@
       !platform::DecodeTarget("i", EntryWithField("State", "\"odd\""), reason));
     CPPUNIT_ASSERT(
       !platform::DecodeTarget("i", EntryWithField("born", "1.5"), reason));
+    for (const char* it : { "\"\"", "7", "\"v\\u00011\"" }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        it,
+        !platform::DecodeTarget("i", EntryWithField("Version", it), reason));
+    }
     CPPUNIT_ASSERT(!platform::DecodeTarget("i", "\xff{", reason));
     CheckProperty("the decoders accept arbitrary bytes without crashing", [] {
       const auto bytes = *rc::gen::string<std::string>();
