Take streams up only at the software version that began them

Callers that took a stream up again (Last-Event-Id) at this or another host got events of another software version of the service: the host that a stream is taken up at did not know which version had begun it.

A caller now names the request that brought the first event (platform field "Resumes"). Each host keeps where its streams began (service, software version), by a hash of that request's ID. While targets of a service register more than one version, and for the longest life of a stream after that, hosts announce the origins of their streams: each in two datagrams 0.5 s apart, from the dispatch on, that is before the first event, and as rows of a table of the store, in batches. Streams that run already when a second version appears follow at once. A host that does not know an origin reads the table, once for all lookups that wait, 0.6 s at most. If only one version was registered for the longest life of a stream, it is that one; what a host has not watched itself it reads from rows of the same table, one for each service and version. Otherwise the request is refused with 503 "version_unknown", not run, without Retry-After, as is a take-up that does not name its request.

With a single version nothing is announced or stored but the row of that version, written when a reader of the store starts or sees a version for the first time, and one read of the table by each host when it starts and after each gap of 2 s in what it knows.

The batches are written by RowWriter, taken out of SuspectWriter.

Ruled out: keeping the callers at one host, which may be dead; carrying the version in an event, whose bytes have to be the target's; refusing all take-ups elsewhere, which the share that has to go on forbids.

--- a/src/quetzalquay/core/Failure.cpp
+++ b/src/quetzalquay/core/Failure.cpp
@@ -16,26 +16,17 @@
   int mHttpStatus;
 };
 
-constexpr std::array<FailureInfo, 20> kFailureInfos = { {
-  { "invalid_request", 400 },
-  { "unauthorized", 401 },
-  { "unknown_model", 404 },
-  { "unknown_service", 404 },
-  { "invalid_position", 400 },
-  { "rate_limited", 429 },
-  { "overloaded", 503 },
-  { "no_target", 503 },
-  { "deadline_exceeded", 504 },
-  { "generation_lost", 502 },
-  { "version_gone", 502 },
-  { "already_claimed", 409 },
-  { "store_unavailable", 503 },
-  { "suspected_poison", 422 },
-  { "outcome_unknown", 502 },
-  { "stopping", 503 },
-  { "configuration_unknown", 503 },
-  { "payload_too_large", 413 },
-  { "not_found", 404 },
+constexpr std::array<FailureInfo, 21> kFailureInfos = { {
+  { "invalid_request", 400 },   { "unauthorized", 401 },
+  { "unknown_model", 404 },     { "unknown_service", 404 },
+  { "invalid_position", 400 },  { "rate_limited", 429 },
+  { "overloaded", 503 },        { "no_target", 503 },
+  { "deadline_exceeded", 504 }, { "generation_lost", 502 },
+  { "version_gone", 502 },      { "version_unknown", 503 },
+  { "already_claimed", 409 },   { "store_unavailable", 503 },
+  { "suspected_poison", 422 },  { "outcome_unknown", 502 },
+  { "stopping", 503 },          { "configuration_unknown", 503 },
+  { "payload_too_large", 413 }, { "not_found", 404 },
   { "internal", 500 },
 } };
 
--- a/src/quetzalquay/core/Failure.h
+++ b/src/quetzalquay/core/Failure.h
@@ -30,7 +30,10 @@
   NoTarget,
   DeadlineExceeded,
   GenerationLost,
+  // No target has the version of the stream.
   VersionGone,
+  // The software version that began a stream is not known.
+  VersionUnknown,
   AlreadyClaimed,
   StoreUnavailable,
   SuspectedPoison,
--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -2,6 +2,7 @@
 
 #include "core/NameTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalquay {
@@ -30,6 +31,7 @@
 RoutingTable::AddRoute(Route aRoute)
 {
   std::string key = RouteKey(aRoute.mHost, aRoute.mPathPrefix);
+  mLongestTimeout = std::max(mLongestTimeout, aRoute.mTimeout);
   mRoutes.insert_or_assign(std::move(key), std::move(aRoute));
 }
 
--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -124,6 +124,9 @@
   // query is ignored. nullptr when no route matches.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
 
+  // Longest timeout of all routes.
+  Duration LongestTimeout() const { return mLongestTimeout; }
+
   // Owner of an API key, or nullptr.
   const KeyOwner* FindKey(const std::string& aKey) const;
 
@@ -139,6 +142,7 @@
   // Keyed by host name and path prefix, separated by a line feed, which occurs
   // in neither.
   std::unordered_map<std::string, Route> mRoutes;
+  Duration mLongestTimeout = Duration::zero();
   std::unordered_map<std::string, KeyOwner> mKeys;
   std::map<std::string, ServiceTraits> mServices;
 };
--- /dev/null
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -0,0 +1,243 @@
+#include "core/StreamOrigins.h"
+
+#include "core/NameTable.h"
+
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr NameTable<OriginSource, 4> kSourceNames(
+  { "own", "peer", "store", "only_version" });
+
+constexpr int kAnnouncements = 2;
+
+bool
+IsSameVersion(const StreamOrigin& aLeft, const StreamOrigin& aRight)
+{
+  return aLeft.mService == aRight.mService &&
+         aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
+}
+
+} // namespace
+
+std::string_view
+NameOf(OriginSource aSource)
+{
+  return kSourceNames.NameOf(aSource);
+}
+
+StreamOrigins::StreamOrigins(std::size_t aMaxEntries)
+  : mMaxEntries(aMaxEntries)
+{
+}
+
+void
+StreamOrigins::OnDispatched(const StreamOrigin& aOrigin, Time aNow)
+{
+  DropExpired(aNow);
+  const auto known = mEntries.find(aOrigin.mKey);
+  const bool changed = known == mEntries.end() || !known->second.mOwn ||
+                       !IsSameVersion(known->second.mOrigin, aOrigin);
+  Entry& entry = Touch(aOrigin, aNow);
+  if (changed) {
+    entry.mSource = OriginSource::Own;
+    entry.mLearnedAt = aNow;
+  }
+  entry.mOrigin = aOrigin;
+  entry.mOwn = true;
+  entry.mComplete = false;
+  entry.mRunning = true;
+  if (changed && mAnnouncedServices.count(aOrigin.mService) != 0) {
+    Announce(entry, aNow);
+  }
+}
+
+void
+StreamOrigins::OnEnded(std::uint64_t aKey, bool aComplete, Time aNow)
+{
+  const auto it = mEntries.find(aKey);
+  if (it == mEntries.end() || !it->second.mRunning) {
+    return;
+  }
+  Entry& entry = it->second;
+  entry.mRunning = false;
+  entry.mExpiresAt = aNow + kLifetime;
+  if (!aComplete) {
+    return;
+  }
+  entry.mComplete = true;
+  entry.mAnnouncementsLeft = 0;
+  // A change that has not been taken yet is not needed any more.
+  if (std::exchange(entry.mStored, false) && mStoreChanges.erase(aKey) == 0) {
+    mStoreChanges[aKey] = { entry.mOrigin, true };
+    mOnStoreChange();
+  }
+}
+
+void
+StreamOrigins::OnReported(const StreamOrigin& aOrigin,
+                          OriginSource aSource,
+                          Time aNow)
+{
+  DropExpired(aNow);
+  const auto known = mEntries.find(aOrigin.mKey);
+  const bool isNew = known == mEntries.end();
+  if (!isNew && (known->second.mRunning ||
+                 known->second.mOrigin.mAttempt > aOrigin.mAttempt)) {
+    return;
+  }
+  if (!isNew && IsSameVersion(known->second.mOrigin, aOrigin)) {
+    Touch(aOrigin, aNow);
+    return;
+  }
+  if (!isNew && known->second.mOrigin.mAttempt == aOrigin.mAttempt) {
+    return;
+  }
+  Entry& entry = Touch(aOrigin, aNow);
+  entry.mOrigin = aOrigin;
+  entry.mSource = aSource;
+  entry.mLearnedAt = aNow;
+}
+
+std::optional<StreamOrigins::Known>
+StreamOrigins::Find(std::uint64_t aKey, Time aNow)
+{
+  DropExpired(aNow);
+  const auto it = mEntries.find(aKey);
+  if (it == mEntries.end()) {
+    return std::nullopt;
+  }
+  return Known{ it->second.mOrigin, it->second.mSource, it->second.mLearnedAt };
+}
+
+void
+StreamOrigins::SetAnnouncedServices(std::set<std::string> aServices, Time aNow)
+{
+  const auto before = std::exchange(mAnnouncedServices, std::move(aServices));
+  for (auto& it : mEntries) {
+    Entry& entry = it.second;
+    const std::string& service = entry.mOrigin.mService;
+    if (entry.mOwn && !entry.mComplete && before.count(service) == 0 &&
+        mAnnouncedServices.count(service) != 0) {
+      Announce(entry, aNow);
+    }
+  }
+}
+
+void
+StreamOrigins::RenameVersion(const std::string& aService,
+                             const std::string& aFrom,
+                             const std::string& aTo)
+{
+  for (auto& it : mEntries) {
+    StreamOrigin& origin = it.second.mOrigin;
+    if (origin.mService == aService && origin.mSoftwareVersion == aFrom) {
+      origin.mSoftwareVersion = aTo;
+    }
+  }
+}
+
+std::vector<StreamOrigin>
+StreamOrigins::TakeNews(Time aNow, std::size_t aMax)
+{
+  std::vector<StreamOrigin> news;
+  while (!mNews.empty() && mNews.begin()->first <= aNow && news.size() < aMax) {
+    const std::uint64_t key = mNews.begin()->second;
+    mNews.erase(mNews.begin());
+    const auto it = mEntries.find(key);
+    if (it == mEntries.end() || it->second.mAnnouncementsLeft == 0) {
+      continue;
+    }
+    news.push_back(it->second.mOrigin);
+    if (--it->second.mAnnouncementsLeft > 0) {
+      mNews.emplace(aNow + kRepeatDelay, key);
+    }
+  }
+  return news;
+}
+
+Time
+StreamOrigins::NextNewsAt() const
+{
+  return mNews.empty() ? Time::max() : mNews.begin()->first;
+}
+
+std::vector<StreamOrigins::StoreChange>
+StreamOrigins::TakeStoreChanges()
+{
+  std::vector<StoreChange> changes;
+  changes.reserve(mStoreChanges.size());
+  for (auto& it : std::exchange(mStoreChanges, {})) {
+    changes.push_back(std::move(it.second));
+  }
+  return changes;
+}
+
+void
+StreamOrigins::SetNewsCallback(std::function<void()> aCallback)
+{
+  mOnNews = std::move(aCallback);
+}
+
+void
+StreamOrigins::SetStoreCallback(std::function<void()> aCallback)
+{
+  mOnStoreChange = std::move(aCallback);
+}
+
+// Creates the entry of an origin if there is none, and extends its lifetime.
+StreamOrigins::Entry&
+StreamOrigins::Touch(const StreamOrigin& aOrigin, Time aNow)
+{
+  const auto it = mEntries.try_emplace(aOrigin.mKey);
+  Entry& entry = it.first->second;
+  entry.mExpiresAt = aNow + kLifetime;
+  if (it.second) {
+    mExpiries.emplace_back(entry.mExpiresAt, aOrigin.mKey);
+  }
+  if (mEntries.size() > mMaxEntries) {
+    Drop(mExpiries.front().second);
+    mExpiries.pop_front();
+  }
+  return entry;
+}
+
+// Makes an origin known to the other hosts and to the store.
+void
+StreamOrigins::Announce(Entry& aEntry, Time aNow)
+{
+  aEntry.mAnnouncementsLeft = kAnnouncements;
+  aEntry.mStored = true;
+  mNews.emplace(aNow, aEntry.mOrigin.mKey);
+  mStoreChanges[aEntry.mOrigin.mKey] = { aEntry.mOrigin, false };
+  mOnNews();
+  mOnStoreChange();
+}
+
+void
+StreamOrigins::DropExpired(Time aNow)
+{
+  while (!mExpiries.empty() && mExpiries.front().first <= aNow) {
+    const std::uint64_t key = mExpiries.front().second;
+    mExpiries.pop_front();
+    Entry& entry = mEntries.at(key);
+    if (entry.mRunning) {
+      entry.mExpiresAt = aNow + kLifetime;
+    }
+    if (entry.mExpiresAt <= aNow) {
+      Drop(key);
+    } else {
+      mExpiries.emplace_back(entry.mExpiresAt, key);
+    }
+  }
+}
+
+void
+StreamOrigins::Drop(std::uint64_t aKey)
+{
+  mEntries.erase(aKey);
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -28,6 +28,12 @@
 
 } // namespace
 
+bool
+IsRegisteredVersion(const std::string& aVersion)
+{
+  return !aVersion.empty() && aVersion[0] != kUnregisteredPrefix;
+}
+
 TargetEntries::TargetEntries(Duration aReregistrationTime)
   : mReregistrationTime(aReregistrationTime)
 {
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -33,6 +33,11 @@
   bool mLeaving = false;
 };
 
+// Whether a software version was registered by a target. A target that is found
+// without an entry has a version that stands for an unknown one.
+bool
+IsRegisteredVersion(const std::string& aVersion);
+
 // Local view of the registered targets, with a grace period after store
 // outages.
 //
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 #include "gateway/PlainExchange.h"
 #include "gateway/StreamExchange.h"
+#include "gateway/TakenUpStream.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -268,7 +269,12 @@
     return;
   }
   ++mServer.mExchangeCount;
-  if (call->mRoute->mKind == CallKind::Stream) {
+  const bool takenUp =
+    !mRequest.mLastEventId.empty() || !mRequest.mOriginRequestId.empty();
+  if (call->mRoute->mKind == CallKind::Stream && takenUp) {
+    mExchange =
+      MakeRef<TakenUpStream>(mServer.mContext, std::move(*call), *this);
+  } else if (call->mRoute->mKind == CallKind::Stream) {
     mExchange =
       MakeRef<StreamExchange>(mServer.mContext, std::move(*call), *this);
   } else {
@@ -320,6 +326,12 @@
                                                       : kDefaultCallerTimeout);
   call.mContentHash =
     StableHash(aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace)));
+  const std::string& origin = mRequest.mOriginRequestId.empty()
+                                ? mRequest.mRequestId
+                                : mRequest.mOriginRequestId;
+  if (call.mRoute->mResumable && !origin.empty()) {
+    call.mOriginKey = StableHash(origin);
+  }
   call.mRequest = mRequest;
   call.mHead = std::move(aHead);
   call.mBody = std::move(aBody);
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -19,11 +19,14 @@
 
 namespace quetzalquay {
 
+class StreamOriginStore;
+
 // State and services shared by all exchanges of a gateway.
 struct GatewayContext
 {
   EventLoop& mLoop;
   Fleet& mFleet;
+  StreamOriginStore& mOriginStore;
   TargetConnectionPool& mPool;
   Prober& mProber;
   GatewayMetrics& mMetrics;
@@ -75,6 +78,11 @@
   // Software version that began the stream which the caller takes up; empty for
   // other requests.
   std::string mSoftwareVersion;
+  // Key of the stream's origin, under which the caller can take it up; nothing
+  // if it cannot. mOriginAttempt is the attempt number of a stream that is
+  // taken up.
+  std::optional<std::uint64_t> mOriginKey;
+  int mOriginAttempt = 0;
   std::string mWorkspace;
   int mPriority = 0;
   Time mArrivedAt;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -36,6 +36,9 @@
 // of a dead target has expired.
 constexpr Duration kDoubtDuration = std::chrono::milliseconds(3600);
 
+// Longest life of a stream whose route has no timeout.
+constexpr Duration kMinStreamLife = std::chrono::seconds(60);
+
 constexpr NameTable<RowSource, 3> kRowSourceNames({ "store",
                                                     "informed_peer",
                                                     "peer" });
@@ -130,6 +133,7 @@
   , mStartedAt(AddSuspendedTime(EventLoop::Now()))
   , mEntries(aSettings.mReregistrationTime)
   , mTargets(TableOptions(aSettings))
+  , mVersions(kMinStreamLife)
   , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
   , mExpiryTimer(aLoop, [this] {
     if (mEntries.Expire(EventLoop::Now())) {
@@ -268,6 +272,8 @@
       return mHostRows;
     case StoreTable::Suspects:
       return mSuspectRows;
+    // Not followed.
+    case StoreTable::StreamOrigins:
     case StoreTable::Targets:
       break;
   }
@@ -284,6 +290,7 @@
       return mHostsVersion;
     case StoreTable::Suspects:
       return mSuspectsVersion;
+    case StoreTable::StreamOrigins:
     case StoreTable::Targets:
       break;
   }
@@ -417,6 +424,7 @@
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
   mRouting = std::move(routing);
+  mVersions.SetWindow(std::max(kMinStreamLife, mRouting->LongestTimeout()));
   mConfigurationRows[aRow.mKey] = aRow;
   DeclareTargets();
 }
@@ -461,6 +469,7 @@
   }
   if (mEntries.OnRegistered(*entry, aRow.mVersion, now)) {
     mTargetsChanged = true;
+    IdentifyVersion(*entry);
     if (!mTargetsKnown) {
       // The initial targets are logged as one line.
       return;
@@ -511,7 +520,73 @@
       *ParseEndpoint(it.mAddress), it.mAddress, it.mIncarnation, it.mService
     };
   }
-  mTargets.Declare(services, targets, mSettings.mRegion, EventLoop::Now());
+  const Time now = EventLoop::Now();
+  mTargets.Declare(services, targets, mSettings.mRegion, now);
+  VersionsByService versions;
+  for (const TargetDeclaration& it : targets) {
+    versions[it.mService].insert(it.mSoftwareVersion);
+  }
+  mVersions.OnRegistered(versions, now);
+  UpdateAnnouncedServices(now);
+}
+
+// Streams that began at a target without an entry began at the version that the
+// target registers later.
+void
+Fleet::IdentifyVersion(const TargetEntry& aEntry)
+{
+  const auto known = mTargets.SoftwareVersionOf(aEntry.mName);
+  if (known && !IsRegisteredVersion(*known)) {
+    mVersions.Rename(aEntry.mService, *known, aEntry.mSoftwareVersion);
+    mOrigins.RenameVersion(aEntry.mService, *known, aEntry.mSoftwareVersion);
+  }
+}
+
+void
+Fleet::OnKnownAsOf(Time aAsOf)
+{
+  mVersions.OnKnownAsOf(aAsOf);
+  UpdateAnnouncedServices(EventLoop::Now());
+}
+
+void
+Fleet::OnVersionsRecorded(const VersionsByService& aVersions, Time aNow)
+{
+  mVersions.OnRecorded(aVersions, aNow);
+  UpdateAnnouncedServices(aNow);
+}
+
+VersionsByService
+Fleet::RegisteredVersions() const
+{
+  VersionsByService versions;
+  for (const TargetEntry& it : mEntries.UsableTargets()) {
+    if (IsRegisteredVersion(it.mSoftwareVersion)) {
+      versions[it.mService].insert(it.mSoftwareVersion);
+    }
+  }
+  return versions;
+}
+
+void
+Fleet::UpdateAnnouncedServices(Time aNow)
+{
+  std::set<std::string> mixed = mVersions.MixedServices(aNow);
+  if (mixed == mMixedServices) {
+    return;
+  }
+  for (const std::string& it : mixed) {
+    if (mMixedServices.count(it) == 0) {
+      Log(LogLevel::Info,
+          "fleet",
+          "service has several software versions",
+          { { "service", it },
+            { "versions",
+              std::to_string(mVersions.RecentVersions(it, aNow).size()) } });
+    }
+  }
+  mMixedServices = mixed;
+  mOrigins.SetAnnouncedServices(std::move(mixed), aNow);
 }
 
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -3,8 +3,10 @@
 
 #include "core/ReaderChoice.h"
 #include "core/RoutingTable.h"
+#include "core/StreamOrigins.h"
 #include "core/TargetEntries.h"
 #include "core/TargetTable.h"
+#include "core/VersionHistory.h"
 #include "gateway/GatewaySettings.h"
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
@@ -12,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -124,6 +127,22 @@
   // Decides which hosts read the store.
   ReaderChoice& Readers() { return mReaders; }
 
+  // This host's rows are those of the store as of aAsOf, or those of a host
+  // that was asked then while the store is unreachable.
+  void OnKnownAsOf(Time aAsOf);
+
+  // Software versions that the store has on record.
+  void OnVersionsRecorded(const VersionsByService& aVersions, Time aNow);
+
+  // Software versions of the registered targets.
+  VersionsByService RegisteredVersions() const;
+
+  // Software versions of the targets over time.
+  const VersionHistory& Versions() const { return mVersions; }
+
+  // Origins of streams, announced while their service has several versions.
+  StreamOrigins& Origins() { return mOrigins; }
+
   // Identifies this start of the process.
   std::uint64_t StartId() const { return mStartId; }
 
@@ -137,6 +156,8 @@
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
   void DeclareTargets();
+  void IdentifyVersion(const TargetEntry& aEntry);
+  void UpdateAnnouncedServices(Time aNow);
   void ConfigureRetryBudget();
 
   GatewaySettings mSettings;
@@ -147,6 +168,9 @@
   TargetEntries mEntries;
   TargetTable mTargets;
   std::map<std::string, TargetLocation> mLocations;
+  VersionHistory mVersions;
+  StreamOrigins mOrigins;
+  std::set<std::string> mMixedServices;
   std::map<std::string, platform::StoreRow> mConfigurationRows;
   std::map<std::string, platform::StoreRow> mTargetRows;
   std::map<std::string, platform::StoreRow> mHostRows;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/Prober.h"
 #include "gateway/RetryLog.h"
 #include "gateway/StoreWatch.h"
+#include "gateway/StreamOriginStore.h"
 #include "gateway/SuspectWriter.h"
 #include "gateway/TargetConnection.h"
 #include "observe/Log.h"
@@ -59,7 +60,8 @@
     , mFleet(mLoop, mSettings)
     , mPool(mLoop, mFleet)
     , mProber(mLoop, mFleet, mPool)
-    , mContext{ mLoop, mFleet, mPool, mProber, mMetrics, mPaces }
+    , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
+    , mContext{ mLoop, mFleet, mOriginStore, mPool, mProber, mMetrics, mPaces }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
@@ -263,6 +265,7 @@
   TargetConnectionPool mPool;
   Prober mProber;
   std::map<std::string, StreamPace> mPaces;
+  StreamOriginStore mOriginStore;
   GatewayContext mContext;
   CallerServer mCallers;
   StoreWatch mStore;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -54,6 +54,13 @@
     "unsent bytes of an answer" },
   { "quetzal_connections_turned_away_total",
     "Callers' connections turned away because too many were open" },
+  { "quetzal_streams_taken_up_total",
+    "Streams of an earlier request that callers took up" },
+  { "quetzal_take_ups_refused_total",
+    "Streams not taken up because their software version is not known" },
+  { "quetzal_origin_lookups_total", "Reads of the stored origins of streams" },
+  { "quetzal_origins_stored_total",
+    "Changes of stored origins of streams that the store has confirmed" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -36,6 +36,10 @@
   SilentTargetsKept,
   ConnectionsCut,
   ConnectionsTurnedAway,
+  StreamsTakenUp,
+  TakeUpsRefused,
+  OriginLookups,
+  OriginsStored,
   Last,
 };
 
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -60,6 +60,14 @@
 constexpr rapidjson::SizeType kSuspectEntrySize = 3;
 constexpr rapidjson::SizeType kLostRunSize = 4;
 
+// Elements of a "streams" entry: key, service, software version and attempt.
+constexpr rapidjson::SizeType kOriginEntrySize = 4;
+
+// Origins in one datagram, which stays below the usual packet size, and
+// datagrams with origins in one round.
+constexpr std::size_t kOriginsPerDatagram = 24;
+constexpr int kOriginDatagrams = 8;
+
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
 // Calls a function with each element of a list; nothing if there is none.
@@ -106,6 +114,38 @@
   });
 }
 
+void
+WriteOrigin(Writer& aWriter, const StreamOrigin& aOrigin)
+{
+  const auto write = [&aWriter](const std::string& aText) {
+    aWriter.String(aText.data(),
+                   static_cast<rapidjson::SizeType>(aText.size()));
+  };
+  aWriter.StartArray();
+  aWriter.Uint64(aOrigin.mKey);
+  write(aOrigin.mService);
+  write(aOrigin.mSoftwareVersion);
+  aWriter.Int(aOrigin.mAttempt);
+  aWriter.EndArray();
+}
+
+std::optional<StreamOrigin>
+ParseOrigin(const rapidjson::Value& aValue)
+{
+  if (!aValue.IsArray() || aValue.Size() != kOriginEntrySize ||
+      !aValue[0].IsUint64() || !aValue[1].IsString() || !aValue[2].IsString() ||
+      !aValue[3].IsInt()) {
+    return std::nullopt;
+  }
+  StreamOrigin origin;
+  origin.mKey = aValue[0].GetUint64();
+  origin.mService.assign(aValue[1].GetString(), aValue[1].GetStringLength());
+  origin.mSoftwareVersion.assign(aValue[2].GetString(),
+                                 aValue[2].GetStringLength());
+  origin.mAttempt = aValue[3].GetInt();
+  return origin;
+}
+
 int
 AgeInMilliseconds(Time aAt, Time aNow)
 {
@@ -204,6 +244,8 @@
   }
   mFleet.Targets().SetLoadCallback(
     [this] { SendBy(EventLoop::Now() + kBatchDelay); });
+  mFleet.Origins().SetNewsCallback(
+    [this] { SendBy(EventLoop::Now() + kBatchDelay); });
   Receive();
   mLastHeardAt = EventLoop::Now();
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
@@ -251,6 +293,11 @@
     ApplyLoad(host, json, now);
   }
   ExchangeRetries(host, hasStart ? start->value.GetUint64() : 0, json, now);
+  ForEachIn(json, "streams", [&](const rapidjson::Value& aValue) {
+    if (const auto origin = ParseOrigin(aValue)) {
+      mFleet.Origins().OnReported(*origin, OriginSource::Peer, now);
+    }
+  });
   // With few hosts, each message reaches all of them.
   const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
   ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
@@ -385,6 +432,7 @@
   for (const RetryAsk& it : mFleet.Targets().Retries()->TakeAsks(now)) {
     SendAsk(it);
   }
+  SendOrigins(now);
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty();
   if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
@@ -433,6 +481,42 @@
   }
 }
 
+void
+LoadBroadcaster::SendOrigins(Time aNow)
+{
+  StreamOrigins& origins = mFleet.Origins();
+  for (int n = 0; n < kOriginDatagrams; ++n) {
+    const auto news = origins.TakeNews(aNow, kOriginsPerDatagram);
+    if (news.empty()) {
+      break;
+    }
+    rapidjson::StringBuffer buf;
+    Writer writer(buf);
+    writer.StartObject();
+    WriteSender(writer);
+    writer.Key("streams");
+    writer.StartArray();
+    for (const StreamOrigin& it : news) {
+      WriteOrigin(writer, it);
+      Log(LogLevel::Debug,
+          "peers",
+          "stream origin announced",
+          { { "origin", ToHex(it.mKey) },
+            { "service", it.mService },
+            { "software", it.mSoftwareVersion } });
+    }
+    writer.EndArray();
+    writer.EndObject();
+    for (const udp::endpoint& it : ChooseReceivers()) {
+      SendTo(it, buf);
+    }
+  }
+  const Time next = origins.NextNewsAt();
+  if (next != Time::max()) {
+    SendBy(std::max(next, aNow + kBatchDelay));
+  }
+}
+
 void
 LoadBroadcaster::SendTo(const udp::endpoint& aReceiver,
                         const rapidjson::StringBuffer& aMessage)
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -17,12 +17,13 @@
 namespace quetzalquay {
 
 // Exchanges with other hosts, over UDP, the load that each has put on targets,
-// the targets it has lost and the requests suspected of crashing targets, so
-// that every host chooses targets by their total load. Each datagram has the
-// full state but for the suspects, so a lost one is compensated by the next;
-// changes of suspects are repeated, and passed on by the hosts that receive
-// them. Hosts also ask each other for retries; a lost grant leaves its retries
-// unused.
+// the targets it has lost, the requests suspected of crashing targets and the
+// origins of streams, so that every host chooses targets by their total load
+// and can take up streams. Each datagram has the full state but for suspects
+// and origins, so a lost one is compensated by the next; changes of suspects
+// are repeated, and passed on by the hosts that receive them; origins are
+// repeated once. Hosts also ask each other for retries; a lost grant leaves its
+// retries unused.
 class LoadBroadcaster
 {
 public:
@@ -60,6 +61,8 @@
   void WriteSender(rapidjson::Writer<rapidjson::StringBuffer>& aWriter) const;
   void SendTo(const boost::asio::ip::udp::endpoint& aReceiver,
               const rapidjson::StringBuffer& aMessage);
+  // Announces origins of streams, in datagrams of their own.
+  void SendOrigins(Time aNow);
   void SendSuspects(const boost::asio::ip::udp::endpoint& aReceiver, Time aNow);
   void LogSuspect(const SuspectReport& aReport,
                   const std::string& aHost,
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -232,6 +232,10 @@
   std::vector<Endpoint> peers = PeerEndpoints();
   std::shuffle(peers.begin(), peers.end(), mRandom);
   const bool all = !mFleet.IsReady();
+  if (peers.empty()) {
+    // No other host can know more.
+    mFleet.OnKnownAsOf(aNow);
+  }
   std::size_t slot = 0;
   for (const Endpoint& it : peers) {
     while (slot < kFanOut && mPeerClients[slot] != nullptr &&
@@ -249,8 +253,11 @@
     mPeerClients[slot]->Call(
       "GET " + BuildQueryPath(all) + " HTTP/1.1\r\nHost: " + peer + "\r\n\r\n",
       aNow + kPeerTimeout,
-      [this, all, peer](auto aReply, const auto& aReason) {
+      [this, all, peer, aNow](auto aReply, const auto& aReason) {
         ApplyReply(aReply, all, peer, aReason);
+        if (aReply && aReply->mHead.mStatus == 200) {
+          mFleet.OnKnownAsOf(aNow);
+        }
       });
     ++slot;
   }
@@ -298,6 +305,7 @@
     ApplyReply(aReply, false, FormatEndpoint(mReaderEndpoint), aReason);
   if (age) {
     mFleet.Readers().OnReaderAnswered(aHost, aSentAt - *age);
+    mFleet.OnKnownAsOf(aSentAt - *age);
   }
   const Time now = EventLoop::Now();
   if (!age || mFleet.Readers().MustReadStore(now)) {
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -347,6 +347,7 @@
 {
   if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets) {
     mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
+    mFleet.OnKnownAsOf(mTargets->LastCallAt());
   }
   if (!mContact.OnCallEnded(aEnd, aSentAt, EventLoop::Now())) {
     return;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -194,6 +194,7 @@
   mEventParser.Clear();
   mNextEventIndex = static_cast<int>(aAction.mTokens.size());
   LogDispatch(copyHolder, fromCopy, now);
+  RecordOrigin(aAction, now);
   AttemptLoad load;
   load.mPromptTokens = fromCopy ? 0 : mCall.mRequest.mPromptTokens;
   load.mOutputTokens = mCall.mRequest.mOutputTokens +
@@ -338,7 +339,7 @@
   SendHead();
   RecordPace(EventLoop::Now());
   ReleaseAttempt(AttemptOutcome::Finished);
-  Finish();
+  Finish(true);
   LogCompletion("answered", mForwardedHead.mStatus);
   mSink->EndChunkedResponse();
 }
@@ -612,6 +613,8 @@
     message,
     { { "request", mCall.mRequest.mRequestId },
       { "target", mTarget },
+      { "software",
+        mContext.mFleet.Targets().SoftwareVersionOf(mTarget).value_or("") },
       { "from_copy", aFromCopy ? "true" : "false" },
       { "copy", aCopyHolder },
       { "after_event", mLastEventId },
@@ -692,10 +695,34 @@
                       mResponseBody);
 }
 
+// Makes known where the stream begins, so that its caller can take it up at any
+// host.
+void
+StreamExchange::RecordOrigin(const DispatchAttempt& aAction, Time aNow)
+{
+  if (!mCall.mOriginKey) {
+    return;
+  }
+  const bool takenUp = !mCall.mSoftwareVersion.empty();
+  StreamOrigin origin;
+  origin.mKey = *mCall.mOriginKey;
+  origin.mService = mCall.mService;
+  origin.mSoftwareVersion = aAction.mSoftwareVersion;
+  origin.mAttempt = takenUp ? mCall.mOriginAttempt : aAction.mAttempt;
+  mContext.mFleet.Origins().OnDispatched(origin, aNow);
+}
+
 void
-StreamExchange::Finish()
+StreamExchange::Finish(bool aComplete)
 {
   mDone = true;
+  if (mCall.mOriginKey && mAttempts > 0) {
+    // A caller that has got no event begins anew.
+    const bool begun =
+      mTimeToFirstEvent.has_value() || !mCall.mSoftwareVersion.empty();
+    mContext.mFleet.Origins().OnEnded(
+      *mCall.mOriginKey, aComplete || !begun, EventLoop::Now());
+  }
   mTimer.Clear();
   mCopy.ReleaseCopies();
 }
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -57,7 +57,9 @@
   void ForwardErrorResponse();
   void RecordPace(Time aNow);
   bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
-  void Finish();
+  // aComplete tells whether the caller has got the whole stream.
+  void Finish(bool aComplete = false);
+  void RecordOrigin(const DispatchAttempt& aAction, Time aNow);
   void ScheduleTimer();
 
   Generation mStateMachine;
--- /dev/null
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -0,0 +1,274 @@
+#include "gateway/StreamOriginStore.h"
+
+#include "core/Hash.h"
+#include "gateway/StreamOriginRows.h"
+#include "gateway/SuspectRows.h"
+#include "observe/Log.h"
+
+#include <algorithm>
+
+namespace quetzalquay {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Least time between two writes of one host, and the writes per second of all
+// hosts together, which lengthen it.
+constexpr Duration kWriteInterval = milliseconds(300);
+constexpr int kFleetWritesPerSecond = 60;
+
+// Time limit for a read.
+constexpr Duration kReadTimeout = milliseconds(600);
+
+// Delay before a failed read is repeated.
+constexpr Duration kReadRetryDelay = milliseconds(100);
+
+// Interval at which the history of versions and the rows are checked.
+constexpr Duration kTickInterval = milliseconds(500);
+
+// Least time between two reads for the history of versions.
+constexpr Duration kHistoryReadInterval = std::chrono::seconds(5);
+
+// Interval between two searches for expired rows.
+constexpr Duration kSweepInterval = std::chrono::minutes(1);
+
+// Age from which on the row of a stream is removed.
+constexpr std::int64_t kRowLifetimeMs = 600000;
+
+bool
+Contains(const VersionsByService& aVersions,
+         const std::string& aService,
+         const std::string& aVersion)
+{
+  const auto service = aVersions.find(aService);
+  return service != aVersions.end() && service->second.count(aVersion) != 0;
+}
+
+} // namespace
+
+StreamOriginStore::StreamOriginStore(EventLoop& aLoop,
+                                     const GatewaySettings& aSettings,
+                                     Fleet& aFleet,
+                                     GatewayMetrics& aMetrics)
+  : mFleet(aFleet)
+  , mMetrics(aMetrics)
+  , mWriter(aLoop,
+            aSettings.mStoreEndpoint,
+            { platform::StoreTable::StreamOrigins,
+              [this] { return TakeChanges(); },
+              [this] { return WriteInterval(); },
+              [this](std::size_t aRows) {
+                mMetrics.Add(GatewayCounter::OriginsStored,
+                             static_cast<double>(aRows));
+              } })
+  , mReader(aLoop,
+            aSettings.mStoreEndpoint,
+            platform::StoreTable::StreamOrigins)
+  , mLookupTimer(aLoop, [this] { FinishLookups(EventLoop::Now(), false); })
+  , mRetryTimer(aLoop, [this] { StartRead(); })
+  , mTickTimer(aLoop, [this] { Tick(); })
+  , mNextSweepAt(EventLoop::Now() + kSweepInterval)
+{
+  mFleet.Origins().SetStoreCallback([this] { mWriter.Notify(); });
+  mTickTimer.ScheduleAt(EventLoop::Now() + kTickInterval);
+}
+
+std::uint64_t
+StreamOriginStore::LookUp(std::uint64_t aKey,
+                          Time aDeadline,
+                          std::function<void()> aDone)
+{
+  const std::uint64_t number = ++mNextLookup;
+  mLookups[number] = { aKey, aDeadline, std::move(aDone), false };
+  mLookupTimer.ScheduleAt(std::min(aDeadline, mLookupTimer.Expiry()));
+  StartRead();
+  return number;
+}
+
+void
+StreamOriginStore::CancelLookUp(std::uint64_t aNumber)
+{
+  mLookups.erase(aNumber);
+}
+
+std::vector<platform::RowChange>
+StreamOriginStore::TakeChanges()
+{
+  const std::int64_t unixMs = ReadClocks().mUnixMs;
+  std::vector<platform::RowChange> rows;
+  for (const auto& it : mFleet.Origins().TakeStoreChanges()) {
+    rows.push_back(FormatOriginRow(it, unixMs));
+  }
+  return rows;
+}
+
+Duration
+StreamOriginStore::WriteInterval() const
+{
+  const auto hosts = static_cast<int>(mFleet.HostAddresses().size());
+  return std::max(kWriteInterval,
+                  Duration(std::chrono::seconds(hosts)) /
+                    kFleetWritesPerSecond);
+}
+
+// Stores the registered versions, as a reader of the store.
+void
+StreamOriginStore::WriteVersions()
+{
+  const std::int64_t unixMs = ReadClocks().mUnixMs;
+  const VersionsByService registered = mFleet.RegisteredVersions();
+  for (auto it = mWrittenVersions.begin(); it != mWrittenVersions.end();) {
+    // The row may be removed from now on.
+    it = Contains(registered, it->first, it->second)
+           ? std::next(it)
+           : mWrittenVersions.erase(it);
+  }
+  for (const auto& service : registered) {
+    for (const std::string& it : service.second) {
+      if (mWrittenVersions.emplace(service.first, it).second) {
+        mWriter.Add(FormatVersionRow(service.first, it, unixMs));
+      }
+    }
+  }
+}
+
+void
+StreamOriginStore::StartRead()
+{
+  if (mReader.IsBusy()) {
+    return;
+  }
+  for (auto& it : mLookups) {
+    it.second.mInRead = true;
+  }
+  mMetrics.Add(GatewayCounter::OriginLookups);
+  mReader.Read(
+    EventLoop::Now() + kReadTimeout,
+    [this](const auto& aRows, const auto& aReason) { OnRead(aRows, aReason); });
+}
+
+void
+StreamOriginStore::OnRead(
+  const std::optional<std::vector<platform::StoreRow>>& aRows,
+  const std::string& aReason)
+{
+  const Time now = EventLoop::Now();
+  Log(aRows ? LogLevel::Info : LogLevel::Warn,
+      "store",
+      aRows ? "stream origins read" : "reading stream origins failed",
+      { { "rows", std::to_string(aRows ? aRows->size() : 0) },
+        { "lookups", std::to_string(mLookups.size()) },
+        { "reason", aReason } });
+  if (aRows) {
+    ApplyRows(*aRows, now);
+    if (std::exchange(mSweepDue, false)) {
+      SweepRows(*aRows, now);
+    }
+  }
+  FinishLookups(now, aRows.has_value());
+  if (!mLookups.empty()) {
+    mRetryTimer.ScheduleAt(aRows ? now : now + kReadRetryDelay);
+  }
+}
+
+void
+StreamOriginStore::ApplyRows(const std::vector<platform::StoreRow>& aRows,
+                             Time aNow)
+{
+  const VersionsByService registered = mFleet.RegisteredVersions();
+  VersionsByService versions;
+  mHasTransientRows = false;
+  for (const platform::StoreRow& it : aRows) {
+    const auto row = ParseOriginRow(it);
+    if (!row) {
+      Log(LogLevel::Warn,
+          "store",
+          "invalid row of a stream origin ignored",
+          { { "key", it.mKey } });
+    } else if (row->mOrigin) {
+      mFleet.Origins().OnReported(*row->mOrigin, OriginSource::Store, aNow);
+    } else {
+      versions[row->mService].insert(row->mSoftwareVersion);
+    }
+    mHasTransientRows |=
+      !row || row->mOrigin ||
+      !Contains(registered, row->mService, row->mSoftwareVersion);
+  }
+  mFleet.OnVersionsRecorded(versions, aNow);
+}
+
+// Removes rows of streams that are over by now, and of versions that were not
+// registered for as long as a stream lasts.
+void
+StreamOriginStore::SweepRows(const std::vector<platform::StoreRow>& aRows,
+                             Time aNow)
+{
+  const std::int64_t unixMs = ReadClocks().mUnixMs;
+  const bool observed = mFleet.Versions().IsObserved(aNow);
+  for (const platform::StoreRow& it : aRows) {
+    const auto row = ParseOriginRow(it);
+    bool expired = !row;
+    if (row && row->mOrigin) {
+      expired = unixMs - row->mWrittenAtMs >= kRowLifetimeMs;
+    } else if (row) {
+      expired = observed && !mFleet.Versions().WasObserved(
+                              row->mService, row->mSoftwareVersion, aNow);
+    }
+    if (expired) {
+      mWriter.Add({ it.mKey, std::nullopt });
+    }
+  }
+}
+
+// Ends the lookups that need no further read: those whose origin is known by
+// now, those that a complete read has answered, and those that are late.
+void
+StreamOriginStore::FinishLookups(Time aNow, bool aWasRead)
+{
+  std::vector<std::function<void()>> done;
+  Time next = Time::max();
+  for (auto it = mLookups.begin(); it != mLookups.end();) {
+    LookupState& lookup = it->second;
+    const bool answered = aWasRead && lookup.mInRead;
+    if (answered || aNow >= lookup.mDeadline ||
+        mFleet.Origins().Find(lookup.mKey, aNow)) {
+      done.push_back(std::move(lookup.mDone));
+      it = mLookups.erase(it);
+    } else {
+      next = std::min(next, lookup.mDeadline);
+      ++it;
+    }
+  }
+  mLookupTimer.ScheduleAt(next);
+  for (const auto& it : done) {
+    it();
+  }
+}
+
+void
+StreamOriginStore::Tick()
+{
+  const Time now = EventLoop::Now();
+  mTickTimer.ScheduleAt(now + kTickInterval);
+  if (!mFleet.IsReady() || !mFleet.IsStoreSynced()) {
+    return;
+  }
+  const bool reader = mFleet.Readers().IsReader(now);
+  if (reader) {
+    WriteVersions();
+  }
+  if (reader && now >= mNextSweepAt) {
+    mNextSweepAt = now + kSweepInterval;
+    mSweepDue =
+      mHasTransientRows || !mFleet.Versions().MixedServices(now).empty();
+  }
+  const bool historyDue =
+    !mFleet.Versions().IsComplete(now) && now >= mNextHistoryReadAt;
+  if (historyDue || mSweepDue) {
+    mNextHistoryReadAt = now + kHistoryReadInterval;
+    StartRead();
+  }
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -0,0 +1,82 @@
+#ifndef QUETZALQUAY_GATEWAY_STREAMORIGINSTORE_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_STREAMORIGINSTORE_H_INCLUDED
+
+#include "gateway/Fleet.h"
+#include "gateway/GatewayMetrics.h"
+#include "gateway/RowWriter.h"
+#include "gateway/TableReader.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quetzalquay {
+
+// Keeps the origins of streams and the software versions of services in the
+// store, so that they outlast the hosts and reach those that no announcement
+// reached. Origins are stored only for services with several versions.
+class StreamOriginStore
+{
+public:
+  StreamOriginStore(EventLoop& aLoop,
+                    const GatewaySettings& aSettings,
+                    Fleet& aFleet,
+                    GatewayMetrics& aMetrics);
+
+  // Reads what the store has, for a stream whose origin is not known. aDone is
+  // called once, at aDeadline at the latest, and never before LookUp() returns.
+  // Returns the number of the lookup.
+  std::uint64_t LookUp(std::uint64_t aKey,
+                       Time aDeadline,
+                       std::function<void()> aDone);
+
+  // Abandons a lookup without calling its callback.
+  void CancelLookUp(std::uint64_t aNumber);
+
+private:
+  struct LookupState
+  {
+    std::uint64_t mKey = 0;
+    Time mDeadline;
+    std::function<void()> mDone;
+    // Whether the read in progress began after the lookup.
+    bool mInRead = false;
+  };
+
+  std::vector<platform::RowChange> TakeChanges();
+  Duration WriteInterval() const;
+  void WriteVersions();
+  void StartRead();
+  void OnRead(const std::optional<std::vector<platform::StoreRow>>& aRows,
+              const std::string& aReason);
+  void ApplyRows(const std::vector<platform::StoreRow>& aRows, Time aNow);
+  void SweepRows(const std::vector<platform::StoreRow>& aRows, Time aNow);
+  void FinishLookups(Time aNow, bool aWasRead);
+  void Tick();
+
+  Fleet& mFleet;
+  GatewayMetrics& mMetrics;
+  RowWriter mWriter;
+  TableReader mReader;
+  std::map<std::uint64_t, LookupState> mLookups;
+  std::uint64_t mNextLookup = 0;
+  Timer mLookupTimer;
+  Timer mRetryTimer;
+  Timer mTickTimer;
+  // Services and versions whose rows this host has written.
+  std::set<std::pair<std::string, std::string>> mWrittenVersions;
+  // When the next read for the history of versions may start.
+  Time mNextHistoryReadAt;
+  Time mNextSweepAt;
+  bool mSweepDue = false;
+  // Whether the store had rows that have to be removed some time.
+  bool mHasTransientRows = false;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_STREAMORIGINSTORE_H_INCLUDED
--- a/src/quetzalquay/gateway/SuspectWriter.h
+++ b/src/quetzalquay/gateway/SuspectWriter.h
@@ -2,10 +2,9 @@
 #define QUETZALQUAY_GATEWAY_SUSPECTWRITER_H_INCLUDED
 
 #include "gateway/Fleet.h"
-#include "http/AsyncHttpClient.h"
+#include "gateway/RowWriter.h"
 
-#include <map>
-#include <string>
+#include <vector>
 
 namespace quetzalquay {
 
@@ -20,20 +19,12 @@
                 Fleet& aFleet);
 
 private:
-  void Write();
-  void OnReply(const std::optional<HttpReply>& aReply,
-               const std::string& aReason);
+  std::vector<platform::RowChange> TakeChanges();
   void RemoveExpired();
 
-  std::string mHostHeader;
   Fleet& mFleet;
-  AsyncHttpClient mHttpClient;
-  Timer mWriteTimer;
+  RowWriter mRows;
   Timer mExpiryTimer;
-  // Changes that the store has not confirmed, by key; the newest one counts.
-  std::map<std::string, platform::RowChange> mPending;
-  // Changes of the call in progress.
-  std::vector<platform::RowChange> mWriting;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -19,6 +19,8 @@
 // Number of prompt tokens and maximum number of output tokens.
 constexpr char kTokenCounts[] = "X-Token-Counts";
 constexpr char kLastEventId[] = "Last-Event-Id";
+// ID of the caller's attempt that brought the first event of a stream.
+constexpr char kOriginRequestId[] = "Resumes";
 constexpr char kAuthorization[] = "Authorization";
 constexpr char kBearer[] = "Bearer ";
 constexpr char kWorkspace[] = "X-Tenant";
@@ -45,8 +47,9 @@
 };
 
 // Fields that are forwarded even when the caller lists them in Connection.
-constexpr std::array<std::string_view, 5> kEndToEndFields = {
-  kRequestId, "X-Model", kTokenCounts, "X-Prompt-Prefix", "X-Length-Hint",
+constexpr std::array<std::string_view, 6> kEndToEndFields = {
+  kRequestId,        "X-Model",       kTokenCounts,
+  "X-Prompt-Prefix", "X-Length-Hint", kOriginRequestId,
 };
 
 bool
@@ -111,6 +114,7 @@
   request.mRequestId = FieldValue(aHead, kRequestId);
   request.mHost = FieldValue(aHead, "Host");
   request.mLastEventId = FieldValue(aHead, kLastEventId);
+  request.mOriginRequestId = FieldValue(aHead, kOriginRequestId);
   std::array<int, 1> timeoutMs{};
   if (ParseIntegers(FieldValue(aHead, kDeadline), timeoutMs) == 1) {
     request.mCallerTimeout = std::chrono::milliseconds(timeoutMs[0]);
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -28,6 +28,8 @@
   int mOutputTokens = 0;
   // ID of the last event that the caller received of a stream to be resumed.
   std::string mLastEventId;
+  // ID of the caller's request that brought the first event of that stream.
+  std::string mOriginRequestId;
 };
 
 // Parses a caller's request head. Malformed fields count as missing.
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -22,12 +22,12 @@
 
 using rapidjson::Value;
 
-constexpr NameTable<StoreTable, 4> kLogNames(
-  { "configuration", "targets", "hosts", "suspects" });
+constexpr NameTable<StoreTable, 5> kLogNames(
+  { "configuration", "targets", "hosts", "suspects", "stream_origins" });
 
 // The first two tables belong to the platform, the others to the gateway.
-constexpr NameTable<StoreTable, 4> kTableNames(
-  { "op", "servers", "gateway-hosts", "gateway-suspects" });
+constexpr NameTable<StoreTable, 5> kTableNames(
+  { "op", "servers", "gateway-hosts", "gateway-suspects", "gateway-streams" });
 
 constexpr NameTable<CallKind, 3> kKindNames({ "safe", "unsafe", "streaming" });
 
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -22,6 +22,8 @@
   Hosts,
   // Requests suspected of crashing targets, one row for each lost run.
   Suspects,
+  // Origins of streams and software versions of services, one row each.
+  StreamOrigins,
 };
 
 // Name of a table in log lines.
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -114,7 +114,10 @@
                                      { "X-Expected-Instance", "forged" },
                                      { "X-Expected-Version", "forged" },
                                      { "X-Request-Urgency", "forged" },
+                                     { "Resumes", "origin" },
                                      { "X-Model", "m" } });
+    CPPUNIT_ASSERT_EQUAL(std::string("origin"),
+                         platform::DecodeCallerRequest(head).mOriginRequestId);
     platform::AttemptFields fields;
     fields.mTarget = "i-1";
     fields.mWorkspace = "w";
@@ -133,6 +136,7 @@
     CPPUNIT_ASSERT(Contains(text, "Kv-From: 10.0.0.1:80/id\r\n"));
     CPPUNIT_ASSERT(Contains(text, "Last-Event-Id: 4\r\n"));
     CPPUNIT_ASSERT(Contains(text, "X-Model: m\r\n"));
+    CPPUNIT_ASSERT(Contains(text, "Resumes: origin\r\n"));
     CPPUNIT_ASSERT(Contains(text, "Content-Length: 3\r\n"));
   }
 
