Learn from other hosts which versions began streams lately

A host that has just started, or that was frozen or cut off, refused to take up streams of unknown origin until it had read the store, or, while the store was away, until it had watched the versions itself for the longest life of a stream.

It now asks the hosts that it exchanges rows with anyway; one whose own history is complete answers with the versions by service. The store is read only if none answers within 1.2 s. A record counts from the moment it was read, so that one which arrives together with the first rows after a gap is used.

Tested: StreamOriginTests::VersionIsUncertainAfterAGap has the case of a record that arrives just before the rows' age. Take-ups at a host restarted while the store is away are not tested.

Logs name the origin of each stream sent and the count of each announcement.

--- a/src/quetzalquay/core/VersionHistory.h
+++ b/src/quetzalquay/core/VersionHistory.h
@@ -57,6 +57,9 @@
   std::set<std::string> RecentVersions(const std::string& aService,
                                        Time aNow) const;
 
+  // The same for all services.
+  VersionsByService AllRecentVersions(Time aNow) const;
+
   // Whether this host itself has seen a version registered within the window.
   bool WasObserved(const std::string& aService,
                    const std::string& aVersion,
@@ -89,8 +92,8 @@
   Time mKnownAsOf;
   // Start of the time that has been watched without a gap.
   Time mObservedSince;
-  // Whether the record was read since then.
-  bool mRecordRead = false;
+  // When the record was last read.
+  Time mRecordReadAt;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -498,15 +498,14 @@
     writer.StartArray();
     for (const StreamOrigin& it : news) {
       WriteOrigin(writer, it);
-      Log(LogLevel::Debug,
-          "peers",
-          "stream origin announced",
-          { { "origin", ToHex(it.mKey) },
-            { "service", it.mService },
-            { "software", it.mSoftwareVersion } });
     }
     writer.EndArray();
     writer.EndObject();
+    Log(LogLevel::Info,
+        "peers",
+        "stream origins announced",
+        { { "origins", std::to_string(news.size()) },
+          { "first", ToHex(news.front().mKey) } });
     for (const udp::endpoint& it : ChooseReceivers()) {
       SendTo(it, buf);
     }
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -42,6 +42,50 @@
 // only for a short time.
 constexpr char kAgeField[] = "age_ms";
 
+// Response field with the software versions by service, for a host that asks
+// for them with the query parameter of the same name. Omitted by a host whose
+// own history of versions is incomplete.
+constexpr char kVersionsField[] = "versions";
+
+void
+WriteVersions(Writer& aWriter, const VersionHistory& aHistory, Time aNow)
+{
+  const auto write = [&aWriter](const std::string& aText) {
+    aWriter.String(aText.data(),
+                   static_cast<rapidjson::SizeType>(aText.size()));
+  };
+  aWriter.Key(kVersionsField);
+  aWriter.StartArray();
+  for (const auto& service : aHistory.AllRecentVersions(aNow)) {
+    for (const std::string& it : service.second) {
+      aWriter.StartArray();
+      write(service.first);
+      write(it);
+      aWriter.EndArray();
+    }
+  }
+  aWriter.EndArray();
+}
+
+std::optional<VersionsByService>
+ParseVersions(const rapidjson::Value& aMessage)
+{
+  const auto list = aMessage.FindMember(kVersionsField);
+  if (list == aMessage.MemberEnd() || !list->value.IsArray()) {
+    return std::nullopt;
+  }
+  VersionsByService versions;
+  for (const auto& it : list->value.GetArray()) {
+    if (!it.IsArray() || it.Size() != 2 || !it[0].IsString() ||
+        !it[1].IsString()) {
+      return std::nullopt;
+    }
+    versions[std::string(it[0].GetString(), it[0].GetStringLength())].emplace(
+      it[1].GetString(), it[1].GetStringLength());
+  }
+  return versions;
+}
+
 // Value of a numeric query parameter in a path, 0 if there is none.
 std::int64_t
 ParseQueryNumber(const std::string& aPath, const std::string& aName)
@@ -149,6 +193,11 @@
     writer.Int64(static_cast<std::int64_t>(
       ToMilliseconds(EventLoop::Now() - mFleet.Readers().KnownAsOf())));
   }
+  const Time now = EventLoop::Now();
+  if (ParseQueryNumber(aHead.mTarget, kVersionsField) != 0 &&
+      mFleet.Versions().IsComplete(now)) {
+    WriteVersions(writer, mFleet.Versions(), now);
+  }
   for (const auto& it : kTables) {
     const std::int64_t after = ParseQueryNumber(aHead.mTarget, it.first);
     writer.Key(it.first);
@@ -223,6 +272,9 @@
     path += it.first;
     path += "=" + std::to_string(all ? 0 : mFleet.Version(it.second));
   }
+  if (!mFleet.Versions().IsComplete(EventLoop::Now())) {
+    path += std::string("&") + kVersionsField + "=1";
+  }
   return path;
 }
 
@@ -356,6 +408,9 @@
       { { "peer", aPeer }, { "reason", aReply ? "invalid reply" : aReason } });
     return std::nullopt;
   }
+  if (const auto versions = ParseVersions(json)) {
+    mFleet.OnVersionsRecorded(*versions, EventLoop::Now());
+  }
   std::optional<Duration> age;
   const auto ageField = json.FindMember(kAgeField);
   if (ageField != json.MemberEnd() && ageField->value.IsInt64()) {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StreamExchange.h"
 
+#include "core/Hash.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -613,6 +614,7 @@
     message,
     { { "request", mCall.mRequest.mRequestId },
       { "target", mTarget },
+      { "origin", mCall.mOriginKey ? ToHex(*mCall.mOriginKey) : "" },
       { "software",
         mContext.mFleet.Targets().SoftwareVersionOf(mTarget).value_or("") },
       { "from_copy", aFromCopy ? "true" : "false" },
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -27,6 +27,10 @@
 // Interval at which the history of versions and the rows are checked.
 constexpr Duration kTickInterval = milliseconds(500);
 
+// Time in which another host usually provides the history of versions, after
+// which it is read from the store.
+constexpr Duration kHistoryReadDelay = milliseconds(1200);
+
 // Least time between two reads for the history of versions.
 constexpr Duration kHistoryReadInterval = std::chrono::seconds(5);
 
@@ -68,6 +72,7 @@
   , mLookupTimer(aLoop, [this] { FinishLookups(EventLoop::Now(), false); })
   , mRetryTimer(aLoop, [this] { StartRead(); })
   , mTickTimer(aLoop, [this] { Tick(); })
+  , mNextHistoryReadAt(EventLoop::Now() + kHistoryReadDelay)
   , mNextSweepAt(EventLoop::Now() + kSweepInterval)
 {
   mFleet.Origins().SetStoreCallback([this] { mWriter.Notify(); });
@@ -263,9 +268,10 @@
     mSweepDue =
       mHasTransientRows || !mFleet.Versions().MixedServices(now).empty();
   }
-  const bool historyDue =
-    !mFleet.Versions().IsComplete(now) && now >= mNextHistoryReadAt;
-  if (historyDue || mSweepDue) {
+  if (mFleet.Versions().IsComplete(now)) {
+    mNextHistoryReadAt = now + kHistoryReadDelay;
+  }
+  if (mSweepDue || now >= mNextHistoryReadAt) {
     mNextHistoryReadAt = now + kHistoryReadInterval;
     StartRead();
   }
--- a/tests/introspective/StreamOriginTests.cpp
+++ b/tests/introspective/StreamOriginTests.cpp
@@ -246,6 +246,13 @@
     history.OnRecorded({ { "pool", { "v1" } } }, At(kWindowMs + 9000));
     CPPUNIT_ASSERT(history.IsComplete(At(kWindowMs + 9000)));
     CPPUNIT_ASSERT(!history.IsObserved(At(kWindowMs + 9000)));
+    // Another host provides the record together with its rows.
+    history.OnRecorded({ { "pool", { "v1" } } }, At(kWindowMs + 20000));
+    CPPUNIT_ASSERT(!history.IsComplete(At(kWindowMs + 20000)));
+    history.OnKnownAsOf(At(kWindowMs + 19500));
+    CPPUNIT_ASSERT(history.IsComplete(At(kWindowMs + 20000)));
+    history.OnKnownAsOf(At(kWindowMs + 25000));
+    CPPUNIT_ASSERT(!history.IsComplete(At(kWindowMs + 25000)));
   }
 
   void FormerVersionCountsForTheLifeOfAStream()
