--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(RestartedTargetIsOfItsNewVersion);
   CPPUNIT_TEST(DeadTargetIsNotTrustedToKeepItsVersion);
   CPPUNIT_TEST(NewStreamsAvoidVersionsWithASingleTarget);
+  CPPUNIT_TEST(RetriesPreferTheVersionThatWasTried);
   CPPUNIT_TEST(CopiesStayWithinTheVersion);
   CPPUNIT_TEST(CopyAtATargetWithAnotherVersionIsNotUsed);
   CPPUNIT_TEST(ReplacementFoundDuringAnOutageHasAVersionOfItsOwn);
@@ -308,6 +309,27 @@
                          table.Choose(query, At(21)).mTarget);
   }
 
+  // Guards against other hosts that know a stream by an earlier attempt, which
+  // brought no event.
+  void RetriesPreferTheVersionThatWasTried()
+  {
+    TargetTable table = MakeTable({ Declaration("t0", "v1"),
+                                    Declaration("t1", "v1"),
+                                    Declaration("t2", "v2") });
+    ChoiceQuery query = MakeQuery();
+    query.mExcluded = { "t0" };
+    query.mPreferredSoftwareVersion = "v1";
+    for (std::uint64_t n = 0; n < 5; ++n) {
+      table.OnAttemptStart("t1", 100 + n, At(0), { 100, 100 });
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), table.Choose(query, At(1)).mTarget);
+    table.OnConnectionBroken("t1", At(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"), table.Choose(query, At(3)).mTarget);
+    // Doubtful is worse than another version.
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"),
+                         table.Choose(query, At(2000)).mTarget);
+  }
+
   // Guards against the memory of a run that is sent to a target of another
   // software version.
   void CopiesStayWithinTheVersion()
