Let taken-up streams end with an answer when their host exits, and keep their place in the queue

A stream that waits for the lookup of its origin is answered when its host exits, as all requests are; a taken-up stream counts as a continuation also when it leaves a silent target.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -570,7 +570,7 @@
   }
   ChoiceQuery query = mSpec.mQuery;
   query.mExcluded.push_back(mTarget);
-  query.mContinuation = !mTokens.empty();
+  query.mContinuation = !mTokens.empty() || !mSpec.mSoftwareVersion.empty();
   query.mIsRetry = true;
   const Choice choice = mChooser.Choose(query, aNow);
   if (choice.mStatus != ChoiceStatus::Chosen) {
--- a/src/quetzalquay/gateway/TakenUpStream.cpp
+++ b/src/quetzalquay/gateway/TakenUpStream.cpp
@@ -41,11 +41,31 @@
     mStream->OnCallerDisconnected();
     return;
   }
+  CancelLookUp();
+  mContext.mMetrics.Add(GatewayCounter::CallerDisconnects);
+  LogCompletion("caller_gone", 0);
+}
+
+void
+TakenUpStream::OnExit()
+{
+  if (mStream != nullptr) {
+    mStream->OnExit();
+    return;
+  }
+  CancelLookUp();
+  Failure failure;
+  failure.mCode = FailureCode::Stopping;
+  failure.mMessage = "the host is shutting down";
+  SendFailure(failure);
+}
+
+void
+TakenUpStream::CancelLookUp()
+{
   if (mLookup != 0) {
     mContext.mOriginStore.CancelLookUp(std::exchange(mLookup, 0));
   }
-  mContext.mMetrics.Add(GatewayCounter::CallerDisconnects);
-  LogCompletion("caller_gone", 0);
 }
 
 void
--- a/src/quetzalquay/gateway/TakenUpStream.h
+++ b/src/quetzalquay/gateway/TakenUpStream.h
@@ -16,9 +16,11 @@
 
   void Start() override;
   void OnCallerDisconnected() override;
+  void OnExit() override;
 
 private:
   TakeUp Decide() const;
+  void CancelLookUp();
   void OnLookedUp();
   void Forward(const TakeUp& aTakeUp);
   void Refuse(const TakeUp& aTakeUp);
