Record software versions from the start of a host on

After all hosts had restarted, streams went on at the version that was left instead of the one that had begun them: rows of versions were written only 2 s or more after a start, when the grace period for registrations was over, and the rows of streams did not count as a record of their versions.

Rows of versions are written as soon as the targets are known, and every row that is read tells of its version.

--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -193,7 +193,8 @@
           { { "key", it.mKey } });
     } else if (row->mOrigin) {
       mFleet.Origins().OnReported(*row->mOrigin, OriginSource::Store, aNow);
-    } else {
+    }
+    if (row) {
       versions[row->mService].insert(row->mSoftwareVersion);
     }
     mHasTransientRows |=
@@ -256,7 +257,7 @@
 {
   const Time now = EventLoop::Now();
   mTickTimer.ScheduleAt(now + kTickInterval);
-  if (!mFleet.IsReady() || !mFleet.IsStoreSynced()) {
+  if (!mFleet.IsReady()) {
     return;
   }
   const bool reader = mFleet.Readers().IsReader(now);
