Do not trust a dead target's entry to keep its version

A stream could go on at a target that had died and was back under its name with another version while its entry still named the former one.

For the time in which the entry of a dead target expires or changes, the target is not used for streams that are bound to a version.

On the platform each start has a name of its own, which the target checks. GatewayTests passes (21).

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -675,6 +675,14 @@
                       const ChoiceQuery& aQuery,
                       Time aNow) const
 {
+  // Until a dead target's entry has expired or changed, it may describe the
+  // former start of a target that is back with another version.
+  const bool staleEntry = aTarget.mDeath &&
+                          aTarget.mDeadIncarnation == aTarget.mIncarnation &&
+                          aNow - aTarget.mDeath->mAt < mOptions.mDoubtDuration;
+  if (staleEntry && !aQuery.mSoftwareVersion.empty()) {
+    return false;
+  }
   if (!IsOfVersion(aTarget, aQuery) || IsLeaving(aTarget) || aTarget.mLoading ||
       aNow < aTarget.mDownUntil) {
     return false;
