Keep streams whose target refuses a probe until another can take them

A stream whose target paused was broken off if a probe of the target was refused and no attempt or retry was left, though the target went on. Where the stream was resumed at the same target, it ran twice there.

Cause: a refused probe counted as proof that the target had stopped, and the stream's connection was closed at once. A target that is at its maximum number of connections resets new ones, too. Only streams that cannot be resumed were kept in this case.

A refused probe is now a silence like an unanswered one: the stream moves as soon as another target can take it, and its connection stays open until then. A target that has stopped resets the connection, is noticed by TCP keep-alive, or reports a new start time to the next probe, which still counts as proof.

--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -272,10 +272,15 @@
         result = ProbeResult::RunLost;
       }
       if (result == ProbeResult::Dead && self->mCall.mRoute->mResumable) {
-        // The probe may be wrong. Closing the connection makes sure that no
-        // more events of this attempt arrive.
-        self->mConnection->Abort();
-        self->ReleaseAttempt(AttemptOutcome::Lost);
+        if (aReport == nullptr) {
+          // A live target that is full refuses connections, too.
+          result = ProbeResult::NoAnswer;
+        } else {
+          // The target has restarted. Closing the connection makes sure that no
+          // more events of this attempt arrive.
+          self->mConnection->Abort();
+          self->ReleaseAttempt(AttemptOutcome::Lost);
+        }
       }
       self->UpdateChoiceInputs(at);
       const bool known = self->mStateMachine.IsTargetSilent();
--- a/tests/usage/SilentRunnerTests.cpp
+++ b/tests/usage/SilentRunnerTests.cpp
@@ -16,6 +16,7 @@
 {
   CPPUNIT_TEST_SUITE(SilentRunnerTests);
   CPPUNIT_TEST(RequestsThatWaitTogetherAreAllRetried);
+  CPPUNIT_TEST(StreamsStayAtAFullTargetThatPauses);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,21 @@
       CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
     }
   }
+
+  // Streams without attempts left were broken off when their target, which had
+  // no room for the connection of a probe, paused.
+  void StreamsStayAtAFullTargetThatPauses()
+  {
+    GatewayTestCluster cluster(2);
+    TestConfiguration configuration;
+    configuration.RouteOf("stream").mMaxAttempts = 1;
+    cluster.AwaitConfiguration(cluster.Write(configuration));
+    cluster.SetAllModes(RunnerMode::PausedStream);
+    const CallerAnswer answer =
+      cluster.Call(GatewayTestCluster::Request("/stream/", "s"));
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentRunnerTests);
