Fail the fleet test of answers when requests end at their deadline

A stream that waited until its deadline for a target that had gone on was not noticed by the test, which checked only the requests that ended earlier.

No silence in these tests lasts longer than 1.3 s, and no time limit is shorter than 8 s, so no sound request may reach its deadline.

--- a/tests/fakes/FleetPlay.cpp
+++ b/tests/fakes/FleetPlay.cpp
@@ -238,5 +238,8 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("requests that ended without an answer",
                                  std::size_t{ 0 },
                                  aCounts.mLost.size());
+    // The time limits are several times as long as any silence.
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "requests broken off at their deadline", 0, aCounts.mOverdue);
   });
 }
