Do not call an early timer again until it is due

The event loop stood still for up to 4 ms, at full processor load, when a callback set its timer again because it had been called early.

Cause: timers that expire within 4 ms of the first one are fired with it. A timer that a callback sets to such a time again was fired again in the same pass, until its time had come. Streams do this for their next probe.

A pass now ends at a timer that was set in it and is not due; that timer and those behind it get a wake-up of their own.

--- a/src/quetzalquay/http/EventLoop.cpp
+++ b/src/quetzalquay/http/EventLoop.cpp
@@ -80,6 +80,7 @@
 void
 EventLoop::Queue(Timer& aTimer)
 {
+  aTimer.mQueuedInPass = mFiring ? mPass : 0;
   mTimers.insert(aTimer);
   ArmTimer();
 }
@@ -113,10 +114,15 @@
 EventLoop::OnTimer()
 {
   mFiring = true;
+  ++mPass;
   mTimerExpiry = Time::max();
   const Time due = Now() + kTimerSlack;
   while (!mTimers.empty() && mTimers.begin()->mQueuedExpiry <= due) {
     Timer& timer = *mTimers.begin();
+    if (timer.mQueuedInPass == mPass && timer.mQueuedExpiry > Now()) {
+      // A callback that was early for its work has set its timer again.
+      break;
+    }
     mTimers.erase(mTimers.begin());
     if (timer.mExpiry > due) {
       // The expiry was moved later after the timer was queued.
--- a/src/quetzalquay/http/EventLoop.h
+++ b/src/quetzalquay/http/EventLoop.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
+#include <cstdint>
 #include <functional>
 
 namespace quetzalquay {
@@ -50,6 +51,8 @@
   Time mExpiry = Time::max();
   // Position in the loop's queue; may be earlier than mExpiry.
   Time mQueuedExpiry;
+  // Pass of the loop in which the timer was queued by a callback, or 0.
+  std::uint64_t mQueuedInPass = 0;
 };
 
 // Event loop of one thread. Sockets use the Asio context; all timers share one
@@ -88,6 +91,8 @@
   // When mAsioTimer expires; Time::max() when it is not armed.
   Time mTimerExpiry = Time::max();
   bool mFiring = false;
+  // Number of times at which expired timers have been fired.
+  std::uint64_t mPass = 0;
 };
 
 } // namespace quetzalquay
