Test take-ups beside the begin of a release and after the end of a version

Streams that began while one version served must keep it when a second one registers and their host is killed at that moment, and hosts that restart or join after the last runner of a version has left must not take the other version for the only one. Runners that come back under their name have a start time from their first start on in these trials; before, the first entry had none, which says that the name is never used again.

The release trial waits for the stability window first, as only hosts that have run for so long have to take streams up.

--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -162,6 +162,9 @@
     GatewayTestSettings mSettings{};
     // Software versions of the runners, repeated in this order.
     std::vector<std::string> mVersions = { "v1" };
+    // Whether the entries of runners have a start time from their first start
+    // on; otherwise they have one after a crash only.
+    bool mFirstStartTime = false;
     // Runners, the last ones, that are started only by StartRunner().
     int mLateRunners = 0;
   };
@@ -220,6 +223,9 @@
   // Time after the start of a runner until all hosts know it.
   static constexpr auto kSettledAfter = std::chrono::milliseconds(1500);
 
+  // Number of gateways, including late ones.
+  std::size_t MaxGatewayCount() const { return mNodes.size(); }
+
   // Number of gateways that have been started.
   std::size_t GatewayCount() const;
 
--- a/tests/fakes/StreamCallers.h
+++ b/tests/fakes/StreamCallers.h
@@ -42,8 +42,8 @@
     mHostSound[aHost] = aSound;
   }
 
-  // Callers begin and take up streams at these hosts only from now on; at any
-  // host if there are none.
+  // Callers begin and take up streams at these hosts only from now on; first at
+  // all that were started before the callers.
   void SetHosts(std::vector<std::size_t> aHosts);
 
   // Waits until each caller has its stream or has given up.
