--- a/tests/usage/FleetVersionTests.cpp
+++ b/tests/usage/FleetVersionTests.cpp
@@ -315,13 +315,16 @@
   CPPUNIT_TEST(StreamsOfOneVersionAreTakenUpAtOtherHosts);
   CPPUNIT_TEST(AnswersKeepTheirVersionWhenTargetsFail);
   CPPUNIT_TEST(StreamsKeepTheirVersionDuringARelease);
+  CPPUNIT_TEST(StreamsAreTakenUpWhileAReleaseBegins);
   CPPUNIT_TEST(StreamsKeepTheirVersionWhenTheirHostIsKilled);
   CPPUNIT_TEST(StreamsKeepTheirVersionWhenTheirHostIsCutOff);
   CPPUNIT_TEST(StreamsKeepTheirVersionAtHostsThatKnowLittle);
   CPPUNIT_TEST(CopiesStayWithinTheirVersion);
   CPPUNIT_TEST(StreamsOfAVersionThatIsGoneAreRefused);
+  CPPUNIT_TEST(NewHostsDoNotContinueStreamsOfAVersionThatIsGone);
   CPPUNIT_TEST(StreamsOfAVersionThatComesBackGoOn);
-  CPPUNIT_TEST(StreamsKeepTheirVersionWhenATargetChangesItsOwn);
+  CPPUNIT_TEST(StreamsKeepTheirVersionWhenTargetsRestartUnderTheirNames);
+  CPPUNIT_TEST(StreamsKeepTheirVersionWhenAddressesAreReused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -349,8 +352,14 @@
   // targets.
   void StreamsKeepTheirVersionDuringARelease()
   {
-    Play({ { "release", Release(), ReleaseRunners, milliseconds(1200) },
-           { "release_kill",
+    Play({ { "release", Release(), ReleaseRunners, milliseconds(1200) } });
+  }
+
+  // Guards against forgetting which streams began before a second software
+  // version appeared.
+  void StreamsAreTakenUpWhileAReleaseBegins()
+  {
+    Play({ { "release_kill",
              Release(),
              [](auto& aCluster, auto& aCallers) {
                BeginRelease(aCluster);
@@ -456,19 +465,7 @@
                                   TwoVersions(),
                                   StopSecondVersion,
                                   milliseconds(250),
-                                  kLongGap },
-                                { "gone_restart",
-                                  TwoVersions(),
-                                  [](auto& aCluster, auto& aCallers) {
-                                    StopSecondVersion(aCluster, aCallers);
-                                    RestartAllHosts(aCluster, aCallers);
-                                  } },
-                                { "gone_join",
-                                  WithLateHosts(TwoVersions()),
-                                  [](auto& aCluster, auto& aCallers) {
-                                    StopSecondVersion(aCluster, aCallers);
-                                    ReplaceByLateHosts(aCluster, aCallers);
-                                  } } });
+                                  kLongGap } });
     int refused = 0;
     for (const CallerStream& stream : results[0].mStreams) {
       if (stream.Version() == "v1") {
@@ -491,6 +488,24 @@
     CPPUNIT_ASSERT(refused > 0);
   }
 
+  // Guards against hosts that start after the last target of a version has left
+  // and take the other version for the only one.
+  void NewHostsDoNotContinueStreamsOfAVersionThatIsGone()
+  {
+    Play({ { "gone_restart",
+             TwoVersions(),
+             [](auto& aCluster, auto& aCallers) {
+               StopSecondVersion(aCluster, aCallers);
+               RestartAllHosts(aCluster, aCallers);
+             } },
+           { "gone_join",
+             WithLateHosts(TwoVersions()),
+             [](auto& aCluster, auto& aCallers) {
+               StopSecondVersion(aCluster, aCallers);
+               ReplaceByLateHosts(aCluster, aCallers);
+             } } });
+  }
+
   // Guards against giving up a version whose targets are all about to return.
   void StreamsOfAVersionThatComesBackGoOn()
   {
@@ -502,9 +517,8 @@
                          results[0].mReport.mComplete);
   }
 
-  // Guards against using what a registration said of an earlier start of a
-  // target, under its own name or at its address.
-  void StreamsKeepTheirVersionWhenATargetChangesItsOwn()
+  // Guards against using what the entry of a target said of an earlier start.
+  void StreamsKeepTheirVersionWhenTargetsRestartUnderTheirNames()
   {
     Play({ { "same_name",
              StartTimes(),
@@ -514,13 +528,17 @@
                aCluster.CrashRunner(RunnerName(2), "v1");
                aCluster.ResetRunner(RunnerName(3));
              } },
-           { "same_name_all",
-             StartTimes(),
-             [](auto& aCluster, auto&) {
-               aCluster.SetRunnerReturn(RunnerReturn::SameName);
-               CrashSecondVersion(aCluster, "v1");
-             } },
-           { "same_address", TwoVersions(), [](auto& aCluster, auto&) {
+           { "same_name_all", StartTimes(), [](auto& aCluster, auto&) {
+              aCluster.SetRunnerReturn(RunnerReturn::SameName);
+              CrashSecondVersion(aCluster, "v1");
+            } } });
+  }
+
+  // Guards against taking the target that is found at the address of a former
+  // one for one of its version.
+  void StreamsKeepTheirVersionWhenAddressesAreReused()
+  {
+    Play({ { "same_address", TwoVersions(), [](auto& aCluster, auto&) {
               CrashSecondVersion(aCluster, "v1");
             } } });
   }
