--- a/tests/fakes/CallerChannel.cpp
+++ b/tests/fakes/CallerChannel.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <csignal>
+#include <memory>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdexcept>
@@ -104,3 +106,38 @@
   }
   return mEnd;
 }
+
+std::vector<int>
+CallDuringFreeze(const GatewayProcess& aGateway,
+                 const std::string& aRequest,
+                 std::size_t aBytesBefore,
+                 int aSignal)
+{
+  std::vector<std::unique_ptr<CallerChannel>> channels;
+  while (channels.size() < kFrozenCalls) {
+    channels.push_back(std::make_unique<CallerChannel>(aGateway));
+    channels.back()->Send(aRequest.substr(0, aBytesBefore));
+  }
+  const auto until = steady_clock::now() + CallerChannel::kTimeout;
+  while (aGateway.Metric("quetzal_caller_connections") !=
+         std::to_string(kFrozenCalls)) {
+    if (steady_clock::now() >= until) {
+      throw std::runtime_error("the gateway did not accept all connections");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  aGateway.Signal(aSignal);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  aGateway.Signal(SIGSTOP);
+  for (const auto& it : channels) {
+    it->Send(aRequest.substr(aBytesBefore));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(2700));
+  aGateway.Signal(SIGCONT);
+  std::vector<int> statuses;
+  statuses.reserve(channels.size());
+  for (const auto& it : channels) {
+    statuses.push_back(it->Read().mHead.mStatus);
+  }
+  return statuses;
+}
--- a/tests/fakes/CallerChannel.h
+++ b/tests/fakes/CallerChannel.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 // How a caller's connection has ended.
 enum class ChannelEnd
@@ -60,4 +61,17 @@
   ChannelEnd mEnd = ChannelEnd::None;
 };
 
+// Requests of CallDuringFreeze(): more than the event loop of a gateway reads
+// between two looks at its timers.
+constexpr std::size_t kFrozenCalls = 300;
+
+// Opens kFrozenCalls connections that send aBytesBefore bytes of a request, and
+// the rest while the gateway, to which aSignal was sent first, is frozen for
+// 2.7 s. Returns the statuses of the answers, 0 where there is none.
+std::vector<int>
+CallDuringFreeze(const GatewayProcess& aGateway,
+                 const std::string& aRequest,
+                 std::size_t aBytesBefore,
+                 int aSignal = 0);
+
 #endif // QUETZALQUAY_TESTS_FAKES_CALLERCHANNEL_H_INCLUDED
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
-#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -23,13 +22,7 @@
   CPPUNIT_TEST(LimitsAreUnknownBeforeTheFirstConfiguration);
   CPPUNIT_TEST(ReceivedRequestsAreServedAfterTheIdleTime);
   CPPUNIT_TEST(ReceivedHeadsAreServedAfterTheHeadTimeout);
-  CPPUNIT_TEST(ReceivedRequestsAreAnsweredAtAStop);
   CPPUNIT_TEST(LastAnswersAreCompleteWhenMoreBytesFollowTheirRequest);
-  CPPUNIT_TEST(PipelinedRequestsAreAnsweredAtAStop);
-  CPPUNIT_TEST(OpenRequestsFailWithAnAnswerAtTheEndOfAStop);
-  CPPUNIT_TEST(AnswersAreWrittenWholeBeforeAStopEnds);
-  CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
-  CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
   CPPUNIT_TEST(TargetsAreReachedWhileManyCallersAreConnected);
   CPPUNIT_TEST(ConnectionsTurnedAwayGetAnAnswer);
   CPPUNIT_TEST(TargetsAreNotBlamedForMissingDescriptors);
@@ -141,21 +134,13 @@
   // process, which did not run meanwhile, has not read.
   void ReceivedRequestsAreServedAfterTheIdleTime()
   {
-    CPPUNIT_ASSERT_EQUAL(kManyChannels, CountServedAfterFreeze(0));
+    CPPUNIT_ASSERT_EQUAL(kFrozenCalls, CountServedAfterFreeze(0));
   }
 
   // Guards against 408 for a head that was received whole before its timeout.
   void ReceivedHeadsAreServedAfterTheHeadTimeout()
   {
-    CPPUNIT_ASSERT_EQUAL(kManyChannels, CountServedAfterFreeze(20));
-  }
-
-  // Guards against closing a connection with a request in it when a stopping
-  // host accepts no more requests.
-  void ReceivedRequestsAreAnsweredAtAStop()
-  {
-    CPPUNIT_ASSERT_EQUAL(kManyChannels,
-                         CountServedAfterFreeze(0, 15000, SIGTERM));
+    CPPUNIT_ASSERT_EQUAL(kFrozenCalls, CountServedAfterFreeze(20));
   }
 
   // Guards against a last answer that is cut off because the caller has sent
@@ -177,127 +162,6 @@
     CPPUNIT_ASSERT(channel.AwaitEnd() == ChannelEnd::Closed);
   }
 
-  // Guards against a request that was read and is dropped because the answer
-  // before it is the first one of a stopping host.
-  void PipelinedRequestsAreAnsweredAtAStop()
-  {
-    GatewayTestCluster cluster;
-    cluster.SetAllModes(RunnerMode::SlowAnswer);
-    CallerChannel channel(cluster.Gateway());
-    channel.Send(GatewayTestCluster::Request("/plain/", "a") +
-                 GatewayTestCluster::Request("/unsafe/", "b"));
-    while (cluster.Runs().empty()) {
-      ::usleep(1000);
-    }
-    cluster.Gateway().Signal(SIGTERM);
-    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
-    const CallerAnswer second = channel.Read();
-    CPPUNIT_ASSERT_EQUAL(200, second.mHead.mStatus);
-    CPPUNIT_ASSERT(!second.mConnectionKept);
-  }
-
-  // Guards against requests that are cut without an answer, running or
-  // waiting, when the grace period of a stop ends.
-  void OpenRequestsFailWithAnAnswerAtTheEndOfAStop()
-  {
-    GatewayTestCluster::Options options;
-    options.mRunners = 1;
-    options.mSettings.mStopGraceS = 3;
-    GatewayTestCluster cluster(options);
-    cluster.SetAllModes(RunnerMode::NeverAnswer);
-    std::vector<std::unique_ptr<CallerChannel>> channels;
-    for (const char* route : { "/plain/", "/unsafe/", "/stream/" }) {
-      // More than the runner takes at once.
-      for (int n = 0; n < 30; ++n) {
-        channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
-        channels.back()->Send(
-          GatewayTestCluster::Request(route, route + std::to_string(n)));
-      }
-    }
-    while (cluster.Runs().size() < 3) {
-      ::usleep(1000);
-    }
-    cluster.Gateway().Signal(SIGTERM);
-    int runs = 0;
-    for (const auto& it : channels) {
-      const CallerAnswer answer = it->Read();
-      CPPUNIT_ASSERT(answer.mComplete);
-      const std::string* run = answer.mHead.Find("X-Request-Run");
-      CPPUNIT_ASSERT(run != nullptr);
-      CPPUNIT_ASSERT((answer.mHead.mStatus == 503) == (*run == "not_run"));
-      runs += *run == "outcome_unknown" ? 1 : 0;
-    }
-    CPPUNIT_ASSERT(runs > 0);
-    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().AwaitExit());
-  }
-
-  // Guards against answers whose callers have not read them yet when a stopping
-  // host has no more open requests.
-  void AnswersAreWrittenWholeBeforeAStopEnds()
-  {
-    GatewayTestCluster cluster;
-    cluster.SetAllModes(RunnerMode::LargeAnswer);
-    cluster.SetLargeAnswer(kSlowAnswerBytes);
-    CallerChannel kept(cluster.Gateway(), 65536);
-    kept.ReadSlowly(kSlowAnswerBytes * 2 / 7);
-    CallerChannel closing(cluster.Gateway(), 65536);
-    closing.ReadSlowly(kSlowAnswerBytes * 2 / 7);
-    kept.Send(GatewayTestCluster::Request("/plain/", "a"));
-    closing.Send(
-      GatewayTestCluster::Request("/plain/", "b", "Connection: close\r\n"));
-    while (cluster.Gateway().Metrics().find("status=\"200\"} 2") ==
-           std::string::npos) {
-      ::usleep(1000);
-    }
-    cluster.Gateway().Signal(SIGTERM);
-    CallerAnswer first;
-    std::thread reader([&] { first = kept.Read(); });
-    const CallerAnswer second = closing.Read();
-    reader.join();
-    CPPUNIT_ASSERT(first.mComplete);
-    CPPUNIT_ASSERT(second.mComplete);
-  }
-
-  // Guards against a request that is cut off at a stop before it has arrived
-  // whole.
-  void RequestsThatArriveSlowlyAreAnsweredAtAStop()
-  {
-    GatewayTestCluster cluster;
-    const std::string request = GatewayTestCluster::Request("/plain/", "a");
-    CallerChannel channel(cluster.Gateway());
-    channel.Send(request.substr(0, request.size() - 1));
-    ::usleep(100000);
-    cluster.Gateway().Signal(SIGTERM);
-    ::usleep(3500000);
-    channel.Send(request.substr(request.size() - 1));
-    const CallerAnswer answer = channel.Read();
-    CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
-    CPPUNIT_ASSERT(answer.mComplete);
-  }
-
-  // Guards against resetting connections that the system has established, with
-  // a request in them, when a stopping host exits.
-  void ConnectionsNotYetAcceptedAreAnsweredAtAStop()
-  {
-    GatewayTestCluster cluster;
-    cluster.Gateway().Signal(SIGTERM);
-    ::usleep(100000);
-    cluster.Gateway().Signal(SIGSTOP);
-    // Accepted first; it sends nothing.
-    const CallerChannel silent(cluster.Gateway());
-    std::vector<std::unique_ptr<CallerChannel>> channels;
-    while (channels.size() < 100) {
-      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
-      channels.back()->Send(GatewayTestCluster::Request("/none/", "a"));
-    }
-    ::usleep(2700000);
-    cluster.Gateway().Signal(SIGCONT);
-    for (const auto& it : channels) {
-      const int status = it->Read().mHead.mStatus;
-      CPPUNIT_ASSERT(status == 404 || status == 503);
-    }
-  }
-
   // Guards against callers that take all descriptors, so that no target can be
   // reached.
   void TargetsAreReachedWhileManyCallersAreConnected()
@@ -384,51 +248,23 @@
   // Requests that run at the same time while many callers are connected.
   static constexpr std::size_t kBusyChannels = 20;
 
-  // Size of an answer that takes a slow reader 3.5 s.
-  static constexpr std::size_t kSlowAnswerBytes = 24U << 20U;
-
-  // More connections than the event loop handles between two looks at the
-  // timers.
-  static constexpr std::size_t kManyChannels = 300;
-
-  // Opens kManyChannels connections that send aBytesBefore bytes of a request,
-  // and the rest while the gateway is frozen for longer than the idle and head
-  // timeouts, or until a gateway that was stopped by aSignal before accepts no
-  // more requests. Returns how many requests are answered.
-  static std::size_t CountServedAfterFreeze(std::size_t aBytesBefore,
-                                            int aTimeoutMs = 2000,
-                                            int aSignal = 0)
+  // Sends many requests, which the gateway answers with 404 by itself, while it
+  // is frozen for longer than its idle and head timeouts. Returns how many were
+  // served.
+  static std::size_t CountServedAfterFreeze(std::size_t aBytesBefore)
   {
     GatewayTestCluster cluster;
     TestLimits limits;
-    limits.mHeadTimeoutMs = aTimeoutMs;
-    limits.mIdleTimeoutMs = aTimeoutMs;
+    limits.mHeadTimeoutMs = 2000;
+    limits.mIdleTimeoutMs = 2000;
     cluster.SetCallerLimits(limits);
     cluster.Configure("key");
-    // The gateway answers 404 by itself.
-    const std::string request = GatewayTestCluster::Request("/none/", "a");
-    std::vector<std::unique_ptr<CallerChannel>> channels;
-    while (channels.size() < kManyChannels) {
-      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
-      channels.back()->Send(request.substr(0, aBytesBefore));
-    }
-    cluster.Await([](const GatewayProcess& aGateway) {
-      return aGateway.Metric("quetzal_caller_connections") ==
-             std::to_string(kManyChannels);
-    });
-    cluster.Gateway().Signal(aSignal);
-    ::usleep(100000);
-    cluster.Gateway().Signal(SIGSTOP);
-    for (const auto& it : channels) {
-      it->Send(request.substr(aBytesBefore));
-    }
-    ::usleep(2700000);
-    cluster.Gateway().Signal(SIGCONT);
-    return static_cast<std::size_t>(std::count_if(
-      channels.begin(), channels.end(), [&](const auto& aChannel) {
-        const int status = aChannel->Read().mHead.mStatus;
-        return status == 404 || (aSignal != 0 && status == 503);
-      }));
+    const auto statuses =
+      CallDuringFreeze(cluster.Gateway(),
+                       GatewayTestCluster::Request("/none/", "a"),
+                       aBytesBefore);
+    return static_cast<std::size_t>(
+      std::count(statuses.begin(), statuses.end(), 404));
   }
 };
 
