Test what an exit says about a request's run

A property of Generation: whatever faults the engines have, an exit ends the request at that moment, and the verdict is not_run only if no engine has started it. With OnExit changed to always say not_run, the property is falsified (a trial).

--- a/tests/fakes/EngineSimulation.cpp
+++ b/tests/fakes/EngineSimulation.cpp
@@ -48,6 +48,9 @@
   for (int n = 0; n < kEngines; ++n) {
     ScheduleAfter(kTickMs, [this, n] { Tick(n); });
   }
+  if (mExitAtMs > 0) {
+    ScheduleAfter(mExitAtMs, [this] { Apply(mGeneration.OnExit()); });
+  }
   Apply(aTakeover ? mGeneration.TakeOver(*aTakeover, Now())
                   : mGeneration.Start(Now()));
   while (!mGeneration.IsDone()) {
--- a/tests/fakes/EngineSimulation.h
+++ b/tests/fakes/EngineSimulation.h
@@ -90,6 +90,8 @@
   int mUnfencedContinuations = 0;
   // Time from which another router owns the request; 0 for never.
   int mTakenOverAtMs = 0;
+  // Time at which the process is about to exit; 0 for never.
+  int mExitAtMs = 0;
   quetzalquay::GenerationCounters mCounters;
 
 private:
--- a/tests/introspective/GenerationTests.cpp
+++ b/tests/introspective/GenerationTests.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST_SUITE(GenerationTests);
   CPPUNIT_TEST(IdempotentResponseIsCompleteUnderFaults);
   CPPUNIT_TEST(NonIdempotentRequestStartsAtMostOnce);
+  CPPUNIT_TEST(ExitEndsRequestsWithATrueVerdict);
   CPPUNIT_TEST(TakeoverContinuesWithoutGaps);
   CPPUNIT_TEST(RequestRejectedByFullTargetsIsNotRun);
   CPPUNIT_TEST(SingleFaultDoesNotFailIdempotentRequest);
@@ -143,6 +144,28 @@
       });
   }
 
+  // Guards against requests that are open when the process exits and get no
+  // answer, or one that says not_run after a target has started them.
+  void ExitEndsRequestsWithATrueVerdict()
+  {
+    CheckProperty(
+      "an exit ends a request at once, with a true verdict",
+      [](unsigned aSeed, const std::vector<SimulatedFault>& aFaults) {
+        const int tokens = *rc::gen::inRange(1, 250);
+        const bool idempotent = *rc::gen::arbitrary<bool>();
+        EngineSimulation simulation(
+          idempotent, RandomPreset(), tokens, aSeed, aFaults);
+        simulation.mExitAtMs = *rc::gen::inRange(1, 4000);
+        simulation.Run();
+        RequireValidResponse(simulation, tokens, 0);
+        RC_ASSERT(simulation.mEndedAtMs <= simulation.mExitAtMs);
+        if (simulation.mFailure &&
+            simulation.mFailure->mVerdict == RunVerdict::NotRun) {
+          RC_ASSERT(simulation.mFirstStarts == 0);
+        }
+      });
+  }
+
   void TakeoverContinuesWithoutGaps()
   {
     CheckProperty(
