Let the fake store of tests hold calls for changes

Nothing changes for callers. The fake store answered calls for changes at once, so each gateway sent the next one without a pause, used up to 28 % of a core and slowed the tests of fleets. It now holds them until there is a change or their time is over, as the platform's store does. The gateways' code was the same.

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -637,8 +637,9 @@
     node->mStorePort = FindFreePort();
     node->mStore = std::make_unique<StoreServer>(
       mLoop,
-      [this, at = node.get()](const HttpHead& aHead, const std::string& aBody) {
-        return HandleStoreRequest(*at, aHead, aBody);
+      [this, at = node.get()](
+        const HttpHead& aHead, const std::string& aBody, Duration aAge) {
+        return HandleStoreRequest(*at, aHead, aBody, aAge);
       });
     if (const auto problem =
           node->mStore->Open(*ParseEndpoint(Address(node->mStorePort)))) {
@@ -1084,10 +1085,11 @@
          });
 }
 
-SimpleHttpReply
+std::optional<SimpleHttpReply>
 GatewayTestCluster::HandleStoreRequest(GatewayNode& aReader,
                                        const HttpHead& aHead,
-                                       const std::string& aBody)
+                                       const std::string& aBody,
+                                       Duration aAge)
 {
   SimpleHttpReply reply;
   reply.mContentType = "application/json";
@@ -1120,6 +1122,11 @@
             std::to_string(row.mVersion) +
             (row.mRemoved ? R"(,"Removed":true})" : "}");
   }
+  const milliseconds wait(
+    std::atoi(QueryValue(aHead.mTarget, "WaitMs").c_str()));
+  if (rows.empty() && !whole && aAge < wait) {
+    return std::nullopt;
+  }
   reply.mBody = R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" +
                 std::to_string(mVersion) + R"(,"NowMs":1})";
   return reply;
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -366,10 +366,13 @@
   void StartRelays();
   std::string AddressSeenBy(const GatewayNode& aReader,
                             const std::string& aName) const;
-  quetzalquay::SimpleHttpReply HandleStoreRequest(
+  // Answers a call that was received aAge ago. Returns nothing while a call for
+  // changes waits for one.
+  std::optional<quetzalquay::SimpleHttpReply> HandleStoreRequest(
     GatewayNode& aReader,
     const quetzalquay::HttpHead& aHead,
-    const std::string& aBody);
+    const std::string& aBody,
+    quetzalquay::Duration aAge);
   void ApplyTransaction(const std::string& aBody);
   static std::string EntryOf(const std::string& aService,
                              const std::string& aAddress,
--- a/tests/fakes/StoreServer.cpp
+++ b/tests/fakes/StoreServer.cpp
@@ -6,6 +6,13 @@
 
 using namespace quetzalquay;
 
+namespace {
+
+// Interval at which a call that waits for a change is tried again.
+constexpr auto kRetryInterval = std::chrono::milliseconds(10);
+
+} // namespace
+
 class StoreServer::Connection
   : public RefCounted<StoreServer::Connection>
   , public SocketHandler
@@ -15,6 +22,7 @@
     : mServer(aServer)
     , mSocket(MakeRef<Socket>(aServer.mLoop))
     , mReader(HttpMessageType::Requests, { 8192, 1U << 20U })
+    , mRetryTimer(aServer.mLoop, [this] { HandleCall(); })
   {
   }
 
@@ -25,6 +33,7 @@
 
   void Drop()
   {
+    mRetryTimer.Clear();
     mSocket->Close(true);
     mServer.mConnections.erase(RefPtr<Connection>(this));
   }
@@ -33,17 +42,13 @@
   void OnData(std::string_view aData) override
   {
     const RefPtr<Connection> self(this);
-    while (!aData.empty() && !mIsLost && mSocket->IsOpen()) {
-      aData.remove_prefix(mReader.Feed(aData));
-      if (mReader.Progress() == HttpProgress::Broken) {
-        Drop();
-        return;
-      }
-      if (mReader.Progress() != HttpProgress::Complete) {
-        return;
-      }
+    mReader.Feed(aData);
+    if (mReader.Progress() == HttpProgress::Broken) {
+      Drop();
+    } else if (mReader.Progress() == HttpProgress::Complete && !mIsLost) {
+      mReceivedAt = EventLoop::Now();
+      mBody = mReader.TakeBody();
       HandleCall();
-      mReader.Next();
     }
   }
 
@@ -51,13 +56,23 @@
 
   void HandleCall()
   {
+    const RefPtr<Connection> self(this);
     const StoreAccess access = mServer.mAccess;
     if (access == StoreAccess::Silent) {
       mIsLost = true;
     } else if (access == StoreAccess::Reset) {
       Drop();
     } else if (access == StoreAccess::Serve) {
-      Respond(mServer.mHandler(mReader.Head(), mReader.TakeBody()));
+      const Time now = EventLoop::Now();
+      const auto reply = mServer.mHandler(
+        mReader.Head(),
+        mBody,
+        std::chrono::duration_cast<Duration>(now - mReceivedAt));
+      if (reply) {
+        Respond(*reply);
+      } else {
+        mRetryTimer.ScheduleAt(now + kRetryInterval);
+      }
     } else {
       SimpleHttpReply reply;
       reply.mStatus = access == StoreAccess::Unavailable ? 503 : 429;
@@ -67,6 +82,7 @@
 
   void Respond(const SimpleHttpReply& aReply)
   {
+    mReader.Next();
     mSocket->Write(
       "HTTP/1.1 " + std::to_string(aReply.mStatus) +
       " Status\r\nContent-Type: " + aReply.mContentType +
@@ -77,11 +93,15 @@
   StoreServer& mServer;
   RefPtr<Socket> mSocket;
   HttpReader mReader;
+  Timer mRetryTimer;
+  // When the open call was received, and its body.
+  Time mReceivedAt;
+  std::string mBody;
   // Whether a call has been left without an answer.
   bool mIsLost = false;
 };
 
-StoreServer::StoreServer(EventLoop& aLoop, SimpleHttpServer::Handler aHandler)
+StoreServer::StoreServer(EventLoop& aLoop, Handler aHandler)
   : mLoop(aLoop)
   , mHandler(std::move(aHandler))
   , mListener(aLoop, [this](boost::asio::ip::tcp::socket aSocket) {
--- a/tests/fakes/StoreServer.h
+++ b/tests/fakes/StoreServer.h
@@ -4,6 +4,7 @@
 #include "http/SimpleHttpServer.h"
 
 #include <atomic>
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -25,21 +26,27 @@
 class StoreServer
 {
 public:
-  StoreServer(quetzalquay::EventLoop& aLoop,
-              quetzalquay::SimpleHttpServer::Handler aHandler);
+  // Answers a call that was received aAge ago, or returns nothing to be asked
+  // again.
+  using Handler = std::function<std::optional<quetzalquay::SimpleHttpReply>(
+    const quetzalquay::HttpHead& aHead,
+    const std::string& aBody,
+    quetzalquay::Duration aAge)>;
+
+  StoreServer(quetzalquay::EventLoop& aLoop, Handler aHandler);
   ~StoreServer();
 
   // Starts listening. Returns an error message on failure.
   std::optional<std::string> Open(const quetzalquay::Endpoint& aAddress);
 
-  // Sets how calls are handled that are received from now on.
+  // Sets how calls are handled that have no answer yet.
   void SetAccess(StoreAccess aAccess) { mAccess = aAccess; }
 
 private:
   class Connection;
 
   quetzalquay::EventLoop& mLoop;
-  quetzalquay::SimpleHttpServer::Handler mHandler;
+  Handler mHandler;
   std::atomic<StoreAccess> mAccess{ StoreAccess::Serve };
   std::set<quetzalquay::RefPtr<Connection>> mConnections;
   quetzalquay::Listener mListener;
