Send calls for changes again when the store is back

A host applied a configuration up to 2.3 s after the store had accepted it (bound 2 s), when the store had left its calls without an answer for 0.7 s and then served it again: new keys were refused and revoked ones accepted for that time.

Cause: the call for changes of the configuration is held for 2 s and given up after 2.9 s. One that was lost in the silence stayed open after the store had answered another call; PollNow does nothing while a call is open. The same holds for suspected requests, with 5.9 s.

When the store becomes reachable again, the host now abandons these two calls and sends them again. Nothing changes for the first contact after a start. Price: two calls for each time that a host loses the store.

Ruled out: a shorter time for which calls are held, as every call is billed.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -65,6 +65,15 @@
   }
 }
 
+void
+TableWatcher::Restart()
+{
+  if (mHttpClient.IsBusy()) {
+    mHttpClient.Cancel();
+  }
+  PollNow();
+}
+
 void
 TableWatcher::PollIfNeeded()
 {
@@ -354,6 +363,12 @@
   }
   if (mContact.IsReachable()) {
     mFleet.OnStoreReachable();
+    if (mHasReachedStore) {
+      // The store may have lost calls for changes that were sent before.
+      mConfiguration->Restart();
+      mSuspects->Restart();
+    }
+    mHasReachedStore = true;
     mConfiguration->PollNow();
     mTargets->PollNow();
     Log(LogLevel::Info,
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -48,6 +48,10 @@
   // Starts a call at once, unless one is in progress.
   void PollNow();
 
+  // Abandons the call in progress, whose response may have been lost, and
+  // starts one at once.
+  void Restart();
+
   // Starts a call if the table should be read and no call is scheduled.
   void PollIfNeeded();
 
@@ -132,6 +136,7 @@
   bool mOwnRowWritten = false;
   bool mDeregistering = false;
   StoreContact mContact;
+  bool mHasReachedStore = false;
 };
 
 } // namespace quetzalquay
--- a/tests/usage/LeavingTargetTests.cpp
+++ b/tests/usage/LeavingTargetTests.cpp
@@ -22,6 +22,10 @@
 // to it have to cease.
 constexpr auto kDrainTime = milliseconds(2000);
 
+// Time after the store has accepted a configuration within which all hosts have
+// to apply it.
+constexpr auto kConfigurationTime = milliseconds(2000);
+
 // Time for which callers go on after the last request could be late.
 constexpr auto kObservationTime = milliseconds(600);
 
@@ -190,6 +194,35 @@
   int mReadsBefore;
 };
 
+// Ways in which the store turns a host away.
+constexpr Outage kOutages[] = {
+  { "503", StoreAccess::Unavailable, 1 },
+  { "429", StoreAccess::Overloaded, 1 },
+  { "reset", StoreAccess::Reset, 1 },
+  { "silent", StoreAccess::Silent, 1 },
+  { "silent, 2 reads", StoreAccess::Silent, 2 },
+  { "silent, 3 reads", StoreAccess::Silent, 3 },
+  { "silent, 4 reads", StoreAccess::Silent, 4 },
+  { "silent, 5 reads", StoreAccess::Silent, 5 },
+};
+
+// Outages that a short silence of the store causes for a host.
+constexpr Outage kShortOutages[] = {
+  { "1 read", StoreAccess::Silent, 1 },  { "2 reads", StoreAccess::Silent, 2 },
+  { "3 reads", StoreAccess::Silent, 3 }, { "4 reads", StoreAccess::Silent, 4 },
+  { "5 reads", StoreAccess::Silent, 5 },
+};
+
+void
+AwaitReads(const GatewayTestCluster& aCluster,
+           std::size_t aHost,
+           const Outage& aOutage)
+{
+  for (int n = 0; n < aOutage.mReadsBefore; ++n) {
+    aCluster.AwaitRunnersRead(aHost);
+  }
+}
+
 // Turns a host away from the store for a while. Targets leave right after the
 // host's last read, right before the store serves it again, and after that.
 std::vector<std::string>
@@ -197,9 +230,7 @@
 {
   const std::size_t host = ReaderOf(aCluster);
   Departures departures(aCluster);
-  for (int n = 0; n < aOutage.mReadsBefore; ++n) {
-    aCluster.AwaitRunnersRead(host);
-  }
+  AwaitReads(aCluster, host, aOutage);
   aCluster.SetStoreAccess(aOutage.mAccess, host);
   departures.DrainTwo();
   departures.RemoveTwo();
@@ -213,6 +244,71 @@
   return departures.AwaitLateRequests();
 }
 
+// Writes a configuration, and returns a line if a gateway applies it too late.
+std::vector<std::string>
+LateConfiguration(GatewayTestCluster& aCluster)
+{
+  const Time start = EventLoop::Now();
+  aCluster.Configure("other");
+  const auto duration = EventLoop::Now() - start;
+  if (duration <= kConfigurationTime) {
+    return {};
+  }
+  return { "applied after " + std::to_string(ToMilliseconds(duration)) +
+           " ms" };
+}
+
+std::vector<std::string>
+LateConfigurationWhileTurnedAway(GatewayTestCluster& aCluster,
+                                 const Outage& aOutage)
+{
+  const std::size_t host = ReaderOf(aCluster);
+  AwaitReads(aCluster, host, aOutage);
+  aCluster.SetStoreAccess(aOutage.mAccess, host);
+  return LateConfiguration(aCluster);
+}
+
+std::vector<std::string>
+LateConfigurationAfterLostCalls(GatewayTestCluster& aCluster,
+                                const Outage& aOutage)
+{
+  const std::size_t host = ReaderOf(aCluster);
+  AwaitReads(aCluster, host, aOutage);
+  // The next call for changes of the configuration is sent after this one.
+  aCluster.Configure("key");
+  aCluster.SetStoreAccess(aOutage.mAccess, host);
+  std::this_thread::sleep_for(milliseconds(700));
+  aCluster.SetStoreAccess(StoreAccess::Serve, host);
+  return LateConfiguration(aCluster);
+}
+
+// Lets fleets of two hosts meet one outage each, at the same time. Returns the
+// lines that aCheck returns for them.
+template<std::size_t Count>
+std::string
+FailuresOf(const Outage (&aOutages)[Count],
+           std::vector<std::string> (*aCheck)(GatewayTestCluster&,
+                                              const Outage&))
+{
+  std::vector<std::unique_ptr<GatewayTestCluster>> clusters;
+  for (std::size_t n = 0; n < Count; ++n) {
+    clusters.push_back(std::make_unique<GatewayTestCluster>(12, 2));
+  }
+  std::vector<std::string> failures(Count);
+  std::vector<std::thread> threads;
+  for (std::size_t n = 0; n < Count; ++n) {
+    threads.emplace_back([&, n] {
+      for (const std::string& it : aCheck(*clusters[n], aOutages[n])) {
+        failures[n].append(aOutages[n].mName).append(", " + it + "\n");
+      }
+    });
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  return Join(failures);
+}
+
 } // namespace
 
 // Targets that leave while hosts of the fleet have trouble with the store. The
@@ -222,6 +318,8 @@
   CPPUNIT_TEST_SUITE(LeavingTargetTests);
   CPPUNIT_TEST(HostTurnedAwayByTheStoreStopsUsingLeavingTargets);
   CPPUNIT_TEST(LostCallDoesNotKeepLeavingTargetsInUse);
+  CPPUNIT_TEST(HostTurnedAwayByTheStoreAppliesConfigurations);
+  CPPUNIT_TEST(HostThatLostItsCallsAppliesConfigurations);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,34 +327,8 @@
   // one host and served the others.
   void HostTurnedAwayByTheStoreStopsUsingLeavingTargets()
   {
-    constexpr Outage kOutages[] = {
-      { "503", StoreAccess::Unavailable, 1 },
-      { "429", StoreAccess::Overloaded, 1 },
-      { "reset", StoreAccess::Reset, 1 },
-      { "silent", StoreAccess::Silent, 1 },
-      { "silent, 2 reads", StoreAccess::Silent, 2 },
-      { "silent, 3 reads", StoreAccess::Silent, 3 },
-      { "silent, 4 reads", StoreAccess::Silent, 4 },
-      { "silent, 5 reads", StoreAccess::Silent, 5 },
-    };
-    std::vector<std::unique_ptr<GatewayTestCluster>> clusters;
-    for (std::size_t n = 0; n < std::size(kOutages); ++n) {
-      clusters.push_back(std::make_unique<GatewayTestCluster>(12, 2));
-    }
-    std::vector<std::string> failures(std::size(kOutages));
-    std::vector<std::thread> threads;
-    for (std::size_t n = 0; n < std::size(kOutages); ++n) {
-      threads.emplace_back([&, n] {
-        for (const std::string& it :
-             LateRequestsWhileTurnedAway(*clusters[n], kOutages[n])) {
-          failures[n].append(kOutages[n].mName).append(", " + it + "\n");
-        }
-      });
-    }
-    for (std::thread& it : threads) {
-      it.join();
-    }
-    CPPUNIT_ASSERT_EQUAL(std::string(), Join(failures));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         FailuresOf(kOutages, LateRequestsWhileTurnedAway));
   }
 
   // Guards against requests to targets that left when a call was given up that
@@ -265,6 +337,8 @@
   {
     GatewayTestCluster cluster(14, 1);
     Departures departures(cluster);
+    // The next call for changes of the configuration is sent after this one.
+    cluster.Configure("key");
     cluster.SetStoreAccess(StoreAccess::Silent);
     std::this_thread::sleep_for(milliseconds(700));
     cluster.SetStoreAccess(StoreAccess::Serve);
@@ -277,6 +351,23 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), Join(departures.AwaitLateRequests()));
   }
+
+  // Guards against a revoked key being accepted, or a new one refused, on a
+  // host that the store turns away while it serves the others.
+  void HostTurnedAwayByTheStoreAppliesConfigurations()
+  {
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(), FailuresOf(kOutages, LateConfigurationWhileTurnedAway));
+  }
+
+  // Guards against the same on a host that waits for the response to a call
+  // that was lost, though the store serves it again.
+  void HostThatLostItsCallsAppliesConfigurations()
+  {
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(),
+      FailuresOf(kShortOutages, LateConfigurationAfterLostCalls));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTargetTests);
