--- a/tests/introspective/ReaderChoiceTests.cpp
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -17,6 +17,7 @@
 HostNames(int aCount)
 {
   std::vector<std::string> hosts;
+  hosts.reserve(static_cast<std::size_t>(aCount));
   for (int n = 0; n < aCount; ++n) {
     hosts.push_back("host-" + std::to_string(n));
   }
@@ -28,6 +29,7 @@
 {
   std::map<std::string, std::unique_ptr<ReaderChoice>> choices;
   std::vector<ReaderCandidate> candidates;
+  candidates.reserve(aHosts.size());
   for (const std::string& it : aHosts) {
     candidates.push_back({ it, 0 });
   }
