End a stream at once when its version is gone, also while losses are checked

A stream whose version had left sent nothing for 8 s, until its caller left, if it had lost three targets within a millisecond: the check whether its request crashes targets came first and answered 'undecided' until the recovery timeout. Whether a target of the version is registered is now asked first. Ruled out: a lost timer, as the stream asked every 20 ms.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -166,14 +166,14 @@
     choice.mStatus = ChoiceStatus::Poison;
     return choice;
   }
-  if (aQuery.mIsRetry && IsUndecided(aQuery, aNow)) {
+  if (IsVersionGone(aQuery)) {
     CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::Undecided;
+    choice.mStatus = ChoiceStatus::VersionGone;
     return choice;
   }
-  if (IsVersionGone(aQuery)) {
+  if (aQuery.mIsRetry && IsUndecided(aQuery, aNow)) {
     CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::VersionGone;
+    choice.mStatus = ChoiceStatus::Undecided;
     return choice;
   }
   std::vector<Target*> usable;
--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(StreamWaitsForTargetsOfItsVersionThatAreDown);
   CPPUNIT_TEST(RequestWithoutEventsMayChangeTheVersion);
   CPPUNIT_TEST(OnlyTargetsOfTheRequiredVersionAreChosen);
+  CPPUNIT_TEST(VersionIsGoneWhileLossesAreBeingChecked);
   CPPUNIT_TEST(VersionIsGoneWhenOnlyLeavingTargetsHaveIt);
   CPPUNIT_TEST(StreamsThatWaitForTheirVersionDoNotDelayOthers);
   CPPUNIT_TEST(RestartedTargetIsOfItsNewVersion);
@@ -221,6 +222,35 @@
     });
   }
 
+  // Streams whose version was gone sent nothing until the recovery timeout if
+  // they had lost several targets just before.
+  void VersionIsGoneWhileLossesAreBeingChecked()
+  {
+    TargetTableOptions options;
+    options.mDeathCheckTime = milliseconds(100);
+    TargetTable table(options);
+    std::vector<TargetDeclaration> targets = { Declaration("t0", "v1"),
+                                               Declaration("t1", "v1"),
+                                               Declaration("t2", "v1") };
+    Declare(table, targets);
+    ChoiceQuery query = QueryOf("v1");
+    query.mIsRetry = true;
+    for (const TargetDeclaration& it : targets) {
+      table.OnAttemptStart(it.mName, query.mContentHash, At(1));
+      table.OnAttemptEnd(
+        it.mName, query.mContentHash, AttemptOutcome::Lost, At(2));
+      query.mExcluded.push_back(it.mName);
+    }
+    CPPUNIT_ASSERT(table.Choose(query, At(3)).mStatus ==
+                   ChoiceStatus::Undecided);
+    for (TargetDeclaration& it : targets) {
+      it.mLeaving = true;
+    }
+    Declare(table, targets, At(4));
+    CPPUNIT_ASSERT(table.Choose(query, At(5)).mStatus ==
+                   ChoiceStatus::VersionGone);
+  }
+
   void VersionIsGoneWhenOnlyLeavingTargetsHaveIt()
   {
     TargetTable table =
