--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -216,8 +216,8 @@
       "/stream/", "b", "Last-Event-Id: 38\r\nResumes: a\r\n"));
     CPPUNIT_ASSERT(answer.mComplete);
     CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
-    CPPUNIT_ASSERT_EQUAL(std::string("id: 39\ndata: e39\n\n"
-                                     "id: 40\ndata: e40\n\n"),
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 39\ndata: e39 v1 body\n\n"
+                                     "id: 40\ndata: e40 v1 body\n\n"),
                          answer.mBody);
     CPPUNIT_ASSERT_EQUAL(std::string("a"),
                          *cluster.Runs().back().mHead.Find("Resumes"));
