--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -150,6 +150,10 @@
 private:
   friend class CallerConnection;
 
+  void CloseIdle(ConnectionEnd aEnd);
+  void Accept(boost::asio::ip::tcp::socket aSocket);
+  bool IsFull() const;
+
   GatewayContext& mContext;
   int mMaxConnections;
   std::set<RefPtr<CallerConnection>> mConnections;
@@ -158,10 +162,6 @@
   std::mt19937_64 mRandom;
   bool mDraining = false;
   bool mAcceptsRequests = true;
-  void CloseIdle(ConnectionEnd aEnd);
-  void Accept(boost::asio::ip::tcp::socket aSocket);
-  bool IsFull() const;
-
   int mExchangeCount = 0;
   ConnectionLog mLog;
   Listener mListener;
