BUDGET: log why a lost run does not count against its request

A death that did not count left no reason in the logs, so a common failure could not be told from a death that another request explains. The line of a suspect now has its lost runs and how many of them count, are due to a common failure or are explained. No decision changes.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -246,6 +246,27 @@
   return record == nullptr ? 0 : CountDeaths(aRequest, *record, Time::max());
 }
 
+SuspectEvidence
+SuspectRegistry::EvidenceOf(std::uint64_t aRequest, Time aNow) const
+{
+  SuspectEvidence evidence;
+  const Record* record = Find(aRequest, aNow);
+  if (record == nullptr) {
+    return evidence;
+  }
+  evidence.mLostRuns = static_cast<int>(record->mRuns.size());
+  evidence.mCounted = CountDeaths(aRequest, *record, Time::max());
+  for (const LostRun& it : record->mRuns) {
+    if (IsCommonFailure(*record, it)) {
+      ++evidence.mCommonFailures;
+    } else if (IsExplained(aRequest, *record, it)) {
+      ++evidence.mExplained;
+    }
+  }
+  evidence.mTied = IsTied(aRequest, *record);
+  return evidence;
+}
+
 bool
 SuspectRegistry::IsRefused(std::uint64_t aRequest, Time aNow) const
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -40,6 +40,18 @@
   bool mRemoved = false;
 };
 
+// What is known against a request, for logs: its lost runs, and how many of them
+// count, are due to a common failure or explained by another request.
+struct SuspectEvidence
+{
+  int mLostRuns = 0;
+  int mCounted = 0;
+  int mCommonFailures = 0;
+  int mExplained = 0;
+  // Whether another request was lost in all of the same deaths.
+  bool mTied = false;
+};
+
 // What one host tells another about a suspected request.
 struct SuspectReport
 {
@@ -115,6 +127,9 @@
   // Number of deaths that count against a request; zero if it is not a suspect.
   int Deaths(std::uint64_t aRequest, Time aNow) const;
 
+  // What is known against a request.
+  SuspectEvidence EvidenceOf(std::uint64_t aRequest, Time aNow) const;
+
   // Whether a request is to be refused.
   bool IsRefused(std::uint64_t aRequest, Time aNow) const;
 
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -165,13 +165,18 @@
     const Time now = EventLoop::Now();
     std::size_t logged = 0;
     for (const std::uint64_t it : aDeath.mRequests) {
-      const int deaths = mFleet.Targets().Suspects().Deaths(it, now);
-      if (deaths > 0 && ++logged <= kMaxLoggedSuspects) {
+      const SuspectEvidence evidence =
+        mFleet.Targets().Suspects().EvidenceOf(it, now);
+      if (evidence.mLostRuns > 0 && ++logged <= kMaxLoggedSuspects) {
         Log(LogLevel::Info,
             "fleet",
             "request suspected of crashing targets",
             { { "content", ToHex(it) },
-              { "deaths", std::to_string(deaths) },
+              { "lost_runs", std::to_string(evidence.mLostRuns) },
+              { "deaths", std::to_string(evidence.mCounted) },
+              { "common_failures", std::to_string(evidence.mCommonFailures) },
+              { "explained", std::to_string(evidence.mExplained) },
+              { "tied", evidence.mTied ? "true" : "false" },
               { "target", aDeath.mTarget } });
       }
     }
