--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -238,6 +238,10 @@
 
   void SetStalled(bool aStalled) { mSocket->SetReading(!aStalled); }
 
+  // Body of the crashing request that the runner is running on this connection;
+  // empty if there is none.
+  const std::string& CrashingBody() const { return mCrashingBody; }
+
   void Drop()
   {
     mEventTimer.Clear();
@@ -321,9 +325,14 @@
     }
     mRunner.mCluster.mRuns.push_back(request);
     mRequestId = id == nullptr ? std::string() : *id;
-    if (aBody == kCrashingBody) {
-      ++mRunner.mCluster.mCrashCount;
-      mRunner.Crash();
+    if (aBody.rfind(kCrashingBody, 0) == 0) {
+      mCrashingBody = aBody;
+      const milliseconds delay(mRunner.mCluster.mCrashDelayMs);
+      if (delay == milliseconds::zero()) {
+        CrashRunner();
+      } else {
+        mEventTimer.ScheduleAt(EventLoop::Now() + delay);
+      }
       return;
     }
     if (mode == RunnerMode::NeverAnswer) {
@@ -447,9 +456,19 @@
                            milliseconds(mRunner.mCluster.mFirstEventMs));
   }
 
+  void CrashRunner()
+  {
+    ++mRunner.mCluster.mCrashCount;
+    mRunner.Crash();
+  }
+
   void SendNextEvent()
   {
     const RefPtr<RunnerConnection> self(this);
+    if (!mCrashingBody.empty()) {
+      CrashRunner();
+      return;
+    }
     if (mRunner.IsStalled()) {
       mEventTimer.ScheduleAt(mRunner.mStalledUntil);
       return;
@@ -517,6 +536,7 @@
   std::string mRequestId;
   // Body of the request of the stream.
   std::string mStreamBody;
+  std::string mCrashingBody;
   bool mPaced = false;
   int mEvent = 0;
   int mStartEvent = 0;
@@ -572,8 +592,17 @@
   ++mStarts;
   mServingSince.reset();
   mListener.Close();
-  DropAll();
   const Time now = EventLoop::Now();
+  std::set<std::string> bodies;
+  for (const auto& it : mConnections) {
+    if (!it->CrashingBody().empty()) {
+      bodies.insert(it->CrashingBody());
+    }
+  }
+  for (const std::string& it : bodies) {
+    mCluster.mCrashes.push_back({ it, now });
+  }
+  DropAll();
   if (mCluster.mRunnerReturn == RunnerReturn::NewName) {
     mFormerNames.emplace_back(now + kEntryLifetime, mName);
     mName = mName.substr(0, mName.find('.')) + "." + std::to_string(mStarts);
@@ -1051,12 +1080,37 @@
   mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved };
 }
 
-void
-GatewayTestCluster::ApplyTransaction(const std::string& aBody)
+std::string
+GatewayTestCluster::FormatRow(const std::string& aKey, const Row& aRow)
+{
+  return R"({"Key":")" + aKey + R"(","Value":")" + aRow.mValue + R"(","Ver":)" +
+         std::to_string(aRow.mVersion) +
+         (aRow.mRemoved ? R"(,"Removed":true})" : "}");
+}
+
+// Performs a transaction if its conditions hold; all of its rows get the same
+// version. Otherwise aRows receives the rows that the conditions name.
+bool
+GatewayTestCluster::ApplyTransaction(const std::string& aBody,
+                                     std::string& aRows)
 {
   rapidjson::Document json;
   json.Parse(aBody.data(), aBody.size());
-  const std::lock_guard<std::mutex> lock(mMutex);
+  bool holds = true;
+  for (const auto& it : json["Precondition"].GetArray()) {
+    const auto& table = mTables[it["Table"].GetString()];
+    const auto row = table.find(it["Key"].GetString());
+    const bool exists = row != table.end() && !row->second.mRemoved;
+    holds &= it["Ver"].GetInt64() == (exists ? row->second.mVersion : 0);
+    if (exists) {
+      aRows += (aRows.empty() ? "" : ",") + FormatRow(row->first, row->second);
+    }
+  }
+  if (!holds) {
+    return false;
+  }
+  aRows.clear();
+  ++mVersion;
   for (const char* kind : { "Put", "Remove" }) {
     const auto entries = json.FindMember(kind);
     if (entries == json.MemberEnd()) {
@@ -1066,11 +1120,12 @@
       const auto value = it.FindMember("Value");
       mTables[it["Table"].GetString()][it["Key"].GetString()] = {
         value == it.MemberEnd() ? "" : value->value.GetString(),
-        ++mVersion,
+        mVersion,
         value == it.MemberEnd()
       };
     }
   }
+  return true;
 }
 
 // Whether a gateway cannot reach the host of the given name.
@@ -1093,14 +1148,20 @@
 {
   SimpleHttpReply reply;
   reply.mContentType = "application/json";
+  const std::lock_guard<std::mutex> lock(mMutex);
   if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
-    ApplyTransaction(aBody);
-    reply.mBody = R"({"Ver":1,"NowMs":1})";
+    std::string rows;
+    const bool applied = ApplyTransaction(aBody, rows);
+    reply.mStatus = applied ? 200 : 412;
+    reply.mBody = R"({"Rows":[)" + rows + R"(],"Ver":)" +
+                  std::to_string(mVersion) + R"(,"NowMs":1})";
     return reply;
   }
-  const std::lock_guard<std::mutex> lock(mMutex);
   const bool whole = aHead.mTarget.rfind("/rows-get", 0) == 0;
   const std::string after = QueryValue(aHead.mTarget, "AfterRevision");
+  const std::string firstKey = QueryValue(aHead.mTarget, "From");
+  const int limit = std::atoi(QueryValue(aHead.mTarget, "Limit").c_str());
+  int count = 0;
   const long long from = whole ? 0 : std::atoll(after.c_str());
   std::string rows;
   const std::string table = QueryValue(aHead.mTarget, "Table");
@@ -1114,13 +1175,12 @@
                it.first != aReader.mName) {
       row.mValue = Base64(AddressSeenBy(aReader, it.first));
     }
-    if (row.mVersion <= from || (whole && row.mRemoved)) {
+    if (row.mVersion <= from || (whole && row.mRemoved) ||
+        it.first < firstKey || (limit > 0 && count >= limit)) {
       continue;
     }
-    rows += std::string(rows.empty() ? "" : ",") + R"({"Key":")" + it.first +
-            R"(","Value":")" + row.mValue + R"(","Ver":)" +
-            std::to_string(row.mVersion) +
-            (row.mRemoved ? R"(,"Removed":true})" : "}");
+    ++count;
+    rows += (rows.empty() ? "" : ",") + FormatRow(it.first, row);
   }
   const milliseconds wait(
     std::atoi(QueryValue(aHead.mTarget, "WaitMs").c_str()));
@@ -1172,6 +1232,14 @@
   return requests;
 }
 
+std::vector<GatewayTestCluster::RunnerCrash>
+GatewayTestCluster::Crashes()
+{
+  std::vector<RunnerCrash> crashes;
+  DoInLoop([&] { crashes = mCrashes; });
+  return crashes;
+}
+
 std::vector<RunnerRequest>
 GatewayTestCluster::Runs()
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -180,10 +180,25 @@
   static constexpr std::size_t kLargeAnswerBytes = 3U << 20U;
   void SetLargeAnswer(std::size_t aBytes) { mLargeAnswerBytes = aBytes; }
 
-  // A request with this body crashes each runner that starts to run it: the
-  // runner drops its connections, refuses new ones for a while and comes back.
+  // A request whose body begins so crashes each runner that runs it: the runner
+  // drops its connections, refuses new ones for a while and comes back.
   static constexpr char kCrashingBody[] = "crash";
 
+  // Sets how long a crashing request runs before its runner crashes.
+  void SetCrashDelay(std::chrono::milliseconds aDelay)
+  {
+    mCrashDelayMs = static_cast<int>(aDelay.count());
+  }
+
+  // The end of a runner that was running a crashing request.
+  struct RunnerCrash
+  {
+    // Body of the crashing request; a crash is listed once for each.
+    std::string mBody;
+    quetzalquay::Time mAt;
+  };
+  std::vector<RunnerCrash> Crashes();
+
   // Sets how runners come back that crash from now on.
   void SetRunnerReturn(RunnerReturn aReturn) { mRunnerReturn = aReturn; }
 
@@ -373,7 +388,8 @@
     const quetzalquay::HttpHead& aHead,
     const std::string& aBody,
     quetzalquay::Duration aAge);
-  void ApplyTransaction(const std::string& aBody);
+  bool ApplyTransaction(const std::string& aBody, std::string& aRows);
+  static std::string FormatRow(const std::string& aKey, const Row& aRow);
   static std::string EntryOf(const std::string& aService,
                              const std::string& aAddress,
                              const std::string& aPlace,
@@ -406,6 +422,8 @@
   std::atomic<int> mRunnerMaxConnections{ 1000000 };
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
   std::atomic<int> mCrashCount{ 0 };
+  std::atomic<int> mCrashDelayMs{ 0 };
+  std::vector<RunnerCrash> mCrashes;
   std::atomic<std::size_t> mLargeAnswerBytes{ kLargeAnswerBytes };
   std::vector<std::unique_ptr<DatagramRelay>> mRelays;
   std::atomic<int> mDatagramLoss{ 0 };
--- /dev/null
+++ b/tests/fakes/OtherTraffic.h
@@ -0,0 +1,45 @@
+#ifndef QUETZALQUAY_TESTS_FAKES_OTHERTRAFFIC_H_INCLUDED
+#define QUETZALQUAY_TESTS_FAKES_OTHERTRAFFIC_H_INCLUDED
+
+#include "GatewayTestCluster.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Requests with bodies of their own beside those that a test is about. Each
+// thread sends one after the other to its gateway, each until it is answered
+// with success.
+class OtherTraffic
+{
+public:
+  // Starts aThreads threads for each gateway of the cluster, which take turns
+  // on aRoutes.
+  explicit OtherTraffic(const GatewayTestCluster& aCluster,
+                        std::vector<std::string> aRoutes = { "/plain/",
+                                                             "/stream/" },
+                        int aThreads = 1);
+  ~OtherTraffic() { Stop(); }
+  OtherTraffic(const OtherTraffic&) = delete;
+  OtherTraffic& operator=(const OtherTraffic&) = delete;
+
+  void Stop();
+
+  // Requests that were served, and answers that called one a crashing request.
+  int ServedCount() const { return mServed; }
+  int BlamedCount() const { return mBlamed; }
+
+private:
+  void Run(std::size_t aGateway,
+           int aThread,
+           const GatewayTestCluster& aCluster);
+
+  std::vector<std::string> mRoutes;
+  std::atomic<bool> mStopped{ false };
+  std::atomic<int> mServed{ 0 };
+  std::atomic<int> mBlamed{ 0 };
+  std::vector<std::thread> mThreads;
+};
+
+#endif // QUETZALQUAY_TESTS_FAKES_OTHERTRAFFIC_H_INCLUDED
--- a/tests/usage/CrashingRequestTests.cpp
+++ b/tests/usage/CrashingRequestTests.cpp
@@ -1,14 +1,13 @@
 #include "GatewayTestCluster.h"
+#include "OtherTraffic.h"
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
-#include <set>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -32,61 +31,6 @@
 // Sends after kKnownWithin; more if there are more hosts.
 constexpr int kLateSends = 12;
 
-// Other traffic: for each gateway, one thread that sends requests with bodies
-// of its own on idempotent routes, each until it is answered with success.
-class OtherTraffic
-{
-public:
-  explicit OtherTraffic(const GatewayTestCluster& aCluster)
-  {
-    for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
-      mThreads.emplace_back([this, n, &aCluster] { Run(n, aCluster); });
-    }
-  }
-  ~OtherTraffic() { Stop(); }
-  OtherTraffic(const OtherTraffic&) = delete;
-  OtherTraffic& operator=(const OtherTraffic&) = delete;
-
-  void Stop()
-  {
-    mStopped = true;
-    for (std::thread& it : mThreads) {
-      if (it.joinable()) {
-        it.join();
-      }
-    }
-  }
-
-  // Requests that were served, and answers that called one a crashing request.
-  int ServedCount() const { return mServed; }
-  int BlamedCount() const { return mBlamed; }
-
-private:
-  void Run(std::size_t aGateway, const GatewayTestCluster& aCluster)
-  {
-    for (int n = 0; !mStopped; ++n) {
-      const std::string id =
-        "o" + std::to_string(aGateway) + "-" + std::to_string(n);
-      const std::string request = GatewayTestCluster::Request(
-        n % 2 == 0 ? "/plain/" : "/stream/", id, "", id);
-      for (int attempt = 0; attempt < 40 && !mStopped; ++attempt) {
-        const auto answer = aCluster.Gateway(aGateway).Call(request);
-        mBlamed += answer.mBody.find("suspected_poison") != std::string::npos;
-        if (answer.mComplete && answer.mHead.mStatus == 200) {
-          ++mServed;
-          break;
-        }
-        std::this_thread::sleep_for(milliseconds(50));
-      }
-    }
-  }
-
-  std::atomic<bool> mStopped{ false };
-  std::atomic<int> mServed{ 0 };
-  std::atomic<int> mBlamed{ 0 };
-  std::vector<std::thread> mThreads;
-};
-
 std::string
 CrashingRequest(const std::string& aRoute, int aNumber)
 {
