--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -2,6 +2,7 @@
 
 #include "core/SuspectRegistry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalquay {
@@ -11,6 +12,11 @@
 // Attempts beyond the maximum number of runs, for targets that reject the call.
 constexpr int kMaxRejections = 2;
 
+// Interval at which a call that waits for a verdict checks it, and the longest
+// wait.
+constexpr Duration kVerdictInterval = std::chrono::milliseconds(25);
+constexpr Duration kMaxVerdictWait = std::chrono::milliseconds(2000);
+
 constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
 
 // Retry-After of a call suspected of crashing targets.
@@ -64,6 +70,12 @@
   return TryNextTarget(aNow);
 }
 
+PlainStep
+PlainCall::OnVerdictDue(Time aNow)
+{
+  return TryNextTarget(aNow);
+}
+
 std::optional<TryTarget>
 PlainCall::OnSilence(Time aNow)
 {
@@ -111,6 +123,12 @@
                 "every target of the service is at capacity");
   }
   if (choice.mStatus == ChoiceStatus::Undecided) {
+    if (!mVerdictDeadline) {
+      mVerdictDeadline = std::min(mDeadline, aNow + kMaxVerdictWait);
+    }
+    if (aNow + kVerdictInterval < *mVerdictDeadline) {
+      return AwaitVerdict{ aNow + kVerdictInterval };
+    }
     return Fail(FailureCode::Overloaded,
                 "several targets were lost while running this call");
   }
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -32,6 +32,13 @@
   std::string mTarget;
 };
 
+// Waits until it is decided whether the call crashes targets; see
+// PlainCall::OnVerdictDue().
+struct AwaitVerdict
+{
+  Time mCheckAt;
+};
+
 // Forwards the target's response to the caller.
 struct ForwardResponse
 {};
@@ -42,7 +49,8 @@
   Failure mFailure;
 };
 
-using PlainStep = std::variant<TryTarget, ForwardResponse, FailCall>;
+using PlainStep =
+  std::variant<TryTarget, AwaitVerdict, ForwardResponse, FailCall>;
 
 // Chooses the targets for a call to a plain service and decides on retries. A
 // non-idempotent call is not retried once a target may have started it.
@@ -66,6 +74,9 @@
   // Returns the next step after an attempt has ended.
   PlainStep OnResult(PlainResult aResult, Time aNow);
 
+  // Returns the next step at the time that AwaitVerdict has named.
+  PlainStep OnVerdictDue(Time aNow);
+
   // Returns the attempt that replaces one whose target is silent, or nothing
   // while no other target can take the call. The silent target may still
   // respond, so its attempt is abandoned only for another one.
@@ -86,6 +97,8 @@
   // Attempts that a target may have run.
   int mRuns = 0;
   bool mMayHaveStarted = false;
+  // Until when the call waits for a verdict; nothing while it needs none.
+  std::optional<Time> mVerdictDeadline;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -28,6 +28,14 @@
 // Time within which deaths of several targets count as one common failure.
 constexpr Duration kCommonDeathWindow = std::chrono::milliseconds(400);
 
+// Time within which all deaths of a request count as one moment. They say
+// little if other requests were lost in them as well.
+constexpr Duration kMoment = std::chrono::milliseconds(1000);
+
+// Lost runs from which on a request may itself have caused a death that it was
+// lost in, so that the death does not speak against another one alone.
+constexpr std::size_t kMinRivalLosses = 2;
+
 bool
 AreTogether(const TargetDeath& aLeft, const TargetDeath& aRight)
 {
@@ -172,6 +180,7 @@
   }
   if (!record.mRuns.empty()) {
     RemoveRuns(aRequest, record);
+    record.mConvicted = false;
     record.mClearedAt = aNow;
     record.mExpiresAt = aNow + kClearedLifetime;
     Tell(aRequest, record, kNewsRepeats, aNow);
@@ -276,10 +285,76 @@
   }
   const int deaths =
     CountDeaths(aRequest, *record, aNow - mOptions.mSettleTime);
+  if (mOptions.mTrials) {
+    return record->mConvicted ||
+           (deaths >= kMinDeathsToRefuse && !IsUnclear(aRequest, *record));
+  }
   return deaths >= kMinDeathsToRefuseTied ||
          (deaths >= kMinDeathsToRefuse && !IsTied(aRequest, *record));
 }
 
+SuspectVerdict
+SuspectRegistry::Judge(std::uint64_t aRequest,
+                       int aPendingLosses,
+                       Time aNow) const
+{
+  const Record* record = Find(aRequest, aNow);
+  if (IsRefused(aRequest, aNow)) {
+    return SuspectVerdict::Refused;
+  }
+  int deaths = aPendingLosses;
+  bool settled = aPendingLosses == 0;
+  if (record != nullptr) {
+    // Even if others explain all of its deaths, the request may crash targets,
+    // too.
+    deaths += mOptions.mTrials ? static_cast<int>(record->mRuns.size())
+                               : CountDeaths(aRequest, *record, Time::max());
+    settled &= std::all_of(
+      record->mRuns.begin(), record->mRuns.end(), [&](const LostRun& aRun) {
+        return aRun.mDeath.mAt <= aNow - mOptions.mSettleTime;
+      });
+  }
+  if (deaths < kMinDeathsToRefuse) {
+    return SuspectVerdict::Free;
+  }
+  return settled && mOptions.mTrials ? SuspectVerdict::Unclear
+                                     : SuspectVerdict::Unsettled;
+}
+
+void
+SuspectRegistry::Convict(std::uint64_t aRequest, Time aNow)
+{
+  if (Record* record = Obtain(aRequest, aNow)) {
+    record->mConvicted = true;
+    record->mExpiresAt = aNow + kRecordLifetime;
+  }
+}
+
+std::optional<bool>
+SuspectRegistry::JudgeLostTrial(std::uint64_t aRequest,
+                                Time aStartedAt,
+                                Time aNow) const
+{
+  const Record* record = Find(aRequest, aNow);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  const auto trial = std::find_if(
+    record->mRuns.begin(), record->mRuns.end(), [&](const LostRun& aRun) {
+      return aRun.mStartedAt >= aStartedAt;
+    });
+  if (trial == record->mRuns.end()) {
+    return std::nullopt;
+  }
+  const auto& lost = mRequests.at(trial->mDeath.mId);
+  const bool rival =
+    std::any_of(lost.begin(), lost.end(), [&](std::uint64_t aOther) {
+      return aOther != aRequest && !IsConvicted(aOther) &&
+             mRecords.at(aOther).mRuns.size() > kMinRivalLosses;
+    });
+  return !rival && !IsCommonFailure(*record, *trial);
+}
+
 std::vector<SuspectReport>
 SuspectRegistry::Reports(Time aNow)
 {
@@ -466,8 +541,8 @@
          (together >= mOptions.mCommonDeathThreshold && own == 1);
 }
 
-// Whether another request that was lost with the same target has lost more
-// targets.
+// Whether another request that was lost with the same target explains its
+// death: a convicted one or, without trials, one that has lost more targets.
 bool
 SuspectRegistry::IsExplained(std::uint64_t aRequest,
                              const Record& aRecord,
@@ -480,10 +555,49 @@
                      requests->second.end(),
                      [&](std::uint64_t aOther) {
                        return aOther != aRequest &&
-                              CountOwnLosses(mRecords.at(aOther)) > own;
+                              (mOptions.mTrials
+                                 ? IsConvicted(aOther)
+                                 : CountOwnLosses(mRecords.at(aOther)) > own);
                      });
 }
 
+bool
+SuspectRegistry::IsConvicted(std::uint64_t aRequest) const
+{
+  const auto it = mRecords.find(aRequest);
+  return it != mRecords.end() && it->second.mConvicted;
+}
+
+// Whether another request may have caused one of the deaths that count against
+// a request: one that was lost repeatedly, or any one if all deaths came at one
+// moment, in which a harmless request may have been retried on one failing
+// target after the other.
+bool
+SuspectRegistry::IsUnclear(std::uint64_t aRequest, const Record& aRecord) const
+{
+  std::vector<const LostRun*> counted;
+  for (const LostRun& it : aRecord.mRuns) {
+    if (!IsCommonFailure(aRecord, it) && !IsExplained(aRequest, aRecord, it)) {
+      counted.push_back(&it);
+    }
+  }
+  const auto earlier = [](const LostRun* aLeft, const LostRun* aRight) {
+    return aLeft->mDeath.mAt < aRight->mDeath.mAt;
+  };
+  const auto range =
+    std::minmax_element(counted.begin(), counted.end(), earlier);
+  const bool oneMoment =
+    !counted.empty() &&
+    (*range.second)->mDeath.mAt - (*range.first)->mDeath.mAt < kMoment;
+  return std::any_of(counted.begin(), counted.end(), [&](const LostRun* aRun) {
+    const auto& lost = mRequests.at(aRun->mDeath.mId);
+    return std::any_of(lost.begin(), lost.end(), [&](std::uint64_t aOther) {
+      return aOther != aRequest && !IsConvicted(aOther) &&
+             (oneMoment || mRecords.at(aOther).mRuns.size() >= kMinRivalLosses);
+    });
+  });
+}
+
 // Whether another request was lost in the same deaths.
 bool
 SuspectRegistry::IsTied(std::uint64_t aRequest, const Record& aRecord) const
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_CORE_SUSPECTREGISTRY_H_INCLUDED
 #define QUETZALQUAY_CORE_SUSPECTREGISTRY_H_INCLUDED
 
+#include "core/NameTable.h"
 #include "core/Time.h"
 
 #include <cstddef>
@@ -40,8 +41,8 @@
   bool mRemoved = false;
 };
 
-// What is known against a request, for logs: its lost runs, and how many of them
-// count, are due to a common failure or explained by another request.
+// What is known against a request, for logs: its lost runs, and how many of
+// them count, are due to a common failure or explained by another request.
 struct SuspectEvidence
 {
   int mLostRuns = 0;
@@ -52,6 +53,23 @@
   bool mTied = false;
 };
 
+// What the evidence against a request means for its next run.
+enum class SuspectVerdict
+{
+  // The request may run.
+  Free,
+  // Evidence that may refuse the request is not complete yet.
+  Unsettled,
+  // The request may have ended enough targets to be refused, but so may others
+  // that were lost with it. It may run only as a trial.
+  Unclear,
+  Refused,
+};
+
+// Name of a verdict in logs.
+constexpr NameTable<SuspectVerdict, 4> kSuspectVerdictNames(
+  { "free", "unsettled", "unclear", "refused" });
+
 // What one host tells another about a suspected request.
 struct SuspectReport
 {
@@ -75,8 +93,12 @@
 //   should be known.
 // - A request that finishes on any target does not crash targets, which clears
 //   it of all earlier deaths.
-// Sets from several hosts are merged by their union, in any order and any
-// number of times, so that each host judges by the deaths that all have seen.
+// Where trials are possible, a request is refused on this evidence only if no
+// other request can have caused the deaths. Otherwise it is run as a trial,
+// with which no other trial shares the target. A lost trial convicts the
+// request, and only a convicted request explains the deaths of others. Sets
+// from several hosts are merged by their union, in any order and any number of
+// times, so that each host judges by the deaths that all have seen.
 class SuspectRegistry
 {
 public:
@@ -107,6 +129,8 @@
     // Age from which a death counts for a refusal. By then the hosts should
     // have told each other of all requests that were lost in it.
     Duration mSettleTime = Duration::zero();
+    // Whether requests are convicted by trials where the evidence is unclear.
+    bool mTrials = false;
   };
 
   SuspectRegistry() = default;
@@ -127,6 +151,22 @@
   // Number of deaths that count against a request; zero if it is not a suspect.
   int Deaths(std::uint64_t aRequest, Time aNow) const;
 
+  // What the evidence means for a request that has aPendingLosses lost runs
+  // whose targets are still being checked.
+  SuspectVerdict Judge(std::uint64_t aRequest,
+                       int aPendingLosses,
+                       Time aNow) const;
+
+  // Records that trials have shown a request to crash targets.
+  void Convict(std::uint64_t aRequest, Time aNow);
+
+  // Whether the loss of a trial that started at aStartedAt convicts its
+  // request: no other suspect was lost with it, nor a whole place. Nothing
+  // while no such loss is known.
+  std::optional<bool> JudgeLostTrial(std::uint64_t aRequest,
+                                     Time aStartedAt,
+                                     Time aNow) const;
+
   // What is known against a request.
   SuspectEvidence EvidenceOf(std::uint64_t aRequest, Time aNow) const;
 
@@ -176,6 +216,7 @@
     // IDs of the deaths in which this host lost a run, and of those stored.
     std::set<std::uint64_t> mOwn;
     std::set<std::uint64_t> mStored;
+    bool mConvicted = false;
     // Whether other hosts know of a lost run.
     bool mShared = false;
     // How often the last change has yet to be told, and when next.
@@ -210,6 +251,8 @@
                    const Record& aRecord,
                    const LostRun& aRun) const;
   bool IsTied(std::uint64_t aRequest, const Record& aRecord) const;
+  bool IsConvicted(std::uint64_t aRequest) const;
+  bool IsUnclear(std::uint64_t aRequest, const Record& aRecord) const;
 
   Options mOptions;
   std::unordered_map<std::uint64_t, Record> mRecords;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -103,7 +103,9 @@
 
 TargetTable::TargetTable(TargetTableOptions aOptions)
   : mOptions(std::move(aOptions))
-  , mSuspects({ mOptions.mCommonDeathThreshold, mOptions.mSuspectSettleTime })
+  , mSuspects({ mOptions.mCommonDeathThreshold,
+                mOptions.mSuspectSettleTime,
+                mOptions.mSuspectTrials })
   , mRandom(mOptions.mSeed)
 {
 }
@@ -161,7 +163,8 @@
 {
   DropExpiredLosses(aNow);
   Choice choice;
-  if (mSuspects.IsRefused(aQuery.mContentHash, aNow)) {
+  const SuspectVerdict verdict = JudgeSuspect(aQuery, aNow);
+  if (verdict == SuspectVerdict::Refused) {
     CancelWait(aQuery);
     choice.mStatus = ChoiceStatus::Poison;
     return choice;
@@ -171,16 +174,21 @@
     choice.mStatus = ChoiceStatus::VersionGone;
     return choice;
   }
-  if (aQuery.mIsRetry && IsUndecided(aQuery, aNow)) {
+  if (verdict == SuspectVerdict::Unsettled) {
     CancelWait(aQuery);
     choice.mStatus = ChoiceStatus::Undecided;
     return choice;
   }
+  const SuspectTrial* trial = verdict == SuspectVerdict::Unclear
+                                ? FindTrial(aQuery.mContentHash)
+                                : nullptr;
+  const bool onTrial = trial != nullptr && !trial->mStartedAt &&
+                       trial->mRequestId == aQuery.mRequestId;
   std::vector<Target*> usable;
   bool anyUp = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
-    if (!IsUsable(target, aQuery, aNow)) {
+    if (!IsUsable(target, aQuery, aNow) || (onTrial && it != trial->mTarget)) {
       continue;
     }
     anyUp = true;
@@ -199,6 +207,9 @@
   if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
     return Enqueue(aQuery, aNow);
   }
+  if (verdict == SuspectVerdict::Unclear && !onTrial) {
+    return ChooseForTrial(usable, aQuery, aNow);
+  }
   choice = ChooseFrom(usable, aQuery, aNow);
   if (choice.mStatus != ChoiceStatus::Chosen) {
     choice.mStatus = ChoiceStatus::Busy;
@@ -234,6 +245,7 @@
   if (Target* target = Find(aTarget)) {
     target->mRunning.push_back(
       { aContentHash, aNow, aLoad, false, target->mIncarnation, false });
+    OnTrialStart(aTarget, aContentHash, aNow);
     NotifyLoadChanged();
   }
 }
@@ -244,6 +256,7 @@
                           AttemptOutcome aOutcome,
                           Time aNow)
 {
+  OnTrialEnd(aTarget, aContentHash, aOutcome, aNow);
   Target* target = Find(aTarget);
   if (target == nullptr) {
     return;
@@ -711,28 +724,6 @@
          EstimateLoad(aTarget, aNow) >= kInFlightPerSlot * declaration.mSlots;
 }
 
-// Whether the deaths known so far, together with the losses of this request
-// that are still being checked, would refuse it.
-bool
-TargetTable::IsUndecided(const ChoiceQuery& aQuery, Time aNow) const
-{
-  int deaths = mSuspects.Deaths(aQuery.mContentHash, aNow);
-  for (const std::string& it : aQuery.mExcluded) {
-    const Target* target = Find(it);
-    if (target == nullptr) {
-      continue;
-    }
-    const auto& lost = target->mLostAttempts;
-    deaths +=
-      std::any_of(lost.begin(), lost.end(), [&](const LostAttempt& aAttempt) {
-        return aAttempt.mContentHash == aQuery.mContentHash &&
-               aNow - aAttempt.mAt < mOptions.mDeathCheckTime;
-      });
-  }
-  return mOptions.mDeathCheckTime > Duration::zero() &&
-         deaths >= SuspectRegistry::kMinDeathsToRefuse;
-}
-
 Choice
 TargetTable::Enqueue(const ChoiceQuery& aQuery, Time aNow)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -70,6 +70,9 @@
   Duration mDeathCheckTime = Duration::zero();
   // Age from which a death counts for the refusal of a request.
   Duration mSuspectSettleTime = Duration::zero();
+  // Whether trials decide on requests with unclear evidence; see
+  // SuspectRegistry.
+  bool mSuspectTrials = false;
   // Time for which a target that refused, did not answer or broke a connection
   // is doubtful, which all but excludes it. It should last until the target's
   // registry entry has expired or changed.
@@ -99,6 +102,20 @@
   Lost,
 };
 
+// A run that shows whether its request crashes targets. No other trial shares
+// the target.
+struct SuspectTrial
+{
+  std::uint64_t mContentHash = 0;
+  std::string mRequestId;
+  std::string mTarget;
+  Time mAllowedAt;
+  // When the run started and how it ended, once it has.
+  std::optional<Time> mStartedAt;
+  std::optional<AttemptOutcome> mOutcome;
+  Time mEndedAt;
+};
+
 // Load that one router currently puts on one target.
 struct TargetLoad
 {
@@ -322,6 +339,30 @@
   // Requests suspected of crashing targets.
   SuspectRegistry& Suspects() { return mSuspects; }
 
+  // Receives a request that may run only as a trial, and the target that would
+  // take it.
+  using TrialCallback =
+    std::function<void(const ChoiceQuery&, const std::string&)>;
+
+  // Sets a callback for each choice that needs a trial. It is called again
+  // whenever the request tries again.
+  void SetTrialCallback(TrialCallback aCallback);
+
+  // Lets a request run as a trial on a target.
+  void AllowTrial(const ChoiceQuery& aQuery,
+                  const std::string& aTarget,
+                  Time aNow);
+
+  // The trial of a request that is allowed, running or has ended; nullptr if
+  // there is none.
+  const SuspectTrial* FindTrial(std::uint64_t aContentHash) const;
+
+  // Removes a trial.
+  void EndTrial(std::uint64_t aContentHash);
+
+  // Does not offer a target for trials until a time.
+  void AvoidForTrials(const std::string& aTarget, Time aUntil);
+
 private:
   struct RunningAttempt
   {
@@ -394,7 +435,18 @@
   static bool IsFull(const Target& aTarget,
                      const ChoiceQuery& aQuery,
                      Time aNow);
-  bool IsUndecided(const ChoiceQuery& aQuery, Time aNow) const;
+  int CountPendingLosses(const ChoiceQuery& aQuery, Time aNow) const;
+  SuspectVerdict JudgeSuspect(const ChoiceQuery& aQuery, Time aNow) const;
+  Choice ChooseForTrial(std::vector<Target*>& aUsable,
+                        const ChoiceQuery& aQuery,
+                        Time aNow);
+  void OnTrialStart(const std::string& aTarget,
+                    std::uint64_t aContentHash,
+                    Time aNow);
+  void OnTrialEnd(const std::string& aTarget,
+                  std::uint64_t aContentHash,
+                  AttemptOutcome aOutcome,
+                  Time aNow);
   Choice Enqueue(const ChoiceQuery& aQuery, Time aNow);
   bool TakeRetry(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
@@ -453,6 +505,11 @@
   std::mt19937_64 mRandom;
   // Start of each suspect's wait for a target without other suspects.
   std::map<std::uint64_t, Time> mSuspectWaitStarts;
+  // Trials of this host, by content hash, and targets that have those of other
+  // hosts, with the time until which they are avoided.
+  std::map<std::uint64_t, SuspectTrial> mTrials;
+  std::map<std::string, Time> mTrialsElsewhere;
+  TrialCallback mOnTrialNeeded;
 };
 
 } // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/TrialRecord.h
@@ -0,0 +1,65 @@
+#ifndef QUETZALQUAY_CORE_TRIALRECORD_H_INCLUDED
+#define QUETZALQUAY_CORE_TRIALRECORD_H_INCLUDED
+
+#include "core/NameTable.h"
+
+#include <optional>
+#include <string>
+
+namespace quetzalquay {
+
+// What all hosts together have on record of the trials of one request, or of
+// those on one target. A host changes the record only if nobody else has since
+// it was read, so the hosts never run two trials of a request at once.
+struct TrialRecord
+{
+  // Trials that were lost with their target.
+  int mLost = 0;
+  // Whether the request is convicted of crashing targets.
+  bool mConvicted = false;
+  // Whether a trial is in progress.
+  bool mHeld = false;
+};
+
+// How a trial ended.
+enum class TrialOutcome
+{
+  // Its request has finished, or has run long enough.
+  Cleared,
+  // The run ended otherwise, while its target lives.
+  Inconclusive,
+  // The target died, and nothing else can have caused it.
+  Convicted,
+  // The target died, but another suspect or a common failure may have caused
+  // it.
+  Lost,
+};
+
+// Name of an outcome in logs.
+constexpr NameTable<TrialOutcome, 4> kTrialOutcomeNames(
+  { "cleared", "inconclusive", "convicted", "lost" });
+
+// Lost trials that convict a request, whatever else was lost with them.
+constexpr int kLostTrialsToConvict = 2;
+
+// Returns the record of a trial that begins. aVanished says that the host of
+// the trial in progress has not ended it in time, which counts as a lost one.
+// The record is not held if that convicts the request.
+TrialRecord
+BeginTrial(TrialRecord aRecord, bool aVanished);
+
+// Returns the record after a trial has ended.
+TrialRecord
+FinishTrial(TrialRecord aRecord, TrialOutcome aOutcome);
+
+// Formats a record for the store.
+std::string
+FormatTrialRecord(const TrialRecord& aRecord);
+
+// Parses a record; nothing if it is malformed.
+std::optional<TrialRecord>
+ParseTrialRecord(const std::string& aText);
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_TRIALRECORD_H_INCLUDED
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "core/NameTable.h"
+#include "core/TrialRecord.h"
 #include "gateway/SuspectRows.h"
 #include "gateway/SuspendedTime.h"
 #include "observe/Log.h"
@@ -57,6 +58,7 @@
   options.mIsolateSuspects = false;
   options.mCommonDeathThreshold = kCommonDeathThreshold;
   options.mSuspectSettleTime = kSuspectSettleTime;
+  options.mSuspectTrials = true;
   options.mDeathCheckTime = kDeathCheckTime;
   options.mDoubtDuration = kDoubtDuration;
   options.mPlaceLossThreshold = kPlaceLossThreshold;
@@ -342,6 +344,25 @@
   mTargets.Retries()->SetHosts(known, EventLoop::Now());
 }
 
+// Adopts a conviction. Other changes of trials matter only to hosts that want
+// to run one.
+void
+Fleet::ApplyTrialRow(const StoreRow& aRow, Time aNow)
+{
+  const auto request = ParseTrialKey(aRow.mKey);
+  const auto record = ParseTrialRecord(aRow.mValue);
+  if (aRow.mRemoved || !request || !record || !record->mConvicted) {
+    return;
+  }
+  mTargets.Suspects().Convict(*request, aNow);
+  Log(LogLevel::Info,
+      "fleet",
+      "request convicted of crashing targets",
+      { { "content", ToHex(*request) },
+        { "lost_trials", std::to_string(record->mLost) },
+        { "row_version", std::to_string(aRow.mVersion) } });
+}
+
 void
 Fleet::ApplySuspectRows(const std::vector<StoreRow>& aRows,
                         bool aIsSnapshot,
@@ -349,6 +370,10 @@
 {
   const ClockReading clocks = ReadClocks();
   const auto apply = [&](const StoreRow& aRow) {
+    if (ParseTrialKey(aRow.mKey) || IsTargetTrialKey(aRow.mKey)) {
+      ApplyTrialRow(aRow, clocks.mNow);
+      return;
+    }
     const auto change = ParseSuspectRow(aRow, clocks);
     if (!change) {
       Log(LogLevel::Warn,
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -153,6 +153,7 @@
   void ApplySuspectRows(const std::vector<platform::StoreRow>& aRows,
                         bool aIsSnapshot,
                         std::int64_t aVersion);
+  void ApplyTrialRow(const platform::StoreRow& aRow, Time aNow);
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
   void DeclareTargets();
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/RetryLog.h"
 #include "gateway/StoreWatch.h"
 #include "gateway/StreamOriginStore.h"
+#include "gateway/SuspectTrials.h"
 #include "gateway/SuspectWriter.h"
 #include "gateway/TargetConnection.h"
 #include "observe/Log.h"
@@ -65,6 +66,7 @@
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
+    , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics)
     , mPeers(mLoop, mSettings, mFleet, mStore)
     , mLoadSender(mLoop, mSettings, mFleet)
     , mReadinessServer(mLoop,
@@ -275,6 +277,7 @@
   CallerServer mCallers;
   StoreWatch mStore;
   SuspectWriter mSuspectWriter;
+  SuspectTrials mSuspectTrials;
   PeerLink mPeers;
   LoadBroadcaster mLoadSender;
   SimpleHttpServer mReadinessServer;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -61,6 +61,11 @@
   { "quetzal_origin_lookups_total", "Reads of the stored origins of streams" },
   { "quetzal_origins_stored_total",
     "Changes of stored origins of streams that the store has confirmed" },
+  { "quetzal_suspect_trials_total",
+    "Requests run as a trial because it is unclear whether they crash "
+    "targets" },
+  { "quetzal_suspects_convicted_total",
+    "Requests that a trial of this host convicted of crashing targets" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -40,6 +40,8 @@
   TakeUpsRefused,
   OriginLookups,
   OriginsStored,
+  SuspectTrials,
+  SuspectsConvicted,
   Last,
 };
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -71,6 +71,9 @@
 {
   if (const auto* step = std::get_if<TryTarget>(&aStep)) {
     SendAttempt(step->mTarget);
+  } else if (const auto* wait = std::get_if<AwaitVerdict>(&aStep)) {
+    mAwaitsVerdict = true;
+    mTimer.ScheduleAt(wait->mCheckAt);
   } else if (const auto* failed = std::get_if<FailCall>(&aStep)) {
     Fail(failed->mFailure);
   } else {
@@ -289,6 +292,10 @@
   if (mDone) {
     return;
   }
+  if (std::exchange(mAwaitsVerdict, false)) {
+    PerformStep(mStateMachine.OnVerdictDue(EventLoop::Now()));
+    return;
+  }
   if (mAttemptDeadline >= mCall.mDeadline) {
     FailAbandoned(AbandonAttempt(),
                   FailureCode::DeadlineExceeded,
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -54,6 +54,7 @@
   bool mHasResponse = false;
   bool mDone = false;
   bool mWaitsForSilentTarget = false;
+  bool mAwaitsVerdict = false;
   // When another target is sought for an attempt without a response.
   Time mAttemptDeadline;
   Timer mTimer;
--- a/src/quetzalquay/gateway/SuspectRows.cpp
+++ b/src/quetzalquay/gateway/SuspectRows.cpp
@@ -12,6 +12,9 @@
 
 using std::chrono::milliseconds;
 
+constexpr char kRequestTrialPrefix[] = "trial-";
+constexpr char kTargetTrialPrefix[] = "trial-at-";
+
 std::int64_t
 ToUnixMs(Time aAt, const ClockReading& aClocks)
 {
@@ -77,4 +80,33 @@
   return change;
 }
 
+std::string
+TrialKeyOf(std::uint64_t aRequest)
+{
+  return kRequestTrialPrefix + ToHex(aRequest);
+}
+
+std::string
+TrialKeyOf(const std::string& aTarget)
+{
+  return kTargetTrialPrefix + ToHex(StableHash(aTarget));
+}
+
+std::optional<std::uint64_t>
+ParseTrialKey(const std::string& aKey)
+{
+  std::uint64_t request = 0;
+  if (IsTargetTrialKey(aKey) ||
+      std::sscanf(aKey.c_str(), "trial-%16" SCNx64, &request) != 1) {
+    return std::nullopt;
+  }
+  return request;
+}
+
+bool
+IsTargetTrialKey(const std::string& aKey)
+{
+  return aKey.rfind(kTargetTrialPrefix, 0) == 0;
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/SuspectRows.h
+++ b/src/quetzalquay/gateway/SuspectRows.h
@@ -4,7 +4,9 @@
 #include "core/SuspectRegistry.h"
 #include "platform/PlatformStore.h"
 
+#include <cstdint>
 #include <optional>
+#include <string>
 
 namespace quetzalquay {
 
@@ -28,6 +30,21 @@
 std::optional<StoredLossChange>
 ParseSuspectRow(const platform::StoreRow& aRow, const ClockReading& aClocks);
 
+// Keys of the rows, in the same table, that record the trials of a request and
+// those on a target.
+std::string
+TrialKeyOf(std::uint64_t aRequest);
+std::string
+TrialKeyOf(const std::string& aTarget);
+
+// The request of a row of trials; nothing for other rows.
+std::optional<std::uint64_t>
+ParseTrialKey(const std::string& aKey);
+
+// Whether a row records the trials on a target.
+bool
+IsTargetTrialKey(const std::string& aKey);
+
 } // namespace quetzalquay
 
 #endif // QUETZALQUAY_GATEWAY_SUSPECTROWS_H_INCLUDED
--- /dev/null
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -0,0 +1,104 @@
+#ifndef QUETZALQUAY_GATEWAY_SUSPECTTRIALS_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_SUSPECTTRIALS_H_INCLUDED
+
+#include "core/TrialRecord.h"
+#include "gateway/Fleet.h"
+#include "gateway/GatewayMetrics.h"
+#include "http/AsyncHttpClient.h"
+#include "platform/PlatformStore.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quetzalquay {
+
+// Runs requests of which it is unclear whether they crash targets as trials,
+// one at a time in the whole fleet for each request and for each target. The
+// store's conditional writes decide which host runs the next one, so that the
+// number of targets that a request can still crash is bounded however many
+// hosts it reaches at once. A host that does not reach the store runs one trial
+// of a request by itself.
+class SuspectTrials
+{
+public:
+  SuspectTrials(EventLoop& aLoop,
+                const GatewaySettings& aSettings,
+                Fleet& aFleet,
+                GatewayMetrics& aMetrics);
+
+private:
+  enum class Phase
+  {
+    // Waits until the next request for a trial.
+    Idle,
+    // The store is asked to record the trial.
+    Claiming,
+    Running,
+    // The outcome is being stored.
+    Finishing,
+  };
+
+  // A row as last seen, and since when it has been unchanged.
+  struct SeenRow
+  {
+    TrialRecord mRecord;
+    std::int64_t mVersion = 0;
+    Time mSince;
+  };
+
+  struct Trial
+  {
+    Phase mPhase = Phase::Idle;
+    ChoiceQuery mQuery;
+    std::string mTarget;
+    // Whether the store has recorded the trial.
+    bool mRecorded = false;
+    bool mRanUnrecorded = false;
+    int mSends = 0;
+    // Key of the row that is being read instead of claimed; empty if none is.
+    std::string mReadKey;
+    TrialOutcome mOutcome = TrialOutcome::Inconclusive;
+    Time mNextClaimAt;
+    Time mExpiresAt;
+  };
+
+  void OnNeeded(const ChoiceQuery& aQuery, const std::string& aTarget);
+  void Tick();
+  void CheckRunning(std::uint64_t aRequest, Trial& aTrial, Time aNow);
+  std::optional<TrialOutcome> OutcomeOf(const SuspectTrial& aRun, Time aNow);
+  void Queue(std::uint64_t aRequest);
+  void SendNext();
+  void SendClaim(std::uint64_t aRequest, Trial& aTrial);
+  void SendOutcome(std::uint64_t aRequest, Trial& aTrial);
+  void OnClaimReply(std::uint64_t aRequest,
+                    const std::optional<HttpReply>& aReply,
+                    const std::string& aReason);
+  void OnOutcomeReply(std::uint64_t aRequest,
+                      const std::optional<HttpReply>& aReply,
+                      const std::string& aReason);
+  void Call(const std::string& aRequest,
+            AsyncHttpClient::ResponseCallback aDone);
+  void Allow(std::uint64_t aRequest, Trial& aTrial, bool aRecorded);
+  void Convict(std::uint64_t aRequest, const TrialRecord& aRecord);
+  void See(const platform::StoreRow& aRow);
+  SeenRow& Seen(const std::string& aKey);
+  bool IsTaken(const SeenRow& aRow) const;
+
+  std::string mHostHeader;
+  Fleet& mFleet;
+  GatewayMetrics& mMetrics;
+  AsyncHttpClient mHttpClient;
+  Timer mTimer;
+  std::map<std::uint64_t, Trial> mTrials;
+  std::map<std::string, SeenRow> mSeen;
+  // Requests whose claim or outcome waits to be sent.
+  std::deque<std::uint64_t> mQueue;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_SUSPECTTRIALS_H_INCLUDED
--- a/src/quetzalquay/gateway/SuspectWriter.cpp
+++ b/src/quetzalquay/gateway/SuspectWriter.cpp
@@ -2,6 +2,9 @@
 
 #include "gateway/SuspectRows.h"
 
+#include <set>
+#include <string>
+
 namespace quetzalquay {
 
 namespace {
@@ -44,7 +47,22 @@
     return;
   }
   const ClockReading clocks = ReadClocks();
+  std::set<std::string> targets;
+  for (const std::string& it : mFleet.Targets().Subset()) {
+    targets.insert(TrialKeyOf(it));
+  }
   for (const auto& it : mFleet.Rows(platform::StoreTable::Suspects)) {
+    const auto trial = ParseTrialKey(it.first);
+    if (trial || IsTargetTrialKey(it.first)) {
+      // Trials are kept as long as the losses that led to them.
+      const bool needed = trial ? mFleet.Targets().Suspects().Judge(
+                                    *trial, 0, now) != SuspectVerdict::Free
+                                : targets.count(it.first) != 0;
+      if (!it.second.mRemoved && !needed) {
+        mRows.Add({ it.first, std::nullopt });
+      }
+      continue;
+    }
     const auto change = ParseSuspectRow(it.second, clocks);
     const bool expired = !change || now - change->mRun.mDeath.mAt >=
                                       SuspectRegistry::kRecordLifetime;
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -260,6 +260,17 @@
   return EncodeGet(aHost, path);
 }
 
+std::string
+EncodeReadRow(const std::string& aHost,
+              StoreTable aTable,
+              const std::string& aKey)
+{
+  return EncodeGet(
+    aHost,
+    "/rows-get?Table=" + std::string(kTableNames.NameOf(aTable)) +
+      "&part=&From=" + PercentEncode(aKey) + "&Limit=1");
+}
+
 std::string
 EncodeWatch(const std::string& aHost,
             StoreTable aTable,
@@ -279,7 +290,8 @@
 std::string
 EncodeChanges(const std::string& aHost,
               StoreTable aTable,
-              const std::vector<RowChange>& aChanges)
+              const std::vector<RowChange>& aChanges,
+              const std::vector<RowCondition>& aConditions)
 {
   rapidjson::StringBuffer buf;
   rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
@@ -304,6 +316,15 @@
   writer.StartObject();
   writer.Key("Precondition");
   writer.StartArray();
+  for (const RowCondition& it : aConditions) {
+    writer.StartObject();
+    WriteString(writer, "Table", kTableNames.NameOf(aTable));
+    WriteString(writer, "part", "");
+    WriteString(writer, "Key", it.mKey);
+    writer.Key("Ver");
+    writer.Int64(it.mVersion);
+    writer.EndObject();
+  }
   writer.EndArray();
   writeList("Put", true);
   writeList("Remove", false);
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -70,15 +70,30 @@
   std::optional<std::string> mValue;
 };
 
+// A row and the version that it must have for a transaction to be performed; 0
+// if there must be no such row.
+struct RowCondition
+{
+  std::string mKey;
+  std::int64_t mVersion = 0;
+};
+
 // Maximum number of rows in one transaction.
 constexpr std::size_t kMaxRowChanges = 100;
 
 // Writes and removes rows of a table in one transaction, at most
-// kMaxRowChanges.
+// kMaxRowChanges, if all conditions hold.
 std::string
 EncodeChanges(const std::string& aHost,
               StoreTable aTable,
-              const std::vector<RowChange>& aChanges);
+              const std::vector<RowChange>& aChanges,
+              const std::vector<RowCondition>& aConditions = {});
+
+// Reads at most one row: the first one of a table from a key on.
+std::string
+EncodeReadRow(const std::string& aHost,
+              StoreTable aTable,
+              const std::string& aKey);
 
 // Writes a row.
 std::string
@@ -92,6 +107,10 @@
              StoreTable aTable,
              const std::string& aKey);
 
+// HTTP status of a transaction whose conditions do not hold. Its response has
+// the rows that they name.
+constexpr int kConditionFailedStatus = 412;
+
 // HTTP status of a watch whose starting version the store no longer keeps.
 constexpr int kWatchExpiredStatus = 410;
 
--- a/src/quetzalquay/router/PlainSession.cpp
+++ b/src/quetzalquay/router/PlainSession.cpp
@@ -12,6 +12,7 @@
 #include "wire/Json.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace quetzalquay {
@@ -52,9 +53,16 @@
     query, mContext.mIdempotent, mContext.mDeadline, *mParts.mTargets);
   const HttpCallSpec spec = MakeCall(aRequest, aPath);
   PlainStep step = call.Start(Now());
-  while (const TryTarget* attempt = std::get_if<TryTarget>(&step)) {
-    const PlainResult result = SendToTarget(*attempt, spec);
-    step = call.OnResult(result, Now());
+  while (true) {
+    if (const auto* attempt = std::get_if<TryTarget>(&step)) {
+      const PlainResult result = SendToTarget(*attempt, spec);
+      step = call.OnResult(result, Now());
+    } else if (const auto* wait = std::get_if<AwaitVerdict>(&step)) {
+      std::this_thread::sleep_until(wait->mCheckAt);
+      step = call.OnVerdictDue(Now());
+    } else {
+      break;
+    }
   }
   aResponse.mHeaders["X-Request-Id"] = mContext.mRequestId;
   if (const FailCall* failed = std::get_if<FailCall>(&step)) {
--- /dev/null
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -0,0 +1,347 @@
+#include "core/SuspectRegistry.h"
+#include "core/TargetTable.h"
+#include "core/TrialRecord.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <vector>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t kFirst = 1;
+constexpr std::uint64_t kSecond = 2;
+constexpr std::uint64_t kHarmless = 3;
+
+constexpr Duration kSettleTime = milliseconds(600);
+
+Time
+At(int aMs)
+{
+  return Time(std::chrono::hours(1) + milliseconds(aMs));
+}
+
+SuspectRegistry
+MakeRegistry()
+{
+  return SuspectRegistry({ 3, kSettleTime, true });
+}
+
+// A request loses a run that started 80 ms before its target died.
+void
+Lose(SuspectRegistry& aRegistry,
+     std::uint64_t aRequest,
+     std::uint64_t aDeath,
+     int aMs)
+{
+  aRegistry.OnRunLost(
+    aRequest, { { aDeath, aDeath, At(aMs) }, At(aMs - 80) }, At(aMs + 30));
+}
+
+std::string
+Judge(const SuspectRegistry& aRegistry, std::uint64_t aRequest, int aMs)
+{
+  return std::string(
+    kSuspectVerdictNames.NameOf(aRegistry.Judge(aRequest, 0, At(aMs))));
+}
+
+TargetTable
+MakeTable(int aTargets)
+{
+  TargetTableOptions options;
+  options.mSampleSize = 0;
+  options.mIsolateSuspects = false;
+  options.mSuspectTrials = true;
+  TargetTable table(options);
+  std::vector<TargetDeclaration> targets;
+  for (int n = 0; n < aTargets; ++n) {
+    TargetDeclaration target;
+    target.mName = "t" + std::to_string(n);
+    target.mService = "s";
+    target.mIncarnation = "0";
+    targets.push_back(target);
+  }
+  table.Declare({ { "s", "" } }, targets, "", At(0));
+  return table;
+}
+
+ChoiceQuery
+QueryOf(const std::string& aRequestId, std::uint64_t aContent)
+{
+  ChoiceQuery query;
+  query.mService = "s";
+  query.mRequestId = aRequestId;
+  query.mContentHash = aContent;
+  query.mDeadline = At(60000);
+  return query;
+}
+
+// Ends three other targets under a request, some time apart, together with
+// another request.
+void
+EndThreeTargets(TargetTable& aTable,
+                std::uint64_t aRequest,
+                std::uint64_t aOther)
+{
+  for (std::uint64_t n = 100; n < 103; ++n) {
+    Lose(aTable.Suspects(), aRequest, n, 100);
+    Lose(aTable.Suspects(), aOther, n, 100);
+  }
+}
+
+} // namespace
+
+// Trials of requests of which the evidence does not show whether they crash
+// targets, without a network.
+class SuspectTrialTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SuspectTrialTests);
+  CPPUNIT_TEST(RequestsLostInTheSameDeathsNeedTrials);
+  CPPUNIT_TEST(DeathsAtOneMomentDoNotExcuseTheRequests);
+  CPPUNIT_TEST(ALoneRequestIsRefusedWithoutATrial);
+  CPPUNIT_TEST(AHarmlessCallRetriedOnFailingTargetsIsNotRefused);
+  CPPUNIT_TEST(AConvictedRequestExplainsTheDeathsOfOthers);
+  CPPUNIT_TEST(AnExplainedRequestStillNeedsATrial);
+  CPPUNIT_TEST(ALostTrialDoesNotConvictBesideAnotherSuspect);
+  CPPUNIT_TEST(ALostTrialDoesNotConvictWhenAPlaceFails);
+  CPPUNIT_TEST(AFinishedTrialClearsTheRequest);
+  CPPUNIT_TEST(TwoLostTrialsConvict);
+  CPPUNIT_TEST(AVanishedHostCountsAsALostTrial);
+  CPPUNIT_TEST(RecordsAreReadAsWritten);
+  CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
+  CPPUNIT_TEST(TrialsDoNotShareATarget);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against two requests that are lost in the same deaths being refused
+  // only after five of them.
+  void RequestsLostInTheSameDeathsNeedTrials()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, static_cast<int>(2000 * death));
+      Lose(registry, kSecond, death, static_cast<int>(2000 * death));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("unsettled"),
+                         Judge(registry, kFirst, 6100));
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(registry, kFirst, 6700));
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(registry, kSecond, 6700));
+  }
+
+  // Guards against the rule of common failures, which never counted a request
+  // that ended one target at each of several moments while another request
+  // ended the other targets.
+  void DeathsAtOneMomentDoNotExcuseTheRequests()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t moment = 0; moment < 3; ++moment) {
+      const int ms = static_cast<int>(4000 * moment) + 1000;
+      Lose(registry, kFirst, 10 * moment, ms);
+      Lose(registry, kSecond, 10 * moment + 1, ms);
+      Lose(registry, kSecond, 10 * moment + 2, ms + 50);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, registry.Deaths(kFirst, At(12000)));
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(registry, kFirst, 12000));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"),
+                         Judge(registry, kSecond, 12000));
+  }
+
+  void ALoneRequestIsRefusedWithoutATrial()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, static_cast<int>(2000 * death));
+      // Others that run on the same targets are lost once each.
+      Lose(registry, 100 + death, death, static_cast<int>(2000 * death));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"), Judge(registry, kFirst, 6700));
+  }
+
+  // Guards against refusing a harmless call that has lost more runs than the
+  // requests that ended its targets.
+  void AHarmlessCallRetriedOnFailingTargetsIsNotRefused()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    const std::uint64_t crashing[] = { kFirst, kSecond, 4 };
+    for (std::uint64_t n = 0; n < 3; ++n) {
+      const int ms = 1000 + static_cast<int>(110 * n);
+      Lose(registry, crashing[n], n, ms);
+      Lose(registry, kHarmless, n, ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(registry, kHarmless, 2000));
+  }
+
+  void AConvictedRequestExplainsTheDeathsOfOthers()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, 1000);
+      Lose(registry, kHarmless, death, 1000);
+    }
+    CPPUNIT_ASSERT(
+      !registry.JudgeLostTrial(kFirst, At(2000), At(2100)).has_value());
+    Lose(registry, kFirst, 4, 2090);
+    CPPUNIT_ASSERT(registry.JudgeLostTrial(kFirst, At(2000), At(2200)) == true);
+    registry.Convict(kFirst, At(2200));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"), Judge(registry, kFirst, 2200));
+    CPPUNIT_ASSERT_EQUAL(0, registry.Deaths(kHarmless, At(2200)));
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(registry, kHarmless, 2200));
+  }
+
+  // Guards against a second crashing request going free because a convicted one
+  // explains the deaths that both were lost in.
+  void AnExplainedRequestStillNeedsATrial()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, static_cast<int>(4000 * death));
+      Lose(registry, kSecond, death, static_cast<int>(4000 * death));
+    }
+    registry.Convict(kFirst, At(13000));
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(registry, kSecond, 13000));
+  }
+
+  void ALostTrialDoesNotConvictBesideAnotherSuspect()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, 1000);
+      Lose(registry, kHarmless, death, 1000);
+    }
+    for (std::uint64_t death = 4; death <= 5; ++death) {
+      Lose(registry, kSecond, death, 1000);
+    }
+    Lose(registry, kHarmless, 6, 2090);
+    Lose(registry, kSecond, 6, 2090);
+    CPPUNIT_ASSERT(registry.JudgeLostTrial(kHarmless, At(2000), At(2200)) ==
+                   false);
+  }
+
+  void ALostTrialDoesNotConvictWhenAPlaceFails()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kHarmless, death, 1000);
+    }
+    for (std::uint64_t death = 7; death <= 8; ++death) {
+      registry.OnTargetDeath({ death, 4, At(2080) });
+    }
+    Lose(registry, kHarmless, 4, 2090);
+    CPPUNIT_ASSERT(registry.JudgeLostTrial(kHarmless, At(2000), At(2200)) ==
+                   false);
+  }
+
+  void AFinishedTrialClearsTheRequest()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, 1000);
+      Lose(registry, kHarmless, death, 1000);
+    }
+    registry.ClearSuspect(kHarmless, At(2000));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"), Judge(registry, kHarmless, 2000));
+    const TrialRecord record = FinishTrial(
+      BeginTrial({ 1, false, false }, false), TrialOutcome::Cleared);
+    CPPUNIT_ASSERT_EQUAL(0, record.mLost);
+    CPPUNIT_ASSERT(!record.mHeld);
+  }
+
+  void TwoLostTrialsConvict()
+  {
+    TrialRecord record =
+      FinishTrial(BeginTrial(TrialRecord(), false), TrialOutcome::Lost);
+    CPPUNIT_ASSERT(!record.mConvicted);
+    record = FinishTrial(BeginTrial(record, false), TrialOutcome::Inconclusive);
+    CPPUNIT_ASSERT_EQUAL(1, record.mLost);
+    record = FinishTrial(BeginTrial(record, false), TrialOutcome::Lost);
+    CPPUNIT_ASSERT(record.mConvicted);
+    CPPUNIT_ASSERT(!record.mHeld);
+    CPPUNIT_ASSERT(
+      FinishTrial(TrialRecord(), TrialOutcome::Convicted).mConvicted);
+  }
+
+  // Guards against hosts that are killed during their trials, each of which
+  // would allow another one.
+  void AVanishedHostCountsAsALostTrial()
+  {
+    TrialRecord record = BeginTrial(TrialRecord(), false);
+    CPPUNIT_ASSERT(record.mHeld);
+    record = BeginTrial(record, true);
+    CPPUNIT_ASSERT(record.mHeld);
+    CPPUNIT_ASSERT_EQUAL(1, record.mLost);
+    record = BeginTrial(record, true);
+    CPPUNIT_ASSERT(record.mConvicted);
+    CPPUNIT_ASSERT(!record.mHeld);
+  }
+
+  void RecordsAreReadAsWritten()
+  {
+    const auto record = ParseTrialRecord(FormatTrialRecord({ 1, false, true }));
+    CPPUNIT_ASSERT(record.has_value());
+    CPPUNIT_ASSERT_EQUAL(1, record->mLost);
+    CPPUNIT_ASSERT(!record->mConvicted);
+    CPPUNIT_ASSERT(record->mHeld);
+    for (const char* it : { "", "1 0", "x 0 0", "-1 0 0" }) {
+      CPPUNIT_ASSERT(!ParseTrialRecord(it).has_value());
+    }
+  }
+
+  void ATrialRunsOnItsTargetOnly()
+  {
+    TargetTable table = MakeTable(4);
+    EndThreeTargets(table, kFirst, kSecond);
+    std::vector<std::string> offered;
+    table.SetTrialCallback([&](const ChoiceQuery&, const std::string& aTarget) {
+      offered.push_back(aTarget);
+    });
+    const ChoiceQuery query = QueryOf("a", kFirst);
+    CPPUNIT_ASSERT(table.Choose(query, At(1000)).mStatus ==
+                   ChoiceStatus::Undecided);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), offered.size());
+    table.AllowTrial(query, "t2", At(1010));
+    // A copy of the request at the same host waits for the trial.
+    CPPUNIT_ASSERT(table.Choose(QueryOf("b", kFirst), At(1020)).mStatus ==
+                   ChoiceStatus::Undecided);
+    const Choice choice = table.Choose(query, At(1020));
+    CPPUNIT_ASSERT(choice.mStatus == ChoiceStatus::Chosen);
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"), choice.mTarget);
+    table.OnAttemptStart("t2", kFirst, At(1020));
+    CPPUNIT_ASSERT(table.Choose(query, At(1030)).mStatus ==
+                   ChoiceStatus::Undecided);
+    table.OnAttemptEnd("t2", kFirst, AttemptOutcome::Lost, At(1100));
+    const SuspectTrial* trial = table.FindTrial(kFirst);
+    CPPUNIT_ASSERT(trial != nullptr);
+    CPPUNIT_ASSERT(trial->mStartedAt == At(1020));
+    CPPUNIT_ASSERT(trial->mOutcome == AttemptOutcome::Lost);
+  }
+
+  // Guards against a trial that is lost because of the one beside it.
+  void TrialsDoNotShareATarget()
+  {
+    TargetTable table = MakeTable(2);
+    EndThreeTargets(table, kFirst, kSecond);
+    std::vector<std::string> offered;
+    table.SetTrialCallback([&](const ChoiceQuery&, const std::string& aTarget) {
+      offered.push_back(aTarget);
+    });
+    table.AllowTrial(QueryOf("a", kFirst), "t0", At(1000));
+    table.Choose(QueryOf("b", kSecond), At(1010));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), offered.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), offered.back());
+    // Another host's trial is on the second target.
+    table.AvoidForTrials("t1", At(1200));
+    table.Choose(QueryOf("b", kSecond), At(1100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), offered.size());
+    table.Choose(QueryOf("b", kSecond), At(1300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), offered.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SuspectTrialTests);
