--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -206,6 +206,8 @@
   std::optional<Time> mServingSince;
   // Start time of the entry, raised by each restart; an entry with 0 has none.
   int mStarts;
+  // Limit that the runner names in its answers; empty for none.
+  std::string mLimit;
   // Names of former starts whose entries have not expired, with their expiry.
   std::vector<std::pair<Time, std::string>> mFormerNames;
   std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
@@ -305,7 +307,9 @@
     }
     const std::string* id = aHead.Find("X-Request-Id");
     const std::string echo =
-      id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n";
+      (id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n") +
+      (mRunner.mLimit.empty() ? std::string()
+                              : "Server-Limit: " + mRunner.mLimit + "\r\n");
     const RunnerRequest request = MakeRecord(aHead, aBody, aAt);
     mRunner.mCluster.mRequests.push_back(request);
     const std::string* expected = aHead.Find("X-Expected-Instance");
@@ -899,6 +903,14 @@
            : std::string();
 }
 
+void
+GatewayTestCluster::SetLimit(const std::string& aRunner,
+                             const std::string& aLimit)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner, aLimit] { runner.mLimit = aLimit; });
+}
+
 void
 GatewayTestCluster::SetMode(const std::string& aRunner, RunnerMode aMode)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -258,6 +258,10 @@
   // Connections that a runner accepts before it resets further ones.
   void SetRunnerMaxConnections(int aCount) { mRunnerMaxConnections = aCount; }
 
+  // Sets the limit that a runner names in all its answers, in requests a
+  // second; empty for none.
+  void SetLimit(const std::string& aRunner, const std::string& aLimit);
+
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
