LIMIT: keep the requests that targets name as their limit, all hosts together

Targets that name a limit got as many requests as before, since no host read the field. It is decoded in platform/ now, and its requests of 4 s are shared by the code of the retry budget: an even share of each listed host, what others grant, half a share until a host is settled. All sends count, repeats and resumed streams included. Other targets take the rest; what no target may take is refused at once, less urgent requests first. A limit ends with the latest answer that does not name it. Malformed values are logged, counted and ignored.

Ruled out on the way: rounding shares up before a host is settled (7 of 6 in the simulation of a fleet that is killed at once), and counting the hosts at each request, which took minutes with 450 hosts.

--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -120,7 +120,9 @@
   }
   if (choice.mStatus == ChoiceStatus::Busy) {
     return Fail(FailureCode::Overloaded,
-                "every target of the service is at capacity");
+                choice.mLimited
+                  ? "the limits of the service's targets allow no more requests"
+                  : "every target of the service is at capacity");
   }
   if (choice.mStatus == ChoiceStatus::Undecided) {
     if (!mVerdictDeadline) {
--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -12,19 +12,12 @@
 
 using std::chrono::milliseconds;
 
-// Share of the budget that the hosts divide among themselves. The rest is a
-// margin, as their windows are not aligned and requests may move from one host
-// to another.
-constexpr double kUsableBudgetShare = 0.9;
-
 // Share of this usable part that is available to late retries.
 constexpr double kLateRetryShare = 0.75;
 
-// Parts of its share and of the ratio that a host may use before it is settled.
-// The process before it may have sent more within the window than its requests
-// in that window allow, so both have to fit into what kUsableBudgetShare
-// leaves.
-constexpr double kStartingShare = 0.06;
+// Part of the ratio that a host may use before it is settled. The process
+// before it may have sent more within the window than its requests in that
+// window allow, so this and the starting share have to fit into the margin.
 constexpr double kStartingRatio = 0.85;
 
 // Time in which all hosts hear of a new one, which announces itself every
@@ -35,10 +28,8 @@
 // period of a stop.
 constexpr Duration kLeavingTime = milliseconds(10000);
 
-// Time for which an ask can be answered, and for which the granted retries can
-// be used, both from when it was sent.
+// Time for which an ask can be answered, from when it was sent.
 constexpr Duration kAskLifetime = milliseconds(1000);
-constexpr Duration kCreditLifetime = milliseconds(2000);
 
 // Longest time between two asks for a service. The time doubles up to this one
 // while no host grants anything.
@@ -51,18 +42,15 @@
 // tries again every 50 ms.
 constexpr Duration kRefusalSpan = milliseconds(75);
 
-// Part of its unused retries that a host keeps for itself.
-constexpr double kKeptShare = 0.25;
-
 // Time within which a host must have been heard to be asked.
 constexpr Duration kHeardLifetime = milliseconds(3000);
 
 // Steps in which the windows that a retry will be part of are examined.
 constexpr int kWindowSteps = 40;
 
-// Share of the budget up to which all hosts together send retries. It is larger
-// than kUsableBudgetShare, as it binds only if the windows of the hosts differ.
-constexpr double kFleetBudgetShare = 0.95;
+// Time for which the number of hosts is not counted again unless a host
+// appears.
+constexpr Duration kHostCountInterval = milliseconds(200);
 
 // What is sent within this time is counted together.
 constexpr Duration kCountInterval = milliseconds(200);
@@ -91,11 +79,30 @@
               static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+void
+RetryBudget::SetAllowance(const std::string& aService, double aAllowance)
+{
+  Service& service = mServices[aService];
+  service.mAllowance = aAllowance;
+  // Differs between services, so that not always the same hosts get what cannot
+  // be divided.
+  service.mRounding =
+    static_cast<double>(StableHash(aService, StableHash(mOptions.mHost))) /
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+void
+RetryBudget::Forget(const std::string& aService)
+{
+  mServices.erase(aService);
+}
+
 void
 RetryBudget::SetHosts(const std::set<std::string>& aHosts, Time aNow)
 {
   const Time now = ToBudgetClock(aNow);
   mHostsKnown = true;
+  mHostCountUntil = Time();
   for (auto& it : mMembers) {
     if (it.second.mListed && aHosts.count(it.first) == 0) {
       it.second.mListed = false;
@@ -110,6 +117,9 @@
 void
 RetryBudget::OnHostHeard(const std::string& aHost, Time aNow)
 {
+  if (mMembers.count(aHost) == 0) {
+    mHostCountUntil = Time();
+  }
   Member& member = mMembers[aHost];
   member.mHeardAt = ToBudgetClock(aNow);
   member.mSeenAt = member.mHeardAt;
@@ -162,41 +172,65 @@
   totals = aTotals;
 }
 
-bool
-RetryBudget::TakeRetry(const std::string& aService,
-                       Time aNow,
-                       RetryTiming aTiming)
+RetryDecision
+RetryBudget::Decide(const std::string& aService,
+                    Service& aState,
+                    Time aNow,
+                    RetryTiming aTiming)
 {
-  const Time now = ToBudgetClock(aNow);
-  Service& service = Refresh(aService, now);
   const bool late = aTiming == RetryTiming::Late;
   RetryDecision decision;
   decision.mService = aService;
   decision.mTiming = aTiming;
-  decision.mHosts = CountHosts(now);
-  decision.mShare = Share(now);
-  decision.mFirstAttempts = static_cast<int>(service.mFirstAttempts.size());
-  decision.mAllowed = Allowed(service, now) * (late ? kLateRetryShare : 1.0);
-  decision.mUsed = Used(service);
-  for (const Credit& it : service.mCredits) {
+  decision.mHosts = CountHosts(aNow);
+  decision.mShare = Share(aState, aNow);
+  decision.mFirstAttempts = static_cast<int>(aState.mFirstAttempts.size());
+  decision.mAllowed = Allowed(aState, aNow) * (late ? kLateRetryShare : 1.0);
+  decision.mUsed = Used(aState);
+  for (const Credit& it : aState.mCredits) {
     decision.mCredit += it.mCount;
   }
-  decision.mFleetUsed = FleetUsed(service, now);
-  decision.mFleetAllowed = FleetAllowed(service, now);
-  const bool fleetExhausted = decision.mFleetUsed + 1 > decision.mFleetAllowed;
-  if (fleetExhausted) {
+  decision.mFleetUsed = FleetUsed(aState, aNow);
+  decision.mFleetAllowed = FleetAllowed(aState, aNow);
+  if (decision.mFleetUsed + 1 > decision.mFleetAllowed) {
     decision.mSource = RetrySource::None;
   } else if (decision.mUsed + 1 <= decision.mAllowed) {
     decision.mSource = RetrySource::Own;
-    service.mRetries.push_back(now);
-  } else if (!late && UseCredit(service)) {
+  } else if (!late && decision.mCredit > 0) {
     decision.mSource = RetrySource::Granted;
   }
+  return decision;
+}
+
+bool
+RetryBudget::CanTakeRetry(const std::string& aService,
+                          Time aNow,
+                          RetryTiming aTiming)
+{
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aService, now);
+  return Decide(aService, service, now, aTiming).mSource != RetrySource::None;
+}
+
+bool
+RetryBudget::TakeRetry(const std::string& aService,
+                       Time aNow,
+                       RetryTiming aTiming)
+{
+  const Time now = ToBudgetClock(aNow);
+  Service& service = Refresh(aService, now);
+  RetryDecision decision = Decide(aService, service, now, aTiming);
   const bool taken = decision.mSource != RetrySource::None;
+  if (decision.mSource == RetrySource::Own) {
+    service.mRetries.push_back(now);
+  } else if (taken) {
+    UseCredit(service);
+  }
   if (taken) {
     ++service.mTotals.mRetries;
     AddFleetSends(service, 0, 1, now);
-  } else if (!late && !fleetExhausted) {
+  } else if (aTiming == RetryTiming::OnTime &&
+             decision.mFleetUsed + 1 <= decision.mFleetAllowed) {
     service.mRefused.push_back(now);
   }
   mLastDecision = std::move(decision);
@@ -253,8 +287,9 @@
   }
   answered = aAsk.mId;
   const double spare = Allowed(service, now) - Used(service);
-  const int count = std::min(
-    aAsk.mCount, static_cast<int>(std::floor(spare * (1 - kKeptShare))));
+  const int count =
+    std::min(aAsk.mCount,
+             static_cast<int>(std::floor(spare * (1 - mOptions.mKeptShare))));
   if (count <= 0) {
     return std::nullopt;
   }
@@ -279,7 +314,8 @@
     return;
   }
   service.mAskInterval = kMinAskInterval;
-  service.mCredits.push_back({ ask->mAt + kCreditLifetime, aGrant.mCount });
+  service.mCredits.push_back(
+    { ask->mAt + mOptions.mCreditLifetime, aGrant.mCount });
 }
 
 // Applies the clock of the options. Keeps the times in order even if that clock
@@ -304,7 +340,8 @@
   }
   DropBefore(service.mRetries, aNow - mOptions.mWindow);
   // The other host may use them until its credit expires.
-  DropBefore(service.mGranted, aNow - mOptions.mWindow - kCreditLifetime);
+  DropBefore(service.mGranted,
+             aNow - mOptions.mWindow - mOptions.mCreditLifetime);
   DropBefore(service.mRefused, aNow - kRefusalSpan);
   while (!service.mAsks.empty() &&
          aNow - service.mAsks.front().mAt >= kAskLifetime) {
@@ -324,6 +361,10 @@
 int
 RetryBudget::CountHosts(Time aNow)
 {
+  if (aNow < mHostCountUntil) {
+    return mHostCount;
+  }
+  mHostCountUntil = aNow + kHostCountInterval;
   int count = mMembers.count(mOptions.mHost) == 0 ? 1 : 0;
   for (auto it = mMembers.begin(); it != mMembers.end();) {
     const Member& member = it->second;
@@ -339,7 +380,8 @@
     ++count;
     ++it;
   }
-  return std::max(1, count);
+  mHostCount = std::max(1, count);
+  return mHostCount;
 }
 
 int
@@ -353,13 +395,19 @@
 }
 
 double
-RetryBudget::Share(Time aNow)
+RetryBudget::AllowanceOf(const Service& aService) const
+{
+  return aService.mAllowance.value_or(mOptions.mAllowance);
+}
+
+double
+RetryBudget::Share(const Service& aService, Time aNow)
 {
   if (!mHostsKnown) {
     return 0;
   }
-  const double share = mOptions.mAllowance / CountHosts(aNow);
-  return aNow >= mOptions.mSettledAt ? share : kStartingShare * share;
+  const double share = AllowanceOf(aService) / CountHosts(aNow);
+  return aNow >= mOptions.mSettledAt ? share : mOptions.mStartingShare * share;
 }
 
 void
@@ -408,7 +456,8 @@
       least,
       std::max({ count(end), count(end - window / 2), count(end - window) }));
   }
-  return kFleetBudgetShare * (mOptions.mRatio * least + mOptions.mAllowance);
+  return mOptions.mFleetShare *
+         (mOptions.mRatio * least + AllowanceOf(aService));
 }
 
 // Retries that this host may send or grant within a window.
@@ -416,9 +465,14 @@
 RetryBudget::Allowed(const Service& aService, Time aNow)
 {
   const auto first = static_cast<double>(aService.mFirstAttempts.size());
-  const double part = aNow >= mOptions.mSettledAt ? 1 : kStartingRatio;
-  return kUsableBudgetShare * (mOptions.mRatio * part * first + Share(aNow)) +
-         mRounding;
+  const bool settled = aNow >= mOptions.mSettledAt;
+  const double part = settled ? 1 : kStartingRatio;
+  const double rounding = !aService.mAllowance ? mRounding
+                          : settled            ? aService.mRounding
+                                               : 0;
+  return mOptions.mUsableShare *
+           (mOptions.mRatio * part * first + Share(aService, aNow)) +
+         rounding;
 }
 
 int
@@ -427,16 +481,12 @@
   return static_cast<int>(aService.mRetries.size() + aService.mGranted.size());
 }
 
-bool
-RetryBudget::UseCredit(Service& aService) const
+void
+RetryBudget::UseCredit(Service& aService)
 {
-  if (aService.mCredits.empty()) {
-    return false;
-  }
   if (--aService.mCredits.front().mCount == 0) {
     aService.mCredits.pop_front();
   }
-  return true;
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -114,6 +114,19 @@
     // From when on this host has its whole share of the allowance; see
     // SettledAt().
     Time mSettledAt;
+    // Parts of the budget that the hosts divide among themselves, up to which
+    // all hosts together send, and of its share that a host may use before it
+    // is settled. The defaults leave a margin, as the hosts' windows are not
+    // aligned and requests may move from one host to another.
+    double mUsableShare = 0.9;
+    double mFleetShare = 0.95;
+    double mStartingShare = 0.06;
+    // Part of its unused retries that a host does not grant to others.
+    double mKeptShare = 0.25;
+    // Time for which granted retries can be used, from when they were asked
+    // for. The host that granted them does not use them itself for so much
+    // longer.
+    Duration mCreditLifetime = std::chrono::milliseconds(2000);
     // Distinguishes the asks of this start of the host from earlier ones.
     std::uint64_t mFirstAsk = 0;
     // Maps monotonic time to a clock that also counts the time for which the
@@ -129,6 +142,12 @@
   // Changes the limits. What has been sent already still counts.
   void Configure(const Options& aOptions);
 
+  // Sets an allowance for one service in place of that of the options.
+  void SetAllowance(const std::string& aService, double aAllowance);
+
+  // Forgets a service and what has been sent to it.
+  void Forget(const std::string& aService);
+
   // Replaces the known hosts. One that is no longer among them still counts
   // until it has stopped and its retries have left the window.
   void SetHosts(const std::set<std::string>& aHosts, Time aNow);
@@ -136,6 +155,9 @@
   // Another host was heard, which may not be among the known ones yet.
   void OnHostHeard(const std::string& aHost, Time aNow);
 
+  // Hosts that share the allowance, this one included.
+  int HostCount(Time aNow) { return CountHosts(ToBudgetClock(aNow)); }
+
   // Records the first attempt of a request to a service.
   void OnFirstAttempt(const std::string& aService, Time aNow);
 
@@ -154,6 +176,11 @@
                  Time aNow,
                  RetryTiming aTiming = RetryTiming::OnTime);
 
+  // Whether TakeRetry() would succeed; takes and records nothing.
+  bool CanTakeRetry(const std::string& aService,
+                    Time aNow,
+                    RetryTiming aTiming = RetryTiming::OnTime);
+
   // The last decision of TakeRetry().
   const RetryDecision& LastDecision() const { return mLastDecision; }
 
@@ -225,6 +252,10 @@
     Time mNextAskAt;
     // Last ask that was answered, by host.
     std::map<std::string, std::uint64_t> mAnswered;
+    // Allowance of this service alone, and what is added to it in place of
+    // RetryBudget::mRounding.
+    std::optional<double> mAllowance;
+    double mRounding = 0;
   };
 
   struct Member
@@ -239,7 +270,12 @@
   Service& Refresh(const std::string& aService, Time aNow);
   int CountHosts(Time aNow);
   int CountHeard(Time aNow) const;
-  double Share(Time aNow);
+  double Share(const Service& aService, Time aNow);
+  double AllowanceOf(const Service& aService) const;
+  RetryDecision Decide(const std::string& aService,
+                       Service& aState,
+                       Time aNow,
+                       RetryTiming aTiming);
   double FleetAllowed(const Service& aService, Time aNow) const;
   int FleetUsed(const Service& aService, Time aNow) const;
   static void AddFleetSends(Service& aService,
@@ -248,11 +284,14 @@
                             Time aNow);
   double Allowed(const Service& aService, Time aNow);
   int Used(const Service& aService) const;
-  bool UseCredit(Service& aService) const;
+  static void UseCredit(Service& aService);
 
   Options mOptions;
   std::map<std::string, Service> mServices;
   std::map<std::string, Member> mMembers;
+  // Number of hosts as last counted, and until when it holds.
+  int mHostCount = 1;
+  Time mHostCountUntil;
   // Whether the known hosts were set.
   bool mHostsKnown = false;
   std::uint64_t mAskCount = 0;
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace quetzalquay {
@@ -65,6 +66,9 @@
   std::string mWorkspace;
   // Weight of the workspace in the fair queue.
   int mWeight = 1;
+  // Ranks of the workspace and of the route where not all requests can be
+  // served; 0 is the most urgent. The workspace's goes first.
+  std::pair<int, int> mPriority;
   Time mDeadline;
 };
 
@@ -82,6 +86,8 @@
   std::string mServingVersion;
   // If Busy: estimated wait in the queue; zero if there is no estimate.
   Duration mExpectedWait = Duration::zero();
+  // If Busy: whether limits that targets have named are the reason.
+  bool mLimited = false;
 };
 
 // Chooses the target of each attempt.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -93,6 +93,8 @@
 
 constexpr Duration kInitialTokenGap = milliseconds(30);
 
+const std::vector<std::string> kNoTargets;
+
 void
 UpdateAverage(Duration& aAverage, Duration aSample)
 {
@@ -130,6 +132,7 @@
       target.mAliveAt = aNow;
     }
     if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation) {
+      mLimits.Forget(it.mName);
       if (!target.mIncarnation.empty()) {
         OnDeath(target, DeathEvidence::NewIncarnation, aNow);
       }
@@ -146,8 +149,11 @@
     targets.emplace(it.mName, std::move(target));
   }
   for (auto& it : mTargets) {
-    if (targets.count(it.first) == 0 && !it.second.mLostAttempts.empty() &&
-        !IsLeaving(it.second)) {
+    if (targets.count(it.first) != 0) {
+      continue;
+    }
+    mLimits.Forget(it.first);
+    if (!it.second.mLostAttempts.empty() && !IsLeaving(it.second)) {
       OnDeath(it.second, DeathEvidence::Unregistered, aNow);
     }
   }
@@ -185,6 +191,7 @@
   const bool onTrial = trial != nullptr && !trial->mStartedAt &&
                        trial->mRequestId == aQuery.mRequestId;
   std::vector<Target*> usable;
+  std::vector<std::string> limited;
   bool anyUp = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
@@ -192,10 +199,20 @@
       continue;
     }
     anyUp = true;
-    if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
+    if (!mLimits.CanSend(it, aNow)) {
+      limited.push_back(it);
+    } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
       usable.push_back(&target);
     }
   }
+  if (IsHeldBack(usable, aQuery, aNow)) {
+    for (const Target* it : usable) {
+      limited.push_back(it->mDeclaration.mName);
+    }
+    usable.clear();
+  } else if (usable.empty()) {
+    OnLimited(limited, aQuery, aNow);
+  }
   if (!anyUp) {
     CancelWait(aQuery);
     return choice;
@@ -205,7 +222,7 @@
   const std::string next = mQueues[aQuery.mService].Next();
   const bool isNext = next.empty() || next == aQuery.mRequestId;
   if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
-    return Enqueue(aQuery, aNow);
+    return Enqueue(aQuery, usable.empty() ? limited : kNoTargets, aNow);
   }
   if (verdict == SuspectVerdict::Unclear && !onTrial) {
     return ChooseForTrial(usable, aQuery, aNow);
@@ -225,6 +242,7 @@
   if (mBudget && !aQuery.mIsRetry) {
     mBudget->OnFirstAttempt(aQuery.mService, aNow);
   }
+  mLimits.OnSent(choice.mTarget, aNow);
   mQueues[aQuery.mService].OnServed(aQuery.mWorkspace, aQuery.mWeight);
   mServiceRates[aQuery.mService].OnServed(aNow);
   return choice;
@@ -724,8 +742,12 @@
          EstimateLoad(aTarget, aNow) >= kInFlightPerSlot * declaration.mSlots;
 }
 
+// Lets a request wait for capacity, or for its turn. aLimited are the targets
+// whose limits are the reason.
 Choice
-TargetTable::Enqueue(const ChoiceQuery& aQuery, Time aNow)
+TargetTable::Enqueue(const ChoiceQuery& aQuery,
+                     const std::vector<std::string>& aLimited,
+                     Time aNow)
 {
   FairQueue& queue = mQueues[aQuery.mService];
   WaitingRequest request;
@@ -738,7 +760,9 @@
   choice.mStatus = ChoiceStatus::Busy;
   const auto wait =
     mServiceRates[aQuery.mService].EstimateWait(queue.Size(), aNow);
-  choice.mExpectedWait = wait.value_or(Duration::zero());
+  choice.mExpectedWait = std::max(wait.value_or(Duration::zero()),
+                                  WaitForLimits(aLimited, queue.Size()));
+  choice.mLimited = !aLimited.empty();
   return choice;
 }
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -7,6 +7,7 @@
 #include "core/SuspectRegistry.h"
 #include "core/TargetChooser.h"
 #include "core/TargetDeath.h"
+#include "core/TargetLimits.h"
 #include "core/Time.h"
 
 #include <cstdint>
@@ -336,6 +337,12 @@
   // Sets a callback for each recognized death of a target.
   void SetDeathCallback(std::function<void(const DeathReport&)> aCall);
 
+  // Records that an attempt did not reach its target.
+  void OnAttemptNotReceived(const std::string& aTarget);
+
+  // Limits on the requests that targets take.
+  TargetLimits& Limits() { return mLimits; }
+
   // Requests suspected of crashing targets.
   SuspectRegistry& Suspects() { return mSuspects; }
 
@@ -435,6 +442,12 @@
   static bool IsFull(const Target& aTarget,
                      const ChoiceQuery& aQuery,
                      Time aNow);
+  bool IsHeldBack(const std::vector<Target*>& aUsable,
+                  const ChoiceQuery& aQuery,
+                  Time aNow) const;
+  void OnLimited(const std::vector<std::string>& aTargets,
+                 const ChoiceQuery& aQuery,
+                 Time aNow);
   int CountPendingLosses(const ChoiceQuery& aQuery, Time aNow) const;
   SuspectVerdict JudgeSuspect(const ChoiceQuery& aQuery, Time aNow) const;
   Choice ChooseForTrial(std::vector<Target*>& aUsable,
@@ -447,7 +460,11 @@
                   std::uint64_t aContentHash,
                   AttemptOutcome aOutcome,
                   Time aNow);
-  Choice Enqueue(const ChoiceQuery& aQuery, Time aNow);
+  Choice Enqueue(const ChoiceQuery& aQuery,
+                 const std::vector<std::string>& aLimited,
+                 Time aNow);
+  Duration WaitForLimits(const std::vector<std::string>& aLimited,
+                         std::size_t aQueued) const;
   bool TakeRetry(const ChoiceQuery& aQuery, Time aNow);
   Choice ChooseFrom(std::vector<Target*>& aUsable,
                     const ChoiceQuery& aQuery,
@@ -488,6 +505,10 @@
   std::map<std::string, FairQueue> mQueues;
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
+  TargetLimits mLimits;
+  // When the limits of its targets last kept a service's requests of a priority
+  // from being sent, by service and priority.
+  std::map<std::string, std::map<std::pair<int, int>, Time>> mLimitedAt;
   SuspectRegistry mSuspects;
   std::function<void(const DeathReport&)> mOnDeath;
   // Last load reported by another router.
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -314,7 +314,9 @@
       return std::nullopt;
     }
     call.mWorkspace = owner->mWorkspace;
-    call.mPriority = owner->mPriority;
+    call.mPriority = { owner->mPriority, call.mRoute->mPriority };
+  } else {
+    call.mPriority = { call.mRoute->mPriority, 0 };
   }
   call.mRouting = routing;
   call.mService = ChooseService(*call.mRoute, mServer.mRandom);
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -169,6 +169,9 @@
                      AttemptFailure aFailure,
                      Time aNow)
 {
+  if (aFailure != AttemptFailure::Broken) {
+    aTable.OnAttemptNotReceived(aTarget);
+  }
   switch (aFailure) {
     case AttemptFailure::Refused:
       aTable.OnRefused(aTarget, aNow);
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -16,9 +16,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace quetzalquay {
 
+class LimitWatch;
 class StreamOriginStore;
 
 // State and services shared by all exchanges of a gateway.
@@ -30,6 +32,7 @@
   TargetConnectionPool& mPool;
   Prober& mProber;
   GatewayMetrics& mMetrics;
+  LimitWatch& mLimits;
   // Observed pace of streams, by service.
   std::map<std::string, StreamPace>& mPaces;
 };
@@ -84,7 +87,8 @@
   std::optional<std::uint64_t> mOriginKey;
   int mOriginAttempt = 0;
   std::string mWorkspace;
-  int mPriority = 0;
+  // See ChoiceQuery::mPriority.
+  std::pair<int, int> mPriority;
   Time mArrivedAt;
   // When the caller stops waiting for the response.
   Time mDeadline;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -341,7 +341,9 @@
   for (const auto& it : mHostAddresses) {
     known.insert(it.first);
   }
-  mTargets.Retries()->SetHosts(known, EventLoop::Now());
+  for (RetryBudget* it : { mTargets.Retries(), &mTargets.Limits().Shares() }) {
+    it->SetHosts(known, EventLoop::Now());
+  }
 }
 
 // Adopts a conviction. Other changes of trials matter only to hosts that want
@@ -626,6 +628,12 @@
   options.mFirstAsk = mStartId;
   options.mClock = &AddSuspendedTime;
   mTargets.ConfigureRetryBudget(options);
+  TargetLimits::Options limits;
+  limits.mHost = mSettings.mHost;
+  limits.mStartedAt = mStartedAt;
+  limits.mFirstAsk = mStartId;
+  limits.mClock = &AddSuspendedTime;
+  mTargets.Limits().Configure(limits);
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/LimitWatch.h"
 #include "gateway/LoadBroadcaster.h"
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
@@ -62,13 +63,15 @@
     , mPool(mLoop, mFleet)
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
-    , mContext{ mLoop, mFleet, mOriginStore, mPool, mProber, mMetrics, mPaces }
+    , mLimits(mFleet, mMetrics)
+    , mContext{ mLoop,   mFleet,   mOriginStore, mPool,
+                mProber, mMetrics, mLimits,      mPaces }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
     , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics)
     , mPeers(mLoop, mSettings, mFleet, mStore)
-    , mLoadSender(mLoop, mSettings, mFleet)
+    , mLoadSender(mLoop, mSettings, mFleet, mLimits)
     , mReadinessServer(mLoop,
                        [this](const HttpHead& aHead, const std::string&) {
                          return HandleReadiness(aHead);
@@ -144,6 +147,8 @@
     mMetrics.Set(GatewayGauge::StoreReachable,
                  mStore.UnreachableSince() == Time::max() ? 1 : 0);
     mMetrics.Set(GatewayGauge::Ready, IsReady() ? 1 : 0);
+    mMetrics.Set(GatewayGauge::LimitedTargets,
+                 static_cast<double>(mFleet.Targets().Limits().Count()));
     SuspectRegistry& suspects = mFleet.Targets().Suspects();
     suspects.Expire(EventLoop::Now());
     mMetrics.Set(GatewayGauge::Suspects, static_cast<double>(suspects.Size()));
@@ -273,6 +278,7 @@
   Prober mProber;
   std::map<std::string, StreamPace> mPaces;
   StreamOriginStore mOriginStore;
+  LimitWatch mLimits;
   GatewayContext mContext;
   CallerServer mCallers;
   StoreWatch mStore;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -66,6 +66,8 @@
     "targets" },
   { "quetzal_suspects_convicted_total",
     "Requests that a trial of this host convicted of crashing targets" },
+  { "quetzal_limits_malformed_total",
+    "Answers of targets with a limit that is not a number" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
@@ -78,6 +80,7 @@
   { "quetzal_ready", "1 while the host is ready for new connections" },
   { "quetzal_suspects", "Requests suspected of crashing targets" },
   { "quetzal_retry_hosts", "Hosts that share the retry budget" },
+  { "quetzal_limited_targets", "Targets that name a limit" },
 } };
 
 // In seconds.
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -42,6 +42,7 @@
   OriginsStored,
   SuspectTrials,
   SuspectsConvicted,
+  LimitsMalformed,
   Last,
 };
 
@@ -56,6 +57,7 @@
   Ready,
   Suspects,
   RetryHosts,
+  LimitedTargets,
   Last,
 };
 
--- /dev/null
+++ b/src/quetzalquay/gateway/LimitWatch.cpp
@@ -0,0 +1,76 @@
+#include "gateway/LimitWatch.h"
+
+#include "observe/Log.h"
+
+namespace quetzalquay {
+
+namespace {
+
+// Interval at which malformed limits of one target are logged.
+constexpr Duration kLogInterval = std::chrono::seconds(10);
+
+// Characters of a malformed limit that are logged.
+constexpr std::size_t kMaxLoggedText = 40;
+
+} // namespace
+
+LimitWatch::LimitWatch(Fleet& aFleet, GatewayMetrics& aMetrics)
+  : mFleet(aFleet)
+  , mMetrics(aMetrics)
+{
+}
+
+void
+LimitWatch::OnAnswer(const std::string& aTarget,
+                     const platform::TargetResponse& aResponse)
+{
+  const Time now = EventLoop::Now();
+  if (aResponse.mMisdirected) {
+    return;
+  }
+  if (aResponse.mMalformedLimit.empty()) {
+    Apply({ aTarget, aResponse.mRequestLimit, now }, "answer");
+    return;
+  }
+  mMetrics.Add(GatewayCounter::LimitsMalformed);
+  Time& next = mNextLogAt[aTarget];
+  if (now >= next) {
+    next = now + kLogInterval;
+    Log(LogLevel::Warn,
+        "fleet",
+        "malformed limit of a target ignored",
+        { { "target", aTarget },
+          { "limit", aResponse.mMalformedLimit.substr(0, kMaxLoggedText) } });
+  }
+}
+
+void
+LimitWatch::OnPeerReport(const std::string& aHost, const LimitReport& aReport)
+{
+  if (mFleet.Locate(aReport.mTarget) != nullptr) {
+    Apply(aReport, aHost);
+  }
+}
+
+void
+LimitWatch::Apply(const LimitReport& aReport, const std::string& aSource)
+{
+  if (!mFleet.Targets().Limits().OnReport(aReport)) {
+    return;
+  }
+  const auto age = EventLoop::Now() - aReport.mSaidAt;
+  Log(
+    LogLevel::Info,
+    "fleet",
+    aReport.mRequestsPerSecond ? "target names a limit"
+                               : "target names no limit any more",
+    { { "target", aReport.mTarget },
+      { "per_second",
+        aReport.mRequestsPerSecond ? std::to_string(*aReport.mRequestsPerSecond)
+                                   : std::string() },
+      { "source", aSource },
+      { "age_ms", std::to_string(static_cast<int>(ToMilliseconds(age))) },
+      { "hosts", std::to_string(mFleet.HostAddresses().size()) } });
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -51,6 +51,11 @@
 // start.
 constexpr rapidjson::SizeType kTotalsEntrySize = 3;
 
+// Elements of a "limits" entry: target, requests a second or kNoLimit, and
+// milliseconds since the target said so.
+constexpr rapidjson::SizeType kLimitEntrySize = 3;
+constexpr double kNoLimit = -1;
+
 // Elements of an entry of "asks" and "grants": service, ask and retries.
 constexpr rapidjson::SizeType kRetryEntrySize = 3;
 
@@ -216,9 +221,11 @@
 
 LoadBroadcaster::LoadBroadcaster(EventLoop& aLoop,
                                  const GatewaySettings& aSettings,
-                                 Fleet& aFleet)
+                                 Fleet& aFleet,
+                                 LimitWatch& aLimits)
   : mSettings(aSettings)
   , mFleet(aFleet)
+  , mLimits(aLimits)
   , mSocket(aLoop.Context())
   , mSendTimer(aLoop, [this] { SendMessage(); })
   , mRandom(StableHash(aSettings.mHost))
@@ -292,7 +299,11 @@
   if (load != json.MemberEnd() && load->value.IsArray()) {
     ApplyLoad(host, json, now);
   }
-  ExchangeRetries(host, hasStart ? start->value.GetUint64() : 0, json, now);
+  for (const SharedBudget& it : SharedBudgets()) {
+    ExchangeBudget(
+      it, host, hasStart ? start->value.GetUint64() : 0, json, now);
+  }
+  ApplyLimits(host, json, now);
   ForEachIn(json, "streams", [&](const rapidjson::Value& aValue) {
     if (const auto origin = ParseOrigin(aValue)) {
       mFleet.Origins().OnReported(*origin, OriginSource::Peer, now);
@@ -339,15 +350,66 @@
   });
 }
 
+std::array<LoadBroadcaster::SharedBudget, 2>
+LoadBroadcaster::SharedBudgets()
+{
+  TargetTable& targets = mFleet.Targets();
+  return { { { targets.Retries(), "totals", "asks", "grants" },
+             { &targets.Limits().Shares(),
+               "limit_totals",
+               "limit_asks",
+               "limit_grants" } } };
+}
+
+void
+LoadBroadcaster::ApplyLimits(const std::string& aHost,
+                             const rapidjson::Value& aMessage,
+                             Time aNow)
+{
+  ForEachIn(aMessage, "limits", [&](const rapidjson::Value& aValue) {
+    if (!aValue.IsArray() || aValue.Size() != kLimitEntrySize ||
+        !aValue[0].IsString() || !aValue[1].IsNumber() || !aValue[2].IsInt()) {
+      return;
+    }
+    LimitReport report;
+    report.mTarget = aValue[0].GetString();
+    if (aValue[1].GetDouble() >= 0) {
+      report.mRequestsPerSecond = aValue[1].GetDouble();
+    }
+    report.mSaidAt = aNow - milliseconds(aValue[2].GetInt());
+    mLimits.OnPeerReport(aHost, report);
+  });
+}
+
+void
+LoadBroadcaster::WriteLimits(Writer& aWriter, Time aNow)
+{
+  const auto limits = mFleet.Targets().Limits().Reports(aNow);
+  if (limits.empty()) {
+    return;
+  }
+  aWriter.Key("limits");
+  aWriter.StartArray();
+  for (const LimitReport& it : limits) {
+    aWriter.StartArray();
+    aWriter.String(it.mTarget.c_str());
+    aWriter.Double(it.mRequestsPerSecond.value_or(kNoLimit));
+    aWriter.Int(AgeInMilliseconds(it.mSaidAt, aNow));
+    aWriter.EndArray();
+  }
+  aWriter.EndArray();
+}
+
 void
-LoadBroadcaster::ExchangeRetries(const std::string& aHost,
-                                 std::uint64_t aStart,
-                                 const rapidjson::Value& aMessage,
-                                 Time aNow)
+LoadBroadcaster::ExchangeBudget(const SharedBudget& aBudget,
+                                const std::string& aHost,
+                                std::uint64_t aStart,
+                                const rapidjson::Value& aMessage,
+                                Time aNow)
 {
-  RetryBudget& retries = *mFleet.Targets().Retries();
+  RetryBudget& retries = *aBudget.mBudget;
   retries.OnHostHeard(aHost, aNow);
-  ForEachIn(aMessage, "totals", [&](const rapidjson::Value& aValue) {
+  ForEachIn(aMessage, aBudget.mTotalsName, [&](const rapidjson::Value& aValue) {
     if (aValue.IsArray() && aValue.Size() == kTotalsEntrySize &&
         aValue[0].IsString() && aValue[1].IsInt64() && aValue[2].IsInt64()) {
       retries.OnPeerTotals(
@@ -357,18 +419,20 @@
         aNow);
     }
   });
-  ForEachRetryEntry(
-    aMessage, "grants", [&](const char* aService, auto aAsk, int aCount) {
-      retries.OnGrant(aHost, { aService, aAsk, aCount }, aNow);
-    });
+  ForEachRetryEntry(aMessage,
+                    aBudget.mGrantsName,
+                    [&](const char* aService, auto aAsk, int aCount) {
+                      retries.OnGrant(aHost, { aService, aAsk, aCount }, aNow);
+                    });
   std::vector<RetryGrant> grants;
-  ForEachRetryEntry(
-    aMessage, "asks", [&](const char* aService, auto aAsk, int aCount) {
-      if (const auto grant =
-            retries.Grant(aHost, { aService, aAsk, aCount, 1 }, aNow)) {
-        grants.push_back(*grant);
-      }
-    });
+  ForEachRetryEntry(aMessage,
+                    aBudget.mAsksName,
+                    [&](const char* aService, auto aAsk, int aCount) {
+                      if (const auto grant = retries.Grant(
+                            aHost, { aService, aAsk, aCount, 1 }, aNow)) {
+                        grants.push_back(*grant);
+                      }
+                    });
   if (grants.empty()) {
     return;
   }
@@ -376,7 +440,7 @@
   Writer writer(buf);
   writer.StartObject();
   WriteSender(writer);
-  writer.Key("grants");
+  writer.Key(aBudget.mGrantsName);
   writer.StartArray();
   for (const RetryGrant& it : grants) {
     WriteRetryEntry(writer, it.mService, it.mAsk, it.mCount);
@@ -388,13 +452,13 @@
 
 // Sends an ask to as many random hosts as it is for.
 void
-LoadBroadcaster::SendAsk(const RetryAsk& aAsk)
+LoadBroadcaster::SendAsk(const SharedBudget& aBudget, const RetryAsk& aAsk)
 {
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
   WriteSender(writer);
-  writer.Key("asks");
+  writer.Key(aBudget.mAsksName);
   writer.StartArray();
   WriteRetryEntry(writer, aAsk.mService, aAsk.mId, aAsk.mCount);
   writer.EndArray();
@@ -429,11 +493,14 @@
     mSendTimer.ScheduleAt(
       std::max(now + SuspectRegistry::kNewsInterval, mNextNewsAt));
   }
-  for (const RetryAsk& it : mFleet.Targets().Retries()->TakeAsks(now)) {
-    SendAsk(it);
+  for (const SharedBudget& budget : SharedBudgets()) {
+    for (const RetryAsk& it : budget.mBudget->TakeAsks(now)) {
+      SendAsk(budget, it);
+    }
   }
   SendOrigins(now);
-  const bool hasContent = !loads.empty() || !lost.empty() || !news.empty();
+  const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
+                          !mFleet.Targets().Limits().Reports(now).empty();
   if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
   } else if (!mSentContent) {
@@ -455,16 +522,23 @@
     writer.EndArray();
   }
   writer.EndArray();
-  writer.Key("totals");
-  writer.StartArray();
-  for (const SendTotals& it : mFleet.Targets().Retries()->Totals()) {
+  for (const SharedBudget& budget : SharedBudgets()) {
+    const auto totals = budget.mBudget->Totals();
+    if (totals.empty()) {
+      continue;
+    }
+    writer.Key(budget.mTotalsName);
     writer.StartArray();
-    writer.String(it.mService.c_str());
-    writer.Int64(it.mFirstAttempts);
-    writer.Int64(it.mRetries);
+    for (const SendTotals& it : totals) {
+      writer.StartArray();
+      writer.String(it.mService.c_str());
+      writer.Int64(it.mFirstAttempts);
+      writer.Int64(it.mRetries);
+      writer.EndArray();
+    }
     writer.EndArray();
   }
-  writer.EndArray();
+  WriteLimits(writer, now);
   writer.Key("lost");
   writer.StartArray();
   for (const auto& it : lost) {
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_GATEWAY_LOADBROADCASTER_H_INCLUDED
 
 #include "gateway/Fleet.h"
+#include "gateway/LimitWatch.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -29,7 +30,8 @@
 public:
   LoadBroadcaster(EventLoop& aLoop,
                   const GatewaySettings& aSettings,
-                  Fleet& aFleet);
+                  Fleet& aFleet,
+                  LimitWatch& aLimits);
 
   // Maximum number of hosts that receive one message. With more hosts, each
   // message goes to a random selection.
@@ -44,13 +46,28 @@
   void ApplyLoad(const std::string& aHost,
                  const rapidjson::Value& aMessage,
                  Time aNow);
-  // Takes note of what another host has sent, answers its asks for
-  // retries, and takes what it grants.
-  void ExchangeRetries(const std::string& aHost,
-                       std::uint64_t aStart,
-                       const rapidjson::Value& aMessage,
-                       Time aNow);
-  void SendAsk(const RetryAsk& aAsk);
+  // A budget that the hosts share, and the members of messages about it.
+  struct SharedBudget
+  {
+    RetryBudget* mBudget;
+    const char* mTotalsName;
+    const char* mAsksName;
+    const char* mGrantsName;
+  };
+  std::array<SharedBudget, 2> SharedBudgets();
+  // Takes note of what another host has sent, answers its asks for parts of a
+  // budget, and takes what it grants.
+  void ExchangeBudget(const SharedBudget& aBudget,
+                      const std::string& aHost,
+                      std::uint64_t aStart,
+                      const rapidjson::Value& aMessage,
+                      Time aNow);
+  void SendAsk(const SharedBudget& aBudget, const RetryAsk& aAsk);
+  void ApplyLimits(const std::string& aHost,
+                   const rapidjson::Value& aMessage,
+                   Time aNow);
+  void WriteLimits(rapidjson::Writer<rapidjson::StringBuffer>& aWriter,
+                   Time aNow);
   void SendMessage();
   // Schedules a message at aAt unless an earlier one is scheduled.
   void SendBy(Time aAt);
@@ -71,6 +88,7 @@
 
   GatewaySettings mSettings;
   Fleet& mFleet;
+  LimitWatch& mLimits;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mSender;
   std::array<char, 65536> mBuffer{};
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PlainExchange.h"
 
+#include "gateway/LimitWatch.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
   query.mWorkspace = aCall.mWorkspace;
   query.mContentHash = aCall.mContentHash;
   query.mDeadline = aCall.mDeadline;
+  query.mPriority = aCall.mPriority;
   query.mDueAt = aCall.mArrivedAt + aCall.mRoute->mLatencyObjective;
   return query;
 }
@@ -96,6 +98,7 @@
   mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContentHash, now);
   mConnection = mContext.mPool.Acquire(aTarget);
   if (mConnection == nullptr) {
+    mContext.mFleet.Targets().OnAttemptNotReceived(aTarget);
     EndAttempt(AttemptOutcome::Released);
     PerformStep(mStateMachine.OnResult(PlainResult::NotStarted, now));
     return;
@@ -135,6 +138,7 @@
 PlainExchange::OnResponseHead(const HttpHead& aHead,
                               const platform::TargetResponse& aResponse)
 {
+  mContext.mLimits.OnAnswer(mTarget, aResponse);
   mResponseHead = aHead;
   mResponseInfo = aResponse;
   mHasResponse = true;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/StreamExchange.h"
 
 #include "core/Hash.h"
+#include "gateway/LimitWatch.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -76,6 +77,7 @@
   spec.mQuery.mWorkspace = aCall.mWorkspace;
   spec.mQuery.mContentHash = aCall.mContentHash;
   spec.mQuery.mDeadline = aCall.mDeadline;
+  spec.mQuery.mPriority = aCall.mPriority;
   spec.mQuery.mPromptTokens = aCall.mRequest.mPromptTokens;
   spec.mQuery.mOutputTokens = aCall.mRequest.mOutputTokens;
   return spec;
@@ -212,6 +214,7 @@
   }
   mConnection = mContext.mPool.Acquire(mTarget);
   if (mConnection == nullptr) {
+    mContext.mFleet.Targets().OnAttemptNotReceived(mTarget);
     EndAttempt(AttemptEnd::Unreachable);
     return;
   }
@@ -372,6 +375,7 @@
 StreamExchange::OnResponseHead(const HttpHead& aHead,
                                const platform::TargetResponse& aResponse)
 {
+  mContext.mLimits.OnAnswer(mTarget, aResponse);
   mResponseHead = aHead;
   mResponseInfo = aResponse;
   mResponseIsStream = aHead.mStatus / 100 == 2 && aResponse.mSigned;
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -37,6 +38,10 @@
 // Requests running, requests waiting and slots.
 constexpr char kServerLoad[] = "X-Server-Load";
 
+// Requests a second that the target takes from all hosts together. Despite its
+// name, it does not limit a server but what is sent to it.
+constexpr char kRequestLimit[] = "Server-Limit";
+
 constexpr int kStatusMisdirected = 421;
 
 // Fields that only the gateway may set.
@@ -89,6 +94,19 @@
   return n;
 }
 
+// Parses a decimal number that is not negative.
+std::optional<double>
+ParseRate(const std::string& aText)
+{
+  double rate = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed =
+    std::from_chars(aText.data(), end, rate, std::chars_format::fixed);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == end &&
+                     std::isfinite(rate) && rate >= 0;
+  return valid ? std::make_optional(rate) : std::nullopt;
+}
+
 std::optional<Duration>
 ParseKeepAliveTimeout(const HttpHead& aHead)
 {
@@ -195,6 +213,12 @@
     response.mRunning = load[0];
     response.mWaiting = load[1];
   }
+  if (const std::string* limit = aHead.Find(kRequestLimit)) {
+    response.mRequestLimit = ParseRate(*limit);
+    if (!response.mRequestLimit) {
+      response.mMalformedLimit = limit->empty() ? "empty" : *limit;
+    }
+  }
   response.mKeepAliveTimeout = ParseKeepAliveTimeout(aHead);
   return response;
 }
@@ -202,7 +226,8 @@
 bool
 IsGatewayOnlyField(std::string_view aName)
 {
-  return EqualsIgnoreCase(aName, kServerLoad);
+  return EqualsIgnoreCase(aName, kServerLoad) ||
+         EqualsIgnoreCase(aName, kRequestLimit);
 }
 
 void
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -89,6 +89,10 @@
   // Requests running and waiting at the target, if reported.
   std::optional<int> mRunning;
   std::optional<int> mWaiting;
+  // Requests a second that the target takes from all hosts together, if it
+  // names a limit, and the text of a limit that is not a number.
+  std::optional<double> mRequestLimit;
+  std::string mMalformedLimit;
   // How long the target keeps the connection open while idle, if reported.
   std::optional<Duration> mKeepAliveTimeout;
 };
