--- a/tests/fakes/LocalDeployment.cpp
+++ b/tests/fakes/LocalDeployment.cpp
@@ -7,15 +7,20 @@
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 using namespace quetzalquay;
 
 namespace {
 
-constexpr int kPort = 9000;
-constexpr int kControlPort = 9001;
-constexpr int kPeerPort = 9002;
+// Ports of a deployment. They differ between processes, so that several runs of
+// the tests do not meet.
+constexpr int kFirstPort = 9000;
+constexpr int kPortSets = 300;
+const int kPort = kFirstPort + 3 * static_cast<int>(::getpid() % kPortSets);
+const int kControlPort = kPort + 1;
+const int kPeerPort = kPort + 2;
 
 enum AddressKind
 {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -9,13 +9,22 @@
 passed=0
 failed=0
 known_failures=$(sed -n 's/^test: *//p' KNOWN-RED.txt)
-for binary in build/quetzal-tests-introspective build/quetzal-tests-usage; do
-  log=$(mktemp)
-  "$binary" >"$log" 2>&1
+logs=$(mktemp -d)
+trap 'rm -rf "$logs"' EXIT
+
+# Runs all suites of a kind, a few at a time, and keeps the log of each.
+run_suites() {
+  basename -s .cpp tests/"$1"/*Tests.cpp |
+    xargs -P 3 -I{} sh -c "build/quetzal-tests-$1 {} >'$logs/{}' 2>&1"
+}
+
+run_suites introspective
+run_suites usage
+for log in "$logs"/*; do
   tail -n 1000 "$log" | grep -vE '^(OK, passed|$|- |Using)' | tail -n 120
   summary=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$log" | tail -n 1)
   if [ -z "$summary" ]; then
-    echo "$binary printed no test summary"
+    echo "$(basename "$log") printed no test summary"
     failed=$((failed + 1))
     continue
   fi
@@ -27,7 +36,6 @@
       failed=$((failed + 1))
     fi
   done
-  rm -f "$log"
 done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
