--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -30,11 +31,12 @@
 constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
 
 // Ports below those that the system gives to outgoing connections, which could
-// take a port before its user listens on it. Test processes that run at the
-// same time start at different ports.
+// take a port before its user listens on it. They are divided into blocks that
+// belong to one test process each while it runs.
 constexpr int kFirstPort = 10000;
-constexpr int kPortCount = 22000;
-constexpr int kPortsPerProcess = 200;
+constexpr int kPortsPerBlock = 100;
+constexpr int kPortBlocks = 220;
+constexpr char kPortLockPrefix[] = "/tmp/quetzal-test-ports-";
 
 sockaddr_in
 SocketAddress(const std::string& aIp, int aPort)
@@ -46,6 +48,24 @@
   return at;
 }
 
+// Reserves a block of ports until this process ends, and returns the first one.
+int
+ReservePortBlock()
+{
+  static int next = static_cast<int>(::getpid());
+  for (int n = 0; n < kPortBlocks; ++n) {
+    const int block = next++ % kPortBlocks;
+    const std::string file = kPortLockPrefix + std::to_string(block);
+    // Stays open, as closing it would end the reservation.
+    const int fd = ::open(file.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+    if (fd >= 0 && ::flock(fd, LOCK_EX | LOCK_NB) == 0) {
+      return kFirstPort + block * kPortsPerBlock;
+    }
+    ::close(fd);
+  }
+  throw std::runtime_error("all blocks of ports are in use");
+}
+
 } // namespace
 
 int
@@ -53,9 +73,14 @@
 {
   static std::mutex mutex;
   const std::lock_guard<std::mutex> lock(mutex);
-  static int next = static_cast<int>(::getpid()) * kPortsPerProcess;
-  for (int n = 0; n < kPortCount; ++n) {
-    const int port = kFirstPort + next++ % kPortCount;
+  static int next = 0;
+  static int end = 0;
+  for (int n = 0; n < kPortBlocks * kPortsPerBlock; ++n) {
+    if (next == end) {
+      next = ReservePortBlock();
+      end = next + kPortsPerBlock;
+    }
+    const int port = next++;
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in at = SocketAddress(aIp, port);
     const bool bound =
