--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -51,6 +51,8 @@
   entry.mRunning = true;
   if (changed && mAnnouncedServices.count(aOrigin.mService) != 0) {
     Announce(entry, aNow);
+  } else if (changed && mTellsAll) {
+    Tell(entry, aNow);
   }
 }
 
@@ -204,15 +206,22 @@
   return entry;
 }
 
+// Makes an origin known to the other hosts.
+void
+StreamOrigins::Tell(Entry& aEntry, Time aNow)
+{
+  aEntry.mAnnouncementsLeft = kAnnouncements;
+  mNews.emplace(aNow, aEntry.mOrigin.mKey);
+  mOnNews();
+}
+
 // Makes an origin known to the other hosts and to the store.
 void
 StreamOrigins::Announce(Entry& aEntry, Time aNow)
 {
-  aEntry.mAnnouncementsLeft = kAnnouncements;
   aEntry.mStored = true;
-  mNews.emplace(aNow, aEntry.mOrigin.mKey);
   mStoreChanges[aEntry.mOrigin.mKey] = { aEntry.mOrigin, false };
-  mOnNews();
+  Tell(aEntry, aNow);
   mOnStoreChange();
 }
 
--- a/src/quetzalquay/core/StreamOrigins.h
+++ b/src/quetzalquay/core/StreamOrigins.h
@@ -89,6 +89,10 @@
   // run already, or were broken off, follow.
   void SetAnnouncedServices(std::set<std::string> aServices, Time aNow);
 
+  // Sets whether the streams of all services are told to the other hosts, those
+  // of announced ones included. Only the latter are stored.
+  void SetTellsAll(bool aTellsAll) { mTellsAll = aTellsAll; }
+
   // Replaces the software version of known origins, when the version of a
   // target that was found without an entry becomes known.
   void RenameVersion(const std::string& aService,
@@ -134,6 +138,7 @@
   };
 
   Entry& Touch(const StreamOrigin& aOrigin, Time aNow);
+  void Tell(Entry& aEntry, Time aNow);
   void Announce(Entry& aEntry, Time aNow);
   void DropExpired(Time aNow);
   void Drop(std::uint64_t aKey);
@@ -143,6 +148,8 @@
   // Keys by the time from which they may have expired.
   std::deque<std::pair<Time, std::uint64_t>> mExpiries;
   std::set<std::string> mAnnouncedServices;
+  // Whether the other hosts are told of the streams of all services.
+  bool mTellsAll = false;
   std::multimap<Time, std::uint64_t> mNews;
   std::map<std::uint64_t, StoreChange> mStoreChanges;
   std::function<void()> mOnNews = [] {};
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -44,6 +44,10 @@
                                                     "informed_peer",
                                                     "peer" });
 
+// Number of hosts up to which all streams are told to the other hosts. Their
+// hosts may die in the moment in which a second software version appears.
+constexpr std::size_t kMaxTellingHosts = 17;
+
 // Known target rows above which a removed row is no longer kept for peers that
 // ask for changes.
 constexpr std::size_t kMaxTargetRows = 4000;
@@ -337,6 +341,7 @@
   }
   mHostAddresses = std::move(hosts);
   mReaders.SetHosts(std::move(candidates));
+  mOrigins.SetTellsAll(mHostAddresses.size() <= kMaxTellingHosts);
   std::set<std::string> known;
   for (const auto& it : mHostAddresses) {
     known.insert(it.first);
--- a/tests/introspective/StreamOriginTests.cpp
+++ b/tests/introspective/StreamOriginTests.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST_SUITE(StreamOriginTests);
   CPPUNIT_TEST(TheLatestAttemptDecides);
   CPPUNIT_TEST(OnlyAnnouncedServicesAreMadeKnown);
+  CPPUNIT_TEST(SmallFleetsTellAllStreamsAndStoreNone);
   CPPUNIT_TEST(AnnouncementsAreRepeatedOnce);
   CPPUNIT_TEST(RunningAndBrokenStreamsFollowWhenAServiceIsAnnounced);
   CPPUNIT_TEST(CompleteStreamsLeaveTheStore);
@@ -106,6 +107,20 @@
     CPPUNIT_ASSERT(origins.Find(2, At(60))->mSource == OriginSource::Own);
   }
 
+  // Guards against streams whose hosts die in the moment in which a second
+  // software version appears, before they have told of them.
+  void SmallFleetsTellAllStreamsAndStoreNone()
+  {
+    StreamOrigins origins;
+    origins.SetTellsAll(true);
+    origins.OnDispatched(Origin(1, "v1"), At(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), origins.TakeNews(At(20), 9).size());
+    CPPUNIT_ASSERT(origins.TakeStoreChanges().empty());
+    origins.SetAnnouncedServices({ "pool" }, At(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), origins.TakeNews(At(40), 9).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), origins.TakeStoreChanges().size());
+  }
+
   void AnnouncementsAreRepeatedOnce()
   {
     StreamOrigins origins;
