Count calls that are turned away in the tests of limits, and let a host stay dead

FleetLimitTests had no calls that a target refuses to run, and its killed host came back at once. Also says in RetryBudget that limits use it.

--- a/src/quetzalquay/core/RetryBudget.h
+++ b/src/quetzalquay/core/RetryBudget.h
@@ -96,8 +96,9 @@
 // of the allowance once it is certain that nobody else uses that share. More
 // than that it may use only if another host has granted it, which counts
 // against the budget of that host. The hosts also tell each other what they
-// have sent, and stop when all of them together come close to the limit. Not
-// thread-safe.
+// have sent, and stop when all of them together come close to the limit.
+// TargetLimits shares the limits of targets in the same way, with targets in
+// place of services and all sends in place of retries. Not thread-safe.
 class RetryBudget
 {
 public:
--- a/tests/usage/FleetLimitTests.cpp
+++ b/tests/usage/FleetLimitTests.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
@@ -253,6 +254,7 @@
   CPPUNIT_TEST(LimitsAreKeptOverRestarts);
   CPPUNIT_TEST(LimitsAreKeptWhenAHostJoins);
   CPPUNIT_TEST(RepeatsCountAgainstLimits);
+  CPPUNIT_TEST(CallsThatAreTurnedAwayCountAgainstLimits);
   CPPUNIT_TEST(StreamsTakenUpCountAgainstLimits);
   CPPUNIT_TEST(CallsAreRefusedAtOnceWhenAllTargetsAreLimited);
   CPPUNIT_TEST(UrgentCallsAreServedFirst);
@@ -313,7 +315,10 @@
     Callers callers(*fleet.mCluster, "/plain/", 3, 4);
     fleet.NameLimits();
     std::this_thread::sleep_for(kPlayTime / 3);
-    fleet.mCluster->Gateway(1).Restart();
+    fleet.mCluster->Gateway(1).Signal(SIGKILL);
+    fleet.mCluster->Gateway(1).AwaitExit();
+    std::this_thread::sleep_for(kPlayTime / 3);
+    fleet.mCluster->Gateway(1).Start();
     std::this_thread::sleep_for(kPlayTime / 3);
     fleet.mExcusedFrom = std::chrono::steady_clock::now();
     for (std::size_t n = 0; n < 4; ++n) {
@@ -360,6 +365,20 @@
     fleet.Check(kMinUsed);
   }
 
+  // Guards against calls that do not count because the target has not run them.
+  void CallsThatAreTurnedAwayCountAgainstLimits()
+  {
+    LimitedFleet fleet("calls turned away, 4 hosts",
+                       FleetOf(4),
+                       { { "i-0", 4 }, { "i-1", 4 }, { "i-2", 4 } });
+    fleet.mCluster->SetAllModes(RunnerMode::Reject);
+    Callers callers(*fleet.mCluster, "/plain/", 4, 4);
+    fleet.NameLimits();
+    std::this_thread::sleep_for(kPlayTime);
+    callers.Stop();
+    fleet.Check(kMinUsed);
+  }
+
   // Guards against streams that go on at a limited target without counting.
   void StreamsTakenUpCountAgainstLimits()
   {
