--- a/tests/fakes/FleetPlay.cpp
+++ b/tests/fakes/FleetPlay.cpp
@@ -128,6 +128,10 @@
   for (const auto& it : paths) {
     std::cout << ", " << it.first << ' ' << it.second;
   }
+  std::cout << "; memory in MB";
+  for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+    std::cout << ' ' << aCluster.Gateway(n).PeakMemoryMb();
+  }
   for (const CallerRequest& it : aCounts.mLost) {
     std::cout << "\n  " << Describe(aCluster, it);
   }
@@ -145,7 +149,8 @@
     FleetCase::kFirstEvent, FleetCase::kEventInterval, FleetCase::kPlainAnswer);
   cluster.AwaitConfiguration(cluster.Write(aCase.mConfiguration));
   std::mt19937 random(aSeed);
-  KeptCallers callers(cluster, { aCase.mCallers, aName, aSeed });
+  KeptCallers callers(cluster,
+                      { aCase.mCallers, aName, aSeed, aCase.mOwnBodies });
   callers.SetIdleTimeout(
     milliseconds(aCase.mConfiguration.mLimits.mIdleTimeoutMs));
   FleetSituation situation{ cluster, callers, random, aCase.mConfiguration };
--- a/tests/fakes/FleetPlay.h
+++ b/tests/fakes/FleetPlay.h
@@ -75,6 +75,8 @@
   std::string mName;
   GatewayTestCluster::Options mFleet;
   std::vector<KeptCallers::Kind> mCallers;
+  // Whether each request has a body of its own.
+  bool mOwnBodies = false;
   TestConfiguration mConfiguration;
 };
 
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -175,6 +175,11 @@
       const rlimit descriptors{ limit, limit };
       ::setrlimit(RLIMIT_NOFILE, &descriptors);
     }
+    if (mSettings.mMemoryMb > 0) {
+      const auto limit = static_cast<rlim_t>(mSettings.mMemoryMb) << 20U;
+      const rlimit memory{ limit, limit };
+      ::setrlimit(RLIMIT_DATA, &memory);
+    }
     // The gateway must not outlive an aborted test.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const char* other = std::getenv(kGatewayBinaryVariable);
@@ -229,6 +234,19 @@
   return text.substr(from, text.find('\n', from) - from);
 }
 
+int
+GatewayProcess::PeakMemoryMb() const
+{
+  constexpr char kPeak[] = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(mProcess) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind(kPeak, 0) == 0) {
+      return std::atoi(line.c_str() + sizeof kPeak - 1) / 1024;
+    }
+  }
+  return 0;
+}
+
 void
 GatewayProcess::Signal(int aSignal) const
 {
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -28,6 +28,8 @@
   int mStopGraceS = 8;
   // Descriptors that the process may open, 0 for the limit of the test.
   int mDescriptors = 0;
+  // Data that the process may allocate, in MB, 0 for no limit.
+  int mMemoryMb = 0;
   double mRetryRatio = 0.8;
   int mRetryAllowance = 150;
 };
@@ -92,6 +94,9 @@
 
   bool IsRunning() const { return mProcess > 0; }
 
+  // Largest resident memory of the process so far, in MB; 0 if it has ended.
+  int PeakMemoryMb() const;
+
   // Ends the process by a signal, and starts it again with the same settings
   // when it has exited.
   void Restart(int aSignal = SIGKILL);
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -39,6 +39,10 @@
 // Number of events before the fault of a stream.
 constexpr int kEventsBeforeFault = 10;
 
+// Bytes without end are sent so many at a time, at this interval.
+constexpr std::size_t kEndlessBytes = 1U << 18U;
+constexpr auto kEndlessInterval = milliseconds(5);
+
 // Time for which a crashed runner refuses connections, and the time after a
 // crash until the entry of a runner that does not come back under its name
 // expires.
@@ -181,6 +185,7 @@
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
   void DropAll();
+  void DropIdle();
   void BeginStall(Time aUntil);
   void EndStall();
   bool IsStalled() const { return mStallTimer.IsSet(); }
@@ -240,6 +245,9 @@
 
   void SetStalled(bool aStalled) { mSocket->SetReading(!aStalled); }
 
+  // Whether no request is being received or answered.
+  bool IsIdle() const { return !mReader.HasStarted() && !mEventTimer.IsSet(); }
+
   // Body of the crashing request that the runner is running on this connection;
   // empty if there is none.
   const std::string& CrashingBody() const { return mCrashingBody; }
@@ -255,6 +263,11 @@
   void OnData(std::string_view aData) override
   {
     const RefPtr<RunnerConnection> self(this);
+    if (IsForgotten()) {
+      Drop();
+      return;
+    }
+    mLastUsedAt = EventLoop::Now();
     while (!aData.empty() && mSocket->IsOpen()) {
       aData.remove_prefix(mReader.Feed(aData));
       if (mReader.Progress() == HttpProgress::Body &&
@@ -275,6 +288,14 @@
     }
   }
 
+  // Whether the runner has dropped this connection without notice.
+  bool IsForgotten() const
+  {
+    const milliseconds after(mRunner.mCluster.mForgottenAfterMs);
+    return after > milliseconds::zero() && IsIdle() && mLastUsedAt &&
+           EventLoop::Now() - *mLastUsedAt >= after;
+  }
+
   void OnEnd(SocketEnd) override
   {
     if (mEventTimer.IsSet()) {
@@ -425,6 +446,26 @@
         mDelayedAnswer = whole;
         mEventTimer.ScheduleAt(EventLoop::Now() + kAnswerDelay);
         break;
+      case RunnerMode::Unframed:
+        mEndsWithConnection = true;
+        mDelayedAnswer = "HTTP/1.1 200 OK\r\n" + aHead + "\r\n" + body;
+        mEventTimer.ScheduleAt(EventLoop::Now() +
+                               milliseconds(mRunner.mCluster.mPlainAnswerMs));
+        break;
+      case RunnerMode::UnframedTorn:
+      case RunnerMode::UnframedStreamReset:
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead + "\r\npla");
+        Drop();
+        break;
+      case RunnerMode::EndlessHead:
+        SendEndless("HTTP/1.1 200 OK\r\n" + aHead + "X-Fill: ");
+        break;
+      case RunnerMode::EndlessBody:
+        SendEndless("HTTP/1.1 200 OK\r\n" + aHead + "\r\n");
+        break;
+      case RunnerMode::EndlessTail:
+        SendEndless(whole);
+        break;
       case RunnerMode::Fail503:
         mSocket->Write("HTTP/1.1 503 Error\r\n" + aHead +
                        "Content-Length: 0\r\n\r\n");
@@ -453,9 +494,17 @@
       Drop();
       return;
     }
-    mSocket->Write("HTTP/1.1 200 OK\r\n" + aFields +
-                   "Content-Type: text/event-stream\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\n");
+    if (aMode == RunnerMode::EndlessHead) {
+      SendEndless("HTTP/1.1 200 OK\r\n" + aFields + "X-Fill: ");
+      return;
+    }
+    mEndsWithConnection = aMode == RunnerMode::Unframed ||
+                          aMode == RunnerMode::UnframedTorn ||
+                          aMode == RunnerMode::UnframedStreamReset ||
+                          aMode == RunnerMode::EndlessBody;
+    mSocket->Write(
+      "HTTP/1.1 200 OK\r\n" + aFields + "Content-Type: text/event-stream\r\n" +
+      (mEndsWithConnection ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     mEventTimer.ScheduleAt(EventLoop::Now() +
                            milliseconds(mRunner.mCluster.mFirstEventMs));
   }
@@ -477,8 +526,15 @@
       mEventTimer.ScheduleAt(mRunner.mStalledUntil);
       return;
     }
+    if (mEndless) {
+      SendEndless(std::string());
+      return;
+    }
     if (!mDelayedAnswer.empty()) {
       mSocket->Write(std::exchange(mDelayedAnswer, std::string()));
+      if (mEndsWithConnection) {
+        EndUnframed();
+      }
       return;
     }
     if (mRunner.mMode == RunnerMode::Frozen) {
@@ -492,7 +548,13 @@
     const bool faultDue = mEvent - mStartEvent == kEventsBeforeFault;
     ++mEvent;
     if (mEvent > kEvents) {
-      mSocket->Write("0\r\n\r\n");
+      if (mEndsWithConnection) {
+        EndUnframed();
+      } else if (mMode == RunnerMode::EndlessTail) {
+        SendEndless("0\r\n\r\n");
+      } else {
+        mSocket->Write("0\r\n\r\n");
+      }
       return;
     }
     const bool slow = mMode == RunnerMode::SlowTruncatedStream;
@@ -511,6 +573,19 @@
     if (faultDue && mMode == RunnerMode::SilentStream) {
       return;
     }
+    if (faultDue && mMode == RunnerMode::UnframedTorn) {
+      mSocket->Write(NextEventText().substr(0, 12));
+      EndUnframed();
+      return;
+    }
+    if (faultDue && mMode == RunnerMode::UnframedStreamReset) {
+      Drop();
+      return;
+    }
+    if (faultDue && mMode == RunnerMode::EndlessBody) {
+      SendEndless("data: ");
+      return;
+    }
     if (faultDue && mMode == RunnerMode::PausedStream) {
       mMode = RunnerMode::Serve;
       mRunner.mMode = RunnerMode::Serve;
@@ -523,10 +598,30 @@
     if (faultDue && mMode == RunnerMode::GapInStream) {
       ++mEvent;
     }
-    mSocket->Write(Chunk(NextEventText()));
+    mSocket->Write(mEndsWithConnection ? NextEventText()
+                                       : Chunk(NextEventText()));
     mEventTimer.ScheduleAt(next);
   }
 
+  // Ends an answer by the end of its connection.
+  void EndUnframed()
+  {
+    const RefPtr<RunnerConnection> self(this);
+    mSocket->CloseAfterWrites();
+    mRunner.mConnections.erase(self);
+  }
+
+  // Sends bytes without end after the given ones.
+  void SendEndless(const std::string& aFirst)
+  {
+    mEndless = true;
+    mSocket->Write(aFirst);
+    if (mSocket->UnwrittenBytes() < kEndlessBytes) {
+      mSocket->Write(std::string(kEndlessBytes, 'x'));
+    }
+    mEventTimer.ScheduleAt(EventLoop::Now() + kEndlessInterval);
+  }
+
   std::string NextEventText() const
   {
     return EventText(mEvent, mRunner.mVersion, mStreamBody);
@@ -545,6 +640,12 @@
   int mEvent = 0;
   int mStartEvent = 0;
   std::string mDelayedAnswer;
+  // Whether the answer has neither a length nor chunks.
+  bool mEndsWithConnection = false;
+  // Whether bytes without end are being sent.
+  bool mEndless = false;
+  // When bytes were received last.
+  std::optional<Time> mLastUsedAt;
   // Answers the request that was received while the runner is frozen.
   std::function<void()> mHeldRequest;
   Timer mEventTimer;
@@ -590,6 +691,17 @@
   }
 }
 
+void
+GatewayTestCluster::Runner::DropIdle()
+{
+  const auto connections = mConnections;
+  for (const auto& it : connections) {
+    if (it->IsIdle()) {
+      it->Drop();
+    }
+  }
+}
+
 void
 GatewayTestCluster::Runner::Crash()
 {
@@ -864,6 +976,13 @@
   DoInLoop([&runner] { runner.DropAll(); });
 }
 
+void
+GatewayTestCluster::DropIdle(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] { runner.DropIdle(); });
+}
+
 int
 GatewayTestCluster::ServingCount(const std::string& aVersion)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -69,6 +69,22 @@
   Fail,
   // Answers 503 with X-Server-Seal but without X-Not-Executed.
   Fail503,
+  // Sends sound answers and streams with neither a length nor chunks, which end
+  // with their connection.
+  Unframed,
+  // The same, but closes the connection inside an event; plain answers are
+  // reset.
+  UnframedTorn,
+  // The same, but resets the connection between two events; plain answers are
+  // reset.
+  UnframedStreamReset,
+  // Sends a head that never ends instead of an answer.
+  EndlessHead,
+  // Sends a body that never ends: of a plain answer without a length, of a
+  // stream after some events.
+  EndlessBody,
+  // Sends bytes without end after a whole answer.
+  EndlessTail,
 };
 
 // How a crashed runner comes back at its address.
@@ -231,6 +247,16 @@
   // Resets the connections of a runner, which continues to serve.
   void ResetRunner(const std::string& aRunner);
 
+  // Resets the connections of a runner on which no request is in progress.
+  void DropIdle(const std::string& aRunner);
+
+  // Lets runners forget connections that have been idle for so long; the next
+  // request on one is answered by a reset. Zero for never.
+  void SetForgottenAfter(std::chrono::milliseconds aTime)
+  {
+    mForgottenAfterMs = static_cast<int>(aTime.count());
+  }
+
   // Number of runners of a software version, of any if it is empty, that have
   // served new requests for kSettledAfter at least.
   int ServingCount(const std::string& aVersion);
@@ -429,6 +455,7 @@
   std::atomic<int> mCrashDelayMs{ 0 };
   std::vector<RunnerCrash> mCrashes;
   std::atomic<std::size_t> mLargeAnswerBytes{ kLargeAnswerBytes };
+  std::atomic<int> mForgottenAfterMs{ 0 };
   std::vector<std::unique_ptr<DatagramRelay>> mRelays;
   std::atomic<int> mDatagramLoss{ 0 };
   std::mt19937 mRandom{ 1 };
--- a/tests/fakes/KeptCallers.cpp
+++ b/tests/fakes/KeptCallers.cpp
@@ -100,8 +100,9 @@
   void Run()
   {
     while (!mCallers.mStopped) {
-      Pause(milliseconds(mRandom() %
-                         static_cast<unsigned>(mKind.mMaxPause.count() + 1)));
+      const auto range = mKind.mMaxPause - mKind.mMinPause;
+      Pause(mKind.mMinPause +
+            milliseconds(mRandom() % static_cast<unsigned>(range.count() + 1)));
       while (mCallers.mResting && !mCallers.mStopped) {
         Pause(kRestStep);
       }
@@ -152,14 +153,17 @@
       mCallers.mOptions.mName + "-" + std::to_string(mCallers.mNext++);
     request.mPath = mKind.mPath;
     const auto deadline = mKind.mDeadline;
+    const std::string body =
+      (mCallers.mOptions.mOwnBodies ? "b" + request.mId : std::string()) +
+      std::string(mCallers.mBodyBytes, 'b');
     const bool sent =
-      Connect() && WriteAll(mSocket,
-                            GatewayTestCluster::Request(
-                              mKind.mPath,
-                              request.mId,
-                              "",
-                              std::string(mCallers.mBodyBytes, 'b'),
-                              static_cast<int>(deadline.count())));
+      Connect() &&
+      WriteAll(mSocket,
+               GatewayTestCluster::Request(mKind.mPath,
+                                           request.mId,
+                                           "",
+                                           body,
+                                           static_cast<int>(deadline.count())));
     request.mHost = mHost;
     request.mEarlierRequests = mRequestCount++;
     request.mSentAt = EventLoop::Now();
--- a/tests/fakes/KeptCallers.h
+++ b/tests/fakes/KeptCallers.h
@@ -67,6 +67,8 @@
     std::chrono::milliseconds mReadPause{ 0 };
     // Time for which a caller waits for an answer.
     std::chrono::milliseconds mDeadline{ 8000 };
+    // Shortest pause between two requests of a caller.
+    std::chrono::milliseconds mMinPause{ 0 };
   };
 
   struct Options
@@ -75,6 +77,9 @@
     // Beginning of the IDs of the requests.
     std::string mName;
     unsigned mSeed = 1;
+    // Whether each request has a body of its own, so that none is suspected of
+    // crashes for others.
+    bool mOwnBodies = false;
   };
 
   KeptCallers(const GatewayTestCluster& aCluster, Options aOptions);
