LOST: bound the memory of answers that targets send without end

Cause: a target that sends a body without end. A plain answer was held up to 64 MB, for each request and once more for each retry, and an event of a stream without its end as well. All three hosts ended with std::bad_alloc; without a limit they grew to 525, 187 and 368 MB. Nothing about the requests is logged, as the process is gone: their last lines are "request sent" or none.

Now the bytes held of all answers are counted. An answer may hold as much as is left unused of a quarter of the process's memory (4 to 256 MB), and an event of a stream at most 1 MB; an attempt beyond that fails as a broken one, with a line of its own. The memory is taken from the resource limits, the control group and the machine.

--- /dev/null
+++ b/src/quetzalquay/gateway/AnswerBuffers.h
@@ -0,0 +1,65 @@
+#ifndef QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
+#define QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
+
+#include <cstddef>
+
+namespace quetzalquay {
+
+// Bytes that may be held of answers that are being received, all requests
+// together, given the memory that the process may use; SIZE_MAX stands for an
+// unknown one.
+std::size_t
+AnswerBufferLimit(std::size_t aMemory);
+
+// Memory that the process may use, by its resource limits, its control group
+// and the machine.
+std::size_t
+UsableMemory();
+
+// Shares the memory for answers that are being received among all requests. An
+// answer may hold as much as is left unused, so that one without end is given
+// up before it takes the memory of the others.
+class AnswerBuffers
+{
+public:
+  explicit AnswerBuffers(std::size_t aLimit)
+    : mLimit(aLimit)
+  {
+  }
+
+  // Bytes that an answer may hold in any case.
+  static constexpr std::size_t kAlwaysAllowed = 65536;
+
+  std::size_t Limit() const { return mLimit; }
+  std::size_t Total() const { return mTotal; }
+
+private:
+  friend class AnswerBuffer;
+
+  std::size_t mLimit;
+  std::size_t mTotal = 0;
+};
+
+// The part of AnswerBuffers that one answer holds.
+class AnswerBuffer
+{
+public:
+  explicit AnswerBuffer(AnswerBuffers& aBuffers)
+    : mBuffers(aBuffers)
+  {
+  }
+  ~AnswerBuffer() { Resize(0); }
+  AnswerBuffer(const AnswerBuffer&) = delete;
+  AnswerBuffer& operator=(const AnswerBuffer&) = delete;
+
+  // Sets how many bytes the answer holds. Returns whether it may hold them.
+  bool Resize(std::size_t aSize);
+
+private:
+  AnswerBuffers& mBuffers;
+  std::size_t mSize = 0;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -122,6 +122,19 @@
         { "max_tries", std::to_string(mCall.mRoute->mMaxAttempts) } });
 }
 
+void
+Exchange::LogOversizedAnswer(std::size_t aBytes) const
+{
+  Log(LogLevel::Warn,
+      "request",
+      "gave up an answer that holds too much memory",
+      { { "request", mCall.mRequest.mRequestId },
+        { "target", mLastTarget },
+        { "bytes", std::to_string(aBytes) },
+        { "all_answers", std::to_string(mContext.mAnswerBuffers.Total()) },
+        { "limit", std::to_string(mContext.mAnswerBuffers.Limit()) } });
+}
+
 int
 ToHttpStatus(const Failure& aFailure)
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -5,6 +5,7 @@
 #include "core/RefCounted.h"
 #include "core/RoutingTable.h"
 #include "core/StreamPace.h"
+#include "gateway/AnswerBuffers.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/Prober.h"
@@ -33,6 +34,7 @@
   Prober& mProber;
   GatewayMetrics& mMetrics;
   LimitWatch& mLimits;
+  AnswerBuffers& mAnswerBuffers;
   // Observed pace of streams, by service.
   std::map<std::string, StreamPace>& mPaces;
 };
@@ -128,6 +130,9 @@
 
   // Logs and counts that the request waits for its silent target.
   void LogSilentTargetKept() const;
+  // Logs that an attempt is given up because of the bytes that its answer
+  // holds.
+  void LogOversizedAnswer(std::size_t aBytes) const;
 
   // Logs the end of the request in one line and counts it in the metrics.
   // aReason is the message of a failure.
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -64,8 +64,9 @@
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
     , mLimits(mFleet, mMetrics)
-    , mContext{ mLoop,   mFleet,   mOriginStore, mPool,
-                mProber, mMetrics, mLimits,      mPaces }
+    , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
+    , mContext{ mLoop,    mFleet,  mOriginStore,   mPool, mProber,
+                mMetrics, mLimits, mAnswerBuffers, mPaces }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
@@ -110,6 +111,7 @@
         "started",
         { { "host", mSettings.mHost },
           { "place", mSettings.mPlace },
+          { "answer_bytes", std::to_string(mAnswerBuffers.Limit()) },
           { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
           { "store", FormatEndpoint(mSettings.mStoreEndpoint) } });
     mLoop.Run();
@@ -279,6 +281,7 @@
   std::map<std::string, StreamPace> mPaces;
   StreamOriginStore mOriginStore;
   LimitWatch mLimits;
+  AnswerBuffers mAnswerBuffers;
   GatewayContext mContext;
   CallerServer mCallers;
   StoreWatch mStore;
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -40,6 +40,7 @@
                   mCall.mDeadline,
                   aContext.mFleet.Targets(),
                   mCall.mRoute->mMaxAttempts)
+  , mBuffer(aContext.mAnswerBuffers)
   , mTimer(aContext.mLoop, [this] { OnTimer(); })
 {
 }
@@ -94,7 +95,7 @@
   }
   mHasResponse = false;
   mWaitsForSilentTarget = false;
-  mResponseBody.clear();
+  DiscardResponse();
   mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContentHash, now);
   mConnection = mContext.mPool.Acquire(aTarget);
   if (mConnection == nullptr) {
@@ -147,9 +148,26 @@
 void
 PlainExchange::OnResponseBody(std::string aBody)
 {
+  const std::size_t size = mResponseBody.size() + aBody.size();
+  if (!mBuffer.Resize(size)) {
+    const RefPtr<Exchange> self(this);
+    LogOversizedAnswer(size);
+    DiscardResponse();
+    mConnection->Abort();
+    OnAttemptFailed(AttemptFailure::Broken);
+    return;
+  }
   mResponseBody += aBody;
 }
 
+// Frees the memory of the response received so far.
+void
+PlainExchange::DiscardResponse()
+{
+  std::string().swap(mResponseBody);
+  mBuffer.Resize(0);
+}
+
 void
 PlainExchange::OnResponseComplete()
 {
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -42,6 +42,7 @@
   void HandleSilence(Time aNow);
   void LogRetry(Time aNow) const;
   void Finish();
+  void DiscardResponse();
   bool IsIdempotent() const;
 
   PlainCall mStateMachine;
@@ -51,6 +52,7 @@
   HttpHead mResponseHead;
   platform::TargetResponse mResponseInfo;
   std::string mResponseBody;
+  AnswerBuffer mBuffer;
   bool mHasResponse = false;
   bool mDone = false;
   bool mWaitsForSilentTarget = false;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -36,6 +36,10 @@
 // beyond the received ones shows that the stream was lost on the way.
 constexpr int kMaxEventsInTransit = 6;
 
+// Longest event of a stream. Each part of it that arrives is searched for its
+// end from the start.
+constexpr std::size_t kMaxEventBytes = 1U << 20U;
+
 // Share of the route's objective within which a request must have been assigned
 // to a target.
 constexpr double kStartByShare = 0.7;
@@ -96,6 +100,7 @@
              UpdateChoiceInputs(now);
              PerformActions(mStateMachine.OnTimer(now));
            })
+  , mBuffer(aContext.mAnswerBuffers)
   , mCopy(aContext, mCall)
   , mLastEventId(mCall.mRequest.mLastEventId)
 {
@@ -187,7 +192,8 @@
   mLastTarget = mTarget;
   ++mAttempts;
   mResponseHead = HttpHead();
-  mResponseBody.clear();
+  std::string().swap(mResponseBody);
+  mBuffer.Resize(0);
   mResponseIsStream = false;
   mAttemptOpen = true;
   mAttemptSentAt = now;
@@ -397,12 +403,33 @@
 StreamExchange::OnResponseBody(std::string aBody)
 {
   const RefPtr<Exchange> self(this);
-  if (!mResponseIsStream) {
+  const int attempt = mAttempt;
+  if (mResponseIsStream) {
+    mEventParser.Feed(aBody);
+    ProcessEvents();
+  } else {
     mResponseBody += aBody;
-    return;
   }
-  mEventParser.Feed(aBody);
-  ProcessEvents();
+  if (mAttemptOpen && attempt == mAttempt && !CanBuffer()) {
+    std::string().swap(mResponseBody);
+    mEventParser.Clear();
+    mBuffer.Resize(0);
+    mConnection->Abort();
+    OnAttemptFailed(AttemptFailure::Broken);
+  }
+}
+
+// Whether the bytes that are held of the current attempt's answer may be held.
+bool
+StreamExchange::CanBuffer()
+{
+  const std::size_t size = mResponseBody.size() + mEventParser.BufferedBytes();
+  const bool allowed =
+    mBuffer.Resize(size) && mEventParser.BufferedBytes() <= kMaxEventBytes;
+  if (!allowed) {
+    LogOversizedAnswer(size);
+  }
+  return allowed;
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -53,6 +53,7 @@
   void UpdateChoiceInputs(Time aNow);
   void LogDispatch(const std::string& aCopyHolder, bool aFromCopy, Time aNow);
   void Flush();
+  bool CanBuffer();
   void SendHead();
   void ForwardErrorResponse();
   void RecordPace(Time aNow);
@@ -82,6 +83,7 @@
   // Whether the target table still counts the attempt as running.
   bool mAttemptOpen = false;
   EventCutter mEventParser;
+  AnswerBuffer mBuffer;
   // Index of the next event, counted from the start of the generation.
   int mNextEventIndex = 0;
 
--- a/src/quetzalquay/http/EventCutter.cpp
+++ b/src/quetzalquay/http/EventCutter.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// A buffer larger than this is not kept for the next events.
+constexpr std::size_t kMaxKeptBytes = 65536;
+
 // Returns the offset after the line feed of the line that starts at aFrom, or
 // npos when the line is incomplete. Sets aText to the line without its ending.
 std::size_t
@@ -52,7 +55,11 @@
 void
 EventCutter::Clear()
 {
-  mBuffer.clear();
+  if (mBuffer.capacity() > kMaxKeptBytes) {
+    std::string().swap(mBuffer);
+  } else {
+    mBuffer.clear();
+  }
   mOffset = 0;
 }
 
--- a/src/quetzalquay/http/EventCutter.h
+++ b/src/quetzalquay/http/EventCutter.h
@@ -30,6 +30,9 @@
   // Whether bytes of an incomplete event are buffered.
   bool HasPartialEvent() const { return mOffset < mBuffer.size(); }
 
+  // Bytes of events that have not been returned.
+  std::size_t BufferedBytes() const { return mBuffer.size() - mOffset; }
+
   // Discards all buffered bytes.
   void Clear();
 
