LOST: test requests sent while the idle timeout is shortened, failing

A caller keeps a connection under an idle timeout of 15 s; a change makes it 1 s. 1.2 s after its last answer, within the time in which a change comes into force, the caller sends its next request: it gets neither an answer nor a refusal (CallerConnectionTests::RequestsAreServedWhileTheIdleTimeIsShortened).

--- a/src/quetzalquay/gateway/AnswerBuffers.cpp
+++ b/src/quetzalquay/gateway/AnswerBuffers.cpp
@@ -25,11 +25,10 @@
 };
 
 std::size_t
-ResourceLimit(int aResource)
+ResourceLimit(decltype(RLIMIT_DATA) aResource)
 {
   rlimit limit{};
-  return ::getrlimit(static_cast<__rlimit_resource>(aResource), &limit) == 0 &&
-             limit.rlim_cur != RLIM_INFINITY
+  return ::getrlimit(aResource, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY
            ? static_cast<std::size_t>(limit.rlim_cur)
            : SIZE_MAX;
 }
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -19,6 +20,8 @@
   CPPUNIT_TEST(ConnectionsTurnedAwayAreCounted);
   CPPUNIT_TEST(OpenConnectionsTakeLargerRequestsAfterAChange);
   CPPUNIT_TEST(OpenConnectionsStayIdleForLongerAfterAChange);
+  CPPUNIT_TEST(RequestsAreServedWhileTheIdleTimeIsShortened);
+  CPPUNIT_TEST(ConnectionsCloseAfterAShorterIdleTime);
   CPPUNIT_TEST(LimitsAreUnknownBeforeTheFirstConfiguration);
   CPPUNIT_TEST(ReceivedRequestsAreServedAfterTheIdleTime);
   CPPUNIT_TEST(ReceivedHeadsAreServedAfterTheHeadTimeout);
@@ -108,6 +111,42 @@
     CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
   }
 
+  // Guards against a connection that closes under the request of a caller that
+  // cannot know yet of a shorter idle time: the request gets neither an answer
+  // nor a refusal.
+  void RequestsAreServedWhileTheIdleTimeIsShortened()
+  {
+    GatewayTestCluster cluster;
+    TestLimits limits;
+    limits.mIdleTimeoutMs = 1000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    CallerChannel channel(cluster.Gateway());
+    channel.Send(GatewayTestCluster::Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+    std::this_thread::sleep_for(milliseconds(1200));
+    channel.Send(GatewayTestCluster::Request("/plain/", "b"));
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+  }
+
+  // Guards against a shorter idle time that never comes into force, also when
+  // further changes follow at once.
+  void ConnectionsCloseAfterAShorterIdleTime()
+  {
+    GatewayTestCluster cluster;
+    TestLimits limits;
+    limits.mIdleTimeoutMs = 1000;
+    cluster.SetCallerLimits(limits);
+    for (int n = 0; n < 10; ++n) {
+      cluster.Configure("key");
+      std::this_thread::sleep_for(milliseconds(250));
+    }
+    CallerChannel channel(cluster.Gateway());
+    channel.Send(GatewayTestCluster::Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
+    CPPUNIT_ASSERT(channel.AwaitEnd(milliseconds(1500)) == ChannelEnd::Closed);
+  }
+
   // Guards against 413 and 431 by a host that knows no limits yet.
   void LimitsAreUnknownBeforeTheFirstConfiguration()
   {
