--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -248,9 +248,10 @@
   // Whether no request is being received or answered.
   bool IsIdle() const { return !mReader.HasStarted() && !mEventTimer.IsSet(); }
 
-  // Body of the crashing request that the runner is running on this connection;
+  // Body or part of the crashing request that the runner is running on this
+  // connection;
   // empty if there is none.
-  const std::string& CrashingBody() const { return mCrashingBody; }
+  const std::string& Crashing() const { return mCrashing; }
 
   void Drop()
   {
@@ -350,8 +351,14 @@
     }
     mRunner.mCluster.mRuns.push_back(request);
     mRequestId = id == nullptr ? std::string() : *id;
-    if (aBody.rfind(kCrashingBody, 0) == 0) {
-      mCrashingBody = aBody;
+    const std::string* prompt = aHead.Find("X-Prompt-Prefix");
+    const std::string part =
+      prompt == nullptr ? std::string() : CrashingPartOf(*prompt);
+    mCrashing = aBody.rfind(kCrashingBody, 0) == 0 ? aBody : part;
+    const bool writesFirst = !part.empty() &&
+                             aHead.mTarget.rfind("/stream", 0) == 0 &&
+                             mRunner.mCluster.mEventsBeforeCrash > 0;
+    if (!mCrashing.empty() && !writesFirst) {
       const milliseconds delay(mRunner.mCluster.mCrashDelayMs);
       if (delay == milliseconds::zero()) {
         CrashRunner();
@@ -518,7 +525,8 @@
   void SendNextEvent()
   {
     const RefPtr<RunnerConnection> self(this);
-    if (!mCrashingBody.empty()) {
+    if (!mCrashing.empty() &&
+        mEvent - mStartEvent >= mRunner.mCluster.mEventsBeforeCrash) {
       CrashRunner();
       return;
     }
@@ -635,7 +643,7 @@
   std::string mRequestId;
   // Body of the request of the stream.
   std::string mStreamBody;
-  std::string mCrashingBody;
+  std::string mCrashing;
   bool mPaced = false;
   int mEvent = 0;
   int mStartEvent = 0;
@@ -711,8 +719,8 @@
   const Time now = EventLoop::Now();
   std::set<std::string> bodies;
   for (const auto& it : mConnections) {
-    if (!it->CrashingBody().empty()) {
-      bodies.insert(it->CrashingBody());
+    if (!it->Crashing().empty()) {
+      bodies.insert(it->Crashing());
     }
   }
   for (const std::string& it : bodies) {
@@ -1337,6 +1345,21 @@
          "\r\n\r\n" + aBody;
 }
 
+std::string
+GatewayTestCluster::CrashingPartOf(const std::string& aPrompt)
+{
+  const auto last = aPrompt.rfind(',');
+  for (std::size_t at = 0; last != std::string::npos && at < last;) {
+    const auto end = aPrompt.find(',', at);
+    const std::string part = aPrompt.substr(at, aPrompt.find(':', at) - at);
+    if (part.rfind(kCrashingPart, 0) == 0) {
+      return part;
+    }
+    at = end + 1;
+  }
+  return std::string();
+}
+
 CallerAnswer
 GatewayTestCluster::Call(const std::string& aBytes) const
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -200,16 +200,28 @@
   // drops its connections, refuses new ones for a while and comes back.
   static constexpr char kCrashingBody[] = "crash";
 
+  // A part of a prompt whose ID begins so crashes each runner that begins to
+  // write an answer on it, unless it is the last one of its prompt.
+  static constexpr char kCrashingPart[] = "dead";
+
   // Sets how long a crashing request runs before its runner crashes.
   void SetCrashDelay(std::chrono::milliseconds aDelay)
   {
     mCrashDelayMs = static_cast<int>(aDelay.count());
   }
 
+  // Sets the events that a runner writes on a crashing part before it crashes.
+  void SetEventsBeforeCrash(int aCount) { mEventsBeforeCrash = aCount; }
+
+  // The ID of the crashing part in a prompt's list of parts; empty if there is
+  // none.
+  static std::string CrashingPartOf(const std::string& aPrompt);
+
   // The end of a runner that was running a crashing request.
   struct RunnerCrash
   {
-    // Body of the crashing request; a crash is listed once for each.
+    // Body of the crashing request, or the ID of its crashing part; a crash is
+    // listed once for each.
     std::string mBody;
     quetzalquay::Time mAt;
   };
@@ -453,6 +465,7 @@
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
   std::atomic<int> mCrashCount{ 0 };
   std::atomic<int> mCrashDelayMs{ 0 };
+  std::atomic<int> mEventsBeforeCrash{ 0 };
   std::vector<RunnerCrash> mCrashes;
   std::atomic<std::size_t> mLargeAnswerBytes{ kLargeAnswerBytes };
   std::atomic<int> mForgottenAfterMs{ 0 };
--- a/tests/fakes/OtherTraffic.h
+++ b/tests/fakes/OtherTraffic.h
@@ -4,6 +4,7 @@
 #include "GatewayTestCluster.h"
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,12 +15,16 @@
 class OtherTraffic
 {
 public:
+  // Header fields of the request with an ID.
+  using Fields = std::function<std::string(const std::string&)>;
+
   // Starts aThreads threads for each gateway of the cluster, which take turns
   // on aRoutes.
   explicit OtherTraffic(const GatewayTestCluster& aCluster,
                         std::vector<std::string> aRoutes = { "/plain/",
                                                              "/stream/" },
-                        int aThreads = 1);
+                        int aThreads = 1,
+                        Fields aFields = nullptr);
   ~OtherTraffic() { Stop(); }
   OtherTraffic(const OtherTraffic&) = delete;
   OtherTraffic& operator=(const OtherTraffic&) = delete;
@@ -30,15 +35,23 @@
   int ServedCount() const { return mServed; }
   int BlamedCount() const { return mBlamed; }
 
+  // Requests that were sent, and those of them that were served at the first
+  // attempt.
+  int SentCount() const { return mSent; }
+  int ServedAtOnceCount() const { return mServedAtOnce; }
+
 private:
   void Run(std::size_t aGateway,
            int aThread,
            const GatewayTestCluster& aCluster);
 
   std::vector<std::string> mRoutes;
+  Fields mFields;
   std::atomic<bool> mStopped{ false };
   std::atomic<int> mServed{ 0 };
   std::atomic<int> mBlamed{ 0 };
+  std::atomic<int> mSent{ 0 };
+  std::atomic<int> mServedAtOnce{ 0 };
   std::vector<std::thread> mThreads;
 };
 
