--- /dev/null
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -0,0 +1,384 @@
+#include "core/LossLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalquay {
+
+namespace {
+
+// Time for which a cleared suspect is remembered, so that older reports of its
+// losses are recognized as such.
+constexpr Duration kClearedLifetime = std::chrono::seconds(10);
+
+// Maximum number of lost runs in a record.
+constexpr std::size_t kMaxRuns = 8;
+
+// Age from which the record of a single loss makes room for a new one.
+constexpr Duration kSingleLossLifetime = std::chrono::seconds(10);
+
+// Maximum number of records that a new host is told at once.
+constexpr std::size_t kMaxReports = 64;
+
+// Number of times that a change is told to other hosts, and the time between.
+constexpr int kNewsRepeats = 4;
+constexpr Duration kNewsRepeatDelay = std::chrono::milliseconds(500);
+
+// Number of recent deaths that are remembered to recognize common failures.
+constexpr std::size_t kMaxDeaths = 2000;
+
+const std::vector<LostRun> kNoRuns;
+const std::vector<std::uint64_t> kNoSuspects;
+
+bool
+HasRun(const std::vector<LostRun>& aRuns, std::uint64_t aDeath)
+{
+  return std::any_of(aRuns.begin(), aRuns.end(), [&](const LostRun& aRun) {
+    return aRun.mDeath.mId == aDeath;
+  });
+}
+
+} // namespace
+
+void
+LossLedger::OnTargetDeath(const TargetDeath& aDeath)
+{
+  const auto known = std::find_if(
+    mDeaths.begin(), mDeaths.end(), [&](const TargetDeath& aKnown) {
+      return aKnown.mId == aDeath.mId;
+    });
+  if (known != mDeaths.end()) {
+    known->mAt = std::min(known->mAt, aDeath.mAt);
+    return;
+  }
+  mDeaths.push_back(aDeath);
+  if (mDeaths.size() > kMaxDeaths) {
+    mDeaths.pop_front();
+  }
+}
+
+void
+LossLedger::AddOwnRun(std::uint64_t aSuspect,
+                      const LostRun& aRun,
+                      bool aTell,
+                      Time aNow)
+{
+  Record* record = Obtain(aSuspect, aNow);
+  if (record == nullptr || !AddRun(aSuspect, *record, aRun, aNow)) {
+    return;
+  }
+  record->mExpiresAt = aNow + kRecordLifetime;
+  record->mOwn.insert(aRun.mDeath.mId);
+  if (aTell) {
+    Tell(aSuspect, *record, kNewsRepeats, aNow);
+    StoreRuns(aSuspect, *record, false);
+  }
+}
+
+void
+LossLedger::StoreRuns(std::uint64_t aSuspect, Record& aRecord, bool aOwnOnly)
+{
+  if (aRecord.mRuns.size() < mStoreThreshold) {
+    return;
+  }
+  for (const LostRun& it : aRecord.mRuns) {
+    const std::uint64_t death = it.mDeath.mId;
+    if ((!aOwnOnly || aRecord.mOwn.count(death) != 0) &&
+        aRecord.mStored.insert(death).second) {
+      mStoreChanges.push_back({ aSuspect, it, false });
+    }
+  }
+  NotifyStore();
+}
+
+void
+LossLedger::NotifyStore() const
+{
+  if (mOnStoreChange && !mStoreChanges.empty()) {
+    mOnStoreChange();
+  }
+}
+
+void
+LossLedger::SetStoreThreshold(std::size_t aLostRuns)
+{
+  mStoreThreshold = aLostRuns;
+}
+
+void
+LossLedger::SetStoreCallback(std::function<void()> aCall)
+{
+  mOnStoreChange = std::move(aCall);
+}
+
+std::vector<StoredLossChange>
+LossLedger::TakeStoreChanges()
+{
+  return std::exchange(mStoreChanges, {});
+}
+
+void
+LossLedger::OnStoredLoss(const StoredLossChange& aChange, Time aNow)
+{
+  const std::uint64_t death = aChange.mRun.mDeath.mId;
+  if (!aChange.mRemoved) {
+    SuspectReport report;
+    report.mSuspect = aChange.mSuspect;
+    report.mRuns.push_back(aChange.mRun);
+    Merge(report, false, aNow);
+    const auto record = mRecords.find(aChange.mSuspect);
+    if (record != mRecords.end() && HasRun(record->second.mRuns, death)) {
+      record->second.mStored.insert(death);
+    }
+    return;
+  }
+  const auto record = mRecords.find(aChange.mSuspect);
+  if (record == mRecords.end() || record->second.mStored.erase(death) == 0) {
+    return;
+  }
+  auto& runs = record->second.mRuns;
+  const std::vector<LostRun> before = runs;
+  RemoveRuns(aChange.mSuspect, record->second);
+  for (const LostRun& it : before) {
+    if (it.mDeath.mId != death) {
+      AddRun(aChange.mSuspect, record->second, it, aNow);
+    }
+  }
+}
+
+void
+LossLedger::Clear(std::uint64_t aSuspect, Time aNow)
+{
+  OnCleared(aSuspect, aNow);
+  const auto it = mRecords.find(aSuspect);
+  if (it == mRecords.end()) {
+    return;
+  }
+  Record& record = it->second;
+  for (const LostRun& run : record.mRuns) {
+    if (record.mStored.erase(run.mDeath.mId) != 0) {
+      mStoreChanges.push_back({ aSuspect, run, true });
+    }
+  }
+  NotifyStore();
+  if (!record.mShared) {
+    Erase(aSuspect);
+    return;
+  }
+  if (!record.mRuns.empty()) {
+    RemoveRuns(aSuspect, record);
+    record.mClearedAt = aNow;
+    record.mExpiresAt = aNow + kClearedLifetime;
+    Tell(aSuspect, record, kNewsRepeats, aNow);
+  }
+}
+
+bool
+LossLedger::Merge(const SuspectReport& aReport, bool aPassOn, Time aNow)
+{
+  Record* record = Obtain(aReport.mSuspect, aNow);
+  if (record == nullptr) {
+    return false;
+  }
+  record->mShared = true;
+  bool changed = false;
+  if (aReport.mClearedAt &&
+      (!record->mClearedAt || *aReport.mClearedAt > *record->mClearedAt)) {
+    const std::vector<LostRun> runs = record->mRuns;
+    RemoveRuns(aReport.mSuspect, *record);
+    record->mClearedAt = aReport.mClearedAt;
+    OnCleared(aReport.mSuspect, *aReport.mClearedAt);
+    for (const LostRun& it : runs) {
+      AddRun(aReport.mSuspect, *record, it, aNow);
+    }
+    changed = record->mRuns.size() < runs.size();
+  }
+  for (const LostRun& it : aReport.mRuns) {
+    OnTargetDeath(it.mDeath);
+    changed |= AddRun(aReport.mSuspect, *record, it, aNow);
+  }
+  if (changed || record->mRuns.empty()) {
+    record->mExpiresAt =
+      aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
+  }
+  if (changed) {
+    Tell(aReport.mSuspect, *record, aPassOn ? 1 : 0, aNow);
+    StoreRuns(aReport.mSuspect, *record, true);
+  }
+  return changed;
+}
+
+std::vector<SuspectReport>
+LossLedger::TakeNews(Time aNow)
+{
+  std::vector<std::uint64_t> due;
+  for (const std::uint64_t it : mNews) {
+    if (mRecords.at(it).mNextNewsAt <= aNow) {
+      due.push_back(it);
+    }
+  }
+  const auto more = [this](std::uint64_t aLeft, std::uint64_t aRight) {
+    return mRecords.at(aLeft).mRuns.size() > mRecords.at(aRight).mRuns.size();
+  };
+  std::stable_sort(due.begin(), due.end(), more);
+  due.resize(std::min(due.size(), kMaxNews));
+  std::vector<SuspectReport> reports;
+  for (const std::uint64_t it : due) {
+    Record& record = mRecords.at(it);
+    record.mShared = true;
+    record.mNextNewsAt = aNow + kNewsRepeatDelay;
+    if (--record.mNewsLeft == 0) {
+      mNews.erase(it);
+    }
+    reports.push_back({ it, record.mRuns, record.mClearedAt });
+  }
+  return reports;
+}
+
+std::vector<SuspectReport>
+LossLedger::Reports(Time aNow)
+{
+  std::vector<SuspectReport> reports;
+  for (const auto& it : mRecords) {
+    if (aNow < it.second.mExpiresAt) {
+      reports.push_back({ it.first, it.second.mRuns, it.second.mClearedAt });
+    }
+  }
+  const auto more = [](const SuspectReport& aLeft,
+                       const SuspectReport& aRight) {
+    return aLeft.mRuns.size() > aRight.mRuns.size();
+  };
+  std::stable_sort(reports.begin(), reports.end(), more);
+  reports.resize(std::min(reports.size(), kMaxReports));
+  for (const SuspectReport& it : reports) {
+    mRecords.at(it.mSuspect).mShared = true;
+  }
+  return reports;
+}
+
+template<typename Condition>
+void
+LossLedger::EraseIf(const Condition& aCondition)
+{
+  std::vector<std::uint64_t> erased;
+  for (const auto& it : mRecords) {
+    if (aCondition(it.second)) {
+      erased.push_back(it.first);
+    }
+  }
+  for (const std::uint64_t it : erased) {
+    Erase(it);
+  }
+}
+
+void
+LossLedger::Expire(Time aNow)
+{
+  EraseIf([&](const Record& aRecord) { return aNow >= aRecord.mExpiresAt; });
+}
+
+std::size_t
+LossLedger::Size() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
+      return !aEntry.second.mRuns.empty();
+    }));
+}
+
+const std::vector<LostRun>&
+LossLedger::RunsOf(std::uint64_t aSuspect, Time aNow) const
+{
+  const auto it = mRecords.find(aSuspect);
+  const bool valid = it != mRecords.end() && aNow < it->second.mExpiresAt;
+  return valid ? it->second.mRuns : kNoRuns;
+}
+
+const std::vector<std::uint64_t>&
+LossLedger::LostIn(const TargetDeath& aDeath) const
+{
+  const auto it = mLostIn.find(aDeath.mId);
+  return it == mLostIn.end() ? kNoSuspects : it->second;
+}
+
+LossLedger::Record*
+LossLedger::Obtain(std::uint64_t aSuspect, Time aNow)
+{
+  const auto it = mRecords.find(aSuspect);
+  if (it != mRecords.end() && aNow < it->second.mExpiresAt) {
+    return &it->second;
+  }
+  Erase(aSuspect);
+  if (mRecords.size() >= kMaxRecords) {
+    EraseIf([&](const Record& aRecord) {
+      return aNow >= aRecord.mExpiresAt ||
+             (aRecord.mRuns.size() == 1 &&
+              aNow - aRecord.mRuns.front().mDeath.mAt >= kSingleLossLifetime);
+    });
+  }
+  if (mRecords.size() >= kMaxRecords) {
+    return nullptr;
+  }
+  Record& record = mRecords[aSuspect];
+  record.mExpiresAt = aNow + kRecordLifetime;
+  return &record;
+}
+
+bool
+LossLedger::AddRun(std::uint64_t aSuspect,
+                   Record& aRecord,
+                   const LostRun& aRun,
+                   Time aNow)
+{
+  const bool cleared =
+    aRecord.mClearedAt && aRun.mDeath.mAt <= *aRecord.mClearedAt;
+  if (cleared || aNow - aRun.mDeath.mAt >= kRecordLifetime ||
+      aRecord.mRuns.size() >= kMaxRuns ||
+      HasRun(aRecord.mRuns, aRun.mDeath.mId)) {
+    return false;
+  }
+  aRecord.mRuns.push_back(aRun);
+  mLostIn[aRun.mDeath.mId].push_back(aSuspect);
+  return true;
+}
+
+void
+LossLedger::RemoveRuns(std::uint64_t aSuspect, Record& aRecord)
+{
+  for (const LostRun& it : aRecord.mRuns) {
+    const auto entry = mLostIn.find(it.mDeath.mId);
+    auto& suspects = entry->second;
+    suspects.erase(std::remove(suspects.begin(), suspects.end(), aSuspect),
+                   suspects.end());
+    if (suspects.empty()) {
+      mLostIn.erase(entry);
+    }
+  }
+  aRecord.mRuns.clear();
+}
+
+void
+LossLedger::Tell(std::uint64_t aSuspect,
+                 Record& aRecord,
+                 int aRepeats,
+                 Time aNow)
+{
+  if (aRepeats > 0) {
+    aRecord.mNewsLeft = std::max(aRecord.mNewsLeft, aRepeats);
+    aRecord.mNextNewsAt = aNow;
+    mNews.insert(aSuspect);
+  }
+}
+
+void
+LossLedger::Erase(std::uint64_t aSuspect)
+{
+  const auto record = mRecords.find(aSuspect);
+  if (record != mRecords.end()) {
+    RemoveRuns(aSuspect, record->second);
+    mNews.erase(aSuspect);
+    mRecords.erase(record);
+  }
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/LossLedger.h
@@ -0,0 +1,185 @@
+#ifndef QUETZALQUAY_CORE_LOSSLEDGER_H_INCLUDED
+#define QUETZALQUAY_CORE_LOSSLEDGER_H_INCLUDED
+
+#include "core/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzalquay {
+
+// The end of one start of a target.
+struct TargetDeath
+{
+  // Identifies the target and its incarnation, on every host alike.
+  std::uint64_t mId = 0;
+  // Hash of the target's place.
+  std::uint64_t mPlace = 0;
+  Time mAt;
+};
+
+// A run that was lost with its target.
+struct LostRun
+{
+  TargetDeath mDeath;
+  Time mStartedAt;
+};
+
+// A lost run to write to the store, or to remove from it.
+struct StoredLossChange
+{
+  std::uint64_t mSuspect = 0;
+  LostRun mRun;
+  // Whether the loss no longer counts, because the suspect was cleared.
+  bool mRemoved = false;
+};
+
+// What one host tells another about a suspect.
+struct SuspectReport
+{
+  std::uint64_t mSuspect = 0;
+  std::vector<LostRun> mRuns;
+  // When the suspect was last cleared; earlier losses no longer count.
+  std::optional<Time> mClearedAt;
+};
+
+// Keeps which suspects lost a run in which deaths of targets, as far as the
+// fleet knows, and what of it the other hosts and the store have to be told. A
+// suspect is the hash of a request's content or of a part of a prompt. Sets of
+// deaths from several hosts are merged by their union, in any order and any
+// number of times, so that all hosts come to know the same. Takes bounded
+// memory.
+class LossLedger
+{
+public:
+  // Records in one message to other hosts at most, and the time between two
+  // messages that have any.
+  static constexpr std::size_t kMaxNews = 16;
+  static constexpr Duration kNewsInterval = std::chrono::milliseconds(100);
+
+  // Time from the last change of a record until it expires.
+  static constexpr Duration kRecordLifetime = std::chrono::minutes(10);
+
+  // Maximum number of records.
+  static constexpr std::size_t kMaxRecords = 10000;
+
+  // Records that a target died, whether it ran requests or not. The earliest
+  // time reported for a death applies.
+  void OnTargetDeath(const TargetDeath& aDeath);
+
+  // Records that this host has lost a run of a suspect. Only with aTell are
+  // other hosts and the store told.
+  void AddOwnRun(std::uint64_t aSuspect,
+                 const LostRun& aRun,
+                 bool aTell,
+                 Time aNow);
+
+  // Removes all losses of a suspect up to now.
+  void Clear(std::uint64_t aSuspect, Time aNow);
+
+  // Merges what another host knows about a suspect. Returns whether any of it
+  // was new. With aPassOn, news are told to other hosts once.
+  bool Merge(const SuspectReport& aReport, bool aPassOn, Time aNow);
+
+  // Whether there are changes that other hosts have to be told.
+  bool HasNews() const { return !mNews.empty(); }
+
+  // Takes the changes to tell other hosts now, at most kMaxNews, those with the
+  // most deaths first. Each change made here is returned several times,
+  // some time apart, since messages may be lost.
+  std::vector<SuspectReport> TakeNews(Time aNow);
+
+  // What is known of all suspects, for a host that knows nothing yet; those
+  // with the most deaths first, a bounded number.
+  std::vector<SuspectReport> Reports(Time aNow);
+
+  // Sets the number of known lost runs from which on the runs that this host
+  // has lost are stored.
+  void SetStoreThreshold(std::size_t aLostRuns);
+
+  // Sets a callback that runs when there are changes to store.
+  void SetStoreCallback(std::function<void()> aCall);
+
+  // Takes the changes to store, in order.
+  std::vector<StoredLossChange> TakeStoreChanges();
+
+  // Records that a lost run was read from the store, or removed there.
+  void OnStoredLoss(const StoredLossChange& aChange, Time aNow);
+
+  // Removes expired records.
+  void Expire(Time aNow);
+
+  // Number of suspects of which a lost run is known.
+  std::size_t Size() const;
+
+protected:
+  ~LossLedger() = default;
+
+  // Called when a suspect was cleared of all losses up to aAt, here or on
+  // another host.
+  virtual void OnCleared(std::uint64_t aSuspect, Time aAt) = 0;
+
+  // The known lost runs of a suspect that have not expired.
+  const std::vector<LostRun>& RunsOf(std::uint64_t aSuspect, Time aNow) const;
+
+  // Suspects that were lost in a death.
+  const std::vector<std::uint64_t>& LostIn(const TargetDeath& aDeath) const;
+
+  // Recent deaths, the oldest first.
+  const std::deque<TargetDeath>& RecentDeaths() const { return mDeaths; }
+
+private:
+  struct Record
+  {
+    std::vector<LostRun> mRuns;
+    std::optional<Time> mClearedAt;
+    // IDs of the deaths in which this host lost a run, and of those stored.
+    std::set<std::uint64_t> mOwn;
+    std::set<std::uint64_t> mStored;
+    // Whether other hosts know of a lost run.
+    bool mShared = false;
+    // How often the last change has yet to be told, and when next.
+    int mNewsLeft = 0;
+    Time mNextNewsAt;
+    Time mExpiresAt;
+  };
+
+  // Returns a valid record for a suspect; null if there is no room for another
+  // one.
+  Record* Obtain(std::uint64_t aSuspect, Time aNow);
+  bool AddRun(std::uint64_t aSuspect,
+              Record& aRecord,
+              const LostRun& aRun,
+              Time aNow);
+  // Schedules the lost runs that are not stored yet to be stored if there are
+  // enough of them; with aOwnOnly, those that this host has lost.
+  void StoreRuns(std::uint64_t aSuspect, Record& aRecord, bool aOwnOnly);
+  void NotifyStore() const;
+  void RemoveRuns(std::uint64_t aSuspect, Record& aRecord);
+  // Schedules a changed record to be told aRepeats times.
+  void Tell(std::uint64_t aSuspect, Record& aRecord, int aRepeats, Time aNow);
+  void Erase(std::uint64_t aSuspect);
+  // Removes records that meet a condition.
+  template<typename Condition>
+  void EraseIf(const Condition& aCondition);
+
+  std::unordered_map<std::uint64_t, Record> mRecords;
+  // Suspects that were lost in a death, by the death's ID.
+  std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> mLostIn;
+  // Suspects with changes that other hosts have to be told.
+  std::set<std::uint64_t> mNews;
+  std::size_t mStoreThreshold = 2;
+  std::vector<StoredLossChange> mStoreChanges;
+  std::function<void()> mOnStoreChange;
+  std::deque<TargetDeath> mDeaths;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_LOSSLEDGER_H_INCLUDED
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -1,30 +1,15 @@
 #include "core/SuspectRegistry.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace quetzalquay {
 
 namespace {
 
-// Time for which a cleared request is remembered, so that older reports of its
-// losses are recognized as such.
-constexpr Duration kClearedLifetime = std::chrono::seconds(10);
-
-// Maximum number of records, and of lost runs in each.
-constexpr std::size_t kMaxRecords = 10000;
-constexpr std::size_t kMaxRuns = 8;
-
-// Maximum number of records that a new host is told at once.
-constexpr std::size_t kMaxReports = 64;
-
-// Number of times that a change is told to other hosts, and the time between.
-constexpr int kNewsRepeats = 4;
-constexpr Duration kNewsRepeatDelay = std::chrono::milliseconds(500);
-
-// Number of recent deaths that are remembered to recognize common failures.
-constexpr std::size_t kMaxDeaths = 2000;
-
 // Time within which deaths of several targets count as one common failure.
 constexpr Duration kCommonDeathWindow = std::chrono::milliseconds(400);
 
@@ -32,10 +17,14 @@
 // little if other requests were lost in them as well.
 constexpr Duration kMoment = std::chrono::milliseconds(1000);
 
-// Lost runs from which on a request may itself have caused a death that it was
+// Lost runs from which on a suspect may itself have caused a death that it was
 // lost in, so that the death does not speak against another one alone.
 constexpr std::size_t kMinRivalLosses = 2;
 
+// Time after a death within which another request with the same parts is served
+// if the parts are sound and in use.
+constexpr Duration kServedAgainWithin = std::chrono::seconds(3);
+
 bool
 AreTogether(const TargetDeath& aLeft, const TargetDeath& aRight)
 {
@@ -45,472 +34,264 @@
 }
 
 bool
-HasRun(const std::vector<LostRun>& aRuns, std::uint64_t aDeath)
+Contains(const std::vector<std::uint64_t>& aList, std::uint64_t aSuspect)
 {
-  return std::any_of(aRuns.begin(), aRuns.end(), [&](const LostRun& aRun) {
-    return aRun.mDeath.mId == aDeath;
-  });
+  return std::find(aList.begin(), aList.end(), aSuspect) != aList.end();
+}
+
+bool
+Has(const RequestContent& aContent, std::uint64_t aSuspect)
+{
+  return aContent.mHash == aSuspect || Contains(aContent.mParts, aSuspect);
 }
 
 } // namespace
 
-SuspectRegistry::SuspectRegistry(Options aOptions)
-  : mOptions(aOptions)
+SuspectSet::SuspectSet(std::vector<std::uint64_t> aMembers)
+  : mMembers(std::move(aMembers))
 {
+  std::sort(mMembers.begin(), mMembers.end());
+  mMembers.erase(std::unique(mMembers.begin(), mMembers.end()), mMembers.end());
+  for (const std::uint64_t it : mMembers) {
+    mId = mMembers.size() == 1 ? it : StableHash(ToHex(it), mId);
+  }
 }
 
-void
-SuspectRegistry::OnTargetDeath(const TargetDeath& aDeath)
+SuspectRegistry::SuspectRegistry(Options aOptions)
+  : mOptions(aOptions)
 {
-  const auto known = std::find_if(
-    mDeaths.begin(), mDeaths.end(), [&](const TargetDeath& aKnown) {
-      return aKnown.mId == aDeath.mId;
-    });
-  if (known != mDeaths.end()) {
-    known->mAt = std::min(known->mAt, aDeath.mAt);
-    return;
-  }
-  mDeaths.push_back(aDeath);
-  if (mDeaths.size() > kMaxDeaths) {
-    mDeaths.pop_front();
-  }
 }
 
 void
-SuspectRegistry::OnRunLost(std::uint64_t aRequest,
+SuspectRegistry::OnRunLost(const RequestContent& aContent,
                            const LostRun& aRun,
                            Time aNow)
 {
   OnTargetDeath(aRun.mDeath);
-  Record* record = Obtain(aRequest, aNow);
-  if (record != nullptr && AddRun(aRequest, *record, aRun, aNow)) {
-    record->mExpiresAt = aNow + kRecordLifetime;
-    Tell(aRequest, *record, kNewsRepeats, aNow);
-    record->mOwn.insert(aRun.mDeath.mId);
-    StoreRuns(aRequest, *record, false);
+  AddOwnRun(aContent.mHash, aRun, true, aNow);
+  const auto isSuspected = [&](std::uint64_t aPart) {
+    return !IsServedLately(aPart, aNow);
+  };
+  std::vector<std::uint64_t> parts(aContent.mParts.rbegin(),
+                                   aContent.mParts.rend());
+  std::stable_partition(parts.begin(), parts.end(), isSuspected);
+  parts.resize(std::min(parts.size(), kMaxLostParts));
+  for (const std::uint64_t it : parts) {
+    AddOwnRun(it, aRun, isSuspected(it), aNow);
   }
 }
 
 void
-SuspectRegistry::StoreRuns(std::uint64_t aRequest,
-                           Record& aRecord,
-                           bool aOwnOnly)
+SuspectRegistry::ClearSuspect(const RequestContent& aContent, Time aNow)
 {
-  if (aRecord.mRuns.size() < mStoreThreshold) {
-    return;
-  }
-  for (const LostRun& it : aRecord.mRuns) {
-    const std::uint64_t death = it.mDeath.mId;
-    if ((!aOwnOnly || aRecord.mOwn.count(death) != 0) &&
-        aRecord.mStored.insert(death).second) {
-      mStoreChanges.push_back({ aRequest, it, false });
-    }
-  }
-  if (mOnStoreChange && !mStoreChanges.empty()) {
-    mOnStoreChange();
+  Clear(aContent.mHash, aNow);
+  for (const std::uint64_t it : aContent.mParts) {
+    mServed.OnServed(it, aNow);
+    Clear(it, aNow);
   }
 }
 
 void
-SuspectRegistry::SetStoreThreshold(std::size_t aLostRuns)
+SuspectRegistry::OnCleared(std::uint64_t aSuspect, Time aAt)
 {
-  mStoreThreshold = aLostRuns;
-}
-
-void
-SuspectRegistry::SetStoreCallback(std::function<void()> aCall)
-{
-  mOnStoreChange = std::move(aCall);
-}
-
-std::vector<StoredLossChange>
-SuspectRegistry::TakeStoreChanges()
-{
-  return std::exchange(mStoreChanges, {});
-}
-
-void
-SuspectRegistry::OnStoredLoss(const StoredLossChange& aChange, Time aNow)
-{
-  const std::uint64_t death = aChange.mRun.mDeath.mId;
-  if (!aChange.mRemoved) {
-    SuspectReport report;
-    report.mRequest = aChange.mRequest;
-    report.mRuns.push_back(aChange.mRun);
-    Merge(report, false, aNow);
-    const auto record = mRecords.find(aChange.mRequest);
-    if (record != mRecords.end() && HasRun(record->second.mRuns, death)) {
-      record->second.mStored.insert(death);
-    }
-    return;
-  }
-  const auto record = mRecords.find(aChange.mRequest);
-  if (record == mRecords.end() || record->second.mStored.erase(death) == 0) {
-    return;
-  }
-  auto& runs = record->second.mRuns;
-  const std::vector<LostRun> before = runs;
-  RemoveRuns(aChange.mRequest, record->second);
-  for (const LostRun& it : before) {
-    if (it.mDeath.mId != death) {
-      AddRun(aChange.mRequest, record->second, it, aNow);
+  for (auto it = mConvictions.begin(); it != mConvictions.end();) {
+    auto& members = it->second.mMembers;
+    if (it->second.mAt <= aAt) {
+      members.erase(std::remove(members.begin(), members.end(), aSuspect),
+                    members.end());
     }
+    it = members.empty() ? mConvictions.erase(it) : std::next(it);
   }
 }
 
-void
-SuspectRegistry::ClearSuspect(std::uint64_t aRequest, Time aNow)
-{
-  const auto it = mRecords.find(aRequest);
-  if (it == mRecords.end()) {
-    return;
-  }
-  Record& record = it->second;
-  for (const LostRun& run : record.mRuns) {
-    if (record.mStored.erase(run.mDeath.mId) != 0) {
-      mStoreChanges.push_back({ aRequest, run, true });
-    }
-  }
-  if (mOnStoreChange && !mStoreChanges.empty()) {
-    mOnStoreChange();
-  }
-  if (!record.mShared) {
-    Erase(aRequest);
-    return;
-  }
-  if (!record.mRuns.empty()) {
-    RemoveRuns(aRequest, record);
-    record.mConvicted = false;
-    record.mClearedAt = aNow;
-    record.mExpiresAt = aNow + kClearedLifetime;
-    Tell(aRequest, record, kNewsRepeats, aNow);
-  }
-}
-
-bool
-SuspectRegistry::Merge(const SuspectReport& aReport, bool aPassOn, Time aNow)
-{
-  Record* record = Obtain(aReport.mRequest, aNow);
-  if (record == nullptr) {
-    return false;
-  }
-  record->mShared = true;
-  bool changed = false;
-  if (aReport.mClearedAt &&
-      (!record->mClearedAt || *aReport.mClearedAt > *record->mClearedAt)) {
-    const std::vector<LostRun> runs = record->mRuns;
-    RemoveRuns(aReport.mRequest, *record);
-    record->mClearedAt = aReport.mClearedAt;
-    for (const LostRun& it : runs) {
-      AddRun(aReport.mRequest, *record, it, aNow);
-    }
-    changed = record->mRuns.size() < runs.size();
-  }
-  for (const LostRun& it : aReport.mRuns) {
-    OnTargetDeath(it.mDeath);
-    changed |= AddRun(aReport.mRequest, *record, it, aNow);
-  }
-  if (changed || record->mRuns.empty()) {
-    record->mExpiresAt =
-      aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
-  }
-  if (changed) {
-    Tell(aReport.mRequest, *record, aPassOn ? 1 : 0, aNow);
-    StoreRuns(aReport.mRequest, *record, true);
-  }
-  return changed;
-}
-
-std::vector<SuspectReport>
-SuspectRegistry::TakeNews(Time aNow)
+SuspectVerdict
+SuspectRegistry::Judge(const RequestContent& aContent,
+                       int aPendingLosses,
+                       Time aNow) const
 {
-  std::vector<std::uint64_t> due;
-  for (const std::uint64_t it : mNews) {
-    if (mRecords.at(it).mNextNewsAt <= aNow) {
-      due.push_back(it);
-    }
+  if (IsRefused(aContent, aNow)) {
+    return SuspectVerdict::Refused;
   }
-  const auto more = [this](std::uint64_t aLeft, std::uint64_t aRight) {
-    return mRecords.at(aLeft).mRuns.size() > mRecords.at(aRight).mRuns.size();
-  };
-  std::stable_sort(due.begin(), due.end(), more);
-  due.resize(std::min(due.size(), kMaxNews));
-  std::vector<SuspectReport> reports;
-  for (const std::uint64_t it : due) {
-    Record& record = mRecords.at(it);
-    record.mShared = true;
-    record.mNextNewsAt = aNow + kNewsRepeatDelay;
-    if (--record.mNewsLeft == 0) {
-      mNews.erase(it);
+  SuspectVerdict verdict = JudgeSuspect(aContent.mHash, aPendingLosses, aNow);
+  for (const std::uint64_t it : aContent.mParts) {
+    if (verdict == SuspectVerdict::Unsettled) {
+      break;
     }
-    reports.push_back({ it, record.mRuns, record.mClearedAt });
+    const SuspectVerdict ofPart = IsServedLately(it, aNow)
+                                    ? SuspectVerdict::Free
+                                    : JudgeSuspect(it, aPendingLosses, aNow);
+    verdict = ofPart == SuspectVerdict::Free ? verdict : ofPart;
   }
-  return reports;
-}
-
-int
-SuspectRegistry::Deaths(std::uint64_t aRequest, Time aNow) const
-{
-  const Record* record = Find(aRequest, aNow);
-  return record == nullptr ? 0 : CountDeaths(aRequest, *record, Time::max());
+  return verdict;
 }
 
-SuspectEvidence
-SuspectRegistry::EvidenceOf(std::uint64_t aRequest, Time aNow) const
+SuspectVerdict
+SuspectRegistry::JudgeSuspect(std::uint64_t aSuspect,
+                              int aPendingLosses,
+                              Time aNow) const
 {
-  SuspectEvidence evidence;
-  const Record* record = Find(aRequest, aNow);
-  if (record == nullptr) {
-    return evidence;
-  }
-  evidence.mLostRuns = static_cast<int>(record->mRuns.size());
-  evidence.mCounted = CountDeaths(aRequest, *record, Time::max());
-  for (const LostRun& it : record->mRuns) {
-    if (IsCommonFailure(*record, it)) {
-      ++evidence.mCommonFailures;
-    } else if (IsExplained(aRequest, *record, it)) {
-      ++evidence.mExplained;
-    }
+  const Runs& runs = RunsOf(aSuspect, aNow);
+  // With trials, even a suspect whose deaths are all explained by others may
+  // crash targets, too.
+  const int deaths =
+    mOptions.mTrials ? static_cast<int>(runs.size()) : Deaths(aSuspect, aNow);
+  if (aPendingLosses + deaths < kMinDeathsToRefuse) {
+    return SuspectVerdict::Free;
   }
-  evidence.mTied = IsTied(aRequest, *record);
-  return evidence;
+  const bool settled =
+    aPendingLosses == 0 &&
+    std::all_of(runs.begin(), runs.end(), [&](const LostRun& aRun) {
+      return aRun.mDeath.mAt <= aNow - mOptions.mSettleTime;
+    });
+  return settled && mOptions.mTrials ? SuspectVerdict::Unclear
+                                     : SuspectVerdict::Unsettled;
 }
 
 bool
-SuspectRegistry::IsRefused(std::uint64_t aRequest, Time aNow) const
+SuspectRegistry::IsRefused(const RequestContent& aContent, Time aNow) const
 {
-  const Record* record = Find(aRequest, aNow);
-  if (record == nullptr) {
-    return false;
+  if (IsConvicted(aContent, aNow)) {
+    return true;
   }
-  const int deaths =
-    CountDeaths(aRequest, *record, aNow - mOptions.mSettleTime);
-  if (mOptions.mTrials) {
-    return record->mConvicted ||
-           (deaths >= kMinDeathsToRefuse && !IsUnclear(aRequest, *record));
+  const SuspectEvidence evidence =
+    Weigh(aContent, aNow - mOptions.mSettleTime, aNow);
+  if (!evidence.mContested) {
+    return evidence.mCounted >= kMinDeathsToRefuse;
   }
-  return deaths >= kMinDeathsToRefuseTied ||
-         (deaths >= kMinDeathsToRefuse && !IsTied(aRequest, *record));
+  return !mOptions.mTrials && evidence.mCounted >= kMinDeathsToRefuseContested;
 }
 
-SuspectVerdict
-SuspectRegistry::Judge(std::uint64_t aRequest,
-                       int aPendingLosses,
-                       Time aNow) const
+SuspectSet
+SuspectRegistry::SuspectsOf(const RequestContent& aContent, Time aNow) const
 {
-  const Record* record = Find(aRequest, aNow);
-  if (IsRefused(aRequest, aNow)) {
-    return SuspectVerdict::Refused;
-  }
-  int deaths = aPendingLosses;
-  bool settled = aPendingLosses == 0;
-  if (record != nullptr) {
-    // Even if others explain all of its deaths, the request may crash targets,
-    // too.
-    deaths += mOptions.mTrials ? static_cast<int>(record->mRuns.size())
-                               : CountDeaths(aRequest, *record, Time::max());
-    settled &= std::all_of(
-      record->mRuns.begin(), record->mRuns.end(), [&](const LostRun& aRun) {
-        return aRun.mDeath.mAt <= aNow - mOptions.mSettleTime;
-      });
-  }
-  if (deaths < kMinDeathsToRefuse) {
-    return SuspectVerdict::Free;
+  std::vector<std::uint64_t> parts;
+  std::size_t most = 0;
+  for (const std::uint64_t it : aContent.mParts) {
+    const std::size_t losses = RunsOf(it, aNow).size();
+    if (losses >= kMinDeathsToRefuse && !IsServedLately(it, aNow)) {
+      parts.push_back(it);
+      most = std::max(most, losses);
+    }
   }
-  return settled && mOptions.mTrials ? SuspectVerdict::Unclear
-                                     : SuspectVerdict::Unsettled;
+  return RunsOf(aContent.mHash, aNow).size() >= most
+           ? SuspectSet(aContent.mHash)
+           : SuspectSet(std::move(parts));
 }
 
 void
-SuspectRegistry::Convict(std::uint64_t aRequest, Time aNow)
+SuspectRegistry::Convict(const SuspectSet& aSuspects, Time aNow)
 {
-  if (Record* record = Obtain(aRequest, aNow)) {
-    record->mConvicted = true;
-    record->mExpiresAt = aNow + kRecordLifetime;
+  Conviction conviction{ {}, aNow };
+  for (const std::uint64_t it : aSuspects.mMembers) {
+    if (!IsServedLately(it, aNow)) {
+      conviction.mMembers.push_back(it);
+    }
+  }
+  if (!conviction.mMembers.empty() && mConvictions.size() < kMaxConvictions) {
+    mConvictions[aSuspects.mId] = std::move(conviction);
   }
 }
 
 std::optional<bool>
-SuspectRegistry::JudgeLostTrial(std::uint64_t aRequest,
+SuspectRegistry::JudgeLostTrial(const RequestContent& aContent,
                                 Time aStartedAt,
                                 Time aNow) const
 {
-  const Record* record = Find(aRequest, aNow);
-  if (record == nullptr) {
-    return std::nullopt;
-  }
-  const auto trial = std::find_if(
-    record->mRuns.begin(), record->mRuns.end(), [&](const LostRun& aRun) {
+  const Runs& runs = RunsOf(aContent.mHash, aNow);
+  const auto trial =
+    std::find_if(runs.begin(), runs.end(), [&](const LostRun& aRun) {
       return aRun.mStartedAt >= aStartedAt;
     });
-  if (trial == record->mRuns.end()) {
+  if (trial == runs.end()) {
     return std::nullopt;
   }
-  const auto& lost = mRequests.at(trial->mDeath.mId);
   const bool rival =
-    std::any_of(lost.begin(), lost.end(), [&](std::uint64_t aOther) {
-      return aOther != aRequest && !IsConvicted(aOther) &&
-             mRecords.at(aOther).mRuns.size() > kMinRivalLosses;
+    HasRival(aContent, trial->mDeath, aNow, [](const Runs& aOther) {
+      return aOther.size() > kMinRivalLosses;
     });
-  return !rival && !IsCommonFailure(*record, *trial);
+  return !rival && !IsCommonFailure(runs, *trial);
 }
 
-std::vector<SuspectReport>
-SuspectRegistry::Reports(Time aNow)
-{
-  std::vector<SuspectReport> reports;
-  for (const auto& it : mRecords) {
-    if (aNow < it.second.mExpiresAt) {
-      reports.push_back({ it.first, it.second.mRuns, it.second.mClearedAt });
-    }
-  }
-  const auto more = [](const SuspectReport& aLeft,
-                       const SuspectReport& aRight) {
-    return aLeft.mRuns.size() > aRight.mRuns.size();
-  };
-  std::stable_sort(reports.begin(), reports.end(), more);
-  reports.resize(std::min(reports.size(), kMaxReports));
-  for (const SuspectReport& it : reports) {
-    mRecords.at(it.mRequest).mShared = true;
-  }
-  return reports;
-}
-
-void
-SuspectRegistry::Expire(Time aNow)
-{
-  std::vector<std::uint64_t> expired;
-  for (const auto& it : mRecords) {
-    if (aNow >= it.second.mExpiresAt) {
-      expired.push_back(it.first);
-    }
-  }
-  for (const std::uint64_t it : expired) {
-    Erase(it);
-  }
-}
-
-std::size_t
-SuspectRegistry::Size() const
-{
-  return static_cast<std::size_t>(
-    std::count_if(mRecords.begin(), mRecords.end(), [](const auto& aEntry) {
-      return !aEntry.second.mRuns.empty();
-    }));
-}
-
-const SuspectRegistry::Record*
-SuspectRegistry::Find(std::uint64_t aRequest, Time aNow) const
+SuspectEvidence
+SuspectRegistry::EvidenceOf(const RequestContent& aContent, Time aNow) const
 {
-  const auto it = mRecords.find(aRequest);
-  const bool valid = it != mRecords.end() && aNow < it->second.mExpiresAt;
-  return valid ? &it->second : nullptr;
+  return Weigh(aContent, Time::max(), aNow);
 }
 
-SuspectRegistry::Record*
-SuspectRegistry::Obtain(std::uint64_t aRequest, Time aNow)
+int
+SuspectRegistry::Deaths(std::uint64_t aSuspect, Time aNow) const
 {
-  const auto it = mRecords.find(aRequest);
-  if (it != mRecords.end() && aNow < it->second.mExpiresAt) {
-    return &it->second;
-  }
-  Erase(aRequest);
-  if (mRecords.size() >= kMaxRecords) {
-    Expire(aNow);
-  }
-  if (mRecords.size() >= kMaxRecords) {
-    return nullptr;
-  }
-  Record& record = mRecords[aRequest];
-  record.mExpiresAt = aNow + kRecordLifetime;
-  return &record;
-}
-
-bool
-SuspectRegistry::AddRun(std::uint64_t aRequest,
-                        Record& aRecord,
-                        const LostRun& aRun,
-                        Time aNow)
-{
-  const bool cleared =
-    aRecord.mClearedAt && aRun.mDeath.mAt <= *aRecord.mClearedAt;
-  if (cleared || aNow - aRun.mDeath.mAt >= kRecordLifetime ||
-      aRecord.mRuns.size() >= kMaxRuns ||
-      HasRun(aRecord.mRuns, aRun.mDeath.mId)) {
-    return false;
-  }
-  aRecord.mRuns.push_back(aRun);
-  mRequests[aRun.mDeath.mId].push_back(aRequest);
-  return true;
+  return EvidenceOf(aSuspect, aNow).mCounted;
 }
 
 void
-SuspectRegistry::RemoveRuns(std::uint64_t aRequest, Record& aRecord)
+SuspectRegistry::Expire(Time aNow)
 {
-  for (const LostRun& it : aRecord.mRuns) {
-    const auto entry = mRequests.find(it.mDeath.mId);
-    auto& requests = entry->second;
-    requests.erase(std::remove(requests.begin(), requests.end(), aRequest),
-                   requests.end());
-    if (requests.empty()) {
-      mRequests.erase(entry);
-    }
+  LossLedger::Expire(aNow);
+  for (auto it = mConvictions.begin(); it != mConvictions.end();) {
+    it = aNow - it->second.mAt >= kRecordLifetime ? mConvictions.erase(it)
+                                                  : std::next(it);
   }
-  aRecord.mRuns.clear();
 }
 
-void
-SuspectRegistry::Tell(std::uint64_t aRequest,
-                      Record& aRecord,
-                      int aRepeats,
-                      Time aNow)
+SuspectEvidence
+SuspectRegistry::Weigh(const RequestContent& aContent,
+                       Time aBefore,
+                       Time aNow) const
 {
-  if (aRepeats > 0) {
-    aRecord.mNewsLeft = std::max(aRecord.mNewsLeft, aRepeats);
-    aRecord.mNextNewsAt = aNow;
-    mNews.insert(aRequest);
+  SuspectEvidence evidence;
+  const Runs& runs = RunsOf(aContent.mHash, aNow);
+  std::vector<TargetDeath> counted;
+  for (const LostRun& it : runs) {
+    if (it.mDeath.mAt > aBefore) {
+      continue;
+    }
+    ++evidence.mLostRuns;
+    if (IsCommonFailure(runs, it)) {
+      ++evidence.mCommonFailures;
+    } else if (IsExplained(aContent.mHash, runs, it, aNow)) {
+      ++evidence.mExplained;
+    } else {
+      counted.push_back(it.mDeath);
+    }
   }
-}
-
-void
-SuspectRegistry::Erase(std::uint64_t aRequest)
-{
-  const auto record = mRecords.find(aRequest);
-  if (record != mRecords.end()) {
-    RemoveRuns(aRequest, record->second);
-    mNews.erase(aRequest);
-    mRecords.erase(record);
+  evidence.mCounted = static_cast<int>(counted.size());
+  if (counted.empty()) {
+    return evidence;
   }
-}
-
-int
-SuspectRegistry::CountDeaths(std::uint64_t aRequest,
-                             const Record& aRecord,
-                             Time aBefore) const
-{
-  const auto counted = std::count_if(
-    aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const LostRun& aRun) {
-      return aRun.mDeath.mAt <= aBefore && !IsCommonFailure(aRecord, aRun) &&
-             !IsExplained(aRequest, aRecord, aRun);
+  const auto range = std::minmax_element(
+    counted.begin(),
+    counted.end(),
+    [](const TargetDeath& aLeft, const TargetDeath& aRight) {
+      return aLeft.mAt < aRight.mAt;
+    });
+  // In one moment, a harmless request may have been retried on one failing
+  // target after the other.
+  const bool oneMoment = range.second->mAt - range.first->mAt < kMoment;
+  const auto mayCrash = [&](const Runs& aOther) {
+    return mOptions.mTrials ? oneMoment || aOther.size() >= kMinRivalLosses
+                            : CountOwnLosses(aOther) >= CountOwnLosses(runs);
+  };
+  evidence.mContested =
+    std::any_of(counted.begin(), counted.end(), [&](const TargetDeath& aDeath) {
+      return HasRival(aContent, aDeath, aNow, mayCrash);
     });
-  return static_cast<int>(counted);
+  return evidence;
 }
 
 std::ptrdiff_t
-SuspectRegistry::CountOwnLosses(const Record& aRecord) const
+SuspectRegistry::CountOwnLosses(const Runs& aRuns) const
 {
-  return std::count_if(
-    aRecord.mRuns.begin(), aRecord.mRuns.end(), [&](const LostRun& aRun) {
-      return !IsCommonFailure(aRecord, aRun);
-    });
+  return std::count_if(aRuns.begin(), aRuns.end(), [&](const LostRun& aRun) {
+    return !IsCommonFailure(aRuns, aRun);
+  });
 }
 
 // Whether a run was lost in a failure of several targets that its request did
 // not cause: the failure of a place in which all the request's runs had started
 // before, or several deaths at once in only one of which it lost a run.
 bool
-SuspectRegistry::IsCommonFailure(const Record& aRecord,
-                                 const LostRun& aRun) const
+SuspectRegistry::IsCommonFailure(const Runs& aRuns, const LostRun& aRun) const
 {
   if (mOptions.mCommonDeathThreshold == 0) {
     return false;
@@ -518,7 +299,7 @@
   int together = 0;
   int inPlace = 0;
   Time firstInPlace = aRun.mDeath.mAt;
-  for (const TargetDeath& it : mDeaths) {
+  for (const TargetDeath& it : RecentDeaths()) {
     if (!AreTogether(it, aRun.mDeath)) {
       continue;
     }
@@ -530,7 +311,7 @@
   }
   int own = 0;
   bool followed = false;
-  for (const LostRun& it : aRecord.mRuns) {
+  for (const LostRun& it : aRuns) {
     if (AreTogether(it.mDeath, aRun.mDeath)) {
       ++own;
       followed |=
@@ -541,83 +322,64 @@
          (together >= mOptions.mCommonDeathThreshold && own == 1);
 }
 
-// Whether another request that was lost with the same target explains its
-// death: a convicted one or, without trials, one that has lost more targets.
+// Whether others that were lost with the same target explain its death:
+// convicted ones or, without trials, one that has lost more targets.
 bool
-SuspectRegistry::IsExplained(std::uint64_t aRequest,
-                             const Record& aRecord,
-                             const LostRun& aRun) const
-{
-  const auto requests = mRequests.find(aRun.mDeath.mId);
-  const auto own = CountOwnLosses(aRecord);
-  return requests != mRequests.end() &&
-         std::any_of(requests->second.begin(),
-                     requests->second.end(),
-                     [&](std::uint64_t aOther) {
-                       return aOther != aRequest &&
-                              (mOptions.mTrials
-                                 ? IsConvicted(aOther)
-                                 : CountOwnLosses(mRecords.at(aOther)) > own);
-                     });
+SuspectRegistry::IsExplained(std::uint64_t aSuspect,
+                             const Runs& aRuns,
+                             const LostRun& aRun,
+                             Time aNow) const
+{
+  RequestContent others;
+  others.mParts = LostIn(aRun.mDeath);
+  auto& parts = others.mParts;
+  parts.erase(std::remove(parts.begin(), parts.end(), aSuspect), parts.end());
+  if (mOptions.mTrials) {
+    return IsConvicted(others, aNow);
+  }
+  const auto own = CountOwnLosses(aRuns);
+  return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t aOther) {
+    return CountOwnLosses(RunsOf(aOther, aNow)) > own;
+  });
 }
 
 bool
-SuspectRegistry::IsConvicted(std::uint64_t aRequest) const
-{
-  const auto it = mRecords.find(aRequest);
-  return it != mRecords.end() && it->second.mConvicted;
+SuspectRegistry::IsConvicted(const RequestContent& aContent, Time aNow) const
+{
+  return std::any_of(
+    mConvictions.begin(), mConvictions.end(), [&](const auto& aEntry) {
+      const Conviction& conviction = aEntry.second;
+      return aNow - conviction.mAt < kRecordLifetime &&
+             std::all_of(
+               conviction.mMembers.begin(),
+               conviction.mMembers.end(),
+               [&](std::uint64_t aMember) { return Has(aContent, aMember); });
+    });
 }
 
-// Whether another request may have caused one of the deaths that count against
-// a request: one that was lost repeatedly, or any one if all deaths came at one
-// moment, in which a harmless request may have been retried on one failing
-// target after the other.
 bool
-SuspectRegistry::IsUnclear(std::uint64_t aRequest, const Record& aRecord) const
+SuspectRegistry::IsServedLately(std::uint64_t aPart, Time aNow) const
 {
-  std::vector<const LostRun*> counted;
-  for (const LostRun& it : aRecord.mRuns) {
-    if (!IsCommonFailure(aRecord, it) && !IsExplained(aRequest, aRecord, it)) {
-      counted.push_back(&it);
-    }
-  }
-  const auto earlier = [](const LostRun* aLeft, const LostRun* aRight) {
-    return aLeft->mDeath.mAt < aRight->mDeath.mAt;
-  };
-  const auto range =
-    std::minmax_element(counted.begin(), counted.end(), earlier);
-  const bool oneMoment =
-    !counted.empty() &&
-    (*range.second)->mDeath.mAt - (*range.first)->mDeath.mAt < kMoment;
-  return std::any_of(counted.begin(), counted.end(), [&](const LostRun* aRun) {
-    const auto& lost = mRequests.at(aRun->mDeath.mId);
-    return std::any_of(lost.begin(), lost.end(), [&](std::uint64_t aOther) {
-      return aOther != aRequest && !IsConvicted(aOther) &&
-             (oneMoment || mRecords.at(aOther).mRuns.size() >= kMinRivalLosses);
-    });
-  });
+  const auto servedAt = mServed.LastServedAt(aPart);
+  const Runs& runs = RunsOf(aPart, aNow);
+  return servedAt && aNow - *servedAt < ServedParts::kMemory &&
+         std::all_of(runs.begin(), runs.end(), [&](const LostRun& aRun) {
+           return aNow - aRun.mDeath.mAt < kServedAgainWithin;
+         });
 }
 
-// Whether another request was lost in the same deaths.
+template<typename Condition>
 bool
-SuspectRegistry::IsTied(std::uint64_t aRequest, const Record& aRecord) const
-{
-  if (aRecord.mRuns.empty()) {
-    return false;
-  }
-  const auto candidates = mRequests.find(aRecord.mRuns.front().mDeath.mId);
-  return std::any_of(candidates->second.begin(),
-                     candidates->second.end(),
-                     [&](std::uint64_t aOther) {
-                       const auto& runs = mRecords.at(aOther).mRuns;
-                       return aOther != aRequest &&
-                              std::all_of(aRecord.mRuns.begin(),
-                                          aRecord.mRuns.end(),
-                                          [&](const LostRun& aRun) {
-                                            return HasRun(runs,
-                                                          aRun.mDeath.mId);
-                                          });
-                     });
+SuspectRegistry::HasRival(const RequestContent& aContent,
+                          const TargetDeath& aDeath,
+                          Time aNow,
+                          const Condition& aCondition) const
+{
+  const auto& lost = LostIn(aDeath);
+  return std::any_of(lost.begin(), lost.end(), [&](std::uint64_t aOther) {
+    return !Has(aContent, aOther) && !IsConvicted(aOther, aNow) &&
+           !IsServedLately(aOther, aNow) && aCondition(RunsOf(aOther, aNow));
+  });
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_CORE_TARGETCHOOSER_H_INCLUDED
 #define QUETZALQUAY_CORE_TARGETCHOOSER_H_INCLUDED
 
+#include "core/RequestContent.h"
 #include "core/Time.h"
 
 #include <cstdint>
@@ -44,8 +45,8 @@
   std::vector<std::string> mExcluded;
   // Hash of the prompt's leading block, the key of the prefix cache.
   std::uint64_t mPrefixHash = 0;
-  // Hash of the request's workspace and content, the same for every retry.
-  std::uint64_t mContentHash = 0;
+  // What the request may have in common with others that crashed targets.
+  RequestContent mContent;
   // Whether the attempt continues a stream whose target was lost.
   bool mContinuation = false;
   // Whether the attempt is a retry, that is, the request has been sent to a
--- a/src/quetzalquay/core/TargetDeath.h
+++ b/src/quetzalquay/core/TargetDeath.h
@@ -2,8 +2,8 @@
 #define QUETZALQUAY_CORE_TARGETDEATH_H_INCLUDED
 
 #include "core/NameTable.h"
+#include "core/RequestContent.h"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -33,8 +33,8 @@
   std::string mTarget;
   std::string mIncarnation;
   DeathEvidence mEvidence = DeathEvidence::Refused;
-  // Content hashes of the requests known so far to be lost with the target.
-  std::vector<std::uint64_t> mRequests;
+  // Requests known so far to be lost with the target.
+  std::vector<RequestContent> mRequests;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -186,7 +186,7 @@
     return choice;
   }
   const SuspectTrial* trial = verdict == SuspectVerdict::Unclear
-                                ? FindTrial(aQuery.mContentHash)
+                                ? FindTrial(aQuery.mContent.mHash)
                                 : nullptr;
   const bool onTrial = trial != nullptr && !trial->mStartedAt &&
                        trial->mRequestId == aQuery.mRequestId;
@@ -256,25 +256,25 @@
 
 void
 TargetTable::OnAttemptStart(const std::string& aTarget,
-                            std::uint64_t aContentHash,
+                            const RequestContent& aContent,
                             Time aNow,
                             AttemptLoad aLoad)
 {
   if (Target* target = Find(aTarget)) {
     target->mRunning.push_back(
-      { aContentHash, aNow, aLoad, false, target->mIncarnation, false });
-    OnTrialStart(aTarget, aContentHash, aNow);
+      { aContent, aNow, aLoad, false, target->mIncarnation, false });
+    OnTrialStart(aTarget, aContent.mHash, aNow);
     NotifyLoadChanged();
   }
 }
 
 void
 TargetTable::OnAttemptEnd(const std::string& aTarget,
-                          std::uint64_t aContentHash,
+                          const RequestContent& aContent,
                           AttemptOutcome aOutcome,
                           Time aNow)
 {
-  OnTrialEnd(aTarget, aContentHash, aOutcome, aNow);
+  OnTrialEnd(aTarget, aContent.mHash, aOutcome, aNow);
   Target* target = Find(aTarget);
   if (target == nullptr) {
     return;
@@ -282,9 +282,9 @@
   auto& running = target->mRunning;
   const auto it = std::find_if(
     running.begin(), running.end(), [&](const RunningAttempt& aEntry) {
-      return aEntry.mContentHash == aContentHash;
+      return aEntry.mContent.mHash == aContent.mHash;
     });
-  LostAttempt attempt{ aContentHash, aNow, aNow, target->mIncarnation };
+  LostAttempt attempt{ aContent, aNow, aNow, target->mIncarnation };
   bool progressed = false;
   if (it != running.end()) {
     progressed = it->mProgressed;
@@ -300,13 +300,13 @@
   if (aOutcome == AttemptOutcome::Lost && !progressed) {
     if (IsLostWith(attempt, *target, aNow)) {
       mSuspects.OnRunLost(
-        aContentHash, { *target->mDeath, attempt.mStartedAt }, aNow);
+        aContent, { *target->mDeath, attempt.mStartedAt }, aNow);
       NotifyLoadChanged();
     } else {
       lost.push_back(std::move(attempt));
     }
   } else if (aOutcome == AttemptOutcome::Finished) {
-    mSuspects.ClearSuspect(aContentHash, aNow);
+    mSuspects.ClearSuspect(aContent, aNow);
     NotifyLoadChanged();
   }
   if (aOutcome == AttemptOutcome::Finished ||
@@ -318,14 +318,14 @@
 
 void
 TargetTable::OnProgress(const std::string& aTarget,
-                        std::uint64_t aContentHash,
+                        const RequestContent& aContent,
                         Time aNow)
 {
-  mSuspects.ClearSuspect(aContentHash, aNow);
+  mSuspects.ClearSuspect(aContent, aNow);
   NotifyLoadChanged();
   if (Target* target = Find(aTarget)) {
     for (RunningAttempt& it : target->mRunning) {
-      it.mProgressed |= it.mContentHash == aContentHash;
+      it.mProgressed |= it.mContent.mHash == aContent.mHash;
     }
   }
 }
@@ -341,7 +341,7 @@
   }
   UpdateAverage(target->mFirstToken, aTime);
   for (RunningAttempt& it : target->mRunning) {
-    if (it.mContentHash == aContentHash) {
+    if (it.mContent.mHash == aContentHash) {
       it.mFirstTokenSeen = true;
     }
   }
@@ -782,7 +782,7 @@
         !TryAdmitContinuation(*it, aNow)) {
       continue;
     }
-    mSuspectWaitStarts.erase(aQuery.mContentHash);
+    mSuspectWaitStarts.erase(aQuery.mContent.mHash);
     choice.mStatus = ChoiceStatus::Chosen;
     choice.mTarget = it->mDeclaration.mName;
     choice.mTypicalTokenGap = it->mTypicalTokenGap;
@@ -870,20 +870,20 @@
                                   const ChoiceQuery& aQuery,
                                   Time aNow)
 {
-  const int deaths = mSuspects.Deaths(aQuery.mContentHash, aNow);
+  const int deaths = mSuspects.Deaths(aQuery.mContent.mHash, aNow);
   if (!mOptions.mIsolateSuspects) {
     return true;
   }
-  if (deaths == 0 && !IsRecentlyLost(aQuery.mContentHash, aNow)) {
+  if (deaths == 0 && !IsRecentlyLost(aQuery.mContent.mHash, aNow)) {
     return true;
   }
   const auto isOtherSuspect = [&](const RunningAttempt& aEntry) {
     const bool watched = aNow - aEntry.mStartedAt < kSuspectExclusionTime;
-    const int others = mSuspects.Deaths(aEntry.mContentHash, aNow);
+    const int others = mSuspects.Deaths(aEntry.mContent.mHash, aNow);
     const bool suspect =
-      others > 0 || IsRecentlyLost(aEntry.mContentHash, aNow);
+      others > 0 || IsRecentlyLost(aEntry.mContent.mHash, aNow);
     return suspect && (watched || others >= 2) &&
-           aEntry.mContentHash != aQuery.mContentHash;
+           aEntry.mContent.mHash != aQuery.mContent.mHash;
   };
   const bool alone = std::none_of(
     aTarget.mRunning.begin(), aTarget.mRunning.end(), isOtherSuspect);
@@ -893,7 +893,8 @@
   if (deaths >= 2) {
     return false;
   }
-  const auto wait = mSuspectWaitStarts.emplace(aQuery.mContentHash, aNow).first;
+  const auto wait =
+    mSuspectWaitStarts.emplace(aQuery.mContent.mHash, aNow).first;
   return aNow - wait->second >= kMaxSuspectWait;
 }
 
@@ -967,7 +968,7 @@
 {
   for (const auto& it : mTargets) {
     for (const LostAttempt& lost : it.second.mLostAttempts) {
-      if (lost.mContentHash == aContentHash &&
+      if (lost.mContent.mHash == aContentHash &&
           aNow - lost.mAt < kDeathConfirmationWindow) {
         return true;
       }
@@ -1007,9 +1008,9 @@
   report.mEvidence = aEvidence;
   for (const LostAttempt& it : aTarget.mLostAttempts) {
     if (IsLostWith(it, aTarget, aNow)) {
-      report.mRequests.push_back(it.mContentHash);
+      report.mRequests.push_back(it.mContent);
       mSuspects.OnRunLost(
-        it.mContentHash, { *aTarget.mDeath, it.mStartedAt }, aNow);
+        it.mContent, { *aTarget.mDeath, it.mStartedAt }, aNow);
     }
   }
   mSuspects.OnTargetDeath(*aTarget.mDeath);
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -107,7 +107,7 @@
 // the target.
 struct SuspectTrial
 {
-  std::uint64_t mContentHash = 0;
+  RequestContent mContent;
   std::string mRequestId;
   std::string mTarget;
   Time mAllowedAt;
@@ -178,13 +178,13 @@
 
   // Records that an attempt has been sent to a target.
   void OnAttemptStart(const std::string& aTarget,
-                      std::uint64_t aContentHash,
+                      const RequestContent& aContent,
                       Time aNow,
                       AttemptLoad aLoad = {});
 
   // Records the end of an attempt.
   void OnAttemptEnd(const std::string& aTarget,
-                    std::uint64_t aContentHash,
+                    const RequestContent& aContent,
                     AttemptOutcome aOutcome,
                     Time aNow);
 
@@ -192,7 +192,7 @@
   // does not crash targets. Clears the request, and the loss of this attempt
   // will not count.
   void OnProgress(const std::string& aTarget,
-                  std::uint64_t aContentHash,
+                  const RequestContent& aContent,
                   Time aNow);
 
   // Records the time from an attempt's start to its first token, which ends the
@@ -373,7 +373,7 @@
 private:
   struct RunningAttempt
   {
-    std::uint64_t mContentHash;
+    RequestContent mContent;
     Time mStartedAt;
     AttemptLoad mLoad;
     bool mFirstTokenSeen;
@@ -384,7 +384,7 @@
 
   struct LostAttempt
   {
-    std::uint64_t mContentHash;
+    RequestContent mContent;
     Time mStartedAt;
     Time mAt;
     std::string mIncarnation;
--- a/src/quetzalquay/core/TargetTableTrials.cpp
+++ b/src/quetzalquay/core/TargetTableTrials.cpp
@@ -16,9 +16,9 @@
                         const std::string& aTarget,
                         Time aNow)
 {
-  SuspectTrial& trial = mTrials[aQuery.mContentHash];
+  SuspectTrial& trial = mTrials[aQuery.mContent.mHash];
   trial = SuspectTrial();
-  trial.mContentHash = aQuery.mContentHash;
+  trial.mContent = aQuery.mContent;
   trial.mRequestId = aQuery.mRequestId;
   trial.mTarget = aTarget;
   trial.mAllowedAt = aNow;
@@ -56,8 +56,8 @@
                            std::any_of(target->mLostAttempts.begin(),
                                        target->mLostAttempts.end(),
                                        [&](const LostAttempt& aAttempt) {
-                                         return aAttempt.mContentHash ==
-                                                  aQuery.mContentHash &&
+                                         return aAttempt.mContent.mHash ==
+                                                  aQuery.mContent.mHash &&
                                                 aNow - aAttempt.mAt <
                                                   mOptions.mDeathCheckTime;
                                        });
@@ -67,8 +67,8 @@
 SuspectVerdict
 TargetTable::JudgeSuspect(const ChoiceQuery& aQuery, Time aNow) const
 {
-  const SuspectVerdict verdict = mSuspects.Judge(
-    aQuery.mContentHash, CountPendingLosses(aQuery, aNow), aNow);
+  const SuspectVerdict verdict =
+    mSuspects.Judge(aQuery.mContent, CountPendingLosses(aQuery, aNow), aNow);
   // Without trials, only retries wait for evidence, and only if lost targets
   // are checked at all.
   const bool waits =
--- a/src/quetzalquay/core/TrialRecord.cpp
+++ b/src/quetzalquay/core/TrialRecord.cpp
@@ -1,5 +1,8 @@
 #include "core/TrialRecord.h"
 
+#include "core/Hash.h"
+
+#include <charconv>
 #include <cstdio>
 
 namespace quetzalquay {
@@ -30,8 +33,13 @@
 std::string
 FormatTrialRecord(const TrialRecord& aRecord)
 {
-  return std::to_string(aRecord.mLost) + " " +
-         (aRecord.mConvicted ? "1 " : "0 ") + (aRecord.mHeld ? "1" : "0");
+  std::string text = std::to_string(aRecord.mLost) + " " +
+                     (aRecord.mConvicted ? "1 " : "0 ") +
+                     (aRecord.mHeld ? "1" : "0");
+  for (const std::uint64_t it : aRecord.mMembers) {
+    text += " " + ToHex(it);
+  }
+  return text;
 }
 
 std::optional<TrialRecord>
@@ -40,11 +48,27 @@
   TrialRecord record;
   int convicted = 0;
   int held = 0;
-  if (std::sscanf(
-        aText.c_str(), "%9d %1d %1d", &record.mLost, &convicted, &held) != 3 ||
+  int length = 0;
+  if (std::sscanf(aText.c_str(),
+                  "%9d %1d %1d%n",
+                  &record.mLost,
+                  &convicted,
+                  &held,
+                  &length) != 3 ||
       record.mLost < 0) {
     return std::nullopt;
   }
+  const char* at = aText.data() + length;
+  const char* end = aText.data() + aText.size();
+  while (at < end) {
+    std::uint64_t member = 0;
+    const auto parsed = std::from_chars(at + 1, end, member, 16);
+    if (*at != ' ' || parsed.ec != std::errc()) {
+      return std::nullopt;
+    }
+    record.mMembers.push_back(member);
+    at = parsed.ptr;
+  }
   record.mConvicted = convicted != 0;
   record.mHeld = held != 0;
   return record;
--- a/src/quetzalquay/core/TrialRecord.h
+++ b/src/quetzalquay/core/TrialRecord.h
@@ -3,22 +3,27 @@
 
 #include "core/NameTable.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace quetzalquay {
 
-// What all hosts together have on record of the trials of one request, or of
-// those on one target. A host changes the record only if nobody else has since
-// it was read, so the hosts never run two trials of a request at once.
+// What all hosts together have on record of the trials of one set of suspects,
+// or of those on one target. A host changes the record only if nobody else has
+// since it was read, so the hosts never run two trials of a set at once.
 struct TrialRecord
 {
   // Trials that were lost with their target.
   int mLost = 0;
-  // Whether the request is convicted of crashing targets.
+  // Whether the set is convicted of crashing targets.
   bool mConvicted = false;
   // Whether a trial is in progress.
   bool mHeld = false;
+  // Members of the set; empty if the set has a single one, whose hash is the
+  // key of the record.
+  std::vector<std::uint64_t> mMembers;
 };
 
 // How a trial ended.
@@ -39,7 +44,7 @@
 constexpr NameTable<TrialOutcome, 4> kTrialOutcomeNames(
   { "cleared", "inconclusive", "convicted", "lost" });
 
-// Lost trials that convict a request, whatever else was lost with them.
+// Lost trials that convict a set, whatever else was lost with them.
 constexpr int kLostTrialsToConvict = 2;
 
 // Returns the record of a trial that begins. aVanished says that the host of
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -326,8 +326,10 @@
     std::min(mRequest.mCallerTimeout.value_or(kDefaultCallerTimeout),
              call.mRoute->mTimeout > Duration::zero() ? call.mRoute->mTimeout
                                                       : kDefaultCallerTimeout);
-  call.mContentHash =
-    StableHash(aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace)));
+  call.mContent = {
+    StableHash(aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace))),
+    mRequest.mPromptParts
+  };
   const std::string& origin = mRequest.mOriginRequestId.empty()
                                 ? mRequest.mRequestId
                                 : mRequest.mOriginRequestId;
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -94,8 +94,8 @@
   Time mArrivedAt;
   // When the caller stops waiting for the response.
   Time mDeadline;
-  // Hash of workspace, path and body; the same for each retry by the caller.
-  std::uint64_t mContentHash = 0;
+  // What the request may have in common with others that crashed targets.
+  RequestContent mContent;
 };
 
 // Handles one request until its response is complete.
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -356,16 +356,16 @@
 void
 Fleet::ApplyTrialRow(const StoreRow& aRow, Time aNow)
 {
-  const auto request = ParseTrialKey(aRow.mKey);
+  const auto suspects = ParseTrialSuspects(aRow);
   const auto record = ParseTrialRecord(aRow.mValue);
-  if (aRow.mRemoved || !request || !record || !record->mConvicted) {
+  if (aRow.mRemoved || !suspects || !record || !record->mConvicted) {
     return;
   }
-  mTargets.Suspects().Convict(*request, aNow);
+  mTargets.Suspects().Convict(*suspects, aNow);
   Log(LogLevel::Info,
       "fleet",
       "request convicted of crashing targets",
-      { { "content", ToHex(*request) },
+      { { "suspects", ToHex(suspects->mId) },
         { "lost_trials", std::to_string(record->mLost) },
         { "row_version", std::to_string(aRow.mVersion) } });
 }
@@ -377,7 +377,7 @@
 {
   const ClockReading clocks = ReadClocks();
   const auto apply = [&](const StoreRow& aRow) {
-    if (ParseTrialKey(aRow.mKey) || IsTargetTrialKey(aRow.mKey)) {
+    if (ParseTrialSuspects(aRow) || IsTargetTrialKey(aRow.mKey)) {
       ApplyTrialRow(aRow, clocks.mNow);
       return;
     }
@@ -394,10 +394,10 @@
     Log(LogLevel::Info,
         "fleet",
         "suspected request read from the store",
-        { { "content", ToHex(change->mRequest) },
+        { { "content", ToHex(change->mSuspect) },
           { "deaths",
             std::to_string(
-              mTargets.Suspects().Deaths(change->mRequest, clocks.mNow)) },
+              mTargets.Suspects().Deaths(change->mSuspect, clocks.mNow)) },
           { "removed", aRow.mRemoved ? "true" : "false" },
           { "row_version", std::to_string(aRow.mVersion) } });
   };
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -46,8 +46,11 @@
 // finished.
 constexpr Duration kStopCheckInterval = milliseconds(100);
 
-// Suspected requests that are logged for one death of a target.
+// Suspects that are logged for one death of a target, and the lost runs from
+// which on they are. Each request has parts, most of which are lost once.
 constexpr std::size_t kMaxLoggedSuspects = 8;
+constexpr int kMinLoggedLosses = 1;
+constexpr int kMinLoggedPartLosses = 2;
 
 } // namespace
 
@@ -171,26 +174,53 @@
           { "evidence",
             std::string(kDeathEvidenceNames.NameOf(aDeath.mEvidence)) },
           { "lost_requests", std::to_string(aDeath.mRequests.size()) } });
-    const Time now = EventLoop::Now();
     std::size_t logged = 0;
-    for (const std::uint64_t it : aDeath.mRequests) {
-      const SuspectEvidence evidence =
-        mFleet.Targets().Suspects().EvidenceOf(it, now);
-      if (evidence.mLostRuns > 0 && ++logged <= kMaxLoggedSuspects) {
-        Log(LogLevel::Info,
-            "fleet",
-            "request suspected of crashing targets",
-            { { "content", ToHex(it) },
-              { "lost_runs", std::to_string(evidence.mLostRuns) },
-              { "deaths", std::to_string(evidence.mCounted) },
-              { "common_failures", std::to_string(evidence.mCommonFailures) },
-              { "explained", std::to_string(evidence.mExplained) },
-              { "tied", evidence.mTied ? "true" : "false" },
-              { "target", aDeath.mTarget } });
+    for (const RequestContent& it : aDeath.mRequests) {
+      if (logged >= kMaxLoggedSuspects) {
+        break;
+      }
+      logged += LogSuspect("request suspected of crashing targets",
+                           it.mHash,
+                           kMinLoggedLosses,
+                           it,
+                           aDeath);
+      for (const std::uint64_t part : it.mParts) {
+        logged += LogSuspect("prompt part suspected of crashing targets",
+                             part,
+                             kMinLoggedPartLosses,
+                             it,
+                             aDeath);
       }
     }
   }
 
+  // Logs what is known against a suspect that was lost with a request, if it
+  // has lost enough runs. Returns whether it has.
+  bool LogSuspect(const char* aMessage,
+                  std::uint64_t aSuspect,
+                  int aMinLosses,
+                  const RequestContent& aRequest,
+                  const DeathReport& aDeath)
+  {
+    const SuspectEvidence evidence =
+      mFleet.Targets().Suspects().EvidenceOf(aSuspect, EventLoop::Now());
+    if (evidence.mLostRuns < aMinLosses) {
+      return false;
+    }
+    Log(LogLevel::Info,
+        "fleet",
+        aMessage,
+        { { "suspect", ToHex(aSuspect) },
+          { "content", ToHex(aRequest.mHash) },
+          { "lost_runs", std::to_string(evidence.mLostRuns) },
+          { "deaths", std::to_string(evidence.mCounted) },
+          { "common_failures", std::to_string(evidence.mCommonFailures) },
+          { "explained", std::to_string(evidence.mExplained) },
+          { "tied", evidence.mContested ? "true" : "false" },
+          { "target", aDeath.mTarget } });
+    return true;
+  }
+
   void WaitForSignal()
   {
     mSignals.async_wait(
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -161,7 +161,7 @@
 WriteSuspect(Writer& aWriter, const SuspectReport& aReport, Time aNow)
 {
   aWriter.StartArray();
-  aWriter.Uint64(aReport.mRequest);
+  aWriter.Uint64(aReport.mSuspect);
   aWriter.Int(aReport.mClearedAt ? AgeInMilliseconds(*aReport.mClearedAt, aNow)
                                  : -1);
   aWriter.StartArray();
@@ -198,7 +198,7 @@
     return std::nullopt;
   }
   SuspectReport report;
-  report.mRequest = aValue[0].GetUint64();
+  report.mSuspect = aValue[0].GetUint64();
   if (aValue[1].GetInt() >= 0) {
     report.mClearedAt = aNow - milliseconds(aValue[1].GetInt());
   }
@@ -662,12 +662,12 @@
                             const std::string& aHost,
                             Time aNow) const
 {
-  const int deaths = mFleet.Targets().Suspects().Deaths(aReport.mRequest, aNow);
+  const int deaths = mFleet.Targets().Suspects().Deaths(aReport.mSuspect, aNow);
   if (deaths >= kMinLoggedDeaths || aReport.mClearedAt) {
     Log(LogLevel::Info,
         "peers",
         "suspected request reported",
-        { { "content", ToHex(aReport.mRequest) },
+        { { "content", ToHex(aReport.mSuspect) },
           { "host", aHost },
           { "deaths", std::to_string(deaths) },
           { "cleared", aReport.mClearedAt ? "true" : "false" } });
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -22,7 +22,7 @@
   query.mService = aCall.mService;
   query.mRequestId = aCall.mRequest.mRequestId;
   query.mWorkspace = aCall.mWorkspace;
-  query.mContentHash = aCall.mContentHash;
+  query.mContent = aCall.mContent;
   query.mDeadline = aCall.mDeadline;
   query.mPriority = aCall.mPriority;
   query.mDueAt = aCall.mArrivedAt + aCall.mRoute->mLatencyObjective;
@@ -96,7 +96,7 @@
   mHasResponse = false;
   mWaitsForSilentTarget = false;
   DiscardResponse();
-  mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContentHash, now);
+  mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContent, now);
   mConnection = mContext.mPool.Acquire(aTarget);
   if (mConnection == nullptr) {
     mContext.mFleet.Targets().OnAttemptNotReceived(aTarget);
@@ -229,7 +229,7 @@
 {
   mConnection.reset();
   mContext.mFleet.Targets().OnAttemptEnd(
-    mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
+    mTarget, mCall.mContent, aOutcome, EventLoop::Now());
   if (aOutcome == AttemptOutcome::Lost) {
     mContext.mProber.CheckDeath(mTarget);
   }
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -79,7 +79,7 @@
   spec.mQuery.mResumable = aCall.mRoute->mResumable;
   spec.mQuery.mRequestId = aCall.mRequest.mRequestId;
   spec.mQuery.mWorkspace = aCall.mWorkspace;
-  spec.mQuery.mContentHash = aCall.mContentHash;
+  spec.mQuery.mContent = aCall.mContent;
   spec.mQuery.mDeadline = aCall.mDeadline;
   spec.mQuery.mPriority = aCall.mPriority;
   spec.mQuery.mPromptTokens = aCall.mRequest.mPromptTokens;
@@ -208,8 +208,7 @@
   load.mPromptTokens = fromCopy ? 0 : mCall.mRequest.mPromptTokens;
   load.mOutputTokens = mCall.mRequest.mOutputTokens +
                        (fromCopy ? mCall.mRequest.mPromptTokens : 0);
-  mContext.mFleet.Targets().OnAttemptStart(
-    mTarget, mCall.mContentHash, now, load);
+  mContext.mFleet.Targets().OnAttemptStart(mTarget, mCall.mContent, now, load);
   platform::AttemptFields fields = MakeAttemptFields(mTarget, now);
   fields.mLastEventId = mLastEventId;
   fields.mCopy = copy;
@@ -504,7 +503,7 @@
     targets.OnFirstToken(
       mTarget,
       std::chrono::duration_cast<Duration>(aNow - mCall.mArrivedAt),
-      mCall.mContentHash);
+      mCall.mContent.mHash);
   } else {
     targets.OnTokenGap(
       mTarget, std::chrono::duration_cast<Duration>(aNow - mLastEventAt));
@@ -525,7 +524,7 @@
   if (!mProgressReported &&
       aNow - mAttemptFirstEventAt >= SuspectRegistry::kProgressTime) {
     mProgressReported = true;
-    targets.OnProgress(mTarget, mCall.mContentHash, aNow);
+    targets.OnProgress(mTarget, mCall.mContent, aNow);
   }
   mCopy.OnEvent(aNow);
   ++mNextEventIndex;
@@ -626,7 +625,7 @@
     mContext.mMetrics.Add(GatewayCounter::TargetLosses);
   }
   mContext.mFleet.Targets().OnAttemptEnd(
-    mTarget, mCall.mContentHash, aOutcome, EventLoop::Now());
+    mTarget, mCall.mContent, aOutcome, EventLoop::Now());
   if (aOutcome == AttemptOutcome::Lost) {
     mContext.mProber.CheckDeath(mTarget);
   }
--- a/src/quetzalquay/gateway/SuspectRows.cpp
+++ b/src/quetzalquay/gateway/SuspectRows.cpp
@@ -1,6 +1,7 @@
 #include "gateway/SuspectRows.h"
 
 #include "core/Hash.h"
+#include "core/TrialRecord.h"
 
 #include <chrono>
 #include <cinttypes>
@@ -12,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr char kRequestTrialPrefix[] = "trial-";
+constexpr char kSetTrialPrefix[] = "trial-";
 constexpr char kTargetTrialPrefix[] = "trial-at-";
 
 std::int64_t
@@ -43,7 +44,7 @@
 {
   const LostRun& run = aChange.mRun;
   platform::RowChange row;
-  row.mKey = ToHex(aChange.mRequest) + "-" + ToHex(run.mDeath.mId);
+  row.mKey = ToHex(aChange.mSuspect) + "-" + ToHex(run.mDeath.mId);
   if (!aChange.mRemoved) {
     row.mValue = ToHex(run.mDeath.mPlace) + " " +
                  std::to_string(ToUnixMs(run.mStartedAt, aClocks)) + " " +
@@ -59,7 +60,7 @@
   change.mRemoved = aRow.mRemoved;
   if (std::sscanf(aRow.mKey.c_str(),
                   "%16" SCNx64 "-%16" SCNx64,
-                  &change.mRequest,
+                  &change.mSuspect,
                   &change.mRun.mDeath.mId) != 2) {
     return std::nullopt;
   }
@@ -81,9 +82,9 @@
 }
 
 std::string
-TrialKeyOf(std::uint64_t aRequest)
+TrialKeyOf(std::uint64_t aSet)
 {
-  return kRequestTrialPrefix + ToHex(aRequest);
+  return kSetTrialPrefix + ToHex(aSet);
 }
 
 std::string
@@ -92,15 +93,17 @@
   return kTargetTrialPrefix + ToHex(StableHash(aTarget));
 }
 
-std::optional<std::uint64_t>
-ParseTrialKey(const std::string& aKey)
+std::optional<SuspectSet>
+ParseTrialSuspects(const platform::StoreRow& aRow)
 {
-  std::uint64_t request = 0;
-  if (IsTargetTrialKey(aKey) ||
-      std::sscanf(aKey.c_str(), "trial-%16" SCNx64, &request) != 1) {
+  std::uint64_t id = 0;
+  if (IsTargetTrialKey(aRow.mKey) ||
+      std::sscanf(aRow.mKey.c_str(), "trial-%16" SCNx64, &id) != 1) {
     return std::nullopt;
   }
-  return request;
+  const auto record = ParseTrialRecord(aRow.mValue);
+  return record && !record->mMembers.empty() ? SuspectSet(record->mMembers)
+                                             : SuspectSet(id);
 }
 
 bool
--- a/src/quetzalquay/gateway/SuspectRows.h
+++ b/src/quetzalquay/gateway/SuspectRows.h
@@ -21,7 +21,7 @@
 ClockReading
 ReadClocks();
 
-// The row change that stores or removes a lost run. The key names the request
+// The row change that stores or removes a lost run. The key names the suspect
 // and the death, so hosts that store the same loss write the same row.
 platform::RowChange
 FormatSuspectRow(const StoredLossChange& aChange, const ClockReading& aClocks);
@@ -30,16 +30,16 @@
 std::optional<StoredLossChange>
 ParseSuspectRow(const platform::StoreRow& aRow, const ClockReading& aClocks);
 
-// Keys of the rows, in the same table, that record the trials of a request and
-// those on a target.
+// Keys of the rows, in the same table, that record the trials of a set of
+// suspects and those on a target.
 std::string
-TrialKeyOf(std::uint64_t aRequest);
+TrialKeyOf(std::uint64_t aSet);
 std::string
 TrialKeyOf(const std::string& aTarget);
 
-// The request of a row of trials; nothing for other rows.
-std::optional<std::uint64_t>
-ParseTrialKey(const std::string& aKey);
+// The suspects of a row of trials; nothing for other rows.
+std::optional<SuspectSet>
+ParseTrialSuspects(const platform::StoreRow& aRow);
 
 // Whether a row records the trials on a target.
 bool
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -20,8 +20,8 @@
 // Time limit for a response of the store.
 constexpr Duration kReplyTimeout = milliseconds(300);
 
-// Delay of the next claim while another host runs a trial of the request, or
-// while the store does not answer.
+// Delay of the next claim while another host runs a trial of the set, and while
+// the store does not answer or after a conviction.
 constexpr Duration kClaimInterval = milliseconds(100);
 constexpr Duration kFailureInterval = milliseconds(500);
 
@@ -73,22 +73,25 @@
 SuspectTrials::OnNeeded(const ChoiceQuery& aQuery, const std::string& aTarget)
 {
   const Time now = EventLoop::Now();
-  Trial& trial = mTrials[aQuery.mContentHash];
+  const SuspectSet suspects =
+    mFleet.Targets().Suspects().SuspectsOf(aQuery.mContent, now);
+  Trial& trial = mTrials[suspects.mId];
   trial.mExpiresAt = now + kIdleLifetime;
   if (trial.mPhase != Phase::Idle || now < trial.mNextClaimAt) {
     return;
   }
   trial.mPhase = Phase::Claiming;
+  trial.mSuspects = suspects;
   trial.mQuery = aQuery;
   trial.mTarget = aTarget;
   trial.mSends = 0;
-  Queue(aQuery.mContentHash);
+  Queue(suspects.mId);
 }
 
 void
-SuspectTrials::Queue(std::uint64_t aRequest)
+SuspectTrials::Queue(std::uint64_t aSet)
 {
-  mQueue.push_back(aRequest);
+  mQueue.push_back(aSet);
   SendNext();
 }
 
@@ -98,13 +101,13 @@
   if (mHttpClient.IsBusy() || mQueue.empty()) {
     return;
   }
-  const std::uint64_t request = mQueue.front();
+  const std::uint64_t set = mQueue.front();
   mQueue.pop_front();
-  Trial& trial = mTrials[request];
+  Trial& trial = mTrials[set];
   if (trial.mPhase == Phase::Claiming) {
-    SendClaim(request, trial);
+    SendClaim(set, trial);
   } else {
-    SendOutcome(request, trial);
+    SendOutcome(set, trial);
   }
 }
 
@@ -124,47 +127,46 @@
 // Asks the store to record the trial, or reads the record again while another
 // host's trial seems to be in progress.
 void
-SuspectTrials::SendClaim(std::uint64_t aRequest, Trial& aTrial)
+SuspectTrials::SendClaim(std::uint64_t aSet, Trial& aTrial)
 {
   ++aTrial.mSends;
-  const std::string requestKey = TrialKeyOf(aRequest);
+  const std::string setKey = TrialKeyOf(aSet);
   const std::string targetKey = TrialKeyOf(aTrial.mTarget);
-  const SeenRow& ofRequest = Seen(requestKey);
+  const SeenRow& ofSet = Seen(setKey);
   const SeenRow& ofTarget = Seen(targetKey);
-  const auto onReply = [this, aRequest](const auto& aReply,
-                                        const auto& aReason) {
-    OnClaimReply(aRequest, aReply, aReason);
+  const auto onReply = [this, aSet](const auto& aReply, const auto& aReason) {
+    OnClaimReply(aSet, aReply, aReason);
   };
   aTrial.mReadKey.clear();
-  if (IsTaken(ofRequest) || IsTaken(ofTarget)) {
-    aTrial.mReadKey = IsTaken(ofRequest) ? requestKey : targetKey;
+  if (IsTaken(ofSet) || IsTaken(ofTarget)) {
+    aTrial.mReadKey = IsTaken(ofSet) ? setKey : targetKey;
     Call(platform::EncodeReadRow(
            mHostHeader, StoreTable::Suspects, aTrial.mReadKey),
          onReply);
     return;
   }
-  const TrialRecord record =
-    BeginTrial(ofRequest.mRecord, ofRequest.mRecord.mHeld);
+  TrialRecord record = BeginTrial(ofSet.mRecord, ofSet.mRecord.mHeld);
+  record.mMembers = aTrial.mSuspects.mMembers;
   TrialRecord target;
   target.mHeld = record.mHeld;
-  Call(platform::EncodeChanges(mHostHeader,
-                               StoreTable::Suspects,
-                               { { requestKey, FormatTrialRecord(record) },
-                                 { targetKey, FormatTrialRecord(target) } },
-                               { { requestKey, ofRequest.mVersion },
-                                 { targetKey, ofTarget.mVersion } }),
+  Call(platform::EncodeChanges(
+         mHostHeader,
+         StoreTable::Suspects,
+         { { setKey, FormatTrialRecord(record) },
+           { targetKey, FormatTrialRecord(target) } },
+         { { setKey, ofSet.mVersion }, { targetKey, ofTarget.mVersion } }),
        onReply);
 }
 
 void
-SuspectTrials::OnClaimReply(std::uint64_t aRequest,
+SuspectTrials::OnClaimReply(std::uint64_t aSet,
                             const std::optional<HttpReply>& aReply,
                             const std::string& aReason)
 {
   const Time now = EventLoop::Now();
-  Trial& trial = mTrials[aRequest];
+  Trial& trial = mTrials[aSet];
   trial.mPhase = Phase::Idle;
-  const std::string requestKey = TrialKeyOf(aRequest);
+  const std::string setKey = TrialKeyOf(aSet);
   const std::string targetKey = TrialKeyOf(trial.mTarget);
   const bool failed = HasStatus(aReply, platform::kConditionFailedStatus);
   std::string reason = aReason;
@@ -176,28 +178,29 @@
     Log(LogLevel::Warn,
         "fleet",
         "claiming a trial failed",
-        { { "content", ToHex(aRequest) },
+        { { "suspects", ToHex(aSet) },
           { "reason",
             aReply ? "status " + std::to_string(aReply->mHead.mStatus)
                    : reason } });
     if (!std::exchange(trial.mRanUnrecorded, true)) {
-      Allow(aRequest, trial, false);
+      Allow(trial, false);
     }
     return;
   }
   if (trial.mReadKey.empty() && !failed) {
-    SeenRow& ofRequest = Seen(requestKey);
-    ofRequest.mRecord = BeginTrial(ofRequest.mRecord, ofRequest.mRecord.mHeld);
-    ofRequest.mVersion = rows->mVersion;
-    ofRequest.mSince = now;
+    SeenRow& ofSet = Seen(setKey);
+    ofSet.mRecord = BeginTrial(ofSet.mRecord, ofSet.mRecord.mHeld);
+    ofSet.mRecord.mMembers = trial.mSuspects.mMembers;
+    ofSet.mVersion = rows->mVersion;
+    ofSet.mSince = now;
     SeenRow& ofTarget = Seen(targetKey);
-    ofTarget.mRecord.mHeld = ofRequest.mRecord.mHeld;
+    ofTarget.mRecord.mHeld = ofSet.mRecord.mHeld;
     ofTarget.mVersion = rows->mVersion;
     ofTarget.mSince = now;
-    if (ofRequest.mRecord.mConvicted) {
-      Convict(aRequest, ofRequest.mRecord);
+    if (ofSet.mRecord.mConvicted) {
+      Convict(trial, ofSet.mRecord);
     } else {
-      Allow(aRequest, trial, true);
+      Allow(trial, true);
     }
     return;
   }
@@ -207,61 +210,66 @@
                        rows->mRows.end(),
                        [&](const auto& aRow) { return aRow.mKey == aKey; });
   };
-  for (const std::string& it : { requestKey, targetKey }) {
+  for (const std::string& it : { setKey, targetKey }) {
     if (!has(it) && (failed || it == trial.mReadKey)) {
       mSeen.erase(it);
     }
   }
   for (const platform::StoreRow& it : rows->mRows) {
-    if (it.mKey == requestKey || it.mKey == targetKey) {
+    if (it.mKey == setKey || it.mKey == targetKey) {
       See(it);
     }
   }
-  const SeenRow& ofRequest = Seen(requestKey);
-  if (ofRequest.mRecord.mConvicted) {
-    Convict(aRequest, ofRequest.mRecord);
-  } else if (IsTaken(ofRequest)) {
+  const SeenRow& ofSet = Seen(setKey);
+  if (ofSet.mRecord.mConvicted) {
+    Convict(trial, ofSet.mRecord);
+  } else if (IsTaken(ofSet)) {
     trial.mNextClaimAt = now + kClaimInterval;
   } else if (IsTaken(Seen(targetKey))) {
     mFleet.Targets().AvoidForTrials(trial.mTarget, now + kAvoidTime);
   } else if (trial.mSends < kMaxSends) {
     trial.mPhase = Phase::Claiming;
-    mQueue.push_back(aRequest);
+    mQueue.push_back(aSet);
   }
 }
 
 void
-SuspectTrials::Allow(std::uint64_t aRequest, Trial& aTrial, bool aRecorded)
+SuspectTrials::Allow(Trial& aTrial, bool aRecorded)
 {
   aTrial.mPhase = Phase::Running;
   aTrial.mRecorded = aRecorded;
   mFleet.Targets().AllowTrial(aTrial.mQuery, aTrial.mTarget, EventLoop::Now());
   mMetrics.Add(GatewayCounter::SuspectTrials);
-  const SuspectEvidence evidence =
-    mFleet.Targets().Suspects().EvidenceOf(aRequest, EventLoop::Now());
-  Log(LogLevel::Info,
-      "fleet",
-      "trial of a suspected request",
-      { { "content", ToHex(aRequest) },
-        { "request", aTrial.mQuery.mRequestId },
-        { "target", aTrial.mTarget },
-        { "recorded", aRecorded ? "true" : "false" },
-        { "lost_runs", std::to_string(evidence.mLostRuns) },
-        { "lost_trials",
-          std::to_string(Seen(TrialKeyOf(aRequest)).mRecord.mLost) } });
+  const std::uint64_t set = aTrial.mSuspects.mId;
+  const SuspectEvidence evidence = mFleet.Targets().Suspects().EvidenceOf(
+    aTrial.mSuspects.mMembers.front(), EventLoop::Now());
+  Log(
+    LogLevel::Info,
+    "fleet",
+    "trial of a suspected request",
+    { { "content", ToHex(aTrial.mQuery.mContent.mHash) },
+      { "suspects", ToHex(set) },
+      { "request", aTrial.mQuery.mRequestId },
+      { "target", aTrial.mTarget },
+      { "recorded", aRecorded ? "true" : "false" },
+      { "lost_runs", std::to_string(evidence.mLostRuns) },
+      { "lost_trials", std::to_string(Seen(TrialKeyOf(set)).mRecord.mLost) } });
   if (!mTimer.IsSet()) {
     mTimer.ScheduleAt(EventLoop::Now() + kCheckInterval);
   }
 }
 
 void
-SuspectTrials::Convict(std::uint64_t aRequest, const TrialRecord& aRecord)
+SuspectTrials::Convict(Trial& aTrial, const TrialRecord& aRecord)
 {
-  mFleet.Targets().Suspects().Convict(aRequest, EventLoop::Now());
+  const Time now = EventLoop::Now();
+  mFleet.Targets().Suspects().Convict(aTrial.mSuspects, now);
+  aTrial.mNextClaimAt = now + kFailureInterval;
   Log(LogLevel::Info,
       "fleet",
       "request convicted of crashing targets",
-      { { "content", ToHex(aRequest) },
+      { { "content", ToHex(aTrial.mQuery.mContent.mHash) },
+        { "suspects", ToHex(aTrial.mSuspects.mId) },
         { "lost_trials", std::to_string(aRecord.mLost) } });
 }
 
@@ -290,41 +298,45 @@
 }
 
 void
-SuspectTrials::CheckRunning(std::uint64_t aRequest, Trial& aTrial, Time aNow)
+SuspectTrials::CheckRunning(std::uint64_t aSet, Trial& aTrial, Time aNow)
 {
   TargetTable& targets = mFleet.Targets();
-  const SuspectTrial* run = targets.FindTrial(aRequest);
-  const auto outcome =
-    run == nullptr ? TrialOutcome::Inconclusive : OutcomeOf(*run, aNow);
+  const std::uint64_t content = aTrial.mQuery.mContent.mHash;
+  const SuspectTrial* run = targets.FindTrial(content);
+  const auto outcome = run == nullptr ? TrialOutcome::Inconclusive
+                                      : OutcomeOf(*run, aTrial.mSuspects, aNow);
   if (!outcome) {
     return;
   }
-  targets.EndTrial(aRequest);
+  targets.EndTrial(content);
   aTrial.mOutcome = *outcome;
   aTrial.mExpiresAt = aNow + kIdleLifetime;
-  SeenRow& row = Seen(TrialKeyOf(aRequest));
+  SeenRow& row = Seen(TrialKeyOf(aSet));
   row.mRecord = FinishTrial(row.mRecord, *outcome);
   Log(LogLevel::Info,
       "fleet",
       "trial ended",
-      { { "content", ToHex(aRequest) },
+      { { "content", ToHex(content) },
+        { "suspects", ToHex(aSet) },
         { "target", aTrial.mTarget },
         { "outcome", std::string(kTrialOutcomeNames.NameOf(*outcome)) },
         { "lost_trials", std::to_string(row.mRecord.mLost) } });
   if (row.mRecord.mConvicted) {
     mMetrics.Add(GatewayCounter::SuspectsConvicted);
-    Convict(aRequest, row.mRecord);
+    Convict(aTrial, row.mRecord);
   }
   aTrial.mPhase = aTrial.mRecorded ? Phase::Finishing : Phase::Idle;
   aTrial.mSends = 0;
   if (aTrial.mRecorded) {
-    Queue(aRequest);
+    Queue(aSet);
   }
 }
 
 // How a trial has ended; nothing while it may still decide.
 std::optional<TrialOutcome>
-SuspectTrials::OutcomeOf(const SuspectTrial& aRun, Time aNow)
+SuspectTrials::OutcomeOf(const SuspectTrial& aRun,
+                         const SuspectSet& aSuspects,
+                         Time aNow)
 {
   const SuspectRegistry& suspects = mFleet.Targets().Suspects();
   if (!aRun.mStartedAt) {
@@ -333,10 +345,14 @@
              : std::make_optional(TrialOutcome::Inconclusive);
   }
   if (const auto convicts =
-        suspects.JudgeLostTrial(aRun.mContentHash, *aRun.mStartedAt, aNow)) {
+        suspects.JudgeLostTrial(aRun.mContent, *aRun.mStartedAt, aNow)) {
     return *convicts ? TrialOutcome::Convicted : TrialOutcome::Lost;
   }
-  if (suspects.EvidenceOf(aRun.mContentHash, aNow).mLostRuns == 0) {
+  const auto& members = aSuspects.mMembers;
+  const auto isCleared = [&](std::uint64_t aMember) {
+    return suspects.EvidenceOf(aMember, aNow).mLostRuns == 0;
+  };
+  if (std::all_of(members.begin(), members.end(), isCleared)) {
     return TrialOutcome::Cleared;
   }
   const bool lost = aRun.mOutcome == AttemptOutcome::Lost;
@@ -349,44 +365,43 @@
 }
 
 void
-SuspectTrials::SendOutcome(std::uint64_t aRequest, Trial& aTrial)
+SuspectTrials::SendOutcome(std::uint64_t aSet, Trial& aTrial)
 {
   ++aTrial.mSends;
-  const std::string requestKey = TrialKeyOf(aRequest);
+  const std::string setKey = TrialKeyOf(aSet);
   const std::string targetKey = TrialKeyOf(aTrial.mTarget);
-  const SeenRow& row = Seen(requestKey);
+  const SeenRow& row = Seen(setKey);
   const bool cleared = aTrial.mOutcome == TrialOutcome::Cleared;
   const std::optional<std::string> value =
     cleared ? std::nullopt : std::make_optional(FormatTrialRecord(row.mRecord));
   Call(platform::EncodeChanges(
          mHostHeader,
          StoreTable::Suspects,
-         { { requestKey, value }, { targetKey, std::nullopt } },
-         { { requestKey, row.mVersion },
-           { targetKey, Seen(targetKey).mVersion } }),
-       [this, aRequest](const auto& aReply, const auto& aReason) {
-         OnOutcomeReply(aRequest, aReply, aReason);
+         { { setKey, value }, { targetKey, std::nullopt } },
+         { { setKey, row.mVersion }, { targetKey, Seen(targetKey).mVersion } }),
+       [this, aSet](const auto& aReply, const auto& aReason) {
+         OnOutcomeReply(aSet, aReply, aReason);
        });
 }
 
 void
-SuspectTrials::OnOutcomeReply(std::uint64_t aRequest,
+SuspectTrials::OnOutcomeReply(std::uint64_t aSet,
                               const std::optional<HttpReply>& aReply,
                               const std::string& aReason)
 {
-  Trial& trial = mTrials[aRequest];
-  const std::string requestKey = TrialKeyOf(aRequest);
+  Trial& trial = mTrials[aSet];
+  const std::string setKey = TrialKeyOf(aSet);
   const bool written = HasStatus(aReply, 200);
   const bool overtaken = HasStatus(aReply, platform::kConditionFailedStatus);
   if (!written && !overtaken && trial.mSends < kMaxSends) {
-    mQueue.push_back(aRequest);
+    mQueue.push_back(aSet);
     return;
   }
   if (!written) {
     Log(LogLevel::Warn,
         "fleet",
         "the outcome of a trial was not stored",
-        { { "content", ToHex(aRequest) },
+        { { "suspects", ToHex(aSet) },
           { "outcome", std::string(kTrialOutcomeNames.NameOf(trial.mOutcome)) },
           { "reason",
             aReply ? "status " + std::to_string(aReply->mHead.mStatus)
@@ -396,9 +411,9 @@
   const auto rows =
     written ? platform::DecodeRows(aReply->mBody, reason) : std::nullopt;
   if (rows && trial.mOutcome != TrialOutcome::Cleared) {
-    Seen(requestKey).mVersion = rows->mVersion;
+    Seen(setKey).mVersion = rows->mVersion;
   } else {
-    mSeen.erase(requestKey);
+    mSeen.erase(setKey);
   }
   mSeen.erase(TrialKeyOf(trial.mTarget));
   trial.mPhase = Phase::Idle;
--- a/src/quetzalquay/gateway/SuspectTrials.h
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -17,11 +17,11 @@
 namespace quetzalquay {
 
 // Runs requests of which it is unclear whether they crash targets as trials,
-// one at a time in the whole fleet for each request and for each target. The
-// store's conditional writes decide which host runs the next one, so that the
-// number of targets that a request can still crash is bounded however many
-// hosts it reaches at once. A host that does not reach the store runs one trial
-// of a request by itself.
+// one at a time in the whole fleet for each set of suspects and for each
+// target. The store's conditional writes decide which host runs the next one,
+// so that the number of targets that a set can still crash is bounded however
+// many hosts its requests reach at once. A host that does not reach the store
+// runs one trial of a set by itself.
 class SuspectTrials
 {
 public:
@@ -53,6 +53,7 @@
   struct Trial
   {
     Phase mPhase = Phase::Idle;
+    SuspectSet mSuspects;
     ChoiceQuery mQuery;
     std::string mTarget;
     // Whether the store has recorded the trial.
@@ -68,22 +69,24 @@
 
   void OnNeeded(const ChoiceQuery& aQuery, const std::string& aTarget);
   void Tick();
-  void CheckRunning(std::uint64_t aRequest, Trial& aTrial, Time aNow);
-  std::optional<TrialOutcome> OutcomeOf(const SuspectTrial& aRun, Time aNow);
-  void Queue(std::uint64_t aRequest);
+  void CheckRunning(std::uint64_t aSet, Trial& aTrial, Time aNow);
+  std::optional<TrialOutcome> OutcomeOf(const SuspectTrial& aRun,
+                                        const SuspectSet& aSuspects,
+                                        Time aNow);
+  void Queue(std::uint64_t aSet);
   void SendNext();
-  void SendClaim(std::uint64_t aRequest, Trial& aTrial);
-  void SendOutcome(std::uint64_t aRequest, Trial& aTrial);
-  void OnClaimReply(std::uint64_t aRequest,
+  void SendClaim(std::uint64_t aSet, Trial& aTrial);
+  void SendOutcome(std::uint64_t aSet, Trial& aTrial);
+  void OnClaimReply(std::uint64_t aSet,
                     const std::optional<HttpReply>& aReply,
                     const std::string& aReason);
-  void OnOutcomeReply(std::uint64_t aRequest,
+  void OnOutcomeReply(std::uint64_t aSet,
                       const std::optional<HttpReply>& aReply,
                       const std::string& aReason);
   void Call(const std::string& aRequest,
             AsyncHttpClient::ResponseCallback aDone);
-  void Allow(std::uint64_t aRequest, Trial& aTrial, bool aRecorded);
-  void Convict(std::uint64_t aRequest, const TrialRecord& aRecord);
+  void Allow(Trial& aTrial, bool aRecorded);
+  void Convict(Trial& aTrial, const TrialRecord& aRecord);
   void See(const platform::StoreRow& aRow);
   SeenRow& Seen(const std::string& aKey);
   bool IsTaken(const SeenRow& aRow) const;
@@ -93,9 +96,10 @@
   GatewayMetrics& mMetrics;
   AsyncHttpClient mHttpClient;
   Timer mTimer;
+  // By the ID of the set.
   std::map<std::uint64_t, Trial> mTrials;
   std::map<std::string, SeenRow> mSeen;
-  // Requests whose claim or outcome waits to be sent.
+  // Sets whose claim or outcome waits to be sent.
   std::deque<std::uint64_t> mQueue;
 };
 
--- a/src/quetzalquay/gateway/SuspectWriter.cpp
+++ b/src/quetzalquay/gateway/SuspectWriter.cpp
@@ -52,12 +52,14 @@
     targets.insert(TrialKeyOf(it));
   }
   for (const auto& it : mFleet.Rows(platform::StoreTable::Suspects)) {
-    const auto trial = ParseTrialKey(it.first);
+    const auto trial = ParseTrialSuspects(it.second);
     if (trial || IsTargetTrialKey(it.first)) {
       // Trials are kept as long as the losses that led to them.
-      const bool needed = trial ? mFleet.Targets().Suspects().Judge(
-                                    *trial, 0, now) != SuspectVerdict::Free
-                                : targets.count(it.first) != 0;
+      const bool needed =
+        trial ? mFleet.Targets().Suspects().Judge(
+                  { trial->mMembers.front(), trial->mMembers }, 0, now) !=
+                  SuspectVerdict::Free
+              : targets.count(it.first) != 0;
       if (!it.second.mRemoved && !needed) {
         mRows.Add({ it.first, std::nullopt });
       }
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -1,5 +1,7 @@
 #include "platform/PlatformRequests.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -19,6 +21,8 @@
 constexpr char kDeadline[] = "X-Deadline-Ms";
 // Number of prompt tokens and maximum number of output tokens.
 constexpr char kTokenCounts[] = "X-Token-Counts";
+// Parts of the prompt as ID:TOKENS, separated by commas.
+constexpr char kPromptParts[] = "X-Prompt-Prefix";
 constexpr char kLastEventId[] = "Last-Event-Id";
 // ID of the caller's attempt that brought the first event of a stream.
 constexpr char kOriginRequestId[] = "Resumes";
@@ -53,8 +57,8 @@
 
 // Fields that are forwarded even when the caller lists them in Connection.
 constexpr std::array<std::string_view, 6> kEndToEndFields = {
-  kRequestId,        "X-Model",       kTokenCounts,
-  "X-Prompt-Prefix", "X-Length-Hint", kOriginRequestId,
+  kRequestId,   "X-Model",       kTokenCounts,
+  kPromptParts, "X-Length-Hint", kOriginRequestId,
 };
 
 bool
@@ -94,6 +98,26 @@
   return n;
 }
 
+// Returns the hashes of the IDs in a list of parts, without the last part.
+// IDs are compared as text, so that a malformed one is a part like any other.
+std::vector<std::uint64_t>
+HashParts(std::string_view aList)
+{
+  std::vector<std::uint64_t> hashes;
+  for (std::size_t end = aList.find(','); end != std::string_view::npos;
+       end = aList.find(',')) {
+    std::string_view id = aList.substr(0, end);
+    id = id.substr(0, id.find(':'));
+    id.remove_prefix(std::min(id.find_first_not_of(" \t"), id.size()));
+    id = id.substr(0, id.find_last_not_of(" \t") + 1);
+    if (!id.empty()) {
+      hashes.push_back(StableHash(id));
+    }
+    aList.remove_prefix(end + 1);
+  }
+  return hashes;
+}
+
 // Parses a decimal number that is not negative.
 std::optional<double>
 ParseRate(const std::string& aText)
@@ -149,6 +173,7 @@
     request.mPromptTokens = std::max(0, tokens[0]);
     request.mOutputTokens = std::max(0, tokens[1]);
   }
+  request.mPromptParts = HashParts(FieldValue(aHead, kPromptParts));
   return request;
 }
 
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -26,6 +26,10 @@
   // request does not say.
   int mPromptTokens = 0;
   int mOutputTokens = 0;
+  // Hashes of the IDs of the prompt's parts, in order, without the last part,
+  // which belongs to the request or its session. Despite the field's name, the
+  // parts make up the whole prompt.
+  std::vector<std::uint64_t> mPromptParts;
   // ID of the last event that the caller received of a stream to be resumed.
   std::string mLastEventId;
   // ID of the caller's request that brought the first event of that stream.
--- a/src/quetzalquay/router/PeerLink.cpp
+++ b/src/quetzalquay/router/PeerLink.cpp
@@ -59,7 +59,7 @@
            schema::PeerNews& aNews)
 {
   auto* suspect = aNews.add_suspects();
-  suspect->set_content_hash(ToHex(aReport.mRequest));
+  suspect->set_content_hash(ToHex(aReport.mSuspect));
   suspect->set_deaths(aDeaths);
   for (const LostRun& it : aReport.mRuns) {
     auto* run = suspect->add_lost_runs();
@@ -77,7 +77,7 @@
 ReadSuspect(const schema::SuspectEntry& aEntry, Time aNow)
 {
   SuspectReport report;
-  report.mRequest = ParseHash(aEntry.content_hash());
+  report.mSuspect = ParseHash(aEntry.content_hash());
   for (const auto& it : aEntry.lost_runs()) {
     LostRun run;
     run.mDeath.mId = ParseHash(it.death());
@@ -214,7 +214,7 @@
     }
     const Time now = Now();
     for (const auto& it : aTable.Suspects().Reports(now)) {
-      AddSuspect(it, aTable.Suspects().Deaths(it.mRequest, now), now, news);
+      AddSuspect(it, aTable.Suspects().Deaths(it.mSuspect, now), now, news);
     }
   });
   if (mApi != nullptr) {
--- a/src/quetzalquay/router/PlainSession.cpp
+++ b/src/quetzalquay/router/PlainSession.cpp
@@ -44,7 +44,7 @@
 {
   ChoiceQuery query;
   query.mService = mContext.mService;
-  query.mContentHash = mContext.mContentHash;
+  query.mContent = mContext.mContentHash;
   query.mRequestId = mContext.mRequestId;
   query.mWorkspace = mContext.mWorkspace;
   query.mWeight = mContext.mWeight;
--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -124,7 +124,7 @@
   spec.mRequestId = mContext.mRequestId;
   spec.mQuery.mService = mContext.mService;
   spec.mQuery.mPrefixHash = PrefixHash(mContext.mPrompt);
-  spec.mQuery.mContentHash = mContext.mContentHash;
+  spec.mQuery.mContent = mContext.mContentHash;
   spec.mQuery.mRequestId = mContext.mRequestId;
   spec.mQuery.mWorkspace = mContext.mWorkspace;
   spec.mQuery.mWeight = mContext.mWeight;
--- a/tests/fakes/EngineTable.cpp
+++ b/tests/fakes/EngineTable.cpp
@@ -58,7 +58,7 @@
   query.mService = "pool";
   query.mRequestId = aId;
   query.mWorkspace = "w";
-  query.mContentHash = aContent;
+  query.mContent = aContent;
   query.mPromptTokens = 8000;
   query.mOutputTokens = 1000;
   query.mDeadline = At(60000);
--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -236,9 +236,8 @@
     ChoiceQuery query = QueryOf("v1");
     query.mIsRetry = true;
     for (const TargetDeclaration& it : targets) {
-      table.OnAttemptStart(it.mName, query.mContentHash, At(1));
-      table.OnAttemptEnd(
-        it.mName, query.mContentHash, AttemptOutcome::Lost, At(2));
+      table.OnAttemptStart(it.mName, query.mContent, At(1));
+      table.OnAttemptEnd(it.mName, query.mContent, AttemptOutcome::Lost, At(2));
       query.mExcluded.push_back(it.mName);
     }
     CPPUNIT_ASSERT(table.Choose(query, At(3)).mStatus ==
--- a/tests/introspective/SuspectSharingTests.cpp
+++ b/tests/introspective/SuspectSharingTests.cpp
@@ -381,7 +381,7 @@
     std::vector<SuspectReport> reports;
     for (std::uint64_t n = 0; n < 3; ++n) {
       SuspectReport report;
-      report.mRequest = kCrashing;
+      report.mSuspect = kCrashing;
       report.mRuns = { { { n, n, At(static_cast<int>(1000 * n)) },
                          At(static_cast<int>(1000 * n) - 5) } };
       reports.push_back(report);
@@ -403,7 +403,7 @@
   void AClearedRequestStaysClearedWhenOldReportsArrive()
   {
     SuspectReport old;
-    old.mRequest = 5;
+    old.mSuspect = 5;
     old.mRuns = { { { 1, 1, At(100) }, At(50) } };
     SuspectRegistry finished({ 3, Duration::zero() });
     finished.Merge(old, true, At(150));
@@ -426,7 +426,7 @@
     registry.OnRunLost(5, { { 1, 1, At(100) }, At(50) }, At(130));
     CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
     SuspectReport report;
-    report.mRequest = 5;
+    report.mSuspect = 5;
     report.mRuns = { { { 2, 1, At(400) }, At(350) } };
     registry.Merge(report, false, At(500));
     const auto changes = registry.TakeStoreChanges();
@@ -442,7 +442,7 @@
   {
     SuspectRegistry registry(kOptions);
     SuspectReport report;
-    report.mRequest = 5;
+    report.mSuspect = 5;
     report.mClearedAt = At(100);
     registry.Merge(report, false, At(150));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), registry.Reports(At(200)).size());
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -73,7 +73,7 @@
   ChoiceQuery query;
   query.mService = "s";
   query.mRequestId = aRequestId;
-  query.mContentHash = aContent;
+  query.mContent = aContent;
   query.mDeadline = At(60000);
   return query;
 }
@@ -248,7 +248,7 @@
     registry.ClearSuspect(kHarmless, At(2000));
     CPPUNIT_ASSERT_EQUAL(std::string("free"), Judge(registry, kHarmless, 2000));
     const TrialRecord record = FinishTrial(
-      BeginTrial({ 1, false, false }, false), TrialOutcome::Cleared);
+      BeginTrial({ 1, false, false, {} }, false), TrialOutcome::Cleared);
     CPPUNIT_ASSERT_EQUAL(0, record.mLost);
     CPPUNIT_ASSERT(!record.mHeld);
   }
@@ -283,7 +283,8 @@
 
   void RecordsAreReadAsWritten()
   {
-    const auto record = ParseTrialRecord(FormatTrialRecord({ 1, false, true }));
+    const auto record =
+      ParseTrialRecord(FormatTrialRecord({ 1, false, true, {} }));
     CPPUNIT_ASSERT(record.has_value());
     CPPUNIT_ASSERT_EQUAL(1, record->mLost);
     CPPUNIT_ASSERT(!record->mConvicted);
