BUDGET: keep the newest lost runs of a suspect

Cause, by reading: a record kept its first eight lost runs. A body that reaches six hosts at once, with up to five runs each, has more before its first trial; the loss of a trial was then not recorded, the trial ended as inconclusive and another one followed. Ruled out: excused deaths, since a trial needs three lost runs of any kind. Before / after: ALostTrialConvictsAfterManyLosses failed (no verdict after the 21st loss) / passes. All hosts keep the newest eight runs, in whatever order they learn of them (TheNewestLossesAreKeptInAnyOrder, which failed too). Conclusion: the fault is shown without a network; that it is what the users saw is suspected only.

--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -38,6 +38,13 @@
   });
 }
 
+bool
+IsEarlier(const LostRun& aLeft, const LostRun& aRight)
+{
+  return std::make_pair(aLeft.mDeath.mAt, aLeft.mDeath.mId) <
+         std::make_pair(aRight.mDeath.mAt, aRight.mDeath.mId);
+}
+
 } // namespace
 
 void
@@ -333,10 +340,19 @@
   const bool cleared =
     aRecord.mClearedAt && aRun.mDeath.mAt <= *aRecord.mClearedAt;
   if (cleared || aNow - aRun.mDeath.mAt >= kRecordLifetime ||
-      aRecord.mRuns.size() >= kMaxRuns ||
       HasRun(aRecord.mRuns, aRun.mDeath.mId)) {
     return false;
   }
+  if (aRecord.mRuns.size() >= kMaxRuns) {
+    // Every host keeps the newest ones, so that they agree in the end.
+    const auto oldest =
+      std::min_element(aRecord.mRuns.begin(), aRecord.mRuns.end(), IsEarlier);
+    if (!IsEarlier(*oldest, aRun)) {
+      return false;
+    }
+    ForgetLoss(aSuspect, oldest->mDeath.mId);
+    aRecord.mRuns.erase(oldest);
+  }
   aRecord.mRuns.push_back(aRun);
   mLostIn[aRun.mDeath.mId].push_back(aSuspect);
   return true;
@@ -346,17 +362,23 @@
 LossLedger::RemoveRuns(std::uint64_t aSuspect, Record& aRecord)
 {
   for (const LostRun& it : aRecord.mRuns) {
-    const auto entry = mLostIn.find(it.mDeath.mId);
-    auto& suspects = entry->second;
-    suspects.erase(std::remove(suspects.begin(), suspects.end(), aSuspect),
-                   suspects.end());
-    if (suspects.empty()) {
-      mLostIn.erase(entry);
-    }
+    ForgetLoss(aSuspect, it.mDeath.mId);
   }
   aRecord.mRuns.clear();
 }
 
+void
+LossLedger::ForgetLoss(std::uint64_t aSuspect, std::uint64_t aDeath)
+{
+  const auto entry = mLostIn.find(aDeath);
+  auto& suspects = entry->second;
+  suspects.erase(std::remove(suspects.begin(), suspects.end(), aSuspect),
+                 suspects.end());
+  if (suspects.empty()) {
+    mLostIn.erase(entry);
+  }
+}
+
 void
 LossLedger::Tell(std::uint64_t aSuspect,
                  Record& aRecord,
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -162,6 +162,7 @@
   void StoreRuns(std::uint64_t aSuspect, Record& aRecord, bool aOwnOnly);
   void NotifyStore() const;
   void RemoveRuns(std::uint64_t aSuspect, Record& aRecord);
+  void ForgetLoss(std::uint64_t aSuspect, std::uint64_t aDeath);
   // Schedules a changed record to be told aRepeats times.
   void Tell(std::uint64_t aSuspect, Record& aRecord, int aRepeats, Time aNow);
   void Erase(std::uint64_t aSuspect);
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -3,6 +3,7 @@
 #include "core/TrialRecord.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -106,6 +107,8 @@
   CPPUNIT_TEST(AnExplainedRequestStillNeedsATrial);
   CPPUNIT_TEST(ALostTrialDoesNotConvictBesideAnotherSuspect);
   CPPUNIT_TEST(ALostTrialDoesNotConvictWhenAPlaceFails);
+  CPPUNIT_TEST(ALostTrialConvictsAfterManyLosses);
+  CPPUNIT_TEST(TheNewestLossesAreKeptInAnyOrder);
   CPPUNIT_TEST(AFinishedTrialClearsTheRequest);
   CPPUNIT_TEST(TwoLostTrialsConvict);
   CPPUNIT_TEST(AVanishedHostCountsAsALostTrial);
@@ -238,6 +241,42 @@
                    false);
   }
 
+  // Guards against a request that was lost so often, in bursts at several
+  // hosts, that the loss of its trial is not recorded: one trial followed the
+  // other.
+  void ALostTrialConvictsAfterManyLosses()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 20; ++death) {
+      Lose(registry, kFirst, death, 1000);
+      Lose(registry, kSecond, death, 1000);
+    }
+    Lose(registry, kFirst, 21, 2090);
+    CPPUNIT_ASSERT(registry.JudgeLostTrial(kFirst, At(2000), At(2200)) == true);
+  }
+
+  // Guards against hosts that keep different losses of the same request.
+  void TheNewestLossesAreKeptInAnyOrder()
+  {
+    SuspectRegistry registries[] = { MakeRegistry(), MakeRegistry() };
+    for (std::uint64_t n = 0; n < 20; ++n) {
+      for (const std::uint64_t it : { n, 19 - n }) {
+        Lose(
+          registries[it == n ? 0 : 1], kFirst, it, static_cast<int>(100 * it));
+      }
+    }
+    std::vector<std::set<std::uint64_t>> deaths;
+    for (SuspectRegistry& it : registries) {
+      deaths.emplace_back();
+      const auto reports = it.Reports(At(3000));
+      for (const LostRun& run : reports.front().mRuns) {
+        deaths.back().insert(run.mDeath.mId);
+      }
+    }
+    CPPUNIT_ASSERT(deaths[0] == deaths[1]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), deaths[0].count(19));
+  }
+
   void AFinishedTrialClearsTheRequest()
   {
     SuspectRegistry registry = MakeRegistry();
