BUDGET: count an answer that ends with its connection only once its target has survived

A target that crashes closes such an answer as if it were complete, so that a deadly part or body counted as served, which clears it of all deaths, and the loss did not count. Ruled out: answers with a framing, which a crash breaks off. Change: such an attempt is kept like a lost one until its target is known to have lived on (bytes, or the connection of the existing death check, which is made only if there is evidence to clear). Conclusion: such answers clear their request 30 ms later than others.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -161,6 +161,16 @@
   return !mOptions.mTrials && evidence.mCounted >= kMinDeathsToRefuseContested;
 }
 
+bool
+SuspectRegistry::IsSuspected(const RequestContent& aContent, Time aNow) const
+{
+  return !RunsOf(aContent.mHash, aNow).empty() ||
+         std::any_of(
+           aContent.mParts.begin(),
+           aContent.mParts.end(),
+           [&](std::uint64_t aPart) { return !RunsOf(aPart, aNow).empty(); });
+}
+
 SuspectSet
 SuspectRegistry::SuspectsOf(const RequestContent& aContent, Time aNow) const
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -135,6 +135,9 @@
   // Whether a request is to be refused.
   bool IsRefused(const RequestContent& aContent, Time aNow) const;
 
+  // Whether a lost run is known of the content or of a part of a request.
+  bool IsSuspected(const RequestContent& aContent, Time aNow) const;
+
   // What a trial of a request is about: the parts that may be refused, or the
   // content if it was lost as often as any of them.
   SuspectSet SuspectsOf(const RequestContent& aContent, Time aNow) const;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -284,7 +284,7 @@
     running.begin(), running.end(), [&](const RunningAttempt& aEntry) {
       return aEntry.mContent.mHash == aContent.mHash;
     });
-  LostAttempt attempt{ aContent, aNow, aNow, target->mIncarnation };
+  LostAttempt attempt{ aContent, aNow, aNow, target->mIncarnation, aOutcome };
   bool progressed = false;
   if (it != running.end()) {
     progressed = it->mProgressed;
@@ -297,7 +297,9 @@
   while (!lost.empty() && aNow - lost.front().mAt >= kDeathConfirmationWindow) {
     lost.pop_front();
   }
-  if (aOutcome == AttemptOutcome::Lost && !progressed) {
+  const bool mayBeLost = aOutcome == AttemptOutcome::Lost ||
+                         aOutcome == AttemptOutcome::FinishedByClose;
+  if (mayBeLost && !progressed) {
     if (IsLostWith(attempt, *target, aNow)) {
       mSuspects.OnRunLost(
         aContent, { *target->mDeath, attempt.mStartedAt }, aNow);
@@ -309,13 +311,33 @@
     mSuspects.ClearSuspect(aContent, aNow);
     NotifyLoadChanged();
   }
-  if (aOutcome == AttemptOutcome::Finished ||
-      aOutcome == AttemptOutcome::Failed) {
+  if (aOutcome != AttemptOutcome::Released &&
+      aOutcome != AttemptOutcome::Lost) {
     // Capacity has become available.
     target->mFullUntil = Time();
   }
 }
 
+void
+TargetTable::OnSurvived(const std::string& aTarget, Time aAliveAt)
+{
+  Target* target = Find(aTarget);
+  if (target == nullptr) {
+    return;
+  }
+  auto& lost = target->mLostAttempts;
+  for (auto it = lost.begin(); it != lost.end();) {
+    if (it->mOutcome == AttemptOutcome::FinishedByClose &&
+        it->mAt <= aAliveAt) {
+      mSuspects.ClearSuspect(it->mContent, it->mAt);
+      it = lost.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  NotifyLoadChanged();
+}
+
 void
 TargetTable::OnProgress(const std::string& aTarget,
                         const RequestContent& aContent,
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -95,6 +95,8 @@
 enum class AttemptOutcome
 {
   Finished,
+  // The response ended with its connection, which a target that dies ends, too.
+  FinishedByClose,
   // The target answered with a failure; it may not have run the request.
   Failed,
   // Cancelled, moved to another target or rejected.
@@ -188,6 +190,10 @@
                     AttemptOutcome aOutcome,
                     Time aNow);
 
+  // Records that a target was alive at aAliveAt, so that attempts which
+  // finished before by the end of their connections are complete.
+  void OnSurvived(const std::string& aTarget, Time aAliveAt);
+
   // Records that an attempt has produced enough output to show that its request
   // does not crash targets. Clears the request, and the loss of this attempt
   // will not count.
@@ -382,12 +388,14 @@
     bool mProgressed = false;
   };
 
+  // An attempt that was lost, or that finished by the end of its connection.
   struct LostAttempt
   {
     RequestContent mContent;
     Time mStartedAt;
     Time mAt;
     std::string mIncarnation;
+    AttemptOutcome mOutcome;
   };
 
   struct Target
--- a/src/quetzalquay/core/TargetTableTrials.cpp
+++ b/src/quetzalquay/core/TargetTableTrials.cpp
@@ -47,21 +47,21 @@
 int
 TargetTable::CountPendingLosses(const ChoiceQuery& aQuery, Time aNow) const
 {
-  return static_cast<int>(
-    std::count_if(aQuery.mExcluded.begin(),
-                  aQuery.mExcluded.end(),
-                  [&](const std::string& aName) {
-                    const Target* target = Find(aName);
-                    return target != nullptr &&
-                           std::any_of(target->mLostAttempts.begin(),
-                                       target->mLostAttempts.end(),
-                                       [&](const LostAttempt& aAttempt) {
-                                         return aAttempt.mContent.mHash ==
-                                                  aQuery.mContent.mHash &&
-                                                aNow - aAttempt.mAt <
-                                                  mOptions.mDeathCheckTime;
-                                       });
-                  }));
+  return static_cast<int>(std::count_if(
+    aQuery.mExcluded.begin(),
+    aQuery.mExcluded.end(),
+    [&](const std::string& aName) {
+      const Target* target = Find(aName);
+      return target != nullptr &&
+             std::any_of(
+               target->mLostAttempts.begin(),
+               target->mLostAttempts.end(),
+               [&](const LostAttempt& aAttempt) {
+                 return aAttempt.mOutcome == AttemptOutcome::Lost &&
+                        aAttempt.mContent.mHash == aQuery.mContent.mHash &&
+                        aNow - aAttempt.mAt < mOptions.mDeathCheckTime;
+               });
+    }));
 }
 
 SuspectVerdict
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -26,6 +26,22 @@
 {
 }
 
+void
+Exchange::RecordAttemptEnd(const std::string& aTarget, AttemptOutcome aOutcome)
+{
+  const Time now = EventLoop::Now();
+  TargetTable& targets = mContext.mFleet.Targets();
+  targets.OnAttemptEnd(aTarget, mCall.mContent, aOutcome, now);
+  // Without evidence against the request, there is nothing that its answer
+  // could clear.
+  const bool check = aOutcome == AttemptOutcome::Lost ||
+                     (aOutcome == AttemptOutcome::FinishedByClose &&
+                      targets.Suspects().IsSuspected(mCall.mContent, now));
+  if (check) {
+    mContext.mProber.CheckDeath(aTarget);
+  }
+}
+
 void
 Exchange::SendFailure(const Failure& aFailure)
 {
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -196,7 +196,7 @@
     PerformStep(mStateMachine.OnResult(PlainResult::Broken, now));
     return;
   }
-  EndAttempt(success ? AttemptOutcome::Finished : AttemptOutcome::Failed);
+  EndAttempt(success ? OutcomeOf(mResponseHead) : AttemptOutcome::Failed);
   const bool failed = mResponseHead.mStatus >= kFirstServerErrorStatus;
   if (failed) {
     mLogNote = "status_" + std::to_string(mResponseHead.mStatus);
@@ -228,11 +228,7 @@
 PlainExchange::EndAttempt(AttemptOutcome aOutcome)
 {
   mConnection.reset();
-  mContext.mFleet.Targets().OnAttemptEnd(
-    mTarget, mCall.mContent, aOutcome, EventLoop::Now());
-  if (aOutcome == AttemptOutcome::Lost) {
-    mContext.mProber.CheckDeath(mTarget);
-  }
+  RecordAttemptEnd(mTarget, aOutcome);
 }
 
 void
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -23,6 +23,9 @@
 // connection meanwhile.
 constexpr Duration kDeathCheckDelay = std::chrono::milliseconds(30);
 
+// Time in which bytes that a target sent before its end are read.
+constexpr Duration kReadDelay = std::chrono::milliseconds(10);
+
 // Time limit for the connection of a death check.
 constexpr Duration kDeathCheckTimeout = std::chrono::milliseconds(400);
 
@@ -185,18 +188,26 @@
     const PendingCheck check = std::move(mChecks.front());
     mChecks.pop_front();
     const TargetLocation* location = mFleet.Locate(check.mTarget);
-    if (location == nullptr ||
-        mPool.LastActivity(check.mTarget) > check.mLostAt) {
+    if (location == nullptr) {
+      continue;
+    }
+    const Time activeAt = mPool.LastActivity(check.mTarget);
+    if (activeAt > check.mLostAt) {
+      mFleet.Targets().OnSurvived(check.mTarget, activeAt - kReadDelay);
       continue;
     }
     const auto call = MakeRef<DeathCheck>(
       mLoop,
-      [this, target = check.mTarget, incarnation = location->mIncarnation](
+      [this, target = check.mTarget, incarnation = location->mIncarnation, now](
         DeathCheck::Result aResult) {
         const TargetLocation* at = mFleet.Locate(target);
-        if (aResult == DeathCheck::Result::Refused && at != nullptr &&
-            at->mIncarnation == incarnation) {
+        if (at == nullptr || at->mIncarnation != incarnation) {
+          return;
+        }
+        if (aResult == DeathCheck::Result::Refused) {
           mFleet.Targets().OnRefused(target, EventLoop::Now());
+        } else if (aResult == DeathCheck::Result::Listening) {
+          mFleet.Targets().OnSurvived(target, now);
         }
       });
     call->Start(location->mEndpoint, now + kDeathCheckTimeout);
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -352,7 +352,7 @@
   Flush();
   SendHead();
   RecordPace(EventLoop::Now());
-  ReleaseAttempt(AttemptOutcome::Finished);
+  ReleaseAttempt(OutcomeOf(mResponseHead));
   Finish(true);
   LogCompletion("answered", mForwardedHead.mStatus);
   mSink->EndChunkedResponse();
@@ -620,15 +620,13 @@
     return;
   }
   mAttemptOpen = false;
-  if (aOutcome != AttemptOutcome::Finished && mNextEventIndex > 0 && !mDone) {
+  const bool finished = aOutcome == AttemptOutcome::Finished ||
+                        aOutcome == AttemptOutcome::FinishedByClose;
+  if (!finished && mNextEventIndex > 0 && !mDone) {
     mAwaitingResume = true;
     mContext.mMetrics.Add(GatewayCounter::TargetLosses);
   }
-  mContext.mFleet.Targets().OnAttemptEnd(
-    mTarget, mCall.mContent, aOutcome, EventLoop::Now());
-  if (aOutcome == AttemptOutcome::Lost) {
-    mContext.mProber.CheckDeath(mTarget);
-  }
+  RecordAttemptEnd(mTarget, aOutcome);
 }
 
 // Logs the target that the stream is sent to, and the inputs of the choice.
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -355,9 +355,10 @@
   if (std::all_of(members.begin(), members.end(), isCleared)) {
     return TrialOutcome::Cleared;
   }
-  const bool lost = aRun.mOutcome == AttemptOutcome::Lost;
-  if ((aRun.mOutcome && !lost) ||
-      (lost && aNow - aRun.mEndedAt >= kDeathTime) ||
+  const bool checked = aRun.mOutcome == AttemptOutcome::Lost ||
+                       aRun.mOutcome == AttemptOutcome::FinishedByClose;
+  if ((aRun.mOutcome && !checked) ||
+      (checked && aNow - aRun.mEndedAt >= kDeathTime) ||
       aNow - *aRun.mStartedAt >= kMaxTrialTime) {
     return TrialOutcome::Inconclusive;
   }
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -256,7 +256,8 @@
   void Drop()
   {
     mEventTimer.Clear();
-    mSocket->Close(true);
+    // The end of an answer without framing looks like its completion.
+    mSocket->Close(mMode != RunnerMode::Unframed);
     mRunner.mConnections.erase(RefPtr<RunnerConnection>(this));
   }
 
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -115,6 +115,8 @@
   CPPUNIT_TEST(RecordsAreReadAsWritten);
   CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
   CPPUNIT_TEST(TrialsDoNotShareATarget);
+  CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
+  CPPUNIT_TEST(AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -382,6 +384,34 @@
     table.Choose(QueryOf("b", kSecond), At(1300));
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), offered.size());
   }
+
+  // Guards against a crashing request counting as served because its target's
+  // answer had neither a length nor chunks, so that the crash looks like its
+  // end.
+  void AnAnswerThatEndsWithItsTargetIsALoss()
+  {
+    TargetTable table = MakeTable(4);
+    table.OnAttemptStart("t0", kFirst, At(1000));
+    table.OnAttemptEnd("t0", kFirst, AttemptOutcome::FinishedByClose, At(1080));
+    table.OnSurvived("t0", At(1070));
+    table.OnRefused("t0", At(1110));
+    table.OnSurvived("t0", At(2000));
+    CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(kFirst, At(2000)));
+  }
+
+  // Guards against targets that never frame their answers, whose requests would
+  // stay suspected.
+  void AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived()
+  {
+    TargetTable table = MakeTable(4);
+    EndThreeTargets(table, kFirst, kSecond);
+    table.OnAttemptStart("t0", kFirst, At(1000));
+    table.OnAttemptEnd("t0", kFirst, AttemptOutcome::FinishedByClose, At(1080));
+    CPPUNIT_ASSERT(table.Suspects().IsSuspected(kFirst, At(1090)));
+    table.OnSurvived("t0", At(1110));
+    CPPUNIT_ASSERT(!table.Suspects().IsSuspected(kFirst, At(1110)));
+    CPPUNIT_ASSERT(table.Suspects().IsSuspected(kSecond, At(1110)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuspectTrialTests);
--- a/tests/usage/CrashingPartTests.cpp
+++ b/tests/usage/CrashingPartTests.cpp
@@ -70,6 +70,8 @@
   int mSharedParts = 1;
   // Events that a target writes before it crashes.
   int mEventsBeforeCrash = 0;
+  // Whether answers have neither a length nor chunks.
+  bool mUnframed = false;
   // Sends one body instead of requests that share a part.
   bool mOneBody = false;
   bool mBesideOthers = true;
@@ -141,6 +143,7 @@
   CPPUNIT_TEST(PartIsStoppedOnThreeTargets);
   CPPUNIT_TEST(PartThatComesAtAllHostsAtOnceIsStopped);
   CPPUNIT_TEST(PartIsStoppedAfterItsFirstEvents);
+  CPPUNIT_TEST(PartOfStreamsWithoutFramingIsStopped);
   CPPUNIT_TEST(TwoPartsAreStopped);
   CPPUNIT_TEST(FirstPartIsStopped);
   CPPUNIT_TEST(SeldomPartIsStopped);
@@ -207,6 +210,17 @@
     ExpectStopped(play);
   }
 
+  // Guards against a target's crash counting as the end of its answer, and
+  // against suspecting the parts of all answers that end with their
+  // connections.
+  void PartOfStreamsWithoutFramingIsStopped()
+  {
+    Play play;
+    play.mUnframed = true;
+    play.mEventsBeforeCrash = 3;
+    ExpectStopped(play);
+  }
+
   void TwoPartsAreStopped()
   {
     for (const char* it : { "/stream/", "/unsafe/" }) {
@@ -351,6 +365,9 @@
     cluster.SetRunnerReturn(aPlay.mReturn);
     cluster.SetCrashDelay(kCrashDelay);
     cluster.SetEventsBeforeCrash(aPlay.mEventsBeforeCrash);
+    if (aPlay.mUnframed) {
+      cluster.SetAllModes(RunnerMode::Unframed);
+    }
     cluster.SetPace(milliseconds(50), milliseconds(10), kPlainAnswer);
     std::optional<OtherTraffic> others;
     if (aPlay.mBesideOthers) {
