--- a/src/quetzalquay/core/TrialRecord.h
+++ b/src/quetzalquay/core/TrialRecord.h
@@ -21,8 +21,8 @@
   bool mConvicted = false;
   // Whether a trial is in progress.
   bool mHeld = false;
-  // Members of the set; empty if the set has a single one, whose hash is the
-  // key of the record.
+  // Members of the set. Empty in records of targets, and in those written by
+  // earlier versions, whose sets have a single member that names the record.
   std::vector<std::uint64_t> mMembers;
 };
 
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -34,9 +34,8 @@
 // Time in which a lost connection is recognized as the death of its target.
 constexpr Duration kDeathTime = milliseconds(600);
 
-// Time after which the host of an unchanged trial counts as vanished. Trials
-// end sooner by themselves.
-constexpr Duration kTrialLease = std::chrono::seconds(12);
+// Longest trial; a shorter time than that after which its host counts as
+// vanished.
 constexpr Duration kMaxTrialTime = std::chrono::seconds(10);
 
 // Time for which a trial that is not running is remembered.
@@ -62,6 +61,7 @@
   , mMetrics(aMetrics)
   , mHttpClient(aLoop, aSettings.mStoreEndpoint)
   , mTimer(aLoop, [this] { Tick(); })
+  , mRows(aFleet)
 {
   mFleet.Targets().SetTrialCallback(
     [this](const ChoiceQuery& aQuery, const std::string& aTarget) {
@@ -124,6 +124,16 @@
     });
 }
 
+// The record of a set whose trial begins.
+TrialRecord
+SuspectTrials::RecordOfNext(const Trial& aTrial)
+{
+  const TrialRecord& known = mRows.Of(TrialKeyOf(aTrial.mSuspects.mId)).mRecord;
+  TrialRecord record = BeginTrial(known, known.mHeld);
+  record.mMembers = aTrial.mSuspects.mMembers;
+  return record;
+}
+
 // Asks the store to record the trial, or reads the record again while another
 // host's trial seems to be in progress.
 void
@@ -132,21 +142,20 @@
   ++aTrial.mSends;
   const std::string setKey = TrialKeyOf(aSet);
   const std::string targetKey = TrialKeyOf(aTrial.mTarget);
-  const SeenRow& ofSet = Seen(setKey);
-  const SeenRow& ofTarget = Seen(targetKey);
+  const TrialRows::Row& ofSet = mRows.Of(setKey);
+  const TrialRows::Row& ofTarget = mRows.Of(targetKey);
   const auto onReply = [this, aSet](const auto& aReply, const auto& aReason) {
     OnClaimReply(aSet, aReply, aReason);
   };
   aTrial.mReadKey.clear();
-  if (IsTaken(ofSet) || IsTaken(ofTarget)) {
-    aTrial.mReadKey = IsTaken(ofSet) ? setKey : targetKey;
+  if (ofSet.IsTaken() || ofTarget.IsTaken()) {
+    aTrial.mReadKey = ofSet.IsTaken() ? setKey : targetKey;
     Call(platform::EncodeReadRow(
            mHostHeader, StoreTable::Suspects, aTrial.mReadKey),
          onReply);
     return;
   }
-  TrialRecord record = BeginTrial(ofSet.mRecord, ofSet.mRecord.mHeld);
-  record.mMembers = aTrial.mSuspects.mMembers;
+  const TrialRecord record = RecordOfNext(aTrial);
   TrialRecord target;
   target.mHeld = record.mHeld;
   Call(platform::EncodeChanges(
@@ -188,17 +197,13 @@
     return;
   }
   if (trial.mReadKey.empty() && !failed) {
-    SeenRow& ofSet = Seen(setKey);
-    ofSet.mRecord = BeginTrial(ofSet.mRecord, ofSet.mRecord.mHeld);
-    ofSet.mRecord.mMembers = trial.mSuspects.mMembers;
-    ofSet.mVersion = rows->mVersion;
-    ofSet.mSince = now;
-    SeenRow& ofTarget = Seen(targetKey);
-    ofTarget.mRecord.mHeld = ofSet.mRecord.mHeld;
-    ofTarget.mVersion = rows->mVersion;
-    ofTarget.mSince = now;
-    if (ofSet.mRecord.mConvicted) {
-      Convict(trial, ofSet.mRecord);
+    const TrialRecord record = RecordOfNext(trial);
+    TrialRecord target;
+    target.mHeld = record.mHeld;
+    mRows.OnWritten(setKey, record, rows->mVersion);
+    mRows.OnWritten(targetKey, target, rows->mVersion);
+    if (record.mConvicted) {
+      Convict(trial, record);
     } else {
       Allow(trial, true);
     }
@@ -212,20 +217,20 @@
   };
   for (const std::string& it : { setKey, targetKey }) {
     if (!has(it) && (failed || it == trial.mReadKey)) {
-      mSeen.erase(it);
+      mRows.Forget(it);
     }
   }
   for (const platform::StoreRow& it : rows->mRows) {
     if (it.mKey == setKey || it.mKey == targetKey) {
-      See(it);
+      mRows.OnRead(it);
     }
   }
-  const SeenRow& ofSet = Seen(setKey);
+  const TrialRows::Row& ofSet = mRows.Of(setKey);
   if (ofSet.mRecord.mConvicted) {
     Convict(trial, ofSet.mRecord);
-  } else if (IsTaken(ofSet)) {
+  } else if (ofSet.IsTaken()) {
     trial.mNextClaimAt = now + kClaimInterval;
-  } else if (IsTaken(Seen(targetKey))) {
+  } else if (mRows.Of(targetKey).IsTaken()) {
     mFleet.Targets().AvoidForTrials(trial.mTarget, now + kAvoidTime);
   } else if (trial.mSends < kMaxSends) {
     trial.mPhase = Phase::Claiming;
@@ -243,17 +248,17 @@
   const std::uint64_t set = aTrial.mSuspects.mId;
   const SuspectEvidence evidence = mFleet.Targets().Suspects().EvidenceOf(
     aTrial.mSuspects.mMembers.front(), EventLoop::Now());
-  Log(
-    LogLevel::Info,
-    "fleet",
-    "trial of a suspected request",
-    { { "content", ToHex(aTrial.mQuery.mContent.mHash) },
-      { "suspects", ToHex(set) },
-      { "request", aTrial.mQuery.mRequestId },
-      { "target", aTrial.mTarget },
-      { "recorded", aRecorded ? "true" : "false" },
-      { "lost_runs", std::to_string(evidence.mLostRuns) },
-      { "lost_trials", std::to_string(Seen(TrialKeyOf(set)).mRecord.mLost) } });
+  Log(LogLevel::Info,
+      "fleet",
+      "trial of a suspected request",
+      { { "content", ToHex(aTrial.mQuery.mContent.mHash) },
+        { "suspects", ToHex(set) },
+        { "request", aTrial.mQuery.mRequestId },
+        { "target", aTrial.mTarget },
+        { "recorded", aRecorded ? "true" : "false" },
+        { "lost_runs", std::to_string(evidence.mLostRuns) },
+        { "lost_trials",
+          std::to_string(mRows.Of(TrialKeyOf(set)).mRecord.mLost) } });
   if (!mTimer.IsSet()) {
     mTimer.ScheduleAt(EventLoop::Now() + kCheckInterval);
   }
@@ -287,11 +292,7 @@
     const bool expired = trial.mPhase == Phase::Idle && now >= trial.mExpiresAt;
     it = expired ? mTrials.erase(it) : std::next(it);
   }
-  for (auto it = mSeen.begin(); it != mSeen.end();) {
-    const bool expired =
-      now - it->second.mSince >= SuspectRegistry::kRecordLifetime;
-    it = expired ? mSeen.erase(it) : std::next(it);
-  }
+  mRows.Expire(now);
   if (running) {
     mTimer.ScheduleAt(now + kCheckInterval);
   }
@@ -311,7 +312,7 @@
   targets.EndTrial(content);
   aTrial.mOutcome = *outcome;
   aTrial.mExpiresAt = aNow + kIdleLifetime;
-  SeenRow& row = Seen(TrialKeyOf(aSet));
+  TrialRows::Row& row = mRows.Of(TrialKeyOf(aSet));
   row.mRecord = FinishTrial(row.mRecord, *outcome);
   Log(LogLevel::Info,
       "fleet",
@@ -371,18 +372,19 @@
   ++aTrial.mSends;
   const std::string setKey = TrialKeyOf(aSet);
   const std::string targetKey = TrialKeyOf(aTrial.mTarget);
-  const SeenRow& row = Seen(setKey);
+  const TrialRows::Row& row = mRows.Of(setKey);
   const bool cleared = aTrial.mOutcome == TrialOutcome::Cleared;
   const std::optional<std::string> value =
     cleared ? std::nullopt : std::make_optional(FormatTrialRecord(row.mRecord));
-  Call(platform::EncodeChanges(
-         mHostHeader,
-         StoreTable::Suspects,
-         { { setKey, value }, { targetKey, std::nullopt } },
-         { { setKey, row.mVersion }, { targetKey, Seen(targetKey).mVersion } }),
-       [this, aSet](const auto& aReply, const auto& aReason) {
-         OnOutcomeReply(aSet, aReply, aReason);
-       });
+  Call(
+    platform::EncodeChanges(mHostHeader,
+                            StoreTable::Suspects,
+                            { { setKey, value }, { targetKey, std::nullopt } },
+                            { { setKey, row.mVersion },
+                              { targetKey, mRows.Of(targetKey).mVersion } }),
+    [this, aSet](const auto& aReply, const auto& aReason) {
+      OnOutcomeReply(aSet, aReply, aReason);
+    });
 }
 
 void
@@ -412,44 +414,12 @@
   const auto rows =
     written ? platform::DecodeRows(aReply->mBody, reason) : std::nullopt;
   if (rows && trial.mOutcome != TrialOutcome::Cleared) {
-    Seen(setKey).mVersion = rows->mVersion;
+    mRows.Of(setKey).mVersion = rows->mVersion;
   } else {
-    mSeen.erase(setKey);
+    mRows.Forget(setKey);
   }
-  mSeen.erase(TrialKeyOf(trial.mTarget));
+  mRows.Forget(TrialKeyOf(trial.mTarget));
   trial.mPhase = Phase::Idle;
 }
 
-void
-SuspectTrials::See(const platform::StoreRow& aRow)
-{
-  SeenRow& seen = mSeen[aRow.mKey];
-  if (aRow.mVersion != seen.mVersion) {
-    // A malformed record counts as a new one.
-    seen.mRecord = ParseTrialRecord(aRow.mValue).value_or(TrialRecord());
-    seen.mVersion = aRow.mVersion;
-    seen.mSince = EventLoop::Now();
-  }
-}
-
-// The row as last seen, by this object or by the readers of the table.
-SuspectTrials::SeenRow&
-SuspectTrials::Seen(const std::string& aKey)
-{
-  const auto& rows = mFleet.Rows(StoreTable::Suspects);
-  const auto row = rows.find(aKey);
-  if (row != rows.end() && !row->second.mRemoved &&
-      row->second.mVersion > mSeen[aKey].mVersion) {
-    See(row->second);
-  }
-  return mSeen[aKey];
-}
-
-// Whether another host's trial is in progress.
-bool
-SuspectTrials::IsTaken(const SeenRow& aRow) const
-{
-  return aRow.mRecord.mHeld && EventLoop::Now() - aRow.mSince < kTrialLease;
-}
-
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/SuspectTrials.h
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -4,6 +4,7 @@
 #include "core/TrialRecord.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/TrialRows.h"
 #include "http/AsyncHttpClient.h"
 #include "platform/PlatformStore.h"
 
@@ -42,14 +43,6 @@
     Finishing,
   };
 
-  // A row as last seen, and since when it has been unchanged.
-  struct SeenRow
-  {
-    TrialRecord mRecord;
-    std::int64_t mVersion = 0;
-    Time mSince;
-  };
-
   struct Trial
   {
     Phase mPhase = Phase::Idle;
@@ -87,9 +80,7 @@
             AsyncHttpClient::ResponseCallback aDone);
   void Allow(Trial& aTrial, bool aRecorded);
   void Convict(Trial& aTrial, const TrialRecord& aRecord);
-  void See(const platform::StoreRow& aRow);
-  SeenRow& Seen(const std::string& aKey);
-  bool IsTaken(const SeenRow& aRow) const;
+  TrialRecord RecordOfNext(const Trial& aTrial);
 
   std::string mHostHeader;
   Fleet& mFleet;
@@ -98,7 +89,7 @@
   Timer mTimer;
   // By the ID of the set.
   std::map<std::uint64_t, Trial> mTrials;
-  std::map<std::string, SeenRow> mSeen;
+  TrialRows mRows;
   // Sets whose claim or outcome waits to be sent.
   std::deque<std::uint64_t> mQueue;
 };
