--- a/tests/introspective/PromptPartTests.cpp
+++ b/tests/introspective/PromptPartTests.cpp
@@ -75,6 +75,28 @@
   aRegistry.OnRunLost(aContent, RunOf(aDeath, aMs), At(aMs + kConfirmationMs));
 }
 
+std::string
+Judge(const SuspectRegistry& aRegistry, const RequestContent& aContent, int aMs)
+{
+  return std::string(
+    kSuspectVerdictNames.NameOf(aRegistry.Judge(aContent, 0, At(aMs))));
+}
+
+// Runs a call and returns how long it took, in microseconds.
+template<typename Call>
+double
+MicrosecondsOf(int aCalls, const Call& aCall)
+{
+  const auto start = std::chrono::steady_clock::now();
+  for (int n = 0; n < aCalls; ++n) {
+    aCall(n);
+  }
+  return std::chrono::duration<double, std::micro>(
+           std::chrono::steady_clock::now() - start)
+           .count() /
+         aCalls;
+}
+
 void
 Print(const std::string& aFigures)
 {
@@ -553,6 +575,24 @@
   CPPUNIT_TEST_SUITE(PromptPartTests);
   CPPUNIT_TEST(RandomPlaysStopDeadlyPartsAndBlameNoOthers);
   CPPUNIT_TEST(MemoryIsBoundedAfterAMillionRequests);
+  CPPUNIT_TEST(DeadlyPartBeforeManyUnknownPartsIsSuspected);
+  CPPUNIT_TEST(DeadlyPartBeforeARepeatedPartIsSuspected);
+  CPPUNIT_TEST(AFullLedgerStillRecordsADeadlyPart);
+  CPPUNIT_TEST(ATrialIsJudgedWhileTheLedgerIsFull);
+  CPPUNIT_TEST(LosingRequestsIsCheapWhileTheLedgerIsFull);
+  CPPUNIT_TEST(APartThatTurnsDeadlyIsStoppedBySeventyOneHosts);
+  CPPUNIT_TEST(ADeadlyPartIsStoppedAfterAPlaceFailed);
+  CPPUNIT_TEST(ADeadlyPartBesideTakingTurnsCompanionsIsStopped);
+  CPPUNIT_TEST(ASoundPartBesideTwoDeadlyOnesIsNotConvicted);
+  CPPUNIT_TEST(ASoundPartOfTwoCrashingBodiesIsNotConvicted);
+  CPPUNIT_TEST(SeldomSoundRequestsAreNotRefused);
+  CPPUNIT_TEST(AConvictedPartExplainsALostTrial);
+  CPPUNIT_TEST(ServedPartsAreRememberedBesideLongPrompts);
+  CPPUNIT_TEST(LeavingOutAServedMemberBlamesNoOther);
+  CPPUNIT_TEST(AFailedPlaceDelaysNoPart);
+  CPPUNIT_TEST(ConvictionsMakeRoomForNewOnes);
+  CPPUNIT_TEST(APartThatKeepsComingStaysConvicted);
+  CPPUNIT_TEST(JudgingIsCheapWithManyConvictions);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -615,6 +655,395 @@
     CPPUNIT_ASSERT_MESSAGE(figures, most <= SuspectRegistry::kMaxRecords);
     CPPUNIT_ASSERT_MESSAGE(figures, mostServed <= 2 * ServedParts::kMaxParts);
   }
+
+  // Guards against recording only the last parts of a long prompt, so that a
+  // deadly part before 64 others that nobody knows is never suspected.
+  void DeadlyPartBeforeManyUnknownPartsIsSuspected()
+  {
+    SuspectRegistry registry(kOptions);
+    std::uint64_t next = 1000;
+    for (std::uint64_t death = 1; death <= 20; ++death) {
+      Parts parts = { kSound, kDeadly };
+      for (int n = 0; n < 998; ++n) {
+        parts.push_back(++next);
+      }
+      ++next;
+      Lose(registry, { next, parts }, death, static_cast<int>(400 * death));
+    }
+    const auto losses = registry.EvidenceOf(kDeadly, At(9000)).mLostRuns;
+    CPPUNIT_ASSERT_MESSAGE("lost runs " + std::to_string(losses), losses >= 3);
+    CPPUNIT_ASSERT(Judge(registry, { 1, { kDeadly, 2 } }, 9000) != "free");
+  }
+
+  // Guards against repetitions of one part taking the room of the others.
+  void DeadlyPartBeforeARepeatedPartIsSuspected()
+  {
+    SuspectRegistry registry(kOptions);
+    for (std::uint64_t death = 1; death <= 20; ++death) {
+      Parts parts(SuspectRegistry::kMaxLostParts, 500 + death);
+      parts.insert(parts.begin(), kDeadly);
+      Lose(registry,
+           { 1000 + death, parts },
+           death,
+           static_cast<int>(400 * death));
+    }
+    CPPUNIT_ASSERT(Judge(registry, { 1, { kDeadly } }, 9000) != "free");
+  }
+
+  // Guards against records of parts that nobody uses any more taking the room
+  // of a deadly one for ten minutes.
+  void AFullLedgerStillRecordsADeadlyPart()
+  {
+    SuspectRegistry registry(kOptions);
+    FillLedger(registry, 0);
+    for (std::uint64_t death = 1; death <= 40; ++death) {
+      Lose(registry,
+           { 1000000 + death, { kDeadly } },
+           1000000 + death,
+           60000 + static_cast<int>(400 * death));
+    }
+    const std::string figures =
+      "records " + std::to_string(registry.Size()) + ", lost runs " +
+      std::to_string(registry.EvidenceOf(kDeadly, At(80000)).mLostRuns);
+    Print(figures);
+    CPPUNIT_ASSERT_MESSAGE(
+      figures, Judge(registry, { 1, { kDeadly } }, 80000) != "free");
+  }
+
+  // Guards against trials without an outcome because the record of their
+  // request's own content, which nobody has seen before, finds no room.
+  void ATrialIsJudgedWhileTheLedgerIsFull()
+  {
+    SuspectRegistry registry(kOptions);
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry,
+           { 1000000 + death, { kDeadly } },
+           1000000 + death,
+           static_cast<int>(400 * death));
+    }
+    FillLedger(registry, 20000);
+    const RequestContent trial(2, { kDeadly });
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(registry, trial, 60000));
+    registry.OnRunLost(trial, RunOf(2000000, 60080), At(60120));
+    CPPUNIT_ASSERT(
+      registry.JudgeLostTrial(trial, At(60000), At(60200)).has_value());
+  }
+
+  // Guards against a host that stands still after the failure of a place, as
+  // each lost part searches all records for one to remove.
+  void LosingRequestsIsCheapWhileTheLedgerIsFull()
+  {
+    SuspectRegistry registry(kOptions);
+    FillLedger(registry, 0);
+    std::uint64_t next = 10000000;
+    const double cost = MicrosecondsOf(50, [&](int) {
+      Parts parts;
+      for (std::size_t n = 0; n < SuspectRegistry::kMaxLostParts; ++n) {
+        parts.push_back(++next);
+      }
+      ++next;
+      Lose(registry, { next, parts }, next, 60000);
+    });
+    const std::string figures =
+      "microseconds for a lost request " + std::to_string(cost);
+    Print(figures);
+    CPPUNIT_ASSERT_MESSAGE(figures, cost < 1000);
+  }
+
+  // Guards against losses that are told to nobody because each host has served
+  // the part shortly before.
+  void APartThatTurnsDeadlyIsStoppedBySeventyOneHosts()
+  {
+    Play play;
+    play.mHosts = 71;
+    play.mTargets = 36;
+    play.mSoundEveryMs = 10;
+    play.mTurnsDeadly = true;
+    play.mDeadlyFromMs = 4000;
+    play.mEndMs = 30000;
+    ExpectStopped(play);
+  }
+
+  // Guards against the single losses of a deadly part waiting to be told behind
+  // those of all parts that were lost with a place.
+  void ADeadlyPartIsStoppedAfterAPlaceFailed()
+  {
+    for (const auto& [requests, parts] :
+         { std::pair(5, 3), std::pair(10, 5), std::pair(20, 5) }) {
+      Play play;
+      play.mHosts = 71;
+      play.mTargets = 36;
+      play.mSoundEveryMs = 10;
+      play.mDeadlyRuns = 1;
+      play.mLostWithPlace = requests;
+      play.mOwnParts = parts;
+      play.mEndMs = 20000;
+      ExpectStopped(play);
+    }
+  }
+
+  // Guards against a trial for each part that is seen beside a deadly one.
+  void ADeadlyPartBesideTakingTurnsCompanionsIsStopped()
+  {
+    Play play;
+    play.mHosts = 12;
+    play.mTargets = 24;
+    play.mCompanions = 6;
+    play.mDeadlyRuns = 1;
+    play.mDeadlyEveryMs = 3300;
+    play.mAtOnce = 18;
+    ExpectStopped(play);
+  }
+
+  // Guards against convicting the sound part that two deadly ones share, while
+  // sound requests with it are seldom: one each 6 s here.
+  void ASoundPartBesideTwoDeadlyOnesIsNotConvicted()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.ClearSuspect({ 1, { kSound } }, At(0));
+    for (std::uint64_t n = 0; n < 4; ++n) {
+      Lose(registry,
+           { 10 + n, { kSound, kDeadly + n % 2 } },
+           n + 1,
+           1000 + static_cast<int>(500 * n));
+    }
+    const RequestContent trial(20, { kSound, kDeadly });
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(registry, trial, 4500));
+    const SuspectSet set = registry.SuspectsOf(trial, At(4500));
+    Lose(registry, trial, 30, 4600);
+    const auto convicts = registry.JudgeLostTrial(trial, At(4520), At(4700));
+    CPPUNIT_ASSERT(convicts.has_value());
+    if (*convicts) {
+      registry.Convict(set, At(4700));
+    }
+    CPPUNIT_ASSERT(Judge(registry, { 40, { kSound } }, 6000) != "refused");
+  }
+
+  // Guards against the same with two bodies that crash targets.
+  void ASoundPartOfTwoCrashingBodiesIsNotConvicted()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.ClearSuspect({ 1, { kSound } }, At(0));
+    for (std::uint64_t n = 0; n < 4; ++n) {
+      Lose(registry,
+           { 10 + n % 2, { kSound } },
+           n + 1,
+           1000 + static_cast<int>(500 * n));
+    }
+    const RequestContent trial(10, { kSound });
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(registry, trial, 4500));
+    const SuspectSet set = registry.SuspectsOf(trial, At(4500));
+    Lose(registry, trial, 30, 4600);
+    if (registry.JudgeLostTrial(trial, At(4520), At(4700)) == true) {
+      registry.Convict(set, At(4700));
+    }
+    CPPUNIT_ASSERT(Judge(registry, { 40, { kSound } }, 6000) != "refused");
+  }
+
+  // Guards against blaming the part that two deadly ones share for as long as a
+  // conviction lasts, as a refused request cannot clear it.
+  void SeldomSoundRequestsAreNotRefused()
+  {
+    Play play;
+    play.mSoundParts = 1;
+    play.mSoundEveryMs = 4000;
+    play.mDeadlyParts = 2;
+    play.mDeadlyEveryMs = 300;
+    play.mDeadlyRuns = 1;
+    play.mEndMs = 30000;
+    ExpectStopped(play);
+  }
+
+  // Guards against forgetting within a second which parts are served because
+  // other requests have very many.
+  void ServedPartsAreRememberedBesideLongPrompts()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.ClearSuspect({ 1, { kSound } }, At(0));
+    std::uint64_t next = 100000;
+    for (int n = 0; n < 20; ++n) {
+      Parts parts;
+      for (int part = 0; part < 999; ++part) {
+        parts.push_back(++next);
+      }
+      ++next;
+      registry.ClearSuspect({ next, parts }, At(10 * n));
+    }
+    for (std::uint64_t n = 0; n < 3; ++n) {
+      Lose(registry, { 10 + n, { kSound, kDeadly } }, n + 1, 300);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(registry, { 40, { kSound } }, 1000));
+  }
+
+  // Guards against convicting a sound part whose trial shares a target with a
+  // run of a part that has been convicted in the meantime.
+  void AConvictedPartExplainsALostTrial()
+  {
+    SuspectRegistry registry(kOptions);
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry,
+           { 10 + death, { kSound, kDeadly } },
+           death,
+           static_cast<int>(400 * death));
+    }
+    registry.Convict(kDeadly, At(5000));
+    const RequestContent sound(20, { kSound });
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(registry, sound, 5000));
+    // A run of the convicted part that began before ends the trial's target.
+    Lose(registry, { 21, { kDeadly } }, 9, 5100);
+    Lose(registry, sound, 9, 5100);
+    CPPUNIT_ASSERT(registry.JudgeLostTrial(sound, At(5010), At(5200)) == false);
+  }
+
+  // Guards against a conviction of a sound part and a deadly one turning
+  // against the sound one alone at a host that has served the deadly one
+  // before it turned deadly.
+  void LeavingOutAServedMemberBlamesNoOther()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.ClearSuspect({ 1, { kDeadly } }, At(0));
+    registry.Convict(SuspectSet({ kSound, kDeadly }), At(1500));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(registry, { 2, { kSound } }, 1600));
+  }
+
+  // Guards against requests with a part that has just come into use waiting for
+  // trials because several targets of a place ended at once.
+  void AFailedPlaceDelaysNoPart()
+  {
+    SuspectRegistry registry(kOptions);
+    for (std::uint64_t n = 0; n < 6; ++n) {
+      const LostRun run = { { n, 7, At(1000 + static_cast<int>(10 * n)) },
+                            At(500) };
+      registry.OnRunLost({ 10 + n, { kSound } }, run, At(1100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(registry, { 10, {} }, 1700));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(registry, { 10, { kSound } }, 1700));
+  }
+
+  // Guards against old convictions keeping out new ones.
+  void ConvictionsMakeRoomForNewOnes()
+  {
+    SuspectRegistry registry(kOptions);
+    for (std::uint64_t n = 0; n < SuspectRegistry::kMaxConvictions; ++n) {
+      registry.Convict(1000 + n, At(0));
+    }
+    registry.Convict(kDeadly, At(500000));
+    const std::string whenValid = Judge(registry, { 1, { kDeadly } }, 500000);
+    // The old ones have expired. Only the metrics page removes them.
+    registry.Convict(kDeadly, At(700000));
+    const std::string afterExpiry = Judge(registry, { 1, { kDeadly } }, 700000);
+    const std::string figures =
+      "while the old ones hold: " + whenValid + ", after: " + afterExpiry;
+    Print(figures);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::string("refused"), afterExpiry);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, std::string("refused"), whenValid);
+  }
+
+  // Guards against a deadly part going free ten minutes after its conviction
+  // although it has been refused all the time.
+  void APartThatKeepsComingStaysConvicted()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.Convict(kDeadly, At(0));
+    for (int second = 1; second < 660; ++second) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "after s " + std::to_string(second),
+        std::string("refused"),
+        Judge(registry, { 1, { kDeadly } }, 1000 * second));
+    }
+  }
+
+  // Guards against a host that does nothing but judge waiting requests, each of
+  // them again every 20 ms.
+  void JudgingIsCheapWithManyConvictions()
+  {
+    SuspectRegistry registry(kOptions);
+    FillLedger(registry, 0);
+    for (std::uint64_t n = 0; n + 1 < SuspectRegistry::kMaxConvictions; ++n) {
+      registry.Convict(SuspectSet({ 20000000 + n, 30000000 + n }), At(60000));
+    }
+    std::string figures;
+    for (const std::size_t count : { 3U, 30U, 1000U }) {
+      Parts parts;
+      for (std::size_t n = 0; n < count; ++n) {
+        parts.push_back(40000000 + n);
+      }
+      const RequestContent content(1, parts);
+      const double cost =
+        MicrosecondsOf(100, [&](int) { Judge(registry, content, 60000); });
+      figures +=
+        std::to_string(count) + " parts: us " + std::to_string(cost) + "; ";
+    }
+    // A request that was lost in three deaths with 20 others of 64 parts each.
+    double cost = 0;
+    for (const std::uint64_t convictions : { 0U, 10U, 100U, 999U }) {
+      SuspectRegistry crowded(kOptions);
+      for (std::uint64_t n = 0; n < convictions; ++n) {
+        crowded.Convict(20000000 + n, At(0));
+      }
+      std::uint64_t next = 50000000;
+      for (std::uint64_t death = 1; death <= 3; ++death) {
+        const int ms = static_cast<int>(2000 * death);
+        for (int n = 0; n < 20; ++n) {
+          Parts parts;
+          for (std::size_t part = 0; part < SuspectRegistry::kMaxLostParts;
+               ++part) {
+            parts.push_back(++next);
+          }
+          ++next;
+          Lose(crowded, { next, parts }, death, ms);
+        }
+        Lose(crowded, { 1, { kSound } }, death, ms);
+      }
+      cost = MicrosecondsOf(20, [&](int) {
+        Judge(crowded, { 1, { kSound } }, 8000);
+      });
+      figures += "lost in three deaths, " + std::to_string(convictions) +
+                 " convictions: us " + std::to_string(cost) + "; ";
+    }
+    Print(figures);
+    CPPUNIT_ASSERT_MESSAGE(figures, cost < 1000);
+  }
+
+private:
+  // Fills the ledger with parts that were lost in two deaths each and do not
+  // come again.
+  static void FillLedger(SuspectRegistry& aRegistry, int aMs)
+  {
+    std::uint64_t next = 100000;
+    for (std::uint64_t n = 0; n < 170; ++n) {
+      Parts parts;
+      for (std::size_t part = 0; part < SuspectRegistry::kMaxLostParts;
+           ++part) {
+        parts.push_back(++next);
+      }
+      ++next;
+      const RequestContent content(next, parts);
+      Lose(aRegistry, content, 500000 + 2 * n, aMs);
+      Lose(aRegistry, content, 500001 + 2 * n, aMs + 100);
+    }
+  }
+
+  static void ExpectStopped(Play aPlay)
+  {
+    std::string figures;
+    int late = 0;
+    int blamed = 0;
+    for (aPlay.mSeed = 1; aPlay.mSeed <= 3; ++aPlay.mSeed) {
+      PartSimulation simulation(aPlay);
+      simulation.Run();
+      figures += simulation.Figures() + "\n";
+      late = std::max(late, simulation.LateRuns());
+      blamed = std::max(blamed, simulation.BlamedMs());
+    }
+    Print(figures);
+    CPPUNIT_ASSERT_MESSAGE(figures, late <= kMaxLateRuns);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(figures, 0, blamed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptPartTests);
