Further tests of parts of prompts that fail

A conviction has no effect where the part was served in the last 30 s and no loss is known. Of a field that is sent twice only the first line is read.

--- a/tests/introspective/PromptPartTests.cpp
+++ b/tests/introspective/PromptPartTests.cpp
@@ -3,6 +3,8 @@
 #include "core/SuspectRegistry.h"
 #include "core/TrialRecord.h"
 #include "gateway/LoadBroadcaster.h"
+#include "http/HttpHead.h"
+#include "platform/PlatformRequests.h"
 
 #include <algorithm>
 #include <chrono>
@@ -581,6 +583,9 @@
   CPPUNIT_TEST(ATrialIsJudgedWhileTheLedgerIsFull);
   CPPUNIT_TEST(LosingRequestsIsCheapWhileTheLedgerIsFull);
   CPPUNIT_TEST(APartThatTurnsDeadlyIsStoppedBySeventyOneHosts);
+  CPPUNIT_TEST(APartThatTurnsDeadlyIsStoppedByAFewHosts);
+  CPPUNIT_TEST(AConvictionHoldsWhereThePartWasServedBefore);
+  CPPUNIT_TEST(PartsInARepeatedFieldAreKnown);
   CPPUNIT_TEST(ADeadlyPartIsStoppedAfterAPlaceFailed);
   CPPUNIT_TEST(ADeadlyPartBesideTakingTurnsCompanionsIsStopped);
   CPPUNIT_TEST(ASoundPartBesideTwoDeadlyOnesIsNotConvicted);
@@ -764,6 +769,42 @@
     ExpectStopped(play);
   }
 
+  // Guards against the same in fleets of any size.
+  void APartThatTurnsDeadlyIsStoppedByAFewHosts()
+  {
+    for (const int hosts : { 3, 6, 9, 12, 20 }) {
+      Play play;
+      play.mHosts = hosts;
+      play.mTargets = 36;
+      play.mDeadlyRuns = 1;
+      play.mTurnsDeadly = true;
+      play.mDeadlyFromMs = 4000;
+      play.mEndMs = 30000;
+      ExpectStopped(play);
+    }
+  }
+
+  // Guards against a conviction without effect at each host that served the
+  // part before it turned deadly and does not know its losses.
+  void AConvictionHoldsWhereThePartWasServedBefore()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.ClearSuspect({ 1, { kDeadly } }, At(0));
+    registry.Convict(kDeadly, At(10000));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"),
+                         Judge(registry, { 2, { kDeadly } }, 10100));
+  }
+
+  // Guards against parts that are hidden in a second field of the same name.
+  void PartsInARepeatedFieldAreKnown()
+  {
+    HttpHead head;
+    head.mFields.push_back({ "X-Prompt-Prefix", "a:8,b:8" });
+    head.mFields.push_back({ "X-Prompt-Prefix", "c:8,d:8" });
+    const auto request = platform::DecodeCallerRequest(head);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), request.mPromptParts.size());
+  }
+
   // Guards against the single losses of a deadly part waiting to be told behind
   // those of all parts that were lost with a place.
   void ADeadlyPartIsStoppedAfterAPlaceFailed()
