BUDGET: blame sets with all their suspects, record parts of long prompts, keep room for new suspects

A trial is about all parts that other requests lost too, and the content if it was lost. - A conviction that left out members served before turned against the others. It keeps all or is ignored. - Losses of a part in use were told to nobody; they are told 3 s later unless it is served again. - Of more than 64 unknown parts always the same were recorded, and a repeated part counted as many. - A full ledger took no new suspects and searched all records each time; the fewest losses make room. - A trial lost beside a convicted suspect convicted its request. A full list of convictions took no new one. - Only the first of several fields with parts was read.

--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -1,6 +1,7 @@
 #include "core/LossLedger.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace quetzalquay {
@@ -14,8 +15,8 @@
 // Maximum number of lost runs in a record.
 constexpr std::size_t kMaxRuns = 8;
 
-// Age from which the record of a single loss makes room for a new one.
-constexpr Duration kSingleLossLifetime = std::chrono::seconds(10);
+// Records that are removed at once to make room for new ones.
+constexpr std::size_t kRoomMade = 500;
 
 // Maximum number of records that a new host is told at once.
 constexpr std::size_t kMaxReports = 64;
@@ -67,18 +68,18 @@
 void
 LossLedger::AddOwnRun(std::uint64_t aSuspect,
                       const LostRun& aRun,
-                      bool aTell,
+                      Time aTellAt,
                       Time aNow)
 {
-  Record* record = Obtain(aSuspect, aNow);
-  if (record == nullptr || !AddRun(aSuspect, *record, aRun, aNow)) {
+  Record& record = Obtain(aSuspect, aNow);
+  if (!AddRun(aSuspect, record, aRun, aNow)) {
     return;
   }
-  record->mExpiresAt = aNow + kRecordLifetime;
-  record->mOwn.insert(aRun.mDeath.mId);
-  if (aTell) {
-    Tell(aSuspect, *record, kNewsRepeats, aNow);
-    StoreRuns(aSuspect, *record, false);
+  record.mExpiresAt = aNow + kRecordLifetime;
+  record.mOwn.insert(aRun.mDeath.mId);
+  Tell(aSuspect, record, kNewsRepeats, aTellAt);
+  if (aTellAt <= aNow) {
+    StoreRuns(aSuspect, record, false);
   }
 }
 
@@ -183,34 +184,31 @@
 bool
 LossLedger::Merge(const SuspectReport& aReport, bool aPassOn, Time aNow)
 {
-  Record* record = Obtain(aReport.mSuspect, aNow);
-  if (record == nullptr) {
-    return false;
-  }
-  record->mShared = true;
+  Record& record = Obtain(aReport.mSuspect, aNow);
+  record.mShared = true;
   bool changed = false;
   if (aReport.mClearedAt &&
-      (!record->mClearedAt || *aReport.mClearedAt > *record->mClearedAt)) {
-    const std::vector<LostRun> runs = record->mRuns;
-    RemoveRuns(aReport.mSuspect, *record);
-    record->mClearedAt = aReport.mClearedAt;
+      (!record.mClearedAt || *aReport.mClearedAt > *record.mClearedAt)) {
+    const std::vector<LostRun> runs = record.mRuns;
+    RemoveRuns(aReport.mSuspect, record);
+    record.mClearedAt = aReport.mClearedAt;
     OnCleared(aReport.mSuspect, *aReport.mClearedAt);
     for (const LostRun& it : runs) {
-      AddRun(aReport.mSuspect, *record, it, aNow);
+      AddRun(aReport.mSuspect, record, it, aNow);
     }
-    changed = record->mRuns.size() < runs.size();
+    changed = record.mRuns.size() < runs.size();
   }
   for (const LostRun& it : aReport.mRuns) {
     OnTargetDeath(it.mDeath);
-    changed |= AddRun(aReport.mSuspect, *record, it, aNow);
+    changed |= AddRun(aReport.mSuspect, record, it, aNow);
   }
-  if (changed || record->mRuns.empty()) {
-    record->mExpiresAt =
-      aNow + (record->mRuns.empty() ? kClearedLifetime : kRecordLifetime);
+  if (changed || record.mRuns.empty()) {
+    record.mExpiresAt =
+      aNow + (record.mRuns.empty() ? kClearedLifetime : kRecordLifetime);
   }
   if (changed) {
-    Tell(aReport.mSuspect, *record, aPassOn ? 1 : 0, aNow);
-    StoreRuns(aReport.mSuspect, *record, true);
+    Tell(aReport.mSuspect, record, aPassOn ? 1 : 0, aNow);
+    StoreRuns(aReport.mSuspect, record, true);
   }
   return changed;
 }
@@ -263,25 +261,35 @@
   return reports;
 }
 
-template<typename Condition>
 void
-LossLedger::EraseIf(const Condition& aCondition)
+LossLedger::Expire(Time aNow)
 {
-  std::vector<std::uint64_t> erased;
+  std::vector<std::uint64_t> expired;
   for (const auto& it : mRecords) {
-    if (aCondition(it.second)) {
-      erased.push_back(it.first);
+    if (aNow >= it.second.mExpiresAt) {
+      expired.push_back(it.first);
     }
   }
-  for (const std::uint64_t it : erased) {
+  for (const std::uint64_t it : expired) {
     Erase(it);
   }
 }
 
 void
-LossLedger::Expire(Time aNow)
+LossLedger::MakeRoom()
 {
-  EraseIf([&](const Record& aRecord) { return aNow >= aRecord.mExpiresAt; });
+  using Entry = std::tuple<std::size_t, Time, std::uint64_t>;
+  std::vector<Entry> entries;
+  entries.reserve(mRecords.size());
+  for (const auto& it : mRecords) {
+    entries.emplace_back(
+      it.second.mRuns.size(), it.second.mExpiresAt, it.first);
+  }
+  const auto end = entries.begin() + static_cast<long>(kRoomMade);
+  std::nth_element(entries.begin(), end, entries.end());
+  for (auto it = entries.begin(); it != end; ++it) {
+    Erase(std::get<2>(*it));
+  }
 }
 
 std::size_t
@@ -308,27 +316,20 @@
   return it == mLostIn.end() ? kNoSuspects : it->second;
 }
 
-LossLedger::Record*
+LossLedger::Record&
 LossLedger::Obtain(std::uint64_t aSuspect, Time aNow)
 {
   const auto it = mRecords.find(aSuspect);
   if (it != mRecords.end() && aNow < it->second.mExpiresAt) {
-    return &it->second;
+    return it->second;
   }
   Erase(aSuspect);
   if (mRecords.size() >= kMaxRecords) {
-    EraseIf([&](const Record& aRecord) {
-      return aNow >= aRecord.mExpiresAt ||
-             (aRecord.mRuns.size() == 1 &&
-              aNow - aRecord.mRuns.front().mDeath.mAt >= kSingleLossLifetime);
-    });
-  }
-  if (mRecords.size() >= kMaxRecords) {
-    return nullptr;
+    MakeRoom();
   }
   Record& record = mRecords[aSuspect];
   record.mExpiresAt = aNow + kRecordLifetime;
-  return &record;
+  return record;
 }
 
 bool
@@ -383,12 +384,12 @@
 LossLedger::Tell(std::uint64_t aSuspect,
                  Record& aRecord,
                  int aRepeats,
-                 Time aNow)
+                 Time aAt)
 {
   if (aRepeats > 0) {
+    const bool isNew = mNews.insert(aSuspect).second;
+    aRecord.mNextNewsAt = isNew ? aAt : std::min(aRecord.mNextNewsAt, aAt);
     aRecord.mNewsLeft = std::max(aRecord.mNewsLeft, aRepeats);
-    aRecord.mNextNewsAt = aNow;
-    mNews.insert(aSuspect);
   }
 }
 
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -73,11 +73,12 @@
   // time reported for a death applies.
   void OnTargetDeath(const TargetDeath& aDeath);
 
-  // Records that this host has lost a run of a suspect. Only with aTell are
-  // other hosts and the store told.
+  // Records that this host has lost a run of a suspect. Other hosts are told at
+  // aTellAt, unless the suspect is cleared before. The store is told at once,
+  // or not at all if that is later.
   void AddOwnRun(std::uint64_t aSuspect,
                  const LostRun& aRun,
-                 bool aTell,
+                 Time aTellAt,
                  Time aNow);
 
   // Removes all losses of a suspect up to now.
@@ -150,9 +151,8 @@
     Time mExpiresAt;
   };
 
-  // Returns a valid record for a suspect; null if there is no room for another
-  // one.
-  Record* Obtain(std::uint64_t aSuspect, Time aNow);
+  // Returns a valid record for a suspect, a new one if there is none.
+  Record& Obtain(std::uint64_t aSuspect, Time aNow);
   bool AddRun(std::uint64_t aSuspect,
               Record& aRecord,
               const LostRun& aRun,
@@ -163,12 +163,11 @@
   void NotifyStore() const;
   void RemoveRuns(std::uint64_t aSuspect, Record& aRecord);
   void ForgetLoss(std::uint64_t aSuspect, std::uint64_t aDeath);
-  // Schedules a changed record to be told aRepeats times.
-  void Tell(std::uint64_t aSuspect, Record& aRecord, int aRepeats, Time aNow);
+  // Schedules a changed record to be told aRepeats times from aAt on.
+  void Tell(std::uint64_t aSuspect, Record& aRecord, int aRepeats, Time aAt);
   void Erase(std::uint64_t aSuspect);
-  // Removes records that meet a condition.
-  template<typename Condition>
-  void EraseIf(const Condition& aCondition);
+  // Removes some records, those with the fewest losses first.
+  void MakeRoom();
 
   std::unordered_map<std::uint64_t, Record> mRecords;
   // Suspects that were lost in a death, by the death's ID.
--- a/src/quetzalquay/core/ServedParts.h
+++ b/src/quetzalquay/core/ServedParts.h
@@ -16,7 +16,7 @@
 {
 public:
   static constexpr Duration kMemory = std::chrono::seconds(30);
-  static constexpr std::size_t kMaxParts = 8192;
+  static constexpr std::size_t kMaxParts = 32768;
 
   // Records that a request with the part was served.
   void OnServed(std::uint64_t aPart, Time aNow);
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace quetzalquay {
@@ -68,17 +69,54 @@
                            Time aNow)
 {
   OnTargetDeath(aRun.mDeath);
-  AddOwnRun(aContent.mHash, aRun, true, aNow);
-  const auto isSuspected = [&](std::uint64_t aPart) {
-    return !IsServedLately(aPart, aNow);
+  AddOwnRun(aContent.mHash, aRun, aNow, aNow);
+  for (const std::uint64_t it : PartsToRecord(aContent, aRun, aNow)) {
+    // The losses of a part in use are told only if it is not served again.
+    AddOwnRun(it,
+              aRun,
+              IsServedLately(it, aNow) ? aNow + kServedAgainWithin : aNow,
+              aNow);
+  }
+}
+
+// The parts of a lost request whose losses are recorded: first those that have
+// losses, then unknown ones, last those in use. Of too many unknown ones, each
+// death gets others, so that a deadly one is among them sooner or later.
+std::vector<std::uint64_t>
+SuspectRegistry::PartsToRecord(const RequestContent& aContent,
+                               const LostRun& aRun,
+                               Time aNow) const
+{
+  struct Ranked
+  {
+    std::uint64_t mPart;
+    int mRank;
+    std::uint64_t mOrder;
   };
-  std::vector<std::uint64_t> parts(aContent.mParts.rbegin(),
-                                   aContent.mParts.rend());
-  std::stable_partition(parts.begin(), parts.end(), isSuspected);
-  parts.resize(std::min(parts.size(), kMaxLostParts));
-  for (const std::uint64_t it : parts) {
-    AddOwnRun(it, aRun, isSuspected(it), aNow);
+  std::vector<Ranked> ranked;
+  ranked.reserve(aContent.mParts.size());
+  for (const std::uint64_t it : aContent.mParts) {
+    const int rank = IsServedLately(it, aNow)   ? 2
+                     : RunsOf(it, aNow).empty() ? 1
+                                                : 0;
+    ranked.push_back({ it, rank, StableHash(ToHex(it), aRun.mDeath.mId) });
   }
+  const auto key = [](const Ranked& aPart) {
+    return std::make_tuple(aPart.mRank, aPart.mOrder, aPart.mPart);
+  };
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [&](const Ranked& aLeft, const Ranked& aRight) {
+              return key(aLeft) < key(aRight);
+            });
+  std::vector<std::uint64_t> parts;
+  for (const Ranked& it : ranked) {
+    if (parts.size() < kMaxLostParts &&
+        (parts.empty() || parts.back() != it.mPart)) {
+      parts.push_back(it.mPart);
+    }
+  }
+  return parts;
 }
 
 void
@@ -174,32 +212,48 @@
 SuspectSet
 SuspectRegistry::SuspectsOf(const RequestContent& aContent, Time aNow) const
 {
+  // Any part that other requests lost, too, may be the one to blame, also if
+  // it has not been lost often enough by itself.
+  const std::size_t own = RunsOf(aContent.mHash, aNow).size();
   std::vector<std::uint64_t> parts;
   std::size_t most = 0;
   for (const std::uint64_t it : aContent.mParts) {
     const std::size_t losses = RunsOf(it, aNow).size();
-    if (losses >= kMinDeathsToRefuse && !IsServedLately(it, aNow)) {
+    if (losses > own && !IsServedLately(it, aNow)) {
       parts.push_back(it);
       most = std::max(most, losses);
     }
   }
-  return RunsOf(aContent.mHash, aNow).size() >= most
-           ? SuspectSet(aContent.mHash)
-           : SuspectSet(std::move(parts));
+  if (most < kMinDeathsToRefuse) {
+    return aContent.mHash;
+  }
+  if (own > 0) {
+    parts.push_back(aContent.mHash);
+  }
+  return SuspectSet(std::move(parts));
 }
 
 void
 SuspectRegistry::Convict(const SuspectSet& aSuspects, Time aNow)
 {
-  Conviction conviction{ {}, aNow };
-  for (const std::uint64_t it : aSuspects.mMembers) {
-    if (!IsServedLately(it, aNow)) {
-      conviction.mMembers.push_back(it);
-    }
+  const auto isInUse = [&](std::uint64_t aMember) {
+    const auto servedAt = mServed.LastServedAt(aMember);
+    return servedAt && aNow - *servedAt < kServedAgainWithin &&
+           RunsOf(aMember, aNow).empty();
+  };
+  const auto& members = aSuspects.mMembers;
+  if (std::all_of(members.begin(), members.end(), isInUse)) {
+    return;
   }
-  if (!conviction.mMembers.empty() && mConvictions.size() < kMaxConvictions) {
-    mConvictions[aSuspects.mId] = std::move(conviction);
+  if (mConvictions.size() >= kMaxConvictions) {
+    mConvictions.erase(
+      std::min_element(mConvictions.begin(),
+                       mConvictions.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.second.mAt < aRight.second.mAt;
+                       }));
   }
+  mConvictions[aSuspects.mId] = { members, aNow };
 }
 
 std::optional<bool>
@@ -212,7 +266,7 @@
     std::find_if(runs.begin(), runs.end(), [&](const LostRun& aRun) {
       return aRun.mStartedAt >= aStartedAt;
     });
-  if (trial == runs.end()) {
+  if (trial == runs.end() || IsExplained(aContent.mHash, runs, *trial, aNow)) {
     return std::nullopt;
   }
   const bool rival =
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -138,17 +138,18 @@
   // Whether a lost run is known of the content or of a part of a request.
   bool IsSuspected(const RequestContent& aContent, Time aNow) const;
 
-  // What a trial of a request is about: the parts that may be refused, or the
-  // content if it was lost as often as any of them.
+  // What a trial of a request is about: the parts that were lost with other
+  // requests, too, if one of them may be refused, and the content if it was
+  // lost itself.
   SuspectSet SuspectsOf(const RequestContent& aContent, Time aNow) const;
 
-  // Records that trials have shown a set to crash targets. Members that were
-  // served lately are left out.
+  // Records that trials have shown a set to crash targets, unless all of its
+  // members have just been served here and not lost since.
   void Convict(const SuspectSet& aSuspects, Time aNow);
 
   // Whether the loss of a trial that started at aStartedAt convicts its
   // request: no other suspect was lost with it, nor a whole place. Nothing
-  // while no such loss is known.
+  // while no such loss is known, or if a convicted suspect explains it.
   std::optional<bool> JudgeLostTrial(const RequestContent& aContent,
                                      Time aStartedAt,
                                      Time aNow) const;
@@ -174,6 +175,9 @@
 
   using Runs = std::vector<LostRun>;
 
+  std::vector<std::uint64_t> PartsToRecord(const RequestContent& aContent,
+                                           const LostRun& aRun,
+                                           Time aNow) const;
   // Removes a suspect from the convictions made before.
   void OnCleared(std::uint64_t aSuspect, Time aAt) override;
 
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -173,7 +173,14 @@
     request.mPromptTokens = std::max(0, tokens[0]);
     request.mOutputTokens = std::max(0, tokens[1]);
   }
-  request.mPromptParts = HashParts(FieldValue(aHead, kPromptParts));
+  // A list may be spread over several fields of its name.
+  std::string parts;
+  for (const HttpField& it : aHead.mFields) {
+    if (EqualsIgnoreCase(it.mName, kPromptParts)) {
+      parts += (parts.empty() ? "" : ",") + it.mValue;
+    }
+  }
+  request.mPromptParts = HashParts(parts);
   return request;
 }
 
