LOST: keep the longer idle timeout until callers can know the shorter one

Cause: a host applied the shorter timeout to connections that became idle right after it, while callers still go by the longer one, and closed them under their next requests. A request that crosses the close can't be answered.

Now a connection that becomes idle within 2 s after a shorter timeout keeps the longer one, as one that was idle before the change does already. Further changes don't extend the time unless they shorten the timeout again (ConnectionsCloseAfterAShorterIdleTime).

Tests that need the shorter timeout in force wait 2.1 s for it, or they would test the longer one.

--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Time after a change for which callers may still go by the older idle timeout.
+// Hosts apply a change within less than a second, and it has to be in force on
+// all of them within three.
+constexpr Duration kOlderIdleTimeoutTime = std::chrono::seconds(2);
+
 constexpr NameTable<CallKind, 3> kKindNames({ "idempotent",
                                               "non_idempotent",
                                               "stream" });
@@ -79,4 +84,23 @@
   return it == mServices.end() ? nullptr : &it->second;
 }
 
+void
+RoutingTable::Replace(const RoutingTable& aOlder, Time aNow)
+{
+  mOlderIdleTimeout = aOlder.mOlderIdleTimeout;
+  mOlderIdleTimeoutUntil = aOlder.mOlderIdleTimeoutUntil;
+  if (mLimits.mIdleTimeout < aOlder.mLimits.mIdleTimeout) {
+    mOlderIdleTimeout = aOlder.IdleTimeout(aNow);
+    mOlderIdleTimeoutUntil = aNow + kOlderIdleTimeoutTime;
+  }
+}
+
+Duration
+RoutingTable::IdleTimeout(Time aSince) const
+{
+  return aSince < mOlderIdleTimeoutUntil
+           ? std::max(mLimits.mIdleTimeout, mOlderIdleTimeout)
+           : mLimits.mIdleTimeout;
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -124,6 +124,14 @@
   // query is ignored. nullptr when no route matches.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
 
+  // Lets connections that become idle soon after aNow keep a longer idle
+  // timeout of the configuration that this one replaces then, by which their
+  // callers may still go.
+  void Replace(const RoutingTable& aOlder, Time aNow);
+
+  // Idle timeout of a connection that became idle at aSince.
+  Duration IdleTimeout(Time aSince) const;
+
   // Longest timeout of all routes.
   Duration LongestTimeout() const { return mLongestTimeout; }
 
@@ -143,6 +151,10 @@
   // in neither.
   std::unordered_map<std::string, Route> mRoutes;
   Duration mLongestTimeout = Duration::zero();
+  // Idle timeout of an older configuration, and until when connections that
+  // become idle keep it.
+  Duration mOlderIdleTimeout = Duration::zero();
+  Time mOlderIdleTimeoutUntil = Time::min();
   std::unordered_map<std::string, KeyOwner> mKeys;
   std::map<std::string, ServiceTraits> mServices;
 };
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -541,8 +541,11 @@
 CallerConnection::InputDeadline() const
 {
   const CallerLimits limits = CurrentLimits();
-  const Time deadline = mReader.HasStarted() ? mArrivedAt + limits.mHeadTimeout
-                                             : mIdleSince + limits.mIdleTimeout;
+  const auto& routing = mServer.mContext.mFleet.Routing();
+  const Duration idle =
+    routing == nullptr ? limits.mIdleTimeout : routing->IdleTimeout(mIdleSince);
+  const Time deadline =
+    mReader.HasStarted() ? mArrivedAt + limits.mHeadTimeout : mIdleSince + idle;
   return std::min(deadline, mTurnAwayUntil);
 }
 
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -455,6 +455,9 @@
       { { "version", std::to_string(routing->mVersion) },
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
+  if (mRouting != nullptr) {
+    routing->Replace(*mRouting, EventLoop::Now());
+  }
   mRouting = std::move(routing);
   mVersions.SetWindow(std::max(kMinStreamLife, mRouting->LongestTimeout()));
   mConfigurationRows[aRow.mKey] = aRow;
--- a/tests/fakes/FleetPlay.cpp
+++ b/tests/fakes/FleetPlay.cpp
@@ -16,6 +16,10 @@
 constexpr auto kLoadBefore = milliseconds(300);
 constexpr auto kLoadAfter = milliseconds(200);
 
+// Time after which a shorter idle timeout than that of the cluster's first
+// configuration is in force.
+constexpr auto kShorterIdleTime = milliseconds(2100);
+
 // Time after its last byte in which a request may meet the close of its
 // connection. Later, only a reset shows that the host had not read it.
 constexpr auto kCrossingTime = milliseconds(200);
@@ -148,6 +152,10 @@
   cluster.SetPace(
     FleetCase::kFirstEvent, FleetCase::kEventInterval, FleetCase::kPlainAnswer);
   cluster.AwaitConfiguration(cluster.Write(aCase.mConfiguration));
+  if (aCase.mConfiguration.mLimits.mIdleTimeoutMs <
+      TestLimits().mIdleTimeoutMs) {
+    std::this_thread::sleep_for(kShorterIdleTime);
+  }
   std::mt19937 random(aSeed);
   KeptCallers callers(cluster,
                       { aCase.mCallers, aName, aSeed, aCase.mOwnBodies });
--- a/tests/usage/CallerConnectionTests.cpp
+++ b/tests/usage/CallerConnectionTests.cpp
@@ -298,6 +298,9 @@
     limits.mIdleTimeoutMs = 2000;
     cluster.SetCallerLimits(limits);
     cluster.Configure("key");
+    // Until then, connections keep the longer idle time of the configuration
+    // before.
+    std::this_thread::sleep_for(milliseconds(2100));
     const auto statuses =
       CallDuringFreeze(cluster.Gateway(),
                        GatewayTestCluster::Request("/none/", "a"),
