Do not take an unchanged entry for the restart of a target

What callers saw: nothing yet.

Cause: TargetTable::Declare compared the start time of an entry with the start known last. After a report had named a newer start, the next change of any other entry declared the old entry again, which counted as a death of the new start, lost its requests and trusted the old entry, with its software version, once more.

Only an entry whose start time has changed is news.

Ruled out: that an entry returns to an earlier start; start times of one name only grow.

Before: SoftwareVersionTests::RestartIsNotForgottenWhenOtherEntriesChange fails (1 death, expected 0).

Conclusion: what a report says of a start lasts until the entry of that start is read.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -131,7 +131,9 @@
       target.mFirstToken = Duration::zero();
       target.mAliveAt = aNow;
     }
-    if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation) {
+    // An entry that has not changed may be of an earlier start than a report.
+    if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation &&
+        it.mIncarnation != target.mDeclaration.mIncarnation) {
       mLimits.Forget(it.mName);
       if (!target.mIncarnation.empty()) {
         OnDeath(target, DeathEvidence::NewIncarnation, aNow);
--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(StreamsThatWaitForTheirVersionDoNotDelayOthers);
   CPPUNIT_TEST(RestartedTargetIsOfItsNewVersion);
   CPPUNIT_TEST(DeadTargetIsNotTrustedToKeepItsVersion);
+  CPPUNIT_TEST(RestartIsNotForgottenWhenOtherEntriesChange);
   CPPUNIT_TEST(NewStreamsAvoidVersionsWithASingleTarget);
   CPPUNIT_TEST(RetriesPreferTheVersionThatWasTried);
   CPPUNIT_TEST(CopiesStayWithinTheVersion);
@@ -320,6 +321,28 @@
                    ChoiceStatus::NoneReady);
   }
 
+  // Guards against taking the entry of an earlier start for news when the entry
+  // of another target changes.
+  void RestartIsNotForgottenWhenOtherEntriesChange()
+  {
+    TargetTable table = MakeTable({ Declaration("t0", "v1") });
+    table.OnLoadReport("t0", "2", "ready", 0, 0, At(10));
+    int deaths = 0;
+    table.SetDeathCallback([&](const DeathReport&) { ++deaths; });
+    Declare(
+      table, { Declaration("t0", "v1"), Declaration("t1", "v2") }, At(20));
+    CPPUNIT_ASSERT_EQUAL(0, deaths);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), table.IncarnationOf("t0"));
+    CPPUNIT_ASSERT(table.Choose(QueryOf("v1"), At(30)).mStatus ==
+                   ChoiceStatus::NoneReady);
+    TargetDeclaration restarted = Declaration("t0", "v1");
+    restarted.mIncarnation = "2";
+    Declare(table, { restarted, Declaration("t1", "v2") }, At(40));
+    CPPUNIT_ASSERT_EQUAL(0, deaths);
+    CPPUNIT_ASSERT_EQUAL(std::string("t0"),
+                         table.Choose(QueryOf("v1"), At(50)).mTarget);
+  }
+
   void NewStreamsAvoidVersionsWithASingleTarget()
   {
     TargetTable table = MakeTable({ Declaration("t0", "v1"),
