Ask a target for its start before a stream goes on there

The entry is right only until the target restarts, and the target checks its name, not its start.

A connection cannot change its start. A stream that has a version now goes to a target whose entry has a start time only on a connection on which the target has named that start in its report; otherwise the request isn't sent, the restart is recorded as a load report would, and another target is chosen. One round trip a connection. Targets with a name for each start aren't asked. The fakes' report now has the start time that their entry has, as the platform's does.

Taking every doubtful target for restarted would not do: the loss may not have been told, and then nothing is doubtful.

After: it passes 3 of 3; the FleetVersionTests test passes 40 of 40 beside the builds of others (load 17) and 25 of 25 beside three busy processes as well (load 21). No run of these 65 met the restart in the gap, so for the mixed streams the new test is the evidence. GatewayTests 21, StreamVersionTests 10 pass.

Conclusion: what the entry says is checked at the target itself, where it may be out of date.

--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -10,6 +10,9 @@
 
 namespace quetzalquay {
 
+// Incarnation of a target whose entry has no start time.
+constexpr char kNoStartTime[] = "0";
+
 // A target's registration in the platform's store, written by the target
 // itself.
 struct TargetEntry
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -210,6 +210,8 @@
       break;
     case AttemptFailure::NoDescriptor:
       // Says nothing about the target.
+    case AttemptFailure::Restarted:
+      // Known from its report.
       break;
     case AttemptFailure::Broken:
       aTable.OnConnectionBroken(aTarget, aNow);
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -13,9 +13,6 @@
 // Time limit for the report of a newly found target.
 constexpr Duration kIdentifyTimeout = std::chrono::milliseconds(400);
 
-// Incarnation of targets that do not report one.
-constexpr char kUnknownIncarnation[] = "0";
-
 // Maximum age of received bytes that count as proof that a target is alive.
 constexpr Duration kMaxLivenessProofAge = std::chrono::milliseconds(150);
 
@@ -112,8 +109,7 @@
   }
   const std::string& known = mPending[aTarget].mIncarnation;
   const bool restarted = !report->mIncarnation.empty() &&
-                         known != kUnknownIncarnation &&
-                         report->mIncarnation != known;
+                         known != kNoStartTime && report->mIncarnation != known;
   if (!restarted) {
     TargetTable& targets = mFleet.Targets();
     targets.OnLoadReport(aTarget,
@@ -161,7 +157,7 @@
   if (report && report->mEngine && mFleet.CanAcceptReplacement(aOld)) {
     const bool hasIncarnation = !report->mIncarnation.empty();
     mFleet.OnTargetReplaced(
-      aOld, aNew, hasIncarnation ? report->mIncarnation : kUnknownIncarnation);
+      aOld, aNew, hasIncarnation ? report->mIncarnation : kNoStartTime);
   }
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -223,6 +223,9 @@
     EndAttempt(AttemptEnd::Unreachable);
     return;
   }
+  if (resumed || !mCall.mSoftwareVersion.empty()) {
+    mConnection->CheckStart();
+  }
   mConnection->Send(
     platform::EncodeAttempt(mCall.mHead, fields, mCall.mBody.size()),
     mCall.mBody,
@@ -585,6 +588,10 @@
       mLogNote = "target_unreachable";
       EndAttempt(AttemptEnd::Unreachable);
       break;
+    case AttemptFailure::Restarted:
+      mLogNote = "target_restarted";
+      EndAttempt(AttemptEnd::Refused);
+      break;
     case AttemptFailure::NoDescriptor:
       mLogNote = "no_descriptor";
       EndAttempt(AttemptEnd::Unreachable);
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -66,14 +66,33 @@
   mReader.Next();
   mRequestBytes = aHead + aBody;
   if (mConnected) {
-    mRequestSent = true;
-    mSocket->Write(mRequestBytes);
-    mRequestBytes.clear();
+    SendRequest();
     return;
   }
   mSocket->Connect(mEndpoint, aConnectDeadline, *this);
 }
 
+void
+TargetConnection::CheckStart()
+{
+  mChecksStart = !mStartChecked && mIncarnation != kNoStartTime;
+}
+
+// Sends the pending request, or asks the target for its start before.
+void
+TargetConnection::SendRequest()
+{
+  if (mChecksStart) {
+    mChecksStart = false;
+    mCheckingStart = true;
+    mSocket->Write(platform::EncodeReportRequest(FormatEndpoint(mEndpoint)));
+    return;
+  }
+  mRequestSent = true;
+  mSocket->Write(mRequestBytes);
+  mRequestBytes.clear();
+}
+
 void
 TargetConnection::Abort()
 {
@@ -86,10 +105,8 @@
 TargetConnection::OnConnected()
 {
   mConnected = true;
-  mRequestSent = true;
   mPool.OnActivity(mTarget);
-  mSocket->Write(mRequestBytes);
-  mRequestBytes.clear();
+  SendRequest();
 }
 
 void
@@ -109,9 +126,16 @@
   while (!aData.empty() && mSink != nullptr) {
     aData.remove_prefix(mReader.Feed(aData));
     if (mReader.Progress() == HttpProgress::Broken) {
-      FailAttempt(AttemptFailure::Broken);
+      FailAttempt(mCheckingStart ? AttemptFailure::Unreachable
+                                 : AttemptFailure::Broken);
       return;
     }
+    if (mCheckingStart) {
+      if (mReader.Progress() == HttpProgress::Complete) {
+        FinishStartCheck();
+      }
+      continue;
+    }
     if (mReader.Progress() == HttpProgress::Head || !ForwardHead()) {
       continue;
     }
@@ -140,6 +164,36 @@
   }
 }
 
+// Handles the target's report. Only a target that is known to be the start that
+// its entry describes gets the request. A report without a start time says
+// nothing, as for Prober.
+void
+TargetConnection::FinishStartCheck()
+{
+  mCheckingStart = false;
+  std::string reason;
+  const auto report = platform::DecodeReport(mReader.TakeBody(), reason);
+  const bool stays = mReader.Head().mKeepAlive && !mReader.Head().mUntilClose;
+  mReader.Next();
+  if (report && !report->mIncarnation.empty() &&
+      report->mIncarnation != mIncarnation) {
+    mPool.mFleet.Targets().OnLoadReport(mTarget,
+                                        report->mIncarnation,
+                                        "ready",
+                                        report->mRunning,
+                                        report->mWaiting,
+                                        EventLoop::Now());
+    FailAttempt(AttemptFailure::Restarted);
+    return;
+  }
+  if (!report || !stays) {
+    FailAttempt(AttemptFailure::Unreachable);
+    return;
+  }
+  mStartChecked = true;
+  SendRequest();
+}
+
 // Forwards the response head once. Returns false when the message was an
 // informational (1xx) response, which is skipped, or when the sink has aborted
 // the attempt.
@@ -218,13 +272,15 @@
     CompleteResponse();
     return;
   }
-  FailAttempt(AttemptFailure::Broken);
+  FailAttempt(mCheckingStart ? AttemptFailure::Unreachable
+                             : AttemptFailure::Broken);
 }
 
 void
 TargetConnection::FailAttempt(AttemptFailure aFailure)
 {
   mConnected = false;
+  mCheckingStart = false;
   mSocket->Close(true);
   std::exchange(mSink, nullptr)->OnAttemptFailed(aFailure);
 }
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -21,6 +21,9 @@
   Unreachable,
   // This process had no descriptor for a connection. Nothing was sent.
   NoDescriptor,
+  // The target has restarted under its name since its entry was written. The
+  // request was not sent.
+  Restarted,
   // The connection broke or the response was malformed. The target may have run
   // the request.
   Broken,
@@ -70,6 +73,11 @@
             Time aConnectDeadline,
             AttemptSink& aSink);
 
+  // Makes Send() ask the target first whether it has restarted under its name
+  // since its entry was written, as it may then have another software version.
+  // Asks once for each connection, and only where the entry tells starts apart.
+  void CheckStart();
+
   // Resets the connection without a further call to the sink.
   void Abort();
 
@@ -92,6 +100,8 @@
   void OnConnected() override;
   void OnData(std::string_view aData) override;
   void OnEnd(SocketEnd aEnd) override;
+  void SendRequest();
+  void FinishStartCheck();
   bool ForwardHead();
   void CompleteResponse();
   void FailAttempt(AttemptFailure aFailure);
@@ -107,6 +117,11 @@
   std::string mRequestId;
   bool mConnected = false;
   bool mRequestSent = false;
+  // Whether the target is to be asked for its start before the next request,
+  // and whether it has been asked and has not answered yet.
+  bool mChecksStart = false;
+  bool mCheckingStart = false;
+  bool mStartChecked = false;
   // Whether the head of the current response has been forwarded to the sink.
   bool mHeadForwarded = false;
   // Whether the current response belongs to another request and is discarded.
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -461,7 +461,8 @@
   }
   // Targets without a start time never restart under their name.
   entry.mNamePerStart = born == nullptr;
-  entry.mIncarnation = born == nullptr ? "0" : std::to_string(born->GetInt64());
+  entry.mIncarnation =
+    born == nullptr ? kNoStartTime : std::to_string(born->GetInt64());
   return entry;
 }
 
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -177,10 +177,17 @@
 
   void Register(const std::string& aState) const
   {
-    const std::string born =
-      mStarts == 0 ? std::string() : R"(,"born":)" + std::to_string(mStarts);
     mCluster.SetEntry(
-      mName, EntryOf(mService, Address(mPort), mPlace, mVersion, born, aState));
+      mName,
+      EntryOf(
+        mService, Address(mPort), mPlace, mVersion, StartField(), aState));
+  }
+
+  // Start time as a member of the runner's entry and report.
+  std::string StartField() const
+  {
+    return mStarts == 0 ? std::string()
+                        : R"(,"born":)" + std::to_string(mStarts);
   }
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
@@ -402,7 +409,8 @@
       return;
     }
     const std::string body = R"({"Models":[{"Name":"m"}],"ActiveRequests":1,)"
-                             R"("QueuedRequests":0,"Runs":[]})";
+                             R"("QueuedRequests":0,"Runs":[])" +
+                             mRunner.StartField() + "}";
     mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
                    std::to_string(body.size()) + "\r\n\r\n" + body);
   }
--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -62,6 +62,7 @@
 {
   CPPUNIT_TEST_SUITE(StreamVersionTests);
   CPPUNIT_TEST(LostStreamsGoOnAtTheVersionThatBeganThem);
+  CPPUNIT_TEST(StreamAvoidsATargetWhoseRestartItsHostHasNotSeen);
   CPPUNIT_TEST(StreamEndsAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(StreamsOfADeadHostGoOnAtTheirVersion);
   CPPUNIT_TEST(StreamsOfAHostWithoutPeersAreFoundInTheStore);
@@ -102,6 +103,41 @@
     }
   }
 
+  // Guards against a stream that goes on at a target which has restarted under
+  // its name with another version, at a host that has not read its new entry
+  // and has not seen its death.
+  void StreamAvoidsATargetWhoseRestartItsHostHasNotSeen()
+  {
+    GatewayTestCluster::Options options;
+    options.mVersions = { "v1", "v1", "v2" };
+    options.mFirstStartTime = true;
+    GatewayTestCluster cluster(options);
+    cluster.SetRunnerReturn(RunnerReturn::SameName);
+    cluster.SetPace(std::chrono::milliseconds(0),
+                    kLongInterval,
+                    std::chrono::milliseconds(0));
+    BackgroundCall call(cluster.Gateway(),
+                        GatewayTestCluster::Request("/stream/", "s"));
+    while (cluster.Runs().empty()) {
+      ::usleep(1000);
+    }
+    const std::string first = cluster.Runs().front().mRunner;
+    CPPUNIT_ASSERT(first != "i-2");
+    cluster.SetStoreDown(true);
+    cluster.CrashRunner(first == "i-0" ? "i-1" : "i-0", "v2");
+    ::usleep(kRestartTime);
+    cluster.ResetRunner(first);
+    const CallerAnswer& answer = call.AwaitAnswer();
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT(answer.mBody.find("e40 v1") != std::string::npos);
+    CPPUNIT_ASSERT(answer.mBody.find(" v2 ") == std::string::npos);
+    const auto runs = cluster.Runs();
+    CPPUNIT_ASSERT(runs.size() >= 2);
+    for (const RunnerRequest& it : runs) {
+      CPPUNIT_ASSERT_EQUAL(std::string("v1"), it.mVersion);
+    }
+  }
+
   // Guards against streams that hold their caller although no runner is left at
   // which they may go on.
   void StreamEndsAtOnceWhenItsVersionIsGone()
@@ -260,6 +296,11 @@
   // a version and have stored it.
   static constexpr unsigned kSpreadTime = 1000000;
 
+  // Time in microseconds after which a crashed runner is back, and interval
+  // between the events of a stream that lasts longer.
+  static constexpr unsigned kRestartTime = 1600000;
+  static constexpr auto kLongInterval = std::chrono::milliseconds(80);
+
   static const std::map<std::string, std::string>& Versions()
   {
     static const std::map<std::string, std::string> kVersions = {
