Send no copies by addresses that are known from long ago

What callers saw: no wrong text.

Cause, by the code and a test, not by that run, whose logs are not kept: a copy is sent to an address; unlike a run it names no target that could reject it. Once a host has read the entry of the target that came to the address, the former one is out of use (TargetEntries::UsableTargets). So only a host that last knew of the targets over 1.5 s ago can name such an address: one that stood still, or whose reads were late.

While the store can be reached but the targets are known from 1.5 s ago or earlier, no copy is sent or renewed; StreamCopy looks again with the next event, 0.1 s later at the earliest. During an outage of the store copies are sent as before: no target can register then, and a stream without a copy costs more than a copy that nobody can use.

Ruled out: hosts that saw the death of the former target (not chosen for 3.6 s); the use of such a copy (the run names its target, and the start and the version of the holder are compared before). Not ruled out for that run: that the fakes' loop handled the request late, as the version at the address is read then.

--- a/src/quetzalquay/core/CopyKeeper.cpp
+++ b/src/quetzalquay/core/CopyKeeper.cpp
@@ -33,7 +33,7 @@
   const auto version = aServingTarget == mServingTarget
                          ? std::make_optional(mSoftwareVersion)
                          : mTargets.SoftwareVersionOf(aServingTarget);
-  if (!version) {
+  if (!version || mTargetsOutdated) {
     return std::string();
   }
   ChoiceQuery query;
@@ -93,7 +93,7 @@
 CopyKeeper::TakeNextOrder(Time aNow)
 {
   if (!mOptions.mOrdersSupported || mServingTarget.empty() || !mDelivered ||
-      mOrderPending || aNow < mNextOrderAt) {
+      mTargetsOutdated || mOrderPending || aNow < mNextOrderAt) {
     return std::nullopt;
   }
   std::string holder;
--- a/src/quetzalquay/core/CopyKeeper.h
+++ b/src/quetzalquay/core/CopyKeeper.h
@@ -51,6 +51,10 @@
   CopyKeeper(const CopyKeeper&) = delete;
   CopyKeeper& operator=(const CopyKeeper&) = delete;
 
+  // Sets whether other targets may have come to the addresses of known ones. No
+  // copy is sent to them then.
+  void SetTargetsOutdated(bool aOutdated) { mTargetsOutdated = aOutdated; }
+
   // Chooses the target that receives the copy which a run at aServingTarget
   // sends itself. Empty when no target of its software version has enough free
   // memory.
@@ -123,6 +127,7 @@
   std::string mSoftwareVersion;
   // Whether the current run has delivered an event.
   bool mDelivered = false;
+  bool mTargetsOutdated = false;
   bool mOrderPending = false;
   Time mNextOrderAt;
 };
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -55,6 +55,10 @@
 class Fleet
 {
 public:
+  // Age of the known targets from which on another target may have served at
+  // the address of a known one for a while.
+  static constexpr Duration kMaxAddressAge = std::chrono::milliseconds(1500);
+
   Fleet(EventLoop& aLoop, const GatewaySettings& aSettings);
 
   // Applies rows of a table. With aIsSnapshot the rows are the complete table
@@ -101,6 +105,15 @@
   // target has registered again.
   bool IsStoreSynced() const { return mEntries.IsSettled(EventLoop::Now()); }
 
+  // Whether the known targets are old, although the store can be reached: this
+  // process may have stood still, and other targets may have come to known
+  // addresses.
+  bool AreTargetsOutdated(Time aNow) const
+  {
+    return !mEntries.IsStoreUnreachable() &&
+           aNow - mReaders.KnownAsOf() >= kMaxAddressAge;
+  }
+
   // Whether removed targets are in use because they may register again after a
   // store outage.
   bool HasRetainedTargets() const { return mEntries.HasRetained(); }
--- a/src/quetzalquay/gateway/StreamCopy.cpp
+++ b/src/quetzalquay/gateway/StreamCopy.cpp
@@ -59,6 +59,7 @@
   const TargetLocation* location = mContext.mFleet.Locate(aTarget);
   mRunTarget = aTarget;
   mRunTargetAddress = location == nullptr ? std::string() : location->mAddress;
+  mCopyKeeper.SetTargetsOutdated(mContext.mFleet.AreTargetsOutdated(aNow));
   const std::string holder =
     mRunsSendCopies ? mCopyKeeper.ChooseHolder(aTarget, aNow) : std::string();
   const TargetLocation* at = mContext.mFleet.Locate(holder);
@@ -74,6 +75,7 @@
     return;
   }
   mNextCheckAt = aNow + kCheckInterval;
+  mCopyKeeper.SetTargetsOutdated(mContext.mFleet.AreTargetsOutdated(aNow));
   if (const auto holder = mCopyKeeper.TakeNextOrder(aNow)) {
     OrderCopy(*holder, aNow);
   }
--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST(NewStreamsAvoidVersionsWithASingleTarget);
   CPPUNIT_TEST(RetriesPreferTheVersionThatWasTried);
   CPPUNIT_TEST(CopiesStayWithinTheVersion);
+  CPPUNIT_TEST(CopiesWaitUntilTheTargetsAreKnownAgain);
   CPPUNIT_TEST(CopyAtATargetWithAnotherVersionIsNotUsed);
   CPPUNIT_TEST(ReplacementFoundDuringAnOutageHasAVersionOfItsOwn);
   CPPUNIT_TEST_SUITE_END();
@@ -404,6 +405,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("t3"), *keeper.TakeNextOrder(At(20)));
   }
 
+  // Guards against copies that are sent to the address of a former target,
+  // which one of another version has taken over unseen.
+  void CopiesWaitUntilTheTargetsAreKnownAgain()
+  {
+    TargetTable table = MakeTable({ Declaration("t0", "v1"),
+                                    Declaration("t1", "v1"),
+                                    Declaration("t2", "v1") });
+    CopyKeeper keeper(KeeperOptions(), table);
+    keeper.SetTargetsOutdated(true);
+    CPPUNIT_ASSERT_EQUAL(std::string(), keeper.ChooseHolder("t0", At(0)));
+    keeper.OnRunStarted("t0", "");
+    keeper.OnEventDelivered();
+    CPPUNIT_ASSERT(!keeper.TakeNextOrder(At(10)));
+    keeper.SetTargetsOutdated(false);
+    const auto holder = keeper.TakeNextOrder(At(20));
+    CPPUNIT_ASSERT(holder.has_value());
+    keeper.OnOrderCompleted(*holder, "a0", "h", At(30));
+    // A copy that exists is kept, but not renewed meanwhile.
+    keeper.SetTargetsOutdated(true);
+    CPPUNIT_ASSERT_EQUAL(*holder, keeper.FindCopy(At(3500))->mHolder);
+    CPPUNIT_ASSERT(!keeper.TakeNextOrder(At(3500)));
+    keeper.SetTargetsOutdated(false);
+    CPPUNIT_ASSERT_EQUAL(*holder, *keeper.TakeNextOrder(At(3510)));
+  }
+
   void CopyAtATargetWithAnotherVersionIsNotUsed()
   {
     TargetTable table =
--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <map>
 #include <set>
 
@@ -63,6 +64,7 @@
   CPPUNIT_TEST_SUITE(StreamVersionTests);
   CPPUNIT_TEST(LostStreamsGoOnAtTheVersionThatBeganThem);
   CPPUNIT_TEST(StreamAvoidsATargetWhoseRestartItsHostHasNotSeen);
+  CPPUNIT_TEST(CopiesAvoidAddressesThatMayHaveChangedWhileTheirHostStoodStill);
   CPPUNIT_TEST(StreamEndsAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(StreamsOfADeadHostGoOnAtTheirVersion);
   CPPUNIT_TEST(StreamsOfAHostWithoutPeersAreFoundInTheStore);
@@ -138,6 +140,28 @@
     }
   }
 
+  // Guards against a copy that is sent to a target of another version, which
+  // has come to the address of a former one while the host stood still.
+  void CopiesAvoidAddressesThatMayHaveChangedWhileTheirHostStoodStill()
+  {
+    GatewayTestCluster::Options options;
+    options.mVersions = { "v1", "v1", "v2" };
+    GatewayTestCluster cluster(options);
+    cluster.Gateway().Signal(SIGSTOP);
+    cluster.CrashRunner("i-1", "v2");
+    ::usleep(kRestartTime + kSettleTime);
+    cluster.SetStoreAccess(StoreAccess::Silent);
+    BackgroundCall call(cluster.Gateway(),
+                        GatewayTestCluster::Request("/stream/", "s"));
+    ::usleep(kCallTime);
+    cluster.Gateway().Signal(SIGCONT);
+    CPPUNIT_ASSERT(call.AwaitAnswer().mComplete);
+    CPPUNIT_ASSERT(!cluster.Runs().empty());
+    for (const RunnerRequest& it : cluster.Requests()) {
+      CPPUNIT_ASSERT(it.mCopyVersion.empty() || it.mCopyVersion == it.mVersion);
+    }
+  }
+
   // Guards against streams that hold their caller although no runner is left at
   // which they may go on.
   void StreamEndsAtOnceWhenItsVersionIsGone()
@@ -301,6 +325,11 @@
   static constexpr unsigned kRestartTime = 1600000;
   static constexpr auto kLongInterval = std::chrono::milliseconds(80);
 
+  // Time in microseconds for which a runner has to serve until all hosts that
+  // run know it, and time in which a caller sends its request.
+  static constexpr unsigned kSettleTime = 1500000;
+  static constexpr unsigned kCallTime = 100000;
+
   static const std::map<std::string, std::string>& Versions()
   {
     static const std::map<std::string, std::string> kVersions = {
