Leave targets alone that say in an answer that they leave

Cause: the field Server-Leaving was not known (no mention in src/); only the state in the store's entry and a 421 took a target out of use.

Each answer on a connection to a target, to callers' requests, report requests, moves of memory and releases, is now looked at before anything else (TargetConnectionPool's answer callback, LeavingWatch). LeavingNotices keeps what was said for one start of the target, apart from the entries, so that newer entries of the same start, or an entry that was missing for a while, do not bring it back; another incarnation does. TargetTable::IsLeaving() includes it, which all choices, queued ones, retries, resumptions, trials and holders of copies go through; targets that leave are not asked to move memory either. What they have at work goes on, probes and releases of it included. Other hosts are not told: each learns it by its own answers. The field is passed on to callers as before, and that of a caller's request goes to the target as before.

LeavingNoticeTests: 9 passed. GatewayTests 21 passed, LeavingTargetTests 4 passed.

Conclusion: requests to targets that say in their answers that they leave end with the first such answer at each host.

--- a/src/quetzalquay/core/CopyKeeper.cpp
+++ b/src/quetzalquay/core/CopyKeeper.cpp
@@ -93,7 +93,8 @@
 CopyKeeper::TakeNextOrder(Time aNow)
 {
   if (!mOptions.mOrdersSupported || mServingTarget.empty() || !mDelivered ||
-      mTargetsOutdated || mOrderPending || aNow < mNextOrderAt) {
+      mTargetsOutdated || mOrderPending || aNow < mNextOrderAt ||
+      mTargets.HasLeavingNotice(mServingTarget)) {
     return std::nullopt;
   }
   std::string holder;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -147,6 +147,7 @@
       target.mFullUntil = Time();
     }
     target.mDeclaration = it;
+    mLeavingNotices.OnDeclared(it.mName, target.mIncarnation);
     mTargetsByService[it.mService].push_back(it.mName);
     targets.emplace(it.mName, std::move(target));
   }
@@ -524,6 +525,7 @@
     OnDeath(*target, DeathEvidence::NewIncarnation, aNow);
   }
   target->mIncarnation = aIncarnation;
+  mLeavingNotices.OnDeclared(aTarget, aIncarnation);
   target->mReportedLeaving = aState == "leaving";
   target->mLoading = aState == "loading";
   target->mReported = aRunning + aWaiting;
@@ -573,6 +575,24 @@
     incarnation.empty() ? kUnknownIncarnation : std::move(incarnation);
 }
 
+bool
+TargetTable::OnLeavingNotice(const std::string& aTarget,
+                             const std::string& aIncarnation)
+{
+  const std::string known = IncarnationOf(aTarget);
+  // An answer of a start that another one has followed says nothing about that.
+  if (!known.empty() && !aIncarnation.empty() && known != aIncarnation) {
+    return false;
+  }
+  return mLeavingNotices.Add(aTarget, aIncarnation);
+}
+
+bool
+TargetTable::HasLeavingNotice(const std::string& aTarget) const
+{
+  return mLeavingNotices.Has(aTarget, IncarnationOf(aTarget));
+}
+
 void
 TargetTable::OnCacheEvent(const std::string& aTarget,
                           std::uint64_t aPrefixHash,
@@ -604,10 +624,11 @@
   for (const auto& it : mTargets) {
     const Target& target = it.second;
     if (IsLeaving(target) && !target.mDeclaration.mLeaving) {
-      leaving.push_back({ it.first,
-                          target.mReportedLeaving
-                            ? target.mIncarnation
-                            : target.mLeavingIncarnation });
+      leaving.push_back(
+        { it.first,
+          target.mReportedLeaving || target.mLeavingIncarnation.empty()
+            ? target.mIncarnation
+            : target.mLeavingIncarnation });
     }
   }
   return leaving;
@@ -676,9 +697,10 @@
 }
 
 bool
-TargetTable::IsLeaving(const Target& aTarget)
+TargetTable::IsLeaving(const Target& aTarget) const
 {
-  if (aTarget.mDeclaration.mLeaving || aTarget.mReportedLeaving) {
+  if (aTarget.mDeclaration.mLeaving || aTarget.mReportedLeaving ||
+      mLeavingNotices.Has(aTarget.mDeclaration.mName, aTarget.mIncarnation)) {
     return true;
   }
   // While its incarnation is unknown, the target may still be the leaving one.
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_CORE_TARGETTABLE_H_INCLUDED
 
 #include "core/FairQueue.h"
+#include "core/LeavingNotices.h"
 #include "core/RetryBudget.h"
 #include "core/ServiceRate.h"
 #include "core/SuspectRegistry.h"
@@ -299,6 +300,16 @@
   void MarkLeaving(const std::string& aTarget,
                    const std::string& aIncarnation = std::string());
 
+  // Records that a start of a target has said in an answer that it leaves; an
+  // empty incarnation stands for an unknown one. It gets no new requests until
+  // it starts again, even if it is declared as ready, or anew. Returns whether
+  // this was not known. Unlike other calls, this one takes unknown targets.
+  bool OnLeavingNotice(const std::string& aTarget,
+                       const std::string& aIncarnation);
+
+  // Whether the current start of a target has said in an answer that it leaves.
+  bool HasLeavingNotice(const std::string& aTarget) const;
+
   // Records that a target stored or evicted a cached prefix.
   void OnCacheEvent(const std::string& aTarget,
                     std::uint64_t aPrefixHash,
@@ -438,7 +449,7 @@
     std::map<std::uint64_t, bool> mCachedPrefixes;
   };
 
-  static bool IsLeaving(const Target& aTarget);
+  bool IsLeaving(const Target& aTarget) const;
   static bool IsOfVersion(const Target& aTarget, const ChoiceQuery& aQuery);
   bool IsVersionGone(const ChoiceQuery& aQuery) const;
   bool IsUsable(const Target& aTarget,
@@ -514,6 +525,7 @@
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
   TargetLimits mLimits;
+  LeavingNotices mLeavingNotices;
   // When the limits of its targets last kept a service's requests of a priority
   // from being sent, by service and priority.
   std::map<std::string, std::map<std::pair<int, int>, Time>> mLimitedAt;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/LeavingWatch.h"
 #include "gateway/LimitWatch.h"
 #include "gateway/LoadBroadcaster.h"
 #include "gateway/PeerLink.h"
@@ -67,6 +68,7 @@
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
     , mLimits(mFleet, mMetrics)
+    , mLeaving(mFleet, mMetrics)
     , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
     , mContext{ mLoop,    mFleet,  mOriginStore,   mPool, mProber,
                 mMetrics, mLimits, mAnswerBuffers, mPaces }
@@ -91,6 +93,11 @@
     mFleet.Targets().SetRetryCallback([this](const RetryDecision& aDecision) {
       mRetryLog.OnDecision(aDecision, EventLoop::Now());
     });
+    mPool.SetAnswerCallback([this](const std::string& aTarget,
+                                   const std::string& aIncarnation,
+                                   const platform::TargetResponse& aResponse) {
+      mLeaving.OnAnswer(aTarget, aIncarnation, aResponse);
+    });
   }
 
   std::optional<std::string> Run()
@@ -311,6 +318,7 @@
   std::map<std::string, StreamPace> mPaces;
   StreamOriginStore mOriginStore;
   LimitWatch mLimits;
+  LeavingWatch mLeaving;
   AnswerBuffers mAnswerBuffers;
   GatewayContext mContext;
   CallerServer mCallers;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -68,6 +68,8 @@
     "Requests that a trial of this host convicted of crashing targets" },
   { "quetzal_limits_malformed_total",
     "Answers of targets with a limit that is not a number" },
+  { "quetzal_targets_leaving_total",
+    "Starts of targets that have said in an answer that they leave" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -43,6 +43,7 @@
   SuspectTrials,
   SuspectsConvicted,
   LimitsMalformed,
+  TargetsLeaving,
   Last,
 };
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -184,7 +184,7 @@
   }
   if (mResponseInfo.mNotRun) {
     ReportRejection(mContext, mTarget, mResponseInfo, now);
-    mLogNote = "turned_away";
+    mLogNote = mResponseInfo.mLeaving ? "target_leaving" : "turned_away";
     EndAttempt(AttemptOutcome::Released);
     PerformStep(mStateMachine.OnResult(PlainResult::NotStarted, now));
     return;
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -137,8 +137,10 @@
     MakeRef<TargetCall>(mLoop, [this, aOld, aNew](const auto& aOutcome) {
       OnIdentifyReply(aOld, aNew, aOutcome);
     });
-  // The pooled connections belong to the former target.
-  call->Send(MakeRef<TargetConnection>(mPool, aNew, *location),
+  TargetLocation at = *location;
+  // The known one is that of the former target, as are pooled connections.
+  at.mIncarnation.clear();
+  call->Send(MakeRef<TargetConnection>(mPool, aNew, at),
              platform::EncodeReportRequest(location->mAddress),
              EventLoop::Now() + kIdentifyTimeout);
 }
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -539,7 +539,7 @@
   const RefPtr<Exchange> self(this);
   const Time now = EventLoop::Now();
   if (mResponseInfo.mNotRun) {
-    mLogNote = "turned_away";
+    mLogNote = mResponseInfo.mLeaving ? "target_leaving" : "turned_away";
     ReportRejection(mContext, mTarget, mResponseInfo, now);
     EndAttempt(mResponseInfo.mMisdirected ? AttemptEnd::Refused
                                           : AttemptEnd::NotStarted);
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -211,6 +211,7 @@
   mHeadForwarded = true;
   const platform::TargetResponse response =
     platform::DecodeTargetResponse(head);
+  mPool.OnAnswer(*this, response);
   if (!response.mRequestId.empty() && response.mRequestId != mRequestId) {
     mDiscardingResponse = true;
     Log(LogLevel::Warn,
@@ -367,6 +368,21 @@
   mFleet.Targets().OnAlive(aTarget, now);
 }
 
+void
+TargetConnectionPool::SetAnswerCallback(AnswerCallback aCallback)
+{
+  mOnAnswer = std::move(aCallback);
+}
+
+void
+TargetConnectionPool::OnAnswer(const TargetConnection& aConnection,
+                               const platform::TargetResponse& aResponse) const
+{
+  if (mOnAnswer) {
+    mOnAnswer(aConnection.Target(), aConnection.Incarnation(), aResponse);
+  }
+}
+
 void
 TargetConnectionPool::CloseIdle()
 {
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -7,6 +7,7 @@
 #include "platform/PlatformRequests.h"
 
 #include <boost/intrusive/list.hpp>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -139,6 +140,15 @@
   TargetConnectionPool(EventLoop& aLoop, Fleet& aFleet);
   ~TargetConnectionPool();
 
+  // Receives the target, its incarnation when the connection was made, and what
+  // the answer says.
+  using AnswerCallback = std::function<void(const std::string&,
+                                            const std::string&,
+                                            const platform::TargetResponse&)>;
+
+  // Sets a callback for the head of each answer, to whichever request.
+  void SetAnswerCallback(AnswerCallback aCallback);
+
   // Returns an idle connection to a target, or else a new one; null when the
   // target is unknown.
   RefPtr<TargetConnection> Acquire(const std::string& aTarget);
@@ -162,6 +172,8 @@
   void KeepIdle(TargetConnection& aConnection);
   void CloseConnection(TargetConnection& aConnection);
   void OnActivity(const std::string& aTarget);
+  void OnAnswer(const TargetConnection& aConnection,
+                const platform::TargetResponse& aResponse) const;
   void CloseIdle();
 
   EventLoop& mLoop;
@@ -173,6 +185,7 @@
   std::uint64_t mOpenedCount = 0;
   std::size_t mOpenConnectionCount = 0;
   Timer mIdleSweepTimer;
+  AnswerCallback mOnAnswer;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -46,6 +46,9 @@
 // name, it does not limit a server but what is sent to it.
 constexpr char kRequestLimit[] = "Server-Limit";
 
+// "1" in all answers of a target that leaves.
+constexpr char kLeaving[] = "Server-Leaving";
+
 constexpr int kStatusMisdirected = 421;
 
 // Fields that only the gateway may set.
@@ -251,6 +254,7 @@
       response.mMalformedLimit = limit->empty() ? "empty" : *limit;
     }
   }
+  response.mLeaving = FieldValue(aHead, kLeaving) == "1";
   response.mKeepAliveTimeout = ParseKeepAliveTimeout(aHead);
   return response;
 }
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -97,6 +97,8 @@
   // names a limit, and the text of a limit that is not a number.
   std::optional<double> mRequestLimit;
   std::string mMalformedLimit;
+  // Whether the target that answered says that it leaves.
+  bool mLeaving = false;
   // How long the target keeps the connection open while idle, if reported.
   std::optional<Duration> mKeepAliveTimeout;
 };
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -200,6 +200,14 @@
   void Stop();
   void RemoveFormerEntries();
 
+  // Fields of all answers.
+  std::string AnswerFields() const
+  {
+    return (mLimit.empty() ? std::string()
+                           : "Server-Limit: " + mLimit + "\r\n") +
+           (mSaysLeaving ? "Server-Leaving: 1\r\n" : "");
+  }
+
   // Whether the runner has served new requests for aTime at least.
   bool HasServedFor(Duration aTime) const
   {
@@ -220,6 +228,8 @@
   int mStarts;
   // Limit that the runner names in its answers; empty for none.
   std::string mLimit;
+  // Whether the runner says in its answers that it leaves.
+  bool mSaysLeaving = false;
   // Names of former starts whose entries have not expired, with their expiry.
   std::vector<std::pair<Time, std::string>> mFormerNames;
   std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
@@ -330,16 +340,15 @@
     if (aHead.mTarget.rfind("/kv-", 0) == 0) {
       mRunner.mCluster.mRequests.push_back(MakeRecord(aHead, aBody, aAt));
       const std::string copyHandle = R"({"Handle":"h1","CreatedRev":1})";
-      mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                     std::to_string(copyHandle.size()) + "\r\n\r\n" +
-                     copyHandle);
+      mSocket->Write("HTTP/1.1 200 OK\r\n" + mRunner.AnswerFields() +
+                     "Content-Length: " + std::to_string(copyHandle.size()) +
+                     "\r\n\r\n" + copyHandle);
       return;
     }
     const std::string* id = aHead.Find("X-Request-Id");
     const std::string echo =
       (id == nullptr ? std::string() : "X-Request-Id: " + *id + "\r\n") +
-      (mRunner.mLimit.empty() ? std::string()
-                              : "Server-Limit: " + mRunner.mLimit + "\r\n");
+      mRunner.AnswerFields();
     const RunnerRequest request = MakeRecord(aHead, aBody, aAt);
     mRunner.mCluster.mRequests.push_back(request);
     const std::string* expected = aHead.Find("X-Expected-Instance");
@@ -411,8 +420,9 @@
     const std::string body = R"({"Models":[{"Name":"m"}],"ActiveRequests":1,)"
                              R"("QueuedRequests":0,"Runs":[])" +
                              mRunner.StartField() + "}";
-    mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    mSocket->Write("HTTP/1.1 200 OK\r\n" + mRunner.AnswerFields() +
+                   "Content-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body);
   }
 
   void SendPlainAnswer(const HttpHead& aRequest,
@@ -442,7 +452,8 @@
                        whole);
         break;
       case RunnerMode::UnsignedAnswer:
-        mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain");
+        mSocket->Write("HTTP/1.1 200 OK\r\n" + mRunner.AnswerFields() +
+                       "Content-Length: 5\r\n\r\nplain");
         break;
       case RunnerMode::UnframedReset:
         mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead + "\r\npla");
@@ -723,6 +734,7 @@
 GatewayTestCluster::Runner::Crash()
 {
   ++mStarts;
+  mSaysLeaving = false;
   mServingSince.reset();
   mListener.Close();
   const Time now = EventLoop::Now();
@@ -1047,6 +1059,13 @@
   DoInLoop([&runner, aLimit] { runner.mLimit = aLimit; });
 }
 
+void
+GatewayTestCluster::SayLeaving(const std::string& aRunner)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner] { runner.mSaysLeaving = true; });
+}
+
 void
 GatewayTestCluster::SetMode(const std::string& aRunner, RunnerMode aMode)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -300,6 +300,10 @@
   // second; empty for none.
   void SetLimit(const std::string& aRunner, const std::string& aLimit);
 
+  // Lets a runner say in all its answers that it leaves, until it crashes. It
+  // continues to serve, and its entry stays as it is.
+  void SayLeaving(const std::string& aRunner);
+
   void SetMode(const std::string& aRunner, RunnerMode aMode);
   void SetAllModes(RunnerMode aMode);
 
