--- a/tests/introspective/LeavingNoticeTests.cpp
+++ b/tests/introspective/LeavingNoticeTests.cpp
@@ -53,7 +53,7 @@
 {
   ChoiceQuery query;
   query.mService = "pool";
-  query.mContentHash = aContent;
+  query.mContent = aContent;
   query.mRequestId = "r" + std::to_string(aContent);
   return query;
 }
--- a/tests/introspective/TargetWaitTests.cpp
+++ b/tests/introspective/TargetWaitTests.cpp
@@ -57,7 +57,7 @@
 {
   ChoiceQuery query;
   query.mService = "pool";
-  query.mContentHash = aContent;
+  query.mContent = aContent;
   query.mRequestId = "r" + std::to_string(aContent);
   query.mDeadline = At(60000);
   return query;
