--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -26,6 +26,15 @@
 // if the parts are sound and in use.
 constexpr Duration kServedAgainWithin = std::chrono::seconds(3);
 
+// What is known of a part of a lost request, in the order in which parts are
+// recorded.
+enum class PartKnowledge
+{
+  Lost,
+  Nothing,
+  InUse,
+};
+
 bool
 AreTogether(const TargetDeath& aLeft, const TargetDeath& aRight)
 {
@@ -89,20 +98,21 @@
 {
   struct Ranked
   {
-    std::uint64_t mPart;
-    int mRank;
+    PartKnowledge mKnowledge;
     std::uint64_t mOrder;
+    std::uint64_t mPart;
   };
   std::vector<Ranked> ranked;
   ranked.reserve(aContent.mParts.size());
   for (const std::uint64_t it : aContent.mParts) {
-    const int rank = IsServedLately(it, aNow)   ? 2
-                     : RunsOf(it, aNow).empty() ? 1
-                                                : 0;
-    ranked.push_back({ it, rank, StableHash(ToHex(it), aRun.mDeath.mId) });
+    const PartKnowledge knowledge =
+      IsServedLately(it, aNow)   ? PartKnowledge::InUse
+      : RunsOf(it, aNow).empty() ? PartKnowledge::Nothing
+                                 : PartKnowledge::Lost;
+    ranked.push_back({ knowledge, StableHash(ToHex(it), aRun.mDeath.mId), it });
   }
   const auto key = [](const Ranked& aPart) {
-    return std::make_tuple(aPart.mRank, aPart.mOrder, aPart.mPart);
+    return std::make_tuple(aPart.mKnowledge, aPart.mOrder, aPart.mPart);
   };
   std::sort(ranked.begin(),
             ranked.end(),
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -174,19 +174,9 @@
   DropExpiredLosses(aNow);
   Choice choice;
   const SuspectVerdict verdict = JudgeSuspect(aQuery, aNow);
-  if (verdict == SuspectVerdict::Refused) {
+  if (const auto status = WhyNotSend(aQuery, verdict)) {
     CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::Poison;
-    return choice;
-  }
-  if (IsVersionGone(aQuery)) {
-    CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::VersionGone;
-    return choice;
-  }
-  if (verdict == SuspectVerdict::Unsettled) {
-    CancelWait(aQuery);
-    choice.mStatus = ChoiceStatus::Undecided;
+    choice.mStatus = *status;
     return choice;
   }
   const SuspectTrial* trial = verdict == SuspectVerdict::Unclear
@@ -199,10 +189,8 @@
   bool anyUp = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
-    if (!IsUsable(target, aQuery, aNow) || (onTrial && it != trial->mTarget)) {
-      continue;
-    }
-    if (WantsNothing(it, aNow)) {
+    if (!IsUsable(target, aQuery, aNow) || WantsNothing(it, aNow) ||
+        (onTrial && it != trial->mTarget)) {
       continue;
     }
     anyUp = true;
@@ -259,6 +247,22 @@
   return choice;
 }
 
+// Why a request must not be sent to any target now; nothing if it may be.
+std::optional<ChoiceStatus>
+TargetTable::WhyNotSend(const ChoiceQuery& aQuery,
+                        SuspectVerdict aVerdict) const
+{
+  if (aVerdict == SuspectVerdict::Refused) {
+    return ChoiceStatus::Poison;
+  }
+  if (IsVersionGone(aQuery)) {
+    return ChoiceStatus::VersionGone;
+  }
+  return aVerdict == SuspectVerdict::Unsettled
+           ? std::make_optional(ChoiceStatus::Undecided)
+           : std::nullopt;
+}
+
 void
 TargetTable::CancelWait(const ChoiceQuery& aQuery)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -488,6 +488,8 @@
                  Time aNow);
   int CountPendingLosses(const ChoiceQuery& aQuery, Time aNow) const;
   SuspectVerdict JudgeSuspect(const ChoiceQuery& aQuery, Time aNow) const;
+  std::optional<ChoiceStatus> WhyNotSend(const ChoiceQuery& aQuery,
+                                         SuspectVerdict aVerdict) const;
   Choice ChooseForTrial(std::vector<Target*>& aUsable,
                         const ChoiceQuery& aQuery,
                         Time aNow);
