BUDGET: do not blame answers that ended with their connections for a target that is removed

What callers saw: nothing; found when the diff was read again. An answer without framing is kept like a lost one until its target has survived. A target whose entry is removed without its leaving first, which the platform allows, counted as dead if any such answer was kept, and the answer's request as lost with it. Ruled out: lost attempts, which are checked within 0.1 s as before and still count. Before / after: AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss failed (one death) / passes; SuspectTrialTests 19, FleetTests 25 pass. Conclusion: a removed entry is evidence only beside an attempt that was lost.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -157,7 +157,12 @@
       continue;
     }
     mLimits.Forget(it.first);
-    if (!it.second.mLostAttempts.empty() && !IsLeaving(it.second)) {
+    const auto& ended = it.second.mLostAttempts;
+    const bool lost =
+      std::any_of(ended.begin(), ended.end(), [](const LostAttempt& aAttempt) {
+        return aAttempt.mOutcome == AttemptOutcome::Lost;
+      });
+    if (lost && !IsLeaving(it.second)) {
       OnDeath(it.second, DeathEvidence::Unregistered, aNow);
     }
   }
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
   CPPUNIT_TEST(TrialsDoNotShareATarget);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
+  CPPUNIT_TEST(AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived);
   CPPUNIT_TEST_SUITE_END();
 
@@ -399,6 +400,17 @@
     CPPUNIT_ASSERT_EQUAL(1, table.Suspects().Deaths(kFirst, At(2000)));
   }
 
+  // Guards against blaming requests whose answers ended with their connections
+  // when their target's entry is removed without the target's leaving first.
+  void AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss()
+  {
+    TargetTable table = MakeTable(1);
+    table.OnAttemptStart("t0", kFirst, At(1000));
+    table.OnAttemptEnd("t0", kFirst, AttemptOutcome::FinishedByClose, At(1080));
+    table.Declare({ { "s", "" } }, {}, "", At(2000));
+    CPPUNIT_ASSERT_EQUAL(0, table.Suspects().Deaths(kFirst, At(2000)));
+  }
+
   // Guards against targets that never frame their answers, whose requests would
   // stay suspected.
   void AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived()
