BUDGET: try a request by its parts alone when other requests lost them, too

Cause: since the review a lost request's content joined the set of its trial, so that each request of a burst had a set, and a trial, of its own. ASoundPartOfTwoCrashingBodiesIsNotConvicted, for which the content had joined, is red again and listed.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -234,13 +234,8 @@
       most = std::max(most, losses);
     }
   }
-  if (most < kMinDeathsToRefuse) {
-    return aContent.mHash;
-  }
-  if (own > 0) {
-    parts.push_back(aContent.mHash);
-  }
-  return SuspectSet(std::move(parts));
+  return most >= kMinDeathsToRefuse ? SuspectSet(std::move(parts))
+                                    : SuspectSet(aContent.mHash);
 }
 
 void
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -139,8 +139,7 @@
   bool IsSuspected(const RequestContent& aContent, Time aNow) const;
 
   // What a trial of a request is about: the parts that were lost with other
-  // requests, too, if one of them may be refused, and the content if it was
-  // lost itself.
+  // requests, too, if one of them may be refused, or else the content.
   SuspectSet SuspectsOf(const RequestContent& aContent, Time aNow) const;
 
   // Records that trials have shown a set to crash targets, unless all of its
