BUDGET: remember since when a part loses runs, so that a part that turns deadly is suspected

What was seen: 71 hosts that had all served a part before it turned deadly: up to 167 late runs (3 allowed). Cause: a record keeps its newest eight runs. A part that ends a target every 0.13 s has only runs of the last second in its record, so none was ever older than the 3 s after which a part in use counts as not served again, on any host. Ruled out: lost news (the hosts that knew all losses went on, too); trials (9 to 11 ran and were cleared or never begun for this part).

--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -309,6 +309,14 @@
   return valid ? it->second.mRuns : kNoRuns;
 }
 
+std::optional<Time>
+LossLedger::LosingSince(std::uint64_t aSuspect, Time aNow) const
+{
+  return RunsOf(aSuspect, aNow).empty()
+           ? std::nullopt
+           : std::make_optional(mRecords.at(aSuspect).mLosingSince);
+}
+
 const std::vector<std::uint64_t>&
 LossLedger::LostIn(const TargetDeath& aDeath) const
 {
@@ -344,6 +352,9 @@
       HasRun(aRecord.mRuns, aRun.mDeath.mId)) {
     return false;
   }
+  aRecord.mLosingSince = aRecord.mRuns.empty()
+                           ? aRun.mDeath.mAt
+                           : std::min(aRecord.mLosingSince, aRun.mDeath.mAt);
   if (aRecord.mRuns.size() >= kMaxRuns) {
     // Every host keeps the newest ones, so that they agree in the end.
     const auto oldest =
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -129,6 +129,10 @@
   // The known lost runs of a suspect that have not expired.
   const std::vector<LostRun>& RunsOf(std::uint64_t aSuspect, Time aNow) const;
 
+  // When the oldest lost run of a suspect since it was last cleared was lost,
+  // also if that run is no longer kept; nothing if it has none.
+  std::optional<Time> LosingSince(std::uint64_t aSuspect, Time aNow) const;
+
   // Suspects that were lost in a death.
   const std::vector<std::uint64_t>& LostIn(const TargetDeath& aDeath) const;
 
@@ -139,6 +143,8 @@
   struct Record
   {
     std::vector<LostRun> mRuns;
+    // Death of the oldest run added since there were none.
+    Time mLosingSince;
     std::optional<Time> mClearedAt;
     // IDs of the deaths in which this host lost a run, and of those stored.
     std::set<std::uint64_t> mOwn;
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -430,11 +430,9 @@
 SuspectRegistry::IsServedLately(std::uint64_t aPart, Time aNow) const
 {
   const auto servedAt = mServed.LastServedAt(aPart);
-  const Runs& runs = RunsOf(aPart, aNow);
+  const auto losingSince = LosingSince(aPart, aNow);
   return servedAt && aNow - *servedAt < ServedParts::kMemory &&
-         std::all_of(runs.begin(), runs.end(), [&](const LostRun& aRun) {
-           return aNow - aRun.mDeath.mAt < kServedAgainWithin;
-         });
+         (!losingSince || aNow - *losingSince < kServedAgainWithin);
 }
 
 template<typename Condition>
