--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -25,9 +25,6 @@
 constexpr int kNewsRepeats = 4;
 constexpr Duration kNewsRepeatDelay = std::chrono::milliseconds(500);
 
-// Number of recent deaths that are remembered to recognize common failures.
-constexpr std::size_t kMaxDeaths = 2000;
-
 const std::vector<LostRun> kNoRuns;
 const std::vector<std::uint64_t> kNoSuspects;
 
@@ -51,18 +48,7 @@
 void
 LossLedger::OnTargetDeath(const TargetDeath& aDeath)
 {
-  const auto known = std::find_if(
-    mDeaths.begin(), mDeaths.end(), [&](const TargetDeath& aKnown) {
-      return aKnown.mId == aDeath.mId;
-    });
-  if (known != mDeaths.end()) {
-    known->mAt = std::min(known->mAt, aDeath.mAt);
-    return;
-  }
-  mDeaths.push_back(aDeath);
-  if (mDeaths.size() > kMaxDeaths) {
-    mDeaths.pop_front();
-  }
+  mDeaths.Add(aDeath);
 }
 
 void
@@ -216,26 +202,42 @@
 std::vector<SuspectReport>
 LossLedger::TakeNews(Time aNow)
 {
-  std::vector<std::uint64_t> due;
+  // A failed place takes many requests along, few of which matter to others.
+  std::unordered_map<std::uint64_t, bool> ofPlaces;
+  const auto isOfPlace = [&](const LostRun& aRun) {
+    const auto known = ofPlaces.try_emplace(aRun.mDeath.mId, false);
+    if (known.second) {
+      known.first->second =
+        mPlaceFailureThreshold > 0 &&
+        FailureOf(aRun.mDeath).mInPlace >= mPlaceFailureThreshold;
+    }
+    return known.first->second;
+  };
+  using Rank = std::tuple<bool, std::size_t, std::uint64_t>;
+  std::vector<Rank> due;
   for (const std::uint64_t it : mNews) {
-    if (mRecords.at(it).mNextNewsAt <= aNow) {
-      due.push_back(it);
+    const Record& record = mRecords.at(it);
+    if (record.mNextNewsAt <= aNow) {
+      const auto& runs = record.mRuns;
+      due.emplace_back(!runs.empty() &&
+                         std::all_of(runs.begin(), runs.end(), isOfPlace),
+                       kMaxRuns - runs.size(),
+                       it);
     }
   }
-  const auto more = [this](std::uint64_t aLeft, std::uint64_t aRight) {
-    return mRecords.at(aLeft).mRuns.size() > mRecords.at(aRight).mRuns.size();
-  };
-  std::stable_sort(due.begin(), due.end(), more);
-  due.resize(std::min(due.size(), kMaxNews));
+  const auto end =
+    due.begin() + static_cast<long>(std::min(due.size(), kMaxNews));
+  std::partial_sort(due.begin(), end, due.end());
   std::vector<SuspectReport> reports;
-  for (const std::uint64_t it : due) {
-    Record& record = mRecords.at(it);
+  for (auto it = due.begin(); it != end; ++it) {
+    const std::uint64_t suspect = std::get<2>(*it);
+    Record& record = mRecords.at(suspect);
     record.mShared = true;
     record.mNextNewsAt = aNow + kNewsRepeatDelay;
     if (--record.mNewsLeft == 0) {
-      mNews.erase(it);
+      mNews.erase(suspect);
     }
-    reports.push_back({ it, record.mRuns, record.mClearedAt });
+    reports.push_back({ suspect, record.mRuns, record.mClearedAt });
   }
   return reports;
 }
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -1,11 +1,11 @@
 #ifndef QUETZALQUAY_CORE_LOSSLEDGER_H_INCLUDED
 #define QUETZALQUAY_CORE_LOSSLEDGER_H_INCLUDED
 
+#include "core/DeathLog.h"
 #include "core/Time.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <set>
@@ -14,16 +14,6 @@
 
 namespace quetzalquay {
 
-// The end of one start of a target.
-struct TargetDeath
-{
-  // Identifies the target and its incarnation, on every host alike.
-  std::uint64_t mId = 0;
-  // Hash of the target's place.
-  std::uint64_t mPlace = 0;
-  Time mAt;
-};
-
 // A run that was lost with its target.
 struct LostRun
 {
@@ -91,8 +81,9 @@
   // Whether there are changes that other hosts have to be told.
   bool HasNews() const { return !mNews.empty(); }
 
-  // Takes the changes to tell other hosts now, at most kMaxNews, those with the
-  // most deaths first. Each change made here is returned several times,
+  // Takes the changes to tell other hosts now, at most kMaxNews. Those that
+  // were lost only in failures of whole places come last, and else those with
+  // the most deaths first. Each change made here is returned several times,
   // some time apart, since messages may be lost.
   std::vector<SuspectReport> TakeNews(Time aNow);
 
@@ -120,6 +111,12 @@
   std::size_t Size() const;
 
 protected:
+  // aPlaceFailureThreshold is the number of targets of a place that have to die
+  // at about the same time for the place to have failed; 0 means that none do.
+  explicit LossLedger(int aPlaceFailureThreshold = 0)
+    : mPlaceFailureThreshold(aPlaceFailureThreshold)
+  {
+  }
   ~LossLedger() = default;
 
   // Called when a suspect was cleared of all losses up to aAt, here or on
@@ -136,8 +133,11 @@
   // Suspects that were lost in a death.
   const std::vector<std::uint64_t>& LostIn(const TargetDeath& aDeath) const;
 
-  // Recent deaths, the oldest first.
-  const std::deque<TargetDeath>& RecentDeaths() const { return mDeaths; }
+  // What else died when a target did.
+  DeathLog::Failure FailureOf(const TargetDeath& aDeath) const
+  {
+    return mDeaths.FailureOf(aDeath);
+  }
 
 private:
   struct Record
@@ -183,7 +183,8 @@
   std::size_t mStoreThreshold = 2;
   std::vector<StoredLossChange> mStoreChanges;
   std::function<void()> mOnStoreChange;
-  std::deque<TargetDeath> mDeaths;
+  DeathLog mDeaths;
+  int mPlaceFailureThreshold;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Time within which deaths of several targets count as one common failure.
-constexpr Duration kCommonDeathWindow = std::chrono::milliseconds(400);
-
 // Time within which all deaths of a request count as one moment. They say
 // little if other requests were lost in them as well.
 constexpr Duration kMoment = std::chrono::milliseconds(1000);
@@ -35,14 +32,6 @@
   InUse,
 };
 
-bool
-AreTogether(const TargetDeath& aLeft, const TargetDeath& aRight)
-{
-  const auto gap =
-    aLeft.mAt < aRight.mAt ? aRight.mAt - aLeft.mAt : aLeft.mAt - aRight.mAt;
-  return gap < kCommonDeathWindow;
-}
-
 bool
 Contains(const std::vector<std::uint64_t>& aList, std::uint64_t aSuspect)
 {
@@ -68,7 +57,8 @@
 }
 
 SuspectRegistry::SuspectRegistry(Options aOptions)
-  : mOptions(aOptions)
+  : LossLedger(aOptions.mCommonDeathThreshold)
+  , mOptions(aOptions)
 {
 }
 
@@ -365,30 +355,18 @@
   if (mOptions.mCommonDeathThreshold == 0) {
     return false;
   }
-  int together = 0;
-  int inPlace = 0;
-  Time firstInPlace = aRun.mDeath.mAt;
-  for (const TargetDeath& it : RecentDeaths()) {
-    if (!AreTogether(it, aRun.mDeath)) {
-      continue;
-    }
-    ++together;
-    if (it.mPlace == aRun.mDeath.mPlace) {
-      ++inPlace;
-      firstInPlace = std::min(firstInPlace, it.mAt);
-    }
-  }
+  const DeathLog::Failure failure = FailureOf(aRun.mDeath);
   int own = 0;
   bool followed = false;
   for (const LostRun& it : aRuns) {
     if (AreTogether(it.mDeath, aRun.mDeath)) {
       ++own;
-      followed |=
-        it.mDeath.mPlace == aRun.mDeath.mPlace && it.mStartedAt >= firstInPlace;
+      followed |= it.mDeath.mPlace == aRun.mDeath.mPlace &&
+                  it.mStartedAt >= failure.mFirstInPlace;
     }
   }
-  return (inPlace >= mOptions.mCommonDeathThreshold && !followed) ||
-         (together >= mOptions.mCommonDeathThreshold && own == 1);
+  return (failure.mInPlace >= mOptions.mCommonDeathThreshold && !followed) ||
+         (failure.mDeaths >= mOptions.mCommonDeathThreshold && own == 1);
 }
 
 // Whether others that were lost with the same target explain its death:
