BUDGET: count what a suspect lost with one failed place once

What was seen: a part that is new to all hosts and was lost in the six deaths of a failed place ran as a trial, one request at a time, until it had been served. Cause: with trials, every lost run of a part counted towards the three that make it a suspect, also those that a whole place took along. Fix: runs lost with the same place count as one, unless a request followed the failure from target to target. Several failures of places still add up, so a part that ends whole places each time it comes is tried after the third. Ruled out: not counting them at all, which would let a deadly part go that comes in bursts on targets of one place.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -172,7 +172,7 @@
   // With trials, even a suspect whose deaths are all explained by others may
   // crash targets, too.
   const int deaths =
-    mOptions.mTrials ? static_cast<int>(runs.size()) : Deaths(aSuspect, aNow);
+    mOptions.mTrials ? CountFailures(runs) : Deaths(aSuspect, aNow);
   if (aPendingLosses + deaths < kMinDeathsToRefuse) {
     return SuspectVerdict::Free;
   }
@@ -346,27 +346,58 @@
   });
 }
 
+// Number of lost runs, of which those lost with the same place count as one: a
+// place may fail by itself, but not each time that a sound suspect comes.
+int
+SuspectRegistry::CountFailures(const Runs& aRuns) const
+{
+  std::vector<TargetDeath> places;
+  int failures = 0;
+  for (const LostRun& it : aRuns) {
+    if (IsPlaceFailure(aRuns, it)) {
+      const bool known = std::any_of(
+        places.begin(), places.end(), [&](const TargetDeath& aOther) {
+          return aOther.mPlace == it.mDeath.mPlace &&
+                 AreTogether(aOther, it.mDeath);
+        });
+      if (known) {
+        continue;
+      }
+      places.push_back(it.mDeath);
+    }
+    ++failures;
+  }
+  return failures;
+}
+
 // Whether a run was lost in a failure of several targets that its request did
 // not cause: the failure of a place in which all the request's runs had started
 // before, or several deaths at once in only one of which it lost a run.
 bool
 SuspectRegistry::IsCommonFailure(const Runs& aRuns, const LostRun& aRun) const
 {
-  if (mOptions.mCommonDeathThreshold == 0) {
-    return false;
-  }
+  const auto own =
+    std::count_if(aRuns.begin(), aRuns.end(), [&](const LostRun& aOther) {
+      return AreTogether(aOther.mDeath, aRun.mDeath);
+    });
+  return IsPlaceFailure(aRuns, aRun) ||
+         (own == 1 && mOptions.mCommonDeathThreshold > 0 &&
+          FailureOf(aRun.mDeath).mDeaths >= mOptions.mCommonDeathThreshold);
+}
+
+// Whether a run was lost with a place and its request did not follow the
+// failure from target to target.
+bool
+SuspectRegistry::IsPlaceFailure(const Runs& aRuns, const LostRun& aRun) const
+{
   const DeathLog::Failure failure = FailureOf(aRun.mDeath);
-  int own = 0;
-  bool followed = false;
-  for (const LostRun& it : aRuns) {
-    if (AreTogether(it.mDeath, aRun.mDeath)) {
-      ++own;
-      followed |= it.mDeath.mPlace == aRun.mDeath.mPlace &&
-                  it.mStartedAt >= failure.mFirstInPlace;
-    }
-  }
-  return (failure.mInPlace >= mOptions.mCommonDeathThreshold && !followed) ||
-         (failure.mDeaths >= mOptions.mCommonDeathThreshold && own == 1);
+  return mOptions.mCommonDeathThreshold > 0 &&
+         failure.mInPlace >= mOptions.mCommonDeathThreshold &&
+         std::none_of(aRuns.begin(), aRuns.end(), [&](const LostRun& aOther) {
+           return AreTogether(aOther.mDeath, aRun.mDeath) &&
+                  aOther.mDeath.mPlace == aRun.mDeath.mPlace &&
+                  aOther.mStartedAt >= failure.mFirstInPlace;
+         });
 }
 
 // Whether others that were lost with the same target explain its death:
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -190,6 +190,8 @@
   // Number of lost runs that are not due to a common failure.
   std::ptrdiff_t CountOwnLosses(const Runs& aRuns) const;
   bool IsCommonFailure(const Runs& aRuns, const LostRun& aRun) const;
+  bool IsPlaceFailure(const Runs& aRuns, const LostRun& aRun) const;
+  int CountFailures(const Runs& aRuns) const;
   bool IsExplained(std::uint64_t aSuspect,
                    const Runs& aRuns,
                    const LostRun& aRun,
