BUDGET: keep a conviction while its requests keep coming

What was seen: a deadly part goes free ten minutes after its conviction although it has been refused all the time, and ends one more target as a trial. Cause: a conviction expired a fixed time after it was made. Each refusal now extends it at the host that refuses. The search for expired rows asks without extending, so that a conviction that nobody meets still ends. Before / after: APartThatKeepsComingStaysConvicted free after 600 s / refused throughout.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -148,6 +148,7 @@
                        Time aNow) const
 {
   if (IsRefused(aContent, aNow)) {
+    ExtendConvictions(aContent, aNow);
     return SuspectVerdict::Refused;
   }
   SuspectVerdict verdict = JudgeSuspect(aContent.mHash, aPendingLosses, aNow);
@@ -248,7 +249,7 @@
                          return aLeft.second.mAt < aRight.second.mAt;
                        }));
   }
-  mConvictions[aSuspects.mId] = { members, aNow };
+  mConvictions[aSuspects.mId] = { members, aNow, aNow + kRecordLifetime };
 }
 
 std::optional<bool>
@@ -288,8 +289,7 @@
 {
   LossLedger::Expire(aNow);
   for (auto it = mConvictions.begin(); it != mConvictions.end();) {
-    it = aNow - it->second.mAt >= kRecordLifetime ? mConvictions.erase(it)
-                                                  : std::next(it);
+    it = aNow >= it->second.mExpiresAt ? mConvictions.erase(it) : std::next(it);
   }
 }
 
@@ -421,20 +421,39 @@
   });
 }
 
+bool
+SuspectRegistry::Applies(const Conviction& aConviction,
+                         const RequestContent& aContent,
+                         Time aNow)
+{
+  const auto& members = aConviction.mMembers;
+  return aNow < aConviction.mExpiresAt &&
+         std::all_of(
+           members.begin(), members.end(), [&](std::uint64_t aMember) {
+             return Has(aContent, aMember);
+           });
+}
+
 bool
 SuspectRegistry::IsConvicted(const RequestContent& aContent, Time aNow) const
 {
   return std::any_of(
     mConvictions.begin(), mConvictions.end(), [&](const auto& aEntry) {
-      const Conviction& conviction = aEntry.second;
-      return aNow - conviction.mAt < kRecordLifetime &&
-             std::all_of(
-               conviction.mMembers.begin(),
-               conviction.mMembers.end(),
-               [&](std::uint64_t aMember) { return Has(aContent, aMember); });
+      return Applies(aEntry.second, aContent, aNow);
     });
 }
 
+void
+SuspectRegistry::ExtendConvictions(const RequestContent& aContent,
+                                   Time aNow) const
+{
+  for (const auto& it : mConvictions) {
+    if (Applies(it.second, aContent, aNow)) {
+      it.second.mExpiresAt = aNow + kRecordLifetime;
+    }
+  }
+}
+
 bool
 SuspectRegistry::IsServedLately(std::uint64_t aPart, Time aNow) const
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -127,7 +127,8 @@
   void ClearSuspect(const RequestContent& aContent, Time aNow);
 
   // What the evidence means for a request that has aPendingLosses lost runs
-  // whose targets are still being checked.
+  // whose targets are still being checked. A conviction that refuses it is kept
+  // for longer.
   SuspectVerdict Judge(const RequestContent& aContent,
                        int aPendingLosses,
                        Time aNow) const;
@@ -170,6 +171,8 @@
   {
     std::vector<std::uint64_t> mMembers;
     Time mAt;
+    // Later each time that a request with the members is refused.
+    mutable Time mExpiresAt;
   };
 
   using Runs = std::vector<LostRun>;
@@ -197,6 +200,11 @@
                    const LostRun& aRun,
                    Time aNow) const;
   bool IsConvicted(const RequestContent& aContent, Time aNow) const;
+  // Whether a valid conviction has all of its members in a request.
+  static bool Applies(const Conviction& aConviction,
+                      const RequestContent& aContent,
+                      Time aNow);
+  void ExtendConvictions(const RequestContent& aContent, Time aNow) const;
   bool IsServedLately(std::uint64_t aPart, Time aNow) const;
 
   // Whether a suspect that a request does not have, and that was neither
--- a/src/quetzalquay/gateway/SuspectWriter.cpp
+++ b/src/quetzalquay/gateway/SuspectWriter.cpp
@@ -12,6 +12,16 @@
 // Interval between two searches for expired rows.
 constexpr Duration kExpiryInterval = std::chrono::minutes(1);
 
+// Whether a trial's row is still needed: as long as the losses that led to it,
+// and as its conviction.
+bool
+IsNeeded(const SuspectSet& aTrial, const SuspectRegistry& aSuspects, Time aNow)
+{
+  const RequestContent content(aTrial.mMembers.front(), aTrial.mMembers);
+  return aSuspects.IsSuspected(content, aNow) ||
+         aSuspects.IsRefused(content, aNow);
+}
+
 } // namespace
 
 SuspectWriter::SuspectWriter(EventLoop& aLoop,
@@ -54,12 +64,9 @@
   for (const auto& it : mFleet.Rows(platform::StoreTable::Suspects)) {
     const auto trial = ParseTrialSuspects(it.second);
     if (trial || IsTargetTrialKey(it.first)) {
-      // Trials are kept as long as the losses that led to them.
-      const bool needed =
-        trial ? mFleet.Targets().Suspects().Judge(
-                  { trial->mMembers.front(), trial->mMembers }, 0, now) !=
-                  SuspectVerdict::Free
-              : targets.count(it.first) != 0;
+      const bool needed = trial
+                            ? IsNeeded(*trial, mFleet.Targets().Suspects(), now)
+                            : targets.count(it.first) != 0;
       if (!it.second.mRemoved && !needed) {
         mRows.Add({ it.first, std::nullopt });
       }
