BUDGET: let hosts without the store take turns at trials

What was seen: 12 hosts that all lack the store each ran a trial of the same deadly part, 5 and 6 late runs (3 allowed). Cause: nothing bounded the trials that the store does not record but one a host and minute. Fix: a trial without a record waits for its host's turn, counted from the newest loss that the fleet knows: an order by hash, 0.4 s a host (a loss is known elsewhere by then), after a pause that doubles with each further loss. A host that runs a trial thereby puts off all others. The log line of a failed claim says when the turn comes. Cost: in a large fleet without the store, requests of an unclear suspect at hosts late in the order are refused after their usual wait. SuspectTrialTests has the turns for up to 450 hosts, without processes.

--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -23,6 +23,12 @@
 // if the parts are sound and in use.
 constexpr Duration kServedAgainWithin = std::chrono::seconds(3);
 
+// Pause after the third loss of a set before a trial of it that the store does
+// not record, twice as long after each further one; and the time that a host
+// has to start one and to tell the others of its loss.
+constexpr Duration kUnrecordedTrialPause = std::chrono::seconds(1);
+constexpr Duration kUnrecordedTrialTurn = std::chrono::milliseconds(400);
+
 // What is known of a part of a lost request, in the order in which parts are
 // recorded.
 enum class PartKnowledge
@@ -229,6 +235,27 @@
                                     : SuspectSet(aContent.mHash);
 }
 
+Time
+SuspectRegistry::NextUnrecordedTrial(const SuspectSet& aSuspects,
+                                     std::size_t aTurn,
+                                     Time aNow) const
+{
+  std::size_t losses = 0;
+  Time newest;
+  for (const std::uint64_t it : aSuspects.mMembers) {
+    const Runs& runs = RunsOf(it, aNow);
+    losses = std::max(losses, runs.size());
+    for (const LostRun& run : runs) {
+      newest = std::max(newest, run.mDeath.mAt);
+    }
+  }
+  Duration pause = kUnrecordedTrialPause;
+  for (std::size_t n = kMinDeathsToRefuse; n < losses; ++n) {
+    pause *= 2;
+  }
+  return newest + pause + aTurn * kUnrecordedTrialTurn;
+}
+
 void
 SuspectRegistry::Convict(const SuspectSet& aSuspects, Time aNow)
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -143,6 +143,15 @@
   // requests, too, if one of them may be refused, or else the content.
   SuspectSet SuspectsOf(const RequestContent& aContent, Time aNow) const;
 
+  // When the next trial of a set that the store can't record may begin. The
+  // hosts take turns after the newest loss that they know of, each later than
+  // the one before and all later the more the set has lost, so that few hosts
+  // run one before they hear of another's. aTurn is the place of this host in
+  // an order on which the hosts agree.
+  Time NextUnrecordedTrial(const SuspectSet& aSuspects,
+                           std::size_t aTurn,
+                           Time aNow) const;
+
   // Records that trials have shown a set to crash targets, unless all of its
   // members have just been served here and not lost since.
   void Convict(const SuspectSet& aSuspects, Time aNow);
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -57,6 +57,7 @@
                              Fleet& aFleet,
                              GatewayMetrics& aMetrics)
   : mHostHeader(FormatEndpoint(aSettings.mStoreEndpoint))
+  , mHost(aSettings.mHost)
   , mFleet(aFleet)
   , mMetrics(aMetrics)
   , mHttpClient(aLoop, aSettings.mStoreEndpoint)
@@ -167,6 +168,19 @@
        onReply);
 }
 
+Time
+SuspectTrials::NextUnrecorded(const Trial& aTrial, Time aNow) const
+{
+  const std::uint64_t set = aTrial.mSuspects.mId;
+  const auto& hosts = mFleet.HostAddresses();
+  const auto earlier =
+    std::count_if(hosts.begin(), hosts.end(), [&](const auto& aHost) {
+      return StableHash(aHost.first, set) < StableHash(mHost, set);
+    });
+  return mFleet.Targets().Suspects().NextUnrecordedTrial(
+    aTrial.mSuspects, static_cast<std::size_t>(earlier), aNow);
+}
+
 void
 SuspectTrials::OnClaimReply(std::uint64_t aSet,
                             const std::optional<HttpReply>& aReply,
@@ -183,15 +197,22 @@
                       ? platform::DecodeRows(aReply->mBody, reason)
                       : std::nullopt;
   if (!rows) {
+    const Time unrecordedAt = NextUnrecorded(trial, now);
+    const bool runs = unrecordedAt <= now;
     trial.mNextClaimAt = now + kFailureInterval;
-    Log(LogLevel::Warn,
-        "fleet",
-        "claiming a trial failed",
-        { { "suspects", ToHex(aSet) },
-          { "reason",
-            aReply ? "status " + std::to_string(aReply->mHead.mStatus)
-                   : reason } });
-    if (!std::exchange(trial.mRanUnrecorded, true)) {
+    if (!runs) {
+      trial.mNextClaimAt = std::min(trial.mNextClaimAt, unrecordedAt);
+    }
+    Log(
+      LogLevel::Warn,
+      "fleet",
+      "claiming a trial failed",
+      { { "suspects", ToHex(aSet) },
+        { "reason",
+          aReply ? "status " + std::to_string(aReply->mHead.mStatus) : reason },
+        { "unrecorded_in_ms",
+          std::to_string(ToMilliseconds(unrecordedAt - now)) } });
+    if (runs) {
       Allow(trial, false);
     }
     return;
--- a/src/quetzalquay/gateway/SuspectTrials.h
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -21,8 +21,8 @@
 // one at a time in the whole fleet for each set of suspects and for each
 // target. The store's conditional writes decide which host runs the next one,
 // so that the number of targets that a set can still crash is bounded however
-// many hosts its requests reach at once. A host that does not reach the store
-// runs one trial of a set by itself.
+// many hosts its requests reach at once. Hosts that do not reach the store take
+// turns.
 class SuspectTrials
 {
 public:
@@ -51,7 +51,6 @@
     std::string mTarget;
     // Whether the store has recorded the trial.
     bool mRecorded = false;
-    bool mRanUnrecorded = false;
     int mSends = 0;
     // Key of the row that is being read instead of claimed; empty if none is.
     std::string mReadKey;
@@ -81,8 +80,11 @@
   void Allow(Trial& aTrial, bool aRecorded);
   void Convict(Trial& aTrial, const TrialRecord& aRecord);
   TrialRecord RecordOfNext(const Trial& aTrial);
+  // When this host may run a trial that the store does not record.
+  Time NextUnrecorded(const Trial& aTrial, Time aNow) const;
 
   std::string mHostHeader;
+  std::string mHost;
   Fleet& mFleet;
   GatewayMetrics& mMetrics;
   AsyncHttpClient mHttpClient;
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
   CPPUNIT_TEST(AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived);
+  CPPUNIT_TEST(HostsWithoutTheStoreTakeTurnsAtTrials);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -424,6 +425,29 @@
     CPPUNIT_ASSERT(!table.Suspects().IsSuspected(kFirst, At(1110)));
     CPPUNIT_ASSERT(table.Suspects().IsSuspected(kSecond, At(1110)));
   }
+  // Guards against a trial on each host of a fleet while the store is down: a
+  // host hears of a loss within 400 ms, as the turns assume.
+  void HostsWithoutTheStoreTakeTurnsAtTrials()
+  {
+    SuspectRegistry registry = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 3; ++death) {
+      Lose(registry, kFirst, death, static_cast<int>(1000 * death));
+    }
+    const auto turnAt = [&](std::size_t aTurn) {
+      return registry.NextUnrecordedTrial(kFirst, aTurn, At(10000));
+    };
+    CPPUNIT_ASSERT(turnAt(0) >= At(3000) + kSettleTime);
+    for (std::size_t turn = 0; turn < 450; ++turn) {
+      CPPUNIT_ASSERT(turnAt(turn + 1) - turnAt(turn) >= milliseconds(400));
+    }
+    // The first host loses its trial: nobody else's turn has come, and each
+    // further loss doubles the pause.
+    const Time second = turnAt(1);
+    Lose(registry, kFirst, 4, 4100);
+    CPPUNIT_ASSERT(turnAt(0) > second);
+    Lose(registry, kFirst, 5, 7000);
+    CPPUNIT_ASSERT(turnAt(0) >= At(11000));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuspectTrialTests);
