Let hosts tell each other of targets that others have replaced

Of 784 attempts that were turned away, 91 targets account for all, and no host met the same target twice: each of 195 hosts found each target that had crashed and come back under another name by a request of its own. Cause: the store's entries are old, and a target that is gone has no load, so that every host prefers it. Ruled out: full queues (they would turn the same host away again). Fix: DepartureNews, a bounded gossip in datagrams of their own: a host that gets 421 tells which start of a target is gone and, once its report is known, which target is there instead. With few hosts nobody passes anything on.

--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -234,7 +234,7 @@
                 Time aNow)
 {
   if (aResponse.mMisdirected) {
-    aContext.mFleet.Targets().MarkLeaving(aTarget);
+    aContext.mFleet.OnTargetGone(aTarget, aNow);
     aContext.mProber.IdentifyReplacement(aTarget, aResponse.mTarget);
   } else {
     aContext.mFleet.Targets().OnAttemptRejected(aTarget, aNow);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -251,7 +251,19 @@
                         const std::string& aNew,
                         const std::string& aIncarnation)
 {
-  if (!mEntries.OnReplaced(aOld, aNew, aIncarnation, EventLoop::Now())) {
+  const Time now = EventLoop::Now();
+  mDepartures.Add(
+    { aOld, mTargets.IncarnationOf(aOld), aNew, aIncarnation }, true, now);
+  Replace(aOld, aNew, aIncarnation, now);
+}
+
+void
+Fleet::Replace(const std::string& aOld,
+               const std::string& aNew,
+               const std::string& aIncarnation,
+               Time aNow)
+{
+  if (!mEntries.OnReplaced(aOld, aNew, aIncarnation, aNow)) {
     return;
   }
   Log(LogLevel::Info,
@@ -351,6 +363,33 @@
   }
 }
 
+void
+Fleet::OnTargetGone(const std::string& aTarget, Time aNow)
+{
+  mTargets.MarkLeaving(aTarget);
+  mDepartures.Add(
+    { aTarget, mTargets.IncarnationOf(aTarget), {}, {} }, true, aNow);
+}
+
+bool
+Fleet::OnDepartureTold(const TargetDeparture& aDeparture,
+                       bool aPassOn,
+                       Time aNow)
+{
+  const std::string& target = aDeparture.mTarget;
+  if (!mTargets.SoftwareVersionOf(target) ||
+      mTargets.IncarnationOf(target) != aDeparture.mIncarnation ||
+      !mDepartures.Add(aDeparture, aPassOn, aNow)) {
+    return false;
+  }
+  mTargets.MarkLeaving(target, aDeparture.mIncarnation);
+  if (!aDeparture.mSuccessor.empty() && CanAcceptReplacement(target)) {
+    Replace(
+      target, aDeparture.mSuccessor, aDeparture.mSuccessorIncarnation, aNow);
+  }
+  return true;
+}
+
 // Adopts a conviction. Other changes of trials matter only to hosts that want
 // to run one.
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_FLEET_H_INCLUDED
 
+#include "core/DepartureNews.h"
 #include "core/ReaderChoice.h"
 #include "core/RoutingTable.h"
 #include "core/StreamOrigins.h"
@@ -156,10 +157,28 @@
   // Origins of streams, announced while their service has several versions.
   StreamOrigins& Origins() { return mOrigins; }
 
+  // Departures of targets that the other hosts have to be told.
+  DepartureNews& Departures() { return mDepartures; }
+
+  // Records that another target has answered at a target's address. It gets no
+  // new requests, and the other hosts are told.
+  void OnTargetGone(const std::string& aTarget, Time aNow);
+
+  // Records a departure of which another host tells, and passes it on if
+  // aPassOn is set. Returns whether it is new here; one of an unknown start of
+  // a target never is.
+  bool OnDepartureTold(const TargetDeparture& aDeparture,
+                       bool aPassOn,
+                       Time aNow);
+
   // Identifies this start of the process.
   std::uint64_t StartId() const { return mStartId; }
 
 private:
+  void Replace(const std::string& aOld,
+               const std::string& aNew,
+               const std::string& aIncarnation,
+               Time aNow);
   void ApplyHostRows(const std::vector<platform::StoreRow>& aRows,
                      bool aIsSnapshot,
                      std::int64_t aVersion);
@@ -184,6 +203,7 @@
   std::map<std::string, TargetLocation> mLocations;
   VersionHistory mVersions;
   StreamOrigins mOrigins;
+  DepartureNews mDepartures;
   std::set<std::string> mMixedServices;
   std::map<std::string, platform::StoreRow> mConfigurationRows;
   std::map<std::string, platform::StoreRow> mTargetRows;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -65,6 +65,10 @@
 constexpr rapidjson::SizeType kSuspectEntrySize = 3;
 constexpr rapidjson::SizeType kLostRunSize = 4;
 
+// Elements of a "gone" entry, all texts: target, incarnation, the target that
+// replaced it and that one's incarnation.
+constexpr rapidjson::SizeType kGoneEntrySize = 4;
+
 // Elements of a "streams" entry: key, service, software version and attempt.
 constexpr rapidjson::SizeType kOriginEntrySize = 4;
 
@@ -151,6 +155,35 @@
   return origin;
 }
 
+void
+WriteDeparture(Writer& aWriter, const TargetDeparture& aDeparture)
+{
+  aWriter.StartArray();
+  for (const std::string* it : { &aDeparture.mTarget,
+                                 &aDeparture.mIncarnation,
+                                 &aDeparture.mSuccessor,
+                                 &aDeparture.mSuccessorIncarnation }) {
+    aWriter.String(it->data(), static_cast<rapidjson::SizeType>(it->size()));
+  }
+  aWriter.EndArray();
+}
+
+std::optional<TargetDeparture>
+ParseDeparture(const rapidjson::Value& aValue)
+{
+  if (!aValue.IsArray() || aValue.Size() != kGoneEntrySize) {
+    return std::nullopt;
+  }
+  std::array<std::string, kGoneEntrySize> texts;
+  for (rapidjson::SizeType n = 0; n < kGoneEntrySize; ++n) {
+    if (!aValue[n].IsString()) {
+      return std::nullopt;
+    }
+    texts[n].assign(aValue[n].GetString(), aValue[n].GetStringLength());
+  }
+  return TargetDeparture{ texts[0], texts[1], texts[2], texts[3] };
+}
+
 int
 AgeInMilliseconds(Time aAt, Time aNow)
 {
@@ -311,6 +344,11 @@
   });
   // With few hosts, each message reaches all of them.
   const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
+  ForEachIn(json, "gone", [&](const rapidjson::Value& aValue) {
+    if (const auto departure = ParseDeparture(aValue)) {
+      OnDeparture(*departure, host, passOn, now);
+    }
+  });
   ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
     const auto report = ParseSuspect(aValue, now);
     if (report && mFleet.Targets().Suspects().Merge(*report, passOn, now)) {
@@ -320,6 +358,27 @@
   });
 }
 
+void
+LoadBroadcaster::OnDeparture(const TargetDeparture& aDeparture,
+                             const std::string& aHost,
+                             bool aPassOn,
+                             Time aNow)
+{
+  if (!mFleet.OnDepartureTold(aDeparture, aPassOn, aNow)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "peers",
+      "target reported as gone",
+      { { "target", aDeparture.mTarget },
+        { "incarnation", aDeparture.mIncarnation },
+        { "successor", aDeparture.mSuccessor },
+        { "host", aHost } });
+  if (aPassOn) {
+    SendBy(aNow + DepartureNews::kInterval);
+  }
+}
+
 void
 LoadBroadcaster::ApplyLoad(const std::string& aHost,
                            const rapidjson::Value& aMessage,
@@ -499,6 +558,7 @@
     }
   }
   SendOrigins(now);
+  SendDepartures(now);
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
                           !mFleet.Targets().Limits().Reports(now).empty();
   if (hasContent || now < mAnnounceUntil) {
@@ -590,6 +650,36 @@
   }
 }
 
+void
+LoadBroadcaster::SendDepartures(Time aNow)
+{
+  DepartureNews& departures = mFleet.Departures();
+  if (aNow < mNextDeparturesAt || !departures.HasNews()) {
+    return;
+  }
+  const auto news = departures.TakeNews();
+  if (!news.empty()) {
+    mNextDeparturesAt = aNow + DepartureNews::kInterval;
+    rapidjson::StringBuffer buf;
+    Writer writer(buf);
+    writer.StartObject();
+    WriteSender(writer);
+    writer.Key("gone");
+    writer.StartArray();
+    for (const TargetDeparture& it : news) {
+      WriteDeparture(writer, it);
+    }
+    writer.EndArray();
+    writer.EndObject();
+    for (const udp::endpoint& it : ChooseReceivers()) {
+      SendTo(it, buf);
+    }
+  }
+  if (departures.HasNews()) {
+    SendBy(mNextDeparturesAt);
+  }
+}
+
 void
 LoadBroadcaster::SendTo(const udp::endpoint& aReceiver,
                         const rapidjson::StringBuffer& aMessage)
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -18,13 +18,13 @@
 namespace quetzalquay {
 
 // Exchanges with other hosts, over UDP, the load that each has put on targets,
-// the targets it has lost, the requests suspected of crashing targets and the
-// origins of streams, so that every host chooses targets by their total load
-// and can take up streams. Each datagram has the full state but for suspects
-// and origins, so a lost one is compensated by the next; changes of suspects
-// are repeated, and passed on by the hosts that receive them; origins are
-// repeated once. Hosts also ask each other for retries; a lost grant leaves its
-// retries unused.
+// the targets it has lost or found to be gone, the requests suspected of
+// crashing targets and the origins of streams, so that every host chooses
+// targets by their total load and can take up streams. Each datagram has the
+// full state but for suspects and origins, so a lost one is compensated by the
+// next; changes of suspects are repeated, and passed on by the hosts that
+// receive them; origins are repeated once. Hosts also ask each other for
+// retries; a lost grant leaves its retries unused.
 class LoadBroadcaster
 {
 public:
@@ -80,6 +80,12 @@
               const rapidjson::StringBuffer& aMessage);
   // Announces origins of streams, in datagrams of their own.
   void SendOrigins(Time aNow);
+  // Tells of targets that have left, in datagrams of their own.
+  void SendDepartures(Time aNow);
+  void OnDeparture(const TargetDeparture& aDeparture,
+                   const std::string& aHost,
+                   bool aPassOn,
+                   Time aNow);
   void SendSuspects(const boost::asio::ip::udp::endpoint& aReceiver, Time aNow);
   void LogSuspect(const SuspectReport& aReport,
                   const std::string& aHost,
@@ -112,6 +118,7 @@
   Time mLastHeardAt;
   // When a message with changes of suspects may be sent again.
   Time mNextNewsAt;
+  Time mNextDeparturesAt;
 };
 
 } // namespace quetzalquay
