Ask the next reader of the store at once, and leave background tables to readers

Cause: one lost answer at a reader makes the view of its 22 hosts too old, and each of them then reads every table, also the hosts and suspects, which others tell it anyway. Fix: a reader that answers without contact to the store is replaced by the next one within the same round, three at most, before a host turns to the store; a stale host reads configuration and targets only. Every table is still read once at the start; an unreachable store is looked for by configuration and targets. ReaderChoiceTests has both decisions for 195 hosts.

--- a/src/quetzalquay/core/ReaderChoice.cpp
+++ b/src/quetzalquay/core/ReaderChoice.cpp
@@ -103,9 +103,9 @@
 }
 
 bool
-ReaderChoice::MustReadStore(Time aNow) const
+ReaderChoice::MustReadStore(RowUrgency aUrgency, Time aNow) const
 {
-  return IsStale(aNow) || IsReader(aNow);
+  return (aUrgency == RowUrgency::Vital && IsStale(aNow)) || IsReader(aNow);
 }
 
 std::vector<std::string>
--- a/src/quetzalquay/core/ReaderChoice.h
+++ b/src/quetzalquay/core/ReaderChoice.h
@@ -18,6 +18,15 @@
   int mLinkMbps = 0;
 };
 
+// What happens while a host does not have the newest rows of a table.
+enum class RowUrgency
+{
+  // The host acts on what is no longer true, so it reads the store itself.
+  Vital,
+  // The host learns of the rows in other ways, or can do without for a while.
+  Background,
+};
+
 // Selects the hosts that read the store directly (the readers), and the reader
 // that each other host asks.
 //
@@ -63,9 +72,9 @@
   // left a while ago.
   bool IsStale(Time aNow) const { return aNow - mKnownAsOf >= kMaxStaleness; }
 
-  // Whether this host has to read the store itself now: it is a reader, or what
-  // it knows is too old.
-  bool MustReadStore(Time aNow) const;
+  // Whether this host has to read a table itself now: it is a reader, or what
+  // it knows is too old and the table is vital.
+  bool MustReadStore(RowUrgency aUrgency, Time aNow) const;
 
 private:
   // Readers in rank order, without the hosts that are skipped after a failure.
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kRoundInterval = milliseconds(500);
 constexpr Duration kPeerTimeout = milliseconds(700);
 
+// Readers that a host asks in one round before it reads the store itself.
+constexpr int kMaxReadersAsked = 3;
+
 // Time limit for the response of a host that reads the store.
 constexpr Duration kReaderTimeout = milliseconds(600);
 
@@ -159,6 +162,7 @@
               return HandleRequest(aHead);
             })
   , mRoundTimer(aLoop, [this] { RunRound(); })
+  , mNextReaderTimer(aLoop, [this] { QueryReader(EventLoop::Now()); })
   , mRandom(StableHash(aSettings.mHost))
 {
   mFleet.SetRetainedCallback([this] { QueryPeers(EventLoop::Now()); });
@@ -226,6 +230,7 @@
   const Time now = EventLoop::Now();
   mRoundTimer.ScheduleAt(now + kRoundInterval);
   if (mStore.UnreachableSince() == Time::max()) {
+    mReadersAsked = 0;
     QueryReader(now);
     mStore.PollIfNeeded();
   }
@@ -338,6 +343,7 @@
   if (mReaderClient->IsBusy()) {
     return;
   }
+  ++mReadersAsked;
   mReaderClient->Call(
     "GET " + BuildQueryPath(false) + " HTTP/1.1\r\nHost: " + address->second +
       "\r\n\r\n",
@@ -360,17 +366,23 @@
     mFleet.OnKnownAsOf(aSentAt - *age);
   }
   const Time now = EventLoop::Now();
-  if (!age || mFleet.Readers().MustReadStore(now)) {
+  if (!age || mFleet.Readers().MustReadStore(RowUrgency::Vital, now)) {
     mFleet.Readers().OnReaderFailed(aHost, now);
-    Log(LogLevel::Info,
-        "peers",
-        "reader did not provide current rows",
-        { { "host", aHost },
-          { "age_ms",
-            age ? std::to_string(static_cast<int>(ToMilliseconds(*age)))
-                : "unknown" },
-          { "reason", aReason } });
-    mStore.PollIfNeeded();
+    Log(
+      LogLevel::Info,
+      "peers",
+      "reader did not provide current rows",
+      { { "host", aHost },
+        { "age_ms",
+          age ? std::to_string(static_cast<int>(ToMilliseconds(*age)))
+              : "unknown" },
+        { "reason", aReply && !age ? "no contact with the store" : aReason } });
+    if (aReply && mReadersAsked < kMaxReadersAsked) {
+      // Not within the callback of the client, which is replaced.
+      mNextReaderTimer.ScheduleAt(now);
+    } else {
+      mStore.PollIfNeeded();
+    }
   }
 }
 
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -65,6 +65,10 @@
   std::unique_ptr<AsyncHttpClient> mReaderClient;
   Endpoint mReaderEndpoint;
   Timer mRoundTimer;
+  // Asks the next reader after one that could not help.
+  Timer mNextReaderTimer;
+  // Readers asked in this round.
+  int mReadersAsked = 0;
   // Whether the view of the store was too old in the last round.
   bool mWasStale = false;
   std::mt19937_64 mRandom;
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -85,7 +85,8 @@
 void
 TableWatcher::StartCall()
 {
-  if (mHttpClient.IsBusy() || !mOptions.mShouldRead()) {
+  const bool known = mVersion != 0 || mOptions.mKnownVersion() != 0;
+  if (mHttpClient.IsBusy() || (known && !mOptions.mShouldRead())) {
     return;
   }
   mLastCallAt = EventLoop::Now();
@@ -246,32 +247,46 @@
   , mWriteTimer(aLoop, [this] { WriteOwnRow(); })
   , mContact(EventLoop::Now())
 {
-  const auto make =
-    [&](StoreTable aTable, Duration aLongPoll, Duration aInterval) {
-      return std::make_unique<TableWatcher>(
-        mLoop,
-        mSettings.mStoreEndpoint,
-        TableWatcher::Options{
-          aTable,
-          aLongPoll,
-          aInterval,
-          [this] { return ShouldRead(); },
-          [this, aTable] { return mFleet.Version(aTable); } },
-        [this, aTable](const std::vector<StoreRow>& aRows,
-                       bool aIsSnapshot,
-                       std::int64_t aVersion) {
-          mFleet.ApplyRows(
-            aTable, aRows, aIsSnapshot, aVersion, RowSource::Store);
-        },
-        [this, aTable](StoreCallEnd aEnd, Time aSentAt) {
-          OnCallEnded(aTable, aEnd, aSentAt);
-        });
-    };
-  mConfiguration =
-    make(StoreTable::Configuration, kConfigurationLongPoll, Duration::zero());
-  mTargets = make(StoreTable::Targets, Duration::zero(), kTargetsPollInterval);
-  mHostRows = make(StoreTable::Hosts, Duration::zero(), kHostsPollInterval);
-  mSuspects = make(StoreTable::Suspects, kSuspectsLongPoll, Duration::zero());
+  const auto make = [&](StoreTable aTable,
+                        RowUrgency aUrgency,
+                        Duration aLongPoll,
+                        Duration aInterval) {
+    return std::make_unique<TableWatcher>(
+      mLoop,
+      mSettings.mStoreEndpoint,
+      TableWatcher::Options{
+        aTable,
+        aLongPoll,
+        aInterval,
+        [this, aUrgency] { return ShouldRead(aUrgency); },
+        [this, aTable] { return mFleet.Version(aTable); } },
+      [this, aTable](const std::vector<StoreRow>& aRows,
+                     bool aIsSnapshot,
+                     std::int64_t aVersion) {
+        mFleet.ApplyRows(
+          aTable, aRows, aIsSnapshot, aVersion, RowSource::Store);
+      },
+      [this, aTable](StoreCallEnd aEnd, Time aSentAt) {
+        OnCallEnded(aTable, aEnd, aSentAt);
+      });
+  };
+  mConfiguration = make(StoreTable::Configuration,
+                        RowUrgency::Vital,
+                        kConfigurationLongPoll,
+                        Duration::zero());
+  mTargets = make(StoreTable::Targets,
+                  RowUrgency::Vital,
+                  Duration::zero(),
+                  kTargetsPollInterval);
+  // Other hosts tell of hosts and suspects as well.
+  mHostRows = make(StoreTable::Hosts,
+                   RowUrgency::Background,
+                   Duration::zero(),
+                   kHostsPollInterval);
+  mSuspects = make(StoreTable::Suspects,
+                   RowUrgency::Background,
+                   kSuspectsLongPoll,
+                   Duration::zero());
 }
 
 void
@@ -295,10 +310,12 @@
 }
 
 bool
-StoreWatch::ShouldRead() const
+StoreWatch::ShouldRead(RowUrgency aUrgency) const
 {
-  return !mContact.IsReachable() ||
-         mFleet.Readers().MustReadStore(EventLoop::Now());
+  const bool seeksContact =
+    aUrgency == RowUrgency::Vital && !mContact.IsReachable();
+  return seeksContact ||
+         mFleet.Readers().MustReadStore(aUrgency, EventLoop::Now());
 }
 
 void
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -117,7 +117,7 @@
   void DeregisterHost();
 
 private:
-  bool ShouldRead() const;
+  bool ShouldRead(RowUrgency aUrgency) const;
   void OnCallEnded(platform::StoreTable aTable,
                    StoreCallEnd aEnd,
                    Time aSentAt);
--- a/tests/introspective/ReaderChoiceTests.cpp
+++ b/tests/introspective/ReaderChoiceTests.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(HostsWithTheMostBandwidthAreReaders);
   CPPUNIT_TEST(AHostReadsWhenItsStateIsTooOld);
   CPPUNIT_TEST(AReaderWithoutAnswersKnowsThatItsStateIsTooOld);
+  CPPUNIT_TEST(AStaleHostReadsVitalTablesOnly);
+  CPPUNIT_TEST(TheNextReaderIsAskedAtOnce);
   CPPUNIT_TEST(AFailedReaderIsReplaced);
   CPPUNIT_TEST(RunningHostsStayUpToDate);
   CPPUNIT_TEST_SUITE_END();
@@ -61,7 +63,7 @@
     CPPUNIT_ASSERT(choice.IsReader(At(0)));
     CPPUNIT_ASSERT(!choice.ReaderToAsk(At(0)));
     choice.SetHosts({});
-    CPPUNIT_ASSERT(choice.MustReadStore(At(0)));
+    CPPUNIT_ASSERT(choice.MustReadStore(RowUrgency::Vital, At(0)));
   }
 
   void AFewHostsReadForAllOthers()
@@ -117,15 +119,15 @@
       if (!host) {
         continue;
       }
-      CPPUNIT_ASSERT(choice.MustReadStore(At(0)));
+      CPPUNIT_ASSERT(choice.MustReadStore(RowUrgency::Vital, At(0)));
       choice.OnReaderAnswered(*host, At(0));
-      CPPUNIT_ASSERT(!choice.MustReadStore(At(1100)));
-      CPPUNIT_ASSERT(choice.MustReadStore(At(1200)));
+      CPPUNIT_ASSERT(!choice.MustReadStore(RowUrgency::Vital, At(1100)));
+      CPPUNIT_ASSERT(choice.MustReadStore(RowUrgency::Vital, At(1200)));
       // A response that is no newer than the known state changes nothing.
       choice.OnReaderAnswered(*host, At(0));
-      CPPUNIT_ASSERT(choice.MustReadStore(At(1200)));
+      CPPUNIT_ASSERT(choice.MustReadStore(RowUrgency::Vital, At(1200)));
       choice.OnStoreRead(At(1200));
-      CPPUNIT_ASSERT(!choice.MustReadStore(At(2300)));
+      CPPUNIT_ASSERT(!choice.MustReadStore(RowUrgency::Vital, At(2300)));
     }
   }
 
@@ -142,6 +144,37 @@
     CPPUNIT_ASSERT(!choice.IsStale(At(2300)));
   }
 
+  // Guards against every host reading every table at once when the readers lose
+  // the store for a moment: only what a host must not miss is worth a call.
+  void AStaleHostReadsVitalTablesOnly()
+  {
+    const auto choices = MakeChoices(HostNames(195));
+    int readers = 0;
+    for (const auto& it : choices) {
+      ReaderChoice& choice = *it.second;
+      choice.OnStoreRead(At(0));
+      CPPUNIT_ASSERT(choice.MustReadStore(RowUrgency::Vital, At(1200)));
+      readers += choice.MustReadStore(RowUrgency::Background, At(1200)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(195 / 24 + 1, readers);
+  }
+
+  // Guards against a read of the store by each host whose reader has failed
+  // while another one can be asked at once.
+  void TheNextReaderIsAskedAtOnce()
+  {
+    const auto choices = MakeChoices(HostNames(195));
+    for (const auto& it : choices) {
+      ReaderChoice& choice = *it.second;
+      std::set<std::string> asked;
+      for (auto host = choice.ReaderToAsk(At(0)); host && asked.size() < 3;
+           host = choice.ReaderToAsk(At(0))) {
+        CPPUNIT_ASSERT(asked.insert(*host).second);
+        choice.OnReaderFailed(*host, At(0));
+      }
+    }
+  }
+
   void AFailedReaderIsReplaced()
   {
     const auto choices = MakeChoices(HostNames(9));
@@ -199,12 +232,12 @@
               choice.OnReaderFailed(*host, At(now + 300));
             } else {
               choice.OnReaderAnswered(*host, choices.at(*host)->KnownAsOf());
-              if (choice.MustReadStore(At(now))) {
+              if (choice.MustReadStore(RowUrgency::Vital, At(now))) {
                 choice.OnReaderFailed(*host, At(now));
               }
             }
           }
-          if (choice.MustReadStore(At(now))) {
+          if (choice.MustReadStore(RowUrgency::Vital, At(now))) {
             choice.OnStoreRead(At(now));
           }
           RC_ASSERT(At(now) - choice.KnownAsOf() <=
