Use successors that other hosts found only where targets are short

Cause: a successor's version counts as one of its own until the store lists it. With all hosts using successors the service seemed to have dozens of versions, which the store's rows kept beyond the restart. Fix: a host that is told of a successor uses it only if more than half of the service's known targets are leaving. The host that found it goes on to use it.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -383,7 +383,10 @@
     return false;
   }
   mTargets.MarkLeaving(target, aDeparture.mIncarnation);
-  if (!aDeparture.mSuccessor.empty() && CanAcceptReplacement(target)) {
+  // The successor's software version is not known before the store lists it, so
+  // that streams on it are hard to take up elsewhere.
+  if (!aDeparture.mSuccessor.empty() && CanAcceptReplacement(target) &&
+      mTargets.IsShortOfTargets(Locate(target)->mService)) {
     Replace(
       target, aDeparture.mSuccessor, aDeparture.mSuccessorIncarnation, aNow);
   }
