Use the successors of gone targets at every host again

Cause: a host that is told of a departure does not try the target, so it never finds the successor by itself, as it did before hosts told each other; with few hosts most targets are then unused until the store is back.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -659,20 +659,6 @@
   return target == nullptr || IsLeaving(*target);
 }
 
-bool
-TargetTable::IsShortOfTargets(const std::string& aService) const
-{
-  int known = 0;
-  int leaving = 0;
-  for (const auto& it : mTargets) {
-    if (it.second.mDeclaration.mService == aService) {
-      ++known;
-      leaving += IsLeaving(it.second) ? 1 : 0;
-    }
-  }
-  return 2 * leaving > known;
-}
-
 std::string
 TargetTable::IncarnationOf(const std::string& aTarget) const
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -353,9 +353,6 @@
   // unknown targets.
   bool IsLeaving(const std::string& aTarget) const;
 
-  // Whether more than half of the known targets of a service are leaving.
-  bool IsShortOfTargets(const std::string& aService) const;
-
   // Current incarnation of a target; empty if unknown.
   std::string IncarnationOf(const std::string& aTarget) const;
 
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -383,10 +383,7 @@
     return false;
   }
   mTargets.MarkLeaving(target, aDeparture.mIncarnation);
-  // The successor's software version is not known before the store lists it, so
-  // that streams on it are hard to take up elsewhere.
-  if (!aDeparture.mSuccessor.empty() && CanAcceptReplacement(target) &&
-      mTargets.IsShortOfTargets(Locate(target)->mService)) {
+  if (!aDeparture.mSuccessor.empty() && CanAcceptReplacement(target)) {
     Replace(
       target, aDeparture.mSuccessor, aDeparture.mSuccessorIncarnation, aNow);
   }
