Report a reset that a write has met as a reset

The system reports the reset of a connection to one call only. When that call was a write, the next read found the end of the input, and Socket reported an orderly end. An answer without a length that its target had cut off by a reset was then passed on as a whole one, if bytes of the request were still being written: callers saw a complete answer with a part of the body. After an orderly end of the peer a write fails with a broken pipe, which stays an orderly end.

--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -166,6 +166,7 @@
     if (ec && ec != boost::asio::error::would_block) {
       // The error is left to the read side to report, so that bytes received
       // before it are still delivered.
+      OnWriteError(ec);
       return;
     }
     aData.remove_prefix(ec ? 0 : n);
@@ -229,8 +230,8 @@
       break;
     }
     if (ec) {
-      End(ec == boost::asio::error::eof ? SocketEnd::Closed
-                                        : SocketEnd::Failed);
+      const bool orderly = ec == boost::asio::error::eof && !mWriteFailed;
+      End(orderly ? SocketEnd::Closed : SocketEnd::Failed);
       return;
     }
     if (mDiscardingInput) {
@@ -276,6 +277,7 @@
       break;
     }
     if (ec) {
+      OnWriteError(ec);
       mOutput.clear();
       mOutputOffset = 0;
       if (mCloseAfterWrites) {
@@ -303,6 +305,15 @@
   }
 }
 
+// The system reports the reset of a connection once only. After a write has met
+// it, a read finds the end of the input, as after an orderly end. Where the
+// peer had closed the connection before, the error is a broken pipe.
+void
+Socket::OnWriteError(const error_code& aError)
+{
+  mWriteFailed |= aError != boost::asio::error::broken_pipe;
+}
+
 void
 Socket::Close(bool aReset)
 {
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -118,6 +118,7 @@
   void FinishOutput();
   void WaitUntilWritable();
   void Flush();
+  void OnWriteError(const boost::system::error_code& aError);
   void End(SocketEnd aEnd);
 
   EventLoop& mLoop;
@@ -133,6 +134,8 @@
   bool mOpen = false;
   bool mRefused = false;
   bool mLackedDescriptor = false;
+  // Whether a write has failed other than after the peer's orderly end.
+  bool mWriteFailed = false;
   bool mReading = false;
   bool mReadPending = false;
   bool mWritePending = false;
