Ignore empty lines before a request wherever its pieces end

An empty line before a request is ignored (RFC 9112, section 2.2), but only if both of its bytes arrived together. Otherwise the request was rejected with 400 and its connection closed. A carriage return that no line feed follows is rejected as before.

--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -232,15 +232,30 @@
   HttpParseError mError = HttpParseError::None;
 
 private:
+  // Returns the number of bytes before the request line. RFC 9112, section 2.2:
+  // empty lines there are ignored.
+  std::size_t SkipEmptyLines(std::string_view aData)
+  {
+    std::size_t skipped = 0;
+    while (skipped < aData.size() &&
+           aData[skipped] == (mInEmptyLine ? '\n' : '\r')) {
+      mInEmptyLine = !mInEmptyLine;
+      ++skipped;
+    }
+    if (mInEmptyLine && skipped < aData.size()) {
+      // The carriage return belongs to the request line, where it is malformed.
+      mInEmptyLine = false;
+      mHeadBytes.push_back('\r');
+    }
+    return skipped;
+  }
+
   // Buffers the head until it is complete, as the Beast parser needs it whole.
   std::size_t ConsumeHead(std::string_view aData)
   {
     std::size_t skipped = 0;
     if (mHeadBytes.empty() && mMessageType == HttpMessageType::Requests) {
-      // RFC 9112, section 2.2: empty lines before the request line are ignored.
-      while (aData.substr(skipped, 2) == "\r\n") {
-        skipped += 2;
-      }
+      skipped = SkipEmptyLines(aData);
       aData.remove_prefix(skipped);
     }
     const std::size_t before = mHeadBytes.size();
@@ -351,6 +366,9 @@
   std::optional<MessageParser<true>> mRequestParser;
   std::optional<MessageParser<false>> mResponseParser;
   std::string mHeadBytes;
+  // Whether the carriage return of an empty line before a request was the last
+  // byte.
+  bool mInEmptyLine = false;
   bool mChunkParsingStarted = false;
   // Bytes that the parser cannot consume before the rest of their line.
   std::string mBufferedChunkBytes;
--- a/tests/introspective/HttpReaderTests.cpp
+++ b/tests/introspective/HttpReaderTests.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(ChunkedBodyIsParsedForAnySegmentSize);
   CPPUNIT_TEST(BodyWithContentLengthIsParsedForAnySegmentSize);
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
+  CPPUNIT_TEST(EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize);
   CPPUNIT_TEST(TrailerFieldsAreNotPartOfTheHead);
   CPPUNIT_TEST(BytesAfterARequestAreNotConsumed);
   CPPUNIT_TEST(ResponseWithoutLengthEndsWithTheConnection);
@@ -162,6 +163,26 @@
     CheckRejected(HttpMessageType::Responses, "nonsense\r\n\r\n");
   }
 
+  // Guards against a proper request that is rejected because a piece of it ends
+  // inside an empty line before it.
+  void EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize()
+  {
+    const std::string request = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const std::string& lines :
+         { std::string("\r\n"), std::string("\r\n\r\n") }) {
+      for (std::size_t segment = 1; segment < 8; ++segment) {
+        const ParseResult result = ParseMessage(
+          HttpMessageType::Requests, lines + request + "NEXT", segment);
+        CPPUNIT_ASSERT(result.mProgress == HttpProgress::Complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), result.mHead.mTarget);
+        CPPUNIT_ASSERT_EQUAL(std::string("NEXT"), result.mUnconsumed);
+      }
+    }
+    for (const char* it : { "\r", "\r\r\n", "\r\n\r", "\n" }) {
+      CheckRejected(HttpMessageType::Requests, it + request);
+    }
+  }
+
   void TrailerFieldsAreNotPartOfTheHead()
   {
     const ParseResult result =
