Count answers that callers have not read as memory for answers

An answer counted towards the memory for answers only until it was handed to its caller's connection. What a caller did not read of it stayed in the process without a limit for plain answers, and up to 4 MB for each stream.

Unread bytes now count. While they use the memory up, further large answers are given up (502, "gave up an answer that holds too much memory"), and a stream whose caller has left more than 64 KB unread is ended (slow_reader).

Test: CallerPauseTests::UnreadAnswersLeaveTheHostItsMemory, 24 callers that leave answers of 9 MB unread, a limit as for the smallest hosts. With the gateway before: "terminate called after throwing an instance of 'std::bad_alloc'", "cannot connect to the gateway". Now it passes: each of the 24 gets a complete answer, and so does another caller.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -27,8 +27,8 @@
 // Request timeout for callers that send none, and for routes without one.
 constexpr Duration kDefaultCallerTimeout = std::chrono::seconds(60);
 
-// Unsent response bytes that are buffered for a slow caller before its
-// connection is closed.
+// Unsent bytes of a stream that are buffered for a slow caller, if the memory
+// for answers has room for them, before its connection is closed.
 constexpr std::size_t kMaxUnsentBytes = 4U << 20U;
 
 // Share of all connections that callers may open; the others are left for
@@ -96,6 +96,7 @@
 CallerConnection::CallerConnection(CallerServer& aServer)
   : mServer(aServer)
   , mSocket(MakeRef<Socket>(aServer.mContext.mLoop))
+  , mUnsent(aServer.mContext.mAnswerBuffers)
   , mReader(HttpMessageType::Requests, {})
   , mTimer(aServer.mContext.mLoop, [this] { OnTimer(); })
 {
@@ -446,6 +447,9 @@
     AppendField(text, "Content-Length", std::to_string(aBody.size()));
   }
   mSocket->Write(text.append("\r\n").append(aBody));
+  // The answer had to be held before it was sent; what further answers may hold
+  // is less meanwhile.
+  mUnsent.Resize(mSocket->UnwrittenBytes());
   EndRequest();
 }
 
@@ -463,7 +467,8 @@
 void
 CallerConnection::SendChunk(std::string_view aBytes)
 {
-  if (mSocket->UnwrittenBytes() > kMaxUnsentBytes) {
+  if (const std::size_t unsent = mSocket->UnwrittenBytes();
+      unsent > kMaxUnsentBytes || !mUnsent.Resize(unsent)) {
     Close(ConnectionEnd::SlowReader);
     return;
   }
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -50,6 +50,7 @@
 
 private:
   void OnData(std::string_view aData) override;
+  void OnWritten() override { mUnsent.Resize(0); }
   void OnEnd(SocketEnd aEnd) override;
 
   void SendResponse(int aStatus,
@@ -84,6 +85,8 @@
 
   CallerServer& mServer;
   RefPtr<Socket> mSocket;
+  // What the caller has not read yet of its answer.
+  AnswerBuffer mUnsent;
   HttpReader mReader;
   HttpReader::Limits mReaderLimits;
   // Received bytes that the HTTP reader has not consumed yet.
--- /dev/null
+++ b/tests/usage/CallerPauseTests.cpp
@@ -0,0 +1,65 @@
+#include "CallerChannel.h"
+#include "GatewayTestCluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Memory of the smallest hosts, and address space that the stacks of a
+// process's threads reserve and do not use, in MB.
+constexpr int kSmallHostMb = 88;
+constexpr int kReservedMb = 35;
+
+// Receive buffer of a caller that leaves most of an answer unread.
+constexpr int kReceiveBytes = 8192;
+
+} // namespace
+
+// Callers that read nothing for a while: their window is closed, and what their
+// host has to send them waits there.
+class CallerPauseTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CallerPauseTests);
+  CPPUNIT_TEST(UnreadAnswersLeaveTheHostItsMemory);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a host that ends, with all its requests, because answers
+  // that their callers do not read take its memory.
+  void UnreadAnswersLeaveTheHostItsMemory()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    GatewayTestCluster cluster(options);
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    cluster.SetLargeAnswer(9U << 20U);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < 24; ++n) {
+      channels.push_back(
+        std::make_unique<CallerChannel>(cluster.Gateway(), kReceiveBytes));
+      channels.back()->Send(
+        GatewayTestCluster::Request("/plain/", std::to_string(n)));
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    cluster.SetAllModes(RunnerMode::Serve);
+    const CallerAnswer other =
+      cluster.Call(GatewayTestCluster::Request("/unsafe/", "other"));
+    CPPUNIT_ASSERT_EQUAL(200, other.mHead.mStatus);
+    int whole = 0;
+    for (const auto& it : channels) {
+      const CallerAnswer answer = it->Read();
+      CPPUNIT_ASSERT(answer.mComplete);
+      whole += answer.mHead.mStatus == 200 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(whole > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerPauseTests);
