Keep callers' connections through pauses of reading

All connections had a TCP_USER_TIMEOUT of 4 s. Linux ends a connection by it also when the peer acknowledges every probe of its closed window, so a caller that read nothing for 4 s lost its connection in the middle of a large answer: a whole request, passed on, without a complete answer. The same option decides when keep-alive probes are given up, whatever their number, so a waiting request went with its connection when 4 s of packets were lost.

Callers' connections get 15 s, as long as the usual idle timeout. Targets, the store and peers keep 4 s, as another one takes over there. The number of probes follows from the same time.

Test: CallerPauseTests::AnswersAreWholeAfterTheirCallerReadsOn, an answer of 12 MB, a pause of 8 s.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -31,6 +31,11 @@
 // for answers has room for them, before its connection is closed.
 constexpr std::size_t kMaxUnsentBytes = 4U << 20U;
 
+// Time after which a caller that acknowledges nothing, or reads nothing of its
+// answer, is given up. A caller that only pauses keeps its window closed and
+// acknowledges the probes of it.
+constexpr Duration kCallerTimeout = std::chrono::seconds(15);
+
 // Share of all connections that callers may open; the others are left for
 // targets.
 constexpr std::size_t kCallerShare = 3;
@@ -106,7 +111,7 @@
 CallerConnection::Start(tcp::socket aSocket)
 {
   EndRequest();
-  mSocket->Adopt(std::move(aSocket), *this);
+  mSocket->Adopt(std::move(aSocket), *this, kCallerTimeout);
 }
 
 void
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -22,14 +22,11 @@
 // Limits consecutive reads so that one connection does not starve the others.
 constexpr int kMaxReadsPerWakeUp = 4;
 
-// TCP keep-alive: idle time before the first probe, interval and number of
-// probes. A connection whose peer has vanished fails after about 4 s.
+// TCP keep-alive: idle time before the first probe, and interval of the probes.
+// Their number follows from the time after which the peer is given up. Where
+// TCP_USER_TIMEOUT is set, Linux goes by that alone.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
-
-// TCP_USER_TIMEOUT: how long sent data may remain unacknowledged.
-constexpr int kUserTimeoutMs = 4000;
 
 // Sent bytes are removed from the output buffer when there are more than this.
 constexpr std::size_t kCompactThresholdBytes = 65536;
@@ -102,7 +99,7 @@
       [self = RefPtr<Socket>(this)] { self->End(SocketEnd::Failed); });
     return;
   }
-  ConfigureSocket();
+  ConfigureSocket(kPeerTimeout);
   mDeadlineTimer.ScheduleAt(aDeadline);
   mSocket.async_connect(
     aServer, [self = RefPtr<Socket>(this)](const error_code& aError) {
@@ -122,19 +119,21 @@
 }
 
 void
-Socket::Adopt(tcp::socket aSocket, SocketHandler& aHandler)
+Socket::Adopt(tcp::socket aSocket,
+              SocketHandler& aHandler,
+              Duration aPeerTimeout)
 {
   mHandler = &aHandler;
   mSocket = std::move(aSocket);
   error_code ec;
   mRemoteEndpoint = mSocket.remote_endpoint(ec);
   mOpen = true;
-  ConfigureSocket();
+  ConfigureSocket(aPeerTimeout);
   SetReading(true);
 }
 
 void
-Socket::ConfigureSocket()
+Socket::ConfigureSocket(Duration aPeerTimeout)
 {
   error_code ec;
   mSocket.non_blocking(true, ec);
@@ -143,8 +142,13 @@
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  const int timeoutMs = static_cast<int>(ToMilliseconds(aPeerTimeout));
+  SetOption(socket,
+            IPPROTO_TCP,
+            TCP_KEEPCNT,
+            (timeoutMs / 1000 - kKeepAliveIdleSeconds) /
+              kKeepAliveIntervalSeconds);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, timeoutMs);
 }
 
 void
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -57,8 +57,15 @@
                Time aDeadline,
                SocketHandler& aHandler);
 
-  // Takes ownership of an accepted connection and starts reading.
-  void Adopt(boost::asio::ip::tcp::socket aSocket, SocketHandler& aHandler);
+  // Takes ownership of an accepted connection and starts reading. The
+  // connection fails when its peer has acknowledged nothing, or has read
+  // nothing of what is sent, for aPeerTimeout.
+  void Adopt(boost::asio::ip::tcp::socket aSocket,
+             SocketHandler& aHandler,
+             Duration aPeerTimeout = kPeerTimeout);
+
+  // Time after which a peer that acknowledges nothing is given up.
+  static constexpr Duration kPeerTimeout = std::chrono::seconds(4);
 
   // Replaces the handler for further events.
   void SetHandler(SocketHandler& aHandler) { mHandler = &aHandler; }
@@ -111,7 +118,7 @@
   const Endpoint& RemoteEndpoint() const { return mRemoteEndpoint; }
 
 private:
-  void ConfigureSocket();
+  void ConfigureSocket(Duration aPeerTimeout);
   void WaitUntilReadable();
   void OnReadable();
   void Discard(std::size_t aSize);
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -26,10 +26,27 @@
 class CallerPauseTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CallerPauseTests);
+  CPPUNIT_TEST(AnswersAreWholeAfterTheirCallerReadsOn);
   CPPUNIT_TEST(UnreadAnswersLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a connection that is given up because its caller, which
+  // acknowledges all probes of its closed window, did not read for some
+  // seconds: the request gets no complete answer.
+  void AnswersAreWholeAfterTheirCallerReadsOn()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    cluster.SetLargeAnswer(12U << 20U);
+    CallerChannel channel(cluster.Gateway(), kReceiveBytes);
+    channel.Send(GatewayTestCluster::Request("/plain/", "a"));
+    std::this_thread::sleep_for(milliseconds(8000));
+    const CallerAnswer answer = channel.Read();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 12U << 20U }, answer.mBody.size());
+    CPPUNIT_ASSERT(answer.mComplete);
+  }
+
   // Guards against a host that ends, with all its requests, because answers
   // that their callers do not read take its memory.
   void UnreadAnswersLeaveTheHostItsMemory()
