Play requests in pieces and at once beside each change

KeptCallers can write a request in three pieces that end anywhere, the first one within 3 ms of the answer before it. FleetChangeTests plays such callers beside all kinds of changes and targets that are silent for a second, hang, reset the connections of requests, or are full and come back.

--- a/tests/fakes/FleetPlay.cpp
+++ b/tests/fakes/FleetPlay.cpp
@@ -157,8 +157,9 @@
     std::this_thread::sleep_for(kShorterIdleTime);
   }
   std::mt19937 random(aSeed);
-  KeptCallers callers(cluster,
-                      { aCase.mCallers, aName, aSeed, aCase.mOwnBodies });
+  KeptCallers callers(
+    cluster,
+    { aCase.mCallers, aName, aSeed, aCase.mOwnBodies, aCase.mInPieces });
   callers.SetIdleTimeout(
     milliseconds(aCase.mConfiguration.mLimits.mIdleTimeoutMs));
   FleetSituation situation{ cluster, callers, random, aCase.mConfiguration };
--- a/tests/fakes/FleetPlay.h
+++ b/tests/fakes/FleetPlay.h
@@ -77,6 +77,8 @@
   std::vector<KeptCallers::Kind> mCallers;
   // Whether each request has a body of its own.
   bool mOwnBodies = false;
+  // See KeptCallers::Options.
+  bool mInPieces = false;
   TestConfiguration mConfiguration;
 };
 
--- a/tests/fakes/KeptCallers.cpp
+++ b/tests/fakes/KeptCallers.cpp
@@ -67,6 +67,10 @@
          ::poll(&poll, 1, static_cast<int>(left.count()) + 1) > 0;
 }
 
+// Pieces of a request, and the longest pause between two of them.
+constexpr int kPieces = 3;
+constexpr unsigned kMaxPiecePauseMs = 12;
+
 // Time for which a response allows its connection to be reused.
 milliseconds
 ReuseTime(const HttpHead& aHead, milliseconds aIdleTimeout)
@@ -158,12 +162,11 @@
       std::string(mCallers.mBodyBytes, 'b');
     const bool sent =
       Connect() &&
-      WriteAll(mSocket,
-               GatewayTestCluster::Request(mKind.mPath,
-                                           request.mId,
-                                           "",
-                                           body,
-                                           static_cast<int>(deadline.count())));
+      Write(GatewayTestCluster::Request(mKind.mPath,
+                                        request.mId,
+                                        "",
+                                        body,
+                                        static_cast<int>(deadline.count())));
     request.mHost = mHost;
     request.mEarlierRequests = mRequestCount++;
     request.mSentAt = EventLoop::Now();
@@ -180,6 +183,26 @@
     }
   }
 
+  // Writes a request, if so chosen in pieces that end anywhere. Returns false
+  // when the connection does not take it whole.
+  bool Write(const std::string& aRequest)
+  {
+    std::size_t begin = 0;
+    for (int left = mCallers.mOptions.mInPieces ? kPieces : 1; left > 0;
+         --left) {
+      const std::size_t size = aRequest.size() - begin;
+      const std::size_t piece = left == 1 ? size : mRandom() % (size + 1);
+      if (!WriteAll(mSocket, aRequest.substr(begin, piece))) {
+        return false;
+      }
+      begin += piece;
+      if (left > 1) {
+        std::this_thread::sleep_for(milliseconds(mRandom() % kMaxPiecePauseMs));
+      }
+    }
+    return true;
+  }
+
   void ReadAnswer(CallerRequest& aRequest, Time aDeadline)
   {
     HttpReader reader(HttpMessageType::Responses, { 65536, 1U << 24U });
--- a/tests/fakes/KeptCallers.h
+++ b/tests/fakes/KeptCallers.h
@@ -80,6 +80,8 @@
     // Whether each request has a body of its own, so that none is suspected of
     // crashes for others.
     bool mOwnBodies = false;
+    // Whether requests are written in three pieces with short pauses.
+    bool mInPieces = false;
   };
 
   KeptCallers(const GatewayTestCluster& aCluster, Options aOptions);
--- a/tests/usage/FleetChangeTests.cpp
+++ b/tests/usage/FleetChangeTests.cpp
@@ -15,6 +15,13 @@
 // Time for which targets are in one state of a trouble.
 constexpr auto kTroubleTime = milliseconds(350);
 
+// Longest pause of callers that send their next request at once.
+constexpr auto kShortPause = milliseconds(3);
+
+// Connections of targets that are full.
+constexpr int kFullConnections = 2;
+constexpr int kUnlimitedConnections = 1000000;
+
 // Time in which a stopped trouble comes to its end.
 constexpr auto kEndTime = milliseconds(300);
 
@@ -137,6 +144,19 @@
   return fleet;
 }
 
+// A case whose callers send each request in pieces, the first one almost as the
+// answer before it ends.
+FleetCase
+MakePiecesCase(FleetCase aCase)
+{
+  aCase.mName += "_pieces";
+  aCase.mInPieces = true;
+  for (KeptCallers::Kind& it : aCase.mCallers) {
+    it.mMaxPause = kShortPause;
+  }
+  return aCase;
+}
+
 void
 PlayBesideChanges(const FleetCase& aCase, const TroubleStep& aStep)
 {
@@ -165,6 +185,10 @@
   CPPUNIT_TEST(ChangesBesideEndlessTails);
   CPPUNIT_TEST(ChangesBesideDroppedIdleConnections);
   CPPUNIT_TEST(IdleConnectionsBesideShorterIdleTimeouts);
+  CPPUNIT_TEST(PiecesBesideSilentTargets);
+  CPPUNIT_TEST(PiecesBesideHangingTargets);
+  CPPUNIT_TEST(PiecesBesideResettingTargets);
+  CPPUNIT_TEST(PiecesBesideFullTargets);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -332,6 +356,45 @@
         "requests that met the close of their connection", 0, aCounts.mCrossed);
     });
   }
+
+  // Guards against a request that arrives in pieces, right after the answer
+  // before it, being forgotten while all targets of a service are silent for
+  // about a second.
+  void PiecesBesideSilentTargets()
+  {
+    PlayBesideChanges(MakePiecesCase(MakeCase("silent")),
+                      [](FleetSituation& aSituation, int) {
+                        Silence(aSituation, SilentRunners::Service);
+                        std::this_thread::sleep_for(kTroubleTime);
+                      });
+  }
+
+  // The same beside targets that take requests and never answer them.
+  void PiecesBesideHangingTargets()
+  {
+    PlayBesideChanges(MakePiecesCase(MakeCase("hanging")),
+                      Misbehave(RunnerMode::NeverAnswer));
+  }
+
+  // The same beside targets that reset the connections of requests.
+  void PiecesBesideResettingTargets()
+  {
+    PlayBesideChanges(MakePiecesCase(MakeResumableCase("resetting")),
+                      Misbehave(RunnerMode::ResetImmediately));
+  }
+
+  // The same beside targets that reset all further connections when they have a
+  // few, and take as many as usual a little later.
+  void PiecesBesideFullTargets()
+  {
+    PlayBesideChanges(
+      MakePiecesCase(MakeCase("full")), [](FleetSituation& aSituation, int) {
+        aSituation.mCluster.SetRunnerMaxConnections(kFullConnections);
+        std::this_thread::sleep_for(kTroubleTime);
+        aSituation.mCluster.SetRunnerMaxConnections(kUnlimitedConnections);
+        std::this_thread::sleep_for(kTroubleTime);
+      });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetChangeTests);
