Free the memory of large outputs once they are written

A connection that had to wait for its peer kept the memory of its largest output for as long as it was open, and a connection to a target that of the largest request. Both were counted nowhere. Callers that keep their connections, as all of the platform's do, and got one large answer each, so ended a host of 88 MB (std::bad_alloc), and with it all its requests without an answer.

Test: CallerPauseTests::KeptConnectionsHoldNothingOfTheirAnswers, 24 callers that read answers of 9 MB one after another and keep their connections.

--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -90,7 +90,7 @@
   }
   mRequestSent = true;
   mSocket->Write(mRequestBytes);
-  mRequestBytes.clear();
+  std::string().swap(mRequestBytes);
 }
 
 void
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -294,7 +294,8 @@
     mOutputOffset += n;
   }
   if (UnwrittenBytes() == 0) {
-    mOutput.clear();
+    // The connection may be kept for long, and its next output be small.
+    std::string().swap(mOutput);
     mOutputOffset = 0;
     if (mCloseAfterWrites) {
       Close();
