Count requests as memory for answers

Bodies were held for as long as their requests, up to three times while they are sent to a target that does not read, and counted nowhere. Some 20 requests of nearly 5 MB at targets that hang ended a host of 88 MB (std::bad_alloc), and with it all its requests without an answer.

Test: CallerPauseTests::WaitingRequestsLeaveTheHostItsMemory, 24 requests with bodies of 4.8 MB to targets that never answer. On it printed "cannot connect to the gateway"; now each gets a complete answer.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -102,6 +102,7 @@
   : mServer(aServer)
   , mSocket(MakeRef<Socket>(aServer.mContext.mLoop))
   , mUnsent(aServer.mContext.mAnswerBuffers)
+  , mHeldRequest(aServer.mContext.mAnswerBuffers)
   , mReader(HttpMessageType::Requests, {})
   , mTimer(aServer.mContext.mLoop, [this] { OnTimer(); })
 {
@@ -228,12 +229,16 @@
       mArrivedAt = EventLoop::Now();
       ApplyLimits();
     }
-    mUnparsedInput.erase(0, mReader.Feed(mUnparsedInput));
+    const std::size_t fed = mReader.Feed(mUnparsedInput);
+    mUnparsedInput.erase(0, fed);
+    mRequestBytes += fed;
     if (mReader.Progress() == HttpProgress::Broken) {
       RejectMalformed();
     } else if (mTurnAwayUntil != Time::max() &&
                mReader.Progress() != HttpProgress::Head) {
-      RejectTurnedAway();
+      RejectUnread("too many connections are open");
+    } else if (mReader.Progress() != HttpProgress::Head && !HoldRequest()) {
+      RejectUnread("the memory for requests is used up");
     } else if (mReader.Progress() == HttpProgress::Complete) {
       mTimer.Clear();
       BeginRequest();
@@ -377,14 +382,24 @@
                FormatFailureBody(failure));
 }
 
+// Takes the memory for a request whose head is complete. Returns whether there
+// is enough.
+bool
+CallerConnection::HoldRequest()
+{
+  const auto length =
+    static_cast<std::size_t>(mReader.Head().mLength.value_or(0));
+  return mHeldRequest.Resize(std::max(length, mRequestBytes));
+}
+
 // Rejects a request without waiting for its body, which would take memory.
 void
-CallerConnection::RejectTurnedAway()
+CallerConnection::RejectUnread(const char* aMessage)
 {
   mHandlingRequest = true;
   mKeepAlive = false;
   mRequest = platform::DecodeCallerRequest(mReader.Head());
-  Reject(503, FailureCode::Overloaded, "too many connections are open");
+  Reject(503, FailureCode::Overloaded, aMessage);
 }
 
 void
@@ -512,6 +527,8 @@
     --mServer.mExchangeCount;
   }
   mHandlingRequest = false;
+  mHeldRequest.Resize(0);
+  mRequestBytes = 0;
   mContinueSent = false;
   if (!mKeepAlive) {
     EndConnection(ConnectionEnd::Answered);
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -71,7 +71,8 @@
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
-  void RejectTurnedAway();
+  bool HoldRequest();
+  void RejectUnread(const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
   void EndRequest();
@@ -87,6 +88,10 @@
   RefPtr<Socket> mSocket;
   // What the caller has not read yet of its answer.
   AnswerBuffer mUnsent;
+  // The request that is being received or handled.
+  AnswerBuffer mHeldRequest;
+  // Received bytes of the request.
+  std::size_t mRequestBytes = 0;
   HttpReader mReader;
   HttpReader::Limits mReaderLimits;
   // Received bytes that the HTTP reader has not consumed yet.
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(AnswersAreWholeAfterTheirCallerReadsOn);
   CPPUNIT_TEST(UnreadAnswersLeaveTheHostItsMemory);
   CPPUNIT_TEST(KeptConnectionsHoldNothingOfTheirAnswers);
+  CPPUNIT_TEST(WaitingRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,33 @@
       CPPUNIT_ASSERT_EQUAL(200, it->Read().mHead.mStatus);
     }
   }
+
+  // Guards against a host that ends because the bodies of requests that wait
+  // for their targets take its memory.
+  void WaitingRequestsLeaveTheHostItsMemory()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    GatewayTestCluster cluster(options);
+    TestLimits limits;
+    limits.mBodyBytes = 5000000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    cluster.SetAllModes(RunnerMode::NeverAnswer);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < 24; ++n) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+      channels.back()->Send(GatewayTestCluster::Request(
+        "/unsafe/", std::to_string(n), "", std::string(4800000, 'b'), 3000));
+    }
+    int passedOn = 0;
+    for (const auto& it : channels) {
+      const CallerAnswer answer = it->Read();
+      CPPUNIT_ASSERT(answer.mComplete);
+      passedOn += answer.mHead.mStatus == 504 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(passedOn > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerPauseTests);
