Tests of streams and calls that leave a silent target for one that turns them away

A stream whose target is silent closes its connection before another target has accepted it. If that one resets, rejects, refuses or is silent, too, the stream is lost although its first target goes on; a plain call fails.

The simulation of engines gets limits of runs, streams that end with their connection, and full engines that reset; it measures how long a request is open at two engines.

--- a/tests/fakes/EngineSimulation.cpp
+++ b/tests/fakes/EngineSimulation.cpp
@@ -11,7 +11,9 @@
 constexpr int kDeadlineMs = 20000;
 
 GenerationSpec
-MakeSpec(bool aIdempotent, RecoveryPreset aPreset)
+MakeSpec(bool aIdempotent,
+         RecoveryPreset aPreset,
+         const SimulatedLimits& aLimits)
 {
   GenerationSpec spec;
   spec.mRequestId = "r-1";
@@ -19,7 +21,9 @@
   spec.mDeadline = Time(std::chrono::milliseconds(kDeadlineMs));
   spec.mModel = "m";
   spec.mVersion = "1";
+  spec.mMaxRuns = aLimits.mMaxRuns;
   spec.mPolicy = RecoveryPolicy::Of(aPreset);
+  spec.mPolicy.mCanReattach = aLimits.mCanReattach;
   return spec;
 }
 
@@ -29,13 +33,15 @@
                                    RecoveryPreset aPreset,
                                    int aTokens,
                                    unsigned aSeed,
-                                   std::vector<SimulatedFault> aFaults)
+                                   std::vector<SimulatedFault> aFaults,
+                                   SimulatedLimits aLimits)
   : mTokens(aTokens)
   , mRandom(aSeed)
   , mFaults(std::move(aFaults))
   , mEngines(kEngines)
   , mIdempotent(aIdempotent)
-  , mGeneration(MakeSpec(aIdempotent, aPreset), *this)
+  , mLimits(aLimits)
+  , mGeneration(MakeSpec(aIdempotent, aPreset, aLimits), *this)
 {
 }
 
@@ -158,6 +164,7 @@
 void
 EngineSimulation::Execute(const DispatchAttempt& aAction)
 {
+  OnConnectionOpened(aAction.mAttempt);
   ScheduleAfter(RandomDelayMs(), [this, aAction] {
     Engine& engine =
       mEngines[static_cast<std::size_t>(EngineIndex(aAction.mTarget))];
@@ -166,9 +173,13 @@
       return;
     }
     if (mNowMs < engine.mFullUntilMs) {
-      EndAttempt(aAction.mAttempt, AttemptEnd::NotStarted);
+      mRuns += mLimits.mFullEnginesReset ? 1 : 0;
+      EndAttempt(aAction.mAttempt,
+                 mLimits.mFullEnginesReset ? AttemptEnd::Broken
+                                           : AttemptEnd::NotStarted);
       return;
     }
+    ++mRuns;
     std::string generation = aAction.mGeneration;
     if (generation.empty()) {
       generation = "g" + std::to_string(++mNextGeneration);
@@ -262,8 +273,18 @@
 void
 EngineSimulation::Execute(const CancelAttempt& aAction)
 {
+  OnConnectionClosed(aAction.mAttempt);
   Engine& engine =
     mEngines[static_cast<std::size_t>(EngineIndex(aAction.mTarget))];
+  if (!mLimits.mCanReattach) {
+    const auto read = std::find_if(
+      engine.mStreams.begin(), engine.mStreams.end(), [&](const auto& aEntry) {
+        return aEntry.second.mReaderAttempt == aAction.mAttempt;
+      });
+    if (read != engine.mStreams.end()) {
+      engine.mStreams.erase(read);
+    }
+  }
   const auto it = engine.mStreams.find(aAction.mGeneration);
   if (it != engine.mStreams.end()) {
     it->second.mReaderAttempt = 0;
@@ -362,10 +383,29 @@
 EngineSimulation::EndAttempt(int aAttempt, AttemptEnd aEnd)
 {
   ScheduleAfter(RandomDelayMs(), [this, aAttempt, aEnd] {
+    OnConnectionClosed(aAttempt);
     Apply(mGeneration.OnAttemptEnded(aAttempt, aEnd, Now()));
   });
 }
 
+void
+EngineSimulation::OnConnectionOpened(int aAttempt)
+{
+  mOpenAttempts.insert(aAttempt);
+  if (mOpenAttempts.size() == 2) {
+    mOverlapSinceMs = mNowMs;
+  }
+}
+
+void
+EngineSimulation::OnConnectionClosed(int aAttempt)
+{
+  if (mOpenAttempts.size() > 1) {
+    mLongestOverlapMs = std::max(mLongestOverlapMs, mNowMs - mOverlapSinceMs);
+  }
+  mOpenAttempts.erase(aAttempt);
+}
+
 void
 EngineSimulation::Deliver(StreamEvent aEvent)
 {
--- a/tests/fakes/EngineSimulation.h
+++ b/tests/fakes/EngineSimulation.h
@@ -32,6 +32,18 @@
   int mForMs = 0;
 };
 
+// What the engines and the request allow.
+struct SimulatedLimits
+{
+  // Whether a new connection can read a running stream; otherwise a stream ends
+  // with its connection.
+  bool mCanReattach = true;
+  // Engines that the request may run on; 0 means unlimited.
+  int mMaxRuns = 0;
+  // Whether full engines reset connections instead of rejecting the request.
+  bool mFullEnginesReset = false;
+};
+
 // Discrete-event simulation of a few engines that serve one request of a
 // router. Single-threaded; the seed determines all delays and choices of
 // engines.
@@ -44,7 +56,8 @@
                    quetzalquay::RecoveryPreset aPreset,
                    int aTokens,
                    unsigned aSeed,
-                   std::vector<SimulatedFault> aFaults);
+                   std::vector<SimulatedFault> aFaults,
+                   SimulatedLimits aLimits = {});
 
   // Runs the request to its end. With aTakeover, the request resumes the stream
   // of another router at that point; Preload() has to start that stream before,
@@ -93,6 +106,10 @@
   // Time at which the process is about to exit; 0 for never.
   int mExitAtMs = 0;
   quetzalquay::GenerationCounters mCounters;
+  // Dispatches that may have run on an engine.
+  int mRuns = 0;
+  // Longest time for which the request was open at two engines.
+  int mLongestOverlapMs = 0;
 
 private:
   struct Stream
@@ -140,6 +157,8 @@
   void Execute(const quetzalquay::FailResponse& aAction);
   void InjectFault(const SimulatedFault& aFault);
   void EndAttempt(int aAttempt, quetzalquay::AttemptEnd aEnd);
+  void OnConnectionOpened(int aAttempt);
+  void OnConnectionClosed(int aAttempt);
   void Deliver(quetzalquay::StreamEvent aEvent);
   quetzalquay::StreamEvent MakeEvent(const std::string& aGeneration,
                                      int aAttempt,
@@ -161,7 +180,11 @@
   int mSequence = 0;
   int mNextGeneration = 0;
   int mFencedAttempt = 0;
+  // Attempts with an open connection, and since when there are two.
+  std::set<int> mOpenAttempts;
+  int mOverlapSinceMs = 0;
   bool mIdempotent;
+  SimulatedLimits mLimits;
   quetzalquay::Generation mGeneration;
 };
 
--- a/tests/fakes/FleetTroubles.cpp
+++ b/tests/fakes/FleetTroubles.cpp
@@ -164,6 +164,22 @@
   }
 }
 
+void
+SilenceBesideChanges(FleetSituation& aSituation,
+                     SilentRunners aRunners,
+                     int aChanges)
+{
+  std::mt19937 random(aSituation.mRandom());
+  FleetSituation changing{
+    aSituation.mCluster, aSituation.mCallers, random, aSituation.mConfiguration
+  };
+  std::thread changes(
+    [&] { ChangeConfiguration(changing, ConfigurationChange::All, aChanges); });
+  Silence(aSituation, aRunners);
+  changes.join();
+  aSituation.mConfiguration = changing.mConfiguration;
+}
+
 void
 ReloadSettings(FleetSituation& aSituation, int aCount)
 {
--- a/tests/fakes/FleetTroubles.h
+++ b/tests/fakes/FleetTroubles.h
@@ -41,6 +41,12 @@
                     ConfigurationChange aChange,
                     int aCount);
 
+// Does both at the same time, with changes of all kinds.
+void
+SilenceBesideChanges(FleetSituation& aSituation,
+                     SilentRunners aRunners,
+                     int aChanges);
+
 // Lets all hosts read their settings again, aCount times in quick succession;
 // every other time after a change of the settings.
 void
--- a/tests/introspective/GenerationTests.cpp
+++ b/tests/introspective/GenerationTests.cpp
@@ -36,6 +36,12 @@
 
 constexpr int kDeadlineMs = 20000;
 
+// Time after which a stream has begun.
+constexpr int kBegunMs = 100;
+
+// Longest time for which a request may be open at two targets.
+constexpr int kMaxOverlapMs = 300;
+
 RecoveryPreset
 RandomPreset()
 {
@@ -94,6 +100,7 @@
 {
   CPPUNIT_TEST_SUITE(GenerationTests);
   CPPUNIT_TEST(IdempotentResponseIsCompleteUnderFaults);
+  CPPUNIT_TEST(SilentAndFullTargetsDoNotEndAStream);
   CPPUNIT_TEST(NonIdempotentRequestStartsAtMostOnce);
   CPPUNIT_TEST(ExitEndsRequestsWithATrueVerdict);
   CPPUNIT_TEST(TakeoverContinuesWithoutGaps);
@@ -122,6 +129,33 @@
       });
   }
 
+  // Streams were broken off because they left silent, sound targets for others
+  // that turned them away.
+  void SilentAndFullTargetsDoNotEndAStream()
+  {
+    CheckProperty(
+      "a stream that has begun ends neither by silent nor by full targets",
+      [](unsigned aSeed, std::vector<SimulatedFault> aFaults) {
+        const int tokens = *rc::gen::inRange(100, 250);
+        SimulatedLimits limits;
+        limits.mCanReattach = false;
+        limits.mMaxRuns = *rc::gen::inRange(1, 6);
+        limits.mFullEnginesReset = *rc::gen::arbitrary<bool>();
+        for (SimulatedFault& it : aFaults) {
+          it.mKind =
+            it.mForMs % 2 == 0 ? SimulatedFault::Pause : SimulatedFault::Full;
+          it.mAtMs += kBegunMs;
+        }
+        EngineSimulation simulation(
+          true, RecoveryPreset::LowLatency, tokens, aSeed, aFaults, limits);
+        simulation.Run();
+        RequireValidResponse(simulation, tokens, 0);
+        RC_ASSERT(simulation.mFinished);
+        RC_ASSERT(simulation.mRuns <= limits.mMaxRuns);
+        RC_ASSERT(simulation.mLongestOverlapMs <= kMaxOverlapMs);
+      });
+  }
+
   void NonIdempotentRequestStartsAtMostOnce()
   {
     CheckProperty(
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace quetzalquay;
@@ -60,28 +61,32 @@
     Deliver(0);
   }
 
-  // Passes time, with each probe answered by aResult.
-  void Wait(Duration aTime, ProbeResult aResult)
+  // Passes time, with each probe answered by aResult, or by aOther if it is not
+  // that of the current attempt.
+  void Wait(Duration aTime,
+            ProbeResult aResult,
+            ProbeResult aOther = ProbeResult::Alive)
   {
     const Time end = mNow + aTime;
     while (!mGeneration.IsDone() && mGeneration.NextTimer() <= end) {
       mNow = mGeneration.NextTimer();
       Perform(mGeneration.OnTimer(mNow));
-      if (mProbed) {
-        mProbed = false;
-        Perform(mGeneration.OnProbeResult(
-          mGeneration.CurrentAttempt(), aResult, mNow));
+      if (const int probed = std::exchange(mProbed, 0)) {
+        const bool current = probed == mGeneration.CurrentAttempt();
+        Perform(
+          mGeneration.OnProbeResult(probed, current ? aResult : aOther, mNow));
       }
     }
     mNow = end;
   }
 
-  // Delivers an event of the current attempt.
-  void Deliver(int aIndex)
+  // Delivers an event of the current attempt, or of any one.
+  void Deliver(int aIndex) { Deliver(mGeneration.CurrentAttempt(), aIndex); }
+  void Deliver(int aAttempt, int aIndex)
   {
     StreamEvent event;
     event.mRequestId = "r";
-    event.mAttempt = mGeneration.CurrentAttempt();
+    event.mAttempt = aAttempt;
     event.mGeneration = "g";
     event.mIndex = aIndex;
     event.mText = "text";
@@ -89,10 +94,23 @@
   }
 
   // Breaks the connection of the current attempt.
-  void Break()
+  void Break() { End(mGeneration.CurrentAttempt(), AttemptEnd::Broken); }
+
+  // Ends an attempt.
+  void End(int aAttempt, AttemptEnd aEnd)
+  {
+    Perform(mGeneration.OnAttemptEnded(aAttempt, aEnd, mNow));
+  }
+
+  // Passes time until the stream has been sent to as many targets; its own one
+  // is silent.
+  void AwaitDispatches(std::size_t aCount)
   {
-    Perform(mGeneration.OnAttemptEnded(
-      mGeneration.CurrentAttempt(), AttemptEnd::Broken, mNow));
+    const Time end = mNow + 2 * kSilence;
+    while (mDispatches.size() < aCount && mNow < end) {
+      Wait(milliseconds(1), ProbeResult::NoAnswer);
+    }
+    CPPUNIT_ASSERT_EQUAL(aCount, mDispatches.size());
   }
 
   SingleOffer mChooser;
@@ -123,7 +141,9 @@
       if (const auto* sent = std::get_if<DispatchAttempt>(&it)) {
         mDispatches.push_back(sent->mTarget);
       }
-      mProbed = mProbed || std::holds_alternative<ProbeTarget>(it);
+      if (const auto* probe = std::get_if<ProbeTarget>(&it)) {
+        mProbed = probe->mAttempt;
+      }
       mCancelled += std::holds_alternative<CancelAttempt>(it) ? 1 : 0;
       mDelivered += std::holds_alternative<DeliverText>(it) ? 1 : 0;
       mReattached += std::holds_alternative<ReattachStream>(it) ? 1 : 0;
@@ -132,7 +152,8 @@
   }
 
   Time mNow = kStart;
-  bool mProbed = false;
+  // Attempt whose target has been probed; 0 if none has.
+  int mProbed = 0;
 };
 
 } // namespace
@@ -149,6 +170,9 @@
   CPPUNIT_TEST(StreamStaysAtASlowTargetAfterTheRecoveryTimeout);
   CPPUNIT_TEST(StreamThatCannotMoveStaysAfterTheRecoveryTimeout);
   CPPUNIT_TEST(StreamThatCannotMoveStaysWhenAProbeIsRefused);
+  CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetWhenOthersTurnItAway);
+  CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetWhenNothingElseAnswers);
+  CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetAfterTheRecoveryTimeout);
   CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
   CPPUNIT_TEST(NonIdempotentCallNeverLeavesItsSilentTarget);
@@ -285,6 +309,59 @@
     CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
   }
 
+  // Streams were broken off because they left a silent, sound target for others
+  // that reset, refused or rejected them.
+  void StreamGoesOnAtItsSilentTargetWhenOthersTurnItAway()
+  {
+    for (const AttemptEnd end : { AttemptEnd::Broken,
+                                  AttemptEnd::Refused,
+                                  AttemptEnd::Unreachable,
+                                  AttemptEnd::NotStarted,
+                                  AttemptEnd::VersionNotLoaded }) {
+      StartedStream stream(3);
+      for (const char* it : { "second", "third" }) {
+        stream.mChooser.mTarget = it;
+        stream.AwaitDispatches(stream.mDispatches.size() + 1);
+        stream.End(static_cast<int>(stream.mDispatches.size()), end);
+      }
+      stream.Deliver(1, 1);
+      stream.Deliver(1, 2);
+      CPPUNIT_ASSERT_EQUAL(3, stream.mDelivered);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mCancelled);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+    }
+  }
+
+  // Streams were broken off because the target they left a silent, sound one
+  // for was silent, too.
+  void StreamGoesOnAtItsSilentTargetWhenNothingElseAnswers()
+  {
+    StartedStream stream;
+    stream.mChooser.mTarget = "second";
+    stream.AwaitDispatches(2);
+    stream.mChooser.mStatus = ChoiceStatus::NoBudget;
+    stream.Wait(
+      milliseconds(700), ProbeResult::NoAnswer, ProbeResult::NoAnswer);
+    stream.Deliver(1, 1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
+  // Streams were broken off at the recovery timeout although their first target
+  // was only silent.
+  void StreamGoesOnAtItsSilentTargetAfterTheRecoveryTimeout()
+  {
+    StartedStream stream;
+    stream.mChooser.mTarget = "second";
+    stream.AwaitDispatches(2);
+    stream.mChooser.mStatus = ChoiceStatus::NoBudget;
+    stream.End(2, AttemptEnd::NotStarted);
+    stream.Wait(std::chrono::seconds(12), ProbeResult::NoAnswer);
+    stream.Deliver(1, 1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
   // Plain calls failed after their objective although their target would have
   // responded, because no other target was available.
   void PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt()
--- a/tests/usage/FleetAnswerTests.cpp
+++ b/tests/usage/FleetAnswerTests.cpp
@@ -53,7 +53,8 @@
         Silence(aSituation, SilentRunners::One);
         Silence(aSituation, SilentRunners::FirstPlace);
         std::this_thread::sleep_for(kSoundTime);
-        SilenceBesideChanges(aSituation, SilentRunners::Service);
+        SilenceBesideChanges(
+          aSituation, SilentRunners::Service, kChangeCount / 2);
         std::this_thread::sleep_for(kSoundTime);
       }
     });
@@ -140,7 +141,8 @@
         Silence(aSituation, SilentRunners::Service);
         std::thread second(
           [&] { aSituation.mCluster.Gateway(1).Restart(SIGTERM); });
-        SilenceBesideChanges(aSituation, SilentRunners::FirstPlace);
+        SilenceBesideChanges(
+          aSituation, SilentRunners::FirstPlace, kChangeCount / 2);
         first.join();
         second.join();
       }
@@ -154,22 +156,6 @@
       FleetCase::kFirstEvent, kSlowEventInterval, FleetCase::kPlainAnswer);
     std::this_thread::sleep_for(kSoundTime);
   }
-
-  static void SilenceBesideChanges(FleetSituation& aSituation,
-                                   SilentRunners aRunners)
-  {
-    std::mt19937 random(aSituation.mRandom());
-    FleetSituation changing{ aSituation.mCluster,
-                             aSituation.mCallers,
-                             random,
-                             aSituation.mConfiguration };
-    std::thread changes([&] {
-      ChangeConfiguration(changing, ConfigurationChange::All, kChangeCount / 2);
-    });
-    Silence(aSituation, aRunners);
-    changes.join();
-    aSituation.mConfiguration = changing.mConfiguration;
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetAnswerTests);
--- a/tests/usage/FleetConnectionTests.cpp
+++ b/tests/usage/FleetConnectionTests.cpp
@@ -14,6 +14,9 @@
 // Connections of a target that is always full.
 constexpr int kFewRunnerConnections = 5;
 
+// Changes of the configuration beside one silence: one of each kind.
+constexpr int kChangesPerSilence = 7;
+
 // Callers that read a large answer in about three seconds.
 const KeptCallers::Kind kSlowReaders = { "/plain/large",
                                          18,
@@ -30,6 +33,7 @@
   CPPUNIT_TEST_SUITE(FleetConnectionTests);
   CPPUNIT_TEST(RequestsAreAnsweredWhileConnectionsAreFull);
   CPPUNIT_TEST(RequestsAreAnsweredWhileFullTargetsAreSilent);
+  CPPUNIT_TEST(RequestsAreAnsweredWhileFullTargetsAreSilentBesideChanges);
   CPPUNIT_TEST(LargeAnswersAreDeliveredWhileHostsStop);
   CPPUNIT_TEST(LargeAnswersAreNotCutByTheIdleTimeout);
   CPPUNIT_TEST(RequestsWithinRaisedLimitsAreNotRejected);
@@ -67,6 +71,25 @@
     });
   }
 
+  // Guards against requests leaving a silent target for others that turn them
+  // away, beside changes of the configuration.
+  void RequestsAreAnsweredWhileFullTargetsAreSilentBesideChanges()
+  {
+    FleetCase fleet("full_silent_changes");
+    for (KeptCallers::Kind& it : fleet.mCallers) {
+      it.mCallers = it.mPath == "/stream-once/" ? 12 : 8;
+    }
+    ExpectAllAnswered(fleet, [](FleetSituation& aSituation) {
+      aSituation.mCluster.SetRunnerMaxConnections(kFewRunnerConnections);
+      std::this_thread::sleep_for(milliseconds(500));
+      SilenceBesideChanges(
+        aSituation, SilentRunners::FirstPlace, kChangesPerSilence);
+      std::this_thread::sleep_for(milliseconds(200));
+      SilenceBesideChanges(
+        aSituation, SilentRunners::Service, kChangesPerSilence);
+    });
+  }
+
   // Guards against a host that exits before it has sent its last answers.
   void LargeAnswersAreDeliveredWhileHostsStop()
   {
--- a/tests/usage/SilentRunnerTests.cpp
+++ b/tests/usage/SilentRunnerTests.cpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+using std::chrono::milliseconds;
+
 namespace {
 
 // Plain requests that one silent runner holds at the same time.
@@ -17,6 +19,8 @@
   CPPUNIT_TEST_SUITE(SilentRunnerTests);
   CPPUNIT_TEST(RequestsThatWaitTogetherAreAllRetried);
   CPPUNIT_TEST(StreamsStayAtAFullTargetThatPauses);
+  CPPUNIT_TEST(StreamsGoOnAtASilentTargetWhenTheOtherTurnsThemAway);
+  CPPUNIT_TEST(PlainCallsGetALateAnswerWhenTheOtherTargetFails);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -53,6 +57,61 @@
     CPPUNIT_ASSERT(answer.mComplete);
     CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
   }
+
+  // Streams were broken off because they left a silent, sound target for one
+  // that turned them away.
+  void StreamsGoOnAtASilentTargetWhenTheOtherTurnsThemAway()
+  {
+    for (const RunnerMode mode : kTurnsAway) {
+      GatewayTestCluster cluster(2);
+      cluster.SetPace(milliseconds(50), milliseconds(20), milliseconds(10));
+      BackgroundCall call(cluster.Gateway(),
+                          GatewayTestCluster::Request("/stream/", "s"));
+      SilenceFirst(cluster, mode, milliseconds(200));
+      const CallerAnswer& answer = call.AwaitAnswer();
+      CPPUNIT_ASSERT(answer.mComplete);
+      CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
+    }
+  }
+
+  // Calls failed because they left a silent, sound target for one that failed
+  // them.
+  void PlainCallsGetALateAnswerWhenTheOtherTargetFails()
+  {
+    for (const RunnerMode mode : kTurnsAway) {
+      GatewayTestCluster cluster(2);
+      cluster.SetPace(milliseconds(50), milliseconds(20), milliseconds(200));
+      BackgroundCall call(cluster.Gateway(),
+                          GatewayTestCluster::Request("/quick/", "q"));
+      SilenceFirst(cluster, mode, milliseconds(0));
+      const CallerAnswer& answer = call.AwaitAnswer();
+      CPPUNIT_ASSERT(answer.mComplete);
+      CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+    }
+  }
+
+private:
+  // Ways in which a target turns a request away, or does not answer it.
+  static constexpr RunnerMode kTurnsAway[] = { RunnerMode::Reject,
+                                               RunnerMode::ResetImmediately,
+                                               RunnerMode::Frozen,
+                                               RunnerMode::Fail };
+
+  // Waits for the first run, and lets its runner be silent for a second after a
+  // while; the other runner gets a mode.
+  static void SilenceFirst(GatewayTestCluster& aCluster,
+                           RunnerMode aOther,
+                           milliseconds aAfter)
+  {
+    std::vector<RunnerRequest> runs;
+    while ((runs = aCluster.Runs()).empty()) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    const std::string& first = runs.front().mRunner;
+    aCluster.SetMode(first == "i-0" ? "i-1" : "i-0", aOther);
+    std::this_thread::sleep_for(aAfter);
+    aCluster.Stall(first, milliseconds(1000));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentRunnerTests);
