--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -70,6 +70,7 @@
   mDeliverFrom = aPoint.mDelivered;
   mTarget = aPoint.mTarget;
   mAttempt = aPoint.mAttempt;
+  mLastAttempt = mAttempt;
   mTokens = aPoint.mTokens;
   mMayHaveStarted = true;
   mRecoveryDeadline = aNow + mSpec.mPolicy.mRecoveryTimeout;
@@ -81,12 +82,15 @@
 Generation::OnEvent(const StreamEvent& aEvent, Time aNow)
 {
   Actions actions;
+  if (mTentative && aEvent.mAttempt == mTentative->mAttempt) {
+    AcceptTentative(aNow, actions);
+  }
   const bool listening = mPhase == Phase::Streaming || mPhase == Phase::Probing;
   if (!listening || aEvent.mAttempt != mAttempt) {
     ++mCounters.mLateEvents;
     return actions;
   }
-  StopLeavingSilentTarget();
+  StopLeavingSilentTarget(actions);
   if (!MatchesRequest(aEvent)) {
     HandleMismatchedEvent(aNow, actions);
     return actions;
@@ -113,11 +117,25 @@
 Generation::OnAttemptEnded(int aAttempt, AttemptEnd aEnd, Time aNow)
 {
   Actions actions;
+  if (mTentative && aAttempt == mTentative->mAttempt) {
+    EndTentative(aEnd, aNow);
+    return actions;
+  }
   const bool listening = mPhase == Phase::Streaming || mPhase == Phase::Probing;
   if (!listening || aAttempt != mAttempt) {
     return actions;
   }
-  StopLeavingSilentTarget();
+  if (mTentative && aEnd != AttemptEnd::InvalidRequest) {
+    if (aEnd != AttemptEnd::Broken && aEnd != AttemptEnd::UnknownStream) {
+      --mRuns;
+    }
+    ++mCounters.mLosses;
+    Exclude(mTarget);
+    StartRecovery(aNow);
+    AdoptTentative(aNow, actions);
+    return actions;
+  }
+  StopLeavingSilentTarget(actions);
   switch (aEnd) {
     case AttemptEnd::Refused:
     case AttemptEnd::Unreachable:
@@ -142,10 +160,29 @@
   return actions;
 }
 
+Actions
+Generation::OnAttemptAccepted(int aAttempt, Time aNow)
+{
+  Actions actions;
+  if (mTentative && aAttempt == mTentative->mAttempt) {
+    AcceptTentative(aNow, actions);
+  }
+  return actions;
+}
+
 Actions
 Generation::OnProbeResult(int aAttempt, ProbeResult aResult, Time aNow)
 {
   Actions actions;
+  if (mTentative && aAttempt == mTentative->mAttempt) {
+    if (aResult == ProbeResult::Alive) {
+      // It has not turned the attempt away, so it has queued or begun it.
+      AcceptTentative(aNow, actions);
+    } else {
+      GiveUpTentative(aNow, actions);
+    }
+    return actions;
+  }
   if (mPhase != Phase::Probing || aAttempt != mAttempt) {
     return actions;
   }
@@ -166,7 +203,7 @@
       HandleSilentTarget(aNow, actions);
       break;
     case ProbeResult::RunLost:
-      HandleTargetLoss(false, aNow, actions);
+      HandleRunLost(aNow, actions);
       break;
   }
   return actions;
@@ -236,6 +273,10 @@
          actions);
     return actions;
   }
+  if (mTentative) {
+    CheckTentative(aNow, actions);
+    return actions;
+  }
   if (aNow < mTimerAt) {
     return actions;
   }
@@ -266,6 +307,7 @@
   if (mPhase == Phase::Done) {
     return actions;
   }
+  CancelTentative(actions);
   CancelCurrentAttempt(false, actions);
   mChooser.CancelWait(mSpec.mQuery);
   mPhase = Phase::Done;
@@ -310,7 +352,10 @@
 Time
 Generation::NextTimer() const
 {
-  return std::min({ mTimerAt, RecoveryDeadline(), mSpec.mDeadline });
+  const Time next = mTentative
+                      ? std::min(mTentative->mProbeAt, mTentative->mDeadline)
+                      : mTimerAt;
+  return std::min({ next, RecoveryDeadline(), mSpec.mDeadline });
 }
 
 // Until when the stream must have been resumed. There is no limit while a
@@ -418,8 +463,32 @@
 void
 Generation::Dispatch(const Choice& aChoice, Time aNow, Actions& aActions)
 {
-  ++mAttempt;
+  DispatchAttempt action = MakeDispatch(aChoice);
+  BeginAttempt(action.mAttempt, aChoice, aNow);
+  aActions.push_back(std::move(action));
+}
+
+// Counts a further attempt and returns its dispatch.
+DispatchAttempt
+Generation::MakeDispatch(const Choice& aChoice)
+{
   ++mRuns;
+  DispatchAttempt action;
+  action.mAttempt = ++mLastAttempt;
+  action.mTarget = aChoice.mTarget;
+  action.mSoftwareVersion = aChoice.mSoftwareVersion;
+  action.mVersion = mTokens.empty() ? aChoice.mServingVersion : mSpec.mVersion;
+  action.mAdapterVersion = mSpec.mAdapterVersion;
+  action.mGeneration = mTokens.empty() ? std::string() : mGeneration;
+  action.mTokens = mTokens;
+  return action;
+}
+
+// Makes a dispatched attempt the current one.
+void
+Generation::BeginAttempt(int aAttempt, const Choice& aChoice, Time aNow)
+{
+  mAttempt = aAttempt;
   mTarget = aChoice.mTarget;
   mAttemptSoftwareVersion = aChoice.mSoftwareVersion;
   // Other processes may know the request by this version.
@@ -434,19 +503,8 @@
     ++mCounters.mContinuations;
   } else {
     mSpec.mVersion = aChoice.mServingVersion;
-  }
-  DispatchAttempt action;
-  action.mAttempt = mAttempt;
-  action.mTarget = mTarget;
-  action.mSoftwareVersion = mAttemptSoftwareVersion;
-  action.mVersion = mSpec.mVersion;
-  action.mAdapterVersion = mSpec.mAdapterVersion;
-  action.mGeneration = mTokens.empty() ? std::string() : mGeneration;
-  action.mTokens = mTokens;
-  if (mTokens.empty()) {
     mGeneration.clear();
   }
-  aActions.push_back(std::move(action));
   mLastProgressAt = aNow;
   mSilenceTimeout = std::max(mSpec.mPolicy.mFirstTokenProbeAfter,
                              mSpec.mPolicy.SilenceTimeout(mTypicalTokenGap));
@@ -491,7 +549,7 @@
 Generation::Reattach(Time aNow, Actions& aActions)
 {
   ++mCounters.mReattaches;
-  ++mAttempt;
+  mAttempt = ++mLastAttempt;
   mPhase = Phase::Streaming;
   mAttemptOpen = true;
   mAttemptHasProduced = true;
@@ -549,7 +607,7 @@
 }
 
 // Moves the stream away from a target that is silent but may still be running
-// it. Until another target can take the stream, its connection stays open,
+// it. Until another target has taken the stream, its connection stays open,
 // because the target may go on.
 void
 Generation::HandleSilentTarget(Time aNow, Actions& aActions)
@@ -561,44 +619,171 @@
   }
   mTargetIsSilent = true;
   mMayHaveStarted = true;
-  if (!TryLeaveSilentTarget(aNow, aActions)) {
-    mPhase = Phase::Streaming;
-    mTimerAt = aNow + kSilentTargetRetryDelay;
+  if (LeaveSilentTarget(aNow, aActions) != ChoiceStatus::Chosen) {
+    AwaitSilentTarget(aNow);
+  }
+}
+
+// Moves the stream away from a target that responds but does not seem to run
+// it. It may have been preempted there, so the connection is given up only for
+// another target, or when there is no other one.
+void
+Generation::HandleRunLost(Time aNow, Actions& aActions)
+{
+  const bool movable = mSpec.mIdempotent && mAttemptOpen &&
+                       !mSpec.mPolicy.mCanReattach &&
+                       !mSpec.mPolicy.mRestartInFull;
+  if (!movable) {
+    HandleTargetLoss(false, aNow, aActions);
+    return;
+  }
+  mTargetIsSilent = true;
+  mMayHaveStarted = true;
+  const ChoiceStatus status = LeaveSilentTarget(aNow, aActions);
+  if (status == ChoiceStatus::NoneReady) {
+    StopLeavingSilentTarget(aActions);
+    HandleTargetLoss(false, aNow, aActions);
+  } else if (status != ChoiceStatus::Chosen) {
+    AwaitSilentTarget(aNow);
   }
 }
 
+void
+Generation::AwaitSilentTarget(Time aNow)
+{
+  mPhase = Phase::Streaming;
+  mTimerAt = aNow + kSilentTargetRetryDelay;
+}
+
 bool
 Generation::HasRunsLeft() const
 {
   return mSpec.mMaxRuns == 0 || mRuns < mSpec.mMaxRuns;
 }
 
-bool
-Generation::TryLeaveSilentTarget(Time aNow, Actions& aActions)
+// Asks another target to take the stream. Returns why there is none.
+ChoiceStatus
+Generation::LeaveSilentTarget(Time aNow, Actions& aActions)
 {
   if (!HasRunsLeft()) {
-    return false;
+    return ChoiceStatus::NoBudget;
   }
   ChoiceQuery query = mSpec.mQuery;
   query.mExcluded.push_back(mTarget);
   query.mContinuation = !mTokens.empty() || !mSpec.mSoftwareVersion.empty();
   query.mIsRetry = true;
   const Choice choice = mChooser.Choose(query, aNow);
+  auto& excluded = mSpec.mQuery.mExcluded;
+  if (choice.mStatus == ChoiceStatus::NoneReady && !excluded.empty()) {
+    // Targets that turned the stream away may have room by now.
+    excluded.clear();
+    return ChoiceStatus::Busy;
+  }
   if (choice.mStatus != ChoiceStatus::Chosen) {
-    return false;
+    return choice.mStatus;
+  }
+  if (mSpec.mPolicy.mCanReattach) {
+    ++mCounters.mLosses;
+    Exclude(mTarget);
+    CancelCurrentAttempt(false, aActions);
+    StartRecovery(aNow);
+    Dispatch(choice, aNow, aActions);
+    return ChoiceStatus::Chosen;
+  }
+  // Closing the connection ends the run, so it stays open until the other
+  // target has accepted the stream.
+  mPhase = Phase::Streaming;
+  DispatchAttempt action = MakeDispatch(choice);
+  action.mTentative = true;
+  mTentative = Tentative{
+    action.mAttempt, choice, aNow + kAcceptanceProbeDelay, aNow + kMaxOverlap
+  };
+  aActions.push_back(std::move(action));
+  return ChoiceStatus::Chosen;
+}
+
+// Probes the target of the tentative attempt, or gives the attempt up.
+void
+Generation::CheckTentative(Time aNow, Actions& aActions)
+{
+  if (aNow >= mTentative->mDeadline) {
+    GiveUpTentative(aNow, aActions);
+  } else if (aNow >= mTentative->mProbeAt) {
+    mTentative->mProbeAt = Time::max();
+    ++mCounters.mProbes;
+    ProbeTarget action;
+    action.mAttempt = mTentative->mAttempt;
+    action.mTarget = mTentative->mChoice.mTarget;
+    action.mProbeDeadline = mTentative->mDeadline;
+    aActions.push_back(std::move(action));
   }
+}
+
+// Leaves the silent target for the one that has accepted the stream.
+void
+Generation::AcceptTentative(Time aNow, Actions& aActions)
+{
   ++mCounters.mLosses;
   Exclude(mTarget);
   CancelCurrentAttempt(false, aActions);
   StartRecovery(aNow);
-  Dispatch(choice, aNow, aActions);
-  return true;
+  AdoptTentative(aNow, aActions);
+}
+
+void
+Generation::AdoptTentative(Time aNow, Actions& aActions)
+{
+  const Tentative tentative = std::move(*mTentative);
+  mTentative.reset();
+  BeginAttempt(tentative.mAttempt, tentative.mChoice, aNow);
+  AdoptAttempt action;
+  action.mAttempt = tentative.mAttempt;
+  aActions.push_back(action);
+}
+
+// The other target has turned the stream away or has been lost: the stream
+// stays at the silent one, and a further target is sought.
+void
+Generation::EndTentative(AttemptEnd aEnd, Time aNow)
+{
+  const bool mayHaveRun =
+    aEnd == AttemptEnd::Broken || aEnd == AttemptEnd::UnknownStream;
+  if (!mayHaveRun) {
+    --mRuns;
+  }
+  Exclude(mTentative->mChoice.mTarget);
+  mTentative.reset();
+  mTimerAt = aNow + kSilentTargetRetryDelay;
+}
+
+// The other target has not answered either.
+void
+Generation::GiveUpTentative(Time aNow, Actions& aActions)
+{
+  Exclude(mTentative->mChoice.mTarget);
+  CancelTentative(aActions);
+  mTimerAt = aNow + kSilentTargetRetryDelay;
+}
+
+void
+Generation::CancelTentative(Actions& aActions)
+{
+  if (!mTentative) {
+    return;
+  }
+  CancelAttempt action;
+  action.mAttempt = mTentative->mAttempt;
+  action.mTarget = mTentative->mChoice.mTarget;
+  action.mGeneration = mGeneration;
+  aActions.push_back(std::move(action));
+  mTentative.reset();
 }
 
 // The silent target has gone on, or its attempt has ended.
 void
-Generation::StopLeavingSilentTarget()
+Generation::StopLeavingSilentTarget(Actions& aActions)
 {
+  CancelTentative(aActions);
   if (mTargetIsSilent) {
     mTargetIsSilent = false;
     mChooser.CancelWait(mSpec.mQuery);
@@ -738,7 +923,7 @@
     HandleSilentTarget(aNow, aActions);
     return;
   }
-  StopLeavingSilentTarget();
+  StopLeavingSilentTarget(aActions);
   mPhase = Phase::Streaming;
   mSilenceTimeout =
     std::min(mSilenceTimeout * 2, mSpec.mPolicy.mMaxProbeInterval);
@@ -828,6 +1013,7 @@
 void
 Generation::Fail(FailureCode aCode, std::string aMessage, Actions& aActions)
 {
+  CancelTentative(aActions);
   mPhase = Phase::Done;
   mChooser.CancelWait(mSpec.mQuery);
   FailResponse action;
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -7,6 +7,7 @@
 #include "core/TargetChooser.h"
 #include "core/Time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,12 @@
   // Handles the end of an attempt's stream without a finish event.
   Actions OnAttemptEnded(int aAttempt, AttemptEnd aEnd, Time aNow);
 
+  // Handles the start of a tentative attempt's response: the target runs it.
+  Actions OnAttemptAccepted(int aAttempt, Time aNow);
+
+  // Handles that a tentative attempt which has been cancelled was not sent.
+  void OnAttemptNotSent() { --mRuns; }
+
   // Handles the result of a ProbeTarget action.
   Actions OnProbeResult(int aAttempt, ProbeResult aResult, Time aNow);
 
@@ -164,9 +171,28 @@
     Done,
   };
 
+  // Attempt at another target while the current one is silent. It becomes the
+  // current attempt once its target has accepted it.
+  struct Tentative
+  {
+    int mAttempt = 0;
+    Choice mChoice;
+    // When the target is probed; Time::max() once it has been.
+    Time mProbeAt;
+    Time mDeadline;
+  };
+
   void ChooseTarget(Time aNow, Actions& aActions);
   void RequestFence(const Choice& aChoice, Actions& aActions);
   void Dispatch(const Choice& aChoice, Time aNow, Actions& aActions);
+  DispatchAttempt MakeDispatch(const Choice& aChoice);
+  void BeginAttempt(int aAttempt, const Choice& aChoice, Time aNow);
+  void CheckTentative(Time aNow, Actions& aActions);
+  void AcceptTentative(Time aNow, Actions& aActions);
+  void AdoptTentative(Time aNow, Actions& aActions);
+  void EndTentative(AttemptEnd aEnd, Time aNow);
+  void GiveUpTentative(Time aNow, Actions& aActions);
+  void CancelTentative(Actions& aActions);
   void AwaitCapacity(const Choice& aChoice, Time aNow, Actions& aActions);
   void HandleNoTargetReady(Time aNow, Actions& aActions);
   void Reattach(Time aNow, Actions& aActions);
@@ -177,8 +203,10 @@
   void HandleTargetLoss(bool aKnownStopped, Time aNow, Actions& aActions);
   void HandleSilentTarget(Time aNow, Actions& aActions);
   bool HasRunsLeft() const;
-  bool TryLeaveSilentTarget(Time aNow, Actions& aActions);
-  void StopLeavingSilentTarget();
+  void HandleRunLost(Time aNow, Actions& aActions);
+  void AwaitSilentTarget(Time aNow);
+  ChoiceStatus LeaveSilentTarget(Time aNow, Actions& aActions);
+  void StopLeavingSilentTarget(Actions& aActions);
   void AwaitLostTarget(Time aNow, Actions& aActions);
   void FailOver(Time aNow, Actions& aActions);
   void RestartInFull(Time aNow, Actions& aActions);
@@ -207,6 +235,8 @@
   // Target to dispatch to once the fence is granted.
   Choice mFencedChoice;
   int mAttempt = 0;
+  // Number of the last attempt, which is the current one or a tentative one.
+  int mLastAttempt = 0;
   std::string mTarget;
   // Software version of the current attempt's target.
   std::string mAttemptSoftwareVersion;
@@ -234,6 +264,7 @@
   bool mTargetIsSilent = false;
   // When a silent target is probed again.
   Time mProbeAgainAt;
+  std::optional<Tentative> mTentative;
   GenerationCounters mCounters;
 };
 
--- a/src/quetzalquay/core/GenerationActions.h
+++ b/src/quetzalquay/core/GenerationActions.h
@@ -72,6 +72,10 @@
 // Starts a new attempt at a target; with tokens, it is a continuation.
 struct DispatchAttempt
 {
+  // Whether the current attempt stays the current one, with its connection,
+  // until an AdoptAttempt action. The start of the response must be reported to
+  // OnAttemptAccepted.
+  bool mTentative = false;
   int mAttempt = 0;
   std::string mTarget;
   // Software version of the target.
@@ -83,6 +87,13 @@
   std::vector<int> mTokens;
 };
 
+// Makes the tentative attempt the current one, in place of the one before,
+// which has ended.
+struct AdoptAttempt
+{
+  int mAttempt = 0;
+};
+
 // Acquires the fence for a continuation of a non-idempotent request, which
 // another router may have taken over.
 struct FenceAttempt
@@ -155,6 +166,7 @@
 };
 
 using Action = std::variant<DispatchAttempt,
+                            AdoptAttempt,
                             FenceAttempt,
                             ReattachStream,
                             ProbeTarget,
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -79,8 +79,8 @@
 std::optional<TryTarget>
 PlainCall::OnSilence(Time aNow)
 {
-  const int runs = mRuns + 1;
-  if (!mIdempotent || aNow >= mDeadline || !HasAttemptsLeft(runs)) {
+  // The silent target may run the call, too.
+  if (!mIdempotent || aNow >= mDeadline || !HasAttemptsLeft(mRuns + 1)) {
     return std::nullopt;
   }
   mQuery.mIsRetry = true;
@@ -89,11 +89,18 @@
     mChooser.CancelWait(mQuery);
     return std::nullopt;
   }
-  mRuns = runs;
   mMayHaveStarted = true;
   return StartAttempt(choice);
 }
 
+void
+PlainCall::OnOtherAttemptEnded(PlainResult aResult)
+{
+  if (aResult != PlainResult::NotStarted) {
+    ++mRuns;
+  }
+}
+
 bool
 PlainCall::HasAttemptsLeft(int aRuns) const
 {
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -77,11 +77,15 @@
   // Returns the next step at the time that AwaitVerdict has named.
   PlainStep OnVerdictDue(Time aNow);
 
-  // Returns the attempt that replaces one whose target is silent, or nothing
-  // while no other target can take the call. The silent target may still
-  // respond, so its attempt is abandoned only for another one.
+  // Returns an attempt beside one whose target is silent, or nothing while no
+  // other target can take the call. The silent target may still respond, so its
+  // attempt is abandoned only once the other target has accepted the call.
   std::optional<TryTarget> OnSilence(Time aNow);
 
+  // One of two attempts has ended, or has been abandoned, while the other goes
+  // on. An abandoned one counts as broken if the call was sent.
+  void OnOtherAttemptEnded(PlainResult aResult);
+
 private:
   PlainStep TryNextTarget(Time aNow);
   bool HasAttemptsLeft(int aRuns) const;
--- a/src/quetzalquay/core/RecoveryPolicy.h
+++ b/src/quetzalquay/core/RecoveryPolicy.h
@@ -7,6 +7,12 @@
 
 namespace quetzalquay {
 
+// Time after which a target that has been asked beside a silent one is probed
+// if it has sent nothing, and the longest time for which a request may be at
+// both.
+constexpr Duration kAcceptanceProbeDelay = std::chrono::milliseconds(160);
+constexpr Duration kMaxOverlap = std::chrono::milliseconds(280);
+
 // Trade-off between resume latency and resource use.
 enum class RecoveryPreset
 {
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -139,6 +139,43 @@
         { "max_tries", std::to_string(mCall.mRoute->mMaxAttempts) } });
 }
 
+void
+Exchange::LogTentativeAttempt(const std::string& aTarget) const
+{
+  mContext.mMetrics.Add(GatewayCounter::TentativeAttempts);
+  Log(LogLevel::Info,
+      "request",
+      "asking another target beside the silent one",
+      { { "request", mCall.mRequest.mRequestId },
+        { "target", mLastTarget },
+        { "other", aTarget },
+        { "try", std::to_string(mAttempts) } });
+}
+
+void
+Exchange::LogTentativeEnd(const std::string& aNote) const
+{
+  Log(LogLevel::Info,
+      "request",
+      "staying at the silent target",
+      { { "request", mCall.mRequest.mRequestId },
+        { "target", mLastTarget },
+        { "other", mTentative->Target() },
+        { "cause", aNote } });
+}
+
+bool
+Exchange::AbandonTentative()
+{
+  const RefPtr<TentativeAttempt> tentative = std::exchange(mTentative, {});
+  if (tentative == nullptr) {
+    return false;
+  }
+  const bool sent = tentative->Abandon();
+  RecordAttemptEnd(tentative->Target(), AttemptOutcome::Released);
+  return sent;
+}
+
 void
 Exchange::LogOversizedAnswer(std::size_t aBytes) const
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/GatewayMetrics.h"
 #include "gateway/Prober.h"
 #include "gateway/TargetConnection.h"
+#include "gateway/TentativeAttempt.h"
 #include "http/HttpHead.h"
 #include "platform/PlatformRequests.h"
 
@@ -145,6 +146,16 @@
   // holds.
   void LogOversizedAnswer(std::size_t aBytes) const;
 
+  // Logs and counts that another target is asked beside the silent one.
+  void LogTentativeAttempt(const std::string& aTarget) const;
+  // Logs that the request stays at its silent target because the tentative
+  // attempt has ended.
+  void LogTentativeEnd(const std::string& aNote) const;
+
+  // Ends the tentative attempt, if there is one. Returns whether its target may
+  // have run the request.
+  bool AbandonTentative();
+
   // Logs the end of the request in one line and counts it in the metrics.
   // aReason is the message of a failure.
   void LogCompletion(const char* aOutcome,
@@ -160,6 +171,9 @@
   ResponseSink* mSink;
   // Attempts so far.
   int mAttempts = 0;
+  // Attempt at another target while the current one is silent; null if there is
+  // none.
+  RefPtr<TentativeAttempt> mTentative;
   // Time from arrival to a stream's first event; nothing before it.
   std::optional<Time::duration> mTimeToFirstEvent;
   // Longest time between two events of a stream.
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -48,7 +48,11 @@
   { "quetzal_retries_refused_total",
     "Retries that the retry budget did not allow" },
   { "quetzal_silent_targets_kept_total",
-    "Silent targets that were waited for as no other could take the request" },
+    "Silent targets that were waited for while no other had the request" },
+  { "quetzal_tentative_attempts_total",
+    "Attempts at another target beside a silent one" },
+  { "quetzal_tentative_attempts_adopted_total",
+    "Attempts beside a silent target for which the silent one was left" },
   { "quetzal_connections_cut_total",
     "Callers' connections that the host ended with bytes of a request or "
     "unsent bytes of an answer" },
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -34,6 +34,8 @@
   GrantedRetries,
   RetriesRefused,
   SilentTargetsKept,
+  TentativeAttempts,
+  TentativeAttemptsAdopted,
   ConnectionsCut,
   ConnectionsTurnedAway,
   StreamsTakenUp,
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PlainExchange.h"
 
+#include "core/RecoveryPolicy.h"
 #include "gateway/LimitWatch.h"
 #include "observe/Log.h"
 
@@ -189,14 +190,14 @@
     ReportRejection(mContext, mTarget, mResponseInfo, now);
     mLogNote = mResponseInfo.mLeaving ? "target_leaving" : "turned_away";
     EndAttempt(AttemptOutcome::Released);
-    PerformStep(mStateMachine.OnResult(PlainResult::NotStarted, now));
+    ProcessResult(PlainResult::NotStarted, now);
     return;
   }
   const bool success = mResponseHead.mStatus / 100 == 2;
   if (success && !mResponseInfo.mSigned) {
     mLogNote = "unsigned_answer";
     EndAttempt(AttemptOutcome::Released);
-    PerformStep(mStateMachine.OnResult(PlainResult::Broken, now));
+    ProcessResult(PlainResult::Broken, now);
     return;
   }
   EndAttempt(success ? OutcomeOf(mResponseHead) : AttemptOutcome::Failed);
@@ -204,8 +205,7 @@
   if (failed) {
     mLogNote = "status_" + std::to_string(mResponseHead.mStatus);
   }
-  PerformStep(mStateMachine.OnResult(
-    failed ? PlainResult::Failed : PlainResult::Answered, now));
+  ProcessResult(failed ? PlainResult::Failed : PlainResult::Answered, now);
 }
 
 void
@@ -223,8 +223,7 @@
                                                         : "target_unreachable";
   LogAttemptFailure("");
   EndAttempt(sent ? AttemptOutcome::Lost : AttemptOutcome::Released);
-  PerformStep(mStateMachine.OnResult(
-    sent ? PlainResult::Broken : PlainResult::NotStarted, now));
+  ProcessResult(sent ? PlainResult::Broken : PlainResult::NotStarted, now);
 }
 
 void
@@ -332,31 +331,156 @@
   }
 }
 
-// Sends the call to another target if one can take it; else waits for the
-// silent one.
+// Asks another target if one can take the call; else waits for the silent one.
 void
 PlainExchange::HandleSilence(Time aNow)
 {
-  const auto next = mStateMachine.OnSilence(aNow);
-  if (next) {
-    mLogNote = "target_silent";
-    AbandonAttempt();
-    SendAttempt(next->mTarget);
+  if (mTentative != nullptr) {
+    CheckTentative(aNow);
     return;
   }
   if (!mWaitsForSilentTarget) {
     mWaitsForSilentTarget = true;
     LogSilentTargetKept();
   }
+  if (const auto next = mStateMachine.OnSilence(aNow)) {
+    AskBesideSilentTarget(*next, aNow);
+  } else {
+    AwaitSilentTarget(aNow);
+  }
+}
+
+void
+PlainExchange::AwaitSilentTarget(Time aNow)
+{
   mAttemptDeadline = std::min(mCall.mDeadline, aNow + kSilenceRetryDelay);
   mTimer.ScheduleAt(mAttemptDeadline);
 }
 
+// Sends the call to another target. The silent one may still answer until the
+// other has accepted the call.
+void
+PlainExchange::AskBesideSilentTarget(const TryTarget& aStep, Time aNow)
+{
+  ++mAttempts;
+  LogTentativeAttempt(aStep.mTarget);
+  mAttemptDeadline = std::min(mCall.mDeadline, aNow + kAcceptanceProbeDelay);
+  mTimer.ScheduleAt(mAttemptDeadline);
+  TentativeAttempt::Callbacks callbacks;
+  callbacks.mOnAccepted = [this] {
+    const RefPtr<Exchange> self(this);
+    AdoptTentative(PlainResult::Broken);
+  };
+  callbacks.mOnEnded = [this](const TentativeAttempt::Result& aResult) {
+    EndTentative(aResult);
+  };
+  mTentative = MakeRef<TentativeAttempt>(
+    mContext, mCall, aStep.mAttempt, aStep.mTarget, std::move(callbacks));
+  mTentative->Send(MakeAttemptFields(aStep.mTarget, aNow), false, {});
+}
+
+// Probes the target of the tentative attempt, or gives the attempt up.
+void
+PlainExchange::CheckTentative(Time aNow)
+{
+  const Time deadline = mTentative->SentAt() + kMaxOverlap;
+  if (aNow >= deadline) {
+    GiveUpTentative(aNow);
+    return;
+  }
+  mAttemptDeadline = std::min(mCall.mDeadline, deadline);
+  mTimer.ScheduleAt(mAttemptDeadline);
+  mContext.mProber.Probe(
+    mTentative->Target(),
+    false,
+    deadline,
+    [self = RefPtr<PlainExchange>(this), number = mTentative->Number()](
+      ProbeResult aResult, const platform::TargetReport* aReport) {
+      // A live target that is full refuses the probe's connection.
+      const bool refused = aResult == ProbeResult::Dead && aReport == nullptr;
+      self->OnTentativeProbed(number, refused || aResult == ProbeResult::Alive);
+    });
+}
+
+void
+PlainExchange::OnTentativeProbed(int aNumber, bool aAlive)
+{
+  if (mTentative == nullptr || mTentative->Number() != aNumber ||
+      mTentative->IsTurnedAway()) {
+    return;
+  }
+  if (aAlive) {
+    // It has not turned the call away, so it has queued or begun it.
+    AdoptTentative(PlainResult::Broken);
+  } else {
+    GiveUpTentative(EventLoop::Now());
+  }
+}
+
+void
+PlainExchange::EndTentative(const TentativeAttempt::Result& aResult)
+{
+  const RefPtr<Exchange> self(this);
+  LogTentativeEnd(aResult.mNote);
+  const RefPtr<TentativeAttempt> tentative = std::exchange(mTentative, {});
+  RecordAttemptEnd(tentative->Target(), aResult.mOutcome);
+  mStateMachine.OnOtherAttemptEnded(aResult.mEnd == AttemptEnd::Broken
+                                      ? PlainResult::Broken
+                                      : PlainResult::NotStarted);
+  AwaitSilentTarget(EventLoop::Now());
+}
+
+void
+PlainExchange::GiveUpTentative(Time aNow)
+{
+  LogTentativeEnd("no_answer");
+  mStateMachine.OnOtherAttemptEnded(
+    AbandonTentative() ? PlainResult::Broken : PlainResult::NotStarted);
+  AwaitSilentTarget(aNow);
+}
+
+// Goes on with the tentative attempt only. aFormer tells how the one before has
+// ended; one that is still in progress is abandoned.
+void
+PlainExchange::AdoptTentative(PlainResult aFormer)
+{
+  mStateMachine.OnOtherAttemptEnded(aFormer);
+  if (mConnection != nullptr) {
+    mLogNote = "target_silent";
+    AbandonAttempt();
+  }
+  const RefPtr<TentativeAttempt> tentative = std::exchange(mTentative, {});
+  mTarget = tentative->Target();
+  mLastTarget = mTarget;
+  mContext.mMetrics.Add(GatewayCounter::TentativeAttemptsAdopted);
+  LogRetry(EventLoop::Now());
+  mHasResponse = false;
+  mWaitsForSilentTarget = false;
+  DiscardResponse();
+  mConnection = tentative->TakeOver(*this);
+  mAttemptDeadline = std::min(
+    mCall.mDeadline, tentative->SentAt() + mCall.mRoute->mLatencyObjective);
+  mTimer.ScheduleAt(mAttemptDeadline);
+  tentative->Replay(*this);
+}
+
+// Handles the end of the current attempt.
+void
+PlainExchange::ProcessResult(PlainResult aResult, Time aNow)
+{
+  if (mTentative != nullptr && aResult != PlainResult::Answered) {
+    AdoptTentative(aResult);
+    return;
+  }
+  PerformStep(mStateMachine.OnResult(aResult, aNow));
+}
+
 void
 PlainExchange::Finish()
 {
   mDone = true;
   mTimer.Clear();
+  AbandonTentative();
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -40,6 +40,14 @@
   void EndAttempt(AttemptOutcome aOutcome);
   void OnTimer();
   void HandleSilence(Time aNow);
+  void AwaitSilentTarget(Time aNow);
+  void AskBesideSilentTarget(const TryTarget& aStep, Time aNow);
+  void CheckTentative(Time aNow);
+  void OnTentativeProbed(int aNumber, bool aAlive);
+  void EndTentative(const TentativeAttempt::Result& aResult);
+  void GiveUpTentative(Time aNow);
+  void AdoptTentative(PlainResult aFormer);
+  void ProcessResult(PlainResult aResult, Time aNow);
   void LogRetry(Time aNow) const;
   void Finish();
   void DiscardResponse();
--- a/src/quetzalquay/gateway/StreamCopy.cpp
+++ b/src/quetzalquay/gateway/StreamCopy.cpp
@@ -52,19 +52,26 @@
   EndRun();
 }
 
-std::string
-StreamCopy::StartRun(const std::string& aTarget, Time aNow)
+StreamCopy::Holder
+StreamCopy::ChooseHolder(const std::string& aTarget, Time aNow)
+{
+  if (!mRunsSendCopies) {
+    return {};
+  }
+  mCopyKeeper.SetTargetsOutdated(mContext.mFleet.AreTargetsOutdated(aNow));
+  const std::string holder = mCopyKeeper.ChooseHolder(aTarget, aNow);
+  const TargetLocation* at = mContext.mFleet.Locate(holder);
+  return at == nullptr ? Holder() : Holder{ holder, at->mAddress };
+}
+
+void
+StreamCopy::StartRun(const std::string& aTarget, const Holder& aHolder)
 {
   EndRun();
   const TargetLocation* location = mContext.mFleet.Locate(aTarget);
   mRunTarget = aTarget;
   mRunTargetAddress = location == nullptr ? std::string() : location->mAddress;
-  mCopyKeeper.SetTargetsOutdated(mContext.mFleet.AreTargetsOutdated(aNow));
-  const std::string holder =
-    mRunsSendCopies ? mCopyKeeper.ChooseHolder(aTarget, aNow) : std::string();
-  const TargetLocation* at = mContext.mFleet.Locate(holder);
-  mCopyKeeper.OnRunStarted(aTarget, at == nullptr ? std::string() : holder);
-  return at == nullptr ? std::string() : at->mAddress;
+  mCopyKeeper.OnRunStarted(aTarget, aHolder.mName);
 }
 
 void
@@ -100,14 +107,13 @@
 }
 
 std::optional<platform::KvCopyReference>
-StreamCopy::ConsumeCopy(const std::string& aTarget, Time aNow)
+StreamCopy::FindCopyAt(const std::string& aTarget, Time aNow) const
 {
   const auto copy = mCopyKeeper.FindCopy(aNow);
   const TargetLocation* location = mContext.mFleet.Locate(aTarget);
   if (!copy || copy->mHolder != aTarget || location == nullptr) {
     return std::nullopt;
   }
-  mCopyKeeper.OnCopyUsed(aTarget);
   if (copy->mHandle.empty()) {
     return platform::KvCopyReference{ location->mAddress, mRequestId };
   }
--- a/src/quetzalquay/gateway/StreamCopy.h
+++ b/src/quetzalquay/gateway/StreamCopy.h
@@ -19,9 +19,19 @@
   StreamCopy(GatewayContext& aContext, const RoutedCall& aCall);
   ~StreamCopy();
 
-  // Registers the start of a run at a target. Returns the address to which the
-  // run sends its own copy, empty for none.
-  std::string StartRun(const std::string& aTarget, Time aNow);
+  // Target to which a run sends its own copy; both empty for none.
+  struct Holder
+  {
+    std::string mName;
+    std::string mAddress;
+  };
+
+  // Chooses where a run at a target would send its own copy.
+  Holder ChooseHolder(const std::string& aTarget, Time aNow);
+
+  // Registers the start of a run at a target that sends its own copy to
+  // aHolder.
+  void StartRun(const std::string& aTarget, const Holder& aHolder);
 
   // The run has delivered an event. Orders a copy when one is needed.
   void OnEvent(Time aNow);
@@ -32,11 +42,13 @@
   // Returns the target that holds a copy, empty when none does.
   std::string FindHolder(Time aNow) const;
 
-  // Returns the name of the copy at a target and marks the copy as used, since
-  // a copy serves only one request. Returns nothing when the target holds none.
-  std::optional<platform::KvCopyReference> ConsumeCopy(
+  // Returns the name of the copy at a target, or nothing when it holds none.
+  std::optional<platform::KvCopyReference> FindCopyAt(
     const std::string& aTarget,
-    Time aNow);
+    Time aNow) const;
+
+  // Marks the copy at a target as used, since a copy serves only one request.
+  void MarkUsed(const std::string& aTarget) { mCopyKeeper.OnCopyUsed(aTarget); }
 
   // The stream has ended. Ends the run and releases the ordered copies.
   void ReleaseCopies();
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -180,50 +180,25 @@
 StreamExchange::Execute(const DispatchAttempt& aAction)
 {
   const Time now = EventLoop::Now();
-  const bool resumed = !aAction.mTokens.empty();
-  const std::string copyHolder = mCopy.FindHolder(now);
-  std::optional<platform::KvCopyReference> copy;
-  if (resumed) {
-    copy = mCopy.ConsumeCopy(aAction.mTarget, now);
-  }
-  const bool fromCopy = copy.has_value();
-  mAttempt = aAction.mAttempt;
-  mTarget = aAction.mTarget;
-  mLastTarget = mTarget;
   ++mAttempts;
-  mResponseHead = HttpHead();
-  std::string().swap(mResponseBody);
-  mBuffer.Resize(0);
-  mResponseIsStream = false;
-  mAttemptOpen = true;
-  mAttemptSentAt = now;
-  mAttemptEvents = 0;
-  mProgressReported = false;
-  mComputesPrompt = !fromCopy;
-  mEventParser.Clear();
-  mNextEventIndex = static_cast<int>(aAction.mTokens.size());
-  LogDispatch(copyHolder, fromCopy, now);
-  RecordOrigin(aAction, now);
-  AttemptLoad load;
-  load.mPromptTokens = fromCopy ? 0 : mCall.mRequest.mPromptTokens;
-  load.mOutputTokens = mCall.mRequest.mOutputTokens +
-                       (fromCopy ? mCall.mRequest.mPromptTokens : 0);
-  mContext.mFleet.Targets().OnAttemptStart(mTarget, mCall.mContent, now, load);
-  platform::AttemptFields fields = MakeAttemptFields(mTarget, now);
-  fields.mLastEventId = mLastEventId;
-  fields.mCopy = copy;
-  fields.mCopyHolderAddress = mCopy.StartRun(mTarget, now);
-  if (resumed) {
-    mContext.mMetrics.Add(fromCopy ? GatewayCounter::ResumedFromCopy
-                                   : GatewayCounter::ResumedWithoutCopy);
+  if (aAction.mTentative) {
+    AskBesideSilentTarget(aAction, now);
+    return;
   }
+  const RunStart run = ChooseRunStart(aAction, now);
+  mNextEventIndex = static_cast<int>(aAction.mTokens.size());
+  BeginRun(aAction.mAttempt, aAction.mTarget, run, now);
+  RecordOrigin(run.mSoftwareVersion, now);
+  mContext.mFleet.Targets().OnAttemptStart(
+    mTarget, mCall.mContent, now, LoadOf(run));
+  const platform::AttemptFields fields = FieldsOf(run, mTarget, now);
   mConnection = mContext.mPool.Acquire(mTarget);
   if (mConnection == nullptr) {
     mContext.mFleet.Targets().OnAttemptNotReceived(mTarget);
     EndAttempt(AttemptEnd::Unreachable);
     return;
   }
-  if (resumed || !mCall.mSoftwareVersion.empty()) {
+  if (ChecksStart()) {
     mConnection->CheckStart();
   }
   mConnection->Send(
@@ -234,6 +209,148 @@
     *this);
 }
 
+bool
+StreamExchange::ChecksStart() const
+{
+  return mNextEventIndex > 0 || !mCall.mSoftwareVersion.empty();
+}
+
+StreamExchange::RunStart
+StreamExchange::ChooseRunStart(const DispatchAttempt& aAction, Time aNow)
+{
+  RunStart run;
+  run.mSoftwareVersion = aAction.mSoftwareVersion;
+  run.mCopyAt = mCopy.FindHolder(aNow);
+  if (!aAction.mTokens.empty()) {
+    run.mCopy = mCopy.FindCopyAt(aAction.mTarget, aNow);
+  }
+  run.mHolder = mCopy.ChooseHolder(aAction.mTarget, aNow);
+  return run;
+}
+
+AttemptLoad
+StreamExchange::LoadOf(const RunStart& aRun) const
+{
+  AttemptLoad load;
+  load.mPromptTokens = aRun.mCopy ? 0 : mCall.mRequest.mPromptTokens;
+  load.mOutputTokens = mCall.mRequest.mOutputTokens +
+                       (aRun.mCopy ? mCall.mRequest.mPromptTokens : 0);
+  return load;
+}
+
+platform::AttemptFields
+StreamExchange::FieldsOf(const RunStart& aRun,
+                         const std::string& aTarget,
+                         Time aNow) const
+{
+  platform::AttemptFields fields = MakeAttemptFields(aTarget, aNow);
+  fields.mLastEventId = mLastEventId;
+  fields.mCopy = aRun.mCopy;
+  fields.mCopyHolderAddress = aRun.mHolder.mAddress;
+  return fields;
+}
+
+// Makes an attempt the current one.
+void
+StreamExchange::BeginRun(int aAttempt,
+                         const std::string& aTarget,
+                         const RunStart& aRun,
+                         Time aSentAt)
+{
+  mAttempt = aAttempt;
+  mTarget = aTarget;
+  mLastTarget = mTarget;
+  mRun = aRun;
+  mResponseHead = HttpHead();
+  std::string().swap(mResponseBody);
+  mBuffer.Resize(0);
+  mResponseIsStream = false;
+  mAttemptOpen = true;
+  mAttemptSentAt = aSentAt;
+  mAttemptEvents = 0;
+  mProgressReported = false;
+  mComputesPrompt = !aRun.mCopy;
+  mEventParser.Clear();
+  LogDispatch(aRun.mCopyAt, !mComputesPrompt, EventLoop::Now());
+  if (aRun.mCopy) {
+    mCopy.MarkUsed(mTarget);
+  }
+  mCopy.StartRun(mTarget, aRun.mHolder);
+  if (mNextEventIndex > 0) {
+    mContext.mMetrics.Add(mComputesPrompt ? GatewayCounter::ResumedWithoutCopy
+                                          : GatewayCounter::ResumedFromCopy);
+  }
+}
+
+// Sends the stream to another target. The connection to the silent one stays
+// open and may go on until an AdoptAttempt action.
+void
+StreamExchange::AskBesideSilentTarget(const DispatchAttempt& aAction, Time aNow)
+{
+  mTentativeRun = ChooseRunStart(aAction, aNow);
+  LogTentativeAttempt(aAction.mTarget);
+  if (aAction.mTokens.empty()) {
+    RecordOrigin(aAction.mSoftwareVersion, aNow);
+  }
+  TentativeAttempt::Callbacks callbacks;
+  callbacks.mOnAccepted = [this, attempt = aAction.mAttempt] {
+    const RefPtr<Exchange> self(this);
+    PerformActions(mStateMachine.OnAttemptAccepted(attempt, EventLoop::Now()));
+  };
+  callbacks.mOnEnded = [this](const TentativeAttempt::Result& aResult) {
+    EndTentative(aResult);
+  };
+  mTentative = MakeRef<TentativeAttempt>(
+    mContext, mCall, aAction.mAttempt, aAction.mTarget, std::move(callbacks));
+  mTentative->Send(FieldsOf(mTentativeRun, aAction.mTarget, aNow),
+                   ChecksStart(),
+                   LoadOf(mTentativeRun));
+}
+
+void
+StreamExchange::EndTentative(const TentativeAttempt::Result& aResult)
+{
+  const RefPtr<Exchange> self(this);
+  LogTentativeEnd(aResult.mNote);
+  const RefPtr<TentativeAttempt> tentative = std::exchange(mTentative, {});
+  RecordAttemptEnd(tentative->Target(), aResult.mOutcome);
+  const bool received = aResult.mEnd != AttemptEnd::Refused &&
+                        aResult.mEnd != AttemptEnd::Unreachable;
+  if (received && mTentativeRun.mCopy) {
+    mCopy.MarkUsed(tentative->Target());
+  }
+  const Time now = EventLoop::Now();
+  RecordOrigin(mRun.mSoftwareVersion, now);
+  UpdateChoiceInputs(now);
+  PerformActions(
+    mStateMachine.OnAttemptEnded(tentative->Number(), aResult.mEnd, now));
+}
+
+// Gives up the tentative attempt; the silent target keeps the stream.
+void
+StreamExchange::CancelTentative()
+{
+  LogTentativeEnd("cancelled");
+  const std::string target = mTentative->Target();
+  if (!AbandonTentative()) {
+    mStateMachine.OnAttemptNotSent();
+  } else if (mTentativeRun.mCopy) {
+    mCopy.MarkUsed(target);
+  }
+  RecordOrigin(mRun.mSoftwareVersion, EventLoop::Now());
+}
+
+void
+StreamExchange::Execute(const AdoptAttempt& aAction)
+{
+  const RefPtr<TentativeAttempt> tentative = std::exchange(mTentative, {});
+  mContext.mMetrics.Add(GatewayCounter::TentativeAttemptsAdopted);
+  BeginRun(
+    aAction.mAttempt, tentative->Target(), mTentativeRun, tentative->SentAt());
+  mConnection = tentative->TakeOver(*this);
+  tentative->Replay(*this);
+}
+
 void
 StreamExchange::Execute(const FenceAttempt& aAction)
 {
@@ -263,47 +380,68 @@
 StreamExchange::Execute(const ProbeTarget& aAction)
 {
   const Time now = EventLoop::Now();
+  const bool tentative =
+    mTentative != nullptr && aAction.mAttempt == mTentative->Number();
   const bool report =
+    !tentative &&
     now - std::max(mAttemptSentAt, mLastEventAt) >= kReportAfterSilence;
   mContext.mProber.Probe(
     aAction.mTarget,
     report,
     aAction.mProbeDeadline,
-    [self = RefPtr<StreamExchange>(this), attempt = aAction.mAttempt](
-      ProbeResult aResult, const platform::TargetReport* aReport) {
-      if (self->mDone || attempt != self->mAttempt || !self->mAttemptOpen) {
-        return;
-      }
-      const Time at = EventLoop::Now();
-      ProbeResult result = aResult;
-      if (result != ProbeResult::Alive) {
-        self->mLogNote = "target_silent";
-      } else if (aReport != nullptr && self->IsRunLost(*aReport, at)) {
-        self->mLogNote = "run_lost";
-        result = ProbeResult::RunLost;
-      }
-      if (result == ProbeResult::Dead && self->mCall.mRoute->mResumable) {
-        if (aReport == nullptr) {
-          // A live target that is full refuses connections, too.
-          result = ProbeResult::NoAnswer;
-        } else {
-          // The target has restarted. Closing the connection makes sure that no
-          // more events of this attempt arrive.
-          self->mConnection->Abort();
-          self->ReleaseAttempt(AttemptOutcome::Lost);
-        }
-      }
-      self->UpdateChoiceInputs(at);
-      const bool known = self->mStateMachine.IsTargetSilent();
-      const Actions actions =
-        self->mStateMachine.OnProbeResult(attempt, result, at);
-      if (self->mStateMachine.IsTargetSilent() && !known) {
-        self->LogSilentTargetKept();
-      }
-      self->PerformActions(actions);
+    [self = RefPtr<StreamExchange>(this),
+     aAction](ProbeResult aResult, const platform::TargetReport* aReport) {
+      self->OnProbed(aAction, aResult, aReport);
     });
 }
 
+void
+StreamExchange::OnProbed(const ProbeTarget& aAction,
+                         ProbeResult aResult,
+                         const platform::TargetReport* aReport)
+{
+  const Time now = EventLoop::Now();
+  const int attempt = aAction.mAttempt;
+  ProbeResult result = aResult;
+  if (mTentative != nullptr && attempt == mTentative->Number()) {
+    // What a target answers comes before what its report says. A live target
+    // that is full refuses the probe's connection.
+    if (!mTentative->IsTurnedAway()) {
+      const bool refused = result == ProbeResult::Dead && aReport == nullptr;
+      PerformActions(mStateMachine.OnProbeResult(
+        attempt, refused ? ProbeResult::Alive : result, now));
+    }
+    return;
+  }
+  if (mDone || attempt != mAttempt || !mAttemptOpen) {
+    return;
+  }
+  if (result != ProbeResult::Alive) {
+    mLogNote = "target_silent";
+  } else if (aReport != nullptr && IsRunLost(*aReport, now)) {
+    mLogNote = "run_lost";
+    result = ProbeResult::RunLost;
+  }
+  if (result == ProbeResult::Dead && mCall.mRoute->mResumable) {
+    if (aReport == nullptr) {
+      // A live target that is full refuses connections, too.
+      result = ProbeResult::NoAnswer;
+    } else {
+      // The target has restarted. Closing the connection makes sure that no
+      // more events of this attempt arrive.
+      mConnection->Abort();
+      ReleaseAttempt(AttemptOutcome::Lost);
+    }
+  }
+  UpdateChoiceInputs(now);
+  const bool known = mStateMachine.IsTargetSilent();
+  const Actions actions = mStateMachine.OnProbeResult(attempt, result, now);
+  if (mStateMachine.IsTargetSilent() && !known) {
+    LogSilentTargetKept();
+  }
+  PerformActions(actions);
+}
+
 // Whether a target's report shows that the current attempt's events will not
 // arrive.
 bool
@@ -329,8 +467,12 @@
 }
 
 void
-StreamExchange::Execute(const CancelAttempt&)
+StreamExchange::Execute(const CancelAttempt& aAction)
 {
+  if (mTentative != nullptr && aAction.mAttempt == mTentative->Number()) {
+    CancelTentative();
+    return;
+  }
   if (mConnection != nullptr) {
     mConnection->Abort();
   }
@@ -740,7 +882,7 @@
 // Makes known where the stream begins, so that its caller can take it up at any
 // host.
 void
-StreamExchange::RecordOrigin(const DispatchAttempt& aAction, Time aNow)
+StreamExchange::RecordOrigin(const std::string& aSoftwareVersion, Time aNow)
 {
   if (!mCall.mOriginKey) {
     return;
@@ -749,8 +891,9 @@
   StreamOrigin origin;
   origin.mKey = *mCall.mOriginKey;
   origin.mService = mCall.mService;
-  origin.mSoftwareVersion = aAction.mSoftwareVersion;
-  origin.mAttempt = takenUp ? mCall.mOriginAttempt : aAction.mAttempt;
+  origin.mSoftwareVersion = aSoftwareVersion;
+  // Other hosts keep the record with the highest number.
+  origin.mAttempt = takenUp ? mCall.mOriginAttempt : ++mOriginRecord;
   mContext.mFleet.Origins().OnDispatched(origin, aNow);
 }
 
@@ -766,6 +909,7 @@
       *mCall.mOriginKey, aComplete || !begun, EventLoop::Now());
   }
   mTimer.Clear();
+  AbandonTentative();
   mCopy.ReleaseCopies();
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -36,6 +36,7 @@
 
   void PerformActions(Actions aActions);
   void Execute(const DispatchAttempt& aAction);
+  void Execute(const AdoptAttempt& aAction);
   void Execute(const FenceAttempt& aAction);
   void Execute(const ReattachStream& aAction);
   void Execute(const ProbeTarget& aAction);
@@ -45,6 +46,34 @@
   void Execute(const CompleteResponse& aAction);
   void Execute(const FailResponse& aAction);
 
+  // Inputs of an attempt's run that are chosen when it is sent.
+  struct RunStart
+  {
+    std::string mSoftwareVersion;
+    // Target that held a copy, for the log.
+    std::string mCopyAt;
+    // Copy from which the run starts.
+    std::optional<platform::KvCopyReference> mCopy;
+    StreamCopy::Holder mHolder;
+  };
+
+  RunStart ChooseRunStart(const DispatchAttempt& aAction, Time aNow);
+  AttemptLoad LoadOf(const RunStart& aRun) const;
+  platform::AttemptFields FieldsOf(const RunStart& aRun,
+                                   const std::string& aTarget,
+                                   Time aNow) const;
+  // Whether an attempt continues a stream, whose software version is fixed.
+  bool ChecksStart() const;
+  void BeginRun(int aAttempt,
+                const std::string& aTarget,
+                const RunStart& aRun,
+                Time aSentAt);
+  void AskBesideSilentTarget(const DispatchAttempt& aAction, Time aNow);
+  void EndTentative(const TentativeAttempt::Result& aResult);
+  void CancelTentative();
+  void OnProbed(const ProbeTarget& aAction,
+                ProbeResult aResult,
+                const platform::TargetReport* aReport);
   void ProcessEvents();
   void ProcessEvent(const EventCutter::Event& aEvent);
   void RecordEvent(Time aNow);
@@ -60,7 +89,7 @@
   bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
   // aComplete tells whether the caller has got the whole stream.
   void Finish(bool aComplete = false);
-  void RecordOrigin(const DispatchAttempt& aAction, Time aNow);
+  void RecordOrigin(const std::string& aSoftwareVersion, Time aNow);
   void ScheduleTimer();
 
   Generation mStateMachine;
@@ -88,6 +117,10 @@
   int mNextEventIndex = 0;
 
   StreamCopy mCopy;
+  RunStart mRun;
+  RunStart mTentativeRun;
+  // Number of the last record of the stream's origin.
+  int mOriginRecord = 0;
 
   // Response head of the first run, which is forwarded to the caller.
   HttpHead mForwardedHead;
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -79,6 +79,9 @@
   // Asks once for each connection, and only where the entry tells starts apart.
   void CheckStart();
 
+  // Passes the further events of the request in progress to another sink.
+  void SetSink(AttemptSink& aSink) { mSink = &aSink; }
+
   // Resets the connection without a further call to the sink.
   void Abort();
 
--- a/src/quetzalquay/router/StreamSession.h
+++ b/src/quetzalquay/router/StreamSession.h
@@ -81,6 +81,8 @@
 
   void ExecuteActions(const Actions& aActions);
   void ExecuteAction(const DispatchAttempt& aAction);
+  // Its policies can reattach, so no attempt is tentative.
+  void ExecuteAction(const AdoptAttempt&) {}
   void ExecuteAction(const FenceAttempt& aAction);
   void ExecuteAction(const ReattachStream& aAction);
   void ExecuteAction(const ProbeTarget& aAction);
--- a/tests/fakes/EngineSimulation.h
+++ b/tests/fakes/EngineSimulation.h
@@ -147,6 +147,7 @@
   void ScheduleAfter(int aMs, std::function<void()> aAction);
   void Apply(const quetzalquay::Actions& aActions);
   void Execute(const quetzalquay::DispatchAttempt& aAction);
+  void Execute(const quetzalquay::AdoptAttempt&) {}
   void Execute(const quetzalquay::FenceAttempt& aAction);
   void Execute(const quetzalquay::ReattachStream& aAction);
   void Execute(const quetzalquay::ProbeTarget& aAction);
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -96,6 +96,12 @@
   // Breaks the connection of the current attempt.
   void Break() { End(mGeneration.CurrentAttempt(), AttemptEnd::Broken); }
 
+  // Starts the response of an attempt.
+  void Accept(int aAttempt)
+  {
+    Perform(mGeneration.OnAttemptAccepted(aAttempt, mNow));
+  }
+
   // Ends an attempt.
   void End(int aAttempt, AttemptEnd aEnd)
   {
@@ -117,6 +123,7 @@
   Generation mGeneration;
   std::vector<std::string> mDispatches;
   int mCancelled = 0;
+  int mAdopted = 0;
   int mDelivered = 0;
   int mReattached = 0;
   int mFailures = 0;
@@ -144,6 +151,7 @@
       if (const auto* probe = std::get_if<ProbeTarget>(&it)) {
         mProbed = probe->mAttempt;
       }
+      mAdopted += std::holds_alternative<AdoptAttempt>(it) ? 1 : 0;
       mCancelled += std::holds_alternative<CancelAttempt>(it) ? 1 : 0;
       mDelivered += std::holds_alternative<DeliverText>(it) ? 1 : 0;
       mReattached += std::holds_alternative<ReattachStream>(it) ? 1 : 0;
@@ -230,7 +238,14 @@
     stream.Wait(milliseconds(100), ProbeResult::NoAnswer);
     const std::vector<std::string> expected = { "first", "second" };
     CPPUNIT_ASSERT(stream.mDispatches == expected);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mCancelled);
+    stream.Accept(2);
     CPPUNIT_ASSERT_EQUAL(1, stream.mCancelled);
+    CPPUNIT_ASSERT_EQUAL(1, stream.mAdopted);
+    stream.Deliver(1, 1);
+    CPPUNIT_ASSERT_EQUAL(1, stream.mDelivered);
+    stream.Deliver(2, 1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
     CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mIsRetry);
     CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mContinuation);
     CPPUNIT_ASSERT(stream.mChooser.mLastQuery.mExcluded ==
@@ -328,6 +343,7 @@
       stream.Deliver(1, 2);
       CPPUNIT_ASSERT_EQUAL(3, stream.mDelivered);
       CPPUNIT_ASSERT_EQUAL(0, stream.mCancelled);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mAdopted);
       CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
     }
   }
@@ -390,6 +406,8 @@
     const auto next = call.OnSilence(kStart + kSilence);
     CPPUNIT_ASSERT(next.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("second"), next->mTarget);
+    // The second target has accepted the call, and the first one is left.
+    call.OnOtherAttemptEnded(PlainResult::Broken);
     CPPUNIT_ASSERT(chooser.mLastQuery.mExcluded ==
                    std::vector<std::string>{ "first" });
     CPPUNIT_ASSERT(!call.OnSilence(kStart + kSilence));
