--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -18,11 +18,11 @@
 // Longer than any interval at which a silent target is checked.
 constexpr Duration kSilence = milliseconds(2000);
 
-constexpr ChoiceStatus kUnavailable[] = { ChoiceStatus::NoneReady,
-                                          ChoiceStatus::Busy,
-                                          ChoiceStatus::Poison,
-                                          ChoiceStatus::NoBudget,
-                                          ChoiceStatus::Undecided };
+constexpr ChoiceStatus kUnavailable[] = {
+  ChoiceStatus::NoneReady,  ChoiceStatus::Busy,      ChoiceStatus::Poison,
+  ChoiceStatus::NoBudget,   ChoiceStatus::Undecided, ChoiceStatus::AskedToWait,
+  ChoiceStatus::VersionGone
+};
 
 // Offers one target, or none with a given status.
 class SingleOffer : public TargetChooser
@@ -175,6 +175,8 @@
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
   CPPUNIT_TEST(StreamResumesWhenItsSilentTargetHasLostItsRun);
+  CPPUNIT_TEST(StreamStaysWhereItsRunIsNotReportedWhileOthersAreFull);
+  CPPUNIT_TEST(StreamWithoutRunsLeftStaysWhereItsRunIsNotReported);
   CPPUNIT_TEST(StreamStaysAtASlowTargetAfterTheRecoveryTimeout);
   CPPUNIT_TEST(StreamThatCannotMoveStaysAfterTheRecoveryTimeout);
   CPPUNIT_TEST(StreamThatCannotMoveStaysWhenAProbeIsRefused);
@@ -282,6 +284,34 @@
     }
   }
 
+  // Streams were broken off because a report lacked their run, which had been
+  // preempted, and no other target had room.
+  void StreamStaysWhereItsRunIsNotReportedWhileOthersAreFull()
+  {
+    for (const ChoiceStatus status :
+         { ChoiceStatus::Busy, ChoiceStatus::NoBudget }) {
+      StartedStream stream;
+      stream.mChooser.mTarget = "second";
+      stream.mChooser.mStatus = status;
+      stream.Wait(std::chrono::seconds(12), ProbeResult::RunLost);
+      stream.Deliver(1, 1);
+      CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mCancelled);
+      CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+    }
+  }
+
+  // Streams were broken off because a report lacked their last run.
+  void StreamWithoutRunsLeftStaysWhereItsRunIsNotReported()
+  {
+    StartedStream stream(1);
+    stream.mChooser.mTarget = "second";
+    stream.Wait(kSilence, ProbeResult::RunLost);
+    stream.Deliver(1, 1);
+    CPPUNIT_ASSERT_EQUAL(2, stream.mDelivered);
+    CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
+  }
+
   // Streams that had moved were broken off when their new target took longer
   // than the recovery timeout for its first event.
   void StreamStaysAtASlowTargetAfterTheRecoveryTimeout()
