--- a/src/quetzalquay/gateway/AnswerBuffers.h
+++ b/src/quetzalquay/gateway/AnswerBuffers.h
@@ -5,9 +5,9 @@
 
 namespace quetzalquay {
 
-// Bytes that may be held of answers that are being received or have not been
-// read by their callers, all requests together, given the memory that the
-// process may use; SIZE_MAX stands for an unknown one.
+// Bytes that may be held of requests and answers together, until the caller has
+// read its answer, given the memory that the process may use; SIZE_MAX stands
+// for an unknown one.
 std::size_t
 AnswerBufferLimit(std::size_t aMemory);
 
@@ -16,10 +16,10 @@
 std::size_t
 UsableMemory();
 
-// Shares the memory for answers among all requests: those that are being
-// received, and those that wait for their callers to read them. An answer may
-// hold as much as is left unused, so that one without end is given
-// up before it takes the memory of the others.
+// Shares the memory for requests and answers among all requests: those that are
+// being received or handled, and answers that wait for their callers to read
+// them. Each may hold as much as is left unused, so that one without end is
+// given up before it takes the memory of the others.
 class AnswerBuffers
 {
 public:
