--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -49,6 +49,10 @@
 constexpr auto kCrashDowntime = milliseconds(1200);
 constexpr auto kEntryLifetime = milliseconds(3600);
 
+// Bandwidth in a host's own row, by which it reads the store itself. A host
+// that asked another one would get the addresses of that one's links.
+constexpr char kReaderBandwidth[] = " 100000";
+
 // Row of a host at whose address nothing listens.
 constexpr char kUnreachableHost[] = "127.0.3.9:9 100";
 
@@ -75,6 +79,13 @@
          std::to_string(aHost + 1);
 }
 
+// Address of a gateway's links to runners. The ports are those of the runners.
+std::string
+LinkIp(std::size_t aGateway)
+{
+  return "127.2.0." + std::to_string(aGateway + 1);
+}
+
 std::string
 Base64(const std::string& aText)
 {
@@ -173,6 +184,23 @@
     if (const auto problem = mListener.Open(*ParseEndpoint(Address(mPort)))) {
       throw std::runtime_error(*problem);
     }
+    SetLinksListening(true);
+  }
+
+  void StopListening()
+  {
+    mListener.Close();
+    SetLinksListening(false);
+  }
+
+  void SetLinksListening(bool aListening) const
+  {
+    for (const auto& it : mCluster.mNodes) {
+      const auto link = it->mLinks.find(mPort);
+      if (link != it->mLinks.end()) {
+        link->second->SetListening(aListening);
+      }
+    }
   }
 
   void Register(const std::string& aState) const
@@ -650,7 +678,7 @@
       mMode = RunnerMode::Serve;
       mRunner.mMode = RunnerMode::Serve;
       --mEvent;
-      mRunner.mListener.Close();
+      mRunner.StopListening();
       mRunner.mListenTimer.ScheduleAt(EventLoop::Now() + kRunnerPause);
       mEventTimer.ScheduleAt(EventLoop::Now() + kRunnerPause);
       return;
@@ -768,7 +796,7 @@
   ++mStarts;
   mSaysLeaving = false;
   mServingSince.reset();
-  mListener.Close();
+  StopListening();
   const Time now = EventLoop::Now();
   std::set<std::string> bodies;
   for (const auto& it : mConnections) {
@@ -792,7 +820,7 @@
 GatewayTestCluster::Runner::Stop()
 {
   mServingSince.reset();
-  mListener.Close();
+  StopListening();
   DropAll();
   mCluster.SetEntry(mName, "");
 }
@@ -853,6 +881,11 @@
     }
     mNodes.push_back(std::move(node));
   }
+  if (aOptions.mHasRunnerLinks) {
+    for (std::size_t n = 0; n < mNodes.size(); ++n) {
+      StartLinks(n);
+    }
+  }
   mLoadPort = FindFreePort();
   if (aOptions.mRelaysDatagrams) {
     StartRelays();
@@ -951,6 +984,95 @@
   }
 }
 
+void
+GatewayTestCluster::StartLinks(std::size_t aNumber)
+{
+  for (const auto& it : mRunners) {
+    const Runner& runner = *it.second;
+    const std::string own =
+      LinkIp(aNumber) + ":" + std::to_string(runner.mPort);
+    auto link = std::make_unique<RunnerLink>(
+      mLoop, *ParseEndpoint(own), *ParseEndpoint(Address(runner.mPort)));
+    link->SetListening(runner.mServingSince.has_value());
+    mNodes[aNumber]->mLinks.emplace(runner.mPort, std::move(link));
+  }
+}
+
+// A runner's entry with the address of the link by which a gateway reaches it.
+std::string
+GatewayTestCluster::EntrySeenBy(const GatewayNode& aReader,
+                                const std::string& aEntry) const
+{
+  std::string entry = aEntry;
+  for (const auto& it : aReader.mLinks) {
+    const std::string address = "\"" + Address(it.first) + "\"";
+    const auto at = entry.find(address);
+    if (at != std::string::npos) {
+      return entry.replace(
+        at, address.size(), "\"" + FormatEndpoint(it.second->Address()) + "\"");
+    }
+  }
+  return entry;
+}
+
+void
+GatewayTestCluster::SetLinks(std::size_t aGateway,
+                             const std::vector<std::string>& aRunners,
+                             LinkState aState)
+{
+  DoInLoop([&] {
+    for (const std::string& it : aRunners) {
+      mNodes[aGateway]->mLinks.at(mRunners.at(it)->mPort)->SetState(aState);
+    }
+  });
+}
+
+int
+GatewayTestCluster::CountLinkConnections(std::size_t aGateway)
+{
+  int count = 0;
+  DoInLoop([&] {
+    for (const auto& it : mNodes[aGateway]->mLinks) {
+      count += it.second->ConnectionCount();
+    }
+  });
+  return count;
+}
+
+std::vector<std::string>
+GatewayTestCluster::RunnersOf(const std::string& aService) const
+{
+  std::vector<std::string> names;
+  for (const auto& it : mRunners) {
+    if (aService.empty() || it.second->mService == aService) {
+      names.push_back(it.first);
+    }
+  }
+  return names;
+}
+
+int
+GatewayTestCluster::CountRows(const std::string& aTable)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto& rows = mTables[aTable];
+  return static_cast<int>(
+    std::count_if(rows.begin(), rows.end(), [](const auto& aRow) {
+      return !aRow.second.mRemoved;
+    }));
+}
+
+// Peer address of a gateway.
+const std::string&
+GatewayTestCluster::PeerOf(const std::string& aName) const
+{
+  const auto node =
+    std::find_if(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+      return aNode->mName == aName;
+    });
+  return mPeers.at(static_cast<std::size_t>(node - mNodes.begin()));
+}
+
 // Host row of a gateway as another one sees it while datagrams are relayed.
 std::string
 GatewayTestCluster::AddressSeenBy(const GatewayNode& aReader,
@@ -962,7 +1084,7 @@
     reader = mNodes[n].get() == &aReader ? n : reader;
     host = mNodes[n]->mName == aName ? n : host;
   }
-  const std::string& peer = mPeers[host];
+  const std::string& peer = PeerOf(aName);
   return RelayIp(reader, host) + peer.substr(peer.find(':')) + " 100";
 }
 
@@ -1140,7 +1262,10 @@
 GatewayTestCluster::RunnerAt(const std::string& aAddress) const
 {
   for (const auto& it : mRunners) {
-    if (Address(it.second->mPort) == aAddress) {
+    // A gateway's link to a runner has the runner's port.
+    const auto colon = aAddress.find(':');
+    if (colon != std::string::npos &&
+        aAddress.substr(colon + 1) == std::to_string(it.second->mPort)) {
       return it.first;
     }
   }
@@ -1284,7 +1409,7 @@
                           bool aRemoved)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved };
+  mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved, aValue };
 }
 
 std::string
@@ -1328,7 +1453,8 @@
       mTables[it["Table"].GetString()][it["Key"].GetString()] = {
         value == it.MemberEnd() ? "" : value->value.GetString(),
         mVersion,
-        value == it.MemberEnd()
+        value == it.MemberEnd(),
+        std::string()
       };
     }
   }
@@ -1381,6 +1507,11 @@
     } else if (table == "gateway-hosts" && !mRelays.empty() &&
                it.first != aReader.mName) {
       row.mValue = Base64(AddressSeenBy(aReader, it.first));
+    } else if (table == "gateway-hosts" && !aReader.mLinks.empty() &&
+               it.first == aReader.mName) {
+      row.mValue = Base64(PeerOf(it.first) + kReaderBandwidth);
+    } else if (table == "servers" && !aReader.mLinks.empty()) {
+      row.mValue = Base64(EntrySeenBy(aReader, row.mText));
     }
     if (row.mVersion <= from || (whole && row.mRemoved) ||
         it.first < firstKey || (limit > 0 && count >= limit)) {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_TESTS_FAKES_GATEWAYTESTCLUSTER_H_INCLUDED
 
 #include "GatewayProcess.h"
+#include "RunnerLink.h"
 #include "StoreServer.h"
 #include "TestConfiguration.h"
 
@@ -183,6 +184,9 @@
     bool mFirstStartTime = false;
     // Runners, the last ones, that are started only by StartRunner().
     int mLateRunners = 0;
+    // Whether each gateway has links of its own to the runners, which can be
+    // cut.
+    bool mHasRunnerLinks = false;
   };
 
   // Starts everything; the gateways are ready when this returns.
@@ -335,6 +339,22 @@
   // Sets a runner's entry in the store; an empty value removes it.
   void SetEntry(const std::string& aRunner, const std::string& aValue);
 
+  // Cuts the links of a gateway to runners, or restores them. Needs
+  // Options::mHasRunnerLinks.
+  void SetLinks(std::size_t aGateway,
+                const std::vector<std::string>& aRunners,
+                LinkState aState);
+
+  // Connections that a gateway has made to runners since the start. Needs
+  // Options::mHasRunnerLinks.
+  int CountLinkConnections(std::size_t aGateway);
+
+  // Names of the runners of a service, of any if it is empty.
+  std::vector<std::string> RunnersOf(const std::string& aService = {}) const;
+
+  // Number of rows of a table that are not removed.
+  int CountRows(const std::string& aTable);
+
   // Simulates a restart of a runner under another name at the same address: all
   // its connections are dropped.
   void Restart(const std::string& aRunner, const std::string& aName);
@@ -416,6 +436,8 @@
     std::string mValue;
     long long mVersion = 0;
     bool mRemoved = false;
+    // The value as written by a fake; empty for rows of gateways.
+    std::string mText;
   };
 
   // One gateway and its own endpoint of the fake store.
@@ -428,11 +450,17 @@
     std::unique_ptr<GatewayProcess> mGateway;
     std::string mName;
     bool mCutOff = false;
+    // Links to the runners, by the runners' ports.
+    std::map<int, std::unique_ptr<RunnerLink>> mLinks;
   };
 
+  void StartLinks(std::size_t aNumber);
+  std::string EntrySeenBy(const GatewayNode& aReader,
+                          const std::string& aEntry) const;
   bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
   void StartGateway(std::size_t aNumber);
   void StartRelays();
+  const std::string& PeerOf(const std::string& aName) const;
   std::string AddressSeenBy(const GatewayNode& aReader,
                             const std::string& aName) const;
   // Answers a call that was received aAge ago. Returns nothing while a call for
