--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -6,6 +6,7 @@
 #include "core/RoutingTable.h"
 #include "core/StreamOrigins.h"
 #include "core/TargetEntries.h"
+#include "core/TargetReach.h"
 #include "core/TargetTable.h"
 #include "core/VersionHistory.h"
 #include "gateway/GatewaySettings.h"
@@ -94,6 +95,9 @@
 
   TargetTable& Targets() { return mTargets; }
 
+  // From which services' targets this host is cut off.
+  TargetReach& Reach() { return mReach; }
+
   // Location of a target, or nullptr if it is not registered.
   const TargetLocation* Locate(const std::string& aTarget) const;
 
@@ -200,6 +204,7 @@
   std::int64_t mRoutingRowVersion = 0;
   TargetEntries mEntries;
   TargetTable mTargets;
+  TargetReach mReach;
   std::map<std::string, TargetLocation> mLocations;
   VersionHistory mVersions;
   StreamOrigins mOrigins;
