--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -50,6 +50,7 @@
   : mSpec(std::move(aSpec))
   , mChooser(aChooser)
   , mTimerAt(mSpec.mDeadline)
+  , mRuns(mSpec.mPrior.mRuns)
 {
   mSpec.mQuery.mSoftwareVersion = mSpec.mSoftwareVersion;
 }
@@ -349,6 +350,17 @@
   return actions;
 }
 
+std::optional<int>
+Generation::RunsIfPassedOn(std::optional<AttemptEnd> aEnd) const
+{
+  const bool started = aEnd == AttemptEnd::Broken;
+  const int runs = mRuns - (aEnd && !started ? 1 : 0);
+  const bool restartable = mSpec.mResumable && mSpec.mIdempotent;
+  const bool allowed = restartable || (!mMayHaveStarted && !started);
+  const bool left = mSpec.mMaxRuns == 0 || runs < mSpec.mMaxRuns;
+  return allowed && left ? std::make_optional(runs) : std::nullopt;
+}
+
 Time
 Generation::NextTimer() const
 {
@@ -393,7 +405,8 @@
   }
   mSpec.mQuery.mContinuation =
     !mTokens.empty() || !mSpec.mSoftwareVersion.empty();
-  mSpec.mQuery.mIsRetry = mAttempt > 0;
+  mSpec.mQuery.mIsRetry = mAttempt > 0 || mSpec.mPrior.mSent;
+  mSpec.mQuery.mIsCounted = mSpec.mPrior.mCounted;
   const Choice choice = mChooser.Choose(mSpec.mQuery, aNow);
   switch (choice.mStatus) {
     case ChoiceStatus::Chosen:
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -28,6 +28,8 @@
   std::string mSoftwareVersion;
   // Maximum number of targets that the request may run on; 0 means unlimited.
   int mMaxRuns = 0;
+  // What another host has done with the request.
+  PriorAttempts mPrior;
   // A request that is not expected to get a target before this time is refused.
   Time mStartBy = Time::max();
   Time mDeadline;
@@ -117,6 +119,18 @@
   // the stream moves to another target at this token boundary.
   Actions OnTargetStopping(Time aNow);
 
+  // Returns the attempts that may have run, if another host may start the
+  // request or resume the stream although the current attempt ends in the given
+  // way; nothing if it must not. aEnd is empty if there is no current attempt.
+  std::optional<int> RunsIfPassedOn(std::optional<AttemptEnd> aEnd) const;
+
+  // Software version that the rest of the stream must have; empty before the
+  // first token.
+  const std::string& SoftwareVersion() const
+  {
+    return mSpec.mQuery.mSoftwareVersion;
+  }
+
   // Sets the target that holds a copy of the current run; empty if none does.
   void SetCopyHolder(const std::string& aTarget)
   {
@@ -250,8 +264,9 @@
   Time mRecoveryDeadline = Time::max();
   int mRejections = 0;
   int mRestarts = 0;
-  // Dispatches that were not rejected by their target.
-  int mRuns = 0;
+  // Dispatches that were not rejected by their target, those of other hosts
+  // included.
+  int mRuns;
   // Whether the current attempt reads a stream that an earlier one started.
   bool mReattached = false;
   // Whether the current attempt's stream has produced a token.
--- /dev/null
+++ b/src/quetzalquay/core/PassedOnCall.cpp
@@ -0,0 +1,85 @@
+#include "core/PassedOnCall.h"
+
+namespace quetzalquay {
+
+namespace {
+
+// Retry-After of a request that no other host could serve.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
+
+const char*
+MessageOf(FailureCode aCode)
+{
+  switch (aCode) {
+    case FailureCode::DeadlineExceeded:
+      return "the host that serves the request did not answer before the "
+             "deadline";
+    case FailureCode::Stopping:
+      return "the host is shutting down";
+    case FailureCode::NoTarget:
+      return "this host is cut off from the service's targets, and no other "
+             "host could serve the request";
+    default:
+      return "the host that served the request was lost";
+  }
+}
+
+} // namespace
+
+void
+PassedOnCall::OnTry(const std::string& aHost)
+{
+  ++mHosts;
+  mTried.push_back(aHost);
+}
+
+void
+PassedOnCall::OnProgress()
+{
+  if (mTried.size() > 1) {
+    mTried.erase(mTried.begin(), mTried.end() - 1);
+  }
+}
+
+bool
+PassedOnCall::CanLeaveHost() const
+{
+  const bool left =
+    mOptions.mMaxRuns == 0 || mOptions.mRuns + 1 < mOptions.mMaxRuns;
+  return mOptions.mRepeatable && left;
+}
+
+bool
+PassedOnCall::OnEnd(PassedOnEnd aEnd, Time aNow)
+{
+  const bool started = aEnd == PassedOnEnd::Failed || aEnd == PassedOnEnd::Lost;
+  const bool allowed = !started || CanLeaveHost();
+  if (started) {
+    ++mOptions.mRuns;
+    mOptions.mMayHaveRun = true;
+  }
+  return allowed && static_cast<int>(mTried.size()) < kMaxHosts &&
+         aNow < mOptions.mDeadline;
+}
+
+RunVerdict
+PassedOnCall::Verdict(bool aIsSent) const
+{
+  return aIsSent || mOptions.mMayHaveRun ? RunVerdict::OutcomeUnknown
+                                         : RunVerdict::NotRun;
+}
+
+Failure
+PassedOnCall::MakeFailure(FailureCode aCode, bool aIsSent) const
+{
+  Failure failure;
+  failure.mCode = aCode;
+  failure.mVerdict = Verdict(aIsSent);
+  failure.mMessage = MessageOf(aCode);
+  if (failure.mVerdict == RunVerdict::NotRun) {
+    failure.mRetryAfter = kRetryAfter;
+  }
+  return failure;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -28,12 +28,15 @@
                      bool aIdempotent,
                      Time aDeadline,
                      TargetChooser& aChooser,
-                     int aMaxRuns)
+                     int aMaxRuns,
+                     const PriorAttempts& aPrior)
   : mQuery(std::move(aQuery))
   , mIdempotent(aIdempotent)
   , mDeadline(aDeadline)
   , mChooser(aChooser)
   , mMaxRuns(aMaxRuns)
+  , mPrior(aPrior)
+  , mRuns(aPrior.mRuns)
 {
 }
 
@@ -101,6 +104,15 @@
   }
 }
 
+std::optional<int>
+PlainCall::RunsIfPassedOn(PlainResult aResult) const
+{
+  const bool started = aResult != PlainResult::NotStarted;
+  const int runs = mRuns + (started ? 1 : 0);
+  const bool allowed = mIdempotent || (!mMayHaveStarted && !started);
+  return allowed && runs < mMaxRuns ? std::make_optional(runs) : std::nullopt;
+}
+
 bool
 PlainCall::HasAttemptsLeft(int aRuns) const
 {
@@ -117,7 +129,8 @@
     return Fail(FailureCode::Overloaded,
                 "every attempted target failed the call");
   }
-  mQuery.mIsRetry = mAttempt > 0;
+  mQuery.mIsRetry = mAttempt > 0 || mPrior.mSent;
+  mQuery.mIsCounted = mPrior.mCounted;
   const Choice choice = mChooser.Choose(mQuery, aNow);
   if (choice.mStatus == ChoiceStatus::Poison) {
     PlainStep step = Fail(FailureCode::SuspectedPoison,
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -63,7 +63,8 @@
             bool aIdempotent,
             Time aDeadline,
             TargetChooser& aChooser,
-            int aMaxRuns = kDefaultMaxRuns);
+            int aMaxRuns = kDefaultMaxRuns,
+            const PriorAttempts& aPrior = PriorAttempts());
 
   // Maximum number of runs of a call when its route does not specify one.
   static constexpr int kDefaultMaxRuns = 3;
@@ -86,6 +87,18 @@
   // on. An abandoned one counts as broken if the call was sent.
   void OnOtherAttemptEnded(PlainResult aResult);
 
+  // Returns the attempts that may have run, if another host may send the call
+  // to a target although the current attempt ends with the given result;
+  // nothing if it must not. There is no current attempt after a FailCall, which
+  // counts as NotStarted.
+  std::optional<int> RunsIfPassedOn(PlainResult aResult) const;
+
+  // Whether a target may have started the call.
+  bool MayHaveStarted() const { return mMayHaveStarted; }
+
+  // Stops to wait for a target, as another host takes the call over.
+  void CancelWait() { mChooser.CancelWait(mQuery); }
+
 private:
   PlainStep TryNextTarget(Time aNow);
   bool HasAttemptsLeft(int aRuns) const;
@@ -97,9 +110,10 @@
   Time mDeadline;
   TargetChooser& mChooser;
   int mMaxRuns;
+  PriorAttempts mPrior;
   int mAttempt = 0;
-  // Attempts that a target may have run.
-  int mRuns = 0;
+  // Attempts that a target may have run, those of other hosts included.
+  int mRuns;
   bool mMayHaveStarted = false;
   // Until when the call waits for a verdict; nothing while it needs none.
   std::optional<Time> mVerdictDeadline;
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -32,6 +32,17 @@
   VersionGone,
 };
 
+// What another host has done with a request before it passed the request on.
+struct PriorAttempts
+{
+  // Attempts that may have run.
+  int mRuns = 0;
+  // Whether the first attempt has been counted for the retry budget, and
+  // whether any attempt has been sent to a target.
+  bool mCounted = false;
+  bool mSent = false;
+};
+
 // Properties of a request that the choice of a target depends on.
 struct ChoiceQuery
 {
@@ -54,6 +65,9 @@
   // Whether the attempt is a retry, that is, the request has been sent to a
   // target before.
   bool mIsRetry = false;
+  // Whether another host has counted the request's first attempt, which it
+  // could not send.
+  bool mIsCounted = false;
   // Time by which the response, or the stream's next event, is due. A retry
   // after that takes from the smaller, late part of the retry budget.
   Time mDueAt = Time::max();
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -243,7 +243,7 @@
     choice.mStatus = ChoiceStatus::NoBudget;
     return choice;
   }
-  if (mBudget && !aQuery.mIsRetry) {
+  if (mBudget && !aQuery.mIsRetry && !aQuery.mIsCounted) {
     mBudget->OnFirstAttempt(aQuery.mService, aNow);
   }
   mLimits.OnSent(choice.mTarget, aNow);
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/CallerConnection.h"
 
 #include "core/Hash.h"
+#include "gateway/PassedOnExchange.h"
 #include "gateway/PlainExchange.h"
 #include "gateway/StreamExchange.h"
 #include "gateway/TakenUpStream.h"
@@ -49,6 +50,12 @@
 // Retry-After of requests on connections over the limit.
 constexpr Duration kFullRetryAfter = std::chrono::seconds(1);
 
+// Requests of other hosts that are served at the same time.
+constexpr int kMaxHostExchanges = 128;
+
+// Bytes of a request's head for the fields that hosts add to it.
+constexpr std::size_t kHostFieldBytes = 1024;
+
 const char*
 ReasonPhrase(int aStatus)
 {
@@ -98,8 +105,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(CallerServer& aServer)
+CallerConnection::CallerConnection(CallerServer& aServer, CallerKind aKind)
   : mServer(aServer)
+  , mKind(aKind)
   , mSocket(MakeRef<Socket>(aServer.mContext.mLoop))
   , mUnsent(aServer.mContext.mAnswerBuffers)
   , mHeldRequest(aServer.mContext.mAnswerBuffers)
@@ -188,8 +196,8 @@
   mTimer.Clear();
   mSocket->Close();
   if (mHandlingRequest && mExchange != nullptr) {
-    --mServer.mExchangeCount;
-    const RefPtr<Exchange> exchange = std::exchange(mExchange, nullptr);
+    const RefPtr<Exchange> exchange = mExchange;
+    ReleaseExchange();
     exchange->OnCallerDisconnected();
   }
   mServer.mConnections.erase(self);
@@ -261,7 +269,8 @@
 void
 CallerConnection::ApplyLimits()
 {
-  const CallerLimits limits = CurrentLimits();
+  CallerLimits limits = CurrentLimits();
+  limits.mHeadBytes += mKind == CallerKind::Host ? kHostFieldBytes : 0;
   if (limits.mHeadBytes != mReaderLimits.mHead ||
       limits.mBodyBytes != mReaderLimits.mBody) {
     mReaderLimits = { limits.mHeadBytes, limits.mBodyBytes };
@@ -275,25 +284,69 @@
 {
   mHandlingRequest = true;
   mKeepAlive = mReader.Head().mKeepAlive;
+  if (mKind == CallerKind::Host && mReader.Head().mTarget == kHostCheckPath) {
+    SendResponse(200, "", "", "");
+    return;
+  }
   auto call = AdmitRequest(mReader.Head(), mReader.TakeBody());
   if (!call) {
     return;
   }
   ++mServer.mExchangeCount;
+  mServer.mHostExchangeCount += mKind == CallerKind::Host ? 1 : 0;
+  const Time now = EventLoop::Now();
+  if (mServer.mContext.mFleet.Reach().IsCutOff(call->mService, now)) {
+    if (auto host = FindServingHost(mServer.mContext, *call, now)) {
+      HandOver handOver;
+      handOver.mHost = std::move(*host);
+      handOver.mCause = "cut_off";
+      handOver.mEvents = EventSequence(mRequest.mLastEventId);
+      PassOn(std::move(*call), std::move(handOver));
+      return;
+    }
+  }
+  StartExchange(MakeExchange(std::move(*call)));
+}
+
+RefPtr<Exchange>
+CallerConnection::MakeExchange(RoutedCall aCall)
+{
+  GatewayContext& context = mServer.mContext;
+  if (aCall.mRoute->mKind != CallKind::Stream) {
+    return MakeRef<PlainExchange>(context, std::move(aCall), *this);
+  }
   const bool takenUp =
     !mRequest.mLastEventId.empty() || !mRequest.mOriginRequestId.empty();
-  if (call->mRoute->mKind == CallKind::Stream && takenUp) {
-    mExchange =
-      MakeRef<TakenUpStream>(mServer.mContext, std::move(*call), *this);
-  } else if (call->mRoute->mKind == CallKind::Stream) {
-    mExchange =
-      MakeRef<StreamExchange>(mServer.mContext, std::move(*call), *this);
-  } else {
-    mExchange =
-      MakeRef<PlainExchange>(mServer.mContext, std::move(*call), *this);
+  // The passing host knows where the stream began.
+  const bool known = !aCall.mSoftwareVersion.empty();
+  if (takenUp && !known) {
+    return MakeRef<TakenUpStream>(context, std::move(aCall), *this);
+  }
+  return MakeRef<StreamExchange>(context, std::move(aCall), *this);
+}
+
+void
+CallerConnection::StartExchange(RefPtr<Exchange> aExchange)
+{
+  mExchange = aExchange;
+  aExchange->Start();
+}
+
+void
+CallerConnection::PassOn(RoutedCall aCall, HandOver aHandOver)
+{
+  StartExchange(MakeRef<PassedOnExchange>(
+    mServer.mContext, std::move(aCall), std::move(aHandOver), *this));
+}
+
+void
+CallerConnection::ReleaseExchange()
+{
+  if (mExchange != nullptr) {
+    mExchange = nullptr;
+    --mServer.mExchangeCount;
+    mServer.mHostExchangeCount -= mKind == CallerKind::Host ? 1 : 0;
   }
-  const RefPtr<Exchange> exchange = mExchange;
-  exchange->Start();
 }
 
 // Resolves the route, workspace and deadline of a request. Sends an error
@@ -301,7 +354,15 @@
 std::optional<RoutedCall>
 CallerConnection::AdmitRequest(HttpHead aHead, std::string aBody)
 {
+  mPassedOn = PassedOnRequest();
+  if (mKind == CallerKind::Host && !AdmitPassedOn(aHead)) {
+    return std::nullopt;
+  }
+  RemoveHostFields(aHead);
   mRequest = platform::DecodeCallerRequest(aHead);
+  if (mPassedOn.mResumed && mRequest.mOriginRequestId.empty()) {
+    mRequest.mOriginRequestId = mRequest.mRequestId;
+  }
   const RefPtr<RoutingTable>& routing = mServer.mContext.mFleet.Routing();
   if (!mServer.mContext.mFleet.IsReady()) {
     RejectUnconfigured();
@@ -311,6 +372,12 @@
     Reject(503, FailureCode::Stopping, "the host is shutting down");
     return std::nullopt;
   }
+  if (mPassedOn.mConfiguration > routing->mVersion) {
+    Reject(503,
+           FailureCode::ConfigurationUnknown,
+           "the configuration of this host is older than the passing host's");
+    return std::nullopt;
+  }
   RoutedCall call;
   call.mRoute = routing->FindRoute(mRequest.mHost, aHead.mTarget);
   if (call.mRoute == nullptr || call.mRoute->mServices.empty()) {
@@ -331,12 +398,12 @@
   }
   call.mRouting = routing;
   call.mService = ChooseService(*call.mRoute, mServer.mRandom);
-  call.mArrivedAt = mArrivedAt;
-  call.mDeadline =
-    mArrivedAt +
-    std::min(mRequest.mCallerTimeout.value_or(kDefaultCallerTimeout),
-             call.mRoute->mTimeout > Duration::zero() ? call.mRoute->mTimeout
-                                                      : kDefaultCallerTimeout);
+  call.mArrivedAt = mArrivedAt - mPassedOn.mAge;
+  call.mDeadline = std::min(
+    mArrivedAt + mRequest.mCallerTimeout.value_or(kDefaultCallerTimeout),
+    call.mArrivedAt + (call.mRoute->mTimeout > Duration::zero()
+                         ? call.mRoute->mTimeout
+                         : kDefaultCallerTimeout));
   call.mContent = {
     StableHash(aBody, StableHash(aHead.mTarget, StableHash(call.mWorkspace))),
     mRequest.mPromptParts
@@ -350,9 +417,80 @@
   call.mRequest = mRequest;
   call.mHead = std::move(aHead);
   call.mBody = std::move(aBody);
+  if (mPassedOn.IsPassedOn()) {
+    call.mPassedOn = mPassedOn;
+    call.mService = mPassedOn.mService;
+    call.mSoftwareVersion = mPassedOn.mSoftwareVersion;
+    call.mOriginAttempt = mPassedOn.mTries;
+    if (!CanServe(call)) {
+      return std::nullopt;
+    }
+  }
   return call;
 }
 
+// Reads what another host says of the request that it passes on. Sends an error
+// response and returns false if it is not such a request.
+bool
+CallerConnection::AdmitPassedOn(const HttpHead& aHead)
+{
+  const auto passedOn = ParsePassedOnRequest(aHead);
+  if (!passedOn) {
+    mRequest = platform::DecodeCallerRequest(aHead);
+    Reject(400,
+           FailureCode::InvalidRequest,
+           "not a request that a host has passed on");
+    return false;
+  }
+  mPassedOn = *passedOn;
+  return true;
+}
+
+// Whether a request of another host can be served here at all. Sends an error
+// response if not, so that the other host can look for a third one.
+bool
+CallerConnection::CanServe(const RoutedCall& aCall)
+{
+  const auto& services = aCall.mRoute->mServices;
+  const bool allowed = std::any_of(
+    services.begin(), services.end(), [&](const WeightedService& aService) {
+      return aService.mName == aCall.mService;
+    });
+  if (!allowed) {
+    Reject(503,
+           FailureCode::VersionGone,
+           "the route no longer uses the service that the passing host chose");
+    return false;
+  }
+  if (mServer.mHostExchangeCount >= kMaxHostExchanges) {
+    Reject(503,
+           FailureCode::Overloaded,
+           "too many requests of other hosts are being served");
+    return false;
+  }
+  if (mServer.mContext.mFleet.Reach().IsCutOff(aCall.mService,
+                                               EventLoop::Now())) {
+    Reject(503,
+           FailureCode::NoTarget,
+           "this host is cut off from the service's targets");
+    return false;
+  }
+  const auto number = [](auto aValue) { return std::to_string(aValue); };
+  mServer.mContext.mMetrics.Add(GatewayCounter::RequestsServedForHosts);
+  Log(LogLevel::Info,
+      "request",
+      "received from another host",
+      { { "request", mRequest.mRequestId },
+        { "from", mPassedOn.mFrom },
+        { "service", aCall.mService },
+        { "software", mPassedOn.mSoftwareVersion },
+        { "age_ms", number(static_cast<int>(ToMilliseconds(mPassedOn.mAge))) },
+        { "tries", number(mPassedOn.mTries) },
+        { "runs", number(mPassedOn.mPrior.mRuns) },
+        { "after_event", mRequest.mLastEventId } });
+  return true;
+}
+
 void
 CallerConnection::Reject(int aStatus, FailureCode aCode, const char* aMessage)
 {
@@ -372,14 +510,19 @@
       { { "request", mRequest.mRequestId },
         { "configuration",
           routing == nullptr ? "none" : std::to_string(routing->mVersion) },
-        { "status", std::to_string(aStatus) } });
+        { "status", std::to_string(aStatus) },
+        { "from", mPassedOn.mFrom },
+        { "reason", failure.mMessage } });
   const Time now = EventLoop::Now();
   const Time deadline =
     now + mRequest.mCallerTimeout.value_or(kDefaultCallerTimeout);
-  SendResponse(aStatus,
-               "",
-               FormatFailureFields(failure, mRequest.mRequestId, deadline, now),
-               FormatFailureBody(failure));
+  std::string fields =
+    FormatFailureFields(failure, mRequest.mRequestId, deadline, now);
+  if (mKind == CallerKind::Host) {
+    mServer.mContext.mMetrics.Add(GatewayCounter::RequestsRefusedToHosts);
+    fields += FormatHostFailure(failure.mVerdict, RefusedBy::Host);
+  }
+  SendResponse(aStatus, "", fields, FormatFailureBody(failure));
 }
 
 // Takes the memory for a request whose head is complete. Returns whether there
@@ -509,10 +652,7 @@
 void
 CallerConnection::AbortResponse()
 {
-  if (mExchange != nullptr) {
-    mExchange = nullptr;
-    --mServer.mExchangeCount;
-  }
+  ReleaseExchange();
   mHandlingRequest = false;
   EndConnection(ConnectionEnd::BrokenOff);
 }
@@ -522,10 +662,7 @@
 void
 CallerConnection::EndRequest()
 {
-  if (mExchange != nullptr) {
-    mExchange = nullptr;
-    --mServer.mExchangeCount;
-  }
+  ReleaseExchange();
   mHandlingRequest = false;
   mHeldRequest.Resize(0);
   mRequestBytes = 0;
@@ -642,14 +779,19 @@
   , mRandom(std::random_device{}())
   , mLog(aContext.mMetrics)
   , mListener(aContext.mLoop,
-              [this](tcp::socket aSocket) { Accept(std::move(aSocket)); })
+              [this](tcp::socket aSocket) {
+                Accept(std::move(aSocket), CallerKind::Caller);
+              })
+  , mHostListener(aContext.mLoop, [this](tcp::socket aSocket) {
+    Accept(std::move(aSocket), CallerKind::Host);
+  })
 {
 }
 
 void
-CallerServer::Accept(tcp::socket aSocket)
+CallerServer::Accept(tcp::socket aSocket, CallerKind aKind)
 {
-  const auto connection = MakeRef<CallerConnection>(*this);
+  const auto connection = MakeRef<CallerConnection>(*this, aKind);
   if (!IsFull()) {
     mConnections.insert(connection);
     connection->Start(std::move(aSocket));
@@ -672,19 +814,36 @@
     static_cast<std::size_t>(mMaxConnections) - kMaxTurnedAway;
   const std::size_t callers = mConnections.size() - mTurnedAwayCount;
   return callers >= limit / kCallerShareDivisor * kCallerShare ||
-         callers + mContext.mPool.OpenConnectionCount() >= limit;
+         callers + mContext.mPool.OpenConnectionCount() +
+             mContext.mHostPool.OpenConnectionCount() >=
+           limit;
 }
 
 std::optional<std::string>
-CallerServer::Open(const Endpoint& aEndpoint)
+CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
 {
-  return mListener.Open(aEndpoint);
+  const auto problem = mListener.Open(aCallers);
+  return problem ? problem : mHostListener.Open(aHosts);
 }
 
 void
-CallerServer::StopAcceptingRequests()
+CallerServer::AcceptPending()
 {
   mListener.AcceptPending();
+  mHostListener.AcceptPending();
+}
+
+void
+CallerServer::CloseListeners()
+{
+  mListener.Close();
+  mHostListener.Close();
+}
+
+void
+CallerServer::StopAcceptingRequests()
+{
+  AcceptPending();
   CloseIdle(ConnectionEnd::Stopping);
   mAcceptsRequests = false;
 }
@@ -701,8 +860,8 @@
 void
 CallerServer::StopListening()
 {
-  mListener.AcceptPending();
-  mListener.Close();
+  AcceptPending();
+  CloseListeners();
   CloseIdle(ConnectionEnd::Exiting);
 }
 
@@ -727,7 +886,7 @@
 void
 CallerServer::Close()
 {
-  mListener.Close();
+  CloseListeners();
   while (!mConnections.empty()) {
     const RefPtr<CallerConnection> first = *mConnections.begin();
     first->Close(ConnectionEnd::Exiting);
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -16,16 +16,24 @@
 
 class CallerServer;
 
-// HTTP/1.1 connection of one caller. Parses requests one at a time, starts an
-// exchange for each and writes its response. The server's connection set owns
-// it until it closes.
+// Who sends requests on a connection.
+enum class CallerKind
+{
+  Caller,
+  // Another host, which passes on requests of its callers.
+  Host,
+};
+
+// HTTP/1.1 connection of one caller, or of another host. Parses requests one at
+// a time, starts an exchange for each and writes its response. The server's
+// connection set owns it until it closes.
 class CallerConnection
   : public RefCounted<CallerConnection>
   , public SocketHandler
   , public ResponseSink
 {
 public:
-  explicit CallerConnection(CallerServer& aServer);
+  CallerConnection(CallerServer& aServer, CallerKind aKind);
 
   // Takes over an accepted socket and starts to read requests from it.
   void Start(boost::asio::ip::tcp::socket aSocket);
@@ -63,6 +71,7 @@
   void SendChunk(std::string_view aBytes) override;
   void EndChunkedResponse() override;
   void AbortResponse() override;
+  void PassOn(RoutedCall aCall, HandOver aHandOver) override;
 
   bool IsIdle() const;
   void CloseIdle(ConnectionEnd aEnd);
@@ -70,6 +79,11 @@
   void ApplyLimits();
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
+  bool AdmitPassedOn(const HttpHead& aHead);
+  bool CanServe(const RoutedCall& aCall);
+  RefPtr<Exchange> MakeExchange(RoutedCall aCall);
+  void StartExchange(RefPtr<Exchange> aExchange);
+  void ReleaseExchange();
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
   void RejectUnread(const char* aMessage);
@@ -85,6 +99,7 @@
   std::string BeginResponse(int aStatus, const std::string& aReason);
 
   CallerServer& mServer;
+  CallerKind mKind;
   RefPtr<Socket> mSocket;
   // What the caller has not read yet of its answer.
   AnswerBuffer mUnsent;
@@ -98,6 +113,8 @@
   std::string mUnparsedInput;
   RefPtr<Exchange> mExchange;
   platform::CallerRequest mRequest;
+  // What the other host says that has passed the request on.
+  PassedOnRequest mPassedOn;
   Time mArrivedAt;
   // Since when no request has been received or handled.
   Time mIdleSince;
@@ -118,14 +135,16 @@
   Time mTimerExpiry;
 };
 
-// Accepts connections from callers and owns them.
+// Accepts connections from callers and from other hosts, and owns them.
 class CallerServer
 {
 public:
   CallerServer(GatewayContext& aContext, int aMaxConnections);
 
-  // Starts to listen at an address; returns an error message on failure.
-  std::optional<std::string> Open(const Endpoint& aEndpoint);
+  // Starts to listen at an address for callers and at one for other hosts;
+  // returns an error message on failure.
+  std::optional<std::string> Open(const Endpoint& aCallers,
+                                  const Endpoint& aHosts);
 
   // From now on the connection is closed after each response. New requests are
   // still accepted.
@@ -159,7 +178,9 @@
   friend class CallerConnection;
 
   void CloseIdle(ConnectionEnd aEnd);
-  void Accept(boost::asio::ip::tcp::socket aSocket);
+  void AcceptPending();
+  void CloseListeners();
+  void Accept(boost::asio::ip::tcp::socket aSocket, CallerKind aKind);
   bool IsFull() const;
 
   GatewayContext& mContext;
@@ -171,8 +192,11 @@
   bool mDraining = false;
   bool mAcceptsRequests = true;
   int mExchangeCount = 0;
+  // How many of these are served for other hosts.
+  int mHostExchangeCount = 0;
   ConnectionLog mLog;
   Listener mListener;
+  Listener mHostListener;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -15,6 +15,16 @@
 // do not wait longer.
 constexpr int kRetryAfterDivisor = 4;
 
+// Whether another host might not fail a request so.
+RefusedBy
+RefusedByOf(FailureCode aCode)
+{
+  const bool ofHost =
+    aCode == FailureCode::NoTarget || aCode == FailureCode::Stopping ||
+    aCode == FailureCode::VersionUnknown || aCode == FailureCode::VersionGone;
+  return ofHost ? RefusedBy::Host : RefusedBy::Request;
+}
+
 } // namespace
 
 Exchange::Exchange(GatewayContext& aContext,
@@ -49,12 +59,49 @@
   LogCompletion(
     std::string(NameOf(aFailure.mCode)).c_str(), status, aFailure.mMessage);
   mContext.mMetrics.OnFailure(aFailure.mCode, aFailure.mVerdict);
-  mSink->SendResponse(
-    status,
-    "",
-    FormatFailureFields(
-      aFailure, mCall.mRequest.mRequestId, mCall.mDeadline, EventLoop::Now()),
-    FormatFailureBody(aFailure));
+  std::string fields = FormatFailureFields(
+    aFailure, mCall.mRequest.mRequestId, mCall.mDeadline, EventLoop::Now());
+  if (mCall.mPassedOn.IsPassedOn()) {
+    fields += FormatHostFailure(aFailure.mVerdict, RefusedByOf(aFailure.mCode));
+  }
+  mSink->SendResponse(status, "", fields, FormatFailureBody(aFailure));
+}
+
+bool
+Exchange::IsCutOff(Time aNow) const
+{
+  return mContext.mFleet.Reach().IsCutOff(mCall.mService, aNow);
+}
+
+bool
+Exchange::MayBeCutOff(Time aNow) const
+{
+  return IsCutOff(aNow) ||
+         mContext.mFleet.Reach().IsSuspected(mCall.mService, aNow);
+}
+
+HandOver
+Exchange::MakeHandOver(std::string aHost, int aRuns) const
+{
+  const PassedOnRequest& before = mCall.mPassedOn;
+  HandOver handOver;
+  handOver.mHost = std::move(aHost);
+  handOver.mCause = mLogNote.empty() ? "cut_off" : mLogNote;
+  handOver.mTries = mAttempts;
+  handOver.mPrior.mRuns = aRuns;
+  handOver.mPrior.mCounted = before.mPrior.mCounted || mAttempts > 0;
+  handOver.mPrior.mSent = before.mPrior.mSent || mAttempts > mUnsentAttempts;
+  handOver.mTimeToFirstEvent = mTimeToFirstEvent;
+  handOver.mLongestEventGap = mLongestEventGap;
+  return handOver;
+}
+
+std::optional<std::string>
+FindServingHost(GatewayContext& aContext, const RoutedCall& aCall, Time aNow)
+{
+  return aCall.mPassedOn.IsPassedOn()
+           ? std::nullopt
+           : aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow);
 }
 
 std::string
@@ -65,7 +112,7 @@
     if (!IsHopByHop(aHead, it.mName) &&
         !EqualsIgnoreCase(it.mName, "Content-Length") &&
         !platform::IsGatewayOnlyField(it.mName) &&
-        !platform::IsAskOfTarget(aHead, it.mName)) {
+        !platform::IsAskOfTarget(aHead, it.mName) && !IsHostField(it.mName)) {
       AppendField(fields, it.mName, it.mValue);
     }
   }
@@ -90,6 +137,8 @@
         { "configuration", std::to_string(mCall.mRouting->mVersion) },
         { "status", std::to_string(aStatus) },
         { "target", mLastTarget },
+        { "host", mServingHost },
+        { "from", mCall.mPassedOn.mFrom },
         { "tries", std::to_string(mAttempts) },
         { "ms", std::to_string(static_cast<int>(ToMilliseconds(elapsed))) },
         { "first_ms",
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_EXCHANGE_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_EXCHANGE_H_INCLUDED
 
+#include "core/EventSequence.h"
 #include "core/Failure.h"
 #include "core/RefCounted.h"
 #include "core/RoutingTable.h"
@@ -8,6 +9,7 @@
 #include "gateway/AnswerBuffers.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/PassedOnRequest.h"
 #include "gateway/Prober.h"
 #include "gateway/TargetConnection.h"
 #include "gateway/TentativeAttempt.h"
@@ -22,6 +24,7 @@
 
 namespace quetzalquay {
 
+class HostChecks;
 class LimitWatch;
 class StreamOriginStore;
 
@@ -38,8 +41,16 @@
   AnswerBuffers& mAnswerBuffers;
   // Observed pace of streams, by service.
   std::map<std::string, StreamPace>& mPaces;
+  // Name of this host.
+  const std::string& mHost;
+  // Connections to other hosts, for requests that are passed on to them.
+  TargetConnectionPool& mHostPool;
+  HostChecks& mHostChecks;
 };
 
+struct RoutedCall;
+struct HandOver;
+
 // Receives the response of an exchange; implemented by the caller's connection.
 class ResponseSink
 {
@@ -68,6 +79,9 @@
   // Closes the connection without the last chunk, so that the caller sees that
   // the response is incomplete.
   virtual void AbortResponse() = 0;
+
+  // Ends the exchange; another host serves the rest of the request.
+  virtual void PassOn(RoutedCall aCall, HandOver aHandOver) = 0;
 };
 
 // A caller's request with its route, service, workspace and deadline, which are
@@ -97,8 +111,37 @@
   Time mDeadline;
   // What the request may have in common with others that crashed targets.
   RequestContent mContent;
+  // What the host says that has passed the request on to this one.
+  PassedOnRequest mPassedOn;
+};
+
+// How far a request is that this host passes on.
+struct HandOver
+{
+  // The host that it is passed on to, and why, for the log.
+  std::string mHost;
+  std::string mCause;
+  // Attempts at targets so far, and what has become of them.
+  int mTries = 0;
+  PriorAttempts mPrior;
+  bool mMayHaveRun = false;
+  // Events of a stream that its caller has, and whether the head of the answer
+  // has been sent.
+  EventSequence mEvents;
+  bool mHeadSent = false;
+  // Software version that the rest of the stream must have; empty if it has not
+  // begun or the version is not known.
+  std::string mSoftwareVersion;
+  std::optional<Time::duration> mTimeToFirstEvent;
+  Time::duration mLongestEventGap = Time::duration::zero();
+  Time mLastEventAt;
 };
 
+// Chooses a host that serves a request in place of this one. Returns nothing if
+// there is none, or if the request came from another host.
+std::optional<std::string>
+FindServingHost(GatewayContext& aContext, const RoutedCall& aCall, Time aNow);
+
 // Handles one request until its response is complete.
 class Exchange : public RefCounted<Exchange>
 {
@@ -162,6 +205,18 @@
                      int aStatus,
                      const std::string& aReason = std::string());
 
+  // Whether this host is cut off from the service's targets, and whether it may
+  // be, as an attempt has just failed to reach one.
+  bool IsCutOff(Time aNow) const;
+  bool MayBeCutOff(Time aNow) const;
+
+  // Whether the current attempt counts as a retry for the retry budget.
+  bool IsRetry() const { return mAttempts > 1 || mCall.mPassedOn.mPrior.mSent; }
+
+  // Begins the description of a request that is passed on. aRuns is the number
+  // of attempts that may have run.
+  HandOver MakeHandOver(std::string aHost, int aRuns) const;
+
   // Returns the attempt fields that do not depend on the kind of exchange.
   platform::AttemptFields MakeAttemptFields(const std::string& aTarget,
                                             Time aNow) const;
@@ -169,8 +224,9 @@
   GatewayContext& mContext;
   RoutedCall mCall;
   ResponseSink* mSink;
-  // Attempts so far.
+  // Attempts so far, and those that were not sent.
   int mAttempts = 0;
+  int mUnsentAttempts = 0;
   // Attempt at another target while the current one is silent; null if there is
   // none.
   RefPtr<TentativeAttempt> mTentative;
@@ -178,8 +234,10 @@
   std::optional<Time::duration> mTimeToFirstEvent;
   // Longest time between two events of a stream.
   Time::duration mLongestEventGap = Time::duration::zero();
-  // Target of the last attempt, for the log.
+  // Target of the last attempt, and the host that serves a request that was
+  // passed on, for the log.
   std::string mLastTarget;
+  std::string mServingHost;
   // Cause of the last failure, for the log.
   std::string mLogNote;
 };
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -4,12 +4,14 @@
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
 #include "gateway/GatewayMetrics.h"
+#include "gateway/HostChecks.h"
 #include "gateway/LeavingWatch.h"
 #include "gateway/LimitWatch.h"
 #include "gateway/LoadBroadcaster.h"
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
 #include "gateway/RetryLog.h"
+#include "gateway/ServerDirectory.h"
 #include "gateway/StoreWatch.h"
 #include "gateway/StreamOriginStore.h"
 #include "gateway/SuspectTrials.h"
@@ -65,15 +67,20 @@
     , mMetrics(mSettings.mHost)
     , mRetryLog(mMetrics)
     , mFleet(mLoop, mSettings)
-    , mPool(mLoop, mFleet)
+    , mTargets(mFleet)
+    , mPool(mLoop, mTargets)
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
     , mLimits(mFleet, mMetrics)
     , mLeaving(mFleet, mMetrics)
     , mWaits(mFleet, mMetrics)
     , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
-    , mContext{ mLoop,    mFleet,  mOriginStore,   mPool, mProber,
-                mMetrics, mLimits, mAnswerBuffers, mPaces }
+    , mHosts(mFleet, mSettings.mRelayPort)
+    , mHostPool(mLoop, mHosts)
+    , mHostChecks(mLoop, mHosts)
+    , mContext{ mLoop,   mFleet,          mOriginStore, mPool,
+                mProber, mMetrics,        mLimits,      mAnswerBuffers,
+                mPaces,  mSettings.mHost, mHostPool,    mHostChecks }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
@@ -107,7 +114,9 @@
   {
     std::signal(SIGPIPE, SIG_IGN);
     for (const auto& problem :
-         { mCallers.Open(mSettings.mCallerEndpoint),
+         { mCallers.Open(
+             mSettings.mCallerEndpoint,
+             Endpoint(mSettings.mPeerEndpoint.address(), mSettings.mRelayPort)),
            mReadinessServer.Open(mSettings.mReadinessEndpoint),
            mMetricsServer.Open(mSettings.mMetricsEndpoint),
            mPeers.Start(),
@@ -319,6 +328,7 @@
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
   Fleet mFleet;
+  TargetDirectory mTargets;
   TargetConnectionPool mPool;
   Prober mProber;
   std::map<std::string, StreamPace> mPaces;
@@ -327,6 +337,9 @@
   LeavingWatch mLeaving;
   WaitWatch mWaits;
   AnswerBuffers mAnswerBuffers;
+  HostDirectory mHosts;
+  TargetConnectionPool mHostPool;
+  HostChecks mHostChecks;
   GatewayContext mContext;
   CallerServer mCallers;
   StoreWatch mStore;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -78,6 +78,19 @@
     "Times for which a target wanted nothing from this host" },
   { "quetzal_waits_malformed_total",
     "Answers 503 of targets with a Retry-After that is not a number" },
+  { "quetzal_passed_on_total", "Requests passed on to other hosts" },
+  { "quetzal_served_for_hosts_total",
+    "Requests that were received from other hosts and accepted" },
+  { "quetzal_refused_to_hosts_total",
+    "Requests that were received from other hosts and refused at once" },
+  { "quetzal_passing_on_unreachable_total",
+    "Hosts that a request was passed on to and that could not be reached" },
+  { "quetzal_passing_on_refused_total",
+    "Hosts that refused a request that was passed on to them" },
+  { "quetzal_passing_on_failed_total",
+    "Hosts that failed a request that was passed on to them and may have run" },
+  { "quetzal_passing_on_lost_total",
+    "Hosts that were lost with a request that was passed on to them" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -48,6 +48,13 @@
   TargetsLeaving,
   TargetWaits,
   WaitsMalformed,
+  RequestsPassedOn,
+  RequestsServedForHosts,
+  RequestsRefusedToHosts,
+  PassingOnUnreachable,
+  PassingOnRefused,
+  PassingOnFailed,
+  PassingOnLost,
   Last,
 };
 
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -166,6 +166,9 @@
   double loadPort = 0;
   reader.ReadNumber("loadPort", 1, 65535, loadPort);
   settings.mLoadPort = static_cast<unsigned short>(loadPort);
+  double relayPort = 0;
+  reader.ReadNumber("relayPort", 1, 65535, relayPort);
+  settings.mRelayPort = static_cast<unsigned short>(relayPort);
   double connections = 0;
   reader.ReadNumber(
     "maxConnections", 2 * kReservedConnections, 1e6, connections);
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -22,6 +22,9 @@
   Endpoint mPeerEndpoint;
   // UDP port on which all hosts receive load messages.
   unsigned short mLoadPort = 0;
+  // TCP port on which all hosts receive requests that other hosts pass on, at
+  // the address of mPeerEndpoint.
+  unsigned short mRelayPort = 0;
   // Listening address for metrics requests.
   Endpoint mMetricsEndpoint;
   // Peer addresses of hosts that may have the configuration while the store is
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -43,7 +43,8 @@
                   IsIdempotent(),
                   mCall.mDeadline,
                   aContext.mFleet.Targets(),
-                  mCall.mRoute->mMaxAttempts)
+                  mCall.mRoute->mMaxAttempts,
+                  mCall.mPassedOn.mPrior)
   , mBuffer(aContext.mAnswerBuffers)
   , mTimer(aContext.mLoop, [this] { OnTimer(); })
 {
@@ -82,12 +83,45 @@
     mAwaitsVerdict = true;
     mTimer.ScheduleAt(wait->mCheckAt);
   } else if (const auto* failed = std::get_if<FailCall>(&aStep)) {
-    Fail(failed->mFailure);
+    const FailureCode code = failed->mFailure.mCode;
+    const bool unplaced =
+      code == FailureCode::NoTarget || code == FailureCode::Overloaded;
+    if (!unplaced || !IsCutOff(EventLoop::Now()) ||
+        !PassOn(PlainResult::NotStarted)) {
+      Fail(failed->mFailure);
+    }
   } else {
     ForwardResponse();
   }
 }
 
+// Has another host serve the call if it may be sent again after the current
+// attempt has ended with the given result. Returns whether there is a host.
+bool
+PlainExchange::PassOn(PlainResult aResult)
+{
+  // Another target that has been asked decides first.
+  if (mTentative != nullptr) {
+    return false;
+  }
+  const auto runs = mStateMachine.RunsIfPassedOn(aResult);
+  auto host =
+    runs ? FindServingHost(mContext, mCall, EventLoop::Now()) : std::nullopt;
+  if (!host) {
+    return false;
+  }
+  const RefPtr<Exchange> self(this);
+  AbandonAttempt();
+  mStateMachine.CancelWait();
+  DiscardResponse();
+  Finish();
+  HandOver handOver = MakeHandOver(std::move(*host), *runs);
+  handOver.mMayHaveRun =
+    mStateMachine.MayHaveStarted() || aResult != PlainResult::NotStarted;
+  mSink->PassOn(std::move(mCall), std::move(handOver));
+  return true;
+}
+
 void
 PlainExchange::SendAttempt(const std::string& aTarget)
 {
@@ -103,6 +137,7 @@
   mContext.mFleet.Targets().OnAttemptStart(aTarget, mCall.mContent, now);
   mConnection = mContext.mPool.Acquire(aTarget);
   if (mConnection == nullptr) {
+    ++mUnsentAttempts;
     mContext.mFleet.Targets().OnAttemptNotReceived(aTarget);
     EndAttempt(AttemptOutcome::Released);
     PerformStep(mStateMachine.OnResult(PlainResult::NotStarted, now));
@@ -215,7 +250,8 @@
   const Time now = EventLoop::Now();
   ReportAttemptFailure(mContext.mFleet.Targets(), mTarget, aFailure, now);
   const bool sent = aFailure == AttemptFailure::Broken;
-  if (!sent && mAttempts > 1) {
+  mUnsentAttempts += sent ? 0 : 1;
+  if (!sent && IsRetry()) {
     mContext.mFleet.Targets().ReturnRetry(mCall.mService);
   }
   mLogNote = sent                                       ? "target_lost"
@@ -223,7 +259,12 @@
                                                         : "target_unreachable";
   LogAttemptFailure("");
   EndAttempt(sent ? AttemptOutcome::Lost : AttemptOutcome::Released);
-  ProcessResult(sent ? PlainResult::Broken : PlainResult::NotStarted, now);
+  const PlainResult result =
+    sent ? PlainResult::Broken : PlainResult::NotStarted;
+  const bool leaves = sent ? IsCutOff(now) : MayBeCutOff(now);
+  if (!leaves || !PassOn(result)) {
+    ProcessResult(result, now);
+  }
 }
 
 void
@@ -335,6 +376,9 @@
 void
 PlainExchange::HandleSilence(Time aNow)
 {
+  if (IsCutOff(aNow) && PassOn(PlainResult::Broken)) {
+    return;
+  }
   if (mTentative != nullptr) {
     CheckTentative(aNow);
     return;
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -32,6 +32,7 @@
   void OnAttemptFailed(AttemptFailure aFailure) override;
 
   void PerformStep(const PlainStep& aStep);
+  bool PassOn(PlainResult aResult);
   void SendAttempt(const std::string& aTarget);
   void ForwardResponse();
   void Fail(const Failure& aFailure);
--- /dev/null
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -0,0 +1,75 @@
+#include "gateway/ServerDirectory.h"
+
+#include <algorithm>
+
+namespace quetzalquay {
+
+namespace {
+
+constexpr Duration kDefaultIdleTimeout = std::chrono::milliseconds(2000);
+
+} // namespace
+
+const TargetLocation*
+TargetDirectory::Locate(const std::string& aServer)
+{
+  return mFleet.Locate(aServer);
+}
+
+Duration
+TargetDirectory::IdleTimeout() const
+{
+  return kDefaultIdleTimeout;
+}
+
+void
+TargetDirectory::OnAlive(const std::string& aServer, Time aNow)
+{
+  mFleet.Targets().OnAlive(aServer, aNow);
+}
+
+void
+TargetDirectory::OnIdleConnectionBroken(const std::string& aServer, Time aNow)
+{
+  mFleet.Targets().OnConnectionBroken(aServer, aNow);
+}
+
+void
+TargetDirectory::OnOtherStart(const std::string& aServer,
+                              const platform::TargetReport& aReport,
+                              Time aNow)
+{
+  mFleet.Targets().OnLoadReport(aServer,
+                                aReport.mIncarnation,
+                                "ready",
+                                aReport.mRunning,
+                                aReport.mWaiting,
+                                aNow);
+}
+
+const TargetLocation*
+HostDirectory::Locate(const std::string& aServer)
+{
+  const auto& hosts = mFleet.HostAddresses();
+  const auto at = hosts.find(aServer);
+  const auto endpoint =
+    at == hosts.end() ? std::nullopt : ParseEndpoint(at->second);
+  if (!endpoint) {
+    return nullptr;
+  }
+  mLocation.mEndpoint = Endpoint(endpoint->address(), mRelayPort);
+  mLocation.mAddress = FormatEndpoint(mLocation.mEndpoint);
+  return &mLocation;
+}
+
+// Hosts close idle connections of other hosts like those of callers.
+Duration
+HostDirectory::IdleTimeout() const
+{
+  const auto& routing = mFleet.Routing();
+  return routing == nullptr
+           ? kDefaultIdleTimeout
+           : std::min(kDefaultIdleTimeout, routing->mLimits.mIdleTimeout);
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -5,7 +5,6 @@
 #include "observe/Log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace quetzalquay {
@@ -74,6 +73,7 @@
     aCall.mArrivedAt + std::chrono::duration_cast<Duration>(
                          aCall.mRoute->mLatencyObjective * kStartByShare);
   spec.mPolicy = MakeRecoveryPolicy();
+  spec.mPrior = aCall.mPassedOn.mPrior;
   spec.mSoftwareVersion = aCall.mSoftwareVersion;
   spec.mQuery.mService = aCall.mService;
   spec.mQuery.mResumable = aCall.mRoute->mResumable;
@@ -96,19 +96,17 @@
   , mStateMachine(MakeGenerationSpec(mCall), aContext.mFleet.Targets())
   , mTimer(aContext.mLoop,
            [this] {
+             const RefPtr<Exchange> self(this);
              const Time now = EventLoop::Now();
-             UpdateChoiceInputs(now);
-             PerformActions(mStateMachine.OnTimer(now));
+             if (!PassOnIfStuck(now)) {
+               UpdateChoiceInputs(now);
+               PerformActions(mStateMachine.OnTimer(now));
+             }
            })
   , mBuffer(aContext.mAnswerBuffers)
   , mCopy(aContext, mCall)
-  , mLastEventId(mCall.mRequest.mLastEventId)
+  , mEvents(mCall.mRequest.mLastEventId)
 {
-  const char* end = mLastEventId.data() + mLastEventId.size();
-  if (std::from_chars(mLastEventId.data(), end, mLastEventNumber).ec !=
-      std::errc()) {
-    mLastEventNumber = -1;
-  }
 }
 
 void
@@ -116,7 +114,7 @@
 {
   const Time now = EventLoop::Now();
   // Targets number the events of a stream from 1.
-  const int events = std::max(0, static_cast<int>(mLastEventNumber));
+  const int events = std::max(0, static_cast<int>(mEvents.LastNumber()));
   ChoiceQuery query;
   query.mService = mCall.mService;
   query.mSoftwareVersion = mCall.mSoftwareVersion;
@@ -194,6 +192,7 @@
   const platform::AttemptFields fields = FieldsOf(run, mTarget, now);
   mConnection = mContext.mPool.Acquire(mTarget);
   if (mConnection == nullptr) {
+    ++mUnsentAttempts;
     mContext.mFleet.Targets().OnAttemptNotReceived(mTarget);
     EndAttempt(AttemptEnd::Unreachable);
     return;
@@ -244,7 +243,7 @@
                          Time aNow) const
 {
   platform::AttemptFields fields = MakeAttemptFields(aTarget, aNow);
-  fields.mLastEventId = mLastEventId;
+  fields.mLastEventId = mEvents.LastId();
   fields.mCopy = aRun.mCopy;
   fields.mCopyHolderAddress = aRun.mHolder.mAddress;
   return fields;
@@ -418,6 +417,9 @@
   }
   if (result != ProbeResult::Alive) {
     mLogNote = "target_silent";
+    if (IsCutOff(now) && PassOn(AttemptEnd::Broken)) {
+      return;
+    }
   } else if (aReport != nullptr && IsRunLost(*aReport, now)) {
     mLogNote = "run_lost";
     result = ProbeResult::RunLost;
@@ -457,7 +459,7 @@
   if (run != aReport.mRuns.end()) {
     // A resumed run may count its events from the start of the stream.
     const long long known =
-      std::max<long long>(mAttemptEvents, mLastEventNumber);
+      std::max<long long>(mAttemptEvents, mEvents.LastNumber());
     return run->mEventCount > known + kMaxEventsInTransit;
   }
   const Time since = mAttemptEvents > 0 ? mLastEventAt : mAttemptSentAt;
@@ -507,6 +509,13 @@
 StreamExchange::Execute(const FailResponse& aAction)
 {
   Flush();
+  const FailureCode code = aAction.mFailure.mCode;
+  const bool unplaced = code == FailureCode::NoTarget ||
+                        code == FailureCode::Overloaded ||
+                        code == FailureCode::GenerationLost;
+  if (unplaced && IsCutOff(EventLoop::Now()) && PassOn(std::nullopt)) {
+    return;
+  }
   if (mConnection != nullptr) {
     mConnection->Abort();
   }
@@ -593,19 +602,11 @@
 StreamExchange::ProcessEvent(const EventCutter::Event& aEvent)
 {
   const Time now = EventLoop::Now();
-  long long number = mLastEventNumber;
-  if (!aEvent.mId.empty()) {
-    const char* end = aEvent.mId.data() + aEvent.mId.size();
-    if (std::from_chars(aEvent.mId.data(), end, number).ec != std::errc()) {
-      number = mLastEventNumber;
-    }
-    if (number <= mLastEventNumber) {
-      // The caller already has this event.
-      return;
-    }
+  const EventOrder order = mEvents.OrderOf(aEvent.mId);
+  if (order == EventOrder::Repeated) {
+    return;
   }
-  if (mLastEventNumber >= 0 && mEventIdStep > 0 &&
-      number != mLastEventNumber + mEventIdStep) {
+  if (order == EventOrder::AfterGap) {
     mLogNote = "event_missing";
     mConnection->Abort();
     EndAttempt(AttemptEnd::Broken);
@@ -616,16 +617,12 @@
   event.mAttempt = mAttempt;
   event.mGeneration = kGenerationId;
   event.mIndex = mNextEventIndex;
-  event.mToken = static_cast<int>(number);
+  event.mToken = static_cast<int>(mEvents.NumberOf(aEvent.mId));
   event.mText = aEvent.mBytes;
   const std::size_t known = mStateMachine.Tokens().size();
   Actions actions = mStateMachine.OnEvent(event, now);
   if (mStateMachine.Tokens().size() > known) {
-    if (mNextEventIndex > 0 && mEventIdStep == 0) {
-      mEventIdStep = number - mLastEventNumber;
-    }
-    mLastEventNumber = number;
-    mLastEventId = aEvent.mId;
+    mEvents.Accept(aEvent.mId);
     RecordEvent(now);
   }
   PerformActions(std::move(actions));
@@ -716,9 +713,11 @@
 StreamExchange::OnAttemptFailed(AttemptFailure aFailure)
 {
   const RefPtr<Exchange> self(this);
-  ReportAttemptFailure(
-    mContext.mFleet.Targets(), mTarget, aFailure, EventLoop::Now());
-  if (aFailure != AttemptFailure::Broken && mAttempts > 1) {
+  const Time now = EventLoop::Now();
+  ReportAttemptFailure(mContext.mFleet.Targets(), mTarget, aFailure, now);
+  const bool sent = aFailure == AttemptFailure::Broken;
+  mUnsentAttempts += sent ? 0 : 1;
+  if (!sent && IsRetry()) {
     mContext.mFleet.Targets().ReturnRetry(mCall.mService);
   }
   switch (aFailure) {
@@ -750,14 +749,78 @@
 {
   const bool lost = aEnd == AttemptEnd::Broken;
   if (lost) {
-    LogAttemptFailure(mLastEventId);
+    LogAttemptFailure(mEvents.LastId());
   }
   ReleaseAttempt(lost ? AttemptOutcome::Lost : AttemptOutcome::Released);
   const Time now = EventLoop::Now();
+  const bool unreached =
+    aEnd == AttemptEnd::Unreachable || aEnd == AttemptEnd::Refused;
+  const bool leaves = lost ? IsCutOff(now) : unreached && MayBeCutOff(now);
+  if (leaves && PassOn(aEnd)) {
+    return;
+  }
   UpdateChoiceInputs(now);
   PerformActions(mStateMachine.OnAttemptEnded(mAttempt, aEnd, now));
 }
 
+// Has another host serve the stream from here on if it may be sent again after
+// the current attempt, if there is one, has ended in the given way. Returns
+// whether there is a host.
+bool
+StreamExchange::PassOn(std::optional<AttemptEnd> aEnd)
+{
+  // Another target that has been asked decides first.
+  if (mTentative != nullptr) {
+    return false;
+  }
+  const Time now = EventLoop::Now();
+  const auto runs = mStateMachine.RunsIfPassedOn(aEnd);
+  // A stream whose events have no IDs cannot be resumed after one.
+  const bool resumable = mNextEventIndex == 0 || !mEvents.LastId().empty();
+  auto host =
+    runs && resumable ? FindServingHost(mContext, mCall, now) : std::nullopt;
+  if (!host) {
+    return false;
+  }
+  const RefPtr<Exchange> self(this);
+  Flush();
+  if (mDone) {
+    return true;
+  }
+  HandOver handOver = MakeHandOver(std::move(*host), *runs);
+  handOver.mMayHaveRun =
+    mStateMachine.MayHaveStarted() || aEnd == AttemptEnd::Broken;
+  handOver.mEvents = mEvents;
+  handOver.mHeadSent = mHeadSent;
+  handOver.mLastEventAt = mLastEventAt;
+  if (IsRegisteredVersion(mStateMachine.SoftwareVersion())) {
+    handOver.mSoftwareVersion = mStateMachine.SoftwareVersion();
+  }
+  mStateMachine.OnCallerDisconnected(now);
+  mActions.clear();
+  if (mConnection != nullptr) {
+    mConnection->Abort();
+  }
+  ReleaseAttempt(AttemptOutcome::Released);
+  EndHere(false);
+  mSink->PassOn(std::move(mCall), std::move(handOver));
+  return true;
+}
+
+// Passes the stream on if this host is cut off and no target is running it, as
+// far as that can be known.
+bool
+StreamExchange::PassOnIfStuck(Time aNow)
+{
+  if (mDone || !IsCutOff(aNow)) {
+    return false;
+  }
+  if (!mAttemptOpen) {
+    return PassOn(std::nullopt);
+  }
+  return mStateMachine.IsTargetSilent() && PassOn(AttemptEnd::Broken);
+}
+
 // Ends the current attempt in the target table and ends the run of its KV
 // cache copy.
 void
@@ -801,7 +864,7 @@
         mContext.mFleet.Targets().SoftwareVersionOf(mTarget).value_or("") },
       { "from_copy", aFromCopy ? "true" : "false" },
       { "copy", aCopyHolder },
-      { "after_event", mLastEventId },
+      { "after_event", mEvents.LastId() },
       { "cause", mLogNote },
       { "silent_ms", std::to_string(static_cast<int>(ToMilliseconds(since))) },
       { "own", std::to_string(inputs.mOwnRunning) },
@@ -851,17 +914,29 @@
     mHeadSent = true;
     mSink->StartChunkedResponse(mForwardedHead.mStatus,
                                 mForwardedHead.mReason,
-                                FormatForwardedFields(mForwardedHead));
+                                FormatForwardedFields(mForwardedHead) +
+                                  FormatStart());
   }
 }
 
+// Formats what another host that passed the stream on has to know to have it
+// resumed.
+std::string
+StreamExchange::FormatStart() const
+{
+  const std::string& version = mStateMachine.SoftwareVersion();
+  return mCall.mPassedOn.IsPassedOn() && IsRegisteredVersion(version)
+           ? FormatStreamStart(mCall.mService, version)
+           : std::string();
+}
+
 void
 StreamExchange::RecordPace(Time aNow)
 {
   if (mAttemptEvents > 1) {
     const auto gap = (aNow - mAttemptFirstEventAt) / (mAttemptEvents - 1);
     mContext.mPaces[mCall.mService].OnFinished(
-      static_cast<int>(mLastEventNumber),
+      static_cast<int>(mEvents.LastNumber()),
       std::chrono::duration_cast<Duration>(gap));
   }
 }
@@ -892,21 +967,30 @@
   origin.mKey = *mCall.mOriginKey;
   origin.mService = mCall.mService;
   origin.mSoftwareVersion = aSoftwareVersion;
-  // Other hosts keep the record with the highest number.
-  origin.mAttempt = takenUp ? mCall.mOriginAttempt : ++mOriginRecord;
+  // Other hosts keep the record with the highest number. Records of a host that
+  // has passed the stream on count before these.
+  origin.mAttempt = mCall.mOriginAttempt + (takenUp ? 0 : ++mOriginRecord);
   mContext.mFleet.Origins().OnDispatched(origin, aNow);
 }
 
 void
 StreamExchange::Finish(bool aComplete)
+{
+  // A caller that has got no event begins anew.
+  const bool begun =
+    mTimeToFirstEvent.has_value() || !mCall.mSoftwareVersion.empty();
+  EndHere(aComplete || !begun);
+}
+
+// Ends the work of this host on the stream. aComplete tells whether nobody has
+// a reason to take it up.
+void
+StreamExchange::EndHere(bool aComplete)
 {
   mDone = true;
   if (mCall.mOriginKey && mAttempts > 0) {
-    // A caller that has got no event begins anew.
-    const bool begun =
-      mTimeToFirstEvent.has_value() || !mCall.mSoftwareVersion.empty();
     mContext.mFleet.Origins().OnEnded(
-      *mCall.mOriginKey, aComplete || !begun, EventLoop::Now());
+      *mCall.mOriginKey, aComplete, EventLoop::Now());
   }
   mTimer.Clear();
   AbandonTentative();
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -78,18 +78,22 @@
   void ProcessEvent(const EventCutter::Event& aEvent);
   void RecordEvent(Time aNow);
   void EndAttempt(AttemptEnd aEnd);
+  bool PassOn(std::optional<AttemptEnd> aEnd);
+  bool PassOnIfStuck(Time aNow);
   void ReleaseAttempt(AttemptOutcome aOutcome);
   void UpdateChoiceInputs(Time aNow);
   void LogDispatch(const std::string& aCopyHolder, bool aFromCopy, Time aNow);
   void Flush();
   bool CanBuffer();
   void SendHead();
+  std::string FormatStart() const;
   void ForwardErrorResponse();
   void RecordPace(Time aNow);
   bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
   // aComplete tells whether the caller has got the whole stream.
   void Finish(bool aComplete = false);
   void RecordOrigin(const std::string& aSoftwareVersion, Time aNow);
+  void EndHere(bool aComplete);
   void ScheduleTimer();
 
   Generation mStateMachine;
@@ -125,13 +129,8 @@
   // Response head of the first run, which is forwarded to the caller.
   HttpHead mForwardedHead;
   bool mHeadSent = false;
-  // ID of the last accepted event, as text and as a number; -1 when it is not a
-  // number.
-  std::string mLastEventId;
-  long long mLastEventNumber = -1;
-  // Difference between the IDs of consecutive events, 0 until two were
-  // accepted.
-  long long mEventIdStep = 0;
+  // Accepted events.
+  EventSequence mEvents;
   // Event bytes that have not been sent to the caller yet.
   std::string mOutput;
   Time mLastEventAt;
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -15,9 +15,6 @@
 constexpr std::size_t kMaxHeadBytes = 65536;
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
 
-// Idle timeout of connections to a target that announces none.
-constexpr Duration kDefaultIdleTimeout = milliseconds(2000);
-
 // Connections are not reused within this time before the announced idle
 // timeout, so that a request never races with the target closing the
 // connection.
@@ -40,7 +37,7 @@
   , mEndpoint(aLocation.mEndpoint)
   , mSocket(MakeRef<Socket>(aPool.mLoop))
   , mReader(HttpMessageType::Responses, { kMaxHeadBytes, kMaxBodyBytes })
-  , mIdleTimeout(kDefaultIdleTimeout)
+  , mIdleTimeout(aPool.mServers.IdleTimeout())
 {
   ++mPool.mOpenConnectionCount;
 }
@@ -177,12 +174,7 @@
   mReader.Next();
   if (report && !report->mIncarnation.empty() &&
       report->mIncarnation != mIncarnation) {
-    mPool.mFleet.Targets().OnLoadReport(mTarget,
-                                        report->mIncarnation,
-                                        "ready",
-                                        report->mRunning,
-                                        report->mWaiting,
-                                        EventLoop::Now());
+    mPool.mServers.OnOtherStart(mTarget, *report, EventLoop::Now());
     FailAttempt(AttemptFailure::Restarted);
     return;
   }
@@ -253,7 +245,7 @@
   const RefPtr<TargetConnection> self(this);
   if (mSink == nullptr) {
     if (aEnd == SocketEnd::Failed) {
-      mPool.mFleet.Targets().OnConnectionBroken(mTarget, EventLoop::Now());
+      mPool.mServers.OnIdleConnectionBroken(mTarget, EventLoop::Now());
     }
     mPool.CloseConnection(*this);
     return;
@@ -286,9 +278,10 @@
   std::exchange(mSink, nullptr)->OnAttemptFailed(aFailure);
 }
 
-TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop, Fleet& aFleet)
+TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
+                                           ServerDirectory& aServers)
   : mLoop(aLoop)
-  , mFleet(aFleet)
+  , mServers(aServers)
   , mIdleSweepTimer(aLoop, [this] { CloseIdle(); })
 {
 }
@@ -305,7 +298,7 @@
 RefPtr<TargetConnection>
 TargetConnectionPool::Acquire(const std::string& aTarget)
 {
-  const TargetLocation* location = mFleet.Locate(aTarget);
+  const TargetLocation* location = mServers.Locate(aTarget);
   if (location == nullptr) {
     return nullptr;
   }
@@ -325,6 +318,16 @@
       return RefPtr<TargetConnection>(&last, false);
     }
   }
+  return Connect(aTarget);
+}
+
+RefPtr<TargetConnection>
+TargetConnectionPool::Connect(const std::string& aTarget)
+{
+  const TargetLocation* location = mServers.Locate(aTarget);
+  if (location == nullptr) {
+    return nullptr;
+  }
   ++mOpenedCount;
   return MakeRef<TargetConnection>(*this, aTarget, *location);
 }
@@ -365,7 +368,7 @@
 {
   const Time now = EventLoop::Now();
   mLastActivityAt[aTarget] = now;
-  mFleet.Targets().OnAlive(aTarget, now);
+  mServers.OnAlive(aTarget, now);
 }
 
 void
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_TARGETCONNECTION_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_TARGETCONNECTION_H_INCLUDED
 
-#include "gateway/Fleet.h"
+#include "gateway/ServerDirectory.h"
 #include "http/HttpReader.h"
 #include "http/Socket.h"
 #include "platform/PlatformRequests.h"
@@ -135,12 +135,12 @@
   Time mReusableUntil;
 };
 
-// Pool of idle connections to targets. Also records when each target was last
-// active on any connection.
+// Pool of idle connections to the servers of a directory: targets, or other
+// hosts. Also records when each one was last active on any connection.
 class TargetConnectionPool
 {
 public:
-  TargetConnectionPool(EventLoop& aLoop, Fleet& aFleet);
+  TargetConnectionPool(EventLoop& aLoop, ServerDirectory& aServers);
   ~TargetConnectionPool();
 
   // Receives the target, its incarnation when the connection was made, and what
@@ -156,6 +156,10 @@
   // target is unknown.
   RefPtr<TargetConnection> Acquire(const std::string& aTarget);
 
+  // Returns a new connection to a target, which the target cannot be closing as
+  // idle; null when the target is unknown.
+  RefPtr<TargetConnection> Connect(const std::string& aTarget);
+
   // When a connection to a target last delivered bytes or was established; the
   // epoch when there was none.
   Time LastActivity(const std::string& aTarget) const;
@@ -180,7 +184,7 @@
   void CloseIdle();
 
   EventLoop& mLoop;
-  Fleet& mFleet;
+  ServerDirectory& mServers;
   // Idle connections by target, least recently used first. The list holds a
   // reference to each.
   std::map<std::string, ConnectionList> mIdle;
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -142,6 +142,49 @@
   return valid ? std::make_optional(rate) : std::nullopt;
 }
 
+// Begins the head of a request that is forwarded: the start line, and the
+// caller's fields without hop-by-hop fields and fields that only the gateway
+// may set.
+std::string
+BeginForwardedHead(const HttpHead& aCaller)
+{
+  std::string head = aCaller.mMethod + " " + aCaller.mTarget + " HTTP/1.1\r\n";
+  for (const HttpField& it : aCaller.mFields) {
+    const bool endToEnd = ContainsFieldName(
+      it.mName, kEndToEndFields.data(), kEndToEndFields.size());
+    const bool dropped = ContainsFieldName(it.mName,
+                                           kGatewayOnlyRequestFields.data(),
+                                           kGatewayOnlyRequestFields.size()) ||
+                         EqualsIgnoreCase(it.mName, "Content-Length") ||
+                         EqualsIgnoreCase(it.mName, "Expect") ||
+                         (!endToEnd && !EqualsIgnoreCase(it.mName, "Host") &&
+                          IsHopByHop(aCaller, it.mName));
+    if (!dropped) {
+      AppendField(head, it.mName, it.mValue);
+    }
+  }
+  return head;
+}
+
+void
+AppendTimeLeft(std::string& aHead, Duration aTimeLeft)
+{
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeLeft);
+  AppendField(aHead, kDeadline, std::to_string(left.count()));
+}
+
+void
+EndForwardedHead(std::string& aHead,
+                 const HttpHead& aCaller,
+                 std::size_t aBodyBytes)
+{
+  if (aBodyBytes > 0 || aCaller.mLength || aCaller.mChunked) {
+    AppendField(aHead, "Content-Length", std::to_string(aBodyBytes));
+  }
+  aHead += "\r\n";
+}
+
 std::optional<Duration>
 ParseKeepAliveTimeout(const HttpHead& aHead)
 {
@@ -200,24 +243,8 @@
               const AttemptFields& aFields,
               std::size_t aBodyBytes)
 {
-  std::string head = aCaller.mMethod + " " + aCaller.mTarget + " HTTP/1.1\r\n";
-  for (const HttpField& it : aCaller.mFields) {
-    const bool endToEnd = ContainsFieldName(
-      it.mName, kEndToEndFields.data(), kEndToEndFields.size());
-    const bool dropped = ContainsFieldName(it.mName,
-                                           kGatewayOnlyRequestFields.data(),
-                                           kGatewayOnlyRequestFields.size()) ||
-                         EqualsIgnoreCase(it.mName, "Content-Length") ||
-                         EqualsIgnoreCase(it.mName, "Expect") ||
-                         (!endToEnd && !EqualsIgnoreCase(it.mName, "Host") &&
-                          IsHopByHop(aCaller, it.mName));
-    if (!dropped) {
-      AppendField(head, it.mName, it.mValue);
-    }
-  }
-  const auto left =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aFields.mTimeLeft);
-  AppendField(head, kDeadline, std::to_string(left.count()));
+  std::string head = BeginForwardedHead(aCaller);
+  AppendTimeLeft(head, aFields.mTimeLeft);
   AppendField(head, kExpectedTarget, aFields.mTarget);
   if (!aFields.mWorkspace.empty()) {
     AppendField(head, kWorkspace, aFields.mWorkspace);
@@ -235,10 +262,26 @@
   if (aFields.mUrgency) {
     AppendField(head, kUrgency, std::to_string(*aFields.mUrgency));
   }
-  if (aBodyBytes > 0 || aCaller.mLength || aCaller.mChunked) {
-    AppendField(head, "Content-Length", std::to_string(aBodyBytes));
+  EndForwardedHead(head, aCaller, aBodyBytes);
+  return head;
+}
+
+std::string
+EncodePassedOn(const HttpHead& aCaller,
+               const PassedOnHead& aFields,
+               std::size_t aBodyBytes)
+{
+  std::string head = BeginForwardedHead(aCaller);
+  AppendTimeLeft(head, aFields.mTimeLeft);
+  if (const std::string* key = aCaller.Find(kAuthorization)) {
+    AppendField(head, kAuthorization, *key);
+  }
+  if (!aFields.mLastEventId.empty()) {
+    AppendField(head, kLastEventId, aFields.mLastEventId);
   }
-  return head += "\r\n";
+  head += aFields.mOwnFields;
+  EndForwardedHead(head, aCaller, aBodyBytes);
+  return head;
 }
 
 TargetResponse
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -77,6 +77,24 @@
               const AttemptFields& aFields,
               std::size_t aBodyBytes);
 
+// Header fields of a request that another host serves.
+struct PassedOnHead
+{
+  // Time left until the caller stops waiting for the response.
+  Duration mTimeLeft = Duration::zero();
+  // ID of the event after which a stream resumes; empty to start a new stream.
+  std::string mLastEventId;
+  // Formatted fields that only hosts use among themselves.
+  std::string mOwnFields;
+};
+
+// Builds the request head for another host: the caller's fields, its API key
+// included, without hop-by-hop fields and fields that only the gateway may set.
+std::string
+EncodePassedOn(const HttpHead& aCaller,
+               const PassedOnHead& aFields,
+               std::size_t aBodyBytes);
+
 // Header fields of a target's response that the gateway uses.
 struct TargetResponse
 {
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -97,6 +97,7 @@
                                const std::string& aPlace,
                                std::string aIp,
                                int aLoadPort,
+                               int aRelayPort,
                                const std::vector<std::string>& aPeers,
                                std::size_t aIndex,
                                const std::string& aStore,
@@ -123,7 +124,8 @@
                    R"(","region":"r","callers":")" + at(0) +
                    R"(","readiness":")" + at(1) + R"(","peers":")" +
                    aPeers[aIndex] + R"(","loadPort":)" +
-                   std::to_string(aLoadPort) + R"(,"metrics":")" + at(2) +
+                   std::to_string(aLoadPort) + R"(,"relayPort":)" +
+                   std::to_string(aRelayPort) + R"(,"metrics":")" + at(2) +
                    R"(","seeds":[)" + seeds + R"(],"store":")" + aStore +
                    R"(","linkMbps":100,"repeatWindowS":10,"logLevel":"info")";
   WriteSettings();
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -43,12 +43,14 @@
 class GatewayProcess
 {
 public:
-  // aIp is the gateway's own loopback address. aLoadPort is shared by all
-  // gateways of a test; aPeers has their peer addresses, this one's at aIndex.
+  // aIp is the gateway's own loopback address. aLoadPort and aRelayPort are
+  // shared by all gateways of a test; aPeers has their peer addresses, this
+  // one's at aIndex.
   GatewayProcess(std::string aName,
                  const std::string& aPlace,
                  std::string aIp,
                  int aLoadPort,
+                 int aRelayPort,
                  const std::vector<std::string>& aPeers,
                  std::size_t aIndex,
                  const std::string& aStore,
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -887,6 +887,7 @@
     }
   }
   mLoadPort = FindFreePort();
+  mRelayPort = FindFreePort();
   if (aOptions.mRelaysDatagrams) {
     StartRelays();
   }
@@ -911,6 +912,7 @@
                                      "p" + std::to_string(aNumber % 2),
                                      GatewayIp(aNumber),
                                      mLoadPort,
+                                     mRelayPort,
                                      mPeers,
                                      aNumber,
                                      Address(node.mStorePort),
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -489,6 +489,7 @@
   quetzalquay::EventLoop mLoop;
   std::vector<std::unique_ptr<GatewayNode>> mNodes;
   int mLoadPort = 0;
+  int mRelayPort = 0;
   TestLimits mCallerLimits;
   // Peer addresses of all gateways.
   std::vector<std::string> mPeers;
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -302,7 +302,7 @@
   {
     const std::string valid =
       R"({"host":"h","place":"p","region":"r","callers":"127.0.0.1:1","readiness":"127.0.0.1:2",)"
-      R"("peers":"127.0.0.1:3","loadPort":4,"metrics":"127.0.0.1:5","seeds":["127.0.0.1:6"],)"
+      R"("peers":"127.0.0.1:3","loadPort":4,"relayPort":8,"metrics":"127.0.0.1:5","seeds":["127.0.0.1:6"],)"
       R"("store":"127.0.0.1:7","maxConnections":4100,"linkMbps":10.0,"stopGraceS":8,"repeatRatio":0.8,)"
       R"("repeatAllowance":150,"repeatWindowS":10,"logLevel":"info"})";
     std::string reason;
@@ -322,6 +322,8 @@
     CPPUNIT_ASSERT(Contains(rejectionReason("4100", "10"), "maxConnections"));
     CPPUNIT_ASSERT(
       Contains(rejectionReason("\"stopGraceS\":8", "\"x\":8"), "stopGraceS"));
+    CPPUNIT_ASSERT(Contains(
+      rejectionReason("\"relayPort\":8", "\"relayPort\":0"), "relayPort"));
     CPPUNIT_ASSERT(Contains(rejectionReason("0.8", "\"much\""), "repeatRatio"));
     CPPUNIT_ASSERT(Contains(rejectionReason("{", "["), "JSON"));
   }
