TargetReach: tell a lost path to targets from dead targets

A host that loses its links to targets held them for dead: it blamed sound requests, told the other hosts, and had no way to know better. Own failures cannot tell the two; what other hosts have heard from the same targets since can. Hosts ask a few others in a datagram, try the targets named once more, and believe in a cut when targets fail, were heard elsewhere, and fail again.

Deaths by refused connections are held back while a cut is suspected, and dropped when it is believed; targets are usable at once when it ends.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -145,6 +145,7 @@
       target.mLostLocally = false;
       target.mAliveAt = aNow;
       target.mFullUntil = Time();
+      target.mHeldDeathAt.reset();
     }
     target.mDeclaration = it;
     mLeavingNotices.OnDeclared(it.mName, target.mIncarnation);
@@ -162,7 +163,9 @@
       std::any_of(ended.begin(), ended.end(), [](const LostAttempt& aAttempt) {
         return aAttempt.mOutcome == AttemptOutcome::Lost;
       });
-    if (lost && !IsLeaving(it.second)) {
+    const bool reached =
+      ReachOf(it.second.mDeclaration.mService) == ReachState::Reached;
+    if (lost && reached && !IsLeaving(it.second)) {
       OnDeath(it.second, DeathEvidence::Unregistered, aNow);
     }
   }
@@ -319,7 +322,10 @@
   }
   const bool mayBeLost = aOutcome == AttemptOutcome::Lost ||
                          aOutcome == AttemptOutcome::FinishedByClose;
-  if (mayBeLost && !progressed) {
+  const bool cutOff =
+    aOutcome == AttemptOutcome::Lost &&
+    ReachOf(target->mDeclaration.mService) == ReachState::CutOff;
+  if (mayBeLost && !progressed && !cutOff) {
     if (IsLostWith(attempt, *target, aNow)) {
       mSuspects.OnRunLost(
         aContent, { *target->mDeath, attempt.mStartedAt }, aNow);
@@ -563,7 +569,12 @@
   if (target == nullptr) {
     return;
   }
-  OnDeath(*target, DeathEvidence::Refused, aNow);
+  const ReachState reach = ReachOf(target->mDeclaration.mService);
+  if (reach == ReachState::Reached) {
+    OnDeath(*target, DeathEvidence::Refused, aNow);
+  } else if (reach == ReachState::Suspected && !target->mHeldDeathAt) {
+    target->mHeldDeathAt = aNow;
+  }
   RecordLocalLoss(*target, aNow);
   target->mDownUntil = aNow + kDownDuration;
   target->mDoubtUntil = aNow + mOptions.mDoubtDuration;
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -9,6 +9,7 @@
 #include "core/TargetChooser.h"
 #include "core/TargetDeath.h"
 #include "core/TargetLimits.h"
+#include "core/TargetReach.h"
 #include "core/TargetWaits.h"
 #include "core/Time.h"
 
@@ -237,7 +238,7 @@
   };
 
   // Targets that this router recently found to be lost and has not heard from
-  // since.
+  // since, without those of services from which it may be cut off.
   std::vector<LostTarget> LostTargets(Time aNow) const;
 
   // Records that another router found a target to be lost at aAt. Ignored if
@@ -373,6 +374,26 @@
   // Sets a callback for each recognized death of a target.
   void SetDeathCallback(std::function<void(const DeathReport&)> aCall);
 
+  // Receives a service and returns whether this host reaches its targets.
+  using ReachCheck = std::function<ReachState(const std::string&)>;
+
+  // Sets a function that is asked before a target is held for dead because of a
+  // failed connection. While a cut is suspected, the deaths are held back until
+  // OnCutBelieved() or OnCutDenied(); while this host is cut off, there are
+  // none and lost attempts do not count against their requests.
+  void SetReachCheck(ReachCheck aCheck);
+
+  // This host is cut off from a service's targets: what was lost with them says
+  // nothing about them.
+  void OnCutBelieved(const std::string& aService);
+
+  // This host is not cut off from a service's targets: those whose deaths were
+  // held back and that have not been heard since have died.
+  void OnCutDenied(const std::string& aService, Time aNow);
+
+  // This host reaches a service's targets again, which are usable at once.
+  void OnCutEnded(const std::string& aService);
+
   // Records that an attempt did not reach its target.
   void OnAttemptNotReceived(const std::string& aTarget);
 
@@ -454,6 +475,8 @@
     int mRunningAtReport = 0;
     Time mReportedAt;
     Time mBrokenAt;
+    // When the target refused a connection while a cut was suspected.
+    std::optional<Time> mHeldDeathAt;
     int mCopies = 0;
     int mCopyTokens = 0;
     // Total load of the other routers on the target.
@@ -526,6 +549,8 @@
   void NotifyLoadChanged() const;
   static TargetLoad OwnLoadOf(const Target& aTarget);
   void OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow);
+  ReachState ReachOf(const std::string& aService) const;
+  static void ForgetLosses(Target& aTarget);
   bool IsLostWith(const LostAttempt& aAttempt,
                   const Target& aTarget,
                   Time aNow) const;
@@ -573,6 +598,7 @@
   std::map<std::uint64_t, SuspectTrial> mTrials;
   std::map<std::string, Time> mTrialsElsewhere;
   TrialCallback mOnTrialNeeded;
+  ReachCheck mReachCheck;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -28,7 +28,8 @@
   for (const auto& it : mTargets) {
     const Target& target = it.second;
     if (target.mLostLocally && aNow - target.mLostAt < kPlaceLossWindow &&
-        target.mAliveAt < target.mLostAt) {
+        target.mAliveAt < target.mLostAt &&
+        ReachOf(target.mDeclaration.mService) == ReachState::Reached) {
       lost.push_back({ it.first, target.mLostAt });
     }
   }
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -139,6 +139,7 @@
   , mStartedAt(AddSuspendedTime(EventLoop::Now()))
   , mEntries(aSettings.mReregistrationTime)
   , mTargets(TableOptions(aSettings))
+  , mReach(aSettings.mPlace, StableHash(aSettings.mHost))
   , mVersions(kMinStreamLife)
   , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
   , mExpiryTimer(aLoop, [this] {
@@ -152,6 +153,8 @@
   })
 {
   ConfigureRetryBudget();
+  mTargets.SetReachCheck(
+    [this](const std::string& aService) { return mReach.StateOf(aService); });
 }
 
 void
@@ -361,6 +364,8 @@
   for (RetryBudget* it : { mTargets.Retries(), &mTargets.Limits().Shares() }) {
     it->SetHosts(known, EventLoop::Now());
   }
+  known.erase(mSettings.mHost);
+  mReach.SetHosts(std::move(known));
 }
 
 void
@@ -597,9 +602,14 @@
   const Time now = EventLoop::Now();
   mTargets.Declare(services, targets, mSettings.mRegion, now);
   VersionsByService versions;
+  std::map<std::string, std::vector<std::string>> staying;
   for (const TargetDeclaration& it : targets) {
     versions[it.mService].insert(it.mSoftwareVersion);
+    if (!it.mLeaving) {
+      staying[it.mService].push_back(it.mName);
+    }
   }
+  mReach.Declare(staying);
   mVersions.OnRegistered(versions, now);
   UpdateAnnouncedServices(now);
 }
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "gateway/LoadBroadcaster.h"
 #include "gateway/PeerLink.h"
 #include "gateway/Prober.h"
+#include "gateway/ReachWatch.h"
 #include "gateway/RetryLog.h"
 #include "gateway/ServerDirectory.h"
 #include "gateway/StoreWatch.h"
@@ -87,6 +88,7 @@
     , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics)
     , mPeers(mLoop, mSettings, mFleet, mStore)
     , mLoadSender(mLoop, mSettings, mFleet, mLimits)
+    , mReach(mLoop, mFleet, mProber, mLoadSender, mMetrics)
     , mReadinessServer(mLoop,
                        [this](const HttpHead& aHead, const std::string&) {
                          return HandleReadiness(aHead);
@@ -347,6 +349,7 @@
   SuspectTrials mSuspectTrials;
   PeerLink mPeers;
   LoadBroadcaster mLoadSender;
+  ReachWatch mReach;
   SimpleHttpServer mReadinessServer;
   SimpleHttpServer mMetricsServer;
   boost::asio::signal_set mSignals;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -78,6 +78,16 @@
     "Times for which a target wanted nothing from this host" },
   { "quetzal_waits_malformed_total",
     "Answers 503 of targets with a Retry-After that is not a number" },
+  { "quetzal_cuts_suspected_total",
+    "Times that the host suspected to be cut off from a service's targets" },
+  { "quetzal_cuts_believed_total",
+    "Times that the host was cut off from a service's targets" },
+  { "quetzal_reach_asks_total",
+    "Asks of the host for when others heard targets" },
+  { "quetzal_reach_answers_total",
+    "Answers of other hosts for when they heard targets" },
+  { "quetzal_reach_tries_total",
+    "Connections to targets that were only tried" },
   { "quetzal_passed_on_total", "Requests passed on to other hosts" },
   { "quetzal_served_for_hosts_total",
     "Requests that were received from other hosts and accepted" },
@@ -105,6 +115,8 @@
   { "quetzal_retry_hosts", "Hosts that share the retry budget" },
   { "quetzal_limited_targets", "Targets that name a limit" },
   { "quetzal_waiting_targets", "Targets that want nothing from this host now" },
+  { "quetzal_services_cut_off",
+    "Services from whose targets the host is cut off" },
 } };
 
 // In seconds.
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -48,6 +48,11 @@
   TargetsLeaving,
   TargetWaits,
   WaitsMalformed,
+  CutsSuspected,
+  CutsBelieved,
+  ReachAsks,
+  ReachAnswers,
+  ReachTries,
   RequestsPassedOn,
   RequestsServedForHosts,
   RequestsRefusedToHosts,
@@ -71,6 +76,7 @@
   RetryHosts,
   LimitedTargets,
   WaitingTargets,
+  ServicesCutOff,
   Last,
 };
 
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -1,6 +1,7 @@
 #include "gateway/LoadBroadcaster.h"
 
 #include "core/Hash.h"
+#include "gateway/ReachMessages.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -327,11 +328,17 @@
   const auto start = json.FindMember("start");
   const bool hasStart = start != json.MemberEnd() && start->value.IsUint64();
   OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
+  const auto place = json.FindMember("place");
+  const bool hasPlace = place != json.MemberEnd() && place->value.IsString();
+  mFleet.Reach().OnHostHeard(
+    host, hasPlace ? place->value.GetString() : "", now);
   // A message with nothing but suspects has no load.
   const auto load = json.FindMember("load");
   if (load != json.MemberEnd() && load->value.IsArray()) {
     ApplyLoad(host, json, now);
+    mFleet.Reach().OnHostUnreached(host, ParseUnreached(json));
   }
+  ExchangeReach(host, json, now);
   for (const SharedBudget& it : SharedBudgets()) {
     ExchangeBudget(
       it, host, hasStart ? start->value.GetUint64() : 0, json, now);
@@ -531,6 +538,78 @@
   }
 }
 
+std::optional<udp::endpoint>
+LoadBroadcaster::Find(const std::string& aHost) const
+{
+  const auto heard = mHeardHosts.find(aHost);
+  if (heard != mHeardHosts.end()) {
+    return heard->second.mEndpoint;
+  }
+  const auto known = mFleet.HostAddresses().find(aHost);
+  const auto endpoint = known == mFleet.HostAddresses().end()
+                          ? std::nullopt
+                          : ParseEndpoint(known->second);
+  return endpoint ? std::make_optional(
+                      udp::endpoint(endpoint->address(), mSettings.mLoadPort))
+                  : std::nullopt;
+}
+
+int
+LoadBroadcaster::SendReachAsk(const ReachAsk& aAsk)
+{
+  rapidjson::StringBuffer buf;
+  Writer writer(buf);
+  writer.StartObject();
+  WriteSender(writer);
+  WriteReachAsk(writer, aAsk);
+  writer.EndObject();
+  int sent = 0;
+  for (const std::string& it : aAsk.mHosts) {
+    if (const auto receiver = Find(it)) {
+      SendTo(*receiver, buf);
+      ++sent;
+    }
+  }
+  return sent;
+}
+
+void
+LoadBroadcaster::AnnounceReach()
+{
+  SendBy(EventLoop::Now() + kBatchDelay);
+}
+
+void
+LoadBroadcaster::SetReachCallback(
+  std::function<void(const ReachAnswer&)> aCallback)
+{
+  mOnReachAnswer = std::move(aCallback);
+}
+
+// Answers an ask of another host, and takes its answer.
+void
+LoadBroadcaster::ExchangeReach(const std::string& aHost,
+                               const rapidjson::Value& aMessage,
+                               Time aNow)
+{
+  if (const auto ask = ParseReachAsk(aMessage)) {
+    rapidjson::StringBuffer buf;
+    Writer writer(buf);
+    writer.StartObject();
+    WriteSender(writer);
+    WriteReachAnswer(
+      writer,
+      mFleet.Reach().Answer(ask->mService, ask->mId, ask->mTargets, aNow));
+    writer.EndObject();
+    SendTo(mSender, buf);
+  }
+  auto answer = ParseReachAnswer(aMessage);
+  if (answer && mOnReachAnswer) {
+    answer->mHost = aHost;
+    mOnReachAnswer(*answer);
+  }
+}
+
 void
 LoadBroadcaster::SendMessage()
 {
@@ -559,7 +638,9 @@
   }
   SendOrigins(now);
   SendDepartures(now);
+  const auto unreached = mFleet.Reach().UnreachedServices();
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
+                          !unreached.empty() ||
                           !mFleet.Targets().Limits().Reports(now).empty();
   if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
@@ -599,6 +680,7 @@
     writer.EndArray();
   }
   WriteLimits(writer, now);
+  WriteUnreached(writer, unreached);
   writer.Key("lost");
   writer.StartArray();
   for (const auto& it : lost) {
@@ -727,6 +809,8 @@
 {
   aWriter.Key("host");
   aWriter.String(mSettings.mHost.c_str());
+  aWriter.Key("place");
+  aWriter.String(mSettings.mPlace.c_str());
   aWriter.Key("start");
   aWriter.Uint64(mFleet.StartId());
 }
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -40,6 +41,15 @@
   // Starts to receive; returns the reason on failure.
   std::optional<std::string> Start();
 
+  // Sends an ask to its hosts. Returns the number of those that are known.
+  int SendReachAsk(const ReachAsk& aAsk);
+
+  // Tells other hosts soon from which services' targets this one is cut off.
+  void AnnounceReach();
+
+  // Sets a function that receives the answers to SendReachAsk().
+  void SetReachCallback(std::function<void(const ReachAnswer&)> aCallback);
+
 private:
   void Receive();
   void HandleMessage(std::string_view aText);
@@ -63,6 +73,12 @@
                       const rapidjson::Value& aMessage,
                       Time aNow);
   void SendAsk(const SharedBudget& aBudget, const RetryAsk& aAsk);
+  // Where a host receives messages; nothing if that is not known.
+  std::optional<boost::asio::ip::udp::endpoint> Find(
+    const std::string& aHost) const;
+  void ExchangeReach(const std::string& aHost,
+                     const rapidjson::Value& aMessage,
+                     Time aNow);
   void ApplyLimits(const std::string& aHost,
                    const rapidjson::Value& aMessage,
                    Time aNow);
@@ -119,6 +135,7 @@
   // When a message with changes of suspects may be sent again.
   Time mNextNewsAt;
   Time mNextDeparturesAt;
+  std::function<void(const ReachAnswer&)> mOnReachAnswer;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -1,6 +1,5 @@
 #include "gateway/Prober.h"
 
-#include "gateway/DeathCheck.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -26,6 +25,9 @@
 // Time limit for the connection of a death check.
 constexpr Duration kDeathCheckTimeout = std::chrono::milliseconds(400);
 
+// Time limit for a connection that is only tried.
+constexpr Duration kTryTimeout = std::chrono::milliseconds(200);
+
 const char*
 NameOf(ProbeResult aResult)
 {
@@ -87,6 +89,7 @@
     // A connection without a request shows whether it lives.
     const auto check =
       MakeRef<DeathCheck>(mLoop, [this, aTarget](DeathCheck::Result aResult) {
+        RecordReach(aTarget, aResult);
         FinishProbe(
           aTarget,
           aResult == DeathCheck::Result::Listening ? ProbeResult::Alive
@@ -217,6 +220,7 @@
         if (at == nullptr || at->mIncarnation != incarnation) {
           return;
         }
+        RecordReach(target, aResult);
         if (aResult == DeathCheck::Result::Refused) {
           mFleet.Targets().OnRefused(target, EventLoop::Now());
         } else if (aResult == DeathCheck::Result::Listening) {
@@ -229,6 +233,36 @@
                                          : mChecks.front().mDueAt);
 }
 
+void
+Prober::TryConnection(const std::string& aTarget)
+{
+  const TargetLocation* location = mFleet.Locate(aTarget);
+  if (location == nullptr) {
+    return;
+  }
+  const auto check =
+    MakeRef<DeathCheck>(mLoop, [this, aTarget](DeathCheck::Result aResult) {
+      RecordReach(aTarget, aResult);
+    });
+  check->Start(location->mEndpoint, EventLoop::Now() + kTryTimeout);
+}
+
+// Records whether a target has accepted a connection.
+void
+Prober::RecordReach(const std::string& aTarget, DeathCheck::Result aResult)
+{
+  const TargetLocation* location = mFleet.Locate(aTarget);
+  if (location == nullptr) {
+    return;
+  }
+  const Time now = EventLoop::Now();
+  if (aResult == DeathCheck::Result::Listening) {
+    mFleet.Reach().OnConnected(location->mService, aTarget, now);
+  } else {
+    mFleet.Reach().OnNotReached(location->mService, aTarget, now);
+  }
+}
+
 void
 Prober::FinishProbe(const std::string& aTarget,
                     ProbeResult aResult,
@@ -245,6 +279,9 @@
     mFleet.Targets().OnRefused(aTarget, now);
   } else if (aResult == ProbeResult::NoAnswer) {
     mFleet.Targets().OnUnresponsive(aTarget, now);
+    if (const TargetLocation* location = mFleet.Locate(aTarget)) {
+      mFleet.Reach().OnConnectionLost(location->mService, aTarget, now);
+    }
   }
   Log(LogLevel::Info,
       "probe",
--- a/src/quetzalquay/gateway/Prober.h
+++ b/src/quetzalquay/gateway/Prober.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_GATEWAY_PROBER_H_INCLUDED
 
 #include "core/GenerationActions.h"
+#include "gateway/DeathCheck.h"
 #include "gateway/TargetCall.h"
 
 #include <deque>
@@ -44,6 +45,9 @@
   // target are done once.
   void CheckDeath(const std::string& aTarget);
 
+  // Tries a connection to a target, and tells its reach the result.
+  void TryConnection(const std::string& aTarget);
+
   // Requests sent to targets since the start.
   std::uint64_t ProbeCount() const { return mProbeCount; }
 
@@ -61,6 +65,7 @@
                        const std::string& aNew,
                        const TargetCall::Outcome& aOutcome);
   void StartDeathChecks();
+  void RecordReach(const std::string& aTarget, DeathCheck::Result aResult);
   void FinishProbe(const std::string& aTarget,
                    ProbeResult aResult,
                    const platform::TargetReport* aReport);
--- a/src/quetzalquay/gateway/ServerDirectory.cpp
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -26,6 +26,41 @@
 TargetDirectory::OnAlive(const std::string& aServer, Time aNow)
 {
   mFleet.Targets().OnAlive(aServer, aNow);
+  if (const TargetLocation* location = Locate(aServer)) {
+    mFleet.Reach().OnReached(location->mService, aServer, aNow);
+  }
+}
+
+void
+TargetDirectory::OnConnected(const std::string& aServer, Time aNow)
+{
+  if (const TargetLocation* location = Locate(aServer)) {
+    mFleet.Reach().OnConnected(location->mService, aServer, aNow);
+  }
+}
+
+void
+TargetDirectory::OnNotConnected(const std::string& aServer, Time aNow)
+{
+  if (const TargetLocation* location = Locate(aServer)) {
+    mFleet.Reach().OnNotReached(location->mService, aServer, aNow);
+  }
+}
+
+void
+TargetDirectory::OnConnectionLost(const std::string& aServer, Time aNow)
+{
+  if (const TargetLocation* location = Locate(aServer)) {
+    mFleet.Reach().OnConnectionLost(location->mService, aServer, aNow);
+  }
+}
+
+void
+TargetDirectory::OnSent(const std::string& aServer, Time aNow)
+{
+  if (const TargetLocation* location = Locate(aServer)) {
+    mFleet.Reach().OnSent(location->mService, aServer, aNow);
+  }
 }
 
 void
--- a/src/quetzalquay/gateway/ServerDirectory.h
+++ b/src/quetzalquay/gateway/ServerDirectory.h
@@ -26,6 +26,17 @@
   // A server has accepted a connection or sent bytes on one.
   virtual void OnAlive(const std::string&, Time) {}
 
+  // A connection has been established, or has not been by a connection attempt
+  // that was refused or long enough.
+  virtual void OnConnected(const std::string&, Time) {}
+  virtual void OnNotConnected(const std::string&, Time) {}
+
+  // An established connection was reset, or ended within an answer.
+  virtual void OnConnectionLost(const std::string&, Time) {}
+
+  // A request has been written to a server.
+  virtual void OnSent(const std::string&, Time) {}
+
   // An idle connection to a server was reset.
   virtual void OnIdleConnectionBroken(const std::string&, Time) {}
 
@@ -49,6 +60,10 @@
   const TargetLocation* Locate(const std::string& aServer) override;
   Duration IdleTimeout() const override;
   void OnAlive(const std::string& aServer, Time aNow) override;
+  void OnConnected(const std::string& aServer, Time aNow) override;
+  void OnNotConnected(const std::string& aServer, Time aNow) override;
+  void OnConnectionLost(const std::string& aServer, Time aNow) override;
+  void OnSent(const std::string& aServer, Time aNow) override;
   void OnIdleConnectionBroken(const std::string& aServer, Time aNow) override;
   void OnOtherStart(const std::string& aServer,
                     const platform::TargetReport& aReport,
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -23,6 +23,10 @@
 // Time between two sweeps for expired idle connections.
 constexpr Duration kSweepInterval = milliseconds(1000);
 
+// Time after which a connection attempt without an answer says that the target
+// is not reached. Callers that leave and deadlines end attempts sooner.
+constexpr Duration kMinConnectTime = milliseconds(100);
+
 // Idle connections kept per target.
 constexpr std::size_t kMaxIdlePerTarget = 8;
 
@@ -66,6 +70,7 @@
     SendRequest();
     return;
   }
+  mConnectingSince = EventLoop::Now();
   mSocket->Connect(mEndpoint, aConnectDeadline, *this);
 }
 
@@ -86,6 +91,7 @@
     return;
   }
   mRequestSent = true;
+  mPool.mServers.OnSent(mTarget, EventLoop::Now());
   mSocket->Write(mRequestBytes);
   std::string().swap(mRequestBytes);
 }
@@ -103,6 +109,7 @@
 {
   mConnected = true;
   mPool.OnActivity(mTarget);
+  mPool.mServers.OnConnected(mTarget, EventLoop::Now());
   SendRequest();
 }
 
@@ -245,12 +252,20 @@
   const RefPtr<TargetConnection> self(this);
   if (mSink == nullptr) {
     if (aEnd == SocketEnd::Failed) {
-      mPool.mServers.OnIdleConnectionBroken(mTarget, EventLoop::Now());
+      const Time now = EventLoop::Now();
+      mPool.mServers.OnConnectionLost(mTarget, now);
+      mPool.mServers.OnIdleConnectionBroken(mTarget, now);
     }
     mPool.CloseConnection(*this);
     return;
   }
   if (!mConnected) {
+    const bool unanswered =
+      !mSocket->LackedDescriptor() &&
+      EventLoop::Now() - mConnectingSince >= kMinConnectTime;
+    if (mSocket->Refused() || unanswered) {
+      mPool.mServers.OnNotConnected(mTarget, EventLoop::Now());
+    }
     // A refusal is reported at once, an unreachable target only at the connect
     // deadline.
     FailAttempt(mSocket->Refused()            ? AttemptFailure::Refused
@@ -265,6 +280,7 @@
     CompleteResponse();
     return;
   }
+  mPool.mServers.OnConnectionLost(mTarget, EventLoop::Now());
   FailAttempt(mCheckingStart ? AttemptFailure::Unreachable
                              : AttemptFailure::Broken);
 }
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -120,6 +120,8 @@
   std::string mRequestBytes;
   std::string mRequestId;
   bool mConnected = false;
+  // When the connection attempt began.
+  Time mConnectingSince;
   bool mRequestSent = false;
   // Whether the target is to be asked for its start before the next request,
   // and whether it has been asked and has not answered yet.
