Pass requests on to hosts that the hosts table does not have yet

Hosts read the hosts table every five seconds and hear each other's datagrams sooner. A host that was cut off soon after its start chose hosts that it had heard and could not locate them: streams were broken off with note=host_unknown (5 of 5 lost ones in HostsReturnToTheirTargetsWhenACutEnds, and in three other tests of HostCutTests). The address from which a host was heard is used until the table has it.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -355,6 +355,7 @@
     return;
   }
   mHostAddresses = std::move(hosts);
+  mHeardAddresses.clear();
   mReaders.SetHosts(std::move(candidates));
   mOrigins.SetTellsAll(mHostAddresses.size() <= kMaxTellingHosts);
   std::set<std::string> known;
@@ -368,6 +369,28 @@
   mReach.SetHosts(std::move(known));
 }
 
+void
+Fleet::OnHostHeard(const std::string& aHost,
+                   const boost::asio::ip::address& aAddress)
+{
+  if (mHostAddresses.count(aHost) == 0) {
+    mHeardAddresses[aHost] = aAddress;
+  }
+}
+
+std::optional<boost::asio::ip::address>
+Fleet::AddressOf(const std::string& aHost) const
+{
+  const auto known = mHostAddresses.find(aHost);
+  if (known != mHostAddresses.end()) {
+    const auto endpoint = ParseEndpoint(known->second);
+    return endpoint ? std::make_optional(endpoint->address()) : std::nullopt;
+  }
+  const auto heard = mHeardAddresses.find(aHost);
+  return heard == mHeardAddresses.end() ? std::nullopt
+                                        : std::make_optional(heard->second);
+}
+
 void
 Fleet::OnTargetGone(const std::string& aTarget, Time aNow)
 {
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -13,6 +13,7 @@
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <functional>
 #include <map>
 #include <optional>
@@ -145,6 +146,15 @@
   // Decides which hosts read the store.
   ReaderChoice& Readers() { return mReaders; }
 
+  // A host has sent a message from an address. The hosts table, which is read
+  // rarely, may not have it yet.
+  void OnHostHeard(const std::string& aHost,
+                   const boost::asio::ip::address& aAddress);
+
+  // Network address of a host; nothing if it is not known.
+  std::optional<boost::asio::ip::address> AddressOf(
+    const std::string& aHost) const;
+
   // This host's rows are those of the store as of aAsOf, or those of a host
   // that was asked then while the store is unreachable.
   void OnKnownAsOf(Time aAsOf);
@@ -215,6 +225,8 @@
   std::map<std::string, platform::StoreRow> mHostRows;
   std::map<std::string, platform::StoreRow> mSuspectRows;
   std::map<std::string, std::string> mHostAddresses;
+  // Addresses of hosts that are not in the hosts table.
+  std::map<std::string, boost::asio::ip::address> mHeardAddresses;
   std::int64_t mConfigurationVersion = 0;
   std::int64_t mHostsVersion = 0;
   std::int64_t mSuspectsVersion = 0;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -330,6 +330,7 @@
   OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
   const auto place = json.FindMember("place");
   const bool hasPlace = place != json.MemberEnd() && place->value.IsString();
+  mFleet.OnHostHeard(host, mSender.address());
   mFleet.Reach().OnHostHeard(
     host, hasPlace ? place->value.GetString() : "", now);
   // A message with nothing but suspects has no load.
@@ -545,13 +546,10 @@
   if (heard != mHeardHosts.end()) {
     return heard->second.mEndpoint;
   }
-  const auto known = mFleet.HostAddresses().find(aHost);
-  const auto endpoint = known == mFleet.HostAddresses().end()
-                          ? std::nullopt
-                          : ParseEndpoint(known->second);
-  return endpoint ? std::make_optional(
-                      udp::endpoint(endpoint->address(), mSettings.mLoadPort))
-                  : std::nullopt;
+  const auto address = mFleet.AddressOf(aHost);
+  return address
+           ? std::make_optional(udp::endpoint(*address, mSettings.mLoadPort))
+           : std::nullopt;
 }
 
 int
--- a/src/quetzalquay/gateway/ServerDirectory.cpp
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -85,14 +85,11 @@
 const TargetLocation*
 HostDirectory::Locate(const std::string& aServer)
 {
-  const auto& hosts = mFleet.HostAddresses();
-  const auto at = hosts.find(aServer);
-  const auto endpoint =
-    at == hosts.end() ? std::nullopt : ParseEndpoint(at->second);
-  if (!endpoint) {
+  const auto address = mFleet.AddressOf(aServer);
+  if (!address) {
     return nullptr;
   }
-  mLocation.mEndpoint = Endpoint(endpoint->address(), mRelayPort);
+  mLocation.mEndpoint = Endpoint(*address, mRelayPort);
   mLocation.mAddress = FormatEndpoint(mLocation.mEndpoint);
   return &mLocation;
 }
