--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -99,9 +99,11 @@
 std::optional<std::string>
 FindServingHost(GatewayContext& aContext, const RoutedCall& aCall, Time aNow)
 {
-  return aCall.mPassedOn.IsPassedOn()
-           ? std::nullopt
-           : aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow);
+  if (aCall.mPassedOn.IsPassedOn()) {
+    return std::nullopt;
+  }
+  auto host = aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow);
+  return host && aContext.mFleet.AddressOf(*host) ? host : std::nullopt;
 }
 
 std::string
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -113,6 +113,8 @@
     mContext.mLoop.Defer(
       [self = RefPtr<PassedOnExchange>(this), attempt = mAttempt] {
         if (!self->mDone && attempt == self->mAttempt) {
+          self->mContext.mFleet.Reach().OnHostFailed(self->mHost,
+                                                     EventLoop::Now());
           self->EndAttempt(PassedOnEnd::Unreachable, "host_unknown");
         }
       });
--- a/tests/fakes/CallerChannel.cpp
+++ b/tests/fakes/CallerChannel.cpp
@@ -17,6 +17,19 @@
 using std::chrono::steady_clock;
 
 CallerChannel::CallerChannel(const GatewayProcess& aGateway, int aReceiveBytes)
+  : CallerChannel(aGateway.Ip(), aGateway.CallerPort(), aReceiveBytes)
+{
+}
+
+CallerChannel
+CallerChannel::AtPort(const GatewayProcess& aGateway, int aPort)
+{
+  return CallerChannel(aGateway.Ip(), aPort, 0);
+}
+
+CallerChannel::CallerChannel(const std::string& aIp,
+                             int aPort,
+                             int aReceiveBytes)
   : mSocket(::socket(AF_INET, SOCK_STREAM, 0))
 {
   if (aReceiveBytes > 0) {
@@ -25,8 +38,8 @@
   }
   sockaddr_in to{};
   to.sin_family = AF_INET;
-  to.sin_port = htons(static_cast<std::uint16_t>(aGateway.CallerPort()));
-  ::inet_pton(AF_INET, aGateway.Ip().c_str(), &to.sin_addr);
+  to.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  ::inet_pton(AF_INET, aIp.c_str(), &to.sin_addr);
   if (::connect(mSocket, reinterpret_cast<const sockaddr*>(&to), sizeof to) !=
       0) {
     ::close(mSocket);
--- a/tests/fakes/CallerChannel.h
+++ b/tests/fakes/CallerChannel.h
@@ -25,6 +25,10 @@
   // Connects. A receive buffer of aReceiveBytes, if not 0, limits what the
   // gateway can send before the caller reads.
   explicit CallerChannel(const GatewayProcess& aGateway, int aReceiveBytes = 0);
+
+  // Connects to a port of the gateway's own address, such as that for other
+  // hosts.
+  static CallerChannel AtPort(const GatewayProcess& aGateway, int aPort);
   ~CallerChannel();
   CallerChannel(const CallerChannel&) = delete;
   CallerChannel& operator=(const CallerChannel&) = delete;
@@ -51,6 +55,8 @@
   static constexpr std::chrono::milliseconds kTimeout{ 10000 };
 
 private:
+  CallerChannel(const std::string& aIp, int aPort, int aReceiveBytes);
+
   bool Receive(std::chrono::steady_clock::time_point aUntil);
 
   int mSocket;
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -396,6 +396,9 @@
     return *mNodes[aNumber]->mGateway;
   }
 
+  // Port on which all gateways receive requests of other hosts.
+  int RelayPort() const { return mRelayPort; }
+
   // Sends bytes to the first gateway on a new connection and reads one
   // response.
   CallerAnswer Call(const std::string& aBytes) const;
