--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -227,7 +227,7 @@
 Time
 TargetReach::NextDue(Time aNow) const
 {
-  Time due = Time::max();
+  Time due = mChanges.empty() ? Time::max() : aNow;
   for (const auto& it : mServices) {
     const Service& service = it.second;
     due = std::min({ due, service.mNextAskAt, CheckDueAt(service) });
--- a/src/quetzalquay/gateway/ReachWatch.cpp
+++ b/src/quetzalquay/gateway/ReachWatch.cpp
@@ -11,8 +11,7 @@
 // Interval at which asks of a service, and answers to them, are logged.
 constexpr Duration kLogInterval = std::chrono::milliseconds(1000);
 
-// Interval at which decisions are made at least while there is something to
-// watch, as failures expire.
+// Shortest interval between two rounds of decisions.
 constexpr Duration kMinInterval = std::chrono::milliseconds(5);
 
 // Whether something of a service is to be logged now.
@@ -48,7 +47,8 @@
   , mMetrics(aMetrics)
   , mTimer(aLoop, [this] { Run(); })
 {
-  mFleet.Reach().SetCallback([this] { mTimer.ScheduleAt(EventLoop::Now()); });
+  mFleet.Reach().SetCallback(
+    [this] { mTimer.ScheduleAt(mFleet.Reach().NextDue(EventLoop::Now())); });
   mSender.SetReachCallback([this](const ReachAnswer& aAnswer) {
     OnAnswer(aAnswer, EventLoop::Now());
   });
