--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -326,7 +326,7 @@
 }
 
 void
-CallerConnection::StartExchange(RefPtr<Exchange> aExchange)
+CallerConnection::StartExchange(const RefPtr<Exchange>& aExchange)
 {
   mExchange = aExchange;
   aExchange->Start();
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -82,7 +82,7 @@
   bool AdmitPassedOn(const HttpHead& aHead);
   bool CanServe(const RoutedCall& aCall);
   RefPtr<Exchange> MakeExchange(RoutedCall aCall);
-  void StartExchange(RefPtr<Exchange> aExchange);
+  void StartExchange(const RefPtr<Exchange>& aExchange);
   void ReleaseExchange();
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -191,6 +191,22 @@
   return static_cast<int>(ToMilliseconds(aNow - aAt));
 }
 
+void
+WriteLost(Writer& aWriter,
+          const std::vector<TargetTable::LostTarget>& aLost,
+          Time aNow)
+{
+  aWriter.Key("lost");
+  aWriter.StartArray();
+  for (const TargetTable::LostTarget& it : aLost) {
+    aWriter.StartArray();
+    aWriter.String(it.mTarget.c_str());
+    aWriter.Int(AgeInMilliseconds(it.mAt, aNow));
+    aWriter.EndArray();
+  }
+  aWriter.EndArray();
+}
+
 void
 WriteSuspect(Writer& aWriter, const SuspectReport& aReport, Time aNow)
 {
@@ -679,15 +695,7 @@
   }
   WriteLimits(writer, now);
   WriteUnreached(writer, unreached);
-  writer.Key("lost");
-  writer.StartArray();
-  for (const auto& it : lost) {
-    writer.StartArray();
-    writer.String(it.mTarget.c_str());
-    writer.Int(AgeInMilliseconds(it.mAt, now));
-    writer.EndArray();
-  }
-  writer.EndArray();
+  WriteLost(writer, lost, now);
   WriteSuspects(writer, news, now);
   writer.EndObject();
   for (const udp::endpoint& it : ChooseReceivers()) {
