Record where a stream began with its first event, not with its dispatch

Callers saw: a stream that had been broken off and was taken up after all hosts had been killed was answered 200 and joined text of two software versions.

Cause: an origin was announced and stored when an attempt was sent, and replaced when a later attempt went to another version. A request whose first attempt brought no event and whose second one began at another version is known by two facts, of which the first is wrong. If the hosts end before the second one is stored (the store is slow or silent, or less than a batch has passed), or a write that was lost is performed late, the first one stands.

Now an origin is recorded when the first event has come, before the caller gets it, and never changes. A late, lost or repeated row or datagram can only be missing. The number of the attempt is no longer needed, in memory, in rows or in datagrams; rows and datagrams with it are still read. What it costs: origins are known to others later by the time to the first event.

Ruled out by reading: that hosts take the only version that is left for that of every stream. Just after their start they read the record of versions, in which a version stays until a host has watched for a whole life of a stream.

--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -13,13 +13,6 @@
 
 constexpr int kAnnouncements = 2;
 
-bool
-IsSameVersion(const StreamOrigin& aLeft, const StreamOrigin& aRight)
-{
-  return aLeft.mService == aRight.mService &&
-         aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
-}
-
 } // namespace
 
 std::string_view
@@ -34,12 +27,11 @@
 }
 
 void
-StreamOrigins::OnDispatched(const StreamOrigin& aOrigin, Time aNow)
+StreamOrigins::OnBegun(const StreamOrigin& aOrigin, Time aNow)
 {
   DropExpired(aNow);
   const auto known = mEntries.find(aOrigin.mKey);
-  const bool changed = known == mEntries.end() || !known->second.mOwn ||
-                       !IsSameVersion(known->second.mOrigin, aOrigin);
+  const bool changed = known == mEntries.end() || !known->second.mOwn;
   Entry& entry = Touch(aOrigin, aNow);
   if (changed) {
     entry.mSource = OriginSource::Own;
@@ -84,20 +76,11 @@
                           Time aNow)
 {
   DropExpired(aNow);
-  const auto known = mEntries.find(aOrigin.mKey);
-  const bool isNew = known == mEntries.end();
-  if (!isNew && (known->second.mRunning ||
-                 known->second.mOrigin.mAttempt > aOrigin.mAttempt)) {
-    return;
-  }
-  if (!isNew && IsSameVersion(known->second.mOrigin, aOrigin)) {
-    Touch(aOrigin, aNow);
-    return;
-  }
-  if (!isNew && known->second.mOrigin.mAttempt == aOrigin.mAttempt) {
+  const bool isNew = mEntries.count(aOrigin.mKey) == 0;
+  Entry& entry = Touch(aOrigin, aNow);
+  if (!isNew) {
     return;
   }
-  Entry& entry = Touch(aOrigin, aNow);
   entry.mOrigin = aOrigin;
   entry.mSource = aSource;
   entry.mLearnedAt = aNow;
--- a/src/quetzalquay/core/StreamOrigins.h
+++ b/src/quetzalquay/core/StreamOrigins.h
@@ -16,17 +16,15 @@
 
 namespace quetzalquay {
 
-// Where a stream began. A stream may be taken up again only at a target of the
-// same service and software version.
+// Where a stream began: at the target that brought its first event. Never
+// changes. A stream may be taken up again only at a target of the same service
+// and software version.
 struct StreamOrigin
 {
   // Stable hash of the ID of the caller's request that brought the first event.
   std::uint64_t mKey = 0;
   std::string mService;
   std::string mSoftwareVersion;
-  // Number of the attempt at a target. Until the first event a later attempt
-  // replaces earlier ones.
-  int mAttempt = 0;
 };
 
 // How the origin of a stream is known.
@@ -53,7 +51,7 @@
 class StreamOrigins
 {
 public:
-  // Time for which an origin is kept after the last attempt or announcement of
+  // Time for which an origin is kept after the end or the last announcement of
   // its stream. Longer than callers wait for a stream.
   static constexpr Duration kLifetime = std::chrono::minutes(2);
 
@@ -72,8 +70,10 @@
     Time mLearnedAt;
   };
 
-  // An attempt of a stream of this host has been sent to a target.
-  void OnDispatched(const StreamOrigin& aOrigin, Time aNow);
+  // A stream of this host has its first event, or the first one since its
+  // caller has taken it up. Attempts without an event may be followed by others
+  // at another version, so they are not reported.
+  void OnBegun(const StreamOrigin& aOrigin, Time aNow);
 
   // A stream of this host has ended. If aComplete, its caller has no reason to
   // take it up.
--- a/src/quetzalquay/core/TakeUp.cpp
+++ b/src/quetzalquay/core/TakeUp.cpp
@@ -18,7 +18,6 @@
     takeUp.mService = origin->mOrigin.mService;
     takeUp.mSoftwareVersion = origin->mOrigin.mSoftwareVersion;
     takeUp.mSource = origin->mSource;
-    takeUp.mAttempt = origin->mOrigin.mAttempt;
     takeUp.mLearnedAt = origin->mLearnedAt;
     const bool allowed =
       std::find(services.begin(), services.end(), takeUp.mService) !=
--- a/src/quetzalquay/core/TakeUp.h
+++ b/src/quetzalquay/core/TakeUp.h
@@ -26,8 +26,6 @@
   std::string mService;
   std::string mSoftwareVersion;
   OriginSource mSource = OriginSource::OnlyVersion;
-  // Attempt number of the origin; 0 if it is not known.
-  int mAttempt = 0;
   // When the origin was learned; a default Time if it is not known.
   Time mLearnedAt;
 };
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -421,7 +421,6 @@
     call.mPassedOn = mPassedOn;
     call.mService = mPassedOn.mService;
     call.mSoftwareVersion = mPassedOn.mSoftwareVersion;
-    call.mOriginAttempt = mPassedOn.mTries;
     if (!CanServe(call)) {
       return std::nullopt;
     }
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -99,10 +99,8 @@
   // other requests.
   std::string mSoftwareVersion;
   // Key of the stream's origin, under which the caller can take it up; nothing
-  // if it cannot. mOriginAttempt is the attempt number of a stream that is
-  // taken up.
+  // if it cannot.
   std::optional<std::uint64_t> mOriginKey;
-  int mOriginAttempt = 0;
   std::string mWorkspace;
   // See ChoiceQuery::mPriority.
   std::pair<int, int> mPriority;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -70,8 +70,8 @@
 // replaced it and that one's incarnation.
 constexpr rapidjson::SizeType kGoneEntrySize = 4;
 
-// Elements of a "streams" entry: key, service, software version and attempt.
-constexpr rapidjson::SizeType kOriginEntrySize = 4;
+// Elements of a "streams" entry: key, service and software version.
+constexpr rapidjson::SizeType kOriginEntrySize = 3;
 
 // Origins in one datagram, which stays below the usual packet size, and
 // datagrams with origins in one round.
@@ -135,16 +135,14 @@
   aWriter.Uint64(aOrigin.mKey);
   write(aOrigin.mService);
   write(aOrigin.mSoftwareVersion);
-  aWriter.Int(aOrigin.mAttempt);
   aWriter.EndArray();
 }
 
 std::optional<StreamOrigin>
 ParseOrigin(const rapidjson::Value& aValue)
 {
-  if (!aValue.IsArray() || aValue.Size() != kOriginEntrySize ||
-      !aValue[0].IsUint64() || !aValue[1].IsString() || !aValue[2].IsString() ||
-      !aValue[3].IsInt()) {
+  if (!aValue.IsArray() || aValue.Size() < kOriginEntrySize ||
+      !aValue[0].IsUint64() || !aValue[1].IsString() || !aValue[2].IsString()) {
     return std::nullopt;
   }
   StreamOrigin origin;
@@ -152,7 +150,6 @@
   origin.mService.assign(aValue[1].GetString(), aValue[1].GetStringLength());
   origin.mSoftwareVersion.assign(aValue[2].GetString(),
                                  aValue[2].GetStringLength());
-  origin.mAttempt = aValue[3].GetInt();
   return origin;
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -186,7 +186,6 @@
   const RunStart run = ChooseRunStart(aAction, now);
   mNextEventIndex = static_cast<int>(aAction.mTokens.size());
   BeginRun(aAction.mAttempt, aAction.mTarget, run, now);
-  RecordOrigin(run.mSoftwareVersion, now);
   mContext.mFleet.Targets().OnAttemptStart(
     mTarget, mCall.mContent, now, LoadOf(run));
   const platform::AttemptFields fields = FieldsOf(run, mTarget, now);
@@ -288,9 +287,6 @@
 {
   mTentativeRun = ChooseRunStart(aAction, aNow);
   LogTentativeAttempt(aAction.mTarget);
-  if (aAction.mTokens.empty()) {
-    RecordOrigin(aAction.mSoftwareVersion, aNow);
-  }
   TentativeAttempt::Callbacks callbacks;
   callbacks.mOnAccepted = [this, attempt = aAction.mAttempt] {
     const RefPtr<Exchange> self(this);
@@ -319,7 +315,6 @@
     mCopy.MarkUsed(tentative->Target());
   }
   const Time now = EventLoop::Now();
-  RecordOrigin(mRun.mSoftwareVersion, now);
   UpdateChoiceInputs(now);
   PerformActions(
     mStateMachine.OnAttemptEnded(tentative->Number(), aResult.mEnd, now));
@@ -336,7 +331,6 @@
   } else if (mTentativeRun.mCopy) {
     mCopy.MarkUsed(target);
   }
-  RecordOrigin(mRun.mSoftwareVersion, EventLoop::Now());
 }
 
 void
@@ -635,6 +629,9 @@
 {
   TargetTable& targets = mContext.mFleet.Targets();
   const bool first = mNextEventIndex == 0 || mAwaitingResume;
+  if (mNextEventIndex == 0) {
+    RecordOrigin(aNow);
+  }
   if (!mTimeToFirstEvent) {
     mTimeToFirstEvent = aNow - mCall.mArrivedAt;
     mContext.mMetrics.Observe(GatewayHistogram::FirstEvent, *mTimeToFirstEvent);
@@ -957,20 +954,12 @@
 // Makes known where the stream begins, so that its caller can take it up at any
 // host.
 void
-StreamExchange::RecordOrigin(const std::string& aSoftwareVersion, Time aNow)
+StreamExchange::RecordOrigin(Time aNow)
 {
-  if (!mCall.mOriginKey) {
-    return;
+  if (mCall.mOriginKey) {
+    mContext.mFleet.Origins().OnBegun(
+      { *mCall.mOriginKey, mCall.mService, mRun.mSoftwareVersion }, aNow);
   }
-  const bool takenUp = !mCall.mSoftwareVersion.empty();
-  StreamOrigin origin;
-  origin.mKey = *mCall.mOriginKey;
-  origin.mService = mCall.mService;
-  origin.mSoftwareVersion = aSoftwareVersion;
-  // Other hosts keep the record with the highest number. Records of a host that
-  // has passed the stream on count before these.
-  origin.mAttempt = mCall.mOriginAttempt + (takenUp ? 0 : ++mOriginRecord);
-  mContext.mFleet.Origins().OnDispatched(origin, aNow);
 }
 
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -92,7 +92,7 @@
   bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
   // aComplete tells whether the caller has got the whole stream.
   void Finish(bool aComplete = false);
-  void RecordOrigin(const std::string& aSoftwareVersion, Time aNow);
+  void RecordOrigin(Time aNow);
   void EndHere(bool aComplete);
   void ScheduleTimer();
 
@@ -123,8 +123,6 @@
   StreamCopy mCopy;
   RunStart mRun;
   RunStart mTentativeRun;
-  // Number of the last record of the stream's origin.
-  int mOriginRecord = 0;
 
   // Response head of the first run, which is forwarded to the caller.
   HttpHead mForwardedHead;
--- a/src/quetzalquay/gateway/StreamOriginRows.cpp
+++ b/src/quetzalquay/gateway/StreamOriginRows.cpp
@@ -16,14 +16,12 @@
 constexpr std::string_view kVersionPrefix = "version-";
 constexpr std::size_t kStreamKeySize = 16;
 
-// Elements of a value: service, software version, time, attempt. The rows of
-// versions have attempt 0.
-constexpr rapidjson::SizeType kValueSize = 4;
+// Elements of a value: service, software version, time.
+constexpr rapidjson::SizeType kValueSize = 3;
 
 std::string
 FormatValue(const std::string& aService,
             const std::string& aSoftwareVersion,
-            int aAttempt,
             std::int64_t aUnixMs)
 {
   rapidjson::StringBuffer buf;
@@ -35,7 +33,6 @@
   write(aService);
   write(aSoftwareVersion);
   writer.Int64(aUnixMs);
-  writer.Int(aAttempt);
   writer.EndArray();
   return std::string(buf.GetString(), buf.GetSize());
 }
@@ -49,8 +46,7 @@
   platform::RowChange row;
   row.mKey = ToHex(origin.mKey);
   if (!aChange.mRemoved) {
-    row.mValue = FormatValue(
-      origin.mService, origin.mSoftwareVersion, origin.mAttempt, aUnixMs);
+    row.mValue = FormatValue(origin.mService, origin.mSoftwareVersion, aUnixMs);
   }
   return row;
 }
@@ -63,7 +59,7 @@
   platform::RowChange row;
   row.mKey = std::string(kVersionPrefix) +
              ToHex(StableHash(aSoftwareVersion, StableHash(aService)));
-  row.mValue = FormatValue(aService, aSoftwareVersion, 0, aUnixMs);
+  row.mValue = FormatValue(aService, aSoftwareVersion, aUnixMs);
   return row;
 }
 
@@ -72,9 +68,8 @@
 {
   rapidjson::Document json;
   json.Parse(aRow.mValue.data(), aRow.mValue.size());
-  if (json.HasParseError() || !json.IsArray() || json.Size() != kValueSize ||
-      !json[0].IsString() || !json[1].IsString() || !json[2].IsInt64() ||
-      !json[3].IsInt()) {
+  if (json.HasParseError() || !json.IsArray() || json.Size() < kValueSize ||
+      !json[0].IsString() || !json[1].IsString() || !json[2].IsInt64()) {
     return std::nullopt;
   }
   StreamOriginRow row;
@@ -94,7 +89,6 @@
   }
   origin.mService = row.mService;
   origin.mSoftwareVersion = row.mSoftwareVersion;
-  origin.mAttempt = json[3].GetInt();
   row.mOrigin = std::move(origin);
   return row;
 }
--- a/src/quetzalquay/gateway/TakenUpStream.cpp
+++ b/src/quetzalquay/gateway/TakenUpStream.cpp
@@ -115,7 +115,6 @@
   mContext.mMetrics.Add(GatewayCounter::StreamsTakenUp);
   mCall.mService = aTakeUp.mService;
   mCall.mSoftwareVersion = aTakeUp.mSoftwareVersion;
-  mCall.mOriginAttempt = aTakeUp.mAttempt;
   mStream = MakeRef<StreamExchange>(mContext, std::move(mCall), *mSink);
   const RefPtr<Exchange> stream = mStream;
   stream->Start();
--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -1,4 +1,4 @@
-#include "GatewayTestCluster.h"
+#include "StreamLedger.h"
 
 #include <algorithm>
 #include <chrono>
@@ -8,6 +8,7 @@
 #include <set>
 
 using namespace quetzalquay;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -68,6 +69,7 @@
   CPPUNIT_TEST(StreamEndsAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(StreamsOfADeadHostGoOnAtTheirVersion);
   CPPUNIT_TEST(StreamsOfAHostWithoutPeersAreFoundInTheStore);
+  CPPUNIT_TEST(StreamOfALaterAttemptIsNotTakenUpAtTheVersionOfTheFirstOne);
   CPPUNIT_TEST(StreamsOfUnknownOriginAreRefused);
   CPPUNIT_TEST(StreamsOfAVersionThatIsGoneAreRefusedAtOnce);
   CPPUNIT_TEST(RestartedHostTakesUpStreamsOfTheOnlyVersion);
@@ -219,6 +221,66 @@
                    "0");
   }
 
+  // Guards against a stream that goes on at the version of an attempt that has
+  // brought no event, when all hosts end before they have stored where it
+  // began.
+  void StreamOfALaterAttemptIsNotTakenUpAtTheVersionOfTheFirstOne()
+  {
+    GatewayTestCluster::Options options;
+    options.mRunners = 4;
+    options.mGateways = 2;
+    options.mVersions = { "v1", "v1", "v2", "v2" };
+    GatewayTestCluster cluster(options);
+    cluster.SetPace(std::chrono::seconds(9), kLongInterval, milliseconds(0));
+    BackgroundCall call(cluster.Gateway(),
+                        GatewayTestCluster::Request("/stream/", "s"));
+    AwaitRuns(cluster, [](const auto& aRuns) { return !aRuns.empty(); });
+    ::usleep(kSpreadTime);
+    for (std::size_t n = 0; n < 2; ++n) {
+      cluster.SetStoreAccess(StoreAccess::Silent, n);
+    }
+    // The runner of the first attempt is the last one of its version to leave.
+    const std::string runner = cluster.Runs().front().mRunner;
+    const std::string first = Versions().at(runner);
+    for (const auto& it : Versions()) {
+      if (it.second == first && it.first != runner) {
+        cluster.StopRunner(it.first);
+      }
+    }
+    cluster.SetPace(milliseconds(0), kLongInterval, milliseconds(0));
+    cluster.StopRunner(runner);
+    AwaitRuns(cluster, [&first](const auto& aRuns) {
+      return aRuns.back().mVersion != first;
+    });
+    ::usleep(kCallTime + kCallTime);
+    for (std::size_t n = 0; n < 2; ++n) {
+      cluster.Gateway(n).Signal(SIGKILL);
+      cluster.Gateway(n).AwaitExit();
+    }
+    const auto begun = ParsePieces(call.AwaitAnswer().mBody);
+    CPPUNIT_ASSERT(!begun.empty());
+    CPPUNIT_ASSERT(begun.front().mVersion != first);
+    for (const auto& it : Versions()) {
+      if (it.second == first) {
+        cluster.StartRunner(it.first);
+      }
+    }
+    for (std::size_t n = 0; n < 2; ++n) {
+      cluster.SetStoreAccess(StoreAccess::Serve, n);
+      cluster.Gateway(n).Start();
+    }
+    cluster.AwaitReady();
+    const auto answer = cluster.Call(GatewayTestCluster::Request(
+      "/stream/",
+      "t",
+      "Last-Event-Id: " + std::to_string(begun.back().mId) +
+        "\r\nResumes: s\r\n"));
+    for (const StreamPiece& it : ParsePieces(answer.mBody)) {
+      CPPUNIT_ASSERT_EQUAL(begun.front().mVersion, it.mVersion);
+    }
+    CPPUNIT_ASSERT(answer.mHead.mStatus == 200 || answer.mHead.mStatus == 503);
+  }
+
   void StreamsOfUnknownOriginAreRefused()
   {
     GatewayTestCluster cluster(4);
@@ -330,6 +392,9 @@
   static constexpr unsigned kSettleTime = 1500000;
   static constexpr unsigned kCallTime = 100000;
 
+  // Time within which a request reaches a runner.
+  static constexpr auto kRunTimeout = std::chrono::seconds(8);
+
   static const std::map<std::string, std::string>& Versions()
   {
     static const std::map<std::string, std::string> kVersions = {
@@ -338,6 +403,18 @@
     return kVersions;
   }
 
+  // Waits until the runs of all runners meet a condition.
+  template<typename Condition>
+  static void AwaitRuns(GatewayTestCluster& aCluster,
+                        const Condition& aCondition)
+  {
+    const auto until = std::chrono::steady_clock::now() + kRunTimeout;
+    while (!aCondition(aCluster.Runs())) {
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() < until);
+      ::usleep(1000);
+    }
+  }
+
   static void RegisterTwoVersions(GatewayTestCluster& aCluster)
   {
     for (const auto& it : Versions()) {
