--- a/tests/fakes/StoreServer.cpp
+++ b/tests/fakes/StoreServer.cpp
@@ -11,6 +11,9 @@
 // Interval at which a call that waits for a change is tried again.
 constexpr auto kRetryInterval = std::chrono::milliseconds(10);
 
+// Time until the answer of a slow store.
+constexpr auto kSlowAnswerTime = std::chrono::milliseconds(400);
+
 } // namespace
 
 class StoreServer::Connection
@@ -62,8 +65,11 @@
       mIsLost = true;
     } else if (access == StoreAccess::Reset) {
       Drop();
-    } else if (access == StoreAccess::Serve) {
-      const Time now = EventLoop::Now();
+    } else if (const Time now = EventLoop::Now();
+               access == StoreAccess::Slow &&
+               now < mReceivedAt + kSlowAnswerTime) {
+      mRetryTimer.ScheduleAt(mReceivedAt + kSlowAnswerTime);
+    } else if (access == StoreAccess::Serve || access == StoreAccess::Slow) {
       const auto reply = mServer.mHandler(
         mReader.Head(),
         mBody,
--- a/tests/fakes/StoreServer.h
+++ b/tests/fakes/StoreServer.h
@@ -20,6 +20,8 @@
   Reset,
   // Never answers; connections on which a call was lost stay silent.
   Silent,
+  // Performs and answers each call late.
+  Slow,
 };
 
 // HTTP server of a fake store for one gateway, which it may turn away.
--- a/tests/usage/FleetVersionTests.cpp
+++ b/tests/usage/FleetVersionTests.cpp
@@ -1,12 +1,8 @@
-#include "StreamCallers.h"
+#include "StreamTrials.h"
 
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
-#include <cstdlib>
-#include <functional>
-#include <future>
-#include <iostream>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -16,10 +12,6 @@
 constexpr int kHosts = 4;
 constexpr int kRunners = 8;
 
-// Time after the start of the callers at which the trouble begins. All streams
-// have begun by then.
-constexpr auto kTroubleAfter = milliseconds(400);
-
 // Time for which a runner serves after it has reported that it drains.
 constexpr auto kDrainTime = milliseconds(600);
 
@@ -36,42 +28,6 @@
 // streams.
 constexpr auto kStabilityWindow = milliseconds(3000);
 
-// Number of streams taken up for which the share that goes on has a bound, and
-// the bound: this part of the share of new streams that begin. As in the
-// platform's rule.
-constexpr int kMinTakenUp = 12;
-constexpr double kTakenUpPart = 0.5;
-
-using Trouble = std::function<void(GatewayTestCluster&, StreamCallers&)>;
-using Preparation = std::function<void(GatewayTestCluster&)>;
-
-// Callers of a fleet and what happens meanwhile.
-struct Trial
-{
-  const char* mName;
-  GatewayTestCluster::Options mOptions;
-  Trouble mTrouble;
-  milliseconds mSpread = milliseconds(250);
-  // Time without an event after which a caller abandons its attempt.
-  milliseconds mGap = milliseconds(2000);
-  // Done before the callers start.
-  Preparation mPreparation = [](auto&) {};
-};
-
-struct TrialResult
-{
-  StreamReport mReport;
-  std::vector<CallerStream> mStreams;
-  Time mTroubleAt;
-};
-
-int
-FromEnvironment(const char* aName, int aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text == nullptr ? aDefault : std::atoi(text);
-}
-
 // Two software versions, each on half of the runners and in both places.
 GatewayTestCluster::Options
 TwoVersions()
@@ -143,28 +99,6 @@
   return options;
 }
 
-std::string
-RunnerName(int aNumber)
-{
-  return "i-" + std::to_string(aNumber);
-}
-
-void
-Sleep(milliseconds aTime)
-{
-  std::this_thread::sleep_for(aTime);
-}
-
-void
-KillHost(GatewayTestCluster& aCluster,
-         StreamCallers& aCallers,
-         std::size_t aHost)
-{
-  aCallers.SetHostSound(aHost, false);
-  aCluster.Gateway(aHost).Signal(SIGKILL);
-  aCluster.Gateway(aHost).AwaitExit();
-}
-
 void
 KillTwoHosts(GatewayTestCluster& aCluster, StreamCallers& aCallers)
 {
@@ -333,9 +267,9 @@
   void StreamsOfOneVersionAreTakenUpAtOtherHosts()
   {
     const auto results =
-      Play({ { "calm", OneVersion(), KillTwoHosts },
-             { "calm_restart", OneVersion(), RestartAllHosts } });
-    for (const TrialResult& it : results) {
+      PlayTrials({ { "calm", OneVersion(), KillTwoHosts },
+                   { "calm_restart", OneVersion(), RestartAllHosts } });
+    for (const StreamTrialResult& it : results) {
       CPPUNIT_ASSERT_EQUAL(it.mReport.mStreams, it.mReport.mComplete);
     }
   }
@@ -344,101 +278,103 @@
   // software version.
   void AnswersKeepTheirVersionWhenTargetsFail()
   {
-    Play({ { "targets", TwoVersions(), FailRunners },
-           { "one_left", TwoVersions(), LeaveOneRunner } });
+    PlayTrials({ { "targets", TwoVersions(), FailRunners },
+                 { "one_left", TwoVersions(), LeaveOneRunner } });
   }
 
   // Guards against streams that move to the new software version with the
   // targets.
   void StreamsKeepTheirVersionDuringARelease()
   {
-    Play({ { "release", Release(), ReleaseRunners, milliseconds(1200) } });
+    PlayTrials(
+      { { "release", Release(), ReleaseRunners, milliseconds(1200) } });
   }
 
   // Guards against forgetting which streams began before a second software
   // version appeared.
   void StreamsAreTakenUpWhileAReleaseBegins()
   {
-    Play({ { "release_kill",
-             Release(),
-             [](auto& aCluster, auto& aCallers) {
-               BeginRelease(aCluster);
-               KillTwoHosts(aCluster, aCallers);
-             },
-             milliseconds(250),
-             milliseconds(2000),
-             [](auto&) { Sleep(kStabilityWindow); } },
-           { "release_join",
-             WithLateHosts(Release()),
-             [](auto& aCluster, auto& aCallers) {
-               BeginRelease(aCluster);
-               for (std::size_t n = 0; n < kHosts; ++n) {
-                 aCallers.SetHostSound(n, false);
-               }
-               ReplaceByLateHosts(aCluster, aCallers);
-             } } });
+    PlayTrials({ { "release_kill",
+                   Release(),
+                   [](auto& aCluster, auto& aCallers) {
+                     BeginRelease(aCluster);
+                     KillTwoHosts(aCluster, aCallers);
+                   },
+                   milliseconds(250),
+                   milliseconds(2000),
+                   [](auto&) { Sleep(kStabilityWindow); } },
+                 { "release_join",
+                   WithLateHosts(Release()),
+                   [](auto& aCluster, auto& aCallers) {
+                     BeginRelease(aCluster);
+                     for (std::size_t n = 0; n < kHosts; ++n) {
+                       aCallers.SetHostSound(n, false);
+                     }
+                     ReplaceByLateHosts(aCluster, aCallers);
+                   } } });
   }
 
   // Guards against hosts that take up a stream which another one has begun and
   // don't know its software version.
   void StreamsKeepTheirVersionWhenTheirHostIsKilled()
   {
-    Play({ { "kill", TwoVersions(), KillTwoHosts },
-           { "kill_all", TwoVersions(), RestartAllHosts },
-           { "term", TwoVersions(), ReplaceHosts } });
+    PlayTrials({ { "kill", TwoVersions(), KillTwoHosts },
+                 { "kill_all", TwoVersions(), RestartAllHosts },
+                 { "term", TwoVersions(), ReplaceHosts } });
   }
 
   // Guards against hosts that take up a stream whose host cannot tell them its
   // software version, and against hosts that cannot ask for it.
   void StreamsKeepTheirVersionWhenTheirHostIsCutOff()
   {
-    Play({ { "freeze", TwoVersions(), FreezeTwoHosts },
-           { "cut_off",
-             CutOffHost(),
-             [](auto& aCluster, auto& aCallers) {
-               KillHost(aCluster, aCallers, 0);
-               aCallers.SetHostSound(1, false);
-               aCluster.SetStoreDown(true, 1);
-             } },
-           { "cut_off_first", CutOffHost(), [](auto& aCluster, auto& aCallers) {
-              aCallers.SetHostSound(1, false);
-              aCluster.SetStoreDown(true, 1);
-              Sleep(milliseconds(300));
-              KillHost(aCluster, aCallers, 1);
-            } } });
+    PlayTrials(
+      { { "freeze", TwoVersions(), FreezeTwoHosts },
+        { "cut_off",
+          CutOffHost(),
+          [](auto& aCluster, auto& aCallers) {
+            KillHost(aCluster, aCallers, 0);
+            aCallers.SetHostSound(1, false);
+            aCluster.SetStoreDown(true, 1);
+          } },
+        { "cut_off_first", CutOffHost(), [](auto& aCluster, auto& aCallers) {
+           aCallers.SetHostSound(1, false);
+           aCluster.SetStoreDown(true, 1);
+           Sleep(milliseconds(300));
+           KillHost(aCluster, aCallers, 1);
+         } } });
   }
 
   // Guards against taking any version for the right one at a host that has just
   // started, gets no datagrams or cannot read the store.
   void StreamsKeepTheirVersionAtHostsThatKnowLittle()
   {
-    Play({ { "join", WithLateHosts(TwoVersions()), ReplaceByLateHosts },
-           { "datagrams",
-             LossyDatagrams(),
-             [](auto& aCluster, auto& aCallers) {
-               aCluster.SetDatagramLoss(100);
-               KillTwoHosts(aCluster, aCallers);
-             } },
-           { "store",
-             TwoVersions(),
-             [](auto& aCluster, auto& aCallers) {
-               TakeStoreAway(aCluster);
-               KillTwoHosts(aCluster, aCallers);
-             } },
-           { "alone",
-             LossyDatagrams(),
-             [](auto& aCluster, auto& aCallers) {
-               for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
-                 aCallers.SetHostSound(n, false);
-               }
-               KillTwoHosts(aCluster, aCallers);
-             },
-             milliseconds(250),
-             milliseconds(2000),
-             [](auto& aCluster) {
-               aCluster.SetDatagramLoss(100);
-               TakeStoreAway(aCluster);
-             } } });
+    PlayTrials({ { "join", WithLateHosts(TwoVersions()), ReplaceByLateHosts },
+                 { "datagrams",
+                   LossyDatagrams(),
+                   [](auto& aCluster, auto& aCallers) {
+                     aCluster.SetDatagramLoss(100);
+                     KillTwoHosts(aCluster, aCallers);
+                   } },
+                 { "store",
+                   TwoVersions(),
+                   [](auto& aCluster, auto& aCallers) {
+                     TakeStoreAway(aCluster);
+                     KillTwoHosts(aCluster, aCallers);
+                   } },
+                 { "alone",
+                   LossyDatagrams(),
+                   [](auto& aCluster, auto& aCallers) {
+                     for (std::size_t n = 0; n < aCluster.GatewayCount(); ++n) {
+                       aCallers.SetHostSound(n, false);
+                     }
+                     KillTwoHosts(aCluster, aCallers);
+                   },
+                   milliseconds(250),
+                   milliseconds(2000),
+                   [](auto& aCluster) {
+                     aCluster.SetDatagramLoss(100);
+                     TakeStoreAway(aCluster);
+                   } } });
   }
 
   // Guards against copies of the KV cache that are ordered to, or used at, a
@@ -446,13 +382,13 @@
   void CopiesStayWithinTheirVersion()
   {
     const auto results =
-      Play({ { "copies", VersionsByPlace(), [](auto& aCluster, auto&) {
-                aCluster.ResetRunner(RunnerName(0));
-                aCluster.CrashRunner(RunnerName(1), "v2");
-                Sleep(milliseconds(300));
-                aCluster.ResetRunner(RunnerName(2));
-                aCluster.ResetRunner(RunnerName(3));
-              } } });
+      PlayTrials({ { "copies", VersionsByPlace(), [](auto& aCluster, auto&) {
+                      aCluster.ResetRunner(RunnerName(0));
+                      aCluster.CrashRunner(RunnerName(1), "v2");
+                      Sleep(milliseconds(300));
+                      aCluster.ResetRunner(RunnerName(2));
+                      aCluster.ResetRunner(RunnerName(3));
+                    } } });
     CPPUNIT_ASSERT(results[0].mReport.mCopies > 0);
     CPPUNIT_ASSERT(results[0].mReport.mCopyUses > 0);
   }
@@ -461,11 +397,11 @@
   // target has.
   void StreamsOfAVersionThatIsGoneAreRefused()
   {
-    const auto results = Play({ { "gone",
-                                  TwoVersions(),
-                                  StopSecondVersion,
-                                  milliseconds(250),
-                                  kLongGap } });
+    const auto results = PlayTrials({ { "gone",
+                                        TwoVersions(),
+                                        StopSecondVersion,
+                                        milliseconds(250),
+                                        kLongGap } });
     int refused = 0;
     for (const CallerStream& stream : results[0].mStreams) {
       if (stream.Version() == "v1") {
@@ -492,27 +428,27 @@
   // and take the other version for the only one.
   void NewHostsDoNotContinueStreamsOfAVersionThatIsGone()
   {
-    Play({ { "gone_restart",
-             TwoVersions(),
-             [](auto& aCluster, auto& aCallers) {
-               StopSecondVersion(aCluster, aCallers);
-               RestartAllHosts(aCluster, aCallers);
-             } },
-           { "gone_join",
-             WithLateHosts(TwoVersions()),
-             [](auto& aCluster, auto& aCallers) {
-               StopSecondVersion(aCluster, aCallers);
-               ReplaceByLateHosts(aCluster, aCallers);
-             } } });
+    PlayTrials({ { "gone_restart",
+                   TwoVersions(),
+                   [](auto& aCluster, auto& aCallers) {
+                     StopSecondVersion(aCluster, aCallers);
+                     RestartAllHosts(aCluster, aCallers);
+                   } },
+                 { "gone_join",
+                   WithLateHosts(TwoVersions()),
+                   [](auto& aCluster, auto& aCallers) {
+                     StopSecondVersion(aCluster, aCallers);
+                     ReplaceByLateHosts(aCluster, aCallers);
+                   } } });
   }
 
   // Guards against giving up a version whose targets are all about to return.
   void StreamsOfAVersionThatComesBackGoOn()
   {
     const auto results =
-      Play({ { "back", TwoVersions(), [](auto& aCluster, auto&) {
-                CrashSecondVersion(aCluster, "v2");
-              } } });
+      PlayTrials({ { "back", TwoVersions(), [](auto& aCluster, auto&) {
+                      CrashSecondVersion(aCluster, "v2");
+                    } } });
     CPPUNIT_ASSERT_EQUAL(results[0].mReport.mStreams,
                          results[0].mReport.mComplete);
   }
@@ -520,119 +456,27 @@
   // Guards against using what the entry of a target said of an earlier start.
   void StreamsKeepTheirVersionWhenTargetsRestartUnderTheirNames()
   {
-    Play({ { "same_name",
-             StartTimes(),
-             [](auto& aCluster, auto&) {
-               aCluster.SetRunnerReturn(RunnerReturn::SameName);
-               aCluster.CrashRunner(RunnerName(0), "v2");
-               aCluster.CrashRunner(RunnerName(2), "v1");
-               aCluster.ResetRunner(RunnerName(3));
-             } },
-           { "same_name_all", StartTimes(), [](auto& aCluster, auto&) {
-              aCluster.SetRunnerReturn(RunnerReturn::SameName);
-              CrashSecondVersion(aCluster, "v1");
-            } } });
+    PlayTrials({ { "same_name",
+                   StartTimes(),
+                   [](auto& aCluster, auto&) {
+                     aCluster.SetRunnerReturn(RunnerReturn::SameName);
+                     aCluster.CrashRunner(RunnerName(0), "v2");
+                     aCluster.CrashRunner(RunnerName(2), "v1");
+                     aCluster.ResetRunner(RunnerName(3));
+                   } },
+                 { "same_name_all", StartTimes(), [](auto& aCluster, auto&) {
+                    aCluster.SetRunnerReturn(RunnerReturn::SameName);
+                    CrashSecondVersion(aCluster, "v1");
+                  } } });
   }
 
   // Guards against taking the target that is found at the address of a former
   // one for one of its version.
   void StreamsKeepTheirVersionWhenAddressesAreReused()
   {
-    Play({ { "same_address", TwoVersions(), [](auto& aCluster, auto&) {
-              CrashSecondVersion(aCluster, "v1");
-            } } });
-  }
-
-private:
-  // Runs trials at the same time and checks what must hold in all of them.
-  static std::vector<TrialResult> Play(const std::vector<Trial>& aTrials)
-  {
-    std::vector<std::future<TrialResult>> running;
-    running.reserve(aTrials.size());
-    for (const Trial& it : aTrials) {
-      running.push_back(
-        std::async(std::launch::async, [&it] { return PlayOne(it); }));
-    }
-    std::vector<TrialResult> results;
-    results.reserve(aTrials.size());
-    for (auto& it : running) {
-      results.push_back(it.get());
-    }
-    for (std::size_t n = 0; n < results.size(); ++n) {
-      PrintFigures(aTrials[n], results[n]);
-    }
-    for (std::size_t n = 0; n < results.size(); ++n) {
-      Check(aTrials[n].mName, results[n].mReport);
-    }
-    return results;
-  }
-
-  static unsigned Seed()
-  {
-    return static_cast<unsigned>(FromEnvironment("QUETZAL_TEST_SEED", 1));
-  }
-
-  static TrialResult PlayOne(const Trial& aTrial)
-  {
-    StreamCallers::Options options;
-    options.mStreams =
-      FromEnvironment("QUETZAL_TEST_STREAMS", options.mStreams);
-    options.mSeed = Seed();
-    options.mSpread = aTrial.mSpread;
-    options.mGap = aTrial.mGap;
-    GatewayTestCluster cluster(aTrial.mOptions);
-    aTrial.mPreparation(cluster);
-    TrialResult result;
-    {
-      StreamCallers callers(cluster, options);
-      Sleep(kTroubleAfter);
-      result.mTroubleAt = EventLoop::Now();
-      aTrial.mTrouble(cluster, callers);
-      callers.Await();
-      result.mStreams = callers.Streams();
-    }
-    result.mReport =
-      MakeReport(result.mStreams, cluster.Requests(), cluster.Runs());
-    return result;
-  }
-
-  static void PrintFigures(const Trial& aTrial, const TrialResult& aResult)
-  {
-    if (std::getenv("QUETZAL_TEST_FIGURES") == nullptr) {
-      return;
-    }
-    const StreamReport& report = aResult.mReport;
-    std::cout << "\ntrouble " << aTrial.mName << ", seed " << Seed()
-              << ": streams " << report.mStreams << ", complete "
-              << report.mComplete << ", mixed " << report.mMixed
-              << ", mixed runs " << report.mMixedRuns << ", copies "
-              << report.mCopies << ", used " << report.mCopyUses << ", mixed "
-              << report.mMixedCopies << ", begun " << report.mBegun.mServed
-              << "/" << report.mBegun.mAsked << ", taken up "
-              << report.mTakenUp.mServed << "/" << report.mTakenUp.mAsked
-              << " in " << report.mTakenUp.mAttempts << " attempts\n";
-    for (const CallerStream& it : aResult.mStreams) {
-      if (it.mAttempts.size() > 1 || !it.IsComplete()) {
-        std::cout << it.Describe(aResult.mTroubleAt) << '\n';
-      }
-    }
-    std::cout << report.mFaults;
-  }
-
-  static void Check(const std::string& aTrial, const StreamReport& aReport)
-  {
-    const std::string what = aTrial + "\n" + aReport.mFaults;
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixed);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixedRuns);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMixedCopies);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mDisordered);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mUnsigned);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mMisattributed);
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 0, aReport.mOverlong);
-    CPPUNIT_ASSERT_MESSAGE(what,
-                           aReport.mTakenUp.mAsked < kMinTakenUp ||
-                             aReport.mTakenUp.Value() >=
-                               kTakenUpPart * aReport.mBegun.Value());
+    PlayTrials({ { "same_address", TwoVersions(), [](auto& aCluster, auto&) {
+                    CrashSecondVersion(aCluster, "v1");
+                  } } });
   }
 };
 
