Grant the room of brittle targets by one host for each target

Targets may say in their answers that they are brittle: one that has to turn more than so many requests away in a second for want of room falls over, and its work meets others that are full, too. Nothing knew the field, and each host filled targets without the others' knowledge: their loads are some 40 ms old, as long as a call takes.

For each brittle target one host, chosen by a hash, now grants its room: the others ask it by datagram before they send, and it keeps what all hosts have under way there within the target's slots, or within what the target has shown to hold by what it turned away. Without a keeper a host uses an even share. What finds no room in time is refused at once.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -31,6 +31,10 @@
 // silent.
 constexpr Duration kSilentTargetRetryDelay = std::chrono::milliseconds(50);
 
+// Interval at which a request that waits for room at a brittle target asks
+// again.
+constexpr Duration kRoomInterval = std::chrono::milliseconds(4);
+
 // Retry-After of a request refused for lack of capacity.
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(1000);
 
@@ -420,6 +424,10 @@
     case ChoiceStatus::Undecided:
       AwaitCapacity(choice, aNow, aActions);
       break;
+    case ChoiceStatus::AwaitingRoom:
+      AwaitCapacity(choice, aNow, aActions);
+      mTimerAt = std::min(mTimerAt, aNow + kRoomInterval);
+      break;
     case ChoiceStatus::NoneReady:
       HandleNoTargetReady(aNow, aActions);
       break;
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -17,6 +17,11 @@
 constexpr Duration kVerdictInterval = std::chrono::milliseconds(25);
 constexpr Duration kMaxVerdictWait = std::chrono::milliseconds(2000);
 
+// Interval at which a call that waits for room at a brittle target asks again,
+// and the longest wait of a call without an objective.
+constexpr Duration kRoomInterval = std::chrono::milliseconds(2);
+constexpr Duration kMaxRoomWait = std::chrono::milliseconds(300);
+
 constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
 
 // Retry-After of a call suspected of crashing targets.
@@ -144,6 +149,9 @@
                   ? "the limits of the service's targets allow no more requests"
                   : "every target of the service is at capacity");
   }
+  if (choice.mStatus == ChoiceStatus::AwaitingRoom) {
+    return AwaitRoom(choice, aNow);
+  }
   if (choice.mStatus == ChoiceStatus::AskedToWait) {
     PlainStep step = Fail(FailureCode::Overloaded,
                           "every target of the service has asked for time");
@@ -173,6 +181,22 @@
   return StartAttempt(choice);
 }
 
+// Waits for room only while the answer can still be on time.
+PlainStep
+PlainCall::AwaitRoom(const Choice& aChoice, Time aNow)
+{
+  if (!mRoomDeadline) {
+    const Time due =
+      mQuery.mDueAt == Time::max() ? aNow + kMaxRoomWait : mQuery.mDueAt;
+    mRoomDeadline = std::min(mDeadline, due);
+  }
+  if (aNow + std::max(kRoomInterval, aChoice.mExpectedWait) < *mRoomDeadline) {
+    return AwaitVerdict{ aNow + kRoomInterval };
+  }
+  return Fail(FailureCode::Overloaded,
+              "every target of the service is at capacity");
+}
+
 TryTarget
 PlainCall::StartAttempt(const Choice& aChoice)
 {
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -32,8 +32,8 @@
   std::string mTarget;
 };
 
-// Waits until it is decided whether the call crashes targets; see
-// PlainCall::OnVerdictDue().
+// Waits until it is decided whether the call crashes targets, or until a
+// brittle target has room for it; see PlainCall::OnVerdictDue().
 struct AwaitVerdict
 {
   Time mCheckAt;
@@ -96,11 +96,12 @@
   // Whether a target may have started the call.
   bool MayHaveStarted() const { return mMayHaveStarted; }
 
-  // Stops to wait for a target, as another host takes the call over.
+  // Stops to wait for a target, as the call ends or another host takes it over.
   void CancelWait() { mChooser.CancelWait(mQuery); }
 
 private:
   PlainStep TryNextTarget(Time aNow);
+  PlainStep AwaitRoom(const Choice& aChoice, Time aNow);
   bool HasAttemptsLeft(int aRuns) const;
   TryTarget StartAttempt(const Choice& aChoice);
   PlainStep Fail(FailureCode aCode, const char* aMessage);
@@ -117,6 +118,8 @@
   bool mMayHaveStarted = false;
   // Until when the call waits for a verdict; nothing while it needs none.
   std::optional<Time> mVerdictDeadline;
+  // Until when the call waits for room at brittle targets.
+  std::optional<Time> mRoomDeadline;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/ServiceRate.cpp
+++ b/src/quetzalquay/core/ServiceRate.cpp
@@ -1,5 +1,7 @@
 #include "core/ServiceRate.h"
 
+#include <algorithm>
+
 namespace quetzalquay {
 
 namespace {
@@ -9,6 +11,8 @@
 constexpr std::size_t kMaxSamples = 64;
 constexpr std::size_t kMinSamples = 8;
 
+constexpr Duration kRecent = std::chrono::milliseconds(500);
+
 } // namespace
 
 void
@@ -32,4 +36,21 @@
     std::chrono::duration<double>(each * static_cast<double>(aRequests)));
 }
 
+std::optional<Duration>
+ServiceRate::EstimateRecentWait(std::size_t aRequests, Time aNow) const
+{
+  const auto first =
+    std::find_if(mServedAt.begin(), mServedAt.end(), [&](Time aAt) {
+      return aNow - aAt < kRecent;
+    });
+  const auto count = static_cast<std::size_t>(mServedAt.end() - first);
+  if (count < kMinSamples) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> span = aNow - *first;
+  const double each = span.count() / static_cast<double>(count);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(each * static_cast<double>(aRequests)));
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/core/ServiceRate.h
+++ b/src/quetzalquay/core/ServiceRate.h
@@ -20,6 +20,11 @@
   // there are too few samples.
   std::optional<Duration> EstimateWait(std::size_t aRequests, Time aNow) const;
 
+  // The same from the requests of the last half second only, so that an idle
+  // time before them does not count.
+  std::optional<Duration> EstimateRecentWait(std::size_t aRequests,
+                                             Time aNow) const;
+
 private:
   std::deque<Time> mServedAt;
 };
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -30,6 +30,9 @@
   AskedToWait,
   // No target of the required software version is registered.
   VersionGone,
+  // The targets are brittle, and room at one of them has been asked for or is
+  // waited for. The request has to ask again soon.
+  AwaitingRoom,
 };
 
 // What another host has done with a request before it passed the request on.
@@ -101,8 +104,8 @@
   // Model version for a stream's first attempt; a continuation keeps the
   // version it started with.
   std::string mServingVersion;
-  // If Busy: estimated wait in the queue; zero if there is no estimate. If
-  // AskedToWait: when the caller should come back.
+  // If Busy or AwaitingRoom: estimated wait in the queue; zero if there is no
+  // estimate. If AskedToWait: when the caller should come back.
   Duration mExpectedWait = Duration::zero();
   // If Busy: whether limits that targets have named are the reason.
   bool mLimited = false;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -93,6 +93,9 @@
 
 constexpr Duration kInitialTokenGap = milliseconds(30);
 
+// Requests of this host that ask for room at brittle targets at the same time.
+constexpr std::size_t kMaxRoomAsks = 8;
+
 const std::vector<std::string> kNoTargets;
 
 void
@@ -135,6 +138,7 @@
     if (!it.mIncarnation.empty() && it.mIncarnation != target.mIncarnation &&
         it.mIncarnation != target.mDeclaration.mIncarnation) {
       mLimits.Forget(it.mName);
+      mRoom.Forget(it.mName);
       if (!target.mIncarnation.empty()) {
         OnDeath(target, DeathEvidence::NewIncarnation, aNow);
       }
@@ -158,6 +162,7 @@
       continue;
     }
     mLimits.Forget(it.first);
+    mRoom.Forget(it.first);
     const auto& ended = it.second.mLostAttempts;
     const bool lost =
       std::any_of(ended.begin(), ended.end(), [](const LostAttempt& aAttempt) {
@@ -195,6 +200,7 @@
   std::vector<Target*> usable;
   std::vector<std::string> limited;
   bool anyUp = false;
+  bool brittle = false;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
     if (!IsUsable(target, aQuery, aNow) || WantsNothing(it, aNow) ||
@@ -202,8 +208,12 @@
       continue;
     }
     anyUp = true;
+    const bool isBrittle = IsBrittle(it);
+    brittle = brittle || isBrittle;
     if (!mLimits.CanSend(it, aNow)) {
       limited.push_back(it);
+    } else if (isBrittle && mRoom.IsDenied(it, aNow)) {
+      continue;
     } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
       usable.push_back(&target);
     }
@@ -228,13 +238,24 @@
   // already received part of the stream.
   const std::string next = mQueues[aQuery.mService].Next();
   const bool isNext = next.empty() || next == aQuery.mRequestId;
-  if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
+  if (brittle && limited.empty()) {
+    const bool asks = isNext || aQuery.mContinuation ||
+                      mRoom.AskCount() < kMaxRoomAsks ||
+                      !mRoom.TargetOf(aQuery.mRequestId).empty();
+    if (usable.empty() || !asks) {
+      return AwaitRoom(aQuery, false, aNow);
+    }
+  } else if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
     return Enqueue(aQuery, usable.empty() ? limited : kNoTargets, aNow);
   }
   if (verdict == SuspectVerdict::Unclear && !onTrial) {
     return ChooseForTrial(usable, aQuery, aNow);
   }
-  choice = ChooseFrom(usable, aQuery, aNow);
+  choice = brittle ? ChooseWithRoom(usable, aQuery, aNow)
+                   : ChooseFrom(usable, aQuery, aNow);
+  if (choice.mStatus == ChoiceStatus::AwaitingRoom) {
+    return choice;
+  }
   if (choice.mStatus != ChoiceStatus::Chosen) {
     choice.mStatus = ChoiceStatus::Busy;
     return choice;
@@ -242,6 +263,7 @@
   CancelWait(aQuery);
   if (mBudget && aQuery.mIsRetry && !TakeRetry(aQuery, aNow)) {
     WithdrawContinuation(mTargets.at(choice.mTarget), aQuery);
+    mRoom.OnEnded(choice.mTarget);
     choice = Choice();
     choice.mStatus = ChoiceStatus::NoBudget;
     return choice;
@@ -274,6 +296,7 @@
 void
 TargetTable::CancelWait(const ChoiceQuery& aQuery)
 {
+  mRoom.Cancel(aQuery.mRequestId);
   mQueues[aQuery.mService].Remove(aQuery.mRequestId);
 }
 
@@ -314,6 +337,7 @@
     attempt.mStartedAt = it->mStartedAt;
     attempt.mIncarnation = std::move(it->mIncarnation);
     running.erase(it);
+    mRoom.OnEnded(aTarget);
     NotifyLoadChanged();
   }
   auto& lost = target->mLostAttempts;
@@ -527,6 +551,7 @@
 {
   if (Target* target = Find(aTarget)) {
     target->mFullUntil = aNow + kFullDuration;
+    mRoom.OnRejected(aTarget, aNow);
   }
 }
 
@@ -546,6 +571,7 @@
     !target->mIncarnation.empty() && target->mIncarnation != aIncarnation;
   if (restarted) {
     OnDeath(*target, DeathEvidence::NewIncarnation, aNow);
+    mRoom.Forget(aTarget);
   }
   target->mIncarnation = aIncarnation;
   mLeavingNotices.OnDeclared(aTarget, aIncarnation);
@@ -819,6 +845,102 @@
 
 // Lets a request wait for capacity, or for its turn. aLimited are the targets
 // whose limits are the reason.
+bool
+TargetTable::IsBrittle(const std::string& aTarget) const
+{
+  const Target* target = Find(aTarget);
+  return target != nullptr &&
+         mRoom.IsBrittle(aTarget, target->mDeclaration.mService);
+}
+
+RoomUse
+TargetTable::RoomUseOf(const std::string& aTarget) const
+{
+  RoomUse use;
+  if (const Target* target = Find(aTarget)) {
+    const TargetDeclaration& declaration = target->mDeclaration;
+    use.mUnderWay = static_cast<int>(target->mRunning.size());
+    use.mLimits.mSlots = declaration.mSlots;
+    use.mLimits.mRejections =
+      mRoom.RejectionsOf(aTarget, declaration.mService).value_or(1);
+  }
+  return use;
+}
+
+std::vector<std::pair<std::string, RoomMessage>>
+TargetTable::TakeRoomMessages(Time aNow)
+{
+  return mRoom.TakeMessages(
+    [this](const std::string& aTarget) { return RoomUseOf(aTarget); }, aNow);
+}
+
+std::optional<RoomAnswer>
+TargetTable::OnRoomMessage(const std::string& aHost,
+                           const RoomMessage& aMessage,
+                           Time aNow)
+{
+  return mRoom.OnMessage(
+    aHost, aMessage, RoomUseOf(aMessage.mTarget).mLimits, aNow);
+}
+
+// Chooses among targets of which some are brittle. A target whose keeper has
+// been asked for the request is not left for another one.
+Choice
+TargetTable::ChooseWithRoom(std::vector<Target*>& aUsable,
+                            const ChoiceQuery& aQuery,
+                            Time aNow)
+{
+  const std::string asked = mRoom.TargetOf(aQuery.mRequestId);
+  const auto known =
+    std::find_if(aUsable.begin(), aUsable.end(), [&](const Target* aTarget) {
+      return aTarget->mDeclaration.mName == asked;
+    });
+  std::vector<Target*> first;
+  if (known != aUsable.end()) {
+    first.push_back(*known);
+    aUsable.erase(known);
+  } else {
+    mRoom.Cancel(aQuery.mRequestId);
+  }
+  while (!first.empty() || !aUsable.empty()) {
+    std::vector<Target*>& usable = first.empty() ? aUsable : first;
+    Choice choice = ChooseFrom(usable, aQuery, aNow);
+    if (choice.mStatus != ChoiceStatus::Chosen) {
+      return choice;
+    }
+    Target& target = mTargets.at(choice.mTarget);
+    const auto status =
+      IsBrittle(choice.mTarget)
+        ? mRoom.Take(
+            aQuery.mRequestId, choice.mTarget, RoomUseOf(choice.mTarget), aNow)
+        : RoomStatus::Granted;
+    if (status == RoomStatus::Granted) {
+      return choice;
+    }
+    WithdrawContinuation(target, aQuery);
+    if (status == RoomStatus::Pending) {
+      return AwaitRoom(aQuery, true, aNow);
+    }
+    usable.erase(std::find(usable.begin(), usable.end(), &target));
+  }
+  return AwaitRoom(aQuery, false, aNow);
+}
+
+// Keeps a request in the queue that waits for room at a brittle target. aAsked
+// tells that the target's keeper is about to answer.
+Choice
+TargetTable::AwaitRoom(const ChoiceQuery& aQuery, bool aAsked, Time aNow)
+{
+  Choice choice = Enqueue(aQuery, kNoTargets, aNow);
+  choice.mStatus = ChoiceStatus::AwaitingRoom;
+  choice.mExpectedWait =
+    aAsked ? Duration::zero()
+           : mServiceRates[aQuery.mService]
+               .EstimateRecentWait(mQueues[aQuery.mService].Size(), aNow)
+               .value_or(Duration::zero());
+  return choice;
+}
+
 Choice
 TargetTable::Enqueue(const ChoiceQuery& aQuery,
                      const std::vector<std::string>& aLimited,
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -10,6 +10,7 @@
 #include "core/TargetDeath.h"
 #include "core/TargetLimits.h"
 #include "core/TargetReach.h"
+#include "core/TargetRoom.h"
 #include "core/TargetWaits.h"
 #include "core/Time.h"
 
@@ -400,6 +401,18 @@
   // Limits on the requests that targets take.
   TargetLimits& Limits() { return mLimits; }
 
+  // Room at brittle targets.
+  TargetRoom& Room() { return mRoom; }
+
+  // What this host has to tell the keepers of brittle targets, by host.
+  std::vector<std::pair<std::string, RoomMessage>> TakeRoomMessages(Time aNow);
+
+  // Handles the message of another host about the room of a target that this
+  // host keeps; see TargetRoom::OnMessage().
+  std::optional<RoomAnswer> OnRoomMessage(const std::string& aHost,
+                                    const RoomMessage& aMessage,
+                                    Time aNow);
+
   // Requests suspected of crashing targets.
   SuspectRegistry& Suspects() { return mSuspects; }
 
@@ -523,6 +536,12 @@
                   std::uint64_t aContentHash,
                   AttemptOutcome aOutcome,
                   Time aNow);
+  RoomUse RoomUseOf(const std::string& aTarget) const;
+  bool IsBrittle(const std::string& aTarget) const;
+  Choice ChooseWithRoom(std::vector<Target*>& aUsable,
+                        const ChoiceQuery& aQuery,
+                        Time aNow);
+  Choice AwaitRoom(const ChoiceQuery& aQuery, bool aAsked, Time aNow);
   Choice Enqueue(const ChoiceQuery& aQuery,
                  const std::vector<std::string>& aLimited,
                  Time aNow);
@@ -571,6 +590,7 @@
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
   TargetLimits mLimits;
+  TargetRoom mRoom;
   LeavingNotices mLeavingNotices;
   TargetWaits mWaits;
   // When the limits of its targets last kept a service's requests of a priority
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -365,6 +365,7 @@
   for (RetryBudget* it : { mTargets.Retries(), &mTargets.Limits().Shares() }) {
     it->SetHosts(known, EventLoop::Now());
   }
+  mTargets.Room().SetHosts(known);
   known.erase(mSettings.mHost);
   mReach.SetHosts(std::move(known));
 }
@@ -710,6 +711,7 @@
   mTargets.ConfigureRetryBudget(options);
   TargetLimits::Options limits;
   limits.mHost = mSettings.mHost;
+  mTargets.Room().SetHost(mSettings.mHost);
   limits.mStartedAt = mStartedAt;
   limits.mFirstAsk = mStartId;
   limits.mClock = &AddSuspendedTime;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -178,6 +178,8 @@
       static_cast<double>(mFleet.Targets().Waits().Count(EventLoop::Now())));
     mMetrics.Set(GatewayGauge::LimitedTargets,
                  static_cast<double>(mFleet.Targets().Limits().Count()));
+    mMetrics.Set(GatewayGauge::BrittleTargets,
+                 static_cast<double>(mFleet.Targets().Room().Count()));
     SuspectRegistry& suspects = mFleet.Targets().Suspects();
     suspects.Expire(EventLoop::Now());
     mMetrics.Set(GatewayGauge::Suspects, static_cast<double>(suspects.Size()));
--- a/src/quetzalquay/gateway/LimitWatch.cpp
+++ b/src/quetzalquay/gateway/LimitWatch.cpp
@@ -30,18 +30,68 @@
   }
   if (aResponse.mMalformedLimit.empty()) {
     Apply({ aTarget, aResponse.mRequestLimit, now }, "answer");
-    return;
+  } else {
+    mMetrics.Add(GatewayCounter::LimitsMalformed);
+    LogMalformed("malformed limit of a target ignored",
+                 aTarget,
+                 aResponse.mMalformedLimit);
+  }
+  if (!aResponse.mMalformedBrittle.empty()) {
+    mMetrics.Add(GatewayCounter::BrittleMalformed);
+    LogMalformed("malformed number of rejections of a target ignored",
+                 aTarget,
+                 aResponse.mMalformedBrittle);
+  } else if (const TargetLocation* location = mFleet.Locate(aTarget)) {
+    Apply({ aTarget, location->mService, aResponse.mBrittle, now }, "answer");
   }
-  mMetrics.Add(GatewayCounter::LimitsMalformed);
+}
+
+void
+LimitWatch::LogMalformed(const char* aMessage,
+                         const std::string& aTarget,
+                         const std::string& aText)
+{
+  const Time now = EventLoop::Now();
   Time& next = mNextLogAt[aTarget];
   if (now >= next) {
     next = now + kLogInterval;
     Log(LogLevel::Warn,
         "fleet",
-        "malformed limit of a target ignored",
-        { { "target", aTarget },
-          { "limit", aResponse.mMalformedLimit.substr(0, kMaxLoggedText) } });
+        aMessage,
+        { { "target", aTarget }, { "text", aText.substr(0, kMaxLoggedText) } });
+  }
+}
+
+void
+LimitWatch::OnPeerReport(const std::string& aHost, BrittleReport aReport)
+{
+  if (const TargetLocation* location = mFleet.Locate(aReport.mTarget)) {
+    aReport.mService = location->mService;
+    Apply(aReport, aHost);
+  }
+}
+
+void
+LimitWatch::Apply(const BrittleReport& aReport, const std::string& aSource)
+{
+  TargetRoom& room = mFleet.Targets().Room();
+  if (!room.OnReport(aReport)) {
+    return;
   }
+  const Time now = EventLoop::Now();
+  Log(LogLevel::Info,
+      "fleet",
+      aReport.mRejections ? "target is brittle" : "target is no longer brittle",
+      { { "target", aReport.mTarget },
+        { "service", aReport.mService },
+        { "rejections_per_second",
+          aReport.mRejections ? std::to_string(*aReport.mRejections)
+                              : std::string() },
+        { "keeper", room.KeeperOf(aReport.mTarget, now).value_or("none") },
+        { "source", aSource },
+        { "age_ms",
+          std::to_string(
+            static_cast<int>(ToMilliseconds(now - aReport.mSaidAt))) } });
 }
 
 void
--- a/src/quetzalquay/gateway/LimitWatch.h
+++ b/src/quetzalquay/gateway/LimitWatch.h
@@ -11,8 +11,9 @@
 
 namespace quetzalquay {
 
-// Takes the limits that targets name from their answers and from what other
-// hosts report. Logs changes and malformed limits.
+// Takes the limits that targets name, and what they say of the requests that
+// they can turn away, from their answers and from what other hosts report. Logs
+// changes and malformed values.
 class LimitWatch
 {
 public:
@@ -25,13 +26,18 @@
 
   // Another host has reported what a target said.
   void OnPeerReport(const std::string& aHost, const LimitReport& aReport);
+  void OnPeerReport(const std::string& aHost, BrittleReport aReport);
 
 private:
   void Apply(const LimitReport& aReport, const std::string& aSource);
+  void Apply(const BrittleReport& aReport, const std::string& aSource);
+  void LogMalformed(const char* aMessage,
+                    const std::string& aTarget,
+                    const std::string& aText);
 
   Fleet& mFleet;
   GatewayMetrics& mMetrics;
-  // When a malformed limit of a target may be logged again.
+  // When a malformed value of a target may be logged again.
   std::map<std::string, Time> mNextLogAt;
 };
 
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -57,6 +57,17 @@
 constexpr rapidjson::SizeType kLimitEntrySize = 3;
 constexpr double kNoLimit = -1;
 
+// Elements of a "brittle" entry: target, requests that it can turn away in a
+// second or 0, and milliseconds since it said so.
+constexpr rapidjson::SizeType kBrittleEntrySize = 3;
+
+// Elements of a "room" entry: target, number of the message, ask, resolved ask,
+// requests under way and rejections.
+constexpr rapidjson::SizeType kRoomEntrySize = 6;
+
+// Elements of a "room_answers" entry: target, ask and the answer's name.
+constexpr rapidjson::SizeType kRoomAnswerSize = 3;
+
 // Elements of an entry of "asks" and "grants": service, ask and retries.
 constexpr rapidjson::SizeType kRetryEntrySize = 3;
 
@@ -275,6 +286,7 @@
   , mLimits(aLimits)
   , mSocket(aLoop.Context())
   , mSendTimer(aLoop, [this] { SendMessage(); })
+  , mRoomTimer(aLoop, [this] { SendRoomMessages(); })
   , mRandom(StableHash(aSettings.mHost))
 {
 }
@@ -300,6 +312,9 @@
     [this] { SendBy(EventLoop::Now() + kBatchDelay); });
   mFleet.Origins().SetNewsCallback(
     [this] { SendBy(EventLoop::Now() + kBatchDelay); });
+  // Requests wait for the answers.
+  mFleet.Targets().Room().SetNewsCallback(
+    [this] { mRoomTimer.ScheduleAt(EventLoop::Now()); });
   Receive();
   mLastHeardAt = EventLoop::Now();
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
@@ -358,6 +373,7 @@
       it, host, hasStart ? start->value.GetUint64() : 0, json, now);
   }
   ApplyLimits(host, json, now);
+  ExchangeRoom(host, json, now);
   ForEachIn(json, "streams", [&](const rapidjson::Value& aValue) {
     if (const auto origin = ParseOrigin(aValue)) {
       mFleet.Origins().OnReported(*origin, OriginSource::Peer, now);
@@ -461,9 +477,165 @@
   });
 }
 
+void
+LoadBroadcaster::SendRoomMessages()
+{
+  const Time now = EventLoop::Now();
+  std::map<std::string, std::vector<RoomMessage>> messages;
+  for (auto& it : mFleet.Targets().TakeRoomMessages(now)) {
+    messages[it.first].push_back(std::move(it.second));
+  }
+  for (const auto& it : messages) {
+    const auto receiver = LoadEndpointOf(it.first);
+    if (!receiver) {
+      continue;
+    }
+    rapidjson::StringBuffer buf;
+    Writer writer(buf);
+    writer.StartObject();
+    WriteSender(writer);
+    writer.Key("room");
+    writer.StartArray();
+    for (const RoomMessage& message : it.second) {
+      writer.StartArray();
+      writer.String(message.mTarget.c_str());
+      writer.Uint64(message.mNumber);
+      writer.Uint64(message.mAsk);
+      writer.Uint64(message.mResolved);
+      writer.Int(message.mUnderWay);
+      writer.Int64(message.mRejected);
+      writer.EndArray();
+    }
+    writer.EndArray();
+    writer.EndObject();
+    SendTo(*receiver, buf);
+  }
+  SendRoomGrants(now);
+  mRoomTimer.ScheduleAt(mFleet.Targets().Room().NextMessageAt());
+}
+
+void
+LoadBroadcaster::ExchangeRoom(const std::string& aHost,
+                              const rapidjson::Value& aMessage,
+                              Time aNow)
+{
+  TargetTable& targets = mFleet.Targets();
+  targets.Room().OnHostHeard(aHost, aNow);
+  ForEachIn(aMessage, "brittle", [&](const rapidjson::Value& aValue) {
+    if (!aValue.IsArray() || aValue.Size() != kBrittleEntrySize ||
+        !aValue[0].IsString() || !aValue[1].IsInt() || !aValue[2].IsInt()) {
+      return;
+    }
+    BrittleReport report;
+    report.mTarget = aValue[0].GetString();
+    if (aValue[1].GetInt() > 0) {
+      report.mRejections = aValue[1].GetInt();
+    }
+    report.mSaidAt = aNow - milliseconds(aValue[2].GetInt());
+    mLimits.OnPeerReport(aHost, report);
+  });
+  std::vector<std::pair<RoomMessage, RoomAnswer>> answers;
+  ForEachIn(aMessage, "room", [&](const rapidjson::Value& aValue) {
+    if (!aValue.IsArray() || aValue.Size() != kRoomEntrySize ||
+        !aValue[0].IsString() || !aValue[1].IsUint64() ||
+        !aValue[2].IsUint64() || !aValue[3].IsUint64() || !aValue[4].IsInt() ||
+        !aValue[5].IsInt64()) {
+      return;
+    }
+    RoomMessage message;
+    message.mTarget = aValue[0].GetString();
+    message.mNumber = aValue[1].GetUint64();
+    message.mAsk = aValue[2].GetUint64();
+    message.mResolved = aValue[3].GetUint64();
+    message.mUnderWay = aValue[4].GetInt();
+    message.mRejected = aValue[5].GetInt64();
+    if (const auto answer = targets.OnRoomMessage(aHost, message, aNow)) {
+      answers.emplace_back(std::move(message), *answer);
+    }
+  });
+  ForEachIn(aMessage, "room_answers", [&](const rapidjson::Value& aValue) {
+    if (!aValue.IsArray() || aValue.Size() != kRoomAnswerSize ||
+        !aValue[0].IsString() || !aValue[1].IsUint64() ||
+        !aValue[2].IsString()) {
+      return;
+    }
+    if (const auto answer = kRoomAnswerNames.ValueOf(aValue[2].GetString())) {
+      targets.Room().OnAnswer(
+        aValue[0].GetString(), aValue[1].GetUint64(), *answer, aNow);
+    }
+  });
+  SendRoomGrants(aNow);
+  if (!answers.empty()) {
+    SendRoomAnswers(answers, mSender);
+  }
+}
+
+void
+LoadBroadcaster::SendRoomGrants(Time aNow)
+{
+  for (const RoomGrant& it : mFleet.Targets().Room().TakeGrants(aNow)) {
+    if (const auto receiver = LoadEndpointOf(it.mHost)) {
+      RoomMessage message;
+      message.mTarget = it.mTarget;
+      message.mAsk = it.mAsk;
+      SendRoomAnswers({ { message, RoomAnswer::Granted } }, *receiver);
+    }
+  }
+}
+
+void
+LoadBroadcaster::SendRoomAnswers(
+  const std::vector<std::pair<RoomMessage, RoomAnswer>>& aAnswers,
+  const udp::endpoint& aReceiver)
+{
+  rapidjson::StringBuffer buf;
+  Writer writer(buf);
+  writer.StartObject();
+  WriteSender(writer);
+  writer.Key("room_answers");
+  writer.StartArray();
+  for (const auto& it : aAnswers) {
+    const std::string_view name = kRoomAnswerNames.NameOf(it.second);
+    writer.StartArray();
+    writer.String(it.first.mTarget.c_str());
+    writer.Uint64(it.first.mAsk);
+    writer.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    writer.EndArray();
+  }
+  writer.EndArray();
+  writer.EndObject();
+  SendTo(aReceiver, buf);
+}
+
+// Where a host receives load messages; nothing if its address is not known.
+std::optional<udp::endpoint>
+LoadBroadcaster::LoadEndpointOf(const std::string& aHost) const
+{
+  const auto address = mFleet.HostAddresses().find(aHost);
+  const auto endpoint = address == mFleet.HostAddresses().end()
+                          ? std::nullopt
+                          : ParseEndpoint(address->second);
+  return endpoint ? std::make_optional(
+                      udp::endpoint(endpoint->address(), mSettings.mLoadPort))
+                  : std::nullopt;
+}
+
 void
 LoadBroadcaster::WriteLimits(Writer& aWriter, Time aNow)
 {
+  const auto brittle = mFleet.Targets().Room().Reports(aNow);
+  if (!brittle.empty()) {
+    aWriter.Key("brittle");
+    aWriter.StartArray();
+    for (const BrittleReport& it : brittle) {
+      aWriter.StartArray();
+      aWriter.String(it.mTarget.c_str());
+      aWriter.Int(it.mRejections.value_or(0));
+      aWriter.Int(AgeInMilliseconds(it.mSaidAt, aNow));
+      aWriter.EndArray();
+    }
+    aWriter.EndArray();
+  }
   const auto limits = mFleet.Targets().Limits().Reports(aNow);
   if (limits.empty()) {
     return;
@@ -652,7 +824,8 @@
   const auto unreached = mFleet.Reach().UnreachedServices();
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
                           !unreached.empty() ||
-                          !mFleet.Targets().Limits().Reports(now).empty();
+                          !mFleet.Targets().Limits().Reports(now).empty() ||
+                          !mFleet.Targets().Room().Reports(now).empty();
   if (hasContent || now < mAnnounceUntil) {
     SendBy(now + kResendInterval);
   } else if (!mSentContent) {
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -84,6 +84,20 @@
                    Time aNow);
   void WriteLimits(rapidjson::Writer<rapidjson::StringBuffer>& aWriter,
                    Time aNow);
+  // Tells the keepers of brittle targets what this host has under way there,
+  // and asks them for room.
+  void SendRoomMessages();
+  // Sends answers to asks for room, and grants of asks that were queued.
+  void SendRoomAnswers(
+    const std::vector<std::pair<RoomMessage, RoomAnswer>>& aAnswers,
+    const boost::asio::ip::udp::endpoint& aReceiver);
+  void SendRoomGrants(Time aNow);
+  std::optional<boost::asio::ip::udp::endpoint> LoadEndpointOf(
+    const std::string& aHost) const;
+  // Answers the asks of another host for room, and takes what it grants.
+  void ExchangeRoom(const std::string& aHost,
+                    const rapidjson::Value& aMessage,
+                    Time aNow);
   void SendMessage();
   // Schedules a message at aAt unless an earlier one is scheduled.
   void SendBy(Time aAt);
@@ -115,6 +129,7 @@
   boost::asio::ip::udp::endpoint mSender;
   std::array<char, 65536> mBuffer{};
   Timer mSendTimer;
+  Timer mRoomTimer;
   std::mt19937_64 mRandom;
   // Whether the last message had any load or lost targets.
   bool mSentContent = false;
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -70,6 +70,7 @@
   }
   Finish();
   AbandonAttempt();
+  mStateMachine.CancelWait();
   mContext.mMetrics.Add(GatewayCounter::CallerDisconnects);
   LogCompletion("caller_gone", 0);
 }
@@ -333,6 +334,7 @@
                              FailureCode aCode,
                              const char* aMessage)
 {
+  mStateMachine.CancelWait();
   Failure failure;
   failure.mCode = aCode;
   failure.mVerdict =
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -47,6 +47,10 @@
 // name, it does not limit a server but what is sent to it.
 constexpr char kRequestLimit[] = "Server-Limit";
 
+// Requests that a target can turn away in one second for want of room; one more
+// and it falls over.
+constexpr char kBrittle[] = "Server-Brittle";
+
 // "1" in all answers of a target that leaves.
 constexpr char kLeaving[] = "Server-Leaving";
 
@@ -59,6 +63,9 @@
 // Longest time that is decoded; more is that long.
 constexpr double kMaxWaitSeconds = 86400;
 
+// Most rejections a second that are decoded; more are that many.
+constexpr int kMaxRejections = 1000;
+
 // Fields that only the gateway may set.
 constexpr std::array<std::string_view, 12> kGatewayOnlyRequestFields = {
   kDeadline,       kLastEventId,         kAuthorization, kWorkspace,
@@ -185,6 +192,26 @@
   aHead += "\r\n";
 }
 
+// Parses a positive whole number of any length.
+std::optional<int>
+ParseRejections(const std::string& aText)
+{
+  const bool digits =
+    !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+      return aChar >= '0' && aChar <= '9';
+    });
+  if (!digits || aText.find_first_not_of('0') == std::string::npos) {
+    return std::nullopt;
+  }
+  int number = kMaxRejections;
+  const char* end = aText.data() + aText.size();
+  if (std::from_chars(aText.data(), end, number).ec != std::errc()) {
+    // More than an int holds.
+    number = kMaxRejections;
+  }
+  return std::min(number, kMaxRejections);
+}
+
 std::optional<Duration>
 ParseKeepAliveTimeout(const HttpHead& aHead)
 {
@@ -305,6 +332,12 @@
       response.mMalformedLimit = limit->empty() ? "empty" : *limit;
     }
   }
+  if (const std::string* brittle = aHead.Find(kBrittle)) {
+    response.mBrittle = ParseRejections(*brittle);
+    if (!response.mBrittle) {
+      response.mMalformedBrittle = brittle->empty() ? "empty" : *brittle;
+    }
+  }
   const std::string* wait = aHead.Find(kRetryAfter);
   if (aHead.mStatus == kStatusUnavailable && wait != nullptr) {
     if (const auto seconds = ParseRate(*wait)) {
@@ -323,7 +356,8 @@
 IsGatewayOnlyField(std::string_view aName)
 {
   return EqualsIgnoreCase(aName, kServerLoad) ||
-         EqualsIgnoreCase(aName, kRequestLimit);
+         EqualsIgnoreCase(aName, kRequestLimit) ||
+         EqualsIgnoreCase(aName, kBrittle);
 }
 
 bool
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -115,6 +115,10 @@
   // names a limit, and the text of a limit that is not a number.
   std::optional<double> mRequestLimit;
   std::string mMalformedLimit;
+  // Requests that the target can turn away in one second before it falls over,
+  // if it is brittle, and the text of a number that is none or not positive.
+  std::optional<int> mBrittle;
+  std::string mMalformedBrittle;
   // How long the target wants nothing more from this host, if it answers 503
   // and names a time, and the text of a time that is not a number of seconds.
   std::optional<Duration> mWait;
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <functional>
 #include <future>
 #include <rapidjson/document.h>
@@ -205,10 +206,14 @@
 
   void Register(const std::string& aState) const
   {
-    mCluster.SetEntry(
-      mName,
-      EntryOf(
-        mService, Address(mPort), mPlace, mVersion, StartField(), aState));
+    mCluster.SetEntry(mName,
+                      EntryOf(mService,
+                              Address(mPort),
+                              mPlace,
+                              mVersion,
+                              StartField(),
+                              aState,
+                              mSlots > 0 ? mDeclaredSlots : kDeclaredSlots));
   }
 
   // Start time as a member of the runner's entry and report.
@@ -233,9 +238,17 @@
   {
     return (mLimit.empty() ? std::string()
                            : "Server-Limit: " + mLimit + "\r\n") +
+           (mBrittle.empty() ? std::string()
+                             : "Server-Brittle: " + mBrittle + "\r\n") +
            (mSaysLeaving ? "Server-Leaving: 1\r\n" : "");
   }
 
+  // Takes a request in if there is room for it: it runs, or waits until another
+  // one has ended. Turns it away otherwise.
+  bool TakeIn(RunnerConnection& aConnection);
+  void Leave(RunnerConnection& aConnection);
+  void OnTurnedAway();
+
   // Fields of answers 503.
   std::string RefusalFields() const
   {
@@ -270,6 +283,19 @@
   int mStarts;
   // Limit that the runner names in its answers; empty for none.
   std::string mLimit;
+  // Requests that the runner runs at a time, zero for any number, lets wait,
+  // and claims to run.
+  int mSlots = 0;
+  int mWaitingRoom = 0;
+  int mDeclaredSlots = 0;
+  std::set<RunnerConnection*> mRunningRequests;
+  std::deque<RunnerConnection*> mWaitingRequests;
+  // What the runner says of the requests that it can turn away, empty for
+  // nothing, since when, and how many it lets wait then.
+  std::string mBrittle;
+  Time mBrittleSince;
+  int mBrittleWaitingRoom = 0;
+  std::deque<Time> mTurnedAwayAt;
   // Retry-After of answers 503; empty for none.
   std::string mRetryAfter;
   // Whether the runner says in its answers that it leaves.
@@ -306,6 +332,14 @@
 
   void SetStalled(bool aStalled) { mSocket->SetReading(!aStalled); }
 
+  // Runs the request that waits for room.
+  void RunHeld()
+  {
+    if (const auto held = std::exchange(mHeldRequest, nullptr)) {
+      held();
+    }
+  }
+
   // Whether no request is being received or answered.
   bool IsIdle() const { return !mReader.HasStarted() && !mEventTimer.IsSet(); }
 
@@ -317,6 +351,7 @@
   void Drop()
   {
     mEventTimer.Clear();
+    mRunner.Leave(*this);
     // The end of an answer without framing looks like its completion.
     mSocket->Close(mMode != RunnerMode::Unframed);
     mRunner.mConnections.erase(RefPtr<RunnerConnection>(this));
@@ -415,6 +450,28 @@
                      mRunner.RefusalFields() + "Content-Length: 0\r\n\r\n");
       return;
     }
+    if (mRunner.mSlots > 0) {
+      mHeldRequest = [this, aHead, request, echo, mode] {
+        Run(aHead, request, echo, mode);
+      };
+      if (!mRunner.TakeIn(*this)) {
+        mHeldRequest = nullptr;
+        mSocket->Write("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + echo +
+                       "Content-Length: 0\r\n\r\n");
+        mRunner.OnTurnedAway();
+      }
+      return;
+    }
+    Run(aHead, request, echo, mode);
+  }
+
+  void Run(const HttpHead& aHead,
+           const RunnerRequest& request,
+           const std::string& echo,
+           RunnerMode mode)
+  {
+    const std::string& aBody = request.mBody;
+    const std::string* id = aHead.Find("X-Request-Id");
     mRunner.mCluster.mRuns.push_back(request);
     mRequestId = id == nullptr ? std::string() : *id;
     const std::string* prompt = aHead.Find("X-Prompt-Prefix");
@@ -564,6 +621,7 @@
                                  milliseconds(mRunner.mCluster.mPlainAnswerMs));
         } else {
           mSocket->Write(whole);
+          mRunner.Leave(*this);
         }
         break;
     }
@@ -620,6 +678,7 @@
     }
     if (!mDelayedAnswer.empty()) {
       mSocket->Write(std::exchange(mDelayedAnswer, std::string()));
+      mRunner.Leave(*this);
       if (mEndsWithConnection) {
         EndUnframed();
       }
@@ -636,6 +695,7 @@
     const bool faultDue = mEvent - mStartEvent == kEventsBeforeFault;
     ++mEvent;
     if (mEvent > kEvents) {
+      mRunner.Leave(*this);
       if (mEndsWithConnection) {
         EndUnframed();
       } else if (mMode == RunnerMode::EndlessTail) {
@@ -752,6 +812,62 @@
   }
 }
 
+bool
+GatewayTestCluster::Runner::TakeIn(RunnerConnection& aConnection)
+{
+  const Time now = EventLoop::Now();
+  const bool brittle =
+    !mBrittle.empty() && now >= mBrittleSince + kBrittleAfter;
+  const int waiting = brittle ? mBrittleWaitingRoom : mWaitingRoom;
+  if (static_cast<int>(mRunningRequests.size()) < mSlots) {
+    mRunningRequests.insert(&aConnection);
+    aConnection.RunHeld();
+    return true;
+  }
+  if (static_cast<int>(mWaitingRequests.size()) < waiting) {
+    mWaitingRequests.push_back(&aConnection);
+    return true;
+  }
+  return false;
+}
+
+void
+GatewayTestCluster::Runner::Leave(RunnerConnection& aConnection)
+{
+  const auto waiting =
+    std::find(mWaitingRequests.begin(), mWaitingRequests.end(), &aConnection);
+  if (waiting != mWaitingRequests.end()) {
+    mWaitingRequests.erase(waiting);
+  }
+  if (mRunningRequests.erase(&aConnection) > 0 && !mWaitingRequests.empty()) {
+    RunnerConnection* next = mWaitingRequests.front();
+    mWaitingRequests.pop_front();
+    mRunningRequests.insert(next);
+    next->RunHeld();
+  }
+}
+
+// A brittle runner that turns too many requests away falls over, once the
+// refusals are on their way.
+void
+GatewayTestCluster::Runner::OnTurnedAway()
+{
+  const Time now = EventLoop::Now();
+  ++mCluster.mTurnedAwayCount;
+  if (mBrittle.empty() || now < mBrittleSince + kBrittleAfter) {
+    return;
+  }
+  mTurnedAwayAt.push_back(now);
+  while (now - mTurnedAwayAt.front() >= std::chrono::seconds(1)) {
+    mTurnedAwayAt.pop_front();
+  }
+  if (static_cast<int>(mTurnedAwayAt.size()) > std::atoi(mBrittle.c_str())) {
+    mTurnedAwayAt.clear();
+    mCluster.mFalls.push_back(now);
+    mCluster.mLoop.Defer([this] { Crash(); });
+  }
+}
+
 void
 GatewayTestCluster::Runner::BeginStall(Time aUntil)
 {
@@ -797,6 +913,8 @@
   mSaysLeaving = false;
   mServingSince.reset();
   StopListening();
+  mWaitingRequests.clear();
+  mRunningRequests.clear();
   const Time now = EventLoop::Now();
   std::set<std::string> bodies;
   for (const auto& it : mConnections) {
@@ -1215,6 +1333,42 @@
   DoInLoop([&runner, aLimit] { runner.mLimit = aLimit; });
 }
 
+void
+GatewayTestCluster::SetRoom(const std::string& aRunner,
+                            int aSlots,
+                            int aWaiting,
+                            int aDeclaredSlots)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner, aSlots, aWaiting, aDeclaredSlots] {
+    runner.mSlots = aSlots;
+    runner.mWaitingRoom = aWaiting;
+    runner.mDeclaredSlots = aDeclaredSlots;
+  });
+  Register(aRunner);
+}
+
+void
+GatewayTestCluster::SetBrittle(const std::string& aRunner,
+                               const std::string& aText,
+                               int aWaiting)
+{
+  Runner& runner = *mRunners.at(aRunner);
+  DoInLoop([&runner, aText, aWaiting] {
+    runner.mBrittle = aText;
+    runner.mBrittleSince = EventLoop::Now();
+    runner.mBrittleWaitingRoom = aWaiting;
+  });
+}
+
+std::vector<Time>
+GatewayTestCluster::Falls()
+{
+  std::vector<Time> falls;
+  DoInLoop([&] { falls = mFalls; });
+  return falls;
+}
+
 void
 GatewayTestCluster::SayLeaving(const std::string& aRunner)
 {
@@ -1396,12 +1550,13 @@
                             const std::string& aPlace,
                             const std::string& aVersion,
                             const std::string& aExtraFields,
-                            const std::string& aState)
+                            const std::string& aState,
+                            int aSlots)
 {
   return R"({"Service":")" + aService + R"(","Address":")" + aAddress +
          R"(","Zone":")" + aPlace + R"(","Version":")" + aVersion +
-         R"(","Slots":8,"State":")" + aState + R"(","Sequence":1)" +
-         aExtraFields + "}";
+         R"(","Slots":)" + std::to_string(aSlots) + R"(,"State":")" + aState +
+         R"(","Sequence":1)" + aExtraFields + "}";
 }
 
 void
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -304,6 +304,27 @@
   // second; empty for none.
   void SetLimit(const std::string& aRunner, const std::string& aLimit);
 
+  // Sets how many requests a runner runs at a time, how many more it lets wait,
+  // and how many its entry says that it runs; it answers 503 with
+  // X-Not-Executed to others. Zero slots stand for no limit.
+  void SetRoom(const std::string& aRunner,
+               int aSlots,
+               int aWaiting,
+               int aDeclaredSlots);
+
+  // Lets a runner say in all its answers that it is brittle, with this text;
+  // empty for none. kBrittleAfter later it lets only aWaiting requests wait,
+  // and falls over when it turns more than the number away in a second.
+  void SetBrittle(const std::string& aRunner,
+                  const std::string& aText,
+                  int aWaiting);
+  static constexpr auto kBrittleAfter = std::chrono::milliseconds(3000);
+
+  // Times at which brittle runners fell over, and the requests that a runner
+  // turned away for want of room.
+  std::vector<quetzalquay::Time> Falls();
+  int TurnedAwayCount() const { return mTurnedAwayCount; }
+
   // Lets a runner say in all its answers that it leaves, until it crashes. It
   // continues to serve, and its entry stays as it is.
   void SayLeaving(const std::string& aRunner);
@@ -480,7 +501,9 @@
                              const std::string& aPlace,
                              const std::string& aVersion,
                              const std::string& aExtraFields,
-                             const std::string& aState = "ready");
+                             const std::string& aState = "ready",
+                             int aSlots = kDeclaredSlots);
+  static constexpr int kDeclaredSlots = 8;
   std::string CopyVersionOf(const quetzalquay::HttpHead& aHead,
                             const std::string& aBody) const;
   void DoInLoop(const std::function<void()>& aTask);
@@ -511,6 +534,8 @@
   std::atomic<int> mCrashDelayMs{ 0 };
   std::atomic<int> mEventsBeforeCrash{ 0 };
   std::vector<RunnerCrash> mCrashes;
+  std::vector<quetzalquay::Time> mFalls;
+  std::atomic<int> mTurnedAwayCount{ 0 };
   std::atomic<std::size_t> mLargeAnswerBytes{ kLargeAnswerBytes };
   std::atomic<int> mForgottenAfterMs{ 0 };
   std::vector<std::unique_ptr<DatagramRelay>> mRelays;
