Let hosts agree on the keeper of a brittle target sooner

Hosts that had just started knew different hosts, since only some read the hosts table, and named different keepers for one target, each of which granted all of its room. Hosts that were heard count now, before they are listed. A keeper is asked five times in 200 ms before it is passed over, as a small host stands still for that long when its share of the processor is used up, and asked again when another host has heard it.

--- a/src/quetzalquay/core/TargetRoom.cpp
+++ b/src/quetzalquay/core/TargetRoom.cpp
@@ -15,7 +15,7 @@
 constexpr Duration kDeniedTime = milliseconds(10);
 
 // Time for which a target is passed over whose keeper has not been agreed on.
-constexpr Duration kNotKeeperTime = milliseconds(50);
+constexpr Duration kNotKeeperTime = milliseconds(20);
 
 // Time for which it is told that a target has ceased to be brittle.
 constexpr Duration kLiftedLifetime = milliseconds(3000);
@@ -44,8 +44,18 @@
 void
 TargetRoom::SetHosts(const std::set<std::string>& aHosts)
 {
-  mHosts = aHosts;
-  mHosts.insert(mHost);
+  std::set<std::string> hosts = aHosts;
+  hosts.insert(mHost);
+  for (const auto& it : mHeard) {
+    if (mHeardAt - it.second < kAloneAfter) {
+      // It may not be listed yet.
+      hosts.insert(it.first);
+    }
+  }
+  if (hosts == mHosts) {
+    return;
+  }
+  mHosts = std::move(hosts);
   mKeepers.clear();
   for (auto it = mHeard.begin(); it != mHeard.end();) {
     it = mHosts.count(it->first) == 0 ? mHeard.erase(it) : std::next(it);
@@ -57,6 +67,9 @@
 {
   mHeard[aHost] = aNow;
   mHeardAt = aNow;
+  if (mHosts.insert(aHost).second) {
+    mKeepers.clear();
+  }
 }
 
 bool
@@ -216,6 +229,7 @@
   if (ask.mAnswer == RoomAnswer::NotKeeper) {
     // The host has heard the keeper lately, and takes over if that is gone.
     mAccounts[ask.mTarget].mDeniedUntil = aNow + kNotKeeperTime;
+    mAvoided.erase(KeepersOf(ask.mTarget).front());
     mAsks.erase(aAsk);
     return RoomStatus::Denied;
   }
--- a/src/quetzalquay/core/TargetRoom.h
+++ b/src/quetzalquay/core/TargetRoom.h
@@ -53,8 +53,8 @@
 public:
   // Time after which an ask without an answer is repeated, and how often; after
   // that the keeper is passed over for kAvoidTime.
-  static constexpr Duration kAnswerTime = std::chrono::milliseconds(15);
-  static constexpr int kMaxAsks = 4;
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(40);
+  static constexpr int kMaxAsks = 5;
   static constexpr Duration kAvoidTime = std::chrono::milliseconds(2000);
 
   // Interval at which a queued ask is repeated.
@@ -70,10 +70,11 @@
   // Sets the name of this host.
   void SetHost(const std::string& aHost) { mHost = aHost; }
 
-  // Replaces the known hosts, this one included.
+  // Replaces the known hosts, this one included. Others that were heard lately
+  // are known, too.
   void SetHosts(const std::set<std::string>& aHosts);
 
-  // Another host was heard.
+  // Another host was heard, which may not be listed yet.
   void OnHostHeard(const std::string& aHost, Time aNow);
 
   // Records what a target has said to this host or to another one. Returns
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -410,8 +410,8 @@
   // Handles the message of another host about the room of a target that this
   // host keeps; see TargetRoom::OnMessage().
   std::optional<RoomAnswer> OnRoomMessage(const std::string& aHost,
-                                    const RoomMessage& aMessage,
-                                    Time aNow);
+                                          const RoomMessage& aMessage,
+                                          Time aNow);
 
   // Requests suspected of crashing targets.
   SuspectRegistry& Suspects() { return mSuspects; }
