Move to another target only once it has the request and answers

Callers saw streams broken off that had left a silent, sound target for one that was hanging.

Cause: 0.16 s after another target was asked, its probe counted as answered if any connection to it had been made or had delivered bytes within 0.15 s. The system accepts connections for a process that hangs. Besides, the probe counted although the request itself had not been written, while the connection was being made or the target was being asked for its start.

Now the probe always asks for the target's report, and the request moves only if it has been written.

Ruled out: a target without other connections is not taken for one that answers (StreamsGoOnAtASilentTargetWhenTheOtherTurnsThemAway has a hanging one and passes before and after).

--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -436,9 +436,10 @@
   }
   mAttemptDeadline = std::min(mCall.mDeadline, deadline);
   mTimer.ScheduleAt(mAttemptDeadline);
+  // Only an answer to this probe shows that the target is not silent, too.
   mContext.mProber.Probe(
     mTentative->Target(),
-    false,
+    true,
     deadline,
     [self = RefPtr<PlainExchange>(this), number = mTentative->Number()](
       ProbeResult aResult, const platform::TargetReport* aReport) {
@@ -455,7 +456,7 @@
       mTentative->IsTurnedAway()) {
     return;
   }
-  if (aAlive) {
+  if (aAlive && mTentative->IsSent()) {
     // It has not turned the call away, so it has queued or begun it.
     AdoptTentative(PlainResult::Broken);
   } else {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -375,8 +375,10 @@
   const Time now = EventLoop::Now();
   const bool tentative =
     mTentative != nullptr && aAction.mAttempt == mTentative->Number();
+  // Only an answer to this probe shows that the target of a tentative attempt
+  // is not silent, too.
   const bool report =
-    !tentative &&
+    tentative ||
     now - std::max(mAttemptSentAt, mLastEventAt) >= kReportAfterSilence;
   mContext.mProber.Probe(
     aAction.mTarget,
@@ -401,8 +403,12 @@
     // that is full refuses the probe's connection.
     if (!mTentative->IsTurnedAway()) {
       const bool refused = result == ProbeResult::Dead && aReport == nullptr;
-      PerformActions(mStateMachine.OnProbeResult(
-        attempt, refused ? ProbeResult::Alive : result, now));
+      if (!mTentative->IsSent()) {
+        result = ProbeResult::NoAnswer;
+      } else if (refused) {
+        result = ProbeResult::Alive;
+      }
+      PerformActions(mStateMachine.OnProbeResult(attempt, result, now));
     }
     return;
   }
--- a/src/quetzalquay/gateway/TentativeAttempt.h
+++ b/src/quetzalquay/gateway/TentativeAttempt.h
@@ -56,6 +56,12 @@
   const std::string& Target() const { return mTarget; }
   Time SentAt() const { return mSentAt; }
 
+  // Whether the target may have the request.
+  bool IsSent() const
+  {
+    return mConnection != nullptr && mConnection->HasSent();
+  }
+
   // Whether the target has begun a response that is not a success.
   bool IsTurnedAway() const { return mHead && !mAccepted; }
 
--- a/tests/usage/SilentRunnerTests.cpp
+++ b/tests/usage/SilentRunnerTests.cpp
@@ -12,6 +12,10 @@
 // Plain requests that one silent runner holds at the same time.
 constexpr int kSimultaneousRequests = 24;
 
+// Requests that have connections made while a runner is silent.
+constexpr int kOtherRequests = 60;
+constexpr auto kOtherInterval = milliseconds(40);
+
 } // namespace
 
 class SilentRunnerTests : public CppUnit::TestFixture
@@ -21,6 +25,7 @@
   CPPUNIT_TEST(StreamsStayAtAFullTargetThatPauses);
   CPPUNIT_TEST(StreamsGoOnAtASilentTargetWhenTheOtherTurnsThemAway);
   CPPUNIT_TEST(PlainCallsGetALateAnswerWhenTheOtherTargetFails);
+  CPPUNIT_TEST(StreamsDoNotMoveToATargetThatOnlyAcceptsConnections);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +95,32 @@
     }
   }
 
+  // Streams were broken off because they left a silent, sound target for a
+  // hanging one whose new connections were taken for an answer.
+  void StreamsDoNotMoveToATargetThatOnlyAcceptsConnections()
+  {
+    GatewayTestCluster cluster(2);
+    TestConfiguration configuration;
+    configuration.RouteOf("stream").mMaxAttempts = 2;
+    cluster.AwaitConfiguration(cluster.Write(configuration));
+    cluster.SetPace(milliseconds(50), milliseconds(20), milliseconds(10));
+    BackgroundCall call(cluster.Gateway(),
+                        GatewayTestCluster::Request(
+                          "/stream/", "s", std::string(), "body", 8000));
+    SilenceFirst(
+      cluster, RunnerMode::Frozen, milliseconds(200), milliseconds(2500));
+    std::vector<std::unique_ptr<BackgroundCall>> others;
+    for (int n = 0; n < kOtherRequests; ++n) {
+      others.push_back(std::make_unique<BackgroundCall>(
+        cluster.Gateway(),
+        GatewayTestCluster::Request("/unsafe/", "u" + std::to_string(n))));
+      std::this_thread::sleep_for(kOtherInterval);
+    }
+    const CallerAnswer& answer = call.AwaitAnswer();
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
+  }
+
 private:
   // Ways in which a target turns a request away, or does not answer it.
   static constexpr RunnerMode kTurnsAway[] = { RunnerMode::Reject,
@@ -101,7 +132,8 @@
   // while; the other runner gets a mode.
   static void SilenceFirst(GatewayTestCluster& aCluster,
                            RunnerMode aOther,
-                           milliseconds aAfter)
+                           milliseconds aAfter,
+                           milliseconds aSilence = milliseconds(1000))
   {
     std::vector<RunnerRequest> runs;
     while ((runs = aCluster.Runs()).empty()) {
@@ -110,7 +142,7 @@
     const std::string& first = runs.front().mRunner;
     aCluster.SetMode(first == "i-0" ? "i-1" : "i-0", aOther);
     std::this_thread::sleep_for(aAfter);
-    aCluster.Stall(first, milliseconds(1000));
+    aCluster.Stall(first, aSilence);
   }
 };
 
