Stay at a silent serving host while no other one can take the request

Callers of a host that was cut off from its targets got 502, or a stream that was broken off, when the host that served their request was silent for a second or two and went on.

Cause: the connection to the serving host was closed as soon as a check of it had failed, before it was known whether another host could take the request or whether it had hosts and runs left.

Now the connection is closed only if another host can be chosen.

Not covered: where another host can be chosen, the connection is still closed before that one has accepted the request.

--- a/src/quetzalquay/core/PassedOnCall.cpp
+++ b/src/quetzalquay/core/PassedOnCall.cpp
@@ -49,6 +49,19 @@
   return mOptions.mRepeatable && left;
 }
 
+bool
+PassedOnCall::CanTryAnother(Time aNow) const
+{
+  return CanLeaveHost() && HasHostsLeft(aNow);
+}
+
+bool
+PassedOnCall::HasHostsLeft(Time aNow) const
+{
+  return static_cast<int>(mTried.size()) < kMaxHosts &&
+         aNow < mOptions.mDeadline;
+}
+
 bool
 PassedOnCall::OnEnd(PassedOnEnd aEnd, Time aNow)
 {
@@ -58,8 +71,7 @@
     ++mOptions.mRuns;
     mOptions.mMayHaveRun = true;
   }
-  return allowed && static_cast<int>(mTried.size()) < kMaxHosts &&
-         aNow < mOptions.mDeadline;
+  return allowed && HasHostsLeft(aNow);
 }
 
 RunVerdict
--- a/src/quetzalquay/core/PassedOnCall.h
+++ b/src/quetzalquay/core/PassedOnCall.h
@@ -78,6 +78,10 @@
   // that has it now is given up.
   bool CanLeaveHost() const;
 
+  // Whether a further host may be tried if the one that has the request now,
+  // and may have run it, is given up.
+  bool CanTryAnother(Time aNow) const;
+
   // What is known of the request's runs. aIsSent tells whether it has been
   // written to a host that may still run it.
   RunVerdict Verdict(bool aIsSent) const;
@@ -86,6 +90,8 @@
   Failure MakeFailure(FailureCode aCode, bool aIsSent) const;
 
 private:
+  bool HasHostsLeft(Time aNow) const;
+
   Options mOptions;
   std::vector<std::string> mTried;
   int mHosts = 0;
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -532,9 +532,14 @@
   if (mDone || aAttempt != mAttempt || mHost.empty() || aAnswers || !silent) {
     return;
   }
-  mContext.mFleet.Reach().OnHostFailed(mHost, now);
-  if (!IsRepeatable()) {
-    // The host may still answer, and the request must not be sent again.
+  TargetReach& reach = mContext.mFleet.Reach();
+  reach.OnHostFailed(mHost, now);
+  // The host may still answer, so it keeps a request that must not be sent
+  // again or that no other host can serve.
+  const bool movable =
+    IsRepeatable() && mStateMachine.CanTryAnother(now) &&
+    reach.ChooseHost(mCall.mService, mStateMachine.Tried(), now);
+  if (!movable) {
     return;
   }
   mConnection->Abort();
--- a/tests/introspective/PassedOnCallTests.cpp
+++ b/tests/introspective/PassedOnCallTests.cpp
@@ -97,7 +97,9 @@
           }
           const auto end = static_cast<PassedOnEnd>(*rc::gen::inRange(0, 4));
           runs += MayHaveStarted(end) ? 1 : 0;
+          const bool movable = call.CanTryAnother(kStart);
           goesOn = call.OnEnd(end, kStart);
+          RC_ASSERT(goesOn == movable || !MayHaveStarted(end));
           RC_ASSERT(call.Runs() == runs);
           RC_ASSERT(runs <= options.mMaxRuns);
           RC_ASSERT(static_cast<int>(call.Tried().size()) <=
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(RequestsSurviveTheDeathOfTheServingHost);
   CPPUNIT_TEST(RequestsEndAtAServingHostThatStops);
   CPPUNIT_TEST(RequestsLeaveAFrozenServingHost);
+  CPPUNIT_TEST(RequestsStayAtASilentServingHostWhileThereIsNoOther);
   CPPUNIT_TEST(WorkEndsWhenTheCallerLeaves);
   CPPUNIT_TEST(HostsDoNotServeByAnOlderConfiguration);
   CPPUNIT_TEST(RequestsAreNotPassedOnTwice);
@@ -315,6 +316,33 @@
     }
   }
 
+  // Requests were broken off or failed because the host that served them was
+  // silent for a second while no other host could serve them.
+  void RequestsStayAtASilentServingHostWhileThereIsNoOther()
+  {
+    for (const char* route : { "/plain/", "/stream/" }) {
+      GatewayTestCluster cluster(MakeOptions(3));
+      CutOff(cluster, kCutHost);
+      CutOff(cluster, 1);
+      cluster.SetPace(milliseconds(50), milliseconds(50), milliseconds(1500));
+      const std::string id = std::string("r") + route[1];
+      PassedOnCalls calls(cluster);
+      const std::size_t before = cluster.Runs().size();
+      calls.Send(Request(route, id));
+      const std::size_t host = calls.AwaitServingHost(before);
+      std::this_thread::sleep_for(milliseconds(300));
+      cluster.Gateway(host).Signal(SIGSTOP);
+      std::this_thread::sleep_for(milliseconds(2000));
+      cluster.Gateway(host).Signal(SIGCONT);
+      const CallerAnswer& answer = calls.Answer(0);
+      CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+      CPPUNIT_ASSERT(answer.mComplete);
+      if (route == std::string("/stream/")) {
+        CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
+      }
+    }
+  }
+
   // Guards against runners that work for a caller that has left the host which
   // passed its request on.
   void WorkEndsWhenTheCallerLeaves()
