--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -25,10 +25,6 @@
 constexpr Duration kSilenceTime = milliseconds(400);
 constexpr Duration kCheckInterval = milliseconds(1000);
 
-// Attempts that a host counts for itself at most, so that those of the next
-// host come after them.
-constexpr int kTriesPerHost = 1000;
-
 // Longest event of a stream.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
@@ -127,7 +123,7 @@
   request.mService = mCall.mService;
   request.mSoftwareVersion = mHandOver.mSoftwareVersion;
   request.mResumed = mBegun;
-  request.mTries = mHandOver.mTries + (mAttempt - 1) * kTriesPerHost;
+  request.mTries = mHandOver.mTries;
   request.mPrior = mHandOver.mPrior;
   request.mPrior.mRuns = mStateMachine.Runs();
   platform::PassedOnHead head;
--- a/src/quetzalquay/gateway/PassedOnRequest.h
+++ b/src/quetzalquay/gateway/PassedOnRequest.h
@@ -30,7 +30,7 @@
   std::string mSoftwareVersion;
   // Whether the stream began under the request's own ID, at whichever host.
   bool mResumed = false;
-  // Number of attempts before; those of the serving host count on from there.
+  // Number of attempts at the passing host, for logs.
   int mTries = 0;
   PriorAttempts mPrior;
 
