Hand a stream over only when its target has been silent for longer than sound ones pause

Callers of a host that believed in a cut saw streams broken off although their target was only silent for a second. Targets that are full and silent together fail here as in a cut, and are heard elsewhere by then; the stream's open connection was closed before another host had taken it, and those had no room either (note=host_refused).

Streams that run when connections begin to hang pause for 2 s instead of about 1 s.

--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -27,6 +27,11 @@
 // Longest time between two probes of a silent target.
 constexpr Duration kMaxProbeInterval = milliseconds(1200);
 
+// Silence after which a stream whose connection is open is handed over to
+// another host while this one is cut off. A sound target may pause for a second
+// or so, and other hosts may have no room for the stream.
+constexpr Duration kHandOverSilence = milliseconds(2000);
+
 // A report may be this old: a run that it lacks counts as lost only after a
 // longer silence.
 constexpr Duration kMaxReportLag = milliseconds(500);
@@ -417,7 +422,7 @@
   }
   if (result != ProbeResult::Alive) {
     mLogNote = "target_silent";
-    if (IsCutOff(now) && PassOn(AttemptEnd::Broken)) {
+    if (IsSilentForLong(now) && IsCutOff(now) && PassOn(AttemptEnd::Broken)) {
       return;
     }
   } else if (aReport != nullptr && IsRunLost(*aReport, now)) {
@@ -821,7 +826,16 @@
   if (!mAttemptOpen) {
     return PassOn(std::nullopt);
   }
-  return mStateMachine.IsTargetSilent() && PassOn(AttemptEnd::Broken);
+  return mStateMachine.IsTargetSilent() && IsSilentForLong(aNow) &&
+         PassOn(AttemptEnd::Broken);
+}
+
+// Whether the current attempt has brought nothing for longer than a sound
+// target pauses.
+bool
+StreamExchange::IsSilentForLong(Time aNow) const
+{
+  return aNow - std::max(mAttemptSentAt, mLastEventAt) >= kHandOverSilence;
 }
 
 // Ends the current attempt in the target table and ends the run of its KV
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -89,6 +89,7 @@
   std::string FormatStart() const;
   void ForwardErrorResponse();
   void RecordPace(Time aNow);
+  bool IsSilentForLong(Time aNow) const;
   bool IsRunLost(const platform::TargetReport& aReport, Time aNow) const;
   // aComplete tells whether the caller has got the whole stream.
   void Finish(bool aComplete = false);
