--- a/src/quetzalquay/core/TargetRoom.cpp
+++ b/src/quetzalquay/core/TargetRoom.cpp
@@ -467,8 +467,8 @@
     return;
   }
   const auto found =
-    std::find_if(mAsks.begin(), mAsks.end(), [&](const auto& it) {
-      return it.second.mId == aAsk && it.second.mTarget == aTarget;
+    std::find_if(mAsks.begin(), mAsks.end(), [&](const auto& aEntry) {
+      return aEntry.second.mId == aAsk && aEntry.second.mTarget == aTarget;
     });
   if (found == mAsks.end()) {
     // Given up: the keeper learns that it is not used.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -197,27 +197,10 @@
                                 : nullptr;
   const bool onTrial = trial != nullptr && !trial->mStartedAt &&
                        trial->mRequestId == aQuery.mRequestId;
-  std::vector<Target*> usable;
-  std::vector<std::string> limited;
-  bool anyUp = false;
-  bool brittle = false;
-  for (const std::string& it : mTargetsByService[aQuery.mService]) {
-    Target& target = mTargets.at(it);
-    if (!IsUsable(target, aQuery, aNow) || WantsNothing(it, aNow) ||
-        (onTrial && it != trial->mTarget)) {
-      continue;
-    }
-    anyUp = true;
-    const bool isBrittle = IsBrittle(it);
-    brittle = brittle || isBrittle;
-    if (!mLimits.CanSend(it, aNow)) {
-      limited.push_back(it);
-    } else if (isBrittle && mRoom.IsDenied(it, aNow)) {
-      continue;
-    } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
-      usable.push_back(&target);
-    }
-  }
+  Candidates candidates =
+    FindCandidates(aQuery, onTrial ? trial->mTarget : std::string(), aNow);
+  std::vector<Target*>& usable = candidates.mUsable;
+  std::vector<std::string>& limited = candidates.mLimited;
   if (IsHeldBack(usable, aQuery, aNow)) {
     for (const Target* it : usable) {
       limited.push_back(it->mDeclaration.mName);
@@ -226,7 +209,7 @@
   } else if (usable.empty()) {
     OnLimited(limited, aQuery, aNow);
   }
-  if (!anyUp) {
+  if (!candidates.mAnyUp) {
     CancelWait(aQuery);
     choice.mExpectedWait = TimeToComeBack(aQuery, aNow);
     if (choice.mExpectedWait > Duration::zero()) {
@@ -238,7 +221,7 @@
   // already received part of the stream.
   const std::string next = mQueues[aQuery.mService].Next();
   const bool isNext = next.empty() || next == aQuery.mRequestId;
-  if (brittle && limited.empty()) {
+  if (candidates.mBrittle && limited.empty()) {
     const bool asks = isNext || aQuery.mContinuation ||
                       mRoom.AskCount() < kMaxRoomAsks ||
                       !mRoom.TargetOf(aQuery.mRequestId).empty();
@@ -251,8 +234,8 @@
   if (verdict == SuspectVerdict::Unclear && !onTrial) {
     return ChooseForTrial(usable, aQuery, aNow);
   }
-  choice = brittle ? ChooseWithRoom(usable, aQuery, aNow)
-                   : ChooseFrom(usable, aQuery, aNow);
+  choice = candidates.mBrittle ? ChooseWithRoom(usable, aQuery, aNow)
+                               : ChooseFrom(usable, aQuery, aNow);
   if (choice.mStatus == ChoiceStatus::AwaitingRoom) {
     return choice;
   }
@@ -277,6 +260,33 @@
   return choice;
 }
 
+// Targets that a request may be sent to, only the given one if it is not empty.
+TargetTable::Candidates
+TargetTable::FindCandidates(const ChoiceQuery& aQuery,
+                            const std::string& aOnly,
+                            Time aNow)
+{
+  Candidates candidates;
+  for (const std::string& it : mTargetsByService[aQuery.mService]) {
+    Target& target = mTargets.at(it);
+    if (!IsUsable(target, aQuery, aNow) || WantsNothing(it, aNow) ||
+        (!aOnly.empty() && it != aOnly)) {
+      continue;
+    }
+    candidates.mAnyUp = true;
+    const bool brittle = IsBrittle(it);
+    candidates.mBrittle = candidates.mBrittle || brittle;
+    if (!mLimits.CanSend(it, aNow)) {
+      candidates.mLimited.push_back(it);
+    } else if (brittle && mRoom.IsDenied(it, aNow)) {
+      continue;
+    } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
+      candidates.mUsable.push_back(&target);
+    }
+  }
+  return candidates;
+}
+
 // Why a request must not be sent to any target now; nothing if it may be.
 std::optional<ChoiceStatus>
 TargetTable::WhyNotSend(const ChoiceQuery& aQuery,
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -536,6 +536,20 @@
                   std::uint64_t aContentHash,
                   AttemptOutcome aOutcome,
                   Time aNow);
+  // Targets of a request's service.
+  struct Candidates
+  {
+    // Those that have room.
+    std::vector<Target*> mUsable;
+    // Those whose limits allow no more requests.
+    std::vector<std::string> mLimited;
+    // Whether any is up, and whether one of those is brittle.
+    bool mAnyUp = false;
+    bool mBrittle = false;
+  };
+  Candidates FindCandidates(const ChoiceQuery& aQuery,
+                            const std::string& aOnly,
+                            Time aNow);
   RoomUse RoomUseOf(const std::string& aTarget) const;
   bool IsBrittle(const std::string& aTarget) const;
   Choice ChooseWithRoom(std::vector<Target*>& aUsable,
