--- a/review/5/case.py
+++ b/review/5/case.py
@@ -21,7 +21,7 @@
 # refused.
 RESETS = os.environ.get("CRASH") == "reset"
 
-RUNNERS = 12
+RUNNERS = 27
 POISON = "/s/poison"
 TIME_MS = 1500
 # The runner is dark for this long. Its entry is removed after three heartbeat
@@ -155,7 +155,8 @@
                 deployment.runs, arrivals=arrivals, crashes=crashes).start()
         deployment.store.put("op", "config", standins.desired_state(
             5,
-            [standins.plain_route("r", "/s/", "desk", "safe", 2)],
+            [standins.plain_route("r", "/s/", "desk", "safe", 2),
+             standins.plain_route("u", "/u/", "desk", "unsafe", 1)],
             [standins.plain_service("desk")]))
         await deployment.start_gateways(["z0", "z1", "z2"])
         traffic = Traffic(record)
@@ -183,18 +184,24 @@
                 await asyncio.sleep(0.3)
 
         until = now() + 75
-        calm = asyncio.ensure_future(traffic.every(
-            20, until,
-            lambda: traffic.send(pick, "GET", "/s/", TIME_MS)))
+
+        def send_others():
+            traffic.send(pick, "GET", "/s/", TIME_MS)
+            traffic.send(pick, "POST", "/u/", TIME_MS)
+
+        calm = asyncio.ensure_future(traffic.every(20, until, send_others))
         await asyncio.sleep(3)
         await traffic.every(
-            0.5, until, lambda: asyncio.ensure_future(send_poison()))
+            0.2, until, lambda: asyncio.ensure_future(send_poison()))
         await calm
         await asyncio.sleep(3)
         for it in deployment.gateways:
             if it.process.poll() is not None:
                 raise RuntimeError(it.name + " has ended")
         sent, served = traffic.share(["/s/"], 0, until)
+        once, once_served = traffic.share(["/u/"], 0, until)
+        most = max((sum(at <= other[0] < at + DARK_S for other in crashes)
+                    for at, _, _ in crashes), default=0)
         first = {}
         for at, request_id, _ in arrivals:
             first.setdefault(request_id, at)
@@ -207,11 +214,16 @@
                     "client attempt (allowed: %d)"
                     % (len(arrivals), len(crashes), STABILITY_S, len(late),
                        len(retries), ALLOWED_RETRIES))
-        record.line("other requests: %d sent, %d served" % (sent, served))
+        record.line("runners that were dark at one moment: %d of %d at most"
+                    % (most, RUNNERS))
+        record.line("others' requests: %d safe ones sent, %d served; %d unsafe "
+                    "ones sent, %d served"
+                    % (sent, served, once, once_served))
         record.line("BUDGET %s" % ("broken" if broken else "held"))
-        print("%d runs, %d crashes, late: %d runs, %d retries; others %d of %d"
+        print("%d runs, %d crashes, late: %d runs, %d retries; others %d of %d, "
+              "unsafe %d of %d"
               % (len(arrivals), len(crashes), len(late), len(retries), served,
-                 sent))
+                 sent, once_served, once))
         if served < 0.5 * sent:
             raise RuntimeError("too few other requests were served")
         return 1 if broken else 0
