--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -44,6 +44,10 @@
 constexpr std::size_t kEndlessBytes = 1U << 18U;
 constexpr auto kEndlessInterval = milliseconds(5);
 
+// A nested reply is so many of these values, one in the other.
+constexpr int kNestedValues = 120000;
+constexpr char kNestedValue[] = R"({"Stage":)";
+
 // Time for which a crashed runner refuses connections, and the time after a
 // crash until the entry of a runner that does not come back under its name
 // expires.
@@ -414,11 +418,16 @@
     }
     if (aHead.mTarget == "/report") {
       mRunner.mCluster.mReports.push_back(MakeRecord(aHead, aBody, aAt));
-      SendReport(mode);
+      if (!SpoilReply()) {
+        SendReport(mode);
+      }
       return;
     }
     if (aHead.mTarget.rfind("/kv-", 0) == 0) {
       mRunner.mCluster.mRequests.push_back(MakeRecord(aHead, aBody, aAt));
+      if (SpoilReply()) {
+        return;
+      }
       if (mRunner.RefusesAll()) {
         SendRefusal();
         return;
@@ -751,6 +760,26 @@
     mEventTimer.ScheduleAt(next);
   }
 
+  // Sends a spoiled reply if one is due. Returns whether it has.
+  bool SpoilReply()
+  {
+    if (mRunner.mCluster.mRepliesToSpoil <= 0) {
+      return false;
+    }
+    --mRunner.mCluster.mRepliesToSpoil;
+    if (mRunner.mCluster.mReplyFault == ReplyFault::Endless) {
+      SendEndless("HTTP/1.1 200 OK\r\n\r\n");
+      return true;
+    }
+    std::string body;
+    for (int n = 0; n < kNestedValues; ++n) {
+      body += kNestedValue;
+    }
+    mSocket->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    return true;
+  }
+
   // Ends an answer by the end of its connection.
   void EndUnframed()
   {
@@ -1701,6 +1730,13 @@
          "\r\n\r\n" + aBody;
 }
 
+void
+GatewayTestCluster::SpoilReplies(ReplyFault aFault, int aCount)
+{
+  mReplyFault = aFault;
+  mRepliesToSpoil = aCount;
+}
+
 std::string
 GatewayTestCluster::CrashingPartOf(const std::string& aPrompt)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -88,6 +88,16 @@
   EndlessTail,
 };
 
+// What is wrong with a runner's replies to a gateway's own questions: reports
+// and replies to orders of copies.
+enum class ReplyFault
+{
+  // Nested values, deeper than a recursive parser bears.
+  Nested,
+  // A body without end.
+  Endless,
+};
+
 // How a crashed runner comes back at its address.
 enum class RunnerReturn
 {
@@ -231,6 +241,12 @@
   };
   std::vector<RunnerCrash> Crashes();
 
+  // Spoils the next aCount replies of runners to a gateway's own questions.
+  void SpoilReplies(ReplyFault aFault, int aCount);
+
+  // Replies that are still to be spoiled.
+  int RepliesToSpoil() const { return mRepliesToSpoil; }
+
   // Sets how runners come back that crash from now on.
   void SetRunnerReturn(RunnerReturn aReturn) { mRunnerReturn = aReturn; }
 
@@ -530,6 +546,8 @@
   std::atomic<int> mPlainAnswerMs{ 0 };
   std::atomic<int> mRunnerMaxConnections{ 1000000 };
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
+  std::atomic<ReplyFault> mReplyFault{ ReplyFault::Nested };
+  std::atomic<int> mRepliesToSpoil{ 0 };
   std::atomic<int> mCrashCount{ 0 };
   std::atomic<int> mCrashDelayMs{ 0 };
   std::atomic<int> mEventsBeforeCrash{ 0 };
--- a/tests/fakes/TestConfiguration.cpp
+++ b/tests/fakes/TestConfiguration.cpp
@@ -51,11 +51,13 @@
 }
 
 std::string
-FormatService(const std::string& aName)
+FormatService(const std::string& aName, bool aRunsSendCopies)
 {
   return R"({"Name":")" + aName + R"(","HealthPath":"/health",)" +
          R"("MaxConnections":100,"InferenceEngine":{"KvCapacityTokens":88000,)"
-         R"("Backups":true,"Moves":true,"HandleS":4.0}})";
+         R"("Backups":)" +
+         (aRunsSendCopies ? "true" : "false") +
+         R"(,"Moves":true,"HandleS":4.0}})";
 }
 
 std::string
@@ -74,7 +76,11 @@
 {
   return "{" + Field("Version", aVersion) + R"(,"Routes":[)" +
          Join(mRoutes, FormatRoute) + R"(],"Services":[)" +
-         Join(mServices, FormatService) + R"(],"Limits":{)" +
+         Join(mServices,
+              [this](const std::string& aName) {
+                return FormatService(aName, mRunsSendCopies);
+              }) +
+         R"(],"Limits":{)" +
          Field("MaxHeaderBytes", mLimits.mHeadBytes) + "," +
          Field("MaxBodyBytes", mLimits.mBodyBytes) + "," +
          Field("HeaderTimeoutMs", mLimits.mHeadTimeoutMs) + "," +
--- a/tests/fakes/TestConfiguration.h
+++ b/tests/fakes/TestConfiguration.h
@@ -51,6 +51,8 @@
     { "paced", "streaming", 5, 20000, 500, { { kService, 1 } }, true, 250 },
   };
   std::vector<std::string> mServices = { kService };
+  // Whether runs send copies of their KV cache; otherwise copies are ordered.
+  bool mRunsSendCopies = true;
   TestLimits mLimits;
   std::vector<TestWorkspace> mWorkspaces = { { "w", { "key" }, 1 } };
 
