--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewaySettings.h"
 
+#include "http/JsonText.h"
+
 #include <algorithm>
 #include <fstream>
 #include <rapidjson/document.h>
@@ -140,7 +142,7 @@
 ParseGatewaySettings(const std::string& aText, std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aText.data(), aText.size());
+  ParseJson(json, aText);
   if (json.HasParseError()) {
     aReason = std::string("invalid JSON: ") +
               rapidjson::GetParseError_En(json.GetParseError()) + " at byte " +
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "gateway/ReachMessages.h"
+#include "http/JsonText.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -343,7 +344,7 @@
 LoadBroadcaster::HandleMessage(std::string_view aText)
 {
   rapidjson::Document json;
-  json.Parse(aText.data(), aText.size());
+  ParseJson(json, aText);
   if (json.HasParseError() || !json.IsObject()) {
     return;
   }
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "gateway/PeerLink.h"
 
 #include "core/Hash.h"
+#include "http/JsonText.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -410,7 +411,7 @@
 {
   rapidjson::Document json;
   if (aReply && aReply->mHead.mStatus == 200) {
-    json.Parse(aReply->mBody.data(), aReply->mBody.size());
+    ParseJson(json, aReply->mBody);
   }
   if (!aReply || json.HasParseError() || !json.IsObject()) {
     Log(
--- a/src/quetzalquay/gateway/StreamOriginRows.cpp
+++ b/src/quetzalquay/gateway/StreamOriginRows.cpp
@@ -1,6 +1,7 @@
 #include "gateway/StreamOriginRows.h"
 
 #include "core/Hash.h"
+#include "http/JsonText.h"
 
 #include <charconv>
 #include <rapidjson/document.h>
@@ -67,7 +68,7 @@
 ParseOriginRow(const platform::StoreRow& aRow)
 {
   rapidjson::Document json;
-  json.Parse(aRow.mValue.data(), aRow.mValue.size());
+  ParseJson(json, aRow.mValue);
   if (json.HasParseError() || !json.IsArray() || json.Size() < kValueSize ||
       !json[0].IsString() || !json[1].IsString() || !json[2].IsInt64()) {
     return std::nullopt;
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformRequests.h"
 
 #include "core/Hash.h"
+#include "http/JsonText.h"
 
 #include <algorithm>
 #include <array>
@@ -395,7 +396,7 @@
 DecodeReport(const std::string& aBody, std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aBody.data(), aBody.size());
+  ParseJson(json, aBody);
   if (json.HasParseError() || !json.IsObject()) {
     aReason = "the status report is not a JSON object";
     return std::nullopt;
@@ -452,7 +453,7 @@
 DecodeCopyHandle(const std::string& aBody, std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aBody.data(), aBody.size());
+  ParseJson(json, aBody);
   if (json.HasParseError() || !json.IsObject()) {
     aReason = "the response to the copy request is not a JSON object";
     return std::nullopt;
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -2,6 +2,7 @@
 
 #include "core/NameTable.h"
 #include "http/HttpHead.h"
+#include "http/JsonText.h"
 
 #include <algorithm>
 #include <array>
@@ -357,7 +358,7 @@
 DecodeRows(const std::string& aBody, std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aBody.data(), aBody.size());
+  ParseJson(json, aBody);
   if (json.HasParseError() || !json.IsObject()) {
     aReason = "the store's response is not a JSON object";
     return std::nullopt;
@@ -383,7 +384,7 @@
 DecodeConfiguration(const std::string& aValue, std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aValue.data(), aValue.size());
+  ParseJson(json, aValue);
   if (json.HasParseError() || !json.IsObject()) {
     aReason = "the configuration is not a JSON object";
     return nullptr;
@@ -419,7 +420,7 @@
              std::string& aReason)
 {
   rapidjson::Document json;
-  json.Parse(aValue.data(), aValue.size());
+  ParseJson(json, aValue);
   if (json.HasParseError() || !json.IsObject()) {
     aReason = "the entry is not a JSON object";
     return std::nullopt;
--- a/src/quetzalquay/wire/TokenJson.cpp
+++ b/src/quetzalquay/wire/TokenJson.cpp
@@ -93,8 +93,9 @@
 ParseStreamEvent(const std::string& aText, StreamEvent& aEvent)
 {
   rapidjson::Document document;
-  document.Parse<rapidjson::kParseValidateEncodingFlag>(aText.data(),
-                                                        aText.size());
+  // The iterative parser cannot overflow the stack on deeply nested text.
+  document.Parse<rapidjson::kParseValidateEncodingFlag |
+                 rapidjson::kParseIterativeFlag>(aText.data(), aText.size());
   if (document.HasParseError() || !document.IsObject()) {
     return false;
   }
