--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -69,15 +69,15 @@
     , mRetryLog(mMetrics)
     , mFleet(mLoop, mSettings)
     , mTargets(mFleet)
-    , mPool(mLoop, mTargets)
+    , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
+    , mPool(mLoop, mTargets, mAnswerBuffers, mMetrics)
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
     , mLimits(mFleet, mMetrics)
     , mLeaving(mFleet, mMetrics)
     , mWaits(mFleet, mMetrics)
-    , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
     , mHosts(mFleet, mSettings.mRelayPort)
-    , mHostPool(mLoop, mHosts)
+    , mHostPool(mLoop, mHosts, mAnswerBuffers, mMetrics)
     , mHostChecks(mLoop, mHosts)
     , mContext{ mLoop,   mFleet,          mOriginStore, mPool,
                 mProber, mMetrics,        mLimits,      mAnswerBuffers,
@@ -333,6 +333,7 @@
   RetryLog mRetryLog;
   Fleet mFleet;
   TargetDirectory mTargets;
+  AnswerBuffers mAnswerBuffers;
   TargetConnectionPool mPool;
   Prober mProber;
   std::map<std::string, StreamPace> mPaces;
@@ -340,7 +341,6 @@
   LimitWatch mLimits;
   LeavingWatch mLeaving;
   WaitWatch mWaits;
-  AnswerBuffers mAnswerBuffers;
   HostDirectory mHosts;
   TargetConnectionPool mHostPool;
   HostChecks mHostChecks;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -103,6 +103,8 @@
     "Hosts that failed a request that was passed on to them and may have run" },
   { "quetzal_passing_on_lost_total",
     "Hosts that were lost with a request that was passed on to them" },
+  { "quetzal_replies_too_large_total",
+    "Replies to the host's own questions that were given up for their size" },
 } };
 
 constexpr std::array<MetricDescription, kGaugeCount> kGauges = { {
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -61,6 +61,7 @@
   PassingOnRefused,
   PassingOnFailed,
   PassingOnLost,
+  RepliesTooLarge,
   Last,
 };
 
--- a/src/quetzalquay/gateway/Prober.cpp
+++ b/src/quetzalquay/gateway/Prober.cpp
@@ -100,8 +100,8 @@
     check->Start(location->mEndpoint, aDeadline);
     return;
   }
-  const auto call =
-    MakeRef<TargetCall>(mLoop, [this, aTarget](const auto& aOutcome) {
+  const auto call = MakeRef<TargetCall>(
+    mLoop, mPool.Buffers(), [this, aTarget](const auto& aOutcome) {
       OnReportReply(aTarget, aOutcome);
     });
   call->Send(mPool.Acquire(aTarget), request, aDeadline);
@@ -151,8 +151,8 @@
   }
   mIdentifications.insert(aNew);
   ++mProbeCount;
-  const auto call =
-    MakeRef<TargetCall>(mLoop, [this, aOld, aNew](const auto& aOutcome) {
+  const auto call = MakeRef<TargetCall>(
+    mLoop, mPool.Buffers(), [this, aOld, aNew](const auto& aOutcome) {
       OnIdentifyReply(aOld, aNew, aOutcome);
     });
   TargetLocation at = *location;
--- a/src/quetzalquay/gateway/StreamCopy.cpp
+++ b/src/quetzalquay/gateway/StreamCopy.cpp
@@ -130,7 +130,8 @@
     // its copies by itself, and one that wants nothing does when they expire.
     if (it.mSourceAddress == mRunTargetAddress &&
         !mContext.mFleet.Targets().WantsNothing(mRunTarget, now)) {
-      const auto call = MakeRef<TargetCall>(mContext.mLoop, nullptr);
+      const auto call =
+        MakeRef<TargetCall>(mContext.mLoop, mContext.mAnswerBuffers, nullptr);
       call->Send(mContext.mPool.Acquire(mRunTarget),
                  platform::EncodeCopyRelease(it.mSourceAddress, it.mHandle),
                  now + kReleaseTimeout);
@@ -146,10 +147,12 @@
     mCopyKeeper.OnOrderFailed(aNow);
     return;
   }
-  mCopyOrder = MakeRef<TargetCall>(
-    mContext.mLoop, [this, aHolder](const TargetCall::Outcome& aOutcome) {
-      OnCopyOrderEnded(aHolder, aOutcome);
-    });
+  mCopyOrder =
+    MakeRef<TargetCall>(mContext.mLoop,
+                        mContext.mAnswerBuffers,
+                        [this, aHolder](const TargetCall::Outcome& aOutcome) {
+                          OnCopyOrderEnded(aHolder, aOutcome);
+                        });
   mContext.mMetrics.Add(GatewayCounter::CopiesRequested);
   mCopyOrder->Send(
     mContext.mPool.Acquire(mRunTarget),
--- a/src/quetzalquay/gateway/TargetCall.cpp
+++ b/src/quetzalquay/gateway/TargetCall.cpp
@@ -4,9 +4,12 @@
 
 namespace quetzalquay {
 
-TargetCall::TargetCall(EventLoop& aLoop, Receiver aReceiver)
+TargetCall::TargetCall(EventLoop& aLoop,
+                       AnswerBuffers& aBuffers,
+                       Receiver aReceiver)
   : mLoop(aLoop)
   , mReceiver(std::move(aReceiver))
+  , mBody(aBuffers)
   , mTimer(aLoop, [this] { Finish(); })
 {
 }
@@ -48,13 +51,19 @@
 void
 TargetCall::OnResponseBody(std::string aBody)
 {
-  mOutcome.mBody += aBody;
+  if (mBody.Append(aBody)) {
+    return;
+  }
+  mConnection->OnReplyTooLarge();
+  mOutcome.mStatus = mStatus;
+  Finish();
 }
 
 void
 TargetCall::OnResponseComplete()
 {
   mOutcome.mStatus = mStatus;
+  mOutcome.mBody = mBody.Take();
   // The pool owns the idle connection from here on; Cancel() must not abort it.
   mConnection.reset();
   Finish();
--- a/src/quetzalquay/gateway/TargetCall.h
+++ b/src/quetzalquay/gateway/TargetCall.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_TARGETCALL_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_TARGETCALL_H_INCLUDED
 
+#include "gateway/ReplyBody.h"
 #include "gateway/TargetConnection.h"
 
 #include <functional>
@@ -19,8 +20,9 @@
   // Result of a call.
   struct Outcome
   {
-    // Status of the complete response; nothing without one.
+    // Status of the response; nothing unless it was complete or too large.
     std::optional<int> mStatus;
+    // Empty if the response was too large.
     std::string mBody;
     // How the call failed; nothing when it was answered or timed out.
     std::optional<AttemptFailure> mFailure;
@@ -29,7 +31,8 @@
   // Called once with the result, unless the call is cancelled first.
   using Receiver = std::function<void(const Outcome&)>;
 
-  TargetCall(EventLoop& aLoop, Receiver aReceiver);
+  // The response counts as memory in aBuffers.
+  TargetCall(EventLoop& aLoop, AnswerBuffers& aBuffers, Receiver aReceiver);
   // Sends a complete request and waits for the response until aDeadline. If
   // aConnection is null, the receiver is called from the event loop with an
   // empty outcome.
@@ -52,6 +55,7 @@
   Receiver mReceiver;
   RefPtr<TargetConnection> mConnection;
   Outcome mOutcome;
+  ReplyBody mBody;
   int mStatus = 0;
   Timer mTimer;
   // Keeps the call alive while it is in progress.
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -41,6 +41,7 @@
   , mEndpoint(aLocation.mEndpoint)
   , mSocket(MakeRef<Socket>(aPool.mLoop))
   , mReader(HttpMessageType::Responses, { kMaxHeadBytes, kMaxBodyBytes })
+  , mStartReport(aPool.mBuffers)
   , mIdleTimeout(aPool.mServers.IdleTimeout())
 {
   ++mPool.mOpenConnectionCount;
@@ -104,6 +105,19 @@
   mSocket->Close(true);
 }
 
+void
+TargetConnection::OnReplyTooLarge() const
+{
+  mPool.mMetrics.Add(GatewayCounter::RepliesTooLarge);
+  Log(LogLevel::Warn,
+      "target",
+      "gave up a reply that is too large",
+      { { "target", mTarget },
+        { "max_bytes", std::to_string(ReplyBody::kMaxBytes) },
+        { "all_answers", std::to_string(mPool.mBuffers.Total()) },
+        { "limit", std::to_string(mPool.mBuffers.Limit()) } });
+}
+
 void
 TargetConnection::OnConnected()
 {
@@ -135,6 +149,11 @@
       return;
     }
     if (mCheckingStart) {
+      if (!mStartReport.Append(mReader.TakeBody())) {
+        OnReplyTooLarge();
+        FailAttempt(AttemptFailure::Unreachable);
+        return;
+      }
       if (mReader.Progress() == HttpProgress::Complete) {
         FinishStartCheck();
       }
@@ -176,7 +195,7 @@
 {
   mCheckingStart = false;
   std::string reason;
-  const auto report = platform::DecodeReport(mReader.TakeBody(), reason);
+  const auto report = platform::DecodeReport(mStartReport.Take(), reason);
   const bool stays = mReader.Head().mKeepAlive && !mReader.Head().mUntilClose;
   mReader.Next();
   if (report && !report->mIncarnation.empty() &&
@@ -290,14 +309,19 @@
 {
   mConnected = false;
   mCheckingStart = false;
+  mStartReport.Take();
   mSocket->Close(true);
   std::exchange(mSink, nullptr)->OnAttemptFailed(aFailure);
 }
 
 TargetConnectionPool::TargetConnectionPool(EventLoop& aLoop,
-                                           ServerDirectory& aServers)
+                                           ServerDirectory& aServers,
+                                           AnswerBuffers& aBuffers,
+                                           GatewayMetrics& aMetrics)
   : mLoop(aLoop)
   , mServers(aServers)
+  , mBuffers(aBuffers)
+  , mMetrics(aMetrics)
   , mIdleSweepTimer(aLoop, [this] { CloseIdle(); })
 {
 }
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -1,6 +1,8 @@
 #ifndef QUETZALQUAY_GATEWAY_TARGETCONNECTION_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_TARGETCONNECTION_H_INCLUDED
 
+#include "gateway/GatewayMetrics.h"
+#include "gateway/ReplyBody.h"
 #include "gateway/ServerDirectory.h"
 #include "http/HttpReader.h"
 #include "http/Socket.h"
@@ -85,6 +87,10 @@
   // Resets the connection without a further call to the sink.
   void Abort();
 
+  // Logs and counts a reply to the gateway's own question that is given up
+  // because of its size.
+  void OnReplyTooLarge() const;
+
   // Pauses or resumes reading the response.
   void SetReading(bool aReading) { mSocket->SetReading(aReading); }
 
@@ -128,6 +134,8 @@
   bool mChecksStart = false;
   bool mCheckingStart = false;
   bool mStartChecked = false;
+  // The report that tells the target's start, while it arrives.
+  ReplyBody mStartReport;
   // Whether the head of the current response has been forwarded to the sink.
   bool mHeadForwarded = false;
   // Whether the current response belongs to another request and is discarded.
@@ -142,7 +150,11 @@
 class TargetConnectionPool
 {
 public:
-  TargetConnectionPool(EventLoop& aLoop, ServerDirectory& aServers);
+  // Replies to the gateway's own questions count as memory in aBuffers.
+  TargetConnectionPool(EventLoop& aLoop,
+                       ServerDirectory& aServers,
+                       AnswerBuffers& aBuffers,
+                       GatewayMetrics& aMetrics);
   ~TargetConnectionPool();
 
   // Receives the target, its incarnation when the connection was made, and what
@@ -166,6 +178,8 @@
   // epoch when there was none.
   Time LastActivity(const std::string& aTarget) const;
 
+  AnswerBuffers& Buffers() const { return mBuffers; }
+
   // Connections created since the process started.
   std::uint64_t OpenedCount() const { return mOpenedCount; }
 
@@ -187,6 +201,8 @@
 
   EventLoop& mLoop;
   ServerDirectory& mServers;
+  AnswerBuffers& mBuffers;
+  GatewayMetrics& mMetrics;
   // Idle connections by target, least recently used first. The list holds a
   // reference to each.
   std::map<std::string, ConnectionList> mIdle;
