Log the end of a process by a signal or an uncaught exception

The gateway now writes the queued lines and a last one with the signal and address, or the exception's reason, without allocating memory and on a stack of its own. A process that is killed, also for its memory, still writes nothing.

quetzal_log_lines_dropped_total was never raised; it is now.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -160,6 +160,10 @@
   SimpleHttpReply HandleMetrics()
   {
     const auto& routing = mFleet.Routing();
+    const std::uint64_t dropped = DroppedLogLines();
+    mMetrics.Add(GatewayCounter::DroppedLogLines,
+                 static_cast<double>(dropped - mCountedDroppedLines));
+    mCountedDroppedLines = dropped;
     mMetrics.Set(GatewayGauge::Exchanges, mCallers.ExchangeCount());
     mMetrics.Set(GatewayGauge::CallerConnections,
                  static_cast<double>(mCallers.ConnectionCount()));
@@ -355,6 +359,8 @@
   SimpleHttpServer mReadinessServer;
   SimpleHttpServer mMetricsServer;
   boost::asio::signal_set mSignals;
+  // Dropped lines of the log that the metrics have.
+  std::uint64_t mCountedDroppedLines = 0;
   Timer mStopTimer;
   Time mAcceptUntil;
   Time mFailAt;
--- a/src/quetzalquay/observe/QueueAppender.cpp
+++ b/src/quetzalquay/observe/QueueAppender.cpp
@@ -20,6 +20,8 @@
 
 std::atomic<std::uint64_t> sDroppedLines{ 0 };
 
+std::atomic<QueueAppender*> sAppender{ nullptr };
+
 void
 WriteAll(const std::string& aText)
 {
@@ -40,10 +42,12 @@
 QueueAppender::QueueAppender()
   : mWriter([this] { RunWriter(); })
 {
+  sAppender = this;
 }
 
 QueueAppender::~QueueAppender()
 {
+  sAppender = nullptr;
   destructorImpl();
 }
 
@@ -67,6 +71,15 @@
   return sDroppedLines.load(std::memory_order_relaxed);
 }
 
+void
+QueueAppender::WriteQueuedAtCrash()
+{
+  QueueAppender* appender = sAppender;
+  if (appender != nullptr && appender->mMutex.try_lock()) {
+    WriteAll(appender->mQueuedText);
+  }
+}
+
 void
 QueueAppender::append(const log4cplus::spi::InternalLoggingEvent& aEvent)
 {
--- a/src/quetzalquay/observe/QueueAppender.h
+++ b/src/quetzalquay/observe/QueueAppender.h
@@ -24,6 +24,11 @@
   // Number of lines dropped by all appenders of the process.
   static std::uint64_t DroppedLines();
 
+  // Writes the queued lines of the appender that was created last, unless
+  // another thread or the interrupted one is using the queue, and leaves the
+  // queue locked. For signal handlers of a process that ends.
+  static void WriteQueuedAtCrash();
+
 protected:
   void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override;
 
--- a/src/quetzalquay/programs/quetzal-gateway.cpp
+++ b/src/quetzalquay/programs/quetzal-gateway.cpp
@@ -1,4 +1,5 @@
 #include "gateway/Gateway.h"
+#include "observe/CrashLog.h"
 #include "observe/Log.h"
 #include "platform/PlatformSettings.h"
 #include "programs/Program.h"
@@ -31,6 +32,7 @@
     return ExitOk;
   }
   StartQueuedLog(settings->mLogLevel);
+  LogCrashes();
   Gateway gateway(std::move(*settings), options->mSettingsFile);
   const auto error = gateway.Run();
   StopQueuedLog();
