Let the load that another host told expire by itself

What callers saw: after the last other host was lost under load, the survivor refused all streams of the service, without end, at idle targets (503, not expected to start in time).

Cause: SetPeerLoad() was the only place that dropped expired load, and it runs when a message of some host arrives; after the last other host is gone none does. A target now knows when the newest part of its sum expires, and every reader of the sum asks by the time at which it uses it.

Ruled out: a timer. A host that was paused would use the sum before the timer ran.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -590,8 +590,8 @@
   target->mLoading = aState == "loading";
   target->mReported = aRunning + aWaiting;
   target->mWaiting = aWaiting;
-  target->mRunningAtReport =
-    static_cast<int>(target->mRunning.size()) + target->mPeerLoad.mRunning;
+  target->mRunningAtReport = static_cast<int>(target->mRunning.size()) +
+                             PeerLoadOf(*target, aNow).mRunning;
   target->mReportedAt = aNow;
   target->mAliveAt = aNow;
   target->mDownUntil = Time();
@@ -845,8 +845,9 @@
   }
   const TargetDeclaration& declaration = aTarget.mDeclaration;
   if (declaration.mMemoryTokens > 0) {
-    return OwnLoadOf(aTarget).mHeldTokens + aTarget.mPeerLoad.mHeldTokens +
-             aQuery.mPromptTokens + aQuery.mOutputTokens >
+    return OwnLoadOf(aTarget).mHeldTokens +
+             PeerLoadOf(aTarget, aNow).mHeldTokens + aQuery.mPromptTokens +
+             aQuery.mOutputTokens >
            declaration.mMemoryTokens;
   }
   return declaration.mSlots > 0 &&
@@ -1132,8 +1133,8 @@
 int
 TargetTable::EstimateLoad(const Target& aTarget, Time aNow)
 {
-  const int own =
-    static_cast<int>(aTarget.mRunning.size()) + aTarget.mPeerLoad.mRunning;
+  const int own = static_cast<int>(aTarget.mRunning.size()) +
+                  PeerLoadOf(aTarget, aNow).mRunning;
   if (aTarget.mReportedAt != Time() &&
       aNow - aTarget.mReportedAt >= kReportLifetime) {
     return own;
@@ -1148,8 +1149,8 @@
                    Time aNow) const
 {
   double score = EstimateLoad(aTarget, aNow) + kCopyPenalty * aTarget.mCopies;
-  const int backlog =
-    OwnLoadOf(aTarget).mBacklogTokens + aTarget.mPeerLoad.mBacklogTokens;
+  const int backlog = OwnLoadOf(aTarget).mBacklogTokens +
+                      PeerLoadOf(aTarget, aNow).mBacklogTokens;
   score += backlog / kBacklogTokensPerRequest;
   if (aTarget.mDeclaration.mRegion != mRegion) {
     score += kOtherRegionPenalty;
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -492,8 +492,10 @@
     std::optional<Time> mHeldDeathAt;
     int mCopies = 0;
     int mCopyTokens = 0;
-    // Total load of the other routers on the target.
+    // Sum of what other routers have said of their load on the target, and when
+    // the newest part of it expires.
     TargetLoad mPeerLoad;
+    Time mPeerLoadExpiresAt;
     std::vector<RunningAttempt> mRunning;
     // Attempts lost recently, kept in case the death of the target is
     // confirmed.
@@ -578,6 +580,7 @@
                const ChoiceQuery& aQuery,
                Time aNow) const;
   bool IsRecentlyLost(std::uint64_t aContentHash, Time aNow) const;
+  static TargetLoad PeerLoadOf(const Target& aTarget, Time aNow);
   void AddPeerLoad(const std::vector<TargetLoad>& aLoad, int aSign);
   void NotifyLoadChanged() const;
   static TargetLoad OwnLoadOf(const Target& aTarget);
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -98,14 +98,14 @@
   ChoiceInputs inputs;
   if (const Target* target = Find(aTarget)) {
     inputs.mOwnRunning = static_cast<int>(target->mRunning.size());
-    inputs.mPeerRunning = target->mPeerLoad.mRunning;
+    inputs.mPeerRunning = PeerLoadOf(*target, aNow).mRunning;
     inputs.mReported = target->mReported;
     if (target->mReportedAt != Time()) {
       inputs.mReportAge =
         std::chrono::duration_cast<Duration>(aNow - target->mReportedAt);
     }
-    inputs.mBacklogTokens =
-      OwnLoadOf(*target).mBacklogTokens + target->mPeerLoad.mBacklogTokens;
+    inputs.mBacklogTokens = OwnLoadOf(*target).mBacklogTokens +
+                            PeerLoadOf(*target, aNow).mBacklogTokens;
     inputs.mCopies = target->mCopies;
     inputs.mDoubtful = IsDoubtful(*target, aNow);
   }
@@ -121,8 +121,8 @@
     for (const std::string& it : members->second) {
       const Target& target = mTargets.at(it);
       if (IsUsable(target, aQuery, aNow)) {
-        const int backlog =
-          OwnLoadOf(target).mBacklogTokens + target.mPeerLoad.mBacklogTokens;
+        const int backlog = OwnLoadOf(target).mBacklogTokens +
+                            PeerLoadOf(target, aNow).mBacklogTokens;
         least = std::min(least.value_or(backlog), backlog);
       }
     }
@@ -157,6 +157,14 @@
   return load;
 }
 
+// Load of other routers at a target. It expires by itself, as none of them may
+// be left to send another message.
+TargetLoad
+TargetTable::PeerLoadOf(const Target& aTarget, Time aNow)
+{
+  return aNow < aTarget.mPeerLoadExpiresAt ? aTarget.mPeerLoad : TargetLoad();
+}
+
 void
 TargetTable::SetPeerLoad(const std::string& aRouter,
                          const std::vector<TargetLoad>& aLoad,
@@ -171,7 +179,13 @@
     }
   }
   AddPeerLoad(aLoad, 1);
-  mRouterLoads[aRouter] = { aLoad, aNow + kPeerLoadLifetime };
+  const Time expiresAt = aNow + kPeerLoadLifetime;
+  for (const TargetLoad& it : aLoad) {
+    if (Target* target = Find(it.mTarget)) {
+      target->mPeerLoadExpiresAt = expiresAt;
+    }
+  }
+  mRouterLoads[aRouter] = { aLoad, expiresAt };
 }
 
 void
--- a/tests/introspective/TargetTableTests.cpp
+++ b/tests/introspective/TargetTableTests.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(TargetsInTheOwnPlaceArePreferred);
   CPPUNIT_TEST(TargetWithCachedPrefixIsPreferred);
   CPPUNIT_TEST(LoadIsSpreadEvenly);
+  CPPUNIT_TEST(LoadOfTheLastOtherRouterExpires);
   CPPUNIT_TEST(ContinuationsAreRateLimitedPerTarget);
   CPPUNIT_TEST(WaitingContinuationsTakeNoRetries);
   CPPUNIT_TEST(PoisonRequestIsRefusedAfterThreeDeaths);
@@ -169,6 +170,30 @@
     }
   }
 
+  // The load of another router counted for ever when that router, the only
+  // other one, was lost: idle targets were taken for full.
+  void LoadOfTheLastOtherRouterExpires()
+  {
+    TargetDeclaration memory = Declare("memory");
+    memory.mMemoryTokens = 1000;
+    TargetDeclaration slots = Declare("slots");
+    slots.mSlots = 2;
+    for (const TargetDeclaration& it : { memory, slots }) {
+      TargetTable table = MakeTable({ it });
+      table.SetPeerLoad("lost", { { it.mName, 9, 900, 900 } }, At(0));
+      ChoiceQuery query = Query();
+      query.mPromptTokens = 200;
+      CPPUNIT_ASSERT(table.Choose(query, At(2400)).mStatus !=
+                     ChoiceStatus::Chosen);
+      CPPUNIT_ASSERT_EQUAL(900, table.MinBacklogTokens(query, At(2400)));
+      table.CancelWait(query);
+      CPPUNIT_ASSERT(table.Choose(query, At(2600)).mStatus ==
+                     ChoiceStatus::Chosen);
+      CPPUNIT_ASSERT_EQUAL(0, table.MinBacklogTokens(query, At(2600)));
+      CPPUNIT_ASSERT_EQUAL(0, table.InputsOf(it.mName, At(2600)).mPeerRunning);
+    }
+  }
+
   void ContinuationsAreRateLimitedPerTarget()
   {
     TargetTable table = MakeTable(DeclareMany(2));
