Check the IDs of a run's own events (ORDER)

What callers saw: after a first event whose ID a target had spoiled (11 in place of 1), the events 2 to 11 of the same run were dropped as repeated, and the stream ended as complete.

Cause: an ID that is not above the last one counted as a repetition, in any run. Only the beginning of a run that goes on may repeat events. Within a run, IDs that don't rise, IDs that are no numbers, and, once three whole streams of the service have shown how its targets number events, a first or second ID that is another one, end the attempt; the stream goes on after the last event that was checked. Where the numbering isn't known yet the position isn't either, and the stream is broken off.

Four streams in a row that begin otherwise make the host forget the numbering.

--- a/src/quetzalquay/core/EventSequence.cpp
+++ b/src/quetzalquay/core/EventSequence.cpp
@@ -1,7 +1,6 @@
 #include "core/EventSequence.h"
 
 #include <charconv>
-#include <optional>
 #include <utility>
 
 namespace quetzalquay {
@@ -12,9 +11,11 @@
 ParseNumber(const std::string& aText)
 {
   long long number = 0;
-  const auto parsed =
-    std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return parsed.ec == std::errc() ? std::make_optional(number) : std::nullopt;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end && number >= 0
+           ? std::make_optional(number)
+           : std::nullopt;
 }
 
 } // namespace
@@ -22,9 +23,26 @@
 EventSequence::EventSequence(std::string aLastId)
   : mLastId(std::move(aLastId))
   , mLastNumber(ParseNumber(mLastId).value_or(-1))
+  , mFromStart(mLastId.empty())
 {
 }
 
+void
+EventSequence::Expect(const EventNumbering::Start& aStart)
+{
+  mStep = aStart.mStep;
+  mStepConfirmed = true;
+  if (IsAtStart()) {
+    mExpectedFirst = aStart.mFirst;
+  }
+}
+
+void
+EventSequence::BeginRun()
+{
+  mRunNumber.reset();
+}
+
 long long
 EventSequence::NumberOf(const std::string& aId) const
 {
@@ -34,24 +52,56 @@
 EventOrder
 EventSequence::OrderOf(const std::string& aId) const
 {
-  const long long number = NumberOf(aId);
-  if (!aId.empty() && number <= mLastNumber) {
-    return EventOrder::Repeated;
+  const auto number = ParseNumber(aId);
+  if (!number) {
+    const bool isNumbered = mLastNumber >= 0 || mExpectedFirst;
+    return isNumbered ? EventOrder::AfterGap : EventOrder::Next;
+  }
+  if (mRunNumber && *number <= *mRunNumber) {
+    return mStepConfirmed ? EventOrder::AfterGap : EventOrder::Unclear;
+  }
+  return *number <= mLastNumber ? EventOrder::Repeated : CheckNext(*number);
+}
+
+EventOrder
+EventSequence::CheckNext(long long aNumber) const
+{
+  if (mLastNumber < 0) {
+    return aNumber == mExpectedFirst.value_or(aNumber) ? EventOrder::Next
+                                                       : EventOrder::AfterGap;
   }
-  const bool gap =
-    mLastNumber >= 0 && mStep > 0 && number != mLastNumber + mStep;
-  return gap ? EventOrder::AfterGap : EventOrder::Next;
+  return mStep > 0 && aNumber != mLastNumber + mStep ? EventOrder::AfterGap
+                                                     : EventOrder::Next;
 }
 
 void
 EventSequence::Accept(const std::string& aId)
 {
-  const long long number = NumberOf(aId);
-  if (std::exchange(mHasAccepted, true) && mStep == 0) {
-    mStep = number - mLastNumber;
+  const auto number = ParseNumber(aId);
+  if (number && mAccepted == 0) {
+    mFirstNumber = *number;
+  } else if (number && mLastNumber >= 0) {
+    mStepConfirmed = mStepConfirmed || mStep > 0;
+    mStep = *number - mLastNumber;
   }
-  mLastNumber = number;
+  ++mAccepted;
+  mRunNumber = number;
+  mLastNumber = number.value_or(mLastNumber);
   mLastId = aId;
 }
 
+void
+EventSequence::Skip(const std::string& aId)
+{
+  mRunNumber = ParseNumber(aId);
+}
+
+std::optional<EventNumbering::Start>
+EventSequence::ObservedStart() const
+{
+  return mFromStart && mFirstNumber >= 0 && mStepConfirmed
+           ? std::make_optional(EventNumbering::Start{ mFirstNumber, mStep })
+           : std::nullopt;
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -41,6 +41,8 @@
   AnswerBuffers& mAnswerBuffers;
   // Observed pace of streams, by service.
   std::map<std::string, StreamPace>& mPaces;
+  // How targets number the events of streams, by service.
+  std::map<std::string, EventNumbering>& mNumberings;
   // Name of this host.
   const std::string& mHost;
   // Connections to other hosts, for requests that are passed on to them.
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -79,9 +79,9 @@
     , mHosts(mFleet, mSettings.mRelayPort)
     , mHostPool(mLoop, mHosts, mAnswerBuffers, mMetrics)
     , mHostChecks(mLoop, mHosts)
-    , mContext{ mLoop,   mFleet,          mOriginStore, mPool,
-                mProber, mMetrics,        mLimits,      mAnswerBuffers,
-                mPaces,  mSettings.mHost, mHostPool,    mHostChecks }
+    , mContext{ mLoop,           mFleet,    mOriginStore,   mPool,  mProber,
+                mMetrics,        mLimits,   mAnswerBuffers, mPaces, mNumberings,
+                mSettings.mHost, mHostPool, mHostChecks }
     , mCallers(mContext, mSettings.mMaxConnections)
     , mStore(mLoop, mSettings, mFleet)
     , mSuspectWriter(mLoop, mSettings, mFleet)
@@ -341,6 +341,7 @@
   TargetConnectionPool mPool;
   Prober mProber;
   std::map<std::string, StreamPace> mPaces;
+  std::map<std::string, EventNumbering> mNumberings;
   StreamOriginStore mOriginStore;
   LimitWatch mLimits;
   LeavingWatch mLeaving;
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -94,6 +94,7 @@
   mAnswer = PassedOnAnswer();
   mResponseIsStream = false;
   mEventParser.Clear();
+  mHandOver.mEvents.BeginRun();
   mStateMachine.OnTry(aHost);
   mContext.mFleet.Reach().OnPassedOn(aHost);
   LogPassedOn(now);
@@ -285,8 +286,12 @@
 {
   EventSequence& events = mHandOver.mEvents;
   const EventOrder order = events.OrderOf(aEvent.mId);
+  if (order == EventOrder::Repeated) {
+    events.Skip(aEvent.mId);
+    return true;
+  }
   if (order != EventOrder::Next) {
-    return order == EventOrder::Repeated;
+    return false;
   }
   events.Accept(aEvent.mId);
   if (!mTimeToFirstEvent) {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -112,6 +112,9 @@
   , mCopy(aContext, mCall)
   , mEvents(mCall.mRequest.mLastEventId)
 {
+  if (const auto start = aContext.mNumberings[mCall.mService].Expected()) {
+    mEvents.Expect(*start);
+  }
 }
 
 void
@@ -274,6 +277,7 @@
   mProgressReported = false;
   mComputesPrompt = !aRun.mCopy;
   mEventParser.Clear();
+  mEvents.BeginRun();
   LogDispatch(aRun.mCopyAt, !mComputesPrompt, EventLoop::Now());
   if (aRun.mCopy) {
     mCopy.MarkUsed(mTarget);
@@ -504,6 +508,9 @@
   Flush();
   SendHead();
   RecordPace(EventLoop::Now());
+  if (const auto start = mEvents.ObservedStart()) {
+    mContext.mNumberings[mCall.mService].OnWhole(*start);
+  }
   ReleaseAttempt(OutcomeOf(mResponseHead));
   Finish(true);
   LogCompletion("answered", mForwardedHead.mStatus);
@@ -521,16 +528,24 @@
   if (unplaced && IsCutOff(EventLoop::Now()) && PassOn(std::nullopt)) {
     return;
   }
+  BreakOff(aAction.mFailure);
+}
+
+// Ends the stream without its end: with an error, or by closing the connection
+// if events have been sent.
+void
+StreamExchange::BreakOff(const Failure& aFailure)
+{
   if (mConnection != nullptr) {
     mConnection->Abort();
   }
   ReleaseAttempt(AttemptOutcome::Released);
   Finish();
   if (!mHeadSent) {
-    SendFailure(aAction.mFailure);
+    SendFailure(aFailure);
     return;
   }
-  mLogNote = std::string(NameOf(aAction.mFailure.mCode));
+  mLogNote = std::string(NameOf(aFailure.mCode));
   LogCompletion("broken_off", mForwardedHead.mStatus);
   mSink->AbortResponse();
 }
@@ -608,13 +623,8 @@
 {
   const Time now = EventLoop::Now();
   const EventOrder order = mEvents.OrderOf(aEvent.mId);
-  if (order == EventOrder::Repeated) {
-    return;
-  }
-  if (order == EventOrder::AfterGap) {
-    mLogNote = "event_missing";
-    mConnection->Abort();
-    EndAttempt(AttemptEnd::Broken);
+  if (order != EventOrder::Next) {
+    OnUnusualEvent(aEvent, order);
     return;
   }
   StreamEvent event;
@@ -633,6 +643,35 @@
   PerformActions(std::move(actions));
 }
 
+// Handles an event that does not follow the last one: passes over a repeated
+// one, and ends an attempt whose events are not those of a whole stream.
+void
+StreamExchange::OnUnusualEvent(const EventCutter::Event& aEvent,
+                               EventOrder aOrder)
+{
+  if (aOrder == EventOrder::Repeated) {
+    mEvents.Skip(aEvent.mId);
+    return;
+  }
+  if (mEvents.IsAtStart()) {
+    mContext.mNumberings[mCall.mService].OnOther();
+  }
+  if (aOrder == EventOrder::Unclear) {
+    LogAttemptFailure(aEvent.mId);
+    mActions.clear();
+    mStateMachine.OnCallerDisconnected(EventLoop::Now());
+    Failure failure;
+    failure.mCode = FailureCode::GenerationLost;
+    failure.mMessage = "the events of the stream are out of order";
+    Flush();
+    BreakOff(failure);
+    return;
+  }
+  mLogNote = "event_missing";
+  mConnection->Abort();
+  EndAttempt(AttemptEnd::Broken);
+}
+
 // Updates metrics, target statistics and the attempt's state after an event has
 // been accepted.
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -76,6 +76,8 @@
                 const platform::TargetReport* aReport);
   void ProcessEvents();
   void ProcessEvent(const EventCutter::Event& aEvent);
+  void OnUnusualEvent(const EventCutter::Event& aEvent, EventOrder aOrder);
+  void BreakOff(const Failure& aFailure);
   void RecordEvent(Time aNow);
   void EndAttempt(AttemptEnd aEnd);
   bool PassOn(std::optional<AttemptEnd> aEnd);
--- a/tests/introspective/PassedOnCallTests.cpp
+++ b/tests/introspective/PassedOnCallTests.cpp
@@ -164,8 +164,9 @@
   {
     EventSequence events;
     events.Accept("2");
-    CPPUNIT_ASSERT(events.OrderOf("2") == EventOrder::Repeated);
     events.Accept("4");
+    events.BeginRun();
+    CPPUNIT_ASSERT(events.OrderOf("2") == EventOrder::Repeated);
     CPPUNIT_ASSERT(events.OrderOf("1") == EventOrder::Repeated);
     CPPUNIT_ASSERT(events.OrderOf("6") == EventOrder::Next);
     CPPUNIT_ASSERT(events.OrderOf("8") == EventOrder::AfterGap);
