Accept settings of templates without a port for passed-on requests

While hosts are upgraded one by one, a host of this build whose settings were rendered from a template before exited with code 2, and did not reload them at SIGHUP: its callers were refused until a newer file came.

Cause: relayPort was required as soon as it existed. It is optional now; without it the host receives no requests of other hosts and passes none on.

Ruled out: a default port, which other hosts may not share.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -822,7 +822,7 @@
 CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
 {
   const auto problem = mListener.Open(aCallers);
-  return problem ? problem : mHostListener.Open(aHosts);
+  return problem || aHosts.port() == 0 ? problem : mHostListener.Open(aHosts);
 }
 
 void
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -81,10 +81,23 @@
 
   void ReadNumber(const char* aName, double aMin, double aMax, double& aField)
   {
-    const Value* value = FindRequired(aName);
-    if (value == nullptr) {
+    if (FindRequired(aName) != nullptr) {
+      ReadOptionalNumber(aName, aMin, aMax, aField);
+    }
+  }
+
+  // Leaves aField as it is if the field is missing. For fields that older
+  // settings files don't have.
+  void ReadOptionalNumber(const char* aName,
+                          double aMin,
+                          double aMax,
+                          double& aField)
+  {
+    const auto it = mObject.FindMember(aName);
+    if (it == mObject.MemberEnd()) {
       return;
     }
+    const Value* value = &it->value;
     if (!value->IsNumber() || value->GetDouble() < aMin ||
         value->GetDouble() > aMax) {
       std::ostringstream what;
@@ -169,7 +182,7 @@
   reader.ReadNumber("loadPort", 1, 65535, loadPort);
   settings.mLoadPort = static_cast<unsigned short>(loadPort);
   double relayPort = 0;
-  reader.ReadNumber("relayPort", 1, 65535, relayPort);
+  reader.ReadOptionalNumber("relayPort", 1, 65535, relayPort);
   settings.mRelayPort = static_cast<unsigned short>(relayPort);
   double connections = 0;
   reader.ReadNumber(
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -23,7 +23,8 @@
   // UDP port on which all hosts receive load messages.
   unsigned short mLoadPort = 0;
   // TCP port on which all hosts receive requests that other hosts pass on, at
-  // the address of mPeerEndpoint.
+  // the address of mPeerEndpoint; 0 if this host neither receives nor passes on
+  // any. Settings files of builds that did not pass requests on lack it.
   unsigned short mRelayPort = 0;
   // Listening address for metrics requests.
   Endpoint mMetricsEndpoint;
--- a/src/quetzalquay/gateway/ServerDirectory.cpp
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -86,7 +86,7 @@
 HostDirectory::Locate(const std::string& aServer)
 {
   const auto address = mFleet.AddressOf(aServer);
-  if (!address) {
+  if (!address || mRelayPort == 0) {
     return nullptr;
   }
   mLocation.mEndpoint = Endpoint(*address, mRelayPort);
--- a/src/quetzalquay/gateway/ServerDirectory.h
+++ b/src/quetzalquay/gateway/ServerDirectory.h
@@ -74,7 +74,7 @@
 };
 
 // The other hosts, at the port on which they receive requests that are passed
-// on.
+// on. Knows none if that port is 0.
 class HostDirectory : public ServerDirectory
 {
 public:
