Bound the sums of loads that other hosts report

Two loads whose sum exceeds an int, as a host of another build may send them, overflowed: the sum became negative and counted as 0, so that a target full of the other hosts' requests looked idle.

The sum is computed in 64 bits and bounded, so that this host's own load can be added to it.

Evidence: FormatTests::LoadsOfManyHostsDoNotOverflow fails with the former TargetTableLoad.cpp (after the second host) and passes now.

--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -19,6 +19,16 @@
 // are heard from. By then the registry entries of dead targets have expired.
 constexpr Duration kPlaceLossWindow = milliseconds(4500);
 
+// Largest load of other routers, so that it can be added to this router's own.
+constexpr int kMaxPeerLoad = 1000000000;
+
+void
+AddBounded(int& aSum, int aSign, int aValue)
+{
+  const std::int64_t sum = std::int64_t(aSum) + std::int64_t(aSign) * aValue;
+  aSum = static_cast<int>(std::clamp<std::int64_t>(sum, 0, kMaxPeerLoad));
+}
+
 } // namespace
 
 std::vector<TargetTable::LostTarget>
@@ -194,11 +204,9 @@
   for (const TargetLoad& it : aLoad) {
     if (Target* target = Find(it.mTarget)) {
       TargetLoad& others = target->mPeerLoad;
-      others.mRunning = std::max(0, others.mRunning + aSign * it.mRunning);
-      others.mBacklogTokens =
-        std::max(0, others.mBacklogTokens + aSign * it.mBacklogTokens);
-      others.mHeldTokens =
-        std::max(0, others.mHeldTokens + aSign * it.mHeldTokens);
+      AddBounded(others.mRunning, aSign, it.mRunning);
+      AddBounded(others.mBacklogTokens, aSign, it.mBacklogTokens);
+      AddBounded(others.mHeldTokens, aSign, it.mHeldTokens);
     }
   }
 }
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -1,13 +1,17 @@
+#include "core/TargetTable.h"
 #include "gateway/GatewaySettings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 using namespace quetzalquay;
 
 namespace {
 
+const Time kNow = Time(std::chrono::hours(30 * 24));
+
 // Content of a file that an earlier build wrote, or would have.
 std::string
 ReadData(const std::string& aName)
@@ -27,6 +31,7 @@
 {
   CPPUNIT_TEST_SUITE(FormatTests);
   CPPUNIT_TEST(SettingsOfFormerTemplatesAreAccepted);
+  CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +51,33 @@
     text.insert(text.find('{') + 1, R"("laterField":[1],)");
     CPPUNIT_ASSERT_MESSAGE(reason, ParseGatewaySettings(text, reason));
   }
+
+  // The sum of two reported loads overflowed, and a target full of the others'
+  // requests looked idle.
+  void LoadsOfManyHostsDoNotOverflow()
+  {
+    constexpr int kHuge = std::numeric_limits<int>::max();
+    TargetTableOptions options;
+    options.mRouterName = "own";
+    TargetTable table(options);
+    TargetDeclaration target;
+    target.mName = "t1";
+    target.mService = "pool";
+    target.mIncarnation = "1";
+    table.Declare({ { "pool", "" } }, { target }, "", kNow);
+    for (const char* it : { "a", "b", "c" }) {
+      table.SetPeerLoad(it, { { "t1", kHuge, kHuge, kHuge } }, kNow);
+      const ChoiceInputs inputs = table.InputsOf("t1", kNow);
+      CPPUNIT_ASSERT_MESSAGE(it, inputs.mPeerRunning >= 1000000);
+      CPPUNIT_ASSERT_MESSAGE(it, inputs.mBacklogTokens >= 1000000);
+    }
+    // Small loads are right again when the huge ones have been replaced.
+    for (const char* it : { "a", "b", "c" }) {
+      table.SetPeerLoad(it, { { "t1", 0, 0, 0 } }, kNow);
+    }
+    table.SetPeerLoad("a", { { "t1", 2, 3, 4 } }, kNow);
+    CPPUNIT_ASSERT_EQUAL(2, table.InputsOf("t1", kNow).mPeerRunning);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatTests);
