Keep convictions whose record has later elements

A record of trials with an element that a later build has added counted as a new one: hosts ignored its conviction, and one that ran a trial overwrote it, so that a request convicted of crashing targets ran again.

Cause: a word that is no member of the set made the whole record malformed. The reader takes the members and ignores what follows them.

Evidence: FormatTests::ConvictionsWithLaterElementsAreKept fails with the former TrialRecord.cpp and passes now.

--- a/src/quetzalquay/core/TrialRecord.cpp
+++ b/src/quetzalquay/core/TrialRecord.cpp
@@ -3,10 +3,18 @@
 #include "core/Hash.h"
 
 #include <charconv>
+#include <cstddef>
 #include <cstdio>
 
 namespace quetzalquay {
 
+namespace {
+
+// Hexadecimal digits of a member.
+constexpr std::ptrdiff_t kMemberSize = 16;
+
+} // namespace
+
 TrialRecord
 BeginTrial(TrialRecord aRecord, bool aVanished)
 {
@@ -60,11 +68,16 @@
   }
   const char* at = aText.data() + length;
   const char* end = aText.data() + aText.size();
-  while (at < end) {
+  if (at < end && *at != ' ') {
+    return std::nullopt;
+  }
+  // What follows the members was added by a later build.
+  while (end - at > kMemberSize && *at == ' ') {
     std::uint64_t member = 0;
     const auto parsed = std::from_chars(at + 1, end, member, 16);
-    if (*at != ' ' || parsed.ec != std::errc()) {
-      return std::nullopt;
+    if (parsed.ptr != at + 1 + kMemberSize ||
+        (parsed.ptr < end && *parsed.ptr != ' ')) {
+      break;
     }
     record.mMembers.push_back(member);
     at = parsed.ptr;
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -1,4 +1,5 @@
 #include "core/TargetTable.h"
+#include "core/TrialRecord.h"
 #include "gateway/GatewaySettings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -32,6 +33,7 @@
   CPPUNIT_TEST_SUITE(FormatTests);
   CPPUNIT_TEST(SettingsOfFormerTemplatesAreAccepted);
   CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
+  CPPUNIT_TEST(ConvictionsWithLaterElementsAreKept);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +80,21 @@
     table.SetPeerLoad("a", { { "t1", 2, 3, 4 } }, kNow);
     CPPUNIT_ASSERT_EQUAL(2, table.InputsOf("t1", kNow).mPeerRunning);
   }
+
+  // A record with an element of a later build counted as a new one, so that a
+  // convicted request was tried again.
+  void ConvictionsWithLaterElementsAreKept()
+  {
+    const auto record =
+      ParseTrialRecord("2 1 0 00000000000000a1 00000000000000a2 until=7 0001");
+    CPPUNIT_ASSERT(record);
+    CPPUNIT_ASSERT(record->mConvicted);
+    CPPUNIT_ASSERT_EQUAL(2, record->mLost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), record->mMembers.size());
+    CPPUNIT_ASSERT(!ParseTrialRecord("2 1"));
+    CPPUNIT_ASSERT(!ParseTrialRecord("later 2 1 0"));
+    CPPUNIT_ASSERT(!ParseTrialRecord(""));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatTests);
