--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -52,6 +52,9 @@
 // ask for changes.
 constexpr std::size_t kMaxTargetRows = 4000;
 
+// Names the source of stored records, whose writers are not known.
+constexpr char kStoreName[] = "store";
+
 TargetTableOptions
 TableOptions(const GatewaySettings& aSettings)
 {
@@ -95,13 +98,14 @@
   return removed;
 }
 
-// Parsed value of a host's row: its peer address and the bandwidth of its link
-// in Mbit/s, 0 if the row does not have it.
-struct HostRow
+} // namespace
+
+std::string
+FormatHostRow(const GatewaySettings& aSettings)
 {
-  std::string mAddress;
-  int mLinkMbps = 0;
-};
+  return FormatEndpoint(aSettings.mPeerEndpoint) + " " +
+         std::to_string(aSettings.mLinkMbps);
+}
 
 HostRow
 ParseHostRow(const std::string& aText)
@@ -113,19 +117,11 @@
     // If the number cannot be parsed, the bandwidth stays unknown.
     std::from_chars(
       aText.data() + end + 1, aText.data() + aText.size(), row.mLinkMbps);
+    row.mLinkMbps = std::max(0, row.mLinkMbps);
   }
   return row;
 }
 
-} // namespace
-
-std::string
-FormatHostRow(const GatewaySettings& aSettings)
-{
-  return FormatEndpoint(aSettings.mPeerEndpoint) + " " +
-         std::to_string(aSettings.mLinkMbps);
-}
-
 std::string_view
 NameOf(RowSource aSource)
 {
@@ -426,6 +422,9 @@
 {
   const auto suspects = ParseTrialSuspects(aRow);
   const auto record = ParseTrialRecord(aRow.mValue);
+  if (!aRow.mRemoved && !record) {
+    ReportUnreadable(kStoreName, "trials");
+  }
   if (aRow.mRemoved || !suspects || !record || !record->mConvicted) {
     return;
   }
@@ -451,6 +450,7 @@
     }
     const auto change = ParseSuspectRow(aRow, clocks);
     if (!change) {
+      ReportUnreadable(kStoreName, "suspects");
       Log(LogLevel::Warn,
           "fleet",
           "invalid row of a suspected request ignored",
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -43,6 +43,18 @@
 std::string
 FormatHostRow(const GatewaySettings& aSettings);
 
+// Parsed value of a host's row: its peer address and the bandwidth of its link
+// in Mbit/s, 0 if the row does not have it.
+struct HostRow
+{
+  std::string mAddress;
+  int mLinkMbps = 0;
+};
+
+// What follows these two was added by a later build and is ignored.
+HostRow
+ParseHostRow(const std::string& aText);
+
 // Network location of a target.
 struct TargetLocation
 {
@@ -131,6 +143,23 @@
     mRetainedCallback = std::move(aCallback);
   }
 
+  // Sets a function that receives the writer and the kind of each record that
+  // cannot be read.
+  void SetUnreadableCallback(
+    std::function<void(const std::string&, const std::string&)> aCallback)
+  {
+    mUnreadableCallback = std::move(aCallback);
+  }
+
+  // A record of a kind from aWriter cannot be read.
+  void ReportUnreadable(const std::string& aWriter,
+                        const std::string& aKind) const
+  {
+    if (mUnreadableCallback) {
+      mUnreadableCallback(aWriter, aKind);
+    }
+  }
+
   // Newest store version at which a table has been read.
   std::int64_t Version(platform::StoreTable aTable) const;
 
@@ -233,6 +262,8 @@
   bool mTargetsKnown = false;
   bool mTargetsChanged = false;
   std::function<void()> mRetainedCallback;
+  std::function<void(const std::string&, const std::string&)>
+    mUnreadableCallback;
   ReaderChoice mReaders;
   Timer mExpiryTimer;
 };
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 #include "gateway/CallerConnection.h"
 #include "gateway/Fleet.h"
+#include "gateway/FormatLog.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/HostChecks.h"
 #include "gateway/LeavingWatch.h"
@@ -67,6 +68,7 @@
     , mSettingsFile(std::move(aSettingsFile))
     , mMetrics(mSettings.mHost)
     , mRetryLog(mMetrics)
+    , mFormats(mMetrics)
     , mFleet(mLoop, mSettings)
     , mTargets(mFleet)
     , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
@@ -87,7 +89,7 @@
     , mSuspectWriter(mLoop, mSettings, mFleet)
     , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics)
     , mPeers(mLoop, mSettings, mFleet, mStore)
-    , mLoadSender(mLoop, mSettings, mFleet, mLimits)
+    , mLoadSender(mLoop, mSettings, mFleet, mLimits, mFormats)
     , mReach(mLoop, mFleet, mProber, mLoadSender, mMetrics)
     , mReadinessServer(mLoop,
                        [this](const HttpHead& aHead, const std::string&) {
@@ -99,6 +101,10 @@
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopTimer(mLoop, [this] { CheckStop(); })
   {
+    mFleet.SetUnreadableCallback(
+      [this](const std::string& aHost, const std::string& aKind) {
+        mFormats.OnUnreadable(aHost, aKind);
+      });
     mFleet.Targets().SetDeathCallback(
       [this](const DeathReport& aDeath) { OnTargetDeath(aDeath); });
     mFleet.Targets().SetRetryCallback([this](const RetryDecision& aDecision) {
@@ -335,6 +341,7 @@
   EventLoop mLoop;
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
+  FormatLog mFormats;
   Fleet mFleet;
   TargetDirectory mTargets;
   AnswerBuffers mAnswerBuffers;
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -62,6 +62,7 @@
   PassingOnFailed,
   PassingOnLost,
   RepliesTooLarge,
+  UnreadableRecords,
   Last,
 };
 
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -1,6 +1,7 @@
 #include "gateway/LoadBroadcaster.h"
 
 #include "core/Hash.h"
+#include "gateway/LoadMessages.h"
 #include "gateway/ReachMessages.h"
 #include "http/JsonText.h"
 #include "observe/Log.h"
@@ -45,196 +46,14 @@
 // Deaths from which on a suspect reported by another host is logged.
 constexpr int kMinLoggedDeaths = 2;
 
-// Elements of a "load" entry: target name, running requests, backlog tokens and
-// held tokens.
-constexpr rapidjson::SizeType kLoadEntrySize = 4;
-
-// Elements of a "totals" entry: service, first attempts and retries since the
-// start.
-constexpr rapidjson::SizeType kTotalsEntrySize = 3;
-
-// Elements of a "limits" entry: target, requests a second or kNoLimit, and
-// milliseconds since the target said so.
-constexpr rapidjson::SizeType kLimitEntrySize = 3;
-constexpr double kNoLimit = -1;
-
-// Elements of a "brittle" entry: target, requests that it can turn away in a
-// second or 0, and milliseconds since it said so.
-constexpr rapidjson::SizeType kBrittleEntrySize = 3;
-
-// Elements of a "room" entry: target, number of the message, ask, resolved ask,
-// requests under way and rejections.
-constexpr rapidjson::SizeType kRoomEntrySize = 6;
-
-// Elements of a "room_answers" entry: target, ask and the answer's name.
-constexpr rapidjson::SizeType kRoomAnswerSize = 3;
-
-// Elements of an entry of "asks" and "grants": service, ask and retries.
-constexpr rapidjson::SizeType kRetryEntrySize = 3;
-
-// Elements of a "suspects" entry: request, milliseconds since it was cleared or
-// -1, and its lost runs. Elements of a lost run: death, place, milliseconds
-// since the run started and since the target died.
-constexpr rapidjson::SizeType kSuspectEntrySize = 3;
-constexpr rapidjson::SizeType kLostRunSize = 4;
-
-// Elements of a "gone" entry, all texts: target, incarnation, the target that
-// replaced it and that one's incarnation.
-constexpr rapidjson::SizeType kGoneEntrySize = 4;
-
-// Elements of a "streams" entry: key, service and software version.
-constexpr rapidjson::SizeType kOriginEntrySize = 3;
-
 // Origins in one datagram, which stays below the usual packet size, and
 // datagrams with origins in one round.
 constexpr std::size_t kOriginsPerDatagram = 24;
 constexpr int kOriginDatagrams = 8;
 
-using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
-
-// Calls a function with each element of a list; nothing if there is none.
-template<typename Function>
-void
-ForEachIn(const rapidjson::Value& aObject,
-          const char* aName,
-          const Function& aFunction)
-{
-  const auto list = aObject.FindMember(aName);
-  if (list != aObject.MemberEnd() && list->value.IsArray()) {
-    for (const auto& it : list->value.GetArray()) {
-      aFunction(it);
-    }
-  }
-}
-
-void
-WriteRetryEntry(Writer& aWriter,
-                const std::string& aService,
-                std::uint64_t aAsk,
-                int aCount)
-{
-  aWriter.StartArray();
-  aWriter.String(aService.c_str());
-  aWriter.Uint64(aAsk);
-  aWriter.Int(aCount);
-  aWriter.EndArray();
-}
+using Writer = MessageWriter;
 
-// Calls a function with service, ask and retries of each valid entry of a list.
-template<typename Function>
-void
-ForEachRetryEntry(const rapidjson::Value& aObject,
-                  const char* aName,
-                  const Function& aFunction)
-{
-  ForEachIn(aObject, aName, [&](const rapidjson::Value& aValue) {
-    if (aValue.IsArray() && aValue.Size() == kRetryEntrySize &&
-        aValue[0].IsString() && aValue[1].IsUint64() && aValue[2].IsInt()) {
-      aFunction(
-        aValue[0].GetString(), aValue[1].GetUint64(), aValue[2].GetInt());
-    }
-  });
-}
-
-void
-WriteOrigin(Writer& aWriter, const StreamOrigin& aOrigin)
-{
-  const auto write = [&aWriter](const std::string& aText) {
-    aWriter.String(aText.data(),
-                   static_cast<rapidjson::SizeType>(aText.size()));
-  };
-  aWriter.StartArray();
-  aWriter.Uint64(aOrigin.mKey);
-  write(aOrigin.mService);
-  write(aOrigin.mSoftwareVersion);
-  aWriter.EndArray();
-}
-
-std::optional<StreamOrigin>
-ParseOrigin(const rapidjson::Value& aValue)
-{
-  if (!aValue.IsArray() || aValue.Size() < kOriginEntrySize ||
-      !aValue[0].IsUint64() || !aValue[1].IsString() || !aValue[2].IsString()) {
-    return std::nullopt;
-  }
-  StreamOrigin origin;
-  origin.mKey = aValue[0].GetUint64();
-  origin.mService.assign(aValue[1].GetString(), aValue[1].GetStringLength());
-  origin.mSoftwareVersion.assign(aValue[2].GetString(),
-                                 aValue[2].GetStringLength());
-  return origin;
-}
-
-void
-WriteDeparture(Writer& aWriter, const TargetDeparture& aDeparture)
-{
-  aWriter.StartArray();
-  for (const std::string* it : { &aDeparture.mTarget,
-                                 &aDeparture.mIncarnation,
-                                 &aDeparture.mSuccessor,
-                                 &aDeparture.mSuccessorIncarnation }) {
-    aWriter.String(it->data(), static_cast<rapidjson::SizeType>(it->size()));
-  }
-  aWriter.EndArray();
-}
-
-std::optional<TargetDeparture>
-ParseDeparture(const rapidjson::Value& aValue)
-{
-  if (!aValue.IsArray() || aValue.Size() != kGoneEntrySize) {
-    return std::nullopt;
-  }
-  std::array<std::string, kGoneEntrySize> texts;
-  for (rapidjson::SizeType n = 0; n < kGoneEntrySize; ++n) {
-    if (!aValue[n].IsString()) {
-      return std::nullopt;
-    }
-    texts[n].assign(aValue[n].GetString(), aValue[n].GetStringLength());
-  }
-  return TargetDeparture{ texts[0], texts[1], texts[2], texts[3] };
-}
-
-int
-AgeInMilliseconds(Time aAt, Time aNow)
-{
-  return static_cast<int>(ToMilliseconds(aNow - aAt));
-}
-
-void
-WriteLost(Writer& aWriter,
-          const std::vector<TargetTable::LostTarget>& aLost,
-          Time aNow)
-{
-  aWriter.Key("lost");
-  aWriter.StartArray();
-  for (const TargetTable::LostTarget& it : aLost) {
-    aWriter.StartArray();
-    aWriter.String(it.mTarget.c_str());
-    aWriter.Int(AgeInMilliseconds(it.mAt, aNow));
-    aWriter.EndArray();
-  }
-  aWriter.EndArray();
-}
-
-void
-WriteSuspect(Writer& aWriter, const SuspectReport& aReport, Time aNow)
-{
-  aWriter.StartArray();
-  aWriter.Uint64(aReport.mSuspect);
-  aWriter.Int(aReport.mClearedAt ? AgeInMilliseconds(*aReport.mClearedAt, aNow)
-                                 : -1);
-  aWriter.StartArray();
-  for (const LostRun& it : aReport.mRuns) {
-    aWriter.StartArray();
-    aWriter.Uint64(it.mDeath.mId);
-    aWriter.Uint64(it.mDeath.mPlace);
-    aWriter.Int(AgeInMilliseconds(it.mStartedAt, aNow));
-    aWriter.Int(AgeInMilliseconds(it.mDeath.mAt, aNow));
-    aWriter.EndArray();
-  }
-  aWriter.EndArray();
-  aWriter.EndArray();
-}
+constexpr char kSenderKind[] = "sender";
 
 void
 WriteSuspects(Writer& aWriter,
@@ -244,47 +63,22 @@
   aWriter.Key("suspects");
   aWriter.StartArray();
   for (const SuspectReport& it : aReports) {
-    WriteSuspect(aWriter, it, aNow);
+    WriteSuspectEntry(aWriter, it, aNow);
   }
   aWriter.EndArray();
 }
 
-std::optional<SuspectReport>
-ParseSuspect(const rapidjson::Value& aValue, Time aNow)
-{
-  if (!aValue.IsArray() || aValue.Size() != kSuspectEntrySize ||
-      !aValue[0].IsUint64() || !aValue[1].IsInt() || !aValue[2].IsArray()) {
-    return std::nullopt;
-  }
-  SuspectReport report;
-  report.mSuspect = aValue[0].GetUint64();
-  if (aValue[1].GetInt() >= 0) {
-    report.mClearedAt = aNow - milliseconds(aValue[1].GetInt());
-  }
-  for (const auto& it : aValue[2].GetArray()) {
-    if (!it.IsArray() || it.Size() != kLostRunSize || !it[0].IsUint64() ||
-        !it[1].IsUint64() || !it[2].IsInt() || !it[3].IsInt()) {
-      return std::nullopt;
-    }
-    LostRun run;
-    run.mDeath.mId = it[0].GetUint64();
-    run.mDeath.mPlace = it[1].GetUint64();
-    run.mStartedAt = aNow - milliseconds(it[2].GetInt());
-    run.mDeath.mAt = aNow - milliseconds(it[3].GetInt());
-    report.mRuns.push_back(run);
-  }
-  return report;
-}
-
 } // namespace
 
 LoadBroadcaster::LoadBroadcaster(EventLoop& aLoop,
                                  const GatewaySettings& aSettings,
                                  Fleet& aFleet,
-                                 LimitWatch& aLimits)
+                                 LimitWatch& aLimits,
+                                 FormatLog& aFormats)
   : mSettings(aSettings)
   , mFleet(aFleet)
   , mLimits(aLimits)
+  , mFormats(aFormats)
   , mSocket(aLoop.Context())
   , mSendTimer(aLoop, [this] { SendMessage(); })
   , mRoomTimer(aLoop, [this] { SendRoomMessages(); })
@@ -345,11 +139,11 @@
 {
   rapidjson::Document json;
   ParseJson(json, aText);
-  if (json.HasParseError() || !json.IsObject()) {
-    return;
-  }
-  const auto name = json.FindMember("host");
-  if (name == json.MemberEnd() || !name->value.IsString()) {
+  const bool isObject = !json.HasParseError() && json.IsObject();
+  const auto name =
+    isObject ? json.FindMember("host") : rapidjson::Value::MemberIterator();
+  if (!isObject || name == json.MemberEnd() || !name->value.IsString()) {
+    mFormats.OnUnreadable(mSender.address().to_string(), kSenderKind);
     return;
   }
   const std::string host = name->value.GetString();
@@ -375,25 +169,59 @@
   }
   ApplyLimits(host, json, now);
   ExchangeRoom(host, json, now);
-  ForEachIn(json, "streams", [&](const rapidjson::Value& aValue) {
-    if (const auto origin = ParseOrigin(aValue)) {
-      mFleet.Origins().OnReported(*origin, OriginSource::Peer, now);
-    }
-  });
+  ForEachEntry(
+    host, json, "streams", ParseOriginEntry, [&](const StreamOrigin& aOrigin) {
+      mFleet.Origins().OnReported(aOrigin, OriginSource::Peer, now);
+    });
   // With few hosts, each message reaches all of them.
   const bool passOn = mFleet.HostAddresses().size() > kMaxReceivers + 1;
-  ForEachIn(json, "gone", [&](const rapidjson::Value& aValue) {
-    if (const auto departure = ParseDeparture(aValue)) {
-      OnDeparture(*departure, host, passOn, now);
-    }
-  });
-  ForEachIn(json, "suspects", [&](const rapidjson::Value& aValue) {
-    const auto report = ParseSuspect(aValue, now);
-    if (report && mFleet.Targets().Suspects().Merge(*report, passOn, now)) {
-      LogSuspect(*report, host, now);
-      SendBy(now + kBatchDelay);
+  ForEachEntry(host,
+               json,
+               "gone",
+               ParseDepartureEntry,
+               [&](const TargetDeparture& aDeparture) {
+                 OnDeparture(aDeparture, host, passOn, now);
+               });
+  ForEachEntry(
+    host,
+    json,
+    "suspects",
+    [now](const rapidjson::Value& aValue) {
+      return ParseSuspectEntry(aValue, now);
+    },
+    [&](const SuspectReport& aReport) {
+      if (mFleet.Targets().Suspects().Merge(aReport, passOn, now)) {
+        LogSuspect(aReport, host, now);
+        SendBy(now + kBatchDelay);
+      }
+    });
+}
+
+// Calls aApply with each entry of a list of a message, if it has that list, and
+// reports those that cannot be read.
+template<typename Parse, typename Apply>
+void
+LoadBroadcaster::ForEachEntry(const std::string& aHost,
+                              const rapidjson::Value& aMessage,
+                              const char* aName,
+                              const Parse& aParse,
+                              const Apply& aApply)
+{
+  const auto list = aMessage.FindMember(aName);
+  if (list == aMessage.MemberEnd()) {
+    return;
+  }
+  if (!list->value.IsArray()) {
+    mFormats.OnUnreadable(aHost, aName);
+    return;
+  }
+  for (const rapidjson::Value& it : list->value.GetArray()) {
+    if (const auto entry = aParse(it)) {
+      aApply(*entry);
+    } else {
+      mFormats.OnUnreadable(aHost, aName);
     }
-  });
+  }
 }
 
 void
@@ -424,27 +252,21 @@
 {
   TargetTable& targets = mFleet.Targets();
   std::vector<TargetLoad> loads;
-  ForEachIn(aMessage, "load", [&](const rapidjson::Value& aValue) {
-    if (!aValue.IsArray() || aValue.Size() != kLoadEntrySize ||
-        !aValue[0].IsString() || !aValue[1].IsInt() || !aValue[2].IsInt() ||
-        !aValue[3].IsInt()) {
-      return;
-    }
-    TargetLoad entry;
-    entry.mTarget = aValue[0].GetString();
-    entry.mRunning = aValue[1].GetInt();
-    entry.mBacklogTokens = aValue[2].GetInt();
-    entry.mHeldTokens = aValue[3].GetInt();
-    loads.push_back(std::move(entry));
-  });
+  ForEachEntry(
+    aHost, aMessage, "load", ParseLoadEntry, [&loads](const TargetLoad& aLoad) {
+      loads.push_back(aLoad);
+    });
   targets.SetPeerLoad(aHost, loads, aNow);
-  ForEachIn(aMessage, "lost", [&](const rapidjson::Value& aValue) {
-    if (aValue.IsArray() && aValue.Size() == 2 && aValue[0].IsString() &&
-        aValue[1].IsInt()) {
-      targets.OnLostByPeer(
-        aValue[0].GetString(), aNow - milliseconds(aValue[1].GetInt()), aNow);
-    }
-  });
+  ForEachEntry(
+    aHost,
+    aMessage,
+    "lost",
+    [aNow](const rapidjson::Value& aValue) {
+      return ParseLostEntry(aValue, aNow);
+    },
+    [&](const TargetTable::LostTarget& aLost) {
+      targets.OnLostByPeer(aLost.mTarget, aLost.mAt, aNow);
+    });
 }
 
 std::array<LoadBroadcaster::SharedBudget, 2>
@@ -463,19 +285,14 @@
                              const rapidjson::Value& aMessage,
                              Time aNow)
 {
-  ForEachIn(aMessage, "limits", [&](const rapidjson::Value& aValue) {
-    if (!aValue.IsArray() || aValue.Size() != kLimitEntrySize ||
-        !aValue[0].IsString() || !aValue[1].IsNumber() || !aValue[2].IsInt()) {
-      return;
-    }
-    LimitReport report;
-    report.mTarget = aValue[0].GetString();
-    if (aValue[1].GetDouble() >= 0) {
-      report.mRequestsPerSecond = aValue[1].GetDouble();
-    }
-    report.mSaidAt = aNow - milliseconds(aValue[2].GetInt());
-    mLimits.OnPeerReport(aHost, report);
-  });
+  ForEachEntry(
+    aHost,
+    aMessage,
+    "limits",
+    [aNow](const rapidjson::Value& aValue) {
+      return ParseLimitEntry(aValue, aNow);
+    },
+    [&](const LimitReport& aReport) { mLimits.OnPeerReport(aHost, aReport); });
 }
 
 void
@@ -498,14 +315,7 @@
     writer.Key("room");
     writer.StartArray();
     for (const RoomMessage& message : it.second) {
-      writer.StartArray();
-      writer.String(message.mTarget.c_str());
-      writer.Uint64(message.mNumber);
-      writer.Uint64(message.mAsk);
-      writer.Uint64(message.mResolved);
-      writer.Int(message.mUnderWay);
-      writer.Int64(message.mRejected);
-      writer.EndArray();
+      WriteRoomEntry(writer, message);
     }
     writer.EndArray();
     writer.EndObject();
@@ -522,49 +332,31 @@
 {
   TargetTable& targets = mFleet.Targets();
   targets.Room().OnHostHeard(aHost, aNow);
-  ForEachIn(aMessage, "brittle", [&](const rapidjson::Value& aValue) {
-    if (!aValue.IsArray() || aValue.Size() != kBrittleEntrySize ||
-        !aValue[0].IsString() || !aValue[1].IsInt() || !aValue[2].IsInt()) {
-      return;
-    }
-    BrittleReport report;
-    report.mTarget = aValue[0].GetString();
-    if (aValue[1].GetInt() > 0) {
-      report.mRejections = aValue[1].GetInt();
-    }
-    report.mSaidAt = aNow - milliseconds(aValue[2].GetInt());
-    mLimits.OnPeerReport(aHost, report);
-  });
-  std::vector<std::pair<RoomMessage, RoomAnswer>> answers;
-  ForEachIn(aMessage, "room", [&](const rapidjson::Value& aValue) {
-    if (!aValue.IsArray() || aValue.Size() != kRoomEntrySize ||
-        !aValue[0].IsString() || !aValue[1].IsUint64() ||
-        !aValue[2].IsUint64() || !aValue[3].IsUint64() || !aValue[4].IsInt() ||
-        !aValue[5].IsInt64()) {
-      return;
-    }
-    RoomMessage message;
-    message.mTarget = aValue[0].GetString();
-    message.mNumber = aValue[1].GetUint64();
-    message.mAsk = aValue[2].GetUint64();
-    message.mResolved = aValue[3].GetUint64();
-    message.mUnderWay = aValue[4].GetInt();
-    message.mRejected = aValue[5].GetInt64();
-    if (const auto answer = targets.OnRoomMessage(aHost, message, aNow)) {
-      answers.emplace_back(std::move(message), *answer);
-    }
-  });
-  ForEachIn(aMessage, "room_answers", [&](const rapidjson::Value& aValue) {
-    if (!aValue.IsArray() || aValue.Size() != kRoomAnswerSize ||
-        !aValue[0].IsString() || !aValue[1].IsUint64() ||
-        !aValue[2].IsString()) {
-      return;
-    }
-    if (const auto answer = kRoomAnswerNames.ValueOf(aValue[2].GetString())) {
-      targets.Room().OnAnswer(
-        aValue[0].GetString(), aValue[1].GetUint64(), *answer, aNow);
-    }
-  });
+  ForEachEntry(
+    aHost,
+    aMessage,
+    "brittle",
+    [aNow](const rapidjson::Value& aValue) {
+      return ParseBrittleEntry(aValue, aNow);
+    },
+    [&](const BrittleReport& aReport) {
+      mLimits.OnPeerReport(aHost, aReport);
+    });
+  std::vector<RoomAnswerEntry> answers;
+  ForEachEntry(
+    aHost, aMessage, "room", ParseRoomEntry, [&](const RoomMessage& aRoom) {
+      if (const auto answer = targets.OnRoomMessage(aHost, aRoom, aNow)) {
+        answers.push_back({ aRoom.mTarget, aRoom.mAsk, *answer });
+      }
+    });
+  ForEachEntry(aHost,
+               aMessage,
+               "room_answers",
+               ParseRoomAnswerEntry,
+               [&](const RoomAnswerEntry& aAnswer) {
+                 targets.Room().OnAnswer(
+                   aAnswer.mTarget, aAnswer.mAsk, aAnswer.mAnswer, aNow);
+               });
   SendRoomGrants(aNow);
   if (!answers.empty()) {
     SendRoomAnswers(answers, mSender);
@@ -576,18 +368,15 @@
 {
   for (const RoomGrant& it : mFleet.Targets().Room().TakeGrants(aNow)) {
     if (const auto receiver = LoadEndpointOf(it.mHost)) {
-      RoomMessage message;
-      message.mTarget = it.mTarget;
-      message.mAsk = it.mAsk;
-      SendRoomAnswers({ { message, RoomAnswer::Granted } }, *receiver);
+      SendRoomAnswers({ { it.mTarget, it.mAsk, RoomAnswer::Granted } },
+                      *receiver);
     }
   }
 }
 
 void
-LoadBroadcaster::SendRoomAnswers(
-  const std::vector<std::pair<RoomMessage, RoomAnswer>>& aAnswers,
-  const udp::endpoint& aReceiver)
+LoadBroadcaster::SendRoomAnswers(const std::vector<RoomAnswerEntry>& aAnswers,
+                                 const udp::endpoint& aReceiver)
 {
   rapidjson::StringBuffer buf;
   Writer writer(buf);
@@ -595,13 +384,8 @@
   WriteSender(writer);
   writer.Key("room_answers");
   writer.StartArray();
-  for (const auto& it : aAnswers) {
-    const std::string_view name = kRoomAnswerNames.NameOf(it.second);
-    writer.StartArray();
-    writer.String(it.first.mTarget.c_str());
-    writer.Uint64(it.first.mAsk);
-    writer.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
-    writer.EndArray();
+  for (const RoomAnswerEntry& it : aAnswers) {
+    WriteRoomAnswerEntry(writer, it);
   }
   writer.EndArray();
   writer.EndObject();
@@ -629,11 +413,7 @@
     aWriter.Key("brittle");
     aWriter.StartArray();
     for (const BrittleReport& it : brittle) {
-      aWriter.StartArray();
-      aWriter.String(it.mTarget.c_str());
-      aWriter.Int(it.mRejections.value_or(0));
-      aWriter.Int(AgeInMilliseconds(it.mSaidAt, aNow));
-      aWriter.EndArray();
+      WriteBrittleEntry(aWriter, it, aNow);
     }
     aWriter.EndArray();
   }
@@ -644,11 +424,7 @@
   aWriter.Key("limits");
   aWriter.StartArray();
   for (const LimitReport& it : limits) {
-    aWriter.StartArray();
-    aWriter.String(it.mTarget.c_str());
-    aWriter.Double(it.mRequestsPerSecond.value_or(kNoLimit));
-    aWriter.Int(AgeInMilliseconds(it.mSaidAt, aNow));
-    aWriter.EndArray();
+    WriteLimitEntry(aWriter, it, aNow);
   }
   aWriter.EndArray();
 }
@@ -662,30 +438,31 @@
 {
   RetryBudget& retries = *aBudget.mBudget;
   retries.OnHostHeard(aHost, aNow);
-  ForEachIn(aMessage, aBudget.mTotalsName, [&](const rapidjson::Value& aValue) {
-    if (aValue.IsArray() && aValue.Size() == kTotalsEntrySize &&
-        aValue[0].IsString() && aValue[1].IsInt64() && aValue[2].IsInt64()) {
-      retries.OnPeerTotals(
-        aHost,
-        aStart,
-        { aValue[0].GetString(), aValue[1].GetInt64(), aValue[2].GetInt64() },
-        aNow);
-    }
-  });
-  ForEachRetryEntry(aMessage,
-                    aBudget.mGrantsName,
-                    [&](const char* aService, auto aAsk, int aCount) {
-                      retries.OnGrant(aHost, { aService, aAsk, aCount }, aNow);
-                    });
+  ForEachEntry(aHost,
+               aMessage,
+               aBudget.mTotalsName,
+               ParseTotalsEntry,
+               [&](const SendTotals& aTotals) {
+                 retries.OnPeerTotals(aHost, aStart, aTotals, aNow);
+               });
+  ForEachEntry(
+    aHost,
+    aMessage,
+    aBudget.mGrantsName,
+    ParseRetryEntry,
+    [&](const RetryGrant& aGrant) { retries.OnGrant(aHost, aGrant, aNow); });
   std::vector<RetryGrant> grants;
-  ForEachRetryEntry(aMessage,
-                    aBudget.mAsksName,
-                    [&](const char* aService, auto aAsk, int aCount) {
-                      if (const auto grant = retries.Grant(
-                            aHost, { aService, aAsk, aCount, 1 }, aNow)) {
-                        grants.push_back(*grant);
-                      }
-                    });
+  ForEachEntry(
+    aHost,
+    aMessage,
+    aBudget.mAsksName,
+    ParseRetryEntry,
+    [&](const RetryGrant& aAsk) {
+      if (const auto grant = retries.Grant(
+            aHost, { aAsk.mService, aAsk.mAsk, aAsk.mCount, 1 }, aNow)) {
+        grants.push_back(*grant);
+      }
+    });
   if (grants.empty()) {
     return;
   }
@@ -787,6 +564,9 @@
     writer.EndObject();
     SendTo(mSender, buf);
   }
+  for (const char* it : UnreadableReachMembers(aMessage)) {
+    mFormats.OnUnreadable(aHost, it);
+  }
   auto answer = ParseReachAnswer(aMessage);
   if (answer && mOnReachAnswer) {
     answer->mHost = aHost;
@@ -840,12 +620,7 @@
   writer.Key("load");
   writer.StartArray();
   for (const TargetLoad& it : loads) {
-    writer.StartArray();
-    writer.String(it.mTarget.c_str());
-    writer.Int(it.mRunning);
-    writer.Int(it.mBacklogTokens);
-    writer.Int(it.mHeldTokens);
-    writer.EndArray();
+    WriteLoadEntry(writer, it);
   }
   writer.EndArray();
   for (const SharedBudget& budget : SharedBudgets()) {
@@ -856,17 +631,18 @@
     writer.Key(budget.mTotalsName);
     writer.StartArray();
     for (const SendTotals& it : totals) {
-      writer.StartArray();
-      writer.String(it.mService.c_str());
-      writer.Int64(it.mFirstAttempts);
-      writer.Int64(it.mRetries);
-      writer.EndArray();
+      WriteTotalsEntry(writer, it);
     }
     writer.EndArray();
   }
   WriteLimits(writer, now);
   WriteUnreached(writer, unreached);
-  WriteLost(writer, lost, now);
+  writer.Key("lost");
+  writer.StartArray();
+  for (const TargetTable::LostTarget& it : lost) {
+    WriteLostEntry(writer, it, now);
+  }
+  writer.EndArray();
   WriteSuspects(writer, news, now);
   writer.EndObject();
   for (const udp::endpoint& it : ChooseReceivers()) {
@@ -890,7 +666,7 @@
     writer.Key("streams");
     writer.StartArray();
     for (const StreamOrigin& it : news) {
-      WriteOrigin(writer, it);
+      WriteOriginEntry(writer, it);
     }
     writer.EndArray();
     writer.EndObject();
@@ -926,7 +702,7 @@
     writer.Key("gone");
     writer.StartArray();
     for (const TargetDeparture& it : news) {
-      WriteDeparture(writer, it);
+      WriteDepartureEntry(writer, it);
     }
     writer.EndArray();
     writer.EndObject();
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -2,7 +2,9 @@
 #define QUETZALQUAY_GATEWAY_LOADBROADCASTER_H_INCLUDED
 
 #include "gateway/Fleet.h"
+#include "gateway/FormatLog.h"
 #include "gateway/LimitWatch.h"
+#include "gateway/LoadMessages.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -32,7 +34,8 @@
   LoadBroadcaster(EventLoop& aLoop,
                   const GatewaySettings& aSettings,
                   Fleet& aFleet,
-                  LimitWatch& aLimits);
+                  LimitWatch& aLimits,
+                  FormatLog& aFormats);
 
   // Maximum number of hosts that receive one message. With more hosts, each
   // message goes to a random selection.
@@ -53,6 +56,12 @@
 private:
   void Receive();
   void HandleMessage(std::string_view aText);
+  template<typename Parse, typename Apply>
+  void ForEachEntry(const std::string& aHost,
+                    const rapidjson::Value& aMessage,
+                    const char* aName,
+                    const Parse& aParse,
+                    const Apply& aApply);
   void ApplyLoad(const std::string& aHost,
                  const rapidjson::Value& aMessage,
                  Time aNow);
@@ -88,9 +97,8 @@
   // and asks them for room.
   void SendRoomMessages();
   // Sends answers to asks for room, and grants of asks that were queued.
-  void SendRoomAnswers(
-    const std::vector<std::pair<RoomMessage, RoomAnswer>>& aAnswers,
-    const boost::asio::ip::udp::endpoint& aReceiver);
+  void SendRoomAnswers(const std::vector<RoomAnswerEntry>& aAnswers,
+                       const boost::asio::ip::udp::endpoint& aReceiver);
   void SendRoomGrants(Time aNow);
   std::optional<boost::asio::ip::udp::endpoint> LoadEndpointOf(
     const std::string& aHost) const;
@@ -125,6 +133,7 @@
   GatewaySettings mSettings;
   Fleet& mFleet;
   LimitWatch& mLimits;
+  FormatLog& mFormats;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mSender;
   std::array<char, 65536> mBuffer{};
--- a/src/quetzalquay/gateway/PassedOnRequest.cpp
+++ b/src/quetzalquay/gateway/PassedOnRequest.cpp
@@ -156,8 +156,9 @@
 {
   PassedOnAnswer answer;
   const auto verdict = ParseRunVerdict(TextOf(aHead, kVerdict));
-  answer.mOwnFailure = verdict.has_value();
-  answer.mNotRun = answer.mOwnFailure && *verdict == RunVerdict::NotRun;
+  // A verdict that a later build has added may mean that the request has run.
+  answer.mOwnFailure = aHead.Find(kVerdict) != nullptr;
+  answer.mNotRun = verdict == RunVerdict::NotRun;
   answer.mRefusedBy = kRefusedByNames.ValueOf(TextOf(aHead, kRefusedBy))
                         .value_or(RefusedBy::Request);
   answer.mService = TextOf(aHead, kService);
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "http/JsonText.h"
+#include "http/ListReader.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -46,6 +47,9 @@
 // only for a short time.
 constexpr char kAgeField[] = "age_ms";
 
+// Largest age that is believed; more than that could overflow.
+constexpr std::int64_t kMaxAgeMs = 100000000000;
+
 // Response field with the software versions by service, for a host that asks
 // for them with the query parameter of the same name. Omitted by a host whose
 // own history of versions is incomplete.
@@ -71,30 +75,16 @@
   aWriter.EndArray();
 }
 
-std::optional<VersionsByService>
-ParseVersions(const rapidjson::Value& aMessage)
-{
-  const auto list = aMessage.FindMember(kVersionsField);
-  if (list == aMessage.MemberEnd() || !list->value.IsArray()) {
-    return std::nullopt;
-  }
-  VersionsByService versions;
-  for (const auto& it : list->value.GetArray()) {
-    if (!it.IsArray() || it.Size() != 2 || !it[0].IsString() ||
-        !it[1].IsString()) {
-      return std::nullopt;
-    }
-    versions[std::string(it[0].GetString(), it[0].GetStringLength())].emplace(
-      it[1].GetString(), it[1].GetStringLength());
-  }
-  return versions;
-}
-
 // Value of a numeric query parameter in a path, 0 if there is none.
 std::int64_t
 ParseQueryNumber(const std::string& aPath, const std::string& aName)
 {
-  const auto at = aPath.find(aName + "=");
+  auto at = aPath.find(aName + "=");
+  // Not the end of another name.
+  while (at != std::string::npos && at > 0 && aPath[at - 1] != '?' &&
+         aPath[at - 1] != '&') {
+    at = aPath.find(aName + "=", at + 1);
+  }
   std::int64_t number = 0;
   if (at != std::string::npos) {
     const char* first = aPath.data() + at + aName.size() + 1;
@@ -124,32 +114,60 @@
   aWriter.EndObject();
 }
 
+} // namespace
+
+std::optional<VersionsByService>
+ParsePeerVersions(const rapidjson::Value& aMessage)
+{
+  // A history with a gap could be taken for a complete one, so an entry that
+  // cannot be read spoils the list.
+  const auto list = aMessage.FindMember(kVersionsField);
+  if (list == aMessage.MemberEnd() || !list->value.IsArray()) {
+    return std::nullopt;
+  }
+  VersionsByService versions;
+  for (const auto& it : list->value.GetArray()) {
+    ListReader reader(it);
+    const std::string service = reader.Text();
+    const std::string version = reader.Text();
+    if (!reader.IsValid()) {
+      return std::nullopt;
+    }
+    versions[service].insert(version);
+  }
+  return versions;
+}
+
 std::optional<StoreRow>
-ParseRow(const rapidjson::Value& aValue)
+ParsePeerRow(const rapidjson::Value& aValue)
 {
   if (!aValue.IsObject()) {
     return std::nullopt;
   }
+  const auto end = aValue.MemberEnd();
   const auto key = aValue.FindMember("key");
   const auto value = aValue.FindMember("value");
   const auto version = aValue.FindMember("version");
   const auto removed = aValue.FindMember("removed");
-  const auto end = aValue.MemberEnd();
-  if (key == end || value == end || version == end || removed == end ||
-      !key->value.IsString() || !value->value.IsString() ||
-      !version->value.IsInt64() || !removed->value.IsBool()) {
+  const bool isRemoved =
+    removed != end && removed->value.IsBool() && removed->value.GetBool();
+  if (key == end || !key->value.IsString() || version == end ||
+      !version->value.IsInt64() || version->value.GetInt64() < 0 ||
+      (removed != end && !removed->value.IsBool()) ||
+      (!isRemoved && value == end) ||
+      (value != end && !value->value.IsString())) {
     return std::nullopt;
   }
   StoreRow row;
   row.mKey.assign(key->value.GetString(), key->value.GetStringLength());
-  row.mValue.assign(value->value.GetString(), value->value.GetStringLength());
+  if (value != end) {
+    row.mValue.assign(value->value.GetString(), value->value.GetStringLength());
+  }
   row.mVersion = version->value.GetInt64();
-  row.mRemoved = removed->value.GetBool();
+  row.mRemoved = isRemoved;
   return row;
 }
 
-} // namespace
-
 PeerLink::PeerLink(EventLoop& aLoop,
                    const GatewaySettings& aSettings,
                    Fleet& aFleet,
@@ -421,31 +439,44 @@
       { { "peer", aPeer }, { "reason", aReply ? "invalid reply" : aReason } });
     return std::nullopt;
   }
-  if (const auto versions = ParseVersions(json)) {
+  if (const auto versions = ParsePeerVersions(json)) {
     mFleet.OnVersionsRecorded(*versions, EventLoop::Now());
+  } else if (json.HasMember(kVersionsField)) {
+    mFleet.ReportUnreadable(aPeer, kVersionsField);
   }
   std::optional<Duration> age;
   const auto ageField = json.FindMember(kAgeField);
-  if (ageField != json.MemberEnd() && ageField->value.IsInt64()) {
+  if (ageField != json.MemberEnd() && ageField->value.IsInt64() &&
+      ageField->value.GetInt64() >= 0 &&
+      ageField->value.GetInt64() <= kMaxAgeMs) {
     age = milliseconds(ageField->value.GetInt64());
+  } else if (ageField != json.MemberEnd()) {
+    mFleet.ReportUnreadable(aPeer, kAgeField);
   }
   // A host with an old view may not have noticed an outage of the store.
   const bool synced = age && *age < ReaderChoice::kMaxStaleness;
   for (const auto& it : kTables) {
     const auto table = json.FindMember(it.first);
-    if (table == json.MemberEnd() || !table->value.IsObject()) {
+    if (table == json.MemberEnd()) {
+      continue;
+    }
+    if (!table->value.IsObject()) {
+      mFleet.ReportUnreadable(aPeer, it.first);
       continue;
     }
     const auto version = table->value.FindMember("version");
     const auto list = table->value.FindMember("rows");
     if (version == table->value.MemberEnd() || !version->value.IsInt64() ||
         list == table->value.MemberEnd() || !list->value.IsArray()) {
+      mFleet.ReportUnreadable(aPeer, it.first);
       continue;
     }
     std::vector<StoreRow> rows;
     for (const auto& row : list->value.GetArray()) {
-      if (auto decoded = ParseRow(row)) {
+      if (auto decoded = ParsePeerRow(row)) {
         rows.push_back(std::move(*decoded));
+      } else {
+        mFleet.ReportUnreadable(aPeer, it.first);
       }
     }
     const bool whole =
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -7,12 +7,24 @@
 #include "http/SimpleHttpServer.h"
 
 #include <memory>
+#include <optional>
 #include <random>
+#include <rapidjson/document.h>
 #include <string>
 #include <vector>
 
 namespace quetzalquay {
 
+// Software versions by service in a host's reply; nothing if it has none, or
+// not all can be read.
+std::optional<VersionsByService>
+ParsePeerVersions(const rapidjson::Value& aMessage);
+
+// A row in a host's reply; nothing if it cannot be read. "removed" may be
+// missing, which means that the row is there.
+std::optional<platform::StoreRow>
+ParsePeerRow(const rapidjson::Value& aValue);
+
 // Synchronizes store rows between hosts. Every host answers requests for the
 // rows that it knows beyond given versions. A host that does not read the store
 // itself queries one that does. A host queries a few other hosts at a time
--- a/src/quetzalquay/gateway/ReachMessages.cpp
+++ b/src/quetzalquay/gateway/ReachMessages.cpp
@@ -1,5 +1,9 @@
 #include "gateway/ReachMessages.h"
 
+#include "http/ListReader.h"
+
+#include <limits>
+
 namespace quetzalquay {
 
 namespace {
@@ -10,12 +14,8 @@
 constexpr char kAnswerName[] = "reach_answer";
 constexpr char kUnreachedName[] = "unreached";
 
-// Elements of an ask: service, ask and targets. Elements of an answer: service,
-// ask, state, targets that were heard, and failing targets. Elements of a heard
-// target: its name and the milliseconds since it was heard.
-constexpr rapidjson::SizeType kAskSize = 3;
-constexpr rapidjson::SizeType kAnswerSize = 5;
-constexpr rapidjson::SizeType kHeardSize = 2;
+// One less than the largest number, since the age is rounded up.
+constexpr int kMaxHeardAgeMs = std::numeric_limits<int>::max() - 1;
 
 std::string
 ToText(const rapidjson::Value& aValue)
@@ -94,51 +94,77 @@
   }
 }
 
+// Elements: service, ask and targets.
 std::optional<ReceivedReachAsk>
 ParseReachAsk(const rapidjson::Value& aMessage)
 {
   const auto it = aMessage.FindMember(kAskName);
-  if (it == aMessage.MemberEnd() || !it->value.IsArray() ||
-      it->value.Size() != kAskSize || !it->value[0].IsString() ||
-      !it->value[1].IsUint64() || !it->value[2].IsArray()) {
+  if (it == aMessage.MemberEnd()) {
+    return std::nullopt;
+  }
+  ListReader reader(it->value);
+  ReceivedReachAsk ask;
+  ask.mService = reader.Text();
+  ask.mId = reader.Id();
+  const rapidjson::Value* targets = reader.List();
+  if (!reader.IsValid()) {
     return std::nullopt;
   }
-  return ReceivedReachAsk{ ToText(it->value[0]),
-                           it->value[1].GetUint64(),
-                           ParseTexts(it->value[2]) };
+  ask.mTargets = ParseTexts(*targets);
+  return ask;
 }
 
+// Elements: service, ask, state, targets that were heard, and failing targets.
+// Elements of a heard target: its name and the milliseconds since it was heard.
 std::optional<ReachAnswer>
 ParseReachAnswer(const rapidjson::Value& aMessage)
 {
   const auto it = aMessage.FindMember(kAnswerName);
-  if (it == aMessage.MemberEnd() || !it->value.IsArray() ||
-      it->value.Size() != kAnswerSize || !it->value[0].IsString() ||
-      !it->value[1].IsUint64() || !it->value[2].IsString() ||
-      !it->value[3].IsArray() || !it->value[4].IsArray()) {
+  if (it == aMessage.MemberEnd()) {
     return std::nullopt;
   }
-  const auto state = kReachStateNames.ValueOf(ToText(it->value[2]));
-  if (!state) {
+  ListReader reader(it->value);
+  ReachAnswer answer;
+  answer.mService = reader.Text();
+  answer.mAsk = reader.Id();
+  const auto state = kReachStateNames.ValueOf(reader.Text());
+  const rapidjson::Value* heard = reader.List();
+  const rapidjson::Value* failing = reader.List();
+  if (!reader.IsValid() || !state) {
     return std::nullopt;
   }
-  ReachAnswer answer;
-  answer.mService = ToText(it->value[0]);
-  answer.mAsk = it->value[1].GetUint64();
   answer.mState = *state;
-  for (const auto& heard : it->value[3].GetArray()) {
-    if (heard.IsArray() && heard.Size() == kHeardSize && heard[0].IsString() &&
-        heard[1].IsInt() && heard[1].GetInt() >= 0 &&
+  for (const auto& element : heard->GetArray()) {
+    ListReader target(element);
+    std::string name = target.Text();
+    const int age = target.Count(kMaxHeardAgeMs);
+    if (target.IsValid() &&
         answer.mHeard.size() < TargetReach::kMaxAskedTargets) {
       // Rounded up, so that the target is never held for heard later.
-      answer.mHeard.emplace_back(ToText(heard[0]),
-                                 milliseconds(heard[1].GetInt() + 1));
+      answer.mHeard.emplace_back(std::move(name), milliseconds(age + 1));
     }
   }
-  answer.mFailing = ParseTexts(it->value[4]);
+  answer.mFailing = ParseTexts(*failing);
   return answer;
 }
 
+std::vector<const char*>
+UnreadableReachMembers(const rapidjson::Value& aMessage)
+{
+  std::vector<const char*> names;
+  if (aMessage.HasMember(kAskName) && !ParseReachAsk(aMessage)) {
+    names.push_back(kAskName);
+  }
+  if (aMessage.HasMember(kAnswerName) && !ParseReachAnswer(aMessage)) {
+    names.push_back(kAnswerName);
+  }
+  const auto unreached = aMessage.FindMember(kUnreachedName);
+  if (unreached != aMessage.MemberEnd() && !unreached->value.IsArray()) {
+    names.push_back(kUnreachedName);
+  }
+  return names;
+}
+
 std::set<std::string>
 ParseUnreached(const rapidjson::Value& aMessage)
 {
--- a/src/quetzalquay/gateway/ReachMessages.h
+++ b/src/quetzalquay/gateway/ReachMessages.h
@@ -44,6 +44,10 @@
 std::optional<ReachAnswer>
 ParseReachAnswer(const rapidjson::Value& aMessage);
 
+// Names of these members that a message has and that cannot be read.
+std::vector<const char*>
+UnreadableReachMembers(const rapidjson::Value& aMessage);
+
 std::set<std::string>
 ParseUnreached(const rapidjson::Value& aMessage);
 
--- a/src/quetzalquay/gateway/SuspectRows.cpp
+++ b/src/quetzalquay/gateway/SuspectRows.cpp
@@ -16,6 +16,20 @@
 constexpr char kSetTrialPrefix[] = "trial-";
 constexpr char kTargetTrialPrefix[] = "trial-at-";
 
+// Size of a key: two numbers of 16 hexadecimal digits with a dash between.
+constexpr std::size_t kKeySize = 33;
+
+// Largest distance of a stored time from now; more than that is malformed.
+constexpr std::int64_t kMaxDistanceMs = 100000000000;
+
+// Whether a time can be converted without an overflow.
+bool
+IsNear(std::int64_t aUnixMs, const ClockReading& aClocks)
+{
+  return aUnixMs >= aClocks.mUnixMs - kMaxDistanceMs &&
+         aUnixMs <= aClocks.mUnixMs + kMaxDistanceMs;
+}
+
 std::int64_t
 ToUnixMs(Time aAt, const ClockReading& aClocks)
 {
@@ -58,7 +72,8 @@
 {
   StoredLossChange change;
   change.mRemoved = aRow.mRemoved;
-  if (std::sscanf(aRow.mKey.c_str(),
+  if (aRow.mKey.size() != kKeySize ||
+      std::sscanf(aRow.mKey.c_str(),
                   "%16" SCNx64 "-%16" SCNx64,
                   &change.mSuspect,
                   &change.mRun.mDeath.mId) != 2) {
@@ -73,7 +88,8 @@
                   "%16" SCNx64 " %" SCNd64 " %" SCNd64,
                   &change.mRun.mDeath.mPlace,
                   &startedMs,
-                  &diedMs) != 3) {
+                  &diedMs) != 3 ||
+      !IsNear(startedMs, aClocks) || !IsNear(diedMs, aClocks)) {
     return std::nullopt;
   }
   change.mRun.mStartedAt = FromUnixMs(startedMs, aClocks);
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -1,16 +1,35 @@
 #include "core/TargetTable.h"
 #include "core/TrialRecord.h"
+#include "gateway/Fleet.h"
+#include "gateway/FormatLog.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/LoadMessages.h"
+#include "gateway/PassedOnRequest.h"
+#include "gateway/PeerLink.h"
+#include "gateway/ReachMessages.h"
+#include "gateway/StreamOriginRows.h"
+#include "gateway/SuspectRows.h"
+#include "http/JsonText.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
+#include <functional>
 #include <limits>
+#include <map>
 #include <sstream>
 
 using namespace quetzalquay;
+using std::chrono::milliseconds;
 
 namespace {
 
+const std::vector<std::string> kLandings = { "9916185", "0e0bdf0", "e1c1272",
+                                             "f97d0fb", "bc3452f", "024c004",
+                                             "c6d7403" };
+
+// Unix time of the rows, in milliseconds.
+constexpr std::int64_t kUnixMs = 1796464800000;
+
 const Time kNow = Time(std::chrono::hours(30 * 24));
 
 // Content of a file that an earlier build wrote, or would have.
@@ -24,6 +43,174 @@
   return text.str();
 }
 
+using Json = rapidjson::Document;
+
+void
+Parse(Json& aJson, const std::string& aText)
+{
+  ParseJson(aJson, aText);
+  CPPUNIT_ASSERT_MESSAGE(aText, !aJson.HasParseError());
+}
+
+std::string
+ToText(const rapidjson::Value& aValue)
+{
+  rapidjson::StringBuffer buf;
+  MessageWriter writer(buf);
+  aValue.Accept(writer);
+  return buf.GetString();
+}
+
+template<typename Function>
+std::string
+Written(const Function& aFunction)
+{
+  rapidjson::StringBuffer buf;
+  MessageWriter writer(buf);
+  aFunction(writer);
+  return buf.GetString();
+}
+
+// How the entries of a list are read and written.
+struct EntryFormat
+{
+  std::function<bool(const rapidjson::Value&)> mIsReadable;
+  std::function<void(MessageWriter&, const rapidjson::Value&)> mRewrite;
+};
+
+template<typename Reader, typename Writer>
+EntryFormat
+MakeFormat(Reader aRead, Writer aWrite)
+{
+  return { [aRead](const rapidjson::Value& aEntry) {
+            return aRead(aEntry).has_value();
+          },
+           [aRead, aWrite](MessageWriter& aWriter,
+                           const rapidjson::Value& aEntry) {
+             aWrite(aWriter, *aRead(aEntry));
+           } };
+}
+
+// For entries with times, which are written as ages.
+template<typename Reader, typename Writer>
+EntryFormat
+MakeTimedFormat(Reader aRead, Writer aWrite)
+{
+  return MakeFormat(
+    [aRead](const rapidjson::Value& aEntry) { return aRead(aEntry, kNow); },
+    [aWrite](MessageWriter& aWriter, const auto& aRecord) {
+      aWrite(aWriter, aRecord, kNow);
+    });
+}
+
+void
+WriteRetry(MessageWriter& aWriter, const RetryGrant& aGrant)
+{
+  WriteRetryEntry(aWriter, aGrant.mService, aGrant.mAsk, aGrant.mCount);
+}
+
+// The formats by the list's name.
+const std::map<std::string, EntryFormat>&
+EntryFormats()
+{
+  static const EntryFormat totals =
+    MakeFormat(ParseTotalsEntry, WriteTotalsEntry);
+  static const EntryFormat retry = MakeFormat(ParseRetryEntry, WriteRetry);
+  static const std::map<std::string, EntryFormat> formats = {
+    { "load", MakeFormat(ParseLoadEntry, WriteLoadEntry) },
+    { "lost", MakeTimedFormat(ParseLostEntry, WriteLostEntry) },
+    { "totals", totals },
+    { "limit_totals", totals },
+    { "asks", retry },
+    { "grants", retry },
+    { "limit_asks", retry },
+    { "limit_grants", retry },
+    { "limits", MakeTimedFormat(ParseLimitEntry, WriteLimitEntry) },
+    { "brittle", MakeTimedFormat(ParseBrittleEntry, WriteBrittleEntry) },
+    { "room", MakeFormat(ParseRoomEntry, WriteRoomEntry) },
+    { "room_answers", MakeFormat(ParseRoomAnswerEntry, WriteRoomAnswerEntry) },
+    { "streams", MakeFormat(ParseOriginEntry, WriteOriginEntry) },
+    { "gone", MakeFormat(ParseDepartureEntry, WriteDepartureEntry) },
+    { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
+  };
+  return formats;
+}
+
+// The first entry of each list that a landing writes.
+std::map<std::string, std::string>
+EntryExamples()
+{
+  Json latest;
+  Parse(latest, ReadData("messages-c6d7403.json"));
+  std::map<std::string, std::string> examples;
+  for (const auto& it : EntryFormats()) {
+    examples[it.first] = ToText(latest[it.first.c_str()][0]);
+  }
+  return examples;
+}
+
+bool
+IsReadable(const std::string& aList, const rapidjson::Value& aEntry)
+{
+  return EntryFormats().at(aList).mIsReadable(aEntry);
+}
+
+void
+AddElements(Json& aList, int aCount)
+{
+  for (int n = 0; n < aCount; ++n) {
+    aList.PushBack(rapidjson::Value(n % 2 == 0 ? rapidjson::kObjectType
+                                               : rapidjson::kFalseType),
+                   aList.GetAllocator());
+  }
+}
+
+// Rows of a landing: table, key and value.
+std::vector<std::array<std::string, 3>>
+ReadRows(const std::string& aLanding)
+{
+  std::stringstream text(ReadData("rows-" + aLanding + ".txt"));
+  std::vector<std::array<std::string, 3>> rows;
+  std::string line;
+  while (std::getline(text, line)) {
+    const auto first = line.find('\t');
+    const auto second = line.find('\t', first + 1);
+    rows.push_back({ line.substr(0, first),
+                     line.substr(first + 1, second - first - 1),
+                     line.substr(second + 1) });
+  }
+  return rows;
+}
+
+platform::StoreRow
+MakeRow(const std::string& aKey, const std::string& aValue)
+{
+  platform::StoreRow row;
+  row.mKey = aKey;
+  row.mValue = aValue;
+  row.mVersion = 1;
+  return row;
+}
+
+// Whether a row of one of the gateway's own tables can be read.
+bool
+IsRowReadable(const std::string& aTable,
+              const std::string& aKey,
+              const std::string& aValue)
+{
+  if (aTable == "hosts") {
+    const HostRow row = ParseHostRow(aValue);
+    return row.mAddress == "127.0.0.1:1003" && row.mLinkMbps == 10000;
+  }
+  const platform::StoreRow row = MakeRow(aKey, aValue);
+  if (aTable == "streams") {
+    return ParseOriginRow(row).has_value();
+  }
+  return ParseTrialSuspects(row)
+           ? ParseTrialRecord(aValue).has_value()
+           : ParseSuspectRow(row, { kNow, kUnixMs }).has_value();
+}
+
 } // namespace
 
 // What one build writes and another one reads, while hosts are upgraded one by
@@ -32,8 +219,22 @@
 {
   CPPUNIT_TEST_SUITE(FormatTests);
   CPPUNIT_TEST(SettingsOfFormerTemplatesAreAccepted);
+  CPPUNIT_TEST(MessagesOfFormerLandingsAreRead);
+  CPPUNIT_TEST(EntriesWithLaterElementsAreRead);
+  CPPUNIT_TEST(EntriesThatLackElementsAreNot);
+  CPPUNIT_TEST(ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry);
+  CPPUNIT_TEST(ReachMessagesWithLaterElementsAreRead);
   CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
+  CPPUNIT_TEST(WrittenEntriesAreThoseThatFormerLandingsRead);
+  CPPUNIT_TEST(RowsOfFormerLandingsAreRead);
+  CPPUNIT_TEST(RowsWithLaterElementsAreRead);
   CPPUNIT_TEST(ConvictionsWithLaterElementsAreKept);
+  CPPUNIT_TEST(RowsOutOfRangeAreNotRead);
+  CPPUNIT_TEST(RowsOfPeersWithLaterMembersAreRead);
+  CPPUNIT_TEST(VersionsOfPeersWithLaterElementsAreRead);
+  CPPUNIT_TEST(PassedOnRequestsWithLaterFieldsAreRead);
+  CPPUNIT_TEST(UnknownVerdictsAreFailuresThatMayHaveRun);
+  CPPUNIT_TEST(UnreadableRecordsAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +255,109 @@
     CPPUNIT_ASSERT_MESSAGE(reason, ParseGatewaySettings(text, reason));
   }
 
+  void MessagesOfFormerLandingsAreRead()
+  {
+    for (const std::string& landing : kLandings) {
+      Json json;
+      Parse(json, ReadData("messages-" + landing + ".json"));
+      for (const auto& it : EntryFormats()) {
+        const auto list = json.FindMember(it.first.c_str());
+        if (list == json.MemberEnd()) {
+          continue;
+        }
+        for (const auto& entry : list->value.GetArray()) {
+          CPPUNIT_ASSERT_MESSAGE(landing + " " + it.first,
+                                 it.second.mIsReadable(entry));
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(landing, UnreadableReachMembers(json).empty());
+    }
+  }
+
+  // Lists with one element more than this build knows were dropped.
+  void EntriesWithLaterElementsAreRead()
+  {
+    for (const auto& it : EntryExamples()) {
+      Json entry;
+      Parse(entry, it.second);
+      AddElements(entry, 10);
+      CPPUNIT_ASSERT_MESSAGE(it.first, IsReadable(it.first, entry));
+    }
+    Json suspect;
+    Parse(suspect, R"([7,-1,[[11,12,2400,350,"later",{}]],"later"])");
+    const auto report = ParseSuspectEntry(suspect, kNow);
+    CPPUNIT_ASSERT(report && report->mRuns.size() == 1);
+  }
+
+  void EntriesThatLackElementsAreNot()
+  {
+    for (const auto& it : EntryExamples()) {
+      Json entry;
+      Parse(entry, it.second);
+      entry.PopBack();
+      CPPUNIT_ASSERT_MESSAGE(it.first, !IsReadable(it.first, entry));
+      entry.Clear();
+      CPPUNIT_ASSERT_MESSAGE(it.first, !IsReadable(it.first, entry));
+    }
+  }
+
+  // Negative ages and counts were taken as they came: a target "lost" in the
+  // future stayed doubtful until then.
+  void ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry()
+  {
+    const std::vector<std::string> wrong = { "{}", "null", "[[]]", "true" };
+    for (const auto& it : EntryExamples()) {
+      Json example;
+      Parse(example, it.second);
+      for (rapidjson::SizeType n = 0; n < example.Size(); ++n) {
+        for (const std::string& value : wrong) {
+          Json entry;
+          Parse(entry, it.second);
+          Json element(&entry.GetAllocator());
+          Parse(element, value);
+          entry[n].Swap(element);
+          const bool isList = example[n].IsArray() && value == "[[]]";
+          CPPUNIT_ASSERT_MESSAGE(it.first + " " + value,
+                                 !IsReadable(it.first, entry) || isList);
+        }
+        if (example[n].IsNumber()) {
+          Json entry;
+          Parse(entry, it.second);
+          entry[n].SetInt64(-2000000000);
+          CPPUNIT_ASSERT_MESSAGE(it.first + " negative",
+                                 !IsReadable(it.first, entry));
+        }
+      }
+      for (const std::string& value : wrong) {
+        Json entry;
+        Parse(entry, value);
+        CPPUNIT_ASSERT_MESSAGE(it.first, !IsReadable(it.first, entry));
+      }
+    }
+    Json answer;
+    Parse(answer, R"(["t1",9,"answer of a later build"])");
+    CPPUNIT_ASSERT(!ParseRoomAnswerEntry(answer));
+  }
+
+  void ReachMessagesWithLaterElementsAreRead()
+  {
+    Json json;
+    Parse(json,
+          R"({"reach_ask":["pool",4,["t1","t2"],"later"],)"
+          R"("reach_answer":["pool",4,"reached",[["t1",120,"later"],)"
+          R"(["t3",2147483647],["t4",-1]],["t2"],{}]})");
+    const auto ask = ParseReachAsk(json);
+    CPPUNIT_ASSERT(ask && ask->mTargets.size() == 2);
+    const auto answer = ParseReachAnswer(json);
+    CPPUNIT_ASSERT(answer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), answer->mHeard.size());
+    CPPUNIT_ASSERT(UnreadableReachMembers(json).empty());
+    Parse(json,
+          R"({"reach_ask":["pool"],"reach_answer":["pool",4,"else",)"
+          R"([],[]],"unreached":{}})");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), UnreadableReachMembers(json).size());
+  }
+
   // The sum of two reported loads overflowed, and a target full of the others'
   // requests looked idle.
   void LoadsOfManyHostsDoNotOverflow()
@@ -81,6 +385,41 @@
     CPPUNIT_ASSERT_EQUAL(2, table.InputsOf("t1", kNow).mPeerRunning);
   }
 
+  void WrittenEntriesAreThoseThatFormerLandingsRead()
+  {
+    for (const auto& it : EntryExamples()) {
+      Json entry;
+      Parse(entry, it.second);
+      CPPUNIT_ASSERT_EQUAL(it.second, Written([&](MessageWriter& aWriter) {
+                             EntryFormats().at(it.first).mRewrite(aWriter,
+                                                                  entry);
+                           }));
+    }
+  }
+
+  void RowsOfFormerLandingsAreRead()
+  {
+    for (const std::string& landing : kLandings) {
+      for (const auto& it : ReadRows(landing)) {
+        CPPUNIT_ASSERT_MESSAGE(landing + " " + it[1],
+                               IsRowReadable(it[0], it[1], it[2]));
+      }
+    }
+  }
+
+  void RowsWithLaterElementsAreRead()
+  {
+    for (const auto& it : ReadRows("bc3452f")) {
+      const bool isJson = it[2].front() == '[';
+      std::string later = it[2];
+      for (int n = 0; n < 10; ++n) {
+        later = isJson ? later.substr(0, later.size() - 1) + ",{\"x\":1}]"
+                       : later + " later=" + std::to_string(n);
+      }
+      CPPUNIT_ASSERT_MESSAGE(later, IsRowReadable(it[0], it[1], later));
+    }
+  }
+
   // A record with an element of a later build counted as a new one, so that a
   // convicted request was tried again.
   void ConvictionsWithLaterElementsAreKept()
@@ -95,6 +434,105 @@
     CPPUNIT_ASSERT(!ParseTrialRecord("later 2 1 0"));
     CPPUNIT_ASSERT(!ParseTrialRecord(""));
   }
+
+  void RowsOutOfRangeAreNotRead()
+  {
+    const std::string key = "ffffffffffffffff-000000000000000b";
+    CPPUNIT_ASSERT(
+      IsRowReadable("suspects", key, "c 1796464797600 1796464799000"));
+    for (const char* it : { "c 9223372036854775807 1796464797600",
+                            "c 1796464797600 -9223372036854775807",
+                            "c 1796464797600",
+                            "" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !IsRowReadable("suspects", key, it));
+    }
+    // A kind of row that a later build has added.
+    CPPUNIT_ASSERT(!IsRowReadable("suspects", "feed-0b", "c 1 2"));
+    CPPUNIT_ASSERT(!IsRowReadable(
+      "streams", "later-0123456789abcdef", R"(["pool","2.1",1796464800000])"));
+    CPPUNIT_ASSERT_EQUAL(0, ParseHostRow("127.0.0.1:1 -5").mLinkMbps);
+    CPPUNIT_ASSERT_EQUAL(0, ParseHostRow("127.0.0.1:1").mLinkMbps);
+  }
+
+  void RowsOfPeersWithLaterMembersAreRead()
+  {
+    Json json;
+    Parse(json,
+          R"({"key":"k","value":"v","version":3,"removed":false,"x":{}})");
+    CPPUNIT_ASSERT(ParsePeerRow(json));
+    // Members that may be missing.
+    Parse(json, R"({"key":"k","value":"v","version":3})");
+    CPPUNIT_ASSERT(ParsePeerRow(json) && !ParsePeerRow(json)->mRemoved);
+    Parse(json, R"({"key":"k","version":3,"removed":true})");
+    CPPUNIT_ASSERT(ParsePeerRow(json) && ParsePeerRow(json)->mRemoved);
+    for (const char* it :
+         { R"({"key":"k","value":"v"})",
+           R"({"key":"k","version":3})",
+           R"({"key":"k","value":"v","version":-3})",
+           R"({"key":"k","value":5,"version":3})",
+           R"({"key":"k","value":"v","version":3,"removed":0})",
+           "[]" }) {
+      Parse(json, it);
+      CPPUNIT_ASSERT_MESSAGE(it, !ParsePeerRow(json));
+    }
+  }
+
+  // One longer entry spoiled the whole history of versions.
+  void VersionsOfPeersWithLaterElementsAreRead()
+  {
+    Json json;
+    Parse(json, R"({"versions":[["pool","1",{}],["pool","2"]]})");
+    const auto versions = ParsePeerVersions(json);
+    CPPUNIT_ASSERT(versions && versions->at("pool").size() == 2);
+    Parse(json, R"({"versions":[["pool","1"],["pool"]]})");
+    CPPUNIT_ASSERT(!ParsePeerVersions(json));
+  }
+
+  void PassedOnRequestsWithLaterFieldsAreRead()
+  {
+    PassedOnRequest request;
+    request.mFrom = "front-1";
+    request.mService = "pool";
+    request.mConfiguration = 7;
+    HttpHead head;
+    std::stringstream fields(FormatPassedOnRequest(request));
+    std::string line;
+    while (std::getline(fields, line)) {
+      const auto colon = line.find(": ");
+      const auto end = line.find('\r');
+      head.mFields.push_back(
+        { line.substr(0, colon), line.substr(colon + 2, end - colon - 2) });
+    }
+    head.mFields.push_back({ "X-Passed-Later", "1" });
+    CPPUNIT_ASSERT(ParsePassedOnRequest(head));
+    RemoveHostFields(head);
+    CPPUNIT_ASSERT(head.mFields.empty());
+  }
+
+  // A failure with a verdict of a later build was passed on as the answer of a
+  // target.
+  void UnknownVerdictsAreFailuresThatMayHaveRun()
+  {
+    HttpHead head;
+    CPPUNIT_ASSERT(!ParsePassedOnAnswer(head).mOwnFailure);
+    head.mFields.push_back({ "X-Passed-Verdict", "later" });
+    CPPUNIT_ASSERT(ParsePassedOnAnswer(head).mOwnFailure);
+    CPPUNIT_ASSERT(!ParsePassedOnAnswer(head).mNotRun);
+  }
+
+  void UnreadableRecordsAreCounted()
+  {
+    GatewayMetrics metrics("own");
+    FormatLog log(metrics);
+    for (int n = 0; n < 3; ++n) {
+      log.OnUnreadable("front-1", "load");
+    }
+    const std::string text = metrics.Serialize();
+    CPPUNIT_ASSERT_MESSAGE(
+      text,
+      text.find("quetzal_records_unreadable_total{host=\"own\"} 3") !=
+        std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatTests);
