--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -76,9 +76,12 @@
                           Time aNow)
 {
   DropExpired(aNow);
-  const bool isNew = mEntries.count(aOrigin.mKey) == 0;
+  const auto known = mEntries.find(aOrigin.mKey);
+  const bool replaces =
+    known == mEntries.end() ||
+    (!known->second.mOwn && known->second.mOrigin.mAttempt < aOrigin.mAttempt);
   Entry& entry = Touch(aOrigin, aNow);
-  if (!isNew) {
+  if (!replaces) {
     return;
   }
   entry.mOrigin = aOrigin;
--- a/src/quetzalquay/core/StreamOrigins.h
+++ b/src/quetzalquay/core/StreamOrigins.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,14 +18,20 @@
 namespace quetzalquay {
 
 // Where a stream began: at the target that brought its first event. Never
-// changes. A stream may be taken up again only at a target of the same service
-// and software version.
+// changes once the stream has begun. A stream may be taken up again only at a
+// target of the same service and software version.
 struct StreamOrigin
 {
   // Stable hash of the ID of the caller's request that brought the first event.
   std::uint64_t mKey = 0;
   std::string mService;
   std::string mSoftwareVersion;
+  // Attempt at which the stream began. Builds before 551d6f0 tell of each
+  // attempt before its first event, and a later attempt replaces earlier ones.
+  // They read kBegun as one that nothing replaces.
+  int mAttempt = kBegun;
+
+  static constexpr int kBegun = std::numeric_limits<int>::max();
 };
 
 // How the origin of a stream is known.
--- a/src/quetzalquay/gateway/LoadMessages.cpp
+++ b/src/quetzalquay/gateway/LoadMessages.cpp
@@ -259,6 +259,7 @@
   aWriter.Uint64(aOrigin.mKey);
   WriteText(aWriter, aOrigin.mService);
   WriteText(aWriter, aOrigin.mSoftwareVersion);
+  aWriter.Int(aOrigin.mAttempt);
   aWriter.EndArray();
 }
 
@@ -270,6 +271,8 @@
   origin.mKey = reader.Id();
   origin.mService = reader.Text();
   origin.mSoftwareVersion = reader.Text();
+  origin.mAttempt = static_cast<int>(
+    reader.Integer(0, StreamOrigin::kBegun, StreamOrigin::kBegun));
   return IfValid(reader, std::move(origin));
 }
 
--- a/src/quetzalquay/gateway/LoadMessages.h
+++ b/src/quetzalquay/gateway/LoadMessages.h
@@ -92,7 +92,8 @@
 std::optional<RoomAnswerEntry>
 ParseRoomAnswerEntry(const rapidjson::Value& aEntry);
 
-// "streams": key, service and software version.
+// "streams": key, service, software version and attempt, which builds from
+// 551d6f0 on left out.
 void
 WriteOriginEntry(MessageWriter& aWriter, const StreamOrigin& aOrigin);
 std::optional<StreamOrigin>
--- a/src/quetzalquay/gateway/StreamOriginRows.cpp
+++ b/src/quetzalquay/gateway/StreamOriginRows.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "http/JsonText.h"
+#include "http/ListReader.h"
 
 #include <charconv>
 #include <rapidjson/document.h>
@@ -17,13 +18,22 @@
 constexpr std::string_view kVersionPrefix = "version-";
 constexpr std::size_t kStreamKeySize = 16;
 
-// Elements of a value: service, software version, time.
-constexpr rapidjson::SizeType kValueSize = 3;
+// Age from which on the row of a stream is removed.
+constexpr std::int64_t kRowLifetimeMs = 600000;
 
+// Attempt in the rows of versions.
+constexpr int kNoAttempt = 0;
+
+// Latest time of a row, far from where sums with times overflow.
+constexpr std::int64_t kMaxUnixMs = 100000000000000;
+
+// Elements: service, software version, time and attempt. Builds from 551d6f0 on
+// left the attempt out; earlier ones don't read a row without it.
 std::string
 FormatValue(const std::string& aService,
             const std::string& aSoftwareVersion,
-            std::int64_t aUnixMs)
+            std::int64_t aUnixMs,
+            int aAttempt)
 {
   rapidjson::StringBuffer buf;
   rapidjson::Writer<rapidjson::StringBuffer> writer(buf);
@@ -34,6 +44,7 @@
   write(aService);
   write(aSoftwareVersion);
   writer.Int64(aUnixMs);
+  writer.Int(aAttempt);
   writer.EndArray();
   return std::string(buf.GetString(), buf.GetSize());
 }
@@ -47,7 +58,8 @@
   platform::RowChange row;
   row.mKey = ToHex(origin.mKey);
   if (!aChange.mRemoved) {
-    row.mValue = FormatValue(origin.mService, origin.mSoftwareVersion, aUnixMs);
+    row.mValue = FormatValue(
+      origin.mService, origin.mSoftwareVersion, aUnixMs, origin.mAttempt);
   }
   return row;
 }
@@ -60,7 +72,7 @@
   platform::RowChange row;
   row.mKey = std::string(kVersionPrefix) +
              ToHex(StableHash(aSoftwareVersion, StableHash(aService)));
-  row.mValue = FormatValue(aService, aSoftwareVersion, aUnixMs);
+  row.mValue = FormatValue(aService, aSoftwareVersion, aUnixMs, kNoAttempt);
   return row;
 }
 
@@ -69,14 +81,19 @@
 {
   rapidjson::Document json;
   ParseJson(json, aRow.mValue);
-  if (json.HasParseError() || !json.IsArray() || json.Size() < kValueSize ||
-      !json[0].IsString() || !json[1].IsString() || !json[2].IsInt64()) {
+  if (json.HasParseError()) {
     return std::nullopt;
   }
+  ListReader reader(json);
   StreamOriginRow row;
-  row.mService.assign(json[0].GetString(), json[0].GetStringLength());
-  row.mSoftwareVersion.assign(json[1].GetString(), json[1].GetStringLength());
-  row.mWrittenAtMs = json[2].GetInt64();
+  row.mService = reader.Text();
+  row.mSoftwareVersion = reader.Text();
+  row.mWrittenAtMs = reader.Integer(0, kMaxUnixMs);
+  const auto attempt =
+    reader.Integer(0, StreamOrigin::kBegun, StreamOrigin::kBegun);
+  if (!reader.IsValid()) {
+    return std::nullopt;
+  }
   if (std::string_view(aRow.mKey).substr(0, kVersionPrefix.size()) ==
       kVersionPrefix) {
     return row;
@@ -90,8 +107,17 @@
   }
   origin.mService = row.mService;
   origin.mSoftwareVersion = row.mSoftwareVersion;
+  origin.mAttempt = static_cast<int>(attempt);
   row.mOrigin = std::move(origin);
   return row;
 }
 
+bool
+IsOriginRowOutdated(const std::optional<StreamOriginRow>& aRow,
+                    std::int64_t aUnixMs)
+{
+  return aRow && aRow->mOrigin &&
+         aUnixMs - aRow->mWrittenAtMs >= kRowLifetimeMs;
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/StreamOriginRows.h
+++ b/src/quetzalquay/gateway/StreamOriginRows.h
@@ -37,6 +37,12 @@
 std::optional<StreamOriginRow>
 ParseOriginRow(const platform::StoreRow& aRow);
 
+// Whether a row is that of a stream that ended so long ago that nobody takes it
+// up any more. One that cannot be read may be a later build's, and is not.
+bool
+IsOriginRowOutdated(const std::optional<StreamOriginRow>& aRow,
+                    std::int64_t aUnixMs);
+
 } // namespace quetzalquay
 
 #endif // QUETZALQUAY_GATEWAY_STREAMORIGINROWS_H_INCLUDED
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -37,9 +37,6 @@
 // Interval between two searches for expired rows.
 constexpr Duration kSweepInterval = std::chrono::minutes(1);
 
-// Age from which on the row of a stream is removed.
-constexpr std::int64_t kRowLifetimeMs = 600000;
-
 bool
 Contains(const VersionsByService& aVersions,
          const std::string& aService,
@@ -187,6 +184,7 @@
   for (const platform::StoreRow& it : aRows) {
     const auto row = ParseOriginRow(it);
     if (!row) {
+      mFleet.ReportUnreadable("store", "stream_origins");
       Log(LogLevel::Warn,
           "store",
           "invalid row of a stream origin ignored",
@@ -198,8 +196,8 @@
       versions[row->mService].insert(row->mSoftwareVersion);
     }
     mHasTransientRows |=
-      !row || row->mOrigin ||
-      !Contains(registered, row->mService, row->mSoftwareVersion);
+      row && (row->mOrigin ||
+              !Contains(registered, row->mService, row->mSoftwareVersion));
   }
   mFleet.OnVersionsRecorded(versions, aNow);
 }
@@ -214,10 +212,8 @@
   const bool observed = mFleet.Versions().IsObserved(aNow);
   for (const platform::StoreRow& it : aRows) {
     const auto row = ParseOriginRow(it);
-    bool expired = !row;
-    if (row && row->mOrigin) {
-      expired = unixMs - row->mWrittenAtMs >= kRowLifetimeMs;
-    } else if (row) {
+    bool expired = IsOriginRowOutdated(row, unixMs);
+    if (row && !row->mOrigin) {
       expired = observed && !mFleet.Versions().WasObserved(
                               row->mService, row->mSoftwareVersion, aNow);
     }
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -27,6 +27,15 @@
                                              "f97d0fb", "bc3452f", "024c004",
                                              "c6d7403" };
 
+// Landings that write at which attempt a stream began.
+const std::vector<std::string> kWithAttempt = { "0e0bdf0",
+                                                "e1c1272",
+                                                "f97d0fb",
+                                                "bc3452f" };
+
+// The list whose last element may be missing.
+constexpr char kOriginList[] = "streams";
+
 // Unix time of the rows, in milliseconds.
 constexpr std::int64_t kUnixMs = 1796464800000;
 
@@ -142,9 +151,12 @@
 {
   Json latest;
   Parse(latest, ReadData("messages-c6d7403.json"));
+  Json withAttempt;
+  Parse(withAttempt, ReadData("messages-bc3452f.json"));
   std::map<std::string, std::string> examples;
   for (const auto& it : EntryFormats()) {
-    examples[it.first] = ToText(latest[it.first.c_str()][0]);
+    const Json& json = it.first == kOriginList ? withAttempt : latest;
+    examples[it.first] = ToText(json[it.first.c_str()][0]);
   }
   return examples;
 }
@@ -211,6 +223,16 @@
            : ParseSuspectRow(row, { kNow, kUnixMs }).has_value();
 }
 
+StreamOrigin
+ReadOrigin(const std::string& aEntry)
+{
+  Json json;
+  Parse(json, aEntry);
+  const auto origin = ParseOriginEntry(json);
+  CPPUNIT_ASSERT_MESSAGE(aEntry, origin);
+  return *origin;
+}
+
 } // namespace
 
 // What one build writes and another one reads, while hosts are upgraded one by
@@ -226,10 +248,12 @@
   CPPUNIT_TEST(ReachMessagesWithLaterElementsAreRead);
   CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
   CPPUNIT_TEST(WrittenEntriesAreThoseThatFormerLandingsRead);
+  CPPUNIT_TEST(AttemptsOfFormerLandingsReplaceEarlierOnes);
   CPPUNIT_TEST(RowsOfFormerLandingsAreRead);
   CPPUNIT_TEST(RowsWithLaterElementsAreRead);
   CPPUNIT_TEST(ConvictionsWithLaterElementsAreKept);
   CPPUNIT_TEST(RowsOutOfRangeAreNotRead);
+  CPPUNIT_TEST(RowsThatCannotBeReadAreNotRemoved);
   CPPUNIT_TEST(RowsOfPeersWithLaterMembersAreRead);
   CPPUNIT_TEST(VersionsOfPeersWithLaterElementsAreRead);
   CPPUNIT_TEST(PassedOnRequestsWithLaterFieldsAreRead);
@@ -294,6 +318,10 @@
     for (const auto& it : EntryExamples()) {
       Json entry;
       Parse(entry, it.second);
+      if (it.first == kOriginList) {
+        entry.PopBack();
+        CPPUNIT_ASSERT(IsReadable(it.first, entry));
+      }
       entry.PopBack();
       CPPUNIT_ASSERT_MESSAGE(it.first, !IsReadable(it.first, entry));
       entry.Clear();
@@ -385,8 +413,21 @@
     CPPUNIT_ASSERT_EQUAL(2, table.InputsOf("t1", kNow).mPeerRunning);
   }
 
+  // Hosts of 0e0bdf0 to bc3452f dropped the origins of streams, whose entries
+  // lacked the fourth element: they could not take up streams of newer hosts,
+  // and removed their rows.
   void WrittenEntriesAreThoseThatFormerLandingsRead()
   {
+    const StreamOrigin origin{ 81985529216486895, "pool", "2.1" };
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(R"([81985529216486895,"pool","2.1",2147483647])"),
+      Written([&](MessageWriter& w) { WriteOriginEntry(w, origin); }));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(R"(["pool","2.1",1796464800000,2147483647])"),
+      FormatOriginRow({ origin, false }, kUnixMs).mValue.value_or(""));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string(R"(["pool","2.1",1796464800000,0])"),
+      FormatVersionRow("pool", "2.1", kUnixMs).mValue.value_or(""));
     for (const auto& it : EntryExamples()) {
       Json entry;
       Parse(entry, it.second);
@@ -397,6 +438,23 @@
     }
   }
 
+  // Hosts of 0e0bdf0 to bc3452f tell of each attempt before its first event;
+  // the first one was taken for the stream's beginning.
+  void AttemptsOfFormerLandingsReplaceEarlierOnes()
+  {
+    StreamOrigins origins;
+    const auto report = [&](const std::string& aEntry) {
+      origins.OnReported(ReadOrigin(aEntry), OriginSource::Peer, kNow);
+      return origins.Find(1, kNow)->mOrigin.mSoftwareVersion;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), report(R"([1,"pool","a",1])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), report(R"([1,"pool","b",2])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), report(R"([1,"pool","a",1])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), report(R"([1,"pool","c"])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), report(R"([1,"pool","d",9])"));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), report(R"([1,"pool","e"])"));
+  }
+
   void RowsOfFormerLandingsAreRead()
   {
     for (const std::string& landing : kLandings) {
@@ -405,6 +463,14 @@
                                IsRowReadable(it[0], it[1], it[2]));
       }
     }
+    for (const std::string& landing : kWithAttempt) {
+      for (const auto& it : ReadRows(landing)) {
+        if (it[0] == "streams" && it[1].find("version") != 0) {
+          const auto row = ParseOriginRow(MakeRow(it[1], it[2]));
+          CPPUNIT_ASSERT_EQUAL(3, row->mOrigin->mAttempt);
+        }
+      }
+    }
   }
 
   void RowsWithLaterElementsAreRead()
@@ -448,12 +514,26 @@
     }
     // A kind of row that a later build has added.
     CPPUNIT_ASSERT(!IsRowReadable("suspects", "feed-0b", "c 1 2"));
+    CPPUNIT_ASSERT(!IsRowReadable(
+      "streams", "0123456789abcdef", R"(["pool","2.1",9223372036854775807])"));
     CPPUNIT_ASSERT(!IsRowReadable(
       "streams", "later-0123456789abcdef", R"(["pool","2.1",1796464800000])"));
     CPPUNIT_ASSERT_EQUAL(0, ParseHostRow("127.0.0.1:1 -5").mLinkMbps);
     CPPUNIT_ASSERT_EQUAL(0, ParseHostRow("127.0.0.1:1").mLinkMbps);
   }
 
+  // A host removed the rows of a later build from the store.
+  void RowsThatCannotBeReadAreNotRemoved()
+  {
+    const std::string key = "0123456789abcdef";
+    const auto isOutdated = [&](const std::string& aValue) {
+      return IsOriginRowOutdated(ParseOriginRow(MakeRow(key, aValue)), kUnixMs);
+    };
+    CPPUNIT_ASSERT(!isOutdated(R"({"service":"pool"})"));
+    CPPUNIT_ASSERT(!isOutdated(R"(["pool","2.1",1796464790000])"));
+    CPPUNIT_ASSERT(isOutdated(R"(["pool","2.1",1796464200000])"));
+  }
+
   void RowsOfPeersWithLaterMembersAreRead()
   {
     Json json;
