Fakes: a binary for each gateway process, killed hosts, requests run twice

GatewayTestSettings::mBinary and GatewayProcess::SetBinary() choose the binary of one process and of its next start; QUETZAL_TEST_GATEWAY remains the default for the others. Plays count requests whose host the test has killed apart from lost ones, and unsafe requests that ran more than once.

--- a/tests/fakes/FleetPlay.h
+++ b/tests/fakes/FleetPlay.h
@@ -28,13 +28,24 @@
   int mCrossed = 0;
   // Requests broken off at their deadline.
   int mOverdue = 0;
+  // Sent to a host that was killed before the answer was complete.
+  int mKilled = 0;
   // All others that ended without a complete answer.
   std::vector<CallerRequest> mLost;
+  // IDs of the requests to "/unsafe/" that runners began to run more than once.
+  std::vector<std::string> mRepeated;
 
   // Complete answers that reject a request as not allowed.
   int RejectedCount() const;
 };
 
+// The end of a host that the test killed.
+struct HostKill
+{
+  std::size_t mHost = 0;
+  quetzalquay::Time mAt;
+};
+
 // A running fleet, its callers and the configuration that was written last.
 struct FleetSituation
 {
@@ -42,6 +53,7 @@
   KeptCallers& mCallers;
   std::mt19937& mRandom;
   TestConfiguration mConfiguration;
+  std::vector<HostKill> mKills{};
 
   // A random number from 0 to aBelow - 1.
   int Random(int aBelow);
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -32,6 +32,8 @@
   int mMemoryMb = 0;
   double mRetryRatio = 0.8;
   int mRetryAllowance = 150;
+  // Binary of each process; empty for that of the test.
+  std::string mBinary{};
 };
 
 // Finds a port of a loopback address on which nothing listens; never returns
@@ -106,6 +108,9 @@
   // Starts the process again with the same settings after it has exited.
   void Start() { StartProcess(); }
 
+  // Sets the binary of further starts; empty for that of the test.
+  void SetBinary(const std::string& aPath) { mSettings.mBinary = aPath; }
+
   // Sets how long calls wait for a response.
   void SetCallTimeout(std::chrono::milliseconds aTimeout)
   {
