--- a/src/quetzalquay/http/EventLoop.cpp
+++ b/src/quetzalquay/http/EventLoop.cpp
@@ -12,6 +12,10 @@
 // fire early by up to this much.
 constexpr Duration kTimerSlack = std::chrono::milliseconds(4);
 
+// Handlers that are run before expired timers, so that input without end does
+// not hold them up.
+constexpr int kMaxHandlersBeforeTimers = 4096;
+
 } // namespace
 
 Timer::Timer(EventLoop& aLoop, std::function<void()> aCallback)
@@ -62,7 +66,11 @@
 EventLoop::Run()
 {
   const auto guard = boost::asio::make_work_guard(mContext);
-  mContext.run();
+  while (mContext.run_one() > 0) {
+    if (mTimersDue) {
+      FireTimers();
+    }
+  }
 }
 
 void
@@ -94,7 +102,7 @@
 void
 EventLoop::ArmTimer()
 {
-  if (mFiring || mTimers.empty()) {
+  if (mFiring || mTimersDue || mTimers.empty()) {
     return;
   }
   const Time next = mTimers.begin()->mQueuedExpiry;
@@ -104,19 +112,26 @@
   mTimerExpiry = next;
   mAsioTimer.expires_at(next);
   mAsioTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      OnTimer();
-    }
+    mTimersDue = mTimersDue || !aError;
   });
 }
 
+// Calls the timers that have expired by now, after all that has been received
+// by now.
 void
-EventLoop::OnTimer()
+EventLoop::FireTimers()
 {
+  const Time due = Now() + kTimerSlack;
+  for (int n = 0; n < kMaxHandlersBeforeTimers && mContext.poll_one() > 0;
+       ++n) {
+  }
+  if (mContext.stopped()) {
+    return;
+  }
+  mTimersDue = false;
   mFiring = true;
   ++mPass;
   mTimerExpiry = Time::max();
-  const Time due = Now() + kTimerSlack;
   while (!mTimers.empty() && mTimers.begin()->mQueuedExpiry <= due) {
     Timer& timer = *mTimers.begin();
     if (timer.mQueuedInPass == mPass && timer.mQueuedExpiry > Now()) {
--- a/src/quetzalquay/http/EventLoop.h
+++ b/src/quetzalquay/http/EventLoop.h
@@ -56,7 +56,8 @@
 };
 
 // Event loop of one thread. Sockets use the Asio context; all timers share one
-// queue and one Asio timer.
+// queue and one Asio timer. The process may not run for a while, so what has
+// been received before a timer's callback is read before it is called.
 class EventLoop
 {
 public:
@@ -83,7 +84,7 @@
   void Queue(Timer& aTimer);
   void Unqueue(Timer& aTimer);
   void ArmTimer();
-  void OnTimer();
+  void FireTimers();
 
   boost::asio::io_context mContext;
   boost::asio::steady_timer mAsioTimer;
@@ -91,6 +92,8 @@
   // When mAsioTimer expires; Time::max() when it is not armed.
   Time mTimerExpiry = Time::max();
   bool mFiring = false;
+  // Whether mAsioTimer has expired and the timers have not been fired yet.
+  bool mTimersDue = false;
   // Number of times at which expired timers have been fired.
   std::uint64_t mPass = 0;
 };
