--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -777,13 +777,22 @@
   , mMaxConnections(aMaxConnections)
   , mRandom(std::random_device{}())
   , mLog(aContext.mMetrics)
-  , mListener(aContext.mLoop,
-              [this](tcp::socket aSocket) {
-                Accept(std::move(aSocket), CallerKind::Caller);
-              })
-  , mHostListener(aContext.mLoop, [this](tcp::socket aSocket) {
-    Accept(std::move(aSocket), CallerKind::Host);
-  })
+  , mListener(
+      aContext.mLoop,
+      [this](tcp::socket aSocket) {
+        Accept(std::move(aSocket), CallerKind::Caller);
+      },
+      [this](const std::string& aReason) {
+        mLog.OnNotAccepted(aReason, EventLoop::Now());
+      })
+  , mHostListener(
+      aContext.mLoop,
+      [this](tcp::socket aSocket) {
+        Accept(std::move(aSocket), CallerKind::Host);
+      },
+      [this](const std::string& aReason) {
+        mLog.OnNotAccepted(aReason, EventLoop::Now());
+      })
 {
 }
 
--- a/src/quetzalquay/gateway/ConnectionLog.cpp
+++ b/src/quetzalquay/gateway/ConnectionLog.cpp
@@ -58,4 +58,20 @@
   mTurnedAway = 0;
 }
 
+void
+ConnectionLog::OnNotAccepted(const std::string& aReason, Time aNow)
+{
+  mMetrics.Add(GatewayCounter::AcceptsFailed);
+  ++mNotAccepted;
+  if (aNow - mLastNotAcceptedLine < kSecond) {
+    return;
+  }
+  Log(LogLevel::Warn,
+      "connection",
+      "could not be accepted",
+      { { "reason", aReason }, { "tries", std::to_string(mNotAccepted) } });
+  mLastNotAcceptedLine = aNow;
+  mNotAccepted = 0;
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/ConnectionLog.h
+++ b/src/quetzalquay/gateway/ConnectionLog.h
@@ -64,6 +64,9 @@
   // A new connection was turned away while callers had aOpen connections open.
   void OnTurnedAway(std::size_t aOpen, Time aNow);
 
+  // A new connection could not be accepted; it waits.
+  void OnNotAccepted(const std::string& aReason, Time aNow);
+
 private:
   GatewayMetrics& mMetrics;
   // Lines since mSecondStart about connections that were cut.
@@ -72,6 +75,9 @@
   Time mLastTurnedAwayLine;
   // Connections turned away since the last line.
   int mTurnedAway = 0;
+  Time mLastNotAcceptedLine;
+  // Accepts that failed since the last line.
+  int mNotAccepted = 0;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -58,6 +58,8 @@
     "unsent bytes of an answer" },
   { "quetzal_connections_turned_away_total",
     "Callers' connections turned away because too many were open" },
+  { "quetzal_accepts_failed_total",
+    "Failed tries to accept a connection of a caller or host" },
   { "quetzal_streams_taken_up_total",
     "Streams of an earlier request that callers took up" },
   { "quetzal_take_ups_refused_total",
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -38,6 +38,7 @@
   TentativeAttemptsAdopted,
   ConnectionsCut,
   ConnectionsTurnedAway,
+  AcceptsFailed,
   StreamsTakenUp,
   TakeUpsRefused,
   OriginLookups,
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -25,8 +25,11 @@
 
 } // namespace
 
-Listener::Listener(EventLoop& aLoop, AcceptCallback aCallback)
+Listener::Listener(EventLoop& aLoop,
+                   AcceptCallback aCallback,
+                   ErrorCallback aOnError)
   : mCallback(std::move(aCallback))
+  , mOnError(std::move(aOnError))
   , mAcceptor(aLoop.Context())
   , mRetryTimer(aLoop, [this] { Accept(); })
 {
@@ -60,10 +63,20 @@
     tcp::socket socket = mAcceptor.accept(ec);
     if (!ec) {
       mCallback(std::move(socket));
+    } else if (ec != boost::asio::error::would_block) {
+      ReportError(ec);
     }
   }
 }
 
+void
+Listener::ReportError(const boost::system::error_code& aError) const
+{
+  if (mOnError) {
+    mOnError(aError.message());
+  }
+}
+
 void
 Listener::Close()
 {
@@ -81,6 +94,7 @@
         return;
       }
       if (aError) {
+        ReportError(aError);
         mRetryTimer.ScheduleAt(EventLoop::Now() + kAcceptRetryDelay);
         return;
       }
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -25,7 +25,12 @@
 public:
   using AcceptCallback = std::function<void(boost::asio::ip::tcp::socket)>;
 
-  Listener(EventLoop& aLoop, AcceptCallback aCallback);
+  // Receives the reason why a connection could not be accepted.
+  using ErrorCallback = std::function<void(const std::string&)>;
+
+  Listener(EventLoop& aLoop,
+           AcceptCallback aCallback,
+           ErrorCallback aOnError = nullptr);
 
   // Starts listening. Returns an error message on failure.
   std::optional<std::string> Open(const Endpoint& aAddress);
@@ -38,8 +43,10 @@
 
 private:
   void Accept();
+  void ReportError(const boost::system::error_code& aError) const;
 
   AcceptCallback mCallback;
+  ErrorCallback mOnError;
   boost::asio::ip::tcp::acceptor mAcceptor;
   Timer mRetryTimer;
 };
