Log received requests whose caller leaves (LOST)

A caller that sent further requests behind a running one, or a part of one, and left had them end without a line or a counter: the host logs bytes of requests only of connections that it ends itself.

The end of a connection by its caller now has the line 'ended with unfinished bytes' with cause=caller_gone and the received bytes, and the counter quetzal_connections_left_total; quetzal_connections_cut_total keeps its meaning.

Evidence: RequestsBehindAnotherAreLoggedWhenTheirCallerLeaves failed before (no line) and passes.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -221,6 +221,10 @@
 void
 CallerConnection::OnEnd(SocketEnd)
 {
+  if (!mEnding) {
+    // What the caller does not read of its answer is its own choice.
+    ReportUnfinishedBytes(ConnectionEnd::CallerGone, true);
+  }
   Close(std::nullopt);
 }
 
--- a/src/quetzalquay/gateway/ConnectionLog.cpp
+++ b/src/quetzalquay/gateway/ConnectionLog.cpp
@@ -24,7 +24,9 @@
                      const std::string& aRequestId,
                      Time aNow)
 {
-  mMetrics.Add(GatewayCounter::ConnectionsCut);
+  mMetrics.Add(aEnd == ConnectionEnd::CallerGone
+                 ? GatewayCounter::ConnectionsLeft
+                 : GatewayCounter::ConnectionsCut);
   if (aNow - mSecondStart >= kSecond) {
     mSecondStart = aNow;
     mCutLines = 0;
--- a/src/quetzalquay/gateway/ConnectionLog.h
+++ b/src/quetzalquay/gateway/ConnectionLog.h
@@ -10,7 +10,7 @@
 
 namespace quetzalquay {
 
-// Why the gateway ended a caller's connection.
+// Why a caller's connection ended.
 enum class ConnectionEnd
 {
   // The answer was the last one of the connection.
@@ -25,16 +25,19 @@
   Stopping,
   // The process exits.
   Exiting,
+  // The caller ended it, or nothing reached the caller.
+  CallerGone,
 };
 
 // Name of an end in logs.
-constexpr NameTable<ConnectionEnd, 6> kConnectionEndNames({
+constexpr NameTable<ConnectionEnd, 7> kConnectionEndNames({
   "answered",
   "broken_off",
   "idle",
   "slow_reader",
   "stopping",
   "exiting",
+  "caller_gone",
 });
 
 // Bytes that are lost when a connection ends.
@@ -47,15 +50,15 @@
   std::size_t mUnsent = 0;
 };
 
-// Logs and counts callers' connections that the gateway ends early, with a
-// limited number of lines.
+// Logs and counts callers' connections that end early, with a limited number of
+// lines.
 class ConnectionLog
 {
 public:
   explicit ConnectionLog(GatewayMetrics& aMetrics);
 
-  // The gateway ends a connection with unfinished bytes. aRequestId is the
-  // connection's last request.
+  // A connection ends with unfinished bytes. aRequestId is the connection's
+  // last request.
   void OnCut(ConnectionEnd aEnd,
              const UnfinishedBytes& aBytes,
              const std::string& aRequestId,
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -56,6 +56,9 @@
   { "quetzal_connections_cut_total",
     "Callers' connections that the host ended with bytes of a request or "
     "unsent bytes of an answer" },
+  { "quetzal_connections_left_total",
+    "Callers' connections that their callers ended with received bytes of "
+    "requests that were not handled" },
   { "quetzal_connections_turned_away_total",
     "Callers' connections turned away because too many were open" },
   { "quetzal_accepts_failed_total",
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -37,6 +37,7 @@
   TentativeAttempts,
   TentativeAttemptsAdopted,
   ConnectionsCut,
+  ConnectionsLeft,
   ConnectionsTurnedAway,
   AcceptsFailed,
   StreamsTakenUp,
--- a/tests/usage/ConnectionEndLogTests.cpp
+++ b/tests/usage/ConnectionEndLogTests.cpp
@@ -112,6 +112,7 @@
   CPPUNIT_TEST(BrokenOffStreamsHaveALastLine);
   CPPUNIT_TEST(RequestsThatAStopEndsHaveALastLine);
   CPPUNIT_TEST(FailedAcceptsHaveALine);
+  CPPUNIT_TEST(RequestsBehindAnotherAreLoggedWhenTheirCallerLeaves);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -243,6 +244,35 @@
     CPPUNIT_ASSERT(cluster.Gateway().Metric("quetzal_accepts_failed_total") !=
                    "0");
   }
+
+  // Guards against received requests that end without a trace because their
+  // caller leaves while the one before them is running.
+  void RequestsBehindAnotherAreLoggedWhenTheirCallerLeaves()
+  {
+    KeptLogs logs;
+    GatewayTestCluster cluster;
+    cluster.SetAllModes(RunnerMode::NeverAnswer);
+    {
+      CallerChannel channel(cluster.Gateway());
+      channel.Send(GatewayTestCluster::Request("/plain/", "first") +
+                   GatewayTestCluster::Request("/plain/", "second"));
+      while (cluster.Runs().empty()) {
+        ::usleep(1000);
+      }
+    }
+    ExpectLastLine(logs, cluster.Gateway(), "first", "caller_gone");
+    const auto lines = logs.Await(
+      cluster.Gateway(),
+      { "component=connection", "cause=caller_gone", "request=first" });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lines.size());
+    CPPUNIT_ASSERT(lines.front().find("received=0") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("1"),
+      cluster.Gateway().Metric("quetzal_connections_left_total"));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("0"),
+      cluster.Gateway().Metric("quetzal_connections_cut_total"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionEndLogTests);
