--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -101,6 +101,11 @@
   std::vector<Ranked> ranked;
   ranked.reserve(aContent.mParts.size());
   for (const std::uint64_t it : aContent.mParts) {
+    // A death may become known long after it.
+    const auto servedAt = mServed.LastServedAt(it);
+    if (servedAt && *servedAt > aRun.mDeath.mAt) {
+      continue;
+    }
     const PartKnowledge knowledge =
       IsServedLately(it, aNow)   ? PartKnowledge::InUse
       : RunsOf(it, aNow).empty() ? PartKnowledge::Nothing
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -18,9 +18,6 @@
 // Time for which a target that rejected an attempt counts as full.
 constexpr Duration kFullDuration = milliseconds(200);
 
-// Time within which a confirmed death of the target explains a lost attempt.
-constexpr Duration kDeathConfirmationWindow = milliseconds(8000);
-
 // Age up to which an attempt of a suspect of a single death excludes other
 // suspects from its target. Those of more deaths exclude them until they end.
 constexpr Duration kSuspectExclusionTime = milliseconds(1000);
@@ -129,6 +126,8 @@
     Target target;
     if (known != nullptr) {
       target = std::move(*known);
+    } else if (auto returned = TakeReturned(it.mName, aNow)) {
+      target = std::move(*returned);
     } else {
       target.mTypicalTokenGap = kInitialTokenGap;
       target.mFirstToken = Duration::zero();
@@ -158,20 +157,8 @@
     targets.emplace(it.mName, std::move(target));
   }
   for (auto& it : mTargets) {
-    if (targets.count(it.first) != 0) {
-      continue;
-    }
-    mLimits.Forget(it.first);
-    mRoom.Forget(it.first);
-    const auto& ended = it.second.mLostAttempts;
-    const bool lost =
-      std::any_of(ended.begin(), ended.end(), [](const LostAttempt& aAttempt) {
-        return aAttempt.mOutcome == AttemptOutcome::Lost;
-      });
-    const bool reached =
-      ReachOf(it.second.mDeclaration.mService) == ReachState::Reached;
-    if (lost && reached && !IsLeaving(it.second)) {
-      OnDeath(it.second, DeathEvidence::Unregistered, aNow);
+    if (targets.count(it.first) == 0) {
+      OnEntryEnded(it.first, it.second, aNow);
     }
   }
   mTargets.swap(targets);
@@ -333,46 +320,37 @@
   OnTrialEnd(aTarget, aContent.mHash, aOutcome, aNow);
   Target* target = Find(aTarget);
   if (target == nullptr) {
+    OnGoneAttemptEnd(aTarget, aContent, aOutcome, aNow);
     return;
   }
-  auto& running = target->mRunning;
-  const auto it = std::find_if(
-    running.begin(), running.end(), [&](const RunningAttempt& aEntry) {
-      return aEntry.mContent.mHash == aContent.mHash;
-    });
-  LostAttempt attempt{ aContent, aNow, aNow, target->mIncarnation, aOutcome };
+  LostAttempt attempt{ aContent, aNow, aNow, aNow, target->mIncarnation,
+                       aOutcome };
   bool progressed = false;
-  if (it != running.end()) {
-    progressed = it->mProgressed;
-    attempt.mStartedAt = it->mStartedAt;
-    attempt.mIncarnation = std::move(it->mIncarnation);
-    running.erase(it);
+  Time servedAt;
+  if (auto run = TakeRunning(*target, aContent)) {
+    progressed = run->mProgressed;
+    servedAt = run->mServedAt;
+    attempt.mStartedAt = run->mStartedAt;
+    attempt.mIncarnation = std::move(run->mIncarnation);
     mRoom.OnEnded(aTarget);
     NotifyLoadChanged();
   }
-  auto& lost = target->mLostAttempts;
-  while (!lost.empty() && aNow - lost.front().mAt >= kDeathConfirmationWindow) {
-    lost.pop_front();
+  if (aOutcome == AttemptOutcome::GivenUp) {
+    attempt.mDiedAt = std::max(attempt.mStartedAt, target->mAliveAt);
+    progressed = progressed || attempt.mDiedAt <= servedAt;
   }
-  const bool mayBeLost = aOutcome == AttemptOutcome::Lost ||
-                         aOutcome == AttemptOutcome::FinishedByClose;
+  const bool mayBeLost =
+    MayShowDeath(aOutcome) || aOutcome == AttemptOutcome::FinishedByClose;
   const bool cutOff =
-    aOutcome == AttemptOutcome::Lost &&
+    MayShowDeath(aOutcome) &&
     ReachOf(target->mDeclaration.mService) == ReachState::CutOff;
   if (mayBeLost && !progressed && !cutOff) {
-    if (IsLostWith(attempt, *target, aNow)) {
-      mSuspects.OnRunLost(
-        aContent, { *target->mDeath, attempt.mStartedAt }, aNow);
-      NotifyLoadChanged();
-    } else {
-      lost.push_back(std::move(attempt));
-    }
+    OnAttemptMayBeLost(*target, std::move(attempt), aNow);
   } else if (aOutcome == AttemptOutcome::Finished) {
-    mSuspects.ClearSuspect(aContent, aNow);
+    ClearSuspect(aContent, aNow);
     NotifyLoadChanged();
   }
-  if (aOutcome != AttemptOutcome::Released &&
-      aOutcome != AttemptOutcome::Lost) {
+  if (aOutcome != AttemptOutcome::Released && !MayShowDeath(aOutcome)) {
     // Capacity has become available.
     target->mFullUntil = Time();
   }
@@ -389,8 +367,10 @@
   for (auto it = lost.begin(); it != lost.end();) {
     if (it->mOutcome == AttemptOutcome::FinishedByClose &&
         it->mAt <= aAliveAt) {
-      mSuspects.ClearSuspect(it->mContent, it->mAt);
-      it = lost.erase(it);
+      const LostAttempt finished = std::move(*it);
+      lost.erase(it);
+      ClearSuspect(finished.mContent, finished.mAt);
+      it = lost.begin();
     } else {
       ++it;
     }
@@ -403,7 +383,7 @@
                         const RequestContent& aContent,
                         Time aNow)
 {
-  mSuspects.ClearSuspect(aContent, aNow);
+  ClearSuspect(aContent, aNow);
   NotifyLoadChanged();
   if (Target* target = Find(aTarget)) {
     for (RunningAttempt& it : target->mRunning) {
@@ -436,8 +416,13 @@
   if (Target* target = Find(aTarget)) {
     target->mAliveAt = aNow;
     target->mDoubtUntil = Time();
-    target->mDeath.reset();
+    DropGivenUp(*target, aNow);
+    // The death of an earlier start is none of this one's.
+    if (target->mDeadIncarnation == target->mIncarnation) {
+      target->mDeath.reset();
+    }
   }
+  mGoneTargets.erase(aTarget);
 }
 
 void
@@ -594,6 +579,9 @@
                              PeerLoadOf(*target, aNow).mRunning;
   target->mReportedAt = aNow;
   target->mAliveAt = aNow;
+  if (!restarted) {
+    DropGivenUp(*target, aNow);
+  }
   target->mDownUntil = Time();
   target->mDoubtUntil = Time();
 }
@@ -1185,69 +1173,6 @@
   return false;
 }
 
-// Records the death of the target's current incarnation. Repeated signs of the
-// same death have no further effect.
-void
-TargetTable::OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow)
-{
-  aTarget.mReported = 0;
-  aTarget.mWaiting = 0;
-  aTarget.mCachedPrefixes.clear();
-  const bool isNew =
-    !aTarget.mDeath || aTarget.mDeadIncarnation != aTarget.mIncarnation;
-  if (isNew) {
-    const TargetDeclaration& declaration = aTarget.mDeclaration;
-    aTarget.mDeath = { StableHash(aTarget.mIncarnation,
-                                  StableHash(declaration.mName)),
-                       StableHash(declaration.mPlace),
-                       aNow };
-    aTarget.mDeadIncarnation = aTarget.mIncarnation;
-  }
-  // The target died when its first request was lost, not when that was
-  // confirmed.
-  for (const LostAttempt& it : aTarget.mLostAttempts) {
-    if (IsLostWith(it, aTarget, aNow)) {
-      aTarget.mDeath->mAt = std::min(aTarget.mDeath->mAt, it.mAt);
-    }
-  }
-  DeathReport report;
-  report.mTarget = aTarget.mDeclaration.mName;
-  report.mIncarnation = aTarget.mIncarnation;
-  report.mEvidence = aEvidence;
-  for (const LostAttempt& it : aTarget.mLostAttempts) {
-    if (IsLostWith(it, aTarget, aNow)) {
-      report.mRequests.push_back(it.mContent);
-      mSuspects.OnRunLost(
-        it.mContent, { *aTarget.mDeath, it.mStartedAt }, aNow);
-    }
-  }
-  mSuspects.OnTargetDeath(*aTarget.mDeath);
-  aTarget.mLostAttempts.clear();
-  NotifyLoadChanged();
-  if (mOnDeath && (isNew || !report.mRequests.empty())) {
-    mOnDeath(report);
-  }
-}
-
-// Whether a lost attempt ended because of the target's last death.
-bool
-TargetTable::IsLostWith(const LostAttempt& aAttempt,
-                        const Target& aTarget,
-                        Time aNow) const
-{
-  const std::string& incarnation = aAttempt.mIncarnation;
-  return aTarget.mDeath &&
-         (incarnation.empty() || incarnation == aTarget.mDeadIncarnation) &&
-         aNow - aAttempt.mAt < kDeathConfirmationWindow &&
-         aAttempt.mAt - aTarget.mDeath->mAt < kDeathConfirmationWindow;
-}
-
-void
-TargetTable::SetDeathCallback(std::function<void(const DeathReport&)> aCall)
-{
-  mOnDeath = std::move(aCall);
-}
-
 TargetTable::Target*
 TargetTable::Find(const std::string& aName)
 {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -103,8 +103,11 @@
   FinishedByClose,
   // The target answered with a failure; it may not have run the request.
   Failed,
-  // Cancelled, moved to another target or rejected.
+  // Not sent, cancelled, moved to another target or rejected.
   Released,
+  // Given up by this host or its caller before its end, so that it is lost if
+  // its target turns out to have died since the last that was heard of it.
+  GivenUp,
   // The connection broke or the target stopped responding.
   Lost,
 };
@@ -441,6 +444,10 @@
   void AvoidForTrials(const std::string& aTarget, Time aUntil);
 
 private:
+  // Time within which a confirmed death of the target explains a lost attempt.
+  static constexpr Duration kDeathConfirmationWindow =
+    std::chrono::milliseconds(8000);
+
   struct RunningAttempt
   {
     RequestContent mContent;
@@ -450,14 +457,19 @@
     // Incarnation of the target when the attempt started.
     std::string mIncarnation;
     bool mProgressed = false;
+    // When the same request was last served elsewhere.
+    Time mServedAt{};
   };
 
-  // An attempt that was lost, or that finished by the end of its connection.
+  // An attempt that was lost or given up, or that finished by the end of its
+  // connection.
   struct LostAttempt
   {
     RequestContent mContent;
     Time mStartedAt;
     Time mAt;
+    // When its target died at the earliest, if it did.
+    Time mDiedAt;
     std::string mIncarnation;
     AttemptOutcome mOutcome;
   };
@@ -587,6 +599,20 @@
   void OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow);
   ReachState ReachOf(const std::string& aService) const;
   static void ForgetLosses(Target& aTarget);
+  static bool MayShowDeath(AttemptOutcome aOutcome);
+  void OnEntryEnded(const std::string& aName, Target& aTarget, Time aNow);
+  static std::optional<RunningAttempt> TakeRunning(
+    Target& aTarget,
+    const RequestContent& aContent);
+  void OnAttemptMayBeLost(Target& aTarget, LostAttempt aAttempt, Time aNow);
+  void OnGoneAttemptEnd(const std::string& aTarget,
+                        const RequestContent& aContent,
+                        AttemptOutcome aOutcome,
+                        Time aNow);
+  void ClearSuspect(const RequestContent& aContent, Time aAt);
+  void DropGivenUp(Target& aTarget, Time aAliveAt);
+  std::optional<Target> TakeReturned(const std::string& aName, Time aNow);
+  void ForgetGone(const std::string& aService);
   bool IsLostWith(const LostAttempt& aAttempt,
                   const Target& aTarget,
                   Time aNow) const;
@@ -602,6 +628,9 @@
   TargetTableOptions mOptions;
   std::string mRegion;
   std::map<std::string, Target> mTargets;
+  // Targets whose entries ended while they ran attempts of this host, until
+  // these have ended or the target is heard from.
+  std::map<std::string, Target> mGoneTargets;
   std::map<std::string, ServiceDeclaration> mServices;
   std::map<std::string, FairQueue> mQueues;
   std::map<std::string, ServiceRate> mServiceRates;
--- a/src/quetzalquay/core/TargetTableReach.cpp
+++ b/src/quetzalquay/core/TargetTableReach.cpp
@@ -23,6 +23,7 @@
 void
 TargetTable::OnCutBelieved(const std::string& aService)
 {
+  ForgetGone(aService);
   for (const std::string& it : mTargetsByService[aService]) {
     ForgetLosses(mTargets.at(it));
   }
@@ -43,6 +44,7 @@
 void
 TargetTable::OnCutEnded(const std::string& aService)
 {
+  ForgetGone(aService);
   for (const std::string& it : mTargetsByService[aService]) {
     Target& target = mTargets.at(it);
     ForgetLosses(target);
@@ -67,7 +69,7 @@
   lost.erase(std::remove_if(lost.begin(),
                             lost.end(),
                             [](const LostAttempt& aAttempt) {
-                              return aAttempt.mOutcome == AttemptOutcome::Lost;
+                              return MayShowDeath(aAttempt.mOutcome);
                             }),
              lost.end());
 }
--- a/src/quetzalquay/core/TargetTableTrials.cpp
+++ b/src/quetzalquay/core/TargetTableTrials.cpp
@@ -126,7 +126,9 @@
 {
   const auto it = mTrials.find(aContentHash);
   if (it != mTrials.end() && it->second.mTarget == aTarget &&
-      it->second.mStartedAt && !it->second.mOutcome) {
+      it->second.mStartedAt &&
+      it->second.mOutcome.value_or(AttemptOutcome::GivenUp) ==
+        AttemptOutcome::GivenUp) {
     it->second.mOutcome = aOutcome;
     it->second.mEndedAt = aNow;
   }
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -223,7 +223,8 @@
     return false;
   }
   const bool sent = tentative->Abandon();
-  RecordAttemptEnd(tentative->Target(), AttemptOutcome::Released);
+  RecordAttemptEnd(tentative->Target(),
+                   sent ? AttemptOutcome::GivenUp : AttemptOutcome::Released);
   return sent;
 }
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -314,7 +314,7 @@
   }
   const bool sent = mConnection->HasSent();
   mConnection->Abort();
-  EndAttempt(AttemptOutcome::Released);
+  EndAttempt(sent ? AttemptOutcome::GivenUp : AttemptOutcome::Released);
   return sent;
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -484,10 +484,7 @@
     CancelTentative();
     return;
   }
-  if (mConnection != nullptr) {
-    mConnection->Abort();
-  }
-  ReleaseAttempt(AttemptOutcome::Released);
+  GiveUpAttempt();
 }
 
 void
@@ -536,10 +533,7 @@
 void
 StreamExchange::BreakOff(const Failure& aFailure)
 {
-  if (mConnection != nullptr) {
-    mConnection->Abort();
-  }
-  ReleaseAttempt(AttemptOutcome::Released);
+  GiveUpAttempt();
   Finish();
   if (!mHeadSent) {
     SendFailure(aFailure);
@@ -845,10 +839,7 @@
   }
   mStateMachine.OnCallerDisconnected(now);
   mActions.clear();
-  if (mConnection != nullptr) {
-    mConnection->Abort();
-  }
-  ReleaseAttempt(AttemptOutcome::Released);
+  GiveUpAttempt();
   EndHere(false);
   mSink->PassOn(std::move(mCall), std::move(handOver));
   return true;
@@ -877,6 +868,17 @@
   return aNow - std::max(mAttemptSentAt, mLastEventAt) >= kHandOverSilence;
 }
 
+// Ends the current attempt, if any, before its end.
+void
+StreamExchange::GiveUpAttempt()
+{
+  const bool sent = mConnection != nullptr && mConnection->HasSent();
+  if (mConnection != nullptr) {
+    mConnection->Abort();
+  }
+  ReleaseAttempt(sent ? AttemptOutcome::GivenUp : AttemptOutcome::Released);
+}
+
 // Ends the current attempt in the target table and ends the run of its KV
 // cache copy.
 void
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -82,6 +82,7 @@
   void EndAttempt(AttemptEnd aEnd);
   bool PassOn(std::optional<AttemptEnd> aEnd);
   bool PassOnIfStuck(Time aNow);
+  void GiveUpAttempt();
   void ReleaseAttempt(AttemptOutcome aOutcome);
   void UpdateChoiceInputs(Time aNow);
   void LogDispatch(const std::string& aCopyHolder, bool aFromCopy, Time aNow);
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -379,8 +379,9 @@
   }
   const bool checked = aRun.mOutcome == AttemptOutcome::Lost ||
                        aRun.mOutcome == AttemptOutcome::FinishedByClose;
-  if ((aRun.mOutcome && !checked) ||
-      (checked && aNow - aRun.mEndedAt >= kDeathTime) ||
+  // The death of a silent target is known when its entry ends.
+  const bool ended = aRun.mOutcome && aRun.mOutcome != AttemptOutcome::GivenUp;
+  if ((ended && !checked) || (checked && aNow - aRun.mEndedAt >= kDeathTime) ||
       aNow - *aRun.mStartedAt >= kMaxTrialTime) {
     return TrialOutcome::Inconclusive;
   }
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -57,6 +57,9 @@
 constexpr auto kCrashDowntime = milliseconds(1200);
 constexpr auto kEntryLifetime = milliseconds(3600);
 
+// Time for which a runner that crashes without a sign is away.
+constexpr auto kSilentDowntime = milliseconds(4000);
+
 // Bandwidth in a host's own row, by which it reads the store itself. A host
 // that asked another one would get the addresses of that one's links.
 constexpr char kReaderBandwidth[] = " 100000";
@@ -174,7 +177,7 @@
                 [this](boost::asio::ip::tcp::socket aSocket) {
                   Accept(std::move(aSocket));
                 })
-    , mListenTimer(aCluster.mLoop, [this] { Start(); })
+    , mListenTimer(aCluster.mLoop, [this] { Return(); })
     , mExpiryTimer(aCluster.mLoop, [this] { RemoveFormerEntries(); })
     , mStallTimer(aCluster.mLoop, [this] { EndStall(); })
   {
@@ -187,6 +190,16 @@
     mServingSince = EventLoop::Now();
   }
 
+  // Comes back after a crash.
+  void Return()
+  {
+    if (std::exchange(mDark, false)) {
+      StopListening();
+      DropAll();
+    }
+    Start();
+  }
+
   void Listen()
   {
     if (const auto problem = mListener.Open(*ParseEndpoint(Address(mPort)))) {
@@ -235,8 +248,9 @@
   void DropIdle();
   void BeginStall(Time aUntil);
   void EndStall();
-  bool IsStalled() const { return mStallTimer.IsSet(); }
+  bool IsStalled() const { return mDark || mStallTimer.IsSet(); }
   void Crash();
+  void FallSilent(Time aUntil);
   void Stop();
   void RemoveFormerEntries();
 
@@ -314,6 +328,8 @@
   Listener mListener;
   Timer mListenTimer;
   Timer mExpiryTimer;
+  // Whether the runner has crashed without a sign and is not back.
+  bool mDark = false;
   // Set while the runner stands still.
   Timer mStallTimer;
   Time mStalledUntil;
@@ -675,8 +691,10 @@
 
   void CrashRunner()
   {
-    ++mRunner.mCluster.mCrashCount;
-    mRunner.Crash();
+    if (!mRunner.mDark) {
+      ++mRunner.mCluster.mCrashCount;
+      mRunner.Crash();
+    }
   }
 
   void SendNextEvent()
@@ -921,7 +939,7 @@
 GatewayTestCluster::Runner::EndStall()
 {
   for (const auto& it : mConnections) {
-    it->SetStalled(false);
+    it->SetStalled(mDark);
   }
 }
 
@@ -948,13 +966,17 @@
 void
 GatewayTestCluster::Runner::Crash()
 {
+  if (mDark) {
+    return;
+  }
   ++mStarts;
   mSaysLeaving = false;
   mServingSince.reset();
-  StopListening();
   mWaitingRequests.clear();
   mRunningRequests.clear();
   const Time now = EventLoop::Now();
+  const bool silent = mCluster.mRunnerEnd == RunnerEnd::Silent;
+  const Time backAt = now + (silent ? kSilentDowntime : kCrashDowntime);
   std::set<std::string> bodies;
   for (const auto& it : mConnections) {
     if (!it->Crashing().empty()) {
@@ -964,13 +986,28 @@
   for (const std::string& it : bodies) {
     mCluster.mCrashes.push_back({ it, now });
   }
-  DropAll();
+  if (silent) {
+    FallSilent(backAt);
+  } else {
+    StopListening();
+    DropAll();
+  }
   if (mCluster.mRunnerReturn == RunnerReturn::NewName) {
     mFormerNames.emplace_back(now + kEntryLifetime, mName);
     mName = mName.substr(0, mName.find('.')) + "." + std::to_string(mStarts);
     mExpiryTimer.ScheduleAt(mFormerNames.front().first);
   }
-  mListenTimer.ScheduleAt(now + kCrashDowntime);
+  mListenTimer.ScheduleAt(backAt);
+}
+
+void
+GatewayTestCluster::Runner::FallSilent(Time aUntil)
+{
+  mDark = true;
+  mStalledUntil = aUntil;
+  for (const auto& it : mConnections) {
+    it->SetStalled(true);
+  }
 }
 
 void
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -109,6 +109,15 @@
   SameName,
 };
 
+// What callers see of a runner that crashes.
+enum class RunnerEnd
+{
+  // Its connections are reset, and new ones are refused.
+  Reset,
+  // Its connections, and new ones, fall silent. They are reset when it is back.
+  Silent,
+};
+
 // A request received by a runner.
 struct RunnerRequest
 {
@@ -252,6 +261,9 @@
   // Sets how runners come back that crash from now on.
   void SetRunnerReturn(RunnerReturn aReturn) { mRunnerReturn = aReturn; }
 
+  // Sets what callers see of runners that crash from now on.
+  void SetRunnerEnd(RunnerEnd aEnd) { mRunnerEnd = aEnd; }
+
   // Number of runners that a request has crashed so far.
   int CrashCount() const { return mCrashCount; }
 
@@ -548,6 +560,7 @@
   std::atomic<int> mPlainAnswerMs{ 0 };
   std::atomic<int> mRunnerMaxConnections{ 1000000 };
   std::atomic<RunnerReturn> mRunnerReturn{ RunnerReturn::NewName };
+  std::atomic<RunnerEnd> mRunnerEnd{ RunnerEnd::Reset };
   std::atomic<ReplyFault> mReplyFault{ ReplyFault::Nested };
   std::atomic<int> mRepliesToSpoil{ 0 };
   std::atomic<int> mCrashCount{ 0 };
