--- /dev/null
+++ b/src/quetzalquay/core/ReplacedConfigurations.cpp
@@ -0,0 +1,28 @@
+#include "core/ReplacedConfigurations.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalquay {
+
+void
+ReplacedConfigurations::OnReplaced(RefPtr<RoutingTable> aRouting, Time aNow)
+{
+  mReplaced.push_back({ std::move(aRouting), aNow });
+  if (mReplaced.size() > kMaxKept) {
+    mReplaced.pop_front();
+  }
+}
+
+RefPtr<RoutingTable>
+ReplacedConfigurations::Find(std::int64_t aVersion, Time aInForceAt) const
+{
+  const auto found = std::find_if(
+    mReplaced.begin(), mReplaced.end(), [&](const Replaced& aReplaced) {
+      return aReplaced.mRouting->mVersion == aVersion &&
+             aInForceAt <= aReplaced.mReplacedAt;
+    });
+  return found == mReplaced.end() ? RefPtr<RoutingTable>() : found->mRouting;
+}
+
+} // namespace quetzalquay
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -367,7 +367,6 @@
   if (mPassedOn.mResumed && mRequest.mOriginRequestId.empty()) {
     mRequest.mOriginRequestId = mRequest.mRequestId;
   }
-  const RefPtr<RoutingTable>& routing = mServer.mContext.mFleet.Routing();
   if (!mServer.mContext.mFleet.IsReady()) {
     RejectUnconfigured();
     return std::nullopt;
@@ -376,6 +375,7 @@
     Reject(503, FailureCode::Stopping, "the host is shutting down");
     return std::nullopt;
   }
+  const RefPtr<RoutingTable> routing = ChooseRouting();
   if (mPassedOn.mConfiguration > routing->mVersion) {
     Reject(503,
            FailureCode::ConfigurationUnknown,
@@ -432,6 +432,22 @@
   return call;
 }
 
+// Chooses the configuration by which the request is handled: the one in force,
+// or the one by which another host has admitted it before it was replaced here.
+RefPtr<RoutingTable>
+CallerConnection::ChooseRouting() const
+{
+  const Fleet& fleet = mServer.mContext.mFleet;
+  if (!mPassedOn.IsPassedOn()) {
+    return fleet.Routing();
+  }
+  // A stream goes by its first configuration to its end.
+  const Time at =
+    mPassedOn.mResumed ? Time::min() : mArrivedAt - mPassedOn.mAge;
+  const auto replaced = fleet.Replaced().Find(mPassedOn.mConfiguration, at);
+  return replaced == nullptr ? fleet.Routing() : replaced;
+}
+
 // Reads what another host says of the request that it passes on. Sends an error
 // response and returns false if it is not such a request.
 bool
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -79,6 +79,7 @@
   void ApplyLimits();
   void BeginRequest();
   std::optional<RoutedCall> AdmitRequest(HttpHead aHead, std::string aBody);
+  RefPtr<RoutingTable> ChooseRouting() const;
   bool AdmitPassedOn(const HttpHead& aHead);
   bool CanServe(const RoutedCall& aCall);
   RefPtr<Exchange> MakeExchange(RoutedCall aCall);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -524,7 +524,9 @@
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
   if (mRouting != nullptr) {
-    routing->Replace(*mRouting, EventLoop::Now());
+    const Time now = EventLoop::Now();
+    routing->Replace(*mRouting, now);
+    mReplaced.OnReplaced(mRouting, now);
   }
   mRouting = std::move(routing);
   mVersions.SetWindow(std::max(kMinStreamLife, mRouting->LongestTimeout()));
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -3,6 +3,7 @@
 
 #include "core/DepartureNews.h"
 #include "core/ReaderChoice.h"
+#include "core/ReplacedConfigurations.h"
 #include "core/RoutingTable.h"
 #include "core/StreamOrigins.h"
 #include "core/TargetEntries.h"
@@ -102,6 +103,9 @@
   // The configuration in force, or nullptr before the first one.
   const RefPtr<RoutingTable>& Routing() const { return mRouting; }
 
+  // Configurations that were in force before.
+  const ReplacedConfigurations& Replaced() const { return mReplaced; }
+
   // Whether requests can be served: a configuration is in force and the targets
   // are known.
   bool IsReady() const { return mRouting != nullptr && mTargetsKnown; }
@@ -240,6 +244,7 @@
   std::uint64_t mStartId;
   Time mStartedAt;
   RefPtr<RoutingTable> mRouting;
+  ReplacedConfigurations mReplaced;
   std::int64_t mRoutingRowVersion = 0;
   TargetEntries mEntries;
   TargetTable mTargets;
