--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -53,8 +53,9 @@
 // Requests of other hosts that are served at the same time.
 constexpr int kMaxHostExchanges = 128;
 
-// Bytes of a request's head for the fields that hosts add to it.
-constexpr std::size_t kHostFieldBytes = 1024;
+// Longest head and body of a request that another host passes on.
+constexpr std::size_t kMaxHostHeadBytes = 1U << 20U;
+constexpr std::size_t kMaxHostBodyBytes = 64U << 20U;
 
 const char*
 ReasonPhrase(int aStatus)
@@ -274,7 +275,11 @@
 CallerConnection::ApplyLimits()
 {
   CallerLimits limits = CurrentLimits();
-  limits.mHeadBytes += mKind == CallerKind::Host ? kHostFieldBytes : 0;
+  if (mKind == CallerKind::Host) {
+    // The other host has applied the limits of its own configuration.
+    limits.mHeadBytes = kMaxHostHeadBytes;
+    limits.mBodyBytes = kMaxHostBodyBytes;
+  }
   if (limits.mHeadBytes != mReaderLimits.mHead ||
       limits.mBodyBytes != mReaderLimits.mBody) {
     mReaderLimits = { limits.mHeadBytes, limits.mBodyBytes };
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -180,6 +180,7 @@
   CPPUNIT_TEST(RequestsFromBeforeAChangeAreServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(RequestsFromAfterAChangeAreNotServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(StreamsMoveToAHostWithANewerConfiguration);
+  CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -252,6 +253,24 @@
     CPPUNIT_ASSERT(answer.mComplete);
     CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
   }
+
+  // Callers got 413 for a body that the configuration of the host they had
+  // asked allows, but not yet that of the host which should serve it.
+  void LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest()
+  {
+    GatewayTestCluster cluster(MakeOptions());
+    CallerChannel channel =
+      CallerChannel::AtPort(cluster.Gateway(1), cluster.RelayPort());
+    const std::string body(
+      static_cast<std::size_t>(TestLimits().mBodyBytes) + 1, 'b');
+    channel.Send(GatewayTestCluster::Request(
+      "/plain/", "a", HostFields(1000000, 0), body, kDeadlineMs));
+    const CallerAnswer answer = channel.Read();
+    CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), RunOf(answer));
+    CPPUNIT_ASSERT_EQUAL(std::string("host"),
+                         *answer.mHead.Find("X-Passed-Refused-By"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOnChangeTests);
