--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -124,6 +124,9 @@
   // way; nothing if it must not. aEnd is empty if there is no current attempt.
   std::optional<int> RunsIfPassedOn(std::optional<AttemptEnd> aEnd) const;
 
+  // Attempts that may have run.
+  int Runs() const { return mRuns; }
+
   // Software version that the rest of the stream must have; empty before the
   // first token.
   const std::string& SoftwareVersion() const
--- a/src/quetzalquay/core/PassedOnCall.cpp
+++ b/src/quetzalquay/core/PassedOnCall.cpp
@@ -1,5 +1,7 @@
 #include "core/PassedOnCall.h"
 
+#include <algorithm>
+
 namespace quetzalquay {
 
 namespace {
@@ -63,14 +65,16 @@
 }
 
 bool
-PassedOnCall::OnEnd(PassedOnEnd aEnd, Time aNow)
+PassedOnCall::OnEnd(PassedOnEnd aEnd, Time aNow, int aRuns)
 {
   const bool started = aEnd == PassedOnEnd::Failed || aEnd == PassedOnEnd::Lost;
-  const bool allowed = !started || CanLeaveHost();
   if (started) {
-    ++mOptions.mRuns;
+    mOptions.mRuns = std::max(mOptions.mRuns + 1, aRuns);
     mOptions.mMayHaveRun = true;
   }
+  const bool left =
+    mOptions.mMaxRuns == 0 || mOptions.mRuns < mOptions.mMaxRuns;
+  const bool allowed = !started || (mOptions.mRepeatable && left);
   return allowed && HasHostsLeft(aNow);
 }
 
--- a/src/quetzalquay/core/PassedOnCall.h
+++ b/src/quetzalquay/core/PassedOnCall.h
@@ -63,9 +63,10 @@
   // be tried again.
   void OnProgress();
 
-  // The attempt has ended. Returns whether the request may be sent to another
-  // host.
-  bool OnEnd(PassedOnEnd aEnd, Time aNow);
+  // The attempt has ended. aRuns is the number of runs, with those before, that
+  // the host has stated, 0 if it has not; it made one at least. Returns whether
+  // the request may be sent to another host.
+  bool OnEnd(PassedOnEnd aEnd, Time aNow, int aRuns = 0);
 
   // Hosts that must not be tried again now.
   const std::vector<std::string>& Tried() const { return mTried; }
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -93,6 +93,9 @@
   // counts as NotStarted.
   std::optional<int> RunsIfPassedOn(PlainResult aResult) const;
 
+  // Attempts that may have run.
+  int Runs() const { return mRuns; }
+
   // Whether a target may have started the call.
   bool MayHaveStarted() const { return mMayHaveStarted; }
 
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -544,7 +544,8 @@
     FormatFailureFields(failure, mRequest.mRequestId, deadline, now);
   if (mKind == CallerKind::Host) {
     mServer.mContext.mMetrics.Add(GatewayCounter::RequestsRefusedToHosts);
-    fields += FormatHostFailure(failure.mVerdict, RefusedBy::Host);
+    fields += FormatHostFailure(
+      failure.mVerdict, RefusedBy::Host, mPassedOn.mPrior.mRuns);
   }
   SendResponse(aStatus, "", fields, FormatFailureBody(failure));
 }
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -62,7 +62,8 @@
   std::string fields = FormatFailureFields(
     aFailure, mCall.mRequest.mRequestId, mCall.mDeadline, EventLoop::Now());
   if (mCall.mPassedOn.IsPassedOn()) {
-    fields += FormatHostFailure(aFailure.mVerdict, RefusedByOf(aFailure.mCode));
+    fields += FormatHostFailure(
+      aFailure.mVerdict, RefusedByOf(aFailure.mCode), CountRuns());
   }
   mSink->SendResponse(status, "", fields, FormatFailureBody(aFailure));
 }
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -210,6 +210,9 @@
   bool IsCutOff(Time aNow) const;
   bool MayBeCutOff(Time aNow) const;
 
+  // Attempts that may have run, with those of hosts that passed the request on.
+  virtual int CountRuns() const { return mCall.mPassedOn.mPrior.mRuns; }
+
   // Whether the current attempt counts as a retry for the retry budget.
   bool IsRetry() const { return mAttempts > 1 || mCall.mPassedOn.mPrior.mSent; }
 
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -461,7 +461,7 @@
   ReleaseHost();
   std::string().swap(mResponseBody);
   mBuffer.Resize(0);
-  if (mStateMachine.OnEnd(aEnd, now) && resumable) {
+  if (mStateMachine.OnEnd(aEnd, now, mAnswer.mRuns) && resumable) {
     const auto next = mContext.mFleet.Reach().ChooseHost(
       mCall.mService, mStateMachine.Tried(), now);
     if (next) {
--- a/src/quetzalquay/gateway/PassedOnRequest.cpp
+++ b/src/quetzalquay/gateway/PassedOnRequest.cpp
@@ -133,11 +133,12 @@
 }
 
 std::string
-FormatHostFailure(RunVerdict aVerdict, RefusedBy aReason)
+FormatHostFailure(RunVerdict aVerdict, RefusedBy aReason, int aRuns)
 {
   std::string fields;
   AppendField(fields, kVerdict, NameOf(aVerdict));
   AppendField(fields, kRefusedBy, kRefusedByNames.NameOf(aReason));
+  AppendField(fields, kRuns, std::to_string(aRuns));
   return fields;
 }
 
@@ -161,6 +162,9 @@
   answer.mNotRun = verdict == RunVerdict::NotRun;
   answer.mRefusedBy = kRefusedByNames.ValueOf(TextOf(aHead, kRefusedBy))
                         .value_or(RefusedBy::Request);
+  if (!ParseCount(aHead, kRuns, answer.mRuns)) {
+    answer.mRuns = 0;
+  }
   answer.mService = TextOf(aHead, kService);
   answer.mSoftwareVersion = TextOf(aHead, kSoftware);
   return answer;
--- a/src/quetzalquay/gateway/PassedOnRequest.h
+++ b/src/quetzalquay/gateway/PassedOnRequest.h
@@ -75,14 +75,17 @@
   bool mOwnFailure = false;
   bool mNotRun = false;
   RefusedBy mRefusedBy = RefusedBy::Request;
+  // Attempts that may have run, here and before, if the failure tells.
+  int mRuns = 0;
   // Where a stream began; empty for other answers, or if it is not known.
   std::string mService;
   std::string mSoftwareVersion;
 };
 
-// Formats the fields of a failure of the serving host itself.
+// Formats the fields of a failure of the serving host itself. aRuns is the
+// number of attempts that may have run, there and before.
 std::string
-FormatHostFailure(RunVerdict aVerdict, RefusedBy aReason);
+FormatHostFailure(RunVerdict aVerdict, RefusedBy aReason, int aRuns);
 
 // Formats the fields of a stream.
 std::string
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -30,6 +30,7 @@
   void OnResponseBody(std::string aBody) override;
   void OnResponseComplete() override;
   void OnAttemptFailed(AttemptFailure aFailure) override;
+  int CountRuns() const override { return mStateMachine.Runs(); }
 
   void PerformStep(const PlainStep& aStep);
   bool PassOn(PlainResult aResult);
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -33,6 +33,7 @@
   void OnResponseBody(std::string aBody) override;
   void OnResponseComplete() override;
   void OnAttemptFailed(AttemptFailure aFailure) override;
+  int CountRuns() const override { return mStateMachine.Runs(); }
 
   void PerformActions(Actions aActions);
   void Execute(const DispatchAttempt& aAction);
--- a/tests/introspective/PassedOnCallTests.cpp
+++ b/tests/introspective/PassedOnCallTests.cpp
@@ -3,6 +3,7 @@
 #include "core/PassedOnCall.h"
 #include "gateway/PassedOnRequest.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
 
@@ -71,6 +72,7 @@
   CPPUNIT_TEST(OnlyRequestsThatNobodyHasRunAreSaidNotToHaveRun);
   CPPUNIT_TEST(ProgressAllowsHostsThatFailedBefore);
   CPPUNIT_TEST(NothingIsSentAfterTheDeadline);
+  CPPUNIT_TEST(RunsThatAHostStatesCount);
   CPPUNIT_TEST(EventsKeepTheirOrderOverSeveralSources);
   CPPUNIT_TEST(FieldsOfHostsAreReadAsTheyWereWritten);
   CPPUNIT_TEST(IncompleteFieldsOfHostsAreRefused);
@@ -160,6 +162,20 @@
     CPPUNIT_ASSERT(!call.OnEnd(PassedOnEnd::Unreachable, kDeadline));
   }
 
+  // Guards against a request that runs again although the host before has used
+  // up its runs.
+  void RunsThatAHostStatesCount()
+  {
+    constexpr int kMaxRuns = 3;
+    for (int stated = 0; stated <= kMaxRuns; ++stated) {
+      PassedOnCall call(MakeOptions(true, kMaxRuns));
+      call.OnTry("h1");
+      CPPUNIT_ASSERT_EQUAL(stated < kMaxRuns,
+                           call.OnEnd(PassedOnEnd::Failed, kStart, stated));
+      CPPUNIT_ASSERT_EQUAL(std::max(1, stated), call.Runs());
+    }
+  }
+
   void EventsKeepTheirOrderOverSeveralSources()
   {
     EventSequence events;
@@ -199,7 +215,7 @@
     RemoveHostFields(head);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, head.mFields.size());
     const PassedOnAnswer answer = ParsePassedOnAnswer(
-      HeadWith(FormatHostFailure(RunVerdict::NotRun, RefusedBy::Host)));
+      HeadWith(FormatHostFailure(RunVerdict::NotRun, RefusedBy::Host, 2)));
     CPPUNIT_ASSERT(answer.mOwnFailure && answer.mNotRun);
     CPPUNIT_ASSERT(answer.mRefusedBy == RefusedBy::Host);
     CPPUNIT_ASSERT(!ParsePassedOnAnswer(HttpHead()).mOwnFailure);
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -180,6 +180,7 @@
   CPPUNIT_TEST(RequestsFromBeforeAChangeAreServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(RequestsFromAfterAChangeAreNotServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(StreamsMoveToAHostWithANewerConfiguration);
+  CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
   CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
   CPPUNIT_TEST_SUITE_END();
 
@@ -254,6 +255,23 @@
     CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
   }
 
+  // A safe request ran at each of three hosts as often as if it had not run at
+  // the hosts before.
+  void RunsAtSeveralHostsStayWithinTheLimit()
+  {
+    GatewayTestCluster cluster(MakeOptions());
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    CutOff(cluster, kCutHost);
+    cluster.SetAllModes(RunnerMode::ResetImmediately);
+    const int maxRuns = TestConfiguration().RouteOf("plain").mMaxAttempts;
+    const CallerAnswer answer =
+      cluster.Gateway(kCutHost).Call(Request("/plain/", "p"));
+    CPPUNIT_ASSERT(answer.mHead.mStatus >= 500);
+    CPPUNIT_ASSERT(RunOf(answer) != "not_run");
+    CPPUNIT_ASSERT(RunsOf(cluster, "p") > 0);
+    CPPUNIT_ASSERT(RunsOf(cluster, "p") <= maxRuns);
+  }
+
   // Callers got 413 for a body that the configuration of the host they had
   // asked allows, but not yet that of the host which should serve it.
   void LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest()
