Let passed-on streams wait for a host or the end of the cut (LOST)

Callers lost streams that had begun as soon as the host which served them was lost and three others in a row had refused, or none was known, though the passing host's own targets were back a moment later. A stream of the host's own waits up to 10 s for a target.

Cause: a passed-on stream could only go to a further host, at once, and was broken off without one.

Such a stream now seeks a host every 100 ms, for up to 10 s after its last event and within its deadline and runs, and goes on at the passing host's own targets if the cut has ended meanwhile and the software version is known. Requests that have not begun are refused at once, as before.

Evidence: PassedOnChangeTests::StreamsOutliveATimeInWhichNoHostReachesThe Targets (serving host killed, the other one cut off, the passing host's links up after 0.7 s): broken off before, whole after; one run each.

--- a/src/quetzalquay/core/PassedOnCall.cpp
+++ b/src/quetzalquay/core/PassedOnCall.cpp
@@ -57,6 +57,15 @@
   return CanLeaveHost() && HasHostsLeft(aNow);
 }
 
+bool
+PassedOnCall::CanRun(Time aNow) const
+{
+  const bool left =
+    mOptions.mMaxRuns == 0 || mOptions.mRuns < mOptions.mMaxRuns;
+  const bool allowed = !mOptions.mMayHaveRun || mOptions.mRepeatable;
+  return allowed && left && aNow < mOptions.mDeadline;
+}
+
 bool
 PassedOnCall::HasHostsLeft(Time aNow) const
 {
@@ -72,10 +81,7 @@
     mOptions.mRuns = std::max(mOptions.mRuns + 1, aRuns);
     mOptions.mMayHaveRun = true;
   }
-  const bool left =
-    mOptions.mMaxRuns == 0 || mOptions.mRuns < mOptions.mMaxRuns;
-  const bool allowed = !started || (mOptions.mRepeatable && left);
-  return allowed && HasHostsLeft(aNow);
+  return CanRun(aNow) && HasHostsLeft(aNow);
 }
 
 RunVerdict
--- a/src/quetzalquay/core/PassedOnCall.h
+++ b/src/quetzalquay/core/PassedOnCall.h
@@ -59,6 +59,12 @@
   // The request is about to be sent to a host.
   void OnTry(const std::string& aHost);
 
+  // The request has waited. Hosts that failed before may be tried again.
+  void OnWaited() { mTried.clear(); }
+
+  // Whether the request may be sent to a host at all now.
+  bool CanRun(Time aNow) const;
+
   // The host has delivered an event of the stream. Hosts that failed before may
   // be tried again.
   void OnProgress();
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -348,6 +348,13 @@
     mServer.mContext, std::move(aCall), std::move(aHandOver), *this));
 }
 
+void
+CallerConnection::TakeBack(RoutedCall aCall, const HandOver& aHandOver)
+{
+  StartExchange(MakeRef<StreamExchange>(
+    mServer.mContext, std::move(aCall), *this, &aHandOver));
+}
+
 void
 CallerConnection::ReleaseExchange()
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -72,6 +72,7 @@
   void EndChunkedResponse() override;
   void AbortResponse() override;
   void PassOn(RoutedCall aCall, HandOver aHandOver) override;
+  void TakeBack(RoutedCall aCall, const HandOver& aHandOver) override;
 
   bool IsIdle() const;
   void CloseIdle(ConnectionEnd aEnd);
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -84,6 +84,10 @@
 
   // Ends the exchange; another host serves the rest of the request.
   virtual void PassOn(RoutedCall aCall, HandOver aHandOver) = 0;
+
+  // Ends the exchange; this host serves the rest of a stream that it has passed
+  // on, at its own targets again.
+  virtual void TakeBack(RoutedCall aCall, const HandOver& aHandOver) = 0;
 };
 
 // A caller's request with its route, service, workspace and deadline, which are
@@ -129,6 +133,8 @@
   // has been sent.
   EventSequence mEvents;
   bool mHeadSent = false;
+  // Status in that head.
+  int mStatus = 0;
   // Software version that the rest of the stream must have; empty if it has not
   // begun or the version is not known.
   std::string mSoftwareVersion;
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -25,6 +25,11 @@
 constexpr Duration kSilenceTime = milliseconds(400);
 constexpr Duration kCheckInterval = milliseconds(1000);
 
+// Interval at which a stream that no host can serve seeks one, and the longest
+// time between two of its events.
+constexpr Duration kSeekInterval = milliseconds(100);
+constexpr Duration kMaxSeekTime = milliseconds(10000);
+
 // Longest event of a stream.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
@@ -65,6 +70,7 @@
 {
   mAttempts = mHandOver.mTries;
   mLogNote = mHandOver.mCause;
+  mForwardedHead.mStatus = mHandOver.mStatus;
   mTimeToFirstEvent = mHandOver.mTimeToFirstEvent;
   mLongestEventGap = mHandOver.mLongestEventGap;
 }
@@ -341,6 +347,7 @@
 PassedOnExchange::SendHead()
 {
   if (!std::exchange(mHandOver.mHeadSent, true)) {
+    mHandOver.mStatus = mForwardedHead.mStatus;
     mSink->StartChunkedResponse(mForwardedHead.mStatus,
                                 mForwardedHead.mReason,
                                 FormatAnswerFields(mForwardedHead));
@@ -461,13 +468,13 @@
   ReleaseHost();
   std::string().swap(mResponseBody);
   mBuffer.Resize(0);
-  if (mStateMachine.OnEnd(aEnd, now, mAnswer.mRuns) && resumable) {
-    const auto next = mContext.mFleet.Reach().ChooseHost(
-      mCall.mService, mStateMachine.Tried(), now);
-    if (next) {
-      Send(*next);
-      return;
-    }
+  const bool movable = mStateMachine.OnEnd(aEnd, now, mAnswer.mRuns);
+  if (movable && resumable && SendToNextHost(now)) {
+    return;
+  }
+  if (CanWait(now)) {
+    Wait(now);
+    return;
   }
   const bool started = aEnd == PassedOnEnd::Failed || aEnd == PassedOnEnd::Lost;
   Fail(now >= mCall.mDeadline ? FailureCode::DeadlineExceeded
@@ -476,6 +483,81 @@
        false);
 }
 
+bool
+PassedOnExchange::SendToNextHost(Time aNow)
+{
+  const auto next = mContext.mFleet.Reach().ChooseHost(
+    mCall.mService, mStateMachine.Tried(), aNow);
+  if (next) {
+    Send(*next);
+  }
+  return next.has_value();
+}
+
+// Whether a stream that no host can serve now may go on later. A request that
+// has not begun is refused, so that its caller can go elsewhere.
+bool
+PassedOnExchange::CanWait(Time aNow) const
+{
+  return IsStreamBegun() && !mHandOver.mEvents.LastId().empty() &&
+         mStateMachine.CanRun(aNow) &&
+         aNow <
+           std::max(mHandOver.mLastEventAt, mCall.mArrivedAt) + kMaxSeekTime;
+}
+
+void
+PassedOnExchange::Wait(Time aNow)
+{
+  Log(LogLevel::Info,
+      "request",
+      "waiting for a host",
+      { { "request", mCall.mRequest.mRequestId },
+        { "service", mCall.mService },
+        { "after_event", mHandOver.mEvents.LastId() } });
+  mSeekAt = aNow + kSeekInterval;
+  ScheduleTimer();
+}
+
+// Has the stream go on at an own target if the cut has ended, else at any host.
+void
+PassedOnExchange::EndWait(Time aNow)
+{
+  mSeekAt = Time::max();
+  mStateMachine.OnWaited();
+  if (TakeBack(aNow) || SendToNextHost(aNow)) {
+    return;
+  }
+  if (CanWait(aNow)) {
+    mSeekAt = aNow + kSeekInterval;
+    return;
+  }
+  Fail(FailureCode::NoTarget, false);
+}
+
+// Serves the rest of the stream here if the cut has ended. Returns whether it
+// does.
+bool
+PassedOnExchange::TakeBack(Time aNow)
+{
+  if (IsCutOff(aNow) || mHandOver.mSoftwareVersion.empty()) {
+    return false;
+  }
+  Log(LogLevel::Info,
+      "request",
+      "taken back",
+      { { "request", mCall.mRequest.mRequestId },
+        { "service", mCall.mService },
+        { "after_event", mHandOver.mEvents.LastId() } });
+  Finish();
+  mHandOver.mTimeToFirstEvent = mTimeToFirstEvent;
+  mHandOver.mLongestEventGap = mLongestEventGap;
+  mCall.mRequest.mLastEventId = mHandOver.mEvents.LastId();
+  mCall.mSoftwareVersion = mHandOver.mSoftwareVersion;
+  mCall.mPassedOn.mPrior = { mStateMachine.Runs(), true, true };
+  mSink->TakeBack(std::move(mCall), mHandOver);
+  return true;
+}
+
 void
 PassedOnExchange::Fail(FailureCode aCode, bool aIsSent)
 {
@@ -501,7 +583,9 @@
     Fail(FailureCode::DeadlineExceeded, AbandonAttempt());
     return;
   }
-  if (now >= mCheckAt) {
+  if (now >= mSeekAt) {
+    EndWait(now);
+  } else if (now >= mCheckAt && !mHost.empty()) {
     CheckHost();
   }
   ScheduleTimer();
@@ -551,7 +635,8 @@
 PassedOnExchange::ScheduleTimer()
 {
   if (!mDone) {
-    mTimer.ScheduleAt(std::min(mCheckAt, mCall.mDeadline));
+    const Time next = mHost.empty() ? mSeekAt : mCheckAt;
+    mTimer.ScheduleAt(std::min(next, mCall.mDeadline));
   }
 }
 
--- a/src/quetzalquay/gateway/PassedOnExchange.h
+++ b/src/quetzalquay/gateway/PassedOnExchange.h
@@ -49,6 +49,11 @@
   void HandleOwnFailure();
   void ForwardResponse();
   void EndAttempt(PassedOnEnd aEnd, const char* aNote);
+  bool SendToNextHost(Time aNow);
+  bool CanWait(Time aNow) const;
+  void Wait(Time aNow);
+  void EndWait(Time aNow);
+  bool TakeBack(Time aNow);
   bool AbandonAttempt();
   void Fail(FailureCode aCode, bool aIsSent);
   void OnTimer();
@@ -87,6 +92,8 @@
   // When bytes have arrived last, or the request was sent.
   Time mActiveAt;
   Time mCheckAt = Time::max();
+  // When a host is sought again while none has the request.
+  Time mSeekAt = Time::max();
   bool mChecking = false;
   bool mDone = false;
   Timer mTimer;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -96,7 +96,8 @@
 
 StreamExchange::StreamExchange(GatewayContext& aContext,
                                RoutedCall aCall,
-                               ResponseSink& aSink)
+                               ResponseSink& aSink,
+                               const HandOver* aTakenBack)
   : Exchange(aContext, std::move(aCall), aSink)
   , mStateMachine(MakeGenerationSpec(mCall), aContext.mFleet.Targets())
   , mTimer(aContext.mLoop,
@@ -115,6 +116,16 @@
   if (const auto start = aContext.mNumberings[mCall.mService].Expected()) {
     mEvents.Expect(*start);
   }
+  if (aTakenBack != nullptr) {
+    mEvents = aTakenBack->mEvents;
+    mHeadSent = aTakenBack->mHeadSent;
+    mForwardedHead.mStatus = aTakenBack->mStatus;
+    mAttempts = aTakenBack->mTries;
+    mTimeToFirstEvent = aTakenBack->mTimeToFirstEvent;
+    mLongestEventGap = aTakenBack->mLongestEventGap;
+    mLastEventAt = aTakenBack->mLastEventAt;
+    mLogNote = "taken_back";
+  }
 }
 
 void
@@ -129,7 +140,7 @@
   const int backlog = mContext.mFleet.Targets().MinBacklogTokens(query, now);
   const auto least = mContext.mPaces[mCall.mService].MinRemainingTime(
     mCall.mRequest.mPromptTokens + backlog, events);
-  if (least && now + *least > mCall.mDeadline) {
+  if (!mHeadSent && least && now + *least > mCall.mDeadline) {
     Finish();
     mLogNote = "needs_ms_" + std::to_string(least->count() / 1000);
     Failure failure;
@@ -833,6 +844,7 @@
     mStateMachine.MayHaveStarted() || aEnd == AttemptEnd::Broken;
   handOver.mEvents = mEvents;
   handOver.mHeadSent = mHeadSent;
+  handOver.mStatus = mForwardedHead.mStatus;
   handOver.mLastEventAt = mLastEventAt;
   if (IsRegisteredVersion(mStateMachine.SoftwareVersion())) {
     handOver.mSoftwareVersion = mStateMachine.SoftwareVersion();
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -19,9 +19,12 @@
   , public AttemptSink
 {
 public:
+  // aTakenBack, if not null, is a stream that has begun and whose rest another
+  // host was to serve; aCall names its last event and software version.
   StreamExchange(GatewayContext& aContext,
                  RoutedCall aCall,
-                 ResponseSink& aSink);
+                 ResponseSink& aSink,
+                 const HandOver* aTakenBack = nullptr);
 
   void Start() override;
   void OnCallerDisconnected() override;
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -180,6 +180,7 @@
   CPPUNIT_TEST(RequestsFromBeforeAChangeAreServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(RequestsFromAfterAChangeAreNotServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(StreamsMoveToAHostWithANewerConfiguration);
+  CPPUNIT_TEST(StreamsOutliveATimeInWhichNoHostReachesTheTargets);
   CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
   CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
   CPPUNIT_TEST_SUITE_END();
@@ -255,6 +256,28 @@
     CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
   }
 
+  // Streams were broken off as soon as no host could serve them, though their
+  // targets were back within a second.
+  void StreamsOutliveATimeInWhichNoHostReachesTheTargets()
+  {
+    GatewayTestCluster cluster(MakeOptions());
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    cluster.SetPace(milliseconds(50), milliseconds(50), milliseconds(1500));
+    CutOff(cluster, kCutHost);
+    PassedOnCallerCall call(cluster, Request("/stream/", "s"));
+    const std::size_t host = call.AwaitServingHost();
+    std::this_thread::sleep_for(milliseconds(300));
+    const std::size_t other = kHosts - host;
+    cluster.SetLinks(other, cluster.RunnersOf(), LinkState::Reset);
+    cluster.Gateway(host).Signal(SIGKILL);
+    std::this_thread::sleep_for(milliseconds(700));
+    cluster.SetLinks(kCutHost, cluster.RunnersOf(), LinkState::Up);
+    const CallerAnswer& answer = call.Answer();
+    CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(), answer.mBody);
+  }
+
   // A safe request ran at each of three hosts as often as if it had not run at
   // the hosts before.
   void RunsAtSeveralHostsStayWithinTheLimit()
