--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -122,18 +122,18 @@
 const std::map<std::string, EntryFormat>&
 EntryFormats()
 {
-  static const EntryFormat totals =
+  static const EntryFormat kTotals =
     MakeFormat(ParseTotalsEntry, WriteTotalsEntry);
-  static const EntryFormat retry = MakeFormat(ParseRetryEntry, WriteRetry);
-  static const std::map<std::string, EntryFormat> formats = {
+  static const EntryFormat kRetry = MakeFormat(ParseRetryEntry, WriteRetry);
+  static const std::map<std::string, EntryFormat> kFormats = {
     { "load", MakeFormat(ParseLoadEntry, WriteLoadEntry) },
     { "lost", MakeTimedFormat(ParseLostEntry, WriteLostEntry) },
-    { "totals", totals },
-    { "limit_totals", totals },
-    { "asks", retry },
-    { "grants", retry },
-    { "limit_asks", retry },
-    { "limit_grants", retry },
+    { "totals", kTotals },
+    { "limit_totals", kTotals },
+    { "asks", kRetry },
+    { "grants", kRetry },
+    { "limit_asks", kRetry },
+    { "limit_grants", kRetry },
     { "limits", MakeTimedFormat(ParseLimitEntry, WriteLimitEntry) },
     { "brittle", MakeTimedFormat(ParseBrittleEntry, WriteBrittleEntry) },
     { "room", MakeFormat(ParseRoomEntry, WriteRoomEntry) },
@@ -142,7 +142,7 @@
     { "gone", MakeFormat(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
   };
-  return formats;
+  return kFormats;
 }
 
 // The first entry of each list that a landing writes.
@@ -479,8 +479,11 @@
       const bool isJson = it[2].front() == '[';
       std::string later = it[2];
       for (int n = 0; n < 10; ++n) {
-        later = isJson ? later.substr(0, later.size() - 1) + ",{\"x\":1}]"
-                       : later + " later=" + std::to_string(n);
+        if (isJson) {
+          later.insert(later.size() - 1, R"(,{"x":1})");
+        } else {
+          later.append(" later=").append(std::to_string(n));
+        }
       }
       CPPUNIT_ASSERT_MESSAGE(later, IsRowReadable(it[0], it[1], later));
     }
