--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -26,6 +26,9 @@
 // versions by the same test.
 constexpr char kGatewayBinaryVariable[] = "QUETZAL_TEST_GATEWAY";
 
+// The same for every other gateway of a test only, to mix builds.
+constexpr char kOtherBinaryVariable[] = "QUETZAL_TEST_OTHER_GATEWAY";
+
 // Directory to which the logs of all gateways are appended, one file for each
 // name. Without the variable they are discarded.
 constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
@@ -116,6 +119,10 @@
   , mIp(std::move(aIp))
   , mSettings(aSettings)
 {
+  const char* other = std::getenv(kOtherBinaryVariable);
+  if (other != nullptr && aIndex % 2 == 1 && mSettings.mBinary.empty()) {
+    mSettings.mBinary = other;
+  }
   for (int n = 0; n < 3; ++n) {
     mPorts.push_back(FindFreePort(mIp));
   }
