Choose hosts that have refused last instead of not at all (LOST)

Callers of a host that is cut off got 503 for all requests for a second after each other host had refused one, for instance because it was full or had not applied the passing host's configuration yet.

Cause: a refusal kept a host from being chosen for a second, like a host that cannot be reached.

A host that has refused is now chosen if there is no other and the request would be refused otherwise. A request that may also stay at a silent host or target, or try another target, still leaves for willing hosts only.

TargetReachTests (21) and PassedOnCallTests (8) pass.

--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -71,6 +71,10 @@
 // Time for which a host is not chosen after it has failed.
 constexpr Duration kAvoidTime = milliseconds(1000);
 
+// Counts more than the requests that any host may have: a host that has refused
+// one is chosen last.
+constexpr int kRefusalPenalty = 1000000;
+
 // Requests passed on that weigh as much as another place.
 constexpr int kOtherPlacePenalty = 3;
 
@@ -453,7 +457,8 @@
 std::optional<std::string>
 TargetReach::ChooseHost(const std::string& aService,
                         const std::vector<std::string>& aTried,
-                        Time aNow)
+                        Time aNow,
+                        HostChoice aChoice)
 {
   std::vector<std::string> best;
   int lowest = 0;
@@ -464,8 +469,13 @@
         std::find(aTried.begin(), aTried.end(), it.first) != aTried.end()) {
       continue;
     }
-    const int cost =
-      host.mPassedOn + (host.mPlace == mPlace ? 0 : kOtherPlacePenalty);
+    const bool refuses = aNow < host.mRefusesUntil;
+    if (refuses && aChoice == HostChoice::Willing) {
+      continue;
+    }
+    const int cost = host.mPassedOn +
+                     (host.mPlace == mPlace ? 0 : kOtherPlacePenalty) +
+                     (refuses ? kRefusalPenalty : 0);
     if (best.empty() || cost < lowest) {
       best.clear();
       lowest = cost;
@@ -507,6 +517,15 @@
   }
 }
 
+void
+TargetReach::OnHostRefused(const std::string& aHost, Time aNow)
+{
+  const auto host = mHosts.find(aHost);
+  if (host != mHosts.end()) {
+    host->second.mRefusesUntil = aNow + kAvoidTime;
+  }
+}
+
 TargetReach::Service*
 TargetReach::FindService(const std::string& aService)
 {
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -32,6 +32,16 @@
                                                              "suspected",
                                                              "cut_off" });
 
+// Which hosts may serve a request.
+enum class HostChoice
+{
+  // Those that have not refused a request lately, as the request may also stay
+  // where it is.
+  Willing,
+  // The others, too, if there is none of these.
+  Any,
+};
+
 // What a host knows of the targets of one service.
 struct ReachEvidence
 {
@@ -206,19 +216,24 @@
 
   // Chooses a host that reaches a service's targets, other than those that have
   // been tried. Nothing if there is none.
-  std::optional<std::string> ChooseHost(const std::string& aService,
-                                        const std::vector<std::string>& aTried,
-                                        Time aNow);
+  std::optional<std::string> ChooseHost(
+    const std::string& aService,
+    const std::vector<std::string>& aTried,
+    Time aNow,
+    HostChoice aChoice = HostChoice::Willing);
 
   // A request has been passed on to a host, and its answer has ended. Hosts
   // with fewer requests of this host are preferred.
   void OnPassedOn(const std::string& aHost);
   void OnPassedOnEnded(const std::string& aHost);
 
-  // A host could not be reached, or could not serve a request that was passed
-  // on to it. It is not chosen for a while.
+  // A host could not be reached. It is not chosen for a while.
   void OnHostFailed(const std::string& aHost, Time aNow);
 
+  // A host has refused a request that was passed on to it. It may serve the
+  // next one, but for a while others are preferred.
+  void OnHostRefused(const std::string& aHost, Time aNow);
+
 private:
   struct Contact
   {
@@ -277,6 +292,7 @@
     std::set<std::string> mUnreached;
     int mPassedOn = 0;
     Time mAvoidedUntil;
+    Time mRefusesUntil;
   };
 
   Service* FindService(const std::string& aService);
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -305,7 +305,8 @@
   mServer.mHostExchangeCount += mKind == CallerKind::Host ? 1 : 0;
   const Time now = EventLoop::Now();
   if (mServer.mContext.mFleet.Reach().IsCutOff(call->mService, now)) {
-    if (auto host = FindServingHost(mServer.mContext, *call, now)) {
+    if (auto host =
+          FindServingHost(mServer.mContext, *call, now, HostChoice::Any)) {
       HandOver handOver;
       handOver.mHost = std::move(*host);
       handOver.mCause = "cut_off";
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -98,12 +98,16 @@
 }
 
 std::optional<std::string>
-FindServingHost(GatewayContext& aContext, const RoutedCall& aCall, Time aNow)
+FindServingHost(GatewayContext& aContext,
+                const RoutedCall& aCall,
+                Time aNow,
+                HostChoice aChoice)
 {
   if (aCall.mPassedOn.IsPassedOn()) {
     return std::nullopt;
   }
-  auto host = aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow);
+  auto host =
+    aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow, aChoice);
   return host && aContext.mFleet.AddressOf(*host) ? host : std::nullopt;
 }
 
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -146,7 +146,10 @@
 // Chooses a host that serves a request in place of this one. Returns nothing if
 // there is none, or if the request came from another host.
 std::optional<std::string>
-FindServingHost(GatewayContext& aContext, const RoutedCall& aCall, Time aNow);
+FindServingHost(GatewayContext& aContext,
+                const RoutedCall& aCall,
+                Time aNow,
+                HostChoice aChoice);
 
 // Handles one request until its response is complete.
 class Exchange : public RefCounted<Exchange>
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -402,7 +402,7 @@
   const int status = mResponseHead.mStatus;
   if (mAnswer.mNotRun && (status == 503 || status == 408)) {
     if (mAnswer.mRefusedBy == RefusedBy::Host) {
-      mContext.mFleet.Reach().OnHostFailed(mHost, EventLoop::Now());
+      mContext.mFleet.Reach().OnHostRefused(mHost, EventLoop::Now());
     }
     mRetryAfter = mResponseInfo.mWait;
     EndAttempt(PassedOnEnd::Refused, "host_refused");
@@ -487,7 +487,7 @@
 PassedOnExchange::SendToNextHost(Time aNow)
 {
   const auto next = mContext.mFleet.Reach().ChooseHost(
-    mCall.mService, mStateMachine.Tried(), aNow);
+    mCall.mService, mStateMachine.Tried(), aNow, HostChoice::Any);
   if (next) {
     Send(*next);
   }
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -88,7 +88,7 @@
     const bool unplaced =
       code == FailureCode::NoTarget || code == FailureCode::Overloaded;
     if (!unplaced || !IsCutOff(EventLoop::Now()) ||
-        !PassOn(PlainResult::NotStarted)) {
+        !PassOn(PlainResult::NotStarted, HostChoice::Any)) {
       Fail(failed->mFailure);
     }
   } else {
@@ -99,15 +99,15 @@
 // Has another host serve the call if it may be sent again after the current
 // attempt has ended with the given result. Returns whether there is a host.
 bool
-PlainExchange::PassOn(PlainResult aResult)
+PlainExchange::PassOn(PlainResult aResult, HostChoice aChoice)
 {
   // Another target that has been asked decides first.
   if (mTentative != nullptr) {
     return false;
   }
   const auto runs = mStateMachine.RunsIfPassedOn(aResult);
-  auto host =
-    runs ? FindServingHost(mContext, mCall, EventLoop::Now()) : std::nullopt;
+  auto host = runs ? FindServingHost(mContext, mCall, EventLoop::Now(), aChoice)
+                   : std::nullopt;
   if (!host) {
     return false;
   }
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -33,7 +33,7 @@
   int CountRuns() const override { return mStateMachine.Runs(); }
 
   void PerformStep(const PlainStep& aStep);
-  bool PassOn(PlainResult aResult);
+  bool PassOn(PlainResult aResult, HostChoice aChoice = HostChoice::Willing);
   void SendAttempt(const std::string& aTarget);
   void ForwardResponse();
   void Fail(const Failure& aFailure);
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -533,7 +533,8 @@
   const bool unplaced = code == FailureCode::NoTarget ||
                         code == FailureCode::Overloaded ||
                         code == FailureCode::GenerationLost;
-  if (unplaced && IsCutOff(EventLoop::Now()) && PassOn(std::nullopt)) {
+  if (unplaced && IsCutOff(EventLoop::Now()) &&
+      PassOn(std::nullopt, HostChoice::Any)) {
     return;
   }
   BreakOff(aAction.mFailure);
@@ -819,7 +820,7 @@
 // the current attempt, if there is one, has ended in the given way. Returns
 // whether there is a host.
 bool
-StreamExchange::PassOn(std::optional<AttemptEnd> aEnd)
+StreamExchange::PassOn(std::optional<AttemptEnd> aEnd, HostChoice aChoice)
 {
   // Another target that has been asked decides first.
   if (mTentative != nullptr) {
@@ -829,8 +830,8 @@
   const auto runs = mStateMachine.RunsIfPassedOn(aEnd);
   // A stream whose events have no IDs cannot be resumed after one.
   const bool resumable = mNextEventIndex == 0 || !mEvents.LastId().empty();
-  auto host =
-    runs && resumable ? FindServingHost(mContext, mCall, now) : std::nullopt;
+  auto host = runs && resumable ? FindServingHost(mContext, mCall, now, aChoice)
+                                : std::nullopt;
   if (!host) {
     return false;
   }
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -84,7 +84,8 @@
   void BreakOff(const Failure& aFailure);
   void RecordEvent(Time aNow);
   void EndAttempt(AttemptEnd aEnd);
-  bool PassOn(std::optional<AttemptEnd> aEnd);
+  bool PassOn(std::optional<AttemptEnd> aEnd,
+              HostChoice aChoice = HostChoice::Willing);
   bool PassOnIfStuck(Time aNow);
   void GiveUpAttempt();
   void ReleaseAttempt(AttemptOutcome aOutcome);
--- a/tests/introspective/TargetReachTests.cpp
+++ b/tests/introspective/TargetReachTests.cpp
@@ -404,6 +404,7 @@
   CPPUNIT_TEST(OnlyBytesAfterTheFailureContradictIt);
   CPPUNIT_TEST(LargeFleetsSendFewMessages);
   CPPUNIT_TEST(ChosenHostsReachTheService);
+  CPPUNIT_TEST(HostsThatRefuseAreChosenLast);
   CPPUNIT_TEST(RequestsAreSpreadOverHosts);
   CPPUNIT_TEST(DeathsAreHeldBackWhileACutIsSuspected);
   CPPUNIT_TEST(ACutLeavesNoBlameAndNoDoubt);
@@ -694,6 +695,25 @@
     });
   }
 
+  // Guards against requests that are refused because each other host has
+  // refused one before.
+  void HostsThatRefuseAreChosenLast()
+  {
+    TargetReach reach("p0");
+    for (int n = 0; n < 2; ++n) {
+      reach.OnHostHeard(HostName(n), "p0", At(0));
+    }
+    reach.OnHostRefused(HostName(0), At(0));
+    for (int n = 0; n < 10; ++n) {
+      CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, At(0), HostChoice::Any) ==
+                     HostName(1));
+    }
+    reach.OnHostRefused(HostName(1), At(0));
+    CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, At(0), HostChoice::Any));
+    CPPUNIT_ASSERT(!reach.ChooseHost(kService, {}, At(0)));
+    CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, At(1500)));
+  }
+
   void RequestsAreSpreadOverHosts()
   {
     TargetReach reach("p0");
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -183,6 +183,7 @@
   CPPUNIT_TEST(StreamsOutliveATimeInWhichNoHostReachesTheTargets);
   CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
   CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
+  CPPUNIT_TEST(RequestsAreServedAsSoonAsFullHostsHaveRoom);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -312,6 +313,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("host"),
                          *answer.mHead.Find("X-Passed-Refused-By"));
   }
+
+  // For a second after each other host had refused one request, all requests
+  // were refused.
+  void RequestsAreServedAsSoonAsFullHostsHaveRoom()
+  {
+    // More than the other hosts serve at a time.
+    constexpr int kCount = 300;
+    GatewayTestCluster cluster(MakeOptions());
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    CutOff(cluster, kCutHost);
+    cluster.SetPace(milliseconds(50), milliseconds(50), milliseconds(400));
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < kCount; ++n) {
+      channels.push_back(
+        std::make_unique<CallerChannel>(cluster.Gateway(kCutHost)));
+    }
+    for (int n = 0; n < kCount; ++n) {
+      channels[n]->Send(Request("/plain/", "f" + std::to_string(n)));
+    }
+    int refused = 0;
+    for (const auto& it : channels) {
+      refused += it->Read().mHead.mStatus == 503 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(refused > 0);
+    const CallerAnswer answer =
+      cluster.Gateway(kCutHost).Call(Request("/plain/", "a"));
+    CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOnChangeTests);
