Play passed-on requests beside changes, stops and shortages

Plain, unsafe and streamed requests of a host that is cut off, beside changes of routes and time limits, SIGTERM of serving hosts, SIGHUP of all and SIGTERM of the passing host (seeded, QUETZAL_TEST_SEED); beside serving hosts that have no descriptors left, or get more bodies than their memory holds.

--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -1,9 +1,13 @@
 #include "CallerChannel.h"
+#include "FleetPlay.h"
 #include "GatewayTestCluster.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
 #include <functional>
+#include <iostream>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -132,6 +136,65 @@
     }));
 }
 
+// A request among others, and its answer.
+struct SentCall
+{
+  std::string mRoute;
+  std::string mId;
+  std::unique_ptr<BackgroundCall> mCall;
+};
+
+// Sends aCount requests of all kinds to the host that is cut off, aInterval
+// apart.
+std::vector<SentCall>
+SendAll(GatewayTestCluster& aCluster, int aCount, milliseconds aInterval)
+{
+  const char* const routes[] = { "/plain/", "/unsafe/", "/stream/" };
+  std::vector<SentCall> calls;
+  for (int n = 0; n < aCount; ++n) {
+    SentCall call;
+    call.mRoute = routes[n % 3];
+    call.mId = "r" + std::to_string(n);
+    call.mCall = std::make_unique<BackgroundCall>(
+      aCluster.Gateway(kCutHost), Request(call.mRoute, call.mId));
+    calls.push_back(std::move(call));
+    std::this_thread::sleep_for(aInterval);
+  }
+  return calls;
+}
+
+// Expects whole answers to all requests, and that none ran that was refused or
+// ran twice that must not. Returns how many were answered with success.
+int
+ExpectAnswers(GatewayTestCluster& aCluster, std::vector<SentCall>& aCalls)
+{
+  int served = 0;
+  std::string problems;
+  for (SentCall& it : aCalls) {
+    const CallerAnswer& answer = it.mCall->AwaitAnswer();
+    const int status = answer.mHead.mStatus;
+    const int runs = RunsOf(aCluster, it.mId);
+    const bool unsafe = it.mRoute == "/unsafe/";
+    const bool stream = it.mRoute == "/stream/";
+    served += status == 200 ? 1 : 0;
+    if (status != 200 && std::getenv("QUETZAL_TEST_FIGURES") != nullptr) {
+      std::cout << "\n" << it.mId << ": " << answer.mBody;
+    }
+    const bool sound =
+      answer.mComplete && (status == 200 || RunOf(answer) == "not_run") &&
+      (status == 200 || !unsafe || runs == 0) && (!unsafe || runs <= 1) &&
+      (status != 200 || !stream ||
+       answer.mBody == GatewayTestCluster::StreamBody());
+    if (!sound) {
+      problems += it.mRoute + it.mId + " status " + std::to_string(status) +
+                  (answer.mComplete ? " whole" : " torn") + " runs " +
+                  std::to_string(runs) + "; ";
+    }
+  }
+  CPPUNIT_ASSERT_EQUAL(std::string(), problems);
+  return served;
+}
+
 // A request that the host which is cut off passes on.
 class PassedOnCallerCall
 {
@@ -184,6 +247,9 @@
   CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
   CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
   CPPUNIT_TEST(RequestsAreServedAsSoonAsFullHostsHaveRoom);
+  CPPUNIT_TEST(RequestsAreAnsweredBesideChangesAndStopsOfBothHosts);
+  CPPUNIT_TEST(RequestsLeaveAServingHostWithoutDescriptors);
+  CPPUNIT_TEST(LargeRequestsLeaveAServingHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -341,6 +407,108 @@
       cluster.Gateway(kCutHost).Call(Request("/plain/", "a"));
     CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
   }
+
+  // Guards against requests that end without an answer when the hosts that pass
+  // on or serve them get changes, read their settings again or stop.
+  void RequestsAreAnsweredBesideChangesAndStopsOfBothHosts()
+  {
+    const int seed = FromEnvironment("QUETZAL_TEST_SEED", 1);
+    std::mt19937 random(static_cast<std::mt19937::result_type>(seed));
+    GatewayTestCluster cluster(MakeOptions());
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    cluster.SetPace(milliseconds(50), milliseconds(40), milliseconds(700));
+    CutOff(cluster, kCutHost);
+    std::vector<SentCall> calls;
+    std::thread sender(
+      [&] { calls = SendAll(cluster, kCalls, milliseconds(50)); });
+    std::thread changes(
+      [&, changeSeed = random()] { WriteChanges(cluster, changeSeed); });
+    for (int n = 0; n < kStops; ++n) {
+      std::this_thread::sleep_for(milliseconds(random() % 400));
+      GatewayTestSettings settings;
+      settings.mRetryAllowance = 150 + n;
+      cluster.Gateway(random() % kHosts).ChangeSettings(settings);
+      cluster.Gateway(random() % kHosts).Signal(SIGHUP);
+      cluster.Gateway(1 + random() % (kHosts - 1)).Restart(SIGTERM);
+    }
+    sender.join();
+    changes.join();
+    cluster.Gateway(kCutHost).Signal(SIGTERM);
+    const int served = ExpectAnswers(cluster, calls);
+    if (std::getenv("QUETZAL_TEST_FIGURES") != nullptr) {
+      std::cout << "\nseed " << seed << ": served " << served << " of "
+                << calls.size() << std::endl;
+    }
+    CPPUNIT_ASSERT(served * 10 >= kCalls * 9);
+  }
+
+  // Guards against requests that wait for a serving host which has no
+  // descriptors left to accept them.
+  void RequestsLeaveAServingHostWithoutDescriptors()
+  {
+    GatewayTestCluster::Options options = MakeOptions();
+    // Fewer than the settings promise.
+    options.mSettings.mDescriptors = 150;
+    GatewayTestCluster cluster(options);
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    cluster.SetPace(milliseconds(50), milliseconds(20), milliseconds(50));
+    CutOff(cluster, kCutHost);
+    std::vector<std::unique_ptr<CallerChannel>> others;
+    while (others.size() < 200) {
+      others.push_back(std::make_unique<CallerChannel>(cluster.Gateway(1)));
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    std::vector<SentCall> calls = SendAll(cluster, 12, milliseconds(100));
+    std::this_thread::sleep_for(milliseconds(1500));
+    others.clear();
+    ExpectAnswers(cluster, calls);
+  }
+
+  // Guards against a host that ends because it holds the bodies of too many
+  // requests that others pass on to it.
+  void LargeRequestsLeaveAServingHostItsMemory()
+  {
+    constexpr int kSmallHostMb = 88;
+    constexpr int kReservedMb = 35;
+    GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    GatewayTestCluster cluster(options);
+    const std::string fields = HostFields(1, 0);
+    const std::string body(16U << 20U, 'b');
+    const std::string bytes =
+      GatewayTestCluster::Request("/plain/", "a", fields, body, kDeadlineMs);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < 8; ++n) {
+      channels.emplace_back(new CallerChannel(
+        CallerChannel::AtPort(cluster.Gateway(), cluster.RelayPort())));
+      // All but the end; a request without room is refused at its head.
+      channels.back()->Send(bytes.substr(0, 12U << 20U));
+    }
+    CPPUNIT_ASSERT(cluster.Gateway().IsRunning());
+    CPPUNIT_ASSERT_EQUAL(200,
+                         cluster.Call(Request("/plain/", "b")).mHead.mStatus);
+  }
+
+private:
+  static constexpr int kCalls = 60;
+  static constexpr int kStops = 2;
+  static constexpr int kChanges = 12;
+
+  // Moves all routes from one service to the other and back, and changes their
+  // time limits, at random times.
+  static void WriteChanges(GatewayTestCluster& aCluster, unsigned aSeed)
+  {
+    std::mt19937 random(aSeed);
+    for (int n = 0; n < kChanges; ++n) {
+      std::this_thread::sleep_for(milliseconds(random() % 400));
+      TestConfiguration changed =
+        random() % 2 == 0 ? FirstConfiguration() : MovedConfiguration();
+      for (TestRoute& it : changed.mRoutes) {
+        it.mTimeoutMs = 7000 + static_cast<int>(random() % 3) * 1000;
+      }
+      aCluster.Write(changed);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOnChangeTests);
