--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -391,6 +391,7 @@
     CutOff(cluster, kCutHost);
     cluster.SetPace(milliseconds(50), milliseconds(50), milliseconds(400));
     std::vector<std::unique_ptr<CallerChannel>> channels;
+    channels.reserve(kCount);
     for (int n = 0; n < kCount; ++n) {
       channels.push_back(
         std::make_unique<CallerChannel>(cluster.Gateway(kCutHost)));
