Let a stream that is taken back wait for a target (LOST)

What callers would see: a begun stream whose host takes it back after a cut was broken off at once if no target was free at that moment: its first objective is long over, so a new generation counts as not expected to start in time.

A generation of a stream that has begun now starts with the time limit of a recovery. Besides, a stream whose caller is closed as a slow reader while it is flushed ends there; it used its caller's connection after that (by reading, no test).

Evidence: SilentTargetTests::StreamThatIsTakenBackWaitsForATarget fails before (Generation.cpp), passes after.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -63,6 +63,9 @@
 Generation::Start(Time aNow)
 {
   Actions actions;
+  if (mSpec.mBegun) {
+    StartRecovery(aNow);
+  }
   ChooseTarget(aNow, actions);
   return actions;
 }
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -26,6 +26,9 @@
   // Software version of the targets that produced what the caller already
   // holds; empty if it holds nothing.
   std::string mSoftwareVersion;
+  // Whether the caller already has a part of this response. A stream that has
+  // begun waits for a target as one that has lost its target does.
+  bool mBegun = false;
   // Maximum number of targets that the request may run on; 0 means unlimited.
   int mMaxRuns = 0;
   // What another host has done with the request.
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -66,9 +66,10 @@
 }
 
 GenerationSpec
-MakeGenerationSpec(const RoutedCall& aCall)
+MakeGenerationSpec(const RoutedCall& aCall, bool aBegun)
 {
   GenerationSpec spec;
+  spec.mBegun = aBegun;
   spec.mRequestId = aCall.mRequest.mRequestId;
   spec.mIdempotent = aCall.mRoute->mResumable;
   spec.mResumable = aCall.mRoute->mResumable;
@@ -99,7 +100,8 @@
                                ResponseSink& aSink,
                                const HandOver* aTakenBack)
   : Exchange(aContext, std::move(aCall), aSink)
-  , mStateMachine(MakeGenerationSpec(mCall), aContext.mFleet.Targets())
+  , mStateMachine(MakeGenerationSpec(mCall, aTakenBack != nullptr),
+                  aContext.mFleet.Targets())
   , mTimer(aContext.mLoop,
            [this] {
              const RefPtr<Exchange> self(this);
@@ -514,6 +516,9 @@
 StreamExchange::Execute(const CompleteResponse&)
 {
   Flush();
+  if (mDone) {
+    return;
+  }
   SendHead();
   RecordPace(EventLoop::Now());
   if (const auto start = mEvents.ObservedStart()) {
@@ -529,6 +534,9 @@
 StreamExchange::Execute(const FailResponse& aAction)
 {
   Flush();
+  if (mDone) {
+    return;
+  }
   const FailureCode code = aAction.mFailure.mCode;
   const bool unplaced = code == FailureCode::NoTarget ||
                         code == FailureCode::Overloaded ||
@@ -670,7 +678,9 @@
     failure.mCode = FailureCode::GenerationLost;
     failure.mMessage = "the events of the stream are out of order";
     Flush();
-    BreakOff(failure);
+    if (!mDone) {
+      BreakOff(failure);
+    }
     return;
   }
   mLogNote = "event_missing";
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -183,6 +183,7 @@
   CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetWhenOthersTurnItAway);
   CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetWhenNothingElseAnswers);
   CPPUNIT_TEST(StreamGoesOnAtItsSilentTargetAfterTheRecoveryTimeout);
+  CPPUNIT_TEST(StreamThatIsTakenBackWaitsForATarget);
   CPPUNIT_TEST(PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(PlainCallLeavesItsSilentTargetForAnother);
   CPPUNIT_TEST(NonIdempotentCallNeverLeavesItsSilentTarget);
@@ -408,6 +409,31 @@
     CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
   }
 
+  // A begun stream that its host takes back from other hosts was broken off
+  // when no target was free at that moment.
+  void StreamThatIsTakenBackWaitsForATarget()
+  {
+    for (const ChoiceStatus status :
+         { ChoiceStatus::Busy, ChoiceStatus::NoneReady }) {
+      GenerationSpec spec;
+      spec.mRequestId = "r";
+      spec.mBegun = true;
+      spec.mDeadline = kDeadline;
+      spec.mStartBy = Time();
+      SingleOffer chooser;
+      chooser.mStatus = status;
+      Generation stream(spec, chooser);
+      Time now = Time(milliseconds(5000));
+      CPPUNIT_ASSERT(stream.Start(now).empty());
+      CPPUNIT_ASSERT(!stream.IsDone());
+      chooser.mStatus = ChoiceStatus::Chosen;
+      now = stream.NextTimer();
+      const Actions actions = stream.OnTimer(now);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, actions.size());
+      CPPUNIT_ASSERT(std::holds_alternative<DispatchAttempt>(actions.front()));
+    }
+  }
+
   // Plain calls failed after their objective although their target would have
   // responded, because no other target was available.
   void PlainCallStaysAtItsSilentTargetWhileNoOtherCanTakeIt()
