Bound the time that a late loop reads before its timers

Up to 4096 handlers ran before expired timers, a count that is seconds of work on a host with 0.12 of a core: deadlines, readiness and the steps of a stop would be late. They now run for 50 ms at most.

Evidence: EventLoopTests::TimersExpireBesideEndlessSlowHandlers (handlers of 5 ms without end) fails before, passes after; the three tests of bytes before timers pass as before.

--- a/src/quetzalquay/http/EventLoop.cpp
+++ b/src/quetzalquay/http/EventLoop.cpp
@@ -12,9 +12,10 @@
 // fire early by up to this much.
 constexpr Duration kTimerSlack = std::chrono::milliseconds(4);
 
-// Handlers that are run before expired timers, so that input without end does
-// not hold them up.
+// Limits of what is read before expired timers are called, so that input
+// without end does not hold them up.
 constexpr int kMaxHandlersBeforeTimers = 4096;
+constexpr Duration kMaxReadBeforeTimers = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -121,8 +122,11 @@
 void
 EventLoop::FireTimers()
 {
-  const Time due = Now() + kTimerSlack;
-  for (int n = 0; n < kMaxHandlersBeforeTimers && mContext.poll_one() > 0;
+  const Time now = Now();
+  const Time due = now + kTimerSlack;
+  const Time readUntil = now + kMaxReadBeforeTimers;
+  for (int n = 0; n < kMaxHandlersBeforeTimers && Now() < readUntil &&
+                  mContext.poll_one() > 0;
        ++n) {
   }
   if (mContext.stopped()) {
--- a/tests/introspective/EventLoopTests.cpp
+++ b/tests/introspective/EventLoopTests.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(BytesAreReadBeforeATimerThatALateHandlerDelayed);
   CPPUNIT_TEST(BytesOfManySocketsAreReadBeforeTimersOfALateLoop);
   CPPUNIT_TEST(TimersExpireBesideEndlessInput);
+  CPPUNIT_TEST(TimersExpireBesideEndlessSlowHandlers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +180,26 @@
     loop.Run();
     CPPUNIT_ASSERT(EventLoop::Now() - start < milliseconds(1000));
   }
+
+  // Guards against timers that are held up for seconds by handlers that take
+  // long, as on a host with a small share of a core.
+  void TimersExpireBesideEndlessSlowHandlers()
+  {
+    EventLoop loop;
+    int handlers = 0;
+    Link* self = nullptr;
+    Link endless(loop, [&] {
+      ++handlers;
+      std::this_thread::sleep_for(milliseconds(5));
+      self->Send();
+    });
+    self = &endless;
+    Timer limit(loop, [&] { loop.Stop(); });
+    limit.ScheduleAt(EventLoop::Now() + milliseconds(10));
+    endless.Send();
+    loop.Run();
+    CPPUNIT_ASSERT(handlers <= 100);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventLoopTests);
