Bound callers' token counts; reject copy handles that are no words

Evidence: PlatformTests::BoundsTheTokensOfACaller and RejectsHandlesThatAreNotWords fail before, pass after.

--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -23,6 +24,9 @@
 constexpr char kDeadline[] = "X-Deadline-Ms";
 // Number of prompt tokens and maximum number of output tokens.
 constexpr char kTokenCounts[] = "X-Token-Counts";
+
+// Largest token count of a request, so that the sums of many cannot overflow.
+constexpr int kMaxTokens = 500000;
 // Parts of the prompt as ID:TOKENS, separated by commas.
 constexpr char kPromptParts[] = "X-Prompt-Prefix";
 constexpr char kLastEventId[] = "Last-Event-Id";
@@ -252,8 +256,8 @@
   }
   std::array<int, 2> tokens{};
   if (ParseIntegers(FieldValue(aHead, kTokenCounts), tokens) == 2) {
-    request.mPromptTokens = std::max(0, tokens[0]);
-    request.mOutputTokens = std::max(0, tokens[1]);
+    request.mPromptTokens = std::clamp(tokens[0], 0, kMaxTokens);
+    request.mOutputTokens = std::clamp(tokens[1], 0, kMaxTokens);
   }
   // A list may be spread over several fields of its name.
   std::string parts;
@@ -460,7 +464,17 @@
   }
   const auto handle = json.FindMember("Handle");
   if (handle != json.MemberEnd() && handle->value.IsString()) {
-    return std::string(handle->value.GetString());
+    std::string text(handle->value.GetString(),
+                     handle->value.GetStringLength());
+    // It becomes a part of request lines and fields.
+    if (text.empty() ||
+        !std::all_of(text.begin(), text.end(), [](unsigned char aChar) {
+          return std::isgraph(aChar) != 0;
+        })) {
+      aReason = "the handle of the copy is not a plain word";
+      return std::nullopt;
+    }
+    return text;
   }
   if (handle != json.MemberEnd() && handle->value.IsInt64()) {
     return std::to_string(handle->value.GetInt64());
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -68,6 +68,8 @@
 {
   CPPUNIT_TEST_SUITE(PlatformTests);
   CPPUNIT_TEST(ReadsCallerFieldsAndIgnoresMalformedOnes);
+  CPPUNIT_TEST(BoundsTheTokensOfACaller);
+  CPPUNIT_TEST(RejectsHandlesThatAreNotWords);
   CPPUNIT_TEST(ReplacesGatewayOnlyFieldsOfCallers);
   CPPUNIT_TEST(RemovesHopByHopFields);
   CPPUNIT_TEST(ReadsTargetResponseFields);
@@ -100,6 +102,32 @@
     CPPUNIT_ASSERT(malformed.mApiKey.empty());
   }
 
+  // Token counts near the largest integer overflowed in the sums of a target's
+  // load: it seemed idle, or full to all hosts.
+  void BoundsTheTokensOfACaller()
+  {
+    const auto large = platform::DecodeCallerRequest(
+      MakeHead({ { "X-Token-Counts", "2147483647,2147483647" } }));
+    CPPUNIT_ASSERT(large.mPromptTokens <= INT32_MAX / 4096);
+    CPPUNIT_ASSERT(large.mOutputTokens <= INT32_MAX / 4096);
+    CPPUNIT_ASSERT(large.mPromptTokens >= 88000);
+  }
+
+  // A target's handle with a line break added fields, or a whole request, to
+  // what the host sends to another target.
+  void RejectsHandlesThatAreNotWords()
+  {
+    std::string reason;
+    CPPUNIT_ASSERT(platform::DecodeCopyHandle(R"({"Handle":"h1"})", reason));
+    for (const char* it : { R"({"Handle":"h\r\nX-Tenant: other"})",
+                            R"({"Handle":"h HTTP/1.1\r\n\r\nPOST /a"})",
+                            R"({"Handle":"a b"})",
+                            R"({"Handle":""})",
+                            R"({"Handle":"\u0000"})" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !platform::DecodeCopyHandle(it, reason));
+    }
+  }
+
   void ReplacesGatewayOnlyFieldsOfCallers()
   {
     const HttpHead head = MakeHead({ { "Host", "h" },
