--- a/tests/fakes/TestConfiguration.cpp
+++ b/tests/fakes/TestConfiguration.cpp
@@ -80,8 +80,7 @@
               [this](const std::string& aName) {
                 return FormatService(aName, mRunsSendCopies);
               }) +
-         R"(],"Limits":{)" +
-         Field("MaxHeaderBytes", mLimits.mHeadBytes) + "," +
+         R"(],"Limits":{)" + Field("MaxHeaderBytes", mLimits.mHeadBytes) + "," +
          Field("MaxBodyBytes", mLimits.mBodyBytes) + "," +
          Field("HeaderTimeoutMs", mLimits.mHeadTimeoutMs) + "," +
          Field("IdleTimeoutMs", mLimits.mIdleTimeoutMs) + R"(},"Tenants":[)" +
