--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(UnreadAnswersLeaveTheHostItsMemory);
   CPPUNIT_TEST(KeptConnectionsHoldNothingOfTheirAnswers);
   CPPUNIT_TEST(WaitingRequestsLeaveTheHostItsMemory);
+  CPPUNIT_TEST(UnfinishedHeadsLeaveTheHostItsMemory);
+  CPPUNIT_TEST(BytesBehindRunningRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +134,47 @@
     }
     CPPUNIT_ASSERT(passedOn > 0);
   }
+
+  // Guards against a host that ends because the heads of requests that are
+  // being received take its memory.
+  void UnfinishedHeadsLeaveTheHostItsMemory()
+  {
+    ExpectServiceBeside(2800,
+                        "GET /plain/a HTTP/1.1\r\nHost: host\r\nX-Fill: " +
+                          std::string(15000, 'x'),
+                        RunnerMode::Serve);
+  }
+
+  // The same for what callers send behind a request that is running.
+  void BytesBehindRunningRequestsLeaveTheHostItsMemory()
+  {
+    ExpectServiceBeside(1200,
+                        GatewayTestCluster::Request("/unsafe/", "running") +
+                          std::string(70000, 'x'),
+                        RunnerMode::NeverAnswer);
+  }
+
+private:
+  // Sends the same bytes on many connections to a host with little memory, and
+  // expects that another request is answered beside them.
+  static void ExpectServiceBeside(int aConnections,
+                                  const std::string& aBytes,
+                                  RunnerMode aMode)
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    GatewayTestCluster cluster(options);
+    cluster.SetAllModes(aMode);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < aConnections; ++n) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+      channels.back()->Send(aBytes);
+    }
+    cluster.SetAllModes(RunnerMode::Serve);
+    const CallerAnswer other =
+      cluster.Call(GatewayTestCluster::Request("/unsafe/", "other"));
+    CPPUNIT_ASSERT(other.mComplete);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerPauseTests);
