--- a/src/quetzalquay/gateway/AnswerBuffers.cpp
+++ b/src/quetzalquay/gateway/AnswerBuffers.cpp
@@ -60,12 +60,11 @@
 }
 
 bool
-AnswerBuffer::Resize(std::size_t aSize)
+AnswerBuffer::Resize(std::size_t aSize, std::size_t aAlwaysAllowed)
 {
   mBuffers.mTotal += aSize - mSize;
   mSize = aSize;
-  return aSize <= AnswerBuffers::kAlwaysAllowed ||
-         aSize + mBuffers.mTotal <= mBuffers.mLimit;
+  return aSize <= aAlwaysAllowed || aSize + mBuffers.mTotal <= mBuffers.mLimit;
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/AnswerBuffers.h
+++ b/src/quetzalquay/gateway/AnswerBuffers.h
@@ -53,8 +53,10 @@
   AnswerBuffer(const AnswerBuffer&) = delete;
   AnswerBuffer& operator=(const AnswerBuffer&) = delete;
 
-  // Sets how many bytes the answer holds. Returns whether it may hold them.
-  bool Resize(std::size_t aSize);
+  // Sets how many bytes the answer holds. Returns whether it may hold them; up
+  // to aAlwaysAllowed it may in any case.
+  bool Resize(std::size_t aSize,
+              std::size_t aAlwaysAllowed = AnswerBuffers::kAlwaysAllowed);
 
 private:
   AnswerBuffers& mBuffers;
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -21,6 +21,10 @@
 // socket pauses beyond that.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 
+// Bytes of an unfinished head, and of input behind a request, that a connection
+// may hold however little memory is left. Usual heads are smaller.
+constexpr std::size_t kAlwaysHeldBytes = 4096;
+
 // Retry-After of the 503 sent while the configuration or the targets are
 // unknown, or the host is stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -112,6 +116,7 @@
   , mSocket(MakeRef<Socket>(aServer.mContext.mLoop))
   , mUnsent(aServer.mContext.mAnswerBuffers)
   , mHeldRequest(aServer.mContext.mAnswerBuffers)
+  , mHeldInput(aServer.mContext.mAnswerBuffers)
   , mReader(HttpMessageType::Requests, {})
   , mTimer(aServer.mContext.mLoop, [this] { OnTimer(); })
 {
@@ -211,9 +216,7 @@
   const RefPtr<CallerConnection> self(this);
   mUnparsedInput.append(aData);
   if (mHandlingRequest) {
-    if (mUnparsedInput.size() > kMaxPipelinedBytes) {
-      mSocket->SetReading(false);
-    }
+    HoldInput();
     return;
   }
   ParseRequests();
@@ -250,7 +253,7 @@
     } else if (mTurnAwayUntil != Time::max() &&
                mReader.Progress() != HttpProgress::Head) {
       RejectUnread("too many connections are open");
-    } else if (mReader.Progress() != HttpProgress::Head && !HoldRequest()) {
+    } else if (!HoldRequest()) {
       RejectUnread("the memory for requests is used up");
     } else if (mReader.Progress() == HttpProgress::Complete) {
       mTimer.Clear();
@@ -268,6 +271,22 @@
     }
   }
   mParsing = false;
+  HoldInput();
+}
+
+// Takes the memory for input that no request has consumed. While a request is
+// handled, stops reading if there is too little of it.
+void
+CallerConnection::HoldInput()
+{
+  const std::size_t size = mUnparsedInput.size();
+  if (size == 0 && mUnparsedInput.capacity() > kAlwaysHeldBytes) {
+    std::string().swap(mUnparsedInput);
+  }
+  const bool allowed = mHeldInput.Resize(size, kAlwaysHeldBytes);
+  if (mHandlingRequest && !mClosed && (!allowed || size > kMaxPipelinedBytes)) {
+    mSocket->SetReading(false);
+  }
 }
 
 // Applies the limits of the configuration in force to the next request.
@@ -558,11 +577,14 @@
   SendResponse(aStatus, "", fields, FormatFailureBody(failure));
 }
 
-// Takes the memory for a request whose head is complete. Returns whether there
-// is enough.
+// Takes the memory for what has been received of a request, and for the rest of
+// its body if its head is complete. Returns whether there is enough.
 bool
 CallerConnection::HoldRequest()
 {
+  if (mReader.Progress() == HttpProgress::Head) {
+    return mHeldRequest.Resize(mRequestBytes, kAlwaysHeldBytes);
+  }
   const auto length =
     static_cast<std::size_t>(mReader.Head().mLength.value_or(0));
   return mHeldRequest.Resize(std::max(length, mRequestBytes));
@@ -722,6 +744,7 @@
   mEnding = true;
   mTimer.Clear();
   mUnparsedInput.clear();
+  mHeldInput.Resize(0);
   mSocket->CloseGracefully();
 }
 
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -88,6 +88,7 @@
   void ReleaseExchange();
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
+  void HoldInput();
   void RejectUnread(const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
@@ -107,6 +108,7 @@
   AnswerBuffer mUnsent;
   // The request that is being received or handled.
   AnswerBuffer mHeldRequest;
+  AnswerBuffer mHeldInput;
   // Received bytes of the request.
   std::size_t mRequestBytes = 0;
   HttpReader mReader;
--- a/tests/introspective/AnswerBuffersTests.cpp
+++ b/tests/introspective/AnswerBuffersTests.cpp
@@ -44,6 +44,8 @@
     AnswerBuffer small(buffers);
     CPPUNIT_ASSERT(small.Resize(AnswerBuffers::kAlwaysAllowed));
     CPPUNIT_ASSERT(!small.Resize(AnswerBuffers::kAlwaysAllowed + 1));
+    CPPUNIT_ASSERT(small.Resize(100, 100));
+    CPPUNIT_ASSERT(!small.Resize(101, 100));
   }
 
   // Guards against a share that is lost with each answer, until none is left.
