Repeat the failures of a test run before its last line

A run whose output is kept in part showed two failed tests by number only: the parts that were cut out held their names. Failures that KNOWN-RED.txt doesn't list are now printed again behind all suites, as is the end of a suite that printed no summary. What passes and fails is unchanged.

--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,13 +1,14 @@
 #!/usr/bin/env bash
 # Installs the dependencies, builds and runs all tests. Ends with
 # "N passed, N failed". Failures of tests that KNOWN-RED.txt lists are printed
-# but do not fail the run.
+# but do not fail the run; other failures are repeated before the last line.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 tools/setup.sh || exit 1
 tools/build.sh || exit 1
 passed=0
 failed=0
+failures=""
 known_failures=$(sed -n 's/^test: *//p' KNOWN-RED.txt)
 logs=$(mktemp -d)
 trap 'rm -rf "$logs"' EXIT
@@ -25,7 +26,8 @@
   tail -n 1000 "$log" | grep -vE '^(OK, passed|$|- |Using)' | tail -n 120
   summary=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$log" | tail -n 1)
   if [ -z "$summary" ]; then
-    echo "$(basename "$log") printed no test summary"
+    failures+="$(basename "$log") printed no test summary"$'\n'
+    failures+="$(tail -n 20 "$log")"$'\n'
     failed=$((failed + 1))
     continue
   fi
@@ -34,9 +36,12 @@
     if grep -qxF "$name" <<<"$known_failures"; then
       echo "known red: $name"
     else
+      failures+="$(grep -xF -B 2 -A 6 "Test name: $name" "$log")"$'\n'
       failed=$((failed + 1))
     fi
   done
 done
+# The output may be cut in the middle where it is kept.
+[ -z "$failures" ] || printf 'failed:\n%s' "$failures"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
