Read the changes between the pages of a table

A host that reads a table of several pages took the version of the first page for that of the whole, and the rows of later pages with their newer versions. Hosts drop a complete table that is older than what they know, so that a host whose targets table changed between two pages never knew its targets as complete, was never ready, and asked for changes from the newest row on: a row of the first page that was removed meanwhile stayed for good. A page holds 500 rows, and targets write theirs all the time, so that above 500 targets this is the usual case.

A table of several pages is now completed by the changes since its first page before it is passed on. A page without rows that says that more follow, and changes that end before rows that were read, fail the call instead of being asked for again without a pause.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -130,24 +130,74 @@
   if (!rows) {
     return;
   }
+  if (rows->mHasMore && rows->mRows.empty()) {
+    OnCallFailed(StoreCallEnd::Rejected,
+                 "a page without rows says that more follow");
+    return;
+  }
   if (mSnapshotRows.empty()) {
     mSnapshotVersion = rows->mVersion;
   }
-  mSnapshotRows.insert(
-    mSnapshotRows.end(), rows->mRows.begin(), rows->mRows.end());
-  if (rows->mHasMore && !mSnapshotRows.empty()) {
+  for (const StoreRow& it : rows->mRows) {
+    mSnapshotRows[it.mKey] = it;
+  }
+  if (rows->mHasMore) {
     // Continue at the smallest key that follows the last one.
-    ReadPage(mSnapshotRows.back().mKey + '\x01');
+    ReadPage(mSnapshotRows.rbegin()->first + '\x01');
+    return;
+  }
+  FinishSnapshot();
+}
+
+// Passes the complete table on. Its pages are of different moments, so that the
+// changes since the first one are read before if a later page has newer rows.
+void
+TableWatcher::FinishSnapshot()
+{
+  const bool isOneMoment = std::all_of(
+    mSnapshotRows.begin(), mSnapshotRows.end(), [this](const auto& aItem) {
+      return aItem.second.mVersion <= mSnapshotVersion;
+    });
+  if (!isOneMoment) {
+    Send(platform::EncodeWatch(
+           mHostHeader, mOptions.mTable, mSnapshotVersion, Duration::zero()),
+         Duration::zero(),
+         &TableWatcher::OnMissedChanges);
     return;
   }
-  // Changes made between two pages are received again, as changes are requested
-  // from the version of the first page.
   mVersion = mSnapshotVersion;
-  const auto pages = std::exchange(mSnapshotRows, {});
-  mOnRows(pages, true, mSnapshotVersion);
+  std::vector<StoreRow> rows;
+  for (auto& it : std::exchange(mSnapshotRows, {})) {
+    rows.push_back(std::move(it.second));
+  }
+  mOnRows(rows, true, mSnapshotVersion);
   OnCallSucceeded();
 }
 
+void
+TableWatcher::OnMissedChanges(const std::optional<HttpReply>& aReply,
+                              const std::string& aReason)
+{
+  const auto rows = DecodeReply(aReply, aReason);
+  if (!rows) {
+    return;
+  }
+  if (rows->mVersion <= mSnapshotVersion) {
+    OnCallFailed(StoreCallEnd::Rejected,
+                 "the changes end before rows that were read");
+    return;
+  }
+  for (const StoreRow& it : rows->mRows) {
+    if (it.mRemoved) {
+      mSnapshotRows.erase(it.mKey);
+    } else {
+      mSnapshotRows[it.mKey] = it;
+    }
+  }
+  mSnapshotVersion = rows->mVersion;
+  FinishSnapshot();
+}
+
 void
 TableWatcher::RequestChanges()
 {
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -7,6 +7,7 @@
 #include "platform/PlatformStore.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,6 +69,9 @@
   void ReadPage(const std::string& aFrom);
   void OnPage(const std::optional<HttpReply>& aReply,
               const std::string& aReason);
+  void FinishSnapshot();
+  void OnMissedChanges(const std::optional<HttpReply>& aReply,
+                       const std::string& aReason);
   void RequestChanges();
   void OnChanges(const std::optional<HttpReply>& aReply,
                  const std::string& aReason);
@@ -85,9 +89,9 @@
   Timer mCallTimer;
   // Version up to which the table is known; 0 before the first complete read.
   std::int64_t mVersion = 0;
-  // Rows of the pages received so far during a complete read, and the version
-  // of the first page.
-  std::vector<platform::StoreRow> mSnapshotRows;
+  // Rows received so far during a complete read, by key, and the version as of
+  // which they are complete up to the last key.
+  std::map<std::string, platform::StoreRow> mSnapshotRows;
   std::int64_t mSnapshotVersion = 0;
   int mFailures = 0;
   Time mLastCallAt;
