Count established connections as no sign of life for given-up runs

A connection that was established counted as a sign of life, and the kernel of a target whose process stands still goes on accepting connections.

Now only bytes make a host forget the runs that were given up at a target. An established connection still clears a target's doubt and counts for its reach.

TargetConnectionTests fails before (one sign of life before any byte) and passes after.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -411,17 +411,25 @@
 }
 
 void
-TargetTable::OnAlive(const std::string& aTarget, Time aNow)
+TargetTable::OnConnected(const std::string& aTarget, Time aNow)
 {
   if (Target* target = Find(aTarget)) {
     target->mAliveAt = aNow;
     target->mDoubtUntil = Time();
-    DropGivenUp(*target, aNow);
     // The death of an earlier start is none of this one's.
     if (target->mDeadIncarnation == target->mIncarnation) {
       target->mDeath.reset();
     }
   }
+}
+
+void
+TargetTable::OnAlive(const std::string& aTarget, Time aNow)
+{
+  OnConnected(aTarget, aNow);
+  if (Target* target = Find(aTarget)) {
+    DropGivenUp(*target, aNow);
+  }
   mGoneTargets.erase(aTarget);
 }
 
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -214,7 +214,13 @@
                     Duration aTime,
                     std::uint64_t aContentHash = 0);
 
-  // Records that a target has sent data, which clears its doubtful state.
+  // Records that a connection to a target has been established, which clears
+  // its doubtful state. The attempts that were given up there may still be lost
+  // with it.
+  void OnConnected(const std::string& aTarget, Time aNow);
+
+  // Records that a target has sent data, so that it has not died of the
+  // attempts that were given up there.
   void OnAlive(const std::string& aTarget, Time aNow);
 
   // Records that a connection broke while it carried a request.
--- a/src/quetzalquay/gateway/ServerDirectory.cpp
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -34,6 +34,7 @@
 void
 TargetDirectory::OnConnected(const std::string& aServer, Time aNow)
 {
+  mFleet.Targets().OnConnected(aServer, aNow);
   if (const TargetLocation* location = Locate(aServer)) {
     mFleet.Reach().OnConnected(location->mService, aServer, aNow);
   }
--- a/src/quetzalquay/gateway/ServerDirectory.h
+++ b/src/quetzalquay/gateway/ServerDirectory.h
@@ -23,11 +23,12 @@
   // Idle timeout of connections to a server that announces none.
   virtual Duration IdleTimeout() const = 0;
 
-  // A server has accepted a connection or sent bytes on one.
+  // A server has sent bytes.
   virtual void OnAlive(const std::string&, Time) {}
 
   // A connection has been established, or has not been by a connection attempt
-  // that was refused or long enough.
+  // that was refused or long enough. The kernel of a server whose process
+  // stands still goes on accepting connections.
   virtual void OnConnected(const std::string&, Time) {}
   virtual void OnNotConnected(const std::string&, Time) {}
 
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -122,8 +122,9 @@
 TargetConnection::OnConnected()
 {
   mConnected = true;
-  mPool.OnActivity(mTarget);
-  mPool.mServers.OnConnected(mTarget, EventLoop::Now());
+  const Time now = EventLoop::Now();
+  mPool.mLastActivityAt[mTarget] = now;
+  mPool.mServers.OnConnected(mTarget, now);
   SendRequest();
 }
 
