Read from callers no more than the host has memory for

Beside load, a host of 88 MB ended with std::bad_alloc and lost all requests it held (LOST). Callers had sent bytes behind their running requests on many connections before the host read them: it read 32 KiB of each, whatever was left of the memory for requests, and counted them only afterwards. A text that grows also holds up to twice its size, and only the size was counted.

A connection now reads at most what is left, and 4 KiB in any case; what its text has taken is counted; and input behind a running request is not read on when nothing is left.

Not covered: 2,800 running requests with as much behind each still end such a host, as the requests themselves, which are not counted, need the rest.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -21,8 +21,8 @@
 // socket pauses beyond that.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
 
-// Bytes of an unfinished head, and of input behind a request, that a connection
-// may hold however little memory is left. Usual heads are smaller.
+// Bytes of an unfinished head, and of one read, that a connection may hold
+// however little memory is left. Usual heads are smaller.
 constexpr std::size_t kAlwaysHeldBytes = 4096;
 
 // Retry-After of the 503 sent while the configuration or the targets are
@@ -222,6 +222,14 @@
   ParseRequests();
 }
 
+// Other connections may take the same memory, so that what has arrived is read
+// in small pieces when little is left.
+std::size_t
+CallerConnection::ReadLimit() const
+{
+  return std::max(kAlwaysHeldBytes, mServer.mContext.mAnswerBuffers.Unused());
+}
+
 void
 CallerConnection::OnEnd(SocketEnd)
 {
@@ -283,8 +291,9 @@
   if (size == 0 && mUnparsedInput.capacity() > kAlwaysHeldBytes) {
     std::string().swap(mUnparsedInput);
   }
-  const bool allowed = mHeldInput.Resize(size, kAlwaysHeldBytes);
-  if (mHandlingRequest && !mClosed && (!allowed || size > kMaxPipelinedBytes)) {
+  const bool allowed = mHeldInput.Resize(mUnparsedInput.capacity(), 0);
+  if (mHandlingRequest && !mClosed && size > 0 &&
+      (!allowed || size > kMaxPipelinedBytes)) {
     mSocket->SetReading(false);
   }
 }
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -58,6 +58,7 @@
 
 private:
   void OnData(std::string_view aData) override;
+  std::size_t ReadLimit() const override;
   void OnWritten() override { mUnsent.Resize(0); }
   void OnEnd(SocketEnd aEnd) override;
 
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -1,5 +1,6 @@
 #include "http/Socket.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address_v4.hpp>
@@ -228,8 +229,11 @@
   static thread_local std::array<char, kReadBufferBytes> tBuffer;
   for (int n = 0; n < kMaxReadsPerWakeUp; ++n) {
     error_code ec;
+    const std::size_t limit =
+      mDiscardingInput ? tBuffer.size()
+                       : std::min(tBuffer.size(), mHandler->ReadLimit());
     const std::size_t size =
-      mSocket.read_some(boost::asio::buffer(tBuffer), ec);
+      mSocket.read_some(boost::asio::buffer(tBuffer.data(), limit), ec);
     if (ec == boost::asio::error::would_block) {
       break;
     }
@@ -243,7 +247,7 @@
     } else {
       mHandler->OnData(std::string_view(tBuffer.data(), size));
     }
-    if (!mOpen || !mReading || size < tBuffer.size()) {
+    if (!mOpen || !mReading || size < limit) {
       break;
     }
   }
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +40,8 @@
   virtual ~SocketHandler() = default;
   virtual void OnConnected() {}
   virtual void OnData(std::string_view aData) = 0;
+  // Most bytes that OnData() can take at once, at least one.
+  virtual std::size_t ReadLimit() const { return SIZE_MAX; }
   // All buffered output has been passed to the operating system.
   virtual void OnWritten() {}
   virtual void OnEnd(SocketEnd aEnd) = 0;
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(WaitingRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST(UnfinishedHeadsLeaveTheHostItsMemory);
   CPPUNIT_TEST(BytesBehindRunningRequestsLeaveTheHostItsMemory);
+  CPPUNIT_TEST(BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,12 +155,25 @@
                         RunnerMode::NeverAnswer);
   }
 
+  // Guards against a host that ends because each of its connections reads as
+  // much at once as if it had the memory for itself.
+  void BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory()
+  {
+    ExpectServiceBeside(2000,
+                        GatewayTestCluster::Request("/unsafe/", "running") +
+                          std::string(40000, 'x'),
+                        RunnerMode::NeverAnswer,
+                        true);
+  }
+
 private:
-  // Sends the same bytes on many connections to a host with little memory, and
-  // expects that another request is answered beside them.
+  // Sends the same bytes on many connections to a host with little memory,
+  // which may stand still meanwhile, and expects that another request is
+  // answered beside them.
   static void ExpectServiceBeside(int aConnections,
                                   const std::string& aBytes,
-                                  RunnerMode aMode)
+                                  RunnerMode aMode,
+                                  bool aStandsStill = false)
   {
     GatewayTestCluster::Options options;
     options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
@@ -168,7 +182,16 @@
     std::vector<std::unique_ptr<CallerChannel>> channels;
     for (int n = 0; n < aConnections; ++n) {
       channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
-      channels.back()->Send(aBytes);
+      if (!aStandsStill) {
+        channels.back()->Send(aBytes);
+      }
+    }
+    if (aStandsStill) {
+      cluster.Gateway().Signal(SIGSTOP);
+      for (const auto& it : channels) {
+        it->Send(aBytes);
+      }
+      cluster.Gateway().Signal(SIGCONT);
     }
     cluster.SetAllModes(RunnerMode::Serve);
     const CallerAnswer other =
