Free the head of a message once it is parsed

The reader of heads appended all that a read held, up to 16 KiB of a body, cut it back, and kept the memory for as long as the connection lived, idle or not: up to 44 MB on the connections that a host of 88 MB may have, uncounted. The head is now cut out before it is copied and freed when it is parsed. HttpReaderTests (12) and CallerPauseTests (8, twice) pass after.

--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -181,7 +181,7 @@
     }
     mProgress = HttpProgress::Head;
     mError = HttpParseError::None;
-    mHeadBytes.clear();
+    std::string().swap(mHeadBytes);
     mBufferedChunkBytes.clear();
     mChunkParsingStarted = false;
   }
@@ -259,6 +259,11 @@
       aData.remove_prefix(skipped);
     }
     const std::size_t before = mHeadBytes.size();
+    if (before == 0) {
+      // Usually the whole head is there, so that the body isn't copied.
+      const auto length = aData.find("\r\n\r\n");
+      aData = aData.substr(0, length == aData.npos ? length : length + 4);
+    }
     mHeadBytes.append(aData.substr(0, mLimits.mHead + 4));
     const auto from = before < 3 ? 0 : before - 3;
     const auto end = mHeadBytes.find("\r\n\r\n", from);
@@ -280,7 +285,8 @@
     } else {
       ParseHead(*mResponseParser);
     }
-    return skipped + mHeadBytes.size() - before;
+    std::string().swap(mHeadBytes);
+    return skipped + end + 4 - before;
   }
 
   template<typename Parser>
