Refuse bodies that the host has no memory for

2,800 requests with bodies of 40,000 bytes ended a host of 88 MB with std::bad_alloc (LOST): a request of up to 64 KiB was received however little memory was left. Above 4 KiB it now gets 503 at once when the memory for requests and answers is used up.

In the same count: what callers send ahead of an answer gets half of the memory only, so that it takes none from answers to accepted requests; up to 4 KiB of it are read in any case, so that a caller that leaves is noticed; connections hold nothing while they are idle or end.

The share of input has no test of its own.

--- a/src/quetzalquay/gateway/AnswerBuffers.h
+++ b/src/quetzalquay/gateway/AnswerBuffers.h
@@ -1,7 +1,6 @@
 #ifndef QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
 
-#include <algorithm>
 #include <cstddef>
 
 namespace quetzalquay {
@@ -34,7 +33,6 @@
 
   std::size_t Limit() const { return mLimit; }
   std::size_t Total() const { return mTotal; }
-  std::size_t Unused() const { return mLimit - std::min(mTotal, mLimit); }
 
 private:
   friend class AnswerBuffer;
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -227,7 +227,17 @@
 std::size_t
 CallerConnection::ReadLimit() const
 {
-  return std::max(kAlwaysHeldBytes, mServer.mContext.mAnswerBuffers.Unused());
+  return std::max(kAlwaysHeldBytes, UnusedForInput());
+}
+
+// Memory that is left for input which is not a request in progress. It gets
+// half of the memory, so that it takes none from answers to what was accepted.
+std::size_t
+CallerConnection::UnusedForInput() const
+{
+  const AnswerBuffers& buffers = mServer.mContext.mAnswerBuffers;
+  const std::size_t share = buffers.Limit() / 2;
+  return share - std::min(buffers.Total(), share);
 }
 
 void
@@ -288,12 +298,12 @@
 CallerConnection::HoldInput()
 {
   const std::size_t size = mUnparsedInput.size();
-  if (size == 0 && mUnparsedInput.capacity() > kAlwaysHeldBytes) {
+  if (size == 0) {
     std::string().swap(mUnparsedInput);
   }
-  const bool allowed = mHeldInput.Resize(mUnparsedInput.capacity(), 0);
-  if (mHandlingRequest && !mClosed && size > 0 &&
-      (!allowed || size > kMaxPipelinedBytes)) {
+  mHeldInput.Resize(size == 0 ? 0 : mUnparsedInput.capacity());
+  if (mHandlingRequest && !mClosed && size > kAlwaysHeldBytes &&
+      (UnusedForInput() == 0 || size > kMaxPipelinedBytes)) {
     mSocket->SetReading(false);
   }
 }
@@ -596,7 +606,7 @@
   }
   const auto length =
     static_cast<std::size_t>(mReader.Head().mLength.value_or(0));
-  return mHeldRequest.Resize(std::max(length, mRequestBytes));
+  return mHeldRequest.Resize(std::max(length, mRequestBytes), kAlwaysHeldBytes);
 }
 
 // Rejects a request without waiting for its body, which would take memory.
@@ -752,7 +762,7 @@
   ReportUnfinishedBytes(aEnd, true);
   mEnding = true;
   mTimer.Clear();
-  mUnparsedInput.clear();
+  std::string().swap(mUnparsedInput);
   mHeldInput.Resize(0);
   mSocket->CloseGracefully();
 }
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -90,6 +90,7 @@
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
   void HoldInput();
+  std::size_t UnusedForInput() const;
   void RejectUnread(const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(UnfinishedHeadsLeaveTheHostItsMemory);
   CPPUNIT_TEST(BytesBehindRunningRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST(BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory);
+  CPPUNIT_TEST(ManyBodiesLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +167,17 @@
                         true);
   }
 
+  // Guards against a host that ends because bodies of usual size are received
+  // when its memory is used up.
+  void ManyBodiesLeaveTheHostItsMemory()
+  {
+    ExpectServiceBeside(2800,
+                        GatewayTestCluster::Request(
+                          "/unsafe/", "running", "", std::string(40000, 'x')),
+                        RunnerMode::NeverAnswer,
+                        true);
+  }
+
 private:
   // Sends the same bytes on many connections to a host with little memory,
   // which may stand still meanwhile, and expects that another request is
