Read the changes of a table that another host is ahead of

A host that reads a complete table again, as its changes are gone, dropped it if another host told of a newer row meanwhile: rows that were removed before stayed for good. The changes since the read are now fetched before, too. If the store doesn't know what other hosts know, the table is passed on as it is.

TableWatcherTests::ARemovalThatAnotherHostIsAheadOfIsNotMissed fails before (the removed row stays) and passes after; ATableBehindOtherHostsIsPassedOn passes before and after.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -92,6 +92,7 @@
   mLastCallAt = EventLoop::Now();
   if (mVersion == 0) {
     mSnapshotRows.clear();
+    mMissedChangesRead = false;
     ReadPage(std::string());
   } else {
     mVersion = std::max(mVersion, mOptions.mKnownVersion());
@@ -149,16 +150,24 @@
   FinishSnapshot();
 }
 
-// Passes the complete table on. Its pages are of different moments, so that the
-// changes since the first one are read before if a later page has newer rows.
-void
-TableWatcher::FinishSnapshot()
+// Whether a row of the complete table is newer than the table's version, as its
+// pages are of different moments.
+bool
+TableWatcher::HasNewerRows() const
 {
-  const bool isOneMoment = std::all_of(
+  return std::any_of(
     mSnapshotRows.begin(), mSnapshotRows.end(), [this](const auto& aItem) {
-      return aItem.second.mVersion <= mSnapshotVersion;
+      return aItem.second.mVersion > mSnapshotVersion;
     });
-  if (!isOneMoment) {
+}
+
+// Passes the complete table on. Before that, reads the changes since its first
+// page if a later page or another host has newer rows.
+void
+TableWatcher::FinishSnapshot()
+{
+  if (HasNewerRows() ||
+      (mSnapshotVersion < mOptions.mKnownVersion() && !mMissedChangesRead)) {
     Send(platform::EncodeWatch(
            mHostHeader, mOptions.mTable, mSnapshotVersion, Duration::zero()),
          Duration::zero(),
@@ -182,7 +191,8 @@
   if (!rows) {
     return;
   }
-  if (rows->mVersion <= mSnapshotVersion) {
+  mMissedChangesRead = true;
+  if (rows->mVersion <= mSnapshotVersion && HasNewerRows()) {
     OnCallFailed(StoreCallEnd::Rejected,
                  "the changes end before rows that were read");
     return;
@@ -194,7 +204,7 @@
       mSnapshotRows[it.mKey] = it;
     }
   }
-  mSnapshotVersion = rows->mVersion;
+  mSnapshotVersion = std::max(mSnapshotVersion, rows->mVersion);
   FinishSnapshot();
 }
 
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -69,6 +69,7 @@
   void ReadPage(const std::string& aFrom);
   void OnPage(const std::optional<HttpReply>& aReply,
               const std::string& aReason);
+  bool HasNewerRows() const;
   void FinishSnapshot();
   void OnMissedChanges(const std::optional<HttpReply>& aReply,
                        const std::string& aReason);
@@ -93,6 +94,8 @@
   // which they are complete up to the last key.
   std::map<std::string, platform::StoreRow> mSnapshotRows;
   std::int64_t mSnapshotVersion = 0;
+  // Whether changes since the first page have been read.
+  bool mMissedChangesRead = false;
   int mFailures = 0;
   Time mLastCallAt;
   // When the last request of the call was sent.
--- a/tests/introspective/TableWatcherTests.cpp
+++ b/tests/introspective/TableWatcherTests.cpp
@@ -84,6 +84,13 @@
     mLoop.Run();
   }
 
+  // Another host tells of a row.
+  void Tell(const std::string& aKey, std::int64_t aVersion)
+  {
+    mRows[aKey] = aVersion;
+    mVersion = std::max(mVersion, aVersion);
+  }
+
   std::string Keys() const
   {
     std::string keys;
@@ -150,6 +157,8 @@
 {
   CPPUNIT_TEST_SUITE(TableWatcherTests);
   CPPUNIT_TEST(AChangeBetweenTwoPagesIsNotMissed);
+  CPPUNIT_TEST(ARemovalThatAnotherHostIsAheadOfIsNotMissed);
+  CPPUNIT_TEST(ATableBehindOtherHostsIsPassedOn);
   CPPUNIT_TEST(ATableIsReadAgainIfItsChangesAreGone);
   CPPUNIT_TEST(APageWithoutRowsIsNotReadForEver);
   CPPUNIT_TEST(ChangesThatEndEarlyAreNotReadForEver);
@@ -169,6 +178,28 @@
     CPPUNIT_ASSERT(table.mIsComplete);
   }
 
+  // Guards against a complete table that is dropped, as another host told of
+  // newer rows while it was read: a row that was removed before stays.
+  void ARemovalThatAnotherHostIsAheadOfIsNotMissed()
+  {
+    WatchedTable table({ Rows(Row("b", 6), 10), Rows(Row("c", 12), 12) });
+    table.Tell("a", 5);
+    table.Tell("c", 12);
+    table.Read();
+    CPPUNIT_ASSERT_EQUAL(std::string("bc"), table.Keys());
+    CPPUNIT_ASSERT(table.mIsComplete);
+  }
+
+  // Guards against a table that is never passed on, as the store has lost what
+  // other hosts know.
+  void ATableBehindOtherHostsIsPassedOn()
+  {
+    WatchedTable table({ Rows(Row("b", 6), 10), Rows("", 10) });
+    table.Tell("c", 12);
+    table.Read();
+    CPPUNIT_ASSERT_EQUAL(std::string("bc"), table.Keys());
+  }
+
   void ATableIsReadAgainIfItsChangesAreGone()
   {
     WatchedTable table({ Rows(Row("a", 5), 10, true),
