Leave the row of the next process when a host stops

A stopping host removed its row in the hosts table without a condition. The store may perform a call seconds after its caller has given up on it, or the host repeats one whose answer was lost. When the next process of the host name had registered by then, its row was removed for good, and the other hosts knew it no longer: it had no share of the retry budget and of limits, and no request was passed on to it.

The removal now names the version of the row that this process has written, as of the store's answer. Status 412 means that the row is gone or that another process has written it, which is logged once and left. If the version isn't known, as the answers to the writing were lost, the first removal is only for a row that doesn't exist; its answer 412 has the row, and it is removed at the version given there if it has this process's value.

Not covered: a write, not a removal, that the store performs after its caller has given up on it gives the row a newer version, so that the row stays when the host stops.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -401,33 +401,94 @@
     return;
   }
   const std::string host = FormatEndpoint(mSettings.mStoreEndpoint);
-  // Safe to retry after a lost response, as each write has the same effect.
-  const std::string request =
-    mDeregistering
-      ? platform::EncodeRemove(host, StoreTable::Hosts, mSettings.mHost)
-      : platform::EncodePut(host, StoreTable::Hosts, mSettings.mHost, mOwnRow);
-  const bool deregistering = mDeregistering;
+  std::string request;
+  if (mDeregistering) {
+    // The store may perform this when the next process has registered.
+    request = platform::EncodeChanges(host,
+                                      StoreTable::Hosts,
+                                      { { mSettings.mHost, std::nullopt } },
+                                      { { mSettings.mHost, mOwnRowVersion } });
+  } else {
+    // Safe to retry after a lost response, as each write has the same effect.
+    mOwnRowVersion = 0;
+    request =
+      platform::EncodePut(host, StoreTable::Hosts, mSettings.mHost, mOwnRow);
+  }
   mWriter.Call(
     request,
     EventLoop::Now() + kReplyTimeout,
-    [this, deregistering](const auto& aReply, const auto& aReason) {
-      mOwnRowWritten = aReply && aReply->mHead.mStatus == 200 &&
-                       deregistering == mDeregistering;
-      if (mOwnRowWritten) {
-        mWriter.Cancel();
-        mHostRows->PollNow();
-        return;
-      }
-      Log(LogLevel::Warn,
-          "store",
-          "writing this host's row failed",
-          { { "reason",
-              aReply ? "status " + std::to_string(aReply->mHead.mStatus)
-                     : aReason } });
-      mWriteTimer.ScheduleAt(EventLoop::Now() + kMaxBackoff);
+    [this, removal = mDeregistering](const auto& aReply, const auto& aReason) {
+      OnOwnRowReply(removal, aReply, aReason);
     });
 }
 
+void
+StoreWatch::OnOwnRowReply(bool aRemoval,
+                          const std::optional<HttpReply>& aReply,
+                          const std::string& aReason)
+{
+  const int status = aReply ? aReply->mHead.mStatus : 0;
+  bool isDone = status == 200;
+  if (isDone && !aRemoval) {
+    std::string reason;
+    const auto rows = platform::DecodeRows(aReply->mBody, reason);
+    mOwnRowVersion = rows ? rows->mVersion : 0;
+  } else if (aRemoval && status == platform::kConditionFailedStatus) {
+    const std::int64_t known = mOwnRowVersion;
+    isDone = IsRemovalObsolete(aReply->mBody);
+    if (mOwnRowVersion != known) {
+      mWriteTimer.ScheduleAt(EventLoop::Now());
+      return;
+    }
+  }
+  if (isDone && aRemoval != mDeregistering) {
+    // The stop has begun meanwhile.
+    mWriteTimer.ScheduleAt(EventLoop::Now());
+    return;
+  }
+  if (isDone) {
+    mOwnRowWritten = true;
+    mWriter.Cancel();
+    mHostRows->PollNow();
+    return;
+  }
+  Log(LogLevel::Warn,
+      "store",
+      "writing this host's row failed",
+      { { "reason", aReply ? "status " + std::to_string(status) : aReason } });
+  mWriteTimer.ScheduleAt(EventLoop::Now() + kMaxBackoff);
+}
+
+// Whether the row to remove is gone or another process's, by the reply to a
+// removal whose condition did not hold. Otherwise adopts the row's version if
+// the row has this process's value and its version was not known.
+bool
+StoreWatch::IsRemovalObsolete(const std::string& aBody)
+{
+  std::string reason;
+  const auto rows = platform::DecodeRows(aBody, reason);
+  if (!rows) {
+    return mOwnRowVersion != 0;
+  }
+  const auto row = std::find_if(
+    rows->mRows.begin(), rows->mRows.end(), [this](const StoreRow& aRow) {
+      return aRow.mKey == mSettings.mHost && !aRow.mRemoved;
+    });
+  if (row == rows->mRows.end()) {
+    return true;
+  }
+  if (mOwnRowVersion == 0 && row->mValue == mOwnRow) {
+    mOwnRowVersion = row->mVersion;
+    return false;
+  }
+  Log(LogLevel::Info,
+      "store",
+      "leaving this host's row, which another process has written",
+      { { "row_version", std::to_string(row->mVersion) },
+        { "own_version", std::to_string(mOwnRowVersion) } });
+  return true;
+}
+
 void
 StoreWatch::OnCallEnded(StoreTable aTable, StoreCallEnd aEnd, Time aSentAt)
 {
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -6,9 +6,11 @@
 #include "http/AsyncHttpClient.h"
 #include "platform/PlatformStore.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -118,8 +120,8 @@
   // store counts as unreachable until the first call succeeds.
   Time UnreachableSince() const { return mContact.UnreachableSince(); }
 
-  // Writes this host's row with the given value, or removes it. Retried until
-  // it succeeds.
+  // Writes this host's row with the given value, or removes it unless another
+  // process has written it since. Retried until it succeeds.
   void RegisterHost(const std::string& aValue);
   void DeregisterHost();
 
@@ -129,6 +131,10 @@
                    StoreCallEnd aEnd,
                    Time aSentAt);
   void WriteOwnRow();
+  void OnOwnRowReply(bool aRemoval,
+                     const std::optional<HttpReply>& aReply,
+                     const std::string& aReason);
+  bool IsRemovalObsolete(const std::string& aBody);
 
   EventLoop& mLoop;
   GatewaySettings mSettings;
@@ -141,6 +147,8 @@
   Timer mWriteTimer;
   std::string mOwnRow;
   bool mOwnRowWritten = false;
+  // Version of the row that this process has written; 0 if not known.
+  std::int64_t mOwnRowVersion = 0;
   bool mDeregistering = false;
   StoreContact mContact;
   bool mHasReachedStore = false;
--- /dev/null
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -0,0 +1,351 @@
+#include "GatewayProcess.h"
+#include "StoreServer.h"
+#include "gateway/StoreWatch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <rapidjson/document.h>
+#include <string>
+
+using namespace quetzalquay;
+using platform::StoreTable;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kHost[] = "host-a";
+constexpr char kValue[] = "127.0.0.1:7000 1000";
+constexpr char kOtherValue[] = "127.0.0.9:7000 1000";
+
+// What the store does with a transaction that arrives.
+enum class Performance
+{
+  AtOnce,
+  // The answer is lost.
+  WithoutAnswer,
+  // Later, by PerformLate().
+  Late,
+};
+
+// A store with the row of one host, and one process of that host at a time.
+class RegisteredHost
+{
+public:
+  RegisteredHost()
+    : mAddress(boost::asio::ip::address_v4::loopback(),
+               static_cast<unsigned short>(FindFreePort()))
+    , mStore(mLoop,
+             [this](const HttpHead& aHead,
+                    const std::string& aBody,
+                    Duration aAge) { return Answer(aHead, aBody, aAge); })
+  {
+    CPPUNIT_ASSERT(!mStore.Open(mAddress));
+  }
+
+  // Replaces the process by a new one, which registers a value.
+  void Start(const std::string& aValue)
+  {
+    mProcess.reset();
+    mProcess = std::make_unique<Process>(mLoop, mAddress);
+    mProcess->mWatch.Start();
+    mProcess->mWatch.RegisterHost(aValue);
+  }
+
+  void BeginStop() { mProcess->mWatch.DeregisterHost(); }
+
+  // Lets another host tell the process of its row's removal.
+  void TellOfRemoval()
+  {
+    mProcess->mFleet.ApplyRows(StoreTable::Hosts,
+                               { { kHost, "", mVersion, true } },
+                               false,
+                               mVersion,
+                               RowSource::Peer);
+  }
+
+  // Runs until a condition holds; returns whether it does within the time.
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Duration aLimit = milliseconds(9000))
+  {
+    const Time end = EventLoop::Now() + aLimit;
+    Timer check(mLoop, [&] {
+      if (aCondition() || EventLoop::Now() >= end) {
+        mLoop.Stop();
+      } else {
+        check.ScheduleAt(EventLoop::Now() + milliseconds(2));
+      }
+    });
+    check.ScheduleAt(EventLoop::Now());
+    mLoop.Context().restart();
+    mLoop.Run();
+    return aCondition();
+  }
+
+  void RunFor(Duration aTime)
+  {
+    RunUntil([] { return false; }, aTime);
+  }
+
+  void AwaitRow()
+  {
+    CPPUNIT_ASSERT(RunUntil([this] { return mRowVersion != 0; }));
+    // Time for the answer to reach the process.
+    RunFor(milliseconds(50));
+  }
+
+  void PutRow() { mRowVersion = ++mVersion; }
+
+  void RemoveRow()
+  {
+    mRowVersion = 0;
+    mRemovedAt = ++mVersion;
+  }
+
+  void PerformLate()
+  {
+    CPPUNIT_ASSERT(mLate);
+    Perform(*mLate);
+  }
+
+  Performance mPerformance = Performance::AtOnce;
+  // Whether the store removes the row as soon as it is written.
+  bool mLosesRow = false;
+  // Version of the row, 0 if there is none.
+  std::int64_t mRowVersion = 0;
+  int mWrites = 0;
+  int mRemovals = 0;
+  std::optional<std::string> mLate;
+
+private:
+  struct Process
+  {
+    Process(EventLoop& aLoop, const Endpoint& aStore)
+      : mSettings(SettingsOf(aStore))
+      , mFleet(aLoop, mSettings)
+      , mWatch(aLoop, mSettings, mFleet)
+    {
+    }
+
+    static GatewaySettings SettingsOf(const Endpoint& aStore)
+    {
+      GatewaySettings settings;
+      settings.mHost = kHost;
+      settings.mStoreEndpoint = aStore;
+      return settings;
+    }
+
+    GatewaySettings mSettings;
+    Fleet mFleet;
+    StoreWatch mWatch;
+  };
+
+  std::string Rows(const std::string& aRows) const
+  {
+    return R"({"Rows":[)" + aRows + R"(],"HasMore":false,"Ver":)" +
+           std::to_string(mVersion) + R"(,"NowMs":1})";
+  }
+
+  std::string Row() const
+  {
+    return R"({"Key":")" + std::string(kHost) + R"(","Value":")" + mRowValue +
+           R"(","Ver":)" + std::to_string(mRowVersion) + "}";
+  }
+
+  std::string Removal() const
+  {
+    return R"({"Key":")" + std::string(kHost) + R"(","Removed":true,"Ver":)" +
+           std::to_string(mRemovedAt) + "}";
+  }
+
+  SimpleHttpReply Perform(const std::string& aBody)
+  {
+    SimpleHttpReply reply;
+    reply.mContentType = "application/json";
+    rapidjson::Document json;
+    json.Parse(aBody.data(), aBody.size());
+    for (const auto& it : json["Precondition"].GetArray()) {
+      if (it["Ver"].GetInt64() != mRowVersion) {
+        reply.mStatus = 412;
+        reply.mBody = Rows(mRowVersion != 0 ? Row() : "");
+        return reply;
+      }
+    }
+    if (!json["Put"].Empty()) {
+      mRowValue = json["Put"][0]["Value"].GetString();
+      PutRow();
+      ++mWrites;
+    } else {
+      RemoveRow();
+    }
+    reply.mBody = Rows("");
+    if (mLosesRow && mRowVersion != 0) {
+      RemoveRow();
+    }
+    return reply;
+  }
+
+  std::optional<SimpleHttpReply> Answer(const HttpHead& aHead,
+                                        const std::string& aBody,
+                                        Duration aAge)
+  {
+    if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
+      // Each call is asked for again until it is answered.
+      const bool isNew = aAge < milliseconds(5);
+      if (isNew && aBody.find(R"("Put":[])") != std::string::npos) {
+        ++mRemovals;
+      }
+      if (mPerformance == Performance::AtOnce) {
+        return Perform(aBody);
+      }
+      if (isNew) {
+        mLate = aBody;
+        if (mPerformance == Performance::WithoutAnswer) {
+          Perform(aBody);
+        }
+      }
+      return std::nullopt;
+    }
+    SimpleHttpReply reply;
+    reply.mContentType = "application/json";
+    std::string rows;
+    if (aHead.mTarget.find("Table=gateway-hosts") != std::string::npos) {
+      const auto after = aHead.mTarget.find("AfterRevision=");
+      const bool whole = after == std::string::npos;
+      const std::int64_t from =
+        whole ? 0 : std::atoll(aHead.mTarget.c_str() + after + 14);
+      if (mRowVersion > from) {
+        rows = Row();
+      } else if (!whole && mRowVersion == 0 && mRemovedAt > from) {
+        rows = Removal();
+      }
+    }
+    if (rows.empty() && aHead.mTarget.find("WaitMs=") != std::string::npos &&
+        aHead.mTarget.find("WaitMs=0") == std::string::npos &&
+        aAge < milliseconds(1000)) {
+      return std::nullopt;
+    }
+    reply.mBody = Rows(rows);
+    return reply;
+  }
+
+  EventLoop mLoop;
+  Endpoint mAddress;
+  StoreServer mStore;
+  // In base64.
+  std::string mRowValue;
+  std::int64_t mVersion = 10;
+  std::int64_t mRemovedAt = 0;
+  std::unique_ptr<Process> mProcess;
+};
+
+} // namespace
+
+// This host's row in the hosts table.
+class StoreWatchTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StoreWatchTests);
+  CPPUNIT_TEST(ALateRemovalLeavesTheRowOfTheNextProcess);
+  CPPUNIT_TEST(ARepeatedRemovalLeavesTheRowOfTheNextProcess);
+  CPPUNIT_TEST(ARemovalOfUnknownVersionLeavesTheRowOfAnotherAddress);
+  CPPUNIT_TEST(AStoppingHostRemovesItsRow);
+  CPPUNIT_TEST(ARemovalWhoseAnswerWasLostIsNotRepeatedForEver);
+  CPPUNIT_TEST(AHostThatDoesNotKnowItsVersionRemovesItsRow);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a removal that the store performs after the next process of
+  // the host has registered, so that no other host knows that process.
+  void ALateRemovalLeavesTheRowOfTheNextProcess()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.mPerformance = Performance::Late;
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mLate.has_value(); }));
+    host.mPerformance = Performance::AtOnce;
+    const std::int64_t version = host.mRowVersion;
+    host.Start(kValue);
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion > version; }));
+    host.PerformLate();
+    CPPUNIT_ASSERT(host.mRowVersion != 0);
+  }
+
+  // Guards against a stopping process that repeats its removal when its
+  // successor has written the row, and against one that goes on trying.
+  void ARepeatedRemovalLeavesTheRowOfTheNextProcess()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.mPerformance = Performance::Late;
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mLate.has_value(); }));
+    host.PutRow();
+    host.mPerformance = Performance::AtOnce;
+    host.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT(host.mRowVersion != 0);
+    CPPUNIT_ASSERT(host.mRemovals <= 2);
+  }
+
+  // Guards against the removal of another process's row by a host that has
+  // never heard whether its own was written.
+  void ARemovalOfUnknownVersionLeavesTheRowOfAnotherAddress()
+  {
+    RegisteredHost host;
+    host.Start(kOtherValue);
+    host.AwaitRow();
+    host.mPerformance = Performance::Late;
+    host.Start(kValue);
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mLate.has_value(); }));
+    host.BeginStop();
+    host.RunFor(milliseconds(1000));
+    host.mPerformance = Performance::AtOnce;
+    host.RunFor(milliseconds(3000));
+    CPPUNIT_ASSERT(host.mRowVersion != 0);
+    CPPUNIT_ASSERT(host.mRemovals > 0);
+  }
+
+  void AStoppingHostRemovesItsRow()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
+  }
+
+  // Guards against a removal that is repeated although it was performed.
+  void ARemovalWhoseAnswerWasLostIsNotRepeatedForEver()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.mPerformance = Performance::WithoutAnswer;
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
+    host.RunFor(milliseconds(1000));
+    host.mPerformance = Performance::AtOnce;
+    host.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), host.mRowVersion);
+    CPPUNIT_ASSERT(host.mRemovals <= 2);
+  }
+
+  // Guards against a row that stays for good as the answers to its writing were
+  // lost.
+  void AHostThatDoesNotKnowItsVersionRemovesItsRow()
+  {
+    RegisteredHost host;
+    host.mPerformance = Performance::WithoutAnswer;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.BeginStop();
+    host.RunFor(milliseconds(1000));
+    host.mPerformance = Performance::AtOnce;
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreWatchTests);
