Write the row of a running host again if it is removed

A host wrote its row in the hosts table once, at its start. When the row was removed later, by a removal of an earlier process that the store performed late (older builds remove without a condition), the host ran on without a row: the other hosts didn't count it for the retry budget and limits and passed no requests on to it, until it was restarted.

A host now compares the hosts table, as read from the store or told by other hosts, with the version of the row that it has written. If the table is newer and the row is gone, it logs a line and writes the row again, at most once in 3 s. A row of another value stays, so that two processes don't overwrite each other in turn, and a stopping host writes nothing.

StoreWatchTests: before, the 3 tests of a removed row failed (no second write in 9 s when read from the store, in 2 s when told, in 8 s when lost at once); after, all 11 tests pass. The other two new ones passed before, too: they guard against writing for another reason.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -171,6 +171,9 @@
   }
   if (aTable == StoreTable::Hosts) {
     ApplyHostRows(aRows, aIsSnapshot, aVersion);
+    if (mHostsCallback) {
+      mHostsCallback();
+    }
     return;
   }
   if (aTable == StoreTable::Suspects) {
@@ -366,6 +369,14 @@
   mReach.SetHosts(std::move(known));
 }
 
+bool
+Fleet::IsHostRemovedSince(const std::string& aHost, std::int64_t aVersion) const
+{
+  const auto it = mHostRows.find(aHost);
+  return mHostsVersion > aVersion &&
+         (it == mHostRows.end() || it->second.mRemoved);
+}
+
 void
 Fleet::OnHostHeard(const std::string& aHost,
                    const boost::asio::ip::address& aAddress)
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -176,6 +176,17 @@
     return mHostAddresses;
   }
 
+  // Whether the hosts table, as known here, has lost the row of a host that it
+  // had at store version aVersion.
+  bool IsHostRemovedSince(const std::string& aHost,
+                          std::int64_t aVersion) const;
+
+  // Sets a function that is called when rows of the hosts table were applied.
+  void SetHostsCallback(std::function<void()> aCallback)
+  {
+    mHostsCallback = std::move(aCallback);
+  }
+
   // Decides which hosts read the store.
   ReaderChoice& Readers() { return mReaders; }
 
@@ -267,6 +278,7 @@
   bool mTargetsKnown = false;
   bool mTargetsChanged = false;
   std::function<void()> mRetainedCallback;
+  std::function<void()> mHostsCallback;
   std::function<void(const std::string&, const std::string&)>
     mUnreadableCallback;
   ReaderChoice mReaders;
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -35,6 +35,9 @@
 // Interval between two reads of the hosts table, which rarely changes.
 constexpr Duration kHostsPollInterval = milliseconds(5000);
 
+// Least time between two writes of this host's row because it was removed.
+constexpr Duration kRewriteInterval = milliseconds(3000);
+
 } // namespace
 
 TableWatcher::TableWatcher(EventLoop& aLoop,
@@ -347,6 +350,7 @@
                    RowUrgency::Background,
                    kSuspectsLongPoll,
                    Duration::zero());
+  mFleet.SetHostsCallback([this] { CheckOwnRow(); });
 }
 
 void
@@ -394,6 +398,26 @@
   WriteOwnRow();
 }
 
+// Writes this host's row again if it was removed while the process runs: the
+// store may perform a removal that an earlier process has given up on.
+void
+StoreWatch::CheckOwnRow()
+{
+  if (mDeregistering || !mOwnRowWritten || mOwnRowVersion == 0 ||
+      !mFleet.IsHostRemovedSince(mSettings.mHost, mOwnRowVersion)) {
+    return;
+  }
+  Log(LogLevel::Warn,
+      "store",
+      "this host's row was removed; writing it again",
+      { { "own_version", std::to_string(mOwnRowVersion) } });
+  const Time now = EventLoop::Now();
+  mOwnRowWritten = false;
+  mRewriteAt = std::max(now, mRewriteAt);
+  mWriteTimer.ScheduleAt(mRewriteAt);
+  mRewriteAt += kRewriteInterval;
+}
+
 void
 StoreWatch::WriteOwnRow()
 {
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -130,6 +130,7 @@
   void OnCallEnded(platform::StoreTable aTable,
                    StoreCallEnd aEnd,
                    Time aSentAt);
+  void CheckOwnRow();
   void WriteOwnRow();
   void OnOwnRowReply(bool aRemoval,
                      const std::optional<HttpReply>& aReply,
@@ -149,6 +150,8 @@
   bool mOwnRowWritten = false;
   // Version of the row that this process has written; 0 if not known.
   std::int64_t mOwnRowVersion = 0;
+  // When this host's row may next be written because it was removed.
+  Time mRewriteAt;
   bool mDeregistering = false;
   StoreContact mContact;
   bool mHasReachedStore = false;
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -114,6 +114,8 @@
   bool mLosesRow = false;
   // Version of the row, 0 if there is none.
   std::int64_t mRowVersion = 0;
+  // In base64.
+  std::string mRowValue;
   int mWrites = 0;
   int mRemovals = 0;
   std::optional<std::string> mLate;
@@ -233,8 +235,6 @@
   EventLoop mLoop;
   Endpoint mAddress;
   StoreServer mStore;
-  // In base64.
-  std::string mRowValue;
   std::int64_t mVersion = 10;
   std::int64_t mRemovedAt = 0;
   std::unique_ptr<Process> mProcess;
@@ -252,6 +252,11 @@
   CPPUNIT_TEST(AStoppingHostRemovesItsRow);
   CPPUNIT_TEST(ARemovalWhoseAnswerWasLostIsNotRepeatedForEver);
   CPPUNIT_TEST(AHostThatDoesNotKnowItsVersionRemovesItsRow);
+  CPPUNIT_TEST(ARunningHostWritesItsRowAgainIfItIsRemoved);
+  CPPUNIT_TEST(ARemovalToldByAnotherHostLetsAHostWriteItsRowAgain);
+  CPPUNIT_TEST(ARowThatIsLostAtOnceIsNotWrittenWithoutAPause);
+  CPPUNIT_TEST(ARowOfAnotherValueIsNotWrittenAgain);
+  CPPUNIT_TEST(AStoppingHostDoesNotWriteItsRowAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -346,6 +351,75 @@
     host.mPerformance = Performance::AtOnce;
     CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
   }
+
+  // Guards against a running host whose row is gone for good, removed by a call
+  // of an earlier process.
+  void ARunningHostWritesItsRowAgainIfItIsRemoved()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.RunFor(milliseconds(500));
+    host.RemoveRow();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion != 0; }));
+    CPPUNIT_ASSERT_EQUAL(2, host.mWrites);
+  }
+
+  // Guards against a host that does not read the store itself and doesn't
+  // notice that its row is gone.
+  void ARemovalToldByAnotherHostLetsAHostWriteItsRowAgain()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.RunFor(milliseconds(500));
+    host.RemoveRow();
+    host.TellOfRemoval();
+    CPPUNIT_ASSERT(
+      host.RunUntil([&] { return host.mRowVersion != 0; }, milliseconds(2000)));
+  }
+
+  // Guards against hosts that write without a pause to a store that loses their
+  // rows.
+  void ARowThatIsLostAtOnceIsNotWrittenWithoutAPause()
+  {
+    RegisteredHost host;
+    host.mLosesRow = true;
+    host.Start(kValue);
+    host.RunFor(milliseconds(8000));
+    CPPUNIT_ASSERT(host.mWrites >= 2);
+    CPPUNIT_ASSERT(host.mWrites <= 4);
+  }
+
+  // Guards against two processes that overwrite each other's row in turn.
+  void ARowOfAnotherValueIsNotWrittenAgain()
+  {
+    RegisteredHost host;
+    host.Start(kOtherValue);
+    host.AwaitRow();
+    const std::string other = host.mRowValue;
+    host.Start(kValue);
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mWrites == 2; }));
+    host.RunFor(milliseconds(50));
+    host.mRowValue = other;
+    host.PutRow();
+    host.RunFor(milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(2, host.mWrites);
+  }
+
+  // Guards against a stopping host that takes its own removal for a loss.
+  void AStoppingHostDoesNotWriteItsRowAgain()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
+    host.TellOfRemoval();
+    host.RunFor(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(1, host.mWrites);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), host.mRowVersion);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreWatchTests);
