--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -346,14 +346,6 @@
   return EncodeChanges(aHost, aTable, { { aKey, aValue } });
 }
 
-std::string
-EncodeRemove(const std::string& aHost,
-             StoreTable aTable,
-             const std::string& aKey)
-{
-  return EncodeChanges(aHost, aTable, { { aKey, std::nullopt } });
-}
-
 std::optional<StoreRows>
 DecodeRows(const std::string& aBody, std::string& aReason)
 {
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -101,11 +101,6 @@
           StoreTable aTable,
           const std::string& aKey,
           const std::string& aValue);
-// Removes a row.
-std::string
-EncodeRemove(const std::string& aHost,
-             StoreTable aTable,
-             const std::string& aKey);
 
 // HTTP status of a transaction whose conditions do not hold. Its response has
 // the rows that they name.
