Bound the numbers of the configuration and of target entries

Cause: numbers were cast from double to int, size_t and int64 without a range, which is undefined behaviour outside the type.

Numbers within the ranges are read as before.

Not a number cannot be written in JSON, so no test reaches that branch.

--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -32,6 +32,13 @@
 
 constexpr NameTable<CallKind, 3> kKindNames({ "safe", "unsafe", "streaming" });
 
+// Bounds of numbers that others write. Sums and small multiples of them, and
+// times that are so far ahead, stay within their types.
+constexpr int kMaxCount = 1000000;
+constexpr int kMaxTokens = 1000000000;
+constexpr std::size_t kMaxBytes = 1U << 30U;
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+
 constexpr char kReady[] = "ready";
 constexpr char kDraining[] = "draining";
 
@@ -95,11 +102,43 @@
   });
 }
 
-double
-GetNumber(const Value& aObject, const char* aName, double aDefault = 0)
+// The nearest number from aMin to aMax.
+template<typename Number>
+Number
+Clamp(double aNumber, Number aMin, Number aMax)
+{
+  // Written so that aMin stands for what is not a number.
+  if (!(aNumber > static_cast<double>(aMin))) {
+    return aMin;
+  }
+  return aNumber < static_cast<double>(aMax) ? static_cast<Number>(aNumber)
+                                             : aMax;
+}
+
+template<typename Number>
+Number
+GetNumber(const Value& aObject,
+          const char* aName,
+          Number aMin,
+          Number aMax,
+          Number aDefault)
 {
   const Value* value = GetMember(aObject, aName);
-  return value != nullptr && value->IsNumber() ? value->GetDouble() : aDefault;
+  return value != nullptr && value->IsNumber()
+           ? Clamp(value->GetDouble(), aMin, aMax)
+           : aDefault;
+}
+
+int
+GetCount(const Value& aObject, const char* aName)
+{
+  return GetNumber(aObject, aName, 0, kMaxCount, 0);
+}
+
+int
+GetPriority(const Value& aObject)
+{
+  return GetNumber(aObject, "Priority", -kMaxCount, kMaxCount, 0);
 }
 
 std::int64_t
@@ -116,10 +155,19 @@
   return value != nullptr && value->IsBool() && value->GetBool();
 }
 
+// A duration that is stored as a number of aUnit.
 Duration
-GetDuration(const Value& aObject, const char* aName)
+GetDuration(const Value& aObject,
+            const char* aName,
+            Duration aUnit = std::chrono::milliseconds(1))
 {
-  return Duration(static_cast<std::int64_t>(GetNumber(aObject, aName) * 1000));
+  const Value* value = GetMember(aObject, aName);
+  return value != nullptr && value->IsNumber()
+           ? Duration(
+               Clamp(value->GetDouble() * static_cast<double>(aUnit.count()),
+                     Duration::rep(0),
+                     kMaxDuration.count()))
+           : Duration::zero();
 }
 
 template<typename Function>
@@ -186,16 +234,17 @@
   // one attempt.
   route.mLatencyObjective = GetDuration(aRoute, "TargetLatencyMs");
   route.mEventGapObjective = GetDuration(aRoute, "GapTargetMs");
-  route.mPriority = static_cast<int>(GetNumber(aRoute, "Priority"));
-  route.mMaxAttempts =
-    std::max(1, static_cast<int>(GetNumber(aRoute, "MaxAttempts", 1)));
+  route.mPriority = GetPriority(aRoute);
+  route.mMaxAttempts = GetNumber(aRoute, "MaxAttempts", 1, kMaxCount, 1);
   const std::string service = GetText(aRoute, "Service");
   if (!service.empty()) {
     route.mServices.push_back({ service, 1 });
   }
   ForEachElement(aRoute, "TrafficSplit", [&route](const Value& aShare) {
     route.mServices.push_back(
-      { GetText(aShare, "Service"), GetNumber(aShare, "Weight", 1) });
+      { GetText(aShare, "Service"),
+        GetNumber(
+          aShare, "Weight", 0.0, static_cast<double>(kMaxCount), 1.0) });
   });
   return route;
 }
@@ -206,16 +255,15 @@
   ServiceTraits service;
   service.mName = GetText(aService, "Name");
   service.mHealthPath = GetText(aService, "HealthPath");
-  service.mMaxConnections =
-    static_cast<int>(GetNumber(aService, "MaxConnections"));
+  service.mMaxConnections = GetCount(aService, "MaxConnections");
   const Value* engine = GetMember(aService, "InferenceEngine");
   if (engine != nullptr && engine->IsObject()) {
     service.mEngine = true;
     service.mMemoryTokens =
-      static_cast<int>(GetNumber(*engine, "KvCapacityTokens"));
+      GetNumber(*engine, "KvCapacityTokens", 0, kMaxTokens, 0);
     service.mCopies = GetFlag(*engine, "Backups");
-    service.mCopyLifetime = std::chrono::milliseconds(
-      static_cast<std::int64_t>(GetNumber(*engine, "HandleS") * 1000));
+    service.mCopyLifetime =
+      GetDuration(*engine, "HandleS", std::chrono::seconds(1));
     service.mSupportsCopyOrders =
       GetFlag(*engine, "Moves") && service.mCopyLifetime > Duration::zero();
   }
@@ -227,10 +275,10 @@
 {
   CallerLimits limits;
   const CallerLimits defaults;
-  limits.mHeadBytes = static_cast<std::size_t>(GetNumber(
-    aLimits, "MaxHeaderBytes", static_cast<double>(defaults.mHeadBytes)));
-  limits.mBodyBytes = static_cast<std::size_t>(GetNumber(
-    aLimits, "MaxBodyBytes", static_cast<double>(defaults.mBodyBytes)));
+  limits.mHeadBytes = GetNumber(
+    aLimits, "MaxHeaderBytes", std::size_t(0), kMaxBytes, defaults.mHeadBytes);
+  limits.mBodyBytes = GetNumber(
+    aLimits, "MaxBodyBytes", std::size_t(0), kMaxBytes, defaults.mBodyBytes);
   if (GetMember(aLimits, "HeaderTimeoutMs") != nullptr) {
     limits.mHeadTimeout = GetDuration(aLimits, "HeaderTimeoutMs");
   }
@@ -395,7 +443,7 @@
   table->mKeysRequired = GetMember(json, "Tenants") != nullptr;
   ForEachElement(json, "Tenants", [&table](const Value& aWorkspace) {
     const KeyOwner owner{ GetText(aWorkspace, "Name"),
-                          static_cast<int>(GetNumber(aWorkspace, "Priority")) };
+                          GetPriority(aWorkspace) };
     ForEachElement(aWorkspace, "ApiKeys", [&](const Value& aKey) {
       if (aKey.IsString()) {
         table->AddKey(std::string(aKey.GetString(), aKey.GetStringLength()),
@@ -422,7 +470,7 @@
   entry.mService = GetText(json, "Service");
   entry.mAddress = GetText(json, "Address");
   entry.mPlace = GetText(json, "Zone");
-  entry.mSlots = static_cast<int>(GetNumber(json, "Slots"));
+  entry.mSlots = GetCount(json, "Slots");
   const std::string state = GetText(json, "State");
   if (entry.mService.empty() || entry.mAddress.empty() ||
       (state != kReady && state != kDraining)) {
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -74,6 +74,8 @@
   CPPUNIT_TEST(RemovesHopByHopFields);
   CPPUNIT_TEST(ReadsTargetResponseFields);
   CPPUNIT_TEST(ReadsConfiguration);
+  CPPUNIT_TEST(BoundsNumbersOfTheConfiguration);
+  CPPUNIT_TEST(BoundsTheSlotsOfATarget);
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
@@ -239,6 +241,71 @@
     CPPUNIT_ASSERT(!reason.empty());
   }
 
+  // A deadline overflowed, and lay in the past.
+  void BoundsNumbersOfTheConfiguration()
+  {
+    const Duration longest = std::chrono::hours(24);
+    for (const char* it :
+         { "1e300", "-1e300", "1e18", "-1e18", "4294967297" }) {
+      const std::string number = it;
+      std::string reason;
+      const auto table = platform::DecodeConfiguration(
+        R"({"Routes":[{"Host":"h","PathPrefix":"/","TimeoutMs":)" + number +
+          R"(,"TargetLatencyMs":)" + number + R"(,"GapTargetMs":)" + number +
+          R"(,"Priority":)" + number + R"(,"MaxAttempts":)" + number +
+          R"(,"TrafficSplit":[{"Service":"m","Weight":)" + number +
+          R"(}]}],"Services":[{"Name":"m","MaxConnections":)" + number +
+          R"(,"InferenceEngine":{"KvCapacityTokens":)" + number +
+          R"(,"Moves":true,"HandleS":)" + number +
+          R"(}}],"Limits":{"MaxHeaderBytes":)" + number +
+          R"(,"MaxBodyBytes":)" + number + R"(,"HeaderTimeoutMs":)" + number +
+          R"(,"IdleTimeoutMs":)" + number +
+          R"(},"Tenants":[{"Name":"w","ApiKeys":["k"],"Priority":)" + number +
+          "}]}",
+        reason);
+      CPPUNIT_ASSERT_MESSAGE(number + reason, table != nullptr);
+      const bool negative = number.front() == '-';
+      const Route& route = *table->FindRoute("h", "/");
+      const ServiceTraits& service = *table->FindService("m");
+      for (const Duration at : { route.mTimeout,
+                                 route.mLatencyObjective,
+                                 route.mEventGapObjective,
+                                 service.mCopyLifetime,
+                                 table->mLimits.mHeadTimeout,
+                                 table->mLimits.mIdleTimeout }) {
+        CPPUNIT_ASSERT_MESSAGE(number,
+                               at == (negative ? Duration::zero() : longest));
+      }
+      CPPUNIT_ASSERT_EQUAL(!negative, service.mSupportsCopyOrders);
+      CPPUNIT_ASSERT_EQUAL(negative ? 1 : 1000000, route.mMaxAttempts);
+      CPPUNIT_ASSERT_EQUAL(negative ? -1000000 : 1000000, route.mPriority);
+      CPPUNIT_ASSERT_EQUAL(route.mPriority, table->FindKey("k")->mPriority);
+      CPPUNIT_ASSERT_EQUAL(negative ? 0.0 : 1e6, route.mServices[0].mWeight);
+      CPPUNIT_ASSERT_EQUAL(negative ? 0 : 1000000, service.mMaxConnections);
+      CPPUNIT_ASSERT_EQUAL(negative ? 0 : 1000000000, service.mMemoryTokens);
+      const std::size_t bytes = negative ? 0 : 1U << 30U;
+      CPPUNIT_ASSERT_EQUAL(bytes, table->mLimits.mHeadBytes);
+      CPPUNIT_ASSERT_EQUAL(bytes, table->mLimits.mBodyBytes);
+    }
+  }
+
+  // A target with 1,073,741,824 slots seemed full, as twice as many overflowed.
+  void BoundsTheSlotsOfATarget()
+  {
+    for (const char* it : { "1e300", "1073741824", "1000001" }) {
+      std::string reason;
+      const auto entry =
+        platform::DecodeTarget("i", EntryWithField("Slots", it), reason);
+      CPPUNIT_ASSERT_MESSAGE(it, entry.has_value());
+      CPPUNIT_ASSERT_EQUAL(1000000, entry->mSlots);
+    }
+    std::string reason;
+    CPPUNIT_ASSERT_EQUAL(
+      0,
+      platform::DecodeTarget("i", EntryWithField("Slots", "-1e300"), reason)
+        ->mSlots);
+  }
+
   void RejectsMalformedTargetEntries()
   {
     std::string reason;
