--- a/src/quetzalquay/gateway/FormatLog.h
+++ b/src/quetzalquay/gateway/FormatLog.h
@@ -3,6 +3,7 @@
 
 #include "gateway/GatewayMetrics.h"
 
+#include <cstddef>
 #include <set>
 #include <string>
 #include <utility>
@@ -23,6 +24,9 @@
   // A record of a kind from aHost cannot be read.
   void OnUnreadable(const std::string& aHost, const std::string& aKind);
 
+  // Length of all names that are kept.
+  std::size_t KeptBytes() const;
+
 private:
   GatewayMetrics& mMetrics;
   std::set<std::pair<std::string, std::string>> mLogged;
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -1,3 +1,5 @@
+#include "Property.h"
+
 #include "core/TargetTable.h"
 #include "core/TrialRecord.h"
 #include "gateway/Fleet.h"
@@ -11,6 +13,7 @@
 #include "gateway/SuspectRows.h"
 #include "http/JsonText.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
 #include <functional>
@@ -259,6 +262,7 @@
   CPPUNIT_TEST(PassedOnRequestsWithLaterFieldsAreRead);
   CPPUNIT_TEST(UnknownVerdictsAreFailuresThatMayHaveRun);
   CPPUNIT_TEST(UnreadableRecordsAreCounted);
+  CPPUNIT_TEST(NamesOfUnreadableRecordsAreKeptUpToALength);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -616,6 +620,30 @@
       text.find("quetzal_records_unreadable_total{host=\"own\"} 3") !=
         std::string::npos);
   }
+
+  // Names as long as a datagram took more memory than the rest of the host.
+  void NamesOfUnreadableRecordsAreKeptUpToALength()
+  {
+    static constexpr std::size_t kBytesPerName = 256;
+    constexpr std::size_t kMaxNames = 2000;
+    GatewayMetrics metrics("own");
+    FormatLog log(metrics);
+    log.OnUnreadable("front-1", "load");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(11), log.KeptBytes());
+    CheckProperty("names have a bounded length", [] {
+      GatewayMetrics others("own");
+      FormatLog kept(others);
+      const auto host = *rc::gen::inRange<std::size_t>(0, 2000);
+      const auto kind = *rc::gen::inRange<std::size_t>(0, 2000);
+      kept.OnUnreadable(std::string(host, 'h'), std::string(kind, 'k'));
+      RC_ASSERT(kept.KeptBytes() ==
+                std::min(host, kBytesPerName) + std::min(kind, kBytesPerName));
+    });
+    for (std::size_t n = 0; n < 2 * kMaxNames; ++n) {
+      log.OnUnreadable(std::to_string(n) + std::string(4000, 'h'), "load");
+    }
+    CPPUNIT_ASSERT(log.KeptBytes() <= kMaxNames * 2 * kBytesPerName);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FormatTests);
