Refuse unreadable requests of other hosts as not run

A host that cannot read the X-Passed-* fields of a request answered 400, not run, which the passing host takes for a fault of the request and forwards: a caller would be told that its valid request is invalid because two builds of hosts don't understand each other.

Now such a request is answered 503, not run, refused by the host. The passing host asks another one then and leaves this one out for a while, as with any other refusal of a host. A request at that address without any such field is not of a host, and is answered 400 as before (OnlyPassedOnRequestsAreServedToHosts is unchanged). The code in the metrics and the log stays invalid_request.

Before: UnreadableRequestsOfHostsCanGoToAnotherHost fails, 400 instead of 503. After: it passes.

The test asks the serving host; the passing host's way on after such an answer is that of every 503 and has no new test.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -507,9 +507,19 @@
   const auto passedOn = ParsePassedOnRequest(aHead);
   if (!passedOn) {
     mRequest = platform::DecodeCallerRequest(aHead);
-    Reject(400,
-           FailureCode::InvalidRequest,
-           "not a request that a host has passed on");
+    const bool ofHost = std::any_of(
+      aHead.mFields.begin(), aHead.mFields.end(), [](const HttpField& aField) {
+        return IsHostField(aField.mName);
+      });
+    if (ofHost) {
+      Reject(503,
+             FailureCode::InvalidRequest,
+             "the passing host's fields cannot be read");
+    } else {
+      Reject(400,
+             FailureCode::InvalidRequest,
+             "not a request that a host has passed on");
+    }
     return false;
   }
   mPassedOn = *passedOn;
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -1,6 +1,8 @@
 #include "CallerChannel.h"
 #include "GatewayTestCluster.h"
 
+#include "gateway/PassedOnRequest.h"
+
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
@@ -181,6 +183,7 @@
   CPPUNIT_TEST(RunsAreCountedOverBothHosts);
   CPPUNIT_TEST(FieldsOfHostsAreIgnoredFromCallers);
   CPPUNIT_TEST(OnlyPassedOnRequestsAreServedToHosts);
+  CPPUNIT_TEST(UnreadableRequestsOfHostsCanGoToAnotherHost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -449,6 +452,33 @@
     CPPUNIT_ASSERT_EQUAL(200, channel.Read().mHead.mStatus);
     CPPUNIT_ASSERT_EQUAL(0, RunsOf(cluster, "a"));
   }
+
+  // Guards against callers who are told that their request is invalid because
+  // two builds of hosts do not understand each other.
+  void UnreadableRequestsOfHostsCanGoToAnotherHost()
+  {
+    GatewayTestCluster cluster(MakeOptions(1));
+    CallerChannel channel =
+      CallerChannel::AtPort(cluster.Gateway(), cluster.RelayPort());
+    int n = 0;
+    for (const std::string& it : { HostFields("later"),
+                                   HostFields("1", "-1"),
+                                   HostFields("1", "1000000001"),
+                                   std::string("X-Passed-From: other\r\n"),
+                                   std::string("x-passed-later: 1\r\n") }) {
+      for (const char* route : { "/plain/", "/unsafe/", "/stream/" }) {
+        const std::string id = "a" + std::to_string(++n);
+        channel.Send(Request(route, id, it));
+        const CallerAnswer answer = channel.Read();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it, 503, answer.mHead.mStatus);
+        CPPUNIT_ASSERT_EQUAL(std::string("not_run"), RunOf(answer));
+        const PassedOnAnswer read = ParsePassedOnAnswer(answer.mHead);
+        CPPUNIT_ASSERT(read.mOwnFailure && read.mNotRun);
+        CPPUNIT_ASSERT(read.mRefusedBy == RefusedBy::Host);
+        CPPUNIT_ASSERT_EQUAL(0, RunsOf(cluster, id));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOnRequestTests);
