Search routes no deeper than the longest prefix

A caller's path of thousands of slashes held up all requests of a host: the table of routes was searched once for each slash, and each search copied and hashed the path up to it.

Prefixes are not longer than the longest one configured, so only so many bytes of the path are looked at. A longer piece of the path equals no prefix, hence the same routes are found: a property compares with a plain search of all prefixes. The test counts processor time, so that other processes do not matter.

--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -37,6 +37,7 @@
 {
   std::string key = RouteKey(aRoute.mHost, aRoute.mPathPrefix);
   mLongestTimeout = std::max(mLongestTimeout, aRoute.mTimeout);
+  mLongestPrefix = std::max(mLongestPrefix, aRoute.mPathPrefix.size());
   mRoutes.insert_or_assign(std::move(key), std::move(aRoute));
 }
 
@@ -57,6 +58,8 @@
 RoutingTable::FindRoute(std::string_view aHost, std::string_view aPath) const
 {
   std::string_view path = aPath.substr(0, aPath.find('?'));
+  // Callers choose how many slashes follow.
+  path = path.substr(0, mLongestPrefix);
   while (true) {
     const auto slash = path.rfind('/');
     if (slash == std::string_view::npos) {
--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -150,6 +150,8 @@
   // Keyed by host name and path prefix, separated by a line feed, which occurs
   // in neither.
   std::unordered_map<std::string, Route> mRoutes;
+  // Length of the longest path prefix.
+  std::size_t mLongestPrefix = 0;
   Duration mLongestTimeout = Duration::zero();
   // Idle timeout of an older configuration, and until when connections that
   // become idle keep it.
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -8,6 +8,7 @@
 #include "core/TargetTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <ctime>
 #include <set>
 
 using namespace quetzalquay;
@@ -47,6 +48,7 @@
 {
   CPPUNIT_TEST_SUITE(FleetTests);
   CPPUNIT_TEST(TheRouteWithTheLongestPrefixIsFound);
+  CPPUNIT_TEST(RoutesOfDeepPathsAreFoundInFewSteps);
   CPPUNIT_TEST(MissingEntriesAreRetainedForAGracePeriod);
   CPPUNIT_TEST(RemovalIsImmediateWhileTheStoreIsReachable);
   CPPUNIT_TEST(RemovalsConfirmedByAnotherHostAreFinal);
@@ -94,6 +96,55 @@
     CPPUNIT_ASSERT(table.FindRoute("h", "") == nullptr);
   }
 
+  // A path of thousands of slashes took a search of the table for each.
+  void RoutesOfDeepPathsAreFoundInFewSteps()
+  {
+    CheckProperty("the longest prefix is found within the deepest's depth", [] {
+      const auto texts = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::container<std::string>(rc::gen::element('a', 'b', '/')));
+      const auto end =
+        *rc::gen::container<std::string>(rc::gen::element('a', 'b', '/', '?'));
+      const auto begin = *rc::gen::inRange<std::size_t>(0, texts.size() + 1);
+      std::vector<std::string> prefixes;
+      RoutingTable table;
+      for (const std::string& it : texts) {
+        prefixes.push_back(it.empty() ? "/" : "/" + it + "/");
+        Route route;
+        route.mHost = "h";
+        route.mPathPrefix = prefixes.back();
+        table.AddRoute(route);
+      }
+      // Paths that begin with a prefix, and others.
+      const std::string target =
+        (begin < prefixes.size() ? prefixes[begin] : "/") + end;
+      const std::string plain = target.substr(0, target.find('?'));
+      const std::string* longest = nullptr;
+      for (const std::string& it : prefixes) {
+        if (plain.compare(0, it.size(), it) == 0 &&
+            (longest == nullptr || it.size() > longest->size())) {
+          longest = &it;
+        }
+      }
+      const Route* found = table.FindRoute("h", target);
+      const std::string expected = longest == nullptr ? "none" : *longest;
+      RC_ASSERT((found == nullptr ? "none" : found->mPathPrefix) == expected);
+      RC_ASSERT(table.FindRoute("other", target) == nullptr);
+    });
+    RoutingTable table;
+    Route route;
+    route.mHost = "h";
+    route.mPathPrefix = "/a/b/";
+    table.AddRoute(route);
+    const std::clock_t started = std::clock();
+    const std::string slashes(16000, '/');
+    for (int n = 0; n < 500; ++n) {
+      CPPUNIT_ASSERT(table.FindRoute("h", slashes) == nullptr);
+      CPPUNIT_ASSERT(table.FindRoute("h", "/a/b/" + slashes) != nullptr);
+    }
+    // Processor time, so that other processes do not count.
+    CPPUNIT_ASSERT(std::clock() - started < CLOCKS_PER_SEC);
+  }
+
   void MissingEntriesAreRetainedForAGracePeriod()
   {
     TargetEntries entries(milliseconds(2000));
