Forget by time the unlisted host that shares a brittle target's room

What callers would see: after the last other host is lost and leaves the list, this host gets only an even share of a brittle target's slots, for ever: a test grants fewer than 4 of 4 an hour later.

Cause: SetHosts() measured the silence of a heard host against the time when any host was last heard, which the last host itself sets, so it stayed known until the next change of the list. HostsAt() now compares with the present time. 30 s, as in the other classes that forget hosts: in a large fleet a host is heard only now and then, and hosts have to agree on the keeper.

Before: 'host that shares the room is held after its end', 'an hour later'. After: gone after 30 s, held just before. TargetRoomTests: 12 passed.

--- a/src/quetzalquay/core/TargetRoom.cpp
+++ b/src/quetzalquay/core/TargetRoom.cpp
@@ -31,6 +31,10 @@
 // may be the one that is cut off.
 constexpr Duration kAloneAfter = milliseconds(2500);
 
+// Silence after which a host that is not listed shares the room no more. In a
+// large fleet each host is heard only every ten seconds or so.
+constexpr Duration kUnlistedLifetime = std::chrono::seconds(30);
+
 // A host that was heard so lately keeps its targets' room, even if others say
 // that it does not answer them.
 constexpr Duration kHeardTime = milliseconds(300);
@@ -44,21 +48,13 @@
 void
 TargetRoom::SetHosts(const std::set<std::string>& aHosts)
 {
-  std::set<std::string> hosts = aHosts;
-  hosts.insert(mHost);
-  for (const auto& it : mHeard) {
-    if (mHeardAt - it.second < kAloneAfter) {
-      // It may not be listed yet.
-      hosts.insert(it.first);
-    }
-  }
-  if (hosts == mHosts) {
-    return;
-  }
-  mHosts = std::move(hosts);
-  mKeepers.clear();
+  mListed = aHosts;
+  mListed.insert(mHost);
+  mHostsUntil = Time::min();
   for (auto it = mHeard.begin(); it != mHeard.end();) {
-    it = mHosts.count(it->first) == 0 ? mHeard.erase(it) : std::next(it);
+    const bool known =
+      mListed.count(it->first) != 0 || mHeardAt - it->second < kAloneAfter;
+    it = known ? std::next(it) : mHeard.erase(it);
   }
 }
 
@@ -67,9 +63,35 @@
 {
   mHeard[aHost] = aNow;
   mHeardAt = aNow;
-  if (mHosts.insert(aHost).second) {
+  if (mListed.count(aHost) == 0) {
+    mHostsUntil = std::min(mHostsUntil, aNow + kUnlistedLifetime);
+    if (mHosts.insert(aHost).second) {
+      mKeepers.clear();
+    }
+  }
+}
+
+// Hosts that share the room: those that are listed, and others that were heard
+// lately, as they may not be listed yet.
+const std::set<std::string>&
+TargetRoom::HostsAt(Time aNow) const
+{
+  if (aNow < mHostsUntil) {
+    return mHosts;
+  }
+  std::set<std::string> hosts = mListed;
+  mHostsUntil = Time::max();
+  for (const auto& it : mHeard) {
+    if (mListed.count(it.first) == 0 && aNow - it.second < kUnlistedLifetime) {
+      hosts.insert(it.first);
+      mHostsUntil = std::min(mHostsUntil, it.second + kUnlistedLifetime);
+    }
+  }
+  if (hosts != mHosts) {
+    mHosts = std::move(hosts);
     mKeepers.clear();
   }
+  return mHosts;
 }
 
 bool
@@ -229,7 +251,10 @@
   if (ask.mAnswer == RoomAnswer::NotKeeper) {
     // The host has heard the keeper lately, and takes over if that is gone.
     mAccounts[ask.mTarget].mDeniedUntil = aNow + kNotKeeperTime;
-    mAvoided.erase(KeepersOf(ask.mTarget).front());
+    const auto& keepers = KeepersOf(ask.mTarget, aNow);
+    if (!keepers.empty()) {
+      mAvoided.erase(keepers.front());
+    }
     mAsks.erase(aAsk);
     return RoomStatus::Denied;
   }
@@ -269,7 +294,7 @@
 Time
 TargetRoom::GrantsFrom(const std::string& aTarget, Time aNow)
 {
-  const auto& keepers = KeepersOf(aTarget);
+  const auto& keepers = KeepersOf(aTarget, aNow);
   if (keepers.empty() || keepers.front() == mHost) {
     return Time::min();
   }
@@ -285,7 +310,7 @@
 bool
 TargetRoom::IsKeeperFor(const std::string& aTarget, Time aNow) const
 {
-  for (const std::string& it : KeepersOf(aTarget)) {
+  for (const std::string& it : KeepersOf(aTarget, aNow)) {
     if (it == mHost) {
       return true;
     }
@@ -305,11 +330,12 @@
                       Time aNow)
 {
   const int slots = aUse.mLimits.mSlots;
-  const auto hosts = static_cast<int>(std::max<std::size_t>(1, mHosts.size()));
+  const auto& known = HostsAt(aNow);
+  const auto hosts = static_cast<int>(std::max<std::size_t>(1, known.size()));
   const std::uint64_t target = StableHash(aTarget);
   const std::uint64_t own = StableHash(mHost, target);
   const auto before = static_cast<int>(
-    std::count_if(mHosts.begin(), mHosts.end(), [&](const std::string& aHost) {
+    std::count_if(known.begin(), known.end(), [&](const std::string& aHost) {
       return StableHash(aHost, target) < own;
     }));
   const int share = slots / hosts + (before < slots % hosts ? 1 : 0);
@@ -358,9 +384,9 @@
   const auto report = mReports.find(aTarget);
   const int rejections =
     report == mReports.end() ? 1 : report->second.mRejections.value_or(1);
-  account->second.mNoShareUntil = aNow + milliseconds(1000) *
-                                           static_cast<int>(mHosts.size()) /
-                                           std::max(1, rejections);
+  account->second.mNoShareUntil =
+    aNow + milliseconds(1000) * static_cast<int>(HostsAt(aNow).size()) /
+             std::max(1, rejections);
   TellSoon(account->second);
 }
 
@@ -513,14 +539,15 @@
 
 // Hosts that may be the keeper of a target, the first one first.
 const std::vector<std::string>&
-TargetRoom::KeepersOf(const std::string& aTarget) const
+TargetRoom::KeepersOf(const std::string& aTarget, Time aNow) const
 {
+  const auto& hosts = HostsAt(aNow);
   std::vector<std::string>& keepers = mKeepers[aTarget];
-  if (!keepers.empty() || mHosts.empty()) {
+  if (!keepers.empty() || hosts.empty()) {
     return keepers;
   }
   const std::uint64_t target = StableHash(aTarget);
-  keepers.assign(mHosts.begin(), mHosts.end());
+  keepers.assign(hosts.begin(), hosts.end());
   const std::size_t count = std::min(kKeepers, keepers.size());
   std::partial_sort(keepers.begin(),
                     keepers.begin() + static_cast<std::ptrdiff_t>(count),
@@ -536,8 +563,8 @@
 std::optional<std::string>
 TargetRoom::KeeperOf(const std::string& aTarget, Time aNow) const
 {
-  const bool alone = mHosts.size() > 1 && aNow - mHeardAt >= kAloneAfter;
-  for (const std::string& it : KeepersOf(aTarget)) {
+  const bool alone = HostsAt(aNow).size() > 1 && aNow - mHeardAt >= kAloneAfter;
+  for (const std::string& it : KeepersOf(aTarget, aNow)) {
     const auto avoided = mAvoided.find(it);
     const bool answers = avoided == mAvoided.end() || aNow >= avoided->second;
     if (answers && (it != mHost || !alone)) {
--- a/src/quetzalquay/core/TargetRoom.h
+++ b/src/quetzalquay/core/TargetRoom.h
@@ -207,12 +207,17 @@
   RoomMessage MessageOf(const std::string& aTarget,
                         const Account& aAccount,
                         int aUnderWay);
-  const std::vector<std::string>& KeepersOf(const std::string& aTarget) const;
+  const std::set<std::string>& HostsAt(Time aNow) const;
+  const std::vector<std::string>& KeepersOf(const std::string& aTarget,
+                                            Time aNow) const;
   bool IsBrittleItself(const std::string& aTarget) const;
   void TellSoon(Account& aAccount);
 
   std::string mHost;
-  std::set<std::string> mHosts;
+  std::set<std::string> mListed;
+  // Result of HostsAt(), and until when it is valid.
+  mutable std::set<std::string> mHosts;
+  mutable Time mHostsUntil = Time::max();
   std::map<std::string, BrittleReport> mReports;
   // Number of brittle targets, by service.
   std::map<std::string, int> mBrittleByService;
