Count no host that shares a budget beyond its lifetime

What callers would see: nothing worse than a share that grows up to 200 ms late after a host has gone.

Cause: the cached number of hosts was used for 200 ms, also beyond the end of a host's lifetime.

Before: 'host that shares a budget is held after its end, used before'.

--- a/src/quetzalquay/core/RetryBudget.cpp
+++ b/src/quetzalquay/core/RetryBudget.cpp
@@ -49,7 +49,7 @@
 constexpr int kWindowSteps = 40;
 
 // Time for which the number of hosts is not counted again unless a host
-// appears.
+// appears or expires.
 constexpr Duration kHostCountInterval = milliseconds(200);
 
 // What is sent within this time is counted together.
@@ -368,8 +368,8 @@
   int count = mMembers.count(mOptions.mHost) == 0 ? 1 : 0;
   for (auto it = mMembers.begin(); it != mMembers.end();) {
     const Member& member = it->second;
-    if (!member.mListed &&
-        aNow - member.mSeenAt >= mOptions.mWindow + kLeavingTime) {
+    const Time end = member.mSeenAt + mOptions.mWindow + kLeavingTime;
+    if (!member.mListed && aNow >= end) {
       for (auto& service : mServices) {
         service.second.mPeerTotals.erase(it->first);
         service.second.mAnswered.erase(it->first);
@@ -377,6 +377,9 @@
       it = mMembers.erase(it);
       continue;
     }
+    if (!member.mListed) {
+      mHostCountUntil = std::min(mHostCountUntil, end);
+    }
     ++count;
     ++it;
   }
