Find no origin of a stream beyond its lifetime

What callers would see: a stream taken up by an origin older than the 2 min for which it counts, up to 2 min more.

Cause: expiries are a queue. An entry whose lifetime was extended goes behind younger ones and is dropped only when these are.

--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -94,7 +94,9 @@
 {
   DropExpired(aNow);
   const auto it = mEntries.find(aKey);
-  if (it == mEntries.end()) {
+  // Entries whose lifetime was extended may be behind younger ones.
+  if (it == mEntries.end() ||
+      (!it->second.mRunning && it->second.mExpiresAt <= aNow)) {
     return std::nullopt;
   }
   return Known{ it->second.mOrigin, it->second.mSource, it->second.mLearnedAt };
