Tell no departure that is older than its lifetime

What callers would see: nothing directly; a host told others of departures of any age once it sent again.

Cause: only Add() compared with the end of the 30 s, TakeNews() did not. It takes the time now; the existing tests pass theirs and check the same.

--- a/src/quetzalquay/core/DepartureNews.cpp
+++ b/src/quetzalquay/core/DepartureNews.cpp
@@ -48,13 +48,14 @@
 }
 
 std::vector<TargetDeparture>
-DepartureNews::TakeNews()
+DepartureNews::TakeNews(Time aNow)
 {
   std::vector<TargetDeparture> told;
   std::vector<std::string> left;
   for (auto it = mNews.rbegin(); it != mNews.rend(); ++it) {
     const auto entry = mEntries.find(*it);
-    if (entry == mEntries.end() || entry->second.mTellingsLeft == 0) {
+    if (entry == mEntries.end() || aNow >= entry->second.mForgottenAt ||
+        entry->second.mTellingsLeft == 0) {
       continue;
     }
     if (told.size() < kMaxInMessage) {
--- a/src/quetzalquay/core/DepartureNews.h
+++ b/src/quetzalquay/core/DepartureNews.h
@@ -47,7 +47,7 @@
   std::size_t Size() const { return mEntries.size(); }
 
   // Departures to tell some other hosts now, the newest first.
-  std::vector<TargetDeparture> TakeNews();
+  std::vector<TargetDeparture> TakeNews(Time aNow);
 
 private:
   struct Entry
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -692,7 +692,7 @@
   if (aNow < mNextDeparturesAt || !departures.HasNews()) {
     return;
   }
-  const auto news = departures.TakeNews();
+  const auto news = departures.TakeNews(aNow);
   if (!news.empty()) {
     mNextDeparturesAt = aNow + DepartureNews::kInterval;
     rapidjson::StringBuffer buf;
--- a/tests/introspective/DepartureNewsTests.cpp
+++ b/tests/introspective/DepartureNewsTests.cpp
@@ -151,7 +151,7 @@
   {
     for (std::size_t host = 0; host < mTables.size(); ++host) {
       const auto load = mTables[host].OwnLoad();
-      const auto news = mNews[host].TakeNews();
+      const auto news = mNews[host].TakeNews(At(aMs));
       for (std::size_t n = 0; n < LoadBroadcaster::kMaxReceivers; ++n) {
         const std::size_t to = PickHost();
         if (to == host || std::uniform_real_distribution<double>()(mRandom) <
@@ -230,7 +230,8 @@
     CPPUNIT_ASSERT(news.Add({ "t", "1", {}, {} }, true, At(0)));
     CPPUNIT_ASSERT(!news.Add({ "t", "1", {}, {} }, true, At(10)));
     CPPUNIT_ASSERT(news.Add({ "t", "2", {}, {} }, true, At(20)));
-    CPPUNIT_ASSERT_EQUAL(std::string("2"), news.TakeNews().at(0).mIncarnation);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         news.TakeNews(At(30)).at(0).mIncarnation);
   }
 
   // Guards against hosts that know of a departure never using the target that
@@ -240,10 +241,11 @@
     DepartureNews news;
     news.Add({ "t", "1", {}, {} }, true, At(0));
     while (news.HasNews()) {
-      news.TakeNews();
+      news.TakeNews(At(5));
     }
     CPPUNIT_ASSERT(news.Add({ "t", "1", "u", "2" }, true, At(10)));
-    CPPUNIT_ASSERT_EQUAL(std::string("u"), news.TakeNews().at(0).mSuccessor);
+    CPPUNIT_ASSERT_EQUAL(std::string("u"),
+                         news.TakeNews(At(15)).at(0).mSuccessor);
     // A late message without the successor changes nothing.
     CPPUNIT_ASSERT(!news.Add({ "t", "1", {}, {} }, true, At(20)));
   }
@@ -253,14 +255,14 @@
   {
     DepartureNews alone;
     alone.Add({ "t", "1", {}, {} }, true, At(0));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.TakeNews().size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.TakeNews().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.TakeNews(At(10)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), alone.TakeNews(At(10)).size());
     CPPUNIT_ASSERT(!alone.HasNews());
     DepartureNews told;
     for (int n = 0; n < 3; ++n) {
       told.Add({ "t", "1", {}, {} }, true, At(n));
     }
-    CPPUNIT_ASSERT(told.TakeNews().empty());
+    CPPUNIT_ASSERT(told.TakeNews(At(10)).empty());
     DepartureNews few;
     few.Add({ "t", "1", {}, {} }, false, At(0));
     CPPUNIT_ASSERT(!few.HasNews());
@@ -274,7 +276,8 @@
     for (int n = 0; n < 100000; ++n) {
       news.Add({ NameOf(n), "1", {}, {} }, true, At(n));
       if (n % 100 == 0) {
-        CPPUNIT_ASSERT(news.TakeNews().size() <= DepartureNews::kMaxInMessage);
+        CPPUNIT_ASSERT(news.TakeNews(At(n)).size() <=
+                       DepartureNews::kMaxInMessage);
       }
     }
     CPPUNIT_ASSERT(news.Size() <= DepartureNews::kMaxEntries);
