Ask no host what it reaches once it counts as forgotten

What callers would see: a cut noticed later, as some of the four asks go to hosts that are long gone.

Cause: a host silent for 30 s was forgotten only when a new host was heard.

--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -268,7 +268,7 @@
     ReachAsk ask;
     ask.mService = it.first;
     ask.mId = mNextAsk++;
-    ask.mHosts = ChooseHostsToAsk(it.first);
+    ask.mHosts = ChooseHostsToAsk(it.first, aNow);
     for (const auto& target : service.mTargets) {
       if (service.mState == ReachState::CutOff ||
           IsFailing(target.second, aNow)) {
@@ -618,11 +618,13 @@
 
 // Chooses random hosts, first among those that may reach the service.
 std::vector<std::string>
-TargetReach::ChooseHostsToAsk(const std::string& aService)
+TargetReach::ChooseHostsToAsk(const std::string& aService, Time aNow)
 {
   std::set<std::string> names = mKnownHosts;
   for (const auto& it : mHosts) {
-    names.insert(it.first);
+    if (aNow - it.second.mHeardAt < kHostLifetime) {
+      names.insert(it.first);
+    }
   }
   std::vector<std::string> hosts(names.begin(), names.end());
   std::shuffle(hosts.begin(), hosts.end(), mRandom);
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -303,7 +303,8 @@
   static ReachEvidence Evidence(const Service& aService, Time aNow);
   int NeededFailures(const Service& aService) const;
   int NeededContradictions(const Service& aService) const;
-  std::vector<std::string> ChooseHostsToAsk(const std::string& aService);
+  std::vector<std::string> ChooseHostsToAsk(const std::string& aService,
+                                            Time aNow);
   static std::vector<std::string> TargetsToVerify(const Service& aService,
                                                   Time aNow);
   void OnFailure(const std::string& aService, Contact& aContact, Time aNow);
