Let the suspicion of a cut end by time where it is used

What callers would see: on a host that is late, requests passed on by a suspicion that should have been dropped already.

Cause: IsSuspected() ignored the time and left the end to a timer. It now compares with the time at which the timer would drop the suspicion.

--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -188,9 +188,16 @@
 }
 
 bool
-TargetReach::IsSuspected(const std::string& aService, Time) const
+TargetReach::IsSuspected(const std::string& aService, Time aNow) const
 {
-  return StateOf(aService) != ReachState::Reached;
+  const auto it = mServices.find(aService);
+  if (it == mServices.end()) {
+    return false;
+  }
+  const Service& service = it->second;
+  return service.mState == ReachState::CutOff ||
+         (service.mState == ReachState::Suspected &&
+          aNow < SuspicionEnd(service, Evidence(service, aNow)));
 }
 
 ReachState
@@ -708,18 +715,25 @@
     SetState(aName, aService, ReachState::Reached, aNow);
     return;
   }
-  // Contradictions come one after the other.
-  const Duration more =
-    evidence.mContradicted > 0 ? kSuspicionTime : Duration::zero();
   const std::size_t agreeing =
     std::min(kAgreeingHosts, std::max<std::size_t>(1, mKnownHosts.size()));
-  if (aNow >= aService.mDecideAt + more ||
+  if (aNow >= SuspicionEnd(aService, evidence) ||
       aService.mAgreeing.size() >= agreeing) {
     aService.mDroppedUntil = aNow + kDroppedTime;
     SetState(aName, aService, ReachState::Reached, aNow);
   }
 }
 
+// When a suspicion is dropped unless it is confirmed. Contradictions come one
+// after the other.
+Time
+TargetReach::SuspicionEnd(const Service& aService,
+                          const ReachEvidence& aEvidence)
+{
+  return aEvidence.mContradicted > 0 ? aService.mDecideAt + kSuspicionTime
+                                     : aService.mDecideAt;
+}
+
 void
 TargetReach::SetState(const std::string& aName,
                       Service& aService,
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -301,6 +301,8 @@
   static Time LastFailureOf(const Contact& aContact);
   static bool IsContradicted(const Contact& aContact, Time aNow);
   static ReachEvidence Evidence(const Service& aService, Time aNow);
+  static Time SuspicionEnd(const Service& aService,
+                           const ReachEvidence& aEvidence);
   int NeededFailures(const Service& aService) const;
   int NeededContradictions(const Service& aService) const;
   std::vector<std::string> ChooseHostsToAsk(const std::string& aService,
