Remove the own row also when the store's version was told for it

The answer to a write may have the version of the whole store, which is newer than the row's: a host that stops then took its own row for another process's and left it. A row that is older than what the host was told, and has its value, is its own. StoreWatchTests::AHostToldALaterVersionOfTheStoreRemovesItsRow fails before and passes after.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -484,8 +484,7 @@
 }
 
 // Whether the row to remove is gone or another process's, by the reply to a
-// removal whose condition did not hold. Otherwise adopts the row's version if
-// the row has this process's value and its version was not known.
+// removal whose condition did not hold. Otherwise adopts the row's version.
 bool
 StoreWatch::IsRemovalObsolete(const std::string& aBody)
 {
@@ -501,7 +500,9 @@
   if (row == rows->mRows.end()) {
     return true;
   }
-  if (mOwnRowVersion == 0 && row->mValue == mOwnRow) {
+  // The version in the reply to a write may be that of the whole store.
+  const bool mayBeOwn = mOwnRowVersion == 0 || row->mVersion < mOwnRowVersion;
+  if (mayBeOwn && row->mValue == mOwnRow) {
     mOwnRowVersion = row->mVersion;
     return false;
   }
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -112,6 +112,8 @@
   Performance mPerformance = Performance::AtOnce;
   // Whether the store removes the row as soon as it is written.
   bool mLosesRow = false;
+  // Transactions of others between a write and its answer.
+  int mOtherWrites = 0;
   // Version of the row, 0 if there is none.
   std::int64_t mRowVersion = 0;
   // In base64.
@@ -178,6 +180,7 @@
       mRowValue = json["Put"][0]["Value"].GetString();
       PutRow();
       ++mWrites;
+      mVersion += mOtherWrites;
     } else {
       RemoveRow();
     }
@@ -250,6 +253,7 @@
   CPPUNIT_TEST(ARepeatedRemovalLeavesTheRowOfTheNextProcess);
   CPPUNIT_TEST(ARemovalOfUnknownVersionLeavesTheRowOfAnotherAddress);
   CPPUNIT_TEST(AStoppingHostRemovesItsRow);
+  CPPUNIT_TEST(AHostToldALaterVersionOfTheStoreRemovesItsRow);
   CPPUNIT_TEST(ARemovalWhoseAnswerWasLostIsNotRepeatedForEver);
   CPPUNIT_TEST(AHostThatDoesNotKnowItsVersionRemovesItsRow);
   CPPUNIT_TEST(ARunningHostWritesItsRowAgainIfItIsRemoved);
@@ -322,6 +326,18 @@
     CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
   }
 
+  // Guards against a row that stays for good as the answer to its writing had
+  // the version of the whole store.
+  void AHostToldALaterVersionOfTheStoreRemovesItsRow()
+  {
+    RegisteredHost host;
+    host.mOtherWrites = 3;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.BeginStop();
+    CPPUNIT_ASSERT(host.RunUntil([&] { return host.mRowVersion == 0; }));
+  }
+
   // Guards against a removal that is repeated although it was performed.
   void ARemovalWhoseAnswerWasLostIsNotRepeatedForEver()
   {
