--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -382,7 +382,9 @@
     }
     const Time heardAt = contact->second.mHeardAt;
     if (IsFailing(contact->second, aNow)) {
-      answer.mFailing.push_back(it);
+      if (MayTellFailure(service->second, contact->second, aNow)) {
+        answer.mFailing.push_back(it);
+      }
     } else if (heardAt != Time() && aNow - heardAt <= kMaxToldAge) {
       answer.mHeard.emplace_back(
         it, std::chrono::duration_cast<Duration>(aNow - heardAt));
@@ -569,6 +571,27 @@
   return std::max(aContact.mConnectFailedAt, aContact.mLostAt);
 }
 
+// Whether a failing target of a service can't be due to a cut of this host, which
+// has reached another target since. Bytes on open connections show that only if
+// those to the failing target were lost.
+bool
+TargetReach::MayTellFailure(const Service& aService,
+                            const Contact& aFailing,
+                            Time aNow) const
+{
+  const bool lost = aFailing.mLostAt > aFailing.mHeardAt;
+  const Time since = LastFailureOf(aFailing) + kFailureMargin;
+  return UnreachedServices().empty() &&
+         std::any_of(aService.mTargets.begin(),
+                     aService.mTargets.end(),
+                     [&](const auto& aEntry) {
+                       const Contact& other = aEntry.second;
+                       const Time reachedAt =
+                         lost ? other.mHeardAt : other.mConnectedAt;
+                       return !IsFailing(other, aNow) && reachedAt >= since;
+                     });
+}
+
 // Whether another host has heard a target between two failures here.
 bool
 TargetReach::IsContradicted(const Contact& aContact, Time aNow)
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -87,7 +87,8 @@
   // Whether the answering host reaches the service's targets itself.
   ReachState mState;
   // Time since bytes were last received from each target that it reaches, and
-  // the targets to which its connections fail.
+  // the targets to which its connections fail while it reaches others of the
+  // service.
   std::vector<std::pair<std::string, Duration>> mHeard;
   std::vector<std::string> mFailing;
 };
@@ -299,6 +300,9 @@
   Contact* FindContact(const std::string& aService, const std::string& aTarget);
   static bool IsFailing(const Contact& aContact, Time aNow);
   static Time LastFailureOf(const Contact& aContact);
+  bool MayTellFailure(const Service& aService,
+                      const Contact& aFailing,
+                      Time aNow) const;
   static bool IsContradicted(const Contact& aContact, Time aNow);
   static ReachEvidence Evidence(const Service& aService, Time aNow);
   static Time SuspicionEnd(const Service& aService,
--- a/tests/introspective/TargetReachTests.cpp
+++ b/tests/introspective/TargetReachTests.cpp
@@ -150,6 +150,18 @@
       }));
   }
 
+  // Times that a host suspected a cut and decided that all targets have died.
+  int CountDenials(int aHost) const
+  {
+    const auto& changes = Changes(aHost);
+    return static_cast<int>(
+      std::count_if(changes.begin(), changes.end(), [](const auto& aChange) {
+        return aChange.mFrom == ReachState::Suspected &&
+               aChange.mTo == ReachState::Reached &&
+               aChange.mEvidence.mFailing == aChange.mEvidence.mTargets;
+      }));
+  }
+
   int CountAsks(int aHost) const
   {
     return mHosts[static_cast<std::size_t>(aHost)]->mAsks;
@@ -397,6 +409,8 @@
   CPPUNIT_TEST(SilentTargetsAreNotACut);
   CPPUNIT_TEST(AHostWithoutOthersSuspectsNothing);
   CPPUNIT_TEST(HostsThatAreAllCutOffDoNotConfirmEachOther);
+  CPPUNIT_TEST(HostsThatAreCutOffAtOnceDoNotAgreeThatTargetsDied);
+  CPPUNIT_TEST(AHostNamesFailingTargetsOnlyIfItReachesOthers);
   CPPUNIT_TEST(AHostThatReachesHalfOfTheTargetsUsesThem);
   CPPUNIT_TEST(ACutEndsWhenTargetsAcceptConnections);
   CPPUNIT_TEST(ACutDoesNotEndBefore);
@@ -552,6 +566,61 @@
     }
   }
 
+  // Guards against hosts that are cut off at once from a service of few targets
+  // confirming each other that these have died, so that sound requests are held
+  // for the cause. A third of the hosts still reach the service.
+  void HostsThatAreCutOffAtOnceDoNotAgreeThatTargetsDied()
+  {
+    for (const Link link : { Link::Hang, Link::Reset, Link::OldOnly }) {
+      for (unsigned seed = 1; seed <= 100; ++seed) {
+        ReachSimulation fleet(6, 2, seed);
+        fleet.SetRequestPeriod(20);
+        fleet.Run(300);
+        for (int n = 0; n < 4; ++n) {
+          fleet.SetLinks(n, link);
+        }
+        fleet.Run(2000);
+        for (int n = 0; n < 4; ++n) {
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "cuts denied by " + HostName(n) + ", link " +
+              std::to_string(static_cast<int>(link)) + ", seed " +
+              std::to_string(seed),
+            0,
+            fleet.CountDenials(n));
+        }
+      }
+    }
+  }
+
+  // What a host says of a failing target counts as proof that it has died, so
+  // the host must know that it is not cut off itself.
+  void AHostNamesFailingTargetsOnlyIfItReachesOthers()
+  {
+    TargetReach reach;
+    reach.Declare({ { kService, { "a", "b", "c" } }, { "other", { "d" } } });
+    reach.SetHosts({ "other" });
+    const auto named = [&](const std::string& aTarget, int aNow) {
+      return reach.Answer(kService, 1, { aTarget }, At(aNow)).mFailing.size();
+    };
+    reach.OnReached(kService, "b", At(0));
+    reach.OnConnectionLost(kService, "a", At(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, named("a", 20));
+    // Bytes may arrive for a moment after a cut.
+    reach.OnReached(kService, "b", At(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, named("a", 35));
+    reach.OnReached("other", "d", At(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, named("a", 55));
+    reach.OnReached(kService, "b", At(60));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, named("a", 65));
+
+    // Open connections may live on while new ones are refused.
+    reach.OnNotReached(kService, "c", At(5000));
+    reach.OnReached(kService, "b", At(5100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, named("c", 5105));
+    reach.OnConnected(kService, "b", At(5110));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, named("c", 5115));
+  }
+
   void AHostThatReachesHalfOfTheTargetsUsesThem()
   {
     ReachSimulation fleet(6, 36);
