--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -92,7 +92,9 @@
     return std::nullopt;
   }
   mQuery.mIsRetry = true;
+  mQuery.mIsBeside = true;
   const Choice choice = mChooser.Choose(mQuery, aNow);
+  mQuery.mIsBeside = false;
   if (choice.mStatus != ChoiceStatus::Chosen) {
     mChooser.CancelWait(mQuery);
     return std::nullopt;
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -211,6 +211,12 @@
   return !mOptions.mTrials && evidence.mCounted >= kMinDeathsToRefuseContested;
 }
 
+bool
+SuspectRegistry::HasDeaths(const RequestContent& aContent, Time aNow) const
+{
+  return Weigh(aContent, aNow - mOptions.mSettleTime, aNow).mCounted > 0;
+}
+
 bool
 SuspectRegistry::IsSuspected(const RequestContent& aContent, Time aNow) const
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -136,6 +136,10 @@
   // Whether a request is to be refused.
   bool IsRefused(const RequestContent& aContent, Time aNow) const;
 
+  // Whether a death counts against a request that is old enough for the others'
+  // evidence to be there.
+  bool HasDeaths(const RequestContent& aContent, Time aNow) const;
+
   // Whether a lost run is known of the content or of a part of a request.
   bool IsSuspected(const RequestContent& aContent, Time aNow) const;
 
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -68,6 +68,8 @@
   // Whether the attempt is a retry, that is, the request has been sent to a
   // target before.
   bool mIsRetry = false;
+  // Whether another attempt of the request may still run, at a silent target.
+  bool mIsBeside = false;
   // Whether another host has counted the request's first attempt, which it
   // could not send.
   bool mIsCounted = false;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -174,7 +174,7 @@
   DropExpiredLosses(aNow);
   Choice choice;
   const SuspectVerdict verdict = JudgeSuspect(aQuery, aNow);
-  if (const auto status = WhyNotSend(aQuery, verdict)) {
+  if (const auto status = WhyNotSend(aQuery, verdict, aNow)) {
     CancelWait(aQuery);
     choice.mStatus = *status;
     return choice;
@@ -277,7 +277,8 @@
 // Why a request must not be sent to any target now; nothing if it may be.
 std::optional<ChoiceStatus>
 TargetTable::WhyNotSend(const ChoiceQuery& aQuery,
-                        SuspectVerdict aVerdict) const
+                        SuspectVerdict aVerdict,
+                        Time aNow) const
 {
   if (aVerdict == SuspectVerdict::Refused) {
     return ChoiceStatus::Poison;
@@ -285,7 +286,10 @@
   if (IsVersionGone(aQuery)) {
     return ChoiceStatus::VersionGone;
   }
-  return aVerdict == SuspectVerdict::Unsettled
+  // A request that has ended a target may be why the next one is silent.
+  const bool awaitsSilentTarget =
+    aQuery.mIsBeside && mSuspects.HasDeaths(aQuery.mContent, aNow);
+  return aVerdict == SuspectVerdict::Unsettled || awaitsSilentTarget
            ? std::make_optional(ChoiceStatus::Undecided)
            : std::nullopt;
 }
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -545,7 +545,8 @@
   int CountPendingLosses(const ChoiceQuery& aQuery, Time aNow) const;
   SuspectVerdict JudgeSuspect(const ChoiceQuery& aQuery, Time aNow) const;
   std::optional<ChoiceStatus> WhyNotSend(const ChoiceQuery& aQuery,
-                                         SuspectVerdict aVerdict) const;
+                                         SuspectVerdict aVerdict,
+                                         Time aNow) const;
   Choice ChooseForTrial(std::vector<Target*>& aUsable,
                         const ChoiceQuery& aQuery,
                         Time aNow);
--- a/tests/introspective/SilentCrashTests.cpp
+++ b/tests/introspective/SilentCrashTests.cpp
@@ -1,8 +1,10 @@
+#include "core/PlainCall.h"
 #include "core/SuspectRegistry.h"
 #include "core/TargetTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace quetzalquay;
@@ -93,6 +95,8 @@
   CPPUNIT_TEST(APartServedSinceIsNotSuspectedLater);
   CPPUNIT_TEST(ASilentPlaceIsOneFailure);
   CPPUNIT_TEST(ATrialAtASilentTargetWaitsForItsEntry);
+  CPPUNIT_TEST(ACallThatHasEndedATargetIsNotSentBesideASilentOne);
+  CPPUNIT_TEST(ACallLostInACommonFailureIsSentBesideASilentTarget);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -313,6 +317,52 @@
     CPPUNIT_ASSERT(table.FindTrial(kCrashing)->mOutcome ==
                    AttemptOutcome::Released);
   }
+
+  // Guards against a crashing call taking as many targets into the dark as its
+  // attempts allow, one beside the other, after its first death is known.
+  void ACallThatHasEndedATargetIsNotSentBesideASilentOne()
+  {
+    TargetTable table = MakeTable({ "t0", "t1", "t2", "t3" });
+    GiveUp(table, "t0");
+    PlainCall call = MakeCall(table);
+    CPPUNIT_ASSERT(std::holds_alternative<TryTarget>(call.Start(At(4000))));
+    const auto beside = call.OnSilence(At(4300));
+    CPPUNIT_ASSERT(beside);
+    call.OnOtherAttemptEnded(PlainResult::Broken);
+    table.OnRefused("t0", At(4400));
+    CPPUNIT_ASSERT_EQUAL(1, LostRuns(table, kCrashing, 4400));
+    CPPUNIT_ASSERT(!call.OnSilence(At(4600)));
+    // Its own target was lost meanwhile, so that it does not wait for it.
+    CPPUNIT_ASSERT(std::holds_alternative<TryTarget>(
+      call.OnResult(PlainResult::Broken, At(4700))));
+  }
+
+  // Guards against letting a sound call wait for a silent target because its
+  // first one failed together with others.
+  void ACallLostInACommonFailureIsSentBesideASilentTarget()
+  {
+    TargetTable table = MakeTable({ "t0", "t1", "t2", "t3", "t4" });
+    for (int n = 0; n < 3; ++n) {
+      GiveUp(table,
+             "t" + std::to_string(n),
+             n == 0 ? kCrashing : kOther + static_cast<std::uint64_t>(n));
+    }
+    Declare(table, { "t3", "t4" }, 4600);
+    CPPUNIT_ASSERT_EQUAL(1, LostRuns(table, kCrashing, 4600));
+    PlainCall call = MakeCall(table);
+    CPPUNIT_ASSERT(std::holds_alternative<TryTarget>(call.Start(At(6000))));
+    CPPUNIT_ASSERT(call.OnSilence(At(6300)));
+  }
+
+private:
+  static PlainCall MakeCall(TargetTable& aTable)
+  {
+    ChoiceQuery query;
+    query.mService = "s";
+    query.mRequestId = "a";
+    query.mContent = kCrashing;
+    return PlainCall(query, true, At(20000), aTable, 4);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentCrashTests);
