--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -25,6 +25,9 @@
 // however little memory is left. Usual heads are smaller.
 constexpr std::size_t kAlwaysHeldBytes = 4096;
 
+// Memory that a request takes while it is handled, besides its own bytes.
+constexpr std::size_t kExchangeBytes = 8192;
+
 // Retry-After of the 503 sent while the configuration or the targets are
 // unknown, or the host is stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -426,6 +429,12 @@
     Reject(503, FailureCode::Stopping, "the host is shutting down");
     return std::nullopt;
   }
+  if (!mHeldRequest.Resize(std::max(aBody.capacity(), mRequestBytes) +
+                             kExchangeBytes,
+                           0)) {
+    Reject(503, FailureCode::Overloaded, "the memory for requests is used up");
+    return std::nullopt;
+  }
   const RefPtr<RoutingTable> routing = ChooseRouting();
   if (mPassedOn.mConfiguration > routing->mVersion) {
     Reject(503,
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BytesBehindRunningRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST(BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory);
   CPPUNIT_TEST(ManyBodiesLeaveTheHostItsMemory);
+  CPPUNIT_TEST(ManyRunningRequestsLeaveTheHostItsMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -178,6 +179,17 @@
                         true);
   }
 
+  // Guards against a host that ends because the requests that it runs are not
+  // counted in its memory.
+  void ManyRunningRequestsLeaveTheHostItsMemory()
+  {
+    ExpectServiceBeside(2800,
+                        GatewayTestCluster::Request("/unsafe/", "running") +
+                          std::string(40000, 'x'),
+                        RunnerMode::NeverAnswer,
+                        true);
+  }
+
 private:
   // Sends the same bytes on many connections to a host with little memory,
   // which may stand still meanwhile, and expects that another request is
