--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kRoomInterval = std::chrono::milliseconds(2);
 constexpr Duration kMaxRoomWait = std::chrono::milliseconds(300);
 
+// Time for which a call that has ended targets stays with a silent one alone.
+// Sound targets pause for shorter.
+constexpr Duration kSuspectHoldTime = std::chrono::milliseconds(1500);
+
 constexpr Duration kRetryAfter = std::chrono::milliseconds(1000);
 
 // Retry-After of a call suspected of crashing targets.
@@ -91,8 +95,11 @@
   if (!mIdempotent || aNow >= mDeadline || !HasAttemptsLeft(mRuns + 1)) {
     return std::nullopt;
   }
+  if (!mHoldUntil) {
+    mHoldUntil = aNow + kSuspectHoldTime;
+  }
   mQuery.mIsRetry = true;
-  mQuery.mIsBeside = true;
+  mQuery.mIsBeside = aNow < *mHoldUntil;
   const Choice choice = mChooser.Choose(mQuery, aNow);
   mQuery.mIsBeside = false;
   if (choice.mStatus != ChoiceStatus::Chosen) {
@@ -203,6 +210,7 @@
 PlainCall::StartAttempt(const Choice& aChoice)
 {
   ++mAttempt;
+  mHoldUntil.reset();
   mQuery.mExcluded.push_back(aChoice.mTarget);
   TryTarget step;
   step.mAttempt = mAttempt;
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -121,6 +121,9 @@
   bool mMayHaveStarted = false;
   // Until when the call waits for a verdict; nothing while it needs none.
   std::optional<Time> mVerdictDeadline;
+  // Until when the silent targets of the attempts in progress are left alone if
+  // the call has ended others.
+  std::optional<Time> mHoldUntil;
   // Until when the call waits for room at brittle targets.
   std::optional<Time> mRoomDeadline;
 };
