--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -28,6 +28,11 @@
 // Memory that a request takes while it is handled, besides its own bytes.
 constexpr std::size_t kExchangeBytes = 8192;
 
+// Parts of the memory for requests and answers that requests may take so: in
+// any case, and while it is not used up.
+constexpr std::size_t kReservedExchangeDivisor = 8;
+constexpr std::size_t kExchangeDivisor = 2;
+
 // Retry-After of the 503 sent while the configuration or the targets are
 // unknown, or the host is stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -240,7 +245,7 @@
 {
   const AnswerBuffers& buffers = mServer.mContext.mAnswerBuffers;
   const std::size_t share = buffers.Limit() / 2;
-  return share - std::min(buffers.Total(), share);
+  return share - std::min(buffers.Total() + mServer.BytesOfExchanges(), share);
 }
 
 void
@@ -342,6 +347,10 @@
   if (!call) {
     return;
   }
+  if (!mServer.HasMemoryForExchange()) {
+    Reject(503, FailureCode::Overloaded, "the memory for requests is used up");
+    return;
+  }
   ++mServer.mExchangeCount;
   mServer.mHostExchangeCount += mKind == CallerKind::Host ? 1 : 0;
   const Time now = EventLoop::Now();
@@ -429,12 +438,6 @@
     Reject(503, FailureCode::Stopping, "the host is shutting down");
     return std::nullopt;
   }
-  if (!mHeldRequest.Resize(std::max(aBody.capacity(), mRequestBytes) +
-                             kExchangeBytes,
-                           0)) {
-    Reject(503, FailureCode::Overloaded, "the memory for requests is used up");
-    return std::nullopt;
-  }
   const RefPtr<RoutingTable> routing = ChooseRouting();
   if (mPassedOn.mConfiguration > routing->mVersion) {
     Reject(503,
@@ -747,6 +750,7 @@
 {
   ReleaseExchange();
   mHandlingRequest = false;
+  mHeldRequest.Resize(0);
   EndConnection(ConnectionEnd::BrokenOff);
 }
 
@@ -922,6 +926,23 @@
            limit;
 }
 
+std::size_t
+CallerServer::BytesOfExchanges() const
+{
+  return static_cast<std::size_t>(mExchangeCount) * kExchangeBytes;
+}
+
+bool
+CallerServer::HasMemoryForExchange() const
+{
+  const AnswerBuffers& buffers = mContext.mAnswerBuffers;
+  const std::size_t limit = buffers.Limit();
+  const std::size_t bytes = BytesOfExchanges() + kExchangeBytes;
+  return bytes <= limit / kReservedExchangeDivisor ||
+         (bytes <= limit / kExchangeDivisor &&
+          bytes + buffers.Total() <= limit);
+}
+
 std::optional<std::string>
 CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -189,6 +189,11 @@
   void Accept(boost::asio::ip::tcp::socket aSocket, CallerKind aKind);
   bool IsFull() const;
 
+  // Memory that the requests in progress take besides their own bytes, and
+  // whether there is enough for another one.
+  std::size_t BytesOfExchanges() const;
+  bool HasMemoryForExchange() const;
+
   GatewayContext& mContext;
   int mMaxConnections;
   std::set<RefPtr<CallerConnection>> mConnections;
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -16,6 +16,12 @@
 constexpr int kSmallHostMb = 88;
 constexpr int kReservedMb = 35;
 
+// Memory of a host that runs few requests together, in MB, how many it has to
+// run, and the time that their callers give them.
+constexpr int kTinyHostMb = 25;
+constexpr std::size_t kRunningOnTinyHost = 500;
+constexpr int kRunningDeadlineMs = 60000;
+
 // Receive buffer of a caller that leaves most of an answer unread.
 constexpr int kReceiveBytes = 8192;
 
@@ -35,6 +41,7 @@
   CPPUNIT_TEST(BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory);
   CPPUNIT_TEST(ManyBodiesLeaveTheHostItsMemory);
   CPPUNIT_TEST(ManyRunningRequestsLeaveTheHostItsMemory);
+  CPPUNIT_TEST(RequestsBeyondTheMemoryAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +197,46 @@
                         true);
   }
 
+  // Guards against running more requests than there is memory for, and against
+  // giving up the answers to others because of them.
+  void RequestsBeyondTheMemoryAreRefused()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kTinyHostMb + kReservedMb;
+    GatewayTestCluster cluster(options);
+    cluster.SetAllModes(RunnerMode::NeverAnswer);
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < 1300; ++n) {
+      channels.push_back(std::make_unique<CallerChannel>(cluster.Gateway()));
+      channels.back()->Send(GatewayTestCluster::Request(
+        "/unsafe/", "running", "", "body", kRunningDeadlineMs));
+    }
+    std::size_t running = 0;
+    for (std::size_t before = 1; running == 0 || before != running;) {
+      before = running;
+      std::this_thread::sleep_for(milliseconds(1000));
+      running = cluster.Requests().size();
+    }
+    CPPUNIT_ASSERT(running >= kRunningOnTinyHost);
+
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    cluster.SetLargeAnswer(200000);
+    const CallerAnswer refused =
+      cluster.Call(GatewayTestCluster::Request("/unsafe/", "refused"));
+    CPPUNIT_ASSERT_EQUAL(503, refused.mHead.mStatus);
+    CPPUNIT_ASSERT(refused.mBody.find("memory") != std::string::npos);
+    CPPUNIT_ASSERT(refused.mBody.find("not_run") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(running, cluster.Requests().size());
+    channels.erase(channels.begin());
+    CallerAnswer other;
+    for (int n = 0; n < 50 && other.mHead.mStatus != 200; ++n) {
+      std::this_thread::sleep_for(milliseconds(100));
+      other = cluster.Call(GatewayTestCluster::Request("/unsafe/", "other"));
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      other.mBody.substr(0, 200), std::size_t{ 200000 }, other.mBody.size());
+  }
+
 private:
   // Sends the same bytes on many connections to a host with little memory,
   // which may stand still meanwhile, and expects that another request is
