--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -20,6 +20,7 @@
 #include "gateway/SuspectWriter.h"
 #include "gateway/TargetConnection.h"
 #include "gateway/WaitWatch.h"
+#include "http/JsonText.h"
 #include "observe/Log.h"
 #include "platform/PlatformRequests.h"
 
@@ -69,26 +70,27 @@
     , mMetrics(mSettings.mHost)
     , mRetryLog(mMetrics)
     , mFormats(mMetrics)
+    , mReplies(ReplyBufferLimit(UsableMemory()))
     , mFleet(mLoop, mSettings)
     , mTargets(mFleet)
     , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
     , mPool(mLoop, mTargets, mAnswerBuffers, mMetrics)
     , mProber(mLoop, mFleet, mPool)
-    , mOriginStore(mLoop, mSettings, mFleet, mMetrics)
+    , mOriginStore(mLoop, mSettings, mFleet, mMetrics, mReplies)
     , mLimits(mFleet, mMetrics)
     , mLeaving(mFleet, mMetrics)
     , mWaits(mFleet, mMetrics)
     , mHosts(mFleet, mSettings.mRelayPort)
     , mHostPool(mLoop, mHosts, mAnswerBuffers, mMetrics)
-    , mHostChecks(mLoop, mHosts)
+    , mHostChecks(mLoop, mHosts, mReplies)
     , mContext{ mLoop,           mFleet,    mOriginStore,   mPool,  mProber,
                 mMetrics,        mLimits,   mAnswerBuffers, mPaces, mNumberings,
                 mSettings.mHost, mHostPool, mHostChecks }
     , mCallers(mContext, mSettings.mMaxConnections)
-    , mStore(mLoop, mSettings, mFleet)
-    , mSuspectWriter(mLoop, mSettings, mFleet)
-    , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics)
-    , mPeers(mLoop, mSettings, mFleet, mStore)
+    , mStore(mLoop, mSettings, mFleet, mReplies)
+    , mSuspectWriter(mLoop, mSettings, mFleet, mReplies)
+    , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics, mReplies)
+    , mPeers(mLoop, mSettings, mFleet, mStore, mReplies)
     , mLoadSender(mLoop, mSettings, mFleet, mLimits, mFormats)
     , mReach(mLoop, mFleet, mProber, mLoadSender, mMetrics)
     , mReadinessServer(mLoop,
@@ -101,6 +103,26 @@
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopTimer(mLoop, [this] { CheckStop(); })
   {
+    LimitJsonMemory(
+      JsonMemoryLimit(UsableMemory()), [this](std::size_t aBytes) {
+        mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
+        Log(LogLevel::Warn,
+            "store",
+            "gave up a text that needs too much memory once parsed",
+            { { "bytes", std::to_string(aBytes) } });
+      });
+    mReplies.SetGivenUpCallback(
+      [this](ReplyKind aKind, const std::string& aServer, std::size_t aBytes) {
+        mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
+        Log(LogLevel::Warn,
+            "store",
+            "gave up a reply that needs too much memory",
+            { { "kind", NameOf(aKind) },
+              { "server", aServer },
+              { "bytes", std::to_string(aBytes) },
+              { "all_replies", std::to_string(mReplies.Total()) },
+              { "limit", std::to_string(mReplies.Limit()) } });
+      });
     mFleet.SetUnreadableCallback(
       [this](const std::string& aHost, const std::string& aKind) {
         mFormats.OnUnreadable(aHost, aKind);
@@ -342,6 +364,7 @@
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
   FormatLog mFormats;
+  ReplyBuffers mReplies;
   Fleet mFleet;
   TargetDirectory mTargets;
   AnswerBuffers mAnswerBuffers;
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -110,6 +110,9 @@
     "Hosts that were lost with a request that was passed on to them" },
   { "quetzal_replies_too_large_total",
     "Replies to the host's own questions that were given up for their size" },
+  { "quetzal_platform_replies_too_large_total",
+    "Replies of the store and of other hosts, and texts in them, that were "
+    "given up as they need too much memory" },
   { "quetzal_records_unreadable_total",
     "Records that other hosts have sent or stored and that cannot be read" },
 } };
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -64,6 +64,7 @@
   PassingOnFailed,
   PassingOnLost,
   RepliesTooLarge,
+  PlatformRepliesTooLarge,
   UnreadableRecords,
   Last,
 };
--- a/src/quetzalquay/gateway/HostChecks.cpp
+++ b/src/quetzalquay/gateway/HostChecks.cpp
@@ -13,9 +13,12 @@
 
 } // namespace
 
-HostChecks::HostChecks(EventLoop& aLoop, HostDirectory& aHosts)
+HostChecks::HostChecks(EventLoop& aLoop,
+                       HostDirectory& aHosts,
+                       ReplyBuffers& aReplies)
   : mLoop(aLoop)
   , mHosts(aHosts)
+  , mReplies(aReplies)
 {
 }
 
@@ -34,7 +37,8 @@
   }
   if (check.mClient == nullptr || check.mEndpoint != location->mEndpoint) {
     check.mEndpoint = location->mEndpoint;
-    check.mClient = std::make_unique<AsyncHttpClient>(mLoop, check.mEndpoint);
+    check.mClient = std::make_unique<AsyncHttpClient>(
+      mLoop, check.mEndpoint, mReplies, ReplyKind::HostCheck);
   }
   check.mClient->Call(
     std::string("GET ") + kHostCheckPath +
--- a/src/quetzalquay/gateway/HostChecks.h
+++ b/src/quetzalquay/gateway/HostChecks.h
@@ -17,7 +17,7 @@
 class HostChecks
 {
 public:
-  HostChecks(EventLoop& aLoop, HostDirectory& aHosts);
+  HostChecks(EventLoop& aLoop, HostDirectory& aHosts, ReplyBuffers& aReplies);
 
   // Receives whether the host has answered.
   using Callback = std::function<void(bool)>;
@@ -38,6 +38,7 @@
 
   EventLoop& mLoop;
   HostDirectory& mHosts;
+  ReplyBuffers& mReplies;
   std::map<std::string, PendingCheck> mChecks;
 };
 
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -171,11 +171,13 @@
 PeerLink::PeerLink(EventLoop& aLoop,
                    const GatewaySettings& aSettings,
                    Fleet& aFleet,
-                   StoreWatch& aStore)
+                   StoreWatch& aStore,
+                   ReplyBuffers& aReplies)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mFleet(aFleet)
   , mStore(aStore)
+  , mReplies(aReplies)
   , mServer(aLoop,
             [this](const HttpHead& aHead, const std::string&) {
               return HandleRequest(aHead);
@@ -322,7 +324,8 @@
       break;
     }
     if (mPeerClients[slot] == nullptr || mPeerEndpoints[slot] != it) {
-      mPeerClients[slot] = std::make_unique<AsyncHttpClient>(mLoop, it);
+      mPeerClients[slot] = std::make_unique<AsyncHttpClient>(
+        mLoop, it, mReplies, ReplyKind::HostTables);
       mPeerEndpoints[slot] = it;
     }
     const std::string peer = FormatEndpoint(it);
@@ -356,7 +359,8 @@
     return;
   }
   if (mReaderClient == nullptr || mReaderEndpoint != *endpoint) {
-    mReaderClient = std::make_unique<AsyncHttpClient>(mLoop, *endpoint);
+    mReaderClient = std::make_unique<AsyncHttpClient>(
+      mLoop, *endpoint, mReplies, ReplyKind::HostTables);
     mReaderEndpoint = *endpoint;
   }
   if (mReaderClient->IsBusy()) {
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -36,7 +36,8 @@
   PeerLink(EventLoop& aLoop,
            const GatewaySettings& aSettings,
            Fleet& aFleet,
-           StoreWatch& aStore);
+           StoreWatch& aStore,
+           ReplyBuffers& aReplies);
 
   // Starts to serve and to query peers; returns the reason on failure.
   std::optional<std::string> Start();
@@ -71,6 +72,7 @@
   GatewaySettings mSettings;
   Fleet& mFleet;
   StoreWatch& mStore;
+  ReplyBuffers& mReplies;
   SimpleHttpServer mServer;
   std::unique_ptr<AsyncHttpClient> mPeerClients[kFanOut];
   Endpoint mPeerEndpoints[kFanOut];
--- a/src/quetzalquay/gateway/ReplyBody.h
+++ b/src/quetzalquay/gateway/ReplyBody.h
@@ -1,7 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_REPLYBODY_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_REPLYBODY_H_INCLUDED
 
-#include "gateway/AnswerBuffers.h"
+#include "http/AnswerBuffers.h"
 
 #include <string>
 
--- a/src/quetzalquay/gateway/RowWriter.cpp
+++ b/src/quetzalquay/gateway/RowWriter.cpp
@@ -23,10 +23,13 @@
 
 } // namespace
 
-RowWriter::RowWriter(EventLoop& aLoop, const Endpoint& aStore, Options aOptions)
+RowWriter::RowWriter(EventLoop& aLoop,
+                     const Endpoint& aStore,
+                     ReplyBuffers& aReplies,
+                     Options aOptions)
   : mHostHeader(FormatEndpoint(aStore))
   , mOptions(std::move(aOptions))
-  , mHttpClient(aLoop, aStore)
+  , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Written)
   , mTimer(aLoop, [this] { Write(); })
 {
 }
--- a/src/quetzalquay/gateway/RowWriter.h
+++ b/src/quetzalquay/gateway/RowWriter.h
@@ -29,7 +29,10 @@
     std::function<void(std::size_t)> mOnWritten = [](std::size_t) {};
   };
 
-  RowWriter(EventLoop& aLoop, const Endpoint& aStore, Options aOptions);
+  RowWriter(EventLoop& aLoop,
+            const Endpoint& aStore,
+            ReplyBuffers& aReplies,
+            Options aOptions);
 
   // There are changes to collect. They are written after a short delay, so that
   // several share one transaction.
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -42,6 +42,7 @@
 
 TableWatcher::TableWatcher(EventLoop& aLoop,
                            const Endpoint& aStore,
+                           ReplyBuffers& aReplies,
                            Options aOptions,
                            OnRows aOnRows,
                            OnCallEnded aOnCallEnded)
@@ -49,8 +50,10 @@
   , mOptions(std::move(aOptions))
   , mOnRows(std::move(aOnRows))
   , mOnCallEnded(std::move(aOnCallEnded))
-  , mHttpClient(aLoop, aStore)
+  , mReplies(aReplies)
+  , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Rows)
   , mCallTimer(aLoop, [this] { StartCall(); })
+  , mHeldRows(aReplies)
 {
 }
 
@@ -95,6 +98,7 @@
   mLastCallAt = EventLoop::Now();
   if (mVersion == 0) {
     mSnapshotRows.clear();
+    mSnapshotBytes = 0;
     mMissedChangesRead = false;
     ReadPage(std::string());
   } else {
@@ -145,6 +149,14 @@
   for (const StoreRow& it : rows->mRows) {
     mSnapshotRows[it.mKey] = it;
   }
+  mSnapshotBytes += aReply->mBody.size();
+  if (!mHeldRows.Resize(mSnapshotBytes)) {
+    mSnapshotRows.clear();
+    mHeldRows.Resize(0);
+    mReplies.OnGivenUp(ReplyKind::Rows, mHostHeader, mSnapshotBytes);
+    OnCallFailed(StoreCallEnd::Rejected, "the table needs too much memory");
+    return;
+  }
   if (rows->mHasMore) {
     // Continue at the smallest key that follows the last one.
     ReadPage(mSnapshotRows.rbegin()->first + '\x01');
@@ -178,6 +190,7 @@
     return;
   }
   mVersion = mSnapshotVersion;
+  mHeldRows.Resize(0);
   std::vector<StoreRow> rows;
   for (auto& it : std::exchange(mSnapshotRows, {})) {
     rows.push_back(std::move(it.second));
@@ -302,11 +315,12 @@
 
 StoreWatch::StoreWatch(EventLoop& aLoop,
                        const GatewaySettings& aSettings,
-                       Fleet& aFleet)
+                       Fleet& aFleet,
+                       ReplyBuffers& aReplies)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mFleet(aFleet)
-  , mWriter(aLoop, aSettings.mStoreEndpoint)
+  , mWriter(aLoop, aSettings.mStoreEndpoint, aReplies, ReplyKind::Written)
   , mWriteTimer(aLoop, [this] { WriteOwnRow(); })
   , mContact(EventLoop::Now())
 {
@@ -317,6 +331,7 @@
     return std::make_unique<TableWatcher>(
       mLoop,
       mSettings.mStoreEndpoint,
+      aReplies,
       TableWatcher::Options{
         aTable,
         aLongPoll,
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -42,6 +42,7 @@
 
   TableWatcher(EventLoop& aLoop,
                const Endpoint& aStore,
+               ReplyBuffers& aReplies,
                Options aOptions,
                OnRows aOnRows,
                OnCallEnded aOnCallEnded);
@@ -88,6 +89,7 @@
   Options mOptions;
   OnRows mOnRows;
   OnCallEnded mOnCallEnded;
+  ReplyBuffers& mReplies;
   AsyncHttpClient mHttpClient;
   Timer mCallTimer;
   // Version up to which the table is known; 0 before the first complete read.
@@ -96,6 +98,9 @@
   // which they are complete up to the last key.
   std::map<std::string, platform::StoreRow> mSnapshotRows;
   std::int64_t mSnapshotVersion = 0;
+  // Bytes of the rows of earlier pages.
+  AnswerBuffer mHeldRows;
+  std::size_t mSnapshotBytes = 0;
   // Whether changes since the first page have been read.
   bool mMissedChangesRead = false;
   int mFailures = 0;
@@ -109,7 +114,10 @@
 class StoreWatch
 {
 public:
-  StoreWatch(EventLoop& aLoop, const GatewaySettings& aSettings, Fleet& aFleet);
+  StoreWatch(EventLoop& aLoop,
+             const GatewaySettings& aSettings,
+             Fleet& aFleet,
+             ReplyBuffers& aReplies);
 
   void Start();
 
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -51,11 +51,13 @@
 StreamOriginStore::StreamOriginStore(EventLoop& aLoop,
                                      const GatewaySettings& aSettings,
                                      Fleet& aFleet,
-                                     GatewayMetrics& aMetrics)
+                                     GatewayMetrics& aMetrics,
+                                     ReplyBuffers& aReplies)
   : mFleet(aFleet)
   , mMetrics(aMetrics)
   , mWriter(aLoop,
             aSettings.mStoreEndpoint,
+            aReplies,
             { platform::StoreTable::StreamOrigins,
               [this] { return TakeChanges(); },
               [this] { return WriteInterval(); },
@@ -65,6 +67,7 @@
               } })
   , mReader(aLoop,
             aSettings.mStoreEndpoint,
+            aReplies,
             platform::StoreTable::StreamOrigins)
   , mLookupTimer(aLoop, [this] { FinishLookups(EventLoop::Now(), false); })
   , mRetryTimer(aLoop, [this] { StartRead(); })
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -25,7 +25,8 @@
   StreamOriginStore(EventLoop& aLoop,
                     const GatewaySettings& aSettings,
                     Fleet& aFleet,
-                    GatewayMetrics& aMetrics);
+                    GatewayMetrics& aMetrics,
+                    ReplyBuffers& aReplies);
 
   // Reads what the store has, for a stream whose origin is not known. aDone is
   // called once, at aDeadline at the latest, and never before LookUp() returns.
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -55,12 +55,13 @@
 SuspectTrials::SuspectTrials(EventLoop& aLoop,
                              const GatewaySettings& aSettings,
                              Fleet& aFleet,
-                             GatewayMetrics& aMetrics)
+                             GatewayMetrics& aMetrics,
+                             ReplyBuffers& aReplies)
   : mHostHeader(FormatEndpoint(aSettings.mStoreEndpoint))
   , mHost(aSettings.mHost)
   , mFleet(aFleet)
   , mMetrics(aMetrics)
-  , mHttpClient(aLoop, aSettings.mStoreEndpoint)
+  , mHttpClient(aLoop, aSettings.mStoreEndpoint, aReplies, ReplyKind::Written)
   , mTimer(aLoop, [this] { Tick(); })
   , mRows(aFleet)
 {
--- a/src/quetzalquay/gateway/SuspectTrials.h
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -29,7 +29,8 @@
   SuspectTrials(EventLoop& aLoop,
                 const GatewaySettings& aSettings,
                 Fleet& aFleet,
-                GatewayMetrics& aMetrics);
+                GatewayMetrics& aMetrics,
+                ReplyBuffers& aReplies);
 
 private:
   enum class Phase
--- a/src/quetzalquay/gateway/SuspectWriter.cpp
+++ b/src/quetzalquay/gateway/SuspectWriter.cpp
@@ -26,10 +26,12 @@
 
 SuspectWriter::SuspectWriter(EventLoop& aLoop,
                              const GatewaySettings& aSettings,
-                             Fleet& aFleet)
+                             Fleet& aFleet,
+                             ReplyBuffers& aReplies)
   : mFleet(aFleet)
   , mRows(aLoop,
           aSettings.mStoreEndpoint,
+          aReplies,
           { platform::StoreTable::Suspects, [this] { return TakeChanges(); } })
   , mExpiryTimer(aLoop, [this] { RemoveExpired(); })
 {
--- a/src/quetzalquay/gateway/SuspectWriter.h
+++ b/src/quetzalquay/gateway/SuspectWriter.h
@@ -16,7 +16,8 @@
 public:
   SuspectWriter(EventLoop& aLoop,
                 const GatewaySettings& aSettings,
-                Fleet& aFleet);
+                Fleet& aFleet,
+                ReplyBuffers& aReplies);
 
 private:
   std::vector<platform::RowChange> TakeChanges();
--- a/src/quetzalquay/gateway/TableReader.cpp
+++ b/src/quetzalquay/gateway/TableReader.cpp
@@ -6,10 +6,11 @@
 
 TableReader::TableReader(EventLoop& aLoop,
                          const Endpoint& aStore,
+                         ReplyBuffers& aReplies,
                          platform::StoreTable aTable)
   : mHostHeader(FormatEndpoint(aStore))
   , mTable(aTable)
-  , mHttpClient(aLoop, aStore)
+  , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Rows)
 {
 }
 
--- a/src/quetzalquay/gateway/TableReader.h
+++ b/src/quetzalquay/gateway/TableReader.h
@@ -22,6 +22,7 @@
 
   TableReader(EventLoop& aLoop,
               const Endpoint& aStore,
+              ReplyBuffers& aReplies,
               platform::StoreTable aTable);
 
   // Starts to read. Must not be called while a read is in progress. aCallback
--- a/src/quetzalquay/gateway/AnswerBuffers.cpp
+++ b/src/quetzalquay/http/AnswerBuffers.cpp
@@ -1,4 +1,4 @@
-#include "gateway/AnswerBuffers.h"
+#include "http/AnswerBuffers.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -18,6 +18,17 @@
 constexpr std::size_t kMinLimit = 4U << 20U;
 constexpr std::size_t kMaxLimit = 256U << 20U;
 
+// The same for replies of the store and of other hosts. The limit leaves room
+// for the complete tables of a large fleet.
+constexpr std::size_t kReplyShare = 8;
+constexpr std::size_t kMinReplyLimit = 4U << 20U;
+constexpr std::size_t kMaxReplyLimit = 64U << 20U;
+
+// The same for parsed JSON, of which there is one text at a time.
+constexpr std::size_t kJsonShare = 4;
+constexpr std::size_t kMinJsonLimit = 8U << 20U;
+constexpr std::size_t kMaxJsonLimit = 512U << 20U;
+
 // Files with the memory limit of the process's control group, of both versions.
 constexpr const char* kControlGroupFiles[] = {
   "/sys/fs/cgroup/memory.max",
@@ -41,6 +52,18 @@
   return std::clamp(aMemory / kMemoryShare, kMinLimit, kMaxLimit);
 }
 
+std::size_t
+ReplyBufferLimit(std::size_t aMemory)
+{
+  return std::clamp(aMemory / kReplyShare, kMinReplyLimit, kMaxReplyLimit);
+}
+
+std::size_t
+JsonMemoryLimit(std::size_t aMemory)
+{
+  return std::clamp(aMemory / kJsonShare, kMinJsonLimit, kMaxJsonLimit);
+}
+
 std::size_t
 UsableMemory()
 {
--- a/src/quetzalquay/gateway/AnswerBuffers.h
+++ b/src/quetzalquay/http/AnswerBuffers.h
@@ -1,5 +1,5 @@
-#ifndef QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
-#define QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
+#ifndef QUETZALQUAY_HTTP_ANSWERBUFFERS_H_INCLUDED
+#define QUETZALQUAY_HTTP_ANSWERBUFFERS_H_INCLUDED
 
 #include <cstddef>
 
@@ -11,6 +11,15 @@
 std::size_t
 AnswerBufferLimit(std::size_t aMemory);
 
+// Bytes of replies of the store and of other hosts that may be held together
+// while they are received.
+std::size_t
+ReplyBufferLimit(std::size_t aMemory);
+
+// Memory that one parsed JSON text may need, as MaxJsonMemory() estimates it.
+std::size_t
+JsonMemoryLimit(std::size_t aMemory);
+
 // Memory that the process may use, by its resource limits, its control group
 // and the machine.
 std::size_t
@@ -65,4 +74,4 @@
 
 } // namespace quetzalquay
 
-#endif // QUETZALQUAY_GATEWAY_ANSWERBUFFERS_H_INCLUDED
+#endif // QUETZALQUAY_HTTP_ANSWERBUFFERS_H_INCLUDED
--- a/src/quetzalquay/http/AsyncHttpClient.cpp
+++ b/src/quetzalquay/http/AsyncHttpClient.cpp
@@ -1,5 +1,7 @@
 #include "http/AsyncHttpClient.h"
 
+#include "http/JsonText.h"
+
 #include <utility>
 
 namespace quetzalquay {
@@ -8,15 +10,18 @@
 
 constexpr std::size_t kMaxHeadBytes = 16384;
 
-// The largest responses are a page of rows and a peer's aggregated state.
-constexpr std::size_t kMaxBodyBytes = 16U << 20U;
-
 } // namespace
 
-AsyncHttpClient::AsyncHttpClient(EventLoop& aLoop, const Endpoint& aServer)
+AsyncHttpClient::AsyncHttpClient(EventLoop& aLoop,
+                                 const Endpoint& aServer,
+                                 ReplyBuffers& aBuffers,
+                                 ReplyKind aKind)
   : mLoop(aLoop)
   , mServer(aServer)
-  , mReader(HttpMessageType::Responses, { kMaxHeadBytes, kMaxBodyBytes })
+  , mBuffers(aBuffers)
+  , mKind(aKind)
+  , mReader(HttpMessageType::Responses, { kMaxHeadBytes, MaxBodyBytes(aKind) })
+  , mHeld(aBuffers)
   , mDeadlineTimer(aLoop, [this] {
     mTimedOut = true;
     Fail("no response before the deadline");
@@ -42,6 +47,7 @@
   mOnReusedConnection = mConnected && mSocket != nullptr && mSocket->IsOpen();
   if (mOnReusedConnection) {
     mReader.Next();
+    mReceivedBytes = 0;
     mSocket->Write(mRequest);
     return;
   }
@@ -54,6 +60,8 @@
   mCallback = nullptr;
   mDeadlineTimer.Clear();
   mConnected = false;
+  mReader.Next();
+  mHeld.Resize(0);
   if (mSocket != nullptr) {
     mSocket->Close(true);
     mSocket.reset();
@@ -65,6 +73,7 @@
 {
   mConnected = false;
   mReader.Next();
+  mReceivedBytes = 0;
   mSocket = MakeRef<Socket>(mLoop);
   mSocket->Connect(mServer, mDeadline, *this);
 }
@@ -89,7 +98,11 @@
     return;
   }
   const std::size_t n = mReader.Feed(aData);
-  if (mReader.Progress() == HttpProgress::Broken) {
+  mReceivedBytes += n;
+  if (!mHeld.Resize(mReceivedBytes) ||
+      mReader.Error() == HttpParseError::BodyTooLarge) {
+    GiveUp();
+  } else if (mReader.Progress() == HttpProgress::Broken) {
     Fail("the response is not valid HTTP");
   } else if (mReader.Progress() == HttpProgress::Complete) {
     if (n < aData.size() || !mReader.Head().mKeepAlive) {
@@ -129,6 +142,11 @@
   HttpReply reply;
   reply.mHead = mReader.Head();
   reply.mBody = mReader.TakeBody();
+  if (!FitsJsonMemory(reply.mBody)) {
+    GiveUp();
+    return;
+  }
+  mHeld.Resize(0);
   mDeadlineTimer.Clear();
   const ResponseCallback callback = std::exchange(mCallback, nullptr);
   callback(std::move(reply), std::string());
@@ -144,4 +162,11 @@
   }
 }
 
+void
+AsyncHttpClient::GiveUp()
+{
+  mBuffers.OnGivenUp(mKind, FormatEndpoint(mServer), mReceivedBytes);
+  Fail("the response needs too much memory");
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/http/AsyncHttpClient.h
+++ b/src/quetzalquay/http/AsyncHttpClient.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_HTTP_ASYNCHTTPCLIENT_H_INCLUDED
 
 #include "http/HttpReader.h"
+#include "http/ReplyBuffers.h"
 #include "http/Socket.h"
 
 #include <functional>
@@ -26,7 +27,12 @@
   using ResponseCallback =
     std::function<void(std::optional<HttpReply>, const std::string&)>;
 
-  AsyncHttpClient(EventLoop& aLoop, const Endpoint& aServer);
+  // A response that needs too much memory while it is received, or once it is
+  // parsed as JSON, fails its request.
+  AsyncHttpClient(EventLoop& aLoop,
+                  const Endpoint& aServer,
+                  ReplyBuffers& aBuffers,
+                  ReplyKind aKind);
   ~AsyncHttpClient() override;
 
   // Sends a complete request, given as the bytes to write. Must not be called
@@ -53,11 +59,17 @@
   void OpenConnection();
   void Finish();
   void Fail(const char* aReason);
+  void GiveUp();
 
   EventLoop& mLoop;
   Endpoint mServer;
   RefPtr<Socket> mSocket;
+  ReplyBuffers& mBuffers;
+  ReplyKind mKind;
   HttpReader mReader;
+  // Bytes received of the response.
+  AnswerBuffer mHeld;
+  std::size_t mReceivedBytes = 0;
   std::string mRequest;
   Time mDeadline;
   ResponseCallback mCallback;
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -400,7 +400,7 @@
   rapidjson::Document json;
   ParseJson(json, aBody);
   if (json.HasParseError() || !json.IsObject()) {
-    aReason = "the store's response is not a JSON object";
+    aReason = "the store's response is not a JSON object, or too large";
     return std::nullopt;
   }
   StoreRows rows;
@@ -426,7 +426,7 @@
   rapidjson::Document json;
   ParseJson(json, aValue);
   if (json.HasParseError() || !json.IsObject()) {
-    aReason = "the configuration is not a JSON object";
+    aReason = "the configuration is not a JSON object, or too large";
     return nullptr;
   }
   auto table = MakeRef<RoutingTable>();
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1758,11 +1758,36 @@
   if (rows.empty() && !whole && aAge < wait) {
     return std::nullopt;
   }
+  if (mStoreFault != StoreFault::None) {
+    rows = SpoiledRows(mStoreFault, mVersion + 1);
+  }
   reply.mBody = R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" +
                 std::to_string(mVersion) + R"(,"NowMs":1})";
   return reply;
 }
 
+std::string
+GatewayTestCluster::SpoiledRows(StoreFault aFault, long long aVersion)
+{
+  const auto repeat = [](const std::string& aElement, std::size_t aBytes) {
+    std::string text = aElement;
+    while (text.size() < aBytes) {
+      text.append(",").append(aElement);
+    }
+    return text;
+  };
+  if (aFault == StoreFault::LargeConfiguration) {
+    return FormatRow("config",
+                     { Base64(R"({"Version":)" + std::to_string(aVersion) +
+                              R"(,"Routes":[)" + repeat("[]", 3000000) + "]}"),
+                       aVersion,
+                       false,
+                       {} });
+  }
+  return aFault == StoreFault::EmptyRows ? repeat("{}", 4000000)
+                                         : repeat("[]", 14000000);
+}
+
 std::string
 GatewayTestCluster::Request(const std::string& aRoute,
                             const std::string& aId,
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -25,6 +25,19 @@
 #include <thread>
 #include <vector>
 
+// What the fake store's replies to reads hold.
+enum class StoreFault
+{
+  None,
+  // 14 MB of empty lists instead of rows.
+  EmptyLists,
+  // 4 MB of rows without members.
+  EmptyRows,
+  // A configuration of 3 MB of empty lists.
+  LargeConfiguration,
+  Last,
+};
+
 // How a runner of the fake platform handles requests.
 enum class RunnerMode
 {
@@ -431,6 +444,9 @@
     mNodes[aGateway]->mStore->SetAccess(aAccess);
   }
 
+  // Sets what the replies to all reads of the store hold.
+  void SpoilStoreReplies(StoreFault aFault) { mStoreFault = aFault; }
+
   // Answers all store calls of one gateway with 503 while set.
   void SetStoreDown(bool aDown, std::size_t aGateway = 0)
   {
@@ -526,6 +542,7 @@
     quetzalquay::Duration aAge);
   bool ApplyTransaction(const std::string& aBody, std::string& aRows);
   static std::string FormatRow(const std::string& aKey, const Row& aRow);
+  static std::string SpoiledRows(StoreFault aFault, long long aVersion);
   static std::string EntryOf(const std::string& aService,
                              const std::string& aAddress,
                              const std::string& aPlace,
@@ -563,6 +580,7 @@
   std::atomic<RunnerEnd> mRunnerEnd{ RunnerEnd::Reset };
   std::atomic<ReplyFault> mReplyFault{ ReplyFault::Nested };
   std::atomic<int> mRepliesToSpoil{ 0 };
+  std::atomic<StoreFault> mStoreFault{ StoreFault::None };
   std::atomic<int> mCrashCount{ 0 };
   std::atomic<int> mCrashDelayMs{ 0 };
   std::atomic<int> mEventsBeforeCrash{ 0 };
--- a/tests/introspective/AnswerBuffersTests.cpp
+++ b/tests/introspective/AnswerBuffersTests.cpp
@@ -1,7 +1,9 @@
-#include "gateway/AnswerBuffers.h"
+#include "http/AnswerBuffers.h"
+#include "http/JsonText.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdint>
+#include <string>
 
 using namespace quetzalquay;
 
@@ -18,6 +20,7 @@
   CPPUNIT_TEST(SmallAnswersAreAlwaysHeld);
   CPPUNIT_TEST(EndedAnswersFreeTheirShare);
   CPPUNIT_TEST(TheLimitFollowsTheMemory);
+  CPPUNIT_TEST(TextsAreParsedWithinTheirMemory);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +75,31 @@
                          AnswerBufferLimit(SIZE_MAX));
     CPPUNIT_ASSERT(UsableMemory() > 0);
   }
+
+  // Guards against short texts of many values being parsed, and against strings
+  // being taken for values.
+  void TextsAreParsedWithinTheirMemory()
+  {
+    std::string values = "[0";
+    std::string text = "[\"";
+    for (int n = 0; n < 100000; ++n) {
+      values += ",0";
+      text += ",\\\"";
+    }
+    values += "]";
+    text += "\"]";
+    std::size_t refused = 0;
+    LimitJsonMemory(1000000,
+                    [&refused](std::size_t aBytes) { refused += aBytes; });
+    rapidjson::Document json;
+    ParseJson(json, values);
+    CPPUNIT_ASSERT(json.HasParseError());
+    CPPUNIT_ASSERT_EQUAL(values.size(), refused);
+    ParseJson(json, text);
+    LimitJsonMemory(SIZE_MAX, nullptr);
+    CPPUNIT_ASSERT(!json.HasParseError());
+    CPPUNIT_ASSERT(MaxJsonMemory(values) > values.size() * 20);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerBuffersTests);
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -128,7 +128,7 @@
     Process(EventLoop& aLoop, const Endpoint& aStore)
       : mSettings(SettingsOf(aStore))
       , mFleet(aLoop, mSettings)
-      , mWatch(aLoop, mSettings, mFleet)
+      , mWatch(aLoop, mSettings, mFleet, mReplies)
     {
     }
 
@@ -142,6 +142,7 @@
 
     GatewaySettings mSettings;
     Fleet mFleet;
+    ReplyBuffers mReplies{ 1U << 20U };
     StoreWatch mWatch;
   };
 
--- a/tests/introspective/TableWatcherTests.cpp
+++ b/tests/introspective/TableWatcherTests.cpp
@@ -62,6 +62,7 @@
     , mWatcher(
         mLoop,
         mAddress,
+        mReplyBuffers,
         { platform::StoreTable::Targets,
           Duration::zero(),
           milliseconds(5),
@@ -148,6 +149,7 @@
   StoreServer mStore;
   std::map<std::string, std::int64_t> mRows;
   std::int64_t mVersion = 0;
+  ReplyBuffers mReplyBuffers{ 1U << 20U };
   TableWatcher mWatcher;
 };
 
--- a/tests/introspective/TargetConnectionTests.cpp
+++ b/tests/introspective/TargetConnectionTests.cpp
@@ -1,7 +1,7 @@
-#include "gateway/AnswerBuffers.h"
 #include "gateway/GatewayMetrics.h"
 #include "gateway/ServerDirectory.h"
 #include "gateway/TargetConnection.h"
+#include "http/AnswerBuffers.h"
 
 #include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
