Receive no large bodies for readiness, metrics and tables of hosts

Each of up to 200 connections a server could hold a body of 1 MB, more than the memory of a host of 88 MB, though no request there has one. The limit is 1 KiB now; a connection with more is closed, as before with more than 1 MB.

--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -18,7 +18,8 @@
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 constexpr std::size_t kMaxHeadBytes = 8192;
-constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+// No request that is served here needs a body.
+constexpr std::size_t kMaxBodyBytes = 1024;
 constexpr std::size_t kMaxConnections = 200;
 
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
