--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -649,6 +649,13 @@
   mReach.Declare(staying);
   mVersions.OnRegistered(versions, now);
   UpdateAnnouncedServices(now);
+  VersionsByService registered = RegisteredVersions();
+  if (registered != mRegisteredVersions) {
+    mRegisteredVersions = std::move(registered);
+    if (mVersionCallback) {
+      mVersionCallback();
+    }
+  }
 }
 
 // Streams that began at a target without an entry began at the version that the
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -209,6 +209,13 @@
   // Software versions of the registered targets.
   VersionsByService RegisteredVersions() const;
 
+  // Sets a callback that runs when the software versions of the registered
+  // targets have changed, before a stream can begin at a new one.
+  void SetVersionCallback(std::function<void()> aCallback)
+  {
+    mVersionCallback = std::move(aCallback);
+  }
+
   // Software versions of the targets over time.
   const VersionHistory& Versions() const { return mVersions; }
 
@@ -279,6 +286,9 @@
   bool mTargetsChanged = false;
   std::function<void()> mRetainedCallback;
   std::function<void()> mHostsCallback;
+  std::function<void()> mVersionCallback;
+  // Registered versions at the last declaration of the targets.
+  VersionsByService mRegisteredVersions;
   std::function<void(const std::string&, const std::string&)>
     mUnreadableCallback;
   ReaderChoice mReaders;
--- a/src/quetzalquay/gateway/RowWriter.cpp
+++ b/src/quetzalquay/gateway/RowWriter.cpp
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// Delay before a write, so that several changes share one transaction.
-constexpr Duration kBatchDelay = milliseconds(50);
-
 // Time limit for a response, and delay after a failed write.
 constexpr Duration kReplyTimeout = milliseconds(900);
 constexpr Duration kRetryDelay = milliseconds(500);
@@ -37,7 +34,7 @@
 void
 RowWriter::Notify()
 {
-  ScheduleWrite(kBatchDelay);
+  ScheduleWrite(mOptions.mBatchDelay);
 }
 
 void
@@ -45,7 +42,7 @@
 {
   if (mPending.size() < kMaxPending || mPending.count(aChange.mKey) != 0) {
     mPending[aChange.mKey] = std::move(aChange);
-    ScheduleWrite(kBatchDelay);
+    ScheduleWrite(mOptions.mBatchDelay);
   }
 }
 
--- a/src/quetzalquay/gateway/RowWriter.h
+++ b/src/quetzalquay/gateway/RowWriter.h
@@ -5,6 +5,7 @@
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -27,6 +28,8 @@
     std::function<Duration()> mInterval = [] { return Duration::zero(); };
     // Receives the number of rows of each confirmed call.
     std::function<void(std::size_t)> mOnWritten = [](std::size_t) {};
+    // Delay before a write, so that several changes share one transaction.
+    Duration mBatchDelay = std::chrono::milliseconds(50);
   };
 
   RowWriter(EventLoop& aLoop,
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -61,10 +61,15 @@
             { platform::StoreTable::StreamOrigins,
               [this] { return TakeChanges(); },
               [this] { return WriteInterval(); },
-              [this](std::size_t aRows) {
-                mMetrics.Add(GatewayCounter::OriginsStored,
-                             static_cast<double>(aRows));
-              } })
+              [this](std::size_t aRows) { OnWritten(aRows); } })
+  , mVersionWriter(aLoop,
+                   aSettings.mStoreEndpoint,
+                   aReplies,
+                   { platform::StoreTable::StreamOrigins,
+                     [] { return std::vector<platform::RowChange>(); },
+                     [] { return Duration::zero(); },
+                     [this](std::size_t aRows) { OnWritten(aRows); },
+                     Duration::zero() })
   , mReader(aLoop,
             aSettings.mStoreEndpoint,
             aReplies,
@@ -76,6 +81,12 @@
   , mNextSweepAt(EventLoop::Now() + kSweepInterval)
 {
   mFleet.Origins().SetStoreCallback([this] { mWriter.Notify(); });
+  mFleet.SetVersionCallback([this] {
+    // A host that does not know the others yet takes itself for a reader.
+    if (mFleet.Version(platform::StoreTable::Hosts) != 0) {
+      WriteVersions();
+    }
+  });
   mTickTimer.ScheduleAt(EventLoop::Now() + kTickInterval);
 }
 
@@ -117,10 +128,21 @@
                     kFleetWritesPerSecond);
 }
 
-// Stores the registered versions, as a reader of the store.
+void
+StreamOriginStore::OnWritten(std::size_t aRows)
+{
+  mMetrics.Add(GatewayCounter::OriginsStored, static_cast<double>(aRows));
+}
+
+// Stores the registered versions if this host is a reader of the store. A new
+// one waits neither for the tick nor for the streams' next batch: if all hosts
+// end before its row is stored, nothing tells that streams began there.
 void
 StreamOriginStore::WriteVersions()
 {
+  if (!mFleet.IsReady() || !mFleet.Readers().IsReader(EventLoop::Now())) {
+    return;
+  }
   const std::int64_t unixMs = ReadClocks().mUnixMs;
   const VersionsByService registered = mFleet.RegisteredVersions();
   for (auto it = mWrittenVersions.begin(); it != mWrittenVersions.end();) {
@@ -132,7 +154,11 @@
   for (const auto& service : registered) {
     for (const std::string& it : service.second) {
       if (mWrittenVersions.emplace(service.first, it).second) {
-        mWriter.Add(FormatVersionRow(service.first, it, unixMs));
+        Log(LogLevel::Info,
+            "store",
+            "storing a software version",
+            { { "service", service.first }, { "software", it } });
+        mVersionWriter.Add(FormatVersionRow(service.first, it, unixMs));
       }
     }
   }
@@ -221,7 +247,9 @@
                               row->mService, row->mSoftwareVersion, aNow);
     }
     if (expired) {
-      mWriter.Add({ it.mKey, std::nullopt });
+      // A removal of a version that is back is replaced while it waits.
+      RowWriter& writer = row && !row->mOrigin ? mVersionWriter : mWriter;
+      writer.Add({ it.mKey, std::nullopt });
     }
   }
 }
@@ -259,11 +287,8 @@
   if (!mFleet.IsReady()) {
     return;
   }
-  const bool reader = mFleet.Readers().IsReader(now);
-  if (reader) {
-    WriteVersions();
-  }
-  if (reader && now >= mNextSweepAt) {
+  WriteVersions();
+  if (mFleet.Readers().IsReader(now) && now >= mNextSweepAt) {
     mNextSweepAt = now + kSweepInterval;
     mSweepDue =
       mHasTransientRows || !mFleet.Versions().MixedServices(now).empty();
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -50,6 +50,7 @@
 
   std::vector<platform::RowChange> TakeChanges();
   Duration WriteInterval() const;
+  void OnWritten(std::size_t aRows);
   void WriteVersions();
   void StartRead();
   void OnRead(const std::optional<std::vector<platform::StoreRow>>& aRows,
@@ -62,6 +63,8 @@
   Fleet& mFleet;
   GatewayMetrics& mMetrics;
   RowWriter mWriter;
+  // Writes the rows of versions.
+  RowWriter mVersionWriter;
   TableReader mReader;
   std::map<std::uint64_t, LookupState> mLookups;
   std::uint64_t mNextLookup = 0;
--- /dev/null
+++ b/tests/introspective/StreamOriginStoreTests.cpp
@@ -0,0 +1,160 @@
+#include "GatewayProcess.h"
+#include "StoreServer.h"
+#include "TestConfiguration.h"
+#include "gateway/StreamOriginRows.h"
+#include "gateway/StreamOriginStore.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <rapidjson/document.h>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace quetzalquay;
+using platform::StoreTable;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kService = TestConfiguration::kService;
+
+std::string
+KeyOf(const std::string& aVersion)
+{
+  return FormatVersionRow(kService, aVersion, 0).mKey;
+}
+
+// A host that keeps its rows in a store.
+class StoringHost
+{
+public:
+  StoringHost()
+    : mAddress(boost::asio::ip::address_v4::loopback(),
+               static_cast<unsigned short>(FindFreePort()))
+    , mServer(mLoop,
+              [this](const HttpHead& aHead,
+                     const std::string& aBody,
+                     Duration) { return Answer(aHead, aBody); })
+    , mSettings(SettingsOf(mAddress))
+    , mMetrics(mSettings.mHost)
+    , mFleet(mLoop, mSettings)
+    , mStore(mLoop, mSettings, mFleet, mMetrics, mReplies)
+  {
+    CPPUNIT_ASSERT(!mServer.Open(mAddress));
+    mFleet.ApplyRows(
+      StoreTable::Configuration,
+      { { platform::kConfigurationKey, TestConfiguration().ToJson(1), 1 } },
+      true,
+      1,
+      RowSource::Store);
+    mFleet.ApplyRows(StoreTable::Hosts, {}, true, 1, RowSource::Store);
+    mFleet.ApplyRows(StoreTable::Targets, {}, true, 1, RowSource::Store);
+  }
+
+  // A target of a version registers.
+  void Register(const std::string& aVersion)
+  {
+    const std::string number = std::to_string(++mTargets);
+    mFleet.ApplyRows(StoreTable::Targets,
+                     { { "t" + number,
+                         std::string(R"({"Service":")") + kService +
+                           R"(","Address":"127.0.0.1:)" + number +
+                           R"(","Zone":"z","Version":")" + aVersion +
+                           R"(","Slots":4,"State":"ready","Sequence":1})",
+                         mTargets + 1 } },
+                     false,
+                     mTargets + 1,
+                     RowSource::Store);
+  }
+
+  // A stream has its first event.
+  void Begin(std::uint64_t aKey, const std::string& aVersion)
+  {
+    mFleet.Origins().OnBegun({ aKey, kService, aVersion }, EventLoop::Now());
+  }
+
+  void AwaitWrites(std::size_t aCount)
+  {
+    const Time end = EventLoop::Now() + milliseconds(9000);
+    Timer check(mLoop, [&] {
+      if (mWrites.size() >= aCount || EventLoop::Now() >= end) {
+        mLoop.Stop();
+      } else {
+        check.ScheduleAt(EventLoop::Now() + milliseconds(1));
+      }
+    });
+    check.ScheduleAt(EventLoop::Now());
+    mLoop.Context().restart();
+    mLoop.Run();
+    CPPUNIT_ASSERT(mWrites.size() >= aCount);
+  }
+
+  // Keys of the rows that each transaction has written.
+  std::vector<std::set<std::string>> mWrites;
+
+private:
+  static GatewaySettings SettingsOf(const Endpoint& aStore)
+  {
+    GatewaySettings settings;
+    settings.mHost = "host-a";
+    settings.mStoreEndpoint = aStore;
+    return settings;
+  }
+
+  SimpleHttpReply Answer(const HttpHead& aHead, const std::string& aBody)
+  {
+    if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
+      rapidjson::Document json;
+      json.Parse(aBody.data(), aBody.size());
+      std::set<std::string> keys;
+      for (const auto& it : json["Put"].GetArray()) {
+        keys.insert(it["Key"].GetString());
+      }
+      mWrites.push_back(std::move(keys));
+    }
+    SimpleHttpReply reply;
+    reply.mContentType = "application/json";
+    reply.mBody = R"({"Rows":[],"HasMore":false,"Ver":1,"NowMs":1})";
+    return reply;
+  }
+
+  EventLoop mLoop;
+  Endpoint mAddress;
+  StoreServer mServer;
+  GatewaySettings mSettings;
+  GatewayMetrics mMetrics;
+  Fleet mFleet;
+  ReplyBuffers mReplies{ 1U << 20U };
+  StreamOriginStore mStore;
+  std::int64_t mTargets = 0;
+};
+
+} // namespace
+
+// What a host keeps of streams and software versions in the store.
+class StreamOriginStoreTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StreamOriginStoreTests);
+  CPPUNIT_TEST(ANewVersionIsStoredBeforeItsStreams);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against hosts that end after the first streams of a version began,
+  // and leave no record of it.
+  void ANewVersionIsStoredBeforeItsStreams()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.AwaitWrites(1);
+    CPPUNIT_ASSERT(host.mWrites.back().count(KeyOf("v1")) == 1);
+    const std::size_t before = host.mWrites.size();
+    host.Register("v2");
+    host.Begin(1, "v2");
+    host.AwaitWrites(before + 1);
+    CPPUNIT_ASSERT(host.mWrites[before].count(KeyOf("v2")) == 1);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamOriginStoreTests);
