--- a/src/quetzalquay/core/RoomKeeper.cpp
+++ b/src/quetzalquay/core/RoomKeeper.cpp
@@ -34,16 +34,16 @@
 {
   Target& target = mTargets[aMessage.mTarget];
   auto& queue = target.mQueue;
-  if (Update(target, aHost, aMessage, aLimits, aNow)) {
-    queue.erase(std::remove_if(queue.begin(),
-                               queue.end(),
-                               [&](const QueuedAsk& aAsk) {
-                                 return (aAsk.mHost == aHost &&
-                                         aAsk.mAsk <= aMessage.mResolved) ||
-                                        aNow - aAsk.mHeardAt >= kAskLifetime;
-                               }),
-                queue.end());
-  }
+  const bool isLatest = Update(target, aHost, aMessage, aLimits, aNow);
+  queue.erase(
+    std::remove_if(queue.begin(),
+                   queue.end(),
+                   [&](const QueuedAsk& aAsk) {
+                     const bool resolved = isLatest && aAsk.mHost == aHost &&
+                                           aAsk.mAsk <= aMessage.mResolved;
+                     return resolved || aNow - aAsk.mHeardAt >= kAskLifetime;
+                   }),
+    queue.end());
   auto answer = RoomAnswer::Queued;
   if (aMessage.mAsk > aMessage.mResolved) {
     const auto& grants = target.mHosts[aHost].mGrants;
--- a/tests/introspective/BeliefTests.cpp
+++ b/tests/introspective/BeliefTests.cpp
@@ -160,6 +160,36 @@
   return [keeper](Time aNow) { return keeper.UnderWay("t", aNow) > 0; };
 }
 
+// Nobody but a message that was overtaken says anything once the room is free.
+Check
+TellQueuedAsk()
+{
+  const RoomLimits limits = { 1, 1 };
+  RoomKeeper keeper;
+  RoomMessage full;
+  full.mTarget = "t";
+  full.mNumber = 2;
+  full.mUnderWay = 1;
+  keeper.OnMessage("full",
+                   full,
+                   limits,
+                   Time::min(),
+                   kStart + milliseconds(100) - RoomKeeper::kHostLifetime);
+  RoomMessage ask;
+  ask.mTarget = "t";
+  ask.mNumber = 1;
+  ask.mAsk = 1;
+  CPPUNIT_ASSERT(keeper.OnMessage(kOther, ask, limits, Time::min(), kStart) ==
+                 RoomAnswer::Queued);
+  return [keeper, full, limits](Time aNow) {
+    RoomKeeper copy = keeper;
+    RoomMessage overtaken = full;
+    overtaken.mNumber = 1;
+    copy.OnMessage("full", overtaken, limits, Time::min(), aNow);
+    return !copy.TakeGrants().empty();
+  };
+}
+
 Check
 TellLiftedBrittleness()
 {
@@ -388,6 +418,7 @@
   { "host that shares the room", seconds(30), TellRoomHost },
   { "keeper of the room", milliseconds(300), TellRoomKeeper },
   { "requests under way", RoomKeeper::kHostLifetime, TellUnderWay },
+  { "queued ask for room", milliseconds(500), TellQueuedAsk },
   { "lifted brittleness", milliseconds(3000), TellLiftedBrittleness },
   { "lifted limit", milliseconds(3000), TellLiftedLimit },
   { "host that reaches targets",
