--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -184,7 +184,7 @@
 bool
 TargetReach::IsCutOff(const std::string& aService, Time) const
 {
-  return StateOf(aService) == ReachState::CutOff;
+  return DecidedStateOf(aService) == ReachState::CutOff;
 }
 
 bool
@@ -201,7 +201,14 @@
 }
 
 ReachState
-TargetReach::StateOf(const std::string& aService) const
+TargetReach::StateOf(const std::string& aService, Time aNow) const
+{
+  return IsSuspected(aService, aNow) ? DecidedStateOf(aService)
+                                     : ReachState::Reached;
+}
+
+ReachState
+TargetReach::DecidedStateOf(const std::string& aService) const
 {
   const auto it = mServices.find(aService);
   return it == mServices.end() ? ReachState::Reached : it->second.mState;
@@ -215,11 +222,11 @@
 }
 
 std::vector<std::string>
-TargetReach::UnreachedServices() const
+TargetReach::UnreachedServices(Time aNow) const
 {
   std::vector<std::string> names;
   for (const auto& it : mServices) {
-    if (it.second.mState != ReachState::Reached) {
+    if (StateOf(it.first, aNow) != ReachState::Reached) {
       names.push_back(it.first);
     }
   }
@@ -369,7 +376,7 @@
   ReachAnswer answer;
   answer.mService = aService;
   answer.mAsk = aAsk;
-  answer.mState = StateOf(aService);
+  answer.mState = StateOf(aService, aNow);
   const auto service = mServices.find(aService);
   if (service == mServices.end()) {
     return answer;
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -163,11 +163,18 @@
   // could not be sent to a target is passed on instead of trying another one.
   bool IsSuspected(const std::string& aService, Time aNow) const;
 
-  ReachState StateOf(const std::string& aService) const;
+  // What this host believes of a service's targets: a suspicion ends by time.
+  ReachState StateOf(const std::string& aService, Time aNow) const;
+
+  // The last decision. A suspicion that has ended by time stands until it is
+  // dropped, as answers that have arrived but were not read yet may still
+  // confirm it. Deaths are held back until then.
+  ReachState DecidedStateOf(const std::string& aService) const;
+
   ReachEvidence EvidenceOf(const std::string& aService, Time aNow) const;
 
   // Services from whose targets this host is or may be cut off.
-  std::vector<std::string> UnreachedServices() const;
+  std::vector<std::string> UnreachedServices(Time aNow) const;
 
   // Number of services from whose targets this host is cut off.
   int CountCutOff() const;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -149,8 +149,9 @@
   })
 {
   ConfigureRetryBudget();
-  mTargets.SetReachCheck(
-    [this](const std::string& aService) { return mReach.StateOf(aService); });
+  mTargets.SetReachCheck([this](const std::string& aService) {
+    return mReach.DecidedStateOf(aService);
+  });
 }
 
 void
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -602,7 +602,7 @@
   }
   SendOrigins(now);
   SendDepartures(now);
-  const auto unreached = mFleet.Reach().UnreachedServices();
+  const auto unreached = mFleet.Reach().UnreachedServices(now);
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
                           !unreached.empty() ||
                           !mFleet.Targets().Limits().Reports(now).empty() ||
--- a/tests/introspective/BeliefTests.cpp
+++ b/tests/introspective/BeliefTests.cpp
@@ -249,17 +249,53 @@
 }
 
 // Most targets fail, and the last other host doesn't answer what it hears.
-Check
-TellSuspicion()
+TargetReach
+MakeSuspicion()
 {
   TargetReach reach;
-  reach.Declare({ { "pool", { "t0", "t1" } } });
+  reach.Declare({ { "pool", { "t0", "t1" } }, { "second", { "s0", "s1" } } });
   reach.OnHostHeard(kOther, "here", kStart);
   reach.OnNotReached("pool", "t0", kStart);
   reach.OnNotReached("pool", "t1", kStart);
+  return reach;
+}
+
+Check
+TellSuspicion()
+{
+  const TargetReach reach = MakeSuspicion();
   return [reach](Time aNow) { return reach.IsSuspected("pool", aNow); };
 }
 
+Check
+TellSuspicionToAll()
+{
+  const TargetReach reach = MakeSuspicion();
+  return [reach](Time aNow) { return !reach.UnreachedServices(aNow).empty(); };
+}
+
+Check
+TellSuspicionInAnswer()
+{
+  const TargetReach reach = MakeSuspicion();
+  return [reach](Time aNow) {
+    return reach.Answer("pool", 1, {}, aNow).mState == ReachState::Suspected;
+  };
+}
+
+// A host that may be cut off names no target of another service as failing.
+Check
+TellNoFailures()
+{
+  const TargetReach reach = MakeSuspicion();
+  return [reach](Time aNow) {
+    TargetReach copy = reach;
+    copy.OnNotReached("second", "s0", aNow - milliseconds(100));
+    copy.OnConnected("second", "s1", aNow);
+    return copy.Answer("second", 1, { "s0" }, aNow).mFailing.empty();
+  };
+}
+
 RetryBudget
 MakeBudget()
 {
@@ -427,6 +463,13 @@
   { "host to ask", seconds(30), TellAskedHost },
   { "failing target", milliseconds(3000), TellFailures },
   { "suspected cut", TargetReach::kSuspicionTime, TellSuspicion },
+  { "suspected cut in messages",
+    TargetReach::kSuspicionTime,
+    TellSuspicionToAll },
+  { "suspected cut in answers",
+    TargetReach::kSuspicionTime,
+    TellSuspicionInAnswer },
+  { "failures withheld", TargetReach::kSuspicionTime, TellNoFailures },
   { "host that shares a budget", seconds(14), TellSharingHost },
   { "sends of a host", seconds(4), TellSends },
   { "granted retries", milliseconds(500), TellGrant },
--- a/tests/introspective/TargetReachTests.cpp
+++ b/tests/introspective/TargetReachTests.cpp
@@ -132,7 +132,10 @@
   {
     return mHosts[static_cast<std::size_t>(aHost)]->mReach;
   }
-  ReachState StateOf(int aHost) { return Reach(aHost).StateOf(kService); }
+  ReachState StateOf(int aHost)
+  {
+    return Reach(aHost).DecidedStateOf(kService);
+  }
 
   // Changes of belief of a host.
   const std::vector<ReachChange>& Changes(int aHost) const
@@ -298,7 +301,7 @@
 
   void Broadcast(int aHost)
   {
-    const auto names = Reach(aHost).UnreachedServices();
+    const auto names = Reach(aHost).UnreachedServices(mNow);
     const std::set<std::string> unreached(names.begin(), names.end());
     for (const int other : RandomOthers(aHost, 16)) {
       Later(kStepMs, [this, aHost, other, unreached] {
@@ -421,6 +424,7 @@
   CPPUNIT_TEST(HostsThatRefuseAreChosenLast);
   CPPUNIT_TEST(RequestsAreSpreadOverHosts);
   CPPUNIT_TEST(DeathsAreHeldBackWhileACutIsSuspected);
+  CPPUNIT_TEST(DeathsAreHeldBackUntilAnEndedSuspicionIsDropped);
   CPPUNIT_TEST(ACutLeavesNoBlameAndNoDoubt);
   CPPUNIT_TEST_SUITE_END();
 
@@ -826,6 +830,60 @@
     CPPUNIT_ASSERT_EQUAL(1, denied.DeathsOf(1, 40));
   }
 
+  // An answer that a late host reads after a suspicion has ended may confirm
+  // it. Otherwise the death counts once the suspicion is dropped.
+  void DeathsAreHeldBackUntilAnEndedSuspicionIsDropped()
+  {
+    for (const bool confirmed : { true, false }) {
+      const std::vector<std::string> targets = { TargetName(0), TargetName(1) };
+      TargetReach reach;
+      reach.Declare({ { kService, targets } });
+      reach.SetHosts({ "other" });
+      TableCase table(2);
+      table.mTable.SetReachCheck([&](const std::string& aService) {
+        return reach.DecidedStateOf(aService);
+      });
+      for (const std::string& it : targets) {
+        reach.OnNotReached(kService, it, At(0));
+      }
+      const auto asks = reach.TakeAsks(At(100));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), asks.size());
+      for (const std::string& it : targets) {
+        reach.OnNotReached(kService, it, At(200));
+      }
+      reach.TakeChanges();
+      const int lateMs =
+        static_cast<int>(TargetReach::kSuspicionTime / milliseconds(1)) + 100;
+      CPPUNIT_ASSERT(reach.StateOf(kService, At(lateMs)) ==
+                     ReachState::Reached);
+      table.Lose(0, 1, lateMs);
+      CPPUNIT_ASSERT_EQUAL(0, table.mDeaths);
+      if (confirmed) {
+        ReachAnswer answer;
+        answer.mHost = "other";
+        answer.mService = kService;
+        answer.mAsk = asks.front().mId;
+        answer.mState = ReachState::Reached;
+        for (const std::string& it : targets) {
+          answer.mHeard.emplace_back(it, Duration::zero());
+        }
+        CPPUNIT_ASSERT_EQUAL(2, reach.OnAnswer(answer, At(lateMs + 3)));
+      }
+      reach.AdvanceTo(At(lateMs + 3));
+      const auto changes = reach.TakeChanges();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+      CPPUNIT_ASSERT(changes[0].mFrom == ReachState::Suspected);
+      CPPUNIT_ASSERT(changes[0].mTo ==
+                     (confirmed ? ReachState::CutOff : ReachState::Reached));
+      if (confirmed) {
+        table.mTable.OnCutBelieved(kService);
+      } else {
+        table.mTable.OnCutDenied(kService, At(lateMs + 3));
+      }
+      CPPUNIT_ASSERT_EQUAL(confirmed ? 0 : 1, table.mDeaths);
+    }
+  }
+
   void ACutLeavesNoBlameAndNoDoubt()
   {
     TableCase cut(4);
