--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -33,11 +33,6 @@
 // hosts table.
 constexpr Duration kFirstAnnounceDelay = milliseconds(300);
 
-// Silence after which a host is told all suspects when it is heard again, and
-// after which it is forgotten. It may have been cut off or have restarted.
-constexpr Duration kSilenceBeforeReports = milliseconds(2500);
-constexpr Duration kHeardLifetime = milliseconds(30000);
-
 // Lost runs from which on a request is stored, and the silence of all other
 // hosts after which a single one is enough, as the others may not know of it.
 constexpr std::size_t kStoreThreshold = 2;
@@ -505,9 +500,9 @@
 std::optional<udp::endpoint>
 LoadBroadcaster::Find(const std::string& aHost) const
 {
-  const auto heard = mHeardHosts.find(aHost);
-  if (heard != mHeardHosts.end()) {
-    return heard->second.mEndpoint;
+  const auto heard = mHeardHosts.EndpointOf(aHost, EventLoop::Now());
+  if (heard) {
+    return heard;
   }
   const auto address = mFleet.AddressOf(aHost);
   return address
@@ -740,20 +735,10 @@
                              std::uint64_t aStart,
                              Time aNow)
 {
-  const auto known = mHeardHosts.find(aHost);
-  const bool isNew = known == mHeardHosts.end() ||
-                     known->second.mStart != aStart ||
-                     aNow - known->second.mAt >= kSilenceBeforeReports;
   mLastHeardAt = aNow;
   mFleet.Targets().Suspects().SetStoreThreshold(kStoreThreshold);
-  mHeardHosts[aHost] = { mSender, aStart, aNow };
-  if (!isNew) {
-    return;
-  }
-  SendSuspects(mSender, aNow);
-  for (auto it = mHeardHosts.begin(); it != mHeardHosts.end();) {
-    it = aNow - it->second.mAt >= kHeardLifetime ? mHeardHosts.erase(it)
-                                                 : std::next(it);
+  if (mHeardHosts.OnHeard(aHost, mSender, aStart, aNow)) {
+    SendSuspects(mSender, aNow);
   }
 }
 
@@ -812,11 +797,9 @@
       receivers.emplace_back(endpoint->address(), mSettings.mLoadPort);
     }
   }
-  const Time now = EventLoop::Now();
-  for (const auto& it : mHeardHosts) {
-    if (known.count(it.first) == 0 &&
-        now - it.second.mAt < kSilenceBeforeReports) {
-      receivers.push_back(it.second.mEndpoint);
+  for (const auto& it : mHeardHosts.Lately(EventLoop::Now())) {
+    if (known.count(it.first) == 0) {
+      receivers.push_back(it.second);
     }
   }
   if (receivers.size() > kMaxReceivers) {
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -3,6 +3,7 @@
 
 #include "gateway/Fleet.h"
 #include "gateway/FormatLog.h"
+#include "gateway/HeardHosts.h"
 #include "gateway/LimitWatch.h"
 #include "gateway/LoadMessages.h"
 
@@ -142,15 +143,7 @@
   std::mt19937_64 mRandom;
   // Whether the last message had any load or lost targets.
   bool mSentContent = false;
-  // Hosts heard from recently. The hosts table may not have them yet.
-  struct HeardHost
-  {
-    boost::asio::ip::udp::endpoint mEndpoint;
-    // Identifies the start of the host's process.
-    std::uint64_t mStart = 0;
-    Time mAt;
-  };
-  std::map<std::string, HeardHost> mHeardHosts;
+  HeardHosts mHeardHosts;
   // Until when messages without content are sent, so that the other hosts learn
   // of this one.
   Time mAnnounceUntil;
--- a/tests/introspective/BeliefTests.cpp
+++ b/tests/introspective/BeliefTests.cpp
@@ -9,6 +9,7 @@
 #include "core/TargetRoom.h"
 #include "core/TargetTable.h"
 #include "core/TargetWaits.h"
+#include "gateway/HeardHosts.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -422,6 +423,15 @@
   return [origins](Time aNow) { return origins->Find(1, aNow).has_value(); };
 }
 
+Check
+TellEndpoint()
+{
+  HeardHosts hosts;
+  hosts.OnHeard(kOther, {}, 1, kStart);
+  return
+    [hosts](Time aNow) { return hosts.EndpointOf(kOther, aNow).has_value(); };
+}
+
 ReaderChoice
 MakeReaders()
 {
@@ -480,6 +490,7 @@
   { "departure to tell", seconds(30), TellDeparture },
   { "known departure", seconds(30), TellKnownDeparture },
   { "origin of a stream", StreamOrigins::kLifetime, TellOrigin },
+  { "endpoint of a host", HeardHosts::kLifetime, TellEndpoint },
   { "failed readers", milliseconds(2000), TellFailedReaders },
   { "rows of a reader", ReaderChoice::kMaxStaleness, TellRows },
 };
