--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -108,7 +108,7 @@
   }
   auto host =
     aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow, aChoice);
-  return host && aContext.mFleet.AddressOf(*host) ? host : std::nullopt;
+  return host && aContext.mFleet.AddressOf(*host, aNow) ? host : std::nullopt;
 }
 
 std::string
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 #include "core/NameTable.h"
 #include "core/TrialRecord.h"
+#include "gateway/HeardHosts.h"
 #include "gateway/SuspectRows.h"
 #include "gateway/SuspendedTime.h"
 #include "observe/Log.h"
@@ -380,15 +381,16 @@
 
 void
 Fleet::OnHostHeard(const std::string& aHost,
-                   const boost::asio::ip::address& aAddress)
+                   const boost::asio::ip::address& aAddress,
+                   Time aNow)
 {
   if (mHostAddresses.count(aHost) == 0) {
-    mHeardAddresses[aHost] = aAddress;
+    mHeardAddresses[aHost] = { aAddress, aNow };
   }
 }
 
 std::optional<boost::asio::ip::address>
-Fleet::AddressOf(const std::string& aHost) const
+Fleet::AddressOf(const std::string& aHost, Time aNow) const
 {
   const auto known = mHostAddresses.find(aHost);
   if (known != mHostAddresses.end()) {
@@ -396,8 +398,10 @@
     return endpoint ? std::make_optional(endpoint->address()) : std::nullopt;
   }
   const auto heard = mHeardAddresses.find(aHost);
-  return heard == mHeardAddresses.end() ? std::nullopt
-                                        : std::make_optional(heard->second);
+  return heard != mHeardAddresses.end() &&
+             aNow - heard->second.mAt < HeardHosts::kLifetime
+           ? std::make_optional(heard->second.mAddress)
+           : std::nullopt;
 }
 
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -193,11 +193,13 @@
   // A host has sent a message from an address. The hosts table, which is read
   // rarely, may not have it yet.
   void OnHostHeard(const std::string& aHost,
-                   const boost::asio::ip::address& aAddress);
+                   const boost::asio::ip::address& aAddress,
+                   Time aNow);
 
-  // Network address of a host; nothing if it is not known.
-  std::optional<boost::asio::ip::address> AddressOf(
-    const std::string& aHost) const;
+  // Network address of a host; nothing if it is not known. That of a host which
+  // is not in the hosts table counts for HeardHosts::kLifetime.
+  std::optional<boost::asio::ip::address> AddressOf(const std::string& aHost,
+                                                    Time aNow) const;
 
   // This host's rows are those of the store as of aAsOf, or those of a host
   // that was asked then while the store is unreachable.
@@ -278,7 +280,12 @@
   std::map<std::string, platform::StoreRow> mSuspectRows;
   std::map<std::string, std::string> mHostAddresses;
   // Addresses of hosts that are not in the hosts table.
-  std::map<std::string, boost::asio::ip::address> mHeardAddresses;
+  struct HeardAddress
+  {
+    boost::asio::ip::address mAddress;
+    Time mAt;
+  };
+  std::map<std::string, HeardAddress> mHeardAddresses;
   std::int64_t mConfigurationVersion = 0;
   std::int64_t mHostsVersion = 0;
   std::int64_t mSuspectsVersion = 0;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -148,7 +148,7 @@
   OnHeardFrom(host, hasStart ? start->value.GetUint64() : 0, now);
   const auto place = json.FindMember("place");
   const bool hasPlace = place != json.MemberEnd() && place->value.IsString();
-  mFleet.OnHostHeard(host, mSender.address());
+  mFleet.OnHostHeard(host, mSender.address(), now);
   mFleet.Reach().OnHostHeard(
     host, hasPlace ? place->value.GetString() : "", now);
   // A message with nothing but suspects has no load.
@@ -500,11 +500,12 @@
 std::optional<udp::endpoint>
 LoadBroadcaster::Find(const std::string& aHost) const
 {
-  const auto heard = mHeardHosts.EndpointOf(aHost, EventLoop::Now());
+  const Time now = EventLoop::Now();
+  const auto heard = mHeardHosts.EndpointOf(aHost, now);
   if (heard) {
     return heard;
   }
-  const auto address = mFleet.AddressOf(aHost);
+  const auto address = mFleet.AddressOf(aHost, now);
   return address
            ? std::make_optional(udp::endpoint(*address, mSettings.mLoadPort))
            : std::nullopt;
--- a/src/quetzalquay/gateway/ServerDirectory.cpp
+++ b/src/quetzalquay/gateway/ServerDirectory.cpp
@@ -86,7 +86,7 @@
 const TargetLocation*
 HostDirectory::Locate(const std::string& aServer)
 {
-  const auto address = mFleet.AddressOf(aServer);
+  const auto address = mFleet.AddressOf(aServer, EventLoop::Now());
   if (!address || mRelayPort == 0) {
     return nullptr;
   }
--- a/tests/introspective/BeliefTests.cpp
+++ b/tests/introspective/BeliefTests.cpp
@@ -9,6 +9,7 @@
 #include "core/TargetRoom.h"
 #include "core/TargetTable.h"
 #include "core/TargetWaits.h"
+#include "gateway/Fleet.h"
 #include "gateway/HeardHosts.h"
 
 #include <algorithm>
@@ -432,6 +433,18 @@
     [hosts](Time aNow) { return hosts.EndpointOf(kOther, aNow).has_value(); };
 }
 
+// A host that is not listed.
+Check
+TellAddress()
+{
+  const auto loop = std::make_shared<EventLoop>();
+  const auto fleet = std::make_shared<Fleet>(*loop, GatewaySettings());
+  fleet->OnHostHeard(kOther, {}, kStart);
+  return [loop, fleet](Time aNow) {
+    return fleet->AddressOf(kOther, aNow).has_value();
+  };
+}
+
 ReaderChoice
 MakeReaders()
 {
@@ -491,6 +504,7 @@
   { "known departure", seconds(30), TellKnownDeparture },
   { "origin of a stream", StreamOrigins::kLifetime, TellOrigin },
   { "endpoint of a host", HeardHosts::kLifetime, TellEndpoint },
+  { "address of an unlisted host", HeardHosts::kLifetime, TellAddress },
   { "failed readers", milliseconds(2000), TellFailedReaders },
   { "rows of a reader", ReaderChoice::kMaxStaleness, TellRows },
 };
