Bound the request counts that targets report

A target whose report or X-Server-Load named running and waiting requests got a negative sum in the table of targets, and one that named more than an int holds in its report counted as without requests: both looked idle and were preferred for callers' requests. Negative counts did the same.

Cause: the decoders took any int, while all other numbers of the platform's formats and of other hosts have bounds. Now both are taken from 0 to a million. Ruled out: the loads that hosts send each other, which are added with bounds (FormatTests.LoadsOfManyHostsDoNotOverflow).

--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -27,6 +27,11 @@
 
 // Largest token count of a request, so that the sums of many cannot overflow.
 constexpr int kMaxTokens = 500000;
+
+// Most requests that a target is taken to have, so that the sums of many counts
+// cannot overflow.
+constexpr int kMaxRequests = 1000000;
+
 // Parts of the prompt as ID:TOKENS, separated by commas.
 constexpr char kPromptParts[] = "X-Prompt-Prefix";
 constexpr char kLastEventId[] = "Last-Event-Id";
@@ -328,8 +333,8 @@
     response.mMisdirected || aHead.Find(kNotExecuted) != nullptr;
   std::array<int, 3> load{};
   if (ParseIntegers(FieldValue(aHead, kServerLoad), load) >= 2) {
-    response.mRunning = load[0];
-    response.mWaiting = load[1];
+    response.mRunning = std::clamp(load[0], 0, kMaxRequests);
+    response.mWaiting = std::clamp(load[1], 0, kMaxRequests);
   }
   if (const std::string* limit = aHead.Find(kRequestLimit)) {
     response.mRequestLimit = ParseRate(*limit);
@@ -407,7 +412,10 @@
   }
   const auto readCount = [&json](const char* aName) {
     const auto it = json.FindMember(aName);
-    return it != json.MemberEnd() && it->value.IsInt() ? it->value.GetInt() : 0;
+    return it != json.MemberEnd() && it->value.IsNumber()
+             ? static_cast<int>(
+                 std::clamp<double>(it->value.GetDouble(), 0, kMaxRequests))
+             : 0;
   };
   TargetReport report;
   report.mRunning = readCount("ActiveRequests");
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -108,7 +108,8 @@
   bool mMisdirected = false;
   // Name of the target that answered; empty when the response has none.
   std::string mTarget;
-  // Requests running and waiting at the target, if reported.
+  // Requests running and waiting at the target, if reported, from 0 to a
+  // million.
   std::optional<int> mRunning;
   std::optional<int> mWaiting;
   // Requests a second that the target takes from all hosts together, if it
@@ -170,6 +171,7 @@
   std::string mIncarnation;
   // Whether the target is a model engine.
   bool mEngine = false;
+  // Requests running and waiting, from 0 to a million.
   int mRunning = 0;
   int mWaiting = 0;
   // Runs that have produced their first token.
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
+  CPPUNIT_TEST(CountsOfTargetsHaveBounds);
   CPPUNIT_TEST(RejectsInvalidGatewaySettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -393,6 +394,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("5"), report->mIncarnation);
   }
 
+  // The sum of a target's running and waiting requests overflowed, and a full
+  // target looked idle; so did one with more requests than an int holds.
+  void CountsOfTargetsHaveBounds()
+  {
+    constexpr int kMost = 1000000;
+    std::string reason;
+    const auto checkReport = [&](const std::string& aText, int aCount) {
+      const auto report = platform::DecodeReport(
+        R"({"ActiveRequests":)" + aText + R"(,"QueuedRequests":)" + aText + "}",
+        reason);
+      CPPUNIT_ASSERT_MESSAGE(aText, report);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(aText, aCount, report->mRunning);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(aText, aCount, report->mWaiting);
+    };
+    checkReport("2147483647", kMost);
+    checkReport("2147483648", kMost);
+    checkReport("1e308", kMost);
+    checkReport("-2147483648", 0);
+    checkReport("17", 17);
+    const auto checkLoad = [](const std::string& aText, int aCount) {
+      HttpHead head;
+      head.mFields.push_back({ "X-Server-Load", aText + "," + aText + ",8" });
+      const auto response = platform::DecodeTargetResponse(head);
+      CPPUNIT_ASSERT_MESSAGE(aText, response.mRunning && response.mWaiting);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(aText, aCount, *response.mRunning);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(aText, aCount, *response.mWaiting);
+    };
+    checkLoad("2147483647", kMost);
+    checkLoad("-2147483648", 0);
+    checkLoad("17", 17);
+  }
+
   void RejectsInvalidGatewaySettings()
   {
     const std::string valid =
