Reject heads whose start line ends within the version

A request such as "GET / HTT" with an empty line was taken for a complete head without method, path and fields, and what followed for its body; a response whose status line was too short likewise, with status 0.

Cause: Beast asks for more bytes while the version is shorter than it has to be, whatever comes after the line, and the reader took every such answer for a body that is still to come. Ruled out: the pieces in which the head arrives, since it is always given to the parser whole.

--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -295,6 +295,10 @@
     error_code ec;
     aParser.put(boost::asio::buffer(mHeadBytes), ec);
     mProgress = HttpProgress::Body;
+    if (ec == http::error::need_more && !aParser.is_header_done()) {
+      // The start line ends within the version, for which the parser waits.
+      ec = http::error::bad_version;
+    }
     UpdateProgress(aParser, ec);
   }
 
--- a/tests/introspective/HttpReaderTests.cpp
+++ b/tests/introspective/HttpReaderTests.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(ChunkedBodyIsParsedForAnySegmentSize);
   CPPUNIT_TEST(BodyWithContentLengthIsParsedForAnySegmentSize);
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
+  CPPUNIT_TEST(HeadsWithoutACompleteVersionAreRejected);
   CPPUNIT_TEST(EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize);
   CPPUNIT_TEST(TrailerFieldsAreNotPartOfTheHead);
   CPPUNIT_TEST(BytesAfterARequestAreNotConsumed);
@@ -166,6 +167,20 @@
 
   // Guards against a proper request that is rejected because a piece of it ends
   // inside an empty line before it.
+  // The head counted as complete, without method, path or status, and its end
+  // as the start of a body.
+  void HeadsWithoutACompleteVersionAreRejected()
+  {
+    for (const char* it : { "GET / HTT\r\n\r\n",
+                            "GET / \r\n\r\n",
+                            "GET / HTT\r\n\r\nHost: h\r\n\r\n" }) {
+      CheckRejected(HttpMessageType::Requests, it);
+    }
+    for (const char* it : { "HTTP/1\r\n\r\n", "HTTP/1.1 20\r\n\r\n" }) {
+      CheckRejected(HttpMessageType::Responses, it);
+    }
+  }
+
   void EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize()
   {
     const std::string request = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
