Convert the age of a passed-on request only if it is valid

An age beyond its bound was rejected, but had been converted to a duration before, which overflows: undefined behaviour by the bytes of another host. The result was not used, so neither callers nor hosts saw anything of it.

--- a/src/quetzalquay/gateway/PassedOnRequest.cpp
+++ b/src/quetzalquay/gateway/PassedOnRequest.cpp
@@ -110,8 +110,11 @@
     ParseCount(aHead, kRuns, request.mPrior.mRuns) &&
     ParseFlag(aHead, kCounted, request.mPrior.mCounted) &&
     ParseFlag(aHead, kSent, request.mPrior.mSent);
+  if (!valid) {
+    return std::nullopt;
+  }
   request.mAge = std::chrono::milliseconds(age);
-  return valid ? std::make_optional(request) : std::nullopt;
+  return request;
 }
 
 bool
