Fuzz the readers of foreign bytes under sanitizers

quetzal-tests-fuzz checks 10,000 seeded mutations of valid records at each of 14 readers: requests, responses and events of connections, also in pieces; heads of callers and targets, reports, rows, configurations and registrations; datagrams, rows, passed-on requests and settings of hosts. What is read keeps its stated limits, and what is written again is read as the same.

tools/scripts/fuzz.sh builds it with the address and undefined-behaviour sanitizers in build-fuzz/, only with the sources that the readers need, and tools/test.sh counts its tests. A report of a sanitizer ends with seed and record.

--- /dev/null
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -0,0 +1,344 @@
+#include "Mutator.h"
+
+#include "core/Hash.h"
+#include "core/TrialRecord.h"
+#include "gateway/GatewaySettings.h"
+#include "gateway/LoadMessages.h"
+#include "gateway/PassedOnRequest.h"
+#include "gateway/ReachMessages.h"
+#include "gateway/StreamOriginRows.h"
+#include "gateway/SuspectRows.h"
+#include "http/HttpReader.h"
+#include "http/JsonText.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+
+namespace {
+
+const Time kNow = Time(std::chrono::hours(30 * 24));
+
+// Unix time of the rows, in milliseconds.
+constexpr std::int64_t kUnixMs = 1796464800000;
+
+constexpr int kMaxCount = 1000000000;
+
+// Content of a file that an earlier build wrote, or would have.
+std::string
+ReadData(const std::string& aName)
+{
+  std::ifstream file("tests/data/formats/" + aName);
+  CPPUNIT_ASSERT_MESSAGE(aName, file.good());
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+template<typename Function>
+std::string
+Written(const Function& aFunction)
+{
+  rapidjson::StringBuffer buf;
+  MessageWriter writer(buf);
+  aFunction(writer);
+  return buf.GetString();
+}
+
+// Whether an entry that was read is read as the same one after this host has
+// passed it on; one that is not read passes.
+using EntryCheck = std::function<bool(const rapidjson::Value&)>;
+
+template<typename Reader, typename Writer>
+EntryCheck
+MakeCheck(Reader aRead, Writer aWrite)
+{
+  return [=](const rapidjson::Value& aEntry) {
+    const auto entry = aRead(aEntry);
+    if (!entry) {
+      return true;
+    }
+    const auto write = [&](const auto& aRecord) {
+      return Written([&](MessageWriter& aWriter) { aWrite(aWriter, aRecord); });
+    };
+    const std::string text = write(*entry);
+    rapidjson::Document json;
+    ParseJson(json, text);
+    const auto again = json.HasParseError() ? decltype(entry)() : aRead(json);
+    return again && write(*again) == text;
+  };
+}
+
+template<typename Reader, typename Writer>
+EntryCheck
+MakeTimedCheck(Reader aRead, Writer aWrite)
+{
+  return MakeCheck(
+    [aRead](const rapidjson::Value& aEntry) { return aRead(aEntry, kNow); },
+    [aWrite](MessageWriter& aWriter, const auto& aRecord) {
+      aWrite(aWriter, aRecord, kNow);
+    });
+}
+
+const std::map<std::string, EntryCheck>&
+EntryChecks()
+{
+  static const EntryCheck kTotals =
+    MakeCheck(ParseTotalsEntry, WriteTotalsEntry);
+  static const EntryCheck kRetry =
+    MakeCheck(ParseRetryEntry, [](MessageWriter& aWriter, const auto& aGrant) {
+      WriteRetryEntry(aWriter, aGrant.mService, aGrant.mAsk, aGrant.mCount);
+    });
+  static const std::map<std::string, EntryCheck> kChecks = {
+    { "load", MakeCheck(ParseLoadEntry, WriteLoadEntry) },
+    { "lost", MakeTimedCheck(ParseLostEntry, WriteLostEntry) },
+    { "totals", kTotals },
+    { "limit_totals", kTotals },
+    { "asks", kRetry },
+    { "grants", kRetry },
+    { "limit_asks", kRetry },
+    { "limit_grants", kRetry },
+    { "limits", MakeTimedCheck(ParseLimitEntry, WriteLimitEntry) },
+    { "brittle", MakeTimedCheck(ParseBrittleEntry, WriteBrittleEntry) },
+    { "room", MakeCheck(ParseRoomEntry, WriteRoomEntry) },
+    { "room_answers", MakeCheck(ParseRoomAnswerEntry, WriteRoomAnswerEntry) },
+    { "streams", MakeCheck(ParseOriginEntry, WriteOriginEntry) },
+    { "gone", MakeCheck(ParseDepartureEntry, WriteDepartureEntry) },
+    { "suspects", MakeTimedCheck(ParseSuspectEntry, WriteSuspectEntry) },
+  };
+  return kChecks;
+}
+
+std::string
+CheckReach(const rapidjson::Value& aMessage)
+{
+  constexpr std::size_t kMost = TargetReach::kMaxAskedTargets;
+  const auto ask = ParseReachAsk(aMessage);
+  const auto answer = ParseReachAnswer(aMessage);
+  ParseUnreached(aMessage);
+  UnreadableReachMembers(aMessage);
+  if (ask && ask->mTargets.size() > kMost) {
+    return "an ask names too many targets";
+  }
+  if (!answer) {
+    return {};
+  }
+  if (answer->mHeard.size() > kMost || answer->mFailing.size() > kMost) {
+    return "an answer names too many targets";
+  }
+  for (const auto& it : answer->mHeard) {
+    if (it.second <= Duration::zero()) {
+      return "a target was heard in the future";
+    }
+  }
+  const std::string text = Written([&](MessageWriter& aWriter) {
+    aWriter.StartObject();
+    WriteReachAnswer(aWriter, *answer);
+    aWriter.EndObject();
+  });
+  rapidjson::Document json;
+  ParseJson(json, text);
+  return json.HasParseError() ? "an answer cannot be passed on" : "";
+}
+
+std::string
+CheckMessage(const std::string& aInput, Mutator&)
+{
+  rapidjson::Document json;
+  ParseJson(json, aInput);
+  if (json.HasParseError() || !json.IsObject()) {
+    return {};
+  }
+  for (const auto& it : EntryChecks()) {
+    const auto list = json.FindMember(it.first.c_str());
+    if (list == json.MemberEnd() || !list->value.IsArray()) {
+      continue;
+    }
+    for (const auto& entry : list->value.GetArray()) {
+      if (!it.second(entry)) {
+        return "an entry of " + it.first + " is read as another one later";
+      }
+    }
+  }
+  return CheckReach(json);
+}
+
+// Keys and values of the rows, separated by a tab.
+std::vector<std::string>
+RowsOf(const std::string& aTable)
+{
+  std::vector<std::string> rows;
+  for (const char* landing : { "9916185", "bc3452f", "c6d7403" }) {
+    std::stringstream text(ReadData("rows-" + std::string(landing) + ".txt"));
+    std::string line;
+    while (std::getline(text, line)) {
+      if (line.rfind(aTable + "\t", 0) == 0) {
+        rows.push_back(line.substr(aTable.size() + 1));
+      }
+    }
+  }
+  return rows;
+}
+
+platform::StoreRow
+MakeRow(const std::string& aInput)
+{
+  platform::StoreRow row;
+  const auto tab = aInput.find('\t');
+  row.mKey = aInput.substr(0, tab);
+  row.mValue = tab == std::string::npos ? "" : aInput.substr(tab + 1);
+  row.mVersion = 1;
+  return row;
+}
+
+std::string
+CheckSuspectRow(const std::string& aInput, Mutator&)
+{
+  const platform::StoreRow row = MakeRow(aInput);
+  const ClockReading clocks = { kNow, kUnixMs };
+  IsTargetTrialKey(row.mKey);
+  ParseTrialSuspects(row);
+  if (const auto record = ParseTrialRecord(row.mValue)) {
+    const auto again = ParseTrialRecord(FormatTrialRecord(*record));
+    if (!again || FormatTrialRecord(*again) != FormatTrialRecord(*record) ||
+        record->mLost < 0) {
+      return "a record is read as another one later";
+    }
+  }
+  if (const auto change = ParseSuspectRow(row, clocks)) {
+    const platform::RowChange written = FormatSuspectRow(*change, clocks);
+    const auto again =
+      ParseSuspectRow(MakeRow(written.mKey + "\t" + *written.mValue), clocks);
+    if (!again || FormatSuspectRow(*again, clocks).mValue != written.mValue) {
+      return "a lost run is read as another one later";
+    }
+  }
+  return {};
+}
+
+std::string
+CheckOriginRow(const std::string& aInput, Mutator&)
+{
+  const auto row = ParseOriginRow(MakeRow(aInput));
+  IsOriginRowOutdated(row, kUnixMs);
+  if (!row) {
+    return {};
+  }
+  return row->mWrittenAtMs < 0 || (row->mOrigin && row->mOrigin->mAttempt < 0)
+           ? "a row is out of range"
+           : "";
+}
+
+std::string
+CheckPassedOn(const std::string& aInput, Mutator&)
+{
+  HttpReader reader(HttpMessageType::Requests, {});
+  reader.Feed(aInput);
+  if (reader.Progress() != HttpProgress::Complete) {
+    return {};
+  }
+  HttpHead head = reader.Head();
+  if (const PassedOnAnswer answer = ParsePassedOnAnswer(head);
+      answer.mRuns < 0 || answer.mRuns > kMaxCount) {
+    return "the runs of an answer are out of range";
+  }
+  const auto request = ParsePassedOnRequest(head);
+  RemoveHostFields(head);
+  for (const HttpField& it : head.mFields) {
+    if (IsHostField(it.mName)) {
+      return "a field of the hosts is left";
+    }
+  }
+  if (!request) {
+    return {};
+  }
+  return request->mFrom.empty() || request->mService.empty() ||
+             request->mConfiguration < 0 || request->mTries < 0 ||
+             request->mTries > kMaxCount || request->mPrior.mRuns < 0 ||
+             request->mPrior.mRuns > kMaxCount ||
+             request->mAge < Duration::zero() ||
+             request->mAge > milliseconds(kMaxCount)
+           ? "a request is out of range"
+           : "";
+}
+
+std::string
+CheckSettings(const std::string& aInput, Mutator&)
+{
+  std::string reason;
+  const auto settings = ParseGatewaySettings(aInput, reason);
+  if (!settings) {
+    return reason.empty() ? "no reason" : "";
+  }
+  return settings->mLoadPort == 0 || settings->mMaxConnections < 1 ||
+             settings->mLinkMbps < 0 || settings->mStopGrace < Duration(1) ||
+             settings->mRetryWindow < Duration(1) ||
+             !(settings->mRetryRatio >= 0 && settings->mRetryRatio <= 10)
+           ? "a setting is out of range"
+           : "";
+}
+
+} // namespace
+
+// What hosts send each other, store and are started with.
+class HostFuzzTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HostFuzzTests);
+  CPPUNIT_TEST(Messages);
+  CPPUNIT_TEST(SuspectRows);
+  CPPUNIT_TEST(OriginRows);
+  CPPUNIT_TEST(PassedOnRequests);
+  CPPUNIT_TEST(Settings);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void Messages()
+  {
+    CheckMutations("messages",
+                   { ReadData("messages-9916185.json"),
+                     ReadData("messages-bc3452f.json"),
+                     ReadData("messages-c6d7403.json") },
+                   CheckMessage);
+  }
+
+  void SuspectRows()
+  {
+    CheckMutations("rows of suspects", RowsOf("suspects"), CheckSuspectRow);
+  }
+
+  void OriginRows()
+  {
+    CheckMutations("rows of streams", RowsOf("streams"), CheckOriginRow);
+  }
+
+  void PassedOnRequests()
+  {
+    PassedOnRequest request;
+    request.mFrom = "front-1";
+    request.mConfiguration = 7;
+    request.mAge = milliseconds(250);
+    request.mService = "pool";
+    request.mSoftwareVersion = "2.1";
+    const std::string line = "GET /chat/run HTTP/1.1\r\nHost: h\r\n";
+    CheckMutations(
+      "passed on requests",
+      { line + FormatPassedOnRequest(request) + "\r\n",
+        line + FormatHostFailure(RunVerdict::NotRun, RefusedBy::Host, 2) +
+          FormatStreamStart("pool", "2.1") + "\r\n" },
+      CheckPassedOn);
+  }
+
+  void Settings()
+  {
+    CheckMutations(
+      "settings",
+      { ReadData("settings-9916185.json"), ReadData("settings-024c004.json") },
+      CheckSettings);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostFuzzTests);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -21,6 +21,7 @@
 
 run_suites introspective
 run_suites usage
+tools/scripts/fuzz.sh >"$logs/fuzz" 2>&1
 python3 tests/tools/losses_tests.py >"$logs/losses_tests" 2>&1
 for log in "$logs"/*; do
   tail -n 1000 "$log" | grep -vE '^(OK, passed|$|- |Using)' | tail -n 120
