Reject responses with a status below 100

A response of a target with the status "000" was taken for a valid one with status 0, as a head has that is no response.

Cause: Beast takes any three digits.

--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -64,6 +64,9 @@
     mHead.mStatus = aCode;
     mHead.mReason = ToStdString(aReason);
     RequireVersion(aVersion, aError);
+    if (aCode < 100) {
+      aError = http::error::bad_status;
+    }
   }
 
   void on_field_impl(http::field,
--- a/tests/introspective/HttpReaderTests.cpp
+++ b/tests/introspective/HttpReaderTests.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(BodyWithContentLengthIsParsedForAnySegmentSize);
   CPPUNIT_TEST(AmbiguousFramingIsRejected);
   CPPUNIT_TEST(HeadsWithoutACompleteVersionAreRejected);
+  CPPUNIT_TEST(StatusCodesBelow100AreRejected);
   CPPUNIT_TEST(EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize);
   CPPUNIT_TEST(TrailerFieldsAreNotPartOfTheHead);
   CPPUNIT_TEST(BytesAfterARequestAreNotConsumed);
@@ -181,6 +182,13 @@
     }
   }
 
+  // The parser takes any three digits; the first one has to be 1 to 5.
+  void StatusCodesBelow100AreRejected()
+  {
+    CheckRejected(HttpMessageType::Responses, "HTTP/1.1 000 A\r\n\r\n");
+    CheckRejected(HttpMessageType::Responses, "HTTP/1.1 099 A\r\n\r\n");
+  }
+
   void EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize()
   {
     const std::string request = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
