Limit an unfinished line after a chunk however it arrives

A request or response whose last chunk was followed by a line without an end stayed in the host's memory, as much as one read brings, if it arrived at once; in pieces it was rejected at 2 KiB. The limit holds for both now.

HttpReaderTests::UnfinishedTrailersAreRejectedForAnySegmentSize fails before, the suite passes (15 tests) after.

--- a/src/quetzalquay/http/HttpReader.cpp
+++ b/src/quetzalquay/http/HttpReader.cpp
@@ -326,8 +326,11 @@
           aParser.put(boost::asio::buffer(rest.data(), rest.size()), ec);
         consumed += n;
         if (ec == http::error::need_more && n < rest.size()) {
-          // Buffers an incomplete chunk-size line until the rest arrives.
-          mBufferedChunkBytes.assign(rest.substr(n));
+          // Buffers an incomplete line until the rest arrives.
+          mBufferedChunkBytes.assign(rest.substr(n, 2 * kMaxChunkLineBytes));
+          if (rest.size() - n > 2 * kMaxChunkLineBytes) {
+            ec = http::error::bad_chunk;
+          }
           consumed = aData.size();
         }
       } else {
--- a/tests/introspective/HttpReaderTests.cpp
+++ b/tests/introspective/HttpReaderTests.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(StatusCodesBelow100AreRejected);
   CPPUNIT_TEST(EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize);
   CPPUNIT_TEST(TrailerFieldsAreNotPartOfTheHead);
+  CPPUNIT_TEST(UnfinishedTrailersAreRejectedForAnySegmentSize);
   CPPUNIT_TEST(BytesAfterARequestAreNotConsumed);
   CPPUNIT_TEST(ResponseWithoutLengthEndsWithTheConnection);
   CPPUNIT_TEST(TruncatedResponseIsInvalid);
@@ -166,8 +167,6 @@
     CheckRejected(HttpMessageType::Responses, "nonsense\r\n\r\n");
   }
 
-  // Guards against a proper request that is rejected because a piece of it ends
-  // inside an empty line before it.
   // The head counted as complete, without method, path or status, and its end
   // as the start of a body.
   void HeadsWithoutACompleteVersionAreRejected()
@@ -189,6 +188,8 @@
     CheckRejected(HttpMessageType::Responses, "HTTP/1.1 099 A\r\n\r\n");
   }
 
+  // Guards against a proper request that is rejected because a piece of it ends
+  // inside an empty line before it.
   void EmptyLinesBeforeARequestAreIgnoredForAnySegmentSize()
   {
     const std::string request = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -216,6 +217,14 @@
     CPPUNIT_ASSERT(result.mHead.Find("X-Tenant") == nullptr);
   }
 
+  // A line after the last chunk had no limit if it arrived at once.
+  void UnfinishedTrailersAreRejectedForAnySegmentSize()
+  {
+    CheckRejected(HttpMessageType::Requests,
+                  kChunkedHead + "1\r\na\r\n0\r\nT: 1\r\n\r" +
+                    std::string(90000, 'x'));
+  }
+
   void BytesAfterARequestAreNotConsumed()
   {
     const std::string one = "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n";
