Name no failing target while any cut is suspected

A host that may be cut off from one service is a poor witness for another. BeliefTests, "failures withheld", failed on the joined code and passes.

--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -589,7 +589,7 @@
   const bool lost = aFailing.mLostAt > aFailing.mHeardAt &&
                     aNow - aFailing.mLostAt < kFailureLifetime;
   const Time since = LastFailureOf(aFailing) + kFailureMargin;
-  return CountCutOff() == 0 &&
+  return UnreachedServices(aNow).empty() &&
          std::any_of(aService.mTargets.begin(),
                      aService.mTargets.end(),
                      [&](const auto& aEntry) {
