Let spoiled rows of the fake store take a version of it

A store gives each version to one row. The check is the same: the sound configuration has to be read.

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1759,7 +1759,10 @@
     return std::nullopt;
   }
   if (mStoreFault != StoreFault::None) {
-    rows = SpoiledRows(mStoreFault, mVersion + 1);
+    if (mSpoiledVersion == 0) {
+      mSpoiledVersion = ++mVersion;
+    }
+    rows = SpoiledRows(mStoreFault, mSpoiledVersion);
   }
   reply.mBody = R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" +
                 std::to_string(mVersion) + R"(,"NowMs":1})";
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -581,6 +581,8 @@
   std::atomic<ReplyFault> mReplyFault{ ReplyFault::Nested };
   std::atomic<int> mRepliesToSpoil{ 0 };
   std::atomic<StoreFault> mStoreFault{ StoreFault::None };
+  // Version that spoiled rows have taken in the store; 0 before they are read.
+  long long mSpoiledVersion = 0;
   std::atomic<int> mCrashCount{ 0 };
   std::atomic<int> mCrashDelayMs{ 0 };
   std::atomic<int> mEventsBeforeCrash{ 0 };
