--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -501,8 +501,7 @@
 LoadBroadcaster::Find(const std::string& aHost) const
 {
   const Time now = EventLoop::Now();
-  const auto heard = mHeardHosts.EndpointOf(aHost, now);
-  if (heard) {
+  if (auto heard = mHeardHosts.EndpointOf(aHost, now)) {
     return heard;
   }
   const auto address = mFleet.AddressOf(aHost, now);
