--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -829,7 +829,15 @@
 
   std::string NextEventText() const
   {
-    return EventText(mEvent, mRunner.mVersion, mStreamBody);
+    std::string text = EventText(mEvent, mRunner.mVersion, mStreamBody);
+    const int spoiled = mMode == RunnerMode::SpoiledFirstId    ? 1
+                        : mMode == RunnerMode::SpoiledSecondId ? 2
+                                                               : 0;
+    if (mEvent - mStartEvent == spoiled) {
+      const auto digit = text.find_first_of("123456789");
+      text.insert(digit, 1, text[digit]);
+    }
+    return text;
   }
 
   Runner& mRunner;
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -71,6 +71,10 @@
   SlowTruncatedStream,
   // Skips an event.
   GapInStream,
+  // Sends the first digit of the ID of a run's first event twice.
+  SpoiledFirstId,
+  // The same of its second event.
+  SpoiledSecondId,
   // Accepts requests and never answers.
   NeverAnswer,
   // Answers a plain request with a large body; see SetLargeAnswer().
