--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -21,6 +21,7 @@
 #include "gateway/TargetConnection.h"
 #include "gateway/WaitWatch.h"
 #include "http/JsonText.h"
+#include "http/ProcessLimits.h"
 #include "observe/Log.h"
 #include "platform/PlatformRequests.h"
 
@@ -70,10 +71,11 @@
     , mMetrics(mSettings.mHost)
     , mRetryLog(mMetrics)
     , mFormats(mMetrics)
-    , mReplies(ReplyBufferLimit(UsableMemory()))
+    , mMemory(UsableMemory(mSettings.mMemoryMb))
+    , mReplies(ReplyBufferLimit(mMemory))
     , mFleet(mLoop, mSettings)
     , mTargets(mFleet)
-    , mAnswerBuffers(AnswerBufferLimit(UsableMemory()))
+    , mAnswerBuffers(AnswerBufferLimit(mMemory))
     , mPool(mLoop, mTargets, mAnswerBuffers, mMetrics)
     , mProber(mLoop, mFleet, mPool)
     , mOriginStore(mLoop, mSettings, mFleet, mMetrics, mReplies)
@@ -104,7 +106,7 @@
     , mStopTimer(mLoop, [this] { CheckStop(); })
   {
     LimitJsonMemory(
-      JsonMemoryLimit(UsableMemory()), [this](std::size_t aBytes) {
+      JsonMemoryLimit(mMemory), [this](std::size_t aBytes) {
         mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
         Log(LogLevel::Warn,
             "store",
@@ -163,6 +165,7 @@
         "started",
         { { "host", mSettings.mHost },
           { "place", mSettings.mPlace },
+          { "memory", std::to_string(mMemory) },
           { "answer_bytes", std::to_string(mAnswerBuffers.Limit()) },
           { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
           { "store", FormatEndpoint(mSettings.mStoreEndpoint) } });
@@ -364,6 +367,8 @@
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
   FormatLog mFormats;
+  // Bytes of memory that the process may use.
+  std::size_t mMemory;
   ReplyBuffers mReplies;
   Fleet mFleet;
   TargetDirectory mTargets;
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -187,6 +187,8 @@
   double connections = 0;
   reader.ReadNumber(
     "maxConnections", 2 * kReservedConnections, 1e6, connections);
+  double memory = 0;
+  reader.ReadOptionalNumber("memoryMb", 0, 1e9, memory);
   double link = 0;
   reader.ReadNumber("linkMbps", 0, 1e7, link);
   double grace = 0;
@@ -201,6 +203,7 @@
   }
   const auto descriptors = static_cast<int>(connections);
   settings.mMaxConnections = descriptors - ReservedDescriptors(descriptors);
+  settings.mMemoryMb = static_cast<int>(memory);
   settings.mLinkMbps = static_cast<int>(link);
   settings.mStopGrace = FromSeconds(grace);
   settings.mRetryWindow = FromSeconds(window);
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -36,6 +36,8 @@
   int mLinkMbps = 0;
   // Limit on open connections, from callers and to targets together.
   int mMaxConnections = 1024;
+  // Memory that the process may use, in MB; 0 if only the system limits it.
+  int mMemoryMb = 0;
   // Time from a stop signal to the exit of the process.
   Duration mStopGrace = std::chrono::seconds(8);
   // Time that targets have to register again after a store outage.
--- a/src/quetzalquay/http/AnswerBuffers.h
+++ b/src/quetzalquay/http/AnswerBuffers.h
@@ -20,11 +20,6 @@
 std::size_t
 JsonMemoryLimit(std::size_t aMemory);
 
-// Memory that the process may use, by its resource limits, its control group
-// and the machine.
-std::size_t
-UsableMemory();
-
 // Shares the memory for requests and answers among all requests: those that are
 // being received or handled, and answers that wait for their callers to read
 // them. Each may hold as much as is left unused, so that one without end is
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <mutex>
 #include <netinet/in.h>
@@ -33,6 +34,9 @@
 // name. Without the variable they are discarded.
 constexpr char kLogDirectoryVariable[] = "QUETZAL_TEST_LOGS";
 
+// Interval at which the memory of a process with a limit is read.
+constexpr std::chrono::milliseconds kMemoryWatchInterval{ 10 };
+
 // Ports below those that the system gives to outgoing connections, which could
 // take a port before its user listens on it. They are divided into blocks that
 // belong to one test process each while it runs.
@@ -79,6 +83,14 @@
   return other == nullptr ? kGatewayBinary : other;
 }
 
+// Path of the program that a process runs; empty if it has ended.
+std::filesystem::path
+ProgramOf(const std::string& aProcess)
+{
+  std::error_code ec;
+  return std::filesystem::read_symlink("/proc/" + aProcess + "/exe", ec);
+}
+
 } // namespace
 
 int
@@ -156,7 +168,11 @@
     << mFixedSettings << R"(,"maxConnections":)" << mSettings.mMaxConnections
     << R"(,"stopGraceS":)" << mSettings.mStopGraceS << R"(,"repeatRatio":)"
     << mSettings.mRetryRatio << R"(,"repeatAllowance":)"
-    << mSettings.mRetryAllowance << "}";
+    << mSettings.mRetryAllowance
+    << (mSettings.mMemoryMb > 0
+          ? R"(,"memoryMb":)" + std::to_string(mSettings.mMemoryMb)
+          : std::string())
+    << "}";
 }
 
 void
@@ -199,11 +215,6 @@
       const rlimit descriptors{ limit, limit };
       ::setrlimit(RLIMIT_NOFILE, &descriptors);
     }
-    if (mSettings.mMemoryMb > 0) {
-      const auto limit = static_cast<rlim_t>(mSettings.mMemoryMb) << 20U;
-      const rlimit memory{ limit, limit };
-      ::setrlimit(RLIMIT_DATA, &memory);
-    }
     // The gateway must not outlive an aborted test.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::execl(binary.c_str(),
@@ -213,6 +224,29 @@
             static_cast<char*>(nullptr));
     std::_Exit(127);
   }
+  mExceededMemory = false;
+  if (mSettings.mMemoryMb > 0) {
+    mWatching = true;
+    mWatch = std::thread([this] { WatchMemory(); });
+  }
+}
+
+// Kills the process when its resident memory exceeds its limit, as whoever runs
+// it may do without telling the system of the limit.
+void
+GatewayProcess::WatchMemory()
+{
+  const std::filesystem::path own = ProgramOf("self");
+  while (mWatching) {
+    // Before it runs the gateway the process has the memory of the test.
+    if (ProgramOf(std::to_string(mProcess)) != own &&
+        PeakMemoryMb() >= mSettings.mMemoryMb) {
+      mExceededMemory = true;
+      Signal(SIGKILL);
+      return;
+    }
+    std::this_thread::sleep_for(kMemoryWatchInterval);
+  }
 }
 
 GatewayProcess::~GatewayProcess()
@@ -278,6 +312,13 @@
 int
 GatewayProcess::AwaitExit()
 {
+  // The watch may kill the process until it has been waited for.
+  siginfo_t ended{};
+  ::waitid(P_PID, static_cast<id_t>(mProcess), &ended, WEXITED | WNOWAIT);
+  mWatching = false;
+  if (mWatch.joinable()) {
+    mWatch.join();
+  }
   int status = 0;
   ::waitpid(std::exchange(mProcess, -1), &status, 0);
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -3,6 +3,7 @@
 
 #include "http/HttpReader.h"
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <string>
@@ -28,7 +29,8 @@
   int mStopGraceS = 8;
   // Descriptors that the process may open, 0 for the limit of the test.
   int mDescriptors = 0;
-  // Data that the process may allocate, in MB, 0 for no limit.
+  // Memory that the settings grant the process, in MB, 0 for none. Nothing but
+  // the settings tells the process of it, and it is killed above.
   int mMemoryMb = 0;
   double mRetryRatio = 0.8;
   int mRetryAllowance = 150;
@@ -69,9 +71,10 @@
   // failure. A positive aReceiveBytes limits what it holds of unread bytes.
   int ConnectCaller(int aReceiveBytes = 0) const;
 
-  // Address of the gateway, and its port for callers.
+  // Address of the gateway, and its ports for callers and for metrics.
   const std::string& Ip() const { return mIp; }
   int CallerPort() const { return mPorts[0]; }
+  int MetricsPort() const { return mPorts[2]; }
 
   // Rewrites the settings file; the process reads it on SIGHUP or at its next
   // start.
@@ -96,6 +99,9 @@
   // ended it.
   int AwaitExit();
 
+  // Whether the process was killed for its memory, since its last start.
+  bool HasExceededMemory() const { return mExceededMemory; }
+
   bool IsRunning() const { return mProcess > 0; }
 
   // Largest resident memory of the process so far, in MB; 0 if it has ended.
@@ -121,6 +127,7 @@
 
 private:
   void StartProcess();
+  void WatchMemory();
   void WriteSettings() const;
   int Connect(int aPort, const std::string& aBytes) const;
   CallerAnswer CallPort(int aPort, const std::string& aBytes) const;
@@ -134,6 +141,10 @@
   std::string mFixedSettings;
   GatewayTestSettings mSettings;
   pid_t mProcess = -1;
+  // Watches the memory of a process that has a limit.
+  std::thread mWatch;
+  std::atomic<bool> mWatching{ false };
+  std::atomic<bool> mExceededMemory{ false };
   std::chrono::milliseconds mCallTimeout{ 20000 };
 };
 
--- a/tests/introspective/AnswerBuffersTests.cpp
+++ b/tests/introspective/AnswerBuffersTests.cpp
@@ -73,7 +73,6 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 4U << 20U }, AnswerBufferLimit(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 256U << 20U },
                          AnswerBufferLimit(SIZE_MAX));
-    CPPUNIT_ASSERT(UsableMemory() > 0);
   }
 
   // Guards against short texts of many values being parsed, and against strings
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -11,14 +11,12 @@
 
 namespace {
 
-// Memory of the smallest hosts, and address space that the stacks of a
-// process's threads reserve and do not use, in MB.
+// Memory of the smallest hosts, in MB.
 constexpr int kSmallHostMb = 88;
-constexpr int kReservedMb = 35;
 
 // Memory of a host that runs few requests together, in MB, how many it has to
 // run, and the time that their callers give them.
-constexpr int kTinyHostMb = 25;
+constexpr int kTinyHostMb = 60;
 constexpr std::size_t kRunningOnTinyHost = 500;
 constexpr int kRunningDeadlineMs = 60000;
 
@@ -66,7 +64,7 @@
   void UnreadAnswersLeaveTheHostItsMemory()
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     cluster.SetAllModes(RunnerMode::LargeAnswer);
     cluster.SetLargeAnswer(9U << 20U);
@@ -98,7 +96,7 @@
   void KeptConnectionsHoldNothingOfTheirAnswers()
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     cluster.SetAllModes(RunnerMode::LargeAnswer);
     cluster.SetLargeAnswer(9U << 20U);
@@ -123,7 +121,7 @@
   void WaitingRequestsLeaveTheHostItsMemory()
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     TestLimits limits;
     limits.mBodyBytes = 5000000;
@@ -202,7 +200,7 @@
   void RequestsBeyondTheMemoryAreRefused()
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kTinyHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kTinyHostMb;
     GatewayTestCluster cluster(options);
     cluster.SetAllModes(RunnerMode::NeverAnswer);
     std::vector<std::unique_ptr<CallerChannel>> channels;
@@ -247,7 +245,7 @@
                                   bool aStandsStill = false)
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     cluster.SetAllModes(aMode);
     std::vector<std::unique_ptr<CallerChannel>> channels;
--- a/tests/usage/FleetChangeTests.cpp
+++ b/tests/usage/FleetChangeTests.cpp
@@ -33,7 +33,6 @@
 constexpr int kSmallHostMb = 88;
 
 // Address space that the stacks of its threads reserve and do not use, in MB.
-constexpr int kReservedMb = 35;
 
 // One step of a trouble, repeated while the configuration changes.
 using TroubleStep = std::function<void(FleetSituation&, int)>;
@@ -281,7 +280,7 @@
   void ChangesBesideEndlessHeads()
   {
     FleetCase fleet = MakeResumableCase("endless_head");
-    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb;
     PlayBesideChanges(fleet, Misbehave(RunnerMode::EndlessHead));
   }
 
@@ -290,7 +289,7 @@
   void ChangesBesideEndlessBodies()
   {
     FleetCase fleet = MakeResumableCase("endless_body");
-    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb;
     PlayBesideChanges(fleet, Misbehave(RunnerMode::EndlessBody));
   }
 
@@ -299,7 +298,7 @@
   void ChangesBesideEndlessTails()
   {
     FleetCase fleet = MakeResumableCase("endless_tail");
-    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    fleet.mFleet.mSettings.mMemoryMb = kSmallHostMb;
     PlayBesideChanges(fleet, Misbehave(RunnerMode::EndlessTail));
   }
 
--- a/tests/usage/KeptConfigurationTests.cpp
+++ b/tests/usage/KeptConfigurationTests.cpp
@@ -12,10 +12,8 @@
 
 namespace {
 
-// Memory of the smallest hosts, and address space that the stacks of a
-// process's threads reserve and do not use, in MB.
+// Memory of the smallest hosts, in MB.
 constexpr int kSmallHostMb = 88;
-constexpr int kReservedMb = 35;
 
 } // namespace
 
@@ -35,7 +33,7 @@
   {
     constexpr int kChanges = 60;
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     // Streams that last as long as all changes.
     cluster.SetPace(milliseconds(100), milliseconds(400), milliseconds(10));
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -470,9 +470,8 @@
   void LargeRequestsLeaveAServingHostItsMemory()
   {
     constexpr int kSmallHostMb = 88;
-    constexpr int kReservedMb = 35;
-    GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+        GatewayTestCluster::Options options;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     GatewayTestCluster cluster(options);
     const std::string fields = HostFields(1, 0);
     const std::string body(16U << 20U, 'b');
--- a/tests/usage/StoreReplyTests.cpp
+++ b/tests/usage/StoreReplyTests.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-// Memory of the smallest hosts, and address space that the stacks of a
-// process's threads reserve and do not use, in MB.
+// Memory of the smallest hosts, in MB.
 constexpr int kSmallHostMb = 88;
-constexpr int kReservedMb = 35;
 
 // Workspaces of the largest configuration, and bytes of it for each.
 constexpr int kWorkspaces = 1700;
@@ -79,7 +77,7 @@
   static GatewayTestCluster::Options SmallHost()
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     return options;
   }
 
--- a/tests/usage/TargetReplyTests.cpp
+++ b/tests/usage/TargetReplyTests.cpp
@@ -9,10 +9,8 @@
 
 namespace {
 
-// Memory of the smallest hosts, and address space that the stacks of a
-// process's threads reserve and do not use, in MB.
+// Memory of the smallest hosts, in MB.
 constexpr int kSmallHostMb = 88;
-constexpr int kReservedMb = 35;
 
 constexpr int kStreams = 12;
 constexpr int kRunners = 4;
@@ -57,7 +55,7 @@
     GatewayTestCluster::Options options;
     options.mRunners = kRunners;
     options.mFirstStartTime = true;
-    options.mSettings.mMemoryMb = kSmallHostMb + kReservedMb;
+    options.mSettings.mMemoryMb = kSmallHostMb;
     return options;
   }
 
