Wait for an address that is in use, and serve without metrics (FAULT)

What callers saw: a host that did not start. A process whose metrics port was taken ended with exit code 1, though no caller needs metrics; so did one that started while its predecessor still had an address.

Cause: any address that could not be listened on ended the process. On a plain machine the predecessor may still drain, or an outgoing connection may hold a port in the range that the system gives out.

Now an address that is in use is tried every 100 ms until it is free (warning every 5 s), a stop ends the wait, and other errors end the process at once as before. Metrics are served as soon as their address is free.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -943,11 +943,14 @@
           bytes + buffers.Total() <= limit);
 }
 
-std::optional<std::string>
+std::optional<ListenFailure>
 CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
 {
-  const auto problem = mListener.Open(aCallers);
-  return problem || aHosts.port() == 0 ? problem : mHostListener.Open(aHosts);
+  auto failure = mListener.Open(aCallers);
+  if (!failure && aHosts.port() != 0) {
+    failure = mHostListener.Open(aHosts);
+  }
+  return failure;
 }
 
 void
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -147,10 +147,11 @@
 public:
   CallerServer(GatewayContext& aContext, int aMaxConnections);
 
-  // Starts to listen at an address for callers and at one for other hosts;
-  // returns an error message on failure.
-  std::optional<std::string> Open(const Endpoint& aCallers,
-                                  const Endpoint& aHosts);
+  // Starts to listen at an address for callers, and at one for other hosts
+  // unless its port is 0. Returns the reason on failure, and may be called
+  // again.
+  std::optional<ListenFailure> Open(const Endpoint& aCallers,
+                                    const Endpoint& aHosts);
 
   // From now on the connection is closed after each response. New requests are
   // still accepted.
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -54,6 +54,12 @@
 // finished.
 constexpr Duration kStopCheckInterval = milliseconds(100);
 
+// Intervals at which a process tries again to listen on an address that is in
+// use, tells of it, and tries again to serve metrics.
+constexpr Duration kListenRetryInterval = milliseconds(100);
+constexpr Duration kListenLogInterval = milliseconds(5000);
+constexpr Duration kMetricsRetryInterval = milliseconds(2000);
+
 // Suspects that are logged for one death of a target, and the lost runs from
 // which on they are. Each request has parts, most of which are lost once.
 constexpr std::size_t kMaxLoggedSuspects = 8;
@@ -104,15 +110,16 @@
         [this](const HttpHead&, const std::string&) { return HandleMetrics(); })
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopTimer(mLoop, [this] { CheckStop(); })
+    , mListenTimer(mLoop, [this] { Listen(); })
+    , mMetricsTimer(mLoop, [this] { ListenForMetrics(); })
   {
-    LimitJsonMemory(
-      JsonMemoryLimit(mMemory), [this](std::size_t aBytes) {
-        mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
-        Log(LogLevel::Warn,
-            "store",
-            "gave up a text that needs too much memory once parsed",
-            { { "bytes", std::to_string(aBytes) } });
-      });
+    LimitJsonMemory(JsonMemoryLimit(mMemory), [this](std::size_t aBytes) {
+      mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
+      Log(LogLevel::Warn,
+          "store",
+          "gave up a text that needs too much memory once parsed",
+          { { "bytes", std::to_string(aBytes) } });
+    });
     mReplies.SetGivenUpCallback(
       [this](ReplyKind aKind, const std::string& aServer, std::size_t aBytes) {
         mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
@@ -145,19 +152,67 @@
   std::optional<std::string> Run()
   {
     std::signal(SIGPIPE, SIG_IGN);
-    for (const auto& problem :
-         { mCallers.Open(
-             mSettings.mCallerEndpoint,
-             Endpoint(mSettings.mPeerEndpoint.address(), mSettings.mRelayPort)),
-           mReadinessServer.Open(mSettings.mReadinessEndpoint),
-           mMetricsServer.Open(mSettings.mMetricsEndpoint),
-           mPeers.Start(),
-           mLoadSender.Start() }) {
-      if (problem) {
-        return problem;
-      }
-    }
     WaitForSignal();
+    Listen();
+    if (!mStartProblem) {
+      mLoop.Run();
+    }
+    if (!mStartProblem) {
+      Log(LogLevel::Info,
+          "gateway",
+          "stopped",
+          { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
+    }
+    return mStartProblem;
+  }
+
+private:
+  // Listens on all addresses and starts to serve. An address may still belong to
+  // the process that this one replaces, or to an outgoing connection of another
+  // one, so it is tried again until it is free.
+  void Listen()
+  {
+    const Endpoint relay(mSettings.mPeerEndpoint.address(),
+                         mSettings.mRelayPort);
+    auto failure = mReadinessServer.Open(mSettings.mReadinessEndpoint);
+    if (!failure) {
+      failure = mPeers.Listen();
+    }
+    if (!failure) {
+      failure = mLoadSender.Listen();
+    }
+    if (!failure) {
+      failure = mCallers.Open(mSettings.mCallerEndpoint, relay);
+    }
+    if (!failure) {
+      Serve();
+    } else if (failure->mAddressInUse) {
+      OnAddressInUse(*failure);
+      mListenTimer.ScheduleAt(EventLoop::Now() + kListenRetryInterval);
+    } else {
+      mStartProblem = failure->mMessage;
+      mLoop.Stop();
+    }
+  }
+
+  void OnAddressInUse(const ListenFailure& aFailure)
+  {
+    const Time now = EventLoop::Now();
+    if (now >= mNextListenLogAt) {
+      mNextListenLogAt = now + kListenLogInterval;
+      Log(LogLevel::Warn,
+          "gateway",
+          "waiting for an address",
+          { { "reason", aFailure.mMessage } });
+    }
+  }
+
+  void Serve()
+  {
+    mServing = true;
+    ListenForMetrics();
+    mPeers.Start();
+    mLoadSender.Start();
     mStore.Start();
     mStore.RegisterHost(FormatHostRow(mSettings));
     Log(LogLevel::Info,
@@ -167,17 +222,31 @@
           { "place", mSettings.mPlace },
           { "memory", std::to_string(mMemory) },
           { "answer_bytes", std::to_string(mAnswerBuffers.Limit()) },
+          { "stop_grace_ms", std::to_string(ToMilliseconds(mSettings.mStopGrace)) },
           { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
           { "store", FormatEndpoint(mSettings.mStoreEndpoint) } });
-    mLoop.Run();
-    Log(LogLevel::Info,
-        "gateway",
-        "stopped",
-        { { "open_requests", std::to_string(mCallers.ExchangeCount()) } });
-    return std::nullopt;
   }
 
-private:
+  // Serves no metrics while the address cannot be listened on: callers don't
+  // depend on them.
+  void ListenForMetrics()
+  {
+    const auto failure = mMetricsServer.Open(mSettings.mMetricsEndpoint);
+    if (!failure) {
+      if (mMetricsFailureLogged) {
+        Log(LogLevel::Info, "gateway", "metrics are served");
+      }
+      return;
+    }
+    if (!std::exchange(mMetricsFailureLogged, true)) {
+      Log(LogLevel::Warn,
+          "gateway",
+          "metrics are not served",
+          { { "reason", failure->mMessage } });
+    }
+    mMetricsTimer.ScheduleAt(EventLoop::Now() + kMetricsRetryInterval);
+  }
+
   bool IsReady() const { return mFleet.IsReady() && !mCallers.IsDraining(); }
 
   SimpleHttpReply HandleReadiness(const HttpHead& aHead) const
@@ -291,6 +360,8 @@
         }
         if (aSignal == SIGHUP) {
           Reload();
+        } else if (!mServing) {
+          mLoop.Stop();
         } else if (!mCallers.IsDraining()) {
           BeginStop();
         }
@@ -397,7 +468,15 @@
   boost::asio::signal_set mSignals;
   // Dropped lines of the log that the metrics have.
   std::uint64_t mCountedDroppedLines = 0;
+  // Whether all addresses that callers depend on are listened on.
+  bool mServing = false;
+  // Why the process cannot serve.
+  std::optional<std::string> mStartProblem;
+  Time mNextListenLogAt;
+  bool mMetricsFailureLogged = false;
   Timer mStopTimer;
+  Timer mListenTimer;
+  Timer mMetricsTimer;
   Time mAcceptUntil;
   Time mFailAt;
   Time mExitAt;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -81,9 +81,12 @@
 {
 }
 
-std::optional<std::string>
-LoadBroadcaster::Start()
+std::optional<ListenFailure>
+LoadBroadcaster::Listen()
 {
+  if (mSettings.mLoadPort == 0 || mSocket.is_open()) {
+    return std::nullopt;
+  }
   const udp::endpoint at(mSettings.mPeerEndpoint.address(),
                          mSettings.mLoadPort);
   boost::system::error_code ec;
@@ -95,8 +98,19 @@
     mSocket.non_blocking(true, ec);
   }
   if (ec) {
-    return "cannot receive on " + at.address().to_string() + ":" +
-           std::to_string(at.port()) + ": " + ec.message();
+    boost::system::error_code ignored;
+    mSocket.close(ignored);
+    return MakeListenFailure(
+      at.address().to_string() + ":" + std::to_string(at.port()), ec);
+  }
+  return std::nullopt;
+}
+
+void
+LoadBroadcaster::Start()
+{
+  if (!mSocket.is_open()) {
+    return;
   }
   mFleet.Targets().SetLoadCallback(
     [this] { SendBy(EventLoop::Now() + kBatchDelay); });
@@ -109,7 +123,6 @@
   mLastHeardAt = EventLoop::Now();
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
   mSendTimer.ScheduleAt(EventLoop::Now() + kFirstAnnounceDelay);
-  return std::nullopt;
 }
 
 void
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -6,6 +6,7 @@
 #include "gateway/HeardHosts.h"
 #include "gateway/LimitWatch.h"
 #include "gateway/LoadMessages.h"
+#include "http/SimpleHttpServer.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -42,8 +43,12 @@
   // message goes to a random selection.
   static constexpr std::size_t kMaxReceivers = 16;
 
-  // Starts to receive; returns the reason on failure.
-  std::optional<std::string> Start();
+  // Binds the port for messages, unless it is 0. Returns the reason on failure,
+  // and may be called again.
+  std::optional<ListenFailure> Listen();
+
+  // Starts to receive and to send.
+  void Start();
 
   // Sends an ask to its hosts. Returns the number of those that are known.
   int SendReachAsk(const ReachAsk& aAsk);
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -189,11 +189,16 @@
   mFleet.SetRetainedCallback([this] { QueryPeers(EventLoop::Now()); });
 }
 
-std::optional<std::string>
+std::optional<ListenFailure>
+PeerLink::Listen()
+{
+  return mServer.Open(mSettings.mPeerEndpoint);
+}
+
+void
 PeerLink::Start()
 {
   mRoundTimer.ScheduleAt(EventLoop::Now() + kRoundInterval);
-  return mServer.Open(mSettings.mPeerEndpoint);
 }
 
 void
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -39,8 +39,12 @@
            StoreWatch& aStore,
            ReplyBuffers& aReplies);
 
-  // Starts to serve and to query peers; returns the reason on failure.
-  std::optional<std::string> Start();
+  // Listens for queries of peers. Returns the reason on failure, and may be
+  // called again.
+  std::optional<ListenFailure> Listen();
+
+  // Starts to query peers.
+  void Start();
 
   // Applies new settings, such as other seeds.
   void Configure(const GatewaySettings& aSettings);
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -36,9 +36,20 @@
 {
 }
 
-std::optional<std::string>
+ListenFailure
+MakeListenFailure(const std::string& aAddress,
+                  const boost::system::error_code& aError)
+{
+  return { "cannot listen on " + aAddress + ": " + aError.message(),
+           aError == boost::asio::error::address_in_use };
+}
+
+std::optional<ListenFailure>
 Listener::Open(const Endpoint& aAddress)
 {
+  if (mAcceptor.is_open()) {
+    return std::nullopt;
+  }
   boost::system::error_code ec;
   mAcceptor.open(tcp::v4(), ec);
   if (!ec) {
@@ -49,7 +60,8 @@
     mAcceptor.listen(kListenBacklog, ec);
   }
   if (ec) {
-    return "cannot listen on " + FormatEndpoint(aAddress) + ": " + ec.message();
+    Close();
+    return MakeListenFailure(FormatEndpoint(aAddress), ec);
   }
   Accept();
   return std::nullopt;
@@ -198,7 +210,7 @@
 
 SimpleHttpServer::~SimpleHttpServer() = default;
 
-std::optional<std::string>
+std::optional<ListenFailure>
 SimpleHttpServer::Open(const Endpoint& aAddress)
 {
   return mListener.Open(aAddress);
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -19,6 +19,19 @@
   std::string mBody;
 };
 
+// Why an address cannot be listened on.
+struct ListenFailure
+{
+  std::string mMessage;
+  // Whether another socket has the address, so that a later try may succeed.
+  bool mAddressInUse = false;
+};
+
+// The failure of binding a socket to an address.
+ListenFailure
+MakeListenFailure(const std::string& aAddress,
+                  const boost::system::error_code& aError);
+
 // Accepts TCP connections on one address and passes them to a callback.
 class Listener
 {
@@ -32,8 +45,8 @@
            AcceptCallback aCallback,
            ErrorCallback aOnError = nullptr);
 
-  // Starts listening. Returns an error message on failure.
-  std::optional<std::string> Open(const Endpoint& aAddress);
+  // Starts listening, unless it listens already. Returns the reason on failure.
+  std::optional<ListenFailure> Open(const Endpoint& aAddress);
 
   // Accepts the connections that are already established.
   void AcceptPending();
@@ -63,8 +76,8 @@
   SimpleHttpServer(EventLoop& aLoop, Handler aHandler);
   ~SimpleHttpServer();
 
-  // Starts listening. Returns an error message on failure.
-  std::optional<std::string> Open(const Endpoint& aAddress);
+  // See Listener::Open().
+  std::optional<ListenFailure> Open(const Endpoint& aAddress);
 
 private:
   class Connection;
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -202,8 +202,8 @@
 
   void Listen()
   {
-    if (const auto problem = mListener.Open(*ParseEndpoint(Address(mPort)))) {
-      throw std::runtime_error(*problem);
+    if (const auto failure = mListener.Open(*ParseEndpoint(Address(mPort)))) {
+      throw std::runtime_error(failure->mMessage);
     }
     SetLinksListening(true);
   }
@@ -1077,9 +1077,9 @@
         const HttpHead& aHead, const std::string& aBody, Duration aAge) {
         return HandleStoreRequest(*at, aHead, aBody, aAge);
       });
-    if (const auto problem =
+    if (const auto failure =
           node->mStore->Open(*ParseEndpoint(Address(node->mStorePort)))) {
-      throw std::runtime_error(*problem);
+      throw std::runtime_error(failure->mMessage);
     }
     mNodes.push_back(std::move(node));
   }
--- a/tests/fakes/RunnerLink.cpp
+++ b/tests/fakes/RunnerLink.cpp
@@ -163,8 +163,8 @@
   if (mState == LinkState::Silent) {
     OpenSilentListener();
   } else if (mState == LinkState::Up && mListening) {
-    if (const auto problem = mListener.Open(mOwn)) {
-      throw std::runtime_error(*problem);
+    if (const auto failure = mListener.Open(mOwn)) {
+      throw std::runtime_error(failure->mMessage);
     }
   }
 }
--- a/tests/fakes/StoreServer.cpp
+++ b/tests/fakes/StoreServer.cpp
@@ -120,7 +120,7 @@
 
 StoreServer::~StoreServer() = default;
 
-std::optional<std::string>
+std::optional<ListenFailure>
 StoreServer::Open(const Endpoint& aAddress)
 {
   return mListener.Open(aAddress);
--- /dev/null
+++ b/tests/usage/GatewayStartTests.cpp
@@ -0,0 +1,99 @@
+#include "GatewayTestCluster.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <thread>
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time that a process has to begin to wait for its address, or to end.
+constexpr auto kWaitTime = milliseconds(700);
+
+// Takes a port of an address, as another process does.
+class TakenPort
+{
+public:
+  TakenPort(const std::string& aIp, int aPort)
+    : mAcceptor(mContext,
+                { boost::asio::ip::make_address(aIp),
+                  static_cast<unsigned short>(aPort) })
+  {
+  }
+
+private:
+  boost::asio::io_context mContext;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+};
+
+} // namespace
+
+// Hosts that start while one of their addresses is not free.
+class GatewayStartTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewayStartTests);
+  CPPUNIT_TEST(AHostWaitsForTheAddressOfItsPredecessor);
+  CPPUNIT_TEST(AHostServesWhileItsMetricsPortIsTaken);
+  CPPUNIT_TEST(AHostThatWaitsForItsAddressCanBeStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a process that ends because the one that it replaces is slow
+  // to die.
+  void AHostWaitsForTheAddressOfItsPredecessor()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    auto port = StartBesideTaken(gateway, gateway.CallerPort());
+    std::this_thread::sleep_for(kWaitTime);
+    port.reset();
+    cluster.AwaitReady();
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/unsafe/", "a")).mHead.mStatus);
+  }
+
+  // Guards against a process that ends for want of something that its callers
+  // don't need.
+  void AHostServesWhileItsMetricsPortIsTaken()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    auto port = StartBesideTaken(gateway, gateway.MetricsPort());
+    cluster.AwaitReady();
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/unsafe/", "a")).mHead.mStatus);
+    port.reset();
+    cluster.Await([](const GatewayProcess& aGateway) {
+      return aGateway.Metric("quetzal_ready") == "1";
+    });
+  }
+
+  void AHostThatWaitsForItsAddressCanBeStopped()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    const auto port = StartBesideTaken(gateway, gateway.CallerPort());
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.Signal(SIGHUP);
+    gateway.Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, gateway.AwaitExit());
+  }
+
+private:
+  // Starts a gateway again while another process has a port of it.
+  static std::unique_ptr<TakenPort> StartBesideTaken(GatewayProcess& aGateway,
+                                                     int aPort)
+  {
+    aGateway.Signal(SIGKILL);
+    aGateway.AwaitExit();
+    auto port = std::make_unique<TakenPort>(aGateway.Ip(), aPort);
+    aGateway.Start();
+    return port;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartTests);
