Start without fields that a host can serve without (FAULT)

What callers saw: a host that did not start, exit code 2. A field that the platform leaves empty made the settings invalid JSON (linkMbps, maxConnections, stopGraceS, repeat*, ports), as did a bound of true or false, an empty region, a period of half a second or one seed that is no address.

Descriptors without a field follow the system's limit; the soft limit is raised to those of the settings, and a lower hard limit counts. SIGHUP follows the same rules.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -78,6 +78,7 @@
     , mRetryLog(mMetrics)
     , mFormats(mMetrics)
     , mMemory(UsableMemory(mSettings.mMemoryMb))
+    , mDescriptors(ObtainDescriptors(mSettings.mDescriptors))
     , mReplies(ReplyBufferLimit(mMemory))
     , mFleet(mLoop, mSettings)
     , mTargets(mFleet)
@@ -94,7 +95,7 @@
     , mContext{ mLoop,           mFleet,    mOriginStore,   mPool,  mProber,
                 mMetrics,        mLimits,   mAnswerBuffers, mPaces, mNumberings,
                 mSettings.mHost, mHostPool, mHostChecks }
-    , mCallers(mContext, mSettings.mMaxConnections)
+    , mCallers(mContext, MaxConnections(mDescriptors))
     , mStore(mLoop, mSettings, mFleet, mReplies)
     , mSuspectWriter(mLoop, mSettings, mFleet, mReplies)
     , mSuspectTrials(mLoop, mSettings, mFleet, mMetrics, mReplies)
@@ -152,6 +153,7 @@
   std::optional<std::string> Run()
   {
     std::signal(SIGPIPE, SIG_IGN);
+    LogReplacedFields();
     WaitForSignal();
     Listen();
     if (!mStartProblem) {
@@ -222,6 +224,8 @@
           { "place", mSettings.mPlace },
           { "memory", std::to_string(mMemory) },
           { "answer_bytes", std::to_string(mAnswerBuffers.Limit()) },
+          { "descriptors", std::to_string(mDescriptors) },
+          { "link_mbps", std::to_string(mSettings.mLinkMbps) },
           { "stop_grace_ms", std::to_string(ToMilliseconds(mSettings.mStopGrace)) },
           { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
           { "store", FormatEndpoint(mSettings.mStoreEndpoint) } });
@@ -231,7 +235,10 @@
   // depend on them.
   void ListenForMetrics()
   {
-    const auto failure = mMetricsServer.Open(mSettings.mMetricsEndpoint);
+    if (!mSettings.mMetricsEndpoint) {
+      return;
+    }
+    const auto failure = mMetricsServer.Open(*mSettings.mMetricsEndpoint);
     if (!failure) {
       if (mMetricsFailureLogged) {
         Log(LogLevel::Info, "gateway", "metrics are served");
@@ -247,6 +254,13 @@
     mMetricsTimer.ScheduleAt(EventLoop::Now() + kMetricsRetryInterval);
   }
 
+  void LogReplacedFields() const
+  {
+    for (const std::string& it : mSettings.mReplacedFields) {
+      Log(LogLevel::Warn, "gateway", "field replaced", { { "field", it } });
+    }
+  }
+
   bool IsReady() const { return mFleet.IsReady() && !mCallers.IsDraining(); }
 
   SimpleHttpReply HandleReadiness(const HttpHead& aHead) const
@@ -383,6 +397,7 @@
     mSettings = std::move(*settings);
     mFleet.Configure(mSettings);
     mPeers.Configure(mSettings);
+    LogReplacedFields();
     Log(LogLevel::Info, "gateway", "settings reloaded");
   }
 
@@ -438,8 +453,9 @@
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
   FormatLog mFormats;
-  // Bytes of memory that the process may use.
+  // Bytes of memory and descriptors that the process may use.
   std::size_t mMemory;
+  int mDescriptors;
   ReplyBuffers mReplies;
   Fleet mFleet;
   TargetDirectory mTargets;
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -21,6 +21,10 @@
 // Connections reserved for the store, peers, readiness checks and the log.
 constexpr int kReservedConnections = 40;
 
+// Shortest grace period of a stop, and shortest window of the retry budget, in
+// seconds.
+constexpr double kMinPeriodS = 0.1;
+
 // At most half of the descriptors is reserved.
 int
 ReservedDescriptors(int aDescriptors)
@@ -28,41 +32,87 @@
   return std::min(kFileDescriptors + kReservedConnections, aDescriptors / 2);
 }
 
-// Reads the fields of a JSON object and keeps the first problem.
+// Whether a field holds nothing: the platform leaves a field empty that it has no
+// value for, and a bound that is not in force may be true or false.
+bool
+IsUnset(const Value& aValue)
+{
+  return aValue.IsNull() || aValue.IsBool() ||
+         (aValue.IsString() && aValue.GetStringLength() == 0);
+}
+
+// Reads the fields of a JSON object. Keeps the first problem that the process
+// cannot start with, and lists the fields that were replaced by a default.
 class FieldReader
 {
 public:
-  FieldReader(const Value& aObject, std::string& aReason)
+  FieldReader(const Value& aObject,
+              std::vector<std::string>& aReplaced,
+              std::string& aReason)
     : mObject(aObject)
+    , mReplaced(aReplaced)
     , mReason(aReason)
   {
   }
 
   void ReadString(const char* aName, std::string& aField)
   {
-    const Value* value = FindRequired(aName);
-    if (value != nullptr && !value->IsString()) {
+    const Value* value = Find(aName);
+    if (value == nullptr) {
+      SetProblem(aName, "is missing");
+    } else if (!value->IsString()) {
       SetProblem(aName, "is not a string");
-    } else if (value != nullptr && value->GetStringLength() == 0) {
+    } else if (value->GetStringLength() == 0) {
       SetProblem(aName, "is empty");
-    } else if (value != nullptr) {
+    } else {
       aField = value->GetString();
     }
   }
 
+  // Leaves aField as it is if the file has no value for it.
+  void ReadOptionalString(const char* aName, std::string& aField)
+  {
+    const Value* value = FindSet(aName);
+    if (value == nullptr) {
+      Replace(aName, "has no value", "\"" + aField + "\"");
+    } else {
+      ReadString(aName, aField);
+    }
+  }
+
   void ReadEndpoint(const char* aName, Endpoint& aField)
   {
     std::string text;
     ReadString(aName, text);
-    if (mReason.empty() && !ConvertEndpoint(aName, text, aField)) {
+    if (!mReason.empty()) {
       return;
     }
+    if (const auto endpoint = ParseEndpoint(text)) {
+      aField = *endpoint;
+    } else {
+      SetProblem(aName, "\"" + text + "\" is not an IPv4 address and port");
+    }
+  }
+
+  void ReadOptionalEndpoint(const char* aName, std::optional<Endpoint>& aField)
+  {
+    const Value* value = FindSet(aName);
+    if (value != nullptr && !value->IsString()) {
+      SetProblem(aName, "is not a string");
+      return;
+    }
+    aField = value == nullptr ? std::nullopt : ParseEndpoint(value->GetString());
+    if (!aField) {
+      Replace(aName, "is not an IPv4 address and port", "none");
+    }
   }
 
+  // Leaves out elements that are no addresses.
   void ReadEndpoints(const char* aName, std::vector<Endpoint>& aField)
   {
-    const Value* value = FindRequired(aName);
-    if (value == nullptr || value->IsNull()) {
+    const Value* value = FindSet(aName);
+    if (value == nullptr) {
+      Replace(aName, "has no value", "none");
       return;
     }
     if (!value->IsArray()) {
@@ -70,34 +120,32 @@
       return;
     }
     for (const Value& it : value->GetArray()) {
-      Endpoint endpoint;
-      if (!it.IsString() || !ConvertEndpoint(aName, it.GetString(), endpoint)) {
-        SetProblem(aName, "contains an element that is not an address");
-        return;
+      const auto endpoint =
+        it.IsString() ? ParseEndpoint(it.GetString()) : std::nullopt;
+      if (endpoint) {
+        aField.push_back(*endpoint);
+      } else {
+        Replace(aName,
+                it.IsString()
+                  ? "has \"" + std::string(it.GetString()) +
+                      "\", which is not an IPv4 address and port"
+                  : std::string("has an element that is not a string"),
+                "the others");
       }
-      aField.push_back(endpoint);
     }
   }
 
-  void ReadNumber(const char* aName, double aMin, double aMax, double& aField)
+  // Leaves aField as it is if the file has no value for it.
+  template<class Number>
+  void ReadNumber(const char* aName, double aMin, double aMax, Number& aField)
   {
-    if (FindRequired(aName) != nullptr) {
-      ReadOptionalNumber(aName, aMin, aMax, aField);
-    }
-  }
-
-  // Leaves aField as it is if the field is missing. For fields that older
-  // settings files don't have.
-  void ReadOptionalNumber(const char* aName,
-                          double aMin,
-                          double aMax,
-                          double& aField)
-  {
-    const auto it = mObject.FindMember(aName);
-    if (it == mObject.MemberEnd()) {
+    const Value* value = FindSet(aName);
+    if (value == nullptr) {
+      std::ostringstream used;
+      used << aField;
+      Replace(aName, "has no value", used.str());
       return;
     }
-    const Value* value = &it->value;
     if (!value->IsNumber() || value->GetDouble() < aMin ||
         value->GetDouble() > aMax) {
       std::ostringstream what;
@@ -105,31 +153,27 @@
       SetProblem(aName, what.str());
       return;
     }
-    aField = value->GetDouble();
+    aField = static_cast<Number>(value->GetDouble());
   }
 
 private:
-  const Value* FindRequired(const char* aName)
+  const Value* Find(const char* aName) const
   {
     const auto it = mObject.FindMember(aName);
-    if (it == mObject.MemberEnd()) {
-      SetProblem(aName, "is missing");
-      return nullptr;
-    }
-    return &it->value;
+    return it == mObject.MemberEnd() ? nullptr : &it->value;
   }
 
-  bool ConvertEndpoint(const char* aName,
-                       const std::string& aText,
-                       Endpoint& aField)
+  const Value* FindSet(const char* aName) const
   {
-    const auto endpoint = ParseEndpoint(aText);
-    if (!endpoint) {
-      SetProblem(aName, "\"" + aText + "\" is not an IPv4 address and port");
-      return false;
-    }
-    aField = *endpoint;
-    return true;
+    const Value* value = Find(aName);
+    return value == nullptr || IsUnset(*value) ? nullptr : value;
+  }
+
+  void Replace(const char* aName,
+               const std::string& aWhat,
+               const std::string& aUsed)
+  {
+    mReplaced.push_back(std::string(aName) + " " + aWhat + ", using " + aUsed);
   }
 
   void SetProblem(const char* aName, const std::string& aWhat)
@@ -140,6 +184,7 @@
   }
 
   const Value& mObject;
+  std::vector<std::string>& mReplaced;
   std::string& mReason;
 };
 
@@ -149,8 +194,20 @@
   return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
 }
 
+double
+ToSeconds(Duration aDuration)
+{
+  return ToMilliseconds(aDuration) / 1000;
+}
+
 } // namespace
 
+int
+MaxConnections(int aDescriptors)
+{
+  return aDescriptors - ReservedDescriptors(aDescriptors);
+}
+
 std::optional<GatewaySettings>
 ParseGatewaySettings(const std::string& aText, std::string& aReason)
 {
@@ -168,43 +225,32 @@
   }
   GatewaySettings settings;
   aReason.clear();
-  FieldReader reader(json, aReason);
+  FieldReader reader(json, settings.mReplacedFields, aReason);
   reader.ReadString("host", settings.mHost);
-  reader.ReadString("place", settings.mPlace);
-  reader.ReadString("region", settings.mRegion);
+  reader.ReadOptionalString("place", settings.mPlace);
+  reader.ReadOptionalString("region", settings.mRegion);
   reader.ReadEndpoint("callers", settings.mCallerEndpoint);
   reader.ReadEndpoint("readiness", settings.mReadinessEndpoint);
   reader.ReadEndpoint("peers", settings.mPeerEndpoint);
-  reader.ReadEndpoint("metrics", settings.mMetricsEndpoint);
+  reader.ReadOptionalEndpoint("metrics", settings.mMetricsEndpoint);
   reader.ReadEndpoints("seeds", settings.mSeeds);
   reader.ReadEndpoint("store", settings.mStoreEndpoint);
-  double loadPort = 0;
-  reader.ReadNumber("loadPort", 1, 65535, loadPort);
-  settings.mLoadPort = static_cast<unsigned short>(loadPort);
-  double relayPort = 0;
-  reader.ReadOptionalNumber("relayPort", 1, 65535, relayPort);
-  settings.mRelayPort = static_cast<unsigned short>(relayPort);
-  double connections = 0;
+  reader.ReadNumber("loadPort", 1, 65535, settings.mLoadPort);
+  reader.ReadNumber("relayPort", 1, 65535, settings.mRelayPort);
   reader.ReadNumber(
-    "maxConnections", 2 * kReservedConnections, 1e6, connections);
-  double memory = 0;
-  reader.ReadOptionalNumber("memoryMb", 0, 1e9, memory);
-  double link = 0;
-  reader.ReadNumber("linkMbps", 0, 1e7, link);
-  double grace = 0;
-  reader.ReadNumber("stopGraceS", 1, 3600, grace);
-  double window = 0;
-  reader.ReadNumber("repeatWindowS", 1, 3600, window);
+    "maxConnections", 2 * kReservedConnections, 1e6, settings.mDescriptors);
+  reader.ReadNumber("memoryMb", 0, 1e9, settings.mMemoryMb);
+  reader.ReadNumber("linkMbps", 0, 1e7, settings.mLinkMbps);
+  double grace = ToSeconds(settings.mStopGrace);
+  reader.ReadNumber("stopGraceS", kMinPeriodS, 3600, grace);
+  double window = ToSeconds(settings.mRetryWindow);
+  reader.ReadNumber("repeatWindowS", kMinPeriodS, 3600, window);
   reader.ReadNumber("repeatRatio", 0, 10, settings.mRetryRatio);
   reader.ReadNumber("repeatAllowance", 0, 1e6, settings.mRetryAllowance);
-  reader.ReadString("logLevel", settings.mLogLevel);
+  reader.ReadOptionalString("logLevel", settings.mLogLevel);
   if (!aReason.empty()) {
     return std::nullopt;
   }
-  const auto descriptors = static_cast<int>(connections);
-  settings.mMaxConnections = descriptors - ReservedDescriptors(descriptors);
-  settings.mMemoryMb = static_cast<int>(memory);
-  settings.mLinkMbps = static_cast<int>(link);
   settings.mStopGrace = FromSeconds(grace);
   settings.mRetryWindow = FromSeconds(window);
   return settings;
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -20,22 +20,23 @@
   Endpoint mCallerEndpoint;
   Endpoint mReadinessEndpoint;
   Endpoint mPeerEndpoint;
-  // UDP port on which all hosts receive load messages.
+  // UDP port on which all hosts receive load messages; 0 if this host neither
+  // receives nor sends any.
   unsigned short mLoadPort = 0;
   // TCP port on which all hosts receive requests that other hosts pass on, at
   // the address of mPeerEndpoint; 0 if this host neither receives nor passes on
   // any. Settings files of builds that did not pass requests on lack it.
   unsigned short mRelayPort = 0;
-  // Listening address for metrics requests.
-  Endpoint mMetricsEndpoint;
+  // Listening address for metrics requests; nothing if none are served.
+  std::optional<Endpoint> mMetricsEndpoint;
   // Peer addresses of hosts that may have the configuration while the store is
   // unreachable.
   std::vector<Endpoint> mSeeds;
   Endpoint mStoreEndpoint;
   // Bandwidth of the host's link in Mbit/s, 0 if unknown.
   int mLinkMbps = 0;
-  // Limit on open connections, from callers and to targets together.
-  int mMaxConnections = 1024;
+  // Descriptors that the process may open; 0 if only the system limits them.
+  int mDescriptors = 0;
   // Memory that the process may use, in MB; 0 if only the system limits it.
   int mMemoryMb = 0;
   // Time from a stop signal to the exit of the process.
@@ -48,8 +49,17 @@
   double mRetryAllowance = 0;
   Duration mRetryWindow = std::chrono::seconds(10);
   std::string mLogLevel = "info";
+  // Fields that the file does not give, or gives no usable value for, each with
+  // what is used instead. A host that can serve without a field starts without
+  // it.
+  std::vector<std::string> mReplacedFields;
 };
 
+// Limit on open connections, from callers and to targets together, of a process
+// that may open so many descriptors.
+int
+MaxConnections(int aDescriptors);
+
 // Reads and validates a settings file. Returns nothing on failure and sets
 // aReason to the file, the field and the problem.
 std::optional<GatewaySettings>
--- a/src/quetzalquay/http/ProcessLimits.cpp
+++ b/src/quetzalquay/http/ProcessLimits.cpp
@@ -16,6 +16,9 @@
   "/sys/fs/cgroup/memory/memory.limit_in_bytes"
 };
 
+// Descriptors of a process that neither its settings nor the system limit.
+constexpr rlim_t kMaxDescriptors = 65536;
+
 std::size_t
 ResourceLimit(decltype(RLIMIT_DATA) aResource)
 {
@@ -48,4 +51,22 @@
   return memory;
 }
 
+int
+ObtainDescriptors(int aGranted)
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return aGranted > 0 ? aGranted : static_cast<int>(kMaxDescriptors);
+  }
+  const rlim_t wanted =
+    aGranted > 0 ? static_cast<rlim_t>(aGranted) : kMaxDescriptors;
+  if (limit.rlim_cur < wanted) {
+    const rlimit raised{ std::min(wanted, limit.rlim_max), limit.rlim_max };
+    if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) {
+      limit = raised;
+    }
+  }
+  return static_cast<int>(std::min(wanted, limit.rlim_cur));
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/http/ProcessLimits.h
+++ b/src/quetzalquay/http/ProcessLimits.h
@@ -12,6 +12,12 @@
 std::size_t
 UsableMemory(int aGrantedMb);
 
+// Descriptors that the process may open: what its settings grant it, 0 if
+// nothing in particular, or less where the system allows less. Raises the soft
+// limit of the process as far as needed and allowed.
+int
+ObtainDescriptors(int aGranted);
+
 } // namespace quetzalquay
 
 #endif // QUETZALQUAY_HTTP_PROCESSLIMITS_H_INCLUDED
--- a/src/quetzalquay/programs/quetzal-gateway.cpp
+++ b/src/quetzalquay/programs/quetzal-gateway.cpp
@@ -29,6 +29,9 @@
     return ExitBadUsage;
   }
   if (options->mCheckOnly) {
+    for (const std::string& it : settings->mReplacedFields) {
+      PrintError(kName, it);
+    }
     return ExitOk;
   }
   StartQueuedLog(settings->mLogLevel);
--- a/tests/introspective/ProcessLimitsTests.cpp
+++ b/tests/introspective/ProcessLimitsTests.cpp
@@ -36,6 +36,8 @@
   CPPUNIT_TEST_SUITE(ProcessLimitsTests);
   CPPUNIT_TEST(TheMemoryIsThatOfTheSettings);
   CPPUNIT_TEST(ALowerLimitOfTheSystemCounts);
+  CPPUNIT_TEST(DescriptorsAreRaisedToThoseOfTheSettings);
+  CPPUNIT_TEST(ALowerHardLimitOfDescriptorsCounts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +59,24 @@
     }
   }
 
+  // Guards against refused connections on a machine whose soft limit is lower
+  // than what the settings grant.
+  void DescriptorsAreRaisedToThoseOfTheSettings()
+  {
+    CPPUNIT_ASSERT(HoldsWithLimit(RLIMIT_NOFILE, { 100, 400 }, [] {
+      rlimit limit{};
+      return ObtainDescriptors(300) == 300 &&
+             ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur == 300;
+    }));
+  }
+
+  // Guards against counting on more descriptors than the process can open.
+  void ALowerHardLimitOfDescriptorsCounts()
+  {
+    CPPUNIT_ASSERT(HoldsWithLimit(RLIMIT_NOFILE, { 100, 400 }, [] {
+      return ObtainDescriptors(4100) == 400 && ObtainDescriptors(0) == 400;
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ProcessLimitsTests);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -23,6 +23,7 @@
 run_suites usage
 tools/scripts/fuzz.sh >"$logs/fuzz" 2>&1
 python3 tests/tools/losses_tests.py >"$logs/losses_tests" 2>&1
+python3 tests/tools/deploy_tests.py >"$logs/deploy_tests" 2>&1
 for log in "$logs"/*; do
   tail -n 1000 "$log" | grep -vE '^(OK, passed|$|- |Using)' | tail -n 120
   summary=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "$log" | tail -n 1)
