--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -18,10 +18,29 @@
                                               "non_idempotent",
                                               "stream" });
 
+// The name in a host and port, in lower case: names of hosts are compared
+// ignoring case, and callers add the port if it is not the usual one.
 std::string
-RouteKey(std::string_view aHost, std::string_view aPrefix)
+HostName(std::string_view aHost)
 {
-  return std::string(aHost).append("\n").append(aPrefix);
+  const auto colon = aHost.rfind(':');
+  const bool hasPort =
+    colon != std::string_view::npos &&
+    aHost.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
+  // The colons of an IPv6 address are within brackets.
+  const bool inBrackets = hasPort && aHost.find(']', colon) != aHost.npos;
+  std::string name(hasPort && !inBrackets ? aHost.substr(0, colon) : aHost);
+  std::transform(name.begin(), name.end(), name.begin(), [](char aChar) {
+    return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a')
+                                        : aChar;
+  });
+  return name;
+}
+
+std::string
+RouteKey(const std::string& aHostName, std::string_view aPrefix)
+{
+  return std::string(aHostName).append("\n").append(aPrefix);
 }
 
 } // namespace
@@ -35,7 +54,7 @@
 void
 RoutingTable::AddRoute(Route aRoute)
 {
-  std::string key = RouteKey(aRoute.mHost, aRoute.mPathPrefix);
+  std::string key = RouteKey(HostName(aRoute.mHost), aRoute.mPathPrefix);
   mLongestTimeout = std::max(mLongestTimeout, aRoute.mTimeout);
   mLongestPrefix = std::max(mLongestPrefix, aRoute.mPathPrefix.size());
   mRoutes.insert_or_assign(std::move(key), std::move(aRoute));
@@ -60,12 +79,13 @@
   std::string_view path = aPath.substr(0, aPath.find('?'));
   // Callers choose how many slashes follow.
   path = path.substr(0, mLongestPrefix);
+  const std::string host = HostName(aHost);
   while (true) {
     const auto slash = path.rfind('/');
     if (slash == std::string_view::npos) {
       return nullptr;
     }
-    const auto it = mRoutes.find(RouteKey(aHost, path.substr(0, slash + 1)));
+    const auto it = mRoutes.find(RouteKey(host, path.substr(0, slash + 1)));
     if (it != mRoutes.end()) {
       return &it->second;
     }
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -426,6 +426,7 @@
     return std::nullopt;
   }
   RemoveHostFields(aHead);
+  UseOriginForm(aHead);
   mRequest = platform::DecodeCallerRequest(aHead);
   if (mPassedOn.mResumed && mRequest.mOriginRequestId.empty()) {
     mRequest.mOriginRequestId = mRequest.mRequestId;
--- a/src/quetzalquay/http/HttpHead.cpp
+++ b/src/quetzalquay/http/HttpHead.cpp
@@ -59,6 +59,31 @@
   return nullptr;
 }
 
+void
+UseOriginForm(HttpHead& aHead)
+{
+  const std::string& target = aHead.mTarget;
+  const auto scheme = target.find("://");
+  if (scheme == std::string::npos ||
+      !(EqualsIgnoreCase(target.substr(0, scheme), "http") ||
+        EqualsIgnoreCase(target.substr(0, scheme), "https"))) {
+    return;
+  }
+  const auto from = scheme + 3;
+  const auto end = std::min(target.find_first_of("/?", from), target.size());
+  const std::string host = target.substr(from, end - from);
+  std::string path = target.substr(end);
+  if (path.empty() || path[0] != '/') {
+    path.insert(0, "/");
+  }
+  aHead.mTarget = std::move(path);
+  for (HttpField& it : aHead.mFields) {
+    if (EqualsIgnoreCase(it.mName, "Host")) {
+      it.mValue = host;
+    }
+  }
+}
+
 int
 HttpHead::Count(std::string_view aName) const
 {
--- a/src/quetzalquay/http/HttpHead.h
+++ b/src/quetzalquay/http/HttpHead.h
@@ -56,6 +56,11 @@
 bool
 IsHopByHop(const HttpHead& aHead, std::string_view aName);
 
+// Turns a target that names scheme and host, as callers may send it, into one
+// of path and query only. Its host takes the place of the Host field.
+void
+UseOriginForm(HttpHead& aHead);
+
 // Appends "Name: value" and CRLF to aText.
 void
 AppendField(std::string& aText,
--- a/tests/introspective/FleetTests.cpp
+++ b/tests/introspective/FleetTests.cpp
@@ -47,6 +47,7 @@
 {
   CPPUNIT_TEST_SUITE(FleetTests);
   CPPUNIT_TEST(TheRouteWithTheLongestPrefixIsFound);
+  CPPUNIT_TEST(HostsAreComparedAsNames);
   CPPUNIT_TEST(RoutesOfDeepPathsAreFoundInFewSteps);
   CPPUNIT_TEST(MissingEntriesAreRetainedForAGracePeriod);
   CPPUNIT_TEST(RemovalIsImmediateWhileTheStoreIsReachable);
@@ -95,6 +96,31 @@
     CPPUNIT_ASSERT(table.FindRoute("h", "") == nullptr);
   }
 
+  // Guards against turning proper requests away as unknown because their caller
+  // writes the host with a port or in another case.
+  void HostsAreComparedAsNames()
+  {
+    RoutingTable table;
+    for (const char* it : { "Api.example", "[::1]" }) {
+      Route route;
+      route.mHost = it;
+      route.mPathPrefix = "/";
+      table.AddRoute(route);
+    }
+    for (const char* it : { "api.example",
+                            "API.EXAMPLE",
+                            "api.example:8227",
+                            "api.example:",
+                            "[::1]",
+                            "[::1]:8227" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, table.FindRoute(it, "/") != nullptr);
+    }
+    for (const char* it :
+         { "example", "api.example:x", "api.example:80:80", "", ":80" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, table.FindRoute(it, "/") == nullptr);
+    }
+  }
+
   // A path of thousands of slashes took a search of the table for each.
   void RoutesOfDeepPathsAreFoundInFewSteps()
   {
--- a/tests/usage/CallerInputTests.cpp
+++ b/tests/usage/CallerInputTests.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(RequestsSentTogetherAreAllAnswered);
   CPPUNIT_TEST(RequestsSentByteByByteAreAnswered);
   CPPUNIT_TEST(BodiesSentAfterAnInterimResponseAreAnswered);
+  CPPUNIT_TEST(HostsAndKeysMayBeWrittenInEachForm);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +101,33 @@
       cluster.AwaitConfiguration(cluster.Write(configuration));
     }
   }
+
+  // Guards against proper requests being turned away as wrong, with 404 or 401:
+  // libraries of callers add the port to the host, and may send the whole URL.
+  void HostsAndKeysMayBeWrittenInEachForm()
+  {
+    GatewayTestCluster cluster;
+    const std::string usual = GatewayTestCluster::Request("/plain/", "a");
+    const std::vector<std::pair<std::string, std::string>> forms = {
+      { "Host: host", "Host: host:8227" },
+      { "Host: host", "Host: HOST" },
+      { "Host: host", "host:host:8227" },
+      { "POST /plain/", "POST http://host:8227/plain/" },
+      { "POST /plain/", "POST HTTPS://Host/plain/" },
+      { "Bearer key", "bearer  key" },
+    };
+    for (const auto& it : forms) {
+      std::string request = usual;
+      request.replace(request.find(it.first), it.first.size(), it.second);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        it.second, 200, cluster.Call(request).mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("/plain/"),
+                           cluster.Requests().back().mHead.mTarget);
+    }
+    std::string other = usual;
+    other.replace(other.find("POST /plain/"), 12, "POST http://other/plain/");
+    CPPUNIT_ASSERT_EQUAL(404, cluster.Call(other).mHead.mStatus);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerInputTests);
