--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -449,14 +449,14 @@
   RoutedCall call;
   call.mRoute = routing->FindRoute(mRequest.mHost, aHead.mTarget);
   if (call.mRoute == nullptr || call.mRoute->mServices.empty()) {
-    Reject(
+    RejectUnknown(
       404, FailureCode::UnknownService, "no route matches the host and path");
     return std::nullopt;
   }
   if (routing->mKeysRequired && !call.mRoute->mPublic) {
     const KeyOwner* owner = routing->FindKey(mRequest.mApiKey);
     if (owner == nullptr) {
-      Reject(401, FailureCode::Unauthorized, "unknown API key");
+      RejectUnknown(401, FailureCode::Unauthorized, "unknown API key");
       return std::nullopt;
     }
     call.mWorkspace = owner->mWorkspace;
@@ -642,6 +642,23 @@
   Reject(503, FailureCode::Overloaded, aMessage);
 }
 
+// Rejects a request for something that the configuration lacks. A caller gives
+// up after such an answer, so it gets one that asks it to come back while this
+// host may have missed a change.
+void
+CallerConnection::RejectUnknown(int aStatus,
+                                FailureCode aCode,
+                                const char* aMessage)
+{
+  if (mServer.mContext.mFleet.IsConfigurationConfirmed(EventLoop::Now())) {
+    Reject(aStatus, aCode, aMessage);
+  } else {
+    Reject(503,
+           FailureCode::ConfigurationUnknown,
+           "the configuration of this host may be out of date");
+  }
+}
+
 void
 CallerConnection::RejectUnconfigured()
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -92,6 +92,7 @@
   void HoldInput();
   std::size_t UnusedForInput() const;
   void RejectUnread(const char* aMessage);
+  void RejectUnknown(int aStatus, FailureCode aCode, const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
   void EndRequest();
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -678,6 +678,7 @@
 void
 Fleet::OnKnownAsOf(Time aAsOf)
 {
+  mConfirmedAsOf = std::max(mConfirmedAsOf, aAsOf);
   mVersions.OnKnownAsOf(aAsOf);
   UpdateAnnouncedServices(EventLoop::Now());
 }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -75,6 +75,11 @@
   // the address of a known one for a while.
   static constexpr Duration kMaxAddressAge = std::chrono::milliseconds(1500);
 
+  // How long one confirmation of the configuration lasts: longer than a host
+  // takes to go over to other readers of the store.
+  static constexpr Duration kMaxConfirmationAge =
+    std::chrono::milliseconds(3000);
+
   Fleet(EventLoop& aLoop, const GatewaySettings& aSettings);
 
   // Applies rows of a table. With aIsSnapshot the rows are the complete table
@@ -205,6 +210,14 @@
   // that was asked then while the store is unreachable.
   void OnKnownAsOf(Time aAsOf);
 
+  // Whether the store, or a host that was asked in its place, has lately shown
+  // that this host's configuration is the newest one. A host that is cut off
+  // from all of them cannot tell that a route or key does not exist.
+  bool IsConfigurationConfirmed(Time aNow) const
+  {
+    return aNow - mConfirmedAsOf < kMaxConfirmationAge;
+  }
+
   // Software versions that the store has on record.
   void OnVersionsRecorded(const VersionsByService& aVersions, Time aNow);
 
@@ -263,6 +276,8 @@
   GatewaySettings mSettings;
   std::uint64_t mStartId;
   Time mStartedAt;
+  // As of when the configuration was the newest one.
+  Time mConfirmedAsOf;
   RefPtr<RoutingTable> mRouting;
   ReplacedConfigurations mReplaced;
   std::int64_t mRoutingRowVersion = 0;
--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -35,6 +35,7 @@
 SITES = {
     "hanbit": ({"a": 2, "b": 2, "c": 2}, 110, 36, 3, 48),
     "kierros": ({"a": 4, "b": 3, "c": 2}, 260, 24, 3, 56),
+    "grown": ({"a": 15, "b": 15, "c": 14, "d": 14}, 160, 60, 4, 150),
 }
 
 # Bounds of the rules, in seconds.
