--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -38,6 +38,19 @@
 // Least time between two writes of this host's row because it was removed.
 constexpr Duration kRewriteInterval = milliseconds(3000);
 
+// The version as of which changes are complete. The reply has the newest
+// version of the store, also if more changes follow.
+std::int64_t
+CompleteUpTo(const StoreRows& aChanges)
+{
+  std::int64_t version =
+    aChanges.mHasMore && !aChanges.mRows.empty() ? 0 : aChanges.mVersion;
+  for (const StoreRow& it : aChanges.mRows) {
+    version = std::max(version, it.mVersion);
+  }
+  return version;
+}
+
 } // namespace
 
 TableWatcher::TableWatcher(EventLoop& aLoop,
@@ -207,8 +220,9 @@
   if (!rows) {
     return;
   }
-  mMissedChangesRead = true;
-  if (rows->mVersion <= mSnapshotVersion && HasNewerRows()) {
+  mMissedChangesRead = !rows->mHasMore;
+  const std::int64_t version = CompleteUpTo(*rows);
+  if (version <= mSnapshotVersion && (rows->mHasMore || HasNewerRows())) {
     OnCallFailed(StoreCallEnd::Rejected,
                  "the changes end before rows that were read");
     return;
@@ -220,7 +234,7 @@
       mSnapshotRows[it.mKey] = it;
     }
   }
-  mSnapshotVersion = std::max(mSnapshotVersion, rows->mVersion);
+  mSnapshotVersion = std::max(mSnapshotVersion, version);
   FinishSnapshot();
 }
 
@@ -251,14 +265,15 @@
   if (!rows) {
     return;
   }
-  mVersion = std::max(mVersion, rows->mVersion);
-  for (const StoreRow& it : rows->mRows) {
-    mVersion = std::max(mVersion, it.mVersion);
-  }
+  const std::int64_t before = mVersion;
+  mVersion = std::max(mVersion, CompleteUpTo(*rows));
   if (!rows->mRows.empty()) {
     mOnRows(rows->mRows, false, mVersion);
   }
   OnCallSucceeded();
+  if (rows->mHasMore && mVersion > before) {
+    mCallTimer.ScheduleAt(EventLoop::Now());
+  }
 }
 
 std::optional<StoreRows>
--- a/tests/introspective/TableWatcherTests.cpp
+++ b/tests/introspective/TableWatcherTests.cpp
@@ -164,6 +164,8 @@
   CPPUNIT_TEST(ATableIsReadAgainIfItsChangesAreGone);
   CPPUNIT_TEST(APageWithoutRowsIsNotReadForEver);
   CPPUNIT_TEST(ChangesThatEndEarlyAreNotReadForEver);
+  CPPUNIT_TEST(ChangesInSeveralPartsAreAllRead);
+  CPPUNIT_TEST(MissedChangesInSeveralPartsAreAllRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -227,6 +229,36 @@
     CPPUNIT_ASSERT(table.mCalls[2].find("From") == std::string::npos);
   }
 
+  // Guards against changes that are never read, as a reply with a part of them
+  // has the newest version of the store.
+  void ChangesInSeveralPartsAreAllRead()
+  {
+    WatchedTable table({ Rows(Row("a", 5), 10),
+                         Rows(Row("b", 11) + "," + Row("c", 12), 20, true),
+                         Rows(Removed("a", 13), 20, true),
+                         Rows(Row("d", 20), 20) });
+    table.Read();
+    CPPUNIT_ASSERT_EQUAL(std::string("bcd"), table.Keys());
+    CPPUNIT_ASSERT(table.mCalls[2].find("AfterRevision=12") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(table.mCalls[3].find("AfterRevision=13") !=
+                   std::string::npos);
+  }
+
+  // The same for changes between the pages of a complete table.
+  void MissedChangesInSeveralPartsAreAllRead()
+  {
+    WatchedTable table({ Rows(Row("a", 5), 10, true),
+                         Rows(Row("c", 12), 20),
+                         Rows(Row("c", 12), 20, true),
+                         Rows(Removed("a", 20), 20) });
+    table.Tell("d", 20);
+    table.Read();
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), table.Keys());
+    CPPUNIT_ASSERT(table.mCalls[3].find("AfterRevision=12") !=
+                   std::string::npos);
+  }
+
   void ChangesThatEndEarlyAreNotReadForEver()
   {
     WatchedTable table({ Rows(Row("a", 5), 10, true),
