--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -24,12 +24,11 @@
 HostName(std::string_view aHost)
 {
   const auto colon = aHost.rfind(':');
+  // The colons of an IPv6 address are followed by a bracket.
   const bool hasPort =
     colon != std::string_view::npos &&
     aHost.find_first_not_of("0123456789", colon + 1) == std::string_view::npos;
-  // The colons of an IPv6 address are within brackets.
-  const bool inBrackets = hasPort && aHost.find(']', colon) != aHost.npos;
-  std::string name(hasPort && !inBrackets ? aHost.substr(0, colon) : aHost);
+  std::string name(hasPort ? aHost.substr(0, colon) : aHost);
   std::transform(name.begin(), name.end(), name.begin(), [](char aChar) {
     return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a')
                                         : aChar;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -227,7 +227,8 @@
           { "descriptors", std::to_string(mDescriptors) },
           { "link_mbps", std::to_string(mSettings.mLinkMbps) },
           { "stop_grace_ms",
-            std::to_string(ToMilliseconds(mSettings.mStopGrace)) },
+            std::to_string(
+              static_cast<int>(ToMilliseconds(mSettings.mStopGrace))) },
           { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
           { "store", FormatEndpoint(mSettings.mStoreEndpoint) } });
   }
