--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -27,7 +27,8 @@
 {
   int mMaxConnections = 4100;
   int mStopGraceS = 8;
-  // Descriptors that the process may open, 0 for the limit of the test.
+  // Descriptors that the process may open once it is ready, 0 for the limit of
+  // the test. It has started with all that the settings promise.
   int mDescriptors = 0;
   // Memory that the settings grant the process, in MB, 0 for none. Nothing but
   // the settings tells the process of it, and it is killed above.
@@ -93,6 +94,9 @@
   // Value of a metric as text, empty if there is none.
   std::string Metric(const std::string& aName) const;
 
+  // Takes the descriptors away that the settings of the test don't leave it.
+  void LimitDescriptors() const;
+
   void Signal(int aSignal) const;
 
   // Waits for the process to exit; returns its exit code, or -1 if a signal
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1103,6 +1103,11 @@
     StartGateway(n);
   }
   Configure("key");
+  for (const auto& it : mNodes) {
+    if (it->mGateway != nullptr) {
+      it->mGateway->LimitDescriptors();
+    }
+  }
 }
 
 void
