Read versions and base64 as other encoders write them (CONFIG)

Callers got 503 for all routes, or 404 for new ones, at every host: a store whose encoder writes its versions as 21.0 or "21", or breaks base64 into lines, had all its rows dropped or ignored as older ones.

Cause: versions had to be 64-bit integers, other forms counted as 0; base64 with line breaks was unreadable. Ruled out: indented JSON, a byte-order mark, base64 without padding, which were read.

Versions are whole numbers in any form now, white space in base64 is skipped. PlatformTests::ReadsRowsOfOtherEncoders fails before and passes after.

--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -10,6 +10,9 @@
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <cctype>
+#include <charconv>
+#include <cmath>
+#include <limits>
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
@@ -52,13 +55,20 @@
   return text.append((3 - aText.size() % 3) % 3, '=');
 }
 
+// Encoders may break the text into lines.
 bool
-FromBase64(std::string_view aText, std::string& aValue)
+FromBase64(std::string aText, std::string& aValue)
 {
   using namespace boost::archive::iterators;
   using Decoder = transform_width<binary_from_base64<const char*>, 8, 6>;
+  aText.erase(std::remove_if(aText.begin(),
+                             aText.end(),
+                             [](unsigned char aCharacter) {
+                               return std::isspace(aCharacter) != 0;
+                             }),
+              aText.end());
   while (!aText.empty() && aText.back() == '=') {
-    aText.remove_suffix(1);
+    aText.pop_back();
   }
   const std::size_t size = aText.size() * 3 / 4;
   try {
@@ -141,11 +151,40 @@
   return GetNumber(aObject, "Priority", -kMaxCount, kMaxCount, 0);
 }
 
+// Version written as digits, as a text or a number; 0 if it is not one.
+std::int64_t
+ParseVersion(std::string_view aText)
+{
+  std::int64_t version = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, version);
+  if (result.ptr != end) {
+    return 0;
+  }
+  return result.ec == std::errc::result_out_of_range
+           ? std::numeric_limits<std::int64_t>::max()
+           : version;
+}
+
+// A version that is a whole number, whichever way the writer's encoder writes
+// it; the largest version for one beyond that, 0 for anything else.
 std::int64_t
 GetVersion(const Value& aObject, const char* aName)
 {
   const Value* value = GetMember(aObject, aName);
-  return value != nullptr && value->IsInt64() ? value->GetInt64() : 0;
+  if (value == nullptr) {
+    return 0;
+  }
+  if (value->IsInt64()) {
+    return value->GetInt64();
+  }
+  if (value->IsString()) {
+    return ParseVersion({ value->GetString(), value->GetStringLength() });
+  }
+  constexpr auto kLargest = std::numeric_limits<std::int64_t>::max();
+  const bool isWhole =
+    value->IsNumber() && std::trunc(value->GetDouble()) == value->GetDouble();
+  return isWhole ? Clamp(value->GetDouble(), std::int64_t(0), kLargest) : 0;
 }
 
 bool
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -35,6 +35,7 @@
 {
   std::string mKey;
   std::string mValue;
+  // From the store's counter; 0 if it cannot be read.
   std::int64_t mVersion = 0;
   bool mRemoved = false;
 };
@@ -43,7 +44,7 @@
 struct StoreRows
 {
   std::vector<StoreRow> mRows;
-  // Newest version of the whole store.
+  // Newest version of the whole store; 0 if it cannot be read.
   std::int64_t mVersion = 0;
   // Whether more rows follow the last one.
   bool mHasMore = false;
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(BoundsTheSlotsOfATarget);
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
+  CPPUNIT_TEST(ReadsRowsOfOtherEncoders);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
   CPPUNIT_TEST(CountsOfTargetsHaveBounds);
   CPPUNIT_TEST(StartsWithoutFieldsThatItCanReplace);
@@ -359,6 +360,28 @@
     });
   }
 
+  // Guards against hosts that know no configuration, or keep an old one,
+  // because the store's encoder writes numbers and base64 in another way.
+  void ReadsRowsOfOtherEncoders()
+  {
+    std::string reason;
+    const auto rows = platform::DecodeRows(
+      R"({"Rows":[{"Key":"a","Value":"bm9k\r\nZS0x\n","Ver":4.0},)"
+      R"({"Key":"b","Value":"bm9kZS0x","Ver":"5"},)"
+      R"({"Key":"c","Value":"bm9kZS0x","Ver":6.5},)"
+      R"({"Key":"d","Value":"bm9kZS0x","Ver":"6x"},)"
+      R"({"Key":"e","Value":"bm9kZS0x","Ver":-1e300}],"Ver":9.0})",
+      reason);
+    CPPUNIT_ASSERT(rows);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(9), rows->mVersion);
+    std::vector<std::int64_t> versions;
+    for (const auto& it : rows->mRows) {
+      CPPUNIT_ASSERT_EQUAL(std::string("node-1"), it.mValue);
+      versions.push_back(it.mVersion);
+    }
+    CPPUNIT_ASSERT(versions == std::vector<std::int64_t>({ 4, 5, 0, 0, 0 }));
+  }
+
   void ReadsStoreRows()
   {
     std::string reason;
