Let the store's order decide which configuration is in force (CONFIG, DENIED)

Callers got 404 for added routes at every host, and moved routes went on at their old service, when the number of a confirmed configuration was not a higher 64-bit integer: hosts ignored it as an older one. The hosts that read the store logged that, the others nothing.

Cause: two orders decided, the version of the row and the operators' number. The store confirms a write by the former alone; the latter is the operators' own.

The row that was written last is in force; a lower number is logged with the one that it replaces, and a row without a readable version of its own is counted and logged.

--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -110,7 +110,8 @@
 class RoutingTable : public RefCounted<RoutingTable>
 {
 public:
-  // Increases with each configuration version.
+  // The operators' number of this configuration, 0 if it has no readable one.
+  // What was written last counts, whatever its number.
   std::int64_t mVersion = 0;
   // Whether requests of routes that are not public need an API key.
   bool mKeysRequired = false;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -162,6 +162,11 @@
                  std::int64_t aVersion,
                  RowSource aSource)
 {
+  for (const StoreRow& it : aRows) {
+    if (it.mVersion == 0) {
+      ReportUnreadable(std::string(NameOf(aSource)), "row_version");
+    }
+  }
   if (aTable == StoreTable::Configuration) {
     for (const StoreRow& it : aRows) {
       if (it.mKey == platform::kConfigurationKey && !it.mRemoved) {
@@ -525,18 +530,12 @@
     return;
   }
   mRoutingRowVersion = aRow.mVersion;
-  if (mRouting != nullptr && routing->mVersion <= mRouting->mVersion) {
-    Log(LogLevel::Warn,
-        "fleet",
-        "older configuration ignored",
-        { { "version", std::to_string(routing->mVersion) },
-          { "in_force", std::to_string(mRouting->mVersion) } });
-    return;
-  }
-  Log(LogLevel::Info,
+  const std::int64_t replaced = mRouting == nullptr ? 0 : mRouting->mVersion;
+  Log(routing->mVersion > replaced ? LogLevel::Info : LogLevel::Warn,
       "fleet",
       "configuration applied",
       { { "version", std::to_string(routing->mVersion) },
+        { "replaced_version", std::to_string(replaced) },
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
   if (mRouting != nullptr) {
