--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -49,10 +49,20 @@
   if (aVersion <= record.mVersion) {
     return false;
   }
+  const bool wasLeft =
+    record.mLeftBefore && record.mEntry.mIncarnation == aEntry.mIncarnation;
+  if (wasLeft && record.mVersion == kEarlierEra && record.mRemoved) {
+    // Only a later write shows that the target lives.
+    record.mVersion = aVersion;
+    return false;
+  }
+  TargetEntry entry = aEntry;
+  entry.mLeaving |= wasLeft && record.mEntry.mLeaving;
+  record.mLeftBefore = wasLeft && entry.mLeaving;
   const bool changed = record.mVersion == 0 || record.mRemoved ||
                        !record.mValid ||
-                       !IsSameRegistration(record.mEntry, aEntry);
-  record.mEntry = aEntry;
+                       !IsSameRegistration(record.mEntry, entry);
+  record.mEntry = entry;
   record.mVersion = aVersion;
   record.mUpdatedAt = aNow;
   record.mValid = true;
@@ -155,6 +165,23 @@
   return true;
 }
 
+void
+TargetEntries::BeginEra(Time aNow)
+{
+  mVersion = 0;
+  mGraceUntil = std::max(mGraceUntil, aNow + mReregistrationTime);
+  for (auto& it : mRecordsByName) {
+    Record& record = it.second;
+    // Targets that were found without an entry have none in this era either.
+    if (record.mVersion != 0) {
+      record.mVersion = kEarlierEra;
+    }
+    const bool isGone = record.mRemoved && record.mRetainedUntil == Time::min();
+    record.mLeftBefore =
+      record.mValid && (isGone || record.mEntry.mLeaving || record.mLeftBefore);
+  }
+}
+
 void
 TargetEntries::OnStoreUnreachable(Time aNow)
 {
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -103,6 +103,10 @@
     return !mStoreUnreachable && aNow >= mGraceUntil;
   }
 
+  // A new era of the store begins: any version in it is newer than the known
+  // ones, and targets have a grace period in which they register again.
+  void BeginEra(Time aNow);
+
   // The store has become unreachable, or reachable again.
   void OnStoreUnreachable(Time aNow);
   void OnStoreReachable(Time aNow);
@@ -137,6 +141,9 @@
     Time mUpdatedAt;
     bool mValid = true;
     bool mRemoved = false;
+    // Whether the target was known to leave, or to be gone, before the present
+    // era of the store. An older copy of its entry says nothing against that.
+    bool mLeftBefore = false;
     // When a removed entry becomes unusable. Time::max() while no time is set,
     // Time::min() once it is unusable.
     Time mRetainedUntil = Time::max();
@@ -144,6 +151,9 @@
 
   bool MarkRemoved(Record& aRecord, std::int64_t aVersion, Time aNow);
 
+  // Version of a record that was written in an earlier era of the store.
+  static constexpr std::int64_t kEarlierEra = -1;
+
   Duration mReregistrationTime;
   std::map<std::string, Record> mRecordsByName;
   std::int64_t mVersion = 0;
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <charconv>
 #include <set>
+#include <utility>
 
 namespace quetzalquay {
 
@@ -53,6 +54,12 @@
 // ask for changes.
 constexpr std::size_t kMaxTargetRows = 4000;
 
+// Time that operators have to write again what the store has lost.
+constexpr Duration kRestoreTime = std::chrono::seconds(5);
+
+// Version of a row that was read in an earlier era of the store.
+constexpr std::int64_t kEarlierEra = -1;
+
 // Names the source of stored records, whose writers are not known.
 constexpr char kStoreName[] = "store";
 
@@ -139,15 +146,18 @@
   , mReach(aSettings.mPlace, StableHash(aSettings.mHost))
   , mVersions(kMinStreamLife)
   , mReaders({ aSettings.mHost, aSettings.mLinkMbps })
-  , mExpiryTimer(aLoop, [this] {
-    if (mEntries.Expire(EventLoop::Now())) {
-      Log(LogLevel::Info,
-          "fleet",
-          "dropping targets that did not register again after a store outage");
-      DeclareTargets();
-    }
-    mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
-  })
+  , mExpiryTimer(aLoop,
+                 [this] {
+                   if (mEntries.Expire(EventLoop::Now())) {
+                     Log(LogLevel::Info,
+                         "fleet",
+                         "dropping targets that did not register again after a "
+                         "store outage");
+                     DeclareTargets();
+                   }
+                   mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
+                 })
+  , mRestoreTimer(aLoop, [this] { ApplyRestoredConfiguration(); })
 {
   ConfigureRetryBudget();
   mTargets.SetReachCheck([this](const std::string& aService) {
@@ -238,6 +248,86 @@
   mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
 }
 
+bool
+Fleet::OnStoreAnswer(const StoreEraTracker::Answer& aAnswer)
+{
+  const bool begins = mEra.OnAnswer(aAnswer);
+  if (begins) {
+    Log(LogLevel::Warn,
+        "fleet",
+        "the store has another history",
+        { { "era", FormatEra(mEra.Era()) },
+          { "version", std::to_string(aAnswer.mVersion) },
+          { "known_version", std::to_string(aAnswer.mKnownVersion) } });
+    BeginEra();
+  }
+  return begins;
+}
+
+bool
+Fleet::OnEraTold(const std::optional<StoreEra>& aEra)
+{
+  if (!aEra) {
+    return mEra.IsFirst();
+  }
+  if (!mEra.OnTold(*aEra)) {
+    return mEra.Era() == *aEra;
+  }
+  Log(LogLevel::Warn,
+      "fleet",
+      "another host tells that the store has another history",
+      { { "era", FormatEra(mEra.Era()) } });
+  BeginEra();
+  return false;
+}
+
+void
+Fleet::OnStoreReplaced()
+{
+  mEra.OnStoreReplaced();
+  Log(LogLevel::Info,
+      "fleet",
+      "reading another store",
+      { { "era", FormatEra(mEra.Era()) } });
+  BeginEra();
+}
+
+// Keeps what is known and in use, but lets all that is read from now on replace
+// it.
+void
+Fleet::BeginEra()
+{
+  const Time now = EventLoop::Now();
+  mRoutingRowVersion = 0;
+  mConfigurationVersion = 0;
+  mHostsVersion = 0;
+  mSuspectsVersion = 0;
+  mEntries.BeginEra(now);
+  mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
+  for (auto* rows : { &mConfigurationRows, &mTargetRows, &mHostRows }) {
+    for (auto& it : *rows) {
+      it.second.mVersion = kEarlierEra;
+    }
+  }
+  // What is known of suspects stays for its own time. A row that is missing now
+  // was lost, not removed.
+  mSuspectRows.clear();
+  mRestoredUntil = now + kRestoreTime;
+  mRestoredRow.reset();
+  mRestoreTimer.ScheduleAt(mRestoredUntil);
+  if (mEraCallback) {
+    mEraCallback();
+  }
+}
+
+void
+Fleet::ApplyRestoredConfiguration()
+{
+  if (const auto row = std::exchange(mRestoredRow, std::nullopt)) {
+    ApplyConfigurationRow(*row, RowSource::Store);
+  }
+}
+
 bool
 Fleet::CanAcceptReplacement(const std::string& aTarget) const
 {
@@ -519,6 +609,7 @@
   if (aRow.mVersion <= mRoutingRowVersion) {
     return;
   }
+  const Time now = EventLoop::Now();
   std::string reason;
   auto routing = platform::DecodeConfiguration(aRow.mValue, reason);
   if (routing == nullptr) {
@@ -529,8 +620,27 @@
           { "reason", reason } });
     return;
   }
-  mRoutingRowVersion = aRow.mVersion;
   const std::int64_t replaced = mRouting == nullptr ? 0 : mRouting->mVersion;
+  if (routing->mVersion < replaced && now < mRestoredUntil) {
+    Log(LogLevel::Warn,
+        "fleet",
+        "configuration of an older copy of the store held back",
+        { { "version", std::to_string(routing->mVersion) },
+          { "in_force", std::to_string(replaced) },
+          { "row_version", std::to_string(aRow.mVersion) } });
+    if (!mRestoredRow || mRestoredRow->mVersion < aRow.mVersion) {
+      mRestoredRow = aRow;
+    }
+    return;
+  }
+  mRestoredRow.reset();
+  mRoutingRowVersion = aRow.mVersion;
+  StoreRow& known = mConfigurationRows[aRow.mKey];
+  const bool isSame = mRouting != nullptr && known.mValue == aRow.mValue;
+  known = aRow;
+  if (isSame) {
+    return;
+  }
   Log(routing->mVersion > replaced ? LogLevel::Info : LogLevel::Warn,
       "fleet",
       "configuration applied",
@@ -539,13 +649,11 @@
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
   if (mRouting != nullptr) {
-    const Time now = EventLoop::Now();
     routing->Replace(*mRouting, now);
     mReplaced.OnReplaced(mRouting, now);
   }
   mRouting = std::move(routing);
   mVersions.SetWindow(std::max(kMinStreamLife, mRouting->LongestTimeout()));
-  mConfigurationRows[aRow.mKey] = aRow;
   DeclareTargets();
 }
 
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -5,6 +5,7 @@
 #include "core/ReaderChoice.h"
 #include "core/ReplacedConfigurations.h"
 #include "core/RoutingTable.h"
+#include "core/StoreEra.h"
 #include "core/StreamOrigins.h"
 #include "core/TargetEntries.h"
 #include "core/TargetReach.h"
@@ -169,9 +170,34 @@
     }
   }
 
-  // Newest store version at which a table has been read.
+  // Newest store version at which a table has been read, in the present era; 0
+  // before it has been read in it.
   std::int64_t Version(platform::StoreTable aTable) const;
 
+  // Era of the store in which the versions are.
+  const StoreEra& Era() const { return mEra.Era(); }
+
+  // Number of eras that have begun while this process runs.
+  int ErasBegun() const { return mEra.Begun(); }
+
+  // Applies what an answer of the store says of its era. Returns whether a new
+  // era has begun, so that the answer is not to be used.
+  bool OnStoreAnswer(const StoreEraTracker::Answer& aAnswer);
+
+  // Applies the era that another host tells, nothing if it tells none. Returns
+  // whether the versions that it tells are of the present era.
+  bool OnEraTold(const std::optional<StoreEra>& aEra);
+
+  // The settings name another store.
+  void OnStoreReplaced();
+
+  // Sets a function that is called when a new era of the store has begun, so
+  // that all tables have to be read anew.
+  void SetEraCallback(std::function<void()> aCallback)
+  {
+    mEraCallback = std::move(aCallback);
+  }
+
   // Applies new settings, including the retry budget.
   void Configure(const GatewaySettings& aSettings);
 
@@ -266,6 +292,8 @@
                         bool aIsSnapshot,
                         std::int64_t aVersion);
   void ApplyTrialRow(const platform::StoreRow& aRow, Time aNow);
+  void BeginEra();
+  void ApplyRestoredConfiguration();
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
   void DeclareTargets();
@@ -281,6 +309,12 @@
   RefPtr<RoutingTable> mRouting;
   ReplacedConfigurations mReplaced;
   std::int64_t mRoutingRowVersion = 0;
+  StoreEraTracker mEra;
+  // Until when the operators may write again what the store has lost.
+  Time mRestoredUntil = Time::min();
+  // Row with a lower number than the configuration in force, which counts if it
+  // is still the newest one by then.
+  std::optional<platform::StoreRow> mRestoredRow;
   TargetEntries mEntries;
   TargetTable mTargets;
   TargetReach mReach;
@@ -308,6 +342,7 @@
   bool mTargetsChanged = false;
   std::function<void()> mRetainedCallback;
   std::function<void()> mHostsCallback;
+  std::function<void()> mEraCallback;
   std::function<void()> mVersionCallback;
   // Registered versions at the last declaration of the targets.
   VersionsByService mRegisteredVersions;
@@ -315,6 +350,7 @@
     mUnreadableCallback;
   ReaderChoice mReaders;
   Timer mExpiryTimer;
+  Timer mRestoreTimer;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -292,6 +292,8 @@
                  static_cast<double>(mFleet.Targets().Subset().size()));
     mMetrics.Set(GatewayGauge::StoreReachable,
                  mStore.UnreachableSince() == Time::max() ? 1 : 0);
+    mMetrics.Set(GatewayGauge::StoreEras,
+                 static_cast<double>(mFleet.ErasBegun()));
     mMetrics.Set(GatewayGauge::Ready, IsReady() ? 1 : 0);
     mMetrics.Set(
       GatewayGauge::WaitingTargets,
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -124,6 +124,8 @@
   { "quetzal_configuration_version", "Version of the configuration in force" },
   { "quetzal_targets", "Known targets" },
   { "quetzal_store_answers", "1 while the store is reachable from this host" },
+  { "quetzal_store_eras",
+    "Times that the store's versions began anew while this process runs" },
   { "quetzal_ready", "1 while the host is ready for new connections" },
   { "quetzal_suspects", "Requests suspected of crashing targets" },
   { "quetzal_retry_hosts", "Hosts that share the retry budget" },
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -77,6 +77,7 @@
   ConfigurationVersion,
   Targets,
   StoreReachable,
+  StoreEras,
   Ready,
   Suspects,
   RetryHosts,
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -50,6 +50,10 @@
 // Largest age that is believed; more than that could overflow.
 constexpr std::int64_t kMaxAgeMs = 100000000000;
 
+// Query parameter and response field with the era of the store in which the
+// versions are. Omitted while the store has had one only.
+constexpr char kEraField[] = "era";
+
 // Response field with the software versions by service, for a host that asks
 // for them with the query parameter of the same name. Omitted by a host whose
 // own history of versions is incomplete.
@@ -97,6 +101,19 @@
   return number;
 }
 
+// The era that a host tells in its query; nothing if it tells none.
+std::optional<StoreEra>
+ParseQueryEra(const std::string& aPath)
+{
+  const std::string name = std::string("&") + kEraField + "=";
+  const auto at = aPath.find(name);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto from = at + name.size();
+  return ParseEra(aPath.substr(from, aPath.find('&', from) - from));
+}
+
 void
 WriteRow(Writer& aWriter, const StoreRow& aRow)
 {
@@ -208,16 +225,22 @@
 }
 
 SimpleHttpReply
-PeerLink::HandleRequest(const HttpHead& aHead) const
+PeerLink::HandleRequest(const HttpHead& aHead)
 {
   SimpleHttpReply reply;
   if (aHead.mTarget.rfind(kPath, 0) != 0) {
     reply.mStatus = 404;
     return reply;
   }
+  const bool isComparable = mFleet.OnEraTold(ParseQueryEra(aHead.mTarget));
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
+  if (mFleet.Era() != StoreEra()) {
+    const std::string era = FormatEra(mFleet.Era());
+    writer.Key(kEraField);
+    writer.String(era.c_str(), static_cast<rapidjson::SizeType>(era.size()));
+  }
   if (mStore.UnreachableSince() == Time::max() && mFleet.IsStoreSynced()) {
     writer.Key(kAgeField);
     writer.Int64(static_cast<std::int64_t>(
@@ -229,7 +252,9 @@
     WriteVersions(writer, mFleet.Versions(), now);
   }
   for (const auto& it : kTables) {
-    const std::int64_t after = ParseQueryNumber(aHead.mTarget, it.first);
+    // A host of another era, or of a build that knows none, gets all rows.
+    const std::int64_t after =
+      isComparable ? ParseQueryNumber(aHead.mTarget, it.first) : 0;
     writer.Key(it.first);
     writer.StartObject();
     writer.Key("version");
@@ -303,6 +328,9 @@
     path += it.first;
     path += "=" + std::to_string(all ? 0 : mFleet.Version(it.second));
   }
+  if (mFleet.Era() != StoreEra()) {
+    path += std::string("&") + kEraField + "=" + FormatEra(mFleet.Era());
+  }
   if (!mFleet.Versions().IsComplete(EventLoop::Now())) {
     path += std::string("&") + kVersionsField + "=1";
   }
@@ -314,7 +342,8 @@
 {
   std::vector<Endpoint> peers = PeerEndpoints();
   std::shuffle(peers.begin(), peers.end(), mRandom);
-  const bool all = !mFleet.IsReady();
+  const bool all =
+    !mFleet.IsReady() || mFleet.Version(StoreTable::Targets) == 0;
   if (peers.empty()) {
     // No other host can know more.
     mFleet.OnKnownAsOf(aNow);
@@ -462,6 +491,24 @@
   } else if (ageField != json.MemberEnd()) {
     mFleet.ReportUnreadable(aPeer, kAgeField);
   }
+  const auto eraField = json.FindMember(kEraField);
+  std::optional<StoreEra> era;
+  if (eraField != json.MemberEnd() && eraField->value.IsString()) {
+    era = ParseEra(
+      { eraField->value.GetString(), eraField->value.GetStringLength() });
+  }
+  if (eraField != json.MemberEnd() && !era) {
+    mFleet.ReportUnreadable(aPeer, kEraField);
+  }
+  if (!mFleet.OnEraTold(era)) {
+    Log(LogLevel::Info,
+        "peers",
+        "rows of another era of the store ignored",
+        { { "peer", aPeer },
+          { "era", era ? FormatEra(*era) : std::string("none") },
+          { "own_era", FormatEra(mFleet.Era()) } });
+    return std::nullopt;
+  }
   // A host with an old view may not have noticed an outage of the store.
   const bool synced = age && *age < ReaderChoice::kMaxStaleness;
   for (const auto& it : kTables) {
@@ -488,8 +535,9 @@
         mFleet.ReportUnreadable(aPeer, it.first);
       }
     }
-    const bool whole =
-      aAllTargets && it.second == StoreTable::Targets && !rows.empty();
+    // Asked with no version of this era, a host tells all rows.
+    const bool whole = it.second == StoreTable::Targets && !rows.empty() &&
+                       (aAllTargets || mFleet.Version(it.second) == 0);
     mFleet.ApplyRows(it.second,
                      rows,
                      whole,
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -50,7 +50,7 @@
   void Configure(const GatewaySettings& aSettings);
 
 private:
-  SimpleHttpReply HandleRequest(const HttpHead& aHead) const;
+  SimpleHttpReply HandleRequest(const HttpHead& aHead);
   void RunRound();
   void LogStaleness(Time aNow);
   bool NeedsPeers(Time aNow) const;
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -93,6 +93,19 @@
   PollNow();
 }
 
+void
+TableWatcher::Reset()
+{
+  mVersion = 0;
+  mFailures = 0;
+  mSnapshotRows.clear();
+  mHeldRows.Resize(0);
+  // Also while no call is in progress: the answer that began the era may have
+  // been this watcher's.
+  mHttpClient.Cancel();
+  PollNow();
+}
+
 void
 TableWatcher::PollIfNeeded()
 {
@@ -110,16 +123,23 @@
   }
   mLastCallAt = EventLoop::Now();
   if (mVersion == 0) {
-    mSnapshotRows.clear();
-    mSnapshotBytes = 0;
-    mMissedChangesRead = false;
-    ReadPage(std::string());
+    ReadAll();
   } else {
     mVersion = std::max(mVersion, mOptions.mKnownVersion());
     RequestChanges();
   }
 }
 
+void
+TableWatcher::ReadAll()
+{
+  mVersion = 0;
+  mSnapshotRows.clear();
+  mSnapshotBytes = 0;
+  mMissedChangesRead = false;
+  ReadPage(std::string());
+}
+
 void
 TableWatcher::Send(
   const std::string& aRequest,
@@ -128,6 +148,7 @@
                                  const std::string& aReason))
 {
   mSentAt = EventLoop::Now();
+  mKnownAtSend = std::max(mVersion, mOptions.mKnownVersion());
   mHttpClient.Call(aRequest,
                    mSentAt + aLongPoll + kReplyTimeout,
                    [this, aOnReply](const auto& aReply, const auto& aReason) {
@@ -251,20 +272,30 @@
 TableWatcher::OnChanges(const std::optional<HttpReply>& aReply,
                         const std::string& aReason)
 {
-  if (aReply && aReply->mHead.mStatus == platform::kWatchExpiredStatus) {
+  if (aReply && aReply->mHead.mStatus == platform::kWatchExpiredStatus &&
+      !mOptions.mBeginsEra(aReply->mHead, 0, mKnownAtSend)) {
     Log(LogLevel::Warn,
         "store",
         "change history no longer available; reading the complete table",
         { { "table", std::string(NameOf(mOptions.mTable)) },
           { "known_version", std::to_string(mVersion) } });
-    mVersion = 0;
-    StartCall();
+    ReadAll();
     return;
   }
   const auto rows = DecodeReply(aReply, aReason);
   if (!rows) {
     return;
   }
+  if (rows->mVersion != 0 && rows->mVersion < mKnownAtSend) {
+    Log(LogLevel::Warn,
+        "store",
+        "the store's version went back; reading the complete table",
+        { { "table", std::string(NameOf(mOptions.mTable)) },
+          { "version", std::to_string(rows->mVersion) },
+          { "known_version", std::to_string(mKnownAtSend) } });
+    ReadAll();
+    return;
+  }
   const std::int64_t before = mVersion;
   mVersion = std::max(mVersion, CompleteUpTo(*rows));
   if (!rows->mRows.empty()) {
@@ -287,12 +318,21 @@
     return std::nullopt;
   }
   if (aReply->mHead.mStatus != 200) {
+    if (mOptions.mBeginsEra(aReply->mHead, 0, mKnownAtSend)) {
+      return std::nullopt;
+    }
     OnCallFailed(StoreCallEnd::Rejected,
                  "status " + std::to_string(aReply->mHead.mStatus));
     return std::nullopt;
   }
   std::string reason;
   auto rows = platform::DecodeRows(aReply->mBody, reason);
+  // Of changes a store may tell the version of the table only.
+  const bool tellsVersion = rows && mVersion == 0;
+  if (mOptions.mBeginsEra(
+        aReply->mHead, tellsVersion ? rows->mVersion : 0, mKnownAtSend)) {
+    return std::nullopt;
+  }
   if (!rows) {
     OnCallFailed(StoreCallEnd::Rejected, reason);
   }
@@ -347,12 +387,17 @@
       mLoop,
       mSettings.mStoreEndpoint,
       aReplies,
-      TableWatcher::Options{
-        aTable,
-        aLongPoll,
-        aInterval,
-        [this, aUrgency] { return ShouldRead(aUrgency); },
-        [this, aTable] { return mFleet.Version(aTable); } },
+      TableWatcher::Options{ aTable,
+                             aLongPoll,
+                             aInterval,
+                             [this, aUrgency] { return ShouldRead(aUrgency); },
+                             [this, aTable] { return mFleet.Version(aTable); },
+                             [this](const HttpHead& aHead,
+                                    std::int64_t aReplyVersion,
+                                    std::int64_t aKnownVersion) {
+                               return BeginsEra(
+                                 aHead, aReplyVersion, aKnownVersion);
+                             } },
       [this, aTable](const std::vector<StoreRow>& aRows,
                      bool aIsSnapshot,
                      std::int64_t aVersion) {
@@ -381,6 +426,7 @@
                    kSuspectsLongPoll,
                    Duration::zero());
   mFleet.SetHostsCallback([this] { CheckOwnRow(); });
+  mFleet.SetEraCallback([this] { OnEraBegan(); });
 }
 
 void
@@ -403,6 +449,37 @@
   }
 }
 
+bool
+StoreWatch::BeginsEra(const HttpHead& aHead,
+                      std::int64_t aVersion,
+                      std::int64_t aKnownVersion)
+{
+  std::string reason;
+  const auto count = platform::DecodeReturnCount(aHead, reason);
+  if (!reason.empty()) {
+    mFleet.ReportUnreadable("store", "era");
+  }
+  return mFleet.OnStoreAnswer({ count, aVersion, aKnownVersion });
+}
+
+void
+StoreWatch::OnEraBegan()
+{
+  for (TableWatcher* it : { mConfiguration.get(),
+                            mTargets.get(),
+                            mHostRows.get(),
+                            mSuspects.get() }) {
+    it->Reset();
+  }
+  // The row of this host may be among what the store has lost.
+  if (!mOwnRow.empty()) {
+    mWriter.Cancel();
+    mOwnRowWritten = false;
+    mOwnRowVersion = 0;
+    mWriteTimer.ScheduleAt(EventLoop::Now());
+  }
+}
+
 bool
 StoreWatch::ShouldRead(RowUrgency aUrgency) const
 {
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -32,6 +32,11 @@
     std::function<bool()> mShouldRead;
     // Version up to which the table is known from any source.
     std::function<std::int64_t()> mKnownVersion;
+    // Whether a new era of the store has begun, by the head of an answer, its
+    // version, 0 if not known, and the version that was known when its call
+    // was sent. If so, the watcher has been reset.
+    std::function<bool(const HttpHead&, std::int64_t, std::int64_t)>
+      mBeginsEra = [](const auto&, auto, auto) { return false; };
   };
 
   // Receives rows, whether they are the complete table, and the version.
@@ -56,6 +61,9 @@
   // starts one at once.
   void Restart();
 
+  // Abandons the call in progress and reads the complete table at once.
+  void Reset();
+
   // Starts a call if the table should be read and no call is scheduled.
   void PollIfNeeded();
 
@@ -64,6 +72,7 @@
 
 private:
   void StartCall();
+  void ReadAll();
   void Send(
     const std::string& aRequest,
     Duration aLongPoll,
@@ -105,8 +114,10 @@
   bool mMissedChangesRead = false;
   int mFailures = 0;
   Time mLastCallAt;
-  // When the last request of the call was sent.
+  // When the last request of the call was sent, and the version of the store
+  // that was known then.
   Time mSentAt;
+  std::int64_t mKnownAtSend = 0;
 };
 
 // Keeps the tables that a gateway needs up to date, registers this host in the
@@ -135,6 +146,10 @@
 
 private:
   bool ShouldRead(RowUrgency aUrgency) const;
+  bool BeginsEra(const HttpHead& aHead,
+                 std::int64_t aVersion,
+                 std::int64_t aKnownVersion);
+  void OnEraBegan();
   void OnCallEnded(platform::StoreTable aTable,
                    StoreCallEnd aEnd,
                    Time aSentAt);
--- a/src/quetzalquay/gateway/TrialRows.cpp
+++ b/src/quetzalquay/gateway/TrialRows.cpp
@@ -18,9 +18,19 @@
   return mRecord.mHeld && EventLoop::Now() - mSince < kTrialLease;
 }
 
+void
+TrialRows::ForgetEarlierEras()
+{
+  if (mEra != mFleet.Era()) {
+    mEra = mFleet.Era();
+    mRows.clear();
+  }
+}
+
 TrialRows::Row&
 TrialRows::Of(const std::string& aKey)
 {
+  ForgetEarlierEras();
   const auto& rows = mFleet.Rows(platform::StoreTable::Suspects);
   const auto row = rows.find(aKey);
   if (row != rows.end() && !row->second.mRemoved &&
@@ -33,6 +43,7 @@
 void
 TrialRows::OnRead(const platform::StoreRow& aRow)
 {
+  ForgetEarlierEras();
   Row& row = mRows[aRow.mKey];
   if (aRow.mVersion != row.mVersion) {
     // A malformed record counts as a new one.
@@ -47,6 +58,7 @@
                      const TrialRecord& aRecord,
                      std::int64_t aVersion)
 {
+  ForgetEarlierEras();
   mRows[aKey] = { aRecord, aVersion, EventLoop::Now() };
 }
 
--- a/src/quetzalquay/gateway/TrialRows.h
+++ b/src/quetzalquay/gateway/TrialRows.h
@@ -49,7 +49,11 @@
   void Expire(Time aNow);
 
 private:
+  void ForgetEarlierEras();
+
   Fleet& mFleet;
+  // Era of the store in which the rows were read.
+  StoreEra mEra;
   std::map<std::string, Row> mRows;
 };
 
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformStore.h"
 
 #include "core/NameTable.h"
+#include "core/StoreEra.h"
 #include "http/HttpHead.h"
 #include "http/JsonText.h"
 
@@ -35,6 +36,9 @@
 
 constexpr NameTable<CallKind, 3> kKindNames({ "safe", "unsafe", "streaming" });
 
+// Longest part of a malformed text that a log line shows.
+constexpr std::size_t kMaxShownBytes = 40;
+
 // Bounds of numbers that others write. Sums and small multiples of them, and
 // times that are so far ahead, stay within their types.
 constexpr int kMaxCount = 1000000;
@@ -42,6 +46,9 @@
 constexpr std::size_t kMaxBytes = 1U << 30U;
 constexpr Duration kMaxDuration = std::chrono::hours(24);
 
+// Rises by one each time the store comes back from an older copy.
+constexpr char kReturnCount[] = "Store-Era";
+
 constexpr char kReady[] = "ready";
 constexpr char kDraining[] = "draining";
 
@@ -459,6 +466,21 @@
   return rows;
 }
 
+std::optional<std::int64_t>
+DecodeReturnCount(const HttpHead& aHead, std::string& aReason)
+{
+  const std::string* text = aHead.Find(kReturnCount);
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  const auto era = ParseEra("0." + *text);
+  if (!era) {
+    aReason = "\"" + text->substr(0, kMaxShownBytes) + "\" is not a count";
+    return std::nullopt;
+  }
+  return era->mNumber;
+}
+
 RefPtr<RoutingTable>
 DecodeConfiguration(const std::string& aValue, std::string& aReason)
 {
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -3,6 +3,7 @@
 
 #include "core/RoutingTable.h"
 #include "core/TargetEntries.h"
+#include "http/HttpHead.h"
 
 #include <cstdint>
 #include <optional>
@@ -115,6 +116,12 @@
 std::optional<StoreRows>
 DecodeRows(const std::string& aBody, std::string& aReason);
 
+// How often the store has come back from an older copy, as its answers say.
+// Nothing if aHead does not tell; sets aReason if it tells something else than
+// a count.
+std::optional<std::int64_t>
+DecodeReturnCount(const HttpHead& aHead, std::string& aReason);
+
 // Key of the row that holds the configuration.
 extern const char kConfigurationKey[];
 
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1535,10 +1535,11 @@
 }
 
 long long
-GatewayTestCluster::Write(const TestConfiguration& aConfiguration)
+GatewayTestCluster::Write(const TestConfiguration& aConfiguration,
+                          long long aNumber)
 {
-  long long version = 0;
-  {
+  long long version = aNumber;
+  if (version == 0) {
     const std::lock_guard<std::mutex> lock(mMutex);
     version = mVersion + 1;
   }
@@ -1546,6 +1547,22 @@
   return version;
 }
 
+void
+GatewayTestCluster::KeepCopyOfStore()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCopiedTables = mTables;
+  mCopiedVersion = mVersion;
+}
+
+void
+GatewayTestCluster::ReturnFromCopy()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mTables = mCopiedTables;
+  mVersion = mCopiedVersion;
+}
+
 void
 GatewayTestCluster::AwaitConfiguration(long long aVersion) const
 {
@@ -1768,6 +1785,11 @@
   }
   const milliseconds wait(
     std::atoi(QueryValue(aHead.mTarget, "WaitMs").c_str()));
+  if (from > mVersion) {
+    // The store has come back without that version.
+    reply.mStatus = 410;
+    return reply;
+  }
   if (rows.empty() && !whole && aAge < wait) {
     return std::nullopt;
   }
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -391,8 +391,15 @@
   // gateways have applied it.
   void Configure(const std::string& aKey);
 
-  // Writes a configuration and returns its version, without waiting.
-  long long Write(const TestConfiguration& aConfiguration);
+  // Writes a configuration and returns its version, without waiting. Its number
+  // is aNumber, or the store's version if that is 0.
+  long long Write(const TestConfiguration& aConfiguration,
+                  long long aNumber = 0);
+
+  // Keeps a copy of the store, and lets the store come back from it: what was
+  // written since is lost, and its versions are given out again.
+  void KeepCopyOfStore();
+  void ReturnFromCopy();
 
   // Waits until all running gateways have applied a version and are ready.
   void AwaitConfiguration(long long aVersion) const;
@@ -574,6 +581,9 @@
   std::mutex mMutex;
   std::map<std::string, std::map<std::string, Row>> mTables;
   long long mVersion = 0;
+  // The copy that was kept of both.
+  std::map<std::string, std::map<std::string, Row>> mCopiedTables;
+  long long mCopiedVersion = 0;
   GatewayTestSettings mSettings;
   // Pace of sound runners, in ms.
   std::atomic<int> mFirstEventMs{ 0 };
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
   CPPUNIT_TEST(ReadsRowsOfOtherEncoders);
+  CPPUNIT_TEST(ReadsHowOftenTheStoreCameBack);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
   CPPUNIT_TEST(CountsOfTargetsHaveBounds);
   CPPUNIT_TEST(StartsWithoutFieldsThatItCanReplace);
@@ -382,6 +383,22 @@
     CPPUNIT_ASSERT(versions == std::vector<std::int64_t>({ 4, 5, 0, 0, 0 }));
   }
 
+  void ReadsHowOftenTheStoreCameBack()
+  {
+    std::string reason;
+    const auto count = [&reason](const std::string& aText) {
+      reason.clear();
+      return platform::DecodeReturnCount(MakeHead({ { "Store-Era", aText } }),
+                                         reason);
+    };
+    CPPUNIT_ASSERT(count("3") == std::int64_t(3) && reason.empty());
+    CPPUNIT_ASSERT(!platform::DecodeReturnCount(MakeHead({}), reason) &&
+                   reason.empty());
+    for (const char* it : { "", "x", "-1", "1.5", "99999999999999999999" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !count(it) && !reason.empty());
+    }
+  }
+
   void ReadsStoreRows()
   {
     std::string reason;
--- /dev/null
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -0,0 +1,129 @@
+#include "GatewayTestCluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <thread>
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time within which a confirmed change has to be in force.
+constexpr milliseconds kApplyTime(2000);
+
+constexpr int kGateways = 3;
+
+} // namespace
+
+// Hosts of a store that comes back from an older copy.
+class ReturnedStoreTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReturnedStoreTests);
+  CPPUNIT_TEST(ChangesAfterTheReturnAreInForceInTime);
+  CPPUNIT_TEST(RoutesAndKeysDoNotComeBackWithTheCopy);
+  CPPUNIT_TEST(AHostThatTheStoreTurnsAwayLearnsOfTheReturn);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against a whole fleet that answers 404 for what operators have added
+  // after the return, as the versions of it are below those that were known.
+  void ChangesAfterTheReturnAreInForceInTime()
+  {
+    GatewayTestCluster cluster(Options());
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.ReturnFromCopy();
+    for (int n = 0; n < 3; ++n) {
+      const std::string name = "new-" + std::to_string(n);
+      TestRoute route = configuration.RouteOf("plain");
+      route.mName = name;
+      configuration.mRoutes.push_back(route);
+      cluster.Write(configuration, 100001 + n);
+      std::this_thread::sleep_for(kApplyTime);
+      for (int host = 0; host < kGateways; ++host) {
+        CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, name));
+      }
+    }
+  }
+
+  // Guards against hosts that serve a removed route again, or turn an added one
+  // away, until the operators have written again what the store has lost.
+  void RoutesAndKeysDoNotComeBackWithTheCopy()
+  {
+    GatewayTestCluster cluster(Options());
+    TestConfiguration configuration;
+    TestRoute route = configuration.RouteOf("plain");
+    route.mName = "old";
+    configuration.mRoutes.push_back(route);
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    configuration.RouteOf("old").mName = "new";
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100001));
+    cluster.ReturnFromCopy();
+    for (int n = 0; n < 10; ++n) {
+      std::this_thread::sleep_for(milliseconds(200));
+      CPPUNIT_ASSERT_EQUAL(404, StatusOf(cluster, n % kGateways, "old"));
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, n % kGateways, "new"));
+    }
+    cluster.Write(configuration, 100001);
+    std::this_thread::sleep_for(milliseconds(4000));
+    for (int host = 0; host < kGateways; ++host) {
+      CPPUNIT_ASSERT_EQUAL(404, StatusOf(cluster, host, "old"));
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "new"));
+    }
+  }
+
+  // Guards against a host that compares the versions of other hosts with those
+  // from before the return, while the store turns it away.
+  void AHostThatTheStoreTurnsAwayLearnsOfTheReturn()
+  {
+    constexpr milliseconds kStretch(5000);
+    constexpr std::size_t kTurnedAway = 2;
+    GatewayTestCluster cluster(Options());
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.SetStoreAccess(StoreAccess::Unavailable, kTurnedAway);
+    cluster.ReturnFromCopy();
+    TestRoute route = configuration.RouteOf("plain");
+    route.mName = "new";
+    configuration.mRoutes.push_back(route);
+    cluster.Write(configuration, 100001);
+    std::this_thread::sleep_for(kApplyTime + kStretch);
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, kTurnedAway, "new"));
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, kTurnedAway, "plain"));
+  }
+
+private:
+  static GatewayTestCluster::Options Options()
+  {
+    GatewayTestCluster::Options options;
+    options.mGateways = kGateways;
+    return options;
+  }
+
+  // Writes so much that the store's versions don't catch up in a test.
+  static void Fill(GatewayTestCluster& aCluster)
+  {
+    for (int n = 0; n < 300; ++n) {
+      aCluster.Register("i-1");
+    }
+  }
+
+  static int StatusOf(const GatewayTestCluster& aCluster,
+                      int aHost,
+                      const std::string& aRoute)
+  {
+    static int sRequests = 0;
+    return aCluster.Gateway(static_cast<std::size_t>(aHost))
+      .Call(GatewayTestCluster::Request("/" + aRoute + "/",
+                                        "r" + std::to_string(++sRequests)))
+      .mHead.mStatus;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReturnedStoreTests);
