--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -148,9 +148,14 @@
 public:
   CallerServer(GatewayContext& aContext, int aMaxConnections);
 
+  void SetMaxConnections(int aMaxConnections)
+  {
+    mMaxConnections = aMaxConnections;
+  }
+
   // Starts to listen at an address for callers, and at one for other hosts
-  // unless its port is 0. Returns the reason on failure, and may be called
-  // again.
+  // unless its port is 0, in place of other ones if there are any. Returns the
+  // reason on failure, and may be called again.
   std::optional<ListenFailure> Open(const Endpoint& aCallers,
                                     const Endpoint& aHosts);
 
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -60,6 +60,11 @@
 constexpr Duration kListenLogInterval = milliseconds(5000);
 constexpr Duration kMetricsRetryInterval = milliseconds(2000);
 
+// Interval at which the settings file is read. It may change without a signal,
+// and changes of the configuration that depend on it have to be in force in
+// time.
+constexpr Duration kSettingsInterval = milliseconds(500);
+
 // Suspects that are logged for one death of a target, and the lost runs from
 // which on they are. Each request has parts, most of which are lost once.
 constexpr std::size_t kMaxLoggedSuspects = 8;
@@ -74,6 +79,7 @@
   Impl(GatewaySettings aSettings, std::string aSettingsFile)
     : mSettings(std::move(aSettings))
     , mSettingsFile(std::move(aSettingsFile))
+    , mCheckedText(mSettings.mText)
     , mMetrics(mSettings.mHost)
     , mRetryLog(mMetrics)
     , mFormats(mMetrics)
@@ -113,14 +119,9 @@
     , mStopTimer(mLoop, [this] { CheckStop(); })
     , mListenTimer(mLoop, [this] { Listen(); })
     , mMetricsTimer(mLoop, [this] { ListenForMetrics(); })
+    , mSettingsTimer(mLoop, [this] { CheckSettings(); })
   {
-    LimitJsonMemory(JsonMemoryLimit(mMemory), [this](std::size_t aBytes) {
-      mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
-      Log(LogLevel::Warn,
-          "store",
-          "gave up a text that needs too much memory once parsed",
-          { { "bytes", std::to_string(aBytes) } });
-    });
+    LimitMemory();
     mReplies.SetGivenUpCallback(
       [this](ReplyKind aKind, const std::string& aServer, std::size_t aBytes) {
         mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
@@ -186,10 +187,18 @@
     if (!failure) {
       failure = mCallers.Open(mSettings.mCallerEndpoint, relay);
     }
-    if (!failure) {
+    if (!failure && !mServing) {
       Serve();
-    } else if (failure->mAddressInUse) {
-      OnAddressInUse(*failure);
+    } else if (!failure) {
+      mLoadSender.Start();
+      Log(LogLevel::Info,
+          "gateway",
+          "listening",
+          { { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
+            { "readiness", FormatEndpoint(mSettings.mReadinessEndpoint) },
+            { "peers", FormatEndpoint(mSettings.mPeerEndpoint) } });
+    } else if (failure->mAddressInUse || mServing) {
+      OnNotListening(*failure);
       mListenTimer.ScheduleAt(EventLoop::Now() + kListenRetryInterval);
     } else {
       mStartProblem = failure->mMessage;
@@ -197,7 +206,7 @@
     }
   }
 
-  void OnAddressInUse(const ListenFailure& aFailure)
+  void OnNotListening(const ListenFailure& aFailure)
   {
     const Time now = EventLoop::Now();
     if (now >= mNextListenLogAt) {
@@ -217,6 +226,7 @@
     mLoadSender.Start();
     mStore.Start();
     mStore.RegisterHost(FormatHostRow(mSettings));
+    mSettingsTimer.ScheduleAt(EventLoop::Now() + kSettingsInterval);
     Log(LogLevel::Info,
         "gateway",
         "started",
@@ -387,22 +397,118 @@
       });
   }
 
+  // Applies the settings file if it has changed without a signal.
+  void CheckSettings()
+  {
+    mSettingsTimer.ScheduleAt(EventLoop::Now() + kSettingsInterval);
+    std::string reason;
+    const auto text = ReadSettingsFile(mSettingsFile, reason);
+    if (text.value_or(reason) != mCheckedText) {
+      Reload();
+    }
+  }
+
   void Reload()
   {
     std::string reason;
-    auto settings = LoadGatewaySettings(mSettingsFile, reason);
+    auto text = ReadSettingsFile(mSettingsFile, reason);
+    mCheckedText = text.value_or(reason);
+    auto settings = text ? ParseGatewaySettings(*text, reason) : std::nullopt;
     if (!settings) {
       Log(LogLevel::Error,
           "gateway",
           "reloading the settings failed",
-          { { "reason", reason } });
+          { { "file", mSettingsFile }, { "reason", reason } });
       return;
     }
-    mSettings = std::move(*settings);
+    KeepIdentity(*settings);
+    const GatewaySettings former =
+      std::exchange(mSettings, std::move(*settings));
+    LogReplacedFields();
+    Log(LogLevel::Info,
+        "gateway",
+        "settings reloaded",
+        { { "changed", former.mText == mSettings.mText ? "false" : "true" },
+          { "store", FormatEndpoint(mSettings.mStoreEndpoint) },
+          { "callers", FormatEndpoint(mSettings.mCallerEndpoint) },
+          { "memory_mb", std::to_string(mSettings.mMemoryMb) } });
+    ApplySettings(former);
+  }
+
+  // The name and the place of a process are known to all hosts and stay what
+  // they were at its start.
+  void KeepIdentity(GatewaySettings& aSettings) const
+  {
+    const auto keep =
+      [](const char* aField, const std::string& aKept, std::string& aValue) {
+        if (aValue != aKept) {
+          Log(LogLevel::Warn,
+              "gateway",
+              "a changed field needs a restart",
+              { { "field", aField }, { "kept", aKept }, { "read", aValue } });
+          aValue = aKept;
+        }
+      };
+    keep("host", mSettings.mHost, aSettings.mHost);
+    keep("place", mSettings.mPlace, aSettings.mPlace);
+    keep("region", mSettings.mRegion, aSettings.mRegion);
+  }
+
+  void ApplySettings(const GatewaySettings& aFormer)
+  {
+    SetLogLevel(mSettings.mLogLevel);
     mFleet.Configure(mSettings);
     mPeers.Configure(mSettings);
-    LogReplacedFields();
-    Log(LogLevel::Info, "gateway", "settings reloaded");
+    mLoadSender.Configure(mSettings);
+    mHosts.SetRelayPort(mSettings.mRelayPort);
+    if (mSettings.mMemoryMb != aFormer.mMemoryMb) {
+      mMemory = UsableMemory(mSettings.mMemoryMb);
+      LimitMemory();
+    }
+    if (mSettings.mDescriptors != aFormer.mDescriptors) {
+      mDescriptors = ObtainDescriptors(mSettings.mDescriptors);
+      mCallers.SetMaxConnections(MaxConnections(mDescriptors));
+    }
+    if (mSettings.mStoreEndpoint != aFormer.mStoreEndpoint) {
+      mStore.SetStore(mSettings.mStoreEndpoint);
+      mSuspectWriter.SetStore(mSettings.mStoreEndpoint);
+      mSuspectTrials.SetStore(mSettings.mStoreEndpoint);
+      mOriginStore.SetStore(mSettings.mStoreEndpoint);
+    }
+    if (!mServing) {
+      // Listen() tries the new addresses.
+      return;
+    }
+    mStore.RegisterHost(FormatHostRow(mSettings));
+    if (!mCallers.IsDraining() && ListensElsewhere(aFormer)) {
+      Listen();
+      ListenForMetrics();
+    }
+  }
+
+  // Whether the addresses to listen on differ from earlier ones.
+  bool ListensElsewhere(const GatewaySettings& aFormer) const
+  {
+    return mSettings.mCallerEndpoint != aFormer.mCallerEndpoint ||
+           mSettings.mReadinessEndpoint != aFormer.mReadinessEndpoint ||
+           mSettings.mPeerEndpoint != aFormer.mPeerEndpoint ||
+           mSettings.mRelayPort != aFormer.mRelayPort ||
+           mSettings.mLoadPort != aFormer.mLoadPort ||
+           mSettings.mMetricsEndpoint != aFormer.mMetricsEndpoint;
+  }
+
+  // Goes by the memory that the process may use.
+  void LimitMemory()
+  {
+    mReplies.SetLimit(ReplyBufferLimit(mMemory));
+    mAnswerBuffers.SetLimit(AnswerBufferLimit(mMemory));
+    LimitJsonMemory(JsonMemoryLimit(mMemory), [this](std::size_t aBytes) {
+      mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
+      Log(LogLevel::Warn,
+          "store",
+          "gave up a text that needs too much memory once parsed",
+          { { "bytes", std::to_string(aBytes) } });
+    });
   }
 
   void BeginStop()
@@ -453,6 +559,8 @@
 
   GatewaySettings mSettings;
   std::string mSettingsFile;
+  // Text of the settings file when it was last read, or why it could not be.
+  std::string mCheckedText;
   EventLoop mLoop;
   GatewayMetrics mMetrics;
   RetryLog mRetryLog;
@@ -497,6 +605,7 @@
   Timer mStopTimer;
   Timer mListenTimer;
   Timer mMetricsTimer;
+  Timer mSettingsTimer;
   Time mAcceptUntil;
   Time mFailAt;
   Time mExitAt;
--- a/src/quetzalquay/gateway/GatewaySettings.cpp
+++ b/src/quetzalquay/gateway/GatewaySettings.cpp
@@ -252,13 +252,14 @@
   if (!aReason.empty()) {
     return std::nullopt;
   }
+  settings.mText = aText;
   settings.mStopGrace = FromSeconds(grace);
   settings.mRetryWindow = FromSeconds(window);
   return settings;
 }
 
-std::optional<GatewaySettings>
-LoadGatewaySettings(const std::string& aPath, std::string& aReason)
+std::optional<std::string>
+ReadSettingsFile(const std::string& aPath, std::string& aReason)
 {
   std::ifstream file(aPath);
   if (!file) {
@@ -267,7 +268,17 @@
   }
   std::stringstream text;
   text << file.rdbuf();
-  auto settings = ParseGatewaySettings(text.str(), aReason);
+  return text.str();
+}
+
+std::optional<GatewaySettings>
+LoadGatewaySettings(const std::string& aPath, std::string& aReason)
+{
+  const auto text = ReadSettingsFile(aPath, aReason);
+  if (!text) {
+    return std::nullopt;
+  }
+  auto settings = ParseGatewaySettings(*text, aReason);
   if (!settings) {
     aReason = aPath + ": " + aReason;
   }
--- a/src/quetzalquay/gateway/GatewaySettings.h
+++ b/src/quetzalquay/gateway/GatewaySettings.h
@@ -53,8 +53,15 @@
   // what is used instead. A host that can serve without a field starts without
   // it.
   std::vector<std::string> mReplacedFields;
+  // The text that the settings were read from.
+  std::string mText;
 };
 
+// Text of a settings file. Returns nothing and sets aReason if it cannot be
+// read.
+std::optional<std::string>
+ReadSettingsFile(const std::string& aPath, std::string& aReason);
+
 // Limit on open connections, from callers and to targets together, of a process
 // that may open so many descriptors.
 int
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -11,6 +11,7 @@
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
+#include <utility>
 
 namespace quetzalquay {
 
@@ -106,10 +107,24 @@
   return std::nullopt;
 }
 
+void
+LoadBroadcaster::Configure(const GatewaySettings& aSettings)
+{
+  const bool moves =
+    aSettings.mLoadPort != mSettings.mLoadPort ||
+    aSettings.mPeerEndpoint.address() != mSettings.mPeerEndpoint.address();
+  mSettings = aSettings;
+  if (moves) {
+    boost::system::error_code ignored;
+    mSocket.close(ignored);
+    mReceiving = false;
+  }
+}
+
 void
 LoadBroadcaster::Start()
 {
-  if (!mSocket.is_open()) {
+  if (!mSocket.is_open() || std::exchange(mReceiving, true)) {
     return;
   }
   mFleet.Targets().SetLoadCallback(
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -47,6 +47,10 @@
   // and may be called again.
   std::optional<ListenFailure> Listen();
 
+  // Applies new settings. If they have another port, Listen() and Start() have
+  // to be called again.
+  void Configure(const GatewaySettings& aSettings);
+
   // Starts to receive and to send.
   void Start();
 
@@ -137,6 +141,8 @@
   std::vector<boost::asio::ip::udp::endpoint> ChooseReceivers();
 
   GatewaySettings mSettings;
+  // Whether messages are sent and received.
+  bool mReceiving = false;
   Fleet& mFleet;
   LimitWatch& mLimits;
   FormatLog& mFormats;
--- a/src/quetzalquay/gateway/RowWriter.cpp
+++ b/src/quetzalquay/gateway/RowWriter.cpp
@@ -24,8 +24,7 @@
                      const Endpoint& aStore,
                      ReplyBuffers& aReplies,
                      Options aOptions)
-  : mHostHeader(FormatEndpoint(aStore))
-  , mOptions(std::move(aOptions))
+  : mOptions(std::move(aOptions))
   , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Written)
   , mTimer(aLoop, [this] { Write(); })
 {
@@ -76,12 +75,12 @@
     }
   }
   // Safe to repeat after a lost response, as each write has the same effect.
-  mHttpClient.Call(
-    platform::EncodeChanges(mHostHeader, mOptions.mTable, mWriting),
-    mLastCallAt + kReplyTimeout,
-    [this](const auto& aReply, const auto& aReason) {
-      OnReply(aReply, aReason);
-    });
+  mHttpClient.Call(platform::EncodeChanges(
+                     mHttpClient.ServerName(), mOptions.mTable, mWriting),
+                   mLastCallAt + kReplyTimeout,
+                   [this](const auto& aReply, const auto& aReason) {
+                     OnReply(aReply, aReason);
+                   });
 }
 
 void
--- a/src/quetzalquay/gateway/RowWriter.h
+++ b/src/quetzalquay/gateway/RowWriter.h
@@ -37,6 +37,9 @@
             ReplyBuffers& aReplies,
             Options aOptions);
 
+  // Writes to another store from now on.
+  void SetStore(const Endpoint& aStore) { mHttpClient.SetServer(aStore); }
+
   // There are changes to collect. They are written after a short delay, so that
   // several share one transaction.
   void Notify();
@@ -51,7 +54,6 @@
   void OnReply(const std::optional<HttpReply>& aReply,
                const std::string& aReason);
 
-  std::string mHostHeader;
   Options mOptions;
   AsyncHttpClient mHttpClient;
   Timer mTimer;
--- a/src/quetzalquay/gateway/ServerDirectory.h
+++ b/src/quetzalquay/gateway/ServerDirectory.h
@@ -85,6 +85,9 @@
   {
   }
 
+  // Port at which the hosts receive requests, 0 if they receive none.
+  void SetRelayPort(unsigned short aRelayPort) { mRelayPort = aRelayPort; }
+
   const TargetLocation* Locate(const std::string& aServer) override;
   Duration IdleTimeout() const override;
 
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -59,8 +59,7 @@
                            Options aOptions,
                            OnRows aOnRows,
                            OnCallEnded aOnCallEnded)
-  : mHostHeader(FormatEndpoint(aStore))
-  , mOptions(std::move(aOptions))
+  : mOptions(std::move(aOptions))
   , mOnRows(std::move(aOnRows))
   , mOnCallEnded(std::move(aOnCallEnded))
   , mReplies(aReplies)
@@ -159,7 +158,7 @@
 void
 TableWatcher::ReadPage(const std::string& aFrom)
 {
-  Send(platform::EncodeRead(mHostHeader, mOptions.mTable, aFrom),
+  Send(platform::EncodeRead(mHttpClient.ServerName(), mOptions.mTable, aFrom),
        Duration::zero(),
        &TableWatcher::OnPage);
 }
@@ -187,7 +186,8 @@
   if (!mHeldRows.Resize(mSnapshotBytes)) {
     mSnapshotRows.clear();
     mHeldRows.Resize(0);
-    mReplies.OnGivenUp(ReplyKind::Rows, mHostHeader, mSnapshotBytes);
+    mReplies.OnGivenUp(
+      ReplyKind::Rows, mHttpClient.ServerName(), mSnapshotBytes);
     OnCallFailed(StoreCallEnd::Rejected, "the table needs too much memory");
     return;
   }
@@ -217,8 +217,10 @@
 {
   if (HasNewerRows() ||
       (mSnapshotVersion < mOptions.mKnownVersion() && !mMissedChangesRead)) {
-    Send(platform::EncodeWatch(
-           mHostHeader, mOptions.mTable, mSnapshotVersion, Duration::zero()),
+    Send(platform::EncodeWatch(mHttpClient.ServerName(),
+                               mOptions.mTable,
+                               mSnapshotVersion,
+                               Duration::zero()),
          Duration::zero(),
          &TableWatcher::OnMissedChanges);
     return;
@@ -262,10 +264,11 @@
 void
 TableWatcher::RequestChanges()
 {
-  Send(platform::EncodeWatch(
-         mHostHeader, mOptions.mTable, mVersion, mOptions.mLongPoll),
-       mOptions.mLongPoll,
-       &TableWatcher::OnChanges);
+  Send(
+    platform::EncodeWatch(
+      mHttpClient.ServerName(), mOptions.mTable, mVersion, mOptions.mLongPoll),
+    mOptions.mLongPoll,
+    &TableWatcher::OnChanges);
 }
 
 void
@@ -489,9 +492,25 @@
          mFleet.Readers().MustReadStore(aUrgency, EventLoop::Now());
 }
 
+void
+StoreWatch::SetStore(const Endpoint& aStore)
+{
+  mFleet.OnStoreReplaced();
+  for (TableWatcher* it : { mConfiguration.get(),
+                            mTargets.get(),
+                            mHostRows.get(),
+                            mSuspects.get() }) {
+    it->SetStore(aStore);
+  }
+  mWriter.SetServer(aStore);
+}
+
 void
 StoreWatch::RegisterHost(const std::string& aValue)
 {
+  if (mOwnRow == aValue || mDeregistering) {
+    return;
+  }
   mOwnRow = aValue;
   mOwnRowWritten = false;
   WriteOwnRow();
@@ -531,7 +550,7 @@
   if (mOwnRowWritten || mWriter.IsBusy()) {
     return;
   }
-  const std::string host = FormatEndpoint(mSettings.mStoreEndpoint);
+  const std::string host = mWriter.ServerName();
   std::string request;
   if (mDeregistering) {
     // The store may perform this when the next process has registered.
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -67,6 +67,9 @@
   // Starts a call if the table should be read and no call is scheduled.
   void PollIfNeeded();
 
+  // Reads another store from now on.
+  void SetStore(const Endpoint& aStore) { mHttpClient.SetServer(aStore); }
+
   // When the last call was started.
   Time LastCallAt() const { return mLastCallAt; }
 
@@ -94,7 +97,6 @@
   void OnCallFailed(StoreCallEnd aEnd, const std::string& aReason);
   void OnCallSucceeded();
 
-  std::string mHostHeader;
   Options mOptions;
   OnRows mOnRows;
   OnCallEnded mOnCallEnded;
@@ -135,12 +137,17 @@
   // Reads the tables if this host currently has to read the store itself.
   void PollIfNeeded();
 
+  // Reads another store from now on. What is known stays in use until it has
+  // been read.
+  void SetStore(const Endpoint& aStore);
+
   // When the store became unreachable, Time::max() while it is reachable. The
   // store counts as unreachable until the first call succeeds.
   Time UnreachableSince() const { return mContact.UnreachableSince(); }
 
-  // Writes this host's row with the given value, or removes it unless another
-  // process has written it since. Retried until it succeeds.
+  // Writes this host's row with the given value, unless it has been written
+  // with it, or removes it unless another process has written it since. Retried
+  // until it succeeds.
   void RegisterHost(const std::string& aValue);
   void DeregisterHost();
 
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -90,6 +90,14 @@
   mTickTimer.ScheduleAt(EventLoop::Now() + kTickInterval);
 }
 
+void
+StreamOriginStore::SetStore(const Endpoint& aStore)
+{
+  mWriter.SetStore(aStore);
+  mVersionWriter.SetStore(aStore);
+  mReader.SetStore(aStore);
+}
+
 std::uint64_t
 StreamOriginStore::LookUp(std::uint64_t aKey,
                           Time aDeadline,
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -28,6 +28,9 @@
                     GatewayMetrics& aMetrics,
                     ReplyBuffers& aReplies);
 
+  // Reads and writes another store from now on.
+  void SetStore(const Endpoint& aStore);
+
   // Reads what the store has, for a stream whose origin is not known. aDone is
   // called once, at aDeadline at the latest, and never before LookUp() returns.
   // Returns the number of the lookup.
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -57,8 +57,7 @@
                              Fleet& aFleet,
                              GatewayMetrics& aMetrics,
                              ReplyBuffers& aReplies)
-  : mHostHeader(FormatEndpoint(aSettings.mStoreEndpoint))
-  , mHost(aSettings.mHost)
+  : mHost(aSettings.mHost)
   , mFleet(aFleet)
   , mMetrics(aMetrics)
   , mHttpClient(aLoop, aSettings.mStoreEndpoint, aReplies, ReplyKind::Written)
@@ -153,7 +152,7 @@
   if (ofSet.IsTaken() || ofTarget.IsTaken()) {
     aTrial.mReadKey = ofSet.IsTaken() ? setKey : targetKey;
     Call(platform::EncodeReadRow(
-           mHostHeader, StoreTable::Suspects, aTrial.mReadKey),
+           mHttpClient.ServerName(), StoreTable::Suspects, aTrial.mReadKey),
          onReply);
     return;
   }
@@ -161,7 +160,7 @@
   TrialRecord target;
   target.mHeld = record.mHeld;
   Call(platform::EncodeChanges(
-         mHostHeader,
+         mHttpClient.ServerName(),
          StoreTable::Suspects,
          { { setKey, FormatTrialRecord(record) },
            { targetKey, FormatTrialRecord(target) } },
@@ -400,7 +399,7 @@
   const std::optional<std::string> value =
     cleared ? std::nullopt : std::make_optional(FormatTrialRecord(row.mRecord));
   Call(
-    platform::EncodeChanges(mHostHeader,
+    platform::EncodeChanges(mHttpClient.ServerName(),
                             StoreTable::Suspects,
                             { { setKey, value }, { targetKey, std::nullopt } },
                             { { setKey, row.mVersion },
--- a/src/quetzalquay/gateway/SuspectTrials.h
+++ b/src/quetzalquay/gateway/SuspectTrials.h
@@ -32,6 +32,9 @@
                 GatewayMetrics& aMetrics,
                 ReplyBuffers& aReplies);
 
+  // Runs trials by another store from now on.
+  void SetStore(const Endpoint& aStore) { mHttpClient.SetServer(aStore); }
+
 private:
   enum class Phase
   {
@@ -84,7 +87,6 @@
   // When this host may run a trial that the store does not record.
   Time NextUnrecorded(const Trial& aTrial, Time aNow) const;
 
-  std::string mHostHeader;
   std::string mHost;
   Fleet& mFleet;
   GatewayMetrics& mMetrics;
--- a/src/quetzalquay/gateway/SuspectWriter.h
+++ b/src/quetzalquay/gateway/SuspectWriter.h
@@ -19,6 +19,9 @@
                 Fleet& aFleet,
                 ReplyBuffers& aReplies);
 
+  // Writes to another store from now on.
+  void SetStore(const Endpoint& aStore) { mRows.SetStore(aStore); }
+
 private:
   std::vector<platform::RowChange> TakeChanges();
   void RemoveExpired();
--- a/src/quetzalquay/gateway/TableReader.cpp
+++ b/src/quetzalquay/gateway/TableReader.cpp
@@ -8,8 +8,7 @@
                          const Endpoint& aStore,
                          ReplyBuffers& aReplies,
                          platform::StoreTable aTable)
-  : mHostHeader(FormatEndpoint(aStore))
-  , mTable(aTable)
+  : mTable(aTable)
   , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Rows)
 {
 }
@@ -26,11 +25,12 @@
 void
 TableReader::ReadPage(const std::string& aFrom)
 {
-  mHttpClient.Call(platform::EncodeRead(mHostHeader, mTable, aFrom),
-                   mDeadline,
-                   [this](const auto& aReply, const auto& aReason) {
-                     OnPage(aReply, aReason);
-                   });
+  mHttpClient.Call(
+    platform::EncodeRead(mHttpClient.ServerName(), mTable, aFrom),
+    mDeadline,
+    [this](const auto& aReply, const auto& aReason) {
+      OnPage(aReply, aReason);
+    });
 }
 
 void
--- a/src/quetzalquay/gateway/TableReader.h
+++ b/src/quetzalquay/gateway/TableReader.h
@@ -29,6 +29,9 @@
   // is called once, no later than aDeadline.
   void Read(Time aDeadline, Callback aCallback);
 
+  // Reads another store from now on. A read in progress fails.
+  void SetStore(const Endpoint& aStore) { mHttpClient.SetServer(aStore); }
+
   bool IsBusy() const { return mCallback != nullptr; }
 
 private:
@@ -38,7 +41,6 @@
   void Finish(const std::optional<std::vector<platform::StoreRow>>& aRows,
               const std::string& aReason);
 
-  std::string mHostHeader;
   platform::StoreTable mTable;
   AsyncHttpClient mHttpClient;
   Time mDeadline;
--- a/src/quetzalquay/http/AnswerBuffers.h
+++ b/src/quetzalquay/http/AnswerBuffers.h
@@ -36,6 +36,8 @@
   static constexpr std::size_t kAlwaysAllowed = 65536;
 
   std::size_t Limit() const { return mLimit; }
+  // What is held already stays, also above a lower limit.
+  void SetLimit(std::size_t aLimit) { mLimit = aLimit; }
   std::size_t Total() const { return mTotal; }
 
 private:
--- a/src/quetzalquay/http/AsyncHttpClient.cpp
+++ b/src/quetzalquay/http/AsyncHttpClient.cpp
@@ -54,6 +54,16 @@
   OpenConnection();
 }
 
+void
+AsyncHttpClient::SetServer(const Endpoint& aServer)
+{
+  if (aServer == mServer) {
+    return;
+  }
+  mServer = aServer;
+  Fail("the server's address has changed");
+}
+
 void
 AsyncHttpClient::Cancel()
 {
--- a/src/quetzalquay/http/AsyncHttpClient.h
+++ b/src/quetzalquay/http/AsyncHttpClient.h
@@ -42,6 +42,13 @@
             Time aDeadline,
             ResponseCallback aCallback);
 
+  // Goes over to another server, unless aServer is the present one. A pending
+  // request fails.
+  void SetServer(const Endpoint& aServer);
+
+  // The server's address, as the Host field of requests has it.
+  std::string ServerName() const { return FormatEndpoint(mServer); }
+
   // Whether a request is pending.
   bool IsBusy() const { return mCallback != nullptr; }
 
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -47,22 +47,28 @@
 std::optional<ListenFailure>
 Listener::Open(const Endpoint& aAddress)
 {
-  if (mAcceptor.is_open()) {
+  if (mAcceptor.is_open() && mAddress == aAddress) {
     return std::nullopt;
   }
   boost::system::error_code ec;
-  mAcceptor.open(tcp::v4(), ec);
+  tcp::acceptor acceptor(mAcceptor.get_executor());
+  acceptor.open(tcp::v4(), ec);
   if (!ec) {
-    mAcceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    mAcceptor.bind(aAddress, ec);
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    acceptor.bind(aAddress, ec);
   }
   if (!ec) {
-    mAcceptor.listen(kListenBacklog, ec);
+    acceptor.listen(kListenBacklog, ec);
   }
   if (ec) {
-    Close();
     return MakeListenFailure(FormatEndpoint(aAddress), ec);
   }
+  if (mAcceptor.is_open()) {
+    AcceptPending();
+  }
+  mAcceptor = std::move(acceptor);
+  mAddress = aAddress;
+  ++mAddressCount;
   Accept();
   return std::nullopt;
 }
@@ -102,10 +108,17 @@
 Listener::Accept()
 {
   mAcceptor.async_accept(
-    [this](const boost::system::error_code& aError, tcp::socket aSocket) {
+    [this, count = mAddressCount](const boost::system::error_code& aError,
+                                  tcp::socket aSocket) {
       if (!mAcceptor.is_open()) {
         return;
       }
+      if (count != mAddressCount) {
+        if (!aError) {
+          mCallback(std::move(aSocket));
+        }
+        return;
+      }
       if (aError) {
         ReportError(aError);
         mRetryTimer.ScheduleAt(EventLoop::Now() + kAcceptRetryDelay);
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -45,7 +45,8 @@
            AcceptCallback aCallback,
            ErrorCallback aOnError = nullptr);
 
-  // Starts listening, unless it listens already. Returns the reason on failure.
+  // Starts listening at an address, in place of another one if there is one.
+  // Returns the reason on failure, and goes on listening where it did.
   std::optional<ListenFailure> Open(const Endpoint& aAddress);
 
   // Accepts the connections that are already established.
@@ -61,6 +62,9 @@
   AcceptCallback mCallback;
   ErrorCallback mOnError;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  Endpoint mAddress;
+  // Number of addresses so far, by which accepts of an earlier one are told.
+  int mAddressCount = 0;
   Timer mRetryTimer;
 };
 
--- a/src/quetzalquay/observe/Log.cpp
+++ b/src/quetzalquay/observe/Log.cpp
@@ -54,17 +54,23 @@
                     const std::string& aLevel)
 {
   aAppender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
-  auto root = log4cplus::Logger::getRoot();
-  root.addAppender(aAppender);
+  log4cplus::Logger::getRoot().addAppender(aAppender);
+  SetLogLevel(aLevel);
+}
+
+} // namespace
+
+void
+SetLogLevel(const std::string& aLevel)
+{
   std::string level = aLevel.empty() ? "INFO" : aLevel;
   std::transform(level.begin(), level.end(), level.begin(), [](char aChar) {
     return static_cast<char>(std::toupper(static_cast<unsigned char>(aChar)));
   });
-  root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+  log4cplus::Logger::getRoot().setLogLevel(
+    log4cplus::getLogLevelManager().fromString(level));
 }
 
-} // namespace
-
 void
 StartLog(const std::string& aPath, const std::string& aLevel)
 {
--- a/src/quetzalquay/observe/Log.h
+++ b/src/quetzalquay/observe/Log.h
@@ -28,6 +28,10 @@
 void
 StartQueuedLog(const std::string& aLevel);
 
+// Sets the least level of logged lines, as StartLog() takes it.
+void
+SetLogLevel(const std::string& aLevel);
+
 // Writes all queued lines and stops the writer thread.
 void
 StopQueuedLog();
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -157,10 +157,49 @@
                    std::to_string(aRelayPort) + R"(,"metrics":")" + at(2) +
                    R"(","seeds":[)" + seeds + R"(],"store":")" + aStore +
                    R"(","linkMbps":100,"repeatWindowS":10,"logLevel":"info")";
+  mStore = aStore;
   WriteSettings();
   StartProcess();
 }
 
+void
+GatewayProcess::ReplaceInSettings(const std::string& aFrom,
+                                  const std::string& aTo)
+{
+  const auto at = mFixedSettings.find(aFrom);
+  if (at == std::string::npos) {
+    throw std::logic_error("the settings do not have " + aFrom);
+  }
+  mFixedSettings.replace(at, aFrom.size(), aTo);
+}
+
+void
+GatewayProcess::SetStore(const std::string& aAddress)
+{
+  ReplaceInSettings(mStore, aAddress);
+  mStore = aAddress;
+  WriteSettings();
+}
+
+void
+GatewayProcess::MovePorts()
+{
+  for (int& it : mPorts) {
+    const int port = FindFreePort(mIp);
+    ReplaceInSettings(mIp + ":" + std::to_string(it),
+                      mIp + ":" + std::to_string(port));
+    it = port;
+  }
+  WriteSettings();
+}
+
+void
+GatewayProcess::TruncateSettings() const
+{
+  std::ofstream(mSettingsFile)
+    << mFixedSettings.substr(0, mFixedSettings.size() / 2);
+}
+
 void
 GatewayProcess::WriteSettings() const
 {
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -81,6 +81,15 @@
   // start.
   void ChangeSettings(const GatewayTestSettings& aSettings);
 
+  // The same for single fields: another store, and other ports for callers,
+  // readiness checks and metrics.
+  void SetStore(const std::string& aAddress);
+  void MovePorts();
+
+  // Cuts the settings file off in the middle, and writes it again.
+  void TruncateSettings() const;
+  void WriteSettings() const;
+
   // Sends bytes on a new connection, waits for the first byte of a response
   // and closes the connection.
   void CallAndDisconnect(const std::string& aBytes) const;
@@ -132,7 +141,7 @@
 private:
   void StartProcess();
   void WatchMemory();
-  void WriteSettings() const;
+  void ReplaceInSettings(const std::string& aFrom, const std::string& aTo);
   int Connect(int aPort, const std::string& aBytes) const;
   CallerAnswer CallPort(int aPort, const std::string& aBytes) const;
 
@@ -141,8 +150,9 @@
   // Ports for callers, readiness checks and metrics, in this order.
   std::vector<int> mPorts;
   std::string mSettingsFile;
-  // Fields of the settings file that never change.
+  // Fields of the settings file that tests don't vary by mSettings.
   std::string mFixedSettings;
+  std::string mStore;
   GatewayTestSettings mSettings;
   pid_t mProcess = -1;
   // Watches the memory of a process that has a limit.
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1070,17 +1070,7 @@
     auto node = std::make_unique<GatewayNode>();
     node->mName = n == 0 ? "h" : "h" + std::to_string(n);
     node->mCutOff = n == aOptions.mCutOff;
-    node->mStorePort = FindFreePort();
-    node->mStore = std::make_unique<StoreServer>(
-      mLoop,
-      [this, at = node.get()](
-        const HttpHead& aHead, const std::string& aBody, Duration aAge) {
-        return HandleStoreRequest(*at, aHead, aBody, aAge);
-      });
-    if (const auto failure =
-          node->mStore->Open(*ParseEndpoint(Address(node->mStorePort)))) {
-      throw std::runtime_error(failure->mMessage);
-    }
+    StartStore(*node);
     mNodes.push_back(std::move(node));
   }
   if (aOptions.mHasRunnerLinks) {
@@ -1110,6 +1100,34 @@
   }
 }
 
+void
+GatewayTestCluster::StartStore(GatewayNode& aNode)
+{
+  aNode.mStorePort = FindFreePort();
+  aNode.mStore = std::make_unique<StoreServer>(
+    mLoop,
+    [this,
+     &aNode](const HttpHead& aHead, const std::string& aBody, Duration aAge) {
+      return HandleStoreRequest(aNode, aHead, aBody, aAge);
+    });
+  if (const auto failure =
+        aNode.mStore->Open(*ParseEndpoint(Address(aNode.mStorePort)))) {
+    throw std::runtime_error(failure->mMessage);
+  }
+}
+
+void
+GatewayTestCluster::MoveStore(std::size_t aGateway)
+{
+  GatewayNode& node = *mNodes[aGateway];
+  DoInLoop([&] {
+    node.mStore->SetAccess(StoreAccess::Reset);
+    node.mFormerStore = std::move(node.mStore);
+    StartStore(node);
+  });
+  node.mGateway->SetStore(Address(node.mStorePort));
+}
+
 void
 GatewayTestCluster::StartGateway(std::size_t aNumber)
 {
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -449,6 +449,10 @@
   // Writes a runner's entry again, as ready.
   void Register(const std::string& aRunner);
 
+  // Lets the store serve one gateway at another address, which is in the
+  // settings file of the gateway then. The former one resets all connections.
+  void MoveStore(std::size_t aGateway);
+
   // Sets how the store handles the calls of one gateway.
   void SetStoreAccess(StoreAccess aAccess, std::size_t aGateway = 0)
   {
@@ -526,6 +530,8 @@
   {
     int mStorePort = 0;
     std::unique_ptr<StoreServer> mStore;
+    // At the address before mStore's.
+    std::unique_ptr<StoreServer> mFormerStore;
     // Reads of the runners' entries that were answered.
     std::atomic<int> mRunnersReads{ 0 };
     std::unique_ptr<GatewayProcess> mGateway;
@@ -539,6 +545,7 @@
   std::string EntrySeenBy(const GatewayNode& aReader,
                           const std::string& aEntry) const;
   bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
+  void StartStore(GatewayNode& aNode);
   void StartGateway(std::size_t aNumber);
   void StartRelays();
   const std::string& PeerOf(const std::string& aName) const;
