End a stop although nobody reads the log (FAULT)

A host whose standard output blocks was still there 8 s after SIGTERM, and was killed: the end of the process waited for the log's writer, which waits for the reader of the pipe. All requests had been answered by then.

The last lines have 100 ms; after that the writer, which shares no more than the queue with the appender, is left behind and ends with the process.

--- a/src/quetzalquay/observe/Log.h
+++ b/src/quetzalquay/observe/Log.h
@@ -32,7 +32,8 @@
 void
 SetLogLevel(const std::string& aLevel);
 
-// Writes all queued lines and stops the writer thread.
+// Writes all queued lines, as far as the output takes them at once, and stops
+// the writer thread. The process must end then.
 void
 StopQueuedLog();
 
--- a/src/quetzalquay/observe/QueueAppender.cpp
+++ b/src/quetzalquay/observe/QueueAppender.cpp
@@ -18,6 +18,10 @@
 // Delay before queued lines are written, so that one write carries many lines.
 constexpr auto kWriteDelay = std::chrono::milliseconds(200);
 
+// Time that the reader of the output has to take the last lines. A stopping
+// process has no more than that at the end of its grace period.
+constexpr auto kCloseTime = std::chrono::milliseconds(100);
+
 std::atomic<std::uint64_t> sDroppedLines{ 0 };
 
 std::atomic<QueueAppender*> sAppender{ nullptr };
@@ -40,7 +44,7 @@
 } // namespace
 
 QueueAppender::QueueAppender()
-  : mWriter([this] { RunWriter(); })
+  : mWriter([queue = mQueue] { RunWriter(*queue); })
 {
   sAppender = this;
 }
@@ -54,13 +58,19 @@
 void
 QueueAppender::close()
 {
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mClosing = true;
-  }
-  mQueueChanged.notify_one();
   if (mWriter.joinable()) {
-    mWriter.join();
+    std::unique_lock<std::mutex> lock(mQueue->mMutex);
+    mQueue->mClosing = true;
+    mQueue->mChanged.notify_all();
+    const bool ended = mQueue->mChanged.wait_for(
+      lock, kCloseTime, [this] { return mQueue->mEnded; });
+    lock.unlock();
+    if (ended) {
+      mWriter.join();
+    } else {
+      // The output blocks.
+      mWriter.detach();
+    }
   }
   closed = true;
 }
@@ -75,8 +85,8 @@
 QueueAppender::WriteQueuedAtCrash()
 {
   QueueAppender* appender = sAppender;
-  if (appender != nullptr && appender->mMutex.try_lock()) {
-    WriteAll(appender->mQueuedText);
+  if (appender != nullptr && appender->mQueue->mMutex.try_lock()) {
+    WriteAll(appender->mQueue->mText);
   }
 }
 
@@ -86,15 +96,16 @@
   std::ostringstream line;
   layout->formatAndAppend(line, aEvent);
   const std::string text = line.str();
-  const std::lock_guard<std::mutex> lock(mMutex);
-  if (!CountLine() || mQueuedText.size() + text.size() > kMaxQueueBytes) {
+  const std::lock_guard<std::mutex> lock(mQueue->mMutex);
+  std::string& queued = mQueue->mText;
+  if (!CountLine() || queued.size() + text.size() > kMaxQueueBytes) {
     sDroppedLines.fetch_add(1, std::memory_order_relaxed);
     return;
   }
-  const bool wasEmpty = mQueuedText.empty();
-  mQueuedText += text;
+  const bool wasEmpty = queued.empty();
+  queued += text;
   if (wasEmpty) {
-    mQueueChanged.notify_one();
+    mQueue->mChanged.notify_one();
   }
 }
 
@@ -110,22 +121,25 @@
 }
 
 void
-QueueAppender::RunWriter()
+QueueAppender::RunWriter(Queue& aQueue)
 {
-  std::unique_lock<std::mutex> lock(mMutex);
+  std::unique_lock<std::mutex> lock(aQueue.mMutex);
   while (true) {
-    mQueueChanged.wait(lock,
-                       [this] { return mClosing || !mQueuedText.empty(); });
-    if (!mClosing) {
-      mQueueChanged.wait_for(lock, kWriteDelay, [this] { return mClosing; });
+    aQueue.mChanged.wait(
+      lock, [&aQueue] { return aQueue.mClosing || !aQueue.mText.empty(); });
+    if (!aQueue.mClosing) {
+      aQueue.mChanged.wait_for(
+        lock, kWriteDelay, [&aQueue] { return aQueue.mClosing; });
     }
     std::string text;
-    text.swap(mQueuedText);
-    const bool closing = mClosing;
+    text.swap(aQueue.mText);
+    const bool closing = aQueue.mClosing;
     lock.unlock();
     WriteAll(text);
     lock.lock();
-    if (closing && mQueuedText.empty()) {
+    if (closing && aQueue.mText.empty()) {
+      aQueue.mEnded = true;
+      aQueue.mChanged.notify_all();
       return;
     }
   }
--- a/src/quetzalquay/observe/QueueAppender.h
+++ b/src/quetzalquay/observe/QueueAppender.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <log4cplus/appender.h>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -33,15 +34,23 @@
   void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override;
 
 private:
+  // What the appender shares with its writer thread, which may outlive it.
+  struct Queue
+  {
+    std::mutex mMutex;
+    std::condition_variable mChanged;
+    std::string mText;
+    bool mClosing = false;
+    // Whether the writer has written all lines and ended.
+    bool mEnded = false;
+  };
+
   // Counts a line against kMaxLinesPerSecond; returns whether it is allowed.
   bool CountLine();
-  // Writes queued lines until the appender is closed.
-  void RunWriter();
+  // Writes queued lines until the queue is closed.
+  static void RunWriter(Queue& aQueue);
 
-  std::mutex mMutex;
-  std::condition_variable mQueueChanged;
-  std::string mQueuedText;
-  bool mClosing = false;
+  std::shared_ptr<Queue> mQueue = std::make_shared<Queue>();
   // Start of the current one-second rate limit window and its line count.
   std::chrono::steady_clock::time_point mWindowStart;
   int mWindowLines = 0;
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "GatewayProcess.h"
 
 #include <arpa/inet.h>
+#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -91,6 +92,20 @@
   return std::filesystem::read_symlink("/proc/" + aProcess + "/exe", ec);
 }
 
+// Makes a pipe and fills it up.
+void
+FillPipe(std::array<int, 2>& aPipe)
+{
+  if (::pipe(aPipe.data()) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  const int flags = ::fcntl(aPipe[1], F_GETFL);
+  ::fcntl(aPipe[1], F_SETFL, flags | O_NONBLOCK);
+  while (::write(aPipe[1], "x", 1) == 1) {
+  }
+  ::fcntl(aPipe[1], F_SETFL, flags);
+}
+
 } // namespace
 
 int
@@ -236,15 +251,13 @@
 void
 GatewayProcess::StartProcess()
 {
-  const char* logDirectory = std::getenv(kLogDirectoryVariable);
-  const std::string log = logDirectory == nullptr
-                            ? "/dev/null"
-                            : std::string(logDirectory) + "/" + mName + ".log";
   const std::string binary = BinaryOf(mSettings);
+  if (mSettings.mUnreadLog && mUnreadPipe[0] < 0) {
+    FillPipe(mUnreadPipe);
+  }
   mProcess = ::fork();
   if (mProcess == 0) {
-    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::dup2(out, STDOUT_FILENO);
+    OpenLog();
     // The gateway must not inherit the sockets of the fakes.
     for (int other = STDERR_FILENO + 1; other < 1024; ++other) {
       ::close(other);
@@ -265,6 +278,57 @@
   }
 }
 
+// Sets the standard output and the signal mask of the process that is about to
+// run the gateway.
+void
+GatewayProcess::OpenLog() const
+{
+  const char* logDirectory = std::getenv(kLogDirectoryVariable);
+  std::string log = logDirectory == nullptr
+                      ? "/dev/null"
+                      : std::string(logDirectory) + "/" + mName + ".log";
+  if (mSettings.mLogFileBytes > 0) {
+    log = mSettingsFile + ".log";
+    const auto limit = static_cast<rlim_t>(mSettings.mLogFileBytes);
+    const rlimit bytes{ limit, limit };
+    ::setrlimit(RLIMIT_FSIZE, &bytes);
+  }
+  const int out = mSettings.mUnreadLog
+                    ? mUnreadPipe[1]
+                    : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(out, STDOUT_FILENO);
+  if (mSettings.mBlocksSignals) {
+    sigset_t all;
+    ::sigfillset(&all);
+    ::sigprocmask(SIG_BLOCK, &all, nullptr);
+  }
+}
+
+int
+GatewayProcess::Stop()
+{
+  Signal(SIGTERM);
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool exited = false;
+  std::thread watch([&] {
+    std::unique_lock<std::mutex> lock(mutex);
+    if (!changed.wait_for(lock,
+                          std::chrono::seconds(mSettings.mStopGraceS),
+                          [&exited] { return exited; })) {
+      Signal(SIGKILL);
+    }
+  });
+  const int code = AwaitExit();
+  {
+    const std::lock_guard<std::mutex> lock(mutex);
+    exited = true;
+  }
+  changed.notify_one();
+  watch.join();
+  return code;
+}
+
 void
 GatewayProcess::LimitDescriptors() const
 {
@@ -300,6 +364,12 @@
     AwaitExit();
   }
   std::remove(mSettingsFile.c_str());
+  std::remove((mSettingsFile + ".log").c_str());
+  for (const int it : mUnreadPipe) {
+    if (it >= 0) {
+      ::close(it);
+    }
+  }
 }
 
 CallerAnswer
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -3,6 +3,7 @@
 
 #include "http/HttpReader.h"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -35,6 +36,12 @@
   int mMemoryMb = 0;
   double mRetryRatio = 0.8;
   int mRetryAllowance = 150;
+  // Whether standard output is a pipe that is full and that nobody reads.
+  bool mUnreadLog = false;
+  // Most bytes of the log's file, 0 for no limit.
+  int mLogFileBytes = 0;
+  // Whether the process inherits that all signals are blocked.
+  bool mBlocksSignals = false;
   // Binary of each process; empty for that of the test.
   std::string mBinary{};
 };
@@ -108,6 +115,11 @@
 
   void Signal(int aSignal) const;
 
+  // Stops the process as the platform does: with SIGTERM, and with SIGKILL
+  // after the grace period of its settings. Returns its exit code, or -1 if a
+  // signal ended it.
+  int Stop();
+
   // Waits for the process to exit; returns its exit code, or -1 if a signal
   // ended it.
   int AwaitExit();
@@ -140,6 +152,7 @@
 
 private:
   void StartProcess();
+  void OpenLog() const;
   void WatchMemory();
   void ReplaceInSettings(const std::string& aFrom, const std::string& aTo);
   int Connect(int aPort, const std::string& aBytes) const;
@@ -155,6 +168,8 @@
   std::string mStore;
   GatewayTestSettings mSettings;
   pid_t mProcess = -1;
+  // Ends of a pipe that is never read; -1 if there is none.
+  std::array<int, 2> mUnreadPipe{ -1, -1 };
   // Watches the memory of a process that has a limit.
   std::thread mWatch;
   std::atomic<bool> mWatching{ false };
--- a/tests/usage/GatewayStopTests.cpp
+++ b/tests/usage/GatewayStopTests.cpp
@@ -21,9 +21,23 @@
   CPPUNIT_TEST(AnswersAreWrittenWholeBeforeAStopEnds);
   CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
   CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
+  CPPUNIT_TEST(AStopEndsThoughNobodyReadsTheLog);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a host that is killed at the end of its grace period as its
+  // last log lines are not taken.
+  void AStopEndsThoughNobodyReadsTheLog()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mUnreadLog = true;
+    GatewayTestCluster cluster(options);
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/plain/", "a")).mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
+  }
+
   // Guards against closing a connection with a request in it when a stopping
   // host accepts no more requests.
   void ReceivedRequestsAreAnsweredAtAStop()
