Go on when the file of the log has reached its limit (FAULT)

A host whose standard output is a file with a limited size ended by itself: SIGXFSZ ends a process by default. A full device was held, as writing fails.

The signal is ignored, so that writing fails in both cases; lines are lost, nothing else.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -154,6 +154,8 @@
   std::optional<std::string> Run()
   {
     std::signal(SIGPIPE, SIG_IGN);
+    // A limit on the size of the log's file makes writing fail.
+    std::signal(SIGXFSZ, SIG_IGN);
     LogReplacedFields();
     WaitForSignal();
     Listen();
--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -37,9 +37,30 @@
   CPPUNIT_TEST(AHostWaitsForTheAddressOfItsPredecessor);
   CPPUNIT_TEST(AHostServesWhileItsMetricsPortIsTaken);
   CPPUNIT_TEST(AHostThatWaitsForItsAddressCanBeStopped);
+  CPPUNIT_TEST(AHostServesOnWhenTheFileOfItsLogIsFull);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against a process that is ended by the signal for a file that has
+  // reached its limit.
+  void AHostServesOnWhenTheFileOfItsLogIsFull()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mLogFileBytes = 2048;
+    GatewayTestCluster cluster(options);
+    for (int n = 0; n < 30; ++n) {
+      CPPUNIT_ASSERT_EQUAL(
+        200,
+        cluster
+          .Call(GatewayTestCluster::Request("/plain/", "a" + std::to_string(n)))
+          .mHead.mStatus);
+    }
+    // Lines are written late.
+    std::this_thread::sleep_for(kWaitTime);
+    CPPUNIT_ASSERT_EQUAL(200, cluster.Gateway().Readiness());
+    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
+  }
+
   // Guards against a process that ends because the one that it replaces is slow
   // to die.
   void AHostWaitsForTheAddressOfItsPredecessor()
