--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -28,6 +28,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <pthread.h>
 #include <utility>
 
 namespace quetzalquay {
@@ -156,6 +157,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     // A limit on the size of the log's file makes writing fail.
     std::signal(SIGXFSZ, SIG_IGN);
+    UnblockSignals();
     LogReplacedFields();
     WaitForSignal();
     Listen();
@@ -381,6 +383,15 @@
     return true;
   }
 
+  // The process that started this one may have blocked signals, which is
+  // inherited.
+  static void UnblockSignals()
+  {
+    sigset_t all;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_UNBLOCK, &all, nullptr);
+  }
+
   void WaitForSignal()
   {
     mSignals.async_wait(
--- a/tests/usage/GatewayStopTests.cpp
+++ b/tests/usage/GatewayStopTests.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(RequestsThatArriveSlowlyAreAnsweredAtAStop);
   CPPUNIT_TEST(ConnectionsNotYetAcceptedAreAnsweredAtAStop);
   CPPUNIT_TEST(AStopEndsThoughNobodyReadsTheLog);
+  CPPUNIT_TEST(AStopIsHeardThoughSignalsWereBlocked);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,6 +39,16 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
   }
 
+  // Guards against a host that never hears of a stop, and is killed with its
+  // requests, as whoever started it had blocked the signal.
+  void AStopIsHeardThoughSignalsWereBlocked()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mBlocksSignals = true;
+    GatewayTestCluster cluster(options);
+    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
+  }
+
   // Guards against closing a connection with a request in it when a stopping
   // host accepts no more requests.
   void ReceivedRequestsAreAnsweredAtAStop()
