Let the soak hold a whole fleet at an old configuration, and see it (CONFIG, DENIED, FAULT)

The soak never showed what users reported: it played no store that moves or returns from an older copy, no changed settings, one way to write numbers and base64, no route that moves; and it did not judge routes that are never served, answers at their timeout, an older configuration in the same life of a process, or a play in which nothing is served at all.

A play that can't run counts as failed; it printed "held" before.

--- /dev/null
+++ b/tests/soak/configurations.py
@@ -0,0 +1,164 @@
+"""The configurations of a play, in the form in which one of several encoders
+writes them, and what callers' answers say of those in force."""
+
+import base64
+import collections
+import json
+
+from standins import (HOST, KEY, desired_state, engine_service, now,
+                      plain_route, plain_service, stream_route)
+
+# Bounds of the rules, in seconds.
+APPLY_S = 2.0
+ROLLBACK_S = 0.25
+
+# A row of the store holds at most so many bytes.
+ROW_BYTES = 65536
+
+SERVICES = [{"desk"}, {"desk2"}, {"desk", "desk2"}]
+
+
+class Encoder:
+    """How the operator and the store write what the pages leave open."""
+
+    def __init__(self, random):
+        self.number = random.choice([int, int, float, str])
+        self.version = random.choice([int, int, float])
+        self.indented = random.random() < 0.3
+        self.lines = random.random() < 0.3
+        self.chunked = random.random() < 0.3
+        self.closes = random.random() < 0.2
+
+    def __str__(self):
+        return ", ".join("%s %s" % (name, getattr(value, "__name__", value))
+                         for name, value in vars(self).items())
+
+    def value(self, text):
+        """Base64 of a row's text, at once or in lines."""
+        data = text.encode()
+        return (base64.encodebytes if self.lines
+                else base64.b64encode)(data).decode()
+
+    def row(self, state):
+        return self.value(json.dumps(state, indent=2 if self.indented else
+                                     None))
+
+    def answer(self, body):
+        """The body of an answer of the store."""
+        if self.version is not int:
+            for it in body.get("Rows", []) + [body]:
+                if "Ver" in it:
+                    it["Ver"] = self.version(it["Ver"])
+        return json.dumps(body, indent=2 if self.indented else None).encode()
+
+
+class Configurations:
+    """Makes configurations, and judges what hosts make of them."""
+
+    def __init__(self, random, encoder):
+        self.random = random
+        self.encoder = encoder
+        # Moment of the confirmation, and value of each thing that varies.
+        self.versions = []
+        # What each life of a host has shown: moments and the oldest version
+        # that may be in force from then on.
+        self.floors = collections.defaultdict(list)
+
+    def make(self):
+        """The next configuration: base routes that all have, and what comes,
+        goes and moves. Returns its values and the state to write."""
+        number = (len(self.versions) + 1) * 7
+        values = {"x%d" % n: False for n in range(6)}
+        values.update({"k-%d" % n: False for n in range(4)})
+        for it in self.random.sample(range(6), 3):
+            values["x%d" % it] = True
+        for it in self.random.sample(range(4), 2):
+            values["k-%d" % it] = True
+        values["moving"] = frozenset(self.random.choice(SERVICES))
+        values["late"] = self.random.choice([800, 1500])
+        return values, self.state(number, values)
+
+    def state(self, number, values):
+        routes = [stream_route("digest", "/digest/", "model"),
+                  plain_route("unsafe", "/unsafe/", "desk", "unsafe", 1),
+                  plain_route("safe", "/safe/", "desk", "safe", 2)]
+        routes += [plain_route(it, "/%s/" % it, "desk", "safe", 2)
+                   for it, has in sorted(values.items())
+                   if it[0] == "x" and has]
+        moving = plain_route("moving", "/moving/", "desk", "safe", 2)
+        services = sorted(values["moving"])
+        if len(services) > 1:
+            del moving["Service"]
+            moving["TrafficSplit"] = [{"Service": it, "Weight": 1}
+                                      for it in services]
+        else:
+            moving["Service"] = services[0]
+        routes.append(moving)
+        for it in routes:
+            it["TimeoutMs"] = 25000 if it["Kind"] == "streaming" else 2000
+        late = plain_route("late", "/late/", "desk2", "safe", 1)
+        late["TimeoutMs"] = values["late"]
+        routes.append(late)
+        state = desired_state(
+            self.encoder.number(number), routes,
+            [engine_service("model", 88000), plain_service("desk"),
+             plain_service("desk2")])
+        keys = sorted(it for it, has in values.items() if it[0] == "k" and has)
+        state["Tenants"].append({"Name": "t2", "ApiKeys": keys, "Priority": 1})
+        if self.random.random() < 0.15:
+            self.fill_up(state)
+        return state
+
+    @staticmethod
+    def fill_up(state):
+        """Adds routes that nobody asks for, as many as a row holds."""
+        while len(json.dumps(state, indent=2)) < ROW_BYTES - 1000:
+            n = len(state["Routes"])
+            state["Routes"].append(plain_route(
+                "fill%d" % n, "/fill%d/" % n, "desk", "safe", 2))
+
+    def confirm(self, values):
+        self.versions.append((now(), values))
+
+    def between(self, since, until):
+        """Numbers of the versions that may be in force between two moments."""
+        return [n for n, it in enumerate(self.versions)
+                if it[0] <= until and (n + 1 == len(self.versions)
+                                       or self.versions[n + 1][0] > since)]
+
+    def all_have(self, since, until, what):
+        return all(self.versions[n][1][what]
+                   for n in self.between(since, until))
+
+    def judge(self, life, sent, what, fits, bound):
+        """What an answer to a request that was sent at a moment breaks, given
+        which values of something it fits; None if nothing. Without a bound only
+        whether an older version came back in the same life of the host is
+        judged."""
+        until = now()
+        fitting = [n for n, it in enumerate(self.versions)
+                   if it[0] <= until and fits(it[1][what])]
+        floor = max([it[1] for it in self.floors[life]
+                     if it[0] + ROLLBACK_S <= sent], default=0)
+        if not any(n >= floor for n in fitting):
+            return "came back older"
+        self.floors[life].append(
+            (until, min(n for n in fitting if n >= floor)))
+        if bound is not None:
+            allowed = self.between(sent - bound, until)
+            if not any(n in allowed for n in fitting):
+                return "not in force"
+        return None
+
+
+PATHS = {"x": ("/%s/", KEY, 404), "k": ("/safe/", None, 401)}
+
+
+def path_and_key(what):
+    """Where to ask for something that comes and goes, with which key, and the
+    status that says that it isn't there."""
+    path, key, status = PATHS.get(what[0], ("/%s/", KEY, 404))
+    return (path % what if "%" in path else path), key or what, status
+
+
+__all__ = ["APPLY_S", "Configurations", "Encoder", "HOST", "path_and_key"]
--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -20,18 +20,21 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.abspath(os.path.join(HERE, "..", ".."))
 sys.path[:0] = [HERE, os.path.join(ROOT, "review", "standins")]
 
+from configurations import (  # noqa: E402
+    APPLY_S, Configurations, Encoder, HOST, path_and_key)
+from faulty_store import FaultyStore, StoreLink  # noqa: E402
 from platform_fields import platform_fields, render  # noqa: E402
 from standins import (  # noqa: E402
-    HOST, KEY, Gateway, Record, Runner, Store, desired_state, engine_service,
-    loopback_ip, now, plain_route, plain_service, read_head, read_message,
-    stream_route)
+    KEY, Gateway, Record, Runner, now, read_head, read_message)
 
-# Hosts of each zone, memory of a host, runners of both services, clients.
+# Hosts of each zone, memory of a host, runners of the model and of each plain
+# service, clients.
 SITES = {
     "hanbit": ({"a": 2, "b": 2, "c": 2}, 110, 36, 3, 48),
     "kierros": ({"a": 4, "b": 3, "c": 2}, 260, 24, 3, 56),
@@ -40,10 +43,10 @@
 
 # Bounds of the rules, in seconds.
 STABILITY_S = 3.0
-APPLY_S = 2.0
-ROLLBACK_S = 0.25
 STRETCH_S = 5.0
 GRACE_S = 8.0
+# Time beyond a route's timeout in which its answer has to come.
+ANSWER_S = 0.5
 # Time from the start until the traffic.
 LEAD_S = 4.0
 
@@ -51,132 +54,23 @@
 PAUSE_S = (0.2, 1.2)
 
 
-class FaultyStore(Store):
-    """A store that can be away, silent, slow or lose its answers."""
-
-    def __init__(self):
-        super().__init__()
-        self.fault = None
-        self.writers = set()
-        self.server = None
-
-    async def listen(self):
-        port = int(self.address.split(":")[1]) if self.address else 0
-        self.server = await asyncio.start_server(self.serve, self.ip, port)
-        self.address = "%s:%d" % (
-            self.ip, self.server.sockets[0].getsockname()[1])
-
-    async def start(self):
-        self.ip = loopback_ip()
-        await self.listen()
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            await super().serve(reader, writer)
-        finally:
-            self.writers.discard(writer)
-
-    async def handle(self, message):
-        fault = self.fault
-        if fault == "unavailable":
-            return 503, {}
-        if fault == "silent":
-            await asyncio.sleep(3600)
-        if fault == "slow":
-            await asyncio.sleep(random.uniform(0.05, 0.4))
-        answer = await super().handle(message)
-        if fault == "lossy" and random.random() < 0.3:
-            raise ConnectionError("the answer is lost")
-        return answer
-
-    async def disturb(self, kind, for_s):
-        if kind == "killed":
-            self.server.close()
-            for it in list(self.writers):
-                it.transport.abort()
-            await asyncio.sleep(for_s)
-            await self.listen()
-            return
-        self.fault = kind
-        await asyncio.sleep(for_s)
-        self.fault = None
-        if kind == "silent":
-            for it in list(self.writers):
-                it.transport.abort()
-
-
-class StoreLink:
-    """A host's way to the store, which can be cut: connections hang, open ones
-    or all, or are reset and refused."""
-
-    def __init__(self, store):
-        self.store = store
-        self.ip = loopback_ip()
-        self.address = ""
-        self.server = None
-        self.writers = set()
-        self.silent = False
-
-    async def listen(self):
-        # Below the range of outgoing connections.
-        self.server = await asyncio.start_server(self.serve, self.ip, 9000)
-        self.address = self.ip + ":9000"
-
-    async def serve(self, reader, writer):
-        self.writers.add(writer)
-        other = None
-        try:
-            host, port = self.store.address.split(":")
-            other_reader, other = await asyncio.open_connection(
-                host, int(port))
-            self.writers.add(other)
-            await asyncio.gather(self.pump(reader, other),
-                                 self.pump(other_reader, writer))
-        except OSError:
-            pass
-        finally:
-            for it in (writer, other):
-                if it is not None:
-                    it.transport.abort()
-                    self.writers.discard(it)
-
-    async def pump(self, reader, writer):
-        while True:
-            data = await reader.read(65536)
-            if not data:
-                raise ConnectionError("the end of the connection")
-            while self.silent or getattr(writer, "hangs", False):
-                await asyncio.sleep(0.05)
-            writer.write(data)
-            await writer.drain()
-
-    async def cut(self, kind, for_s):
-        open_ones = list(self.writers)
-        if kind == "refused":
-            self.server.close()
-            for it in open_ones:
-                it.transport.abort()
-            await asyncio.sleep(for_s)
-            await self.listen()
-        elif kind == "silent":
-            self.silent = True
-            await asyncio.sleep(for_s)
-            self.silent = False
-        else:
-            # Open connections never go on; new ones work.
-            for it in open_ones:
-                it.hangs = True
-
-
 class SpoiledRunner(Runner):
     """A runner that for a while answers some requests with bytes without
-    end."""
+    end, and that takes long for others."""
 
     spoiled_share = 0.0
     down_until = 0.0
 
+    def register(self):
+        self.store.put_text("servers", self.name, self.store.encoder.row({
+            "Service": self.service, "Address": self.address,
+            "Zone": self.zone, "Version": "v1", "Slots": self.slots,
+            "State": self.state, "ColdRemainingMs": 0, "Sequence": 1}))
+
     async def run(self, message, request_id, tokens, writer):
+        if " /late/" in message.start:
+            self.runs.append((now(), request_id, self.name))
+            await asyncio.sleep(6)
         if random.random() >= self.spoiled_share:
             return await super().run(message, request_id, tokens, writer)
         self.runs.append((now(), request_id, self.name))
@@ -203,16 +97,40 @@
         self.stop_at = None
         self.problems = []
         self.peak_mb = 0
+        self.starts = 0
+        # Whether the machine is taken away for good once the process has ended.
+        self.leaves = False
+        # Fields that the platform gives in place of its usual ones.
+        self.changed_fields = {}
 
     def disturb(self, for_s=0.0):
         self.disturbed_until = max(self.disturbed_until, now() + for_s)
 
-    def start(self, seeds, _bounds=None):
+    @property
+    def life(self):
+        """Names this start of the process."""
+        return self.name, self.starts
+
+    def write_settings(self, seeds, in_parts=False):
+        """Writes the settings file; in parts, so that it may be read in the
+        middle."""
         path = os.path.join(self.folder, self.name + ".json")
         fields = platform_fields(self.name, self.ip, self.zone, seeds,
                                  self.store.address, self.memory_mb)
+        fields["Bounds"].update(self.changed_fields)
+        text = render(self.template, fields)
         with open(path, "w", encoding="utf-8") as file:
-            file.write(render(self.template, fields))
+            if in_parts:
+                file.write(text[:len(text) // 2])
+                file.flush()
+                time.sleep(0.002)
+                text = text[len(text) // 2:]
+            file.write(text)
+        return path
+
+    def start(self, seeds, _bounds=None):
+        path = self.write_settings(seeds)
+        self.starts += 1
         with open(os.path.join(self.folder, self.name + ".log"), "a",
                   encoding="utf-8") as log:
             self.process = subprocess.Popen(
@@ -261,6 +179,8 @@
             if not self.ended_by or (self.ended_by == {signal.SIGTERM}
                                      and code != 0):
                 self.problems.append("ended by itself with %d" % code)
+            if self.leaves:
+                return
             self.start(seeds)
 
 
@@ -273,14 +193,29 @@
         self.random = random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="quetzal-soak-")
         self.record = Record(os.path.join(self.folder, "record.txt"))
-        self.store = FaultyStore()
+        self.encoder = Encoder(self.random)
+        self.record.line("encoder: %s" % self.encoder)
+        self.store = FaultyStore(self.encoder)
+        self.store.returns = self.random.choice([0, 3])
+        self.store.page = self.random.choice([5, 500])
+        self.configurations = Configurations(self.random, self.encoder)
+        # Values and row of the configuration that was confirmed last.
+        self.newest = None
         self.hosts = []
+        self.seeds = []
+        self.end = 0.0
         self.runners = []
         self.runs = []
         # Names of runners that have crashed or spoiled answers.
         self.unsound = set()
-        self.versions = []
+        self.service_of = {}
         self.store_faults = []
+        # Requests that lasted to their route's timeout, and those of them
+        # without an answer soon after.
+        self.lasting = 0
+        self.overdue = []
+        # Requests for routes that all have, and for added ones: all, served.
+        self.shares = {"first": [0, 0], "added": [0, 0]}
         self.broken = collections.defaultdict(list)
         self.counts = collections.Counter()
         self.tasks = set()
@@ -289,39 +224,21 @@
     # Configuration
 
     def configure(self):
-        """Writes a configuration: the base routes and keys, which all have,
-        and some that come and go."""
-        number = len(self.versions) + 1
-        extra = {"x%d" % n for n in self.random.sample(range(6), 3)}
-        keys = {"k-%d" % n for n in self.random.sample(range(4), 2)}
-        routes = [stream_route("digest", "/digest/", "model"),
-                  plain_route("unsafe", "/unsafe/", "desk", "unsafe", 1),
-                  plain_route("safe", "/safe/", "desk", "safe", 2)]
-        routes += [plain_route(it, "/%s/" % it, "desk", "safe", 2)
-                   for it in sorted(extra)]
-        state = desired_state(
-            number * 7, routes,
-            [engine_service("model", 88000), plain_service("desk")])
-        state["Tenants"].append({"Name": "t2", "ApiKeys": sorted(keys),
-                                 "Priority": 1})
-        for it in state["Routes"]:
-            it["TimeoutMs"] = 25000 if it["Kind"] == "streaming" else 2000
-        self.store.put("op", "config", state)
-        self.versions.append((now(), extra, keys))
-        self.record.line("configuration %d: %s %s" % (
-            number, sorted(extra), sorted(keys)))
-
-    def allowed(self, since, until, what):
-        """Whether each configuration that may be in force between two moments
-        has a route or key: True, False, or None if they differ."""
-        in_force = [it for n, it in enumerate(self.versions)
-                    if it[0] <= until and (n + 1 == len(self.versions)
-                                           or self.versions[n + 1][0] > since)]
-        has = {what in it[1] or what in it[2] for it in in_force}
-        return has.pop() if len(has) == 1 else None
+        values, state = self.configurations.make()
+        self.newest = values, self.encoder.row(state)
+        self.store.put_text("op", "config", self.newest[1])
+        self.configurations.confirm(values)
+        self.record.line("configuration %s: %s" % (
+            state["Version"], {k: v for k, v in values.items() if v}))
+
+    def bound(self, host, at):
+        """Until how long before a request a configuration may still be in
+        force at a host; nothing while the host isn't in touch."""
+        if host.disturbed_until + STABILITY_S >= at:
+            return None
+        return self.store_bound(at)
 
     def store_bound(self, at):
-        """Until how long ago a configuration may still be in force."""
         near = any(begin - STABILITY_S <= at <= end + STABILITY_S
                    for begin, end in self.store_faults)
         return APPLY_S + (STRETCH_S if near else 0)
@@ -346,44 +263,115 @@
                    len(body), body)).encode()
 
     async def probe(self, host):
-        """Asks a host for a route or with a key that comes and goes."""
-        if self.random.random() < 0.6:
-            what = "x%d" % self.random.randrange(6)
-            path, key, wrong = "/%s/p" % what, KEY, 404
-        else:
-            what = "k-%d" % self.random.randrange(4)
-            path, key, wrong = "/safe/p", what, 401
+        """Asks a host for something that comes, goes or moves."""
+        what = self.random.choice(
+            ["x%d" % self.random.randrange(6), "x%d" % self.random.randrange(6),
+             "k-%d" % self.random.randrange(4), "moving", "safe", "late"])
+        path, key, absent = path_and_key(what)
+        timeout = 1.5 if what == "late" else 2.0
         request_id = self.new_id("p")
-        began = now()
+        life = host.life
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host.ip, 8227), 1)
         except (OSError, asyncio.TimeoutError):
             return
         sent = now()
+        status = 0
         try:
-            writer.write(self.text("GET", path, request_id, key, 1500))
-            answer = await asyncio.wait_for(read_message(reader), 2)
+            writer.write(self.text("GET", path + "p", request_id, key, 4000))
+            answer = await asyncio.wait_for(
+                read_message(reader), timeout + ANSWER_S)
             status = int(answer.start.split(" ")[1])
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            return
+        except asyncio.TimeoutError:
+            status = -1
+        except (OSError, asyncio.IncompleteReadError):
+            pass
         finally:
             writer.close()
         self.counts["probe %d" % status] += 1
-        in_touch = host.disturbed_until + STABILITY_S < began
-        expected = self.allowed(sent - self.store_bound(sent), now(), what)
-        if expected is None or not in_touch:
+        bound = self.bound(host, sent)
+        if bound is not None:
+            self.judge_time(host, request_id, now() - sent,
+                            self.longest_timeout(what, sent - bound))
+        if life != host.life:
             return
-        if expected and status == wrong:
+        self.judge_probe(host, what, request_id, sent, status, absent, bound)
+
+    def longest_timeout(self, what, since):
+        if what != "late":
+            return 2.0
+        known = self.configurations
+        return max(known.versions[n][1]["late"]
+                   for n in known.between(since, now())) / 1000
+
+    def judge_time(self, host, request_id, took, timeout):
+        if took < timeout:
+            return
+        self.lasting += 1
+        if took >= timeout + ANSWER_S - 0.01:
+            self.overdue.append("%s at %s" % (request_id, host.name))
+
+    def judge_probe(self, host, what, request_id, sent, status, absent, bound):
+        runs = [it for it in self.runs if it[1] == request_id]
+        sound = [it for it in runs if it[2] not in self.unsound]
+        if status == 0 and bound is not None and sound:
+            self.broken["LOST"].append("%s at %s: no answer" % (
+                request_id, host.name))
+        if status not in (0, 200):
+            self.note(host, request_id, sent, "%s, bound %s" % (what, bound),
+                      status)
+        if bound is not None and self.store_is_calm(sent):
+            if what == "safe":
+                self.count_share("first", status)
+            elif what[0] in "xk" and self.configurations.all_have(
+                    sent - bound, now(), what):
+                self.count_share("added", status)
+        fits = None
+        if what == "moving" and status == 200 and runs:
+            services = {self.service_of[it[2]] for it in runs}
+            fits = services.issubset
+        elif what[0] in "xk" and status in (200, absent):
+            fits = (lambda has: has) if status == 200 else (
+                lambda has: not has)
+        if fits is None:
+            return
+        fault = self.configurations.judge(host.life, sent, what, fits, bound)
+        if fault:
+            self.broken["CONFIG"].append("%s, %s at %s, %d: %s" % (
+                request_id, what, host.name, status, fault))
+
+    def count_share(self, kind, status):
+        self.shares[kind][0] += 1
+        self.shares[kind][1] += status == 200
+
+    def judge_shares(self):
+        """What is judged of a whole play."""
+        if len(self.overdue) >= 8 and len(self.overdue) > self.lasting / 4:
             self.broken["CONFIG"].append(
-                "%s refuses %s with %d" % (host.name, what, status))
-        if not expected and status == 200:
-            self.broken["CONFIG"].append("%s serves %s" % (host.name, what))
+                "%d of %d requests that lasted to their timeout had no answer"
+                " in time: %s" % (len(self.overdue), self.lasting,
+                                  "; ".join(self.overdue[:3])))
+        (first, first_served) = self.shares["first"]
+        (added, added_served) = self.shares["added"]
+        if first >= 20 and first_served < first / 4:
+            self.broken["FAULT"].append(
+                "the first routes are served %d of %d times, by hosts in touch"
+                % (first_served, first))
+        if added >= 20 and first and (
+                added_served / added < first_served / first / 4):
+            self.broken["CONFIG"].append(
+                "added routes are served %d of %d times, the first ones %d of"
+                " %d" % (added_served, added, first_served, first))
 
     async def client(self, zone, end):
         """Sends requests on kept connections until the host closes them."""
         while now() < end:
-            hosts = [it for it in self.hosts if it.zone == zone]
+            hosts = [it for it in self.hosts
+                     if it.zone == zone and not it.leaves]
+            if not hosts:
+                await asyncio.sleep(0.2)
+                continue
             host = self.random.choice(hosts)
             try:
                 reader, writer = await asyncio.wait_for(
@@ -416,7 +404,7 @@
         else:
             body = "body of " + request_id
         sent = now()
-        status, whole, kept, text = 0, False, False, b""
+        status, whole, kept, text, took = 0, False, False, b"", 0.0
         try:
             writer.write(self.text(method, path + request_id, request_id, KEY,
                                    deadline, fields, body))
@@ -424,14 +412,19 @@
                 read_head(reader), deadline / 1000)
             status = int(start.split(" ")[1])
             kept = headers.get("connection", "").lower() != "close"
+            took = now() - sent
             whole, text = await asyncio.wait_for(
                 self.read_body(reader, headers), deadline / 1000)
         except asyncio.TimeoutError:
             self.counts["gave up"] += 1
             self.note(host, request_id, sent, "gave up", None)
+            if kind != "d" and self.bound(host, sent) is not None:
+                self.judge_time(host, request_id, now() - sent, 2.0)
             return False
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
+        if kind != "d" and self.bound(host, sent) is not None:
+            self.judge_time(host, request_id, took, 2.0)
         self.judge(host, kind, request_id, sent, status, whole, text)
         return whole and kept
 
@@ -495,7 +488,8 @@
     # Faults
 
     def pick(self, count=1):
-        return self.random.sample(self.hosts, min(count, len(self.hosts)))
+        there = [it for it in self.hosts if not it.leaves]
+        return self.random.sample(there, min(count, len(there)))
 
     async def kill(self):
         for it in self.pick(self.random.choice([1, 1, 2, len(self.hosts)])):
@@ -518,8 +512,80 @@
             it.kill(signal.SIGCONT)
 
     async def reload(self):
-        for it in self.hosts:
-            it.kill(signal.SIGHUP)
+        """Other settings, for all hosts, with a signal or without."""
+        fields = {"RetryBudgetSlack": self.random.choice([100, 150, 200]),
+                  "RetryBudgetRatio": self.random.choice([0.5, 0.8])}
+        for it in self.pick(len(self.hosts)):
+            it.changed_fields = fields
+            await self.tell_settings(it)
+
+    async def tell_settings(self, host):
+        host.write_settings(self.seeds, self.random.random() < 0.3)
+        if self.random.random() < 0.5:
+            host.kill(signal.SIGHUP)
+        await asyncio.sleep(self.random.uniform(0, 0.1))
+
+    async def move_store(self):
+        """The store has another address, at first for some hosts, then for
+        all."""
+        former = [it.store for it in self.hosts]
+        hosts = self.pick(len(self.hosts))
+        self.record.line("another address of the store")
+        for it in hosts:
+            # A host that reads the store by another way is cut off until then.
+            it.disturb(1.0)
+            it.store = StoreLink(self.store)
+            await it.store.listen()
+            await self.tell_settings(it)
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        for it in former:
+            if it not in [host.store for host in self.hosts]:
+                it.close()
+
+    async def return_store(self):
+        """The store comes back from an older copy. Operators and runners write
+        theirs again."""
+        if not self.store.server.is_serving() or self.store.fault:
+            return
+        age_s = self.random.uniform(1, 6)
+        for_s = self.random.uniform(0.3, 1.5)
+        begin = now()
+        # The last one counts as confirmed until it is written again.
+        self.store_faults.append((begin, begin + for_s + 1.0))
+        self.record.line("store returns from a copy %.1f s old" % age_s)
+        await self.store.return_from_copy(age_s, for_s)
+        await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        self.store.put_text("op", "config", self.newest[1])
+        names = {it.name for it in self.runners}
+        for it in list(self.store.tables.get("servers", {})):
+            if it not in names:
+                self.store.put("servers", it, None)
+        for it in self.runners:
+            if it.down_until < now():
+                it.register()
+
+    async def forget_history(self):
+        self.store.forget_history()
+
+    async def add_host(self):
+        if len(self.hosts) < 2 * sum(SITES[self.options.site][0].values()):
+            zone = self.random.choice(sorted(SITES[self.options.site][0]))
+            host = await self.make_host(zone)
+            self.begin(host)
+
+    async def remove_host(self):
+        """A machine leaves for good, with a signal or without."""
+        zones = [it.zone for it in self.hosts if not it.leaves]
+        chosen = self.pick()[0]
+        if zones.count(chosen.zone) > 1:
+            chosen.leaves = True
+            chosen.end_by(self.random.choice([signal.SIGTERM, signal.SIGKILL]))
+
+    async def lose_power(self):
+        """All processes are killed right after a confirmation."""
+        self.configure()
+        for it in self.pick(len(self.hosts)):
+            it.end_by(signal.SIGKILL)
 
     async def crash_runner(self):
         # A crashed runner drops the requests that it had.
@@ -555,7 +621,7 @@
 
     async def disturb_store(self):
         kind = self.random.choice(
-            ["killed", "silent", "unavailable", "slow", "lossy"])
+            ["killed", "silent", "unavailable", "busy", "slow", "lossy"])
         for_s = self.random.uniform(1, 4)
         if not self.store.server.is_serving():
             return
@@ -571,8 +637,9 @@
     async def faults(self, end):
         kinds = [self.kill, self.stop, self.pause, self.reload,
                  self.disturb_store, self.cut_from_store, self.storm,
-                 self.spoil,
-                 self.crash_runner]
+                 self.spoil, self.crash_runner, self.move_store,
+                 self.return_store, self.forget_history, self.add_host,
+                 self.remove_host, self.lose_power]
         while now() < end - 4:
             kind = self.random.choice(kinds)
             self.record.line("fault: " + kind.__name__)
@@ -587,52 +654,86 @@
             self.configure()
 
     async def probes(self, host, end):
-        while now() < end:
+        while now() < end and not host.leaves:
             await asyncio.sleep(0.25)
             if host.process.poll() is None:
-                await self.probe(host)
+                self.tasks.add(asyncio.ensure_future(self.probe(host)))
 
-    async def run(self):
-        zones, memory_mb, models, desks, clients = SITES[self.options.site]
+    async def make_host(self, zone):
+        _, memory_mb, _, _, _ = SITES[self.options.site]
         with open(os.path.join(ROOT, "deploy", "gateway.json.template"),
                   encoding="utf-8") as file:
             template = file.read()
-        await self.store.start()
+        link = StoreLink(self.store)
+        await link.listen()
+        host = Host("front-%s-%d" % (zone, len(self.hosts)), zone, link,
+                    self.folder, memory_mb, template)
+        host.binary = self.options.binary
+        self.hosts.append(host)
+        return host
+
+    def begin(self, host):
+        """Starts a host's process, watches it and asks it."""
+        host.start(self.seeds)
+        self.tasks.add(asyncio.ensure_future(host.watch(self.seeds, self.end)))
+        self.tasks.add(asyncio.ensure_future(self.probes(host, self.end)))
+
+    async def start_runners(self):
+        zones, _, models, plain, _ = SITES[self.options.site]
         names = sorted(zones)
-        for n in range(models + desks):
-            model = n < models
+        services = ["model"] * models + ["desk"] * plain + ["desk2"] * plain
+        for n, service in enumerate(services):
+            model = service == "model"
             runner = SpoiledRunner(
-                self.store, self.record, "model" if model else "desk",
-                names[n % len(names)], 64 if model else 6,
-                134 if model else 24, self.runs, events=EVENTS,
-                memory=88000 if model else 0)
+                self.store, self.record, service, names[n % len(names)],
+                64 if model else 6, 134 if model else 24, self.runs,
+                events=EVENTS, memory=88000 if model else 0)
             # Not in the range of outgoing connections, which could take the port
             # of a runner that is away. Each has an address of its own.
             runner.port = 9000
-            await runner.start()
+            await self.start_runner(runner)
             self.runners.append(runner)
+
+    @staticmethod
+    async def start_runner(runner):
+        """Starts a runner; another play may have its address by chance."""
+        for _ in range(3):
+            try:
+                return await runner.start()
+            except OSError as error:
+                problem = error
+        raise problem
+
+    async def note_services(self):
+        """Keeps the service of each name that a runner has had."""
+        while True:
+            for it in self.runners:
+                self.service_of[it.name] = it.service
+            await asyncio.sleep(0.05)
+
+    async def run(self):
+        zones, _, _, _, clients = SITES[self.options.site]
+        await self.store.start()
+        await self.start_runners()
+        for it in (self.store.keep_copies(), self.note_services()):
+            self.tasks.add(asyncio.ensure_future(it))
         self.configure()
+        names = sorted(zones)
         for zone in names:
-            for n in range(zones[zone]):
-                link = StoreLink(self.store)
-                await link.listen()
-                host = Host("front-%s-%d" % (zone, n), zone, link,
-                            self.folder, memory_mb, template)
-                host.binary = self.options.binary
-                self.hosts.append(host)
-        seeds = [it.control for it in self.hosts[:3]]
-        for it in self.hosts:
-            it.start(seeds)
-        end = now() + LEAD_S + self.options.seconds
-        jobs = [it.watch(seeds, end) for it in self.hosts]
+            for _ in range(zones[zone]):
+                await self.make_host(zone)
+        self.seeds = [it.control for it in self.hosts[:3]]
+        self.end = now() + LEAD_S + self.options.seconds
+        for it in list(self.hosts):
+            self.begin(it)
         await asyncio.sleep(LEAD_S)
-        jobs += [self.probes(it, end) for it in self.hosts]
-        jobs += [self.client(names[n % len(names)], end)
-                 for n in range(clients)]
-        jobs.append(self.changes(end))
+        jobs = [self.client(names[n % len(names)], self.end)
+                for n in range(clients)]
+        jobs.append(self.changes(self.end))
         if not self.options.calm:
-            jobs.append(self.faults(end))
+            jobs.append(self.faults(self.end))
         await asyncio.gather(*jobs)
+        self.judge_shares()
         for it in self.hosts:
             self.broken["FAULT"] += ["%s: %s" % (it.name, problem)
                                      for problem in it.problems]
@@ -650,6 +751,8 @@
                 it.server.close()
             for writer in list(it.writers):
                 writer.transport.abort()
+        # Streams report cancelled connections as errors.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for it in others:
             it.cancel()
@@ -694,8 +797,9 @@
         play = Play(options, seed)
         try:
             asyncio.run(play.play())
-        finally:
-            held = play.finish()
+        except Exception as error:  # pylint: disable=broad-except
+            play.broken["PLAY"].append("could not be played: %r" % error)
+        held = play.finish()
         passed += held
         failed += not held
         if not held:
