Read more of what other encoders write: start times, null lists, split routes (CONFIG, DENIED)

Callers got 401 for all routes when an encoder writes workspaces that are not there as null, 503 from services whose targets write their start time as a number with a fraction of zero, no configuration at all with base64 in the alphabet for URLs, and 404 everywhere when a list of another type was taken for an empty one. A route with a service beside its split sent a share to it.

--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -74,6 +74,9 @@
                                return std::isspace(aCharacter) != 0;
                              }),
               aText.end());
+  // The alphabet for URLs.
+  std::replace(aText.begin(), aText.end(), '-', '+');
+  std::replace(aText.begin(), aText.end(), '_', '/');
   while (!aText.empty() && aText.back() == '=') {
     aText.pop_back();
   }
@@ -173,8 +176,9 @@
            : version;
 }
 
-// A version that is a whole number, whichever way the writer's encoder writes
-// it; the largest version for one beyond that, 0 for anything else.
+// A version, or time, that is a whole number, whichever way the writer's
+// encoder writes it; the largest version for one beyond that, 0 for anything
+// else.
 std::int64_t
 GetVersion(const Value& aObject, const char* aName)
 {
@@ -183,7 +187,7 @@
     return 0;
   }
   if (value->IsInt64()) {
-    return value->GetInt64();
+    return std::max<std::int64_t>(0, value->GetInt64());
   }
   if (value->IsString()) {
     return ParseVersion({ value->GetString(), value->GetStringLength() });
@@ -282,16 +286,16 @@
   route.mEventGapObjective = GetDuration(aRoute, "GapTargetMs");
   route.mPriority = GetPriority(aRoute);
   route.mMaxAttempts = GetNumber(aRoute, "MaxAttempts", 1, kMaxCount, 1);
-  const std::string service = GetText(aRoute, "Service");
-  if (!service.empty()) {
-    route.mServices.push_back({ service, 1 });
-  }
   ForEachElement(aRoute, "TrafficSplit", [&route](const Value& aShare) {
     route.mServices.push_back(
       { GetText(aShare, "Service"),
         GetNumber(
           aShare, "Weight", 0.0, static_cast<double>(kMaxCount), 1.0) });
   });
+  const std::string service = GetText(aRoute, "Service");
+  if (!service.empty() && route.mServices.empty()) {
+    route.mServices.push_back({ service, 1 });
+  }
   return route;
 }
 
@@ -490,6 +494,13 @@
     aReason = "the configuration is not a JSON object, or too large";
     return nullptr;
   }
+  for (const char* it : { "Routes", "Services", "Tenants" }) {
+    const Value* list = GetMember(json, it);
+    if (list != nullptr && !list->IsNull() && !list->IsArray()) {
+      aReason = std::string("the configuration's ") + it + " are not a list";
+      return nullptr;
+    }
+  }
   auto table = MakeRef<RoutingTable>();
   table->mVersion = GetVersion(json, "Version");
   ForEachElement(json, "Routes", [&table](const Value& aRoute) {
@@ -501,7 +512,8 @@
   if (const Value* limits = GetMember(json, "Limits")) {
     table->mLimits = DecodeLimits(*limits);
   }
-  table->mKeysRequired = GetMember(json, "Tenants") != nullptr;
+  const Value* workspaces = GetMember(json, "Tenants");
+  table->mKeysRequired = workspaces != nullptr && !workspaces->IsNull();
   ForEachElement(json, "Tenants", [&table](const Value& aWorkspace) {
     const KeyOwner owner{ GetText(aWorkspace, "Name"),
                           GetPriority(aWorkspace) };
@@ -557,14 +569,15 @@
   }
   entry.mLeaving = state == kDraining;
   const Value* born = GetMember(json, "born");
-  if (born != nullptr && !born->IsInt64()) {
-    aReason = "the entry's start time is not an integer";
+  const bool hasStartTime = born != nullptr && !born->IsNull();
+  const std::int64_t startTime = GetVersion(json, "born");
+  if (hasStartTime && (!born->IsNumber() || startTime == 0)) {
+    aReason = "the entry's start time is not a whole number";
     return std::nullopt;
   }
   // Targets without a start time never restart under their name.
-  entry.mNamePerStart = born == nullptr;
-  entry.mIncarnation =
-    born == nullptr ? kNoStartTime : std::to_string(born->GetInt64());
+  entry.mNamePerStart = !hasStartTime;
+  entry.mIncarnation = hasStartTime ? std::to_string(startTime) : kNoStartTime;
   return entry;
 }
 
--- a/tests/introspective/ConfigurationRowTests.cpp
+++ b/tests/introspective/ConfigurationRowTests.cpp
@@ -65,6 +65,8 @@
   CPPUNIT_TEST(TheRowThatWasWrittenLastIsInForce);
   CPPUNIT_TEST(VersionsInAnyFormOfANumberAreTaken);
   CPPUNIT_TEST(RowsWithoutAReadableVersionAreReported);
+  CPPUNIT_TEST(ListsOfAnotherTypeAreDamage);
+  CPPUNIT_TEST(WorkspacesThatAreNullAreNone);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +103,25 @@
     }
   }
 
+  // Guards against a configuration without routes in force at a whole fleet.
+  void ListsOfAnotherTypeAreDamage()
+  {
+    ConfiguredHost host;
+    host.Read(Configuration("first", "14"), 5);
+    host.Read(R"({"Version":15,"Routes":{"r":{}}})", 6);
+    host.Read(R"({"Version":16,"Routes":[],"Tenants":"none"})", 7);
+    CPPUNIT_ASSERT(host.Serves("first"));
+  }
+
+  // Guards against 401 for all callers as an encoder writes what is not there.
+  void WorkspacesThatAreNullAreNone()
+  {
+    std::string reason;
+    const auto table = platform::DecodeConfiguration(
+      R"({"Version":15,"Routes":[],"Tenants":null})", reason);
+    CPPUNIT_ASSERT(table != nullptr && !table->mKeysRequired);
+  }
+
   // Guards against rows that are passed over without a trace.
   void RowsWithoutAReadableVersionAreReported()
   {
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
   CPPUNIT_TEST(ReadsRowsOfOtherEncoders);
+  CPPUNIT_TEST(ReadsStartTimesOfOtherEncoders);
   CPPUNIT_TEST(ReadsHowOftenTheStoreCameBack);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
   CPPUNIT_TEST(CountsOfTargetsHaveBounds);
@@ -381,6 +382,34 @@
       versions.push_back(it.mVersion);
     }
     CPPUNIT_ASSERT(versions == std::vector<std::int64_t>({ 4, 5, 0, 0, 0 }));
+    const auto forUrls = platform::DecodeRows(
+      R"({"Rows":[{"Key":"a","Value":"-_-_","Ver":1}],"Ver":1})", reason);
+    CPPUNIT_ASSERT_EQUAL(std::string("\xfb\xff\xbf"),
+                         forUrls->mRows.front().mValue);
+  }
+
+  // Guards against a service without targets as their start times are written
+  // as other encoders write them.
+  void ReadsStartTimesOfOtherEncoders()
+  {
+    const auto incarnation = [](const std::string& aBorn) {
+      std::string reason;
+      const auto entry = platform::DecodeTarget(
+        "t",
+        R"({"Service":"s","Address":"1.2.3.4:5","Zone":"z","Version":"v",)"
+        R"("Slots":1,"Sequence":1,"State":"ready","born":)" +
+          aBorn + "}",
+        reason);
+      return entry ? entry->mIncarnation : std::string("refused");
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("1700000000123"),
+                         incarnation("1700000000123.0"));
+    CPPUNIT_ASSERT_EQUAL(incarnation("1700000000123"),
+                         incarnation("1.700000000123e12"));
+    CPPUNIT_ASSERT_EQUAL(std::string(kNoStartTime), incarnation("null"));
+    for (const char* it : { "\"1700000000123\"", "1.5", "-1", "true" }) {
+      CPPUNIT_ASSERT_EQUAL(std::string("refused"), incarnation(it));
+    }
   }
 
   void ReadsHowOftenTheStoreCameBack()
