--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -160,6 +160,7 @@
     UnblockSignals();
     LogReplacedFields();
     WaitForSignal();
+    mSettingsTimer.ScheduleAt(EventLoop::Now() + kSettingsInterval);
     Listen();
     if (!mStartProblem) {
       mLoop.Run();
@@ -230,7 +231,6 @@
     mLoadSender.Start();
     mStore.Start();
     mStore.RegisterHost(FormatHostRow(mSettings));
-    mSettingsTimer.ScheduleAt(EventLoop::Now() + kSettingsInterval);
     Log(LogLevel::Info,
         "gateway",
         "started",
@@ -530,6 +530,8 @@
     mAcceptUntil = now + kAcceptPeriod;
     mFailAt = now + mSettings.mStopGrace - kFailMargin;
     mExitAt = now + mSettings.mStopGrace - kForcedExitMargin;
+    // A new address is not listened on any more.
+    mListenTimer.Clear();
     mCallers.Drain();
     mStore.DeregisterHost();
     Log(LogLevel::Info,
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -117,6 +117,7 @@
   if (moves) {
     boost::system::error_code ignored;
     mSocket.close(ignored);
+    ++mSocketCount;
     mReceiving = false;
   }
 }
@@ -146,8 +147,10 @@
   mSocket.async_receive_from(
     boost::asio::buffer(mBuffer),
     mSender,
-    [this](const boost::system::error_code& aError, std::size_t aSize) {
-      if (aError == boost::asio::error::operation_aborted) {
+    [this, count = mSocketCount](const boost::system::error_code& aError,
+                                 std::size_t aSize) {
+      if (aError == boost::asio::error::operation_aborted ||
+          count != mSocketCount) {
         return;
       }
       if (!aError) {
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -141,6 +141,8 @@
   std::vector<boost::asio::ip::udp::endpoint> ChooseReceivers();
 
   GatewaySettings mSettings;
+  // Number of sockets so far, by which messages of an earlier one are told.
+  int mSocketCount = 0;
   // Whether messages are sent and received.
   bool mReceiving = false;
   Fleet& mFleet;
