Follow what operators write after a return of the store at all hosts (CONFIG, DENIED)

After a return, operators who number by what the store has got their change in force 4 s late at the hosts that read the store, and never at the others, which answered 404; 5 s after it a copy that nobody had written again replaced the configuration in force. A store that tells its first count, targets that share an address, and hosts that read two stores while their settings change began no era, the wrong target, or eras without end.

Cause: a row that was held back was not told, though its version was, and what the copy has was not told from what is written after it. The copy's lower number never counts now, a later one after 0.8 s, 503 stands for what is unknown meanwhile, and the row is told. No count and a count of 0 differ; targets keep their order; another address begins no era by itself, and told eras begin at most once a second. A 410 with a new count is no failure, a refused version is read anew, and rows of another era confirm nothing.

--- a/src/quetzalquay/core/ReplacedConfigurations.cpp
+++ b/src/quetzalquay/core/ReplacedConfigurations.cpp
@@ -17,12 +17,13 @@
 RefPtr<RoutingTable>
 ReplacedConfigurations::Find(std::int64_t aVersion, Time aInForceAt) const
 {
+  // The newest one first: numbers may be used again.
   const auto found = std::find_if(
-    mReplaced.begin(), mReplaced.end(), [&](const Replaced& aReplaced) {
+    mReplaced.rbegin(), mReplaced.rend(), [&](const Replaced& aReplaced) {
       return aReplaced.mRouting->mVersion == aVersion &&
              aInForceAt <= aReplaced.mReplacedAt;
     });
-  return found == mReplaced.end() ? RefPtr<RoutingTable>() : found->mRouting;
+  return found == mReplaced.rend() ? RefPtr<RoutingTable>() : found->mRouting;
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/StoreEra.cpp
+++ b/src/quetzalquay/core/StoreEra.cpp
@@ -65,9 +65,10 @@
 bool
 StoreEraTracker::OnAnswer(const Answer& aAnswer)
 {
-  const std::int64_t number = aAnswer.mNumber.value_or(mEra.mNumber);
-  if (mEra == StoreEra()) {
-    // The first count that the store tells is that of what is known.
+  const std::int64_t number =
+    aAnswer.mNumber ? *aAnswer.mNumber + 1 : mEra.mNumber;
+  if (mEra == StoreEra() && aAnswer.mKnownVersion == 0) {
+    // The first count that the store tells.
     mEra.mNumber = number;
   }
   if (number > mEra.mNumber) {
@@ -84,12 +85,12 @@
 }
 
 bool
-StoreEraTracker::OnTold(const StoreEra& aEra)
+StoreEraTracker::OnTold(const StoreEra& aEra, bool aKnowsVersions)
 {
   if (!(mEra < aEra)) {
     return false;
   }
-  if (mEra == StoreEra() && aEra.mGeneration == 0) {
+  if (!aKnowsVersions) {
     mEra = aEra;
     return false;
   }
@@ -97,12 +98,6 @@
   return true;
 }
 
-void
-StoreEraTracker::OnStoreReplaced()
-{
-  Begin({ mEra.mGeneration + 1, 0 });
-}
-
 void
 StoreEraTracker::Begin(const StoreEra& aEra)
 {
--- a/src/quetzalquay/core/StoreEra.h
+++ b/src/quetzalquay/core/StoreEra.h
@@ -14,10 +14,10 @@
 // again for other rows.
 struct StoreEra
 {
-  // Counts the beginnings that hosts have noticed by themselves: versions that
-  // went back, another store in the settings.
+  // Counts the beginnings that hosts have noticed by themselves: versions, or
+  // the store's count, that went back.
   std::int64_t mGeneration = 0;
-  // The store's own count of its returns, 0 if it does not tell.
+  // One more than the store's own count of its returns, 0 if it does not tell.
   std::int64_t mNumber = 0;
 };
 
@@ -61,11 +61,9 @@
   // Applies an answer. Returns whether a new era has begun.
   bool OnAnswer(const Answer& aAnswer);
 
-  // Applies an era that another host tells. Returns whether it is a later one.
-  bool OnTold(const StoreEra& aEra);
-
-  // The settings name another store.
-  void OnStoreReplaced();
+  // Applies an era that another host tells. Returns whether a new era has
+  // begun: it is a later one, and some version is known already.
+  bool OnTold(const StoreEra& aEra, bool aKnowsVersions);
 
   const StoreEra& Era() const { return mEra; }
 
--- a/src/quetzalquay/core/TargetEntries.cpp
+++ b/src/quetzalquay/core/TargetEntries.cpp
@@ -1,8 +1,8 @@
 #include "core/TargetEntries.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
+#include <tuple>
 
 namespace quetzalquay {
 
@@ -46,12 +46,14 @@
 {
   mVersion = std::max(mVersion, aVersion);
   Record& record = mRecordsByName[aEntry.mName];
-  if (aVersion <= record.mVersion) {
+  if (!IsOlder(record, aVersion)) {
     return false;
   }
+  const bool isFirstOfEra = record.mEra != mEra;
   const bool wasLeft =
     record.mLeftBefore && record.mEntry.mIncarnation == aEntry.mIncarnation;
-  if (wasLeft && record.mVersion == kEarlierEra && record.mRemoved) {
+  record.mEra = mEra;
+  if (wasLeft && isFirstOfEra && record.mRemoved) {
     // Only a later write shows that the target lives.
     record.mVersion = aVersion;
     return false;
@@ -78,11 +80,12 @@
 {
   mVersion = std::max(mVersion, aVersion);
   Record& record = mRecordsByName[aName];
-  if (aVersion <= record.mVersion) {
+  if (!IsOlder(record, aVersion)) {
     return false;
   }
   const bool changed = record.mValid && !record.mRemoved;
   record.mEntry.mName = aName;
+  record.mEra = mEra;
   record.mVersion = aVersion;
   record.mUpdatedAt = aNow;
   record.mValid = false;
@@ -101,6 +104,7 @@
   Record& record = it.first->second;
   if (it.second) {
     record.mEntry.mName = aName;
+    record.mEra = mEra;
     record.mVersion = aVersion;
     record.mRemoved = true;
     record.mRetainedUntil = Time::min();
@@ -116,7 +120,7 @@
   for (auto& it : mRecordsByName) {
     Record& record = it.second;
     if (record.mRemoved && record.mRetainedUntil != Time::min() &&
-        record.mVersion <= aVersion) {
+        record.mEra == mEra && record.mVersion <= aVersion) {
       record.mRetainedUntil = Time::min();
       changed = true;
     }
@@ -168,14 +172,11 @@
 void
 TargetEntries::BeginEra(Time aNow)
 {
+  ++mEra;
   mVersion = 0;
   mGraceUntil = std::max(mGraceUntil, aNow + mReregistrationTime);
   for (auto& it : mRecordsByName) {
     Record& record = it.second;
-    // Targets that were found without an entry have none in this era either.
-    if (record.mVersion != 0) {
-      record.mVersion = kEarlierEra;
-    }
     const bool isGone = record.mRemoved && record.mRetainedUntil == Time::min();
     record.mLeftBefore =
       record.mValid && (isGone || record.mEntry.mLeaving || record.mLeftBefore);
@@ -255,8 +256,9 @@
   // entry.
   std::map<std::string, const Record*> byAddress;
   const auto recency = [](const Record& aRecord) {
-    return aRecord.mVersion == 0 ? std::numeric_limits<std::int64_t>::max()
-                                 : aRecord.mVersion;
+    const bool isFound = aRecord.mVersion == 0;
+    return std::make_tuple(
+      isFound, !aRecord.mRemoved, aRecord.mEra, aRecord.mVersion);
   };
   for (const auto& it : mRecordsByName) {
     const Record& record = it.second;
@@ -288,14 +290,14 @@
 bool
 TargetEntries::MarkRemoved(Record& aRecord, std::int64_t aVersion, Time aNow)
 {
-  if (aVersion <= aRecord.mVersion) {
+  if (!IsOlder(aRecord, aVersion)) {
     return false;
   }
+  aRecord.mEra = mEra;
+  aRecord.mVersion = aVersion;
   if (aRecord.mRemoved) {
-    aRecord.mVersion = aVersion;
     return false;
   }
-  aRecord.mVersion = aVersion;
   aRecord.mRemoved = true;
   const bool mayReregister = mStoreUnreachable || aNow < mGraceUntil;
   // A target that announced that it leaves does not register again.
--- a/src/quetzalquay/core/TargetEntries.h
+++ b/src/quetzalquay/core/TargetEntries.h
@@ -137,6 +137,9 @@
   struct Record
   {
     TargetEntry mEntry;
+    // Era of the store, counted by this object, in which the record was
+    // written, and its version in it.
+    int mEra = 0;
     std::int64_t mVersion = 0;
     Time mUpdatedAt;
     bool mValid = true;
@@ -149,13 +152,17 @@
     Time mRetainedUntil = Time::max();
   };
 
-  bool MarkRemoved(Record& aRecord, std::int64_t aVersion, Time aNow);
+  // Whether a record was written before aVersion of the present era.
+  bool IsOlder(const Record& aRecord, std::int64_t aVersion) const
+  {
+    return aRecord.mEra != mEra || aRecord.mVersion < aVersion;
+  }
 
-  // Version of a record that was written in an earlier era of the store.
-  static constexpr std::int64_t kEarlierEra = -1;
+  bool MarkRemoved(Record& aRecord, std::int64_t aVersion, Time aNow);
 
   Duration mReregistrationTime;
   std::map<std::string, Record> mRecordsByName;
+  int mEra = 0;
   std::int64_t mVersion = 0;
   bool mStoreUnreachable = false;
   // End of the grace period in which running targets register again.
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -54,8 +54,15 @@
 // ask for changes.
 constexpr std::size_t kMaxTargetRows = 4000;
 
-// Time that operators have to write again what the store has lost.
+// Time after the beginning of an era in which operators write again what the
+// store has lost, and that each of these writes is held back if a later one may
+// follow.
 constexpr Duration kRestoreTime = std::chrono::seconds(5);
+constexpr Duration kHoldTime = std::chrono::milliseconds(800);
+
+// Least time between two eras of which other hosts tell: hosts that read
+// different stores for a while tell each other of theirs.
+constexpr Duration kMinToldEra = std::chrono::seconds(1);
 
 // Version of a row that was read in an earlier era of the store.
 constexpr std::int64_t kEarlierEra = -1;
@@ -157,7 +164,7 @@
                    }
                    mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
                  })
-  , mRestoreTimer(aLoop, [this] { ApplyRestoredConfiguration(); })
+  , mHoldTimer(aLoop, [this] { ApplyHeldConfiguration(); })
 {
   ConfigureRetryBudget();
   mTargets.SetReachCheck([this](const std::string& aService) {
@@ -178,6 +185,9 @@
     }
   }
   if (aTable == StoreTable::Configuration) {
+    if (mCopyVersion == 0 && mEraBeganAt) {
+      mCopyVersion = aVersion;
+    }
     for (const StoreRow& it : aRows) {
       if (it.mKey == platform::kConfigurationKey && !it.mRemoved) {
         ApplyConfigurationRow(it, aSource);
@@ -270,7 +280,8 @@
   if (!aEra) {
     return mEra.IsFirst();
   }
-  if (!mEra.OnTold(*aEra)) {
+  if ((mEraBeganAt && EventLoop::Now() - *mEraBeganAt < kMinToldEra) ||
+      !mEra.OnTold(*aEra, KnowsVersions())) {
     return mEra.Era() == *aEra;
   }
   Log(LogLevel::Warn,
@@ -281,10 +292,18 @@
   return false;
 }
 
+bool
+Fleet::KnowsVersions() const
+{
+  return mConfigurationVersion != 0 || mEntries.Version() != 0 ||
+         mHostsVersion != 0;
+}
+
 void
 Fleet::OnStoreReplaced()
 {
-  mEra.OnStoreReplaced();
+  // Usually the same store, so the era stays. If it is another one, its
+  // versions show that.
   Log(LogLevel::Info,
       "fleet",
       "reading another store",
@@ -312,19 +331,53 @@
   // What is known of suspects stays for its own time. A row that is missing now
   // was lost, not removed.
   mSuspectRows.clear();
-  mRestoredUntil = now + kRestoreTime;
-  mRestoredRow.reset();
-  mRestoreTimer.ScheduleAt(mRestoredUntil);
+  mEraBeganAt = now;
+  mCopyVersion = 0;
+  mHeldRow.reset();
   if (mEraCallback) {
     mEraCallback();
   }
 }
 
+// Whether a row must not replace the configuration in force, at least not yet:
+// its number is lower, and the store has just come back from an older copy.
+// What the copy has is not applied at all, as the operators write again what
+// came after it; what they write is held back while a later write may follow.
+bool
+Fleet::IsHeldBack(const StoreRow& aRow, const RoutingTable& aRouting, Time aNow)
+{
+  const bool isLower = mRouting != nullptr && aRouting.mVersion != 0 &&
+                       aRouting.mVersion < mRouting->mVersion;
+  if (!isLower || !mEraBeganAt) {
+    return false;
+  }
+  const bool isOfCopy = aRow.mVersion <= mCopyVersion;
+  const bool wasHeld = mHeldRow && mHeldRow->mVersion == aRow.mVersion;
+  if (!isOfCopy && ((wasHeld && aNow >= mHeldUntil) ||
+                    aNow - *mEraBeganAt >= kRestoreTime)) {
+    return false;
+  }
+  Log(LogLevel::Warn,
+      "fleet",
+      "configuration with a lower number held back",
+      { { "version", std::to_string(aRouting.mVersion) },
+        { "in_force", std::to_string(mRouting->mVersion) },
+        { "row_version", std::to_string(aRow.mVersion) },
+        { "of_copy", isOfCopy ? "true" : "false" } });
+  if (!isOfCopy && (!mHeldRow || mHeldRow->mVersion < aRow.mVersion)) {
+    mHeldRow = aRow;
+    mHeldUntil = aNow + kHoldTime;
+    mHoldTimer.ScheduleAt(mHeldUntil);
+  }
+  return true;
+}
+
 void
-Fleet::ApplyRestoredConfiguration()
+Fleet::ApplyHeldConfiguration()
 {
-  if (const auto row = std::exchange(mRestoredRow, std::nullopt)) {
-    ApplyConfigurationRow(*row, RowSource::Store);
+  if (mHeldRow) {
+    const StoreRow row = *mHeldRow;
+    ApplyConfigurationRow(row, RowSource::Store);
   }
 }
 
@@ -620,27 +673,21 @@
           { "reason", reason } });
     return;
   }
-  const std::int64_t replaced = mRouting == nullptr ? 0 : mRouting->mVersion;
-  if (routing->mVersion < replaced && now < mRestoredUntil) {
-    Log(LogLevel::Warn,
-        "fleet",
-        "configuration of an older copy of the store held back",
-        { { "version", std::to_string(routing->mVersion) },
-          { "in_force", std::to_string(replaced) },
-          { "row_version", std::to_string(aRow.mVersion) } });
-    if (!mRestoredRow || mRestoredRow->mVersion < aRow.mVersion) {
-      mRestoredRow = aRow;
-    }
+  // Other hosts are told of rows that are held back here, too.
+  StoreRow& told = mConfigurationRows[aRow.mKey];
+  if (told.mVersion < aRow.mVersion) {
+    told = aRow;
+  }
+  if (IsHeldBack(aRow, *routing, now)) {
     return;
   }
-  mRestoredRow.reset();
+  mHeldRow.reset();
   mRoutingRowVersion = aRow.mVersion;
-  StoreRow& known = mConfigurationRows[aRow.mKey];
-  const bool isSame = mRouting != nullptr && known.mValue == aRow.mValue;
-  known = aRow;
-  if (isSame) {
+  if (mRouting != nullptr && mRoutingText == aRow.mValue) {
     return;
   }
+  mRoutingText = aRow.mValue;
+  const std::int64_t replaced = mRouting == nullptr ? 0 : mRouting->mVersion;
   Log(routing->mVersion > replaced ? LogLevel::Info : LogLevel::Warn,
       "fleet",
       "configuration applied",
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -188,7 +188,8 @@
   // whether the versions that it tells are of the present era.
   bool OnEraTold(const std::optional<StoreEra>& aEra);
 
-  // The settings name another store.
+  // The settings name another store, or another address of it. Everything is
+  // read anew.
   void OnStoreReplaced();
 
   // Sets a function that is called when a new era of the store has begun, so
@@ -241,7 +242,7 @@
   // from all of them cannot tell that a route or key does not exist.
   bool IsConfigurationConfirmed(Time aNow) const
   {
-    return aNow - mConfirmedAsOf < kMaxConfirmationAge;
+    return !mHeldRow && aNow - mConfirmedAsOf < kMaxConfirmationAge;
   }
 
   // Software versions that the store has on record.
@@ -293,7 +294,11 @@
                         std::int64_t aVersion);
   void ApplyTrialRow(const platform::StoreRow& aRow, Time aNow);
   void BeginEra();
-  void ApplyRestoredConfiguration();
+  bool KnowsVersions() const;
+  bool IsHeldBack(const platform::StoreRow& aRow,
+                  const RoutingTable& aRouting,
+                  Time aNow);
+  void ApplyHeldConfiguration();
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
   void DeclareTargets();
@@ -309,12 +314,18 @@
   RefPtr<RoutingTable> mRouting;
   ReplacedConfigurations mReplaced;
   std::int64_t mRoutingRowVersion = 0;
+  // Value of the row of the configuration in force.
+  std::string mRoutingText;
   StoreEraTracker mEra;
-  // Until when the operators may write again what the store has lost.
-  Time mRestoredUntil = Time::min();
-  // Row with a lower number than the configuration in force, which counts if it
-  // is still the newest one by then.
-  std::optional<platform::StoreRow> mRestoredRow;
+  // When the present era began; nothing in a process that has seen one only.
+  std::optional<Time> mEraBeganAt;
+  // Version of the first complete read of the configuration in the present era;
+  // 0 before it, and in a process that has seen one era only.
+  std::int64_t mCopyVersion = 0;
+  // Row with a lower number than the configuration in force that counts if no
+  // other one is written soon.
+  std::optional<platform::StoreRow> mHeldRow;
+  Time mHeldUntil;
   TargetEntries mEntries;
   TargetTable mTargets;
   TargetReach mReach;
@@ -350,7 +361,7 @@
     mUnreadableCallback;
   ReaderChoice mReaders;
   Timer mExpiryTimer;
-  Timer mRestoreTimer;
+  Timer mHoldTimer;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -367,8 +367,7 @@
       "GET " + BuildQueryPath(all) + " HTTP/1.1\r\nHost: " + peer + "\r\n\r\n",
       aNow + kPeerTimeout,
       [this, all, peer, aNow](auto aReply, const auto& aReason) {
-        ApplyReply(aReply, all, peer, aReason);
-        if (aReply && aReply->mHead.mStatus == 200) {
+        if (ApplyReply(aReply, all, peer, aReason).mIsApplied) {
           mFleet.OnKnownAsOf(aNow);
         }
       });
@@ -417,7 +416,7 @@
                         const std::string& aReason)
 {
   const auto age =
-    ApplyReply(aReply, false, FormatEndpoint(mReaderEndpoint), aReason);
+    ApplyReply(aReply, false, FormatEndpoint(mReaderEndpoint), aReason).mAge;
   if (age) {
     mFleet.Readers().OnReaderAnswered(aHost, aSentAt - *age);
     mFleet.OnKnownAsOf(aSentAt - *age);
@@ -459,7 +458,7 @@
   return peers;
 }
 
-std::optional<Duration>
+PeerLink::AppliedReply
 PeerLink::ApplyReply(const std::optional<HttpReply>& aReply,
                      bool aAllTargets,
                      const std::string& aPeer,
@@ -475,7 +474,7 @@
       "peers",
       "no usable reply from a peer",
       { { "peer", aPeer }, { "reason", aReply ? "invalid reply" : aReason } });
-    return std::nullopt;
+    return {};
   }
   if (const auto versions = ParsePeerVersions(json)) {
     mFleet.OnVersionsRecorded(*versions, EventLoop::Now());
@@ -507,7 +506,7 @@
         { { "peer", aPeer },
           { "era", era ? FormatEra(*era) : std::string("none") },
           { "own_era", FormatEra(mFleet.Era()) } });
-    return std::nullopt;
+    return {};
   }
   // A host with an old view may not have noticed an outage of the store.
   const bool synced = age && *age < ReaderChoice::kMaxStaleness;
@@ -544,7 +543,7 @@
                      version->value.GetInt64(),
                      synced ? RowSource::SyncedPeer : RowSource::Peer);
   }
-  return age;
+  return { true, age };
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -61,12 +61,21 @@
                      Time aSentAt,
                      const std::optional<HttpReply>& aReply,
                      const std::string& aReason);
-  // Applies the rows of a response. Returns the age of the peer's view of the
-  // store, or nothing if the response is invalid or the peer is not in sync.
-  std::optional<Duration> ApplyReply(const std::optional<HttpReply>& aReply,
-                                     bool aAllTargets,
-                                     const std::string& aPeer,
-                                     const std::string& aReason);
+  // What a response was good for.
+  struct AppliedReply
+  {
+    // Whether its rows were applied.
+    bool mIsApplied = false;
+    // Age of the peer's view of the store; nothing if the response is invalid
+    // or the peer is not in sync.
+    std::optional<Duration> mAge;
+  };
+
+  // Applies the rows of a response.
+  AppliedReply ApplyReply(const std::optional<HttpReply>& aReply,
+                          bool aAllTargets,
+                          const std::string& aPeer,
+                          const std::string& aReason);
   std::vector<Endpoint> PeerEndpoints() const;
 
   // Maximum number of hosts queried at the same time.
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -51,6 +51,13 @@
   return version;
 }
 
+// Whether the store refuses a call for what it asks, not for the time being.
+bool
+IsCallRefused(int aStatus)
+{
+  return aStatus == 400 || aStatus == 404 || aStatus == 416;
+}
+
 } // namespace
 
 TableWatcher::TableWatcher(EventLoop& aLoop,
@@ -147,6 +154,7 @@
                                  const std::string& aReason))
 {
   mSentAt = EventLoop::Now();
+  mReadsPage = aOnReply == &TableWatcher::OnPage;
   mKnownAtSend = std::max(mVersion, mOptions.mKnownVersion());
   mHttpClient.Call(aRequest,
                    mSentAt + aLongPoll + kReplyTimeout,
@@ -275,8 +283,10 @@
 TableWatcher::OnChanges(const std::optional<HttpReply>& aReply,
                         const std::string& aReason)
 {
-  if (aReply && aReply->mHead.mStatus == platform::kWatchExpiredStatus &&
-      !mOptions.mBeginsEra(aReply->mHead, 0, mKnownAtSend)) {
+  if (aReply && aReply->mHead.mStatus == platform::kWatchExpiredStatus) {
+    if (mOptions.mBeginsEra(aReply->mHead, 0, mKnownAtSend)) {
+      return;
+    }
     Log(LogLevel::Warn,
         "store",
         "change history no longer available; reading the complete table",
@@ -324,6 +334,10 @@
     if (mOptions.mBeginsEra(aReply->mHead, 0, mKnownAtSend)) {
       return std::nullopt;
     }
+    if (IsCallRefused(aReply->mHead.mStatus)) {
+      // A store may refuse a version that it doesn't have.
+      mVersion = 0;
+    }
     OnCallFailed(StoreCallEnd::Rejected,
                  "status " + std::to_string(aReply->mHead.mStatus));
     return std::nullopt;
@@ -331,7 +345,7 @@
   std::string reason;
   auto rows = platform::DecodeRows(aReply->mBody, reason);
   // Of changes a store may tell the version of the table only.
-  const bool tellsVersion = rows && mVersion == 0;
+  const bool tellsVersion = rows && mReadsPage;
   if (mOptions.mBeginsEra(
         aReply->mHead, tellsVersion ? rows->mVersion : 0, mKnownAtSend)) {
     return std::nullopt;
@@ -564,16 +578,17 @@
     request =
       platform::EncodePut(host, StoreTable::Hosts, mSettings.mHost, mOwnRow);
   }
-  mWriter.Call(
-    request,
-    EventLoop::Now() + kReplyTimeout,
-    [this, removal = mDeregistering](const auto& aReply, const auto& aReason) {
-      OnOwnRowReply(removal, aReply, aReason);
-    });
+  mWriter.Call(request,
+               EventLoop::Now() + kReplyTimeout,
+               [this, removal = mDeregistering, value = mOwnRow](
+                 const auto& aReply, const auto& aReason) {
+                 OnOwnRowReply(removal, value, aReply, aReason);
+               });
 }
 
 void
 StoreWatch::OnOwnRowReply(bool aRemoval,
+                          const std::string& aValue,
                           const std::optional<HttpReply>& aReply,
                           const std::string& aReason)
 {
@@ -591,8 +606,8 @@
       return;
     }
   }
-  if (isDone && aRemoval != mDeregistering) {
-    // The stop has begun meanwhile.
+  if (isDone && (aRemoval != mDeregistering || aValue != mOwnRow)) {
+    // The stop has begun, or the settings have changed, meanwhile.
     mWriteTimer.ScheduleAt(EventLoop::Now());
     return;
   }
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -120,6 +120,8 @@
   // that was known then.
   Time mSentAt;
   std::int64_t mKnownAtSend = 0;
+  // Whether the last request was for a page of the complete table.
+  bool mReadsPage = false;
 };
 
 // Keeps the tables that a gateway needs up to date, registers this host in the
@@ -163,6 +165,7 @@
   void CheckOwnRow();
   void WriteOwnRow();
   void OnOwnRowReply(bool aRemoval,
+                     const std::string& aValue,
                      const std::optional<HttpReply>& aReply,
                      const std::string& aReason);
   bool IsRemovalObsolete(const std::string& aBody);
--- a/tests/usage/ReturnedStoreTests.cpp
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -20,6 +20,7 @@
 {
   CPPUNIT_TEST_SUITE(ReturnedStoreTests);
   CPPUNIT_TEST(ChangesAfterTheReturnAreInForceInTime);
+  CPPUNIT_TEST(ALowerNumberAfterTheReturnIsInForceInTime);
   CPPUNIT_TEST(RoutesAndKeysDoNotComeBackWithTheCopy);
   CPPUNIT_TEST(AHostThatTheStoreTurnsAwayLearnsOfTheReturn);
   CPPUNIT_TEST_SUITE_END();
@@ -48,6 +49,29 @@
     }
   }
 
+  // Guards against the same when operators number by what the store has.
+  void ALowerNumberAfterTheReturnIsInForceInTime()
+  {
+    GatewayTestCluster::Options options;
+    options.mGateways = 5;
+    GatewayTestCluster cluster(options);
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100005));
+    cluster.ReturnFromCopy();
+    std::this_thread::sleep_for(milliseconds(1500));
+    TestRoute route = configuration.RouteOf("plain");
+    route.mName = "new";
+    configuration.mRoutes.push_back(route);
+    cluster.Write(configuration, 100002);
+    std::this_thread::sleep_for(kApplyTime);
+    for (int host = 0; host < options.mGateways; ++host) {
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "new"));
+    }
+  }
+
   // Guards against hosts that serve a removed route again, or turn an added one
   // away, until the operators have written again what the store has lost.
   void RoutesAndKeysDoNotComeBackWithTheCopy()
