Compare no versions with those of an era that cannot be read (CONFIG)

A host of a later build that tells the era of the store in another form counted as one that tells none. A host that had seen one era only then compared the versions of two eras: it applied rows of the other one, or left rows out of its reply. Found by reading, with the records below; no caller is known to have met it.

The versions of such a host compare with no others now: its reply is not applied, which is logged and counted as before, and its query gets all rows. The era is also found as the first parameter of a query. Parsing a query's and a reply's era is a function each, so that tests can reach it.

FormatTests reads records of queries and replies with an era and without, with later members, and malformed ones. VersionsOfAnUnreadableEraAreNotCompared fails with the former decision in its place and passes after; the three other new tests pass with it, too.

--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -101,19 +101,6 @@
   return number;
 }
 
-// The era that a host tells in its query; nothing if it tells none.
-std::optional<StoreEra>
-ParseQueryEra(const std::string& aPath)
-{
-  const std::string name = std::string("&") + kEraField + "=";
-  const auto at = aPath.find(name);
-  if (at == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto from = at + name.size();
-  return ParseEra(aPath.substr(from, aPath.find('&', from) - from));
-}
-
 void
 WriteRow(Writer& aWriter, const StoreRow& aRow)
 {
@@ -133,6 +120,46 @@
 
 } // namespace
 
+PeerEra
+ParseQueryEra(const std::string& aPath)
+{
+  PeerEra told;
+  const std::string name = std::string(kEraField) + "=";
+  auto at = aPath.find(name);
+  // Not the end of another name.
+  while (at != std::string::npos && at > 0 && aPath[at - 1] != '?' &&
+         aPath[at - 1] != '&') {
+    at = aPath.find(name, at + 1);
+  }
+  if (at != std::string::npos) {
+    const auto from = at + name.size();
+    told.mEra = ParseEra(aPath.substr(from, aPath.find('&', from) - from));
+    told.mReadable = told.mEra.has_value();
+  }
+  return told;
+}
+
+PeerEra
+ParseReplyEra(const rapidjson::Value& aMessage)
+{
+  PeerEra told;
+  const auto field = aMessage.FindMember(kEraField);
+  if (field != aMessage.MemberEnd()) {
+    if (field->value.IsString()) {
+      told.mEra =
+        ParseEra({ field->value.GetString(), field->value.GetStringLength() });
+    }
+    told.mReadable = told.mEra.has_value();
+  }
+  return told;
+}
+
+bool
+ApplyPeerEra(Fleet& aFleet, const PeerEra& aTold)
+{
+  return aTold.mReadable && aFleet.OnEraTold(aTold.mEra);
+}
+
 std::optional<VersionsByService>
 ParsePeerVersions(const rapidjson::Value& aMessage)
 {
@@ -232,7 +259,7 @@
     reply.mStatus = 404;
     return reply;
   }
-  const bool isComparable = mFleet.OnEraTold(ParseQueryEra(aHead.mTarget));
+  const bool isComparable = ApplyPeerEra(mFleet, ParseQueryEra(aHead.mTarget));
   rapidjson::StringBuffer buf;
   Writer writer(buf);
   writer.StartObject();
@@ -490,21 +517,18 @@
   } else if (ageField != json.MemberEnd()) {
     mFleet.ReportUnreadable(aPeer, kAgeField);
   }
-  const auto eraField = json.FindMember(kEraField);
-  std::optional<StoreEra> era;
-  if (eraField != json.MemberEnd() && eraField->value.IsString()) {
-    era = ParseEra(
-      { eraField->value.GetString(), eraField->value.GetStringLength() });
-  }
-  if (eraField != json.MemberEnd() && !era) {
+  const PeerEra told = ParseReplyEra(json);
+  if (!told.mReadable) {
     mFleet.ReportUnreadable(aPeer, kEraField);
   }
-  if (!mFleet.OnEraTold(era)) {
+  if (!ApplyPeerEra(mFleet, told)) {
     Log(LogLevel::Info,
         "peers",
         "rows of another era of the store ignored",
         { { "peer", aPeer },
-          { "era", era ? FormatEra(*era) : std::string("none") },
+          { "era",
+            told.mEra ? FormatEra(*told.mEra)
+                      : std::string(told.mReadable ? "none" : "unreadable") },
           { "own_era", FormatEra(mFleet.Era()) } });
     return {};
   }
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_PEERLINK_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_PEERLINK_H_INCLUDED
 
+#include "core/StoreEra.h"
 #include "gateway/Fleet.h"
 #include "gateway/StoreWatch.h"
 #include "http/AsyncHttpClient.h"
@@ -25,6 +26,29 @@
 std::optional<platform::StoreRow>
 ParsePeerRow(const rapidjson::Value& aValue);
 
+// What a host tells, in a query or a reply, of the era of its versions.
+struct PeerEra
+{
+  // Nothing if it tells none, or one that cannot be read.
+  std::optional<StoreEra> mEra;
+  // False if it tells one that cannot be read: its versions compare with no
+  // others.
+  bool mReadable = true;
+};
+
+// The era in the path of a query.
+PeerEra
+ParseQueryEra(const std::string& aPath);
+
+// The era in a host's reply.
+PeerEra
+ParseReplyEra(const rapidjson::Value& aMessage);
+
+// Applies the era that another host tells. Returns whether the versions that it
+// tells are of the present era; those of an era that cannot be read may not be.
+bool
+ApplyPeerEra(Fleet& aFleet, const PeerEra& aTold);
+
 // Synchronizes store rows between hosts. Every host answers requests for the
 // rows that it knows beyond given versions. A host that does not read the store
 // itself queries one that does. A host queries a few other hosts at a time
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -39,6 +39,14 @@
 // The list whose last element may be missing.
 constexpr char kOriginList[] = "streams";
 
+// Landing whose queries and replies of GET /knowledge tell no era, and the
+// commit since which they do.
+constexpr char kWithoutEra[] = "5b2e4eb";
+constexpr char kWithEra[] = "d50cc5c";
+
+// Era in the records.
+const StoreEra kRecordedEra{ 1, 17 };
+
 // Unix time of the rows, in milliseconds.
 constexpr std::int64_t kUnixMs = 1796464800000;
 
@@ -226,6 +234,42 @@
            : ParseSuspectRow(row, { kNow, kUnixMs }).has_value();
 }
 
+// Path of the query that a build writes.
+std::string
+ReadQuery(const std::string& aCommit)
+{
+  std::string path = ReadData("query-" + aCommit + ".txt");
+  path.erase(path.find('\n'));
+  return path;
+}
+
+// Era in a reply of another host.
+PeerEra
+ReplyEra(const std::string& aText)
+{
+  Json json;
+  Parse(json, aText);
+  return ParseReplyEra(json);
+}
+
+// A host that knows of no era of the store, or of a later one than its first.
+class EraHost
+{
+public:
+  explicit EraHost(bool aIsFirst)
+    : mFleet(mLoop, GatewaySettings())
+  {
+    if (!aIsFirst) {
+      mFleet.OnEraTold(kRecordedEra);
+    }
+  }
+
+  bool Takes(const PeerEra& aTold) { return ApplyPeerEra(mFleet, aTold); }
+
+  EventLoop mLoop;
+  Fleet mFleet;
+};
+
 StreamOrigin
 ReadOrigin(const std::string& aEntry)
 {
@@ -259,6 +303,10 @@
   CPPUNIT_TEST(RowsThatCannotBeReadAreNotRemoved);
   CPPUNIT_TEST(RowsOfPeersWithLaterMembersAreRead);
   CPPUNIT_TEST(VersionsOfPeersWithLaterElementsAreRead);
+  CPPUNIT_TEST(QueriesAndRepliesWithAnEraAreRead);
+  CPPUNIT_TEST(QueriesAndRepliesWithoutAnEraAreThoseOfTheFirst);
+  CPPUNIT_TEST(ErasWithLaterMembersAreRead);
+  CPPUNIT_TEST(VersionsOfAnUnreadableEraAreNotCompared);
   CPPUNIT_TEST(PassedOnRequestsWithLaterFieldsAreRead);
   CPPUNIT_TEST(UnknownVerdictsAreFailuresThatMayHaveRun);
   CPPUNIT_TEST(UnreadableRecordsAreCounted);
@@ -575,6 +623,100 @@
     CPPUNIT_ASSERT(!ParsePeerVersions(json));
   }
 
+  void QueriesAndRepliesWithAnEraAreRead()
+  {
+    const std::string reply =
+      ReadData(std::string("reply-") + kWithEra + ".json");
+    for (const PeerEra& it :
+         { ParseQueryEra(ReadQuery(kWithEra)), ReplyEra(reply) }) {
+      CPPUNIT_ASSERT(it.mReadable && it.mEra == kRecordedEra);
+      CPPUNIT_ASSERT(EraHost(false).Takes(it));
+      // The host begins the era that it is told, and reads all rows anew.
+      EraHost first(true);
+      CPPUNIT_ASSERT(!first.Takes(it));
+      CPPUNIT_ASSERT(first.mFleet.Era() == kRecordedEra);
+    }
+    Json json;
+    Parse(json, reply);
+    CPPUNIT_ASSERT(ParsePeerVersions(json));
+    for (const char* table :
+         { "configuration", "targets", "hosts", "suspects" }) {
+      for (const auto& row : json[table]["rows"].GetArray()) {
+        CPPUNIT_ASSERT_MESSAGE(table, ParsePeerRow(row));
+      }
+    }
+  }
+
+  void QueriesAndRepliesWithoutAnEraAreThoseOfTheFirst()
+  {
+    const std::string reply =
+      ReadData(std::string("reply-") + kWithoutEra + ".json");
+    for (const PeerEra& it :
+         { ParseQueryEra(ReadQuery(kWithoutEra)), ReplyEra(reply) }) {
+      CPPUNIT_ASSERT(it.mReadable && !it.mEra);
+      CPPUNIT_ASSERT(EraHost(true).Takes(it));
+      CPPUNIT_ASSERT(!EraHost(false).Takes(it));
+    }
+  }
+
+  void ErasWithLaterMembersAreRead()
+  {
+    const std::string query = ReadQuery(kWithEra);
+    const std::vector<std::string> queries = {
+      query + "&later=7",
+      query + "&later_era=9.9",
+      "/knowledge?later_era=9.9&era=1.17",
+      "/knowledge?era=1.17&later_era=9.9",
+      "/knowledge?era=1.17"
+    };
+    for (const std::string& it : queries) {
+      CPPUNIT_ASSERT_MESSAGE(it, ParseQueryEra(it).mEra == kRecordedEra);
+    }
+    std::string reply = ReadData(std::string("reply-") + kWithEra + ".json");
+    reply.insert(1, R"("later":{"era":"9.9"},"later_era":"9.9",)");
+    CPPUNIT_ASSERT(ReplyEra(reply).mEra == kRecordedEra);
+  }
+
+  // Guards against versions of another era that are compared with the own ones,
+  // as if the host had told none.
+  void VersionsOfAnUnreadableEraAreNotCompared()
+  {
+    const auto expectNotTaken = [](const std::string& aText,
+                                   const PeerEra& aTold) {
+      CPPUNIT_ASSERT_MESSAGE(aText, !aTold.mReadable && !aTold.mEra);
+      for (const bool isFirst : { true, false }) {
+        EraHost host(isFirst);
+        const StoreEra before = host.mFleet.Era();
+        CPPUNIT_ASSERT_MESSAGE(aText, !host.Takes(aTold));
+        CPPUNIT_ASSERT_MESSAGE(aText, host.mFleet.Era() == before);
+      }
+    };
+    for (const char* it : { "",
+                            "1",
+                            "1.",
+                            ".17",
+                            "1.17.2",
+                            "-1.17",
+                            "1.-17",
+                            "1.99999999999999999999",
+                            "1,17",
+                            "e1.17",
+                            "%31.17",
+                            " 1.17" }) {
+      const std::string text = it;
+      expectNotTaken(text, ParseQueryEra("/knowledge?hosts=7&era=" + text));
+      expectNotTaken(text, ReplyEra(R"({"era":")" + text + "\"}"));
+    }
+    for (const char* it : { R"({"era":1.17})",
+                            R"({"era":17})",
+                            R"({"era":null})",
+                            R"({"era":["1.17"]})",
+                            R"({"era":{"generation":1,"number":17}})",
+                            R"({"era":"1.17\u0000"})" }) {
+      expectNotTaken(it, ReplyEra(it));
+    }
+  }
+
   void PassedOnRequestsWithLaterFieldsAreRead()
   {
     PassedOnRequest request;
