Notice an older copy of the store whose lost part has no rows of a table

A host that had followed a table up to a version without rows of it did not notice when the store came back from an older copy without telling its count: nothing of what the store had lost of other tables was known to be lost.

Cause: after a 410 the complete table is read from the beginning, and the version up to which changes were known was forgotten before that call was sent. Only versions with rows of the table counted. Ruled out: a store that tells its count, and a lost part with rows of the configuration or of targets; both were noticed.

TableWatcherTests::AVersionWithoutRowsIsKnownWhenTheTableIsReadAgain fails with the former watcher (0 returns seen for 1) and passes now.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -103,6 +103,7 @@
 TableWatcher::Reset()
 {
   mVersion = 0;
+  mFormerVersion = 0;
   mFailures = 0;
   mSnapshotRows.clear();
   mHeldRows.Resize(0);
@@ -139,6 +140,7 @@
 void
 TableWatcher::ReadAll()
 {
+  mFormerVersion = std::max(mFormerVersion, mVersion);
   mVersion = 0;
   mSnapshotRows.clear();
   mSnapshotBytes = 0;
@@ -155,7 +157,8 @@
 {
   mSentAt = EventLoop::Now();
   mReadsPage = aOnReply == &TableWatcher::OnPage;
-  mKnownAtSend = std::max(mVersion, mOptions.mKnownVersion());
+  mKnownAtSend =
+    std::max({ mVersion, mFormerVersion, mOptions.mKnownVersion() });
   mHttpClient.Call(aRequest,
                    mSentAt + aLongPoll + kReplyTimeout,
                    [this, aOnReply](const auto& aReply, const auto& aReason) {
@@ -234,6 +237,7 @@
     return;
   }
   mVersion = mSnapshotVersion;
+  mFormerVersion = 0;
   mHeldRows.Resize(0);
   std::vector<StoreRow> rows;
   for (auto& it : std::exchange(mSnapshotRows, {})) {
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -122,6 +122,9 @@
   std::int64_t mKnownAtSend = 0;
   // Whether the last request was for a page of the complete table.
   bool mReadsPage = false;
+  // Version up to which changes were known when the complete table had to be
+  // read again; 0 unless that is in progress.
+  std::int64_t mFormerVersion = 0;
 };
 
 // Keeps the tables that a gateway needs up to date, registers this host in the
--- a/tests/introspective/TableWatcherTests.cpp
+++ b/tests/introspective/TableWatcherTests.cpp
@@ -67,7 +67,11 @@
           Duration::zero(),
           milliseconds(5),
           [] { return true; },
-          [this] { return mVersion; } },
+          [this] { return mVersion; },
+          [this](const HttpHead&, std::int64_t aVersion, std::int64_t aKnown) {
+            mReturns += aVersion != 0 && aVersion < aKnown ? 1 : 0;
+            return false;
+          } },
         [this](const std::vector<StoreRow>& aRows,
                bool aIsComplete,
                std::int64_t aVersion) { Apply(aRows, aIsComplete, aVersion); },
@@ -102,6 +106,8 @@
   }
 
   bool mIsComplete = false;
+  // Number of complete tables of a version below a known one.
+  int mReturns = 0;
   // The targets of the calls, in order.
   std::vector<std::string> mCalls;
 
@@ -162,6 +168,7 @@
   CPPUNIT_TEST(ARemovalThatAnotherHostIsAheadOfIsNotMissed);
   CPPUNIT_TEST(ATableBehindOtherHostsIsPassedOn);
   CPPUNIT_TEST(ATableIsReadAgainIfItsChangesAreGone);
+  CPPUNIT_TEST(AVersionWithoutRowsIsKnownWhenTheTableIsReadAgain);
   CPPUNIT_TEST(APageWithoutRowsIsNotReadForEver);
   CPPUNIT_TEST(ChangesThatEndEarlyAreNotReadForEver);
   CPPUNIT_TEST(ChangesInSeveralPartsAreAllRead);
@@ -216,6 +223,21 @@
     CPPUNIT_ASSERT(table.mIsComplete);
   }
 
+  // Guards against a return of the store from an older copy that is not
+  // noticed, as the lost part has no rows of the table.
+  void AVersionWithoutRowsIsKnownWhenTheTableIsReadAgain()
+  {
+    WatchedTable table({ Rows(Row("a", 5), 5),
+                         Rows("", 12),
+                         { 410, "" },
+                         Rows(Row("a", 5), 11),
+                         Rows("", 13),
+                         { 410, "" },
+                         Rows(Row("a", 5), 13) });
+    table.Read();
+    CPPUNIT_ASSERT_EQUAL(1, table.mReturns);
+  }
+
   // Guards against a store that says that more rows follow and sends none being
   // asked without a pause.
   void APageWithoutRowsIsNotReadForEver()
