Write again the rows of origins and suspects that the store may have lost

Callers that took up streams got 503 (version_unknown) when the store had come back from an older copy and all hosts that knew where the streams began had restarted since: the rows of origins were written once, and the copy didn't have them. In the same way a fleet that restarted no longer knew the requests that had crashed targets in the lost seconds.

At the beginning of an era each host now writes again the origins of streams that were here last, and the lost runs that it has seen itself; the readers of the store write the software versions again a second later. At most 500 rows of a kind, the newest ones first, so that rows of new streams still find room in the writer; in its batches and at its intervals. Not written are the rows of complete streams, of streams that another host has announced since, of cleared suspects and of what has expired. Formats are unchanged. Fleet serves several listeners of eras.

--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -111,6 +111,37 @@
   return std::exchange(mStoreChanges, {});
 }
 
+void
+LossLedger::StoreAgain(Time aNow)
+{
+  std::vector<StoredLossChange> changes;
+  for (const auto& it : mRecords) {
+    const Record& record = it.second;
+    if (aNow >= record.mExpiresAt) {
+      continue;
+    }
+    for (const LostRun& run : record.mRuns) {
+      const std::uint64_t death = run.mDeath.mId;
+      if (record.mOwn.count(death) != 0 && record.mStored.count(death) != 0) {
+        changes.push_back({ it.first, run, false });
+      }
+    }
+    if (record.mClearedAt && aNow - *record.mClearedAt < kClearedLifetime) {
+      for (const LostRun& run : record.mUnstored) {
+        changes.push_back({ it.first, run, true });
+      }
+    }
+  }
+  const auto newer = [](const StoredLossChange& aLeft,
+                        const StoredLossChange& aRight) {
+    return IsEarlier(aRight.mRun, aLeft.mRun);
+  };
+  std::sort(changes.begin(), changes.end(), newer);
+  changes.resize(std::min(changes.size(), kMaxStoredAgain));
+  mStoreChanges.insert(mStoreChanges.end(), changes.begin(), changes.end());
+  NotifyStore();
+}
+
 void
 LossLedger::OnStoredLoss(const StoredLossChange& aChange, Time aNow)
 {
@@ -149,9 +180,13 @@
     return;
   }
   Record& record = it->second;
+  if (!record.mRuns.empty()) {
+    record.mUnstored.clear();
+  }
   for (const LostRun& run : record.mRuns) {
     if (record.mStored.erase(run.mDeath.mId) != 0) {
       mStoreChanges.push_back({ aSuspect, run, true });
+      record.mUnstored.push_back(run);
     }
   }
   NotifyStore();
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -59,6 +59,9 @@
   // Maximum number of records.
   static constexpr std::size_t kMaxRecords = 10000;
 
+  // Lost runs that are stored again at once at most.
+  static constexpr std::size_t kMaxStoredAgain = 500;
+
   // Records that a target died, whether it ran requests or not. The earliest
   // time reported for a death applies.
   void OnTargetDeath(const TargetDeath& aDeath);
@@ -101,6 +104,11 @@
   // Takes the changes to store, in order.
   std::vector<StoredLossChange> TakeStoreChanges();
 
+  // The store may have lost what was written last. The stored runs that this
+  // host has lost are to be stored again, the newest ones first, and those that
+  // it has removed lately are to be removed again.
+  void StoreAgain(Time aNow);
+
   // Records that a lost run was read from the store, or removed there.
   void OnStoredLoss(const StoredLossChange& aChange, Time aNow);
 
@@ -149,6 +157,8 @@
     // IDs of the deaths in which this host lost a run, and of those stored.
     std::set<std::uint64_t> mOwn;
     std::set<std::uint64_t> mStored;
+    // Stored runs that no longer counted when this host cleared the suspect.
+    std::vector<LostRun> mUnstored;
     // Whether other hosts know of a lost run.
     bool mShared = false;
     // How often the last change has yet to be told, and when next.
--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -2,6 +2,8 @@
 
 #include "core/NameTable.h"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace quetzalquay {
@@ -41,6 +43,7 @@
   entry.mOwn = true;
   entry.mComplete = false;
   entry.mRunning = true;
+  entry.mElsewhere = false;
   if (changed && mAnnouncedServices.count(aOrigin.mService) != 0) {
     Announce(entry, aNow);
   } else if (changed && mTellsAll) {
@@ -81,6 +84,9 @@
     known == mEntries.end() ||
     (!known->second.mOwn && known->second.mOrigin.mAttempt < aOrigin.mAttempt);
   Entry& entry = Touch(aOrigin, aNow);
+  // An announcement that crosses this host's own one may be the earlier one.
+  entry.mElsewhere |= aSource == OriginSource::Peer && entry.mOwn &&
+                      !entry.mRunning && entry.mAnnouncementsLeft == 0;
   if (!replaces) {
     return;
   }
@@ -165,6 +171,28 @@
   return changes;
 }
 
+void
+StreamOrigins::StoreAgain(Time aNow)
+{
+  std::vector<std::pair<Time, std::uint64_t>> stored;
+  for (const auto& it : mEntries) {
+    const Entry& entry = it.second;
+    const bool lasts = entry.mRunning || entry.mExpiresAt > aNow;
+    if (entry.mStored && lasts && !entry.mElsewhere) {
+      stored.emplace_back(entry.mStoredAt, it.first);
+    }
+  }
+  const auto end = stored.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(stored.size(), kMaxStoredAgain));
+  std::partial_sort(stored.begin(), end, stored.end(), std::greater<>());
+  for (auto it = stored.begin(); it != end; ++it) {
+    mStoreChanges[it->second] = { mEntries.at(it->second).mOrigin, false };
+  }
+  if (!mStoreChanges.empty()) {
+    mOnStoreChange();
+  }
+}
+
 void
 StreamOrigins::SetNewsCallback(std::function<void()> aCallback)
 {
@@ -208,6 +236,7 @@
 StreamOrigins::Announce(Entry& aEntry, Time aNow)
 {
   aEntry.mStored = true;
+  aEntry.mStoredAt = aNow;
   mStoreChanges[aEntry.mOrigin.mKey] = { aEntry.mOrigin, false };
   Tell(aEntry, aNow);
   mOnStoreChange();
--- a/src/quetzalquay/core/StreamOrigins.h
+++ b/src/quetzalquay/core/StreamOrigins.h
@@ -67,6 +67,9 @@
 
   static constexpr std::size_t kMaxEntries = 20000;
 
+  // Origins that are stored again at once at most.
+  static constexpr std::size_t kMaxStoredAgain = 500;
+
   explicit StreamOrigins(std::size_t aMaxEntries = kMaxEntries);
 
   // A known origin.
@@ -122,6 +125,10 @@
   // Origins to be stored or removed since the last call.
   std::vector<StoreChange> TakeStoreChanges();
 
+  // The store may have lost what was written last. Those stored origins whose
+  // streams were here last are to be stored again, the newest ones first.
+  void StoreAgain(Time aNow);
+
   // Sets a callback that runs whenever there is news, or a change to be stored.
   void SetNewsCallback(std::function<void()> aCallback);
   void SetStoreCallback(std::function<void()> aCallback);
@@ -140,8 +147,12 @@
     bool mRunning = false;
     bool mComplete = false;
     int mAnnouncementsLeft = 0;
-    // Whether the store has the origin, or will have it.
+    // Whether the store has the origin, or will have it, and since when.
     bool mStored = false;
+    Time mStoredAt;
+    // Whether another host has announced the stream since it ran here. That
+    // host removes the row when the stream is complete.
+    bool mElsewhere = false;
   };
 
   Entry& Touch(const StreamOrigin& aOrigin, Time aNow);
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -334,8 +334,8 @@
   mEraBeganAt = now;
   mCopyVersion = 0;
   mHeldRow.reset();
-  if (mEraCallback) {
-    mEraCallback();
+  for (const auto& it : mEraCallbacks) {
+    it();
   }
 }
 
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -192,11 +192,12 @@
   // read anew.
   void OnStoreReplaced();
 
-  // Sets a function that is called when a new era of the store has begun, so
-  // that all tables have to be read anew.
-  void SetEraCallback(std::function<void()> aCallback)
+  // Adds a function that is called whenever a new era of the store has begun,
+  // so that all tables have to be read anew, and what the store may have lost
+  // has to be written again.
+  void AddEraCallback(std::function<void()> aCallback)
   {
-    mEraCallback = std::move(aCallback);
+    mEraCallbacks.push_back(std::move(aCallback));
   }
 
   // Applies new settings, including the retry budget.
@@ -353,7 +354,7 @@
   bool mTargetsChanged = false;
   std::function<void()> mRetainedCallback;
   std::function<void()> mHostsCallback;
-  std::function<void()> mEraCallback;
+  std::vector<std::function<void()>> mEraCallbacks;
   std::function<void()> mVersionCallback;
   // Registered versions at the last declaration of the targets.
   VersionsByService mRegisteredVersions;
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -340,6 +340,7 @@
     }
     if (IsCallRefused(aReply->mHead.mStatus)) {
       // A store may refuse a version that it doesn't have.
+      mFormerVersion = std::max(mFormerVersion, mVersion);
       mVersion = 0;
     }
     OnCallFailed(StoreCallEnd::Rejected,
@@ -447,7 +448,7 @@
                    kSuspectsLongPoll,
                    Duration::zero());
   mFleet.SetHostsCallback([this] { CheckOwnRow(); });
-  mFleet.SetEraCallback([this] { OnEraBegan(); });
+  mFleet.AddEraCallback([this] { OnEraBegan(); });
 }
 
 void
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -34,6 +34,11 @@
 // Least time between two reads for the history of versions.
 constexpr Duration kHistoryReadInterval = std::chrono::seconds(5);
 
+// Time from the beginning of an era of the store until the rows of versions are
+// written again. The hosts' own rows are back by then, so that only readers
+// write.
+constexpr Duration kVersionsAgainDelay = std::chrono::seconds(1);
+
 // Interval between two searches for expired rows.
 constexpr Duration kSweepInterval = std::chrono::minutes(1);
 
@@ -87,6 +92,7 @@
       WriteVersions();
     }
   });
+  mFleet.AddEraCallback([this] { OnEraBegan(); });
   mTickTimer.ScheduleAt(EventLoop::Now() + kTickInterval);
 }
 
@@ -172,6 +178,34 @@
   }
 }
 
+// Stores the versions again at which streams may have begun that are not over.
+// Those that this host has not seen itself may have been removed on purpose.
+void
+StreamOriginStore::WriteVersionsAgain(Time aNow)
+{
+  mWrittenVersions.clear();
+  if (!mFleet.Readers().IsReader(aNow)) {
+    return;
+  }
+  const std::int64_t unixMs = ReadClocks().mUnixMs;
+  for (const auto& service : mFleet.Versions().AllRecentVersions(aNow)) {
+    for (const std::string& it : service.second) {
+      if (IsRegisteredVersion(it) &&
+          mFleet.Versions().WasObserved(service.first, it, aNow)) {
+        mVersionWriter.Add(FormatVersionRow(service.first, it, unixMs));
+      }
+    }
+  }
+}
+
+void
+StreamOriginStore::OnEraBegan()
+{
+  const Time now = EventLoop::Now();
+  mFleet.Origins().StoreAgain(now);
+  mVersionsAgainAt = now + kVersionsAgainDelay;
+}
+
 void
 StreamOriginStore::StartRead()
 {
@@ -295,6 +329,10 @@
   if (!mFleet.IsReady()) {
     return;
   }
+  if (now >= mVersionsAgainAt) {
+    mVersionsAgainAt = Time::max();
+    WriteVersionsAgain(now);
+  }
   WriteVersions();
   if (mFleet.Readers().IsReader(now) && now >= mNextSweepAt) {
     mNextSweepAt = now + kSweepInterval;
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -55,6 +55,8 @@
   Duration WriteInterval() const;
   void OnWritten(std::size_t aRows);
   void WriteVersions();
+  void WriteVersionsAgain(Time aNow);
+  void OnEraBegan();
   void StartRead();
   void OnRead(const std::optional<std::vector<platform::StoreRow>>& aRows,
               const std::string& aReason);
@@ -76,6 +78,8 @@
   Timer mTickTimer;
   // Services and versions whose rows this host has written.
   std::set<std::pair<std::string, std::string>> mWrittenVersions;
+  // When the rows of versions have to be written again.
+  Time mVersionsAgainAt = Time::max();
   // When the next read for the history of versions may start.
   Time mNextHistoryReadAt;
   Time mNextSweepAt;
--- a/src/quetzalquay/gateway/SuspectWriter.cpp
+++ b/src/quetzalquay/gateway/SuspectWriter.cpp
@@ -36,6 +36,8 @@
   , mExpiryTimer(aLoop, [this] { RemoveExpired(); })
 {
   mFleet.Targets().Suspects().SetStoreCallback([this] { mRows.Notify(); });
+  mFleet.AddEraCallback(
+    [this] { mFleet.Targets().Suspects().StoreAgain(EventLoop::Now()); });
   mExpiryTimer.ScheduleAt(EventLoop::Now() + kExpiryInterval);
 }
 
--- a/tests/introspective/StoreEraTests.cpp
+++ b/tests/introspective/StoreEraTests.cpp
@@ -37,7 +37,7 @@
   Host()
     : mFleet(mLoop, GatewaySettings())
   {
-    mFleet.SetEraCallback([this] { ++mEras; });
+    mFleet.AddEraCallback([this] { ++mEras; });
   }
 
   void ReadConfiguration(const std::string& aRoute, int aNumber, int aVersion)
--- a/tests/introspective/StreamOriginStoreTests.cpp
+++ b/tests/introspective/StreamOriginStoreTests.cpp
@@ -1,8 +1,11 @@
 #include "GatewayProcess.h"
 #include "StoreServer.h"
 #include "TestConfiguration.h"
+#include "core/Hash.h"
 #include "gateway/StreamOriginRows.h"
 #include "gateway/StreamOriginStore.h"
+#include "gateway/SuspectRows.h"
+#include "gateway/SuspectWriter.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -26,6 +29,18 @@
   return FormatVersionRow(kService, aVersion, 0).mKey;
 }
 
+// Time within which all that has to be stored was written.
+constexpr milliseconds kWriteTime(2500);
+
+std::string
+LossKey(std::uint64_t aSuspect, std::uint64_t aDeath)
+{
+  StoredLossChange change;
+  change.mSuspect = aSuspect;
+  change.mRun.mDeath.mId = aDeath;
+  return FormatSuspectRow(change, ReadClocks()).mKey;
+}
+
 // A host that keeps its rows in a store.
 class StoringHost
 {
@@ -41,6 +56,7 @@
     , mMetrics(mSettings.mHost)
     , mFleet(mLoop, mSettings)
     , mStore(mLoop, mSettings, mFleet, mMetrics, mReplies)
+    , mSuspects(mLoop, mSettings, mFleet, mReplies)
   {
     CPPUNIT_ASSERT(!mServer.Open(mAddress));
     mFleet.ApplyRows(
@@ -75,6 +91,50 @@
     mFleet.Origins().OnBegun({ aKey, kService, aVersion }, EventLoop::Now());
   }
 
+  // A stream is complete.
+  void End(std::uint64_t aKey)
+  {
+    mFleet.Origins().OnEnded(aKey, true, EventLoop::Now());
+  }
+
+  // A request is lost with its target, which is stored from the second time on.
+  void Lose(std::uint64_t aSuspect, std::uint64_t aDeath)
+  {
+    const Time now = EventLoop::Now();
+    mFleet.Targets().Suspects().OnRunLost(
+      aSuspect, { { aDeath, 1, now }, now - milliseconds(50) }, now);
+  }
+
+  // A request is served.
+  void Serve(std::uint64_t aSuspect)
+  {
+    mFleet.Targets().Suspects().ClearSuspect(aSuspect, EventLoop::Now());
+  }
+
+  // The store has come back from an older copy.
+  void BeginEra()
+  {
+    CPPUNIT_ASSERT(mFleet.OnStoreAnswer({ std::nullopt, 1, 1000 }));
+  }
+
+  void RunFor(Duration aTime)
+  {
+    Timer end(mLoop, [this] { mLoop.Stop(); });
+    end.ScheduleAt(EventLoop::Now() + aTime);
+    mLoop.Context().restart();
+    mLoop.Run();
+  }
+
+  // Keys of the rows that all transactions so far have written.
+  std::set<std::string> Written() const
+  {
+    std::set<std::string> keys;
+    for (const auto& it : mWrites) {
+      keys.insert(it.begin(), it.end());
+    }
+    return keys;
+  }
+
   void AwaitWrites(std::size_t aCount)
   {
     const Time end = EventLoop::Now() + milliseconds(9000);
@@ -128,6 +188,7 @@
   Fleet mFleet;
   ReplyBuffers mReplies{ 1U << 20U };
   StreamOriginStore mStore;
+  SuspectWriter mSuspects;
   std::int64_t mTargets = 0;
 };
 
@@ -138,6 +199,8 @@
 {
   CPPUNIT_TEST_SUITE(StreamOriginStoreTests);
   CPPUNIT_TEST(ANewVersionIsStoredBeforeItsStreams);
+  CPPUNIT_TEST(OriginsThatTheStoreMayHaveLostAreStoredAgain);
+  CPPUNIT_TEST(SuspectsThatTheStoreMayHaveLostAreStoredAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +218,49 @@
     host.AwaitWrites(before + 1);
     CPPUNIT_ASSERT(host.mWrites[before].count(KeyOf("v2")) == 1);
   }
+
+  // Guards against streams that no host takes up any more, as the store has
+  // lost where they began and all hosts have restarted since.
+  void OriginsThatTheStoreMayHaveLostAreStoredAgain()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.Register("v2");
+    host.Begin(1, "v2");
+    host.Begin(2, "v1");
+    host.RunFor(kWriteTime);
+    CPPUNIT_ASSERT(host.Written().count(ToHex(1)) == 1);
+    CPPUNIT_ASSERT(host.Written().count(ToHex(2)) == 1);
+    host.End(2);
+    host.RunFor(kWriteTime);
+    host.mWrites.clear();
+    host.BeginEra();
+    host.RunFor(kWriteTime);
+    CPPUNIT_ASSERT(host.Written() == (std::set<std::string>{
+                                       ToHex(1), KeyOf("v1"), KeyOf("v2") }));
+    CPPUNIT_ASSERT(host.mWrites.size() <= 4);
+  }
+
+  // Guards against requests that crash targets again, as the store has lost
+  // which ones did and all hosts have restarted since.
+  void SuspectsThatTheStoreMayHaveLostAreStoredAgain()
+  {
+    StoringHost host;
+    for (const std::uint64_t suspect : { 5, 6 }) {
+      host.Lose(suspect, suspect * 10);
+      host.Lose(suspect, suspect * 10 + 1);
+    }
+    host.RunFor(kWriteTime);
+    const std::set<std::string> lost = { LossKey(5, 50), LossKey(5, 51) };
+    CPPUNIT_ASSERT(host.Written().count(*lost.begin()) == 1);
+    host.Serve(6);
+    host.RunFor(kWriteTime);
+    host.mWrites.clear();
+    host.BeginEra();
+    host.RunFor(kWriteTime);
+    CPPUNIT_ASSERT(host.Written() == lost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.mWrites.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamOriginStoreTests);
--- a/tests/introspective/StreamOriginTests.cpp
+++ b/tests/introspective/StreamOriginTests.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(AnnouncementsAreRepeatedOnce);
   CPPUNIT_TEST(RunningAndBrokenStreamsFollowWhenAServiceIsAnnounced);
   CPPUNIT_TEST(CompleteStreamsLeaveTheStore);
+  CPPUNIT_TEST(StoredOriginsAreStoredAgainByTheHostOfTheirStream);
   CPPUNIT_TEST(OriginsExpireAndAreBounded);
   CPPUNIT_TEST(RunningStreamsStayKnown);
   CPPUNIT_TEST(VersionsOfUnknownTargetsAreReplaced);
@@ -186,6 +187,52 @@
     CPPUNIT_ASSERT(origins.Find(2, At(420)).has_value());
   }
 
+  void StoredOriginsAreStoredAgainByTheHostOfTheirStream()
+  {
+    const auto keys = [](StreamOrigins& aOrigins) {
+      std::set<std::uint64_t> stored;
+      for (const auto& it : aOrigins.TakeStoreChanges()) {
+        CPPUNIT_ASSERT(!it.mRemoved);
+        stored.insert(it.mOrigin.mKey);
+      }
+      return stored;
+    };
+    StreamOrigins origins;
+    origins.SetAnnouncedServices({ "pool" }, At(0));
+    // Running, broken off, complete, taken up by another host, of another host.
+    for (const int n : { 1, 2, 3, 4 }) {
+      origins.OnBegun(Origin(static_cast<std::uint64_t>(n), "v1"), At(0));
+    }
+    origins.OnEnded(2, false, At(10));
+    origins.OnEnded(4, false, At(10));
+    origins.OnReported(Origin(5, "v1"), OriginSource::Peer, At(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), keys(origins).size());
+    origins.OnEnded(3, true, At(30));
+    CPPUNIT_ASSERT(origins.TakeStoreChanges().front().mRemoved);
+    for (const int ms : { 40, 600 }) {
+      origins.TakeNews(At(ms), 9);
+    }
+    origins.OnReported(Origin(1, "v1"), OriginSource::Peer, At(700));
+    origins.OnReported(Origin(2, "v1"), OriginSource::Store, At(700));
+    origins.OnReported(Origin(4, "v1"), OriginSource::Peer, At(700));
+    origins.StoreAgain(At(1000));
+    CPPUNIT_ASSERT(keys(origins) == (std::set<std::uint64_t>{ 1, 2 }));
+    // It is back at this host.
+    origins.OnBegun(Origin(4, "v1"), At(1100));
+    origins.StoreAgain(At(1200));
+    CPPUNIT_ASSERT(keys(origins) == (std::set<std::uint64_t>{ 1, 2, 4 }));
+    origins.StoreAgain(At(10 + kLifetimeMs * 2));
+    CPPUNIT_ASSERT(keys(origins) == (std::set<std::uint64_t>{ 1, 4 }));
+    for (std::uint64_t n = 10; n < 10 + StreamOrigins::kMaxStoredAgain; ++n) {
+      origins.OnBegun(Origin(n, "v1"), At(300000));
+    }
+    keys(origins);
+    origins.StoreAgain(At(300100));
+    const auto newest = keys(origins);
+    CPPUNIT_ASSERT_EQUAL(StreamOrigins::kMaxStoredAgain, newest.size());
+    CPPUNIT_ASSERT(newest.count(1) == 0);
+  }
+
   void OriginsExpireAndAreBounded()
   {
     StreamOrigins origins(100);
--- a/tests/introspective/SuspectSharingTests.cpp
+++ b/tests/introspective/SuspectSharingTests.cpp
@@ -364,6 +364,8 @@
   CPPUNIT_TEST(MergingIsIndependentOfOrderAndRepetition);
   CPPUNIT_TEST(AClearedRequestStaysClearedWhenOldReportsArrive);
   CPPUNIT_TEST(AnOwnLossIsStoredOnceAnotherHostReportsASecondOne);
+  CPPUNIT_TEST(EachHostStoresItsOwnLossesAgain);
+  CPPUNIT_TEST(LossesThatWereRemovedAreNotStoredAgain);
   CPPUNIT_TEST(ClearancesOfUnknownRequestsAreForgottenSoon);
   CPPUNIT_TEST_SUITE_END();
 
@@ -441,6 +443,56 @@
     CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
   }
 
+  // Guards against all hosts writing the same rows when the store has lost
+  // some.
+  void EachHostStoresItsOwnLossesAgain()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.OnStoredLoss({ 5, { { 2, 1, At(50) }, At(20) }, false }, At(60));
+    registry.OnRunLost(5, { { 1, 1, At(100) }, At(50) }, At(130));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), registry.TakeStoreChanges().size());
+    // A single loss is not stored.
+    registry.OnRunLost(6, { { 3, 1, At(100) }, At(50) }, At(130));
+    registry.StoreAgain(At(1000));
+    const auto changes = registry.TakeStoreChanges();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), changes[0].mSuspect);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), changes[0].mRun.mDeath.mId);
+    CPPUNIT_ASSERT(!changes[0].mRemoved);
+    registry.StoreAgain(At(130) + SuspectRegistry::kRecordLifetime);
+    CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
+    for (std::uint64_t n = 10; n < 10 + SuspectRegistry::kMaxStoredAgain; ++n) {
+      registry.OnRunLost(n, { { n, 1, At(2000) }, At(1900) }, At(2000));
+      registry.OnRunLost(n, { { n + 5000, 1, At(2100) }, At(2050) }, At(2100));
+    }
+    registry.TakeStoreChanges();
+    registry.StoreAgain(At(3000));
+    const auto newest = registry.TakeStoreChanges();
+    CPPUNIT_ASSERT_EQUAL(SuspectRegistry::kMaxStoredAgain, newest.size());
+    for (const auto& it : newest) {
+      CPPUNIT_ASSERT(it.mRun.mDeath.mAt == At(2100));
+    }
+  }
+
+  // Guards against a served request that counts as a suspect again, as the
+  // store has come back from a copy that has its losses.
+  void LossesThatWereRemovedAreNotStoredAgain()
+  {
+    SuspectRegistry registry(kOptions);
+    registry.OnRunLost(5, { { 1, 1, At(100) }, At(50) }, At(130));
+    registry.OnRunLost(5, { { 2, 1, At(400) }, At(350) }, At(430));
+    registry.TakeNews(At(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), registry.TakeStoreChanges().size());
+    registry.ClearSuspect(5, At(700));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), registry.TakeStoreChanges().size());
+    registry.StoreAgain(At(900));
+    const auto changes = registry.TakeStoreChanges();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
+    CPPUNIT_ASSERT(changes[0].mRemoved && changes[1].mRemoved);
+    registry.StoreAgain(At(20000));
+    CPPUNIT_ASSERT(registry.TakeStoreChanges().empty());
+  }
+
   // Guards against the records of cleared requests taking the room of suspects.
   void ClearancesOfUnknownRequestsAreForgottenSoon()
   {
--- a/tests/usage/ReturnedStoreTests.cpp
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -1,6 +1,8 @@
 #include "GatewayTestCluster.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <map>
 #include <string>
 #include <thread>
 
@@ -23,6 +25,7 @@
   CPPUNIT_TEST(ALowerNumberAfterTheReturnIsInForceInTime);
   CPPUNIT_TEST(RoutesAndKeysDoNotComeBackWithTheCopy);
   CPPUNIT_TEST(AHostThatTheStoreTurnsAwayLearnsOfTheReturn);
+  CPPUNIT_TEST(StreamsWhoseOriginsWereLostGoOnAfterAllHostsHaveRestarted);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,7 +125,59 @@
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, kTurnedAway, "plain"));
   }
 
+  // Guards against refusals of streams of two software versions when the store
+  // has lost where they began, and all hosts that knew it end after its return.
+  void StreamsWhoseOriginsWereLostGoOnAfterAllHostsHaveRestarted()
+  {
+    constexpr int kStreams = 4;
+    constexpr milliseconds kSpreadTime(1000);
+    GatewayTestCluster::Options options = Options();
+    options.mRunners = 4;
+    options.mVersions = { "v1", "v1", "v2", "v2" };
+    GatewayTestCluster cluster(options);
+    std::this_thread::sleep_for(kSpreadTime);
+    cluster.KeepCopyOfStore();
+    cluster.SetAllModes(RunnerMode::SlowTruncatedStream);
+    for (int n = 0; n < kStreams; ++n) {
+      cluster.Gateway(0).CallAndDisconnect(
+        GatewayTestCluster::Request("/stream/", "s" + std::to_string(n)));
+    }
+    cluster.SetAllModes(RunnerMode::Serve);
+    std::this_thread::sleep_for(kSpreadTime);
+    const auto begun = VersionsByRequest(cluster);
+    Fill(cluster);
+    cluster.ReturnFromCopy();
+    std::this_thread::sleep_for(kApplyTime);
+    for (int host = 0; host < kGateways; ++host) {
+      cluster.Gateway(static_cast<std::size_t>(host)).Signal(SIGKILL);
+      cluster.Gateway(static_cast<std::size_t>(host)).AwaitExit();
+    }
+    for (int host = 0; host < kGateways; ++host) {
+      cluster.Gateway(static_cast<std::size_t>(host)).Start();
+    }
+    cluster.AwaitReady();
+    for (int n = 0; n < kStreams; ++n) {
+      const std::string stream = "s" + std::to_string(n);
+      const std::string id = "t" + std::to_string(n);
+      const auto answer = cluster.Gateway(1).Call(GatewayTestCluster::Request(
+        "/stream/", id, "Last-Event-Id: 1\r\nResumes: " + stream + "\r\n"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(stream, 200, answer.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(begun.at(stream), VersionsByRequest(cluster).at(id));
+    }
+  }
+
 private:
+  // Software version of the last run of each request.
+  static std::map<std::string, std::string> VersionsByRequest(
+    GatewayTestCluster& aCluster)
+  {
+    std::map<std::string, std::string> versions;
+    for (const auto& it : aCluster.Runs()) {
+      versions[*it.mHead.Find("X-Request-Id")] = it.mVersion;
+    }
+    return versions;
+  }
+
   static GatewayTestCluster::Options Options()
   {
     GatewayTestCluster::Options options;
