--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -805,6 +805,8 @@
   mTimer.Clear();
   std::string().swap(mUnparsedInput);
   mHeldInput.Resize(0);
+  // What was received of the request is no longer counted in mHeldRequest.
+  mReader.Next();
   mSocket->CloseGracefully();
 }
 
--- a/tests/usage/CallerPauseTests.cpp
+++ b/tests/usage/CallerPauseTests.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -39,6 +40,7 @@
   CPPUNIT_TEST(BytesThatArriveBeforeTheyAreReadLeaveTheHostItsMemory);
   CPPUNIT_TEST(ManyBodiesLeaveTheHostItsMemory);
   CPPUNIT_TEST(ManyRunningRequestsLeaveTheHostItsMemory);
+  CPPUNIT_TEST(RefusedHeadsLeaveTheHostItsMemory);
   CPPUNIT_TEST(RequestsBeyondTheMemoryAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -195,6 +197,20 @@
                         true);
   }
 
+  // Guards against a host that ends because connections keep what was received
+  // of a refused request until their callers close them.
+  void RefusedHeadsLeaveTheHostItsMemory()
+  {
+    TestLimits limits;
+    limits.mHeadBytes = 30000;
+    ExpectServiceBeside(2800,
+                        std::string(40000, 'x'),
+                        RunnerMode::Serve,
+                        true,
+                        kTinyHostMb,
+                        limits);
+  }
+
   // Guards against running more requests than there is memory for, and against
   // giving up the answers to others because of them.
   void RequestsBeyondTheMemoryAreRefused()
@@ -239,14 +255,21 @@
   // Sends the same bytes on many connections to a host with little memory,
   // which may stand still meanwhile, and expects that another request is
   // answered beside them.
-  static void ExpectServiceBeside(int aConnections,
-                                  const std::string& aBytes,
-                                  RunnerMode aMode,
-                                  bool aStandsStill = false)
+  static void ExpectServiceBeside(
+    int aConnections,
+    const std::string& aBytes,
+    RunnerMode aMode,
+    bool aStandsStill = false,
+    int aMemoryMb = kSmallHostMb,
+    const std::optional<TestLimits>& aLimits = std::nullopt)
   {
     GatewayTestCluster::Options options;
-    options.mSettings.mMemoryMb = kSmallHostMb;
+    options.mSettings.mMemoryMb = aMemoryMb;
     GatewayTestCluster cluster(options);
+    if (aLimits) {
+      cluster.SetCallerLimits(*aLimits);
+      cluster.Configure("key");
+    }
     cluster.SetAllModes(aMode);
     std::vector<std::unique_ptr<CallerChannel>> channels;
     for (int n = 0; n < aConnections; ++n) {
