Don't take back a removed target that another host tells of late

A host that had read the complete table of targets used a target that was removed before, for good: another host's answer, sent before the removal, came after that read, and nothing told of the removal any more. It needs an answer on its way while the complete table is read, as at the start of a host and at the beginning of an era of the store.

Cause: only rows that are known were compared by version. All rows up to the version of the table have been read, so one of another host that is not newer and not known has been removed. Ruled out: rows of an earlier era.

StoreEraTests::ATargetThatWasRemovedIsNotToldBack failed before and passes now.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -210,9 +210,17 @@
   const Time now = EventLoop::Now();
   mTargetsChanged = false;
   std::vector<std::string> names;
+  const std::int64_t known = mEntries.Version();
   for (const StoreRow& it : aRows) {
     names.push_back(it.mKey);
-    ApplyTargetRow(it, aSource);
+    // All rows up to the known version have been read. One that is not among
+    // them has been removed, of which another host tells late.
+    const bool wasRemoved = aSource != RowSource::Store &&
+                            it.mVersion <= known &&
+                            mTargetRows.count(it.mKey) == 0;
+    if (!wasRemoved) {
+      ApplyTargetRow(it, aSource);
+    }
   }
   // A snapshot older than the known version says nothing about newer entries.
   if (aIsSnapshot && aVersion >= mEntries.Version()) {
--- a/tests/introspective/StoreEraTests.cpp
+++ b/tests/introspective/StoreEraTests.cpp
@@ -119,6 +119,7 @@
   CPPUNIT_TEST(RowsOfAnotherEraAreNotTaken);
   CPPUNIT_TEST(TargetsThatAreGoneDoNotComeBackWithTheStore);
   CPPUNIT_TEST(TargetsThatTheStoreHasLostStayForAWhile);
+  CPPUNIT_TEST(ATargetThatWasRemovedIsNotToldBack);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -362,6 +363,25 @@
     host.ReadTarget("ready", 910, false);
     CPPUNIT_ASSERT(host.mFleet.Locate("t") != nullptr);
   }
+
+  // Guards against a target that is used for good, as another host has told of
+  // it late: it was removed before the complete table was read here.
+  void ATargetThatWasRemovedIsNotToldBack()
+  {
+    Host host;
+    host.ReadConfiguration("r", 14, 5);
+    host.mFleet.ApplyRows(StoreTable::Targets, {}, true, 12, RowSource::Store);
+    const auto tell = [&host](int aVersion) {
+      host.mFleet.ApplyRows(StoreTable::Targets,
+                            { { "t", TargetRow("ready"), aVersion } },
+                            false,
+                            aVersion,
+                            RowSource::Peer);
+      return host.mFleet.Locate("t") != nullptr;
+    };
+    CPPUNIT_ASSERT(!tell(11));
+    CPPUNIT_ASSERT(tell(13));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreEraTests);
