Check hosts in random histories of a store that returns

Hosts are Fleet objects, the store and the watching of its tables are small models. After all that is true has been written again, each host routes by what a host that starts then reads, and no configuration gives way to one with a lower number.

HostsEndUpWithWhatTheStoreHas (hosts that only read the store) and AConfigurationDoesNotGoBackWithOtherHosts pass. The latter counts only with the store's count: without it, a host that has read nothing of what was lost takes a row of it from another host until it reads again.

--- a/tests/introspective/StoreEraTests.cpp
+++ b/tests/introspective/StoreEraTests.cpp
@@ -1,8 +1,14 @@
+#include "Property.h"
+
 #include "core/StoreEra.h"
 #include "core/TargetEntries.h"
 #include "gateway/Fleet.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -98,6 +104,438 @@
   return entry;
 }
 
+constexpr StoreTable kTables[] = { StoreTable::Configuration,
+                                   StoreTable::Targets };
+
+// A store that keeps copies of itself and comes back from them.
+class ModelStore
+{
+public:
+  explicit ModelStore(bool aTellsCount)
+  {
+    if (aTellsCount) {
+      mCount = 3;
+    }
+    KeepCopy();
+  }
+
+  void Put(StoreTable aTable, const std::string& aKey, std::string aValue)
+  {
+    mTables[aTable][aKey] = { aKey, std::move(aValue), ++mVersion };
+  }
+
+  void Remove(StoreTable aTable, const std::string& aKey)
+  {
+    const auto row = mTables[aTable].find(aKey);
+    if (row != mTables[aTable].end() && !row->second.mRemoved) {
+      row->second.mRemoved = true;
+      row->second.mVersion = ++mVersion;
+    }
+  }
+
+  void KeepCopy()
+  {
+    mCopiedTables = mTables;
+    mCopiedVersion = mVersion;
+    Skip();
+  }
+
+  void Return()
+  {
+    mTables = mCopiedTables;
+    mVersion = mCopiedVersion;
+    if (mCount) {
+      ++*mCount;
+    }
+    Skip();
+  }
+
+  std::optional<std::int64_t> Count() const { return mCount; }
+  std::int64_t Version() const { return mVersion; }
+
+  // All rows, or the changes after a version if it is not 0.
+  std::vector<StoreRow> Rows(StoreTable aTable, std::int64_t aAfter) const
+  {
+    std::vector<StoreRow> rows;
+    const auto table = mTables.find(aTable);
+    if (table != mTables.end()) {
+      for (const auto& it : table->second) {
+        if (it.second.mVersion > aAfter &&
+            (aAfter != 0 || !it.second.mRemoved)) {
+          rows.push_back(it.second);
+        }
+      }
+    }
+    return rows;
+  }
+
+private:
+  using Tables = std::map<StoreTable, std::map<std::string, StoreRow>>;
+
+  // Rows of others are written. A store that returns does not reach the
+  // versions that it has lost.
+  void Skip()
+  {
+    mVersion += mSkip;
+    mSkip = std::max<std::int64_t>(mSkip / 4, 1);
+  }
+
+  Tables mTables;
+  Tables mCopiedTables;
+  std::int64_t mVersion = 10;
+  std::int64_t mCopiedVersion = 10;
+  std::int64_t mSkip = std::int64_t(1) << 60;
+  std::optional<std::int64_t> mCount;
+};
+
+// One host that reads a store and asks other hosts, and whose answers may be
+// late.
+class ModelHost
+{
+public:
+  ModelHost()
+    : mFleet(mLoop, GatewaySettings())
+  {
+    mFleet.AddEraCallback([this] {
+      // Calls in progress are given up.
+      mWatches.clear();
+      mCalls.clear();
+    });
+  }
+
+  // The store performs a read, whose answer is on its way.
+  void Call(const ModelStore& aStore, StoreTable aTable)
+  {
+    if (mCalls.count(aTable) != 0) {
+      return;
+    }
+    std::int64_t& watch = mWatches[aTable];
+    StoreCall call;
+    call.mComplete = watch == 0;
+    call.mKnown = std::max(watch, mFleet.Version(aTable));
+    watch = call.mComplete ? 0 : call.mKnown;
+    call.mCount = aStore.Count();
+    call.mVersion = aStore.Version();
+    call.mIsExpired = watch > aStore.Version();
+    call.mRows = aStore.Rows(aTable, watch);
+    mCalls.emplace(aTable, std::move(call));
+  }
+
+  void Deliver(StoreTable aTable)
+  {
+    const auto found = mCalls.find(aTable);
+    if (found == mCalls.end()) {
+      return;
+    }
+    const StoreCall call = std::move(found->second);
+    mCalls.erase(found);
+    if (mFleet.OnStoreAnswer(
+          { call.mCount, call.mComplete ? call.mVersion : 0, call.mKnown })) {
+      return;
+    }
+    if (call.mIsExpired) {
+      mWatches[aTable] = 0;
+      return;
+    }
+    mFleet.ApplyRows(
+      aTable, call.mRows, call.mComplete, call.mVersion, RowSource::Store);
+    mWatches[aTable] = call.mVersion;
+  }
+
+  // Another host answers a query, and learns of this host's era.
+  void Ask(ModelHost& aOther)
+  {
+    const bool isComparable = aOther.mFleet.OnEraTold(Era());
+    Told told;
+    told.mEra = aOther.Era();
+    told.mSource =
+      aOther.mFleet.IsStoreSynced() ? RowSource::SyncedPeer : RowSource::Peer;
+    for (const StoreTable table : kTables) {
+      const std::int64_t after = isComparable ? mFleet.Version(table) : 0;
+      told.mVersions[table] = aOther.mFleet.Version(table);
+      for (const auto& it : aOther.mFleet.Rows(table)) {
+        if (it.second.mVersion > after) {
+          told.mRows[table].push_back(it.second);
+        }
+      }
+    }
+    mTold.push_back(std::move(told));
+  }
+
+  void Hear()
+  {
+    if (mTold.empty()) {
+      return;
+    }
+    Told told = std::move(mTold.front());
+    mTold.pop_front();
+    if (!mFleet.OnEraTold(told.mEra)) {
+      return;
+    }
+    for (const StoreTable table : kTables) {
+      const auto& rows = told.mRows[table];
+      const bool isWhole = table == StoreTable::Targets && !rows.empty() &&
+                           mFleet.Version(table) == 0;
+      mFleet.ApplyRows(
+        table, rows, isWhole, told.mVersions[table], told.mSource);
+    }
+  }
+
+  // Answers on their way arrive, and those to another read of each table.
+  void Read(const ModelStore& aStore)
+  {
+    for (const StoreTable table : kTables) {
+      Deliver(table);
+      Call(aStore, table);
+      Deliver(table);
+    }
+  }
+
+  // All answers arrive, and no more is to be read.
+  void CatchUp(const ModelStore& aStore)
+  {
+    constexpr int kReads = 6;
+    while (!mTold.empty()) {
+      Hear();
+    }
+    for (int n = 0; n < kReads; ++n) {
+      Read(aStore);
+    }
+  }
+
+  // Another host, where the targets' time to register again is over, has passed
+  // on all changes.
+  void ConfirmRemovals(const ModelStore& aStore)
+  {
+    mFleet.ApplyRows(
+      StoreTable::Targets, {}, false, aStore.Version(), RowSource::SyncedPeer);
+  }
+
+  std::int64_t Number() const
+  {
+    return mFleet.Routing() == nullptr ? 0 : mFleet.Routing()->mVersion;
+  }
+
+  // What requests are routed by.
+  std::string State(const std::vector<std::string>& aTargets)
+  {
+    std::string state = std::to_string(Number());
+    for (const std::string& it : aTargets) {
+      const TargetLocation* location = mFleet.Locate(it);
+      if (location != nullptr) {
+        state += " " + it + "/" + location->mIncarnation +
+                 (mFleet.Targets().IsLeaving(it) ? "/leaving" : "");
+      }
+    }
+    return state;
+  }
+
+private:
+  struct StoreCall
+  {
+    bool mComplete = false;
+    bool mIsExpired = false;
+    std::int64_t mKnown = 0;
+    std::optional<std::int64_t> mCount;
+    std::int64_t mVersion = 0;
+    std::vector<StoreRow> mRows;
+  };
+
+  struct Told
+  {
+    std::optional<StoreEra> mEra;
+    RowSource mSource = RowSource::Peer;
+    std::map<StoreTable, std::int64_t> mVersions;
+    std::map<StoreTable, std::vector<StoreRow>> mRows;
+  };
+
+  // The era as it is told: nothing before one is known.
+  std::optional<StoreEra> Era() const
+  {
+    return mFleet.Era() == StoreEra() ? std::nullopt
+                                      : std::make_optional(mFleet.Era());
+  }
+
+  EventLoop mLoop;
+  Fleet mFleet;
+  // Version of each table from which on changes are read; 0 for all rows.
+  std::map<StoreTable, std::int64_t> mWatches;
+  std::map<StoreTable, StoreCall> mCalls;
+  std::deque<Told> mTold;
+};
+
+// A store, what operators and targets write there, and hosts that read it.
+class ModelFleet
+{
+public:
+  static constexpr std::size_t kHosts = 3;
+
+  // Number of different steps: of some kind, with two hosts or a target.
+  static constexpr int kKinds = 18;
+  static constexpr int kSteps = kKinds * static_cast<int>(kHosts * kHosts);
+
+  ModelFleet(bool aTellsCount, bool aAsksOthers)
+    : mStore(aTellsCount)
+    , mAsksOthers(aAsksOthers)
+  {
+    for (std::size_t n = 0; n < kHosts; ++n) {
+      mHosts.push_back(std::make_unique<ModelHost>());
+    }
+    WriteConfiguration();
+    CatchUp();
+  }
+
+  // Performs the step of a number below kSteps.
+  void Step(int aNumber)
+  {
+    const auto number = static_cast<std::size_t>(aNumber);
+    const auto kind = aNumber / static_cast<int>(kHosts * kHosts);
+    const std::size_t first = number / kHosts % kHosts;
+    const std::size_t second = number % kHosts;
+    const std::string& name = mNames[first];
+    Target& target = mTargets[name];
+    ModelHost& host = *mHosts[first];
+    const StoreTable table = kTables[second % 2];
+    if (kind == 0) {
+      ++mNumber;
+      WriteConfiguration();
+    } else if (kind == 1) {
+      WriteConfiguration();
+    } else if (kind == 2) {
+      // A start, unless the target runs already.
+      if (!target.mLives || target.mLeaving) {
+        target = { true, false, target.mBorn + 1 };
+      }
+      Register(name);
+    } else if (kind == 3) {
+      target.mLeaving = true;
+      Register(name);
+    } else if (kind == 4) {
+      target.mLives = false;
+      mStore.Remove(StoreTable::Targets, name);
+    } else if (kind == 5 && mDrills < kMaxDrills) {
+      ++mDrills;
+      mStore.KeepCopy();
+    } else if (kind == 6 && mDrills < kMaxDrills) {
+      ++mDrills;
+      mStore.Return();
+    } else if (kind == 7 && mAsksOthers) {
+      host.Ask(*mHosts[second]);
+    } else if (kind == 8) {
+      host.Hear();
+    } else if (kind <= 10) {
+      host.Call(mStore, table);
+    } else if (kind <= 12) {
+      host.Deliver(table);
+    } else {
+      host.Read(mStore);
+    }
+  }
+
+  // All that is true is written again, twice as each target does in time, and
+  // read.
+  void Settle()
+  {
+    for (int n = 0; n < 2; ++n) {
+      WriteConfiguration();
+      for (const std::string& it : mNames) {
+        if (mTargets[it].mLives) {
+          Register(it);
+        } else {
+          mStore.Remove(StoreTable::Targets, it);
+        }
+      }
+      CatchUp();
+    }
+    for (const auto& asking : mHosts) {
+      for (const auto& asked : mHosts) {
+        if (mAsksOthers) {
+          asking->Ask(*asked);
+        }
+      }
+    }
+    CatchUp();
+    for (const auto& it : mHosts) {
+      it->ConfirmRemovals(mStore);
+    }
+  }
+
+  std::vector<std::int64_t> Numbers() const
+  {
+    std::vector<std::int64_t> numbers;
+    for (const auto& it : mHosts) {
+      numbers.push_back(it->Number());
+    }
+    return numbers;
+  }
+
+  std::vector<std::string> States() const
+  {
+    std::vector<std::string> states;
+    for (const auto& it : mHosts) {
+      states.push_back(it->State(mNames));
+    }
+    return states;
+  }
+
+  // State of a host that starts now.
+  std::string NewState() const
+  {
+    ModelHost host;
+    host.CatchUp(mStore);
+    return host.State(mNames);
+  }
+
+private:
+  // Copies and returns after which the store still skips versions.
+  static constexpr int kMaxDrills = 20;
+
+  struct Target
+  {
+    bool mLives = false;
+    bool mLeaving = false;
+    int mBorn = 0;
+  };
+
+  void WriteConfiguration()
+  {
+    mStore.Put(StoreTable::Configuration,
+               platform::kConfigurationKey,
+               Configuration("r" + std::to_string(mNumber), mNumber));
+  }
+
+  // A target that does not live writes nothing.
+  void Register(const std::string& aName)
+  {
+    const Target& target = mTargets[aName];
+    if (target.mLives) {
+      mStore.Put(StoreTable::Targets,
+                 aName,
+                 R"({"Service":"s","Address":"127.0.0.1:8)" + aName.substr(1) +
+                   R"(","Zone":"a","Version":"v1","Slots":4,"Sequence":)" +
+                   std::to_string(++mSequence) + R"(,"born":)" +
+                   std::to_string(target.mBorn) + R"(,"State":")" +
+                   (target.mLeaving ? "draining" : "ready") + "\"}");
+    }
+  }
+
+  void CatchUp()
+  {
+    for (const auto& it : mHosts) {
+      it->CatchUp(mStore);
+    }
+  }
+
+  ModelStore mStore;
+  bool mAsksOthers;
+  std::vector<std::unique_ptr<ModelHost>> mHosts;
+  std::vector<std::string> mNames = { "t1", "t2", "t3" };
+  std::map<std::string, Target> mTargets;
+  int mNumber = 1;
+  int mSequence = 0;
+  int mDrills = 0;
+};
+
 } // namespace
 
 // A store that comes back from an older copy and gives its versions out again.
@@ -120,6 +558,9 @@
   CPPUNIT_TEST(TargetsThatAreGoneDoNotComeBackWithTheStore);
   CPPUNIT_TEST(TargetsThatTheStoreHasLostStayForAWhile);
   CPPUNIT_TEST(ATargetThatWasRemovedIsNotToldBack);
+  CPPUNIT_TEST(HostsEndUpWithWhatTheStoreHas);
+  CPPUNIT_TEST(AConfigurationDoesNotGoBackWithOtherHosts);
+  CPPUNIT_TEST(HostsThatAskOthersEndUpWithWhatTheStoreHas);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -382,6 +823,64 @@
     CPPUNIT_ASSERT(!tell(11));
     CPPUNIT_ASSERT(tell(13));
   }
+
+  // Guards against hosts that keep something of before a return, or go back
+  // with the store, in whatever order returns, writes and late answers come.
+  void HostsEndUpWithWhatTheStoreHas()
+  {
+    CheckReturns("hosts that read the store follow it", false, true);
+  }
+
+  // The same for the numbers of configurations where hosts ask each other.
+  void AConfigurationDoesNotGoBackWithOtherHosts()
+  {
+    CheckReturns("configurations do not go back", true, false);
+  }
+
+  // Guards against hosts that keep something of before a return because of what
+  // other hosts tell, early or late.
+  void HostsThatAskOthersEndUpWithWhatTheStoreHas()
+  {
+    CheckReturns("hosts that ask others follow the store", true, true);
+  }
+
+private:
+  // Checks hosts in random histories of a store.
+  static void CheckReturns(const std::string& aName,
+                           bool aAsksOthers,
+                           bool aComparesStates)
+  {
+    // Steps of the longest history.
+    constexpr int kSteps = 150;
+    CheckProperty(aName, [=] {
+      const bool tellsCount = *rc::gen::arbitrary<bool>();
+      ModelFleet fleet(tellsCount, aAsksOthers);
+      const auto numbers =
+        *rc::gen::resize(kSteps,
+                         rc::gen::container<std::vector<int>>(
+                           rc::gen::inRange(0, ModelFleet::kSteps)));
+      auto before = fleet.Numbers();
+      const auto check = [&] {
+        const auto now = fleet.Numbers();
+        for (std::size_t n = 0; n < now.size(); ++n) {
+          // Without the count, a host that has read nothing of what was lost
+          // can't tell a row of it from a later one until it reads again.
+          RC_ASSERT((aAsksOthers && !tellsCount) || now[n] >= before[n]);
+        }
+        before = now;
+      };
+      for (const int it : numbers) {
+        fleet.Step(it);
+        check();
+      }
+      fleet.Settle();
+      check();
+      const std::string expected = fleet.NewState();
+      for (const std::string& it : fleet.States()) {
+        RC_ASSERT(!aComparesStates || it == expected);
+      }
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreEraTests);
