Test two returns of the store in a row, a start while it is away, a revoked key

Three tests with processes: a store that is away and comes back twice from the same copy, a host that is killed and starts while the store is away and comes back without what it had acknowledged, and a key whose revocation the store has lost, which stays refused (401) before and after the operators write again.

--- a/tests/usage/ReturnedStoreTests.cpp
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -26,6 +26,9 @@
   CPPUNIT_TEST(RoutesAndKeysDoNotComeBackWithTheCopy);
   CPPUNIT_TEST(AHostThatTheStoreTurnsAwayLearnsOfTheReturn);
   CPPUNIT_TEST(StreamsWhoseOriginsWereLostGoOnAfterAllHostsHaveRestarted);
+  CPPUNIT_TEST(ChangesAfterTwoReturnsInARowAreInForceInTime);
+  CPPUNIT_TEST(AHostThatStartsWhileTheStoreIsAwayFollowsTheReturn);
+  CPPUNIT_TEST(ARevokedKeyStaysRevoked);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,7 +169,102 @@
     }
   }
 
+  // Guards against hosts that follow the first return only.
+  void ChangesAfterTwoReturnsInARowAreInForceInTime()
+  {
+    GatewayTestCluster cluster(Options());
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    AddRoute(configuration, "first");
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100001));
+    for (int n = 0; n < 2; ++n) {
+      SetStoreAccess(cluster, StoreAccess::Unavailable);
+      cluster.ReturnFromCopy();
+      std::this_thread::sleep_for(milliseconds(500));
+      SetStoreAccess(cluster, StoreAccess::Serve);
+      std::this_thread::sleep_for(kApplyTime / 2);
+    }
+    cluster.Write(configuration, 100001);
+    AddRoute(configuration, "second");
+    cluster.Write(configuration, 100002);
+    std::this_thread::sleep_for(kApplyTime);
+    for (int host = 0; host < kGateways; ++host) {
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "first"));
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "second"));
+    }
+  }
+
+  // Guards against a host that knows of no return, as it started after the
+  // store had gone, and compares versions of before it.
+  void AHostThatStartsWhileTheStoreIsAwayFollowsTheReturn()
+  {
+    constexpr int kStarted = 1;
+    GatewayTestCluster cluster(Options());
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    AddRoute(configuration, "first");
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100001));
+    SetStoreAccess(cluster, StoreAccess::Unavailable);
+    cluster.Gateway(kStarted).Restart();
+    cluster.AwaitReady();
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, kStarted, "first"));
+    cluster.ReturnFromCopy();
+    SetStoreAccess(cluster, StoreAccess::Serve);
+    cluster.Write(configuration, 100001);
+    AddRoute(configuration, "second");
+    cluster.Write(configuration, 100002);
+    std::this_thread::sleep_for(kApplyTime);
+    for (int host = 0; host < kGateways; ++host) {
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "first"));
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "second"));
+    }
+  }
+
+  // Guards against a key that is good again, as the store has lost that it was
+  // revoked.
+  void ARevokedKeyStaysRevoked()
+  {
+    GatewayTestCluster cluster(Options());
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, 0, "plain"));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    configuration.mWorkspaces = { { "w", { "other" }, 1 } };
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100001));
+    cluster.ReturnFromCopy();
+    const auto check = [&cluster] {
+      for (int n = 0; n < 15; ++n) {
+        CPPUNIT_ASSERT_EQUAL(401, StatusOf(cluster, n % kGateways, "plain"));
+        std::this_thread::sleep_for(milliseconds(200));
+      }
+    };
+    check();
+    cluster.Write(configuration, 100001);
+    // Beyond the time for which a lower number is held back.
+    check();
+  }
+
 private:
+  static void AddRoute(TestConfiguration& aConfiguration,
+                       const std::string& aName)
+  {
+    TestRoute route = aConfiguration.RouteOf("plain");
+    route.mName = aName;
+    aConfiguration.mRoutes.push_back(route);
+  }
+
+  static void SetStoreAccess(GatewayTestCluster& aCluster, StoreAccess aAccess)
+  {
+    for (std::size_t host = 0; host < kGateways; ++host) {
+      aCluster.SetStoreAccess(aAccess, host);
+    }
+  }
+
   // Software version of the last run of each request.
   static std::map<std::string, std::string> VersionsByRequest(
     GatewayTestCluster& aCluster)
