Tell hosts of targets that were removed before this host knew them (DRAIN)

A host that reads the store for others used to tell only the rows since a version. One that had started, or read the complete table again, after a target's removal did not know of it, so a host that asked it with an older version took its own table for complete and used the target for good. Found by random histories of a returning store; it needs no return, only a reader that starts at that moment.

Such a reader tells all rows and says so; the asker drops what is not among them. Older builds ignore that and behave as before.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -225,6 +225,9 @@
   // A snapshot older than the known version says nothing about newer entries.
   if (aIsSnapshot && aVersion >= mEntries.Version()) {
     mTargetsChanged |= mEntries.OnSnapshot(names, aVersion, now);
+    // What was removed since the version known here, but never known, is not
+    // among the rows.
+    mRemovalsKnownSince = std::max(mRemovalsKnownSince, aVersion);
     MarkMissingRemoved(mTargetRows, names, aVersion);
     if (!mTargetsKnown) {
       mTargetsKnown = true;
@@ -329,6 +332,7 @@
   mConfigurationVersion = 0;
   mHostsVersion = 0;
   mSuspectsVersion = 0;
+  mRemovalsKnownSince = 0;
   mEntries.BeginEra(now);
   mExpiryTimer.ScheduleAt(mEntries.NextExpiry());
   for (auto* rows : { &mConfigurationRows, &mTargetRows, &mHostRows }) {
@@ -733,6 +737,7 @@
     }
     if (mTargetRows.size() > kMaxTargetRows) {
       mTargetRows.erase(aRow.mKey);
+      mRemovalsKnownSince = std::max(mRemovalsKnownSince, aRow.mVersion);
     }
     return;
   }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -174,6 +174,10 @@
   // before it has been read in it.
   std::int64_t Version(platform::StoreTable aTable) const;
 
+  // Version from which on all removals of targets are known here, so that the
+  // rows since tell them.
+  std::int64_t TargetRemovalsKnownSince() const { return mRemovalsKnownSince; }
+
   // Era of the store in which the versions are.
   const StoreEra& Era() const { return mEra.Era(); }
 
@@ -348,6 +352,7 @@
   };
   std::map<std::string, HeardAddress> mHeardAddresses;
   std::int64_t mConfigurationVersion = 0;
+  std::int64_t mRemovalsKnownSince = 0;
   std::int64_t mHostsVersion = 0;
   std::int64_t mSuspectsVersion = 0;
   bool mTargetsKnown = false;
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -54,6 +54,10 @@
 // versions are. Omitted while the store has had one only.
 constexpr char kEraField[] = "era";
 
+// Member of a table that has all rows, whatever was asked for, as the host does
+// not know all that was removed since the version in the query.
+constexpr char kWholeField[] = "whole";
+
 // Response field with the software versions by service, for a host that asks
 // for them with the query parameter of the same name. Omitted by a host whose
 // own history of versions is incomplete.
@@ -280,10 +284,17 @@
   }
   for (const auto& it : kTables) {
     // A host of another era, or of a build that knows none, gets all rows.
-    const std::int64_t after =
+    std::int64_t after =
       isComparable ? ParseQueryNumber(aHead.mTarget, it.first) : 0;
+    const bool isWhole = it.second == StoreTable::Targets &&
+                         after < mFleet.TargetRemovalsKnownSince();
+    after = isWhole ? 0 : after;
     writer.Key(it.first);
     writer.StartObject();
+    if (isWhole) {
+      writer.Key(kWholeField);
+      writer.Bool(true);
+    }
     writer.Key("version");
     writer.Int64(mFleet.Version(it.second));
     writer.Key("rows");
@@ -558,9 +569,14 @@
         mFleet.ReportUnreadable(aPeer, it.first);
       }
     }
+    const auto wholeField = table->value.FindMember(kWholeField);
+    const bool isSaidWhole = wholeField != table->value.MemberEnd() &&
+                             wholeField->value.IsBool() &&
+                             wholeField->value.GetBool();
     // Asked with no version of this era, a host tells all rows.
-    const bool whole = it.second == StoreTable::Targets && !rows.empty() &&
-                       (aAllTargets || mFleet.Version(it.second) == 0);
+    const bool whole =
+      it.second == StoreTable::Targets && !rows.empty() &&
+      (isSaidWhole || aAllTargets || mFleet.Version(it.second) == 0);
     mFleet.ApplyRows(it.second,
                      rows,
                      whole,
--- a/tests/introspective/StoreEraTests.cpp
+++ b/tests/introspective/StoreEraTests.cpp
@@ -251,7 +251,12 @@
     told.mSource =
       aOther.mFleet.IsStoreSynced() ? RowSource::SyncedPeer : RowSource::Peer;
     for (const StoreTable table : kTables) {
-      const std::int64_t after = isComparable ? mFleet.Version(table) : 0;
+      std::int64_t after = isComparable ? mFleet.Version(table) : 0;
+      if (table == StoreTable::Targets &&
+          after < aOther.mFleet.TargetRemovalsKnownSince()) {
+        after = 0;
+        told.mHasAllTargets = true;
+      }
       told.mVersions[table] = aOther.mFleet.Version(table);
       for (const auto& it : aOther.mFleet.Rows(table)) {
         if (it.second.mVersion > after) {
@@ -275,7 +280,7 @@
     for (const StoreTable table : kTables) {
       const auto& rows = told.mRows[table];
       const bool isWhole = table == StoreTable::Targets && !rows.empty() &&
-                           mFleet.Version(table) == 0;
+                           (told.mHasAllTargets || mFleet.Version(table) == 0);
       mFleet.ApplyRows(
         table, rows, isWhole, told.mVersions[table], told.mSource);
     }
@@ -343,6 +348,7 @@
 
   struct Told
   {
+    bool mHasAllTargets = false;
     std::optional<StoreEra> mEra;
     RowSource mSource = RowSource::Peer;
     std::map<StoreTable, std::int64_t> mVersions;
