--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -259,6 +259,9 @@
   explicit EraHost(bool aIsFirst)
     : mFleet(mLoop, GatewaySettings())
   {
+    // Versions that can be compared with what is told.
+    mFleet.ApplyRows(
+      platform::StoreTable::Hosts, {}, true, 70, RowSource::Store);
     if (!aIsFirst) {
       mFleet.OnEraTold(kRecordedEra);
     }
