Wait for a settings file that is being written when a process starts (FAULT)

A host did not start when it was started while its settings file was written: it read a part of it and ended with exit code 2.

Cause: the file was read once.

--- a/src/quetzalquay/programs/quetzal-gateway.cpp
+++ b/src/quetzalquay/programs/quetzal-gateway.cpp
@@ -4,7 +4,36 @@
 #include "platform/PlatformSettings.h"
 #include "programs/Program.h"
 
+#include <chrono>
 #include <cstdlib>
+#include <thread>
+
+namespace quetzalquay {
+
+namespace {
+
+// Time for which a process that starts waits for a settings file that it can
+// use, and the interval at which it tries.
+constexpr auto kSettingsWait = std::chrono::seconds(2);
+constexpr auto kSettingsRetryInterval = std::chrono::milliseconds(50);
+
+// Loads the settings; a file that cannot be used may be just being written.
+// Returns nothing and sets aReason if it stays so.
+std::optional<GatewaySettings>
+AwaitGatewaySettings(const std::string& aPath, std::string& aReason)
+{
+  const auto end = std::chrono::steady_clock::now() + kSettingsWait;
+  auto settings = LoadGatewaySettings(aPath, aReason);
+  while (!settings && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kSettingsRetryInterval);
+    settings = LoadGatewaySettings(aPath, aReason);
+  }
+  return settings;
+}
+
+} // namespace
+
+} // namespace quetzalquay
 
 int
 main(int aArgc, char** aArgv)
@@ -23,7 +52,9 @@
     return exitCode;
   }
   std::string reason;
-  auto settings = LoadGatewaySettings(options->mSettingsFile, reason);
+  auto settings = options->mCheckOnly
+                    ? LoadGatewaySettings(options->mSettingsFile, reason)
+                    : AwaitGatewaySettings(options->mSettingsFile, reason);
   if (!settings) {
     PrintError(kName, reason);
     return ExitBadUsage;
--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(AHostServesWhileItsMetricsPortIsTaken);
   CPPUNIT_TEST(AHostThatWaitsForItsAddressCanBeStopped);
   CPPUNIT_TEST(AHostServesOnWhenTheFileOfItsLogIsFull);
+  CPPUNIT_TEST(AHostStartsWhileItsSettingsAreWritten);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,24 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
   }
 
+  // Guards against a process that ends at its start because its settings file
+  // is written in that moment.
+  void AHostStartsWhileItsSettingsAreWritten()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    gateway.Signal(SIGKILL);
+    gateway.AwaitExit();
+    gateway.TruncateSettings();
+    gateway.Start();
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.WriteSettings();
+    cluster.AwaitReady();
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/plain/", "a")).mHead.mStatus);
+  }
+
   // Guards against a process that ends because the one that it replaces is slow
   // to die.
   void AHostWaitsForTheAddressOfItsPredecessor()
