Don't convict a sound part for two crashing bodies that share it (FAULT)

Callers whose requests had a part that only two crashing bodies used lately were refused with 422 for ten minutes, and longer while they came: the part was convicted in the bodies' place.

Cause: the set of a trial left out the request's content as soon as one of its parts had lost more runs. A part that two bodies share has the sum of their losses, so the set was the part alone, and the first lost trial convicted it.

The content now belongs to the set if it and two other suspects at most explain all losses of the part with most of them, and no three others do. The conviction then refuses the body with the part, and a request that has only the part runs as a trial of its own and clears it. Rows and messages are as before: members of a set were always hashes of either kind.

Before: ASoundPartOfTwoCrashingBodiesIsNotConvicted fails.

--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -12,9 +12,6 @@
 // losses are recognized as such.
 constexpr Duration kClearedLifetime = std::chrono::seconds(10);
 
-// Maximum number of lost runs in a record.
-constexpr std::size_t kMaxRuns = 8;
-
 // Records that are removed at once to make room for new ones.
 constexpr std::size_t kRoomMade = 500;
 
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -56,6 +56,9 @@
   // Time from the last change of a record until it expires.
   static constexpr Duration kRecordLifetime = std::chrono::minutes(10);
 
+  // Maximum number of lost runs in a record.
+  static constexpr std::size_t kMaxRuns = 8;
+
   // Maximum number of records.
   static constexpr std::size_t kMaxRecords = 10000;
 
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -3,6 +3,8 @@
 #include "core/Hash.h"
 
 #include <algorithm>
+#include <bitset>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -19,6 +21,10 @@
 // lost in, so that the death does not speak against another one alone.
 constexpr std::size_t kMinRivalLosses = 2;
 
+// Others that may have caused all losses of a part between them. If it takes
+// more of them, the part is the likelier cause.
+constexpr int kMaxRivals = 3;
+
 // Time after a death within which another request with the same parts is served
 // if the parts are sound and in use.
 constexpr Duration kServedAgainWithin = std::chrono::seconds(3);
@@ -234,16 +240,57 @@
   // it has not been lost often enough by itself.
   const std::size_t own = RunsOf(aContent.mHash, aNow).size();
   std::vector<std::uint64_t> parts;
-  std::size_t most = 0;
+  const Runs* most = nullptr;
   for (const std::uint64_t it : aContent.mParts) {
-    const std::size_t losses = RunsOf(it, aNow).size();
-    if (losses > own && !IsServedLately(it, aNow)) {
+    const Runs& runs = RunsOf(it, aNow);
+    if (runs.size() > own && !IsServedLately(it, aNow)) {
       parts.push_back(it);
-      most = std::max(most, losses);
+      most = most == nullptr || runs.size() > most->size() ? &runs : most;
+    }
+  }
+  if (most == nullptr || most->size() < kMinDeathsToRefuse) {
+    return SuspectSet(aContent.mHash);
+  }
+  // A few contents that crash targets by themselves may have caused what their
+  // sound parts have lost together.
+  std::vector<std::uint64_t> all = parts;
+  all.push_back(aContent.mHash);
+  const bool contentIsNeeded =
+    HasFewRivals(parts, *most, aNow) && !HasFewRivals(all, *most, aNow);
+  return SuspectSet(std::move(contentIsNeeded ? all : parts));
+}
+
+bool
+SuspectRegistry::HasFewRivals(const std::vector<std::uint64_t>& aSuspects,
+                              const Runs& aRuns,
+                              Time aNow) const
+{
+  // Bit n stands for the death of run n.
+  using Deaths = std::bitset<kMaxRuns>;
+  std::map<std::uint64_t, Deaths> deathsOf;
+  for (std::size_t n = 0; n < aRuns.size(); ++n) {
+    for (const std::uint64_t it : LostIn(aRuns[n].mDeath)) {
+      deathsOf[it].set(n);
+    }
+  }
+  std::set<unsigned long> ofRivals;
+  for (const auto& it : deathsOf) {
+    if (!Contains(aSuspects, it.first) && !IsServedLately(it.first, aNow)) {
+      ofRivals.insert(it.second.to_ulong());
+    }
+  }
+  // What so many rivals can have caused together.
+  std::set<unsigned long> caused = { 0 };
+  for (int rivals = 0; rivals < kMaxRivals; ++rivals) {
+    std::set<unsigned long> more = caused;
+    for (const unsigned long before : caused) {
+      for (const unsigned long it : ofRivals) {
+        more.insert(before | it);
+      }
     }
+    caused.swap(more);
   }
-  return most >= kMinDeathsToRefuse ? SuspectSet(std::move(parts))
-                                    : SuspectSet(aContent.mHash);
+  return caused.count((1UL << aRuns.size()) - 1) != 0;
 }
 
 Time
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -144,7 +144,9 @@
   bool IsSuspected(const RequestContent& aContent, Time aNow) const;
 
   // What a trial of a request is about: the parts that were lost with other
-  // requests, too, if one of them may be refused, or else the content.
+  // requests, too, if one of them may be refused, or else the content. With the
+  // parts, the content belongs to the set if it and few others may have caused
+  // what the part with most losses has lost, and those few can't without it.
   SuspectSet SuspectsOf(const RequestContent& aContent, Time aNow) const;
 
   // When the next trial of a set that the store can't record may begin. The
@@ -220,6 +222,12 @@
   void ExtendConvictions(const RequestContent& aContent, Time aNow) const;
   bool IsServedLately(std::uint64_t aPart, Time aNow) const;
 
+  // Whether few suspects other than some may between them have caused all
+  // deaths of lost runs.
+  bool HasFewRivals(const std::vector<std::uint64_t>& aSuspects,
+                    const Runs& aRuns,
+                    Time aNow) const;
+
   // Whether a suspect that a request does not have, and that was neither
   // convicted nor served lately, was lost in a death and has lost runs that
   // meet a condition.
