--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -496,6 +496,51 @@
   return peers;
 }
 
+std::optional<Duration>
+PeerLink::ReadAge(const rapidjson::Value& aMessage,
+                  const std::string& aPeer) const
+{
+  const auto field = aMessage.FindMember(kAgeField);
+  if (field == aMessage.MemberEnd()) {
+    return std::nullopt;
+  }
+  if (!field->value.IsInt64() || field->value.GetInt64() < 0 ||
+      field->value.GetInt64() > kMaxAgeMs) {
+    mFleet.ReportUnreadable(aPeer, kAgeField);
+    return std::nullopt;
+  }
+  return milliseconds(field->value.GetInt64());
+}
+
+std::optional<PeerLink::PeerTable>
+PeerLink::ReadTable(const rapidjson::Value& aTable,
+                    const char* aName,
+                    const std::string& aPeer) const
+{
+  if (!aTable.IsObject()) {
+    return std::nullopt;
+  }
+  const auto version = aTable.FindMember("version");
+  const auto list = aTable.FindMember("rows");
+  if (version == aTable.MemberEnd() || !version->value.IsInt64() ||
+      list == aTable.MemberEnd() || !list->value.IsArray()) {
+    return std::nullopt;
+  }
+  PeerTable table;
+  table.mVersion = version->value.GetInt64();
+  for (const auto& row : list->value.GetArray()) {
+    if (auto decoded = ParsePeerRow(row)) {
+      table.mRows.push_back(std::move(*decoded));
+    } else {
+      mFleet.ReportUnreadable(aPeer, aName);
+    }
+  }
+  const auto whole = aTable.FindMember(kWholeField);
+  table.mIsWhole = whole != aTable.MemberEnd() && whole->value.IsBool() &&
+                   whole->value.GetBool();
+  return table;
+}
+
 PeerLink::AppliedReply
 PeerLink::ApplyReply(const std::optional<HttpReply>& aReply,
                      bool aAllTargets,
@@ -519,15 +564,7 @@
   } else if (json.HasMember(kVersionsField)) {
     mFleet.ReportUnreadable(aPeer, kVersionsField);
   }
-  std::optional<Duration> age;
-  const auto ageField = json.FindMember(kAgeField);
-  if (ageField != json.MemberEnd() && ageField->value.IsInt64() &&
-      ageField->value.GetInt64() >= 0 &&
-      ageField->value.GetInt64() <= kMaxAgeMs) {
-    age = milliseconds(ageField->value.GetInt64());
-  } else if (ageField != json.MemberEnd()) {
-    mFleet.ReportUnreadable(aPeer, kAgeField);
-  }
+  const auto age = ReadAge(json, aPeer);
   const PeerEra told = ParseReplyEra(json);
   if (!told.mReadable) {
     mFleet.ReportUnreadable(aPeer, kEraField);
@@ -550,37 +587,19 @@
     if (table == json.MemberEnd()) {
       continue;
     }
-    if (!table->value.IsObject()) {
-      mFleet.ReportUnreadable(aPeer, it.first);
-      continue;
-    }
-    const auto version = table->value.FindMember("version");
-    const auto list = table->value.FindMember("rows");
-    if (version == table->value.MemberEnd() || !version->value.IsInt64() ||
-        list == table->value.MemberEnd() || !list->value.IsArray()) {
+    const auto read = ReadTable(table->value, it.first, aPeer);
+    if (!read) {
       mFleet.ReportUnreadable(aPeer, it.first);
       continue;
     }
-    std::vector<StoreRow> rows;
-    for (const auto& row : list->value.GetArray()) {
-      if (auto decoded = ParsePeerRow(row)) {
-        rows.push_back(std::move(*decoded));
-      } else {
-        mFleet.ReportUnreadable(aPeer, it.first);
-      }
-    }
-    const auto wholeField = table->value.FindMember(kWholeField);
-    const bool isSaidWhole = wholeField != table->value.MemberEnd() &&
-                             wholeField->value.IsBool() &&
-                             wholeField->value.GetBool();
     // Asked with no version of this era, a host tells all rows.
-    const bool whole =
-      it.second == StoreTable::Targets && !rows.empty() &&
-      (isSaidWhole || aAllTargets || mFleet.Version(it.second) == 0);
+    const bool isWhole =
+      it.second == StoreTable::Targets && !read->mRows.empty() &&
+      (read->mIsWhole || aAllTargets || mFleet.Version(it.second) == 0);
     mFleet.ApplyRows(it.second,
-                     rows,
-                     whole,
-                     version->value.GetInt64(),
+                     read->mRows,
+                     isWhole,
+                     read->mVersion,
                      synced ? RowSource::SyncedPeer : RowSource::Peer);
   }
   return { true, age };
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -95,6 +95,24 @@
     std::optional<Duration> mAge;
   };
 
+  // A table of a response.
+  struct PeerTable
+  {
+    std::int64_t mVersion = 0;
+    std::vector<platform::StoreRow> mRows;
+    // Whether the rows are all rows of the table.
+    bool mIsWhole = false;
+  };
+
+  // Age of the peer's view of the store, and a table by its name in messages;
+  // nothing if they are missing or unreadable. What is unreadable is reported,
+  // but for the table itself.
+  std::optional<Duration> ReadAge(const rapidjson::Value& aMessage,
+                                  const std::string& aPeer) const;
+  std::optional<PeerTable> ReadTable(const rapidjson::Value& aTable,
+                                     const char* aName,
+                                     const std::string& aPeer) const;
+
   // Applies the rows of a response.
   AppliedReply ApplyReply(const std::optional<HttpReply>& aReply,
                           bool aAllTargets,
