Release a held configuration although its timer fires early (CONFIG)

Trace: the row was held at .679, its timer fired at .478 + 1 s, 1 ms before the hold of 0.8 s was over by the clock, so the row was held back again, for which no timer is set. Ruled out: the row read with the copy (of_copy=false in the log).

The end of the hold is the timer's now.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -388,6 +388,8 @@
 Fleet::ApplyHeldConfiguration()
 {
   if (mHeldRow) {
+    // Timers may fire a moment early.
+    mHeldUntil = EventLoop::Now();
     const StoreRow row = *mHeldRow;
     ApplyConfigurationRow(row, RowSource::Store);
   }
