Leave out rows of other parts, and limits that are null (CONFIG, DENIED)

Changes of a table have the rows of all its parts, and a row is named by part and key. A row of table op with key config and another part replaced the configuration of the whole fleet, and one of servers replaced a target. Nobody is known to write such rows; found by asking of each sentence of the users' pages what else it allows.

DecodeRows leaves them out. The version up to which an answer has all changes counts them, so that a page that has none but them is passed.

Time limits of callers that are written as null counted as zero and ended every connection; they count as missing now.

LeavesOutRowsOfOtherParts and TakesLimitsThatAreNullAsMissing fail with the two conditions taken out and pass with them.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -43,12 +43,9 @@
 std::int64_t
 CompleteUpTo(const StoreRows& aChanges)
 {
-  std::int64_t version =
-    aChanges.mHasMore && !aChanges.mRows.empty() ? 0 : aChanges.mVersion;
-  for (const StoreRow& it : aChanges.mRows) {
-    version = std::max(version, it.mVersion);
-  }
-  return version;
+  const bool endsAtRows = aChanges.mHasMore && aChanges.mRowsUpTo != 0;
+  return endsAtRows ? aChanges.mRowsUpTo
+                    : std::max(aChanges.mVersion, aChanges.mRowsUpTo);
 }
 
 // Whether the store refuses a call for what it asks, not for the time being.
--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -205,6 +205,13 @@
   return value != nullptr && value->IsBool() && value->GetBool();
 }
 
+bool
+HasNumber(const Value& aObject, const char* aName)
+{
+  const Value* value = GetMember(aObject, aName);
+  return value != nullptr && value->IsNumber();
+}
+
 // A duration that is stored as a number of aUnit.
 Duration
 GetDuration(const Value& aObject,
@@ -329,10 +336,10 @@
     aLimits, "MaxHeaderBytes", std::size_t(0), kMaxBytes, defaults.mHeadBytes);
   limits.mBodyBytes = GetNumber(
     aLimits, "MaxBodyBytes", std::size_t(0), kMaxBytes, defaults.mBodyBytes);
-  if (GetMember(aLimits, "HeaderTimeoutMs") != nullptr) {
+  if (HasNumber(aLimits, "HeaderTimeoutMs")) {
     limits.mHeadTimeout = GetDuration(aLimits, "HeaderTimeoutMs");
   }
-  if (GetMember(aLimits, "IdleTimeoutMs") != nullptr) {
+  if (HasNumber(aLimits, "IdleTimeoutMs")) {
     limits.mIdleTimeout = GetDuration(aLimits, "IdleTimeoutMs");
   }
   return limits;
@@ -460,6 +467,10 @@
     StoreRow row;
     row.mKey = GetText(aRow, "Key");
     row.mVersion = GetVersion(aRow, "Ver");
+    rows.mRowsUpTo = std::max(rows.mRowsUpTo, row.mVersion);
+    if (!GetText(aRow, "part").empty()) {
+      return;
+    }
     row.mRemoved = GetFlag(aRow, "Removed");
     // A value that cannot be decoded is left empty, which every reader rejects.
     if (!FromBase64(GetText(aRow, "Value"), row.mValue)) {
--- a/src/quetzalquay/platform/PlatformStore.h
+++ b/src/quetzalquay/platform/PlatformStore.h
@@ -41,10 +41,13 @@
   bool mRemoved = false;
 };
 
-// Rows of one response of the store.
+// Rows of one response of the store. Those of parts other than the empty one,
+// which changes of a table include, are left out.
 struct StoreRows
 {
   std::vector<StoreRow> mRows;
+  // Newest version of a row in the response, left out or not; 0 if it has none.
+  std::int64_t mRowsUpTo = 0;
   // Newest version of the whole store; 0 if it cannot be read.
   std::int64_t mVersion = 0;
   // Whether more rows follow the last one.
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -85,6 +85,8 @@
   CPPUNIT_TEST(RejectsMalformedTargetEntries);
   CPPUNIT_TEST(ReadsStoreRows);
   CPPUNIT_TEST(ReadsRowsOfOtherEncoders);
+  CPPUNIT_TEST(LeavesOutRowsOfOtherParts);
+  CPPUNIT_TEST(TakesLimitsThatAreNullAsMissing);
   CPPUNIT_TEST(ReadsStartTimesOfOtherEncoders);
   CPPUNIT_TEST(ReadsHowOftenTheStoreCameBack);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
@@ -388,6 +390,30 @@
                          forUrls->mRows.front().mValue);
   }
 
+  // Guards against a row of another part that replaces the configuration, or
+  // a target, of the same key.
+  void LeavesOutRowsOfOtherParts()
+  {
+    std::string reason;
+    const auto rows = platform::DecodeRows(
+      R"({"Rows":[{"Key":"config","part":"","Value":"YQ==","Ver":4},)"
+      R"({"Key":"config","part":"drafts","Value":"Yg==","Ver":5}],"Ver":9})",
+      reason);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), rows->mRows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), rows->mRows.front().mValue);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(5), rows->mRowsUpTo);
+  }
+
+  // Guards against a time limit of zero, which would end every connection.
+  void TakesLimitsThatAreNullAsMissing()
+  {
+    std::string reason;
+    const auto table = platform::DecodeConfiguration(
+      R"({"Limits":{"HeaderTimeoutMs":null,"IdleTimeoutMs":null}})", reason);
+    CPPUNIT_ASSERT(table->mLimits.mHeadTimeout == CallerLimits().mHeadTimeout);
+    CPPUNIT_ASSERT(table->mLimits.mIdleTimeout == CallerLimits().mIdleTimeout);
+  }
+
   // Guards against a service without targets as their start times are written
   // as other encoders write them.
   void ReadsStartTimesOfOtherEncoders()
