Let the soak see rows of other parts, invalid rows, foreign services and a final fault (CONFIG, LOST)

What the soak did not play: a configuration in another part of the table, rows that are no configuration, a store that turns single hosts away by status, routes whose kind and attempts change, and in plays of 30 s or more the loss of all hosts right after a confirmation, with 12 s of traffic after it. What it did not judge: the service and the workspace with which each request ran, requests on connections of their own that hosts in touch refuse or end without an answer (more than three of a play), a quarter served 12 s after the final fault. Refusals of probes are printed with their reasons.

--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -12,11 +12,25 @@
 APPLY_S = 2.0
 ROLLBACK_S = 0.25
 
+# What an operator can't get past the store, and what a host that reads it all
+# the same must not take.
+INVALID_ROWS = ["", "{", "[]", '{"Version": 9999999, "Routes": {}}',
+                '{"Version": 9999999, "Routes": [], "Tenants": 7}']
+
+# A configuration in another part of the table than the one that counts.
+DRAFT = {"Version": 9999999, "Routes": [], "Services": [], "Tenants": []}
+
 # A row of the store holds at most so many bytes.
 ROW_BYTES = 65536
 
 SERVICES = [{"desk"}, {"desk2"}, {"desk", "desk2"}]
 
+# Services to which some configuration allows the requests of each first path
+# segment; the routes that come and go are added below.
+ALLOWED = {"digest": {"model"}, "unsafe": {"desk"}, "safe": {"desk"},
+           "moving": {"desk", "desk2"}, "late": {"desk2"}}
+ALLOWED.update({"x%d" % n: {"desk"} for n in range(6)})
+
 
 class Encoder:
     """How the operator and the store write what the pages leave open."""
@@ -82,7 +96,9 @@
         routes = [stream_route("digest", "/digest/", "model"),
                   plain_route("unsafe", "/unsafe/", "desk", "unsafe", 1),
                   plain_route("safe", "/safe/", "desk", "safe", 2)]
-        routes += [plain_route(it, "/%s/" % it, "desk", "safe", 2)
+        routes += [plain_route(it, "/%s/" % it, "desk",
+                               self.random.choice(["safe", "unsafe"]),
+                               self.random.choice([1, 2, 3]))
                    for it, has in sorted(values.items())
                    if it[0] == "x" and has]
         moving = plain_route("moving", "/moving/", "desk", "safe", 2)
@@ -161,4 +177,10 @@
     return (path % what if "%" in path else path), key or what, status
 
 
-__all__ = ["APPLY_S", "Configurations", "Encoder", "HOST", "path_and_key"]
+def workspace_of(key):
+    """Name of the workspace that a key belongs to."""
+    return "t1" if key == KEY else "t2"
+
+
+__all__ = ["ALLOWED", "APPLY_S", "Configurations", "DRAFT", "Encoder", "HOST",
+           "INVALID_ROWS", "path_and_key", "workspace_of"]
--- a/tests/soak/faulty_store.py
+++ b/tests/soak/faulty_store.py
@@ -5,6 +5,8 @@
 
 from standins import Store, loopback_ip, now, read_message
 
+from configurations import DRAFT
+
 # Interval at which the store keeps a copy of itself, and for how long.
 COPY_S = 0.5
 KEPT_COPIES = 16
@@ -25,6 +27,8 @@
         # Version since which changes are known.
         self.oldest = 0
         self.copies = []
+        # Version of the row of another part, 0 if there is none.
+        self.draft = 0
 
     async def listen(self):
         port = int(self.address.split(":")[1]) if self.address else 0
@@ -100,10 +104,25 @@
             if after > self.version or after < self.oldest:
                 return 410, {}
         answer = await super().handle(message)
+        if message.start.startswith("GET /rows-feed?Table=op&"):
+            self.add_draft(answer[1], after)
         if fault == "lossy" and random.random() < 0.3:
             raise ConnectionError("the answer is lost")
         return answer
 
+    def put_draft(self):
+        """Writes a configuration in another part of the table."""
+        self.version += 1
+        self.draft = self.version
+
+    def add_draft(self, body, after):
+        """Changes of a table have the rows of all its parts."""
+        if after < self.draft <= self.version:
+            body["Rows"].append(
+                {"Table": "op", "part": "drafts", "Key": "config",
+                 "Value": self.encoder.row(DRAFT), "Ver": self.draft})
+            body["Rows"].sort(key=lambda it: it["Ver"])
+
     def forget_history(self):
         self.oldest = self.version
 
@@ -143,7 +162,7 @@
 
 class StoreLink:
     """A host's way to the store, which can be cut: connections hang, open ones
-    or all, or are reset and refused."""
+    or all, or are reset and refused; or the store turns the host away."""
 
     def __init__(self, store):
         self.store = store
@@ -152,6 +171,8 @@
         self.server = None
         self.writers = set()
         self.silent = False
+        # Status with which the store turns this host away.
+        self.refusal = None
 
     async def listen(self):
         # Below the range of outgoing connections.
@@ -162,13 +183,15 @@
         self.writers.add(writer)
         other = None
         try:
+            if self.refusal:
+                await self.refuse(reader, writer)
             host, port = self.store.address.split(":")
             other_reader, other = await asyncio.open_connection(
                 host, int(port))
             self.writers.add(other)
             await asyncio.gather(self.pump(reader, other),
                                  self.pump(other_reader, writer))
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             for it in (writer, other):
@@ -176,6 +199,16 @@
                     it.transport.abort()
                     self.writers.discard(it)
 
+    async def refuse(self, reader, writer):
+        """Turns all calls of a connection away."""
+        while True:
+            await read_message(reader)
+            writer.write(b"HTTP/1.1 %d x\r\nContent-Length: 2\r\n\r\n{}"
+                         % (self.refusal or 503))
+            await writer.drain()
+            if not self.refusal:
+                raise ConnectionError("the host is served again")
+
     async def pump(self, reader, writer):
         while True:
             data = await reader.read(65536)
@@ -199,6 +232,12 @@
             # Cuts may overlap.
             if not self.server.is_serving():
                 await self.listen()
+        elif kind == "turned away":
+            self.refusal = random.choice([429, 503])
+            for it in open_ones:
+                it.transport.abort()
+            await asyncio.sleep(for_s)
+            self.refusal = None
         elif kind == "silent":
             self.silent = True
             await asyncio.sleep(for_s)
--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -28,7 +28,8 @@
 sys.path[:0] = [HERE, os.path.join(ROOT, "review", "standins")]
 
 from configurations import (  # noqa: E402
-    APPLY_S, Configurations, Encoder, HOST, path_and_key)
+    ALLOWED, APPLY_S, Configurations, Encoder, HOST, INVALID_ROWS,
+    path_and_key, workspace_of)
 from faulty_store import FaultyStore, StoreLink  # noqa: E402
 from platform_fields import platform_fields, render  # noqa: E402
 from standins import (  # noqa: E402
@@ -51,6 +52,13 @@
 SLOWED_S = 0.2
 # Time beyond a route's timeout in which its answer has to come.
 ANSWER_S = 0.5
+# Requests of one play on connections of their own that hosts in touch may end
+# without an answer.
+MAX_UNANSWERED = 3
+# Time after a final fault from which on a quarter of the requests is served.
+RECOVERY_S = 12.0
+# Plays that are so long may end with a final fault.
+FINAL_FAULT_FROM_S = 30.0
 # Time from the start until the traffic.
 LEAD_S = 4.0
 
@@ -64,6 +72,8 @@
 
     spoiled_share = 0.0
     down_until = 0.0
+    # Workspace with which each request has run, of all runners.
+    workspaces = {}
 
     def register(self):
         self.store.put_text("servers", self.name, self.store.encoder.row({
@@ -72,6 +82,7 @@
             "State": self.state, "ColdRemainingMs": 0, "Sequence": 1}))
 
     async def run(self, message, request_id, tokens, writer):
+        self.workspaces[request_id] = message.get("x-tenant", "")
         if " /late/" in message.start:
             self.runs.append((now(), request_id, self.name))
             await asyncio.sleep(6)
@@ -254,7 +265,12 @@
         self.lasting = 0
         self.overdue = []
         # Requests for routes that all have, and for added ones: all, served.
-        self.shares = {"first": [0, 0], "added": [0, 0]}
+        self.shares = {"first": [0, 0], "added": [0, 0], "final": [0, 0]}
+        # Requests on connections of their own that hosts in touch refused or
+        # ended without an answer.
+        self.unanswered = []
+        # Moment of the final fault.
+        self.final_at = None
         self.broken = collections.defaultdict(list)
         self.counts = collections.Counter()
         self.tasks = set()
@@ -267,6 +283,8 @@
         self.newest = values, self.encoder.row(state)
         self.store.put_text("op", "config", self.newest[1])
         self.configurations.confirm(values)
+        if self.random.random() < 0.2:
+            self.store.put_draft()
         self.record.line("configuration %s: %s" % (
             state["Version"], {k: v for k, v in values.items() if v}))
 
@@ -315,10 +333,14 @@
         timeout = 1.5 if what == "late" else 2.0
         request_id = self.new_id("p")
         life = host.life
+        sent = now()
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host.ip, 8227), 1)
         except (OSError, asyncio.TimeoutError):
+            if life == host.life and self.bound(host, sent) is not None:
+                self.unanswered.append("%s at %s: no connection" % (
+                    request_id, host.name))
             return
         sent = now()
         status = 0
@@ -327,6 +349,9 @@
             answer = await asyncio.wait_for(
                 read_message(reader), timeout + ANSWER_S)
             status = int(answer.start.split(" ")[1])
+            if status not in (200, absent):
+                self.counts["probe %d %s" % (
+                    status, self.reason_of(answer.body))] += 1
         except asyncio.TimeoutError:
             status = -1
         except (OSError, asyncio.IncompleteReadError):
@@ -339,10 +364,23 @@
         if bound is not None:
             self.judge_time(host, request_id, took,
                             self.longest_timeout(what, sent - bound))
+        self.judge_runs(request_id, path, key)
         if life != host.life:
             return
         self.judge_probe(host, what, request_id, sent, status, absent, bound)
 
+    def judge_runs(self, request_id, path, key):
+        """Where a request ran, and for whom."""
+        allowed = ALLOWED[path.split("/")[1]]
+        for it in self.runs:
+            if it[1] == request_id and self.service_of[it[2]] not in allowed:
+                self.broken["ROUTE"].append("%s to %s ran at a runner of %s" % (
+                    request_id, path, self.service_of[it[2]]))
+        workspace = SpoiledRunner.workspaces.pop(request_id, None)
+        if workspace not in (None, workspace_of(key)):
+            self.broken["UNASKED"].append("%s with the key %s ran for %s" % (
+                request_id, key, workspace))
+
     def longest_timeout(self, what, since):
         if what != "late":
             return 2.0
@@ -365,9 +403,15 @@
         if status == 0 and bound is not None and sound:
             self.broken["LOST"].append("%s at %s: no answer" % (
                 request_id, host.name))
+        if status == 0 and bound is not None and not runs:
+            self.unanswered.append("%s at %s: no answer" % (
+                request_id, host.name))
         if status not in (0, 200):
             self.note(host, request_id, sent, "%s, bound %s" % (what, bound),
                       status)
+        if self.final_at is not None and what == "safe" and (
+                sent > self.final_at + RECOVERY_S):
+            self.count_share("final", status)
         if bound is not None and self.store_is_calm(sent):
             if what == "safe":
                 self.count_share("first", status)
@@ -399,6 +443,15 @@
                 "%d of %d requests that lasted to their timeout had no answer"
                 " in time: %s" % (len(self.overdue), self.lasting,
                                   "; ".join(self.overdue[:3])))
+        if len(self.unanswered) > MAX_UNANSWERED:
+            self.broken["LOST"].append(
+                "%d requests got neither an answer nor a run: %s" % (
+                    len(self.unanswered), "; ".join(self.unanswered[:3])))
+        (final, final_served) = self.shares["final"]
+        if self.final_at is not None and final_served * 4 < max(1, final):
+            self.broken["RECOVER"].append(
+                "%d of %d requests are served after the final fault" % (
+                    final_served, final))
         (first, first_served) = self.shares["first"]
         (added, added_served) = self.shares["added"]
         if first >= 20 and first_served < first / 4:
@@ -473,6 +526,7 @@
         if kind != "d" and self.bound(host, sent) is not None:
             self.judge_time(host, request_id, took, 2.0)
         self.judge(host, kind, request_id, sent, status, whole, text)
+        self.judge_runs(request_id, path, KEY)
         return whole and kept
 
     @staticmethod
@@ -657,7 +711,8 @@
 
     async def cut_from_store(self):
         chosen = self.pick(self.random.choice([1, 2, len(self.hosts) // 2]))
-        kind = self.random.choice(["refused", "silent", "hanging"])
+        kind = self.random.choice(
+            ["refused", "silent", "hanging", "turned away"])
         for_s = self.random.uniform(0.5, 5)
         self.record.line("%s to the store for %.1f s: %s" % (
             kind, for_s, [it.name for it in chosen]))
@@ -676,6 +731,14 @@
         self.record.line("store is %s for %.1f s" % (kind, for_s))
         await self.store.disturb(kind, for_s)
 
+    async def write_invalid(self):
+        """A row that is no configuration, and soon another that is one."""
+        text = self.random.choice(INVALID_ROWS)
+        self.record.line("invalid configuration: %r" % text)
+        self.store.put_text("op", "config", self.encoder.value(text))
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        self.configure()
+
     async def storm(self):
         for _ in range(self.random.randrange(3, 10)):
             self.configure()
@@ -686,7 +749,10 @@
                  self.disturb_store, self.cut_from_store, self.storm,
                  self.spoil, self.crash_runner, self.move_store,
                  self.return_store, self.forget_history, self.add_host,
-                 self.remove_host, self.lose_power]
+                 self.remove_host, self.lose_power, self.write_invalid]
+        if self.options.seconds >= FINAL_FAULT_FROM_S and (
+                self.random.random() < 0.3):
+            end -= RECOVERY_S + 5
         while now() < end - 4:
             kind = self.random.choice(kinds)
             self.record.line("fault: " + kind.__name__)
@@ -694,9 +760,14 @@
             self.tasks.add(task)
             if self.random.random() < 0.7:
                 await asyncio.sleep(self.random.uniform(0.5, 4))
+        if end < self.end:
+            await asyncio.sleep(max(0, end - now()))
+            self.record.line("final fault")
+            await self.lose_power()
+            self.final_at = now()
 
     async def changes(self, end):
-        while now() < end:
+        while now() < end and self.final_at is None:
             await asyncio.sleep(self.random.uniform(0.5, 3))
             self.configure()
 
