--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -25,6 +25,10 @@
 // more of them, the part is the likelier cause.
 constexpr int kMaxRivals = 3;
 
+// Parts that may have caused all losses of another part of their requests
+// between them.
+constexpr int kMaxCompanions = 2;
+
 // Time after a death within which another request with the same parts is served
 // if the parts are sound and in use.
 constexpr Duration kServedAgainWithin = std::chrono::seconds(3);
@@ -251,18 +255,47 @@
   if (most == nullptr || most->size() < kMinDeathsToRefuse) {
     return SuspectSet(aContent.mHash);
   }
+  RemoveCompanions(parts, most->size(), aNow);
   // A few contents that crash targets by themselves may have caused what their
   // sound parts have lost together.
   std::vector<std::uint64_t> all = parts;
   all.push_back(aContent.mHash);
-  const bool contentIsNeeded =
-    HasFewRivals(parts, *most, aNow) && !HasFewRivals(all, *most, aNow);
+  const bool contentIsNeeded = HasFewRivals(parts, *most, kMaxRivals, aNow) &&
+                               !HasFewRivals(all, *most, kMaxRivals, aNow);
   return SuspectSet(std::move(contentIsNeeded ? all : parts));
 }
 
+// Parts that take turns beside a deadly one would make as many sets, each with
+// trials of its own.
+void
+SuspectRegistry::RemoveCompanions(std::vector<std::uint64_t>& aParts,
+                                  std::size_t aLosses,
+                                  Time aNow) const
+{
+  const auto isLikeliest = [&](std::uint64_t aPart) {
+    const Runs& runs = RunsOf(aPart, aNow);
+    return runs.size() == aLosses &&
+           !HasFewRivals({ aPart }, runs, kMaxCompanions, aNow);
+  };
+  const auto likeliest =
+    std::find_if(aParts.begin(), aParts.end(), isLikeliest);
+  if (likeliest == aParts.end()) {
+    return;
+  }
+  const Runs& runs = RunsOf(*likeliest, aNow);
+  const auto isCompanion = [&](std::uint64_t aPart) {
+    return std::any_of(runs.begin(), runs.end(), [&](const LostRun& aRun) {
+      return !Contains(LostIn(aRun.mDeath), aPart);
+    });
+  };
+  aParts.erase(std::remove_if(aParts.begin(), aParts.end(), isCompanion),
+               aParts.end());
+}
+
 bool
 SuspectRegistry::HasFewRivals(const std::vector<std::uint64_t>& aSuspects,
                               const Runs& aRuns,
+                              int aMaxRivals,
                               Time aNow) const
 {
   // Bit n stands for the death of run n.
@@ -281,7 +314,7 @@
   }
   // What so many rivals can have caused together.
   std::set<unsigned long> caused = { 0 };
-  for (int rivals = 0; rivals < kMaxRivals; ++rivals) {
+  for (int rivals = 0; rivals < aMaxRivals; ++rivals) {
     std::set<unsigned long> more = caused;
     for (const unsigned long before : caused) {
       for (const unsigned long it : ofRivals) {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -222,10 +222,18 @@
   void ExtendConvictions(const RequestContent& aContent, Time aNow) const;
   bool IsServedLately(std::uint64_t aPart, Time aNow) const;
 
-  // Whether few suspects other than some may between them have caused all
+  // Leaves only those parts that were always lost with one that has the most
+  // losses, aLosses of them, if few others can't have caused these between
+  // them.
+  void RemoveCompanions(std::vector<std::uint64_t>& aParts,
+                        std::size_t aLosses,
+                        Time aNow) const;
+
+  // Whether so many suspects other than some may between them have caused all
   // deaths of lost runs.
   bool HasFewRivals(const std::vector<std::uint64_t>& aSuspects,
                     const Runs& aRuns,
+                    int aMaxRivals,
                     Time aNow) const;
 
   // Whether a suspect that a request does not have, and that was neither
