--- a/src/quetzalquay/core/TargetReach.cpp
+++ b/src/quetzalquay/core/TargetReach.cpp
@@ -1,5 +1,7 @@
 #include "core/TargetReach.h"
 
+#include "core/NameTable.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -75,6 +77,9 @@
 // one is chosen last.
 constexpr int kRefusalPenalty = 1000000;
 
+// Most hosts that a log line describes.
+constexpr std::size_t kDescribedHosts = 8;
+
 // Requests passed on that weigh as much as another place.
 constexpr int kOtherPlacePenalty = 3;
 
@@ -470,6 +475,43 @@
   }
 }
 
+TargetReach::HostBar
+TargetReach::BarOf(const std::string& aName,
+                   const Host& aHost,
+                   const std::string& aService,
+                   Time aNow) const
+{
+  if (aNow - aHost.mHeardAt > kHostFreshness) {
+    return HostBar::Silent;
+  }
+  if (aNow < aHost.mAvoidedUntil) {
+    return HostBar::Failed;
+  }
+  if (aHost.mUnreached.count(aService) != 0) {
+    return HostBar::Unreached;
+  }
+  return mHasAddress && !mHasAddress(aName, aNow) ? HostBar::NoAddress
+                                                  : HostBar::None;
+}
+
+std::string
+TargetReach::DescribeHosts(const std::string& aService, Time aNow) const
+{
+  constexpr NameTable<HostBar, 5> kNames(
+    { "ready", "silent", "failed", "unreached", "no_address" });
+  std::string text;
+  std::size_t n = 0;
+  for (const auto& it : mHosts) {
+    if (n++ == kDescribedHosts) {
+      break;
+    }
+    text += text.empty() ? "" : " ";
+    text += it.first + "=";
+    text += kNames.NameOf(BarOf(it.first, it.second, aService, aNow));
+  }
+  return text;
+}
+
 std::optional<std::string>
 TargetReach::ChooseHost(const std::string& aService,
                         const std::vector<std::string>& aTried,
@@ -480,8 +522,7 @@
   int lowest = 0;
   for (const auto& it : mHosts) {
     const Host& host = it.second;
-    if (aNow - host.mHeardAt > kHostFreshness || aNow < host.mAvoidedUntil ||
-        host.mUnreached.count(aService) != 0 ||
+    if (BarOf(it.first, host, aService, aNow) != HostBar::None ||
         std::find(aTried.begin(), aTried.end(), it.first) != aTried.end()) {
       continue;
     }
--- a/src/quetzalquay/core/TargetReach.h
+++ b/src/quetzalquay/core/TargetReach.h
@@ -213,6 +213,11 @@
   // targets the host has heard since they failed here.
   int OnAnswer(const ReachAnswer& aAnswer, Time aNow);
 
+  // Sets what says whether the address of a host is known. Hosts without one
+  // are not chosen.
+  using AddressCheck = std::function<bool(const std::string& aHost, Time aNow)>;
+  void SetAddressCheck(AddressCheck aCheck) { mHasAddress = std::move(aCheck); }
+
   // A message of another host has arrived.
   void OnHostHeard(const std::string& aHost,
                    const std::string& aPlace,
@@ -230,6 +235,10 @@
     Time aNow,
     HostChoice aChoice = HostChoice::Willing);
 
+  // Other hosts and what keeps a service's requests from being passed on to
+  // them, for the log; a few of many.
+  std::string DescribeHosts(const std::string& aService, Time aNow) const;
+
   // A request has been passed on to a host, and its answer has ended. Hosts
   // with fewer requests of this host are preferred.
   void OnPassedOn(const std::string& aHost);
@@ -303,6 +312,24 @@
     Time mRefusesUntil;
   };
 
+  // What keeps a host from being chosen.
+  enum class HostBar
+  {
+    None,
+    // It has not been heard from lately.
+    Silent,
+    // A request that was passed on to it has failed.
+    Failed,
+    // It says that it does not reach the service's targets.
+    Unreached,
+    // Its address is not known, as it stops or has stopped.
+    NoAddress,
+  };
+
+  HostBar BarOf(const std::string& aName,
+                const Host& aHost,
+                const std::string& aService,
+                Time aNow) const;
   Service* FindService(const std::string& aService);
   Contact* FindContact(const std::string& aService, const std::string& aTarget);
   static bool IsFailing(const Contact& aContact, Time aNow);
@@ -338,6 +365,7 @@
 
   std::string mPlace;
   std::mt19937_64 mRandom;
+  AddressCheck mHasAddress;
   std::map<std::string, Service> mServices;
   std::set<std::string> mKnownHosts;
   std::map<std::string, Host> mHosts;
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -364,6 +364,14 @@
       PassOn(std::move(*call), std::move(handOver));
       return;
     }
+    Log(LogLevel::Info,
+        "request",
+        "no other host to pass on to",
+        { { "request", mRequest.mRequestId },
+          { "service", call->mService },
+          { "hosts",
+            mServer.mContext.mFleet.Reach().DescribeHosts(call->mService,
+                                                          now) } });
   }
   StartExchange(MakeExchange(std::move(*call)));
 }
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -170,6 +170,9 @@
   mTargets.SetReachCheck([this](const std::string& aService) {
     return mReach.DecidedStateOf(aService);
   });
+  mReach.SetAddressCheck([this](const std::string& aHost, Time aNow) {
+    return AddressOf(aHost, aNow).has_value();
+  });
 }
 
 void
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -619,6 +619,14 @@
   }
   TargetReach& reach = mContext.mFleet.Reach();
   reach.OnHostFailed(mHost, now);
+  Log(
+    LogLevel::Warn,
+    "request",
+    "serving host is silent and did not answer a check",
+    { { "request", mCall.mRequest.mRequestId },
+      { "host", mHost },
+      { "silent_ms",
+        std::to_string(static_cast<int>(ToMilliseconds(now - mActiveAt))) } });
   // The host may still answer, so it keeps a request that must not be sent
   // again or that no other host can serve.
   const bool movable =
--- a/tests/introspective/TargetReachTests.cpp
+++ b/tests/introspective/TargetReachTests.cpp
@@ -2,6 +2,7 @@
 
 #include "core/TargetReach.h"
 #include "core/TargetTable.h"
+#include "gateway/Fleet.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -422,6 +423,7 @@
   CPPUNIT_TEST(LargeFleetsSendFewMessages);
   CPPUNIT_TEST(ChosenHostsReachTheService);
   CPPUNIT_TEST(HostsThatRefuseAreChosenLast);
+  CPPUNIT_TEST(HostsThatHaveLeftAreNotChosen);
   CPPUNIT_TEST(RequestsAreSpreadOverHosts);
   CPPUNIT_TEST(DeathsAreHeldBackWhileACutIsSuspected);
   CPPUNIT_TEST(DeathsAreHeldBackUntilAnEndedSuspicionIsDropped);
@@ -792,6 +794,36 @@
     CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, At(1500)));
   }
 
+  // A host that was cut off refused all requests for seconds when one of the
+  // others had stopped: that one, which had the fewest requests, was chosen and
+  // had no address.
+  void HostsThatHaveLeftAreNotChosen()
+  {
+    EventLoop loop;
+    Fleet fleet(loop, GatewaySettings());
+    const Time now = EventLoop::Now();
+    fleet.ApplyRows(platform::StoreTable::Hosts,
+                    { { HostName(0), "127.0.0.1:1 100", 1 },
+                      { HostName(1), "127.0.0.2:1 100", 2 } },
+                    true,
+                    2,
+                    RowSource::Store);
+    TargetReach& reach = fleet.Reach();
+    for (int n = 0; n < 2; ++n) {
+      reach.OnHostHeard(HostName(n), "", now);
+    }
+    reach.OnPassedOn(HostName(1));
+    CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, now) == HostName(0));
+    fleet.ApplyRows(platform::StoreTable::Hosts,
+                    { { HostName(0), "", 3, true } },
+                    false,
+                    3,
+                    RowSource::Store);
+    CPPUNIT_ASSERT(reach.ChooseHost(kService, {}, now) == HostName(1));
+    CPPUNIT_ASSERT_EQUAL(HostName(0) + "=no_address " + HostName(1) + "=ready",
+                         reach.DescribeHosts(kService, now));
+  }
+
   void RequestsAreSpreadOverHosts()
   {
     TargetReach reach("p0");
