--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -81,6 +81,20 @@
          mContext.mFleet.Reach().IsSuspected(mCall.mService, aNow);
 }
 
+std::optional<HostChoice>
+Exchange::ChoiceIfUnplaced(FailureCode aCode, Time aNow) const
+{
+  const bool noTarget = aCode == FailureCode::NoTarget;
+  const bool unplaced = noTarget || aCode == FailureCode::Overloaded ||
+                        aCode == FailureCode::GenerationLost;
+  if (unplaced && IsCutOff(aNow)) {
+    return HostChoice::Any;
+  }
+  // A suspected cut explains targets that are not ready, but not full ones.
+  return noTarget && MayBeCutOff(aNow) ? std::make_optional(HostChoice::Willing)
+                                       : std::nullopt;
+}
+
 HandOver
 Exchange::MakeHandOver(std::string aHost, int aRuns) const
 {
@@ -106,9 +120,7 @@
   if (aCall.mPassedOn.IsPassedOn()) {
     return std::nullopt;
   }
-  auto host =
-    aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow, aChoice);
-  return host && aContext.mFleet.AddressOf(*host, aNow) ? host : std::nullopt;
+  return aContext.mFleet.Reach().ChooseHost(aCall.mService, {}, aNow, aChoice);
 }
 
 std::string
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -219,6 +219,11 @@
   bool IsCutOff(Time aNow) const;
   bool MayBeCutOff(Time aNow) const;
 
+  // Which other hosts may serve a request for which no target is found here;
+  // nothing if it fails with the given code.
+  std::optional<HostChoice> ChoiceIfUnplaced(FailureCode aCode,
+                                             Time aNow) const;
+
   // Attempts that may have run, with those of hosts that passed the request on.
   virtual int CountRuns() const { return mCall.mPassedOn.mPrior.mRuns; }
 
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -84,11 +84,9 @@
     mAwaitsVerdict = true;
     mTimer.ScheduleAt(wait->mCheckAt);
   } else if (const auto* failed = std::get_if<FailCall>(&aStep)) {
-    const FailureCode code = failed->mFailure.mCode;
-    const bool unplaced =
-      code == FailureCode::NoTarget || code == FailureCode::Overloaded;
-    if (!unplaced || !IsCutOff(EventLoop::Now()) ||
-        !PassOn(PlainResult::NotStarted, HostChoice::Any)) {
+    const auto choice =
+      ChoiceIfUnplaced(failed->mFailure.mCode, EventLoop::Now());
+    if (!choice || !PassOn(PlainResult::NotStarted, *choice)) {
       Fail(failed->mFailure);
     }
   } else {
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -537,12 +537,9 @@
   if (mDone) {
     return;
   }
-  const FailureCode code = aAction.mFailure.mCode;
-  const bool unplaced = code == FailureCode::NoTarget ||
-                        code == FailureCode::Overloaded ||
-                        code == FailureCode::GenerationLost;
-  if (unplaced && IsCutOff(EventLoop::Now()) &&
-      PassOn(std::nullopt, HostChoice::Any)) {
+  const auto choice =
+    ChoiceIfUnplaced(aAction.mFailure.mCode, EventLoop::Now());
+  if (choice && PassOn(std::nullopt, *choice)) {
     return;
   }
   BreakOff(aAction.mFailure);
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -247,6 +247,7 @@
   CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
   CPPUNIT_TEST(LimitsOfAnOlderConfigurationAreNoFaultOfTheRequest);
   CPPUNIT_TEST(RequestsAreServedAsSoonAsFullHostsHaveRoom);
+  CPPUNIT_TEST(RequestsArePassedOnWhileASecondCutIsSuspected);
   CPPUNIT_TEST(RequestsAreAnsweredBesideChangesAndStopsOfBothHosts);
   CPPUNIT_TEST(RequestsLeaveAServingHostWithoutDescriptors);
   CPPUNIT_TEST(LargeRequestsLeaveAServingHostItsMemory);
@@ -409,6 +410,22 @@
     CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
   }
 
+  // Requests for a second service were refused until the host had found out
+  // that it is cut off from that one, too.
+  void RequestsArePassedOnWhileASecondCutIsSuspected()
+  {
+    GatewayTestCluster cluster(MakeOptions());
+    cluster.AwaitConfiguration(cluster.Write(FirstConfiguration()));
+    cluster.SetPace(milliseconds(50), milliseconds(20), milliseconds(50));
+    CutOff(cluster, kCutHost);
+    cluster.SetLinks(kCutHost,
+                     cluster.RunnersOf(TestConfiguration::kSecondService),
+                     LinkState::Reset);
+    cluster.AwaitConfiguration(cluster.Write(MovedConfiguration()));
+    std::vector<SentCall> calls = SendAll(cluster, 30, milliseconds(30));
+    CPPUNIT_ASSERT_EQUAL(30, ExpectAnswers(cluster, calls));
+  }
+
   // Guards against requests that end without an answer when the hosts that pass
   // on or serve them get changes, read their settings again or stop.
   void RequestsAreAnsweredBesideChangesAndStopsOfBothHosts()
