Follow a lower number written right after a return of the store (CONFIG, DENIED)

What callers saw: after the store had come back from an older copy, operators wrote a configuration whose number was below the one in force, before every host had read the copy. Every such host kept the former configuration until the next change and answered 404 for the added route, beyond the time for which a lower number is held back.

Cause: what the first complete read of an era holds was taken for the copy's, and a lower number of the copy never counts. Hosts read at different times, up to a second and more after the return, and what was written until then is in that read as well.

Ruled out: writes after all hosts have read the copy (ALowerNumberAfterTheReturnIsInForceInTime, 1.5 s after the return, passes before and after).

Why it works: a configuration of the copy was in force here before, as the copy is a former state of the store. Hosts recognize it by the hashes of their former configurations. Another one in the first read is held back for the 5 s in which operators write theirs again, and counts then. Such a write is therefore late by up to 5 s, not for good. A host that never had the copy's configuration in force, such as one that has started since, takes it after 5 s if nobody has written until then.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -60,6 +60,9 @@
 constexpr Duration kRestoreTime = std::chrono::seconds(5);
 constexpr Duration kHoldTime = std::chrono::milliseconds(800);
 
+// Former configurations by which those of an older copy are recognized.
+constexpr std::size_t kMaxFormerTexts = 256;
+
 // Least time between two eras of which other hosts tell: hosts that read
 // different stores for a while tell each other of theirs.
 constexpr Duration kMinToldEra = std::chrono::seconds(1);
@@ -355,6 +358,7 @@
 // its number is lower, and the store has just come back from an older copy.
 // What the copy has is not applied at all, as the operators write again what
 // came after it; what they write is held back while a later write may follow.
+// A row of the first read that was never in force here may be either.
 bool
 Fleet::IsHeldBack(const StoreRow& aRow, const RoutingTable& aRouting, Time aNow)
 {
@@ -363,7 +367,8 @@
   if (!isLower || !mEraBeganAt) {
     return false;
   }
-  const bool isOfCopy = aRow.mVersion <= mCopyVersion;
+  const bool isOfFirstRead = aRow.mVersion <= mCopyVersion;
+  const bool isOfCopy = isOfFirstRead && WasInForce(aRow.mValue);
   const bool wasHeld = mHeldRow && mHeldRow->mVersion == aRow.mVersion;
   if (!isOfCopy && ((wasHeld && aNow >= mHeldUntil) ||
                     aNow - *mEraBeganAt >= kRestoreTime)) {
@@ -378,12 +383,20 @@
         { "of_copy", isOfCopy ? "true" : "false" } });
   if (!isOfCopy && (!mHeldRow || mHeldRow->mVersion < aRow.mVersion)) {
     mHeldRow = aRow;
-    mHeldUntil = aNow + kHoldTime;
+    mHeldUntil = isOfFirstRead ? *mEraBeganAt + kRestoreTime : aNow + kHoldTime;
     mHoldTimer.ScheduleAt(mHeldUntil);
   }
   return true;
 }
 
+bool
+Fleet::WasInForce(const std::string& aText) const
+{
+  return std::find(mFormerTexts.begin(),
+                   mFormerTexts.end(),
+                   StableHash(aText)) != mFormerTexts.end();
+}
+
 void
 Fleet::ApplyHeldConfiguration()
 {
@@ -700,7 +713,6 @@
   if (mRouting != nullptr && mRoutingText == aRow.mValue) {
     return;
   }
-  mRoutingText = aRow.mValue;
   const std::int64_t replaced = mRouting == nullptr ? 0 : mRouting->mVersion;
   Log(routing->mVersion > replaced ? LogLevel::Info : LogLevel::Warn,
       "fleet",
@@ -710,10 +722,15 @@
         { "row_version", std::to_string(aRow.mVersion) },
         { "source", std::string(NameOf(aSource)) } });
   if (mRouting != nullptr) {
+    mFormerTexts.push_back(StableHash(mRoutingText));
+    if (mFormerTexts.size() > kMaxFormerTexts) {
+      mFormerTexts.pop_front();
+    }
     routing->Replace(*mRouting, now);
     mReplaced.OnReplaced(mRouting, now);
   }
   mRouting = std::move(routing);
+  mRoutingText = aRow.mValue;
   mVersions.SetWindow(std::max(kMinStreamLife, mRouting->LongestTimeout()));
   DeclareTargets();
 }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -16,6 +16,8 @@
 #include "platform/PlatformStore.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -303,6 +305,7 @@
   bool IsHeldBack(const platform::StoreRow& aRow,
                   const RoutingTable& aRouting,
                   Time aNow);
+  bool WasInForce(const std::string& aText) const;
   void ApplyHeldConfiguration();
   void ApplyConfigurationRow(const platform::StoreRow& aRow, RowSource aSource);
   void ApplyTargetRow(const platform::StoreRow& aRow, RowSource aSource);
@@ -321,6 +324,8 @@
   std::int64_t mRoutingRowVersion = 0;
   // Value of the row of the configuration in force.
   std::string mRoutingText;
+  // Hashes of the values that were in force before it, the oldest one first.
+  std::deque<std::uint64_t> mFormerTexts;
   StoreEraTracker mEra;
   // When the present era began; nothing in a process that has seen one only.
   std::optional<Time> mEraBeganAt;
--- a/tests/usage/ReturnedStoreTests.cpp
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST_SUITE(ReturnedStoreTests);
   CPPUNIT_TEST(ChangesAfterTheReturnAreInForceInTime);
   CPPUNIT_TEST(ALowerNumberAfterTheReturnIsInForceInTime);
+  CPPUNIT_TEST(ALowerNumberRightAfterTheReturnIsInForce);
   CPPUNIT_TEST(RoutesAndKeysDoNotComeBackWithTheCopy);
   CPPUNIT_TEST(AHostThatTheStoreTurnsAwayLearnsOfTheReturn);
   CPPUNIT_TEST(StreamsWhoseOriginsWereLostGoOnAfterAllHostsHaveRestarted);
@@ -78,6 +79,29 @@
     }
   }
 
+  // Guards against a fleet that takes for a part of the copy, until the next
+  // change, what operators write before each host has read the copy.
+  void ALowerNumberRightAfterTheReturnIsInForce()
+  {
+    // Until then an older copy may be in the store, and no change in force.
+    constexpr milliseconds kRestoreTime(5000);
+    GatewayTestCluster::Options options;
+    options.mGateways = 5;
+    GatewayTestCluster cluster(options);
+    TestConfiguration configuration;
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100000));
+    cluster.KeepCopyOfStore();
+    Fill(cluster);
+    cluster.AwaitConfiguration(cluster.Write(configuration, 100005));
+    cluster.ReturnFromCopy();
+    AddRoute(configuration, "new");
+    cluster.Write(configuration, 100002);
+    std::this_thread::sleep_for(kRestoreTime + kApplyTime);
+    for (int host = 0; host < options.mGateways; ++host) {
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, host, "new"));
+    }
+  }
+
   // Guards against hosts that serve a removed route again, or turn an added one
   // away, until the operators have written again what the store has lost.
   void RoutesAndKeysDoNotComeBackWithTheCopy()
