Pause between reads of a store that answers for some tables only (BUDGET, CONFIG)

What callers saw: nothing yet; found in a review. Beyond its rate the store refuses other calls as well.

Cause: an answer for one table makes the store count as reachable again, at which the configuration is read at once, whatever the pause after its last failure. Its refusal makes the store unreachable until the next answer, which the targets, read at once as well, give a moment later.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -396,6 +396,7 @@
   , mFleet(aFleet)
   , mWriter(aLoop, aSettings.mStoreEndpoint, aReplies, ReplyKind::Written)
   , mWriteTimer(aLoop, [this] { WriteOwnRow(); })
+  , mReturnTimer(aLoop, [this] { OnReturn(); })
   , mContact(EventLoop::Now())
 {
   const auto make = [&](StoreTable aTable,
@@ -657,6 +658,20 @@
   return true;
 }
 
+void
+StoreWatch::OnReturn()
+{
+  mReturnAt = EventLoop::Now() + kMaxBackoff;
+  if (mHasReachedStore) {
+    // The store may have lost calls for changes that were sent before.
+    mConfiguration->Restart();
+    mSuspects->Restart();
+  }
+  mHasReachedStore = true;
+  mConfiguration->PollNow();
+  mTargets->PollNow();
+}
+
 void
 StoreWatch::OnCallEnded(StoreTable aTable, StoreCallEnd aEnd, Time aSentAt)
 {
@@ -669,14 +684,9 @@
   }
   if (mContact.IsReachable()) {
     mFleet.OnStoreReachable();
-    if (mHasReachedStore) {
-      // The store may have lost calls for changes that were sent before.
-      mConfiguration->Restart();
-      mSuspects->Restart();
-    }
-    mHasReachedStore = true;
-    mConfiguration->PollNow();
-    mTargets->PollNow();
+    // A store that answers for some tables only seems to return with each
+    // answer.
+    mReturnTimer.ScheduleAt(std::max(EventLoop::Now(), mReturnAt));
     Log(LogLevel::Info,
         "store",
         "store reachable",
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -165,6 +165,7 @@
   void OnCallEnded(platform::StoreTable aTable,
                    StoreCallEnd aEnd,
                    Time aSentAt);
+  void OnReturn();
   void CheckOwnRow();
   void WriteOwnRow();
   void OnOwnRowReply(bool aRemoval,
@@ -182,6 +183,9 @@
   std::unique_ptr<TableWatcher> mSuspects;
   AsyncHttpClient mWriter;
   Timer mWriteTimer;
+  Timer mReturnTimer;
+  // When the tables may next be read because the store is reachable again.
+  Time mReturnAt;
   std::string mOwnRow;
   bool mOwnRowWritten = false;
   // Version of the row that this process has written; 0 if not known.
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -112,6 +112,9 @@
   Performance mPerformance = Performance::AtOnce;
   // Whether the store removes the row as soon as it is written.
   bool mLosesRow = false;
+  // Part of the paths of reads that the store refuses, and how many it has.
+  std::string mRefusedTable;
+  int mRefusals = 0;
   // Transactions of others between a write and its answer.
   int mOtherWrites = 0;
   // Version of the row, 0 if there is none.
@@ -215,6 +218,12 @@
     }
     SimpleHttpReply reply;
     reply.mContentType = "application/json";
+    if (!mRefusedTable.empty() &&
+        aHead.mTarget.find(mRefusedTable) != std::string::npos) {
+      ++mRefusals;
+      reply.mStatus = 503;
+      return reply;
+    }
     std::string rows;
     if (aHead.mTarget.find("Table=gateway-hosts") != std::string::npos) {
       const auto after = aHead.mTarget.find("AfterRevision=");
@@ -262,9 +271,23 @@
   CPPUNIT_TEST(ARowThatIsLostAtOnceIsNotWrittenWithoutAPause);
   CPPUNIT_TEST(ARowOfAnotherValueIsNotWrittenAgain);
   CPPUNIT_TEST(AStoppingHostDoesNotWriteItsRowAgain);
+  CPPUNIT_TEST(AStoreThatRefusesOneTableIsNotCalledWithoutAPause);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against hosts that use up the store's rate of calls while it answers
+  // for some tables only, as each answer counts as its return.
+  void AStoreThatRefusesOneTableIsNotCalledWithoutAPause()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.mRefusedTable = "Table=op&";
+    host.RunFor(milliseconds(6000));
+    CPPUNIT_ASSERT(host.mRefusals >= 2);
+    CPPUNIT_ASSERT(host.mRefusals <= 30);
+  }
+
   // Guards against a removal that the store performs after the next process of
   // the host has registered, so that no other host knows that process.
   void ALateRemovalLeavesTheRowOfTheNextProcess()
