Let tasks that fail break a soak (all rules)

Probes, faults, runners and the watch over each process are tasks beside the play. When one failed, its exception was never read: what it was to judge or to play was missing, and the play held. Clients were not concerned; they end the play.

--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -278,8 +278,25 @@
 
     # Configuration
 
+        self.closing = False
     def configure(self):
         values, state = self.configurations.make()
+    def spawn(self, coroutine):
+        """Runs something beside the play, which breaks if that fails: what a
+        task was to play or to judge would be missing."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_done)
+
+    def on_done(self, task):
+        self.tasks.discard(task)
+        if self.closing or task.cancelled() or task.exception() is None:
+            return
+        self.broken["PLAY"].append("a task failed: %r" % task.exception())
+        with open(os.path.join(self.folder, "tasks.txt"), "a",
+                  encoding="utf-8") as file:
+            task.print_stack(file=file)
+
         self.newest = values, self.encoder.row(state)
         self.store.put_text("op", "config", self.newest[1])
         self.configurations.confirm(values)
@@ -694,7 +711,7 @@
         for it in self.random.sample(up, 2):
             it.down_until = now() + 2
             self.unsound.add(it.name)
-            self.tasks.add(asyncio.ensure_future(it.crash(1.5)))
+            self.spawn(it.crash(1.5))
 
     async def spoil(self):
         """A runner of each service spoils a twentieth of its answers."""
@@ -756,8 +773,7 @@
         while now() < end - 4:
             kind = self.random.choice(kinds)
             self.record.line("fault: " + kind.__name__)
-            task = asyncio.ensure_future(kind())
-            self.tasks.add(task)
+            self.spawn(kind())
             if self.random.random() < 0.7:
                 await asyncio.sleep(self.random.uniform(0.5, 4))
         if end < self.end:
@@ -775,7 +791,7 @@
         while now() < end and not host.leaves:
             await asyncio.sleep(0.25)
             if host.process.poll() is None:
-                self.tasks.add(asyncio.ensure_future(self.probe(host)))
+                self.spawn(self.probe(host))
 
     async def make_host(self, zone):
         _, memory_mb, _, _, _ = SITES[self.options.site]
@@ -794,8 +810,8 @@
     def begin(self, host):
         """Starts a host's process, watches it and asks it."""
         host.start(self.seeds)
-        self.tasks.add(asyncio.ensure_future(host.watch(self.seeds, self.end)))
-        self.tasks.add(asyncio.ensure_future(self.probes(host, self.end)))
+        self.spawn(host.watch(self.seeds, self.end))
+        self.spawn(self.probes(host, self.end))
 
     async def start_runners(self):
         zones, _, models, plain, _ = SITES[self.options.site]
@@ -845,7 +861,7 @@
         await self.start_runners()
         for it in (self.store.keep_copies(), self.note_services(),
                    self.sample_slowness()):
-            self.tasks.add(asyncio.ensure_future(it))
+            self.spawn(it)
         self.configure()
         names = sorted(zones)
         for zone in names:
@@ -886,6 +902,7 @@
         for it in others:
             it.cancel()
         await asyncio.gather(*others, return_exceptions=True)
+        self.closing = True
 
     async def play(self):
         try:
