Let the soak see hosts that forget their configuration (CONFIG)

A host that dropped its configuration when it met an invalid row answered 503 until the next valid one, up to 1 s later. The soak judges 200, 404 and 401, and the share that is served in a whole play, so that it held.

A process that has answered by a configuration must not say later that it has none, whatever the store holds.

--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -55,6 +55,8 @@
 # Requests of one play on connections of their own that hosts in touch may end
 # without an answer.
 MAX_UNANSWERED = 3
+# Reason of a host that has no configuration.
+NOT_LOADED = "the configuration has not been loaded yet"
 # Time after a final fault from which on a quarter of the requests is served.
 RECOVERY_S = 12.0
 # Plays that are so long may end with a final fault.
@@ -269,18 +271,16 @@
         # Requests on connections of their own that hosts in touch refused or
         # ended without an answer.
         self.unanswered = []
+        # When each start of a process first answered by a configuration.
+        self.configured = {}
         # Moment of the final fault.
         self.final_at = None
         self.broken = collections.defaultdict(list)
         self.counts = collections.Counter()
         self.tasks = set()
+        self.closing = False
         self.next_id = 0
 
-    # Configuration
-
-        self.closing = False
-    def configure(self):
-        values, state = self.configurations.make()
     def spawn(self, coroutine):
         """Runs something beside the play, which breaks if that fails: what a
         task was to play or to judge would be missing."""
@@ -297,6 +297,10 @@
                   encoding="utf-8") as file:
             task.print_stack(file=file)
 
+    # Configuration
+
+    def configure(self):
+        values, state = self.configurations.make()
         self.newest = values, self.encoder.row(state)
         self.store.put_text("op", "config", self.newest[1])
         self.configurations.confirm(values)
@@ -360,15 +364,15 @@
                     request_id, host.name))
             return
         sent = now()
-        status = 0
+        status, reason = 0, ""
         try:
             writer.write(self.text("GET", path + "p", request_id, key, 4000))
             answer = await asyncio.wait_for(
                 read_message(reader), timeout + ANSWER_S)
             status = int(answer.start.split(" ")[1])
             if status not in (200, absent):
-                self.counts["probe %d %s" % (
-                    status, self.reason_of(answer.body))] += 1
+                reason = self.reason_of(answer.body)
+                self.counts["probe %d %s" % (status, reason)] += 1
         except asyncio.TimeoutError:
             status = -1
         except (OSError, asyncio.IncompleteReadError):
@@ -384,8 +388,20 @@
         self.judge_runs(request_id, path, key)
         if life != host.life:
             return
+        if reason == NOT_LOADED:
+            self.judge_forgotten(host, request_id, sent)
+        elif status in (200, absent):
+            self.configured.setdefault(host.life, now())
         self.judge_probe(host, what, request_id, sent, status, absent, bound)
 
+    def judge_forgotten(self, host, request_id, sent):
+        """A process that has had a configuration goes on having one, also
+        while the store holds one that is invalid, or is away."""
+        if self.configured.get(host.life, sent) < sent:
+            self.broken["CONFIG"].append(
+                "%s at %s: the host had a configuration, and has none" % (
+                    request_id, host.name))
+
     def judge_runs(self, request_id, path, key):
         """Where a request ran, and for whom."""
         allowed = ALLOWED[path.split("/")[1]]
@@ -885,6 +901,7 @@
 
     async def close(self):
         """Ends the processes by their ids, and all connections."""
+        self.closing = True
         for it in self.hosts:
             if it.process is not None and it.process.poll() is None:
                 it.process.send_signal(signal.SIGCONT)
@@ -902,7 +919,6 @@
         for it in others:
             it.cancel()
         await asyncio.gather(*others, return_exceptions=True)
-        self.closing = True
 
     async def play(self):
         try:
