--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -476,6 +476,7 @@
                 "%d of %d requests that lasted to their timeout had no answer"
                 " in time: %s" % (len(self.overdue), self.lasting,
                                   "; ".join(self.overdue[:3])))
+        self.counts["unanswered"] = len(self.unanswered)
         if len(self.unanswered) > MAX_UNANSWERED:
             self.broken["LOST"].append(
                 "%d requests got neither an answer nor a run: %s" % (
