--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -55,6 +55,8 @@
 # Requests of one play on connections of their own that hosts in touch may end
 # without an answer.
 MAX_UNANSWERED = 3
+# Reason of a host that has no configuration.
+NOT_LOADED = "the configuration has not been loaded yet"
 # Time after a final fault from which on a quarter of the requests is served.
 RECOVERY_S = 12.0
 # Plays that are so long may end with a final fault.
@@ -269,13 +271,32 @@
         # Requests on connections of their own that hosts in touch refused or
         # ended without an answer.
         self.unanswered = []
+        # When each start of a process first answered by a configuration.
+        self.configured = {}
         # Moment of the final fault.
         self.final_at = None
         self.broken = collections.defaultdict(list)
         self.counts = collections.Counter()
         self.tasks = set()
+        self.closing = False
         self.next_id = 0
 
+    def spawn(self, coroutine):
+        """Runs something beside the play, which breaks if that fails: what a
+        task was to play or to judge would be missing."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_done)
+
+    def on_done(self, task):
+        self.tasks.discard(task)
+        if self.closing or task.cancelled() or task.exception() is None:
+            return
+        self.broken["PLAY"].append("a task failed: %r" % task.exception())
+        with open(os.path.join(self.folder, "tasks.txt"), "a",
+                  encoding="utf-8") as file:
+            task.print_stack(file=file)
+
     # Configuration
 
     def configure(self):
@@ -343,15 +364,15 @@
                     request_id, host.name))
             return
         sent = now()
-        status = 0
+        status, reason = 0, ""
         try:
             writer.write(self.text("GET", path + "p", request_id, key, 4000))
             answer = await asyncio.wait_for(
                 read_message(reader), timeout + ANSWER_S)
             status = int(answer.start.split(" ")[1])
             if status not in (200, absent):
-                self.counts["probe %d %s" % (
-                    status, self.reason_of(answer.body))] += 1
+                reason = self.reason_of(answer.body)
+                self.counts["probe %d %s" % (status, reason)] += 1
         except asyncio.TimeoutError:
             status = -1
         except (OSError, asyncio.IncompleteReadError):
@@ -367,8 +388,20 @@
         self.judge_runs(request_id, path, key)
         if life != host.life:
             return
+        if reason == NOT_LOADED:
+            self.judge_forgotten(host, request_id, sent)
+        elif status in (200, absent):
+            self.configured.setdefault(host.life, now())
         self.judge_probe(host, what, request_id, sent, status, absent, bound)
 
+    def judge_forgotten(self, host, request_id, sent):
+        """A process that has had a configuration goes on having one, also
+        while the store holds one that is invalid, or is away."""
+        if self.configured.get(host.life, sent) < sent:
+            self.broken["CONFIG"].append(
+                "%s at %s: the host had a configuration, and has none" % (
+                    request_id, host.name))
+
     def judge_runs(self, request_id, path, key):
         """Where a request ran, and for whom."""
         allowed = ALLOWED[path.split("/")[1]]
@@ -443,6 +476,7 @@
                 "%d of %d requests that lasted to their timeout had no answer"
                 " in time: %s" % (len(self.overdue), self.lasting,
                                   "; ".join(self.overdue[:3])))
+        self.counts["unanswered"] = len(self.unanswered)
         if len(self.unanswered) > MAX_UNANSWERED:
             self.broken["LOST"].append(
                 "%d requests got neither an answer nor a run: %s" % (
@@ -694,7 +728,7 @@
         for it in self.random.sample(up, 2):
             it.down_until = now() + 2
             self.unsound.add(it.name)
-            self.tasks.add(asyncio.ensure_future(it.crash(1.5)))
+            self.spawn(it.crash(1.5))
 
     async def spoil(self):
         """A runner of each service spoils a twentieth of its answers."""
@@ -756,8 +790,7 @@
         while now() < end - 4:
             kind = self.random.choice(kinds)
             self.record.line("fault: " + kind.__name__)
-            task = asyncio.ensure_future(kind())
-            self.tasks.add(task)
+            self.spawn(kind())
             if self.random.random() < 0.7:
                 await asyncio.sleep(self.random.uniform(0.5, 4))
         if end < self.end:
@@ -775,7 +808,7 @@
         while now() < end and not host.leaves:
             await asyncio.sleep(0.25)
             if host.process.poll() is None:
-                self.tasks.add(asyncio.ensure_future(self.probe(host)))
+                self.spawn(self.probe(host))
 
     async def make_host(self, zone):
         _, memory_mb, _, _, _ = SITES[self.options.site]
@@ -794,8 +827,8 @@
     def begin(self, host):
         """Starts a host's process, watches it and asks it."""
         host.start(self.seeds)
-        self.tasks.add(asyncio.ensure_future(host.watch(self.seeds, self.end)))
-        self.tasks.add(asyncio.ensure_future(self.probes(host, self.end)))
+        self.spawn(host.watch(self.seeds, self.end))
+        self.spawn(self.probes(host, self.end))
 
     async def start_runners(self):
         zones, _, models, plain, _ = SITES[self.options.site]
@@ -845,7 +878,7 @@
         await self.start_runners()
         for it in (self.store.keep_copies(), self.note_services(),
                    self.sample_slowness()):
-            self.tasks.add(asyncio.ensure_future(it))
+            self.spawn(it)
         self.configure()
         names = sorted(zones)
         for zone in names:
@@ -869,6 +902,7 @@
 
     async def close(self):
         """Ends the processes by their ids, and all connections."""
+        self.closing = True
         for it in self.hosts:
             if it.process is not None and it.process.poll() is None:
                 it.process.send_signal(signal.SIGCONT)
