Hold a death against the run of a caller that has just left (router)

Cause: the router noticed that the caller was gone before it read the end of the run, and recorded the run as released. The engine's death, seen by the next poll or in the mailbox already, was then nobody's. In the test this happens if its calls for the engine take longer than the three tokens until the caller leaves: these are in the caller's buffer by then, and it closes in the moment of the death.

Ruled out: news between routers that come late, deaths contested by other requests, a request that was cleared by its progress: the lost death is missing at its own router.

Fix: the run of a caller that has left is given up, as at gateways: it counts as lost only if its engine turns out to have died since the last that was heard of it, and is forgotten when the engine answers.

--- a/src/quetzalquay/router/StreamSession.cpp
+++ b/src/quetzalquay/router/StreamSession.cpp
@@ -639,6 +639,9 @@
   AddExplainStep("caller_gone",
                  "the caller closed its connection or stopped reading");
   ExecuteActions(mGeneration.OnCallerDisconnected(Now()));
+  // The end of a run whose target has died may not have been read yet.
+  EndAttempt(mActiveAttempt && mActiveAttempt->mLost ? AttemptOutcome::Lost
+                                                     : AttemptOutcome::GivenUp);
   EndSession();
 }
 
--- a/tests/usage/RecoveryTests.cpp
+++ b/tests/usage/RecoveryTests.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(AStoppingRouterFinishesShortStreams);
   CPPUNIT_TEST(ALeavingEngineGetsNoNewRequests);
   CPPUNIT_TEST(DeathsSeenByDifferentRoutersAddUp);
+  CPPUNIT_TEST(DeathsCountAlthoughTheCallerHasLeft);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,7 +64,12 @@
         // The stream goes on at another engine; the caller leaves soon.
         return aCount < 6;
       });
-      CPPUNIT_ASSERT_EQUAL(std::size_t(6), caller.mTokens.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "router " + std::to_string(router) + ", status " +
+          std::to_string(caller.mStatus) + ", " + caller.mError.code() + ": " +
+          caller.mError.message(),
+        std::size_t(6),
+        caller.mTokens.size());
       // The engine is back, and the routers have told each other.
       std::this_thread::sleep_for(std::chrono::milliseconds(2000));
     }
@@ -78,6 +84,41 @@
     other.RequireComplete();
   }
 
+  // Guards against forgetting the run of a caller that leaves before the router
+  // knows of the engine's death, so that its request goes on crashing engines.
+  void DeathsCountAlthoughTheCallerHasLeft()
+  {
+    DeploymentOptions options;
+    options.mEngines = 5;
+    LocalDeployment deployment(options);
+    for (int death = 0; death < 3; ++death) {
+      TestCaller caller(deployment);
+      int engine = -1;
+      caller.Stream(0, [&](int aCount) {
+        if (aCount < 3) {
+          return true;
+        }
+        engine = deployment.EngineOf(caller.Generation());
+        deployment.InjectEngineFault(engine, "pause", 1000);
+        return false;
+      });
+      CPPUNIT_ASSERT(engine >= 0);
+      // The router has noticed that the caller is gone.
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      deployment.InjectEngineFault(engine, "die", 1000);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    }
+    TestCaller again(deployment);
+    again.Stream(0);
+    CPPUNIT_ASSERT_EQUAL(422, again.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("suspected_poison"), again.mError.code());
+    TestCaller other(deployment);
+    other.mPrompt = "tell another story";
+    other.Stream(0);
+    CPPUNIT_ASSERT_EQUAL(std::string(), other.mError.message());
+    other.RequireComplete();
+  }
+
   void AStreamIsServedCompletely()
   {
     LocalDeployment deployment{ DeploymentOptions() };
