Reserve the ports of test deployments

What was seen: RecoveryTests::DeathsSeenByDifferentRoutersAddUp failed once at "expected 6, got 0" (KNOWN-RED.txt) and, in the same moment, once more in another process at "expected 200, got 0", with the runs of two deployments at its engines.

Cause: a fault of the test. The ports follow from the process id modulo 300, and the servers set SO_REUSEPORT, so that two processes of the tests with ids that differ by a multiple of 300 listen on the same addresses without an error and get each other's connections. Ports now come from the block that the process has reserved, as for the other fakes.

--- a/tests/fakes/LocalDeployment.cpp
+++ b/tests/fakes/LocalDeployment.cpp
@@ -1,5 +1,6 @@
 #include "LocalDeployment.h"
 
+#include "GatewayProcess.h"
 #include "wire/Crypto.h"
 #include "wire/Json.h"
 #include "wire/SseParser.h"
@@ -7,20 +8,34 @@
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 
 using namespace quetzalquay;
 
 namespace {
 
-// Ports of a deployment. They differ between processes, so that several runs of
-// the tests do not meet.
-constexpr int kFirstPort = 9000;
-constexpr int kPortSets = 300;
-const int kPort = kFirstPort + 3 * static_cast<int>(::getpid() % kPortSets);
-const int kControlPort = kPort + 1;
-const int kPeerPort = kPort + 2;
+// Ports of all deployments of this process. They are reserved: the servers
+// share a port with another process that listens on it, without an error.
+int
+Port()
+{
+  static const int port = FindFreePort();
+  return port;
+}
+
+int
+ControlPort()
+{
+  static const int port = FindFreePort();
+  return port;
+}
+
+int
+PeerPort()
+{
+  static const int port = FindFreePort();
+  return port;
+}
 
 enum AddressKind
 {
@@ -73,9 +88,9 @@
   schema::StandinPlatformSettings platform;
   platform.set_name("platform");
   *platform.mutable_listen() =
-    MakeEndpoint(LoopbackAddress(PlatformKind, 1), kPort);
+    MakeEndpoint(LoopbackAddress(PlatformKind, 1), Port());
   *platform.mutable_control() =
-    MakeEndpoint(LoopbackAddress(PlatformKind, 1), kControlPort);
+    MakeEndpoint(LoopbackAddress(PlatformKind, 1), ControlPort());
   platform.set_weights_per_second(100);
   mPlatform = std::make_unique<StandinPlatform>(platform);
   RequireSuccess(mPlatform->Start());
@@ -83,9 +98,9 @@
   service.set_name("desk-1");
   service.set_delay_ms(mOptions.mServiceDelayMs);
   *service.mutable_listen() =
-    MakeEndpoint(LoopbackAddress(ServiceKind, 1), kPort);
+    MakeEndpoint(LoopbackAddress(ServiceKind, 1), Port());
   *service.mutable_control() =
-    MakeEndpoint(LoopbackAddress(ServiceKind, 1), kControlPort);
+    MakeEndpoint(LoopbackAddress(ServiceKind, 1), ControlPort());
   mService = std::make_unique<StandinService>(service);
   RequireSuccess(mService->Start());
   for (int n = 0; n < mOptions.mEngines; ++n) {
@@ -122,7 +137,7 @@
 HttpAddress
 LocalDeployment::RouterAddress(int aRouter) const
 {
-  return { LoopbackAddress(RouterKind, aRouter + 1), kPort };
+  return { LoopbackAddress(RouterKind, aRouter + 1), Port() };
 }
 
 void
@@ -164,7 +179,7 @@
   spec.mBody = aBody;
   spec.mHeaders["Authorization"] = "Bearer operator";
   spec.mReadTimeout = std::chrono::seconds(10);
-  HttpCall call(HttpAddress{ LoopbackAddress(ApiKind, 1), kPort });
+  HttpCall call(HttpAddress{ LoopbackAddress(ApiKind, 1), Port() });
   return call.Run(spec);
 }
 
@@ -195,7 +210,7 @@
   spec.mMethod = "PUT";
   spec.mPath = "/v1/hosts";
   spec.mBody = ToCompactJson(list);
-  HttpCall call(HttpAddress{ LoopbackAddress(PlatformKind, 1), kPort });
+  HttpCall call(HttpAddress{ LoopbackAddress(PlatformKind, 1), Port() });
   CPPUNIT_ASSERT_EQUAL(200, call.Run(spec).mStatus);
 }
 
@@ -204,12 +219,13 @@
 {
   schema::ApiSettings settings;
   settings.set_name("api");
-  *settings.mutable_listen() = MakeEndpoint(LoopbackAddress(ApiKind, 1), kPort);
+  *settings.mutable_listen() =
+    MakeEndpoint(LoopbackAddress(ApiKind, 1), Port());
   *settings.mutable_platform() =
-    MakeEndpoint(LoopbackAddress(PlatformKind, 1), kPort);
+    MakeEndpoint(LoopbackAddress(PlatformKind, 1), Port());
   settings.add_operator_key_sha256(Sha256Hex("operator"));
   for (int n = 0; n < mOptions.mRouters; ++n) {
-    *settings.add_routers() = MakeEndpoint(RouterAddress(n).mHost, kPort);
+    *settings.add_routers() = MakeEndpoint(RouterAddress(n).mHost, Port());
   }
   mApi = std::make_unique<ResourceApi>(settings);
   RequireSuccess(mApi->Start());
@@ -313,7 +329,7 @@
   spec.mMethod = "POST";
   spec.mPath = "/faults";
   spec.mBody = ToCompactJson(aOrder);
-  HttpCall call(HttpAddress{ aAddress, kControlPort });
+  HttpCall call(HttpAddress{ aAddress, ControlPort() });
   CPPUNIT_ASSERT_EQUAL(200, call.Run(spec).mStatus);
 }
 
@@ -322,7 +338,7 @@
 {
   HttpCallSpec spec;
   spec.mPath = "/records";
-  HttpCall call(HttpAddress{ aAddress, kControlPort });
+  HttpCall call(HttpAddress{ aAddress, ControlPort() });
   schema::TargetRecords records;
   ParseJson(call.Run(spec).mBody, UnknownFields::Ignore, records);
   return records;
@@ -361,14 +377,14 @@
     target->set_service("pool");
     target->set_place("hall");
     target->set_address(LoopbackAddress(EngineKind, n + 1));
-    target->set_port(kPort);
+    target->set_port(Port());
   }
   auto* target = configuration.add_targets();
   target->set_name("desk-1");
   target->set_service("desk");
   target->set_place("hall");
   target->set_address(LoopbackAddress(ServiceKind, 1));
-  target->set_port(kPort);
+  target->set_port(Port());
   return configuration;
 }
 
@@ -385,7 +401,7 @@
   key->set_id("k1");
   key->set_secret("a-secret-of-the-tests-with-32-characters");
   *settings.mutable_platform() =
-    MakeEndpoint(LoopbackAddress(PlatformKind, 1), kPort);
+    MakeEndpoint(LoopbackAddress(PlatformKind, 1), Port());
   settings.set_default_deadline_ms(30000);
   settings.set_max_deadline_ms(60000);
   settings.set_stop_grace_ms(mOptions.mStopGraceMs);
@@ -395,14 +411,15 @@
   settings.set_peer_interval_ms(500);
   settings.set_peer_fanout(3);
   settings.set_follow_store(mOptions.mFollowStore);
-  *settings.mutable_peer_listen() = MakeEndpoint(address.mHost, kPeerPort);
+  *settings.mutable_peer_listen() = MakeEndpoint(address.mHost, PeerPort());
   for (int n = 0; n < mOptions.mRouters; ++n) {
     if (n == aRouter) {
       continue;
     }
     auto* peer = settings.add_peers();
     peer->set_name("router-" + std::to_string(n + 1));
-    *peer->mutable_endpoint() = MakeEndpoint(RouterAddress(n).mHost, kPeerPort);
+    *peer->mutable_endpoint() =
+      MakeEndpoint(RouterAddress(n).mHost, PeerPort());
   }
   return settings;
 }
@@ -413,9 +430,9 @@
   schema::StandinEngineSettings settings;
   settings.set_name("engine-" + std::to_string(aEngine));
   *settings.mutable_listen() =
-    MakeEndpoint(LoopbackAddress(EngineKind, aEngine + 1), kPort);
+    MakeEndpoint(LoopbackAddress(EngineKind, aEngine + 1), Port());
   *settings.mutable_control() =
-    MakeEndpoint(LoopbackAddress(EngineKind, aEngine + 1), kControlPort);
+    MakeEndpoint(LoopbackAddress(EngineKind, aEngine + 1), ControlPort());
   settings.set_model("story");
   settings.add_versions("1");
   settings.set_max_batch(16);
