Judge runs by when they can have reached the fakes

Cause: a fault of the test. A runner's time is that at which the fakes read the request. When their loop has stood still for over 0.5 s, requests that reached them meanwhile count as runs with more time than their caller had left.

The fakes now beat every 20 ms, so that they know until when all input has been read. If that is over 0.1 s ago when a request is read, or its runner was stalled, the request counts from there on; a request that is read by fakes that run is judged as before, and the bound of 0.5 s stays. What this excuses is printed with the time for which the fakes stood still. The version at the address of a copy is judged by the same time; no run shows that this has ever mattered.

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -26,6 +26,11 @@
 // Interval at which a frozen runner checks whether it may continue.
 constexpr auto kFrozenInterval = milliseconds(20);
 
+// Interval of the timer that shows when the fakes stand still, and the time
+// without input from which on they have.
+constexpr auto kBeatInterval = milliseconds(20);
+constexpr auto kStandingStill = milliseconds(100);
+
 // Interval between the events of a slow stream, and number of events before its
 // fault.
 constexpr auto kSlowEventInterval = milliseconds(60);
@@ -284,11 +289,19 @@
            (mMode == RunnerMode::Reject || mMode == RunnerMode::Fail503);
   }
 
-  // Whether the runner has served new requests for aTime at least.
-  bool HasServedFor(Duration aTime) const
+  // Whether the runner had served new requests for aTime at least at aNow.
+  bool HasServedFor(Duration aTime, Time aNow) const
   {
     return mServingSince && mMode == RunnerMode::Serve &&
-           *mServingSince <= EventLoop::Now() - aTime;
+           *mServingSince <= aNow - aTime;
+  }
+
+  // Earliest time at which a request that is read at aNow can have arrived.
+  Time ArrivedFrom(Time aNow) const
+  {
+    const Time from = mCluster.ArrivedFrom(aNow);
+    const bool stalled = mCluster.mReadUntil <= mStallEndedAt;
+    return stalled ? std::min(from, mStalledSince) : from;
   }
 
   GatewayTestCluster& mCluster;
@@ -333,6 +346,8 @@
   // Set while the runner stands still.
   Timer mStallTimer;
   Time mStalledUntil;
+  Time mStalledSince;
+  Time mStallEndedAt;
 };
 
 class GatewayTestCluster::RunnerConnection
@@ -404,7 +419,8 @@
       const std::string body = mReader.TakeBody();
       mReader.Next();
       if (!std::exchange(mAnswered, false)) {
-        Answer(head, body, EventLoop::Now());
+        const Time now = EventLoop::Now();
+        Answer(head, body, { now, mRunner.ArrivedFrom(now) });
       }
     }
   }
@@ -426,8 +442,14 @@
     Drop();
   }
 
-  // aAt is when the request was received.
-  void Answer(const HttpHead& aHead, const std::string& aBody, Time aAt)
+  // When a request was read, and when it can have arrived at the earliest.
+  struct Arrival
+  {
+    Time mAt;
+    Time mFrom;
+  };
+
+  void Answer(const HttpHead& aHead, const std::string& aBody, Arrival aAt)
   {
     const RunnerMode mode = mRunner.mMode;
     if (mode == RunnerMode::Frozen) {
@@ -537,14 +559,15 @@
 
   RunnerRequest MakeRecord(const HttpHead& aHead,
                            const std::string& aBody,
-                           Time aAt) const
+                           const Arrival& aAt) const
   {
     return { mRunner.mName,
              aHead,
              aBody,
-             aAt,
+             aAt.mAt,
+             aAt.mFrom,
              mRunner.mVersion,
-             mRunner.mCluster.CopyVersionOf(aHead, aBody) };
+             mRunner.mCluster.CopyVersionOf(aHead, aBody, aAt.mFrom) };
   }
 
   void SendReport(RunnerMode aMode)
@@ -936,6 +959,7 @@
 void
 GatewayTestCluster::Runner::BeginStall(Time aUntil)
 {
+  mStalledSince = EventLoop::Now();
   mStalledUntil = aUntil;
   mStallTimer.ScheduleAt(aUntil);
   for (const auto& it : mConnections) {
@@ -946,6 +970,7 @@
 void
 GatewayTestCluster::Runner::EndStall()
 {
+  mStallEndedAt = EventLoop::Now();
   for (const auto& it : mConnections) {
     it->SetStalled(mDark);
   }
@@ -1083,6 +1108,8 @@
   if (aOptions.mRelaysDatagrams) {
     StartRelays();
   }
+  mBeatAt = EventLoop::Now();
+  Beat();
   mThread.emplace(mLoop);
   for (std::size_t n = 0; n < mNodes.size(); ++n) {
     const std::string ip = GatewayIp(n);
@@ -1344,6 +1371,27 @@
   });
 }
 
+// What had arrived before a beat is read before the next one.
+void
+GatewayTestCluster::Beat()
+{
+  const Time now = EventLoop::Now();
+  mReadUntil = std::exchange(mBeatAt, now);
+  mBeatTimer.ScheduleAt(now + kBeatInterval);
+}
+
+Time
+GatewayTestCluster::ArrivedFrom(Time aNow) const
+{
+  return aNow - mReadUntil > kStandingStill ? mReadUntil : aNow;
+}
+
+void
+GatewayTestCluster::StandStill(milliseconds aTime)
+{
+  DoInLoop([aTime] { std::this_thread::sleep_for(aTime); });
+}
+
 void
 GatewayTestCluster::CrashRunner(const std::string& aRunner,
                                 const std::string& aVersion)
@@ -1398,10 +1446,11 @@
 {
   int count = 0;
   DoInLoop([&] {
+    const Time now = EventLoop::Now();
     for (const auto& it : mRunners) {
       const Runner& runner = *it.second;
       const bool serving = (aVersion.empty() || runner.mVersion == aVersion) &&
-                           runner.HasServedFor(kSettledAfter);
+                           runner.HasServedFor(kSettledAfter, now);
       count += serving ? 1 : 0;
     }
   });
@@ -1409,10 +1458,11 @@
 }
 
 // Software version of the runner at the address of a copy order or of the
-// holder of a copy; empty if there is none or it has just started.
+// holder of a copy; empty if there is none or it had just started.
 std::string
 GatewayTestCluster::CopyVersionOf(const HttpHead& aHead,
-                                  const std::string& aBody) const
+                                  const std::string& aBody,
+                                  Time aArrivedFrom) const
 {
   std::string address;
   for (const char* name : { "Kv-From", "X-Kv-Backup" }) {
@@ -1427,7 +1477,8 @@
     address = to == json.MemberEnd() ? std::string() : to->value.GetString();
   }
   const auto runner = mRunners.find(RunnerAt(address));
-  return runner != mRunners.end() && runner->second->HasServedFor(kSettledAfter)
+  return runner != mRunners.end() &&
+             runner->second->HasServedFor(kSettledAfter, aArrivedFrom)
            ? runner->second->mVersion
            : std::string();
 }
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -142,6 +142,9 @@
   quetzalquay::HttpHead mHead;
   std::string mBody;
   quetzalquay::Time mAt;
+  // Earliest time at which it can have arrived: mAt, unless the fakes or the
+  // runner have stood still until shortly before.
+  quetzalquay::Time mArrivedFrom;
   // Software version of the runner.
   std::string mVersion;
   // Software version of the runner that the request names to keep a copy of the
@@ -294,6 +297,9 @@
   // Lets all runners of a place crash at once, whatever they run.
   void FailPlace(const std::string& aPlace);
 
+  // Lets all fakes stand still, as a process that gets no time.
+  void StandStill(std::chrono::milliseconds aTime);
+
   // Lets a runner crash, whatever it runs. Each of its later starts has the
   // given software version.
   void CrashRunner(const std::string& aRunner, const std::string& aVersion);
@@ -570,7 +576,11 @@
                              int aSlots = kDeclaredSlots);
   static constexpr int kDeclaredSlots = 8;
   std::string CopyVersionOf(const quetzalquay::HttpHead& aHead,
-                            const std::string& aBody) const;
+                            const std::string& aBody,
+                            quetzalquay::Time aArrivedFrom) const;
+  void Beat();
+  // Earliest time at which input that is read at aNow can have arrived.
+  quetzalquay::Time ArrivedFrom(quetzalquay::Time aNow) const;
   void DoInLoop(const std::function<void()>& aTask);
   void Write(const std::string& aTable,
              const std::string& aKey,
@@ -578,6 +588,11 @@
              bool aRemoved);
 
   quetzalquay::EventLoop mLoop;
+  // Shows when the loop stands still.
+  quetzalquay::Timer mBeatTimer{ mLoop, [this] { Beat(); } };
+  quetzalquay::Time mBeatAt;
+  // All input that arrived until then has been read.
+  quetzalquay::Time mReadUntil;
   std::vector<std::unique_ptr<GatewayNode>> mNodes;
   int mLoadPort = 0;
   int mRelayPort = 0;
--- a/tests/fakes/StreamLedger.cpp
+++ b/tests/fakes/StreamLedger.cpp
@@ -176,10 +176,16 @@
     AddFault(mReport.mMisattributed, id, "run with another workspace or a key");
   }
   const std::string left = ValueOf(aRun.mHead, "X-Deadline-Ms");
-  const Time until =
-    aRun.mAt + std::chrono::milliseconds(std::atoi(left.c_str()));
-  if (left.empty() || until > attempt.mDeadline + kDeadlineSlack) {
+  const std::chrono::milliseconds time(std::atoi(left.c_str()));
+  const Time latest = attempt.mDeadline + kDeadlineSlack;
+  if (left.empty() || aRun.mArrivedFrom + time > latest) {
     AddFault(mReport.mOverlong, id, "run with " + left + " ms left");
+  } else if (aRun.mAt + time > latest) {
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aRun.mAt - aRun.mArrivedFrom);
+    mReport.mReadLate += id + ": run with " + left + " ms left, read up to " +
+                         std::to_string(late.count()) +
+                         " ms after it arrived\n";
   }
   mReport.mCopyUses += aRun.mHead.Find("Kv-From") != nullptr ? 1 : 0;
   const std::string version = stream.Version();
--- a/tests/fakes/StreamLedger.h
+++ b/tests/fakes/StreamLedger.h
@@ -110,7 +110,8 @@
   // Runs that no caller asked for, after an earlier event than the caller's
   // last one, or with another workspace or the key.
   int mMisattributed = 0;
-  // Runs that were given more time than the caller had left, by over 0.5 s.
+  // Runs that were given more time than the caller had left, by over 0.5 s, at
+  // the earliest time at which they can have arrived.
   int mOverlong = 0;
   // Streams that callers began, and that they took up, at sound hosts while two
   // runners served.
@@ -121,6 +122,9 @@
   int mComplete = 0;
   // Description of each fault, one a line.
   std::string mFaults;
+  // The same of each run that would be overlong if it had arrived when it was
+  // read. The fakes or its runner stood still before.
+  std::string mReadLate;
 };
 
 StreamReport
--- a/tests/fakes/StreamTrials.cpp
+++ b/tests/fakes/StreamTrials.cpp
@@ -68,7 +68,7 @@
       std::cout << it.Describe(aResult.mTroubleAt) << '\n';
     }
   }
-  std::cout << report.mFaults;
+  std::cout << report.mFaults << report.mReadLate;
 }
 
 void
--- a/tests/usage/FleetVersionTests.cpp
+++ b/tests/usage/FleetVersionTests.cpp
@@ -19,6 +19,9 @@
 constexpr auto kHostFreeze = milliseconds(2300);
 constexpr auto kRunnerFreeze = milliseconds(1000);
 
+// Time for which all fakes stand still.
+constexpr auto kFakesStill = milliseconds(1200);
+
 // Time within which a host ends or refuses a stream whose version is gone, and
 // time without an event for which its callers would wait.
 constexpr auto kPromptly = milliseconds(4000);
@@ -248,6 +251,7 @@
   CPPUNIT_TEST_SUITE(FleetVersionTests);
   CPPUNIT_TEST(StreamsOfOneVersionAreTakenUpAtOtherHosts);
   CPPUNIT_TEST(AnswersKeepTheirVersionWhenTargetsFail);
+  CPPUNIT_TEST(RunsReadLateByTheFakesAreNotOverlong);
   CPPUNIT_TEST(StreamsKeepTheirVersionDuringARelease);
   CPPUNIT_TEST(StreamsAreTakenUpWhileAReleaseBegins);
   CPPUNIT_TEST(StreamsKeepTheirVersionWhenTheirHostIsKilled);
@@ -282,6 +286,17 @@
                  { "one_left", TwoVersions(), LeaveOneRunner } });
   }
 
+  // Guards against blaming hosts for the time that the fakes stood still.
+  void RunsReadLateByTheFakesAreNotOverlong()
+  {
+    const auto results = PlayTrials(
+      { { "still",
+          TwoVersions(),
+          [](auto& aCluster, auto&) { aCluster.StandStill(kFakesStill); },
+          kFakesStill } });
+    CPPUNIT_ASSERT(!results[0].mReport.mReadLate.empty());
+  }
+
   // Guards against streams that move to the new software version with the
   // targets.
   void StreamsKeepTheirVersionDuringARelease()
