Name the cause of mixed copies in FleetUpgradeTests (KNOWN-RED)

The host that names the former address 2 s later has read its return from another host, with an address of that host's link (127.2.0.6 instead of 127.2.0.2): the fake store writes into the entry of a target the address of the link of the host that reads it, and hosts pass entries on. So the host does not see that both have one address, and i-0 (i-1) stays in use until its entry expires.

So it is a fault of the fakes, not repaired here: it takes one address a target for all hosts. No run shows the test with that yet; the entry stays. The same makes a cut of a host's links leave out targets whose entries came from another host.

Constants of LocalDeployment are named as the linter asks.

--- a/tests/fakes/LocalDeployment.cpp
+++ b/tests/fakes/LocalDeployment.cpp
@@ -19,22 +19,22 @@
 int
 Port()
 {
-  static const int port = FindFreePort();
-  return port;
+  static const int kNumber = FindFreePort();
+  return kNumber;
 }
 
 int
 ControlPort()
 {
-  static const int port = FindFreePort();
-  return port;
+  static const int kNumber = FindFreePort();
+  return kNumber;
 }
 
 int
 PeerPort()
 {
-  static const int port = FindFreePort();
-  return port;
+  static const int kNumber = FindFreePort();
+  return kNumber;
 }
 
 enum AddressKind
