--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -54,10 +54,19 @@
   return std::find(aList.begin(), aList.end(), aSuspect) != aList.end();
 }
 
+// The suspect that a content is in what it loses after progress, alike on every
+// host.
+std::uint64_t
+LateSuspectOf(const RequestContent& aContent)
+{
+  return aContent.mHash ^ 0x6c61746520727573ULL;
+}
+
 bool
 Has(const RequestContent& aContent, std::uint64_t aSuspect)
 {
-  return aContent.mHash == aSuspect || Contains(aContent.mParts, aSuspect);
+  return aContent.mHash == aSuspect || LateSuspectOf(aContent) == aSuspect ||
+         Contains(aContent.mParts, aSuspect);
 }
 
 } // namespace
@@ -94,6 +103,30 @@
   }
 }
 
+void
+SuspectRegistry::OnLateRunLost(const RequestContent& aContent,
+                               const LostRun& aRun,
+                               Time aNow)
+{
+  if (!mOptions.mTrials) {
+    return;
+  }
+  OnTargetDeath(aRun.mDeath);
+  const std::uint64_t late = LateSuspectOf(aContent);
+  const auto lengthOf = [](const LostRun& aLost) {
+    return aLost.mDeath.mAt - aLost.mStartedAt;
+  };
+  const Runs& runs = RunsOf(late, aNow);
+  const bool isLonger =
+    std::all_of(runs.begin(), runs.end(), [&](const LostRun& aOther) {
+      return lengthOf(aOther) + kProgressTime < lengthOf(aRun);
+    });
+  if (!runs.empty() && isLonger) {
+    Clear(late, aRun.mStartedAt);
+  }
+  AddOwnRun(late, aRun, aNow, aNow);
+}
+
 // The parts of a lost request whose losses are recorded: first those that have
 // losses, then unknown ones, last those in use. Of too many unknown ones, each
 // death gets others, so that a deadly one is among them sooner or later.
@@ -142,6 +175,13 @@
 
 void
 SuspectRegistry::ClearSuspect(const RequestContent& aContent, Time aNow)
+{
+  Clear(LateSuspectOf(aContent), aNow);
+  OnProgress(aContent, aNow);
+}
+
+void
+SuspectRegistry::OnProgress(const RequestContent& aContent, Time aNow)
 {
   Clear(aContent.mHash, aNow);
   for (const std::uint64_t it : aContent.mParts) {
@@ -182,7 +222,21 @@
                                     : JudgeSuspect(it, aPendingLosses, aNow);
     verdict = ofPart == SuspectVerdict::Free ? verdict : ofPart;
   }
-  return verdict;
+  return verdict == SuspectVerdict::Free
+           ? JudgeLate(aContent, aPendingLosses, aNow)
+           : verdict;
+}
+
+// What is known from losses after progress. A long stream is lost with each
+// place that fails, so these failures don't count.
+SuspectVerdict
+SuspectRegistry::JudgeLate(const RequestContent& aContent,
+                           int aPendingLosses,
+                           Time aNow) const
+{
+  const Runs& runs = RunsOf(LateSuspectOf(aContent), aNow);
+  const int losses = static_cast<int>(CountOwnLosses(runs));
+  return VerdictOf(runs, losses, losses > 0 ? aPendingLosses : 0, aNow);
 }
 
 SuspectVerdict
@@ -195,12 +249,21 @@
   // crash targets, too.
   const int deaths =
     mOptions.mTrials ? CountFailures(runs) : Deaths(aSuspect, aNow);
-  if (aPendingLosses + deaths < kMinDeathsToRefuse) {
+  return VerdictOf(runs, deaths, aPendingLosses, aNow);
+}
+
+SuspectVerdict
+SuspectRegistry::VerdictOf(const std::vector<LostRun>& aRuns,
+                           int aLosses,
+                           int aPendingLosses,
+                           Time aNow) const
+{
+  if (aPendingLosses + aLosses < kMinDeathsToRefuse) {
     return SuspectVerdict::Free;
   }
   const bool settled =
     aPendingLosses == 0 &&
-    std::all_of(runs.begin(), runs.end(), [&](const LostRun& aRun) {
+    std::all_of(aRuns.begin(), aRuns.end(), [&](const LostRun& aRun) {
       return aRun.mDeath.mAt <= aNow - mOptions.mSettleTime;
     });
   return settled && mOptions.mTrials ? SuspectVerdict::Unclear
@@ -231,6 +294,7 @@
 SuspectRegistry::IsSuspected(const RequestContent& aContent, Time aNow) const
 {
   return !RunsOf(aContent.mHash, aNow).empty() ||
+         !RunsOf(LateSuspectOf(aContent), aNow).empty() ||
          std::any_of(
            aContent.mParts.begin(),
            aContent.mParts.end(),
@@ -240,6 +304,10 @@
 SuspectSet
 SuspectRegistry::SuspectsOf(const RequestContent& aContent, Time aNow) const
 {
+  const std::uint64_t late = LateSuspectOf(aContent);
+  if (CountOwnLosses(RunsOf(late, aNow)) >= kMinDeathsToRefuse) {
+    return late;
+  }
   // Any part that other requests lost, too, may be the one to blame, also if
   // it has not been lost often enough by itself.
   const std::size_t own = RunsOf(aContent.mHash, aNow).size();
@@ -390,6 +458,24 @@
   return !rival && !IsCommonFailure(runs, *trial);
 }
 
+std::optional<bool>
+SuspectRegistry::JudgeLostTrial(const RequestContent& aContent,
+                                const SuspectSet& aSuspects,
+                                Time aStartedAt,
+                                Time aNow) const
+{
+  const std::uint64_t late = LateSuspectOf(aContent);
+  if (aSuspects.mId != late) {
+    return JudgeLostTrial(aContent, aStartedAt, aNow);
+  }
+  // The trial may have shown that the others were lost by chance, or a common
+  // failure may have ended it.
+  if (CountOwnLosses(RunsOf(late, aNow)) <= kMinDeathsToRefuse) {
+    return std::nullopt;
+  }
+  return JudgeLostTrial({ late, aContent.mParts }, aStartedAt, aNow);
+}
+
 SuspectEvidence
 SuspectRegistry::EvidenceOf(const RequestContent& aContent, Time aNow) const
 {
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -73,6 +73,10 @@
 //   as that of a place, unless the request followed the failure from target to
 //   target, or if another suspect that was lost with the same target explains
 //   it.
+// - A request that has shown progress is lost late, as sound long streams are,
+//   too. Late losses count against their content only, and not if they belong
+//   to a common failure. Only their trial convicts. The content is a suspect of
+//   its own in them, so that other records of it stay as they are.
 // - A death counts for a refusal only once the other hosts' evidence about it
 //   should be known.
 // Where trials are possible, a request is refused on this evidence only if no
@@ -93,7 +97,7 @@
   static constexpr int kMinDeathsToRefuseContested = 5;
 
   // Time from a run's first output after which the run has shown that its
-  // request does not crash targets.
+  // request does not crash targets when it begins to run.
   static constexpr Duration kProgressTime = std::chrono::milliseconds(2000);
 
   // Maximum number of parts that are recorded of one lost request, and of
@@ -122,10 +126,21 @@
                  const LostRun& aRun,
                  Time aNow);
 
-  // Clears the content and the parts of a request that has finished, or run
-  // well past the point where its target died.
+  // Records that a request that had shown progress was lost with a target. Such
+  // losses are kept apart from the others, and held against its content only.
+  // If the request ran well past the point at which its runs were lost before,
+  // these no longer count. Has no effect without trials.
+  void OnLateRunLost(const RequestContent& aContent,
+                     const LostRun& aRun,
+                     Time aNow);
+
+  // Clears the content and the parts of a request that has finished.
   void ClearSuspect(const RequestContent& aContent, Time aNow);
 
+  // Clears the content and the parts of a request that has shown progress, but
+  // not of losses after progress.
+  void OnProgress(const RequestContent& aContent, Time aNow);
+
   // What the evidence means for a request that has aPendingLosses lost runs
   // whose targets are still being checked. A conviction that refuses it is kept
   // for longer.
@@ -169,6 +184,14 @@
                                      Time aStartedAt,
                                      Time aNow) const;
 
+  // The same for a trial of certain suspects. A loss after progress convicts
+  // only if the trial is about such losses, and their failures are no common
+  // ones.
+  std::optional<bool> JudgeLostTrial(const RequestContent& aContent,
+                                     const SuspectSet& aSuspects,
+                                     Time aStartedAt,
+                                     Time aNow) const;
+
   // What is known against the content of a request, or against a single part.
   SuspectEvidence EvidenceOf(const RequestContent& aContent, Time aNow) const;
 
@@ -205,6 +228,13 @@
   SuspectVerdict JudgeSuspect(std::uint64_t aSuspect,
                               int aPendingLosses,
                               Time aNow) const;
+  SuspectVerdict JudgeLate(const RequestContent& aContent,
+                           int aPendingLosses,
+                           Time aNow) const;
+  SuspectVerdict VerdictOf(const std::vector<LostRun>& aRuns,
+                           int aLosses,
+                           int aPendingLosses,
+                           Time aNow) const;
   // Number of lost runs that are not due to a common failure.
   std::ptrdiff_t CountOwnLosses(const Runs& aRuns) const;
   bool IsCommonFailure(const Runs& aRuns, const LostRun& aRun) const;
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -348,7 +348,11 @@
   const bool cutOff =
     MayShowDeath(aOutcome) &&
     ReachOf(target->mDeclaration.mService) == ReachState::CutOff;
-  if (mayBeLost && !progressed && !cutOff) {
+  // A sound stream is often given up after progress.
+  attempt.mLate = progressed;
+  const bool counts = !progressed || (mOptions.mSuspectTrials &&
+                                      aOutcome == AttemptOutcome::Lost);
+  if (mayBeLost && counts && !cutOff) {
     OnAttemptMayBeLost(*target, std::move(attempt), aNow);
   } else if (aOutcome == AttemptOutcome::Finished) {
     ClearSuspect(aContent, aNow);
@@ -387,7 +391,8 @@
                         const RequestContent& aContent,
                         Time aNow)
 {
-  ClearSuspect(aContent, aNow);
+  mSuspects.OnProgress(aContent, aNow);
+  ClearAttempts(aContent, false, aNow);
   NotifyLoadChanged();
   if (Target* target = Find(aTarget)) {
     for (RunningAttempt& it : target->mRunning) {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -202,8 +202,8 @@
   void OnSurvived(const std::string& aTarget, Time aAliveAt);
 
   // Records that an attempt has produced enough output to show that its request
-  // does not crash targets. Clears the request, and the loss of this attempt
-  // will not count.
+  // does not crash targets when it begins to run. Clears the request, and the
+  // loss of this attempt will only count as a late one.
   void OnProgress(const std::string& aTarget,
                   const RequestContent& aContent,
                   Time aNow);
@@ -478,6 +478,8 @@
     Time mDiedAt;
     std::string mIncarnation;
     AttemptOutcome mOutcome;
+    // Whether it had shown progress.
+    bool mLate = false;
   };
 
   struct Target
@@ -617,6 +619,10 @@
                         AttemptOutcome aOutcome,
                         Time aNow);
   void ClearSuspect(const RequestContent& aContent, Time aAt);
+  void OnRunLost(const LostAttempt& aAttempt,
+                 const TargetDeath& aDeath,
+                 Time aNow);
+  void ClearAttempts(const RequestContent& aContent, bool aLateToo, Time aAt);
   void DropGivenUp(Target& aTarget, Time aAliveAt);
   std::optional<Target> TakeReturned(const std::string& aName, Time aNow);
   void ForgetGone(const std::string& aService);
--- a/src/quetzalquay/core/TargetTableDeaths.cpp
+++ b/src/quetzalquay/core/TargetTableDeaths.cpp
@@ -42,8 +42,7 @@
   for (const LostAttempt& it : aTarget.mLostAttempts) {
     if (IsLostWith(it, aTarget, aNow)) {
       report.mRequests.push_back(it.mContent);
-      mSuspects.OnRunLost(
-        it.mContent, { *aTarget.mDeath, it.mStartedAt }, aNow);
+      OnRunLost(it, *aTarget.mDeath, aNow);
     }
   }
   mSuspects.OnTargetDeath(*aTarget.mDeath);
@@ -96,7 +95,7 @@
   }
   const auto& ended = aTarget.mLostAttempts;
   if (std::any_of(ended.begin(), ended.end(), [](const LostAttempt& aAttempt) {
-        return MayShowDeath(aAttempt.mOutcome);
+        return MayShowDeath(aAttempt.mOutcome) && !aAttempt.mLate;
       })) {
     OnDeath(aTarget, DeathEvidence::Unregistered, aNow);
   }
@@ -134,8 +133,7 @@
     lost.pop_front();
   }
   if (IsLostWith(aAttempt, aTarget, aNow)) {
-    mSuspects.OnRunLost(
-      aAttempt.mContent, { *aTarget.mDeath, aAttempt.mStartedAt }, aNow);
+    OnRunLost(aAttempt, *aTarget.mDeath, aNow);
     NotifyLoadChanged();
   } else {
     lost.push_back(std::move(aAttempt));
@@ -178,6 +176,30 @@
 TargetTable::ClearSuspect(const RequestContent& aContent, Time aAt)
 {
   mSuspects.ClearSuspect(aContent, aAt);
+  ClearAttempts(aContent, true, aAt);
+}
+
+// Holds an attempt that was lost with its target against its request.
+void
+TargetTable::OnRunLost(const LostAttempt& aAttempt,
+                       const TargetDeath& aDeath,
+                       Time aNow)
+{
+  const LostRun run{ aDeath, aAttempt.mStartedAt };
+  if (aAttempt.mLate) {
+    mSuspects.OnLateRunLost(aAttempt.mContent, run, aNow);
+  } else {
+    mSuspects.OnRunLost(aAttempt.mContent, run, aNow);
+  }
+}
+
+// Forgets the attempts of a request that ended until aAt, of those after
+// progress only if aLateToo is set.
+void
+TargetTable::ClearAttempts(const RequestContent& aContent,
+                           bool aLateToo,
+                           Time aAt)
+{
   const auto clear = [&](Target& aTarget) {
     for (RunningAttempt& it : aTarget.mRunning) {
       if (it.mContent.mHash == aContent.mHash) {
@@ -190,6 +212,7 @@
                               [&](const LostAttempt& aAttempt) {
                                 return aAttempt.mContent.mHash ==
                                          aContent.mHash &&
+                                       (aLateToo || !aAttempt.mLate) &&
                                        aAttempt.mDiedAt <= aAt;
                               }),
                lost.end());
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -366,8 +366,8 @@
              ? std::nullopt
              : std::make_optional(TrialOutcome::Inconclusive);
   }
-  if (const auto convicts =
-        suspects.JudgeLostTrial(aRun.mContent, *aRun.mStartedAt, aNow)) {
+  if (const auto convicts = suspects.JudgeLostTrial(
+        aRun.mContent, aSuspects, *aRun.mStartedAt, aNow)) {
     return *convicts ? TrialOutcome::Convicted : TrialOutcome::Lost;
   }
   const auto& members = aSuspects.mMembers;
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -49,9 +49,10 @@
 }
 
 TargetTable
-MakeTable(int aTargets)
+MakeTable(int aTargets, int aCommonDeathThreshold = 0)
 {
   TargetTableOptions options;
+  options.mCommonDeathThreshold = aCommonDeathThreshold;
   options.mSampleSize = 0;
   options.mIsolateSuspects = false;
   options.mSuspectTrials = true;
@@ -79,6 +80,22 @@
   return query;
 }
 
+// Runs a request on a target that dies 0.5 s after the request has shown
+// progress, aRunMs after it was sent.
+void
+LoseAfterProgress(TargetTable& aTable,
+                  const std::string& aTarget,
+                  const RequestContent& aRequest,
+                  int aMs,
+                  int aRunMs = 2800)
+{
+  aTable.OnAttemptStart(aTarget, aRequest, At(aMs));
+  aTable.OnProgress(aTarget, aRequest, At(aMs + aRunMs - 500));
+  aTable.OnAttemptEnd(
+    aTarget, aRequest, AttemptOutcome::Lost, At(aMs + aRunMs));
+  aTable.OnRefused(aTarget, At(aMs + aRunMs + 30));
+}
+
 // Ends three other targets under a request, some time apart, together with
 // another request.
 void
@@ -119,6 +136,11 @@
   CPPUNIT_TEST(AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived);
   CPPUNIT_TEST(HostsWithoutTheStoreTakeTurnsAtTrials);
+  CPPUNIT_TEST(ARequestThatEndsItsTargetsAfterProgressIsSuspected);
+  CPPUNIT_TEST(AStreamLostWithPlacesAfterProgressIsNotSuspected);
+  CPPUNIT_TEST(AStreamThatFinishesIsClearedOfLossesAfterProgress);
+  CPPUNIT_TEST(ALongerRunIsNotHeldAgainstAStream);
+  CPPUNIT_TEST(ALateLossDoesNotConvictAPart);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -448,6 +470,101 @@
     Lose(registry, kFirst, 5, 7000);
     CPPUNIT_ASSERT(turnAt(0) >= At(11000));
   }
+
+  // Guards against a request that ends each target 2.5 s after its first event
+  // never being stopped, as two seconds of output cleared it.
+  void ARequestThatEndsItsTargetsAfterProgressIsSuspected()
+  {
+    TargetTable table = MakeTable(6);
+    for (int n = 0; n < 3; ++n) {
+      CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                           Judge(table.Suspects(), kFirst, 4000 * n));
+      LoseAfterProgress(
+        table, "t" + std::to_string(n), kFirst, 4000 * n + 1000);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"),
+                         Judge(table.Suspects(), kFirst, 13000));
+    // The trial is lost in the same way.
+    const SuspectSet suspects = table.Suspects().SuspectsOf(kFirst, At(13000));
+    LoseAfterProgress(table, "t3", kFirst, 13000);
+    CPPUNIT_ASSERT(table.Suspects().JudgeLostTrial(
+                     kFirst, suspects, At(13000), At(16000)) == true);
+    table.Suspects().Convict(suspects, At(16000));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"),
+                         Judge(table.Suspects(), kFirst, 16000));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(table.Suspects(), kSecond, 16000));
+  }
+
+  // Guards against long streams being suspected because places fail every few
+  // seconds.
+  void AStreamLostWithPlacesAfterProgressIsNotSuspected()
+  {
+    TargetTable table = MakeTable(12, 3);
+    for (int n = 0; n < 4; ++n) {
+      const int ms = 7000 * n + 1000;
+      for (int target = 3 * n; target < 3 * n + 3; ++target) {
+        LoseAfterProgress(table,
+                          "t" + std::to_string(target),
+                          target == 3 * n ? kHarmless : 100 + target,
+                          ms + 10 * target,
+                          6000);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                           Judge(table.Suspects(), kHarmless, ms + 6900));
+    }
+  }
+
+  void AStreamThatFinishesIsClearedOfLossesAfterProgress()
+  {
+    TargetTable table = MakeTable(6);
+    for (int n = 0; n < 4; ++n) {
+      LoseAfterProgress(
+        table, "t" + std::to_string(n), kHarmless, 4000 * n + 1000);
+      if (n == 1) {
+        table.OnAttemptStart("t5", kHarmless, At(8000));
+        table.OnAttemptEnd("t5", kHarmless, AttemptOutcome::Finished, At(8100));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("free"),
+                         Judge(table.Suspects(), kHarmless, 18000));
+  }
+
+  // Guards against streams being suspected because targets die at any time:
+  // what crashes them does so at about the same point.
+  void ALongerRunIsNotHeldAgainstAStream()
+  {
+    TargetTable table = MakeTable(6);
+    const int runMs[] = { 2800, 9000, 2800, 3000 };
+    for (int n = 0; n < 4; ++n) {
+      LoseAfterProgress(
+        table, "t" + std::to_string(n), kHarmless, 10000 * n + 1000, runMs[n]);
+      CPPUNIT_ASSERT_EQUAL(
+        std::string(n == 3 ? "unclear" : "free"),
+        Judge(table.Suspects(), kHarmless, 10000 * n + 10900));
+    }
+  }
+
+  // Guards against a sound part being held to account for a request that ends
+  // its targets after the part was served.
+  void ALateLossDoesNotConvictAPart()
+  {
+    TargetTable table = MakeTable(6);
+    const RequestContent request(kFirst, { kHarmless });
+    for (int n = 0; n < 4; ++n) {
+      LoseAfterProgress(
+        table, "t" + std::to_string(n), request, 4000 * n + 1000);
+    }
+    CPPUNIT_ASSERT_EQUAL(
+      0, table.Suspects().EvidenceOf(kHarmless, At(18000)).mLostRuns);
+    CPPUNIT_ASSERT_EQUAL(
+      0, table.Suspects().EvidenceOf(kFirst, At(18000)).mLostRuns);
+    const RequestContent other(kSecond, { kHarmless });
+    const SuspectSet suspects = table.Suspects().SuspectsOf(request, At(18000));
+    table.Suspects().Convict(suspects, At(18000));
+    CPPUNIT_ASSERT(table.Suspects().IsRefused(request, At(18000)));
+    CPPUNIT_ASSERT(!table.Suspects().IsRefused(other, At(18000)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuspectTrialTests);
