--- a/src/quetzalquay/core/PassedOnCall.cpp
+++ b/src/quetzalquay/core/PassedOnCall.cpp
@@ -32,6 +32,7 @@
 PassedOnCall::OnTry(const std::string& aHost)
 {
   ++mHosts;
+  mStatedRuns = 0;
   mTried.push_back(aHost);
 }
 
@@ -43,11 +44,18 @@
   }
 }
 
+// Attempts that may have run if the host that has the request has run it.
+int
+PassedOnCall::RunsWithHost() const
+{
+  return std::max(mOptions.mRuns + 1, mStatedRuns);
+}
+
 bool
 PassedOnCall::CanLeaveHost() const
 {
   const bool left =
-    mOptions.mMaxRuns == 0 || mOptions.mRuns + 1 < mOptions.mMaxRuns;
+    mOptions.mMaxRuns == 0 || RunsWithHost() < mOptions.mMaxRuns;
   return mOptions.mRepeatable && left;
 }
 
@@ -78,7 +86,7 @@
 {
   const bool started = aEnd == PassedOnEnd::Failed || aEnd == PassedOnEnd::Lost;
   if (started) {
-    mOptions.mRuns = std::max(mOptions.mRuns + 1, aRuns);
+    mOptions.mRuns = std::max(RunsWithHost(), aRuns);
     mOptions.mMayHaveRun = true;
   }
   return CanRun(aNow) && HasHostsLeft(aNow);
--- a/src/quetzalquay/core/PassedOnCall.h
+++ b/src/quetzalquay/core/PassedOnCall.h
@@ -69,9 +69,14 @@
   // be tried again.
   void OnProgress();
 
+  // The host that has the request states its runs, with those before, while it
+  // serves it.
+  void OnRunsStated(int aRuns) { mStatedRuns = aRuns; }
+
   // The attempt has ended. aRuns is the number of runs, with those before, that
-  // the host has stated, 0 if it has not; it made one at least. Returns whether
-  // the request may be sent to another host.
+  // the host has stated with its failure, 0 if it has not; what it stated
+  // before counts, too, and it made one at least. Returns whether the request
+  // may be sent to another host.
   bool OnEnd(PassedOnEnd aEnd, Time aNow, int aRuns = 0);
 
   // Hosts that must not be tried again now.
@@ -98,8 +103,11 @@
 
 private:
   bool HasHostsLeft(Time aNow) const;
+  int RunsWithHost() const;
 
   Options mOptions;
+  // Runs that the host which has the request has stated, 0 if it has not.
+  int mStatedRuns = 0;
   std::vector<std::string> mTried;
   int mHosts = 0;
 };
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -730,6 +730,12 @@
   EndRequest();
 }
 
+void
+CallerConnection::SendInterimResponse(const std::string& aFields)
+{
+  mSocket->Write("HTTP/1.1 102 Processing\r\n" + aFields + "\r\n");
+}
+
 void
 CallerConnection::StartChunkedResponse(int aStatus,
                                        const std::string& aReason,
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -66,6 +66,7 @@
                     const std::string& aReason,
                     const std::string& aFields,
                     std::string_view aBody) override;
+  void SendInterimResponse(const std::string& aFields) override;
   void StartChunkedResponse(int aStatus,
                             const std::string& aReason,
                             const std::string& aFields) override;
--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -81,6 +81,15 @@
          mContext.mFleet.Reach().IsSuspected(mCall.mService, aNow);
 }
 
+void
+Exchange::StateRuns(int aRuns)
+{
+  if (mCall.mPassedOn.IsPassedOn() &&
+      aRuns > mCall.mPassedOn.mPrior.mRuns + 1) {
+    mSink->SendInterimResponse(FormatRunCount(aRuns));
+  }
+}
+
 HandOver
 Exchange::MakeHandOver(std::string aHost, int aRuns) const
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -67,6 +67,10 @@
                             const std::string& aFields,
                             std::string_view aBody) = 0;
 
+  // Sends an informational response; the response follows. aFields holds header
+  // lines.
+  virtual void SendInterimResponse(const std::string& aFields) = 0;
+
   // Sends the head of a response with a chunked body.
   virtual void StartChunkedResponse(int aStatus,
                                     const std::string& aReason,
@@ -225,6 +229,12 @@
   // Whether the current attempt counts as a retry for the retry budget.
   bool IsRetry() const { return mAttempts > 1 || mCall.mPassedOn.mPrior.mSent; }
 
+  // Tells the host that has passed the request on, if one has, that a run
+  // beyond the first begins: should this host be lost, all of them count. aRuns
+  // is the number of attempts that may have run, with that one. Must not be
+  // called once the response has begun.
+  void StateRuns(int aRuns);
+
   // Begins the description of a request that is passed on. aRuns is the number
   // of attempts that may have run.
   HandOver MakeHandOver(std::string aHost, int aRuns) const;
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -226,6 +226,15 @@
   }
 }
 
+void
+PassedOnExchange::OnInterimResponse(const HttpHead& aHead)
+{
+  mActiveAt = EventLoop::Now();
+  if (const int runs = ParsePassedOnAnswer(aHead).mRuns; runs > 0) {
+    mStateMachine.OnRunsStated(runs);
+  }
+}
+
 void
 PassedOnExchange::OnResponseHead(const HttpHead& aHead,
                                  const platform::TargetResponse& aResponse)
--- a/src/quetzalquay/gateway/PassedOnExchange.h
+++ b/src/quetzalquay/gateway/PassedOnExchange.h
@@ -30,6 +30,7 @@
   void OnExit() override;
 
 private:
+  void OnInterimResponse(const HttpHead& aHead) override;
   void OnResponseHead(const HttpHead& aHead,
                       const platform::TargetResponse& aResponse) override;
   void OnResponseBody(std::string aBody) override;
--- a/src/quetzalquay/gateway/PassedOnRequest.cpp
+++ b/src/quetzalquay/gateway/PassedOnRequest.cpp
@@ -145,6 +145,14 @@
   return fields;
 }
 
+std::string
+FormatRunCount(int aRuns)
+{
+  std::string fields;
+  AppendField(fields, kRuns, std::to_string(aRuns));
+  return fields;
+}
+
 std::string
 FormatStreamStart(const std::string& aService,
                   const std::string& aSoftwareVersion)
--- a/src/quetzalquay/gateway/PassedOnRequest.h
+++ b/src/quetzalquay/gateway/PassedOnRequest.h
@@ -75,7 +75,8 @@
   bool mOwnFailure = false;
   bool mNotRun = false;
   RefusedBy mRefusedBy = RefusedBy::Request;
-  // Attempts that may have run, here and before, if the failure tells.
+  // Attempts that may have run, there and before, if a failure or an interim
+  // answer tells.
   int mRuns = 0;
   // Where a stream began; empty for other answers, or if it is not known.
   std::string mService;
@@ -87,6 +88,11 @@
 std::string
 FormatHostFailure(RunVerdict aVerdict, RefusedBy aReason, int aRuns);
 
+// Formats the field of an interim answer. aRuns is the number of attempts that
+// may have run, with the one that begins.
+std::string
+FormatRunCount(int aRuns);
+
 // Formats the fields of a stream.
 std::string
 FormatStreamStart(const std::string& aService,
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -150,6 +150,7 @@
       std::min(mAttemptDeadline, now + mCall.mRoute->mLatencyObjective);
   }
   mTimer.ScheduleAt(mAttemptDeadline);
+  StateRuns(CountRuns() + 1);
   mConnection->Send(platform::EncodeAttempt(mCall.mHead,
                                             MakeAttemptFields(aTarget, now),
                                             mCall.mBody.size()),
@@ -399,6 +400,7 @@
 {
   ++mAttempts;
   LogTentativeAttempt(aStep.mTarget);
+  StateRuns(CountRuns() + 2);
   mAttemptDeadline = std::min(mCall.mDeadline, aNow + kAcceptanceProbeDelay);
   mTimer.ScheduleAt(mAttemptDeadline);
   TentativeAttempt::Callbacks callbacks;
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -200,6 +200,9 @@
 {
   const Time now = EventLoop::Now();
   ++mAttempts;
+  if (!mHeadSent) {
+    StateRuns(CountRuns());
+  }
   if (aAction.mTentative) {
     AskBesideSilentTarget(aAction, now);
     return;
--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -214,7 +214,7 @@
 }
 
 // Forwards the response head once. Returns false when the message was an
-// informational (1xx) response, which is skipped, or when the sink has aborted
+// informational (1xx) response, which ends there, or when the sink has aborted
 // the attempt.
 bool
 TargetConnection::ForwardHead()
@@ -224,6 +224,7 @@
   }
   const HttpHead& head = mReader.Head();
   if (head.mStatus < 200) {
+    mSink->OnInterimResponse(head);
     mReader.Next();
     return false;
   }
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -38,6 +38,9 @@
 public:
   virtual ~AttemptSink() = default;
 
+  // The head of an informational response (1xx) has arrived.
+  virtual void OnInterimResponse(const HttpHead&) {}
+
   // The response head has arrived.
   virtual void OnResponseHead(const HttpHead& aHead,
                               const platform::TargetResponse& aResponse) = 0;
--- a/tests/introspective/PassedOnCallTests.cpp
+++ b/tests/introspective/PassedOnCallTests.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(ProgressAllowsHostsThatFailedBefore);
   CPPUNIT_TEST(NothingIsSentAfterTheDeadline);
   CPPUNIT_TEST(RunsThatAHostStatesCount);
+  CPPUNIT_TEST(RunsThatALostHostHasStatedCount);
   CPPUNIT_TEST(EventsKeepTheirOrderOverSeveralSources);
   CPPUNIT_TEST(FieldsOfHostsAreReadAsTheyWereWritten);
   CPPUNIT_TEST(IncompleteFieldsOfHostsAreRefused);
@@ -176,6 +177,29 @@
     }
   }
 
+  // Guards against a request that runs again although the host that was lost
+  // has used up its runs.
+  void RunsThatALostHostHasStatedCount()
+  {
+    constexpr int kMaxRuns = 4;
+    for (int stated = 0; stated <= kMaxRuns; ++stated) {
+      PassedOnCall call(MakeOptions(true, kMaxRuns));
+      call.OnTry("h1");
+      call.OnRunsStated(stated);
+      CPPUNIT_ASSERT_EQUAL(stated < kMaxRuns, call.CanTryAnother(kStart));
+      CPPUNIT_ASSERT_EQUAL(stated < kMaxRuns,
+                           call.OnEnd(PassedOnEnd::Lost, kStart));
+      CPPUNIT_ASSERT_EQUAL(std::max(1, stated), call.Runs());
+      // What one host has stated says nothing of the next.
+      call.OnTry("h2");
+      call.OnEnd(PassedOnEnd::Refused, kStart);
+      CPPUNIT_ASSERT_EQUAL(std::max(1, stated), call.Runs());
+      call.OnTry("h3");
+      call.OnEnd(PassedOnEnd::Lost, kStart);
+      CPPUNIT_ASSERT_EQUAL(std::max(1, stated) + 1, call.Runs());
+    }
+  }
+
   void EventsKeepTheirOrderOverSeveralSources()
   {
     EventSequence events;
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -174,6 +174,7 @@
   CPPUNIT_TEST(RequestsOfAHostWithoutTargetsAreServed);
   CPPUNIT_TEST(LargeAnswersAreForwardedWhole);
   CPPUNIT_TEST(RequestsSurviveTheDeathOfTheServingHost);
+  CPPUNIT_TEST(RunsAtAServingHostThatDiesCount);
   CPPUNIT_TEST(RequestsEndAtAServingHostThatStops);
   CPPUNIT_TEST(RequestsLeaveAFrozenServingHost);
   CPPUNIT_TEST(RequestsStayAtASilentServingHostWhileThereIsNoOther);
@@ -263,6 +264,38 @@
     }
   }
 
+  // Guards against a request that runs more often than its route allows because
+  // the host that served it dies after several runs.
+  void RunsAtAServingHostThatDiesCount()
+  {
+    constexpr int kMaxRuns = 2;
+    GatewayTestCluster cluster(MakeOptions(3));
+    TestConfiguration configuration;
+    configuration.RouteOf("plain").mMaxAttempts = kMaxRuns;
+    configuration.RouteOf("stream").mMaxAttempts = kMaxRuns;
+    cluster.AwaitConfiguration(cluster.Write(configuration));
+    cluster.SetPace(milliseconds(1500), milliseconds(50), milliseconds(1500));
+    CutOff(cluster, kCutHost);
+    for (const char* route : { "/plain/", "/stream/" }) {
+      const std::string id = std::string("r") + route[1];
+      PassedOnCalls calls(cluster);
+      const std::size_t before = cluster.Runs().size();
+      calls.Send(Request(route, id));
+      const std::size_t host = calls.AwaitServingHost(before);
+      const std::string first = cluster.Runs().back().mRunner;
+      cluster.SetLinks(host, { first }, LinkState::Reset);
+      CPPUNIT_ASSERT(WaitFor([&] { return RunsOf(cluster, id) == kMaxRuns; }));
+      std::this_thread::sleep_for(milliseconds(100));
+      cluster.Gateway(host).Restart(SIGKILL);
+      const CallerAnswer& answer = calls.Answer(0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(route, kMaxRuns, RunsOf(cluster, id));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(route, 502, answer.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"), RunOf(answer));
+      cluster.SetLinks(host, { first }, LinkState::Up);
+      cluster.AwaitReady();
+    }
+  }
+
   // Guards against requests that break off when the host that serves them is
   // stopped.
   void RequestsEndAtAServingHostThatStops()
