Fuzz the registrations of hosts, and link their reader into the fuzzer

The reader of the store's rows of hosts was the one reader of other hosts' rows that no mutation reached. It moves from Fleet to a file of its own, unchanged, as the fuzzer compiles only readers and what they use.

HostFuzzTests::HostRows mutates the recorded rows of three landings: the bandwidth is never negative, and what this host would write for what it has read is read as the same again.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -9,7 +9,6 @@
 #include "observe/Log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -115,28 +114,6 @@
 
 } // namespace
 
-std::string
-FormatHostRow(const GatewaySettings& aSettings)
-{
-  return FormatEndpoint(aSettings.mPeerEndpoint) + " " +
-         std::to_string(aSettings.mLinkMbps);
-}
-
-HostRow
-ParseHostRow(const std::string& aText)
-{
-  HostRow row;
-  const auto end = aText.find(' ');
-  row.mAddress = aText.substr(0, end);
-  if (end != std::string::npos) {
-    // If the number cannot be parsed, the bandwidth stays unknown.
-    std::from_chars(
-      aText.data() + end + 1, aText.data() + aText.size(), row.mLinkMbps);
-    row.mLinkMbps = std::max(0, row.mLinkMbps);
-  }
-  return row;
-}
-
 std::string_view
 NameOf(RowSource aSource)
 {
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -12,6 +12,7 @@
 #include "core/TargetTable.h"
 #include "core/VersionHistory.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/HostRows.h"
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
 
@@ -40,23 +41,6 @@
 std::string_view
 NameOf(RowSource aSource);
 
-// Value of this host's row in the hosts table: its peer endpoint and its link
-// bandwidth in Mbit/s, separated by a space.
-std::string
-FormatHostRow(const GatewaySettings& aSettings);
-
-// Parsed value of a host's row: its peer address and the bandwidth of its link
-// in Mbit/s, 0 if the row does not have it.
-struct HostRow
-{
-  std::string mAddress;
-  int mLinkMbps = 0;
-};
-
-// What follows these two was added by a later build and is ignored.
-HostRow
-ParseHostRow(const std::string& aText);
-
 // Network location of a target.
 struct TargetLocation
 {
--- a/tests/fuzz/HostFuzzTests.cpp
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 #include "core/TrialRecord.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/HostRows.h"
 #include "gateway/LoadMessages.h"
 #include "gateway/PassedOnRequest.h"
 #include "gateway/ReachMessages.h"
@@ -220,6 +221,28 @@
   return {};
 }
 
+std::string
+CheckHostRow(const std::string& aInput, Mutator&)
+{
+  const HostRow row = ParseHostRow(MakeRow(aInput).mValue);
+  if (row.mLinkMbps < 0) {
+    return "the bandwidth is out of range";
+  }
+  const auto endpoint = ParseEndpoint(row.mAddress);
+  if (!endpoint) {
+    return {};
+  }
+  // What this host writes of itself must be read as that by others.
+  GatewaySettings settings;
+  settings.mPeerEndpoint = *endpoint;
+  settings.mLinkMbps = row.mLinkMbps;
+  const HostRow again = ParseHostRow(FormatHostRow(settings));
+  return again.mAddress != FormatEndpoint(*endpoint) ||
+             again.mLinkMbps != row.mLinkMbps
+           ? "a registration is read as another one later"
+           : "";
+}
+
 std::string
 CheckOriginRow(const std::string& aInput, Mutator&)
 {
@@ -291,6 +314,7 @@
 {
   CPPUNIT_TEST_SUITE(HostFuzzTests);
   CPPUNIT_TEST(Messages);
+  CPPUNIT_TEST(HostRows);
   CPPUNIT_TEST(SuspectRows);
   CPPUNIT_TEST(OriginRows);
   CPPUNIT_TEST(PassedOnRequests);
@@ -307,6 +331,11 @@
                    CheckMessage);
   }
 
+  void HostRows()
+  {
+    CheckMutations("registrations of hosts", RowsOf("hosts"), CheckHostRow);
+  }
+
   void SuspectRows()
   {
     CheckMutations("rows of suspects", RowsOf("suspects"), CheckSuspectRow);
