--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -95,6 +95,15 @@
                                        : std::nullopt;
 }
 
+void
+Exchange::StateRuns(int aRuns)
+{
+  if (mCall.mPassedOn.IsPassedOn() &&
+      aRuns > mCall.mPassedOn.mPrior.mRuns + 1) {
+    mSink->SendInterimResponse(FormatRunCount(aRuns));
+  }
+}
+
 HandOver
 Exchange::MakeHandOver(std::string aHost, int aRuns) const
 {
