Let hosts that read the targets only ask others for the configuration (CONFIG, DENIED)

Callers of all hosts got 404 for added routes, at six of six hosts, while the two hosts that read the store for the others could not read the table of configurations, and the other four could.

Cause: what a host knows counted as new whenever it had read the targets. The two readers told the others a fresh age, so nobody read the store itself, and all kept the old configuration while they took it for confirmed.

Reading the targets counts now only while the configuration is followed as well: its last call has succeeded, and the one in progress is not overdue by 0.3 s. Otherwise the readers' age grows, the others turn to other readers or to the store, and the readers ask them.

AHostThatReadsTheTargetsOnlyIsStale fails before. Ruled out by trials as ways to the same: a settings file that is rewritten every 100 ms, two addresses of one store in turn.

Open: while no host can read that table, all go on answering 404.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -17,6 +17,9 @@
 // Time limit for a response of the store, in addition to the long-poll time.
 constexpr Duration kReplyTimeout = milliseconds(900);
 
+// Time after the end of a long poll from which on its response is overdue.
+constexpr Duration kOverdueAfter = milliseconds(300);
+
 // Exponential backoff after failed calls: first and longest delay.
 constexpr Duration kInitialBackoff = milliseconds(100);
 constexpr Duration kMaxBackoff = milliseconds(800);
@@ -87,6 +90,14 @@
   }
 }
 
+bool
+TableWatcher::IsCurrent(Time aNow) const
+{
+  const bool overdue = mHttpClient.IsBusy() &&
+                       aNow - mSentAt >= mOptions.mLongPoll + kOverdueAfter;
+  return mFailures == 0 && mVersion != 0 && !overdue;
+}
+
 void
 TableWatcher::Restart()
 {
@@ -675,7 +686,10 @@
 void
 StoreWatch::OnCallEnded(StoreTable aTable, StoreCallEnd aEnd, Time aSentAt)
 {
-  if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets) {
+  // A host that can read the targets but not the configuration must not take
+  // itself, or be taken by others, for one that knows the newest of both.
+  if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets &&
+      mConfiguration->IsCurrent(EventLoop::Now())) {
     mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
     mFleet.OnKnownAsOf(mTargets->LastCallAt());
   }
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -73,6 +73,10 @@
   // When the last call was started.
   Time LastCallAt() const { return mLastCallAt; }
 
+  // Whether changes of the table would be known by now: its last call has
+  // succeeded, and the one in progress is not overdue.
+  bool IsCurrent(Time aNow) const;
+
 private:
   void StartCall();
   void ReadAll();
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -95,6 +95,12 @@
     RunFor(milliseconds(50));
   }
 
+  // Whether the process takes what it knows of the store for old.
+  bool IsStale() const
+  {
+    return mProcess->mFleet.Readers().IsStale(EventLoop::Now());
+  }
+
   void PutRow() { mRowVersion = ++mVersion; }
 
   void RemoveRow()
@@ -272,6 +278,7 @@
   CPPUNIT_TEST(ARowOfAnotherValueIsNotWrittenAgain);
   CPPUNIT_TEST(AStoppingHostDoesNotWriteItsRowAgain);
   CPPUNIT_TEST(AStoreThatRefusesOneTableIsNotCalledWithoutAPause);
+  CPPUNIT_TEST(AHostThatReadsTheTargetsOnlyIsStale);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -288,6 +295,21 @@
     CPPUNIT_ASSERT(host.mRefusals <= 30);
   }
 
+  // Guards against a fleet that stays at an old configuration because the hosts
+  // that read the store for it can read the targets only.
+  void AHostThatReadsTheTargetsOnlyIsStale()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.RunFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!host.IsStale());
+    host.mRefusedTable = "Table=op&";
+    CPPUNIT_ASSERT(host.RunUntil([&host] { return host.IsStale(); }));
+    host.mRefusedTable.clear();
+    CPPUNIT_ASSERT(host.RunUntil([&host] { return !host.IsStale(); }));
+  }
+
   // Guards against a removal that the store performs after the next process of
   // the host has registered, so that no other host knows that process.
   void ALateRemovalLeavesTheRowOfTheNextProcess()
