Don't start processes of tests while a port is tried

Cause: a fault of the tests. FindFreePort binds a socket for a moment to see whether a port is free. If another thread forks meanwhile, the child holds that socket until it closes what it has inherited, and nobody else can bind the port.

--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -46,6 +46,10 @@
 constexpr int kPortBlocks = 220;
 constexpr char kPortLockPrefix[] = "/tmp/quetzal-test-ports-";
 
+// Held while a port is tried: a process that is forked meanwhile would keep the
+// socket, and with it the port, until it closes what it has inherited.
+std::mutex sPortMutex;
+
 sockaddr_in
 SocketAddress(const std::string& aIp, int aPort)
 {
@@ -108,11 +112,17 @@
 
 } // namespace
 
+pid_t
+ForkProcess()
+{
+  const std::lock_guard<std::mutex> lock(sPortMutex);
+  return ::fork();
+}
+
 int
 FindFreePort(const std::string& aIp)
 {
-  static std::mutex mutex;
-  const std::lock_guard<std::mutex> lock(mutex);
+  const std::lock_guard<std::mutex> lock(sPortMutex);
   static int next = 0;
   static int end = 0;
   for (int n = 0; n < kPortBlocks * kPortsPerBlock; ++n) {
@@ -255,7 +265,7 @@
   if (mSettings.mUnreadLog && mUnreadPipe[0] < 0) {
     FillPipe(mUnreadPipe);
   }
-  mProcess = ::fork();
+  mProcess = ForkProcess();
   if (mProcess == 0) {
     OpenLog();
     // The gateway must not inherit the sockets of the fakes.
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -46,6 +46,10 @@
   std::string mBinary{};
 };
 
+// Forks this process, but not while another thread looks for a free port.
+pid_t
+ForkProcess();
+
 // Finds a port of a loopback address on which nothing listens; never returns
 // the same port twice.
 int
