Count reads of the targets for software versions whatever the configuration does

Since reads of the targets count as new only while the configuration is followed, a host whose calls for the configuration fail or are late for 2 s began its history of software versions anew, and refused to resume streams until that was complete again.

--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -845,6 +845,12 @@
 Fleet::OnKnownAsOf(Time aAsOf)
 {
   mConfirmedAsOf = std::max(mConfirmedAsOf, aAsOf);
+  OnTargetsKnownAsOf(aAsOf);
+}
+
+void
+Fleet::OnTargetsKnownAsOf(Time aAsOf)
+{
   mVersions.OnKnownAsOf(aAsOf);
   UpdateAnnouncedServices(EventLoop::Now());
 }
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -228,6 +228,9 @@
   // that was asked then while the store is unreachable.
   void OnKnownAsOf(Time aAsOf);
 
+  // The same of the table of targets only.
+  void OnTargetsKnownAsOf(Time aAsOf);
+
   // Whether the store, or a host that was asked in its place, has lately shown
   // that this host's configuration is the newest one. A host that is cut off
   // from all of them cannot tell that a route or key does not exist.
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -686,12 +686,14 @@
 void
 StoreWatch::OnCallEnded(StoreTable aTable, StoreCallEnd aEnd, Time aSentAt)
 {
-  // A host that can read the targets but not the configuration must not take
-  // itself, or be taken by others, for one that knows the newest of both.
-  if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets &&
-      mConfiguration->IsCurrent(EventLoop::Now())) {
-    mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
-    mFleet.OnKnownAsOf(mTargets->LastCallAt());
+  if (aEnd == StoreCallEnd::Answered && aTable == StoreTable::Targets) {
+    mFleet.OnTargetsKnownAsOf(mTargets->LastCallAt());
+    // A host that can read the targets but not the configuration must not take
+    // itself, or be taken by others, for one that knows the newest of both.
+    if (mConfiguration->IsCurrent(EventLoop::Now())) {
+      mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
+      mFleet.OnKnownAsOf(mTargets->LastCallAt());
+    }
   }
   if (!mContact.OnCallEnded(aEnd, aSentAt, EventLoop::Now())) {
     return;
