--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -842,10 +842,9 @@
 }
 
 void
-Fleet::OnKnownAsOf(Time aAsOf)
+Fleet::OnConfigurationKnownAsOf(Time aAsOf)
 {
   mConfirmedAsOf = std::max(mConfirmedAsOf, aAsOf);
-  OnTargetsKnownAsOf(aAsOf);
 }
 
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -224,16 +224,18 @@
   std::optional<boost::asio::ip::address> AddressOf(const std::string& aHost,
                                                     Time aNow) const;
 
-  // This host's rows are those of the store as of aAsOf, or those of a host
-  // that was asked then while the store is unreachable.
-  void OnKnownAsOf(Time aAsOf);
+  // This host's configuration is that of the store as of aAsOf, by its own
+  // reading or that of a host that reaches the store.
+  void OnConfigurationKnownAsOf(Time aAsOf);
 
-  // The same of the table of targets only.
+  // The targets known here are those of the store as of aAsOf, or those of a
+  // host that was asked then while the store is unreachable.
   void OnTargetsKnownAsOf(Time aAsOf);
 
-  // Whether the store, or a host that was asked in its place, has lately shown
-  // that this host's configuration is the newest one. A host that is cut off
-  // from all of them cannot tell that a route or key does not exist.
+  // Whether the store has lately shown, to this host or another one, that this
+  // host's configuration is the newest one. Otherwise operators may have added
+  // a route or key that is not known here: the store may turn all hosts away
+  // and serve operators.
   bool IsConfigurationConfirmed(Time aNow) const
   {
     return !mHeldRow && aNow - mConfirmedAsOf < kMaxConfirmationAge;
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -384,7 +384,7 @@
     !mFleet.IsReady() || mFleet.Version(StoreTable::Targets) == 0;
   if (peers.empty()) {
     // No other host can know more.
-    mFleet.OnKnownAsOf(aNow);
+    mFleet.OnTargetsKnownAsOf(aNow);
   }
   std::size_t slot = 0;
   for (const Endpoint& it : peers) {
@@ -405,8 +405,12 @@
       "GET " + BuildQueryPath(all) + " HTTP/1.1\r\nHost: " + peer + "\r\n\r\n",
       aNow + kPeerTimeout,
       [this, all, peer, aNow](auto aReply, const auto& aReason) {
-        if (ApplyReply(aReply, all, peer, aReason).mIsApplied) {
-          mFleet.OnKnownAsOf(aNow);
+        const AppliedReply applied = ApplyReply(aReply, all, peer, aReason);
+        if (applied.mIsApplied) {
+          mFleet.OnTargetsKnownAsOf(aNow);
+        }
+        if (applied.mAge) {
+          mFleet.OnConfigurationKnownAsOf(aNow - *applied.mAge);
         }
       });
     ++slot;
@@ -457,7 +461,8 @@
     ApplyReply(aReply, false, FormatEndpoint(mReaderEndpoint), aReason).mAge;
   if (age) {
     mFleet.Readers().OnReaderAnswered(aHost, aSentAt - *age);
-    mFleet.OnKnownAsOf(aSentAt - *age);
+    mFleet.OnConfigurationKnownAsOf(aSentAt - *age);
+    mFleet.OnTargetsKnownAsOf(aSentAt - *age);
   }
   const Time now = EventLoop::Now();
   if (!age || mFleet.Readers().MustReadStore(RowUrgency::Vital, now)) {
--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -692,7 +692,7 @@
     // itself, or be taken by others, for one that knows the newest of both.
     if (mConfiguration->IsCurrent(EventLoop::Now())) {
       mFleet.Readers().OnStoreRead(mTargets->LastCallAt());
-      mFleet.OnKnownAsOf(mTargets->LastCallAt());
+      mFleet.OnConfigurationKnownAsOf(mTargets->LastCallAt());
     }
   }
   if (!mContact.OnCallEnded(aEnd, aSentAt, EventLoop::Now())) {
--- a/tests/usage/IsolatedHostTests.cpp
+++ b/tests/usage/IsolatedHostTests.cpp
@@ -21,13 +21,14 @@
 
 } // namespace
 
-// A host that reaches neither the store nor other hosts, while the
-// configuration changes.
+// Hosts that cannot read the store, while the configuration may change.
 class IsolatedHostTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(IsolatedHostTests);
   CPPUNIT_TEST(WhatAnIsolatedHostDoesNotKnowMayExist);
   CPPUNIT_TEST(AHostThatHearsOfOthersKnowsWhatDoesNotExist);
+  CPPUNIT_TEST(AFleetWithoutTheStoreDoesNotDenyWhatItMayHaveMissed);
+  CPPUNIT_TEST(ASingleHostWithoutTheStoreDoesNotDenyWhatItMayHaveMissed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,10 +43,7 @@
     std::this_thread::sleep_for(kDoubtTime);
     for (const std::string& it : { RequestWithKey("/later/", "key"),
                                    RequestWithKey("/plain/", "k2") }) {
-      const auto answer = cluster.Call(it);
-      CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
-      CPPUNIT_ASSERT(answer.mHead.Find("Retry-After") != nullptr);
-      CPPUNIT_ASSERT(answer.mBody.find("not_run") != std::string::npos);
+      ExpectUnknown(cluster.Gateway(0), it);
     }
     CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, "/plain/", "key"));
     cluster.SetStoreDown(false);
@@ -56,6 +54,39 @@
     });
   }
 
+  // Guards against a whole fleet that turns proper requests away for good, with
+  // 404 or 401, while the store serves operators and none of its hosts.
+  void AFleetWithoutTheStoreDoesNotDenyWhatItMayHaveMissed()
+  {
+    GatewayTestCluster cluster(3, 2);
+    for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+      cluster.SetStoreDown(true, n);
+    }
+    std::this_thread::sleep_for(kDoubtTime);
+    for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+      ExpectUnknown(cluster.Gateway(n), RequestWithKey("/later/", "key"));
+      ExpectUnknown(cluster.Gateway(n), RequestWithKey("/plain/", "k2"));
+    }
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(cluster, "/plain/", "key"));
+    // One host that is served again answers for all.
+    cluster.SetStoreDown(false, 1);
+    cluster.Await([&](const GatewayProcess& aHost) {
+      return aHost.Call(RequestWithKey("/later/", "key")).mHead.mStatus ==
+               404 &&
+             aHost.Call(RequestWithKey("/plain/", "k2")).mHead.mStatus == 401;
+    });
+  }
+
+  // Guards against the same by a host that has never had another one.
+  void ASingleHostWithoutTheStoreDoesNotDenyWhatItMayHaveMissed()
+  {
+    GatewayTestCluster cluster(3, 1);
+    cluster.SetStoreDown(true);
+    std::this_thread::sleep_for(kDoubtTime);
+    ExpectUnknown(cluster.Gateway(0), RequestWithKey("/later/", "key"));
+    ExpectUnknown(cluster.Gateway(0), RequestWithKey("/plain/", "k2"));
+  }
+
   // Guards against asking callers to come back for what does not exist.
   void AHostThatHearsOfOthersKnowsWhatDoesNotExist()
   {
@@ -67,6 +98,15 @@
   }
 
 private:
+  static void ExpectUnknown(const GatewayProcess& aHost,
+                            const std::string& aRequest)
+  {
+    const auto answer = aHost.Call(aRequest);
+    CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(answer.mHead.Find("Retry-After") != nullptr);
+    CPPUNIT_ASSERT(answer.mBody.find("not_run") != std::string::npos);
+  }
+
   static int StatusOf(const GatewayTestCluster& aCluster,
                       const std::string& aRoute,
                       const std::string& aKey)
