Let the soak see a fleet that stays at an old configuration (CONFIG, DENIED)

The soak never showed the users' report. Its routes and keys came and went at random every 0.5 to 3 s; near a fault of the store a host may be 7 s late, and within 7 s nearly every answer fits some configuration. Now routes are also added and dropped for good, and asked for soon after.

A store that fails for single tables is played as well.

--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -31,6 +31,14 @@
            "moving": {"desk", "desk2"}, "late": {"desk2"}}
 ALLOWED.update({"x%d" % n: {"desk"} for n in range(6)})
 
+# Routes of each kind that a play adds, or drops, for good, one after the other.
+LASTING = 40
+ALLOWED.update({it + str(n): {"desk"} for it in "yz" for n in range(LASTING)})
+
+# First letters of what a configuration has or hasn't: routes that come and go,
+# keys, routes that are added for good, and routes that are dropped for good.
+PRESENCE = "xkyz"
+
 
 class Encoder:
     """How the operator and the store write what the pages leave open."""
@@ -72,6 +80,9 @@
     def __init__(self, random, encoder):
         self.random = random
         self.encoder = encoder
+        # Routes that have been added and dropped for good.
+        self.added = 0
+        self.dropped = 0
         # Moment of the confirmation, and value of each thing that varies.
         self.versions = []
         # What each life of a host has shown: moments and the oldest version
@@ -88,6 +99,11 @@
             values["x%d" % it] = True
         for it in self.random.sample(range(4), 2):
             values["k-%d" % it] = True
+        self.added += self.added < LASTING and self.random.random() < 0.4
+        self.dropped += self.dropped < LASTING and self.random.random() < 0.4
+        for n in range(LASTING):
+            values["y%d" % n] = n < self.added
+            values["z%d" % n] = n >= self.dropped
         values["moving"] = frozenset(self.random.choice(SERVICES))
         values["late"] = self.random.choice([800, 1500])
         return values, self.state(number, values)
@@ -100,7 +116,7 @@
                                self.random.choice(["safe", "unsafe"]),
                                self.random.choice([1, 2, 3]))
                    for it, has in sorted(values.items())
-                   if it[0] == "x" and has]
+                   if it[0] in "xyz" and has]
         moving = plain_route("moving", "/moving/", "desk", "safe", 2)
         services = sorted(values["moving"])
         if len(services) > 1:
@@ -133,6 +149,12 @@
             state["Routes"].append(plain_route(
                 "fill%d" % n, "/fill%d/" % n, "desk", "safe", 2))
 
+    def lasting(self):
+        """A route that was added or dropped for good, most often lately."""
+        kind, count = self.random.choice(
+            [("y", self.added), ("z", self.dropped)])
+        return kind + str(max(0, count - 1 - self.random.randrange(4)))
+
     def confirm(self, values):
         self.versions.append((now(), values))
 
@@ -183,4 +205,4 @@
 
 
 __all__ = ["ALLOWED", "APPLY_S", "Configurations", "DRAFT", "Encoder", "HOST",
-           "INVALID_ROWS", "path_and_key", "workspace_of"]
+           "INVALID_ROWS", "PRESENCE", "path_and_key", "workspace_of"]
--- a/tests/soak/faulty_store.py
+++ b/tests/soak/faulty_store.py
@@ -20,6 +20,8 @@
         super().__init__()
         self.encoder = encoder
         self.fault = None
+        # Beginning of the names of the tables that fail, and in which way.
+        self.table_fault = None
         self.writers = set()
         self.server = None
         # Number of returns, told if it is not 0.
@@ -89,8 +91,19 @@
         writer.write(("HTTP/1.1 %d x\r\n%s\r\n" % (status, fields)).encode()
                      + text)
 
+    def fault_of(self, message):
+        """What is wrong with a call: with all of them, or with those for a
+        table."""
+        if self.table_fault and not self.fault:
+            table, kind = self.table_fault
+            if "?Table=" + table in message.start or (
+                    message.start.startswith("POST")
+                    and b'"Table":"' + table.encode() in message.body):
+                return kind
+        return self.fault
+
     async def handle(self, message):
-        fault = self.fault
+        fault = self.fault_of(message)
         if fault == "unavailable":
             return 503, {}
         if fault == "busy" and random.random() < 0.3:
@@ -143,6 +156,13 @@
         if kind == "silent":
             self.end_connections()
 
+    async def fail_table(self, table, kind, for_s):
+        self.table_fault = (table, kind)
+        await asyncio.sleep(for_s)
+        self.table_fault = None
+        if kind == "silent":
+            self.end_connections()
+
     async def return_from_copy(self, age_s, for_s):
         """Is away, and comes back without what was written last."""
         made_by = now() - age_s
--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -28,7 +28,7 @@
 sys.path[:0] = [HERE, os.path.join(ROOT, "review", "standins")]
 
 from configurations import (  # noqa: E402
-    ALLOWED, APPLY_S, Configurations, Encoder, HOST, INVALID_ROWS,
+    ALLOWED, APPLY_S, Configurations, Encoder, HOST, INVALID_ROWS, PRESENCE,
     path_and_key, workspace_of)
 from faulty_store import FaultyStore, StoreLink  # noqa: E402
 from platform_fields import platform_fields, render  # noqa: E402
@@ -133,6 +133,8 @@
         self.stop_at = None
         self.problems = []
         self.peak_mb = 0
+        # Times in which the store turned the host away.
+        self.turned_away = []
         self.slowness = Slowness()
         self.starts = 0
         # Whether the machine is taken away for good once the process has ended.
@@ -262,6 +264,9 @@
         self.slowness = Slowness()
         self.service_of = {}
         self.store_faults = []
+        # Times in which no host could read the store and operators could write
+        # there.
+        self.fleet_cuts = []
         # Requests that lasted to their route's timeout, and those of them
         # without an answer soon after.
         self.lasting = 0
@@ -306,8 +311,11 @@
         self.configurations.confirm(values)
         if self.random.random() < 0.2:
             self.store.put_draft()
-        self.record.line("configuration %s: %s" % (
-            state["Version"], {k: v for k, v in values.items() if v}))
+        self.record.line("configuration %s: %d added and %d dropped for good,"
+                         " %s" % (state["Version"], self.configurations.added,
+                                  self.configurations.dropped, {
+                                      k: v for k, v in values.items()
+                                      if v and k[0] not in "yz"}))
 
     def bound(self, host, at):
         """Until how long before a request a configuration may still be in
@@ -319,13 +327,18 @@
                self.slowness.since(since)) >= SLOWED_S:
             # Told with the verdict; it excuses nothing.
             self.counts["slowed"] += 1
-        return self.store_bound(at)
+        return self.store_bound(at, host)
 
-    def store_bound(self, at):
+    def store_bound(self, at, host):
         near = any(begin - STABILITY_S <= at <= end + STABILITY_S
-                   for begin, end in self.store_faults)
+                   for begin, end in self.store_faults + host.turned_away)
         return APPLY_S + (STRETCH_S if near else 0)
 
+    def was_cut_off(self, since):
+        """Whether the whole fleet could not read the store at some moment from
+        the given one on."""
+        return any(end >= since for _, end in self.fleet_cuts)
+
     def store_is_calm(self, at):
         return not any(begin <= at <= end + STABILITY_S
                        for begin, end in self.store_faults)
@@ -349,7 +362,9 @@
         """Asks a host for something that comes, goes or moves."""
         what = self.random.choice(
             ["x%d" % self.random.randrange(6), "x%d" % self.random.randrange(6),
-             "k-%d" % self.random.randrange(4), "moving", "safe", "late"])
+             "k-%d" % self.random.randrange(4),
+             self.configurations.lasting(), self.configurations.lasting(),
+             "moving", "safe", "late"])
         path, key, absent = path_and_key(what)
         timeout = 1.5 if what == "late" else 2.0
         request_id = self.new_id("p")
@@ -448,18 +463,23 @@
         if bound is not None and self.store_is_calm(sent):
             if what == "safe":
                 self.count_share("first", status)
-            elif what[0] in "xk" and self.configurations.all_have(
+            elif what[0] in PRESENCE and self.configurations.all_have(
                     sent - bound, now(), what):
                 self.count_share("added", status)
         fits = None
         if what == "moving" and status == 200 and runs:
             services = {self.service_of[it[2]] for it in runs}
             fits = services.issubset
-        elif what[0] in "xk" and status in (200, absent):
+        elif what[0] in PRESENCE and status in (200, absent):
             fits = (lambda has: has) if status == 200 else (
                 lambda has: not has)
         if fits is None:
             return
+        if status == 200 and bound is not None and (
+                self.was_cut_off(sent - bound)):
+            # What no host can read can't be in force, but nothing may be denied
+            # for that.
+            bound = None
         fault = self.configurations.judge(host.life, sent, what, fits, bound)
         if fault:
             self.broken["CONFIG"].append("%s, %s at %s, %d: %s" % (
@@ -744,9 +764,12 @@
             it.spoiled_share = 0.0
 
     async def cut_from_store(self):
-        chosen = self.pick(self.random.choice([1, 2, len(self.hosts) // 2]))
         kind = self.random.choice(
             ["refused", "silent", "hanging", "turned away"])
+        if kind == "turned away":
+            await self.turn_away()
+            return
+        chosen = self.pick(self.random.choice([1, 2, len(self.hosts) // 2]))
         for_s = self.random.uniform(0.5, 5)
         self.record.line("%s to the store for %.1f s: %s" % (
             kind, for_s, [it.name for it in chosen]))
@@ -755,6 +778,38 @@
             it.disturb(for_s + 0.2 if kind != "hanging" else 0)
         await asyncio.gather(*[it.store.cut(kind, for_s) for it in chosen])
 
+    async def turn_away(self):
+        """The store answers some hosts, or all, that it does not serve them,
+        and goes on serving operators. The hosts stay in touch."""
+        count = len(self.hosts)
+        chosen = self.pick(self.random.choice(
+            [1, count // 2, count - 1, count - 1, count]))
+        for_s = self.random.uniform(0.5, 12)
+        span = (now(), now() + for_s + 0.5)
+        self.record.line("turned away by the store for %.1f s: %s" % (
+            for_s, [it.name for it in chosen]))
+        if len(chosen) == count:
+            self.fleet_cuts.append(span)
+        for it in self.hosts:
+            it.turned_away.append(span)
+        await asyncio.gather(*[it.store.cut("turned away", for_s)
+                               for it in chosen])
+
+    async def fail_table(self):
+        """The store fails for one table and serves the others."""
+        if not self.store.server.is_serving() or self.store.fault:
+            return
+        table = self.random.choice(["op", "servers", "gateway-"])
+        kind = self.random.choice(["unavailable", "silent", "slow"])
+        for_s = self.random.uniform(1, 4)
+        span = (now(), now() + for_s + 0.5)
+        self.store_faults.append(span)
+        if table == "op":
+            self.fleet_cuts.append(span)
+        self.record.line("store is %s for table %s for %.1f s" % (
+            kind, table, for_s))
+        await self.store.fail_table(table, kind, for_s)
+
     async def disturb_store(self):
         kind = self.random.choice(
             ["killed", "silent", "unavailable", "busy", "slow", "lossy"])
@@ -780,7 +835,8 @@
 
     async def faults(self, end):
         kinds = [self.kill, self.stop, self.pause, self.reload,
-                 self.disturb_store, self.cut_from_store, self.storm,
+                 self.disturb_store, self.cut_from_store, self.turn_away,
+                 self.fail_table, self.storm,
                  self.spoil, self.crash_runner, self.move_store,
                  self.return_store, self.forget_history, self.add_host,
                  self.remove_host, self.lose_power, self.write_invalid]
