Open standard descriptors that the parent has closed (FAULT)

A process that starts without standard output gave its number to the event loop's eventfd, and wrote the lines of its log there; without all three, epoll and a timer had their numbers.

Found by reading; that users saw it is not claimed. Fixed for all programs by opening /dev/null before anything else.

--- a/src/quetzalquay/programs/Program.cpp
+++ b/src/quetzalquay/programs/Program.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <iostream>
 #include <pthread.h>
+#include <unistd.h>
 
 namespace quetzalquay {
 
@@ -21,6 +23,18 @@
   return signals;
 }
 
+// Opens what the parent has closed of standard input, output and error, so that
+// no connection gets one of these numbers and the log's lines.
+void
+OpenStandardDescriptors()
+{
+  int descriptor = ::open("/dev/null", O_RDWR);
+  while (descriptor >= 0 && descriptor <= STDERR_FILENO) {
+    descriptor = ::open("/dev/null", O_RDWR);
+  }
+  ::close(descriptor);
+}
+
 } // namespace
 
 std::optional<ProgramOptions>
@@ -32,6 +46,7 @@
                     const std::string& aDefaultFile)
 {
   namespace po = boost::program_options;
+  OpenStandardDescriptors();
   ProgramOptions options;
   options.mSettingsFile = aDefaultFile;
   po::options_description description("Options");
--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -307,6 +307,11 @@
                     ? mUnreadPipe[1]
                     : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(out, STDOUT_FILENO);
+  if (mSettings.mClosesStandardDescriptors) {
+    for (const int it : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO }) {
+      ::close(it);
+    }
+  }
   if (mSettings.mBlocksSignals) {
     sigset_t all;
     ::sigfillset(&all);
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -40,6 +40,8 @@
   bool mUnreadLog = false;
   // Most bytes of the log's file, 0 for no limit.
   int mLogFileBytes = 0;
+  // Whether the process starts without standard input, output and error.
+  bool mClosesStandardDescriptors = false;
   // Whether the process inherits that all signals are blocked.
   bool mBlocksSignals = false;
   // Binary of each process; empty for that of the test.
@@ -119,6 +121,9 @@
 
   void Signal(int aSignal) const;
 
+  // Process of the running gateway.
+  pid_t Pid() const { return mProcess; }
+
   // Stops the process as the platform does: with SIGTERM, and with SIGKILL
   // after the grace period of its settings. Returns its exit code, or -1 if a
   // signal ended it.
--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
 #include <memory>
+#include <string>
 #include <thread>
 
 using std::chrono::milliseconds;
@@ -39,6 +41,7 @@
   CPPUNIT_TEST(AHostThatWaitsForItsAddressCanBeStopped);
   CPPUNIT_TEST(AHostServesOnWhenTheFileOfItsLogIsFull);
   CPPUNIT_TEST(AHostStartsWhileItsSettingsAreWritten);
+  CPPUNIT_TEST(NoConnectionTakesTheNumberOfAClosedStandardOutput);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,6 +65,26 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
   }
 
+  // Guards against lines of the log that are written to whatever has the number
+  // of a standard output that the parent process has closed.
+  void NoConnectionTakesTheNumberOfAClosedStandardOutput()
+  {
+    GatewayTestCluster::Options options;
+    options.mSettings.mClosesStandardDescriptors = true;
+    GatewayTestCluster cluster(options);
+    for (const char* it : { "0", "1", "2" }) {
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("/dev/null"),
+        std::filesystem::read_symlink(
+          "/proc/" + std::to_string(cluster.Gateway().Pid()) + "/fd/" + it)
+          .string());
+    }
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/plain/", "a")).mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
+  }
+
   // Guards against a process that ends at its start because its settings file
   // is written in that moment.
   void AHostStartsWhileItsSettingsAreWritten()
