Hold signals back until the gateway handles them (FAULT)

A process that got SIGHUP soon after its start ended by itself: SIGHUP and SIGTERM are handled from the construction of the gateway on, and end a process by default before. That is some 3 ms on this machine, several times that at a fraction of a core, and up to 2 s while the process waits for a settings file that is being written, which is when the platform signals a reload.

Found by reading, in answer to the users' FAULT; that they saw it is suspected only. Ruled out: the same once the process serves (the handler is there from the first to the last moment).

Fixed by blocking SIGHUP, SIGTERM and SIGINT in the first line of main; they are unblocked, as before, when the gateway runs.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -384,7 +384,7 @@
   }
 
   // The process that started this one may have blocked signals, which is
-  // inherited.
+  // inherited, and those that are handled here are held back until now.
   static void UnblockSignals()
   {
     sigset_t all;
--- a/src/quetzalquay/programs/quetzal-gateway.cpp
+++ b/src/quetzalquay/programs/quetzal-gateway.cpp
@@ -5,7 +5,9 @@
 #include "programs/Program.h"
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
+#include <pthread.h>
 #include <thread>
 
 namespace quetzalquay {
@@ -17,6 +19,19 @@
 constexpr auto kSettingsWait = std::chrono::seconds(2);
 constexpr auto kSettingsRetryInterval = std::chrono::milliseconds(50);
 
+// Holds back the signals that end a process by default until the gateway
+// handles them: the platform may send one as soon as the process exists.
+void
+HoldSignals()
+{
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  for (const int it : { SIGHUP, SIGTERM, SIGINT }) {
+    ::sigaddset(&signals, it);
+  }
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Loads the settings; a file that cannot be used may be just being written.
 // Returns nothing and sets aReason if it stays so.
 std::optional<GatewaySettings>
@@ -40,6 +55,7 @@
 {
   using namespace quetzalquay;
   constexpr char kName[] = "quetzal-gateway";
+  HoldSignals();
   int exitCode = ExitOk;
   const auto options =
     ParseProgramOptions(aArgc,
--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(AHostThatWaitsForItsAddressCanBeStopped);
   CPPUNIT_TEST(AHostServesOnWhenTheFileOfItsLogIsFull);
   CPPUNIT_TEST(AHostStartsWhileItsSettingsAreWritten);
+  CPPUNIT_TEST(AReloadSignalledAtTheStartDoesNotEndTheHost);
+  CPPUNIT_TEST(AStopSignalledAtTheStartEndsTheHostInOrder);
   CPPUNIT_TEST(NoConnectionTakesTheNumberOfAClosedStandardOutput);
   CPPUNIT_TEST_SUITE_END();
 
@@ -65,6 +67,43 @@
     CPPUNIT_ASSERT_EQUAL(0, cluster.Gateway().Stop());
   }
 
+  // Guards against a process that is ended by the signal for changed settings,
+  // which comes while it waits for them.
+  void AReloadSignalledAtTheStartDoesNotEndTheHost()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    gateway.Signal(SIGKILL);
+    gateway.AwaitExit();
+    gateway.TruncateSettings();
+    gateway.Start();
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.Signal(SIGHUP);
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.WriteSettings();
+    cluster.AwaitReady();
+    CPPUNIT_ASSERT_EQUAL(
+      200,
+      cluster.Call(GatewayTestCluster::Request("/plain/", "a")).mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(0, gateway.Stop());
+  }
+
+  // Guards against a stop at that moment that is taken for a crash.
+  void AStopSignalledAtTheStartEndsTheHostInOrder()
+  {
+    GatewayTestCluster cluster;
+    GatewayProcess& gateway = cluster.Gateway();
+    gateway.Signal(SIGKILL);
+    gateway.AwaitExit();
+    gateway.TruncateSettings();
+    gateway.Start();
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.Signal(SIGTERM);
+    std::this_thread::sleep_for(kWaitTime);
+    gateway.WriteSettings();
+    CPPUNIT_ASSERT_EQUAL(0, gateway.AwaitExit());
+  }
+
   // Guards against lines of the log that are written to whatever has the number
   // of a standard output that the parent process has closed.
   void NoConnectionTakesTheNumberOfAClosedStandardOutput()
