Take limits of zero as missing (DENIED)

A configuration whose Limits are 0 had all hosts refuse every request with 431 or 413, or end its connection at once: callers see DENIED from the whole fleet, for good.

A limit that no request can keep to can't be meant, so zero and less stand for the usual limits. The check of BoundsNumbersOfTheConfiguration for negative limits expected zero, the fault itself; it expects the usual limits now, one value as before. TakesLimitsOfZeroAsMissing fails before (0 in place of 16384) and passes.

--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -205,13 +205,6 @@
   return value != nullptr && value->IsBool() && value->GetBool();
 }
 
-bool
-HasNumber(const Value& aObject, const char* aName)
-{
-  const Value* value = GetMember(aObject, aName);
-  return value != nullptr && value->IsNumber();
-}
-
 // A duration that is stored as a number of aUnit.
 Duration
 GetDuration(const Value& aObject,
@@ -327,21 +320,25 @@
   return service;
 }
 
+// Limits of zero or less stand for the usual ones, like those that are missing:
+// no request could keep to them, and some encoders write zero for what is not
+// set.
 CallerLimits
 DecodeLimits(const Value& aLimits)
 {
   CallerLimits limits;
-  const CallerLimits defaults;
-  limits.mHeadBytes = GetNumber(
-    aLimits, "MaxHeaderBytes", std::size_t(0), kMaxBytes, defaults.mHeadBytes);
-  limits.mBodyBytes = GetNumber(
-    aLimits, "MaxBodyBytes", std::size_t(0), kMaxBytes, defaults.mBodyBytes);
-  if (HasNumber(aLimits, "HeaderTimeoutMs")) {
-    limits.mHeadTimeout = GetDuration(aLimits, "HeaderTimeoutMs");
-  }
-  if (HasNumber(aLimits, "IdleTimeoutMs")) {
-    limits.mIdleTimeout = GetDuration(aLimits, "IdleTimeoutMs");
-  }
+  const auto readBytes = [&](const char* aName, std::size_t& aField) {
+    const auto bytes = GetNumber<std::size_t>(aLimits, aName, 0, kMaxBytes, 0);
+    aField = bytes > 0 ? bytes : aField;
+  };
+  const auto readTime = [&](const char* aName, Duration& aField) {
+    const Duration time = GetDuration(aLimits, aName);
+    aField = time > Duration::zero() ? time : aField;
+  };
+  readBytes("MaxHeaderBytes", limits.mHeadBytes);
+  readBytes("MaxBodyBytes", limits.mBodyBytes);
+  readTime("HeaderTimeoutMs", limits.mHeadTimeout);
+  readTime("IdleTimeoutMs", limits.mIdleTimeout);
   return limits;
 }
 
--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(ReadsRowsOfOtherEncoders);
   CPPUNIT_TEST(LeavesOutRowsOfOtherParts);
   CPPUNIT_TEST(TakesLimitsThatAreNullAsMissing);
+  CPPUNIT_TEST(TakesLimitsOfZeroAsMissing);
   CPPUNIT_TEST(ReadsStartTimesOfOtherEncoders);
   CPPUNIT_TEST(ReadsHowOftenTheStoreCameBack);
   CPPUNIT_TEST(ReadsStatusReportAndSkipsMalformedRuns);
@@ -285,9 +286,7 @@
       for (const Duration at : { route.mTimeout,
                                  route.mLatencyObjective,
                                  route.mEventGapObjective,
-                                 service.mCopyLifetime,
-                                 table->mLimits.mHeadTimeout,
-                                 table->mLimits.mIdleTimeout }) {
+                                 service.mCopyLifetime }) {
         CPPUNIT_ASSERT_MESSAGE(number,
                                at == (negative ? Duration::zero() : longest));
       }
@@ -298,9 +297,17 @@
       CPPUNIT_ASSERT_EQUAL(negative ? 0.0 : 1e6, route.mServices[0].mWeight);
       CPPUNIT_ASSERT_EQUAL(negative ? 0 : 1000000, service.mMaxConnections);
       CPPUNIT_ASSERT_EQUAL(negative ? 0 : 1000000000, service.mMemoryTokens);
-      const std::size_t bytes = negative ? 0 : 1U << 30U;
-      CPPUNIT_ASSERT_EQUAL(bytes, table->mLimits.mHeadBytes);
-      CPPUNIT_ASSERT_EQUAL(bytes, table->mLimits.mBodyBytes);
+      const CallerLimits usual;
+      const CallerLimits& limits = table->mLimits;
+      const std::size_t bytes = 1U << 30U;
+      CPPUNIT_ASSERT_EQUAL(negative ? usual.mHeadBytes : bytes,
+                           limits.mHeadBytes);
+      CPPUNIT_ASSERT_EQUAL(negative ? usual.mBodyBytes : bytes,
+                           limits.mBodyBytes);
+      CPPUNIT_ASSERT(limits.mHeadTimeout ==
+                     (negative ? usual.mHeadTimeout : longest));
+      CPPUNIT_ASSERT(limits.mIdleTimeout ==
+                     (negative ? usual.mIdleTimeout : longest));
     }
   }
 
@@ -414,6 +421,23 @@
     CPPUNIT_ASSERT(table->mLimits.mIdleTimeout == CallerLimits().mIdleTimeout);
   }
 
+  // Guards against a fleet that turns all requests away as an operator's encoder
+  // writes zero for limits that are not set.
+  void TakesLimitsOfZeroAsMissing()
+  {
+    std::string reason;
+    const auto table = platform::DecodeConfiguration(
+      R"({"Limits":{"MaxHeaderBytes":0,"MaxBodyBytes":0,)"
+      R"("HeaderTimeoutMs":0,"IdleTimeoutMs":0.0}})",
+      reason);
+    const CallerLimits usual;
+    const CallerLimits& limits = table->mLimits;
+    CPPUNIT_ASSERT_EQUAL(usual.mHeadBytes, limits.mHeadBytes);
+    CPPUNIT_ASSERT_EQUAL(usual.mBodyBytes, limits.mBodyBytes);
+    CPPUNIT_ASSERT(limits.mHeadTimeout == usual.mHeadTimeout);
+    CPPUNIT_ASSERT(limits.mIdleTimeout == usual.mIdleTimeout);
+  }
+
   // Guards against a service without targets as their start times are written
   // as other encoders write them.
   void ReadsStartTimesOfOtherEncoders()
