Log and count when a configuration can't be confirmed (CONFIG, DENIED)

A host that answers 503 for unknown routes and keys said so request by request only; when it began, as of when the configuration was known, and whether all hosts do can be seen now: lines "the configuration may be out of date" and "configuration confirmed" with version and age, once a change, and the gauge quetzal_configuration_confirmed.

--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -241,6 +241,9 @@
     return !mHeldRow && aNow - mConfirmedAsOf < kMaxConfirmationAge;
   }
 
+  // As of when the configuration was last known to be the newest one.
+  Time ConfigurationConfirmedAt() const { return mConfirmedAsOf; }
+
   // Software versions that the store has on record.
   void OnVersionsRecorded(const VersionsByService& aVersions, Time aNow);
 
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -302,6 +302,8 @@
     mMetrics.Set(GatewayGauge::ConfigurationVersion,
                  routing == nullptr ? 0
                                     : static_cast<double>(routing->mVersion));
+    mMetrics.Set(GatewayGauge::ConfigurationConfirmed,
+                 mFleet.IsConfigurationConfirmed(EventLoop::Now()) ? 1 : 0);
     mMetrics.Set(GatewayGauge::Targets,
                  static_cast<double>(mFleet.Targets().Subset().size()));
     mMetrics.Set(GatewayGauge::StoreReachable,
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -122,6 +122,8 @@
   { "quetzal_caller_connections", "Open connections from callers" },
   { "quetzal_target_connections", "Open connections to targets" },
   { "quetzal_configuration_version", "Version of the configuration in force" },
+  { "quetzal_configuration_confirmed",
+    "1 while the configuration in force is known to be the newest one" },
   { "quetzal_targets", "Known targets" },
   { "quetzal_store_answers", "1 while the store is reachable from this host" },
   { "quetzal_store_eras",
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -75,6 +75,7 @@
   CallerConnections,
   TargetConnections,
   ConfigurationVersion,
+  ConfigurationConfirmed,
   Targets,
   StoreReachable,
   StoreEras,
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -324,6 +324,7 @@
     mStore.PollIfNeeded();
   }
   LogStaleness(now);
+  LogConfirmation(now);
   if (NeedsPeers(now)) {
     QueryPeers(now);
   }
@@ -345,6 +346,24 @@
   mWasStale = stale;
 }
 
+void
+PeerLink::LogConfirmation(Time aNow)
+{
+  const bool confirmed = mFleet.IsConfigurationConfirmed(aNow);
+  const auto& routing = mFleet.Routing();
+  if (confirmed != mWasConfirmed && routing != nullptr) {
+    Log(confirmed ? LogLevel::Info : LogLevel::Warn,
+        "peers",
+        confirmed ? "configuration confirmed"
+                  : "the configuration may be out of date",
+        { { "version", std::to_string(routing->mVersion) },
+          { "age_ms",
+            std::to_string(static_cast<std::int64_t>(
+              ToMilliseconds(aNow - mFleet.ConfigurationConfirmedAt()))) } });
+  }
+  mWasConfirmed = confirmed;
+}
+
 bool
 PeerLink::NeedsPeers(Time aNow) const
 {
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -77,6 +77,7 @@
   SimpleHttpReply HandleRequest(const HttpHead& aHead);
   void RunRound();
   void LogStaleness(Time aNow);
+  void LogConfirmation(Time aNow);
   bool NeedsPeers(Time aNow) const;
   void QueryPeers(Time aNow);
   void QueryReader(Time aNow);
@@ -140,6 +141,8 @@
   int mReadersAsked = 0;
   // Whether the view of the store was too old in the last round.
   bool mWasStale = false;
+  // Whether the configuration was known to be the newest one in the last round.
+  bool mWasConfirmed = false;
   std::mt19937_64 mRandom;
 };
 
