--- a/tests/introspective/PlatformTests.cpp
+++ b/tests/introspective/PlatformTests.cpp
@@ -421,8 +421,8 @@
     CPPUNIT_ASSERT(table->mLimits.mIdleTimeout == CallerLimits().mIdleTimeout);
   }
 
-  // Guards against a fleet that turns all requests away as an operator's encoder
-  // writes zero for limits that are not set.
+  // Guards against a fleet that turns all requests away as an operator's
+  // encoder writes zero for limits that are not set.
   void TakesLimitsOfZeroAsMissing()
   {
     std::string reason;
