--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -370,6 +370,14 @@
            : std::make_optional(mRecords.at(aSuspect).mLosingSince);
 }
 
+std::optional<Time>
+LossLedger::LastClearedAt(std::uint64_t aSuspect, Time aNow) const
+{
+  const auto it = mRecords.find(aSuspect);
+  const bool valid = it != mRecords.end() && aNow < it->second.mExpiresAt;
+  return valid ? it->second.mClearedAt : std::nullopt;
+}
+
 const std::vector<std::uint64_t>&
 LossLedger::LostIn(const TargetDeath& aDeath) const
 {
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -141,6 +141,9 @@
   // also if that run is no longer kept; nothing if it has none.
   std::optional<Time> LosingSince(std::uint64_t aSuspect, Time aNow) const;
 
+  // When a suspect was last cleared, as long as that is remembered.
+  std::optional<Time> LastClearedAt(std::uint64_t aSuspect, Time aNow) const;
+
   // Suspects that were lost in a death.
   const std::vector<std::uint64_t>& LostIn(const TargetDeath& aDeath) const;
 
--- a/src/quetzalquay/core/SuspectRegistry.cpp
+++ b/src/quetzalquay/core/SuspectRegistry.cpp
@@ -39,6 +39,11 @@
 constexpr Duration kUnrecordedTrialPause = std::chrono::seconds(1);
 constexpr Duration kUnrecordedTrialTurn = std::chrono::milliseconds(400);
 
+// Number of times that a conviction is told to other hosts, and the time
+// between.
+constexpr int kConvictionNewsRepeats = 4;
+constexpr Duration kConvictionNewsDelay = std::chrono::milliseconds(300);
+
 // What is known of a part of a lost request, in the order in which parts are
 // recorded.
 enum class PartKnowledge
@@ -415,16 +420,28 @@
   return newest + pause + aTurn * kUnrecordedTrialTurn;
 }
 
+bool
+SuspectRegistry::AreInUse(const std::vector<std::uint64_t>& aSuspects,
+                          Time aNow) const
+{
+  return std::all_of(
+    aSuspects.begin(), aSuspects.end(), [&](std::uint64_t aMember) {
+      const auto servedAt = mServed.LastServedAt(aMember);
+      return servedAt && aNow - *servedAt < kServedAgainWithin &&
+             RunsOf(aMember, aNow).empty();
+    });
+}
+
 void
 SuspectRegistry::Convict(const SuspectSet& aSuspects, Time aNow)
 {
-  const auto isInUse = [&](std::uint64_t aMember) {
-    const auto servedAt = mServed.LastServedAt(aMember);
-    return servedAt && aNow - *servedAt < kServedAgainWithin &&
-           RunsOf(aMember, aNow).empty();
-  };
-  const auto& members = aSuspects.mMembers;
-  if (std::all_of(members.begin(), members.end(), isInUse)) {
+  Convict(aSuspects, aNow, aNow);
+}
+
+void
+SuspectRegistry::Convict(const SuspectSet& aSuspects, Time aAt, Time aNow)
+{
+  if (AreInUse(aSuspects.mMembers, aNow)) {
     return;
   }
   if (mConvictions.size() >= kMaxConvictions) {
@@ -435,7 +452,95 @@
                          return aLeft.second.mAt < aRight.second.mAt;
                        }));
   }
-  mConvictions[aSuspects.mId] = { members, aNow, aNow + kRecordLifetime };
+  Conviction& conviction = mConvictions[aSuspects.mId];
+  conviction.mMembers = aSuspects.mMembers;
+  conviction.mAt = aAt;
+  conviction.mExpiresAt = aAt + kRecordLifetime;
+}
+
+bool
+SuspectRegistry::MergeConviction(const ConvictionReport& aReport,
+                                 bool aPassOn,
+                                 Time aNow)
+{
+  std::vector<std::uint64_t> members = aReport.mMembers;
+  const auto wasCleared = [&](std::uint64_t aMember) {
+    const auto servedAt = mServed.LastServedAt(aMember);
+    const auto clearedAt = LastClearedAt(aMember, aNow);
+    return (servedAt && *servedAt >= aReport.mAt) ||
+           (clearedAt && *clearedAt >= aReport.mAt);
+  };
+  members.erase(std::remove_if(members.begin(), members.end(), wasCleared),
+                members.end());
+  if (members.empty() || aNow - aReport.mAt >= kRecordLifetime) {
+    return false;
+  }
+  const SuspectSet suspects(std::move(members));
+  const auto known = mConvictions.find(suspects.mId);
+  if (known != mConvictions.end() && known->second.mExpiresAt > aNow) {
+    known->second.mAt = std::max(known->second.mAt, aReport.mAt);
+    return false;
+  }
+  Convict(suspects, aReport.mAt, aNow);
+  const auto added = mConvictions.find(suspects.mId);
+  if (added == mConvictions.end()) {
+    return false;
+  }
+  added->second.mNewsLeft = aPassOn ? 1 : 0;
+  added->second.mNextNewsAt = aNow;
+  return true;
+}
+
+void
+SuspectRegistry::TellConviction(const SuspectSet& aSuspects, Time aNow)
+{
+  const auto it = mConvictions.find(aSuspects.mId);
+  if (it != mConvictions.end()) {
+    it->second.mNewsLeft = kConvictionNewsRepeats;
+    it->second.mNextNewsAt = aNow;
+  }
+}
+
+bool
+SuspectRegistry::HasConvictionNews() const
+{
+  return std::any_of(
+    mConvictions.begin(), mConvictions.end(), [](const auto& aEntry) {
+      return aEntry.second.mNewsLeft > 0;
+    });
+}
+
+std::vector<ConvictionReport>
+SuspectRegistry::TakeConvictionNews(Time aNow)
+{
+  std::vector<ConvictionReport> reports;
+  for (auto& it : mConvictions) {
+    Conviction& conviction = it.second;
+    if (conviction.mNewsLeft > 0 && conviction.mNextNewsAt <= aNow &&
+        reports.size() < kMaxConvictionNews) {
+      --conviction.mNewsLeft;
+      conviction.mNextNewsAt = aNow + kConvictionNewsDelay;
+      reports.push_back({ conviction.mMembers, conviction.mAt });
+    }
+  }
+  return reports;
+}
+
+std::vector<ConvictionReport>
+SuspectRegistry::ConvictionReports(Time aNow) const
+{
+  std::vector<ConvictionReport> reports;
+  for (const auto& it : mConvictions) {
+    if (aNow < it.second.mExpiresAt) {
+      reports.push_back({ it.second.mMembers, it.second.mAt });
+    }
+  }
+  const auto newer = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mAt > aRight.mAt;
+  };
+  std::sort(reports.begin(), reports.end(), newer);
+  reports.resize(std::min(reports.size(), kMaxConvictionNews));
+  return reports;
 }
 
 std::optional<bool>
--- a/src/quetzalquay/core/SuspectRegistry.h
+++ b/src/quetzalquay/core/SuspectRegistry.h
@@ -62,6 +62,13 @@
   std::vector<std::uint64_t> mMembers;
 };
 
+// What one host tells another about a set that its trial has convicted.
+struct ConvictionReport
+{
+  std::vector<std::uint64_t> mMembers;
+  Time mAt;
+};
+
 // Identifies what crashes targets: the content of a request, so that a caller's
 // retry counts as the same request, or a part of prompts, which new requests
 // may have. Judges by the losses that all hosts have seen, when a request is to
@@ -105,6 +112,9 @@
   static constexpr std::size_t kMaxLostParts = 64;
   static constexpr std::size_t kMaxConvictions = 1000;
 
+  // Maximum number of convictions in one message to other hosts.
+  static constexpr std::size_t kMaxConvictionNews = 8;
+
   struct Options
   {
     // Number of targets that have to die at about the same time for the deaths
@@ -177,6 +187,28 @@
   // members have just been served here and not lost since.
   void Convict(const SuspectSet& aSuspects, Time aNow);
 
+  // Records that another host's trial has convicted a set, unless its members
+  // were served since, or are in use. Returns whether that was new. With
+  // aPassOn, other hosts are told once.
+  bool MergeConviction(const ConvictionReport& aReport,
+                       bool aPassOn,
+                       Time aNow);
+
+  // Schedules the conviction of a set to be told to other hosts. Those that do
+  // not reach the store would each need a trial of their own.
+  void TellConviction(const SuspectSet& aSuspects, Time aNow);
+
+  // Whether there are convictions that other hosts have to be told.
+  bool HasConvictionNews() const;
+
+  // Takes the convictions to tell other hosts now, at most
+  // kMaxConvictionNews. Each is returned several times, some time apart.
+  std::vector<ConvictionReport> TakeConvictionNews(Time aNow);
+
+  // The newest convictions, kMaxConvictionNews at most, for a host that knows
+  // nothing yet.
+  std::vector<ConvictionReport> ConvictionReports(Time aNow) const;
+
   // Whether the loss of a trial that started at aStartedAt convicts its
   // request: no other suspect was lost with it, nor a whole place. Nothing
   // while no such loss is known, or if a convicted suspect explains it.
@@ -211,10 +243,16 @@
     Time mAt;
     // Later each time that a request with the members is refused.
     mutable Time mExpiresAt;
+    // How often other hosts have yet to be told, and when next.
+    int mNewsLeft = 0;
+    Time mNextNewsAt;
   };
 
   using Runs = std::vector<LostRun>;
 
+  void Convict(const SuspectSet& aSuspects, Time aAt, Time aNow);
+  bool AreInUse(const std::vector<std::uint64_t>& aSuspects, Time aNow) const;
+
   std::vector<std::uint64_t> PartsToRecord(const RequestContent& aContent,
                                            const LostRun& aRun,
                                            Time aNow) const;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -64,6 +64,22 @@
   aWriter.EndArray();
 }
 
+void
+WriteConvictions(Writer& aWriter,
+                 const std::vector<ConvictionReport>& aReports,
+                 Time aNow)
+{
+  if (aReports.empty()) {
+    return;
+  }
+  aWriter.Key("convicted");
+  aWriter.StartArray();
+  for (const ConvictionReport& it : aReports) {
+    WriteConvictionEntry(aWriter, it, aNow);
+  }
+  aWriter.EndArray();
+}
+
 } // namespace
 
 LoadBroadcaster::LoadBroadcaster(EventLoop& aLoop,
@@ -221,6 +237,23 @@
         SendBy(now + kBatchDelay);
       }
     });
+  ForEachEntry(
+    host,
+    json,
+    "convicted",
+    [now](const rapidjson::Value& aValue) {
+      return ParseConvictionEntry(aValue, now);
+    },
+    [&](const ConvictionReport& aReport) {
+      if (mFleet.Targets().Suspects().MergeConviction(aReport, passOn, now)) {
+        Log(LogLevel::Info,
+            "peers",
+            "conviction reported",
+            { { "suspects", ToHex(SuspectSet(aReport.mMembers).mId) },
+              { "host", host } });
+        SendBy(now + kBatchDelay);
+      }
+    });
 }
 
 // Calls aApply with each entry of a list of a message, if it has that list, and
@@ -604,7 +637,8 @@
   if (!news.empty()) {
     mNextNewsAt = now + SuspectRegistry::kNewsInterval;
   }
-  if (suspects.HasNews()) {
+  const auto convictions = suspects.TakeConvictionNews(now);
+  if (suspects.HasNews() || suspects.HasConvictionNews()) {
     mSendTimer.ScheduleAt(
       std::max(now + SuspectRegistry::kNewsInterval, mNextNewsAt));
   }
@@ -617,7 +651,7 @@
   SendDepartures(now);
   const auto unreached = mFleet.Reach().UnreachedServices(now);
   const bool hasContent = !loads.empty() || !lost.empty() || !news.empty() ||
-                          !unreached.empty() ||
+                          !convictions.empty() || !unreached.empty() ||
                           !mFleet.Targets().Limits().Reports(now).empty() ||
                           !mFleet.Targets().Room().Reports(now).empty();
   if (hasContent || now < mAnnounceUntil) {
@@ -657,6 +691,7 @@
   }
   writer.EndArray();
   WriteSuspects(writer, news, now);
+  WriteConvictions(writer, convictions, now);
   writer.EndObject();
   for (const udp::endpoint& it : ChooseReceivers()) {
     SendTo(it, buf);
@@ -774,8 +809,10 @@
 void
 LoadBroadcaster::SendSuspects(const udp::endpoint& aReceiver, Time aNow)
 {
-  const auto reports = mFleet.Targets().Suspects().Reports(aNow);
-  if (reports.empty()) {
+  SuspectRegistry& suspects = mFleet.Targets().Suspects();
+  const auto reports = suspects.Reports(aNow);
+  const auto convictions = suspects.ConvictionReports(aNow);
+  if (reports.empty() && convictions.empty()) {
     return;
   }
   rapidjson::StringBuffer buf;
@@ -783,6 +820,7 @@
   writer.StartObject();
   WriteSender(writer);
   WriteSuspects(writer, reports, aNow);
+  WriteConvictions(writer, convictions, aNow);
   writer.EndObject();
   SendTo(aReceiver, buf);
 }
--- a/src/quetzalquay/gateway/LoadMessages.cpp
+++ b/src/quetzalquay/gateway/LoadMessages.cpp
@@ -352,4 +352,39 @@
   return IfValid(reader, std::move(report));
 }
 
+void
+WriteConvictionEntry(MessageWriter& aWriter,
+                     const ConvictionReport& aReport,
+                     Time aNow)
+{
+  aWriter.StartArray();
+  WriteAge(aWriter, aReport.mAt, aNow);
+  aWriter.StartArray();
+  for (const std::uint64_t it : aReport.mMembers) {
+    aWriter.Uint64(it);
+  }
+  aWriter.EndArray();
+  aWriter.EndArray();
+}
+
+std::optional<ConvictionReport>
+ParseConvictionEntry(const rapidjson::Value& aEntry, Time aNow)
+{
+  ListReader reader(aEntry);
+  ConvictionReport report;
+  report.mAt = ReadMoment(reader, aNow);
+  const rapidjson::Value* members = reader.List();
+  // A set without members would refuse all requests.
+  if (members == nullptr || members->Empty()) {
+    return std::nullopt;
+  }
+  for (const auto& it : members->GetArray()) {
+    if (!it.IsUint64()) {
+      return std::nullopt;
+    }
+    report.mMembers.push_back(it.GetUint64());
+  }
+  return IfValid(reader, std::move(report));
+}
+
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/LoadMessages.h
+++ b/src/quetzalquay/gateway/LoadMessages.h
@@ -116,6 +116,15 @@
 std::optional<SuspectReport>
 ParseSuspectEntry(const rapidjson::Value& aEntry, Time aNow);
 
+// "convicted": milliseconds since a trial convicted a set of suspects, and its
+// members.
+void
+WriteConvictionEntry(MessageWriter& aWriter,
+                     const ConvictionReport& aReport,
+                     Time aNow);
+std::optional<ConvictionReport>
+ParseConvictionEntry(const rapidjson::Value& aEntry, Time aNow);
+
 } // namespace quetzalquay
 
 #endif // QUETZALQUAY_GATEWAY_LOADMESSAGES_H_INCLUDED
--- a/src/quetzalquay/gateway/SuspectTrials.cpp
+++ b/src/quetzalquay/gateway/SuspectTrials.cpp
@@ -346,6 +346,7 @@
   if (row.mRecord.mConvicted) {
     mMetrics.Add(GatewayCounter::SuspectsConvicted);
     Convict(aTrial, row.mRecord);
+    mFleet.Targets().Suspects().TellConviction(aTrial.mSuspects, aNow);
   }
   aTrial.mPhase = aTrial.mRecorded ? Phase::Finishing : Phase::Idle;
   aTrial.mSends = 0;
--- a/tests/fuzz/HostFuzzTests.cpp
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -110,6 +110,7 @@
     { "streams", MakeCheck(ParseOriginEntry, WriteOriginEntry) },
     { "gone", MakeCheck(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedCheck(ParseSuspectEntry, WriteSuspectEntry) },
+    { "convicted", MakeTimedCheck(ParseConvictionEntry, WriteConvictionEntry) },
   };
   return kChecks;
 }
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -38,6 +38,7 @@
 
 // The list whose last element may be missing.
 constexpr char kOriginList[] = "streams";
+constexpr char kConvictedList[] = "convicted";
 
 // Landing whose queries and replies of GET /knowledge tell no era, and the
 // commit since which they do.
@@ -152,6 +153,8 @@
     { "streams", MakeFormat(ParseOriginEntry, WriteOriginEntry) },
     { "gone", MakeFormat(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
+    { kConvictedList,
+      MakeTimedFormat(ParseConvictionEntry, WriteConvictionEntry) },
   };
   return kFormats;
 }
@@ -166,6 +169,11 @@
   Parse(withAttempt, ReadData("messages-bc3452f.json"));
   std::map<std::string, std::string> examples;
   for (const auto& it : EntryFormats()) {
+    if (it.first == kConvictedList) {
+      // No build that has landed wrote it.
+      examples[it.first] = "[350,[7,18446744073709551615]]";
+      continue;
+    }
     const Json& json = it.first == kOriginList ? withAttempt : latest;
     examples[it.first] = ToText(json[it.first.c_str()][0]);
   }
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -136,6 +136,8 @@
   CPPUNIT_TEST(AnAnswerThatEndsBeforeItsTargetIsRemovedIsNoLoss);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsConnectionClearsOnceItsTargetHasSurvived);
   CPPUNIT_TEST(HostsWithoutTheStoreTakeTurnsAtTrials);
+  CPPUNIT_TEST(AConvictionReachesHostsWithoutTheStore);
+  CPPUNIT_TEST(AnOldReportOfAConvictionHasNoEffect);
   CPPUNIT_TEST(ARequestThatEndsItsTargetsAfterProgressIsSuspected);
   CPPUNIT_TEST(AStreamLostWithPlacesAfterProgressIsNotSuspected);
   CPPUNIT_TEST(AStreamThatFinishesIsClearedOfLossesAfterProgress);
@@ -471,6 +473,59 @@
     CPPUNIT_ASSERT(turnAt(0) >= At(11000));
   }
 
+  // Guards against a trial on one host after the other while the store is down:
+  // a conviction stayed with the host whose trial had brought it.
+  void AConvictionReachesHostsWithoutTheStore()
+  {
+    SuspectRegistry first = MakeRegistry();
+    SuspectRegistry second = MakeRegistry();
+    for (std::uint64_t death = 1; death <= 4; ++death) {
+      Lose(first, kFirst, death, static_cast<int>(1000 * death));
+      Lose(first, kSecond, death, static_cast<int>(1000 * death));
+    }
+    for (const SuspectReport& it : first.TakeNews(At(4100))) {
+      second.Merge(it, false, At(4100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("unclear"), Judge(second, kFirst, 9000));
+    first.Convict(kFirst, At(4200));
+    first.TellConviction(kFirst, At(4200));
+    const auto news = first.TakeConvictionNews(At(4200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), news.size());
+    CPPUNIT_ASSERT(second.MergeConviction(news[0], true, At(4300)));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"), Judge(second, kFirst, 4300));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"), Judge(second, kHarmless, 4300));
+    // It is told several times, and passed on once.
+    CPPUNIT_ASSERT(first.HasConvictionNews());
+    CPPUNIT_ASSERT(first.TakeConvictionNews(At(4300)).empty());
+    CPPUNIT_ASSERT(!first.TakeConvictionNews(At(4500)).empty());
+    CPPUNIT_ASSERT(!second.MergeConviction(news[0], true, At(4500)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         second.TakeConvictionNews(At(4500)).size());
+    CPPUNIT_ASSERT(!second.HasConvictionNews());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         first.ConvictionReports(At(9000)).size());
+  }
+
+  // Guards against refusing what was served after the conviction, once an old
+  // message about it arrives.
+  void AnOldReportOfAConvictionHasNoEffect()
+  {
+    const ConvictionReport report{ { kFirst, kSecond }, At(4000) };
+    SuspectRegistry served = MakeRegistry();
+    served.OnProgress({ kHarmless, { kFirst, kSecond } }, At(5000));
+    CPPUNIT_ASSERT(!served.MergeConviction(report, true, At(20000)));
+    // Another host has served the first, which leaves the set.
+    SuspectRegistry told = MakeRegistry();
+    told.Merge({ kFirst, {}, At(5000) }, false, At(5000));
+    CPPUNIT_ASSERT(told.MergeConviction(report, true, At(5100)));
+    CPPUNIT_ASSERT_EQUAL(std::string("free"), Judge(told, kFirst, 5100));
+    CPPUNIT_ASSERT_EQUAL(std::string("refused"), Judge(told, kSecond, 5100));
+    // It ends ten minutes after it was made.
+    SuspectRegistry late = MakeRegistry();
+    CPPUNIT_ASSERT(!late.MergeConviction(report, true, At(700000)));
+    CPPUNIT_ASSERT(!late.HasConvictionNews());
+  }
+
   // Guards against a request that ends each target 2.5 s after its first event
   // never being stopped, as two seconds of output cleared it.
   void ARequestThatEndsItsTargetsAfterProgressIsSuspected()
