--- a/tests/usage/ReturnedStoreTests.cpp
+++ b/tests/usage/ReturnedStoreTests.cpp
@@ -188,7 +188,8 @@
       const std::string id = "t" + std::to_string(n);
       const auto answer = cluster.Gateway(1).Call(GatewayTestCluster::Request(
         "/stream/", id, "Last-Event-Id: 1\r\nResumes: " + stream + "\r\n"));
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(stream, 200, answer.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        stream + " " + answer.mBody, 200, answer.mHead.mStatus);
       CPPUNIT_ASSERT_EQUAL(begun.at(stream), VersionsByRequest(cluster).at(id));
     }
   }
