Tell hosts that read the store of its return (CONFIG, DENIED)

Cause: without a count of the store, a return is noticed by a version that is lower than the known one. A reader that reads a moment later, when other hosts' writes have brought the version back, sees none. Hosts tell each other of eras in /knowledge, but hosts that read the store ask nobody, and hear only from those that happen to ask them. Such a reader also goes on ignoring what operators write until the versions pass those it knew, and so do the hosts that go by it.

Ruled out: rows of origins that are not written again (they are, where the return is noticed), the time for which the test waits.

Now a host that begins an era, by itself or told, tells it in its datagrams, at once and for 6 s (member "era", ignored by older builds).

--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "gateway/LoadMessages.h"
+#include "gateway/PeerLink.h"
 #include "gateway/ReachMessages.h"
 #include "http/JsonText.h"
 #include "observe/Log.h"
@@ -26,8 +27,9 @@
 // Interval at which an unchanged load is sent again.
 constexpr Duration kResendInterval = milliseconds(1000);
 
-// Time after the start in which a host announces itself, long enough for all
-// hosts to have read the hosts table.
+// Time after the start, or the beginning of an era of the store, in which a
+// host announces itself, long enough for all hosts to have read the hosts
+// table.
 constexpr Duration kAnnounceTime = milliseconds(6000);
 
 // Delay of the first announcement, by which this host has usually read the
@@ -96,6 +98,13 @@
   , mRoomTimer(aLoop, [this] { SendRoomMessages(); })
   , mRandom(StableHash(aSettings.mHost))
 {
+  // Of hosts that read the store themselves, which ask no other one, some may
+  // have read it too late to notice that it has returned.
+  mFleet.AddEraCallback([this] {
+    const Time now = EventLoop::Now();
+    mAnnounceUntil = now + kAnnounceTime;
+    SendBy(now);
+  });
 }
 
 std::optional<ListenFailure>
@@ -198,6 +207,12 @@
   mFleet.OnHostHeard(host, mSender.address(), now);
   mFleet.Reach().OnHostHeard(
     host, hasPlace ? place->value.GetString() : "", now);
+  const PeerEra told = ParseReplyEra(json);
+  if (!told.mReadable) {
+    mFormats.OnUnreadable(host, kEraField);
+  } else if (told.mEra) {
+    mFleet.OnEraTold(told.mEra);
+  }
   // A message with nothing but suspects has no load.
   const auto load = json.FindMember("load");
   if (load != json.MemberEnd() && load->value.IsArray()) {
@@ -804,6 +819,10 @@
   aWriter.String(mSettings.mPlace.c_str());
   aWriter.Key("start");
   aWriter.Uint64(mFleet.StartId());
+  if (mFleet.Era() != StoreEra()) {
+    aWriter.Key(kEraField);
+    aWriter.String(FormatEra(mFleet.Era()).c_str());
+  }
 }
 
 void
--- a/src/quetzalquay/gateway/PeerLink.cpp
+++ b/src/quetzalquay/gateway/PeerLink.cpp
@@ -50,10 +50,6 @@
 // Largest age that is believed; more than that could overflow.
 constexpr std::int64_t kMaxAgeMs = 100000000000;
 
-// Query parameter and response field with the era of the store in which the
-// versions are. Omitted while the store has had one only.
-constexpr char kEraField[] = "era";
-
 // Member of a table that has all rows, whatever was asked for, as the host does
 // not know all that was removed since the version in the query.
 constexpr char kWholeField[] = "whole";
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -26,7 +26,12 @@
 std::optional<platform::StoreRow>
 ParsePeerRow(const rapidjson::Value& aValue);
 
-// What a host tells, in a query or a reply, of the era of its versions.
+// Member of queries, replies and datagrams with the era of the store. Omitted
+// while the store has had one only.
+constexpr char kEraField[] = "era";
+
+// What a host tells, in a query, a reply or a datagram, of the era of its
+// versions.
 struct PeerEra
 {
   // Nothing if it tells none, or one that cannot be read.
@@ -40,7 +45,7 @@
 PeerEra
 ParseQueryEra(const std::string& aPath);
 
-// The era in a host's reply.
+// The era in a host's reply or datagram.
 PeerEra
 ParseReplyEra(const rapidjson::Value& aMessage);
 
