Read answers of the store that follow interim ones (CONFIG, DENIED)

A host whose store, or what is between them, sends 100 or 103 before the answer took that for the answer: it never got a configuration, and callers saw 503 from the whole fleet for good. HTTP/1.1 lets a server send them unasked; answers of targets were read so already.

RepliesMayFollowInterimOnes fails before (0 replies of 5) and passes.

--- a/src/quetzalquay/http/AsyncHttpClient.cpp
+++ b/src/quetzalquay/http/AsyncHttpClient.cpp
@@ -10,6 +10,14 @@
 
 constexpr std::size_t kMaxHeadBytes = 16384;
 
+// Whether another response to the same request follows. After 101 the
+// connection speaks another protocol.
+bool
+IsInterim(int aStatus)
+{
+  return aStatus >= 100 && aStatus < 200 && aStatus != 101;
+}
+
 } // namespace
 
 AsyncHttpClient::AsyncHttpClient(EventLoop& aLoop,
@@ -107,7 +115,14 @@
     mConnected = false;
     return;
   }
-  const std::size_t n = mReader.Feed(aData);
+  std::size_t n = mReader.Feed(aData);
+  while (mReader.Progress() == HttpProgress::Complete &&
+         IsInterim(mReader.Head().mStatus)) {
+    // The server has the request.
+    mOnReusedConnection = false;
+    mReader.Next();
+    n += mReader.Feed(aData.substr(n));
+  }
   mReceivedBytes += n;
   if (!mHeld.Resize(mReceivedBytes) ||
       mReader.Error() == HttpParseError::BodyTooLarge) {
--- a/tests/introspective/AsyncHttpClientTests.cpp
+++ b/tests/introspective/AsyncHttpClientTests.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(ServersMayCloseAfterEachReply);
   CPPUNIT_TEST(ServersMayCloseIdleConnections);
   CPPUNIT_TEST(RepliesMayComeInChunks);
+  CPPUNIT_TEST(RepliesMayFollowInterimOnes);
   CPPUNIT_TEST(TornRepliesAreNoReplies);
   CPPUNIT_TEST_SUITE_END();
 
@@ -144,6 +145,22 @@
     CPPUNIT_ASSERT_EQUAL(kCalls, CountReplies(loop, server, false));
   }
 
+  // Guards against a host that never gets ready because the store, or what is
+  // between them, sends interim answers before the final one.
+  void RepliesMayFollowInterimOnes()
+  {
+    for (const std::string& it :
+         { std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+           std::string("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+                       "HTTP/1.1 102 Processing\r\n\r\n") }) {
+      EventLoop loop;
+      RawServer server(loop, it + kFramed, false);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        it, kCalls, CountReplies(loop, server, false));
+      CPPUNIT_ASSERT_EQUAL(1, server.ConnectionCount());
+    }
+  }
+
   void TornRepliesAreNoReplies()
   {
     EventLoop loop;
