Judge the contact with the store by the platform's tables (DRAIN)

A store may answer 404 for a table that nobody has written yet, such as that of suspected requests, or refuse one of the gateways' tables for long. Each such answer passed for a store that is away, and the next one of another table for its return. While that lasts, entries that are removed are kept, as their targets may register again; each return began that time anew, so a removed target got requests for good, and peers heard that the host is out of touch.

The class is that of the readers that read the targets only: what is said of one table stands for another.

Now failed calls for tables of the gateways say nothing of the contact; answers for them do, as before. AStoreThatRefusesATableOfThe- GatewaysIsReachable fails before (unreachable within 7 s) and passes.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -695,6 +695,13 @@
       mFleet.OnConfigurationKnownAsOf(mTargets->LastCallAt());
     }
   }
+  // A store may refuse a table that nobody has written yet. That says nothing
+  // about the platform's own tables, by which the contact is judged.
+  const bool isPlatforms =
+    aTable == StoreTable::Configuration || aTable == StoreTable::Targets;
+  if (aEnd != StoreCallEnd::Answered && !isPlatforms) {
+    return;
+  }
   if (!mContact.OnCallEnded(aEnd, aSentAt, EventLoop::Now())) {
     return;
   }
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -101,6 +101,12 @@
     return mProcess->mFleet.Readers().IsStale(EventLoop::Now());
   }
 
+  // Whether the process takes the store for one that answers.
+  bool IsReachable() const
+  {
+    return mProcess->mWatch.UnreachableSince() == Time::max();
+  }
+
   void PutRow() { mRowVersion = ++mVersion; }
 
   void RemoveRow()
@@ -279,6 +285,7 @@
   CPPUNIT_TEST(AStoppingHostDoesNotWriteItsRowAgain);
   CPPUNIT_TEST(AStoreThatRefusesOneTableIsNotCalledWithoutAPause);
   CPPUNIT_TEST(AHostThatReadsTheTargetsOnlyIsStale);
+  CPPUNIT_TEST(AStoreThatRefusesATableOfTheGatewaysIsReachable);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -310,6 +317,25 @@
     CPPUNIT_ASSERT(host.RunUntil([&host] { return !host.IsStale(); }));
   }
 
+  // Guards against targets that are never dropped because the store refuses a
+  // table that has no rows yet, which passed for a store that is away.
+  void AStoreThatRefusesATableOfTheGatewaysIsReachable()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    const auto isAway = [&host] { return !host.IsReachable(); };
+    for (const char* it :
+         { "Table=gateway-suspects&", "Table=gateway-hosts&" }) {
+      host.mRefusals = 0;
+      host.mRefusedTable = it;
+      CPPUNIT_ASSERT(!host.RunUntil(isAway, milliseconds(7000)));
+      CPPUNIT_ASSERT(host.mRefusals >= 2);
+    }
+    host.mRefusedTable = "Table=servers&";
+    CPPUNIT_ASSERT(host.RunUntil(isAway));
+  }
+
   // Guards against a removal that the store performs after the next process of
   // the host has registered, so that no other host knows that process.
   void ALateRemovalLeavesTheRowOfTheNextProcess()
