Count abandoned calls for the configuration as unanswered (CONFIG, DENIED)

Hosts that read the store for the fleet may get no answer for the configuration, while of the reads of the targets some are refused and some answered. Each answer then passed for a return of the store, which abandons the call for the configuration and sends it anew.

Found by reading; that users saw it is not claimed. Ruled out: calls that end with a failure or hang alone, which counted already.

A call counts from the first of those that have not ended. So that a sound store does not look overdue after its return, the call that follows an abandoned one is answered at once.

AHostWhoseConfigurationCallsAreNeverAnsweredIsStale fails before (never stale in 9 s) and passes.

--- a/src/quetzalquay/gateway/StoreWatch.cpp
+++ b/src/quetzalquay/gateway/StoreWatch.cpp
@@ -93,8 +93,9 @@
 bool
 TableWatcher::IsCurrent(Time aNow) const
 {
+  const Time askedAt = mUnansweredSince.value_or(mSentAt);
   const bool overdue = mHttpClient.IsBusy() &&
-                       aNow - mSentAt >= mOptions.mLongPoll + kOverdueAfter;
+                       aNow - askedAt >= mOptions.mLongPoll + kOverdueAfter;
   return mFailures == 0 && mVersion != 0 && !overdue;
 }
 
@@ -103,6 +104,9 @@
 {
   if (mHttpClient.IsBusy()) {
     mHttpClient.Cancel();
+    // The former call has told nothing, so the next one has to show soon
+    // whether the store answers.
+    mAsksAtOnce = true;
   }
   PollNow();
 }
@@ -110,6 +114,8 @@
 void
 TableWatcher::Reset()
 {
+  mUnansweredSince.reset();
+  mAsksAtOnce = false;
   mVersion = 0;
   mFormerVersion = 0;
   mFailures = 0;
@@ -133,7 +139,11 @@
 TableWatcher::StartCall()
 {
   const bool known = mVersion != 0 || mOptions.mKnownVersion() != 0;
-  if (mHttpClient.IsBusy() || (known && !mOptions.mShouldRead())) {
+  if (mHttpClient.IsBusy()) {
+    return;
+  }
+  if (known && !mOptions.mShouldRead()) {
+    mUnansweredSince.reset();
     return;
   }
   mLastCallAt = EventLoop::Now();
@@ -164,6 +174,7 @@
                                  const std::string& aReason))
 {
   mSentAt = EventLoop::Now();
+  mUnansweredSince = mUnansweredSince.value_or(mSentAt);
   mReadsPage = aOnReply == &TableWatcher::OnPage;
   mKnownAtSend =
     std::max({ mVersion, mFormerVersion, mOptions.mKnownVersion() });
@@ -284,11 +295,12 @@
 void
 TableWatcher::RequestChanges()
 {
-  Send(
-    platform::EncodeWatch(
-      mHttpClient.ServerName(), mOptions.mTable, mVersion, mOptions.mLongPoll),
-    mOptions.mLongPoll,
-    &TableWatcher::OnChanges);
+  const Duration wait =
+    std::exchange(mAsksAtOnce, false) ? Duration::zero() : mOptions.mLongPoll;
+  Send(platform::EncodeWatch(
+         mHttpClient.ServerName(), mOptions.mTable, mVersion, wait),
+       wait,
+       &TableWatcher::OnChanges);
 }
 
 void
@@ -383,6 +395,7 @@
   const Duration pause =
     std::min(kMaxBackoff, kInitialBackoff * (1 << std::min(mFailures, 4)));
   ++mFailures;
+  mUnansweredSince.reset();
   mCallTimer.ScheduleAt(EventLoop::Now() + pause);
   mOnCallEnded(aEnd, mSentAt);
 }
@@ -391,6 +404,7 @@
 TableWatcher::OnCallSucceeded()
 {
   mFailures = 0;
+  mUnansweredSince.reset();
   const Duration pause = mVersion == 0
                            ? std::max(mOptions.mInterval, kInitialBackoff)
                            : mOptions.mInterval;
--- a/src/quetzalquay/gateway/StoreWatch.h
+++ b/src/quetzalquay/gateway/StoreWatch.h
@@ -124,6 +124,11 @@
   // that was known then.
   Time mSentAt;
   std::int64_t mKnownAtSend = 0;
+  // When the first call was sent of those that have not ended since, as calls
+  // that are abandoned do not end.
+  std::optional<Time> mUnansweredSince;
+  // Whether the store should answer the next request for changes at once.
+  bool mAsksAtOnce = false;
   // Whether the last request was for a page of the complete table.
   bool mReadsPage = false;
   // Version up to which changes were known when the complete table had to be
--- a/tests/introspective/StoreWatchTests.cpp
+++ b/tests/introspective/StoreWatchTests.cpp
@@ -127,6 +127,10 @@
   // Part of the paths of reads that the store refuses, and how many it has.
   std::string mRefusedTable;
   int mRefusals = 0;
+  // Whether it refuses every second of these reads only.
+  bool mRefusesEverySecond = false;
+  // Part of the paths of reads that the store never answers.
+  std::string mSilentTable;
   // Transactions of others between a write and its answer.
   int mOtherWrites = 0;
   // Version of the row, 0 if there is none.
@@ -231,11 +235,15 @@
     SimpleHttpReply reply;
     reply.mContentType = "application/json";
     if (!mRefusedTable.empty() &&
-        aHead.mTarget.find(mRefusedTable) != std::string::npos) {
-      ++mRefusals;
+        aHead.mTarget.find(mRefusedTable) != std::string::npos &&
+        (++mRefusals % 2 == 0 || !mRefusesEverySecond)) {
       reply.mStatus = 503;
       return reply;
     }
+    if (!mSilentTable.empty() &&
+        aHead.mTarget.find(mSilentTable) != std::string::npos) {
+      return std::nullopt;
+    }
     std::string rows;
     if (aHead.mTarget.find("Table=gateway-hosts") != std::string::npos) {
       const auto after = aHead.mTarget.find("AfterRevision=");
@@ -285,6 +293,7 @@
   CPPUNIT_TEST(AStoppingHostDoesNotWriteItsRowAgain);
   CPPUNIT_TEST(AStoreThatRefusesOneTableIsNotCalledWithoutAPause);
   CPPUNIT_TEST(AHostThatReadsTheTargetsOnlyIsStale);
+  CPPUNIT_TEST(AHostWhoseConfigurationCallsAreNeverAnsweredIsStale);
   CPPUNIT_TEST(AStoreThatRefusesATableOfTheGatewaysIsReachable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -317,6 +326,28 @@
     CPPUNIT_ASSERT(host.RunUntil([&host] { return !host.IsStale(); }));
   }
 
+  // Guards against a fleet that stays at an old configuration while the store
+  // never answers for it and refuses some reads of the targets: each return of
+  // the store renewed the call, so that it was never overdue.
+  void AHostWhoseConfigurationCallsAreNeverAnsweredIsStale()
+  {
+    RegisteredHost host;
+    host.Start(kValue);
+    host.AwaitRow();
+    host.RunFor(milliseconds(1000));
+    CPPUNIT_ASSERT(!host.IsStale());
+    host.mSilentTable = "Table=op&";
+    host.mRefusedTable = "Table=servers&";
+    host.mRefusesEverySecond = true;
+    CPPUNIT_ASSERT(host.RunUntil([&host] { return host.IsStale(); }));
+    // Not for a moment only.
+    const auto isRecent = [&host] { return !host.IsStale(); };
+    CPPUNIT_ASSERT(!host.RunUntil(isRecent, milliseconds(4000)));
+    host.mSilentTable.clear();
+    host.mRefusedTable.clear();
+    CPPUNIT_ASSERT(host.RunUntil(isRecent));
+  }
+
   // Guards against targets that are never dropped because the store refuses a
   // table that has no rows yet, which passed for a store that is away.
   void AStoreThatRefusesATableOfTheGatewaysIsReachable()
