--- a/src/quetzalquay/core/LossLedger.cpp
+++ b/src/quetzalquay/core/LossLedger.cpp
@@ -15,6 +15,9 @@
 // Records that are removed at once to make room for new ones.
 constexpr std::size_t kRoomMade = 500;
 
+// Lost runs from which on a request is stored while other hosts are heard.
+constexpr std::size_t kStoreThreshold = 2;
+
 // Maximum number of records that a new host is told at once.
 constexpr std::size_t kMaxReports = 64;
 
@@ -62,14 +65,18 @@
   record.mOwn.insert(aRun.mDeath.mId);
   Tell(aSuspect, record, kNewsRepeats, aTellAt);
   if (aTellAt <= aNow) {
-    StoreRuns(aSuspect, record, false);
+    StoreRuns(aSuspect, record, false, aNow);
   }
 }
 
 void
-LossLedger::StoreRuns(std::uint64_t aSuspect, Record& aRecord, bool aOwnOnly)
+LossLedger::StoreRuns(std::uint64_t aSuspect,
+                      Record& aRecord,
+                      bool aOwnOnly,
+                      Time aNow)
 {
-  if (aRecord.mRuns.size() < mStoreThreshold) {
+  const bool alone = mHostHeardAt && aNow - *mHostHeardAt >= kAloneAfter;
+  if (aRecord.mRuns.size() < (alone ? 1 : kStoreThreshold)) {
     return;
   }
   for (const LostRun& it : aRecord.mRuns) {
@@ -90,12 +97,6 @@
   }
 }
 
-void
-LossLedger::SetStoreThreshold(std::size_t aLostRuns)
-{
-  mStoreThreshold = aLostRuns;
-}
-
 void
 LossLedger::SetStoreCallback(std::function<void()> aCall)
 {
@@ -226,7 +227,7 @@
   }
   if (changed) {
     Tell(aReport.mSuspect, record, aPassOn ? 1 : 0, aNow);
-    StoreRuns(aReport.mSuspect, record, true);
+    StoreRuns(aReport.mSuspect, record, true, aNow);
   }
   return changed;
 }
--- a/src/quetzalquay/core/LossLedger.h
+++ b/src/quetzalquay/core/LossLedger.h
@@ -56,6 +56,10 @@
   // Time from the last change of a record until it expires.
   static constexpr Duration kRecordLifetime = std::chrono::minutes(10);
 
+  // Silence of all other hosts after which a single lost run is stored, as none
+  // of them may know of it.
+  static constexpr Duration kAloneAfter = std::chrono::milliseconds(3000);
+
   // Maximum number of lost runs in a record.
   static constexpr std::size_t kMaxRuns = 8;
 
@@ -97,9 +101,9 @@
   // with the most deaths first, a bounded number.
   std::vector<SuspectReport> Reports(Time aNow);
 
-  // Sets the number of known lost runs from which on the runs that this host
-  // has lost are stored.
-  void SetStoreThreshold(std::size_t aLostRuns);
+  // Records that another host was heard, or that this one listens from now on.
+  // A host that never listens leaves single lost runs out of the store.
+  void OnHostHeard(Time aNow) { mHostHeardAt = aNow; }
 
   // Sets a callback that runs when there are changes to store.
   void SetStoreCallback(std::function<void()> aCall);
@@ -178,7 +182,10 @@
               Time aNow);
   // Schedules the lost runs that are not stored yet to be stored if there are
   // enough of them; with aOwnOnly, those that this host has lost.
-  void StoreRuns(std::uint64_t aSuspect, Record& aRecord, bool aOwnOnly);
+  void StoreRuns(std::uint64_t aSuspect,
+                 Record& aRecord,
+                 bool aOwnOnly,
+                 Time aNow);
   // What died together with a target, by the ID of its death.
   using Failures = std::unordered_map<std::uint64_t, DeathLog::Failure>;
   bool IsLostWithPlaceOnly(const std::vector<LostRun>& aRuns,
@@ -197,7 +204,7 @@
   std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> mLostIn;
   // Suspects with changes that other hosts have to be told.
   std::set<std::uint64_t> mNews;
-  std::size_t mStoreThreshold = 2;
+  std::optional<Time> mHostHeardAt;
   std::vector<StoredLossChange> mStoreChanges;
   std::function<void()> mOnStoreChange;
   DeathLog mDeaths;
--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -34,11 +34,6 @@
 // hosts table.
 constexpr Duration kFirstAnnounceDelay = milliseconds(300);
 
-// Lost runs from which on a request is stored, and the silence of all other
-// hosts after which a single one is enough, as the others may not know of it.
-constexpr std::size_t kStoreThreshold = 2;
-constexpr Duration kAloneAfter = milliseconds(3000);
-
 // Deaths from which on a suspect reported by another host is logged.
 constexpr int kMinLoggedDeaths = 2;
 
@@ -136,7 +131,7 @@
   mFleet.Targets().Room().SetNewsCallback(
     [this] { mRoomTimer.ScheduleAt(EventLoop::Now()); });
   Receive();
-  mLastHeardAt = EventLoop::Now();
+  mFleet.Targets().Suspects().OnHostHeard(EventLoop::Now());
   mAnnounceUntil = EventLoop::Now() + kAnnounceTime;
   mSendTimer.ScheduleAt(EventLoop::Now() + kFirstAnnounceDelay);
 }
@@ -594,9 +589,6 @@
   const auto loads = mFleet.Targets().OwnLoad();
   const auto lost = mFleet.Targets().LostTargets(now);
   SuspectRegistry& suspects = mFleet.Targets().Suspects();
-  if (now - mLastHeardAt >= kAloneAfter) {
-    suspects.SetStoreThreshold(1);
-  }
   std::vector<SuspectReport> news;
   if (now >= mNextNewsAt) {
     news = suspects.TakeNews(now);
@@ -753,8 +745,7 @@
                              std::uint64_t aStart,
                              Time aNow)
 {
-  mLastHeardAt = aNow;
-  mFleet.Targets().Suspects().SetStoreThreshold(kStoreThreshold);
+  mFleet.Targets().Suspects().OnHostHeard(aNow);
   if (mHeardHosts.OnHeard(aHost, mSender, aStart, aNow)) {
     SendSuspects(mSender, aNow);
   }
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -158,8 +158,6 @@
   // Until when messages without content are sent, so that the other hosts learn
   // of this one.
   Time mAnnounceUntil;
-  // When another host was last heard from.
-  Time mLastHeardAt;
   // When a message with changes of suspects may be sent again.
   Time mNextNewsAt;
   Time mNextDeparturesAt;
--- a/tests/introspective/BeliefTests.cpp
+++ b/tests/introspective/BeliefTests.cpp
@@ -377,6 +377,19 @@
   return [suspects](Time aNow) { return suspects->IsSuspected(7, aNow); };
 }
 
+// While others are heard, a single lost run is left to them, and not stored.
+Check
+TellHeardHost()
+{
+  SuspectRegistry suspects;
+  suspects.OnHostHeard(kStart);
+  return [suspects](Time aNow) {
+    SuspectRegistry copy = suspects;
+    copy.OnRunLost(RequestContent(7), { { 1, 0, aNow }, aNow }, aNow);
+    return copy.TakeStoreChanges().empty();
+  };
+}
+
 Check
 TellConviction()
 {
@@ -499,6 +512,7 @@
   { "demand of a host", seconds(15), TellDemand },
   { "wait of a target", seconds(1), TellWait },
   { "lost run", LossLedger::kRecordLifetime, TellLostRun },
+  { "host that knows a lost run", LossLedger::kAloneAfter, TellHeardHost },
   { "conviction", LossLedger::kRecordLifetime, TellConviction },
   { "departure to tell", seconds(30), TellDeparture },
   { "known departure", seconds(30), TellKnownDeparture },
