--- a/src/quetzalquay/core/TrialRecord.cpp
+++ b/src/quetzalquay/core/TrialRecord.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstddef>
 #include <cstdio>
@@ -13,13 +14,21 @@
 // Hexadecimal digits of a member.
 constexpr std::ptrdiff_t kMemberSize = 16;
 
+// Counts a further lost trial, as far as records can tell of it.
+void
+AddLostTrial(TrialRecord& aRecord)
+{
+  aRecord.mLost = std::min(aRecord.mLost + 1, kMaxLostTrials);
+}
+
 } // namespace
 
 TrialRecord
 BeginTrial(TrialRecord aRecord, bool aVanished)
 {
-  if (aVanished && ++aRecord.mLost >= kLostTrialsToConvict) {
-    aRecord.mConvicted = true;
+  if (aVanished) {
+    AddLostTrial(aRecord);
+    aRecord.mConvicted |= aRecord.mLost >= kLostTrialsToConvict;
   }
   aRecord.mHeld = !aRecord.mConvicted;
   return aRecord;
@@ -33,7 +42,9 @@
     return TrialRecord();
   }
   const bool convicted = aOutcome == TrialOutcome::Convicted;
-  aRecord.mLost += convicted || aOutcome == TrialOutcome::Lost ? 1 : 0;
+  if (convicted || aOutcome == TrialOutcome::Lost) {
+    AddLostTrial(aRecord);
+  }
   aRecord.mConvicted |= convicted || aRecord.mLost >= kLostTrialsToConvict;
   return aRecord;
 }
--- a/src/quetzalquay/core/TrialRecord.h
+++ b/src/quetzalquay/core/TrialRecord.h
@@ -47,6 +47,9 @@
 // Lost trials that convict a set, whatever else was lost with them.
 constexpr int kLostTrialsToConvict = 2;
 
+// Largest number of lost trials in a record; it has nine digits at most.
+constexpr int kMaxLostTrials = 999999999;
+
 // Returns the record of a trial that begins. aVanished says that the host of
 // the trial in progress has not ended it in time, which counts as a lost one.
 // The record is not held if that convicts the request.
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -130,6 +130,7 @@
   CPPUNIT_TEST(TwoLostTrialsConvict);
   CPPUNIT_TEST(AVanishedHostCountsAsALostTrial);
   CPPUNIT_TEST(RecordsAreReadAsWritten);
+  CPPUNIT_TEST(FullRecordsAreReadAsWritten);
   CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
   CPPUNIT_TEST(TrialsDoNotShareATarget);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
@@ -359,6 +360,24 @@
     }
   }
 
+  // Guards against a record with more lost trials than its readers take, which
+  // acquits a convicted request.
+  void FullRecordsAreReadAsWritten()
+  {
+    TrialRecord full;
+    full.mLost = kMaxLostTrials;
+    for (const TrialRecord& it :
+         { BeginTrial(full, true),
+           FinishTrial(full, TrialOutcome::Lost),
+           FinishTrial(full, TrialOutcome::Convicted) }) {
+      const auto record = ParseTrialRecord(FormatTrialRecord(it));
+      CPPUNIT_ASSERT(record.has_value());
+      CPPUNIT_ASSERT_EQUAL(kMaxLostTrials, record->mLost);
+      CPPUNIT_ASSERT(record->mConvicted);
+      CPPUNIT_ASSERT(!record->mHeld);
+    }
+  }
+
   void ATrialRunsOnItsTargetOnly()
   {
     TargetTable table = MakeTable(4);
