Leave out trials' records with numbers out of range (BUDGET)

Cause: ParseTrialRecord read by sscanf with widths (%9d %1d %1d), which cut a number that is too long and go on within it. It also took tabs and line ends for spaces, "-0", and a member for a flag. It now reads whole numbers within their range, with one space between, as all builds write them.

Conclusion: such a record counts as unreadable, as docs/protocols/formats.md says of numbers out of range.

--- a/src/quetzalquay/core/TrialRecord.cpp
+++ b/src/quetzalquay/core/TrialRecord.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cstddef>
-#include <cstdio>
 
 namespace quetzalquay {
 
@@ -14,6 +13,9 @@
 // Hexadecimal digits of a member.
 constexpr std::ptrdiff_t kMemberSize = 16;
 
+// Largest number that stands for a truth value; all but 0 stand for true.
+constexpr int kMaxFlag = 9;
+
 // Counts a further lost trial, as far as records can tell of it.
 void
 AddLostTrial(TrialRecord& aRecord)
@@ -21,6 +23,24 @@
   aRecord.mLost = std::min(aRecord.mLost + 1, kMaxLostTrials);
 }
 
+// Reads a number from 0 to aMax, after which a space follows or the text ends.
+bool
+ReadNumber(const char*& aAt, const char* aEnd, int aMax, int& aNumber)
+{
+  unsigned int number = 0;
+  const auto parsed = std::from_chars(aAt, aEnd, number);
+  aAt = parsed.ptr;
+  aNumber = static_cast<int>(number);
+  return parsed.ec == std::errc() && number <= static_cast<unsigned>(aMax) &&
+         (aAt == aEnd || *aAt == ' ');
+}
+
+bool
+SkipSpace(const char*& aAt, const char* aEnd)
+{
+  return aAt != aEnd && *aAt++ == ' ';
+}
+
 } // namespace
 
 TrialRecord
@@ -67,19 +87,11 @@
   TrialRecord record;
   int convicted = 0;
   int held = 0;
-  int length = 0;
-  if (std::sscanf(aText.c_str(),
-                  "%9d %1d %1d%n",
-                  &record.mLost,
-                  &convicted,
-                  &held,
-                  &length) != 3 ||
-      record.mLost < 0) {
-    return std::nullopt;
-  }
-  const char* at = aText.data() + length;
-  const char* end = aText.data() + aText.size();
-  if (at < end && *at != ' ') {
+  const char* at = aText.data();
+  const char* end = at + aText.size();
+  if (!ReadNumber(at, end, kMaxLostTrials, record.mLost) ||
+      !SkipSpace(at, end) || !ReadNumber(at, end, kMaxFlag, convicted) ||
+      !SkipSpace(at, end) || !ReadNumber(at, end, kMaxFlag, held)) {
     return std::nullopt;
   }
   // What follows the members was added by a later build.
--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(AVanishedHostCountsAsALostTrial);
   CPPUNIT_TEST(RecordsAreReadAsWritten);
   CPPUNIT_TEST(FullRecordsAreReadAsWritten);
+  CPPUNIT_TEST(NumbersOutOfRangeAreNotRead);
   CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
   CPPUNIT_TEST(TrialsDoNotShareATarget);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
@@ -378,6 +379,20 @@
     }
   }
 
+  // Guards against a number with too many digits, whose last ones were read as
+  // the next number, so that a conviction was read as a trial in progress.
+  void NumbersOutOfRangeAreNotRead()
+  {
+    for (const char* it : { "1000000000 1 0",
+                            "2147483648 1 0",
+                            "1 10 0",
+                            "1 1 00000000000000a1",
+                            "2 -1 0" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !ParseTrialRecord(it).has_value());
+    }
+    CPPUNIT_ASSERT(ParseTrialRecord("999999999 1 0")->mConvicted);
+  }
+
   void ATrialRunsOnItsTargetOnly()
   {
     TargetTable table = MakeTable(4);
