Fuzz trials' rows and what hosts make of them

Records of trials were read by the fuzzer only among the rows of suspects, one of them in each of two landings, and checked for being read again alike. Limits: a count from 0 to 999,999,999 that is the one written, no more members than the text has room for, a set of one suspect at least. What BeginTrial and FinishTrial make of a record must be read again as it was written.

--- a/tests/fuzz/HostFuzzTests.cpp
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -1,6 +1,7 @@
 #include "Mutator.h"
 
 #include "core/Hash.h"
+#include "core/SuspectRegistry.h"
 #include "core/TrialRecord.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/HostRows.h"
@@ -12,6 +13,7 @@
 #include "http/HttpReader.h"
 #include "http/JsonText.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
 #include <map>
@@ -170,11 +172,14 @@
 
 // Keys and values of the rows, separated by a tab.
 std::vector<std::string>
-RowsOf(const std::string& aTable)
+RowsOf(const std::string& aTable,
+       const std::vector<std::string>& aLandings = { "9916185",
+                                                     "bc3452f",
+                                                     "c6d7403" })
 {
   std::vector<std::string> rows;
-  for (const char* landing : { "9916185", "bc3452f", "c6d7403" }) {
-    std::stringstream text(ReadData("rows-" + std::string(landing) + ".txt"));
+  for (const std::string& landing : aLandings) {
+    std::stringstream text(ReadData("rows-" + landing + ".txt"));
     std::string line;
     while (std::getline(text, line)) {
       if (line.rfind(aTable + "\t", 0) == 0) {
@@ -221,6 +226,74 @@
   return {};
 }
 
+// Rows of trials, of sets and of targets, as this build writes them.
+std::vector<std::string>
+TrialRowsOfThisBuild()
+{
+  TrialRecord held;
+  held.mHeld = true;
+  TrialRecord convicted = FinishTrial(held, TrialOutcome::Convicted);
+  for (std::uint64_t n = 0; n < SuspectRegistry::kMaxLostParts; ++n) {
+    convicted.mMembers.push_back(StableHash(std::to_string(n)));
+  }
+  TrialRecord most = held;
+  most.mLost = kMaxLostTrials;
+  return { TrialKeyOf("t1") + "\t" + FormatTrialRecord(held),
+           TrialKeyOf(SuspectSet(convicted.mMembers).mId) + "\t" +
+             FormatTrialRecord(convicted),
+           TrialKeyOf(std::uint64_t{ 0xa1 }) + "\t" + FormatTrialRecord(most) };
+}
+
+bool
+IsReadAgain(const TrialRecord& aRecord)
+{
+  const auto again = ParseTrialRecord(FormatTrialRecord(aRecord));
+  return again && again->mLost == aRecord.mLost &&
+         again->mConvicted == aRecord.mConvicted &&
+         again->mHeld == aRecord.mHeld && again->mMembers == aRecord.mMembers;
+}
+
+std::string
+CheckTrialRow(const std::string& aInput, Mutator&)
+{
+  constexpr std::size_t kMemberBytes = 17;
+  const platform::StoreRow row = MakeRow(aInput);
+  const auto suspects = ParseTrialSuspects(row);
+  if (suspects && (IsTargetTrialKey(row.mKey) || suspects->mMembers.empty())) {
+    return "a trial is of no suspects";
+  }
+  const auto record = ParseTrialRecord(row.mValue);
+  if (!record) {
+    return {};
+  }
+  if (record->mLost < 0 || record->mLost > kMaxLostTrials ||
+      record->mMembers.size() * kMemberBytes > row.mValue.size()) {
+    return "a record is out of range";
+  }
+  const std::string count = row.mValue.substr(0, row.mValue.find(' '));
+  const auto digits = count.find_first_not_of('0');
+  if (std::to_string(record->mLost) !=
+      (digits == std::string::npos ? "0" : count.substr(digits))) {
+    return "a count is read as another one";
+  }
+  // What a host makes of the record, and stores.
+  std::vector<TrialRecord> next = { *record,
+                                    BeginTrial(*record, false),
+                                    BeginTrial(*record, true) };
+  for (const auto outcome : { TrialOutcome::Cleared,
+                              TrialOutcome::Inconclusive,
+                              TrialOutcome::Convicted,
+                              TrialOutcome::Lost }) {
+    next.push_back(FinishTrial(*record, outcome));
+    if (next.back().mHeld) {
+      return "a trial that has ended is held";
+    }
+  }
+  return std::all_of(next.begin(), next.end(), IsReadAgain)
+           ? ""
+           : "a record is read as another one later";
+}
+
 std::string
 CheckHostRow(const std::string& aInput, Mutator&)
 {
@@ -316,6 +389,7 @@
   CPPUNIT_TEST(Messages);
   CPPUNIT_TEST(HostRows);
   CPPUNIT_TEST(SuspectRows);
+  CPPUNIT_TEST(TrialRows);
   CPPUNIT_TEST(OriginRows);
   CPPUNIT_TEST(PassedOnRequests);
   CPPUNIT_TEST(Settings);
@@ -341,6 +415,19 @@
     CheckMutations("rows of suspects", RowsOf("suspects"), CheckSuspectRow);
   }
 
+  void TrialRows()
+  {
+    std::vector<std::string> rows = TrialRowsOfThisBuild();
+    for (const char* landing : { "e1c1272", "f97d0fb", "024c004" }) {
+      for (const std::string& it : RowsOf("suspects", { landing })) {
+        if (ParseTrialSuspects(MakeRow(it))) {
+          rows.push_back(it);
+        }
+      }
+    }
+    CheckMutations("rows of trials", rows, CheckTrialRow);
+  }
+
   void OriginRows()
   {
     CheckMutations("rows of streams", RowsOf("streams"), CheckOriginRow);
