Count the runs of a begun stream at a host that is lost (BUDGET)

What callers saw: a stream that a host which is cut off has passed on ran more often than its route's MaxAttempts, when the serving host resumed it after its first events and died then. The passing host counted one run for a lost host: the interim answer (102) that states runs since cannot follow the head.

Cause: nothing told the passing host of runs after the head. Ruled out: runs before the head (RunsAtAServingHostThatDiesCount holds) and those of stated failures (RunsAreCountedOverBothHosts).

Why it works: the passing host names a mark with the request (X-Passed-Run-Mark), and before each run beyond its first the serving host sends ":MARK RUNS" as an event of the stream, which the passing host counts and removes. Targets never get the mark, as fields of hosts are removed, so no comment of theirs passes for such a line. Older hosts name no mark and get no line; older serving hosts ignore the mark, and count as before. Rejected: an event that is repeated, which hosts since take for a spoiled ID, and breaking the stream off at the serving host, which a fleet of two could lose.

Conclusion: a stream that has used its runs breaks off, as it does at one host. Open: lost hosts of older builds count one run.

--- a/src/quetzalquay/gateway/Exchange.cpp
+++ b/src/quetzalquay/gateway/Exchange.cpp
@@ -104,6 +104,15 @@
   }
 }
 
+std::string
+Exchange::MakeRunLine(int aRuns) const
+{
+  const PassedOnRequest& passedOn = mCall.mPassedOn;
+  return passedOn.IsPassedOn() && aRuns > passedOn.mPrior.mRuns + 1
+           ? FormatRunLine(passedOn.mRunMark, aRuns)
+           : std::string();
+}
+
 HandOver
 Exchange::MakeHandOver(std::string aHost, int aRuns) const
 {
--- a/src/quetzalquay/gateway/Exchange.h
+++ b/src/quetzalquay/gateway/Exchange.h
@@ -240,6 +240,10 @@
   // called once the response has begun.
   void StateRuns(int aRuns);
 
+  // The same for a stream that has begun: the line to send before the run
+  // begins; empty if there is nothing to tell.
+  std::string MakeRunLine(int aRuns) const;
+
   // Begins the description of a request that is passed on. aRuns is the number
   // of attempts that may have run.
   HandOver MakeHandOver(std::string aHost, int aRuns) const;
--- a/src/quetzalquay/gateway/PassedOnExchange.cpp
+++ b/src/quetzalquay/gateway/PassedOnExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PassedOnExchange.h"
 
+#include "core/Hash.h"
 #include "gateway/HostChecks.h"
 #include "observe/Log.h"
 
@@ -68,6 +69,11 @@
   , mBegun(mHandOver.mTimeToFirstEvent.has_value())
   , mTimer(aContext.mLoop, [this] { OnTimer(); })
 {
+  if (mCall.mRoute->mKind == CallKind::Stream) {
+    mRunMark =
+      ToHex(StableHash(mCall.mRequest.mRequestId,
+                       StableHash(aContext.mHost, aContext.mFleet.StartId())));
+  }
   mAttempts = mHandOver.mTries;
   mLogNote = mHandOver.mCause;
   mForwardedHead.mStatus = mHandOver.mStatus;
@@ -133,6 +139,7 @@
   request.mTries = mHandOver.mTries;
   request.mPrior = mHandOver.mPrior;
   request.mPrior.mRuns = mStateMachine.Runs();
+  request.mRunMark = mRunMark;
   platform::PassedOnHead head;
   head.mTimeLeft = std::chrono::duration_cast<Duration>(left - way);
   head.mLastEventId = mHandOver.mEvents.LastId();
@@ -287,6 +294,10 @@
     if (!event) {
       break;
     }
+    if (const auto runs = ParseRunLine(mRunMark, event->mBytes)) {
+      mStateMachine.OnRunsStated(*runs);
+      continue;
+    }
     ordered = AddEvent(*event, now);
   }
   Flush();
--- a/src/quetzalquay/gateway/PassedOnExchange.h
+++ b/src/quetzalquay/gateway/PassedOnExchange.h
@@ -84,6 +84,8 @@
   std::string mResponseBody;
   AnswerBuffer mBuffer;
   EventCutter mEventParser;
+  // Begins the lines in which hosts state their runs of the stream.
+  std::string mRunMark;
   // Event bytes that have not been sent to the caller yet.
   std::string mOutput;
   // Whether an event of the stream has reached this host, here or before.
--- a/src/quetzalquay/gateway/PassedOnRequest.cpp
+++ b/src/quetzalquay/gateway/PassedOnRequest.cpp
@@ -24,6 +24,7 @@
 constexpr char kRuns[] = "X-Passed-Runs";
 constexpr char kCounted[] = "X-Passed-Counted";
 constexpr char kSent[] = "X-Passed-Sent";
+constexpr char kRunMark[] = "X-Passed-Run-Mark";
 constexpr char kRefusedBy[] = "X-Passed-Refused-By";
 constexpr char kVerdict[] = "X-Passed-Verdict";
 
@@ -32,6 +33,9 @@
 // Largest number of a field, so that sums of a few cannot overflow.
 constexpr std::int64_t kMaxNumber = 1000000000;
 
+// Longest mark of lines that state runs. Longer ones are taken for none.
+constexpr std::size_t kMaxMarkBytes = 64;
+
 std::string
 TextOf(const HttpHead& aHead, const char* aName)
 {
@@ -90,6 +94,9 @@
   AppendField(fields, kRuns, std::to_string(aRequest.mPrior.mRuns));
   AppendField(fields, kCounted, aRequest.mPrior.mCounted ? "1" : "0");
   AppendField(fields, kSent, aRequest.mPrior.mSent ? "1" : "0");
+  if (!aRequest.mRunMark.empty()) {
+    AppendField(fields, kRunMark, aRequest.mRunMark);
+  }
   return fields;
 }
 
@@ -114,6 +121,10 @@
     return std::nullopt;
   }
   request.mAge = std::chrono::milliseconds(age);
+  request.mRunMark = TextOf(aHead, kRunMark);
+  if (request.mRunMark.size() > kMaxMarkBytes) {
+    request.mRunMark.clear();
+  }
   return request;
 }
 
@@ -153,6 +164,30 @@
   return fields;
 }
 
+// A comment of the event stream.
+std::string
+FormatRunLine(const std::string& aMark, int aRuns)
+{
+  return aMark.empty() ? std::string()
+                       : ":" + aMark + " " + std::to_string(aRuns) + "\n\n";
+}
+
+std::optional<int>
+ParseRunLine(const std::string& aMark, std::string_view aBytes)
+{
+  const std::string begin = ":" + aMark + " ";
+  if (aMark.empty() || aBytes.substr(0, begin.size()) != begin) {
+    return std::nullopt;
+  }
+  int runs = 0;
+  std::from_chars(
+    aBytes.data() + begin.size(), aBytes.data() + aBytes.size(), runs);
+  // What is not written exactly so is an event of the stream.
+  return runs > 0 && runs <= kMaxNumber && FormatRunLine(aMark, runs) == aBytes
+           ? std::make_optional(runs)
+           : std::nullopt;
+}
+
 std::string
 FormatStreamStart(const std::string& aService,
                   const std::string& aSoftwareVersion)
--- a/src/quetzalquay/gateway/PassedOnRequest.h
+++ b/src/quetzalquay/gateway/PassedOnRequest.h
@@ -33,6 +33,10 @@
   // Number of attempts at the passing host, for logs.
   int mTries = 0;
   PriorAttempts mPrior;
+  // Begins the lines that state runs in a stream, see FormatRunLine. No target
+  // learns it, so that none can write such a line. Empty if the passing host
+  // does not read them.
+  std::string mRunMark;
 
   bool IsPassedOn() const { return !mFrom.empty(); }
 };
@@ -93,6 +97,15 @@
 std::string
 FormatRunCount(int aRuns);
 
+// Formats an event of a stream that states its runs, which callers don't get.
+// Empty without a mark.
+std::string
+FormatRunLine(const std::string& aMark, int aRuns);
+
+// The runs that an event states; nothing if it is an event of the stream.
+std::optional<int>
+ParseRunLine(const std::string& aMark, std::string_view aBytes);
+
 // Formats the fields of a stream.
 std::string
 FormatStreamStart(const std::string& aService,
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -200,7 +200,12 @@
 {
   const Time now = EventLoop::Now();
   ++mAttempts;
-  if (!mHeadSent) {
+  if (mHeadSent) {
+    const std::string line = MakeRunLine(CountRuns());
+    if (!line.empty()) {
+      mSink->SendChunk(line);
+    }
+  } else {
     StateRuns(CountRuns());
   }
   if (aAction.mTentative) {
--- a/tests/fuzz/HostFuzzTests.cpp
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -441,6 +441,7 @@
     request.mAge = milliseconds(250);
     request.mService = "pool";
     request.mSoftwareVersion = "2.1";
+    request.mRunMark = "00c0ffee00c0ffee";
     const std::string line = "GET /chat/run HTTP/1.1\r\nHost: h\r\n";
     CheckMutations(
       "passed on requests",
--- a/tests/introspective/PassedOnCallTests.cpp
+++ b/tests/introspective/PassedOnCallTests.cpp
@@ -2,6 +2,7 @@
 #include "core/EventSequence.h"
 #include "core/PassedOnCall.h"
 #include "gateway/PassedOnRequest.h"
+#include "http/EventCutter.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -74,6 +75,7 @@
   CPPUNIT_TEST(NothingIsSentAfterTheDeadline);
   CPPUNIT_TEST(RunsThatAHostStatesCount);
   CPPUNIT_TEST(RunsThatALostHostHasStatedCount);
+  CPPUNIT_TEST(RunLinesAreReadByTheirMarkOnly);
   CPPUNIT_TEST(EventsKeepTheirOrderOverSeveralSources);
   CPPUNIT_TEST(FieldsOfHostsAreReadAsTheyWereWritten);
   CPPUNIT_TEST(IncompleteFieldsOfHostsAreRefused);
@@ -200,6 +202,31 @@
     }
   }
 
+  // Guards against a comment of a target that passes for what a host states,
+  // and against lines that an older host would forward to its caller.
+  void RunLinesAreReadByTheirMarkOnly()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string(), FormatRunLine("", 3));
+    const std::string line = FormatRunLine("00c0ffee", 3);
+    EventCutter events;
+    events.Feed(line);
+    const auto event = events.Next();
+    CPPUNIT_ASSERT(event && event->mId.empty() && event->mBytes == line);
+    CPPUNIT_ASSERT(ParseRunLine("00c0ffee", line) == 3);
+    for (const char* it : { "", "00c0ffe", "other" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !ParseRunLine(it, line));
+    }
+    for (const char* it : { ": 3\n\n",
+                            ":00c0ffee\n\n",
+                            ":00c0ffee x\n\n",
+                            ":00c0ffee -1\n\n",
+                            ":00c0ffee 2147483647\n\n",
+                            ":00c0ffee 3 \n\n",
+                            "data: 3\n\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !ParseRunLine("00c0ffee", it));
+    }
+  }
+
   void EventsKeepTheirOrderOverSeveralSources()
   {
     EventSequence events;
@@ -234,6 +261,13 @@
     CPPUNIT_ASSERT_EQUAL(request.mTries, read->mTries);
     CPPUNIT_ASSERT_EQUAL(request.mPrior.mRuns, read->mPrior.mRuns);
     CPPUNIT_ASSERT(read->mPrior.mCounted && read->mPrior.mSent);
+    // Older builds neither send nor read it.
+    CPPUNIT_ASSERT(read->mRunMark.empty());
+    PassedOnRequest marked = request;
+    marked.mRunMark = "00c0ffee";
+    const auto readMarked =
+      ParsePassedOnRequest(HeadWith(FormatPassedOnRequest(marked)));
+    CPPUNIT_ASSERT(readMarked && readMarked->mRunMark == marked.mRunMark);
     head.mFields.push_back({ "x-passed-other", "1" });
     head.mFields.push_back({ "X-Model", "m" });
     RemoveHostFields(head);
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -175,6 +175,8 @@
   CPPUNIT_TEST(LargeAnswersAreForwardedWhole);
   CPPUNIT_TEST(RequestsSurviveTheDeathOfTheServingHost);
   CPPUNIT_TEST(RunsAtAServingHostThatDiesCount);
+  CPPUNIT_TEST(RunsOfABegunStreamAtAServingHostThatDiesCount);
+  CPPUNIT_TEST(CallersGetNothingButTheirStream);
   CPPUNIT_TEST(RequestsEndAtAServingHostThatStops);
   CPPUNIT_TEST(RequestsLeaveAFrozenServingHost);
   CPPUNIT_TEST(RequestsStayAtASilentServingHostWhileThereIsNoOther);
@@ -296,6 +298,68 @@
     }
   }
 
+  // Guards against a stream that runs more often than its route allows because
+  // the host that served it dies after it has resumed the stream.
+  void RunsOfABegunStreamAtAServingHostThatDiesCount()
+  {
+    constexpr int kMaxRuns = 2;
+    GatewayTestCluster cluster(MakeOptions(3));
+    TestConfiguration configuration;
+    configuration.RouteOf("stream").mMaxAttempts = kMaxRuns;
+    cluster.AwaitConfiguration(cluster.Write(configuration));
+    cluster.SetPace(milliseconds(300), milliseconds(100), milliseconds(1500));
+    CutOff(cluster, kCutHost);
+    PassedOnCalls calls(cluster);
+    const std::size_t before = cluster.Runs().size();
+    calls.Send(Request("/stream/", "s"));
+    const std::size_t host = calls.AwaitServingHost(before);
+    const std::string first = cluster.Runs().back().mRunner;
+    // The caller has some events by then.
+    std::this_thread::sleep_for(milliseconds(600));
+    cluster.SetLinks(host, { first }, LinkState::Reset);
+    CPPUNIT_ASSERT(WaitFor([&] { return RunsOf(cluster, "s") == kMaxRuns; }));
+    std::this_thread::sleep_for(milliseconds(100));
+    cluster.Gateway(host).Restart(SIGKILL);
+    const CallerAnswer& answer = calls.Answer(0);
+    CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+    CPPUNIT_ASSERT(!answer.mBody.empty());
+    CPPUNIT_ASSERT_EQUAL(kMaxRuns, RunsOf(cluster, "s"));
+    CPPUNIT_ASSERT(!answer.mComplete);
+  }
+
+  // Guards against lines of hosts that reach a caller, also by way of an older
+  // host, which does not ask for them.
+  void CallersGetNothingButTheirStream()
+  {
+    GatewayTestCluster cluster(MakeOptions(3));
+    TestConfiguration configuration;
+    configuration.RouteOf("stream").mMaxAttempts = 6;
+    cluster.AwaitConfiguration(cluster.Write(configuration));
+    CutOff(cluster, kCutHost);
+    cluster.SetAllModes(RunnerMode::TruncatedStream);
+    const std::string whole = GatewayTestCluster::StreamBody();
+    const CallerAnswer answer =
+      cluster.Gateway(kCutHost).Call(Request("/stream/", "caller"));
+    CPPUNIT_ASSERT(answer.mComplete);
+    CPPUNIT_ASSERT_EQUAL(whole, answer.mBody);
+    const int runs = RunsOf(cluster, "caller");
+    CPPUNIT_ASSERT(runs > 1);
+    CallerChannel channel =
+      CallerChannel::AtPort(cluster.Gateway(1), cluster.RelayPort());
+    channel.Send(Request("/stream/", "old", HostFields()));
+    CPPUNIT_ASSERT_EQUAL(whole, channel.Read().mBody);
+    channel.Send(Request(
+      "/stream/", "new", HostFields() + "X-Passed-Run-Mark: 00c0ffee\r\n"));
+    std::string marked = channel.Read().mBody;
+    for (int n = 2; n <= runs; ++n) {
+      const std::string line = FormatRunLine("00c0ffee", n);
+      const auto at = marked.find(line);
+      CPPUNIT_ASSERT_MESSAGE(line, at != std::string::npos);
+      marked.erase(at, line.size());
+    }
+    CPPUNIT_ASSERT_EQUAL(whole, marked);
+  }
+
   // Guards against requests that break off when the host that serves them is
   // stopped.
   void RequestsEndAtAServingHostThatStops()
