--- a/tests/introspective/SuspectTrialTests.cpp
+++ b/tests/introspective/SuspectTrialTests.cpp
@@ -130,6 +130,8 @@
   CPPUNIT_TEST(TwoLostTrialsConvict);
   CPPUNIT_TEST(AVanishedHostCountsAsALostTrial);
   CPPUNIT_TEST(RecordsAreReadAsWritten);
+  CPPUNIT_TEST(FullRecordsAreReadAsWritten);
+  CPPUNIT_TEST(NumbersOutOfRangeAreNotRead);
   CPPUNIT_TEST(ATrialRunsOnItsTargetOnly);
   CPPUNIT_TEST(TrialsDoNotShareATarget);
   CPPUNIT_TEST(AnAnswerThatEndsWithItsTargetIsALoss);
@@ -361,6 +363,38 @@
     }
   }
 
+  // Guards against a record with more lost trials than its readers take, which
+  // acquits a convicted request.
+  void FullRecordsAreReadAsWritten()
+  {
+    TrialRecord full;
+    full.mLost = kMaxLostTrials;
+    for (const TrialRecord& it :
+         { BeginTrial(full, true),
+           FinishTrial(full, TrialOutcome::Lost),
+           FinishTrial(full, TrialOutcome::Convicted) }) {
+      const auto record = ParseTrialRecord(FormatTrialRecord(it));
+      CPPUNIT_ASSERT(record.has_value());
+      CPPUNIT_ASSERT_EQUAL(kMaxLostTrials, record->mLost);
+      CPPUNIT_ASSERT(record->mConvicted);
+      CPPUNIT_ASSERT(!record->mHeld);
+    }
+  }
+
+  // Guards against a number with too many digits, whose last ones were read as
+  // the next number, so that a conviction was read as a trial in progress.
+  void NumbersOutOfRangeAreNotRead()
+  {
+    for (const char* it : { "1000000000 1 0",
+                            "2147483648 1 0",
+                            "1 10 0",
+                            "1 1 00000000000000a1",
+                            "2 -1 0" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !ParseTrialRecord(it).has_value());
+    }
+    CPPUNIT_ASSERT(ParseTrialRecord("999999999 1 0")->mConvicted);
+  }
+
   void ATrialRunsOnItsTargetOnly()
   {
     TargetTable table = MakeTable(4);
