--- a/tools/test.sh
+++ b/tools/test.sh
@@ -24,6 +24,7 @@
 tools/scripts/fuzz.sh >"$logs/fuzz" 2>&1
 python3 tests/tools/losses_tests.py >"$logs/losses_tests" 2>&1
 python3 tests/tools/deploy_tests.py >"$logs/deploy_tests" 2>&1
+python3 tests/tools/soak_tests.py >"$logs/soak_tests" 2>&1
 for site in hanbit kierros; do
   python3 tests/soak/fleet_soak.py --binary build/quetzal-gateway \
     --site "$site" --seed 1 --seconds 30 >"$logs/soak-$site" 2>&1
