Deny no passed-on request by a newer configuration (CONFIG)

Callers saw a host of one life first deny a key by a configuration and then handle a request by the one before it.

Cause: the serving host handles what arrived after its change by its own configuration. It refuses a service that the route no longer uses with a 503, not run, but denied a missing route or key for good.

Such requests are refused with 503, not run, now; the passing host asks another one or has the caller come back. A denial of what the same configuration lacks stays as it was.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -658,7 +658,14 @@
                                 FailureCode aCode,
                                 const char* aMessage)
 {
-  if (mServer.mContext.mFleet.IsConfigurationConfirmed(EventLoop::Now())) {
+  const Fleet& fleet = mServer.mContext.mFleet;
+  if (mPassedOn.IsPassedOn() &&
+      mPassedOn.mConfiguration < fleet.Routing()->mVersion) {
+    // The caller would get a denial that its own host does not keep to.
+    Reject(503,
+           FailureCode::VersionGone,
+           "the configuration of the passing host has been replaced");
+  } else if (fleet.IsConfigurationConfirmed(EventLoop::Now())) {
     Reject(aStatus, aCode, aMessage);
   } else {
     Reject(503,
--- a/tests/usage/PassedOnChangeTests.cpp
+++ b/tests/usage/PassedOnChangeTests.cpp
@@ -242,6 +242,7 @@
   CPPUNIT_TEST_SUITE(PassedOnChangeTests);
   CPPUNIT_TEST(RequestsFromBeforeAChangeAreServedByTheConfigurationBeforeIt);
   CPPUNIT_TEST(RequestsFromAfterAChangeAreNotServedByTheConfigurationBeforeIt);
+  CPPUNIT_TEST(RequestsThatANewerConfigurationDeniesAreRefusedAsNotRun);
   CPPUNIT_TEST(StreamsMoveToAHostWithANewerConfiguration);
   CPPUNIT_TEST(StreamsOutliveATimeInWhichNoHostReachesTheTargets);
   CPPUNIT_TEST(RunsAtSeveralHostsStayWithinTheLimit);
@@ -305,6 +306,28 @@
     CPPUNIT_ASSERT_EQUAL(0, RunsOf(cluster, "a"));
   }
 
+  // Guards against a host that denies by a newer configuration what another has
+  // admitted, which then goes on serving and denying by its older one.
+  void RequestsThatANewerConfigurationDeniesAreRefusedAsNotRun()
+  {
+    TestConfiguration removed = FirstConfiguration();
+    removed.mRoutes.resize(1);
+    removed.mRoutes.front().mName = "other";
+    GatewayTestCluster cluster(MakeOptions());
+    const long long first = cluster.Write(FirstConfiguration());
+    cluster.AwaitConfiguration(first);
+    const long long second = cluster.Write(removed);
+    cluster.AwaitConfiguration(second);
+    CallerChannel channel =
+      CallerChannel::AtPort(cluster.Gateway(1), cluster.RelayPort());
+    channel.Send(Request("/plain/", "a", HostFields(first, kAfterChangeMs)));
+    const CallerAnswer answer = channel.Read();
+    CPPUNIT_ASSERT_EQUAL(503, answer.mHead.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("not_run"), RunOf(answer));
+    channel.Send(Request("/plain/", "b", HostFields(second, kAfterChangeMs)));
+    CPPUNIT_ASSERT_EQUAL(404, channel.Read().mHead.mStatus);
+  }
+
   // Streams were broken off when they had to leave their serving host and the
   // others had a configuration in which the route uses another service.
   void StreamsMoveToAHostWithANewerConfiguration()
