--- a/tests/soak/runner_cuts.py
+++ b/tests/soak/runner_cuts.py
@@ -30,8 +30,9 @@
 def build_preloaded(folder):
     """Builds the library that gives connections the address of their host."""
     path = os.path.join(folder, "own_address.so")
-    subprocess.run([os.environ.get("CC", "cc"), "-shared", "-fPIC", "-O1", "-o", path,
-                    os.path.join(HERE, "own_address.c"), "-ldl"], check=True)
+    subprocess.run(
+        [os.environ.get("CC", "cc"), "-shared", "-fPIC", "-O1", "-o", path,
+         os.path.join(HERE, "own_address.c"), "-ldl"], check=True)
     return path
 
 
