--- a/tests/fakes/GatewayProcess.cpp
+++ b/tests/fakes/GatewayProcess.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <mutex>
 #include <netinet/in.h>
 #include <stdexcept>
@@ -24,6 +25,9 @@
 
 constexpr char kGatewayBinary[] = "build/quetzal-gateway";
 
+// Library that leads connections to runners to the links of a gateway.
+constexpr char kLinksLibrary[] = "build/libquetzal-test-links.so";
+
 // Environment variable with the path of another gateway binary, to compare
 // versions by the same test.
 constexpr char kGatewayBinaryVariable[] = "QUETZAL_TEST_GATEWAY";
@@ -88,6 +92,21 @@
   return other == nullptr ? kGatewayBinary : other;
 }
 
+// Variables of the environment of a process.
+std::vector<std::string>
+EnvironmentOf(const GatewayTestSettings& aSettings)
+{
+  std::vector<std::string> variables;
+  for (char** it = ::environ; *it != nullptr; ++it) {
+    variables.emplace_back(*it);
+  }
+  if (!aSettings.mLinks.empty()) {
+    variables.push_back(std::string("LD_PRELOAD=") + kLinksLibrary);
+    variables.push_back("QUETZAL_TEST_LINKS=" + aSettings.mLinks);
+  }
+  return variables;
+}
+
 // Path of the program that a process runs; empty if it has ended.
 std::filesystem::path
 ProgramOf(const std::string& aProcess)
@@ -243,10 +262,12 @@
 GatewayProcess::ChangeSettings(const GatewayTestSettings& aSettings)
 {
   const std::string binary = mSettings.mBinary;
+  const std::string links = mSettings.mLinks;
   mSettings = aSettings;
   if (mSettings.mBinary.empty()) {
     mSettings.mBinary = binary;
   }
+  mSettings.mLinks = links;
   WriteSettings();
 }
 
@@ -262,6 +283,12 @@
 GatewayProcess::StartProcess()
 {
   const std::string binary = BinaryOf(mSettings);
+  std::vector<std::string> variables = EnvironmentOf(mSettings);
+  std::vector<char*> environment;
+  for (std::string& it : variables) {
+    environment.push_back(it.data());
+  }
+  environment.push_back(nullptr);
   if (mSettings.mUnreadLog && mUnreadPipe[0] < 0) {
     FillPipe(mUnreadPipe);
   }
@@ -274,11 +301,12 @@
     }
     // The gateway must not outlive an aborted test.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::execl(binary.c_str(),
-            binary.c_str(),
-            "--settings",
-            mSettingsFile.c_str(),
-            static_cast<char*>(nullptr));
+    ::execle(binary.c_str(),
+             binary.c_str(),
+             "--settings",
+             mSettingsFile.c_str(),
+             static_cast<char*>(nullptr),
+             environment.data());
     std::_Exit(127);
   }
   mExceededMemory = false;
@@ -354,6 +382,18 @@
   }
 }
 
+// The loader only warns of a library that it cannot use.
+void
+GatewayProcess::CheckLinks() const
+{
+  std::ifstream maps("/proc/" + std::to_string(mProcess) + "/maps");
+  const std::string loaded(std::istreambuf_iterator<char>(maps), {});
+  if (!mSettings.mLinks.empty() &&
+      loaded.find("libquetzal-test-links.so") == std::string::npos) {
+    throw std::runtime_error(mName + " does not use its links");
+  }
+}
+
 // Kills the process when its resident memory exceeds its limit, as whoever runs
 // it may do without telling the system of the limit.
 void
--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -46,6 +46,10 @@
   bool mBlocksSignals = false;
   // Binary of each process; empty for that of the test.
   std::string mBinary{};
+  // Links by which the process reaches the runners, as "IP:PORT,PORT,..." for
+  // tests/preload/RunnerLinks.cpp; empty if it reaches them without. They stay
+  // for the life of the object.
+  std::string mLinks{};
 };
 
 // Forks this process, but not while another thread looks for a free port.
@@ -119,6 +123,9 @@
   // Takes the descriptors away that the settings of the test don't leave it.
   void LimitDescriptors() const;
 
+  // Throws if the process has links and does not use them.
+  void CheckLinks() const;
+
   void Signal(int aSignal) const;
 
   // Process of the running gateway.
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -96,6 +96,7 @@
 }
 
 // Address of a gateway's links to runners. The ports are those of the runners.
+// No gateway knows it, see tests/preload/RunnerLinks.cpp.
 std::string
 LinkIp(std::size_t aGateway)
 {
@@ -1123,6 +1124,7 @@
   for (const auto& it : mNodes) {
     if (it->mGateway != nullptr) {
       it->mGateway->LimitDescriptors();
+      it->mGateway->CheckLinks();
     }
   }
 }
@@ -1159,6 +1161,8 @@
 GatewayTestCluster::StartGateway(std::size_t aNumber)
 {
   GatewayNode& node = *mNodes[aNumber];
+  GatewayTestSettings settings = mSettings;
+  settings.mLinks = LinksOf(aNumber);
   node.mGateway =
     std::make_unique<GatewayProcess>(node.mName,
                                      "p" + std::to_string(aNumber % 2),
@@ -1168,7 +1172,7 @@
                                      mPeers,
                                      aNumber,
                                      Address(node.mStorePort),
-                                     mSettings);
+                                     settings);
 }
 
 void
@@ -1252,21 +1256,16 @@
   }
 }
 
-// A runner's entry with the address of the link by which a gateway reaches it.
+// The links of a gateway for its settings.
 std::string
-GatewayTestCluster::EntrySeenBy(const GatewayNode& aReader,
-                                const std::string& aEntry) const
+GatewayTestCluster::LinksOf(std::size_t aNumber) const
 {
-  std::string entry = aEntry;
-  for (const auto& it : aReader.mLinks) {
-    const std::string address = "\"" + Address(it.first) + "\"";
-    const auto at = entry.find(address);
-    if (at != std::string::npos) {
-      return entry.replace(
-        at, address.size(), "\"" + FormatEndpoint(it.second->Address()) + "\"");
-    }
+  std::string links;
+  for (const auto& it : mNodes[aNumber]->mLinks) {
+    links +=
+      (links.empty() ? LinkIp(aNumber) + ":" : ",") + std::to_string(it.first);
   }
-  return entry;
+  return links;
 }
 
 void
@@ -1576,10 +1575,7 @@
 GatewayTestCluster::RunnerAt(const std::string& aAddress) const
 {
   for (const auto& it : mRunners) {
-    // A gateway's link to a runner has the runner's port.
-    const auto colon = aAddress.find(':');
-    if (colon != std::string::npos &&
-        aAddress.substr(colon + 1) == std::to_string(it.second->mPort)) {
+    if (aAddress == Address(it.second->mPort)) {
       return it.first;
     }
   }
@@ -1741,7 +1737,7 @@
                           bool aRemoved)
 {
   const std::lock_guard<std::mutex> lock(mMutex);
-  mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved, aValue };
+  mTables[aTable][aKey] = { Base64(aValue), ++mVersion, aRemoved };
 }
 
 std::string
@@ -1785,8 +1781,7 @@
       mTables[it["Table"].GetString()][it["Key"].GetString()] = {
         value == it.MemberEnd() ? "" : value->value.GetString(),
         mVersion,
-        value == it.MemberEnd(),
-        std::string()
+        value == it.MemberEnd()
       };
     }
   }
@@ -1842,8 +1837,6 @@
     } else if (table == "gateway-hosts" && !aReader.mLinks.empty() &&
                it.first == aReader.mName) {
       row.mValue = Base64(PeerOf(it.first) + kReaderBandwidth);
-    } else if (table == "servers" && !aReader.mLinks.empty()) {
-      row.mValue = Base64(EntrySeenBy(aReader, row.mText));
     }
     if (row.mVersion <= from || (whole && row.mRemoved) ||
         it.first < firstKey || (limit > 0 && count >= limit)) {
@@ -1888,8 +1881,7 @@
                      { Base64(R"({"Version":)" + std::to_string(aVersion) +
                               R"(,"Routes":[)" + repeat("[]", 3000000) + "]}"),
                        aVersion,
-                       false,
-                       {} });
+                       false });
   }
   return aFault == StoreFault::EmptyRows ? repeat("{}", 4000000)
                                          : repeat("[]", 14000000);
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -527,8 +527,6 @@
     std::string mValue;
     long long mVersion = 0;
     bool mRemoved = false;
-    // The value as written by a fake; empty for rows of gateways.
-    std::string mText;
   };
 
   // One gateway and its own endpoint of the fake store.
@@ -548,8 +546,7 @@
   };
 
   void StartLinks(std::size_t aNumber);
-  std::string EntrySeenBy(const GatewayNode& aReader,
-                          const std::string& aEntry) const;
+  std::string LinksOf(std::size_t aNumber) const;
   bool IsCutOff(const GatewayNode& aReader, const std::string& aName) const;
   void StartStore(GatewayNode& aNode);
   void StartGateway(std::size_t aNumber);
--- a/tests/fakes/RunnerLink.h
+++ b/tests/fakes/RunnerLink.h
@@ -37,8 +37,6 @@
 
   void SetState(LinkState aState);
 
-  const quetzalquay::Endpoint& Address() const { return mOwn; }
-
   // Connections that were made by this link since the start.
   int ConnectionCount() const { return mConnectionCount; }
 
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -171,6 +172,8 @@
 class PassedOnRequestTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PassedOnRequestTests);
+  CPPUNIT_TEST(HostsKnowATargetByOneAddressAndReachItByTheirOwnLinks);
+  CPPUNIT_TEST(AHostThatIsToldOfARestartKnowsThatTheFormerTargetIsGone);
   CPPUNIT_TEST(RequestsOfAHostWithoutTargetsAreServed);
   CPPUNIT_TEST(LargeAnswersAreForwardedWhole);
   CPPUNIT_TEST(RequestsSurviveTheDeathOfTheServingHost);
@@ -188,6 +191,59 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against fakes that give one target several addresses in the fleet,
+  // whose hosts then do not know the target of an entry that another one tells.
+  void HostsKnowATargetByOneAddressAndReachItByTheirOwnLinks()
+  {
+    GatewayTestCluster cluster(MakeOptions(3));
+    std::set<std::string> addresses;
+    for (const std::string& it : cluster.RunnersOf()) {
+      addresses.insert(cluster.AddressOf(it));
+    }
+    for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+      const int before = cluster.CountLinkConnections(n);
+      const std::string id = "a" + std::to_string(n);
+      CPPUNIT_ASSERT(
+        cluster.Gateway(n).Call(Request("/stream/", id)).mComplete);
+      CPPUNIT_ASSERT(cluster.CountLinkConnections(n) > before);
+      CPPUNIT_ASSERT_EQUAL(1, RunsOf(cluster, id));
+      // The run names the address of the target that keeps a copy.
+      const RunnerRequest run = cluster.Runs().back();
+      const std::string* holder = run.mHead.Find("X-Kv-Backup");
+      CPPUNIT_ASSERT(holder != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(*holder, addresses.count(*holder) == 1);
+    }
+  }
+
+  // Guards against fakes whose hosts keep a former target in use because
+  // another host has told them of its successor (issue 48).
+  void AHostThatIsToldOfARestartKnowsThatTheFormerTargetIsGone()
+  {
+    GatewayTestCluster cluster(MakeOptions(3));
+    cluster.SetStoreDown(true, kCutHost);
+    cluster.Restart("i-0", "i-0.1");
+    const auto entry = [](const std::string& aService,
+                          const std::string& aAddress) {
+      return R"({"Service":")" + aService + R"(","Address":")" + aAddress +
+             R"(","Zone":"p0","Version":"v1","Slots":8,)" +
+             R"("State":"ready","Sequence":1})";
+    };
+    cluster.SetEntry(
+      "i-0.1", entry(TestConfiguration::kService, cluster.AddressOf("i-0")));
+    // Shows by the number of targets that the entry before has been told, too.
+    cluster.SetEntry("i-marker", entry("marker", "127.0.0.1:9"));
+    const std::string expected = std::to_string(cluster.RunnersOf().size() + 1);
+    for (std::size_t n = 0; n < cluster.GatewayCount(); ++n) {
+      std::string count;
+      const bool agrees = WaitFor([&] {
+        count = cluster.Gateway(n).Metric("quetzal_targets");
+        return count == expected;
+      });
+      CPPUNIT_ASSERT_MESSAGE("host " + std::to_string(n) + " knows " + count,
+                             agrees);
+    }
+  }
+
   // Guards against a host that refuses its callers because it has lost its
   // targets.
   void RequestsOfAHostWithoutTargetsAreServed()
