--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -242,7 +242,8 @@
 void
 Fleet::OnStoreUnreachable()
 {
-  mEntries.OnStoreUnreachable(EventLoop::Now());
+  mUnreachableSince = EventLoop::Now();
+  mEntries.OnStoreUnreachable(mUnreachableSince);
 }
 
 void
--- a/src/quetzalquay/gateway/Fleet.h
+++ b/src/quetzalquay/gateway/Fleet.h
@@ -62,6 +62,12 @@
   // the address of a known one for a while.
   static constexpr Duration kMaxAddressAge = std::chrono::milliseconds(1500);
 
+  // Time within which a host that runs notices an outage of the store, counted
+  // from when its targets were known: a host that is no reader waits until they
+  // are stale (1.2 s) and for its next read (0.6 s), which may last to its
+  // limit (0.9 s); the rest is for a busy machine.
+  static constexpr Duration kMaxNoticeTime = std::chrono::milliseconds(3500);
+
   // How long one confirmation of the configuration lasts: longer than a host
   // takes to go over to other readers of the store.
   static constexpr Duration kMaxConfirmationAge =
@@ -119,13 +125,16 @@
   // target has registered again.
   bool IsStoreSynced() const { return mEntries.IsSettled(EventLoop::Now()); }
 
-  // Whether the known targets are old, although the store can be reached: this
-  // process may have stood still, and other targets may have come to known
-  // addresses.
+  // Whether the known targets are old for another reason than an outage of the
+  // store: the store can be reached, or they were too old already when calls to
+  // it began to fail. This process may have stood still, and other targets may
+  // have come to known addresses.
   bool AreTargetsOutdated(Time aNow) const
   {
-    return !mEntries.IsStoreUnreachable() &&
-           aNow - mReaders.KnownAsOf() >= kMaxAddressAge;
+    const Time asOf = mReaders.KnownAsOf();
+    return mEntries.IsStoreUnreachable()
+             ? asOf != Time() && mUnreachableSince - asOf >= kMaxNoticeTime
+             : aNow - asOf >= kMaxAddressAge;
   }
 
   // Whether removed targets are in use because they may register again after a
@@ -360,6 +369,8 @@
   std::function<void(const std::string&, const std::string&)>
     mUnreadableCallback;
   ReaderChoice mReaders;
+  // Start of the latest outage of the store.
+  Time mUnreachableSince;
   Timer mExpiryTimer;
   Timer mHoldTimer;
 };
--- a/tests/introspective/SoftwareVersionTests.cpp
+++ b/tests/introspective/SoftwareVersionTests.cpp
@@ -5,6 +5,7 @@
 #include "core/CopyKeeper.h"
 #include "core/TargetEntries.h"
 #include "core/TargetTable.h"
+#include "gateway/Fleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -116,6 +117,7 @@
   CPPUNIT_TEST(RetriesPreferTheVersionThatWasTried);
   CPPUNIT_TEST(CopiesStayWithinTheVersion);
   CPPUNIT_TEST(CopiesWaitUntilTheTargetsAreKnownAgain);
+  CPPUNIT_TEST(TargetsThatWereOutdatedBeforeAnOutageStaySo);
   CPPUNIT_TEST(CopyAtATargetWithAnotherVersionIsNotUsed);
   CPPUNIT_TEST(ReplacementFoundDuringAnOutageHasAVersionOfItsOwn);
   CPPUNIT_TEST_SUITE_END();
@@ -430,6 +432,29 @@
     CPPUNIT_ASSERT_EQUAL(*holder, *keeper.TakeNextOrder(At(3510)));
   }
 
+  // Guards against taking targets that a host knew from long ago for those that
+  // an outage of the store has left.
+  void TargetsThatWereOutdatedBeforeAnOutageStaySo()
+  {
+    EventLoop loop;
+    Fleet fleet(loop, GatewaySettings());
+    const Time now = EventLoop::Now();
+    fleet.Readers().OnStoreRead(now - milliseconds(4000));
+    fleet.OnStoreUnreachable();
+    CPPUNIT_ASSERT(fleet.AreTargetsOutdated(now));
+    // Another host tells what it has read later.
+    fleet.Readers().OnStoreRead(now - milliseconds(1000));
+    CPPUNIT_ASSERT(!fleet.AreTargetsOutdated(now));
+    // No target can register while the outage goes on.
+    CPPUNIT_ASSERT(!fleet.AreTargetsOutdated(now + milliseconds(9000)));
+    fleet.OnStoreReachable();
+    CPPUNIT_ASSERT(fleet.AreTargetsOutdated(now + milliseconds(9000)));
+    // A host that has started in the outage has what other hosts told it.
+    Fleet started(loop, GatewaySettings());
+    started.OnStoreUnreachable();
+    CPPUNIT_ASSERT(!started.AreTargetsOutdated(now));
+  }
+
   void CopyAtATargetWithAnotherVersionIsNotUsed()
   {
     TargetTable table =
--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -5,7 +5,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -66,6 +69,7 @@
   CPPUNIT_TEST(LostStreamsGoOnAtTheVersionThatBeganThem);
   CPPUNIT_TEST(StreamAvoidsATargetWhoseRestartItsHostHasNotSeen);
   CPPUNIT_TEST(CopiesAvoidAddressesThatMayHaveChangedWhileTheirHostStoodStill);
+  CPPUNIT_TEST(CopiesAvoidSuchAddressesWhenTheStoreFailsAfterwards);
   CPPUNIT_TEST(StreamEndsAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(StreamsOfADeadHostGoOnAtTheirVersion);
   CPPUNIT_TEST(StreamsOfAHostWithoutPeersAreFoundInTheStore);
@@ -164,6 +168,34 @@
     }
   }
 
+  // Guards against hosts that take a view which was old already when their
+  // calls to the store began to fail for what holds during an outage.
+  void CopiesAvoidSuchAddressesWhenTheStoreFailsAfterwards()
+  {
+    GatewayTestCluster::Options options;
+    options.mVersions = { "v1", "v1", "v2" };
+    GatewayTestCluster cluster(options);
+    cluster.Gateway().Signal(SIGSTOP);
+    cluster.CrashRunner("i-1", "v2");
+    ::usleep(kRestartTime + kSettleTime + kSettleTime);
+    cluster.SetStoreAccess(StoreAccess::Reset);
+    std::vector<std::unique_ptr<BackgroundCall>> calls;
+    for (int n = 0; n < kCopyingStreams; ++n) {
+      calls.push_back(std::make_unique<BackgroundCall>(
+        cluster.Gateway(),
+        GatewayTestCluster::Request("/paced/", "s" + std::to_string(n))));
+    }
+    ::usleep(kCallTime);
+    cluster.Gateway().Signal(SIGCONT);
+    for (const auto& it : calls) {
+      CPPUNIT_ASSERT(it->AwaitAnswer().mComplete);
+    }
+    CPPUNIT_ASSERT(!cluster.Runs().empty());
+    for (const RunnerRequest& it : cluster.Requests()) {
+      CPPUNIT_ASSERT(it.mCopyVersion.empty() || it.mCopyVersion == it.mVersion);
+    }
+  }
+
   // Guards against streams that hold their caller although no runner is left at
   // which they may go on.
   void StreamEndsAtOnceWhenItsVersionIsGone()
@@ -392,6 +424,10 @@
   static constexpr unsigned kSettleTime = 1500000;
   static constexpr unsigned kCallTime = 100000;
 
+  // Streams at a time, so that some run at a target whose copies would go to
+  // the one that has restarted.
+  static constexpr int kCopyingStreams = 6;
+
   // Time within which a request reaches a runner.
   static constexpr auto kRunTimeout = std::chrono::seconds(8);
 
