--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -26,6 +26,16 @@
   }
 
 private:
+  // Starts a gateway again while its settings file is empty.
+  static void StartWithoutSettings(GatewayProcess& aGateway)
+  {
+    aGateway.Signal(SIGKILL);
+    aGateway.AwaitExit();
+    aGateway.TruncateSettings();
+    aGateway.Start();
+    std::this_thread::sleep_for(kWaitTime);
+  }
+
   boost::asio::io_context mContext;
   boost::asio::ip::tcp::acceptor mAcceptor;
 };
@@ -73,11 +83,7 @@
   {
     GatewayTestCluster cluster;
     GatewayProcess& gateway = cluster.Gateway();
-    gateway.Signal(SIGKILL);
-    gateway.AwaitExit();
-    gateway.TruncateSettings();
-    gateway.Start();
-    std::this_thread::sleep_for(kWaitTime);
+    StartWithoutSettings(gateway);
     gateway.Signal(SIGHUP);
     std::this_thread::sleep_for(kWaitTime);
     gateway.WriteSettings();
@@ -93,11 +99,7 @@
   {
     GatewayTestCluster cluster;
     GatewayProcess& gateway = cluster.Gateway();
-    gateway.Signal(SIGKILL);
-    gateway.AwaitExit();
-    gateway.TruncateSettings();
-    gateway.Start();
-    std::this_thread::sleep_for(kWaitTime);
+    StartWithoutSettings(gateway);
     gateway.Signal(SIGTERM);
     std::this_thread::sleep_for(kWaitTime);
     gateway.WriteSettings();
@@ -130,11 +132,7 @@
   {
     GatewayTestCluster cluster;
     GatewayProcess& gateway = cluster.Gateway();
-    gateway.Signal(SIGKILL);
-    gateway.AwaitExit();
-    gateway.TruncateSettings();
-    gateway.Start();
-    std::this_thread::sleep_for(kWaitTime);
+    StartWithoutSettings(gateway);
     gateway.WriteSettings();
     cluster.AwaitReady();
     CPPUNIT_ASSERT_EQUAL(
