--- a/tests/usage/GatewayStartTests.cpp
+++ b/tests/usage/GatewayStartTests.cpp
@@ -26,16 +26,6 @@
   }
 
 private:
-  // Starts a gateway again while its settings file is empty.
-  static void StartWithoutSettings(GatewayProcess& aGateway)
-  {
-    aGateway.Signal(SIGKILL);
-    aGateway.AwaitExit();
-    aGateway.TruncateSettings();
-    aGateway.Start();
-    std::this_thread::sleep_for(kWaitTime);
-  }
-
   boost::asio::io_context mContext;
   boost::asio::ip::tcp::acceptor mAcceptor;
 };
@@ -184,6 +174,16 @@
   }
 
 private:
+  // Starts a gateway again while its settings file is empty.
+  static void StartWithoutSettings(GatewayProcess& aGateway)
+  {
+    aGateway.Signal(SIGKILL);
+    aGateway.AwaitExit();
+    aGateway.TruncateSettings();
+    aGateway.Start();
+    std::this_thread::sleep_for(kWaitTime);
+  }
+
   // Starts a gateway again while another process has a port of it.
   static std::unique_ptr<TakenPort> StartBesideTaken(GatewayProcess& aGateway,
                                                      int aPort)
