Split the handling of datagrams (linter)

HandleMessage had grown over the linter's size with the eras and convictions that datagrams tell; nothing else is changed. clang-tidy finds nothing in the file, the formatter is clean.

--- a/src/quetzalquay/gateway/LoadBroadcaster.cpp
+++ b/src/quetzalquay/gateway/LoadBroadcaster.cpp
@@ -202,12 +202,7 @@
   mFleet.OnHostHeard(host, mSender.address(), now);
   mFleet.Reach().OnHostHeard(
     host, hasPlace ? place->value.GetString() : "", now);
-  const PeerEra told = ParseReplyEra(json);
-  if (!told.mReadable) {
-    mFormats.OnUnreadable(host, kEraField);
-  } else if (told.mEra) {
-    mFleet.OnEraTold(told.mEra);
-  }
+  ApplyEra(host, json);
   // A message with nothing but suspects has no load.
   const auto load = json.FindMember("load");
   if (load != json.MemberEnd() && load->value.IsArray()) {
@@ -234,34 +229,57 @@
                [&](const TargetDeparture& aDeparture) {
                  OnDeparture(aDeparture, host, passOn, now);
                });
+  ApplySuspects(host, json, passOn, now);
+}
+
+// Applies the era of the store that another host tells.
+void
+LoadBroadcaster::ApplyEra(const std::string& aHost,
+                          const rapidjson::Value& aMessage)
+{
+  const PeerEra told = ParseReplyEra(aMessage);
+  if (!told.mReadable) {
+    mFormats.OnUnreadable(aHost, kEraField);
+  } else if (told.mEra) {
+    mFleet.OnEraTold(told.mEra);
+  }
+}
+
+// Applies what another host tells of lost runs and convictions.
+void
+LoadBroadcaster::ApplySuspects(const std::string& aHost,
+                               const rapidjson::Value& aMessage,
+                               bool aPassOn,
+                               Time aNow)
+{
   ForEachEntry(
-    host,
-    json,
+    aHost,
+    aMessage,
     "suspects",
-    [now](const rapidjson::Value& aValue) {
-      return ParseSuspectEntry(aValue, now);
+    [aNow](const rapidjson::Value& aValue) {
+      return ParseSuspectEntry(aValue, aNow);
     },
     [&](const SuspectReport& aReport) {
-      if (mFleet.Targets().Suspects().Merge(aReport, passOn, now)) {
-        LogSuspect(aReport, host, now);
-        SendBy(now + kBatchDelay);
+      if (mFleet.Targets().Suspects().Merge(aReport, aPassOn, aNow)) {
+        LogSuspect(aReport, aHost, aNow);
+        SendBy(aNow + kBatchDelay);
       }
     });
   ForEachEntry(
-    host,
-    json,
+    aHost,
+    aMessage,
     "convicted",
-    [now](const rapidjson::Value& aValue) {
-      return ParseConvictionEntry(aValue, now);
+    [aNow](const rapidjson::Value& aValue) {
+      return ParseConvictionEntry(aValue, aNow);
     },
     [&](const ConvictionReport& aReport) {
-      if (mFleet.Targets().Suspects().MergeConviction(aReport, passOn, now)) {
+      if (mFleet.Targets().Suspects().MergeConviction(aReport, aPassOn, aNow)) {
         Log(LogLevel::Info,
             "peers",
             "conviction reported",
             { { "suspects", ToHex(SuspectSet(aReport.mMembers).mId) },
-              { "host", host } });
-        SendBy(now + kBatchDelay);
+              { "host", aHost } });
+        SendBy(aNow + kBatchDelay);
       }
     });
 }
--- a/src/quetzalquay/gateway/LoadBroadcaster.h
+++ b/src/quetzalquay/gateway/LoadBroadcaster.h
@@ -66,6 +66,11 @@
 private:
   void Receive();
   void HandleMessage(std::string_view aText);
+  void ApplyEra(const std::string& aHost, const rapidjson::Value& aMessage);
+  void ApplySuspects(const std::string& aHost,
+                     const rapidjson::Value& aMessage,
+                     bool aPassOn,
+                     Time aNow);
   template<typename Parse, typename Apply>
   void ForEachEntry(const std::string& aHost,
                     const rapidjson::Value& aMessage,
