--- a/src/quetzalquay/core/StreamOrigins.cpp
+++ b/src/quetzalquay/core/StreamOrigins.cpp
@@ -69,7 +69,7 @@
   // A change that has not been taken yet is not needed any more.
   if (std::exchange(entry.mStored, false) && mStoreChanges.erase(aKey) == 0) {
     mStoreChanges[aKey] = { entry.mOrigin, true };
-    mOnStoreChange();
+    mOnStoreChange(true);
   }
 }
 
@@ -160,6 +160,22 @@
   return mNews.empty() ? Time::max() : mNews.begin()->first;
 }
 
+bool
+StreamOrigins::IsBeingStored(std::uint64_t aKey) const
+{
+  const auto it = mEntries.find(aKey);
+  return it != mEntries.end() && it->second.mStored && !it->second.mConfirmed;
+}
+
+void
+StreamOrigins::OnStored(std::uint64_t aKey)
+{
+  const auto it = mEntries.find(aKey);
+  if (it != mEntries.end()) {
+    it->second.mConfirmed = true;
+  }
+}
+
 std::vector<StreamOrigins::StoreChange>
 StreamOrigins::TakeStoreChanges()
 {
@@ -189,7 +205,7 @@
     mStoreChanges[it->second] = { mEntries.at(it->second).mOrigin, false };
   }
   if (!mStoreChanges.empty()) {
-    mOnStoreChange();
+    mOnStoreChange(false);
   }
 }
 
@@ -200,7 +216,7 @@
 }
 
 void
-StreamOrigins::SetStoreCallback(std::function<void()> aCallback)
+StreamOrigins::SetStoreCallback(std::function<void(bool)> aCallback)
 {
   mOnStoreChange = std::move(aCallback);
 }
@@ -237,9 +253,10 @@
 {
   aEntry.mStored = true;
   aEntry.mStoredAt = aNow;
+  aEntry.mConfirmed = false;
   mStoreChanges[aEntry.mOrigin.mKey] = { aEntry.mOrigin, false };
   Tell(aEntry, aNow);
-  mOnStoreChange();
+  mOnStoreChange(false);
 }
 
 void
--- a/src/quetzalquay/core/StreamOrigins.h
+++ b/src/quetzalquay/core/StreamOrigins.h
@@ -122,6 +122,12 @@
     bool mRemoved = false;
   };
 
+  // Whether an origin is to be stored and nothing has shown yet that it is.
+  bool IsBeingStored(std::uint64_t aKey) const;
+
+  // The store has an origin.
+  void OnStored(std::uint64_t aKey);
+
   // Origins to be stored or removed since the last call.
   std::vector<StoreChange> TakeStoreChanges();
 
@@ -129,9 +135,12 @@
   // streams were here last are to be stored again, the newest ones first.
   void StoreAgain(Time aNow);
 
-  // Sets a callback that runs whenever there is news, or a change to be stored.
+  // Sets a callback that runs whenever there is news.
   void SetNewsCallback(std::function<void()> aCallback);
-  void SetStoreCallback(std::function<void()> aCallback);
+
+  // Sets a callback that runs whenever there is a change to be stored, and
+  // tells whether it only removes an origin.
+  void SetStoreCallback(std::function<void(bool)> aCallback);
 
   std::size_t Size() const { return mEntries.size(); }
 
@@ -150,6 +159,8 @@
     // Whether the store has the origin, or will have it, and since when.
     bool mStored = false;
     Time mStoredAt;
+    // Whether the store has confirmed it.
+    bool mConfirmed = false;
     // Whether another host has announced the stream since it ran here. That
     // host removes the row when the stream is complete.
     bool mElsewhere = false;
@@ -171,7 +182,7 @@
   std::multimap<Time, std::uint64_t> mNews;
   std::map<std::uint64_t, StoreChange> mStoreChanges;
   std::function<void()> mOnNews = [] {};
-  std::function<void()> mOnStoreChange = [] {};
+  std::function<void(bool)> mOnStoreChange = [](bool) {};
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/RowWriter.cpp
+++ b/src/quetzalquay/gateway/RowWriter.cpp
@@ -27,13 +27,26 @@
   : mOptions(std::move(aOptions))
   , mHttpClient(aLoop, aStore, aReplies, ReplyKind::Written)
   , mTimer(aLoop, [this] { Write(); })
+  , mPacer(mOptions.mBurst)
 {
 }
 
 void
 RowWriter::Notify()
 {
-  ScheduleWrite(mOptions.mBatchDelay);
+  NotifyBy(EventLoop::Now() + mOptions.mBatchDelay);
+}
+
+void
+RowWriter::NotifyBy(Time aWriteBy)
+{
+  ScheduleWrite(aWriteBy);
+}
+
+bool
+RowWriter::CanWriteBy(Time aTime) const
+{
+  return !mFailing && mPacer.EarliestCall(mOptions.mInterval()) < aTime;
 }
 
 void
@@ -41,16 +54,19 @@
 {
   if (mPending.size() < kMaxPending || mPending.count(aChange.mKey) != 0) {
     mPending[aChange.mKey] = std::move(aChange);
-    ScheduleWrite(mOptions.mBatchDelay);
+    Notify();
   }
 }
 
+// Schedules a write at aWriteBy, unless one is due before, or as soon as a call
+// may be made after that. OnReply() schedules what is wanted during a call.
 void
-RowWriter::ScheduleWrite(Duration aDelay)
+RowWriter::ScheduleWrite(Time aWriteBy)
 {
-  if (!mTimer.IsSet() && !mHttpClient.IsBusy()) {
+  mWriteBy = std::min(mWriteBy, aWriteBy);
+  if (mWriteBy != Time::max() && !mHttpClient.IsBusy()) {
     mTimer.ScheduleAt(
-      std::max(EventLoop::Now() + aDelay, mLastCallAt + mOptions.mInterval()));
+      std::max(mWriteBy, mPacer.EarliestCall(mOptions.mInterval())));
   }
 }
 
@@ -64,10 +80,12 @@
     Add(std::move(it));
   }
   mTimer.Clear();
+  mWriteBy = Time::max();
   if (mPending.empty()) {
     return;
   }
-  mLastCallAt = EventLoop::Now();
+  const Time now = EventLoop::Now();
+  mPacer.OnCall(mOptions.mInterval(), now);
   mWriting.clear();
   for (const auto& it : mPending) {
     if (mWriting.size() < platform::kMaxRowChanges) {
@@ -77,7 +95,7 @@
   // Safe to repeat after a lost response, as each write has the same effect.
   mHttpClient.Call(platform::EncodeChanges(
                      mHttpClient.ServerName(), mOptions.mTable, mWriting),
-                   mLastCallAt + kReplyTimeout,
+                   now + kReplyTimeout,
                    [this](const auto& aReply, const auto& aReason) {
                      OnReply(aReply, aReason);
                    });
@@ -97,6 +115,7 @@
           written  ? ""
           : aReply ? "status " + std::to_string(aReply->mHead.mStatus)
                    : aReason } });
+  mFailing = !written;
   if (written) {
     for (const platform::RowChange& it : mWriting) {
       const auto pending = mPending.find(it.mKey);
@@ -104,10 +123,12 @@
         mPending.erase(pending);
       }
     }
-    mOptions.mOnWritten(mWriting.size());
+    mOptions.mOnWritten(mWriting);
   }
-  // Changes that were announced during the call have not been collected yet.
-  ScheduleWrite(written ? Duration::zero() : kRetryDelay);
+  const Time now = EventLoop::Now();
+  ScheduleWrite(!written           ? now + kRetryDelay
+                : mPending.empty() ? Time::max()
+                                   : now);
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/RowWriter.h
+++ b/src/quetzalquay/gateway/RowWriter.h
@@ -1,6 +1,7 @@
 #ifndef QUETZALQUAY_GATEWAY_ROWWRITER_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_ROWWRITER_H_INCLUDED
 
+#include "core/CallPacer.h"
 #include "http/AsyncHttpClient.h"
 #include "http/EventLoop.h"
 #include "platform/PlatformStore.h"
@@ -24,12 +25,15 @@
     platform::StoreTable mTable = platform::StoreTable::Configuration;
     // Returns the changes since its last call; called before each write.
     std::function<std::vector<platform::RowChange>()> mCollect;
-    // Least time between two calls to the store.
+    // Time between two calls to the store, on average.
     std::function<Duration()> mInterval = [] { return Duration::zero(); };
-    // Receives the number of rows of each confirmed call.
-    std::function<void(std::size_t)> mOnWritten = [](std::size_t) {};
+    // Receives the changes of each confirmed call.
+    std::function<void(const std::vector<platform::RowChange>&)> mOnWritten =
+      [](const auto&) {};
     // Delay before a write, so that several changes share one transaction.
     Duration mBatchDelay = std::chrono::milliseconds(50);
+    // Calls that may follow each other at once after a pause.
+    int mBurst = 1;
   };
 
   RowWriter(EventLoop& aLoop,
@@ -44,12 +48,19 @@
   // several share one transaction.
   void Notify();
 
+  // There are changes to collect that may wait until aWriteBy for a call that
+  // others cause.
+  void NotifyBy(Time aWriteBy);
+
+  // Whether what is announced now can be written by then, if the store answers.
+  bool CanWriteBy(Time aTime) const;
+
   // Adds a change, which replaces an earlier one of the same row. Dropped if
   // too many changes wait for the store.
   void Add(platform::RowChange aChange);
 
 private:
-  void ScheduleWrite(Duration aDelay);
+  void ScheduleWrite(Time aWriteBy);
   void Write();
   void OnReply(const std::optional<HttpReply>& aReply,
                const std::string& aReason);
@@ -57,7 +68,12 @@
   Options mOptions;
   AsyncHttpClient mHttpClient;
   Timer mTimer;
-  Time mLastCallAt;
+  CallPacer mPacer;
+  // Whether the last call has failed.
+  bool mFailing = false;
+  // When there is something to write, as far as calls may be made; Time::max()
+  // if there is nothing.
+  Time mWriteBy = Time::max();
   // Changes that the store has not confirmed, by key.
   std::map<std::string, platform::RowChange> mPending;
   // Changes of the call in progress.
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Hash.h"
 #include "gateway/LimitWatch.h"
+#include "gateway/StreamOriginStore.h"
 #include "observe/Log.h"
 
 #include <algorithm>
@@ -44,6 +45,10 @@
 // end from the start.
 constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
+// Longest time for which a stream's first event waits until the store knows
+// where the stream began. Much less than callers accept between two events.
+constexpr Duration kMaxOriginWait = milliseconds(80);
+
 // Share of the route's objective within which a request must have been assigned
 // to a target.
 constexpr double kStartByShare = 0.7;
@@ -144,7 +149,10 @@
     mCall.mRequest.mPromptTokens + backlog, events);
   if (!mHeadSent && least && now + *least > mCall.mDeadline) {
     Finish();
-    mLogNote = "needs_ms_" + std::to_string(least->count() / 1000);
+    const auto ms = [](Time::duration aTime) {
+      return std::to_string(static_cast<int>(ToMilliseconds(aTime)));
+    };
+    mLogNote = "needs_ms_" + ms(*least) + "_left_ms_" + ms(mCall.mDeadline - now);
     Failure failure;
     failure.mCode = FailureCode::DeadlineExceeded;
     failure.mMessage = "the stream cannot complete before the deadline";
@@ -191,7 +199,9 @@
     std::visit([this](const auto& aAction) { Execute(aAction); }, action);
   }
   mPerforming = false;
-  Flush();
+  if (!mAwaitingOrigin) {
+    Flush();
+  }
   ScheduleTimer();
 }
 
@@ -1048,13 +1058,31 @@
 }
 
 // Makes known where the stream begins, so that its caller can take it up at any
-// host.
+// host. If the store has to know it, the caller gets nothing before that: all
+// hosts may end at any moment.
 void
 StreamExchange::RecordOrigin(Time aNow)
 {
-  if (mCall.mOriginKey) {
-    mContext.mFleet.Origins().OnBegun(
-      { *mCall.mOriginKey, mCall.mService, mRun.mSoftwareVersion }, aNow);
+  if (!mCall.mOriginKey) {
+    return;
+  }
+  mContext.mFleet.Origins().OnBegun(
+    { *mCall.mOriginKey, mCall.mService, mRun.mSoftwareVersion }, aNow);
+  // Where a stream began that is taken up is known already.
+  mAwaitingOrigin =
+    mCall.mSoftwareVersion.empty() &&
+    mContext.mOriginStore.AwaitStored(
+      *mCall.mOriginKey,
+      aNow + kMaxOriginWait,
+      [self = RefPtr<StreamExchange>(this)] { self->OnOriginStored(); });
+}
+
+void
+StreamExchange::OnOriginStored()
+{
+  mAwaitingOrigin = false;
+  if (!mDone) {
+    Flush();
   }
 }
 
--- a/src/quetzalquay/gateway/StreamExchange.h
+++ b/src/quetzalquay/gateway/StreamExchange.h
@@ -102,6 +102,7 @@
   // aComplete tells whether the caller has got the whole stream.
   void Finish(bool aComplete = false);
   void RecordOrigin(Time aNow);
+  void OnOriginStored();
   void EndHere(bool aComplete);
   void ScheduleTimer();
 
@@ -149,6 +150,8 @@
   // Whether the current attempt has shown that its request does not crash
   // targets.
   bool mProgressReported = false;
+  // Whether events wait until the store knows where the stream began.
+  bool mAwaitingOrigin = false;
   // Whether the current attempt has to compute its prompt; false when it starts
   // from a copy of the KV cache.
   bool mComputesPrompt = true;
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -13,10 +13,21 @@
 
 using std::chrono::milliseconds;
 
-// Least time between two writes of one host, and the writes per second of all
-// hosts together, which lengthen it.
+// Time between two writes of one host on average, and the writes per second of
+// all hosts together, which lengthen it.
 constexpr Duration kWriteInterval = milliseconds(300);
-constexpr int kFleetWritesPerSecond = 60;
+constexpr int kFleetWritesPerSecond = 100;
+
+// Delay before a write, so that streams that begin together share one. Their
+// callers wait for it.
+constexpr Duration kBatchDelay = milliseconds(10);
+
+// Writes of one host that may follow each other at once. Streams don't begin
+// evenly, and a stream whose origin waits is lost if all hosts end meanwhile.
+constexpr int kWriteBurst = 3;
+
+// Time for which the removal of an origin waits for a write of other origins.
+constexpr Duration kRemovalDelay = std::chrono::seconds(5);
 
 // Time limit for a read.
 constexpr Duration kReadTimeout = milliseconds(600);
@@ -66,26 +77,35 @@
             { platform::StoreTable::StreamOrigins,
               [this] { return TakeChanges(); },
               [this] { return WriteInterval(); },
-              [this](std::size_t aRows) { OnWritten(aRows); } })
+              [this](const auto& aRows) { OnWritten(aRows); },
+              kBatchDelay,
+              kWriteBurst })
   , mVersionWriter(aLoop,
                    aSettings.mStoreEndpoint,
                    aReplies,
                    { platform::StoreTable::StreamOrigins,
                      [] { return std::vector<platform::RowChange>(); },
                      [] { return Duration::zero(); },
-                     [this](std::size_t aRows) { OnWritten(aRows); },
+                     [this](const auto& aRows) { OnWritten(aRows); },
                      Duration::zero() })
   , mReader(aLoop,
             aSettings.mStoreEndpoint,
             aReplies,
             platform::StoreTable::StreamOrigins)
+  , mStoredTimer(aLoop, [this] { FinishStoredWaits(EventLoop::Now()); })
   , mLookupTimer(aLoop, [this] { FinishLookups(EventLoop::Now(), false); })
   , mRetryTimer(aLoop, [this] { StartRead(); })
   , mTickTimer(aLoop, [this] { Tick(); })
   , mNextHistoryReadAt(EventLoop::Now() + kHistoryReadDelay)
   , mNextSweepAt(EventLoop::Now() + kSweepInterval)
 {
-  mFleet.Origins().SetStoreCallback([this] { mWriter.Notify(); });
+  mFleet.Origins().SetStoreCallback([this](bool aRemoves) {
+    if (aRemoves) {
+      mWriter.NotifyBy(EventLoop::Now() + kRemovalDelay);
+    } else {
+      mWriter.Notify();
+    }
+  });
   mFleet.SetVersionCallback([this] {
     // A host that does not know the others yet takes itself for a reader.
     if (mFleet.Version(platform::StoreTable::Hosts) != 0) {
@@ -143,9 +163,53 @@
 }
 
 void
-StreamOriginStore::OnWritten(std::size_t aRows)
+StreamOriginStore::OnWritten(const std::vector<platform::RowChange>& aRows)
+{
+  mMetrics.Add(GatewayCounter::OriginsStored,
+               static_cast<double>(aRows.size()));
+  for (const platform::RowChange& it : aRows) {
+    const auto wait = mStoredWaits.find(it.mKey);
+    if (wait != mStoredWaits.end() && it.mValue) {
+      mFleet.Origins().OnStored(wait->second.mKey);
+    }
+  }
+  FinishStoredWaits(EventLoop::Now());
+}
+
+bool
+StreamOriginStore::AwaitStored(std::uint64_t aKey,
+                               Time aDeadline,
+                               std::function<void()> aDone)
+{
+  if (!mFleet.Origins().IsBeingStored(aKey) ||
+      !mWriter.CanWriteBy(aDeadline)) {
+    return false;
+  }
+  mStoredWaits[ToHex(aKey)] = { aKey, aDeadline, std::move(aDone) };
+  mStoredTimer.ScheduleAt(std::min(aDeadline, mStoredTimer.Expiry()));
+  return true;
+}
+
+// Ends the waits for rows that the store has, and those that are late.
+void
+StreamOriginStore::FinishStoredWaits(Time aNow)
 {
-  mMetrics.Add(GatewayCounter::OriginsStored, static_cast<double>(aRows));
+  std::vector<std::function<void()>> done;
+  Time next = Time::max();
+  for (auto it = mStoredWaits.begin(); it != mStoredWaits.end();) {
+    StoredWait& wait = it->second;
+    if (aNow >= wait.mDeadline || !mFleet.Origins().IsBeingStored(wait.mKey)) {
+      done.push_back(std::move(wait.mDone));
+      it = mStoredWaits.erase(it);
+    } else {
+      next = std::min(next, wait.mDeadline);
+      ++it;
+    }
+  }
+  mStoredTimer.ScheduleAt(next);
+  for (const auto& it : done) {
+    it();
+  }
 }
 
 // Stores the registered versions if this host is a reader of the store. A new
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -41,7 +41,22 @@
   // Abandons a lookup without calling its callback.
   void CancelLookUp(std::uint64_t aNumber);
 
+  // Calls aDone once the store has the origin of a stream that has begun here,
+  // at aDeadline at the latest. Returns false, and does not call it, if the
+  // origin is not to be stored, or can't be in time.
+  bool AwaitStored(std::uint64_t aKey,
+                   Time aDeadline,
+                   std::function<void()> aDone);
+
 private:
+  // A wait for a row to be written.
+  struct StoredWait
+  {
+    std::uint64_t mKey = 0;
+    Time mDeadline;
+    std::function<void()> mDone;
+  };
+
   struct LookupState
   {
     std::uint64_t mKey = 0;
@@ -53,7 +68,8 @@
 
   std::vector<platform::RowChange> TakeChanges();
   Duration WriteInterval() const;
-  void OnWritten(std::size_t aRows);
+  void OnWritten(const std::vector<platform::RowChange>& aRows);
+  void FinishStoredWaits(Time aNow);
   void WriteVersions();
   void WriteVersionsAgain(Time aNow);
   void OnEraBegan();
@@ -71,6 +87,9 @@
   // Writes the rows of versions.
   RowWriter mVersionWriter;
   TableReader mReader;
+  // By key of the row.
+  std::map<std::string, StoredWait> mStoredWaits;
+  Timer mStoredTimer;
   std::map<std::uint64_t, LookupState> mLookups;
   std::uint64_t mNextLookup = 0;
   Timer mLookupTimer;
--- a/tests/introspective/StreamOriginStoreTests.cpp
+++ b/tests/introspective/StreamOriginStoreTests.cpp
@@ -32,6 +32,10 @@
 // Time within which all that has to be stored was written.
 constexpr milliseconds kWriteTime(2500);
 
+// Time after its first event by which a stream of a fleet of any size is stored
+// while its host begins two streams a second.
+constexpr milliseconds kOriginWriteTime(500);
+
 std::string
 LossKey(std::uint64_t aSuspect, std::uint64_t aDeath)
 {
@@ -85,6 +89,30 @@
                      RowSource::Store);
   }
 
+  // Whether the host waits with a stream's first event until its origin is
+  // stored, by the given deadline at the latest.
+  bool Await(std::uint64_t aKey, Duration aLimit, std::function<void()> aDone)
+  {
+    return mStore.AwaitStored(
+      aKey, EventLoop::Now() + aLimit, std::move(aDone));
+  }
+
+  // The store answers no writes from now on.
+  void SetSilent() { mServer.SetAccess(StoreAccess::Silent); }
+
+  // Other hosts of the fleet register.
+  void RegisterHosts(int aCount)
+  {
+    std::vector<platform::StoreRow> rows;
+    for (int n = 0; n < aCount; ++n) {
+      rows.push_back({ "other-" + std::to_string(n),
+                       "127.0.1.1:" + std::to_string(n + 1) + " 100",
+                       ++mHostRows });
+    }
+    mFleet.ApplyRows(
+      StoreTable::Hosts, rows, true, mHostRows, RowSource::Store);
+  }
+
   // A stream has its first event.
   void Begin(std::uint64_t aKey, const std::string& aVersion)
   {
@@ -153,6 +181,8 @@
 
   // Keys of the rows that each transaction has written.
   std::vector<std::set<std::string>> mWrites;
+  // Number of rows that transactions have removed.
+  std::size_t mRemovals = 0;
 
 private:
   static GatewaySettings SettingsOf(const Endpoint& aStore)
@@ -173,6 +203,7 @@
         keys.insert(it["Key"].GetString());
       }
       mWrites.push_back(std::move(keys));
+      mRemovals += json["Remove"].Size();
     }
     SimpleHttpReply reply;
     reply.mContentType = "application/json";
@@ -190,6 +221,7 @@
   StreamOriginStore mStore;
   SuspectWriter mSuspects;
   std::int64_t mTargets = 0;
+  std::int64_t mHostRows = 0;
 };
 
 } // namespace
@@ -199,6 +231,11 @@
 {
   CPPUNIT_TEST_SUITE(StreamOriginStoreTests);
   CPPUNIT_TEST(ANewVersionIsStoredBeforeItsStreams);
+  CPPUNIT_TEST(OriginsOfALargeFleetAreStoredSoonAfterTheFirstEvent);
+  CPPUNIT_TEST(CallersGetNothingBeforeTheirStreamsAreStored);
+  CPPUNIT_TEST(CallersDoNotWaitForAStoreThatDoesNotAnswer);
+  CPPUNIT_TEST(StreamsOfServicesWithOneVersionAreNotAwaited);
+  CPPUNIT_TEST(EndsOfStreamsCauseFewCalls);
   CPPUNIT_TEST(OriginsThatTheStoreMayHaveLostAreStoredAgain);
   CPPUNIT_TEST(SuspectsThatTheStoreMayHaveLostAreStoredAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -219,6 +256,90 @@
     CPPUNIT_ASSERT(host.mWrites[before].count(KeyOf("v2")) == 1);
   }
 
+  // Guards against streams that no host takes up any more, as all hosts of a
+  // large fleet ended while their origins waited for their turn at the store.
+  void OriginsOfALargeFleetAreStoredSoonAfterTheFirstEvent()
+  {
+    StoringHost host;
+    host.RegisterHosts(71);
+    host.Register("v1");
+    host.Register("v2");
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+      host.Begin(n, "v2");
+      host.RunFor(kOriginWriteTime);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.Written().count(ToHex(n)));
+    }
+  }
+
+  // Guards against callers that have got events of a stream of which nobody
+  // knows anything once all hosts have ended.
+  void CallersGetNothingBeforeTheirStreamsAreStored()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.Register("v2");
+    host.RunFor(kWriteTime);
+    host.Begin(1, "v2");
+    bool wasStored = false;
+    CPPUNIT_ASSERT(host.Await(1, kWriteTime, [&] {
+      wasStored = host.Written().count(ToHex(1)) == 1;
+    }));
+    CPPUNIT_ASSERT(!wasStored);
+    host.RunFor(kOriginWriteTime);
+    CPPUNIT_ASSERT(wasStored);
+    CPPUNIT_ASSERT(!host.Await(1, kWriteTime, [] {}));
+  }
+
+  // Guards against streams that stand still while the store is away.
+  void CallersDoNotWaitForAStoreThatDoesNotAnswer()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.Register("v2");
+    host.RunFor(kWriteTime);
+    host.SetSilent();
+    host.Begin(1, "v2");
+    int ended = 0;
+    CPPUNIT_ASSERT(host.Await(1, milliseconds(100), [&] { ++ended; }));
+    host.RunFor(kWriteTime);
+    CPPUNIT_ASSERT_EQUAL(1, ended);
+    host.Begin(2, "v2");
+    CPPUNIT_ASSERT(!host.Await(2, milliseconds(100), [] {}));
+  }
+
+  // Guards against delays for rows that are never written.
+  void StreamsOfServicesWithOneVersionAreNotAwaited()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.Begin(1, "v1");
+    CPPUNIT_ASSERT(!host.Await(1, kWriteTime, [] {}));
+  }
+
+  // Guards against calls to the store that only remove the origins of streams
+  // which are complete: nobody waits for them.
+  void EndsOfStreamsCauseFewCalls()
+  {
+    StoringHost host;
+    host.RegisterHosts(71);
+    host.Register("v1");
+    host.Register("v2");
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+      host.Begin(n, "v2");
+    }
+    host.RunFor(kWriteTime);
+    host.mWrites.clear();
+    for (std::uint64_t n = 1; n <= 5; ++n) {
+      host.End(n);
+      host.RunFor(milliseconds(200));
+    }
+    CPPUNIT_ASSERT(host.mWrites.empty());
+    host.Begin(7, "v2");
+    host.RunFor(kOriginWriteTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), host.mWrites.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), host.mRemovals);
+  }
+
   // Guards against streams that no host takes up any more, as the store has
   // lost where they began and all hosts have restarted since.
   void OriginsThatTheStoreMayHaveLostAreStoredAgain()
--- a/tests/usage/StreamVersionTests.cpp
+++ b/tests/usage/StreamVersionTests.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(StreamEndsAtOnceWhenItsVersionIsGone);
   CPPUNIT_TEST(StreamsOfADeadHostGoOnAtTheirVersion);
   CPPUNIT_TEST(StreamsOfAHostWithoutPeersAreFoundInTheStore);
+  CPPUNIT_TEST(StreamsGoOnThatLoseAllHostsAfterTheirFirstEvent);
   CPPUNIT_TEST(StreamOfALaterAttemptIsNotTakenUpAtTheVersionOfTheFirstOne);
   CPPUNIT_TEST(StreamsOfUnknownOriginAreRefused);
   CPPUNIT_TEST(StreamsOfAVersionThatIsGoneAreRefusedAtOnce);
@@ -253,6 +254,33 @@
                    "0");
   }
 
+  // Guards against callers that get the first events of a stream before any
+  // record of where it began outlasts the hosts. At least half of such streams
+  // go on.
+  void StreamsGoOnThatLoseAllHostsAfterTheirFirstEvent()
+  {
+    constexpr int kRounds = 6;
+    GatewayTestCluster cluster(4);
+    RegisterTwoVersions(cluster);
+    ::usleep(kSpreadTime);
+    int wentOn = 0;
+    for (int n = 0; n < kRounds; ++n) {
+      const std::string first = "s" + std::to_string(n);
+      const std::string id = "t" + std::to_string(n);
+      cluster.SetAllModes(RunnerMode::SlowTruncatedStream);
+      cluster.Gateway().CallAndDisconnect(
+        GatewayTestCluster::Request("/stream/", first));
+      cluster.Gateway().Restart();
+      cluster.SetAllModes(RunnerMode::Serve);
+      cluster.AwaitReady();
+      AwaitTargetCount(cluster, 4);
+      const auto answer = cluster.Gateway().Call(GatewayTestCluster::Request(
+        "/stream/", id, "Last-Event-Id: 1\r\nResumes: " + first + "\r\n"));
+      wentOn += answer.mHead.mStatus == 200 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(wentOn), wentOn * 2 >= kRounds);
+  }
+
   // Guards against a stream that goes on at the version of an attempt that has
   // brought no event, when all hosts end before they have stored where it
   // began.
