End runs that are given up in order, so that a lost packet keeps none going (GONE)

Cause: runs were cancelled by a reset, which is sent once. If it is lost the target hears of it with its next write only, seconds later if it reads a prompt or lets the request wait. Ruled out: a caller's end that isn't seen (caller_gone at once), links of the chain of a passed-on request that don't end the next one (CallersLeaveTests, five further stages held before and after).

A run whose request has arrived as a whole is closed in order now, which the system repeats; other ones are reset as before, so that none arrives later.

Tests: the links of tests lose resets while they are silent, as networks do, where they kept them for later; stricter, and HostCutTests (9), PassedOnRequestTests (18), GatewayTests (23) pass with it.

--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -100,9 +100,13 @@
 void
 TargetConnection::Abort()
 {
-  mSink = nullptr;
+  const bool running = std::exchange(mSink, nullptr) != nullptr && mRequestSent;
   mConnected = false;
-  mSocket->Close(true);
+  if (running) {
+    mSocket->Cancel(mReader.HasStarted());
+  } else {
+    mSocket->Close(true);
+  }
 }
 
 void
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -5,9 +5,11 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -23,6 +25,9 @@
 // Limits consecutive reads so that one connection does not starve the others.
 constexpr int kMaxReadsPerWakeUp = 4;
 
+// Limits the reads of input that nobody wants any more.
+constexpr int kMaxReadsBeforeCancel = 16;
+
 // TCP keep-alive: idle time before the first probe, and interval of the probes.
 // Their number follows from the time after which the peer is given up. Where
 // TCP_USER_TIMEOUT is set, Linux goes by that alone.
@@ -339,6 +344,35 @@
   mSocket.close(ec);
 }
 
+void
+Socket::Cancel(bool aAnswered)
+{
+  if (!mOpen) {
+    return;
+  }
+  if (UnwrittenBytes() > 0 || (!aAnswered && HasUnacknowledgedOutput())) {
+    Close(true);
+    return;
+  }
+  // Closing a socket with unread input would reset the connection.
+  static thread_local std::array<char, kReadBufferBytes> tBuffer;
+  error_code ec;
+  for (int n = 0; n < kMaxReadsBeforeCancel && !ec; ++n) {
+    mSocket.read_some(boost::asio::buffer(tBuffer), ec);
+  }
+  SetOption(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+  Close(false);
+}
+
+// Whether the peer may not have received all that was written.
+bool
+Socket::HasUnacknowledgedOutput() const
+{
+  int bytes = 0;
+  const int socket = const_cast<tcp::socket&>(mSocket).native_handle();
+  return ::ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes > 0;
+}
+
 void
 Socket::CloseAfterWrites()
 {
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -99,6 +99,13 @@
   // data is discarded and the peer receives a TCP reset.
   void Close(bool aReset = false);
 
+  // Closes immediately, so that the peer abandons what it does for this side;
+  // no further events are reported. A reset is sent once only, and is lost
+  // where packets are. An orderly end is repeated by the system, but follows
+  // what the peer has not received yet, so it is used only if there is no such
+  // data. aAnswered tells that the peer has answered what was written.
+  void Cancel(bool aAnswered);
+
   // Closes after all buffered output has been sent; no further events are
   // reported.
   void CloseAfterWrites();
@@ -125,6 +132,7 @@
   void WaitUntilReadable();
   void OnReadable();
   void Discard(std::size_t aSize);
+  bool HasUnacknowledgedOutput() const;
   void FinishOutput();
   void WaitUntilWritable();
   void Flush();
--- a/tests/fakes/RunnerLink.cpp
+++ b/tests/fakes/RunnerLink.cpp
@@ -47,9 +47,19 @@
   // Holds back all bytes and the end of the connection, in both directions.
   void SetSilent(bool aSilent)
   {
-    if (mConnected) {
-      mGatewaySide.mSocket->SetReading(!aSilent);
-      mRunnerSide.mSocket->SetReading(!aSilent);
+    const RefPtr<Connection> self(this);
+    const bool wasSilent = std::exchange(mSilent, aSilent);
+    if (!mConnected) {
+      return;
+    }
+    for (Side* it : { &mGatewaySide, &mRunnerSide }) {
+      it->mSocket->SetReading(!aSilent);
+      if (wasSilent && !aSilent) {
+        // What has ended meanwhile is found by the first read.
+        it->mMayHaveLostReset = true;
+        it->mSocket->ReadReceived();
+        it->mMayHaveLostReset = false;
+      }
     }
   }
 
@@ -74,12 +84,23 @@
 
     void OnData(std::string_view aData) override
     {
+      if (mOther->mLost) {
+        // The system answers for a connection that is gone.
+        const RefPtr<Connection> connection(&mConnection);
+        mSocket->Close(true);
+        connection->Remove();
+        return;
+      }
       mOther->mSocket->Write(aData);
     }
 
     void OnEnd(SocketEnd aEnd) override
     {
       const RefPtr<Connection> connection(&mConnection);
+      if (mMayHaveLostReset && aEnd == SocketEnd::Failed) {
+        mLost = true;
+        return;
+      }
       if (aEnd == SocketEnd::Closed) {
         mSocket->Close();
         mOther->mSocket->CloseAfterWrites();
@@ -93,6 +114,10 @@
     Connection& mConnection;
     RefPtr<Socket> mSocket;
     Side* mOther = nullptr;
+    // Whether an end that is found now came while the link was silent, and
+    // whether the other side has not heard of one that did.
+    bool mMayHaveLostReset = false;
+    bool mLost = false;
   };
 
   void OnConnected()
@@ -105,6 +130,7 @@
 
   RunnerLink& mLink;
   bool mConnected = false;
+  bool mSilent = false;
   Side mGatewaySide;
   Side mRunnerSide;
 };
--- a/tests/fakes/RunnerLink.h
+++ b/tests/fakes/RunnerLink.h
@@ -12,7 +12,7 @@
 {
   Up,
   // Nothing passes: open connections are silent and new ones are never
-  // established.
+  // established. Bytes and orderly ends arrive afterwards, resets are lost.
   Silent,
   // Open connections have been reset, and new ones are refused.
   Reset,
--- a/tests/introspective/CallPacerTests.cpp
+++ b/tests/introspective/CallPacerTests.cpp
@@ -22,8 +22,8 @@
     CheckProperty("calls in any span", [] {
       const int burst = *rc::gen::inRange(1, 5);
       const milliseconds interval(*rc::gen::inRange(1, 1000));
-      const auto gaps = *rc::gen::container<std::vector<int>>(
-        60, rc::gen::inRange(0, 700));
+      const auto gaps =
+        *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 700));
       CallPacer pacer(burst);
       std::vector<Time> calls;
       Time now = Time() + std::chrono::hours(1);
--- a/tests/introspective/SocketTests.cpp
+++ b/tests/introspective/SocketTests.cpp
@@ -1,6 +1,7 @@
 #include "http/Socket.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <netinet/in.h>
@@ -8,6 +9,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -50,6 +52,19 @@
       ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL));
   }
 
+  // Reads until the connection ends. Returns the bytes, and whether the end was
+  // an orderly one.
+  std::pair<std::size_t, bool> ReadToEnd() const
+  {
+    std::array<char, 65536> buf{};
+    std::size_t bytes = 0;
+    ssize_t n = 0;
+    while ((n = ::recv(mSocket, buf.data(), buf.size(), 0)) > 0) {
+      bytes += static_cast<std::size_t>(n);
+    }
+    return { bytes, n == 0 };
+  }
+
   // Closes the connection, or resets it.
   void End(bool aReset)
   {
@@ -123,6 +138,28 @@
   return *recorder.mEnd;
 }
 
+// What a peer reads of a connection on which aBytes are written, and which is
+// cancelled then, with input that nobody has read.
+std::pair<std::size_t, bool>
+ReadOfCancelledSocket(std::size_t aBytes, bool aAnswered)
+{
+  EventLoop loop;
+  Peer peer;
+  const auto socket = MakeRef<Socket>(loop);
+  Recorder recorder(loop, [&] {
+    peer.Accept();
+    socket->SetReading(false);
+    peer.Send("unread");
+    socket->Write(std::string(aBytes, 'x'));
+    loop.Stop();
+  });
+  socket->Connect(
+    peer.Address(), EventLoop::Now() + milliseconds(5000), recorder);
+  loop.Run();
+  socket->Cancel(aAnswered);
+  return peer.ReadToEnd();
+}
+
 } // namespace
 
 class SocketTests : public CppUnit::TestFixture
@@ -130,9 +167,31 @@
   CPPUNIT_TEST_SUITE(SocketTests);
   CPPUNIT_TEST(AResetThatAWriteMetIsNoOrderlyEnd);
   CPPUNIT_TEST(AnOrderlyEndStaysOneWhenAWriteFailsAfterIt);
+  CPPUNIT_TEST(AnAbandonedRequestThatHasArrivedEndsInOrder);
+  CPPUNIT_TEST(AnAbandonedRequestThatHasNotArrivedIsReset);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Guards against work that goes on for callers that have left, because the
+  // only packet that says so was lost.
+  void AnAbandonedRequestThatHasArrivedEndsInOrder()
+  {
+    const std::pair<std::size_t, bool> whole(1000, true);
+    CPPUNIT_ASSERT(ReadOfCancelledSocket(1000, true) == whole);
+    CPPUNIT_ASSERT(ReadOfCancelledSocket(1000, false) == whole);
+  }
+
+  // Guards against requests that reach a target after they were abandoned.
+  void AnAbandonedRequestThatHasNotArrivedIsReset()
+  {
+    constexpr std::size_t kMoreThanBuffersHold = 64U << 20U;
+    for (const bool answered : { false, true }) {
+      const auto read = ReadOfCancelledSocket(kMoreThanBuffersHold, answered);
+      CPPUNIT_ASSERT(read.first < kMoreThanBuffersHold);
+      CPPUNIT_ASSERT(!read.second);
+    }
+  }
+
   // Guards against an answer without a length that is cut off by a reset being
   // taken for a whole one, because a write met the reset before the reader did.
   void AResetThatAWriteMetIsNoOrderlyEnd()
