Let callers of the soak leave, and judge work that goes on for them (GONE)

The soak's callers never left before their answer, so it could not find this rule broken. Cause of the gap: no caller and no check. Three in ten streams are left now, 0 to 2.5 s after they were sent, by a close, a half-close or a reset, while their runner reads a prompt of 4 s. More than a quarter that go on 0.5 s later, or more than three that reach a runner later than that, break GONE, at hosts in touch while no host is cut off or was lately.

Before: no check.

--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -70,6 +70,18 @@
 EVENTS = 20
 PAUSE_S = (0.2, 1.2)
 
+# Share of the streams whose callers leave, the first letter of their IDs, the
+# time for which their prompts are read, and when their callers leave.
+LEAVING_SHARE = 0.3
+LEFT = "l"
+PROMPT_S = 4.0
+LEAVE_S = (0.0, 2.5)
+# Time after the caller has left from which on no runner works for it, requests
+# that may reach one later, and the share of those that may go on.
+LEFT_S = 0.5
+MAX_LATE_RUNS = 3
+MAX_GOING_ON = 1 / 4
+
 
 class SpoiledRunner(Runner):
     """A runner that for a while answers some requests with bytes without
@@ -79,6 +91,8 @@
     down_until = 0.0
     # Workspace with which each request has run, of all runners.
     workspaces = {}
+    # Runners that work on each request or let it wait.
+    working = collections.Counter()
     cuts = None
 
     async def listen(self):
@@ -95,6 +109,17 @@
             "State": self.state, "ColdRemainingMs": 0, "Sequence": 1}))
 
     async def run(self, message, request_id, tokens, writer):
+        self.working[request_id] += 1
+        try:
+            if request_id[0] == LEFT:
+                # A long prompt: nothing is written meanwhile.
+                self.runs.append((now(), request_id, self.name))
+                await asyncio.sleep(PROMPT_S)
+            await self.answer(message, request_id, tokens, writer)
+        finally:
+            self.working[request_id] -= 1
+
+    async def answer(self, message, request_id, tokens, writer):
         self.workspaces[request_id] = message.get("x-tenant", "")
         if " /late/" in message.start:
             self.runs.append((now(), request_id, self.name))
@@ -303,6 +328,9 @@
         # Requests on connections of their own that hosts in touch refused or
         # ended without an answer.
         self.unanswered = []
+        # Draws of their own leave the faults of a seed as they are.
+        self.leavers = random.Random(seed)
+        self.late_runs = []
         # When each start of a process first answered by a configuration.
         self.configured = {}
         self.cuts = RunnerCuts()
@@ -621,6 +649,8 @@
         else:
             body = "body of " + request_id
         sent = now()
+        if kind == "d" and self.leavers.random() < LEAVING_SHARE:
+            return await self.leave(host, writer, path, deadline, fields, body)
         status, whole, kept, text, took = 0, False, False, b"", 0.0
         try:
             writer.write(self.text(method, path + request_id, request_id, KEY,
@@ -648,6 +678,57 @@
         self.judge_runs(request_id, path, KEY)
         return whole and kept
 
+    async def leave(self, host, writer, path, deadline, fields, body):
+        """A stream whose caller closes, half-closes or resets its connection
+        before the first event."""
+        request_id = self.new_id(LEFT)
+        sent, life = now(), host.life
+        writer.write(self.text("POST", path + request_id, request_id, KEY,
+                               deadline, fields, body))
+        await asyncio.sleep(self.leavers.uniform(*LEAVE_S))
+        left = now()
+        how = self.leavers.choice(["close", "half-close", "reset"])
+        try:
+            if how == "half-close":
+                writer.write_eof()
+            elif how == "reset":
+                writer.transport.abort()
+        except OSError:
+            # The host has ended the connection before.
+            pass
+        if how != "half-close":
+            writer.close()
+        began = SpoiledRunner.working[request_id]
+        while now() - left - self.stood_still(left) < LEFT_S:
+            await asyncio.sleep(0.05)
+        going_on = SpoiledRunner.working[request_id]
+        await asyncio.sleep(LEFT_S)
+        late = [it for it in self.runs
+                if it[1] == request_id and it[0] > left + LEFT_S]
+        # A way that is cut, or was lately, tells nobody anything.
+        if life == host.life and host.disturbed_until + STABILITY_S < sent and (
+                not self.cuts.held_lately(sent)):
+            self.counts["left"] += began > 0
+            self.counts["left, went on"] += going_on > 0
+            self.late_runs += [it[1] for it in late]
+            if going_on or late:
+                self.note(host, request_id, sent, "%s after %.2f s, %d went on,"
+                          " %d late" % (how, left - sent, going_on, len(late)),
+                          None)
+        return False
+
+    def judge_left(self):
+        """Work for callers that have left hosts in touch."""
+        left, going_on = self.counts["left"], self.counts["left, went on"]
+        if going_on > max(1, left * MAX_GOING_ON):
+            self.broken["GONE"].append(
+                "runners went on with %d of %d requests whose callers had left"
+                % (going_on, left))
+        if len(self.late_runs) > MAX_LATE_RUNS:
+            self.broken["GONE"].append(
+                "%d requests reached runners after their callers had left: %s"
+                % (len(self.late_runs), ", ".join(self.late_runs[:3])))
+
     @staticmethod
     async def read_body(reader, headers):
         if "content-length" in headers:
@@ -1079,6 +1160,7 @@
             jobs.append(self.faults(self.end))
         await asyncio.gather(*jobs)
         self.judge_shares()
+        self.judge_left()
         for it in self.hosts:
             self.broken["FAULT"] += ["%s: %s" % (it.name, problem)
                                      for problem in it.problems]
--- a/tests/soak/runner_cuts.py
+++ b/tests/soak/runner_cuts.py
@@ -135,6 +135,12 @@
                                               or it.ended >= since)
                    for it in self.all)
 
+    def held_lately(self, since):
+        """Whether any host was cut off shortly before the given moment, or has
+        been since."""
+        return any(it.ended is None or it.ended + STABILITY_S >= since
+                   for it in self.all)
+
     def begin(self, kind, hosts, runners):
         cut = Cut(kind, hosts)
         self.all.append(cut)
--- a/tests/tools/soak_tests.py
+++ b/tests/tools/soak_tests.py
@@ -37,6 +37,16 @@
     return it
 
 
+def gone_of(left, going_on, late):
+    """What a play says of runners that work for callers which have left."""
+    play = fleet_soak.Play.__new__(fleet_soak.Play)
+    play.counts = {"left": left, "left, went on": going_on}
+    play.late_runs = ["l-1"] * late
+    play.broken = {"GONE": []}
+    play.judge_left()
+    return play.broken["GONE"]
+
+
 def idle_play():
     """A play of which nothing runs but the watch of the soak itself."""
     play = fleet_soak.Play.__new__(fleet_soak.Play)
@@ -81,6 +91,14 @@
         self.assertIsNone(cut_with((40, 10), (40, 12)).verdict())
         self.assertIsNone(cut_with((40, 10), (0, 0)).verdict())
 
+    def test_work_for_callers_that_have_left_breaks_a_rule(self):
+        self.assertEqual(1, len(gone_of(left=20, going_on=6, late=0)))
+        self.assertEqual(1, len(gone_of(left=20, going_on=0, late=4)))
+
+    def test_work_that_ends_with_its_caller_breaks_nothing(self):
+        self.assertEqual([], gone_of(left=20, going_on=5, late=3))
+        self.assertEqual([], gone_of(left=0, going_on=0, late=0))
+
     # Guards against answers that count as late because the soak was not run.
     def test_answer_that_came_while_the_soak_stood_still_is_in_time(self):
         self.assertEqual(b"x", asyncio.run(wait_beside_stall(idle_play(),
