--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -152,7 +152,8 @@
     const auto ms = [](Time::duration aTime) {
       return std::to_string(static_cast<int>(ToMilliseconds(aTime)));
     };
-    mLogNote = "needs_ms_" + ms(*least) + "_left_ms_" + ms(mCall.mDeadline - now);
+    mLogNote =
+      "needs_ms_" + ms(*least) + "_left_ms_" + ms(mCall.mDeadline - now);
     Failure failure;
     failure.mCode = FailureCode::DeadlineExceeded;
     failure.mMessage = "the stream cannot complete before the deadline";
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -181,8 +181,7 @@
                                Time aDeadline,
                                std::function<void()> aDone)
 {
-  if (!mFleet.Origins().IsBeingStored(aKey) ||
-      !mWriter.CanWriteBy(aDeadline)) {
+  if (!mFleet.Origins().IsBeingStored(aKey) || !mWriter.CanWriteBy(aDeadline)) {
     return false;
   }
   mStoredWaits[ToHex(aKey)] = { aKey, aDeadline, std::move(aDone) };
--- a/tests/introspective/StreamOriginStoreTests.cpp
+++ b/tests/introspective/StreamOriginStoreTests.cpp
@@ -281,9 +281,8 @@
     host.RunFor(kWriteTime);
     host.Begin(1, "v2");
     bool wasStored = false;
-    CPPUNIT_ASSERT(host.Await(1, kWriteTime, [&] {
-      wasStored = host.Written().count(ToHex(1)) == 1;
-    }));
+    CPPUNIT_ASSERT(host.Await(
+      1, kWriteTime, [&] { wasStored = host.Written().count(ToHex(1)) == 1; }));
     CPPUNIT_ASSERT(!wasStored);
     host.RunFor(kOriginWriteTime);
     CPPUNIT_ASSERT(wasStored);
--- a/tests/usage/PassedOnRequestTests.cpp
+++ b/tests/usage/PassedOnRequestTests.cpp
@@ -29,6 +29,9 @@
 // Time within which the work for a caller that has left ends everywhere.
 constexpr auto kLeaveTime = milliseconds(500);
 
+// Time in which a stream of two seconds ends whose serving host is cut off.
+constexpr auto kInterruptedTime = milliseconds(6000);
+
 constexpr int kDeadlineMs = 8000;
 
 bool
@@ -184,6 +187,7 @@
   CPPUNIT_TEST(RequestsLeaveAFrozenServingHost);
   CPPUNIT_TEST(RequestsStayAtASilentServingHostWhileThereIsNoOther);
   CPPUNIT_TEST(WorkEndsWhenTheCallerLeaves);
+  CPPUNIT_TEST(StreamsAreServedWhoseServingHostsAreCutOffAsWell);
   CPPUNIT_TEST(HostsDoNotServeByAnOlderConfiguration);
   CPPUNIT_TEST(RequestsAreNotPassedOnTwice);
   CPPUNIT_TEST(RunsAreCountedOverBothHosts);
@@ -499,6 +503,34 @@
     }
   }
 
+  // Guards against sound streams, all with one content, that are refused as
+  // crashing when two of three serving hosts are cut off while they run.
+  void StreamsAreServedWhoseServingHostsAreCutOffAsWell()
+  {
+    constexpr int kStreams = 6;
+    GatewayTestCluster cluster(MakeOptions(4));
+    CutOff(cluster, kCutHost);
+    cluster.SetPace(milliseconds(20), milliseconds(50), milliseconds(0));
+    const std::size_t before = cluster.Runs().size();
+    std::vector<std::unique_ptr<CallerChannel>> channels;
+    for (int n = 0; n < kStreams; ++n) {
+      channels.push_back(
+        std::make_unique<CallerChannel>(cluster.Gateway(kCutHost)));
+      channels.back()->Send(GatewayTestCluster::Request(
+        "/stream/", "s" + std::to_string(n), "", "body", 30000));
+    }
+    CPPUNIT_ASSERT(
+      WaitFor([&] { return cluster.Runs().size() >= before + kStreams; }));
+    for (const std::size_t host : { 1, 2 }) {
+      cluster.SetLinks(host, cluster.RunnersOf(), LinkState::Reset);
+    }
+    for (const auto& it : channels) {
+      const CallerAnswer answer = it->Read(kInterruptedTime);
+      CPPUNIT_ASSERT_EQUAL(200, answer.mHead.mStatus);
+      CPPUNIT_ASSERT(answer.mComplete);
+    }
+  }
+
   // Guards against runners that work for a caller that has left the host which
   // passed its request on.
   void WorkEndsWhenTheCallerLeaves()
