Pause between writes that a store refuses; let requests with one ID not wait for each other

A notice during the pause after a refused write moved the next one forward, so a store in trouble was called for each change: AStoreThatRefusesWritesIsNotCalledForEachChange fails without the pause and passes with it.

--- a/src/quetzalquay/gateway/RowWriter.cpp
+++ b/src/quetzalquay/gateway/RowWriter.cpp
@@ -37,16 +37,23 @@
   NotifyBy(EventLoop::Now() + mOptions.mBatchDelay);
 }
 
+// Schedules a write at aWriteBy, unless one is due before, or as soon as a call
+// may be made after that. OnReply() schedules what is wanted during a call.
 void
 RowWriter::NotifyBy(Time aWriteBy)
 {
-  ScheduleWrite(aWriteBy);
+  mWriteBy = std::min(mWriteBy, aWriteBy);
+  if (mWriteBy != Time::max() && !mHttpClient.IsBusy()) {
+    mTimer.ScheduleAt(std::max(
+      { mWriteBy, mRetryAt, mPacer.EarliestCall(mOptions.mInterval()) }));
+  }
 }
 
 bool
 RowWriter::CanWriteBy(Time aTime) const
 {
-  return !mFailing && mPacer.EarliestCall(mOptions.mInterval()) < aTime;
+  return mRetryAt == Time() &&
+         mPacer.EarliestCall(mOptions.mInterval()) < aTime;
 }
 
 void
@@ -58,18 +65,6 @@
   }
 }
 
-// Schedules a write at aWriteBy, unless one is due before, or as soon as a call
-// may be made after that. OnReply() schedules what is wanted during a call.
-void
-RowWriter::ScheduleWrite(Time aWriteBy)
-{
-  mWriteBy = std::min(mWriteBy, aWriteBy);
-  if (mWriteBy != Time::max() && !mHttpClient.IsBusy()) {
-    mTimer.ScheduleAt(
-      std::max(mWriteBy, mPacer.EarliestCall(mOptions.mInterval())));
-  }
-}
-
 void
 RowWriter::Write()
 {
@@ -115,7 +110,8 @@
           written  ? ""
           : aReply ? "status " + std::to_string(aReply->mHead.mStatus)
                    : aReason } });
-  mFailing = !written;
+  const Time now = EventLoop::Now();
+  mRetryAt = written ? Time() : now + kRetryDelay;
   if (written) {
     for (const platform::RowChange& it : mWriting) {
       const auto pending = mPending.find(it.mKey);
@@ -125,10 +121,7 @@
     }
     mOptions.mOnWritten(mWriting);
   }
-  const Time now = EventLoop::Now();
-  ScheduleWrite(!written           ? now + kRetryDelay
-                : mPending.empty() ? Time::max()
-                                   : now);
+  NotifyBy(mPending.empty() ? Time::max() : now);
 }
 
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/RowWriter.h
+++ b/src/quetzalquay/gateway/RowWriter.h
@@ -60,7 +60,6 @@
   void Add(platform::RowChange aChange);
 
 private:
-  void ScheduleWrite(Time aWriteBy);
   void Write();
   void OnReply(const std::optional<HttpReply>& aReply,
                const std::string& aReason);
@@ -69,8 +68,8 @@
   AsyncHttpClient mHttpClient;
   Timer mTimer;
   CallPacer mPacer;
-  // Whether the last call has failed.
-  bool mFailing = false;
+  // When a failed call may be repeated; Time() unless the last one has failed.
+  Time mRetryAt;
   // When there is something to write, as far as calls may be made; Time::max()
   // if there is nothing.
   Time mWriteBy = Time::max();
--- a/src/quetzalquay/gateway/StreamOriginStore.cpp
+++ b/src/quetzalquay/gateway/StreamOriginStore.cpp
@@ -181,10 +181,13 @@
                                Time aDeadline,
                                std::function<void()> aDone)
 {
-  if (!mFleet.Origins().IsBeingStored(aKey) || !mWriter.CanWriteBy(aDeadline)) {
+  const std::string row = ToHex(aKey);
+  // Of two requests with one ID only the first one waits.
+  if (!mFleet.Origins().IsBeingStored(aKey) || !mWriter.CanWriteBy(aDeadline) ||
+      mStoredWaits.count(row) != 0) {
     return false;
   }
-  mStoredWaits[ToHex(aKey)] = { aKey, aDeadline, std::move(aDone) };
+  mStoredWaits[row] = { aKey, aDeadline, std::move(aDone) };
   mStoredTimer.ScheduleAt(std::min(aDeadline, mStoredTimer.Expiry()));
   return true;
 }
--- a/src/quetzalquay/gateway/StreamOriginStore.h
+++ b/src/quetzalquay/gateway/StreamOriginStore.h
@@ -43,7 +43,7 @@
 
   // Calls aDone once the store has the origin of a stream that has begun here,
   // at aDeadline at the latest. Returns false, and does not call it, if the
-  // origin is not to be stored, or can't be in time.
+  // origin is not to be stored, can't be in time or is awaited already.
   bool AwaitStored(std::uint64_t aKey,
                    Time aDeadline,
                    std::function<void()> aDone);
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -360,17 +360,17 @@
   for (int n = 0; n < kMaxReadsBeforeCancel && !ec; ++n) {
     mSocket.read_some(boost::asio::buffer(tBuffer), ec);
   }
+  // The limit would also end the repetitions.
   SetOption(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
-  Close(false);
+  Close();
 }
 
 // Whether the peer may not have received all that was written.
 bool
-Socket::HasUnacknowledgedOutput() const
+Socket::HasUnacknowledgedOutput()
 {
   int bytes = 0;
-  const int socket = const_cast<tcp::socket&>(mSocket).native_handle();
-  return ::ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes > 0;
+  return ::ioctl(mSocket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes > 0;
 }
 
 void
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -132,7 +132,7 @@
   void WaitUntilReadable();
   void OnReadable();
   void Discard(std::size_t aSize);
-  bool HasUnacknowledgedOutput() const;
+  bool HasUnacknowledgedOutput();
   void FinishOutput();
   void WaitUntilWritable();
   void Flush();
--- a/tests/introspective/StreamOriginStoreTests.cpp
+++ b/tests/introspective/StreamOriginStoreTests.cpp
@@ -181,6 +181,9 @@
 
   // Keys of the rows that each transaction has written.
   std::vector<std::set<std::string>> mWrites;
+  // Whether the store refuses transactions, and how many it has refused.
+  bool mRefusesWrites = false;
+  int mRefusedWrites = 0;
   // Number of rows that transactions have removed.
   std::size_t mRemovals = 0;
 
@@ -195,7 +198,14 @@
 
   SimpleHttpReply Answer(const HttpHead& aHead, const std::string& aBody)
   {
-    if (aHead.mTarget.rfind("/rows-tx", 0) == 0) {
+    const bool writes = aHead.mTarget.rfind("/rows-tx", 0) == 0;
+    if (writes && mRefusesWrites) {
+      ++mRefusedWrites;
+      SimpleHttpReply refusal;
+      refusal.mStatus = 503;
+      return refusal;
+    }
+    if (writes) {
       rapidjson::Document json;
       json.Parse(aBody.data(), aBody.size());
       std::set<std::string> keys;
@@ -236,6 +246,8 @@
   CPPUNIT_TEST(CallersDoNotWaitForAStoreThatDoesNotAnswer);
   CPPUNIT_TEST(StreamsOfServicesWithOneVersionAreNotAwaited);
   CPPUNIT_TEST(EndsOfStreamsCauseFewCalls);
+  CPPUNIT_TEST(RequestsWithOneIdDoNotWaitForEachOther);
+  CPPUNIT_TEST(AStoreThatRefusesWritesIsNotCalledForEachChange);
   CPPUNIT_TEST(OriginsThatTheStoreMayHaveLostAreStoredAgain);
   CPPUNIT_TEST(SuspectsThatTheStoreMayHaveLostAreStoredAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -315,6 +327,36 @@
     CPPUNIT_ASSERT(!host.Await(1, kWriteTime, [] {}));
   }
 
+  // Guards against a stream that is never delivered, as another one has its ID.
+  void RequestsWithOneIdDoNotWaitForEachOther()
+  {
+    StoringHost host;
+    host.Register("v1");
+    host.Register("v2");
+    host.RunFor(kWriteTime);
+    host.Begin(1, "v2");
+    int ended = 0;
+    CPPUNIT_ASSERT(host.Await(1, kWriteTime, [&] { ++ended; }));
+    CPPUNIT_ASSERT(!host.Await(1, kWriteTime, [] {}));
+    host.RunFor(kOriginWriteTime);
+    CPPUNIT_ASSERT_EQUAL(1, ended);
+  }
+
+  // Guards against a call for each change while the store refuses them.
+  void AStoreThatRefusesWritesIsNotCalledForEachChange()
+  {
+    constexpr int kChanges = 20;
+    StoringHost host;
+    host.mRefusesWrites = true;
+    for (std::uint64_t n = 1; n <= kChanges; ++n) {
+      host.Lose(n, n * 10);
+      host.Lose(n, n * 10 + 1);
+      host.RunFor(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(host.mRefusedWrites > 0);
+    CPPUNIT_ASSERT(host.mRefusedWrites < kChanges / 2);
+  }
+
   // Guards against calls to the store that only remove the origins of streams
   // which are complete: nobody waits for them.
   void EndsOfStreamsCauseFewCalls()
