--- a/tests/usage/CallersLeaveTests.cpp
+++ b/tests/usage/CallersLeaveTests.cpp
@@ -6,7 +6,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace quetzalquay;
@@ -93,6 +95,8 @@
 {
   CPPUNIT_TEST_SUITE(CallersLeaveTests);
   CPPUNIT_TEST(ARunEndsBeforeItsFirstEvent);
+  CPPUNIT_TEST(ARunEndsWhenItsCallerHalfCloses);
+  CPPUNIT_TEST(ARunEndsBehindWhichItsCallerHasSentMuch);
   CPPUNIT_TEST(ARunEndsWhenTheWayToItIsBack);
   CPPUNIT_TEST(BothRunsEndBesideASilentTarget);
   CPPUNIT_TEST(ARequestThatWaitsForATargetNeverRuns);
@@ -116,6 +120,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), RunCount(cluster, "s"));
   }
 
+  // Guards against hosts that wait for the close of a caller that says in
+  // another way that it has left.
+  void ARunEndsWhenItsCallerHalfCloses()
+  {
+    GatewayTestCluster cluster;
+    cluster.SetPace(kFirstEvent, milliseconds(5), milliseconds(0));
+    const int caller = cluster.Gateway().ConnectCaller();
+    const std::string request = Stream("s");
+    CPPUNIT_ASSERT_EQUAL(
+      static_cast<ssize_t>(request.size()),
+      ::send(caller, request.data(), request.size(), MSG_NOSIGNAL));
+    CPPUNIT_ASSERT(
+      WaitFor([&] { return RunCount(cluster, "s") == 1; }, kFirstEvent));
+    ::shutdown(caller, SHUT_WR);
+    CPPUNIT_ASSERT(
+      WaitFor([&] { return AbandonedCount(cluster, "s") == 1; }, kFirstEvent));
+    ::close(caller);
+  }
+
+  // Guards against hosts that don't see the end of a connection of which they
+  // have stopped reading.
+  void ARunEndsBehindWhichItsCallerHasSentMuch()
+  {
+    constexpr int kFurtherRequests = 2000;
+    GatewayTestCluster cluster;
+    cluster.SetPace(kFirstEvent, milliseconds(5), milliseconds(0));
+    std::string requests = Stream("s");
+    for (int n = 0; n < kFurtherRequests; ++n) {
+      requests += GatewayTestCluster::Request("/plain/", std::to_string(n));
+    }
+    LeavingCaller caller(cluster.Gateway(), requests);
+    CPPUNIT_ASSERT(
+      WaitFor([&] { return RunCount(cluster, "s") == 1; }, kFirstEvent));
+    std::this_thread::sleep_for(kSettleTime);
+    caller.Leave();
+    CPPUNIT_ASSERT(WaitFor([&] { return AbandonedCount(cluster, "s") == 1; },
+                           kFirstEvent - kSettleTime * 3));
+  }
+
   // Guards against targets that work for callers that have left while no packet
   // came through, as the packet that said so was lost.
   void ARunEndsWhenTheWayToItIsBack()
