Let calls wait for room at plain targets, and forget what targets have served since they reported

Cause: a host that heard of three waiting requests took the target for full for a second, though calls of 15 ms are served in milliseconds, and refused calls on arrival (63 of 74 refusals of one host without a try). Ruled out: requests left in the queue, rejections (200 ms). Change: core/overload/ReportedLoad lets a report lose weight by the time that calls take; plain calls wait while they can still be on time; waiting requests are ordered by rank and deadline, and engines are told the urgency of streams where the priorities of a service's routes differ.

--- a/src/quetzalquay/core/FairQueue.cpp
+++ b/src/quetzalquay/core/FairQueue.cpp
@@ -1,5 +1,7 @@
 #include "core/FairQueue.h"
 
+#include "core/overload/Urgency.h"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -24,7 +26,7 @@
     // An idle workspace accumulates no credit.
     workspace.mVirtualTime = std::max(workspace.mVirtualTime, mFloor);
   }
-  workspace.mWaiting.insert({ aRequest.mDeadline, aRequest.mRequestId });
+  workspace.mWaiting.insert(KeyOf(aRequest));
 }
 
 void
@@ -35,8 +37,7 @@
     return;
   }
   const WaitingRequest& request = it->second;
-  mWorkspaces[request.mWorkspace].mWaiting.erase(
-    { request.mDeadline, aRequestId });
+  mWorkspaces[request.mWorkspace].mWaiting.erase(KeyOf(request));
   mRequests.erase(it);
 }
 
@@ -46,20 +47,52 @@
   return mRequests.count(aRequestId) != 0;
 }
 
+FairQueue::Key
+FairQueue::KeyOf(const WaitingRequest& aRequest)
+{
+  const Time deadline = aRequest.mDeadline == Time::max()
+                          ? aRequest.mDeadline
+                          : aRequest.mDeadline + kRankDelay * aRequest.mRank;
+  return { deadline, aRequest.mRequestId };
+}
+
 std::string
 FairQueue::Next() const
 {
-  const Workspace* next = nullptr;
+  // The workspace that is next by its weight, for each rank of the requests at
+  // the heads.
+  std::map<int, const Workspace*> byRank;
   for (const auto& it : mWorkspaces) {
     const Workspace& workspace = it.second;
     if (workspace.mWaiting.empty()) {
       continue;
     }
+    const std::string& head = workspace.mWaiting.begin()->mRequestId;
+    const Workspace*& next = byRank[mRequests.at(head).mRank];
     if (next == nullptr || workspace.mVirtualTime < next->mVirtualTime) {
       next = &workspace;
     }
   }
-  return next == nullptr ? std::string() : next->mWaiting.begin()->mRequestId;
+  const auto next = std::min_element(
+    byRank.begin(), byRank.end(), [](const auto& aLeft, const auto& aRight) {
+      return *aLeft.second->mWaiting.begin() < *aRight.second->mWaiting.begin();
+    });
+  return next == byRank.end() ? std::string()
+                              : next->second->mWaiting.begin()->mRequestId;
+}
+
+std::size_t
+FairQueue::PlaceOf(const std::string& aRequestId) const
+{
+  const auto request = mRequests.find(aRequestId);
+  if (request == mRequests.end()) {
+    return mRequests.size() + 1;
+  }
+  const Key key = KeyOf(request->second);
+  return 1 + static_cast<std::size_t>(std::count_if(
+               mRequests.begin(), mRequests.end(), [&](const auto& aEntry) {
+                 return KeyOf(aEntry.second) < key;
+               }));
 }
 
 void
--- a/src/quetzalquay/core/FairQueue.h
+++ b/src/quetzalquay/core/FairQueue.h
@@ -17,12 +17,16 @@
   std::string mWorkspace;
   int mWeight = 1;
   Time mDeadline;
+  // 0 is the most urgent; see RankOf().
+  int mRank = 0;
 };
 
 // Queue of the requests that wait for one service. Uses weighted fair queueing
 // between workspaces and earliest deadline first within a workspace, so that
 // short lookups with tight deadlines overtake long requests with later ones.
-// Performs no I/O; not thread-safe.
+// The deadline of a less urgent request counts as later by kRankDelay for each
+// rank, also between workspaces: what is delayed is what costs callers least,
+// but nothing waits for ever. Performs no I/O; not thread-safe.
 class FairQueue
 {
 public:
@@ -42,6 +46,10 @@
   // the request was queued.
   void OnServed(const std::string& aWorkspace, int aWeight);
 
+  // Place of a queued request by deadlines and ranks, from 1 on; one after the
+  // last if it is not queued.
+  std::size_t PlaceOf(const std::string& aRequestId) const;
+
   // Number of queued requests.
   std::size_t Size() const { return mRequests.size(); }
 
@@ -60,6 +68,7 @@
     std::set<Key> mWaiting;
   };
 
+  static Key KeyOf(const WaitingRequest& aRequest);
   double LowestVirtualTime() const;
 
   std::map<std::string, Workspace> mWorkspaces;
--- a/src/quetzalquay/core/PlainCall.cpp
+++ b/src/quetzalquay/core/PlainCall.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kRoomInterval = std::chrono::milliseconds(2);
 constexpr Duration kMaxRoomWait = std::chrono::milliseconds(300);
 
+// Interval at which a call that waits for room at other targets asks again,
+// about as long as the shortest calls take.
+constexpr Duration kBusyInterval = std::chrono::milliseconds(8);
+
 // Time for which a call that has ended targets stays with a silent one alone.
 // Sound targets pause for shorter.
 constexpr Duration kSuspectHoldTime = std::chrono::milliseconds(1500);
@@ -152,6 +156,10 @@
     std::get<FailCall>(step).mFailure.mRetryAfter = kSuspectRetryAfter;
     return step;
   }
+  if (choice.mStatus == ChoiceStatus::Busy && choice.mRoomExpected &&
+      !choice.mLimited) {
+    return AwaitRoom(choice, kBusyInterval, aNow);
+  }
   if (choice.mStatus == ChoiceStatus::Busy) {
     return Fail(FailureCode::Overloaded,
                 choice.mLimited
@@ -159,7 +167,7 @@
                   : "every target of the service is at capacity");
   }
   if (choice.mStatus == ChoiceStatus::AwaitingRoom) {
-    return AwaitRoom(choice, aNow);
+    return AwaitRoom(choice, kRoomInterval, aNow);
   }
   if (choice.mStatus == ChoiceStatus::AskedToWait) {
     PlainStep step = Fail(FailureCode::Overloaded,
@@ -192,15 +200,15 @@
 
 // Waits for room only while the answer can still be on time.
 PlainStep
-PlainCall::AwaitRoom(const Choice& aChoice, Time aNow)
+PlainCall::AwaitRoom(const Choice& aChoice, Duration aInterval, Time aNow)
 {
   if (!mRoomDeadline) {
     const Time due =
       mQuery.mDueAt == Time::max() ? aNow + kMaxRoomWait : mQuery.mDueAt;
     mRoomDeadline = std::min(mDeadline, due);
   }
-  if (aNow + std::max(kRoomInterval, aChoice.mExpectedWait) < *mRoomDeadline) {
-    return AwaitVerdict{ aNow + kRoomInterval };
+  if (aNow + std::max(aInterval, aChoice.mExpectedWait) < *mRoomDeadline) {
+    return AwaitVerdict{ aNow + aInterval };
   }
   return Fail(FailureCode::Overloaded,
               "every target of the service is at capacity");
--- a/src/quetzalquay/core/PlainCall.h
+++ b/src/quetzalquay/core/PlainCall.h
@@ -104,7 +104,7 @@
 
 private:
   PlainStep TryNextTarget(Time aNow);
-  PlainStep AwaitRoom(const Choice& aChoice, Time aNow);
+  PlainStep AwaitRoom(const Choice& aChoice, Duration aInterval, Time aNow);
   bool HasAttemptsLeft(int aRuns) const;
   TryTarget StartAttempt(const Choice& aChoice);
   PlainStep Fail(FailureCode aCode, const char* aMessage);
--- a/src/quetzalquay/core/RoutingTable.cpp
+++ b/src/quetzalquay/core/RoutingTable.cpp
@@ -53,6 +53,14 @@
 void
 RoutingTable::AddRoute(Route aRoute)
 {
+  if (aRoute.mKind == CallKind::Stream) {
+    for (const WeightedService& it : aRoute.mServices) {
+      const std::pair<int, int> only(aRoute.mPriority, aRoute.mPriority);
+      auto& range = mStreamPriorities.emplace(it.mName, only).first->second;
+      range.first = std::min(range.first, aRoute.mPriority);
+      range.second = std::max(range.second, aRoute.mPriority);
+    }
+  }
   std::string key = RouteKey(HostName(aRoute.mHost), aRoute.mPathPrefix);
   mLongestTimeout = std::max(mLongestTimeout, aRoute.mTimeout);
   mLongestPrefix = std::max(mLongestPrefix, aRoute.mPathPrefix.size());
@@ -117,6 +125,14 @@
   }
 }
 
+std::optional<std::pair<int, int>>
+RoutingTable::StreamPriorities(const std::string& aService) const
+{
+  const auto it = mStreamPriorities.find(aService);
+  return it == mStreamPriorities.end() ? std::nullopt
+                                       : std::make_optional(it->second);
+}
+
 Duration
 RoutingTable::IdleTimeout(Time aSince) const
 {
--- a/src/quetzalquay/core/RoutingTable.h
+++ b/src/quetzalquay/core/RoutingTable.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace quetzalquay {
@@ -142,6 +143,11 @@
   // Traits of a service, or nullptr.
   const ServiceTraits* FindService(const std::string& aName) const;
 
+  // Most and least urgent priority of the routes with streams of a service;
+  // nothing if it has none.
+  std::optional<std::pair<int, int>> StreamPriorities(
+    const std::string& aService) const;
+
   const std::map<std::string, ServiceTraits>& Services() const
   {
     return mServices;
@@ -160,6 +166,7 @@
   Time mOlderIdleTimeoutUntil = Time::min();
   std::unordered_map<std::string, KeyOwner> mKeys;
   std::map<std::string, ServiceTraits> mServices;
+  std::map<std::string, std::pair<int, int>> mStreamPriorities;
 };
 
 } // namespace quetzalquay
--- a/src/quetzalquay/core/TargetChooser.h
+++ b/src/quetzalquay/core/TargetChooser.h
@@ -114,6 +114,9 @@
   Duration mExpectedWait = Duration::zero();
   // If Busy: whether limits that targets have named are the reason.
   bool mLimited = false;
+  // If Busy: whether the estimate tells when a target has room, so that a call
+  // may wait for it.
+  bool mRoomExpected = false;
 };
 
 // Chooses the target of each attempt.
--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "core/TargetTable.h"
 
 #include "core/Hash.h"
+#include "core/overload/Urgency.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,6 +18,7 @@
 
 // Time for which a target that rejected an attempt counts as full.
 constexpr Duration kFullDuration = milliseconds(200);
+constexpr Duration kMinFullDuration = milliseconds(10);
 
 // Age up to which an attempt of a suspect of a single death excludes other
 // suspects from its target. Those of more deaths exclude them until they end.
@@ -40,13 +42,6 @@
 // Reduction of the score of a target that has the prefix cached.
 constexpr double kCachedPrefixBonus = 3.0;
 
-// Longest queue of its own, in requests, with which a target still gets new
-// requests. Beyond that they wait in the router, whose queue is fair.
-constexpr int kMaxTargetQueue = 2;
-
-// Time for which a load report is used.
-constexpr Duration kReportLifetime = milliseconds(1000);
-
 // Unprocessed prompt tokens that weigh as much as one running request.
 constexpr double kBacklogTokensPerRequest = 2000.0;
 
@@ -95,6 +90,16 @@
 
 const std::vector<std::string> kNoTargets;
 
+// A target that has turned a request away has room again once it has served
+// some, which takes short calls less than kFullDuration.
+Duration
+FullDuration(Duration aServiceTime)
+{
+  return aServiceTime == Duration::zero()
+           ? kFullDuration
+           : std::clamp(aServiceTime, kMinFullDuration, kFullDuration);
+}
+
 void
 UpdateAverage(Duration& aAverage, Duration aSample)
 {
@@ -216,7 +221,8 @@
       return AwaitRoom(aQuery, false, aNow);
     }
   } else if (!aQuery.mContinuation && (usable.empty() || !isNext)) {
-    return Enqueue(aQuery, usable.empty() ? limited : kNoTargets, aNow);
+    return Enqueue(
+      aQuery, usable.empty() ? limited : kNoTargets, candidates.mRoomIn, aNow);
   }
   if (verdict == SuspectVerdict::Unclear && !onTrial) {
     return ChooseForTrial(usable, aQuery, aNow);
@@ -270,6 +276,12 @@
     } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
       candidates.mUsable.push_back(&target);
     }
+    const Duration roomIn = TimeToRoom(target, aNow);
+    if (roomIn > Duration::zero()) {
+      candidates.mRoomIn = candidates.mRoomIn == Duration::zero()
+                             ? roomIn
+                             : std::min(candidates.mRoomIn, roomIn);
+    }
   }
   return candidates;
 }
@@ -562,7 +574,7 @@
 TargetTable::OnAttemptRejected(const std::string& aTarget, Time aNow)
 {
   if (Target* target = Find(aTarget)) {
-    target->mFullUntil = aNow + kFullDuration;
+    target->mFullUntil = aNow + FullDuration(target->mReport.ServiceTime());
     mRoom.OnRejected(aTarget, aNow);
   }
 }
@@ -590,11 +602,7 @@
   mWaits.OnDeclared(aTarget, aIncarnation);
   target->mReportedLeaving = aState == "leaving";
   target->mLoading = aState == "loading";
-  target->mReported = aRunning + aWaiting;
-  target->mWaiting = aWaiting;
-  target->mRunningAtReport = static_cast<int>(target->mRunning.size()) +
-                             PeerLoadOf(*target, aNow).mRunning;
-  target->mReportedAt = aNow;
+  target->mReport.OnReport(aRunning, aWaiting, KnownLoad(*target, aNow), aNow);
   target->mAliveAt = aNow;
   if (!restarted) {
     DropGivenUp(*target, aNow);
@@ -758,7 +766,7 @@
     }
     view.mIncarnation = target.mIncarnation;
     view.mInFlight = static_cast<int>(target.mRunning.size());
-    view.mReported = target.mReported;
+    view.mReported = target.mReport.Reported();
     view.mTypicalTokenGap = target.mTypicalTokenGap;
     view.mFirstToken = target.mFirstToken;
     views.push_back(std::move(view));
@@ -845,12 +853,11 @@
 bool
 TargetTable::IsFull(const Target& aTarget, const ChoiceQuery& aQuery, Time aNow)
 {
-  const bool reported = aNow - aTarget.mReportedAt < kReportLifetime;
+  const TargetDeclaration& declaration = aTarget.mDeclaration;
   if (aNow < aTarget.mFullUntil ||
-      (reported && aTarget.mWaiting > kMaxTargetQueue)) {
+      aTarget.mReport.WaitingAt(declaration.mSlots, aNow) > kMaxTargetQueue) {
     return true;
   }
-  const TargetDeclaration& declaration = aTarget.mDeclaration;
   if (declaration.mMemoryTokens > 0) {
     return OwnLoadOf(aTarget).mHeldTokens +
              PeerLoadOf(aTarget, aNow).mHeldTokens + aQuery.mPromptTokens +
@@ -949,7 +956,7 @@
 Choice
 TargetTable::AwaitRoom(const ChoiceQuery& aQuery, bool aAsked, Time aNow)
 {
-  Choice choice = Enqueue(aQuery, kNoTargets, aNow);
+  Choice choice = Enqueue(aQuery, kNoTargets, Duration::zero(), aNow);
   choice.mStatus = ChoiceStatus::AwaitingRoom;
   choice.mExpectedWait =
     aAsked ? Duration::zero()
@@ -962,6 +969,7 @@
 Choice
 TargetTable::Enqueue(const ChoiceQuery& aQuery,
                      const std::vector<std::string>& aLimited,
+                     Duration aRoomIn,
                      Time aNow)
 {
   FairQueue& queue = mQueues[aQuery.mService];
@@ -970,13 +978,22 @@
   request.mWorkspace = aQuery.mWorkspace;
   request.mWeight = aQuery.mWeight;
   request.mDeadline = aQuery.mDeadline;
+  request.mRank = RankOf(aQuery.mPriority);
   queue.Add(request);
   Choice choice;
   choice.mStatus = ChoiceStatus::Busy;
-  const auto wait =
-    mServiceRates[aQuery.mService].EstimateWait(queue.Size(), aNow);
-  choice.mExpectedWait = std::max(wait.value_or(Duration::zero()),
-                                  WaitForLimits(aLimited, queue.Size()));
+  const std::size_t place = queue.PlaceOf(aQuery.mRequestId);
+  if (aRoomIn > Duration::zero()) {
+    // All hosts serve the target, so that this one's rate says little.
+    choice.mExpectedWait = aRoomIn;
+    choice.mRoomExpected = true;
+  } else {
+    choice.mExpectedWait = mServiceRates[aQuery.mService]
+                             .EstimateWait(place, aNow)
+                             .value_or(Duration::zero());
+  }
+  choice.mExpectedWait =
+    std::max(choice.mExpectedWait, WaitForLimits(aLimited, queue.Size()));
   choice.mLimited = !aLimited.empty();
   return choice;
 }
@@ -1140,14 +1157,15 @@
 int
 TargetTable::EstimateLoad(const Target& aTarget, Time aNow)
 {
-  const int own = static_cast<int>(aTarget.mRunning.size()) +
-                  PeerLoadOf(aTarget, aNow).mRunning;
-  if (aTarget.mReportedAt != Time() &&
-      aNow - aTarget.mReportedAt >= kReportLifetime) {
-    return own;
-  }
-  const int sinceReport = own - aTarget.mRunningAtReport;
-  return std::max(own, aTarget.mReported + sinceReport);
+  return aTarget.mReport.LoadAt(
+    KnownLoad(aTarget, aNow), aTarget.mDeclaration.mSlots, aNow);
+}
+
+int
+TargetTable::KnownLoad(const Target& aTarget, Time aNow)
+{
+  return static_cast<int>(aTarget.mRunning.size()) +
+         PeerLoadOf(aTarget, aNow).mRunning;
 }
 
 double
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -13,6 +13,7 @@
 #include "core/TargetRoom.h"
 #include "core/TargetWaits.h"
 #include "core/Time.h"
+#include "core/overload/ReportedLoad.h"
 
 #include <cstdint>
 #include <deque>
@@ -301,6 +302,10 @@
                     int aWaiting,
                     Time aNow);
 
+  // Records how long a call has taken that a target has answered, and how many
+  // requests waited there then.
+  void OnServed(const std::string& aTarget, Duration aTime, int aWaiting);
+
   // Records that a target refuses connections, so its incarnation has died.
   void OnRefused(const std::string& aTarget, Time aNow);
 
@@ -501,12 +506,7 @@
     bool mLostLocally = false;
     Time mAliveAt;
     Time mFullUntil;
-    int mReported = 0;
-    // Reported length of the target's own queue, in requests.
-    int mWaiting = 0;
-    // Known attempts of all routers at the time of the last report.
-    int mRunningAtReport = 0;
-    Time mReportedAt;
+    ReportedLoad mReport;
     Time mBrokenAt;
     // When the target refused a connection while a cut was suspected.
     std::optional<Time> mHeldDeathAt;
@@ -566,6 +566,9 @@
     std::vector<Target*> mUsable;
     // Those whose limits allow no more requests.
     std::vector<std::string> mLimited;
+    // When the first of them is likely to take another request; zero if that
+    // cannot be told.
+    Duration mRoomIn = Duration::zero();
     // Whether any is up, and whether one of those is brittle.
     bool mAnyUp = false;
     bool mBrittle = false;
@@ -581,6 +584,7 @@
   Choice AwaitRoom(const ChoiceQuery& aQuery, bool aAsked, Time aNow);
   Choice Enqueue(const ChoiceQuery& aQuery,
                  const std::vector<std::string>& aLimited,
+                 Duration aRoomIn,
                  Time aNow);
   Duration WaitForLimits(const std::vector<std::string>& aLimited,
                          std::size_t aQueued) const;
@@ -597,6 +601,8 @@
   bool TryAdmitContinuation(Target& aTarget, Time aNow);
   static void WithdrawContinuation(Target& aTarget, const ChoiceQuery& aQuery);
   static int EstimateLoad(const Target& aTarget, Time aNow);
+  static int KnownLoad(const Target& aTarget, Time aNow);
+  static Duration TimeToRoom(const Target& aTarget, Time aNow);
   double Score(const Target& aTarget,
                const ChoiceQuery& aQuery,
                Time aNow) const;
--- a/src/quetzalquay/core/TargetTableDeaths.cpp
+++ b/src/quetzalquay/core/TargetTableDeaths.cpp
@@ -15,8 +15,7 @@
 void
 TargetTable::OnDeath(Target& aTarget, DeathEvidence aEvidence, Time aNow)
 {
-  aTarget.mReported = 0;
-  aTarget.mWaiting = 0;
+  aTarget.mReport.Clear();
   aTarget.mCachedPrefixes.clear();
   const bool isNew =
     !aTarget.mDeath || aTarget.mDeadIncarnation != aTarget.mIncarnation;
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -109,10 +109,10 @@
   if (const Target* target = Find(aTarget)) {
     inputs.mOwnRunning = static_cast<int>(target->mRunning.size());
     inputs.mPeerRunning = PeerLoadOf(*target, aNow).mRunning;
-    inputs.mReported = target->mReported;
-    if (target->mReportedAt != Time()) {
+    inputs.mReported = target->mReport.Reported();
+    if (target->mReport.At() != Time()) {
       inputs.mReportAge =
-        std::chrono::duration_cast<Duration>(aNow - target->mReportedAt);
+        std::chrono::duration_cast<Duration>(aNow - target->mReport.At());
     }
     inputs.mBacklogTokens = OwnLoadOf(*target).mBacklogTokens +
                             PeerLoadOf(*target, aNow).mBacklogTokens;
@@ -140,6 +140,32 @@
   return least.value_or(0);
 }
 
+void
+TargetTable::OnServed(const std::string& aTarget, Duration aTime, int aWaiting)
+{
+  if (Target* target = Find(aTarget)) {
+    target->mReport.OnServed(aTime, aWaiting, target->mDeclaration.mSlots);
+  }
+}
+
+// Time until a target is likely to take another call; zero if it is not known
+// how long calls take there.
+Duration
+TargetTable::TimeToRoom(const Target& aTarget, Time aNow)
+{
+  const ReportedLoad& report = aTarget.mReport;
+  if (report.ServiceTime() == Duration::zero()) {
+    return Duration::zero();
+  }
+  const auto full =
+    std::chrono::duration_cast<Duration>(aTarget.mFullUntil - aNow);
+  return std::max(
+    { report.TimeUntilWaiting(
+        kMaxTargetQueue, aTarget.mDeclaration.mSlots, aNow),
+      full,
+      report.ServiceTime() / std::max(1, aTarget.mDeclaration.mSlots) });
+}
+
 std::vector<TargetLoad>
 TargetTable::OwnLoad() const
 {
--- a/src/quetzalquay/core/rollout/RolloutOrder.h
+++ b/src/quetzalquay/core/rollout/RolloutOrder.h
@@ -23,6 +23,9 @@
   // carried out.
   Time mStartedAt;
   Time mDeadline;
+  // Whether this host has seen the order being given, so that there can be no
+  // record of its end. A host that has just started may read an old order.
+  bool mSeenGiven = false;
 };
 
 // How far a rollout is. The stages follow each other in this order, except that
--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -751,11 +751,13 @@
         { "reason", request ? "the order is for another service" : reason } });
   } else {
     const Time now = EventLoop::Now();
-    const bool isNew = mRollouts.OnOrder({ service,
-                                           request->mVersion,
-                                           StableHash(aRow.mValue),
-                                           now,
-                                           now + request->mDuration });
+    const bool isNew =
+      mRollouts.OnOrder({ service,
+                          request->mVersion,
+                          StableHash(aRow.mValue),
+                          now,
+                          now + request->mDuration,
+                          mConfigurationVersion > 0 && mTargetsKnown });
     Log(LogLevel::Info,
         "rollout",
         isNew ? "order received" : "order read again",
--- a/src/quetzalquay/gateway/PlainExchange.cpp
+++ b/src/quetzalquay/gateway/PlainExchange.cpp
@@ -125,6 +125,7 @@
   const Time now = EventLoop::Now();
   mTarget = aTarget;
   mLastTarget = aTarget;
+  mAttemptSentAt = now;
   if (++mAttempts > 1) {
     LogRetry(now);
   }
@@ -218,6 +219,12 @@
                          *mResponseInfo.mRunning,
                          *mResponseInfo.mWaiting,
                          now);
+    if (!mResponseInfo.mNotRun) {
+      targets.OnServed(
+        mTarget,
+        std::chrono::duration_cast<Duration>(now - mAttemptSentAt),
+        *mResponseInfo.mWaiting);
+    }
   }
   if (mResponseInfo.mNotRun) {
     ReportRejection(mContext, mTarget, mResponseInfo, now);
@@ -493,6 +500,7 @@
   mWaitsForSilentTarget = false;
   DiscardResponse();
   mConnection = tentative->TakeOver(*this);
+  mAttemptSentAt = tentative->SentAt();
   mAttemptDeadline = std::min(
     mCall.mDeadline, tentative->SentAt() + mCall.mRoute->mLatencyObjective);
   mTimer.ScheduleAt(mAttemptDeadline);
--- a/src/quetzalquay/gateway/PlainExchange.h
+++ b/src/quetzalquay/gateway/PlainExchange.h
@@ -69,6 +69,7 @@
   bool mAwaitsVerdict = false;
   // When another target is sought for an attempt without a response.
   Time mAttemptDeadline;
+  Time mAttemptSentAt;
   Timer mTimer;
 };
 
--- a/src/quetzalquay/gateway/RolloutWatch.cpp
+++ b/src/quetzalquay/gateway/RolloutWatch.cpp
@@ -203,6 +203,10 @@
     const std::string keeper = KeeperOf(it.mService, aNow);
     if (keeper == mSettings.mHost) {
       mKeeper.OnReport(mSettings.mHost, it, true, aNow);
+      const RolloutOrder* order = mFleet.Rollouts().OrderOf(it.mService);
+      if (order->mSeenGiven && mKeeper.NeedsRecord(it.mService)) {
+        mKeeper.OnRecord(it.mService, order->mId, std::nullopt, aNow);
+      }
     } else {
       mSender.SendRolloutReport(keeper, it);
     }
@@ -323,7 +327,7 @@
   Record& record = mRecords[aService];
   const bool known =
     record.mKnown && order != nullptr && record.mOrder == order->mId;
-  if (order != nullptr && (mKeeper.NeedsRecord(aService) || !known)) {
+  if (order != nullptr && !known) {
     ReadRecord(aService, order->mId);
     return;
   }
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/StreamExchange.h"
 
 #include "core/Hash.h"
+#include "core/overload/Urgency.h"
 #include "gateway/LimitWatch.h"
 #include "gateway/StreamOriginStore.h"
 #include "observe/Log.h"
@@ -284,6 +285,8 @@
   fields.mLastEventId = mEvents.LastId();
   fields.mCopy = aRun.mCopy;
   fields.mCopyHolderAddress = aRun.mHolder.mAddress;
+  fields.mUrgency =
+    UrgencyAtTarget(*mCall.mRouting, mCall.mService, mCall.mPriority);
   return fields;
 }
 
--- a/tests/introspective/RolloutTests.cpp
+++ b/tests/introspective/RolloutTests.cpp
@@ -335,6 +335,8 @@
   CPPUNIT_ASSERT(rolledBack <= aRolledBack);
 }
 
+} // namespace
+
 class RolloutTests : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RolloutTests);
@@ -351,6 +353,7 @@
   CPPUNIT_TEST(AFinalStageOutlastsTheKeeper);
   CPPUNIT_TEST_SUITE_END();
 
+public:
   // Guards against what a fleet without canaries does: 45 in 100 requests go to
   // the bad version.
   void AVersionThatFailsAtOnceStaysWithinTheExposure()
@@ -484,5 +487,3 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTests);
-
-} // namespace
