Weigh the load of targets by how long work takes there

Cause: the choice of a target compared counts of requests, so that a target of half the speed got as much work as others, and the fourth figure of a target's load was dropped. Change: core/speed/TargetSpeeds keeps a bounded factor for each target, from the figure (which loses weight with its age) and the pace of streams, which hosts tell each other; only for services whose targets tell figures.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -567,6 +567,7 @@
 {
   if (Target* target = Find(aTarget)) {
     UpdateAverage(target->mTypicalTokenGap, aGap);
+    mSpeeds.OnGap(target->mDeclaration.mService, aTarget, aGap);
   }
 }
 
@@ -1177,6 +1178,10 @@
   const int backlog = OwnLoadOf(aTarget).mBacklogTokens +
                       PeerLoadOf(aTarget, aNow).mBacklogTokens;
   score += backlog / kBacklogTokensPerRequest;
+  // The request itself takes as much longer there as those before it.
+  const double factor = mSpeeds.FactorAt(
+    aTarget.mDeclaration.mService, aTarget.mDeclaration.mName, aNow);
+  score = (score + 1) * factor - 1;
   if (aTarget.mDeclaration.mRegion != mRegion) {
     score += kOtherRegionPenalty;
   } else if (aTarget.mDeclaration.mPlace != mOptions.mPlace) {
--- a/src/quetzalquay/core/TargetTable.h
+++ b/src/quetzalquay/core/TargetTable.h
@@ -14,6 +14,7 @@
 #include "core/TargetWaits.h"
 #include "core/Time.h"
 #include "core/overload/ReportedLoad.h"
+#include "core/speed/TargetSpeeds.h"
 
 #include <cstdint>
 #include <deque>
@@ -136,6 +137,9 @@
   int mBacklogTokens = 0;
   // Tokens of target memory that requests and copies occupy.
   int mHeldTokens = 0;
+  // How much longer streams take at the target than usual, in hundredths; 0 if
+  // the router has not measured it.
+  int mPace = 0;
 };
 
 // Inputs to the choice of a target, for logs.
@@ -288,6 +292,9 @@
   // Records the time between two tokens of a stream on a target.
   void OnTokenGap(const std::string& aTarget, Duration aGap);
 
+  // Records that a target has said how much longer work takes there now.
+  void OnSpeedFigure(const std::string& aTarget, double aFactor, Time aNow);
+
   void CancelWait(const ChoiceQuery& aQuery) override;
 
   // Records that a target rejected an attempt for lack of capacity.
@@ -655,6 +662,7 @@
   std::map<std::string, ServiceRate> mServiceRates;
   std::map<std::string, std::vector<std::string>> mTargetsByService;
   TargetLimits mLimits;
+  TargetSpeeds mSpeeds;
   TargetRoom mRoom;
   LeavingNotices mLeavingNotices;
   TargetWaits mWaits;
--- a/src/quetzalquay/core/TargetTableDeaths.cpp
+++ b/src/quetzalquay/core/TargetTableDeaths.cpp
@@ -87,6 +87,7 @@
 {
   mLimits.Forget(aName);
   mRoom.Forget(aName);
+  mSpeeds.Forget(aName);
   const bool reached =
     ReachOf(aTarget.mDeclaration.mService) == ReachState::Reached;
   if (!reached || IsLeaving(aTarget)) {
--- a/src/quetzalquay/core/TargetTableLoad.cpp
+++ b/src/quetzalquay/core/TargetTableLoad.cpp
@@ -4,6 +4,7 @@
 #include "core/TargetTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace quetzalquay {
@@ -148,6 +149,16 @@
   }
 }
 
+void
+TargetTable::OnSpeedFigure(const std::string& aTarget,
+                           double aFactor,
+                           Time aNow)
+{
+  if (const Target* target = Find(aTarget)) {
+    mSpeeds.OnFigure(target->mDeclaration.mService, aTarget, aFactor, aNow);
+  }
+}
+
 // Time until a target is likely to take another call; zero if it is not known
 // how long calls take there.
 Duration
@@ -174,6 +185,8 @@
     TargetLoad load = OwnLoadOf(it.second);
     if (load.mRunning > 0 || load.mHeldTokens > 0) {
       load.mTarget = it.first;
+      load.mPace =
+        static_cast<int>(std::lround(100 * mSpeeds.MeasuredPace(it.first)));
       loads.push_back(std::move(load));
     }
   }
@@ -220,6 +233,9 @@
     if (Target* target = Find(it.mTarget)) {
       target->mPeerLoadExpiresAt = expiresAt;
     }
+    if (it.mPace > 0) {
+      mSpeeds.OnTold(it.mTarget, it.mPace / 100.0);
+    }
   }
   mRouterLoads[aRouter] = { aLoad, expiresAt };
 }
--- a/src/quetzalquay/gateway/LimitWatch.cpp
+++ b/src/quetzalquay/gateway/LimitWatch.cpp
@@ -28,6 +28,13 @@
   if (aResponse.mMisdirected) {
     return;
   }
+  if (aResponse.mSlowness) {
+    mFleet.Targets().OnSpeedFigure(aTarget, *aResponse.mSlowness, now);
+  } else if (!aResponse.mMalformedSlowness.empty()) {
+    LogMalformed("malformed speed of a target ignored",
+                 aTarget,
+                 aResponse.mMalformedSlowness);
+  }
   if (aResponse.mMalformedLimit.empty()) {
     Apply({ aTarget, aResponse.mRequestLimit, now }, "answer");
   } else {
--- a/src/quetzalquay/gateway/LoadMessages.cpp
+++ b/src/quetzalquay/gateway/LoadMessages.cpp
@@ -16,6 +16,7 @@
 // Largest numbers that are taken from other hosts, so that sums over all hosts
 // cannot overflow.
 constexpr int kMaxCount = 1000000;
+constexpr int kMaxPace = 100000;
 constexpr std::int64_t kMaxTotal = 1000000000000000;
 constexpr double kMaxRate = 1e9;
 
@@ -72,6 +73,9 @@
   aWriter.Int(aLoad.mRunning);
   aWriter.Int(aLoad.mBacklogTokens);
   aWriter.Int(aLoad.mHeldTokens);
+  if (aLoad.mPace > 0) {
+    aWriter.Int(aLoad.mPace);
+  }
   aWriter.EndArray();
 }
 
@@ -84,6 +88,12 @@
   load.mRunning = reader.Count();
   load.mBacklogTokens = reader.Count();
   load.mHeldTokens = reader.Count();
+  // A later build may tell something else there.
+  constexpr rapidjson::SizeType pace = 4;
+  if (reader.IsValid() && aEntry.Size() > pace && aEntry[pace].IsInt() &&
+      aEntry[pace].GetInt() > 0 && aEntry[pace].GetInt() <= kMaxPace) {
+    load.mPace = aEntry[pace].GetInt();
+  }
   return IfValid(reader, std::move(load));
 }
 
--- a/src/quetzalquay/gateway/LoadMessages.h
+++ b/src/quetzalquay/gateway/LoadMessages.h
@@ -25,7 +25,8 @@
 // see docs/protocols/formats.md. A reader returns nothing for an entry that it
 // cannot read.
 
-// "load": target, running requests, backlog tokens and held tokens.
+// "load": target, running requests, backlog tokens, held tokens, and, where it
+// is known, how much longer streams take there than usual, in hundredths.
 void
 WriteLoadEntry(MessageWriter& aWriter, const TargetLoad& aLoad);
 std::optional<TargetLoad>
--- a/src/quetzalquay/platform/PlatformRequests.cpp
+++ b/src/quetzalquay/platform/PlatformRequests.cpp
@@ -32,6 +32,10 @@
 // cannot overflow.
 constexpr int kMaxRequests = 1000000;
 
+// Range of a target's slowness, in hundredths of the usual time.
+constexpr int kMinSlowness = 1;
+constexpr int kMaxSlowness = 100000;
+
 // Parts of the prompt as ID:TOKENS, separated by commas.
 constexpr char kPromptParts[] = "X-Prompt-Prefix";
 constexpr char kLastEventId[] = "Last-Event-Id";
@@ -332,11 +336,18 @@
   response.mTarget = FieldValue(aHead, kTargetName);
   response.mNotRun =
     response.mMisdirected || aHead.Find(kNotExecuted) != nullptr;
-  std::array<int, 3> load{};
-  if (ParseIntegers(FieldValue(aHead, kServerLoad), load) >= 2) {
+  std::array<int, 4> load{};
+  const std::string serverLoad = FieldValue(aHead, kServerLoad);
+  const std::size_t figures = ParseIntegers(serverLoad, load);
+  if (figures >= 2) {
     response.mRunning = std::clamp(load[0], 0, kMaxRequests);
     response.mWaiting = std::clamp(load[1], 0, kMaxRequests);
   }
+  if (figures == 4 && load[3] >= kMinSlowness && load[3] <= kMaxSlowness) {
+    response.mSlowness = load[3] / 100.0;
+  } else if (std::count(serverLoad.begin(), serverLoad.end(), ',') > 2) {
+    response.mMalformedSlowness = serverLoad;
+  }
   if (const std::string* limit = aHead.Find(kRequestLimit)) {
     response.mRequestLimit = ParseRate(*limit);
     if (!response.mRequestLimit) {
--- a/src/quetzalquay/platform/PlatformRequests.h
+++ b/src/quetzalquay/platform/PlatformRequests.h
@@ -112,6 +112,10 @@
   // million.
   std::optional<int> mRunning;
   std::optional<int> mWaiting;
+  // How much longer than usual work takes at the target now, if reported, and
+  // the text of a figure that is none or out of range.
+  std::optional<double> mSlowness;
+  std::string mMalformedSlowness;
   // Requests a second that the target takes from all hosts together, if it
   // names a limit, and the text of a limit that is not a number.
   std::optional<double> mRequestLimit;
