Give up unfinished bodies when the gateway's memory for requests is used up

A body had no time limit once its head was complete, and held its memory until the connection ended, also without a valid key. Requests of others were rejected meanwhile. The sender is now known from the head: unknown senders share an eighth of the memory, and when it is used up, bodies of unknown senders, then of routes without keys, then those older than 2 s, are given up with 503 for a request that needs the memory.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -33,6 +33,15 @@
 constexpr std::size_t kReservedExchangeDivisor = 8;
 constexpr std::size_t kExchangeDivisor = 2;
 
+// Part of the memory for requests and answers that unfinished bodies of unknown
+// senders may take together. Their requests are rejected when they are whole,
+// so that the memory is only lent.
+constexpr std::size_t kUnknownBodyDivisor = 8;
+
+// Time that a body may take before it can be given up for one of an equal
+// sender. Usual bodies arrive within some round trips.
+constexpr Duration kBodyGrace = std::chrono::seconds(2);
+
 // Retry-After of the 503 sent while the configuration or the targets are
 // unknown, or the host is stopping.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -125,6 +134,7 @@
   , mUnsent(aServer.mContext.mAnswerBuffers)
   , mHeldRequest(aServer.mContext.mAnswerBuffers)
   , mHeldInput(aServer.mContext.mAnswerBuffers)
+  , mHeldUnknown(aServer.mUnknownBodies)
   , mReader(HttpMessageType::Requests, {})
   , mTimer(aServer.mContext.mLoop, [this] { OnTimer(); })
 {
@@ -281,6 +291,8 @@
       RejectUnread("too many connections are open");
     } else if (!HoldRequest()) {
       RejectUnread("the memory for requests is used up");
+    } else if (!HoldUnknownBody()) {
+      RejectUnread("the memory for bodies of unknown senders is used up");
     } else if (mReader.Progress() == HttpProgress::Complete) {
       mTimer.Clear();
       BeginRequest();
@@ -637,10 +649,80 @@
   }
   const auto length =
     static_cast<std::size_t>(mReader.Head().mLength.value_or(0));
-  return mHeldRequest.Resize(std::max(length, mRequestBytes), kAlwaysHeldBytes);
+  const std::size_t size = std::max(length, mRequestBytes);
+  if (!mSender &&
+      (mReader.Progress() == HttpProgress::Body || size > kAlwaysHeldBytes)) {
+    mSender = SenderOfBody();
+  }
+  while (!mHeldRequest.Resize(size, kAlwaysHeldBytes)) {
+    // A request that is counted twice by Resize() and does not fit into all of
+    // the memory does not take that of others.
+    if (size > mServer.mContext.mAnswerBuffers.Limit() / 2 ||
+        !mServer.GiveUpBody(*mSender, *this)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Takes the memory that unknown senders share if the request is an unfinished
+// one of such a sender. Returns whether there is enough.
+bool
+CallerConnection::HoldUnknownBody()
+{
+  if (mSender != BodySender::Unknown ||
+      mReader.Progress() != HttpProgress::Body) {
+    mHeldUnknown.Resize(0);
+    return true;
+  }
+  mServer.mUnknownBodies.SetLimit(mServer.mContext.mAnswerBuffers.Limit() /
+                                  kUnknownBodyDivisor);
+  return mHeldUnknown.Resize(mRequestBytes, kAlwaysHeldBytes);
+}
+
+// Finds out by its head who sends the request, as AdmitRequest() does when its
+// body is complete.
+BodySender
+CallerConnection::SenderOfBody() const
+{
+  HttpHead head = mReader.Head();
+  const auto& fleet = mServer.mContext.mFleet;
+  if (!fleet.IsReady() ||
+      (mKind == CallerKind::Host && !ParsePassedOnRequest(head))) {
+    return BodySender::Unknown;
+  }
+  RemoveHostFields(head);
+  UseOriginForm(head);
+  const auto request = platform::DecodeCallerRequest(head);
+  const auto& routing = fleet.Routing();
+  const auto route = routing->FindRoute(request.mHost, head.mTarget);
+  if (route == nullptr || route->mServices.empty()) {
+    return BodySender::Unknown;
+  }
+  if (!routing->mKeysRequired || route->mPublic) {
+    return BodySender::Public;
+  }
+  return routing->FindKey(request.mApiKey) == nullptr ? BodySender::Unknown
+                                                      : BodySender::Keyed;
+}
+
+bool
+CallerConnection::CanBeGivenUpFor(BodySender aSender, Time aNow) const
+{
+  return mSender && !mHandlingRequest && !mEnding && !mClosed && !mParsing &&
+         mReader.Progress() == HttpProgress::Body &&
+         (*mSender < aSender ||
+          (*mSender == aSender && aNow - mArrivedAt > kBodyGrace));
+}
+
+// The least known senders come first, then the oldest bodies.
+bool
+CallerConnection::IsGivenUpBefore(const CallerConnection& aOther) const
+{
+  return std::make_pair(mSender, mArrivedAt) <
+         std::make_pair(aOther.mSender, aOther.mArrivedAt);
 }
 
-// Rejects a request without waiting for its body, which would take memory.
 void
 CallerConnection::RejectUnread(const char* aMessage)
 {
@@ -790,6 +872,8 @@
   ReleaseExchange();
   mHandlingRequest = false;
   mHeldRequest.Resize(0);
+  mHeldUnknown.Resize(0);
+  mSender.reset();
   EndConnection(ConnectionEnd::BrokenOff);
 }
 
@@ -801,6 +885,8 @@
   ReleaseExchange();
   mHandlingRequest = false;
   mHeldRequest.Resize(0);
+  mHeldUnknown.Resize(0);
+  mSender.reset();
   mRequestBytes = 0;
   mContinueSent = false;
   if (!mKeepAlive) {
@@ -984,6 +1070,24 @@
           bytes + buffers.Total() <= limit);
 }
 
+bool
+CallerServer::GiveUpBody(BodySender aSender, const CallerConnection& aFor)
+{
+  const Time now = EventLoop::Now();
+  RefPtr<CallerConnection> first;
+  for (const RefPtr<CallerConnection>& it : mConnections) {
+    if (it.get() != &aFor && it->CanBeGivenUpFor(aSender, now) &&
+        (first == nullptr || it->IsGivenUpBefore(*first))) {
+      first = it;
+    }
+  }
+  if (first == nullptr) {
+    return false;
+  }
+  first->RejectUnread("the memory for an unfinished body is needed by others");
+  return true;
+}
+
 std::optional<ListenFailure>
 CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
 {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -24,6 +24,19 @@
   Host,
 };
 
+// What the head of a request tells of its sender, in the order in which
+// unfinished bodies are given up when the memory for requests is used up.
+enum class BodySender
+{
+  // The request will be rejected: its key or its path is unknown, or it is at
+  // the address for other hosts and none has passed it on.
+  Unknown,
+  // Its route needs no key.
+  Public,
+  // It has a valid key.
+  Keyed,
+};
+
 // HTTP/1.1 connection of one caller, or of another host. Parses requests one at
 // a time, starts an exchange for each and writes its response. The server's
 // connection set owns it until it closes.
@@ -49,6 +62,17 @@
   // Whether a request is being received or handled, or an answer sent.
   bool IsBusy() const;
 
+  // Whether the unfinished body on this connection may be given up for one of
+  // aSender.
+  bool CanBeGivenUpFor(BodySender aSender, Time aNow) const;
+
+  // Whether the unfinished body on this connection is to be given up before
+  // that on another one. Both can be given up.
+  bool IsGivenUpBefore(const CallerConnection& aOther) const;
+
+  // Rejects a request without waiting for its body, which would take memory.
+  void RejectUnread(const char* aMessage);
+
   // Closes the connection if no request is being received or handled.
   void CloseIfIdle(ConnectionEnd aEnd);
 
@@ -90,9 +114,10 @@
   void ReleaseExchange();
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
+  bool HoldUnknownBody();
+  BodySender SenderOfBody() const;
   void HoldInput();
   std::size_t UnusedForInput() const;
-  void RejectUnread(const char* aMessage);
   void RejectUnknown(int aStatus, FailureCode aCode, const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
@@ -113,6 +138,10 @@
   // The request that is being received or handled.
   AnswerBuffer mHeldRequest;
   AnswerBuffer mHeldInput;
+  // The part of mHeldRequest that is an unfinished body of an unknown sender.
+  AnswerBuffer mHeldUnknown;
+  // Sender of the body that is being received, once the head is complete.
+  std::optional<BodySender> mSender;
   // Received bytes of the request.
   std::size_t mRequestBytes = 0;
   HttpReader mReader;
@@ -202,8 +231,14 @@
   std::size_t BytesOfExchanges() const;
   bool HasMemoryForExchange() const;
 
+  // Rejects the request whose unfinished body is the first to be given up for
+  // one of aSender on another connection. Returns false if there is none.
+  bool GiveUpBody(BodySender aSender, const CallerConnection& aFor);
+
   GatewayContext& mContext;
   int mMaxConnections;
+  // Unfinished bodies of unknown senders.
+  AnswerBuffers mUnknownBodies{ 0 };
   std::set<RefPtr<CallerConnection>> mConnections;
   // How many of mConnections are being turned away.
   std::size_t mTurnedAwayCount = 0;
