Bound bodies, memory and waiting connections of the server with threads

The library limits bodies with a length only, reads them before the key is checked, and accepts connections without a bound.

--- a/src/quetzalquay/control/ResourceApi.cpp
+++ b/src/quetzalquay/control/ResourceApi.cpp
@@ -44,6 +44,37 @@
   aResponse.mBody = ToJson(response);
 }
 
+// Writes the response to an error that the server itself has found.
+void
+SetServerError(int aStatus, HttpResponse& aResponse)
+{
+  switch (aStatus) {
+    case 404:
+      SetError(aResponse, aStatus, "not_found", "no such path");
+      break;
+    case 408:
+      SetError(aResponse,
+               aStatus,
+               "body_timeout",
+               "the body was not received in time; other requests wait");
+      break;
+    case 413:
+      SetError(
+        aResponse, aStatus, "payload_too_large", "the body is too large");
+      break;
+    case 503:
+      SetError(aResponse,
+               aStatus,
+               "overloaded",
+               "the memory for request bodies is used up; retry later");
+      break;
+    default:
+      aResponse.mStatus = aStatus;
+      aResponse.mBody = "{}\n";
+      break;
+  }
+}
+
 schema::ResourceView
 MakeView(const Resource& aResource, unsigned aRevision)
 {
@@ -106,6 +137,13 @@
 
   void AddRoutes()
   {
+    mServer.SetSenderCheck(
+      [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
+        return CheckOperator(aRequest, aResponse);
+      });
+    mServer.SetErrorHandler([](int aStatus, HttpResponse& aResponse) {
+      SetServerError(aStatus, aResponse);
+    });
     struct Route
     {
       const char* mMethod;
@@ -127,16 +165,22 @@
         it.mMethod,
         it.mPattern,
         [this, handler](const HttpRequest& aRequest, HttpResponse& aResponse) {
-          if (!IsOperator(aRequest)) {
-            SetError(
-              aResponse, 401, "unauthorized", "an operator key is required");
-            return;
+          if (CheckOperator(aRequest, aResponse)) {
+            (this->*handler)(aRequest, aResponse);
           }
-          (this->*handler)(aRequest, aResponse);
         });
     }
   }
 
+  bool CheckOperator(const HttpRequest& aRequest, HttpResponse& aResponse) const
+  {
+    if (IsOperator(aRequest)) {
+      return true;
+    }
+    SetError(aResponse, 401, "unauthorized", "an operator key is required");
+    return false;
+  }
+
   bool IsOperator(const HttpRequest& aRequest) const
   {
     static const std::string kScheme = "Bearer ";
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -33,6 +33,8 @@
 constexpr int kTooLargeStatus = 413;
 constexpr int kBadRequestStatus = 400;
 constexpr int kServerErrorStatus = 500;
+constexpr int kTimeoutStatus = 408;
+constexpr int kOverloadedStatus = 503;
 
 Time
 Now()
@@ -164,6 +166,14 @@
                 [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
                   ServeExplanation(aRequest, aResponse);
                 });
+  aServer.SetSenderCheck(
+    [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
+      const auto failure = CheckCaller(aRequest);
+      if (failure) {
+        RejectRequest(*failure, aResponse);
+      }
+      return !failure;
+    });
   aServer.SetErrorHandler([this](int aStatus, HttpResponse& aResponse) {
     if (aStatus == kTooLargeStatus) {
       RejectRequest(MakeNotRunFailure(FailureCode::PayloadTooLarge,
@@ -173,6 +183,12 @@
       RejectRequest(MakeNotRunFailure(FailureCode::InvalidRequest,
                                       "malformed HTTP request"),
                     aResponse);
+    } else if (aStatus == kTimeoutStatus || aStatus == kOverloadedStatus) {
+      // Other requests need the thread or the memory of the unfinished one.
+      RejectRequest(MakeNotRunFailure(FailureCode::Overloaded,
+                                      "the body was not received in time",
+                                      kOtherRouterRetryAfter),
+                    aResponse);
     } else if (aStatus >= kServerErrorStatus) {
       // The request may have been dispatched before the error occurred.
       Failure failure =
@@ -341,6 +357,20 @@
   WriteFailure(aFailure, aResponse);
 }
 
+std::optional<Failure>
+CallerApi::CheckCaller(const HttpRequest& aRequest) const
+{
+  const SnapshotReader snapshot(*mParts.mSnapshots);
+  if (snapshot.Get() == nullptr) {
+    return MakeNotRunFailure(
+      FailureCode::ConfigurationUnknown,
+      "this router has no configuration yet; retry on another "
+      "router",
+      kOtherRouterRetryAfter);
+  }
+  return CheckCallerKey(aRequest, *snapshot.Get());
+}
+
 std::optional<Failure>
 CallerApi::ParseModelRequest(const HttpRequest& aRequest,
                              RequestContext& aContext) const
--- a/src/quetzalquay/router/CallerApi.h
+++ b/src/quetzalquay/router/CallerApi.h
@@ -72,6 +72,8 @@
   // Counts the failure in the metrics and writes it as the response.
   void RejectRequest(const Failure& aFailure, HttpResponse& aResponse) const;
   // Functions that return an optional Failure return nothing on success.
+  // Checks by its head alone whether a request comes from a known caller.
+  std::optional<Failure> CheckCaller(const HttpRequest& aRequest) const;
   std::optional<Failure> ParseModelRequest(const HttpRequest& aRequest,
                                            RequestContext& aContext) const;
   std::optional<Failure> ParsePlainRequest(const HttpRequest& aRequest,
--- a/src/quetzalquay/router/CallerMessages.cpp
+++ b/src/quetzalquay/router/CallerMessages.cpp
@@ -173,8 +173,31 @@
   return event;
 }
 
+// Workspace of the caller's key; null if there is none.
+const schema::Workspace*
+FindCallersWorkspace(const HttpRequest& aRequest, const Snapshot& aSnapshot)
+{
+  static const std::string kScheme = "Bearer ";
+  const std::string header =
+    aRequest.mFindHeader("Authorization").value_or(std::string());
+  return header.compare(0, kScheme.size(), kScheme) == 0
+           ? aSnapshot.FindWorkspaceByKey(header.substr(kScheme.size()))
+           : nullptr;
+}
+
 } // namespace
 
+std::optional<Failure>
+CheckCallerKey(const HttpRequest& aRequest, const Snapshot& aSnapshot)
+{
+  if (FindCallersWorkspace(aRequest, aSnapshot) != nullptr) {
+    return std::nullopt;
+  }
+  return MakeNotRunFailure(
+    FailureCode::Unauthorized,
+    "Authorization: must hold a workspace key as a bearer token");
+}
+
 std::optional<Failure>
 ParseCallerHeaders(const HttpRequest& aRequest,
                    const Snapshot& aSnapshot,
@@ -182,18 +205,11 @@
                    Time aNow,
                    RequestContext& aContext)
 {
-  static const std::string kScheme = "Bearer ";
-  const std::string header =
-    aRequest.mFindHeader("Authorization").value_or(std::string());
-  const schema::Workspace* workspace = nullptr;
-  if (header.compare(0, kScheme.size(), kScheme) == 0) {
-    workspace = aSnapshot.FindWorkspaceByKey(header.substr(kScheme.size()));
-  }
-  if (workspace == nullptr) {
-    return MakeNotRunFailure(
-      FailureCode::Unauthorized,
-      "Authorization: must hold a workspace key as a bearer token");
+  if (auto failure = CheckCallerKey(aRequest, aSnapshot)) {
+    return failure;
   }
+  const schema::Workspace* workspace =
+    FindCallersWorkspace(aRequest, aSnapshot);
   aContext.mRequestId = "r-" + RandomHex(kRequestIdBytes);
   aContext.mWorkspace = workspace->name();
   aContext.mPriority = workspace->priority();
--- a/src/quetzalquay/router/CallerMessages.h
+++ b/src/quetzalquay/router/CallerMessages.h
@@ -21,6 +21,10 @@
   Duration mMaxDeadline;
 };
 
+// Checks the caller's key. Returns the failure if it is of no workspace.
+std::optional<Failure>
+CheckCallerKey(const HttpRequest& aRequest, const Snapshot& aSnapshot);
+
 // Authenticates the caller and fills the fields that all kinds of request
 // share: a new request ID, workspace, idempotency key, deadline, idempotency
 // and trace context. Returns the failure, or nothing on success.
--- a/src/quetzalquay/wire/HttpServer.h
+++ b/src/quetzalquay/wire/HttpServer.h
@@ -62,6 +62,9 @@
   {
     std::size_t mMaxConnections = 256;
     std::size_t mMaxBodyBytes = 8U << 20;
+    // Memory for the bodies of all requests that are being received or handled.
+    // A single body of mMaxBodyBytes may be received in any case.
+    std::size_t mBodyMemory = 32U << 20;
     Duration mWriteTimeout = std::chrono::seconds(5);
     Duration mKeepAlive = std::chrono::seconds(5);
   };
@@ -74,8 +77,18 @@
              const std::string& aPattern,
              const Handler& aHandler);
 
+  // Checks the sender of a request by its head; the body is empty. Returns
+  // false and fills the response for an unknown sender.
+  using SenderCheck = std::function<bool(const HttpRequest&, HttpResponse&)>;
+
+  // Sets the check of requests that can have a body. The body of an unknown
+  // sender is not held, few of them are read at a time, and the request gets to
+  // no handler. Without a check all senders are known.
+  void SetSenderCheck(const SenderCheck& aCheck);
+
   // Sets the handler that fills the response to an error found by the server
-  // itself, such as a body that is too large. It gets the HTTP status.
+  // itself, such as a body that is too large. It gets the HTTP status; with 408
+  // and 503 the request has not been handled.
   void SetErrorHandler(const std::function<void(int, HttpResponse&)>& aHandler);
 
   // Binds the address and serves it on a thread of its own. Returns false when
