--- a/tests/usage/UnfinishedBodyTests.cpp
+++ b/tests/usage/UnfinishedBodyTests.cpp
@@ -182,15 +182,10 @@
   std::thread mThread;
 };
 
-// Sends a request and returns the status of the response; 0 without one.
+// Reads one response and returns its status; 0 without one.
 int
-StatusOf(const std::string& aIp, int aPort, const std::string& aRequest)
+ReadStatus(int aSocket)
 {
-  const int fd = Connect(aIp, aPort);
-  if (fd < 0) {
-    return 0;
-  }
-  SendSome(fd, aRequest, kAnswerTime);
   HttpReader reader(HttpMessageType::Responses, { 65536, 1U << 20U });
   const auto until = steady_clock::now() + kAnswerTime;
   char buf[4096];
@@ -198,22 +193,35 @@
          reader.Progress() != HttpProgress::Broken) {
     const auto left =
       std::chrono::duration_cast<milliseconds>(until - steady_clock::now());
-    pollfd readable{ fd, POLLIN, 0 };
+    pollfd readable{ aSocket, POLLIN, 0 };
     if (left.count() <= 0 ||
         ::poll(&readable, 1, static_cast<int>(left.count())) != 1) {
       break;
     }
-    const auto n = ::recv(fd, buf, sizeof buf, 0);
+    const auto n = ::recv(aSocket, buf, sizeof buf, 0);
     if (n <= 0) {
       break;
     }
     reader.Feed(std::string_view(buf, static_cast<std::size_t>(n)));
   }
-  ::close(fd);
   return reader.Progress() == HttpProgress::Complete ? reader.Head().mStatus
                                                      : 0;
 }
 
+// Sends a request and returns the status of the response; 0 without one.
+int
+StatusOf(const std::string& aIp, int aPort, const std::string& aRequest)
+{
+  const int fd = Connect(aIp, aPort);
+  if (fd < 0) {
+    return 0;
+  }
+  SendSome(fd, aRequest, kAnswerTime);
+  const int status = ReadStatus(fd);
+  ::close(fd);
+  return status;
+}
+
 // Sends an ordinary request as a caller that tries again when it is rejected or
 // gets no response. Returns the statuses, up to the first 200.
 std::string
@@ -506,10 +514,14 @@
   CPPUNIT_TEST(GatewayServesCallersBesideOneByteChunksWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideOneByteChunksWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideBodiesAtThePeersAddress);
+  CPPUNIT_TEST(GatewayServesASlowBodyWithoutACrowd);
   CPPUNIT_TEST(RouterServesCallersBesideSlowBodiesWithoutKey);
   CPPUNIT_TEST(RouterServesCallersBesideSlowBodiesWithKey);
+  CPPUNIT_TEST(RouterServesCallersBesideSilentBodiesWithoutKey);
   CPPUNIT_TEST(RouterBoundsLargeChunkedBodies);
   CPPUNIT_TEST(RouterStopsBesideSlowBodies);
+  CPPUNIT_TEST(RouterTakesChunkedBodiesUpToItsLimit);
+  CPPUNIT_TEST(RouterTakesNoRequestFromAnUnreadBody);
   CPPUNIT_TEST(ApiServesOperatorsBesideSlowBodiesWithoutKey);
   CPPUNIT_TEST(ApiServesOperatorsBesideSlowBodiesWithKey);
   CPPUNIT_TEST(ApiBoundsLargeChunkedBodies);
@@ -556,6 +568,27 @@
     RequireGatewayServes(gateway);
   }
 
+  // Guards against a limit on crowds that ends a single request, which pauses
+  // for longer than the idle timeout.
+  void GatewayServesASlowBodyWithoutACrowd()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    TestLimits limits;
+    limits.mIdleTimeoutMs = 1000;
+    cluster.SetCallerLimits(limits);
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    const std::string request = GatewayTestCluster::Request(
+      "/plain/", "slow", "", std::string(90000, 'b'), 8000);
+    const int fd = Connect(gateway.Ip(), gateway.CallerPort());
+    SendSome(fd, request.substr(0, 50000), kAnswerTime);
+    std::this_thread::sleep_for(milliseconds(3000));
+    SendSome(fd, request.substr(50000), kAnswerTime);
+    const int status = ReadStatus(fd);
+    ::close(fd);
+    CPPUNIT_ASSERT_EQUAL(200, status);
+  }
+
   // Guards against unfinished bodies holding all threads, and against more
   // connections being accepted than are handled.
   void RouterServesCallersBesideSlowBodiesWithoutKey()
@@ -568,6 +601,13 @@
     CheckRouter(kKeyField, { 200, 100, 1, true });
   }
 
+  // The same with bodies that fall silent, which hold a thread until the read
+  // timeout of the server.
+  void RouterServesCallersBesideSilentBodiesWithoutKey()
+  {
+    CheckRouter("", { 200, 100, 1, false });
+  }
+
   // Guards against chunked bodies being received beyond max_body_bytes, without
   // end.
   void RouterBoundsLargeChunkedBodies()
@@ -587,6 +627,49 @@
     CPPUNIT_ASSERT(router.Process().Stop());
   }
 
+  // Guards against chunked bodies within max_body_bytes being rejected, and
+  // larger ones being taken.
+  void RouterTakesChunkedBodiesUpToItsLimit()
+  {
+    RouterUnderTest router;
+    const std::string head = std::string("POST ") + RouterUnderTest::kTarget +
+                             " HTTP/1.1\r\nHost: host\r\n" + kKeyField +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    std::string small;
+    for (int n = 0; n < 60000; ++n) {
+      small += Chunk(1);
+    }
+    CPPUNIT_ASSERT_EQUAL(
+      200, StatusOf("127.0.0.1", router.Port(), head + small + "0\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(
+      413, StatusOf("127.0.0.1", router.Port(), head + Chunk(65537)));
+  }
+
+  // Guards against the rest of a body that the router has not read being taken
+  // for the next request on the connection.
+  void RouterTakesNoRequestFromAnUnreadBody()
+  {
+    RouterUnderTest router;
+    std::string body(1200000, 'x');
+    for (int n = 0; n < 20000; ++n) {
+      body += "\r\n\r\nGET /health/ready HTTP/1.1\r\nHost: host\r\n\r\n";
+    }
+    for (const std::string& key : { std::string(), kKeyField }) {
+      const int fd = Connect("127.0.0.1", router.Port());
+      SendSome(fd,
+               std::string("POST ") + RouterUnderTest::kTarget +
+                 " HTTP/1.1\r\nHost: host\r\n" + key + "Content-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body,
+               milliseconds(1000));
+      // The response may be lost with the connection.
+      const int status = ReadStatus(fd);
+      CPPUNIT_ASSERT(status == 0 || status == (key.empty() ? 401 : 413));
+      CPPUNIT_ASSERT_EQUAL(0, ReadStatus(fd));
+      ::close(fd);
+    }
+    RequireServed(router.Call());
+  }
+
   // The same for the resource API, whose number of threads is fixed.
   void ApiServesOperatorsBesideSlowBodiesWithoutKey()
   {
