Take a success without length for broken if its target ends during the upload

A 2xx response without a length was completed by any orderly end of the connection, also one that came while the request was still being written. A target whose process ends after reading all input, or that ends its output and then resets the connection, ends in order first, so part of a body was passed on as a complete response. An attempt whose 2xx response ends before the target has acknowledged the whole request now fails as broken. Errors are passed on as before, as targets may send them instead of reading a long request.

Tests: TargetConnectionTests, 6 new ones with real connections. Resets, closes with unread input and invalid status codes were handled correctly before and are guarded now.

--- a/src/quetzalquay/gateway/TargetConnection.cpp
+++ b/src/quetzalquay/gateway/TargetConnection.cpp
@@ -301,15 +301,33 @@
   mConnected = false;
   if (aEnd == SocketEnd::Closed && mHeadForwarded && !mDiscardingResponse &&
       mReader.Head().mUntilClose) {
-    mReader.FeedEof();
-    CompleteResponse();
-    return;
+    if (!IsCutOffSuccess()) {
+      mReader.FeedEof();
+      CompleteResponse();
+      return;
+    }
+    Log(LogLevel::Warn,
+        "target",
+        "response without length ended before the request was received",
+        { { "target", mTarget },
+          { "request", mRequestId },
+          { "status", std::to_string(mReader.Head().mStatus) } });
   }
   mPool.mServers.OnConnectionLost(mTarget, EventLoop::Now());
   FailAttempt(mCheckingStart ? AttemptFailure::Unreachable
                              : AttemptFailure::Broken);
 }
 
+// Whether the end of the connection, which delimits the response, came while
+// the request was still on its way. A process that ends has its connections
+// closed in order if it has read all input, so a success is not known to be
+// complete. Errors may be sent instead of reading the request.
+bool
+TargetConnection::IsCutOffSuccess() const
+{
+  return mReader.Head().mStatus / 100 == 2 && mSocket->HasUndeliveredOutput();
+}
+
 void
 TargetConnection::FailAttempt(AttemptFailure aFailure)
 {
--- a/src/quetzalquay/gateway/TargetConnection.h
+++ b/src/quetzalquay/gateway/TargetConnection.h
@@ -117,6 +117,7 @@
   void FinishStartCheck();
   bool ForwardHead();
   void CompleteResponse();
+  bool IsCutOffSuccess() const;
   void FailAttempt(AttemptFailure aFailure);
 
   TargetConnectionPool& mPool;
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -244,6 +244,8 @@
     }
     if (ec) {
       const bool orderly = ec == boost::asio::error::eof && !mWriteFailed;
+      mHasUndeliveredOutput = mHasUndeliveredOutput || UnwrittenBytes() > 0 ||
+                              HasUnacknowledgedOutput();
       End(orderly ? SocketEnd::Closed : SocketEnd::Failed);
       return;
     }
@@ -325,6 +327,7 @@
 void
 Socket::OnWriteError(const error_code& aError)
 {
+  mHasUndeliveredOutput = true;
   mWriteFailed |= aError != boost::asio::error::broken_pipe;
 }
 
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -124,6 +124,10 @@
   // Whether no connection attempt was made for lack of a descriptor.
   bool LackedDescriptor() const { return mLackedDescriptor; }
 
+  // Whether the peer had not acknowledged all that was written when it ended
+  // the connection. An end acknowledges all that arrived before it.
+  bool HasUndeliveredOutput() const { return mHasUndeliveredOutput; }
+
   // Address of the peer.
   const Endpoint& RemoteEndpoint() const { return mRemoteEndpoint; }
 
@@ -154,6 +158,7 @@
   bool mLackedDescriptor = false;
   // Whether a write has failed other than after the peer's orderly end.
   bool mWriteFailed = false;
+  bool mHasUndeliveredOutput = false;
   bool mReading = false;
   bool mReadPending = false;
   bool mWritePending = false;
