Take responses with a status below 100 for broken in HttpCall

The HTTP library of quetzal-router accepts any three digits as a status, so a target's response with status 000 was reported as answered, and PlainSession passes on what is answered. HttpCall reports it as broken now.

Resets of responses without length, also during an upload of 64 MB, were reported as broken before.

--- a/src/quetzalquay/wire/HttpClient.cpp
+++ b/src/quetzalquay/wire/HttpClient.cpp
@@ -18,6 +18,9 @@
   return aText;
 }
 
+// The library accepts any three digits as a status.
+constexpr int kMinStatus = 100;
+
 HttpOutcome
 ToOutcome(httplib::Error aError)
 {
@@ -102,6 +105,9 @@
   const httplib::Result response = mImpl->mClient.send(request);
   result.mOutcome = ToOutcome(response.error());
   result.mStatus = status;
+  if (result.mOutcome == HttpOutcome::Answered && status < kMinStatus) {
+    result.mOutcome = HttpOutcome::Broken;
+  }
   if (response) {
     result.mStatus = response->status;
     for (const auto& it : response->headers) {
