Rollouts: complete in time after a late takeover, and use no version rolled back before

The last share is given 1.4 s before the deadline now. - An order that names the only version was judged, and a rollback left its service without targets. Such an order goes to its last share unjudged. - Targets of a version that was rolled back counted as old ones during the next order. They are left out. - Messages about the end of an order ended the same order given again.

--- a/src/quetzalquay/core/rollout/RolloutKeeper.cpp
+++ b/src/quetzalquay/core/rollout/RolloutKeeper.cpp
@@ -89,6 +89,11 @@
   // that tells so may only have started since.
   const bool again =
     aIsOwn && state.mOrder == aReport.mOrder && startedAt > state.mDeadline;
+  // A host that has not read yet that the same order was given again.
+  if (state.mOrder == aReport.mOrder &&
+      aNow + aReport.mLeft < state.mStartedAt) {
+    return;
+  }
   if (state.mOrder != aReport.mOrder || again) {
     // A host that has not read the new order yet still reports the one before.
     if (state.mOrder != 0 && startedAt < state.mStartedAt) {
@@ -183,6 +188,7 @@
     }
     totals.mOldDurations.Add(report.mOldDurations);
     totals.mNewTargets = std::max(totals.mNewTargets, report.mNewTargets);
+    totals.mOldTargets = std::max(totals.mOldTargets, report.mOldTargets);
   }
   totals.mRequests = std::max(totals.mRequests, aState.mToldRequests);
   totals.mExposed = std::max(totals.mExposed, aState.mToldExposed);
@@ -238,6 +244,18 @@
   if (IsFinal(aState.mStage)) {
     return {};
   }
+  // An order that names the only version moves nothing. A rollback would leave
+  // the service without targets.
+  if (aTotals.mNewTargets > 0 && aTotals.mOldTargets == 0 &&
+      aTotals.mRequests == aTotals.mExposed) {
+    if (aState.mStage == RolloutStage::Shift && aState.mShare >= 1) {
+      return {};
+    }
+    aState.mStage = RolloutStage::Shift;
+    aState.mShare = 1;
+    aState.mShareSince = aNow;
+    return "version_is_running";
+  }
   aFault = FindVersionFault(aTotals.mOutcomes);
   const bool served = CountGoodRuns(aTotals.mOutcomes) > 0;
   const bool late = aNow >= aState.mDeadline - kRecordTime;
@@ -257,8 +275,10 @@
     return std::exchange(aState.mShare, share) == share ? "" : kExposureReason;
   }
   const bool due = aNow - aState.mShareSince >= StepTime(aTotals.mOutcomes);
-  if (aState.mShare < 1 && (due || late)) {
-    aState.mShare = late ? 1 : NextShare(aState.mShare);
+  // The hosts have to use the last share for a while before the record.
+  const bool last = aNow >= aState.mDeadline - kRecordTime - kMessageTime;
+  if (aState.mShare < 1 && (due || last)) {
+    aState.mShare = last ? 1 : NextShare(aState.mShare);
     aState.mShareSince = aNow;
     return "step_passed";
   }
--- a/src/quetzalquay/core/rollout/RolloutKeeper.h
+++ b/src/quetzalquay/core/rollout/RolloutKeeper.h
@@ -115,6 +115,7 @@
     std::int64_t mExposed = 0;
     std::int64_t mOldOpen = 0;
     int mNewTargets = 0;
+    int mOldTargets = 0;
   };
 
   static Totals Sum(const State& aState);
--- a/src/quetzalquay/core/rollout/RolloutMember.cpp
+++ b/src/quetzalquay/core/rollout/RolloutMember.cpp
@@ -23,6 +23,21 @@
 // Hash values for one random draw from 0 to 1.
 constexpr std::uint64_t kDraws = 1U << 20U;
 
+// Targets of neither the given version nor one that was rolled back.
+std::set<std::string>
+SoundTargets(const std::map<std::string, std::string>& aTargets,
+             const std::string& aVersion,
+             const std::set<std::string>& aBadVersions)
+{
+  std::set<std::string> sound;
+  for (const auto& it : aTargets) {
+    if (it.second != aVersion && aBadVersions.count(it.second) == 0) {
+      sound.insert(it.first);
+    }
+  }
+  return sound;
+}
+
 double
 DrawOf(const std::string& aRequestId, std::uint64_t aOrder)
 {
@@ -82,6 +97,11 @@
       startedAt <= it->second.mOrder.mStartedAt) {
     return false;
   }
+  // The same order may have been given again since.
+  if (it != mStates.end() && it->second.mOrder.mId == aDirective.mOrder &&
+      aNow + aDirective.mLeft < it->second.mOrder.mStartedAt) {
+    return false;
+  }
   OnOrder({ aDirective.mService,
             aDirective.mVersion,
             aDirective.mOrder,
@@ -164,11 +184,14 @@
         return aEntry.second != aVersion;
       });
   };
+  const auto bad = mBadVersions.find(aService);
+  const bool hasBad = bad != mBadVersions.end() && !bad->second.empty();
   if (it == mStates.end()) {
-    const auto bad = mBadVersions.find(aService);
-    if (bad != mBadVersions.end() && !bad->second.empty()) {
+    if (hasBad) {
       choice.mUse = VersionUse::Old;
       choice.mVersion = *bad->second.begin();
+      choice.mTargets =
+        SoundTargets(targets->second, choice.mVersion, bad->second);
     }
     return choice;
   }
@@ -184,6 +207,10 @@
   const double share = ShareOf(state, aNow);
   if (share <= 0 || DrawOf(aRequestId, state.mOrder.mId) >= share) {
     choice.mUse = VersionUse::Old;
+    if (hasBad) {
+      choice.mTargets =
+        SoundTargets(targets->second, choice.mVersion, bad->second);
+    }
     return choice;
   }
   choice.mUse = VersionUse::New;
--- a/tests/introspective/RolloutTests.cpp
+++ b/tests/introspective/RolloutTests.cpp
@@ -351,6 +351,10 @@
   CPPUNIT_TEST(CutHostsUseNoVersionOnTrial);
   CPPUNIT_TEST(NothingIsTriedWithoutTheRecord);
   CPPUNIT_TEST(AFinalStageOutlastsTheKeeper);
+  CPPUNIT_TEST(AKeeperThatTakesOverLateCompletesInTime);
+  CPPUNIT_TEST(AnOrderThatNamesTheOnlyVersionIsNotRolledBack);
+  CPPUNIT_TEST(AVersionThatWasRolledBackIsNotUsedDuringTheNextOrder);
+  CPPUNIT_TEST(TheEndOfAnOrderDoesNotEndTheSameOrderGivenAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -484,6 +488,119 @@
     CPPUNIT_ASSERT(
       !member.ChooseVersion(kService, "r", later).Allows("b", kNew));
   }
+
+  // Guards against a version that is completed after its deadline, as the hosts
+  // get the last share only when the record is due.
+  void AKeeperThatTakesOverLateCompletesInTime()
+  {
+    RolloutMember member(1);
+    const Time deadline = kStart + milliseconds(8000);
+    member.OnOrder({ kService, kNew, kOrder, kStart, deadline, true });
+    member.SetTargets({ { kService, { { "a", kOld }, { "b", kNew } } } });
+    Time now = deadline - milliseconds(1800);
+    for (const auto& it : { std::make_pair("a", kOld), { "b", kNew } }) {
+      member.OnEnd(member.OnSent(kService, "r", it.first, it.second, now),
+                   RunEnd::Succeeded,
+                   now + milliseconds(15));
+    }
+    RolloutKeeper keeper{ RolloutBounds() };
+    const auto report = [&] {
+      for (const RolloutReport& it : member.Reports(now)) {
+        keeper.OnReport("h", it, true, now);
+      }
+      keeper.OnRecord(kService, kOrder, std::nullopt, now);
+    };
+    report();
+    RolloutDirective directive;
+    directive.mService = kService;
+    directive.mOrder = kOrder;
+    directive.mVersion = kNew;
+    directive.mStage = RolloutStage::Shift;
+    directive.mShare = 0.25;
+    keeper.OnDirective(directive, now);
+    while (now < deadline && !keeper.IsToBeCompleted(kService, now)) {
+      now += milliseconds(50);
+      report();
+      keeper.Decide(kService, now);
+    }
+    // One call to the store has to fit in.
+    CPPUNIT_ASSERT(now <= deadline - milliseconds(500));
+  }
+
+  // Guards against an order that names the version which is running, fails some
+  // requests as ever, and is then refused to all requests.
+  void AnOrderThatNamesTheOnlyVersionIsNotRolledBack()
+  {
+    RolloutMember member(1);
+    member.OnOrder(
+      { kService, kNew, kOrder, kStart, kStart + milliseconds(8000), true });
+    member.SetTargets({ { kService, { { "a", kNew }, { "b", kNew } } } });
+    RolloutKeeper keeper{ RolloutBounds() };
+    for (int n = 0; n < 100; ++n) {
+      const Time now = kStart + milliseconds(n * 70);
+      for (const char* target : { "a", "b" }) {
+        member.OnEnd(member.OnSent(kService, "r", target, kNew, now),
+                     n % 4 == 0 ? RunEnd::Failed : RunEnd::Succeeded,
+                     now + milliseconds(15));
+      }
+      for (const RolloutReport& it : member.Reports(now)) {
+        keeper.OnReport("h", it, true, now);
+      }
+      keeper.OnRecord(kService, kOrder, std::nullopt, now);
+      if (const auto decision = keeper.Decide(kService, now)) {
+        member.OnDirective(decision->mDirective, now);
+        CPPUNIT_ASSERT(decision->mDirective.mStage != RolloutStage::RolledBack);
+      }
+      CPPUNIT_ASSERT(member.ChooseVersion(kService, std::to_string(n), now)
+                       .Allows("a", kNew));
+    }
+  }
+
+  // Guards against a second order by which the version of the first one, whose
+  // targets are still there, counts as one that served before.
+  void AVersionThatWasRolledBackIsNotUsedDuringTheNextOrder()
+  {
+    RolloutMember member(1);
+    const Time end = kStart + milliseconds(9000);
+    member.OnOrder({ kService, kNew, kOrder, kStart, end });
+    member.SetTargets(
+      { { kService, { { "a", kOld }, { "b", kNew }, { "c", "v3" } } } });
+    RolloutDirective directive;
+    directive.mService = kService;
+    directive.mOrder = kOrder;
+    directive.mVersion = kNew;
+    directive.mLeft = milliseconds(9000);
+    directive.mStage = RolloutStage::RolledBack;
+    member.OnDirective(directive, kStart);
+    member.OnOrder({ kService, "v3", 8, end, end + milliseconds(9000) });
+    const VersionChoice choice = member.ChooseVersion(kService, "r", end);
+    CPPUNIT_ASSERT(choice.Allows("a", kOld));
+    CPPUNIT_ASSERT(!choice.Allows("b", kNew));
+    CPPUNIT_ASSERT(!choice.Allows("c", "v3"));
+  }
+
+  // Guards against messages of hosts that have not read yet that an order was
+  // given again after its end, with the same text.
+  void TheEndOfAnOrderDoesNotEndTheSameOrderGivenAgain()
+  {
+    RolloutMember member(1);
+    const Time again = kStart + milliseconds(9000);
+    const Time end = again + milliseconds(8000);
+    member.OnOrder(
+      { kService, kNew, kOrder, kStart, kStart + milliseconds(8000) });
+    member.SetTargets({ { kService, { { "a", kOld }, { "b", kNew } } } });
+    CPPUNIT_ASSERT(member.OnOrder({ kService, kNew, kOrder, again, end }));
+    RolloutDirective directive;
+    directive.mService = kService;
+    directive.mOrder = kOrder;
+    directive.mVersion = kNew;
+    directive.mAge = milliseconds(9100);
+    directive.mLeft = milliseconds(-1100);
+    directive.mStage = RolloutStage::RolledBack;
+    member.OnDirective(directive, again + milliseconds(100));
+    CPPUNIT_ASSERT(!member.DirectiveOf(kService));
+    CPPUNIT_ASSERT(member.OrderOf(kService)->mDeadline == end);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTests);
