Bound the lines and heads that the server with threads reads

cpp-httplib reads a line to its end before it checks its length, so that a line without an end took memory without a limit, also without a key. Connections of HttpServer now read by a stream of their own, which fails beyond 16 KB in a line and 256 KB in a head, and close after a head that could not be read.

--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -3,13 +3,20 @@
 #include "wire/ThreadPool.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <cstdint>
 #include <httplib.h>
 #include <limits>
 #include <mutex>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 namespace quetzalquay {
@@ -154,6 +161,185 @@
   ThreadPool mPool;
 };
 
+// Longest line of a request, which the library limits only when it has read
+// all of it, and longest head. The library takes lines of 8,192 bytes.
+constexpr std::size_t kMaxLineBytes = 16384;
+constexpr std::size_t kMaxHeadBytes = 262144;
+
+// Interval at which an idle connection checks whether the server is stopping.
+constexpr std::chrono::milliseconds kIdleCheckInterval{ 100 };
+
+// Waits for an event of a socket. Returns whether it has happened.
+bool
+AwaitSocket(socket_t aSocket, short aEvent, std::chrono::milliseconds aTimeout)
+{
+  pollfd polled{ aSocket, aEvent, 0 };
+  int ready = 0;
+  do {
+    ready = ::poll(&polled, 1, static_cast<int>(aTimeout.count()));
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0;
+}
+
+// Reads one request from a socket and writes its response. Reading fails when a
+// line or the head of the request is too long.
+class RequestStream : public httplib::Stream
+{
+public:
+  RequestStream(socket_t aSocket,
+                std::chrono::milliseconds aReadTimeout,
+                std::chrono::milliseconds aWriteTimeout)
+    : mSocket(aSocket)
+    , mReadTimeout(aReadTimeout)
+    , mWriteTimeout(aWriteTimeout)
+  {
+  }
+
+  void EndHead() { mInHead = false; }
+  bool IsInHead() const { return mInHead; }
+
+  bool is_readable() const override
+  {
+    return mUsed < mFilled || AwaitSocket(mSocket, POLLIN, mReadTimeout);
+  }
+
+  bool is_writable() const override
+  {
+    return AwaitSocket(mSocket, POLLOUT, mWriteTimeout) && IsAlive();
+  }
+
+  ssize_t read(char* aTo, std::size_t aSize) override
+  {
+    if (mUsed == mFilled) {
+      if (!is_readable()) {
+        return -1;
+      }
+      ssize_t n = 0;
+      do {
+        n = ::recv(mSocket, mBuffer.data(), mBuffer.size(), 0);
+      } while (n < 0 && errno == EINTR);
+      if (n <= 0) {
+        return n;
+      }
+      mUsed = 0;
+      mFilled = static_cast<std::size_t>(n);
+    }
+    const std::size_t size = std::min(aSize, mFilled - mUsed);
+    std::copy_n(mBuffer.data() + mUsed, size, aTo);
+    mUsed += size;
+    // The library reads lines byte by byte.
+    mLineBytes = aSize == 1 && *aTo != '\n' ? mLineBytes + 1 : 0;
+    mHeadBytes += mInHead ? size : 0;
+    return mLineBytes > kMaxLineBytes || mHeadBytes > kMaxHeadBytes
+             ? -1
+             : static_cast<ssize_t>(size);
+  }
+
+  ssize_t write(const char* aFrom, std::size_t aSize) override
+  {
+    if (!AwaitSocket(mSocket, POLLOUT, mWriteTimeout)) {
+      return -1;
+    }
+    ssize_t n = 0;
+    do {
+      n = ::send(mSocket, aFrom, aSize, MSG_NOSIGNAL);
+    } while (n < 0 && errno == EINTR);
+    return n;
+  }
+
+  void get_remote_ip_and_port(std::string& aIp, int& aPort) const override
+  {
+    Describe(&::getpeername, aIp, aPort);
+  }
+
+  void get_local_ip_and_port(std::string& aIp, int& aPort) const override
+  {
+    Describe(&::getsockname, aIp, aPort);
+  }
+
+  socket_t socket() const override { return mSocket; }
+
+private:
+  bool IsAlive() const
+  {
+    char byte = 0;
+    return !AwaitSocket(mSocket, POLLIN, std::chrono::milliseconds(0)) ||
+           ::recv(mSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
+  template<typename GetName>
+  void Describe(GetName aGetName, std::string& aIp, int& aPort) const
+  {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (aGetName(mSocket, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
+        address.sin_family == AF_INET &&
+        ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) !=
+          nullptr) {
+      aIp = text.data();
+      aPort = ntohs(address.sin_port);
+    }
+  }
+
+  socket_t mSocket;
+  std::chrono::milliseconds mReadTimeout;
+  std::chrono::milliseconds mWriteTimeout;
+  std::array<char, 4096> mBuffer{};
+  std::size_t mUsed = 0;
+  std::size_t mFilled = 0;
+  std::size_t mLineBytes = 0;
+  std::size_t mHeadBytes = 0;
+  bool mInHead = true;
+};
+
+// The library's server, on connections that limit what it reads.
+class LimitedServer : public httplib::Server
+{
+private:
+  bool process_and_close_socket(socket_t aSocket) override
+  {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    const milliseconds read =
+      seconds(read_timeout_sec_) + milliseconds(read_timeout_usec_ / 1000);
+    const milliseconds write =
+      seconds(write_timeout_sec_) + milliseconds(write_timeout_usec_ / 1000);
+    bool served = false;
+    for (std::size_t left = keep_alive_max_count_;
+         left > 0 && AwaitRequest(aSocket);
+         --left) {
+      RequestStream stream(aSocket, read, write);
+      bool isClosed = false;
+      served =
+        process_request(stream, left == 1, isClosed, [&](httplib::Request&) {
+          stream.EndHead();
+        });
+      // What follows a head that could not be read is no request.
+      if (!served || isClosed || stream.IsInHead()) {
+        break;
+      }
+    }
+    ::shutdown(aSocket, SHUT_RDWR);
+    ::close(aSocket);
+    return served;
+  }
+
+  // Waits for the first byte of a request.
+  bool AwaitRequest(socket_t aSocket) const
+  {
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::seconds(keep_alive_timeout_sec_);
+    while (svr_sock_ != INVALID_SOCKET &&
+           std::chrono::steady_clock::now() < until) {
+      if (AwaitSocket(aSocket, POLLIN, kIdleCheckInterval)) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
 // Number of bytes or of bodies that is shared by all connections of a server.
 class SharedBudget
 {
@@ -395,7 +581,7 @@
   SharedBudget mUnknownBodies;
   SenderCheck mSenderCheck;
   std::function<void(int, HttpResponse&)> mErrorHandler;
-  httplib::Server mServer;
+  LimitedServer mServer;
   socket_t mSocket = INVALID_SOCKET;
   std::thread mThread;
 
--- a/tests/usage/UnfinishedBodyTests.cpp
+++ b/tests/usage/UnfinishedBodyTests.cpp
@@ -519,6 +519,7 @@
   CPPUNIT_TEST(RouterServesCallersBesideSlowBodiesWithKey);
   CPPUNIT_TEST(RouterServesCallersBesideSilentBodiesWithoutKey);
   CPPUNIT_TEST(RouterBoundsLargeChunkedBodies);
+  CPPUNIT_TEST(RouterBoundsLinesWithoutEnd);
   CPPUNIT_TEST(RouterStopsBesideSlowBodies);
   CPPUNIT_TEST(RouterTakesChunkedBodiesUpToItsLimit);
   CPPUNIT_TEST(RouterTakesNoRequestFromAnUnreadBody);
@@ -615,6 +616,29 @@
     CheckRouter(kKeyField, { 12, 24U << 20U, 1U << 16U, false });
   }
 
+  // Guards against a chunk size, a field or a request line without an end being
+  // received without a limit, whoever sends it.
+  void RouterBoundsLinesWithoutEnd()
+  {
+    RouterUnderTest router;
+    const std::string start =
+      std::string("POST ") + RouterUnderTest::kTarget + " HTTP/1.1\r\n";
+    std::vector<int> sockets;
+    for (const std::string& it : { start + "Transfer-Encoding: chunked\r\n\r\n",
+                                   start + "X-Field: ",
+                                   std::string("POST /") }) {
+      for (int n = 0; n < 4; ++n) {
+        sockets.push_back(Connect("127.0.0.1", router.Port()));
+        SendSome(
+          sockets.back(), it + std::string(24U << 20U, '0'), kSendPatience);
+      }
+    }
+    RequireServes(router, kRouterDescriptors);
+    for (const int it : sockets) {
+      ::close(it);
+    }
+  }
+
   // Guards against a process that does not exit while a body goes on.
   void RouterStopsBesideSlowBodies()
   {
