Refuse records of rollouts whose state is unknown or has no version

DecodeRolloutStatus read any JSON object as a state of a rollout, so a spoiled record was replaced without the log line that unreadable ones get. It now refuses, with a reason, states other than "running", "completed" and "rolled_back", and an empty version.

FormatTests covers the entries "rollout_reports" and "rollouts" of the datagrams, orders and records of rollouts. With the tests and without the change 26 passed, 1 failed (RolloutStatesOfAnotherFormAreNotRead: "{}"); now 27 of 27 pass.

--- a/src/quetzalquay/platform/PlatformStore.cpp
+++ b/src/quetzalquay/platform/PlatformStore.cpp
@@ -59,6 +59,11 @@
 // Rises by one each time the store comes back from an older copy.
 constexpr char kReturnCount[] = "Store-Era";
 
+// States of a rollout that the store tells.
+constexpr const char* kRolloutStates[] = { "running",
+                                           "completed",
+                                           "rolled_back" };
+
 constexpr char kReady[] = "ready";
 constexpr char kDraining[] = "draining";
 
@@ -602,7 +607,15 @@
     aReason = "the state is not a JSON object";
     return std::nullopt;
   }
-  return RolloutStatus{ GetText(json, "State"), GetText(json, "To") };
+  RolloutStatus status{ GetText(json, "State"), GetText(json, "To") };
+  const bool known = std::find(std::begin(kRolloutStates),
+                               std::end(kRolloutStates),
+                               status.mState) != std::end(kRolloutStates);
+  if (!known || status.mVersion.empty()) {
+    aReason = "the state is unknown or has no version";
+    return std::nullopt;
+  }
+  return status;
 }
 
 std::optional<TargetEntry>
--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -9,11 +9,13 @@
 #include "gateway/PassedOnRequest.h"
 #include "gateway/PeerLink.h"
 #include "gateway/ReachMessages.h"
+#include "gateway/RolloutMessages.h"
 #include "gateway/StreamOriginRows.h"
 #include "gateway/SuspectRows.h"
 #include "http/JsonText.h"
 
 #include <algorithm>
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
 #include <functional>
@@ -150,6 +152,8 @@
     { "brittle", MakeTimedFormat(ParseBrittleEntry, WriteBrittleEntry) },
     { "room", MakeFormat(ParseRoomEntry, WriteRoomEntry) },
     { "room_answers", MakeFormat(ParseRoomAnswerEntry, WriteRoomAnswerEntry) },
+    { "rollout_reports", MakeFormat(ParseRolloutReport, WriteRolloutReport) },
+    { "rollouts", MakeFormat(ParseRolloutDirective, WriteRolloutDirective) },
     { "streams", MakeFormat(ParseOriginEntry, WriteOriginEntry) },
     { "gone", MakeFormat(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
@@ -159,6 +163,16 @@
   return kFormats;
 }
 
+// Entries of lists that no build which has landed wrote.
+const std::map<std::string, std::string> kOwnExamples = {
+  { kConvictedList, "[350,[7,18446744073709551615]]" },
+  { "rollout_reports",
+    R"(["pool",18446744073709551615,"v2",1200,-300,"shift",250000,3,5,7,)"
+    R"([4,2,24,1],[["chat","",4,0,0,[],[]],["chat","t1",9,1,2,[3,5],[6,1]]]])" },
+  { "rollouts",
+    R"(["pool",18446744073709551615,"v2",1200,13800,"trial",300000,644,100])" },
+};
+
 // The first entry of each list that a landing writes.
 std::map<std::string, std::string>
 EntryExamples()
@@ -169,9 +183,9 @@
   Parse(withAttempt, ReadData("messages-bc3452f.json"));
   std::map<std::string, std::string> examples;
   for (const auto& it : EntryFormats()) {
-    if (it.first == kConvictedList) {
-      // No build that has landed wrote it.
-      examples[it.first] = "[350,[7,18446744073709551615]]";
+    const auto own = kOwnExamples.find(it.first);
+    if (own != kOwnExamples.end()) {
+      examples[it.first] = own->second;
       continue;
     }
     const Json& json = it.first == kOriginList ? withAttempt : latest;
@@ -303,6 +317,9 @@
   CPPUNIT_TEST(EntriesWithLaterElementsAreRead);
   CPPUNIT_TEST(EntriesThatLackElementsAreNot);
   CPPUNIT_TEST(ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry);
+  CPPUNIT_TEST(RolloutEntriesOutOfRangeAreNotRead);
+  CPPUNIT_TEST(RolloutOrdersOfAnotherFormAreNotRead);
+  CPPUNIT_TEST(RolloutStatesOfAnotherFormAreNotRead);
   CPPUNIT_TEST(ReachMessagesWithLaterElementsAreRead);
   CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
   CPPUNIT_TEST(WrittenEntriesAreThoseThatFormerLandingsRead);
@@ -430,6 +447,126 @@
     CPPUNIT_ASSERT(!ParseRoomAnswerEntry(answer));
   }
 
+  // Guards against a spoiled datagram that ends a rollout, or brings the sums
+  // of the host that judges it out of range.
+  void RolloutEntriesOutOfRangeAreNotRead()
+  {
+    // Where the example is changed, and to what.
+    const std::vector<std::array<std::string, 3>> changes = {
+      { "rollout_reports", R"("pool")", R"("")" },
+      { "rollout_reports", R"("v2")", R"("")" },
+      { "rollout_reports", "18446744073709551615", "18446744073709551616" },
+      { "rollout_reports", "1200", "86400001" },
+      { "rollout_reports", "-300", "-86400001" },
+      { "rollout_reports", R"("shift")", R"("stage of a later build")" },
+      { "rollout_reports", "250000", "1000001" },
+      { "rollout_reports", "250000", "0.25" },
+      { "rollout_reports", ",3,5,7,", ",3,5,1000000001," },
+      { "rollout_reports", ",3,5,7,", ",3000000000,5,7," },
+      { "rollout_reports", "[4,2,24,1]", "[25,1]" },
+      { "rollout_reports", "[4,2,24,1]", "[4,-1]" },
+      { "rollout_reports", "[4,2,24,1]", "[4,1000000001]" },
+      { "rollout_reports", R"("t1",9,1)", R"("t1",-9,1)" },
+      { "rollout_reports", R"("t1",9,1)", R"("t1",9,1000000001)" },
+      { "rollout_reports", R"("t1",9,1)", R"(1,9,1)" },
+      { "rollout_reports", ",[6,1]]", "]" },
+      { "rollout_reports", "[6,1]", "[-1,1]" },
+      { "rollouts", R"("pool")", R"("")" },
+      { "rollouts", R"("v2")", R"("")" },
+      { "rollouts", R"("trial")", R"("")" },
+      { "rollouts", "13800", "86400001" },
+      { "rollouts", "300000", "-1" },
+      { "rollouts", "644", "1000000001" },
+      { "rollouts", ",100]", ",-100]" },
+    };
+    for (const auto& it : changes) {
+      std::string text = kOwnExamples.at(it[0]);
+      Json entry;
+      Parse(entry, text);
+      CPPUNIT_ASSERT_MESSAGE(text, IsReadable(it[0], entry));
+      const auto at = text.find(it[1]);
+      CPPUNIT_ASSERT_MESSAGE(it[1], at != std::string::npos);
+      text.replace(at, it[1].size(), it[2]);
+      Parse(entry, text);
+      CPPUNIT_ASSERT_MESSAGE(text, !IsReadable(it[0], entry));
+    }
+    // More buckets than there are.
+    std::string buckets = "[";
+    for (int n = 0; n < 26; ++n) {
+      buckets += "0,1,";
+    }
+    buckets.back() = ']';
+    std::string text = kOwnExamples.at("rollout_reports");
+    text.replace(text.find("[4,2,24,1]"), 10, buckets);
+    Json entry;
+    Parse(entry, text);
+    CPPUNIT_ASSERT(!IsReadable("rollout_reports", entry));
+  }
+
+  // Guards against a row that an operator has spoiled starting a rollout.
+  void RolloutOrdersOfAnotherFormAreNotRead()
+  {
+    const auto read = [](const std::string& aValue, std::string& aReason) {
+      return platform::DecodeRolloutRequest(aValue, aReason);
+    };
+    std::string reason;
+    const auto order = read(
+      R"({"Service":"pool","To":"v2","DurationS":12.5,"Later":[]})", reason);
+    CPPUNIT_ASSERT(order && order->mDuration == milliseconds(12500));
+    const auto longest =
+      read(R"({"Service":"pool","To":"v2","DurationS":1e300})", reason);
+    CPPUNIT_ASSERT(longest && longest->mDuration == std::chrono::hours(24));
+    for (const std::string value :
+         { "",
+           "null",
+           "[]",
+           "{",
+           "{}",
+           R"({"To":"v2","DurationS":12})",
+           R"({"Service":"pool","DurationS":12})",
+           R"({"Service":"pool","To":"v2"})",
+           R"({"Service":7,"To":"v2","DurationS":12})",
+           R"({"Service":"pool","To":["v2"],"DurationS":12})",
+           R"({"Service":"pool","To":"","DurationS":12})",
+           R"({"Service":"pool","To":"v\r\n2","DurationS":12})",
+           R"({"Service":"pool","To":"v2","DurationS":0})",
+           R"({"Service":"pool","To":"v2","DurationS":-12})",
+           R"({"Service":"pool","To":"v2","DurationS":"12"})",
+           R"({"Service":"pool","To":"v2","DurationS":null})",
+           R"({"Service":"pool","To":"v2","DurationS":1e999})" }) {
+      reason.clear();
+      CPPUNIT_ASSERT_MESSAGE(value, !read(value, reason));
+      CPPUNIT_ASSERT_MESSAGE(value, !reason.empty());
+    }
+  }
+
+  // Guards against a spoiled record being taken for the state of a rollout, and
+  // replaced without a log line.
+  void RolloutStatesOfAnotherFormAreNotRead()
+  {
+    std::string reason;
+    for (const std::string state : { "running", "completed", "rolled_back" }) {
+      const auto status = platform::DecodeRolloutStatus(
+        platform::FormatRolloutStatus({ state, "v2" }), reason);
+      CPPUNIT_ASSERT_MESSAGE(state, status);
+      CPPUNIT_ASSERT_EQUAL(state, status->mState);
+      CPPUNIT_ASSERT_EQUAL(std::string("v2"), status->mVersion);
+    }
+    for (const std::string value : { "",
+                                     "[]",
+                                     "{}",
+                                     R"({"State":"running"})",
+                                     R"({"To":"v2"})",
+                                     R"({"State":"Completed","To":"v2"})",
+                                     R"({"State":7,"To":"v2"})",
+                                     R"({"State":"completed","To":""})" }) {
+      reason.clear();
+      CPPUNIT_ASSERT_MESSAGE(value,
+                             !platform::DecodeRolloutStatus(value, reason));
+      CPPUNIT_ASSERT_MESSAGE(value, !reason.empty());
+    }
+  }
+
   void ReachMessagesWithLaterElementsAreRead()
   {
     Json json;
