Play responses that are cut off during uploads, and status 000, with gateway processes

GatewayTests::ResponsesCutOffDuringUploadsAreNotPassedOn plays targets that answer a 12 MB upload early without a length and reset or close the connection, for safe and unsafe calls and streams. Status 000 joins the faults of BrokenResponsesAreRetriedOnlyOnIdempotentRoutes and StreamsResumeAfterTheirTargetFails. Fake runners read bodies of up to 16 MB (4 MB before).

--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -359,7 +359,7 @@
   explicit RunnerConnection(Runner& aRunner)
     : mRunner(aRunner)
     , mSocket(MakeRef<Socket>(aRunner.mCluster.mLoop))
-    , mReader(HttpMessageType::Requests, { 65536, 1U << 22U })
+    , mReader(HttpMessageType::Requests, { 65536, 1U << 24U })
     , mEventTimer(aRunner.mCluster.mLoop, [this] { SendNextEvent(); })
   {
   }
@@ -413,6 +413,12 @@
         mSocket->Write("HTTP/1.1 413 Too Large\r\nX-Server-Seal: s\r\n"
                        "Content-Length: 0\r\n\r\n");
       }
+      if (mReader.Progress() == HttpProgress::Body && CutsOffEarly()) {
+        mSocket->Write("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n\r\npla");
+        mSocket->Close(mRunner.mMode == RunnerMode::EarlyUnframedReset);
+        Drop();
+        return;
+      }
       if (mReader.Progress() != HttpProgress::Complete) {
         return;
       }
@@ -426,6 +432,12 @@
     }
   }
 
+  bool CutsOffEarly() const
+  {
+    return mRunner.mMode == RunnerMode::EarlyUnframedReset ||
+           mRunner.mMode == RunnerMode::EarlyUnframedClose;
+  }
+
   // Whether the runner has dropped this connection without notice.
   bool IsForgotten() const
   {
@@ -594,6 +606,12 @@
                    mRunner.RefusalFields() + "Content-Length: 0\r\n\r\n");
   }
 
+  void SendInvalidStatus(const std::string& aHead)
+  {
+    mSocket->Write("HTTP/1.1 000 OK\r\n" + aHead +
+                   "Content-Length: 5\r\n\r\nplain");
+  }
+
   void SendPlainAnswer(const HttpHead& aRequest,
                        const std::string& aHead,
                        RunnerMode aMode)
@@ -628,6 +646,9 @@
         mSocket->Write("HTTP/1.1 200 OK\r\n" + aHead + "\r\npla");
         mSocket->Close(true);
         break;
+      case RunnerMode::InvalidStatus:
+        SendInvalidStatus(aHead);
+        break;
       case RunnerMode::Fail:
         mSocket->Write("HTTP/1.1 500 Error\r\n" + aHead +
                        "Content-Length: 0\r\n\r\n");
@@ -690,6 +711,10 @@
     mEvent = after == nullptr ? 0 : std::atoi(after->c_str());
     mStartEvent = mEvent;
     mMode = aMode;
+    if (aMode == RunnerMode::InvalidStatus) {
+      SendInvalidStatus(aFields);
+      return;
+    }
     if (aMode == RunnerMode::ResetImmediately) {
       Drop();
       return;
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -60,6 +60,13 @@
   EarlyAnswer,
   // Sends a body without Content-Length and resets the connection.
   UnframedReset,
+  // The same before it has read the body, so that a reset may reach the sender
+  // while it writes.
+  EarlyUnframedReset,
+  // The same, but closes the connection.
+  EarlyUnframedClose,
+  // Answers with status 000.
+  InvalidStatus,
   // Resets the connection in the middle of an event.
   TruncatedStream,
   // Stops sending after some events and answers no probe.
--- a/tests/usage/GatewayTests.cpp
+++ b/tests/usage/GatewayTests.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(StreamsThatHaveRunAreNotSaidNotToHaveRun);
   CPPUNIT_TEST(StreamsAnsweredAfterASilenceLeaveTheQueue);
   CPPUNIT_TEST(RequestAfterAnEarlyResponseIsServed);
+  CPPUNIT_TEST(ResponsesCutOffDuringUploadsAreNotPassedOn);
   CPPUNIT_TEST(StreamsResumeAfterTheirTargetFails);
   CPPUNIT_TEST(LostCacheCopyIsReplaced);
   CPPUNIT_TEST(StreamIsCompleteAfterAFailedProbeOfALiveTarget);
@@ -115,7 +116,8 @@
     for (const RunnerMode mode : { RunnerMode::ResetImmediately,
                                    RunnerMode::ShortAnswer,
                                    RunnerMode::UnsignedAnswer,
-                                   RunnerMode::UnframedReset }) {
+                                   RunnerMode::UnframedReset,
+                                   RunnerMode::InvalidStatus }) {
       GatewayTestCluster cluster;
       cluster.SetAllModes(mode);
       const auto unsafe =
@@ -239,12 +241,47 @@
     CPPUNIT_ASSERT_EQUAL(std::string("body"), cluster.Runs().back().mBody);
   }
 
+  // Guards against part of a response without a length being passed on as a
+  // complete one when its target ends the connection during a long upload.
+  void ResponsesCutOffDuringUploadsAreNotPassedOn()
+  {
+    // More than the system buffers for one connection.
+    constexpr int kUploadBytes = 12 << 20;
+    // The bodies differ, so that no request is taken for the repetition of one
+    // that has lost its targets.
+    const auto request = [](const std::string& aRoute, char aContent) {
+      return GatewayTestCluster::Request(aRoute,
+                                         std::string(1, aContent),
+                                         "",
+                                         std::string(kUploadBytes, aContent));
+    };
+    for (const RunnerMode mode :
+         { RunnerMode::EarlyUnframedReset, RunnerMode::EarlyUnframedClose }) {
+      GatewayTestCluster cluster;
+      TestLimits limits;
+      limits.mBodyBytes = 2 * kUploadBytes;
+      cluster.SetCallerLimits(limits);
+      cluster.Configure("key");
+      cluster.SetAllModes(mode);
+      const auto unsafe = cluster.Call(request("/unsafe/", 'a'));
+      CPPUNIT_ASSERT_EQUAL(502, unsafe.mHead.mStatus);
+      cluster.SetMode("i-0", RunnerMode::Serve);
+      const auto safe = cluster.Call(request("/plain/", 'b'));
+      CPPUNIT_ASSERT_EQUAL(200, safe.mHead.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string("plain"), safe.mBody);
+      cluster.SetAllModes(mode);
+      const auto stream = cluster.Call(request("/stream/", 'c'));
+      CPPUNIT_ASSERT(stream.mHead.mStatus >= 500);
+    }
+  }
+
   void StreamsResumeAfterTheirTargetFails()
   {
     for (const RunnerMode mode : { RunnerMode::ResetImmediately,
                                    RunnerMode::TruncatedStream,
                                    RunnerMode::SilentStream,
-                                   RunnerMode::GapInStream }) {
+                                   RunnerMode::GapInStream,
+                                   RunnerMode::InvalidStatus }) {
       GatewayTestCluster cluster(4);
       for (const char* it : { "i-0", "i-1", "i-2" }) {
         cluster.SetMode(it, mode);
