--- a/tests/fuzz/HostFuzzTests.cpp
+++ b/tests/fuzz/HostFuzzTests.cpp
@@ -8,6 +8,7 @@
 #include "gateway/LoadMessages.h"
 #include "gateway/PassedOnRequest.h"
 #include "gateway/ReachMessages.h"
+#include "gateway/RolloutMessages.h"
 #include "gateway/StreamOriginRows.h"
 #include "gateway/SuspectRows.h"
 #include "http/HttpReader.h"
@@ -31,6 +32,13 @@
 
 constexpr int kMaxCount = 1000000000;
 
+// Lists about rollouts, as this build writes them.
+constexpr char kRolloutMessage[] =
+  R"({"rollout_reports":[["pool",18446744073709551615,"v2",1200,-300,"shift",)"
+  R"(250000,3,5,7,[4,2,24,1],[["chat","t1",9,1,2,[3,5],[6,1]],)"
+  R"(["chat","",4,0,0,[],[]]]]],"rollouts":[["pool",7,"v2",1200,13800,"trial",)"
+  R"(300000,644,100]]})";
+
 // Content of a file that an earlier build wrote, or would have.
 std::string
 ReadData(const std::string& aName)
@@ -109,6 +117,8 @@
     { "brittle", MakeTimedCheck(ParseBrittleEntry, WriteBrittleEntry) },
     { "room", MakeCheck(ParseRoomEntry, WriteRoomEntry) },
     { "room_answers", MakeCheck(ParseRoomAnswerEntry, WriteRoomAnswerEntry) },
+    { "rollout_reports", MakeCheck(ParseRolloutReport, WriteRolloutReport) },
+    { "rollouts", MakeCheck(ParseRolloutDirective, WriteRolloutDirective) },
     { "streams", MakeCheck(ParseOriginEntry, WriteOriginEntry) },
     { "gone", MakeCheck(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedCheck(ParseSuspectEntry, WriteSuspectEntry) },
@@ -330,6 +340,31 @@
            : "";
 }
 
+std::string
+CheckRolloutRow(const std::string& aInput, Mutator&)
+{
+  std::string reason;
+  const auto order = platform::DecodeRolloutRequest(aInput, reason);
+  if (!order && reason.empty()) {
+    return "an order is refused without a reason";
+  }
+  if (order && (order->mService.empty() || order->mVersion.empty() ||
+                order->mDuration < Duration::zero() ||
+                order->mDuration > std::chrono::hours(24))) {
+    return "an order is out of range";
+  }
+  reason.clear();
+  const auto status = platform::DecodeRolloutStatus(aInput, reason);
+  if (!status) {
+    return reason.empty() ? "a state is refused without a reason" : "";
+  }
+  const std::string text = platform::FormatRolloutStatus(*status);
+  const auto again = platform::DecodeRolloutStatus(text, reason);
+  return again && platform::FormatRolloutStatus(*again) == text
+           ? ""
+           : "a state is read as another one later";
+}
+
 std::string
 CheckPassedOn(const std::string& aInput, Mutator&)
 {
@@ -392,6 +427,7 @@
   CPPUNIT_TEST(SuspectRows);
   CPPUNIT_TEST(TrialRows);
   CPPUNIT_TEST(OriginRows);
+  CPPUNIT_TEST(RolloutRows);
   CPPUNIT_TEST(PassedOnRequests);
   CPPUNIT_TEST(Settings);
   CPPUNIT_TEST_SUITE_END();
@@ -402,7 +438,8 @@
     CheckMutations("messages",
                    { ReadData("messages-9916185.json"),
                      ReadData("messages-bc3452f.json"),
-                     ReadData("messages-c6d7403.json") },
+                     ReadData("messages-c6d7403.json"),
+                     kRolloutMessage },
                    CheckMessage);
   }
 
@@ -434,6 +471,14 @@
     CheckMutations("rows of streams", RowsOf("streams"), CheckOriginRow);
   }
 
+  void RolloutRows()
+  {
+    CheckMutations("rows of rollouts",
+                   { R"({"Service":"pool","To":"v2","DurationS":12.5})",
+                     R"({"State":"rolled_back","To":"v2"})" },
+                   CheckRolloutRow);
+  }
+
   void PassedOnRequests()
   {
     PassedOnRequest request;
