--- a/src/quetzalquay/gateway/Fleet.cpp
+++ b/src/quetzalquay/gateway/Fleet.cpp
@@ -739,8 +739,19 @@
                          : platform::DecodeRolloutRequest(aRow.mValue, reason);
   const std::string service =
     aRow.mKey.substr(std::string(platform::kRolloutKeyPrefix).size());
+  const RolloutOrder* order = mRollouts.OrderOf(service);
+  const bool isOfCopy = mEraBeganAt && aRow.mVersion <= mCopyVersion &&
+                        order != nullptr &&
+                        order->mId == StableHash(aRow.mValue);
   if (aRow.mRemoved) {
     mRollouts.OnOrderRemoved(service);
+  } else if (isOfCopy) {
+    // The store has come back with it; nobody has given it again.
+    Log(LogLevel::Info,
+        "rollout",
+        "order of an older copy ignored",
+        { { "service", service },
+          { "row_version", std::to_string(aRow.mVersion) } });
   } else if (!request || request->mService != service) {
     Log(
       LogLevel::Error,
@@ -749,6 +760,12 @@
       { { "service", service },
         { "row_version", std::to_string(aRow.mVersion) },
         { "reason", request ? "the order is for another service" : reason } });
+  } else if (mRouting != nullptr && mRouting->FindService(service) == nullptr) {
+    Log(LogLevel::Error,
+        "rollout",
+        "order for an unknown service ignored",
+        { { "service", service },
+          { "row_version", std::to_string(aRow.mVersion) } });
   } else {
     const Time now = EventLoop::Now();
     const bool isNew =
--- a/src/quetzalquay/gateway/RolloutWatch.cpp
+++ b/src/quetzalquay/gateway/RolloutWatch.cpp
@@ -87,6 +87,8 @@
     [this](const std::string& aHost, const RolloutDirective& aDirective) {
       OnDirective(aHost, aDirective);
     });
+  // The records of the earlier era may be lost.
+  mFleet.AddEraCallback([this] { mRecords.clear(); });
   mTimer.ScheduleAt(EventLoop::Now() + kIdleInterval);
 }
 
@@ -102,7 +104,7 @@
 RolloutWatch::OnTimer()
 {
   const Time now = EventLoop::Now();
-  if (!mFleet.Rollouts().HasOpenOrder(now)) {
+  if (!mFleet.Rollouts().HasOpenOrder(now) && !HasUnrecordedEnd(now)) {
     mChoices.clear();
     mTimer.ScheduleAt(now + kIdleInterval);
     return;
@@ -316,6 +318,32 @@
   }
 }
 
+// Whether the record is that of the service's order as it was given last.
+bool
+RolloutWatch::IsRecordKnown(const std::string& aService) const
+{
+  const RolloutOrder* order = mFleet.Rollouts().OrderOf(aService);
+  const auto record = mRecords.find(aService);
+  return order != nullptr && record != mRecords.end() &&
+         record->second.mKnown && record->second.mOrder == order->mId &&
+         (record->second.mState.empty() ||
+          mFleet.IsRolloutRecordCurrent(aService, record->second.mVersion));
+}
+
+bool
+RolloutWatch::HasUnrecordedEnd(Time aNow)
+{
+  for (const std::string& it : mFleet.Rollouts().Services()) {
+    const auto directive = mKeeper.DirectiveOf(it, aNow);
+    if (directive && IsFinal(directive->mStage) &&
+        !(IsRecordKnown(it) && FinalStageOf(mRecords[it].mState)) &&
+        IsKeeper(it, aNow)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Reads or writes the record of an order that this host keeps, if that is due.
 void
 RolloutWatch::CallStore(const std::string& aService, Time aNow)
@@ -325,9 +353,7 @@
   }
   const RolloutOrder* order = mFleet.Rollouts().OrderOf(aService);
   Record& record = mRecords[aService];
-  const bool known =
-    record.mKnown && order != nullptr && record.mOrder == order->mId;
-  if (order != nullptr && !known) {
+  if (order != nullptr && !IsRecordKnown(aService)) {
     ReadRecord(aService, order->mId);
     return;
   }
@@ -335,6 +361,10 @@
   if (!directive || FinalStageOf(record.mState)) {
     return;
   }
+  // The keeper learns with the next report that the order was given again.
+  if (order != nullptr && aNow + directive->mLeft < order->mStartedAt) {
+    return;
+  }
   if (directive->mStage == RolloutStage::RolledBack) {
     WriteRecord(*directive, kRolledBack);
   } else if (directive->mStage == RolloutStage::Completed ||
--- a/src/quetzalquay/gateway/RolloutWatch.h
+++ b/src/quetzalquay/gateway/RolloutWatch.h
@@ -65,6 +65,10 @@
   std::string KeeperOf(const std::string& aService, Time aNow);
   bool IsKeeper(const std::string& aService, Time aNow);
   Duration Interval() const;
+  // Whether the record of this service's order, which this host keeps, does not
+  // have yet how the rollout has ended.
+  bool HasUnrecordedEnd(Time aNow);
+  bool IsRecordKnown(const std::string& aService) const;
   void CallStore(const std::string& aService, Time aNow);
   void ReadRecord(const std::string& aService, std::uint64_t aOrder);
   void WriteRecord(const RolloutDirective& aDirective, const char* aState);
--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <rapidjson/document.h>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 using namespace quetzalquay;
@@ -103,11 +104,12 @@
   return "127.2.0." + std::to_string(aGateway + 1);
 }
 
+constexpr std::string_view kBase64Digits =
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
 std::string
 Base64(const std::string& aText)
 {
-  constexpr char kDigits[] =
-    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string text;
   for (std::size_t n = 0; n < aText.size(); n += 3) {
     unsigned bits = 0;
@@ -118,8 +120,30 @@
       }
     }
     for (std::size_t k = 0; k < 4; ++k) {
-      text.push_back(
-        n + k > aText.size() ? '=' : kDigits[(bits >> (18 - 6 * k)) & 63U]);
+      text.push_back(n + k > aText.size()
+                       ? '='
+                       : kBase64Digits[(bits >> (18 - 6 * k)) & 63U]);
+    }
+  }
+  return text;
+}
+
+std::string
+FromBase64(const std::string& aText)
+{
+  std::string text;
+  unsigned bits = 0;
+  int count = 0;
+  for (const char it : aText) {
+    const auto digit = kBase64Digits.find(it);
+    if (digit == std::string_view::npos) {
+      break;
+    }
+    bits = (bits << 6U | static_cast<unsigned>(digit)) & 0xffffU;
+    count += 6;
+    if (count >= 8) {
+      count -= 8;
+      text.push_back(static_cast<char>((bits >> count) & 255U));
     }
   }
   return text;
@@ -338,6 +362,8 @@
   // Names of former starts whose entries have not expired, with their expiry.
   std::vector<std::pair<Time, std::string>> mFormerNames;
   std::atomic<RunnerMode> mMode{ RunnerMode::Serve };
+  // Requests in RunnerMode::FailHalf.
+  int mHalfFailedCount = 0;
   std::set<RefPtr<RunnerConnection>> mConnections;
   Listener mListener;
   Timer mListenTimer;
@@ -548,13 +574,15 @@
                              echo + "Keep-Alive: timeout=10\r\n";
     const bool paced = aHead.mTarget.rfind("/paced/", 0) == 0;
     const bool isStream = paced || aHead.mTarget.rfind("/stream", 0) == 0;
-    const bool failsAll = mode == RunnerMode::Fail || mRunner.RefusesAll();
-    if (isStream && !failsAll) {
+    const bool fails =
+      mode == RunnerMode::Fail ||
+      (mode == RunnerMode::FailHalf && ++mRunner.mHalfFailedCount % 2 == 0);
+    if (isStream && !fails && !mRunner.RefusesAll()) {
       mPaced = paced;
       mStreamBody = aBody;
       StartStream(aHead, head, mode);
     } else {
-      SendPlainAnswer(aHead, head, mode);
+      SendPlainAnswer(aHead, head, fails ? RunnerMode::Fail : mode);
     }
   }
 
@@ -1315,6 +1343,17 @@
     }));
 }
 
+std::string
+GatewayTestCluster::RowOf(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const auto& rows = mTables[aTable];
+  const auto row = rows.find(aKey);
+  return row == rows.end() || row->second.mRemoved
+           ? std::string()
+           : FromBase64(row->second.mValue);
+}
+
 // Peer address of a gateway.
 const std::string&
 GatewayTestCluster::PeerOf(const std::string& aName) const
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -85,6 +85,8 @@
   SlowAnswer,
   // Answers 500 with X-Server-Seal.
   Fail,
+  // The same for every second request.
+  FailHalf,
   // Answers 503 with X-Server-Seal but without X-Not-Executed.
   Fail503,
   // The same with 429, on streams, too.
@@ -433,6 +435,15 @@
   // Names of the runners of a service, of any if it is empty.
   std::vector<std::string> RunnersOf(const std::string& aService = {}) const;
 
+  // Writes a row of any table, and reads its value; empty if there is none.
+  void SetRow(const std::string& aTable,
+              const std::string& aKey,
+              const std::string& aValue)
+  {
+    Write(aTable, aKey, aValue, false);
+  }
+  std::string RowOf(const std::string& aTable, const std::string& aKey);
+
   // Number of rows of a table that are not removed.
   int CountRows(const std::string& aTable);
 
