--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -9,6 +9,7 @@
 #include "gateway/PassedOnRequest.h"
 #include "gateway/PeerLink.h"
 #include "gateway/ReachMessages.h"
+#include "gateway/RolloutMessages.h"
 #include "gateway/StreamOriginRows.h"
 #include "gateway/SuspectRows.h"
 #include "http/JsonText.h"
@@ -40,6 +41,17 @@
 constexpr char kOriginList[] = "streams";
 constexpr char kConvictedList[] = "convicted";
 
+// Examples of lists that no build which has landed wrote.
+const std::map<std::string, std::string> kLaterExamples = {
+  { kConvictedList, "[350,[7,18446744073709551615]]" },
+  { "rollout_reports",
+    R"(["pool",18446744073709551615,"2.1",1200,13800,"shift",250000,4,6,3,)"
+    R"([20,7],[["chat","",9,1,2,[15,4,24,1],[3,1]],)"
+    R"(["chat","t1",3,0,0,[15,3],[]]]])" },
+  { "rollouts",
+    R"(["pool",18446744073709551615,"2.1",1200,13800,"rolled_back",0,120,31])" },
+};
+
 // Landing whose queries and replies of GET /knowledge tell no era, and the
 // commit since which they do.
 constexpr char kWithoutEra[] = "5b2e4eb";
@@ -155,6 +167,8 @@
     { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
     { kConvictedList,
       MakeTimedFormat(ParseConvictionEntry, WriteConvictionEntry) },
+    { "rollout_reports", MakeFormat(ParseRolloutReport, WriteRolloutReport) },
+    { "rollouts", MakeFormat(ParseRolloutDirective, WriteRolloutDirective) },
   };
   return kFormats;
 }
@@ -169,9 +183,8 @@
   Parse(withAttempt, ReadData("messages-bc3452f.json"));
   std::map<std::string, std::string> examples;
   for (const auto& it : EntryFormats()) {
-    if (it.first == kConvictedList) {
-      // No build that has landed wrote it.
-      examples[it.first] = "[350,[7,18446744073709551615]]";
+    if (kLaterExamples.count(it.first) != 0) {
+      examples[it.first] = kLaterExamples.at(it.first);
       continue;
     }
     const Json& json = it.first == kOriginList ? withAttempt : latest;
@@ -302,6 +315,7 @@
   CPPUNIT_TEST(MessagesOfFormerLandingsAreRead);
   CPPUNIT_TEST(EntriesWithLaterElementsAreRead);
   CPPUNIT_TEST(EntriesThatLackElementsAreNot);
+  CPPUNIT_TEST(RolloutEntriesOfAnUnknownStageOrOutcomeAreNot);
   CPPUNIT_TEST(ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry);
   CPPUNIT_TEST(ReachMessagesWithLaterElementsAreRead);
   CPPUNIT_TEST(LoadsOfManyHostsDoNotOverflow);
@@ -392,6 +406,30 @@
     }
   }
 
+  // Guards against a directive of a later build whose unknown stage passes for
+  // a trial, and against a report whose unreadable outcome is left out of sums.
+  void RolloutEntriesOfAnUnknownStageOrOutcomeAreNot()
+  {
+    Json directive;
+    Parse(directive, kLaterExamples.at("rollouts"));
+    const auto read = ParseRolloutDirective(directive);
+    CPPUNIT_ASSERT(read && read->mStage == RolloutStage::RolledBack);
+    directive[5].SetString("paused");
+    CPPUNIT_ASSERT(!ParseRolloutDirective(directive));
+    for (const char* outcome : { R"(["chat"])",
+                                 R"(["chat","",9,1,2,[25,4],[]])",
+                                 R"(["chat","",-1,1,2,[],[]])",
+                                 R"(["chat","",9,1,2,{},[]])" }) {
+      Json report;
+      Parse(report, kLaterExamples.at("rollout_reports"));
+      CPPUNIT_ASSERT(ParseRolloutReport(report));
+      Json entry(&report.GetAllocator());
+      Parse(entry, outcome);
+      report[11].PushBack(entry, report.GetAllocator());
+      CPPUNIT_ASSERT_MESSAGE(outcome, !ParseRolloutReport(report));
+    }
+  }
+
   // Negative ages and counts were taken as they came: a target "lost" in the
   // future stayed doubtful until then.
   void ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry()
