--- a/tests/introspective/FormatTests.cpp
+++ b/tests/introspective/FormatTests.cpp
@@ -152,13 +152,13 @@
     { "brittle", MakeTimedFormat(ParseBrittleEntry, WriteBrittleEntry) },
     { "room", MakeFormat(ParseRoomEntry, WriteRoomEntry) },
     { "room_answers", MakeFormat(ParseRoomAnswerEntry, WriteRoomAnswerEntry) },
-    { "rollout_reports", MakeFormat(ParseRolloutReport, WriteRolloutReport) },
-    { "rollouts", MakeFormat(ParseRolloutDirective, WriteRolloutDirective) },
     { "streams", MakeFormat(ParseOriginEntry, WriteOriginEntry) },
     { "gone", MakeFormat(ParseDepartureEntry, WriteDepartureEntry) },
     { "suspects", MakeTimedFormat(ParseSuspectEntry, WriteSuspectEntry) },
     { kConvictedList,
       MakeTimedFormat(ParseConvictionEntry, WriteConvictionEntry) },
+    { "rollout_reports", MakeFormat(ParseRolloutReport, WriteRolloutReport) },
+    { "rollouts", MakeFormat(ParseRolloutDirective, WriteRolloutDirective) },
   };
   return kFormats;
 }
@@ -316,6 +316,7 @@
   CPPUNIT_TEST(MessagesOfFormerLandingsAreRead);
   CPPUNIT_TEST(EntriesWithLaterElementsAreRead);
   CPPUNIT_TEST(EntriesThatLackElementsAreNot);
+  CPPUNIT_TEST(RolloutEntriesOfAnUnknownStageOrOutcomeAreNot);
   CPPUNIT_TEST(ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry);
   CPPUNIT_TEST(RolloutEntriesOutOfRangeAreNotRead);
   CPPUNIT_TEST(RolloutOrdersOfAnotherFormAreNotRead);
@@ -409,6 +410,33 @@
     }
   }
 
+  // Guards against a directive of a later build whose unknown stage passes for
+  // a trial, and against a report whose unreadable outcome is left out of sums.
+  void RolloutEntriesOfAnUnknownStageOrOutcomeAreNot()
+  {
+    Json directive;
+    Parse(directive, kOwnExamples.at("rollouts"));
+    const auto read = ParseRolloutDirective(directive);
+    CPPUNIT_ASSERT(read && read->mStage == RolloutStage::Trial);
+    directive[5].SetString("rolled_back");
+    const auto final = ParseRolloutDirective(directive);
+    CPPUNIT_ASSERT(final && final->mStage == RolloutStage::RolledBack);
+    directive[5].SetString("paused");
+    CPPUNIT_ASSERT(!ParseRolloutDirective(directive));
+    for (const char* outcome : { R"(["chat"])",
+                                 R"(["chat","",9,1,2,[25,4],[]])",
+                                 R"(["chat","",-1,1,2,[],[]])",
+                                 R"(["chat","",9,1,2,{},[]])" }) {
+      Json report;
+      Parse(report, kOwnExamples.at("rollout_reports"));
+      CPPUNIT_ASSERT(ParseRolloutReport(report));
+      Json entry(&report.GetAllocator());
+      Parse(entry, outcome);
+      report[11].PushBack(entry, report.GetAllocator());
+      CPPUNIT_ASSERT_MESSAGE(outcome, !ParseRolloutReport(report));
+    }
+  }
+
   // Negative ages and counts were taken as they came: a target "lost" in the
   // future stayed doubtful until then.
   void ElementsOfAnotherTypeOrRangeSpoilOnlyTheirEntry()
