--- a/src/quetzalquay/core/speed/TargetSpeeds.cpp
+++ b/src/quetzalquay/core/speed/TargetSpeeds.cpp
@@ -11,10 +11,15 @@
 // change about as often.
 constexpr Duration kFigureTime = std::chrono::milliseconds(600);
 
-// Weight of a new sample in the averages of a target and of a service.
-constexpr double kTargetWeight = 1.0 / 16;
+// Weight of a new sample in the averages of a target and of a service. Prompts
+// that are read beside a stream stretch its gaps for up to a second, some
+// thirty events, which says nothing about the target's speed.
+constexpr double kTargetWeight = 1.0 / 128;
 constexpr double kServiceWeight = 1.0 / 256;
 
+// Weight of what another host tells, which may have seen a single stream.
+constexpr double kToldWeight = 0.25;
+
 // Largest gap relative to the usual one that counts: longer ones are pauses,
 // not a pace.
 constexpr double kMaxSample = 4;
@@ -66,7 +71,9 @@
 void
 TargetSpeeds::OnTold(const std::string& aTarget, double aFactor)
 {
-  mSpeeds[aTarget].mTold = Bounded(aFactor);
+  double& told = mSpeeds[aTarget].mTold;
+  const double factor = Bounded(aFactor);
+  told = told == 0 ? factor : told + (factor - told) * kToldWeight;
 }
 
 void
