--- a/src/quetzalquay/gateway/LoadMessages.cpp
+++ b/src/quetzalquay/gateway/LoadMessages.cpp
@@ -89,10 +89,10 @@
   load.mBacklogTokens = reader.Count();
   load.mHeldTokens = reader.Count();
   // A later build may tell something else there.
-  constexpr rapidjson::SizeType pace = 4;
-  if (reader.IsValid() && aEntry.Size() > pace && aEntry[pace].IsInt() &&
-      aEntry[pace].GetInt() > 0 && aEntry[pace].GetInt() <= kMaxPace) {
-    load.mPace = aEntry[pace].GetInt();
+  constexpr rapidjson::SizeType kPace = 4;
+  if (reader.IsValid() && aEntry.Size() > kPace && aEntry[kPace].IsInt() &&
+      aEntry[kPace].GetInt() > 0 && aEntry[kPace].GetInt() <= kMaxPace) {
+    load.mPace = aEntry[kPace].GetInt();
   }
   return IfValid(reader, std::move(load));
 }
--- a/src/quetzalquay/gateway/RolloutMessages.cpp
+++ b/src/quetzalquay/gateway/RolloutMessages.cpp
@@ -12,7 +12,7 @@
 
 // Bounds of what other hosts tell. Sums over all hosts stay within their types.
 constexpr std::int64_t kMaxCount = 1000000000;
-constexpr std::int64_t kMaxMs = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxMs = 86400000;
 
 constexpr std::int64_t kShareUnit = 1000000;
 
