Prefer targets that have not told of a long queue lately

Cause: a target that told of more than two waiting calls counted as having room again after some milliseconds, like any other one, so that calls went to busy targets beside idle ones. Change: such a target gets calls for a second only if no other one has room.

--- a/src/quetzalquay/core/TargetTable.cpp
+++ b/src/quetzalquay/core/TargetTable.cpp
@@ -260,6 +260,9 @@
                             Time aNow)
 {
   Candidates candidates;
+  // Targets that were full within the last second and should have room by now.
+  // They get requests only if no other one does, as others go there as well.
+  std::vector<Target*> relieved;
   for (const std::string& it : mTargetsByService[aQuery.mService]) {
     Target& target = mTargets.at(it);
     if (!IsUsable(target, aQuery, aNow) || WantsNothing(it, aNow) ||
@@ -274,7 +277,10 @@
     } else if (brittle && mRoom.IsDenied(it, aNow)) {
       continue;
     } else if (it == aQuery.mCopyHolder || !IsFull(target, aQuery, aNow)) {
-      candidates.mUsable.push_back(&target);
+      const ReportedLoad& report = target.mReport;
+      const bool wasFull = aNow - report.At() < ReportedLoad::kLifetime &&
+                           report.Waiting() > kMaxTargetQueue;
+      (wasFull ? relieved : candidates.mUsable).push_back(&target);
     }
     const Duration roomIn = TimeToRoom(target, aNow);
     if (roomIn > Duration::zero()) {
@@ -283,6 +289,9 @@
                              : std::min(candidates.mRoomIn, roomIn);
     }
   }
+  if (candidates.mUsable.empty()) {
+    candidates.mUsable = std::move(relieved);
+  }
   return candidates;
 }
 
