--- a/tests/fakes/GatewayProcess.h
+++ b/tests/fakes/GatewayProcess.h
@@ -89,9 +89,11 @@
   // failure. A positive aReceiveBytes limits what it holds of unread bytes.
   int ConnectCaller(int aReceiveBytes = 0) const;
 
-  // Address of the gateway, and its ports for callers and for metrics.
+  // Address of the gateway, and its ports for callers, readiness checks and
+  // metrics.
   const std::string& Ip() const { return mIp; }
   int CallerPort() const { return mPorts[0]; }
+  int ReadinessPort() const { return mPorts[1]; }
   int MetricsPort() const { return mPorts[2]; }
 
   // Rewrites the settings file; the process reads it on SIGHUP or at its next
