Close connections that stay unused for others when a gateway has no more

Callers saw 503 "too many connections are open", or no answer, for as long as other connections stayed open, whoever held them and whatever they had sent.

Cause: CallerServer::Accept turned each new connection away once all were taken, and nothing ends a body that stops short, a silent connection that is opened again, or connections at the address for other hosts, which share the limit.

Change: core/overload/EvictionOrder decides which connection gives way, by what it is used for, by the number of connections of its workspace or address, and by age; CallerServer::MakeRoom carries it out. Connections whose request is handled are not in the order. GiveUpBody, which searched all connections for the memory of unfinished bodies, asks the same order. CallerServer has files of its own. New: quetzal_connections_given_up_total and the line "given up for others".

It works because a place is needed only until a caller has sent its request, and who has not done so for long, or will be rejected, goes first.

--- /dev/null
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -0,0 +1,193 @@
+#include "core/overload/EvictionOrder.h"
+
+#include <algorithm>
+
+namespace quetzalquay {
+
+namespace {
+
+// Time for the peer to close after its last response, and for a caller to send
+// a head. Usual ones take a few round trips.
+constexpr Duration kGraceTime = std::chrono::milliseconds(250);
+
+// Time that a body may take before others go first. Usual bodies arrive within
+// some round trips.
+constexpr Duration kBodyTime = std::chrono::seconds(2);
+
+// Part of the idle timeout for which callers count on a connection.
+constexpr int kIdleParts = 4;
+constexpr int kIdleDivisor = 5;
+
+// Part of all connections up to which unknown senders push out known ones.
+constexpr std::size_t kUnknownDivisor = 4;
+
+// Groups that are searched for a connection before it is taken from any.
+constexpr int kMaxGroupsSearched = 8;
+
+constexpr std::array<ConnectionUse, 3> kUnknownUses = {
+  ConnectionUse::Ending,
+  ConnectionUse::RejectedBody,
+  ConnectionUse::Unidentified,
+};
+
+constexpr std::array<ConnectionUse, 4> kKnownUses = {
+  ConnectionUse::IdlePublic,
+  ConnectionUse::IdleKeyed,
+  ConnectionUse::PublicBody,
+  ConnectionUse::KeyedBody,
+};
+
+constexpr std::array<ConnectionUse, 3> kBodyUses = {
+  ConnectionUse::RejectedBody,
+  ConnectionUse::PublicBody,
+  ConnectionUse::KeyedBody,
+};
+
+} // namespace
+
+Time
+EvictableFrom(ConnectionUse aUse, const ConnectionTimes& aTimes)
+{
+  switch (aUse) {
+    case ConnectionUse::Ending:
+    case ConnectionUse::Unidentified:
+      return aTimes.mSince + kGraceTime;
+    case ConnectionUse::IdlePublic:
+    case ConnectionUse::IdleKeyed:
+      return aTimes.mSince + aTimes.mIdleTimeout * kIdleParts / kIdleDivisor;
+    case ConnectionUse::PublicBody:
+    case ConnectionUse::KeyedBody:
+      return aTimes.mSince + kBodyTime;
+    case ConnectionUse::RejectedBody:
+    case ConnectionUse::Last:
+      break;
+  }
+  return aTimes.mSince;
+}
+
+void
+EvictionOrder::Place(Evictable& aConnection,
+                     ConnectionUse aUse,
+                     std::uint64_t aGroup,
+                     Time aFrom)
+{
+  Remove(aConnection);
+  aConnection.mUse = aUse;
+  aConnection.mGroup = aGroup;
+  aConnection.mKey = { aFrom, ++mPlaced };
+  UseQueues& queues = mUses[static_cast<std::size_t>(aUse)];
+  Queue& group = queues.mGroups[aGroup];
+  const std::size_t before = group.size();
+  group.emplace(aConnection.mKey, &aConnection);
+  queues.mAll.emplace(aConnection.mKey, &aConnection);
+  Resize(queues, aGroup, before);
+}
+
+void
+EvictionOrder::Remove(Evictable& aConnection)
+{
+  if (aConnection.mUse == ConnectionUse::Last) {
+    return;
+  }
+  UseQueues& queues = mUses[static_cast<std::size_t>(aConnection.mUse)];
+  Queue& group = queues.mGroups[aConnection.mGroup];
+  const std::size_t before = group.size();
+  group.erase(aConnection.mKey);
+  queues.mAll.erase(aConnection.mKey);
+  Resize(queues, aConnection.mGroup, before);
+  aConnection.mUse = ConnectionUse::Last;
+}
+
+// Keeps the sizes in step with a group that had aBefore connections.
+void
+EvictionOrder::Resize(UseQueues& aQueues,
+                      std::uint64_t aGroup,
+                      std::size_t aBefore)
+{
+  const auto group = aQueues.mGroups.find(aGroup);
+  aQueues.mSizes.erase({ aBefore, aGroup });
+  if (group->second.empty()) {
+    aQueues.mGroups.erase(group);
+  } else {
+    aQueues.mSizes.emplace(group->second.size(), aGroup);
+  }
+}
+
+const EvictionOrder::UseQueues&
+EvictionOrder::QueuesOf(ConnectionUse aUse) const
+{
+  return mUses[static_cast<std::size_t>(aUse)];
+}
+
+Evictable*
+EvictionOrder::FirstOf(const UseQueues& aQueues, Time aNow)
+{
+  if (aQueues.mAll.empty() || aQueues.mAll.begin()->first.first > aNow) {
+    return nullptr;
+  }
+  int left = kMaxGroupsSearched;
+  for (auto it = aQueues.mSizes.rbegin();
+       it != aQueues.mSizes.rend() && left > 0;
+       ++it, --left) {
+    const Queue& group = aQueues.mGroups.at(it->second);
+    if (group.begin()->first.first <= aNow) {
+      return group.begin()->second;
+    }
+  }
+  return aQueues.mAll.begin()->second;
+}
+
+Evictable*
+EvictionOrder::ForConnection(std::size_t aLimit, Time aNow) const
+{
+  std::size_t unknown = 0;
+  for (const ConnectionUse it : kUnknownUses) {
+    if (Evictable* found = FirstOf(QueuesOf(it), aNow)) {
+      return found;
+    }
+    unknown += Count(it);
+  }
+  if (unknown >= aLimit / kUnknownDivisor) {
+    return nullptr;
+  }
+  for (const ConnectionUse it : kKnownUses) {
+    if (Evictable* found = FirstOf(QueuesOf(it), aNow)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+Evictable*
+EvictionOrder::ForBody(ConnectionUse aUse, Time aNow) const
+{
+  for (const ConnectionUse it : kBodyUses) {
+    if (it > aUse) {
+      break;
+    }
+    const Time at = it < aUse ? Time::max() : aNow;
+    if (Evictable* found = FirstOf(QueuesOf(it), at)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t
+EvictionOrder::Count(ConnectionUse aUse) const
+{
+  return QueuesOf(aUse).mAll.size();
+}
+
+Time
+EvictionOrder::NextUnknown() const
+{
+  Time next = Time::max();
+  for (const ConnectionUse it : kUnknownUses) {
+    const Queue& all = QueuesOf(it).mAll;
+    next = all.empty() ? next : std::min(next, all.begin()->first.first);
+  }
+  return next;
+}
+
+} // namespace quetzalquay
--- /dev/null
+++ b/src/quetzalquay/core/overload/EvictionOrder.h
@@ -0,0 +1,141 @@
+#ifndef QUETZALQUAY_CORE_OVERLOAD_EVICTIONORDER_H_INCLUDED
+#define QUETZALQUAY_CORE_OVERLOAD_EVICTIONORDER_H_INCLUDED
+
+#include "core/NameTable.h"
+#include "core/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace quetzalquay {
+
+// What a connection is used for while no whole request of it is handled, in the
+// order in which connections are closed for others.
+enum class ConnectionUse
+{
+  // Its last response has been sent; it waits for the end of the peer.
+  Ending,
+  // It sends the body of a request that will be rejected.
+  RejectedBody,
+  // Nothing is known of its sender: it is silent, sends a head, or its last
+  // request was rejected for its key or path.
+  Unidentified,
+  // It is idle after a request that needed no key.
+  IdlePublic,
+  // It is idle after a request with a valid key.
+  IdleKeyed,
+  // It sends the body of a request that needs no key.
+  PublicBody,
+  // It sends the body of a request with a valid key.
+  KeyedBody,
+  Last,
+};
+
+// Name of a use in logs.
+constexpr NameTable<ConnectionUse, 7> kConnectionUseNames({
+  "ending",
+  "rejected_body",
+  "unidentified",
+  "idle_public",
+  "idle_keyed",
+  "public_body",
+  "keyed_body",
+});
+
+// Times of a connection by which it is decided how long it is kept.
+struct ConnectionTimes
+{
+  // When its present use began: a body's with its request.
+  Time mSince;
+  // When bytes arrived last.
+  Time mLastInput;
+  // Time for which it may be idle where there is room.
+  Duration mIdleTimeout{};
+};
+
+// Time from which a connection may be closed for another one. Callers reuse
+// connections that have been idle for up to four fifths of the idle timeout.
+Time
+EvictableFrom(ConnectionUse aUse, const ConnectionTimes& aTimes);
+
+class EvictionOrder;
+
+// Base class of connections that can be closed for others. Must be removed from
+// its order before it is destroyed.
+class Evictable
+{
+public:
+  ConnectionUse Use() const { return mUse; }
+
+private:
+  friend class EvictionOrder;
+
+  ConnectionUse mUse = ConnectionUse::Last;
+  std::uint64_t mGroup = 0;
+  // Time from which it may be closed, and a number by which equal times are
+  // told apart.
+  std::pair<Time, std::uint64_t> mKey;
+};
+
+// Decides which connection is closed when another one needs its descriptor or
+// its memory. The uses go first; within a use, connections of the group with
+// the most of them, and of these the one that could have been closed for the
+// longest time. A group is a workspace, or an address where no key is known.
+// Performs no I/O; not thread-safe.
+class EvictionOrder
+{
+public:
+  // Adds a connection, or changes its place. It may be closed from aFrom on.
+  void Place(Evictable& aConnection,
+             ConnectionUse aUse,
+             std::uint64_t aGroup,
+             Time aFrom);
+
+  // Removes a connection, such as one whose request is handled. Does nothing if
+  // it is not there.
+  void Remove(Evictable& aConnection);
+
+  // The connection to close for a new one, of which nothing is known yet; null
+  // if the new one has to wait or be rejected. Senders that are not known push
+  // out others only while they have less than a quarter of aLimit connections.
+  Evictable* ForConnection(std::size_t aLimit, Time aNow) const;
+
+  // The connection to close for the memory of a request whose body is of the
+  // given use: one with a body of a lesser use at any age, or of the same use
+  // if it may be closed; null if there is none.
+  Evictable* ForBody(ConnectionUse aUse, Time aNow) const;
+
+  // Connections of a use.
+  std::size_t Count(ConnectionUse aUse) const;
+
+  // Earliest time from which a connection of the uses of unknown senders may be
+  // closed; Time::max() if there is none.
+  Time NextUnknown() const;
+
+private:
+  using Queue = std::map<std::pair<Time, std::uint64_t>, Evictable*>;
+
+  // Connections of one use.
+  struct UseQueues
+  {
+    Queue mAll;
+    std::map<std::uint64_t, Queue> mGroups;
+    // Number of connections and name of each group.
+    std::set<std::pair<std::size_t, std::uint64_t>> mSizes;
+  };
+
+  static Evictable* FirstOf(const UseQueues& aQueues, Time aNow);
+  void Resize(UseQueues& aQueues, std::uint64_t aGroup, std::size_t aBefore);
+  const UseQueues& QueuesOf(ConnectionUse aUse) const;
+
+  std::array<UseQueues, static_cast<std::size_t>(ConnectionUse::Last)> mUses;
+  std::uint64_t mPlaced = 0;
+};
+
+} // namespace quetzalquay
+
+#endif // QUETZALQUAY_CORE_OVERLOAD_EVICTIONORDER_H_INCLUDED
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/CallerConnection.h"
 
 #include "core/Hash.h"
+#include "gateway/CallerServer.h"
 #include "gateway/PassedOnExchange.h"
 #include "gateway/PlainExchange.h"
 #include "gateway/StreamExchange.h"
@@ -25,22 +26,14 @@
 // however little memory is left. Usual heads are smaller.
 constexpr std::size_t kAlwaysHeldBytes = 4096;
 
-// Memory that a request takes while it is handled, besides its own bytes.
-constexpr std::size_t kExchangeBytes = 8192;
-
-// Parts of the memory for requests and answers that requests may take so: in
-// any case, and while it is not used up.
-constexpr std::size_t kReservedExchangeDivisor = 8;
-constexpr std::size_t kExchangeDivisor = 2;
-
 // Part of the memory for requests and answers that unfinished bodies of unknown
 // senders may take together. Their requests are rejected when they are whole,
 // so that the memory is only lent.
 constexpr std::size_t kUnknownBodyDivisor = 8;
 
-// Time that a body may take before it can be given up for one of an equal
-// sender. Usual bodies arrive within some round trips.
-constexpr Duration kBodyGrace = std::chrono::seconds(2);
+// Time until a connection with an unsent answer is looked at again when others
+// need it.
+constexpr Duration kUnsentGrace = std::chrono::seconds(1);
 
 // Retry-After of the 503 sent while the configuration or the targets are
 // unknown, or the host is stopping.
@@ -58,16 +51,6 @@
 // acknowledges the probes of it.
 constexpr Duration kCallerTimeout = std::chrono::seconds(15);
 
-// Share of all connections that callers may open; the others are left for
-// targets.
-constexpr std::size_t kCallerShare = 3;
-constexpr std::size_t kCallerShareDivisor = 4;
-
-// Connections over the limit that wait for their request at the same time, to
-// reject it, and how long each waits. Further ones are closed at once.
-constexpr std::size_t kMaxTurnedAway = 64;
-constexpr Duration kTurnAwayTime = std::chrono::seconds(1);
-
 // Retry-After of requests on connections over the limit.
 constexpr Duration kFullRetryAfter = std::chrono::seconds(1);
 
@@ -107,6 +90,36 @@
   }
 }
 
+// Use of a connection on which a body of a sender is received.
+ConnectionUse
+UseOfBody(BodySender aSender)
+{
+  switch (aSender) {
+    case BodySender::Public:
+      return ConnectionUse::PublicBody;
+    case BodySender::Keyed:
+      return ConnectionUse::KeyedBody;
+    case BodySender::Unknown:
+      break;
+  }
+  return ConnectionUse::RejectedBody;
+}
+
+// Use of an idle connection by the sender of its last request.
+ConnectionUse
+UseOfIdle(BodySender aSender)
+{
+  switch (aSender) {
+    case BodySender::Public:
+      return ConnectionUse::IdlePublic;
+    case BodySender::Keyed:
+      return ConnectionUse::IdleKeyed;
+    case BodySender::Unknown:
+      break;
+  }
+  return ConnectionUse::Unidentified;
+}
+
 // Picks one of the route's services at random, by weight.
 const std::string&
 ChooseService(const Route& aRoute, std::mt19937_64& aRandom)
@@ -174,6 +187,8 @@
 CallerConnection::TurnAway(tcp::socket aSocket, Time aUntil)
 {
   mTurnAwayUntil = aUntil;
+  mRefused = true;
+  ++mServer.mRefusedCount;
   Start(std::move(aSocket));
 }
 
@@ -224,14 +239,16 @@
     ReleaseExchange();
     exchange->OnCallerDisconnected();
   }
+  mServer.mEvictions.Remove(*this);
   mServer.mConnections.erase(self);
-  mServer.mTurnedAwayCount -= mTurnAwayUntil != Time::max() ? 1 : 0;
+  mServer.mRefusedCount -= mRefused ? 1 : 0;
 }
 
 void
 CallerConnection::OnData(std::string_view aData)
 {
   const RefPtr<CallerConnection> self(this);
+  mLastInputAt = EventLoop::Now();
   mUnparsedInput.append(aData);
   if (mHandlingRequest) {
     HoldInput();
@@ -275,6 +292,7 @@
     return;
   }
   mParsing = true;
+  mServer.mEvictions.Remove(*this);
   while (!mHandlingRequest && !mEnding && !mClosed && !mUnparsedInput.empty()) {
     const bool first = !mReader.HasStarted();
     if (first) {
@@ -310,6 +328,7 @@
   }
   mParsing = false;
   HoldInput();
+  UpdateEviction();
 }
 
 // Takes the memory for input that no request has consumed. While a request is
@@ -481,8 +500,11 @@
     }
     call.mWorkspace = owner->mWorkspace;
     call.mPriority = { owner->mPriority, call.mRoute->mPriority };
+    mLastSender = BodySender::Keyed;
+    mWorkspace = StableHash(call.mWorkspace);
   } else {
     call.mPriority = { call.mRoute->mPriority, 0 };
+    mLastSender = BodySender::Public;
   }
   call.mRouting = routing;
   call.mService = ChooseService(*call.mRoute, mServer.mRandom);
@@ -652,13 +674,13 @@
   const std::size_t size = std::max(length, mRequestBytes);
   if (!mSender &&
       (mReader.Progress() == HttpProgress::Body || size > kAlwaysHeldBytes)) {
-    mSender = SenderOfBody();
+    mSender = IdentifySender();
   }
   while (!mHeldRequest.Resize(size, kAlwaysHeldBytes)) {
     // A request that is counted twice by Resize() and does not fit into all of
     // the memory does not take that of others.
     if (size > mServer.mContext.mAnswerBuffers.Limit() / 2 ||
-        !mServer.GiveUpBody(*mSender, *this)) {
+        !mServer.GiveUpBody(UseOfBody(*mSender))) {
       return false;
     }
   }
@@ -683,7 +705,7 @@
 // Finds out by its head who sends the request, as AdmitRequest() does when its
 // body is complete.
 BodySender
-CallerConnection::SenderOfBody() const
+CallerConnection::IdentifySender()
 {
   HttpHead head = mReader.Head();
   const auto& fleet = mServer.mContext.mFleet;
@@ -702,25 +724,91 @@
   if (!routing->mKeysRequired || route->mPublic) {
     return BodySender::Public;
   }
-  return routing->FindKey(request.mApiKey) == nullptr ? BodySender::Unknown
-                                                      : BodySender::Keyed;
+  const KeyOwner* owner = routing->FindKey(request.mApiKey);
+  if (owner == nullptr) {
+    return BodySender::Unknown;
+  }
+  mWorkspace = StableHash(owner->mWorkspace);
+  return BodySender::Keyed;
 }
 
-bool
-CallerConnection::CanBeGivenUpFor(BodySender aSender, Time aNow) const
+// What the connection is used for; nothing while a request is handled, or if
+// the connection takes no room from others.
+std::optional<ConnectionUse>
+CallerConnection::CurrentUse() const
 {
-  return mSender && !mHandlingRequest && !mEnding && !mClosed && !mParsing &&
-         mReader.Progress() == HttpProgress::Body &&
-         (*mSender < aSender ||
-          (*mSender == aSender && aNow - mArrivedAt > kBodyGrace));
+  if (mClosed || mRefused) {
+    return std::nullopt;
+  }
+  if (mEnding) {
+    return ConnectionUse::Ending;
+  }
+  if (mHandlingRequest) {
+    return std::nullopt;
+  }
+  if (mSender && mReader.Progress() == HttpProgress::Body) {
+    return UseOfBody(*mSender);
+  }
+  return UseOfIdle(mLastSender);
+}
+
+// Tells the server whether, and when, this connection can be closed for others.
+void
+CallerConnection::UpdateEviction(Time aNotBefore)
+{
+  if (mParsing) {
+    // Follows when all input has been parsed.
+    return;
+  }
+  const auto use = CurrentUse();
+  if (!use) {
+    mServer.mEvictions.Remove(*this);
+    return;
+  }
+  ConnectionTimes times;
+  times.mSince = mEnding                ? mEndingSince
+                 : mReader.HasStarted() ? mArrivedAt
+                                        : mIdleSince;
+  times.mLastInput = mLastInputAt;
+  const auto& routing = mServer.mContext.mFleet.Routing();
+  times.mIdleTimeout = routing == nullptr ? CallerLimits().mIdleTimeout
+                                          : routing->IdleTimeout(mIdleSince);
+  const bool ofWorkspace =
+    use == ConnectionUse::KeyedBody || use == ConnectionUse::IdleKeyed;
+  mServer.mEvictions.Place(
+    *this,
+    *use,
+    ofWorkspace ? mWorkspace
+                : mSocket->RemoteEndpoint().address().to_v4().to_uint(),
+    std::max(EvictableFrom(*use, times), aNotBefore));
 }
 
-// The least known senders come first, then the oldest bodies.
 bool
-CallerConnection::IsGivenUpBefore(const CallerConnection& aOther) const
+CallerConnection::GiveUp(bool aAnswers)
 {
-  return std::make_pair(mSender, mArrivedAt) <
-         std::make_pair(aOther.mSender, aOther.mArrivedAt);
+  const RefPtr<CallerConnection> self(this);
+  const auto use = CurrentUse();
+  if (!mEnding) {
+    mSocket->ReadReceived();
+  }
+  if (mClosed) {
+    return true;
+  }
+  if (CurrentUse() != use || mSocket->UnwrittenBytes() > 0) {
+    // A request has arrived, or an answer is not sent yet.
+    UpdateEviction(EventLoop::Now() + kUnsentGrace);
+    return false;
+  }
+  if (mEnding) {
+    Close(std::nullopt);
+  } else if (mReader.HasStarted() && aAnswers) {
+    mRefused = true;
+    ++mServer.mRefusedCount;
+    RejectUnread("the connection is needed by others");
+  } else {
+    Close(ConnectionEnd::GivenUp);
+  }
+  return true;
 }
 
 void
@@ -741,6 +829,7 @@
                                 const char* aMessage)
 {
   const Fleet& fleet = mServer.mContext.mFleet;
+  mLastSender = BodySender::Unknown;
   if (mPassedOn.IsPassedOn() &&
       mPassedOn.mConfiguration < fleet.Routing()->mVersion) {
     // The caller would get a denial that its own host does not keep to.
@@ -900,6 +989,7 @@
     mSocket->SetReading(true);
     ParseRequests();
   }
+  UpdateEviction();
 }
 
 // Reads no more requests, and closes the connection once the caller has
@@ -909,6 +999,8 @@
 {
   ReportUnfinishedBytes(aEnd, true);
   mEnding = true;
+  mEndingSince = EventLoop::Now();
+  UpdateEviction();
   mTimer.Clear();
   std::string().swap(mUnparsedInput);
   mHeldInput.Resize(0);
@@ -998,171 +1090,4 @@
   }
 }
 
-CallerServer::CallerServer(GatewayContext& aContext, int aMaxConnections)
-  : mContext(aContext)
-  , mMaxConnections(aMaxConnections)
-  , mRandom(std::random_device{}())
-  , mLog(aContext.mMetrics)
-  , mListener(
-      aContext.mLoop,
-      [this](tcp::socket aSocket) {
-        Accept(std::move(aSocket), CallerKind::Caller);
-      },
-      [this](const std::string& aReason) {
-        mLog.OnNotAccepted(aReason, EventLoop::Now());
-      })
-  , mHostListener(
-      aContext.mLoop,
-      [this](tcp::socket aSocket) {
-        Accept(std::move(aSocket), CallerKind::Host);
-      },
-      [this](const std::string& aReason) {
-        mLog.OnNotAccepted(aReason, EventLoop::Now());
-      })
-{
-}
-
-void
-CallerServer::Accept(tcp::socket aSocket, CallerKind aKind)
-{
-  const auto connection = MakeRef<CallerConnection>(*this, aKind);
-  if (!IsFull()) {
-    mConnections.insert(connection);
-    connection->Start(std::move(aSocket));
-    return;
-  }
-  const Time now = EventLoop::Now();
-  mLog.OnTurnedAway(mConnections.size(), now);
-  if (mTurnedAwayCount < kMaxTurnedAway) {
-    ++mTurnedAwayCount;
-    mConnections.insert(connection);
-    connection->TurnAway(std::move(aSocket), now + kTurnAwayTime);
-  }
-}
-
-// Whether no more connections from callers may be opened.
-bool
-CallerServer::IsFull() const
-{
-  const std::size_t limit =
-    static_cast<std::size_t>(mMaxConnections) - kMaxTurnedAway;
-  const std::size_t callers = mConnections.size() - mTurnedAwayCount;
-  return callers >= limit / kCallerShareDivisor * kCallerShare ||
-         callers + mContext.mPool.OpenConnectionCount() +
-             mContext.mHostPool.OpenConnectionCount() >=
-           limit;
-}
-
-std::size_t
-CallerServer::BytesOfExchanges() const
-{
-  return static_cast<std::size_t>(mExchangeCount) * kExchangeBytes;
-}
-
-bool
-CallerServer::HasMemoryForExchange() const
-{
-  const AnswerBuffers& buffers = mContext.mAnswerBuffers;
-  const std::size_t limit = buffers.Limit();
-  const std::size_t bytes = BytesOfExchanges() + kExchangeBytes;
-  return bytes <= limit / kReservedExchangeDivisor ||
-         (bytes <= limit / kExchangeDivisor &&
-          bytes + buffers.Total() <= limit);
-}
-
-bool
-CallerServer::GiveUpBody(BodySender aSender, const CallerConnection& aFor)
-{
-  const Time now = EventLoop::Now();
-  RefPtr<CallerConnection> first;
-  for (const RefPtr<CallerConnection>& it : mConnections) {
-    if (it.get() != &aFor && it->CanBeGivenUpFor(aSender, now) &&
-        (first == nullptr || it->IsGivenUpBefore(*first))) {
-      first = it;
-    }
-  }
-  if (first == nullptr) {
-    return false;
-  }
-  first->RejectUnread("the memory for an unfinished body is needed by others");
-  return true;
-}
-
-std::optional<ListenFailure>
-CallerServer::Open(const Endpoint& aCallers, const Endpoint& aHosts)
-{
-  auto failure = mListener.Open(aCallers);
-  if (!failure && aHosts.port() != 0) {
-    failure = mHostListener.Open(aHosts);
-  }
-  return failure;
-}
-
-void
-CallerServer::AcceptPending()
-{
-  mListener.AcceptPending();
-  mHostListener.AcceptPending();
-}
-
-void
-CallerServer::CloseListeners()
-{
-  mListener.Close();
-  mHostListener.Close();
-}
-
-void
-CallerServer::StopAcceptingRequests()
-{
-  AcceptPending();
-  CloseIdle(ConnectionEnd::Stopping);
-  mAcceptsRequests = false;
-}
-
-void
-CallerServer::CloseIdle(ConnectionEnd aEnd)
-{
-  const auto connections = mConnections;
-  for (const RefPtr<CallerConnection>& it : connections) {
-    it->CloseIfIdle(aEnd);
-  }
-}
-
-void
-CallerServer::StopListening()
-{
-  AcceptPending();
-  CloseListeners();
-  CloseIdle(ConnectionEnd::Exiting);
-}
-
-bool
-CallerServer::IsBusy() const
-{
-  return std::any_of(
-    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
-      return aConnection->IsBusy();
-    });
-}
-
-void
-CallerServer::FailRequests()
-{
-  const auto connections = mConnections;
-  for (const RefPtr<CallerConnection>& it : connections) {
-    it->FailRequest();
-  }
-}
-
-void
-CallerServer::Close()
-{
-  CloseListeners();
-  while (!mConnections.empty()) {
-    const RefPtr<CallerConnection> first = *mConnections.begin();
-    first->Close(ConnectionEnd::Exiting);
-  }
-}
-
 } // namespace quetzalquay
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -1,15 +1,14 @@
 #ifndef QUETZALQUAY_GATEWAY_CALLERCONNECTION_H_INCLUDED
 #define QUETZALQUAY_GATEWAY_CALLERCONNECTION_H_INCLUDED
 
+#include "core/overload/EvictionOrder.h"
 #include "gateway/ConnectionLog.h"
 #include "gateway/Exchange.h"
+#include "http/AnswerBuffers.h"
 #include "http/HttpReader.h"
-#include "http/SimpleHttpServer.h"
 
-#include <functional>
+#include <cstdint>
 #include <optional>
-#include <random>
-#include <set>
 #include <string>
 
 namespace quetzalquay {
@@ -24,8 +23,7 @@
   Host,
 };
 
-// What the head of a request tells of its sender, in the order in which
-// unfinished bodies are given up when the memory for requests is used up.
+// What is known of the sender of a request, from its head.
 enum class BodySender
 {
   // The request will be rejected: its key or its path is unknown, or it is at
@@ -42,6 +40,7 @@
 // connection set owns it until it closes.
 class CallerConnection
   : public RefCounted<CallerConnection>
+  , public Evictable
   , public SocketHandler
   , public ResponseSink
 {
@@ -62,13 +61,10 @@
   // Whether a request is being received or handled, or an answer sent.
   bool IsBusy() const;
 
-  // Whether the unfinished body on this connection may be given up for one of
-  // aSender.
-  bool CanBeGivenUpFor(BodySender aSender, Time aNow) const;
-
-  // Whether the unfinished body on this connection is to be given up before
-  // that on another one. Both can be given up.
-  bool IsGivenUpBefore(const CallerConnection& aOther) const;
+  // Ends the connection for another one unless a request has arrived meanwhile;
+  // with an answer if one is due and aAnswers. Returns whether it has ended, or
+  // ends once the answer is sent.
+  bool GiveUp(bool aAnswers);
 
   // Rejects a request without waiting for its body, which would take memory.
   void RejectUnread(const char* aMessage);
@@ -115,7 +111,9 @@
   void Reject(int aStatus, FailureCode aCode, const char* aMessage);
   bool HoldRequest();
   bool HoldUnknownBody();
-  BodySender SenderOfBody() const;
+  BodySender IdentifySender();
+  std::optional<ConnectionUse> CurrentUse() const;
+  void UpdateEviction(Time aNotBefore = Time::min());
   void HoldInput();
   std::size_t UnusedForInput() const;
   void RejectUnknown(int aStatus, FailureCode aCode, const char* aMessage);
@@ -142,6 +140,10 @@
   AnswerBuffer mHeldUnknown;
   // Sender of the body that is being received, once the head is complete.
   std::optional<BodySender> mSender;
+  // Sender of the last request that was not rejected for its key or path.
+  BodySender mLastSender = BodySender::Unknown;
+  // Hash of the workspace of the last valid key, 0 if there has been none.
+  std::uint64_t mWorkspace = 0;
   // Received bytes of the request.
   std::size_t mRequestBytes = 0;
   HttpReader mReader;
@@ -155,6 +157,7 @@
   Time mArrivedAt;
   // Since when no request has been received or handled.
   Time mIdleSince;
+  Time mLastInputAt;
   bool mKeepAlive = true;
   bool mContinueSent = false;
   bool mHandlingRequest = false;
@@ -162,8 +165,11 @@
   // Until when a connection that is turned away waits for its request;
   // Time::max() for others.
   Time mTurnAwayUntil = Time::max();
+  // Whether the server counts this connection as refused.
+  bool mRefused = false;
   // Whether no more requests are read; the output is still being sent.
   bool mEnding = false;
+  Time mEndingSince;
   bool mClosed = false;
   // Expires when a request head is not received in time, or when the connection
   // has been idle for too long, by the configuration in force when it is set.
@@ -172,87 +178,6 @@
   Time mTimerExpiry;
 };
 
-// Accepts connections from callers and from other hosts, and owns them.
-class CallerServer
-{
-public:
-  CallerServer(GatewayContext& aContext, int aMaxConnections);
-
-  void SetMaxConnections(int aMaxConnections)
-  {
-    mMaxConnections = aMaxConnections;
-  }
-
-  // Starts to listen at an address for callers, and at one for other hosts
-  // unless its port is 0, in place of other ones if there are any. Returns the
-  // reason on failure, and may be called again.
-  std::optional<ListenFailure> Open(const Endpoint& aCallers,
-                                    const Endpoint& aHosts);
-
-  // From now on the connection is closed after each response. New requests are
-  // still accepted.
-  void Drain() { mDraining = true; }
-  bool IsDraining() const { return mDraining; }
-
-  // Rejects new requests and closes idle connections.
-  void StopAcceptingRequests();
-  bool IsAcceptingRequests() const { return mAcceptsRequests; }
-
-  // Whether a request is being received or handled, or an answer sent, on any
-  // connection.
-  bool IsBusy() const;
-
-  // Ends all requests that are being received or handled with a failure.
-  void FailRequests();
-
-  // Stops listening and closes idle connections. Requests that have been
-  // received by then are still answered.
-  void StopListening();
-
-  // Stops listening and closes all connections.
-  void Close();
-
-  // Open caller connections.
-  std::size_t ConnectionCount() const { return mConnections.size(); }
-  // Requests in progress.
-  int ExchangeCount() const { return mExchangeCount; }
-
-private:
-  friend class CallerConnection;
-
-  void CloseIdle(ConnectionEnd aEnd);
-  void AcceptPending();
-  void CloseListeners();
-  void Accept(boost::asio::ip::tcp::socket aSocket, CallerKind aKind);
-  bool IsFull() const;
-
-  // Memory that the requests in progress take besides their own bytes, and
-  // whether there is enough for another one.
-  std::size_t BytesOfExchanges() const;
-  bool HasMemoryForExchange() const;
-
-  // Rejects the request whose unfinished body is the first to be given up for
-  // one of aSender on another connection. Returns false if there is none.
-  bool GiveUpBody(BodySender aSender, const CallerConnection& aFor);
-
-  GatewayContext& mContext;
-  int mMaxConnections;
-  // Unfinished bodies of unknown senders.
-  AnswerBuffers mUnknownBodies{ 0 };
-  std::set<RefPtr<CallerConnection>> mConnections;
-  // How many of mConnections are being turned away.
-  std::size_t mTurnedAwayCount = 0;
-  std::mt19937_64 mRandom;
-  bool mDraining = false;
-  bool mAcceptsRequests = true;
-  int mExchangeCount = 0;
-  // How many of these are served for other hosts.
-  int mHostExchangeCount = 0;
-  ConnectionLog mLog;
-  Listener mListener;
-  Listener mHostListener;
-};
-
 } // namespace quetzalquay
 
 #endif // QUETZALQUAY_GATEWAY_CALLERCONNECTION_H_INCLUDED
--- a/src/quetzalquay/gateway/ConnectionLog.cpp
+++ b/src/quetzalquay/gateway/ConnectionLog.cpp
@@ -60,6 +60,13 @@
   mTurnedAway = 0;
 }
 
+void
+ConnectionLog::OnGivenUp(ConnectionUse aUse, std::size_t aOpen, Time aNow)
+{
+  mMetrics.Add(GatewayCounter::ConnectionsGivenUp);
+  mEvictionLog.OnEviction(aUse, aOpen, aNow);
+}
+
 void
 ConnectionLog::OnNotAccepted(const std::string& aReason, Time aNow)
 {
--- a/src/quetzalquay/gateway/ConnectionLog.h
+++ b/src/quetzalquay/gateway/ConnectionLog.h
@@ -3,7 +3,9 @@
 
 #include "core/NameTable.h"
 #include "core/Time.h"
+#include "core/overload/EvictionOrder.h"
 #include "gateway/GatewayMetrics.h"
+#include "observe/EvictionLog.h"
 
 #include <cstddef>
 #include <string>
@@ -27,10 +29,12 @@
   Exiting,
   // The caller ended it, or nothing reached the caller.
   CallerGone,
+  // Another one needed it.
+  GivenUp,
 };
 
 // Name of an end in logs.
-constexpr NameTable<ConnectionEnd, 7> kConnectionEndNames({
+constexpr NameTable<ConnectionEnd, 8> kConnectionEndNames({
   "answered",
   "broken_off",
   "idle",
@@ -38,6 +42,7 @@
   "stopping",
   "exiting",
   "caller_gone",
+  "given_up",
 });
 
 // Bytes that are lost when a connection ends.
@@ -67,6 +72,10 @@
   // A new connection was turned away while callers had aOpen connections open.
   void OnTurnedAway(std::size_t aOpen, Time aNow);
 
+  // A connection, or its unfinished body, was given up for another one while
+  // aOpen were open.
+  void OnGivenUp(ConnectionUse aUse, std::size_t aOpen, Time aNow);
+
   // A new connection could not be accepted; it waits.
   void OnNotAccepted(const std::string& aReason, Time aNow);
 
@@ -78,6 +87,7 @@
   Time mLastTurnedAwayLine;
   // Connections turned away since the last line.
   int mTurnedAway = 0;
+  EvictionLog mEvictionLog{ "callers" };
   Time mLastNotAcceptedLine;
   // Accepts that failed since the last line.
   int mNotAccepted = 0;
--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway/Gateway.h"
 
 #include "core/Hash.h"
-#include "gateway/CallerConnection.h"
+#include "gateway/CallerServer.h"
 #include "gateway/Fleet.h"
 #include "gateway/FormatLog.h"
 #include "gateway/GatewayMetrics.h"
--- a/src/quetzalquay/gateway/GatewayMetrics.cpp
+++ b/src/quetzalquay/gateway/GatewayMetrics.cpp
@@ -61,6 +61,9 @@
     "requests that were not handled" },
   { "quetzal_connections_turned_away_total",
     "Callers' connections turned away because too many were open" },
+  { "quetzal_connections_given_up_total",
+    "Connections and unfinished bodies given up because others needed their "
+    "descriptor or memory" },
   { "quetzal_accepts_failed_total",
     "Failed tries to accept a connection of a caller or host" },
   { "quetzal_streams_taken_up_total",
--- a/src/quetzalquay/gateway/GatewayMetrics.h
+++ b/src/quetzalquay/gateway/GatewayMetrics.h
@@ -39,6 +39,7 @@
   ConnectionsCut,
   ConnectionsLeft,
   ConnectionsTurnedAway,
+  ConnectionsGivenUp,
   AcceptsFailed,
   StreamsTakenUp,
   TakeUpsRefused,
--- /dev/null
+++ b/tests/introspective/EvictionOrderTests.cpp
@@ -0,0 +1,187 @@
+#include "Property.h"
+
+#include "core/overload/EvictionOrder.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <vector>
+
+using namespace quetzalquay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time kStart = Time() + seconds(1000);
+constexpr std::size_t kLimit = 400;
+
+// A crowd of connections at different addresses or workspaces.
+class Connections
+{
+public:
+  Evictable& Add(ConnectionUse aUse, std::uint64_t aGroup, Time aFrom)
+  {
+    mAll.emplace_back();
+    mOrder.Place(mAll.back(), aUse, aGroup, aFrom);
+    return mAll.back();
+  }
+
+  void AddMany(int aCount, ConnectionUse aUse, std::uint64_t aGroup, Time aFrom)
+  {
+    for (int n = 0; n < aCount; ++n) {
+      Add(aUse, aGroup, aFrom);
+    }
+  }
+
+  EvictionOrder mOrder;
+
+private:
+  std::deque<Evictable> mAll;
+};
+
+} // namespace
+
+class EvictionOrderTests : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EvictionOrderTests);
+  CPPUNIT_TEST(UnknownSendersGiveWayBeforeKnownOnes);
+  CPPUNIT_TEST(TheLargestGroupGivesWayFirst);
+  CPPUNIT_TEST(ReopenedConnectionsKeepATimeForTheirHead);
+  CPPUNIT_TEST(UnknownSendersDoNotPushOutKnownOnesWithoutLimit);
+  CPPUNIT_TEST(BodiesGiveWayToKnownSendersAtAnyAge);
+  CPPUNIT_TEST(CallersThatReuseConnectionsInTimeKeepThem);
+  CPPUNIT_TEST(WhatIsClosedMayBeClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void UnknownSendersGiveWayBeforeKnownOnes()
+  {
+    Connections all;
+    std::vector<Evictable*> expected;
+    for (const ConnectionUse use : { ConnectionUse::KeyedBody,
+                                     ConnectionUse::PublicBody,
+                                     ConnectionUse::IdleKeyed,
+                                     ConnectionUse::IdlePublic,
+                                     ConnectionUse::Unidentified,
+                                     ConnectionUse::RejectedBody,
+                                     ConnectionUse::Ending }) {
+      expected.insert(expected.begin(), &all.Add(use, 1, kStart));
+    }
+    for (Evictable* it : expected) {
+      CPPUNIT_ASSERT_EQUAL(it, all.mOrder.ForConnection(kLimit, kStart));
+      all.mOrder.Remove(*it);
+    }
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
+  }
+
+  // One address with many silent connections, beside an older one of another.
+  void TheLargestGroupGivesWayFirst()
+  {
+    Connections all;
+    Evictable& other = all.Add(ConnectionUse::Unidentified, 7, kStart);
+    all.AddMany(20, ConnectionUse::Unidentified, 8, kStart + seconds(1));
+    const Time now = kStart + seconds(2);
+    for (int n = 0; n < 19; ++n) {
+      Evictable* first = all.mOrder.ForConnection(kLimit, now);
+      CPPUNIT_ASSERT(first != nullptr && first != &other);
+      all.mOrder.Remove(*first);
+    }
+  }
+
+  // A crowd that opens connections faster than an ordinary caller sends its
+  // head: that caller is kept for a while, and newer ones are turned away.
+  void ReopenedConnectionsKeepATimeForTheirHead()
+  {
+    Connections all;
+    const ConnectionTimes times{ kStart, kStart, seconds(15) };
+    const Time from = EvictableFrom(ConnectionUse::Unidentified, times);
+    all.AddMany(400, ConnectionUse::Unidentified, 1, from);
+    CPPUNIT_ASSERT(
+      all.mOrder.ForConnection(kLimit, kStart + milliseconds(100)) == nullptr);
+    CPPUNIT_ASSERT(
+      all.mOrder.ForConnection(kLimit, kStart + milliseconds(300)) != nullptr);
+    CPPUNIT_ASSERT(from == all.mOrder.NextUnknown());
+  }
+
+  void UnknownSendersDoNotPushOutKnownOnesWithoutLimit()
+  {
+    Connections all;
+    all.Add(ConnectionUse::IdleKeyed, 1, kStart);
+    all.AddMany(99, ConnectionUse::Unidentified, 2, kStart + seconds(5));
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) != nullptr);
+    all.Add(ConnectionUse::Unidentified, 2, kStart + seconds(5));
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
+  }
+
+  void BodiesGiveWayToKnownSendersAtAnyAge()
+  {
+    Connections all;
+    Evictable& open =
+      all.Add(ConnectionUse::PublicBody, 1, kStart + seconds(2));
+    all.Add(ConnectionUse::IdlePublic, 1, kStart);
+    CPPUNIT_ASSERT(all.mOrder.ForBody(ConnectionUse::RejectedBody, kStart) ==
+                   nullptr);
+    CPPUNIT_ASSERT(all.mOrder.ForBody(ConnectionUse::PublicBody, kStart) ==
+                   nullptr);
+    CPPUNIT_ASSERT_EQUAL(&open,
+                         all.mOrder.ForBody(ConnectionUse::KeyedBody, kStart));
+  }
+
+  void CallersThatReuseConnectionsInTimeKeepThem()
+  {
+    const ConnectionTimes times{ kStart, kStart, seconds(10) };
+    CPPUNIT_ASSERT(EvictableFrom(ConnectionUse::IdleKeyed, times) ==
+                   kStart + seconds(8));
+    CPPUNIT_ASSERT(EvictableFrom(ConnectionUse::IdlePublic, times) ==
+                   kStart + seconds(8));
+  }
+
+  // Random connections come, change and go.
+  void WhatIsClosedMayBeClosed()
+  {
+    CheckProperty("what is closed may be closed", [] {
+      std::deque<Evictable> all(12);
+      std::deque<Time> from(all.size(), Time::max());
+      EvictionOrder order;
+      const auto steps = *rc::gen::container<std::vector<unsigned>>(
+        rc::gen::inRange(0U, 1U << 20U));
+      for (const unsigned step : steps) {
+        const std::size_t n = step % all.size();
+        const unsigned rest = step / 12;
+        from[n] = kStart + milliseconds(rest / 64 % 8);
+        if (rest % 8 == 7) {
+          order.Remove(all[n]);
+          from[n] = Time::max();
+        } else {
+          order.Place(all[n],
+                      static_cast<ConnectionUse>(rest % 8 % 7),
+                      rest / 8 % 8,
+                      from[n]);
+        }
+        std::size_t placed = 0;
+        for (std::size_t use = 0; use < 7; ++use) {
+          placed += order.Count(static_cast<ConnectionUse>(use));
+        }
+        RC_ASSERT(placed == static_cast<std::size_t>(std::count_if(
+                              from.begin(), from.end(), [](Time aTime) {
+                                return aTime != Time::max();
+                              })));
+        const Time now = kStart + milliseconds(4);
+        const Evictable* first = order.ForConnection(kLimit, now);
+        bool any = false;
+        for (std::size_t i = 0; i < all.size(); ++i) {
+          any = any || from[i] <= now;
+          const bool isFirst = first == &all[i];
+          const bool goesBefore =
+            first != nullptr && all[i].Use() < first->Use();
+          RC_ASSERT(from[i] <= now || !isFirst);
+          RC_ASSERT(from[i] > now || !goesBefore);
+        }
+        RC_ASSERT((first != nullptr) == any);
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EvictionOrderTests);
