Give up unfinished bodies that have paused, also ones that are renewed often

Callers with a body saw 503 "the memory for requests is used up" while others with a valid key renewed unfinished bodies every second.

Cause: a body gave way to an equal sender's only 2 s after its request began, so that bodies renewed faster than that were never old enough.

Change: a body that has received nothing for 0.5 s may be closed as well. One that goes on arriving keeps its 2 s.

It works because a body that stops short is told from an ordinary one by its pause, not by its age.

--- a/src/quetzalquay/core/overload/EvictionOrder.cpp
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -10,9 +10,10 @@
 // a head. Usual ones take a few round trips.
 constexpr Duration kGraceTime = std::chrono::milliseconds(250);
 
-// Time that a body may take before others go first. Usual bodies arrive within
-// some round trips.
+// Time that a body may take, and may pause, before others go first. Usual
+// bodies arrive within some round trips; a lost packet is sent again sooner.
 constexpr Duration kBodyTime = std::chrono::seconds(2);
+constexpr Duration kBodyPause = std::chrono::milliseconds(500);
 
 // Part of the idle timeout for which callers count on a connection.
 constexpr int kIdleParts = 4;
@@ -57,7 +58,8 @@
       return aTimes.mSince + aTimes.mIdleTimeout * kIdleParts / kIdleDivisor;
     case ConnectionUse::PublicBody:
     case ConnectionUse::KeyedBody:
-      return aTimes.mSince + kBodyTime;
+      return std::min(aTimes.mSince + kBodyTime,
+                      aTimes.mLastInput + kBodyPause);
     case ConnectionUse::RejectedBody:
     case ConnectionUse::Last:
       break;
--- a/tests/introspective/EvictionOrderTests.cpp
+++ b/tests/introspective/EvictionOrderTests.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TheLargestGroupGivesWayFirst);
   CPPUNIT_TEST(ReopenedConnectionsKeepATimeForTheirHead);
   CPPUNIT_TEST(UnknownSendersDoNotPushOutKnownOnesWithoutLimit);
+  CPPUNIT_TEST(RenewedBodiesGiveWayWhenTheyPause);
   CPPUNIT_TEST(BodiesGiveWayToKnownSendersAtAnyAge);
   CPPUNIT_TEST(CallersThatReuseConnectionsInTimeKeepThem);
   CPPUNIT_TEST(WhatIsClosedMayBeClosed);
@@ -114,6 +115,28 @@
     CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
   }
 
+  // Bodies with a key that stop short and are renewed every second, beside one
+  // that arrives slowly but without a pause.
+  void RenewedBodiesGiveWayWhenTheyPause()
+  {
+    Connections all;
+    const Time now = kStart + milliseconds(900);
+    const auto from = [&](Time aLastInput) {
+      return EvictableFrom(ConnectionUse::KeyedBody,
+                           { kStart, aLastInput, seconds(15) });
+    };
+    Evictable& slow =
+      all.Add(ConnectionUse::KeyedBody, 1, from(now - milliseconds(100)));
+    all.AddMany(50, ConnectionUse::KeyedBody, 1, from(kStart));
+    for (int n = 0; n < 50; ++n) {
+      Evictable* first = all.mOrder.ForBody(ConnectionUse::KeyedBody, now);
+      CPPUNIT_ASSERT(first != nullptr && first != &slow);
+      all.mOrder.Remove(*first);
+    }
+    CPPUNIT_ASSERT(all.mOrder.ForBody(ConnectionUse::KeyedBody, now) ==
+                   nullptr);
+  }
+
   void BodiesGiveWayToKnownSendersAtAnyAge()
   {
     Connections all;
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideReopenedConnections);
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
+  CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -150,6 +151,27 @@
     RequireServes(gateway, crowd);
   }
 
+  // Guards against callers with a key taking the memory for requests with
+  // bodies that are renewed too fast to be given up for their age.
+  void GatewayServesCallersBesideRenewedBodiesWithKey()
+  {
+    GatewayTestCluster::Options options = GatewayOptions();
+    options.mSettings.mMaxConnections = 4100;
+    GatewayTestCluster cluster(options);
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    CrowdPlan plan;
+    plan.mCount = 400;
+    plan.mFirst = UnfinishedRequest("/plain/", kKeyField, 60000, 30000);
+    plan.mRenews = true;
+    plan.mInterval = milliseconds(1000);
+    Crowd crowd(gateway.Ip(), gateway.CallerPort(), plan);
+    const std::string statuses = Ordinary(gateway, 90000);
+    PrintFigures(statuses);
+    RequireServed(statuses);
+    CPPUNIT_ASSERT(!gateway.HasExceededMemory());
+  }
+
   // Guards against a stop that waits for callers that send nothing.
   void GatewayStopsBesideACrowd()
   {
