End the requests of callers that leave behind unread input

Targets went on with requests of callers that had reset or closed their connections after sending much behind them, and ordinary callers were refused as every target was at capacity.

Cause: beyond 64 KB behind a running request the connection is not read, so that no end of it was seen, and the next request was taken from the buffer before the socket was looked at.

Change: a connection that is not read is checked for its end every 200 ms, and before each further request from the buffer. What may wait behind a request is a sixteenth of the memory left for input, from 64 KB to 1 MB, as an end can't arrive behind data that the host doesn't take. Buffered input is consumed by an offset, so that a larger buffer isn't moved for each request.

It works because a reset always arrives, and an orderly end arrives as long as what is before it is taken.

--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -18,9 +18,12 @@
 
 using boost::asio::ip::tcp;
 
-// Bytes a caller may pipeline while a request is in progress. Reading from the
+// Bytes a caller may pipeline while a request is in progress: at least, at
+// most, and as a part of the memory that is left for input. Reading from the
 // socket pauses beyond that.
-constexpr std::size_t kMaxPipelinedBytes = 65536;
+constexpr std::size_t kMinPipelinedBytes = 65536;
+constexpr std::size_t kMaxPipelinedBytes = 1U << 20U;
+constexpr std::size_t kPipelineDivisor = 16;
 
 // Bytes of an unfinished head, and of one read, that a connection may hold
 // however little memory is left. Usual heads are smaller.
@@ -293,14 +296,15 @@
   }
   mParsing = true;
   mServer.mEvictions.Remove(*this);
-  while (!mHandlingRequest && !mEnding && !mClosed && !mUnparsedInput.empty()) {
+  while (!mHandlingRequest && !mEnding && !mClosed && UnparsedBytes() > 0) {
     const bool first = !mReader.HasStarted();
     if (first) {
       mArrivedAt = EventLoop::Now();
       ApplyLimits();
     }
-    const std::size_t fed = mReader.Feed(mUnparsedInput);
-    mUnparsedInput.erase(0, fed);
+    const std::size_t fed =
+      mReader.Feed(std::string_view(mUnparsedInput).substr(mParsedBytes));
+    mParsedBytes += fed;
     mRequestBytes += fed;
     if (mReader.Progress() == HttpProgress::Broken) {
       RejectMalformed();
@@ -331,19 +335,35 @@
   UpdateEviction();
 }
 
+// Bytes behind a running request beyond which reading pauses. An end of the
+// connection behind more than that is noticed late, as it cannot be received.
+std::size_t
+CallerConnection::PipelineLimit() const
+{
+  const std::size_t unused = UnusedForInput();
+  return unused == 0 ? 0
+                     : std::clamp(unused / kPipelineDivisor,
+                                  kMinPipelinedBytes,
+                                  kMaxPipelinedBytes);
+}
+
 // Takes the memory for input that no request has consumed. While a request is
 // handled, stops reading if there is too little of it.
 void
 CallerConnection::HoldInput()
 {
-  const std::size_t size = mUnparsedInput.size();
+  const std::size_t size = UnparsedBytes();
   if (size == 0) {
     std::string().swap(mUnparsedInput);
+    mParsedBytes = 0;
+  } else if (mParsedBytes > mUnparsedInput.size() / 2) {
+    mUnparsedInput.erase(0, mParsedBytes);
+    mParsedBytes = 0;
   }
   mHeldInput.Resize(size == 0 ? 0 : mUnparsedInput.capacity());
   if (mHandlingRequest && !mClosed && size > kAlwaysHeldBytes &&
-      (UnusedForInput() == 0 || size > kMaxPipelinedBytes)) {
-    mSocket->SetReading(false);
+      size > PipelineLimit()) {
+    mSocket->StopReadingUntilEnd();
   }
 }
 
@@ -888,7 +908,7 @@
   // its next request gets an answer to that first.
   if (mServer.mDraining) {
     mKeepAlive =
-      mKeepAlive && (!mUnparsedInput.empty() || mSocket->UnreadBytes() > 0);
+      mKeepAlive && (UnparsedBytes() > 0 || mSocket->UnreadBytes() > 0);
   }
   std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
                      (aReason.empty() ? ReasonPhrase(aStatus) : aReason) +
@@ -985,7 +1005,9 @@
   mReader.Next();
   mIdleSince = EventLoop::Now();
   SetInputTimer();
-  if (mSocket->IsOpen()) {
+  // Nothing is run for a caller that has left behind what it had sent.
+  const RefPtr<CallerConnection> self(this);
+  if (mSocket->IsOpen() && (UnparsedBytes() == 0 || !mSocket->HasPeerEnded())) {
     mSocket->SetReading(true);
     ParseRequests();
   }
@@ -1003,6 +1025,7 @@
   UpdateEviction();
   mTimer.Clear();
   std::string().swap(mUnparsedInput);
+  mParsedBytes = 0;
   mHeldInput.Resize(0);
   // What was received of the request is no longer counted in mHeldRequest.
   mReader.Next();
@@ -1082,7 +1105,7 @@
     const bool partial =
       mReader.HasStarted() && mReader.Progress() != HttpProgress::Complete;
     bytes.mReceived =
-      mUnparsedInput.size() + mSocket->UnreadBytes() + (partial ? 1 : 0);
+      UnparsedBytes() + mSocket->UnreadBytes() + (partial ? 1 : 0);
   }
   bytes.mUnsent = aSendsOutput ? 0 : mSocket->UnwrittenBytes();
   if (bytes.mReceived > 0 || bytes.mUnsent > 0) {
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -116,6 +116,11 @@
   void UpdateEviction(Time aNotBefore = Time::min());
   void HoldInput();
   std::size_t UnusedForInput() const;
+  std::size_t PipelineLimit() const;
+  std::size_t UnparsedBytes() const
+  {
+    return mUnparsedInput.size() - mParsedBytes;
+  }
   void RejectUnknown(int aStatus, FailureCode aCode, const char* aMessage);
   void RejectUnconfigured();
   void RejectMalformed();
@@ -148,8 +153,9 @@
   std::size_t mRequestBytes = 0;
   HttpReader mReader;
   HttpReader::Limits mReaderLimits;
-  // Received bytes that the HTTP reader has not consumed yet.
+  // Received bytes; the HTTP reader has consumed the first mParsedBytes.
   std::string mUnparsedInput;
+  std::size_t mParsedBytes = 0;
   RefPtr<Exchange> mExchange;
   platform::CallerRequest mRequest;
   // What the other host says that has passed the request on.
--- a/src/quetzalquay/http/Socket.cpp
+++ b/src/quetzalquay/http/Socket.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -83,7 +84,7 @@
 Socket::Socket(EventLoop& aLoop)
   : mLoop(aLoop)
   , mSocket(aLoop.Context())
-  , mDeadlineTimer(aLoop, [this] { End(SocketEnd::Failed); })
+  , mTimer(aLoop, [this] { OnTimer(); })
 {
 }
 
@@ -106,13 +107,13 @@
     return;
   }
   ConfigureSocket(kPeerTimeout);
-  mDeadlineTimer.ScheduleAt(aDeadline);
+  mTimer.ScheduleAt(aDeadline);
   mSocket.async_connect(
     aServer, [self = RefPtr<Socket>(this)](const error_code& aError) {
       if (!self->mOpen) {
         return;
       }
-      self->mDeadlineTimer.Clear();
+      self->mTimer.Clear();
       if (aError) {
         self->mRefused = aError == boost::asio::error::connection_refused ||
                          aError == boost::asio::error::connection_reset;
@@ -206,11 +207,58 @@
 Socket::SetReading(bool aReading)
 {
   mReading = aReading;
+  StopChecks();
   if (mReading) {
     WaitUntilReadable();
   }
 }
 
+void
+Socket::StopReadingUntilEnd()
+{
+  mReading = false;
+  if (mOpen && !mChecksPeer) {
+    mChecksPeer = true;
+    mTimer.ScheduleAt(EventLoop::Now() + kPeerCheckInterval);
+  }
+}
+
+void
+Socket::StopChecks()
+{
+  if (mChecksPeer) {
+    mChecksPeer = false;
+    mTimer.Clear();
+  }
+}
+
+void
+Socket::OnTimer()
+{
+  if (!mChecksPeer) {
+    End(SocketEnd::Failed);
+  } else if (!HasPeerEnded()) {
+    mTimer.ScheduleAt(EventLoop::Now() + kPeerCheckInterval);
+  }
+}
+
+bool
+Socket::HasPeerEnded()
+{
+  if (!mOpen) {
+    return true;
+  }
+  pollfd polled{ mSocket.native_handle(), POLLRDHUP, 0 };
+  if (::poll(&polled, 1, 0) <= 0) {
+    return false;
+  }
+  mHasUndeliveredOutput =
+    mHasUndeliveredOutput || UnwrittenBytes() > 0 || HasUnacknowledgedOutput();
+  const bool orderly = (polled.revents & POLLERR) == 0 && !mWriteFailed;
+  End(orderly ? SocketEnd::Closed : SocketEnd::Failed);
+  return true;
+}
+
 void
 Socket::WaitUntilReadable()
 {
@@ -339,7 +387,7 @@
   }
   mOpen = false;
   mReading = false;
-  mDeadlineTimer.Clear();
+  mTimer.Clear();
   error_code ec;
   if (aReset) {
     mSocket.set_option(boost::asio::socket_base::linger(true, 0), ec);
@@ -394,6 +442,7 @@
     return;
   }
   mClosingGracefully = true;
+  StopChecks();
   mReading = false;
   if (UnwrittenBytes() == 0) {
     FinishOutput();
@@ -408,7 +457,7 @@
   error_code ec;
   mSocket.shutdown(tcp::socket::shutdown_send, ec);
   mDiscardingInput = true;
-  mDeadlineTimer.ScheduleAt(EventLoop::Now() + kLingerTime);
+  mTimer.ScheduleAt(EventLoop::Now() + kLingerTime);
   SetReading(true);
 }
 
--- a/src/quetzalquay/http/Socket.h
+++ b/src/quetzalquay/http/Socket.h
@@ -95,6 +95,17 @@
   // Stops or resumes reading.
   void SetReading(bool aReading);
 
+  // Stops reading, but goes on watching the peer: OnEnd follows within
+  // kPeerCheckInterval after the peer has ended its output or the connection,
+  // whatever it sent before.
+  void StopReadingUntilEnd();
+
+  // Whether the peer has ended its output or the connection. OnEnd has been
+  // called then, also if input is left unread.
+  bool HasPeerEnded();
+
+  static constexpr Duration kPeerCheckInterval = std::chrono::milliseconds(200);
+
   // Closes immediately; no further events are reported. With aReset, unsent
   // data is discarded and the peer receives a TCP reset.
   void Close(bool aReset = false);
@@ -133,6 +144,8 @@
 
 private:
   void ConfigureSocket(Duration aPeerTimeout);
+  void OnTimer();
+  void StopChecks();
   void WaitUntilReadable();
   void OnReadable();
   void Discard(std::size_t aSize);
@@ -146,8 +159,8 @@
   EventLoop& mLoop;
   boost::asio::ip::tcp::socket mSocket;
   // Expires at the deadline for connecting, or for the peer to close after the
-  // end of the output.
-  Timer mDeadlineTimer;
+  // end of the output, or at the next check of a peer that is not read.
+  Timer mTimer;
   SocketHandler* mHandler = nullptr;
   Endpoint mRemoteEndpoint;
   std::string mNextWritePrefix;
@@ -160,6 +173,8 @@
   bool mWriteFailed = false;
   bool mHasUndeliveredOutput = false;
   bool mReading = false;
+  // Whether the peer is checked while it is not read.
+  bool mChecksPeer = false;
   bool mReadPending = false;
   bool mWritePending = false;
   bool mCloseAfterWrites = false;
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
+  CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,33 @@
     CPPUNIT_ASSERT(!gateway.HasExceededMemory());
   }
 
+  // Guards against requests that run for callers that have left, unseen behind
+  // what they had sent.
+  void GatewayDropsWorkOfCallersThatReadNothingAndLeave()
+  {
+    GatewayTestCluster::Options options = GatewayOptions();
+    options.mRunners = 1;
+    GatewayTestCluster cluster(options);
+    cluster.Configure("key");
+    cluster.SetAllModes(RunnerMode::SlowAnswer);
+    const GatewayProcess& gateway = cluster.Gateway();
+    CrowdPlan plan;
+    plan.mCount = 40;
+    for (int n = 0; n < 1000; ++n) {
+      plan.mFirst += ChunkedRequest("/plain/", kKeyField, 100);
+    }
+    plan.mFirst += UnfinishedRequest("/plain/", kKeyField, 500, 100);
+    Crowd crowd(gateway.Ip(), gateway.CallerPort(), plan);
+    crowd.Reset();
+    const std::string statuses = Ordinary(gateway, kOrdinaryBodyBytes);
+    const std::size_t descriptors = DescriptorsOf(gateway.Pid());
+    const std::string figures =
+      statuses + ", descriptors " + std::to_string(descriptors);
+    PrintFigures(figures);
+    RequireServed(statuses);
+    CPPUNIT_ASSERT_MESSAGE(figures, descriptors <= kIdleDescriptors);
+  }
+
   // Guards against a stop that waits for callers that send nothing.
   void GatewayStopsBesideACrowd()
   {
