Receive the heads of requests without a thread for each connection

Ordinary requests at routers and the resource API got no response while others sent heads byte by byte or kept connections that asked now and then, without a key; and of requests sent together a router answered the first only.

Cause: a thread belonged to a connection. A head's read timeout began anew with each byte, a kept connection kept its thread between requests, and what was read behind a request was thrown away with that request's buffer.

Change: wire/HeadReceiver receives the heads of all connections on one thread; a thread is taken from a whole head to the end of its response. EvictionOrder decides which connection is closed when too many are open, as at the gateway. Input stays with its connection. A silent body is given up after 2 s while requests wait. Evictions are logged, and counted by routers (quetzal_connections_given_up_total). Ruled out: shorter time-outs on a thread for each connection, which slow callers meet in calm.

It works because nothing that arrives slowly holds more than a descriptor.

--- a/src/quetzalquay/control/ResourceApi.cpp
+++ b/src/quetzalquay/control/ResourceApi.cpp
@@ -2,6 +2,7 @@
 
 #include "control/ResourceStore.h"
 #include "generated/messages.pb.h"
+#include "observe/EvictionLog.h"
 #include "observe/Log.h"
 #include "wire/Crypto.h"
 #include "wire/HttpServer.h"
@@ -66,7 +67,7 @@
       SetError(aResponse,
                aStatus,
                "overloaded",
-               "the memory for request bodies is used up; retry later");
+               "other requests need the connection or memory; retry later");
       break;
     default:
       aResponse.mStatus = aStatus;
@@ -141,6 +142,9 @@
       [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
         return CheckOperator(aRequest, aResponse);
       });
+    mServer.SetEvictionHandler([this](ConnectionUse aUse, std::size_t aOpen) {
+      mEvictionLog.OnEviction(aUse, aOpen, std::chrono::steady_clock::now());
+    });
     mServer.SetErrorHandler([](int aStatus, HttpResponse& aResponse) {
       SetServerError(aStatus, aResponse);
     });
@@ -456,6 +460,7 @@
   PlatformHttp mPlatform;
   ResourceStore mStore;
   std::atomic<bool> mStopping{ false };
+  EvictionLog mEvictionLog{ "operators" };
   HttpServer mServer;
 };
 
--- a/src/quetzalquay/observe/RouterMetrics.cpp
+++ b/src/quetzalquay/observe/RouterMetrics.cpp
@@ -41,6 +41,8 @@
   { "quetzal_journal_bytes_total", "Bytes written to the journal" },
   { "quetzal_poll_calls_total", "Load and cache reports read" },
   { "quetzal_peer_bytes_total", "Bytes exchanged with peers" },
+  { "quetzal_connections_given_up_total",
+    "Connections and unfinished bodies given up because others needed them" },
 } };
 
 constexpr std::array<MetricInfo, kEnumSize<RouterHistogram>> kHistograms = { {
--- a/src/quetzalquay/observe/RouterMetrics.h
+++ b/src/quetzalquay/observe/RouterMetrics.h
@@ -29,6 +29,7 @@
   JournalBytes,
   PollCalls,
   PeerBytes,
+  ConnectionsGivenUp,
   Last,
 };
 
--- a/src/quetzalquay/router/CallerApi.cpp
+++ b/src/quetzalquay/router/CallerApi.cpp
@@ -184,9 +184,9 @@
                                       "malformed HTTP request"),
                     aResponse);
     } else if (aStatus == kTimeoutStatus || aStatus == kOverloadedStatus) {
-      // Other requests need the thread or the memory of the unfinished one.
+      // Others need the connection, thread or memory of the unfinished one.
       RejectRequest(MakeNotRunFailure(FailureCode::Overloaded,
-                                      "the body was not received in time",
+                                      "the request was not received in time",
                                       kOtherRouterRetryAfter),
                     aResponse);
     } else if (aStatus >= kServerErrorStatus) {
--- a/src/quetzalquay/router/PeerLink.cpp
+++ b/src/quetzalquay/router/PeerLink.cpp
@@ -121,6 +121,10 @@
                   [this](const HttpRequest& aRequest, HttpResponse& aResponse) {
                     aResponse.mBody = mRpc.HandleRequest(aRequest.mBody);
                   });
+    mServer.SetEvictionHandler([this](ConnectionUse aUse, std::size_t aOpen) {
+      mMetrics.Add(RouterCounter::ConnectionsGivenUp);
+      mEvictionLog.OnEviction(aUse, aOpen, Now());
+    });
     const auto& listen = mSettings.peer_listen();
     if (!mServer.Start(listen.address(), listen.port())) {
       return "peer_listen: cannot bind port " + std::to_string(listen.port());
--- a/src/quetzalquay/router/PeerLink.h
+++ b/src/quetzalquay/router/PeerLink.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_ROUTER_PEERLINK_H_INCLUDED
 
 #include "generated/settings.pb.h"
+#include "observe/EvictionLog.h"
 #include "peers/PeerRpc.h"
 #include "router/PeriodicThread.h"
 #include "wire/HttpClient.h"
@@ -67,6 +68,7 @@
   RouterMetrics& mMetrics;
   CallerApi* mApi = nullptr;
   PeerRpcServer mRpc;
+  EvictionLog mEvictionLog{ "peers" };
   HttpServer mServer;
   std::size_t mNextPeer = 0;
   PeriodicThread mThread;
--- a/src/quetzalquay/router/Router.cpp
+++ b/src/quetzalquay/router/Router.cpp
@@ -15,6 +15,7 @@
 
 #include "config/SnapshotStore.h"
 #include "core/Hash.h"
+#include "observe/EvictionLog.h"
 #include "observe/Log.h"
 #include "observe/RouterMetrics.h"
 #include "observe/Tracer.h"
@@ -141,6 +142,10 @@
                       mSettings.observe().metrics_port());
     }
     mApi->AddRoutes(mServer);
+    mServer.SetEvictionHandler([this](ConnectionUse aUse, std::size_t aOpen) {
+      mMetrics.Add(RouterCounter::ConnectionsGivenUp);
+      mEvictionLog.OnEviction(aUse, aOpen, std::chrono::steady_clock::now());
+    });
     mFollower->Start();
     if (auto problem = mPeerLink->Start()) {
       return problem;
@@ -260,6 +265,7 @@
   RouterLifecycle mLifecycle;
   RouterParts mParts;
   std::unique_ptr<CallerApi> mApi;
+  EvictionLog mEvictionLog{ "callers" };
   HttpServer mServer;
 };
 
--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "wire/HttpServer.h"
 
+#include "wire/HeadReceiver.h"
 #include "wire/ThreadPool.h"
 
 #include <algorithm>
@@ -7,7 +8,6 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
-#include <condition_variable>
 #include <cstdint>
 #include <httplib.h>
 #include <limits>
@@ -26,13 +26,16 @@
 // Requests served on one connection before it is closed.
 constexpr std::size_t kMaxKeepAliveRequests = 100000;
 
+// Connections that may be open at a server with few threads.
+constexpr std::size_t kMinOpenConnections = 64;
+
 // Connections that may wait to be accepted. With the library's backlog of 5,
 // the peers of a larger burst wait a second before they retry the connect.
 constexpr int kListenBacklog = 1024;
 
-// While connections wait for a thread, a body is given up that has taken so
-// long and has arrived at a lower rate. Callers that send at the rate of a slow
-// link are not affected.
+// While requests wait for a thread, a body is given up that has taken so long
+// and has arrived at a lower rate. Callers that send at the rate of a slow link
+// are not affected.
 constexpr Duration kBodyGrace = std::chrono::seconds(2);
 constexpr double kMinBodyBytesPerSecond = 16384;
 
@@ -76,98 +79,41 @@
   return 400;
 }
 
-// Connections that wait for a thread, shared by a server and its task queue.
-class ConnectionQueue
+// Requests that wait for a thread, and whether the server is stopping; shared
+// by a server and its threads.
+struct ThreadDemand
 {
-public:
-  // aMaxWaiting is the number of connections that may wait.
-  explicit ConnectionQueue(std::size_t aMaxWaiting)
-    : mMaxWaiting(aMaxWaiting)
-  {
-  }
-
-  // Adds a connection, as soon as fewer are waiting.
-  void Add()
-  {
-    std::unique_lock<std::mutex> lock(mMutex);
-    mChanged.wait(lock, [this] { return mStopping || mWaiting < mMaxWaiting; });
-    ++mWaiting;
-  }
-
-  void Remove()
-  {
-    {
-      const std::lock_guard<std::mutex> lock(mMutex);
-      --mWaiting;
-    }
-    mChanged.notify_one();
-  }
-
-  // From now on all connections are added at once.
-  void Stop()
-  {
-    {
-      const std::lock_guard<std::mutex> lock(mMutex);
-      mStopping = true;
-    }
-    mChanged.notify_all();
-  }
-
-  bool IsEmpty() const
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    return mWaiting == 0;
-  }
-
-  bool IsStopping() const
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    return mStopping;
-  }
-
-private:
-  mutable std::mutex mMutex;
-  std::condition_variable mChanged;
-  std::size_t mMaxWaiting;
-  std::size_t mWaiting = 0;
-  bool mStopping = false;
+  std::atomic<int> mWaiting{ 0 };
+  std::atomic<bool> mStopping{ false };
 };
 
-// Runs the library's connections on a bounded thread pool. Accepts no more
-// connections than may wait; further ones wait in the system's backlog, where
-// they take no descriptors.
-class ThreadPoolTaskQueue : public httplib::TaskQueue
+// Lets the library pass each connection on in the thread that accepts it.
+class AcceptQueue : public httplib::TaskQueue
 {
 public:
-  ThreadPoolTaskQueue(std::size_t aThreads, ConnectionQueue& aQueue)
-    : mQueue(aQueue)
-    , mPool(aThreads)
+  explicit AcceptQueue(std::function<void()> aOnShutdown)
+    : mOnShutdown(std::move(aOnShutdown))
   {
   }
 
-  void enqueue(std::function<void()> aTask) override
-  {
-    mQueue.Add();
-    mPool.Submit([this, task = std::move(aTask)] {
-      mQueue.Remove();
-      task();
-    });
-  }
-
-  void shutdown() override { mPool.Stop(); }
+  void enqueue(std::function<void()> aTask) override { aTask(); }
+  void shutdown() override { mOnShutdown(); }
 
 private:
-  ConnectionQueue& mQueue;
-  ThreadPool mPool;
+  std::function<void()> mOnShutdown;
 };
 
+// Bytes that are read at a time.
+constexpr std::size_t kReadBytes = 4096;
+
 // Longest line of a request, which the library limits only when it has read
 // all of it, and longest head. The library takes lines of 8,192 bytes.
 constexpr std::size_t kMaxLineBytes = 16384;
 constexpr std::size_t kMaxHeadBytes = 262144;
 
-// Interval at which an idle connection checks whether the server is stopping.
-constexpr std::chrono::milliseconds kIdleCheckInterval{ 100 };
+// Interval at which a thread that waits for a body checks whether others need
+// it.
+constexpr std::chrono::milliseconds kBodyCheckInterval{ 100 };
 
 // Waits for an event of a socket. Returns whether it has happened.
 bool
@@ -181,26 +127,83 @@
   return ready > 0;
 }
 
-// Reads one request from a socket and writes its response. Reading fails when a
-// line or the head of the request is too long.
+// How a body arrives.
+class BodyPace
+{
+public:
+  explicit BodyPace(const ThreadDemand& aDemand)
+    : mDemand(aDemand)
+  {
+  }
+
+  void Start() { mStart = std::chrono::steady_clock::now(); }
+  void Add(std::size_t aBytes) { mBytes += aBytes; }
+
+  // Whether the body is to be given up, and why.
+  BodyEnd Check() const
+  {
+    if (mDemand.mStopping) {
+      return BodyEnd::Stopping;
+    }
+    const auto elapsed = std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - mStart);
+    const bool isSlow =
+      elapsed > kBodyGrace &&
+      static_cast<double>(mBytes) <
+        kMinBodyBytesPerSecond * ToMilliseconds(elapsed) / 1000;
+    return isSlow && mDemand.mWaiting > 0 ? BodyEnd::TooSlow
+                                          : BodyEnd::Complete;
+  }
+
+private:
+  const ThreadDemand& mDemand;
+  Time mStart;
+  std::size_t mBytes = 0;
+};
+
+// Reads one request from a connection and writes its response. Reading fails
+// when a line or the head of the request is too long, and when its body is to
+// be given up.
 class RequestStream : public httplib::Stream
 {
 public:
-  RequestStream(socket_t aSocket,
+  RequestStream(HttpConnection& aConnection,
+                const ThreadDemand& aDemand,
                 std::chrono::milliseconds aReadTimeout,
                 std::chrono::milliseconds aWriteTimeout)
-    : mSocket(aSocket)
+    : mConnection(aConnection)
+    , mSocket(aConnection.Socket())
+    , mPace(aDemand)
     , mReadTimeout(aReadTimeout)
     , mWriteTimeout(aWriteTimeout)
   {
+    sCurrent = this;
   }
 
-  void EndHead() { mInHead = false; }
+  // Leaves what follows the request to the next one.
+  ~RequestStream() override
+  {
+    sCurrent = nullptr;
+    mConnection.mInput.erase(0, mUsed);
+  }
+  RequestStream(const RequestStream&) = delete;
+  RequestStream& operator=(const RequestStream&) = delete;
+
+  // The request that this thread handles.
+  static RequestStream& Current() { return *sCurrent; }
+
+  void EndHead()
+  {
+    mInHead = false;
+    mPace.Start();
+  }
   bool IsInHead() const { return mInHead; }
+  const BodyPace& Pace() const { return mPace; }
+  HttpConnection& Connection() { return mConnection; }
 
   bool is_readable() const override
   {
-    return mUsed < mFilled || AwaitSocket(mSocket, POLLIN, mReadTimeout);
+    return mUsed < mConnection.mInput.size() || AwaitInput();
   }
 
   bool is_writable() const override
@@ -210,26 +213,31 @@
 
   ssize_t read(char* aTo, std::size_t aSize) override
   {
-    if (mUsed == mFilled) {
-      if (!is_readable()) {
+    std::string& input = mConnection.mInput;
+    if (mUsed == input.size()) {
+      if (!AwaitInput()) {
         return -1;
       }
+      input.resize(kReadBytes);
+      mUsed = 0;
       ssize_t n = 0;
       do {
-        n = ::recv(mSocket, mBuffer.data(), mBuffer.size(), 0);
+        n = ::recv(mSocket, input.data(), input.size(), 0);
       } while (n < 0 && errno == EINTR);
+      input.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
       if (n <= 0) {
         return n;
       }
-      mUsed = 0;
-      mFilled = static_cast<std::size_t>(n);
     }
-    const std::size_t size = std::min(aSize, mFilled - mUsed);
-    std::copy_n(mBuffer.data() + mUsed, size, aTo);
+    const std::size_t size = std::min(aSize, input.size() - mUsed);
+    std::copy_n(input.data() + mUsed, size, aTo);
     mUsed += size;
     // The library reads lines byte by byte.
     mLineBytes = aSize == 1 && *aTo != '\n' ? mLineBytes + 1 : 0;
     mHeadBytes += mInHead ? size : 0;
+    if (!mInHead) {
+      mPace.Add(size);
+    }
     return mLineBytes > kMaxLineBytes || mHeadBytes > kMaxHeadBytes
              ? -1
              : static_cast<ssize_t>(size);
@@ -260,6 +268,21 @@
   socket_t socket() const override { return mSocket; }
 
 private:
+  // Waits for input; not for that of a body which is to be given up.
+  bool AwaitInput() const
+  {
+    const auto until = std::chrono::steady_clock::now() + mReadTimeout;
+    while (mInHead || mPace.Check() == BodyEnd::Complete) {
+      if (AwaitSocket(mSocket, POLLIN, kBodyCheckInterval)) {
+        return true;
+      }
+      if (std::chrono::steady_clock::now() >= until) {
+        return false;
+      }
+    }
+    return false;
+  }
+
   bool IsAlive() const
   {
     char byte = 0;
@@ -282,22 +305,31 @@
     }
   }
 
+  static thread_local RequestStream* sCurrent;
+
+  HttpConnection& mConnection;
   socket_t mSocket;
+  BodyPace mPace;
   std::chrono::milliseconds mReadTimeout;
   std::chrono::milliseconds mWriteTimeout;
-  std::array<char, 4096> mBuffer{};
+  // Part of the connection's input that has been read.
   std::size_t mUsed = 0;
-  std::size_t mFilled = 0;
   std::size_t mLineBytes = 0;
   std::size_t mHeadBytes = 0;
   bool mInHead = true;
 };
 
-// The library's server, on connections that limit what it reads.
+thread_local RequestStream* RequestStream::sCurrent = nullptr;
+
+// The library's server, on connections whose heads a HeadReceiver receives.
 class LimitedServer : public httplib::Server
 {
-private:
-  bool process_and_close_socket(socket_t aSocket) override
+public:
+  std::function<void(int)> mOnAccepted;
+
+  // Handles one request. Returns whether the connection can be used for another
+  // one.
+  bool Serve(HttpConnection& aConnection, const ThreadDemand& aDemand)
   {
     using std::chrono::milliseconds;
     using std::chrono::seconds;
@@ -305,38 +337,20 @@
       seconds(read_timeout_sec_) + milliseconds(read_timeout_usec_ / 1000);
     const milliseconds write =
       seconds(write_timeout_sec_) + milliseconds(write_timeout_usec_ / 1000);
-    bool served = false;
-    for (std::size_t left = keep_alive_max_count_;
-         left > 0 && AwaitRequest(aSocket);
-         --left) {
-      RequestStream stream(aSocket, read, write);
-      bool isClosed = false;
-      served =
-        process_request(stream, left == 1, isClosed, [&](httplib::Request&) {
-          stream.EndHead();
-        });
-      // What follows a head that could not be read is no request.
-      if (!served || isClosed || stream.IsInHead()) {
-        break;
-      }
-    }
-    ::shutdown(aSocket, SHUT_RDWR);
-    ::close(aSocket);
-    return served;
+    const bool isLast = ++aConnection.mServed >= kMaxKeepAliveRequests;
+    RequestStream stream(aConnection, aDemand, read, write);
+    bool isClosed = false;
+    const bool served = process_request(
+      stream, isLast, isClosed, [&](httplib::Request&) { stream.EndHead(); });
+    // What follows a head that could not be read is no request.
+    return served && !isClosed && !isLast && !stream.IsInHead();
   }
 
-  // Waits for the first byte of a request.
-  bool AwaitRequest(socket_t aSocket) const
+private:
+  bool process_and_close_socket(socket_t aSocket) override
   {
-    const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::seconds(keep_alive_timeout_sec_);
-    while (svr_sock_ != INVALID_SOCKET &&
-           std::chrono::steady_clock::now() < until) {
-      if (AwaitSocket(aSocket, POLLIN, kIdleCheckInterval)) {
-        return true;
-      }
-    }
-    return false;
+    mOnAccepted(aSocket);
+    return true;
   }
 };
 
@@ -492,7 +506,6 @@
 public:
   explicit Impl(Options aOptions)
     : mOptions(aOptions)
-    , mQueue(aOptions.mMaxConnections)
     , mBodyMemory(
         std::max(aOptions.mBodyMemory, 2 * aOptions.mMaxBodyBytes + 64))
     , mUnknownBodies(
@@ -500,16 +513,13 @@
                               aOptions.mMaxConnections / kUnknownSenderDivisor))
   {
     mServer.new_task_queue = [this] {
-      return new ThreadPoolTaskQueue(mOptions.mMaxConnections, mQueue);
+      return new AcceptQueue([this] { StopConnections(); });
     };
+    mServer.mOnAccepted = [this](int aSocket) { mHeads->Add(aSocket); };
     // Bodies are limited where they are received: the library does not limit
     // chunked ones, and reads the others to their end.
     mServer.set_payload_max_length(std::numeric_limits<std::size_t>::max());
     mServer.set_write_timeout(aOptions.mWriteTimeout);
-    mServer.set_keep_alive_max_count(kMaxKeepAliveRequests);
-    mServer.set_keep_alive_timeout(
-      std::chrono::duration_cast<std::chrono::seconds>(aOptions.mKeepAlive)
-        .count());
     mServer.set_tcp_nodelay(true);
     mServer.set_socket_options([this](socket_t aSocket) {
       const int on = 1;
@@ -575,8 +585,41 @@
     }
   }
 
+  // Starts the threads that receive and handle requests.
+  void StartConnections()
+  {
+    mThreads = std::make_unique<ThreadPool>(mOptions.mMaxConnections);
+    HeadReceiver::Options options;
+    options.mMaxConnections =
+      std::max(2 * mOptions.mMaxConnections, kMinOpenConnections);
+    options.mIdleTimeout = mOptions.mKeepAlive;
+    options.mMaxHeadBytes = kMaxHeadBytes;
+    options.mMaxLineBytes = kMaxLineBytes;
+    mHeads = std::make_unique<HeadReceiver>(
+      options,
+      HeadReceiver::Callbacks{
+        [this](const RefPtr<HttpConnection>& aConnection) {
+          Submit(aConnection);
+        },
+        [this](ConnectionUse aUse, std::size_t aOpen) {
+          ReportEviction(aUse, aOpen);
+          return FormatEviction();
+        } });
+  }
+
+  // From now on no more requests are received, and bodies end.
+  void BeginStop()
+  {
+    mDemand.mStopping = true;
+    if (mHeads != nullptr) {
+      mHeads->BeginStop();
+    }
+  }
+
   Options mOptions;
-  ConnectionQueue mQueue;
+  ThreadDemand mDemand;
+  EvictionHandler mEvictionHandler;
+  std::mutex mEvictionMutex;
   SharedBudget mBodyMemory;
   SharedBudget mUnknownBodies;
   SenderCheck mSenderCheck;
@@ -584,8 +627,53 @@
   LimitedServer mServer;
   socket_t mSocket = INVALID_SOCKET;
   std::thread mThread;
+  std::unique_ptr<ThreadPool> mThreads;
+  std::unique_ptr<HeadReceiver> mHeads;
 
 private:
+  void Submit(const RefPtr<HttpConnection>& aConnection)
+  {
+    ++mDemand.mWaiting;
+    mThreads->Submit([this, aConnection] {
+      --mDemand.mWaiting;
+      if (mServer.Serve(*aConnection, mDemand)) {
+        mHeads->Return(aConnection);
+      } else {
+        mHeads->Release(aConnection);
+      }
+    });
+  }
+
+  // Handles the requests whose heads have been received, and closes the other
+  // connections.
+  void StopConnections()
+  {
+    mHeads->Stop();
+    mThreads->Stop();
+  }
+
+  void ReportEviction(ConnectionUse aUse, std::size_t aOpen)
+  {
+    const std::lock_guard<std::mutex> lock(mEvictionMutex);
+    if (mEvictionHandler) {
+      mEvictionHandler(aUse, aOpen);
+    }
+  }
+
+  // The response to a part of a head whose connection is needed by others.
+  std::string FormatEviction() const
+  {
+    HttpResponse response;
+    FillError(503, response);
+    std::string text = "HTTP/1.1 503 Service Unavailable\r\n";
+    for (const auto& it : response.mHeaders) {
+      text += it.first + ": " + it.second + "\r\n";
+    }
+    return text + "Content-Type: " + response.mContentType +
+           "\r\nContent-Length: " + std::to_string(response.mBody.size()) +
+           "\r\nConnection: close\r\n\r\n" + response.mBody;
+  }
+
   // Rejects methods that have no handlers but for which the library receives a
   // body.
   httplib::Server::HandlerResponse RejectMethod(
@@ -615,12 +703,17 @@
     HttpRequest request = Convert(aRequest);
     HttpResponse response;
     if (mSenderCheck && !mSenderCheck(request, response)) {
+      RequestStream::Current().Connection().mIsKnown = false;
       RespondUnheld(std::move(response), aRequest, aResponse, aReader);
       return;
     }
     BudgetPart memory(mBodyMemory);
+    RequestStream::Current().Connection().mIsKnown = true;
     const BodyEnd end = ReceiveBody(aRequest, aReader, memory, request.mBody);
     if (end != BodyEnd::Complete) {
+      if (end == BodyEnd::TooSlow || end == BodyEnd::NoMemory) {
+        ReportEviction(ConnectionUse::KeyedBody, mHeads->OpenCount());
+      }
       Reject(StatusOf(end), aResponse);
       return;
     }
@@ -684,7 +777,7 @@
     if (length > max + kMaxDiscardedBytes) {
       return BodyEnd::TooLarge;
     }
-    const auto start = std::chrono::steady_clock::now();
+    const BodyPace& pace = RequestStream::Current().Pace();
     std::size_t received = 0;
     const BodyEnd end =
       Read(aRequest, aReader, [&](const char* aData, std::size_t aSize) {
@@ -692,31 +785,20 @@
         if (received > max) {
           // What is announced is read, so that the caller gets the response.
           std::string().swap(aBody);
-          return received > length ? BodyEnd::TooLarge
-                                   : CheckRate(start, received);
+          return received > length ? BodyEnd::TooLarge : pace.Check();
         }
         // The text grows to twice its size.
         if (received > aBody.capacity() && !aMemory.Raise(2 * received)) {
           return BodyEnd::NoMemory;
         }
         aBody.append(aData, aSize);
-        return CheckRate(start, received);
+        return pace.Check();
       });
-    return end == BodyEnd::Complete && received > max ? BodyEnd::TooLarge : end;
-  }
-
-  BodyEnd CheckRate(Time aStart, std::size_t aReceived) const
-  {
-    if (mQueue.IsStopping()) {
-      return BodyEnd::Stopping;
+    if (end == BodyEnd::Failed && pace.Check() != BodyEnd::Complete) {
+      // Reading has stopped for that reason.
+      return pace.Check();
     }
-    const auto elapsed = std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now() - aStart);
-    const bool isSlow =
-      elapsed > kBodyGrace &&
-      static_cast<double>(aReceived) <
-        kMinBodyBytesPerSecond * ToMilliseconds(elapsed) / 1000;
-    return isSlow && !mQueue.IsEmpty() ? BodyEnd::TooSlow : BodyEnd::Complete;
+    return end == BodyEnd::Complete && received > max ? BodyEnd::TooLarge : end;
   }
 
   BodyEnd DiscardBody(const httplib::Request& aRequest,
@@ -726,7 +808,7 @@
     std::size_t received = 0;
     return Read(aRequest, aReader, [&](const char*, std::size_t aSize) {
       received += aSize;
-      return received > kMaxDiscardedBytes || mQueue.IsStopping() ||
+      return received > kMaxDiscardedBytes || mDemand.mStopping ||
                  std::chrono::steady_clock::now() > until
                ? BodyEnd::TooLarge
                : BodyEnd::Complete;
@@ -775,6 +857,12 @@
     });
 }
 
+void
+HttpServer::SetEvictionHandler(const EvictionHandler& aHandler)
+{
+  mImpl->mEvictionHandler = aHandler;
+}
+
 bool
 HttpServer::Start(const std::string& aAddress, int aPort)
 {
@@ -783,6 +871,7 @@
   }
   ::listen(mImpl->mSocket, kListenBacklog);
   mImpl->RouteOthers();
+  mImpl->StartConnections();
   mImpl->mThread = std::thread([this] { mImpl->mServer.listen_after_bind(); });
   while (!mImpl->mServer.is_running()) {
     std::this_thread::yield();
@@ -793,7 +882,7 @@
 void
 HttpServer::Stop()
 {
-  mImpl->mQueue.Stop();
+  mImpl->BeginStop();
   mImpl->mServer.stop();
   if (mImpl->mThread.joinable()) {
     mImpl->mThread.join();
--- a/src/quetzalquay/wire/HttpServer.h
+++ b/src/quetzalquay/wire/HttpServer.h
@@ -2,6 +2,7 @@
 #define QUETZALQUAY_WIRE_HTTPSERVER_H_INCLUDED
 
 #include "core/Time.h"
+#include "core/overload/EvictionOrder.h"
 
 #include <cstddef>
 #include <functional>
@@ -60,6 +61,8 @@
 
   struct Options
   {
+    // Requests that are handled at a time. Twice as many connections may be
+    // open, and 64 in any case; beyond that some are closed for new ones.
     std::size_t mMaxConnections = 256;
     std::size_t mMaxBodyBytes = 8U << 20;
     // Memory for the bodies of all requests that are being received or handled.
@@ -91,6 +94,12 @@
   // and 503 the request has not been handled.
   void SetErrorHandler(const std::function<void(int, HttpResponse&)>& aHandler);
 
+  // Called for each connection that is closed for others, and for each body
+  // that is given up, with its use and the number of open connections. Calls do
+  // not overlap; the handler must not block.
+  using EvictionHandler = std::function<void(ConnectionUse, std::size_t)>;
+  void SetEvictionHandler(const EvictionHandler& aHandler);
+
   // Binds the address and serves it on a thread of its own. Returns false when
   // the address cannot be bound.
   bool Start(const std::string& aAddress, int aPort);
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -2,11 +2,16 @@
 #include "GatewayTestCluster.h"
 #include "ServerProcess.h"
 
+#include "http/HttpReader.h"
+
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdlib>
 #include <string>
+#include <string_view>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -72,6 +77,18 @@
   return plan;
 }
 
+// Connections that send many requests and read no response.
+CrowdPlan
+Unread(int aCount, const std::string& aTarget, int aRequests)
+{
+  CrowdPlan plan;
+  plan.mCount = aCount;
+  for (int n = 0; n < aRequests; ++n) {
+    plan.mFirst += GetRequest(aTarget);
+  }
+  return plan;
+}
+
 void
 PrintFigures(const std::string& aFigures)
 {
@@ -97,7 +114,18 @@
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
+  CPPUNIT_TEST(GatewayKeepsKnownCallersBesideSilentConnections);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
+  CPPUNIT_TEST(RouterServesCallersBesideSlowHeads);
+  CPPUNIT_TEST(RouterServesCallersBesideKeptConnections);
+  CPPUNIT_TEST(RouterServesCallersBesideSilentConnections);
+  CPPUNIT_TEST(RouterServesRoutersBesideSlowHeads);
+  CPPUNIT_TEST(RouterServesCallersBesideUnreadResponses);
+  CPPUNIT_TEST(RouterStopsBesideSlowHeads);
+  CPPUNIT_TEST(RouterAnswersRequestsSentTogether);
+  CPPUNIT_TEST(RouterServesASlowHeadWithoutACrowd);
+  CPPUNIT_TEST(ApiServesOperatorsBesideSlowHeads);
+  CPPUNIT_TEST(ApiServesOperatorsBesideKeptConnections);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -200,6 +228,31 @@
     CPPUNIT_ASSERT_MESSAGE(figures, descriptors <= kIdleDescriptors);
   }
 
+  // Guards against a crowd that ends a stream, or the connection of a caller
+  // that uses it again.
+  void GatewayKeepsKnownCallersBesideSilentConnections()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    const std::string request =
+      GatewayTestCluster::Request("/plain/", "kept", "");
+    const int kept = ConnectTo(gateway.Ip(), gateway.CallerPort());
+    SendSome(kept, request, kAnswerTime);
+    CPPUNIT_ASSERT_EQUAL(200, ReadStatus(kept));
+    BackgroundCall stream(gateway,
+                          GatewayTestCluster::Request("/paced/", "stream"));
+    {
+      const Crowd crowd(
+        gateway.Ip(), gateway.CallerPort(), Silent(kGatewayCrowd));
+      SendSome(kept, request, kAnswerTime);
+      CPPUNIT_ASSERT_EQUAL(200, ReadStatus(kept));
+      CPPUNIT_ASSERT_EQUAL(GatewayTestCluster::StreamBody(),
+                           stream.AwaitAnswer().mBody);
+    }
+    ::close(kept);
+  }
+
   // Guards against a stop that waits for callers that send nothing.
   void GatewayStopsBesideACrowd()
   {
@@ -212,6 +265,114 @@
     CPPUNIT_ASSERT_EQUAL(0, gateway.Stop());
   }
 
+  // Guards against heads that hold a thread for as long as a byte comes now and
+  // then.
+  void RouterServesCallersBesideSlowHeads()
+  {
+    RouterUnderTest router;
+    CheckServer(router, SlowHeads(kRouterCrowd), kRouterDescriptors);
+  }
+
+  // Guards against connections that hold a thread between their requests.
+  void RouterServesCallersBesideKeptConnections()
+  {
+    RouterUnderTest router;
+    CheckServer(
+      router, Kept(kRouterCrowd, "/health/ready"), kRouterDescriptors);
+  }
+
+  void RouterServesCallersBesideSilentConnections()
+  {
+    RouterUnderTest router;
+    CheckServer(router, Silent(kRouterCrowd), kRouterDescriptors);
+  }
+
+  // The same at the address for other routers.
+  void RouterServesRoutersBesideSlowHeads()
+  {
+    RouterUnderTest router;
+    const Crowd crowd("127.0.0.1", router.PeerPort(), SlowHeads(kRouterCrowd));
+    RequireServed(Statuses("127.0.0.1",
+                           router.PeerPort(),
+                           "POST /rpc HTTP/1.1\r\nHost: host\r\n"
+                           "Content-Length: 2\r\n\r\n{}"));
+    RequireServed(router.Call());
+    RequireBounds(router, kRouterDescriptors);
+  }
+
+  // Guards against responses that hold a thread for as long as nobody reads
+  // them.
+  void RouterServesCallersBesideUnreadResponses()
+  {
+    RouterUnderTest router;
+    CheckServer(
+      router, Unread(kRouterCrowd, "/debug/status", 4000), kRouterDescriptors);
+  }
+
+  void RouterStopsBesideSlowHeads()
+  {
+    RouterUnderTest router;
+    const Crowd crowd("127.0.0.1", router.Port(), SlowHeads(kRouterCrowd));
+    CPPUNIT_ASSERT(router.Process().Stop());
+  }
+
+  // Guards against requests that are lost with what was received behind another
+  // one.
+  void RouterAnswersRequestsSentTogether()
+  {
+    RouterUnderTest router;
+    const std::string body(2000, 'b');
+    const std::string post = std::string("POST ") + RouterUnderTest::kTarget +
+                             " HTTP/1.1\r\nHost: host\r\n" + kKeyField +
+                             "Content-Length: 2000\r\n\r\n" + body;
+    const std::string together = post + GetRequest("/health/ready") + post;
+    const int fd = ConnectTo("127.0.0.1", router.Port());
+    SendSome(fd, together, kAnswerTime);
+    HttpReader reader(HttpMessageType::Responses, { 65536, 1U << 20U });
+    int answered = 0;
+    char buf[4096];
+    for (ssize_t n = 0;
+         answered < 3 && (n = ::recv(fd, buf, sizeof buf, 0)) > 0;) {
+      std::string_view data(buf, static_cast<std::size_t>(n));
+      while (!data.empty()) {
+        data.remove_prefix(reader.Feed(data));
+        if (reader.Progress() == HttpProgress::Complete) {
+          CPPUNIT_ASSERT_EQUAL(200, reader.Head().mStatus);
+          ++answered;
+          reader.Next();
+        }
+      }
+    }
+    ::close(fd);
+    CPPUNIT_ASSERT_EQUAL(3, answered);
+  }
+
+  // Guards against a limit on crowds that ends a single request.
+  void RouterServesASlowHeadWithoutACrowd()
+  {
+    RouterUnderTest router;
+    const int fd = ConnectTo("127.0.0.1", router.Port());
+    for (const char it : GetRequest("/health/ready")) {
+      SendSome(fd, std::string(1, it), kAnswerTime);
+      std::this_thread::sleep_for(milliseconds(60));
+    }
+    const int status = ReadStatus(fd);
+    ::close(fd);
+    CPPUNIT_ASSERT_EQUAL(200, status);
+  }
+
+  void ApiServesOperatorsBesideSlowHeads()
+  {
+    ApiUnderTest api;
+    CheckServer(api, SlowHeads(kApiCrowd), kApiDescriptors);
+  }
+
+  void ApiServesOperatorsBesideKeptConnections()
+  {
+    ApiUnderTest api;
+    CheckServer(api, Kept(kApiCrowd, "/api/v1/status"), kApiDescriptors);
+  }
+
 private:
   static GatewayTestCluster::Options GatewayOptions()
   {
