Serve the metrics of routers beside connections that send nothing

A router answered no request for metrics while connections that were silent, or sent a head byte by byte, were open at its metrics address.

Cause: prometheus-cpp's exposer serves one connection at a time, however long it stays open.

Change: RouterMetrics serves them with the project's HttpServer, whose heads are received without a thread for each connection.

It works because a connection without a whole request takes no thread, and gives way to others when too many are open.

--- a/src/quetzalquay/observe/RouterMetrics.cpp
+++ b/src/quetzalquay/observe/RouterMetrics.cpp
@@ -1,11 +1,15 @@
 #include "observe/RouterMetrics.h"
 
+#include "observe/EvictionLog.h"
+#include "wire/HttpServer.h"
+
 #include <array>
 #include <prometheus/counter.h>
-#include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <stdexcept>
 
 namespace quetzalquay {
 
@@ -61,6 +65,9 @@
   { "quetzal_ready", "Whether new requests are accepted" },
 } };
 
+// Requests for metrics that are handled at a time.
+constexpr std::size_t kMaxScrapes = 4;
+
 const prometheus::Histogram::BucketBoundaries kBucketsSeconds = {
   0.001, 0.002, 0.005, 0.01, 0.02, 0.038, 0.05, 0.1, 0.2,
   0.35,  0.5,   0.75,  1.0,  1.5,  2.5,   4.0,  8.0, 30.0,
@@ -108,7 +115,8 @@
   std::array<prometheus::Counter*, kEnumSize<RouterCounter>> mCounters{};
   std::array<prometheus::Histogram*, kEnumSize<RouterHistogram>> mHistograms{};
   std::array<prometheus::Gauge*, kEnumSize<RouterGauge>> mGauges{};
-  std::unique_ptr<prometheus::Exposer> mExposer;
+  EvictionLog mEvictionLog{ "metrics" };
+  std::unique_ptr<HttpServer> mServer;
 };
 
 RouterMetrics::RouterMetrics(const std::string& aRouterName)
@@ -121,9 +129,25 @@
 void
 RouterMetrics::Expose(const std::string& aAddress, int aPort)
 {
-  mImpl->mExposer = std::make_unique<prometheus::Exposer>(
-    aAddress + ":" + std::to_string(aPort), 1);
-  mImpl->mExposer->RegisterCollectable(mImpl->mRegistry);
+  HttpServer::Options options;
+  options.mMaxConnections = kMaxScrapes;
+  mImpl->mServer = std::make_unique<HttpServer>(options);
+  mImpl->mServer->Route(
+    "GET", "/metrics", [this](const HttpRequest&, HttpResponse& aResponse) {
+      aResponse.mContentType = "text/plain; version=0.0.4; charset=utf-8";
+      aResponse.mBody =
+        prometheus::TextSerializer().Serialize(mImpl->mRegistry->Collect());
+    });
+  mImpl->mServer->SetEvictionHandler(
+    [this](ConnectionUse aUse, std::size_t aOpen) {
+      Add(RouterCounter::ConnectionsGivenUp);
+      mImpl->mEvictionLog.OnEviction(
+        aUse, aOpen, std::chrono::steady_clock::now());
+    });
+  if (!mImpl->mServer->Start(aAddress, aPort)) {
+    throw std::runtime_error("cannot bind " + aAddress + ":" +
+                             std::to_string(aPort));
+  }
 }
 
 void
--- a/src/quetzalquay/observe/RouterMetrics.h
+++ b/src/quetzalquay/observe/RouterMetrics.h
@@ -62,8 +62,8 @@
   explicit RouterMetrics(const std::string& aRouterName);
   ~RouterMetrics();
 
-  // Serves the metrics over HTTP; throws std::exception when the address cannot
-  // be bound.
+  // Serves the metrics over HTTP; throws std::runtime_error when the address
+  // cannot be bound.
   void Expose(const std::string& aAddress, int aPort);
 
   void Add(RouterCounter aCount, double aValue = 1);
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -120,6 +120,8 @@
   CPPUNIT_TEST(RouterServesCallersBesideKeptConnections);
   CPPUNIT_TEST(RouterServesCallersBesideSilentConnections);
   CPPUNIT_TEST(RouterServesRoutersBesideSlowHeads);
+  CPPUNIT_TEST(RouterServesMetricsBesideSlowHeads);
+  CPPUNIT_TEST(RouterServesMetricsBesideSilentConnections);
   CPPUNIT_TEST(RouterServesCallersBesideUnreadResponses);
   CPPUNIT_TEST(RouterStopsBesideSlowHeads);
   CPPUNIT_TEST(RouterAnswersRequestsSentTogether);
@@ -300,6 +302,17 @@
     RequireBounds(router, kRouterDescriptors);
   }
 
+  // The same at the address for metrics.
+  void RouterServesMetricsBesideSlowHeads()
+  {
+    CheckRouterMetrics(SlowHeads(kRouterCrowd));
+  }
+
+  void RouterServesMetricsBesideSilentConnections()
+  {
+    CheckRouterMetrics(Silent(kRouterCrowd));
+  }
+
   // Guards against responses that hold a thread for as long as nobody reads
   // them.
   void RouterServesCallersBesideUnreadResponses()
