Answer readiness checks and metrics of gateways beside silent connections

Readiness checks got no response while 200 silent connections were open at their address, so that the platform would take the host out of service; requests for metrics neither.

Cause: SimpleHttpServer took 200 connections at each of its three addresses, closed further ones at once, and kept silent ones for 30 s.

Change: one connection is closed for each new one, in the order of EvictionOrder (all senders are unknown there), with 16 connections for checks and 16 for metrics, and a quarter of the descriptors, 200 at most as before, for hosts that ask for rows. Evictions are counted and logged with their address.

--- a/src/quetzalquay/gateway/Gateway.cpp
+++ b/src/quetzalquay/gateway/Gateway.cpp
@@ -23,6 +23,7 @@
 #include "gateway/WaitWatch.h"
 #include "http/JsonText.h"
 #include "http/ProcessLimits.h"
+#include "observe/EvictionLog.h"
 #include "observe/Log.h"
 #include "platform/PlatformRequests.h"
 
@@ -62,6 +63,14 @@
 constexpr Duration kListenLogInterval = milliseconds(5000);
 constexpr Duration kMetricsRetryInterval = milliseconds(2000);
 
+// Connections for readiness checks, and for metrics.
+constexpr std::size_t kMaxCheckConnections = 16;
+
+// Connections of other hosts that ask for rows: at most, and as a part of the
+// descriptors.
+constexpr std::size_t kMaxPeerConnections = 200;
+constexpr int kPeerConnectionsDivisor = 4;
+
 // Interval at which the settings file is read. It may change without a signal,
 // and changes of the configuration that depend on it have to be in force in
 // time.
@@ -111,13 +120,16 @@
     , mLoadSender(mLoop, mSettings, mFleet, mLimits, mFormats)
     , mReach(mLoop, mFleet, mProber, mLoadSender, mMetrics)
     , mRollouts(mLoop, mSettings, mFleet, mLoadSender, mMetrics, mReplies)
-    , mReadinessServer(mLoop,
-                       [this](const HttpHead& aHead, const std::string&) {
-                         return HandleReadiness(aHead);
-                       })
+    , mReadinessServer(
+        mLoop,
+        [this](const HttpHead& aHead, const std::string&) {
+          return HandleReadiness(aHead);
+        },
+        kMaxCheckConnections)
     , mMetricsServer(
         mLoop,
-        [this](const HttpHead&, const std::string&) { return HandleMetrics(); })
+        [this](const HttpHead&, const std::string&) { return HandleMetrics(); },
+        kMaxCheckConnections)
     , mSignals(mLoop.Context(), SIGTERM, SIGINT, SIGHUP)
     , mStopTimer(mLoop, [this] { CheckStop(); })
     , mListenTimer(mLoop, [this] { Listen(); })
@@ -125,6 +137,16 @@
     , mSettingsTimer(mLoop, [this] { CheckSettings(); })
   {
     LimitMemory();
+    LimitConnections();
+    const auto logTo = [this](EvictionLog& aLog) {
+      return [this, &aLog](ConnectionUse aUse, std::size_t aOpen) {
+        mMetrics.Add(GatewayCounter::ConnectionsGivenUp);
+        aLog.OnEviction(aUse, aOpen, EventLoop::Now());
+      };
+    };
+    mReadinessServer.SetEvictionCallback(logTo(mReadinessEvictions));
+    mMetricsServer.SetEvictionCallback(logTo(mMetricsEvictions));
+    mPeers.SetEvictionCallback(logTo(mPeerEvictions));
     mReplies.SetGivenUpCallback(
       [this](ReplyKind aKind, const std::string& aServer, std::size_t aBytes) {
         mMetrics.Add(GatewayCounter::PlatformRepliesTooLarge);
@@ -471,6 +493,13 @@
     keep("region", mSettings.mRegion, aSettings.mRegion);
   }
 
+  void LimitConnections()
+  {
+    mPeers.SetMaxConnections(std::min(
+      kMaxPeerConnections,
+      static_cast<std::size_t>(mDescriptors / kPeerConnectionsDivisor)));
+  }
+
   void ApplySettings(const GatewaySettings& aFormer)
   {
     SetLogLevel(mSettings.mLogLevel);
@@ -486,6 +515,7 @@
     if (mSettings.mDescriptors != aFormer.mDescriptors) {
       mDescriptors = ObtainDescriptors(mSettings.mDescriptors);
       mCallers.SetMaxConnections(MaxConnections(mDescriptors));
+      LimitConnections();
     }
     if (mSettings.mStoreEndpoint != aFormer.mStoreEndpoint) {
       mStore.SetStore(mSettings.mStoreEndpoint);
@@ -612,6 +642,9 @@
   LoadBroadcaster mLoadSender;
   ReachWatch mReach;
   RolloutWatch mRollouts;
+  EvictionLog mReadinessEvictions{ "readiness" };
+  EvictionLog mMetricsEvictions{ "metrics" };
+  EvictionLog mPeerEvictions{ "peers" };
   SimpleHttpServer mReadinessServer;
   SimpleHttpServer mMetricsServer;
   boost::asio::signal_set mSignals;
--- a/src/quetzalquay/gateway/PeerLink.h
+++ b/src/quetzalquay/gateway/PeerLink.h
@@ -72,6 +72,17 @@
   // called again.
   std::optional<ListenFailure> Listen();
 
+  // Limits the connections of other hosts that query this one, and tells of
+  // those that are closed for others.
+  void SetMaxConnections(std::size_t aMaxConnections)
+  {
+    mServer.SetMaxConnections(aMaxConnections);
+  }
+  void SetEvictionCallback(SimpleHttpServer::EvictionCallback aCallback)
+  {
+    mServer.SetEvictionCallback(std::move(aCallback));
+  }
+
   // Starts to query peers.
   void Start();
 
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -20,10 +20,13 @@
 constexpr std::size_t kMaxHeadBytes = 8192;
 // No request that is served here needs a body.
 constexpr std::size_t kMaxBodyBytes = 1024;
-constexpr std::size_t kMaxConnections = 200;
 
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 
+// Connections that are looked at to make room for a new one. Requests may have
+// arrived on some of them.
+constexpr int kMaxEvictionTries = 16;
+
 } // namespace
 
 Listener::Listener(EventLoop& aLoop,
@@ -132,10 +135,12 @@
 struct SimpleHttpServer::Connections
 {
   std::set<RefPtr<Connection>> mOpen;
+  EvictionOrder mEvictions;
 };
 
 class SimpleHttpServer::Connection
   : public RefCounted<SimpleHttpServer::Connection>
+  , public Evictable
   , public SocketHandler
 {
 public:
@@ -151,13 +156,22 @@
   {
     mIdleTimer.ScheduleAt(EventLoop::Now() + kIdleTimeout);
     mSocket->Adopt(std::move(aSocket), *this);
+    WaitForRequest();
   }
 
   void Drop()
   {
     mSocket->Close();
-    mIdleTimer.Clear();
-    mServer.mConnections->mOpen.erase(RefPtr<Connection>(this));
+    Forget();
+  }
+
+  // Reads what has been received. Returns whether a request has been answered,
+  // or the connection has ended.
+  bool AnswerReceived()
+  {
+    const std::size_t answered = mAnswered;
+    mSocket->ReadReceived();
+    return answered != mAnswered || !mSocket->IsOpen();
   }
 
 private:
@@ -179,6 +193,26 @@
     }
   }
 
+  // From now on the connection is between requests. All senders are unknown
+  // here.
+  void WaitForRequest()
+  {
+    const Time now = EventLoop::Now();
+    const auto use = ConnectionUse::Unidentified;
+    mServer.mConnections->mEvictions.Place(
+      *this,
+      use,
+      mSocket->RemoteEndpoint().address().to_v4().to_uint(),
+      EvictableFrom(use, { now, now, kIdleTimeout }));
+  }
+
+  void Forget()
+  {
+    mIdleTimer.Clear();
+    mServer.mConnections->mEvictions.Remove(*this);
+    mServer.mConnections->mOpen.erase(RefPtr<Connection>(this));
+  }
+
   void OnEnd(SocketEnd) override { Drop(); }
 
   void Respond()
@@ -194,9 +228,12 @@
       AppendField(text, "Connection", "close");
     }
     mSocket->Write(text.append("\r\n").append(reply.mBody));
-    if (!keep) {
+    ++mAnswered;
+    if (keep) {
+      WaitForRequest();
+    } else {
       mSocket->CloseAfterWrites();
-      mServer.mConnections->mOpen.erase(RefPtr<Connection>(this));
+      Forget();
     }
   }
 
@@ -204,21 +241,55 @@
   RefPtr<Socket> mSocket;
   HttpReader mReader;
   Timer mIdleTimer;
+  // Requests that have been answered.
+  std::size_t mAnswered = 0;
 };
 
-SimpleHttpServer::SimpleHttpServer(EventLoop& aLoop, Handler aHandler)
+SimpleHttpServer::SimpleHttpServer(EventLoop& aLoop,
+                                   Handler aHandler,
+                                   std::size_t aMaxConnections)
   : mLoop(aLoop)
   , mHandler(std::move(aHandler))
+  , mMaxConnections(aMaxConnections)
   , mConnections(std::make_unique<Connections>())
-  , mListener(aLoop, [this](tcp::socket aSocket) {
-    if (mConnections->mOpen.size() >= kMaxConnections) {
-      return;
-    }
-    auto connection = MakeRef<Connection>(*this);
-    mConnections->mOpen.insert(connection);
-    connection->Start(std::move(aSocket));
-  })
+  , mListener(aLoop,
+              [this](tcp::socket aSocket) { Accept(std::move(aSocket)); })
+{
+}
+
+void
+SimpleHttpServer::Accept(tcp::socket aSocket)
+{
+  if (!MakeRoom()) {
+    return;
+  }
+  auto connection = MakeRef<Connection>(*this);
+  mConnections->mOpen.insert(connection);
+  connection->Start(std::move(aSocket));
+}
+
+// Closes connections until there is room for a new one. Returns whether there
+// is.
+bool
+SimpleHttpServer::MakeRoom()
 {
+  for (int n = 0;
+       n < kMaxEvictionTries && mConnections->mOpen.size() >= mMaxConnections;
+       ++n) {
+    Evictable* first =
+      mConnections->mEvictions.ForConnection(mMaxConnections, EventLoop::Now());
+    if (first == nullptr) {
+      return false;
+    }
+    const RefPtr<Connection> connection(static_cast<Connection*>(first));
+    if (!connection->AnswerReceived()) {
+      if (mOnEviction) {
+        mOnEviction(first->Use(), mConnections->mOpen.size());
+      }
+      connection->Drop();
+    }
+  }
+  return mConnections->mOpen.size() < mMaxConnections;
 }
 
 SimpleHttpServer::~SimpleHttpServer() = default;
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -1,12 +1,15 @@
 #ifndef QUETZALQUAY_HTTP_SIMPLEHTTPSERVER_H_INCLUDED
 #define QUETZALQUAY_HTTP_SIMPLEHTTPSERVER_H_INCLUDED
 
+#include "core/overload/EvictionOrder.h"
 #include "http/HttpHead.h"
 #include "http/Socket.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace quetzalquay {
 
@@ -69,17 +72,34 @@
 };
 
 // HTTP server for small responses that the handler returns synchronously:
-// readiness checks, metrics and peer requests. Connections over its limit are
-// closed at once.
+// readiness checks, metrics and peer requests. When there are too many
+// connections, one is closed for each new one, in the order of EvictionOrder.
 class SimpleHttpServer
 {
 public:
   using Handler =
     std::function<SimpleHttpReply(const HttpHead&, const std::string& aBody)>;
 
-  SimpleHttpServer(EventLoop& aLoop, Handler aHandler);
+  // Told of each connection that is closed for another one, and of how many
+  // were open.
+  using EvictionCallback = std::function<void(ConnectionUse, std::size_t)>;
+
+  SimpleHttpServer(EventLoop& aLoop,
+                   Handler aHandler,
+                   std::size_t aMaxConnections = 200);
   ~SimpleHttpServer();
 
+  void SetEvictionCallback(EvictionCallback aCallback)
+  {
+    mOnEviction = std::move(aCallback);
+  }
+
+  // Open connections beyond the limit stay until others need room.
+  void SetMaxConnections(std::size_t aMaxConnections)
+  {
+    mMaxConnections = aMaxConnections;
+  }
+
   // See Listener::Open().
   std::optional<ListenFailure> Open(const Endpoint& aAddress);
 
@@ -87,8 +107,13 @@
   class Connection;
   struct Connections;
 
+  void Accept(boost::asio::ip::tcp::socket aSocket);
+  bool MakeRoom();
+
   EventLoop& mLoop;
   Handler mHandler;
+  std::size_t mMaxConnections;
+  EvictionCallback mOnEviction;
   std::unique_ptr<Connections> mConnections;
   Listener mListener;
 };
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -113,6 +113,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
+  CPPUNIT_TEST(GatewayAnswersChecksBesideSilentConnections);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
   CPPUNIT_TEST(GatewayKeepsKnownCallersBesideSilentConnections);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
@@ -203,6 +204,21 @@
     CPPUNIT_ASSERT(!gateway.HasExceededMemory());
   }
 
+  // Guards against the addresses for readiness checks and metrics taking the
+  // descriptors that callers and targets need.
+  void GatewayAnswersChecksBesideSilentConnections()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    Crowd atReadiness(
+      gateway.Ip(), gateway.ReadinessPort(), Silent(kGatewayCrowd));
+    Crowd atMetrics(gateway.Ip(), gateway.MetricsPort(), Silent(kGatewayCrowd));
+    CPPUNIT_ASSERT_EQUAL(200, gateway.Readiness());
+    CPPUNIT_ASSERT(!gateway.Metrics().empty());
+    RequireServes(gateway, atReadiness);
+  }
+
   // Guards against requests that run for callers that have left, unseen behind
   // what they had sent.
   void GatewayDropsWorkOfCallersThatReadNothingAndLeave()
