Close connections for metrics that ask again before they have read

Eight connections that each asked 4,000 times for metrics and read nothing took a gateway over the memory of its host, where it is killed.

Cause: SimpleHttpServer writes a response for each request as it arrives, and what the system does not take stays in the process without a limit.

Change: a connection that asks again while its last response is unread is closed.

--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -188,6 +188,11 @@
       if (mReader.Progress() != HttpProgress::Complete) {
         return;
       }
+      if (mSocket->UnwrittenBytes() > 0) {
+        // Its last response has not been read.
+        Drop();
+        return;
+      }
       Respond();
       mReader.Next();
     }
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -73,7 +73,8 @@
 
 // HTTP server for small responses that the handler returns synchronously:
 // readiness checks, metrics and peer requests. When there are too many
-// connections, one is closed for each new one, in the order of EvictionOrder.
+// connections, one is closed for each new one, in the order of EvictionOrder. A
+// connection that asks again before it has read its response is closed.
 class SimpleHttpServer
 {
 public:
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -114,6 +114,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
   CPPUNIT_TEST(GatewayAnswersChecksBesideSilentConnections);
+  CPPUNIT_TEST(GatewayBoundsUnreadMetrics);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
   CPPUNIT_TEST(GatewayKeepsKnownCallersBesideSilentConnections);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
@@ -219,6 +220,20 @@
     RequireServes(gateway, atReadiness);
   }
 
+  // Guards against metrics that are held without a limit for connections that
+  // do not read them.
+  void GatewayBoundsUnreadMetrics()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    Crowd crowd(
+      gateway.Ip(), gateway.MetricsPort(), Unread(8, "/metrics", 4000));
+    CPPUNIT_ASSERT(!gateway.HasExceededMemory());
+    CPPUNIT_ASSERT(!gateway.Metrics().empty());
+    RequireServes(gateway, crowd);
+  }
+
   // Guards against requests that run for callers that have left, unseen behind
   // what they had sent.
   void GatewayDropsWorkOfCallersThatReadNothingAndLeave()
