Give up responses that nobody reads while requests wait for a thread

Requests for a router's metrics got no response beside connections that asked 4,000 times each and read nothing.

Cause: a thread that writes a response waits 5 s for its peer to take some of it, whoever waits for the thread meanwhile.

Change: while requests wait, the response is broken off when its peer has taken nothing for 2 s, or 0.5 s if its sender is not known. It is counted and logged as an eviction (use=unread_response). Without demand the 5 s stay.

At the callers' address of a router (16 threads, /debug/status) the same crowd was no fault before either; that test guards it.

--- a/src/quetzalquay/core/overload/EvictionOrder.cpp
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -61,6 +61,7 @@
       return std::min(aTimes.mSince + kBodyTime,
                       aTimes.mLastInput + kBodyPause);
     case ConnectionUse::RejectedBody:
+    case ConnectionUse::UnreadResponse:
     case ConnectionUse::Last:
       break;
   }
--- a/src/quetzalquay/core/overload/EvictionOrder.h
+++ b/src/quetzalquay/core/overload/EvictionOrder.h
@@ -32,11 +32,14 @@
   PublicBody,
   // It sends the body of a request with a valid key.
   KeyedBody,
+  // Its response is not read. Only for connections that take a thread, which
+  // are not in an EvictionOrder.
+  UnreadResponse,
   Last,
 };
 
 // Name of a use in logs.
-constexpr NameTable<ConnectionUse, 7> kConnectionUseNames({
+constexpr NameTable<ConnectionUse, 8> kConnectionUseNames({
   "ending",
   "rejected_body",
   "unidentified",
@@ -44,6 +47,7 @@
   "idle_keyed",
   "public_body",
   "keyed_body",
+  "unread_response",
 });
 
 // Times of a connection by which it is decided how long it is kept.
--- a/src/quetzalquay/wire/HeadReceiver.h
+++ b/src/quetzalquay/wire/HeadReceiver.h
@@ -34,6 +34,8 @@
   std::string mInput;
   // Whether the sender of the last request that had a body was known.
   bool mIsKnown = false;
+  // Whether its last response was given up, as the peer did not read it.
+  bool mIsUnread = false;
   // Requests served so far.
   std::size_t mServed = 0;
 
--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -39,6 +39,11 @@
 constexpr Duration kBodyGrace = std::chrono::seconds(2);
 constexpr double kMinBodyBytesPerSecond = 16384;
 
+// While requests wait for a thread, a response is given up of which the peer
+// has taken nothing for so long.
+constexpr Duration kUnreadGrace = std::chrono::seconds(2);
+constexpr Duration kUnknownUnreadGrace = std::chrono::milliseconds(500);
+
 // Bytes and time for which the body of an unknown sender is read, so that the
 // sender gets its response before the connection is closed.
 constexpr std::size_t kMaxDiscardedBytes = 1U << 20U;
@@ -111,9 +116,9 @@
 constexpr std::size_t kMaxLineBytes = 16384;
 constexpr std::size_t kMaxHeadBytes = 262144;
 
-// Interval at which a thread that waits for a body checks whether others need
+// Interval at which a thread that waits for a peer checks whether others need
 // it.
-constexpr std::chrono::milliseconds kBodyCheckInterval{ 100 };
+constexpr std::chrono::milliseconds kDemandCheckInterval{ 100 };
 
 // Waits for an event of a socket. Returns whether it has happened.
 bool
@@ -173,6 +178,7 @@
                 std::chrono::milliseconds aWriteTimeout)
     : mConnection(aConnection)
     , mSocket(aConnection.Socket())
+    , mDemand(aDemand)
     , mPace(aDemand)
     , mReadTimeout(aReadTimeout)
     , mWriteTimeout(aWriteTimeout)
@@ -206,10 +212,7 @@
     return mUsed < mConnection.mInput.size() || AwaitInput();
   }
 
-  bool is_writable() const override
-  {
-    return AwaitSocket(mSocket, POLLOUT, mWriteTimeout) && IsAlive();
-  }
+  bool is_writable() const override { return AwaitOutput() && IsAlive(); }
 
   ssize_t read(char* aTo, std::size_t aSize) override
   {
@@ -245,7 +248,7 @@
 
   ssize_t write(const char* aFrom, std::size_t aSize) override
   {
-    if (!AwaitSocket(mSocket, POLLOUT, mWriteTimeout)) {
+    if (!AwaitOutput()) {
       return -1;
     }
     ssize_t n = 0;
@@ -273,7 +276,7 @@
   {
     const auto until = std::chrono::steady_clock::now() + mReadTimeout;
     while (mInHead || mPace.Check() == BodyEnd::Complete) {
-      if (AwaitSocket(mSocket, POLLIN, kBodyCheckInterval)) {
+      if (AwaitSocket(mSocket, POLLIN, kDemandCheckInterval)) {
         return true;
       }
       if (std::chrono::steady_clock::now() >= until) {
@@ -283,6 +286,26 @@
     return false;
   }
 
+  // Waits until the peer takes more of the response; not for long if others
+  // need the thread.
+  bool AwaitOutput() const
+  {
+    const auto start = std::chrono::steady_clock::now();
+    const Duration grace =
+      mConnection.mIsKnown ? kUnreadGrace : kUnknownUnreadGrace;
+    while (!AwaitSocket(mSocket, POLLOUT, kDemandCheckInterval)) {
+      const auto elapsed = std::chrono::steady_clock::now() - start;
+      if (elapsed >= grace && mDemand.mWaiting > 0) {
+        mConnection.mIsUnread = true;
+        return false;
+      }
+      if (elapsed >= mWriteTimeout) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   bool IsAlive() const
   {
     char byte = 0;
@@ -309,6 +332,7 @@
 
   HttpConnection& mConnection;
   socket_t mSocket;
+  const ThreadDemand& mDemand;
   BodyPace mPace;
   std::chrono::milliseconds mReadTimeout;
   std::chrono::milliseconds mWriteTimeout;
@@ -638,9 +662,12 @@
       --mDemand.mWaiting;
       if (mServer.Serve(*aConnection, mDemand)) {
         mHeads->Return(aConnection);
-      } else {
-        mHeads->Release(aConnection);
+        return;
+      }
+      if (aConnection->mIsUnread) {
+        ReportEviction(ConnectionUse::UnreadResponse, mHeads->OpenCount());
       }
+      mHeads->Release(aConnection);
     });
   }
 
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -125,6 +125,7 @@
   CPPUNIT_TEST(RouterServesMetricsBesideSlowHeads);
   CPPUNIT_TEST(RouterServesMetricsBesideSilentConnections);
   CPPUNIT_TEST(RouterServesCallersBesideUnreadResponses);
+  CPPUNIT_TEST(RouterServesMetricsBesideUnreadResponses);
   CPPUNIT_TEST(RouterStopsBesideSlowHeads);
   CPPUNIT_TEST(RouterAnswersRequestsSentTogether);
   CPPUNIT_TEST(RouterServesASlowHeadWithoutACrowd);
@@ -353,6 +354,11 @@
       router, Unread(kRouterCrowd, "/debug/status", 4000), kRouterDescriptors);
   }
 
+  void RouterServesMetricsBesideUnreadResponses()
+  {
+    CheckRouterMetrics(Unread(kRouterCrowd, "/metrics", 4000));
+  }
+
   void RouterStopsBesideSlowHeads()
   {
     RouterUnderTest router;
