Close idle connections of a workspace that has most of them for others

Callers saw 503 "too many connections are open" beside connections that asked now and then with a valid key and were idle in between.

Cause: an idle connection after a request with a key was kept for four fifths of the idle timeout, up to which callers reuse it, and each request began that time anew, so that one workspace could keep all connections.

Change: if nothing else may be closed, an idle connection of a workspace (of an address, where no key is needed) with more than half of all connections is closed 250 ms after its last request, the one that has been idle for longest first. Its caller is told by the end of the connection; the new one would be refused for certain.

--- a/src/quetzalquay/core/overload/EvictionOrder.cpp
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -22,6 +22,9 @@
 // Part of all connections up to which unknown senders push out known ones.
 constexpr std::size_t kUnknownDivisor = 4;
 
+// Part of all connections beyond which a group's idle ones give way sooner.
+constexpr std::size_t kCrowdDivisor = 2;
+
 // Groups that are searched for a connection before it is taken from any.
 constexpr int kMaxGroupsSearched = 8;
 
@@ -38,6 +41,11 @@
   ConnectionUse::KeyedBody,
 };
 
+constexpr std::array<ConnectionUse, 2> kIdleUses = {
+  ConnectionUse::IdlePublic,
+  ConnectionUse::IdleKeyed,
+};
+
 constexpr std::array<ConnectionUse, 3> kBodyUses = {
   ConnectionUse::RejectedBody,
   ConnectionUse::PublicBody,
@@ -72,9 +80,11 @@
 EvictionOrder::Place(Evictable& aConnection,
                      ConnectionUse aUse,
                      std::uint64_t aGroup,
+                     Time aSince,
                      Time aFrom)
 {
   Remove(aConnection);
+  aConnection.mSince = aSince;
   aConnection.mUse = aUse;
   aConnection.mGroup = aGroup;
   aConnection.mKey = { aFrom, ++mPlaced };
@@ -140,6 +150,22 @@
   return aQueues.mAll.begin()->second;
 }
 
+// The connection of the largest group to close if that has more than half of
+// all connections.
+Evictable*
+EvictionOrder::FirstOfCrowd(const UseQueues& aQueues,
+                            std::size_t aLimit,
+                            Time aNow)
+{
+  if (aQueues.mSizes.empty() ||
+      aQueues.mSizes.rbegin()->first <= aLimit / kCrowdDivisor) {
+    return nullptr;
+  }
+  const Queue& group = aQueues.mGroups.at(aQueues.mSizes.rbegin()->second);
+  Evictable* first = group.begin()->second;
+  return first->mSince + kGraceTime <= aNow ? first : nullptr;
+}
+
 Evictable*
 EvictionOrder::ForConnection(std::size_t aLimit, Time aNow) const
 {
@@ -158,6 +184,11 @@
       return found;
     }
   }
+  for (const ConnectionUse it : kIdleUses) {
+    if (Evictable* found = FirstOfCrowd(QueuesOf(it), aLimit, aNow)) {
+      return found;
+    }
+  }
   return nullptr;
 }
 
--- a/src/quetzalquay/core/overload/EvictionOrder.h
+++ b/src/quetzalquay/core/overload/EvictionOrder.h
@@ -80,6 +80,7 @@
 
   ConnectionUse mUse = ConnectionUse::Last;
   std::uint64_t mGroup = 0;
+  Time mSince;
   // Time from which it may be closed, and a number by which equal times are
   // told apart.
   std::pair<Time, std::uint64_t> mKey;
@@ -93,10 +94,12 @@
 class EvictionOrder
 {
 public:
-  // Adds a connection, or changes its place. It may be closed from aFrom on.
+  // Adds a connection, or changes its place. It has been used so since aSince,
+  // and may be closed from aFrom on.
   void Place(Evictable& aConnection,
              ConnectionUse aUse,
              std::uint64_t aGroup,
+             Time aSince,
              Time aFrom);
 
   // Removes a connection, such as one whose request is handled. Does nothing if
@@ -106,6 +109,8 @@
   // The connection to close for a new one, of which nothing is known yet; null
   // if the new one has to wait or be rejected. Senders that are not known push
   // out others only while they have less than a quarter of aLimit connections.
+  // An idle connection of a group with more than half of them may be closed
+  // 250 ms after its last request.
   Evictable* ForConnection(std::size_t aLimit, Time aNow) const;
 
   // The connection to close for the memory of a request whose body is of the
@@ -133,6 +138,9 @@
   };
 
   static Evictable* FirstOf(const UseQueues& aQueues, Time aNow);
+  static Evictable* FirstOfCrowd(const UseQueues& aQueues,
+                                 std::size_t aLimit,
+                                 Time aNow);
   void Resize(UseQueues& aQueues, std::uint64_t aGroup, std::size_t aBefore);
   const UseQueues& QueuesOf(ConnectionUse aUse) const;
 
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -800,6 +800,7 @@
     *use,
     ofWorkspace ? mWorkspace
                 : mSocket->RemoteEndpoint().address().to_v4().to_uint(),
+    times.mSince,
     std::max(EvictableFrom(*use, times), aNotBefore));
 }
 
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -208,6 +208,7 @@
       *this,
       use,
       mSocket->RemoteEndpoint().address().to_v4().to_uint(),
+      now,
       EvictableFrom(use, { now, now, kIdleTimeout }));
   }
 
--- a/src/quetzalquay/wire/HeadReceiver.cpp
+++ b/src/quetzalquay/wire/HeadReceiver.cpp
@@ -225,6 +225,7 @@
     aConnection,
     use,
     aConnection.mAddress,
+    aConnection.mSince,
     EvictableFrom(
       use,
       { aConnection.mSince, aConnection.mLastInput, mOptions.mIdleTimeout }));
