Reject requests at routers that have waited for a thread for a second

Any request, readiness checks too, got no response while others took all threads of a router for long.

Cause: a request waits for a thread without an end; its caller gives up first, and does not learn that another router could serve it.

Change: a request that has waited for 1 s is rejected with 503 and Retry-After before a thread takes it, so that not_run is true. It is counted and logged (use=waiting_request).

Evidence (16 threads, 100 connections with 20 requests of 2 s each, x86-64): CrowdTests::RouterAnswersWhileAllThreadsAreTaken gets no response in 8 s on and on the commit before this one, passes now. UnfinishedBodyTests 18, CallerTests 13, ControlTests 8, RecoveryTests 18 pass.

Also tests of what had not been tried: crowds at all of three hosts, at the callers' and the peers' address, while the configuration changes and a host restarts (12 of 12 attempts refused on, served at the 1st at each host now), and answers read byte by byte (no fault on: served at the 2nd attempt).

--- a/src/quetzalquay/core/overload/EvictionOrder.cpp
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -70,6 +70,7 @@
                       aTimes.mLastInput + kBodyPause);
     case ConnectionUse::RejectedBody:
     case ConnectionUse::UnreadResponse:
+    case ConnectionUse::WaitingRequest:
     case ConnectionUse::Last:
       break;
   }
--- a/src/quetzalquay/core/overload/EvictionOrder.h
+++ b/src/quetzalquay/core/overload/EvictionOrder.h
@@ -32,14 +32,16 @@
   PublicBody,
   // It sends the body of a request with a valid key.
   KeyedBody,
-  // Its response is not read. Only for connections that take a thread, which
-  // are not in an EvictionOrder.
+  // The following are for connections that take a thread or wait for one, which
+  // are not in an EvictionOrder: its response is not read.
   UnreadResponse,
+  // Its request waits for a thread.
+  WaitingRequest,
   Last,
 };
 
 // Name of a use in logs.
-constexpr NameTable<ConnectionUse, 8> kConnectionUseNames({
+constexpr NameTable<ConnectionUse, 9> kConnectionUseNames({
   "ending",
   "rejected_body",
   "unidentified",
@@ -48,6 +50,7 @@
   "public_body",
   "keyed_body",
   "unread_response",
+  "waiting_request",
 });
 
 // Times of a connection by which it is decided how long it is kept.
--- a/src/quetzalquay/wire/HeadReceiver.cpp
+++ b/src/quetzalquay/wire/HeadReceiver.cpp
@@ -64,6 +64,20 @@
   ::close(mSocket);
 }
 
+void
+HttpConnection::SendLast(const std::string& aText)
+{
+  (void)!::send(
+    mSocket, aText.data(), aText.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  ::shutdown(mSocket, SHUT_WR);
+  std::array<char, kReadBytes> buf{};
+  for (std::size_t n = 0; n < kMaxReadBytes; n += kReadBytes) {
+    if (::recv(mSocket, buf.data(), buf.size(), MSG_DONTWAIT) <= 0) {
+      break;
+    }
+  }
+}
+
 HeadReceiver::HeadReceiver(Options aOptions, Callbacks aCallbacks)
   : mOptions(aOptions)
   , mCallbacks(std::move(aCallbacks))
@@ -92,7 +106,9 @@
   while (!mStopping && mOpen >= mOptions.mMaxConnections && !MakeRoom(Now())) {
     mChanged.wait_for(lock, kRoomInterval);
   }
-  ++mOpen;
+  if (mOpen++ == 0) {
+    Wake();
+  }
   Watch(connection);
   Receive(connection);
 }
@@ -176,6 +192,7 @@
                    events.data(),
                    kMaxEvents,
                    isIdle ? -1 : static_cast<int>(kCheckInterval.count()));
+    mCallbacks.mOnCheck();
     const std::lock_guard<std::mutex> lock(mMutex);
     if (mStopping) {
       return;
@@ -189,7 +206,7 @@
       }
     }
     CloseExpired(Now());
-    isIdle = mReceiving.empty();
+    isIdle = mOpen == 0;
   }
 }
 
@@ -197,9 +214,6 @@
 HeadReceiver::Watch(const RefPtr<HttpConnection>& aConnection)
 {
   aConnection->mSince = aConnection->mLastInput = Now();
-  if (mReceiving.empty()) {
-    Wake();
-  }
   mReceiving.emplace(aConnection->mSocket, aConnection);
   epoll_event event{};
   event.events = EPOLLIN;
@@ -312,11 +326,7 @@
     if (!Receive(connection)) {
       const std::string text = mCallbacks.mOnEviction(use, mOpen);
       if (!connection->mInput.empty()) {
-        // The peer may not read it; the connection is closed in any case.
-        (void)!::send(connection->mSocket,
-                      text.data(),
-                      text.size(),
-                      MSG_DONTWAIT | MSG_NOSIGNAL);
+        connection->SendLast(text);
       }
       Unwatch(*connection);
       --mOpen;
--- a/src/quetzalquay/wire/HeadReceiver.h
+++ b/src/quetzalquay/wire/HeadReceiver.h
@@ -30,6 +30,10 @@
 
   int Socket() const { return mSocket; }
 
+  // Sends a last response as far as the peer takes it at once, and drops what
+  // has been received, as closing with unread input would reset the connection.
+  void SendLast(const std::string& aText);
+
   // Received bytes of the next request.
   std::string mInput;
   // Whether the sender of the last request that had a body was known.
@@ -79,6 +83,8 @@
     // Returns what is sent to its peer if it has sent a part of a head. Must
     // not block or call the receiver.
     std::function<std::string(ConnectionUse, std::size_t)> mOnEviction;
+    // Called about every 250 ms while connections are open.
+    std::function<void()> mOnCheck;
   };
 
   HeadReceiver(Options aOptions, Callbacks aCallbacks);
--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cerrno>
 #include <cstdint>
+#include <deque>
 #include <httplib.h>
 #include <limits>
 #include <mutex>
@@ -628,7 +629,8 @@
         [this](ConnectionUse aUse, std::size_t aOpen) {
           ReportEviction(aUse, aOpen);
           return FormatEviction();
-        } });
+        },
+        [this] { RejectWaiting(); } });
   }
 
   // From now on no more requests are received, and bodies end.
@@ -655,20 +657,62 @@
   std::unique_ptr<HeadReceiver> mHeads;
 
 private:
+  // A connection whose request waits for a thread.
+  struct WaitingConnection
+  {
+    RefPtr<HttpConnection> mConnection;
+    Time mSince;
+  };
+
   void Submit(const RefPtr<HttpConnection>& aConnection)
   {
-    ++mDemand.mWaiting;
-    mThreads->Submit([this, aConnection] {
-      --mDemand.mWaiting;
-      if (mServer.Serve(*aConnection, mDemand)) {
-        mHeads->Return(aConnection);
-        return;
-      }
-      if (aConnection->mIsUnread) {
-        ReportEviction(ConnectionUse::UnreadResponse, mHeads->OpenCount());
-      }
-      mHeads->Release(aConnection);
-    });
+    {
+      const std::lock_guard<std::mutex> lock(mWaitingMutex);
+      mWaiting.push_back({ aConnection, std::chrono::steady_clock::now() });
+      mDemand.mWaiting = static_cast<int>(mWaiting.size());
+    }
+    mThreads->Submit([this] { ServeNext(); });
+  }
+
+  // Takes the connection that has waited for longest, if for aWait or more.
+  // There is none for some threads, as waiting requests may be rejected.
+  RefPtr<HttpConnection> TakeWaiting(Duration aWait)
+  {
+    const std::lock_guard<std::mutex> lock(mWaitingMutex);
+    if (mWaiting.empty() ||
+        mWaiting.front().mSince + aWait > std::chrono::steady_clock::now()) {
+      return nullptr;
+    }
+    const RefPtr<HttpConnection> first = mWaiting.front().mConnection;
+    mWaiting.pop_front();
+    mDemand.mWaiting = static_cast<int>(mWaiting.size());
+    return first;
+  }
+
+  void ServeNext()
+  {
+    const RefPtr<HttpConnection> connection = TakeWaiting(Duration::zero());
+    if (connection == nullptr) {
+      return;
+    }
+    if (mServer.Serve(*connection, mDemand)) {
+      mHeads->Return(connection);
+      return;
+    }
+    if (connection->mIsUnread) {
+      ReportEviction(ConnectionUse::UnreadResponse, mHeads->OpenCount());
+    }
+    mHeads->Release(connection);
+  }
+
+  // Rejects the requests that have waited for a thread for too long.
+  void RejectWaiting()
+  {
+    while (const auto connection = TakeWaiting(mOptions.mMaxThreadWait)) {
+      ReportEviction(ConnectionUse::WaitingRequest, mHeads->OpenCount());
+      connection->SendLast(FormatEviction());
+      mHeads->Release(connection);
+    }
   }
 
   // Handles the requests whose heads have been received, and closes the other
@@ -679,6 +723,9 @@
     mThreads->Stop();
   }
 
+  std::mutex mWaitingMutex;
+  std::deque<WaitingConnection> mWaiting;
+
   void ReportEviction(ConnectionUse aUse, std::size_t aOpen)
   {
     const std::lock_guard<std::mutex> lock(mEvictionMutex);
--- a/src/quetzalquay/wire/HttpServer.h
+++ b/src/quetzalquay/wire/HttpServer.h
@@ -70,6 +70,8 @@
     std::size_t mBodyMemory = 32U << 20;
     Duration mWriteTimeout = std::chrono::seconds(5);
     Duration mKeepAlive = std::chrono::seconds(5);
+    // Time for which a request waits for a thread before it is rejected.
+    Duration mMaxThreadWait = std::chrono::seconds(1);
   };
 
   explicit HttpServer(Options aOptions);
--- a/tests/fakes/Crowd.cpp
+++ b/tests/fakes/Crowd.cpp
@@ -58,9 +58,13 @@
 } // namespace
 
 int
-ConnectTo(const std::string& aIp, int aPort)
+ConnectTo(const std::string& aIp, int aPort, int aReceiveBytes)
 {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (aReceiveBytes > 0) {
+    ::setsockopt(
+      fd, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof aReceiveBytes);
+  }
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(static_cast<std::uint16_t>(aPort));
@@ -132,7 +136,7 @@
     CPPUNIT_ASSERT_MESSAGE("a connection was refused", mSockets.back() >= 0);
   }
   std::this_thread::sleep_for(kReadTime);
-  if (!mPlan.mDrip.empty() || mPlan.mReopens || mPlan.mRenews) {
+  if (!mPlan.mDrip.empty() || mPlan.mReopens || mPlan.mRenews || mPlan.mReads) {
     mThread = std::thread([this] { Play(); });
   }
 }
@@ -158,7 +162,7 @@
 int
 Crowd::Open()
 {
-  const int fd = ConnectTo(mIp, mPort);
+  const int fd = ConnectTo(mIp, mPort, mPlan.mReceiveBytes);
   if (fd >= 0) {
     SendSome(fd, mPlan.mFirst, kSendPatience);
   }
@@ -187,6 +191,9 @@
     } else if (!mPlan.mDrip.empty()) {
       SendSome(it, mPlan.mDrip, milliseconds(0));
     }
+    if (char byte = 0; mPlan.mReads) {
+      (void)!::recv(it, &byte, 1, MSG_DONTWAIT);
+    }
   }
 }
 
--- a/tests/fakes/Crowd.h
+++ b/tests/fakes/Crowd.h
@@ -15,9 +15,10 @@
 // Time that an ordinary caller waits for its response.
 constexpr std::chrono::milliseconds kAnswerTime{ 8000 };
 
-// Connects a blocking socket; -1 on failure.
+// Connects a blocking socket; -1 on failure. A positive aReceiveBytes limits
+// what it holds of unread bytes.
 int
-ConnectTo(const std::string& aIp, int aPort);
+ConnectTo(const std::string& aIp, int aPort, int aReceiveBytes = 0);
 
 // Sends bytes for as long as the peer takes some within aPatience. Returns
 // whether all were sent.
@@ -52,6 +53,10 @@
   // Sent on each connection at each interval, unless it is empty.
   std::string mDrip{};
   std::chrono::milliseconds mInterval{ 100 };
+  // Limits what each connection holds of unread bytes, unless it is 0.
+  int mReceiveBytes = 0;
+  // Whether each connection reads a byte at each interval.
+  bool mReads = false;
   // Whether connections that the server has closed are opened again, at the
   // next interval.
   bool mReopens = false;
--- a/tests/fakes/ServerProcess.cpp
+++ b/tests/fakes/ServerProcess.cpp
@@ -133,7 +133,7 @@
   return mProcess < 0;
 }
 
-RouterUnderTest::RouterUnderTest()
+RouterUnderTest::RouterUnderTest(int aServiceDelayMs)
   : mServicePort(FindFreePort())
   , mPort(FindFreePort())
   , mPeerPort(FindFreePort())
@@ -141,7 +141,7 @@
 {
   schema::StandinServiceSettings service;
   service.set_name("desk-1");
-  service.set_delay_ms(5);
+  service.set_delay_ms(aServiceDelayMs);
   *service.mutable_listen() = MakeEndpoint("127.0.0.1", mServicePort);
   *service.mutable_control() = MakeEndpoint("127.0.0.1", FindFreePort());
   mService = std::make_unique<StandinService>(service);
--- a/tests/fakes/ServerProcess.h
+++ b/tests/fakes/ServerProcess.h
@@ -38,7 +38,8 @@
 public:
   static constexpr char kTarget[] = "/services/desk/lookup";
 
-  RouterUnderTest();
+  // aServiceDelayMs is the time that the service takes for a request.
+  explicit RouterUnderTest(int aServiceDelayMs = 5);
   ~RouterUnderTest();
   RouterUnderTest(const RouterUnderTest&) = delete;
   RouterUnderTest& operator=(const RouterUnderTest&) = delete;
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -6,12 +6,15 @@
 
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <cstdlib>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace quetzalquay;
 using std::chrono::milliseconds;
@@ -45,6 +48,15 @@
   return "GET " + aTarget + " HTTP/1.1\r\nHost: host\r\n" + aFields + "\r\n";
 }
 
+// An ordinary request to a router.
+std::string
+PostRequest()
+{
+  return std::string("POST ") + RouterUnderTest::kTarget +
+         " HTTP/1.1\r\nHost: host\r\n" + kKeyField +
+         "Content-Length: 2000\r\n\r\n" + std::string(2000, 'b');
+}
+
 // Connections that send nothing.
 CrowdPlan
 Silent(int aCount)
@@ -114,11 +126,13 @@
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
+  CPPUNIT_TEST(GatewayServesCallersBesideUnreadAnswers);
   CPPUNIT_TEST(GatewayAnswersChecksBesideSilentConnections);
   CPPUNIT_TEST(GatewayBoundsUnreadMetrics);
   CPPUNIT_TEST(GatewayServesCallersBesidePipelinedRequests);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
   CPPUNIT_TEST(GatewayKeepsKnownCallersBesideSilentConnections);
+  CPPUNIT_TEST(GatewaysServeCallersBesideCrowdsAndChanges);
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
   CPPUNIT_TEST(RouterServesCallersBesideSlowHeads);
   CPPUNIT_TEST(RouterServesCallersBesideKeptConnections);
@@ -128,6 +142,7 @@
   CPPUNIT_TEST(RouterServesMetricsBesideSilentConnections);
   CPPUNIT_TEST(RouterServesCallersBesideUnreadResponses);
   CPPUNIT_TEST(RouterServesMetricsBesideUnreadResponses);
+  CPPUNIT_TEST(RouterAnswersWhileAllThreadsAreTaken);
   CPPUNIT_TEST(RouterStopsBesideSlowHeads);
   CPPUNIT_TEST(RouterAnswersRequestsSentTogether);
   CPPUNIT_TEST(RouterServesASlowHeadWithoutACrowd);
@@ -214,6 +229,30 @@
     CPPUNIT_ASSERT(!gateway.HasExceededMemory());
   }
 
+  // Guards against answers that are read byte by byte taking the memory for
+  // those of others.
+  void GatewayServesCallersBesideUnreadAnswers()
+  {
+    GatewayTestCluster::Options options = GatewayOptions();
+    options.mSettings.mMaxConnections = 4100;
+    GatewayTestCluster cluster(options);
+    cluster.Configure("key");
+    cluster.SetAllModes(RunnerMode::LargeAnswer);
+    cluster.SetLargeAnswer(900000);
+    const GatewayProcess& gateway = cluster.Gateway();
+    CrowdPlan plan;
+    plan.mCount = 60;
+    plan.mFirst = ChunkedRequest("/plain/", kKeyField, 100);
+    plan.mReceiveBytes = 4096;
+    plan.mReads = true;
+    Crowd crowd(gateway.Ip(), gateway.CallerPort(), plan);
+    const std::string statuses = Ordinary(gateway, kOrdinaryBodyBytes);
+    PrintFigures(statuses + ", peak " + std::to_string(gateway.PeakMemoryMb()) +
+                 " MB");
+    CPPUNIT_ASSERT(!gateway.HasExceededMemory());
+    RequireServed(statuses);
+  }
+
   // Guards against the addresses for readiness checks and metrics taking the
   // descriptors that callers and targets need.
   void GatewayAnswersChecksBesideSilentConnections()
@@ -308,6 +347,37 @@
     ::close(kept);
   }
 
+  // Guards against hosts that do not serve, or miss a change, beside crowds at
+  // all of them, while the configuration changes and one of them restarts.
+  void GatewaysServeCallersBesideCrowdsAndChanges()
+  {
+    constexpr int kGateways = 3;
+    GatewayTestCluster::Options options = GatewayOptions();
+    options.mGateways = kGateways;
+    GatewayTestCluster cluster(options);
+    cluster.Configure("key");
+    CrowdPlan plan = Bodies("");
+    plan.mReopens = true;
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (int n = 0; n < kGateways; ++n) {
+      const GatewayProcess& gateway = cluster.Gateway(n);
+      for (const int port : { gateway.CallerPort(), cluster.RelayPort() }) {
+        crowds.push_back(std::make_unique<Crowd>(gateway.Ip(), port, plan));
+      }
+    }
+    cluster.Configure("other");
+    cluster.Gateway(1).Restart(SIGTERM);
+    cluster.Configure("key");
+    for (int n = 0; n < kGateways; ++n) {
+      const GatewayProcess& gateway = cluster.Gateway(n);
+      const std::string statuses = Ordinary(gateway, kOrdinaryBodyBytes);
+      PrintFigures(statuses);
+      RequireServed(statuses);
+      CPPUNIT_ASSERT(!gateway.HasExceededMemory());
+      CPPUNIT_ASSERT(DescriptorsOf(gateway.Pid()) <= kGatewayDescriptors);
+    }
+  }
+
   // Guards against a stop that waits for callers that send nothing.
   void GatewayStopsBesideACrowd()
   {
@@ -380,6 +450,24 @@
     CheckRouterMetrics(Unread(kRouterCrowd, "/metrics", 4000));
   }
 
+  // Guards against requests that wait for a thread until their caller gives up,
+  // while others take all of them for long.
+  void RouterAnswersWhileAllThreadsAreTaken()
+  {
+    RouterUnderTest router(2000);
+    CrowdPlan plan;
+    plan.mCount = 100;
+    for (int n = 0; n < 20; ++n) {
+      plan.mFirst += PostRequest();
+    }
+    const Crowd crowd("127.0.0.1", router.Port(), plan);
+    const int status =
+      StatusOf("127.0.0.1", router.Port(), GetRequest("/health/ready"));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                           status == 200 || status == 503);
+    RequireBounds(router, kRouterDescriptors);
+  }
+
   void RouterStopsBesideSlowHeads()
   {
     RouterUnderTest router;
@@ -392,11 +480,8 @@
   void RouterAnswersRequestsSentTogether()
   {
     RouterUnderTest router;
-    const std::string body(2000, 'b');
-    const std::string post = std::string("POST ") + RouterUnderTest::kTarget +
-                             " HTTP/1.1\r\nHost: host\r\n" + kKeyField +
-                             "Content-Length: 2000\r\n\r\n" + body;
-    const std::string together = post + GetRequest("/health/ready") + post;
+    const std::string together =
+      PostRequest() + GetRequest("/health/ready") + PostRequest();
     const int fd = ConnectTo("127.0.0.1", router.Port());
     SendSome(fd, together, kAnswerTime);
     HttpReader reader(HttpMessageType::Responses, { 65536, 1U << 20U });
