--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -7,7 +7,7 @@
 
     fleet_soak.py [--site hanbit|kierros] [--seed N] [--seeds N] [--seconds S]
                   [--binary FILE] [--calm] [--keep DIRECTORY]
-                  [--unread-log] [--only FAULT ...]
+                  [--unread-log] [--crowds] [--only FAULT ...]
 """
 
 import argparse
@@ -45,6 +45,19 @@
     "grown": ({"a": 15, "b": 15, "c": 14, "d": 14}, 160, 60, 4, 150),
 }
 
+# What the connections of a crowd send: nothing, parts of a head, and bodies
+# without and with a key that stop short.
+CROWD_TEXTS = [
+    b"",
+    b"POST / HTTP/1.1\r\nHost: h\r\nX-Field: x",
+    b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n",
+    b"POST / HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + KEY.encode() +
+    b"\r\nContent-Length: 90000\r\n\r\n" + b"x" * 30000,
+]
+
+# Descriptors of a host beside crowds, which then take all connections.
+CROWDED_DESCRIPTORS = 600
+
 # Bounds of the rules, in seconds.
 STABILITY_S = 3.0
 STRETCH_S = 5.0
@@ -187,6 +200,8 @@
         self.changed_fields = {}
         self.preloaded = ""
         # File that exists while connections to runners are refused.
+        # Descriptors of the process if not those of the platform.
+        self.descriptors = 0
         self.refuses = os.path.join(folder, name + ".refuses")
 
     def disturb(self, for_s=0.0):
@@ -204,6 +219,8 @@
         fields = platform_fields(self.name, self.ip, self.zone, seeds,
                                  self.store.address, self.memory_mb)
         fields["Bounds"].update(self.changed_fields)
+        if self.descriptors:
+            fields["Limits"]["FileDescriptors"] = self.descriptors
         text = render(self.template, fields)
         with open(path, "w", encoding="utf-8") as file:
             if in_parts:
@@ -1053,6 +1070,31 @@
             await self.lose_power()
             self.final_at = now()
 
+    async def crowds(self, end):
+        """Opens connections of clients that never finish a request."""
+        draws = random.Random(self.seed)
+        while now() < end:
+            self.spawn(self.crowd(
+                draws.choice(self.hosts), draws.choice(CROWD_TEXTS),
+                draws.randint(50, 400), draws.uniform(1, 4)))
+            await asyncio.sleep(draws.uniform(0.2, 1.5))
+
+    async def crowd(self, host, text, count, for_s):
+        self.record.line("crowd: %d at %s" % (count, host.name))
+        writers = []
+        try:
+            for _ in range(count):
+                _, writer = await asyncio.wait_for(
+                    asyncio.open_connection(host.ip, 8227), 1)
+                writers.append(writer)
+                writer.write(text)
+            await asyncio.sleep(for_s)
+        except (OSError, asyncio.TimeoutError):
+            pass  # The host has stopped, or is paused.
+        finally:
+            for it in writers:
+                it.transport.abort()
+
     async def changes(self, end):
         while now() < end and self.final_at is None:
             await asyncio.sleep(self.random.uniform(0.5, 3))
@@ -1075,6 +1117,8 @@
                     self.folder, memory_mb, template)
         host.binary = self.options.binary
         host.unread_log = self.options.unread_log
+        if self.options.crowds:
+            host.descriptors = CROWDED_DESCRIPTORS
         host.preloaded = self.preloaded
         self.hosts.append(host)
         return host
@@ -1158,6 +1202,8 @@
         jobs.append(self.changes(self.end))
         if not self.options.calm:
             jobs.append(self.faults(self.end))
+        if self.options.crowds:
+            jobs.append(self.crowds(self.end))
         await asyncio.gather(*jobs)
         self.judge_shares()
         self.judge_left()
@@ -1220,6 +1266,7 @@
     parser.add_argument("--calm", action="store_true")
     parser.add_argument("--keep")
     parser.add_argument("--unread-log", action="store_true")
+    parser.add_argument("--crowds", action="store_true")
     parser.add_argument("--only", nargs="*", help="names of faults")
     options = parser.parse_args()
     passed = failed = 0
