Let slow bodies keep their thread while idle threads take the others

A slow body in calm could be given up with 503 although threads were idle.

Cause, found by reading: a request counted as waiting for a thread from the moment in which it was passed to one, so that a body that was looked at in these microseconds seemed to keep it waiting.

--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "wire/HttpServer.h"
 
+#include "core/overload/ThreadDemand.h"
 #include "wire/HeadReceiver.h"
 #include "wire/ThreadPool.h"
 
@@ -85,14 +86,6 @@
   return 400;
 }
 
-// Requests that wait for a thread, and whether the server is stopping; shared
-// by a server and its threads.
-struct ThreadDemand
-{
-  std::atomic<int> mWaiting{ 0 };
-  std::atomic<bool> mStopping{ false };
-};
-
 // Lets the library pass each connection on in the thread that accepts it.
 class AcceptQueue : public httplib::TaskQueue
 {
@@ -148,16 +141,16 @@
   // Whether the body is to be given up, and why.
   BodyEnd Check() const
   {
-    if (mDemand.mStopping) {
+    if (mDemand.IsStopping()) {
       return BodyEnd::Stopping;
     }
-    const auto elapsed = std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now() - mStart);
+    const Time now = std::chrono::steady_clock::now();
+    const auto elapsed = std::chrono::duration_cast<Duration>(now - mStart);
     const bool isSlow =
       elapsed > kBodyGrace &&
       static_cast<double>(mBytes) <
         kMinBodyBytesPerSecond * ToMilliseconds(elapsed) / 1000;
-    return isSlow && mDemand.mWaiting > 0 ? BodyEnd::TooSlow
+    return isSlow && mDemand.IsShort(now) ? BodyEnd::TooSlow
                                           : BodyEnd::Complete;
   }
 
@@ -295,8 +288,9 @@
     const Duration grace =
       mConnection.mIsKnown ? kUnreadGrace : kUnknownUnreadGrace;
     while (!AwaitSocket(mSocket, POLLOUT, kDemandCheckInterval)) {
-      const auto elapsed = std::chrono::steady_clock::now() - start;
-      if (elapsed >= grace && mDemand.mWaiting > 0) {
+      const Time now = std::chrono::steady_clock::now();
+      const auto elapsed = now - start;
+      if (elapsed >= grace && mDemand.IsShort(now)) {
         mConnection.mIsUnread = true;
         return false;
       }
@@ -636,7 +630,7 @@
   // From now on no more requests are received, and bodies end.
   void BeginStop()
   {
-    mDemand.mStopping = true;
+    mDemand.Stop();
     if (mHeads != nullptr) {
       mHeads->BeginStop();
     }
@@ -669,7 +663,7 @@
     {
       const std::lock_guard<std::mutex> lock(mWaitingMutex);
       mWaiting.push_back({ aConnection, std::chrono::steady_clock::now() });
-      mDemand.mWaiting = static_cast<int>(mWaiting.size());
+      mDemand.SetWaitingSince(mWaiting.front().mSince);
     }
     mThreads->Submit([this] { ServeNext(); });
   }
@@ -685,7 +679,8 @@
     }
     const RefPtr<HttpConnection> first = mWaiting.front().mConnection;
     mWaiting.pop_front();
-    mDemand.mWaiting = static_cast<int>(mWaiting.size());
+    mDemand.SetWaitingSince(mWaiting.empty() ? Time::max()
+                                             : mWaiting.front().mSince);
     return first;
   }
 
@@ -723,9 +718,6 @@
     mThreads->Stop();
   }
 
-  std::mutex mWaitingMutex;
-  std::deque<WaitingConnection> mWaiting;
-
   void ReportEviction(ConnectionUse aUse, std::size_t aOpen)
   {
     const std::lock_guard<std::mutex> lock(mEvictionMutex);
@@ -882,12 +874,16 @@
     std::size_t received = 0;
     return Read(aRequest, aReader, [&](const char*, std::size_t aSize) {
       received += aSize;
-      return received > kMaxDiscardedBytes || mDemand.mStopping ||
+      return received > kMaxDiscardedBytes || mDemand.IsStopping() ||
                  std::chrono::steady_clock::now() > until
                ? BodyEnd::TooLarge
                : BodyEnd::Complete;
     });
   }
+
+  std::mutex mWaitingMutex;
+  // Connections whose requests wait for a thread, the oldest first.
+  std::deque<WaitingConnection> mWaiting;
 };
 
 HttpServer::HttpServer(Options aOptions)
