Leave connections in the backlog when neither room nor a refusal is left

Ordinary callers were closed without an answer when many connections were opened in the same moment.

Cause: no connection gives way for 250 ms after it was opened, so that in a burst all are taken and none may be closed; 64 are refused with an answer at a time, and CallerServer closed the others at once.

Change: Listener asks before it accepts whether the connection could be served or refused with an answer, and looks again after 50 ms otherwise; others wait in the system's backlog ("could not be accepted", quetzal_accepts_failed_total).

CrowdTests::GatewayAnswersCallersBehindABurstOfConnections (200 connections opened before an ordinary one, 300 descriptors) gets no answer on and on the commit before this one, 3 of 3 pass now. CallerConnectionTests 13, ChangedSettingsTests 5, GatewayStartTests 8, FleetConnectionTests 6 pass.

It works because refused connections end within a second, and others may be closed after 250 ms, sooner than a caller gives up a connection.

--- a/src/quetzalquay/gateway/CallerServer.cpp
+++ b/src/quetzalquay/gateway/CallerServer.cpp
@@ -46,7 +46,8 @@
       },
       [this](const std::string& aReason) {
         mLog.OnNotAccepted(aReason, EventLoop::Now());
-      })
+      },
+      [this] { return MayAccept(); })
   , mHostListener(
       aContext.mLoop,
       [this](tcp::socket aSocket) {
@@ -54,7 +55,8 @@
       },
       [this](const std::string& aReason) {
         mLog.OnNotAccepted(aReason, EventLoop::Now());
-      })
+      },
+      [this] { return MayAccept(); })
 {
 }
 
@@ -75,6 +77,19 @@
   }
 }
 
+// Whether a new connection could be served or refused with an answer.
+bool
+CallerServer::MayAccept()
+{
+  const Time now = EventLoop::Now();
+  if (!IsFull() || mRefusedCount < kMaxRefused ||
+      mEvictions.ForConnection(CallerLimit(), now) != nullptr) {
+    return true;
+  }
+  mLog.OnNotAccepted("too many connections are open", now);
+  return false;
+}
+
 bool
 CallerServer::MakeRoom(Time aNow)
 {
--- a/src/quetzalquay/gateway/CallerServer.h
+++ b/src/quetzalquay/gateway/CallerServer.h
@@ -73,6 +73,8 @@
   std::size_t BytesOfExchanges() const;
   bool HasMemoryForExchange() const;
 
+  bool MayAccept();
+
   // Closes connections until another one may be opened. Returns whether it may.
   bool MakeRoom(Time aNow);
 
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -14,7 +14,8 @@
 // Maximum number of connections waiting to be accepted.
 constexpr int kListenBacklog = 1024;
 
-// Delay after a failed accept, for example when no file descriptor is free.
+// Delay after a failed accept, for example when no file descriptor is free, and
+// while no connection may be accepted.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 constexpr std::size_t kMaxHeadBytes = 8192;
@@ -31,9 +32,11 @@
 
 Listener::Listener(EventLoop& aLoop,
                    AcceptCallback aCallback,
-                   ErrorCallback aOnError)
+                   ErrorCallback aOnError,
+                   AdmitCallback aAdmits)
   : mCallback(std::move(aCallback))
   , mOnError(std::move(aOnError))
+  , mAdmits(std::move(aAdmits))
   , mAcceptor(aLoop.Context())
   , mRetryTimer(aLoop, [this] { Accept(); })
 {
@@ -110,6 +113,11 @@
 void
 Listener::Accept()
 {
+  mRetryTimer.Clear();
+  if (mAdmits && !mAdmits()) {
+    mRetryTimer.ScheduleAt(EventLoop::Now() + kAcceptRetryDelay);
+    return;
+  }
   mAcceptor.async_accept(
     [this, count = mAddressCount](const boost::system::error_code& aError,
                                   tcp::socket aSocket) {
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -44,9 +44,15 @@
   // Receives the reason why a connection could not be accepted.
   using ErrorCallback = std::function<void(const std::string&)>;
 
+  // Tells whether another connection may be accepted now. Connections wait in
+  // the system's backlog otherwise, and the question is asked again after 50
+  // ms.
+  using AdmitCallback = std::function<bool()>;
+
   Listener(EventLoop& aLoop,
            AcceptCallback aCallback,
-           ErrorCallback aOnError = nullptr);
+           ErrorCallback aOnError = nullptr,
+           AdmitCallback aAdmits = nullptr);
 
   // Starts listening at an address, in place of another one if there is one.
   // Returns the reason on failure, and goes on listening where it did.
@@ -64,6 +70,7 @@
 
   AcceptCallback mCallback;
   ErrorCallback mOnError;
+  AdmitCallback mAdmits;
   boost::asio::ip::tcp::acceptor mAcceptor;
   Endpoint mAddress;
   // Number of addresses so far, by which accepts of an earlier one are told.
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideUnfinishedBodiesWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideUnfinishedBodiesWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideSilentConnections);
+  CPPUNIT_TEST(GatewayAnswersCallersBehindABurstOfConnections);
   CPPUNIT_TEST(GatewayServesCallersBesideSlowHeads);
   CPPUNIT_TEST(GatewayServesCallersBesideReopenedConnections);
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithoutKey);
@@ -170,6 +171,28 @@
     CheckGateway(Silent(kGatewayCrowd));
   }
 
+  // Guards against callers whose connections are closed without an answer
+  // because many others were opened in the same moment.
+  void GatewayAnswersCallersBehindABurstOfConnections()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    std::vector<int> sockets;
+    for (int n = 0; n < kGatewayCrowd; ++n) {
+      sockets.push_back(ConnectTo(gateway.Ip(), gateway.CallerPort()));
+    }
+    const int status =
+      StatusOf(gateway.Ip(),
+               gateway.CallerPort(),
+               GatewayTestCluster::Request("/plain/", "ordinary"));
+    for (const int it : sockets) {
+      ::close(it);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                           status == 200 || status == 503);
+  }
+
   void GatewayServesCallersBesideSlowHeads()
   {
     CheckGateway(SlowHeads(kGatewayCrowd));
