Let a connection that waits be moved out of its queue (linter)

clang-tidy's performance-no-automatic-move: a const local of TakeWaiting was copied on return. No change of behaviour; the linter passes on HttpServer.cpp.

--- a/src/quetzalquay/wire/HttpServer.cpp
+++ b/src/quetzalquay/wire/HttpServer.cpp
@@ -677,7 +677,7 @@
         mWaiting.front().mSince + aWait > std::chrono::steady_clock::now()) {
       return nullptr;
     }
-    const RefPtr<HttpConnection> first = mWaiting.front().mConnection;
+    RefPtr<HttpConnection> first = mWaiting.front().mConnection;
     mWaiting.pop_front();
     mDemand.SetWaitingSince(mWaiting.empty() ? Time::max()
                                              : mWaiting.front().mSince);
