Reset the connections of runners that the soak cuts off or crashes

The soak did not say which body.

Cause: a crash and a cut of kind "reset" call the transport's abort(). That is an orderly end while nothing is left to read: a client reads all that was sent and then the end of the stream. The spoiled answers of the soak have no length, so their end completes them, and what the caller got was the runner's whole body as far as a host can know. The rule is about answers that are reset on the way.

Change: a runner's connection is aborted with a linger time of 0, which resets it. SoakTests::test_runners_that_are_cut_off_reset_their_connections fails with the transport alone. MIXED tells the size and start of the body and where the request ran. The check itself is as strict as before.

--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -826,7 +826,9 @@
                 self.broken["ORDER"].append(request_id)
         elif whole and status == 200 and text.decode() != "body of " + \
                 request_id:
-            self.broken["MIXED"].append(request_id)
+            self.broken["MIXED"].append("%s at %s: %d bytes, %r, runs at %s" % (
+                request_id, host.name, len(text), text[:40],
+                [it[2] for it in runs]))
 
     # Faults
 
--- a/tests/soak/runner_cuts.py
+++ b/tests/soak/runner_cuts.py
@@ -51,13 +51,29 @@
                     struct.pack("HxxxxxxP", len(code), ctypes.addressof(data)))
 
 
+class Connection:
+    """A connection of a runner whose abort resets it. That of a transport
+    alone is an orderly end if nothing is left to read, which completes an
+    answer without a length."""
+
+    def __init__(self, transport):
+        self.transport = transport
+
+    def abort(self):
+        sock = self.transport.get_extra_info("socket")
+        if sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                            struct.pack("ii", 1, 0))
+        self.transport.abort()
+
+
 class HeldWriter:
     """Writes to a connection of a runner, or keeps what is written while the
     host at its other end is cut off."""
 
     def __init__(self, writer, cuts):
         self.writer = writer
-        self.transport = writer.transport
+        self.transport = Connection(writer.transport)
         self.cuts = cuts
         self.host = writer.get_extra_info("peername")[0]
         self.socket = writer.get_extra_info("socket")
--- a/tests/tools/soak_tests.py
+++ b/tests/tools/soak_tests.py
@@ -79,6 +79,26 @@
         theirs.close()
 
 
+async def read_until_cut():
+    """Reads from a runner that is cut off in the middle of an answer."""
+    cuts = runner_cuts.RunnerCuts()
+
+    async def serve(_, writer):
+        held = runner_cuts.HeldWriter(writer, cuts)
+        held.write(b"HTTP/1.1 200 OK\r\n\r\nx")
+        await held.drain()
+        held.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(
+        *server.sockets[0].getsockname())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+        server.close()
+
+
 class SoakTests(unittest.TestCase):
     """The checks fail for what they are made for, and for nothing else."""
 
@@ -120,6 +140,12 @@
         play.judge_time(host, "in time", 10.0, 2.6, 2.0)
         self.assertEqual((1, 2), (len(play.overdue), play.lasting))
 
+    # Guards against an orderly end in place of a reset, which makes an answer
+    # without a length whole.
+    def test_runners_that_are_cut_off_reset_their_connections(self):
+        with self.assertRaises(ConnectionResetError):
+            asyncio.run(read_until_cut())
+
     def test_hosts_are_cut_off_by_their_own_address(self):
         with tempfile.TemporaryDirectory() as folder:
             library = runner_cuts.build_preloaded(folder)
