Pass on streams of a cut-off host that has asked targets in vain

Cause, by its logs: the host's targets fell silent, and it asked four others beside the silent one, each given up after 280 ms without a response. Each counted as a run, five in all, which is the route's maximum. 900 ms later the host knew that it was cut off, but a stream without runs left is not passed on (Generation::RunsIfPassedOn). It stayed until its target crashed 1.1 s later, and could not be resumed.

Change: tentative attempts that were given up without a response are counted apart. They still count at this host. If it is cut off from the targets they are left out of the runs that another host is told of: the targets could not be reached, and the stream's own run goes on counting.

Evidence: SilentTargetTests::StreamThatNoTargetHasAnsweredCanLeaveACutOffHost fails if they count for another host as well.

--- a/src/quetzalquay/core/Generation.cpp
+++ b/src/quetzalquay/core/Generation.cpp
@@ -358,10 +358,11 @@
 }
 
 std::optional<int>
-Generation::RunsIfPassedOn(std::optional<AttemptEnd> aEnd) const
+Generation::RunsIfPassedOn(std::optional<AttemptEnd> aEnd, bool aCutOff) const
 {
   const bool started = aEnd == AttemptEnd::Broken;
-  const int runs = mRuns - (aEnd && !started ? 1 : 0);
+  const int runs =
+    mRuns - (aEnd && !started ? 1 : 0) - (aCutOff ? mUnansweredRuns : 0);
   const bool restartable = mSpec.mResumable && mSpec.mIdempotent;
   const bool allowed = restartable || (!mMayHaveStarted && !started);
   const bool left = mSpec.mMaxRuns == 0 || runs < mSpec.mMaxRuns;
@@ -800,6 +801,7 @@
   action.mTarget = mTentative->mChoice.mTarget;
   action.mGeneration = mGeneration;
   aActions.push_back(std::move(action));
+  ++mUnansweredRuns;
   mTentative.reset();
 }
 
--- a/src/quetzalquay/core/Generation.h
+++ b/src/quetzalquay/core/Generation.h
@@ -97,7 +97,11 @@
   Actions OnAttemptAccepted(int aAttempt, Time aNow);
 
   // Handles that a tentative attempt which has been cancelled was not sent.
-  void OnAttemptNotSent() { --mRuns; }
+  void OnAttemptNotSent()
+  {
+    --mRuns;
+    --mUnansweredRuns;
+  }
 
   // Handles the result of a ProbeTarget action.
   Actions OnProbeResult(int aAttempt, ProbeResult aResult, Time aNow);
@@ -125,7 +129,10 @@
   // Returns the attempts that may have run, if another host may start the
   // request or resume the stream although the current attempt ends in the given
   // way; nothing if it must not. aEnd is empty if there is no current attempt.
-  std::optional<int> RunsIfPassedOn(std::optional<AttemptEnd> aEnd) const;
+  // aCutOff tells whether this host is cut off from the targets: then tentative
+  // attempts that were given up without a response do not count.
+  std::optional<int> RunsIfPassedOn(std::optional<AttemptEnd> aEnd,
+                                    bool aCutOff) const;
 
   // Attempts that may have run.
   int Runs() const { return mRuns; }
@@ -273,6 +280,8 @@
   // Dispatches that were not rejected by their target, those of other hosts
   // included.
   int mRuns;
+  // Those of them that were tentative and given up without a response.
+  int mUnansweredRuns = 0;
   // Whether the current attempt reads a stream that an earlier one started.
   bool mReattached = false;
   // Whether the current attempt's stream has produced a token.
--- a/src/quetzalquay/gateway/StreamExchange.cpp
+++ b/src/quetzalquay/gateway/StreamExchange.cpp
@@ -860,7 +860,7 @@
     return false;
   }
   const Time now = EventLoop::Now();
-  const auto runs = mStateMachine.RunsIfPassedOn(aEnd);
+  const auto runs = mStateMachine.RunsIfPassedOn(aEnd, IsCutOff(now));
   // A stream whose events have no IDs cannot be resumed after one.
   const bool resumable = mNextEventIndex == 0 || !mEvents.LastId().empty();
   auto host = runs && resumable ? FindServingHost(mContext, mCall, now, aChoice)
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -171,6 +171,7 @@
   CPPUNIT_TEST_SUITE(SilentTargetTests);
   CPPUNIT_TEST(StreamStaysAtItsSilentTargetWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(StreamWithoutRunsLeftStaysAtItsSilentTarget);
+  CPPUNIT_TEST(StreamThatNoTargetHasAnsweredCanLeaveACutOffHost);
   CPPUNIT_TEST(StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt);
   CPPUNIT_TEST(StreamLeavesItsSilentTargetOnceAnotherCanTakeIt);
   CPPUNIT_TEST(StreamThatWentOnDoesNotLeaveItsTarget);
@@ -216,6 +217,23 @@
     CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
   }
 
+  // Streams stayed at a host that was cut off from all targets once it had asked
+  // as many of them in vain as the request may run on.
+  void StreamThatNoTargetHasAnsweredCanLeaveACutOffHost()
+  {
+    StartedStream stream(3);
+    for (const char* it : { "second", "third" }) {
+      stream.mChooser.mTarget = it;
+      stream.Wait(kSilence, ProbeResult::NoAnswer, ProbeResult::NoAnswer);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), stream.mDispatches.size());
+    const auto runs = [&](bool aCutOff) {
+      return stream.mGeneration.RunsIfPassedOn(AttemptEnd::Broken, aCutOff);
+    };
+    CPPUNIT_ASSERT(!runs(false));
+    CPPUNIT_ASSERT(runs(true) == 1);
+  }
+
   // Streams were broken off when their target answered probes but sent no
   // event for a while.
   void StreamOnASilentConnectionStaysWhileNoOtherCanTakeIt()
