Close connections that ask often for others, and count those in use

What callers saw: beside 200 connections that ask ten times a second, ordinary requests got 503 in 12 of 12 attempts at a gateway (300 descriptors, the crowd with a valid key or without), and no answer in the first three attempts of 8 s at a router and at the API (600 connections there; not played to the end).

Cause: EvictionOrder gave a connection of an unknown sender 250 ms from its last response, and idle ones of a workspace with more than half of all connections 250 ms as well. A connection that asks more often than that never gave way. Besides, a connection was removed from the order while its request was handled and did not count for its workspace then.

Change: the 250 ms of unknown senders begin when the connection is opened. Connections are suspended while a request is handled and count for their group; idle ones of a group with more than half of all may be closed at any time, if no other connection may be.

EvictionOrderTests: AWorkspaceWithMostConnectionsGivesWaySooner asserted the 250 ms, which are the fault; it now asserts that connections in use count and that an idle one gives way at once. Its property covers suspended connections.

--- a/src/quetzalquay/core/overload/EvictionOrder.cpp
+++ b/src/quetzalquay/core/overload/EvictionOrder.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Time for the peer to close after its last response, and for a caller to send
-// a head. Usual ones take a few round trips.
+// Time for the peer to close after its last response, and for a new caller to
+// send a head. Usual ones take a few round trips.
 constexpr Duration kGraceTime = std::chrono::milliseconds(250);
 
 // Time that a body may take, and may pause, before others go first. Usual
@@ -59,8 +59,10 @@
 {
   switch (aUse) {
     case ConnectionUse::Ending:
-    case ConnectionUse::Unidentified:
       return aTimes.mSince + kGraceTime;
+    case ConnectionUse::Unidentified:
+      // Its requests do not renew the time, however often they come.
+      return aTimes.mOpened + kGraceTime;
     case ConnectionUse::IdlePublic:
     case ConnectionUse::IdleKeyed:
       return aTimes.mSince + aTimes.mIdleTimeout * kIdleParts / kIdleDivisor;
@@ -81,33 +83,50 @@
 EvictionOrder::Place(Evictable& aConnection,
                      ConnectionUse aUse,
                      std::uint64_t aGroup,
-                     Time aSince,
                      Time aFrom)
 {
   Remove(aConnection);
-  aConnection.mSince = aSince;
   aConnection.mUse = aUse;
   aConnection.mGroup = aGroup;
   aConnection.mKey = { aFrom, ++mPlaced };
-  UseQueues& queues = mUses[static_cast<std::size_t>(aUse)];
-  Queue& group = queues.mGroups[aGroup];
-  const std::size_t before = group.size();
-  group.emplace(aConnection.mKey, &aConnection);
+  UseQueues& queues = QueuesOf(aUse);
+  Group& group = queues.mGroups[aGroup];
+  const std::size_t before = group.Size();
+  group.mQueue.emplace(aConnection.mKey, &aConnection);
   queues.mAll.emplace(aConnection.mKey, &aConnection);
   Resize(queues, aGroup, before);
 }
 
+void
+EvictionOrder::Suspend(Evictable& aConnection)
+{
+  if (aConnection.mUse == ConnectionUse::Last || aConnection.mIsBusy) {
+    return;
+  }
+  UseQueues& queues = QueuesOf(aConnection.mUse);
+  Group& group = queues.mGroups[aConnection.mGroup];
+  group.mQueue.erase(aConnection.mKey);
+  queues.mAll.erase(aConnection.mKey);
+  ++group.mBusy;
+  aConnection.mIsBusy = true;
+}
+
 void
 EvictionOrder::Remove(Evictable& aConnection)
 {
   if (aConnection.mUse == ConnectionUse::Last) {
     return;
   }
-  UseQueues& queues = mUses[static_cast<std::size_t>(aConnection.mUse)];
-  Queue& group = queues.mGroups[aConnection.mGroup];
-  const std::size_t before = group.size();
-  group.erase(aConnection.mKey);
-  queues.mAll.erase(aConnection.mKey);
+  UseQueues& queues = QueuesOf(aConnection.mUse);
+  Group& group = queues.mGroups[aConnection.mGroup];
+  const std::size_t before = group.Size();
+  if (aConnection.mIsBusy) {
+    --group.mBusy;
+    aConnection.mIsBusy = false;
+  } else {
+    group.mQueue.erase(aConnection.mKey);
+    queues.mAll.erase(aConnection.mKey);
+  }
   Resize(queues, aConnection.mGroup, before);
   aConnection.mUse = ConnectionUse::Last;
 }
@@ -120,13 +139,19 @@
 {
   const auto group = aQueues.mGroups.find(aGroup);
   aQueues.mSizes.erase({ aBefore, aGroup });
-  if (group->second.empty()) {
+  if (group->second.Size() == 0) {
     aQueues.mGroups.erase(group);
   } else {
-    aQueues.mSizes.emplace(group->second.size(), aGroup);
+    aQueues.mSizes.emplace(group->second.Size(), aGroup);
   }
 }
 
+EvictionOrder::UseQueues&
+EvictionOrder::QueuesOf(ConnectionUse aUse)
+{
+  return mUses[static_cast<std::size_t>(aUse)];
+}
+
 const EvictionOrder::UseQueues&
 EvictionOrder::QueuesOf(ConnectionUse aUse) const
 {
@@ -143,28 +168,26 @@
   for (auto it = aQueues.mSizes.rbegin();
        it != aQueues.mSizes.rend() && left > 0;
        ++it, --left) {
-    const Queue& group = aQueues.mGroups.at(it->second);
-    if (group.begin()->first.first <= aNow) {
-      return group.begin()->second;
+    const Queue& queue = aQueues.mGroups.at(it->second).mQueue;
+    if (!queue.empty() && queue.begin()->first.first <= aNow) {
+      return queue.begin()->second;
     }
   }
   return aQueues.mAll.begin()->second;
 }
 
-// The connection of the largest group to close if that has more than half of
-// all connections.
+// The connection to close of the group that has more than half of all
+// connections, if there is one.
 Evictable*
-EvictionOrder::FirstOfCrowd(const UseQueues& aQueues,
-                            std::size_t aLimit,
-                            Time aNow)
+EvictionOrder::FirstOfCrowd(const UseQueues& aQueues, std::size_t aLimit)
 {
   if (aQueues.mSizes.empty() ||
       aQueues.mSizes.rbegin()->first <= aLimit / kCrowdDivisor) {
     return nullptr;
   }
-  const Queue& group = aQueues.mGroups.at(aQueues.mSizes.rbegin()->second);
-  Evictable* first = group.begin()->second;
-  return first->mSince + kGraceTime <= aNow ? first : nullptr;
+  const auto group = aQueues.mGroups.find(aQueues.mSizes.rbegin()->second);
+  const Queue& queue = group->second.mQueue;
+  return queue.empty() ? nullptr : queue.begin()->second;
 }
 
 Evictable*
@@ -186,7 +209,7 @@
     }
   }
   for (const ConnectionUse it : kIdleUses) {
-    if (Evictable* found = FirstOfCrowd(QueuesOf(it), aLimit, aNow)) {
+    if (Evictable* found = FirstOfCrowd(QueuesOf(it), aLimit)) {
       return found;
     }
   }
--- a/src/quetzalquay/core/overload/EvictionOrder.h
+++ b/src/quetzalquay/core/overload/EvictionOrder.h
@@ -56,6 +56,8 @@
 // Times of a connection by which it is decided how long it is kept.
 struct ConnectionTimes
 {
+  // When it was opened.
+  Time mOpened;
   // When its present use began: a body's with its request.
   Time mSince;
   // When bytes arrived last.
@@ -83,7 +85,8 @@
 
   ConnectionUse mUse = ConnectionUse::Last;
   std::uint64_t mGroup = 0;
-  Time mSince;
+  // Whether it is out of the order while its request is handled.
+  bool mIsBusy = false;
   // Time from which it may be closed, and a number by which equal times are
   // told apart.
   std::pair<Time, std::uint64_t> mKey;
@@ -97,23 +100,24 @@
 class EvictionOrder
 {
 public:
-  // Adds a connection, or changes its place. It has been used so since aSince,
-  // and may be closed from aFrom on.
+  // Adds a connection, or changes its place. It may be closed from aFrom on.
   void Place(Evictable& aConnection,
              ConnectionUse aUse,
              std::uint64_t aGroup,
-             Time aSince,
              Time aFrom);
 
-  // Removes a connection, such as one whose request is handled. Does nothing if
-  // it is not there.
+  // Takes a connection out while its request is handled. It still counts for
+  // its group. Does nothing if it is not there.
+  void Suspend(Evictable& aConnection);
+
+  // Removes a connection. Does nothing if it is not there.
   void Remove(Evictable& aConnection);
 
   // The connection to close for a new one, of which nothing is known yet; null
   // if the new one has to wait or be rejected. Senders that are not known push
   // out others only while they have less than a quarter of aLimit connections.
-  // An idle connection of a group with more than half of them may be closed
-  // 250 ms after its last request.
+  // An idle connection of a group with more than half of them may be closed at
+  // any time.
   Evictable* ForConnection(std::size_t aLimit, Time aNow) const;
 
   // The connection to close for the memory of a request whose body is of the
@@ -121,7 +125,7 @@
   // if it may be closed; null if there is none.
   Evictable* ForBody(ConnectionUse aUse, Time aNow) const;
 
-  // Connections of a use.
+  // Connections of a use that are not suspended.
   std::size_t Count(ConnectionUse aUse) const;
 
   // Earliest time from which a connection of the uses of unknown senders may be
@@ -131,20 +135,31 @@
 private:
   using Queue = std::map<std::pair<Time, std::uint64_t>, Evictable*>;
 
+  struct Group
+  {
+    std::size_t Size() const { return mQueue.size() + mBusy; }
+
+    Queue mQueue;
+    // Suspended connections.
+    std::size_t mBusy = 0;
+  };
+
   // Connections of one use.
   struct UseQueues
   {
+    // Those that are not suspended.
     Queue mAll;
-    std::map<std::uint64_t, Queue> mGroups;
-    // Number of connections and name of each group.
+    std::map<std::uint64_t, Group> mGroups;
+    // Size and name of each group.
     std::set<std::pair<std::size_t, std::uint64_t>> mSizes;
   };
 
   static Evictable* FirstOf(const UseQueues& aQueues, Time aNow);
-  static Evictable* FirstOfCrowd(const UseQueues& aQueues,
-                                 std::size_t aLimit,
-                                 Time aNow);
-  void Resize(UseQueues& aQueues, std::uint64_t aGroup, std::size_t aBefore);
+  static Evictable* FirstOfCrowd(const UseQueues& aQueues, std::size_t aLimit);
+  static void Resize(UseQueues& aQueues,
+                     std::uint64_t aGroup,
+                     std::size_t aBefore);
+  UseQueues& QueuesOf(ConnectionUse aUse);
   const UseQueues& QueuesOf(ConnectionUse aUse) const;
 
   std::array<UseQueues, static_cast<std::size_t>(ConnectionUse::Last)> mUses;
--- a/src/quetzalquay/gateway/CallerConnection.cpp
+++ b/src/quetzalquay/gateway/CallerConnection.cpp
@@ -159,6 +159,7 @@
 void
 CallerConnection::Start(tcp::socket aSocket)
 {
+  mOpenedAt = EventLoop::Now();
   EndRequest();
   mSocket->Adopt(std::move(aSocket), *this, kCallerTimeout);
 }
@@ -295,7 +296,7 @@
     return;
   }
   mParsing = true;
-  mServer.mEvictions.Remove(*this);
+  mServer.mEvictions.Suspend(*this);
   while (!mHandlingRequest && !mEnding && !mClosed && UnparsedBytes() > 0) {
     const bool first = !mReader.HasStarted();
     if (first) {
@@ -782,10 +783,11 @@
   }
   const auto use = CurrentUse();
   if (!use) {
-    mServer.mEvictions.Remove(*this);
+    mServer.mEvictions.Suspend(*this);
     return;
   }
   ConnectionTimes times;
+  times.mOpened = mOpenedAt;
   times.mSince = mEnding                ? mEndingSince
                  : mReader.HasStarted() ? mArrivedAt
                                         : mIdleSince;
@@ -800,7 +802,6 @@
     *use,
     ofWorkspace ? mWorkspace
                 : mSocket->RemoteEndpoint().address().to_v4().to_uint(),
-    times.mSince,
     std::max(EvictableFrom(*use, times), aNotBefore));
 }
 
--- a/src/quetzalquay/gateway/CallerConnection.h
+++ b/src/quetzalquay/gateway/CallerConnection.h
@@ -160,6 +160,7 @@
   platform::CallerRequest mRequest;
   // What the other host says that has passed the request on.
   PassedOnRequest mPassedOn;
+  Time mOpenedAt;
   Time mArrivedAt;
   // Since when no request has been received or handled.
   Time mIdleSince;
--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -162,7 +162,8 @@
 
   void Start(tcp::socket aSocket)
   {
-    mIdleTimer.ScheduleAt(EventLoop::Now() + kIdleTimeout);
+    mOpened = EventLoop::Now();
+    mIdleTimer.ScheduleAt(mOpened + kIdleTimeout);
     mSocket->Adopt(std::move(aSocket), *this);
     WaitForRequest();
   }
@@ -216,8 +217,7 @@
       *this,
       use,
       mSocket->RemoteEndpoint().address().to_v4().to_uint(),
-      now,
-      EvictableFrom(use, { now, now, kIdleTimeout }));
+      EvictableFrom(use, { mOpened, now, now, kIdleTimeout }));
   }
 
   void Forget()
@@ -255,6 +255,7 @@
   RefPtr<Socket> mSocket;
   HttpReader mReader;
   Timer mIdleTimer;
+  Time mOpened;
   // Requests that have been answered.
   std::size_t mAnswered = 0;
 };
--- a/src/quetzalquay/wire/HeadReceiver.cpp
+++ b/src/quetzalquay/wire/HeadReceiver.cpp
@@ -55,6 +55,7 @@
 HttpConnection::HttpConnection(int aSocket)
   : mSocket(aSocket)
   , mAddress(AddressOf(aSocket))
+  , mOpened(Now())
 {
 }
 
@@ -129,10 +130,11 @@
 }
 
 void
-HeadReceiver::Release(const RefPtr<HttpConnection>&)
+HeadReceiver::Release(const RefPtr<HttpConnection>& aConnection)
 {
   {
     const std::lock_guard<std::mutex> lock(mMutex);
+    mEvictions.Remove(*aConnection);
     --mOpen;
   }
   mChanged.notify_one();
@@ -168,8 +170,7 @@
   const auto connections = mReceiving;
   for (const auto& it : connections) {
     if (!Receive(it.second)) {
-      Unwatch(*it.second);
-      --mOpen;
+      Forget(*it.second);
     }
   }
 }
@@ -223,26 +224,33 @@
 }
 
 void
-HeadReceiver::Unwatch(HttpConnection& aConnection)
+HeadReceiver::Unwatch(const HttpConnection& aConnection)
 {
-  mEvictions.Remove(aConnection);
   ::epoll_ctl(mEpoll, EPOLL_CTL_DEL, aConnection.mSocket, nullptr);
   mReceiving.erase(aConnection.mSocket);
 }
 
+void
+HeadReceiver::Forget(HttpConnection& aConnection)
+{
+  Unwatch(aConnection);
+  mEvictions.Remove(aConnection);
+  --mOpen;
+}
+
 void
 HeadReceiver::PlaceEviction(HttpConnection& aConnection)
 {
   const ConnectionUse use = aConnection.mIsKnown ? ConnectionUse::IdleKeyed
                                                  : ConnectionUse::Unidentified;
-  mEvictions.Place(
-    aConnection,
-    use,
-    aConnection.mAddress,
-    aConnection.mSince,
-    EvictableFrom(
-      use,
-      { aConnection.mSince, aConnection.mLastInput, mOptions.mIdleTimeout }));
+  mEvictions.Place(aConnection,
+                   use,
+                   aConnection.mAddress,
+                   EvictableFrom(use,
+                                 { aConnection.mOpened,
+                                   aConnection.mSince,
+                                   aConnection.mLastInput,
+                                   mOptions.mIdleTimeout }));
 }
 
 // Reads what has been received, and passes the connection on if its head is
@@ -255,17 +263,28 @@
       return false;
     case Receipt::Complete:
       Unwatch(*aConnection);
+      mEvictions.Suspend(*aConnection);
       mCallbacks.mOnHead(aConnection);
       return true;
     case Receipt::Ended:
       break;
   }
-  Unwatch(*aConnection);
-  --mOpen;
+  Forget(*aConnection);
   mChanged.notify_one();
   return true;
 }
 
+void
+HeadReceiver::Evict(const RefPtr<HttpConnection>& aConnection)
+{
+  const std::string text = mCallbacks.mOnEviction(aConnection->Use(), mOpen);
+  if (!aConnection->mInput.empty()) {
+    aConnection->SendLast(text);
+  }
+  Forget(*aConnection);
+  mChanged.notify_one();
+}
+
 HeadReceiver::Receipt
 HeadReceiver::ReadHead(HttpConnection& aConnection) const
 {
@@ -322,14 +341,8 @@
     }
     const RefPtr<HttpConnection> connection(
       static_cast<HttpConnection*>(first));
-    const ConnectionUse use = first->Use();
     if (!Receive(connection)) {
-      const std::string text = mCallbacks.mOnEviction(use, mOpen);
-      if (!connection->mInput.empty()) {
-        connection->SendLast(text);
-      }
-      Unwatch(*connection);
-      --mOpen;
+      Evict(connection);
     }
     if (mOpen < mOptions.mMaxConnections) {
       return true;
@@ -348,8 +361,7 @@
                           ? connection->mSince + mOptions.mIdleTimeout
                           : connection->mLastInput + mOptions.mReadTimeout;
     if (aNow >= expiry && !Receive(connection)) {
-      Unwatch(*connection);
-      --mOpen;
+      Forget(*connection);
       closed = true;
     }
   }
--- a/src/quetzalquay/wire/HeadReceiver.h
+++ b/src/quetzalquay/wire/HeadReceiver.h
@@ -49,6 +49,7 @@
   int mSocket;
   // IPv4 address of the peer, 0 if it is not known.
   std::uint32_t mAddress = 0;
+  Time mOpened;
   // When it was opened, or its last response was sent.
   Time mSince;
   Time mLastInput;
@@ -122,9 +123,11 @@
   void Run();
   void Wake() const;
   void Watch(const RefPtr<HttpConnection>& aConnection);
-  void Unwatch(HttpConnection& aConnection);
+  void Unwatch(const HttpConnection& aConnection);
+  void Forget(HttpConnection& aConnection);
   void PlaceEviction(HttpConnection& aConnection);
   bool Receive(const RefPtr<HttpConnection>& aConnection);
+  void Evict(const RefPtr<HttpConnection>& aConnection);
   Receipt ReadHead(HttpConnection& aConnection) const;
   Receipt FindEndOfHead(HttpConnection& aConnection) const;
   bool MakeRoom(Time aNow);
--- a/tests/fakes/Crowd.cpp
+++ b/tests/fakes/Crowd.cpp
@@ -139,6 +139,7 @@
   if (!mPlan.mDrip.empty() || mPlan.mReopens || mPlan.mRenews || mPlan.mReads) {
     mThread = std::thread([this] { Play(); });
   }
+  std::this_thread::sleep_for(mPlan.mLeadTime);
 }
 
 Crowd::~Crowd()
--- a/tests/fakes/Crowd.h
+++ b/tests/fakes/Crowd.h
@@ -62,6 +62,8 @@
   bool mReopens = false;
   // Whether all connections are replaced by new ones at each interval.
   bool mRenews = false;
+  // Time for which they do so before the constructor returns.
+  std::chrono::milliseconds mLeadTime{ 0 };
 };
 
 // Connections that stay open until the object is destroyed.
--- a/tests/introspective/EvictionOrderTests.cpp
+++ b/tests/introspective/EvictionOrderTests.cpp
@@ -23,7 +23,7 @@
   Evictable& Add(ConnectionUse aUse, std::uint64_t aGroup, Time aFrom)
   {
     mAll.emplace_back();
-    mOrder.Place(mAll.back(), aUse, aGroup, kStart, aFrom);
+    mOrder.Place(mAll.back(), aUse, aGroup, aFrom);
     return mAll.back();
   }
 
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(RenewedBodiesGiveWayWhenTheyPause);
   CPPUNIT_TEST(BodiesGiveWayToKnownSendersAtAnyAge);
   CPPUNIT_TEST(CallersThatReuseConnectionsInTimeKeepThem);
+  CPPUNIT_TEST(UnknownSendersThatAskOftenGiveWay);
   CPPUNIT_TEST(AWorkspaceWithMostConnectionsGivesWaySooner);
   CPPUNIT_TEST(WhatIsClosedMayBeClosed);
   CPPUNIT_TEST_SUITE_END();
@@ -96,7 +97,7 @@
   void ReopenedConnectionsKeepATimeForTheirHead()
   {
     Connections all;
-    const ConnectionTimes times{ kStart, kStart, seconds(15) };
+    const ConnectionTimes times{ kStart, kStart, kStart, seconds(15) };
     const Time from = EvictableFrom(ConnectionUse::Unidentified, times);
     all.AddMany(400, ConnectionUse::Unidentified, 1, from);
     CPPUNIT_ASSERT(
@@ -124,7 +125,7 @@
     const Time now = kStart + milliseconds(900);
     const auto from = [&](Time aLastInput) {
       return EvictableFrom(ConnectionUse::KeyedBody,
-                           { kStart, aLastInput, seconds(15) });
+                           { kStart, kStart, aLastInput, seconds(15) });
     };
     Evictable& slow =
       all.Add(ConnectionUse::KeyedBody, 1, from(now - milliseconds(100)));
@@ -154,31 +155,44 @@
 
   void CallersThatReuseConnectionsInTimeKeepThem()
   {
-    const ConnectionTimes times{ kStart, kStart, seconds(10) };
+    const ConnectionTimes times{ kStart, kStart, kStart, seconds(10) };
     CPPUNIT_ASSERT(EvictableFrom(ConnectionUse::IdleKeyed, times) ==
                    kStart + seconds(8));
     CPPUNIT_ASSERT(EvictableFrom(ConnectionUse::IdlePublic, times) ==
                    kStart + seconds(8));
   }
 
-  // One workspace keeps idle connections inside the idle timeout, on more than
-  // half of all.
+  // Without a key, requests that come often do not keep a connection.
+  void UnknownSendersThatAskOftenGiveWay()
+  {
+    const Time now = kStart + seconds(10);
+    const ConnectionTimes times{ kStart, now, now, seconds(15) };
+    CPPUNIT_ASSERT(EvictableFrom(ConnectionUse::Unidentified, times) ==
+                   kStart + milliseconds(250));
+  }
+
+  // One workspace uses more than half of all connections, most of them for a
+  // request at any time.
   void AWorkspaceWithMostConnectionsGivesWaySooner()
   {
     Connections all;
-    const Time from =
-      EvictableFrom(ConnectionUse::IdleKeyed, { kStart, kStart, seconds(15) });
+    const Time from = EvictableFrom(ConnectionUse::IdleKeyed,
+                                    { kStart, kStart, kStart, seconds(15) });
     all.AddMany(50, ConnectionUse::IdleKeyed, 1, from);
-    all.AddMany(200, ConnectionUse::IdleKeyed, 2, from);
-    const Time now = kStart + milliseconds(250);
-    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, now) == nullptr);
-    all.Add(ConnectionUse::IdleKeyed, 2, from);
-    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, now - milliseconds(1)) ==
-                   nullptr);
-    Evictable* first = all.mOrder.ForConnection(kLimit, now);
-    CPPUNIT_ASSERT(first != nullptr);
-    all.mOrder.Remove(*first);
-    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, now) == nullptr);
+    Evictable& idle = all.Add(ConnectionUse::IdleKeyed, 2, from);
+    for (int n = 0; n < 199; ++n) {
+      all.mOrder.Suspend(all.Add(ConnectionUse::IdleKeyed, 2, from));
+    }
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
+    Evictable& other = all.Add(ConnectionUse::IdleKeyed, 2, from);
+    CPPUNIT_ASSERT_EQUAL(&idle, all.mOrder.ForConnection(kLimit, kStart));
+    all.mOrder.Suspend(idle);
+    CPPUNIT_ASSERT_EQUAL(&other, all.mOrder.ForConnection(kLimit, kStart));
+    all.mOrder.Suspend(other);
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
+    all.mOrder.Remove(other);
+    all.mOrder.Place(idle, ConnectionUse::IdleKeyed, 2, from);
+    CPPUNIT_ASSERT(all.mOrder.ForConnection(kLimit, kStart) == nullptr);
   }
 
   // Random connections come, change and go.
@@ -195,13 +209,16 @@
         const unsigned rest = step / 12;
         from[n] = kStart + milliseconds(rest / 64 % 8);
         if (rest % 8 == 7) {
-          order.Remove(all[n]);
+          if (rest / 8 % 2 == 0) {
+            order.Remove(all[n]);
+          } else {
+            order.Suspend(all[n]);
+          }
           from[n] = Time::max();
         } else {
           order.Place(all[n],
                       static_cast<ConnectionUse>(rest % 8 % 7),
                       rest / 8 % 8,
-                      kStart,
                       from[n]);
         }
         std::size_t placed = 0;
--- a/tests/introspective/SilentTargetTests.cpp
+++ b/tests/introspective/SilentTargetTests.cpp
@@ -217,8 +217,8 @@
     CPPUNIT_ASSERT_EQUAL(0, stream.mFailures);
   }
 
-  // Streams stayed at a host that was cut off from all targets once it had asked
-  // as many of them in vain as the request may run on.
+  // Streams stayed at a host that was cut off from all targets once it had
+  // asked as many of them in vain as the request may run on.
   void StreamThatNoTargetHasAnsweredCanLeaveACutOffHost()
   {
     StartedStream stream(3);
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -77,15 +77,28 @@
   return plan;
 }
 
-// Connections that stay open and ask again once a second.
+// Connections that stay open and ask again, once a second or more often.
 CrowdPlan
-Kept(int aCount, const std::string& aTarget, const std::string& aFields = "")
+Kept(int aCount,
+     const std::string& aTarget,
+     const std::string& aFields = "",
+     milliseconds aInterval = milliseconds(1000))
 {
   CrowdPlan plan;
   plan.mCount = aCount;
   plan.mFirst = GetRequest(aTarget, aFields);
   plan.mDrip = plan.mFirst;
-  plan.mInterval = milliseconds(1000);
+  plan.mInterval = aInterval;
+  return plan;
+}
+
+// Connections that are never idle for long, and come back.
+CrowdPlan
+Busy(int aCount, const std::string& aTarget, const std::string& aFields = "")
+{
+  CrowdPlan plan = Kept(aCount, aTarget, aFields, milliseconds(100));
+  plan.mReopens = true;
+  plan.mLeadTime = milliseconds(2000);
   return plan;
 }
 
@@ -125,6 +138,8 @@
   CPPUNIT_TEST(GatewayServesCallersBesideReopenedConnections);
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithoutKey);
   CPPUNIT_TEST(GatewayServesCallersBesideIdleConnectionsWithKey);
+  CPPUNIT_TEST(GatewayServesCallersBesideBusyConnectionsWithoutKey);
+  CPPUNIT_TEST(GatewayServesCallersBesideBusyConnectionsWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideConnectionsAtThePeersAddress);
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideUnreadAnswers);
@@ -137,6 +152,7 @@
   CPPUNIT_TEST(GatewayStopsBesideACrowd);
   CPPUNIT_TEST(RouterServesCallersBesideSlowHeads);
   CPPUNIT_TEST(RouterServesCallersBesideKeptConnections);
+  CPPUNIT_TEST(RouterServesCallersBesideBusyConnections);
   CPPUNIT_TEST(RouterServesCallersBesideSilentConnections);
   CPPUNIT_TEST(RouterServesRoutersBesideSlowHeads);
   CPPUNIT_TEST(RouterServesMetricsBesideSlowHeads);
@@ -149,6 +165,7 @@
   CPPUNIT_TEST(RouterServesASlowHeadWithoutACrowd);
   CPPUNIT_TEST(ApiServesOperatorsBesideSlowHeads);
   CPPUNIT_TEST(ApiServesOperatorsBesideKeptConnections);
+  CPPUNIT_TEST(ApiServesOperatorsBesideBusyConnections);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +237,19 @@
     CheckGateway(Kept(kGatewayCrowd, "/plain/", kKeyField));
   }
 
+  // Guards against connections that are kept for good by asking too often to be
+  // idle.
+  void GatewayServesCallersBesideBusyConnectionsWithoutKey()
+  {
+    CheckGateway(Busy(kGatewayCrowd, "/plain/"));
+  }
+
+  // The same of one workspace.
+  void GatewayServesCallersBesideBusyConnectionsWithKey()
+  {
+    CheckGateway(Busy(kGatewayCrowd, "/plain/", kKeyField));
+  }
+
   // Guards against the address for other hosts, which shares the connections
   // with that for callers.
   void GatewayServesCallersBesideConnectionsAtThePeersAddress()
@@ -429,6 +459,15 @@
       router, Kept(kRouterCrowd, "/health/ready"), kRouterDescriptors);
   }
 
+  // Guards against connections that are kept for good by asking too often to be
+  // idle.
+  void RouterServesCallersBesideBusyConnections()
+  {
+    RouterUnderTest router;
+    CheckServer(
+      router, Busy(kRouterCrowd, "/health/ready"), kRouterDescriptors);
+  }
+
   void RouterServesCallersBesideSilentConnections()
   {
     RouterUnderTest router;
@@ -552,6 +591,12 @@
     CheckServer(api, Kept(kApiCrowd, "/api/v1/status"), kApiDescriptors);
   }
 
+  void ApiServesOperatorsBesideBusyConnections()
+  {
+    ApiUnderTest api;
+    CheckServer(api, Busy(kApiCrowd, "/api/v1/status"), kApiDescriptors);
+  }
+
 private:
   static GatewayTestCluster::Options GatewayOptions()
   {
