Leave readiness checks in the backlog while no connection may be closed

What was seen: a readiness check at a gateway was closed without a response beside 200 connections at its address that ask ten times a second and come back.

Cause: SimpleHttpServer closed a new connection when all were taken and none had been open for 250 ms. A crowd that comes back at once takes each place that becomes free.

Change: the listener asks whether a connection could be taken, as that of callers does, and leaves it in the system's backlog otherwise, where it comes up in its turn. The same holds at the addresses for metrics and rows.

Evidence: CrowdTests::GatewayAnswersChecksBesideBusyConnections fails on the commit before and passes now.

--- a/src/quetzalquay/http/SimpleHttpServer.cpp
+++ b/src/quetzalquay/http/SimpleHttpServer.cpp
@@ -267,8 +267,11 @@
   , mHandler(std::move(aHandler))
   , mMaxConnections(aMaxConnections)
   , mConnections(std::make_unique<Connections>())
-  , mListener(aLoop,
-              [this](tcp::socket aSocket) { Accept(std::move(aSocket)); })
+  , mListener(
+      aLoop,
+      [this](tcp::socket aSocket) { Accept(std::move(aSocket)); },
+      nullptr,
+      [this] { return MayAccept(); })
 {
 }
 
@@ -283,6 +286,14 @@
   connection->Start(std::move(aSocket));
 }
 
+bool
+SimpleHttpServer::MayAccept() const
+{
+  return mConnections->mOpen.size() < mMaxConnections ||
+         mConnections->mEvictions.ForConnection(mMaxConnections,
+                                                EventLoop::Now()) != nullptr;
+}
+
 // Closes connections until there is room for a new one. Returns whether there
 // is.
 bool
--- a/src/quetzalquay/http/SimpleHttpServer.h
+++ b/src/quetzalquay/http/SimpleHttpServer.h
@@ -80,8 +80,9 @@
 
 // HTTP server for small responses that the handler returns synchronously:
 // readiness checks, metrics and peer requests. When there are too many
-// connections, one is closed for each new one, in the order of EvictionOrder. A
-// connection that asks again before it has read its response is closed.
+// connections, one is closed for each new one, in the order of EvictionOrder;
+// new ones wait in the system's backlog while none may be closed. A connection
+// that asks again before it has read its response is closed.
 class SimpleHttpServer
 {
 public:
@@ -116,6 +117,7 @@
   struct Connections;
 
   void Accept(boost::asio::ip::tcp::socket aSocket);
+  bool MayAccept() const;
   bool MakeRoom();
 
   EventLoop& mLoop;
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -144,6 +144,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideRenewedBodiesWithKey);
   CPPUNIT_TEST(GatewayServesCallersBesideUnreadAnswers);
   CPPUNIT_TEST(GatewayAnswersChecksBesideSilentConnections);
+  CPPUNIT_TEST(GatewayAnswersChecksBesideBusyConnections);
   CPPUNIT_TEST(GatewayBoundsUnreadMetrics);
   CPPUNIT_TEST(GatewayServesCallersBesidePipelinedRequests);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
@@ -321,6 +322,18 @@
     RequireServes(gateway, atReadiness);
   }
 
+  void GatewayAnswersChecksBesideBusyConnections()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    Crowd crowd(gateway.Ip(),
+                gateway.ReadinessPort(),
+                Busy(kGatewayCrowd, "/health/ready"));
+    CPPUNIT_ASSERT_EQUAL(200, gateway.Readiness());
+    RequireServes(gateway, crowd);
+  }
+
   // Guards against metrics that are held without a limit for connections that
   // do not read them.
   void GatewayBoundsUnreadMetrics()
