Close connections with requests sent together for new ones

What was seen, by reading and by a trial at full size (1,500 connections that send 4,000 GET /debug/status each at a router): five attempts of an ordinary request got no answer in 8 s each.

Cause: HeadReceiver passes a connection on at once if its next request has arrived with the one before. Such a connection is never in the order between two requests, and HeadReceiver::Add waits for room until all of them have been answered.

Change: if a new connection waits for room when a response has been sent, and the order names that connection as the first to give way, it is closed. What has arrived on it gets the rejection that a part of a head gets: 503, not run, which is true of all requests behind the response.

--- a/src/quetzalquay/wire/HeadReceiver.cpp
+++ b/src/quetzalquay/wire/HeadReceiver.cpp
@@ -105,8 +105,10 @@
   const auto connection = MakeRef<HttpConnection>(aSocket);
   std::unique_lock<std::mutex> lock(mMutex);
   while (!mStopping && mOpen >= mOptions.mMaxConnections && !MakeRoom(Now())) {
+    mIsAwaited = true;
     mChanged.wait_for(lock, kRoomInterval);
   }
+  mIsAwaited = false;
   if (mOpen++ == 0) {
     Wake();
   }
@@ -122,7 +124,14 @@
     if (!mStopping) {
       aConnection->mSearched = 0;
       Watch(aConnection);
-      Receive(aConnection);
+      if (mIsAwaited &&
+          aConnection.get() ==
+            mEvictions.ForConnection(mOptions.mMaxConnections, Now())) {
+        ReadHead(*aConnection);
+        Evict(aConnection);
+      } else {
+        Receive(aConnection);
+      }
       return;
     }
   }
--- a/src/quetzalquay/wire/HeadReceiver.h
+++ b/src/quetzalquay/wire/HeadReceiver.h
@@ -98,7 +98,8 @@
   void Add(int aSocket);
 
   // Takes a connection back for its next request once its response has been
-  // sent, or closes it.
+  // sent, or closes it. If it gives way to a new one, a request that has
+  // arrived on it is rejected.
   void Return(const RefPtr<HttpConnection>& aConnection);
   void Release(const RefPtr<HttpConnection>& aConnection);
 
@@ -144,6 +145,8 @@
   std::map<int, RefPtr<HttpConnection>> mReceiving;
   EvictionOrder mEvictions;
   std::size_t mOpen = 0;
+  // Whether a new connection waits for room.
+  bool mIsAwaited = false;
   bool mStopping = false;
   std::thread mThread;
 };
