--- a/tests/fakes/GatewayTestCluster.cpp
+++ b/tests/fakes/GatewayTestCluster.cpp
@@ -1379,6 +1379,13 @@
            : FromBase64(row->second.mValue);
 }
 
+int
+GatewayTestCluster::PeerPort() const
+{
+  const std::string& address = mPeers.front();
+  return std::stoi(address.substr(address.find(':') + 1));
+}
+
 // Peer address of a gateway.
 const std::string&
 GatewayTestCluster::PeerOf(const std::string& aName) const
--- a/tests/fakes/GatewayTestCluster.h
+++ b/tests/fakes/GatewayTestCluster.h
@@ -505,6 +505,9 @@
   // Port on which all gateways receive requests of other hosts.
   int RelayPort() const { return mRelayPort; }
 
+  // Port at which the first gateway answers other hosts that ask for rows.
+  int PeerPort() const;
+
   // Sends bytes to the first gateway on a new connection and reads one
   // response.
   CallerAnswer Call(const std::string& aBytes) const;
--- a/tests/usage/CrowdTests.cpp
+++ b/tests/usage/CrowdTests.cpp
@@ -145,6 +145,7 @@
   CPPUNIT_TEST(GatewayServesCallersBesideUnreadAnswers);
   CPPUNIT_TEST(GatewayAnswersChecksBesideSilentConnections);
   CPPUNIT_TEST(GatewayAnswersChecksBesideBusyConnections);
+  CPPUNIT_TEST(GatewayAnswersHostsBesideBusyConnections);
   CPPUNIT_TEST(GatewayBoundsUnreadMetrics);
   CPPUNIT_TEST(GatewayServesCallersBesidePipelinedRequests);
   CPPUNIT_TEST(GatewayDropsWorkOfCallersThatReadNothingAndLeave);
@@ -334,6 +335,19 @@
     RequireServes(gateway, crowd);
   }
 
+  // The same at the address where other hosts ask for rows.
+  void GatewayAnswersHostsBesideBusyConnections()
+  {
+    GatewayTestCluster cluster(GatewayOptions());
+    cluster.Configure("key");
+    const GatewayProcess& gateway = cluster.Gateway();
+    Crowd crowd(
+      gateway.Ip(), cluster.PeerPort(), Busy(kGatewayCrowd, "/knowledge"));
+    RequireServed(
+      Statuses(gateway.Ip(), cluster.PeerPort(), GetRequest("/knowledge")));
+    RequireServes(gateway, crowd);
+  }
+
   // Guards against metrics that are held without a limit for connections that
   // do not read them.
   void GatewayBoundsUnreadMetrics()
