--- a/tests/usage/HeadReceiverTests.cpp
+++ b/tests/usage/HeadReceiverTests.cpp
@@ -2,11 +2,10 @@
 
 #include "Crowd.h"
 
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
-#include <mutex>
 #include <netinet/in.h>
+#include <string>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
